--- /dev/null
+++ b/config/types.go
@@ -0,0 +1,94 @@
+// Package config holds what operators declare: workspaces, pools and targets,
+// as numbered versions. A patch names the version it was made against; the
+// accepted result is the next version. A Snapshot is immutable once built:
+// readers keep it without locks, and a node swaps it whole and only upwards.
+//
+// A patch is a JSON merge patch (RFC 7396) over the Declarations document:
+//
+//	{"workspaces": {"bakery": {"share": 2}}, "targets": {"old-1": null}}
+package config
+
+// Version numbers an accepted configuration. The first accepted version is 1;
+// zero means "none yet".
+type Version uint64
+
+// PoolKind says how a pool's targets are called.
+type PoolKind string
+
+// The kinds of pool.
+const (
+	// KindEngine is a pool of model engines (chat and completions calls).
+	KindEngine PoolKind = "engine"
+	// KindService is a pool of plain HTTP services at a path prefix.
+	KindService PoolKind = "service"
+)
+
+// Declarations is the whole configuration document. Objects are keyed by name.
+type Declarations struct {
+	// Workspaces by name.
+	Workspaces map[string]Workspace `json:"workspaces" toml:"workspaces"`
+	// Pools by name.
+	Pools map[string]Pool `json:"pools" toml:"pools"`
+	// Targets by name.
+	Targets map[string]Target `json:"targets" toml:"targets"`
+}
+
+// Workspace is one tenant.
+type Workspace struct {
+	// Share is the workspace's weight, over 0. Default 1.
+	Share float64 `json:"share" toml:"share"`
+	// KeyHashes are hex SHA-256 digests of the workspace's keys.
+	KeyHashes []string `json:"key_hashes" toml:"key_hashes"`
+	// Pools are the pools that the workspace may reach.
+	Pools []string `json:"pools" toml:"pools"`
+	// Targets, if not empty, narrows the workspace to these targets.
+	Targets []string `json:"targets,omitempty" toml:"targets,omitempty"`
+	// MaxQueued bounds the requests waiting at one router. Default 256.
+	MaxQueued int `json:"max_queued,omitempty" toml:"max_queued,omitempty"`
+	// MaxQueuedBytes bounds the body bytes waiting at one router. Default 64 MiB.
+	MaxQueuedBytes int64 `json:"max_queued_bytes,omitempty" toml:"max_queued_bytes,omitempty"`
+}
+
+// Pool is a set of targets that can serve the same requests.
+type Pool struct {
+	// Kind says how the targets are called.
+	Kind PoolKind `json:"kind" toml:"kind"`
+	// Models are the model names served by an engine pool.
+	Models []string `json:"models,omitempty" toml:"models,omitempty"`
+	// PathPrefix is where a service pool is mounted, for example "/svc/deploy".
+	PathPrefix string `json:"path_prefix,omitempty" toml:"path_prefix,omitempty"`
+	// NonIdempotent marks every call to the pool as non-idempotent, whether
+	// or not the caller marks it.
+	NonIdempotent bool `json:"non_idempotent,omitempty" toml:"non_idempotent,omitempty"`
+	// TypicalMillis is the slot time charged at grant when the caller gives no
+	// hint. Default 1000.
+	TypicalMillis int `json:"typical_millis,omitempty" toml:"typical_millis,omitempty"`
+}
+
+// Target is one model engine or plain service instance.
+type Target struct {
+	// Pool is the pool that the target belongs to.
+	Pool string `json:"pool" toml:"pool"`
+	// DataCentre is where the target runs.
+	DataCentre string `json:"data_centre" toml:"data_centre"`
+	// Address is "ip:port"; host names are refused.
+	Address string `json:"address" toml:"address"`
+	// Slots is how many requests the target runs well at once. Default 1.
+	Slots int `json:"slots" toml:"slots"`
+	// ChecksFencing says that the target refuses orders with an old fencing number.
+	ChecksFencing bool `json:"checks_fencing,omitempty" toml:"checks_fencing,omitempty"`
+	// Resumes says that the target can resume a stream by offset.
+	Resumes bool `json:"resumes,omitempty" toml:"resumes,omitempty"`
+	// Leaving says that the target takes no new work.
+	Leaving bool `json:"leaving,omitempty" toml:"leaving,omitempty"`
+}
+
+// Snapshot is one immutable version in force.
+type Snapshot struct {
+	// Version numbers the snapshot.
+	Version Version `json:"version"`
+	// PatchID is the id of the patch that made the version.
+	PatchID string `json:"patch_id"`
+	// Declarations is the whole document. It must not be modified.
+	Declarations Declarations `json:"declarations"`
+}
--- /dev/null
+++ b/control/commands.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"time"
+
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// Send sends a message to another node. Delivery is best effort: the machine
+// bears loss, delay, doubling and reordering.
+type Send struct {
+	To      NodeID
+	Message Message
+}
+
+// Dispatch tells the entry's traffic goroutine to run the request on a target.
+type Dispatch struct {
+	Request RequestID
+	Attempt uint32
+	Grant   GrantID
+	Target  string
+}
+
+// Refuse ends a waiting request with a numbered code.
+type Refuse struct {
+	Request    RequestID
+	Attempt    uint32
+	Code       result.Code
+	RetryAfter time.Duration
+}
+
+// WatchTargets replaces the set of targets whose load this node polls.
+type WatchTargets struct{ Targets []string }
+
+// QuarantineChanged tells the guard filter that a fingerprint is or is no
+// longer quarantined.
+type QuarantineChanged struct {
+	Fingerprint uint64
+	Quarantined bool
+}
+
+// VersionSeen says that a member announced a configuration version newer than
+// the one in force here: the follower fetches it from that member.
+type VersionSeen struct {
+	From    NodeID
+	Version uint64
+}
+
+// Drained says that, after DrainStarted, no shard and no request is left here.
+type Drained struct{}
+
+func (Send) isCommand()              {}
+func (Dispatch) isCommand()          {}
+func (Refuse) isCommand()            {}
+func (WatchTargets) isCommand()      {}
+func (QuarantineChanged) isCommand() {}
+func (VersionSeen) isCommand()       {}
+func (Drained) isCommand()           {}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,92 @@
+// Package control is the decision core of a router: a pure state machine.
+// Step takes the time and one typed event and returns typed commands. There is
+// no clock, no I/O, no goroutine and no global random source inside, so the
+// same events always give the same commands.
+//
+// One goroutine per process owns a Machine (see package router). Traffic
+// goroutines send it events and receive commands; they never touch its state.
+//
+// The core plays two parts at once. As an entry it holds the tickets of the
+// requests that came in here and sends each to the scheduler of a shard. As a
+// scheduler it owns the queue of every shard that rendezvous hashing over the
+// members in view gives to this node, and answers tickets with grants. A shard
+// is the targets of one pool in one data centre.
+package control
+
+import "time"
+
+// Instant is a monotonic time: the duration since the process started. It is
+// never sent to another node; messages carry durations.
+type Instant = time.Duration
+
+// NodeID is a router's name, as in its settings and in the platform's VM list.
+type NodeID string
+
+// Incarnation tells one start of a process from the next. It is random, not
+// zero, and never reused.
+type Incarnation uint64
+
+// RequestID identifies a request within one incarnation of its entry node.
+type RequestID uint64
+
+// TicketID identifies one try at getting a grant for a request, fleet-wide.
+type TicketID struct {
+	Node        NodeID
+	Incarnation Incarnation
+	Request     RequestID
+	// Attempt counts grants asked for on behalf of the request, from 1.
+	Attempt uint32
+}
+
+// GrantID identifies a grant, fleet-wide.
+type GrantID struct {
+	Scheduler   NodeID
+	Incarnation Incarnation
+	Seq         uint64
+}
+
+// ShardID names a shard: one pool in one data centre.
+type ShardID struct {
+	Pool       string
+	DataCentre string
+}
+
+// Policy selects how capacity is shared.
+type Policy string
+
+// The policies.
+const (
+	// PolicyShardQueue: one queue for each shard, scheduled by one router.
+	PolicyShardQueue Policy = "shard-queue"
+	// PolicyAlone: each router is fair alone and picks the least-loaded
+	// target from load reports. This is the baseline.
+	PolicyAlone Policy = "alone"
+)
+
+// Options configure a Machine. Zero values take the stated defaults.
+type Options struct {
+	// Node, Incarnation and DataCentre identify this process.
+	Node        NodeID
+	Incarnation Incarnation
+	DataCentre  string
+	// Policy defaults to PolicyShardQueue.
+	Policy Policy
+	// Seed seeds the machine's own random source.
+	Seed uint64
+	// HeartbeatEvery is the period of heartbeats. Default 500 ms.
+	HeartbeatEvery time.Duration
+	// MemberTimeout is how long a member may be silent before the others pass
+	// over it as a scheduler. Default 2 s.
+	MemberTimeout time.Duration
+	// ExchangeEvery is the period of the exchange of service counters. Default 250 ms.
+	ExchangeEvery time.Duration
+}
+
+// Event is something that happened. See events.go.
+type Event interface{ isEvent() }
+
+// Command is something the shell must do. See commands.go.
+type Command interface{ isCommand() }
+
+// Message is sent between machines of different nodes. See messages.go.
+type Message interface{ isMessage() }
--- /dev/null
+++ b/control/events.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+)
+
+// ConfigChanged says that a newer configuration version is in force here.
+type ConfigChanged struct{ Snapshot *config.Snapshot }
+
+// RequestArrived asks for a grant for a request that entered here. It is sent
+// again with a higher Attempt to retry on another target.
+type RequestArrived struct {
+	Request   RequestID
+	Attempt   uint32
+	Workspace string
+	Pool      string
+	// CostHint is the caller's rough slot time; zero if none.
+	CostHint time.Duration
+	// Deadline is the latest time of dispatch.
+	Deadline Instant
+	// Bytes is the size of the held body.
+	Bytes int64
+	// PrefixHash is the hash of the prompt's beginning; zero if none.
+	PrefixHash uint64
+	// Fingerprint is the hash that quarantine goes by.
+	Fingerprint uint64
+	// Excluded are targets that must not be granted.
+	Excluded []string
+}
+
+// RequestCancelled says that the caller went away or the request was settled
+// before dispatch. The slot or queue place is freed.
+type RequestCancelled struct{ Request RequestID }
+
+// Outcome says how a run ended.
+type Outcome int
+
+// The outcomes of a run.
+const (
+	// OutcomeAnswered: the answer was whole.
+	OutcomeAnswered Outcome = iota
+	// OutcomeNotRun: no byte was written, or the target refused before running.
+	OutcomeNotRun
+	// OutcomeCancelled: the caller went away; the run was cancelled.
+	OutcomeCancelled
+	// OutcomeFailed: the target answered with an error.
+	OutcomeFailed
+	// OutcomeLost: the connection broke in the middle; the request may have run.
+	OutcomeLost
+)
+
+// RunEnded says that the run under a grant ended.
+type RunEnded struct {
+	Request RequestID
+	Grant   GrantID
+	Outcome Outcome
+	// Service is the slot time used.
+	Service time.Duration
+}
+
+// MessageReceived delivers a message from another node.
+type MessageReceived struct {
+	From        NodeID
+	Incarnation Incarnation
+	Message     Message
+}
+
+// PeerState says whether the shell holds a working connection to a node.
+type PeerState struct {
+	Node      NodeID
+	Connected bool
+}
+
+// MembersListed carries the platform's lagging list of VMs.
+type MembersListed struct{ Members []Member }
+
+// Member is one VM of the platform's list.
+type Member struct {
+	Node       NodeID
+	DataCentre string
+	Leaving    bool
+}
+
+// TargetLoad is a load report of a target, polled by this node. It lags.
+type TargetLoad struct {
+	Target string
+	// Running and Queued are counts of requests in the target.
+	Running int
+	Queued  int
+	// Slots is the target's own limit; zero if it does not say.
+	Slots int
+	// Leaving says that the target announced its end.
+	Leaving bool
+	// CachedPrefixes are hashes of prompt beginnings in the target's cache,
+	// late and with gaps.
+	CachedPrefixes []uint64
+}
+
+// TargetUnreachable says that a load poll or a connection to a target failed.
+type TargetUnreachable struct{ Target string }
+
+// DrainStarted says that this node is leaving: shards are handed over and no
+// new request is taken.
+type DrainStarted struct{}
+
+// Tick lets time pass. The shell sends one at least every 50 ms.
+type Tick struct{}
+
+func (ConfigChanged) isEvent()     {}
+func (RequestArrived) isEvent()    {}
+func (RequestCancelled) isEvent()  {}
+func (RunEnded) isEvent()          {}
+func (MessageReceived) isEvent()   {}
+func (PeerState) isEvent()         {}
+func (MembersListed) isEvent()     {}
+func (TargetLoad) isEvent()        {}
+func (TargetUnreachable) isEvent() {}
+func (DrainStarted) isEvent()      {}
+func (Tick) isEvent()              {}
--- /dev/null
+++ b/control/messages.go
@@ -0,0 +1,123 @@
+package control
+
+import (
+	"time"
+
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// Ticket asks the scheduler of a shard for a grant. It is small: the body
+// stays at the entry. The entry sends it again until it is answered.
+type Ticket struct {
+	ID          TicketID
+	Shard       ShardID
+	Workspace   string
+	CostHint    time.Duration
+	TimeLeft    time.Duration // until the deadline
+	PrefixHash  uint64
+	Fingerprint uint64
+	Excluded    []string
+}
+
+// Grant gives a ticket one slot of a target. The entry dispatches at once or
+// returns the grant with a Report of OutcomeNotRun.
+type Grant struct {
+	ID     GrantID
+	Ticket TicketID
+	Target string
+}
+
+// Refusal ends a ticket at the scheduler without a grant.
+type Refusal struct {
+	Ticket     TicketID
+	Shard      ShardID
+	Code       result.Code
+	RetryAfter time.Duration
+}
+
+// CancelTicket withdraws a ticket: the caller is gone, or another shard granted first.
+type CancelTicket struct {
+	Ticket TicketID
+	Shard  ShardID
+}
+
+// RunPhase is the state of a run in a Report.
+type RunPhase int
+
+// The phases of a run.
+const (
+	// PhaseRunning: the run goes on. Sent on a slow period, and to a new
+	// scheduler of the shard so that it counts the slot as taken.
+	PhaseRunning RunPhase = iota
+	// PhaseEnded: the run ended and the slot is free.
+	PhaseEnded
+)
+
+// Report tells the scheduler of a shard about a run under a grant. PhaseEnded
+// is sent again until a ReportAck arrives.
+type Report struct {
+	Grant     GrantID
+	Ticket    TicketID
+	Shard     ShardID
+	Workspace string
+	Target    string
+	Phase     RunPhase
+	Outcome   Outcome // with PhaseEnded
+	// Service is the slot time used so far.
+	Service     time.Duration
+	Fingerprint uint64
+}
+
+// ReportAck ends the resending of a PhaseEnded report.
+type ReportAck struct{ Grant GrantID }
+
+// ServiceCount is one workspace's service in a ServiceReport or ServiceTotals.
+type ServiceCount struct {
+	Workspace string
+	// Own is the sender's own cumulative service in its incarnation
+	// (ServiceReport); Total is the fleet's as the sender knows it.
+	// Both are in slot time divided by share.
+	Own   time.Duration
+	Total time.Duration
+}
+
+// ServiceReport goes from a scheduler to the accounting node of the
+// workspaces, which rendezvous hashing picks. Counts are cumulative, so a lost,
+// late or doubled report does no harm.
+type ServiceReport struct{ Counts []ServiceCount }
+
+// ServiceTotals is the accounting node's answer.
+type ServiceTotals struct{ Counts []ServiceCount }
+
+// Heartbeat announces that a node lives.
+type Heartbeat struct {
+	Incarnation   Incarnation
+	ConfigVersion uint64
+	Leaving       bool
+	// Backlogged are shards that this node schedules with waiting tickets;
+	// Idle are those with free slots and none waiting.
+	Backlogged []ShardID
+	Idle       []ShardID
+}
+
+// QuarantineNotice spreads crash evidence about a fingerprint.
+type QuarantineNotice struct {
+	Fingerprint uint64
+	// Crashes are the targets that crashed while running it.
+	Crashes []string
+	// Convicted says that the sender quarantines the fingerprint.
+	Convicted bool
+	// TimeLeft is how long the conviction still lasts.
+	TimeLeft time.Duration
+}
+
+func (Ticket) isMessage()           {}
+func (Grant) isMessage()            {}
+func (Refusal) isMessage()          {}
+func (CancelTicket) isMessage()     {}
+func (Report) isMessage()           {}
+func (ReportAck) isMessage()        {}
+func (ServiceReport) isMessage()    {}
+func (ServiceTotals) isMessage()    {}
+func (Heartbeat) isMessage()        {}
+func (QuarantineNotice) isMessage() {}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,34 @@
+// Package peer carries messages between routers: one yamux session per pair of
+// nodes, protobuf frames, mutual TLS when keys are set. Control messages are
+// batched on one stream; configuration is fetched by request and answer on
+// streams of their own.
+package peer
+
+import (
+	"context"
+
+	"github.com/walnutcove/walnutcove/control"
+)
+
+// Transport is what a router needs from its peers.
+type Transport interface {
+	// Send queues messages for a node, best effort, and never blocks. A full
+	// queue drops and counts.
+	Send(to control.NodeID, messages ...control.Message)
+	// Call sends a request on a stream of its own and waits for the answer.
+	Call(ctx context.Context, to control.NodeID, method string, payload []byte) ([]byte, error)
+	// SetPeers replaces the addresses ("ip:port") of the known nodes.
+	SetPeers(addresses map[control.NodeID]string)
+	// Close ends every session.
+	Close() error
+}
+
+// Handler receives what peers send. Its methods must not block.
+type Handler interface {
+	// Received delivers messages in the order that one peer sent them.
+	Received(from control.NodeID, incarnation control.Incarnation, messages []control.Message)
+	// StateChanged tells that a session to a node came up or went down.
+	StateChanged(node control.NodeID, connected bool)
+	// Called answers a Call. It may block; each call has its own goroutine.
+	Called(ctx context.Context, from control.NodeID, method string, payload []byte) ([]byte, error)
+}
--- /dev/null
+++ b/pipeline/exchange.go
@@ -0,0 +1,83 @@
+package pipeline
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+)
+
+// Exchange is one request and its answer on their way through the pipeline.
+// It owns copies of everything: nothing in it points into a fasthttp buffer.
+type Exchange struct {
+	// ID is the request id, unique across the fleet; it is in every log line.
+	ID string
+	// Arrived is when the request had arrived whole.
+	Arrived time.Time
+
+	// Set by accept.
+	Method      string
+	Path        string // path with query, as sent
+	ContentType string
+	Header      map[string]string // forwarded headers and Walnut-*; canonical names
+	Body        []byte
+	// CallerGone is closed when the caller's connection is found closed.
+	CallerGone <-chan struct{}
+
+	// Set by authenticate.
+	Snapshot      *config.Snapshot
+	WorkspaceName string
+	Workspace     config.Workspace
+
+	// Set by classify.
+	PoolName       string
+	Pool           config.Pool
+	Model          string
+	Stream         bool
+	Idempotent     bool
+	IdempotencyKey string
+	CostHint       time.Duration // slot time; zero if the caller gave none
+	Deadline       time.Time     // never zero
+	PrefixHash     uint64        // hash of the prompt's beginning; zero if none
+	Fingerprint    uint64        // hash of workspace, path and body
+
+	// Set by grant for each attempt.
+	Attempt  int
+	Target   string
+	Address  string
+	Excluded []string // targets that failed this request
+
+	// Answer, set by dispatch and relay. Exactly one of AnswerBody and
+	// AnswerStream is used. A stream that ends with an error other than io.EOF
+	// must break the caller's connection, never end it cleanly.
+	Status       int
+	AnswerHeader map[string]string
+	AnswerBody   []byte
+	AnswerStream io.ReadCloser
+
+	endOnce sync.Once
+	mu      sync.Mutex
+	onEnd   []func(error)
+}
+
+// OnEnd adds a function that runs once, when the answer has been sent whole
+// (nil error), broken off, or refused. Functions run last added first.
+func (ex *Exchange) OnEnd(f func(error)) {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	ex.onEnd = append(ex.onEnd, f)
+}
+
+// End runs the functions added with OnEnd. Only the first call counts.
+func (ex *Exchange) End(err error) {
+	ex.endOnce.Do(func() {
+		ex.mu.Lock()
+		fs := ex.onEnd
+		ex.onEnd = nil
+		ex.mu.Unlock()
+		for i := len(fs) - 1; i >= 0; i-- {
+			fs[i](err)
+		}
+	})
+}
--- /dev/null
+++ b/pipeline/pipeline.go
@@ -0,0 +1,39 @@
+// Package pipeline strings filters together. A request flows through the
+// filters in a fixed, visible order:
+//
+//	accept -> authenticate -> classify -> guard -> admit -> grant -> dispatch -> relay -> settle
+//
+// Each filter is a package under filters/ with one job. A filter calls next to
+// go on, or returns a *result.Error to refuse.
+package pipeline
+
+import "context"
+
+// Handler runs the rest of the pipeline for an exchange. The returned error is
+// nil (the answer is set on the exchange) or a *result.Error.
+type Handler func(ctx context.Context, ex *Exchange) error
+
+// Filter is one concern of the request path.
+type Filter interface {
+	// Name is the filter's name in logs and metrics.
+	Name() string
+	// Serve handles the exchange and calls next unless it refuses.
+	Serve(ctx context.Context, ex *Exchange, next Handler) error
+}
+
+// Chain returns a handler that runs the filters in order.
+func Chain(filters ...Filter) Handler {
+	handler := func(context.Context, *Exchange) error { return nil }
+	return chain(filters, handler)
+}
+
+func chain(filters []Filter, last Handler) Handler {
+	if len(filters) == 0 {
+		return last
+	}
+	first := filters[0]
+	rest := chain(filters[1:], last)
+	return func(ctx context.Context, ex *Exchange) error {
+		return first.Serve(ctx, ex, rest)
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,118 @@
+// Package settings reads a router's TOML file. Unknown keys, wrong types, host
+// names in place of IP numbers and values out of range are refused with the
+// file, the key and the reason. docs/walnutd.example.toml documents every key.
+package settings
+
+import "time"
+
+// Settings is the whole file of one walnutd.
+type Settings struct {
+	Node       Node       `toml:"node"`
+	Listen     Listen     `toml:"listen"`
+	Platform   Platform   `toml:"platform"`
+	Peers      Peers      `toml:"peers"`
+	Scheduling Scheduling `toml:"scheduling"`
+	Limits     Limits     `toml:"limits"`
+	Operators  Operators  `toml:"operators"`
+	Log        Log        `toml:"log"`
+}
+
+// Node identifies the router.
+type Node struct {
+	// Name is the VM's name in the platform's list. Required.
+	Name string `toml:"name"`
+	// DataCentre and Region say where the VM runs. DataCentre is required.
+	DataCentre string `toml:"data_centre"`
+	Region     string `toml:"region"`
+}
+
+// Listen holds the "ip:port" of each listener. All are required.
+type Listen struct {
+	Callers   string `toml:"callers"`
+	Operators string `toml:"operators"`
+	Peers     string `toml:"peers"`
+}
+
+// Platform says where the platform's services are.
+type Platform struct {
+	// Address is the "ip:port" of the platform. Required.
+	Address string `toml:"address"`
+	// Timeout bounds each call. Default 2s.
+	Timeout Duration `toml:"timeout"`
+	// PollEvery is the period of reading the configuration's head. Default 1s.
+	PollEvery Duration `toml:"poll_every"`
+	// VMListEvery is the period of reading the list of VMs. Default 2s.
+	VMListEvery Duration `toml:"vm_list_every"`
+}
+
+// Peers configures the sessions between routers.
+type Peers struct {
+	// CertFile, KeyFile and CAFile turn on mutual TLS; all or none. Without
+	// them every listener and peer must be on loopback.
+	CertFile string `toml:"cert_file"`
+	KeyFile  string `toml:"key_file"`
+	CAFile   string `toml:"ca_file"`
+}
+
+// Scheduling selects the policy.
+type Scheduling struct {
+	// Policy is "shard-queue" (default) or "alone".
+	Policy string `toml:"policy"`
+	// HeartbeatEvery, MemberTimeout and ExchangeEvery are as in control.Options.
+	HeartbeatEvery Duration `toml:"heartbeat_every"`
+	MemberTimeout  Duration `toml:"member_timeout"`
+	ExchangeEvery  Duration `toml:"exchange_every"`
+}
+
+// Limits bounds what callers may send and how long things may take.
+type Limits struct {
+	// MaxBodyBytes bounds a request body. Default 8 MiB.
+	MaxBodyBytes int `toml:"max_body_bytes"`
+	// MaxHeaderBytes bounds a request's headers. Default 16 KiB.
+	MaxHeaderBytes int `toml:"max_header_bytes"`
+	// ReadTimeout bounds the arrival of a request. Default 10s.
+	ReadTimeout Duration `toml:"read_timeout"`
+	// IdleTimeout ends idle caller connections. Default 60s.
+	IdleTimeout Duration `toml:"idle_timeout"`
+	// DefaultDeadline is the time to dispatch if the caller sets none. Default 30s.
+	DefaultDeadline Duration `toml:"default_deadline"`
+	// FirstByteTimeout bounds the wait for a target's answer. Default 60s.
+	FirstByteTimeout Duration `toml:"first_byte_timeout"`
+	// StallTimeout bounds the gap between parts of an answer. Default 30s.
+	StallTimeout Duration `toml:"stall_timeout"`
+	// DrainTimeout bounds a graceful shutdown. Default 10m.
+	DrainTimeout Duration `toml:"drain_timeout"`
+}
+
+// Operators configures the operator API.
+type Operators struct {
+	// KeyHashes are hex SHA-256 digests of the operators' keys. Empty is
+	// allowed only when listen.operators is on loopback.
+	KeyHashes []string `toml:"key_hashes"`
+}
+
+// Log configures logging.
+type Log struct {
+	// Level is "debug", "info" (default), "warn" or "error".
+	Level string `toml:"level"`
+	// Format is "text" (default) or "json".
+	Format string `toml:"format"`
+}
+
+// Duration is a time.Duration that reads "250ms" from TOML.
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
--- /dev/null
+++ b/target/target.go
@@ -0,0 +1,57 @@
+// Package target is the client towards model engines and plain services. It
+// reuses connections, never retries by itself, and says of every failure
+// whether the request may have run.
+package target
+
+import (
+	"context"
+	"io"
+	"time"
+)
+
+// Request is one call to a target.
+type Request struct {
+	// ID is the request id, sent as Walnut-Request-Id.
+	ID string
+	// Address is the target's "ip:port".
+	Address string
+	Method  string
+	Path    string
+	Header  map[string]string
+	Body    []byte
+	// Offset asks the target to resume a stream after this many body bytes;
+	// zero starts afresh. Only for targets that resume.
+	Offset int64
+	// Fence is the fencing number sent with the order; zero sends none.
+	Fence uint64
+}
+
+// Response is a target's answer. Body must be closed; closing it before its
+// end cancels the run. A Body that does not end as the target framed it
+// returns an error other than io.EOF.
+type Response struct {
+	Status int
+	Header map[string]string
+	Body   io.ReadCloser
+}
+
+// Client calls targets.
+type Client interface {
+	// Do sends the request and returns when the answer's head has arrived.
+	// Errors are *result.Error with Ran set truly: RanNo only if no byte was
+	// written or the target refused before running. Cancelling ctx ends the run.
+	Do(ctx context.Context, req Request) (*Response, error)
+	// Load polls a target's load report.
+	Load(ctx context.Context, address string) (Load, error)
+}
+
+// Load is a target's load report.
+type Load struct {
+	Running        int      `json:"running"`
+	Queued         int      `json:"queued"`
+	Slots          int      `json:"slots"`
+	Leaving        bool     `json:"leaving"`
+	CachedPrefixes []uint64 `json:"cached_prefixes,omitempty"`
+	// Age is how old the report was when the target sent it.
+	Age time.Duration `json:"age_ns,omitempty"`
+}
