--- a/control/messages.go
+++ b/control/messages.go
@@ -25,6 +25,8 @@
 	ID     GrantID
 	Ticket TicketID
 	Target string
+	// Spare counts the slots still free in the shard after this grant.
+	Spare int
 }
 
 // Refusal ends a ticket at the scheduler without a grant.
@@ -89,15 +91,28 @@
 // ServiceTotals is the accounting node's answer.
 type ServiceTotals struct{ Counts []ServiceCount }
 
-// Heartbeat announces that a node lives.
+// Heartbeat announces that a node lives. It goes to a bounded number of
+// watchers, never to the whole fleet.
 type Heartbeat struct {
 	Incarnation   Incarnation
 	ConfigVersion uint64
 	Leaving       bool
-	// Backlogged are shards that this node schedules with waiting tickets;
-	// Idle are those with free slots and none waiting.
-	Backlogged []ShardID
-	Idle       []ShardID
+}
+
+// Waiting tells the entry that its ticket has to wait, so that it may also ask
+// another shard. The first grant wins; the others are returned.
+type Waiting struct {
+	Ticket TicketID
+	Shard  ShardID
+	// Ahead counts the tickets of all workspaces waiting at the shard.
+	Ahead int
+}
+
+// SuspectNotice says that a watcher no longer hears a node. The node refutes
+// it with a heartbeat.
+type SuspectNotice struct {
+	Node        NodeID
+	Incarnation Incarnation
 }
 
 // QuarantineNotice spreads crash evidence about a fingerprint.
@@ -121,3 +136,5 @@
 func (ServiceTotals) isMessage()    {}
 func (Heartbeat) isMessage()        {}
 func (QuarantineNotice) isMessage() {}
+func (Waiting) isMessage()          {}
+func (SuspectNotice) isMessage()    {}
