--- a/control/events.go
+++ b/control/events.go
@@ -49,6 +49,10 @@
 	OutcomeFailed
 	// OutcomeLost: the connection broke in the middle; the request may have run.
 	OutcomeLost
+	// OutcomeUnreachable: the target could not be connected to; nothing ran.
+	OutcomeUnreachable
+	// OutcomeRefused: the target refused the request before running it.
+	OutcomeRefused
 )
 
 // RunEnded says that the run under a grant ended.
--- /dev/null
+++ b/filters/dispatch/dispatch.go
@@ -0,0 +1,157 @@
+// Package dispatch is the filter that sends a granted request to its target
+// and waits for the head of the answer. It never retries: see filters/retry.
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/target"
+)
+
+// Filter sends the request to ex.Address and hands the answer to Relay.
+type Filter struct {
+	// Client calls targets.
+	Client target.Client
+	// Relay takes the answer's body over; see filters/relay.
+	Relay func(ctx context.Context, ex *pipeline.Exchange, answer *target.Response) error
+	// FirstByteTimeout bounds the wait for the answer's head.
+	FirstByteTimeout time.Duration
+}
+
+// Name implements pipeline.Filter.
+func (f *Filter) Name() string { return "dispatch" }
+
+// Serve implements pipeline.Filter.
+func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, _ pipeline.Handler) error {
+	if err := checkBeforeDispatch(ex); err != nil {
+		ex.Run.End(control.OutcomeNotRun)
+		return err
+	}
+	answer, err := f.send(ctx, ex)
+	if err != nil {
+		refusal := asResult(err)
+		countRefusal(refusal.Code)
+		ex.Run.End(OutcomeOf(refusal))
+		return refusal
+	}
+	return f.Relay(ctx, ex, answer)
+}
+
+// send calls the target. The caller's going away cancels the call, and so does
+// the time limit for the head, but a head that has arrived stays open.
+func (f *Filter) send(ctx context.Context, ex *pipeline.Exchange) (*target.Response, error) {
+	callCtx, cancel := context.WithCancel(ctx)
+	stopWatch := watchCaller(callCtx, ex.CallerGone, cancel)
+	ex.OnEnd(func(error) { stopWatch(); cancel() })
+	timer := time.AfterFunc(f.FirstByteTimeout, cancel)
+	answer, err := f.Client.Do(callCtx, Request(ex, 0))
+	timedOut := !timer.Stop()
+	if err == nil && timedOut {
+		answer.Body.Close()
+		err = result.New(result.FirstByteTimeout, "The target did not answer within %s.", f.FirstByteTimeout)
+	}
+	if err == nil {
+		return answer, nil
+	}
+	if timedOut {
+		return nil, rename(err, result.FirstByteTimeout, "The target did not answer in time.")
+	}
+	if ex.IsCallerGone() {
+		return nil, rename(err, result.CallerGone, "The caller went away.")
+	}
+	return nil, err
+}
+
+// watchCaller calls cancel when gone closes. The returned function ends the
+// watch.
+func watchCaller(ctx context.Context, gone <-chan struct{}, cancel func()) func() {
+	if gone == nil {
+		return func() {}
+	}
+	stop := make(chan struct{})
+	go func() {
+		select {
+		case <-gone:
+			cancel()
+		case <-stop:
+		case <-ctx.Done():
+		}
+	}()
+	var stopped bool
+	return func() {
+		if !stopped {
+			stopped = true
+			close(stop)
+		}
+	}
+}
+
+// Request builds the call to the exchange's target. A resumed call starts at
+// offset.
+func Request(ex *pipeline.Exchange, offset int64) target.Request {
+	return target.Request{
+		ID:      ex.ID,
+		Address: ex.Address,
+		Method:  ex.Method,
+		Path:    ex.Path,
+		Header:  ex.Header,
+		Body:    ex.Body,
+		Offset:  offset,
+	}
+}
+
+// checkBeforeDispatch runs the last checks before any byte is written.
+func checkBeforeDispatch(ex *pipeline.Exchange) error {
+	for _, check := range ex.BeforeDispatch {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// OutcomeOf maps a failed call to the outcome that the scheduler is told.
+func OutcomeOf(refusal *result.Error) control.Outcome {
+	switch {
+	case refusal.Code == result.ConnectFailed:
+		return control.OutcomeUnreachable
+	case refusal.Code == result.TargetRefused:
+		return control.OutcomeRefused
+	case refusal.Code == result.CallerGone:
+		return control.OutcomeCancelled
+	case refusal.Ran == result.RanNo:
+		return control.OutcomeNotRun
+	case refusal.Code == result.FirstByteTimeout:
+		return control.OutcomeFailed
+	default:
+		return control.OutcomeLost
+	}
+}
+
+// rename names a cancelled call after its cause, and keeps its outcome.
+func rename(err error, code result.Code, detail string) error {
+	renamed := result.Wrap(code, err, "%s", detail)
+	renamed.Ran = asResult(err).Ran
+	return renamed
+}
+
+func asResult(err error) *result.Error {
+	var refusal *result.Error
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return result.Wrap(result.TargetLostRequest, err, "The call to the target failed.")
+}
+
+func countRefusal(code result.Code) {
+	name := fmt.Sprintf(`walnut_dispatch_refused_total{reason=%q}`, code.Info().Name)
+	metrics.GetOrCreateCounter(name).Inc()
+}
--- /dev/null
+++ b/filters/grant/grant.go
@@ -0,0 +1,33 @@
+// Package grant is the filter that waits for a slot of a target. It asks the
+// control goroutine through a Source and goes on once a slot is granted.
+package grant
+
+import (
+	"context"
+
+	"github.com/walnutcove/walnutcove/pipeline"
+)
+
+// Source gives slots. The router's control loop implements it.
+type Source interface {
+	// Acquire waits for a slot for the exchange's current attempt and sets
+	// ex.Target, ex.Address and ex.Run. Its errors are *result.Error.
+	Acquire(ctx context.Context, ex *pipeline.Exchange) error
+}
+
+// Filter waits for a grant before the rest of the pipeline runs.
+type Filter struct {
+	// Source gives the slots.
+	Source Source
+}
+
+// Name implements pipeline.Filter.
+func (f *Filter) Name() string { return "grant" }
+
+// Serve implements pipeline.Filter.
+func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
+	if err := f.Source.Acquire(ctx, ex); err != nil {
+		return err
+	}
+	return next(ctx, ex)
+}
--- /dev/null
+++ b/filters/retry/retry.go
@@ -0,0 +1,109 @@
+// Package retry is the filter that runs grant and dispatch again on another
+// target when an idempotent request failed, or when any request surely did not
+// run. Retries draw on a budget, so that a brown-out does not multiply load:
+// each first attempt earns a part of a retry, up to a limit.
+package retry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+const (
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 3
+	// earnedPerRequest is the part of a retry that each request earns.
+	earnedPerRequest = 0.2
+	// maxBudget bounds the retries saved up at one router.
+	maxBudget = 50.0
+)
+
+// Filter retries.
+type Filter struct {
+	mu     sync.Mutex
+	budget float64
+}
+
+// New returns a filter with a full budget.
+func New() *Filter { return &Filter{budget: maxBudget} }
+
+// Name implements pipeline.Filter.
+func (f *Filter) Name() string { return "retry" }
+
+// Serve implements pipeline.Filter.
+func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
+	f.earn()
+	for {
+		ex.Attempt++
+		err := next(ctx, ex)
+		if err == nil {
+			return nil
+		}
+		refusal, retriable := f.retriable(ex, err)
+		if !retriable {
+			return err
+		}
+		if ex.Attempt >= maxAttempts || !time.Now().Before(ex.Deadline) {
+			return err
+		}
+		if !f.spend() {
+			return budgetEmpty(refusal)
+		}
+		countRetry(refusal.Code)
+		ex.Excluded = append(ex.Excluded, ex.Target)
+	}
+}
+
+// retriable says whether the failure allows another attempt: the request
+// surely did not run at the target, or it is idempotent.
+func (f *Filter) retriable(ex *pipeline.Exchange, err error) (*result.Error, bool) {
+	var refusal *result.Error
+	if !errors.As(err, &refusal) {
+		return nil, false
+	}
+	switch refusal.Code {
+	case result.ConnectFailed, result.TargetRefused:
+		return refusal, true
+	case result.TargetLostRequest, result.StreamBroken:
+		return refusal, ex.Idempotent || refusal.Ran == result.RanNo
+	default:
+		return refusal, false
+	}
+}
+
+func (f *Filter) earn() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget = min(f.budget+earnedPerRequest, maxBudget)
+}
+
+func (f *Filter) spend() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.budget < 1 {
+		return false
+	}
+	f.budget--
+	return true
+}
+
+// budgetEmpty says that the request failed and was not retried. It keeps the
+// outcome of the failure.
+func budgetEmpty(failure *result.Error) error {
+	refusal := result.Wrap(result.RetryBudgetEmpty, failure, "The request failed and too many others are being retried.")
+	refusal.Ran = failure.Ran
+	return refusal.After(time.Second)
+}
+
+func countRetry(code result.Code) {
+	name := fmt.Sprintf(`walnut_retry_attempts_total{reason=%q}`, code.Info().Name)
+	metrics.GetOrCreateCounter(name).Inc()
+}
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -6,11 +6,20 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/control"
 )
 
+// Run is a granted slot of a target.
+type Run interface {
+	// End frees the slot. Only the first call counts.
+	End(outcome control.Outcome)
+}
+
 // Exchange is one request and its answer on their way through the pipeline.
 // It owns copies of everything: nothing in it points into a fasthttp buffer.
 type Exchange struct {
+	// Sequence numbers the request within this process. Set by accept.
+	Sequence uint64
 	// ID is the request id, unique across the fleet; it is in every log line.
 	ID string
 	// Arrived is when the request had arrived whole.
@@ -47,6 +56,8 @@
 	Target   string
 	Address  string
 	Excluded []string // targets that failed this request
+	// Run is the granted slot. Set by grant; dispatch and relay end it.
+	Run Run
 
 	// Answer, set by dispatch and relay. Exactly one of AnswerBody and
 	// AnswerStream is used. A stream that ends with an error other than io.EOF
@@ -56,6 +67,10 @@
 	AnswerBody   []byte
 	AnswerStream io.ReadCloser
 
+	// BeforeDispatch functions run right before the first byte is written to
+	// a target; an error refuses the request as not run.
+	BeforeDispatch []func() error
+
 	endOnce sync.Once
 	mu      sync.Mutex
 	onEnd   []func(error)
@@ -69,6 +84,16 @@
 	ex.onEnd = append(ex.onEnd, f)
 }
 
+// IsCallerGone says whether the caller's connection was found closed.
+func (ex *Exchange) IsCallerGone() bool {
+	select {
+	case <-ex.CallerGone:
+		return true
+	default:
+		return false
+	}
+}
+
 // End runs the functions added with OnEnd. Only the first call counts.
 func (ex *Exchange) End(err error) {
 	ex.endOnce.Do(func() {
