Let one or a few routers grant requests from shard queues

A first control machine: simple least-service queue for each shard, scheduled by rendezvous over the members in view, with a local short-cut when the scheduler is this node. Tickets, grants, reports, draining and heartbeats work in their plain form; bounds, windows and fleet accounting follow.

--- /dev/null
+++ b/control/machine.go
@@ -0,0 +1,148 @@
+package control
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Defaults of Options.
+const (
+	defaultHeartbeatEvery = 500 * time.Millisecond
+	defaultMemberTimeout  = 2 * time.Second
+	defaultExchangeEvery  = 250 * time.Millisecond
+)
+
+// Machine is the state machine of one router. It is not safe for concurrent
+// use: one goroutine owns it.
+type Machine struct {
+	opts Options
+	now  Instant
+	rng  *rand.Rand
+	out  []Command
+	// loop holds the messages that this node sends to itself.
+	loop []Message
+
+	topo    *topology
+	members members
+	entry   entry
+	sched   scheduler
+}
+
+// New returns a machine that knows nothing yet: it refuses requests with
+// NotReady until the first ConfigChanged.
+func New(opts Options) *Machine {
+	opts = withDefaults(opts)
+	m := &Machine{
+		opts: opts,
+		rng:  rand.New(rand.NewPCG(opts.Seed, uint64(opts.Incarnation))),
+	}
+	m.members = newMembers(opts)
+	m.entry = newEntry()
+	m.sched = newScheduler()
+	return m
+}
+
+func withDefaults(opts Options) Options {
+	if opts.Policy == "" {
+		opts.Policy = PolicyShardQueue
+	}
+	if opts.HeartbeatEvery <= 0 {
+		opts.HeartbeatEvery = defaultHeartbeatEvery
+	}
+	if opts.MemberTimeout <= 0 {
+		opts.MemberTimeout = defaultMemberTimeout
+	}
+	if opts.ExchangeEvery <= 0 {
+		opts.ExchangeEvery = defaultExchangeEvery
+	}
+	return opts
+}
+
+// Step applies one event at the given time and returns the commands to carry
+// out, in order. Time must not go backwards; an earlier time counts as the
+// latest one seen. The returned slice belongs to the caller.
+func (m *Machine) Step(now Instant, ev Event) []Command {
+	m.now = max(m.now, now)
+	m.out = nil
+	m.apply(ev)
+	m.drainLoop()
+	return m.out
+}
+
+func (m *Machine) apply(ev Event) {
+	switch ev := ev.(type) {
+	case ConfigChanged:
+		m.configChanged(ev)
+	case RequestArrived:
+		m.requestArrived(ev)
+	case RequestCancelled:
+		m.requestCancelled(ev)
+	case RunEnded:
+		m.runEnded(ev)
+	case MessageReceived:
+		m.messageReceived(ev)
+	case PeerState:
+		m.peerState(ev)
+	case MembersListed:
+		m.membersListed(ev)
+	case TargetLoad:
+		m.targetLoad(ev)
+	case TargetUnreachable:
+		m.targetUnreachable(ev)
+	case DrainStarted:
+		m.drainStarted()
+	case Tick:
+		m.tick()
+	}
+}
+
+// drainLoop handles the messages that this node sent to itself.
+func (m *Machine) drainLoop() {
+	for len(m.loop) > 0 {
+		msg := m.loop[0]
+		m.loop = m.loop[1:]
+		m.handle(m.opts.Node, m.opts.Incarnation, msg)
+	}
+	m.loop = nil
+}
+
+// emit adds a command to the result of the step.
+func (m *Machine) emit(cmd Command) { m.out = append(m.out, cmd) }
+
+// send sends a message, through the local short-cut if it is for this node.
+func (m *Machine) send(to NodeID, msg Message) {
+	if to == m.opts.Node {
+		m.loop = append(m.loop, msg)
+		return
+	}
+	m.emit(Send{To: to, Message: msg})
+}
+
+func (m *Machine) messageReceived(ev MessageReceived) {
+	if ev.From == m.opts.Node {
+		return
+	}
+	m.heard(ev.From, ev.Incarnation)
+	m.handle(ev.From, ev.Incarnation, ev.Message)
+}
+
+func (m *Machine) handle(from NodeID, inc Incarnation, msg Message) {
+	switch msg := msg.(type) {
+	case Ticket:
+		m.ticketReceived(from, msg)
+	case CancelTicket:
+		m.cancelReceived(msg)
+	case Report:
+		m.reportReceived(from, msg)
+	case Grant:
+		m.grantReceived(from, msg)
+	case Refusal:
+		m.refusalReceived(msg)
+	case Waiting:
+		m.waitingReceived(msg)
+	case ReportAck:
+		m.ackReceived(msg)
+	case Heartbeat:
+		m.heartbeatReceived(from, msg)
+	}
+}
