Serve the operator API over a small Backend interface

Operators need one place on each router to read and change the configuration and to see the fleet. The router is reached through Backend only, so the API can be tested with a stub. A rollback is a patch between two accepted versions, so Backend needs no method for it and a resend gives the same patch. The body limit for requests without a known key is set after the headers arrive, so a stranger cannot fill memory with large bodies.

--- /dev/null
+++ b/operator/backend.go
@@ -0,0 +1,61 @@
+// Package operator is the HTTP API that operators use on a router. It has its
+// own listener, apart from the callers' one:
+//
+//	GET  /healthz                      the process answers
+//	GET  /readyz                       the router takes callers' requests
+//	GET  /metrics                      counters in Prometheus text format
+//	GET  /operator/v1/config           ?version=N; the newest if absent
+//	POST /operator/v1/patches          body: Patch; answers PatchAccepted
+//	GET  /operator/v1/history          ?before=N&limit=N; newest first
+//	POST /operator/v1/rollback         body: RollbackRequest; answers PatchAccepted
+//	GET  /operator/v1/status           ?fleet=1 for all routers, ?detail=0 for routers only
+//	POST /operator/v1/drain            body: DrainRequest; answers DrainStarted
+//
+// /healthz and /readyz need no key. Everything else needs an operator key
+// ("Authorization: Bearer KEY") unless none is configured, which is allowed on
+// loopback only. Errors are ErrorBody documents with numbered result codes.
+//
+// The package knows nothing of a router's inside: the router implements Backend.
+package operator
+
+import (
+	"context"
+
+	"github.com/walnutcove/walnutcove/config"
+)
+
+// Backend is what the API needs from a router. Methods are called from many
+// goroutines at once, with a context that ends with the time limit of the
+// request. Errors are *result.Error, or *ConflictError where stated; any other
+// error is answered as 1004 (reads) or 1008 (writes).
+type Backend interface {
+	// Ready says whether the router takes callers' requests. It must not block.
+	Ready() Readiness
+
+	// Config returns an accepted version. Zero asks for the newest: the head
+	// in the table, or the version in force here while the table cannot be
+	// reached. If no version was ever accepted, it returns a snapshot with
+	// Version zero and empty declarations. Errors: 1004, 1005.
+	Config(ctx context.Context, version config.Version) (*config.Snapshot, error)
+
+	// Apply commits a patch as version Base+1 and returns that version. It is
+	// idempotent by Patch.ID: a patch that was accepted before is answered
+	// with the version it made. Errors: *ConflictError (1001), 1002, 1003,
+	// 1004 (nothing was changed), 1008 (outcome unknown).
+	Apply(ctx context.Context, patch Patch) (config.Version, error)
+
+	// History returns up to limit accepted versions below before, newest
+	// first. Zero asks from the newest. Errors: 1004.
+	History(ctx context.Context, before config.Version, limit int) ([]HistoryEntry, error)
+
+	// Members returns every router of the platform's list, this one included.
+	Members(ctx context.Context) ([]Member, error)
+
+	// Status returns the status of one router: this one if the request's
+	// Node is empty, otherwise it asks that router over its peer session.
+	Status(ctx context.Context, request StatusRequest) (Status, error)
+
+	// Drain starts the graceful shutdown of a router: this one if node is
+	// empty. It returns when the drain has started. Draining twice is no error.
+	Drain(ctx context.Context, node string) error
+}
--- /dev/null
+++ b/operator/changes.go
@@ -0,0 +1,125 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"strconv"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"github.com/valyala/fasthttp"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// maxPatchID bounds the length of a patch id, in bytes.
+const maxPatchID = 128
+
+func (s *Server) patch(ctx context.Context, req *fasthttp.RequestCtx) (any, error) {
+	var patch Patch
+	if err := decode(req, &patch); err != nil {
+		return nil, err
+	}
+	if len(patch.Merge) == 0 {
+		return nil, result.New(result.InvalidPatch, "merge is missing")
+	}
+	return s.apply(ctx, patch)
+}
+
+func (s *Server) rollback(ctx context.Context, req *fasthttp.RequestCtx) (any, error) {
+	var request RollbackRequest
+	if err := decode(req, &request); err != nil {
+		return nil, err
+	}
+	merge, err := s.rollbackMerge(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return s.apply(ctx, Patch{
+		ID:     request.ID,
+		Base:   request.Base,
+		Author: request.Author,
+		Note:   request.Note,
+		Merge:  merge,
+	})
+}
+
+// rollbackMerge is the merge patch from the base to the old declarations. It
+// depends on two immutable versions only, so a resend gives the same patch.
+func (s *Server) rollbackMerge(ctx context.Context, request RollbackRequest) ([]byte, error) {
+	if request.To == 0 || request.To >= request.Base {
+		return nil, result.New(result.InvalidPatch, "to (%d) must be an older version than base (%d)", request.To, request.Base)
+	}
+	from, err := s.declarations(ctx, request.Base)
+	if err != nil {
+		return nil, err
+	}
+	to, err := s.declarations(ctx, request.To)
+	if err != nil {
+		return nil, err
+	}
+	merge, err := jsonpatch.CreateMergePatch(from, to)
+	if err != nil {
+		return nil, result.Wrap(result.InvalidPatch, err, "the rollback cannot be written as a patch")
+	}
+	return merge, nil
+}
+
+// declarations reads a version. A read that fails means that nothing was changed.
+func (s *Server) declarations(ctx context.Context, version config.Version) ([]byte, error) {
+	snapshot, err := s.backend.Config(ctx, version)
+	var numbered *result.Error
+	if err != nil && !errors.As(err, &numbered) {
+		return nil, result.Wrap(result.PlatformUnavailable, err, "version %d cannot be read", version)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(snapshot.Declarations)
+}
+
+func (s *Server) apply(ctx context.Context, patch Patch) (any, error) {
+	if patch.ID == "" || len(patch.ID) > maxPatchID {
+		return nil, result.New(result.InvalidPatch, "id must have 1 to %d bytes", maxPatchID)
+	}
+	version, err := s.backend.Apply(ctx, patch)
+	if err != nil {
+		return nil, err
+	}
+	s.log.Info("operator: Patch accepted.", "patch", patch.ID, "base", patch.Base, "version", version)
+	return PatchAccepted{ID: patch.ID, Version: version}, nil
+}
+
+// decode reads one JSON document from the body and refuses unknown fields. An
+// empty body is an empty document.
+func decode(req *fasthttp.RequestCtx, into any) error {
+	body := req.PostBody()
+	if len(bytes.TrimSpace(body)) == 0 {
+		return nil
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return result.Wrap(result.InvalidPatch, err, "the body cannot be read: %v", err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return result.New(result.InvalidPatch, "the body holds more than one document")
+	}
+	return nil
+}
+
+// numberArg reads a whole number from the query, or absent if there is none.
+func numberArg(req *fasthttp.RequestCtx, name string, absent uint64) (uint64, error) {
+	raw := req.QueryArgs().Peek(name)
+	if len(raw) == 0 {
+		return absent, nil
+	}
+	n, err := strconv.ParseUint(string(raw), 10, 64)
+	if err != nil {
+		return 0, result.New(result.BadRequest, "%s is not a whole number", name)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,145 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
+
+	"github.com/walnutcove/walnutcove/result"
+)
+
+const (
+	// MaxBodyBytes bounds the body of a patch. A first patch with 16,000
+	// workspaces and 4,000 targets is about 5 MB.
+	MaxBodyBytes = 16 << 20
+	// maxStrangerBodyBytes bounds the body of a request without a known key.
+	maxStrangerBodyBytes = 4 << 10
+	maxHeaderBytes       = 16 << 10
+	maxConnections       = 256
+
+	readTimeout    = 10 * time.Second
+	idleTimeout    = 60 * time.Second
+	writeTimeout   = 30 * time.Second
+	requestTimeout = 20 * time.Second
+)
+
+// Options configure a Server.
+type Options struct {
+	// Address is the listener's "ip:port". It decides whether KeyHashes may be empty.
+	Address string
+	// KeyHashes are hex SHA-256 digests of the operators' keys.
+	KeyHashes []string
+	// Log receives one line for each change. Default slog.Default().
+	Log *slog.Logger
+}
+
+// Server serves the operator API over a Backend.
+type Server struct {
+	backend Backend
+	keys    keyring
+	log     *slog.Logger
+	http    *fasthttp.Server
+}
+
+// New returns a server. It refuses key hashes that cannot be read, and an
+// empty list of them when the address is not on loopback.
+func New(backend Backend, options Options) (*Server, error) {
+	keys, err := newKeyring(options.KeyHashes, options.Address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{backend: backend, keys: keys, log: options.Log}
+	if s.log == nil {
+		s.log = slog.Default()
+	}
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		ErrorHandler:          s.handleReadError,
+		HeaderReceived:        s.limitBody,
+		MaxRequestBodySize:    MaxBodyBytes,
+		ReadBufferSize:        maxHeaderBytes,
+		Concurrency:           maxConnections,
+		ReadTimeout:           readTimeout,
+		WriteTimeout:          writeTimeout,
+		IdleTimeout:           idleTimeout,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		Logger:                discardLogger{},
+	}
+	return s, nil
+}
+
+// Serve accepts connections until Shutdown is called or the listener fails.
+func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
+
+// Shutdown stops accepting and waits for the requests in progress.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
+
+// limitBody keeps strangers from filling memory with large bodies.
+func (s *Server) limitBody(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if s.keys.allows(string(header.Peek(fasthttp.HeaderAuthorization))) {
+		return fasthttp.RequestConfig{}
+	}
+	return fasthttp.RequestConfig{MaxRequestBodySize: maxStrangerBodyBytes}
+}
+
+// handleReadError answers a request that could not be read.
+func (s *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
+	code := result.BadRequest
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(err, &small):
+		code = result.HeadersTooLarge
+	case !s.allowed(ctx):
+		code = result.OperatorKeyWrong
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		code = result.BodyTooLarge
+	}
+	s.refuse(ctx, result.Wrap(code, err, "%s", code.Info().Meaning), code)
+}
+
+func (s *Server) allowed(ctx *fasthttp.RequestCtx) bool {
+	return s.keys.allows(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
+}
+
+// refuse answers with the error's document and counts the refusal.
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, err error, fallback result.Code) {
+	body := errorBody(err, fallback)
+	code := result.Code(body.Code)
+	refusals(body.Name).Inc()
+	s.log.Info("operator: Request refused.", "path", string(ctx.Path()), "code", body.Code, "reason", body.Name, "error", err)
+	s.answer(ctx, code.Info().Status, body)
+}
+
+func (s *Server) answer(ctx *fasthttp.RequestCtx, status int, document any) {
+	raw, err := json.Marshal(document)
+	if err != nil {
+		s.log.Error("operator: Answer could not be encoded.", "error", err)
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(raw, '\n'))
+}
+
+func refusals(reason string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("walnut_operator_refusals_total{reason=%q}", reason))
+}
+
+func requests(route string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("walnut_operator_requests_total{route=%q}", route))
+}
+
+// discardLogger drops fasthttp's own lines; refusals are logged by refuse.
+type discardLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (discardLogger) Printf(string, ...any) {}
--- /dev/null
+++ b/operator/types.go
@@ -0,0 +1,104 @@
+package operator
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+)
+
+// Paths of the API.
+const (
+	PathHealthz  = "/healthz"
+	PathReadyz   = "/readyz"
+	PathMetrics  = "/metrics"
+	PathConfig   = "/operator/v1/config"
+	PathPatches  = "/operator/v1/patches"
+	PathHistory  = "/operator/v1/history"
+	PathRollback = "/operator/v1/rollback"
+	PathStatus   = "/operator/v1/status"
+	PathDrain    = "/operator/v1/drain"
+)
+
+// Readiness says whether a router takes callers' requests.
+type Readiness struct {
+	Ready bool `json:"ready"`
+	// Reason is one short sentence when not ready.
+	Reason string `json:"reason,omitempty"`
+	// Version is the configuration version in force; zero if none.
+	Version config.Version `json:"version"`
+}
+
+// Patch asks for a new configuration version.
+type Patch struct {
+	// ID makes a resend idempotent. Required; a UUID by custom.
+	ID string `json:"id"`
+	// Base is the version that the patch was made against; zero if none exists.
+	Base config.Version `json:"base"`
+	// Author and Note are kept in the history. Optional.
+	Author string `json:"author,omitempty"`
+	Note   string `json:"note,omitempty"`
+	// Merge is a JSON merge patch (RFC 7396) over config.Declarations.
+	Merge json.RawMessage `json:"merge"`
+}
+
+// PatchAccepted answers an accepted patch or rollback.
+type PatchAccepted struct {
+	ID      string         `json:"id"`
+	Version config.Version `json:"version"`
+}
+
+// RollbackRequest asks for a new version with the declarations of an older one.
+type RollbackRequest struct {
+	// ID makes a resend idempotent. Required.
+	ID string `json:"id"`
+	// Base is the newest version that the operator has seen.
+	Base config.Version `json:"base"`
+	// To is the version whose declarations come back.
+	To config.Version `json:"to"`
+	// Author and Note are kept in the history. Optional.
+	Author string `json:"author,omitempty"`
+	Note   string `json:"note,omitempty"`
+}
+
+// HistoryEntry describes an accepted version.
+type HistoryEntry struct {
+	Version    config.Version `json:"version"`
+	PatchID    string         `json:"patch_id"`
+	Author     string         `json:"author,omitempty"`
+	Note       string         `json:"note,omitempty"`
+	AcceptedAt time.Time      `json:"accepted_at"`
+}
+
+// HistoryAnswer answers GET history.
+type HistoryAnswer struct {
+	// Versions stand newest first.
+	Versions []HistoryEntry `json:"versions"`
+}
+
+// DrainRequest asks a router to shut down gracefully.
+type DrainRequest struct {
+	// Node is the router's name; empty for the one that is asked.
+	Node string `json:"node,omitempty"`
+}
+
+// DrainStarted answers a DrainRequest.
+type DrainStarted struct {
+	Node string `json:"node,omitempty"`
+}
+
+// ErrorBody is the JSON document of every refusal and failure.
+type ErrorBody struct {
+	// Code is the numbered result code; see docs/RESULTS.md.
+	Code int `json:"code"`
+	// Name is the code's name, as in metric labels.
+	Name string `json:"name"`
+	// Detail is one short sentence for the operator.
+	Detail string `json:"detail"`
+	// Ran is "no" if nothing was changed, "yes" or "unknown".
+	Ran string `json:"ran"`
+	// Retry says whether the same request may be sent again.
+	Retry bool `json:"retry"`
+	// Newest is the winning version of a conflict (1001); otherwise zero.
+	Newest config.Version `json:"newest,omitempty"`
+}
