Serve callers, authenticate and classify them, and load settings

First version of the caller-side server on fasthttp, the authenticate, classify and ready filters, and settings.Load. Code 901 (internal) is new: a pipeline that panics or gives an unnumbered error needs a code that says the request may have run.

--- /dev/null
+++ b/filters/authenticate/authenticate.go
@@ -0,0 +1,84 @@
+// Package authenticate is the filter that turns a workspace key into a
+// workspace. It fixes the configuration version that the request is served by.
+package authenticate
+
+import (
+	"context"
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// Headers that carry a workspace key.
+const (
+	headerAuthorization = "Authorization"
+	headerKey           = "Walnut-Key"
+	bearerScheme        = "Bearer "
+)
+
+// Counters of this package, one for each reason.
+var (
+	refusedMissing = metrics.NewCounter(`walnut_authenticate_refusals_total{reason="key_missing"}`)
+	refusedWrong   = metrics.NewCounter(`walnut_authenticate_refusals_total{reason="key_wrong"}`)
+)
+
+// Source gives the configuration in force.
+type Source interface {
+	// InForce returns the snapshot in force; nil before there is one.
+	InForce() *config.Snapshot
+}
+
+// Filter authenticates callers.
+type Filter struct {
+	source Source
+}
+
+// New returns a filter that reads keys from the source's snapshot.
+func New(source Source) *Filter { return &Filter{source: source} }
+
+// Name implements pipeline.Filter.
+func (f *Filter) Name() string { return "authenticate" }
+
+// Serve implements pipeline.Filter.
+func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
+	key := takeKey(ex.Header)
+	if key == "" {
+		refusedMissing.Inc()
+		return result.New(result.KeyMissing, "send the workspace key as Authorization: Bearer KEY or Walnut-Key: KEY")
+	}
+	snapshot := f.source.InForce()
+	if snapshot == nil {
+		return result.New(result.NotReady, "no configuration version is in force yet")
+	}
+	// The lookup is by the digest of the key, so its time says nothing about
+	// how much of a guessed key is right.
+	name, ok := snapshot.Index().WorkspaceByKey([]byte(key))
+	if !ok {
+		refusedWrong.Inc()
+		return result.New(result.KeyWrong, "the workspace key is not known")
+	}
+	ex.Snapshot = snapshot
+	ex.WorkspaceName = name
+	ex.Workspace = snapshot.Declarations.Workspaces[name]
+	return next(ctx, ex)
+}
+
+// takeKey removes the key from the headers, so that it reaches no target, and
+// returns it.
+func takeKey(header map[string]string) string {
+	key := header[headerKey]
+	authorization := header[headerAuthorization]
+	delete(header, headerKey)
+	delete(header, headerAuthorization)
+	if key != "" {
+		return key
+	}
+	if len(authorization) > len(bearerScheme) && strings.EqualFold(authorization[:len(bearerScheme)], bearerScheme) {
+		return strings.TrimSpace(authorization[len(bearerScheme):])
+	}
+	return ""
+}
--- /dev/null
+++ b/filters/classify/classify.go
@@ -0,0 +1,134 @@
+// Package classify is the filter that finds out what a request is: the pool
+// that serves it, whether it is idempotent, its deadline, its rough cost, and
+// the hashes that cache affinity and quarantine go by.
+package classify
+
+import (
+	"context"
+	"encoding/binary"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// Paths of engine calls.
+const (
+	pathChat        = "/v1/chat/completions"
+	pathCompletions = "/v1/completions"
+)
+
+// DefaultDeadline is the time to dispatch if the caller sets none.
+const DefaultDeadline = 30 * time.Second
+
+// Options configure a Filter. Zero values take the stated defaults.
+type Options struct {
+	// DefaultDeadline is the time to dispatch if the caller sets none.
+	// Default 30 s.
+	DefaultDeadline time.Duration
+}
+
+// Filter classifies requests.
+type Filter struct {
+	options Options
+}
+
+// New returns a filter.
+func New(options Options) *Filter {
+	if options.DefaultDeadline <= 0 {
+		options.DefaultDeadline = DefaultDeadline
+	}
+	return &Filter{options: options}
+}
+
+// Name implements pipeline.Filter.
+func (f *Filter) Name() string { return "classify" }
+
+// Serve implements pipeline.Filter.
+func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
+	if refusal := f.classify(ex); refusal != nil {
+		countRefusal(refusal.Code)
+		return refusal
+	}
+	return next(ctx, ex)
+}
+
+func (f *Filter) classify(ex *pipeline.Exchange) *result.Error {
+	if refusal := f.findPool(ex); refusal != nil {
+		return refusal
+	}
+	if refusal := f.readHeaders(ex); refusal != nil {
+		return refusal
+	}
+	ex.Fingerprint = fingerprint(ex)
+	return nil
+}
+
+// findPool sets the pool and what the body says.
+func (f *Filter) findPool(ex *pipeline.Exchange) *result.Error {
+	path, _, _ := strings.Cut(ex.Path, "?")
+	index := ex.Snapshot.Index()
+	var name string
+	if path == pathChat || path == pathCompletions {
+		if ex.Method != "POST" {
+			return result.New(result.MethodNotAllowed, "send POST to %s", path)
+		}
+		call, refusal := parseCall(ex.Body)
+		if refusal != nil {
+			return refusal
+		}
+		ex.Model = call.Model
+		ex.Stream = call.Stream
+		ex.PrefixHash = prefixHash(call)
+		found := false
+		if name, found = index.PoolByModel(call.Model); !found {
+			return result.New(result.UnknownModel, "no pool serves this model")
+		}
+	} else {
+		found := false
+		if name, found = index.PoolByPath(path); !found {
+			return result.New(result.UnknownPath, "no pool serves this path")
+		}
+	}
+	if !slices.Contains(ex.Workspace.Pools, name) {
+		return result.New(result.PoolNotAllowed, "the workspace may not use this pool")
+	}
+	ex.PoolName = name
+	ex.Pool = ex.Snapshot.Declarations.Pools[name]
+	return nil
+}
+
+// idempotentMethod says whether a method is idempotent by its definition in
+// HTTP.
+func idempotentMethod(method string) bool {
+	switch method {
+	case "GET", "HEAD", "OPTIONS", "PUT", "DELETE":
+		return true
+	}
+	return false
+}
+
+// idempotentByDefault says whether a request is idempotent if its caller does
+// not say: engine calls are, and so are service calls by the HTTP method.
+func idempotentByDefault(ex *pipeline.Exchange) bool {
+	return ex.Pool.Kind == config.KindEngine || idempotentMethod(ex.Method)
+}
+
+// fingerprint hashes workspace, path and body. Lengths keep the parts apart.
+func fingerprint(ex *pipeline.Exchange) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var length [8]byte
+	for _, part := range []string{ex.WorkspaceName, ex.Path} {
+		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+		d.Write(length[:])
+		d.WriteString(part)
+	}
+	d.Write(ex.Body)
+	return d.Sum64()
+}
--- /dev/null
+++ b/filters/ready/ready.go
@@ -0,0 +1,56 @@
+// Package ready is the filter that refuses new work while the router has no
+// configuration yet or is leaving.
+package ready
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// retryAfter is the advice given with a refusal: another router, or this one
+// soon, will serve the caller.
+const retryAfter = time.Second
+
+// Counters of this package, one for each reason.
+var (
+	refusedNotReady = metrics.NewCounter(`walnut_ready_refusals_total{reason="not_ready"}`)
+	refusedDraining = metrics.NewCounter(`walnut_ready_refusals_total{reason="draining"}`)
+)
+
+// State says whether the router takes new work. Its methods must be safe for
+// concurrent use.
+type State interface {
+	// Ready says that a configuration version is in force.
+	Ready() bool
+	// Draining says that the router is leaving.
+	Draining() bool
+}
+
+// Filter refuses new work by the state of the router.
+type Filter struct {
+	state State
+}
+
+// New returns a filter that asks state for each request.
+func New(state State) *Filter { return &Filter{state: state} }
+
+// Name implements pipeline.Filter.
+func (f *Filter) Name() string { return "ready" }
+
+// Serve implements pipeline.Filter.
+func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
+	if f.state.Draining() {
+		refusedDraining.Inc()
+		return result.New(result.Draining, "this router is leaving").After(retryAfter)
+	}
+	if !f.state.Ready() {
+		refusedNotReady.Inc()
+		return result.New(result.NotReady, "no configuration version is in force yet").After(retryAfter)
+	}
+	return next(ctx, ex)
+}
--- /dev/null
+++ b/front/refuse.go
@@ -0,0 +1,79 @@
+package front
+
+import (
+	"errors"
+	"net"
+	"net/url"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// refuseUnread answers a request that could not be read whole. The HTTP
+// library closes the connection afterwards.
+func (s *Server) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
+	refusal := unreadError(err)
+	countRefusal(refusal.Code)
+	s.writeError(ctx, s.ids.id(), refusal)
+}
+
+func unreadError(err error) *result.Error {
+	var small *fasthttp.ErrSmallBuffer
+	var netErr net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return result.Wrap(result.BodyTooLarge, err, "the body is too large")
+	case errors.As(err, &small):
+		return result.Wrap(result.HeadersTooLarge, err, "the headers are too large")
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return result.Wrap(result.SlowSender, err, "the request did not arrive in time")
+	default:
+		return result.Wrap(result.BadRequest, err, "the request is not valid HTTP")
+	}
+}
+
+// checkRequest refuses what no filter should have to think about.
+func checkRequest(ctx *fasthttp.RequestCtx, ex *pipeline.Exchange) error {
+	var refusal *result.Error
+	switch {
+	case ctx.Request.Header.Len() > maxHeaders:
+		refusal = result.New(result.HeadersTooLarge, "more than %d headers", maxHeaders)
+	case !plainPath(ex.Path):
+		refusal = result.New(result.BadRequest, "the path must begin with / and have no dot segments, empty segments or escaped slashes")
+	default:
+		return nil
+	}
+	countRefusal(refusal.Code)
+	return refusal
+}
+
+// plainPath says whether a path means the same to this router and to every
+// target: a target that resolves "..", "//" or "%2f" in its own way might
+// serve something else than the pool that the workspace was allowed.
+func plainPath(path string) bool {
+	path, _, _ = strings.Cut(path, "?")
+	if !strings.HasPrefix(path, "/") {
+		return false
+	}
+	lower := strings.ToLower(path)
+	if strings.Contains(lower, "%2f") || strings.Contains(lower, "%5c") || strings.ContainsAny(path, "\\#") {
+		return false
+	}
+	decoded, err := url.PathUnescape(path)
+	if err != nil || strings.ContainsRune(decoded, 0) {
+		return false
+	}
+	return !strings.Contains(decoded, "//") && !hasDotSegment(decoded)
+}
+
+func hasDotSegment(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/front/request.go
@@ -0,0 +1,98 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// request is one request being served on a connection.
+type request struct {
+	ex     *pipeline.Exchange
+	conn   *callerConn
+	gone   chan struct{}
+	isGone bool // set by the watcher's goroutine only
+	cancel context.CancelCauseFunc
+	// err is why the answer is not whole; nil if nothing is known against it.
+	err error
+}
+
+// callerWentAway tells the pipeline. Only the watcher calls it.
+func (r *request) callerWentAway() {
+	if r.isGone {
+		return
+	}
+	r.isGone = true
+	callersGone.Inc()
+	close(r.gone)
+	r.cancel(result.New(result.CallerGone, "the caller closed its connection"))
+}
+
+// newExchange copies a request out of fasthttp's buffers, which are reused.
+func newExchange(id string, gone <-chan struct{}, ctx *fasthttp.RequestCtx) *pipeline.Exchange {
+	header := &ctx.Request.Header
+	return &pipeline.Exchange{
+		ID:          id,
+		Arrived:     time.Now(),
+		Method:      string(header.Method()),
+		Path:        originForm(string(header.RequestURI())),
+		ContentType: string(header.ContentType()),
+		Header:      copyHeader(header),
+		Body:        append([]byte(nil), ctx.Request.Body()...),
+		CallerGone:  gone,
+	}
+}
+
+// originForm strips the scheme and host of an absolute request target.
+func originForm(target string) string {
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	_, rest, ok := strings.Cut(target, "://")
+	if !ok {
+		return target
+	}
+	slash := strings.IndexByte(rest, '/')
+	if slash < 0 {
+		return "/"
+	}
+	return rest[slash:]
+}
+
+// copyHeader copies all headers but those that belong to one connection.
+// Repeated headers are joined with a comma.
+func copyHeader(header *fasthttp.RequestHeader) map[string]string {
+	copied := make(map[string]string, header.Len())
+	for key, value := range header.All() {
+		if hopByHop(string(key)) {
+			continue
+		}
+		name := string(key)
+		if earlier, ok := copied[name]; ok {
+			copied[name] = earlier + ", " + string(value)
+			continue
+		}
+		copied[name] = string(value)
+	}
+	return copied
+}
+
+// hopByHop says whether a header is about one connection or the framing of one
+// message, so that it is not passed on.
+func hopByHop(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+		"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+		"Content-Length", "Expect", "Host":
+		return true
+	}
+	return false
+}
+
+func sprintf(format string, args ...any) string { return fmt.Sprintf(format, args...) }
--- /dev/null
+++ b/front/watcher.go
@@ -0,0 +1,90 @@
+package front
+
+import (
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// watcher finds callers that went away while their requests are served. One
+// goroutine looks at all connections on a slow period.
+type watcher struct {
+	every time.Duration
+	stop  chan struct{}
+	once  sync.Once
+
+	mu       sync.Mutex
+	requests map[*request]struct{}
+}
+
+func newWatcher(every time.Duration) *watcher {
+	return &watcher{
+		every:    every,
+		stop:     make(chan struct{}),
+		requests: make(map[*request]struct{}),
+	}
+}
+
+func (w *watcher) add(r *request) {
+	w.mu.Lock()
+	w.requests[r] = struct{}{}
+	w.mu.Unlock()
+}
+
+func (w *watcher) remove(r *request) {
+	w.mu.Lock()
+	delete(w.requests, r)
+	w.mu.Unlock()
+}
+
+// run looks until close is called.
+func (w *watcher) run() {
+	ticker := time.NewTicker(w.every)
+	defer ticker.Stop()
+	var batch []*request
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-ticker.C:
+			batch = w.look(batch[:0])
+		}
+	}
+}
+
+func (w *watcher) close() { w.once.Do(func() { close(w.stop) }) }
+
+// look checks every request once. The descriptors are polled outside of the
+// lock, so that new requests don't wait for it.
+func (w *watcher) look(batch []*request) []*request {
+	w.mu.Lock()
+	for r := range w.requests {
+		batch = append(batch, r)
+	}
+	w.mu.Unlock()
+	for _, r := range batch {
+		if peerClosed(r.conn.raw) {
+			r.callerWentAway()
+		}
+	}
+	clear(batch)
+	return batch
+}
+
+// peerClosed says whether the other end closed or reset the connection. Bytes
+// that wait to be read, such as the next pipelined request, are left alone and
+// do not hide the end behind them.
+func peerClosed(raw syscall.RawConn) bool {
+	if raw == nil {
+		return false
+	}
+	gone := false
+	err := raw.Control(func(fd uintptr) {
+		fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds[:], 0)
+		gone = err == nil && n > 0 && fds[0].Revents != 0
+	})
+	return gone || err != nil
+}
--- a/result/codes.go
+++ b/result/codes.go
@@ -55,6 +55,9 @@
 	TargetError   Code = 802
 	AnswerTooSlow Code = 803
 
+	// any part: 900-999.
+	Internal Code = 901
+
 	// operators: 1000-1099.
 	VersionConflict     Code = 1001
 	InvalidPatch        Code = 1002
@@ -120,6 +123,7 @@
 	{StreamBroken, "stream_broken", "relay", 502, RanUnknown, true, "The answer broke off and could not be resumed."},
 	{TargetError, "target_error", "relay", 502, RanYes, true, "The target answered with an error."},
 	{AnswerTooSlow, "answer_too_slow", "relay", 504, RanUnknown, true, "The answer stopped making progress."},
+	{Internal, "internal", "any", 500, RanUnknown, false, "The router failed; the request may have run."},
 	{VersionConflict, "version_conflict", "operators", 409, RanNo, true, "Another patch took this version; read the newest and patch again."},
 	{InvalidPatch, "invalid_patch", "operators", 400, RanNo, false, "The patch cannot be read."},
 	{InvalidDeclaration, "invalid_declaration", "operators", 422, RanNo, false, "The configuration would not be valid after the patch."},
--- /dev/null
+++ b/settings/defaults.go
@@ -0,0 +1,35 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/walnutcove/walnutcove/control"
+)
+
+// Defaults returns the settings of an empty file. Required keys are left empty.
+func Defaults() Settings {
+	return Settings{
+		Platform: Platform{
+			Timeout:     Duration(2 * time.Second),
+			PollEvery:   Duration(time.Second),
+			VMListEvery: Duration(2 * time.Second),
+		},
+		Scheduling: Scheduling{
+			Policy:         string(control.PolicyShardQueue),
+			HeartbeatEvery: Duration(500 * time.Millisecond),
+			MemberTimeout:  Duration(2 * time.Second),
+			ExchangeEvery:  Duration(250 * time.Millisecond),
+		},
+		Limits: Limits{
+			MaxBodyBytes:     8 << 20,
+			MaxHeaderBytes:   16 << 10,
+			ReadTimeout:      Duration(10 * time.Second),
+			IdleTimeout:      Duration(60 * time.Second),
+			DefaultDeadline:  Duration(30 * time.Second),
+			FirstByteTimeout: Duration(60 * time.Second),
+			StallTimeout:     Duration(30 * time.Second),
+			DrainTimeout:     Duration(10 * time.Minute),
+		},
+		Log: Log{Level: "info", Format: "text"},
+	}
+}
--- /dev/null
+++ b/settings/validate.go
@@ -0,0 +1,198 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/walnutcove/walnutcove/control"
+)
+
+// Bounds of values.
+const (
+	minDuration = Duration(time.Millisecond)
+	maxDuration = Duration(24 * time.Hour)
+
+	minBodyBytes   = 1 << 10
+	maxBodyBytes   = 1 << 30
+	minHeaderBytes = 1 << 10
+	maxHeaderBytes = 1 << 20
+
+	keyHashBytes = 32
+)
+
+// Validate returns nil or a Problems that lists every value that is missing or
+// out of range.
+func (s Settings) Validate() error {
+	if problems := s.check(); len(problems) > 0 {
+		return problems
+	}
+	return nil
+}
+
+func (s Settings) check() Problems {
+	var c checker
+	c.required("node.name", s.Node.Name)
+	c.required("node.data_centre", s.Node.DataCentre)
+	c.address("platform.address", s.Platform.Address)
+	s.checkListeners(&c)
+	s.checkDurations(&c)
+	c.within("limits.max_body_bytes", s.Limits.MaxBodyBytes, minBodyBytes, maxBodyBytes)
+	c.within("limits.max_header_bytes", s.Limits.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
+	policies := []string{string(control.PolicyShardQueue), string(control.PolicyAlone)}
+	c.oneOf("scheduling.policy", s.Scheduling.Policy, policies...)
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	c.oneOf("log.format", s.Log.Format, "text", "json")
+	for i, hash := range s.Operators.KeyHashes {
+		c.keyHash(fmt.Sprintf("operators.key_hashes[%d]", i), hash)
+	}
+	return c.problems
+}
+
+func (s Settings) checkListeners(c *checker) {
+	callers, callersOK := c.address("listen.callers", s.Listen.Callers)
+	operators, operatorsOK := c.address("listen.operators", s.Listen.Operators)
+	peers, peersOK := c.address("listen.peers", s.Listen.Peers)
+	tls := c.allOrNone(s.Peers)
+	if !tls {
+		c.loopback("listen.callers", callers, callersOK)
+		c.loopback("listen.operators", operators, operatorsOK)
+		c.loopback("listen.peers", peers, peersOK)
+	}
+	if operatorsOK && !operators.Addr().IsLoopback() && len(s.Operators.KeyHashes) == 0 {
+		c.add("operators.key_hashes", "is empty, which is allowed only while listen.operators is on loopback")
+	}
+}
+
+func (s Settings) checkDurations(c *checker) {
+	c.duration("platform.timeout", s.Platform.Timeout)
+	c.duration("platform.poll_every", s.Platform.PollEvery)
+	c.duration("platform.vm_list_every", s.Platform.VMListEvery)
+	c.duration("scheduling.heartbeat_every", s.Scheduling.HeartbeatEvery)
+	c.duration("scheduling.member_timeout", s.Scheduling.MemberTimeout)
+	c.duration("scheduling.exchange_every", s.Scheduling.ExchangeEvery)
+	if s.Scheduling.MemberTimeout <= s.Scheduling.HeartbeatEvery {
+		c.add("scheduling.member_timeout", "must be longer than scheduling.heartbeat_every")
+	}
+	c.duration("limits.read_timeout", s.Limits.ReadTimeout)
+	c.duration("limits.idle_timeout", s.Limits.IdleTimeout)
+	c.duration("limits.default_deadline", s.Limits.DefaultDeadline)
+	c.duration("limits.first_byte_timeout", s.Limits.FirstByteTimeout)
+	c.duration("limits.stall_timeout", s.Limits.StallTimeout)
+	c.duration("limits.drain_timeout", s.Limits.DrainTimeout)
+}
+
+// checker collects problems.
+type checker struct {
+	problems Problems
+}
+
+func (c *checker) add(key, format string, args ...any) {
+	c.problems = append(c.problems, Problem{Key: key, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) required(key, value string) {
+	if value == "" {
+		c.add(key, "is required")
+	}
+}
+
+func (c *checker) within(key string, value, least, most int) {
+	if value < least || value > most {
+		c.add(key, "is %d; must be from %d to %d", value, least, most)
+	}
+}
+
+func (c *checker) duration(key string, value Duration) {
+	if value < minDuration || value > maxDuration {
+		c.add(key, "is %s; must be from %s to %s",
+			time.Duration(value), time.Duration(minDuration), time.Duration(maxDuration))
+	}
+}
+
+func (c *checker) oneOf(key, value string, allowed ...string) {
+	if !slices.Contains(allowed, value) {
+		c.add(key, "is %q; must be one of %q", value, allowed)
+	}
+}
+
+func (c *checker) keyHash(key, value string) {
+	digest, err := hex.DecodeString(value)
+	if err != nil || len(digest) != keyHashBytes {
+		c.add(key, "must be a SHA-256 digest of %d hex digits", 2*keyHashBytes)
+	}
+}
+
+// address checks an "ip:port" and says whether it is one.
+func (c *checker) address(key, value string) (netip.AddrPort, bool) {
+	if value == "" {
+		c.add(key, "is required")
+		return netip.AddrPort{}, false
+	}
+	address, err := netip.ParseAddrPort(value)
+	if err != nil {
+		c.add(key, "is %q; must be \"ip:port\" with an IP number, not a host name", value)
+		return netip.AddrPort{}, false
+	}
+	return address, true
+}
+
+func (c *checker) loopback(key string, address netip.AddrPort, ok bool) {
+	if ok && !address.Addr().IsLoopback() {
+		c.add(key, "is %s, which is not on loopback: set peers.cert_file, peers.key_file and peers.ca_file", address)
+	}
+}
+
+// allOrNone checks the TLS files and says whether any is set.
+func (c *checker) allOrNone(p Peers) bool {
+	files := []struct{ key, value string }{
+		{"peers.cert_file", p.CertFile},
+		{"peers.key_file", p.KeyFile},
+		{"peers.ca_file", p.CAFile},
+	}
+	set := 0
+	for _, f := range files {
+		if f.value != "" {
+			set++
+		}
+	}
+	if set == 0 {
+		return false
+	}
+	for _, f := range files {
+		if f.value == "" {
+			c.add(f.key, "is missing: set peers.cert_file, peers.key_file and peers.ca_file, or none of them")
+		}
+	}
+	return true
+}
+
+// removeIntegerDurations finds durations written as bare integers, which the decoder
+// would take for nanoseconds, and takes them out of the document.
+func removeIntegerDurations(document map[string]any) Problems {
+	var problems Problems
+	sections := reflect.TypeFor[Settings]()
+	for i := range sections.NumField() {
+		section := sections.Field(i)
+		values, ok := document[section.Tag.Get("toml")].(map[string]any)
+		if !ok {
+			continue
+		}
+		for j := range section.Type.NumField() {
+			field := section.Type.Field(j)
+			name := field.Tag.Get("toml")
+			_, isInteger := values[name].(int64)
+			if field.Type != reflect.TypeFor[Duration]() || !isInteger {
+				continue
+			}
+			key := strings.Join([]string{section.Tag.Get("toml"), name}, ".")
+			delete(values, name)
+			problems = append(problems, Problem{Key: key, Reason: `must be a string with a unit, for example "250ms"`})
+		}
+	}
+	return problems
+}
