Add the target client and the stand-in engine and service

Cause: routers need a client that says truly whether a request may have run, and tests need targets whose journals can judge that claim.

The client uses fasthttp's header codecs over a small pool of its own, so that it can count the bytes written and end a run by closing its connection.

Ruled out: answers that end with the connection are reported as broken, since their end cannot be told from a lost connection.

Conclusion: streamed and whole answers, the load report and the service's answer pass under the race detector. The failure classes are not tested yet.

--- /dev/null
+++ b/standin/internal/host/mark.go
@@ -0,0 +1,35 @@
+package host
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// markPrefix introduces the mark in a prompt or body.
+const markPrefix = "mark:"
+
+// Mark returns the mark of a text: the letters, digits, '-' and '_' that follow
+// its first "mark:". A text without one is marked by its hash.
+func Mark(text string) string {
+	at := strings.Index(text, markPrefix)
+	if at >= 0 {
+		mark := text[at+len(markPrefix):]
+		if end := strings.IndexFunc(mark, notInMark); end >= 0 {
+			mark = mark[:end]
+		}
+		if mark != "" {
+			return mark
+		}
+	}
+	return fmt.Sprintf("%016x", xxhash.Sum64String(text))
+}
+
+func notInMark(r rune) bool {
+	switch {
+	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9', r == '-', r == '_':
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/target/exchange.go
@@ -0,0 +1,143 @@
+package target
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// exchange is one request and its answer on one connection.
+type exchange struct {
+	client *HTTPClient
+	ctx    context.Context
+	conn   *conn
+	// unwatch ends the closing of the connection by ctx; nil if ctx never ends.
+	unwatch func() bool
+	// settle lets the connection be given back or closed only once.
+	settle sync.Once
+}
+
+// run sends the request and reads the answer's head.
+func (ex *exchange) run(req *Request) (*Response, error) {
+	deadline := time.Now().Add(ex.client.options.FirstByteTimeout)
+	ex.conn.written = 0
+	ex.conn.readDeadline = deadline
+	if err := ex.conn.SetWriteDeadline(deadline); err != nil {
+		return nil, ex.writeError(err)
+	}
+	if err := writeRequest(ex.conn, req); err != nil {
+		return nil, ex.writeError(err)
+	}
+	var header fasthttp.ResponseHeader
+	if err := readHead(ex.conn, &header); err != nil {
+		return nil, ex.headError(err)
+	}
+	return ex.answer(req, &header)
+}
+
+// readHead reads the answer's head and passes over interim answers (1xx).
+func readHead(cn *conn, header *fasthttp.ResponseHeader) error {
+	for {
+		if err := header.Read(cn.reader); err != nil {
+			return err
+		}
+		if header.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
+	}
+}
+
+// answer turns the head into a Response, or into an error if the target
+// refused the request before running it.
+func (ex *exchange) answer(req *Request, header *fasthttp.ResponseHeader) (*Response, error) {
+	resp := &Response{Status: header.StatusCode(), Header: copyHeader(header)}
+	if resp.Status == fasthttp.StatusServiceUnavailable && resp.Header[HeaderNotRun] == "true" {
+		ex.client.counters.failed(reasonNotRun)
+		refused := result.New(result.TargetRefused, "%s", result.TargetRefused.Info().Meaning)
+		ex.drainRefusal(req, header)
+		return nil, refused.After(retryAfter(resp.Header))
+	}
+	resp.Body = newBody(ex, req.Method, header)
+	return resp, nil
+}
+
+// drainRefusal reads the short body of a refusal, so that the connection can
+// be used again. It reads only what has arrived.
+func (ex *exchange) drainRefusal(req *Request, header *fasthttp.ResponseHeader) {
+	b := newBody(ex, req.Method, header)
+	length := header.ContentLength()
+	if length < 0 || length > ex.conn.reader.Buffered() {
+		b.Close()
+		return
+	}
+	b.discardBuffered()
+}
+
+// writeError classifies a failure while sending.
+func (ex *exchange) writeError(err error) error {
+	nothing := ex.conn.written == 0
+	switch {
+	case ex.ctx.Err() != nil && nothing:
+		return ex.client.fail(reasonCancelledEarly, result.CallerGone, result.RanNo, ex.ctx.Err())
+	case ex.ctx.Err() != nil:
+		return ex.client.fail(reasonCancelled, result.CallerGone, result.RanUnknown, ex.ctx.Err())
+	case nothing:
+		return ex.client.fail(reasonWriteNothing, result.ConnectFailed, result.RanNo, err)
+	default:
+		return ex.client.fail(reasonWritePartial, result.TargetLostRequest, result.RanUnknown, err)
+	}
+}
+
+// headError classifies a failure after the request was sent.
+func (ex *exchange) headError(err error) error {
+	switch {
+	case ex.ctx.Err() != nil:
+		return ex.client.fail(reasonCancelled, result.CallerGone, result.RanUnknown, ex.ctx.Err())
+	case isTimeout(err):
+		return ex.client.fail(reasonFirstByteTimeout, result.FirstByteTimeout, result.RanUnknown, err)
+	case isClosed(err):
+		return ex.client.fail(reasonClosedBeforeHead, result.TargetLostRequest, result.RanUnknown, err)
+	default:
+		return ex.client.fail(reasonBadHead, result.TargetError, result.RanUnknown, err)
+	}
+}
+
+// bodyError classifies a failure while reading the body.
+func (ex *exchange) bodyError(err error) error {
+	switch {
+	case ex.ctx.Err() != nil:
+		return ex.client.fail(reasonCancelled, result.CallerGone, result.RanUnknown, ex.ctx.Err())
+	case isTimeout(err):
+		return ex.client.fail(reasonStalled, result.AnswerTooSlow, result.RanUnknown, err)
+	default:
+		return ex.client.fail(reasonTruncated, result.StreamBroken, result.RanUnknown, err)
+	}
+}
+
+// release gives the connection back after an answer read whole.
+func (ex *exchange) release(reusable bool) {
+	ex.settle.Do(func() { ex.giveBack(reusable) })
+}
+
+func (ex *exchange) giveBack(reusable bool) {
+	cancelled := ex.unwatch != nil && !ex.unwatch()
+	if cancelled || !reusable || ex.conn.reader.Buffered() > 0 {
+		ex.conn.Close()
+		return
+	}
+	ex.client.pool.put(ex.conn)
+}
+
+// discard closes the connection, which ends the run.
+func (ex *exchange) discard() {
+	ex.settle.Do(func() {
+		if ex.unwatch != nil {
+			ex.unwatch()
+		}
+		ex.conn.Close()
+	})
+}
--- /dev/null
+++ b/target/httpclient.go
@@ -0,0 +1,198 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/walnutcove/walnutcove/result"
+)
+
+const (
+	// loadPath is where a target reports its load.
+	loadPath = "/load"
+	// maxLoadBytes bounds a load report.
+	maxLoadBytes = 1 << 20
+)
+
+// HTTPClient implements Client over HTTP/1.1. It keeps its own small pool of
+// connections, because it must know for every request whether a byte of it was
+// written, and must be able to end a run by closing its connection. It is safe
+// for concurrent use.
+type HTTPClient struct {
+	options  Options
+	counters *counters
+	pool     *pool
+}
+
+var _ Client = (*HTTPClient)(nil)
+
+// NewHTTPClient returns a client. Close releases its unused connections.
+func NewHTTPClient(options Options) *HTTPClient {
+	options = options.withDefaults()
+	counters := newCounters(options.Metrics)
+	return &HTTPClient{
+		options:  options,
+		counters: counters,
+		pool:     newPool(options, counters),
+	}
+}
+
+// Close closes the unused connections. Calls in progress go on.
+func (c *HTTPClient) Close() error {
+	c.pool.close()
+	return nil
+}
+
+// Do implements Client.
+func (c *HTTPClient) Do(ctx context.Context, req Request) (*Response, error) {
+	c.counters.requests.Inc()
+	if !validPath(req.Path) || req.Method == "" {
+		return nil, c.fail(reasonBadRequest, result.BadRequest, result.RanNo, nil)
+	}
+	cn, err := c.pool.get(ctx, req.Address)
+	if err != nil {
+		return nil, c.dialError(ctx, err)
+	}
+	ex := &exchange{client: c, ctx: ctx, conn: cn}
+	if ctx.Done() != nil {
+		ex.unwatch = context.AfterFunc(ctx, func() { cn.Conn.Close() })
+	}
+	resp, err := ex.run(&req)
+	if err != nil {
+		ex.discard()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// Load implements Client.
+func (c *HTTPClient) Load(ctx context.Context, address string) (Load, error) {
+	resp, err := c.Do(ctx, Request{Address: address, Method: fasthttp.MethodGet, Path: loadPath})
+	if err != nil {
+		return Load{}, err
+	}
+	defer resp.Body.Close()
+	if resp.Status != fasthttp.StatusOK {
+		return Load{}, fmt.Errorf("target: load report has status %d", resp.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadBytes+1))
+	if err != nil {
+		return Load{}, err
+	}
+	if len(body) > maxLoadBytes {
+		return Load{}, errors.New("target: load report is too large")
+	}
+	var load Load
+	if err := json.Unmarshal(body, &load); err != nil {
+		return Load{}, fmt.Errorf("target: load report: %w", err)
+	}
+	return load, nil
+}
+
+// dialError classifies a failure to get a connection. Nothing was written.
+func (c *HTTPClient) dialError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return c.fail(reasonCancelledEarly, result.CallerGone, result.RanNo, ctx.Err())
+	}
+	if isTimeout(err) {
+		return c.fail(reasonConnectTimeout, result.ConnectFailed, result.RanNo, err)
+	}
+	return c.fail(reasonConnect, result.ConnectFailed, result.RanNo, err)
+}
+
+// fail counts a failure and returns its typed error.
+func (c *HTTPClient) fail(r reason, code result.Code, ran result.Ran, cause error) *result.Error {
+	c.counters.failed(r)
+	e := result.Wrap(code, hideEOF(cause), "%s", code.Info().Meaning)
+	e.Ran = ran
+	return e
+}
+
+// hideEOF keeps a broken answer from being taken for a clean end by a reader
+// that tests with errors.Is(err, io.EOF).
+func hideEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, fasthttp.ErrTimeout) || (errors.As(err, &timeout) && timeout.Timeout())
+}
+
+// validPath refuses what would break the request line.
+func validPath(path string) bool {
+	if path == "" || path[0] != '/' {
+		return false
+	}
+	for i := 0; i < len(path); i++ {
+		if path[i] <= ' ' || path[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// writeRequest writes the request through the connection's buffer.
+func writeRequest(cn *conn, req *Request) error {
+	var header fasthttp.RequestHeader
+	fillHeader(&header, req)
+	if err := header.Write(cn.writer); err != nil {
+		return err
+	}
+	if _, err := cn.writer.Write(req.Body); err != nil {
+		return err
+	}
+	return cn.writer.Flush()
+}
+
+func fillHeader(header *fasthttp.RequestHeader, req *Request) {
+	header.SetNoDefaultContentType(true)
+	header.SetMethod(req.Method)
+	header.SetRequestURI(req.Path)
+	header.SetHost(req.Address)
+	for name, value := range req.Header {
+		if !isFramingHeader(name) {
+			header.Set(name, value)
+		}
+	}
+	if len(req.Body) > 0 || !header.IsGet() {
+		header.SetContentLength(len(req.Body))
+	}
+	if req.ID != "" {
+		header.Set(HeaderRequestID, req.ID)
+	}
+	if req.Offset > 0 {
+		header.Set(HeaderResumeOffset, strconv.FormatInt(req.Offset, 10))
+	}
+	if req.Fence > 0 {
+		header.Set(HeaderFencingNumber, strconv.FormatUint(req.Fence, 10))
+	}
+}
+
+// copyHeader copies the answer's headers out of the parser's buffers.
+func copyHeader(header *fasthttp.ResponseHeader) map[string]string {
+	copied := make(map[string]string, 8)
+	for name, value := range header.All() {
+		copied[string(name)] = string(value)
+	}
+	return copied
+}
+
+func retryAfter(header map[string]string) time.Duration {
+	seconds, err := strconv.Atoi(header[fasthttp.HeaderRetryAfter])
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/target/options.go
@@ -0,0 +1,61 @@
+package target
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Defaults of Options.
+const (
+	DefaultConnectTimeout   = 2 * time.Second
+	DefaultFirstByteTimeout = 60 * time.Second
+	DefaultStallTimeout     = 30 * time.Second
+	DefaultIdleTimeout      = 30 * time.Second
+	DefaultMaxIdle          = 64
+)
+
+// Options configure an HTTPClient. Zero values take the stated defaults.
+type Options struct {
+	// ConnectTimeout bounds the opening of a connection. Default 2 s.
+	ConnectTimeout time.Duration
+	// FirstByteTimeout bounds the sending of a request and the wait for the
+	// answer's head. Default 60 s.
+	FirstByteTimeout time.Duration
+	// StallTimeout bounds the gap between parts of an answer's body. Default 30 s.
+	StallTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept. Default 30 s.
+	IdleTimeout time.Duration
+	// MaxIdle bounds the unused connections kept for one address. Default 64.
+	MaxIdle int
+	// Metrics receives the counters. Default: a set of the client's own.
+	Metrics *metrics.Set
+	// Dial opens a connection. Default: TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.ConnectTimeout, DefaultConnectTimeout)
+	setDefault(&o.FirstByteTimeout, DefaultFirstByteTimeout)
+	setDefault(&o.StallTimeout, DefaultStallTimeout)
+	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.MaxIdle, DefaultMaxIdle)
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	if o.Dial == nil {
+		dialer := &net.Dialer{}
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	return o
+}
+
+func setDefault[T ~int | ~int64](value *T, fallback T) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
