Claim a run record before a non-idempotent request runs

A request that may not be repeated needs one place that decides who runs it. The platform's conditional insert is that place: one write before dispatch, one after the answer, off the caller's path and batched. Nobody takes a claim over unless its owner wrote that it gave it up, so a paused owner cannot double a run.

Ruled out: a second write at dispatch (doubles the writes and only helps to reclaim records of dead owners), takeover after a lease (rests on clocks). Tested with a memory table that loses replies and lets commits arrive late.

--- /dev/null
+++ b/filters/quarantine/quarantine.go
@@ -0,0 +1,78 @@
+// Package quarantine is the guard filter that refuses requests whose
+// fingerprint is quarantined because targets crashed while they ran it.
+package quarantine
+
+import (
+	"context"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+var refused = metrics.GetOrCreateCounter(`walnut_quarantine_refused_total{reason="quarantined"}`)
+
+// Set is the set of quarantined fingerprints. The control loop changes it;
+// traffic goroutines read it. The zero value is empty.
+type Set struct {
+	mu           sync.RWMutex
+	fingerprints map[uint64]struct{}
+}
+
+// Change adds or removes a fingerprint; see control.QuarantineChanged.
+func (s *Set) Change(fingerprint uint64, quarantined bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !quarantined {
+		delete(s.fingerprints, fingerprint)
+		return
+	}
+	if s.fingerprints == nil {
+		s.fingerprints = make(map[uint64]struct{})
+	}
+	s.fingerprints[fingerprint] = struct{}{}
+}
+
+// Contains says whether a fingerprint is quarantined.
+func (s *Set) Contains(fingerprint uint64) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	_, ok := s.fingerprints[fingerprint]
+	return ok
+}
+
+// Filter refuses quarantined requests. It also checks right before each
+// dispatch, for a request that was quarantined while it waited or was retried.
+type Filter struct {
+	// Set holds the quarantined fingerprints.
+	Set *Set
+}
+
+// Name implements pipeline.Filter.
+func (f *Filter) Name() string { return "quarantine" }
+
+// Serve implements pipeline.Filter.
+func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
+	check := func() error { return f.check(ex) }
+	if err := check(); err != nil {
+		return err
+	}
+	ex.BeforeDispatch = append(ex.BeforeDispatch, check)
+	return next(ctx, ex)
+}
+
+// check refuses a quarantined request. On a retry an earlier attempt may have
+// run, so the refusal does not say "not run".
+func (f *Filter) check(ex *pipeline.Exchange) error {
+	if !f.Set.Contains(ex.Fingerprint) {
+		return nil
+	}
+	refused.Inc()
+	refusal := result.New(result.Quarantined, "Targets crashed while they ran this request.")
+	if ex.Attempt > 1 {
+		refusal.Ran = result.RanUnknown
+	}
+	return refusal
+}
--- /dev/null
+++ b/runrecord/runrecord_test.go
@@ -0,0 +1,260 @@
+package runrecord
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/platform/memory"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+var deploy = Request{Workspace: "school", IdempotencyKey: "deploy-7", Fingerprint: 42}
+
+// fault is what happens to one commit that touches a run record.
+type fault int
+
+const (
+	faultNone      fault = iota
+	faultDown            // refused, without effect
+	faultReplyLost       // took effect, the reply was lost
+	faultLate            // the reply was lost; takes effect when land is called
+)
+
+// faultyTable passes calls to a memory store and injects faults.
+type faultyTable struct {
+	*memory.Store
+	mu        sync.Mutex
+	faults    []fault // of the next commits
+	readsDown bool
+	late      [][]platform.Op
+}
+
+func newTable() *faultyTable {
+	return &faultyTable{Store: memory.New(memory.Options{})}
+}
+
+func (t *faultyTable) inject(faults ...fault) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = append(t.faults, faults...)
+}
+
+func (t *faultyTable) setReadsDown(down bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.readsDown = down
+}
+
+// land lets the late commits arrive, and returns how many took effect.
+func (t *faultyTable) land() int {
+	t.mu.Lock()
+	late := t.late
+	t.late = nil
+	t.mu.Unlock()
+	landed := 0
+	for _, ops := range late {
+		if t.Store.Commit(context.Background(), ops) == nil {
+			landed++
+		}
+	}
+	return landed
+}
+
+func (t *faultyTable) Get(ctx context.Context, table, key string) (platform.Row, error) {
+	t.mu.Lock()
+	down := t.readsDown
+	t.mu.Unlock()
+	if down && table == Table {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	return t.Store.Get(ctx, table, key)
+}
+
+func (t *faultyTable) Commit(ctx context.Context, ops []platform.Op) error {
+	_, err := t.CommitRevision(ctx, ops)
+	return err
+}
+
+func (t *faultyTable) CommitRevision(ctx context.Context, ops []platform.Op) (uint64, error) {
+	switch t.next(ops) {
+	case faultDown:
+		return 0, platform.ErrUnavailable
+	case faultReplyLost:
+		if _, err := t.Store.CommitRevision(ctx, ops); errors.Is(err, platform.ErrConflict) {
+			return 0, err
+		}
+		return 0, platform.ErrUnknown
+	case faultLate:
+		t.mu.Lock()
+		t.late = append(t.late, ops)
+		t.mu.Unlock()
+		return 0, platform.ErrUnknown
+	default:
+		return t.Store.CommitRevision(ctx, ops)
+	}
+}
+
+func (t *faultyTable) next(ops []platform.Op) fault {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if ops[0].Table != Table || len(t.faults) == 0 {
+		return faultNone
+	}
+	f := t.faults[0]
+	t.faults = t.faults[1:]
+	return f
+}
+
+// stored returns the record of a request in the table.
+func (t *faultyTable) stored(test *testing.T, request Request) Record {
+	test.Helper()
+	row, err := t.Store.Get(context.Background(), Table, RowKey(request.Workspace, request.IdempotencyKey))
+	if err != nil {
+		test.Fatalf("no record: %v", err)
+	}
+	record, err := decode(row.Value)
+	if err != nil {
+		test.Fatal(err)
+	}
+	return record
+}
+
+// newKeeper starts a keeper that is closed with the test.
+func newKeeper(t *testing.T, table platform.Table, node control.NodeID, change ...func(*Options)) *Keeper {
+	options := Options{
+		Table:       table,
+		Node:        node,
+		Incarnation: 7,
+		RetryEvery:  time.Millisecond,
+		Metrics:     metrics.NewSet(),
+	}
+	for _, f := range change {
+		f(&options)
+	}
+	k := New(options)
+	t.Cleanup(func() {
+		k.stop()
+		<-k.done
+	})
+	return k
+}
+
+func mustClaim(t *testing.T, k *Keeper, request Request) *Claim {
+	t.Helper()
+	decision, err := k.Claim(context.Background(), request)
+	if err != nil || decision.Claim == nil {
+		t.Fatalf("no claim: %+v, %v", decision, err)
+	}
+	return decision.Claim
+}
+
+// wantRefused claims and requires a refusal with the code.
+func wantRefused(t *testing.T, k *Keeper, request Request, code result.Code) *result.Error {
+	t.Helper()
+	decision, err := k.Claim(context.Background(), request)
+	var refusal *result.Error
+	if !errors.As(err, &refusal) {
+		t.Fatalf("not refused: %+v, %v", decision, err)
+	}
+	if refusal.Code != code {
+		t.Fatalf("refused with %v, want code %d", refusal, code)
+	}
+	return refusal
+}
+
+func flush(t *testing.T, k *Keeper) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if err := k.flush(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestAnswerIsReplayedByEveryRouter(t *testing.T) {
+	table := newTable()
+	a, b := newKeeper(t, table, "a"), newKeeper(t, table, "b")
+	claim := mustClaim(t, a, deploy)
+	refusal := wantRefused(t, b, deploy, result.RecordInProgress)
+	if refusal.RetryAfter < retryAfterBase || refusal.Ran != result.RanUnknown {
+		t.Fatalf("bad advice: %+v", refusal)
+	}
+	wantRefused(t, a, deploy, result.RecordInProgress)
+	if err := claim.BeginDispatch(); err != nil {
+		t.Fatal(err)
+	}
+	claim.Answered(Outcome{Status: 201, Header: map[string]string{"X": "y"}, Body: []byte("done")})
+	flush(t, a)
+	for _, k := range []*Keeper{a, b} {
+		decision, err := k.Claim(context.Background(), deploy)
+		if err != nil || decision.Replay == nil {
+			t.Fatalf("no replay: %+v, %v", decision, err)
+		}
+		if decision.Replay.Status != 201 || string(decision.Replay.Body) != "done" || decision.Replay.Header["X"] != "y" {
+			t.Fatalf("replayed %+v", decision.Replay)
+		}
+		other := deploy
+		other.Fingerprint++
+		wantRefused(t, k, other, result.RecordMismatch)
+	}
+}
+
+func TestReplyOfInsertLost(t *testing.T) {
+	for _, f := range []fault{faultReplyLost, faultLate} {
+		table := newTable()
+		k := newKeeper(t, table, "a")
+		table.inject(f)
+		claim := mustClaim(t, k, deploy)
+		if n := table.land(); n != 0 {
+			t.Fatalf("a late insert took effect beside the claim")
+		}
+		claim.Answered(Outcome{Status: 200})
+		flush(t, k)
+		if got := table.stored(t, deploy); got.State != StateAnswered {
+			t.Fatalf("fault %d: stored %+v", f, got)
+		}
+	}
+}
+
+// The insert's outcome stays unknown: the request is refused as not run, and a
+// resend to another router can run once the table is back.
+func TestUnresolvedClaimIsReleased(t *testing.T) {
+	for _, f := range []fault{faultReplyLost, faultLate} {
+		table := newTable()
+		a, b := newKeeper(t, table, "a"), newKeeper(t, table, "b")
+		table.inject(f)
+		table.setReadsDown(true)
+		refusal := wantRefused(t, a, deploy, result.RecordUnavailable)
+		if refusal.Ran != result.RanNo {
+			t.Fatalf("refusal says ran %v", refusal.Ran)
+		}
+		table.setReadsDown(false)
+		flush(t, a)
+		if got := table.stored(t, deploy); got.State != StateNotRun {
+			t.Fatalf("fault %d: stored %+v", f, got)
+		}
+		claim := mustClaim(t, b, deploy)
+		if n := table.land(); n != 0 {
+			t.Fatal("a late insert took effect over another's claim")
+		}
+		claim.Answered(Outcome{Status: 200})
+	}
+}
+
+// A resend to the same router waits for the release and runs.
+func TestSameRouterRunsResendOfUnresolvedClaim(t *testing.T) {
+	table := newTable()
+	k := newKeeper(t, table, "a")
+	table.inject(faultReplyLost)
+	table.setReadsDown(true)
+	wantRefused(t, k, deploy, result.RecordUnavailable)
+	table.setReadsDown(false)
+	mustClaim(t, k, deploy)
+}
--- /dev/null
+++ b/runrecord/writer.go
@@ -0,0 +1,132 @@
+package runrecord
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/walnutcove/walnutcove/platform"
+)
+
+// maxBatch and maxBatchBytes bound the ends that one commit writes.
+const (
+	maxBatch      = 64
+	maxBatchBytes = 512 << 10
+)
+
+// writeEnds writes the ends of claims until ctx is done. Ends that arrive
+// while one commit is under way go into the next, so that the number of
+// commits does not grow with the load.
+func (k *Keeper) writeEnds(ctx context.Context) {
+	defer close(k.done)
+	for {
+		batch := k.nextBatch()
+		if len(batch) == 0 {
+			select {
+			case <-k.wake:
+				continue
+			case <-ctx.Done():
+				return
+			}
+		}
+		if k.writeBatch(ctx, batch) {
+			continue
+		}
+		k.count("walnut_runrecord_retries_total", "end_not_written")
+		select {
+		case <-time.After(k.options.RetryEvery):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// nextBatch returns the oldest ends that fit one commit.
+func (k *Keeper) nextBatch() []*entry {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var batch []*entry
+	size := 0
+	for _, e := range k.queue {
+		size += e.record.Outcome.bytes()
+		if len(batch) == maxBatch || (len(batch) > 0 && size > maxBatchBytes) {
+			break
+		}
+		batch = append(batch, e)
+	}
+	return batch
+}
+
+// writeBatch writes the ends in one commit, and one by one if that fails for a
+// condition. It says whether the whole batch was written.
+func (k *Keeper) writeBatch(ctx context.Context, batch []*entry) bool {
+	callCtx, cancel := context.WithTimeout(ctx, k.options.Timeout)
+	defer cancel()
+	var ops []platform.Op
+	for _, e := range batch {
+		if e.revision == 0 {
+			return k.writeEach(ctx, batch)
+		}
+		ops = append(ops, endOp(e, platform.OpUpdate, e.revision))
+	}
+	err := k.options.Table.Commit(callCtx, ops)
+	if err == nil {
+		k.written(batch...)
+		return true
+	}
+	if errors.Is(err, platform.ErrConflict) {
+		return k.writeEach(ctx, batch)
+	}
+	return false
+}
+
+// writeEach writes the ends one by one.
+func (k *Keeper) writeEach(ctx context.Context, batch []*entry) bool {
+	for _, e := range batch {
+		if err := k.writeEnd(ctx, e); err != nil {
+			k.options.Logger.Warn("runrecord: End not written.", "error", err)
+			return false
+		}
+		k.written(e)
+	}
+	return true
+}
+
+// writeEnd reads the row and writes the end if the row is still the claim's.
+func (k *Keeper) writeEnd(ctx context.Context, e *entry) error {
+	ctx, cancel := context.WithTimeout(ctx, k.options.Timeout)
+	defer cancel()
+	row, record, err := k.readBack(ctx, e.key)
+	if err != nil {
+		return err
+	}
+	op := endOp(e, platform.OpUpdate, row.Revision)
+	switch {
+	case record == nil && !e.unresolved:
+		return nil // deleted after its retention
+	case record == nil:
+		// The insert may still be under way: the row that is written here
+		// makes it fail when it arrives.
+		op = endOp(e, platform.OpInsert, 0)
+	case record.Owner != e.record.Owner && record.State == StateNotRun && e.unresolved:
+		// The update may still be under way: rewriting the row makes it fail.
+	case record.Owner != e.record.Owner || record.State != StateClaimed:
+		return nil // another's, or written by a commit whose reply was lost
+	}
+	return k.options.Table.Commit(ctx, []platform.Op{op})
+}
+
+func endOp(e *entry, kind platform.OpKind, revision uint64) platform.Op {
+	return platform.Op{Kind: kind, Table: Table, Key: e.key, Value: e.record.encode(), Revision: revision}
+}
+
+// written removes entries whose ends are in the table.
+func (k *Keeper) written(batch ...*entry) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, e := range batch {
+		k.pendingBytes -= e.record.Outcome.bytes()
+		k.forget(e)
+	}
+	k.queue = k.queue[len(batch):]
+}
