Carry control messages and calls between nodes over yamux

One session for each pair of nodes, opened by the first message or call. Names, origins and shards are sent once for each session and then by reference.

--- /dev/null
+++ b/peer/call.go
@@ -0,0 +1,227 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/walnutcove/walnutcove/peer/peerpb"
+)
+
+// Errors of a Call, wrapped with the node and the method.
+var (
+	// ErrCallFailed says that the other node's handler returned an error,
+	// whose text follows.
+	ErrCallFailed = errors.New("call failed at the other node")
+	// ErrCallTooLarge says that a request or an answer exceeds Options.MaxCallBytes.
+	ErrCallTooLarge = errors.New("call is too large")
+	// ErrSessionEnded says that the session broke before the answer.
+	ErrSessionEnded = errors.New("session ended")
+)
+
+const (
+	busyText = "too many calls"
+	// callOverheadBytes is the room for the fields beside a payload.
+	callOverheadBytes = 1 << 10
+)
+
+// call waits for a session and makes a call on it.
+func (l *link) call(ctx context.Context, method string, payload []byte) ([]byte, error) {
+	if len(payload) > l.mesh.options.MaxCallBytes {
+		return nil, ErrCallTooLarge
+	}
+	s, err := l.await(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s.openCalls.Add(1)
+	defer s.openCalls.Add(-1)
+	s.used()
+	return s.call(ctx, method, payload)
+}
+
+// await returns a started session and dials if there is none.
+func (l *link) await(ctx context.Context) (*session, error) {
+	for {
+		l.mu.Lock()
+		_, ok := l.ready()
+		s, changed := l.session, l.changed
+		l.mu.Unlock()
+		if !ok {
+			return nil, ErrUnreachable
+		}
+		if s != nil {
+			return s, s.awaitStart(ctx)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (s *session) awaitStart(ctx context.Context) error {
+	select {
+	case <-s.started:
+		return nil
+	case <-s.ctx.Done():
+		return ErrSessionEnded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// call sends a request on a stream of its own and reads the answer.
+func (s *session) call(ctx context.Context, method string, payload []byte) ([]byte, error) {
+	stream, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrSessionEnded, err)
+	}
+	defer stream.Close()
+	stop := interrupt(ctx, stream)
+	defer stop()
+	request := &peerpb.CallRequest{Method: method, Payload: payload, TimeLeft: timeLeft(ctx).Microseconds()}
+	if err := writeAll(stream, request); err != nil {
+		return nil, callError(ctx, err)
+	}
+	answer := &peerpb.CallAnswer{}
+	if err := readAll(stream, s.mesh.options.MaxCallBytes, answer); err != nil {
+		return nil, callError(ctx, err)
+	}
+	s.used()
+	if answer.GetError() != "" {
+		return nil, fmt.Errorf("%w: %s", ErrCallFailed, answer.GetError())
+	}
+	return answer.GetPayload(), nil
+}
+
+// interrupt ends reads and writes of a stream with its context.
+func interrupt(ctx context.Context, stream *yamux.Stream) (stop func() bool) {
+	return context.AfterFunc(ctx, func() {
+		_ = stream.SetDeadline(time.Now())
+	})
+}
+
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, _ := ctx.Deadline()
+	return time.Until(deadline)
+}
+
+func callError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if errors.Is(err, ErrCallTooLarge) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrSessionEnded, err)
+}
+
+// writeAll writes a message and ends the stream's direction.
+func writeAll(stream *yamux.Stream, message proto.Message) error {
+	encoded, err := proto.Marshal(message)
+	if err != nil {
+		return err
+	}
+	if _, err := stream.Write(encoded); err != nil {
+		return err
+	}
+	return stream.Close()
+}
+
+// readAll reads a message up to the end of the stream's direction.
+func readAll(stream io.Reader, limit int, message proto.Message) error {
+	limit += callOverheadBytes
+	encoded, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
+	if err != nil {
+		return err
+	}
+	if len(encoded) > limit {
+		return ErrCallTooLarge
+	}
+	if len(encoded) == 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return proto.Unmarshal(encoded, message)
+}
+
+// serveCalls answers the other side's calls until the session's end.
+func (s *session) serveCalls() {
+	for {
+		stream, err := s.mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		if !s.mesh.spawn(func() { s.serveCall(stream) }) {
+			stream.Close()
+			return
+		}
+	}
+}
+
+// serveCall answers one call, or refuses it if too many are open.
+func (s *session) serveCall(stream *yamux.Stream) {
+	defer stream.Close()
+	ctx, cancel := context.WithTimeout(s.ctx, s.mesh.options.CallTimeout)
+	defer cancel()
+	stop := interrupt(ctx, stream)
+	defer stop()
+	select {
+	case s.calls <- struct{}{}:
+		defer func() { <-s.calls }()
+	default:
+		s.mesh.counters.call("in", "busy")
+		_ = writeAll(stream, &peerpb.CallAnswer{Error: busyText})
+		return
+	}
+	s.openCalls.Add(1)
+	defer s.openCalls.Add(-1)
+	s.used()
+	s.mesh.counters.call("in", callResult(s.answer(ctx, stream)))
+}
+
+// answer reads a call's request, has the handler answer it, and writes the answer.
+func (s *session) answer(ctx context.Context, stream *yamux.Stream) error {
+	request := &peerpb.CallRequest{}
+	if err := readAll(stream, s.mesh.options.MaxCallBytes, request); err != nil {
+		return callError(ctx, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.GetTimeLeft())*time.Microsecond)
+	defer cancel()
+	payload, err := s.mesh.handler.Called(ctx, s.remote.Node, request.GetMethod(), request.GetPayload())
+	if err == nil && len(payload) > s.mesh.options.MaxCallBytes {
+		err = ErrCallTooLarge
+	}
+	answer := &peerpb.CallAnswer{Payload: payload}
+	if err != nil {
+		answer = &peerpb.CallAnswer{Error: err.Error()}
+	}
+	if writeErr := writeAll(stream, answer); writeErr != nil {
+		return callError(ctx, writeErr)
+	}
+	return err
+}
+
+// callResult is the counter label of a call's end.
+func callResult(err error) string {
+	switch {
+	case err == nil:
+		return "answered"
+	case errors.Is(err, ErrUnreachable):
+		return "unreachable"
+	case errors.Is(err, ErrCallTooLarge):
+		return "too-large"
+	case errors.Is(err, ErrSessionEnded):
+		return "session-ended"
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return "cancelled"
+	default:
+		return "failed"
+	}
+}
--- /dev/null
+++ b/peer/wire/codec_member.go
@@ -0,0 +1,120 @@
+package wire
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/peer/peerpb"
+)
+
+func (e *Encoder) heartbeat(m control.Heartbeat) (*peerpb.Entry, error) {
+	p := &peerpb.Heartbeat{ConfigVersion: m.ConfigVersion, Leaving: m.Leaving}
+	if m.Incarnation != e.sender.Incarnation {
+		p.Incarnation = proto.Uint64(uint64(m.Incarnation))
+	}
+	return &peerpb.Entry{Kind: &peerpb.Entry_Heartbeat{Heartbeat: p}}, nil
+}
+
+func (d *Decoder) heartbeat(p *peerpb.Heartbeat) (control.Message, error) {
+	m := control.Heartbeat{
+		Incarnation:   d.sender.Incarnation,
+		ConfigVersion: p.GetConfigVersion(),
+		Leaving:       p.GetLeaving(),
+	}
+	if p != nil && p.Incarnation != nil {
+		m.Incarnation = control.Incarnation(p.GetIncarnation())
+	}
+	return m, nil
+}
+
+func (e *Encoder) suspectNotice(m control.SuspectNotice) (*peerpb.Entry, error) {
+	origin, err := e.origin(m.Node, m.Incarnation)
+	if err != nil {
+		return nil, err
+	}
+	p := &peerpb.SuspectNotice{Origin: origin}
+	return &peerpb.Entry{Kind: &peerpb.Entry_SuspectNotice{SuspectNotice: p}}, nil
+}
+
+func (d *Decoder) suspectNotice(p *peerpb.SuspectNotice) (control.Message, error) {
+	origin, err := d.origin(p.GetOrigin())
+	if err != nil {
+		return nil, err
+	}
+	return control.SuspectNotice{Node: origin.Node, Incarnation: origin.Incarnation}, nil
+}
+
+func (e *Encoder) serviceReport(m control.ServiceReport) (*peerpb.Entry, error) {
+	counts, err := e.serviceCounts(m.Counts)
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.Entry{Kind: &peerpb.Entry_ServiceReport{ServiceReport: counts}}, nil
+}
+
+func (d *Decoder) serviceReport(p *peerpb.ServiceCounts) (control.Message, error) {
+	counts, err := d.serviceCounts(p)
+	if err != nil {
+		return nil, err
+	}
+	return control.ServiceReport{Counts: counts}, nil
+}
+
+func (e *Encoder) serviceTotals(m control.ServiceTotals) (*peerpb.Entry, error) {
+	counts, err := e.serviceCounts(m.Counts)
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.Entry{Kind: &peerpb.Entry_ServiceTotals{ServiceTotals: counts}}, nil
+}
+
+func (d *Decoder) serviceTotals(p *peerpb.ServiceCounts) (control.Message, error) {
+	counts, err := d.serviceCounts(p)
+	if err != nil {
+		return nil, err
+	}
+	return control.ServiceTotals{Counts: counts}, nil
+}
+
+func (e *Encoder) serviceCounts(counts []control.ServiceCount) (*peerpb.ServiceCounts, error) {
+	if err := checkList(len(counts)); err != nil {
+		return nil, err
+	}
+	p := &peerpb.ServiceCounts{}
+	for _, count := range counts {
+		workspace, err := e.name(count.Workspace)
+		if err != nil {
+			return nil, err
+		}
+		p.Workspace = append(p.Workspace, workspace)
+		p.Own = append(p.Own, micros(count.Own))
+		p.Total = append(p.Total, micros(count.Total))
+	}
+	return p, nil
+}
+
+func (d *Decoder) serviceCounts(p *peerpb.ServiceCounts) ([]control.ServiceCount, error) {
+	length := len(p.GetWorkspace())
+	if err := checkList(length); err != nil {
+		return nil, err
+	}
+	if len(p.GetOwn()) != length || len(p.GetTotal()) != length {
+		return nil, fmt.Errorf("%w: service counts of unequal length", ErrMalformed)
+	}
+	var counts []control.ServiceCount
+	for i := range length {
+		workspace, err := d.name(p.GetWorkspace()[i])
+		if err != nil {
+			return nil, err
+		}
+		count := control.ServiceCount{
+			Workspace: workspace,
+			Own:       fromMicros(p.GetOwn()[i]),
+			Total:     fromMicros(p.GetTotal()[i]),
+		}
+		counts = append(counts, count)
+	}
+	return counts, nil
+}
--- /dev/null
+++ b/peer/wire/codec_queue.go
@@ -0,0 +1,163 @@
+package wire
+
+import (
+	"errors"
+
+	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/peer/peerpb"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+func (e *Encoder) ticket(m control.Ticket) (*peerpb.Entry, error) {
+	origin, errOrigin := e.origin(m.ID.Node, m.ID.Incarnation)
+	shard, errShard := e.shard(m.Shard)
+	workspace, errWorkspace := e.name(m.Workspace)
+	excluded, errExcluded := e.nameList(m.Excluded)
+	if err := errors.Join(errOrigin, errShard, errWorkspace, errExcluded); err != nil {
+		return nil, err
+	}
+	p := &peerpb.Ticket{
+		Origin:      origin,
+		Request:     uint64(m.ID.Request),
+		Attempt:     m.ID.Attempt,
+		Shard:       shard,
+		Workspace:   workspace,
+		CostHint:    micros(m.CostHint),
+		TimeLeft:    micros(m.TimeLeft),
+		PrefixHash:  m.PrefixHash,
+		Fingerprint: m.Fingerprint,
+		Excluded:    excluded,
+	}
+	return &peerpb.Entry{Kind: &peerpb.Entry_Ticket{Ticket: p}}, nil
+}
+
+func (d *Decoder) ticket(p *peerpb.Ticket) (control.Message, error) {
+	origin, errOrigin := d.origin(p.GetOrigin())
+	shard, errShard := d.shard(p.GetShard())
+	workspace, errWorkspace := d.name(p.GetWorkspace())
+	excluded, errExcluded := d.nameList(p.GetExcluded())
+	if err := errors.Join(errOrigin, errShard, errWorkspace, errExcluded); err != nil {
+		return nil, err
+	}
+	return control.Ticket{
+		ID: control.TicketID{
+			Node:        origin.Node,
+			Incarnation: origin.Incarnation,
+			Request:     control.RequestID(p.GetRequest()),
+			Attempt:     p.GetAttempt(),
+		},
+		Shard:       shard,
+		Workspace:   workspace,
+		CostHint:    fromMicros(p.GetCostHint()),
+		TimeLeft:    fromMicros(p.GetTimeLeft()),
+		PrefixHash:  p.GetPrefixHash(),
+		Fingerprint: p.GetFingerprint(),
+		Excluded:    excluded,
+	}, nil
+}
+
+func (e *Encoder) grant(m control.Grant) (*peerpb.Entry, error) {
+	scheduler, errScheduler := e.origin(m.ID.Scheduler, m.ID.Incarnation)
+	origin, errOrigin := e.origin(m.Ticket.Node, m.Ticket.Incarnation)
+	target, errTarget := e.name(m.Target)
+	if err := errors.Join(errScheduler, errOrigin, errTarget); err != nil {
+		return nil, err
+	}
+	p := &peerpb.Grant{
+		Scheduler:    scheduler,
+		Seq:          m.ID.Seq,
+		TicketOrigin: origin,
+		Request:      uint64(m.Ticket.Request),
+		Attempt:      m.Ticket.Attempt,
+		Target:       target,
+		Spare:        int64(m.Spare),
+	}
+	return &peerpb.Entry{Kind: &peerpb.Entry_Grant{Grant: p}}, nil
+}
+
+func (d *Decoder) grant(p *peerpb.Grant) (control.Message, error) {
+	id, errID := d.grantID(p.GetScheduler(), p.GetSeq())
+	origin, errOrigin := d.origin(p.GetTicketOrigin())
+	target, errTarget := d.name(p.GetTarget())
+	if err := errors.Join(errID, errOrigin, errTarget); err != nil {
+		return nil, err
+	}
+	return control.Grant{
+		ID: id,
+		Ticket: control.TicketID{
+			Node:        origin.Node,
+			Incarnation: origin.Incarnation,
+			Request:     control.RequestID(p.GetRequest()),
+			Attempt:     p.GetAttempt(),
+		},
+		Target: target,
+		Spare:  int(p.GetSpare()),
+	}, nil
+}
+
+func (e *Encoder) refusal(m control.Refusal) (*peerpb.Entry, error) {
+	ticket, errTicket := e.ticketID(m.Ticket)
+	shard, errShard := e.shard(m.Shard)
+	if err := errors.Join(errTicket, errShard); err != nil {
+		return nil, err
+	}
+	p := &peerpb.Refusal{
+		Ticket:     ticket,
+		Shard:      shard,
+		Code:       int64(m.Code),
+		RetryAfter: micros(m.RetryAfter),
+	}
+	return &peerpb.Entry{Kind: &peerpb.Entry_Refusal{Refusal: p}}, nil
+}
+
+func (d *Decoder) refusal(p *peerpb.Refusal) (control.Message, error) {
+	ticket, errTicket := d.ticketID(p.GetTicket())
+	shard, errShard := d.shard(p.GetShard())
+	if err := errors.Join(errTicket, errShard); err != nil {
+		return nil, err
+	}
+	return control.Refusal{
+		Ticket:     ticket,
+		Shard:      shard,
+		Code:       result.Code(p.GetCode()),
+		RetryAfter: fromMicros(p.GetRetryAfter()),
+	}, nil
+}
+
+func (e *Encoder) cancelTicket(m control.CancelTicket) (*peerpb.Entry, error) {
+	ticket, errTicket := e.ticketID(m.Ticket)
+	shard, errShard := e.shard(m.Shard)
+	if err := errors.Join(errTicket, errShard); err != nil {
+		return nil, err
+	}
+	p := &peerpb.CancelTicket{Ticket: ticket, Shard: shard}
+	return &peerpb.Entry{Kind: &peerpb.Entry_CancelTicket{CancelTicket: p}}, nil
+}
+
+func (d *Decoder) cancelTicket(p *peerpb.CancelTicket) (control.Message, error) {
+	ticket, errTicket := d.ticketID(p.GetTicket())
+	shard, errShard := d.shard(p.GetShard())
+	if err := errors.Join(errTicket, errShard); err != nil {
+		return nil, err
+	}
+	return control.CancelTicket{Ticket: ticket, Shard: shard}, nil
+}
+
+func (e *Encoder) waiting(m control.Waiting) (*peerpb.Entry, error) {
+	ticket, errTicket := e.ticketID(m.Ticket)
+	shard, errShard := e.shard(m.Shard)
+	if err := errors.Join(errTicket, errShard); err != nil {
+		return nil, err
+	}
+	p := &peerpb.Waiting{Ticket: ticket, Shard: shard, Ahead: int64(m.Ahead)}
+	return &peerpb.Entry{Kind: &peerpb.Entry_Waiting{Waiting: p}}, nil
+}
+
+func (d *Decoder) waiting(p *peerpb.Waiting) (control.Message, error) {
+	ticket, errTicket := d.ticketID(p.GetTicket())
+	shard, errShard := d.shard(p.GetShard())
+	if err := errors.Join(errTicket, errShard); err != nil {
+		return nil, err
+	}
+	return control.Waiting{Ticket: ticket, Shard: shard, Ahead: int(p.GetAhead())}, nil
+}
--- /dev/null
+++ b/peer/wire/codec_run.go
@@ -0,0 +1,105 @@
+package wire
+
+import (
+	"errors"
+
+	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/peer/peerpb"
+)
+
+func (e *Encoder) report(m control.Report) (*peerpb.Entry, error) {
+	scheduler, errScheduler := e.origin(m.Grant.Scheduler, m.Grant.Incarnation)
+	origin, errOrigin := e.origin(m.Ticket.Node, m.Ticket.Incarnation)
+	shard, errShard := e.shard(m.Shard)
+	workspace, errWorkspace := e.name(m.Workspace)
+	target, errTarget := e.name(m.Target)
+	if err := errors.Join(errScheduler, errOrigin, errShard, errWorkspace, errTarget); err != nil {
+		return nil, err
+	}
+	p := &peerpb.Report{
+		Scheduler:    scheduler,
+		Seq:          m.Grant.Seq,
+		TicketOrigin: origin,
+		Request:      uint64(m.Ticket.Request),
+		Attempt:      m.Ticket.Attempt,
+		Shard:        shard,
+		Workspace:    workspace,
+		Target:       target,
+		Phase:        int64(m.Phase),
+		Outcome:      int64(m.Outcome),
+		Service:      micros(m.Service),
+		Fingerprint:  m.Fingerprint,
+	}
+	return &peerpb.Entry{Kind: &peerpb.Entry_Report{Report: p}}, nil
+}
+
+func (d *Decoder) report(p *peerpb.Report) (control.Message, error) {
+	grant, errGrant := d.grantID(p.GetScheduler(), p.GetSeq())
+	origin, errOrigin := d.origin(p.GetTicketOrigin())
+	shard, errShard := d.shard(p.GetShard())
+	workspace, errWorkspace := d.name(p.GetWorkspace())
+	target, errTarget := d.name(p.GetTarget())
+	if err := errors.Join(errGrant, errOrigin, errShard, errWorkspace, errTarget); err != nil {
+		return nil, err
+	}
+	return control.Report{
+		Grant: grant,
+		Ticket: control.TicketID{
+			Node:        origin.Node,
+			Incarnation: origin.Incarnation,
+			Request:     control.RequestID(p.GetRequest()),
+			Attempt:     p.GetAttempt(),
+		},
+		Shard:       shard,
+		Workspace:   workspace,
+		Target:      target,
+		Phase:       control.RunPhase(p.GetPhase()),
+		Outcome:     control.Outcome(p.GetOutcome()),
+		Service:     fromMicros(p.GetService()),
+		Fingerprint: p.GetFingerprint(),
+	}, nil
+}
+
+func (e *Encoder) reportAck(m control.ReportAck) (*peerpb.Entry, error) {
+	scheduler, err := e.origin(m.Grant.Scheduler, m.Grant.Incarnation)
+	if err != nil {
+		return nil, err
+	}
+	p := &peerpb.ReportAck{Scheduler: scheduler, Seq: m.Grant.Seq}
+	return &peerpb.Entry{Kind: &peerpb.Entry_ReportAck{ReportAck: p}}, nil
+}
+
+func (d *Decoder) reportAck(p *peerpb.ReportAck) (control.Message, error) {
+	grant, err := d.grantID(p.GetScheduler(), p.GetSeq())
+	if err != nil {
+		return nil, err
+	}
+	return control.ReportAck{Grant: grant}, nil
+}
+
+func (e *Encoder) quarantineNotice(m control.QuarantineNotice) (*peerpb.Entry, error) {
+	crashes, err := e.nameList(m.Crashes)
+	if err != nil {
+		return nil, err
+	}
+	p := &peerpb.QuarantineNotice{
+		Fingerprint: m.Fingerprint,
+		Crashes:     crashes,
+		Convicted:   m.Convicted,
+		TimeLeft:    micros(m.TimeLeft),
+	}
+	return &peerpb.Entry{Kind: &peerpb.Entry_QuarantineNotice{QuarantineNotice: p}}, nil
+}
+
+func (d *Decoder) quarantineNotice(p *peerpb.QuarantineNotice) (control.Message, error) {
+	crashes, err := d.nameList(p.GetCrashes())
+	if err != nil {
+		return nil, err
+	}
+	return control.QuarantineNotice{
+		Fingerprint: p.GetFingerprint(),
+		Crashes:     crashes,
+		Convicted:   p.GetConvicted(),
+		TimeLeft:    fromMicros(p.GetTimeLeft()),
+	}, nil
+}
--- /dev/null
+++ b/peer/wire/table.go
@@ -0,0 +1,85 @@
+package wire
+
+import "fmt"
+
+// Sizes of the tables. The margin is the most slots of a table that a single
+// message can use: a slot that close to eviction is not referred to any more.
+const (
+	nameSlots    = 1024
+	nameMargin   = MaxListItems + 20
+	originSlots  = 128
+	originMargin = 4
+	shardSlots   = 128
+	shardMargin  = 4
+)
+
+// encodingTable is the sender's half of a table.
+type encodingTable[K comparable] struct {
+	size   int
+	margin int
+	slots  []K
+	index  map[K]int
+	next   int
+}
+
+func newEncodingTable[K comparable](size, margin int) *encodingTable[K] {
+	return &encodingTable[K]{size: size, margin: margin, index: make(map[K]int)}
+}
+
+// lookup returns the slot of a value, unless it is absent or close to eviction.
+func (t *encodingTable[K]) lookup(value K) (slot int, ok bool) {
+	slot, ok = t.index[value]
+	if !ok || len(t.slots) < t.size {
+		return slot, ok
+	}
+	untilEviction := (slot - t.next + t.size) % t.size
+	return slot, untilEviction >= t.margin
+}
+
+// define gives a value the next slot.
+func (t *encodingTable[K]) define(value K) (slot int) {
+	slot = t.next
+	if slot == len(t.slots) {
+		t.slots = append(t.slots, value)
+	} else {
+		t.evict(slot)
+		t.slots[slot] = value
+	}
+	t.index[value] = slot
+	t.next = (slot + 1) % t.size
+	return slot
+}
+
+// evict forgets the value in a slot, unless it was defined again elsewhere.
+func (t *encodingTable[K]) evict(slot int) {
+	old := t.slots[slot]
+	if t.index[old] == slot {
+		delete(t.index, old)
+	}
+}
+
+// decodingTable is the receiver's half of a table.
+type decodingTable[K any] struct {
+	size  int
+	slots []K
+	next  int
+}
+
+// define puts a value into the next slot.
+func (t *decodingTable[K]) define(value K) {
+	if t.next == len(t.slots) {
+		t.slots = append(t.slots, value)
+	} else {
+		t.slots[t.next] = value
+	}
+	t.next = (t.next + 1) % t.size
+}
+
+// get returns the value in a slot.
+func (t *decodingTable[K]) get(slot int) (K, error) {
+	if slot < 0 || slot >= len(t.slots) {
+		var none K
+		return none, fmt.Errorf("%w: slot %d of %d", ErrBadReference, slot, len(t.slots))
+	}
+	return t.slots[slot], nil
+}
