Validate, number, store and follow configuration versions

Routers need one configuration document that operators patch by version, and every router must hold the same one.

config: strict decoding, validation that lists every problem, merge patches applied to the touched objects only, an index for the request path, a digest that chains each version to the ones before it and covers the content. config/store: a version is a conditional insert of base+1 together with a row for the patch id, so that a lost reply can be read back and a patch sent twice counts once. config/follower: polls the store, fetches from peers, swaps whole and only upwards.

A digest over the patches alone was ruled out: it would not show that two routers made the same content of them. Races, lost replies and outages are not yet tested.

--- /dev/null
+++ b/config/decode.go
@@ -0,0 +1,229 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+)
+
+// The sections of the document.
+const (
+	sectionWorkspaces = "workspaces"
+	sectionPools      = "pools"
+	sectionTargets    = "targets"
+)
+
+// section describes one section of the document for the generic code.
+type section[T any] struct {
+	name     string
+	defaults func() T
+	// normalise makes equal declarations encode alike (empty and absent lists).
+	normalise func(T) T
+	fields    map[string]int // JSON name -> struct field
+}
+
+var (
+	workspaceSection = newSection(sectionWorkspaces, defaultWorkspace, normaliseWorkspace)
+	poolSection      = newSection(sectionPools, defaultPool, normalisePool)
+	targetSection    = newSection(sectionTargets, defaultTarget, func(t Target) Target { return t })
+)
+
+func newSection[T any](name string, defaults func() T, normalise func(T) T) section[T] {
+	fields := make(map[string]int)
+	object := reflect.TypeFor[T]()
+	for i := range object.NumField() {
+		jsonName, _, _ := strings.Cut(object.Field(i).Tag.Get("json"), ",")
+		fields[jsonName] = i
+	}
+	return section[T]{name: name, defaults: defaults, normalise: normalise, fields: fields}
+}
+
+func normaliseWorkspace(w Workspace) Workspace {
+	if w.KeyHashes == nil {
+		w.KeyHashes = []string{}
+	}
+	if w.Pools == nil {
+		w.Pools = []string{}
+	}
+	if len(w.Targets) == 0 {
+		w.Targets = nil
+	}
+	return w
+}
+
+func normalisePool(p Pool) Pool {
+	if len(p.Models) == 0 {
+		p.Models = nil
+	}
+	return p
+}
+
+func (s section[T]) path(name string) string { return s.name + "." + name }
+
+// decode reads one object strictly: field names match exactly, unknown fields
+// and wrong types are problems, absent fields take their default.
+func (s section[T]) decode(name string, raw json.RawMessage, problems *problemList) T {
+	value := s.defaults()
+	var members map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &members); err != nil || members == nil {
+		problems.add(s.path(name), "", "must be an object")
+		return value
+	}
+	object := reflect.ValueOf(&value).Elem()
+	for field, member := range members {
+		i, known := s.fields[field]
+		if !known {
+			problems.add(s.path(name), field, "unknown field")
+			continue
+		}
+		if err := json.Unmarshal(member, object.Field(i).Addr().Interface()); err != nil {
+			problems.add(s.path(name), field, "%s", typeReason(err))
+		}
+	}
+	return s.normalise(value)
+}
+
+func (s section[T]) decodeAll(raw map[string]json.RawMessage, problems *problemList) map[string]T {
+	all := make(map[string]T, len(raw))
+	for name, object := range raw {
+		all[name] = s.decode(name, object, problems)
+	}
+	return all
+}
+
+func typeReason(err error) string {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return fmt.Sprintf("must be %s, not %s", typeName(wrongType.Type), wrongType.Value)
+	}
+	return "cannot be read"
+}
+
+func typeName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "a boolean"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Int, reflect.Int64:
+		return "a whole number"
+	case reflect.Slice:
+		return "a list"
+	default:
+		return t.String()
+	}
+}
+
+// rawDocument is the document with its objects still encoded.
+type rawDocument struct {
+	Workspaces map[string]json.RawMessage `json:"workspaces"`
+	Pools      map[string]json.RawMessage `json:"pools"`
+	Targets    map[string]json.RawMessage `json:"targets"`
+}
+
+func (d rawDocument) decode(problems *problemList) Declarations {
+	return Declarations{
+		Workspaces: workspaceSection.decodeAll(d.Workspaces, problems),
+		Pools:      poolSection.decodeAll(d.Pools, problems),
+		Targets:    targetSection.decodeAll(d.Targets, problems),
+	}
+}
+
+// DecodeDeclarations reads a whole JSON document strictly, fills defaults and
+// validates it. The error is a *PatchError when it is not JSON of the right
+// shape and a *ValidationError otherwise.
+func DecodeDeclarations(data []byte) (Declarations, error) {
+	if err := checkDuplicateKeys(data); err != nil {
+		return Declarations{}, &PatchError{Path: "declarations", Reason: err.Error()}
+	}
+	sections, err := decodeSections(data)
+	if err != nil {
+		return Declarations{}, &PatchError{Path: "declarations", Reason: err.Error()}
+	}
+	problems := &problemList{}
+	declarations := sections.decode(problems)
+	if err := problems.err(); err != nil {
+		return Declarations{}, err
+	}
+	return declarations, Validate(declarations)
+}
+
+// decodeSections splits a document or merge patch into its objects. A section
+// that is null is refused: objects are removed by name.
+func decodeSections(data []byte) (rawDocument, error) {
+	var members map[string]json.RawMessage
+	if err := json.Unmarshal(data, &members); err != nil || members == nil {
+		return rawDocument{}, errors.New("must be a JSON object")
+	}
+	var document rawDocument
+	into := map[string]*map[string]json.RawMessage{
+		sectionWorkspaces: &document.Workspaces,
+		sectionPools:      &document.Pools,
+		sectionTargets:    &document.Targets,
+	}
+	for name, member := range members {
+		objects, known := into[name]
+		if !known {
+			return rawDocument{}, fmt.Errorf("unknown section %q", name)
+		}
+		if err := json.Unmarshal(member, objects); err != nil || *objects == nil {
+			return rawDocument{}, fmt.Errorf("section %q must be an object of objects by name", name)
+		}
+	}
+	return document, nil
+}
+
+// checkDuplicateKeys refuses data that is not one JSON value or that names a
+// key twice in one object: which of the two counts would be up to the reader.
+func checkDuplicateKeys(data []byte) error {
+	if !json.Valid(data) {
+		return errors.New("is not valid JSON")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	var open []map[string]bool // one per open container; nil for a list
+	key := false               // the next string is a key
+	for {
+		token, err := decoder.Token()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return errors.New("is not valid JSON")
+		}
+		switch t := token.(type) {
+		case json.Delim:
+			open = nest(open, t)
+			key = len(open) > 0 && open[len(open)-1] != nil
+			continue
+		case string:
+			if key {
+				seen := open[len(open)-1]
+				if seen[t] {
+					return fmt.Errorf("names key %q twice", t)
+				}
+				seen[t] = true
+				key = false
+				continue
+			}
+		}
+		key = len(open) > 0 && open[len(open)-1] != nil
+	}
+}
+
+func nest(open []map[string]bool, delim json.Delim) []map[string]bool {
+	switch delim {
+	case '{':
+		return append(open, map[string]bool{})
+	case '[':
+		return append(open, nil)
+	default:
+		return open[:len(open)-1]
+	}
+}
--- /dev/null
+++ b/config/defaults.go
@@ -0,0 +1,86 @@
+package config
+
+// Defaults of fields that a declaration leaves out.
+const (
+	// DefaultShare is the weight of a workspace.
+	DefaultShare = 1.0
+	// DefaultMaxQueued bounds a workspace's waiting requests at one router.
+	DefaultMaxQueued = 256
+	// DefaultMaxQueuedBytes bounds a workspace's waiting bytes at one router: 64 MiB.
+	DefaultMaxQueuedBytes = 64 << 20
+	// DefaultTypicalMillis is the slot time charged at grant, in milliseconds.
+	DefaultTypicalMillis = 1000
+	// DefaultSlots is how many requests a target runs at once.
+	DefaultSlots = 1
+)
+
+func defaultWorkspace() Workspace {
+	return withWorkspaceDefaults(Workspace{})
+}
+
+func defaultPool() Pool {
+	return withPoolDefaults(Pool{})
+}
+
+func defaultTarget() Target {
+	return withTargetDefaults(Target{})
+}
+
+func withWorkspaceDefaults(w Workspace) Workspace {
+	if w.Share == 0 {
+		w.Share = DefaultShare
+	}
+	if w.MaxQueued == 0 {
+		w.MaxQueued = DefaultMaxQueued
+	}
+	if w.MaxQueuedBytes == 0 {
+		w.MaxQueuedBytes = DefaultMaxQueuedBytes
+	}
+	if w.KeyHashes == nil {
+		w.KeyHashes = []string{}
+	}
+	if w.Pools == nil {
+		w.Pools = []string{}
+	}
+	if len(w.Targets) == 0 {
+		w.Targets = nil
+	}
+	return w
+}
+
+func withPoolDefaults(p Pool) Pool {
+	if p.TypicalMillis == 0 {
+		p.TypicalMillis = DefaultTypicalMillis
+	}
+	if len(p.Models) == 0 {
+		p.Models = nil
+	}
+	return p
+}
+
+func withTargetDefaults(t Target) Target {
+	if t.Slots == 0 {
+		t.Slots = DefaultSlots
+	}
+	return t
+}
+
+// WithDefaults returns a copy of d in which every field that is zero and has a
+// default is filled. It is meant for declarations built in Go; files and
+// patches get their defaults as they are decoded, so that a zero written there
+// is refused and not replaced.
+func WithDefaults(d Declarations) Declarations {
+	return Declarations{
+		Workspaces: mapValues(d.Workspaces, withWorkspaceDefaults),
+		Pools:      mapValues(d.Pools, withPoolDefaults),
+		Targets:    mapValues(d.Targets, withTargetDefaults),
+	}
+}
+
+func mapValues[T any](old map[string]T, convert func(T) T) map[string]T {
+	next := make(map[string]T, len(old))
+	for name, value := range old {
+		next[name] = convert(value)
+	}
+	return next
+}
--- /dev/null
+++ b/config/follower/follower_test.go
@@ -0,0 +1,135 @@
+package follower
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/config/store"
+	"github.com/walnutcove/walnutcove/platform/memory"
+)
+
+// patience bounds every wait for an event; no verdict depends on it.
+const patience = 30 * time.Second
+
+func newStore(t *testing.T) *store.Store {
+	t.Helper()
+	backing := memory.New(memory.Options{})
+	s := store.New(backing, backing.Objects(), store.Options{PageSize: 5})
+	t.Cleanup(s.Wait)
+	return s
+}
+
+func submit(t *testing.T, s *store.Store, base config.Version) store.Accepted {
+	t.Helper()
+	changes := fmt.Sprintf(`{"workspaces": {"bakery": {"share": %d}}}`, base+1)
+	patch := config.Patch{ID: config.NewPatchID(), Base: base, Changes: json.RawMessage(changes)}
+	accepted, err := s.Submit(context.Background(), nil, patch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return accepted
+}
+
+// recorder keeps the versions that came into force, in order.
+type recorder struct {
+	mu      sync.Mutex
+	seen    []config.Version
+	changed chan struct{}
+}
+
+func newRecorder() *recorder { return &recorder{changed: make(chan struct{}, 1)} }
+
+func (r *recorder) onChange(s *config.Snapshot) {
+	r.mu.Lock()
+	r.seen = append(r.seen, s.Version)
+	r.mu.Unlock()
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// versions returns what came into force so far.
+func (r *recorder) versions() []config.Version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]config.Version(nil), r.seen...)
+}
+
+// waitFor waits until a version is in force.
+func (r *recorder) waitFor(t *testing.T, want config.Version) {
+	t.Helper()
+	limit := time.After(patience)
+	for {
+		seen := r.versions()
+		if len(seen) > 0 && seen[len(seen)-1] >= want {
+			return
+		}
+		select {
+		case <-r.changed:
+		case <-limit:
+			t.Fatalf("version %d did not come into force; seen %v", want, seen)
+		}
+	}
+}
+
+// start runs a follower until the test ends.
+func start(t *testing.T, options Options) (*Follower, *recorder) {
+	t.Helper()
+	r := newRecorder()
+	options.OnChange = r.onChange
+	if options.PollEvery == 0 {
+		options.PollEvery = 5 * time.Millisecond
+	}
+	f := New(options)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return f, r
+}
+
+func waitReady(t *testing.T, f *Follower) {
+	t.Helper()
+	select {
+	case <-f.Ready():
+	case <-time.After(patience):
+		t.Fatal("not ready")
+	}
+}
+
+func TestEmptyStoreMakesReadyAtVersionZero(t *testing.T) {
+	f, r := start(t, Options{Source: newStore(t)})
+	waitReady(t, f)
+	r.waitFor(t, 0)
+	if f.Current() == nil || f.Version() != 0 {
+		t.Fatalf("version %v", f.Current())
+	}
+}
+
+func TestFollowsTheStoreUpwards(t *testing.T) {
+	s := newStore(t)
+	_, r := start(t, Options{Source: s})
+	r.waitFor(t, 0)
+	for base := config.Version(0); base < 23; base++ {
+		submit(t, s, base)
+	}
+	r.waitFor(t, 23)
+	seen := r.versions()
+	for i := 1; i < len(seen); i++ {
+		if seen[i] <= seen[i-1] {
+			t.Fatalf("versions %v went down", seen)
+		}
+	}
+}
--- /dev/null
+++ b/config/load.go
@@ -0,0 +1,160 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// FileError is a fault in one declarations file.
+type FileError struct {
+	// File is the file's base name.
+	File string
+	// Key is the TOML key, for example "workspaces.bakery.share". It is empty
+	// when the file as a whole cannot be read.
+	Key string
+	// Reason is a short sentence without a full stop. It names line and column
+	// when the file is not valid TOML.
+	Reason string
+}
+
+// Error implements error.
+func (e *FileError) Error() string {
+	if e.Key == "" {
+		return fmt.Sprintf("config: %s: %s", e.File, e.Reason)
+	}
+	return fmt.Sprintf("config: %s: %s: %s", e.File, e.Key, e.Reason)
+}
+
+// LoadDir reads every *.toml file of a directory into one document. A file may
+// hold any mix of [workspaces.x], [pools.x] and [targets.x]; an object must
+// stand in one file only. Defaults are filled and the document is validated.
+// The error joins one *FileError for each fault found.
+func LoadDir(dir string) (Declarations, error) {
+	paths, err := filepath.Glob(filepath.Join(dir, "*.toml"))
+	if err != nil {
+		return Declarations{}, fmt.Errorf("config: list files: %w", err)
+	}
+	if len(paths) == 0 {
+		return Declarations{}, &FileError{File: filepath.Base(dir), Reason: "holds no *.toml file"}
+	}
+	sort.Strings(paths)
+	l := &loader{files: make(map[string]string)}
+	for _, path := range paths {
+		l.read(path)
+	}
+	return l.finish()
+}
+
+// loader gathers the objects of several files.
+type loader struct {
+	document rawDocument
+	files    map[string]string // object -> file
+	errs     []error
+}
+
+func (l *loader) fail(file, key, format string, args ...any) {
+	l.errs = append(l.errs, &FileError{File: file, Key: key, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (l *loader) read(path string) {
+	file := filepath.Base(path)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		l.fail(file, "", "cannot be read: %v", errors.Unwrap(err))
+		return
+	}
+	var sections map[string]any
+	if err := toml.Unmarshal(data, &sections); err != nil {
+		l.fail(file, "", "%s", tomlReason(err))
+		return
+	}
+	for _, name := range sortedNames(sections) {
+		l.addSection(file, name, sections[name])
+	}
+}
+
+func tomlReason(err error) string {
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		row, column := decode.Position()
+		return fmt.Sprintf("line %d, column %d: %s", row, column, strings.TrimPrefix(decode.Error(), "toml: "))
+	}
+	return err.Error()
+}
+
+func (l *loader) addSection(file, name string, value any) {
+	into := l.section(name)
+	if into == nil {
+		l.fail(file, name, "unknown section")
+		return
+	}
+	objects, ok := value.(map[string]any)
+	if !ok {
+		l.fail(file, name, "must be a table of tables by name")
+		return
+	}
+	if *into == nil {
+		*into = make(map[string]json.RawMessage)
+	}
+	for _, object := range sortedNames(objects) {
+		l.addObject(file, name+"."+object, object, objects[object], *into)
+	}
+}
+
+func (l *loader) section(name string) *map[string]json.RawMessage {
+	switch name {
+	case sectionWorkspaces:
+		return &l.document.Workspaces
+	case sectionPools:
+		return &l.document.Pools
+	case sectionTargets:
+		return &l.document.Targets
+	default:
+		return nil
+	}
+}
+
+func (l *loader) addObject(file, key, name string, value any, into map[string]json.RawMessage) {
+	if first, taken := l.files[key]; taken {
+		l.fail(file, key, "is also declared in %s", first)
+		return
+	}
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		l.fail(file, key, "holds a value that is not allowed here")
+		return
+	}
+	l.files[key] = file
+	into[name] = encoded
+}
+
+// finish decodes and validates what was read.
+func (l *loader) finish() (Declarations, error) {
+	problems := &problemList{}
+	declarations := l.document.decode(problems)
+	err := problems.err()
+	if err == nil && len(l.errs) == 0 {
+		err = Validate(declarations)
+	}
+	var invalid *ValidationError
+	if errors.As(err, &invalid) {
+		for _, p := range invalid.Problems {
+			key := p.Object
+			if p.Field != "" {
+				key += "." + p.Field
+			}
+			l.fail(l.files[p.Object], key, "%s", p.Reason)
+		}
+	}
+	if len(l.errs) > 0 {
+		return Declarations{}, errors.Join(l.errs...)
+	}
+	return declarations, nil
+}
--- /dev/null
+++ b/config/store/store.go
@@ -0,0 +1,185 @@
+// Package store keeps the numbered configuration versions in the platform's
+// table service.
+//
+// Every version is one row of TableVersions, keyed by its zero-padded number,
+// that holds the accepted patch. A patch is accepted by inserting row base+1
+// on condition that it does not exist, in one transaction with a row of
+// TablePatches that makes the patch id idempotent. Every SnapshotEvery
+// versions a whole snapshot goes to the object store, so that a restarted
+// router reads one object and a few rows.
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/platform"
+)
+
+// Tables and names used on the platform.
+const (
+	// TableVersions holds one row per version: the config.Entry as JSON.
+	TableVersions = "config_versions"
+	// TablePatches holds one row per accepted patch id: the version's number.
+	TablePatches = "config_patches"
+	// TableSnapshots holds one row per whole snapshot, newest first.
+	TableSnapshots = "config_snapshots"
+	// SnapshotPrefix begins the names of whole snapshots in the object store.
+	SnapshotPrefix = "config/snapshot-"
+)
+
+// Defaults of Options.
+const (
+	// DefaultSnapshotEvery is the number of versions between whole snapshots.
+	DefaultSnapshotEvery = 100
+	// DefaultPageSize is the number of rows read in one scan.
+	DefaultPageSize = 200
+	// DefaultSnapshotTimeout bounds the writing of a whole snapshot.
+	DefaultSnapshotTimeout = 10 * time.Second
+)
+
+// Options configures a Store. Zero fields take the defaults.
+type Options struct {
+	SnapshotEvery   int
+	PageSize        int
+	SnapshotTimeout time.Duration
+	// Now is the clock for Entry.AcceptedAt. Default time.Now.
+	Now func() time.Time
+	// Log takes the store's messages. Default slog.Default().
+	Log *slog.Logger
+}
+
+// Store reads and writes configuration versions. It keeps no state of its own
+// besides the snapshot being written, so any number of routers may use the
+// same tables. Its methods may be called concurrently.
+type Store struct {
+	table   platform.Table
+	objects platform.Objects
+	options Options
+
+	writing   sync.Mutex // held while a whole snapshot is written
+	snapshots sync.WaitGroup
+}
+
+// New returns a Store over the platform's services.
+func New(table platform.Table, objects platform.Objects, options Options) *Store {
+	if options.SnapshotEvery <= 0 {
+		options.SnapshotEvery = DefaultSnapshotEvery
+	}
+	if options.PageSize <= 0 {
+		options.PageSize = DefaultPageSize
+	}
+	if options.SnapshotTimeout <= 0 {
+		options.SnapshotTimeout = DefaultSnapshotTimeout
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Log == nil {
+		options.Log = slog.Default()
+	}
+	return &Store{table: table, objects: objects, options: options}
+}
+
+// versionKey is the row key of a version: 20 digits, so that keys sort by number.
+func versionKey(version config.Version) string { return fmt.Sprintf("%020d", version) }
+
+// Since returns the entries after a version, oldest first and without gaps, at
+// most one page. An empty result means that after is the newest version.
+func (s *Store) Since(ctx context.Context, after config.Version) ([]config.Entry, error) {
+	return s.since(ctx, after, s.options.PageSize)
+}
+
+func (s *Store) since(ctx context.Context, after config.Version, limit int) ([]config.Entry, error) {
+	rows, err := s.table.Scan(ctx, TableVersions, versionKey(after+1), limit)
+	if err != nil {
+		return nil, fmt.Errorf("config store: scan versions: %w", err)
+	}
+	entries := make([]config.Entry, 0, len(rows))
+	for _, row := range rows {
+		entry, err := decodeEntry(row)
+		if err != nil {
+			return nil, err
+		}
+		want := after + 1 + config.Version(len(entries))
+		if entry.Version != want {
+			return nil, &CorruptError{Key: row.Key, Reason: fmt.Sprintf("version %d is missing", want)}
+		}
+		entries = append(entries, entry)
+	}
+	return entries, nil
+}
+
+func decodeEntry(row platform.Row) (config.Entry, error) {
+	var entry config.Entry
+	if err := json.Unmarshal(row.Value, &entry); err != nil {
+		return config.Entry{}, &CorruptError{Key: row.Key, Reason: err.Error()}
+	}
+	if versionKey(entry.Version) != row.Key {
+		return config.Entry{}, &CorruptError{Key: row.Key, Reason: fmt.Sprintf("holds version %d", entry.Version)}
+	}
+	return entry, nil
+}
+
+// Entry returns one version of the history. The error is *UnknownVersionError
+// if the version does not exist.
+func (s *Store) Entry(ctx context.Context, version config.Version) (config.Entry, error) {
+	row, err := s.table.Get(ctx, TableVersions, versionKey(version))
+	if errors.Is(err, platform.ErrNotFound) {
+		return config.Entry{}, &UnknownVersionError{Version: version}
+	}
+	if err != nil {
+		return config.Entry{}, fmt.Errorf("config store: read version %d: %w", version, err)
+	}
+	return decodeEntry(row)
+}
+
+// History returns up to limit entries from a version on, oldest first.
+func (s *Store) History(ctx context.Context, from config.Version, limit int) ([]config.Entry, error) {
+	if from == 0 {
+		from = 1
+	}
+	return s.since(ctx, from-1, limit)
+}
+
+// CatchUp applies every later entry of the store to from and returns the
+// newest snapshot, which is from itself if there is none.
+func (s *Store) CatchUp(ctx context.Context, from *config.Snapshot) (*config.Snapshot, error) {
+	for {
+		entries, err := s.Since(ctx, from.Version)
+		if err != nil {
+			return nil, err
+		}
+		if len(entries) == 0 {
+			return from, nil
+		}
+		for _, entry := range entries {
+			if from, err = config.ApplyEntry(from, entry); err != nil {
+				return nil, err
+			}
+		}
+	}
+}
+
+// patchVersion returns the version that a patch id was accepted under.
+func (s *Store) patchVersion(ctx context.Context, id string) (config.Version, bool, error) {
+	row, err := s.table.Get(ctx, TablePatches, id)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, false, nil
+	}
+	if err != nil {
+		return 0, false, fmt.Errorf("config store: read patch %s: %w", id, err)
+	}
+	version, err := strconv.ParseUint(string(row.Value), 10, 64)
+	if err != nil {
+		return 0, false, &CorruptError{Key: row.Key, Reason: err.Error()}
+	}
+	return config.Version(version), true, nil
+}
--- /dev/null
+++ b/config/store/store_test.go
@@ -0,0 +1,116 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/platform/memory"
+)
+
+func newStore(t *testing.T) (*Store, *memory.Store) {
+	t.Helper()
+	backing := memory.New(memory.Options{})
+	s := New(backing, backing.Objects(), Options{SnapshotEvery: 10, PageSize: 4})
+	t.Cleanup(s.Wait)
+	return s, backing
+}
+
+func patch(base config.Version, changes string) config.Patch {
+	return config.Patch{ID: config.NewPatchID(), Base: base, Changes: json.RawMessage(changes)}
+}
+
+// numbered changes one share so that every version differs.
+func numbered(base config.Version) config.Patch {
+	return patch(base, fmt.Sprintf(`{"workspaces": {"bakery": {"share": %d}}}`, base+1))
+}
+
+func submit(t *testing.T, s *Store, p config.Patch) Accepted {
+	t.Helper()
+	accepted, err := s.Submit(context.Background(), nil, p)
+	if err != nil {
+		t.Fatalf("submit on %d: %v", p.Base, err)
+	}
+	return accepted
+}
+
+func fill(t *testing.T, s *Store, to config.Version) {
+	t.Helper()
+	for base := config.Version(0); base < to; base++ {
+		submit(t, s, numbered(base))
+		s.Wait()
+	}
+}
+
+func TestEmptyStoreIsVersionZero(t *testing.T) {
+	s, _ := newStore(t)
+	loaded, err := s.Load(context.Background())
+	if err != nil || loaded.Version != 0 {
+		t.Fatalf("version %v, error %v", loaded, err)
+	}
+}
+
+func TestSameIDAgainReturnsTheSameVersion(t *testing.T) {
+	s, _ := newStore(t)
+	p := numbered(0)
+	first := submit(t, s, p)
+	submit(t, s, numbered(1))
+	again := submit(t, s, p)
+	p.Base = 2
+	rebased := submit(t, s, p)
+	if first.Entry.Version != 1 || again.Entry.Version != 1 || rebased.Entry.Version != 1 {
+		t.Fatalf("versions %d, %d, %d", first.Entry.Version, again.Entry.Version, rebased.Entry.Version)
+	}
+	p.Changes = json.RawMessage(`{}`)
+	var reused *config.PatchError
+	if _, err := s.Submit(context.Background(), nil, p); !errors.As(err, &reused) {
+		t.Fatalf("id reused for other changes: %v", err)
+	}
+}
+
+func TestStaleBaseIsToldTheWinnerAndTheNewest(t *testing.T) {
+	s, _ := newStore(t)
+	fill(t, s, 1)
+	winner := submit(t, s, numbered(1))
+	fillFrom := numbered(2)
+	submit(t, s, fillFrom)
+	_, err := s.Submit(context.Background(), nil, numbered(1))
+	var conflict *config.VersionConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("error %v", err)
+	}
+	if conflict.Newest != 3 || conflict.WinnerPatchID != winner.Entry.Patch.ID {
+		t.Fatalf("conflict %+v, winner %s", conflict, winner.Entry.Patch.ID)
+	}
+}
+
+func TestSnapshotsHistoryAndRollback(t *testing.T) {
+	s, _ := newStore(t)
+	fill(t, s, 25)
+	if nearest, err := s.nearestVersion(context.Background(), 19); err != nil || nearest != 10 {
+		t.Fatalf("nearest snapshot to 19: %d, %v", nearest, err)
+	}
+	loaded, err := s.Load(context.Background())
+	if err != nil || loaded.Version != 25 {
+		t.Fatalf("loaded %v, %v", loaded, err)
+	}
+	old, err := s.SnapshotAt(context.Background(), 17)
+	if err != nil || old.Declarations.Workspaces["bakery"].Share != 17 {
+		t.Fatalf("version 17: %v, %v", old, err)
+	}
+	back, err := s.Rollback(context.Background(), loaded, 17, config.NewPatchID(), "ada", "too much")
+	if err != nil || back.Entry.Version != 26 || back.Snapshot.Declarations.Workspaces["bakery"].Share != 17 {
+		t.Fatalf("rollback %+v, %v", back, err)
+	}
+	entries, err := s.History(context.Background(), 24, 10)
+	if err != nil || len(entries) != 3 || entries[2].Patch.Note != "too much" {
+		t.Fatalf("history %v, %v", entries, err)
+	}
+	var unknown *UnknownVersionError
+	if _, err := s.SnapshotAt(context.Background(), 99); !errors.As(err, &unknown) {
+		t.Fatalf("version 99: %v", err)
+	}
+}
--- /dev/null
+++ b/config/store/submit.go
@@ -0,0 +1,197 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/platform"
+)
+
+// maxCommitAttempts bounds how often one Submit sends the same insert.
+const maxCommitAttempts = 4
+
+// Accepted is the outcome of a successful Submit.
+type Accepted struct {
+	// Entry is the accepted version. Its Digest proves its content.
+	Entry config.Entry
+	// Snapshot is the accepted version in full. It is nil when the patch had
+	// been accepted by an earlier Submit.
+	Snapshot *config.Snapshot
+}
+
+// Submit accepts a patch as the next version. known is any version the caller
+// holds, usually the one in force; nil loads the newest.
+//
+// Submit is idempotent on the patch id: a patch accepted before returns its
+// entry again. Errors are *config.PatchError, *config.ValidationError,
+// *config.VersionConflictError with the newest version, *CommitUnknownError,
+// and otherwise platform errors with which nothing was changed.
+func (s *Store) Submit(ctx context.Context, known *config.Snapshot, patch config.Patch) (Accepted, error) {
+	patch, err := patch.Normalise()
+	if err != nil {
+		return Accepted{}, err
+	}
+	entry, found, err := s.findAccepted(ctx, patch)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if found {
+		return Accepted{Entry: entry}, nil
+	}
+	newest, err := s.newest(ctx, known)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if patch.Base != newest.Version {
+		return Accepted{}, s.conflict(ctx, patch, newest.Version)
+	}
+	entry, next, err := config.NewEntry(newest, patch, s.options.Now())
+	if err != nil {
+		return Accepted{}, err
+	}
+	return s.commit(ctx, entry, next)
+}
+
+func (s *Store) newest(ctx context.Context, known *config.Snapshot) (*config.Snapshot, error) {
+	if known == nil {
+		return s.Load(ctx)
+	}
+	return s.CatchUp(ctx, known)
+}
+
+// commit inserts the entry. A lost reply is followed by a read; if the row is
+// not there the insert is sent again, which is safe: it can succeed only once.
+func (s *Store) commit(ctx context.Context, entry config.Entry, next *config.Snapshot) (Accepted, error) {
+	ops, err := insertOps(entry)
+	if err != nil {
+		return Accepted{}, err
+	}
+	var unknown error
+	for range maxCommitAttempts {
+		err := s.table.Commit(ctx, ops)
+		if err == nil {
+			s.snapshotInBackground(next)
+			return Accepted{Entry: entry, Snapshot: next}, nil
+		}
+		if notWritten(err) && unknown == nil {
+			return Accepted{}, fmt.Errorf("config store: insert version %d: %w", entry.Version, err)
+		}
+		if !errors.Is(err, platform.ErrConflict) {
+			unknown = err
+		}
+		accepted, settled, err := s.readBack(ctx, entry, next)
+		if settled {
+			return accepted, err
+		}
+		if err != nil {
+			unknown = err
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return Accepted{}, &CommitUnknownError{PatchID: entry.Patch.ID, Cause: unknown}
+}
+
+// notWritten says that a failed commit surely wrote nothing.
+func notWritten(err error) bool {
+	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrInvalid)
+}
+
+func insertOps(entry config.Entry) ([]platform.Op, error) {
+	value, err := json.Marshal(entry)
+	if err != nil {
+		return nil, fmt.Errorf("config store: encode version %d: %w", entry.Version, err)
+	}
+	number := strconv.FormatUint(uint64(entry.Version), 10)
+	return []platform.Op{
+		{Kind: platform.OpInsert, Table: TableVersions, Key: versionKey(entry.Version), Value: value},
+		{Kind: platform.OpInsert, Table: TablePatches, Key: entry.Patch.ID, Value: []byte(number)},
+	}, nil
+}
+
+// readBack finds out what became of an insert. It is settled when the patch id
+// or the version is taken, by this patch or another.
+func (s *Store) readBack(ctx context.Context, entry config.Entry, next *config.Snapshot) (Accepted, bool, error) {
+	written, found, err := s.findAccepted(ctx, entry.Patch)
+	var reused *config.PatchError
+	if errors.As(err, &reused) {
+		return Accepted{}, true, err
+	}
+	if err != nil {
+		return Accepted{}, false, err
+	}
+	if found && written.Digest == entry.Digest {
+		s.snapshotInBackground(next)
+		return Accepted{Entry: written, Snapshot: next}, true, nil
+	}
+	if found {
+		return Accepted{Entry: written}, true, nil
+	}
+	_, err = s.Entry(ctx, entry.Version)
+	var absent *UnknownVersionError
+	if errors.As(err, &absent) {
+		return Accepted{}, false, nil
+	}
+	if err != nil {
+		return Accepted{}, false, err
+	}
+	return Accepted{}, true, s.conflict(ctx, entry.Patch, entry.Version)
+}
+
+// findAccepted returns the entry that a patch id was accepted under. The id of
+// an accepted patch with other changes is refused with *config.PatchError.
+func (s *Store) findAccepted(ctx context.Context, patch config.Patch) (config.Entry, bool, error) {
+	version, found, err := s.patchVersion(ctx, patch.ID)
+	if err != nil || !found {
+		return config.Entry{}, false, err
+	}
+	entry, err := s.Entry(ctx, version)
+	if err != nil {
+		return config.Entry{}, false, err
+	}
+	if !entry.Patch.SameContent(patch) {
+		reason := fmt.Sprintf("was used for version %d with other changes", version)
+		return config.Entry{}, false, &config.PatchError{Path: "id", Reason: reason}
+	}
+	return entry, true, nil
+}
+
+// conflict builds the answer to a patch that is not against the newest
+// version. What cannot be read is left out: the conflict itself is certain.
+func (s *Store) conflict(ctx context.Context, patch config.Patch, newest config.Version) error {
+	refusal := &config.VersionConflictError{Base: patch.Base, Newest: newest}
+	if winner, err := s.Entry(ctx, patch.Base+1); err == nil {
+		refusal.WinnerPatchID = winner.Patch.ID
+	}
+	for {
+		entries, err := s.Since(ctx, refusal.Newest)
+		if err != nil || len(entries) == 0 {
+			return refusal
+		}
+		refusal.Newest = entries[len(entries)-1].Version
+	}
+}
+
+// Rollback submits a patch that restores the content of an older version as a
+// new version. id makes it idempotent like any patch's id.
+func (s *Store) Rollback(ctx context.Context, known *config.Snapshot, to config.Version, id, author, note string) (Accepted, error) {
+	wanted, err := s.SnapshotAt(ctx, to)
+	if err != nil {
+		return Accepted{}, err
+	}
+	newest, err := s.newest(ctx, known)
+	if err != nil {
+		return Accepted{}, err
+	}
+	changes, _, err := config.Diff(newest.Declarations, wanted.Declarations)
+	if err != nil {
+		return Accepted{}, err
+	}
+	patch := config.Patch{ID: id, Base: newest.Version, Author: author, Note: note, Changes: changes}
+	return s.Submit(ctx, newest, patch)
+}
--- a/config/types.go
+++ b/config/types.go
@@ -8,6 +8,8 @@
 //	{"workspaces": {"bakery": {"share": 2}}, "targets": {"old-1": null}}
 package config
 
+import "sync"
+
 // Version numbers an accepted configuration. The first accepted version is 1;
 // zero means "none yet".
 type Version uint64
@@ -83,7 +85,8 @@
 	Leaving bool `json:"leaving,omitempty" toml:"leaving,omitempty"`
 }
 
-// Snapshot is one immutable version in force.
+// Snapshot is one immutable version in force. It is shared by pointer and must
+// not be copied. Apply, Empty and DecodeSnapshot make snapshots.
 type Snapshot struct {
 	// Version numbers the snapshot.
 	Version Version `json:"version"`
@@ -91,4 +94,14 @@
 	PatchID string `json:"patch_id"`
 	// Declarations is the whole document. It must not be modified.
 	Declarations Declarations `json:"declarations"`
+	// Digest chains the version to every version before it; see Digest.
+	Digest Digest `json:"digest"`
+
+	link link
+
+	contentOnce sync.Once
+	content     contentSum
+
+	indexOnce sync.Once
+	index     *Index
 }
