--- a/standin/platform/calls.go
+++ b/standin/platform/calls.go
@@ -1,21 +1,28 @@
 package platform
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/walnutcove/walnutcove/platform"
 )
 
-// pathSetVMs replaces the list of VMs.
-const pathSetVMs = "/_vms"
+// write is what a write did: the tables that it touched and, if it was applied,
+// its revision.
+type write struct {
+	tables   []string
+	revision uint64
+}
 
 func (s *Server) getRow(ctx *fasthttp.RequestCtx) {
 	args := ctx.QueryArgs()
-	row, err := s.store.Get(ctx, string(args.Peek("table")), string(args.Peek("key")))
+	row, err := s.store.Get(context.Background(), string(args.Peek("table")), string(args.Peek("key")))
 	if err != nil {
 		replyError(ctx, err)
 		return
@@ -30,60 +37,141 @@
 		replyError(ctx, fmt.Errorf("%w: limit: %w", platform.ErrInvalid, err))
 		return
 	}
-	rows, err := s.store.Scan(ctx, string(args.Peek("table")), string(args.Peek("from")), limit)
+	page := min(limit, platform.MaxScanRows)
+	rows, err := s.store.Scan(context.Background(), string(args.Peek("table")), string(args.Peek("from")), page)
 	if err != nil {
 		replyError(ctx, err)
 		return
 	}
-	reply(ctx, platform.ScanReply{Rows: rows})
+	fit := rowsThatFit(rows)
+	cut := fit < len(rows) || (page < limit && len(rows) == page)
+	reply(ctx, platform.ScanReply{Rows: rows[:fit], More: cut})
+}
+
+// rowsThatFit counts the rows of one page; at least one if there is any.
+func rowsThatFit(rows []platform.Row) int {
+	size := 0
+	for i, row := range rows {
+		size += len(row.Value)
+		if i > 0 && size > platform.MaxScanBytes {
+			return i
+		}
+	}
+	return len(rows)
 }
 
-func (s *Server) commit(ctx *fasthttp.RequestCtx) {
-	request, err := decodeCommit(ctx.PostBody())
+func (s *Server) getObject(ctx *fasthttp.RequestCtx) {
+	value, err := s.store.Objects().Get(context.Background(), string(ctx.QueryArgs().Peek("name")))
+	if err != nil {
+		replyError(ctx, err)
+		return
+	}
+	ctx.SetContentType("application/octet-stream")
+	ctx.SetBody(value)
+}
+
+func (s *Server) listVMs(ctx *fasthttp.RequestCtx) {
+	vms, err := s.store.ListVMs(context.Background())
 	if err != nil {
 		replyError(ctx, err)
 		return
 	}
-	revision, err := s.store.CommitRevision(ctx, request.Ops)
+	reply(ctx, platform.VMsReply{VMs: vms})
+}
+
+func (s *Server) weightsRate(ctx *fasthttp.RequestCtx) {
+	rate, err := s.weights.WeightsRate(context.Background())
 	if err != nil {
 		replyError(ctx, err)
 		return
 	}
+	reply(ctx, rate)
+}
+
+func (s *Server) commit(ctx *fasthttp.RequestCtx, ops []platform.Op) (write, error) {
+	revision, err := s.store.CommitRevision(context.Background(), ops)
+	if err != nil {
+		return write{}, err
+	}
 	reply(ctx, platform.CommitReply{Revision: revision})
+	return write{tables: tablesOf(ops), revision: revision}, nil
 }
 
-// decodeCommit reads and checks the body of a commit.
-func decodeCommit(body []byte) (platform.CommitRequest, error) {
-	var request platform.CommitRequest
-	if err := json.Unmarshal(body, &request); err != nil {
-		return request, fmt.Errorf("%w: %w", platform.ErrInvalid, err)
+func tablesOf(ops []platform.Op) []string {
+	var tables []string
+	for _, op := range ops {
+		if op.Kind != platform.OpCheck {
+			tables = append(tables, op.Table)
+		}
 	}
-	return request, platform.CheckOps(request.Ops)
+	return tables
 }
 
-func (s *Server) listVMs(ctx *fasthttp.RequestCtx) {
-	vms, err := s.store.ListVMs(ctx)
+func (s *Server) putObject(ctx *fasthttp.RequestCtx) (write, error) {
+	name := string(ctx.QueryArgs().Peek("name"))
+	revision, err := s.store.Objects().PutRevision(context.Background(), name, ctx.PostBody())
 	if err != nil {
-		replyError(ctx, err)
-		return
+		return write{}, err
 	}
-	reply(ctx, platform.VMsReply{VMs: vms})
+	reply(ctx, platform.CommitReply{Revision: revision})
+	return write{tables: []string{ObjectsTable}, revision: revision}, nil
 }
 
-func (s *Server) setVMs(ctx *fasthttp.RequestCtx) {
-	var request platform.VMsReply
-	if err := json.Unmarshal(ctx.PostBody(), &request); err != nil {
-		replyError(ctx, fmt.Errorf("%w: %w", platform.ErrInvalid, err))
-		return
+func (s *Server) requestFetch(ctx *fasthttp.RequestCtx) (write, error) {
+	var fetch platform.WeightFetch
+	if err := decode(ctx.PostBody(), &fetch); err != nil {
+		return write{}, err
+	}
+	permit, err := s.weights.RequestFetch(context.Background(), fetch)
+	if err != nil {
+		return write{}, err
+	}
+	reply(ctx, permit)
+	return write{tables: []string{WeightsTable}}, nil
+}
+
+func (s *Server) finishFetch(ctx *fasthttp.RequestCtx) (write, error) {
+	var request platform.FinishFetchRequest
+	if err := decode(ctx.PostBody(), &request); err != nil {
+		return write{}, err
+	}
+	if err := s.weights.FinishFetch(context.Background(), request.ID); err != nil {
+		return write{}, err
 	}
-	s.store.SetVMs(request.VMs)
 	reply(ctx, struct{}{})
+	return write{tables: []string{WeightsTable}}, nil
+}
+
+// decodeCommit reads and checks the body of a commit.
+func decodeCommit(body []byte) ([]platform.Op, error) {
+	var request platform.CommitRequest
+	if err := decode(body, &request); err != nil {
+		return nil, err
+	}
+	return request.Ops, platform.CheckOps(request.Ops)
+}
+
+// decode reads a body of one JSON value without unknown fields.
+func decode(body []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrInvalid, err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return fmt.Errorf("%w: more than one JSON value", platform.ErrInvalid)
+	}
+	return nil
 }
 
 // replyError answers with the protocol's error body.
 func replyError(ctx *fasthttp.RequestCtx, err error) {
 	status, code := errorStatus(err)
-	reply(ctx, platform.ErrorReply{Code: code, Detail: err.Error()})
+	replyCode(ctx, status, code, err.Error())
+}
+
+func replyCode(ctx *fasthttp.RequestCtx, status int, code platform.ErrorCode, detail string) {
+	reply(ctx, platform.ErrorReply{Code: code, Detail: detail})
 	ctx.SetStatusCode(status)
 }
 
--- /dev/null
+++ b/standin/platform/control.go
@@ -0,0 +1,118 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/walnutcove/walnutcove/platform"
+)
+
+// The control endpoints. No fault touches them.
+const (
+	pathFault   = "/_fault"
+	pathJournal = "/_journal"
+	pathVMs     = "/_vms"
+	pathMetrics = "/metrics"
+)
+
+// journalPageSize is the page size of /_journal where none is asked for.
+const journalPageSize = 1000
+
+// control serves the control endpoints and says whether the path is one.
+func (s *Server) control(ctx *fasthttp.RequestCtx) bool {
+	switch string(ctx.Path()) {
+	case pathFault:
+		s.faultControl(ctx)
+	case pathJournal:
+		s.journalControl(ctx)
+	case pathVMs:
+		s.vmsControl(ctx)
+	case pathMetrics:
+		s.metrics.WritePrometheus(ctx)
+	default:
+		return false
+	}
+	return true
+}
+
+// faultControl answers with the faults in force. POST changes those switches
+// that its body names; DELETE ends every fault.
+func (s *Server) faultControl(ctx *fasthttp.RequestCtx) {
+	faults := s.Faults()
+	var err error
+	switch {
+	case ctx.IsPost():
+		faults, err = s.updateFaults(func(f *Faults) error { return decode(ctx.PostBody(), f) })
+	case ctx.IsDelete():
+		faults, err = s.updateFaults(func(f *Faults) error {
+			*f = Faults{}
+			return nil
+		})
+	case !ctx.IsGet():
+		err = errMethod(ctx)
+	}
+	if err != nil {
+		replyError(ctx, err)
+		return
+	}
+	reply(ctx, faults)
+}
+
+func (s *Server) journalControl(ctx *fasthttp.RequestCtx) {
+	args := ctx.QueryArgs()
+	after, err := optionalUint(args, "after", 0)
+	if err != nil {
+		replyError(ctx, err)
+		return
+	}
+	limit, err := optionalUint(args, "limit", journalPageSize)
+	if err != nil {
+		replyError(ctx, err)
+		return
+	}
+	reply(ctx, s.Journal(uint64(after), limit))
+}
+
+// vmsControl replaces the list of VMs with POST. GET answers with the list
+// that readers get.
+func (s *Server) vmsControl(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsPost() {
+		s.listVMs(ctx)
+		return
+	}
+	var request platform.VMsReply
+	if err := decode(ctx.PostBody(), &request); err != nil {
+		replyError(ctx, err)
+		return
+	}
+	s.store.SetVMs(request.VMs)
+	reply(ctx, request)
+}
+
+func optionalUint(args *fasthttp.Args, name string, otherwise int) (int, error) {
+	if !args.Has(name) {
+		return otherwise, nil
+	}
+	value, err := args.GetUint(name)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %s: %w", platform.ErrInvalid, name, err)
+	}
+	return value, nil
+}
+
+func errMethod(ctx *fasthttp.RequestCtx) error {
+	return fmt.Errorf("%w: the path does not take %s", platform.ErrInvalid, ctx.Method())
+}
+
+// reply answers with a JSON body.
+func reply(ctx *fasthttp.RequestCtx, body any) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(encoded)
+}
--- /dev/null
+++ b/standin/platform/journal.go
@@ -0,0 +1,114 @@
+package platform
+
+import (
+	"sync"
+	"time"
+
+	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/platform/memory"
+)
+
+const defaultMaxJournal = 1 << 20
+
+// Entry is one applied write of the journal.
+type Entry struct {
+	// Seq numbers the entries from 1 in the order of their application.
+	Seq uint64 `json:"seq"`
+	// AppliedAt is the wall clock; Elapsed is the monotonic time since the
+	// server was made, in nanoseconds.
+	AppliedAt time.Time     `json:"applied_at"`
+	Elapsed   time.Duration `json:"elapsed_ns"`
+	// Kind, Table, Key and Bytes say what was written. Objects stand under
+	// ObjectsTable.
+	Kind  platform.OpKind `json:"kind"`
+	Table string          `json:"table"`
+	Key   string          `json:"key"`
+	Bytes int             `json:"bytes"`
+	// Revision is the same for all entries of one commit.
+	Revision uint64 `json:"revision"`
+	// ReplyLost says that a fault lost the reply to this write.
+	ReplyLost bool `json:"reply_lost,omitempty"`
+}
+
+// JournalPage is a part of the journal.
+type JournalPage struct {
+	Entries []Entry `json:"entries"`
+	// Dropped counts the oldest entries that are no longer kept.
+	Dropped uint64 `json:"dropped"`
+}
+
+// journal keeps the applied writes in order.
+type journal struct {
+	max     int
+	started time.Time
+
+	mu      sync.Mutex
+	entries []Entry
+	dropped uint64
+}
+
+func newJournal(maxEntries int) *journal {
+	if maxEntries <= 0 {
+		maxEntries = defaultMaxJournal
+	}
+	return &journal{max: maxEntries, started: time.Now()}
+}
+
+// add appends a change. The store calls it in the order of application.
+func (j *journal) add(change memory.Change) {
+	now := time.Now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	table := change.Table
+	if table == "" {
+		table = ObjectsTable
+	}
+	j.entries = append(j.entries, Entry{
+		Seq:       j.dropped + uint64(len(j.entries)) + 1,
+		AppliedAt: now,
+		Elapsed:   now.Sub(j.started),
+		Kind:      change.Kind,
+		Table:     table,
+		Key:       change.Key,
+		Bytes:     change.Bytes,
+		Revision:  change.Revision,
+	})
+	if len(j.entries) >= 2*j.max {
+		j.drop(len(j.entries) - j.max)
+	}
+}
+
+func (j *journal) drop(n int) {
+	j.entries = append([]Entry(nil), j.entries[n:]...)
+	j.dropped += uint64(n)
+}
+
+// markLost notes that the reply to a commit was lost.
+func (j *journal) markLost(revision uint64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for i := len(j.entries) - 1; i >= 0 && j.entries[i].Revision >= revision; i-- {
+		if j.entries[i].Revision == revision {
+			j.entries[i].ReplyLost = true
+		}
+	}
+}
+
+// page returns up to limit entries with Seq > after.
+func (j *journal) page(after uint64, limit int) JournalPage {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	page := JournalPage{Entries: []Entry{}, Dropped: j.dropped}
+	skip := 0
+	if after > j.dropped {
+		skip = int(min(after-j.dropped, uint64(len(j.entries))))
+	}
+	end := min(skip+limit, len(j.entries))
+	page.Entries = append(page.Entries, j.entries[skip:end]...)
+	return page
+}
+
+// Journal returns up to limit applied writes with Seq > after, in order.
+func (s *Server) Journal(after uint64, limit int) JournalPage {
+	return s.journal.page(after, max(limit, 0))
+}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -1,14 +1,16 @@
 // Package platform is a small HTTP stand-in for the platform: the table
-// service, the object store and the list of VMs over package platform/memory.
-// Its control endpoints bring about faults; see docs/PLATFORM.md. It is for
-// tests and development only: it keeps nothing and checks no caller.
+// service, the object store, the weight store and the list of VMs over package
+// platform/memory. Its control endpoints bring about faults; see
+// docs/PLATFORM.md. It is for tests and development only: it keeps nothing and
+// checks no caller.
 package platform
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
+	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
 	"github.com/walnutcove/walnutcove/platform"
@@ -22,86 +24,146 @@
 type Options struct {
 	// VMs is the first list of VMs.
 	VMs []platform.VM
+	// Weights configures the weight store.
+	Weights memory.WeightsOptions
+	// Faults are the first faults. Default: none.
+	Faults Faults
+	// MaxJournal bounds the journal; older entries are dropped. Default 1<<20.
+	MaxJournal int
 }
 
 // Server is the stand-in. Make it with New, then Start it.
 type Server struct {
-	store    *memory.Store
-	http     *fasthttp.Server
-	listener net.Listener
-	served   chan struct{}
+	store   *memory.Store
+	weights *memory.Weights
+	faults  *faultState
+	journal *journal
+	metrics *metrics.Set
+	invalid error // what is wrong with the options
+
+	mu      sync.Mutex
+	running *listening // nil unless started
 }
 
 // New returns a server that is not yet listening.
 func New(options Options) *Server {
-	s := &Server{store: memory.New(memory.Options{}), served: make(chan struct{})}
-	s.store.SetVMs(options.VMs)
-	s.http = &fasthttp.Server{
-		Handler:               s.handle,
-		MaxRequestBodySize:    maxRequestBytes,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-		Logger:                quietLogger{},
+	journal := newJournal(options.MaxJournal)
+	s := &Server{
+		store:   memory.New(memory.Options{OnChange: journal.add}),
+		weights: memory.NewWeights(options.Weights),
+		faults:  newFaultState(),
+		journal: journal,
+		metrics: metrics.NewSet(),
 	}
+	s.store.SetVMs(options.VMs)
+	s.invalid = s.SetFaults(options.Faults)
 	return s
 }
 
-// quietLogger drops the messages that clients cause by closing connections.
-type quietLogger struct{}
-
-func (quietLogger) Printf(string, ...any) {}
+// Store returns the store behind the server, for checks in tests. Faults do
+// not touch its calls.
+func (s *Server) Store() *memory.Store { return s.store }
 
 // Start listens on addr ("ip:port"; port 0 picks a free one) and returns the
-// address that it listens on.
+// address that it listens on. A closed server may be started again: it has
+// kept its rows, as a restarted platform would.
 func (s *Server) Start(addr string) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.invalid != nil {
+		return "", s.invalid
+	}
+	if s.running != nil {
+		return "", fmt.Errorf("standin platform: already listening")
+	}
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return "", fmt.Errorf("standin platform: %w", err)
 	}
-	s.listener = listener
-	go func() {
-		defer close(s.served)
-		_ = s.http.Serve(listener)
-	}()
+	s.running = newListening(listener, s.handle)
 	return listener.Addr().String(), nil
 }
 
-// Close stops listening and waits a moment for the requests in flight.
+// Close stops listening and cuts every connection: calls in flight lose their
+// replies, and held ones are dropped. New connections are refused.
 func (s *Server) Close() error {
-	if s.listener == nil {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running == nil {
 		return nil
 	}
-	err := s.http.Shutdown()
-	<-s.served
+	err := s.running.close()
+	s.running = nil
 	return err
 }
 
-// Store returns the store behind the server, for checks in tests.
-func (s *Server) Store() *memory.Store { return s.store }
+// listening is one run of the server between Start and Close.
+type listening struct {
+	http    *fasthttp.Server
+	served  chan struct{} // closed when Serve has returned
+	closing chan struct{} // closed when Close begins
 
-func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	switch string(ctx.Path()) {
-	case platform.PathRow:
-		s.getRow(ctx)
-	case platform.PathScan:
-		s.scan(ctx)
-	case platform.PathCommit:
-		s.commit(ctx)
-	case platform.PathVMs:
-		s.listVMs(ctx)
-	case pathSetVMs:
-		s.setVMs(ctx)
-	default:
-		replyError(ctx, fmt.Errorf("%w: unknown path", platform.ErrInvalid))
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+func newListening(listener net.Listener, handle func(*fasthttp.RequestCtx, <-chan struct{})) *listening {
+	l := &listening{
+		served:  make(chan struct{}),
+		closing: make(chan struct{}),
+		conns:   make(map[net.Conn]struct{}),
 	}
+	l.http = &fasthttp.Server{
+		Handler:               func(ctx *fasthttp.RequestCtx) { handle(ctx, l.closing) },
+		MaxRequestBodySize:    maxRequestBytes,
+		NoDefaultServerHeader: true,
+		ConnState:             l.connState,
+		Logger:                quietLogger{},
+	}
+	go func() {
+		defer close(l.served)
+		_ = l.http.Serve(listener)
+	}()
+	return l
 }
 
-func reply(ctx *fasthttp.RequestCtx, body any) {
-	encoded, err := json.Marshal(body)
-	if err != nil {
-		replyError(ctx, err)
-		return
+// connState keeps track of the open connections.
+func (l *listening) connState(conn net.Conn, state fasthttp.ConnState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch state {
+	case fasthttp.StateNew:
+		l.conns[conn] = struct{}{}
+		if isClosed(l.closing) {
+			_ = conn.Close()
+		}
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		delete(l.conns, conn)
 	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(encoded)
 }
+
+func (l *listening) close() error {
+	l.mu.Lock()
+	close(l.closing)
+	for conn := range l.conns {
+		_ = conn.Close()
+	}
+	l.mu.Unlock()
+	err := l.http.Shutdown()
+	<-l.served
+	return err
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// quietLogger drops the messages that clients cause by closing connections.
+type quietLogger struct{}
+
+func (quietLogger) Printf(string, ...any) {}
