Poll the load of targets; hash prompt beginnings as routers do

Cause: control needs load reports from a set of targets that changes.

The prefix hash is taken over the JSON value of the prompt as it stands in the body, which is what the classify filter hashes, so that the prefixes a target reports can match. Answers lose their hop-by-hop headers, and an answer that comes before the request was sent whole is read.

Conclusion: builds and passes under the race detector; loadpoll has no test yet.

--- a/standin/engine/call.go
+++ b/standin/engine/call.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/walnutcove/walnutcove/standin/internal/host"
+	"github.com/walnutcove/walnutcove/target"
 )
 
 // Paths of the calls.
@@ -28,6 +29,8 @@
 	Model string
 	// Prompt is the prompt, or the contents of all messages, one a line.
 	Prompt string
+	// PrefixHash is the hash of the prompt's beginning; see target.PrefixHash.
+	PrefixHash uint64
 	// MaxTokens is the number of tokens of the answer. Default 16.
 	MaxTokens int
 }
@@ -38,11 +41,11 @@
 }
 
 type callBody struct {
-	Model     string    `json:"model"`
-	Prompt    string    `json:"prompt"`
-	Messages  []message `json:"messages"`
-	MaxTokens int       `json:"max_tokens"`
-	Stream    bool      `json:"stream"`
+	Model     string          `json:"model"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
 }
 
 // ParseCall reads the body of a call to path.
@@ -58,16 +61,38 @@
 		Chat:      path == PathChat,
 		Stream:    parsed.Stream,
 		Model:     parsed.Model,
-		Prompt:    parsed.Prompt,
 		MaxTokens: parsed.MaxTokens,
 	}
 	if call.MaxTokens == 0 {
 		call.MaxTokens = defaultMaxTokens
 	}
-	if call.Chat {
-		call.Prompt = joinMessages(parsed.Messages)
+	return call, call.setPrompt(parsed)
+}
+
+// setPrompt reads the prompt, or the messages of a chat.
+func (c *Call) setPrompt(parsed callBody) error {
+	if !c.Chat {
+		c.PrefixHash = target.PrefixHash(parsed.Prompt)
+		return readPart(parsed.Prompt, &c.Prompt)
+	}
+	var messages []message
+	if err := readPart(parsed.Messages, &messages); err != nil {
+		return err
+	}
+	c.PrefixHash = target.PrefixHash(parsed.Messages)
+	c.Prompt = joinMessages(messages)
+	return nil
+}
+
+// readPart reads one member of the body; an absent one leaves into as it is.
+func readPart(part json.RawMessage, into any) error {
+	if len(part) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(part, into); err != nil {
+		return fmt.Errorf("engine: prompt: %w", err)
 	}
-	return call, nil
+	return nil
 }
 
 func joinMessages(messages []message) string {
--- a/standin/engine/step.go
+++ b/standin/engine/step.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/standin/journal"
-	"github.com/walnutcove/walnutcove/target"
 )
 
 const (
@@ -132,7 +131,7 @@
 	if r.started {
 		entry.Event = journal.Resumed
 	} else {
-		r.prefill = e.prefillSteps(r.call.Prompt)
+		r.prefill = e.prefillSteps(r.call)
 	}
 	r.started = true
 	r.phase = phaseRunning
@@ -141,9 +140,9 @@
 }
 
 // prefillSteps returns how many steps the prompt takes before its first token.
-func (e *Engine) prefillSteps(prompt string) int {
-	steps := promptTokens(prompt) / e.options.PrefillTokensPerStep
-	if e.prefixes.use(target.PrefixHash(prompt)) {
+func (e *Engine) prefillSteps(call Call) int {
+	steps := promptTokens(call.Prompt) / e.options.PrefillTokensPerStep
+	if e.prefixes.use(call.PrefixHash) {
 		steps /= cachedPrefillDivisor
 	}
 	return steps
--- a/target/exchange.go
+++ b/target/exchange.go
@@ -10,6 +10,10 @@
 	"github.com/walnutcove/walnutcove/result"
 )
 
+// earlyAnswerTimeout bounds the look for an answer to a request that could not
+// be sent whole.
+const earlyAnswerTimeout = 50 * time.Millisecond
+
 // exchange is one request and its answer on one connection.
 type exchange struct {
 	client *HTTPClient
@@ -17,6 +21,8 @@
 	conn   *conn
 	// unwatch ends the closing of the connection by ctx; nil if ctx never ends.
 	unwatch func() bool
+	// spoiled says that the request was not sent whole.
+	spoiled bool
 	// settle lets the connection be given back or closed only once.
 	settle sync.Once
 }
@@ -29,16 +35,30 @@
 	if err := ex.conn.SetWriteDeadline(deadline); err != nil {
 		return nil, ex.writeError(err)
 	}
+	var header fasthttp.ResponseHeader
 	if err := writeRequest(ex.conn, req); err != nil {
-		return nil, ex.writeError(err)
+		if !ex.answeredEarly(&header) {
+			return nil, ex.writeError(err)
+		}
+		return ex.answer(req, &header)
 	}
-	var header fasthttp.ResponseHeader
 	if err := readHead(ex.conn, &header); err != nil {
 		return nil, ex.headError(err)
 	}
 	return ex.answer(req, &header)
 }
 
+// answeredEarly says whether the target answered without taking the whole
+// request, as it may to refuse it. The connection is not used again.
+func (ex *exchange) answeredEarly(header *fasthttp.ResponseHeader) bool {
+	ex.spoiled = true
+	if ex.conn.written == 0 || ex.ctx.Err() != nil {
+		return false
+	}
+	ex.conn.readDeadline = time.Now().Add(earlyAnswerTimeout)
+	return readHead(ex.conn, header) == nil
+}
+
 // readHead reads the answer's head and passes over interim answers (1xx).
 func readHead(cn *conn, header *fasthttp.ResponseHeader) error {
 	for {
@@ -125,7 +145,7 @@
 
 func (ex *exchange) giveBack(reusable bool) {
 	cancelled := ex.unwatch != nil && !ex.unwatch()
-	if cancelled || !reusable || ex.conn.reader.Buffered() > 0 {
+	if cancelled || !reusable || ex.spoiled || ex.conn.reader.Buffered() > 0 {
 		ex.conn.Close()
 		return
 	}
--- a/target/headers.go
+++ b/target/headers.go
@@ -15,12 +15,23 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
+// isHopByHop says whether an answer's header is about one connection or about
+// the framing that the client has already taken off.
+func isHopByHop(name string) bool {
+	switch name {
+	case "Connection", "Content-Length", "Keep-Alive", "Proxy-Authenticate",
+		"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade":
+		return true
+	}
+	return false
+}
+
 // isFramingHeader says whether the client itself sets the header, so that a
 // caller's value must not pass. Names are canonical.
 func isFramingHeader(name string) bool {
 	switch name {
 	case "Connection", "Content-Length", "Host", "Keep-Alive", "Proxy-Connection",
-		"Te", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 		HeaderRequestID, HeaderResumeOffset, HeaderFencingNumber:
 		return true
 	}
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -180,11 +180,14 @@
 	}
 }
 
-// copyHeader copies the answer's headers out of the parser's buffers.
+// copyHeader copies the answer's end-to-end headers out of the parser's buffers.
 func copyHeader(header *fasthttp.ResponseHeader) map[string]string {
-	copied := make(map[string]string, 8)
-	for name, value := range header.All() {
-		copied[string(name)] = string(value)
+	copied := make(map[string]string, header.Len())
+	for key, value := range header.All() {
+		name := string(key)
+		if !isHopByHop(name) {
+			copied[name] = string(value)
+		}
 	}
 	return copied
 }
--- /dev/null
+++ b/target/loadpoll/loadpoll.go
@@ -0,0 +1,226 @@
+// Package loadpoll polls the load of a replaceable set of targets and hands
+// each result to a callback. Each target has at most one poll outstanding, so a
+// slow target delays only itself.
+package loadpoll
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/alitto/pond/v2"
+
+	"github.com/walnutcove/walnutcove/target"
+)
+
+// Defaults of Options.
+const (
+	DefaultEvery   = 250 * time.Millisecond
+	DefaultTimeout = time.Second
+	DefaultWorkers = 256
+	DefaultJitter  = 0.2
+)
+
+// Loader polls one target's load; target.Client is one.
+type Loader interface {
+	// Load polls the target at address ("ip:port").
+	Load(ctx context.Context, address string) (target.Load, error)
+}
+
+// Result receives what a poll gave: the load, or the error if it is not nil.
+// It is called from many goroutines, but for one target from one at a time. It
+// must not call Close.
+type Result func(name string, load target.Load, err error)
+
+// Options configure a Poller. Zero values take the stated defaults.
+type Options struct {
+	// Client polls. Required.
+	Client Loader
+	// OnResult receives every result. Required.
+	OnResult Result
+	// Every is the pause between the polls of one target. Default 250 ms.
+	Every time.Duration
+	// Jitter is the part of Every by which a pause varies either way, from 0
+	// to 1. Default 0.2.
+	Jitter float64
+	// Timeout bounds one poll. Default 1 s.
+	Timeout time.Duration
+	// Workers bounds the polls outstanding at once. Default 256.
+	Workers int
+	// Seed seeds the jitter.
+	Seed uint64
+	// Metrics receives the counters. Default: a set of the poller's own.
+	Metrics *metrics.Set
+}
+
+func (o Options) withDefaults() Options {
+	if o.Every <= 0 {
+		o.Every = DefaultEvery
+	}
+	if o.Jitter <= 0 {
+		o.Jitter = DefaultJitter
+	}
+	if o.Timeout <= 0 {
+		o.Timeout = DefaultTimeout
+	}
+	if o.Workers <= 0 {
+		o.Workers = DefaultWorkers
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	return o
+}
+
+// Poller polls targets until it is closed. It is safe for concurrent use.
+type Poller struct {
+	options Options
+	pool    pond.Pool
+	ok      *metrics.Counter
+	failed  *metrics.Counter
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wake    chan struct{}
+	done    chan struct{}
+
+	mu      sync.Mutex
+	targets map[string]*entry
+	due     queue
+	random  *rand.Rand
+}
+
+// New returns a poller without targets.
+func New(options Options) *Poller {
+	options = options.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Poller{
+		options: options,
+		pool:    pond.NewPool(options.Workers),
+		ok:      options.Metrics.GetOrCreateCounter(`walnut_load_polls_total{result="ok"}`),
+		failed:  options.Metrics.GetOrCreateCounter(`walnut_load_polls_total{result="error"}`),
+		ctx:     ctx,
+		cancel:  cancel,
+		wake:    make(chan struct{}, 1),
+		done:    make(chan struct{}),
+		targets: make(map[string]*entry),
+		random:  rand.New(rand.NewPCG(options.Seed, 0)),
+	}
+	go p.loop()
+	return p
+}
+
+// SetTargets replaces the targets: addresses ("ip:port") by name. A target
+// that keeps its name and address keeps its place; a new one is polled within
+// Every. The outstanding poll of a target that is gone is cancelled, and its
+// result is dropped unless the callback has already begun.
+func (p *Poller) SetTargets(addresses map[string]string) {
+	now := time.Now()
+	p.mu.Lock()
+	for name, e := range p.targets {
+		if addresses[name] != e.address {
+			e.cancel()
+			p.due.remove(e)
+			delete(p.targets, name)
+		}
+	}
+	for name, address := range addresses {
+		if _, ok := p.targets[name]; !ok {
+			p.add(name, address, now)
+		}
+	}
+	p.mu.Unlock()
+	p.wakeLoop()
+}
+
+// add spreads the first polls of new targets over one period. p.mu is held.
+func (p *Poller) add(name, address string, now time.Time) {
+	e := &entry{name: name, address: address, place: notQueued}
+	e.ctx, e.cancel = context.WithCancel(p.ctx)
+	e.at = now.Add(time.Duration(p.random.Float64() * float64(p.options.Every)))
+	p.targets[name] = e
+	p.due.add(e)
+}
+
+func (p *Poller) wakeLoop() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Close cancels the outstanding polls and waits for their callbacks.
+func (p *Poller) Close() {
+	p.cancel()
+	<-p.done
+	p.pool.StopAndWait()
+}
+
+// loop starts each poll when it is due.
+func (p *Poller) loop() {
+	defer close(p.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		timer.Reset(p.startDue(time.Now()))
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-p.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+// startDue starts the polls that are due and returns the time until the next.
+func (p *Poller) startDue(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		e := p.due.first()
+		if e == nil {
+			return p.options.Every
+		}
+		if wait := e.at.Sub(now); wait > 0 {
+			return wait
+		}
+		p.due.remove(e)
+		if err := p.pool.Go(func() { p.poll(e) }); err != nil {
+			return p.options.Every
+		}
+	}
+}
+
+// poll polls one target once, hands on the result and sets the next poll.
+func (p *Poller) poll(e *entry) {
+	ctx, cancel := context.WithTimeout(e.ctx, p.options.Timeout)
+	load, err := p.options.Client.Load(ctx, e.address)
+	cancel()
+	if e.ctx.Err() != nil {
+		return
+	}
+	p.count(err)
+	p.options.OnResult(e.name, load, err)
+	p.mu.Lock()
+	if p.targets[e.name] == e {
+		e.at = time.Now().Add(p.pause())
+		p.due.add(e)
+	}
+	p.mu.Unlock()
+	p.wakeLoop()
+}
+
+func (p *Poller) count(err error) {
+	if err != nil {
+		p.failed.Inc()
+		return
+	}
+	p.ok.Inc()
+}
+
+// pause is Every, varied by the jitter. p.mu is held.
+func (p *Poller) pause() time.Duration {
+	vary := 1 + p.options.Jitter*(2*p.random.Float64()-1)
+	return time.Duration(vary * float64(p.options.Every))
+}
--- a/target/prefix.go
+++ b/target/prefix.go
@@ -6,11 +6,11 @@
 const PrefixBytes = 256
 
 // PrefixHash returns the hash of a prompt's beginning as targets report it in
-// Load.CachedPrefixes. It is zero for an empty prompt only.
-func PrefixHash(prompt string) uint64 {
-	if prompt == "" {
+// Load.CachedPrefixes. The prompt is the JSON value of "messages" or "prompt"
+// as it stands in the call's body. No prompt hashes to zero.
+func PrefixHash(prompt []byte) uint64 {
+	if len(prompt) == 0 {
 		return 0
 	}
-	hash := xxhash.Sum64String(prompt[:min(len(prompt), PrefixBytes)])
-	return max(hash, 1)
+	return xxhash.Sum64(prompt[:min(len(prompt), PrefixBytes)])
 }
