Answer operators with the configuration's own patch and error types

The API took its own patch type while package config had none. Now it takes config.Patch and maps the errors of config and config/store to result codes, so a router passes them through. A rollback is made from two immutable versions, base and target: a rollback made from the newest version would differ on a resend after a lost reply, and the store refuses an id with other changes.

--- a/operator/backend.go
+++ b/operator/backend.go
@@ -5,7 +5,7 @@
 //	GET  /readyz                       the router takes callers' requests
 //	GET  /metrics                      counters in Prometheus text format
 //	GET  /operator/v1/config           ?version=N; the newest if absent
-//	POST /operator/v1/patches          body: Patch; answers PatchAccepted
+//	POST /operator/v1/patches          body: config.Patch; answers PatchAccepted
 //	GET  /operator/v1/history          ?before=N&limit=N; newest first
 //	POST /operator/v1/rollback         body: RollbackRequest; answers PatchAccepted
 //	GET  /operator/v1/status           ?fleet=1 for all routers, ?detail=0 for routers only
@@ -26,8 +26,9 @@
 
 // Backend is what the API needs from a router. Methods are called from many
 // goroutines at once, with a context that ends with the time limit of the
-// request. Errors are *result.Error, or *ConflictError where stated; any other
-// error is answered as 1004 (reads) or 1008 (writes).
+// request. Errors are *result.Error, the error types of packages config and
+// config/store, or wrap platform.ErrUnavailable; they get the codes stated with
+// each method. Any other error is answered as 1004 (reads) or 1008 (writes).
 type Backend interface {
 	// Ready says whether the router takes callers' requests. It must not block.
 	Ready() Readiness
@@ -35,18 +36,21 @@
 	// Config returns an accepted version. Zero asks for the newest: the head
 	// in the table, or the version in force here while the table cannot be
 	// reached. If no version was ever accepted, it returns a snapshot with
-	// Version zero and empty declarations. Errors: 1004, 1005.
+	// Version zero and empty declarations. Errors: platform.ErrUnavailable
+	// (1004), *store.UnknownVersionError (1005).
 	Config(ctx context.Context, version config.Version) (*config.Snapshot, error)
 
 	// Apply commits a patch as version Base+1 and returns that version. It is
 	// idempotent by Patch.ID: a patch that was accepted before is answered
-	// with the version it made. Errors: *ConflictError (1001), 1002, 1003,
-	// 1004 (nothing was changed), 1008 (outcome unknown).
-	Apply(ctx context.Context, patch Patch) (config.Version, error)
+	// with the version it made. Errors: *config.VersionConflictError (1001),
+	// *config.PatchError (1002), *config.ValidationError (1003),
+	// platform.ErrUnavailable (1004: nothing was changed),
+	// *store.CommitUnknownError (1008: outcome unknown).
+	Apply(ctx context.Context, patch config.Patch) (config.Version, error)
 
 	// History returns up to limit accepted versions below before, newest
 	// first. Zero asks from the newest. Errors: 1004.
-	History(ctx context.Context, before config.Version, limit int) ([]HistoryEntry, error)
+	History(ctx context.Context, before config.Version, limit int) ([]config.Entry, error)
 
 	// Members returns every router of the platform's list, this one included.
 	Members(ctx context.Context) ([]Member, error)
--- a/operator/changes.go
+++ b/operator/changes.go
@@ -4,28 +4,20 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"strconv"
 
-	jsonpatch "github.com/evanphx/json-patch/v5"
 	"github.com/valyala/fasthttp"
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/result"
 )
 
-// maxPatchID bounds the length of a patch id, in bytes.
-const maxPatchID = 128
-
 func (s *Server) patch(ctx context.Context, req *fasthttp.RequestCtx) (any, error) {
-	var patch Patch
+	var patch config.Patch
 	if err := decode(req, &patch); err != nil {
 		return nil, err
 	}
-	if len(patch.Merge) == 0 {
-		return nil, result.New(result.InvalidPatch, "merge is missing")
-	}
 	return s.apply(ctx, patch)
 }
 
@@ -34,56 +26,54 @@
 	if err := decode(req, &request); err != nil {
 		return nil, err
 	}
-	merge, err := s.rollbackMerge(ctx, request)
+	changes, err := s.rollbackChanges(ctx, request)
 	if err != nil {
 		return nil, err
 	}
-	return s.apply(ctx, Patch{
-		ID:     request.ID,
-		Base:   request.Base,
-		Author: request.Author,
-		Note:   request.Note,
-		Merge:  merge,
+	return s.apply(ctx, config.Patch{
+		ID:      request.ID,
+		Base:    request.Base,
+		Author:  request.Author,
+		Note:    request.Note,
+		Changes: changes,
 	})
 }
 
-// rollbackMerge is the merge patch from the base to the old declarations. It
+// rollbackChanges is the merge patch from the base to the old declarations. It
 // depends on two immutable versions only, so a resend gives the same patch.
-func (s *Server) rollbackMerge(ctx context.Context, request RollbackRequest) ([]byte, error) {
+func (s *Server) rollbackChanges(ctx context.Context, request RollbackRequest) ([]byte, error) {
 	if request.To == 0 || request.To >= request.Base {
 		return nil, result.New(result.InvalidPatch, "to (%d) must be an older version than base (%d)", request.To, request.Base)
 	}
-	from, err := s.declarations(ctx, request.Base)
+	from, err := s.readVersion(ctx, request.Base)
 	if err != nil {
 		return nil, err
 	}
-	to, err := s.declarations(ctx, request.To)
+	to, err := s.readVersion(ctx, request.To)
 	if err != nil {
 		return nil, err
 	}
-	merge, err := jsonpatch.CreateMergePatch(from, to)
+	changes, _, err := config.Diff(from.Declarations, to.Declarations)
 	if err != nil {
 		return nil, result.Wrap(result.InvalidPatch, err, "the rollback cannot be written as a patch")
 	}
-	return merge, nil
+	return changes, nil
 }
 
-// declarations reads a version. A read that fails means that nothing was changed.
-func (s *Server) declarations(ctx context.Context, version config.Version) ([]byte, error) {
+// readVersion reads a version before a change. If it fails, nothing was changed.
+func (s *Server) readVersion(ctx context.Context, version config.Version) (*config.Snapshot, error) {
 	snapshot, err := s.backend.Config(ctx, version)
-	var numbered *result.Error
-	if err != nil && !errors.As(err, &numbered) {
-		return nil, result.Wrap(result.PlatformUnavailable, err, "version %d cannot be read", version)
+	if err == nil {
+		return snapshot, nil
 	}
-	if err != nil {
-		return nil, err
-	}
-	return json.Marshal(snapshot.Declarations)
+	code := result.Code(errorBody(err, result.PlatformUnavailable).Code)
+	return nil, result.Wrap(code, err, "version %d cannot be read: %s", version, code.Info().Meaning)
 }
 
-func (s *Server) apply(ctx context.Context, patch Patch) (any, error) {
-	if patch.ID == "" || len(patch.ID) > maxPatchID {
-		return nil, result.New(result.InvalidPatch, "id must have 1 to %d bytes", maxPatchID)
+func (s *Server) apply(ctx context.Context, patch config.Patch) (any, error) {
+	patch, err := patch.Normalise()
+	if err != nil {
+		return nil, err
 	}
 	version, err := s.backend.Apply(ctx, patch)
 	if err != nil {
--- a/operator/errors.go
+++ b/operator/errors.go
@@ -2,39 +2,45 @@
 
 import (
 	"errors"
-	"fmt"
 
 	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/config/store"
+	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/result"
 )
 
-// ConflictError says that another patch took the version after the base.
-type ConflictError struct {
-	// Base is the version that the refused patch was made against.
-	Base config.Version
-	// Newest is the version that stands now.
-	Newest config.Version
-}
-
-// Error implements error.
-func (e *ConflictError) Error() string {
-	return fmt.Sprintf("patch against version %d: version %d is the newest", e.Base, e.Newest)
-}
-
 // errorBody turns any error into the answer's document. Errors that carry no
 // code get fallback.
 func errorBody(err error, fallback result.Code) ErrorBody {
-	var conflict *ConflictError
-	if errors.As(err, &conflict) {
-		body := bodyOf(result.New(result.VersionConflict, "%s", conflict.Error()))
-		body.Newest = conflict.Newest
-		return body
-	}
 	var numbered *result.Error
-	if errors.As(err, &numbered) {
+	var conflict *config.VersionConflictError
+	var broken *config.PatchError
+	var invalid *config.ValidationError
+	var absent *store.UnknownVersionError
+	var unknown *store.CommitUnknownError
+	switch {
+	case errors.As(err, &numbered):
 		return bodyOf(numbered)
+	case errors.As(err, &conflict):
+		body := bodyOf(result.New(result.VersionConflict, "%v", conflict))
+		body.Newest = conflict.Newest
+		body.WinnerPatchID = conflict.WinnerPatchID
+		return body
+	case errors.As(err, &broken):
+		return bodyOf(result.New(result.InvalidPatch, "%v", broken))
+	case errors.As(err, &invalid):
+		body := bodyOf(result.New(result.InvalidDeclaration, "%d problems", len(invalid.Problems)))
+		body.Problems = invalid.Problems
+		return body
+	case errors.As(err, &absent):
+		return bodyOf(result.New(result.UnknownVersion, "version %d does not exist", absent.Version))
+	case errors.As(err, &unknown):
+		return bodyOf(result.New(result.CommitUnknown, "the outcome of patch %s is unknown", unknown.PatchID))
+	case errors.Is(err, platform.ErrUnavailable):
+		return bodyOf(result.New(result.PlatformUnavailable, "%s", result.PlatformUnavailable.Info().Meaning))
+	default:
+		return bodyOf(result.New(fallback, "%s", fallback.Info().Meaning))
 	}
-	return bodyOf(result.Wrap(fallback, err, "%s", fallback.Info().Meaning))
 }
 
 func bodyOf(err *result.Error) ErrorBody {
--- a/operator/routes.go
+++ b/operator/routes.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return HistoryAnswer{Versions: entries}, nil
+	return historyAnswer(entries), nil
 }
 
 func (s *Server) status(ctx context.Context, req *fasthttp.RequestCtx) (any, error) {
--- a/operator/server.go
+++ b/operator/server.go
@@ -12,13 +12,14 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/result"
 )
 
 const (
-	// MaxBodyBytes bounds the body of a patch. A first patch with 16,000
-	// workspaces and 4,000 targets is about 5 MB.
-	MaxBodyBytes = 16 << 20
+	// MaxBodyBytes bounds the body of a patch: the changes, which may be
+	// indented, and the rest.
+	MaxBodyBytes = 2 * config.MaxPatchBytes
 	// maxStrangerBodyBytes bounds the body of a request without a known key.
 	maxStrangerBodyBytes = 4 << 10
 	maxHeaderBytes       = 16 << 10
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,10 +14,15 @@
 	"testing"
 
 	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/config/store"
+	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/result"
 )
 
-const testKey = "operator-key"
+const (
+	testKey = "operator-key"
+	testID  = "6f1c3c0a-2b7e-4a51-9d2c-0a54c1f7a001"
+)
 
 // stubBackend answers from its fields and records what it was asked.
 type stubBackend struct {
@@ -24,8 +30,9 @@
 	versions map[config.Version]config.Declarations
 	applyErr error
 	readErr  error
-	applied  []Patch
+	applied  []config.Patch
 	drained  []string
+	entries  []config.Entry
 	members  []Member
 	statuses map[string]Status
 }
@@ -38,12 +45,12 @@
 	}
 	declarations, ok := b.versions[v]
 	if !ok {
-		return nil, result.New(result.UnknownVersion, "version %d does not exist", v)
+		return nil, &store.UnknownVersionError{Version: v}
 	}
 	return &config.Snapshot{Version: v, Declarations: declarations}, nil
 }
 
-func (b *stubBackend) Apply(_ context.Context, p Patch) (config.Version, error) {
+func (b *stubBackend) Apply(_ context.Context, p config.Patch) (config.Version, error) {
 	if b.applyErr != nil {
 		return 0, b.applyErr
 	}
@@ -51,8 +58,8 @@
 	return p.Base + 1, nil
 }
 
-func (b *stubBackend) History(_ context.Context, before config.Version, limit int) ([]HistoryEntry, error) {
-	return []HistoryEntry{{Version: before - 1, PatchID: strings.Repeat("p", limit)}}, nil
+func (b *stubBackend) History(_ context.Context, before config.Version, limit int) ([]config.Entry, error) {
+	return b.entries[:min(limit, len(b.entries))], nil
 }
 
 func (b *stubBackend) Members(context.Context) ([]Member, error) { return b.members, nil }
@@ -134,7 +141,7 @@
 		{"GET", PathStatus, "", "", 401},
 		{"GET", PathStatus, testKey + "x", "", 401},
 		{"GET", PathStatus, testKey, "", 200},
-		{"POST", PathPatches, "", `{"id":"a","merge":{}}`, 401},
+		{"POST", PathPatches, "", `{"id":"` + testID + `","changes":{}}`, 401},
 		{"POST", PathPatches, "wrong", strings.Repeat(" ", maxStrangerBodyBytes+1), 401},
 		{"POST", PathPatches, testKey, strings.Repeat(" ", MaxBodyBytes+1), 413},
 		{"GET", "/operator/v1/nothing", "", "", 401},
@@ -165,7 +172,7 @@
 }
 
 func TestPatchErrors(t *testing.T) {
-	const good = `{"id":"a","base":3,"merge":{}}`
+	const good = `{"id":"` + testID + `","base":3,"changes":{}}`
 	cases := []struct {
 		name, body string
 		applyErr   error
@@ -173,13 +180,15 @@
 		code       result.Code
 		newest     config.Version
 	}{
-		{"conflict", good, &ConflictError{Base: 3, Newest: 9}, 409, result.VersionConflict, 9},
-		{"invalid", good, result.New(result.InvalidDeclaration, "share"), 422, result.InvalidDeclaration, 0},
+		{"conflict", good, &config.VersionConflictError{Base: 3, Newest: 9}, 409, result.VersionConflict, 9},
+		{"invalid", good, &config.ValidationError{Problems: []config.Problem{{Object: "workspaces.a"}}}, 422, result.InvalidDeclaration, 0},
 		{"store down", good, result.New(result.PlatformUnavailable, "down"), 503, result.PlatformUnavailable, 0},
+		{"store refused", good, fmt.Errorf("read: %w", platform.ErrUnavailable), 503, result.PlatformUnavailable, 0},
+		{"store unknown", good, &store.CommitUnknownError{Cause: platform.ErrUnavailable}, 504, result.CommitUnknown, 0},
 		{"unnumbered", good, errors.New("socket"), 504, result.CommitUnknown, 0},
-		{"no id", `{"base":3,"merge":{}}`, nil, 400, result.InvalidPatch, 0},
-		{"no merge", `{"id":"a","base":3}`, nil, 400, result.InvalidPatch, 0},
-		{"unknown field", `{"id":"a","basis":3,"merge":{}}`, nil, 400, result.InvalidPatch, 0},
+		{"no id", `{"base":3,"changes":{}}`, nil, 400, result.InvalidPatch, 0},
+		{"no changes", `{"id":"` + testID + `","base":3}`, nil, 400, result.InvalidPatch, 0},
+		{"unknown field", `{"id":"` + testID + `","basis":3,"changes":{}}`, nil, 400, result.InvalidPatch, 0},
 		{"two documents", good + good, nil, 400, result.InvalidPatch, 0},
 	}
 	for _, c := range cases {
@@ -203,19 +212,19 @@
 		4: {Workspaces: map[string]config.Workspace{"bakery": {Share: 2}, "school": {Share: 1}}},
 	}}
 	url := start(t, backend)
-	status, body := call(t, "POST", url+PathRollback, testKey, `{"id":"r","base":4,"to":1}`)
+	status, body := call(t, "POST", url+PathRollback, testKey, `{"id":"`+testID+`","base":4,"to":1}`)
 	if status != 200 || !strings.Contains(body, `"version":5`) {
 		t.Fatalf("got %d %s", status, body)
 	}
 	want := `{"workspaces":{"bakery":{"share":1},"school":null}}`
-	if got := string(backend.applied[0].Merge); got != want {
-		t.Errorf("merge %s, want %s", got, want)
+	if got := string(backend.applied[0].Changes); got != want {
+		t.Errorf("changes %s, want %s", got, want)
 	}
-	if status, body = call(t, "POST", url+PathRollback, testKey, `{"id":"r","base":4,"to":2}`); status != 404 {
+	if status, body = call(t, "POST", url+PathRollback, testKey, `{"id":"`+testID+`","base":4,"to":2}`); status != 404 {
 		t.Errorf("unknown version: got %d %s", status, body)
 	}
 	backend.readErr = errors.New("reset")
-	status, body = call(t, "POST", url+PathRollback, testKey, `{"id":"r","base":4,"to":1}`)
+	status, body = call(t, "POST", url+PathRollback, testKey, `{"id":"`+testID+`","base":4,"to":1}`)
 	if status != 503 || len(backend.applied) != 1 {
 		t.Errorf("failed read: got %d %s; %d applied", status, body, len(backend.applied))
 	}
@@ -270,3 +279,23 @@
 		t.Errorf("shards %+v", got)
 	}
 }
+
+func TestHistoryNamesObjectsWithoutTheirContent(t *testing.T) {
+	backend := &stubBackend{entries: []config.Entry{
+		{Version: 2, Patch: config.Patch{ID: testID, Note: "n", Changes: []byte(`{"workspaces":{"b":{"share":2},"a":null}}`)}},
+		{Version: 1},
+	}}
+	url := start(t, backend)
+	_, raw := call(t, "GET", url+PathHistory+"?limit=1", testKey, "")
+	var answer HistoryAnswer
+	if err := json.Unmarshal([]byte(raw), &answer); err != nil {
+		t.Fatal(err)
+	}
+	if len(answer.Versions) != 1 || strings.Contains(raw, "share") {
+		t.Fatalf("got %s", raw)
+	}
+	entry := answer.Versions[0]
+	if entry.Objects != 2 || strings.Join(entry.Changed, " ") != "workspaces.a workspaces.b" || entry.Note != "n" {
+		t.Errorf("got %+v", entry)
+	}
+}
--- a/operator/types.go
+++ b/operator/types.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
@@ -20,6 +19,9 @@
 	PathDrain    = "/operator/v1/drain"
 )
 
+// MaxChangedNames bounds HistoryEntry.Changed.
+const MaxChangedNames = 20
+
 // Readiness says whether a router takes callers' requests.
 type Readiness struct {
 	Ready bool `json:"ready"`
@@ -29,19 +31,6 @@
 	Version config.Version `json:"version"`
 }
 
-// Patch asks for a new configuration version.
-type Patch struct {
-	// ID makes a resend idempotent. Required; a UUID by custom.
-	ID string `json:"id"`
-	// Base is the version that the patch was made against; zero if none exists.
-	Base config.Version `json:"base"`
-	// Author and Note are kept in the history. Optional.
-	Author string `json:"author,omitempty"`
-	Note   string `json:"note,omitempty"`
-	// Merge is a JSON merge patch (RFC 7396) over config.Declarations.
-	Merge json.RawMessage `json:"merge"`
-}
-
 // PatchAccepted answers an accepted patch or rollback.
 type PatchAccepted struct {
 	ID      string         `json:"id"`
@@ -50,7 +39,7 @@
 
 // RollbackRequest asks for a new version with the declarations of an older one.
 type RollbackRequest struct {
-	// ID makes a resend idempotent. Required.
+	// ID is a UUID that makes a resend idempotent. Required.
 	ID string `json:"id"`
 	// Base is the newest version that the operator has seen.
 	Base config.Version `json:"base"`
@@ -61,13 +50,19 @@
 	Note   string `json:"note,omitempty"`
 }
 
-// HistoryEntry describes an accepted version.
+// HistoryEntry describes an accepted version, without the changes themselves.
 type HistoryEntry struct {
 	Version    config.Version `json:"version"`
 	PatchID    string         `json:"patch_id"`
 	Author     string         `json:"author,omitempty"`
 	Note       string         `json:"note,omitempty"`
 	AcceptedAt time.Time      `json:"accepted_at"`
+	Digest     config.Digest  `json:"digest"`
+	// Objects counts the objects that the patch named.
+	Objects int `json:"objects"`
+	// Changed names the first MaxChangedNames of them, sorted, for example
+	// "workspaces.bakery".
+	Changed []string `json:"changed"`
 }
 
 // HistoryAnswer answers GET history.
@@ -99,6 +94,10 @@
 	Ran string `json:"ran"`
 	// Retry says whether the same request may be sent again.
 	Retry bool `json:"retry"`
-	// Newest is the winning version of a conflict (1001); otherwise zero.
-	Newest config.Version `json:"newest,omitempty"`
+	// Newest and WinnerPatchID tell of a conflict (1001) the newest version
+	// and the patch that took the version after the base.
+	Newest        config.Version `json:"newest,omitempty"`
+	WinnerPatchID string         `json:"winner_patch_id,omitempty"`
+	// Problems lists every fault of an invalid declaration (1003).
+	Problems []config.Problem `json:"problems,omitempty"`
 }
