--- a/filters/authenticate/authenticate.go
+++ b/filters/authenticate/authenticate.go
@@ -22,8 +22,9 @@
 
 // Counters of this package, one for each reason.
 var (
-	refusedMissing = metrics.NewCounter(`walnut_authenticate_refusals_total{reason="key_missing"}`)
-	refusedWrong   = metrics.NewCounter(`walnut_authenticate_refusals_total{reason="key_wrong"}`)
+	refusedMissing  = metrics.NewCounter(`walnut_authenticate_refusals_total{reason="key_missing"}`)
+	refusedWrong    = metrics.NewCounter(`walnut_authenticate_refusals_total{reason="key_wrong"}`)
+	refusedNotReady = metrics.NewCounter(`walnut_authenticate_refusals_total{reason="not_ready"}`)
 )
 
 // Source gives the configuration in force.
@@ -48,18 +49,19 @@
 	key := takeKey(ex.Header)
 	if key == "" {
 		refusedMissing.Inc()
-		return result.New(result.KeyMissing, "send the workspace key as Authorization: Bearer KEY or Walnut-Key: KEY")
+		return result.New(result.KeyMissing, "Send the workspace key as Authorization: Bearer KEY or Walnut-Key: KEY.")
 	}
 	snapshot := f.source.InForce()
 	if snapshot == nil {
-		return result.New(result.NotReady, "no configuration version is in force yet")
+		refusedNotReady.Inc()
+		return result.New(result.NotReady, "No configuration version is in force yet.")
 	}
 	// The lookup is by the digest of the key, so its time says nothing about
 	// how much of a guessed key is right.
 	name, ok := snapshot.Index().WorkspaceByKey([]byte(key))
 	if !ok {
 		refusedWrong.Inc()
-		return result.New(result.KeyWrong, "the workspace key is not known")
+		return result.New(result.KeyWrong, "The workspace key is not known.")
 	}
 	ex.Snapshot = snapshot
 	ex.WorkspaceName = name
--- a/filters/classify/classify.go
+++ b/filters/classify/classify.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -23,6 +24,27 @@
 	pathCompletions = "/v1/completions"
 )
 
+// serviceMethods are the methods that service pools take.
+var serviceMethods = []string{
+	http.MethodGet,
+	http.MethodHead,
+	http.MethodPost,
+	http.MethodPut,
+	http.MethodPatch,
+	http.MethodDelete,
+	http.MethodOptions,
+}
+
+// idempotentMethods are the service methods that are idempotent by their
+// definition in HTTP.
+var idempotentMethods = []string{
+	http.MethodGet,
+	http.MethodHead,
+	http.MethodPut,
+	http.MethodDelete,
+	http.MethodOptions,
+}
+
 // DefaultDeadline is the time to dispatch if the caller sets none.
 const DefaultDeadline = 30 * time.Second
 
@@ -72,51 +94,58 @@
 // findPool sets the pool and what the body says.
 func (f *Filter) findPool(ex *pipeline.Exchange) *result.Error {
 	path, _, _ := strings.Cut(ex.Path, "?")
-	index := ex.Snapshot.Index()
-	var name string
+	find := findServicePool
 	if path == pathChat || path == pathCompletions {
-		if ex.Method != "POST" {
-			return result.New(result.MethodNotAllowed, "send POST to %s", path)
-		}
-		call, refusal := parseCall(ex.Body)
-		if refusal != nil {
-			return refusal
-		}
-		ex.Model = call.Model
-		ex.Stream = call.Stream
-		ex.PrefixHash = prefixHash(call)
-		found := false
-		if name, found = index.PoolByModel(call.Model); !found {
-			return result.New(result.UnknownModel, "no pool serves this model")
-		}
-	} else {
-		found := false
-		if name, found = index.PoolByPath(path); !found {
-			return result.New(result.UnknownPath, "no pool serves this path")
-		}
+		find = findEnginePool
+	}
+	name, refusal := find(ex)
+	if refusal != nil {
+		return refusal
 	}
 	if !slices.Contains(ex.Workspace.Pools, name) {
-		return result.New(result.PoolNotAllowed, "the workspace may not use this pool")
+		return result.New(result.PoolNotAllowed, "The workspace may not use this pool.")
 	}
 	ex.PoolName = name
 	ex.Pool = ex.Snapshot.Declarations.Pools[name]
 	return nil
 }
 
-// idempotentMethod says whether a method is idempotent by its definition in
-// HTTP.
-func idempotentMethod(method string) bool {
-	switch method {
-	case "GET", "HEAD", "OPTIONS", "PUT", "DELETE":
-		return true
+// findEnginePool finds the pool by the model that the body names.
+func findEnginePool(ex *pipeline.Exchange) (string, *result.Error) {
+	if ex.Method != http.MethodPost {
+		return "", result.New(result.MethodNotAllowed, "Engine calls are sent by POST.")
+	}
+	call, refusal := parseCall(ex.Body)
+	if refusal != nil {
+		return "", refusal
+	}
+	ex.Model = call.model
+	ex.Stream = call.stream
+	ex.PrefixHash = call.prefixHash()
+	name, ok := ex.Snapshot.Index().PoolByModel(call.model)
+	if !ok {
+		return "", result.New(result.UnknownModel, "No pool serves this model.")
+	}
+	return name, nil
+}
+
+// findServicePool finds the pool by the longest path prefix.
+func findServicePool(ex *pipeline.Exchange) (string, *result.Error) {
+	name, ok := ex.Snapshot.Index().PoolByPath(ex.Path)
+	if !ok {
+		return "", result.New(result.UnknownPath, "No pool serves this path.")
+	}
+	if !slices.Contains(serviceMethods, ex.Method) {
+		return "", result.New(result.MethodNotAllowed, "Services take %s.", strings.Join(serviceMethods, ", "))
 	}
-	return false
+	return name, nil
 }
 
 // idempotentByDefault says whether a request is idempotent if its caller does
-// not say: engine calls are, and so are service calls by the HTTP method.
+// not say: engine calls are, as a generation changes nothing, and service calls
+// are by the definition of their HTTP method.
 func idempotentByDefault(ex *pipeline.Exchange) bool {
-	return ex.Pool.Kind == config.KindEngine || idempotentMethod(ex.Method)
+	return ex.Pool.Kind == config.KindEngine || slices.Contains(idempotentMethods, ex.Method)
 }
 
 // fingerprint hashes workspace, path and body. Lengths keep the parts apart.
--- a/filters/classify/headers.go
+++ b/filters/classify/headers.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/walnutcove/walnutcove/pipeline"
@@ -14,6 +15,9 @@
 	headerIdempotent     = "Walnut-Idempotent"
 	headerDeadline       = "Walnut-Deadline"
 	headerCostHint       = "Walnut-Cost-Hint"
+
+	// headerPrefix begins every header with a meaning to the router.
+	headerPrefix = "Walnut-"
 )
 
 // Bounds of header values.
@@ -25,6 +29,9 @@
 
 // readHeaders sets what the caller's headers say.
 func (f *Filter) readHeaders(ex *pipeline.Exchange) *result.Error {
+	if refusal := checkNames(ex.Header); refusal != nil {
+		return refusal
+	}
 	deadline, refusal := readDuration(ex, headerDeadline, f.options.DefaultDeadline, maxDeadline)
 	if refusal != nil {
 		return refusal
@@ -37,12 +44,29 @@
 	return readIdempotency(ex)
 }
 
+// checkNames refuses unknown headers of the router's own prefix. A misspelt one
+// must not pass for absent, and those that the router sends to targets, such as
+// fencing numbers, must not come from a caller.
+func checkNames(header map[string]string) *result.Error {
+	for name := range header {
+		if !strings.HasPrefix(name, headerPrefix) {
+			continue
+		}
+		switch name {
+		case headerIdempotent, headerDeadline, headerCostHint:
+		default:
+			return result.New(result.BadHeader, "%.64q is not a header that callers may send.", name)
+		}
+	}
+	return nil
+}
+
 // readIdempotency sets whether the request may run more than once. A pool that
 // is marked non-idempotent overrules the caller.
 func readIdempotency(ex *pipeline.Exchange) *result.Error {
 	ex.IdempotencyKey = ex.Header[headerIdempotencyKey]
 	if !validKey(ex.IdempotencyKey) {
-		return result.New(result.BadHeader, "%s must be 1 to %d printable ASCII characters", headerIdempotencyKey, maxKeyLength)
+		return result.New(result.BadHeader, "%s must be 1 to %d printable ASCII characters.", headerIdempotencyKey, maxKeyLength)
 	}
 	ex.Idempotent = idempotentByDefault(ex)
 	switch value := ex.Header[headerIdempotent]; value {
@@ -52,13 +76,13 @@
 	case "false":
 		ex.Idempotent = false
 	default:
-		return result.New(result.BadHeader, "%s must be true or false", headerIdempotent)
+		return result.New(result.BadHeader, "%s must be true or false.", headerIdempotent)
 	}
 	if ex.Pool.NonIdempotent {
 		ex.Idempotent = false
 	}
 	if !ex.Idempotent && ex.IdempotencyKey == "" {
-		return result.New(result.IdempotencyKeyMissing, "a non-idempotent request needs an %s", headerIdempotencyKey)
+		return result.New(result.IdempotencyKeyMissing, "A non-idempotent request needs an %s.", headerIdempotencyKey)
 	}
 	return nil
 }
@@ -84,7 +108,7 @@
 	}
 	value, err := parseDuration(text)
 	if err != nil || value <= 0 || value > most {
-		return 0, result.New(result.BadHeader, "%s must be a duration such as 1.5s, or milliseconds, over 0 and up to %s", name, most)
+		return 0, result.New(result.BadHeader, "%s must be a duration such as 1.5s, or milliseconds, over 0 and up to %s.", name, most)
 	}
 	return value, nil
 }
--- a/filters/ready/ready.go
+++ b/filters/ready/ready.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -12,9 +13,12 @@
 	"github.com/walnutcove/walnutcove/result"
 )
 
-// retryAfter is the advice given with a refusal: another router, or this one
-// soon, will serve the caller.
-const retryAfter = time.Second
+// The advice given with a refusal lies between these, at random, so that the
+// refused do not come back together.
+const (
+	minRetryAfter = 500 * time.Millisecond
+	maxRetryAfter = 1500 * time.Millisecond
+)
 
 // Counters of this package, one for each reason.
 var (
@@ -46,11 +50,15 @@
 func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
 	if f.state.Draining() {
 		refusedDraining.Inc()
-		return result.New(result.Draining, "this router is leaving").After(retryAfter)
+		return result.New(result.Draining, "This router is leaving.").After(retryAfter())
 	}
 	if !f.state.Ready() {
 		refusedNotReady.Inc()
-		return result.New(result.NotReady, "no configuration version is in force yet").After(retryAfter)
+		return result.New(result.NotReady, "No configuration version is in force yet.").After(retryAfter())
 	}
 	return next(ctx, ex)
 }
+
+func retryAfter() time.Duration {
+	return minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
+}
--- a/front/answer.go
+++ b/front/answer.go
@@ -44,8 +44,9 @@
 	var refusal *result.Error
 	if !errors.As(err, &refusal) {
 		s.log.Error("front: Pipeline gave an error without a code.", "request", id, "error", err)
-		refusal = result.Wrap(result.Internal, err, "the router failed")
+		refusal = result.Wrap(result.Internal, err, "The router failed.")
 	}
+	countResult(refusal.Code)
 	info := refusal.Code.Info()
 	body := errorBody{Error: errorDetail{
 		Code:      int(refusal.Code),
@@ -79,36 +80,50 @@
 	header.Set(headerRetryAfterMS, strconv.FormatInt(int64(millis), 10))
 }
 
-// writeAnswer sets the exchange's answer as the response.
-func (s *Server) writeAnswer(ctx *fasthttp.RequestCtx, r *request) {
+// writeAnswer sets the exchange's answer as the response. An error means that
+// nothing of the answer was shown to the caller.
+func (s *Server) writeAnswer(ctx *fasthttp.RequestCtx, r *request) error {
 	ex := r.ex
-	if ex.AnswerStream != nil && !ctx.Request.Header.IsHTTP11() {
+	switch {
+	case ex.AnswerStream == nil:
+	case !hasBody(ex):
+		ex.AnswerStream.Close()
+		ex.AnswerStream = nil
+	case !ctx.Request.Header.IsHTTP11():
 		if err := bufferStream(ex); err != nil {
-			r.err = err
-			s.writeError(ctx, ex.ID, err)
-			return
+			return err
 		}
 	}
 	response := &ctx.Response
 	response.SetStatusCode(ex.Status)
 	for name, value := range ex.AnswerHeader {
-		if !hopByHop(name) {
+		if !hopByHop(name) && !reserved(name) {
 			response.Header.Set(name, value)
 		}
 	}
 	response.Header.Set(headerRequestID, ex.ID)
-	response.Header.Set(headerCode, "0")
-	response.Header.Set(headerRan, result.RanYes.String())
 	if ex.AnswerStream == nil {
 		response.SetBodyRaw(ex.AnswerBody)
-		return
+		return nil
 	}
+	// The caller sees the head as soon as the target gave it.
 	response.ImmediateHeaderFlush = true
 	response.SetBodyStream(&answerStream{request: r, from: ex.AnswerStream}, -1)
+	return nil
 }
 
-// bufferStream reads a stream whole, for callers that cannot tell a chunked
-// stream that broke from one that ended.
+// reserved says whether only the router itself may set an answer's header.
+func reserved(name string) bool { return name == headerCode || name == headerRan }
+
+// hasBody says whether HTTP allows the answer a body.
+func hasBody(ex *pipeline.Exchange) bool {
+	return ex.Method != fasthttp.MethodHead &&
+		ex.Status != fasthttp.StatusNoContent &&
+		ex.Status != fasthttp.StatusNotModified
+}
+
+// bufferStream reads a stream whole, for callers that cannot tell a stream that
+// broke from one that ended.
 func bufferStream(ex *pipeline.Exchange) error {
 	stream := ex.AnswerStream
 	defer stream.Close()
@@ -117,7 +132,7 @@
 		return streamError(err)
 	}
 	if len(body) > maxBufferedAnswer {
-		return result.New(result.StreamBroken, "the answer is too long for an HTTP/1.0 caller")
+		return result.New(result.StreamBroken, "The answer is too long for an HTTP/1.0 caller.")
 	}
 	ex.AnswerStream = nil
 	ex.AnswerBody = body
@@ -129,38 +144,5 @@
 	if errors.As(err, &numbered) {
 		return err
 	}
-	return result.Wrap(result.StreamBroken, err, "the answer broke off")
-}
-
-// answerStream is the body that fasthttp reads. It sends every part that a
-// Read returns at once. An error other than io.EOF breaks the connection
-// without the chunk that ends a body, so the caller sees a truncated answer.
-type answerStream struct {
-	request *request
-	from    io.ReadCloser
-	ended   bool
-}
-
-// Read implements io.Reader.
-func (a *answerStream) Read(p []byte) (int, error) {
-	n, err := a.from.Read(p)
-	if err == io.EOF {
-		a.ended = true
-	} else if err != nil {
-		a.ended = true
-		a.request.err = err
-	}
-	return n, err
-}
-
-// Close implements io.Closer. Closing before the end means that the caller
-// could not be written to.
-func (a *answerStream) Close() error {
-	if !a.ended && a.request.err == nil {
-		a.request.err = a.request.conn.writeErr
-		if a.request.err == nil && a.request.ex.Method != fasthttp.MethodHead {
-			a.request.err = errConnectionClosed
-		}
-	}
-	return a.from.Close()
+	return result.Wrap(result.StreamBroken, err, "The answer broke off.")
 }
--- /dev/null
+++ b/front/bench_test.go
@@ -0,0 +1,106 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/filters/authenticate"
+	"github.com/walnutcove/walnutcove/filters/classify"
+	"github.com/walnutcove/walnutcove/pipeline"
+)
+
+type inForce struct{ snapshot *config.Snapshot }
+
+func (s inForce) InForce() *config.Snapshot { return s.snapshot }
+
+func benchSnapshot() *config.Snapshot {
+	hash := config.HashKey([]byte("secret"))
+	return &config.Snapshot{Version: 1, Declarations: config.Declarations{
+		Workspaces: map[string]config.Workspace{
+			"bakery": {Share: 1, KeyHashes: []string{hex.EncodeToString(hash[:])}, Pools: []string{"chat"}},
+		},
+		Pools: map[string]config.Pool{"chat": {Kind: config.KindEngine, Models: []string{"small"}}},
+	}}
+}
+
+func answerOK(_ context.Context, ex *pipeline.Exchange) error {
+	ex.Status = http.StatusOK
+	ex.AnswerBody = []byte(`{"ok":true}`)
+	return nil
+}
+
+func benchBody(promptBytes int) string {
+	return fmt.Sprintf(`{"model":"small","messages":[{"role":"user","content":%q}]}`, strings.Repeat("x", promptBytes))
+}
+
+// BenchmarkRequest measures one request over loopback, the caller included:
+// through the server alone, and through authenticate and classify as well.
+func BenchmarkRequest(b *testing.B) {
+	source := inForce{benchSnapshot()}
+	filters := pipeline.Chain(authenticate.New(source), classify.New(classify.Options{}))
+	for _, size := range []int{100, 10_000} {
+		b.Run(fmt.Sprintf("front/%dB", size), func(b *testing.B) { benchRequest(b, size, answerOK) })
+		b.Run(fmt.Sprintf("front+authenticate+classify/%dB", size), func(b *testing.B) {
+			benchRequest(b, size, func(ctx context.Context, ex *pipeline.Exchange) error {
+				if err := filters(ctx, ex); err != nil {
+					return err
+				}
+				return answerOK(ctx, ex)
+			})
+		})
+	}
+}
+
+func benchRequest(b *testing.B, size int, handler pipeline.Handler) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := New(Options{}, handler)
+	go s.Serve(listener)
+	defer s.Close()
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	body := benchBody(size)
+	request := []byte(fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer secret\r\n"+
+		"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	r := bufio.NewReader(conn)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := conn.Write(request); err != nil {
+			b.Fatal(err)
+		}
+		if err := skipAnswer(r); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// skipAnswer reads an answer without allocating.
+func skipAnswer(r *bufio.Reader) error {
+	for {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if strings.HasPrefix(string(line), "HTTP/1.1 ") && string(line[9:12]) != "200" {
+			return fmt.Errorf("status %s", line)
+		}
+		if len(line) == 2 {
+			break
+		}
+	}
+	_, err := io.CopyN(io.Discard, r, int64(len(`{"ok":true}`)))
+	return err
+}
--- a/front/conn.go
+++ b/front/conn.go
@@ -2,7 +2,7 @@
 
 import (
 	"net"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -10,7 +10,7 @@
 // callerListener wraps every accepted connection.
 type callerListener struct {
 	net.Listener
-	writeTimeout time.Duration
+	server *Server
 }
 
 // Accept implements net.Listener.
@@ -19,24 +19,28 @@
 	if err != nil {
 		return nil, err
 	}
-	return newCallerConn(conn, l.writeTimeout), nil
+	return newCallerConn(conn, l.server), nil
 }
 
-// callerConn is a caller's connection. Only its serving goroutine uses it,
-// except for raw, which the watcher uses too, and Close.
+// callerConn is a caller's connection. Only its serving goroutine reads and
+// writes; raw, endIdle and Close may be used by others too.
 type callerConn struct {
 	net.Conn
-	raw          syscall.RawConn // nil if the connection has no descriptor
-	writeTimeout time.Duration
+	server *Server
+	raw    syscall.RawConn // nil if the connection has no descriptor
 	// request is the one being served; nil between requests.
 	request *request
-	// writeErr is the first failed write.
+	// writeErr is the first failed write of the current answer.
 	writeErr error
-	closed   atomic.Bool
+
+	mu sync.Mutex
+	// busy is true from the first byte of a request to the last byte of its
+	// answer.
+	busy bool
 }
 
-func newCallerConn(conn net.Conn, writeTimeout time.Duration) *callerConn {
-	c := &callerConn{Conn: conn, writeTimeout: writeTimeout}
+func newCallerConn(conn net.Conn, server *Server) *callerConn {
+	c := &callerConn{Conn: conn, server: server}
 	if withRaw, ok := conn.(syscall.Conn); ok {
 		raw, err := withRaw.SyscallConn()
 		if err == nil {
@@ -46,22 +50,43 @@
 	return c
 }
 
-// Write implements net.Conn. Each write has its own deadline, so that a long
-// stream is bounded by its pauses and not by its length.
-func (c *callerConn) Write(b []byte) (int, error) {
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
-		c.failed(err)
-		return 0, err
+// Read implements net.Conn. While the server drains, the wait for another
+// request is short.
+func (c *callerConn) Read(b []byte) (int, error) {
+	if c.server.draining.Load() {
+		c.endIdle()
 	}
-	n, err := c.Conn.Write(b)
-	if err != nil {
-		c.failed(err)
+	return c.Conn.Read(b)
+}
+
+// endIdle bounds the wait for another request by Options.IdleGrace. A request
+// that has begun to arrive is not hurried: the HTTP library sets its own read
+// deadline once its first byte is there.
+func (c *callerConn) endIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.busy {
+		// A connection that is closed already needs no deadline.
+		_ = c.Conn.SetReadDeadline(time.Now().Add(c.server.options.IdleGrace))
 	}
-	return n, err
 }
 
-func (c *callerConn) failed(err error) {
-	if c.writeErr == nil {
+func (c *callerConn) setBusy(busy bool) {
+	c.mu.Lock()
+	c.busy = busy
+	c.mu.Unlock()
+}
+
+// Write implements net.Conn. Each write has its own deadline, so that a long
+// stream is bounded by its pauses and not by its length.
+func (c *callerConn) Write(b []byte) (int, error) {
+	err := c.Conn.SetWriteDeadline(time.Now().Add(c.server.options.WriteTimeout))
+	n := 0
+	if err == nil {
+		n, err = c.Conn.Write(b)
+	}
+	if err != nil && c.writeErr == nil {
 		c.writeErr = err
 	}
+	return n, err
 }
--- a/front/ids.go
+++ b/front/ids.go
@@ -7,11 +7,18 @@
 	"sync/atomic"
 )
 
-// idSource makes request ids: 16 random hex digits of the process and a
-// counter. They are unique across the fleet and say nothing about the caller.
+// requestID identifies a request.
+type requestID struct {
+	// sequence counts the requests of this process, from 1.
+	sequence uint64
+	// text is unique across the fleet: 16 random hex digits of the process and
+	// the sequence. It says nothing about the caller.
+	text string
+}
+
 type idSource struct {
 	prefix string
-	next   atomic.Uint64
+	last   atomic.Uint64
 }
 
 func newIDSource() *idSource {
@@ -20,8 +27,10 @@
 	return &idSource{prefix: hex.EncodeToString(b[:]) + "-"}
 }
 
-func (s *idSource) id() string {
-	buf := make([]byte, 0, 32)
-	buf = append(buf, s.prefix...)
-	return string(strconv.AppendUint(buf, s.next.Add(1), 10))
+func (s *idSource) next() requestID {
+	sequence := s.last.Add(1)
+	text := make([]byte, 0, len(s.prefix)+20)
+	text = append(text, s.prefix...)
+	text = strconv.AppendUint(text, sequence, 10)
+	return requestID{sequence: sequence, text: string(text)}
 }
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -10,8 +10,9 @@
 
 // Counters of this package.
 var (
-	requests    = metrics.NewCounter("walnut_accept_requests_total")
-	callersGone = metrics.NewCounter("walnut_accept_callers_gone_total")
+	requests      = metrics.NewCounter("walnut_accept_requests_total")
+	streamsBroken = metrics.NewCounter("walnut_accept_streams_broken_total")
+	callersGone   = metrics.NewCounter("walnut_accept_callers_gone_total")
 
 	refusals = map[result.Code]*metrics.Counter{
 		result.BadRequest:      refusalCounter(result.BadRequest),
@@ -21,6 +22,22 @@
 	}
 )
 
+// results counts every numbered code that callers are given, by any filter.
+var results = func() map[result.Code]*metrics.Counter {
+	counters := make(map[result.Code]*metrics.Counter)
+	for _, row := range result.Table() {
+		name := fmt.Sprintf("walnut_accept_results_total{code=\"%d\",reason=%q}", row.Code, row.Name)
+		counters[row.Code] = metrics.NewCounter(name)
+	}
+	return counters
+}()
+
+func countResult(code result.Code) {
+	if counter, ok := results[code]; ok {
+		counter.Inc()
+	}
+}
+
 func refusalCounter(code result.Code) *metrics.Counter {
 	return metrics.NewCounter(fmt.Sprintf("walnut_accept_refusals_total{reason=%q}", code.Info().Name))
 }
--- a/front/refuse.go
+++ b/front/refuse.go
@@ -17,7 +17,7 @@
 func (s *Server) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
 	refusal := unreadError(err)
 	countRefusal(refusal.Code)
-	s.writeError(ctx, s.ids.id(), refusal)
+	s.writeError(ctx, s.ids.next().text, refusal)
 }
 
 func unreadError(err error) *result.Error {
@@ -25,13 +25,13 @@
 	var netErr net.Error
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return result.Wrap(result.BodyTooLarge, err, "the body is too large")
+		return result.Wrap(result.BodyTooLarge, err, "The body is too large.")
 	case errors.As(err, &small):
-		return result.Wrap(result.HeadersTooLarge, err, "the headers are too large")
+		return result.Wrap(result.HeadersTooLarge, err, "The headers are too large.")
 	case errors.As(err, &netErr) && netErr.Timeout():
-		return result.Wrap(result.SlowSender, err, "the request did not arrive in time")
+		return result.Wrap(result.SlowSender, err, "The request did not arrive in time.")
 	default:
-		return result.Wrap(result.BadRequest, err, "the request is not valid HTTP")
+		return result.Wrap(result.BadRequest, err, "The request is not valid HTTP.")
 	}
 }
 
@@ -40,9 +40,9 @@
 	var refusal *result.Error
 	switch {
 	case ctx.Request.Header.Len() > maxHeaders:
-		refusal = result.New(result.HeadersTooLarge, "more than %d headers", maxHeaders)
+		refusal = result.New(result.HeadersTooLarge, "More than %d headers.", maxHeaders)
 	case !plainPath(ex.Path):
-		refusal = result.New(result.BadRequest, "the path must begin with / and have no dot segments, empty segments or escaped slashes")
+		refusal = result.New(result.BadRequest, "The path must begin with / and have no dot segments, empty segments or escaped slashes.")
 	default:
 		return nil
 	}
--- a/front/request.go
+++ b/front/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"time"
 
@@ -17,7 +16,9 @@
 	ex     *pipeline.Exchange
 	conn   *callerConn
 	gone   chan struct{}
-	isGone bool // set by the watcher's goroutine only
+	isGone bool // used by the watcher's goroutine only
+	// ctx lasts until the exchange ends or the caller went away.
+	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// err is why the answer is not whole; nil if nothing is known against it.
 	err error
@@ -31,14 +32,15 @@
 	r.isGone = true
 	callersGone.Inc()
 	close(r.gone)
-	r.cancel(result.New(result.CallerGone, "the caller closed its connection"))
+	r.cancel(result.New(result.CallerGone, "The caller went away."))
 }
 
 // newExchange copies a request out of fasthttp's buffers, which are reused.
-func newExchange(id string, gone <-chan struct{}, ctx *fasthttp.RequestCtx) *pipeline.Exchange {
+func newExchange(id requestID, gone <-chan struct{}, ctx *fasthttp.RequestCtx) *pipeline.Exchange {
 	header := &ctx.Request.Header
 	return &pipeline.Exchange{
-		ID:          id,
+		Sequence:    id.sequence,
+		ID:          id.text,
 		Arrived:     time.Now(),
 		Method:      string(header.Method()),
 		Path:        originForm(string(header.RequestURI())),
@@ -83,16 +85,14 @@
 	return copied
 }
 
-// hopByHop says whether a header is about one connection or the framing of one
-// message, so that it is not passed on.
+// hopByHop says whether a header is about one connection or one message, so
+// that it is not passed on.
 func hopByHop(name string) bool {
 	switch name {
 	case "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
 		"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-		"Content-Length", "Expect", "Host":
+		"Content-Length", "Expect", "Host", headerRequestID:
 		return true
 	}
 	return false
 }
-
-func sprintf(format string, args ...any) string { return fmt.Sprintf(format, args...) }
--- a/front/serve.go
+++ b/front/serve.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"net"
+	"runtime/debug"
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 )
 
@@ -15,96 +15,86 @@
 // answer was whole.
 var errConnectionClosed = errors.New("front: connection closed before the answer was whole")
 
-// serve handles one request that has arrived whole.
+// serve handles one request that has arrived whole. When it returns, the HTTP
+// library writes the response; connState learns how that went.
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
-	conn, ok := ctx.Conn().(*callerConn)
-	if !ok {
-		panic("front: connection was not accepted by this server")
-	}
+	conn := ctx.Conn().(*callerConn) // every connection comes from callerListener
 	r := s.begin(ctx, conn)
-	if err := checkRequest(ctx, r.ex); err != nil {
-		r.err = err
-		s.writeError(ctx, r.ex.ID, err)
-		return
+	err := checkRequest(ctx, r.ex)
+	if err == nil {
+		err = s.run(r)
+	}
+	if err == nil {
+		err = s.writeAnswer(ctx, r)
 	}
-	exchangeCtx, cancel := context.WithCancelCause(s.ctx)
-	r.cancel = cancel
-	s.watch.add(r)
-	err := s.run(exchangeCtx, r.ex)
 	if err != nil {
 		r.err = err
 		s.writeError(ctx, r.ex.ID, err)
-		return
 	}
-	s.writeAnswer(ctx, r)
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
 }
 
 // begin counts a new exchange and ties it to its connection.
 func (s *Server) begin(ctx *fasthttp.RequestCtx, conn *callerConn) *request {
 	gone := make(chan struct{})
 	r := &request{
-		ex:     newExchange(s.ids.id(), gone, ctx),
-		conn:   conn,
-		gone:   gone,
-		cancel: func(error) {},
+		ex:   newExchange(s.ids.next(), gone, ctx),
+		conn: conn,
+		gone: gone,
 	}
+	r.ctx, r.cancel = context.WithCancelCause(s.ctx)
 	conn.request = r
 	conn.writeErr = nil
-	s.mu.Lock()
-	s.active++
-	s.mu.Unlock()
+	s.began()
+	s.watch.add(r)
 	requests.Inc()
 	return r
 }
 
 // run calls the pipeline and turns a panic into an error.
-func (s *Server) run(ctx context.Context, ex *pipeline.Exchange) (err error) {
+func (s *Server) run(r *request) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
-			s.log.Error("front: Pipeline panicked.", "request", ex.ID, "panic", p)
-			err = result.New(result.Internal, "the router failed")
+			s.log.Error("front: Pipeline panicked.", "request", r.ex.ID, "panic", p, "stack", string(debug.Stack()))
+			err = result.New(result.Internal, "The router failed.")
 		}
 	}()
-	return s.handler(ctx, ex)
+	return s.handler(r.ctx, r.ex)
 }
 
 // connState learns from the HTTP library when an answer has been sent: a
-// connection turns idle after its last byte was written, or closes.
+// connection turns idle after the last byte was written, or closes.
 func (s *Server) connState(c net.Conn, state fasthttp.ConnState) {
-	conn, ok := c.(*callerConn)
-	if !ok || conn.request == nil {
-		return
-	}
+	conn := c.(*callerConn)
 	switch state {
-	case fasthttp.StateIdle, fasthttp.StateClosed:
-		r := conn.request
-		conn.request = nil
-		s.finish(r)
+	case fasthttp.StateNew:
+		s.opened(conn)
+	case fasthttp.StateActive:
+		conn.setBusy(true)
+	case fasthttp.StateIdle:
+		s.finish(conn)
+		conn.setBusy(false)
+	case fasthttp.StateClosed:
+		s.finish(conn)
+		s.closed(conn)
 	}
 }
 
-// finish ends an exchange. The serving goroutine calls it once for each.
-func (s *Server) finish(r *request) {
+// finish ends the exchange of a connection, if there is one. Only the
+// connection's serving goroutine calls it.
+func (s *Server) finish(conn *callerConn) {
+	r := conn.request
+	if r == nil {
+		return
+	}
+	conn.request = nil
 	s.watch.remove(r)
 	if r.err == nil {
-		r.err = r.conn.writeErr
+		r.err = conn.writeErr
 	}
 	r.ex.End(r.err)
 	r.cancel(context.Canceled)
-	s.mu.Lock()
-	s.active--
-	s.closeIfIdle()
-	s.mu.Unlock()
-}
-
-// closeIfIdle needs s.mu.
-func (s *Server) closeIfIdle() {
-	if !s.draining || s.active > 0 {
-		return
-	}
-	select {
-	case <-s.idle:
-	default:
-		close(s.idle)
-	}
+	s.ended()
 }
--- a/front/server.go
+++ b/front/server.go
@@ -6,14 +6,17 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/settings"
 )
 
 // Defaults of Options.
@@ -24,6 +27,8 @@
 	DefaultIdleTimeout    = 60 * time.Second
 	DefaultWriteTimeout   = 30 * time.Second
 	DefaultWatchEvery     = 250 * time.Millisecond
+	DefaultIdleGrace      = time.Second
+	DefaultForceGrace     = time.Second
 )
 
 // maxHeaders bounds the number of header lines of a request.
@@ -44,10 +49,27 @@
 	// WatchEvery is the period of looking for callers that went away.
 	// Default 250 ms.
 	WatchEvery time.Duration
+	// IdleGrace is how long an idle connection stays open during a Shutdown, so
+	// that a request that is on its way is answered and not dropped. Default 1 s.
+	IdleGrace time.Duration
+	// ForceGrace is how long Close waits for its refusals to be written before
+	// it closes the connections. Default 1 s.
+	ForceGrace time.Duration
 	// Log defaults to slog.Default().
 	Log *slog.Logger
 }
 
+// FromLimits returns the options that a settings file asks for.
+func FromLimits(limits settings.Limits) Options {
+	return Options{
+		MaxBodyBytes:   limits.MaxBodyBytes,
+		MaxHeaderBytes: limits.MaxHeaderBytes,
+		ReadTimeout:    time.Duration(limits.ReadTimeout),
+		IdleTimeout:    time.Duration(limits.IdleTimeout),
+		WriteTimeout:   time.Duration(limits.StallTimeout),
+	}
+}
+
 func (o Options) withDefaults() Options {
 	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&o.MaxHeaderBytes, DefaultMaxHeaderBytes)
@@ -55,6 +77,8 @@
 	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&o.WatchEvery, DefaultWatchEvery)
+	setDefault(&o.IdleGrace, DefaultIdleGrace)
+	setDefault(&o.ForceGrace, DefaultForceGrace)
 	if o.Log == nil {
 		o.Log = slog.Default()
 	}
@@ -80,11 +104,15 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 
+	// draining is true from Shutdown or Close on.
+	draining atomic.Bool
+
 	mu       sync.Mutex
-	draining bool
-	active   int
-	idle     chan struct{} // closed when draining and active is zero
 	listener net.Listener
+	serving  bool                     // Serve has not returned
+	active   int                      // exchanges that have not ended
+	conns    map[*callerConn]struct{} // open connections
+	changed  chan struct{}            // closed and replaced by signal
 }
 
 // New returns a server that runs handler for every request.
@@ -96,47 +124,57 @@
 		log:     options.Log,
 		ids:     newIDSource(),
 		watch:   newWatcher(options.WatchEvery),
-		idle:    make(chan struct{}),
+		conns:   make(map[*callerConn]struct{}),
+		changed: make(chan struct{}),
 	}
 	s.ctx, s.cancel = context.WithCancelCause(context.Background())
-	s.http = &fasthttp.Server{
+	s.http = s.newHTTPServer()
+	return s
+}
+
+func (s *Server) newHTTPServer() *fasthttp.Server {
+	return &fasthttp.Server{
 		Handler:                      s.serve,
 		ErrorHandler:                 s.refuseUnread,
 		ConnState:                    s.connState,
 		Name:                         "walnutcove",
 		NoDefaultContentType:         true,
 		DisablePreParseMultipartForm: true,
-		CloseOnShutdown:              true,
-		MaxRequestBodySize:           options.MaxBodyBytes,
-		ReadBufferSize:               options.MaxHeaderBytes,
-		ReadTimeout:                  options.ReadTimeout,
-		IdleTimeout:                  options.IdleTimeout,
-		// Releases buffers while a request waits, and sends each answer at
-		// once even if the next request has already arrived.
+		MaxRequestBodySize:           s.options.MaxBodyBytes,
+		ReadBufferSize:               s.options.MaxHeaderBytes,
+		ReadTimeout:                  s.options.ReadTimeout,
+		IdleTimeout:                  s.options.IdleTimeout,
+		// Gives the buffers back while a request waits, and sends each answer
+		// at once even if the next request has already arrived.
 		ReduceMemoryUsage: true,
-		Logger:            httpLogger{options.Log},
+		Logger:            httpLogger{s.log},
 	}
-	return s
 }
 
-// httpLogger passes what fasthttp says on to slog.
+// httpLogger passes what the HTTP library says on to slog.
 type httpLogger struct{ log *slog.Logger }
 
 // Printf implements fasthttp.Logger.
 func (l httpLogger) Printf(format string, args ...any) {
-	l.log.Debug("front: HTTP library.", "message", sprintf(format, args...))
+	l.log.Debug("front: HTTP library message.", "message", fmt.Sprintf(format, args...))
 }
 
-// Serve accepts callers from listener until Shutdown or Close. It then
-// returns nil.
+// Serve accepts callers from listener until Shutdown or Close, and then
+// returns nil. It may be called once.
 func (s *Server) Serve(listener net.Listener) error {
-	s.mu.Lock()
-	s.listener = listener
-	draining := s.draining
-	s.mu.Unlock()
-	if draining {
+	s.setServing(true, listener)
+	defer s.setServing(false, nil)
+	if s.draining.Load() {
 		return listener.Close()
 	}
 	go s.watch.run()
-	return s.http.Serve(callerListener{Listener: listener, writeTimeout: s.options.WriteTimeout})
+	return s.http.Serve(callerListener{Listener: listener, server: s})
+}
+
+func (s *Server) setServing(serving bool, listener net.Listener) {
+	s.mu.Lock()
+	s.serving = serving
+	s.listener = listener
+	s.signal()
+	s.mu.Unlock()
 }
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -5,32 +5,91 @@
 	"errors"
 )
 
-// errForced is the cause given to exchanges that a forced stop cuts.
-var errForced = errors.New("front: the router was stopped by force")
+// errForced is the cause given to exchanges that a forced stop ends.
+var errForced = errors.New("front: stopped by force")
 
 // Shutdown stops accepting, answers what comes in on open connections with
-// "Connection: close", and waits until every exchange has ended. It cuts no
-// request. If ctx ends first, Shutdown returns its error and the exchanges go
-// on; Close then ends them.
+// "Connection: close", and waits until every exchange has ended and every
+// connection is closed. It cuts no request: a connection is closed only after
+// it was idle for Options.IdleGrace. If ctx ends first, Shutdown returns the
+// context's error and the exchanges go on; Close then ends them.
 func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.stopAccepting(); err != nil {
+		return err
+	}
+	if err := s.waitUntil(ctx, s.allClosed); err != nil {
+		return err
+	}
+	s.watch.close()
+	return nil
+}
+
+// Close stops by force: it ends the context of every exchange and, after
+// Options.ForceGrace, closes the connections that are still open. Callers see
+// a numbered refusal or a broken answer, never a clean end of half an answer.
+func (s *Server) Close() error {
+	err := s.stopAccepting()
+	s.cancel(errForced)
+	ctx, cancel := context.WithTimeout(context.Background(), s.options.ForceGrace)
+	defer cancel()
+	// What has not ended by then is cut, which is what Close is for.
+	_ = s.waitUntil(ctx, s.allEnded)
+	for _, conn := range s.connections() {
+		conn.Close()
+	}
+	s.watch.close()
+	return err
+}
+
+// stopAccepting closes the listener and bounds the wait of idle connections.
+// Later calls do nothing.
+func (s *Server) stopAccepting() error {
+	if s.draining.Swap(true) {
+		return nil
+	}
+	for _, conn := range s.connections() {
+		conn.endIdle()
+	}
 	s.mu.Lock()
-	s.draining = true
-	s.closeIfIdle()
 	listener := s.listener
 	s.mu.Unlock()
 	if listener == nil {
 		return nil
 	}
-	if err := s.http.ShutdownWithContext(ctx); err != nil {
-		return err
+	return listener.Close()
+}
+
+// waitUntil waits until done says so. It is asked again after every change
+// and needs s.mu.
+func (s *Server) waitUntil(ctx context.Context, done func() bool) error {
+	for {
+		s.mu.Lock()
+		finished := done()
+		changed := s.changed
+		s.mu.Unlock()
+		if finished {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
-	select {
-	case <-s.idle:
-	case <-ctx.Done():
-		return ctx.Err()
+}
+
+// allClosed needs s.mu.
+func (s *Server) allClosed() bool { return !s.serving && len(s.conns) == 0 }
+
+// allEnded needs s.mu.
+func (s *Server) allEnded() bool { return s.active == 0 }
+
+// signal wakes what waits in waitUntil. It needs s.mu.
+func (s *Server) signal() {
+	if s.draining.Load() {
+		close(s.changed)
+		s.changed = make(chan struct{})
 	}
-	s.watch.close()
-	return nil
 }
 
 // Active returns the number of exchanges that have not ended.
@@ -40,19 +99,38 @@
 	return s.active
 }
 
-// Close stops by force: it ends the context of every exchange with an error
-// and closes the connections whose exchanges then still go on. Callers see a
-// refusal or a broken answer, never a clean end.
-func (s *Server) Close() error {
-	s.cancel(errForced)
-	s.watch.close()
+func (s *Server) connections() []*callerConn {
 	s.mu.Lock()
-	s.draining = true
-	s.closeIfIdle()
-	listener := s.listener
-	s.mu.Unlock()
-	if listener == nil {
-		return nil
+	defer s.mu.Unlock()
+	conns := make([]*callerConn, 0, len(s.conns))
+	for conn := range s.conns {
+		conns = append(conns, conn)
 	}
-	return listener.Close()
+	return conns
+}
+
+func (s *Server) opened(conn *callerConn) {
+	s.mu.Lock()
+	s.conns[conn] = struct{}{}
+	s.mu.Unlock()
+}
+
+func (s *Server) closed(conn *callerConn) {
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.signal()
+	s.mu.Unlock()
+}
+
+func (s *Server) began() {
+	s.mu.Lock()
+	s.active++
+	s.mu.Unlock()
+}
+
+func (s *Server) ended() {
+	s.mu.Lock()
+	s.active--
+	s.signal()
+	s.mu.Unlock()
 }
--- a/front/watcher.go
+++ b/front/watcher.go
@@ -75,7 +75,8 @@
 
 // peerClosed says whether the other end closed or reset the connection. Bytes
 // that wait to be read, such as the next pipelined request, are left alone and
-// do not hide the end behind them.
+// do not hide the end behind them. A connection that this process has closed
+// counts as open: its exchange ends by itself.
 func peerClosed(raw syscall.RawConn) bool {
 	if raw == nil {
 		return false
@@ -86,5 +87,5 @@
 		n, err := unix.Poll(fds[:], 0)
 		gone = err == nil && n > 0 && fds[0].Revents != 0
 	})
-	return gone || err != nil
+	return gone && err == nil
 }
