--- a/peer/hello.go
+++ b/peer/hello.go
@@ -2,10 +2,12 @@
 
 import (
 	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/url"
 	"slices"
 
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -70,25 +72,31 @@
 }
 
 // checkIdentity compares a node's name with the verified certificate of a TLS
-// connection: its common name, a DNS name or a URI. Plain connections pass.
+// connection. Plain connections pass.
 func checkIdentity(conn net.Conn, node control.NodeID) error {
 	secure, ok := conn.(*tls.Conn)
 	if !ok {
 		return nil
 	}
 	certificates := secure.ConnectionState().PeerCertificates
-	if len(certificates) == 0 {
+	if len(certificates) == 0 || !names(certificates[0], node) {
 		return errIdentity
 	}
-	leaf := certificates[0]
-	names := append([]string{leaf.Subject.CommonName}, leaf.DNSNames...)
-	for _, uri := range leaf.URIs {
-		names = append(names, uri.String())
+	return nil
+}
+
+// names reports whether a certificate is for a node: its common name, a DNS
+// name or a URI is the node's name.
+func names(certificate *x509.Certificate, node control.NodeID) bool {
+	if certificate.Subject.CommonName == string(node) {
+		return true
 	}
-	if !slices.Contains(names, string(node)) {
-		return errIdentity
+	if slices.Contains(certificate.DNSNames, string(node)) {
+		return true
 	}
-	return nil
+	return slices.ContainsFunc(certificate.URIs, func(uri *url.URL) bool {
+		return uri.String() == string(node)
+	})
 }
 
 // refusals pairs the reasons of this side with those on the wire.
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -159,3 +159,8 @@
 		t.Fatalf("call to an unknown node: %v", err)
 	}
 }
+
+// count reads a counter.
+func (n node) count(name string) int {
+	return int(n.options.Metrics.GetOrCreateCounter(name).Get())
+}
--- a/peer/options.go
+++ b/peer/options.go
@@ -72,17 +72,19 @@
 	defaultMaxSessions    = 1024
 )
 
-// ErrNotLoopback says that a plain session was asked for outside loopback.
-var ErrNotLoopback = errors.New("plain sessions need a loopback address")
+var (
+	// ErrNotLoopback says that a plain session was asked for outside loopback.
+	ErrNotLoopback = errors.New("plain sessions need a loopback address")
+	// ErrWeakTLS says that a TLS configuration does not verify both sides.
+	ErrWeakTLS = errors.New("TLS must be version 1.3 and verify both sides")
+)
 
 func (o *Options) complete() error {
 	if o.Node == "" || o.Incarnation == 0 {
 		return errors.New("peer: node and incarnation are required")
 	}
-	if o.TLS == nil {
-		if err := checkLoopback(o.ListenAddress); err != nil {
-			return fmt.Errorf("peer: listen address %q: %w", o.ListenAddress, err)
-		}
+	if err := o.checkSecurity(); err != nil {
+		return fmt.Errorf("peer: %w", err)
 	}
 	if o.Logger == nil {
 		o.Logger = slog.Default()
@@ -105,6 +107,26 @@
 	return nil
 }
 
+// checkSecurity refuses plain sessions outside loopback, and a TLS
+// configuration that would let in a node without a certificate.
+func (o *Options) checkSecurity() error {
+	if o.TLS == nil {
+		if err := checkLoopback(o.ListenAddress); err != nil {
+			return fmt.Errorf("listen address %q: %w", o.ListenAddress, err)
+		}
+		return nil
+	}
+	if o.TLS.ClientAuth != tls.RequireAndVerifyClientCert || o.TLS.VerifyConnection == nil ||
+		o.TLS.MinVersion < tls.VersionTLS13 || len(o.TLS.Certificates) == 0 {
+		return ErrWeakTLS
+	}
+	leaf := o.TLS.Certificates[0].Leaf
+	if leaf == nil || !names(leaf, o.Node) {
+		return fmt.Errorf("certificate of node %q: %w", o.Node, errIdentity)
+	}
+	return nil
+}
+
 func orDefault[T int | time.Duration](value, fallback T) T {
 	if value == 0 {
 		return fallback
