--- /dev/null
+++ b/ctl/cli/table.go
@@ -0,0 +1,105 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/walnutcove/walnutcove/operator"
+)
+
+// table writes aligned columns. Empty cells are written as "-" so that the
+// columns can be cut by scripts.
+type table struct{ w *tabwriter.Writer }
+
+func newTable(w io.Writer, heads ...string) table {
+	t := table{w: tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)}
+	t.row(heads...)
+	return t
+}
+
+func (t table) row(cells ...string) {
+	for i, cell := range cells {
+		if cell == "" {
+			cells[i] = "-"
+		}
+	}
+	fmt.Fprintln(t.w, strings.Join(cells, "\t"))
+}
+
+func (a *app) printHistory(entries []operator.HistoryEntry) error {
+	t := newTable(a.Out, "VERSION", "ACCEPTED", "PATCH", "OBJECTS", "AUTHOR", "NOTE")
+	for _, e := range entries {
+		note := strings.Join(strings.Fields(e.Note), " ")
+		t.row(number(e.Version), e.AcceptedAt.UTC().Format(time.RFC3339), e.PatchID, strconv.Itoa(e.Objects), e.Author, note)
+	}
+	return t.w.Flush()
+}
+
+func (a *app) printStatus(s operator.Status) error {
+	a.printf("newest version=%d\n\nROUTERS\n", s.Newest)
+	if err := printRouters(a.Out, s.Routers); err != nil {
+		return err
+	}
+	a.printf("\nSHARDS\n")
+	if err := printShards(a.Out, s.Shards); err != nil {
+		return err
+	}
+	a.printf("\nTARGETS\n")
+	if err := printTargets(a.Out, s.Targets); err != nil {
+		return err
+	}
+	a.printf("\nBACKLOG\n")
+	return printBacklog(a.Out, s.Backlog)
+}
+
+func printRouters(w io.Writer, rows []operator.RouterStatus) error {
+	t := newTable(w, "NODE", "DATA-CENTRE", "STATE", "VERSION", "WAITING", "RUNNING", "LEAVING", "ERROR")
+	for _, r := range rows {
+		t.row(r.Node, r.DataCentre, string(r.State), number(r.Version), number(r.Waiting), number(r.Running), yes(r.Leaving), r.Error)
+	}
+	return t.w.Flush()
+}
+
+func printShards(w io.Writer, rows []operator.ShardStatus) error {
+	t := newTable(w, "POOL", "DATA-CENTRE", "SCHEDULER", "WAITING", "RUNNING", "SLOTS")
+	for _, r := range rows {
+		t.row(r.Pool, r.DataCentre, r.Scheduler, number(r.Waiting), number(r.Running), number(r.Slots))
+	}
+	return t.w.Flush()
+}
+
+func printTargets(w io.Writer, rows []operator.TargetStatus) error {
+	t := newTable(w, "TARGET", "POOL", "DATA-CENTRE", "HEALTH", "RUNNING", "SLOTS", "LOAD-AGE", "SCHEDULER")
+	for _, r := range rows {
+		t.row(r.Name, r.Pool, r.DataCentre, string(r.Health), number(r.Running), number(r.Slots), age(r.LoadAgeMillis), r.Scheduler)
+	}
+	return t.w.Flush()
+}
+
+func printBacklog(w io.Writer, rows []operator.WorkspaceBacklog) error {
+	t := newTable(w, "WORKSPACE", "WAITING", "BYTES", "RUNNING")
+	for _, r := range rows {
+		t.row(r.Workspace, number(r.Waiting), number(r.WaitingBytes), number(r.Running))
+	}
+	return t.w.Flush()
+}
+
+func number[T ~int | ~int64 | ~uint64](n T) string { return fmt.Sprint(n) }
+
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return ""
+}
+
+func age(millis int64) string {
+	if millis < 0 {
+		return ""
+	}
+	return (time.Duration(millis) * time.Millisecond).String()
+}
--- a/operator/backend.go
+++ b/operator/backend.go
@@ -57,9 +57,11 @@
 
 	// Status returns the status of one router: this one if the request's
 	// Node is empty, otherwise it asks that router over its peer session.
+	// Errors: 1009, 1010.
 	Status(ctx context.Context, request StatusRequest) (Status, error)
 
 	// Drain starts the graceful shutdown of a router: this one if node is
-	// empty. It returns when the drain has started. Draining twice is no error.
+	// empty. It returns when the drain has started. Draining twice is no
+	// error. Errors: 1009, 1010.
 	Drain(ctx context.Context, node string) error
 }
--- a/result/codes.go
+++ b/result/codes.go
@@ -67,6 +67,8 @@
 	OperatorKeyWrong    Code = 1006
 	WaitTimeout         Code = 1007
 	CommitUnknown       Code = 1008
+	UnknownRouter       Code = 1009
+	RouterUnreachable   Code = 1010
 )
 
 // Info describes a code: a row of docs/RESULTS.md.
@@ -132,6 +134,8 @@
 	{OperatorKeyWrong, "operator_key_wrong", "operators", 401, RanNo, false, "The operator key is missing or wrong."},
 	{WaitTimeout, "wait_timeout", "operators", 504, RanYes, true, "The version was accepted but is not yet in force on every router."},
 	{CommitUnknown, "commit_unknown", "operators", 504, RanUnknown, true, "The outcome of the patch is unknown; send it again with the same patch id."},
+	{UnknownRouter, "unknown_router", "operators", 404, RanNo, false, "The platform's list holds no router of this name."},
+	{RouterUnreachable, "router_unreachable", "operators", 503, RanUnknown, true, "The router did not answer the one that was asked."},
 }
 
 var byCode = func() map[Code]Info {
