--- a/standin/engine/call.go
+++ b/standin/engine/call.go
@@ -119,3 +119,17 @@
 func token(mark string, i int) string {
 	return fmt.Sprintf("%s.%d ", mark, i)
 }
+
+// ExpectedStream returns the whole body of the streamed answer to the call, for
+// checkers.
+func (c Call) ExpectedStream(requestID string) []byte {
+	var body []byte
+	mark := host.Mark(c.Prompt)
+	for i := range c.MaxTokens {
+		body = append(body, c.event(requestID, mark, i)...)
+	}
+	return append(body, doneEvent...)
+}
+
+// ExpectedWhole returns the body of the answer that is not streamed, for checkers.
+func (c Call) ExpectedWhole(requestID string) []byte { return c.whole(requestID) }
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -3,11 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
+	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/standin/journal"
 	"github.com/walnutcove/walnutcove/target"
 )
 
@@ -87,3 +93,191 @@
 		t.Fatalf("whole text is %q", got)
 	}
 }
+
+// running returns the most requests that ran at once, by the journal.
+func running(entries []journal.Entry) int {
+	now, most := 0, 0
+	ran := make(map[uint64]bool)
+	for _, e := range entries {
+		switch {
+		case e.Event == journal.Started:
+			ran[e.Run] = true
+			now++
+		case e.Event == journal.Ended && ran[e.Run]:
+			now--
+		}
+		most = max(most, now)
+	}
+	return most
+}
+
+func TestSlotsBoundWhatRunsAndTheRestWaits(t *testing.T) {
+	e, address := startEngine(t, Options{Slots: 3})
+	e.SetFaults(Faults{SlowFactor: 2})
+	client := newClient(t)
+	var group sync.WaitGroup
+	for i := range 12 {
+		req := call(fmt.Sprint("r", i), address, "p", 5+i, false)
+		group.Go(func() {
+			if resp, err := client.Do(context.Background(), req); err != nil {
+				t.Error(err)
+			} else {
+				resp.Body.Close()
+			}
+		})
+	}
+	group.Wait()
+	entries := e.Journal().Entries()
+	if most := running(entries); most != 3 {
+		t.Errorf("%d ran at once, want 3", most)
+	}
+	for i, entry := range entries {
+		if entry.Seq != uint64(i+1) || (i > 0 && entry.Mono < entries[i-1].Mono) {
+			t.Fatalf("entry %d is %+v", i, entry)
+		}
+	}
+	if len(entries) != 3*12 { // received, started and ended
+		t.Errorf("%d entries", len(entries))
+	}
+}
+
+func TestFullQueueRefusesBeforeRunning(t *testing.T) {
+	e, address := startEngine(t, Options{Slots: 1, MaxQueued: 1})
+	e.SetFaults(Faults{Hang: true})
+	client := newClient(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for _, id := range []string{"runs", "waits"} {
+		group.Go(func() { _, _ = client.Do(ctx, call(id, address, "p", 1, true)) })
+	}
+	for len(e.Journal().Find("runs", journal.Received))+len(e.Journal().Find("waits", journal.Received)) < 2 || e.Load().Running < 1 {
+		<-e.Journal().Changed()
+	}
+	_, err := client.Do(ctx, call("refused", address, "p", 1, true))
+	var refusal *result.Error
+	if !errors.As(err, &refusal) || refusal.Code != result.TargetRefused || refusal.RetryAfter <= 0 {
+		t.Errorf("error is %v", err)
+	}
+	if load := e.Load(); load.Running != 1 || load.Queued != 1 || load.Slots != 1 {
+		t.Errorf("load is %+v", load)
+	}
+	cancel()
+	group.Wait()
+}
+
+func TestCachedPrefixShortensPrefillUntilItIsPushedOut(t *testing.T) {
+	e := New(Options{PrefixEntries: 2, PrefillTokensPerStep: 1})
+	prompt := func(first string) Call {
+		return Call{Prompt: strings.Repeat("x", 1600), PrefixHash: target.PrefixHash([]byte(first))}
+	}
+	steps := []int{}
+	for _, first := range []string{"a", "a", "b", "c", "a"} {
+		steps = append(steps, e.prefillSteps(prompt(first)))
+	}
+	if want := []int{400, 50, 400, 400, 400}; !slices.Equal(steps, want) {
+		t.Errorf("prefill steps %v, want %v", steps, want)
+	}
+	if got := e.Load().CachedPrefixes; len(got) != 2 {
+		t.Errorf("cached prefixes %v", got)
+	}
+	e.options.PrefixGap = 1
+	if got := e.Load().CachedPrefixes; len(got) != 0 {
+		t.Errorf("reported in spite of the gap: %v", got)
+	}
+	e.Crash()
+	if got := e.prefixes.hashes(); len(got) != 0 {
+		t.Errorf("prefixes outlived the crash: %v", got)
+	}
+}
+
+func TestLoadReportLagsAndLies(t *testing.T) {
+	e, address := startEngine(t, Options{LoadLag: time.Hour})
+	client := newClient(t)
+	load := func() target.Load {
+		t.Helper()
+		got, err := client.Load(context.Background(), address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return got
+	}
+	for load().Slots == 0 { // the first report is on its way
+		time.Sleep(time.Millisecond)
+	}
+	e.SetFaults(Faults{Hang: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _, _ = client.Do(ctx, call("r", address, "p", 1, true)) }()
+	for len(e.Journal().Find("r", journal.Started)) == 0 {
+		<-e.Journal().Changed()
+	}
+	if got := load(); got.Running != 0 || got.Age <= 0 {
+		t.Errorf("lagging load is %+v", got)
+	}
+	e.SetFaults(Faults{LieLoad: &target.Load{Running: 77}, Leaving: true})
+	if got := load(); got.Running != 77 || !got.Leaving {
+		t.Errorf("lying load is %+v", got)
+	}
+}
+
+func TestOrdersAreFencedOnlyByEnginesThatCheck(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		e, address := startEngine(t, Options{ChecksFencing: checks})
+		client := newClient(t)
+		send := func(fence uint64, model string) int {
+			t.Helper()
+			resp, err := client.Do(context.Background(), target.Request{
+				Address: address, Method: "POST", Path: PathOrder, Fence: fence,
+				Body: []byte(`{"load_model":"` + model + `","role":"decode"}`),
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			return resp.Status
+		}
+		statuses := []int{send(5, "new"), send(4, "old"), send(5, "again")}
+		want, models := []int{200, 409, 200}, []string{"new", "again"}
+		if !checks {
+			want, models = []int{200, 200, 200}, []string{"new", "old", "again"}
+		}
+		state := e.Orders()
+		if !slices.Equal(statuses, want) || !slices.Equal(state.Models, models) || state.Role != "decode" || state.Fence != 5 {
+			t.Errorf("checks %v: statuses %v, state %+v", checks, statuses, state)
+		}
+	}
+}
+
+// TestResumeNeedsTheSameRun asks to resume what cannot be resumed.
+func TestResumeNeedsTheSameRun(t *testing.T) {
+	e, address := startEngine(t, Options{Resumes: true})
+	client := newClient(t)
+	e.SetFaults(Faults{BreakAfterTokens: 2})
+	req := call("r", address, "p", 1000, true)
+	resp, err := client.Do(context.Background(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.ReadAll(resp.Body)
+	e.SetFaults(Faults{})
+	status := func(id, prompt string) int {
+		t.Helper()
+		req := call(id, address, prompt, 1000, true)
+		req.Offset = 10
+		resp, err := client.Do(context.Background(), req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.Status
+	}
+	if got := []int{status("other", "p"), status("r", "another prompt"), status("r", "p")}; !slices.Equal(got, []int{410, 410, 200}) {
+		t.Errorf("statuses %v", got)
+	}
+	e.CrashNow()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.resumable) != 0 {
+		t.Error("a crash left runs to resume")
+	}
+}
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -99,7 +99,7 @@
 	body := reader.run.call.whole(reader.run.entry.RequestID)
 	ctx.SetContentType("application/json")
 	if limit := reader.faults.BreakAfterTokens; limit > 0 {
-		ctx.SetBodyStream(host.BrokenBody(body, len(body)/2), len(body))
+		ctx.SetBodyStream(host.BrokenBody(body, len(body)/2), -1)
 		return
 	}
 	ctx.SetBody(body)
--- a/standin/internal/host/broken.go
+++ b/standin/internal/host/broken.go
@@ -9,7 +9,8 @@
 var ErrBroken = errors.New("standin: answer broken by a fault")
 
 // BrokenBody returns a reader that gives the first n bytes of a body and then
-// fails, so that the connection is cut.
+// fails, so that the connection is cut. It is to be sent in chunks, because
+// only these are flushed before the failure.
 func BrokenBody(body []byte, n int) io.Reader {
 	return &brokenBody{left: body[:min(n, len(body))]}
 }
--- a/standin/internal/host/host.go
+++ b/standin/internal/host/host.go
@@ -128,12 +128,19 @@
 	h.mu.Unlock()
 	close(h.stop)
 	if ln != nil {
-		ln.cut()
+		h.drop(ln)
 	}
-	h.behaviour.Crash()
 	h.serving.Wait()
 }
 
+// drop ends every run before the connections are reset, so that no run is
+// taken for one that its caller cancelled.
+func (h *Host) drop(ln *trackingListener) {
+	ln.refuse()
+	h.behaviour.Crash()
+	ln.cut()
+}
+
 // Crash cuts every connection, drops every run and refuses connections for the
 // downtime, then listens on the same address again.
 func (h *Host) Crash(downtime time.Duration) {
@@ -146,8 +153,7 @@
 	h.listener = nil
 	h.serving.Add(1)
 	h.mu.Unlock()
-	ln.cut()
-	h.behaviour.Crash()
+	h.drop(ln)
 	go func() {
 		defer h.serving.Done()
 		h.reopen(downtime)
@@ -176,7 +182,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.closed {
-		ln.cut()
+		ln.refuse()
 		return
 	}
 	h.serve(ln)
@@ -223,6 +229,10 @@
 }
 
 func (h *Host) handle(ctx *fasthttp.RequestCtx) {
+	if c, ok := ctx.Conn().(*trackedConn); ok && c.listener.isClosed() {
+		c.reset()
+		return
+	}
 	switch string(ctx.Path()) {
 	case PathLoad:
 		h.serveLoad(ctx)
--- a/standin/internal/host/listener.go
+++ b/standin/internal/host/listener.go
@@ -43,11 +43,24 @@
 	return tracked, nil
 }
 
-// cut closes the listener and resets every connection.
-func (l *trackingListener) cut() {
+// refuse closes the listener. Open connections stay, but no request on them is
+// taken any more.
+func (l *trackingListener) refuse() {
 	l.TCPListener.Close()
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.closed = true
+}
+
+func (l *trackingListener) isClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
+
+// cut resets every connection.
+func (l *trackingListener) cut() {
+	l.mu.Lock()
 	conns := make([]*trackedConn, 0, len(l.open))
 	for c := range l.open {
 		conns = append(conns, c)
--- a/standin/journal/journal.go
+++ b/standin/journal/journal.go
@@ -92,9 +92,9 @@
 
 // Add stamps an entry and appends it.
 func (j *Journal) Add(e Entry) {
-	now := time.Now()
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	now := time.Now() // under the lock, so that stamps rise with Seq
 	j.seq++
 	e.Seq = j.seq
 	e.Mono = now.Sub(j.began)
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -227,7 +227,7 @@
 	}
 	ctx.SetContentType("application/json")
 	if limit := c.faults.BreakAfterTokens; limit > 0 {
-		ctx.SetBodyStream(host.BrokenBody(body, limit), len(body))
+		ctx.SetBodyStream(host.BrokenBody(body, limit), -1)
 		return
 	}
 	ctx.SetBody(body)
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"io"
 	"testing"
 
+	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/standin/journal"
 	"github.com/walnutcove/walnutcove/target"
 )
 
@@ -40,3 +44,102 @@
 		t.Fatalf("load %+v, error %v", load, err)
 	}
 }
+
+func deploy(address, id, key, body string) target.Request {
+	return target.Request{
+		ID: id, Address: address, Method: "POST", Path: "/deploy", Body: []byte(body),
+		Header: map[string]string{target.HeaderIdempotencyKey: key},
+	}
+}
+
+// TestCrashDropsTheCallsButNotTheCounts crashes on one call while others run
+// and wait.
+func TestCrashDropsTheCallsButNotTheCounts(t *testing.T) {
+	s := New(Options{Slots: 2})
+	address, err := s.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	client := target.NewHTTPClient(target.Options{})
+	defer client.Close()
+	s.SetFaults(Faults{Hang: true})
+	errs := make(chan error, 3)
+	send := func(id string) {
+		go func() {
+			_, err := client.Do(context.Background(), deploy(address, id, id, "body"))
+			errs <- err
+		}()
+		for len(s.Journal().Find(id, journal.Received)) == 0 {
+			<-s.Journal().Changed()
+		}
+	}
+	send("runs1")
+	send("runs2")
+	send("waits")
+	for s.Load().Queued < 1 {
+		<-s.Journal().Changed()
+	}
+	s.SetFaults(Faults{DowntimeMillis: 1})
+	s.CrashNow()
+	for range 3 {
+		var typed *result.Error
+		if err := <-errs; !errors.As(err, &typed) || typed.Ran != result.RanUnknown {
+			t.Errorf("error is %v", err)
+		}
+	}
+	want := map[string]journal.Outcome{"runs1": journal.Crashed, "runs2": journal.Crashed, "waits": journal.NotRun}
+	for id, outcome := range want {
+		if ends := s.Journal().Find(id, journal.Ended); len(ends) != 1 || ends[0].Outcome != outcome {
+			t.Errorf("%s ended %+v", id, ends)
+		}
+	}
+	if counts := s.Counts(); counts["runs1"] != 1 || counts["runs2"] != 1 || counts["waits"] != 0 {
+		t.Errorf("counts %v", counts)
+	}
+	if starts := s.Journal().StartsByKey(); len(starts) != 2 {
+		t.Errorf("starts %v", starts)
+	}
+}
+
+func TestRefusedAndBrokenCalls(t *testing.T) {
+	s := New(Options{})
+	address, err := s.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	client := target.NewHTTPClient(target.Options{})
+	defer client.Close()
+	post := func(path, body string) {
+		t.Helper()
+		resp, err := client.Do(context.Background(), target.Request{Address: address, Method: "POST", Path: path, Body: []byte(body)})
+		if err != nil || resp.Status != 200 {
+			t.Fatalf("answer %+v, error %v", resp, err)
+		}
+		resp.Body.Close()
+	}
+	post("/_fault", `{"refuse":true,"times":1}`)
+	var typed *result.Error
+	if _, err := client.Do(context.Background(), deploy(address, "refused", "k", "b")); !errors.As(err, &typed) || typed.Ran != result.RanNo {
+		t.Errorf("error is %v", err)
+	}
+	if len(s.Journal().Find("refused", journal.Started)) != 0 || s.Counts()["k"] != 0 {
+		t.Error("the refused call ran")
+	}
+	post("/_fault", `{"break_after_tokens":4,"times":1}`)
+	resp, err := client.Do(context.Background(), deploy(address, "broken", "k", "b"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); len(body) != 4 || err == nil {
+		t.Errorf("body %q, error %v", body, err)
+	}
+	resp, err = client.Do(context.Background(), deploy(address, "whole", "k", "b"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(resp.Body); err != nil || s.Counts()["k"] != 2 {
+		t.Errorf("error %v, counts %v", err, s.Counts())
+	}
+}
--- /dev/null
+++ b/target/loadpoll/loadpoll_test.go
@@ -0,0 +1,142 @@
+package loadpoll
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/walnutcove/walnutcove/target"
+)
+
+// fakeLoader counts polls by address and holds those of "hung".
+type fakeLoader struct {
+	mu    sync.Mutex
+	polls map[string]int
+	now   map[string]int
+	most  map[string]int
+}
+
+func newFakeLoader() *fakeLoader {
+	return &fakeLoader{polls: map[string]int{}, now: map[string]int{}, most: map[string]int{}}
+}
+
+func (f *fakeLoader) Load(ctx context.Context, address string) (target.Load, error) {
+	f.mu.Lock()
+	f.polls[address]++
+	f.now[address]++
+	f.most[address] = max(f.most[address], f.now[address])
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		f.now[address]--
+		f.mu.Unlock()
+	}()
+	switch address {
+	case "hung":
+		<-ctx.Done()
+		return target.Load{}, ctx.Err()
+	case "failing":
+		return target.Load{}, errors.New("refused")
+	}
+	return target.Load{Slots: 3}, nil
+}
+
+func (f *fakeLoader) count(address string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.polls[address]
+}
+
+// results counts what the callback received by target name.
+type results struct {
+	mu     sync.Mutex
+	loads  map[string]int
+	errors map[string]int
+}
+
+func (r *results) add(name string, load target.Load, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.errors[name]++
+	} else if load.Slots == 3 {
+		r.loads[name]++
+	}
+}
+
+func (r *results) wait(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		r.mu.Lock()
+		ok := done()
+		r.mu.Unlock()
+		if ok {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("timed out waiting for %s: %+v %+v", what, r.loads, r.errors)
+		}
+	}
+}
+
+func newResults() *results {
+	return &results{loads: map[string]int{}, errors: map[string]int{}}
+}
+
+func TestPollsEachTargetOneAtATimeAndAHungOneDelaysOnlyItself(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	loader, got := newFakeLoader(), newResults()
+	p := New(Options{Client: loader, OnResult: got.add, Every: time.Millisecond, Timeout: time.Hour})
+	p.SetTargets(map[string]string{"a": "a", "b": "b", "f": "failing", "h": "hung"})
+	got.wait(t, "repeated results", func() bool {
+		return got.loads["a"] >= 20 && got.loads["b"] >= 20 && got.errors["f"] >= 20
+	})
+	for range 5 { // a doubled entry would be polled twice at once
+		p.SetTargets(map[string]string{"a": "a", "h": "hung"})
+	}
+	got.wait(t, "more results", func() bool { return got.loads["a"] >= 60 })
+	if n := loader.count("hung"); n != 1 {
+		t.Errorf("the hung target was polled %d times", n)
+	}
+	p.Close()
+	for address, most := range loader.most {
+		if most != 1 {
+			t.Errorf("%s had %d polls outstanding", address, most)
+		}
+	}
+	if got.errors["h"] != 0 {
+		t.Error("a cancelled poll was reported")
+	}
+}
+
+func TestSetTargetsReplacesAddressesAndDropsTheGone(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	loader, got := newFakeLoader(), newResults()
+	p := New(Options{Client: loader, OnResult: got.add, Every: time.Millisecond, Timeout: time.Hour})
+	defer p.Close()
+	p.SetTargets(map[string]string{"x": "hung", "y": "b"})
+	got.wait(t, "the first polls", func() bool { return got.loads["y"] > 0 && loader.count("hung") == 1 })
+	p.SetTargets(map[string]string{"x": "a"})
+	got.wait(t, "the new address", func() bool { return got.loads["x"] >= 5 })
+	polled := loader.count("b")
+	got.wait(t, "more results", func() bool { return got.loads["x"] >= 30 })
+	if late := loader.count("b"); late > polled {
+		t.Errorf("the target that is gone was polled %d times more", late-polled)
+	}
+	if got.errors["x"] != 0 {
+		t.Error("the result of the old address was reported")
+	}
+}
+
+func TestTimeoutIsReported(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	got := newResults()
+	p := New(Options{Client: newFakeLoader(), OnResult: got.add, Every: time.Millisecond, Timeout: 5 * time.Millisecond})
+	defer p.Close()
+	p.SetTargets(map[string]string{"h": "hung"})
+	got.wait(t, "timeouts", func() bool { return got.errors["h"] >= 2 })
+}
--- /dev/null
+++ b/target/script_test.go
@@ -0,0 +1,73 @@
+package target_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/target"
+)
+
+// scriptServer accepts connections and lets serve handle each.
+func scriptServer(t testing.TB, serve func(net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// answerOnce reads one request whole, writes raw and closes the connection.
+func answerOnce(raw string) func(net.Conn) {
+	return func(c net.Conn) {
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, raw)
+	}
+}
+
+func newClient(t testing.TB, options target.Options) *target.HTTPClient {
+	t.Helper()
+	client := target.NewHTTPClient(options)
+	t.Cleanup(func() { client.Close() })
+	return client
+}
+
+// count returns the value of one failure counter.
+func count(set *metrics.Set, reason string) uint64 {
+	return set.GetOrCreateCounter(`walnut_target_failures_total{reason="` + reason + `"}`).Get()
+}
+
+// eventually waits until the condition holds.
+func eventually(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("timed out waiting for %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
