--- a/config/apply.go
+++ b/config/apply.go
@@ -41,7 +41,7 @@
 	next.Version = s.Version + 1
 	next.PatchID = patch.ID
 	next.link = link{previous: s.Digest, patch: patch.hash()}
-	next.Digest = chain(next.Version, next.link, next.content)
+	next.Digest = next.chain(next.content)
 	return next, nil
 }
 
@@ -55,9 +55,9 @@
 		Pools:      mergeSection(poolSection, old.Pools, touched.Pools, problems),
 		Targets:    mergeSection(targetSection, old.Targets, touched.Targets, problems),
 	}
-	if len(problems.list) == 0 {
-		validateTouched(merged, touched, s.Index(), problems)
-	}
+	invalid := &problemList{}
+	validateTouched(merged, touched, s.Index(), invalid)
+	problems.addAll(invalid)
 	if err := problems.err(); err != nil {
 		return nil, err
 	}
@@ -75,8 +75,10 @@
 	if len(changes) == 0 && old != nil {
 		return old
 	}
-	next := make(map[string]T, len(old)+len(changes))
-	maps.Copy(next, old)
+	next := maps.Clone(old)
+	if next == nil {
+		next = make(map[string]T, len(changes))
+	}
 	for name, change := range changes {
 		if isNull(change) {
 			delete(next, name)
--- a/config/decode.go
+++ b/config/decode.go
@@ -8,6 +8,7 @@
 	"io"
 	"reflect"
 	"strings"
+	"unicode/utf8"
 )
 
 // The sections of the document.
@@ -135,6 +136,21 @@
 	}
 }
 
+// DecodePatch reads a patch from JSON strictly and returns it normalised.
+// Errors are *PatchError.
+func DecodePatch(data []byte) (Patch, error) {
+	var patch Patch
+	if err := checkDuplicateKeys(data); err != nil {
+		return Patch{}, &PatchError{Path: "document", Reason: err.Error()}
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&patch); err != nil {
+		return Patch{}, &PatchError{Path: "document", Reason: err.Error()}
+	}
+	return patch.Normalise()
+}
+
 // DecodeDeclarations reads a whole JSON document strictly, fills defaults and
 // validates it. The error is a *PatchError when it is not JSON of the right
 // shape and a *ValidationError otherwise.
@@ -142,16 +158,19 @@
 	if err := checkDuplicateKeys(data); err != nil {
 		return Declarations{}, &PatchError{Path: "declarations", Reason: err.Error()}
 	}
+	return decodeDocument(data)
+}
+
+// decodeDocument is DecodeDeclarations for data that this package encoded.
+func decodeDocument(data []byte) (Declarations, error) {
 	sections, err := decodeSections(data)
 	if err != nil {
 		return Declarations{}, &PatchError{Path: "declarations", Reason: err.Error()}
 	}
 	problems := &problemList{}
 	declarations := sections.decode(problems)
-	if err := problems.err(); err != nil {
-		return Declarations{}, err
-	}
-	return declarations, Validate(declarations)
+	problems.addAll(validateAll(declarations))
+	return declarations, problems.err()
 }
 
 // decodeSections splits a document or merge patch into its objects. A section
@@ -182,7 +201,7 @@
 // checkDuplicateKeys refuses data that is not one JSON value or that names a
 // key twice in one object: which of the two counts would be up to the reader.
 func checkDuplicateKeys(data []byte) error {
-	if !json.Valid(data) {
+	if !json.Valid(data) || !utf8.Valid(data) {
 		return errors.New("is not valid JSON")
 	}
 	decoder := json.NewDecoder(bytes.NewReader(data))
--- a/config/digest.go
+++ b/config/digest.go
@@ -38,12 +38,13 @@
 	patch    Digest
 }
 
-// chain computes a version's digest.
-func chain(version Version, l link, content contentSum) Digest {
+// chain computes the digest of s.
+func (s *Snapshot) chain(content contentSum) Digest {
 	hash := sha256.New()
-	hash.Write(l.previous[:])
-	hash.Write(l.patch[:])
-	hash.Write(binary.BigEndian.AppendUint64(nil, uint64(version)))
+	hash.Write(s.link.previous[:])
+	hash.Write(s.link.patch[:])
+	hash.Write([]byte(s.PatchID))
+	hash.Write(binary.BigEndian.AppendUint64(nil, uint64(s.Version)))
 	for _, word := range content {
 		hash.Write(binary.BigEndian.AppendUint64(nil, word))
 	}
--- a/config/errors.go
+++ b/config/errors.go
@@ -102,6 +102,21 @@
 	l.list = append(l.list, Problem{Object: object, Field: field, Reason: fmt.Sprintf(format, args...)})
 }
 
+// addAll adds the problems of other, but for those of a field or object that
+// has a problem already: a value that could not be read needs no second one.
+func (l *problemList) addAll(other *problemList) {
+	type place struct{ object, field string }
+	known := make(map[place]bool, len(l.list))
+	for _, p := range l.list {
+		known[place{p.Object, p.Field}] = true
+	}
+	for _, p := range other.list {
+		if !known[place{p.Object, p.Field}] && !known[place{p.Object, ""}] {
+			l.list = append(l.list, p)
+		}
+	}
+}
+
 // err returns a *ValidationError with the sorted problems, or nil.
 func (l *problemList) err() error {
 	if len(l.list) == 0 {
--- a/config/follower/follower.go
+++ b/config/follower/follower.go
@@ -83,7 +83,8 @@
 // offer is something that arrived and may be newer than the version in force.
 type offer struct {
 	origin   origin
-	node     string // with fromPeer
+	node     string         // with fromPeer
+	asked    config.Version // with fromPeer: the announced version that was asked for
 	entries  []config.Entry
 	snapshot *config.Snapshot
 	err      error
@@ -136,8 +137,8 @@
 	return 0
 }
 
-// Ready is closed once a version came from the store or a peer. An empty store
-// that answered counts: its version is zero.
+// Ready is closed once a version came from the store or a peer and OnChange has
+// returned for it. An empty store that answered counts: its version is zero.
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
 
 // VersionSeen tells the follower that a node announced a version. It never
@@ -154,7 +155,8 @@
 }
 
 // Accepted hands over an entry that this router's own operator interface had
-// accepted by the store, so that it comes into force here without a poll.
+// accepted by the store, so that it comes into force here without waiting for
+// the next poll. It blocks until the follower's goroutine has it or ctx ends.
 func (f *Follower) Accepted(ctx context.Context, entry config.Entry) {
 	f.deliver(ctx, offer{origin: fromOperator, entries: []config.Entry{entry}})
 }
@@ -176,9 +178,11 @@
 // in it was refused; what came before the refused part may be in force.
 func (f *Follower) apply(o offer) error {
 	current := f.Current()
-	if o.snapshot != nil && (current == nil || o.snapshot.Version > current.Version) {
-		f.swap(o.snapshot, nil)
-		current = o.snapshot
+	if o.snapshot != nil {
+		var err error
+		if current, err = f.applyWhole(current, o.snapshot); err != nil {
+			return err
+		}
 	}
 	if len(o.entries) == 0 {
 		return nil
@@ -193,6 +197,19 @@
 	return err
 }
 
+// applyWhole puts a whole snapshot in force if it is newer and returns the
+// version in force. The same version under another digest is refused.
+func (f *Follower) applyWhole(current, whole *config.Snapshot) (*config.Snapshot, error) {
+	if current == nil || whole.Version > current.Version {
+		f.swap(whole, nil)
+		return whole, nil
+	}
+	if whole.Version == current.Version && whole.Digest != current.Digest {
+		return current, &config.DigestError{Version: whole.Version, Stated: whole.Digest, Computed: current.Digest}
+	}
+	return current, nil
+}
+
 // applyEntries applies the entries that follow s and skips those it has. An
 // entry that s has under another digest is refused.
 func applyEntries(s *config.Snapshot, entries []config.Entry) (*config.Snapshot, []config.Entry, error) {
@@ -221,11 +238,11 @@
 func (f *Follower) swap(next *config.Snapshot, applied []config.Entry) {
 	previous := f.state.Load()
 	f.state.Store(previous.follow(next, applied, f.options.KeepEntries, f.options.KeepBytes))
+	f.options.Log.Info("config: Version in force.", "version", next.Version, "patch", next.PatchID)
+	f.options.OnChange(next)
 	if previous == nil {
 		close(f.ready)
 	}
-	f.options.Log.Info("config: Version in force.", "version", next.Version, "patch", next.PatchID)
-	f.options.OnChange(next)
 }
 
 // refuse counts and logs a refused offer.
@@ -237,13 +254,18 @@
 func refusalReason(err error) refusal {
 	var digest *config.DigestError
 	var sequence *config.SequenceError
+	var broken *config.PatchError
+	var invalid *config.ValidationError
+	var conflict *config.VersionConflictError
 	switch {
 	case errors.As(err, &digest):
 		return reasonDigest
 	case errors.As(err, &sequence):
 		return reasonSequence
-	default:
+	case errors.As(err, &broken), errors.As(err, &invalid), errors.As(err, &conflict):
 		return reasonInvalid
+	default:
+		return reasonOther
 	}
 }
 
--- a/config/follower/loop.go
+++ b/config/follower/loop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
@@ -11,6 +13,9 @@
 // hintBuffer is the number of announcements that may wait for the loop.
 const hintBuffer = 256
 
+// maxRefusalDoublings bounds how far refused content lengthens the poll period.
+const maxRefusalDoublings = 5
+
 // loop is the follower's goroutine. At most one call to the store and one to a
 // peer are under way; neither holds the loop up.
 type loop struct {
@@ -19,7 +24,12 @@
 	polling bool
 	// reload makes the next read of the store take the whole snapshot, since
 	// its entries do not follow the version in force.
-	reload   bool
+	reload bool
+	// refusals counts the contents of the store refused since the last that
+	// came into force.
+	refusals int
+	// outage says that the last read of the store failed.
+	outage   bool
 	fetching bool
 	// announced is the newest version announced by each node.
 	announced map[string]config.Version
@@ -55,49 +65,91 @@
 	case fromPeer:
 		l.takeFromPeer(ctx, o)
 	default:
-		if err := l.f.apply(o); err != nil {
-			l.f.refuse(o, err)
-		}
+		l.takeFromOperator(ctx, o)
 	}
 }
 
-func (l *loop) takeFromStore(ctx context.Context, o offer) {
-	l.polling = false
-	if o.err != nil {
-		refused(reasonStoreFailed)
-		l.f.options.Log.Warn("config: Store not read.", "error", o.err)
-		l.timer.Reset(l.nextPoll())
+// takeFromOperator applies an entry that the store has accepted. If versions
+// before it are missing here, the store has them.
+func (l *loop) takeFromOperator(ctx context.Context, o offer) {
+	err := l.f.apply(o)
+	if err == nil {
 		return
 	}
+	l.f.refuse(o, err)
+	l.poll(ctx)
+}
+
+func (l *loop) takeFromStore(ctx context.Context, o offer) {
+	l.polling = false
+	err := o.err
 	before := l.f.Version()
-	l.reload = false
-	if err := l.f.apply(o); err != nil {
+	if err == nil {
+		l.storeAnswered()
+		err = l.f.apply(o)
+	}
+	switch {
+	case err != nil && isContent(err):
 		l.f.refuse(o, err)
 		l.reload = true
-		l.timer.Reset(l.nextPoll())
-		return
-	}
-	if len(o.entries) > 0 && l.f.Version() > before {
+		l.refusals++
+	case err != nil:
+		l.storeFailed(err)
+	case l.f.Version() > before && len(o.entries) > 0:
+		l.reload = false
+		l.refusals = 0
 		l.poll(ctx) // There may be another page.
 		return
+	default:
+		l.reload = false
+		if l.f.Version() > before {
+			l.refusals = 0
+		}
 	}
 	l.timer.Reset(l.nextPoll())
 }
 
+// storeFailed counts every failure and logs the first of an outage.
+func (l *loop) storeFailed(err error) {
+	refused(reasonStoreFailed)
+	if !l.outage {
+		l.f.options.Log.Warn("config: Store not read.", "error", err)
+	}
+	l.outage = true
+}
+
+func (l *loop) storeAnswered() {
+	if l.outage {
+		l.f.options.Log.Info("config: Store read again.")
+	}
+	l.outage = false
+}
+
+// isContent says that an error lies in what was read, not in reading it.
+func isContent(err error) bool { return refusalReason(err) != reasonOther }
+
 func (l *loop) takeFromPeer(ctx context.Context, o offer) {
 	l.fetching = false
-	delete(l.announced, o.node)
-	if o.err != nil {
-		refused(reasonPeerFailed)
-		l.f.options.Log.Warn("config: Peer not read.", "node", o.node, "error", o.err)
-	} else if err := l.f.apply(o); err != nil {
+	if l.announced[o.node] <= o.asked {
+		delete(l.announced, o.node) // Answered or failed; the next announcement asks again.
+	}
+	err := o.err
+	if err == nil {
+		err = l.f.apply(o)
+	}
+	if err != nil && isContent(err) {
 		l.f.refuse(o, err)
+	} else if err != nil {
+		refused(reasonPeerFailed)
+		l.f.options.Log.Warn("config: Peer not read.", "node", o.node, "error", err)
 	}
 	l.fetch(ctx)
 }
 
+// nextPoll is the time to the next poll: the period with jitter, longer after
+// content that was refused, since reading it again reads it whole.
 func (l *loop) nextPoll() time.Duration {
-	period := float64(l.f.options.PollEvery)
+	period := float64(l.f.options.PollEvery << min(l.refusals, maxRefusalDoublings))
 	return time.Duration(period * (1 + pollJitter*(2*l.f.options.Random.Float64()-1)))
 }
 
@@ -134,29 +186,39 @@
 	}
 	l.fetching = true
 	from := l.f.Version()
+	asked := l.announced[node]
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, l.f.options.Timeout)
 		defer cancel()
-		l.f.deliver(ctx, l.f.fetchFrom(callCtx, node, from))
+		o := l.f.fetchFrom(callCtx, node, from)
+		o.asked = asked
+		l.f.deliver(ctx, o)
 	}()
 }
 
-// newestAnnounced picks a node and forgets announcements that are in force.
-// Among nodes of the same version the first by name is asked.
+// newestAnnounced picks a node that announced the newest version, at random so
+// that the fleet does not ask one node, and forgets what is in force already.
 func (l *loop) newestAnnounced() (string, bool) {
-	best := ""
-	current := l.f.Version()
-	for node, version := range l.announced {
-		if version <= current {
+	newest := l.f.Version()
+	var nodes []string
+	for _, node := range slices.Sorted(maps.Keys(l.announced)) {
+		version := l.announced[node]
+		if version <= l.f.Version() {
 			delete(l.announced, node)
 			continue
 		}
-		newer := best == "" || version > l.announced[best]
-		if newer || (version == l.announced[best] && node < best) {
-			best = node
+		if version > newest {
+			newest = version
+			nodes = nodes[:0]
+		}
+		if version == newest {
+			nodes = append(nodes, node)
 		}
 	}
-	return best, best != ""
+	if len(nodes) == 0 {
+		return "", false
+	}
+	return nodes[l.f.options.Random.IntN(len(nodes))], true
 }
 
 // fetchFrom asks one peer. A whole snapshot is decoded and checked here, away
--- a/config/follower/metrics.go
+++ b/config/follower/metrics.go
@@ -18,6 +18,8 @@
 	reasonSequence refusal = "sequence_gap"
 	// reasonInvalid: the offer cannot be read or is not valid.
 	reasonInvalid refusal = "invalid"
+	// reasonOther: any other fault of an offer.
+	reasonOther refusal = "other"
 	// reasonHintsFull: too many announcements at once.
 	reasonHintsFull refusal = "hints_full"
 	// reasonStoreFailed: a call to the store failed.
--- a/config/load.go
+++ b/config/load.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"sort"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 )
 
+// fileExtension marks the files that LoadDir reads.
+const fileExtension = ".toml"
+
 // FileError is a fault in one declarations file.
 type FileError struct {
 	// File is the file's base name.
@@ -37,17 +39,21 @@
 // stand in one file only. Defaults are filled and the document is validated.
 // The error joins one *FileError for each fault found.
 func LoadDir(dir string) (Declarations, error) {
-	paths, err := filepath.Glob(filepath.Join(dir, "*.toml"))
+	entries, err := os.ReadDir(dir) // Sorted by name.
 	if err != nil {
 		return Declarations{}, fmt.Errorf("config: list files: %w", err)
 	}
-	if len(paths) == 0 {
-		return Declarations{}, &FileError{File: filepath.Base(dir), Reason: "holds no *.toml file"}
-	}
-	sort.Strings(paths)
 	l := &loader{files: make(map[string]string)}
-	for _, path := range paths {
-		l.read(path)
+	found := false
+	for _, entry := range entries {
+		if entry.IsDir() || filepath.Ext(entry.Name()) != fileExtension {
+			continue
+		}
+		found = true
+		l.read(filepath.Join(dir, entry.Name()))
+	}
+	if !found {
+		return Declarations{}, &FileError{File: filepath.Base(dir), Reason: "holds no *" + fileExtension + " file"}
 	}
 	return l.finish()
 }
@@ -126,12 +132,23 @@
 		l.fail(file, key, "is also declared in %s", first)
 		return
 	}
-	encoded, err := json.Marshal(value)
+	l.files[key] = file
+	fields, ok := value.(map[string]any)
+	if !ok {
+		l.fail(file, key, "must be a table")
+		return
+	}
+	for _, field := range sortedNames(fields) {
+		if _, err := json.Marshal(fields[field]); err != nil {
+			l.fail(file, key+"."+field, "holds a value that is not allowed here")
+			delete(fields, field)
+		}
+	}
+	encoded, err := json.Marshal(fields)
 	if err != nil {
-		l.fail(file, key, "holds a value that is not allowed here")
+		l.fail(file, key, "cannot be encoded: %v", err)
 		return
 	}
-	l.files[key] = file
 	into[name] = encoded
 }
 
@@ -139,12 +156,11 @@
 func (l *loader) finish() (Declarations, error) {
 	problems := &problemList{}
 	declarations := l.document.decode(problems)
-	err := problems.err()
-	if err == nil && len(l.errs) == 0 {
-		err = Validate(declarations)
+	if len(l.errs) == 0 { // Objects of a file that failed would all be missing.
+		problems.addAll(validateAll(declarations))
 	}
 	var invalid *ValidationError
-	if errors.As(err, &invalid) {
+	if errors.As(problems.err(), &invalid) {
 		for _, p := range invalid.Problems {
 			key := p.Object
 			if p.Field != "" {
--- a/config/patch.go
+++ b/config/patch.go
@@ -5,15 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
 )
 
 // Limits of a patch.
 const (
-	// MaxPatchBytes bounds the changes of one patch, so that an entry fits into
-	// one row of the platform's table (1 MiB).
-	MaxPatchBytes = 960 << 10
+	// MaxPatchBytes bounds the changes of one patch: 8 MiB.
+	MaxPatchBytes = 8 << 20
 	// MaxNoteBytes bounds Author and Note, each.
 	MaxNoteBytes = 1000
 )
@@ -56,11 +56,11 @@
 	if err != nil || id == uuid.Nil {
 		return Patch{}, &PatchError{Path: "id", Reason: "must be a UUID"}
 	}
-	if len(p.Author) > MaxNoteBytes {
-		return Patch{}, &PatchError{Path: "author", Reason: fmt.Sprintf("is over %d bytes", MaxNoteBytes)}
+	if err := checkText("author", p.Author); err != nil {
+		return Patch{}, err
 	}
-	if len(p.Note) > MaxNoteBytes {
-		return Patch{}, &PatchError{Path: "note", Reason: fmt.Sprintf("is over %d bytes", MaxNoteBytes)}
+	if err := checkText("note", p.Note); err != nil {
+		return Patch{}, err
 	}
 	if err := checkDuplicateKeys(p.Changes); err != nil {
 		return Patch{}, &PatchError{Path: "changes", Reason: err.Error()}
@@ -77,7 +77,20 @@
 	return p, nil
 }
 
-// SameContent says whether two normalised patches are the same but for their base.
+// checkText bounds a text and refuses invalid UTF-8, which would not survive
+// its encoding and so change the patch's hash.
+func checkText(path, text string) error {
+	if len(text) > MaxNoteBytes {
+		return &PatchError{Path: path, Reason: fmt.Sprintf("is over %d bytes", MaxNoteBytes)}
+	}
+	if !utf8.ValidString(text) {
+		return &PatchError{Path: path, Reason: "is not valid UTF-8"}
+	}
+	return nil
+}
+
+// SameContent says whether two normalised patches have the same id and
+// changes. The base may differ.
 func (p Patch) SameContent(other Patch) bool {
 	return p.ID == other.ID && string(p.Changes) == string(other.Changes)
 }
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -42,7 +42,7 @@
 	if err := json.Unmarshal(data, &whole); err != nil {
 		return nil, &PatchError{Path: "snapshot", Reason: err.Error()}
 	}
-	declarations, err := DecodeDeclarations(whole.Declarations)
+	declarations, err := decodeDocument(whole.Declarations)
 	if err != nil {
 		return nil, err
 	}
@@ -61,7 +61,7 @@
 
 func (s *Snapshot) checkDigest() error {
 	content := s.contentSum()
-	computed := chain(s.Version, s.link, content)
+	computed := s.chain(content)
 	if s.Version == 0 && content == (contentSum{}) {
 		computed = Digest{}
 	}
--- /dev/null
+++ b/config/store/row.go
@@ -0,0 +1,79 @@
+package store
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/platform"
+)
+
+// entryRow is the value of a row of TableVersions.
+type entryRow struct {
+	config.Entry
+	// ChangesObject names the object that holds Patch.Changes when they are
+	// over InlineBytes.
+	ChangesObject string `json:"changes_object,omitempty"`
+}
+
+// encodeRow returns the row's value. Large changes are written to the object
+// store first, under a name made from their content, so that a row never names
+// an object that is not there. Nothing is accepted until the row is inserted.
+func (s *Store) encodeRow(ctx context.Context, entry config.Entry) ([]byte, error) {
+	row := entryRow{Entry: entry}
+	if len(entry.Patch.Changes) > InlineBytes {
+		sum := sha256.Sum256(entry.Patch.Changes)
+		row.ChangesObject = ChangesPrefix + hex.EncodeToString(sum[:])
+		if err := s.objects.Put(ctx, row.ChangesObject, entry.Patch.Changes); err != nil {
+			return nil, fmt.Errorf("config store: write changes: %w: %v", platform.ErrUnavailable, err)
+		}
+		row.Patch.Changes = nil
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		return nil, fmt.Errorf("config store: encode version %d: %w", entry.Version, err)
+	}
+	return value, nil
+}
+
+// decodeRow reads a row of TableVersions with its changes.
+func (s *Store) decodeRow(ctx context.Context, row platform.Row) (config.Entry, error) {
+	var decoded entryRow
+	if err := json.Unmarshal(row.Value, &decoded); err != nil {
+		return config.Entry{}, &CorruptError{Key: row.Key, Reason: err.Error()}
+	}
+	entry := decoded.Entry
+	if versionKey(entry.Version) != row.Key {
+		return config.Entry{}, &CorruptError{Key: row.Key, Reason: fmt.Sprintf("holds version %d", entry.Version)}
+	}
+	if decoded.ChangesObject == "" {
+		return entry, nil
+	}
+	changes, err := s.objects.Get(ctx, decoded.ChangesObject)
+	if errors.Is(err, platform.ErrNotFound) {
+		return config.Entry{}, &CorruptError{Key: row.Key, Reason: "its changes are not in the object store"}
+	}
+	if err != nil {
+		return config.Entry{}, fmt.Errorf("config store: read changes of version %d: %w", entry.Version, err)
+	}
+	entry.Patch.Changes = changes
+	return entry, nil
+}
+
+// insertOps is the transaction that accepts an entry.
+func (s *Store) insertOps(ctx context.Context, entry config.Entry) ([]platform.Op, error) {
+	value, err := s.encodeRow(ctx, entry)
+	if err != nil {
+		return nil, err
+	}
+	number := strconv.AppendUint(nil, uint64(entry.Version), 10)
+	return []platform.Op{
+		{Kind: platform.OpInsert, Table: TableVersions, Key: versionKey(entry.Version), Value: value},
+		{Kind: platform.OpInsert, Table: TablePatches, Key: entry.Patch.ID, Value: number},
+	}, nil
+}
--- a/config/store/snapshot.go
+++ b/config/store/snapshot.go
@@ -52,17 +52,32 @@
 	return at, nil
 }
 
-// nearest returns the newest whole snapshot at or before a version, or version
-// zero if there is none.
+// nearest returns the newest readable whole snapshot at or before a version,
+// or version zero if there is none. A snapshot that is missing or damaged is
+// logged and passed over: the entries lead to the same content.
 func (s *Store) nearest(ctx context.Context, version config.Version) (*config.Snapshot, error) {
-	found, err := s.nearestVersion(ctx, version)
-	if err != nil {
-		return nil, err
-	}
-	if found == 0 {
-		return config.Empty(), nil
+	for {
+		found, err := s.nearestVersion(ctx, version)
+		if err != nil {
+			return nil, err
+		}
+		if found == 0 {
+			return config.Empty(), nil
+		}
+		snapshot, err := s.readSnapshot(ctx, found)
+		if err == nil {
+			return snapshot, nil
+		}
+		if errors.Is(err, platform.ErrUnavailable) || ctx.Err() != nil {
+			return nil, err
+		}
+		s.options.Log.Warn("config: Whole snapshot passed over.", "version", found, "error", err)
+		version = found - 1
 	}
-	name := snapshotName(found)
+}
+
+func (s *Store) readSnapshot(ctx context.Context, version config.Version) (*config.Snapshot, error) {
+	name := snapshotName(version)
 	data, err := s.objects.Get(ctx, name)
 	if err != nil {
 		return nil, fmt.Errorf("config store: read %s: %w", name, err)
@@ -71,7 +86,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("config store: read %s: %w", name, err)
 	}
-	if snapshot.Version != found {
+	if snapshot.Version != version {
 		return nil, &CorruptError{Key: name, Reason: fmt.Sprintf("holds version %d", snapshot.Version)}
 	}
 	return snapshot, nil
--- a/config/store/store.go
+++ b/config/store/store.go
@@ -2,7 +2,7 @@
 // table service.
 //
 // Every version is one row of TableVersions, keyed by its zero-padded number,
-// that holds the accepted patch. A patch is accepted by inserting row base+1
+// that holds the accepted patch; large changes lie in the object store. A patch is accepted by inserting row base+1
 // on condition that it does not exist, in one transaction with a row of
 // TablePatches that makes the patch id idempotent. Every SnapshotEvery
 // versions a whole snapshot goes to the object store, so that a restarted
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -33,8 +32,14 @@
 	TableSnapshots = "config_snapshots"
 	// SnapshotPrefix begins the names of whole snapshots in the object store.
 	SnapshotPrefix = "config/snapshot-"
+	// ChangesPrefix begins the names of changes that are too large for a row.
+	ChangesPrefix = "config/changes-"
 )
 
+// InlineBytes is the size of changes up to which they are kept in the row
+// itself. The platform's limit for a row is 1 MiB.
+const InlineBytes = 256 << 10
+
 // Defaults of Options.
 const (
 	// DefaultSnapshotEvery is the number of versions between whole snapshots.
@@ -104,7 +109,7 @@
 	}
 	entries := make([]config.Entry, 0, len(rows))
 	for _, row := range rows {
-		entry, err := decodeEntry(row)
+		entry, err := s.decodeRow(ctx, row)
 		if err != nil {
 			return nil, err
 		}
@@ -117,17 +122,6 @@
 	return entries, nil
 }
 
-func decodeEntry(row platform.Row) (config.Entry, error) {
-	var entry config.Entry
-	if err := json.Unmarshal(row.Value, &entry); err != nil {
-		return config.Entry{}, &CorruptError{Key: row.Key, Reason: err.Error()}
-	}
-	if versionKey(entry.Version) != row.Key {
-		return config.Entry{}, &CorruptError{Key: row.Key, Reason: fmt.Sprintf("holds version %d", entry.Version)}
-	}
-	return entry, nil
-}
-
 // Entry returns one version of the history. The error is *UnknownVersionError
 // if the version does not exist.
 func (s *Store) Entry(ctx context.Context, version config.Version) (config.Entry, error) {
@@ -138,15 +132,25 @@
 	if err != nil {
 		return config.Entry{}, fmt.Errorf("config store: read version %d: %w", version, err)
 	}
-	return decodeEntry(row)
+	return s.decodeRow(ctx, row)
 }
 
 // History returns up to limit entries from a version on, oldest first.
 func (s *Store) History(ctx context.Context, from config.Version, limit int) ([]config.Entry, error) {
-	if from == 0 {
-		from = 1
+	after := max(from, 1) - 1
+	var entries []config.Entry
+	for len(entries) < limit {
+		page, err := s.since(ctx, after, min(limit-len(entries), s.options.PageSize))
+		if err != nil {
+			return nil, err
+		}
+		if len(page) == 0 {
+			break
+		}
+		entries = append(entries, page...)
+		after = entries[len(entries)-1].Version
 	}
-	return s.since(ctx, from-1, limit)
+	return entries, nil
 }
 
 // CatchUp applies every later entry of the store to from and returns the
--- a/config/store/store_test.go
+++ b/config/store/store_test.go
@@ -101,10 +101,15 @@
 	if err != nil || old.Declarations.Workspaces["bakery"].Share != 17 {
 		t.Fatalf("version 17: %v, %v", old, err)
 	}
-	back, err := s.Rollback(context.Background(), loaded, 17, config.NewPatchID(), "ada", "too much")
+	request := RollbackRequest{ID: config.NewPatchID(), Base: 25, To: 17, Author: "ada", Note: "too much"}
+	back, err := s.Rollback(context.Background(), loaded, request)
 	if err != nil || back.Entry.Version != 26 || back.Snapshot.Declarations.Workspaces["bakery"].Share != 17 {
 		t.Fatalf("rollback %+v, %v", back, err)
 	}
+	again, err := s.Rollback(context.Background(), nil, request)
+	if err != nil || again.Entry.Version != 26 {
+		t.Fatalf("rollback sent again: %+v, %v", again, err)
+	}
 	entries, err := s.History(context.Background(), 24, 10)
 	if err != nil || len(entries) != 3 || entries[2].Patch.Note != "too much" {
 		t.Fatalf("history %v, %v", entries, err)
--- a/config/store/submit.go
+++ b/config/store/submit.go
@@ -2,17 +2,20 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"strconv"
+	"time"
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/platform"
 )
 
-// maxCommitAttempts bounds how often one Submit sends the same insert.
-const maxCommitAttempts = 4
+const (
+	// maxCommitAttempts bounds how often one Submit sends the same insert.
+	maxCommitAttempts = 4
+	// commitRetryDelay is the wait before the insert is sent the second time.
+	commitRetryDelay = 25 * time.Millisecond
+)
 
 // Accepted is the outcome of a successful Submit.
 type Accepted struct {
@@ -66,35 +69,37 @@
 // commit inserts the entry. A lost reply is followed by a read; if the row is
 // not there the insert is sent again, which is safe: it can succeed only once.
 func (s *Store) commit(ctx context.Context, entry config.Entry, next *config.Snapshot) (Accepted, error) {
-	ops, err := insertOps(entry)
+	ops, err := s.insertOps(ctx, entry)
 	if err != nil {
 		return Accepted{}, err
 	}
-	var unknown error
-	for range maxCommitAttempts {
-		err := s.table.Commit(ctx, ops)
-		if err == nil {
-			s.snapshotInBackground(next)
-			return Accepted{Entry: entry, Snapshot: next}, nil
-		}
-		if notWritten(err) && unknown == nil {
-			return Accepted{}, fmt.Errorf("config store: insert version %d: %w", entry.Version, err)
+	var last error
+	sent := false // an insert without a known outcome is on its way
+	for attempt := 0; attempt < maxCommitAttempts && ctx.Err() == nil; attempt++ {
+		last = s.table.Commit(ctx, ops)
+		if last == nil {
+			return s.accepted(entry, next), nil
 		}
-		if !errors.Is(err, platform.ErrConflict) {
-			unknown = err
+		if notWritten(last) && !sent {
+			return Accepted{}, fmt.Errorf("config store: insert version %d: %w", entry.Version, last)
 		}
+		sent = true
 		accepted, settled, err := s.readBack(ctx, entry, next)
 		if settled {
 			return accepted, err
 		}
 		if err != nil {
-			unknown = err
-		}
-		if ctx.Err() != nil {
-			break
+			last = err
 		}
+		pause(ctx, attempt)
 	}
-	return Accepted{}, &CommitUnknownError{PatchID: entry.Patch.ID, Cause: unknown}
+	return Accepted{}, &CommitUnknownError{PatchID: entry.Patch.ID, Cause: last}
+}
+
+// accepted is the outcome of an insert that this router made itself.
+func (s *Store) accepted(entry config.Entry, next *config.Snapshot) Accepted {
+	s.snapshotInBackground(next)
+	return Accepted{Entry: entry, Snapshot: next}
 }
 
 // notWritten says that a failed commit surely wrote nothing.
@@ -102,16 +107,14 @@
 	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrInvalid)
 }
 
-func insertOps(entry config.Entry) ([]platform.Op, error) {
-	value, err := json.Marshal(entry)
-	if err != nil {
-		return nil, fmt.Errorf("config store: encode version %d: %w", entry.Version, err)
+// pause waits before an insert is sent again, twice as long each time.
+func pause(ctx context.Context, attempt int) {
+	timer := time.NewTimer(commitRetryDelay << attempt)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	number := strconv.FormatUint(uint64(entry.Version), 10)
-	return []platform.Op{
-		{Kind: platform.OpInsert, Table: TableVersions, Key: versionKey(entry.Version), Value: value},
-		{Kind: platform.OpInsert, Table: TablePatches, Key: entry.Patch.ID, Value: []byte(number)},
-	}, nil
 }
 
 // readBack finds out what became of an insert. It is settled when the patch id
@@ -126,8 +129,7 @@
 		return Accepted{}, false, err
 	}
 	if found && written.Digest == entry.Digest {
-		s.snapshotInBackground(next)
-		return Accepted{Entry: written, Snapshot: next}, true, nil
+		return s.accepted(written, next), true, nil
 	}
 	if found {
 		return Accepted{Entry: written}, true, nil
@@ -177,21 +179,40 @@
 	}
 }
 
-// Rollback submits a patch that restores the content of an older version as a
-// new version. id makes it idempotent like any patch's id.
-func (s *Store) Rollback(ctx context.Context, known *config.Snapshot, to config.Version, id, author, note string) (Accepted, error) {
-	wanted, err := s.SnapshotAt(ctx, to)
+// RollbackRequest asks for a new version with the content of an older one.
+type RollbackRequest struct {
+	// ID is a UUID that makes a resend idempotent.
+	ID string
+	// Base is the newest version that the operator has seen.
+	Base config.Version
+	// To is the version whose content comes back.
+	To config.Version
+	// Author and Note are kept in the history.
+	Author string
+	Note   string
+}
+
+// Rollback submits the patch that leads from version Base to the content of
+// version To. The patch depends on two immutable versions only, so a resend
+// submits the same one. Errors are those of Submit and *UnknownVersionError.
+func (s *Store) Rollback(ctx context.Context, known *config.Snapshot, request RollbackRequest) (Accepted, error) {
+	from, err := s.SnapshotAt(ctx, request.Base)
 	if err != nil {
 		return Accepted{}, err
 	}
-	newest, err := s.newest(ctx, known)
+	to, err := s.SnapshotAt(ctx, request.To)
 	if err != nil {
 		return Accepted{}, err
 	}
-	changes, _, err := config.Diff(newest.Declarations, wanted.Declarations)
+	changes, _, err := config.Diff(from.Declarations, to.Declarations)
 	if err != nil {
 		return Accepted{}, err
 	}
-	patch := config.Patch{ID: id, Base: newest.Version, Author: author, Note: note, Changes: changes}
-	return s.Submit(ctx, newest, patch)
+	return s.Submit(ctx, known, config.Patch{
+		ID:      request.ID,
+		Base:    request.Base,
+		Author:  request.Author,
+		Note:    request.Note,
+		Changes: changes,
+	})
 }
--- a/config/validate.go
+++ b/config/validate.go
@@ -27,6 +27,10 @@
 // Validate checks a whole document. The error is a *ValidationError that lists
 // every problem. Defaults must have been filled.
 func Validate(d Declarations) error {
+	return validateAll(d).err()
+}
+
+func validateAll(d Declarations) *problemList {
 	everything := rawDocument{
 		Workspaces: namesOf(d.Workspaces),
 		Pools:      namesOf(d.Pools),
@@ -34,7 +38,7 @@
 	}
 	problems := &problemList{}
 	validateTouched(d, everything, newIndex(), problems)
-	return problems.err()
+	return problems
 }
 
 func namesOf[T any](objects map[string]T) map[string]json.RawMessage {
@@ -113,8 +117,11 @@
 		problems.add(object, "max_queued_bytes", "must be over 0")
 	}
 	for _, hash := range w.KeyHashes {
-		if _, ok := parseKeyHash(hash); !ok {
+		parsed, ok := parseKeyHash(hash)
+		if !ok {
 			problems.add(object, "key_hashes", "%q is not a SHA-256 digest of 64 lower-case hex digits", hash)
+		} else if parsed == emptyKeyHash {
+			problems.add(object, "key_hashes", "%q is the digest of an empty key", hash)
 		}
 	}
 	checkNoRepeats(object, "key_hashes", w.KeyHashes, problems)
@@ -132,6 +139,8 @@
 	}
 }
 
+var emptyKeyHash = HashKey(nil)
+
 func checkNoRepeats(object, field string, values []string, problems *problemList) {
 	seen := make(map[string]bool, len(values))
 	for _, value := range values {
