--- /dev/null
+++ b/control/account/doc.go
@@ -0,0 +1,11 @@
+// Package account adds up what each workspace received in the whole fleet.
+//
+// Every scheduler counts the service that it gave (Ledger) and sends the count,
+// which only grows, to the accounting node of the workspace. That node adds up
+// the growth of all contributors (Totals) and sends the sum back. Receivers use
+// only the growth of the sum between two messages of the same accounting node,
+// so a lost, late or doubled message changes nothing for long, and a restart of
+// either side never makes a total fall.
+//
+// Service is normalised: slot time in seconds divided by the share.
+package account
--- a/control/entry.go
+++ b/control/entry.go
@@ -1,228 +1,245 @@
 package control
 
 import (
-	"sort"
+	"container/list"
 	"time"
 
 	"github.com/walnutcove/walnutcove/result"
 )
 
-// resendEvery is the period of sending an unanswered ticket again.
-const resendEvery = 500 * time.Millisecond
+// Bounds of the queue of a workspace at one router, where the configuration
+// gives none.
+const (
+	defaultMaxQueued            = 256
+	defaultMaxQueuedBytes int64 = 64 << 20
+)
 
-// pending is a request that waits for a grant or runs under one.
-type pending struct {
-	ev       RequestArrived
-	shard    ShardID
-	sentTo   NodeID
-	sentAt   Instant
-	granted  bool
-	grant    Grant
-	from     NodeID
-	started  Instant
-	lastSeen Instant
-}
+// Bounds of the advice when to come back.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+)
 
 // entry holds the requests that entered here.
 type entry struct {
-	requests map[RequestID]*pending
-	ended    map[GrantID]*endedRun
-}
-
-// endedRun is a PhaseEnded report that waits for its acknowledgement.
-type endedRun struct {
-	report Report
-	sentAt Instant
+	requests map[RequestID]*request
+	runs     map[GrantID]*run
+	// granted finds the latest run of a request.
+	granted map[RequestID]*run
+	ended   map[endedKey]*endedRun
+	// workspaces counts what waits here.
+	workspaces map[string]*entryWorkspace
+	// pools holds the requests that wait here, oldest first.
+	pools map[string]*list.List
+	hints map[ShardID]*shardHint
+	// nextAttempt numbers the tickets of this node.
+	nextAttempt uint32
+	nextProbe   Instant
+}
+
+// entryWorkspace counts what waits here for a workspace.
+type entryWorkspace struct {
+	count int
+	bytes int64
+	// since and grants give the rate of grants while something waits.
+	since  Instant
+	grants int
+}
+
+// request is a request that waits for a grant.
+type request struct {
+	ev RequestArrived
+	id TicketID
+	// shards are those that may serve it, in the order to ask them.
+	shards  []ShardID
+	asks    []*ask
+	element *list.Element
+	timer   timer
 }
 
 func newEntry() entry {
-	return entry{requests: make(map[RequestID]*pending), ended: make(map[GrantID]*endedRun)}
+	return entry{
+		requests:   make(map[RequestID]*request),
+		runs:       make(map[GrantID]*run),
+		granted:    make(map[RequestID]*run),
+		ended:      make(map[endedKey]*endedRun),
+		workspaces: make(map[string]*entryWorkspace),
+		pools:      make(map[string]*list.List),
+		hints:      make(map[ShardID]*shardHint),
+	}
 }
 
-func (m *Machine) ticketID(req RequestID, attempt uint32) TicketID {
-	return TicketID{Node: m.opts.Node, Incarnation: m.opts.Incarnation, Request: req, Attempt: attempt}
+// empty says that no request and no unacknowledged report is left.
+func (e *entry) empty() bool {
+	return len(e.requests) == 0 && len(e.runs) == 0 && len(e.ended) == 0
 }
 
 func (m *Machine) requestArrived(ev RequestArrived) {
-	refuse := func(code result.Code) {
-		m.emit(Refuse{Request: ev.Request, Attempt: ev.Attempt, Code: code, RetryAfter: time.Second})
+	m.counters.RequestsArrived++
+	if run := m.entry.granted[ev.Request]; run != nil && run.attempt >= ev.Attempt {
+		return // doubled
 	}
-	if m.topo == nil {
-		refuse(result.NotReady)
+	if old := m.entry.requests[ev.Request]; old != nil {
+		if old.ev.Attempt >= ev.Attempt {
+			return // doubled
+		}
+		m.withdraw(old)
+	}
+	code := m.admit(ev)
+	if code != result.OK {
+		m.refuse(ev, code)
 		return
 	}
-	if m.members.draining {
-		refuse(result.Draining)
+	shards := m.topo.candidates(ev, m.opts.DataCentre)
+	if len(shards) == 0 {
+		m.refuse(ev, result.NoTarget)
 		return
 	}
+	r := &request{ev: ev, shards: shards}
+	m.hold(r)
+	m.newTicket(r)
+	m.ask(r, shards[0])
+}
+
+// admit says whether a request may wait here: result.OK or the reason why not.
+func (m *Machine) admit(ev RequestArrived) result.Code {
+	if m.topo == nil {
+		return result.NotReady
+	}
+	if m.draining {
+		return result.Draining
+	}
 	if ev.Deadline <= m.now {
-		refuse(result.DeadlineBeforeGrant)
-		return
+		return result.DeadlineBeforeGrant
 	}
-	shard, ok := m.pickShard(ev)
-	if !ok {
-		refuse(result.NoTarget)
-		return
+	w := m.entry.workspaces[ev.Workspace]
+	if w == nil {
+		return result.OK
 	}
-	p := &pending{ev: ev, shard: shard}
-	m.entry.requests[ev.Request] = p
-	m.sendTicket(p)
-}
-
-func (m *Machine) pickShard(ev RequestArrived) (ShardID, bool) {
-	shards := m.topo.pools[ev.Pool]
-	best := -1
-	for i, id := range shards {
-		usable := false
-		for _, name := range m.topo.targets[id] {
-			if m.mayRun(name, ev.Workspace, ev.Excluded) {
-				usable = true
-				break
-			}
-		}
-		if !usable {
-			continue
-		}
-		if best < 0 || id.DataCentre == m.opts.DataCentre {
-			best = i
-		}
+	decl := m.topo.decl.Workspaces[ev.Workspace]
+	if w.count >= orDefault(decl.MaxQueued, defaultMaxQueued) {
+		return result.QueueFull
 	}
-	if best < 0 {
-		return ShardID{}, false
+	if w.bytes+ev.Bytes > orDefault(decl.MaxQueuedBytes, defaultMaxQueuedBytes) {
+		return result.QueueBytesFull
 	}
-	return shards[best], true
+	return result.OK
 }
 
-func (m *Machine) sendTicket(p *pending) {
-	p.sentTo = m.owner(p.shard)
-	p.sentAt = m.now
-	m.send(p.sentTo, Ticket{
-		ID:          m.ticketID(p.ev.Request, p.ev.Attempt),
-		Shard:       p.shard,
-		Workspace:   p.ev.Workspace,
-		CostHint:    p.ev.CostHint,
-		TimeLeft:    p.ev.Deadline - m.now,
-		PrefixHash:  p.ev.PrefixHash,
-		Fingerprint: p.ev.Fingerprint,
-		Excluded:    p.ev.Excluded,
-	})
-}
-
-func (m *Machine) grantReceived(from NodeID, g Grant) {
-	p := m.entry.requests[g.Ticket.Request]
-	if p == nil || m.ticketID(p.ev.Request, p.ev.Attempt) != g.Ticket {
-		m.returnGrant(from, g)
-		return
-	}
-	if p.granted {
-		if p.grant.ID != g.ID {
-			m.returnGrant(from, g)
-		}
-		return
+func orDefault[T int | int64](value, otherwise T) T {
+	if value > 0 {
+		return value
 	}
-	p.granted = true
-	p.grant = g
-	p.from = from
-	p.started = m.now
-	p.lastSeen = m.now
-	m.emit(Dispatch{Request: p.ev.Request, Attempt: p.ev.Attempt, Grant: g.ID, Target: g.Target})
+	return otherwise
 }
 
-// returnGrant gives back a grant that was not used.
-func (m *Machine) returnGrant(from NodeID, g Grant) {
-	shard, _ := m.topo.shardOf(g.Target)
-	m.sendEnded(from, Report{Grant: g.ID, Ticket: g.Ticket, Shard: shard, Target: g.Target,
-		Phase: PhaseEnded, Outcome: OutcomeNotRun})
+// refuse ends an attempt that never waited or waits no longer.
+func (m *Machine) refuse(ev RequestArrived, code result.Code) {
+	m.refuseAfter(ev, code, m.retryAfter(ev.Workspace))
 }
 
-func (m *Machine) sendEnded(to NodeID, r Report) {
-	m.entry.ended[r.Grant] = &endedRun{report: r, sentAt: m.now}
-	m.send(to, r)
+func (m *Machine) refuseAfter(ev RequestArrived, code result.Code, after time.Duration) {
+	m.counters.RequestsRefused++
+	m.emit(Refuse{Request: ev.Request, Attempt: ev.Attempt, Code: code, RetryAfter: after})
 }
 
-func (m *Machine) runEnded(ev RunEnded) {
-	p := m.entry.requests[ev.Request]
-	if p == nil || !p.granted || p.grant.ID != ev.Grant {
-		return
+// retryAfter estimates how long the workspace's queue here takes to drain and
+// spreads it, so that the refused do not come back together.
+func (m *Machine) retryAfter(workspace string) time.Duration {
+	drain := minRetryAfter
+	if w := m.entry.workspaces[workspace]; w != nil && w.count > 0 {
+		perGrant := (m.now - w.since) / time.Duration(w.grants+1)
+		drain = min(max(perGrant*time.Duration(w.count), minRetryAfter), maxRetryAfter)
 	}
-	delete(m.entry.requests, ev.Request)
-	r := m.report(p, PhaseEnded)
-	r.Outcome = ev.Outcome
-	r.Service = ev.Service
-	m.sendEnded(m.owner(p.shard), r)
-	m.checkDrained()
+	return m.jitter(drain)
 }
 
-func (m *Machine) report(p *pending, phase RunPhase) Report {
-	return Report{
-		Grant:       p.grant.ID,
-		Ticket:      p.grant.Ticket,
-		Shard:       p.shard,
-		Workspace:   p.ev.Workspace,
-		Target:      p.grant.Target,
-		Phase:       phase,
-		Service:     m.now - p.started,
-		Fingerprint: p.ev.Fingerprint,
+// hold counts a request as waiting here.
+func (m *Machine) hold(r *request) {
+	e := &m.entry
+	e.requests[r.ev.Request] = r
+	w := e.workspaces[r.ev.Workspace]
+	if w == nil {
+		w = &entryWorkspace{since: m.now}
+		e.workspaces[r.ev.Workspace] = w
+	}
+	w.count++
+	w.bytes += r.ev.Bytes
+	waiting := e.pools[r.ev.Pool]
+	if waiting == nil {
+		waiting = list.New()
+		e.pools[r.ev.Pool] = waiting
 	}
+	r.element = waiting.PushBack(r)
 }
 
-func (m *Machine) refusalReceived(r Refusal) {
-	p := m.entry.requests[r.Ticket.Request]
-	if p == nil || p.granted || m.ticketID(p.ev.Request, p.ev.Attempt) != r.Ticket {
-		return
+// release counts a request as waiting no longer.
+func (m *Machine) release(r *request) {
+	e := &m.entry
+	m.timers.stop(&r.timer)
+	delete(e.requests, r.ev.Request)
+	w := e.workspaces[r.ev.Workspace]
+	w.count--
+	w.bytes -= r.ev.Bytes
+	if w.count == 0 {
+		delete(e.workspaces, r.ev.Workspace)
+	}
+	waiting := e.pools[r.ev.Pool]
+	waiting.Remove(r.element)
+	if waiting.Len() == 0 {
+		delete(e.pools, r.ev.Pool)
 	}
-	delete(m.entry.requests, p.ev.Request)
-	m.emit(Refuse{Request: p.ev.Request, Attempt: p.ev.Attempt, Code: r.Code, RetryAfter: r.RetryAfter})
-	m.checkDrained()
 }
 
-func (m *Machine) waitingReceived(Waiting) {}
-
-func (m *Machine) ackReceived(a ReportAck) {
-	delete(m.entry.ended, a.Grant)
-	m.checkDrained()
+// withdraw ends a request that waits, without an answer to the shell.
+func (m *Machine) withdraw(r *request) {
+	m.cancelAsks(r, ShardID{})
+	m.release(r)
 }
 
 func (m *Machine) requestCancelled(ev RequestCancelled) {
-	p := m.entry.requests[ev.Request]
-	if p == nil || p.granted {
-		return // a granted request ends with RunEnded
-	}
-	delete(m.entry.requests, ev.Request)
-	m.send(p.sentTo, CancelTicket{Ticket: m.ticketID(p.ev.Request, p.ev.Attempt), Shard: p.shard})
-	m.checkDrained()
-}
-
-func (m *Machine) entryTick() {
-	for _, req := range m.sortedRequests() {
-		p := m.entry.requests[req]
-		switch {
-		case p.granted && m.now-p.lastSeen >= time.Second:
-			p.lastSeen = m.now
-			m.send(m.owner(p.shard), m.report(p, PhaseRunning))
-		case p.granted:
-		case m.now >= p.ev.Deadline:
-			delete(m.entry.requests, req)
-			m.send(p.sentTo, CancelTicket{Ticket: m.ticketID(req, p.ev.Attempt), Shard: p.shard})
-			m.emit(Refuse{Request: req, Attempt: p.ev.Attempt, Code: result.DeadlineBeforeGrant})
-		case m.now-p.sentAt >= resendEvery || m.owner(p.shard) != p.sentTo:
-			m.sendTicket(p)
+	if r := m.entry.requests[ev.Request]; r != nil {
+		m.withdraw(r)
+	}
+	if run := m.entry.granted[ev.Request]; run != nil {
+		// The grant crossed the cancellation: nobody took it.
+		m.endRun(run, OutcomeNotRun, 0)
+	}
+}
+
+// fire implements timed: the deadline has come or a ticket is due again.
+func (r *request) fire(m *Machine) {
+	if m.now >= r.ev.Deadline {
+		after := m.retryAfter(r.ev.Workspace)
+		m.withdraw(r)
+		m.refuseAfter(r.ev, result.DeadlineBeforeGrant, after)
+		return
+	}
+	for _, a := range r.asks {
+		if m.now >= a.due() {
+			m.repeat(r, a)
 		}
 	}
-	for id, e := range m.entry.ended {
-		if m.now-e.sentAt >= resendEvery {
-			e.sentAt = m.now
-			m.send(m.owner(e.report.Shard), m.entry.ended[id].report)
+	m.arm(r)
+}
+
+// retarget follows a new configuration version: the shards that may serve a
+// waiting request may have changed.
+func (m *Machine) retarget() {
+	for _, r := range m.entry.sortedRequests() {
+		r.shards = m.topo.candidates(r.ev, m.opts.DataCentre)
+		if len(r.shards) == 0 {
+			m.withdraw(r)
+			m.refuse(r.ev, result.NoTarget)
 		}
 	}
-	m.checkDrained()
 }
 
-func (m *Machine) sortedRequests() []RequestID {
-	ids := make([]RequestID, 0, len(m.entry.requests))
-	for id := range m.entry.requests {
-		ids = append(ids, id)
+// arm sets the request's timer to the next thing to do.
+func (m *Machine) arm(r *request) {
+	at := r.ev.Deadline
+	for _, a := range r.asks {
+		at = min(at, a.due())
 	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
+	m.timers.set(&r.timer, r, at)
 }
--- a/control/machine.go
+++ b/control/machine.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/walnutcove/walnutcove/control/member"
 )
 
 // Defaults of Options.
@@ -17,15 +19,27 @@
 type Machine struct {
 	opts Options
 	now  Instant
-	rng  *rand.Rand
-	out  []Command
+	// stepped says that now holds the time of an earlier step.
+	stepped bool
+	rng     *rand.Rand
+	// epoch is the incarnation in grants and heartbeats. It begins as the
+	// process's own and changes after the process stood still for long.
+	epoch Incarnation
+
+	out []Command
 	// loop holds the messages that this node sends to itself.
-	loop []Message
+	loop   []Message
+	timers timers
 
-	topo    *topology
-	members members
-	entry   entry
-	sched   scheduler
+	topo     *topology
+	view     *member.View
+	fleet    fleet
+	entry    entry
+	sched    scheduler
+	books    books
+	draining bool
+	drained  bool
+	counters Counters
 }
 
 // New returns a machine that knows nothing yet: it refuses requests with
@@ -33,12 +47,15 @@
 func New(opts Options) *Machine {
 	opts = withDefaults(opts)
 	m := &Machine{
-		opts: opts,
-		rng:  rand.New(rand.NewPCG(opts.Seed, uint64(opts.Incarnation))),
+		opts:  opts,
+		rng:   rand.New(rand.NewPCG(opts.Seed, uint64(opts.Incarnation))),
+		epoch: opts.Incarnation,
+		view:  member.NewView(string(opts.Node), opts.DataCentre, opts.MemberTimeout),
+		fleet: newFleet(),
+		entry: newEntry(),
+		sched: newScheduler(),
+		books: newBooks(),
 	}
-	m.members = newMembers(opts)
-	m.entry = newEntry()
-	m.sched = newScheduler()
 	return m
 }
 
@@ -62,13 +79,29 @@
 // out, in order. Time must not go backwards; an earlier time counts as the
 // latest one seen. The returned slice belongs to the caller.
 func (m *Machine) Step(now Instant, ev Event) []Command {
-	m.now = max(m.now, now)
 	m.out = nil
+	gap := now - m.now
+	m.now = max(m.now, now)
+	if m.stepped && gap > m.opts.MemberTimeout {
+		m.thaw()
+	}
+	m.stepped = true
+	m.fireTimers()
 	m.apply(ev)
 	m.drainLoop()
+	m.followView()
+	m.flushWatch()
+	m.checkDrained()
 	return m.out
 }
 
+func (m *Machine) fireTimers() {
+	for t := m.timers.pop(m.now); t != nil; t = m.timers.pop(m.now) {
+		t.owner.fire(m)
+		m.drainLoop()
+	}
+}
+
 func (m *Machine) apply(ev Event) {
 	switch ev := ev.(type) {
 	case ConfigChanged:
@@ -96,6 +129,13 @@
 	}
 }
 
+// tick does what is done on a period.
+func (m *Machine) tick() {
+	m.fleetTick()
+	m.entryTick()
+	m.booksTick()
+}
+
 // drainLoop handles the messages that this node sent to itself.
 func (m *Machine) drainLoop() {
 	for len(m.loop) > 0 {
@@ -115,6 +155,7 @@
 		m.loop = append(m.loop, msg)
 		return
 	}
+	m.counters.MessagesSent++
 	m.emit(Send{To: to, Message: msg})
 }
 
@@ -122,7 +163,10 @@
 	if ev.From == m.opts.Node {
 		return
 	}
-	m.heard(ev.From, ev.Incarnation)
+	if !m.heard(ev.From, ev.Incarnation) {
+		m.counters.StaleMessages++
+		return
+	}
 	m.handle(ev.From, ev.Incarnation, ev.Message)
 }
 
@@ -136,13 +180,24 @@
 		m.reportReceived(from, msg)
 	case Grant:
 		m.grantReceived(from, msg)
-	case Refusal:
-		m.refusalReceived(msg)
 	case Waiting:
 		m.waitingReceived(msg)
+	case Refusal:
+		m.refusalReceived(msg)
 	case ReportAck:
-		m.ackReceived(msg)
+		m.ackReceived(from, msg)
 	case Heartbeat:
 		m.heartbeatReceived(from, msg)
+	case SuspectNotice:
+		m.suspectReceived(from, msg)
+	case ServiceReport:
+		m.serviceReported(from, inc, msg)
+	case ServiceTotals:
+		m.totalsReceived(from, inc, msg)
 	}
 }
+
+// jitter returns d spread by up to half of it either way.
+func (m *Machine) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(m.rng.Int64N(int64(d)+1))
+}
--- /dev/null
+++ b/control/release.go
@@ -0,0 +1,167 @@
+package control
+
+import (
+	"slices"
+	"time"
+)
+
+func (m *Machine) reportReceived(from NodeID, r Report) {
+	if r.Phase == PhaseEnded {
+		m.endReported(from, r)
+		return
+	}
+	if m.topo == nil || m.sched.finished.has(m.now, r.Grant) {
+		return
+	}
+	g := m.sched.grants[r.Grant]
+	if g == nil {
+		g = m.adopt(from, r)
+	}
+	if g == nil {
+		return
+	}
+	g.from = from
+	g.seen = m.now
+	g.confirmed = true
+	m.armGrant(g)
+}
+
+// adopt counts a run that another scheduler granted, or that this one had
+// given up.
+func (m *Machine) adopt(from NodeID, r Report) *grant {
+	if !m.mayScheduleHere() {
+		return nil
+	}
+	id, declared := m.topo.shardOf(r.Target)
+	if !declared || id != r.Shard {
+		return nil
+	}
+	s := m.shardHere(id)
+	if q := s.queued[r.Ticket]; q != nil {
+		m.unqueue(q)
+	}
+	if s.granted[r.Ticket] != nil {
+		return nil // granted twice; the entry returns the other grant
+	}
+	m.counters.GrantsAdopted++
+	g := &grant{
+		id:        r.Grant,
+		ticket:    r.Ticket,
+		from:      from,
+		shard:     s,
+		target:    s.byName[r.Target],
+		workspace: m.workspaceHere(r.Workspace),
+		started:   m.now,
+		adopted:   true,
+	}
+	g.target.window.Adopted(m.now)
+	m.holdGrant(g, 0)
+	return g
+}
+
+func (m *Machine) endReported(from NodeID, r Report) {
+	m.send(from, ReportAck{Grant: r.Grant})
+	m.sched.finished.add(m.now, r.Grant, finishedKept)
+	m.sched.finished.add(m.now, ticketKey{r.Ticket, r.Shard}, finishedKept)
+	g := m.sched.grants[r.Grant]
+	if g == nil {
+		m.dropEndedTicket(r)
+		return
+	}
+	m.endGrant(g, r)
+}
+
+// dropEndedTicket removes the ticket of a run that ended under another
+// scheduler's grant.
+func (m *Machine) dropEndedTicket(r Report) {
+	s := m.sched.shards[r.Shard]
+	if s == nil {
+		return
+	}
+	if q := s.queued[r.Ticket]; q != nil {
+		m.unqueue(q)
+		m.settleShard(s)
+	}
+}
+
+// endGrant frees the slot and settles the charge.
+func (m *Machine) endGrant(g *grant, r Report) {
+	m.counters.GrantsEnded++
+	used := r.Service
+	if g.adopted {
+		used = min(used, m.now-g.started) // the rest was counted elsewhere
+	}
+	switch r.Outcome {
+	case OutcomeNotRun, OutcomeUnreachable, OutcomeRefused:
+		used = 0
+		g.target.window.Released(m.now)
+	case OutcomeAnswered:
+		g.workspace.estimate(g.shard.id.Pool).Learn(g.hint, r.Service)
+		m.measure(g, r.Service)
+	default:
+		g.target.window.Released(m.now)
+	}
+	m.settle(g, used)
+	m.runOutcome(g.target, r.Outcome)
+	m.grantAll(g.shard)
+	m.settleShard(g.shard)
+}
+
+// measure teaches the target's window from a whole run.
+func (m *Machine) measure(g *grant, service time.Duration) {
+	if g.adopted {
+		g.target.window.Released(m.now)
+		return
+	}
+	g.target.window.Ended(m.now, service, m.now-g.started)
+}
+
+// settle forgets a grant and corrects the charge to what was used.
+func (m *Machine) settle(g *grant, used time.Duration) {
+	m.forgetGrant(g)
+	g.workspace.end(m.now, g.started, used)
+	m.charge(g.workspace, g.shard, used-g.charged)
+}
+
+func (m *Machine) forgetGrant(g *grant) {
+	m.timers.stop(&g.timer)
+	delete(m.sched.grants, g.id)
+	delete(g.shard.granted, g.ticket)
+	of := m.sched.byNode[g.ticket.Node]
+	delete(of, g.id)
+	if len(of) == 0 {
+		delete(m.sched.byNode, g.ticket.Node)
+	}
+}
+
+// reclaim frees the slot of a grant that nobody reports on.
+func (m *Machine) reclaim(g *grant) {
+	m.counters.GrantsReclaimed++
+	g.target.window.Released(m.now)
+	m.settle(g, g.seen-g.started)
+	m.grantAll(g.shard)
+	m.settleShard(g.shard)
+}
+
+// reclaimNode frees the slots of an entry node's past incarnations.
+func (m *Machine) reclaimNode(node NodeID, current Incarnation) {
+	var gone []*grant
+	for _, g := range m.sched.byNode[node] {
+		if g.ticket.Incarnation != current {
+			gone = append(gone, g)
+		}
+	}
+	slices.SortFunc(gone, func(a, b *grant) int { return compareGrants(a.id, b.id) })
+	for _, g := range gone {
+		m.reclaim(g)
+	}
+}
+
+func (s *scheduler) sortedGrants() []*grant {
+	all := make([]*grant, 0, len(s.grants))
+	for _, g := range s.grants {
+		all = append(all, g)
+	}
+	slices.SortFunc(all, func(a, b *grant) int { return compareGrants(a.id, b.id) })
+	return all
+}
--- /dev/null
+++ b/control/runs.go
@@ -0,0 +1,213 @@
+package control
+
+import (
+	"time"
+
+	"github.com/walnutcove/walnutcove/result"
+)
+
+const (
+	// firstReportAfter is when a run is first reported as going on, which also
+	// confirms that its grant arrived.
+	firstReportAfter = time.Second
+	// reportEvery is the period of the later reports.
+	reportEvery = 2 * time.Second
+	// endedKept is how long an unacknowledged end is reported. It is longer
+	// than the lease of a grant, after which the slot is free anyhow.
+	endedKept = 10 * time.Second
+)
+
+// run is a request that was dispatched under a grant.
+type run struct {
+	request   RequestID
+	attempt   uint32
+	grant     Grant
+	shard     ShardID
+	scheduler NodeID
+	workspace string
+	finger    uint64
+	started   Instant
+	// reportedTo is the scheduler that counts the run.
+	reportedTo NodeID
+	timer      timer
+}
+
+// endedKey tells who is to acknowledge the end of a grant.
+type endedKey struct {
+	grant GrantID
+	to    NodeID
+}
+
+// endedRun is a PhaseEnded report that waits for its acknowledgement.
+type endedRun struct {
+	report Report
+	to     NodeID
+	until  Instant
+	timer  timer
+}
+
+func (m *Machine) grantReceived(from NodeID, g Grant) {
+	if run := m.entry.runs[g.ID]; run != nil {
+		// The scheduler has not heard of the run yet.
+		m.send(from, run.report(m.now, PhaseRunning))
+		return
+	}
+	if e := m.entry.ended[endedKey{g.ID, from}]; e != nil {
+		m.send(from, e.report)
+		return
+	}
+	if m.topo == nil {
+		return
+	}
+	shard, declared := m.topo.shardOf(g.Target)
+	if declared && g.Spare > 0 {
+		m.hint(shard, g.Spare)
+	}
+	r := m.entry.requests[g.Ticket.Request]
+	if r == nil || r.id != g.Ticket {
+		m.returnGrant(from, g, shard)
+		return
+	}
+	if !m.topo.mayRun(g.Target, r.ev.Workspace, r.ev.Excluded) {
+		m.returnGrant(from, g, shard)
+		m.askAgain(r, g.Target)
+		return
+	}
+	m.dispatch(r, from, g, shard)
+}
+
+func (m *Machine) dispatch(r *request, from NodeID, g Grant, shard ShardID) {
+	m.entry.workspaces[r.ev.Workspace].grants++
+	m.cancelAsks(r, shard)
+	m.release(r)
+	m.counters.Dispatches++
+	run := &run{
+		request:   r.ev.Request,
+		attempt:   r.ev.Attempt,
+		grant:     g,
+		shard:     shard,
+		scheduler: from,
+		workspace: r.ev.Workspace,
+		finger:    r.ev.Fingerprint,
+		started:   m.now,
+
+		reportedTo: from,
+	}
+	m.entry.runs[g.ID] = run
+	m.entry.granted[run.request] = run
+	m.timers.set(&run.timer, run, m.now+firstReportAfter)
+	m.emit(Dispatch{Request: r.ev.Request, Attempt: r.ev.Attempt, Grant: g.ID, Target: g.Target})
+	if h := m.freshHint(shard); h != nil && h.spare > 0 {
+		delete(m.entry.hints, shard)
+		m.offer(shard, h.spare)
+	}
+}
+
+// returnGrant gives back a grant that is not used.
+func (m *Machine) returnGrant(from NodeID, g Grant, shard ShardID) {
+	m.counters.GrantsReturned++
+	m.sendEnded(from, Report{
+		Grant:   g.ID,
+		Ticket:  g.Ticket,
+		Shard:   shard,
+		Target:  g.Target,
+		Phase:   PhaseEnded,
+		Outcome: OutcomeNotRun,
+	})
+}
+
+// askAgain asks for another grant after one for a target that this node's
+// configuration version does not let the request use.
+func (m *Machine) askAgain(r *request, target string) {
+	m.cancelAsks(r, ShardID{})
+	r.ev.Excluded = append(r.ev.Excluded[:len(r.ev.Excluded):len(r.ev.Excluded)], target)
+	r.asks = nil
+	r.shards = m.topo.candidates(r.ev, m.opts.DataCentre)
+	if len(r.shards) == 0 {
+		m.release(r)
+		m.refuse(r.ev, result.NoTarget)
+		return
+	}
+	m.newTicket(r)
+	m.ask(r, r.shards[0])
+}
+
+func (m *Machine) runEnded(ev RunEnded) {
+	if run := m.entry.runs[ev.Grant]; run != nil {
+		m.endRun(run, ev.Outcome, ev.Service)
+	}
+}
+
+// endRun reports the end of a run to the shard's scheduler, and to the one
+// that granted it if that is another.
+func (m *Machine) endRun(run *run, outcome Outcome, service time.Duration) {
+	m.timers.stop(&run.timer)
+	delete(m.entry.runs, run.grant.ID)
+	if m.entry.granted[run.request] == run {
+		delete(m.entry.granted, run.request)
+	}
+	report := run.report(m.now, PhaseEnded)
+	report.Outcome = outcome
+	report.Service = service
+	owner := m.owner(run.shard)
+	m.sendEnded(owner, report)
+	if run.scheduler != owner && m.view.Alive(string(run.scheduler)) {
+		m.sendEnded(run.scheduler, report)
+	}
+}
+
+func (r *run) report(now Instant, phase RunPhase) Report {
+	return Report{
+		Grant:       r.grant.ID,
+		Ticket:      r.grant.Ticket,
+		Shard:       r.shard,
+		Workspace:   r.workspace,
+		Target:      r.grant.Target,
+		Phase:       phase,
+		Service:     now - r.started,
+		Fingerprint: r.finger,
+	}
+}
+
+// sendEnded sends the end of a run until it is acknowledged.
+func (m *Machine) sendEnded(to NodeID, report Report) {
+	key := endedKey{report.Grant, to}
+	if m.entry.ended[key] != nil {
+		return
+	}
+	e := &endedRun{report: report, to: to, until: m.now + endedKept}
+	m.entry.ended[key] = e
+	m.timers.set(&e.timer, e, m.now+resendEvery)
+	m.send(to, report)
+}
+
+func (m *Machine) ackReceived(from NodeID, a ReportAck) {
+	key := endedKey{a.Grant, from}
+	if e := m.entry.ended[key]; e != nil {
+		m.timers.stop(&e.timer)
+		delete(m.entry.ended, key)
+	}
+}
+
+// fire implements timed: the report was not acknowledged.
+func (e *endedRun) fire(m *Machine) {
+	key := endedKey{e.report.Grant, e.to}
+	if m.now >= e.until {
+		delete(m.entry.ended, key)
+		return
+	}
+	m.counters.ReportsResent++
+	m.timers.set(&e.timer, e, m.now+resendEvery)
+	m.send(e.to, e.report)
+}
+
+// fire implements timed: the run is reported as going on.
+func (r *run) fire(m *Machine) {
+	m.reportRunning(r)
+}
+
+func (m *Machine) reportRunning(r *run) {
+	m.timers.set(&r.timer, r, m.now+reportEvery)
+	r.reportedTo = m.owner(r.shard)
+	m.send(r.reportedTo, r.report(m.now, PhaseRunning))
+}
--- /dev/null
+++ b/control/sched/queue.go
@@ -0,0 +1,283 @@
+package sched
+
+import (
+	"container/heap"
+	"container/list"
+	"time"
+)
+
+const (
+	// starveAfter is how long a workspace may be held back in one shard by
+	// service that it received in other shards.
+	starveAfter = 3 * time.Second
+	// forgetAfter is how long a flow with nothing waiting is remembered.
+	forgetAfter = 10 * time.Second
+)
+
+// Queue is the fair queue of one shard. It orders workspaces by normalised
+// service: the service received in the whole fleet divided by the share. The
+// least goes first; within a workspace and class, first in is first out.
+//
+// A workspace that had nothing waiting starts at the least of those that wait,
+// so that idleness banks no credit; it keeps a lead that it built up here.
+//
+// A class is a set of targets that may run a ticket. The queue only compares
+// class names; the caller says which classes have room.
+type Queue[T any] struct {
+	flows   map[string]*Flow[T]
+	classes map[string]*class[T]
+	// order holds the flows with something waiting, least recently served first.
+	order *list.List
+	// idle holds the flows with nothing waiting, longest idle first.
+	idle *list.List
+	// virtual is the key at which a flow was last served; it is where a
+	// workspace starts when nothing waits.
+	virtual float64
+	waiting int
+	nextSeq uint64
+}
+
+// Flow is one workspace's presence in the queue.
+type Flow[T any] struct {
+	// Workspace is the workspace's name.
+	Workspace string
+
+	queue *Queue[T]
+	lanes map[string]*lane[T]
+	// total is the workspace's normalised service in the fleet and here the
+	// part of it that this shard gave.
+	total, here float64
+	// offset moves total to the queue's scale.
+	offset  float64
+	waiting int
+	// servedAt and servedElsewhere are the time and the service received in
+	// other shards when this shard last served the flow.
+	servedAt        time.Duration
+	servedElsewhere float64
+	starved         bool
+	element         *list.Element
+}
+
+// Item is one waiting ticket.
+type Item[T any] struct {
+	// Value is the caller's.
+	Value T
+
+	lane       *lane[T]
+	prev, next *Item[T]
+	seq        uint64
+}
+
+// lane is the FIFO of one flow in one class.
+type lane[T any] struct {
+	flow        *Flow[T]
+	class       *class[T]
+	first, last *Item[T]
+	index       int
+}
+
+// class is the heap of the lanes with something waiting in one class.
+type class[T any] struct {
+	name  string
+	lanes laneHeap[T]
+}
+
+// NewQueue returns an empty queue.
+func NewQueue[T any]() *Queue[T] {
+	return &Queue[T]{
+		flows:   make(map[string]*Flow[T]),
+		classes: make(map[string]*class[T]),
+		order:   list.New(),
+		idle:    list.New(),
+	}
+}
+
+// Len returns the number of waiting items.
+func (q *Queue[T]) Len() int { return q.waiting }
+
+// HasClass says whether something waits in a class.
+func (q *Queue[T]) HasClass(name string) bool { return q.classes[name] != nil }
+
+// Flow returns the flow of a workspace, or nil.
+func (q *Queue[T]) Flow(workspace string) *Flow[T] { return q.flows[workspace] }
+
+// Waiting returns the number of items that wait for the workspace.
+func (f *Flow[T]) Waiting() int { return f.waiting }
+
+// Key returns the flow's place in the order: the least goes first.
+func (f *Flow[T]) Key() float64 { return f.total + f.offset }
+
+func (f *Flow[T]) elsewhere() float64 { return f.total - f.here }
+
+// Push adds an item for a workspace whose normalised service in the fleet is
+// total, and returns its flow and item.
+func (q *Queue[T]) Push(now time.Duration, workspace, className string, total float64, value T) (*Flow[T], *Item[T]) {
+	f := q.flows[workspace]
+	if f == nil {
+		f = &Flow[T]{Workspace: workspace, queue: q, lanes: make(map[string]*lane[T]), total: total}
+		f.offset = q.start(className) - total
+		q.flows[workspace] = f
+	}
+	f.total = total
+	if f.waiting == 0 {
+		q.wake(now, f, className)
+	}
+	item := &Item[T]{Value: value, seq: q.nextSeq}
+	q.nextSeq++
+	f.waiting++
+	q.waiting++
+	f.lane(className).push(item)
+	return f, item
+}
+
+// wake puts a flow among those that wait, without credit for its idleness.
+func (q *Queue[T]) wake(now time.Duration, f *Flow[T], className string) {
+	if f.element != nil {
+		q.idle.Remove(f.element)
+	}
+	if floor := q.start(className); f.Key() < floor {
+		f.offset = floor - f.total
+	}
+	f.markServed(now)
+	f.element = q.order.PushBack(f)
+}
+
+// start returns the key at which a workspace starts in a class: the least of
+// those that wait there, or that of the flow served last.
+func (q *Queue[T]) start(className string) float64 {
+	if c := q.classes[className]; c != nil && len(c.lanes) > 0 {
+		return c.lanes.least(0)
+	}
+	return q.virtual
+}
+
+func (f *Flow[T]) markServed(now time.Duration) {
+	f.servedAt = now
+	f.servedElsewhere = f.elsewhere()
+}
+
+func (f *Flow[T]) lane(className string) *lane[T] {
+	l := f.lanes[className]
+	if l != nil {
+		return l
+	}
+	c := f.queue.classes[className]
+	if c == nil {
+		c = &class[T]{name: className}
+		f.queue.classes[className] = c
+	}
+	l = &lane[T]{flow: f, class: c, index: -1}
+	f.lanes[className] = l
+	return l
+}
+
+func (l *lane[T]) push(item *Item[T]) {
+	item.lane = l
+	item.prev = l.last
+	if l.last != nil {
+		l.last.next = item
+	} else {
+		l.first = item
+	}
+	l.last = item
+	if l.index < 0 {
+		heap.Push(&l.class.lanes, l)
+	}
+}
+
+// SetTotal updates the normalised service that the workspace received in the
+// fleet. hereDelta is the part of the change that this shard gave.
+func (f *Flow[T]) SetTotal(total, hereDelta float64) {
+	f.total = total
+	f.here += hereDelta
+	for _, l := range f.lanes {
+		if l.index >= 0 {
+			heap.Fix(&l.class.lanes, l.index)
+		}
+	}
+}
+
+// Rebase changes the total without moving the flow in the order. It is for
+// service that was learned of late and belongs to the past.
+func (f *Flow[T]) Rebase(total float64) {
+	change := total - f.total
+	f.total = total
+	f.here += change
+	f.offset -= change
+}
+
+// Next returns the item to serve next among the classes that usable accepts,
+// or nil. It does not remove the item.
+func (q *Queue[T]) Next(usable func(class string) bool) *Item[T] {
+	var best *lane[T]
+	for name, c := range q.classes {
+		if len(c.lanes) == 0 || !usable(name) {
+			continue
+		}
+		if best == nil || c.lanes[0].before(best) {
+			best = c.lanes[0]
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.first
+}
+
+// Serve removes an item that is served now.
+func (q *Queue[T]) Serve(now time.Duration, item *Item[T]) {
+	f := item.lane.flow
+	if !f.starved {
+		q.virtual = f.Key()
+	}
+	q.setStarved(f, false)
+	f.markServed(now)
+	q.order.MoveToBack(f.element)
+	q.Remove(now, item)
+}
+
+// Remove removes an item that is not served.
+func (q *Queue[T]) Remove(now time.Duration, item *Item[T]) {
+	l := item.lane
+	if l == nil {
+		return
+	}
+	l.unlink(item)
+	item.lane = nil
+	q.waiting--
+	f := l.flow
+	f.waiting--
+	if l.first == nil {
+		heap.Remove(&l.class.lanes, l.index)
+		q.dropLane(l)
+	} else {
+		heap.Fix(&l.class.lanes, l.index)
+	}
+	if f.waiting == 0 {
+		q.order.Remove(f.element)
+		f.starved = false
+		f.servedAt = now
+		f.element = q.idle.PushBack(f)
+	}
+}
+
+func (l *lane[T]) unlink(item *Item[T]) {
+	if item.prev != nil {
+		item.prev.next = item.next
+	} else {
+		l.first = item.next
+	}
+	if item.next != nil {
+		item.next.prev = item.prev
+	} else {
+		l.last = item.prev
+	}
+	item.prev, item.next = nil, nil
+}
+
+func (q *Queue[T]) dropLane(l *lane[T]) {
+	delete(l.flow.lanes, l.class.name)
+	if len(l.class.lanes) == 0 {
+		delete(q.classes, l.class.name)
+	}
+}
--- /dev/null
+++ b/control/sched/starve.go
@@ -0,0 +1,136 @@
+package sched
+
+import (
+	"container/heap"
+	"math"
+	"time"
+)
+
+// Tick finds the flows that service in other shards has held back for too long
+// and moves each to the front for one item. It also forgets flows that have
+// been idle for long and returns their workspaces. The cost is that of the
+// flows whose time has come.
+func (q *Queue[T]) Tick(now time.Duration) []string {
+	q.findStarved(now)
+	return q.forget(now)
+}
+
+// NextTick returns when Tick has something to do; false if nothing is due.
+func (q *Queue[T]) NextTick() (time.Duration, bool) {
+	var at time.Duration
+	found := false
+	if e := q.order.Front(); e != nil {
+		at, found = e.Value.(*Flow[T]).servedAt+starveAfter, true
+	}
+	if e := q.idle.Front(); e != nil {
+		if forget := e.Value.(*Flow[T]).servedAt + forgetAfter; !found || forget < at {
+			at, found = forget, true
+		}
+	}
+	return at, found
+}
+
+func (q *Queue[T]) findStarved(now time.Duration) {
+	for e := q.order.Front(); e != nil; e = q.order.Front() {
+		f := e.Value.(*Flow[T])
+		if now-f.servedAt < starveAfter {
+			return
+		}
+		held := f.elsewhere() - f.servedElsewhere
+		if held > 0 && f.Key()-held <= q.least() {
+			q.setStarved(f, true)
+		}
+		f.servedAt = now // looked at again after another period
+		q.order.MoveToBack(e)
+	}
+}
+
+// least returns the least key of the flows that wait; something must wait.
+func (q *Queue[T]) least() float64 {
+	best := math.Inf(1)
+	for _, c := range q.classes {
+		if len(c.lanes) > 0 {
+			best = min(best, c.lanes.least(0))
+		}
+	}
+	return best
+}
+
+func (q *Queue[T]) setStarved(f *Flow[T], starved bool) {
+	if f.starved == starved {
+		return
+	}
+	f.starved = starved
+	for _, l := range f.lanes {
+		if l.index >= 0 {
+			heap.Fix(&l.class.lanes, l.index)
+		}
+	}
+}
+
+func (q *Queue[T]) forget(now time.Duration) []string {
+	var gone []string
+	for e := q.idle.Front(); e != nil; e = q.idle.Front() {
+		f := e.Value.(*Flow[T])
+		if now-f.servedAt < forgetAfter {
+			break
+		}
+		q.idle.Remove(e)
+		delete(q.flows, f.Workspace)
+		gone = append(gone, f.Workspace)
+	}
+	return gone
+}
+
+// before says whether l is served before other.
+func (l *lane[T]) before(other *lane[T]) bool {
+	if l.flow.starved != other.flow.starved {
+		return l.flow.starved
+	}
+	if a, b := l.flow.Key(), other.flow.Key(); a != b {
+		return a < b
+	}
+	return l.first.seq < other.first.seq
+}
+
+// laneHeap orders lanes; it implements heap.Interface.
+type laneHeap[T any] []*lane[T]
+
+func (h laneHeap[T]) Len() int           { return len(h) }
+func (h laneHeap[T]) Less(i, j int) bool { return h[i].before(h[j]) }
+
+func (h laneHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
+}
+
+// least returns the least key in the subtree at i. Starved flows stand before
+// others whatever their key, so it looks behind them.
+func (h laneHeap[T]) least(i int) float64 {
+	if i >= len(h) {
+		return math.Inf(1)
+	}
+	key := h[i].flow.Key()
+	if !h[i].flow.starved {
+		return key
+	}
+	return min(key, h.least(2*i+1), h.least(2*i+2))
+}
+
+// Push implements heap.Interface.
+func (h *laneHeap[T]) Push(x any) {
+	l := x.(*lane[T])
+	l.index = len(*h)
+	*h = append(*h, l)
+}
+
+// Pop implements heap.Interface.
+func (h *laneHeap[T]) Pop() any {
+	old := *h
+	l := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	l.index = -1
+	return l
+}
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -3,53 +3,52 @@
 import (
 	"slices"
 	"time"
-)
-
-// reclaimAfter is how long a grant may go without a report.
-const reclaimAfter = 6 * time.Second
 
-// waiting is a ticket in the queue of a shard.
-type waiting struct {
-	ticket   Ticket
-	from     NodeID
-	deadline Instant
-}
+	"github.com/walnutcove/walnutcove/result"
+)
 
-// running is a grant that holds a slot.
-type running struct {
-	grant     Grant
-	from      NodeID
-	workspace string
-	started   Instant
-	seen      Instant
-}
+const (
+	// ticketLease is how long a waiting ticket is kept without being sent again.
+	ticketLease = 3*refreshEvery + time.Second
+	// cancelledKept is how long a withdrawn ticket is remembered, in case the
+	// ticket itself comes later.
+	cancelledKept = time.Second
+	// finishedKept is how long an ended grant and its ticket are remembered.
+	finishedKept = 10 * time.Second
+	// guestKept is how long a shard without work is kept that another node
+	// owns.
+	guestKept = 5 * time.Second
+)
 
-// schedShard is a shard scheduled here.
-type schedShard struct {
-	queue []*waiting
+// scheduler holds the shards scheduled here. A node schedules the shards that
+// it owns in its own view, and any other that tickets come for: the entry that
+// sent them sees the fleet differently and has found no better scheduler.
+type scheduler struct {
+	shards map[ShardID]*shard
+	grants map[GrantID]*grant
+	// byNode holds the grants by the entry node that holds them.
+	byNode     map[NodeID]map[GrantID]*grant
+	workspaces map[string]*workspace
+	finished   remembered
+	nextSeq    uint64
+	// watched is the last set given with WatchTargets.
+	watched    []string
+	watchStale bool
 }
 
-// scheduler holds the shards scheduled here.
-type scheduler struct {
-	shards  map[ShardID]*schedShard
-	grants  map[GrantID]*running
-	byTick  map[TicketID]GrantID
-	load    map[string]int
-	down    map[string]Instant
-	service map[string]float64
-	nextSeq uint64
-	watched []string
-	drained bool
+// ticketKey finds a ticket at one shard.
+type ticketKey struct {
+	ticket TicketID
+	shard  ShardID
 }
 
 func newScheduler() scheduler {
 	return scheduler{
-		shards:  make(map[ShardID]*schedShard),
-		grants:  make(map[GrantID]*running),
-		byTick:  make(map[TicketID]GrantID),
-		load:    make(map[string]int),
-		down:    make(map[string]Instant),
-		service: make(map[string]float64),
+		shards:     make(map[ShardID]*shard),
+		grants:     make(map[GrantID]*grant),
+		byNode:     make(map[NodeID]map[GrantID]*grant),
+		workspaces: make(map[string]*workspace),
+		finished:   newRemembered(),
 	}
 }
 
@@ -58,186 +57,217 @@
 		return
 	}
 	m.topo = newTopology(ev.Snapshot)
+	for _, name := range sortedKeys(m.sched.workspaces) {
+		m.sched.workspaces[name].follow(m)
+	}
+	clear(m.fleet.owners)
 	m.reassign()
+	for _, s := range m.sched.sortedShards() {
+		m.declareTargets(s)
+	}
+	m.retarget()
+	m.beatNow()
 }
 
-// reassign recomputes the shards scheduled here.
+// reassign creates the shards that this node owns and lets the others go once
+// they have no work.
 func (m *Machine) reassign() {
 	if m.topo == nil {
 		return
 	}
-	var watch []string
-	for id, names := range m.topo.targets {
-		if m.owner(id) != m.opts.Node {
-			delete(m.sched.shards, id)
-			continue
-		}
-		watch = append(watch, names...)
-		if m.sched.shards[id] == nil {
-			m.sched.shards[id] = &schedShard{}
+	for _, pool := range sortedKeys(m.topo.pools) {
+		for _, id := range m.topo.pools[pool] {
+			if m.owner(id) == m.opts.Node && m.mayScheduleHere() {
+				m.shardHere(id).owned = true
+			} else if s := m.sched.shards[id]; s != nil {
+				s.owned = false
+				m.settleShard(s)
+			}
 		}
 	}
-	slices.Sort(watch)
-	if !slices.Equal(watch, m.sched.watched) {
-		m.sched.watched = watch
-		m.emit(WatchTargets{Targets: slices.Clone(watch)})
-	}
 }
 
-func (m *Machine) mayRun(target, workspace string, excluded []string) bool {
-	if m.topo.decl.Targets[target].Leaving || slices.Contains(excluded, target) {
-		return false
-	}
-	only := m.topo.decl.Workspaces[workspace].Targets
-	return len(only) == 0 || slices.Contains(only, target)
+// mayScheduleHere is false once this node drains and another can take over.
+func (m *Machine) mayScheduleHere() bool {
+	return !m.draining || m.opts.Policy == PolicyAlone || m.view.Others() == 0
 }
 
-func (m *Machine) ticketReceived(from NodeID, t Ticket) {
-	if m.topo == nil {
-		return
-	}
-	if id, ok := m.sched.byTick[t.ID]; ok {
-		m.send(from, m.sched.grants[id].grant)
-		return
-	}
-	s := m.sched.shards[t.Shard]
-	if s == nil {
-		return // the entry will find the scheduler that the members agree on
-	}
-	for _, w := range s.queue {
-		if w.ticket.ID == t.ID {
-			return
-		}
+// shardHere returns the shard's queue at this node and makes one if needed.
+func (m *Machine) shardHere(id ShardID) *shard {
+	s := m.sched.shards[id]
+	if s != nil {
+		return s
 	}
-	s.queue = append(s.queue, &waiting{ticket: t, from: from, deadline: m.now + t.TimeLeft})
-	m.grantAll(t.Shard)
+	s = newShard(m.now, id)
+	m.sched.shards[id] = s
+	m.declareTargets(s)
+	m.sched.watchStale = true
+	return s
 }
 
-func (m *Machine) cancelReceived(c CancelTicket) {
-	if s := m.sched.shards[c.Shard]; s != nil {
-		s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool { return w.ticket.ID == c.Ticket })
+// dropShards forgets every queue and grant: others take over, or have done so.
+func (m *Machine) dropShards() {
+	for _, g := range m.sched.sortedGrants() {
+		m.settle(g, g.seen-g.started)
 	}
-}
-
-func (m *Machine) grantAll(id ShardID) {
-	s := m.sched.shards[id]
-	for s != nil && m.grantOne(id, s) {
+	for _, s := range m.sched.sortedShards() {
+		m.dropShard(s)
+	}
+	for _, w := range m.sched.workspaces {
+		w.entry.Rebase()
 	}
 }
 
-func (m *Machine) grantOne(id ShardID, s *schedShard) bool {
-	best, bestTarget := -1, ""
-	for i, w := range s.queue {
-		if best >= 0 && m.sched.service[w.ticket.Workspace] >= m.sched.service[s.queue[best].ticket.Workspace] {
-			continue
-		}
-		if target := m.freeTarget(id, w.ticket); target != "" {
-			best, bestTarget = i, target
-		}
+func (m *Machine) dropShard(s *shard) {
+	for _, t := range s.sortedTickets() {
+		m.unqueue(t)
 	}
-	if best < 0 {
-		return false
+	for _, t := range s.targets {
+		m.timers.stop(&t.timer)
 	}
-	w := s.queue[best]
-	s.queue = slices.Delete(s.queue, best, best+1)
-	m.grant(w, bestTarget)
-	return true
-}
-
-func (m *Machine) grant(w *waiting, target string) {
-	m.sched.nextSeq++
-	g := Grant{
-		ID:     GrantID{Scheduler: m.opts.Node, Incarnation: m.opts.Incarnation, Seq: m.sched.nextSeq},
-		Ticket: w.ticket.ID,
-		Target: target,
+	m.timers.stop(&s.timer)
+	for name := range s.flows {
+		delete(m.sched.workspaces[name].flows, s.id)
 	}
-	m.sched.grants[g.ID] = &running{grant: g, from: w.from, workspace: w.ticket.Workspace, started: m.now, seen: m.now}
-	m.sched.byTick[w.ticket.ID] = g.ID
-	m.sched.load[target]++
-	m.sched.service[w.ticket.Workspace] += 1 / m.topo.share(w.ticket.Workspace)
-	m.send(w.from, g)
+	delete(m.sched.shards, s.id)
+	m.sched.watchStale = true
 }
 
-func (m *Machine) freeTarget(id ShardID, t Ticket) string {
-	best, bestFill := "", 1.0
-	for _, name := range m.topo.targets[id] {
-		if !m.mayRun(name, t.Workspace, t.Excluded) || m.sched.down[name] > m.now {
-			continue
-		}
-		slots := max(1, m.topo.decl.Targets[name].Slots)
-		fill := float64(m.sched.load[name]) / float64(slots)
-		if fill < bestFill {
-			best, bestFill = name, fill
+// flushWatch tells the shell which targets' load to poll.
+func (m *Machine) flushWatch() {
+	if !m.sched.watchStale {
+		return
+	}
+	m.sched.watchStale = false
+	var names []string
+	for _, s := range m.sched.shards {
+		for _, t := range s.targets {
+			names = append(names, t.name)
 		}
 	}
-	return best
+	slices.Sort(names)
+	if slices.Equal(names, m.sched.watched) {
+		return
+	}
+	m.sched.watched = names
+	m.emit(WatchTargets{Targets: slices.Clone(names)})
 }
 
-func (m *Machine) reportReceived(from NodeID, r Report) {
+func (m *Machine) ticketReceived(from NodeID, t Ticket) {
 	if m.topo == nil {
 		return
 	}
-	g := m.sched.grants[r.Grant]
-	if r.Phase == PhaseEnded {
-		m.send(from, ReportAck{Grant: r.Grant})
-		if g != nil {
-			m.release(g)
-		}
+	if !m.mayScheduleHere() {
+		m.send(from, m.heartbeat())
 		return
 	}
-	if g == nil {
-		g = &running{grant: Grant{ID: r.Grant, Ticket: r.Ticket, Target: r.Target}, from: from, workspace: r.Workspace}
-		m.sched.grants[r.Grant] = g
-		m.sched.byTick[r.Ticket] = r.Grant
-		m.sched.load[r.Target]++
+	key := ticketKey{t.ID, t.Shard}
+	if m.sched.finished.has(m.now, key) {
+		return
 	}
-	g.seen = m.now
+	s := m.shardHere(t.Shard)
+	if g := s.granted[t.ID]; g != nil {
+		g.from = from
+		m.sendGrant(g)
+		return
+	}
+	if q := s.queued[t.ID]; q != nil {
+		q.refresh(m, from, t)
+		m.sendWaiting(q)
+		return
+	}
+	m.enqueue(s, from, t)
 }
 
-func (m *Machine) release(g *running) {
-	delete(m.sched.grants, g.grant.ID)
-	delete(m.sched.byTick, g.grant.Ticket)
-	m.sched.load[g.grant.Target]--
-	if shard, ok := m.topo.shardOf(g.grant.Target); ok {
-		m.grantAll(shard)
+// enqueue puts a ticket in the queue and grants what can be granted.
+func (m *Machine) enqueue(s *shard, from NodeID, t Ticket) {
+	class := m.classOf(s, t.Workspace, t.Excluded)
+	if refusal, refused := m.refusal(s, t, class); refused {
+		m.send(from, refusal)
+		m.settleShard(s)
+		return
+	}
+	q := &queuedTicket{shard: s, from: from, ticket: t, deadline: m.now + t.TimeLeft}
+	s.queued[t.ID] = q
+	w := m.workspaceHere(t.Workspace)
+	m.push(q, w, class)
+	w.waiting++
+	q.refresh(m, from, t)
+	m.grantAll(s)
+	if s.queued[t.ID] != nil {
+		m.counters.TicketsQueued++
+		m.sendWaiting(q)
 	}
 }
 
-func (m *Machine) targetLoad(TargetLoad) {}
-
-func (m *Machine) targetUnreachable(ev TargetUnreachable) {
-	m.sched.down[ev.Target] = m.now + time.Second
+// refusal says whether a ticket has no prospect of a grant.
+func (m *Machine) refusal(s *shard, t Ticket, c *class) (Refusal, bool) {
+	f := Refusal{Ticket: t.ID, Shard: t.Shard}
+	switch {
+	case t.TimeLeft <= 0:
+		f.Code = result.DeadlineBeforeGrant
+	case m.hopeless(s, c):
+		f.Code = result.NoTarget
+		f.RetryAfter = m.jitter(2 * minRetryAfter)
+	default:
+		return f, false
+	}
+	return f, true
 }
 
-func (m *Machine) drainStarted() {
-	m.members.draining = true
-	m.members.nextBeat = m.now
-	m.beat()
-	m.reassign()
-	m.checkDrained()
+func (m *Machine) sendWaiting(q *queuedTicket) {
+	m.send(q.from, Waiting{Ticket: q.ticket.ID, Shard: q.shard.id, Ahead: q.shard.queue.Len() - 1})
 }
 
-func (m *Machine) checkDrained() {
-	if m.members.draining && len(m.entry.requests) == 0 && len(m.entry.ended) == 0 && !m.sched.drained {
-		m.sched.drained = true
-		m.emit(Drained{})
+func (m *Machine) cancelReceived(c CancelTicket) {
+	m.sched.finished.add(m.now, ticketKey{c.Ticket, c.Shard}, cancelledKept)
+	s := m.sched.shards[c.Shard]
+	if s == nil {
+		return
+	}
+	if q := s.queued[c.Ticket]; q != nil {
+		m.unqueue(q)
+		m.settleShard(s)
 	}
 }
 
-func (m *Machine) tick() {
-	if m.topo == nil {
-		m.beat()
-		return
-	}
-	m.beat()
-	m.reassign()
-	m.entryTick()
-	for _, g := range m.sched.grants {
-		if m.now-g.seen >= reclaimAfter {
-			m.release(g)
+// dropLost removes the tickets of entry nodes that cannot be reached, so that
+// no slot is granted to them. A live entry sends its tickets again.
+func (m *Machine) dropLost() {
+	for _, s := range m.sched.sortedShards() {
+		if s.queue.Len() == 0 {
+			continue
 		}
+		for _, q := range s.sortedTickets() {
+			if q.from != m.opts.Node && !m.view.Reachable(string(q.from)) {
+				m.counters.TicketsLapsed++
+				m.unqueue(q)
+			}
+		}
+		m.settleShard(s)
 	}
-	for id := range m.sched.shards {
-		m.grantAll(id)
+}
+
+// dropRestarted removes the tickets of a node's past incarnations.
+func (m *Machine) dropRestarted(node NodeID, current Incarnation) {
+	for _, s := range m.sched.sortedShards() {
+		for _, q := range s.sortedTickets() {
+			if q.ticket.ID.Node == node && q.ticket.ID.Incarnation != current {
+				m.unqueue(q)
+			}
+		}
 	}
 }
+
+// unqueue removes a ticket that gets no grant.
+func (m *Machine) unqueue(q *queuedTicket) {
+	q.shard.queue.Remove(m.now, q.item)
+	m.forgetTicket(q)
+}
+
+// forgetTicket removes a ticket that has left the queue.
+func (m *Machine) forgetTicket(q *queuedTicket) {
+	m.timers.stop(&q.timer)
+	delete(q.shard.queued, q.ticket.ID)
+	q.workspace.waiting--
+}
--- /dev/null
+++ b/control/shard.go
@@ -0,0 +1,264 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/walnutcove/walnutcove/control/sched"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// classesKept is how many classes a shard may have before unused ones go.
+const classesKept = 32
+
+// shard is the queue of one shard at its scheduler.
+type shard struct {
+	id ShardID
+	// owned says that this node owns the shard in its own view.
+	owned   bool
+	idleAt  Instant
+	queue   *sched.Queue[*queuedTicket]
+	queued  map[TicketID]*queuedTicket
+	granted map[TicketID]*grant
+	// flows names the workspaces that the queue remembers.
+	flows map[string]bool
+	// targets are those declared, in order of name.
+	targets []*target
+	byName  map[string]*target
+	classes map[string]*class
+	timer   timer
+}
+
+// class is a set of targets that may run a ticket: what its workspace may
+// reach without what it excludes.
+type class struct {
+	name string
+	// workspace is given if the class is narrowed for it.
+	workspace string
+	excluded  []string
+	targets   []*target
+}
+
+// queuedTicket is a ticket that waits at its scheduler.
+type queuedTicket struct {
+	shard     *shard
+	from      NodeID
+	ticket    Ticket
+	workspace *workspace
+	item      *sched.Item[*queuedTicket]
+	class     string
+	deadline  Instant
+	lease     Instant
+	timer     timer
+}
+
+func newShard(now Instant, id ShardID) *shard {
+	return &shard{
+		id:      id,
+		idleAt:  now,
+		queue:   sched.NewQueue[*queuedTicket](),
+		queued:  make(map[TicketID]*queuedTicket),
+		granted: make(map[TicketID]*grant),
+		flows:   make(map[string]bool),
+		byName:  make(map[string]*target),
+		classes: make(map[string]*class),
+	}
+}
+
+// declareTargets follows the configuration: targets that stay keep what was
+// learned of them.
+func (m *Machine) declareTargets(s *shard) {
+	clear(s.classes)
+	var names []string
+	if decl := m.topo.shards[s.id]; decl != nil {
+		names = decl.targets
+	}
+	kept := make(map[string]*target, len(names))
+	s.targets = s.targets[:0]
+	for _, name := range names {
+		t := s.byName[name]
+		if t == nil {
+			t = newTarget(m.now, s, name)
+		}
+		t.declare(m.topo.decl.Targets[name])
+		kept[name] = t
+		s.targets = append(s.targets, t)
+	}
+	for name, t := range s.byName {
+		if kept[name] == nil {
+			m.timers.stop(&t.timer)
+		}
+	}
+	s.byName = kept
+	m.sched.watchStale = true
+	m.refuseHopeless(s)
+	m.grantAll(s)
+}
+
+// classOf returns the class of a ticket.
+func (m *Machine) classOf(s *shard, workspace string, excluded []string) *class {
+	name, only := "", ""
+	ws, known := m.topo.decl.Workspaces[workspace]
+	if known && (len(ws.Targets) > 0 || !slices.Contains(ws.Pools, s.id.Pool)) {
+		only = workspace
+	}
+	if only != "" || len(excluded) > 0 {
+		name = only + "\x00" + strings.Join(excluded, "\x00")
+	}
+	c := s.classes[name]
+	if c == nil {
+		c = &class{name: name, workspace: only, excluded: excluded}
+		s.classes[name] = c
+		m.fillClass(s, c)
+	}
+	return c
+}
+
+func (m *Machine) fillClass(s *shard, c *class) {
+	for _, t := range s.targets {
+		if slices.Contains(c.excluded, t.name) {
+			continue
+		}
+		if c.workspace == "" || m.topo.mayRun(t.name, c.workspace, nil) {
+			c.targets = append(c.targets, t)
+		}
+	}
+}
+
+// hopeless says that no target of the class can be expected to serve. A shard
+// that this node's configuration does not know yet is not hopeless.
+func (m *Machine) hopeless(s *shard, c *class) bool {
+	if m.topo.shards[s.id] == nil {
+		return false
+	}
+	for _, t := range c.targets {
+		if !t.hopeless(m.now) {
+			return false
+		}
+	}
+	return true
+}
+
+// refuseHopeless refuses the tickets that no target can be expected to serve.
+func (m *Machine) refuseHopeless(s *shard) {
+	if s.queue.Len() == 0 {
+		return
+	}
+	for _, q := range s.sortedTickets() {
+		c := m.classOf(s, q.ticket.Workspace, q.ticket.Excluded)
+		if refusal, refused := m.refusal(s, q.ticket, c); refused {
+			m.unqueue(q)
+			m.counters.TicketsHopeless++
+			m.send(q.from, refusal)
+		}
+	}
+}
+
+// push puts a ticket in the queue of its workspace.
+func (m *Machine) push(q *queuedTicket, w *workspace, c *class) {
+	q.workspace = w
+	q.class = c.name
+	flow, item := q.shard.queue.Push(m.now, w.name, c.name, w.entry.Total(), q)
+	q.item = item
+	q.shard.flows[w.name] = true
+	w.flows[q.shard.id] = flow
+	m.armShard(q.shard)
+}
+
+// refresh takes in that the entry still waits for the ticket.
+func (q *queuedTicket) refresh(m *Machine, from NodeID, t Ticket) {
+	q.from = from
+	q.deadline = m.now + t.TimeLeft
+	q.lease = m.now + ticketLease
+	m.timers.set(&q.timer, q, min(q.deadline, q.lease))
+}
+
+// fire implements timed: the ticket's deadline has come, or its entry is gone.
+func (q *queuedTicket) fire(m *Machine) {
+	m.unqueue(q)
+	if m.now >= q.deadline {
+		m.send(q.from, Refusal{Ticket: q.ticket.ID, Shard: q.shard.id, Code: result.DeadlineBeforeGrant})
+		return
+	}
+	m.counters.TicketsLapsed++
+}
+
+// armShard sets the shard's timer to the next thing to do.
+func (m *Machine) armShard(s *shard) {
+	at, ok := s.queue.NextTick()
+	if !s.owned && s.empty() && (!ok || at > s.idleAt+guestKept) {
+		at, ok = s.idleAt+guestKept, true
+	}
+	if !ok {
+		m.timers.stop(&s.timer)
+		return
+	}
+	m.timers.set(&s.timer, s, max(at, m.now+time.Millisecond))
+}
+
+// fire implements timed: the queue has something to do, or the shard may go.
+func (s *shard) fire(m *Machine) {
+	for _, name := range s.queue.Tick(m.now) {
+		delete(s.flows, name)
+		delete(m.sched.workspaces[name].flows, s.id)
+	}
+	s.dropClasses()
+	if !s.owned && s.empty() && m.now >= s.idleAt+guestKept {
+		m.dropShard(s)
+		return
+	}
+	m.grantAll(s)
+	m.armShard(s)
+}
+
+// dropClasses forgets the classes that nothing waits in.
+func (s *shard) dropClasses() {
+	if len(s.classes) <= classesKept {
+		return
+	}
+	for name := range s.classes {
+		if !s.queue.HasClass(name) {
+			delete(s.classes, name)
+		}
+	}
+}
+
+func (s *shard) empty() bool { return len(s.queued) == 0 && len(s.granted) == 0 }
+
+// settleShard notes since when a shard has no work.
+func (m *Machine) settleShard(s *shard) {
+	if s.empty() {
+		s.idleAt = m.now
+		m.armShard(s)
+	}
+}
+
+func (s *shard) sortedTickets() []*queuedTicket {
+	all := make([]*queuedTicket, 0, len(s.queued))
+	for _, q := range s.queued {
+		all = append(all, q)
+	}
+	slices.SortFunc(all, func(a, b *queuedTicket) int { return compareTickets(a.ticket.ID, b.ticket.ID) })
+	return all
+}
+
+func compareTickets(a, b TicketID) int {
+	return cmp.Or(
+		cmp.Compare(a.Node, b.Node),
+		cmp.Compare(a.Incarnation, b.Incarnation),
+		cmp.Compare(a.Attempt, b.Attempt),
+	)
+}
+
+func (s *scheduler) sortedShards() []*shard {
+	all := make([]*shard, 0, len(s.shards))
+	for _, sh := range s.shards {
+		all = append(all, sh)
+	}
+	slices.SortFunc(all, func(a, b *shard) int {
+		return cmp.Or(cmp.Compare(a.id.Pool, b.id.Pool), cmp.Compare(a.id.DataCentre, b.id.DataCentre))
+	})
+	return all
+}
--- a/control/status.go
+++ b/control/status.go
@@ -1,62 +1,142 @@
 package control
 
-// Status is a read-only picture of a machine for operators and metrics.
+import (
+	"time"
+)
+
+// Counters counts what a machine did since it was made.
+type Counters struct {
+	RequestsArrived       uint64
+	RequestsRefused       uint64
+	TicketsSent           uint64
+	TicketsResent         uint64
+	TicketsQueued         uint64
+	TicketsLapsed         uint64
+	TicketsHopeless       uint64
+	Dispatches            uint64
+	GrantsMade            uint64
+	GrantsResent          uint64
+	GrantsReturned        uint64
+	GrantsAdopted         uint64
+	GrantsEnded           uint64
+	GrantsReclaimed       uint64
+	ReportsResent         uint64
+	SchedulersUnanswering uint64
+	NodesSuspected        uint64
+	TargetFailures        uint64
+	MessagesSent          uint64
+	StaleMessages         uint64
+	Thaws                 uint64
+}
+
+// Counters returns the counts so far.
+func (m *Machine) Counters() Counters { return m.counters }
+
+// Status is a read-only picture of a machine for operators.
 type Status struct {
 	Node        NodeID
 	Incarnation Incarnation
 	// ConfigVersion is the version in force; zero if none.
 	ConfigVersion uint64
 	Draining      bool
-	// Members are the nodes in view, without this one.
+	// Members are the other nodes in view, in order of name.
 	Members []MemberStatus
 	// Shards are the shards scheduled here.
 	Shards []ShardStatus
-	// Waiting and Running count the requests that entered here.
+	// Waiting and Running count the requests that entered here and wait for a
+	// grant or run under one.
 	Waiting int
 	Running int
+	// WaitingOf counts the requests that entered and wait here, by workspace.
+	WaitingOf map[string]int
 }
 
 // MemberStatus is one node in view.
 type MemberStatus struct {
 	Node       NodeID
 	DataCentre string
-	Alive      bool
-	Leaving    bool
+	// Alive says that the node may be given work.
+	Alive   bool
+	Leaving bool
 }
 
 // ShardStatus is one shard scheduled here.
 type ShardStatus struct {
 	Shard ShardID
-	// Queued counts the waiting tickets.
-	Queued int
+	// Owned says that this node owns the shard in its own view.
+	Owned bool
+	// Queued and Granted count the waiting tickets and the grants held.
+	Queued  int
+	Granted int
 	// Backlog counts the waiting tickets by workspace.
 	Backlog map[string]int
+	Targets []TargetStatus
+}
+
+// TargetStatus is one target of a shard scheduled here.
+type TargetStatus struct {
+	Target string
+	// Slots is what the target serves at once, Granted the grants held, and
+	// Room how many more may be granted now.
+	Slots   int
+	Granted int
+	Room    int
+	Leaving bool
+	// DownFor is how long the target is still passed over.
+	DownFor time.Duration
 }
 
 // Status returns the present state. It reads everything: call it for operators,
-// not per request.
+// not for each request.
 func (m *Machine) Status() Status {
-	st := Status{Node: m.opts.Node, Incarnation: m.opts.Incarnation, Draining: m.members.draining}
+	st := Status{
+		Node:        m.opts.Node,
+		Incarnation: m.opts.Incarnation,
+		Draining:    m.draining,
+		Waiting:     len(m.entry.requests),
+		Running:     len(m.entry.runs),
+		WaitingOf:   make(map[string]int, len(m.entry.workspaces)),
+	}
 	if m.topo != nil {
 		st.ConfigVersion = uint64(m.topo.version)
 	}
-	for _, node := range m.sortedPeers() {
-		p := m.members.peers[node]
-		st.Members = append(st.Members, MemberStatus{Node: node, DataCentre: p.dataCentre, Alive: m.alive(p), Leaving: p.leaving})
-	}
-	for id, s := range m.sched.shards {
-		ss := ShardStatus{Shard: id, Queued: len(s.queue), Backlog: make(map[string]int)}
-		for _, w := range s.queue {
-			ss.Backlog[w.ticket.Workspace]++
-		}
-		st.Shards = append(st.Shards, ss)
-	}
-	for _, p := range m.entry.requests {
-		if p.granted {
-			st.Running++
-		} else {
-			st.Waiting++
-		}
+	for _, n := range m.view.Nodes() {
+		st.Members = append(st.Members, MemberStatus{
+			Node:       NodeID(n.Name),
+			DataCentre: n.DataCentre,
+			Alive:      m.view.Alive(n.Name),
+			Leaving:    n.Leaving,
+		})
+	}
+	for name, w := range m.entry.workspaces {
+		st.WaitingOf[name] = w.count
+	}
+	for _, s := range m.sched.sortedShards() {
+		st.Shards = append(st.Shards, m.shardStatus(s))
+	}
+	return st
+}
+
+func (m *Machine) shardStatus(s *shard) ShardStatus {
+	st := ShardStatus{
+		Shard:   s.id,
+		Owned:   s.owned,
+		Queued:  len(s.queued),
+		Granted: len(s.granted),
+		Backlog: make(map[string]int),
+	}
+	for _, q := range s.queued {
+		st.Backlog[q.workspace.name]++
+	}
+	for _, t := range s.targets {
+		st.Targets = append(st.Targets, TargetStatus{
+			Target:  t.name,
+			Slots:   t.window.Slots(),
+			Granted: t.window.Out(),
+			Room:    t.room(m.now),
+			Leaving: t.leaving || t.reportedLeaving,
+			DownFor: max(0, t.downUntil-m.now),
+		})
 	}
 	return st
 }
--- /dev/null
+++ b/control/target.go
@@ -0,0 +1,189 @@
+package control
+
+import (
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/control/sched"
+)
+
+const (
+	// firstBackoff and maxBackoff bound how long a failing target is passed over.
+	firstBackoff = 250 * time.Millisecond
+	maxBackoff   = 8 * time.Second
+	// errorsToBackoff is how many runs in a row must end with a target's error.
+	errorsToBackoff = 5
+	// hopelessAfter is how long a target must fail before tickets that only it
+	// could serve are refused.
+	hopelessAfter = 5 * time.Second
+	// prefixesKept bounds the prompt beginnings remembered of a target.
+	prefixesKept = 512
+)
+
+// target is one target at the scheduler of its shard.
+type target struct {
+	shard  *shard
+	name   string
+	window *sched.Window
+	// leaving and reportedLeaving say that it takes nothing new.
+	leaving, reportedLeaving bool
+	failures                 int
+	failingSince             Instant
+	downUntil                Instant
+	// pollFailed says that the last failure was of a load poll.
+	pollFailed bool
+	// wasHopeless is what hopeless said last.
+	wasHopeless bool
+	// errors counts runs in a row that ended with the target's error.
+	errors   int
+	prefixes prefixSet
+	timer    timer
+}
+
+func newTarget(now Instant, s *shard, name string) *target {
+	return &target{shard: s, name: name, window: sched.NewWindow(now, 1)}
+}
+
+func (t *target) declare(decl config.Target) {
+	t.leaving = decl.Leaving
+	t.window.Declare(decl.Slots)
+}
+
+// room returns how many grants the target may be given now.
+func (t *target) room(now Instant) int {
+	if t.leaving || t.reportedLeaving || now < t.downUntil {
+		return 0
+	}
+	if t.failures > 0 {
+		return max(0, 1-t.window.Out()) // one run probes it
+	}
+	return t.window.Room(now)
+}
+
+// hopeless says that the target cannot be expected to serve again soon.
+func (t *target) hopeless(now Instant) bool {
+	return t.leaving || t.reportedLeaving || (t.failures > 1 && now-t.failingSince >= hopelessAfter)
+}
+
+// targetHere returns a target of the shards scheduled here, or nil.
+func (m *Machine) targetHere(name string) *target {
+	if m.topo == nil {
+		return nil
+	}
+	id, ok := m.topo.shardOf(name)
+	if !ok || m.sched.shards[id] == nil {
+		return nil
+	}
+	return m.sched.shards[id].byName[name]
+}
+
+func (m *Machine) targetLoad(ev TargetLoad) {
+	t := m.targetHere(ev.Target)
+	if t == nil {
+		return
+	}
+	t.window.Reported(m.now, ev.Running, ev.Queued, ev.Slots)
+	t.prefixes.report(ev.CachedPrefixes)
+	if t.pollFailed {
+		t.recovered()
+	}
+	t.reportedLeaving = ev.Leaving
+	m.noteHopeless(t)
+	m.grantAll(t.shard)
+}
+
+func (m *Machine) targetUnreachable(ev TargetUnreachable) {
+	if t := m.targetHere(ev.Target); t != nil {
+		m.targetFailed(t, true)
+	}
+}
+
+// targetFailed passes a target over for a while, longer each time. When that
+// time ends one run probes it.
+func (m *Machine) targetFailed(t *target, poll bool) {
+	if m.now < t.downUntil && !poll {
+		return // runs that failed together count once
+	}
+	m.counters.TargetFailures++
+	if t.failures == 0 {
+		t.failingSince = m.now
+	}
+	t.pollFailed = poll
+	t.failures = min(t.failures+1, 16)
+	backoff := min(firstBackoff<<(t.failures-1), maxBackoff)
+	t.downUntil = m.now + m.jitter(backoff)
+	m.timers.set(&t.timer, t, t.downUntil)
+	m.noteHopeless(t)
+}
+
+// noteHopeless refuses what only this target could serve, once it cannot be
+// expected to serve again soon.
+func (m *Machine) noteHopeless(t *target) {
+	was := t.wasHopeless
+	t.wasHopeless = t.hopeless(m.now)
+	if t.wasHopeless && !was {
+		m.refuseHopeless(t.shard)
+	}
+}
+
+// fire implements timed: the target may be probed.
+func (t *target) fire(m *Machine) { m.grantAll(t.shard) }
+
+func (t *target) recovered() {
+	t.failures = 0
+	t.errors = 0
+	t.downUntil = 0
+	t.pollFailed = false
+}
+
+// runOutcome learns about a target's health from the end of a run.
+func (m *Machine) runOutcome(t *target, outcome Outcome) {
+	switch outcome {
+	case OutcomeAnswered:
+		t.recovered()
+	case OutcomeUnreachable, OutcomeRefused, OutcomeLost:
+		m.targetFailed(t, false)
+	case OutcomeFailed:
+		t.errors++
+		if t.errors >= errorsToBackoff {
+			m.targetFailed(t, false)
+		}
+	}
+}
+
+// prefixSet remembers which prompt beginnings are likely in a target's cache:
+// those it reported and those granted to it of late.
+type prefixSet struct {
+	reported map[uint64]bool
+	recent   map[uint64]bool
+	order    []uint64
+}
+
+func (p *prefixSet) has(hash uint64) bool {
+	return hash != 0 && (p.recent[hash] || p.reported[hash])
+}
+
+func (p *prefixSet) report(hashes []uint64) {
+	if len(hashes) == 0 && len(p.reported) == 0 {
+		return
+	}
+	p.reported = make(map[uint64]bool, min(len(hashes), prefixesKept))
+	for _, h := range hashes[:min(len(hashes), prefixesKept)] {
+		p.reported[h] = true
+	}
+}
+
+func (p *prefixSet) granted(hash uint64) {
+	if hash == 0 || p.recent[hash] {
+		return
+	}
+	if p.recent == nil {
+		p.recent = make(map[uint64]bool)
+	}
+	if len(p.order) >= prefixesKept {
+		delete(p.recent, p.order[0])
+		p.order = p.order[1:]
+	}
+	p.recent[hash] = true
+	p.order = append(p.order, hash)
+}
--- /dev/null
+++ b/control/tickets.go
@@ -0,0 +1,271 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/walnutcove/walnutcove/result"
+)
+
+const (
+	// resendEvery is the period of sending an unanswered ticket again.
+	resendEvery = 500 * time.Millisecond
+	// refreshEvery is the period of sending a ticket again that is known to wait.
+	refreshEvery = 2 * time.Second
+	// unansweredTries is how many tickets without an answer speak against a
+	// scheduler.
+	unansweredTries = 3
+	// maxAsks bounds the shards that one ticket waits at. Under PolicyAlone
+	// every shard is scheduled here and there is no bound.
+	maxAsks = 4
+	// usualAsks is how many shards a ticket waits at though they are known to
+	// be backlogged.
+	usualAsks = 2
+	// hintTime is how long the state of a shard is remembered.
+	hintTime = 200 * time.Millisecond
+	// never is later than any deadline.
+	never = Instant(1<<63 - 1)
+	// probeDepth bounds the waiting requests looked at for one probe.
+	probeDepth = 8
+)
+
+// ask is a ticket sent to one shard.
+type ask struct {
+	shard  ShardID
+	to     NodeID
+	sentAt Instant
+	// firstAt is when the present run of unanswered sends began.
+	firstAt Instant
+	tries   int
+	// waiting says that the scheduler answered that the ticket waits.
+	waiting bool
+	// refused says that the scheduler will not grant.
+	refused bool
+}
+
+// due returns when the ticket is sent again.
+func (a *ask) due() Instant {
+	switch {
+	case a.refused:
+		return never
+	case a.waiting:
+		return a.sentAt + refreshEvery
+	default:
+		return a.sentAt + resendEvery
+	}
+}
+
+// shardHint is what was last heard of a shard's load.
+type shardHint struct {
+	at Instant
+	// spare is the number of free slots; zero means that tickets wait.
+	spare int
+}
+
+// newTicket gives the request a ticket id of its own.
+func (m *Machine) newTicket(r *request) {
+	m.entry.nextAttempt++
+	r.id = TicketID{
+		Node:        m.opts.Node,
+		Incarnation: m.opts.Incarnation,
+		Request:     r.ev.Request,
+		Attempt:     m.entry.nextAttempt,
+	}
+}
+
+// ask sends the request's ticket to one more shard.
+func (m *Machine) ask(r *request, id ShardID) {
+	a := &ask{shard: id, firstAt: m.now}
+	r.asks = append(r.asks, a)
+	m.sendTicket(r, a)
+	m.arm(r)
+}
+
+func (m *Machine) sendTicket(r *request, a *ask) {
+	a.to = m.owner(a.shard)
+	a.sentAt = m.now
+	a.tries++
+	m.counters.TicketsSent++
+	m.send(a.to, Ticket{
+		ID:          r.id,
+		Shard:       a.shard,
+		Workspace:   r.ev.Workspace,
+		CostHint:    r.ev.CostHint,
+		TimeLeft:    r.ev.Deadline - m.now,
+		PrefixHash:  r.ev.PrefixHash,
+		Fingerprint: r.ev.Fingerprint,
+		Excluded:    r.ev.Excluded,
+	})
+}
+
+// repeat sends a ticket again. A scheduler that left several unanswered is
+// passed over for a while.
+func (m *Machine) repeat(r *request, a *ask) {
+	if a.waiting {
+		a.waiting = false
+		a.tries = 0
+		a.firstAt = m.now
+	}
+	if a.tries >= unansweredTries && a.to != m.opts.Node {
+		m.counters.SchedulersUnanswering++
+		m.view.Unresponsive(m.now, a.firstAt, string(a.to))
+	}
+	m.counters.TicketsResent++
+	m.sendTicket(r, a)
+}
+
+// restart sends a ticket again at once, as to a scheduler that never saw it.
+func (m *Machine) restart(r *request, a *ask) {
+	a.waiting = false
+	a.refused = false
+	a.tries = 0
+	a.firstAt = m.now
+	m.counters.TicketsResent++
+	m.sendTicket(r, a)
+	m.arm(r)
+}
+
+// asked returns the request and ask that a scheduler's answer is for, or nil.
+func (m *Machine) asked(id TicketID, shard ShardID) (*request, *ask) {
+	r := m.entry.requests[id.Request]
+	if r == nil || r.id != id {
+		return nil, nil
+	}
+	for _, a := range r.asks {
+		if a.shard == shard {
+			return r, a
+		}
+	}
+	return nil, nil
+}
+
+func (m *Machine) waitingReceived(w Waiting) {
+	m.hint(w.Shard, 0)
+	r, a := m.asked(w.Ticket, w.Shard)
+	if a == nil {
+		return
+	}
+	a.waiting = true
+	a.sentAt = m.now
+	if id, ok := m.nextShard(r); ok {
+		m.ask(r, id)
+		return
+	}
+	m.arm(r)
+}
+
+func (m *Machine) refusalReceived(f Refusal) {
+	r, a := m.asked(f.Ticket, f.Shard)
+	if a == nil {
+		return
+	}
+	a.refused = true
+	if f.Code == result.NoTarget {
+		if id, ok := m.nextShard(r); ok {
+			m.ask(r, id)
+			return
+		}
+		if slices.ContainsFunc(r.asks, func(a *ask) bool { return !a.refused }) {
+			m.arm(r)
+			return
+		}
+	}
+	after := f.RetryAfter
+	if after <= 0 {
+		after = m.retryAfter(r.ev.Workspace)
+	}
+	m.withdraw(r)
+	m.refuseAfter(r.ev, f.Code, after)
+}
+
+// nextShard chooses one more shard to ask: one with free slots, else one whose
+// state is not known, else any while few were asked.
+func (m *Machine) nextShard(r *request) (ShardID, bool) {
+	open, found := ShardID{}, false
+	waits := 0
+	for _, a := range r.asks {
+		if !a.refused {
+			waits++
+		}
+	}
+	if waits >= maxAsks && m.opts.Policy != PolicyAlone {
+		return open, false
+	}
+	for _, id := range r.shards {
+		if r.hasAsked(id) {
+			continue
+		}
+		h := m.freshHint(id)
+		if h != nil && h.spare > 0 {
+			h.spare--
+			return id, true
+		}
+		if !found && (h == nil || waits < usualAsks || m.opts.Policy == PolicyAlone) {
+			open, found = id, true
+		}
+	}
+	return open, found
+}
+
+func (r *request) hasAsked(id ShardID) bool {
+	return slices.ContainsFunc(r.asks, func(a *ask) bool { return a.shard == id })
+}
+
+func (m *Machine) hint(id ShardID, spare int) {
+	h := m.entry.hints[id]
+	if h == nil {
+		h = &shardHint{}
+		m.entry.hints[id] = h
+	}
+	h.at, h.spare = m.now, spare
+}
+
+// freshHint returns what was heard of a shard of late, or nil.
+func (m *Machine) freshHint(id ShardID) *shardHint {
+	h := m.entry.hints[id]
+	if h == nil || m.now-h.at > hintTime {
+		return nil
+	}
+	return h
+}
+
+// cancelAsks withdraws a request's tickets, but for the one at the shard except.
+func (m *Machine) cancelAsks(r *request, except ShardID) {
+	for _, a := range r.asks {
+		if a.shard != except && !a.refused {
+			m.send(a.to, CancelTicket{Ticket: r.id, Shard: a.shard})
+		}
+	}
+}
+
+// entryTick probes shards whose state is not known while requests wait.
+func (m *Machine) entryTick() {
+	if m.now < m.entry.nextProbe {
+		return
+	}
+	m.entry.nextProbe = m.now + hintTime
+	for _, pool := range sortedKeys(m.entry.pools) {
+		for _, id := range m.topo.pools[pool] {
+			if m.freshHint(id) == nil {
+				m.offer(id, 1)
+			}
+		}
+	}
+}
+
+// offer sends tickets of waiting requests to a shard that did not get them yet.
+func (m *Machine) offer(id ShardID, count int) {
+	waiting := m.entry.pools[id.Pool]
+	if waiting == nil {
+		return
+	}
+	looked := 0
+	for e := waiting.Front(); e != nil && count > 0 && looked < count+probeDepth; e = e.Next() {
+		looked++
+		r := e.Value.(*request)
+		if len(r.asks) < maxAsks && slices.Contains(r.shards, id) && !r.hasAsked(id) {
+			m.ask(r, id)
+			count--
+		}
+	}
+}
--- /dev/null
+++ b/control/timers.go
@@ -0,0 +1,82 @@
+package control
+
+import "container/heap"
+
+// timer is one pending moment of an object. The zero value is not set.
+type timer struct {
+	at    Instant
+	seq   uint64
+	place int // index in the heap plus one; zero if not set
+	owner timed
+}
+
+// timed is an object with a timer.
+type timed interface{ fire(m *Machine) }
+
+// timers is a heap of timers; those of the same time fire in the order set.
+type timers struct {
+	heap []*timer
+	seq  uint64
+}
+
+// set sets or moves a timer.
+func (ts *timers) set(t *timer, owner timed, at Instant) {
+	ts.seq++
+	t.at, t.seq, t.owner = at, ts.seq, owner
+	if t.place > 0 {
+		heap.Fix(ts, t.place-1)
+		return
+	}
+	heap.Push(ts, t)
+}
+
+// stop unsets a timer.
+func (ts *timers) stop(t *timer) {
+	if t.place > 0 {
+		heap.Remove(ts, t.place-1)
+	}
+}
+
+// pop unsets and returns the first timer that is due, or nil.
+func (ts *timers) pop(now Instant) *timer {
+	if len(ts.heap) == 0 || ts.heap[0].at > now {
+		return nil
+	}
+	return heap.Pop(ts).(*timer)
+}
+
+// Len implements heap.Interface.
+func (ts *timers) Len() int { return len(ts.heap) }
+
+// Less implements heap.Interface.
+func (ts *timers) Less(i, j int) bool {
+	a, b := ts.heap[i], ts.heap[j]
+	if a.at != b.at {
+		return a.at < b.at
+	}
+	return a.seq < b.seq
+}
+
+// Swap implements heap.Interface.
+func (ts *timers) Swap(i, j int) {
+	ts.heap[i], ts.heap[j] = ts.heap[j], ts.heap[i]
+	ts.heap[i].place = i + 1
+	ts.heap[j].place = j + 1
+}
+
+// Push implements heap.Interface.
+func (ts *timers) Push(x any) {
+	t := x.(*timer)
+	t.place = len(ts.heap) + 1
+	ts.heap = append(ts.heap, t)
+}
+
+// Pop implements heap.Interface.
+func (ts *timers) Pop() any {
+	last := len(ts.heap) - 1
+	t := ts.heap[last]
+	ts.heap[last] = nil
+	ts.heap = ts.heap[:last]
+	t.place = 0
+	return t
+}
--- a/control/topology.go
+++ b/control/topology.go
@@ -1,9 +1,11 @@
 package control
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/control/member"
 )
 
 // topology is what the machine derives from a configuration version.
@@ -11,9 +13,18 @@
 	version config.Version
 	decl    *config.Declarations
 	// pools maps a pool to its shards, in order of data centre.
-	pools map[string][]ShardID
-	// targets maps a shard to its targets, in order of name.
-	targets map[ShardID][]string
+	pools  map[string][]ShardID
+	shards map[ShardID]*shardDecl
+}
+
+// shardDecl is the declared side of a shard.
+type shardDecl struct {
+	id ShardID
+	// hash is the shard's key for rendezvous hashing.
+	hash uint64
+	// targets and open hold the names of all and of the not leaving targets.
+	targets []string
+	open    []string
 }
 
 func newTopology(s *config.Snapshot) *topology {
@@ -21,24 +32,39 @@
 		version: s.Version,
 		decl:    &s.Declarations,
 		pools:   make(map[string][]ShardID),
-		targets: make(map[ShardID][]string),
+		shards:  make(map[ShardID]*shardDecl),
 	}
 	for name, target := range s.Declarations.Targets {
-		id := ShardID{Pool: target.Pool, DataCentre: target.DataCentre}
-		if _, ok := t.targets[id]; !ok {
-			t.pools[id.Pool] = append(t.pools[id.Pool], id)
-		}
-		t.targets[id] = append(t.targets[id], name)
+		t.add(name, target)
 	}
 	for _, shards := range t.pools {
 		sort.Slice(shards, func(i, j int) bool { return shards[i].DataCentre < shards[j].DataCentre })
 	}
-	for _, names := range t.targets {
-		sort.Strings(names)
+	for _, d := range t.shards {
+		slices.Sort(d.targets)
+		slices.Sort(d.open)
 	}
 	return t
 }
 
+func (t *topology) add(name string, target config.Target) {
+	id := ShardID{Pool: target.Pool, DataCentre: target.DataCentre}
+	d := t.shards[id]
+	if d == nil {
+		d = &shardDecl{id: id, hash: shardHash(id)}
+		t.shards[id] = d
+		t.pools[id.Pool] = append(t.pools[id.Pool], id)
+	}
+	d.targets = append(d.targets, name)
+	if !target.Leaving {
+		d.open = append(d.open, name)
+	}
+}
+
+func shardHash(id ShardID) uint64 {
+	return member.HashOf(id.Pool + "\x00" + id.DataCentre)
+}
+
 // shardOf returns the shard of a target; false if the target is not declared.
 func (t *topology) shardOf(target string) (ShardID, bool) {
 	decl, ok := t.decl.Targets[target]
@@ -52,3 +78,52 @@
 	}
 	return 1
 }
+
+// mayRun says whether a declared, not leaving target may serve a workspace.
+func (t *topology) mayRun(target, workspace string, excluded []string) bool {
+	decl, ok := t.decl.Targets[target]
+	if !ok || decl.Leaving || slices.Contains(excluded, target) {
+		return false
+	}
+	ws, known := t.decl.Workspaces[workspace]
+	if !known {
+		return true // declared by a newer version than this one
+	}
+	if !slices.Contains(ws.Pools, decl.Pool) {
+		return false
+	}
+	return len(ws.Targets) == 0 || slices.Contains(ws.Targets, target)
+}
+
+// serves says whether a shard has a target that may serve a workspace.
+func (t *topology) serves(id ShardID, workspace string, excluded []string) bool {
+	names := t.shards[id].open
+	if only := t.decl.Workspaces[workspace].Targets; len(only) > 0 {
+		names = only
+	}
+	for _, name := range names {
+		if shard, ok := t.shardOf(name); ok && shard == id && t.mayRun(name, workspace, excluded) {
+			return true
+		}
+	}
+	return false
+}
+
+// candidates returns the shards of a pool that may serve a workspace: the near
+// one first, then the others in an order that differs between requests.
+func (t *topology) candidates(ev RequestArrived, near string) []ShardID {
+	var ids []ShardID
+	for _, id := range t.pools[ev.Pool] {
+		if t.serves(id, ev.Workspace, ev.Excluded) {
+			ids = append(ids, id)
+		}
+	}
+	turn := uint64(ev.Request)
+	sort.SliceStable(ids, func(i, j int) bool {
+		if a, b := ids[i].DataCentre == near, ids[j].DataCentre == near; a != b {
+			return a
+		}
+		return member.Score(t.shards[ids[i]].hash, turn) > member.Score(t.shards[ids[j]].hash, turn)
+	})
+	return ids
+}
