--- /dev/null
+++ b/router/acquire.go
@@ -0,0 +1,117 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+var (
+	grantWait   = metrics.GetOrCreateHistogram(`walnut_grant_wait_seconds`)
+	serviceTime = metrics.GetOrCreateHistogram(`walnut_run_service_seconds`)
+)
+
+// grants gives slots to the grant filter. It implements grant.Source.
+type grants struct {
+	loop *loop
+}
+
+// Acquire waits for a slot. It implements grant.Source.
+func (g *grants) Acquire(ctx context.Context, ex *pipeline.Exchange) error {
+	start := time.Now()
+	w := &waiter{attempt: uint32(ex.Attempt), answer: make(chan grantAnswer, 1)}
+	event := g.arrival(ex)
+	select {
+	case g.loop.asks <- ask{event: event, waiter: w}:
+	case <-g.loop.done:
+		return result.New(result.Draining, "The router has stopped.")
+	}
+	select {
+	case answer := <-w.answer:
+		grantWait.UpdateDuration(start)
+		return g.accept(ex, answer)
+	case <-ex.CallerGone:
+		g.withdraw(event.Request, w)
+		return countRefusal(result.New(result.CallerGone, "The caller went away."))
+	case <-ctx.Done():
+		g.withdraw(event.Request, w)
+		return countRefusal(result.New(result.CallerGone, "The request was cancelled."))
+	case <-g.loop.done:
+		return result.New(result.Draining, "The router has stopped.")
+	}
+}
+
+// withdraw cancels the wait. A grant that crossed the cancellation is ended by
+// the machine, which frees the slot on RequestCancelled.
+func (g *grants) withdraw(request control.RequestID, w *waiter) {
+	g.loop.post(control.RequestCancelled{Request: request})
+}
+
+func (g *grants) arrival(ex *pipeline.Exchange) control.RequestArrived {
+	return control.RequestArrived{
+		Request:     control.RequestID(ex.Sequence),
+		Attempt:     uint32(ex.Attempt),
+		Workspace:   ex.WorkspaceName,
+		Pool:        ex.PoolName,
+		CostHint:    ex.CostHint,
+		Deadline:    g.loop.instant(ex.Deadline),
+		Bytes:       int64(len(ex.Body)),
+		PrefixHash:  ex.PrefixHash,
+		Fingerprint: ex.Fingerprint,
+		Excluded:    ex.Excluded,
+	}
+}
+
+// accept turns the machine's answer into the exchange's run or a refusal.
+func (g *grants) accept(ex *pipeline.Exchange, answer grantAnswer) error {
+	if answer.refuse != nil {
+		refusal := result.New(answer.refuse.Code, "%s", answer.refuse.Code.Info().Meaning)
+		return countRefusal(refusal.After(answer.refuse.RetryAfter))
+	}
+	run := &run{loop: g.loop, granted: *answer.dispatch, started: time.Now()}
+	declared, known := ex.Snapshot.Declarations.Targets[answer.dispatch.Target]
+	if !known {
+		run.End(control.OutcomeNotRun)
+		return countRefusal(result.New(result.NoTarget, "The target is not declared in this router's version."))
+	}
+	ex.Target = answer.dispatch.Target
+	ex.Address = declared.Address
+	ex.Run = run
+	return nil
+}
+
+// run is one granted slot. It implements pipeline.Run.
+type run struct {
+	loop    *loop
+	granted control.Dispatch
+	started time.Time
+	once    sync.Once
+}
+
+// End implements pipeline.Run.
+func (r *run) End(outcome control.Outcome) {
+	r.once.Do(func() {
+		service := time.Since(r.started)
+		serviceTime.Update(service.Seconds())
+		r.loop.post(control.RunEnded{
+			Request: r.granted.Request,
+			Grant:   r.granted.Grant,
+			Outcome: outcome,
+			Service: service,
+		})
+	})
+}
+
+// countRefusal counts a refusal by its reason and returns it.
+func countRefusal(refusal *result.Error) error {
+	info := refusal.Code.Info()
+	name := `walnut_` + info.Filter + `_refused_total{reason="` + info.Name + `"}`
+	metrics.GetOrCreateCounter(name).Inc()
+	return refusal
+}
--- /dev/null
+++ b/router/backend.go
@@ -0,0 +1,159 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/config/store"
+	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/operator"
+	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// backend answers operators. It implements operator.Backend.
+type backend struct{ router *Router }
+
+// Ready implements operator.Backend.
+func (b backend) Ready() operator.Readiness {
+	r := b.router
+	readiness := operator.Readiness{Version: r.follower.Version()}
+	switch {
+	case !r.Ready():
+		readiness.Reason = "No configuration version yet: neither the table nor a peer answered."
+	case r.Draining():
+		readiness.Reason = "The router is draining."
+	default:
+		readiness.Ready = true
+	}
+	return readiness
+}
+
+// Config implements operator.Backend.
+func (b backend) Config(ctx context.Context, version config.Version) (*config.Snapshot, error) {
+	known := b.router.InForce()
+	if version != 0 {
+		if known != nil && known.Version == version {
+			return known, nil
+		}
+		return b.router.store.SnapshotAt(ctx, version)
+	}
+	if known == nil {
+		return b.router.store.Load(ctx)
+	}
+	newest, err := b.router.store.CatchUp(ctx, known)
+	if err != nil {
+		return known, nil
+	}
+	return newest, nil
+}
+
+// Apply implements operator.Backend.
+func (b backend) Apply(ctx context.Context, patch config.Patch) (config.Version, error) {
+	accepted, err := b.router.store.Submit(ctx, b.router.InForce(), patch)
+	return b.accepted(ctx, accepted, err)
+}
+
+// accepted hands an accepted version to the follower, so that it spreads from
+// here at once.
+func (b backend) accepted(ctx context.Context, accepted store.Accepted, err error) (config.Version, error) {
+	if err != nil {
+		return 0, err
+	}
+	b.router.follower.Accepted(ctx, accepted.Entry)
+	return accepted.Entry.Version, nil
+}
+
+// History implements operator.Backend.
+func (b backend) History(ctx context.Context, before config.Version, limit int) ([]config.Entry, error) {
+	if before == 0 {
+		newest, err := b.Config(ctx, 0)
+		if err != nil {
+			return nil, err
+		}
+		before = newest.Version + 1
+	}
+	from := config.Version(1)
+	if before > config.Version(limit) {
+		from = before - config.Version(limit)
+	}
+	if from >= before {
+		return nil, nil
+	}
+	entries, err := b.router.store.History(ctx, from, int(before-from))
+	slices.Reverse(entries)
+	return entries, err
+}
+
+// Members implements operator.Backend.
+func (b backend) Members(context.Context) ([]operator.Member, error) {
+	listed := b.router.vms.Load()
+	self := operator.Member{Node: b.router.settings.Node.Name, DataCentre: b.router.settings.Node.DataCentre}
+	if listed == nil {
+		return []operator.Member{self}, nil
+	}
+	var members []operator.Member
+	known := false
+	for _, vm := range *listed {
+		known = known || vm.Name == self.Node
+		members = append(members, operator.Member{
+			Node:       vm.Name,
+			DataCentre: vm.DataCentre,
+			Leaving:    vm.State == platform.VMLeaving,
+		})
+	}
+	if !known {
+		members = append(members, self)
+	}
+	return members, nil
+}
+
+// Drain implements operator.Backend.
+func (b backend) Drain(ctx context.Context, node string) error {
+	if node == "" || node == b.router.settings.Node.Name {
+		b.router.askOnce.Do(func() { close(b.router.drainAsked) })
+		return nil
+	}
+	_, err := b.call(ctx, node, methodDrain, nil)
+	return err
+}
+
+// call calls another router and gives its absence a numbered code.
+func (b backend) call(ctx context.Context, node, method string, payload []byte) ([]byte, error) {
+	if !b.listed(node) {
+		return nil, result.New(result.UnknownRouter, "No router named %q is in the list of VMs.", node)
+	}
+	answer, err := b.router.mesh.Call(ctx, control.NodeID(node), method, payload)
+	if err != nil {
+		return nil, result.Wrap(result.RouterUnreachable, err, "Router %q did not answer.", node)
+	}
+	return answer, nil
+}
+
+func (b backend) listed(node string) bool {
+	vms := b.router.vms.Load()
+	if vms == nil {
+		return false
+	}
+	return slices.ContainsFunc(*vms, func(vm platform.VM) bool { return vm.Name == node })
+}
+
+// remoteStatus asks another router for its status.
+func (b backend) remoteStatus(ctx context.Context, request operator.StatusRequest) (operator.Status, error) {
+	payload, err := json.Marshal(request)
+	if err != nil {
+		return operator.Status{}, err
+	}
+	answer, err := b.call(ctx, request.Node, methodStatus, payload)
+	if err != nil {
+		return operator.Status{}, err
+	}
+	var status operator.Status
+	if err := json.Unmarshal(answer, &status); err != nil {
+		return operator.Status{}, fmt.Errorf("read the status of %s: %w", request.Node, err)
+	}
+	return status, nil
+}
--- /dev/null
+++ b/router/loop.go
@@ -0,0 +1,188 @@
+package router
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/walnutcove/walnutcove/control"
+)
+
+const (
+	// tickEvery is the period of control.Tick.
+	tickEvery = 20 * time.Millisecond
+	// inboxSize bounds the events waiting for the control goroutine. Senders
+	// wait when it is full, which slows traffic rather than losing an event.
+	inboxSize = 4096
+)
+
+// loop is the control goroutine: it owns the control state machine, feeds it
+// events and carries out its commands. Nothing else touches the machine.
+type loop struct {
+	machine *control.Machine
+	started time.Time
+	inbox   chan control.Event
+	queries chan func(*control.Machine)
+	done    chan struct{}
+	shell   shell
+	log     *slog.Logger
+	waiters map[control.RequestID]*waiter
+	asks    chan ask
+}
+
+// shell carries commands out. Its methods must not block.
+type shell interface {
+	send(to control.NodeID, message control.Message)
+	watchTargets(targets []string)
+	quarantineChanged(fingerprint uint64, quarantined bool)
+	versionSeen(from control.NodeID, version uint64)
+	drained()
+}
+
+// waiter is a traffic goroutine that waits for a grant.
+type waiter struct {
+	attempt uint32
+	answer  chan grantAnswer
+}
+
+// grantAnswer is a Dispatch or a Refuse for a waiter.
+type grantAnswer struct {
+	dispatch *control.Dispatch
+	refuse   *control.Refuse
+}
+
+// ask registers a waiter together with its event, so that the answer cannot
+// come before the waiter is known.
+type ask struct {
+	event  control.RequestArrived
+	waiter *waiter
+}
+
+func newLoop(machine *control.Machine, shell shell, log *slog.Logger) *loop {
+	return &loop{
+		machine: machine,
+		started: time.Now(),
+		inbox:   make(chan control.Event, inboxSize),
+		queries: make(chan func(*control.Machine)),
+		asks:    make(chan ask, inboxSize),
+		done:    make(chan struct{}),
+		shell:   shell,
+		log:     log,
+		waiters: make(map[control.RequestID]*waiter),
+	}
+}
+
+// now is the machine's time.
+func (l *loop) now() control.Instant { return time.Since(l.started) }
+
+// instant converts a deadline to the machine's time.
+func (l *loop) instant(t time.Time) control.Instant { return t.Sub(l.started) }
+
+// run is the control goroutine. It returns when stop closes.
+func (l *loop) run(stop <-chan struct{}) {
+	defer close(l.done)
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case event := <-l.inbox:
+			l.step(event)
+		case ask := <-l.asks:
+			l.waiters[ask.event.Request] = ask.waiter
+			l.step(ask.event)
+		case query := <-l.queries:
+			query(l.machine)
+		case <-ticker.C:
+			l.step(control.Tick{})
+		}
+	}
+}
+
+// post sends an event to the control goroutine. It reports false once the
+// goroutine has ended.
+func (l *loop) post(event control.Event) bool {
+	select {
+	case l.inbox <- event:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// query runs f on the control goroutine and waits for it.
+func (l *loop) query(f func(*control.Machine)) bool {
+	finished := make(chan struct{})
+	wrapped := func(m *control.Machine) {
+		defer close(finished)
+		f(m)
+	}
+	select {
+	case l.queries <- wrapped:
+		<-finished
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+func (l *loop) step(event control.Event) {
+	if cancelled, ok := event.(control.RequestCancelled); ok {
+		delete(l.waiters, cancelled.Request)
+	}
+	for _, command := range l.machine.Step(l.now(), event) {
+		l.carryOut(command)
+	}
+}
+
+func (l *loop) carryOut(command control.Command) {
+	switch c := command.(type) {
+	case control.Send:
+		l.shell.send(c.To, c.Message)
+	case control.Dispatch:
+		l.dispatch(c)
+	case control.Refuse:
+		l.refuse(c)
+	case control.WatchTargets:
+		l.shell.watchTargets(c.Targets)
+	case control.QuarantineChanged:
+		l.shell.quarantineChanged(c.Fingerprint, c.Quarantined)
+	case control.VersionSeen:
+		l.shell.versionSeen(c.From, c.Version)
+	case control.Drained:
+		l.shell.drained()
+	}
+}
+
+// dispatch hands a grant to its waiter. A grant whose waiter has gone is
+// returned to the machine as not run.
+func (l *loop) dispatch(c control.Dispatch) {
+	w := l.take(c.Request, c.Attempt)
+	if w == nil {
+		returned := control.RunEnded{Request: c.Request, Grant: c.Grant, Outcome: control.OutcomeNotRun}
+		for _, command := range l.machine.Step(l.now(), returned) {
+			l.carryOut(command)
+		}
+		return
+	}
+	w.answer <- grantAnswer{dispatch: &c}
+}
+
+func (l *loop) refuse(c control.Refuse) {
+	w := l.take(c.Request, c.Attempt)
+	if w == nil {
+		return
+	}
+	w.answer <- grantAnswer{refuse: &c}
+}
+
+// take removes and returns the waiter of one attempt, or nil. Its answer
+// channel has room for one answer, so sending to it never blocks.
+func (l *loop) take(request control.RequestID, attempt uint32) *waiter {
+	w := l.waiters[request]
+	if w == nil || w.attempt != attempt {
+		return nil
+	}
+	delete(l.waiters, request)
+	return w
+}
--- /dev/null
+++ b/router/peers.go
@@ -0,0 +1,98 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/config/follower"
+	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/operator"
+)
+
+// The methods of calls between routers.
+const (
+	// methodConfig fetches what follows a version; see follower.Update.
+	methodConfig = "config.fetch"
+	// methodStatus fetches an operator.Status.
+	methodStatus = "operator.status"
+	// methodDrain starts a drain.
+	methodDrain = "operator.drain"
+)
+
+// configRequest asks a peer for what follows version From.
+type configRequest struct {
+	From config.Version `json:"from"`
+}
+
+// peerHandler receives what other routers send. It implements peer.Handler.
+type peerHandler struct{ router *Router }
+
+// Received implements peer.Handler.
+func (h peerHandler) Received(from control.NodeID, incarnation control.Incarnation, messages []control.Message) {
+	for _, message := range messages {
+		h.router.loop.post(control.MessageReceived{From: from, Incarnation: incarnation, Message: message})
+	}
+}
+
+// StateChanged implements peer.Handler.
+func (h peerHandler) StateChanged(node control.NodeID, connected bool) {
+	h.router.loop.post(control.PeerState{Node: node, Connected: connected})
+}
+
+// Called implements peer.Handler.
+func (h peerHandler) Called(ctx context.Context, _ control.NodeID, method string, payload []byte) ([]byte, error) {
+	switch method {
+	case methodConfig:
+		return h.serveConfig(payload)
+	case methodStatus:
+		return h.serveStatus(ctx, payload)
+	case methodDrain:
+		return nil, backend(h).Drain(ctx, "")
+	default:
+		return nil, fmt.Errorf("unknown method %q", method)
+	}
+}
+
+func (h peerHandler) serveConfig(payload []byte) ([]byte, error) {
+	var request configRequest
+	if err := json.Unmarshal(payload, &request); err != nil {
+		return nil, fmt.Errorf("read the request for a version: %w", err)
+	}
+	update, err := h.router.follower.Serve(request.From)
+	if err != nil {
+		return nil, err
+	}
+	return update.Encode()
+}
+
+func (h peerHandler) serveStatus(ctx context.Context, payload []byte) ([]byte, error) {
+	var request operator.StatusRequest
+	if err := json.Unmarshal(payload, &request); err != nil {
+		return nil, fmt.Errorf("read the request for a status: %w", err)
+	}
+	request.Node = ""
+	status, err := backend(h).Status(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(status)
+}
+
+// peerFetcher fetches configuration from peers. It implements
+// follower.PeerFetcher.
+type peerFetcher struct{ router *Router }
+
+// Fetch implements follower.PeerFetcher.
+func (f peerFetcher) Fetch(ctx context.Context, node string, from config.Version) (follower.Update, error) {
+	payload, err := json.Marshal(configRequest{From: from})
+	if err != nil {
+		return follower.Update{}, err
+	}
+	answer, err := f.router.mesh.Call(ctx, control.NodeID(node), methodConfig, payload)
+	if err != nil {
+		return follower.Update{}, err
+	}
+	return follower.DecodeUpdate(answer)
+}
--- /dev/null
+++ b/router/pipeline.go
@@ -0,0 +1,36 @@
+package router
+
+import (
+	"time"
+
+	"github.com/walnutcove/walnutcove/filters/authenticate"
+	"github.com/walnutcove/walnutcove/filters/classify"
+	"github.com/walnutcove/walnutcove/filters/dispatch"
+	"github.com/walnutcove/walnutcove/filters/grant"
+	"github.com/walnutcove/walnutcove/filters/quarantine"
+	"github.com/walnutcove/walnutcove/filters/ready"
+	"github.com/walnutcove/walnutcove/filters/relay"
+	"github.com/walnutcove/walnutcove/filters/retry"
+	"github.com/walnutcove/walnutcove/filters/runrecord"
+	"github.com/walnutcove/walnutcove/pipeline"
+)
+
+// pipeline strings the filters together, in the order that requests flow.
+func (r *Router) pipeline() pipeline.Handler {
+	limits := r.settings.Limits
+	relaying := &relay.Relay{Client: r.targets, Request: dispatch.Request}
+	return pipeline.Chain(
+		ready.New(r),
+		authenticate.New(r),
+		classify.New(classify.Options{DefaultDeadline: time.Duration(limits.DefaultDeadline)}),
+		&quarantine.Filter{Set: &r.suspects},
+		&runrecord.Filter{Keeper: r.records},
+		retry.New(),
+		&grant.Filter{Source: &grants{loop: r.loop}},
+		&dispatch.Filter{
+			Client:           r.targets,
+			Relay:            relaying.Answer,
+			FirstByteTimeout: time.Duration(limits.FirstByteTimeout),
+		},
+	)
+}
--- /dev/null
+++ b/router/shell.go
@@ -0,0 +1,138 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/target"
+)
+
+var (
+	vmListErrors  = metrics.GetOrCreateCounter(`walnut_router_vm_list_errors_total`)
+	configChanges = metrics.GetOrCreateCounter(`walnut_router_config_changes_total`)
+)
+
+// watched is the set of targets whose load this router polls.
+type watched struct {
+	mu    sync.Mutex
+	names []string
+}
+
+// send implements shell.
+func (r *Router) send(to control.NodeID, message control.Message) {
+	r.mesh.Send(to, message)
+}
+
+// watchTargets implements shell.
+func (r *Router) watchTargets(targets []string) {
+	r.watched.mu.Lock()
+	r.watched.names = targets
+	r.watched.mu.Unlock()
+	r.pollWatched()
+}
+
+// pollWatched gives the poller the addresses of the watched targets.
+func (r *Router) pollWatched() {
+	r.watched.mu.Lock()
+	defer r.watched.mu.Unlock()
+	snapshot := r.inForce.Load()
+	if snapshot == nil {
+		return
+	}
+	addresses := make(map[string]string, len(r.watched.names))
+	for _, name := range r.watched.names {
+		if declared, ok := snapshot.Declarations.Targets[name]; ok {
+			addresses[name] = declared.Address
+		}
+	}
+	r.poller.SetTargets(addresses)
+}
+
+// quarantineChanged implements shell.
+func (r *Router) quarantineChanged(fingerprint uint64, quarantined bool) {
+	r.suspects.Change(fingerprint, quarantined)
+	r.log.Warn("quarantine: Verdict changed.", "fingerprint", fingerprint, "quarantined", quarantined)
+}
+
+// versionSeen implements shell.
+func (r *Router) versionSeen(from control.NodeID, version uint64) {
+	r.follower.VersionSeen(string(from), config.Version(version))
+}
+
+// drained implements shell.
+func (r *Router) drained() {
+	r.drainedOnce.Do(func() { close(r.drainedCh) })
+}
+
+// configChanged puts a version in force: requests that arrive from now on are
+// served by it, and the control goroutine follows.
+func (r *Router) configChanged(snapshot *config.Snapshot) {
+	r.inForce.Store(snapshot)
+	configChanges.Inc()
+	r.loop.post(control.ConfigChanged{Snapshot: snapshot})
+	r.pollWatched()
+	r.log.Info("config: Version in force.", "version", uint64(snapshot.Version))
+}
+
+// loadPolled hands a load report to the control goroutine.
+func (r *Router) loadPolled(name string, load target.Load, err error) {
+	if err != nil {
+		r.loop.post(control.TargetUnreachable{Target: name})
+		return
+	}
+	r.loop.post(control.TargetLoad{
+		Target:         name,
+		Running:        load.Running,
+		Queued:         load.Queued,
+		Slots:          load.Slots,
+		Leaving:        load.Leaving,
+		CachedPrefixes: load.CachedPrefixes,
+	})
+}
+
+// followVMs reads the platform's list of VMs until ctx ends.
+func (r *Router) followVMs(ctx context.Context) {
+	ticker := time.NewTicker(time.Duration(r.settings.Platform.VMListEvery))
+	defer ticker.Stop()
+	for {
+		vms, err := r.platform.ListVMs(ctx)
+		switch {
+		case err == nil:
+			r.vmsListed(vms)
+		case ctx.Err() == nil:
+			vmListErrors.Inc()
+			r.log.Warn("member: VM list could not be read.", "error", err)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// vmsListed spreads the list to the sessions and the control goroutine.
+func (r *Router) vmsListed(vms []platform.VM) {
+	r.vms.Store(&vms)
+	addresses := make(map[control.NodeID]string, len(vms))
+	members := make([]control.Member, 0, len(vms))
+	for _, vm := range vms {
+		node := control.NodeID(vm.Name)
+		if vm.Name != r.settings.Node.Name {
+			addresses[node] = vm.PeerAddress
+		}
+		members = append(members, control.Member{
+			Node:       node,
+			DataCentre: vm.DataCentre,
+			Leaving:    vm.State == platform.VMLeaving,
+		})
+	}
+	r.mesh.SetPeers(addresses)
+	r.loop.post(control.MembersListed{Members: members})
+}
