--- a/filters/classify/call.go
+++ b/filters/classify/call.go
@@ -2,34 +2,31 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/go-json-experiment/json/jsontext"
 
 	"github.com/walnutcove/walnutcove/result"
 )
 
-// prefixBytes is how much of the prompt goes into the prefix hash.
-const prefixBytes = 256
-
 // call is what the router reads of an engine call's body.
 type call struct {
 	model  string
 	stream bool
-	// prompt is the JSON text of the messages or the prompt; nil if none.
-	prompt json.RawMessage
+	// messages and prompt are JSON values as they stand in the body; nil if
+	// absent.
+	messages jsontext.Value
+	prompt   jsontext.Value
 }
 
-// parseCall reads the body's top-level members. Names are compared exactly and
-// may stand once only, so that the router and the target cannot read two
-// different models out of one body.
+// parseCall reads the body's top-level members. Names are compared exactly, and
+// a name that stands twice in an object is refused, so that the router and the
+// target cannot read two different models out of one body.
 func parseCall(body []byte) (call, *result.Error) {
 	c, err := decodeCall(body)
 	if err != nil {
-		return call{}, result.Wrap(result.BadRequest, err, "The body must be a JSON object in which model, stream, messages and prompt stand once at most and have their usual types.")
+		return call{}, result.Wrap(result.BadRequest, err, "The body must be one JSON object without doubled names, in which model is a string and stream a boolean.")
 	}
 	if c.model == "" {
 		return call{}, result.New(result.BadRequest, "The body names no model.")
@@ -38,82 +35,72 @@
 }
 
 func decodeCall(body []byte) (call, error) {
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	if token, err := decoder.Token(); err != nil || token != json.Delim('{') {
-		return call{}, errors.Join(err, errors.New("not an object"))
+	// The decoder reads a bytes.Buffer in place.
+	decoder := jsontext.NewDecoder(bytes.NewBuffer(body))
+	if decoder.PeekKind() != jsontext.KindBeginObject {
+		return call{}, errors.New("not an object")
+	}
+	if _, err := decoder.ReadToken(); err != nil {
+		return call{}, err
 	}
-	var m members
-	for decoder.More() {
-		if err := m.decodeNext(decoder); err != nil {
+	var c call
+	for decoder.PeekKind() == jsontext.KindString {
+		if err := c.readMember(decoder); err != nil {
 			return call{}, err
 		}
 	}
-	if _, err := decoder.Token(); err != nil {
+	if _, err := decoder.ReadToken(); err != nil {
 		return call{}, err
 	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return call{}, errors.New("text after the object")
+	if _, err := decoder.ReadToken(); err != io.EOF {
+		return call{}, errors.Join(err, errors.New("text after the object"))
 	}
-	return m.call(), nil
-}
-
-// members are the top-level members that the router reads; nil means absent.
-type members struct {
-	model    *string
-	stream   *bool
-	messages json.RawMessage
-	prompt   json.RawMessage
+	return c, nil
 }
 
-// decodeNext reads one member.
-func (m *members) decodeNext(decoder *json.Decoder) error {
-	token, err := decoder.Token()
+// readMember reads a name and its value.
+func (c *call) readMember(decoder *jsontext.Decoder) error {
+	name, err := decoder.ReadToken()
 	if err != nil {
 		return err
 	}
-	known := true
-	switch token {
+	switch name.String() {
 	case "model":
-		known = m.model != nil
-		err = decoder.Decode(&m.model)
+		c.model, err = readString(decoder)
 	case "stream":
-		known = m.stream != nil
-		err = decoder.Decode(&m.stream)
+		c.stream, err = readBool(decoder)
 	case "messages":
-		known = m.messages != nil
-		err = decoder.Decode(&m.messages)
+		c.messages, err = decoder.ReadValue()
 	case "prompt":
-		known = m.prompt != nil
-		err = decoder.Decode(&m.prompt)
+		c.prompt, err = decoder.ReadValue()
 	default:
-		var skipped json.RawMessage
-		return decoder.Decode(&skipped)
-	}
-	if known {
-		return fmt.Errorf("%q stands twice", token)
+		err = decoder.SkipValue()
 	}
 	return err
 }
 
-func (m *members) call() call {
-	c := call{prompt: m.messages}
-	if c.prompt == nil {
-		c.prompt = m.prompt
-	}
-	if m.model != nil {
-		c.model = *m.model
+func readString(decoder *jsontext.Decoder) (string, error) {
+	token, err := decoder.ReadToken()
+	if err != nil {
+		return "", err
 	}
-	if m.stream != nil {
-		c.stream = *m.stream
+	if token.Kind() != jsontext.KindString {
+		return "", errors.New("not a string")
 	}
-	return c
+	return token.String(), nil
 }
 
-// prefixHash hashes the beginning of the prompt as it stands in the body; zero
-// if there is none.
-func (c call) prefixHash() uint64 {
-	if len(c.prompt) == 0 {
-		return 0
+// readBool reads a boolean; null stands for false.
+func readBool(decoder *jsontext.Decoder) (bool, error) {
+	token, err := decoder.ReadToken()
+	if err != nil {
+		return false, err
+	}
+	switch token.Kind() {
+	case jsontext.KindTrue:
+		return true, nil
+	case jsontext.KindFalse, jsontext.KindNull:
+		return false, nil
 	}
-	return xxhash.Sum64(c.prompt[:min(len(c.prompt), prefixBytes)])
+	return false, errors.New("not a boolean")
 }
--- a/filters/classify/classify.go
+++ b/filters/classify/classify.go
@@ -16,6 +16,7 @@
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/target"
 )
 
 // Paths of engine calls.
@@ -93,12 +94,7 @@
 
 // findPool sets the pool and what the body says.
 func (f *Filter) findPool(ex *pipeline.Exchange) *result.Error {
-	path, _, _ := strings.Cut(ex.Path, "?")
-	find := findServicePool
-	if path == pathChat || path == pathCompletions {
-		find = findEnginePool
-	}
-	name, refusal := find(ex)
+	name, refusal := f.lookUpPool(ex)
 	if refusal != nil {
 		return refusal
 	}
@@ -110,8 +106,16 @@
 	return nil
 }
 
+func (f *Filter) lookUpPool(ex *pipeline.Exchange) (string, *result.Error) {
+	path, _, _ := strings.Cut(ex.Path, "?")
+	if path == pathChat || path == pathCompletions {
+		return findEnginePool(ex, path)
+	}
+	return findServicePool(ex)
+}
+
 // findEnginePool finds the pool by the model that the body names.
-func findEnginePool(ex *pipeline.Exchange) (string, *result.Error) {
+func findEnginePool(ex *pipeline.Exchange, path string) (string, *result.Error) {
 	if ex.Method != http.MethodPost {
 		return "", result.New(result.MethodNotAllowed, "Engine calls are sent by POST.")
 	}
@@ -121,7 +125,10 @@
 	}
 	ex.Model = call.model
 	ex.Stream = call.stream
-	ex.PrefixHash = call.prefixHash()
+	ex.PrefixHash = target.PrefixHash(call.messages)
+	if path == pathCompletions {
+		ex.PrefixHash = target.PrefixHash(call.prompt)
+	}
 	name, ok := ex.Snapshot.Index().PoolByModel(call.model)
 	if !ok {
 		return "", result.New(result.UnknownModel, "No pool serves this model.")
--- a/settings/load.go
+++ b/settings/load.go
@@ -5,14 +5,12 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 )
 
-// maxDecodeErrors bounds the wrong values that one Load reports.
-const maxDecodeErrors = 50
-
 // Load reads the file at path over the defaults and validates the result. The
 // error is a Problems that lists every fault, or the reason why the file could
 // not be read.
@@ -34,11 +32,16 @@
 func Parse(text []byte) (Settings, error) {
 	var document map[string]any
 	if err := toml.Unmarshal(text, &document); err != nil {
-		return Settings{}, Problems{decodeProblem(err)}
+		return Settings{}, Problems{syntaxProblem(err)}
 	}
 	s, problems := decode(text, document)
-	problems = append(problems, s.check()...)
+	for _, problem := range s.check() {
+		if !problems.names(problem.Key) {
+			problems = append(problems, problem)
+		}
+	}
 	if len(problems) > 0 {
+		slices.SortStableFunc(problems, func(a, b Problem) int { return strings.Compare(a.Key, b.Key) })
 		return Settings{}, problems
 	}
 	return s, nil
@@ -46,13 +49,15 @@
 
 // decode reads the text into settings and collects what cannot be read. The
 // decoder stops at the first wrong value, so that value is taken out of the
-// document and the rest is decoded again.
+// document and the rest is decoded again. A rewritten document has other lines
+// than the file, so its problems are told without them.
 func decode(text []byte, document map[string]any) (Settings, Problems) {
 	problems := removeIntegerDurations(document)
-	if len(problems) > 0 {
-		text = encode(document)
-	}
-	for range maxDecodeErrors {
+	for {
+		rewritten := len(problems) > 0
+		if rewritten {
+			text = encode(document)
+		}
 		s := Defaults()
 		decoder := toml.NewDecoder(bytes.NewReader(text))
 		decoder.DisallowUnknownFields()
@@ -62,19 +67,17 @@
 		}
 		var missing *toml.StrictMissingError
 		if errors.As(err, &missing) {
-			return s, append(problems, unknownKeys(missing)...)
+			return s, append(problems, unknownKeys(missing, rewritten)...)
 		}
-		problem := decodeProblem(err)
-		if len(problems) > 0 {
-			problem.Line = 0 // the text was written anew, so its lines differ
+		problem := typeProblem(err)
+		if rewritten {
+			problem.Line = 0
 		}
 		problems = append(problems, problem)
 		if !remove(document, strings.Split(problem.Key, ".")) {
 			return s, problems
 		}
-		text = encode(document)
 	}
-	return Defaults(), problems
 }
 
 // encode writes a decoded document as TOML again.
@@ -86,23 +89,39 @@
 	return text
 }
 
-func unknownKeys(missing *toml.StrictMissingError) Problems {
+func unknownKeys(missing *toml.StrictMissingError, rewritten bool) Problems {
 	problems := make(Problems, 0, len(missing.Errors))
 	for _, e := range missing.Errors {
 		line, _ := e.Position()
+		if rewritten {
+			line = 0
+		}
 		problems = append(problems, Problem{Line: line, Key: strings.Join(e.Key(), "."), Reason: "unknown key"})
 	}
 	return problems
 }
 
-func decodeProblem(err error) Problem {
+// syntaxProblem tells what is wrong with the text as TOML.
+func syntaxProblem(err error) Problem {
 	var decodeErr *toml.DecodeError
 	if !errors.As(err, &decodeErr) {
 		return Problem{Reason: err.Error()}
 	}
 	line, _ := decodeErr.Position()
-	reason := strings.TrimPrefix(decodeErr.Error(), "toml: ")
-	return Problem{Line: line, Key: strings.Join(decodeErr.Key(), "."), Reason: reason}
+	return Problem{
+		Line:   line,
+		Key:    strings.Join(decodeErr.Key(), "."),
+		Reason: strings.TrimPrefix(decodeErr.Error(), "toml: "),
+	}
+}
+
+// typeProblem tells which value has the wrong type.
+func typeProblem(err error) Problem {
+	problem := syntaxProblem(err)
+	if want := wantType(problem.Key); want != "" {
+		problem.Reason = want
+	}
+	return problem
 }
 
 // remove takes a key out of a document and says whether it was there.
--- a/settings/problem.go
+++ b/settings/problem.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -50,6 +51,11 @@
 	return strings.Join(lines, "\n")
 }
 
+// names says whether a problem is about the key.
+func (ps Problems) names(key string) bool {
+	return slices.ContainsFunc(ps, func(p Problem) bool { return p.Key == key })
+}
+
 // inFile returns the problems with the file's name set.
 func (ps Problems) inFile(file string) Problems {
 	for i := range ps {
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,126 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+const examplePath = "../docs/walnutd.example.toml"
+
+// minimal holds the required keys.
+const minimal = `
+[node]
+name = "vm-1"
+data_centre = "ikeja"
+[listen]
+callers = "127.0.0.1:8080"
+operators = "127.0.0.1:8081"
+peers = "127.0.0.1:8082"
+[platform]
+address = "10.0.0.5:9000"
+`
+
+// TestProblems loads the text of each case: "parse" as it stands, "with" after
+// the lines that a key of the same name replaces in the minimal file.
+func TestProblems(t *testing.T) {
+	datadriven.RunTest(t, "testdata/problems", func(t *testing.T, d *datadriven.TestData) string {
+		text := d.Input
+		if d.Cmd == "with" {
+			text = merge(minimal, d.Input)
+		}
+		path := filepath.Join(t.TempDir(), "walnutd.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Load(path); err != nil {
+			return strings.ReplaceAll(err.Error(), filepath.Dir(path)+"/", "") + "\n"
+		}
+		return "ok\n"
+	})
+}
+
+// merge puts each "section.key = value" line into its section of the text.
+func merge(text, lines string) string {
+	for line := range strings.SplitSeq(lines, "\n") {
+		key, value, _ := strings.Cut(line, " = ")
+		section, name, _ := strings.Cut(key, ".")
+		text = regexp.MustCompile(`(?m)^`+name+` = .*\n`).ReplaceAllString(text, "")
+		if !strings.Contains(text, "["+section+"]\n") {
+			text += "[" + section + "]\n"
+		}
+		text = strings.Replace(text, "["+section+"]\n", "["+section+"]\n"+name+" = "+value+"\n", 1)
+	}
+	return text
+}
+
+func TestMissingFile(t *testing.T) {
+	if _, err := Load("testdata/none.toml"); !errors.Is(err, os.ErrNotExist) || !strings.Contains(err.Error(), "none.toml") {
+		t.Errorf("got %v", err)
+	}
+}
+
+// TestExampleHoldsEveryKey also checks that optional keys show their defaults.
+func TestExampleHoldsEveryKey(t *testing.T) {
+	s, err := Load(examplePath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(examplePath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	section := ""
+	documented := make(map[string]bool)
+	described := false
+	for line := range strings.SplitSeq(string(text), "\n") {
+		switch {
+		case strings.HasPrefix(line, "["):
+			section = strings.Trim(line, "[]")
+		case strings.HasPrefix(line, "#"):
+			described = true
+		case line == "":
+			described = false
+		default:
+			name, _, _ := strings.Cut(line, " =")
+			documented[section+"."+name] = described
+		}
+	}
+	values, defaults := reflect.ValueOf(s), reflect.ValueOf(Defaults())
+	for i := range values.NumField() {
+		field := values.Type().Field(i)
+		for j := range field.Type.NumField() {
+			key := field.Tag.Get("toml") + "." + field.Type.Field(j).Tag.Get("toml")
+			if !documented[key] {
+				t.Errorf("%s does not stand in the example with a comment above", key)
+			}
+			standard := defaults.Field(i).Field(j)
+			if !standard.IsZero() && !reflect.DeepEqual(standard.Interface(), values.Field(i).Field(j).Interface()) {
+				t.Errorf("%s: the example does not show the default %v", key, standard)
+			}
+		}
+	}
+}
+
+// FuzzParse checks that no text makes Parse panic or accept what Validate refuses.
+func FuzzParse(f *testing.F) {
+	f.Add(minimal)
+	f.Add("[limits]\nread_timeout = 5\nmax_body_bytes = \"x\"\n[a.b]\nc = 1979-05-27")
+	f.Add("limits = 1\nnode.name = []")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := Parse([]byte(text))
+		var problems Problems
+		if err != nil && (!errors.As(err, &problems) || len(problems) == 0 || problems.Error() == "") {
+			t.Errorf("error without problems: %v", err)
+		}
+		if err == nil && s.Validate() != nil {
+			t.Errorf("accepted what Validate refuses: %v", s.Validate())
+		}
+	})
+}
--- /dev/null
+++ b/settings/types.go
@@ -0,0 +1,74 @@
+package settings
+
+import (
+	"reflect"
+	"strings"
+)
+
+// wantDuration is the reason given for a value that is not a duration.
+const wantDuration = `must be a string with a unit, for example "250ms"`
+
+// fieldType returns the type of a dotted key; nil if there is no such key.
+func fieldType(key string) reflect.Type {
+	t := reflect.TypeFor[Settings]()
+	for name := range strings.SplitSeq(key, ".") {
+		t = memberType(t, name)
+		if t == nil {
+			return nil
+		}
+	}
+	return t
+}
+
+func memberType(t reflect.Type, name string) reflect.Type {
+	if t.Kind() != reflect.Struct {
+		return nil
+	}
+	for i := range t.NumField() {
+		if field := t.Field(i); field.Tag.Get("toml") == name {
+			return field.Type
+		}
+	}
+	return nil
+}
+
+// wantType says in the file's terms what a key's value must be; empty if there
+// is no such key.
+func wantType(key string) string {
+	t := fieldType(key)
+	switch {
+	case t == nil:
+		return ""
+	case t == reflect.TypeFor[Duration]():
+		return wantDuration
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		return "must be a section"
+	case reflect.Slice:
+		return "must be a list of strings"
+	case reflect.Int:
+		return "must be a whole number"
+	default:
+		return "must be a string"
+	}
+}
+
+// removeIntegerDurations finds durations written as bare integers, which the
+// decoder would take for nanoseconds, and takes them out of the document.
+func removeIntegerDurations(document map[string]any) Problems {
+	var problems Problems
+	for section, content := range document {
+		values, _ := content.(map[string]any)
+		for name, value := range values {
+			key := section + "." + name
+			_, isInteger := value.(int64)
+			if !isInteger || fieldType(key) != reflect.TypeFor[Duration]() {
+				continue
+			}
+			delete(values, name)
+			problems = append(problems, Problem{Key: key, Reason: wantDuration})
+		}
+	}
+	return problems
+}
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -4,9 +4,7 @@
 	"encoding/hex"
 	"fmt"
 	"net/netip"
-	"reflect"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/walnutcove/walnutcove/control"
@@ -170,29 +168,3 @@
 	}
 	return true
 }
-
-// removeIntegerDurations finds durations written as bare integers, which the decoder
-// would take for nanoseconds, and takes them out of the document.
-func removeIntegerDurations(document map[string]any) Problems {
-	var problems Problems
-	sections := reflect.TypeFor[Settings]()
-	for i := range sections.NumField() {
-		section := sections.Field(i)
-		values, ok := document[section.Tag.Get("toml")].(map[string]any)
-		if !ok {
-			continue
-		}
-		for j := range section.Type.NumField() {
-			field := section.Type.Field(j)
-			name := field.Tag.Get("toml")
-			_, isInteger := values[name].(int64)
-			if field.Type != reflect.TypeFor[Duration]() || !isInteger {
-				continue
-			}
-			key := strings.Join([]string{section.Tag.Get("toml"), name}, ".")
-			delete(values, name)
-			problems = append(problems, Problem{Key: key, Reason: `must be a string with a unit, for example "250ms"`})
-		}
-	}
-	return problems
-}
