Test races, lost replies and damaged rows of the configuration store

A patch sent through several routers at once was told that it lost against itself: it looked for its id before, and not after, the other router's insert. A stale base now looks for the id once more before it is called a conflict.

--- /dev/null
+++ b/config/store/faults_test.go
@@ -0,0 +1,330 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/platform/memory"
+)
+
+// faultyTable lets a test replace single calls. A nil function passes through.
+type faultyTable struct {
+	platform.Table
+	commit func(ctx context.Context, ops []platform.Op) error
+	get    func(ctx context.Context, table, key string) (platform.Row, error)
+}
+
+func (f *faultyTable) Commit(ctx context.Context, ops []platform.Op) error {
+	if f.commit != nil && ops[0].Table == TableVersions {
+		return f.commit(ctx, ops)
+	}
+	return f.Table.Commit(ctx, ops)
+}
+
+func (f *faultyTable) Get(ctx context.Context, table, key string) (platform.Row, error) {
+	if f.get != nil {
+		return f.get(ctx, table, key)
+	}
+	return f.Table.Get(ctx, table, key)
+}
+
+func newFaulty(t *testing.T) (*Store, *faultyTable, *Store) {
+	t.Helper()
+	healthy, backing := newStore(t)
+	faulty := &faultyTable{Table: backing}
+	s := New(faulty, backing.Objects(), Options{})
+	t.Cleanup(s.Wait)
+	return s, faulty, healthy
+}
+
+func head(t *testing.T, s *Store) config.Version {
+	t.Helper()
+	newest, err := s.Load(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newest.Version
+}
+
+func TestRaceHasOneWinner(t *testing.T) {
+	s, _ := newStore(t)
+	fill(t, s, 3)
+	const operators = 16
+	var wg sync.WaitGroup
+	patches := make([]config.Patch, operators)
+	errs := make([]error, operators)
+	for i := range operators {
+		patches[i] = numbered(3)
+		wg.Go(func() { _, errs[i] = s.Submit(context.Background(), nil, patches[i]) })
+	}
+	wg.Wait()
+	winner, err := s.Entry(context.Background(), 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, err := range errs {
+		if patches[i].ID == winner.Patch.ID {
+			if err != nil {
+				t.Errorf("the winner was refused: %v", err)
+			}
+			continue
+		}
+		var conflict *config.VersionConflictError
+		if !errors.As(err, &conflict) || conflict.Newest != 4 || conflict.WinnerPatchID != winner.Patch.ID {
+			t.Errorf("a loser got %v", err)
+		}
+	}
+	if got := head(t, s); got != 4 {
+		t.Fatalf("head %d", got)
+	}
+}
+
+func TestOnePatchSentFromManyRoutersAtOnceCountsOnce(t *testing.T) {
+	s, _ := newStore(t)
+	p := numbered(0)
+	var wg sync.WaitGroup
+	for range 16 {
+		wg.Go(func() {
+			accepted, err := s.Submit(context.Background(), nil, p)
+			if err != nil || accepted.Entry.Version != 1 {
+				t.Errorf("accepted %d, %v", accepted.Entry.Version, err)
+			}
+		})
+	}
+	wg.Wait()
+	if got := head(t, s); got != 1 {
+		t.Fatalf("head %d", got)
+	}
+}
+
+func TestLostReply(t *testing.T) {
+	type call func(ctx context.Context, ops []platform.Op) error
+	for name, fault := range map[string]func(pass call, calls int, ctx context.Context, ops []platform.Op) error{
+		"after the write": func(pass call, calls int, ctx context.Context, ops []platform.Op) error {
+			if err := pass(ctx, ops); err != nil {
+				return err
+			}
+			return platform.ErrUnknown
+		},
+		"before the write": func(pass call, calls int, ctx context.Context, ops []platform.Op) error {
+			if calls == 1 {
+				return platform.ErrUnknown
+			}
+			return pass(ctx, ops)
+		},
+		"write lands between read back and second send": func(pass call, calls int, ctx context.Context, ops []platform.Op) error {
+			if calls == 1 {
+				return platform.ErrUnknown
+			}
+			if err := pass(ctx, ops); err != nil {
+				return err
+			}
+			return pass(ctx, ops) // The second send meets the first.
+		},
+		"then refused, then written": func(pass call, calls int, ctx context.Context, ops []platform.Op) error {
+			switch calls {
+			case 1:
+				return platform.ErrUnknown
+			case 2:
+				return platform.ErrUnavailable
+			default:
+				return pass(ctx, ops)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, faulty, healthy := newFaulty(t)
+			calls := 0
+			faulty.commit = func(ctx context.Context, ops []platform.Op) error {
+				calls++
+				return fault(faulty.Table.Commit, calls, ctx, ops)
+			}
+			accepted := submit(t, s, numbered(0))
+			if accepted.Entry.Version != 1 || head(t, healthy) != 1 {
+				t.Fatalf("accepted %d, head %d", accepted.Entry.Version, head(t, healthy))
+			}
+		})
+	}
+}
+
+func TestLostReplyOfALoser(t *testing.T) {
+	s, faulty, healthy := newFaulty(t)
+	winner := numbered(0)
+	faulty.commit = func(context.Context, []platform.Op) error {
+		submit(t, healthy, winner)
+		return platform.ErrUnknown
+	}
+	_, err := s.Submit(context.Background(), nil, numbered(0))
+	var conflict *config.VersionConflictError
+	if !errors.As(err, &conflict) || conflict.WinnerPatchID != winner.ID {
+		t.Fatalf("error %v", err)
+	}
+}
+
+func TestOutageAfterALostReplyIsUnknownAndCanBeSentAgain(t *testing.T) {
+	s, faulty, healthy := newFaulty(t)
+	faulty.commit = func(ctx context.Context, ops []platform.Op) error {
+		if err := faulty.Table.Commit(ctx, ops); err != nil {
+			return err
+		}
+		faulty.commit = func(context.Context, []platform.Op) error { return platform.ErrUnavailable }
+		faulty.get = func(context.Context, string, string) (platform.Row, error) {
+			return platform.Row{}, platform.ErrUnavailable
+		}
+		return platform.ErrUnknown
+	}
+	p := numbered(0)
+	_, err := s.Submit(context.Background(), nil, p)
+	var unknown *CommitUnknownError
+	if !errors.As(err, &unknown) || unknown.PatchID != p.ID {
+		t.Fatalf("error %v", err)
+	}
+	again := submit(t, healthy, p)
+	if again.Entry.Version != 1 || head(t, healthy) != 1 {
+		t.Fatalf("accepted again as %d, head %d", again.Entry.Version, head(t, healthy))
+	}
+}
+
+func TestRefusedWriteChangesNothing(t *testing.T) {
+	for _, refusal := range []error{platform.ErrUnavailable, platform.ErrInvalid} {
+		s, faulty, healthy := newFaulty(t)
+		faulty.commit = func(context.Context, []platform.Op) error { return refusal }
+		_, err := s.Submit(context.Background(), nil, numbered(0))
+		var unknown *CommitUnknownError
+		if !errors.Is(err, refusal) || errors.As(err, &unknown) || head(t, healthy) != 0 {
+			t.Fatalf("error %v, head %d", err, head(t, healthy))
+		}
+	}
+}
+
+func TestInvalidPatchIsNotWritten(t *testing.T) {
+	s, _ := newStore(t)
+	_, err := s.Submit(context.Background(), nil, patch(0, `{"workspaces": {"bakery": {"share": -1}}}`))
+	var invalid *config.ValidationError
+	if !errors.As(err, &invalid) || head(t, s) != 0 {
+		t.Fatalf("error %v, head %d", err, head(t, s))
+	}
+}
+
+// faultyObjects refuses names, or returns another content for them.
+type faultyObjects struct {
+	platform.Objects
+	content map[string][]byte
+	putErr  error
+}
+
+func (f *faultyObjects) Put(ctx context.Context, name string, value []byte) error {
+	if f.putErr != nil {
+		return f.putErr
+	}
+	return f.Objects.Put(ctx, name, value)
+}
+
+func (f *faultyObjects) Get(ctx context.Context, name string) ([]byte, error) {
+	if content, ok := f.content[name]; ok {
+		return content, nil
+	}
+	return f.Objects.Get(ctx, name)
+}
+
+func TestDamagedSnapshotIsPassedOver(t *testing.T) {
+	s, backing := newStore(t)
+	fill(t, s, 23)
+	damaged := &faultyObjects{Objects: backing.Objects(), content: map[string][]byte{snapshotName(20): []byte("{")}}
+	reader := New(backing, damaged, Options{})
+	if got := head(t, reader); got != 23 {
+		t.Fatalf("head %d", got)
+	}
+	damaged.content[snapshotName(10)] = nil
+	if got := head(t, reader); got != 23 {
+		t.Fatalf("head %d without any snapshot", got)
+	}
+}
+
+func TestSnapshotIsTriedAgainAfterAFailure(t *testing.T) {
+	backing := memory.New(memory.Options{})
+	objects := &faultyObjects{Objects: backing.Objects(), putErr: platform.ErrUnavailable}
+	s := New(backing, objects, Options{SnapshotEvery: 10})
+	fill(t, s, 10)
+	objects.putErr = nil
+	submit(t, s, numbered(10))
+	s.Wait()
+	if got, err := s.nearestVersion(context.Background(), 99); err != nil || got != 11 {
+		t.Fatalf("newest snapshot %d, %v", got, err)
+	}
+}
+
+// largeChanges declares enough workspaces to pass InlineBytes.
+func largeChanges() json.RawMessage {
+	var changes bytes.Buffer
+	changes.WriteString(`{"workspaces":{`)
+	for i := 0; changes.Len() <= InlineBytes; i++ {
+		fmt.Fprintf(&changes, `"w%05d":{"share":%d},`, i, i+1)
+	}
+	changes.WriteString(`"last":{}}}`)
+	return changes.Bytes()
+}
+
+func TestLargeChangesLieInTheObjectStore(t *testing.T) {
+	s, backing := newStore(t)
+	p := patch(0, string(largeChanges()))
+	submit(t, s, p)
+	row, err := backing.Get(context.Background(), TableVersions, versionKey(1))
+	if err != nil || len(row.Value) > InlineBytes {
+		t.Fatalf("row of %d bytes, %v", len(row.Value), err)
+	}
+	if again := submit(t, s, p); again.Entry.Version != 1 {
+		t.Fatalf("sent again: version %d", again.Entry.Version)
+	}
+	newest, err := s.Load(context.Background())
+	if err != nil || newest.Version != 1 || len(newest.Declarations.Workspaces) < 1000 {
+		t.Fatalf("loaded %v, %v", newest, err)
+	}
+}
+
+func TestLargeChangesThatCannotBeWrittenChangeNothing(t *testing.T) {
+	backing := memory.New(memory.Options{})
+	objects := &faultyObjects{Objects: backing.Objects(), putErr: platform.ErrUnknown}
+	s := New(backing, objects, Options{})
+	_, err := s.Submit(context.Background(), nil, patch(0, string(largeChanges())))
+	if !errors.Is(err, platform.ErrUnavailable) || head(t, s) != 0 {
+		t.Fatalf("error %v, head %d", err, head(t, s))
+	}
+}
+
+func TestAlteredRowIsRefused(t *testing.T) {
+	s, backing := newStore(t)
+	fill(t, s, 2)
+	row, err := backing.Get(context.Background(), TableVersions, versionKey(2))
+	if err != nil {
+		t.Fatal(err)
+	}
+	update := func(old, next string) {
+		t.Helper()
+		row.Value = bytes.Replace(row.Value, []byte(old), []byte(next), 1)
+		op := platform.Op{Kind: platform.OpUpdate, Table: row.Table, Key: row.Key, Value: row.Value, Revision: row.Revision}
+		if err := backing.Commit(context.Background(), []platform.Op{op}); err != nil {
+			t.Fatal(err)
+		}
+		if row, err = backing.Get(context.Background(), row.Table, row.Key); err != nil {
+			t.Fatal(err)
+		}
+	}
+	update(`"share":2`, `"share":9`)
+	var mismatch *config.DigestError
+	if _, err := s.Load(context.Background()); !errors.As(err, &mismatch) {
+		t.Fatalf("altered changes: %v", err)
+	}
+	update(`"version":2`, `"version":3`)
+	var corrupt *CorruptError
+	if _, err := s.Load(context.Background()); !errors.As(err, &corrupt) {
+		t.Fatalf("altered number: %v", err)
+	}
+}
--- a/config/store/submit.go
+++ b/config/store/submit.go
@@ -50,7 +50,7 @@
 		return Accepted{}, err
 	}
 	if patch.Base != newest.Version {
-		return Accepted{}, s.conflict(ctx, patch, newest.Version)
+		return s.settleTaken(ctx, patch, newest.Version)
 	}
 	entry, next, err := config.NewEntry(newest, patch, s.options.Now())
 	if err != nil {
@@ -142,7 +142,23 @@
 	if err != nil {
 		return Accepted{}, false, err
 	}
-	return Accepted{}, true, s.conflict(ctx, entry.Patch, entry.Version)
+	accepted, err := s.settleTaken(ctx, entry.Patch, entry.Version)
+	var conflict *config.VersionConflictError
+	return accepted, err == nil || errors.As(err, &conflict), err
+}
+
+// settleTaken answers a patch whose version is taken. It looks for the patch
+// itself again: the same patch may have been accepted through another router
+// since the last look.
+func (s *Store) settleTaken(ctx context.Context, patch config.Patch, newest config.Version) (Accepted, error) {
+	entry, found, err := s.findAccepted(ctx, patch)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if found {
+		return Accepted{Entry: entry}, nil
+	}
+	return Accepted{}, s.conflict(ctx, patch, newest)
 }
 
 // findAccepted returns the entry that a patch id was accepted under. The id of
