--- /dev/null
+++ b/processes/router.go
@@ -0,0 +1,79 @@
+package processes
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/walnutcove/walnutcove/settings"
+)
+
+// Router is a running walnutd.
+type Router struct {
+	*Process
+	// Settings are what it was started with, with addresses filled in.
+	Settings settings.Settings
+	binaries Binaries
+	dir      string
+}
+
+// StartRouter writes the settings into dir and starts a walnutd with them.
+// Listen addresses left empty are picked. It returns once walnutd listens.
+func StartRouter(b Binaries, dir string, s settings.Settings) (*Router, error) {
+	for _, address := range []*string{&s.Listen.Callers, &s.Listen.Operators, &s.Listen.Peers} {
+		if *address != "" {
+			continue
+		}
+		picked, err := FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		*address = picked
+	}
+	r := &Router{Settings: s, binaries: b, dir: dir}
+	return r, r.start()
+}
+
+// Restart starts the router again, after its process has ended, with the same
+// settings and empty memory.
+func (r *Router) Restart() error { return r.start() }
+
+func (r *Router) start() error {
+	text, err := toml.Marshal(r.Settings)
+	if err != nil {
+		return fmt.Errorf("write the settings of %s: %w", r.Settings.Node.Name, err)
+	}
+	path := filepath.Join(r.dir, r.Settings.Node.Name+".toml")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return err
+	}
+	r.Process, err = Start(r.Settings.Node.Name, r.binaries.Walnutd, "run", "-c", path)
+	if err != nil {
+		return err
+	}
+	if _, err := r.WaitLine("router: Started."); err != nil {
+		r.Kill()
+		return err
+	}
+	return nil
+}
+
+// WaitReady waits until a configuration version is in force.
+func (r *Router) WaitReady() error {
+	_, err := r.WaitLine("config: Version in force.")
+	return err
+}
+
+// FreeAddress picks a loopback address that nothing listens on now.
+func FreeAddress() (string, error) {
+	listener, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
