Test sessions under cuts, restarts and garbage; let a gone asker end its call

Cause: the tests of calls found that an empty answer was taken for a broken session, since yamux ends a stream that its session lost like one that was closed; that a cancelled call kept its place at the other node until its deadline; and that a request over the limit held the asker as long. Requests and answers are now behind their length, the answering side watches the stream for its end, and skips what is too long before it answers.

--- a/peer/call.go
+++ b/peer/call.go
@@ -4,11 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/hashicorp/yamux"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/walnutcove/walnutcove/peer/peerpb"
 )
@@ -96,11 +94,11 @@
 	stop := interrupt(ctx, stream)
 	defer stop()
 	request := &peerpb.CallRequest{Method: method, Payload: payload, TimeLeft: timeLeft(ctx).Microseconds()}
-	if err := writeAll(stream, request); err != nil {
+	if err := writeMessage(stream, request); err != nil {
 		return nil, callError(ctx, err)
 	}
 	answer := &peerpb.CallAnswer{}
-	if err := readAll(stream, s.mesh.options.MaxCallBytes, answer); err != nil {
+	if err := readMessage(stream, s.mesh.options.MaxCallBytes, answer); err != nil {
 		return nil, callError(ctx, err)
 	}
 	s.used()
@@ -135,91 +133,6 @@
 	return fmt.Errorf("%w: %w", ErrSessionEnded, err)
 }
 
-// writeAll writes a message and ends the stream's direction.
-func writeAll(stream *yamux.Stream, message proto.Message) error {
-	encoded, err := proto.Marshal(message)
-	if err != nil {
-		return err
-	}
-	if _, err := stream.Write(encoded); err != nil {
-		return err
-	}
-	return stream.Close()
-}
-
-// readAll reads a message up to the end of the stream's direction.
-func readAll(stream io.Reader, limit int, message proto.Message) error {
-	limit += callOverheadBytes
-	encoded, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
-	if err != nil {
-		return err
-	}
-	if len(encoded) > limit {
-		return ErrCallTooLarge
-	}
-	if len(encoded) == 0 {
-		return io.ErrUnexpectedEOF
-	}
-	return proto.Unmarshal(encoded, message)
-}
-
-// serveCalls answers the other side's calls until the session's end.
-func (s *session) serveCalls() {
-	for {
-		stream, err := s.mux.AcceptStream()
-		if err != nil {
-			return
-		}
-		if !s.mesh.spawn(func() { s.serveCall(stream) }) {
-			stream.Close()
-			return
-		}
-	}
-}
-
-// serveCall answers one call, or refuses it if too many are open.
-func (s *session) serveCall(stream *yamux.Stream) {
-	defer stream.Close()
-	ctx, cancel := context.WithTimeout(s.ctx, s.mesh.options.CallTimeout)
-	defer cancel()
-	stop := interrupt(ctx, stream)
-	defer stop()
-	select {
-	case s.calls <- struct{}{}:
-		defer func() { <-s.calls }()
-	default:
-		s.mesh.counters.call(directionIn, resultBusy)
-		_ = writeAll(stream, &peerpb.CallAnswer{Busy: true})
-		return
-	}
-	s.openCalls.Add(1)
-	defer s.openCalls.Add(-1)
-	s.used()
-	s.mesh.counters.call(directionIn, callResult(s.answer(ctx, stream)))
-}
-
-// answer reads a call's request, has the handler answer it, and writes the answer.
-func (s *session) answer(ctx context.Context, stream *yamux.Stream) error {
-	request := &peerpb.CallRequest{}
-	if err := readAll(stream, s.mesh.options.MaxCallBytes, request); err != nil {
-		return callError(ctx, err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.GetTimeLeft())*time.Microsecond)
-	defer cancel()
-	payload, err := s.mesh.handler.Called(ctx, s.remote.Node, request.GetMethod(), request.GetPayload())
-	if err == nil && len(payload) > s.mesh.options.MaxCallBytes {
-		err = ErrCallTooLarge
-	}
-	answer := &peerpb.CallAnswer{Payload: payload}
-	if err != nil {
-		answer = &peerpb.CallAnswer{Error: err.Error()}
-	}
-	if writeErr := writeAll(stream, answer); writeErr != nil {
-		return callError(ctx, writeErr)
-	}
-	return err
-}
-
 // callResult is the counter label of a call's end.
 func callResult(err error) string {
 	switch {
--- /dev/null
+++ b/peer/call_test.go
@@ -0,0 +1,108 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"testing"
+)
+
+func TestCallErrors(t *testing.T) {
+	const limit = 1000
+	small := func(o *Options) { o.MaxCallBytes = limit }
+	a, b := start(t, "a", 1), start(t, "b", 2, small)
+	introduce(a, b)
+	b.answer = func(_ context.Context, method string, _ []byte) ([]byte, error) {
+		switch method {
+		case "long":
+			return make([]byte, limit+1), nil
+		case "empty":
+			return nil, nil
+		default:
+			return nil, errors.New("no such method")
+		}
+	}
+	ctx := context.Background()
+	if _, err := a.Call(ctx, "b", "other", nil); !errors.Is(err, ErrCallFailed) || !strings.Contains(err.Error(), "no such method") {
+		t.Errorf("handler's error arrived as %v", err)
+	}
+	if _, err := a.Call(ctx, "b", "long", nil); !errors.Is(err, ErrCallFailed) {
+		t.Errorf("answer over the limit: %v", err)
+	}
+	if answer, err := a.Call(ctx, "b", "empty", nil); err != nil || len(answer) != 0 {
+		t.Errorf("empty answer: %q, %v", answer, err)
+	}
+	if _, err := b.Call(ctx, "a", "echo", make([]byte, limit+1)); !errors.Is(err, ErrCallTooLarge) {
+		t.Errorf("request over the caller's limit: %v", err)
+	}
+	if _, err := a.Call(ctx, "b", "empty", make([]byte, 1<<20)); err == nil {
+		t.Error("request over the answerer's limit was answered")
+	}
+	if got := a.sessionCount(); got != 1 {
+		t.Errorf("%d sessions after the errors", got)
+	}
+}
+
+func TestLargeCall(t *testing.T) {
+	a, b := start(t, "a", 1), start(t, "b", 2)
+	introduce(a, b)
+	payload := bytes.Repeat([]byte("0123456789abcdef"), 1<<18)
+	answer, err := a.Call(context.Background(), "b", "echo", payload)
+	if err != nil || !bytes.Equal(answer, append([]byte("echo "), payload...)) {
+		t.Errorf("answer of %d bytes, error %v", len(answer), err)
+	}
+}
+
+// TestTooManyCalls: calls over the limit are refused at once; a cancelled call
+// frees its place.
+func TestTooManyCalls(t *testing.T) {
+	const limit = 2
+	a, b := start(t, "a", 1), start(t, "b", 2, func(o *Options) { o.MaxCalls = limit })
+	introduce(a, b)
+	entered := make(chan struct{}, limit)
+	b.answer = func(ctx context.Context, method string, _ []byte) ([]byte, error) {
+		if method == "wait" {
+			entered <- struct{}{}
+			<-ctx.Done()
+		}
+		return nil, ctx.Err()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, limit)
+	for range limit {
+		go func() {
+			_, err := a.Call(ctx, "b", "wait", nil)
+			ended <- err
+		}()
+	}
+	for range limit {
+		<-entered
+	}
+	if _, err := a.Call(context.Background(), "b", "short", nil); !errors.Is(err, ErrBusy) {
+		t.Errorf("call over the limit: %v", err)
+	}
+	if got := b.count(`walnut_peer_calls_total{direction="in",result="busy"}`); got != 1 {
+		t.Errorf("%d calls counted as busy", got)
+	}
+	cancel()
+	for range limit {
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Errorf("cancelled call ended with %v", err)
+		}
+	}
+	eventually(t, "room for a call", func() bool {
+		_, err := a.Call(context.Background(), "b", "short", nil)
+		return err == nil
+	})
+}
+
+func TestCallAfterClose(t *testing.T) {
+	a, b := start(t, "a", 1), start(t, "b", 2)
+	introduce(a, b)
+	a.Close()
+	if _, err := a.Call(context.Background(), "b", "echo", nil); err == nil {
+		t.Error("a closed node called")
+	}
+	a.Send("b", heartbeat(1))
+}
--- /dev/null
+++ b/peer/fault_test.go
@@ -0,0 +1,239 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy"
+	"github.com/sirupsen/logrus"
+
+	"github.com/walnutcove/walnutcove/control"
+)
+
+func init() { logrus.SetOutput(io.Discard) }
+
+// quick shortens the times after which a cut is noticed.
+func quick(o *Options) {
+	o.KeepAliveAfter = 100 * time.Millisecond
+	o.WriteTimeout = 300 * time.Millisecond
+	o.DialTimeout = time.Second
+	o.RetryMax = 100 * time.Millisecond
+}
+
+// wireTo is a proxy before a node's address.
+type wireTo struct {
+	*toxiproxy.Proxy
+	t testing.TB
+}
+
+// proxyTo starts a proxy before an address. Its upstream direction leads to
+// the address.
+func proxyTo(t testing.TB, address string) wireTo {
+	t.Helper()
+	proxy := toxiproxy.NewProxy()
+	proxy.Name = address
+	proxy.Listen = "127.0.0.1:0"
+	proxy.Upstream = address
+	if err := proxy.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Stop)
+	return wireTo{proxy, t}
+}
+
+// cut swallows what flows in a direction, "upstream" or "downstream".
+func (w wireTo) cut(direction string) {
+	w.t.Helper()
+	toxic := fmt.Sprintf(`{"name":%q,"type":"timeout","stream":%q,"attributes":{"timeout":0}}`, direction, direction)
+	if _, err := w.Toxics.AddToxicJson(strings.NewReader(toxic)); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+func (w wireTo) heal() { w.Toxics.ResetToxics() }
+
+// sendUntil repeats a message until the condition holds: delivery is best effort.
+func sendUntil(t testing.TB, what string, from node, to control.NodeID, condition func() bool) {
+	t.Helper()
+	eventually(t, what, func() bool {
+		from.Send(to, heartbeat(1))
+		return condition()
+	})
+}
+
+// pairThroughProxies connects a and b so that each dials through a proxy.
+func pairThroughProxies(t testing.TB) (a, b node, toB, toA wireTo) {
+	a, b = start(t, "a", 1, quick), start(t, "b", 2, quick)
+	toB, toA = proxyTo(t, b.Address()), proxyTo(t, a.Address())
+	a.SetPeers(map[control.NodeID]string{"b": toB.Listen})
+	b.SetPeers(map[control.NodeID]string{"a": toA.Listen})
+	sendUntil(t, "session", a, "b", func() bool { return len(b.received("a")) > 0 })
+	return a, b, toB, toA
+}
+
+func lastState(n node) bool {
+	changes := n.changes()
+	return len(changes) > 0 && changes[len(changes)-1].connected
+}
+
+func TestCutBothWays(t *testing.T) {
+	a, b, toB, toA := pairThroughProxies(t)
+	for _, proxy := range []wireTo{toB, toA} {
+		proxy.cut("upstream")
+		proxy.cut("downstream")
+	}
+	eventually(t, "both to notice", func() bool { return !lastState(a) && !lastState(b) })
+	if a.count(`walnut_peer_sessions_ended_total{reason="no-answer"}`) == 0 &&
+		b.count(`walnut_peer_sessions_ended_total{reason="no-answer"}`) == 0 {
+		t.Error("no session ended for want of an answer")
+	}
+	sendUntil(t, "a drop", a, "b", func() bool {
+		return a.count(`walnut_peer_dropped_total{reason="unreachable"}`) > 0
+	})
+	toA.heal()
+	toB.heal()
+	before := len(b.received("a"))
+	sendUntil(t, "messages after the cut", a, "b", func() bool { return len(b.received("a")) > before })
+	eventually(t, "both to be connected", func() bool { return lastState(a) && lastState(b) })
+}
+
+// TestCutOneWay: what a sends to b on a's connections is lost. The session
+// moves to a connection that b dialled.
+func TestCutOneWay(t *testing.T) {
+	a, b, toB, _ := pairThroughProxies(t)
+	toB.cut("upstream")
+	before := len(a.received("b"))
+	sendUntil(t, "b's messages on a new session", b, "a", func() bool {
+		return b.count(`walnut_peer_sessions_opened_total{role="dialled"}`) > 0 && len(a.received("b")) > before
+	})
+	before = len(b.received("a"))
+	sendUntil(t, "a's messages on b's session", a, "b", func() bool { return len(b.received("a")) > before })
+}
+
+// TestCallOverCutSession: a call that is under way ends with an error.
+func TestCallOverCutSession(t *testing.T) {
+	a, b := start(t, "a", 1, quick), start(t, "b", 2, quick)
+	entered := make(chan struct{})
+	b.answer = func(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+		close(entered)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	toB := proxyTo(t, b.Address())
+	a.SetPeers(map[control.NodeID]string{"b": toB.Listen})
+	failed := make(chan error)
+	go func() {
+		_, err := a.Call(context.Background(), "b", "wait", nil)
+		failed <- err
+	}()
+	select {
+	case <-entered:
+	case err := <-failed:
+		t.Fatalf("call did not reach b: %v", err)
+	}
+	toB.cut("downstream")
+	if err := <-failed; !errors.Is(err, ErrSessionEnded) {
+		t.Errorf("call ended with %v", err)
+	}
+}
+
+// TestStalledNodeFillsNoMemory: the queue to a node that reads nothing is bounded.
+func TestStalledNodeFillsNoMemory(t *testing.T) {
+	const limit = 100
+	a := start(t, "a", 1, func(o *Options) {
+		o.QueueMessages = limit
+		o.DialTimeout = patience
+	})
+	other := listenRaw(t)
+	a.SetPeers(map[control.NodeID]string{"b": other.Addr().String()})
+	for range 10 * limit {
+		a.Send("b", heartbeat(1))
+	}
+	if got := a.count(`walnut_peer_dropped_total{reason="queue-full"}`); got != 9*limit {
+		t.Errorf("%d messages dropped", got)
+	}
+}
+
+// TestHalfOpenSessionGivesWay: b lost the session that a dialled, unnoticed by
+// a, and dials. a prefers its own session only until that fails a ping.
+func TestHalfOpenSessionGivesWay(t *testing.T) {
+	a := start(t, "a", 1, func(o *Options) { o.WriteTimeout = time.Second })
+	other := listenRaw(t)
+	a.SetPeers(map[control.NodeID]string{"b": other.Addr().String()})
+	a.Send("b", heartbeat(1))
+	first := other.accept(t)
+	first.answerHello(t, "b", 2)
+	eventually(t, "a's session", func() bool { return lastState(a) })
+	second := dialRaw(t, a.Address())
+	if refused := second.hello(t, rawHello("b", 2, "a")).GetRefused().String(); refused != "REFUSED_DUPLICATE" {
+		t.Fatalf("second connection: %s", refused)
+	}
+	eventually(t, "the second connection to be taken", func() bool {
+		return dialRaw(t, a.Address()).hello(t, rawHello("b", 2, "a")).GetRefused() == 0
+	})
+}
+
+func TestRestartedNode(t *testing.T) {
+	a := start(t, "a", 1, quick)
+	before := start(t, "b", 2)
+	introduce(a, before)
+	a.Send("b", heartbeat(1))
+	eventually(t, "first message", func() bool { return len(before.received("a")) == 1 })
+	before.Close()
+	eventually(t, "a to hear that b is down", func() bool { return !lastState(a) })
+	if got := a.count(`walnut_peer_sessions_ended_total{reason="shutdown"}`); got != 1 {
+		t.Errorf("%d sessions ended by shutdown", got)
+	}
+	after := start(t, "b", 3, func(o *Options) { o.ListenAddress = before.Address() })
+	sendUntil(t, "message to the new process", a, "b", func() bool { return len(after.received("a")) > 0 })
+}
+
+func TestIdleSessionIsClosedQuietly(t *testing.T) {
+	idle := func(o *Options) { o.IdleAfter = 200 * time.Millisecond }
+	a, b := start(t, "a", 1, idle), start(t, "b", 2, idle)
+	introduce(a, b)
+	a.Send("b", heartbeat(1))
+	eventually(t, "message", func() bool { return len(b.received("a")) == 1 })
+	eventually(t, "the end of the session", func() bool { return a.sessionCount()+b.sessionCount() == 0 })
+	a.Send("b", heartbeat(2))
+	eventually(t, "message on a new session", func() bool { return len(b.received("a")) == 2 })
+	for _, n := range []node{a, b} {
+		if changes := n.changes(); len(changes) != 1 || !changes[0].connected {
+			t.Errorf("%s was told %v", n.self.Node, changes)
+		}
+	}
+}
+
+// TestManyNodesDialAtOnce: each pair ends up with one session.
+func TestManyNodesDialAtOnce(t *testing.T) {
+	const count = 9
+	var nodes []node
+	for i := range count {
+		nodes = append(nodes, start(t, control.NodeID(fmt.Sprintf("node-%d", i)), control.Incarnation(i+1)))
+	}
+	introduce(nodes...)
+	for _, from := range nodes {
+		for _, to := range nodes {
+			if from != to {
+				go from.Send(to.self.Node, heartbeat(1))
+			}
+		}
+	}
+	for _, from := range nodes {
+		for _, to := range nodes {
+			if from == to {
+				continue
+			}
+			what := fmt.Sprintf("message from %s to %s", from.self.Node, to.self.Node)
+			eventually(t, what, func() bool { return len(to.received(from.self.Node)) == 1 })
+		}
+	}
+	for _, n := range nodes {
+		eventually(t, "one session for each pair", func() bool { return n.sessionCount() == count-1 })
+	}
+}
