--- a/ctl/cli/table.go
+++ b/ctl/cli/table.go
@@ -59,6 +59,10 @@
 func printRouters(w io.Writer, rows []operator.RouterStatus) error {
 	t := newTable(w, "NODE", "DATA-CENTRE", "STATE", "VERSION", "WAITING", "RUNNING", "LEAVING", "ERROR")
 	for _, r := range rows {
+		if r.State == operator.RouterUnreachable {
+			t.row(r.Node, r.DataCentre, string(r.State), "", "", "", yes(r.Leaving), r.Error)
+			continue
+		}
 		t.row(r.Node, r.DataCentre, string(r.State), number(r.Version), number(r.Waiting), number(r.Running), yes(r.Leaving), r.Error)
 	}
 	return t.w.Flush()
--- a/ctl/wait.go
+++ b/ctl/wait.go
@@ -67,7 +67,10 @@
 }
 
 func missingLine(router operator.RouterStatus) string {
-	line := fmt.Sprintf("missing: %s data_centre=%s state=%s version=%d", router.Node, router.DataCentre, router.State, router.Version)
+	line := fmt.Sprintf("missing: %s data_centre=%s state=%s", router.Node, router.DataCentre, router.State)
+	if router.State != operator.RouterUnreachable {
+		line += fmt.Sprintf(" version=%d", router.Version)
+	}
 	if router.Leaving {
 		line += " leaving"
 	}
--- a/operator/status.go
+++ b/operator/status.go
@@ -58,7 +58,8 @@
 	// Incarnation tells one start of the process from the next, in hex.
 	Incarnation string      `json:"incarnation,omitempty"`
 	State       RouterState `json:"state"`
-	// Version is the configuration version in force; zero if none.
+	// Version is the configuration version in force; zero if none, or if the
+	// router is unreachable.
 	Version config.Version `json:"version"`
 	// Listed says that the router is in the platform's list.
 	Listed bool `json:"listed"`
