--- /dev/null
+++ b/bench/fleet/fleet.go
@@ -0,0 +1,243 @@
+// Package fleet starts a fleet of real processes for an experiment: the
+// platform's stand-in, stand-in targets and routers, each its own process.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/operator"
+	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/processes"
+	"github.com/walnutcove/walnutcove/settings"
+)
+
+// Options say what the fleet consists of.
+type Options struct {
+	// DataCentres the VMs and targets are spread over, in turn. Required.
+	DataCentres []string
+	// Routers is how many routers run.
+	Routers int
+	// Policy is the routers' scheduling policy; empty for the default.
+	Policy string
+	// Pools by name, with their targets' shape.
+	Pools map[string]Pool
+	// Workspaces by name.
+	Workspaces map[string]config.Workspace
+	// Edit, if set, changes a router's settings before it starts.
+	Edit func(s *settings.Settings)
+}
+
+// Pool is a pool and the shape of its targets.
+type Pool struct {
+	Declared config.Pool
+	// Targets is how many targets run, each with Slots.
+	Targets int
+	Slots   int
+	// Step is an engine's time for each token.
+	Step time.Duration
+	// LoadLag is the period at which an engine renews its load report.
+	LoadLag time.Duration
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Binaries processes.Binaries
+	Platform *processes.StandIn
+	Targets  map[string]*processes.StandIn
+	Routers  []*processes.Router
+
+	options  Options
+	dir      string
+	declared map[string]config.Target
+}
+
+// Start builds the programs of the module in the working directory and starts
+// a fleet. Close ends it.
+func Start(ctx context.Context, options Options) (*Fleet, error) {
+	dir, err := os.MkdirTemp("", "walnutcove-bench-")
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{
+		options:  options,
+		dir:      dir,
+		Targets:  make(map[string]*processes.StandIn),
+		declared: make(map[string]config.Target),
+	}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	var err error
+	if f.Binaries, err = processes.Build(ctx, ".", f.dir); err != nil {
+		return err
+	}
+	if f.Platform, err = processes.StartPlatform(f.Binaries); err != nil {
+		return err
+	}
+	for name, pool := range f.options.Pools {
+		if err := f.startPool(name, pool); err != nil {
+			return err
+		}
+	}
+	if err := f.startRouters(); err != nil {
+		return err
+	}
+	return f.declare(ctx)
+}
+
+func (f *Fleet) startPool(name string, pool Pool) error {
+	for n := range pool.Targets {
+		target := fmt.Sprintf("%s-%d", name, n+1)
+		started, err := f.startTarget(target, pool)
+		if err != nil {
+			return err
+		}
+		f.Targets[target] = started
+		f.declared[target] = config.Target{
+			Pool:       name,
+			DataCentre: f.dataCentre(n),
+			Address:    started.Address,
+			Slots:      pool.Slots,
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startTarget(name string, pool Pool) (*processes.StandIn, error) {
+	if pool.Declared.Kind == config.KindService {
+		return processes.StartService(f.Binaries, name, pool.Slots, "")
+	}
+	return processes.StartEngine(f.Binaries, name, processes.EngineOptions{
+		Slots: pool.Slots, Step: pool.Step, LoadLag: pool.LoadLag,
+	})
+}
+
+func (f *Fleet) dataCentre(n int) string {
+	return f.options.DataCentres[n%len(f.options.DataCentres)]
+}
+
+func (f *Fleet) startRouters() error {
+	var vms []platform.VM
+	for n := range f.options.Routers {
+		s := settings.Defaults()
+		s.Node.Name = fmt.Sprintf("vm-%d", n+1)
+		s.Node.DataCentre = f.dataCentre(n)
+		s.Platform.Address = f.Platform.Address
+		s.Platform.VMListEvery = settings.Duration(500 * time.Millisecond)
+		if f.options.Policy != "" {
+			s.Scheduling.Policy = f.options.Policy
+		}
+		if f.options.Edit != nil {
+			f.options.Edit(&s)
+		}
+		r, err := processes.StartRouter(f.Binaries, f.dir, s)
+		if err != nil {
+			return err
+		}
+		f.Routers = append(f.Routers, r)
+		vms = append(vms, platform.VM{
+			Name:        s.Node.Name,
+			DataCentre:  s.Node.DataCentre,
+			PeerAddress: r.Settings.Listen.Peers,
+			State:       platform.VMLive,
+		})
+	}
+	return f.setVMs(vms)
+}
+
+func (f *Fleet) setVMs(vms []platform.VM) error {
+	return postJSON("http://"+f.Platform.Address+"/_vms", platform.VMsReply{VMs: vms}, nil)
+}
+
+// declare submits the configuration and waits until every router is on it.
+func (f *Fleet) declare(ctx context.Context) error {
+	pools := make(map[string]config.Pool)
+	for name, pool := range f.options.Pools {
+		pools[name] = pool.Declared
+	}
+	changes, err := json.Marshal(config.Declarations{
+		Workspaces: f.options.Workspaces,
+		Pools:      pools,
+		Targets:    f.declared,
+	})
+	if err != nil {
+		return fmt.Errorf("encode the declarations: %w", err)
+	}
+	patch := config.Patch{ID: config.NewPatchID(), Author: "bench", Changes: changes}
+	var accepted operator.PatchAccepted
+	first := "http://" + f.Routers[0].Settings.Listen.Operators
+	if err := postJSON(first+operator.PathPatches, patch, &accepted); err != nil {
+		return err
+	}
+	for _, r := range f.Routers {
+		line := fmt.Sprintf("version=%d", accepted.Version)
+		if _, err := r.WaitLine(line); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+// Callers returns the routers' addresses for callers.
+func (f *Fleet) Callers() []string {
+	var addresses []string
+	for _, r := range f.Routers {
+		addresses = append(addresses, r.Settings.Listen.Callers)
+	}
+	return addresses
+}
+
+// Close ends every process and removes the fleet's files.
+func (f *Fleet) Close() {
+	for _, r := range f.Routers {
+		r.Kill()
+	}
+	for _, target := range f.Targets {
+		target.Kill()
+	}
+	if f.Platform != nil {
+		f.Platform.Kill()
+	}
+	_ = os.RemoveAll(f.dir)
+}
+
+// postJSON posts a document and reads the answer into reply unless it is nil.
+func postJSON(url string, document, reply any) error {
+	body, err := json.Marshal(document)
+	if err != nil {
+		return err
+	}
+	answer, err := http.Post(url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode/100 != 2 {
+		var text bytes.Buffer
+		_, _ = text.ReadFrom(answer.Body)
+		return fmt.Errorf("%s answered %s: %s", url, answer.Status, text.String())
+	}
+	if reply == nil {
+		return nil
+	}
+	return json.NewDecoder(answer.Body).Decode(reply)
+}
+
+// Workspace returns a workspace with a key, a share and pools.
+func Workspace(key string, share float64, pools ...string) config.Workspace {
+	hash := config.HashKey([]byte(key))
+	return config.Workspace{Share: share, KeyHashes: []string{hex.EncodeToString(hash[:])}, Pools: pools}
+}
--- /dev/null
+++ b/bench/latency/latency.go
@@ -0,0 +1,91 @@
+// Package latency measures what a router adds to an uncontended request: the
+// same requests are sent to the target directly and through a router, in turn,
+// in one run.
+package latency
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/walnutcove/walnutcove/bench/fleet"
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/load"
+)
+
+// Options configure the experiment.
+type Options struct {
+	// Requests is how many requests each way sends in each repeat.
+	Requests int
+	// Repeats is how often the comparison is made.
+	Repeats int
+}
+
+const (
+	model     = "walnut-small"
+	pool      = "drafting"
+	workspace = "bakery"
+	key       = "bakery-key"
+)
+
+// Run makes the measurement and writes a table.
+func Run(ctx context.Context, out io.Writer, o Options) error {
+	f, err := fleet.Start(ctx, fleet.Options{
+		DataCentres: []string{"ikeja"},
+		Routers:     3,
+		Pools: map[string]fleet.Pool{pool: {
+			Declared: config.Pool{Kind: config.KindEngine, Models: []string{model}},
+			Targets:  1,
+			Slots:    8,
+			Step:     time.Millisecond,
+		}},
+		Workspaces: map[string]config.Workspace{workspace: fleet.Workspace(key, 1, pool)},
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	direct := f.Targets[pool+"-1"].Address
+	fmt.Fprintln(out, "repeat  way     first part p50  p95  p99   whole p50  p95  p99")
+	for repeat := range o.Repeats {
+		for _, way := range []struct{ name, address string }{
+			{"direct", direct},
+			{"router-1", f.Callers()[0]},
+			{"router-2", f.Callers()[1]},
+			{"router-3", f.Callers()[2]},
+		} {
+			summary := send(ctx, way.address, o.Requests)
+			if summary.Count(load.Answered) != o.Requests {
+				return fmt.Errorf("%s: %v", way.name, summary)
+			}
+			fmt.Fprintf(out, "%d  %-8s  %v  %v  %v  %v  %v  %v\n", repeat+1, way.name,
+				summary.FirstPart(50), summary.FirstPart(95), summary.FirstPart(99),
+				summary.Whole(50), summary.Whole(95), summary.Whole(99))
+		}
+	}
+	return nil
+}
+
+// send sends requests one after another to one address.
+func send(ctx context.Context, address string, requests int) *load.Summary {
+	run := load.Run{
+		Routers:  []string{address},
+		Callers:  1,
+		Requests: requests,
+		Next:     nextRequest,
+	}
+	return run.Do(ctx)
+}
+
+func nextRequest(n int, _ *rand.Rand) load.Request {
+	return load.Request{
+		Kind:      load.Stream,
+		Workspace: workspace,
+		Key:       key,
+		Mark:      fmt.Sprintf("m%d", n),
+		Model:     model,
+		MaxTokens: 2,
+	}
+}
--- a/processes/router.go
+++ b/processes/router.go
@@ -76,4 +76,3 @@
 	defer listener.Close()
 	return listener.Addr().String(), nil
 }
-
