Make the tests of copies and of a forced stop able to fail

An exchange whose body pointed into the HTTP library's buffer was never looked at after the buffer's reuse, and a stream that was not cut at all ended by the test's own deadline. Both are now found.

--- a/front/caller_test.go
+++ b/front/caller_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -186,8 +187,8 @@
 	if response := f.answer(waiting); response.Header.Get("Walnut-Code") != "503" {
 		t.Errorf("waiting request got %v", response)
 	}
-	if _, err := io.ReadAll(stream); err == nil {
-		t.Error("the cut stream ended cleanly")
+	if _, err := io.ReadAll(stream); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the stream was not cut: %v", err)
 	}
 	writer.Close()
 }
--- a/front/serve_test.go
+++ b/front/serve_test.go
@@ -258,9 +258,10 @@
 
 func TestCopiesDoNotCrossUnderLoad(t *testing.T) {
 	const callers, each = 16, 100
-	// Each answer is made from the exchange of an earlier request, after its
-	// own request's buffers have been reused.
+	// Each answer is made while another request is served, and every exchange
+	// is looked at again after its buffers have been reused.
 	late := make(chan func(), callers*each)
+	served := make(chan *pipeline.Exchange, callers*each)
 	f := start(t, Options{}, func(ctx context.Context, ex *pipeline.Exchange) error {
 		done := make(chan struct{})
 		late <- func() {
@@ -275,6 +276,7 @@
 		case <-ctx.Done():
 		}
 		<-done
+		served <- ex
 		return nil
 	})
 	var wait sync.WaitGroup
@@ -298,4 +300,13 @@
 		})
 	}
 	wait.Wait()
+	close(served)
+	seen := make(map[string]bool)
+	for ex := range served {
+		name := ex.Header["X-Name"]
+		if string(ex.Body) != name || ex.Path != "/p"+name || seen[name] || seen[ex.ID] {
+			t.Errorf("exchange %s of %s now holds %s %q", ex.ID, name, ex.Path, ex.Body)
+		}
+		seen[name], seen[ex.ID] = true, true
+	}
 }
