Read the rest of a refused request, so that no reset overtakes the refusal

A connection closed with unread bytes is reset; a caller that still sends an 8 MiB body then gets a write error, as the new test shows without the change, and on some systems loses the refusal that had arrived. Reading on is bounded by 1 s and 16 MiB.

--- a/front/conn.go
+++ b/front/conn.go
@@ -1,12 +1,19 @@
 package front
 
 import (
+	"io"
 	"net"
 	"sync"
 	"syscall"
 	"time"
 )
 
+// Bounds of reading on after a refusal; see callerConn.Close.
+const (
+	lingerTime  = time.Second
+	lingerBytes = 16 << 20
+)
+
 // callerListener wraps every accepted connection.
 type callerListener struct {
 	net.Listener
@@ -23,7 +30,7 @@
 }
 
 // callerConn is a caller's connection. Only its serving goroutine reads and
-// writes; raw, endIdle and Close may be used by others too.
+// writes; raw, endIdle and Conn.Close may be used by others too.
 type callerConn struct {
 	net.Conn
 	server *Server
@@ -32,6 +39,8 @@
 	request *request
 	// writeErr is the first failed write of the current answer.
 	writeErr error
+	// linger is set when a request was refused before it was read whole.
+	linger bool
 
 	mu sync.Mutex
 	// busy is true from the first byte of a request to the last byte of its
@@ -90,3 +99,16 @@
 	}
 	return n, err
 }
+
+// Close implements net.Conn. A connection that closes with unread bytes is
+// reset, and a reset can overtake the answer. So after a refusal the rest of
+// the request is read and dropped, within bounds.
+func (c *callerConn) Close() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.linger {
+		_ = half.CloseWrite()
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+		// An error means that the caller is gone or too slow to wait for.
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
+	return c.Conn.Close()
+}
--- a/front/refuse.go
+++ b/front/refuse.go
@@ -15,6 +15,7 @@
 // refuseUnread answers a request that could not be read whole. The HTTP
 // library closes the connection afterwards.
 func (s *Server) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
+	ctx.Conn().(*callerConn).linger = true
 	refusal := unreadError(err)
 	countRefusal(refusal.Code)
 	s.writeError(ctx, s.ids.next().text, refusal)
--- a/front/serve_test.go
+++ b/front/serve_test.go
@@ -256,6 +256,20 @@
 	}
 }
 
+func TestRefusalIsNotOvertakenByReset(t *testing.T) {
+	f := start(t, Options{MaxBodyBytes: 1000}, answerWith(brokenStream()))
+	conn := f.dial()
+	const size = 8 << 20
+	text := fmt.Sprintf("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+	// The refusal comes while the body is still being sent.
+	if n, err := io.WriteString(conn, text); err != nil {
+		t.Errorf("connection reset after %d bytes: %v", n, err)
+	}
+	if response := f.answer(bufio.NewReader(conn)); response.Header.Get("Walnut-Code") != "102" {
+		t.Errorf("got %v", response)
+	}
+}
+
 func TestCopiesDoNotCrossUnderLoad(t *testing.T) {
 	const callers, each = 16, 100
 	// Each answer is made while another request is served, and every exchange
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -35,7 +35,7 @@
 	// What has not ended by then is cut, which is what Close is for.
 	_ = s.waitUntil(ctx, s.allEnded)
 	for _, conn := range s.connections() {
-		conn.Close()
+		conn.Conn.Close()
 	}
 	s.watch.close()
 	return err
