Show targets, slots and the entry's backlog in the status; export control's counters

Mends four faults found by running walnutctl against real processes: the status left out targets and counted a late-bound ticket once for each shard; the list of members was this router alone while the platform's list was not known, so a wait could succeed wrongly; draining another router was answered as unreachable because its answer was empty; walnutdev's routers did not act on a drain.

--- a/control/status.go
+++ b/control/status.go
@@ -47,8 +47,15 @@
 	// grant or run under one.
 	Waiting int
 	Running int
-	// WaitingOf counts the requests that entered and wait here, by workspace.
-	WaitingOf map[string]int
+	// ByWorkspace counts the requests that entered here, by workspace.
+	ByWorkspace map[string]EntryCount
+}
+
+// EntryCount counts the requests of one workspace that entered here.
+type EntryCount struct {
+	Waiting      int
+	WaitingBytes int64
+	Running      int
 }
 
 // MemberStatus is one node in view.
@@ -84,6 +91,8 @@
 	Leaving bool
 	// DownFor is how long the target is still passed over.
 	DownFor time.Duration
+	// LoadAge is the age of the last load report; negative if there is none.
+	LoadAge time.Duration
 }
 
 // Status returns the present state. It reads everything: call it for operators,
@@ -95,7 +104,7 @@
 		Draining:    m.draining,
 		Waiting:     len(m.entry.requests),
 		Running:     len(m.entry.runs),
-		WaitingOf:   make(map[string]int, len(m.entry.workspaces)),
+		ByWorkspace: make(map[string]EntryCount, len(m.entry.workspaces)),
 	}
 	if m.topo != nil {
 		st.ConfigVersion = uint64(m.topo.version)
@@ -109,7 +118,12 @@
 		})
 	}
 	for name, w := range m.entry.workspaces {
-		st.WaitingOf[name] = w.count
+		st.ByWorkspace[name] = EntryCount{Waiting: w.count, WaitingBytes: w.bytes}
+	}
+	for _, r := range m.entry.runs {
+		count := st.ByWorkspace[r.workspace]
+		count.Running++
+		st.ByWorkspace[r.workspace] = count
 	}
 	for _, s := range m.sched.sortedShards() {
 		st.Shards = append(st.Shards, m.shardStatus(s))
@@ -136,7 +150,15 @@
 			Room:    t.room(m.now),
 			Leaving: t.leaving || t.reportedLeaving,
 			DownFor: max(0, t.downUntil-m.now),
+			LoadAge: t.loadAge(m.now),
 		})
 	}
 	return st
 }
+
+func (t *target) loadAge(now Instant) time.Duration {
+	if t.loadAt < 0 {
+		return -1
+	}
+	return now - t.loadAt
+}
--- a/control/target.go
+++ b/control/target.go
@@ -30,6 +30,8 @@
 	failures                 int
 	failingSince             Instant
 	downUntil                Instant
+	// loadAt is when the last load report came; negative if none did.
+	loadAt Instant
 	// pollFailed says that the last failure was of a load poll.
 	pollFailed bool
 	// wasHopeless is what hopeless said last.
@@ -41,7 +43,7 @@
 }
 
 func newTarget(now Instant, s *shard, name string) *target {
-	return &target{shard: s, name: name, window: sched.NewWindow(now, 1)}
+	return &target{shard: s, name: name, window: sched.NewWindow(now, 1), loadAt: -1}
 }
 
 func (t *target) declare(decl config.Target) {
@@ -82,6 +84,7 @@
 	if t == nil {
 		return
 	}
+	t.loadAt = m.now
 	t.window.Reported(m.now, ev.Running, ev.Queued, ev.Slots)
 	t.prefixes.report(ev.CachedPrefixes)
 	if t.pollFailed {
--- a/devfleet/cli/standins.go
+++ b/devfleet/cli/standins.go
@@ -16,12 +16,25 @@
 // tests wait for it.
 const listening = "listening on %s\n"
 
+// viewAt is the line printed for each view of the platform, before the
+// stand-in's own line.
+const viewAt = "view %d at %s\n"
+
 type platformCommand struct {
 	Listen string `default:"127.0.0.1:9000" help:"Address to listen on (ip:port)."`
+	Views  int    `help:"Views to serve on ports of their own, each with its own peer addresses (POST /_view)."`
 }
 
 func (c *platformCommand) run(ctx context.Context, out io.Writer, _ *slog.Logger) error {
 	server := platform.New(platform.Options{})
+	for n := range c.Views {
+		view, err := server.StartView("127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		defer view.Close()
+		fmt.Fprintf(out, viewAt, n+1, view.Address())
+	}
 	address, err := server.Start(c.Listen)
 	if err != nil {
 		return err
--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
@@ -43,6 +44,9 @@
 	Log *slog.Logger
 }
 
+// drainTimeout bounds the drain of a router that an operator asked for.
+const drainTimeout = 30 * time.Second
+
 // Names of the fleet's pools and of what callers ask for.
 const (
 	EnginePool  = "drafting"
@@ -58,6 +62,10 @@
 	Services []*service.Service
 	Routers  []*router.Router
 
+	// closed is closed by Close.
+	closed chan struct{}
+	once   sync.Once
+
 	options         Options
 	targets         map[string]config.Target
 	platformAddress string
@@ -66,7 +74,11 @@
 
 // Start starts a fleet and returns once every router takes requests.
 func Start(ctx context.Context, options Options) (*Fleet, error) {
-	f := &Fleet{options: withDefaults(options), targets: make(map[string]config.Target)}
+	f := &Fleet{
+		options: withDefaults(options),
+		closed:  make(chan struct{}),
+		targets: make(map[string]config.Target),
+	}
 	steps := []func(context.Context) error{f.startPlatform, f.startTargets, f.declare, f.startRouters, f.waitReady}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
@@ -192,6 +204,7 @@
 		return fmt.Errorf("start %s: %w", s.Node.Name, err)
 	}
 	f.Routers = append(f.Routers, r)
+	go f.drainWhenAsked(r)
 	f.vms = append(f.vms, platform.VM{
 		Name:        s.Node.Name,
 		DataCentre:  s.Node.DataCentre,
@@ -201,6 +214,20 @@
 	return nil
 }
 
+// drainWhenAsked shuts a router down when an operator drains it.
+func (f *Fleet) drainWhenAsked(r *router.Router) {
+	select {
+	case <-r.DrainAsked():
+	case <-f.closed:
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	if err := r.Shutdown(ctx); err != nil {
+		f.options.Log.Warn("devfleet: Drain was cut short.", "error", err)
+	}
+}
+
 func (f *Fleet) waitReady(ctx context.Context) error {
 	for _, r := range f.Routers {
 		if err := r.WaitReady(ctx); err != nil {
@@ -224,8 +251,13 @@
 	return errors.Join(errs...)
 }
 
-// Close stops everything at once.
+// Close stops everything at once. It may be called again.
 func (f *Fleet) Close() {
+	f.once.Do(f.close)
+}
+
+func (f *Fleet) close() {
+	close(f.closed)
 	for _, r := range f.Routers {
 		r.Close()
 	}
--- a/router/backend.go
+++ b/router/backend.go
@@ -91,10 +91,10 @@
 // Members implements operator.Backend.
 func (b backend) Members(context.Context) ([]operator.Member, error) {
 	listed := b.router.vms.Load()
-	self := operator.Member{Node: b.router.settings.Node.Name, DataCentre: b.router.settings.Node.DataCentre}
 	if listed == nil {
-		return []operator.Member{self}, nil
+		return nil, fmt.Errorf("the list of VMs was not read yet: %w", platform.ErrUnavailable)
 	}
+	self := operator.Member{Node: b.router.settings.Node.Name, DataCentre: b.router.settings.Node.DataCentre}
 	var members []operator.Member
 	known := false
 	for _, vm := range *listed {
--- a/router/loop.go
+++ b/router/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/walnutcove/walnutcove/control"
@@ -27,6 +28,8 @@
 	log     *slog.Logger
 	waiters map[control.RequestID]*waiter
 	asks    chan ask
+	// counters is a copy of the machine's, renewed at each tick.
+	counters atomic.Pointer[control.Counters]
 }
 
 // shell carries commands out. Its methods must not block.
@@ -95,6 +98,8 @@
 			query(l.machine)
 		case <-ticker.C:
 			l.step(control.Tick{})
+			counters := l.machine.Counters()
+			l.counters.Store(&counters)
 		}
 	}
 }
--- a/router/peers.go
+++ b/router/peers.go
@@ -49,7 +49,7 @@
 	case methodStatus:
 		return h.serveStatus(ctx, payload)
 	case methodDrain:
-		return nil, backend(h).Drain(ctx, "")
+		return []byte("{}"), backend(h).Drain(ctx, "")
 	default:
 		return nil, fmt.Errorf("unknown method %q", method)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -68,6 +68,7 @@
 	drainAsked  chan struct{}
 	askOnce     sync.Once
 	closeOnce   sync.Once
+	unpublish   func()
 }
 
 // Start starts a router and returns once its listeners are open. The router
@@ -229,6 +230,7 @@
 func (r *Router) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
+	r.unpublish = r.loop.publishCounters(r.settings.Node.Name)
 	go r.loop.run(r.stopLoop)
 	r.start(func() { r.follower.Run(ctx) })
 	r.start(func() { r.followVMs(ctx) })
@@ -303,6 +305,7 @@
 	_ = r.mesh.Close()
 	close(r.stopLoop)
 	<-r.loop.done
+	r.unpublish()
 	_ = r.targets.Close()
 	r.background.Wait()
 	r.platform.Close()
--- a/router/status.go
+++ b/router/status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/operator"
@@ -69,24 +70,64 @@
 	}
 }
 
-// addDetail adds the shards scheduled here and the backlog by workspace.
+// addDetail adds the requests that entered here by workspace, and the shards
+// and targets scheduled here.
 func (b backend) addDetail(status *operator.Status, inside control.Status) {
-	waiting := make(map[string]int)
-	for _, shard := range inside.Shards {
-		status.Shards = append(status.Shards, operator.ShardStatus{
-			Pool:       shard.Shard.Pool,
-			DataCentre: shard.Shard.DataCentre,
-			Scheduler:  b.router.settings.Node.Name,
-			Waiting:    shard.Queued,
+	for workspace, count := range inside.ByWorkspace {
+		status.Backlog = append(status.Backlog, operator.WorkspaceBacklog{
+			Workspace:    workspace,
+			Waiting:      count.Waiting,
+			WaitingBytes: count.WaitingBytes,
+			Running:      count.Running,
 		})
-		for workspace, count := range shard.Backlog {
-			waiting[workspace] += count
-		}
-	}
-	for workspace, count := range waiting {
-		status.Backlog = append(status.Backlog, operator.WorkspaceBacklog{Workspace: workspace, Waiting: count})
 	}
 	slices.SortFunc(status.Backlog, func(x, y operator.WorkspaceBacklog) int {
 		return strings.Compare(x.Workspace, y.Workspace)
 	})
+	for _, shard := range inside.Shards {
+		b.addShard(status, shard)
+	}
+}
+
+func (b backend) addShard(status *operator.Status, shard control.ShardStatus) {
+	row := operator.ShardStatus{
+		Pool:       shard.Shard.Pool,
+		DataCentre: shard.Shard.DataCentre,
+		Scheduler:  b.router.settings.Node.Name,
+		Waiting:    shard.Queued,
+		Running:    shard.Granted,
+	}
+	for _, target := range shard.Targets {
+		row.Slots += target.Slots
+		status.Targets = append(status.Targets, operator.TargetStatus{
+			Name:          target.Target,
+			Pool:          shard.Shard.Pool,
+			DataCentre:    shard.Shard.DataCentre,
+			Health:        healthOf(target),
+			Running:       target.Granted,
+			Slots:         target.Slots,
+			LoadAgeMillis: loadAgeMillis(target.LoadAge),
+			Scheduler:     b.router.settings.Node.Name,
+		})
+	}
+	status.Shards = append(status.Shards, row)
+}
+
+func healthOf(target control.TargetStatus) operator.TargetHealth {
+	switch {
+	case target.Leaving:
+		return operator.TargetLeaving
+	case target.DownFor > 0:
+		return operator.TargetSuspect
+	default:
+		return operator.TargetLive
+	}
+}
+
+// loadAgeMillis is -1 for a target that has not reported yet.
+func loadAgeMillis(age time.Duration) int64 {
+	if age < 0 {
+		return -1
+	}
+	return age.Milliseconds()
 }
