--- a/standin/platform/handle.go
+++ b/standin/platform/handle.go
@@ -54,16 +54,29 @@
 			return false
 		}
 		held = faults.Outage
-		s.count("outage")
-		select {
-		case <-changed:
-		case <-closing:
+		if !s.hold(changed, closing) {
 			drop(ctx)
 			return false
 		}
 	}
 }
 
+// hold waits until the faults change and says whether the server still runs.
+func (s *Server) hold(changed, closing <-chan struct{}) bool {
+	s.count("outage")
+	s.held.Add(1)
+	defer s.held.Add(-1)
+	select {
+	case <-changed:
+		return true
+	case <-closing:
+		return false
+	}
+}
+
+// Held counts the calls that an outage holds now.
+func (s *Server) Held() int { return int(s.held.Load()) }
+
 // read serves a read and says whether the call was one.
 func (s *Server) read(ctx *fasthttp.RequestCtx) bool {
 	serve := s.reader(ctx)
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
@@ -39,6 +40,7 @@
 	faults  *faultState
 	journal *journal
 	metrics *metrics.Set
+	held    atomic.Int32
 	invalid error // what is wrong with the options
 
 	mu      sync.Mutex
@@ -100,6 +102,7 @@
 // listening is one run of the server between Start and Close.
 type listening struct {
 	http    *fasthttp.Server
+	socket  net.Listener
 	served  chan struct{} // closed when Serve has returned
 	closing chan struct{} // closed when Close begins
 
@@ -109,6 +112,7 @@
 
 func newListening(listener net.Listener, handle func(*fasthttp.RequestCtx, <-chan struct{})) *listening {
 	l := &listening{
+		socket:  listener,
 		served:  make(chan struct{}),
 		closing: make(chan struct{}),
 		conns:   make(map[net.Conn]struct{}),
@@ -149,7 +153,8 @@
 		_ = conn.Close()
 	}
 	l.mu.Unlock()
-	err := l.http.Shutdown()
+	err := l.socket.Close() // Shutdown does not close it before Serve has begun
+	_ = l.http.Shutdown()
 	<-l.served
 	return err
 }
