--- a/config/follower/follower.go
+++ b/config/follower/follower.go
@@ -150,7 +150,7 @@
 	select {
 	case f.hints <- hint{node: node, version: version}:
 	default:
-		refused(reasonHintsFull)
+		refusals[reasonHintsFull].Inc()
 	}
 }
 
@@ -247,7 +247,7 @@
 
 // refuse counts and logs a refused offer.
 func (f *Follower) refuse(o offer, err error) {
-	refused(refusalReason(err))
+	refusals[refusalReason(err)].Inc()
 	f.options.Log.Warn("config: Version refused.", "from", string(o.origin), "node", o.node, "error", err)
 }
 
--- a/config/follower/follower_test.go
+++ b/config/follower/follower_test.go
@@ -11,6 +11,7 @@
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/config/store"
 	"github.com/walnutcove/walnutcove/platform/memory"
+	"go.uber.org/goleak"
 )
 
 // patience bounds every wait for an event; no verdict depends on it.
@@ -35,6 +36,8 @@
 	return accepted
 }
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // recorder keeps the versions that came into force, in order.
 type recorder struct {
 	mu      sync.Mutex
@@ -78,7 +81,7 @@
 	}
 }
 
-// start runs a follower until the test ends.
+// start runs a new follower and records what comes into force.
 func start(t *testing.T, options Options) (*Follower, *recorder) {
 	t.Helper()
 	r := newRecorder()
@@ -87,6 +90,13 @@
 		options.PollEvery = 5 * time.Millisecond
 	}
 	f := New(options)
+	run(t, f)
+	return f, r
+}
+
+// run runs a follower until the test ends.
+func run(t *testing.T, f *Follower) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -97,7 +107,6 @@
 		cancel()
 		<-done
 	})
-	return f, r
 }
 
 func waitReady(t *testing.T, f *Follower) {
--- a/config/follower/loop.go
+++ b/config/follower/loop.go
@@ -111,7 +111,7 @@
 
 // storeFailed counts every failure and logs the first of an outage.
 func (l *loop) storeFailed(err error) {
-	refused(reasonStoreFailed)
+	failures[failureStore].Inc()
 	if !l.outage {
 		l.f.options.Log.Warn("config: Store not read.", "error", err)
 	}
@@ -140,7 +140,7 @@
 	if err != nil && isContent(err) {
 		l.f.refuse(o, err)
 	} else if err != nil {
-		refused(reasonPeerFailed)
+		failures[failurePeer].Inc()
 		l.f.options.Log.Warn("config: Peer not read.", "node", o.node, "error", err)
 	}
 	l.fetch(ctx)
--- a/config/follower/metrics.go
+++ b/config/follower/metrics.go
@@ -6,8 +6,8 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// refusal is why the follower did not take something. It is the "reason" label
-// of walnut_config_refused_total.
+// refusal is why the follower did not take something that arrived. It is the
+// "reason" label of walnut_config_refusals_total.
 type refusal string
 
 // The reasons of a refusal.
@@ -18,17 +18,33 @@
 	reasonSequence refusal = "sequence_gap"
 	// reasonInvalid: the offer cannot be read or is not valid.
 	reasonInvalid refusal = "invalid"
-	// reasonOther: any other fault of an offer.
-	reasonOther refusal = "other"
 	// reasonHintsFull: too many announcements at once.
 	reasonHintsFull refusal = "hints_full"
-	// reasonStoreFailed: a call to the store failed.
-	reasonStoreFailed refusal = "store_failed"
-	// reasonPeerFailed: a fetch from a peer failed.
-	reasonPeerFailed refusal = "peer_failed"
+	// reasonOther: any other fault of an offer.
+	reasonOther refusal = "other"
+)
+
+// failure is which call failed. It is the "reason" label of
+// walnut_config_failures_total.
+type failure string
+
+// The calls that may fail.
+const (
+	failureStore failure = "store"
+	failurePeer  failure = "peer"
+)
+
+// The counters are there from the start with zero.
+var (
+	refusals = makeCounters("walnut_config_refusals_total",
+		reasonDigest, reasonSequence, reasonInvalid, reasonHintsFull, reasonOther)
+	failures = makeCounters("walnut_config_failures_total", failureStore, failurePeer)
 )
 
-func refused(reason refusal) {
-	name := fmt.Sprintf(`walnut_config_refused_total{reason=%q}`, string(reason))
-	metrics.GetOrCreateCounter(name).Inc()
+func makeCounters[T ~string](name string, reasons ...T) map[T]*metrics.Counter {
+	counters := make(map[T]*metrics.Counter, len(reasons))
+	for _, reason := range reasons {
+		counters[reason] = metrics.GetOrCreateCounter(fmt.Sprintf("%s{reason=%q}", name, string(reason)))
+	}
+	return counters
 }
--- a/config/store/faults_test.go
+++ b/config/store/faults_test.go
@@ -104,6 +104,22 @@
 	}
 }
 
+// The other router's insert lands between this router's look for the patch id
+// and its reading of the newest version.
+func TestPatchAcceptedElsewhereMeanwhileIsNoConflict(t *testing.T) {
+	s, faulty, healthy := newFaulty(t)
+	p := numbered(0)
+	faulty.get = func(ctx context.Context, table, key string) (platform.Row, error) {
+		faulty.get = nil
+		row, err := faulty.Table.Get(ctx, table, key)
+		submit(t, healthy, p)
+		return row, err
+	}
+	if accepted := submit(t, s, p); accepted.Entry.Version != 1 {
+		t.Fatalf("accepted as %d", accepted.Entry.Version)
+	}
+}
+
 func TestLostReply(t *testing.T) {
 	type call func(ctx context.Context, ops []platform.Op) error
 	for name, fault := range map[string]func(pass call, calls int, ctx context.Context, ops []platform.Op) error{
@@ -147,7 +163,7 @@
 				return fault(faulty.Table.Commit, calls, ctx, ops)
 			}
 			accepted := submit(t, s, numbered(0))
-			if accepted.Entry.Version != 1 || head(t, healthy) != 1 {
+			if accepted.Entry.Version != 1 || accepted.Snapshot == nil || head(t, healthy) != 1 {
 				t.Fatalf("accepted %d, head %d", accepted.Entry.Version, head(t, healthy))
 			}
 		})
@@ -159,11 +175,12 @@
 	winner := numbered(0)
 	faulty.commit = func(context.Context, []platform.Op) error {
 		submit(t, healthy, winner)
+		submit(t, healthy, numbered(1))
 		return platform.ErrUnknown
 	}
 	_, err := s.Submit(context.Background(), nil, numbered(0))
 	var conflict *config.VersionConflictError
-	if !errors.As(err, &conflict) || conflict.WinnerPatchID != winner.ID {
+	if !errors.As(err, &conflict) || conflict.WinnerPatchID != winner.ID || conflict.Newest != 2 {
 		t.Fatalf("error %v", err)
 	}
 }
--- a/config/store/snapshot.go
+++ b/config/store/snapshot.go
@@ -71,6 +71,7 @@
 		if errors.Is(err, platform.ErrUnavailable) || ctx.Err() != nil {
 			return nil, err
 		}
+		readFailures.Inc()
 		s.options.Log.Warn("config: Whole snapshot passed over.", "version", found, "error", err)
 		version = found - 1
 	}
@@ -120,6 +121,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), s.options.SnapshotTimeout)
 		defer cancel()
 		if err := s.saveIfDue(ctx, snapshot); err != nil {
+			writeFailures.Inc()
 			s.options.Log.Warn("config: Whole snapshot not written.", "version", snapshot.Version, "error", err)
 		}
 	})
--- a/config/store/submit.go
+++ b/config/store/submit.go
@@ -91,7 +91,10 @@
 		if err != nil {
 			last = err
 		}
-		pause(ctx, attempt)
+		if attempt+1 < maxCommitAttempts {
+			commitRetries.Inc()
+			pause(ctx, attempt)
+		}
 	}
 	return Accepted{}, &CommitUnknownError{PatchID: entry.Patch.ID, Cause: last}
 }
