Batch without a wait while flushes are few; bound tables, streams and handshakes

A message waited up to 1 ms for others whenever the last flush was less than 1 ms ago, so a run of four messages in a row took 2.4 ms. Now 32 flushes may follow each other before batching sets in; the mean rate stays 1000 a second.

--- a/peer/accept.go
+++ b/peer/accept.go
@@ -12,7 +12,7 @@
 
 const (
 	// maxHandshakes bounds the accepted connections that are not sessions yet.
-	maxHandshakes = 64
+	maxHandshakes = 512
 	// acceptPause follows an accept error, such as too many open files.
 	acceptPause = 50 * time.Millisecond
 )
--- a/peer/batch.go
+++ b/peer/batch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/walnutcove/walnutcove/control"
@@ -18,6 +19,8 @@
 const (
 	// flushMessages ends the wait for more messages.
 	flushMessages = 256
+	// flushBurst is how many flushes may follow each other without a wait.
+	flushBurst = 32
 	// keptBufferBytes bounds the write buffer that an idle session keeps.
 	keptBufferBytes = 16 << 10
 )
@@ -37,34 +40,35 @@
 	}
 }
 
-// write sends what waits on the link: at once after a pause, else in batches.
+// write sends what waits on the link: at once while flushes are few, else in
+// batches.
 func (s *session) write() {
 	encoder := wire.NewEncoder(s.mesh.self, s.remote, s.mesh.counters.observer(directionOut))
 	var buffer bytes.Buffer
-	var flushed time.Time
+	pace := rate.NewLimiter(rate.Every(s.mesh.options.FlushEvery), flushBurst)
 	signal(s.work) // for the messages that waited for the session
-	for s.awaitBatch(flushed) {
+	for s.awaitBatch(pace) {
 		messages := s.link.take(s)
 		if len(messages) == 0 {
 			continue
 		}
 		s.encode(encoder, &buffer, messages)
-		flushed = time.Now()
 		if !s.flush(&buffer, len(messages)) {
 			return
 		}
 	}
 }
 
-// awaitBatch waits for messages and, shortly after a flush, for more of them.
+// awaitBatch waits for messages and, while flushes come fast, for more of them.
 // It reports false at the session's end.
-func (s *session) awaitBatch(flushed time.Time) bool {
+func (s *session) awaitBatch(pace *rate.Limiter) bool {
 	select {
 	case <-s.work:
 	case <-s.ctx.Done():
 		return false
 	}
-	wait := s.mesh.options.FlushEvery - time.Since(flushed)
+	turn := pace.Reserve()
+	wait := min(turn.Delay(), s.mesh.options.FlushEvery)
 	if wait <= 0 {
 		return true
 	}
@@ -73,6 +77,7 @@
 	select {
 	case <-timer.C:
 	case <-s.full:
+		turn.Cancel()
 	case <-s.ctx.Done():
 		return false
 	}
@@ -125,6 +130,9 @@
 	if reason == endIdle {
 		closing = peerpb.Closing_CLOSING_IDLE
 	}
+	s.mu.Lock()
+	s.leaving = reason
+	s.mu.Unlock()
 	select {
 	case <-s.started:
 		s.sendClosing(closing)
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -35,6 +35,7 @@
 	endStalled   endReason = "stalled"   // a write did not finish in time
 	endGarbage   endReason = "garbage"   // a frame could not be decoded
 	endOversize  endReason = "oversize"  // a frame was too long
+	endStreams   endReason = "streams"   // the other side opened too many streams
 	endDuplicate endReason = "duplicate" // another session of the pair stays
 	endRestarted endReason = "restarted" // the node has a newer incarnation
 	endMoved     endReason = "moved"     // the node's address changed
@@ -64,7 +65,7 @@
 		dropWriteFailed, dropReplaced,
 	}
 	endReasons = []endReason{
-		endClosed, endIdle, endShutdown, endLost, endNoAnswer, endStalled, endGarbage, endOversize,
+		endClosed, endIdle, endShutdown, endLost, endNoAnswer, endStalled, endGarbage, endOversize, endStreams,
 		endDuplicate, endRestarted, endMoved,
 	}
 	failures = []failure{
--- a/peer/link.go
+++ b/peer/link.go
@@ -311,7 +311,7 @@
 // backOff returns a random wait that doubles with the failures in a row.
 func backOff(failures int, least, most time.Duration) time.Duration {
 	wait := least
-	for range failures - 1 {
+	for ; failures > 1 && wait < most; failures-- {
 		wait = min(wait*2, most)
 	}
 	return wait/2 + rand.N(wait)
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -157,9 +157,11 @@
 		return nil
 	}
 	err := m.listener.Close()
+	var closing sync.WaitGroup
 	for _, l := range m.takeLinks() {
-		l.close()
+		closing.Go(l.close)
 	}
+	closing.Wait()
 	m.cancel()
 	m.running.Wait()
 	return err
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -80,6 +80,15 @@
 
 // start makes a node on loopback. Its options may be changed first.
 func start(t testing.TB, name control.NodeID, incarnation control.Incarnation, change ...func(*Options)) node {
+	t.Helper()
+	r := &recorder{}
+	n := startWith(t, r, name, incarnation, change...)
+	n.recorder = r
+	return n
+}
+
+// startWith makes a node with another handler.
+func startWith(t testing.TB, handler Handler, name control.NodeID, incarnation control.Incarnation, change ...func(*Options)) node {
 	t.Helper()
 	options := Options{
 		Node:          name,
@@ -91,13 +100,12 @@
 	for _, f := range change {
 		f(&options)
 	}
-	r := &recorder{}
-	mesh, err := New(options, r)
+	mesh, err := New(options, handler)
 	if err != nil {
 		t.Fatalf("New: %v", err)
 	}
 	t.Cleanup(func() { mesh.Close() })
-	return node{mesh, r}
+	return node{Mesh: mesh}
 }
 
 // introduce tells all nodes the addresses of all.
--- a/peer/options.go
+++ b/peer/options.go
@@ -32,8 +32,9 @@
 
 	// QueueMessages bounds the messages that wait for one node. Default 4096.
 	QueueMessages int
-	// FlushEvery is the least time between two writes to one node; a message
-	// for an idle session is written at once. Default 1 ms.
+	// FlushEvery is the mean time between two writes to one node under load,
+	// and the longest wait of a message for more. A few writes may follow each
+	// other at once. Default 1 ms.
 	FlushEvery time.Duration
 	// DialTimeout bounds connecting, the TLS handshake and the hello. Default 2 s.
 	DialTimeout time.Duration
@@ -44,7 +45,7 @@
 	// IdleAfter is the time without a message or call after which a session
 	// is closed. Default 60 s.
 	IdleAfter time.Duration
-	// RetryMin and RetryMax bound the back-off between dials. Defaults 50 ms and 3 s.
+	// RetryMin and RetryMax bound the back-off between dials. Defaults 50 ms and 2 s.
 	RetryMin time.Duration
 	RetryMax time.Duration
 	// CallTimeout bounds a Call whose context has no earlier deadline. Default 30 s.
@@ -65,7 +66,7 @@
 	defaultKeepAliveAfter = 5 * time.Second
 	defaultIdleAfter      = time.Minute
 	defaultRetryMin       = 50 * time.Millisecond
-	defaultRetryMax       = 3 * time.Second
+	defaultRetryMax       = 2 * time.Second
 	defaultCallTimeout    = 30 * time.Second
 	defaultMaxCallBytes   = 16 << 20
 	defaultMaxCalls       = 16
--- a/peer/raw_test.go
+++ b/peer/raw_test.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/peer/peerpb"
 	"github.com/walnutcove/walnutcove/peer/wire"
 )
@@ -203,6 +204,40 @@
 	}
 }
 
+// TestTooManyStreams: a node that opens streams without end loses its session.
+func TestTooManyStreams(t *testing.T) {
+	a := start(t, "a", 1)
+	conn := dialRaw(t, a.Address())
+	conn.hello(t, rawHello("b", 5, "a"))
+	mux := conn.control(t).Session()
+	for {
+		if _, err := mux.OpenStream(); err != nil {
+			break
+		}
+	}
+	eventually(t, "the end of the session", func() bool {
+		return a.count(`walnut_peer_sessions_ended_total{reason="streams"}`) == 1
+	})
+}
+
+// TestFrozenNode: a node that takes no more bytes is noticed by the writer.
+func TestFrozenNode(t *testing.T) {
+	a := start(t, "a", 1, func(o *Options) {
+		o.WriteTimeout = 200 * time.Millisecond
+		o.KeepAliveAfter = patience
+	})
+	other := listenRaw(t)
+	a.SetPeers(map[control.NodeID]string{"b": other.Addr().String()})
+	a.Send("b", heartbeat(1))
+	other.accept(t).answerHello(t, "b", 2)
+	sendUntil(t, "a to notice", a, "b", func() bool {
+		for range 1000 {
+			a.Send("b", heartbeat(1))
+		}
+		return a.count(`walnut_peer_sessions_ended_total{reason="stalled"}`) == 1
+	})
+}
+
 // TestSilentConnection: a connection without a hello is closed.
 func TestSilentConnection(t *testing.T) {
 	a := start(t, "a", 1, func(o *Options) { o.DialTimeout = 100 * time.Millisecond })
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -17,6 +17,10 @@
 	"github.com/walnutcove/walnutcove/peer/peerpb"
 )
 
+// maxStreams bounds the streams of a session, with those that wait to be
+// closed by the other side.
+const maxStreams = 512
+
 // serveCalls answers the other side's calls until the session's end.
 func (s *session) serveCalls() {
 	for {
@@ -24,6 +28,10 @@
 		if err != nil {
 			return
 		}
+		if s.mux.NumStreams() > maxStreams {
+			s.end(endStreams)
+			return
+		}
 		if !s.mesh.spawn(func() { s.serveCall(stream) }) {
 			stream.Close()
 			return
--- a/peer/session.go
+++ b/peer/session.go
@@ -30,10 +30,12 @@
 	cancel  context.CancelFunc
 	started chan struct{}
 
-	mu     sync.Mutex
-	ended  bool
-	mux    *yamux.Session
-	stream *yamux.Stream // of the batches
+	mu    sync.Mutex
+	ended bool
+	// leaving is the reason of an end that this side announced.
+	leaving endReason
+	mux     *yamux.Session
+	stream  *yamux.Stream // of the batches
 	// writing guards writes to stream.
 	writing sync.Mutex
 
@@ -105,7 +107,7 @@
 	if s.dialled {
 		start = yamux.Client
 	}
-	mux, err := start(muxConn{Conn: conn, raw: s.raw}, s.mesh.muxConfig())
+	mux, err := start(&muxConn{Conn: conn, raw: s.raw}, s.mesh.muxConfig())
 	if err != nil {
 		s.mesh.log.Error("peer: Session configuration is wrong.", "error", err)
 		s.raw.Close()
@@ -136,6 +138,9 @@
 		return
 	}
 	s.ended = true
+	if reason == endLost && s.leaving != "" {
+		reason = s.leaving // the other side was first to close the connection
+	}
 	mux := s.mux
 	s.mu.Unlock()
 	s.cancel()
@@ -188,13 +193,3 @@
 		s.heard()
 	})
 }
-
-// muxConn closes the TCP connection at once, without a TLS farewell, which
-// could block.
-type muxConn struct {
-	net.Conn
-	raw net.Conn
-}
-
-// Close implements io.Closer.
-func (c muxConn) Close() error { return c.raw.Close() }
--- /dev/null
+++ b/peer/wire/bench_test.go
@@ -0,0 +1,72 @@
+package wire
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/peer/peerpb"
+)
+
+// BenchmarkTicket encodes and decodes tickets of 16 workspaces in batches.
+func BenchmarkTicket(b *testing.B) {
+	const batch = 32
+	var tickets []control.Message
+	for i := range batch {
+		tickets = append(tickets, control.Ticket{
+			ID:        control.TicketID{Node: nodeA.Node, Incarnation: nodeA.Incarnation, Request: control.RequestID(i + 1e6), Attempt: 1},
+			Shard:     control.ShardID{Pool: "drafting", DataCentre: "ikeja"},
+			Workspace: fmt.Sprintf("workspace-%d", i%16),
+			TimeLeft:  30 * time.Second,
+		})
+	}
+	p := newPipe()
+	for b.Loop() {
+		frame, _, err := p.Frame(tickets)
+		if err != nil {
+			b.Fatal(err)
+		}
+		encoded, err := proto.Marshal(frame)
+		if err != nil {
+			b.Fatal(err)
+		}
+		received := &peerpb.Frame{}
+		if err := proto.Unmarshal(encoded, received); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := p.Messages(received); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/batch, "ns/message")
+}
+
+// BenchmarkFullTables reports the memory of one encoder and one decoder whose
+// tables are full.
+func BenchmarkFullTables(b *testing.B) {
+	before := memoryInUse()
+	var pipes []pipe
+	for range b.N {
+		p := newPipe()
+		for i := range 3 * nameSlots {
+			workspace := fmt.Sprintf("parish-of-st-anne-%05d", i)
+			if _, err := p.carry([]control.Message{control.Ticket{Workspace: workspace}}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		pipes = append(pipes, p)
+	}
+	b.ReportMetric(float64(memoryInUse()-before)/float64(b.N), "B/session-end")
+	runtime.KeepAlive(pipes)
+}
+
+func memoryInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/peer/wire/table.go
+++ b/peer/wire/table.go
@@ -5,7 +5,7 @@
 // Sizes of the tables. The margin is the most slots of a table that a single
 // message can use: a slot that close to eviction is not referred to any more.
 const (
-	nameSlots    = 1024
+	nameSlots    = 512
 	nameMargin   = MaxListItems + 20
 	originSlots  = 128
 	originMargin = 4
