--- /dev/null
+++ b/standin/platform/fuzz_test.go
@@ -0,0 +1,86 @@
+package platform
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/walnutcove/walnutcove/platform"
+)
+
+// FuzzHandle sends any request to the stand-in. Each must get a success, or an
+// error of the protocol that left the rows as they were.
+func FuzzHandle(f *testing.F) {
+	commit := `{"ops":[{"kind":"insert","table":"t","key":"k","value":"eA=="},{"kind":"check","table":"t","key":"j"}]}`
+	f.Add("POST", platform.PathCommit, []byte(commit))
+	f.Add("POST", platform.PathCommit, []byte(`{"ops":[{"kind":"update","table":"t","key":"seed","revision":1}]}`))
+	f.Add("POST", platform.PathCommit, []byte(`{"ops":[{"kind":"delete","table":"t","key":"seed","revision":1}]} {}`))
+	f.Add("GET", platform.PathRow+"?table=t&key=seed", []byte(nil))
+	f.Add("GET", platform.PathScan+"?table=t&from=%00&limit=18446744073709551616", []byte(nil))
+	f.Add("PUT", platform.PathObjects+"?name=o", []byte("whole"))
+	f.Add("POST", platform.PathWeightsFetch, []byte(`{"id":"1","artifact":"m","target":"t"}`))
+	f.Add("POST", platform.PathWeightsFinish, []byte(`{"id":"1"}`))
+	f.Add("POST", pathVMs, []byte(`{"vms":[{"name":"a","state":"live"}]}`))
+	f.Add("GET", pathJournal+"?after=-1&limit=99999999999", []byte(nil))
+	f.Fuzz(func(t *testing.T, method, uri string, body []byte) {
+		server := New(Options{})
+		seed := []platform.Op{{Kind: platform.OpInsert, Table: "t", Key: "seed"}}
+		if err := server.Store().Commit(t.Context(), seed); err != nil {
+			t.Fatal(err)
+		}
+		var ctx fasthttp.RequestCtx
+		ctx.Init(&fasthttp.Request{}, nil, quietLogger{})
+		ctx.Request.Header.SetMethod(method)
+		ctx.Request.SetRequestURI(uri)
+		ctx.Request.SetBody(body)
+		if string(ctx.Path()) == pathFault {
+			t.Skip("a fault may hold the call")
+		}
+		server.handle(&ctx, nil)
+		checkAnswer(t, server, &ctx)
+	})
+}
+
+// checkAnswer checks the answer and that an error applied nothing.
+func checkAnswer(t *testing.T, server *Server, ctx *fasthttp.RequestCtx) {
+	t.Helper()
+	if ctx.Response.StatusCode() == fasthttp.StatusOK {
+		return
+	}
+	var reply platform.ErrorReply
+	if err := json.Unmarshal(ctx.Response.Body(), &reply); err != nil || reply.Code == "" {
+		t.Fatalf("status %d without a code: %s", ctx.Response.StatusCode(), ctx.Response.Body())
+	}
+	if got := len(server.Journal(0, 10).Entries); got != 1 {
+		t.Fatalf("%s after %d writes", reply.Code, got-1)
+	}
+}
+
+// FuzzDecodeCommit checks that a commit that decodes is within the limits and
+// means the same when encoded again.
+func FuzzDecodeCommit(f *testing.F) {
+	f.Add([]byte(`{"ops":[{"kind":"insert","table":"t","key":"k","value":"eA=="}]}`))
+	f.Add([]byte(`{"ops":[{"kind":"delete","table":"t","key":"\ud800","revision":18446744073709551615}]}`))
+	f.Add([]byte(`{"ops":[{"kind":"check","table":"","key":"k"}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		ops, err := decodeCommit(body)
+		if err != nil {
+			return
+		}
+		encoded, err := json.Marshal(platform.CommitRequest{Ops: ops})
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := decodeCommit(encoded)
+		if err != nil {
+			t.Fatalf("%s: %v", encoded, err)
+		}
+		for i := range ops {
+			a, b := ops[i], again[i]
+			if a.Kind != b.Kind || a.Table != b.Table || a.Key != b.Key || a.Revision != b.Revision || string(a.Value) != string(b.Value) {
+				t.Fatalf("%+v became %+v", a, b)
+			}
+		}
+	})
+}
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -2,64 +2,243 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/datadriven"
 
 	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/platform/memory"
 )
 
 // startServer runs a stand-in and a client for the length of the test.
-func startServer(t *testing.T) (*Server, *platform.Client) {
+func startServer(t *testing.T, options Options) (*Server, *platform.Client, string) {
 	t.Helper()
-	server := New(Options{})
+	server := New(options)
 	addr, err := server.Start("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	client := platform.NewClient(platform.Options{Address: addr, Metrics: metrics.NewSet()})
+	client := platform.NewClient(platform.Options{Address: addr, Metrics: metrics.NewSet(), WritesPerSecond: 1e6})
 	t.Cleanup(func() {
-		client.Close()
 		if err := server.Close(); err != nil {
 			t.Error(err)
 		}
+		client.Close()
 	})
-	return server, client
+	return server, client, addr
 }
 
-func TestTableOverHTTP(t *testing.T) {
-	server, client := startServer(t)
+// TestTable runs one script against the in-memory table and against the same
+// table over HTTP.
+func TestTable(t *testing.T) {
+	t.Run("memory", func(t *testing.T) {
+		runTableScript(t, memory.New(memory.Options{}))
+	})
+	t.Run("http", func(t *testing.T) {
+		_, client, _ := startServer(t, Options{})
+		runTableScript(t, client)
+	})
+}
+
+func runTableScript(t *testing.T, table platform.RevisionTable) {
 	ctx := context.Background()
-	insert := []platform.Op{
-		{Kind: platform.OpInsert, Table: "runs", Key: "b&=/ é", Value: []byte{0, 255}},
-		{Kind: platform.OpInsert, Table: "runs", Key: "a", Value: []byte("1")},
+	datadriven.RunTest(t, "testdata/table", func(t *testing.T, d *datadriven.TestData) string {
+		var name, key string
+		d.MaybeScanArgs(t, "table", &name)
+		d.MaybeScanArgs(t, "key", &key)
+		switch d.Cmd {
+		case "commit":
+			revision, err := table.CommitRevision(ctx, parseOps(t, d.Input))
+			return outcome(fmt.Sprintf("revision %d", revision), err)
+		case "get":
+			row, err := table.Get(ctx, name, key)
+			return outcome(rowText(row), err)
+		case "scan":
+			limit := 0
+			d.ScanArgs(t, "limit", &limit)
+			rows, err := table.Scan(ctx, name, key, limit)
+			var lines []string
+			for _, row := range rows {
+				lines = append(lines, rowText(row))
+			}
+			return outcome(strings.Join(lines, "\n"), err)
+		default:
+			d.Fatalf(t, "unknown command")
+			return ""
+		}
+	})
+}
+
+// parseOps reads one operation a line: kind table key revision value.
+func parseOps(t *testing.T, input string) []platform.Op {
+	t.Helper()
+	var ops []platform.Op
+	for _, line := range strings.Split(strings.TrimSpace(input), "\n") {
+		var op platform.Op
+		var value string
+		if _, err := fmt.Sscanf(line, "%s %s %s %d %s", &op.Kind, &op.Table, &op.Key, &op.Revision, &value); err != nil {
+			t.Fatalf("%q: %v", line, err)
+		}
+		op.Value = []byte(value)
+		ops = append(ops, op)
+	}
+	return ops
+}
+
+func rowText(row platform.Row) string {
+	return fmt.Sprintf("%s/%s=%s at %d", row.Table, row.Key, row.Value, row.Revision)
+}
+
+func outcome(text string, err error) string {
+	for _, kind := range []error{platform.ErrNotFound, platform.ErrConflict, platform.ErrInvalid} {
+		if errors.Is(err, kind) {
+			return kind.Error()
+		}
 	}
-	revision, err := client.CommitRevision(ctx, insert)
+	if err != nil {
+		return err.Error()
+	}
+	return text
+}
+
+// TestHeldCalls checks what becomes of calls held by an outage: a hang never
+// applies them, a freeze applies them late.
+func TestHeldCalls(t *testing.T) {
+	for outage, want := range map[Outage]int{OutageHang: 0, OutageFreeze: 1} {
+		t.Run(string(outage), func(t *testing.T) {
+			server, client, _ := startServer(t, Options{Faults: Faults{Outage: outage}})
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go func() {
+				done <- client.Commit(ctx, []platform.Op{{Kind: platform.OpInsert, Table: "t", Key: "k"}})
+			}()
+			eventually(t, func() bool { return server.Held() == 1 })
+			cancel()
+			if err := <-done; !errors.Is(err, platform.ErrUnknown) {
+				t.Fatalf("got %v", err)
+			}
+			if err := server.SetFaults(Faults{}); err != nil {
+				t.Fatal(err)
+			}
+			client.Close() // waits for the call's answer or its end
+			if got := len(server.Journal(0, 10).Entries); got != want {
+				t.Errorf("%d writes applied, want %d", got, want)
+			}
+		})
+	}
+}
+
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("condition never held")
+		}
+	}
+}
+
+// request makes a control call and decodes its answer.
+func request(t *testing.T, method, url, body string, answer any) int {
+	t.Helper()
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Close = true
+	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		t.Fatal(err)
 	}
-	row, err := client.Get(ctx, "runs", "b&=/ é")
-	if err != nil || row.Revision != revision || string(row.Value) != "\x00\xff" {
-		t.Fatalf("got %+v, %v; want revision %d", row, err, revision)
+	defer response.Body.Close()
+	encoded, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(encoded, answer); err != nil {
+		t.Fatalf("%s: %v", encoded, err)
+	}
+	return response.StatusCode
+}
+
+func TestFaultControl(t *testing.T) {
+	_, client, addr := startServer(t, Options{})
+	url := "http://" + addr + pathFault
+	var got Faults
+	request(t, "POST", url, `{"lose_replies":1,"lose_table_prefix":"ru"}`, &got)
+	request(t, "POST", url, `{"vm_lag_ms":5}`, &got)
+	if want := (Faults{LoseReplies: 1, LoseTablePrefix: "ru", VMLagMillis: 5}); got != want {
+		t.Fatalf("got %+v, want %+v", got, want)
+	}
+	for _, bad := range []string{`{"outage":"often"}`, `{"delay_ms":-1}`, `{"no_such":1}`, `{} {}`, `[]`} {
+		var reply platform.ErrorReply
+		if status := request(t, "POST", url, bad, &reply); status != 400 || reply.Code != platform.CodeInvalid {
+			t.Errorf("%s: status %d, %+v", bad, status, reply)
+		}
+	}
+	ops := []platform.Op{
+		{Kind: platform.OpInsert, Table: "other", Key: "a"},
+		{Kind: platform.OpInsert, Table: "runs", Key: "b", Value: []byte("12")},
 	}
-	if err := client.Commit(ctx, insert); !errors.Is(err, platform.ErrConflict) {
-		t.Fatalf("second insert: got %v, want ErrConflict", err)
+	if err := client.Commit(context.Background(), ops); !errors.Is(err, platform.ErrUnknown) {
+		t.Fatalf("got %v", err)
 	}
-	if _, err := client.Get(ctx, "runs", "none"); !errors.Is(err, platform.ErrNotFound) {
-		t.Fatalf("got %v, want ErrNotFound", err)
+	var page JournalPage
+	request(t, "GET", "http://"+addr+pathJournal+"?after=1&limit=5", "", &page)
+	if len(page.Entries) != 1 || page.Entries[0].Seq != 2 || page.Entries[0].Key != "b" ||
+		page.Entries[0].Bytes != 2 || !page.Entries[0].ReplyLost {
+		t.Fatalf("journal %+v", page)
 	}
-	rows, err := client.Scan(ctx, "runs", "a", 10)
-	if err != nil || len(rows) != 2 || rows[0].Key != "a" {
-		t.Fatalf("scan: got %+v, %v", rows, err)
+	request(t, "DELETE", url, "", &got)
+	if got != (Faults{}) {
+		t.Fatalf("faults left: %+v", got)
 	}
-	rows, err = client.Scan(ctx, "runs", "a\x00", 10)
-	if err != nil || len(rows) != 1 {
-		t.Fatalf("scan after a: got %+v, %v", rows, err)
+}
+
+func TestVMLag(t *testing.T) {
+	_, client, addr := startServer(t, Options{VMs: []platform.VM{{Name: "old"}}, Faults: Faults{VMLagMillis: 1}})
+	names := func() string {
+		vms, err := client.ListVMs(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		var names []string
+		for _, vm := range vms {
+			names = append(names, vm.Name)
+		}
+		return strings.Join(names, ",")
+	}
+	eventually(t, func() bool { return names() == "old" })
+	var faults Faults
+	request(t, "POST", "http://"+addr+pathFault, `{"vm_lag_ms":3600000}`, &faults)
+	var reply platform.VMsReply
+	request(t, "POST", "http://"+addr+pathVMs, `{"vms":[{"name":"new","state":"leaving"}]}`, &reply)
+	if got := names(); got != "" {
+		t.Fatalf("list of an hour ago is %q", got)
+	}
+	request(t, "POST", "http://"+addr+pathFault, `{"vm_lag_ms":0}`, &faults)
+	if got := names(); got != "new" {
+		t.Fatalf("got %q, want new", got)
+	}
+}
+
+func TestJournalDrops(t *testing.T) {
+	server := New(Options{MaxJournal: 2})
+	for i := range 5 {
+		ops := []platform.Op{{Kind: platform.OpInsert, Table: "t", Key: fmt.Sprint(i)}}
+		if err := server.Store().Commit(context.Background(), ops); err != nil {
+			t.Fatal(err)
+		}
 	}
-	server.Store().SetVMs([]platform.VM{{Name: "vm-1", State: platform.VMLeaving}})
-	vms, err := client.ListVMs(ctx)
-	if err != nil || len(vms) != 1 || vms[0].State != platform.VMLeaving {
-		t.Fatalf("VMs: got %+v, %v", vms, err)
+	page := server.Journal(0, 10)
+	if page.Dropped != 2 || len(page.Entries) != 3 || page.Entries[0].Seq != 3 || page.Entries[0].Key != "2" {
+		t.Fatalf("got %+v", page)
 	}
 }
