Never add a version to a past that is not the store's

A router that held another content under the head's number would have chained the next version to it, and every other router would have refused that version for good. Submit now compares its newest version with the digest in the store's row and reads the store whole if they differ. Making only the followers heal was ruled out: the stored chain itself would have been broken. The new test fails without the comparison (tried on a scratch copy).

--- a/config/store/faults_test.go
+++ b/config/store/faults_test.go
@@ -316,6 +316,33 @@
 	}
 }
 
+// A router whose past is not the store's must not chain a version to it.
+func TestSubmitFromAnotherPastChainsToTheStore(t *testing.T) {
+	other, _ := newStore(t)
+	fill(t, other, 3)
+	strangers, err := other.Load(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, stored := range []config.Version{3, 4} { // the same number, and newer
+		s, _ := newStore(t)
+		fill(t, s, stored)
+		accepted, err := s.Submit(context.Background(), strangers, numbered(stored))
+		if err != nil || accepted.Entry.Version != stored+1 {
+			t.Fatalf("accepted %d, %v", accepted.Entry.Version, err)
+		}
+		if got := head(t, s); got != stored+1 {
+			t.Fatalf("head %d", got)
+		}
+	}
+	empty, _ := newStore(t)
+	_, err = empty.Submit(context.Background(), strangers, numbered(3))
+	var conflict *config.VersionConflictError
+	if !errors.As(err, &conflict) || conflict.Newest != 0 {
+		t.Fatalf("on an emptied store: %v", err)
+	}
+}
+
 func TestAlteredRowIsRefused(t *testing.T) {
 	s, backing := newStore(t)
 	fill(t, s, 2)
--- a/config/store/row.go
+++ b/config/store/row.go
@@ -41,16 +41,25 @@
 	return value, nil
 }
 
-// decodeRow reads a row of TableVersions with its changes.
-func (s *Store) decodeRow(ctx context.Context, row platform.Row) (config.Entry, error) {
+// parseRow reads a row of TableVersions without changes that lie elsewhere.
+func parseRow(row platform.Row) (entryRow, error) {
 	var decoded entryRow
 	if err := json.Unmarshal(row.Value, &decoded); err != nil {
-		return config.Entry{}, &CorruptError{Key: row.Key, Reason: err.Error()}
+		return entryRow{}, &CorruptError{Key: row.Key, Reason: err.Error()}
 	}
-	entry := decoded.Entry
-	if versionKey(entry.Version) != row.Key {
-		return config.Entry{}, &CorruptError{Key: row.Key, Reason: fmt.Sprintf("holds version %d", entry.Version)}
+	if versionKey(decoded.Version) != row.Key {
+		return entryRow{}, &CorruptError{Key: row.Key, Reason: fmt.Sprintf("holds version %d", decoded.Version)}
+	}
+	return decoded, nil
+}
+
+// decodeRow reads a row of TableVersions with its changes.
+func (s *Store) decodeRow(ctx context.Context, row platform.Row) (config.Entry, error) {
+	decoded, err := parseRow(row)
+	if err != nil {
+		return config.Entry{}, err
 	}
+	entry := decoded.Entry
 	if decoded.ChangesObject == "" {
 		return entry, nil
 	}
--- a/config/store/store.go
+++ b/config/store/store.go
@@ -125,14 +125,22 @@
 // Entry returns one version of the history. The error is *UnknownVersionError
 // if the version does not exist.
 func (s *Store) Entry(ctx context.Context, version config.Version) (config.Entry, error) {
+	row, err := s.readRow(ctx, version)
+	if err != nil {
+		return config.Entry{}, err
+	}
+	return s.decodeRow(ctx, row)
+}
+
+func (s *Store) readRow(ctx context.Context, version config.Version) (platform.Row, error) {
 	row, err := s.table.Get(ctx, TableVersions, versionKey(version))
 	if errors.Is(err, platform.ErrNotFound) {
-		return config.Entry{}, &UnknownVersionError{Version: version}
+		return platform.Row{}, &UnknownVersionError{Version: version}
 	}
 	if err != nil {
-		return config.Entry{}, fmt.Errorf("config store: read version %d: %w", version, err)
+		return platform.Row{}, fmt.Errorf("config store: read version %d: %w", version, err)
 	}
-	return s.decodeRow(ctx, row)
+	return row, nil
 }
 
 // History returns up to limit entries from a version on, oldest first.
--- a/config/store/submit.go
+++ b/config/store/submit.go
@@ -59,11 +59,50 @@
 	return s.commit(ctx, entry, next)
 }
 
+// newest returns the newest version, proved against the store's own digest: a
+// version chained to another past would be refused by every router. A known
+// version that is not of the store's past is given up for the store's own.
 func (s *Store) newest(ctx context.Context, known *config.Snapshot) (*config.Snapshot, error) {
-	if known == nil {
-		return s.Load(ctx)
+	if known != nil {
+		newest, err := s.CatchUp(ctx, known)
+		if err == nil {
+			err = s.checkStored(ctx, newest)
+		}
+		if err == nil || !isDifferentPast(err) {
+			return newest, err
+		}
+		s.options.Log.Warn("config: Version in force is not the store's.", "version", known.Version, "error", err)
+	}
+	newest, err := s.Load(ctx)
+	if err != nil {
+		return nil, err
 	}
-	return s.CatchUp(ctx, known)
+	return newest, s.checkStored(ctx, newest)
+}
+
+// checkStored compares a version's digest with the one in its row.
+func (s *Store) checkStored(ctx context.Context, snapshot *config.Snapshot) error {
+	if snapshot.Version == 0 {
+		return nil
+	}
+	row, err := s.readRow(ctx, snapshot.Version)
+	if err != nil {
+		return err
+	}
+	decoded, err := parseRow(row)
+	if err != nil {
+		return err
+	}
+	if decoded.Digest != snapshot.Digest {
+		return &config.DigestError{Version: snapshot.Version, Stated: decoded.Digest, Computed: snapshot.Digest}
+	}
+	return nil
+}
+
+func isDifferentPast(err error) bool {
+	var digest *config.DigestError
+	var absent *UnknownVersionError
+	return errors.As(err, &digest) || errors.As(err, &absent)
 }
 
 // commit inserts the entry. A lost reply is followed by a read; if the row is
