Convict a request that crashes targets, and let the innocents go free

Now and then one request crashes every target that runs it, and is sent again. What stands beside it at one crash must not stay suspected.

Routers tell each other evidence (which fingerprints ran on a target as it crashed, which ran to completion), and each judges afresh by the smallest explanation: the one fingerprint whose crashes contain all that any other explains. Ties are isolated. A broken connection counts only once the crash is confirmed, so that a router cut off from its targets convicts nobody.

Ruled out: spreading convictions. A property test with three routers that know only their own runs found an innocent convicted by a router that had not yet heard of a completion, and the others took it over. Also ruled out: convicting all that ran at two crashes; the same test checks that this naive rule fails.

--- /dev/null
+++ b/control/quarantine/completions.go
@@ -0,0 +1,73 @@
+package quarantine
+
+import "time"
+
+// announceEvery is the shortest time between two announcements that the same
+// fingerprint ran to completion, and between two completions of it noted.
+const announceEvery = time.Second
+
+// completions remembers the last runs to completion, oldest first, up to a
+// limit.
+type completions struct {
+	limit int
+	known map[uint64]*completion
+	order []*completion
+}
+
+type completion struct {
+	fingerprint uint64
+	at          Instant
+	announced   bool
+	announcedAt Instant
+}
+
+func newCompletions(limit int) completions {
+	return completions{limit: limit, known: make(map[uint64]*completion)}
+}
+
+// add notes a completion unless one at about the same time or later is known.
+func (c *completions) add(fingerprint uint64, at Instant) {
+	if last, ok := c.known[fingerprint]; ok && at < last.at+announceEvery {
+		return
+	}
+	noted := &completion{fingerprint: fingerprint, at: at}
+	c.known[fingerprint] = noted
+	c.order = append(c.order, noted)
+	for len(c.order) > c.limit {
+		c.dropOldest()
+	}
+}
+
+// after returns the known completion of a fingerprint if it was after a time.
+func (c *completions) after(fingerprint uint64, at Instant) *completion {
+	if last, ok := c.known[fingerprint]; ok && last.at > at {
+		return last
+	}
+	return nil
+}
+
+// expire forgets completions before a time.
+func (c *completions) expire(before Instant) {
+	for len(c.order) > 0 && c.order[0].at < before {
+		c.dropOldest()
+	}
+}
+
+func (c *completions) dropOldest() {
+	oldest := c.order[0]
+	c.order = c.order[1:]
+	if c.known[oldest.fingerprint] == oldest {
+		delete(c.known, oldest.fingerprint)
+	}
+}
+
+// announce adds a notice of the completion to out, unless it was announced
+// just now: the same evidence reaches a router on many ways.
+func (c *completion) announce(now Instant, out *Output) {
+	if c.announced && now-c.announcedAt < announceEvery {
+		return
+	}
+	c.announced = true
+	c.announcedAt = now
+	out.Notices = append(out.Notices, Notice{Kind: NoticeClearance, Fingerprint: c.fingerprint, Age: now - c.at})
+}
