Fill defaults over the one normal form of a declaration

Empty lists were brought to one form in two places; defaults now go through the same functions as decoding. go test -race ./config/...: pass.

--- a/config/defaults.go
+++ b/config/defaults.go
@@ -36,26 +36,14 @@
 	if w.MaxQueuedBytes == 0 {
 		w.MaxQueuedBytes = DefaultMaxQueuedBytes
 	}
-	if w.KeyHashes == nil {
-		w.KeyHashes = []string{}
-	}
-	if w.Pools == nil {
-		w.Pools = []string{}
-	}
-	if len(w.Targets) == 0 {
-		w.Targets = nil
-	}
-	return w
+	return normaliseWorkspace(w)
 }
 
 func withPoolDefaults(p Pool) Pool {
 	if p.TypicalMillis == 0 {
 		p.TypicalMillis = DefaultTypicalMillis
 	}
-	if len(p.Models) == 0 {
-		p.Models = nil
-	}
-	return p
+	return normalisePool(p)
 }
 
 func withTargetDefaults(t Target) Target {
