--- /dev/null
+++ b/bench/fair/table.go
@@ -0,0 +1,78 @@
+package fair
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+)
+
+const header = "deployment  shape       policy       n  gap s/share (min..max)     utilisation (min..max)     starved  first p50/p99      answered refused failed  control B/s msg/s core%"
+
+func writeHeader(out, csv io.Writer) {
+	fmt.Fprintln(out, header)
+	if csv != nil {
+		fmt.Fprintln(csv, "deployment,shape,policy,routers,repeat,gap_slot_seconds,utilisation,starved_ms,first_p50_ms,first_p99_ms,answered,refused,failed,control_bytes_per_second,control_messages_per_second,control_core_percent,longest_run_ms")
+	}
+}
+
+// writeRows writes one line for the repeats of a shape and policy: medians
+// with the least and the greatest.
+func writeRows(out, csv io.Writer, rows []Row) {
+	if len(rows) == 0 {
+		return
+	}
+	first := rows[0]
+	gap := spread(rows, func(r Row) float64 { return r.Gap })
+	used := spread(rows, func(r Row) float64 { return 100 * r.Utilisation })
+	starved := spread(rows, func(r Row) float64 { return r.Starved.Seconds() })
+	p50 := spread(rows, func(r Row) float64 { return millis(r.FirstP50) })
+	p99 := spread(rows, func(r Row) float64 { return millis(r.FirstP99) })
+	bytes := spread(rows, func(r Row) float64 { return r.Control.BytesPerSecond })
+	messages := spread(rows, func(r Row) float64 { return r.Control.MessagesPerSecond })
+	core := spread(rows, func(r Row) float64 { return r.Control.CorePercent })
+	fmt.Fprintf(out, "%-10s  %-10s  %-11s  %d  %6.3f (%.3f..%.3f)  %6.2f%% (%.2f..%.2f)  %5.2fs  %.0f/%.0f ms  %d %d %d  %.0f %.0f %.2f\n",
+		first.Deployment, first.Shape, first.Policy, len(rows),
+		gap.median, gap.least, gap.greatest,
+		used.median, used.least, used.greatest,
+		starved.greatest, p50.median, p99.median,
+		total(rows, func(r Row) int { return r.Answered }),
+		total(rows, func(r Row) int { return r.Refused }),
+		total(rows, func(r Row) int { return r.Failed }),
+		bytes.median, messages.median, core.median)
+	writeCSV(csv, rows)
+}
+
+func writeCSV(csv io.Writer, rows []Row) {
+	if csv == nil {
+		return
+	}
+	for _, r := range rows {
+		fmt.Fprintf(csv, "%s,%s,%s,%d,%d,%.5f,%.5f,%.1f,%.2f,%.2f,%d,%d,%d,%.0f,%.1f,%.3f,%.1f\n",
+			r.Deployment, r.Shape, r.Policy, r.Routers, r.Repeat, r.Gap, r.Utilisation, millis(r.Starved),
+			millis(r.FirstP50), millis(r.FirstP99), r.Answered, r.Refused, r.Failed,
+			r.Control.BytesPerSecond, r.Control.MessagesPerSecond, r.Control.CorePercent, millis(r.LongestRun))
+	}
+}
+
+// spreadOf is the median of the repeats with the least and the greatest.
+type spreadOf struct{ least, median, greatest float64 }
+
+func spread(rows []Row, value func(Row) float64) spreadOf {
+	values := make([]float64, 0, len(rows))
+	for _, r := range rows {
+		values = append(values, value(r))
+	}
+	slices.Sort(values)
+	return spreadOf{values[0], values[len(values)/2], values[len(values)-1]}
+}
+
+func total(rows []Row, value func(Row) int) int {
+	sum := 0
+	for _, r := range rows {
+		sum += value(r)
+	}
+	return sum
+}
+
+func millis(d time.Duration) float64 { return d.Seconds() * 1000 }
--- /dev/null
+++ b/bench/fleet/control.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/walnutcove/walnutcove/operator"
+)
+
+// Control is the control traffic of one router, the mean over the fleet.
+type Control struct {
+	// BytesPerSecond counts bytes on the wire to and from other routers.
+	BytesPerSecond float64
+	// MessagesPerSecond counts messages to and from other routers.
+	MessagesPerSecond float64
+	// PlatformBytesPerSecond counts bytes to and from the platform.
+	PlatformBytesPerSecond float64
+	// CorePercent is the time of the control goroutine as a part of one core.
+	CorePercent float64
+}
+
+// ControlCounts are the fleet's counters at one time, summed over the routers.
+type ControlCounts struct {
+	routers  int
+	bytes    float64
+	messages float64
+	platform float64
+	busy     float64
+}
+
+// The metrics that ControlCounts sums.
+const (
+	metricPeerBytes    = "walnut_peer_wire_bytes_total"
+	metricPeerMessages = "walnut_peer_messages_total"
+	metricSent         = "walnut_platform_sent_bytes_total"
+	metricReceived     = "walnut_platform_received_bytes_total"
+	metricControlBusy  = "walnut_control_busy_seconds_total"
+)
+
+// ReadControl reads the counters of every router.
+func (f *Fleet) ReadControl() (ControlCounts, error) {
+	counts := ControlCounts{routers: len(f.Routers)}
+	for _, r := range f.Routers {
+		values, err := readMetrics(r.Settings.Listen.Operators)
+		if err != nil {
+			return counts, err
+		}
+		counts.bytes += values[metricPeerBytes]
+		counts.messages += values[metricPeerMessages]
+		counts.platform += values[metricSent] + values[metricReceived]
+		counts.busy += values[metricControlBusy]
+	}
+	return counts, nil
+}
+
+// Since returns the mean rates of one router since earlier counts.
+func (c ControlCounts) Since(earlier ControlCounts, elapsed time.Duration) Control {
+	each := float64(c.routers) * elapsed.Seconds()
+	return Control{
+		BytesPerSecond:         (c.bytes - earlier.bytes) / each,
+		MessagesPerSecond:      (c.messages - earlier.messages) / each,
+		PlatformBytesPerSecond: (c.platform - earlier.platform) / each,
+		CorePercent:            100 * (c.busy - earlier.busy) / each,
+	}
+}
+
+// readMetrics returns the metrics of a router, summed over their labels.
+func readMetrics(operators string) (map[string]float64, error) {
+	answer, err := http.Get("http://" + operators + operator.PathMetrics)
+	if err != nil {
+		return nil, fmt.Errorf("read the metrics: %w", err)
+	}
+	defer answer.Body.Close()
+	values := make(map[string]float64)
+	scanner := bufio.NewScanner(answer.Body)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		name, value, ok := parseMetric(scanner.Text())
+		if ok {
+			values[name] += value
+		}
+	}
+	return values, scanner.Err()
+}
+
+// parseMetric reads one line of the text format and drops the labels.
+func parseMetric(line string) (string, float64, bool) {
+	if line == "" || line[0] == '#' {
+		return "", 0, false
+	}
+	space := strings.LastIndexByte(line, ' ')
+	if space < 0 {
+		return "", 0, false
+	}
+	value, err := strconv.ParseFloat(line[space+1:], 64)
+	name, _, _ := strings.Cut(line[:space], "{")
+	return name, value, err == nil
+}
--- /dev/null
+++ b/bench/fleet/journals.go
@@ -0,0 +1,50 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/walnutcove/walnutcove/standin/journal"
+)
+
+// pathJournal is where a stand-in target serves its journal.
+const pathJournal = "/_journal"
+
+// Journals returns the entries of every target's journal.
+func (f *Fleet) Journals() ([]journal.Entry, error) {
+	var all []journal.Entry
+	for name, target := range f.Targets {
+		var entries []journal.Entry
+		if err := getJSON("http://"+target.Address+pathJournal, &entries); err != nil {
+			return nil, fmt.Errorf("read the journal of %s: %w", name, err)
+		}
+		all = append(all, entries...)
+	}
+	return all, nil
+}
+
+// ClearJournals empties every target's journal.
+func (f *Fleet) ClearJournals() error {
+	for name, target := range f.Targets {
+		request, err := http.NewRequest(http.MethodDelete, "http://"+target.Address+pathJournal, nil)
+		if err != nil {
+			return err
+		}
+		answer, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return fmt.Errorf("clear the journal of %s: %w", name, err)
+		}
+		_ = answer.Body.Close()
+	}
+	return nil
+}
+
+func getJSON(url string, document any) error {
+	answer, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	return json.NewDecoder(answer.Body).Decode(document)
+}
--- a/router/loop.go
+++ b/router/loop.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/walnutcove/walnutcove/control"
 )
 
@@ -16,6 +18,9 @@
 	inboxSize = 4096
 )
 
+// controlBusy is the time that the control goroutine spent on events.
+var controlBusy = metrics.GetOrCreateFloatCounter(`walnut_control_busy_seconds_total`)
+
 // loop is the control goroutine: it owns the control state machine, feeds it
 // events and carries out its commands. Nothing else touches the machine.
 type loop struct {
@@ -132,6 +137,8 @@
 }
 
 func (l *loop) step(event control.Event) {
+	start := time.Now()
+	defer func() { controlBusy.Add(time.Since(start).Seconds()) }()
 	if cancelled, ok := event.(control.RequestCancelled); ok {
 		delete(l.waiters, cancelled.Request)
 	}
