--- a/bench/fair/fair.go
+++ b/bench/fair/fair.go
@@ -29,6 +29,8 @@
 	Repeats  int
 	// CSV receives the raw rows; nil for none.
 	CSV io.Writer
+	// Detail receives the service of each workspace; nil for none.
+	Detail io.Writer
 }
 
 // settle is left out at the beginning of each repeat.
@@ -134,6 +136,7 @@
 	record := join(start, results, journals)
 	record.From = settle
 	record.To = o.Duration
+	writeDetail(o.Detail, record, d, s)
 	row := judge(record, d, s)
 	row.Deployment = d.Name
 	row.Shape = s.Name
--- a/bench/fair/table.go
+++ b/bench/fair/table.go
@@ -5,6 +5,8 @@
 	"io"
 	"slices"
 	"time"
+
+	"github.com/walnutcove/walnutcove/bench/measure"
 )
 
 const header = "deployment  shape       policy       n  gap s/share (min..max)     utilisation (min..max)     starved  first p50/p99      answered refused failed  control B/s msg/s core%"
@@ -76,3 +78,20 @@
 }
 
 func millis(d time.Duration) float64 { return d.Seconds() * 1000 }
+
+// writeDetail writes what each workspace received, and the worst pair.
+func writeDetail(out io.Writer, record measure.Record, d Deployment, s Shape) {
+	if out == nil {
+		return
+	}
+	shares := make(map[string]float64)
+	for n := range workspaces {
+		name := workspaceName(n)
+		shares[name] = s.Share(n)
+		fmt.Fprintf(out, "  %s %s: share %.0f, service %.2f slot s, backlogged %.2f s, longest without service %.2f s\n",
+			d.Name, name, s.Share(n), record.Service(name), record.Backlogged(name).Seconds(),
+			record.LongestWithoutService(name).Seconds())
+	}
+	gap := record.FairnessGap(shares)
+	fmt.Fprintf(out, "  gap %.2f between %v from %v to %v\n", gap.SlotSeconds, gap.Between, gap.From, gap.To)
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -39,6 +39,7 @@
 	Duration   time.Duration `default:"8s" help:"How long callers send in each repeat."`
 	Repeats    int           `default:"5" help:"Repeats of each shape and policy."`
 	CSV        string        `help:"File for the raw rows." placeholder:"FILE"`
+	Detail     bool          `help:"Also write what each workspace received."`
 }
 
 // Run runs the experiment.
@@ -51,6 +52,9 @@
 		Duration:   c.Duration,
 		Repeats:    c.Repeats,
 	}
+	if c.Detail {
+		options.Detail = k.Stdout
+	}
 	if c.CSV != "" {
 		file, err := os.Create(c.CSV)
 		if err != nil {
--- a/bench/measure/gap.go
+++ b/bench/measure/gap.go
@@ -156,3 +156,18 @@
 	}
 	return used
 }
+
+// Service returns the slot seconds that a workspace received between From and To.
+func (r Record) Service(workspace string) float64 {
+	c := newCurve(r.Runs, workspace)
+	return c.at(r.To) - c.at(r.From)
+}
+
+// Backlogged returns how long a workspace had a request waiting.
+func (r Record) Backlogged(workspace string) time.Duration {
+	var total time.Duration
+	for _, span := range r.backlogged(workspace) {
+		total += span.to - span.from
+	}
+	return total
+}
