Never call a request not run after an earlier attempt may have run

Cause: the retry filter returned the refusal of the last attempt alone. An idempotent request that a first target began and lost was told 602, ran=no, when no second target could take it. Ruled out: the target client (each attempt's own outcome was right) and the run records (a non-idempotent request is not retried once it may have run). Conclusion: a refusal after several attempts now speaks for all of them.

--- a/filters/retry/retry.go
+++ b/filters/retry/retry.go
@@ -41,6 +41,7 @@
 // Serve implements pipeline.Filter.
 func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
 	f.earn()
+	ran := result.RanNo
 	for {
 		ex.Attempt++
 		err := next(ctx, ex)
@@ -48,6 +49,11 @@
 			return nil
 		}
 		refusal, retriable := f.retriable(ex, err)
+		if refusal != nil {
+			refusal = withRan(refusal, ran)
+			ran = refusal.Ran
+			err = refusal
+		}
 		if !retriable {
 			return err
 		}
@@ -79,6 +85,17 @@
 	}
 }
 
+// withRan returns the refusal of the latest attempt with what is known of all:
+// a request that may have run in an earlier attempt is never "not run".
+func withRan(refusal *result.Error, earlier result.Ran) *result.Error {
+	if refusal.Ran >= earlier {
+		return refusal
+	}
+	raised := *refusal
+	raised.Ran = earlier
+	return &raised
+}
+
 func (f *Filter) earn() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
