--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -225,3 +225,24 @@
 		})
 	}
 }
+
+// BenchmarkOpen opens a session with the first call and closes it, and reports
+// bytes and processor time of both ends.
+func BenchmarkOpen(b *testing.B) {
+	for _, secure := range []bool{false, true} {
+		b.Run(fmt.Sprintf("tls=%v", secure), func(b *testing.B) {
+			entry, scheduler := benchPair(b, secure)
+			before, spent := benchBytes(entry)["wire"], cpuTime()
+			b.ResetTimer()
+			for range b.N {
+				entry.known("lekki-entry-2").session.farewell(endIdle)
+				eventually(b, "the end of the session", func() bool { return scheduler.sessionCount() == 0 })
+				if _, err := entry.Call(context.Background(), "lekki-entry-2", "echo", nil); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(benchBytes(entry)["wire"]-before)/float64(b.N), "wire-B/session")
+			b.ReportMetric(float64(cpuTime()-spent)/float64(b.N), "cpu-ns/session")
+		})
+	}
+}
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -116,7 +116,7 @@
 		drops:        byReason(set, "walnut_peer_dropped_total", dropReasons),
 		ends:         byReason(set, "walnut_peer_sessions_ended_total", endReasons),
 		dialFailures: byReason(set, "walnut_peer_dial_failures_total", failures),
-		refusals:     byReason(set, "walnut_peer_accept_refusals_total", failures),
+		refusals:     byReason(set, "walnut_peer_refusals_total", failures),
 		dialled:      set.GetOrCreateCounter(`walnut_peer_sessions_opened_total{role="dialled"}`),
 		accepted:     set.GetOrCreateCounter(`walnut_peer_sessions_opened_total{role="accepted"}`),
 		sessions:     set.GetOrCreateGauge(`walnut_peer_sessions`, nil),
--- a/peer/raw_test.go
+++ b/peer/raw_test.go
@@ -115,7 +115,7 @@
 		{"wrong-node", rawHello("b", 2, "c")},
 		{"wrong-node", rawHello("a", 2, "a")},
 	} {
-		name := `walnut_peer_accept_refusals_total{reason="` + test.reason + `"}`
+		name := `walnut_peer_refusals_total{reason="` + test.reason + `"}`
 		before := a.count(name)
 		if err := writeHello(dialRaw(t, a.Address()), test.hello); err != nil {
 			t.Fatal(err)
@@ -246,7 +246,7 @@
 		t.Error("a sent something")
 	}
 	eventually(t, "the refusal", func() bool {
-		return a.count(`walnut_peer_accept_refusals_total{reason="hello"}`) == 1
+		return a.count(`walnut_peer_refusals_total{reason="hello"}`) == 1
 	})
 }
 
--- a/peer/tls_test.go
+++ b/peer/tls_test.go
@@ -57,7 +57,7 @@
 	if _, err := c.Call(context.Background(), "a", "echo", nil); !errors.Is(err, ErrUnreachable) {
 		t.Errorf("c called as b: %v", err)
 	}
-	if got := a.count(`walnut_peer_accept_refusals_total{reason="identity"}`); got == 0 {
+	if got := a.count(`walnut_peer_refusals_total{reason="identity"}`); got == 0 {
 		t.Error("a refused nothing")
 	}
 	a.SetPeers(map[control.NodeID]string{"b": c.Address()})
@@ -93,7 +93,7 @@
 		t.Error("the refused dial is not counted")
 	}
 	eventually(t, "a to count the refusal", func() bool {
-		return a.count(`walnut_peer_accept_refusals_total{reason="tls"}`) > 0
+		return a.count(`walnut_peer_refusals_total{reason="tls"}`) > 0
 	})
 }
 
