--- a/control/accounting.go
+++ b/control/accounting.go
@@ -17,6 +17,9 @@
 	// rebaseAfter is how long a workspace may go without a report before the
 	// next total is taken as a base line only.
 	rebaseAfter = 3 * time.Second
+	// pushPart sends changed totals this many times in a period, so that they
+	// lag little behind the reports.
+	pushPart = 5
 	// maxCounts bounds the counts in one message.
 	maxCounts = 200
 )
@@ -41,6 +44,8 @@
 	active map[string]*workspace
 	totals *account.Totals
 	nextAt Instant
+	// nextPush is when changed totals are sent next.
+	nextPush Instant
 }
 
 func newBooks() books {
@@ -116,6 +121,10 @@
 
 // booksTick reports on the active workspaces and tells their totals.
 func (m *Machine) booksTick() {
+	if m.topo != nil && m.now >= m.books.nextPush {
+		m.books.nextPush = m.now + m.opts.ExchangeEvery/pushPart
+		m.pushTotals()
+	}
 	if m.now < m.books.nextAt || m.topo == nil {
 		return
 	}
@@ -125,7 +134,6 @@
 		return
 	}
 	m.reportService()
-	m.pushTotals()
 }
 
 // sweepActive drops the workspaces with nothing waiting or running.
--- /dev/null
+++ b/control/fleet_test.go
@@ -0,0 +1,308 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+)
+
+var centres = []string{"ikeja", "lekki", "yaba"}
+
+func (s *sim) checkFaults(t *testing.T) {
+	t.Helper()
+	for _, f := range s.faults {
+		t.Error(f)
+	}
+}
+
+// keepBacklogged keeps count requests of a workspace waiting or running.
+func (s *sim) keepBacklogged(workspace string, count int, nodes ...NodeID) {
+	turn := 0
+	arrive := func() {
+		turn++
+		s.arrive(nodes[turn%len(nodes)], workspace, "draft", time.Hour)
+	}
+	before := s.ended
+	s.ended = func(r *simRequest) {
+		before(r)
+		if r.workspace == workspace {
+			arrive()
+		}
+	}
+	for range count {
+		arrive()
+	}
+}
+
+// serviceOf sums the slot time that a workspace received, runs in progress too.
+func (s *sim) serviceOf(workspace string) time.Duration {
+	var sum time.Duration
+	for _, r := range s.requests {
+		if r.workspace == workspace {
+			sum += r.served
+		}
+	}
+	for _, t := range s.targets {
+		for _, run := range t.running {
+			if run.req.workspace == workspace {
+				sum += s.now - run.started
+			}
+		}
+	}
+	return sum
+}
+
+func (s *sim) utilisation(since Instant, busyBefore time.Duration) float64 {
+	slots := 0
+	for _, t := range s.targets {
+		slots += t.slots
+	}
+	return float64(s.busy()-busyBefore) / float64(time.Duration(slots)*(s.now-since))
+}
+
+func (s *sim) busy() time.Duration {
+	var sum time.Duration
+	for _, t := range s.targets {
+		s.account(t)
+		sum += t.busy
+	}
+	return sum
+}
+
+// gapMeter follows the widest interval gap between workspaces: over every
+// interval in which both are backlogged, the largest difference of what they
+// received, in slot seconds per unit share.
+type gapMeter struct {
+	shares   map[string]float64
+	low, top map[string]float64
+}
+
+func newGapMeter(shares map[string]float64) *gapMeter {
+	return &gapMeter{shares: shares, low: make(map[string]float64), top: make(map[string]float64)}
+}
+
+func (g *gapMeter) sample(s *sim) {
+	for x, xShare := range g.shares {
+		for y, yShare := range g.shares {
+			if x >= y {
+				continue
+			}
+			d := s.serviceOf(x).Seconds()/xShare - s.serviceOf(y).Seconds()/yShare
+			pair := x + " " + y
+			if _, known := g.low[pair]; !known {
+				g.low[pair], g.top[pair] = d, d
+			}
+			g.low[pair] = min(g.low[pair], d)
+			g.top[pair] = max(g.top[pair], d)
+		}
+	}
+}
+
+func (g *gapMeter) widest() (gap float64) {
+	for pair := range g.low {
+		gap = max(gap, g.top[pair]-g.low[pair])
+	}
+	return gap
+}
+
+// watch samples the gap while time passes.
+func (g *gapMeter) watch(s *sim, until Instant) {
+	for s.now < until {
+		s.runUntil(s.now + 100*time.Millisecond)
+		g.sample(s)
+	}
+}
+
+// TestFleetIsFairAndBusy has one workspace enter through one router only, one
+// under-hint its cost, and one with a double share.
+func TestFleetIsFairAndBusy(t *testing.T) {
+	shares := map[string]float64{"a": 1, "b": 1, "c": 2, "d": 1}
+	s := newSim(1)
+	s.service = func(r *simRequest) time.Duration {
+		if r.workspace == "b" {
+			return 3 * time.Second // costs more than the others and says nothing
+		}
+		return time.Duration(200+s.rng.IntN(800)) * time.Millisecond
+	}
+	w := workload{workspaces: shares, perCentre: 3, slots: 4, centres: centres}
+	s.fleet(9, w.snapshot(), Options{}, centres...)
+	s.runUntil(2 * time.Second)
+	s.keepBacklogged("a", 60, "n0")
+	s.keepBacklogged("b", 60, "n1", "n5")
+	s.keepBacklogged("c", 60, s.names...)
+	s.keepBacklogged("d", 60, "n2", "n3", "n4")
+	s.runUntil(10 * time.Second)
+	start, busy := s.now, s.busy()
+	meter := newGapMeter(shares)
+	meter.watch(s, 70*time.Second)
+	// The bound of the package doc: the runs in progress of both (at most a
+	// fair half of the slots each, at their longest), and what all slots do
+	// in the lag of the exchange.
+	const slots, longest, lag = 36.0, 3.0, 0.3
+	bound := 2*longest + slots*lag
+	t.Logf("widest gap %.1f of %.1f slot seconds per share, utilisation %.4f", meter.widest(), bound, s.utilisation(start, busy))
+	if meter.widest() > bound {
+		t.Errorf("the gap reached %.1f slot seconds per share, over %.1f", meter.widest(), bound)
+	}
+	if u := s.utilisation(start, busy); u < 0.99 {
+		t.Errorf("utilisation is %.4f", u)
+	}
+	s.checkFaults(t)
+}
+
+// TestHintsGainNothing gives two workspaces the same requests; one says that
+// each costs a hundredth of the truth.
+func TestHintsGainNothing(t *testing.T) {
+	s := newSim(2)
+	shares := map[string]float64{"honest": 1, "low": 1}
+	w := workload{workspaces: shares, perCentre: 2, slots: 4, centres: centres[:1]}
+	s.fleet(3, w.snapshot(), Options{}, "ikeja")
+	s.runUntil(time.Second)
+	hint := func(d time.Duration) func(*RequestArrived) {
+		return func(ev *RequestArrived) { ev.CostHint = d }
+	}
+	for range 400 {
+		s.arrive("n0", "honest", "draft", time.Hour, hint(time.Second))
+		s.arrive("n1", "low", "draft", time.Hour, hint(10*time.Millisecond))
+	}
+	s.runUntil(5 * time.Second)
+	meter := newGapMeter(shares)
+	meter.watch(s, 60*time.Second)
+	if meter.widest() > 4 {
+		t.Errorf("the gap reached %.1f slot seconds", meter.widest())
+	}
+}
+
+// TestIdlenessBanksNoCredit lets a workspace sleep while another is served.
+func TestIdlenessBanksNoCredit(t *testing.T) {
+	s := newSim(3)
+	shares := map[string]float64{"awake": 1, "sleeper": 1}
+	s.fleet(3, workload{workspaces: shares, perCentre: 1, slots: 4, centres: centres[:1]}.snapshot(), Options{}, "ikeja")
+	s.runUntil(time.Second)
+	s.keepBacklogged("awake", 40, "n0")
+	s.runUntil(30 * time.Second)
+	s.keepBacklogged("sleeper", 40, "n1")
+	s.runUntil(40 * time.Second)
+	meter := newGapMeter(shares)
+	meter.watch(s, 60*time.Second)
+	if meter.widest() > 4 {
+		t.Errorf("the gap reached %.1f slot seconds", meter.widest())
+	}
+}
+
+// TestServiceElsewhereStarvesNobody has a workspace that is served a lot in one
+// pool while others fill another pool that it needs too.
+func TestServiceElsewhereStarvesNobody(t *testing.T) {
+	s := newSim(4)
+	shares := map[string]float64{"large": 1, "small": 1}
+	snapshot := workload{workspaces: shares, perCentre: 4, slots: 8, centres: centres[:1]}.snapshot()
+	snapshot.Declarations.Pools["purge"] = config.Pool{Kind: config.KindService}
+	snapshot.Declarations.Targets["purge-0"] = config.Target{Pool: "purge", DataCentre: "ikeja", Slots: 1}
+	for name := range shares {
+		ws := snapshot.Declarations.Workspaces[name]
+		ws.Pools = append(ws.Pools, "purge")
+		snapshot.Declarations.Workspaces[name] = ws
+	}
+	s.fleet(3, snapshot, Options{}, "ikeja")
+	s.runUntil(time.Second)
+	s.keepBacklogged("large", 100, "n0")
+	for range 60 {
+		s.arrive("n1", "small", "purge", time.Hour)
+	}
+	s.runUntil(5 * time.Second)
+	purge := s.arrive("n0", "large", "purge", time.Hour)
+	s.runUntil(15 * time.Second)
+	if !purge.done {
+		t.Errorf("a purge waits for more than 10s behind another workspace's")
+	}
+}
+
+// TestLoadReportsNeitherFloodNorIdle has targets whose reports lie.
+func TestLoadReportsNeitherFloodNorIdle(t *testing.T) {
+	lies := map[string]func(TargetLoad) TargetLoad{
+		"always empty": func(l TargetLoad) TargetLoad { l.Running, l.Queued = 0, 0; return l },
+		"always full":  func(l TargetLoad) TargetLoad { l.Running, l.Queued = l.Slots, 50; return l },
+		"many slots":   func(l TargetLoad) TargetLoad { l.Slots = 1000; return l },
+	}
+	for name, lie := range lies {
+		t.Run(name, func(t *testing.T) {
+			s := newSim(5)
+			s.fleet(3, workload{workspaces: map[string]float64{"a": 1}, perCentre: 2, slots: 4, centres: centres[:1]}.snapshot(), Options{}, "ikeja")
+			for _, target := range s.targets {
+				target.report = lie
+			}
+			s.runUntil(time.Second)
+			s.keepBacklogged("a", 40, "n0", "n1")
+			s.runUntil(15 * time.Second)
+			start, busy := s.now, s.busy()
+			s.runUntil(45 * time.Second)
+			if u := s.utilisation(start, busy); u < 0.95 {
+				t.Errorf("utilisation is %.3f", u)
+			}
+			for _, target := range s.targets {
+				if target.mostActive > 4+1 {
+					t.Errorf("%s held %d requests at once", target.name, target.mostActive)
+				}
+			}
+		})
+	}
+}
+
+// schedulerOf returns the node that schedules the only shard.
+func (s *sim) schedulerOf(t *testing.T) NodeID {
+	t.Helper()
+	for _, id := range s.names {
+		for _, shard := range s.nodes[id].machine.Status().Shards {
+			if shard.Owned && s.nodes[id].up {
+				return id
+			}
+		}
+	}
+	t.Fatal("nobody schedules the shard")
+	return ""
+}
+
+// TestSchedulerFails kills, freezes, cuts off or drains the scheduler under
+// load: the others go on within seconds, without flooding the targets.
+func TestSchedulerFails(t *testing.T) {
+	fail := map[string]func(*sim, NodeID){
+		"killed":  func(s *sim, id NodeID) { s.stop(id) },
+		"frozen":  func(s *sim, id NodeID) { s.freeze(id); s.after(6*time.Second, func() { s.unfreeze(id) }) },
+		"cut off": func(s *sim, id NodeID) { s.cut = func(a, b NodeID) bool { return (a == id) != (b == id) } },
+		"drained": func(s *sim, id NodeID) { s.step(s.nodes[id], DrainStarted{}) },
+	}
+	for name, fail := range fail {
+		t.Run(name, func(t *testing.T) {
+			s := newSim(6)
+			s.fleet(5, workload{workspaces: map[string]float64{"a": 1, "b": 1}, perCentre: 3, slots: 4, centres: centres[:1]}.snapshot(), Options{}, "ikeja")
+			s.runUntil(time.Second)
+			scheduler := s.schedulerOf(t)
+			var entries []NodeID
+			for _, id := range s.names {
+				if id != scheduler {
+					entries = append(entries, id)
+				}
+			}
+			s.keepBacklogged("a", 50, entries...)
+			s.keepBacklogged("b", 50, entries...)
+			s.runUntil(10 * time.Second)
+			fail(s, scheduler)
+			s.runUntil(13 * time.Second)
+			start, busy := s.now, s.busy()
+			s.runUntil(30 * time.Second)
+			if u := s.utilisation(start, busy); u < 0.97 {
+				t.Errorf("utilisation afterwards is %.3f", u)
+			}
+			for _, target := range s.targets {
+				if target.mostActive > 2*(4+1) {
+					t.Errorf("%s held %d requests at once", target.name, target.mostActive)
+				}
+			}
+			if name == "drained" && !s.nodes[scheduler].drained {
+				t.Errorf("the scheduler has not drained")
+			}
+			s.checkFaults(t)
+		})
+	}
+}
