Prove that "not run" is true with real processes under cuts and crashes

Three walnutd processes, stand-in targets and the platform, with a proxy (toxiproxy, tests only) on every way between them: router to router each way, router to platform, and to each target. Each router has its own view of the list of VMs, so that one can be cut from the others both ways.

--- a/processes/standin.go
+++ b/processes/standin.go
@@ -39,6 +39,26 @@
 	return startStandIn(b, "platform", "platform", "--listen", anyPort)
 }
 
+// StartPlatformViews starts the platform's stand-in with a number of views,
+// each on an address of its own. It returns the views' addresses.
+func StartPlatformViews(b Binaries, views int) (*StandIn, []string, error) {
+	p, err := startStandIn(b, "platform", "platform", "--listen", anyPort, "--views", strconv.Itoa(views))
+	if err != nil {
+		return nil, nil, err
+	}
+	var addresses []string
+	for n := range views {
+		prefix := fmt.Sprintf("view %d at ", n+1)
+		line, err := p.WaitLine(prefix)
+		if err != nil {
+			p.Kill()
+			return nil, nil, err
+		}
+		addresses = append(addresses, strings.TrimPrefix(line, prefix))
+	}
+	return p, addresses, nil
+}
+
 // EngineOptions configure a stand-in engine.
 type EngineOptions struct {
 	// Listen is the address; any port if empty.
--- /dev/null
+++ b/proctest/fleet_test.go
@@ -0,0 +1,483 @@
+package proctest
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/operator"
+	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/processes"
+	"github.com/walnutcove/walnutcove/settings"
+	"github.com/walnutcove/walnutcove/standin/engine"
+	standin "github.com/walnutcove/walnutcove/standin/platform"
+)
+
+// What the fleet declares.
+const (
+	enginePool  = "drafting"
+	servicePool = "deploy"
+	model       = "walnut-small"
+	servicePath = "/svc/deploy"
+	dataCentre  = "ikeja"
+
+	// patience bounds every wait for something that must come.
+	patience = 30 * time.Second
+	// pollPause is the pause between two looks at a condition.
+	pollPause = 10 * time.Millisecond
+)
+
+// options say what a fleet consists of. Zero values take the stated defaults.
+type options struct {
+	// engines and services are the names' counts. Defaults 2 and 1.
+	engines  int
+	services int
+	// engineSlots and serviceSlots default to 8 and 4.
+	engineSlots  int
+	serviceSlots int
+	// step is the engines' time for a token. Default 2 ms.
+	step time.Duration
+	// notResuming declares that the engines cannot resume a stream.
+	notResuming bool
+	// workspaces by name with their shares. Default bakery 2, school 1.
+	workspaces map[string]float64
+	// edit changes the routers' settings.
+	edit func(*settings.Settings)
+}
+
+const routerCount = 3
+
+// fleetsAtOnce bounds the fleets that run side by side, so that parallel tests
+// do not take the machine from one another.
+const fleetsAtOnce = 3
+
+var fleetSlots = make(chan struct{}, fleetsAtOnce)
+
+// fleet is three routers, the platform and targets, every one a process, with
+// a proxy on every way between two routers, from each router to the platform,
+// and to each target.
+type fleet struct {
+	t        testing.TB
+	options  options
+	platform *processes.StandIn
+	routers  []*processes.Router
+	targets  map[string]*processes.StandIn
+	declared map[string]config.Target
+
+	// peers[a][b] is the way by which router a reaches router b.
+	peers [routerCount][routerCount]*way
+	// platformWays[a] is router a's way to the platform.
+	platformWays [routerCount]*way
+	// targetWays are the ways of all routers to a target.
+	targetWays map[string]*way
+
+	mu      sync.Mutex
+	version config.Version
+	journal []string
+}
+
+// startFleet starts a fleet and waits until every router is on version 1 and
+// one router schedules each pool. On a failed test the routers' output is shown.
+func startFleet(t testing.TB, o options) *fleet {
+	t.Helper()
+	fleetSlots <- struct{}{}
+	t.Cleanup(func() { <-fleetSlots })
+	f := &fleet{
+		t:          t,
+		options:    withDefaults(o),
+		targets:    make(map[string]*processes.StandIn),
+		declared:   make(map[string]config.Target),
+		targetWays: make(map[string]*way),
+	}
+	t.Cleanup(f.close)
+	views := f.startPlatform()
+	f.startTargets()
+	f.startRouters(views)
+	f.declare()
+	f.awaitSettled()
+	return f
+}
+
+func withDefaults(o options) options {
+	setDefault(&o.engines, 2)
+	setDefault(&o.services, 1)
+	setDefault(&o.engineSlots, 8)
+	setDefault(&o.serviceSlots, 4)
+	setDefault(&o.step, 2*time.Millisecond)
+	if o.workspaces == nil {
+		o.workspaces = map[string]float64{"bakery": 2, "school": 1}
+	}
+	return o
+}
+
+func setDefault[T ~int | ~int64](value *T, standard T) {
+	if *value == 0 {
+		*value = standard
+	}
+}
+
+func (f *fleet) close() {
+	for _, r := range f.routers {
+		_ = r.Thaw()
+		r.Kill()
+	}
+	for _, target := range f.targets {
+		target.Kill()
+	}
+	if f.platform != nil {
+		f.platform.Kill()
+	}
+	if f.t.Failed() {
+		f.report()
+	}
+}
+
+// note adds a line to the test's own journal, shown if the test fails.
+func (f *fleet) note(format string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	line := time.Now().Format("15:04:05.000 ") + fmt.Sprintf(format, args...)
+	f.journal = append(f.journal, line)
+}
+
+func (f *fleet) report() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, line := range f.journal {
+		f.t.Log(line)
+	}
+	for _, r := range f.routers {
+		output := r.Output()
+		const shown = 6000
+		if len(output) > shown {
+			output = "..." + output[len(output)-shown:]
+		}
+		f.t.Logf("%s printed:\n%s", r.Name, output)
+	}
+}
+
+func (f *fleet) startPlatform() []string {
+	f.t.Helper()
+	var views []string
+	var err error
+	f.platform, views, err = processes.StartPlatformViews(binaries, routerCount)
+	f.must(err)
+	return views
+}
+
+func (f *fleet) startTargets() {
+	f.t.Helper()
+	for n := range f.options.engines {
+		name := fmt.Sprintf("engine-%d", n+1)
+		e, err := processes.StartEngine(binaries, name, processes.EngineOptions{
+			Slots: f.options.engineSlots, Step: f.options.step, Resumes: !f.options.notResuming,
+		})
+		f.must(err)
+		f.addTarget(name, e, config.Target{Pool: enginePool, Slots: f.options.engineSlots, Resumes: !f.options.notResuming})
+	}
+	for n := range f.options.services {
+		name := fmt.Sprintf("service-%d", n+1)
+		s, err := processes.StartService(binaries, name, f.options.serviceSlots, "")
+		f.must(err)
+		f.addTarget(name, s, config.Target{Pool: servicePool, Slots: f.options.serviceSlots})
+	}
+}
+
+func (f *fleet) addTarget(name string, started *processes.StandIn, declared config.Target) {
+	f.targets[name] = started
+	f.targetWays[name] = newWay(f.t, name, started.Address)
+	declared.DataCentre = dataCentre
+	declared.Address = f.targetWays[name].address()
+	f.declared[name] = declared
+}
+
+func routerName(n int) string { return fmt.Sprintf("vm-%d", n+1) }
+
+// startRouters starts the routers. Router a's view of the list of VMs leads
+// to every other router through the proxy of that pair.
+func (f *fleet) startRouters(views []string) {
+	f.t.Helper()
+	dir := f.t.TempDir()
+	var listen [routerCount]string
+	var vms []platform.VM
+	for n := range routerCount {
+		address, err := processes.FreeAddress()
+		f.must(err)
+		listen[n] = address
+		vms = append(vms, platform.VM{Name: routerName(n), DataCentre: dataCentre, PeerAddress: address, State: platform.VMLive})
+	}
+	f.post("http://"+f.platform.Address+"/_vms", platform.VMsReply{VMs: vms}, nil)
+	for a := range routerCount {
+		addresses := make(map[string]string)
+		for b := range routerCount {
+			if a != b {
+				f.peers[a][b] = newWay(f.t, routerName(a)+" to "+routerName(b), listen[b])
+				addresses[routerName(b)] = f.peers[a][b].address()
+			}
+		}
+		f.post("http://"+views[a]+"/_view", addresses, nil)
+		f.platformWays[a] = newWay(f.t, routerName(a)+" to platform", views[a])
+		r, err := processes.StartRouter(binaries, dir, f.settings(a, listen[a]))
+		f.must(err)
+		f.routers = append(f.routers, r)
+	}
+}
+
+func (f *fleet) settings(n int, peers string) settings.Settings {
+	s := settings.Defaults()
+	s.Node.Name = routerName(n)
+	s.Node.DataCentre = dataCentre
+	s.Listen.Peers = peers
+	s.Platform.Address = f.platformWays[n].address()
+	s.Platform.Timeout = settings.Duration(time.Second)
+	s.Platform.PollEvery = settings.Duration(300 * time.Millisecond)
+	s.Platform.VMListEvery = settings.Duration(300 * time.Millisecond)
+	s.Limits.DrainTimeout = settings.Duration(time.Minute)
+	if f.options.edit != nil {
+		f.options.edit(&s)
+	}
+	return s
+}
+
+// key is a workspace's key.
+func key(workspace string) string { return workspace + "-key" }
+
+func (f *fleet) declare() {
+	f.t.Helper()
+	workspaces := make(map[string]config.Workspace)
+	for name, share := range f.options.workspaces {
+		hash := config.HashKey([]byte(key(name)))
+		workspaces[name] = config.Workspace{
+			Share:     share,
+			KeyHashes: []string{hex.EncodeToString(hash[:])},
+			Pools:     []string{enginePool, servicePool},
+		}
+	}
+	f.mustPatch(0, config.Declarations{
+		Workspaces: workspaces,
+		Pools: map[string]config.Pool{
+			enginePool:  {Kind: config.KindEngine, Models: []string{model}, TypicalMillis: 50},
+			servicePool: {Kind: config.KindService, PathPrefix: servicePath, NonIdempotent: true, TypicalMillis: 20},
+		},
+		Targets: f.declared,
+	})
+	f.awaitVersion(0, 1, 2)
+}
+
+// mustPatch submits changes at a router against the newest version known to
+// the test, and notes the version.
+func (f *fleet) mustPatch(router int, changes any) config.Version {
+	f.t.Helper()
+	encoded, err := json.Marshal(changes)
+	f.must(err)
+	f.mu.Lock()
+	base := f.version
+	f.mu.Unlock()
+	patch := config.Patch{ID: config.NewPatchID(), Base: base, Author: "proctest", Changes: encoded}
+	var accepted operator.PatchAccepted
+	f.post(f.operators(router)+operator.PathPatches, patch, &accepted)
+	f.mu.Lock()
+	f.version = accepted.Version
+	f.mu.Unlock()
+	f.note("version %d accepted at %s: %s", accepted.Version, routerName(router), encoded)
+	return accepted.Version
+}
+
+func (f *fleet) operators(n int) string {
+	return "http://" + f.routers[n].Settings.Listen.Operators
+}
+
+// callers returns the routers' addresses for callers; all if none is named.
+func (f *fleet) callers(routers ...int) []string {
+	if len(routers) == 0 {
+		routers = []int{0, 1, 2}
+	}
+	var addresses []string
+	for _, n := range routers {
+		addresses = append(addresses, f.routers[n].Settings.Listen.Callers)
+	}
+	return addresses
+}
+
+// versionAt is the version in force at a router, and whether it is ready.
+func (f *fleet) versionAt(n int) (config.Version, bool) {
+	var readiness operator.Readiness
+	if err := get(f.operators(n)+operator.PathReadyz, &readiness); err != nil {
+		return 0, false
+	}
+	return readiness.Version, readiness.Ready
+}
+
+// awaitVersion waits until routers are on the newest version of the test.
+func (f *fleet) awaitVersion(routers ...int) {
+	f.t.Helper()
+	f.mu.Lock()
+	version := f.version
+	f.mu.Unlock()
+	for _, n := range routers {
+		f.eventually(fmt.Sprintf("%s is on version %d", routerName(n), version), func() bool {
+			got, _ := f.versionAt(n)
+			return got >= version
+		})
+	}
+}
+
+// scheduler returns the router that alone schedules a pool, or -1.
+func (f *fleet) scheduler(pool string, routers ...int) int {
+	found := -1
+	for _, n := range routers {
+		var status operator.Status
+		if err := get(f.operators(n)+operator.PathStatus, &status); err != nil {
+			return -1
+		}
+		for _, shard := range status.Shards {
+			if shard.Pool != pool {
+				continue
+			}
+			if found >= 0 {
+				return -1
+			}
+			found = n
+		}
+	}
+	return found
+}
+
+// awaitSettled waits until exactly one router schedules each pool, so that the
+// routers know of one another.
+func (f *fleet) awaitSettled() {
+	f.t.Helper()
+	for _, pool := range []string{enginePool, servicePool} {
+		f.eventually("one router schedules "+pool, func() bool { return f.scheduler(pool, 0, 1, 2) >= 0 })
+	}
+}
+
+// isolate cuts a router from the other routers, both ways.
+func (f *fleet) isolate(n int) {
+	f.note("cut %s from the others", routerName(n))
+	for other := range routerCount {
+		if other != n {
+			f.peers[n][other].cut()
+			f.peers[other][n].cut()
+		}
+	}
+}
+
+// rejoin ends isolate.
+func (f *fleet) rejoin(n int) {
+	f.t.Helper()
+	f.note("%s rejoins the others", routerName(n))
+	for other := range routerCount {
+		if other != n {
+			f.peers[n][other].heal()
+			f.peers[other][n].heal()
+		}
+	}
+}
+
+// restart starts a router again, with empty memory, after its end.
+func (f *fleet) restart(n int) {
+	f.t.Helper()
+	f.note("restart %s", routerName(n))
+	f.must(f.routers[n].Restart())
+}
+
+// platformFaults replaces the platform's faults.
+func (f *fleet) platformFaults(faults standin.Faults) {
+	f.t.Helper()
+	f.note("platform faults %+v", faults)
+	f.post("http://"+f.platform.Address+"/_fault", faults, nil)
+}
+
+// targetFaults replaces a target's faults, once it is up if it is down.
+func (f *fleet) targetFaults(target string, faults engine.Faults) {
+	f.t.Helper()
+	f.note("%s faults %+v", target, faults)
+	f.eventually(target+" takes its faults", func() bool {
+		return post("http://"+f.targets[target].Address+"/_fault", faults, nil) == nil
+	})
+}
+
+// eventually waits until a condition holds.
+func (f *fleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	if !waitFor(patience, holds) {
+		f.t.Fatalf("it never came that %s", what)
+	}
+}
+
+func waitFor(limit time.Duration, holds func() bool) bool {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(pollPause) {
+		if holds() {
+			return true
+		}
+	}
+	return holds()
+}
+
+func (f *fleet) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) post(url string, document, reply any) {
+	f.t.Helper()
+	f.must(post(url, document, reply))
+}
+
+// control is the client for everything but callers' requests.
+var control = &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// statusError is an answer that is not a success.
+type statusError struct {
+	url    string
+	status int
+	body   string
+}
+
+func (e *statusError) Error() string {
+	return fmt.Sprintf("%s answered %d: %s", e.url, e.status, e.body)
+}
+
+func post(url string, document, reply any) error {
+	body, err := json.Marshal(document)
+	if err != nil {
+		return err
+	}
+	answer, err := control.Post(url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return decode(url, answer, reply)
+}
+
+func get(url string, reply any) error {
+	answer, err := control.Get(url)
+	if err != nil {
+		return err
+	}
+	return decode(url, answer, reply)
+}
+
+func decode(url string, answer *http.Response, reply any) error {
+	defer answer.Body.Close()
+	var body bytes.Buffer
+	if _, err := body.ReadFrom(answer.Body); err != nil {
+		return err
+	}
+	if answer.StatusCode/100 != 2 {
+		return &statusError{url: url, status: answer.StatusCode, body: body.String()}
+	}
+	if reply == nil {
+		return nil
+	}
+	return json.Unmarshal(body.Bytes(), reply)
+}
