Judge crash evidence at the schedulers and spread it

The scheduler of a shard knows all that ran on a target as its connections broke, so it feeds the tracker; a poll that fails while others are answered, or two entry nodes that lose runs together, confirm the crash. Suspects do not share a target. The notice now carries what package quarantine tells, on the wire too.

--- a/control/accounting.go
+++ b/control/accounting.go
@@ -21,7 +21,7 @@
 	// lag little behind the reports.
 	pushPart = 5
 	// maxCounts bounds the counts in one message.
-	maxCounts = 200
+	maxCounts = 100
 )
 
 // workspace is what a scheduler keeps of one workspace.
--- a/control/entry.go
+++ b/control/entry.go
@@ -112,6 +112,9 @@
 	if ev.Deadline <= m.now {
 		return result.DeadlineBeforeGrant
 	}
+	if m.convicted(ev.Fingerprint) {
+		return result.Quarantined
+	}
 	w := m.entry.workspaces[ev.Workspace]
 	if w == nil {
 		return result.OK
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -42,6 +42,9 @@
 	}
 	if sign == member.SignRestarted || sign == member.SignBack {
 		m.send(node, m.heartbeat())
+		if m.view.Watches(string(node)) {
+			m.tellEvidence(node)
+		}
 	}
 	return sign != member.SignStale
 }
--- a/control/grants.go
+++ b/control/grants.go
@@ -31,6 +31,7 @@
 	target    *target
 	workspace *workspace
 	hint      time.Duration
+	finger    uint64
 	started   Instant
 	// charged is the slot time charged so far.
 	charged time.Duration
@@ -50,11 +51,11 @@
 	}
 	usable := func(name string) bool {
 		c := s.classes[name]
-		return c == nil || slices.ContainsFunc(c.targets, func(t *target) bool { return t.room(m.now) > 0 })
+		return c == nil || slices.ContainsFunc(c.targets, func(t *target) bool { return m.roomFor(c, t) })
 	}
 	for item := s.queue.Next(usable); item != nil; item = s.queue.Next(usable) {
 		q := item.Value
-		c := m.classOf(s, q.ticket.Workspace, q.ticket.Excluded)
+		c := m.classOf(s, q.ticket)
 		if c.name != q.class {
 			// The configuration changed while the ticket waited.
 			s.queue.Remove(m.now, item)
@@ -75,13 +76,31 @@
 	m.armShard(s)
 }
 
+// roomFor says whether a target may be given a ticket of a class now.
+func (m *Machine) roomFor(c *class, t *target) bool {
+	if t.room(m.now) == 0 {
+		return false
+	}
+	return !c.suspect || !m.runsSuspect(t)
+}
+
+// runsSuspect says whether a target runs a request that may crash it.
+func (m *Machine) runsSuspect(t *target) bool {
+	for _, g := range t.shard.granted {
+		if g.target == t && m.suspect(g.finger) {
+			return true
+		}
+	}
+	return false
+}
+
 // chooseTarget returns the least loaded target of a class with room. Among
 // equally loaded ones it prefers one that likely holds the prefix in its cache.
 func (m *Machine) chooseTarget(c *class, prefix uint64) *target {
 	var best *target
 	bestFill := 0.0
 	for _, t := range c.targets {
-		if t.room(m.now) == 0 {
+		if !m.roomFor(c, t) {
 			continue
 		}
 		if fill := t.window.Fill(m.now); best == nil || fill < bestFill {
@@ -92,7 +111,7 @@
 		return best
 	}
 	for _, t := range c.targets {
-		if t.prefixes.has(prefix) && t.room(m.now) > 0 && t.window.Fill(m.now) < bestFill+equalFill {
+		if t.prefixes.has(prefix) && m.roomFor(c, t) && t.window.Fill(m.now) < bestFill+equalFill {
 			return t
 		}
 	}
@@ -111,6 +130,7 @@
 		target:    t,
 		workspace: q.workspace,
 		hint:      q.ticket.CostHint,
+		finger:    q.ticket.Fingerprint,
 		started:   m.now,
 		seen:      m.now,
 	}
--- a/control/machine.go
+++ b/control/machine.go
@@ -31,15 +31,16 @@
 	loop   []Message
 	timers timers
 
-	topo     *topology
-	view     *member.View
-	fleet    fleet
-	entry    entry
-	sched    scheduler
-	books    books
-	draining bool
-	drained  bool
-	counters Counters
+	topo      *topology
+	view      *member.View
+	fleet     fleet
+	entry     entry
+	sched     scheduler
+	books     books
+	suspicion suspicion
+	draining  bool
+	drained   bool
+	counters  Counters
 }
 
 // New returns a machine that knows nothing yet: it refuses requests with
@@ -47,14 +48,15 @@
 func New(opts Options) *Machine {
 	opts = withDefaults(opts)
 	m := &Machine{
-		opts:  opts,
-		rng:   rand.New(rand.NewPCG(opts.Seed, uint64(opts.Incarnation))),
-		epoch: opts.Incarnation,
-		view:  member.NewView(string(opts.Node), opts.DataCentre, opts.MemberTimeout),
-		fleet: newFleet(),
-		entry: newEntry(),
-		sched: newScheduler(),
-		books: newBooks(),
+		opts:      opts,
+		rng:       rand.New(rand.NewPCG(opts.Seed, uint64(opts.Incarnation))),
+		epoch:     opts.Incarnation,
+		view:      member.NewView(string(opts.Node), opts.DataCentre, opts.MemberTimeout),
+		fleet:     newFleet(),
+		entry:     newEntry(),
+		sched:     newScheduler(),
+		books:     newBooks(),
+		suspicion: newSuspicion(),
 	}
 	return m
 }
@@ -134,6 +136,7 @@
 	m.fleetTick()
 	m.entryTick()
 	m.booksTick()
+	m.suspicionTick()
 }
 
 // drainLoop handles the messages that this node sent to itself.
@@ -190,6 +193,8 @@
 		m.heartbeatReceived(from, msg)
 	case SuspectNotice:
 		m.suspectReceived(from, msg)
+	case QuarantineNotice:
+		m.noticeReceived(msg)
 	case ServiceReport:
 		m.serviceReported(from, inc, msg)
 	case ServiceTotals:
--- a/control/member/watch.go
+++ b/control/member/watch.go
@@ -75,6 +75,12 @@
 	return true
 }
 
+// Watches says whether this node watches another.
+func (v *View) Watches(name string) bool {
+	n := v.nodes[name]
+	return n != nil && n.watched
+}
+
 // Watchers returns the nodes to send heartbeats to now: the watchers, nodes
 // that lately missed one, and up to probes nodes that are thought dead, so
 // that two sides of a healed partition find each other.
--- a/control/messages.go
+++ b/control/messages.go
@@ -73,22 +73,25 @@
 // ReportAck ends the resending of a PhaseEnded report.
 type ReportAck struct{ Grant GrantID }
 
-// ServiceCount is one workspace's service in a ServiceReport or ServiceTotals.
+// ServiceCount is one workspace's service in a ServiceReport or ServiceTotals,
+// in slot time divided by share. Both counts only grow.
 type ServiceCount struct {
 	Workspace string
-	// Own is the sender's own cumulative service in its incarnation
-	// (ServiceReport); Total is the fleet's as the sender knows it.
-	// Both are in slot time divided by share.
-	Own   time.Duration
+	// Own is the scheduler's own cumulative service in its incarnation. In
+	// ServiceTotals it is the part of Total that came from the receiver.
+	Own time.Duration
+	// Total is what the accounting node has counted since it began, in
+	// ServiceTotals only. Receivers use its growth.
 	Total time.Duration
 }
 
 // ServiceReport goes from a scheduler to the accounting node of the
 // workspaces, which rendezvous hashing picks. Counts are cumulative, so a lost,
-// late or doubled report does no harm.
+// late or doubled report does no harm. It also asks for the totals.
 type ServiceReport struct{ Counts []ServiceCount }
 
-// ServiceTotals is the accounting node's answer.
+// ServiceTotals tells a scheduler the totals that changed, of the workspaces
+// that it reported on of late.
 type ServiceTotals struct{ Counts []ServiceCount }
 
 // Heartbeat announces that a node lives. It goes to a bounded number of
@@ -115,15 +118,20 @@
 	Incarnation Incarnation
 }
 
-// QuarantineNotice spreads crash evidence about a fingerprint.
+// QuarantineNotice spreads evidence about requests that crash targets: either
+// that targets crashed while they ran something, or that a request ran to
+// completion. Each router judges by itself; see package control/quarantine.
 type QuarantineNotice struct {
-	Fingerprint uint64
-	// Crashes are the targets that crashed while running it.
+	// Crashes are the targets that crashed; empty if the notice tells of a
+	// completion.
 	Crashes []string
-	// Convicted says that the sender quarantines the fingerprint.
-	Convicted bool
-	// TimeLeft is how long the conviction still lasts.
-	TimeLeft time.Duration
+	// Running are the fingerprints that ran on a target that crashed, at most
+	// 100.
+	Running []uint64
+	// Fingerprint is the request that ran to completion.
+	Fingerprint uint64
+	// Age is how long ago it was.
+	Age time.Duration
 }
 
 func (Ticket) isMessage()           {}
--- a/control/release.go
+++ b/control/release.go
@@ -51,6 +51,7 @@
 		shard:     s,
 		target:    s.byName[r.Target],
 		workspace: m.workspaceHere(r.Workspace),
+		finger:    r.Fingerprint,
 		started:   m.now,
 		adopted:   true,
 	}
@@ -68,7 +69,7 @@
 		m.dropEndedTicket(r)
 		return
 	}
-	m.endGrant(g, r)
+	m.endGrant(g, r, from)
 }
 
 // dropEndedTicket removes the ticket of a run that ended under another
@@ -85,7 +86,7 @@
 }
 
 // endGrant frees the slot and settles the charge.
-func (m *Machine) endGrant(g *grant, r Report) {
+func (m *Machine) endGrant(g *grant, r Report, from NodeID) {
 	m.counters.GrantsEnded++
 	used := r.Service
 	if g.adopted {
@@ -103,6 +104,12 @@
 	}
 	m.settle(g, used)
 	m.runOutcome(g.target, r.Outcome)
+	switch r.Outcome {
+	case OutcomeAnswered:
+		m.runAnswered(g.finger)
+	case OutcomeLost:
+		m.runLost(g, from)
+	}
 	m.grantAll(g.shard)
 	m.settleShard(g.shard)
 }
@@ -157,9 +164,13 @@
 	}
 }
 
-func (s *scheduler) sortedGrants() []*grant {
-	all := make([]*grant, 0, len(s.grants))
-	for _, g := range s.grants {
+func (s *scheduler) sortedGrants() []*grant { return inOrder(s.grants) }
+
+func (s *shard) sortedGrants() []*grant { return inOrder(s.granted) }
+
+func inOrder[K comparable](grants map[K]*grant) []*grant {
+	all := make([]*grant, 0, len(grants))
+	for _, g := range grants {
 		all = append(all, g)
 	}
 	slices.SortFunc(all, func(a, b *grant) int { return compareGrants(a.id, b.id) })
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -181,7 +181,7 @@
 
 // enqueue puts a ticket in the queue and grants what can be granted.
 func (m *Machine) enqueue(s *shard, from NodeID, t Ticket) {
-	class := m.classOf(s, t.Workspace, t.Excluded)
+	class := m.classOf(s, t)
 	if refusal, refused := m.refusal(s, t, class); refused {
 		m.send(from, refusal)
 		m.settleShard(s)
@@ -206,6 +206,8 @@
 	switch {
 	case t.TimeLeft <= 0:
 		f.Code = result.DeadlineBeforeGrant
+	case m.convicted(t.Fingerprint):
+		f.Code = result.Quarantined
 	case m.hopeless(s, c):
 		f.Code = result.NoTarget
 		f.RetryAfter = m.jitter(2 * minRetryAfter)
--- a/control/shard.go
+++ b/control/shard.go
@@ -38,7 +38,9 @@
 	// workspace is given if the class is narrowed for it.
 	workspace string
 	excluded  []string
-	targets   []*target
+	// suspect says that a target that runs a suspect must not be used.
+	suspect bool
+	targets []*target
 }
 
 // queuedTicket is a ticket that waits at its scheduler.
@@ -98,18 +100,22 @@
 }
 
 // classOf returns the class of a ticket.
-func (m *Machine) classOf(s *shard, workspace string, excluded []string) *class {
+func (m *Machine) classOf(s *shard, t Ticket) *class {
 	name, only := "", ""
-	ws, known := m.topo.decl.Workspaces[workspace]
+	ws, known := m.topo.decl.Workspaces[t.Workspace]
 	if known && (len(ws.Targets) > 0 || !slices.Contains(ws.Pools, s.id.Pool)) {
-		only = workspace
+		only = t.Workspace
+	}
+	suspect := m.suspect(t.Fingerprint)
+	if only != "" || len(t.Excluded) > 0 || suspect {
+		name = only + "\x00" + strings.Join(t.Excluded, "\x00")
 	}
-	if only != "" || len(excluded) > 0 {
-		name = only + "\x00" + strings.Join(excluded, "\x00")
+	if suspect {
+		name += "\x00\x00suspect"
 	}
 	c := s.classes[name]
 	if c == nil {
-		c = &class{name: name, workspace: only, excluded: excluded}
+		c = &class{name: name, workspace: only, excluded: t.Excluded, suspect: suspect}
 		s.classes[name] = c
 		m.fillClass(s, c)
 	}
@@ -147,7 +153,7 @@
 		return
 	}
 	for _, q := range s.sortedTickets() {
-		c := m.classOf(s, q.ticket.Workspace, q.ticket.Excluded)
+		c := m.classOf(s, q.ticket)
 		if refusal, refused := m.refusal(s, q.ticket, c); refused {
 			m.unqueue(q)
 			m.counters.TicketsHopeless++
--- a/control/status.go
+++ b/control/status.go
@@ -24,6 +24,7 @@
 	SchedulersUnanswering uint64
 	NodesSuspected        uint64
 	TargetFailures        uint64
+	Convictions           uint64
 	MessagesSent          uint64
 	StaleMessages         uint64
 	Thaws                 uint64
--- a/control/target.go
+++ b/control/target.go
@@ -87,6 +87,7 @@
 	t.loadAt = m.now
 	t.window.Reported(m.now, ev.Running, ev.Queued, ev.Slots)
 	t.prefixes.report(ev.CachedPrefixes)
+	m.pollAnswered(t.name)
 	if t.pollFailed {
 		t.recovered()
 	}
@@ -98,6 +99,7 @@
 func (m *Machine) targetUnreachable(ev TargetUnreachable) {
 	if t := m.targetHere(ev.Target); t != nil {
 		m.targetFailed(t, true)
+		m.pollFailed(t.name)
 	}
 }
 
--- a/peer/wire/codec_run.go
+++ b/peer/wire/codec_run.go
@@ -82,11 +82,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkList(len(m.Running)); err != nil {
+		return nil, err
+	}
 	p := &peerpb.QuarantineNotice{
 		Fingerprint: m.Fingerprint,
 		Crashes:     crashes,
-		Convicted:   m.Convicted,
-		TimeLeft:    micros(m.TimeLeft),
+		Running:     m.Running,
+		Age:         micros(m.Age),
 	}
 	return &peerpb.Entry{Kind: &peerpb.Entry_QuarantineNotice{QuarantineNotice: p}}, nil
 }
@@ -96,10 +99,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkList(len(p.GetRunning())); err != nil {
+		return nil, err
+	}
 	return control.QuarantineNotice{
 		Fingerprint: p.GetFingerprint(),
 		Crashes:     crashes,
-		Convicted:   p.GetConvicted(),
-		TimeLeft:    fromMicros(p.GetTimeLeft()),
+		Running:     p.GetRunning(),
+		Age:         fromMicros(p.GetAge()),
 	}, nil
 }
