Keep looking for callers until the last connection is closed

Cause: a forced stop ended the watcher while a request that had arrived behind another was just beginning; its handler waited for the caller's end, which nobody looked for any more. A wrong test was ruled out: the exchange truly never ended.

--- a/front/conn.go
+++ b/front/conn.go
@@ -100,10 +100,12 @@
 	return n, err
 }
 
-// Close implements net.Conn. A connection that closes with unread bytes is
+// Close implements net.Conn. It ends the exchange first, so that the watcher
+// does not take the connection for one that the caller closed. A connection that closes with unread bytes is
 // reset, and a reset can overtake the answer. So after a refusal the rest of
 // the request is read and dropped, within bounds.
 func (c *callerConn) Close() error {
+	c.server.finish(c)
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.linger {
 		_ = half.CloseWrite()
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
--- a/front/server.go
+++ b/front/server.go
@@ -165,12 +165,22 @@
 	s.setServing(true, listener)
 	defer s.setServing(false, nil)
 	if s.draining.Load() {
-		return listener.Close()
+		_ = listener.Close() // Shutdown or Close may have been quicker
+		return nil
 	}
-	go s.watch.run()
+	go s.watchCallers()
 	return s.http.Serve(callerListener{Listener: listener, server: s})
 }
 
+// watchCallers looks for callers that went away until the last connection is
+// closed.
+func (s *Server) watchCallers() {
+	go s.watch.run()
+	// Without a deadline the wait ends only when all is closed.
+	_ = s.waitUntil(context.Background(), s.allClosed)
+	s.watch.close()
+}
+
 func (s *Server) setServing(serving bool, listener net.Listener) {
 	s.mu.Lock()
 	s.serving = serving
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -17,11 +17,7 @@
 	if err := s.stopAccepting(); err != nil {
 		return err
 	}
-	if err := s.waitUntil(ctx, s.allClosed); err != nil {
-		return err
-	}
-	s.watch.close()
-	return nil
+	return s.waitUntil(ctx, s.allClosed)
 }
 
 // Close stops by force: it ends the context of every exchange and, after
@@ -37,7 +33,6 @@
 	for _, conn := range s.connections() {
 		conn.Conn.Close()
 	}
-	s.watch.close()
 	return err
 }
 
@@ -84,9 +79,10 @@
 // allEnded needs s.mu.
 func (s *Server) allEnded() bool { return s.active == 0 }
 
-// signal wakes what waits in waitUntil. It needs s.mu.
+// signal wakes what waits in waitUntil, which has nothing to wait for while
+// callers are accepted. It needs s.mu.
 func (s *Server) signal() {
-	if s.draining.Load() {
+	if s.draining.Load() || !s.serving {
 		close(s.changed)
 		s.changed = make(chan struct{})
 	}
--- a/front/watcher.go
+++ b/front/watcher.go
@@ -13,7 +13,6 @@
 type watcher struct {
 	every time.Duration
 	stop  chan struct{}
-	once  sync.Once
 
 	mu       sync.Mutex
 	requests map[*request]struct{}
@@ -57,7 +56,8 @@
 	}
 }
 
-func (w *watcher) close() { w.once.Do(func() { close(w.stop) }) }
+// close ends run. It may be called once.
+func (w *watcher) close() { close(w.stop) }
 
 // look checks every request once. The descriptors are polled outside of the
 // lock, so that new requests don't wait for it.
@@ -92,15 +92,15 @@
 
 // peerClosed says whether the other end closed or reset the connection. Bytes
 // that wait to be read, such as the next pipelined request, are left alone and
-// do not hide the end behind them. A connection that this process has closed
-// counts as open: its exchange ends by itself.
+// do not hide the end behind them. A connection that a forced stop closed on
+// this side counts too.
 func (p *probe) peerClosed(raw syscall.RawConn) bool {
 	if raw == nil {
 		return false
 	}
 	p.gone = false
 	err := raw.Control(p.control)
-	return p.gone && err == nil
+	return p.gone || err != nil
 }
 
 func (p *probe) poll(fd uintptr) {
