Script crossed, late, lost and doubled messages; verify adopted runs

A new scheduler granted a slot that was in use, since tickets came before the reports of running grants: reports now go first. A scheduler that woke from a freeze adopted a run from a late report and held its slot for a lease: an adopted grant is now sent to its entry, which returns it if the run has ended.

--- a/control/release.go
+++ b/control/release.go
@@ -15,9 +15,7 @@
 	}
 	g := m.sched.grants[r.Grant]
 	if g == nil {
-		g = m.adopt(from, r)
-	}
-	if g == nil {
+		m.adopt(from, r)
 		return
 	}
 	g.from = from
@@ -27,21 +25,22 @@
 }
 
 // adopt counts a run that another scheduler granted, or that this one had
-// given up.
-func (m *Machine) adopt(from NodeID, r Report) *grant {
+// given up. It sends the grant to the entry, as one that is not confirmed: if
+// the report was late and the run has ended, the entry returns it.
+func (m *Machine) adopt(from NodeID, r Report) {
 	if !m.mayScheduleHere() {
-		return nil
+		return
 	}
 	id, declared := m.topo.shardOf(r.Target)
 	if !declared || id != r.Shard {
-		return nil
+		return
 	}
 	s := m.shardHere(id)
 	if q := s.queued[r.Ticket]; q != nil {
 		m.unqueue(q)
 	}
 	if s.granted[r.Ticket] != nil {
-		return nil // granted twice; the entry returns the other grant
+		return // granted twice; the entry returns the other grant
 	}
 	m.counters.GrantsAdopted++
 	g := &grant{
@@ -53,11 +52,12 @@
 		workspace: m.workspaceHere(r.Workspace),
 		finger:    r.Fingerprint,
 		started:   m.now,
+		seen:      m.now,
 		adopted:   true,
 	}
 	g.target.window.Adopted(m.now)
 	m.holdGrant(g, 0)
-	return g
+	m.sendGrant(g)
 }
 
 func (m *Machine) endReported(from NodeID, r Report) {
--- a/control/resend.go
+++ b/control/resend.go
@@ -5,13 +5,15 @@
 	"slices"
 )
 
-// resendMoved sends tickets and running reports to the new schedulers of the
-// shards whose scheduler changed. It costs a pass over what is here and runs
-// only when the view of the fleet changes.
+// resendMoved sends running reports and tickets to the new schedulers of the
+// shards whose scheduler changed: the reports first, so that the slots count as
+// taken when the tickets come. It costs a pass over what is here and runs only
+// when the view of the fleet changes.
 func (m *Machine) resendMoved() {
 	if m.topo == nil {
 		return
 	}
+	m.reportRuns(func(r *run) bool { return m.owner(r.shard) != r.reportedTo })
 	for _, r := range m.entry.sortedRequests() {
 		for _, a := range r.asks {
 			if to := m.owner(a.shard); to != a.to {
@@ -22,41 +24,38 @@
 			}
 		}
 	}
-	for _, run := range m.entry.sortedRuns() {
-		if to := m.owner(run.shard); to != run.reportedTo {
-			m.reportRunning(run)
-		}
-	}
 	m.rerouteEnded()
 }
 
-// resendTo sends tickets and running reports again to a scheduler that has
+// resendTo sends running reports and tickets again to a scheduler that has
 // restarted or was out of reach.
 func (m *Machine) resendTo(node NodeID) {
-	for _, r := range m.entry.sortedRequests() {
-		for _, a := range r.asks {
-			if a.to == node {
-				m.restart(r, a)
-			}
-		}
-	}
-	for _, run := range m.entry.sortedRuns() {
-		if m.owner(run.shard) == node {
-			m.reportRunning(run)
+	m.reportRuns(func(r *run) bool { return m.owner(r.shard) == node })
+	m.restartAsks(func(a *ask) bool { return a.to == node })
+}
+
+// resendAll sends every running report and ticket again.
+func (m *Machine) resendAll() {
+	m.reportRuns(func(*run) bool { return true })
+	m.restartAsks(func(*ask) bool { return true })
+}
+
+func (m *Machine) reportRuns(which func(*run) bool) {
+	for _, r := range m.entry.sortedRuns() {
+		if which(r) {
+			m.reportRunning(r)
 		}
 	}
 }
 
-// resendAll sends every ticket and running report again.
-func (m *Machine) resendAll() {
+func (m *Machine) restartAsks(which func(*ask) bool) {
 	for _, r := range m.entry.sortedRequests() {
 		for _, a := range r.asks {
-			m.restart(r, a)
+			if which(a) {
+				m.restart(r, a)
+			}
 		}
 	}
-	for _, run := range m.entry.sortedRuns() {
-		m.reportRunning(run)
-	}
 }
 
 // rerouteEnded sends the ends of runs that a dead scheduler has not
