--- a/control/account/doc.go
+++ b/control/account/doc.go
@@ -7,5 +7,9 @@
 // so a lost, late or doubled message changes nothing for long, and a restart of
 // either side never makes a total fall.
 //
+// What is given while a scheduler and the accounting node cannot talk for longer
+// than 3 s is not made up later. When the accounting of a workspace moves to a
+// node that did it less than 3 s ago, up to that much may be counted twice.
+//
 // Service is normalised: slot time in seconds divided by the share.
 package account
--- a/control/account/totals.go
+++ b/control/account/totals.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// interestTime is how long after its last report a contributor is told totals.
+// interestTime is how long after its last report a contributor is told totals,
+// and how long it may be silent before its next report is a new base line.
 const interestTime = 3 * time.Second
 
 // Totals is the accounting node's side.
@@ -24,8 +25,9 @@
 // contributor is one incarnation of a scheduler that gave service.
 type contributor struct {
 	own float64
-	// base is the count in the first report: what came before is not known to
-	// be new.
+	// base is the part of own that is not in the total: what came before the
+	// first report, and before the first one after a long silence, is not
+	// known to be new.
 	base    float64
 	heardAt time.Duration
 }
@@ -58,6 +60,11 @@
 		r.contributors[from] = &contributor{own: own, base: own, heardAt: now}
 		return
 	}
+	if silent := now - c.heardAt; silent > interestTime && own > c.own {
+		// Another node did the accounting meanwhile, or nobody could.
+		c.base += own - c.own
+		c.own = own
+	}
 	c.heardAt = now
 	if own > c.own {
 		r.total += own - c.own
--- /dev/null
+++ b/control/sched/window_test.go
@@ -0,0 +1,99 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestWindowNeverFloods lets reports say anything: the grants held stay within
+// the slots and the bounded extra.
+func TestWindowNeverFloods(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 32).Draw(t, "slots")
+		w := NewWindow(0, slots)
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 3).Draw(t, "act") {
+			case 0:
+				w.Reported(now, rapid.IntRange(-5, 100).Draw(t, "running"), rapid.IntRange(-5, 100).Draw(t, "queued"), rapid.IntRange(-1, 100).Draw(t, "reported"))
+			case 1:
+				if w.Out() > 0 {
+					service := time.Duration(rapid.IntRange(0, 2000).Draw(t, "service")) * time.Millisecond
+					w.Ended(now, service, service+time.Duration(rapid.IntRange(-10, 500).Draw(t, "loop"))*time.Millisecond)
+				}
+			default:
+				if w.Room(now) > 0 {
+					w.Granted(now)
+				}
+			}
+			if w.Out() > slots+MaxExtra(slots) {
+				t.Fatalf("%d grants for %d slots", w.Out(), slots)
+			}
+			if w.Out() == 0 && w.Room(now) == 0 {
+				t.Fatalf("an empty target is given nothing")
+			}
+		}
+	})
+}
+
+func TestWindowLeavesRoomForAnotherScheduler(t *testing.T) {
+	w := NewWindow(0, 4)
+	w.Reported(time.Second, 3, 0, 4)
+	if room := w.Room(time.Second); room != 1 {
+		t.Errorf("room is %d beside three foreign runs in four slots", room)
+	}
+	w.Adopted(time.Second)
+	if room := w.Room(time.Second); room != 1 {
+		t.Errorf("room is %d after one of them was adopted", room)
+	}
+	if room := w.Room(time.Second + foreignTime); room != 3 {
+		t.Errorf("room is %d when the report is old", room)
+	}
+}
+
+func TestWindowBearsLag(t *testing.T) {
+	w := NewWindow(0, 4)
+	w.Reported(time.Second, 0, 0, 4)
+	for range 4 {
+		w.Granted(time.Second)
+	}
+	for range 4 {
+		w.Ended(2*time.Second, time.Second, time.Second)
+	}
+	w.Reported(2100*time.Millisecond, 4, 0, 4) // from before the ends
+	if room := w.Room(2100 * time.Millisecond); room != 4 {
+		t.Errorf("room is %d after a late report", room)
+	}
+}
+
+func TestWindowCoversTheRoundTrip(t *testing.T) {
+	w := NewWindow(0, 8)
+	w.Reported(time.Second, 0, 0, 8)
+	for i := range 100 {
+		now := time.Second + time.Duration(i)*time.Millisecond
+		w.Granted(now)
+		w.Ended(now, 20*time.Millisecond, 22*time.Millisecond)
+	}
+	if room := w.Room(2 * time.Second); room != 9 {
+		t.Errorf("room is %d for 8 slots with a loop of a tenth of a run", room)
+	}
+}
+
+func TestEstimateFollowsOutcomes(t *testing.T) {
+	var e Estimate
+	if got := e.Charge(0, time.Second); got != time.Second {
+		t.Errorf("before any outcome the estimate is %v", got)
+	}
+	for range 100 {
+		e.Learn(10*time.Millisecond, 2*time.Second)
+	}
+	if got := e.Charge(10*time.Millisecond, time.Second); got < 1900*time.Millisecond || got > 2100*time.Millisecond {
+		t.Errorf("a hint that is always too low gives %v", got)
+	}
+	if got := e.Charge(time.Millisecond, time.Second); got < 400*time.Millisecond {
+		t.Errorf("a hint far below the others gives %v", got)
+	}
+}
