Tell a resend that its dead owner may have run it, not "in progress" for ever

Cause: the router gave the run-record keeper no way to know which processes live, so a record whose owner was killed answered 403 (in progress, retry) for as long as the record stood, also at the restarted router itself. Ruled out: taking the claim over; no claim is ever taken over. Conclusion: another incarnation heard, or a session lost for 10 s, makes an owner gone. This decides only what a resend is told.

--- a/router/peers.go
+++ b/router/peers.go
@@ -31,6 +31,7 @@
 
 // Received implements peer.Handler.
 func (h peerHandler) Received(from control.NodeID, incarnation control.Incarnation, messages []control.Message) {
+	h.router.owners.heard(from, incarnation)
 	for _, message := range messages {
 		h.router.loop.post(control.MessageReceived{From: from, Incarnation: incarnation, Message: message})
 	}
@@ -38,6 +39,7 @@
 
 // StateChanged implements peer.Handler.
 func (h peerHandler) StateChanged(node control.NodeID, connected bool) {
+	h.router.owners.connected(node, connected)
 	h.router.loop.post(control.PeerState{Node: node, Connected: connected})
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -47,6 +47,7 @@
 	targets  *target.HTTPClient
 	poller   *loadpoll.Poller
 	records  *runrecord.Keeper
+	owners   *owners
 	suspects quarantine.Set
 	loop     *loop
 	mesh     *peer.Mesh
@@ -175,10 +176,12 @@
 		OnResult: r.loadPolled,
 		Seed:     uint64(r.incarnation),
 	})
+	r.owners = newOwners(control.NodeID(s.Node.Name), r.incarnation, time.Now)
 	r.records = runrecord.New(runrecord.Options{
 		Table:       r.platform,
 		Node:        control.NodeID(s.Node.Name),
 		Incarnation: r.incarnation,
+		OwnerAlive:  r.owners.alive,
 		Logger:      r.log,
 	})
 	machine := control.New(control.Options{
