--- a/control/accounting.go
+++ b/control/accounting.go
@@ -36,6 +36,9 @@
 	// waiting and running count its tickets and grants here.
 	waiting, running int
 	reportedAt       Instant
+	// accountedBy is its accounting node in version asOf of the view.
+	accountedBy NodeID
+	asOf        uint64
 }
 
 // books is the exchange of service counts with the rest of the fleet.
@@ -160,7 +163,7 @@
 			continue
 		}
 		w.reportedAt = m.now
-		to := NodeID(m.view.Owner(w.hash, ""))
+		to := m.accountingNode(w)
 		reports[to] = append(reports[to], ServiceCount{Workspace: name, Own: toDuration(own)})
 	}
 	for _, to := range sortedKeys(reports) {
@@ -172,6 +175,15 @@
 	}
 }
 
+// accountingNode returns the node that adds up the workspace's service.
+func (m *Machine) accountingNode(w *workspace) NodeID {
+	if w.asOf != m.view.Version() {
+		w.accountedBy = NodeID(m.view.Owner(w.hash, ""))
+		w.asOf = m.view.Version()
+	}
+	return w.accountedBy
+}
+
 func (m *Machine) serviceReported(from NodeID, inc Incarnation, msg ServiceReport) {
 	source := account.Source{Node: string(from), Incarnation: uint64(inc)}
 	for _, c := range msg.Counts {
--- a/control/control.go
+++ b/control/control.go
@@ -11,6 +11,43 @@
 // scheduler it owns the queue of every shard that rendezvous hashing over the
 // members in view gives to this node, and answers tickets with grants. A shard
 // is the targets of one pool in one data centre.
+//
+// # Fairness
+//
+// A scheduler grants the backlogged workspace with the least normalised
+// service: slot time divided by share, summed over the whole fleet. An estimate
+// is charged at grant, grows as the run goes on, and is corrected at its end.
+// While two workspaces stay backlogged in shards that both can use, what they
+// receive differs over any interval by at most
+//
+//	G = n_i*L_i/w_i + n_j*L_j/w_j + K*(E + E/5 + R)*max(1/w_i, 1/w_j)
+//
+// where w is the share, L the longest run of the workspace, n the runs that it
+// has in progress at once, K the slots that both can use, E the exchange period
+// and R the longest time that a message takes. The first two terms are there
+// with one scheduler too: a run in progress is not taken back. The third is what
+// all slots can do before the news of it arrives; it is absent if one scheduler
+// serves all shards. What is given while nodes cannot talk to each other for
+// longer than 3 s is not made up later.
+//
+// A workspace that had nothing waiting in a shard starts there at the least of
+// those that wait. One that was served elsewhere waits in a shard at most 3 s
+// longer for that.
+//
+// # Over-admission
+//
+// A scheduler never holds more grants of a target than its slots and
+// max(1, slots/4), and more than its slots only where the time between two runs
+// would idle over 1 % of the slot. After a change of scheduler, or with two at
+// once, each keeps to that bound by itself and leaves room for the load that it
+// sees in the target's reports, so k schedulers hold at most k times as much.
+// A new scheduler gives a target one grant until the first load report, or for
+// half a second.
+//
+// # Limits of the parts
+//
+// Step costs what changed: a grant looks at the targets of its own shard, and
+// only a change of members or of the configuration passes over everything here.
 package control
 
 import "time"
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -151,6 +151,77 @@
 	s.checkFaults(t)
 }
 
+// TestOneEntryFillsEveryShard has one workspace enter through one router: no
+// slot of any data centre idles while its requests wait.
+func TestOneEntryFillsEveryShard(t *testing.T) {
+	s := newSim(7)
+	w := workload{workspaces: map[string]float64{"a": 1}, perCentre: 2, slots: 4, centres: centres}
+	s.fleet(6, w.snapshot(), Options{}, centres...)
+	s.runUntil(2 * time.Second)
+	s.keepBacklogged("a", 60, "n0")
+	s.runUntil(3 * time.Second)
+	start, busy := s.now, s.busy()
+	s.runUntil(20 * time.Second)
+	if u := s.utilisation(start, busy); u < 0.99 {
+		t.Errorf("utilisation is %.4f", u)
+	}
+}
+
+// TestAloneIsBusyToo runs the baseline: every router schedules for itself.
+func TestAloneIsBusyToo(t *testing.T) {
+	s := newSim(8)
+	w := workload{workspaces: map[string]float64{"a": 1, "b": 1}, perCentre: 2, slots: 4, centres: centres}
+	s.fleet(6, w.snapshot(), Options{Policy: PolicyAlone}, centres...)
+	s.runUntil(2 * time.Second)
+	s.keepBacklogged("a", 60, "n0")
+	s.keepBacklogged("b", 60, s.names...)
+	s.runUntil(5 * time.Second)
+	start, busy := s.now, s.busy()
+	s.runUntil(25 * time.Second)
+	if u := s.utilisation(start, busy); u < 0.95 {
+		t.Errorf("utilisation is %.4f", u)
+	}
+	for _, target := range s.targets {
+		if target.mostActive > 6*(4+1) {
+			t.Errorf("%s held %d requests at once", target.name, target.mostActive)
+		}
+	}
+	s.checkFaults(t)
+}
+
+// TestDeadEntryHoldsNoSlot kills an entry node with many tickets waiting: the
+// scheduler grants them no slot.
+func TestDeadEntryHoldsNoSlot(t *testing.T) {
+	s := newSim(9)
+	s.fleet(3, workload{workspaces: map[string]float64{"a": 1, "b": 1}, perCentre: 1, slots: 4, centres: centres[:1]}.snapshot(), Options{}, "ikeja")
+	s.runUntil(time.Second)
+	scheduler := s.schedulerOf(t)
+	var entries []NodeID
+	for _, id := range s.names {
+		if id != scheduler {
+			entries = append(entries, id)
+		}
+	}
+	s.keepBacklogged("a", 30, entries[0])
+	s.keepBacklogged("b", 30, entries[1])
+	s.runUntil(10 * time.Second)
+	s.stop(entries[0])
+	for _, id := range s.names {
+		if id != entries[0] {
+			s.step(s.nodes[id], PeerState{Node: entries[0]})
+		}
+	}
+	s.runUntil(10*time.Second + 2*grantLease)
+	start, busy := s.now, s.busy()
+	s.runUntil(s.now + 10*time.Second)
+	if u := s.utilisation(start, busy); u < 0.97 {
+		t.Errorf("utilisation afterwards is %.4f", u)
+	}
+	if granted := s.nodes[scheduler].machine.Counters().GrantsReclaimed; granted > 4 {
+		t.Errorf("%d grants were reclaimed, 4 were held", granted)
+	}
+}
+
 // TestHintsGainNothing gives two workspaces the same requests; one says that
 // each costs a hundredth of the truth.
 func TestHintsGainNothing(t *testing.T) {
