Keep unused connections cheap; count load polls apart from requests

Cause: every unused connection held 20 KiB of buffers and two heads; a request of a caller already gone could still be sent over a connection at hand; a passed deadline was reported as a caller that went away; and load polls were counted among the requests.

The memory of a call now comes from a pool and leaves the connection with the answer. A refusal's length is read before its connection is given back.

--- a/target/body.go
+++ b/target/body.go
@@ -123,7 +123,7 @@
 	if err != io.EOF {
 		return n, b.broken(err)
 	}
-	e := b.ex.client.fail(reasonUnframed, result.StreamBroken, result.RanUnknown, errUnframed)
+	e := b.ex.counters.fail(reasonUnframed, result.StreamBroken, result.RanUnknown, errUnframed)
 	b.end(e, false)
 	return n, e
 }
@@ -196,7 +196,7 @@
 		return nil
 	}
 	b.finished = true
-	b.ex.client.counters.failed(reasonClosedUnread)
+	b.ex.counters.failed(reasonClosedUnread)
 	b.ex.discard()
 	return nil
 }
--- a/target/conn.go
+++ b/target/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -10,24 +11,37 @@
 	"github.com/walnutcove/walnutcove/target/connstate"
 )
 
-// Buffer sizes of one connection, in bytes. An answer's head must fit into the
-// read buffer.
+// Buffer sizes of one call, in bytes. An answer's head must fit into the read
+// buffer.
 const (
 	readBufferBytes  = 16 << 10
 	writeBufferBytes = 4 << 10
 )
 
+// codec is the memory that one call needs. Unused connections have none, so
+// that keeping many of them open is cheap.
+type codec struct {
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	request fasthttp.RequestHeader
+	answer  fasthttp.ResponseHeader
+}
+
+var codecs = sync.Pool{New: func() any {
+	return &codec{
+		reader: bufio.NewReaderSize(nil, readBufferBytes),
+		writer: bufio.NewWriterSize(nil, writeBufferBytes),
+	}
+}}
+
 // conn is one connection to a target. It counts the bytes handed to the
 // system, sets the deadline of each read, and belongs to one call at a time.
 type conn struct {
 	net.Conn
+	// codec is nil while the connection is unused.
+	*codec
 	address string
-	reader  *bufio.Reader
-	writer  *bufio.Writer
 	checker *connstate.Checker
-	// request and answer are the heads of the current call, kept for their buffers.
-	request fasthttp.RequestHeader
-	answer  fasthttp.ResponseHeader
 	// written counts the bytes of the current request that the system took.
 	written int64
 	// readDeadline bounds all reads of an answer's head; noDeadline after it.
@@ -39,10 +53,22 @@
 }
 
 func newConn(c net.Conn, address string) *conn {
-	wrapped := &conn{Conn: c, address: address, checker: connstate.NewChecker(c)}
-	wrapped.reader = bufio.NewReaderSize(wrapped, readBufferBytes)
-	wrapped.writer = bufio.NewWriterSize(wrapped, writeBufferBytes)
-	return wrapped
+	return &conn{Conn: c, address: address, checker: connstate.NewChecker(c)}
+}
+
+// attach gives the connection the memory for a call.
+func (c *conn) attach() {
+	c.codec = codecs.Get().(*codec)
+	c.reader.Reset(c)
+	c.writer.Reset(c)
+}
+
+// detach takes it back. No read or write may be in progress.
+func (c *conn) detach() {
+	c.reader.Reset(nil)
+	c.writer.Reset(nil)
+	codecs.Put(c.codec)
+	c.codec = nil
 }
 
 // noDeadline stands for "no fixed time".
--- a/target/counters.go
+++ b/target/counters.go
@@ -4,12 +4,14 @@
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/result"
 )
 
 // reason is why a call failed, as it stands in the counter's label.
 type reason string
 
-// The reasons of walnut_target_failures_total.
+// The reasons of walnut_target_failures_total and walnut_load_poll_failures_total.
 const (
 	reasonBadRequest       reason = "bad_request"
 	reasonCancelledEarly   reason = "cancelled_before_write"
@@ -35,26 +37,32 @@
 	reasonUnframed, reasonStalled, reasonClosedUnread,
 }
 
-// counters are the client's metrics.
+// counters count calls and their failures: those of requests and those of load
+// polls are kept apart.
 type counters struct {
+	calls    *metrics.Counter
 	failures map[reason]*metrics.Counter
-	requests *metrics.Counter
-	dials    *metrics.Counter
-	stale    *metrics.Counter
 }
 
-func newCounters(set *metrics.Set) *counters {
+func newCounters(set *metrics.Set, calls, failures string) *counters {
 	c := &counters{
+		calls:    set.GetOrCreateCounter(calls),
 		failures: make(map[reason]*metrics.Counter, len(allReasons)),
-		requests: set.GetOrCreateCounter("walnut_target_requests_total"),
-		dials:    set.GetOrCreateCounter("walnut_target_dials_total"),
-		stale:    set.GetOrCreateCounter("walnut_target_stale_connections_total"),
 	}
 	for _, r := range allReasons {
-		name := fmt.Sprintf("walnut_target_failures_total{reason=%q}", string(r))
+		name := fmt.Sprintf("%s{reason=%q}", failures, string(r))
 		c.failures[r] = set.GetOrCreateCounter(name)
 	}
 	return c
 }
 
+// failed counts a failure.
 func (c *counters) failed(r reason) { c.failures[r].Inc() }
+
+// fail counts a failure and returns its typed error.
+func (c *counters) fail(r reason, code result.Code, ran result.Ran, cause error) *result.Error {
+	c.failed(r)
+	e := result.Wrap(code, hideEOF(cause), "%s", code.Info().Meaning)
+	e.Ran = ran
+	return e
+}
--- a/target/exchange.go
+++ b/target/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -16,9 +17,10 @@
 
 // exchange is one request and its answer on one connection.
 type exchange struct {
-	client *HTTPClient
-	ctx    context.Context
-	conn   *conn
+	client   *HTTPClient
+	counters *counters
+	ctx      context.Context
+	conn     *conn
 	// unwatch ends the closing of the connection by ctx; nil if ctx never ends.
 	unwatch func() bool
 	// spoiled says that the request was not sent whole.
@@ -76,7 +78,7 @@
 	header := &ex.conn.answer
 	resp := &Response{Status: header.StatusCode(), Header: copyHeader(header)}
 	if resp.Status == fasthttp.StatusServiceUnavailable && resp.Header[HeaderNotRun] == "true" {
-		ex.client.counters.failed(reasonNotRun)
+		ex.counters.failed(reasonNotRun)
 		refused := result.New(result.TargetRefused, "%s", result.TargetRefused.Info().Meaning)
 		ex.drainRefusal(req, header)
 		return nil, refused.After(retryAfter(resp.Header))
@@ -88,8 +90,11 @@
 // drainRefusal reads the short body of a refusal, so that the connection can
 // be used again. It reads only what has arrived.
 func (ex *exchange) drainRefusal(req *Request, header *fasthttp.ResponseHeader) {
-	b := newBody(ex, req.Method, header)
 	length := header.ContentLength()
+	b := newBody(ex, req.Method, header)
+	if b.err != nil { // without a body: the connection is given back already
+		return
+	}
 	if length < 0 || length > ex.conn.reader.Buffered() {
 		b.Close()
 		return
@@ -101,43 +106,48 @@
 func (ex *exchange) writeError(err error) error {
 	nothing := ex.conn.written == 0
 	switch {
-	case ex.ctx.Err() != nil && nothing:
-		return ex.client.fail(reasonCancelledEarly, result.CallerGone, result.RanNo, ex.ctx.Err())
-	case ex.ctx.Err() != nil:
-		return ex.client.fail(reasonCancelled, result.CallerGone, result.RanUnknown, ex.ctx.Err())
+	case isCancelled(ex.ctx) && nothing:
+		return ex.counters.fail(reasonCancelledEarly, result.CallerGone, result.RanNo, ex.ctx.Err())
+	case isCancelled(ex.ctx):
+		return ex.counters.fail(reasonCancelled, result.CallerGone, result.RanUnknown, ex.ctx.Err())
 	case nothing:
-		return ex.client.fail(reasonWriteNothing, result.ConnectFailed, result.RanNo, err)
+		return ex.counters.fail(reasonWriteNothing, result.ConnectFailed, result.RanNo, err)
 	default:
-		return ex.client.fail(reasonWritePartial, result.TargetLostRequest, result.RanUnknown, err)
+		return ex.counters.fail(reasonWritePartial, result.TargetLostRequest, result.RanUnknown, err)
 	}
 }
 
 // headError classifies a failure after the request was sent.
 func (ex *exchange) headError(err error) error {
 	switch {
-	case ex.ctx.Err() != nil:
-		return ex.client.fail(reasonCancelled, result.CallerGone, result.RanUnknown, ex.ctx.Err())
-	case isTimeout(err):
-		return ex.client.fail(reasonFirstByteTimeout, result.FirstByteTimeout, result.RanUnknown, err)
+	case isCancelled(ex.ctx):
+		return ex.counters.fail(reasonCancelled, result.CallerGone, result.RanUnknown, ex.ctx.Err())
+	case ex.timedOut(err):
+		return ex.counters.fail(reasonFirstByteTimeout, result.FirstByteTimeout, result.RanUnknown, err)
 	case isClosed(err):
-		return ex.client.fail(reasonClosedBeforeHead, result.TargetLostRequest, result.RanUnknown, err)
+		return ex.counters.fail(reasonClosedBeforeHead, result.TargetLostRequest, result.RanUnknown, err)
 	default:
-		return ex.client.fail(reasonBadHead, result.TargetError, result.RanUnknown, err)
+		return ex.counters.fail(reasonBadHead, result.TargetError, result.RanUnknown, err)
 	}
 }
 
 // bodyError classifies a failure while reading the body.
 func (ex *exchange) bodyError(err error) error {
 	switch {
-	case ex.ctx.Err() != nil:
-		return ex.client.fail(reasonCancelled, result.CallerGone, result.RanUnknown, ex.ctx.Err())
-	case isTimeout(err):
-		return ex.client.fail(reasonStalled, result.AnswerTooSlow, result.RanUnknown, err)
+	case isCancelled(ex.ctx):
+		return ex.counters.fail(reasonCancelled, result.CallerGone, result.RanUnknown, ex.ctx.Err())
+	case ex.timedOut(err):
+		return ex.counters.fail(reasonStalled, result.AnswerTooSlow, result.RanUnknown, err)
 	default:
-		return ex.client.fail(reasonTruncated, result.StreamBroken, result.RanUnknown, err)
+		return ex.counters.fail(reasonTruncated, result.StreamBroken, result.RanUnknown, err)
 	}
 }
 
+// timedOut says whether a read ran into its own limit or into ctx's deadline.
+func (ex *exchange) timedOut(err error) bool {
+	return isTimeout(err) || errors.Is(ex.ctx.Err(), context.DeadlineExceeded)
+}
+
 // release gives the connection back after an answer read whole.
 func (ex *exchange) release(reusable bool) {
 	ex.settle.Do(func() { ex.giveBack(reusable) })
--- a/target/framing_test.go
+++ b/target/framing_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -178,3 +180,35 @@
 		t.Fatalf("request is %q", raw)
 	}
 }
+
+func TestUnusedConnectionsAreBoundedAndClosed(t *testing.T) {
+	closed := make(chan struct{}, 8)
+	both := make(chan struct{})
+	var arrived atomic.Int32
+	address := scriptServer(t, func(c net.Conn) {
+		buffer := make([]byte, 4096)
+		for {
+			if _, err := c.Read(buffer); err != nil {
+				closed <- struct{}{}
+				return
+			}
+			if arrived.Add(1) == 2 {
+				close(both)
+			}
+			<-both
+			_, _ = io.WriteString(c, countedHead+"hello")
+		}
+	})
+	client := newClient(t, target.Options{MaxIdle: 1, IdleTimeout: 200 * time.Millisecond})
+	var group sync.WaitGroup
+	for range 2 {
+		group.Go(func() {
+			if _, err := doAndRead(client, target.Request{Address: address, Method: "GET", Path: "/"}); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	group.Wait()
+	<-closed // one over MaxIdle
+	<-closed // the other after IdleTimeout
+}
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -28,7 +28,8 @@
 // for concurrent use.
 type HTTPClient struct {
 	options  Options
-	counters *counters
+	requests *counters
+	polls    *counters
 	pool     *pool
 }
 
@@ -37,11 +38,12 @@
 // NewHTTPClient returns a client. Close releases its unused connections.
 func NewHTTPClient(options Options) *HTTPClient {
 	options = options.withDefaults()
-	counters := newCounters(options.Metrics)
+	set := options.Metrics
 	return &HTTPClient{
 		options:  options,
-		counters: counters,
-		pool:     newPool(options, counters),
+		requests: newCounters(set, "walnut_target_requests_total", "walnut_target_failures_total"),
+		polls:    newCounters(set, "walnut_load_poll_requests_total", "walnut_load_poll_failures_total"),
+		pool:     newPool(options),
 	}
 }
 
@@ -53,15 +55,22 @@
 
 // Do implements Client.
 func (c *HTTPClient) Do(ctx context.Context, req Request) (*Response, error) {
-	c.counters.requests.Inc()
+	return c.call(ctx, req, c.requests)
+}
+
+func (c *HTTPClient) call(ctx context.Context, req Request, counters *counters) (*Response, error) {
+	counters.calls.Inc()
 	if !validPath(req.Path) || req.Method == "" {
-		return nil, c.fail(reasonBadRequest, result.BadRequest, result.RanNo, nil)
+		return nil, counters.fail(reasonBadRequest, result.BadRequest, result.RanNo, nil)
+	}
+	if ctx.Err() != nil {
+		return nil, dialError(ctx, counters, ctx.Err())
 	}
 	cn, err := c.pool.get(ctx, req.Address)
 	if err != nil {
-		return nil, c.dialError(ctx, err)
+		return nil, dialError(ctx, counters, err)
 	}
-	ex := &exchange{client: c, ctx: ctx, conn: cn}
+	ex := &exchange{client: c, counters: counters, ctx: ctx, conn: cn}
 	if ctx.Done() != nil {
 		ex.unwatch = context.AfterFunc(ctx, func() { cn.Conn.Close() })
 	}
@@ -75,7 +84,8 @@
 
 // Load implements Client.
 func (c *HTTPClient) Load(ctx context.Context, address string) (Load, error) {
-	resp, err := c.Do(ctx, Request{Address: address, Method: fasthttp.MethodGet, Path: loadPath})
+	req := Request{Address: address, Method: fasthttp.MethodGet, Path: loadPath}
+	resp, err := c.call(ctx, req, c.polls)
 	if err != nil {
 		return Load{}, err
 	}
@@ -98,23 +108,19 @@
 }
 
 // dialError classifies a failure to get a connection. Nothing was written.
-func (c *HTTPClient) dialError(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return c.fail(reasonCancelledEarly, result.CallerGone, result.RanNo, ctx.Err())
-	}
-	if isTimeout(err) {
-		return c.fail(reasonConnectTimeout, result.ConnectFailed, result.RanNo, err)
+func dialError(ctx context.Context, counters *counters, err error) error {
+	switch {
+	case isCancelled(ctx):
+		return counters.fail(reasonCancelledEarly, result.CallerGone, result.RanNo, ctx.Err())
+	case isTimeout(err):
+		return counters.fail(reasonConnectTimeout, result.ConnectFailed, result.RanNo, err)
+	default:
+		return counters.fail(reasonConnect, result.ConnectFailed, result.RanNo, err)
 	}
-	return c.fail(reasonConnect, result.ConnectFailed, result.RanNo, err)
 }
 
-// fail counts a failure and returns its typed error.
-func (c *HTTPClient) fail(r reason, code result.Code, ran result.Ran, cause error) *result.Error {
-	c.counters.failed(r)
-	e := result.Wrap(code, hideEOF(cause), "%s", code.Info().Meaning)
-	e.Ran = ran
-	return e
-}
+// isCancelled says whether the caller gave up, as against ctx's deadline passing.
+func isCancelled(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
 
 // hideEOF keeps a broken answer from being taken for a clean end by a reader
 // that tests with errors.Is(err, io.EOF).
--- a/target/judged_test.go
+++ b/target/judged_test.go
@@ -83,6 +83,16 @@
 	if dials.Get() != 1 {
 		t.Fatalf("%d dials, want 1", dials.Get())
 	}
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 50 { // an unused connection is at hand, but nobody wants the answer
+		_, err := client.Do(gone, streamCall("gone", address, 1))
+		wantError(t, err, result.CallerGone, result.RanNo)
+	}
+	read("r2b")
+	if n := len(e.Journal().Find("gone", journal.Received)); n != 0 {
+		t.Fatalf("%d requests of a caller that was gone were sent", n)
+	}
 	e.SetFaults(engine.Faults{DowntimeMillis: 1})
 	e.CrashNow()
 	eventually(t, "the restart", func() bool {
@@ -181,6 +191,24 @@
 	}
 }
 
+// TestPassedDeadlineIsATimeout tells a context's deadline from a cancelled caller.
+func TestPassedDeadlineIsATimeout(t *testing.T) {
+	e, address := startEngine(t, engine.Options{})
+	e.SetFaults(engine.Faults{Hang: true})
+	set := metrics.NewSet()
+	client := newClient(t, target.Options{Metrics: set})
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err := client.Do(ctx, streamCall("r", address, 1))
+	wantError(t, err, result.FirstByteTimeout, result.RanUnknown)
+	_, err = client.Load(ctx, address)
+	wantError(t, err, result.ConnectFailed, result.RanNo)
+	polls := set.GetOrCreateCounter(`walnut_load_poll_failures_total{reason="connect_timeout"}`)
+	if count(set, "first_byte_timeout") != 1 || polls.Get() != 1 {
+		t.Errorf("counters %d, %d", count(set, "first_byte_timeout"), polls.Get())
+	}
+}
+
 func TestResumedStreamIsWholeAndRunsOnce(t *testing.T) {
 	e, address := startEngine(t, engine.Options{Resumes: true})
 	e.SetFaults(engine.Faults{BreakAfterTokens: 5, Times: 1})
--- a/target/pool.go
+++ b/target/pool.go
@@ -4,12 +4,15 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // pool keeps unused connections by address, the most recent last.
 type pool struct {
-	options  Options
-	counters *counters
+	options Options
+	dials   *metrics.Counter
+	stale   *metrics.Counter
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -18,13 +21,14 @@
 	done   chan struct{}
 }
 
-func newPool(options Options, counters *counters) *pool {
+func newPool(options Options) *pool {
 	p := &pool{
-		options:  options,
-		counters: counters,
-		idle:     make(map[string][]*conn),
-		stop:     make(chan struct{}),
-		done:     make(chan struct{}),
+		options: options,
+		dials:   options.Metrics.GetOrCreateCounter("walnut_target_dials_total"),
+		stale:   options.Metrics.GetOrCreateCounter("walnut_target_stale_connections_total"),
+		idle:    make(map[string][]*conn),
+		stop:    make(chan struct{}),
+		done:    make(chan struct{}),
 	}
 	go p.pruneLoop()
 	return p
@@ -38,9 +42,10 @@
 			return p.dial(ctx, address)
 		}
 		if c.checker.Check() == nil {
+			c.attach()
 			return c, nil
 		}
-		p.counters.stale.Inc()
+		p.stale.Inc()
 		c.Close()
 	}
 }
@@ -62,16 +67,19 @@
 func (p *pool) dial(ctx context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.options.ConnectTimeout)
 	defer cancel()
-	p.counters.dials.Inc()
+	p.dials.Inc()
 	c, err := p.options.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	return newConn(c, address), nil
+	opened := newConn(c, address)
+	opened.attach()
+	return opened, nil
 }
 
 // put keeps a connection whose last answer was read whole.
 func (p *pool) put(c *conn) {
+	c.detach()
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
