Prove that every answer is whole and its own, with real processes

Faults: routers killed in the middle of streams, the scheduling router killed and frozen under load, streams broken at targets that can and cannot resume, the way to a target cut in the middle of a stream, callers that go away. Callers resend to other routers until answered; every answer is compared with the only right one, worked out from the request's own mark.

--- a/proctest/resend_test.go
+++ b/proctest/resend_test.go
@@ -10,8 +10,13 @@
 	"github.com/walnutcove/walnutcove/result"
 )
 
-// resendLimit bounds how long a caller goes on with one request.
-const resendLimit = 60 * time.Second
+const (
+	// resendLimit bounds how long a caller goes on with one request.
+	resendLimit = 60 * time.Second
+	// resendAfter is how long a caller waits for a router that says nothing,
+	// for example because it is frozen, before it turns to another.
+	resendAfter = 4 * time.Second
+)
 
 // mayResend says whether a caller should send a request again: it broke, no
 // router was reached, or the refusal says so. A request that may have run and
@@ -68,7 +73,7 @@
 }
 
 func (l *persistentLoad) call(caller, callers int, next func(int, *rand.Rand) load.Request) {
-	client := load.NewClient(patience)
+	client := load.NewClient(resendAfter)
 	defer client.Close()
 	random := rand.New(rand.NewPCG(uint64(caller), 1))
 	for n := caller; ; n += callers {
