Batch the claims of run records in the router

Every non-idempotent request commits a claim, and each router may make 50 commits a second, so of 10,000 mixed requests of 200 callers through three routers (a third of them non-idempotent) 3,065 were refused with 402: the batching table existed but the router did not use it. Claims and ends now go through it.

TestMixedRequests: 6,935 of 10,000 answered before, 10,000 after (one run each, also with the race detector).

--- a/router/router.go
+++ b/router/router.go
@@ -29,6 +29,7 @@
 	"github.com/walnutcove/walnutcove/peer"
 	"github.com/walnutcove/walnutcove/peer/tlsfiles"
 	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/platform/batch"
 	"github.com/walnutcove/walnutcove/runrecord"
 	"github.com/walnutcove/walnutcove/settings"
 	"github.com/walnutcove/walnutcove/target"
@@ -42,6 +43,7 @@
 	log         *slog.Logger
 
 	platform *platform.Client
+	batched  *batch.Table // the platform's table for run records
 	store    *store.Store
 	follower *follower.Follower
 	targets  *target.HTTPClient
@@ -177,8 +179,9 @@
 		Seed:     uint64(r.incarnation),
 	})
 	r.owners = newOwners(control.NodeID(s.Node.Name), r.incarnation, time.Now)
+	r.batched = batch.New(r.platform, batch.Options{Timeout: time.Duration(s.Platform.Timeout)})
 	r.records = runrecord.New(runrecord.Options{
-		Table:       r.platform,
+		Table:       r.batched,
 		Node:        control.NodeID(s.Node.Name),
 		Incarnation: r.incarnation,
 		OwnerAlive:  r.owners.alive,
@@ -303,6 +306,7 @@
 	expired, cancel := context.WithCancel(context.Background())
 	cancel()
 	_ = r.records.Close(expired)
+	r.batched.Close()
 	_ = r.operator.Shutdown(expired)
 	r.closeListeners()
 	_ = r.mesh.Close()
