--- a/filters/authenticate/authenticate.go
+++ b/filters/authenticate/authenticate.go
@@ -6,11 +6,10 @@
 	"context"
 	"strings"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/result/codecounter"
 )
 
 // Headers that carry a workspace key.
@@ -20,12 +19,8 @@
 	bearerScheme        = "Bearer "
 )
 
-// Counters of this package, one for each reason.
-var (
-	refusedMissing  = metrics.NewCounter(`walnut_authenticate_refusals_total{reason="key_missing"}`)
-	refusedWrong    = metrics.NewCounter(`walnut_authenticate_refusals_total{reason="key_wrong"}`)
-	refusedNotReady = metrics.NewCounter(`walnut_authenticate_refusals_total{reason="not_ready"}`)
-)
+var refusals = codecounter.New("walnut_authenticate_refusals_total",
+	result.KeyMissing, result.KeyWrong, result.NotReady)
 
 // Source gives the configuration in force.
 type Source interface {
@@ -48,20 +43,17 @@
 func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
 	key := takeKey(ex.Header)
 	if key == "" {
-		refusedMissing.Inc()
-		return result.New(result.KeyMissing, "Send the workspace key as Authorization: Bearer KEY or Walnut-Key: KEY.")
+		return refuse(result.KeyMissing, "Send the workspace key as Authorization: Bearer KEY or Walnut-Key: KEY.")
 	}
 	snapshot := f.source.InForce()
 	if snapshot == nil {
-		refusedNotReady.Inc()
-		return result.New(result.NotReady, "No configuration version is in force yet.")
+		return refuse(result.NotReady, "No configuration version is in force yet.")
 	}
 	// The lookup is by the digest of the key, so its time says nothing about
 	// how much of a guessed key is right.
 	name, ok := snapshot.Index().WorkspaceByKey([]byte(key))
 	if !ok {
-		refusedWrong.Inc()
-		return result.New(result.KeyWrong, "The workspace key is not known.")
+		return refuse(result.KeyWrong, "The workspace key is not known.")
 	}
 	ex.Snapshot = snapshot
 	ex.WorkspaceName = name
@@ -69,6 +61,12 @@
 	return next(ctx, ex)
 }
 
+// refuse counts and returns a refusal.
+func refuse(code result.Code, detail string) error {
+	refusals.Inc(code)
+	return result.New(code, "%s", detail)
+}
+
 // takeKey removes the key from the headers, so that it reaches no target, and
 // returns it.
 func takeKey(header map[string]string) string {
--- a/filters/classify/classify.go
+++ b/filters/classify/classify.go
@@ -75,7 +75,7 @@
 // Serve implements pipeline.Filter.
 func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
 	if refusal := f.classify(ex); refusal != nil {
-		countRefusal(refusal.Code)
+		refusals.Inc(refusal.Code)
 		return refusal
 	}
 	return next(ctx, ex)
--- a/filters/classify/metrics.go
+++ b/filters/classify/metrics.go
@@ -1,29 +1,16 @@
 package classify
 
 import (
-	"fmt"
-
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/result/codecounter"
 )
 
-var refusals = func() map[result.Code]*metrics.Counter {
-	codes := []result.Code{
-		result.BadRequest,
-		result.MethodNotAllowed,
-		result.UnknownPath,
-		result.UnknownModel,
-		result.PoolNotAllowed,
-		result.BadHeader,
-		result.IdempotencyKeyMissing,
-	}
-	counters := make(map[result.Code]*metrics.Counter, len(codes))
-	for _, code := range codes {
-		name := fmt.Sprintf("walnut_classify_refusals_total{reason=%q}", code.Info().Name)
-		counters[code] = metrics.NewCounter(name)
-	}
-	return counters
-}()
-
-func countRefusal(code result.Code) { refusals[code].Inc() }
+var refusals = codecounter.New("walnut_classify_refusals_total",
+	result.BadRequest,
+	result.MethodNotAllowed,
+	result.UnknownPath,
+	result.UnknownModel,
+	result.PoolNotAllowed,
+	result.BadHeader,
+	result.IdempotencyKeyMissing,
+)
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -5,17 +5,25 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/result/codecounter"
 	"github.com/walnutcove/walnutcove/target"
 )
 
+// refusals counts the calls to targets that gave no answer.
+var refusals = codecounter.New("walnut_dispatch_refusals_total",
+	result.ConnectFailed,
+	result.TargetRefused,
+	result.FirstByteTimeout,
+	result.TargetLostRequest,
+	result.TargetError,
+	result.CallerGone,
+)
+
 // Filter sends the request to ex.Address and hands the answer to Relay.
 type Filter struct {
 	// Client calls targets.
@@ -38,7 +46,7 @@
 	answer, err := f.send(ctx, ex)
 	if err != nil {
 		refusal := asResult(err)
-		countRefusal(refusal.Code)
+		refusals.Inc(refusal.Code)
 		ex.Run.End(OutcomeOf(refusal))
 		return refusal
 	}
@@ -150,8 +158,3 @@
 	}
 	return result.Wrap(result.TargetLostRequest, err, "The call to the target failed.")
 }
-
-func countRefusal(code result.Code) {
-	name := fmt.Sprintf(`walnut_dispatch_refused_total{reason=%q}`, code.Info().Name)
-	metrics.GetOrCreateCounter(name).Inc()
-}
--- a/filters/quarantine/quarantine.go
+++ b/filters/quarantine/quarantine.go
@@ -6,13 +6,12 @@
 	"context"
 	"sync"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/result/codecounter"
 )
 
-var refused = metrics.GetOrCreateCounter(`walnut_quarantine_refused_total{reason="quarantined"}`)
+var refusals = codecounter.New("walnut_quarantine_refusals_total", result.Quarantined)
 
 // Set is the set of quarantined fingerprints. The control loop changes it;
 // traffic goroutines read it. The zero value is empty.
@@ -69,7 +68,7 @@
 	if !f.Set.Contains(ex.Fingerprint) {
 		return nil
 	}
-	refused.Inc()
+	refusals.Inc(result.Quarantined)
 	refusal := result.New(result.Quarantined, "Targets crashed while they ran this request.")
 	if ex.Attempt > 1 {
 		refusal.Ran = result.RanUnknown
--- a/filters/ready/ready.go
+++ b/filters/ready/ready.go
@@ -7,10 +7,9 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/result/codecounter"
 )
 
 // The advice given with a refusal lies between these, at random, so that the
@@ -20,11 +19,7 @@
 	maxRetryAfter = 1500 * time.Millisecond
 )
 
-// Counters of this package, one for each reason.
-var (
-	refusedNotReady = metrics.NewCounter(`walnut_ready_refusals_total{reason="not_ready"}`)
-	refusedDraining = metrics.NewCounter(`walnut_ready_refusals_total{reason="draining"}`)
-)
+var refusals = codecounter.New("walnut_ready_refusals_total", result.NotReady, result.Draining)
 
 // State says whether the router takes new work. Its methods must be safe for
 // concurrent use.
@@ -49,16 +44,20 @@
 // Serve implements pipeline.Filter.
 func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
 	if f.state.Draining() {
-		refusedDraining.Inc()
-		return result.New(result.Draining, "This router is leaving.").After(retryAfter())
+		return refuse(result.Draining, "This router is leaving.")
 	}
 	if !f.state.Ready() {
-		refusedNotReady.Inc()
-		return result.New(result.NotReady, "No configuration version is in force yet.").After(retryAfter())
+		return refuse(result.NotReady, "No configuration version is in force yet.")
 	}
 	return next(ctx, ex)
 }
 
+// refuse counts and returns a refusal.
+func refuse(code result.Code, detail string) error {
+	refusals.Inc(code)
+	return result.New(code, "%s", detail).After(retryAfter())
+}
+
 func retryAfter() time.Duration {
 	return minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
 }
--- a/filters/retry/retry.go
+++ b/filters/retry/retry.go
@@ -7,14 +7,12 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/result/codecounter"
 )
 
 const (
@@ -26,6 +24,14 @@
 	maxBudget = 50.0
 )
 
+// Counters of this package: the retries by the failure that they follow, and
+// the retries that were not made.
+var (
+	retries = codecounter.New("walnut_retry_retries_total",
+		result.ConnectFailed, result.TargetRefused, result.TargetLostRequest, result.StreamBroken)
+	refusals = codecounter.New("walnut_retry_refusals_total", result.RetryBudgetEmpty)
+)
+
 // Filter retries.
 type Filter struct {
 	mu     sync.Mutex
@@ -63,7 +69,7 @@
 		if !f.spend() {
 			return budgetEmpty(refusal)
 		}
-		countRetry(refusal.Code)
+		retries.Inc(refusal.Code)
 		ex.Excluded = append(ex.Excluded, ex.Target)
 	}
 }
@@ -115,12 +121,8 @@
 // budgetEmpty says that the request failed and was not retried. It keeps the
 // outcome of the failure.
 func budgetEmpty(failure *result.Error) error {
+	refusals.Inc(result.RetryBudgetEmpty)
 	refusal := result.Wrap(result.RetryBudgetEmpty, failure, "The request failed and too many others are being retried.")
 	refusal.Ran = failure.Ran
 	return refusal.After(time.Second)
 }
-
-func countRetry(code result.Code) {
-	name := fmt.Sprintf(`walnut_retry_attempts_total{reason=%q}`, code.Info().Name)
-	metrics.GetOrCreateCounter(name).Inc()
-}
--- a/front/answer.go
+++ b/front/answer.go
@@ -44,6 +44,7 @@
 	var refusal *result.Error
 	if !errors.As(err, &refusal) {
 		s.log.Error("front: Pipeline gave an error without a code.", "request", id, "error", err)
+		refusals.Inc(result.Internal)
 		refusal = result.Wrap(result.Internal, err, "The router failed.")
 	}
 	countResult(refusal.Code)
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/result/codecounter"
 )
 
 // Counters of this package.
@@ -14,12 +15,8 @@
 	streamsBroken = metrics.NewCounter("walnut_accept_streams_broken_total")
 	callersGone   = metrics.NewCounter("walnut_accept_callers_gone_total")
 
-	refusals = map[result.Code]*metrics.Counter{
-		result.BadRequest:      refusalCounter(result.BadRequest),
-		result.BodyTooLarge:    refusalCounter(result.BodyTooLarge),
-		result.HeadersTooLarge: refusalCounter(result.HeadersTooLarge),
-		result.SlowSender:      refusalCounter(result.SlowSender),
-	}
+	refusals = codecounter.New("walnut_accept_refusals_total",
+		result.BadRequest, result.BodyTooLarge, result.HeadersTooLarge, result.SlowSender, result.Internal)
 )
 
 // results counts every numbered code that callers are given, by any filter.
@@ -37,13 +34,3 @@
 		counter.Inc()
 	}
 }
-
-func refusalCounter(code result.Code) *metrics.Counter {
-	return metrics.NewCounter(fmt.Sprintf("walnut_accept_refusals_total{reason=%q}", code.Info().Name))
-}
-
-func countRefusal(code result.Code) {
-	if counter, ok := refusals[code]; ok {
-		counter.Inc()
-	}
-}
--- a/front/refuse.go
+++ b/front/refuse.go
@@ -17,7 +17,7 @@
 func (s *Server) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
 	ctx.Conn().(*callerConn).linger = true
 	refusal := unreadError(err)
-	countRefusal(refusal.Code)
+	refusals.Inc(refusal.Code)
 	s.writeError(ctx, s.ids.next().text, refusal)
 }
 
@@ -47,7 +47,7 @@
 	default:
 		return nil
 	}
-	countRefusal(refusal.Code)
+	refusals.Inc(refusal.Code)
 	return refusal
 }
 
--- a/front/serve.go
+++ b/front/serve.go
@@ -58,6 +58,7 @@
 	defer func() {
 		if p := recover(); p != nil {
 			s.log.Error("front: Pipeline panicked.", "request", r.ex.ID, "panic", p, "stack", string(debug.Stack()))
+			refusals.Inc(result.Internal)
 			err = result.New(result.Internal, "The router failed.")
 		}
 	}()
--- a/operator/server.go
+++ b/operator/server.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/result/codecounter"
 )
 
 const (
@@ -25,6 +26,19 @@
 	requestTimeout = 20 * time.Second
 )
 
+// refusals counts the codes that operators are given.
+var refusals = codecounter.New("walnut_operator_refusals_total",
+	result.VersionConflict,
+	result.InvalidPatch,
+	result.InvalidDeclaration,
+	result.PlatformUnavailable,
+	result.UnknownVersion,
+	result.OperatorKeyWrong,
+	result.CommitUnknown,
+	result.UnknownRouter,
+	result.RouterUnreachable,
+)
+
 // Options configure a Server.
 type Options struct {
 	// Address is the listener's "ip:port". It decides whether KeyHashes may be empty.
@@ -96,7 +110,7 @@
 	discardBody(ctx)
 	body := errorBody(err, fallback)
 	code := result.Code(body.Code)
-	refusals(body.Name).Inc()
+	refusals.Inc(code)
 	s.log.Info("operator: Request refused.", "path", string(ctx.Path()), "code", body.Code, "reason", body.Name, "error", err)
 	s.answer(ctx, code.Info().Status, body)
 }
@@ -113,10 +127,6 @@
 	ctx.SetBody(append(raw, '\n'))
 }
 
-func refusals(reason string) *metrics.Counter {
-	return metrics.GetOrCreateCounter(fmt.Sprintf("walnut_operator_refusals_total{reason=%q}", reason))
-}
-
 func requests(route string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf("walnut_operator_requests_total{route=%q}", route))
 }
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -10,11 +10,17 @@
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/result/codecounter"
 )
 
 var (
 	grantWait   = metrics.GetOrCreateHistogram(`walnut_grant_wait_seconds`)
-	serviceTime = metrics.GetOrCreateHistogram(`walnut_run_service_seconds`)
+	serviceTime = metrics.GetOrCreateHistogram(`walnut_grant_service_seconds`)
+
+	admitRefusals = codecounter.New("walnut_admit_refusals_total",
+		result.QueueFull, result.QueueBytesFull, result.Draining, result.NotReady)
+	grantRefusals = codecounter.New("walnut_grant_refusals_total",
+		result.DeadlineBeforeGrant, result.NoTarget, result.CallerGone, result.Quarantined)
 )
 
 // grants gives slots to the grant filter. It implements grant.Source.
@@ -30,7 +36,7 @@
 	select {
 	case g.loop.asks <- ask{event: event, waiter: w}:
 	case <-g.loop.done:
-		return result.New(result.Draining, "The router has stopped.")
+		return countRefusal(result.New(result.Draining, "The router has stopped."))
 	}
 	select {
 	case answer := <-w.answer:
@@ -43,7 +49,7 @@
 		g.withdraw(event.Request, w)
 		return countRefusal(result.New(result.CallerGone, "The request was cancelled."))
 	case <-g.loop.done:
-		return result.New(result.Draining, "The router has stopped.")
+		return countRefusal(result.New(result.Draining, "The router has stopped."))
 	}
 }
 
@@ -110,8 +116,11 @@
 
 // countRefusal counts a refusal by its reason and returns it.
 func countRefusal(refusal *result.Error) error {
-	info := refusal.Code.Info()
-	name := `walnut_` + info.Filter + `_refused_total{reason="` + info.Name + `"}`
-	metrics.GetOrCreateCounter(name).Inc()
+	switch refusal.Code {
+	case result.QueueFull, result.QueueBytesFull, result.Draining, result.NotReady:
+		admitRefusals.Inc(refusal.Code)
+	default:
+		grantRefusals.Inc(refusal.Code)
+	}
 	return refusal
 }
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"reflect"
 	"strings"
 	"unicode"
@@ -10,18 +11,36 @@
 	"github.com/walnutcove/walnutcove/control"
 )
 
-// publishCounters exports the counters of the control state machine, each as
-// walnut_control_<name>_total, until the returned function is called. They are
-// read from the copy that the control goroutine leaves at each tick.
-func (l *loop) publishCounters(node string) (stop func()) {
+// publishMetrics exports the state of this router and the counters of its
+// control state machine until the returned function is called.
+func (r *Router) publishMetrics() (stop func()) {
 	set := metrics.NewSet()
+	node := fmt.Sprintf("{node=%q}", r.settings.Node.Name)
+	set.NewGauge("walnut_router_ready"+node, func() float64 { return oneIf(r.Ready() && !r.Draining()) })
+	set.NewGauge("walnut_router_draining"+node, func() float64 { return oneIf(r.Draining()) })
+	set.NewGauge("walnut_config_version"+node, func() float64 { return float64(r.follower.Version()) })
+	set.NewGauge("walnut_accept_active"+node, func() float64 { return float64(r.front.Active()) })
+	r.loop.publishCounters(set, node)
+	metrics.RegisterSet(set)
+	return func() { metrics.UnregisterSet(set, true) }
+}
+
+func oneIf(condition bool) float64 {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
+// publishCounters exports each counter of the control state machine as
+// walnut_control_<name>_total. They are read from the copy that the control
+// goroutine leaves at each tick.
+func (l *loop) publishCounters(set *metrics.Set, labels string) {
 	fields := reflect.TypeFor[control.Counters]()
 	for i := range fields.NumField() {
-		name := "walnut_control_" + snakeCase(fields.Field(i).Name) + `_total{node="` + node + `"}`
+		name := "walnut_control_" + snakeCase(fields.Field(i).Name) + "_total" + labels
 		set.NewGauge(name, func() float64 { return l.counter(i) })
 	}
-	metrics.RegisterSet(set)
-	return func() { metrics.UnregisterSet(set, true) }
 }
 
 // counter returns the counter of a field of control.Counters.
--- a/router/router.go
+++ b/router/router.go
@@ -19,6 +19,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/config/follower"
 	"github.com/walnutcove/walnutcove/config/store"
@@ -172,11 +174,13 @@
 	r.targets = target.NewHTTPClient(target.Options{
 		FirstByteTimeout: time.Duration(s.Limits.FirstByteTimeout),
 		StallTimeout:     time.Duration(s.Limits.StallTimeout),
+		Metrics:          metrics.GetDefaultSet(),
 	})
 	r.poller = loadpoll.New(loadpoll.Options{
 		Client:   r.targets,
 		OnResult: r.loadPolled,
 		Seed:     uint64(r.incarnation),
+		Metrics:  metrics.GetDefaultSet(),
 	})
 	r.owners = newOwners(control.NodeID(s.Node.Name), r.incarnation, time.Now)
 	r.batched = batch.New(r.platform, batch.Options{Timeout: time.Duration(s.Platform.Timeout)})
@@ -236,7 +240,7 @@
 func (r *Router) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	r.unpublish = r.loop.publishCounters(r.settings.Node.Name)
+	r.unpublish = r.publishMetrics()
 	go r.loop.run(r.stopLoop)
 	r.start(func() { r.follower.Run(ctx) })
 	r.start(func() { r.followVMs(ctx) })
