--- a/peer/fault_test.go
+++ b/peer/fault_test.go
@@ -162,7 +162,10 @@
 // TestHalfOpenSessionGivesWay: b lost the session that a dialled, unnoticed by
 // a, and dials. a prefers its own session only until that fails a ping.
 func TestHalfOpenSessionGivesWay(t *testing.T) {
-	a := start(t, "a", 1, func(o *Options) { o.WriteTimeout = time.Second })
+	a := start(t, "a", 1, func(o *Options) {
+		o.WriteTimeout = time.Second
+		o.KeepAliveAfter = 10 * patience // only the refusal may ping
+	})
 	other := listenRaw(t)
 	a.SetPeers(map[control.NodeID]string{"b": other.Addr().String()})
 	a.Send("b", heartbeat(1))
