--- /dev/null
+++ b/bench/capacity/platformcost.go
@@ -0,0 +1,184 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/config/store"
+	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/standin/engine"
+	standin "github.com/walnutcove/walnutcove/standin/platform"
+	"github.com/walnutcove/walnutcove/target"
+)
+
+// callsCounted is how many calls each figure of this file is the mean of.
+const callsCounted = 100
+
+// measureVMList is one reading of the list of VMs.
+func measureVMList(nodes int, _ uint64) ([]Value, error) {
+	var vms []platform.VM
+	for n := range nodes {
+		vms = append(vms, platform.VM{
+			Name: string(nodeName(n)), DataCentre: centreName(n % letterCentres),
+			PeerAddress: fmt.Sprintf("10.1.%d.%d:7000", n/200, n%200+1), State: platform.VMLive,
+		})
+	}
+	return withPlatform(vms, func(client *platform.Client) error {
+		_, err := client.ListVMs(context.Background())
+		return err
+	})
+}
+
+// measureConfigPoll is one look at the configuration store that finds nothing
+// new, in a table of that many versions.
+func measureConfigPoll(versions int, _ uint64) ([]Value, error) {
+	var opened *store.Store
+	return withPlatform(nil, func(client *platform.Client) error {
+		if opened == nil {
+			opened = store.New(client, client.Objects(), store.Options{})
+			if err := fillVersions(opened, versions); err != nil {
+				return err
+			}
+		}
+		_, err := opened.Since(context.Background(), versionOf(versions))
+		return err
+	})
+}
+
+// withPlatform makes a call many times to the platform's stand-in. The first
+// call prepares and is not counted.
+func withPlatform(vms []platform.VM, call func(*platform.Client) error) ([]Value, error) {
+	server := standin.New(standin.Options{VMs: vms})
+	address, err := server.Start("127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer server.Close()
+	set := metrics.NewSet()
+	client := platform.NewClient(platform.Options{Address: address, Metrics: set, WritesPerSecond: 1e6, WriteBurst: 1000})
+	defer client.Close()
+	if err := call(client); err != nil {
+		return nil, err
+	}
+	sent := set.GetOrCreateCounter("walnut_platform_sent_bytes_total")
+	received := set.GetOrCreateCounter("walnut_platform_received_bytes_total")
+	before := sent.Get() + received.Get()
+	spent := processorTime()
+	for range callsCounted {
+		if err := call(client); err != nil {
+			return nil, err
+		}
+	}
+	spent = processorTime() - spent
+	bytes := sent.Get() + received.Get() - before
+	return []Value{
+		{"bytes/call", float64(bytes) / callsCounted},
+		{"us/call, with stand-in", float64(spent.Microseconds()) / callsCounted},
+	}, nil
+}
+
+// measureLoadPoll is one load poll of an engine with that many cached prefixes.
+func measureLoadPoll(prefixes int, _ uint64) ([]Value, error) {
+	e := engine.New(engine.Options{PrefixEntries: max(1, prefixes), Step: time.Microsecond})
+	address, err := e.Start("127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer e.Close()
+	if err := fillPrefixes(address, prefixes); err != nil {
+		return nil, err
+	}
+	counter, err := newByteCounter(address)
+	if err != nil {
+		return nil, err
+	}
+	defer counter.close()
+	client := target.NewHTTPClient(target.Options{})
+	defer client.Close()
+	spent := processorTime()
+	for range callsCounted {
+		if _, err := client.Load(context.Background(), counter.address()); err != nil {
+			return nil, err
+		}
+	}
+	spent = processorTime() - spent
+	load := e.Load()
+	return []Value{
+		{"bytes/poll", float64(counter.bytes.Load()) / callsCounted},
+		{"us/poll, with stand-in", float64(spent.Microseconds()) / callsCounted},
+		{"prefixes", float64(len(load.CachedPrefixes))},
+	}, nil
+}
+
+// fillPrefixes lets an engine cache prompts with different beginnings.
+func fillPrefixes(address string, prefixes int) error {
+	client := target.NewHTTPClient(target.Options{})
+	defer client.Close()
+	for n := range prefixes {
+		body := fmt.Sprintf(`{"model":"m","max_tokens":1,"prompt":"%04d %0300d"}`, n, n)
+		answer, err := client.Do(context.Background(), target.Request{
+			ID: fmt.Sprint(n), Address: address, Method: "POST", Path: "/v1/completions", Body: []byte(body),
+			Header: map[string]string{"Content-Type": "application/json"},
+		})
+		if err != nil {
+			return err
+		}
+		_, _ = io.Copy(io.Discard, answer.Body)
+		_ = answer.Body.Close()
+	}
+	return nil
+}
+
+// byteCounter passes connections on and counts their bytes, both ways.
+type byteCounter struct {
+	listener net.Listener
+	to       string
+	bytes    atomic.Int64
+}
+
+func newByteCounter(to string) (*byteCounter, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	c := &byteCounter{listener: listener, to: to}
+	go c.accept()
+	return c, nil
+}
+
+func (c *byteCounter) address() string { return c.listener.Addr().String() }
+
+func (c *byteCounter) close() { _ = c.listener.Close() }
+
+func (c *byteCounter) accept() {
+	for {
+		from, err := c.listener.Accept()
+		if err != nil {
+			return
+		}
+		to, err := net.Dial("tcp", c.to)
+		if err != nil {
+			_ = from.Close()
+			continue
+		}
+		go c.pass(from, to)
+		go c.pass(to, from)
+	}
+}
+
+func (c *byteCounter) pass(from, to net.Conn) {
+	defer to.Close()
+	_, _ = io.Copy(io.MultiWriter(to, c), from)
+}
+
+// Write counts.
+func (c *byteCounter) Write(p []byte) (int, error) {
+	c.bytes.Add(int64(len(p)))
+	return len(p), nil
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/walnutcove/walnutcove/bench/capacity"
 	"github.com/walnutcove/walnutcove/bench/fair"
 	"github.com/walnutcove/walnutcove/bench/latency"
 )
@@ -19,6 +20,7 @@
 type commandLine struct {
 	Latency latencyCommand `cmd:"" help:"Latency that a router adds to an uncontended request."`
 	Fair    fairCommand    `cmd:"" help:"Utilisation, fairness gap and control traffic of a policy."`
+	Slopes  slopesCommand  `cmd:"" help:"What grows with the fleet, the load and the configuration, in one process."`
 }
 
 type latencyCommand struct {
@@ -66,6 +68,26 @@
 	return fair.Run(ctx, k.Stdout, options)
 }
 
+type slopesCommand struct {
+	Only    []string `help:"Mechanisms to measure; all if left out."`
+	Repeats int      `default:"5" help:"Repeats at each size."`
+	CSV     string   `help:"File for the raw rows." placeholder:"FILE"`
+}
+
+// Run runs the measurement.
+func (c *slopesCommand) Run(ctx context.Context, k *kong.Context) error {
+	options := capacity.Slopes{Only: c.Only, Repeats: c.Repeats}
+	if c.CSV != "" {
+		file, err := os.Create(c.CSV)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		options.CSV = file
+	}
+	return options.Run(ctx, k.Stdout)
+}
+
 func main() {
 	var line commandLine
 	parsed := kong.Parse(&line, kong.Name("bench"), kong.Description("Measurements of walnutcove."))
