--- a/proctest/fleet_test.go
+++ b/proctest/fleet_test.go
@@ -25,7 +25,6 @@
 	servicePool = "deploy"
 	model       = "walnut-small"
 	servicePath = "/svc/deploy"
-	dataCentre  = "ikeja"
 
 	// patience bounds every wait for something that must come.
 	patience = 30 * time.Second
@@ -47,6 +46,11 @@
 	notResuming bool
 	// workspaces by name with their shares. Default bakery 2, school 1.
 	workspaces map[string]float64
+	// maxQueued bounds each workspace's queue at a router. Default 256.
+	maxQueued int
+	// dataCentres are those of the routers in turn; engine n is in that of
+	// router n. Default: all in one.
+	dataCentres [routerCount]string
 	// edit changes the routers' settings.
 	edit func(*settings.Settings)
 }
@@ -110,6 +114,9 @@
 	setDefault(&o.engineSlots, 8)
 	setDefault(&o.serviceSlots, 4)
 	setDefault(&o.step, 2*time.Millisecond)
+	if o.dataCentres[0] == "" {
+		o.dataCentres = [routerCount]string{"ikeja", "ikeja", "ikeja"}
+	}
 	if o.workspaces == nil {
 		o.workspaces = map[string]float64{"bakery": 2, "school": 1}
 	}
@@ -179,20 +186,19 @@
 			Slots: f.options.engineSlots, Step: f.options.step, Resumes: !f.options.notResuming,
 		})
 		f.must(err)
-		f.addTarget(name, e, config.Target{Pool: enginePool, Slots: f.options.engineSlots, Resumes: !f.options.notResuming})
+		f.addTarget(name, e, config.Target{DataCentre: f.options.dataCentres[n%routerCount], Pool: enginePool, Slots: f.options.engineSlots, Resumes: !f.options.notResuming})
 	}
 	for n := range f.options.services {
 		name := fmt.Sprintf("service-%d", n+1)
 		s, err := processes.StartService(binaries, name, f.options.serviceSlots, "")
 		f.must(err)
-		f.addTarget(name, s, config.Target{Pool: servicePool, Slots: f.options.serviceSlots})
+		f.addTarget(name, s, config.Target{DataCentre: f.options.dataCentres[n%routerCount], Pool: servicePool, Slots: f.options.serviceSlots})
 	}
 }
 
 func (f *fleet) addTarget(name string, started *processes.StandIn, declared config.Target) {
 	f.targets[name] = started
 	f.targetWays[name] = newWay(f.t, name, started.Address)
-	declared.DataCentre = dataCentre
 	declared.Address = f.targetWays[name].address()
 	f.declared[name] = declared
 }
@@ -210,7 +216,7 @@
 		address, err := processes.FreeAddress()
 		f.must(err)
 		listen[n] = address
-		vms = append(vms, platform.VM{Name: routerName(n), DataCentre: dataCentre, PeerAddress: address, State: platform.VMLive})
+		vms = append(vms, platform.VM{Name: routerName(n), DataCentre: f.options.dataCentres[n], PeerAddress: address, State: platform.VMLive})
 	}
 	f.post("http://"+f.platform.Address+"/_vms", platform.VMsReply{VMs: vms}, nil)
 	for a := range routerCount {
@@ -232,7 +238,7 @@
 func (f *fleet) settings(n int, peers string) settings.Settings {
 	s := settings.Defaults()
 	s.Node.Name = routerName(n)
-	s.Node.DataCentre = dataCentre
+	s.Node.DataCentre = f.options.dataCentres[n]
 	s.Listen.Peers = peers
 	s.Platform.Address = f.platformWays[n].address()
 	s.Platform.Timeout = settings.Duration(time.Second)
@@ -257,6 +263,7 @@
 			Share:     share,
 			KeyHashes: []string{hex.EncodeToString(hash[:])},
 			Pools:     []string{enginePool, servicePool},
+			MaxQueued: f.options.maxQueued,
 		}
 	}
 	f.mustPatch(0, config.Declarations{
@@ -328,7 +335,8 @@
 	}
 }
 
-// scheduler returns the router that alone schedules a pool, or -1.
+// scheduler returns the router that alone schedules a pool of a fleet in one
+// data centre, or -1.
 func (f *fleet) scheduler(pool string, routers ...int) int {
 	found := -1
 	for _, n := range routers {
@@ -349,13 +357,38 @@
 	return found
 }
 
-// awaitSettled waits until exactly one router schedules each pool, so that the
+// awaitSettled waits until exactly one router schedules each shard, so that the
 // routers know of one another.
 func (f *fleet) awaitSettled() {
 	f.t.Helper()
-	for _, pool := range []string{enginePool, servicePool} {
-		f.eventually("one router schedules "+pool, func() bool { return f.scheduler(pool, 0, 1, 2) >= 0 })
+	shards := make(map[string]bool)
+	for _, target := range f.declared {
+		shards[target.Pool+"/"+target.DataCentre] = true
+	}
+	f.eventually("one router schedules each shard", func() bool {
+		schedulers := f.schedulers()
+		for _, count := range schedulers {
+			if count != 1 {
+				return false
+			}
+		}
+		return len(schedulers) == len(shards)
+	})
+}
+
+// schedulers counts the routers that schedule each shard.
+func (f *fleet) schedulers() map[string]int {
+	counts := make(map[string]int)
+	for n := range routerCount {
+		var status operator.Status
+		if err := get(f.operators(n)+operator.PathStatus, &status); err != nil {
+			return nil
+		}
+		for _, shard := range status.Shards {
+			counts[shard.Pool+"/"+shard.DataCentre]++
+		}
 	}
+	return counts
 }
 
 // isolate cuts a router from the other routers, both ways.
