--- /dev/null
+++ b/bench/throughput/throughput.go
@@ -0,0 +1,140 @@
+// Package throughput measures how many requests a second one router relays and
+// what processor time each costs it. The targets have more slots than callers
+// keep busy, so that the router is what is measured.
+package throughput
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/walnutcove/walnutcove/bench/fleet"
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/load"
+)
+
+// Options configure the experiment.
+type Options struct {
+	// Callers are the numbers of requests kept in flight, one line each.
+	Callers []int
+	// Duration is how long callers send in each repeat.
+	Duration time.Duration
+	Repeats  int
+	// Tokens is the length of a streamed answer.
+	Tokens int
+}
+
+const (
+	model     = "walnut-small"
+	pool      = "drafting"
+	workspace = "bakery"
+	key       = "bakery-key"
+	targets   = 4
+	slots     = 512
+	// clockTicks is the unit of /proc/PID/stat, in ticks a second.
+	clockTicks = 100
+)
+
+// Run makes the measurement and writes a table.
+func Run(ctx context.Context, out io.Writer, o Options) error {
+	f, err := fleet.Start(ctx, fleet.Options{
+		DataCentres: []string{"ikeja"},
+		Routers:     1,
+		Pools: map[string]fleet.Pool{pool: {
+			Declared: config.Pool{Kind: config.KindEngine, Models: []string{model}},
+			Targets:  targets,
+			Slots:    slots,
+			Step:     time.Millisecond,
+		}},
+		Workspaces: map[string]config.Workspace{workspace: fleet.Workspace(key, 1, pool)},
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	fmt.Fprintln(out, "callers  repeat  requests/s  tokens/s  core us/request  first part p50  p95  p99  whole p50  p99")
+	for _, callers := range o.Callers {
+		for repeat := range o.Repeats {
+			if err := runOnce(ctx, out, f, o, callers, repeat+1); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func runOnce(ctx context.Context, out io.Writer, f *fleet.Fleet, o Options, callers, repeat int) error {
+	pid := f.Routers[0].PID()
+	before, err := processorTime(pid)
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	summary := send(ctx, f, o, callers)
+	elapsed := time.Since(start).Seconds()
+	after, err := processorTime(pid)
+	if err != nil {
+		return err
+	}
+	answered := summary.Count(load.Answered)
+	if answered == 0 || summary.Count(load.Wrong) > 0 {
+		return fmt.Errorf("%d callers: %v", callers, summary)
+	}
+	rate := float64(answered) / elapsed
+	cost := (after - before).Seconds() * 1e6 / float64(answered)
+	fmt.Fprintf(out, "%7d  %6d  %10.0f  %8.0f  %15.0f  %v  %v  %v  %v  %v\n",
+		callers, repeat, rate, rate*float64(o.Tokens), cost,
+		summary.FirstPart(50), summary.FirstPart(95), summary.FirstPart(99),
+		summary.Whole(50), summary.Whole(99))
+	return nil
+}
+
+func send(ctx context.Context, f *fleet.Fleet, o Options, callers int) *load.Summary {
+	sendCtx, cancel := context.WithTimeout(ctx, o.Duration)
+	defer cancel()
+	run := load.Run{
+		Routers: f.Callers(),
+		Callers: callers,
+		Seed:    1,
+		Next: func(n int, _ *rand.Rand) load.Request {
+			return load.Request{
+				Kind:      load.Stream,
+				Workspace: workspace,
+				Key:       key,
+				Mark:      fmt.Sprintf("m%d", n),
+				Model:     model,
+				MaxTokens: o.Tokens,
+			}
+		},
+	}
+	return run.Do(sendCtx)
+}
+
+// processorTime returns the processor time that a process has used.
+func processorTime(pid int) (time.Duration, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	// The command, in parentheses, may hold spaces: fields are counted after it.
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	const userTime, systemTime = 11, 12
+	if len(fields) <= systemTime {
+		return 0, fmt.Errorf("/proc/%d/stat has %d fields", pid, len(fields))
+	}
+	var ticks int64
+	for _, field := range []string{fields[userTime], fields[systemTime]} {
+		n, err := strconv.ParseInt(field, 10, 64)
+		if err != nil {
+			return 0, err
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / clockTicks, nil
+}
--- a/operator/backend.go
+++ b/operator/backend.go
@@ -4,6 +4,8 @@
 //	GET  /healthz                      the process answers
 //	GET  /readyz                       the router takes callers' requests
 //	GET  /metrics                      counters in Prometheus text format
+//	GET  /debug/pprof/profile          ?seconds=N; processor profile
+//	GET  /debug/pprof/heap             memory profile
 //	GET  /operator/v1/config           ?version=N; the newest if absent
 //	POST /operator/v1/patches          body: config.Patch; answers PatchAccepted
 //	GET  /operator/v1/history          ?before=N&limit=N; newest first
--- a/operator/routes.go
+++ b/operator/routes.go
@@ -30,6 +30,8 @@
 	PathHealthz:  {fasthttp.MethodGet, true, result.PlatformUnavailable, (*Server).healthz},
 	PathReadyz:   {fasthttp.MethodGet, true, result.PlatformUnavailable, (*Server).readyz},
 	PathMetrics:  {fasthttp.MethodGet, false, result.PlatformUnavailable, (*Server).metrics},
+	PathProfile:  {fasthttp.MethodGet, false, result.PlatformUnavailable, (*Server).cpuProfile},
+	PathHeap:     {fasthttp.MethodGet, false, result.PlatformUnavailable, (*Server).heapProfile},
 	PathConfig:   {fasthttp.MethodGet, false, result.PlatformUnavailable, (*Server).config},
 	PathPatches:  {fasthttp.MethodPost, false, result.CommitUnknown, (*Server).patch},
 	PathHistory:  {fasthttp.MethodGet, false, result.PlatformUnavailable, (*Server).history},
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -143,6 +143,8 @@
 		{"GET", PathReadyz, "", "", 503},
 		{"GET", PathMetrics, "", "", 401},
 		{"GET", PathMetrics, testKey, "", 200},
+		{"GET", PathHeap, "", "", 401},
+		{"GET", PathHeap, testKey, "", 200},
 		{"GET", PathStatus, "", "", 401},
 		{"GET", PathStatus, testKey + "x", "", 401},
 		{"GET", PathStatus, testKey, "", 200},
--- a/operator/types.go
+++ b/operator/types.go
@@ -11,6 +11,8 @@
 	PathHealthz  = "/healthz"
 	PathReadyz   = "/readyz"
 	PathMetrics  = "/metrics"
+	PathProfile  = "/debug/pprof/profile"
+	PathHeap     = "/debug/pprof/heap"
 	PathConfig   = "/operator/v1/config"
 	PathPatches  = "/operator/v1/patches"
 	PathHistory  = "/operator/v1/history"
