Log the course of each request, and warn of failures with request and target

The log said nothing of single requests, so a caller's request id led nowhere. Each request now has lines at debug for its arrival, grant, the begin of its answer and its end; failures of the router, a target or the platform are warnings with request, workspace, pool, target, attempt, code and cause, as are attempts that another one follows. Refusals for the caller's fault or for load stay at debug.

load.Result held the request id twice; RequestID is left.

Ran: go test -race of the packages changed.

--- a/bench/fair/join.go
+++ b/bench/fair/join.go
@@ -13,7 +13,7 @@
 func join(start time.Time, results []load.Result, entries []journal.Entry) measure.Record {
 	workspaceOf := make(map[string]string, len(results))
 	for _, r := range results {
-		workspaceOf[r.ID] = r.Request.Workspace
+		workspaceOf[r.RequestID] = r.Request.Workspace
 	}
 	var record measure.Record
 	type key struct {
@@ -45,7 +45,7 @@
 	}
 	for _, r := range results {
 		wait := measure.Wait{Workspace: r.Request.Workspace, From: r.Start.Sub(start), To: r.End.Sub(start)}
-		if at, ran := startedAt[r.ID]; ran {
+		if at, ran := startedAt[r.RequestID]; ran {
 			wait.To = at
 		}
 		record.Waits = append(record.Waits, wait)
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"time"
 
 	"github.com/walnutcove/walnutcove/control"
@@ -32,6 +33,8 @@
 	Relay func(ctx context.Context, ex *pipeline.Exchange, answer *target.Response) error
 	// FirstByteTimeout bounds the wait for the answer's head.
 	FirstByteTimeout time.Duration
+	// Log gets a line at debug for each answer that begins.
+	Log *slog.Logger
 }
 
 // Name implements pipeline.Filter.
@@ -50,6 +53,7 @@
 		ex.Run.End(OutcomeOf(refusal))
 		return refusal
 	}
+	pipeline.Log(ctx, f.Log, slog.LevelDebug, ex, "dispatch: Answer began.", slog.Int("status", answer.Status))
 	return f.Relay(ctx, ex, answer)
 }
 
--- a/filters/grant/grant.go
+++ b/filters/grant/grant.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"log/slog"
 
 	"github.com/walnutcove/walnutcove/pipeline"
 )
@@ -19,6 +20,8 @@
 type Filter struct {
 	// Source gives the slots.
 	Source Source
+	// Log gets a line at debug for each grant.
+	Log *slog.Logger
 }
 
 // Name implements pipeline.Filter.
@@ -29,5 +32,6 @@
 	if err := f.Source.Acquire(ctx, ex); err != nil {
 		return err
 	}
+	pipeline.Log(ctx, f.Log, slog.LevelDebug, ex, "grant: Slot granted.")
 	return next(ctx, ex)
 }
--- a/filters/relay/body.go
+++ b/filters/relay/body.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"sync"
 
 	"github.com/walnutcove/walnutcove/control"
@@ -71,6 +72,7 @@
 	b.source.Close()
 	b.source = answer.Body
 	resumed.Inc()
+	pipeline.Log(b.ctx, b.relay.Log, slog.LevelWarn, b.ex, "relay: Stream broke and was resumed.", slog.Int64("offset", b.offset))
 	return true
 }
 
--- a/filters/relay/relay.go
+++ b/filters/relay/relay.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"strings"
 	"time"
 
@@ -43,6 +44,8 @@
 	Client target.Client
 	// Request builds the call that resumes a stream at an offset.
 	Request func(ex *pipeline.Exchange, offset int64) target.Request
+	// Log gets a line at warn for each stream that is resumed.
+	Log *slog.Logger
 }
 
 // Answer sets the exchange's answer from the target's. An error means that no
--- a/filters/retry/retry.go
+++ b/filters/retry/retry.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -34,12 +35,14 @@
 
 // Filter retries.
 type Filter struct {
+	log *slog.Logger
+
 	mu     sync.Mutex
 	budget float64
 }
 
-// New returns a filter with a full budget.
-func New() *Filter { return &Filter{budget: maxBudget} }
+// New returns a filter with a full budget. It logs each retry to log.
+func New(log *slog.Logger) *Filter { return &Filter{log: log, budget: maxBudget} }
 
 // Name implements pipeline.Filter.
 func (f *Filter) Name() string { return "retry" }
@@ -70,10 +73,20 @@
 			return budgetEmpty(refusal)
 		}
 		retries.Inc(refusal.Code)
+		f.logRetry(ctx, ex, refusal)
 		ex.Excluded = append(ex.Excluded, ex.Target)
 	}
 }
 
+// logRetry tells of a failed attempt that another one follows.
+func (f *Filter) logRetry(ctx context.Context, ex *pipeline.Exchange, failure *result.Error) {
+	pipeline.Log(ctx, f.log, slog.LevelWarn, ex, "retry: Attempt failed, another follows.",
+		slog.Int("code", int(failure.Code)),
+		slog.String("reason", failure.Code.Info().Name),
+		slog.String("ran", failure.Ran.String()),
+		slog.Any("error", failure))
+}
+
 // retriable says whether the failure allows another attempt: the request
 // surely did not run at the target, or it is idempotent.
 func (f *Filter) retriable(ex *pipeline.Exchange, err error) (*result.Error, bool) {
--- a/filters/retry/retry_test.go
+++ b/filters/retry/retry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -16,7 +17,7 @@
 	t.Helper()
 	ex := &pipeline.Exchange{Idempotent: true, Deadline: time.Now().Add(time.Hour)}
 	attempt := 0
-	err := retry.New().Serve(context.Background(), ex, func(context.Context, *pipeline.Exchange) error {
+	err := retry.New(slog.New(slog.DiscardHandler)).Serve(context.Background(), ex, func(context.Context, *pipeline.Exchange) error {
 		attempt++
 		return failures[attempt-1]
 	})
--- a/front/refuse.go
+++ b/front/refuse.go
@@ -18,7 +18,9 @@
 	ctx.Conn().(*callerConn).linger = true
 	refusal := unreadError(err)
 	refusals.Inc(refusal.Code)
-	s.writeError(ctx, s.ids.next().text, refusal)
+	id := s.ids.next().text
+	s.log.Debug("front: Request could not be read.", "request", id, "code", int(refusal.Code), "error", refusal)
+	s.writeError(ctx, id, refusal)
 }
 
 func unreadError(err error) *result.Error {
--- a/front/serve.go
+++ b/front/serve.go
@@ -21,7 +21,9 @@
 	conn := ctx.Conn().(*callerConn) // every connection comes from callerListener
 	r := s.begin(ctx, conn)
 	err := checkRequest(ctx, r.ex)
-	if err == nil {
+	if err != nil {
+		s.log.Debug("front: Request refused.", "request", r.ex.ID, "error", err)
+	} else {
 		err = s.run(r)
 	}
 	if err == nil {
--- a/load/send.go
+++ b/load/send.go
@@ -40,8 +40,6 @@
 	Verdict Verdict
 	// RequestID is the router's id of the request; empty if no head came.
 	RequestID string
-	// ID is the request id that the router gave; empty if none came.
-	ID string
 	// Code and Ran are the router's numbered result; zero and empty if answered.
 	Code int
 	Ran  string
@@ -89,12 +87,11 @@
 	r.write(request, router)
 	done := Result{Request: r, Router: router, Start: time.Now()}
 	err := c.http.Do(request, response)
-	done.ID = string(response.Header.Peek("Walnut-Request-Id"))
+	done.RequestID = string(response.Header.Peek("Walnut-Request-Id"))
 	if err != nil {
 		done.End = time.Now()
 		return failed(done, err)
 	}
-	done.RequestID = string(response.Header.Peek("Walnut-Request-Id"))
 	body, err := readBody(response, &done)
 	done.End = time.Now()
 	if err != nil {
--- /dev/null
+++ b/pipeline/log.go
@@ -0,0 +1,34 @@
+package pipeline
+
+import (
+	"context"
+	"log/slog"
+)
+
+// Log writes a log line about an exchange: the message, the exchange's id and
+// what is known of it, and then attrs.
+func Log(ctx context.Context, log *slog.Logger, level slog.Level, ex *Exchange, message string, attrs ...slog.Attr) {
+	if !log.Enabled(ctx, level) {
+		return
+	}
+	log.LogAttrs(ctx, level, message, append(ex.logAttrs(), attrs...)...)
+}
+
+// logAttrs names the exchange, without what is not known yet.
+func (ex *Exchange) logAttrs() []slog.Attr {
+	attrs := make([]slog.Attr, 0, 12)
+	attrs = append(attrs, slog.String("request", ex.ID))
+	for _, known := range []struct{ key, value string }{
+		{"workspace", ex.WorkspaceName},
+		{"pool", ex.PoolName},
+		{"target", ex.Target},
+	} {
+		if known.value != "" {
+			attrs = append(attrs, slog.String(known.key, known.value))
+		}
+	}
+	if ex.Attempt > 0 {
+		attrs = append(attrs, slog.Int("attempt", ex.Attempt))
+	}
+	return attrs
+}
--- a/router/pipeline.go
+++ b/router/pipeline.go
@@ -10,6 +10,7 @@
 	"github.com/walnutcove/walnutcove/filters/quarantine"
 	"github.com/walnutcove/walnutcove/filters/ready"
 	"github.com/walnutcove/walnutcove/filters/relay"
+	"github.com/walnutcove/walnutcove/filters/requestlog"
 	"github.com/walnutcove/walnutcove/filters/retry"
 	"github.com/walnutcove/walnutcove/filters/runrecord"
 	"github.com/walnutcove/walnutcove/pipeline"
@@ -18,19 +19,21 @@
 // pipeline strings the filters together, in the order that requests flow.
 func (r *Router) pipeline() pipeline.Handler {
 	limits := r.settings.Limits
-	relaying := &relay.Relay{Client: r.targets, Request: dispatch.Request}
+	relaying := &relay.Relay{Client: r.targets, Request: dispatch.Request, Log: r.log}
 	return pipeline.Chain(
+		requestlog.New(r.log),
 		ready.New(r),
 		authenticate.New(r),
 		classify.New(classify.Options{DefaultDeadline: time.Duration(limits.DefaultDeadline)}),
 		&quarantine.Filter{Set: &r.suspects},
 		&runrecord.Filter{Keeper: r.records},
-		retry.New(),
-		&grant.Filter{Source: &grants{loop: r.loop}},
+		retry.New(r.log),
+		&grant.Filter{Source: &grants{loop: r.loop}, Log: r.log},
 		&dispatch.Filter{
 			Client:           r.targets,
 			Relay:            relaying.Answer,
 			FirstByteTimeout: time.Duration(limits.FirstByteTimeout),
+			Log:              r.log,
 		},
 	)
 }
