Measure slot time between the ends at a target; cover the handover

Cause: a grant beyond a target's slots waits in the target, and the entry's measure of its run held that wait and the way there and back. Charged with it, tiny requests got less than huge ones. And no such grant was made where scheduler and entry are one process, though the answer's end and the next request still take 2 ms, so slots idled.

A target now keeps the grants made beyond its slots in order; the end of a run starts the first of them. A run is charged for the time from its start, or for what the entry saw if that is less.

Ruled out: counting more than one grant beyond four slots (the bound of over-admission stays).

Window.Ended is given the loop itself now, not the time held; the tests' values are the same loops. The shape `sizes` has tiny requests of 10 tokens and 40 callers for them, so that they can fill a fair share.

--- a/bench/fair/shapes.go
+++ b/bench/fair/shapes.go
@@ -46,6 +46,8 @@
 	// one another, evenly spread over the orders of magnitude.
 	minTokens = 2
 	maxTokens = 200
+	// tinyTokens is the length of many tiny requests.
+	tinyTokens = 10
 	// callersEach is how many requests each workspace keeps in flight.
 	callersEach = 10
 	// floodFactor is how many times the callers of others a flood has.
@@ -77,7 +79,7 @@
 	"hints":      {Hint: roughAbsentDishonest},
 	"subsets":    {Targets: everyThirdTarget},
 	"shares":     {Share: func(n int) float64 { return float64(1 + n%8) }},
-	"sizes":      {Tokens: tinyOrHuge},
+	"sizes":      {Tokens: tinyOrHuge, Callers: manyTiny},
 }
 
 // withDefaults fills in what a shape leaves out.
@@ -150,11 +152,19 @@
 	return int(math.Exp(low + random.Float64()*(high-low)))
 }
 
+// manyTiny keeps enough of the tiny requests in flight for a fair share.
+func manyTiny(n int) int {
+	if n%2 == 0 {
+		return 4 * callersEach
+	}
+	return callersEach
+}
+
 // tinyOrHuge gives the even workspaces many tiny requests and the odd ones a
 // few huge ones.
 func tinyOrHuge(n int, _ *rand.Rand) int {
 	if n%2 == 0 {
-		return minTokens
+		return tinyTokens
 	}
 	return maxTokens
 }
--- a/control/accounting.go
+++ b/control/accounting.go
@@ -89,16 +89,6 @@
 
 func (w *workspace) idle() bool { return w.waiting == 0 && w.running == 0 }
 
-func (w *workspace) start(now Instant) {
-	w.running++
-	w.entry.Start(now)
-}
-
-func (w *workspace) end(now, started Instant, used time.Duration) {
-	w.running--
-	w.entry.End(started, used)
-}
-
 // estimate returns the cost estimate of the workspace's requests in a pool.
 func (w *workspace) estimate(pool string) *sched.Estimate {
 	e := w.estimates[pool]
--- a/control/control.go
+++ b/control/control.go
@@ -38,7 +38,7 @@
 //
 // A scheduler never holds more grants of a target than its slots and
 // max(1, slots/4), and more than its slots only where the time between two runs
-// would idle over 1 % of the slot. After a change of scheduler, or with two at
+// would idle over a quarter of a percent of the slot. After a change of scheduler, or with two at
 // once, each keeps to that bound by itself and leaves room for the load that it
 // sees in the target's reports, so k schedulers hold at most k times as much.
 // A new scheduler gives a target one grant until the first load report, or for
--- a/control/grants.go
+++ b/control/grants.go
@@ -32,7 +32,11 @@
 	workspace *workspace
 	hint      time.Duration
 	finger    uint64
-	started   Instant
+	// granted is when the grant was made or adopted, and started when it is
+	// taken to hold its slot: later if it waited behind others in the target.
+	granted, started Instant
+	// behind says that the target's slots were taken and none is free yet.
+	behind bool
 	// charged is the slot time charged so far.
 	charged time.Duration
 	// seen is when the entry last reported on the run; confirmed says that it did.
@@ -131,7 +135,7 @@
 		workspace: q.workspace,
 		hint:      q.ticket.CostHint,
 		finger:    q.ticket.Fingerprint,
-		started:   m.now,
+		granted:   m.now,
 		seen:      m.now,
 	}
 	m.counters.GrantsMade++
@@ -160,7 +164,8 @@
 		m.sched.byNode[g.ticket.Node] = of
 	}
 	of[g.id] = g
-	g.workspace.start(m.now)
+	g.workspace.running++
+	g.target.take(m.now, g)
 	g.charged = charge
 	m.charge(g.workspace, g.shard, charge)
 	m.armGrant(g)
@@ -179,7 +184,10 @@
 
 // armGrant sets the grant's timer to the next thing to do.
 func (m *Machine) armGrant(g *grant) {
-	at := min(g.seen+grantLease, g.started+g.charged)
+	at := g.seen + grantLease
+	if !g.behind {
+		at = min(at, g.started+g.charged)
+	}
 	if !g.confirmed {
 		at = min(at, g.sent+confirmWithin)
 	}
@@ -196,7 +204,7 @@
 		m.counters.GrantsResent++
 		m.sendGrant(g)
 	}
-	if used := m.now - g.started; used >= g.charged {
+	if used := m.now - g.started; !g.behind && used >= g.charged {
 		step := max(minTopUp, used/topUpPart)
 		m.charge(g.workspace, g.shard, used+step-g.charged)
 		g.charged = used + step
--- a/control/release.go
+++ b/control/release.go
@@ -51,7 +51,7 @@
 		target:    s.byName[r.Target],
 		workspace: m.workspaceHere(r.Workspace),
 		finger:    r.Fingerprint,
-		started:   m.now,
+		granted:   m.now,
 		seen:      m.now,
 		adopted:   true,
 	}
@@ -88,17 +88,14 @@
 // endGrant frees the slot and settles the charge.
 func (m *Machine) endGrant(g *grant, r Report, from NodeID) {
 	m.counters.GrantsEnded++
-	used := r.Service
-	if g.adopted {
-		used = min(used, m.now-g.started) // the rest was counted elsewhere
-	}
+	used := g.used(m.now, r.Service)
 	switch r.Outcome {
 	case OutcomeNotRun, OutcomeUnreachable, OutcomeRefused:
 		used = 0
 		g.target.window.Released(m.now)
 	case OutcomeAnswered:
-		g.workspace.estimate(g.shard.id.Pool).Learn(g.hint, r.Service)
-		m.measure(g, r.Service)
+		g.workspace.estimate(g.shard.id.Pool).Learn(g.hint, used)
+		m.measure(g, used, r.Service)
 	default:
 		g.target.window.Released(m.now)
 	}
@@ -114,19 +111,23 @@
 	m.settleShard(g.shard)
 }
 
-// measure teaches the target's window from a whole run.
-func (m *Machine) measure(g *grant, service time.Duration) {
+// measure teaches the target's window from a whole run: used is the slot time
+// and service what the entry saw, with the wait in the target.
+func (m *Machine) measure(g *grant, used, service time.Duration) {
 	if g.adopted {
 		g.target.window.Released(m.now)
 		return
 	}
-	g.target.window.Ended(m.now, service, m.now-g.started)
+	g.target.window.Ended(m.now, used, m.now-g.granted-service)
 }
 
 // settle forgets a grant and corrects the charge to what was used.
 func (m *Machine) settle(g *grant, used time.Duration) {
 	m.forgetGrant(g)
-	g.workspace.end(m.now, g.started, used)
+	if next := g.target.free(m.now, g, used); next != nil {
+		m.armGrant(next)
+	}
+	g.workspace.running--
 	m.charge(g.workspace, g.shard, used-g.charged)
 }
 
@@ -145,7 +146,7 @@
 func (m *Machine) reclaim(g *grant) {
 	m.counters.GrantsReclaimed++
 	g.target.window.Released(m.now)
-	m.settle(g, g.seen-g.started)
+	m.settle(g, g.used(m.now, g.seen-g.granted))
 	m.grantAll(g.shard)
 	m.settleShard(g.shard)
 }
--- a/control/sched/window.go
+++ b/control/sched/window.go
@@ -15,7 +15,11 @@
 	foreignTime = 3 * time.Second
 	// worthwhileLoop is the part of a run's slot time that may be lost between
 	// runs before the window admits more than the target's slots.
-	worthwhileLoop = 0.01
+	worthwhileLoop = 0.0025
+	// handover is the least time between two runs, also where entry and
+	// scheduler are one process: the last part of an answer has to reach the
+	// entry, and the next request the target.
+	handover = 2 * time.Millisecond
 	// averageWeight is the weight of a new sample in the moving averages.
 	averageWeight = 0.1
 	// slowRun and verySlowRun compare a run with the average: up to the first
@@ -97,7 +101,7 @@
 // extra returns how many grants beyond the slots cover the time between the
 // end of a run and the next one's start.
 func (w *Window) extra() int {
-	service, loop := w.service.value, w.loop.value
+	service, loop := w.service.value, max(w.loop.value, handover.Seconds())
 	if service <= 0 || loop < service*worthwhileLoop {
 		return 0
 	}
@@ -124,13 +128,13 @@
 	w.out = max(0, w.out-1)
 }
 
-// Ended counts a grant whose run took service; held is the time from the grant
-// to the news of its end.
-func (w *Window) Ended(now time.Duration, service, held time.Duration) {
+// Ended counts a grant whose run took service in a slot; loop is the time that
+// the messages took, from the grant to the news of its end.
+func (w *Window) Ended(now time.Duration, service, loop time.Duration) {
 	usual := w.service.value
 	w.Released(now)
 	w.service.add(service.Seconds())
-	w.loop.add(max(0, held-service).Seconds())
+	w.loop.add(max(0, loop).Seconds())
 	w.adapt(service.Seconds(), usual)
 }
 
--- a/control/sched/window_test.go
+++ b/control/sched/window_test.go
@@ -22,7 +22,7 @@
 			case 1:
 				if w.Out() > 0 {
 					service := time.Duration(rapid.IntRange(0, 2000).Draw(t, "service")) * time.Millisecond
-					w.Ended(now, service, service+time.Duration(rapid.IntRange(-10, 500).Draw(t, "loop"))*time.Millisecond)
+					w.Ended(now, service, time.Duration(rapid.IntRange(-10, 500).Draw(t, "loop"))*time.Millisecond)
 				}
 			default:
 				if w.Room(now) > 0 {
@@ -61,7 +61,7 @@
 		w.Granted(time.Second)
 	}
 	for range 4 {
-		w.Ended(2*time.Second, time.Second, time.Second)
+		w.Ended(2*time.Second, time.Second, 0)
 	}
 	w.Reported(2100*time.Millisecond, 4, 0, 4) // from before the ends
 	if room := w.Room(2100 * time.Millisecond); room != 4 {
@@ -75,7 +75,7 @@
 	for i := range 100 {
 		now := time.Second + time.Duration(i)*time.Millisecond
 		w.Granted(now)
-		w.Ended(now, 20*time.Millisecond, 22*time.Millisecond)
+		w.Ended(now, 20*time.Millisecond, 2*time.Millisecond)
 	}
 	if room := w.Room(2 * time.Second); room != 9 {
 		t.Errorf("room is %d for 8 slots with a loop of a tenth of a run", room)
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -108,7 +108,7 @@
 // dropShards forgets every queue and grant: others take over, or have done so.
 func (m *Machine) dropShards() {
 	for _, g := range m.sched.sortedGrants() {
-		m.settle(g, g.seen-g.started)
+		m.settle(g, g.used(m.now, g.seen-g.granted))
 	}
 	for _, s := range m.sched.sortedShards() {
 		m.dropShard(s)
--- a/control/target.go
+++ b/control/target.go
@@ -25,6 +25,9 @@
 	shard  *shard
 	name   string
 	window *sched.Window
+	// behind holds the grants made beyond the slots, oldest first: they wait in
+	// the target until a run there ends.
+	behind []*grant
 	// leaving and reportedLeaving say that it takes nothing new.
 	leaving, reportedLeaving bool
 	failures                 int
