Tell the end of a run to every node that may count it

Cause: while views differ, as in a fleet's first second, a run is reported to one scheduler after another. Its end went to the shard's present scheduler and to the one that granted it. A third that had adopted the run kept the slot and went on charging the workspace until the lease of 7 s ended, so that workspace was held back in the whole fleet meanwhile.

Ruled out: charges that stop growing without reports; that only bounds it.

--- a/control/runs.go
+++ b/control/runs.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/walnutcove/walnutcove/result"
@@ -23,13 +24,14 @@
 	attempt   uint32
 	grant     Grant
 	shard     ShardID
-	scheduler NodeID
 	workspace string
 	finger    uint64
 	started   Instant
 	// reportedTo is the scheduler that counts the run.
 	reportedTo NodeID
-	timer      timer
+	// told are the nodes that may count the run: its end goes to all of them.
+	told  []NodeID
+	timer timer
 }
 
 // endedKey tells who is to acknowledge the end of a grant.
@@ -49,6 +51,7 @@
 func (m *Machine) grantReceived(from NodeID, g Grant) {
 	if run := m.entry.runs[g.ID]; run != nil {
 		// The scheduler has not heard of the run yet.
+		run.tell(from)
 		m.send(from, run.report(m.now, PhaseRunning))
 		return
 	}
@@ -86,12 +89,12 @@
 		attempt:   r.ev.Attempt,
 		grant:     g,
 		shard:     shard,
-		scheduler: from,
 		workspace: r.ev.Workspace,
 		finger:    r.ev.Fingerprint,
 		started:   m.now,
 
 		reportedTo: from,
+		told:       []NodeID{from},
 	}
 	m.entry.runs[g.ID] = run
 	m.entry.granted[run.request] = run
@@ -138,8 +141,8 @@
 	}
 }
 
-// endRun reports the end of a run to the shard's scheduler, and to the one
-// that granted it if that is another.
+// endRun reports the end of a run to the shard's scheduler, and to the others
+// that may count it: one that is not told keeps the slot and goes on charging.
 func (m *Machine) endRun(run *run, outcome Outcome, service time.Duration) {
 	m.timers.stop(&run.timer)
 	delete(m.entry.runs, run.grant.ID)
@@ -151,8 +154,17 @@
 	report.Service = service
 	owner := m.owner(run.shard)
 	m.sendEnded(owner, report)
-	if run.scheduler != owner && m.view.Alive(string(run.scheduler)) {
-		m.sendEnded(run.scheduler, report)
+	for _, node := range run.told {
+		if node != owner && m.view.Alive(string(node)) {
+			m.sendEnded(node, report)
+		}
+	}
+}
+
+// tell notes that a node is told of the run.
+func (r *run) tell(node NodeID) {
+	if !slices.Contains(r.told, node) {
+		r.told = append(r.told, node)
 	}
 }
 
@@ -209,5 +221,6 @@
 func (m *Machine) reportRunning(r *run) {
 	m.timers.set(&r.timer, r, m.now+reportEvery)
 	r.reportedTo = m.owner(r.shard)
+	r.tell(r.reportedTo)
 	m.send(r.reportedTo, r.report(m.now, PhaseRunning))
 }
