Keep one fleet-wide level for each workspace

Causes, found by reading and by a trace of levels: - Each queue kept offsets of its own and each scheduler only the growth since it began, so queues disagreed about levels, and a wake in one shard erased what a workspace was owed in the whole fleet. - Three schedulers that saw the same lag all made up for it: they overshot. - The time since a grant counted as service. The slow start of a fresh fleet was never taken back from a count that only grows. - A workspace that woke was lifted to a level with estimates in it, 1 s for runs of 0.09 s in the first second, and a lift stays.

Now the accounting node holds the level: the growth of what ended, and lifts. Schedulers report what ended, what runs are expected to take, whether the workspace waits there, and the level that they know; a scheduler that starts anew, or an accounting node, learns the level from the others. A scheduler counts on the others where the workspace waits to grant as much as it does itself until it hears. A wake lifts to received service; a workspace that waits elsewhere, or did 50 ms ago, is owed up to 5 slot seconds / share. Workspaces are accounted for in groups of about 64, so that a scheduler sends one message for a period; the period follows the size of the fleet (9 routers: 90 ms, was 250 ms; a setting of 0, the new default, says so).

Ruled out: charges in the count that only grows (a correction could not be taken back); elapsed time in it (see above); marking reports after a change of the accounting node (random tests found growth counted twice where totals were lost; a contributor is heard anew instead after each level that is taken over).

TestRebaseForgetsWhatWasNotFollowed tested that service given during a pause is forgotten; it counts now, and a test as strict says so. TestOwnGrowsWhileRunning tested elapsed time; its place is taken by one of what is settled and pending.

--- a/control/account/account_test.go
+++ b/control/account/account_test.go
@@ -17,18 +17,18 @@
 	rapid.Check(t, func(t *rapid.T) {
 		// Two nodes take turns at the accounting; either may restart.
 		nodes := []*Totals{NewTotals(), NewTotals()}
-		sources := []Source{{"t", 1}, {"u", 1}}
 		turn := 0
 		entries := []*Entry{NewEntry(1), NewEntry(2)}
 		names := []Source{{"x", 1}, {"y", 1}}
 		now := time.Duration(0)
 		var late []func()
 		last := []float64{0, 0}
+		lifted := 0.0
 		exchange := func(loss bool) {
 			for i, e := range entries {
-				own, _ := e.Report(now)
+				report, _ := e.Report(false)
 				to := nodes[turn]
-				deliver := func() { to.Report(now, names[i], "w", own) }
+				deliver := func() { to.Report(now, names[i], "w", report) }
 				switch rapid.IntRange(0, 4).Draw(t, "fate") {
 				case 0:
 					if !loss {
@@ -44,13 +44,13 @@
 					deliver()
 				}
 			}
-			for k, node := range nodes {
+			for _, node := range nodes {
 				for from, counts := range node.Push(now) {
 					if loss && rapid.IntRange(0, 4).Draw(t, "totals") == 0 {
 						continue
 					}
 					i := slices.Index(names, from)
-					entries[i].Learn(sources[k], counts[0].Total, counts[0].Own)
+					entries[i].Learn(now, counts[0].Level, counts[0].Own, counts[0].Elsewhere)
 				}
 			}
 		}
@@ -58,74 +58,161 @@
 			now += 250 * time.Millisecond
 			for _, e := range entries {
 				served := time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond
-				e.Start(now)
+				e.Start()
 				e.Charge(served)
-				e.End(now, served)
+				e.End(served)
 			}
 			switch rapid.IntRange(0, 9).Draw(t, "fault") {
 			case 0:
 				nodes[turn] = NewTotals()
-				sources[turn].Incarnation++
 			case 1:
 				turn = 1 - turn
-				now += interestTime
+				if pause := rapid.IntRange(0, 2).Draw(t, "pause"); pause < 2 {
+					// Back soon: a session delivers in order or not at all.
+					now += time.Duration(pause) * interestTime / 2
+					late = nil
+				} else {
+					now += interestTime
+				}
 				late = nil // see the package doc for one that is later than this
 			case 2:
 				for _, f := range late {
 					f()
 				}
 				late = nil
+			case 3:
+				lift := rapid.Float64Range(0, 5).Draw(t, "lift")
+				entries[rapid.IntRange(0, 1).Draw(t, "lifted")].Lift(lift)
+				lifted += lift
 			}
 			exchange(true)
 			for i, e := range entries {
-				if e.others < last[i] {
-					t.Fatalf("the total fell from %v to %v", last[i], e.others)
+				if e.base < last[i] {
+					t.Fatalf("the level fell from %v to %v", last[i], e.base)
 				}
-				if e.others > entries[1-i].Own(now)+1e-6 {
-					t.Fatalf("learned %v of %v", e.others, entries[1-i].Own(now))
+				if most := entries[1-i].Own() + lifted; e.base > most+1e-6 {
+					t.Fatalf("learned %v of at most %v", e.base, most)
 				}
-				last[i] = e.others
+				last[i] = e.base
 			}
 		}
 		// From here on every message passes: growth is counted whole.
 		exchange(false)
 		exchange(false)
-		before := entries[0].others
-		entries[1].Start(now)
-		entries[1].End(now, 10*time.Second)
+		if a, b := entries[0].Own()+entries[0].base, entries[1].Own()+entries[1].base; math.Abs(a-b) > 1e-6 {
+			t.Fatalf("the schedulers know the levels %v and %v", a, b)
+		}
+		before := entries[0].base
+		entries[1].Start()
+		entries[1].End(10 * time.Second)
 		exchange(false)
-		if grown := entries[0].others - before; math.Abs(grown-5) > 1e-6 {
+		if grown := entries[0].base - before; math.Abs(grown-5) > 1e-6 {
 			t.Fatalf("10s at share 2 count for %v", grown)
 		}
 	})
 }
 
-func TestRebaseForgetsWhatWasNotFollowed(t *testing.T) {
+// TestLevelIsWholeAfterAPause unlearns between two messages: the level stays and
+// then holds all that was given meanwhile, whichever message comes twice or late.
+func TestLevelIsWholeAfterAPause(t *testing.T) {
 	e := NewEntry(1)
-	e.Learn(Source{"t", 1}, 100, 0)
-	e.Learn(Source{"t", 1}, 103, 1)
-	e.Rebase()
-	e.Learn(Source{"t", 1}, 900, 1)
-	e.Learn(Source{"t", 1}, 901, 1)
-	if total := e.Total(); total != 3 {
-		t.Errorf("the total is %v", total)
+	e.Learn(0, 100, 0, Elsewhere{})
+	e.Learn(0, 103, 1, Elsewhere{})
+	e.Unlearn()
+	if e.Known() || e.Total() != 102 {
+		t.Errorf("after a pause the total is %v, known %v", e.Total(), e.Known())
+	}
+	e.Learn(0, 900, 1, Elsewhere{})
+	e.Learn(0, 103, 1, Elsewhere{})
+	e.Learn(0, 900, 1, Elsewhere{})
+	if total := e.Total(); total != 899 || !e.Known() {
+		t.Errorf("the total is %v, known %v", total, e.Known())
 	}
 }
 
-func TestOwnGrowsWhileRunning(t *testing.T) {
+// TestOwnHoldsEndedRunsOnly checks what is settled and what is pending, and that
+// a change of the share counts for the runs in progress.
+func TestOwnHoldsEndedRunsOnly(t *testing.T) {
 	e := NewEntry(2)
-	e.Start(time.Second)
-	if own := e.Own(3 * time.Second); own != 1 {
-		t.Errorf("two seconds at share 2 count for %v", own)
+	e.Start()
+	e.Charge(6 * time.Second)
+	if own, pending := e.Own(), e.Pending(); own != 0 || pending != 3 {
+		t.Errorf("a run charged with six seconds at share 2 counts for %v, and %v pending", own, pending)
+	}
+	e.End(4 * time.Second)
+	e.Charge(-2 * time.Second)
+	if own, pending := e.Own(), e.Pending(); own != 2 || pending != 0 {
+		t.Errorf("four seconds at share 2 count for %v, and %v pending", own, pending)
+	}
+	e.Start()
+	e.Charge(2 * time.Second)
+	e.SetShare(1)
+	if total := e.Total(); total != 4 {
+		t.Errorf("two seconds pending at share 1 make %v", total)
+	}
+	e.End(time.Second)
+	e.Charge(-time.Second)
+	if own, total := e.Own(), e.Total(); own != 3 || total != 3 {
+		t.Errorf("a second more at share 1 makes %v, in all %v", own, total)
+	}
+}
+
+// TestSchedulerThatStartsAnewLearnsTheLevel also restarts the accounting node,
+// which is told it by the one scheduler that knows.
+func TestSchedulerThatStartsAnewLearnsTheLevel(t *testing.T) {
+	old, anew := NewEntry(1), NewEntry(1)
+	old.Lift(100)
+	old.Start()
+	old.End(7 * time.Second)
+	totals := NewTotals()
+	tell := func(e *Entry, name string, waiting bool) {
+		report, _ := e.Report(waiting)
+		totals.Report(time.Second, Source{name, 1}, "w", report)
+	}
+	tell(old, "old", true)
+	tell(anew, "anew", false)
+	for from, counts := range totals.Push(time.Second) {
+		e := map[string]*Entry{"old": old, "anew": anew}[from.Node]
+		e.Learn(time.Second, counts[0].Level, counts[0].Own, counts[0].Elsewhere)
+	}
+	if anew.Total() != 107 || !anew.Known() {
+		t.Errorf("the new scheduler starts at %v", anew.Total())
+	}
+	if !anew.WaitsElsewhere() || old.WaitsElsewhere() {
+		t.Errorf("the workspace waits at the old scheduler only")
+	}
+	anew.Expire(time.Second + interestTime + 1)
+	if anew.Known() || anew.WaitsElsewhere() || anew.Total() != 107 {
+		t.Errorf("what is known does not expire, or the level fell to %v", anew.Total())
+	}
+}
+
+// TestPendingIsToldApart checks that estimates count at the other schedulers
+// while the runs go on, and no longer.
+func TestPendingIsToldApart(t *testing.T) {
+	a, b := NewEntry(1), NewEntry(1)
+	totals := NewTotals()
+	exchange := func(now time.Duration) {
+		for i, e := range []*Entry{a, b} {
+			report, _ := e.Report(false)
+			totals.Report(now, Source{string(rune('a' + i)), 1}, "w", report)
+		}
+		for from, counts := range totals.Push(now) {
+			e := map[string]*Entry{"a": a, "b": b}[from.Node]
+			e.Learn(now, counts[0].Level, counts[0].Own, counts[0].Elsewhere)
+		}
 	}
-	e.End(time.Second, 4*time.Second)
-	if own := e.Own(10 * time.Second); own != 2 {
-		t.Errorf("four seconds at share 2 count for %v", own)
+	exchange(0)
+	a.Start()
+	a.Charge(4 * time.Second)
+	exchange(time.Second)
+	if b.Total() != 4 {
+		t.Errorf("a run charged with 4s counts for %v elsewhere", b.Total())
 	}
-	e.SetShare(10*time.Second, 1)
-	e.Start(10 * time.Second)
-	e.End(10*time.Second, time.Second)
-	if own := e.Own(20 * time.Second); own != 3 {
-		t.Errorf("a second more at share 1 makes %v", own)
+	a.End(2 * time.Second)
+	a.Charge(-2 * time.Second)
+	exchange(2 * time.Second)
+	if b.Total() != 2 || a.Total() != 2 {
+		t.Errorf("a run that took 2s counts for %v and %v elsewhere", a.Total(), b.Total())
 	}
 }
--- a/control/account/doc.go
+++ b/control/account/doc.go
@@ -1,16 +1,19 @@
-// Package account adds up what each workspace received in the whole fleet.
+// Package account keeps one level for each workspace over the whole fleet: the
+// normalised service that it received, and what it was lifted by when it woke
+// from idleness.
 //
-// Every scheduler counts the service that it gave (Ledger) and sends the count,
-// which only grows, to the accounting node of the workspace. That node adds up
-// the growth of all contributors (Totals) and sends the sum back. Receivers use
-// only the growth of the sum between two messages of the same accounting node,
-// so a lost, late or doubled message changes nothing for long, and a restart of
-// either side never makes a total fall.
+// Every scheduler counts the service that it gave (Entry) and reports the count,
+// and the level that it knows, to the accounting node of the workspace. That
+// node adds the growth of the count to its level, or takes the reported level if
+// that is higher (Totals), and sends the level back with the part of it that
+// came from the receiver. A scheduler's own level is the highest that it was
+// told without its own part, and its own part. So a lost, late or doubled message
+// changes nothing for long, a scheduler that starts anew learns the level, and an
+// accounting node that starts anew is told it.
 //
 // What is given while a scheduler and the accounting node cannot talk for longer
-// than 3 s is not made up later. When the accounting of a workspace moves to a
-// node that did it less than 3 s ago, or a report is delayed past such a move,
-// the service of that time may be counted twice.
+// than 3 s is not made up later. When the accounting moves to another node, part of
+// what is given in one exchange period may not count; nothing counts twice.
 //
 // Service is normalised: slot time in seconds divided by the share.
 package account
--- a/control/account/totals.go
+++ b/control/account/totals.go
@@ -2,41 +2,48 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
-// interestTime is how long after its last report a contributor is told totals,
-// and how long it may be silent before its next report is a new base line.
+// interestTime is how long after its last report a contributor is told levels,
+// and how long it may be silent before the growth of its next report no longer
+// counts. It is also how long what was told of others holds.
 const interestTime = 3 * time.Second
 
+// rounding is more than a level loses on the way through messages.
+const rounding = 1e-5
+
 // Totals is the accounting node's side.
 type Totals struct {
 	records map[string]*record
-	// dirty holds the workspaces whose total changed since the last Push.
+	// dirty holds the workspaces with a report since the last Push.
 	dirty map[string]bool
 }
 
-// record is the sum for one workspace.
+// record is the level of one workspace.
 type record struct {
-	total        float64
+	level        float64
 	contributors map[Source]*contributor
 }
 
 // contributor is one incarnation of a scheduler that gave service.
 type contributor struct {
-	own float64
-	// base is the part of own that is not in the total: what came before the
-	// first report, and before the first one after a long silence, is not
-	// known to be new.
-	base    float64
+	own     float64
+	pending float64
+	waiting bool
 	heardAt time.Duration
+	// stale says that the level may hold more of its service than own: own is
+	// to be heard anew before its growth counts or the level is told to it.
+	stale bool
 }
 
 // Count is one workspace's figures for one contributor.
 type Count struct {
 	Workspace string
-	Own       float64
-	Total     float64
+	// Level is the fleet's level and Own the part of it from the contributor.
+	Level, Own float64
+	Elsewhere  Elsewhere
 }
 
 // NewTotals returns an accounting node that knows nothing.
@@ -47,8 +54,8 @@
 // Len returns the number of workspaces that are accounted for here.
 func (t *Totals) Len() int { return len(t.records) }
 
-// Report takes in a contributor's cumulative count.
-func (t *Totals) Report(now time.Duration, from Source, workspace string, own float64) {
+// Report takes in what a contributor tells of a workspace.
+func (t *Totals) Report(now time.Duration, from Source, workspace string, report Report) {
 	r := t.records[workspace]
 	if r == nil {
 		r = &record{contributors: make(map[Source]*contributor)}
@@ -57,23 +64,43 @@
 	t.dirty[workspace] = true
 	c := r.contributors[from]
 	if c == nil {
-		r.contributors[from] = &contributor{own: own, base: own, heardAt: now}
-		return
+		c = &contributor{own: report.Own, heardAt: now}
+		r.contributors[from] = c
 	}
-	if silent := now - c.heardAt; silent > interestTime && own > c.own {
-		// Another node did the accounting meanwhile, or nobody could.
-		c.base += own - c.own
-		c.own = own
+	if now-c.heardAt > interestTime {
+		c.stale = true // another node may have counted meanwhile
 	}
 	c.heardAt = now
-	if own > c.own {
-		r.total += own - c.own
-		c.own = own
+	r.take(c, report)
+}
+
+// take adds the growth of the contributor's own service, or takes its level over
+// if that is higher. A higher level was lifted or comes from another accounting
+// node: it may hold what the others gave, which they report only now.
+func (r *record) take(c *contributor, report Report) {
+	if report.Own >= c.own {
+		if !c.stale {
+			r.level += report.Own - c.own
+		}
+		c.stale = false
+		c.own = report.Own
+		c.pending = report.Pending
+		c.waiting = report.Waiting
+	}
+	raised := report.Level > r.level+rounding
+	r.level = max(r.level, report.Level)
+	if !raised {
+		return
+	}
+	for _, other := range r.contributors {
+		if other != c {
+			other.stale = true
+		}
 	}
 }
 
-// Push returns, for each contributor that reported of late, the counts that
-// changed since the last Push, in order of workspace.
+// Push returns, for each contributor that reported of late, the figures of the
+// workspaces with a report since the last Push, in order of name.
 func (t *Totals) Push(now time.Duration) map[Source][]Count {
 	if len(t.dirty) == 0 {
 		return nil
@@ -84,25 +111,37 @@
 	}
 	clear(t.dirty)
 	for _, counts := range out {
-		slices.SortFunc(counts, byWorkspace)
+		slices.SortFunc(counts, func(a, b Count) int { return strings.Compare(a.Workspace, b.Workspace) })
 	}
 	return out
 }
 
-func byWorkspace(a, b Count) int {
-	if a.Workspace < b.Workspace {
-		return -1
-	}
-	return 1
-}
-
 // push adds the record's figures for the contributors that reported of late.
 func (r *record) push(now time.Duration, workspace string, out map[Source][]Count) {
-	for from, c := range r.contributors {
+	pending, waiting := 0.0, 0
+	for _, c := range r.contributors {
 		if now-c.heardAt > interestTime {
 			continue
 		}
-		out[from] = append(out[from], Count{Workspace: workspace, Own: c.own - c.base, Total: r.total})
+		pending += c.pending
+		if c.waiting {
+			waiting++
+		}
+	}
+	for from, c := range r.contributors {
+		if now-c.heardAt > interestTime || c.stale {
+			continue
+		}
+		others := waiting
+		if c.waiting {
+			others--
+		}
+		out[from] = append(out[from], Count{
+			Workspace: workspace,
+			Level:     r.level,
+			Own:       c.own,
+			Elsewhere: Elsewhere{Pending: max(0, pending-c.pending), Waiting: others},
+		})
 	}
 }
 
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -206,18 +206,18 @@
 			b.ReportAllocs()
 			b.ResetTimer()
 			for n := range b.N {
-				now += m.opts.ExchangeEvery
+				now += m.exchangeEvery()
 				for i := range counts {
 					w := m.sched.workspaces[benchWorkspace(i)]
 					w.entry.Charge(time.Millisecond)
-					w.entry.Start(now)
-					w.entry.End(now, time.Millisecond)
+					w.entry.Start()
+					w.entry.End(time.Millisecond)
 					counts[i] = ServiceCount{Workspace: w.name, Total: time.Duration(n) * time.Millisecond}
 				}
 				before := m.counters.MessagesSent
 				m.reportService()
 				messages += int(m.counters.MessagesSent - before)
-				m.totalsReceived("n1", 1, ServiceTotals{Counts: counts})
+				m.totalsReceived(ServiceTotals{Counts: counts})
 				m.out = nil
 				m.loop = nil
 			}
--- a/control/control.go
+++ b/control/control.go
@@ -20,29 +20,33 @@
 // While two workspaces stay backlogged in shards that both can use, what they
 // receive differs over any interval by at most
 //
-//	G = n_i*L_i/w_i + n_j*L_j/w_j + K*(E + E/5 + R)*max(1/w_i, 1/w_j)
+//	G = n_i*L_i/w_i + n_j*L_j/w_j + K*(E + E/2 + R)*max(1/w_i, 1/w_j)
 //
 // where w is the share, L the longest run of the workspace, n the runs that it
 // has in progress at once, K the slots that both can use, E the exchange period
 // and R the longest time that a message takes. The first two terms are there
 // with one scheduler too: a run in progress is not taken back. The third is what
 // all slots can do before the news of it arrives; it is absent if one scheduler
-// serves all shards. What is given while nodes cannot talk to each other for
-// longer than 3 s is not made up later.
+// serves all shards. Schedulers keep far below it, as each counts on the others
+// where the workspace waits to grant as much as it does itself. What is given
+// while nodes cannot talk to each other for longer than 3 s is not made up later.
 //
-// A workspace that had nothing waiting in a shard starts there at the least of
-// those that wait. One that was served in another pool only waits in a shard at
-// most 3 s longer for that.
+// Service adds up to one level for each workspace in the whole fleet; see package
+// account. A workspace that had nothing waiting anywhere is lifted to the least
+// of those that wait where it comes to wait. One that waits elsewhere too, or did
+// up to 50 ms ago, is owed what it lies below them, but not over 5 slot seconds
+// divided by its share. One that was served in another pool only waits in a shard
+// at most 3 s longer for that.
 //
 // # Over-admission
 //
 // A scheduler never holds more grants of a target than its slots and
 // max(1, slots/4), and more than its slots only where the time between two runs
-// would idle over a quarter of a percent of the slot. After a change of scheduler, or with two at
-// once, each keeps to that bound by itself and leaves room for the load that it
-// sees in the target's reports, so k schedulers hold at most k times as much.
-// A new scheduler gives a target one grant until the first load report, or for
-// half a second.
+// would idle over a quarter of a percent of the slot. After a change of
+// scheduler, or with two at once, each keeps to that bound by itself and leaves
+// room for the load that it sees in the target's reports, so k schedulers hold at
+// most k times as much. A new scheduler gives a target one grant until the first
+// load report, or for half a second.
 //
 // # Limits of the parts
 //
@@ -115,7 +119,8 @@
 	// MemberTimeout is how long a member may be silent before the others pass
 	// over it as a scheduler. Default 2 s.
 	MemberTimeout time.Duration
-	// ExchangeEvery is the period of the exchange of service counters. Default 250 ms.
+	// ExchangeEvery is the period of the exchange of service counts. Default
+	// 10 ms for each node in view, at least 60 ms and at most 1 s.
 	ExchangeEvery time.Duration
 }
 
--- a/control/grants.go
+++ b/control/grants.go
@@ -167,7 +167,7 @@
 	g.workspace.running++
 	g.target.take(m.now, g)
 	g.charged = charge
-	m.charge(g.workspace, g.shard, charge)
+	g.workspace.moved(g.shard, g.workspace.entry.Grant(charge))
 	m.armGrant(g)
 }
 
--- a/control/machine.go
+++ b/control/machine.go
@@ -11,7 +11,6 @@
 const (
 	defaultHeartbeatEvery = 500 * time.Millisecond
 	defaultMemberTimeout  = 2 * time.Second
-	defaultExchangeEvery  = 250 * time.Millisecond
 )
 
 // Machine is the state machine of one router. It is not safe for concurrent
@@ -71,9 +70,6 @@
 	if opts.MemberTimeout <= 0 {
 		opts.MemberTimeout = defaultMemberTimeout
 	}
-	if opts.ExchangeEvery <= 0 {
-		opts.ExchangeEvery = defaultExchangeEvery
-	}
 	return opts
 }
 
@@ -198,7 +194,7 @@
 	case ServiceReport:
 		m.serviceReported(from, inc, msg)
 	case ServiceTotals:
-		m.totalsReceived(from, inc, msg)
+		m.totalsReceived(msg)
 	}
 }
 
--- a/control/messages.go
+++ b/control/messages.go
@@ -74,15 +74,21 @@
 type ReportAck struct{ Grant GrantID }
 
 // ServiceCount is one workspace's service in a ServiceReport or ServiceTotals,
-// in slot time divided by share. Both counts only grow.
+// in slot time divided by share. Own and Total only grow.
 type ServiceCount struct {
 	Workspace string
 	// Own is the scheduler's own cumulative service in its incarnation. In
 	// ServiceTotals it is the part of Total that came from the receiver.
 	Own time.Duration
-	// Total is what the accounting node has counted since it began, in
-	// ServiceTotals only. Receivers use its growth.
+	// Total is the workspace's level in the fleet as the sender knows it: its
+	// service and what it was lifted by when it woke.
 	Total time.Duration
+	// Pending is what runs in progress are expected to take yet: the sender's
+	// in a ServiceReport, all but the receiver's in ServiceTotals.
+	Pending time.Duration
+	// Waiting counts the schedulers at which something waits: the sender, in a
+	// ServiceReport, or all but the receiver, in ServiceTotals.
+	Waiting int
 }
 
 // ServiceReport goes from a scheduler to the accounting node of the
@@ -90,8 +96,8 @@
 // late or doubled report does no harm. It also asks for the totals.
 type ServiceReport struct{ Counts []ServiceCount }
 
-// ServiceTotals tells a scheduler the totals that changed, of the workspaces
-// that it reported on of late.
+// ServiceTotals tells a scheduler the levels of the workspaces that it reported
+// on of late.
 type ServiceTotals struct{ Counts []ServiceCount }
 
 // Heartbeat announces that a node lives. It goes to a bounded number of
--- a/control/sched/queue.go
+++ b/control/sched/queue.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"container/list"
+	"math"
 	"time"
 )
 
@@ -30,11 +31,15 @@
 	order *list.List
 	// idle holds the flows with nothing waiting, longest idle first.
 	idle *list.List
-	// virtual is the key at which a flow was last served; it is where a
-	// workspace starts when nothing waits.
+	// virtual is the received service at which a flow was last served; it is
+	// where a workspace starts when nothing waits.
 	virtual float64
 	waiting int
 	nextSeq uint64
+	// Pending, if set, returns the part of a workspace's total that is only
+	// expected yet. A workspace that wakes is lifted to what others received
+	// without it: a lift stays, and an estimate may be far too high.
+	Pending func(workspace string) float64
 }
 
 // Flow is one workspace's presence in the queue.
@@ -47,7 +52,7 @@
 	// total is the workspace's normalised service in the fleet and here the
 	// part of it that this shard gave.
 	total, here float64
-	// offset moves total to the queue's scale.
+	// offset is what the flow was lifted by here and its total does not hold.
 	offset  float64
 	waiting int
 	// servedAt and servedElsewhere are the time and the service received in
@@ -112,15 +117,20 @@
 // Push adds an item for a workspace whose normalised service in the fleet is
 // total, and returns its flow and item.
 func (q *Queue[T]) Push(now time.Duration, workspace, className string, total float64, value T) (*Flow[T], *Item[T]) {
+	return q.PushOwed(now, workspace, className, total, 0, value)
+}
+
+// PushOwed is Push for a workspace that may be owed something, since it waits
+// elsewhere: it is lifted only to what lies owed below the others.
+func (q *Queue[T]) PushOwed(now time.Duration, workspace, className string, total, owed float64, value T) (*Flow[T], *Item[T]) {
 	f := q.flows[workspace]
 	if f == nil {
 		f = &Flow[T]{Workspace: workspace, queue: q, lanes: make(map[string]*lane[T]), total: total}
-		f.offset = q.start(className) - total
 		q.flows[workspace] = f
 	}
 	f.total = total
 	if f.waiting == 0 {
-		q.wake(now, f, className)
+		q.wake(now, f, className, owed)
 	}
 	item := &Item[T]{Value: value, seq: q.nextSeq}
 	q.nextSeq++
@@ -131,26 +141,52 @@
 }
 
 // wake puts a flow among those that wait, without credit for its idleness.
-func (q *Queue[T]) wake(now time.Duration, f *Flow[T], className string) {
+func (q *Queue[T]) wake(now time.Duration, f *Flow[T], className string, owed float64) {
 	if f.element != nil {
 		q.idle.Remove(f.element)
 	}
-	if floor := q.start(className); f.Key() < floor {
-		f.offset = floor - f.total
+	if short := q.start(className) - owed - f.received(); short > 0 {
+		f.offset += short
 	}
 	f.markServed(now)
 	f.element = q.order.PushBack(f)
 }
 
-// start returns the key at which a workspace starts in a class: the least of
-// those that wait there, or that of the flow served last.
+// start returns the received service at which a workspace starts in a class: that
+// of the flow to be served next there, or of the flow served last.
 func (q *Queue[T]) start(className string) float64 {
 	if c := q.classes[className]; c != nil && len(c.lanes) > 0 {
-		return c.lanes.least(0)
+		return c.lanes.least(0).received()
 	}
 	return q.virtual
 }
 
+// received returns the flow's key without what is only expected yet.
+func (f *Flow[T]) received() float64 {
+	if f.queue.Pending == nil {
+		return f.Key()
+	}
+	return f.Key() - f.queue.Pending(f.Workspace)
+}
+
+// TakeLift returns what the flow was lifted by and takes it off: the caller adds
+// it to the total. It may be called only with the flow's new total set next.
+func (f *Flow[T]) TakeLift() float64 {
+	lift := f.offset
+	f.offset = 0
+	return lift
+}
+
+// Relift works a waiting flow's lift out anew: its total is known better now.
+func (f *Flow[T]) Relift(owed float64) {
+	f.offset = 0
+	least := f.queue.leastBut(f)
+	if short := least - owed - f.received(); short > 0 && !math.IsInf(least, 1) {
+		f.offset = short
+	}
+	f.fix()
+}
+
 func (f *Flow[T]) markServed(now time.Duration) {
 	f.servedAt = now
 	f.servedElsewhere = f.elsewhere()
@@ -190,6 +226,11 @@
 func (f *Flow[T]) SetTotal(total, hereDelta float64) {
 	f.total = total
 	f.here += hereDelta
+	f.fix()
+}
+
+// fix restores the order after the flow's key changed.
+func (f *Flow[T]) fix() {
 	for _, l := range f.lanes {
 		if l.index >= 0 {
 			heap.Fix(&l.class.lanes, l.index)
@@ -197,15 +238,6 @@
 	}
 }
 
-// Rebase changes the total without moving the flow in the order. It is for
-// service that was learned of late and belongs to the past.
-func (f *Flow[T]) Rebase(total float64) {
-	change := total - f.total
-	f.total = total
-	f.here += change
-	f.offset -= change
-}
-
 // Next returns the item to serve next among the classes that usable accepts,
 // or nil. It does not remove the item.
 func (q *Queue[T]) Next(usable func(class string) bool) *Item[T] {
@@ -228,7 +260,7 @@
 func (q *Queue[T]) Serve(now time.Duration, item *Item[T]) {
 	f := item.lane.flow
 	if !f.starved {
-		q.virtual = f.Key()
+		q.virtual = f.received()
 	}
 	q.setStarved(f, false)
 	f.markServed(now)
--- a/control/sched/queue_test.go
+++ b/control/sched/queue_test.go
@@ -133,3 +133,25 @@
 		t.Fatalf("served key %v, least is %v", next.lane.flow.Key(), least)
 	}
 }
+
+// TestWakingIsNotChargedWithEstimates has a workspace wake beside one whose
+// runs are charged far too much: the lift must not outlast the correction.
+func TestWakingIsNotChargedWithEstimates(t *testing.T) {
+	q := NewQueue[int]()
+	pending := 0.0
+	q.Pending = func(workspace string) float64 {
+		if workspace == "busy" {
+			return pending
+		}
+		return 0
+	}
+	for i := range 10 {
+		q.Push(0, "busy", "", q.total("busy"), i)
+	}
+	serve(q, 0, 7)
+	pending = 6 // of the 7 charged, 1 was received
+	woken, _ := q.Push(time.Second, "woken", "", 0, 0)
+	if key := woken.Key(); key != 1 {
+		t.Errorf("the workspace starts at %v, not at what the other received", key)
+	}
+}
--- a/control/sched/starve.go
+++ b/control/sched/starve.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"container/heap"
 	"math"
 	"time"
 )
@@ -50,7 +49,19 @@
 	best := math.Inf(1)
 	for _, c := range q.classes {
 		if len(c.lanes) > 0 {
-			best = min(best, c.lanes.least(0))
+			best = min(best, c.lanes.least(0).Key())
+		}
+	}
+	return best
+}
+
+// leastBut returns the least received service of the other flows that wait, or
+// infinity.
+func (q *Queue[T]) leastBut(f *Flow[T]) float64 {
+	best := math.Inf(1)
+	for e := q.order.Front(); e != nil; e = e.Next() {
+		if other := e.Value.(*Flow[T]); other != f {
+			best = min(best, other.received())
 		}
 	}
 	return best
@@ -61,11 +72,7 @@
 		return
 	}
 	f.starved = starved
-	for _, l := range f.lanes {
-		if l.index >= 0 {
-			heap.Fix(&l.class.lanes, l.index)
-		}
-	}
+	f.fix()
 }
 
 func (q *Queue[T]) forget(now time.Duration) []string {
@@ -105,17 +112,22 @@
 	h[j].index = j
 }
 
-// least returns the least key in the subtree at i. Starved flows stand before
-// others whatever their key, so it looks behind them.
-func (h laneHeap[T]) least(i int) float64 {
+// least returns the flow with the least key in the subtree at i, or nil. Starved
+// flows stand before others whatever their key, so it looks behind them.
+func (h laneHeap[T]) least(i int) *Flow[T] {
 	if i >= len(h) {
-		return math.Inf(1)
+		return nil
 	}
-	key := h[i].flow.Key()
-	if !h[i].flow.starved {
-		return key
+	best := h[i].flow
+	if !best.starved {
+		return best
 	}
-	return min(key, h.least(2*i+1), h.least(2*i+2))
+	for child := 2*i + 1; child <= 2*i+2; child++ {
+		if f := h.least(child); f != nil && f.Key() < best.Key() {
+			best = f
+		}
+	}
+	return best
 }
 
 // Push implements heap.Interface.
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -99,6 +99,9 @@
 		return s
 	}
 	s = newShard(m.now, id)
+	s.queue.Pending = func(workspace string) float64 {
+		return m.sched.workspaces[workspace].entry.Pending()
+	}
 	m.sched.shards[id] = s
 	m.declareTargets(s)
 	m.sched.watchStale = true
@@ -114,7 +117,7 @@
 		m.dropShard(s)
 	}
 	for _, w := range m.sched.workspaces {
-		w.entry.Rebase()
+		w.entry.Unlearn()
 	}
 }
 
@@ -274,4 +277,5 @@
 	m.timers.stop(&q.timer)
 	delete(q.shard.queued, q.ticket.ID)
 	q.workspace.waiting--
+	q.workspace.waitedAt = m.now
 }
--- a/control/shard.go
+++ b/control/shard.go
@@ -166,10 +166,14 @@
 func (m *Machine) push(q *queuedTicket, w *workspace, c *class) {
 	q.workspace = w
 	q.class = c.name
-	flow, item := q.shard.queue.Push(m.now, w.name, c.name, w.entry.Total(), q)
+	wakes := w.flows[q.shard.id] == nil || w.flows[q.shard.id].Waiting() == 0
+	flow, item := q.shard.queue.PushOwed(m.now, w.name, c.name, w.entry.Total(), m.owed(w), q)
 	q.item = item
 	q.shard.flows[w.name] = true
 	w.flows[q.shard.id] = flow
+	if wakes {
+		m.settleLift(w, flow)
+	}
 	m.armShard(q.shard)
 }
 
--- a/control/slots.go
+++ b/control/slots.go
@@ -24,7 +24,7 @@
 func (g *grant) start(now Instant) {
 	g.behind = false
 	g.started = now
-	g.workspace.entry.Start(now)
+	g.workspace.entry.Start()
 }
 
 // free settles a grant that used its slot for the given time. The first grant
@@ -33,10 +33,10 @@
 	if g.behind {
 		t.behind = slices.DeleteFunc(t.behind, func(other *grant) bool { return other == g })
 		g.start(now) // it ran before the news of another's end came
-		g.workspace.entry.End(g.started, used)
+		g.workspace.entry.End(used)
 		return nil
 	}
-	g.workspace.entry.End(g.started, used)
+	g.workspace.entry.End(used)
 	if len(t.behind) == 0 {
 		return nil
 	}
--- a/control/slots_test.go
+++ b/control/slots_test.go
@@ -31,7 +31,7 @@
 	entry := m.sched.workspaces["bakery"].entry
 	third := end(1500, first[0], 500)
 	end(1600, second[0], 590)
-	if own := entry.Own(at(1600)); math.Abs(own-0.62) > 1e-9 {
+	if own := entry.Own(); math.Abs(own-0.62) > 1e-9 {
 		t.Errorf("runs of 20, 500 and 100 ms count for %v", own)
 	}
 	if len(third) != 1 {
--- a/control/topology.go
+++ b/control/topology.go
@@ -15,6 +15,21 @@
 	// pools maps a pool to its shards, in order of data centre.
 	pools  map[string][]ShardID
 	shards map[ShardID]*shardDecl
+	// groups is how many groups the workspaces are accounted for in.
+	groups uint64
+}
+
+// accountGroupSize is about how many declared workspaces are accounted for at
+// one node, so that a scheduler exchanges few messages.
+const accountGroupSize = 64
+
+// accountGroups is a power of two, so that a few more workspaces move nothing.
+func accountGroups(workspaces int) uint64 {
+	groups := uint64(1)
+	for groups*accountGroupSize < uint64(workspaces) {
+		groups *= 2
+	}
+	return groups
 }
 
 // shardDecl is the declared side of a shard.
@@ -33,6 +48,7 @@
 		decl:    &s.Declarations,
 		pools:   make(map[string][]ShardID),
 		shards:  make(map[ShardID]*shardDecl),
+		groups:  accountGroups(len(s.Declarations.Workspaces)),
 	}
 	for name, target := range s.Declarations.Targets {
 		t.add(name, target)
--- a/peer/wire/codec_member.go
+++ b/peer/wire/codec_member.go
@@ -91,6 +91,8 @@
 		p.Workspace = append(p.Workspace, workspace)
 		p.Own = append(p.Own, micros(count.Own))
 		p.Total = append(p.Total, micros(count.Total))
+		p.Pending = append(p.Pending, micros(count.Pending))
+		p.Waiting = append(p.Waiting, uint32(count.Waiting))
 	}
 	return p, nil
 }
@@ -100,7 +102,8 @@
 	if err := checkList(length); err != nil {
 		return nil, err
 	}
-	if len(p.GetOwn()) != length || len(p.GetTotal()) != length {
+	if len(p.GetOwn()) != length || len(p.GetTotal()) != length ||
+		len(p.GetPending()) != length || len(p.GetWaiting()) != length {
 		return nil, fmt.Errorf("%w: service counts of unequal length", ErrMalformed)
 	}
 	var counts []control.ServiceCount
@@ -113,6 +116,8 @@
 			Workspace: workspace,
 			Own:       fromMicros(p.GetOwn()[i]),
 			Total:     fromMicros(p.GetTotal()[i]),
+			Pending:   fromMicros(p.GetPending()[i]),
+			Waiting:   int(p.GetWaiting()[i]),
 		}
 		counts = append(counts, count)
 	}
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -18,7 +18,6 @@
 			Policy:         string(control.PolicyShardQueue),
 			HeartbeatEvery: Duration(500 * time.Millisecond),
 			MemberTimeout:  Duration(2 * time.Second),
-			ExchangeEvery:  Duration(250 * time.Millisecond),
 		},
 		Limits: Limits{
 			MaxBodyBytes:     8 << 20,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -58,7 +58,8 @@
 type Scheduling struct {
 	// Policy is "shard-queue" (default) or "alone".
 	Policy string `toml:"policy"`
-	// HeartbeatEvery, MemberTimeout and ExchangeEvery are as in control.Options.
+	// HeartbeatEvery, MemberTimeout and ExchangeEvery are as in control.Options;
+	// ExchangeEvery may be 0, which follows the size of the fleet.
 	HeartbeatEvery Duration `toml:"heartbeat_every"`
 	MemberTimeout  Duration `toml:"member_timeout"`
 	ExchangeEvery  Duration `toml:"exchange_every"`
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -72,7 +72,9 @@
 	c.duration("platform.vm_list_every", s.Platform.VMListEvery)
 	c.duration("scheduling.heartbeat_every", s.Scheduling.HeartbeatEvery)
 	c.duration("scheduling.member_timeout", s.Scheduling.MemberTimeout)
-	c.duration("scheduling.exchange_every", s.Scheduling.ExchangeEvery)
+	if s.Scheduling.ExchangeEvery != 0 {
+		c.duration("scheduling.exchange_every", s.Scheduling.ExchangeEvery)
+	}
 	if s.Scheduling.MemberTimeout <= s.Scheduling.HeartbeatEvery {
 		c.add("scheduling.member_timeout", "must be longer than scheduling.heartbeat_every")
 	}
