Compare the gap with the bound of an ideal queue; have impatient callers

bench fair now prints the gap as a part of the bound of one ideal queue (runs in progress at the longest run of both workspaces), counts the events that may move a shard to another scheduler, writes what each workspace received while the run settles, and has a shape `impatient`: every fourth workspace's callers give up after 250 ms and send again, so that tickets are withdrawn all the time.

--- a/bench/fair/fair.go
+++ b/bench/fair/fair.go
@@ -43,8 +43,10 @@
 	Policy     string
 	Routers    int
 	Repeat     int
-	// Gap is in slot seconds for each unit of share.
+	// Gap is in slot seconds for each unit of share, and Ideal the bound of
+	// one ideal queue.
 	Gap         float64
+	Ideal       float64
 	Utilisation float64
 	// Starved is the longest time that a backlogged workspace held no slot.
 	Starved  time.Duration
@@ -179,6 +181,7 @@
 	for _, run := range record.Runs {
 		row.LongestRun = max(row.LongestRun, run.End-run.Start)
 	}
+	row.Ideal = idealBound(d, s, row.LongestRun)
 	return row
 }
 
--- a/bench/fair/shapes.go
+++ b/bench/fair/shapes.go
@@ -50,6 +50,8 @@
 	tinyTokens = 10
 	// callersEach is how many requests each workspace keeps in flight.
 	callersEach = 10
+	// impatience is how long impatient callers let a request wait.
+	impatience = 250 * time.Millisecond
 	// floodFactor is how many times the callers of others a flood has.
 	floodFactor = 50
 )
@@ -69,6 +71,8 @@
 	Hint func(n int, cost time.Duration) time.Duration
 	// Tokens returns the length of the answer to a request of workspace n.
 	Tokens func(n int, random *rand.Rand) int
+	// Deadline returns how long requests of workspace n may wait.
+	Deadline func(n int) time.Duration
 }
 
 // Shapes are the patterns of work, by name.
@@ -80,6 +84,7 @@
 	"subsets":    {Targets: everyThirdTarget},
 	"shares":     {Share: func(n int) float64 { return float64(1 + n%8) }},
 	"sizes":      {Tokens: tinyOrHuge, Callers: manyTiny},
+	"impatient":  {Deadline: someImpatient},
 }
 
 // withDefaults fills in what a shape leaves out.
@@ -103,9 +108,21 @@
 	if s.Tokens == nil {
 		s.Tokens = spreadTokens
 	}
+	if s.Deadline == nil {
+		s.Deadline = func(int) time.Duration { return time.Minute }
+	}
 	return s
 }
 
+// someImpatient gives every fourth workspace callers that give up and send
+// again, so that tickets are withdrawn and grants cross the withdrawals.
+func someImpatient(n int) time.Duration {
+	if n%4 == 0 {
+		return impatience
+	}
+	return time.Minute
+}
+
 func largeFirst(n int) int {
 	if n == 0 {
 		return 4 * callersEach
@@ -198,6 +215,6 @@
 		Model:     model,
 		MaxTokens: tokens,
 		CostHint:  s.Hint(n, time.Duration(tokens)*d.Step),
-		Deadline:  time.Minute,
+		Deadline:  s.Deadline(n),
 	}
 }
--- a/bench/fair/table.go
+++ b/bench/fair/table.go
@@ -9,12 +9,12 @@
 	"github.com/walnutcove/walnutcove/bench/measure"
 )
 
-const header = "deployment  shape       policy       n  gap s/share (min..max)     utilisation (min..max)     starved  first p50/p99      answered refused failed  control B/s msg/s core%"
+const header = "deployment  shape       policy       n  gap s/share (min..max)     of ideal  utilisation (min..max)     starved  first p50/p99      answered refused failed  control B/s msg/s core%  disturbed"
 
 func writeHeader(out, csv io.Writer) {
 	fmt.Fprintln(out, header)
 	if csv != nil {
-		fmt.Fprintln(csv, "deployment,shape,policy,routers,repeat,gap_slot_seconds,utilisation,starved_ms,first_p50_ms,first_p99_ms,answered,refused,failed,control_bytes_per_second,control_messages_per_second,control_core_percent,longest_run_ms")
+		fmt.Fprintln(csv, "deployment,shape,policy,routers,repeat,gap_slot_seconds,utilisation,starved_ms,first_p50_ms,first_p99_ms,answered,refused,failed,control_bytes_per_second,control_messages_per_second,control_core_percent,longest_run_ms,ideal_slot_seconds,disturbances")
 	}
 }
 
@@ -26,6 +26,7 @@
 	}
 	first := rows[0]
 	gap := spread(rows, func(r Row) float64 { return r.Gap })
+	ideal := spread(rows, func(r Row) float64 { return r.Gap / r.Ideal })
 	used := spread(rows, func(r Row) float64 { return 100 * r.Utilisation })
 	starved := spread(rows, func(r Row) float64 { return r.Starved.Seconds() })
 	p50 := spread(rows, func(r Row) float64 { return millis(r.FirstP50) })
@@ -33,15 +34,16 @@
 	bytes := spread(rows, func(r Row) float64 { return r.Control.BytesPerSecond })
 	messages := spread(rows, func(r Row) float64 { return r.Control.MessagesPerSecond })
 	core := spread(rows, func(r Row) float64 { return r.Control.CorePercent })
-	fmt.Fprintf(out, "%-10s  %-10s  %-11s  %d  %6.3f (%.3f..%.3f)  %6.2f%% (%.2f..%.2f)  %5.2fs  %.0f/%.0f ms  %d %d %d  %.0f %.0f %.2f\n",
+	fmt.Fprintf(out, "%-10s  %-10s  %-11s  %d  %6.3f (%.3f..%.3f)  %4.2f  %6.2f%% (%.2f..%.2f)  %5.2fs  %.0f/%.0f ms  %d %d %d  %.0f %.0f %.2f  %d\n",
 		first.Deployment, first.Shape, first.Policy, len(rows),
-		gap.median, gap.least, gap.greatest,
+		gap.median, gap.least, gap.greatest, ideal.median,
 		used.median, used.least, used.greatest,
 		starved.greatest, p50.median, p99.median,
 		total(rows, func(r Row) int { return r.Answered }),
 		total(rows, func(r Row) int { return r.Refused }),
 		total(rows, func(r Row) int { return r.Failed }),
-		bytes.median, messages.median, core.median)
+		bytes.median, messages.median, core.median,
+		total(rows, func(r Row) int { return r.Control.Disturbances }))
 	writeCSV(csv, rows)
 }
 
@@ -50,10 +52,10 @@
 		return
 	}
 	for _, r := range rows {
-		fmt.Fprintf(csv, "%s,%s,%s,%d,%d,%.5f,%.5f,%.1f,%.2f,%.2f,%d,%d,%d,%.0f,%.1f,%.3f,%.1f\n",
+		fmt.Fprintf(csv, "%s,%s,%s,%d,%d,%.5f,%.5f,%.1f,%.2f,%.2f,%d,%d,%d,%.0f,%.1f,%.3f,%.1f,%.3f,%d\n",
 			r.Deployment, r.Shape, r.Policy, r.Routers, r.Repeat, r.Gap, r.Utilisation, millis(r.Starved),
 			millis(r.FirstP50), millis(r.FirstP99), r.Answered, r.Refused, r.Failed,
-			r.Control.BytesPerSecond, r.Control.MessagesPerSecond, r.Control.CorePercent, millis(r.LongestRun))
+			r.Control.BytesPerSecond, r.Control.MessagesPerSecond, r.Control.CorePercent, millis(r.LongestRun), r.Ideal, r.Control.Disturbances)
 	}
 }
 
@@ -85,11 +87,13 @@
 		return
 	}
 	shares := make(map[string]float64)
+	settling := record
+	settling.From, settling.To = 0, record.From
 	for n := range workspaces {
 		name := workspaceName(n)
 		shares[name] = s.Share(n)
-		fmt.Fprintf(out, "  %s %s: share %.0f, service %.2f slot s, backlogged %.2f s, longest without service %.2f s\n",
-			d.Name, name, s.Share(n), record.Service(name), record.Backlogged(name).Seconds(),
+		fmt.Fprintf(out, "  %s %s: share %.0f, service %.2f slot s after %.2f while settling, backlogged %.2f s, longest without service %.2f s\n",
+			d.Name, name, s.Share(n), record.Service(name), settling.Service(name), record.Backlogged(name).Seconds(),
 			record.LongestWithoutService(name).Seconds())
 	}
 	gap := record.FairnessGap(shares)
--- a/bench/fleet/control.go
+++ b/bench/fleet/control.go
@@ -21,15 +21,20 @@
 	PlatformBytesPerSecond float64
 	// CorePercent is the time of the control goroutine as a part of one core.
 	CorePercent float64
+	// Disturbances counts, over the whole fleet and time, routers that were
+	// suspected, schedulers passed over and processes that stood still: each
+	// may move a shard to another scheduler.
+	Disturbances int
 }
 
 // ControlCounts are the fleet's counters at one time, summed over the routers.
 type ControlCounts struct {
-	routers  int
-	bytes    float64
-	messages float64
-	platform float64
-	busy     float64
+	routers      int
+	bytes        float64
+	messages     float64
+	platform     float64
+	busy         float64
+	disturbances float64
 }
 
 // The metrics that ControlCounts sums.
@@ -39,6 +44,9 @@
 	metricSent         = "walnut_platform_sent_bytes_total"
 	metricReceived     = "walnut_platform_received_bytes_total"
 	metricControlBusy  = "walnut_control_busy_seconds_total"
+	metricSuspected    = "walnut_control_nodes_suspected_total"
+	metricUnanswering  = "walnut_control_schedulers_unanswering_total"
+	metricThaws        = "walnut_control_thaws_total"
 )
 
 // ReadControl reads the counters of every router.
@@ -53,6 +61,7 @@
 		counts.messages += values[metricPeerMessages]
 		counts.platform += values[metricSent] + values[metricReceived]
 		counts.busy += values[metricControlBusy]
+		counts.disturbances += values[metricSuspected] + values[metricUnanswering] + values[metricThaws]
 	}
 	return counts, nil
 }
@@ -65,6 +74,7 @@
 		MessagesPerSecond:      (c.messages - earlier.messages) / each,
 		PlatformBytesPerSecond: (c.platform - earlier.platform) / each,
 		CorePercent:            100 * (c.busy - earlier.busy) / each,
+		Disturbances:           int(c.disturbances - earlier.disturbances),
 	}
 }
 
