Ask one shard quietly where backlogs are deep; hold back what can wait

Cause: a request took 4.5 messages and 150 B a router: its ticket went to two shards whatever their backlog, each answered that it waits, and acknowledgements and counts were flushed one by one, though a flush costs more than a message.

An entry that knows a shard's backlog to be deep (two tickets for each slot, told by grants) sends its ticket quietly: the scheduler answers only after 300 ms of waiting, and then the entry asks a second shard as before. A second shard whose backlog is not deep is asked at once, so none of its slots falls idle. The baseline `alone` asks as before.

Ruled out: never asking a second shard (a workspace that enters by one router and is due more than one data centre has would be held to it); not confirming tickets at all (a lost one would wait for its deadline).

--- a/control/entry.go
+++ b/control/entry.go
@@ -98,7 +98,7 @@
 	r := &request{ev: ev, shards: shards}
 	m.hold(r)
 	m.newTicket(r)
-	m.ask(r, shards[0])
+	m.askFirst(r)
 }
 
 // admit says whether a request may wait here: result.OK or the reason why not.
--- a/control/grants.go
+++ b/control/grants.go
@@ -173,8 +173,8 @@
 
 func (m *Machine) sendGrant(g *grant) {
 	g.sent = m.now
-	spare := 0
-	if g.shard.queue.Len() == 0 {
+	spare := -g.shard.queue.Len()
+	if spare == 0 {
 		for _, t := range g.shard.targets {
 			spare += t.room(m.now)
 		}
--- a/control/messages.go
+++ b/control/messages.go
@@ -17,6 +17,9 @@
 	PrefixHash  uint64
 	Fingerprint uint64
 	Excluded    []string
+	// Quiet says that the entry knows of the shard's backlog: Waiting is only
+	// sent if the ticket waits long.
+	Quiet bool
 }
 
 // Grant gives a ticket one slot of a target. The entry dispatches at once or
@@ -25,7 +28,8 @@
 	ID     GrantID
 	Ticket TicketID
 	Target string
-	// Spare counts the slots still free in the shard after this grant.
+	// Spare counts the slots still free in the shard after this grant; if it
+	// is negative, that many tickets wait there.
 	Spare int
 }
 
--- a/control/runs.go
+++ b/control/runs.go
@@ -63,7 +63,7 @@
 		return
 	}
 	shard, declared := m.topo.shardOf(g.Target)
-	if declared && g.Spare > 0 {
+	if declared && g.Spare != 0 {
 		m.hint(shard, g.Spare)
 	}
 	r := m.entry.requests[g.Ticket.Request]
@@ -100,9 +100,20 @@
 	m.entry.granted[run.request] = run
 	m.timers.set(&run.timer, run, m.now+firstReportAfter)
 	m.emit(Dispatch{Request: r.ev.Request, Attempt: r.ev.Attempt, Grant: g.ID, Target: g.Target})
-	if h := m.freshHint(shard); h != nil && h.spare > 0 {
+	m.offerMore(shard)
+}
+
+// offerMore sends waiting tickets to a shard with free slots, or one for the
+// ticket granted if its backlog runs low.
+func (m *Machine) offerMore(shard ShardID) {
+	h := m.freshHint(shard)
+	switch {
+	case h == nil || m.deep(shard):
+	case h.spare > 0:
 		delete(m.entry.hints, shard)
 		m.offer(shard, h.spare)
+	default:
+		m.offer(shard, 1)
 	}
 }
 
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -10,6 +10,9 @@
 const (
 	// ticketLease is how long a waiting ticket is kept without being sent again.
 	ticketLease = 3*refreshEvery + time.Second
+	// tellAfter is how long a quiet ticket waits before its entry is told. It
+	// is well below resendEvery.
+	tellAfter = 300 * time.Millisecond
 	// cancelledKept is how long a withdrawn ticket is remembered, in case the
 	// ticket itself comes later.
 	cancelledKept = time.Second
@@ -199,6 +202,11 @@
 	m.grantAll(s)
 	if s.queued[t.ID] != nil {
 		m.counters.TicketsQueued++
+		if t.Quiet {
+			q.tellAt = m.now + tellAfter
+			q.arm(m)
+			return
+		}
 		m.sendWaiting(q)
 	}
 }
@@ -221,6 +229,7 @@
 }
 
 func (m *Machine) sendWaiting(q *queuedTicket) {
+	q.tellAt = 0
 	m.send(q.from, Waiting{Ticket: q.ticket.ID, Shard: q.shard.id, Ahead: q.shard.queue.Len() - 1})
 }
 
--- a/control/shard.go
+++ b/control/shard.go
@@ -53,7 +53,9 @@
 	class     string
 	deadline  Instant
 	lease     Instant
-	timer     timer
+	// tellAt is when the entry is told that the ticket waits; zero if it was.
+	tellAt Instant
+	timer  timer
 }
 
 func newShard(now Instant, id ShardID) *shard {
@@ -182,11 +184,26 @@
 	q.from = from
 	q.deadline = m.now + t.TimeLeft
 	q.lease = m.now + ticketLease
-	m.timers.set(&q.timer, q, min(q.deadline, q.lease))
+	q.arm(m)
 }
 
-// fire implements timed: the ticket's deadline has come, or its entry is gone.
+// arm sets the ticket's timer to the next thing to do.
+func (q *queuedTicket) arm(m *Machine) {
+	at := min(q.deadline, q.lease)
+	if q.tellAt > 0 {
+		at = min(at, q.tellAt)
+	}
+	m.timers.set(&q.timer, q, at)
+}
+
+// fire implements timed: the entry of a quiet ticket is to be told, the
+// ticket's deadline has come, or its entry is gone.
 func (q *queuedTicket) fire(m *Machine) {
+	if m.now < min(q.deadline, q.lease) {
+		m.sendWaiting(q)
+		q.arm(m)
+		return
+	}
 	m.unqueue(q)
 	if m.now >= q.deadline {
 		m.send(q.from, Refusal{Ticket: q.ticket.ID, Shard: q.shard.id, Code: result.DeadlineBeforeGrant})
--- a/control/tickets.go
+++ b/control/tickets.go
@@ -23,6 +23,8 @@
 	usualAsks = 2
 	// hintTime is how long the state of a shard is remembered.
 	hintTime = 200 * time.Millisecond
+	// deepFactor is how many tickets for each slot make a backlog deep.
+	deepFactor = 2
 	// never is later than any deadline.
 	never = Instant(1<<63 - 1)
 	// probeDepth bounds the waiting requests looked at for one probe.
@@ -37,6 +39,8 @@
 	// firstAt is when the present run of unanswered sends began.
 	firstAt Instant
 	tries   int
+	// quiet says that the scheduler need not answer at once.
+	quiet bool
 	// waiting says that the scheduler answered that the ticket waits.
 	waiting bool
 	// refused says that the scheduler will not grant.
@@ -58,7 +62,8 @@
 // shardHint is what was last heard of a shard's load.
 type shardHint struct {
 	at Instant
-	// spare is the number of free slots; zero means that tickets wait.
+	// spare is the number of free slots; below zero, that many tickets wait,
+	// and zero means that it is full.
 	spare int
 }
 
@@ -75,7 +80,7 @@
 
 // ask sends the request's ticket to one more shard.
 func (m *Machine) ask(r *request, id ShardID) {
-	a := &ask{shard: id, firstAt: m.now}
+	a := &ask{shard: id, firstAt: m.now, quiet: m.deep(id)}
 	r.asks = append(r.asks, a)
 	m.sendTicket(r, a)
 	m.arm(r)
@@ -95,12 +100,14 @@
 		PrefixHash:  r.ev.PrefixHash,
 		Fingerprint: r.ev.Fingerprint,
 		Excluded:    r.ev.Excluded,
+		Quiet:       a.quiet,
 	})
 }
 
 // repeat sends a ticket again. A scheduler that left several unanswered is
 // passed over for a while.
 func (m *Machine) repeat(r *request, a *ask) {
+	a.quiet = false
 	if a.waiting {
 		a.waiting = false
 		a.tries = 0
@@ -116,6 +123,7 @@
 
 // restart sends a ticket again at once, as to a scheduler that never saw it.
 func (m *Machine) restart(r *request, a *ask) {
+	a.quiet = false
 	a.waiting = false
 	a.refused = false
 	a.tries = 0
@@ -140,7 +148,7 @@
 }
 
 func (m *Machine) waitingReceived(w Waiting) {
-	m.hint(w.Shard, 0)
+	m.hint(w.Shard, -w.Ahead-1)
 	r, a := m.asked(w.Ticket, w.Shard)
 	if a == nil {
 		return
@@ -207,6 +215,32 @@
 	return open, found
 }
 
+// askFirst sends a new request's ticket to its first shard and, if that one's
+// backlog is deep, at once to another whose backlog is not.
+func (m *Machine) askFirst(r *request) {
+	m.ask(r, r.shards[0])
+	if !m.deep(r.shards[0]) {
+		return
+	}
+	for _, id := range r.shards[1:] {
+		if !m.deep(id) {
+			m.ask(r, id)
+			return
+		}
+	}
+}
+
+// deep says that so many tickets wait in a shard that none of its slots falls
+// idle before this node hears of it again.
+func (m *Machine) deep(id ShardID) bool {
+	if m.opts.Policy == PolicyAlone {
+		return false // its queues are all here, and asking is free
+	}
+	h := m.freshHint(id)
+	decl := m.topo.shards[id]
+	return h != nil && decl != nil && -h.spare >= deepFactor*decl.slots
+}
+
 func (r *request) hasAsked(id ShardID) bool {
 	return slices.ContainsFunc(r.asks, func(a *ask) bool { return a.shard == id })
 }
--- a/control/topology.go
+++ b/control/topology.go
@@ -40,6 +40,8 @@
 	// targets and open hold the names of all and of the not leaving targets.
 	targets []string
 	open    []string
+	// slots is how many runs the shard serves at once, as declared.
+	slots int
 }
 
 func newTopology(s *config.Snapshot) *topology {
@@ -72,6 +74,7 @@
 		t.pools[id.Pool] = append(t.pools[id.Pool], id)
 	}
 	d.targets = append(d.targets, name)
+	d.slots += max(1, target.Slots)
 	if !target.Leaving {
 		d.open = append(d.open, name)
 	}
--- a/peer/link.go
+++ b/peer/link.go
@@ -31,6 +31,8 @@
 	queue   []control.Message
 	session *session
 	dialing bool
+	// later says that the session's writer is woken within lazyWait.
+	later bool
 	// failures counts dials in a row; no dial is made before notBefore.
 	failures  int
 	notBefore time.Time
@@ -79,7 +81,11 @@
 		messages = messages[:free]
 	}
 	l.queue = append(l.queue, messages...)
-	if l.session != nil {
+	switch {
+	case l.session == nil:
+	case allCanWait(messages) && len(l.queue) < flushMessages:
+		l.wakeLater()
+	default:
 		l.session.wake(len(l.queue))
 	}
 }
--- a/peer/wire/codec_queue.go
+++ b/peer/wire/codec_queue.go
@@ -27,6 +27,7 @@
 		PrefixHash:  m.PrefixHash,
 		Fingerprint: m.Fingerprint,
 		Excluded:    excluded,
+		Quiet:       m.Quiet,
 	}
 	return &peerpb.Entry{Kind: &peerpb.Entry_Ticket{Ticket: p}}, nil
 }
@@ -53,6 +54,7 @@
 		PrefixHash:  p.GetPrefixHash(),
 		Fingerprint: p.GetFingerprint(),
 		Excluded:    excluded,
+		Quiet:       p.GetQuiet(),
 	}, nil
 }
 
