Probe a target that refused for long; take no version zero

A target whose runs failed for 5 s counted as hopeless for good, so tickets that only it could serve were refused before one could show that it serves again (found by the process test of targets that refuse). It is hopeless only while it is passed over now, at most 2 s where its load polls are answered.

--- /dev/null
+++ b/control/alive.go
@@ -0,0 +1,22 @@
+package control
+
+import "slices"
+
+// AliveVersion changes whenever AliveNodes does.
+func (m *Machine) AliveVersion() uint64 { return m.view.Version() }
+
+// AliveNodes returns the nodes that may be given work in this node's view, in
+// order of name. This node is among them unless it is leaving.
+func (m *Machine) AliveNodes() []NodeID {
+	var alive []NodeID
+	for _, n := range m.view.Nodes() {
+		if m.view.Alive(n.Name) {
+			alive = append(alive, NodeID(n.Name))
+		}
+	}
+	if m.view.Alive(string(m.opts.Node)) {
+		alive = append(alive, m.opts.Node)
+	}
+	slices.Sort(alive)
+	return alive
+}
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -53,7 +53,7 @@
 }
 
 func (m *Machine) configChanged(ev ConfigChanged) {
-	if m.topo != nil && ev.Snapshot.Version <= m.topo.version {
+	if ev.Snapshot.Version == 0 || (m.topo != nil && ev.Snapshot.Version <= m.topo.version) {
 		return
 	}
 	m.topo = newTopology(ev.Snapshot)
--- a/control/script_test.go
+++ b/control/script_test.go
@@ -99,7 +99,7 @@
 	case "cancel":
 		s.step(first, RequestCancelled{Request: request})
 	case "end":
-		outcome := map[string]Outcome{"answered": OutcomeAnswered, "lost": OutcomeLost, "not-run": OutcomeNotRun, "unreachable": OutcomeUnreachable}[arg("outcome", "answered")]
+		outcome := map[string]Outcome{"answered": OutcomeAnswered, "lost": OutcomeLost, "not-run": OutcomeNotRun, "unreachable": OutcomeUnreachable, "refused": OutcomeRefused}[arg("outcome", "answered")]
 		s.step(first, RunEnded{Request: request, Grant: s.grants[fmt.Sprintf("%s/%d", first, request)], Outcome: outcome, Service: span("service", "1s")})
 	case "load":
 		s.step(first, TargetLoad{Target: arg("target", ""), Running: number("running", 0), Queued: number("queued", 0), Slots: number("slots", 0), Leaving: has("leaving")})
--- a/control/target.go
+++ b/control/target.go
@@ -11,6 +11,8 @@
 	// firstBackoff and maxBackoff bound how long a failing target is passed over.
 	firstBackoff = 250 * time.Millisecond
 	maxBackoff   = 8 * time.Second
+	// maxRunBackoff is the longest where runs fail but load polls are answered.
+	maxRunBackoff = 2 * time.Second
 	// errorsToBackoff is how many runs in a row must end with a target's error.
 	errorsToBackoff = 5
 	// hopelessAfter is how long a target must fail before tickets that only it
@@ -32,6 +34,8 @@
 	downUntil                Instant
 	// loadAt is when the last load report came; negative if none did.
 	loadAt Instant
+	// polledAt is when a load poll was last answered.
+	polledAt Instant
 	// pollFailed says that the last failure was of a load poll.
 	pollFailed bool
 	// wasHopeless is what hopeless said last.
@@ -62,9 +66,11 @@
 	return t.window.Room(now)
 }
 
-// hopeless says that the target cannot be expected to serve again soon.
+// hopeless says that the target cannot be expected to serve again soon. One
+// that may be probed is not hopeless: only a ticket can show that it serves.
 func (t *target) hopeless(now Instant) bool {
-	return t.leaving || t.reportedLeaving || (t.failures > 1 && now-t.failingSince >= hopelessAfter)
+	failing := t.failures > 1 && now-t.failingSince >= hopelessAfter && now < t.downUntil
+	return t.leaving || t.reportedLeaving || failing
 }
 
 // targetHere returns a target of the shards scheduled here, or nil.
@@ -86,6 +92,7 @@
 	}
 	t.loadAt = m.now
 	t.window.Reported(m.now, ev.Running, ev.Queued, ev.Slots)
+	t.polledAt = m.now
 	t.prefixes.report(ev.CachedPrefixes)
 	m.pollAnswered(t.name)
 	if t.pollFailed {
@@ -115,7 +122,11 @@
 	}
 	t.pollFailed = poll
 	t.failures = min(t.failures+1, 16)
-	backoff := min(firstBackoff<<(t.failures-1), maxBackoff)
+	longest := maxBackoff
+	if !poll && m.now-t.polledAt <= pollFresh {
+		longest = maxRunBackoff
+	}
+	backoff := min(firstBackoff<<(t.failures-1), longest)
 	t.downUntil = m.now + m.jitter(backoff)
 	m.timers.set(&t.timer, t, t.downUntil)
 	m.noteHopeless(t)
@@ -132,7 +143,10 @@
 }
 
 // fire implements timed: the target may be probed.
-func (t *target) fire(m *Machine) { m.grantAll(t.shard) }
+func (t *target) fire(m *Machine) {
+	m.noteHopeless(t)
+	m.grantAll(t.shard)
+}
 
 func (t *target) recovered() {
 	t.failures = 0
