Resume a stream whose break comes with its last part; close a refused resume

Cause: a read that returned bytes together with its error kept the error and handed it on without asking the target to go on; a resumed answer with another status was left open, so its run held a slot; at offset zero a resume would have been a fresh run.

--- a/filters/relay/body.go
+++ b/filters/relay/body.go
@@ -41,22 +41,19 @@
 		b.offset += int64(n)
 		return n, nil
 	}
-	if b.sticky != nil {
-		return 0, b.ended(b.sticky)
-	}
-	n, err := b.source.Read(p)
-	b.offset += int64(n)
-	if err == nil {
-		return n, nil
-	}
-	if n > 0 {
+	if b.sticky == nil {
+		n, err := b.source.Read(p)
+		b.offset += int64(n)
 		b.sticky = err
-		return n, nil
+		if n > 0 || err == nil {
+			return n, nil
+		}
 	}
-	if err != io.EOF && b.resume() {
+	if b.sticky != io.EOF && b.resume() {
+		b.sticky = nil
 		return b.Read(p)
 	}
-	return 0, b.ended(err)
+	return 0, b.ended(b.sticky)
 }
 
 // resume opens the stream again at the offset reached.
@@ -66,18 +63,24 @@
 	}
 	b.resumes++
 	answer, err := b.relay.Client.Do(b.ctx, b.relay.Request(b.ex, b.offset))
-	if err != nil || answer.Status != b.ex.Status {
+	if err != nil {
+		return false
+	}
+	if answer.Status != b.ex.Status {
+		_ = answer.Body.Close()
 		return false
 	}
-	b.source.Close()
+	_ = b.source.Close()
 	b.source = answer.Body
 	resumed.Inc()
 	pipeline.Log(b.ctx, b.relay.Log, slog.LevelWarn, b.ex, "relay: Stream broke and was resumed.", slog.Int64("offset", b.offset))
 	return true
 }
 
+// canResume says whether the target may be asked to go on. At offset zero
+// nothing was handed on, and the call would be a fresh run.
 func (b *body) canResume() bool {
-	if b.resumes >= maxResumes || b.ctx.Err() != nil {
+	if b.offset == 0 || b.resumes >= maxResumes || b.ctx.Err() != nil {
 		return false
 	}
 	declared := b.ex.Snapshot.Declarations.Targets[b.ex.Target]
