Declare the models and role that a target shall have

Targets take orders to load models and to change their role, and nothing declared what they should be. A target may now have load_models and role, both optional and left out of the encoding when empty, so that digests of the versions before do not change. Only targets of engine pools have them; a pool that turns into a service is checked against its untouched targets too, and the property test holds this incremental check to that of the whole document.

--- a/config/decode.go
+++ b/config/decode.go
@@ -30,7 +30,7 @@
 var (
 	workspaceSection = newSection(sectionWorkspaces, defaultWorkspace, normaliseWorkspace)
 	poolSection      = newSection(sectionPools, defaultPool, normalisePool)
-	targetSection    = newSection(sectionTargets, defaultTarget, func(t Target) Target { return t })
+	targetSection    = newSection(sectionTargets, defaultTarget, normaliseTarget)
 )
 
 func newSection[T any](name string, defaults func() T, normalise func(T) T) section[T] {
@@ -63,6 +63,13 @@
 	return p
 }
 
+func normaliseTarget(t Target) Target {
+	if len(t.LoadModels) == 0 {
+		t.LoadModels = nil
+	}
+	return t
+}
+
 func (s section[T]) path(name string) string { return s.name + "." + name }
 
 // decode reads one object strictly: field names match exactly, unknown fields
--- a/config/defaults.go
+++ b/config/defaults.go
@@ -50,7 +50,7 @@
 	if t.Slots == 0 {
 		t.Slots = DefaultSlots
 	}
-	return t
+	return normaliseTarget(t)
 }
 
 // WithDefaults returns a copy of d in which every field that is zero and has a
--- a/config/property_test.go
+++ b/config/property_test.go
@@ -63,6 +63,8 @@
 		"data_centre": {`"ikeja"`, `"lekki"`},
 		"address":     {`"127.0.0.1:7001"`, `"127.0.0.1:7002"`},
 		"leaving":     {"true", "false", "null"},
+		"load_models": {"null", "[]", `["m0"]`, `["m1@2", "m1@2/a"]`},
+		"role":        {"null", `"prefill"`},
 	})
 )
 
--- a/config/types.go
+++ b/config/types.go
@@ -83,6 +83,14 @@
 	Resumes bool `json:"resumes,omitempty" toml:"resumes,omitempty"`
 	// Leaving says that the target takes no new work.
 	Leaving bool `json:"leaving,omitempty" toml:"leaving,omitempty"`
+	// LoadModels are the models that the target shall have loaded, and no
+	// others, each as "model", "model@version", "model/adapter" or
+	// "model@version/adapter". Empty: the target is not ordered to load or
+	// unload. Only for engine pools; see package orders.
+	LoadModels []string `json:"load_models,omitempty" toml:"load_models,omitempty"`
+	// Role is the role that the target shall have, for example "prefill".
+	// Empty: it is not ordered to change it. Only for engine pools.
+	Role string `json:"role,omitempty" toml:"role,omitempty"`
 }
 
 // Snapshot is one immutable version in force. It is shared by pointer and must
--- a/config/validate.go
+++ b/config/validate.go
@@ -69,6 +69,7 @@
 		}
 	}
 	checkKeyOwners(d, touched, before, problems)
+	checkOrdersOfPools(d, touched, problems)
 	if len(touched.Pools) > 0 {
 		checkPoolsUnique(d.Pools, problems)
 	}
@@ -249,6 +250,7 @@
 	if t.Slots < 1 || t.Slots > MaxSlots {
 		problems.add(object, "slots", "must be between 1 and %d", MaxSlots)
 	}
+	checkOrders(d, object, t, problems)
 }
 
 func validAddress(address string) bool {
