Check key files too, name the key in start errors, and leave nothing half started

Found by trying each class of bad setting as a user would: - check accepted settings whose TLS files were missing, did not match, or were another node's; a port in use was told without file and key; one address for two listeners, port 0 of the platform and unusable names passed. - An unknown key in an inline table was told without its table. - A failed start left the goroutines of the load poller, the batcher, the run records and the connection pool, and a router in one process with others kept running halfway. What has goroutines is now made after the listeners are open. - A SIGTERM during an operator's drain cut it, although the platform ends a VM by just that: it takes a second one now.

peer.Options.Check is new; it says what New would refuse.

Ran: go test -race of settings, daemon, router, peer, devfleet and proctest.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,10 +1,12 @@
 // Package daemon is the walnutd program: it reads the command line and the
 // settings, runs one router, and stops it on signals. The first SIGTERM or
-// SIGINT drains; a second one ends at once.
+// SIGINT drains; a second one ends at once. After a drain that an operator
+// asked for, the first one changes nothing.
 package daemon
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -64,7 +66,7 @@
 }
 
 func check(path string, out, errOut io.Writer) int {
-	if _, err := settings.Load(path); err != nil {
+	if _, err := load(path); err != nil {
 		fmt.Fprintf(errOut, "%v\n", err)
 		return ExitUsage
 	}
@@ -72,8 +74,26 @@
 	return ExitOK
 }
 
-func run(path string, errOut io.Writer) int {
+// load reads the settings and checks them, and the files that they name.
+func load(path string) (settings.Settings, error) {
 	loaded, err := settings.Load(path)
+	if err != nil {
+		return settings.Settings{}, err
+	}
+	return loaded, inFile(path, router.Check(loaded))
+}
+
+// inFile names the settings file in errors about its keys.
+func inFile(path string, err error) error {
+	var problems settings.Problems
+	if errors.As(err, &problems) {
+		return problems.InFile(path)
+	}
+	return err
+}
+
+func run(path string, errOut io.Writer) int {
+	loaded, err := load(path)
 	if err != nil {
 		fmt.Fprintf(errOut, "%v\n", err)
 		return ExitUsage
@@ -84,22 +104,36 @@
 	defer signal.Stop(signals)
 	r, err := router.Start(loaded, log)
 	if err != nil {
-		fmt.Fprintf(errOut, "walnutd: %v\n", err)
+		fmt.Fprintf(errOut, "%v\n", inFile(path, err))
 		return ExitFailed
 	}
+	limit := time.Duration(loaded.Limits.DrainTimeout)
 	select {
 	case <-signals:
+		return drain(r, limit, signals, 1, log)
 	case <-r.DrainAsked():
+		// The platform may end the VM by a signal now; that is no second order.
+		return drain(r, limit, signals, 2, log)
 	}
-	return drain(r, time.Duration(loaded.Limits.DrainTimeout), signals, log)
 }
 
-// drain shuts the router down. A signal that comes meanwhile cuts the drain.
-func drain(r *router.Router, limit time.Duration, signals <-chan os.Signal, log *slog.Logger) int {
+// shutdowner is the part of a router that drain needs.
+type shutdowner interface {
+	Shutdown(ctx context.Context) error
+}
+
+// drain shuts the router down. The given number of further signals cuts it.
+func drain(r shutdowner, limit time.Duration, signals <-chan os.Signal, cutBy int, log *slog.Logger) int {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	go func() {
-		<-signals
+		for range cutBy {
+			select {
+			case <-signals:
+			case <-ctx.Done():
+				return
+			}
+		}
 		cancel()
 	}()
 	if err := r.Shutdown(ctx); err != nil {
--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,276 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/peer/testkeys"
+	"github.com/walnutcove/walnutcove/settings"
+)
+
+// generous bounds waits for events that must come.
+const generous = 30 * time.Second
+
+// output collects what the program writes.
+type output struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+// String returns what was written so far.
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
+// waitFor waits until the text was written.
+func (o *output) waitFor(t *testing.T, text string) {
+	t.Helper()
+	for end := time.Now().Add(generous); !strings.Contains(o.String(), text); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("no %q in:\n%s", text, o)
+		}
+	}
+}
+
+// listen holds a port that nothing else can listen on.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	return listener
+}
+
+// write writes settings whose listeners pick their ports, with lines added.
+// The platform is one that nothing listens at.
+func write(t *testing.T, lines string) string {
+	t.Helper()
+	text := `
+node = { name = "vm-1", data_centre = "ikeja" }
+platform = { address = "127.0.0.1:1" }
+` + lines
+	if !strings.Contains(lines, "listen = ") {
+		text = `listen = { callers = "127.0.0.1:0", operators = "127.0.0.1:0", peers = "127.0.0.1:0" }` + text
+	}
+	path := filepath.Join(t.TempDir(), "walnutd.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// peerFiles is the setting of key files.
+func peerFiles(cert, key, ca string) string {
+	return fmt.Sprintf("peers = { cert_file = %q, key_file = %q, ca_file = %q }\n", cert, key, ca)
+}
+
+func TestBadSettingsStartNothing(t *testing.T) {
+	keys := t.TempDir()
+	if err := testkeys.Make(keys, 0, "vm-1", "vm-2"); err != nil {
+		t.Fatal(err)
+	}
+	mine, other := testkeys.FilesOf(keys, "vm-1"), testkeys.FilesOf(keys, "vm-2")
+	for _, c := range []struct{ name, lines, problem string }{
+		{"unknown key", "log = { colour = true }", "log.colour: unknown key"},
+		{"wrong type", "limits = { read_timeout = 10 }", "limits.read_timeout: must be a string with a unit"},
+		{"host name", `listen = { callers = "localhost:80", operators = "127.0.0.1:81", peers = "127.0.0.1:82" }`, `listen.callers: is "localhost:80"; must be "ip:port"`},
+		{"out of range", "limits = { max_body_bytes = 1 }", "limits.max_body_bytes: is 1; must be from 1024"},
+		{"one port twice", `listen = { callers = "127.0.0.1:80", operators = "127.0.0.1:80", peers = "127.0.0.1:82" }`, "listen.operators: is 127.0.0.1:80, which is that of listen.callers too"},
+		{"no TLS off loopback", `listen = { callers = "10.0.0.1:80", operators = "127.0.0.1:81", peers = "127.0.0.1:82" }`, "listen.callers: is 10.0.0.1:80, which is not on loopback"},
+		{"syntax", "[node", "expected ']'"},
+		{"key file missing", peerFiles(mine.CertFile, keys+"/none.pem", mine.CAFile), "peers: load certificate: open " + keys + "/none.pem: no such file"},
+		{"key of another certificate", peerFiles(mine.CertFile, other.KeyFile, mine.CAFile), "peers: load certificate: tls: private key does not match public key"},
+		{"certificate of another node", peerFiles(other.CertFile, other.KeyFile, other.CAFile), `peers: peer: certificate of node "vm-1"`},
+		{"CA without a certificate", peerFiles(mine.CertFile, mine.KeyFile, mine.KeyFile), "peers: load CA " + mine.KeyFile + ": no certificate"},
+		{"some key files only", fmt.Sprintf("peers = { cert_file = %q }", mine.CertFile), "peers.ca_file: is missing"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			path := write(t, c.lines)
+			for _, command := range []string{"check", "run"} {
+				var out, errOut output
+				if code := Main([]string{command, "-c", path}, &out, &errOut); code != ExitUsage {
+					t.Errorf("%s: exit code %d", command, code)
+				}
+				if got := errOut.String(); !strings.HasPrefix(got, path) || !strings.Contains(got, c.problem) || out.String() != "" {
+					t.Errorf("%s: got %q %q, want %s and %q", command, got, &out, path, c.problem)
+				}
+			}
+		})
+	}
+}
+
+func TestCheckOfGoodSettings(t *testing.T) {
+	var out, errOut output
+	path := write(t, "")
+	if code := Main([]string{"check", "-c", path}, &out, &errOut); code != ExitOK || out.String() != path+": The settings are valid.\n" || errOut.String() != "" {
+		t.Errorf("exit code %d, %q, %q", code, &out, &errOut)
+	}
+}
+
+func TestCommandLineErrors(t *testing.T) {
+	missing := filepath.Join(t.TempDir(), "none.toml")
+	for _, c := range []struct {
+		args    []string
+		problem string
+	}{
+		{nil, "missing flags: --config=FILE"},
+		{[]string{"run"}, "missing flags: --config=FILE"},
+		{[]string{"serve"}, "unexpected argument serve"},
+		{[]string{"-c", "x", "--force"}, "unknown flag --force"},
+		{[]string{"-c", missing}, missing + ": no such file"},
+		{[]string{"check", "-c", missing}, missing + ": no such file"},
+	} {
+		var out, errOut output
+		if code := Main(c.args, &out, &errOut); code != ExitUsage || !strings.Contains(errOut.String(), c.problem) {
+			t.Errorf("%q: exit code %d, %q", c.args, code, &errOut)
+		}
+	}
+}
+
+func TestPortInUse(t *testing.T) {
+	taken := listen(t).Addr().String()
+	for n, key := range []string{"callers", "operators", "peers"} {
+		addresses := []string{"127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"}
+		addresses[n] = taken
+		path := write(t, fmt.Sprintf("listen = { callers = %q, operators = %q, peers = %q }", addresses[0], addresses[1], addresses[2]))
+		var errOut output
+		code := Main([]string{"-c", path}, io.Discard, &errOut)
+		got := errOut.String()
+		if code != ExitFailed || !strings.HasPrefix(got, path+": listen."+key+": ") || !strings.Contains(got, "address already in use") {
+			t.Errorf("%s: exit code %d, %q", key, code, got)
+		}
+		if strings.Contains(got, "router: Started.") {
+			t.Errorf("%s: the router was started", key)
+		}
+	}
+}
+
+// TestSecondSignalEndsAtOnce holds a drain by half a request.
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	holder := listen(t)
+	callers := holder.Addr().String()
+	holder.Close()
+	path := write(t, fmt.Sprintf(`listen = { callers = %q, operators = "127.0.0.1:0", peers = "127.0.0.1:0" }
+limits = { read_timeout = "1h" }
+log = { format = "json" }`, callers))
+	var errOut output
+	exited := make(chan int, 1)
+	go func() { exited <- Main([]string{"run", "-c", path}, io.Discard, &errOut) }()
+	errOut.waitFor(t, "router: Started.")
+	conn, err := net.Dial("tcp4", callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "POST /x HTTP/1.1\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		errOut.waitFor(t, "router: Draining.")
+	}
+	select {
+	case code := <-exited:
+		if code != ExitFailed || !strings.Contains(errOut.String(), "daemon: Drain was cut short.") {
+			t.Errorf("exit code %d:\n%s", code, &errOut)
+		}
+	case <-time.After(generous):
+		t.Fatalf("did not end:\n%s", &errOut)
+	}
+	for line := range strings.Lines(errOut.String()) {
+		if !json.Valid([]byte(line)) {
+			t.Errorf("not JSON: %s", line)
+		}
+	}
+}
+
+func TestSignalDrains(t *testing.T) {
+	var errOut output
+	exited := make(chan int, 1)
+	path := write(t, "")
+	go func() { exited <- Main([]string{"-c", path}, io.Discard, &errOut) }()
+	errOut.waitFor(t, "router: Started.")
+	if err := syscall.Kill(os.Getpid(), syscall.SIGINT); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case code := <-exited:
+		if code != ExitOK {
+			t.Errorf("exit code %d:\n%s", code, &errOut)
+		}
+	case <-time.After(generous):
+		t.Fatalf("did not end:\n%s", &errOut)
+	}
+}
+
+// heldRouter drains until it is released.
+type heldRouter struct{ release chan struct{} }
+
+// Shutdown implements shutdowner.
+func (h heldRouter) Shutdown(ctx context.Context) error {
+	select {
+	case <-h.release:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func TestSignalAfterOperatorsDrain(t *testing.T) {
+	for _, c := range []struct{ signals, code int }{{1, ExitOK}, {2, ExitFailed}} {
+		signals := make(chan os.Signal) // without room: a sent signal was taken
+		r := heldRouter{make(chan struct{})}
+		exited := make(chan int, 1)
+		go func() { exited <- drain(r, time.Hour, signals, 2, slog.New(slog.DiscardHandler)) }()
+		for range c.signals {
+			signals <- syscall.SIGTERM
+		}
+		if c.code == ExitOK {
+			close(r.release)
+		}
+		if code := <-exited; code != c.code {
+			t.Errorf("%d signals: exit code %d", c.signals, code)
+		}
+	}
+}
+
+func TestLogSettings(t *testing.T) {
+	var out bytes.Buffer
+	log := NewLogger(settings.Log{Level: "warn", Format: "json"}, &out)
+	log.Info("router: Not written.")
+	log.Warn("router: Written.", "request", "r-1")
+	var line struct{ Level, Msg, Request string }
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil || line.Level != "WARN" || line.Msg != "router: Written." || line.Request != "r-1" {
+		t.Errorf("%q: %+v, %v", &out, line, err)
+	}
+	out.Reset()
+	NewLogger(settings.Log{Level: "debug", Format: "text"}, &out).Debug("router: Written.")
+	if !strings.Contains(out.String(), `level=DEBUG msg="router: Written."`) {
+		t.Errorf("got %q", &out)
+	}
+}
--- a/peer/options.go
+++ b/peer/options.go
@@ -80,6 +80,9 @@
 	ErrWeakTLS = errors.New("TLS must be version 1.3 and verify both sides")
 )
 
+// Check says what New would refuse, but for an address that is in use.
+func (o Options) Check() error { return o.complete() }
+
 func (o *Options) complete() error {
 	if o.Node == "" || o.Incarnation == 0 {
 		return errors.New("peer: node and incarnation are required")
--- /dev/null
+++ b/router/start.go
@@ -0,0 +1,211 @@
+package router
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/config/follower"
+	"github.com/walnutcove/walnutcove/config/store"
+	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/front"
+	"github.com/walnutcove/walnutcove/operator"
+	"github.com/walnutcove/walnutcove/peer"
+	"github.com/walnutcove/walnutcove/peer/tlsfiles"
+	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/platform/batch"
+	"github.com/walnutcove/walnutcove/runrecord"
+	"github.com/walnutcove/walnutcove/settings"
+	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/target/loadpoll"
+)
+
+// Keys of the settings that errors of Start and Check name.
+const (
+	keyCallers   = "listen.callers"
+	keyOperators = "listen.operators"
+	keyPeers     = "listen.peers"
+	keyPeerFiles = "peers"
+)
+
+// Start starts a router and returns once its listeners are open. The router
+// takes callers' requests once it has a configuration version. An error is a
+// settings.Problems and leaves nothing running.
+func Start(s settings.Settings, log *slog.Logger) (*Router, error) {
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	if log == nil {
+		log = slog.Default()
+	}
+	r := &Router{
+		settings:    s,
+		incarnation: newIncarnation(),
+		log:         log.With("node", s.Node.Name),
+		stopLoop:    make(chan struct{}),
+		drainedCh:   make(chan struct{}),
+		drainAsked:  make(chan struct{}),
+	}
+	r.buildCore()
+	if err := r.open(); err != nil {
+		r.closeListeners()
+		r.platform.Close()
+		return nil, err
+	}
+	r.buildWorkers()
+	r.run()
+	r.log.Info("router: Started.",
+		"callers", r.CallersAddress(), "operators", r.OperatorsAddress(), "peers", r.mesh.Address())
+	return r, nil
+}
+
+// Check finds out what Start would refuse, but for addresses that are in use.
+// It opens nothing. The error is a settings.Problems.
+func Check(s settings.Settings) error {
+	if err := s.Validate(); err != nil {
+		return err
+	}
+	_, err := peerOptions(s, newIncarnation())
+	return err
+}
+
+// problem is an error about one key of the settings.
+func problem(key string, err error) error {
+	return settings.Problems{{Key: key, Reason: err.Error()}}
+}
+
+func newIncarnation() control.Incarnation {
+	var bytes [8]byte
+	_, _ = rand.Read(bytes[:]) // never fails, see crypto/rand
+	return control.Incarnation(binary.LittleEndian.Uint64(bytes[:]) | 1)
+}
+
+// buildCore makes the parts that do nothing by themselves.
+func (r *Router) buildCore() {
+	s := r.settings
+	r.platform = platform.NewClient(platform.Options{
+		Address: s.Platform.Address,
+		Timeout: time.Duration(s.Platform.Timeout),
+	})
+	r.store = store.New(r.platform, r.platform.Objects(), store.Options{Log: r.log})
+	r.follower = follower.New(follower.Options{
+		Source:    r.store,
+		Peers:     peerFetcher{r},
+		OnChange:  r.configChanged,
+		PollEvery: time.Duration(s.Platform.PollEvery),
+		Timeout:   time.Duration(s.Platform.Timeout),
+		Log:       r.log,
+	})
+	r.owners = newOwners(control.NodeID(s.Node.Name), r.incarnation, time.Now)
+	machine := control.New(control.Options{
+		Node:           control.NodeID(s.Node.Name),
+		Incarnation:    r.incarnation,
+		DataCentre:     s.Node.DataCentre,
+		Policy:         control.Policy(s.Scheduling.Policy),
+		Seed:           uint64(r.incarnation),
+		HeartbeatEvery: time.Duration(s.Scheduling.HeartbeatEvery),
+		MemberTimeout:  time.Duration(s.Scheduling.MemberTimeout),
+		ExchangeEvery:  time.Duration(s.Scheduling.ExchangeEvery),
+	})
+	r.loop = newLoop(machine, r, r.log)
+}
+
+// open opens the listeners and makes what answers peers and operators.
+func (r *Router) open() error {
+	var err error
+	if r.callers, err = net.Listen("tcp", r.settings.Listen.Callers); err != nil {
+		return problem(keyCallers, err)
+	}
+	if r.operators, err = net.Listen("tcp", r.settings.Listen.Operators); err != nil {
+		return problem(keyOperators, err)
+	}
+	r.operator, err = operator.New(backend{r}, operator.Options{
+		Address:   r.settings.Listen.Operators,
+		KeyHashes: r.settings.Operators.KeyHashes,
+		Log:       r.log,
+	})
+	if err != nil {
+		return problem("operators", err)
+	}
+	options, err := peerOptions(r.settings, r.incarnation)
+	if err != nil {
+		return err
+	}
+	options.Logger = r.log
+	r.mesh, err = peer.New(options, peerHandler{r})
+	if err != nil {
+		return problem(keyPeers, err)
+	}
+	return nil
+}
+
+// peerOptions loads the keys for peers and checks them.
+func peerOptions(s settings.Settings, incarnation control.Incarnation) (peer.Options, error) {
+	keys, err := tlsfiles.Load(s.Peers.CertFile, s.Peers.KeyFile, s.Peers.CAFile)
+	if err != nil {
+		return peer.Options{}, problem(keyPeerFiles, err)
+	}
+	options := peer.Options{
+		Node:          control.NodeID(s.Node.Name),
+		Incarnation:   incarnation,
+		ListenAddress: s.Listen.Peers,
+		TLS:           keys,
+	}
+	if err := options.Check(); err != nil {
+		return peer.Options{}, problem(keyPeerFiles, err)
+	}
+	return options, nil
+}
+
+func (r *Router) closeListeners() {
+	for _, listener := range []net.Listener{r.callers, r.operators} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// buildWorkers makes the parts that have goroutines of their own, and what
+// needs them.
+func (r *Router) buildWorkers() {
+	s := r.settings
+	r.targets = target.NewHTTPClient(target.Options{
+		FirstByteTimeout: time.Duration(s.Limits.FirstByteTimeout),
+		StallTimeout:     time.Duration(s.Limits.StallTimeout),
+		Metrics:          metrics.GetDefaultSet(),
+	})
+	r.poller = loadpoll.New(loadpoll.Options{
+		Client:   r.targets,
+		OnResult: r.loadPolled,
+		Seed:     uint64(r.incarnation),
+		Metrics:  metrics.GetDefaultSet(),
+	})
+	r.batched = batch.New(r.platform, batch.Options{Timeout: time.Duration(s.Platform.Timeout)})
+	r.records = runrecord.New(runrecord.Options{
+		Table:       r.batched,
+		Node:        control.NodeID(s.Node.Name),
+		Incarnation: r.incarnation,
+		OwnerAlive:  r.owners.alive,
+		Logger:      r.log,
+	})
+	options := front.FromLimits(s.Limits)
+	options.Log = r.log
+	r.front = front.New(options, r.pipeline())
+}
+
+// run starts the goroutines of a router whose parts are all made.
+func (r *Router) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	r.unpublish = r.publishMetrics()
+	go r.loop.run(r.stopLoop)
+	r.start(func() { r.follower.Run(ctx) })
+	r.start(func() { r.followVMs(ctx) })
+	r.start(func() { r.serve("callers", r.front.Serve, r.callers) })
+	r.start(func() { r.serve("operators", r.operator.Serve, r.operators) })
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -22,7 +23,7 @@
 	s, err := Parse(text)
 	var problems Problems
 	if errors.As(err, &problems) {
-		return Settings{}, problems.inFile(path)
+		return Settings{}, problems.InFile(path)
 	}
 	return s, err
 }
@@ -67,7 +68,7 @@
 		}
 		var missing *toml.StrictMissingError
 		if errors.As(err, &missing) {
-			return s, append(problems, unknownKeys(missing, rewritten)...)
+			return s, append(problems, unknownKeys(document, missing, rewritten)...)
 		}
 		problem := typeProblem(err)
 		if rewritten {
@@ -89,18 +90,56 @@
 	return text
 }
 
-func unknownKeys(missing *toml.StrictMissingError, rewritten bool) Problems {
-	problems := make(Problems, 0, len(missing.Errors))
-	for _, e := range missing.Errors {
-		line, _ := e.Position()
-		if rewritten {
-			line = 0
+// unknownKeys lists the keys of a document that Settings has not, with the
+// lines that the decoder found them at.
+func unknownKeys(document map[string]any, missing *toml.StrictMissingError, rewritten bool) Problems {
+	var problems Problems
+	for _, key := range extraKeys(document, reflect.TypeFor[Settings](), "") {
+		problem := Problem{Key: key, Reason: "unknown key"}
+		if !rewritten {
+			problem.Line = lineOf(key, missing)
 		}
-		problems = append(problems, Problem{Line: line, Key: strings.Join(e.Key(), "."), Reason: "unknown key"})
+		problems = append(problems, problem)
 	}
 	return problems
 }
 
+// extraKeys returns the dotted keys of a table that are no fields of a struct.
+func extraKeys(table map[string]any, fields reflect.Type, prefix string) []string {
+	var extra []string
+	for name, value := range table {
+		field, known := fields.FieldByNameFunc(func(field string) bool {
+			f, _ := fields.FieldByName(field)
+			return strings.EqualFold(f.Tag.Get("toml"), name)
+		})
+		inner, isTable := value.(map[string]any)
+		switch {
+		case !known:
+			extra = append(extra, prefix+name)
+		case isTable && field.Type.Kind() == reflect.Struct:
+			extra = append(extra, extraKeys(inner, field.Type, prefix+name+".")...)
+		}
+	}
+	return extra
+}
+
+// lineOf returns the line of an unknown key; zero if it is not known. The
+// decoder names a key of an inline table without the table, so that two such
+// keys cannot be told apart.
+func lineOf(key string, missing *toml.StrictMissingError) int {
+	found := 0
+	for _, e := range missing.Errors {
+		if !strings.HasSuffix("."+key, "."+strings.Join(e.Key(), ".")) {
+			continue
+		}
+		if found != 0 {
+			return 0
+		}
+		found, _ = e.Position()
+	}
+	return found
+}
+
 // syntaxProblem tells what is wrong with the text as TOML.
 func syntaxProblem(err error) Problem {
 	var decodeErr *toml.DecodeError
--- a/settings/problem.go
+++ b/settings/problem.go
@@ -56,8 +56,8 @@
 	return slices.ContainsFunc(ps, func(p Problem) bool { return p.Key == key })
 }
 
-// inFile returns the problems with the file's name set.
-func (ps Problems) inFile(file string) Problems {
+// InFile returns the problems with the file's name set.
+func (ps Problems) InFile(file string) Problems {
 	for i := range ps {
 		ps[i].File = file
 	}
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/walnutcove/walnutcove/control"
@@ -20,6 +21,7 @@
 	minHeaderBytes = 1 << 10
 	maxHeaderBytes = 1 << 20
 
+	maxNameBytes = 253
 	keyHashBytes = 32
 )
 
@@ -34,9 +36,12 @@
 
 func (s Settings) check() Problems {
 	var c checker
-	c.required("node.name", s.Node.Name)
-	c.required("node.data_centre", s.Node.DataCentre)
-	c.address("platform.address", s.Platform.Address)
+	c.name("node.name", s.Node.Name)
+	c.name("node.data_centre", s.Node.DataCentre)
+	platform, ok := c.address("platform.address", s.Platform.Address)
+	if ok && platform.Port() == 0 {
+		c.add("platform.address", "has no port")
+	}
 	s.checkListeners(&c)
 	s.checkDurations(&c)
 	c.within("limits.max_body_bytes", s.Limits.MaxBodyBytes, minBodyBytes, maxBodyBytes)
@@ -55,6 +60,9 @@
 	callers, callersOK := c.address("listen.callers", s.Listen.Callers)
 	operators, operatorsOK := c.address("listen.operators", s.Listen.Operators)
 	peers, peersOK := c.address("listen.peers", s.Listen.Peers)
+	c.distinct("listen.operators", operators, "listen.callers", callers)
+	c.distinct("listen.peers", peers, "listen.callers", callers)
+	c.distinct("listen.peers", peers, "listen.operators", operators)
 	tls := c.allOrNone(s.Peers)
 	if !tls {
 		c.loopback("listen.callers", callers, callersOK)
@@ -93,9 +101,22 @@
 	c.problems = append(c.problems, Problem{Key: key, Reason: fmt.Sprintf(format, args...)})
 }
 
-func (c *checker) required(key, value string) {
+// name checks a name that other routers and the platform know.
+func (c *checker) name(key, value string) {
 	if value == "" {
 		c.add(key, "is required")
+		return
+	}
+	plain := func(r rune) bool { return r > ' ' && r <= '~' && r != '"' && r != '\\' }
+	if len(value) > maxNameBytes || strings.IndexFunc(value, func(r rune) bool { return !plain(r) }) >= 0 {
+		c.add(key, "is %.64q; must be up to %d ASCII characters without spaces, quotes and backslashes", value, maxNameBytes)
+	}
+}
+
+// distinct refuses one address for two listeners. Port 0 lets the system pick.
+func (c *checker) distinct(key string, address netip.AddrPort, otherKey string, other netip.AddrPort) {
+	if address.IsValid() && address.Port() != 0 && address == other {
+		c.add(key, "is %s, which is that of %s too", address, otherKey)
 	}
 }
 
@@ -133,7 +154,7 @@
 	}
 	address, err := netip.ParseAddrPort(value)
 	if err != nil {
-		c.add(key, "is %q; must be \"ip:port\" with an IP number, not a host name", value)
+		c.add(key, "is %q; must be \"ip:port\" with an IP number, not a host name, and a port up to 65535", value)
 		return netip.AddrPort{}, false
 	}
 	return address, true
