--- a/bench/capacity/platformcost.go
+++ b/bench/capacity/platformcost.go
@@ -60,15 +60,19 @@
 		return nil, err
 	}
 	defer server.Close()
-	set := metrics.NewSet()
-	client := platform.NewClient(platform.Options{Address: address, Metrics: set, WritesPerSecond: 1e6, WriteBurst: 1000})
+	counter, err := newByteCounter(address)
+	if err != nil {
+		return nil, err
+	}
+	defer counter.close()
+	client := platform.NewClient(platform.Options{
+		Address: counter.address(), Metrics: metrics.NewSet(), WritesPerSecond: 1e6, WriteBurst: 1000,
+	})
 	defer client.Close()
 	if err := call(client); err != nil {
 		return nil, err
 	}
-	sent := set.GetOrCreateCounter("walnut_platform_sent_bytes_total")
-	received := set.GetOrCreateCounter("walnut_platform_received_bytes_total")
-	before := sent.Get() + received.Get()
+	before := counter.bytes.Load()
 	spent := processorTime()
 	for range callsCounted {
 		if err := call(client); err != nil {
@@ -76,9 +80,8 @@
 		}
 	}
 	spent = processorTime() - spent
-	bytes := sent.Get() + received.Get() - before
 	return []Value{
-		{"bytes/call", float64(bytes) / callsCounted},
+		{"bytes/call", float64(counter.bytes.Load()-before) / callsCounted},
 		{"us/call, with stand-in", float64(spent.Microseconds()) / callsCounted},
 	}, nil
 }
--- /dev/null
+++ b/bench/capacity/recover.go
@@ -0,0 +1,326 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/walnutcove/walnutcove/bench/fleet"
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/load"
+	"github.com/walnutcove/walnutcove/operator"
+	"github.com/walnutcove/walnutcove/processes"
+	"github.com/walnutcove/walnutcove/standin/journal"
+)
+
+// Recover measures how long real routers take to work again after a fault.
+type Recover struct {
+	Routers    int
+	Workspaces int
+	Repeats    int
+	// Behind are the numbers of versions that a router misses.
+	Behind []int
+	CSV    io.Writer
+}
+
+const (
+	// recoverCallers keep every shard backlogged.
+	recoverCallers = 200
+	recoverSlots   = 8
+	// recoverTokens at recoverStep make runs of 200 ms in the mean.
+	recoverTokens = 40
+	recoverStep   = 5 * time.Millisecond
+	// beforeFault and afterFault are how long requests flow around a fault.
+	beforeFault = 3 * time.Second
+	afterFault  = 12 * time.Second
+)
+
+// Run measures and writes a table.
+func (o Recover) Run(ctx context.Context, out io.Writer) error {
+	if o.CSV != nil {
+		fmt.Fprint(o.CSV, csvHeader)
+	}
+	for _, fault := range []struct {
+		name    string
+		measure func(context.Context) ([]Value, error)
+	}{
+		{"scheduler killed", func(ctx context.Context) ([]Value, error) { return o.scheduler(ctx, kill) }},
+		{"scheduler frozen", func(ctx context.Context) ([]Value, error) { return o.scheduler(ctx, freeze) }},
+		{"fleet restarted empty", o.restart},
+		{"router behind", o.behind},
+	} {
+		var rows []Row
+		for repeat := range max(1, o.Repeats) {
+			values, err := fault.measure(ctx)
+			if err != nil {
+				return fmt.Errorf("%s: %w", fault.name, err)
+			}
+			for _, v := range values {
+				rows = append(rows, Row{fault.name, "routers", float64(o.Routers), repeat + 1, v})
+			}
+		}
+		writeTable(out, fault.name, "routers", rows)
+		if o.CSV != nil {
+			writeCSV(o.CSV, rows)
+		}
+	}
+	return nil
+}
+
+func kill(r *processes.Router) error {
+	r.Kill()
+	return nil
+}
+
+func freeze(r *processes.Router) error { return r.Freeze() }
+
+func (o Recover) start(ctx context.Context) (*fleet.Fleet, error) {
+	declared := make(map[string]config.Workspace, o.Workspaces)
+	for n := range o.Workspaces {
+		w := fleet.Workspace(workspaceKey(n), 1, benchPool)
+		w.MaxQueued = recoverCallers
+		declared[workspaceName(n)] = w
+	}
+	f, err := fleet.Start(ctx, fleet.Options{
+		DataCentres: []string{centreName(0), centreName(1), centreName(2)},
+		Routers:     o.Routers,
+		Pools: map[string]fleet.Pool{benchPool: {
+			Declared: config.Pool{Kind: config.KindEngine, Models: []string{benchModel}},
+			Targets:  9, Slots: recoverSlots, Step: recoverStep,
+		}},
+		Workspaces: declared,
+		Edit:       usualPeriods,
+	})
+	if err == nil {
+		time.Sleep(fleetSettles)
+	}
+	return f, err
+}
+
+// scheduler breaks the router that schedules the shard of the first data
+// centre, while callers of the other routers keep it backlogged.
+func (o Recover) scheduler(ctx context.Context, fault func(*processes.Router) error) ([]Value, error) {
+	f, err := o.start(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	victim, err := findScheduler(ctx, f, o.Workspaces)
+	if err != nil {
+		return nil, err
+	}
+	callers := slices.DeleteFunc(f.Callers(), func(address string) bool { return address == victim.Settings.Listen.Callers })
+	requests := sendWhile(ctx, callers, o.Workspaces)
+	time.Sleep(beforeFault)
+	at := time.Now()
+	if err := fault(victim); err != nil {
+		return nil, err
+	}
+	time.Sleep(afterFault)
+	summary := requests.stop()
+	entries, err := f.Journals()
+	if err != nil {
+		return nil, err
+	}
+	starts := startsOf(entries, func(target string) bool { return f.Target(target).DataCentre == centreName(0) })
+	return []Value{
+		{"ms without a start, before", longestPause(starts, at.Add(-beforeFault+time.Second), at)},
+		{"ms without a start, after", longestPause(starts, at, at.Add(afterFault-time.Second))},
+		{"starts/s before", startsPerSecond(starts, at.Add(-beforeFault+time.Second), at)},
+		{"starts/s in the last 5 s", startsPerSecond(starts, at.Add(afterFault-6*time.Second), at.Add(afterFault-time.Second))},
+		{"answered", float64(summary.Count(load.Answered))},
+		{"refused", float64(summary.Count(load.Refused))},
+		{"broken or wrong", float64(summary.Count(load.Broken) + summary.Count(load.Wrong))},
+	}, nil
+}
+
+// findScheduler lets requests run for a moment and asks the routers who
+// schedules the shard of the first data centre.
+func findScheduler(ctx context.Context, f *fleet.Fleet, workspaces int) (*processes.Router, error) {
+	requests := sendWhile(ctx, f.Callers(), workspaces)
+	time.Sleep(time.Second)
+	var found *processes.Router
+	most := 0
+	for _, r := range f.Routers {
+		var status operator.Status
+		url := "http://" + r.Settings.Listen.Operators + operator.PathStatus
+		if err := fleet.GetJSON(url, &status); err != nil {
+			return nil, err
+		}
+		for _, shard := range status.Shards {
+			if shard.DataCentre == centreName(0) && shard.Running > most {
+				found, most = r, shard.Running
+			}
+		}
+	}
+	requests.stop()
+	if found == nil {
+		return nil, fmt.Errorf("no router schedules the shard in %s", centreName(0))
+	}
+	return found, nil
+}
+
+// requests are callers at work.
+type requests struct {
+	cancel context.CancelFunc
+	done   chan *load.Summary
+}
+
+func sendWhile(ctx context.Context, callers []string, workspaces int) requests {
+	sending, cancel := context.WithCancel(ctx)
+	r := requests{cancel: cancel, done: make(chan *load.Summary, 1)}
+	run := load.Run{
+		Routers: callers,
+		Callers: recoverCallers,
+		Seed:    1,
+		Next: func(n int, random *rand.Rand) load.Request {
+			workspace := random.IntN(workspaces)
+			return load.Request{
+				Kind: load.Stream, Workspace: workspaceName(workspace), Key: workspaceKey(workspace),
+				Mark: fmt.Sprintf("m%d", n), Model: benchModel, MaxTokens: recoverTokens/2 + random.IntN(recoverTokens),
+			}
+		},
+	}
+	go func() { r.done <- run.Do(sending) }()
+	return r
+}
+
+// stop ends the sending and waits for the answers.
+func (r requests) stop() *load.Summary {
+	r.cancel()
+	return <-r.done
+}
+
+func startsOf(entries []journal.Entry, of func(target string) bool) []time.Time {
+	var starts []time.Time
+	for _, e := range entries {
+		if e.Event == journal.Started && of(e.Target) {
+			starts = append(starts, e.Wall)
+		}
+	}
+	slices.SortFunc(starts, time.Time.Compare)
+	return starts
+}
+
+// longestPause is the longest time without a start, in milliseconds.
+func longestPause(starts []time.Time, from, to time.Time) float64 {
+	longest := time.Duration(0)
+	last := from
+	for _, at := range starts {
+		if at.Before(from) || at.After(to) {
+			continue
+		}
+		longest = max(longest, at.Sub(last))
+		last = at
+	}
+	return millis(max(longest, to.Sub(last)))
+}
+
+func startsPerSecond(starts []time.Time, from, to time.Time) float64 {
+	count := 0
+	for _, at := range starts {
+		if !at.Before(from) && at.Before(to) {
+			count++
+		}
+	}
+	return float64(count) / to.Sub(from).Seconds()
+}
+
+// restart kills every router at once and starts all again, empty.
+func (o Recover) restart(ctx context.Context) ([]Value, error) {
+	f, err := o.start(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var ending sync.WaitGroup
+	for _, r := range f.Routers {
+		ending.Go(r.Kill)
+	}
+	ending.Wait()
+	started := time.Now()
+	ready := make([]float64, len(f.Routers))
+	errs := make([]error, len(f.Routers))
+	var starting sync.WaitGroup
+	for i, r := range f.Routers {
+		starting.Go(func() {
+			errs[i] = r.Restart()
+			if errs[i] == nil {
+				errs[i] = r.WaitReady()
+			}
+			ready[i] = millis(time.Since(started))
+		})
+	}
+	requests := sendWhile(ctx, f.Callers(), o.Workspaces)
+	starting.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(afterFault)
+	summary := requests.stop()
+	entries, err := f.Journals()
+	if err != nil {
+		return nil, err
+	}
+	starts := startsOf(entries, func(string) bool { return true })
+	if len(starts) == 0 {
+		return nil, fmt.Errorf("nothing ran after the restart: %v", summary)
+	}
+	full := float64(9*recoverSlots) * float64(time.Second) / float64(recoverTokens*recoverStep)
+	return []Value{
+		{"ms until the first is ready", slices.Min(ready)},
+		{"ms until all are ready", slices.Max(ready)},
+		{"ms until the first start", millis(starts[0].Sub(started))},
+		{"ms until 90 % of the slots' rate", untilRate(starts, started, 0.9*full)},
+		{"answered", float64(summary.Count(load.Answered))},
+		{"refused", float64(summary.Count(load.Refused))},
+	}, nil
+}
+
+// untilRate is when a second begins in which runs start at a rate, in
+// milliseconds; -1 if none does.
+func untilRate(starts []time.Time, from time.Time, rate float64) float64 {
+	for _, at := range starts {
+		if startsPerSecond(starts, at, at.Add(time.Second)) >= rate {
+			return millis(at.Sub(from))
+		}
+	}
+	return -1
+}
+
+// behind freezes a router while versions are accepted, and thaws it.
+func (o Recover) behind(ctx context.Context) ([]Value, error) {
+	f, err := o.start(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	version := config.Version(1)
+	last := f.Routers[len(f.Routers)-1]
+	var values []Value
+	for _, missed := range o.Behind {
+		if err := last.Freeze(); err != nil {
+			return nil, err
+		}
+		for range missed {
+			if version, err = submit(f, version); err != nil {
+				return nil, err
+			}
+		}
+		if err := last.Thaw(); err != nil {
+			return nil, err
+		}
+		thawed := time.Now()
+		if err := waitVersion([]*processes.Router{last}, version); err != nil {
+			return nil, err
+		}
+		values = append(values, Value{fmt.Sprintf("ms to catch up %d versions", missed), millis(time.Since(thawed))})
+	}
+	return values, nil
+}
--- a/bench/capacity/rows.go
+++ b/bench/capacity/rows.go
@@ -93,12 +93,21 @@
 	return math.Log(last.median/from.median) / math.Log(last.size/from.size)
 }
 
+// levelPart is the part by which a quantity that is called constant may change
+// from the smallest size to the largest.
+const levelPart = 0.3
+
 // form names the growth.
 func (s series) form() string {
 	e := s.exponent()
+	first, last := s.points[0].median, s.points[len(s.points)-1].median
 	switch {
 	case math.IsNaN(e):
 		return "-"
+	case e < -0.2:
+		return "falls"
+	case e < 0.2 && math.Abs(last-first) > levelPart*first:
+		return "levels off"
 	case e < 0.2:
 		return "constant"
 	case e < 0.8:
--- a/bench/fleet/control.go
+++ b/bench/fleet/control.go
@@ -45,7 +45,7 @@
 func (f *Fleet) ReadControl() (ControlCounts, error) {
 	counts := ControlCounts{routers: len(f.Routers)}
 	for _, r := range f.Routers {
-		values, err := readMetrics(r.Settings.Listen.Operators)
+		values, err := ReadMetrics(r.Settings.Listen.Operators)
 		if err != nil {
 			return counts, err
 		}
@@ -68,8 +68,8 @@
 	}
 }
 
-// readMetrics returns the metrics of a router, summed over their labels.
-func readMetrics(operators string) (map[string]float64, error) {
+// ReadMetrics returns the metrics of a router, summed over their labels.
+func ReadMetrics(operators string) (map[string]float64, error) {
 	answer, err := http.Get("http://" + operators + operator.PathMetrics)
 	if err != nil {
 		return nil, fmt.Errorf("read the metrics: %w", err)
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -159,7 +159,7 @@
 }
 
 func (f *Fleet) setVMs(vms []platform.VM) error {
-	return postJSON("http://"+f.Platform.Address+"/_vms", platform.VMsReply{VMs: vms}, nil)
+	return PostJSON("http://"+f.Platform.Address+"/_vms", platform.VMsReply{VMs: vms}, nil)
 }
 
 // declare submits the configuration and waits until every router is on it.
@@ -179,7 +179,7 @@
 	patch := config.Patch{ID: config.NewPatchID(), Author: "bench", Changes: changes}
 	var accepted operator.PatchAccepted
 	first := "http://" + f.Routers[0].Settings.Listen.Operators
-	if err := postJSON(first+operator.PathPatches, patch, &accepted); err != nil {
+	if err := PostJSON(first+operator.PathPatches, patch, &accepted); err != nil {
 		return err
 	}
 	for _, r := range f.Routers {
@@ -200,6 +200,9 @@
 	return addresses
 }
 
+// Target returns what is declared of a target.
+func (f *Fleet) Target(name string) config.Target { return f.declared[name] }
+
 // Close ends every process and removes the fleet's files.
 func (f *Fleet) Close() {
 	for _, r := range f.Routers {
@@ -214,8 +217,8 @@
 	_ = os.RemoveAll(f.dir)
 }
 
-// postJSON posts a document and reads the answer into reply unless it is nil.
-func postJSON(url string, document, reply any) error {
+// PostJSON posts a document and reads the answer into reply unless it is nil.
+func PostJSON(url string, document, reply any) error {
 	body, err := json.Marshal(document)
 	if err != nil {
 		return err
--- a/bench/fleet/journals.go
+++ b/bench/fleet/journals.go
@@ -16,7 +16,7 @@
 	var all []journal.Entry
 	for name, target := range f.Targets {
 		var entries []journal.Entry
-		if err := getJSON("http://"+target.Address+pathJournal, &entries); err != nil {
+		if err := GetJSON("http://"+target.Address+pathJournal, &entries); err != nil {
 			return nil, fmt.Errorf("read the journal of %s: %w", name, err)
 		}
 		all = append(all, entries...)
@@ -40,7 +40,8 @@
 	return nil
 }
 
-func getJSON(url string, document any) error {
+// GetJSON reads a document.
+func GetJSON(url string, document any) error {
 	answer, err := http.Get(url)
 	if err != nil {
 		return err
--- a/bench/main.go
+++ b/bench/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -18,9 +19,10 @@
 )
 
 type commandLine struct {
-	Latency latencyCommand `cmd:"" help:"Latency that a router adds to an uncontended request."`
-	Fair    fairCommand    `cmd:"" help:"Utilisation, fairness gap and control traffic of a policy."`
-	Slopes  slopesCommand  `cmd:"" help:"What grows with the fleet, the load and the configuration, in one process."`
+	Latency  latencyCommand  `cmd:"" help:"Latency that a router adds to an uncontended request."`
+	Fair     fairCommand     `cmd:"" help:"Utilisation, fairness gap and control traffic of a policy."`
+	Slopes   slopesCommand   `cmd:"" help:"What grows with the fleet, the load and the configuration, in one process."`
+	Capacity capacityCommand `cmd:"" help:"What real processes cost, and how they recover."`
 }
 
 type latencyCommand struct {
@@ -68,6 +70,92 @@
 	return fair.Run(ctx, k.Stdout, options)
 }
 
+type capacityCommand struct {
+	Processes processesCommand `cmd:"" help:"Control traffic, processor time and memory of idle and loaded routers."`
+	Versions  versionsCommand  `cmd:"" help:"How a configuration change reaches real routers."`
+	Relay     relayCommand     `cmd:"" help:"First token, gaps between tokens and cost of a token, direct and through a router."`
+	Recover   recoverCommand   `cmd:"" help:"Time until work flows again after a fault."`
+}
+
+type recoverCommand struct {
+	Routers    int    `default:"9" help:"Routers to run."`
+	Workspaces int    `default:"100" help:"Workspaces declared."`
+	Behind     []int  `default:"1,100,400" help:"Versions that a frozen router misses."`
+	Repeats    int    `default:"3" help:"Repeats of each fault."`
+	CSV        string `help:"File for the raw rows." placeholder:"FILE"`
+}
+
+// Run runs the measurement.
+func (c *recoverCommand) Run(ctx context.Context, k *kong.Context) error {
+	return withCSV(c.CSV, func(csv io.Writer) error {
+		options := capacity.Recover{
+			Routers: c.Routers, Workspaces: c.Workspaces, Repeats: c.Repeats, Behind: c.Behind, CSV: csv,
+		}
+		return options.Run(ctx, k.Stdout)
+	})
+}
+
+type versionsCommand struct {
+	Routers    int           `default:"3" help:"Routers to run."`
+	Workspaces []int         `default:"1000,4000,16000" help:"Sizes of the configuration."`
+	Patches    int           `default:"20" help:"Patches at each size."`
+	Every      time.Duration `default:"500ms" help:"Time between patches."`
+	CSV        string        `help:"File for the raw rows." placeholder:"FILE"`
+}
+
+// Run runs the measurement.
+func (c *versionsCommand) Run(ctx context.Context, k *kong.Context) error {
+	return withCSV(c.CSV, func(csv io.Writer) error {
+		options := capacity.Versions{
+			Routers: c.Routers, Workspaces: c.Workspaces, Patches: c.Patches, Every: c.Every, CSV: csv,
+		}
+		return options.Run(ctx, k.Stdout)
+	})
+}
+
+type relayCommand struct {
+	Streams []int  `default:"40,120,360" help:"Streams open at once."`
+	Tokens  int    `default:"160" help:"Tokens of each stream."`
+	Repeats int    `default:"3" help:"Repeats of each size."`
+	CSV     string `help:"File for the raw rows." placeholder:"FILE"`
+}
+
+// Run runs the measurement.
+func (c *relayCommand) Run(ctx context.Context, k *kong.Context) error {
+	return withCSV(c.CSV, func(csv io.Writer) error {
+		options := capacity.Relay{Streams: c.Streams, Tokens: c.Tokens, Repeats: c.Repeats, CSV: csv}
+		return options.Run(ctx, k.Stdout)
+	})
+}
+
+type processesCommand struct {
+	Routers  []int         `default:"3,9,30" help:"Sizes of the fleet."`
+	Duration time.Duration `default:"10s" help:"How long each state is measured."`
+	Repeats  int           `default:"3" help:"Repeats of each size."`
+	CSV      string        `help:"File for the raw rows." placeholder:"FILE"`
+}
+
+// Run runs the measurement.
+func (c *processesCommand) Run(ctx context.Context, k *kong.Context) error {
+	return withCSV(c.CSV, func(csv io.Writer) error {
+		options := capacity.Processes{Routers: c.Routers, Duration: c.Duration, Repeats: c.Repeats, CSV: csv}
+		return options.Run(ctx, k.Stdout)
+	})
+}
+
+// withCSV calls run with the file, or with nil if none is named.
+func withCSV(path string, run func(io.Writer) error) error {
+	if path == "" {
+		return run(nil)
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return run(file)
+}
+
 type slopesCommand struct {
 	Only    []string `help:"Mechanisms to measure; all if left out."`
 	Repeats int      `default:"5" help:"Repeats at each size."`
@@ -76,16 +164,10 @@
 
 // Run runs the measurement.
 func (c *slopesCommand) Run(ctx context.Context, k *kong.Context) error {
-	options := capacity.Slopes{Only: c.Only, Repeats: c.Repeats}
-	if c.CSV != "" {
-		file, err := os.Create(c.CSV)
-		if err != nil {
-			return err
-		}
-		defer file.Close()
-		options.CSV = file
-	}
-	return options.Run(ctx, k.Stdout)
+	return withCSV(c.CSV, func(csv io.Writer) error {
+		options := capacity.Slopes{Only: c.Only, Repeats: c.Repeats, CSV: csv}
+		return options.Run(ctx, k.Stdout)
+	})
 }
 
 func main() {
