Keep a cancellation behind its arrival on the way to the control goroutine

Cause: arrivals and all other events came by two channels, so the goroutine could take a cancellation first; the request then stayed waiting, and its later grant held a slot that nobody used.

--- a/router/acquire.go
+++ b/router/acquire.go
@@ -33,10 +33,8 @@
 	start := time.Now()
 	w := &waiter{attempt: uint32(ex.Attempt), answer: make(chan grantAnswer, 1)}
 	event := g.arrival(ex)
-	select {
-	case g.loop.asks <- ask{event: event, waiter: w}:
-	case <-g.loop.done:
-		return countRefusal(result.New(result.Draining, "The router has stopped."))
+	if !g.loop.postWith(event, w) {
+		return result.New(result.Draining, "The router has stopped.")
 	}
 	select {
 	case answer := <-w.answer:
--- a/router/loop.go
+++ b/router/loop.go
@@ -26,13 +26,12 @@
 type loop struct {
 	machine *control.Machine
 	started time.Time
-	inbox   chan control.Event
+	inbox   chan posted
 	queries chan func(*control.Machine)
 	done    chan struct{}
 	shell   shell
 	log     *slog.Logger
 	waiters map[control.RequestID]*waiter
-	asks    chan ask
 	// counters is a copy of the machine's, renewed at each tick.
 	counters atomic.Pointer[control.Counters]
 	// members is the version of the live members that the shell was told last.
@@ -61,10 +60,11 @@
 	refuse   *control.Refuse
 }
 
-// ask registers a waiter together with its event, so that the answer cannot
-// come before the waiter is known.
-type ask struct {
-	event  control.RequestArrived
+// posted is an event on its way to the control goroutine. An arrival brings its
+// waiter along, so that the answer cannot come before the waiter is known. All
+// events share one channel: a cancellation must not overtake its arrival.
+type posted struct {
+	event  control.Event
 	waiter *waiter
 }
 
@@ -72,9 +72,8 @@
 	return &loop{
 		machine: machine,
 		started: time.Now(),
-		inbox:   make(chan control.Event, inboxSize),
+		inbox:   make(chan posted, inboxSize),
 		queries: make(chan func(*control.Machine)),
-		asks:    make(chan ask, inboxSize),
 		done:    make(chan struct{}),
 		shell:   shell,
 		log:     log,
@@ -97,11 +96,8 @@
 		select {
 		case <-stop:
 			return
-		case event := <-l.inbox:
-			l.step(event)
-		case ask := <-l.asks:
-			l.waiters[ask.event.Request] = ask.waiter
-			l.step(ask.event)
+		case p := <-l.inbox:
+			l.take(p)
 		case query := <-l.queries:
 			query(l.machine)
 		case <-ticker.C:
@@ -126,14 +122,27 @@
 // post sends an event to the control goroutine. It reports false once the
 // goroutine has ended.
 func (l *loop) post(event control.Event) bool {
+	return l.postWith(event, nil)
+}
+
+// postWith is post for an arrival and its waiter.
+func (l *loop) postWith(event control.Event, w *waiter) bool {
 	select {
-	case l.inbox <- event:
+	case l.inbox <- posted{event: event, waiter: w}:
 		return true
 	case <-l.done:
 		return false
 	}
 }
 
+// take feeds a posted event to the machine.
+func (l *loop) take(p posted) {
+	if arrival, ok := p.event.(control.RequestArrived); ok {
+		l.waiters[arrival.Request] = p.waiter
+	}
+	l.step(p.event)
+}
+
 // query runs f on the control goroutine and waits for it.
 func (l *loop) query(f func(*control.Machine)) bool {
 	finished := make(chan struct{})
@@ -183,7 +192,7 @@
 // dispatch hands a grant to its waiter. A grant whose waiter has gone is
 // returned to the machine as not run.
 func (l *loop) dispatch(c control.Dispatch) {
-	w := l.take(c.Request, c.Attempt)
+	w := l.waiterOf(c.Request, c.Attempt)
 	if w == nil {
 		returned := control.RunEnded{Request: c.Request, Grant: c.Grant, Outcome: control.OutcomeNotRun}
 		for _, command := range l.machine.Step(l.now(), returned) {
@@ -195,16 +204,16 @@
 }
 
 func (l *loop) refuse(c control.Refuse) {
-	w := l.take(c.Request, c.Attempt)
+	w := l.waiterOf(c.Request, c.Attempt)
 	if w == nil {
 		return
 	}
 	w.answer <- grantAnswer{refuse: &c}
 }
 
-// take removes and returns the waiter of one attempt, or nil. Its answer
+// waiterOf removes and returns the waiter of one attempt, or nil. Its answer
 // channel has room for one answer, so sending to it never blocks.
-func (l *loop) take(request control.RequestID, attempt uint32) *waiter {
+func (l *loop) waiterOf(request control.RequestID, attempt uint32) *waiter {
 	w := l.waiters[request]
 	if w == nil || w.attempt != attempt {
 		return nil
