--- a/processes/router.go
+++ b/processes/router.go
@@ -68,8 +68,13 @@
 }
 
 // FreeAddress picks a loopback address that nothing listens on now.
-func FreeAddress() (string, error) {
-	listener, err := net.Listen("tcp", anyPort)
+func FreeAddress() (string, error) { return FreeAddressOn("127.0.0.1") }
+
+// FreeAddressOn picks a port of a loopback IP that nothing listens on now. On
+// an IP of its own a port stays free while its process is down: the system
+// takes the ports of outgoing connections from 127.0.0.1.
+func FreeAddressOn(ip string) (string, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return "", err
 	}
--- a/proctest/fleet_test.go
+++ b/proctest/fleet_test.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,12 +65,23 @@
 
 var fleetSlots = make(chan struct{}, fleetsAtOnce)
 
+// fleetCount numbers the fleets of this test process.
+var fleetCount atomic.Uint32
+
+// newIP returns a loopback IP for one fleet alone, so that nothing takes the
+// port of a process or proxy that is down for a while.
+func newIP() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 16+pid/256%200, pid%256, 1+fleetCount.Add(1)%250)
+}
+
 // fleet is three routers, the platform and targets, every one a process, with
 // a proxy on every way between two routers, from each router to the platform,
 // and to each target.
 type fleet struct {
 	t        testing.TB
 	options  options
+	ip       string
 	platform *processes.StandIn
 	routers  []*processes.Router
 	targets  map[string]*processes.StandIn
@@ -95,6 +108,7 @@
 	f := &fleet{
 		t:          t,
 		options:    withDefaults(o),
+		ip:         newIP(),
 		targets:    make(map[string]*processes.StandIn),
 		declared:   make(map[string]config.Target),
 		targetWays: make(map[string]*way),
@@ -183,14 +197,14 @@
 	for n := range f.options.engines {
 		name := fmt.Sprintf("engine-%d", n+1)
 		e, err := processes.StartEngine(binaries, name, processes.EngineOptions{
-			Slots: f.options.engineSlots, Step: f.options.step, Resumes: !f.options.notResuming,
+			Listen: f.ip + ":0", Slots: f.options.engineSlots, Step: f.options.step, Resumes: !f.options.notResuming,
 		})
 		f.must(err)
 		f.addTarget(name, e, config.Target{DataCentre: f.options.dataCentres[n%routerCount], Pool: enginePool, Slots: f.options.engineSlots, Resumes: !f.options.notResuming})
 	}
 	for n := range f.options.services {
 		name := fmt.Sprintf("service-%d", n+1)
-		s, err := processes.StartService(binaries, name, f.options.serviceSlots, "")
+		s, err := processes.StartService(binaries, name, f.options.serviceSlots, f.ip+":0")
 		f.must(err)
 		f.addTarget(name, s, config.Target{DataCentre: f.options.dataCentres[n%routerCount], Pool: servicePool, Slots: f.options.serviceSlots})
 	}
@@ -198,11 +212,18 @@
 
 func (f *fleet) addTarget(name string, started *processes.StandIn, declared config.Target) {
 	f.targets[name] = started
-	f.targetWays[name] = newWay(f.t, name, started.Address)
+	f.targetWays[name] = newWay(f.t, name, f.ip, started.Address)
 	declared.Address = f.targetWays[name].address()
 	f.declared[name] = declared
 }
 
+func (f *fleet) freeAddress() string {
+	f.t.Helper()
+	address, err := processes.FreeAddressOn(f.ip)
+	f.must(err)
+	return address
+}
+
 func routerName(n int) string { return fmt.Sprintf("vm-%d", n+1) }
 
 // startRouters starts the routers. Router a's view of the list of VMs leads
@@ -213,8 +234,7 @@
 	var listen [routerCount]string
 	var vms []platform.VM
 	for n := range routerCount {
-		address, err := processes.FreeAddress()
-		f.must(err)
+		address := f.freeAddress()
 		listen[n] = address
 		vms = append(vms, platform.VM{Name: routerName(n), DataCentre: f.options.dataCentres[n], PeerAddress: address, State: platform.VMLive})
 	}
@@ -223,12 +243,12 @@
 		addresses := make(map[string]string)
 		for b := range routerCount {
 			if a != b {
-				f.peers[a][b] = newWay(f.t, routerName(a)+" to "+routerName(b), listen[b])
+				f.peers[a][b] = newWay(f.t, routerName(a)+" to "+routerName(b), f.ip, listen[b])
 				addresses[routerName(b)] = f.peers[a][b].address()
 			}
 		}
 		f.post("http://"+views[a]+"/_view", addresses, nil)
-		f.platformWays[a] = newWay(f.t, routerName(a)+" to platform", views[a])
+		f.platformWays[a] = newWay(f.t, routerName(a)+" to platform", f.ip, views[a])
 		r, err := processes.StartRouter(binaries, dir, f.settings(a, listen[a]))
 		f.must(err)
 		f.routers = append(f.routers, r)
@@ -239,6 +259,8 @@
 	s := settings.Defaults()
 	s.Node.Name = routerName(n)
 	s.Node.DataCentre = f.options.dataCentres[n]
+	s.Listen.Callers = f.freeAddress()
+	s.Listen.Operators = f.freeAddress()
 	s.Listen.Peers = peers
 	s.Platform.Address = f.platformWays[n].address()
 	s.Platform.Timeout = settings.Duration(time.Second)
--- a/proctest/proxy_test.go
+++ b/proctest/proxy_test.go
@@ -13,12 +13,12 @@
 	proxy *toxiproxy.Proxy
 }
 
-// newWay starts a proxy before upstream.
-func newWay(t testing.TB, name, upstream string) *way {
+// newWay starts a proxy before upstream, on a port of ip.
+func newWay(t testing.TB, name, ip, upstream string) *way {
 	t.Helper()
 	proxy := toxiproxy.NewProxy()
 	proxy.Name = name
-	proxy.Listen = "127.0.0.1:0"
+	proxy.Listen = ip + ":0"
 	proxy.Upstream = upstream
 	if err := proxy.Start(); err != nil {
 		t.Fatalf("start the proxy %s: %v", name, err)
--- a/proctest/version_test.go
+++ b/proctest/version_test.go
@@ -283,12 +283,7 @@
 // its version.
 func (f *fleet) judgeHistory(accepted map[config.Version]string) {
 	f.t.Helper()
-	var history operator.HistoryAnswer
-	f.must(get(f.operators(0)+operator.PathHistory+"?limit=500", &history))
-	stands := make(map[config.Version]string)
-	for _, entry := range history.Versions {
-		stands[entry.Version] = entry.PatchID
-	}
+	stands := f.history()
 	for version, id := range accepted {
 		if stands[version] != id {
 			f.t.Errorf("version %d was accepted for patch %s; the history has %q", version, id, stands[version])
@@ -296,6 +291,24 @@
 	}
 }
 
+// history reads the patch of every version, page by page.
+func (f *fleet) history() map[config.Version]string {
+	f.t.Helper()
+	stands := make(map[config.Version]string)
+	for before := f.newest() + 1; before > 1; {
+		var page operator.HistoryAnswer
+		f.must(get(fmt.Sprintf("%s%s?limit=200&before=%d", f.operators(0), operator.PathHistory, before), &page))
+		if len(page.Versions) == 0 {
+			break
+		}
+		for _, entry := range page.Versions {
+			stands[entry.Version] = entry.PatchID
+			before = min(before, entry.Version)
+		}
+	}
+	return stands
+}
+
 // versionWatch looks at the version in force at every router all the time.
 type versionWatch struct {
 	f      *fleet
@@ -362,7 +375,7 @@
 	}
 }
 
-// operators patch at one router each, without a pause.
+// operators patch at one router each, almost without a pause.
 type operators struct {
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -398,6 +411,7 @@
 			}
 			time.Sleep(pollPause)
 		}
+		time.Sleep(pollPause)
 	}
 }
 
