Refuse by the headers alone, and bound the bodies that a router holds

A body was read whole, up to 8 MiB, before the key was looked at, so callers without a key could make a router buffer as much as they liked; and nothing bounded the bodies of callers with one. Now a wrong or missing key and a body that is announced as too large are refused when the headers are in, without a byte of the body. Bodies are held within limits.max_held_bytes (256 MiB) from their announcement to the end of the exchange, else code 107; a workspace may hold as much as is left free, so that a flood leaves room for others.

Ruled out: StreamRequestBody (keeps a read buffer of 16 KiB for each idle connection, and waits for the first byte of the body before anything can be refused); a smaller limit by RequestConfig (the library forgets the headers of a refused chunked body, so the code would be wrong). A refused request is made to look bodiless to the library instead, and its connection is closed.

Large bodies (over 64 KiB) are taken over and no longer copied; the buffer of a small one is given back while its request waits.

--- a/filters/authenticate/authenticate.go
+++ b/filters/authenticate/authenticate.go
@@ -41,42 +41,58 @@
 
 // Serve implements pipeline.Filter.
 func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
-	key := takeKey(ex.Header)
+	key := keyIn(func(name string) string { return ex.Header[name] })
+	// The key must reach no target.
+	delete(ex.Header, headerKey)
+	delete(ex.Header, headerAuthorization)
+	snapshot, name, refusal := f.find(key)
+	if refusal != nil {
+		return refusal
+	}
+	ex.Snapshot = snapshot
+	ex.WorkspaceName = name
+	ex.Workspace = snapshot.Declarations.Workspaces[name]
+	return next(ctx, ex)
+}
+
+// Check finds the workspace of a request by its headers alone, so that no body
+// is read for a caller without a key. header returns a value by its canonical
+// name.
+func (f *Filter) Check(header func(name string) string) (workspace string, refusal *result.Error) {
+	_, workspace, refusal = f.find(keyIn(header))
+	return workspace, refusal
+}
+
+// find returns the configuration in force and the key's workspace in it.
+func (f *Filter) find(key string) (*config.Snapshot, string, *result.Error) {
 	if key == "" {
-		return refuse(result.KeyMissing, "Send the workspace key as Authorization: Bearer KEY or Walnut-Key: KEY.")
+		return nil, "", refuse(result.KeyMissing, "Send the workspace key as Authorization: Bearer KEY or Walnut-Key: KEY.")
 	}
 	snapshot := f.source.InForce()
 	if snapshot == nil {
-		return refuse(result.NotReady, "No configuration version is in force yet.")
+		return nil, "", refuse(result.NotReady, "No configuration version is in force yet.")
 	}
 	// The lookup is by the digest of the key, so its time says nothing about
 	// how much of a guessed key is right.
 	name, ok := snapshot.Index().WorkspaceByKey([]byte(key))
 	if !ok {
-		return refuse(result.KeyWrong, "The workspace key is not known.")
+		return nil, "", refuse(result.KeyWrong, "The workspace key is not known.")
 	}
-	ex.Snapshot = snapshot
-	ex.WorkspaceName = name
-	ex.Workspace = snapshot.Declarations.Workspaces[name]
-	return next(ctx, ex)
+	return snapshot, name, nil
 }
 
 // refuse counts and returns a refusal.
-func refuse(code result.Code, detail string) error {
+func refuse(code result.Code, detail string) *result.Error {
 	refusals.Inc(code)
 	return result.New(code, "%s", detail)
 }
 
-// takeKey removes the key from the headers, so that it reaches no target, and
-// returns it.
-func takeKey(header map[string]string) string {
-	key := header[headerKey]
-	authorization := header[headerAuthorization]
-	delete(header, headerKey)
-	delete(header, headerAuthorization)
-	if key != "" {
+// keyIn returns the key in the headers, or "".
+func keyIn(header func(name string) string) string {
+	if key := header(headerKey); key != "" {
 		return key
 	}
+	authorization := header(headerAuthorization)
 	if len(authorization) > len(bearerScheme) && strings.EqualFold(authorization[:len(bearerScheme)], bearerScheme) {
 		return strings.TrimSpace(authorization[len(bearerScheme):])
 	}
--- /dev/null
+++ b/front/arrivals_test.go
@@ -0,0 +1,161 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+func TestHeldBytesAreShared(t *testing.T) {
+	now := time.Unix(0, 0)
+	a := newArrivals(1000, time.Minute)
+	announce := func(workspace string, bytes int64, want bool) *arrival {
+		t.Helper()
+		number, ok := a.announce(workspace, bytes, now)
+		if ok != want {
+			t.Fatalf("%s, %d bytes: %t with %d held", workspace, bytes, ok, a.held())
+		}
+		if !ok {
+			return nil
+		}
+		return a.take(number)
+	}
+	first := announce("flood", 500, true)
+	announce("flood", 1, false) // no more than is free
+	small := announce("small", 250, true)
+	announce("small", 1, false)
+	announce("late", 125, true)
+	first.keep(300)
+	announce("flood", 100, false)
+	small.keep(0)
+	announce("flood", 100, true)
+	first.keep(0)
+	first.keep(0) // counts once
+	if a.held() != 225 {
+		t.Errorf("%d bytes held", a.held())
+	}
+}
+
+func TestBodiesThatNeverArriveExpire(t *testing.T) {
+	now := time.Unix(0, 0)
+	a := newArrivals(1000, time.Minute)
+	lost, _ := a.announce("w", 400, now)
+	kept, _ := a.announce("w", 100, now)
+	a.take(kept)
+	a.refuse(result.New(result.KeyWrong, "Wrong."), now)
+	if _, ok := a.announce("w", 400, now.Add(time.Minute)); ok {
+		t.Error("bytes were given twice")
+	}
+	if _, ok := a.announce("w", 400, now.Add(time.Minute+1)); !ok || a.held() != 500 {
+		t.Errorf("%d bytes held after the expiry", a.held())
+	}
+	if a.take(lost) != nil || a.take(kept) != nil || len(a.expected) != 1 || len(a.order) != 1 {
+		t.Errorf("%d expected, %d in order", len(a.expected), len(a.order))
+	}
+}
+
+// knowsBakery lets in the key "secret".
+func knowsBakery(header func(string) string) (string, *result.Error) {
+	if header("Walnut-Key") != "secret" {
+		return "", result.New(result.KeyWrong, "Unknown.")
+	}
+	return "bakery", nil
+}
+
+// TestRefusedByHeadersAlone announces bodies and sends no byte of them.
+func TestRefusedByHeadersAlone(t *testing.T) {
+	options := Options{MaxBodyBytes: 1000, MaxHeldBytes: 1500, Authenticate: knowsBakery}
+	f := start(t, options, func(context.Context, *pipeline.Exchange) error {
+		t.Error("the pipeline was run")
+		return nil
+	})
+	const head = "POST /x HTTP/1.1\r\nHost: a\r\n"
+	for _, c := range []struct{ name, head, code string }{
+		{"wrong key", "Walnut-Key: guess\r\nContent-Length: 1000\r\n", "202"},
+		{"no key, in chunks", "Transfer-Encoding: chunked\r\n", "202"},
+		{"no key, waits for leave", "Expect: 100-continue\r\nContent-Length: 1000\r\n", "202"},
+		{"too large", "Walnut-Key: secret\r\nContent-Length: 1001\r\n", "102"},
+		{"over what one may hold", "Walnut-Key: secret\r\nContent-Length: 800\r\n", "107"},
+		{"forged arrival", "Walnut-Arrival: 1\r\nContent-Length: 1000\r\n", "202"},
+	} {
+		if c.code == "107" {
+			if _, ok := f.arrivals.announce("bakery", 400, time.Now()); !ok {
+				t.Fatal("no room")
+			}
+		}
+		_, r := f.send(head + c.head + "\r\n")
+		response := f.answer(r)
+		if code := response.Header.Get("Walnut-Code"); code != c.code || response.Header.Get("Walnut-Ran") != "no" || !response.Close {
+			t.Errorf("%s: got %v", c.name, response)
+		}
+		if wait := response.Header.Get("Retry-After-Ms"); (wait != "") != (c.code == "107") {
+			t.Errorf("%s: retry after %q", c.name, wait)
+		}
+	}
+}
+
+// TestBodiesAreHeldUntilTheEnd holds one body by a pipeline that waits.
+func TestBodiesAreHeldUntilTheEnd(t *testing.T) {
+	arrived, release := make(chan string, 1), make(chan struct{})
+	options := Options{MaxBodyBytes: 1000, MaxHeldBytes: 1500, Authenticate: knowsBakery}
+	f := start(t, options, func(_ context.Context, ex *pipeline.Exchange) error {
+		arrived <- string(ex.Body) + ex.Header[headerArrival]
+		<-release
+		ex.Status = http.StatusOK
+		return nil
+	})
+	request := func(framing, body string) *bufio.Reader {
+		_, r := f.send("POST /x HTTP/1.1\r\nHost: a\r\nWalnut-Key: secret\r\nWalnut-Arrival: 7\r\n" + framing + "\r\n\r\n" + body)
+		return r
+	}
+	body := strings.Repeat("x", 700)
+	for _, framing := range []struct{ head, body string }{
+		{"Content-Length: 700", body},
+		// The largest body is set aside until the length is known.
+		{"Transfer-Encoding: chunked", "2bc\r\n" + body + "\r\n0\r\n\r\n"},
+	} {
+		held := request(framing.head, framing.body)
+		if got := await(t, arrived); got != body || f.HeldBytes() != 700 {
+			t.Errorf("%s: %d bytes held, body %q", framing.head, f.HeldBytes(), got)
+		}
+		if refused := f.answer(request("Content-Length: 101", strings.Repeat("x", 101))); refused.Header.Get("Walnut-Code") != "107" {
+			t.Errorf("%s: got %v", framing.head, refused)
+		}
+		release <- struct{}{}
+		if answered := f.answer(held); answered.StatusCode != http.StatusOK {
+			t.Errorf("%s: got %v", framing.head, answered)
+		}
+		if err := f.end(); err != nil {
+			t.Errorf("%s: ended with %v", framing.head, err)
+		}
+		for f.HeldBytes() > 0 { // is freed right after the end
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// TestUnfinishedBodyIsGivenUp closes the connection in the middle of a body.
+func TestUnfinishedBodyIsGivenUp(t *testing.T) {
+	f := start(t, Options{MaxBodyBytes: 1000, ReadTimeout: 20 * time.Millisecond}, nil)
+	f.arrivals.patience = 40 * time.Millisecond
+	conn, _ := f.send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\nhalf")
+	for f.HeldBytes() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	conn.Close()
+	for end := time.Now().Add(generous); f.HeldBytes() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes held", f.HeldBytes())
+		}
+		// An announcement frees what has expired.
+		_, r := f.send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n")
+		_, _ = io.Copy(io.Discard, f.answer(r).Body)
+	}
+}
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -16,7 +16,8 @@
 	callersGone   = metrics.NewCounter("walnut_accept_callers_gone_total")
 
 	refusals = codecounter.New("walnut_accept_refusals_total",
-		result.BadRequest, result.BodyTooLarge, result.HeadersTooLarge, result.SlowSender, result.Internal)
+		result.BadRequest, result.BodyTooLarge, result.HeadersTooLarge, result.SlowSender,
+		result.HeldBytesFull, result.Internal)
 )
 
 // results counts every numbered code that callers are given, by any filter.
--- a/front/refuse.go
+++ b/front/refuse.go
@@ -16,6 +16,7 @@
 // library closes the connection afterwards.
 func (s *Server) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
 	ctx.Conn().(*callerConn).linger = true
+	s.takeArrival(&ctx.Request.Header).keep(0)
 	refusal := unreadError(err)
 	refusals.Inc(refusal.Code)
 	id := s.ids.next().text
--- a/front/request.go
+++ b/front/request.go
@@ -13,10 +13,12 @@
 
 // request is one request being served on a connection.
 type request struct {
-	ex     *pipeline.Exchange
-	conn   *callerConn
-	gone   chan struct{}
-	isGone bool // used by the watcher's goroutine only
+	// arrival holds the bytes of the body; nil if there is none.
+	arrival *arrival
+	ex      *pipeline.Exchange
+	conn    *callerConn
+	gone    chan struct{}
+	isGone  bool // used by the watcher's goroutine only
 	// ctx lasts until the exchange ends or the caller went away.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -35,7 +37,8 @@
 	r.cancel(result.New(result.CallerGone, "The caller went away."))
 }
 
-// newExchange copies a request out of fasthttp's buffers, which are reused.
+// newExchange copies a request out of fasthttp's buffers, which are reused, and
+// takes the body's buffer over.
 func newExchange(id requestID, gone <-chan struct{}, ctx *fasthttp.RequestCtx) *pipeline.Exchange {
 	header := &ctx.Request.Header
 	return &pipeline.Exchange{
@@ -46,11 +49,27 @@
 		Path:        originForm(string(header.RequestURI())),
 		ContentType: string(header.ContentType()),
 		Header:      copyHeader(header),
-		Body:        append([]byte(nil), ctx.Request.Body()...),
+		Body:        takeBody(&ctx.Request),
 		CallerGone:  gone,
 	}
 }
 
+// copiedBodyBytes is the size up to which a body is copied, so that its buffer
+// can be used again at once.
+const copiedBodyBytes = 64 << 10
+
+// takeBody returns the body and leaves none in the request: a copy of a small
+// one, the buffer itself of a large one.
+func takeBody(request *fasthttp.Request) []byte {
+	size := len(request.Body())
+	if size > copiedBodyBytes {
+		return request.SwapBody(nil)
+	}
+	body := append([]byte(nil), request.Body()...)
+	request.ResetBody()
+	return body
+}
+
 // originForm strips the scheme and host of an absolute request target.
 func originForm(target string) string {
 	if strings.HasPrefix(target, "/") {
--- a/front/serve.go
+++ b/front/serve.go
@@ -20,7 +20,7 @@
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
 	conn := ctx.Conn().(*callerConn) // every connection comes from callerListener
 	r := s.begin(ctx, conn)
-	err := checkRequest(ctx, r.ex)
+	err := accept(ctx, r)
 	if err != nil {
 		s.log.Debug("front: Request refused.", "request", r.ex.ID, "error", err)
 	} else {
@@ -33,25 +33,37 @@
 		r.err = err
 		s.writeError(ctx, r.ex.ID, err)
 	}
-	if s.draining.Load() {
+	if s.draining.Load() || conn.linger {
 		ctx.SetConnectionClose()
 	}
 }
 
+// accept refuses what no filter should have to think about.
+func accept(ctx *fasthttp.RequestCtx, r *request) error {
+	if r.arrival != nil && r.arrival.refusal != nil {
+		// The body was not read, so no other request can follow it.
+		r.conn.linger = true
+		return r.arrival.refusal
+	}
+	requests.Inc()
+	return checkRequest(ctx, r.ex)
+}
+
 // begin counts a new exchange and ties it to its connection.
 func (s *Server) begin(ctx *fasthttp.RequestCtx, conn *callerConn) *request {
 	gone := make(chan struct{})
 	r := &request{
-		ex:   newExchange(s.ids.next(), gone, ctx),
-		conn: conn,
-		gone: gone,
+		arrival: s.takeArrival(&ctx.Request.Header),
+		ex:      newExchange(s.ids.next(), gone, ctx),
+		conn:    conn,
+		gone:    gone,
 	}
+	r.arrival.keep(int64(len(r.ex.Body)))
 	r.ctx, r.cancel = context.WithCancelCause(s.ctx)
 	conn.request = r
 	conn.writeErr = nil
 	s.began()
 	s.watch.add(r)
-	requests.Inc()
 	return r
 }
 
@@ -99,5 +111,6 @@
 	}
 	r.ex.End(r.err)
 	r.cancel(context.Canceled)
+	r.arrival.keep(0)
 	s.ended()
 }
--- a/front/serve_test.go
+++ b/front/serve_test.go
@@ -270,6 +270,14 @@
 	}
 }
 
+// bodyFor repeats a name: once, or until the body is too large to be copied.
+func bodyFor(name string, i int) string {
+	if i%10 != 0 {
+		return name
+	}
+	return strings.Repeat(name, copiedBodyBytes/len(name)+1)
+}
+
 func TestCopiesDoNotCrossUnderLoad(t *testing.T) {
 	const callers, each = 16, 100
 	// Each answer is made while another request is served, and every exchange
@@ -300,15 +308,16 @@
 			r := bufio.NewReader(conn)
 			for i := range each {
 				name := fmt.Sprintf("%d-%d", caller, i)
-				fmt.Fprintf(conn, "POST /p%s HTTP/1.1\r\nHost: a\r\nX-Name: %s\r\nContent-Length: %d\r\n\r\n%s", name, name, len(name), name)
+				sent := bodyFor(name, i)
+				fmt.Fprintf(conn, "POST /p%s HTTP/1.1\r\nHost: a\r\nX-Name: %s\r\nContent-Length: %d\r\n\r\n%s", name, name, len(sent), sent)
 				response, err := http.ReadResponse(r, nil)
 				if err != nil {
 					t.Error(err)
 					return
 				}
 				body, err := io.ReadAll(response.Body)
-				if err != nil || string(body) != "POST/p"+name+name || response.Header.Get("X-Echo") != name {
-					t.Errorf("%s got %q, %q, %v", name, body, response.Header.Get("X-Echo"), err)
+				if err != nil || string(body) != "POST/p"+name+sent || response.Header.Get("X-Echo") != name {
+					t.Errorf("%s got %.80q, %q, %v", name, body, response.Header.Get("X-Echo"), err)
 				}
 			}
 		})
@@ -318,8 +327,8 @@
 	seen := make(map[string]bool)
 	for ex := range served {
 		name := ex.Header["X-Name"]
-		if string(ex.Body) != name || ex.Path != "/p"+name || seen[name] || seen[ex.ID] {
-			t.Errorf("exchange %s of %s now holds %s %q", ex.ID, name, ex.Path, ex.Body)
+		if !strings.HasPrefix(string(ex.Body), name) || strings.ReplaceAll(string(ex.Body), name, "") != "" || ex.Path != "/p"+name || seen[name] || seen[ex.ID] {
+			t.Errorf("exchange %s of %s now holds %s %.80q", ex.ID, name, ex.Path, ex.Body)
 		}
 		seen[name], seen[ex.ID] = true, true
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/settings"
 )
 
@@ -23,6 +24,7 @@
 const (
 	DefaultMaxBodyBytes   = 8 << 20
 	DefaultMaxHeaderBytes = 16 << 10
+	DefaultMaxHeldBytes   = 256 << 20
 	DefaultReadTimeout    = 10 * time.Second
 	DefaultIdleTimeout    = 60 * time.Second
 	DefaultWriteTimeout   = 30 * time.Second
@@ -40,6 +42,12 @@
 	MaxBodyBytes int
 	// MaxHeaderBytes bounds the request line and headers. Default 16 KiB.
 	MaxHeaderBytes int
+	// MaxHeldBytes bounds the bodies that are held at once, from their
+	// announcement to the end of their exchanges. Default 256 MiB.
+	MaxHeldBytes int
+	// Authenticate finds the workspace by the headers, before a body is read.
+	// Its refusal is the answer. Default: every body is read.
+	Authenticate func(header func(name string) string) (workspace string, refusal *result.Error)
 	// ReadTimeout bounds the arrival of a request. Default 10 s.
 	ReadTimeout time.Duration
 	// IdleTimeout ends idle connections. Default 60 s.
@@ -64,6 +72,7 @@
 	return Options{
 		MaxBodyBytes:   limits.MaxBodyBytes,
 		MaxHeaderBytes: limits.MaxHeaderBytes,
+		MaxHeldBytes:   limits.MaxHeldBytes,
 		ReadTimeout:    time.Duration(limits.ReadTimeout),
 		IdleTimeout:    time.Duration(limits.IdleTimeout),
 		WriteTimeout:   time.Duration(limits.StallTimeout),
@@ -73,6 +82,7 @@
 func (o Options) withDefaults() Options {
 	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&o.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	setDefault(&o.MaxHeldBytes, DefaultMaxHeldBytes)
 	setDefault(&o.ReadTimeout, DefaultReadTimeout)
 	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
@@ -100,6 +110,8 @@
 	ids     *idSource
 	watch   *watcher
 
+	arrivals *arrivals
+
 	// ctx is the parent of every exchange's context; cancel ends them all.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -124,6 +136,9 @@
 		log:     options.Log,
 		ids:     newIDSource(),
 		watch:   newWatcher(options.WatchEvery),
+
+		arrivals: newArrivals(int64(options.MaxHeldBytes), options.ReadTimeout+arrivalMargin),
+
 		conns:   make(map[*callerConn]struct{}),
 		changed: make(chan struct{}),
 	}
@@ -135,6 +150,7 @@
 func (s *Server) newHTTPServer() *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                      s.serve,
+		HeaderReceived:               s.headerReceived,
 		ErrorHandler:                 s.refuseUnread,
 		ConnState:                    s.connState,
 		Name:                         "walnutcove",
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -95,6 +95,10 @@
 	return s.active
 }
 
+// HeldBytes returns the bytes of bodies that are held, and of those that were
+// announced and are on their way.
+func (s *Server) HeldBytes() int64 { return s.arrivals.held() }
+
 func (s *Server) connections() []*callerConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/result/codes.go
+++ b/result/codes.go
@@ -12,6 +12,7 @@
 	UnknownPath      Code = 104
 	SlowSender       Code = 105
 	MethodNotAllowed Code = 106
+	HeldBytesFull    Code = 107
 
 	// authenticate: 200-299.
 	KeyMissing Code = 201
@@ -97,6 +98,7 @@
 	{UnknownPath, "unknown_path", "accept", 404, RanNo, false, "No pool serves this path."},
 	{SlowSender, "slow_sender", "accept", 408, RanNo, true, "The request did not arrive within the read time limit."},
 	{MethodNotAllowed, "method_not_allowed", "accept", 405, RanNo, false, "The path does not take this method."},
+	{HeldBytesFull, "held_bytes_full", "accept", 503, RanNo, true, "The router holds too many bytes of requests, or too many of this workspace."},
 	{KeyMissing, "key_missing", "authenticate", 401, RanNo, false, "No workspace key was sent."},
 	{KeyWrong, "key_wrong", "authenticate", 401, RanNo, false, "The workspace key is not known."},
 	{UnknownModel, "unknown_model", "classify", 404, RanNo, false, "No pool serves this model."},
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -20,6 +20,7 @@
 	set.NewGauge("walnut_router_draining"+node, func() float64 { return oneIf(r.Draining()) })
 	set.NewGauge("walnut_config_version"+node, func() float64 { return float64(r.follower.Version()) })
 	set.NewGauge("walnut_accept_active"+node, func() float64 { return float64(r.front.Active()) })
+	set.NewGauge("walnut_accept_held_bytes"+node, func() float64 { return float64(r.front.HeldBytes()) })
 	r.loop.publishCounters(set, node)
 	metrics.RegisterSet(set)
 	return func() { metrics.UnregisterSet(set, true) }
--- a/router/pipeline.go
+++ b/router/pipeline.go
@@ -17,13 +17,13 @@
 )
 
 // pipeline strings the filters together, in the order that requests flow.
-func (r *Router) pipeline() pipeline.Handler {
+func (r *Router) pipeline(keys *authenticate.Filter) pipeline.Handler {
 	limits := r.settings.Limits
 	relaying := &relay.Relay{Client: r.targets, Request: dispatch.Request, Log: r.log}
 	return pipeline.Chain(
 		requestlog.New(r.log),
 		ready.New(r),
-		authenticate.New(r),
+		keys,
 		classify.New(classify.Options{DefaultDeadline: time.Duration(limits.DefaultDeadline)}),
 		&quarantine.Filter{Set: &r.suspects},
 		&runrecord.Filter{Keeper: r.records},
--- a/router/start.go
+++ b/router/start.go
@@ -13,6 +13,7 @@
 	"github.com/walnutcove/walnutcove/config/follower"
 	"github.com/walnutcove/walnutcove/config/store"
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/filters/authenticate"
 	"github.com/walnutcove/walnutcove/front"
 	"github.com/walnutcove/walnutcove/operator"
 	"github.com/walnutcove/walnutcove/peer"
@@ -196,7 +197,9 @@
 	})
 	options := front.FromLimits(s.Limits)
 	options.Log = r.log
-	r.front = front.New(options, r.pipeline())
+	keys := authenticate.New(r)
+	options.Authenticate = keys.Check
+	r.front = front.New(options, r.pipeline(keys))
 }
 
 // run starts the goroutines of a router whose parts are all made.
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -24,6 +24,7 @@
 		},
 		Limits: Limits{
 			MaxBodyBytes:     8 << 20,
+			MaxHeldBytes:     256 << 20,
 			MaxHeaderBytes:   16 << 10,
 			ReadTimeout:      Duration(10 * time.Second),
 			IdleTimeout:      Duration(60 * time.Second),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -71,6 +71,9 @@
 type Limits struct {
 	// MaxBodyBytes bounds a request body. Default 8 MiB.
 	MaxBodyBytes int `toml:"max_body_bytes"`
+	// MaxHeldBytes bounds the bodies that the router holds at once. Default
+	// 256 MiB.
+	MaxHeldBytes int `toml:"max_held_bytes"`
 	// MaxHeaderBytes bounds a request's headers. Default 16 KiB.
 	MaxHeaderBytes int `toml:"max_header_bytes"`
 	// ReadTimeout bounds the arrival of a request. Default 10s.
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -18,6 +18,7 @@
 
 	minBodyBytes   = 1 << 10
 	maxBodyBytes   = 1 << 30
+	maxHeldBytes   = 1 << 40
 	minHeaderBytes = 1 << 10
 	maxHeaderBytes = 1 << 20
 
@@ -48,6 +49,7 @@
 	s.checkListeners(&c)
 	s.checkDurations(&c)
 	c.within("limits.max_body_bytes", s.Limits.MaxBodyBytes, minBodyBytes, maxBodyBytes)
+	c.within("limits.max_held_bytes", s.Limits.MaxHeldBytes, s.Limits.MaxBodyBytes, maxHeldBytes)
 	c.within("limits.max_header_bytes", s.Limits.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
 	c.within("platform.fleet_writes_per_second", s.Platform.FleetWritesPerSecond, minFleetWrites, maxFleetWrites)
 	policies := []string{string(control.PolicyShardQueue), string(control.PolicyAlone)}
