Retry what a router took before its drain also during the drain

Control refused every attempt while draining, retries too, so a request whose target failed while its router left was answered with 503 although another target was free: a graceful shutdown cut a request in progress. Only first attempts are refused now. The new test got code 503 before and passes now (5 runs with the race detector).

--- a/control/entry.go
+++ b/control/entry.go
@@ -106,8 +106,8 @@
 	if m.topo == nil {
 		return result.NotReady
 	}
-	if m.draining {
-		return result.Draining
+	if m.draining && ev.Attempt <= 1 {
+		return result.Draining // what was taken before is retried as ever
 	}
 	if ev.Deadline <= m.now {
 		return result.DeadlineBeforeGrant
--- a/devfleet/fleet_test.go
+++ b/devfleet/fleet_test.go
@@ -121,3 +121,49 @@
 		}
 	}
 }
+
+// TestDrainRetriesWhatItTook crashes the target of a request while its router
+// drains: the request was taken, so it is run again elsewhere and answered.
+func TestDrainRetriesWhatItTook(t *testing.T) {
+	fleet := startFleet(t, devfleet.Options{Routers: 2, Engines: 2, EngineSlots: 1, Step: 10 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	client := load.NewClient(testTimeout)
+	defer client.Close()
+	request := load.Request{
+		Kind:      load.Whole,
+		Key:       devfleet.DemoKey("bakery"),
+		Mark:      "a",
+		Model:     devfleet.Model,
+		MaxTokens: 100,
+	}
+	answered := make(chan load.Result, 1)
+	go func() { answered <- client.Send(fleet.Routers[0].CallersAddress(), request) }()
+	busy := waitBusy(t, fleet)
+	drained := make(chan error, 1)
+	go func() { drained <- fleet.Routers[0].Shutdown(ctx) }()
+	for !fleet.Routers[0].Draining() {
+		time.Sleep(time.Millisecond)
+	}
+	fleet.Engines[busy].Close()
+	if got := <-answered; got.Verdict != load.Answered {
+		t.Errorf("%s: code %d, %s", got.Verdict, got.Code, got.Detail)
+	}
+	if err := <-drained; err != nil {
+		t.Errorf("drain: %v", err)
+	}
+}
+
+// waitBusy waits until an engine runs something and returns its number.
+func waitBusy(t *testing.T, fleet *devfleet.Fleet) int {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for n, e := range fleet.Engines {
+			if e.Load().Running > 0 {
+				return n
+			}
+		}
+	}
+	t.Fatal("no engine runs anything")
+	return 0
+}
