Let prefix locality be switched off; run bench throughput from the command

The choice of a target prefers one that likely holds the prompt's beginning. What that is worth could not be measured, as it was always on.

bench/throughput had no subcommand. The joining of journals and results moves to bench/measure, for the experiments to come, and fleets may run engines with small prefix caches or the programs of another copy of the module.

--- a/bench/fair/fair.go
+++ b/bench/fair/fair.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return Row{}, err
 	}
-	record := join(start, results, journals)
+	record := measure.Join(start, results, journals)
 	record.From = settle
 	record.To = o.Duration
 	writeDetail(o.Detail, record, d, s)
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/hex"
 	"encoding/json"
@@ -31,6 +32,9 @@
 	Pools map[string]Pool
 	// Workspaces by name.
 	Workspaces map[string]config.Workspace
+	// Module is the directory of the module whose programs run; empty for the
+	// working directory. It serves to compare with a changed copy.
+	Module string
 	// Edit, if set, changes a router's settings before it starts.
 	Edit func(s *settings.Settings)
 }
@@ -45,6 +49,10 @@
 	Step time.Duration
 	// LoadLag is the period at which an engine renews its load report.
 	LoadLag time.Duration
+	// PrefixEntries bounds an engine's cache of prompt prefixes; zero for its
+	// default. PrefixGap is the part left out of its load reports.
+	PrefixEntries int
+	PrefixGap     float64
 }
 
 // Fleet is a running fleet.
@@ -59,8 +67,7 @@
 	declared map[string]config.Target
 }
 
-// Start builds the programs of the module in the working directory and starts
-// a fleet. Close ends it.
+// Start builds the programs of the module and starts a fleet. Close ends it.
 func Start(ctx context.Context, options Options) (*Fleet, error) {
 	dir, err := os.MkdirTemp("", "walnutcove-bench-")
 	if err != nil {
@@ -81,7 +88,7 @@
 
 func (f *Fleet) start(ctx context.Context) error {
 	var err error
-	if f.Binaries, err = processes.Build(ctx, ".", f.dir); err != nil {
+	if f.Binaries, err = processes.Build(ctx, cmp.Or(f.options.Module, "."), f.dir); err != nil {
 		return err
 	}
 	if f.Platform, err = processes.StartPlatform(f.Binaries); err != nil {
@@ -122,6 +129,7 @@
 	}
 	return processes.StartEngine(f.Binaries, name, processes.EngineOptions{
 		Slots: pool.Slots, Step: pool.Step, LoadLag: pool.LoadLag,
+		PrefixEntries: pool.PrefixEntries, PrefixGap: pool.PrefixGap,
 	})
 }
 
--- a/bench/main.go
+++ b/bench/main.go
@@ -16,13 +16,15 @@
 	"github.com/walnutcove/walnutcove/bench/capacity"
 	"github.com/walnutcove/walnutcove/bench/fair"
 	"github.com/walnutcove/walnutcove/bench/latency"
+	"github.com/walnutcove/walnutcove/bench/throughput"
 )
 
 type commandLine struct {
-	Latency  latencyCommand  `cmd:"" help:"Latency that a router adds to an uncontended request."`
-	Fair     fairCommand     `cmd:"" help:"Utilisation, fairness gap and control traffic of a policy."`
-	Slopes   slopesCommand   `cmd:"" help:"What grows with the fleet, the load and the configuration, in one process."`
-	Capacity capacityCommand `cmd:"" help:"What real processes cost, and how they recover."`
+	Latency    latencyCommand    `cmd:"" help:"Latency that a router adds to an uncontended request."`
+	Fair       fairCommand       `cmd:"" help:"Utilisation, fairness gap and control traffic of a policy."`
+	Throughput throughputCommand `cmd:"" help:"Requests a second that one router relays, and what each costs it."`
+	Slopes     slopesCommand     `cmd:"" help:"What grows with the fleet, the load and the configuration, in one process."`
+	Capacity   capacityCommand   `cmd:"" help:"What real processes cost, and how they recover."`
 }
 
 type latencyCommand struct {
@@ -35,6 +37,20 @@
 	return latency.Run(ctx, k.Stdout, latency.Options{Requests: c.Requests, Repeats: c.Repeats})
 }
 
+type throughputCommand struct {
+	Callers  []int         `default:"16,64,256" help:"Requests kept in flight."`
+	Duration time.Duration `default:"5s" help:"How long callers send in each repeat."`
+	Repeats  int           `default:"3" help:"Repeats of each number of callers."`
+	Tokens   int           `default:"20" help:"Tokens of each answer."`
+}
+
+// Run runs the experiment.
+func (c *throughputCommand) Run(ctx context.Context, k *kong.Context) error {
+	return throughput.Run(ctx, k.Stdout, throughput.Options{
+		Callers: c.Callers, Duration: c.Duration, Repeats: c.Repeats, Tokens: c.Tokens,
+	})
+}
+
 type fairCommand struct {
 	Deployment string        `default:"ilesanmi" help:"Size: ilesanmi or agroservis."`
 	Shapes     []string      `default:"burst,one-router,flood,hints,subsets,shares,sizes" help:"Patterns of work."`
--- a/bench/measure/gap.go
+++ b/bench/measure/gap.go
@@ -105,11 +105,26 @@
 // while work that could use a slot waits. slots holds each target's slots,
 // and mayUse says whether a workspace may use a target.
 func (r Record) Utilisation(slots map[string]int, mayUse func(workspace, target string) bool) float64 {
+	used, offered := r.slotTime(slots, mayUse)
+	if offered == 0 {
+		return 1
+	}
+	return used / offered
+}
+
+// Idle returns the slot seconds that were not used while work that could use
+// the slot waited. Its arguments are those of Utilisation.
+func (r Record) Idle(slots map[string]int, mayUse func(workspace, target string) bool) float64 {
+	used, offered := r.slotTime(slots, mayUse)
+	return offered - used
+}
+
+// slotTime returns the slot seconds used and offered while work waited.
+func (r Record) slotTime(slots map[string]int, mayUse func(workspace, target string) bool) (used, offered float64) {
 	waiting := make(map[string][]interval)
 	for _, w := range r.Waits {
 		waiting[w.Workspace] = append(waiting[w.Workspace], interval{max(w.From, r.From), min(w.To, r.To)})
 	}
-	var used, offered float64
 	for target, count := range slots {
 		var wanted []interval
 		for workspace, spans := range waiting {
@@ -123,10 +138,7 @@
 			used += busyWithin(span, busy, float64(count))
 		}
 	}
-	if offered == 0 {
-		return 1
-	}
-	return used / offered
+	return used, offered
 }
 
 // onTarget returns the runs of one target, all under one name.
--- a/bench/fair/join.go
+++ b/bench/measure/join.go
@@ -1,21 +1,20 @@
-package fair
+package measure
 
 import (
 	"time"
 
-	"github.com/walnutcove/walnutcove/bench/measure"
 	"github.com/walnutcove/walnutcove/load"
 	"github.com/walnutcove/walnutcove/standin/journal"
 )
 
-// join works out runs and waits from what callers saw and targets journalled.
+// Join works out runs and waits from what callers saw and targets journalled.
 // All processes share one machine's clock.
-func join(start time.Time, results []load.Result, entries []journal.Entry) measure.Record {
+func Join(start time.Time, results []load.Result, entries []journal.Entry) Record {
 	workspaceOf := make(map[string]string, len(results))
 	for _, r := range results {
 		workspaceOf[r.RequestID] = r.Request.Workspace
 	}
-	var record measure.Record
+	var record Record
 	type key struct {
 		target string
 		run    uint64
@@ -35,7 +34,7 @@
 				continue
 			}
 			delete(open, k)
-			record.Runs = append(record.Runs, measure.Run{
+			record.Runs = append(record.Runs, Run{
 				Workspace: workspaceOf[e.RequestID],
 				Target:    e.Target,
 				Start:     from,
@@ -44,7 +43,7 @@
 		}
 	}
 	for _, r := range results {
-		wait := measure.Wait{Workspace: r.Request.Workspace, From: r.Start.Sub(start), To: r.End.Sub(start)}
+		wait := Wait{Workspace: r.Request.Workspace, From: r.Start.Sub(start), To: r.End.Sub(start)}
 		if at, ran := startedAt[r.RequestID]; ran {
 			wait.To = at
 		}
--- a/control/control.go
+++ b/control/control.go
@@ -117,6 +117,9 @@
 	MemberTimeout time.Duration
 	// ExchangeEvery is the period of the exchange of service counters. Default 250 ms.
 	ExchangeEvery time.Duration
+	// IgnorePrefixes chooses targets by load alone. Default: by load, then by
+	// where the prompt's beginning is likely cached.
+	IgnorePrefixes bool
 }
 
 // Event is something that happened. See events.go.
--- a/control/grants.go
+++ b/control/grants.go
@@ -107,7 +107,7 @@
 			best, bestFill = t, fill
 		}
 	}
-	if best == nil || prefix == 0 || best.prefixes.has(prefix) {
+	if best == nil || prefix == 0 || m.opts.IgnorePrefixes || best.prefixes.has(prefix) {
 		return best
 	}
 	for _, t := range c.targets {
--- a/processes/standin.go
+++ b/processes/standin.go
@@ -67,6 +67,10 @@
 	Step    time.Duration
 	LoadLag time.Duration
 	Resumes bool
+	// PrefixEntries bounds the cache of prompt prefixes; zero for the default.
+	PrefixEntries int
+	// PrefixGap is the part of the cached prefixes left out of reports.
+	PrefixGap float64
 }
 
 // StartEngine starts a stand-in model engine.
@@ -81,6 +85,12 @@
 	if o.Resumes {
 		args = append(args, "--resumes")
 	}
+	if o.PrefixEntries > 0 {
+		args = append(args, "--prefix-entries", strconv.Itoa(o.PrefixEntries))
+	}
+	if o.PrefixGap > 0 {
+		args = append(args, "--prefix-gap", strconv.FormatFloat(o.PrefixGap, 'f', -1, 64))
+	}
 	return startStandIn(b, name, args...)
 }
 
--- a/router/start.go
+++ b/router/start.go
@@ -113,6 +113,7 @@
 		HeartbeatEvery: time.Duration(s.Scheduling.HeartbeatEvery),
 		MemberTimeout:  time.Duration(s.Scheduling.MemberTimeout),
 		ExchangeEvery:  time.Duration(s.Scheduling.ExchangeEvery),
+		IgnorePrefixes: !s.Scheduling.PrefixLocality,
 	})
 	r.loop = newLoop(machine, r, r.log)
 }
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -21,6 +21,7 @@
 			HeartbeatEvery: Duration(500 * time.Millisecond),
 			MemberTimeout:  Duration(2 * time.Second),
 			ExchangeEvery:  Duration(250 * time.Millisecond),
+			PrefixLocality: true,
 		},
 		Limits: Limits{
 			MaxBodyBytes:     8 << 20,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -65,6 +65,9 @@
 	HeartbeatEvery Duration `toml:"heartbeat_every"`
 	MemberTimeout  Duration `toml:"member_timeout"`
 	ExchangeEvery  Duration `toml:"exchange_every"`
+	// PrefixLocality prefers, among about equally loaded targets, one that
+	// likely holds the prompt's beginning in its cache. Default true.
+	PrefixLocality bool `toml:"prefix_locality"`
 }
 
 // Limits bounds what callers may send and how long things may take.
--- a/settings/types.go
+++ b/settings/types.go
@@ -49,6 +49,8 @@
 		return "must be a list of strings"
 	case reflect.Int:
 		return "must be a whole number"
+	case reflect.Bool:
+		return "must be true or false"
 	default:
 		return "must be a string"
 	}
