--- a/filters/retry/retry.go
+++ b/filters/retry/retry.go
@@ -1,7 +1,8 @@
 // Package retry is the filter that runs grant and dispatch again on another
 // target when an idempotent request failed, or when any request surely did not
 // run. Retries draw on a budget, so that a brown-out does not multiply load:
-// each first attempt earns a part of a retry, up to a limit.
+// each request earns a part of a retry, up to a limit for its workspace and one
+// for the router.
 package retry
 
 import (
@@ -9,7 +10,6 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/walnutcove/walnutcove/pipeline"
@@ -20,10 +20,6 @@
 const (
 	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 3
-	// earnedPerRequest is the part of a retry that each request earns.
-	earnedPerRequest = 0.2
-	// maxBudget bounds the retries saved up at one router.
-	maxBudget = 50.0
 	// maxPause bounds the pause before a request's first retry; it grows with
 	// the attempts. Pauses are random, so that the requests that one target
 	// lost do not come back together.
@@ -43,21 +39,19 @@
 
 // Filter retries.
 type Filter struct {
-	log *slog.Logger
-
-	mu     sync.Mutex
-	budget float64
+	log    *slog.Logger
+	budget *budget
 }
 
 // New returns a filter with a full budget. It logs each retry to log.
-func New(log *slog.Logger) *Filter { return &Filter{log: log, budget: maxBudget} }
+func New(log *slog.Logger) *Filter { return &Filter{log: log, budget: newBudget()} }
 
 // Name implements pipeline.Filter.
 func (f *Filter) Name() string { return "retry" }
 
 // Serve implements pipeline.Filter.
 func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
-	f.earn()
+	f.budget.earn(ex.WorkspaceName)
 	ran := result.RanNo
 	for {
 		ex.Attempt++
@@ -77,7 +71,7 @@
 		if ex.Attempt >= maxAttempts || !time.Now().Before(ex.Deadline) {
 			return err
 		}
-		if !f.spend() {
+		if !f.budget.spend(ex.WorkspaceName) {
 			return budgetEmpty(refusal)
 		}
 		retries.Inc(refusal.Code)
@@ -138,22 +132,6 @@
 	}
 }
 
-func (f *Filter) earn() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.budget = min(f.budget+earnedPerRequest, maxBudget)
-}
-
-func (f *Filter) spend() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.budget < 1 {
-		return false
-	}
-	f.budget--
-	return true
-}
-
 // budgetEmpty says that the request failed and was not retried. It keeps the
 // outcome of the failure.
 func budgetEmpty(failure *result.Error) error {
