Measure the backlog, the exchange period and fleets that grow with their load

A grant that crosses a cancellation is returned, as an entry would; before, 140 waiting requests seemed to leave 15 % of the slots idle.

--- a/bench/capacity/machine.go
+++ b/bench/capacity/machine.go
@@ -133,22 +133,46 @@
 	return m.rates(accountingKinds...), nil
 }
 
-// measureWaiting fills the slots, then lets a number of requests wait.
+// measureWaiting fills the slots with runs that do not end and lets a number of
+// requests wait. The fill takes longer than new windows take to open.
 func measureWaiting(waiting int, seed uint64) ([]Value, error) {
+	const fill = 3 * time.Second
 	size := letterSize()
 	size.slots = 1
-	n := newNode(size.assign(), nodeLoad{perSecond: 200, run: time.Hour, workspaces: letterBacklogged}, seed)
-	for n.machine.Status().Waiting < waiting {
+	slots := size.targets / (size.pools * size.centres)
+	load := nodeLoad{perSecond: float64(slots+waiting) / fill.Seconds(), run: time.Hour, workspaces: letterBacklogged}
+	n := newNode(size.assign(), load, seed)
+	for n.arrived-n.dispatched < waiting {
 		n.passTime(10 * time.Millisecond)
 	}
 	n.closed = true
 	n.load.run = 0 // nothing more is waited for
 	m := watch(n)
-	status := n.machine.Status()
-	return append(m.rates(requestKinds...),
-		Value{"waiting", float64(status.Waiting)},
-		Value{"running", float64(status.Running)},
-	), nil
+	return append(m.rates(requestKinds...), Value{"waiting", float64(n.machine.Status().Waiting)}), nil
+}
+
+// measureBacklog is a node of the fleet ahead whose targets are full, while a
+// number of requests of the backlogged workspaces wait.
+func measureBacklog(waiting int, seed uint64) ([]Value, error) {
+	size := letterSize()
+	fleet := size.assign()
+	owned := len(fleet.shards[nodeName(fleet.typicalScheduler())])
+	inShard := size.targets / (size.pools * size.centres)
+	size.slots = int(nodeRequests*letterRun.Seconds()) / (owned * inShard)
+	fleet.size = size
+	load := nodeLoad{run: letterRun, workspaces: letterBacklogged, waiting: waiting}
+	return kindsOf(watch(newNode(fleet, load, seed))), nil
+}
+
+// measureExchangePeriod varies the period of the exchange of service counts at
+// the peak.
+func measureExchangePeriod(period int, seed uint64) ([]Value, error) {
+	load := nodeLoad{
+		perSecond: nodeRequests, run: letterRun, workspaces: letterWorkspaces,
+		exchange: time.Duration(period) * time.Millisecond,
+	}
+	m := watch(newNode(letterSize().assign(), load, seed))
+	return m.rates(accountingKinds...), nil
 }
 
 // measureMembership is the silent loss of a watched node, and then its return.
@@ -187,22 +211,30 @@
 	}, nil
 }
 
-// measureLetter is a node of the fleet ahead at the peak.
-func measureLetter(nodes int, seed uint64) ([]Value, error) {
+// measurePeak is a node at the peak, in fleets that grow with their load.
+func measurePeak(nodes int, seed uint64) ([]Value, error) {
 	size := scaledTo(nodes)
 	load := nodeLoad{perSecond: nodeRequests, run: letterRun, workspaces: size.workspaces}
-	m := watch(newNode(size.assign(), load, seed))
+	return kindsOf(watch(newNode(size.assign(), load, seed))), nil
+}
+
+// kindsOf returns the rates of each kind of message.
+func kindsOf(m measured) []Value {
 	values := m.rates()
 	for _, kind := range wire.Kinds {
-		if sent := m.node.meter.total(kind).perSecond(m.elapsed); sent.messages > 0 {
-			values = append(values,
-				Value{string(kind) + " sent/s", sent.messages},
-				Value{string(kind) + " bytes both ways/s", 2 * sent.bytes})
+		sent := m.node.meter.total(kind).perSecond(m.elapsed)
+		if sent.messages == 0 {
+			continue
 		}
+		values = append(values,
+			Value{string(kind) + " sent/s", sent.messages},
+			Value{string(kind) + " bytes both ways/s", 2 * sent.bytes})
 	}
 	return append(values,
 		Value{"nodes sent to", float64(m.node.meter.peers())},
 		Value{"running", float64(m.node.machine.Status().Running)},
+		Value{"waiting", float64(m.node.machine.Status().Waiting)},
+		Value{"runs begun/s", m.dispatched / m.elapsed.Seconds()},
 		Value{"most shards at a node", float64(m.node.fleet.mostShards())},
-	), nil
+	)
 }
--- a/bench/capacity/mirror.go
+++ b/bench/capacity/mirror.go
@@ -128,6 +128,7 @@
 	if pair == nil {
 		a := m.mirrored[g.Ticket]
 		if a == nil {
+			m.returnGrant(g)
 			return
 		}
 		targets := m.node.fleet.targets[a.own.shard]
@@ -144,6 +145,19 @@
 	m.node.receiveLater(pair.ask.to, pair.taken)
 }
 
+// returnGrant answers a grant that crossed the cancellation of its ticket.
+func (m *mirror) returnGrant(g control.Grant) {
+	target := m.node.snapshot.Declarations.Targets[g.Target]
+	m.node.receiveLater(g.Ticket.Node, control.Report{
+		Grant:   g.ID,
+		Ticket:  g.Ticket,
+		Shard:   control.ShardID{Pool: target.Pool, DataCentre: target.DataCentre},
+		Target:  g.Target,
+		Phase:   control.PhaseEnded,
+		Outcome: control.OutcomeNotRun,
+	})
+}
+
 // report brings the report on the grant that the node gave.
 func (m *mirror) report(to control.NodeID, r control.Report) {
 	pair := m.taken[r.Grant]
--- a/bench/capacity/node.go
+++ b/bench/capacity/node.go
@@ -50,8 +50,8 @@
 	// polled are the targets whose load the node asks for.
 	polled []string
 	// recorded holds the steps so far, for a replay.
-	recorded   []recorded
-	dispatched int
+	recorded            []recorded
+	arrived, dispatched int
 }
 
 // nodeLoad is what callers ask of a node.
@@ -62,6 +62,11 @@
 	run time.Duration
 	// workspaces is how many send, evenly.
 	workspaces int
+	// waiting is how many requests are kept waiting, whatever the rate.
+	waiting int
+	// exchange is the period of the exchange of service counts; zero for the
+	// default.
+	exchange time.Duration
 }
 
 // settleTime is how long a node runs before it is measured: until the first
@@ -99,6 +104,9 @@
 	n.checkOwned()
 	n.every(tickEvery, func() { n.step(control.Tick{}) })
 	n.every(loadEvery, n.pollTargets)
+	if load.waiting > 0 {
+		n.every(tickEvery, n.refill)
+	}
 	if load.perSecond > 0 {
 		n.every(time.Duration(float64(time.Second)/load.perSecond), n.arrive)
 	}
@@ -107,7 +115,7 @@
 
 func (n *node) options(seed uint64) control.Options {
 	index := n.fleet.typicalScheduler()
-	return control.Options{Node: n.id, Incarnation: 1, DataCentre: centreName(index % n.fleet.size.centres), Seed: seed}
+	return control.Options{Node: n.id, Incarnation: 1, DataCentre: centreName(index % n.fleet.size.centres), Seed: seed, ExchangeEvery: n.load.exchange}
 }
 
 // join lets the machine meet the fleet.
@@ -140,6 +148,7 @@
 	if n.closed {
 		return
 	}
+	n.arrived++
 	workspace := n.random.IntN(n.load.workspaces)
 	pools := n.fleet.size.poolsOf(workspace)
 	n.sequence++
@@ -155,6 +164,13 @@
 	})
 }
 
+// refill lets requests arrive until enough wait.
+func (n *node) refill() {
+	for n.arrived-n.dispatched < n.load.waiting {
+		n.arrive()
+	}
+}
+
 // pollTargets reports the load of the targets that the node polls. It equals
 // what the node granted, which the window does not learn from.
 func (n *node) pollTargets() {
--- a/bench/capacity/slopes.go
+++ b/bench/capacity/slopes.go
@@ -41,10 +41,11 @@
 	{"config-poll", "versions", []int{1, 100, 1000}, measureConfigPoll},
 	{"vm-list", "nodes", []int{9, 30, 100, 340}, measureVMList},
 	{"load-poll", "cached prefixes", []int{0, 64, 512}, measureLoadPoll},
-	{"records", "routers", []int{1, 9, 30, 100, 340}, measureRecords},
 	{"machine-memory", "nodes", []int{9, 30, 100, 340}, measureMachineMemory},
 	{"queue-memory", "requests", []int{1000, 4000, 16000}, measureQueueMemory},
-	{"letter", "nodes", []int{letterNodes}, measureLetter},
+	{"peak", "nodes", []int{30, 100, letterNodes}, measurePeak},
+	{"backlog", "requests waiting at a node", []int{14, 47, 140}, measureBacklog},
+	{"exchange", "ms between exchanges", []int{250, 500, 1000, 2000}, measureExchangePeriod},
 }
 
 // Run measures and writes a table for each mechanism.
