Let walnutctl's commands share their client and time limit

Eight commands began with the same seven lines, found by a search for repeated code.

Ran: go test -race ./ctl/...

--- a/ctl/cli/change.go
+++ b/ctl/cli/change.go
@@ -77,31 +77,26 @@
 	if !c.AllowEmpty && len(want.Workspaces)+len(want.Pools)+len(want.Targets) == 0 {
 		return usage("%s declares nothing, which would remove everything; use --allow-empty if this is meant", c.Dir)
 	}
-	client, err := a.client()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	ctx, cancel := a.context()
-	defer cancel()
-	plan, err := client.Plan(ctx, want)
-	if err != nil {
-		return err
-	}
-	if c.DryRun {
-		a.printRows(plan.Rows)
-		a.printf("dry-run base=%d differences=%d removed=%d\n", plan.Base, len(plan.Rows), plan.Removed())
-		return nil
-	}
-	if plan.Empty() {
-		a.printf("unchanged version=%d\n", plan.Base)
-		return a.wait(client, c.changeFlags, plan.Base)
-	}
-	accepted, err := a.submit(ctx, client, c.changeFlags, plan.Base, plan.Changes)
-	if err != nil {
-		return applyAgain(err)
-	}
-	return a.finish(client, c.changeFlags, accepted)
+	return a.ask(func(ctx context.Context, client *ctl.Client) error {
+		plan, err := client.Plan(ctx, want)
+		if err != nil {
+			return err
+		}
+		if c.DryRun {
+			a.printRows(plan.Rows)
+			a.printf("dry-run base=%d differences=%d removed=%d\n", plan.Base, len(plan.Rows), plan.Removed())
+			return nil
+		}
+		if plan.Empty() {
+			a.printf("unchanged version=%d\n", plan.Base)
+			return a.wait(client, c.changeFlags, plan.Base)
+		}
+		accepted, err := a.submit(ctx, client, c.changeFlags, plan.Base, plan.Changes)
+		if err != nil {
+			return applyAgain(err)
+		}
+		return a.finish(client, c.changeFlags, accepted)
+	})
 }
 
 // applyAgain advises to apply again after an unknown outcome: apply compares
@@ -138,18 +133,13 @@
 	if err != nil {
 		return err
 	}
-	client, err := a.client()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	ctx, cancel := a.context()
-	defer cancel()
-	accepted, err := a.submit(ctx, client, c.changeFlags, config.Version(c.Base), changes)
-	if err != nil {
-		return err
-	}
-	return a.finish(client, c.changeFlags, accepted)
+	return a.ask(func(ctx context.Context, client *ctl.Client) error {
+		accepted, err := a.submit(ctx, client, c.changeFlags, config.Version(c.Base), changes)
+		if err != nil {
+			return err
+		}
+		return a.finish(client, c.changeFlags, accepted)
+	})
 }
 
 // readFile reads a patch and checks its form before anything is sent.
@@ -179,33 +169,28 @@
 
 // Run makes a new version with the declarations of an older one.
 func (c *rollbackCommand) Run(a *app) error {
-	client, err := a.client()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	ctx, cancel := a.context()
-	defer cancel()
-	base, err := c.base(ctx, client)
-	if err != nil {
-		return err
-	}
-	request := operator.RollbackRequest{
-		ID:     c.patchID(),
-		Base:   base,
-		To:     config.Version(c.Version),
-		Author: c.author(),
-		Note:   c.Note,
-	}
-	if request.Note == "" {
-		request.Note = fmt.Sprintf("rollback to version %d", c.Version)
-	}
-	a.progress("sending patch=%s base=%d\n", request.ID, request.Base)
-	accepted, err := client.Rollback(ctx, request)
-	if err != nil {
-		return err
-	}
-	return a.finish(client, c.changeFlags, accepted)
+	return a.ask(func(ctx context.Context, client *ctl.Client) error {
+		base, err := c.base(ctx, client)
+		if err != nil {
+			return err
+		}
+		request := operator.RollbackRequest{
+			ID:     c.patchID(),
+			Base:   base,
+			To:     config.Version(c.Version),
+			Author: c.author(),
+			Note:   c.Note,
+		}
+		if request.Note == "" {
+			request.Note = fmt.Sprintf("rollback to version %d", c.Version)
+		}
+		a.progress("sending patch=%s base=%d\n", request.ID, request.Base)
+		accepted, err := client.Rollback(ctx, request)
+		if err != nil {
+			return err
+		}
+		return a.finish(client, c.changeFlags, accepted)
+	})
 }
 
 func (c *rollbackCommand) base(ctx context.Context, client *ctl.Client) (config.Version, error) {
@@ -225,16 +210,11 @@
 
 // Run starts the graceful shutdown of a router.
 func (c *drainCommand) Run(a *app) error {
-	client, err := a.client()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	ctx, cancel := a.context()
-	defer cancel()
-	if err := client.Drain(ctx, c.Node); err != nil {
-		return err
-	}
-	a.printf("draining node=%s\n", c.Node)
-	return nil
+	return a.ask(func(ctx context.Context, client *ctl.Client) error {
+		if err := client.Drain(ctx, c.Node); err != nil {
+			return err
+		}
+		a.printf("draining node=%s\n", c.Node)
+		return nil
+	})
 }
--- a/ctl/cli/cli.go
+++ b/ctl/cli/cli.go
@@ -120,9 +120,16 @@
 	})
 }
 
-// context returns the context of one command.
-func (a *app) context() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.Background(), a.flags.Timeout)
+// ask runs f with a client, within the time limit of one command.
+func (a *app) ask(f func(ctx context.Context, client *ctl.Client) error) error {
+	client, err := a.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), a.flags.Timeout)
+	defer cancel()
+	return f(ctx, client)
 }
 
 func (a *app) printf(format string, args ...any) { fmt.Fprintf(a.Out, format, args...) }
--- a/ctl/cli/read.go
+++ b/ctl/cli/read.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"encoding/json"
 
 	"github.com/pelletier/go-toml/v2"
@@ -22,30 +23,25 @@
 
 // Run prints one version.
 func (c *getCommand) Run(a *app) error {
-	client, err := a.client()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	ctx, cancel := a.context()
-	defer cancel()
-	snapshot, err := client.Config(ctx, config.Version(c.Version))
-	if err != nil {
-		return err
-	}
-	if c.Output == formatJSON {
-		return a.printJSON(snapshot)
-	}
-	raw, err := toml.Marshal(snapshot.Declarations)
-	if err != nil {
-		return err
-	}
-	if snapshot.Version == 0 {
-		a.printf("# version 0, none was accepted yet\n")
+	return a.ask(func(ctx context.Context, client *ctl.Client) error {
+		snapshot, err := client.Config(ctx, config.Version(c.Version))
+		if err != nil {
+			return err
+		}
+		if c.Output == formatJSON {
+			return a.printJSON(snapshot)
+		}
+		raw, err := toml.Marshal(snapshot.Declarations)
+		if err != nil {
+			return err
+		}
+		if snapshot.Version == 0 {
+			a.printf("# version 0, none was accepted yet\n")
+			return nil
+		}
+		a.printf("# version %d, patch %s\n%s", snapshot.Version, snapshot.PatchID, raw)
 		return nil
-	}
-	a.printf("# version %d, patch %s\n%s", snapshot.Version, snapshot.PatchID, raw)
-	return nil
+	})
 }
 
 type diffCommand struct {
@@ -59,26 +55,21 @@
 	if err != nil {
 		return err
 	}
-	client, err := a.client()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	ctx, cancel := a.context()
-	defer cancel()
-	plan, err := client.Plan(ctx, want)
-	if err != nil {
+	return a.ask(func(ctx context.Context, client *ctl.Client) error {
+		plan, err := client.Plan(ctx, want)
+		if err != nil {
+			return err
+		}
+		if c.Output == formatJSON {
+			err = a.printJSON(diffDocument{Base: plan.Base, Differences: append([]config.DiffRow{}, plan.Rows...)})
+		} else {
+			a.printRows(plan.Rows)
+		}
+		if err == nil && !plan.Empty() {
+			return &ctl.Error{Exit: ctl.ExitDifferent, Summary: "there are differences"}
+		}
 		return err
-	}
-	if c.Output == formatJSON {
-		err = a.printJSON(diffDocument{Base: plan.Base, Differences: append([]config.DiffRow{}, plan.Rows...)})
-	} else {
-		a.printRows(plan.Rows)
-	}
-	if err == nil && !plan.Empty() {
-		return &ctl.Error{Exit: ctl.ExitDifferent, Summary: "there are differences"}
-	}
-	return err
+	})
 }
 
 // diffDocument is the JSON form of a diff.
@@ -94,21 +85,16 @@
 
 // Run lists accepted versions.
 func (c *historyCommand) Run(a *app) error {
-	client, err := a.client()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	ctx, cancel := a.context()
-	defer cancel()
-	entries, err := client.History(ctx, c.Limit)
-	if err != nil {
-		return err
-	}
-	if c.Output == formatJSON {
-		return a.printJSON(entries)
-	}
-	return a.printHistory(entries)
+	return a.ask(func(ctx context.Context, client *ctl.Client) error {
+		entries, err := client.History(ctx, c.Limit)
+		if err != nil {
+			return err
+		}
+		if c.Output == formatJSON {
+			return a.printJSON(entries)
+		}
+		return a.printHistory(entries)
+	})
 }
 
 type statusCommand struct {
@@ -117,21 +103,16 @@
 
 // Run shows the state of the fleet.
 func (c *statusCommand) Run(a *app) error {
-	client, err := a.client()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	ctx, cancel := a.context()
-	defer cancel()
-	status, err := client.Status(ctx, true)
-	if err != nil {
-		return err
-	}
-	if c.Output == formatJSON {
-		return a.printJSON(status)
-	}
-	return a.printStatus(status)
+	return a.ask(func(ctx context.Context, client *ctl.Client) error {
+		status, err := client.Status(ctx, true)
+		if err != nil {
+			return err
+		}
+		if c.Output == formatJSON {
+			return a.printJSON(status)
+		}
+		return a.printStatus(status)
+	})
 }
 
 func (a *app) printJSON(document any) error {
