Measure what faults do to a backlogged fleet: bench faults

For each: the longest time without a start, slots idle while work waited, runs over the slots against the stated bound, and the fairness gap against its bound.

--- a/bench/fair/fair.go
+++ b/bench/fair/fair.go
@@ -7,13 +7,11 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/walnutcove/walnutcove/bench/fleet"
 	"github.com/walnutcove/walnutcove/bench/measure"
-	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/bench/workload"
 	"github.com/walnutcove/walnutcove/load"
 )
 
@@ -61,17 +59,17 @@
 
 // Run makes the measurements and writes a table.
 func Run(ctx context.Context, out io.Writer, o Options) error {
-	deployment, ok := Deployments[o.Deployment]
+	deployment, ok := workload.Deployments[o.Deployment]
 	if !ok {
 		return fmt.Errorf("no deployment is named %q", o.Deployment)
 	}
 	writeHeader(out, o.CSV)
 	for _, name := range o.Shapes {
-		shape, ok := Shapes[name]
+		shape, ok := workload.Shapes[name]
 		if !ok {
 			return fmt.Errorf("no shape is named %q", name)
 		}
-		shape = shape.withDefaults(name)
+		shape = shape.WithDefaults(name)
 		for _, policy := range o.Policies {
 			rows, err := runPolicy(ctx, o, deployment, shape, policy)
 			if err != nil {
@@ -84,18 +82,13 @@
 }
 
 // runPolicy starts a fleet and repeats one shape on it.
-func runPolicy(ctx context.Context, o Options, d Deployment, s Shape, policy string) ([]Row, error) {
+func runPolicy(ctx context.Context, o Options, d workload.Deployment, s workload.Shape, policy string) ([]Row, error) {
 	f, err := fleet.Start(ctx, fleet.Options{
 		DataCentres: d.DataCentres,
 		Routers:     o.Routers,
 		Policy:      policy,
-		Pools: map[string]fleet.Pool{pool: {
-			Declared: config.Pool{Kind: config.KindEngine, Models: []string{model}},
-			Targets:  d.Targets,
-			Slots:    d.Slots,
-			Step:     d.Step,
-		}},
-		Workspaces: s.declared(d),
+		Pools:       d.Pools(),
+		Workspaces:  s.Declared(d),
 	})
 	if err != nil {
 		return nil, err
@@ -115,7 +108,7 @@
 }
 
 // runOnce sends for the duration and judges what the targets ran.
-func runOnce(ctx context.Context, f *fleet.Fleet, o Options, d Deployment, s Shape, seed uint64) (Row, error) {
+func runOnce(ctx context.Context, f *fleet.Fleet, o Options, d workload.Deployment, s workload.Shape, seed uint64) (Row, error) {
 	if err := f.ClearJournals(); err != nil {
 		return Row{}, err
 	}
@@ -124,7 +117,9 @@
 		return Row{}, err
 	}
 	start := time.Now()
-	results, summary := send(ctx, f, o, d, s, seed)
+	sending, cancel := context.WithTimeout(ctx, o.Duration)
+	defer cancel()
+	results, summary := s.Send(sending, d, f.Callers(), seed)
 	after, err := f.ReadControl()
 	if err != nil {
 		return Row{}, err
@@ -150,28 +145,24 @@
 	return row, nil
 }
 
-func judge(record measure.Record, d Deployment, s Shape) Row {
+func judge(record measure.Record, d workload.Deployment, s workload.Shape) Row {
 	shares := make(map[string]float64)
 	reach := make(map[string]map[string]bool)
-	for n := range workspaces {
-		shares[workspaceName(n)] = s.Share(n)
+	for n := range workload.Workspaces {
+		shares[workload.WorkspaceName(n)] = s.Share(n)
 		for _, target := range s.Targets(n, d) {
-			if reach[workspaceName(n)] == nil {
-				reach[workspaceName(n)] = make(map[string]bool)
+			if reach[workload.WorkspaceName(n)] == nil {
+				reach[workload.WorkspaceName(n)] = make(map[string]bool)
 			}
-			reach[workspaceName(n)][target] = true
+			reach[workload.WorkspaceName(n)][target] = true
 		}
 	}
-	slots := make(map[string]int)
-	for n := range d.Targets {
-		slots[targetName(n)] = d.Slots
-	}
 	mayUse := func(workspace, target string) bool {
 		return reach[workspace] == nil || reach[workspace][target]
 	}
 	row := Row{
 		Gap:         record.FairnessGap(shares).SlotSeconds,
-		Utilisation: record.Utilisation(slots, mayUse),
+		Utilisation: record.Utilisation(d.SlotsOf(), mayUse),
 	}
 	for name := range shares {
 		row.Starved = max(row.Starved, record.LongestWithoutService(name))
@@ -181,42 +172,3 @@
 	}
 	return row
 }
-
-// send lets every workspace's callers send at once until the duration is over,
-// and waits for every answer.
-func send(ctx context.Context, f *fleet.Fleet, o Options, d Deployment, s Shape, seed uint64) ([]load.Result, *load.Summary) {
-	sendCtx, cancel := context.WithTimeout(ctx, o.Duration)
-	defer cancel()
-	var mu sync.Mutex
-	var results []load.Result
-	summary := load.NewSummary()
-	keep := func(r load.Result) {
-		mu.Lock()
-		defer mu.Unlock()
-		results = append(results, r)
-		summary.Add(r)
-	}
-	var all sync.WaitGroup
-	for n := range workspaces {
-		routers := f.Callers()
-		if s.OneRouter(n) {
-			routers = routers[:1]
-		}
-		run := load.Run{
-			Routers: routers,
-			Callers: s.Callers(n),
-			Seed:    seed<<8 | uint64(n),
-			Next: func(sequence int, random *rand.Rand) load.Request {
-				return s.request(n, sequence, d, random)
-			},
-			OnResult: keep,
-		}
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			run.Do(sendCtx)
-		}()
-	}
-	all.Wait()
-	return results, summary
-}
--- a/bench/fair/table.go
+++ b/bench/fair/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/bench/measure"
+	"github.com/walnutcove/walnutcove/bench/workload"
 )
 
 const header = "deployment  shape       policy       n  gap s/share (min..max)     utilisation (min..max)     starved  first p50/p99      answered refused failed  control B/s msg/s core%"
@@ -80,13 +81,13 @@
 func millis(d time.Duration) float64 { return d.Seconds() * 1000 }
 
 // writeDetail writes what each workspace received, and the worst pair.
-func writeDetail(out io.Writer, record measure.Record, d Deployment, s Shape) {
+func writeDetail(out io.Writer, record measure.Record, d workload.Deployment, s workload.Shape) {
 	if out == nil {
 		return
 	}
 	shares := make(map[string]float64)
-	for n := range workspaces {
-		name := workspaceName(n)
+	for n := range workload.Workspaces {
+		name := workload.WorkspaceName(n)
 		shares[name] = s.Share(n)
 		fmt.Fprintf(out, "  %s %s: share %.0f, service %.2f slot s, backlogged %.2f s, longest without service %.2f s\n",
 			d.Name, name, s.Share(n), record.Service(name), record.Backlogged(name).Seconds(),
--- a/bench/fleet/journals.go
+++ b/bench/fleet/journals.go
@@ -8,15 +8,15 @@
 	"github.com/walnutcove/walnutcove/standin/journal"
 )
 
-// pathJournal is where a stand-in target serves its journal.
-const pathJournal = "/_journal"
+// PathJournal is where a stand-in target serves its journal.
+const PathJournal = "/_journal"
 
 // Journals returns the entries of every target's journal.
 func (f *Fleet) Journals() ([]journal.Entry, error) {
 	var all []journal.Entry
 	for name, target := range f.Targets {
 		var entries []journal.Entry
-		if err := GetJSON("http://"+target.Address+pathJournal, &entries); err != nil {
+		if err := GetJSON("http://"+target.Address+PathJournal, &entries); err != nil {
 			return nil, fmt.Errorf("read the journal of %s: %w", name, err)
 		}
 		all = append(all, entries...)
@@ -27,7 +27,7 @@
 // ClearJournals empties every target's journal.
 func (f *Fleet) ClearJournals() error {
 	for name, target := range f.Targets {
-		request, err := http.NewRequest(http.MethodDelete, "http://"+target.Address+pathJournal, nil)
+		request, err := http.NewRequest(http.MethodDelete, "http://"+target.Address+PathJournal, nil)
 		if err != nil {
 			return err
 		}
--- a/bench/main.go
+++ b/bench/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/walnutcove/walnutcove/bench/capacity"
 	"github.com/walnutcove/walnutcove/bench/fair"
+	"github.com/walnutcove/walnutcove/bench/faults"
 	"github.com/walnutcove/walnutcove/bench/latency"
 	"github.com/walnutcove/walnutcove/bench/throughput"
 )
@@ -23,6 +24,7 @@
 	Latency    latencyCommand    `cmd:"" help:"Latency that a router adds to an uncontended request."`
 	Fair       fairCommand       `cmd:"" help:"Utilisation, fairness gap and control traffic of a policy."`
 	Throughput throughputCommand `cmd:"" help:"Requests a second that one router relays, and what each costs it."`
+	Faults     faultsCommand     `cmd:"" help:"What faults do to backlogged workspaces: standstill, idle slots, over-admission, gap."`
 	Slopes     slopesCommand     `cmd:"" help:"What grows with the fleet, the load and the configuration, in one process."`
 	Capacity   capacityCommand   `cmd:"" help:"What real processes cost, and how they recover."`
 }
@@ -86,6 +88,23 @@
 	return fair.Run(ctx, k.Stdout, options)
 }
 
+type faultsCommand struct {
+	Deployment string   `default:"ilesanmi" help:"Size: ilesanmi or agroservis."`
+	Routers    int      `default:"9" help:"Routers to run."`
+	Only       []string `help:"Faults to measure; all if left out."`
+	Repeats    int      `default:"3" help:"Repeats of each fault."`
+	CSV        string   `help:"File for the raw values." placeholder:"FILE"`
+}
+
+// Run runs the experiment.
+func (c *faultsCommand) Run(ctx context.Context, k *kong.Context) error {
+	return withCSV(c.CSV, func(csv io.Writer) error {
+		return faults.Run(ctx, k.Stdout, faults.Options{
+			Deployment: c.Deployment, Routers: c.Routers, Only: c.Only, Repeats: c.Repeats, CSV: csv,
+		})
+	})
+}
+
 type capacityCommand struct {
 	Processes processesCommand `cmd:"" help:"Control traffic, processor time and memory of idle and loaded routers."`
 	Versions  versionsCommand  `cmd:"" help:"How a configuration change reaches real routers."`
--- a/bench/fair/shapes.go
+++ b/bench/workload/shapes.go
@@ -1,4 +1,6 @@
-package fair
+// Package workload keeps the workspaces of a deployment backlogged, in one of
+// several patterns of work that experiments share.
+package workload
 
 import (
 	"fmt"
@@ -38,10 +40,16 @@
 	},
 }
 
+// The configuration of every deployment here.
+const (
+	// Workspaces is how many workspaces send.
+	Workspaces = 16
+	// Pool and Model name the only pool and its model.
+	Pool  = "shared"
+	Model = "walnut-small"
+)
+
 const (
-	workspaces = 16
-	pool       = "shared"
-	model      = "walnut-small"
 	// minTokens and maxTokens bound the answers, which cost a hundredfold of
 	// one another, evenly spread over the orders of magnitude.
 	minTokens = 2
@@ -80,8 +88,8 @@
 	"sizes":      {Tokens: tinyOrHuge},
 }
 
-// withDefaults fills in what a shape leaves out.
-func (s Shape) withDefaults(name string) Shape {
+// WithDefaults names a shape and fills in what it leaves out.
+func (s Shape) WithDefaults(name string) Shape {
 	s.Name = name
 	if s.Share == nil {
 		s.Share = func(int) float64 { return 1 }
@@ -139,7 +147,7 @@
 	var names []string
 	for target := range d.Targets {
 		if target%3 == 0 {
-			names = append(names, targetName(target))
+			names = append(names, TargetName(target))
 		}
 	}
 	return names
@@ -159,33 +167,36 @@
 	return maxTokens
 }
 
-func targetName(n int) string { return fmt.Sprintf("%s-%d", pool, n+1) }
+// TargetName returns the name of target n, from zero.
+func TargetName(n int) string { return fmt.Sprintf("%s-%d", Pool, n+1) }
 
-func workspaceName(n int) string { return fmt.Sprintf("workspace-%02d", n+1) }
+// WorkspaceName returns the name of workspace n, from zero.
+func WorkspaceName(n int) string { return fmt.Sprintf("workspace-%02d", n+1) }
 
-func workspaceKey(n int) string { return workspaceName(n) + "-key" }
+// WorkspaceKey returns the key of workspace n.
+func WorkspaceKey(n int) string { return WorkspaceName(n) + "-key" }
 
-// declared returns the workspaces of a shape.
-func (s Shape) declared(d Deployment) map[string]config.Workspace {
+// Declared returns the workspaces of a shape.
+func (s Shape) Declared(d Deployment) map[string]config.Workspace {
 	all := make(map[string]config.Workspace)
-	for n := range workspaces {
-		w := fleet.Workspace(workspaceKey(n), s.Share(n), pool)
+	for n := range Workspaces {
+		w := fleet.Workspace(WorkspaceKey(n), s.Share(n), Pool)
 		w.Targets = s.Targets(n, d)
 		w.MaxQueued = floodFactor * callersEach
-		all[workspaceName(n)] = w
+		all[WorkspaceName(n)] = w
 	}
 	return all
 }
 
-// request makes one request of workspace n.
-func (s Shape) request(n, sequence int, d Deployment, random *rand.Rand) load.Request {
+// Request makes one request of workspace n.
+func (s Shape) Request(n, sequence int, d Deployment, random *rand.Rand) load.Request {
 	tokens := s.Tokens(n, random)
 	return load.Request{
 		Kind:      load.Stream,
-		Workspace: workspaceName(n),
-		Key:       workspaceKey(n),
+		Workspace: WorkspaceName(n),
+		Key:       WorkspaceKey(n),
 		Mark:      fmt.Sprintf("w%d-%d-%d", n, sequence, random.Uint32()),
-		Model:     model,
+		Model:     Model,
 		MaxTokens: tokens,
 		CostHint:  s.Hint(n, time.Duration(tokens)*d.Step),
 		Deadline:  time.Minute,
