Give every router of a process test an address that no other takes

Cause: addresses were picked one by one and let go, so that a later pick, a proxy or an outgoing connection could take one: 1 start in about 50 failed with two equal addresses. They are now picked together on an IP of their own.

--- a/processes/router.go
+++ b/processes/router.go
@@ -68,16 +68,26 @@
 }
 
 // FreeAddress picks a loopback address that nothing listens on now.
-func FreeAddress() (string, error) { return FreeAddressOn("127.0.0.1") }
-
-// FreeAddressOn picks a port of a loopback IP that nothing listens on now. On
-// an IP of its own a port stays free while its process is down: the system
-// takes the ports of outgoing connections from 127.0.0.1.
-func FreeAddressOn(ip string) (string, error) {
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+func FreeAddress() (string, error) {
+	addresses, err := FreeAddresses("127.0.0.1", 1)
 	if err != nil {
 		return "", err
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return addresses[0], nil
+}
+
+// FreeAddresses picks ports of a loopback IP, all different, that nothing
+// listens on now. On an IP of its own a port stays free while its process is
+// down: the system takes the ports of outgoing connections from 127.0.0.1.
+func FreeAddresses(ip string, count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close() // after all are picked, so that none comes twice
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
 }
--- a/proctest/fleet_test.go
+++ b/proctest/fleet_test.go
@@ -68,11 +68,14 @@
 // fleetCount numbers the fleets of this test process.
 var fleetCount atomic.Uint32
 
-// newIP returns a loopback IP for one fleet alone, so that nothing takes the
-// port of a process or proxy that is down for a while.
-func newIP() string {
+// newIPs returns two loopback IPs for one fleet alone, so that nothing takes the
+// port of a process or proxy that is down for a while: one for its routers, and
+// one for its targets and proxies.
+func newIPs() (routers, others string) {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 16+pid/256%200, pid%256, 1+fleetCount.Add(1)%250)
+	n := 1 + 2*(fleetCount.Add(1)%120)
+	prefix := fmt.Sprintf("127.%d.%d.", 16+pid/256%200, pid%256)
+	return fmt.Sprint(prefix, n), fmt.Sprint(prefix, n+1)
 }
 
 // fleet is three routers, the platform and targets, every one a process, with
@@ -81,6 +84,7 @@
 type fleet struct {
 	t        testing.TB
 	options  options
+	routerIP string
 	ip       string
 	platform *processes.StandIn
 	routers  []*processes.Router
@@ -108,11 +112,11 @@
 	f := &fleet{
 		t:          t,
 		options:    withDefaults(o),
-		ip:         newIP(),
 		targets:    make(map[string]*processes.StandIn),
 		declared:   make(map[string]config.Target),
 		targetWays: make(map[string]*way),
 	}
+	f.routerIP, f.ip = newIPs()
 	t.Cleanup(f.close)
 	views := f.startPlatform()
 	f.startTargets()
@@ -217,13 +221,6 @@
 	f.declared[name] = declared
 }
 
-func (f *fleet) freeAddress() string {
-	f.t.Helper()
-	address, err := processes.FreeAddressOn(f.ip)
-	f.must(err)
-	return address
-}
-
 func routerName(n int) string { return fmt.Sprintf("vm-%d", n+1) }
 
 // startRouters starts the routers. Router a's view of the list of VMs leads
@@ -231,19 +228,18 @@
 func (f *fleet) startRouters(views []string) {
 	f.t.Helper()
 	dir := f.t.TempDir()
-	var listen [routerCount]string
+	listen, err := freeListens(f.routerIP)
+	f.must(err)
 	var vms []platform.VM
 	for n := range routerCount {
-		address := f.freeAddress()
-		listen[n] = address
-		vms = append(vms, platform.VM{Name: routerName(n), DataCentre: f.options.dataCentres[n], PeerAddress: address, State: platform.VMLive})
+		vms = append(vms, platform.VM{Name: routerName(n), DataCentre: f.options.dataCentres[n], PeerAddress: listen[n].Peers, State: platform.VMLive})
 	}
 	f.post("http://"+f.platform.Address+"/_vms", platform.VMsReply{VMs: vms}, nil)
 	for a := range routerCount {
 		addresses := make(map[string]string)
 		for b := range routerCount {
 			if a != b {
-				f.peers[a][b] = newWay(f.t, routerName(a)+" to "+routerName(b), f.ip, listen[b])
+				f.peers[a][b] = newWay(f.t, routerName(a)+" to "+routerName(b), f.ip, listen[b].Peers)
 				addresses[routerName(b)] = f.peers[a][b].address()
 			}
 		}
@@ -255,13 +251,26 @@
 	}
 }
 
-func (f *fleet) settings(n int, peers string) settings.Settings {
+// freeListens picks addresses for the routers.
+func freeListens(ip string) ([routerCount]settings.Listen, error) {
+	var listens [routerCount]settings.Listen
+	const each = 3
+	addresses, err := processes.FreeAddresses(ip, each*routerCount)
+	if err != nil {
+		return listens, err
+	}
+	for n := range routerCount {
+		own := addresses[each*n:]
+		listens[n] = settings.Listen{Callers: own[0], Operators: own[1], Peers: own[2]}
+	}
+	return listens, nil
+}
+
+func (f *fleet) settings(n int, listen settings.Listen) settings.Settings {
 	s := settings.Defaults()
 	s.Node.Name = routerName(n)
 	s.Node.DataCentre = f.options.dataCentres[n]
-	s.Listen.Callers = f.freeAddress()
-	s.Listen.Operators = f.freeAddress()
-	s.Listen.Peers = peers
+	s.Listen = listen
 	s.Platform.Address = f.platformWays[n].address()
 	s.Platform.Timeout = settings.Duration(time.Second)
 	s.Platform.PollEvery = settings.Duration(300 * time.Millisecond)
