Order targets into their declared state, with the configuration version as fencing number

Cause: targets take orders to load models and to change their role; some refuse an old fencing number, others ignore it. Nothing gave orders.

The router that schedules a target compares what is declared with what the target reports and orders the difference. The fencing number is the configuration version: agreed on already, never going back, no row or lease of its own. Orders of one version commute, so two schedulers do no harm. To a target that does not check, or remembers no number, an order goes only within 1 s from the start of a read that found no newer version. What is left is an order written in that time and taken late; the next look mends it. Loading takes a permit of the weight store, under one id at every router.

The stand-in engine takes the published orders, loads for a given time, and loses its memory of orders in a crash. A status row tells how far a target is.

Not tested: routers as real processes stopped by a signal.

--- a/ctl/cli/fleet_test.go
+++ b/ctl/cli/fleet_test.go
@@ -142,7 +142,7 @@
 	status := operator.Status{Newest: version, Routers: []operator.RouterStatus{router}}
 	if request.Detail && request.Node == fleetNodes[0] {
 		status.Shards = []operator.ShardStatus{{Pool: "drafting", DataCentre: "ikeja", Scheduler: request.Node, Waiting: 4, Running: 8, Slots: 8}}
-		status.Targets = []operator.TargetStatus{{Name: "draft-1", Pool: "drafting", DataCentre: "ikeja", Health: operator.TargetLive, Running: 8, Slots: 8, LoadAgeMillis: 120, Scheduler: request.Node}}
+		status.Targets = []operator.TargetStatus{{Name: "draft-1", Pool: "drafting", DataCentre: "ikeja", Health: operator.TargetLive, Running: 8, Slots: 8, LoadAgeMillis: 120, Scheduler: request.Node, Orders: operator.OrdersDone}}
 		status.Backlog = []operator.WorkspaceBacklog{{Workspace: "bakery", Waiting: 4, WaitingBytes: 2048, Running: 8}}
 	}
 	return status, nil
--- a/ctl/cli/table.go
+++ b/ctl/cli/table.go
@@ -77,9 +77,9 @@
 }
 
 func printTargets(w io.Writer, rows []operator.TargetStatus) error {
-	t := newTable(w, "TARGET", "POOL", "DATA-CENTRE", "HEALTH", "RUNNING", "SLOTS", "LOAD-AGE", "SCHEDULER")
+	t := newTable(w, "TARGET", "POOL", "DATA-CENTRE", "HEALTH", "RUNNING", "SLOTS", "LOAD-AGE", "SCHEDULER", "ORDERS")
 	for _, r := range rows {
-		t.row(r.Name, r.Pool, r.DataCentre, string(r.Health), number(r.Running), number(r.Slots), age(r.LoadAgeMillis), r.Scheduler)
+		t.row(r.Name, r.Pool, r.DataCentre, string(r.Health), number(r.Running), number(r.Slots), age(r.LoadAgeMillis), r.Scheduler, r.Orders)
 	}
 	return t.w.Flush()
 }
--- a/devfleet/cli/standins.go
+++ b/devfleet/cli/standins.go
@@ -53,6 +53,7 @@
 	Resumes       bool          `help:"Resume broken streams by offset."`
 	ChecksFencing bool          `help:"Refuse orders with an old fencing number."`
 	LoadLag       time.Duration `help:"Period at which the load report is renewed."`
+	LoadTime      time.Duration `help:"Time that a model takes to load; 0 means at once."`
 	PrefixEntries int           `default:"64" help:"Prompt prefixes cached."`
 	PrefixGap     float64       `help:"Part of the cached prefixes left out of reports."`
 }
@@ -66,6 +67,7 @@
 		Resumes:       c.Resumes,
 		ChecksFencing: c.ChecksFencing,
 		LoadLag:       c.LoadLag,
+		LoadTime:      c.LoadTime,
 		PrefixEntries: c.PrefixEntries,
 		PrefixGap:     c.PrefixGap,
 	})
--- a/operator/status.go
+++ b/operator/status.go
@@ -85,8 +85,15 @@
 	LoadAgeMillis int64 `json:"load_age_ms"`
 	// Scheduler is the router that reports the target.
 	Scheduler string `json:"scheduler"`
+	// Orders is OrdersDone if the target is in its declared state, otherwise
+	// the reason why not, as in walnut_orders_refusals_total, or "pending",
+	// "ordered", "loading". Empty if no state is declared for it.
+	Orders string `json:"orders,omitempty"`
 }
 
+// OrdersDone says that a target is in its declared state.
+const OrdersDone = "done"
+
 // WorkspaceBacklog counts one workspace's requests.
 type WorkspaceBacklog struct {
 	Workspace string `json:"workspace"`
--- /dev/null
+++ b/orders/fleet_test.go
@@ -0,0 +1,287 @@
+package orders_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/goleak"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/config/store"
+	"github.com/walnutcove/walnutcove/orders"
+	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/platform/memory"
+	"github.com/walnutcove/walnutcove/standin/engine"
+	"github.com/walnutcove/walnutcove/standin/journal"
+	"github.com/walnutcove/walnutcove/target"
+)
+
+// patience bounds every wait for a condition; no verdict depends on it.
+const patience = 30 * time.Second
+
+// TestMain fails if goroutines are left behind. The two passed over are
+// fasthttp's own: its clock never ends, its cleaner ends within 10 s.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+	)
+}
+
+// fleet is a table of versions, a weight store and stand-in engines.
+type fleet struct {
+	t        *testing.T
+	versions *store.Store
+	weights  *memory.Weights
+	client   *target.HTTPClient
+	engines  []*engine.Engine
+	names    []string
+	newest   *config.Snapshot
+}
+
+// newFleet declares the engines without a state, as version 1.
+func newFleet(t *testing.T, engines ...engine.Options) *fleet {
+	t.Helper()
+	backing := memory.New(memory.Options{})
+	f := &fleet{
+		t:        t,
+		versions: store.New(backing, backing.Objects(), store.Options{}),
+		weights:  memory.NewWeights(memory.WeightsOptions{MaxFetches: 2}),
+		client:   target.NewHTTPClient(target.Options{}),
+		newest:   config.Empty(),
+	}
+	t.Cleanup(f.versions.Wait)
+	t.Cleanup(func() { _ = f.client.Close() })
+	declared := make(map[string]config.Target)
+	for n, options := range engines {
+		options.Name = fmt.Sprintf("engine-%d", n+1)
+		e := engine.New(options)
+		address, err := e.Start("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(e.Close)
+		f.engines = append(f.engines, e)
+		f.names = append(f.names, options.Name)
+		declared[options.Name] = config.Target{
+			Pool: "draft", DataCentre: "ikeja", Address: address, Slots: 1, ChecksFencing: options.ChecksFencing,
+		}
+	}
+	f.patch(map[string]any{
+		"pools":   map[string]any{"draft": map[string]any{"kind": "engine", "models": []string{"small"}}},
+		"targets": declared,
+	})
+	return f
+}
+
+// patch makes the next version and returns it.
+func (f *fleet) patch(changes any) *config.Snapshot {
+	f.t.Helper()
+	encoded, err := json.Marshal(changes)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	patch := config.Patch{ID: config.NewPatchID(), Base: f.newest.Version, Changes: encoded}
+	accepted, err := f.versions.Submit(context.Background(), f.newest, patch)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.newest, err = f.versions.CatchUp(context.Background(), f.newest)
+	if err != nil || f.newest.Version != accepted.Entry.Version {
+		f.t.Fatalf("version %d: %v", accepted.Entry.Version, err)
+	}
+	return f.newest
+}
+
+// declare gives every engine a state, as the next version.
+func (f *fleet) declare(role string, models ...string) *config.Snapshot {
+	f.t.Helper()
+	targets := make(map[string]any)
+	for _, name := range f.names {
+		targets[name] = map[string]any{"role": role, "load_models": models}
+	}
+	return f.patch(map[string]any{"targets": targets})
+}
+
+// reconciler is one router's part that gives orders.
+type reconciler struct {
+	*orders.Reconciler
+	set *metrics.Set
+}
+
+// router starts a reconciler at a version, for every engine. edit may change
+// its options; it may be nil.
+func (f *fleet) router(snapshot *config.Snapshot, edit func(*orders.Options)) reconciler {
+	f.t.Helper()
+	set := metrics.NewSet()
+	options := orders.Options{
+		Client:     f.client,
+		Versions:   f.versions,
+		Weights:    f.weights,
+		Every:      20 * time.Millisecond,
+		Soon:       5 * time.Millisecond,
+		MaxBackoff: 50 * time.Millisecond,
+		Metrics:    set,
+	}
+	// Not the times under test: a busy machine must not let them pass.
+	options.ConfirmHolds = patience
+	options.Timeout = patience / 3
+	if edit != nil {
+		edit(&options)
+	}
+	r := reconciler{orders.New(options), set}
+	f.t.Cleanup(r.Close)
+	r.SetTargets(f.names)
+	r.SetConfig(snapshot)
+	return r
+}
+
+// refusals returns a router's count of one reason.
+func (r reconciler) refusals(reason orders.Reason) uint64 {
+	return r.set.GetOrCreateCounter(fmt.Sprintf("walnut_orders_refusals_total{reason=%q}", string(reason))).Get()
+}
+
+// eventually waits for a condition.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(patience); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("not reached: %s", what)
+		}
+	}
+}
+
+// has says whether an engine is in a state.
+func has(e *engine.Engine, role string, models ...string) bool {
+	state := e.Orders()
+	slices.Sort(state.Models)
+	return state.Role == role && slices.Equal(state.Models, models)
+}
+
+// taken returns the fencing numbers of the orders that an engine took, in turn.
+func taken(e *engine.Engine) []uint64 {
+	var fences []uint64
+	for _, entry := range e.Journal().Entries() {
+		if entry.Event == journal.Order && entry.Outcome == journal.Accepted {
+			fences = append(fences, entry.Fence)
+		}
+	}
+	return fences
+}
+
+// hook runs a function once, at a call that a test waits for.
+type hook struct {
+	once sync.Once
+	call func()
+}
+
+func (h *hook) run() { h.once.Do(h.call) }
+
+// clock is a clock that a test moves on.
+type clock struct {
+	mu    sync.Mutex
+	moved time.Duration
+}
+
+func (c *clock) now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Add(c.moved)
+}
+
+func (c *clock) move(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.moved += d
+}
+
+// hookedVersions runs a hook after its read number at, from 1, was answered.
+type hookedVersions struct {
+	orders.Versions
+	mu    sync.Mutex
+	reads int
+	after map[int]func()
+}
+
+func (v *hookedVersions) Entry(ctx context.Context, version config.Version) (config.Entry, error) {
+	entry, err := v.Versions.Entry(ctx, version)
+	v.mu.Lock()
+	v.reads++
+	after := v.after[v.reads]
+	v.mu.Unlock()
+	if after != nil {
+		after()
+	}
+	return entry, err
+}
+
+// outVersions is a table that can be out.
+type outVersions struct {
+	orders.Versions
+	mu  sync.Mutex
+	out bool
+}
+
+func (v *outVersions) set(out bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.out = out
+}
+
+func (v *outVersions) Entry(ctx context.Context, version config.Version) (config.Entry, error) {
+	v.mu.Lock()
+	out := v.out
+	v.mu.Unlock()
+	if out {
+		return config.Entry{}, platform.ErrUnavailable
+	}
+	return v.Versions.Entry(ctx, version)
+}
+
+// hookedWeights runs a hook before a permit is asked for.
+type hookedWeights struct {
+	platform.Weights
+	hook *hook
+}
+
+func (w hookedWeights) RequestFetch(ctx context.Context, fetch platform.WeightFetch) (platform.WeightPermit, error) {
+	w.hook.run()
+	return w.Weights.RequestFetch(ctx, fetch)
+}
+
+// hookedClient runs a hook before an order is sent.
+type hookedClient struct {
+	orders.Client
+	hook *hook
+}
+
+func (c hookedClient) GiveOrder(ctx context.Context, address string, order target.Order, fence uint64) error {
+	c.hook.run()
+	return c.Client.GiveOrder(ctx, address, order, fence)
+}
+
+// outOfOrder returns an old fencing number taken after a newer one; zero if
+// there is none.
+func outOfOrder(fences []uint64) uint64 {
+	for i := 1; i < len(fences); i++ {
+		if fences[i] < fences[i-1] {
+			return fences[i]
+		}
+	}
+	return 0
+}
+
+// orderByHand gives an order past every reconciler.
+func (f *fleet) orderByHand(n int, order target.Order, fence uint64) {
+	f.t.Helper()
+	address := f.newest.Declarations.Targets[f.names[n]].Address
+	if err := f.client.GiveOrder(context.Background(), address, order, fence); err != nil {
+		f.t.Fatal(err)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -22,6 +22,7 @@
 	"github.com/walnutcove/walnutcove/filters/quarantine"
 	"github.com/walnutcove/walnutcove/front"
 	"github.com/walnutcove/walnutcove/operator"
+	"github.com/walnutcove/walnutcove/orders"
 	"github.com/walnutcove/walnutcove/peer"
 	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/platform/batch"
@@ -45,6 +46,7 @@
 	follower *follower.Follower
 	targets  *target.HTTPClient
 	poller   *loadpoll.Poller
+	orders   *orders.Reconciler
 	records  *runrecord.Keeper
 	owners   *owners
 	suspects quarantine.Set
@@ -156,6 +158,7 @@
 	_ = r.front.Close()
 	r.cancel()
 	r.poller.Close()
+	r.orders.Close()
 	expired, cancel := context.WithCancel(context.Background())
 	cancel()
 	_ = r.records.Close(expired)
--- a/router/shell.go
+++ b/router/shell.go
@@ -35,6 +35,7 @@
 	r.watched.names = targets
 	r.watched.mu.Unlock()
 	r.pollWatched()
+	r.orders.SetTargets(targets)
 }
 
 // pollWatched gives the poller the addresses of the watched targets.
@@ -77,6 +78,7 @@
 	configChanges.Inc()
 	r.loop.post(control.ConfigChanged{Snapshot: snapshot})
 	r.pollWatched()
+	r.orders.SetConfig(snapshot)
 	r.log.Info("config: Version in force.", "version", uint64(snapshot.Version))
 }
 
--- a/router/start.go
+++ b/router/start.go
@@ -188,6 +188,7 @@
 		Seed:     uint64(r.incarnation),
 		Metrics:  metrics.GetDefaultSet(),
 	})
+	r.orders = r.newOrders()
 	r.buildCommits()
 	r.records = runrecord.New(runrecord.Options{
 		Table:       r.commits.Load(),
--- a/router/status.go
+++ b/router/status.go
@@ -97,6 +97,7 @@
 		Waiting:    shard.Queued,
 		Running:    shard.Granted,
 	}
+	states := b.router.orders.States()
 	for _, target := range shard.Targets {
 		row.Slots += target.Slots
 		status.Targets = append(status.Targets, operator.TargetStatus{
@@ -108,6 +109,7 @@
 			Slots:         target.Slots,
 			LoadAgeMillis: loadAgeMillis(target.LoadAge),
 			Scheduler:     b.router.settings.Node.Name,
+			Orders:        ordersOf(states, target.Target),
 		})
 	}
 	status.Shards = append(status.Shards, row)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -41,6 +41,7 @@
 		options:   options,
 		resumable: make(map[string]*run),
 		prefixes:  newPrefixCache(options.PrefixEntries),
+		orders:    orderBook{loading: make(map[string]*time.Timer)},
 		random:    rand.New(rand.NewPCG(options.Seed, 0)),
 		kick:      make(chan struct{}, 1),
 		stop:      make(chan struct{}),
@@ -68,6 +69,7 @@
 // Close cuts every connection and ends every run.
 func (e *Engine) Close() {
 	e.host.Close()
+	e.forgetOrders(journal.Cancelled)
 	e.stopOnce.Do(func() { close(e.stop) })
 	e.loops.Wait()
 }
@@ -143,8 +145,10 @@
 	e.host.Journal.Add(entry)
 }
 
-// Crash implements host.Behaviour: every run is dropped and the memory is empty.
+// Crash implements host.Behaviour: every run is dropped and the memory is
+// empty, that of orders and fencing numbers too.
 func (e *Engine) Crash() {
+	e.forgetOrders(journal.Crashed)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, r := range e.queue {
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -42,6 +42,8 @@
 	// ChecksFencing refuses orders whose fencing number is lower than the
 	// highest seen. Otherwise every order is taken.
 	ChecksFencing bool
+	// LoadTime is how long a model takes to load. Zero: it is there at once.
+	LoadTime time.Duration
 }
 
 func (o Options) withDefaults() Options {
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -12,35 +15,26 @@
 )
 
 // PathOrder takes orders (POST) and shows what was ordered (GET).
-const PathOrder = "/_order"
-
-// Order tells an engine to load a model or to change its role. Empty fields
-// leave things as they are.
-type Order struct {
-	// LoadModel names the model to load.
-	LoadModel string `json:"load_model,omitempty"`
-	// Role names the role to take.
-	Role string `json:"role,omitempty"`
-}
-
-// OrderState is what the orders taken so far add up to.
-type OrderState struct {
-	Models []string `json:"models"`
-	Role   string   `json:"role"`
-	// Fence is the highest fencing number seen.
-	Fence uint64 `json:"fence"`
-}
+const PathOrder = target.PathOrder
 
 // orderBook is the state behind the orders. The engine's lock guards it.
-type orderBook struct{ state OrderState }
+type orderBook struct {
+	models  []string
+	role    string
+	fence   uint64
+	loading map[string]*time.Timer
+}
 
 // Orders returns what the orders taken so far add up to.
-func (e *Engine) Orders() OrderState {
+func (e *Engine) Orders() target.OrderState {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	state := e.orders.state
-	state.Models = append([]string(nil), state.Models...)
-	return state
+	return target.OrderState{
+		Models:  append([]string{}, e.orders.models...),
+		Loading: slices.Sorted(maps.Keys(e.orders.loading)),
+		Role:    e.orders.role,
+		Fence:   e.orders.fence,
+	}
 }
 
 func (e *Engine) serveOrder(ctx *fasthttp.RequestCtx) {
@@ -48,36 +42,95 @@
 		host.WriteJSON(ctx, e.Orders())
 		return
 	}
-	var order Order
+	var order target.Order
 	if err := json.Unmarshal(ctx.PostBody(), &order); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
 	fence, _ := strconv.ParseUint(string(ctx.Request.Header.Peek(target.HeaderFencingNumber)), 10, 64)
-	accepted := e.apply(order, fence)
-	entry := journal.Entry{Event: journal.Order, Path: PathOrder, Fence: fence, Outcome: journal.Accepted}
+	entry := journal.Entry{Event: journal.Order, Path: PathOrder, Fence: fence, Model: order.LoadModel, Role: order.Role}
 	entry.RequestID = string(ctx.Request.Header.Peek(target.HeaderRequestID))
-	if !accepted {
-		entry.Outcome = journal.Fenced
+	if highest := e.take(order, entry); highest > 0 {
 		ctx.Error("old fencing number", fasthttp.StatusConflict)
+		ctx.Response.Header.Set(target.HeaderFencingNumber, strconv.FormatUint(highest, 10))
 	}
-	e.host.Journal.Add(entry)
 }
 
-// apply takes an order unless its fencing number is old and the engine checks.
-func (e *Engine) apply(order Order, fence uint64) bool {
+// take takes an order and journals it. If its fencing number is old and the
+// engine checks, it refuses the order and returns the highest number seen.
+func (e *Engine) take(order target.Order, entry journal.Entry) (highest uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	state := &e.orders.state
-	if e.options.ChecksFencing && fence < state.Fence {
-		return false
+	entry.Outcome = journal.Accepted
+	if e.options.ChecksFencing && entry.Fence < e.orders.fence {
+		entry.Outcome = journal.Fenced
+		e.host.Journal.Add(entry)
+		return e.orders.fence
 	}
-	state.Fence = max(state.Fence, fence)
-	if order.LoadModel != "" {
-		state.Models = append(state.Models, order.LoadModel)
+	e.host.Journal.Add(entry)
+	e.orders.fence = max(e.orders.fence, entry.Fence)
+	if len(order.KeepModels) > 0 {
+		e.unloadOthers(order.KeepModels)
 	}
+	e.load(order.LoadModel)
 	if order.Role != "" {
-		state.Role = order.Role
+		e.orders.role = order.Role
+	}
+	return 0
+}
+
+// unloadOthers unloads what is not to be kept. e.mu is held.
+func (e *Engine) unloadOthers(keep []string) {
+	e.orders.models = slices.DeleteFunc(e.orders.models, func(model string) bool {
+		return !slices.Contains(keep, model)
+	})
+	for model := range e.orders.loading {
+		if !slices.Contains(keep, model) {
+			e.endLoading(model, journal.Cancelled)
+		}
+	}
+}
+
+// load begins to load a model that is neither loaded nor being loaded. e.mu is
+// held.
+func (e *Engine) load(model string) {
+	if model == "" || e.orders.loading[model] != nil || slices.Contains(e.orders.models, model) {
+		return
+	}
+	e.host.Journal.Add(journal.Entry{Event: journal.LoadStarted, Model: model})
+	if e.options.LoadTime <= 0 {
+		e.endLoading(model, journal.Loaded)
+		return
+	}
+	var timer *time.Timer
+	timer = time.AfterFunc(e.options.LoadTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.orders.loading[model] == timer {
+			e.endLoading(model, journal.Loaded)
+		}
+	})
+	e.orders.loading[model] = timer
+}
+
+// endLoading ends the loading of a model. e.mu is held.
+func (e *Engine) endLoading(model string, outcome journal.Outcome) {
+	if timer := e.orders.loading[model]; timer != nil {
+		timer.Stop()
+	}
+	delete(e.orders.loading, model)
+	if outcome == journal.Loaded {
+		e.orders.models = append(e.orders.models, model)
+	}
+	e.host.Journal.Add(journal.Entry{Event: journal.LoadEnded, Model: model, Outcome: outcome})
+}
+
+// forgetOrders empties the memory of orders and ends what is being loaded.
+func (e *Engine) forgetOrders(outcome journal.Outcome) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for model := range e.orders.loading {
+		e.endLoading(model, outcome)
 	}
-	return true
+	e.orders = orderBook{loading: e.orders.loading}
 }
--- a/standin/journal/journal.go
+++ b/standin/journal/journal.go
@@ -22,6 +22,10 @@
 	Ended Event = "ended"
 	// Order: an order was accepted or refused.
 	Order Event = "order"
+	// LoadStarted: an order made the target begin to load a model.
+	LoadStarted Event = "load_started"
+	// LoadEnded: the loading of a model ended, with an Outcome.
+	LoadEnded Event = "load_ended"
 )
 
 // Outcome is how a request or an order ended.
@@ -43,6 +47,9 @@
 	Accepted Outcome = "accepted"
 	// Fenced: the order carried an old fencing number.
 	Fenced Outcome = "fenced"
+	// Loaded: the model is loaded. Loading that did not come to that ends as
+	// Cancelled or Crashed.
+	Loaded Outcome = "loaded"
 )
 
 // Entry is one line of the journal.
@@ -67,10 +74,14 @@
 	Path string `json:"path,omitempty"`
 	// Tokens counts the tokens generated so far.
 	Tokens int `json:"tokens,omitempty"`
-	// Outcome is set with Ended and Order.
+	// Outcome is set with Ended, Order and LoadEnded.
 	Outcome Outcome `json:"outcome,omitempty"`
 	// Fence is the fencing number, set with Order.
 	Fence uint64 `json:"fence,omitempty"`
+	// Model is the model to load, set with Order, LoadStarted and LoadEnded.
+	Model string `json:"model,omitempty"`
+	// Role is the role to take, set with Order.
+	Role string `json:"role,omitempty"`
 }
 
 // Journal is an append-only list of entries in memory. It is safe for
--- a/target/counters.go
+++ b/target/counters.go
@@ -11,7 +11,8 @@
 // reason is why a call failed, as it stands in the counter's label.
 type reason string
 
-// The reasons of walnut_target_failures_total and walnut_load_poll_failures_total.
+// The reasons of walnut_target_failures_total, walnut_load_poll_failures_total
+// and walnut_order_call_failures_total.
 const (
 	reasonBadRequest       reason = "bad_request"
 	reasonCancelledEarly   reason = "cancelled_before_write"
@@ -37,8 +38,8 @@
 	reasonUnframed, reasonStalled, reasonClosedUnread,
 }
 
-// counters count calls and their failures: those of requests and those of load
-// polls are kept apart.
+// counters count calls and their failures: those of requests, of load polls and
+// of orders are kept apart.
 type counters struct {
 	calls    *metrics.Counter
 	failures map[reason]*metrics.Counter
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -30,6 +30,7 @@
 	options  Options
 	requests *counters
 	polls    *counters
+	orders   *counters
 	pool     *pool
 }
 
@@ -43,6 +44,7 @@
 		options:  options,
 		requests: newCounters(set, "walnut_target_requests_total", "walnut_target_failures_total"),
 		polls:    newCounters(set, "walnut_load_poll_requests_total", "walnut_load_poll_failures_total"),
+		orders:   newCounters(set, "walnut_order_calls_total", "walnut_order_call_failures_total"),
 		pool:     newPool(options),
 	}
 }
@@ -85,20 +87,12 @@
 // Load implements Client.
 func (c *HTTPClient) Load(ctx context.Context, address string) (Load, error) {
 	req := Request{Address: address, Method: fasthttp.MethodGet, Path: loadPath}
-	resp, err := c.call(ctx, req, c.polls)
+	resp, body, err := c.callWhole(ctx, req, c.polls, maxLoadBytes)
 	if err != nil {
 		return Load{}, err
 	}
-	defer resp.Body.Close()
 	if resp.Status != fasthttp.StatusOK {
-		return Load{}, fmt.Errorf("target: load report has status %d", resp.Status)
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadBytes+1))
-	if err != nil {
-		return Load{}, err
-	}
-	if len(body) > maxLoadBytes {
-		return Load{}, errors.New("target: load report is too large")
+		return Load{}, &StatusError{What: "load report", Status: resp.Status}
 	}
 	var load Load
 	if err := json.Unmarshal(body, &load); err != nil {
