Take a target's start identity, and not a broken way, as the sign of a crash

Cause: two entry nodes that lost runs at a target within a second, or one failed load poll while another target answered, counted as a crash.

Ruled out: more witnesses (a rack's switch gives them all the same view), and never counting silence (a target that stays down while it restarts for minutes would let a bad request go on to the next).

Now a load report carries the target's start identity. A new one confirms a crash, the same one refutes it and retracts everywhere what was held against requests meanwhile; polls that fail for 3 s while others are answered count until the target is found still running.

--- a/control/events.go
+++ b/control/events.go
@@ -97,6 +97,9 @@
 	Slots int
 	// Leaving says that the target announced its end.
 	Leaving bool
+	// StartID tells one start of the target from the next; zero if the target
+	// reports none.
+	StartID uint64
 	// CachedPrefixes are hashes of prompt beginnings in the target's cache,
 	// late and with gaps.
 	CachedPrefixes []uint64
--- a/control/messages.go
+++ b/control/messages.go
@@ -119,14 +119,14 @@
 }
 
 // QuarantineNotice spreads evidence about requests that crash targets: either
-// that targets crashed while they ran something, or that a request ran to
-// completion. Each router judges by itself; see package control/quarantine.
+// that targets crashed while they ran something, or that they did not crash
+// after all, or that a request ran to completion. Each router judges by itself; see package control/quarantine.
 type QuarantineNotice struct {
 	// Crashes are the targets that crashed; empty if the notice tells of a
 	// completion.
 	Crashes []string
 	// Running are the fingerprints that ran on a target that crashed, at most
-	// 100.
+	// 100. Empty beside Crashes: the targets have run without a crash for Age.
 	Running []uint64
 	// Fingerprint is the request that ran to completion.
 	Fingerprint uint64
--- a/control/quarantine/quarantine.go
+++ b/control/quarantine/quarantine.go
@@ -14,7 +14,9 @@
 //
 // A broken connection is no crash. It counts once the target is known to have
 // gone down or restarted (see Tracker.CrashConfirmed), so that a router which
-// is cut off from its targets convicts nobody.
+// is cut off from its targets convicts nobody. A target that was only out of
+// reach is found still running afterwards, and its crash is retracted (see
+// Tracker.Alive).
 package quarantine
 
 import "time"
@@ -104,18 +106,21 @@
 	NoticeCrash NoticeKind = iota + 1
 	// NoticeClearance tells that a fingerprint ran to completion.
 	NoticeClearance
+	// NoticeRetraction tells that a target did not crash since Age ago.
+	NoticeRetraction
 )
 
 // Notice carries evidence to other routers. Notices bear loss, doubling and
 // reordering. They hold durations, never instants.
 type Notice struct {
 	Kind NoticeKind
-	// Target and Running belong to NoticeCrash.
+	// Target belongs to NoticeCrash and NoticeRetraction, Running to NoticeCrash.
 	Target  string
 	Running []uint64
 	// Fingerprint belongs to NoticeClearance.
 	Fingerprint uint64
-	// Age is how long ago the crash or completion was.
+	// Age is how long ago the crash or completion was, or how long the target
+	// has surely run.
 	Age time.Duration
 }
 
--- a/control/quarantine/script_test.go
+++ b/control/quarantine/script_test.go
@@ -53,8 +53,7 @@
 	case "confirm":
 		return f.report(name, router.CrashConfirmed(f.now, target))
 	case "refute":
-		router.CrashRefuted(target)
-		return ""
+		return f.report(name, router.Alive(f.now, f.since(t, d), target))
 	case "completed":
 		return f.report(name, router.Completed(f.now, numbers(t, d, "fingerprint")[0]))
 	case "expire":
@@ -74,6 +73,20 @@
 	return ""
 }
 
+// since is the time from which a target has run; the beginning if not given.
+func (f *fleet) since(t *testing.T, d *datadriven.TestData) Instant {
+	var text string
+	d.MaybeScanArgs(t, "since", &text)
+	if text == "" {
+		return 0
+	}
+	since, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return since
+}
+
 func (f *fleet) advance(t *testing.T, d *datadriven.TestData) {
 	var at string
 	d.MaybeScanArgs(t, "at", &at)
--- a/control/quarantine/tracker.go
+++ b/control/quarantine/tracker.go
@@ -15,6 +15,9 @@
 	unconfirmed []loss
 	// confirmed is when each target was last known to have crashed.
 	confirmed map[string]Instant
+	// alive is the time in which each retracted target did not crash. It keeps
+	// out a notice of a crash that comes after its retraction.
+	alive map[string]span
 	// convicted is the last known crash of each convicted fingerprint.
 	convicted   map[uint64]Instant
 	completions completions
@@ -41,12 +44,18 @@
 	running []uint64
 }
 
+// span is a time in which a target is known not to have crashed.
+type span struct{ since, until Instant }
+
+func (s span) has(at Instant) bool { return at >= s.since && at <= s.until }
+
 // New returns an empty tracker.
 func New(options Options) *Tracker {
 	options = options.withDefaults()
 	return &Tracker{
 		options:     options,
 		confirmed:   make(map[string]Instant),
+		alive:       make(map[string]span),
 		convicted:   make(map[uint64]Instant),
 		completions: newCompletions(options.MaxCompletions),
 		verdicts:    make(map[uint64]Verdict),
@@ -81,10 +90,18 @@
 	return out
 }
 
-// CrashRefuted says that a target did not crash: it still runs under the same
-// start identity. Broken connections to it are forgotten.
-func (t *Tracker) CrashRefuted(target string) {
+// Alive says that a target has run without a restart from since until now: it
+// still reports the start identity that it had then. Broken connections to it
+// are forgotten, and a crash in that time is retracted everywhere.
+func (t *Tracker) Alive(now, since Instant, target string) Output {
+	var out Output
 	t.unconfirmed = slices.DeleteFunc(t.unconfirmed, func(l loss) bool { return l.target == target })
+	if t.alive[target] == (span{}) && !t.crashedWithin(target, span{since, now}) {
+		return out
+	}
+	t.retract(now, target, span{since, now}, &out)
+	t.judge(&out)
+	return out
 }
 
 // Crashed says that a target surely crashed while it ran fingerprints. It may
@@ -116,6 +133,8 @@
 		t.mergeCrash(now, at, notice, &out)
 	case NoticeClearance:
 		t.clear(now, at, notice.Fingerprint, &out)
+	case NoticeRetraction:
+		t.retract(now, notice.Target, span{at, now}, &out)
 	}
 	t.judge(&out)
 	return out
@@ -144,6 +163,9 @@
 	maps.DeleteFunc(t.confirmed, func(_ string, at Instant) bool {
 		return now-at > t.options.ConfirmWindow
 	})
+	maps.DeleteFunc(t.alive, func(_ string, s span) bool {
+		return now-s.until > t.options.ConfirmWindow
+	})
 	t.completions.expire(now - t.options.EvidenceTTL - t.options.CompletionTTL)
 	var out Output
 	t.judge(&out)
@@ -191,8 +213,30 @@
 	}
 }
 
+// retract removes the crashes of a target within a time, and tells the others
+// if there was one.
+func (t *Tracker) retract(now Instant, target string, s span, out *Output) {
+	t.alive[target] = s
+	if s.has(t.confirmed[target]) {
+		delete(t.confirmed, target)
+	}
+	if !t.crashedWithin(target, s) {
+		return
+	}
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return c.target == target && s.has(c.at) })
+	t.changed = true
+	out.Notices = append(out.Notices, Notice{Kind: NoticeRetraction, Target: target, Age: now - s.since})
+}
+
+func (t *Tracker) crashedWithin(target string, s span) bool {
+	return slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.target == target && s.has(c.at) })
+}
+
 // addCrash adds fingerprints to a crash, and to out what was news.
 func (t *Tracker) addCrash(now, at Instant, target string, running []uint64, out *Output) {
+	if s, ok := t.alive[target]; ok && s.has(at) {
+		return
+	}
 	var suspects []uint64
 	for _, fingerprint := range t.bounded(running) {
 		if done := t.clearedOf(fingerprint, at); done != nil {
--- a/control/release.go
+++ b/control/release.go
@@ -108,7 +108,7 @@
 	case OutcomeAnswered:
 		m.runAnswered(g.finger)
 	case OutcomeLost:
-		m.runLost(g, from)
+		m.runLost(g)
 	}
 	m.grantAll(g.shard)
 	m.settleShard(g.shard)
--- a/control/script_test.go
+++ b/control/script_test.go
@@ -102,7 +102,7 @@
 		outcome := map[string]Outcome{"answered": OutcomeAnswered, "lost": OutcomeLost, "not-run": OutcomeNotRun, "unreachable": OutcomeUnreachable, "refused": OutcomeRefused}[arg("outcome", "answered")]
 		s.step(first, RunEnded{Request: request, Grant: s.grants[fmt.Sprintf("%s/%d", first, request)], Outcome: outcome, Service: span("service", "1s")})
 	case "load":
-		s.step(first, TargetLoad{Target: arg("target", ""), Running: number("running", 0), Queued: number("queued", 0), Slots: number("slots", 0), Leaving: has("leaving")})
+		s.step(first, TargetLoad{Target: arg("target", ""), Running: number("running", 0), Queued: number("queued", 0), Slots: number("slots", 0), Leaving: has("leaving"), StartID: uint64(number("start", 0))})
 	case "unreachable":
 		s.step(first, TargetUnreachable{Target: arg("target", "")})
 	case "drain":
--- a/control/suspicion.go
+++ b/control/suspicion.go
@@ -9,6 +9,12 @@
 const (
 	// maxRunningTold bounds the fingerprints in one notice.
 	maxRunningTold = 100
+	// downAfter is how long the polls of a target must fail, while others are
+	// answered, before its broken runs count as a crash.
+	downAfter = 3 * time.Second
+	// settleAfterLoss is how old the last broken run must be before an answered
+	// poll speaks for the target: an earlier answer may have been under way.
+	settleAfterLoss = 500 * time.Millisecond
 	// pollFresh is how old the last answered load poll may be for a failed
 	// poll of another target to speak against that target, not this node.
 	pollFresh = time.Second
@@ -25,19 +31,28 @@
 	// polled is the last target whose load poll was answered, and when.
 	polled   string
 	polledAt Instant
-	// lost holds, for each target, which entry node last lost a run there.
-	lost map[string]lostRun
+	// starts is what load polls tell of each target.
+	starts map[string]*targetStart
 }
 
-type lostRun struct {
-	by NodeID
-	at Instant
+// targetStart is the start identity of a target and how its polls go.
+type targetStart struct {
+	// id is the identity that it last reported, since when; zero if none.
+	id    uint64
+	since Instant
+	// failing says that the last poll failed, the first in a row at failingSince.
+	failing      bool
+	failingSince Instant
+	// lostAt is when a run last broke off there; lost says that one did since
+	// the target was last found unharmed.
+	lost   bool
+	lostAt Instant
 }
 
 func newSuspicion() suspicion {
 	return suspicion{
 		tracker: quarantine.New(quarantine.Options{MaxRunning: maxRunningTold}),
-		lost:    make(map[string]lostRun),
+		starts:  make(map[string]*targetStart),
 	}
 }
 
@@ -55,9 +70,19 @@
 	return verdict == quarantine.VerdictSuspect || verdict == quarantine.VerdictIsolate
 }
 
-// runLost takes in that a run broke off. A break that entry nodes see at one
-// target within a short time, or a target that cannot be reached, is a crash.
-func (m *Machine) runLost(g *grant, by NodeID) {
+func (s *suspicion) start(target string) *targetStart {
+	st := s.starts[target]
+	if st == nil {
+		st = &targetStart{}
+		s.starts[target] = st
+	}
+	return st
+}
+
+// runLost takes in that a run broke off. It is no crash yet: the ways to a
+// target break too, for one entry or for many. The target's next load polls
+// tell which it was.
+func (m *Machine) runLost(g *grant) {
 	running := []uint64{g.finger}
 	for _, other := range g.shard.sortedGrants() {
 		if other.target == g.target && other != g {
@@ -65,11 +90,8 @@
 		}
 	}
 	m.judged(m.suspicion.tracker.Lost(m.now, g.target.name, known(running)))
-	last, seen := m.suspicion.lost[g.target.name]
-	if seen && last.by != by && m.now-last.at <= pollFresh {
-		m.judged(m.suspicion.tracker.CrashConfirmed(m.now, g.target.name))
-	}
-	m.suspicion.lost[g.target.name] = lostRun{by: by, at: m.now}
+	st := m.suspicion.start(g.target.name)
+	st.lost, st.lostAt = true, m.now
 }
 
 // known drops the zero fingerprints, which stand for none, and bounds the rest.
@@ -90,17 +112,38 @@
 	}
 }
 
-// pollAnswered notes that this node reaches targets.
-func (m *Machine) pollAnswered(target string) {
-	m.suspicion.polled, m.suspicion.polledAt = target, m.now
+// pollAnswered takes in a target's start identity; zero if it reports none. A
+// new one means that it crashed or restarted, the same one that it did not.
+func (m *Machine) pollAnswered(target string, id uint64) {
+	s := &m.suspicion
+	s.polled, s.polledAt = target, m.now
+	st := s.start(target)
+	st.failing = false
+	switch {
+	case id == 0:
+		st.id = 0
+	case st.id != id:
+		restarted := st.id != 0
+		st.id, st.since, st.lost = id, m.now, false
+		if restarted {
+			m.judged(s.tracker.CrashConfirmed(m.now, target))
+		}
+	case st.lost && m.now-st.lostAt >= settleAfterLoss:
+		st.lost = false
+		m.judged(s.tracker.Alive(m.now, st.since, target))
+	}
 }
 
-// pollFailed takes in that a target cannot be reached. It is down, unless this
-// node reaches no other target either.
+// pollFailed takes in that a target cannot be reached. After a while it is
+// down, unless this node reaches no other target either.
 func (m *Machine) pollFailed(target string) {
 	s := &m.suspicion
+	st := s.start(target)
+	if !st.failing {
+		st.failing, st.failingSince = true, m.now
+	}
 	reachesOthers := s.polled != "" && s.polled != target && m.now-s.polledAt <= pollFresh
-	if reachesOthers {
+	if st.lost && reachesOthers && m.now-st.failingSince >= downAfter {
 		m.judged(s.tracker.CrashConfirmed(m.now, target))
 	}
 }
@@ -111,11 +154,6 @@
 	}
 	m.suspicion.expireAt = m.now + expireEvery
 	m.judged(m.suspicion.tracker.Expire(m.now))
-	for target, l := range m.suspicion.lost {
-		if m.now-l.at > pollFresh {
-			delete(m.suspicion.lost, target)
-		}
-	}
 }
 
 // judged carries out what follows from new evidence.
@@ -142,7 +180,7 @@
 func (m *Machine) sendNotices(to NodeID, notices []quarantine.Notice) {
 	for _, n := range notices {
 		msg := QuarantineNotice{Fingerprint: n.Fingerprint, Running: n.Running, Age: n.Age}
-		if n.Kind == quarantine.NoticeCrash {
+		if n.Target != "" {
 			msg.Crashes = []string{n.Target}
 		}
 		m.send(to, msg)
@@ -164,6 +202,9 @@
 	if len(msg.Crashes) > 0 {
 		n.Kind = quarantine.NoticeCrash
 		n.Target = msg.Crashes[0]
+		if len(msg.Running) == 0 {
+			n.Kind = quarantine.NoticeRetraction
+		}
 	}
 	m.judged(m.suspicion.tracker.Merge(m.now, n))
 }
--- a/control/target.go
+++ b/control/target.go
@@ -94,7 +94,7 @@
 	t.window.Reported(m.now, ev.Running, ev.Queued, ev.Slots)
 	t.polledAt = m.now
 	t.prefixes.report(ev.CachedPrefixes)
-	m.pollAnswered(t.name)
+	m.pollAnswered(t.name, ev.StartID)
 	if t.pollFailed {
 		t.recovered()
 	}
