--- a/router/shell.go
+++ b/router/shell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -100,8 +101,7 @@
 
 // followVMs reads the platform's list of VMs until ctx ends.
 func (r *Router) followVMs(ctx context.Context) {
-	ticker := time.NewTicker(time.Duration(r.settings.Platform.VMListEvery))
-	defer ticker.Stop()
+	every := time.Duration(r.settings.Platform.VMListEvery)
 	for {
 		vms, err := r.platform.ListVMs(ctx)
 		switch {
@@ -112,13 +112,19 @@
 			r.log.Warn("member: VM list could not be read.", "error", err)
 		}
 		select {
-		case <-ticker.C:
+		case <-time.After(vmListPause(every)):
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// vmListPause varies the period, so that routers that started together do not
+// read in step.
+func vmListPause(every time.Duration) time.Duration {
+	return every*3/4 + rand.N(every/2)
+}
+
 // vmsListed spreads the list to the sessions and the control goroutine.
 func (r *Router) vmsListed(vms []platform.VM) {
 	r.vms.Store(&vms)
--- a/standin/platform/calls.go
+++ b/standin/platform/calls.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/walnutcove/walnutcove/platform"
@@ -76,7 +77,18 @@
 		replyError(ctx, err)
 		return
 	}
-	reply(ctx, platform.VMsReply{VMs: vms})
+	replyVMs(ctx, platform.VMsReply{VMs: vms})
+}
+
+// replyVMs answers with the list and its entity tag, or says that the caller
+// holds it already.
+func replyVMs(ctx *fasthttp.RequestCtx, list platform.VMsReply) {
+	reply(ctx, list)
+	tag := fmt.Sprintf(`"%016x"`, xxhash.Sum64(ctx.Response.Body()))
+	if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == tag {
+		ctx.NotModified()
+	}
+	ctx.Response.Header.Set(fasthttp.HeaderETag, tag)
 }
 
 func (s *Server) weightsRate(ctx *fasthttp.RequestCtx) {
--- a/standin/platform/views.go
+++ b/standin/platform/views.go
@@ -58,8 +58,15 @@
 		v.control(ctx)
 		return
 	}
+	if path != platform.PathVMs || !ctx.IsGet() {
+		v.server.handle(ctx, closing)
+		return
+	}
+	known := string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch))
+	ctx.Request.Header.Del(fasthttp.HeaderIfNoneMatch) // it is of the rewritten list
 	v.server.handle(ctx, closing)
-	if path == platform.PathVMs && ctx.IsGet() && ctx.Response.StatusCode() == fasthttp.StatusOK {
+	if ctx.Response.StatusCode() == fasthttp.StatusOK {
+		ctx.Request.Header.Set(fasthttp.HeaderIfNoneMatch, known)
 		v.rewrite(ctx)
 	}
 }
@@ -92,5 +99,5 @@
 			list.VMs[i].PeerAddress = address
 		}
 	}
-	reply(ctx, list)
+	replyVMs(ctx, list)
 }
