Poll a target's load quickly only while it is new, fails or has news

Cause: each of a node's targets was polled every 250 ms and sent its cached prefixes each time, 69 KB/s a node for 11 targets with 64 prefixes.

Now the pause is 250 ms for 4 polls after a first report, a failure or news (slots, leaving, or a load that changed by more than 4 and half of the slots), else 1 s, varied by a fifth: a leaving target is seen within 2.2 s and the lag of its report. One poll in 30, the first, and the first after a failure ask for the prefixes (?prefixes=1); the others repeat what was last reported. A longer pause than 1 s was ruled out by the 3 s for leaving targets.

--- a/standin/internal/host/host.go
+++ b/standin/internal/host/host.go
@@ -23,6 +23,8 @@
 )
 
 const (
+	// prefixesArg is the query argument that asks for the cached prefixes.
+	prefixesArg = "prefixes"
 	// maxBodyBytes bounds a request body.
 	maxBodyBytes = 64 << 20
 	// readBufferBytes bounds a request's head.
@@ -252,6 +254,9 @@
 		load = *faults.LieLoad
 	}
 	load.Leaving = load.Leaving || faults.Leaving
+	if !ctx.QueryArgs().GetBool(prefixesArg) {
+		load.CachedPrefixes = nil
+	}
 	WriteJSON(ctx, load)
 }
 
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -15,12 +15,8 @@
 	"github.com/walnutcove/walnutcove/result"
 )
 
-const (
-	// loadPath is where a target reports its load.
-	loadPath = "/load"
-	// maxLoadBytes bounds a load report.
-	maxLoadBytes = 1 << 20
-)
+// maxLoadBytes bounds a load report.
+const maxLoadBytes = 1 << 20
 
 // HTTPClient implements Client over HTTP/1.1. It keeps its own small pool of
 // connections, because it must know for every request whether a byte of it was
@@ -84,9 +80,9 @@
 	return resp, nil
 }
 
-// Load implements Client.
-func (c *HTTPClient) Load(ctx context.Context, address string) (Load, error) {
-	req := Request{Address: address, Method: fasthttp.MethodGet, Path: loadPath}
+// loadFrom polls the load report at a path.
+func (c *HTTPClient) loadFrom(ctx context.Context, address, path string) (Load, error) {
+	req := Request{Address: address, Method: fasthttp.MethodGet, Path: path}
 	resp, body, err := c.callWhole(ctx, req, c.polls, maxLoadBytes)
 	if err != nil {
 		return Load{}, err
--- /dev/null
+++ b/target/loadpoll/bench_test.go
@@ -0,0 +1,114 @@
+package loadpoll
+
+import (
+	"fmt"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/walnutcove/walnutcove/target"
+)
+
+const (
+	benchTargets = 11
+	benchTime    = 20 * time.Second
+)
+
+// countingListener counts the bytes of its connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{conn, l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkTargets polls 11 steadily loaded targets for 20 s: as it was (each
+// 250 ms, always with the prefixes) and as it is. Run it with -benchtime=1x.
+func BenchmarkTargets(b *testing.B) {
+	for _, prefixes := range []int{0, 64, 512} {
+		for name, options := range map[string]Options{
+			"before": {Every: DefaultEvery, SlowEvery: DefaultEvery, PrefixesEvery: 1},
+			"after":  {},
+		} {
+			b.Run(fmt.Sprintf("prefixes=%d/%s", prefixes, name), func(b *testing.B) {
+				for range b.N {
+					pollFor(b, prefixes, options)
+				}
+			})
+		}
+	}
+}
+
+func pollFor(b *testing.B, prefixes int, options Options) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	var bytes, polls atomic.Int64
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { report(ctx, prefixes) }}
+	go func() { _ = server.Serve(countingListener{listener, &bytes}) }()
+	defer func() { _ = server.Shutdown() }()
+	client := target.NewHTTPClient(target.Options{})
+	defer client.Close()
+	options.Client = client
+	options.OnResult = func(string, target.Load, error) { polls.Add(1) }
+	addresses := make(map[string]string)
+	for n := range benchTargets {
+		addresses[fmt.Sprint(n)] = listener.Addr().String()
+	}
+	poller := New(options)
+	spent := processorTime(b)
+	poller.SetTargets(addresses)
+	time.Sleep(benchTime)
+	spent = processorTime(b) - spent
+	poller.Close()
+	b.ReportMetric(float64(bytes.Load())/benchTime.Seconds(), "bytes/s")
+	b.ReportMetric(float64(polls.Load())/benchTime.Seconds(), "polls/s")
+	b.ReportMetric(100*spent.Seconds()/benchTime.Seconds(), "%core-with-server")
+}
+
+// report answers as a target with a steady load does.
+func report(ctx *fasthttp.RequestCtx, prefixes int) {
+	ctx.SetContentType("application/json")
+	fmt.Fprintf(ctx, `{"running":14,"queued":1,"slots":16,"leaving":false`)
+	if prefixes > 0 && ctx.QueryArgs().GetBool("prefixes") {
+		fmt.Fprintf(ctx, `,"cached_prefixes":[%d`, uint64(1<<63))
+		for n := range prefixes - 1 {
+			fmt.Fprintf(ctx, ",%d", uint64(1<<63)+uint64(n))
+		}
+		fmt.Fprint(ctx, "]")
+	}
+	fmt.Fprint(ctx, "}")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/target/loadpoll/loadpoll.go
+++ b/target/loadpoll/loadpoll.go
@@ -1,6 +1,8 @@
 // Package loadpoll polls the load of a replaceable set of targets and hands
 // each result to a callback. Each target has at most one poll outstanding, so a
-// slow target delays only itself.
+// slow target delays only itself. A target is polled quickly while it is new,
+// fails, or its load is news; else more slowly, as a scheduler learns most from
+// the runs that it sees end.
 package loadpoll
 
 import (
@@ -17,16 +19,22 @@
 
 // Defaults of Options.
 const (
-	DefaultEvery   = 250 * time.Millisecond
-	DefaultTimeout = time.Second
-	DefaultWorkers = 256
-	DefaultJitter  = 0.2
+	DefaultEvery         = 250 * time.Millisecond
+	DefaultTimeout       = time.Second
+	DefaultWorkers       = 256
+	DefaultJitter        = 0.2
+	DefaultPrefixesEvery = 30
+	// slowFactor makes the default of SlowEvery. A target that is leaving must
+	// be noticed within 3 s, with the lag of its report.
+	slowFactor = 4
 )
 
 // Loader polls one target's load; target.Client is one.
 type Loader interface {
 	// Load polls the target at address ("ip:port").
 	Load(ctx context.Context, address string) (target.Load, error)
+	// LoadWithPrefixes does, and asks for the cached prefixes too.
+	LoadWithPrefixes(ctx context.Context, address string) (target.Load, error)
 }
 
 // Result receives what a poll gave: the load, or the error if it is not nil.
@@ -40,9 +48,15 @@
 	Client Loader
 	// OnResult receives every result. Required.
 	OnResult Result
-	// Every is the pause between the polls of one target. Default 250 ms.
+	// Every is the pause between the polls of one target that is new, fails or
+	// has news. Default 250 ms.
 	Every time.Duration
-	// Jitter is the part of Every by which a pause varies either way, from 0
+	// SlowEvery is the pause for any other. Default 4 times Every.
+	SlowEvery time.Duration
+	// PrefixesEvery is of how many polls one asks for the cached prefixes; the
+	// results of the others repeat them. Default 30.
+	PrefixesEvery int
+	// Jitter is the part of a pause by which it varies either way, from 0
 	// to 1. Default 0.2.
 	Jitter float64
 	// Timeout bounds one poll. Default 1 s.
@@ -59,6 +73,12 @@
 	if o.Every <= 0 {
 		o.Every = DefaultEvery
 	}
+	if o.SlowEvery <= 0 {
+		o.SlowEvery = slowFactor * o.Every
+	}
+	if o.PrefixesEvery <= 0 {
+		o.PrefixesEvery = DefaultPrefixesEvery
+	}
 	if o.Jitter <= 0 {
 		o.Jitter = DefaultJitter
 	}
@@ -195,22 +215,35 @@
 // poll polls one target once, hands on the result and sets the next poll.
 func (p *Poller) poll(e *entry) {
 	ctx, cancel := context.WithTimeout(e.ctx, p.options.Timeout)
-	load, err := p.options.Client.Load(ctx, e.address)
+	asks := e.pace.asksPrefixes(p.options.PrefixesEvery)
+	load, err := p.load(ctx, e.address, asks)
 	cancel()
 	if e.ctx.Err() != nil {
 		return
 	}
 	p.count(err)
+	if err != nil {
+		e.pace.failed()
+	} else {
+		load = e.pace.learn(load, asks)
+	}
 	p.options.OnResult(e.name, load, err)
 	p.mu.Lock()
 	if p.targets[e.name] == e {
-		e.at = time.Now().Add(p.pause())
+		e.at = time.Now().Add(p.vary(e.pace.pause(p.options)))
 		p.due.add(e)
 	}
 	p.mu.Unlock()
 	p.wakeLoop()
 }
 
+func (p *Poller) load(ctx context.Context, address string, prefixes bool) (target.Load, error) {
+	if prefixes {
+		return p.options.Client.LoadWithPrefixes(ctx, address)
+	}
+	return p.options.Client.Load(ctx, address)
+}
+
 func (p *Poller) count(err error) {
 	if err != nil {
 		p.failed.Inc()
@@ -219,8 +252,8 @@
 	p.ok.Inc()
 }
 
-// pause is Every, varied by the jitter. p.mu is held.
-func (p *Poller) pause() time.Duration {
-	vary := 1 + p.options.Jitter*(2*p.random.Float64()-1)
-	return time.Duration(vary * float64(p.options.Every))
+// vary varies a pause by the jitter. p.mu is held.
+func (p *Poller) vary(pause time.Duration) time.Duration {
+	part := 1 + p.options.Jitter*(2*p.random.Float64()-1)
+	return time.Duration(part * float64(pause))
 }
--- a/target/loadpoll/loadpoll_test.go
+++ b/target/loadpoll/loadpoll_test.go
@@ -45,6 +45,10 @@
 	return target.Load{Slots: 3}, nil
 }
 
+func (f *fakeLoader) LoadWithPrefixes(ctx context.Context, address string) (target.Load, error) {
+	return f.Load(ctx, address)
+}
+
 func (f *fakeLoader) count(address string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/target/loadpoll/queue.go
+++ b/target/loadpoll/queue.go
@@ -16,6 +16,8 @@
 	// ctx ends when the target is no longer polled.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// pace is used by the outstanding poll alone.
+	pace pace
 	// at is when the next poll is due.
 	at time.Time
 	// place is the entry's index in the queue, or notQueued.
--- a/target/target.go
+++ b/target/target.go
@@ -41,7 +41,7 @@
 	// Errors are *result.Error with Ran set truly: RanNo only if no byte was
 	// written or the target refused before running. Cancelling ctx ends the run.
 	Do(ctx context.Context, req Request) (*Response, error)
-	// Load polls a target's load report.
+	// Load polls a target's load report, which may leave out CachedPrefixes.
 	Load(ctx context.Context, address string) (Load, error)
 }
 
