--- a/runrecord/acquire.go
+++ b/runrecord/acquire.go
@@ -219,15 +219,13 @@
 	}
 }
 
-// replay returns the stored answer, or says that it was too large to keep.
+// replay returns the stored answer, or says that it was not kept.
 func (k *Keeper) replay(outcome *Outcome) (Decision, error) {
 	if outcome != nil && !outcome.BodyOmitted {
 		k.metrics.replays.Inc()
 		return Decision{Replay: outcome}, nil
 	}
-	refusal := k.refuse(result.RecordUnknown, "The request ran and was answered; the answer was too large to keep.")
-	refusal.Ran = result.RanYes
-	return Decision{}, refusal
+	return Decision{}, k.refuse(result.RecordNotKept, "The request ran and was answered; the answer was not kept.")
 }
 
 // ownerRuns says whether the claim's owner may still be running the request.
--- a/runrecord/refuse.go
+++ b/runrecord/refuse.go
@@ -24,6 +24,7 @@
 	result.RecordUnknown,
 	result.RecordMismatch,
 	result.RecordLapsed,
+	result.RecordNotKept,
 }
 
 // counters are the counters of a Keeper. docs/METRICS.md explains them.
