Finish a dispatched non-idempotent run whose caller hangs up

Cause: the run was cancelled and its record ended as unknown, so the resend of a caller whose connection broke was told "may have run" although the target would have answered.

The exchange now has a context that outlasts its caller (Serving), and the run of a non-idempotent request goes by it; a stream that cannot be written is read to its end. The first-byte and stall limits bound both, a forced stop ends them, and a graceful shutdown waits for them, as the connection stays open to the server. Idempotent runs are cancelled as before. Nothing is sent for a caller that is found gone before dispatch.

--- /dev/null
+++ b/devfleet/hangup_test.go
@@ -0,0 +1,135 @@
+package devfleet_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/devfleet"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// call is one HTTP request of a caller that may hang up.
+type call struct {
+	path, key, body string
+	header          map[string]string
+}
+
+func (c call) head(router string) string {
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n",
+		c.path, router, devfleet.DemoKey("school"), len(c.body))
+	for name, value := range c.headers() {
+		head += name + ": " + value + "\r\n"
+	}
+	return head + "\r\n"
+}
+
+func (c call) headers() map[string]string {
+	all := map[string]string{"Idempotency-Key": c.key}
+	for name, value := range c.header {
+		all[name] = value
+	}
+	return all
+}
+
+// hangUp sends the call, waits until the run has begun and closes the connection.
+func (c call) hangUp(t *testing.T, router string, begun func(answer io.Reader)) {
+	t.Helper()
+	conn, err := net.Dial("tcp", router)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, c.head(router)+c.body); err != nil {
+		t.Fatal(err)
+	}
+	begun(conn)
+}
+
+// resend sends the call again until it is not told to be in progress.
+func (c call) resend(ctx context.Context, t *testing.T, router string) (*http.Response, string) {
+	t.Helper()
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router+c.path, strings.NewReader(c.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Authorization", "Bearer "+devfleet.DemoKey("school"))
+		request.Header.Set("Content-Type", "application/json")
+		for name, value := range c.headers() {
+			request.Header.Set(name, value)
+		}
+		answer, err := http.DefaultTransport.RoundTrip(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(answer.Body)
+		answer.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if answer.Header.Get("Walnut-Code") != fmt.Sprint(int(result.RecordInProgress)) {
+			return answer, string(body)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// A caller that hangs up during a non-idempotent run gets its answer by sending
+// again: the run is finished, and made once.
+func TestHangUpDuringANonIdempotentCall(t *testing.T) {
+	fleet := startFleet(t, devfleet.Options{})
+	t.Cleanup(http.DefaultTransport.(*http.Transport).CloseIdleConnections)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	// Longer than a router takes to find out that the caller is gone.
+	c := call{path: devfleet.ServicePath + "/site?millis=1500", key: "hang-up", body: "mark:h1"}
+	c.hangUp(t, fleet.Routers[0].CallersAddress(), func(io.Reader) {
+		for ctx.Err() == nil && starts(fleet, c.key) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	answer, body := c.resend(ctx, t, fleet.Routers[1].CallersAddress())
+	if answer.StatusCode != http.StatusOK || answer.Header.Get("Walnut-Replayed") != "true" || !strings.Contains(body, "h1") {
+		t.Errorf("the resend got %s, %v: %s", answer.Status, answer.Header, body)
+	}
+	if n := starts(fleet, c.key); n != 1 {
+		t.Errorf("the call ran %d times", n)
+	}
+}
+
+// The same for a stream whose caller hangs up in the middle.
+func TestHangUpDuringANonIdempotentStream(t *testing.T) {
+	fleet := startFleet(t, devfleet.Options{})
+	t.Cleanup(http.DefaultTransport.(*http.Transport).CloseIdleConnections)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	c := call{
+		path: "/v1/chat/completions", key: "hang-up",
+		body:   `{"model":"` + devfleet.Model + `","stream":true,"max_tokens":40,"messages":[{"role":"user","content":"mark:h2"}]}`,
+		header: map[string]string{"Walnut-Idempotent": "false"},
+	}
+	c.hangUp(t, fleet.Routers[0].CallersAddress(), func(answer io.Reader) {
+		if _, err := io.ReadAtLeast(answer, make([]byte, 4096), 300); err != nil {
+			t.Error(err)
+		}
+	})
+	answer, body := c.resend(ctx, t, fleet.Routers[1].CallersAddress())
+	if answer.Header.Get("Walnut-Replayed") != "true" || !strings.HasSuffix(strings.TrimSpace(body), "data: [DONE]") {
+		t.Errorf("the resend got %s, %v: %s", answer.Status, answer.Header, body)
+	}
+}
+
+// starts counts the runs of a service call.
+func starts(fleet *devfleet.Fleet, key string) int {
+	n := 0
+	for _, s := range fleet.Services {
+		n += s.Counts()[key]
+	}
+	return n
+}
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -46,6 +46,7 @@
 		ex.Run.End(control.OutcomeNotRun)
 		return err
 	}
+	ctx = ex.RunContext(ctx)
 	answer, err := f.send(ctx, ex)
 	if err != nil {
 		refusal := asResult(err)
@@ -58,8 +59,12 @@
 }
 
 // send calls the target. A head that has arrived stays open until the exchange
-// ends or ctx does, as it does when the caller goes away.
+// ends or ctx does, as it does when the caller of an idempotent request goes
+// away.
 func (f *Filter) send(ctx context.Context, ex *pipeline.Exchange) (*target.Response, error) {
+	if ex.IsCallerGone() {
+		return nil, result.New(result.CallerGone, "The caller went away.")
+	}
 	callCtx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(f.FirstByteTimeout, cancel)
 	answer, err := f.Client.Do(callCtx, Request(ex, 0))
@@ -73,7 +78,7 @@
 		return answer, nil
 	}
 	cancel()
-	if ex.IsCallerGone() {
+	if ex.IsAbandoned() {
 		return nil, rename(err, result.CallerGone, "The caller went away.")
 	}
 	if timedOut {
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -135,6 +135,44 @@
 	}
 }
 
+// TestNonIdempotentRunOutlivesItsCaller: only a forced stop ends the call.
+func TestNonIdempotentRunOutlivesItsCaller(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		serving, stop := context.WithCancel(context.Background())
+		ctx, cancel := context.WithCancel(serving)
+		gone, lasted := make(chan struct{}), false
+		f := &Filter{Client: &fakeTarget{do: func(call context.Context) (*target.Response, error) {
+			close(gone)
+			cancel()
+			lasted = call.Err() == nil
+			stop()
+			<-call.Done()
+			return nil, result.New(result.TargetLostRequest, "Cut.")
+		}}}
+		ex := &pipeline.Exchange{CallerGone: gone, Serving: serving, Idempotent: idempotent}
+		refusal, run := serve(ctx, f, ex)
+		code, outcome := result.TargetLostRequest, control.OutcomeLost
+		if idempotent {
+			code, outcome = result.CallerGone, control.OutcomeCancelled
+		}
+		if lasted == idempotent || refusal == nil || refusal.Code != code || run.outcomes[0] != outcome {
+			t.Errorf("idempotent %t: lasted %t, got %v, outcomes %v", idempotent, lasted, refusal, run.outcomes)
+		}
+	}
+}
+
+// TestNothingIsSentForACallerThatIsGone: the request is refused as not run.
+func TestNothingIsSentForACallerThatIsGone(t *testing.T) {
+	gone := make(chan struct{})
+	close(gone)
+	client := &fakeTarget{}
+	ex := &pipeline.Exchange{CallerGone: gone, Serving: context.Background()}
+	refusal, run := serve(context.Background(), &Filter{Client: client}, ex)
+	if refusal == nil || refusal.Code != result.CallerGone || refusal.Ran != result.RanNo || len(client.calls) != 0 || len(run.outcomes) != 1 {
+		t.Errorf("got %v after %d calls, outcomes %v", refusal, len(client.calls), run.outcomes)
+	}
+}
+
 func TestSlowTargetIsGivenUp(t *testing.T) {
 	f := &Filter{FirstByteTimeout: time.Millisecond}
 	f.Client = &fakeTarget{do: waitForEnd(make(chan struct{}), result.RanUnknown)}
--- a/filters/relay/body.go
+++ b/filters/relay/body.go
@@ -93,7 +93,7 @@
 func (b *body) ended(err error) error {
 	b.sticky = err
 	switch {
-	case err != io.EOF && b.ex.IsCallerGone():
+	case err != io.EOF && b.ex.IsAbandoned():
 		gone.Inc()
 		b.run.End(control.OutcomeCancelled)
 	case err != io.EOF:
--- a/filters/relay/relay.go
+++ b/filters/relay/relay.go
@@ -95,7 +95,7 @@
 
 // lost ends the run of an answer that broke before its first part.
 func (r *Relay) lost(ex *pipeline.Exchange, cause error) error {
-	if ex.IsCallerGone() {
+	if ex.IsAbandoned() {
 		gone.Inc()
 		ex.Run.End(control.OutcomeCancelled)
 		refusal := result.Wrap(result.CallerGone, cause, "The caller went away.")
--- a/filters/runrecord/runrecord_test.go
+++ b/filters/runrecord/runrecord_test.go
@@ -127,6 +127,24 @@
 	b.wantRefused(result.RecordUnknown, result.RanUnknown)
 }
 
+// The caller of a stream goes away: the rest is read, and a resend gets it all.
+func TestStreamIsFinishedWithoutItsCaller(t *testing.T) {
+	b := newBench(t)
+	b.answer = stream(strings.NewReader("done"))
+	ex := &pipeline.Exchange{WorkspaceName: "w", IdempotencyKey: "k", Fingerprint: 9, Serving: context.Background()}
+	if err := b.handler(context.Background(), ex); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ex.AnswerStream.Read(make([]byte, 2)); err != nil {
+		t.Fatal(err)
+	}
+	if err := ex.AnswerStream.Close(); err != nil {
+		t.Fatal(err)
+	}
+	ex.End(errors.New("connection closed"))
+	b.wantAnswer("true", 1)
+}
+
 func TestLargeStreamIsNotKept(t *testing.T) {
 	b := newBench(t)
 	b.answer = stream(strings.NewReader(strings.Repeat("x", 101)))
--- a/front/request.go
+++ b/front/request.go
@@ -22,6 +22,8 @@
 	// ctx lasts until the exchange ends or the caller went away.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// endServing ends the exchange's Serving, and with it ctx.
+	endServing context.CancelFunc
 	// err is why the answer is not whole; nil if nothing is known against it.
 	err error
 }
--- a/front/serve.go
+++ b/front/serve.go
@@ -59,7 +59,8 @@
 		gone:    gone,
 	}
 	r.arrival.keep(int64(len(r.ex.Body)))
-	r.ctx, r.cancel = context.WithCancelCause(s.ctx)
+	r.ex.Serving, r.endServing = context.WithCancel(s.ctx)
+	r.ctx, r.cancel = context.WithCancelCause(r.ex.Serving)
 	conn.request = r
 	conn.writeErr = nil
 	s.began()
@@ -111,6 +112,7 @@
 	}
 	r.ex.End(r.err)
 	r.cancel(context.Canceled)
+	r.endServing()
 	r.arrival.keep(0)
 	s.ended()
 }
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"context"
 	"io"
 	"sync"
 	"time"
@@ -33,6 +34,9 @@
 	Body        []byte
 	// CallerGone is closed when the caller's connection is found closed.
 	CallerGone <-chan struct{}
+	// Serving ends when the exchange has ended or the router is stopped by
+	// force, but not when the caller goes away. See RunContext.
+	Serving context.Context
 
 	// Set by authenticate.
 	Snapshot      *config.Snapshot
@@ -94,6 +98,22 @@
 	}
 }
 
+// OutlivesCaller says whether a run of this request goes on when its caller
+// goes away: a non-idempotent one does, so that a resend gets its answer from
+// the run record.
+func (ex *Exchange) OutlivesCaller() bool { return !ex.Idempotent && ex.Serving != nil }
+
+// RunContext returns the context of a dispatched run, given that of a filter.
+func (ex *Exchange) RunContext(ctx context.Context) context.Context {
+	if ex.OutlivesCaller() {
+		return ex.Serving
+	}
+	return ctx
+}
+
+// IsAbandoned says whether the caller has gone and its run is to be cancelled.
+func (ex *Exchange) IsAbandoned() bool { return ex.IsCallerGone() && !ex.OutlivesCaller() }
+
 // End runs the functions added with OnEnd. Only the first call counts.
 func (ex *Exchange) End(err error) {
 	ex.endOnce.Do(func() {
