--- a/control/suspicion.go
+++ b/control/suspicion.go
@@ -17,7 +17,7 @@
 	settleAfterLoss = 500 * time.Millisecond
 	// pollFresh is how old the last answered load poll may be for a failed
 	// poll of another target to speak against that target, not this node.
-	pollFresh = time.Second
+	pollFresh = 2500 * time.Millisecond
 	// expireEvery is the period of forgetting old evidence.
 	expireEvery = time.Second
 )
--- a/router/shell.go
+++ b/router/shell.go
@@ -95,6 +95,7 @@
 		Queued:         load.Queued,
 		Slots:          load.Slots,
 		Leaving:        load.Leaving,
+		StartID:        load.StartID,
 		CachedPrefixes: load.CachedPrefixes,
 	})
 }
--- a/standin/internal/host/host.go
+++ b/standin/internal/host/host.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -51,6 +52,7 @@
 	behaviour Behaviour
 	faults    faultState
 	runs      atomic.Uint64
+	startID   atomic.Uint64
 	server    *fasthttp.Server
 
 	mu       sync.Mutex
@@ -68,6 +70,7 @@
 		behaviour: behaviour,
 		stop:      make(chan struct{}),
 	}
+	h.renewStartID()
 	h.server = &fasthttp.Server{
 		Handler:               h.handle,
 		Name:                  "standin",
@@ -156,12 +159,16 @@
 	h.serving.Add(1)
 	h.mu.Unlock()
 	h.drop(ln)
+	h.renewStartID()
 	go func() {
 		defer h.serving.Done()
 		h.reopen(downtime)
 	}()
 }
 
+// renewStartID begins a new start, as a restarted process would.
+func (h *Host) renewStartID() { h.startID.Store(rand.Uint64() | 1) }
+
 // reopen listens again after the downtime.
 func (h *Host) reopen(downtime time.Duration) {
 	pause := downtime
@@ -254,6 +261,7 @@
 		load = *faults.LieLoad
 	}
 	load.Leaving = load.Leaving || faults.Leaving
+	load.StartID = h.startID.Load()
 	if !ctx.QueryArgs().GetBool(prefixesArg) {
 		load.CachedPrefixes = nil
 	}
--- a/target/loadpoll/pace.go
+++ b/target/loadpoll/pace.go
@@ -68,7 +68,7 @@
 // isNews says whether a report differs from the one before in a way that the
 // target's own completions do not tell.
 func isNews(before, now target.Load) bool {
-	if before.Slots != now.Slots || before.Leaving != now.Leaving {
+	if before.StartID != now.StartID || before.Slots != now.Slots || before.Leaving != now.Leaving {
 		return true
 	}
 	change := now.Running + now.Queued - before.Running - before.Queued
--- a/target/target.go
+++ b/target/target.go
@@ -52,6 +52,8 @@
 	Slots          int      `json:"slots"`
 	Leaving        bool     `json:"leaving"`
 	CachedPrefixes []uint64 `json:"cached_prefixes,omitempty"`
+	// StartID tells one start of the target from the next; zero if it reports none.
+	StartID uint64 `json:"start_id,omitempty"`
 	// Age is how old the report was when the target sent it.
 	Age time.Duration `json:"age_ns,omitempty"`
 }
