--- a/devfleet/hangup_test.go
+++ b/devfleet/hangup_test.go
@@ -103,7 +103,28 @@
 	}
 }
 
-// The same for a stream whose caller hangs up in the middle.
+// A graceful shutdown waits for a run whose caller is gone, and for its record.
+func TestShutdownFinishesARunWithoutCaller(t *testing.T) {
+	fleet := startFleet(t, devfleet.Options{})
+	t.Cleanup(http.DefaultTransport.(*http.Transport).CloseIdleConnections)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	c := call{path: devfleet.ServicePath + "/site?millis=1500", key: "hang-up", body: "mark:h3"}
+	c.hangUp(t, fleet.Routers[0].CallersAddress(), func(io.Reader) {
+		for ctx.Err() == nil && starts(fleet, c.key) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	if err := fleet.Routers[0].Shutdown(ctx); err != nil {
+		t.Fatal(err)
+	}
+	answer, body := c.resend(ctx, t, fleet.Routers[1].CallersAddress())
+	if answer.Header.Get("Walnut-Replayed") != "true" || !strings.Contains(body, "h3") {
+		t.Errorf("the resend got %s, %v: %s", answer.Status, answer.Header, body)
+	}
+}
+
+// The same as in the first test for a stream whose caller hangs up in the middle.
 func TestHangUpDuringANonIdempotentStream(t *testing.T) {
 	fleet := startFleet(t, devfleet.Options{})
 	t.Cleanup(http.DefaultTransport.(*http.Transport).CloseIdleConnections)
