Measure refusals in a wave, and retries in a brown-out: bench refusals

A wave floods one workspace beyond its bound through three routers and obeys Retry-After: when the refused come back in each 100 ms, how soon refusals are answered. A brown-out of half or all targets for 5 s: requests sent to targets for each one that reached a target, with the retry budget and, from a copy of the module, without.

--- a/bench/main.go
+++ b/bench/main.go
@@ -17,6 +17,8 @@
 	"github.com/walnutcove/walnutcove/bench/fair"
 	"github.com/walnutcove/walnutcove/bench/faults"
 	"github.com/walnutcove/walnutcove/bench/latency"
+	"github.com/walnutcove/walnutcove/bench/locality"
+	"github.com/walnutcove/walnutcove/bench/refusals"
 	"github.com/walnutcove/walnutcove/bench/throughput"
 )
 
@@ -25,6 +27,8 @@
 	Fair       fairCommand       `cmd:"" help:"Utilisation, fairness gap and control traffic of a policy."`
 	Throughput throughputCommand `cmd:"" help:"Requests a second that one router relays, and what each costs it."`
 	Faults     faultsCommand     `cmd:"" help:"What faults do to backlogged workspaces: standstill, idle slots, over-admission, gap."`
+	Refusals   refusalsCommand   `cmd:"" help:"Whether the refused come back together, and how far retries multiply load."`
+	Locality   localityCommand   `cmd:"" help:"Choice of target by load, then by cached prefix, against load alone."`
 	Slopes     slopesCommand     `cmd:"" help:"What grows with the fleet, the load and the configuration, in one process."`
 	Capacity   capacityCommand   `cmd:"" help:"What real processes cost, and how they recover."`
 }
@@ -105,6 +109,56 @@
 	})
 }
 
+type refusalsCommand struct {
+	Routers       int    `default:"3" help:"Routers to run."`
+	Callers       int    `default:"1200" help:"Callers in the wave."`
+	Queued        int    `default:"100" help:"Requests of the workspace that may wait at one router in the wave."`
+	Repeats       int    `default:"3" help:"Repeats of each case."`
+	WithoutBudget string `help:"Copy of the module without the retry budget, to compare with." placeholder:"DIR"`
+	SkipWave      bool   `help:"Leave the wave out."`
+	SkipBrownOut  bool   `help:"Leave the brown-outs out."`
+	Histogram     bool   `help:"Also write the returns in each 100 ms."`
+	CSV           string `help:"File for the raw values." placeholder:"FILE"`
+}
+
+// Run runs the experiment.
+func (c *refusalsCommand) Run(ctx context.Context, k *kong.Context) error {
+	options := refusals.Options{
+		Routers: c.Routers, Callers: c.Callers, Queued: c.Queued, Repeats: c.Repeats,
+		WithoutBudget: c.WithoutBudget, SkipWave: c.SkipWave, SkipBrownOut: c.SkipBrownOut,
+	}
+	if c.Histogram {
+		options.Histogram = k.Stdout
+	}
+	return withCSV(c.CSV, func(csv io.Writer) error {
+		options.CSV = csv
+		return refusals.Run(ctx, k.Stdout, options)
+	})
+}
+
+type localityCommand struct {
+	Routers     int           `default:"9" help:"Routers to run."`
+	Prefixes    int           `default:"300" help:"Beginnings that the prompts share."`
+	PrefixBytes int           `default:"32768" help:"Length of each."`
+	Entries     int           `default:"16" help:"Prefixes that an engine caches."`
+	Gap         float64       `default:"0.2" help:"Part of the cached prefixes left out of reports."`
+	Lag         time.Duration `default:"200ms" help:"Period at which engines renew their reports."`
+	Callers     []int         `default:"18,160" help:"Requests kept in flight; 36 slots."`
+	Duration    time.Duration `default:"5s" help:"How long each repeat is judged."`
+	Repeats     int           `default:"3" help:"Repeats of each case."`
+	CSV         string        `help:"File for the raw values." placeholder:"FILE"`
+}
+
+// Run runs the experiment.
+func (c *localityCommand) Run(ctx context.Context, k *kong.Context) error {
+	return withCSV(c.CSV, func(csv io.Writer) error {
+		return locality.Run(ctx, k.Stdout, locality.Options{
+			Routers: c.Routers, Prefixes: c.Prefixes, PrefixBytes: c.PrefixBytes, Entries: c.Entries,
+			Gap: c.Gap, Lag: c.Lag, Callers: c.Callers, Duration: c.Duration, Repeats: c.Repeats, CSV: csv,
+		})
+	})
+}
+
 type capacityCommand struct {
 	Processes processesCommand `cmd:"" help:"Control traffic, processor time and memory of idle and loaded routers."`
 	Versions  versionsCommand  `cmd:"" help:"How a configuration change reaches real routers."`
