--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/hex"
 	"encoding/json"
@@ -31,6 +32,9 @@
 	Pools map[string]Pool
 	// Workspaces by name.
 	Workspaces map[string]config.Workspace
+	// Module is the directory of the module whose programs run; empty for the
+	// working directory. It serves to compare with a changed copy.
+	Module string
 	// Edit, if set, changes a router's settings before it starts.
 	Edit func(s *settings.Settings)
 }
@@ -45,6 +49,10 @@
 	Step time.Duration
 	// LoadLag is the period at which an engine renews its load report.
 	LoadLag time.Duration
+	// PrefixEntries bounds an engine's cache of prompt prefixes; zero for its
+	// default. PrefixGap is the part left out of its load reports.
+	PrefixEntries int
+	PrefixGap     float64
 }
 
 // Fleet is a running fleet.
@@ -59,8 +67,7 @@
 	declared map[string]config.Target
 }
 
-// Start builds the programs of the module in the working directory and starts
-// a fleet. Close ends it.
+// Start builds the programs of the module and starts a fleet. Close ends it.
 func Start(ctx context.Context, options Options) (*Fleet, error) {
 	dir, err := os.MkdirTemp("", "walnutcove-bench-")
 	if err != nil {
@@ -81,7 +88,7 @@
 
 func (f *Fleet) start(ctx context.Context) error {
 	var err error
-	if f.Binaries, err = processes.Build(ctx, ".", f.dir); err != nil {
+	if f.Binaries, err = processes.Build(ctx, cmp.Or(f.options.Module, "."), f.dir); err != nil {
 		return err
 	}
 	if f.Platform, err = processes.StartPlatform(f.Binaries); err != nil {
@@ -122,6 +129,7 @@
 	}
 	return processes.StartEngine(f.Binaries, name, processes.EngineOptions{
 		Slots: pool.Slots, Step: pool.Step, LoadLag: pool.LoadLag,
+		PrefixEntries: pool.PrefixEntries, PrefixGap: pool.PrefixGap,
 	})
 }
 
@@ -159,7 +167,7 @@
 }
 
 func (f *Fleet) setVMs(vms []platform.VM) error {
-	return postJSON("http://"+f.Platform.Address+"/_vms", platform.VMsReply{VMs: vms}, nil)
+	return PostJSON("http://"+f.Platform.Address+"/_vms", platform.VMsReply{VMs: vms}, nil)
 }
 
 // declare submits the configuration and waits until every router is on it.
@@ -179,7 +187,7 @@
 	patch := config.Patch{ID: config.NewPatchID(), Author: "bench", Changes: changes}
 	var accepted operator.PatchAccepted
 	first := "http://" + f.Routers[0].Settings.Listen.Operators
-	if err := postJSON(first+operator.PathPatches, patch, &accepted); err != nil {
+	if err := PostJSON(first+operator.PathPatches, patch, &accepted); err != nil {
 		return err
 	}
 	for _, r := range f.Routers {
@@ -200,6 +208,9 @@
 	return addresses
 }
 
+// Target returns what is declared of a target.
+func (f *Fleet) Target(name string) config.Target { return f.declared[name] }
+
 // Close ends every process and removes the fleet's files.
 func (f *Fleet) Close() {
 	for _, r := range f.Routers {
@@ -214,8 +225,8 @@
 	_ = os.RemoveAll(f.dir)
 }
 
-// postJSON posts a document and reads the answer into reply unless it is nil.
-func postJSON(url string, document, reply any) error {
+// PostJSON posts a document and reads the answer into reply unless it is nil.
+func PostJSON(url string, document, reply any) error {
 	body, err := json.Marshal(document)
 	if err != nil {
 		return err
--- a/bench/main.go
+++ b/bench/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,13 +15,22 @@
 
 	"github.com/walnutcove/walnutcove/bench/capacity"
 	"github.com/walnutcove/walnutcove/bench/fair"
+	"github.com/walnutcove/walnutcove/bench/faults"
 	"github.com/walnutcove/walnutcove/bench/latency"
+	"github.com/walnutcove/walnutcove/bench/locality"
+	"github.com/walnutcove/walnutcove/bench/refusals"
+	"github.com/walnutcove/walnutcove/bench/throughput"
 )
 
 type commandLine struct {
-	Latency latencyCommand `cmd:"" help:"Latency that a router adds to an uncontended request."`
-	Fair    fairCommand    `cmd:"" help:"Utilisation, fairness gap and control traffic of a policy."`
-	Slopes  slopesCommand  `cmd:"" help:"What grows with the fleet, the load and the configuration, in one process."`
+	Latency    latencyCommand    `cmd:"" help:"Latency that a router adds to an uncontended request."`
+	Fair       fairCommand       `cmd:"" help:"Utilisation, fairness gap and control traffic of a policy."`
+	Throughput throughputCommand `cmd:"" help:"Requests a second that one router relays, and what each costs it."`
+	Faults     faultsCommand     `cmd:"" help:"What faults do to backlogged workspaces: standstill, idle slots, over-admission, gap."`
+	Refusals   refusalsCommand   `cmd:"" help:"Whether the refused come back together, and how far retries multiply load."`
+	Locality   localityCommand   `cmd:"" help:"Choice of target by load, then by cached prefix, against load alone."`
+	Slopes     slopesCommand     `cmd:"" help:"What grows with the fleet, the load and the configuration, in one process."`
+	Capacity   capacityCommand   `cmd:"" help:"What real processes cost, and how they recover."`
 }
 
 type latencyCommand struct {
@@ -33,6 +43,20 @@
 	return latency.Run(ctx, k.Stdout, latency.Options{Requests: c.Requests, Repeats: c.Repeats})
 }
 
+type throughputCommand struct {
+	Callers  []int         `default:"16,64,256" help:"Requests kept in flight."`
+	Duration time.Duration `default:"5s" help:"How long callers send in each repeat."`
+	Repeats  int           `default:"3" help:"Repeats of each number of callers."`
+	Tokens   int           `default:"20" help:"Tokens of each answer."`
+}
+
+// Run runs the experiment.
+func (c *throughputCommand) Run(ctx context.Context, k *kong.Context) error {
+	return throughput.Run(ctx, k.Stdout, throughput.Options{
+		Callers: c.Callers, Duration: c.Duration, Repeats: c.Repeats, Tokens: c.Tokens,
+	})
+}
+
 type fairCommand struct {
 	Deployment string        `default:"ilesanmi" help:"Size: ilesanmi or agroservis."`
 	Shapes     []string      `default:"burst,one-router,flood,hints,subsets,shares,sizes,impatient" help:"Patterns of work."`
@@ -68,6 +92,159 @@
 	return fair.Run(ctx, k.Stdout, options)
 }
 
+type faultsCommand struct {
+	Deployment string   `default:"ilesanmi" help:"Size: ilesanmi or agroservis."`
+	Routers    int      `default:"9" help:"Routers to run."`
+	Only       []string `help:"Faults to measure; all if left out."`
+	Repeats    int      `default:"3" help:"Repeats of each fault."`
+	CSV        string   `help:"File for the raw values." placeholder:"FILE"`
+}
+
+// Run runs the experiment.
+func (c *faultsCommand) Run(ctx context.Context, k *kong.Context) error {
+	return withCSV(c.CSV, func(csv io.Writer) error {
+		return faults.Run(ctx, k.Stdout, faults.Options{
+			Deployment: c.Deployment, Routers: c.Routers, Only: c.Only, Repeats: c.Repeats, CSV: csv,
+		})
+	})
+}
+
+type refusalsCommand struct {
+	Routers       int    `default:"3" help:"Routers to run."`
+	Callers       int    `default:"1200" help:"Callers in the wave."`
+	Queued        int    `default:"100" help:"Requests of the workspace that may wait at one router in the wave."`
+	Repeats       int    `default:"3" help:"Repeats of each case."`
+	WithoutBudget string `help:"Copy of the module without the retry budget, to compare with." placeholder:"DIR"`
+	SkipWave      bool   `help:"Leave the wave out."`
+	SkipBrownOut  bool   `help:"Leave the brown-outs out."`
+	Histogram     bool   `help:"Also write the returns in each 100 ms."`
+	CSV           string `help:"File for the raw values." placeholder:"FILE"`
+}
+
+// Run runs the experiment.
+func (c *refusalsCommand) Run(ctx context.Context, k *kong.Context) error {
+	options := refusals.Options{
+		Routers: c.Routers, Callers: c.Callers, Queued: c.Queued, Repeats: c.Repeats,
+		WithoutBudget: c.WithoutBudget, SkipWave: c.SkipWave, SkipBrownOut: c.SkipBrownOut,
+	}
+	if c.Histogram {
+		options.Histogram = k.Stdout
+	}
+	return withCSV(c.CSV, func(csv io.Writer) error {
+		options.CSV = csv
+		return refusals.Run(ctx, k.Stdout, options)
+	})
+}
+
+type localityCommand struct {
+	Routers     int           `default:"9" help:"Routers to run."`
+	Prefixes    int           `default:"300" help:"Beginnings that the prompts share."`
+	PrefixBytes int           `default:"32768" help:"Length of each."`
+	Entries     int           `default:"16" help:"Prefixes that an engine caches."`
+	Gap         float64       `default:"0.2" help:"Part of the cached prefixes left out of reports."`
+	Lag         time.Duration `default:"200ms" help:"Period at which engines renew their reports."`
+	Callers     []int         `default:"18,160" help:"Requests kept in flight; 36 slots."`
+	Duration    time.Duration `default:"5s" help:"How long each repeat is judged."`
+	Repeats     int           `default:"3" help:"Repeats of each case."`
+	CSV         string        `help:"File for the raw values." placeholder:"FILE"`
+}
+
+// Run runs the experiment.
+func (c *localityCommand) Run(ctx context.Context, k *kong.Context) error {
+	return withCSV(c.CSV, func(csv io.Writer) error {
+		return locality.Run(ctx, k.Stdout, locality.Options{
+			Routers: c.Routers, Prefixes: c.Prefixes, PrefixBytes: c.PrefixBytes, Entries: c.Entries,
+			Gap: c.Gap, Lag: c.Lag, Callers: c.Callers, Duration: c.Duration, Repeats: c.Repeats, CSV: csv,
+		})
+	})
+}
+
+type capacityCommand struct {
+	Processes processesCommand `cmd:"" help:"Control traffic, processor time and memory of idle and loaded routers."`
+	Versions  versionsCommand  `cmd:"" help:"How a configuration change reaches real routers."`
+	Relay     relayCommand     `cmd:"" help:"First token, gaps between tokens and cost of a token, direct and through a router."`
+	Recover   recoverCommand   `cmd:"" help:"Time until work flows again after a fault."`
+}
+
+type recoverCommand struct {
+	Routers    int    `default:"9" help:"Routers to run."`
+	Workspaces int    `default:"100" help:"Workspaces declared."`
+	Behind     []int  `default:"1,100,400" help:"Versions that a frozen router misses."`
+	Repeats    int    `default:"3" help:"Repeats of each fault."`
+	CSV        string `help:"File for the raw rows." placeholder:"FILE"`
+}
+
+// Run runs the measurement.
+func (c *recoverCommand) Run(ctx context.Context, k *kong.Context) error {
+	return withCSV(c.CSV, func(csv io.Writer) error {
+		options := capacity.Recover{
+			Routers: c.Routers, Workspaces: c.Workspaces, Repeats: c.Repeats, Behind: c.Behind, CSV: csv,
+		}
+		return options.Run(ctx, k.Stdout)
+	})
+}
+
+type versionsCommand struct {
+	Routers    int           `default:"3" help:"Routers to run."`
+	Workspaces []int         `default:"1000,4000,16000" help:"Sizes of the configuration."`
+	Patches    int           `default:"20" help:"Patches at each size."`
+	Every      time.Duration `default:"500ms" help:"Time between patches."`
+	CSV        string        `help:"File for the raw rows." placeholder:"FILE"`
+}
+
+// Run runs the measurement.
+func (c *versionsCommand) Run(ctx context.Context, k *kong.Context) error {
+	return withCSV(c.CSV, func(csv io.Writer) error {
+		options := capacity.Versions{
+			Routers: c.Routers, Workspaces: c.Workspaces, Patches: c.Patches, Every: c.Every, CSV: csv,
+		}
+		return options.Run(ctx, k.Stdout)
+	})
+}
+
+type relayCommand struct {
+	Streams []int  `default:"40,120,360" help:"Streams open at once."`
+	Tokens  int    `default:"160" help:"Tokens of each stream."`
+	Repeats int    `default:"3" help:"Repeats of each size."`
+	CSV     string `help:"File for the raw rows." placeholder:"FILE"`
+}
+
+// Run runs the measurement.
+func (c *relayCommand) Run(ctx context.Context, k *kong.Context) error {
+	return withCSV(c.CSV, func(csv io.Writer) error {
+		options := capacity.Relay{Streams: c.Streams, Tokens: c.Tokens, Repeats: c.Repeats, CSV: csv}
+		return options.Run(ctx, k.Stdout)
+	})
+}
+
+type processesCommand struct {
+	Routers  []int         `default:"3,9,30" help:"Sizes of the fleet."`
+	Duration time.Duration `default:"10s" help:"How long each state is measured."`
+	Repeats  int           `default:"3" help:"Repeats of each size."`
+	CSV      string        `help:"File for the raw rows." placeholder:"FILE"`
+}
+
+// Run runs the measurement.
+func (c *processesCommand) Run(ctx context.Context, k *kong.Context) error {
+	return withCSV(c.CSV, func(csv io.Writer) error {
+		options := capacity.Processes{Routers: c.Routers, Duration: c.Duration, Repeats: c.Repeats, CSV: csv}
+		return options.Run(ctx, k.Stdout)
+	})
+}
+
+// withCSV calls run with the file, or with nil if none is named.
+func withCSV(path string, run func(io.Writer) error) error {
+	if path == "" {
+		return run(nil)
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return run(file)
+}
+
 type slopesCommand struct {
 	Only    []string `help:"Mechanisms to measure; all if left out."`
 	Repeats int      `default:"5" help:"Repeats at each size."`
@@ -76,16 +253,10 @@
 
 // Run runs the measurement.
 func (c *slopesCommand) Run(ctx context.Context, k *kong.Context) error {
-	options := capacity.Slopes{Only: c.Only, Repeats: c.Repeats}
-	if c.CSV != "" {
-		file, err := os.Create(c.CSV)
-		if err != nil {
-			return err
-		}
-		defer file.Close()
-		options.CSV = file
-	}
-	return options.Run(ctx, k.Stdout)
+	return withCSV(c.CSV, func(csv io.Writer) error {
+		options := capacity.Slopes{Only: c.Only, Repeats: c.Repeats, CSV: csv}
+		return options.Run(ctx, k.Stdout)
+	})
 }
 
 func main() {
--- a/filters/relay/body.go
+++ b/filters/relay/body.go
@@ -19,6 +19,8 @@
 	ctx   context.Context
 	relay *Relay
 	ex    *pipeline.Exchange
+	// run is the exchange's at the time, which a retry replaces.
+	run pipeline.Run
 
 	source  io.ReadCloser
 	first   []byte // read already, not yet handed on
@@ -30,7 +32,7 @@
 }
 
 func newBody(ctx context.Context, r *Relay, ex *pipeline.Exchange, source io.ReadCloser, first []byte, err error) *body {
-	return &body{ctx: ctx, relay: r, ex: ex, source: source, first: first, sticky: err}
+	return &body{ctx: ctx, relay: r, ex: ex, run: ex.Run, source: source, first: first, sticky: err}
 }
 
 // Read hands on the next part. It returns io.EOF only for a whole answer.
@@ -41,22 +43,19 @@
 		b.offset += int64(n)
 		return n, nil
 	}
-	if b.sticky != nil {
-		return 0, b.ended(b.sticky)
-	}
-	n, err := b.source.Read(p)
-	b.offset += int64(n)
-	if err == nil {
-		return n, nil
-	}
-	if n > 0 {
+	if b.sticky == nil {
+		n, err := b.source.Read(p)
+		b.offset += int64(n)
 		b.sticky = err
-		return n, nil
+		if n > 0 || err == nil {
+			return n, nil
+		}
 	}
-	if err != io.EOF && b.resume() {
+	if b.sticky != io.EOF && b.resume() {
+		b.sticky = nil
 		return b.Read(p)
 	}
-	return 0, b.ended(err)
+	return 0, b.ended(b.sticky)
 }
 
 // resume opens the stream again at the offset reached.
@@ -66,18 +65,24 @@
 	}
 	b.resumes++
 	answer, err := b.relay.Client.Do(b.ctx, b.relay.Request(b.ex, b.offset))
-	if err != nil || answer.Status != b.ex.Status {
+	if err != nil {
+		return false
+	}
+	if answer.Status != b.ex.Status {
+		_ = answer.Body.Close()
 		return false
 	}
-	b.source.Close()
+	_ = b.source.Close()
 	b.source = answer.Body
 	resumed.Inc()
 	pipeline.Log(b.ctx, b.relay.Log, slog.LevelWarn, b.ex, "relay: Stream broke and was resumed.", slog.Int64("offset", b.offset))
 	return true
 }
 
+// canResume says whether the target may be asked to go on. At offset zero
+// nothing was handed on, and the call would be a fresh run.
 func (b *body) canResume() bool {
-	if b.resumes >= maxResumes || b.ctx.Err() != nil {
+	if b.offset == 0 || b.resumes >= maxResumes || b.ctx.Err() != nil {
 		return false
 	}
 	declared := b.ex.Snapshot.Declarations.Targets[b.ex.Target]
@@ -88,18 +93,18 @@
 func (b *body) ended(err error) error {
 	b.sticky = err
 	switch {
-	case err != io.EOF && b.ex.IsCallerGone():
+	case err != io.EOF && b.ex.IsAbandoned():
 		gone.Inc()
-		b.ex.Run.End(control.OutcomeCancelled)
+		b.run.End(control.OutcomeCancelled)
 	case err != io.EOF:
 		broken.Inc()
-		b.ex.Run.End(control.OutcomeLost)
+		b.run.End(control.OutcomeLost)
 	case b.ex.Status >= serverErrors:
 		failed.Inc()
-		b.ex.Run.End(control.OutcomeFailed)
+		b.run.End(control.OutcomeFailed)
 	default:
 		answered.Inc()
-		b.ex.Run.End(control.OutcomeAnswered)
+		b.run.End(control.OutcomeAnswered)
 	}
 	return err
 }
@@ -112,7 +117,7 @@
 		if b.sticky == nil || len(b.first) > 0 {
 			gone.Inc()
 		}
-		b.ex.Run.End(control.OutcomeCancelled)
+		b.run.End(control.OutcomeCancelled)
 	})
 	return err
 }
--- a/filters/retry/retry.go
+++ b/filters/retry/retry.go
@@ -1,14 +1,15 @@
 // Package retry is the filter that runs grant and dispatch again on another
 // target when an idempotent request failed, or when any request surely did not
 // run. Retries draw on a budget, so that a brown-out does not multiply load:
-// each first attempt earns a part of a retry, up to a limit.
+// each request earns a part of a retry, up to a limit for its workspace and one
+// for the router.
 package retry
 
 import (
 	"context"
 	"errors"
 	"log/slog"
-	"sync"
+	"math/rand/v2"
 	"time"
 
 	"github.com/walnutcove/walnutcove/pipeline"
@@ -19,10 +20,13 @@
 const (
 	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 3
-	// earnedPerRequest is the part of a retry that each request earns.
-	earnedPerRequest = 0.2
-	// maxBudget bounds the retries saved up at one router.
-	maxBudget = 50.0
+	// maxPause bounds the pause before a request's first retry; it grows with
+	// the attempts. Pauses are random, so that the requests that one target
+	// lost do not come back together.
+	maxPause = 25 * time.Millisecond
+	// The advice after an empty budget lies between these, at random.
+	minRetryAfter = time.Second
+	maxRetryAfter = 2 * time.Second
 )
 
 // Counters of this package: the retries by the failure that they follow, and
@@ -35,21 +39,19 @@
 
 // Filter retries.
 type Filter struct {
-	log *slog.Logger
-
-	mu     sync.Mutex
-	budget float64
+	log    *slog.Logger
+	budget *budget
 }
 
 // New returns a filter with a full budget. It logs each retry to log.
-func New(log *slog.Logger) *Filter { return &Filter{log: log, budget: maxBudget} }
+func New(log *slog.Logger) *Filter { return &Filter{log: log, budget: newBudget()} }
 
 // Name implements pipeline.Filter.
 func (f *Filter) Name() string { return "retry" }
 
 // Serve implements pipeline.Filter.
 func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
-	f.earn()
+	f.budget.earn(ex.WorkspaceName)
 	ran := result.RanNo
 	for {
 		ex.Attempt++
@@ -69,12 +71,15 @@
 		if ex.Attempt >= maxAttempts || !time.Now().Before(ex.Deadline) {
 			return err
 		}
-		if !f.spend() {
+		if !f.budget.spend(ex.WorkspaceName) {
 			return budgetEmpty(refusal)
 		}
 		retries.Inc(refusal.Code)
 		f.logRetry(ctx, ex, refusal)
 		ex.Excluded = append(ex.Excluded, ex.Target)
+		if !pause(ctx, rand.N(maxPause*time.Duration(ex.Attempt))) {
+			return err
+		}
 	}
 }
 
@@ -115,20 +120,16 @@
 	return &raised
 }
 
-func (f *Filter) earn() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.budget = min(f.budget+earnedPerRequest, maxBudget)
-}
-
-func (f *Filter) spend() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.budget < 1 {
+// pause waits. It reports false if ctx ended.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
 		return false
 	}
-	f.budget--
-	return true
 }
 
 // budgetEmpty says that the request failed and was not retried. It keeps the
@@ -137,5 +138,5 @@
 	refusals.Inc(result.RetryBudgetEmpty)
 	refusal := result.Wrap(result.RetryBudgetEmpty, failure, "The request failed and too many others are being retried.")
 	refusal.Ran = failure.Ran
-	return refusal.After(time.Second)
+	return refusal.After(minRetryAfter + rand.N(maxRetryAfter-minRetryAfter))
 }
--- a/proctest/fleet_test.go
+++ b/proctest/fleet_test.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,12 +65,27 @@
 
 var fleetSlots = make(chan struct{}, fleetsAtOnce)
 
+// fleetCount numbers the fleets of this test process.
+var fleetCount atomic.Uint32
+
+// newIPs returns two loopback IPs for one fleet alone, so that nothing takes the
+// port of a process or proxy that is down for a while: one for its routers, and
+// one for its targets and proxies.
+func newIPs() (routers, others string) {
+	pid := os.Getpid()
+	n := 1 + 2*(fleetCount.Add(1)%120)
+	prefix := fmt.Sprintf("127.%d.%d.", 16+pid/256%200, pid%256)
+	return fmt.Sprint(prefix, n), fmt.Sprint(prefix, n+1)
+}
+
 // fleet is three routers, the platform and targets, every one a process, with
 // a proxy on every way between two routers, from each router to the platform,
 // and to each target.
 type fleet struct {
 	t        testing.TB
 	options  options
+	routerIP string
+	ip       string
 	platform *processes.StandIn
 	routers  []*processes.Router
 	targets  map[string]*processes.StandIn
@@ -99,6 +116,7 @@
 		declared:   make(map[string]config.Target),
 		targetWays: make(map[string]*way),
 	}
+	f.routerIP, f.ip = newIPs()
 	t.Cleanup(f.close)
 	views := f.startPlatform()
 	f.startTargets()
@@ -183,14 +201,14 @@
 	for n := range f.options.engines {
 		name := fmt.Sprintf("engine-%d", n+1)
 		e, err := processes.StartEngine(binaries, name, processes.EngineOptions{
-			Slots: f.options.engineSlots, Step: f.options.step, Resumes: !f.options.notResuming,
+			Listen: f.ip + ":0", Slots: f.options.engineSlots, Step: f.options.step, Resumes: !f.options.notResuming,
 		})
 		f.must(err)
 		f.addTarget(name, e, config.Target{DataCentre: f.options.dataCentres[n%routerCount], Pool: enginePool, Slots: f.options.engineSlots, Resumes: !f.options.notResuming})
 	}
 	for n := range f.options.services {
 		name := fmt.Sprintf("service-%d", n+1)
-		s, err := processes.StartService(binaries, name, f.options.serviceSlots, "")
+		s, err := processes.StartService(binaries, name, f.options.serviceSlots, f.ip+":0")
 		f.must(err)
 		f.addTarget(name, s, config.Target{DataCentre: f.options.dataCentres[n%routerCount], Pool: servicePool, Slots: f.options.serviceSlots})
 	}
@@ -198,7 +216,7 @@
 
 func (f *fleet) addTarget(name string, started *processes.StandIn, declared config.Target) {
 	f.targets[name] = started
-	f.targetWays[name] = newWay(f.t, name, started.Address)
+	f.targetWays[name] = newWay(f.t, name, f.ip, started.Address)
 	declared.Address = f.targetWays[name].address()
 	f.declared[name] = declared
 }
@@ -210,36 +228,49 @@
 func (f *fleet) startRouters(views []string) {
 	f.t.Helper()
 	dir := f.t.TempDir()
-	var listen [routerCount]string
+	listen, err := freeListens(f.routerIP)
+	f.must(err)
 	var vms []platform.VM
 	for n := range routerCount {
-		address, err := processes.FreeAddress()
-		f.must(err)
-		listen[n] = address
-		vms = append(vms, platform.VM{Name: routerName(n), DataCentre: f.options.dataCentres[n], PeerAddress: address, State: platform.VMLive})
+		vms = append(vms, platform.VM{Name: routerName(n), DataCentre: f.options.dataCentres[n], PeerAddress: listen[n].Peers, State: platform.VMLive})
 	}
 	f.post("http://"+f.platform.Address+"/_vms", platform.VMsReply{VMs: vms}, nil)
 	for a := range routerCount {
 		addresses := make(map[string]string)
 		for b := range routerCount {
 			if a != b {
-				f.peers[a][b] = newWay(f.t, routerName(a)+" to "+routerName(b), listen[b])
+				f.peers[a][b] = newWay(f.t, routerName(a)+" to "+routerName(b), f.ip, listen[b].Peers)
 				addresses[routerName(b)] = f.peers[a][b].address()
 			}
 		}
 		f.post("http://"+views[a]+"/_view", addresses, nil)
-		f.platformWays[a] = newWay(f.t, routerName(a)+" to platform", views[a])
+		f.platformWays[a] = newWay(f.t, routerName(a)+" to platform", f.ip, views[a])
 		r, err := processes.StartRouter(binaries, dir, f.settings(a, listen[a]))
 		f.must(err)
 		f.routers = append(f.routers, r)
 	}
 }
 
-func (f *fleet) settings(n int, peers string) settings.Settings {
+// freeListens picks addresses for the routers.
+func freeListens(ip string) ([routerCount]settings.Listen, error) {
+	var listens [routerCount]settings.Listen
+	const each = 3
+	addresses, err := processes.FreeAddresses(ip, each*routerCount)
+	if err != nil {
+		return listens, err
+	}
+	for n := range routerCount {
+		own := addresses[each*n:]
+		listens[n] = settings.Listen{Callers: own[0], Operators: own[1], Peers: own[2]}
+	}
+	return listens, nil
+}
+
+func (f *fleet) settings(n int, listen settings.Listen) settings.Settings {
 	s := settings.Defaults()
 	s.Node.Name = routerName(n)
 	s.Node.DataCentre = f.options.dataCentres[n]
-	s.Listen.Peers = peers
+	s.Listen = listen
 	s.Platform.Address = f.platformWays[n].address()
 	s.Platform.Timeout = settings.Duration(time.Second)
 	s.Platform.PollEvery = settings.Duration(300 * time.Millisecond)
--- a/result/codes.go
+++ b/result/codes.go
@@ -12,6 +12,7 @@
 	UnknownPath      Code = 104
 	SlowSender       Code = 105
 	MethodNotAllowed Code = 106
+	HeldBytesFull    Code = 107
 
 	// authenticate: 200-299.
 	KeyMissing Code = 201
@@ -30,6 +31,7 @@
 	RecordUnknown     Code = 404
 	RecordMismatch    Code = 405
 	RecordLapsed      Code = 406
+	RecordNotKept     Code = 407
 
 	// admit: 500-599.
 	QueueFull      Code = 501
@@ -97,6 +99,7 @@
 	{UnknownPath, "unknown_path", "accept", 404, RanNo, false, "No pool serves this path."},
 	{SlowSender, "slow_sender", "accept", 408, RanNo, true, "The request did not arrive within the read time limit."},
 	{MethodNotAllowed, "method_not_allowed", "accept", 405, RanNo, false, "The path does not take this method."},
+	{HeldBytesFull, "held_bytes_full", "accept", 503, RanNo, true, "The router holds too many bytes of requests, or too many of this workspace."},
 	{KeyMissing, "key_missing", "authenticate", 401, RanNo, false, "No workspace key was sent."},
 	{KeyWrong, "key_wrong", "authenticate", 401, RanNo, false, "The workspace key is not known."},
 	{UnknownModel, "unknown_model", "classify", 404, RanNo, false, "No pool serves this model."},
@@ -109,6 +112,7 @@
 	{RecordUnknown, "record_unknown", "guard", 409, RanUnknown, false, "A request with this Idempotency-Key may have run; its outcome is unknown."},
 	{RecordMismatch, "record_mismatch", "guard", 422, RanNo, false, "This Idempotency-Key was used with a different request."},
 	{RecordLapsed, "record_lapsed", "guard", 503, RanNo, true, "The run record lapsed before dispatch, so the request was not run."},
+	{RecordNotKept, "record_not_kept", "guard", 409, RanYes, false, "A request with this Idempotency-Key ran and was answered; the answer was not kept."},
 	{QueueFull, "queue_full", "admit", 429, RanNo, true, "The workspace has too many requests waiting."},
 	{QueueBytesFull, "queue_bytes_full", "admit", 429, RanNo, true, "The workspace has too many bytes waiting."},
 	{Draining, "draining", "admit", 503, RanNo, true, "This router is leaving and takes no new work."},
--- a/router/shell.go
+++ b/router/shell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -35,6 +36,7 @@
 	r.watched.names = targets
 	r.watched.mu.Unlock()
 	r.pollWatched()
+	r.orders.SetTargets(targets)
 }
 
 // pollWatched gives the poller the addresses of the watched targets.
@@ -77,6 +79,7 @@
 	configChanges.Inc()
 	r.loop.post(control.ConfigChanged{Snapshot: snapshot})
 	r.pollWatched()
+	r.orders.SetConfig(snapshot)
 	r.log.Info("config: Version in force.", "version", uint64(snapshot.Version))
 }
 
@@ -92,14 +95,14 @@
 		Queued:         load.Queued,
 		Slots:          load.Slots,
 		Leaving:        load.Leaving,
+		StartID:        load.StartID,
 		CachedPrefixes: load.CachedPrefixes,
 	})
 }
 
 // followVMs reads the platform's list of VMs until ctx ends.
 func (r *Router) followVMs(ctx context.Context) {
-	ticker := time.NewTicker(time.Duration(r.settings.Platform.VMListEvery))
-	defer ticker.Stop()
+	every := time.Duration(r.settings.Platform.VMListEvery)
 	for {
 		vms, err := r.platform.ListVMs(ctx)
 		switch {
@@ -110,16 +113,23 @@
 			r.log.Warn("member: VM list could not be read.", "error", err)
 		}
 		select {
-		case <-ticker.C:
+		case <-time.After(vmListPause(every)):
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// vmListPause varies the period, so that routers that started together do not
+// read in step.
+func vmListPause(every time.Duration) time.Duration {
+	return every*3/4 + rand.N(every/2)
+}
+
 // vmsListed spreads the list to the sessions and the control goroutine.
 func (r *Router) vmsListed(vms []platform.VM) {
 	r.vms.Store(&vms)
+	r.listedChanged(vms)
 	addresses := make(map[control.NodeID]string, len(vms))
 	members := make([]control.Member, 0, len(vms))
 	for _, vm := range vms {
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -13,14 +13,18 @@
 			Timeout:     Duration(2 * time.Second),
 			PollEvery:   Duration(time.Second),
 			VMListEvery: Duration(2 * time.Second),
+
+			FleetWritesPerSecond: 300,
 		},
 		Scheduling: Scheduling{
 			Policy:         string(control.PolicyShardQueue),
 			HeartbeatEvery: Duration(500 * time.Millisecond),
 			MemberTimeout:  Duration(2 * time.Second),
+			PrefixLocality: true,
 		},
 		Limits: Limits{
 			MaxBodyBytes:     8 << 20,
+			MaxHeldBytes:     256 << 20,
 			MaxHeaderBytes:   16 << 10,
 			ReadTimeout:      Duration(10 * time.Second),
 			IdleTimeout:      Duration(60 * time.Second),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -43,6 +43,9 @@
 	PollEvery Duration `toml:"poll_every"`
 	// VMListEvery is the period of reading the list of VMs. Default 2s.
 	VMListEvery Duration `toml:"vm_list_every"`
+	// FleetWritesPerSecond is the budget of the whole fleet for commits of run
+	// records; each router takes its part by the members in view. Default 300.
+	FleetWritesPerSecond int `toml:"fleet_writes_per_second"`
 }
 
 // Peers configures the sessions between routers.
@@ -63,12 +66,18 @@
 	HeartbeatEvery Duration `toml:"heartbeat_every"`
 	MemberTimeout  Duration `toml:"member_timeout"`
 	ExchangeEvery  Duration `toml:"exchange_every"`
+	// PrefixLocality prefers, among about equally loaded targets, one that
+	// likely holds the prompt's beginning in its cache. Default true.
+	PrefixLocality bool `toml:"prefix_locality"`
 }
 
 // Limits bounds what callers may send and how long things may take.
 type Limits struct {
 	// MaxBodyBytes bounds a request body. Default 8 MiB.
 	MaxBodyBytes int `toml:"max_body_bytes"`
+	// MaxHeldBytes bounds the bodies that the router holds at once. Default
+	// 256 MiB.
+	MaxHeldBytes int `toml:"max_held_bytes"`
 	// MaxHeaderBytes bounds a request's headers. Default 16 KiB.
 	MaxHeaderBytes int `toml:"max_header_bytes"`
 	// ReadTimeout bounds the arrival of a request. Default 10s.
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -15,12 +15,8 @@
 	"github.com/walnutcove/walnutcove/result"
 )
 
-const (
-	// loadPath is where a target reports its load.
-	loadPath = "/load"
-	// maxLoadBytes bounds a load report.
-	maxLoadBytes = 1 << 20
-)
+// maxLoadBytes bounds a load report.
+const maxLoadBytes = 1 << 20
 
 // HTTPClient implements Client over HTTP/1.1. It keeps its own small pool of
 // connections, because it must know for every request whether a byte of it was
@@ -30,6 +26,7 @@
 	options  Options
 	requests *counters
 	polls    *counters
+	orders   *counters
 	pool     *pool
 }
 
@@ -43,6 +40,7 @@
 		options:  options,
 		requests: newCounters(set, "walnut_target_requests_total", "walnut_target_failures_total"),
 		polls:    newCounters(set, "walnut_load_poll_requests_total", "walnut_load_poll_failures_total"),
+		orders:   newCounters(set, "walnut_order_calls_total", "walnut_order_call_failures_total"),
 		pool:     newPool(options),
 	}
 }
@@ -82,23 +80,15 @@
 	return resp, nil
 }
 
-// Load implements Client.
-func (c *HTTPClient) Load(ctx context.Context, address string) (Load, error) {
-	req := Request{Address: address, Method: fasthttp.MethodGet, Path: loadPath}
-	resp, err := c.call(ctx, req, c.polls)
+// loadFrom polls the load report at a path.
+func (c *HTTPClient) loadFrom(ctx context.Context, address, path string) (Load, error) {
+	req := Request{Address: address, Method: fasthttp.MethodGet, Path: path}
+	resp, body, err := c.callWhole(ctx, req, c.polls, maxLoadBytes)
 	if err != nil {
 		return Load{}, err
 	}
-	defer resp.Body.Close()
 	if resp.Status != fasthttp.StatusOK {
-		return Load{}, fmt.Errorf("target: load report has status %d", resp.Status)
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadBytes+1))
-	if err != nil {
-		return Load{}, err
-	}
-	if len(body) > maxLoadBytes {
-		return Load{}, errors.New("target: load report is too large")
+		return Load{}, &StatusError{What: "load report", Status: resp.Status}
 	}
 	var load Load
 	if err := json.Unmarshal(body, &load); err != nil {
--- a/target/target.go
+++ b/target/target.go
@@ -41,7 +41,7 @@
 	// Errors are *result.Error with Ran set truly: RanNo only if no byte was
 	// written or the target refused before running. Cancelling ctx ends the run.
 	Do(ctx context.Context, req Request) (*Response, error)
-	// Load polls a target's load report.
+	// Load polls a target's load report, which may leave out CachedPrefixes.
 	Load(ctx context.Context, address string) (Load, error)
 }
 
@@ -52,6 +52,8 @@
 	Slots          int      `json:"slots"`
 	Leaving        bool     `json:"leaving"`
 	CachedPrefixes []uint64 `json:"cached_prefixes,omitempty"`
+	// StartID tells one start of the target from the next; zero if it reports none.
+	StartID uint64 `json:"start_id,omitempty"`
 	// Age is how old the report was when the target sent it.
 	Age time.Duration `json:"age_ns,omitempty"`
 }
