--- a/bench/capacity/machine.go
+++ b/bench/capacity/machine.go
@@ -211,6 +211,54 @@
 	}, nil
 }
 
+// measurePartition cuts a node with runs in progress off from the data centres
+// but its own and those of its region, about two nodes in three, and brings
+// them back.
+func measurePartition(nodes int, seed uint64) ([]Value, error) {
+	size := scaledTo(nodes)
+	load := nodeLoad{perSecond: nodeRequests, run: letterRun, workspaces: size.workspaces}
+	n := newNode(size.assign(), load, seed)
+	n.passTime(load.settleTime())
+	var far []control.NodeID
+	for i := range nodes {
+		if i%size.centres >= size.centres/3 && nodeName(i) != n.id {
+			far = append(far, nodeName(i))
+		}
+	}
+	n.meter.reset()
+	lost := n.timed(func() {
+		for _, name := range far {
+			n.machine.Step(n.now, control.PeerState{Node: name, Connected: false})
+		}
+		n.now += 300 * time.Millisecond
+		n.step(control.Tick{})
+	})
+	sentAtLoss := n.meter.total()
+	n.meter.reset()
+	back := n.timed(func() {
+		for _, name := range far {
+			n.step(control.PeerState{Node: name, Connected: true})
+			n.receive(name, control.Heartbeat{Incarnation: 1})
+		}
+	})
+	sentAtReturn := n.meter.total()
+	return []Value{
+		{"machine ms at the loss", millis(lost)},
+		{"messages sent at the loss", sentAtLoss.messages},
+		{"machine ms at the return", millis(back)},
+		{"messages sent at the return", sentAtReturn.messages},
+		{"bytes sent at the return", sentAtReturn.bytes},
+	}, nil
+}
+
+// timed returns the processor time of a function.
+func (n *node) timed(run func()) time.Duration {
+	runtime.GC()
+	start := processorTime()
+	run()
+	return processorTime() - start
+}
+
 // measurePeak is a node at the peak, in fleets that grow with their load.
 func measurePeak(nodes int, seed uint64) ([]Value, error) {
 	size := scaledTo(nodes)
--- a/bench/capacity/recover.go
+++ b/bench/capacity/recover.go
@@ -25,6 +25,8 @@
 	// Behind are the numbers of versions that a router misses.
 	Behind []int
 	CSV    io.Writer
+	// Only names the faults; empty means all.
+	Only []string
 }
 
 const (
@@ -52,7 +54,11 @@
 		{"scheduler frozen", func(ctx context.Context) ([]Value, error) { return o.scheduler(ctx, freeze) }},
 		{"fleet restarted empty", o.restart},
 		{"router behind", o.behind},
+		{"router restarted in an outage", o.restartInOutage},
 	} {
+		if len(o.Only) > 0 && !slices.Contains(o.Only, fault.name) {
+			continue
+		}
 		var rows []Row
 		for repeat := range max(1, o.Repeats) {
 			values, err := fault.measure(ctx)
@@ -324,3 +330,26 @@
 	}
 	return values, nil
 }
+
+// restartInOutage restarts one router while the platform answers nobody.
+func (o Recover) restartInOutage(ctx context.Context) ([]Value, error) {
+	f, err := o.start(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	outage := map[string]string{"outage": "refuse"}
+	if err := fleet.PostJSON("http://"+f.Platform.Address+"/_fault", outage, nil); err != nil {
+		return nil, err
+	}
+	last := f.Routers[len(f.Routers)-1]
+	last.Kill()
+	started := time.Now()
+	if err := last.Restart(); err != nil {
+		return nil, err
+	}
+	if err := last.WaitReady(); err != nil {
+		return nil, err
+	}
+	return []Value{{"ms until ready", millis(time.Since(started))}}, nil
+}
--- a/bench/capacity/slopes.go
+++ b/bench/capacity/slopes.go
@@ -37,6 +37,7 @@
 	{"accounting-load", "workspaces with runs at a node", []int{30, 100, 350}, measureAccountingByLoad},
 	{"waiting", "requests waiting at a node", []int{10, 100, 1000}, measureWaiting},
 	{"membership", "nodes", []int{9, 30, 100, 340}, measureMembership},
+	{"partition", "nodes", []int{30, 100, 340}, measurePartition},
 	{"version", "workspaces", []int{1000, 4000, 16000}, measureVersion},
 	{"config-poll", "versions", []int{1, 100, 1000}, measureConfigPoll},
 	{"vm-list", "nodes", []int{9, 30, 100, 340}, measureVMList},
--- a/bench/main.go
+++ b/bench/main.go
@@ -167,18 +167,19 @@
 }
 
 type recoverCommand struct {
-	Routers    int    `default:"9" help:"Routers to run."`
-	Workspaces int    `default:"100" help:"Workspaces declared."`
-	Behind     []int  `default:"1,100,400" help:"Versions that a frozen router misses."`
-	Repeats    int    `default:"3" help:"Repeats of each fault."`
-	CSV        string `help:"File for the raw rows." placeholder:"FILE"`
+	Routers    int      `default:"9" help:"Routers to run."`
+	Workspaces int      `default:"100" help:"Workspaces declared."`
+	Only       []string `help:"Faults to bring about; all if left out."`
+	Behind     []int    `default:"1,100,400" help:"Versions that a frozen router misses."`
+	Repeats    int      `default:"3" help:"Repeats of each fault."`
+	CSV        string   `help:"File for the raw rows." placeholder:"FILE"`
 }
 
 // Run runs the measurement.
 func (c *recoverCommand) Run(ctx context.Context, k *kong.Context) error {
 	return withCSV(c.CSV, func(csv io.Writer) error {
 		options := capacity.Recover{
-			Routers: c.Routers, Workspaces: c.Workspaces, Repeats: c.Repeats, Behind: c.Behind, CSV: csv,
+			Routers: c.Routers, Workspaces: c.Workspaces, Repeats: c.Repeats, Behind: c.Behind, CSV: csv, Only: c.Only,
 		}
 		return options.Run(ctx, k.Stdout)
 	})
