--- a/peer/lazy.go
+++ b/peer/lazy.go
@@ -6,13 +6,13 @@
 	"github.com/walnutcove/walnutcove/control"
 )
 
-// lazyWait is the longest time that messages which nothing waits for are held
+// LazyWait is the longest time that messages which nothing waits for are held
 // back, so that they go with others. A flush costs far more than a message.
-const lazyWait = 10 * time.Millisecond
+const LazyWait = 10 * time.Millisecond
 
-// canWait says that nothing waits for a message: acknowledgements, counts and
+// CanWait says that nothing waits for a message: acknowledgements, counts and
 // the news that a run goes on.
-func canWait(message control.Message) bool {
+func CanWait(message control.Message) bool {
 	switch m := message.(type) {
 	case control.ReportAck, control.ServiceReport, control.ServiceTotals:
 		return true
@@ -25,21 +25,21 @@
 
 func allCanWait(messages []control.Message) bool {
 	for _, message := range messages {
-		if !canWait(message) {
+		if !CanWait(message) {
 			return false
 		}
 	}
 	return true
 }
 
-// wakeLater wakes the session's writer within lazyWait, unless another message
+// wakeLater wakes the session's writer within LazyWait, unless another message
 // does so before. Call with mu held.
 func (l *link) wakeLater() {
 	if l.later {
 		return
 	}
 	l.later = true
-	time.AfterFunc(lazyWait, l.wakeNow)
+	time.AfterFunc(LazyWait, l.wakeNow)
 }
 
 func (l *link) wakeNow() {
--- a/peer/link.go
+++ b/peer/link.go
@@ -31,7 +31,7 @@
 	queue   []control.Message
 	session *session
 	dialing bool
-	// later says that the session's writer is woken within lazyWait.
+	// later says that the session's writer is woken within LazyWait.
 	later bool
 	// failures counts dials in a row; no dial is made before notBefore.
 	failures  int
