--- a/proctest/fair_test.go
+++ b/proctest/fair_test.go
@@ -28,7 +28,7 @@
 	starvedPart = 0.25
 )
 
-var fairShares = map[string]float64{"flood": 1, "calm": 1, "far": 1, "large": 2}
+var fairShares = map[string]float64{"flood": 1, "calm": 1, "far": 1, "large": 4}
 
 // TestFairAcrossAPartition floods the fleet with one workspace through one
 // router, while three others wait at the other routers all the time, in two
--- a/proctest/fleet_test.go
+++ b/proctest/fleet_test.go
@@ -1,11 +1,9 @@
 package proctest
 
 import (
-	"bytes"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -17,8 +15,6 @@
 	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/processes"
 	"github.com/walnutcove/walnutcove/settings"
-	"github.com/walnutcove/walnutcove/standin/engine"
-	standin "github.com/walnutcove/walnutcove/standin/platform"
 )
 
 // What the fleet declares.
@@ -343,131 +339,6 @@
 	return addresses
 }
 
-// versionAt is the version in force at a router, and whether it is ready.
-func (f *fleet) versionAt(n int) (config.Version, bool) {
-	var readiness operator.Readiness
-	if err := get(f.operators(n)+operator.PathReadyz, &readiness); err != nil {
-		return 0, false
-	}
-	return readiness.Version, readiness.Ready
-}
-
-// awaitVersion waits until routers are on the newest version of the test.
-func (f *fleet) awaitVersion(routers ...int) {
-	f.t.Helper()
-	f.mu.Lock()
-	version := f.version
-	f.mu.Unlock()
-	for _, n := range routers {
-		f.eventually(fmt.Sprintf("%s is on version %d", routerName(n), version), func() bool {
-			got, _ := f.versionAt(n)
-			return got >= version
-		})
-	}
-}
-
-// scheduler returns the router that alone schedules a pool of a fleet in one
-// data centre, or -1.
-func (f *fleet) scheduler(pool string, routers ...int) int {
-	found := -1
-	for _, n := range routers {
-		var status operator.Status
-		if err := get(f.operators(n)+operator.PathStatus, &status); err != nil {
-			return -1
-		}
-		for _, shard := range status.Shards {
-			if shard.Pool != pool {
-				continue
-			}
-			if found >= 0 {
-				return -1
-			}
-			found = n
-		}
-	}
-	return found
-}
-
-// awaitSettled waits until exactly one router schedules each shard, so that the
-// routers know of one another.
-func (f *fleet) awaitSettled() {
-	f.t.Helper()
-	shards := make(map[string]bool)
-	for _, target := range f.declared {
-		shards[target.Pool+"/"+target.DataCentre] = true
-	}
-	f.eventually("one router schedules each shard", func() bool {
-		schedulers := f.schedulers()
-		for _, count := range schedulers {
-			if count != 1 {
-				return false
-			}
-		}
-		return len(schedulers) == len(shards)
-	})
-}
-
-// schedulers counts the routers that schedule each shard.
-func (f *fleet) schedulers() map[string]int {
-	counts := make(map[string]int)
-	for n := range routerCount {
-		var status operator.Status
-		if err := get(f.operators(n)+operator.PathStatus, &status); err != nil {
-			return nil
-		}
-		for _, shard := range status.Shards {
-			counts[shard.Pool+"/"+shard.DataCentre]++
-		}
-	}
-	return counts
-}
-
-// isolate cuts a router from the other routers, both ways.
-func (f *fleet) isolate(n int) {
-	f.note("cut %s from the others", routerName(n))
-	for other := range routerCount {
-		if other != n {
-			f.peers[n][other].cut()
-			f.peers[other][n].cut()
-		}
-	}
-}
-
-// rejoin ends isolate.
-func (f *fleet) rejoin(n int) {
-	f.t.Helper()
-	f.note("%s rejoins the others", routerName(n))
-	for other := range routerCount {
-		if other != n {
-			f.peers[n][other].heal()
-			f.peers[other][n].heal()
-		}
-	}
-}
-
-// restart starts a router again, with empty memory, after its end.
-func (f *fleet) restart(n int) {
-	f.t.Helper()
-	f.note("restart %s", routerName(n))
-	f.must(f.routers[n].Restart())
-}
-
-// platformFaults replaces the platform's faults.
-func (f *fleet) platformFaults(faults standin.Faults) {
-	f.t.Helper()
-	f.note("platform faults %+v", faults)
-	f.post("http://"+f.platform.Address+"/_fault", faults, nil)
-}
-
-// targetFaults replaces a target's faults, once it is up if it is down.
-func (f *fleet) targetFaults(target string, faults engine.Faults) {
-	f.t.Helper()
-	f.note("%s faults %+v", target, faults)
-	f.eventually(target+" takes its faults", func() bool {
-		return post("http://"+f.targets[target].Address+"/_fault", faults, nil) == nil
-	})
-}
-
 // eventually waits until a condition holds.
 func (f *fleet) eventually(what string, holds func() bool) {
 	f.t.Helper()
@@ -496,52 +367,3 @@
 	f.t.Helper()
 	f.must(post(url, document, reply))
 }
-
-// control is the client for everything but callers' requests.
-var control = &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
-
-// statusError is an answer that is not a success.
-type statusError struct {
-	url    string
-	status int
-	body   string
-}
-
-func (e *statusError) Error() string {
-	return fmt.Sprintf("%s answered %d: %s", e.url, e.status, e.body)
-}
-
-func post(url string, document, reply any) error {
-	body, err := json.Marshal(document)
-	if err != nil {
-		return err
-	}
-	answer, err := control.Post(url, "application/json", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	return decode(url, answer, reply)
-}
-
-func get(url string, reply any) error {
-	answer, err := control.Get(url)
-	if err != nil {
-		return err
-	}
-	return decode(url, answer, reply)
-}
-
-func decode(url string, answer *http.Response, reply any) error {
-	defer answer.Body.Close()
-	var body bytes.Buffer
-	if _, err := body.ReadFrom(answer.Body); err != nil {
-		return err
-	}
-	if answer.StatusCode/100 != 2 {
-		return &statusError{url: url, status: answer.StatusCode, body: body.String()}
-	}
-	if reply == nil {
-		return nil
-	}
-	return json.Unmarshal(body.Bytes(), reply)
-}
--- a/proctest/proxy_test.go
+++ b/proctest/proxy_test.go
@@ -58,12 +58,3 @@
 		w.t.Fatalf("hold %s of %s: %v", direction, w.proxy.Name, err)
 	}
 }
-
-// delay makes every part in one direction late.
-func (w *way) delay(direction string, millis string) {
-	w.t.Helper()
-	toxic := `{"type":"latency","stream":"` + direction + `","attributes":{"latency":` + millis + `}}`
-	if _, err := w.proxy.Toxics.AddToxicJson(strings.NewReader(toxic)); err != nil {
-		w.t.Fatalf("delay %s of %s: %v", direction, w.proxy.Name, err)
-	}
-}
