Wake the control goroutine when the machine has something to do

The machine now says when it wants to be woken (first timer, pending exchange, at the latest 100 ms), and the goroutine sleeps until then, at least 20 ms.

--- a/control/account/totals.go
+++ b/control/account/totals.go
@@ -99,6 +99,9 @@
 	}
 }
 
+// Changed says whether Push has something to return.
+func (t *Totals) Changed() bool { return len(t.dirty) > 0 }
+
 // Push returns, for each contributor that reported of late, the figures of the
 // workspaces with a report since the last Push, in order of name.
 func (t *Totals) Push(now time.Duration) map[Source][]Count {
--- a/control/accounting.go
+++ b/control/accounting.go
@@ -177,6 +177,17 @@
 	m.reportService()
 }
 
+// booksWake returns when the exchange has something to send, at the latest other.
+func (m *Machine) booksWake(other Instant) Instant {
+	if m.books.totals.Changed() {
+		other = min(other, m.books.nextPush)
+	}
+	if len(m.books.active) > 0 {
+		other = min(other, m.books.nextAt)
+	}
+	return other
+}
+
 // exchangeEvery grows with the fleet, so that the accounting nodes get about as
 // many messages in any fleet.
 func (m *Machine) exchangeEvery() time.Duration {
--- a/control/events.go
+++ b/control/events.go
@@ -112,7 +112,7 @@
 // new request is taken.
 type DrainStarted struct{}
 
-// Tick lets time pass. The shell sends one at least every 50 ms.
+// Tick lets time pass. The shell sends one at Machine.NextWake.
 type Tick struct{}
 
 func (ConfigChanged) isEvent()     {}
--- a/control/machine.go
+++ b/control/machine.go
@@ -13,6 +13,10 @@
 	defaultMemberTimeout  = 2 * time.Second
 )
 
+// idleWake is the longest time between two ticks. The periods that a tick looks
+// at (heartbeats, watching, exchange) may be late by it.
+const idleWake = 100 * time.Millisecond
+
 // Machine is the state machine of one router. It is not safe for concurrent
 // use: one goroutine owns it.
 type Machine struct {
@@ -93,6 +97,16 @@
 	return m.out
 }
 
+// NextWake returns when the machine next has something to do without an event:
+// the shell sends a Tick then. It may be in the past.
+func (m *Machine) NextWake() Instant {
+	at := m.now + idleWake
+	if first, set := m.timers.first(); set {
+		at = min(at, first)
+	}
+	return min(at, m.booksWake(at))
+}
+
 func (m *Machine) fireTimers() {
 	for t := m.timers.pop(m.now); t != nil; t = m.timers.pop(m.now) {
 		t.owner.fire(m)
--- a/control/timers.go
+++ b/control/timers.go
@@ -37,6 +37,14 @@
 	}
 }
 
+// first returns the earliest time set; false if none is.
+func (ts *timers) first() (Instant, bool) {
+	if len(ts.heap) == 0 {
+		return 0, false
+	}
+	return ts.heap[0].at, true
+}
+
 // pop unsets and returns the first timer that is due, or nil.
 func (ts *timers) pop(now Instant) *timer {
 	if len(ts.heap) == 0 || ts.heap[0].at > now {
--- a/router/loop.go
+++ b/router/loop.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// tickEvery is the period of control.Tick.
-	tickEvery = 20 * time.Millisecond
+	// leastTick is the least time between two ticks. The machine says when it
+	// wants the next one; waking up for nothing costs more than the ticks do.
+	leastTick = 20 * time.Millisecond
 	// inboxSize bounds the events waiting for the control goroutine. Senders
 	// wait when it is full, which slows traffic rather than losing an event.
 	inboxSize = 4096
@@ -32,6 +33,9 @@
 	shell   shell
 	log     *slog.Logger
 	waiters map[control.RequestID]*waiter
+	// wake fires at wakeAt for the next tick; the last one was at tickedAt.
+	wake             *time.Timer
+	wakeAt, tickedAt control.Instant
 	// counters is a copy of the machine's, renewed at each tick.
 	counters atomic.Pointer[control.Counters]
 	// members is the version of the live members that the shell was told last.
@@ -90,25 +94,44 @@
 // run is the control goroutine. It returns when stop closes.
 func (l *loop) run(stop <-chan struct{}) {
 	defer close(l.done)
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
+	l.wake = time.NewTimer(leastTick)
+	defer l.wake.Stop()
 	for {
 		select {
 		case <-stop:
 			return
 		case p := <-l.inbox:
 			l.take(p)
+			l.wakeEarlier()
 		case query := <-l.queries:
 			query(l.machine)
-		case <-ticker.C:
-			l.step(control.Tick{})
-			counters := l.machine.Counters()
-			l.counters.Store(&counters)
-			l.tellMembers()
+		case <-l.wake.C:
+			l.tick()
 		}
 	}
 }
 
+// tick lets time pass and sets the next tick.
+func (l *loop) tick() {
+	l.step(control.Tick{})
+	counters := l.machine.Counters()
+	l.counters.Store(&counters)
+	l.tellMembers()
+	l.tickedAt = l.now()
+	l.wakeAt = max(l.machine.NextWake(), l.tickedAt+leastTick)
+	l.wake.Reset(l.wakeAt - l.tickedAt)
+}
+
+// wakeEarlier moves the next tick forward if an event made that necessary.
+func (l *loop) wakeEarlier() {
+	at := max(l.machine.NextWake(), l.tickedAt+leastTick)
+	if at >= l.wakeAt {
+		return
+	}
+	l.wakeAt = at
+	l.wake.Reset(l.wakeAt - l.now())
+}
+
 // tellMembers tells the shell which members live, if that has changed.
 func (l *loop) tellMembers() {
 	version := l.machine.AliveVersion()
