Let the routers of the fairness experiment meet before callers start

Cause: the first repeat of a fresh fleet often had a gap of 4 to 17 with a workspace held back for 2 s. A trace shows that callers began 0.3 to 0.5 s before the routers had heard of each other: nine routers each scheduled every shard for itself, so targets were given up to nine times what they hold, one workspace got 17 runs at once, and it paid that back afterwards, as it should.

--- a/bench/fair/fair.go
+++ b/bench/fair/fair.go
@@ -25,6 +25,9 @@
 	// Duration is how long callers send in each repeat.
 	Duration time.Duration
 	Repeats  int
+	// WarmUp is how long the routers get to meet before callers start. Until
+	// each has heard the others, several schedule the same shard.
+	WarmUp time.Duration
 	// CSV receives the raw rows; nil for none.
 	CSV io.Writer
 	// Detail receives the service of each workspace; nil for none.
@@ -96,6 +99,11 @@
 		return nil, err
 	}
 	defer f.Close()
+	select {
+	case <-time.After(o.WarmUp):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	var rows []Row
 	for repeat := range o.Repeats {
 		row, err := runOnce(ctx, f, o, d, s, uint64(repeat+1))
--- a/bench/main.go
+++ b/bench/main.go
@@ -64,6 +64,7 @@
 	Routers    int           `default:"9" help:"Routers to run."`
 	Duration   time.Duration `default:"8s" help:"How long callers send in each repeat."`
 	Repeats    int           `default:"5" help:"Repeats of each shape and policy."`
+	WarmUp     time.Duration `default:"2s" help:"How long routers get to meet before callers start; 0s measures the cold start."`
 	CSV        string        `help:"File for the raw rows." placeholder:"FILE"`
 	Detail     bool          `help:"Also write what each workspace received."`
 }
@@ -77,6 +78,7 @@
 		Routers:    c.Routers,
 		Duration:   c.Duration,
 		Repeats:    c.Repeats,
+		WarmUp:     c.WarmUp,
 	}
 	if c.Detail {
 		options.Detail = k.Stdout
