--- a/bench/main.go
+++ b/bench/main.go
@@ -113,6 +113,8 @@
 	Routers       int    `default:"3" help:"Routers to run."`
 	Callers       int    `default:"1200" help:"Callers in the wave."`
 	Queued        int    `default:"100" help:"Requests of the workspace that may wait at one router in the wave."`
+	Slots         int    `default:"4" help:"Slots of each target."`
+	Tokens        int    `default:"25" help:"Tokens of each answer, at 2 ms each."`
 	Repeats       int    `default:"3" help:"Repeats of each case."`
 	WithoutBudget string `help:"Copy of the module without the retry budget, to compare with." placeholder:"DIR"`
 	SkipWave      bool   `help:"Leave the wave out."`
@@ -124,7 +126,7 @@
 // Run runs the experiment.
 func (c *refusalsCommand) Run(ctx context.Context, k *kong.Context) error {
 	options := refusals.Options{
-		Routers: c.Routers, Callers: c.Callers, Queued: c.Queued, Repeats: c.Repeats,
+		Routers: c.Routers, Callers: c.Callers, Queued: c.Queued, Slots: c.Slots, Tokens: c.Tokens, Repeats: c.Repeats,
 		WithoutBudget: c.WithoutBudget, SkipWave: c.SkipWave, SkipBrownOut: c.SkipBrownOut,
 	}
 	if c.Histogram {
--- a/bench/refusals/brownout.go
+++ b/bench/refusals/brownout.go
@@ -18,17 +18,16 @@
 
 const (
 	brownOutTargets = 6
-	// brownOutCallers keep somewhat more in flight than there are slots.
-	brownOutCallers = 40
-	// brownOutQueued never bounds them.
-	brownOutQueued = 4 * brownOutCallers
-	beforeBrownOut = 1500 * time.Millisecond
-	brownOutFor    = 5 * time.Second
-	afterBrownOut  = time.Second
+	beforeBrownOut  = 1500 * time.Millisecond
+	brownOutFor     = 5 * time.Second
+	afterBrownOut   = time.Second
 	// pathFault is where a stand-in target takes its faults.
 	pathFault = "/_fault"
 )
 
+// brownOutCallers keep somewhat more in flight than there are slots.
+func (o Options) brownOutCallers() int { return brownOutTargets * o.Slots * 5 / 3 }
+
 // brownOut is a failure of some targets for a while.
 type brownOut struct {
 	name    string
@@ -79,7 +78,7 @@
 
 // repeatBrownOut starts a fleet, so that every retry budget is full.
 func repeatBrownOut(ctx context.Context, o Options, b brownOut, module string, seed uint64) ([]table.Value, error) {
-	f, err := startFleet(ctx, o, brownOutTargets, brownOutQueued, module)
+	f, err := startFleet(ctx, o, brownOutTargets, o.brownOutCallers(), module)
 	if err != nil {
 		return nil, err
 	}
@@ -87,7 +86,7 @@
 	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan []try, 1)
-	go func() { done <- keepSending(sending, f, seed) }()
+	go func() { done <- keepSending(sending, f, o, seed) }()
 	time.Sleep(beforeBrownOut)
 	from := time.Now()
 	if err := setFaults(f, b.targets, http.MethodPost, b.faults); err != nil {
@@ -110,17 +109,18 @@
 
 // keepSending lets callers send one request after another, each until it is
 // answered, until ctx ends.
-func keepSending(ctx context.Context, f *fleet.Fleet, seed uint64) []try {
+func keepSending(ctx context.Context, f *fleet.Fleet, o Options, seed uint64) []try {
 	client := load.NewClient(callerTimeout)
 	defer client.Close()
 	var mu sync.Mutex
 	var all []try
 	var callers sync.WaitGroup
-	for caller := range brownOutCallers {
+	for caller := range o.brownOutCallers() {
 		callers.Go(func() {
 			random := rand.New(rand.NewPCG(seed, uint64(caller)))
 			for n := 0; ctx.Err() == nil; n++ {
-				tries := persist(ctx, client, f.Callers(), request(fmt.Sprintf("b%d-c%d-%d", seed, caller, n)), random)
+				r := o.request(fmt.Sprintf("b%d-c%d-%d", seed, caller, n))
+				tries := persist(ctx, client, f.Callers(), r, random)
 				mu.Lock()
 				all = append(all, tries...)
 				mu.Unlock()
--- a/bench/refusals/refusals.go
+++ b/bench/refusals/refusals.go
@@ -22,8 +22,10 @@
 	// Callers is how many send at once in the wave.
 	Callers int
 	// Queued bounds what the workspace may have waiting at one router.
-	Queued  int
-	Repeats int
+	Queued int
+	// Slots of each target, and Tokens of each answer at 2 ms a token.
+	Slots, Tokens int
+	Repeats       int
 	// WithoutBudget is the directory of a copy of the module whose routers
 	// have no retry budget, to compare with; empty for none.
 	WithoutBudget string
@@ -40,10 +42,7 @@
 	pool      = "drafting"
 	workspace = "bakery"
 	key       = "bakery-key"
-	slots     = 4
 	step      = 2 * time.Millisecond
-	// answerTokens make runs of 50 ms.
-	answerTokens = 25
 	// giveUp is when a caller stops coming back.
 	giveUp = 60 * time.Second
 )
@@ -86,7 +85,7 @@
 		Pools: map[string]fleet.Pool{pool: {
 			Declared: config.Pool{Kind: config.KindEngine, Models: []string{model}},
 			Targets:  targets,
-			Slots:    slots,
+			Slots:    o.Slots,
 			Step:     step,
 		}},
 		Workspaces: map[string]config.Workspace{workspace: w},
--- a/bench/refusals/wave.go
+++ b/bench/refusals/wave.go
@@ -57,7 +57,7 @@
 	for caller := range o.Callers {
 		callers.Go(func() {
 			random := rand.New(rand.NewPCG(seed, uint64(caller)))
-			r := request(fmt.Sprintf("r%d-c%d", seed, caller))
+			r := o.request(fmt.Sprintf("r%d-c%d", seed, caller))
 			tries := persist(ctx, client, f.Callers(), r, random)
 			mu.Lock()
 			defer mu.Unlock()
@@ -68,9 +68,9 @@
 	return all
 }
 
-func request(mark string) load.Request {
+func (o Options) request(mark string) load.Request {
 	return load.Request{
-		Kind: load.Whole, Workspace: workspace, Key: key, Mark: mark, Model: model, MaxTokens: answerTokens,
+		Kind: load.Whole, Workspace: workspace, Key: key, Mark: mark, Model: model, MaxTokens: o.Tokens,
 	}
 }
 
