--- a/bench/capacity/processes.go
+++ b/bench/capacity/processes.go
@@ -72,12 +72,16 @@
 		return nil, nil, err
 	}
 	defer f.Close()
-	time.Sleep(fleetSettles)
+	if err := sleep(ctx, fleetSettles); err != nil {
+		return nil, nil, err
+	}
 	before, err := readUsage(f)
 	if err != nil {
 		return nil, nil, err
 	}
-	time.Sleep(o.Duration)
+	if err := sleep(ctx, o.Duration); err != nil {
+		return nil, nil, err
+	}
 	after, err := readUsage(f)
 	if err != nil {
 		return nil, nil, err
@@ -93,12 +97,16 @@
 	defer stop()
 	done := make(chan *load.Summary)
 	go func() { done <- sendTo(f.Callers(), len(f.Routers)).Do(sending) }()
-	time.Sleep(fleetSettles)
+	if err := sleep(ctx, fleetSettles); err != nil {
+		return nil, err
+	}
 	before, err := readUsage(f)
 	if err != nil {
 		return nil, err
 	}
-	time.Sleep(o.Duration)
+	if err := sleep(ctx, o.Duration); err != nil {
+		return nil, err
+	}
 	after, err := readUsage(f)
 	stop()
 	summary := <-done
--- a/bench/capacity/recover.go
+++ b/bench/capacity/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,7 +15,6 @@
 	"github.com/walnutcove/walnutcove/load"
 	"github.com/walnutcove/walnutcove/operator"
 	"github.com/walnutcove/walnutcove/processes"
-	"github.com/walnutcove/walnutcove/standin/journal"
 )
 
 // Recover measures how long real routers take to work again after a fault.
@@ -32,6 +32,7 @@
 const (
 	// recoverCallers keep every shard backlogged.
 	recoverCallers = 200
+	recoverTargets = 9
 	recoverSlots   = 8
 	// recoverTokens at recoverStep make runs of 200 ms in the mean.
 	recoverTokens = 40
@@ -96,15 +97,19 @@
 		Routers:     o.Routers,
 		Pools: map[string]fleet.Pool{benchPool: {
 			Declared: config.Pool{Kind: config.KindEngine, Models: []string{benchModel}},
-			Targets:  9, Slots: recoverSlots, Step: recoverStep,
+			Targets:  recoverTargets, Slots: recoverSlots, Step: recoverStep,
 		}},
 		Workspaces: declared,
 		Edit:       usualPeriods,
 	})
-	if err == nil {
-		time.Sleep(fleetSettles)
+	if err != nil {
+		return nil, err
+	}
+	if err := sleep(ctx, fleetSettles); err != nil {
+		f.Close()
+		return nil, err
 	}
-	return f, err
+	return f, nil
 }
 
 // scheduler breaks the router that schedules the shard of the first data
@@ -121,12 +126,16 @@
 	}
 	callers := slices.DeleteFunc(f.Callers(), func(address string) bool { return address == victim.Settings.Listen.Callers })
 	requests := sendWhile(ctx, callers, o.Workspaces)
-	time.Sleep(beforeFault)
+	if err := sleep(ctx, beforeFault); err != nil {
+		return nil, err
+	}
 	at := time.Now()
 	if err := fault(victim); err != nil {
 		return nil, err
 	}
-	time.Sleep(afterFault)
+	if err := sleep(ctx, afterFault); err != nil {
+		return nil, err
+	}
 	summary := requests.stop()
 	entries, err := f.Journals()
 	if err != nil {
@@ -148,7 +157,9 @@
 // schedules the shard of the first data centre.
 func findScheduler(ctx context.Context, f *fleet.Fleet, workspaces int) (*processes.Router, error) {
 	requests := sendWhile(ctx, f.Callers(), workspaces)
-	time.Sleep(time.Second)
+	if err := sleep(ctx, time.Second); err != nil {
+		return nil, err
+	}
 	var found *processes.Router
 	most := 0
 	for _, r := range f.Routers {
@@ -201,41 +212,6 @@
 	return <-r.done
 }
 
-func startsOf(entries []journal.Entry, of func(target string) bool) []time.Time {
-	var starts []time.Time
-	for _, e := range entries {
-		if e.Event == journal.Started && of(e.Target) {
-			starts = append(starts, e.Wall)
-		}
-	}
-	slices.SortFunc(starts, time.Time.Compare)
-	return starts
-}
-
-// longestPause is the longest time without a start, in milliseconds.
-func longestPause(starts []time.Time, from, to time.Time) float64 {
-	longest := time.Duration(0)
-	last := from
-	for _, at := range starts {
-		if at.Before(from) || at.After(to) {
-			continue
-		}
-		longest = max(longest, at.Sub(last))
-		last = at
-	}
-	return millis(max(longest, to.Sub(last)))
-}
-
-func startsPerSecond(starts []time.Time, from, to time.Time) float64 {
-	count := 0
-	for _, at := range starts {
-		if !at.Before(from) && at.Before(to) {
-			count++
-		}
-	}
-	return float64(count) / to.Sub(from).Seconds()
-}
-
 // restart kills every router at once and starts all again, empty.
 func (o Recover) restart(ctx context.Context) ([]Value, error) {
 	f, err := o.start(ctx)
@@ -249,26 +225,14 @@
 	}
 	ending.Wait()
 	started := time.Now()
-	ready := make([]float64, len(f.Routers))
-	errs := make([]error, len(f.Routers))
-	var starting sync.WaitGroup
-	for i, r := range f.Routers {
-		starting.Go(func() {
-			errs[i] = r.Restart()
-			if errs[i] == nil {
-				errs[i] = r.WaitReady()
-			}
-			ready[i] = millis(time.Since(started))
-		})
-	}
 	requests := sendWhile(ctx, f.Callers(), o.Workspaces)
-	starting.Wait()
-	for _, err := range errs {
-		if err != nil {
-			return nil, err
-		}
+	ready, err := startAgain(f.Routers, started)
+	if err != nil {
+		return nil, err
+	}
+	if err := sleep(ctx, afterFault); err != nil {
+		return nil, err
 	}
-	time.Sleep(afterFault)
 	summary := requests.stop()
 	entries, err := f.Journals()
 	if err != nil {
@@ -278,7 +242,7 @@
 	if len(starts) == 0 {
 		return nil, fmt.Errorf("nothing ran after the restart: %v", summary)
 	}
-	full := float64(9*recoverSlots) * float64(time.Second) / float64(recoverTokens*recoverStep)
+	full := float64(recoverTargets*recoverSlots) * float64(time.Second) / float64(recoverTokens*recoverStep)
 	return []Value{
 		{"ms until the first is ready", slices.Min(ready)},
 		{"ms until all are ready", slices.Max(ready)},
@@ -289,15 +253,23 @@
 	}, nil
 }
 
-// untilRate is when a second begins in which runs start at a rate, in
-// milliseconds; -1 if none does.
-func untilRate(starts []time.Time, from time.Time, rate float64) float64 {
-	for _, at := range starts {
-		if startsPerSecond(starts, at, at.Add(time.Second)) >= rate {
-			return millis(at.Sub(from))
-		}
+// startAgain starts ended routers at once and returns when each was ready, in
+// milliseconds.
+func startAgain(routers []*processes.Router, started time.Time) ([]float64, error) {
+	ready := make([]float64, len(routers))
+	errs := make([]error, len(routers))
+	var starting sync.WaitGroup
+	for i, r := range routers {
+		starting.Go(func() {
+			errs[i] = r.Restart()
+			if errs[i] == nil {
+				errs[i] = r.WaitReady()
+			}
+			ready[i] = millis(time.Since(started))
+		})
 	}
-	return -1
+	starting.Wait()
+	return ready, errors.Join(errs...)
 }
 
 // behind freezes a router while versions are accepted, and thaws it.
--- a/bench/capacity/relay.go
+++ b/bench/capacity/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"time"
 
 	"github.com/walnutcove/walnutcove/bench/fleet"
 	"github.com/walnutcove/walnutcove/config"
@@ -68,7 +67,9 @@
 		return nil, nil, err
 	}
 	defer f.Close()
-	time.Sleep(fleetSettles)
+	if err := sleep(ctx, fleetSettles); err != nil {
+		return nil, nil, err
+	}
 	var engines []string
 	for _, target := range f.Targets {
 		engines = append(engines, target.Address)
--- a/bench/capacity/usage.go
+++ b/bench/capacity/usage.go
@@ -1,11 +1,22 @@
 package capacity
 
 import (
+	"context"
 	"time"
 
 	"github.com/walnutcove/walnutcove/bench/fleet"
 )
 
+// sleep waits for a time, or until ctx ends, which is an error.
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // usage holds the metrics of every router of a fleet at one time.
 type usage struct {
 	at      time.Time
--- a/bench/capacity/versions.go
+++ b/bench/capacity/versions.go
@@ -47,49 +47,84 @@
 		return nil, err
 	}
 	defer f.Close()
-	time.Sleep(fleetSettles)
+	if err := sleep(ctx, fleetSettles); err != nil {
+		return nil, err
+	}
 	idleFrom, err := readUsage(f)
 	if err != nil {
 		return nil, err
 	}
-	time.Sleep(time.Duration(o.Patches) * o.Every)
+	if err := sleep(ctx, time.Duration(o.Patches)*o.Every); err != nil {
+		return nil, err
+	}
 	idle, err := readUsage(f)
 	if err != nil {
 		return nil, err
 	}
-	var rows []Row
-	add := func(repeat int, quantity string, amount float64) {
-		rows = append(rows, Row{"versions", "workspaces", float64(workspaces), repeat, Value{quantity, amount}})
+	rows, err := o.patch(ctx, f, workspaces)
+	if err != nil {
+		return nil, err
 	}
+	busy, err := readUsage(f)
+	if err != nil {
+		return nil, err
+	}
+	for _, v := range o.costs(idleFrom, idle, busy) {
+		rows = append(rows, versionRow(workspaces, 0, v))
+	}
+	return rows, nil
+}
+
+func versionRow(workspaces, repeat int, v Value) Row {
+	return Row{"versions", "workspaces", float64(workspaces), repeat, v}
+}
+
+// patch makes the patches and times each.
+func (o Versions) patch(ctx context.Context, f *fleet.Fleet, workspaces int) ([]Row, error) {
+	var rows []Row
 	version := config.Version(1)
 	for n := range o.Patches {
 		started := time.Now()
+		var err error
 		if version, err = submit(f, version); err != nil {
 			return nil, err
 		}
-		add(n+1, "ms until accepted", millis(time.Since(started)))
+		accepted := Value{"ms until accepted", millis(time.Since(started))}
 		if err := waitVersion(f.Routers, version); err != nil {
 			return nil, err
 		}
-		add(n+1, "ms until in force everywhere", millis(time.Since(started)))
-		time.Sleep(time.Until(started.Add(o.Every)))
+		inForce := Value{"ms until in force everywhere", millis(time.Since(started))}
+		rows = append(rows, versionRow(workspaces, n+1, accepted), versionRow(workspaces, n+1, inForce))
+		if err := sleep(ctx, time.Until(started.Add(o.Every))); err != nil {
+			return nil, err
+		}
 	}
-	busy, err := readUsage(f)
-	if err != nil {
-		return nil, err
+	return rows, nil
+}
+
+// The metrics that a version is charged with.
+var (
+	processorUse = quantity{metrics: []string{"process_cpu_seconds_total"}, rate: true, scale: 1000}
+	peerUse      = quantity{metrics: []string{"walnut_peer_wire_bytes_total"}, rate: true, scale: 1}
+	platformUse  = quantity{
+		metrics: []string{"walnut_platform_sent_bytes_total", "walnut_platform_received_bytes_total"}, rate: true, scale: 1,
 	}
-	spent := quantity{metrics: []string{"process_cpu_seconds_total"}, rate: true, scale: 1000}
-	peers := quantity{metrics: []string{"walnut_peer_wire_bytes_total"}, rate: true, scale: 1}
-	table := quantity{metrics: []string{"walnut_platform_sent_bytes_total", "walnut_platform_received_bytes_total"}, rate: true, scale: 1}
-	perVersion := func(q quantity) float64 {
+	residentUse = quantity{metrics: []string{"process_resident_memory_bytes"}, scale: 1e-6}
+	heapUse     = quantity{metrics: []string{"go_memstats_heap_inuse_bytes"}, scale: 1e-6}
+)
+
+// costs compares the time of the patches with as long a time without.
+func (o Versions) costs(idleFrom, idle, busy usage) []Value {
+	each := func(q quantity) float64 {
 		return (busy.mean(q, idle) - idle.mean(q, idleFrom)) * o.Every.Seconds()
 	}
-	add(0, "process ms/version", perVersion(spent))
-	add(0, "peer bytes/version", perVersion(peers))
-	add(0, "platform bytes/version", perVersion(table))
-	add(0, "resident MB", busy.mean(quantity{metrics: []string{"process_resident_memory_bytes"}, scale: 1e-6}, idle))
-	add(0, "heap MB in use", busy.mean(quantity{metrics: []string{"go_memstats_heap_inuse_bytes"}, scale: 1e-6}, idle))
-	return rows, nil
+	return []Value{
+		{"process ms/version", each(processorUse)},
+		{"peer bytes/version", each(peerUse)},
+		{"platform bytes/version", each(platformUse)},
+		{"resident MB", busy.mean(residentUse, idle)},
+		{"heap MB in use", busy.mean(heapUse, idle)},
+	}
 }
 
 // mean is a quantity over the routers.
