--- a/proctest/notrun_test.go
+++ b/proctest/notrun_test.go
@@ -117,6 +117,12 @@
 	f := startFleet(t, options{step: 20 * time.Millisecond})
 	for _, kind := range []load.Kind{load.Whole, load.Stream} {
 		t.Run(kind.String(), func(t *testing.T) {
+			tries := 0
+			f.eventually("the engines serve", func() bool {
+				tries++
+				mark := fmt.Sprintf("before-%s-%d", kind, tries)
+				return (<-f.send(0, request(load.Whole, "bakery", mark, 1))).Verdict == load.Answered
+			})
 			// The engines give no token, so that nothing of the answer is shown.
 			f.everyEngine(func(name string) { f.targetFaults(name, engine.Faults{Hang: true, Times: 1}) })
 			mark := "retried-" + kind.String()
