Make a call again that found its session ending and sent nothing

Cause: a call could take the session that was just being closed as idle; it failed with 'session ended' although nothing of it had been sent. A fetch of a version or a forwarded commit failed so after an idle minute. Such a call now goes to the next session; one of which anything was sent is still not repeated.

--- a/peer/call.go
+++ b/peer/call.go
@@ -24,7 +24,16 @@
 	ErrSessionEnded = errors.New("session ended")
 )
 
+// errNotSent says that a call found its session ending, as after an idle time,
+// and that nothing of it was sent. It is made again on the next session.
+var errNotSent = errors.New("nothing was sent")
+
 const (
+	// maxCallTries bounds the sessions that one call tries, and callRetryPause
+	// is the pause between two of them.
+	maxCallTries   = 5
+	callRetryPause = 5 * time.Millisecond
+
 	resultAnswered     = "answered"
 	resultUnreachable  = "unreachable"
 	resultTooLarge     = "too-large"
@@ -42,6 +51,19 @@
 	if len(payload) > l.mesh.options.MaxCallBytes {
 		return nil, ErrCallTooLarge
 	}
+	for try := 1; ; try++ {
+		answer, err := l.callOnce(ctx, method, payload)
+		if try == maxCallTries || !errors.Is(err, errNotSent) {
+			return answer, err
+		}
+		if !sleep(ctx, callRetryPause) {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// callOnce makes a call on the present session.
+func (l *link) callOnce(ctx context.Context, method string, payload []byte) ([]byte, error) {
 	s, err := l.await(ctx)
 	if err != nil {
 		return nil, err
@@ -52,6 +74,18 @@
 	return s.call(ctx, method, payload)
 }
 
+// sleep waits; false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // await returns a started session and dials if there is none.
 func (l *link) await(ctx context.Context) (*session, error) {
 	for {
@@ -78,7 +112,7 @@
 	case <-s.started:
 		return nil
 	case <-s.ctx.Done():
-		return ErrSessionEnded
+		return fmt.Errorf("%w: %w", ErrSessionEnded, errNotSent)
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -88,7 +122,7 @@
 func (s *session) call(ctx context.Context, method string, payload []byte) ([]byte, error) {
 	stream, err := s.mux.OpenStream()
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrSessionEnded, err)
+		return nil, fmt.Errorf("%w: %w: %w", ErrSessionEnded, errNotSent, err)
 	}
 	defer stream.Close()
 	stop := interrupt(ctx, stream)
--- a/peer/call_test.go
+++ b/peer/call_test.go
@@ -106,3 +106,20 @@
 	}
 	a.Send("b", heartbeat(1))
 }
+
+// TestCallThatFindsItsSessionEnding calls right after the session was closed as
+// idle, on either side: the call is made on a new session.
+func TestCallThatFindsItsSessionEnding(t *testing.T) {
+	const rounds = 1500
+	a, b := start(t, "a", 1), start(t, "b", 2)
+	introduce(a, b)
+	b.answer = func(context.Context, string, []byte) ([]byte, error) { return nil, nil }
+	ctx := context.Background()
+	for round := range rounds {
+		if _, err := a.Call(ctx, "b", "echo", nil); err != nil {
+			t.Fatalf("round %d: %v", round, err)
+		}
+		a.known("b").session.farewell(endIdle)
+		eventually(t, "the end of the session", func() bool { return b.sessionCount() == 0 })
+	}
+}
