--- a/bench/fair/fair.go
+++ b/bench/fair/fair.go
@@ -180,6 +180,6 @@
 	for _, run := range record.Runs {
 		row.LongestRun = max(row.LongestRun, run.End-run.Start)
 	}
-	row.Ideal = idealBound(d, s, row.LongestRun)
+	row.Ideal = workload.IdealGap(d, s, row.LongestRun)
 	return row
 }
