--- a/bench/capacity/recover.go
+++ b/bench/capacity/recover.go
@@ -53,7 +53,8 @@
 	}{
 		{"scheduler killed", func(ctx context.Context) ([]Value, error) { return o.scheduler(ctx, kill) }},
 		{"scheduler frozen", func(ctx context.Context) ([]Value, error) { return o.scheduler(ctx, freeze) }},
-		{"fleet restarted empty", o.restart},
+		{"fleet restarted empty", func(ctx context.Context) ([]Value, error) { return o.restart(ctx, true) }},
+		{"fleet restarted without callers", func(ctx context.Context) ([]Value, error) { return o.restart(ctx, false) }},
 		{"router behind", o.behind},
 		{"router restarted in an outage", o.restartInOutage},
 	} {
@@ -212,8 +213,9 @@
 	return <-r.done
 }
 
-// restart kills every router at once and starts all again, empty.
-func (o Recover) restart(ctx context.Context) ([]Value, error) {
+// restart kills every router at once and starts all again, empty. Callers ask
+// again without a pause, from the beginning or once all routers are ready.
+func (o Recover) restart(ctx context.Context, impatient bool) ([]Value, error) {
 	f, err := o.start(ctx)
 	if err != nil {
 		return nil, err
@@ -225,11 +227,17 @@
 	}
 	ending.Wait()
 	started := time.Now()
-	requests := sendWhile(ctx, f.Callers(), o.Workspaces)
+	var requests requests
+	if impatient {
+		requests = sendWhile(ctx, f.Callers(), o.Workspaces)
+	}
 	ready, err := startAgain(f.Routers, started)
 	if err != nil {
 		return nil, err
 	}
+	if !impatient {
+		requests = sendWhile(ctx, f.Callers(), o.Workspaces)
+	}
 	if err := sleep(ctx, afterFault); err != nil {
 		return nil, err
 	}
