--- a/bench/capacity/platformcost.go
+++ b/bench/capacity/platformcost.go
@@ -10,10 +10,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/walnutcove/walnutcove/config/store"
-	"github.com/walnutcove/walnutcove/platform"
+	configstore "github.com/walnutcove/walnutcove/config/store"
 	"github.com/walnutcove/walnutcove/standin/engine"
 	standin "github.com/walnutcove/walnutcove/standin/platform"
+	"github.com/walnutcove/walnutcove/store"
 	"github.com/walnutcove/walnutcove/target"
 )
 
@@ -22,14 +22,14 @@
 
 // measureVMList is one reading of the list of VMs.
 func measureVMList(nodes int, _ uint64) ([]Value, error) {
-	var vms []platform.VM
+	var vms []store.VM
 	for n := range nodes {
-		vms = append(vms, platform.VM{
+		vms = append(vms, store.VM{
 			Name: string(nodeName(n)), DataCentre: centreName(n % letterCentres),
-			PeerAddress: fmt.Sprintf("10.1.%d.%d:7000", n/200, n%200+1), State: platform.VMLive,
+			PeerAddress: fmt.Sprintf("10.1.%d.%d:7000", n/200, n%200+1), State: store.VMLive,
 		})
 	}
-	return withPlatform(vms, func(client *platform.Client) error {
+	return withPlatform(vms, func(client *store.Client) error {
 		_, err := client.ListVMs(context.Background())
 		return err
 	})
@@ -38,10 +38,10 @@
 // measureConfigPoll is one look at the configuration store that finds nothing
 // new, in a table of that many versions.
 func measureConfigPoll(versions int, _ uint64) ([]Value, error) {
-	var opened *store.Store
-	return withPlatform(nil, func(client *platform.Client) error {
+	var opened *configstore.Store
+	return withPlatform(nil, func(client *store.Client) error {
 		if opened == nil {
-			opened = store.New(client, client.Objects(), store.Options{})
+			opened = configstore.New(client, client.Objects(), configstore.Options{})
 			if err := fillVersions(opened, versions); err != nil {
 				return err
 			}
@@ -53,7 +53,7 @@
 
 // withPlatform makes a call many times to the platform's stand-in. The first
 // call prepares; it is told apart for lists of VMs.
-func withPlatform(vms []platform.VM, call func(*platform.Client) error) ([]Value, error) {
+func withPlatform(vms []store.VM, call func(*store.Client) error) ([]Value, error) {
 	server := standin.New(standin.Options{VMs: vms})
 	address, err := server.Start("127.0.0.1:0")
 	if err != nil {
@@ -65,7 +65,7 @@
 		return nil, err
 	}
 	defer counter.close()
-	client := platform.NewClient(platform.Options{
+	client := store.NewClient(store.Options{
 		Address: counter.address(), Metrics: metrics.NewSet(), WritesPerSecond: 1e6, WriteBurst: 1000,
 	})
 	defer client.Close()
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -15,9 +15,9 @@
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/operator"
-	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/processes"
 	"github.com/walnutcove/walnutcove/settings"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // Options say what the fleet consists of.
@@ -138,7 +138,7 @@
 }
 
 func (f *Fleet) startRouters() error {
-	var vms []platform.VM
+	var vms []store.VM
 	for n := range f.options.Routers {
 		s := settings.Defaults()
 		s.Node.Name = fmt.Sprintf("vm-%d", n+1)
@@ -156,18 +156,18 @@
 			return err
 		}
 		f.Routers = append(f.Routers, r)
-		vms = append(vms, platform.VM{
+		vms = append(vms, store.VM{
 			Name:        s.Node.Name,
 			DataCentre:  s.Node.DataCentre,
 			PeerAddress: r.Settings.Listen.Peers,
-			State:       platform.VMLive,
+			State:       store.VMLive,
 		})
 	}
 	return f.setVMs(vms)
 }
 
-func (f *Fleet) setVMs(vms []platform.VM) error {
-	return PostJSON("http://"+f.Platform.Address+"/_vms", platform.VMsReply{VMs: vms}, nil)
+func (f *Fleet) setVMs(vms []store.VM) error {
+	return PostJSON("http://"+f.Platform.Address+"/_vms", store.VMsReply{VMs: vms}, nil)
 }
 
 // declare submits the configuration and waits until every router is on it.
--- a/config/follower/fleet_test.go
+++ b/config/follower/fleet_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // fleet connects followers by name. Answers pass through their encoding.
@@ -63,7 +63,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return nil
 }
--- a/config/follower/follower_test.go
+++ b/config/follower/follower_test.go
@@ -9,23 +9,23 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/config/store"
-	"github.com/walnutcove/walnutcove/platform/memory"
+	configstore "github.com/walnutcove/walnutcove/config/store"
+	"github.com/walnutcove/walnutcove/store/memory"
 	"go.uber.org/goleak"
 )
 
 // patience bounds every wait for an event; no verdict depends on it.
 const patience = 30 * time.Second
 
-func newStore(t *testing.T) *store.Store {
+func newStore(t *testing.T) *configstore.Store {
 	t.Helper()
 	backing := memory.New(memory.Options{})
-	s := store.New(backing, backing.Objects(), store.Options{PageSize: 5})
+	s := configstore.New(backing, backing.Objects(), configstore.Options{PageSize: 5})
 	t.Cleanup(s.Wait)
 	return s
 }
 
-func submit(t *testing.T, s *store.Store, base config.Version) store.Accepted {
+func submit(t *testing.T, s *configstore.Store, base config.Version) configstore.Accepted {
 	t.Helper()
 	changes := fmt.Sprintf(`{"workspaces": {"bakery": {"share": %d}}}`, base+1)
 	patch := config.Patch{ID: config.NewPatchID(), Base: base, Changes: json.RawMessage(changes)}
--- a/config/store/faults_test.go
+++ b/config/store/faults_test.go
@@ -10,25 +10,25 @@
 	"testing"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/platform"
-	"github.com/walnutcove/walnutcove/platform/memory"
+	"github.com/walnutcove/walnutcove/store"
+	"github.com/walnutcove/walnutcove/store/memory"
 )
 
 // faultyTable lets a test replace single calls. A nil function passes through.
 type faultyTable struct {
-	platform.Table
-	commit func(ctx context.Context, ops []platform.Op) error
-	get    func(ctx context.Context, table, key string) (platform.Row, error)
+	store.Table
+	commit func(ctx context.Context, ops []store.Op) error
+	get    func(ctx context.Context, table, key string) (store.Row, error)
 }
 
-func (f *faultyTable) Commit(ctx context.Context, ops []platform.Op) error {
+func (f *faultyTable) Commit(ctx context.Context, ops []store.Op) error {
 	if f.commit != nil && ops[0].Table == TableVersions {
 		return f.commit(ctx, ops)
 	}
 	return f.Table.Commit(ctx, ops)
 }
 
-func (f *faultyTable) Get(ctx context.Context, table, key string) (platform.Row, error) {
+func (f *faultyTable) Get(ctx context.Context, table, key string) (store.Row, error) {
 	if f.get != nil {
 		return f.get(ctx, table, key)
 	}
@@ -109,7 +109,7 @@
 func TestPatchAcceptedElsewhereMeanwhileIsNoConflict(t *testing.T) {
 	s, faulty, healthy := newFaulty(t)
 	p := numbered(0)
-	faulty.get = func(ctx context.Context, table, key string) (platform.Row, error) {
+	faulty.get = func(ctx context.Context, table, key string) (store.Row, error) {
 		faulty.get = nil
 		row, err := faulty.Table.Get(ctx, table, key)
 		submit(t, healthy, p)
@@ -121,35 +121,35 @@
 }
 
 func TestLostReply(t *testing.T) {
-	type call func(ctx context.Context, ops []platform.Op) error
-	for name, fault := range map[string]func(pass call, calls int, ctx context.Context, ops []platform.Op) error{
-		"after the write": func(pass call, calls int, ctx context.Context, ops []platform.Op) error {
+	type call func(ctx context.Context, ops []store.Op) error
+	for name, fault := range map[string]func(pass call, calls int, ctx context.Context, ops []store.Op) error{
+		"after the write": func(pass call, calls int, ctx context.Context, ops []store.Op) error {
 			if err := pass(ctx, ops); err != nil {
 				return err
 			}
-			return platform.ErrUnknown
+			return store.ErrUnknown
 		},
-		"before the write": func(pass call, calls int, ctx context.Context, ops []platform.Op) error {
+		"before the write": func(pass call, calls int, ctx context.Context, ops []store.Op) error {
 			if calls == 1 {
-				return platform.ErrUnknown
+				return store.ErrUnknown
 			}
 			return pass(ctx, ops)
 		},
-		"write lands between read back and second send": func(pass call, calls int, ctx context.Context, ops []platform.Op) error {
+		"write lands between read back and second send": func(pass call, calls int, ctx context.Context, ops []store.Op) error {
 			if calls == 1 {
-				return platform.ErrUnknown
+				return store.ErrUnknown
 			}
 			if err := pass(ctx, ops); err != nil {
 				return err
 			}
 			return pass(ctx, ops) // The second send meets the first.
 		},
-		"then refused, then written": func(pass call, calls int, ctx context.Context, ops []platform.Op) error {
+		"then refused, then written": func(pass call, calls int, ctx context.Context, ops []store.Op) error {
 			switch calls {
 			case 1:
-				return platform.ErrUnknown
+				return store.ErrUnknown
 			case 2:
-				return platform.ErrUnavailable
+				return store.ErrUnavailable
 			default:
 				return pass(ctx, ops)
 			}
@@ -158,7 +158,7 @@
 		t.Run(name, func(t *testing.T) {
 			s, faulty, healthy := newFaulty(t)
 			calls := 0
-			faulty.commit = func(ctx context.Context, ops []platform.Op) error {
+			faulty.commit = func(ctx context.Context, ops []store.Op) error {
 				calls++
 				return fault(faulty.Table.Commit, calls, ctx, ops)
 			}
@@ -173,10 +173,10 @@
 func TestLostReplyOfALoser(t *testing.T) {
 	s, faulty, healthy := newFaulty(t)
 	winner := numbered(0)
-	faulty.commit = func(context.Context, []platform.Op) error {
+	faulty.commit = func(context.Context, []store.Op) error {
 		submit(t, healthy, winner)
 		submit(t, healthy, numbered(1))
-		return platform.ErrUnknown
+		return store.ErrUnknown
 	}
 	_, err := s.Submit(context.Background(), nil, numbered(0))
 	var conflict *config.VersionConflictError
@@ -187,15 +187,15 @@
 
 func TestOutageAfterALostReplyIsUnknownAndCanBeSentAgain(t *testing.T) {
 	s, faulty, healthy := newFaulty(t)
-	faulty.commit = func(ctx context.Context, ops []platform.Op) error {
+	faulty.commit = func(ctx context.Context, ops []store.Op) error {
 		if err := faulty.Table.Commit(ctx, ops); err != nil {
 			return err
 		}
-		faulty.commit = func(context.Context, []platform.Op) error { return platform.ErrUnavailable }
-		faulty.get = func(context.Context, string, string) (platform.Row, error) {
-			return platform.Row{}, platform.ErrUnavailable
+		faulty.commit = func(context.Context, []store.Op) error { return store.ErrUnavailable }
+		faulty.get = func(context.Context, string, string) (store.Row, error) {
+			return store.Row{}, store.ErrUnavailable
 		}
-		return platform.ErrUnknown
+		return store.ErrUnknown
 	}
 	p := numbered(0)
 	_, err := s.Submit(context.Background(), nil, p)
@@ -210,9 +210,9 @@
 }
 
 func TestRefusedWriteChangesNothing(t *testing.T) {
-	for _, refusal := range []error{platform.ErrUnavailable, platform.ErrInvalid} {
+	for _, refusal := range []error{store.ErrUnavailable, store.ErrInvalid} {
 		s, faulty, healthy := newFaulty(t)
-		faulty.commit = func(context.Context, []platform.Op) error { return refusal }
+		faulty.commit = func(context.Context, []store.Op) error { return refusal }
 		_, err := s.Submit(context.Background(), nil, numbered(0))
 		var unknown *CommitUnknownError
 		if !errors.Is(err, refusal) || errors.As(err, &unknown) || head(t, healthy) != 0 {
@@ -232,7 +232,7 @@
 
 // faultyObjects refuses names, or returns another content for them.
 type faultyObjects struct {
-	platform.Objects
+	store.Objects
 	content map[string][]byte
 	putErr  error
 }
@@ -267,7 +267,7 @@
 
 func TestSnapshotIsTriedAgainAfterAFailure(t *testing.T) {
 	backing := memory.New(memory.Options{})
-	objects := &faultyObjects{Objects: backing.Objects(), putErr: platform.ErrUnavailable}
+	objects := &faultyObjects{Objects: backing.Objects(), putErr: store.ErrUnavailable}
 	s := New(backing, objects, Options{SnapshotEvery: 10})
 	fill(t, s, 10)
 	objects.putErr = nil
@@ -308,10 +308,10 @@
 
 func TestLargeChangesThatCannotBeWrittenChangeNothing(t *testing.T) {
 	backing := memory.New(memory.Options{})
-	objects := &faultyObjects{Objects: backing.Objects(), putErr: platform.ErrUnknown}
+	objects := &faultyObjects{Objects: backing.Objects(), putErr: store.ErrUnknown}
 	s := New(backing, objects, Options{})
 	_, err := s.Submit(context.Background(), nil, patch(0, string(largeChanges())))
-	if !errors.Is(err, platform.ErrUnavailable) || head(t, s) != 0 {
+	if !errors.Is(err, store.ErrUnavailable) || head(t, s) != 0 {
 		t.Fatalf("error %v, head %d", err, head(t, s))
 	}
 }
@@ -353,8 +353,8 @@
 	update := func(old, next string) {
 		t.Helper()
 		row.Value = bytes.Replace(row.Value, []byte(old), []byte(next), 1)
-		op := platform.Op{Kind: platform.OpUpdate, Table: row.Table, Key: row.Key, Value: row.Value, Revision: row.Revision}
-		if err := backing.Commit(context.Background(), []platform.Op{op}); err != nil {
+		op := store.Op{Kind: store.OpUpdate, Table: row.Table, Key: row.Key, Value: row.Value, Revision: row.Revision}
+		if err := backing.Commit(context.Background(), []store.Op{op}); err != nil {
 			t.Fatal(err)
 		}
 		if row, err = backing.Get(context.Background(), row.Table, row.Key); err != nil {
--- a/config/store/row.go
+++ b/config/store/row.go
@@ -10,7 +10,7 @@
 	"strconv"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // entryRow is the value of a row of TableVersions.
@@ -30,7 +30,7 @@
 		sum := sha256.Sum256(entry.Patch.Changes)
 		row.ChangesObject = ChangesPrefix + hex.EncodeToString(sum[:])
 		if err := s.objects.Put(ctx, row.ChangesObject, entry.Patch.Changes); err != nil {
-			return nil, fmt.Errorf("config store: write changes: %w: %v", platform.ErrUnavailable, err)
+			return nil, fmt.Errorf("config store: write changes: %w: %v", store.ErrUnavailable, err)
 		}
 		row.Patch.Changes = nil
 	}
@@ -42,7 +42,7 @@
 }
 
 // parseRow reads a row of TableVersions without changes that lie elsewhere.
-func parseRow(row platform.Row) (entryRow, error) {
+func parseRow(row store.Row) (entryRow, error) {
 	var decoded entryRow
 	if err := json.Unmarshal(row.Value, &decoded); err != nil {
 		return entryRow{}, &CorruptError{Key: row.Key, Reason: err.Error()}
@@ -54,7 +54,7 @@
 }
 
 // decodeRow reads a row of TableVersions with its changes.
-func (s *Store) decodeRow(ctx context.Context, row platform.Row) (config.Entry, error) {
+func (s *Store) decodeRow(ctx context.Context, row store.Row) (config.Entry, error) {
 	decoded, err := parseRow(row)
 	if err != nil {
 		return config.Entry{}, err
@@ -64,7 +64,7 @@
 		return entry, nil
 	}
 	changes, err := s.objects.Get(ctx, decoded.ChangesObject)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return config.Entry{}, &CorruptError{Key: row.Key, Reason: "its changes are not in the object store"}
 	}
 	if err != nil {
@@ -75,14 +75,14 @@
 }
 
 // insertOps is the transaction that accepts an entry.
-func (s *Store) insertOps(ctx context.Context, entry config.Entry) ([]platform.Op, error) {
+func (s *Store) insertOps(ctx context.Context, entry config.Entry) ([]store.Op, error) {
 	value, err := s.encodeRow(ctx, entry)
 	if err != nil {
 		return nil, err
 	}
 	number := strconv.AppendUint(nil, uint64(entry.Version), 10)
-	return []platform.Op{
-		{Kind: platform.OpInsert, Table: TableVersions, Key: versionKey(entry.Version), Value: value},
-		{Kind: platform.OpInsert, Table: TablePatches, Key: entry.Patch.ID, Value: number},
+	return []store.Op{
+		{Kind: store.OpInsert, Table: TableVersions, Key: versionKey(entry.Version), Value: value},
+		{Kind: store.OpInsert, Table: TablePatches, Key: entry.Patch.ID, Value: number},
 	}, nil
 }
--- a/config/store/snapshot.go
+++ b/config/store/snapshot.go
@@ -8,7 +8,7 @@
 	"strconv"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // snapshotKey sorts newer snapshots first, so that a scan from a version's key
@@ -68,7 +68,7 @@
 		if err == nil {
 			return snapshot, nil
 		}
-		if errors.Is(err, platform.ErrUnavailable) || ctx.Err() != nil {
+		if errors.Is(err, store.ErrUnavailable) || ctx.Err() != nil {
 			return nil, err
 		}
 		readFailures.Inc()
@@ -151,13 +151,13 @@
 	if err := s.objects.Put(ctx, snapshotName(snapshot.Version), data); err != nil {
 		return fmt.Errorf("write object: %w", err)
 	}
-	err = s.table.Commit(ctx, []platform.Op{{
-		Kind:  platform.OpInsert,
+	err = s.table.Commit(ctx, []store.Op{{
+		Kind:  store.OpInsert,
 		Table: TableSnapshots,
 		Key:   snapshotKey(snapshot.Version),
 		Value: strconv.AppendUint(nil, uint64(snapshot.Version), 10),
 	}})
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, store.ErrConflict) {
 		return fmt.Errorf("write row: %w", err)
 	}
 	return nil
--- a/config/store/store.go
+++ b/config/store/store.go
@@ -19,7 +19,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // Tables and names used on the platform.
@@ -65,8 +65,8 @@
 // besides the snapshot being written, so any number of routers may use the
 // same tables. Its methods may be called concurrently.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   store.Table
+	objects store.Objects
 	options Options
 
 	writing   sync.Mutex // held while a whole snapshot is written
@@ -74,7 +74,7 @@
 }
 
 // New returns a Store over the platform's services.
-func New(table platform.Table, objects platform.Objects, options Options) *Store {
+func New(table store.Table, objects store.Objects, options Options) *Store {
 	if options.SnapshotEvery <= 0 {
 		options.SnapshotEvery = DefaultSnapshotEvery
 	}
@@ -132,13 +132,13 @@
 	return s.decodeRow(ctx, row)
 }
 
-func (s *Store) readRow(ctx context.Context, version config.Version) (platform.Row, error) {
+func (s *Store) readRow(ctx context.Context, version config.Version) (store.Row, error) {
 	row, err := s.table.Get(ctx, TableVersions, versionKey(version))
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Row{}, &UnknownVersionError{Version: version}
+	if errors.Is(err, store.ErrNotFound) {
+		return store.Row{}, &UnknownVersionError{Version: version}
 	}
 	if err != nil {
-		return platform.Row{}, fmt.Errorf("config store: read version %d: %w", version, err)
+		return store.Row{}, fmt.Errorf("config store: read version %d: %w", version, err)
 	}
 	return row, nil
 }
@@ -183,7 +183,7 @@
 // patchVersion returns the version that a patch id was accepted under.
 func (s *Store) patchVersion(ctx context.Context, id string) (config.Version, bool, error) {
 	row, err := s.table.Get(ctx, TablePatches, id)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return 0, false, nil
 	}
 	if err != nil {
--- a/config/store/store_test.go
+++ b/config/store/store_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/platform/memory"
+	"github.com/walnutcove/walnutcove/store/memory"
 )
 
 func newStore(t *testing.T) (*Store, *memory.Store) {
--- a/config/store/submit.go
+++ b/config/store/submit.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 const (
@@ -146,7 +146,7 @@
 
 // notWritten says that a failed commit surely wrote nothing.
 func notWritten(err error) bool {
-	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrInvalid)
+	return errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrInvalid)
 }
 
 // pause waits before an insert is sent again, twice as long each time.
--- a/ctl/cli/fleet_test.go
+++ b/ctl/cli/fleet_test.go
@@ -11,17 +11,17 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/config/store"
+	configstore "github.com/walnutcove/walnutcove/config/store"
 	"github.com/walnutcove/walnutcove/operator"
-	"github.com/walnutcove/walnutcove/platform"
-	"github.com/walnutcove/walnutcove/platform/memory"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/store"
+	"github.com/walnutcove/walnutcove/store/memory"
 )
 
 // fleet is a Backend over a real configuration store: three routers, of which
 // the first answers.
 type fleet struct {
-	store *store.Store
+	store *configstore.Store
 
 	mu sync.Mutex
 	// lostReplies counts the accepted patches whose answer is still to be lost.
@@ -38,7 +38,7 @@
 	backing := memory.New(memory.Options{})
 	now := func() time.Time { return time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC) }
 	f := &fleet{
-		store:  store.New(backing, backing.Objects(), store.Options{Now: now}),
+		store:  configstore.New(backing, backing.Objects(), configstore.Options{Now: now}),
 		behind: make(map[string]config.Version),
 	}
 	t.Cleanup(f.store.Wait)
@@ -71,7 +71,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.storeDown {
-		return fmt.Errorf("read: %w", platform.ErrUnavailable)
+		return fmt.Errorf("read: %w", store.ErrUnavailable)
 	}
 	return nil
 }
--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -13,13 +13,13 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/config/store"
-	"github.com/walnutcove/walnutcove/platform"
+	configstore "github.com/walnutcove/walnutcove/config/store"
 	"github.com/walnutcove/walnutcove/router"
 	"github.com/walnutcove/walnutcove/settings"
 	"github.com/walnutcove/walnutcove/standin/engine"
 	standinplatform "github.com/walnutcove/walnutcove/standin/platform"
 	"github.com/walnutcove/walnutcove/standin/service"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // Options say what the fleet consists of. Zero values take the stated defaults.
@@ -69,7 +69,7 @@
 	options         Options
 	targets         map[string]config.Target
 	platformAddress string
-	vms             []platform.VM
+	vms             []store.VM
 }
 
 // Start starts a fleet and returns once every router takes requests.
@@ -174,7 +174,7 @@
 	}
 	patch := config.Patch{ID: config.NewPatchID(), Author: "walnutdev", Changes: changes}
 	memory := f.Platform.Store()
-	versions := store.New(memory, memory.Objects(), store.Options{Log: f.options.Log})
+	versions := configstore.New(memory, memory.Objects(), configstore.Options{Log: f.options.Log})
 	_, err = versions.Submit(ctx, config.Empty(), patch)
 	return err
 }
@@ -205,11 +205,11 @@
 	}
 	f.Routers = append(f.Routers, r)
 	go f.drainWhenAsked(r)
-	f.vms = append(f.vms, platform.VM{
+	f.vms = append(f.vms, store.VM{
 		Name:        s.Node.Name,
 		DataCentre:  s.Node.DataCentre,
 		PeerAddress: r.PeersAddress(),
-		State:       platform.VMLive,
+		State:       store.VMLive,
 	})
 	return nil
 }
--- a/devfleet/writers_test.go
+++ b/devfleet/writers_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/walnutcove/walnutcove/devfleet"
 	"github.com/walnutcove/walnutcove/load"
-	"github.com/walnutcove/walnutcove/platform/forward"
+	"github.com/walnutcove/walnutcove/store/forward"
 )
 
 // TestWritersCommitForOthers runs service calls through a fleet that is large
--- a/filters/runrecord/runrecord_test.go
+++ b/filters/runrecord/runrecord_test.go
@@ -12,9 +12,9 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/walnutcove/walnutcove/pipeline"
-	"github.com/walnutcove/walnutcove/platform/memory"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/runrecord"
+	"github.com/walnutcove/walnutcove/store/memory"
 )
 
 // bench is the filter before a target that is played by answer.
--- a/operator/errors.go
+++ b/operator/errors.go
@@ -4,9 +4,9 @@
 	"errors"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/config/store"
-	"github.com/walnutcove/walnutcove/platform"
+	configstore "github.com/walnutcove/walnutcove/config/store"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // errorBody turns any error into the answer's document. Errors that carry no
@@ -16,8 +16,8 @@
 	var conflict *config.VersionConflictError
 	var broken *config.PatchError
 	var invalid *config.ValidationError
-	var absent *store.UnknownVersionError
-	var unknown *store.CommitUnknownError
+	var absent *configstore.UnknownVersionError
+	var unknown *configstore.CommitUnknownError
 	switch {
 	case errors.As(err, &numbered):
 		return bodyOf(numbered)
@@ -36,7 +36,7 @@
 		return bodyOf(result.New(result.UnknownVersion, "version %d does not exist", absent.Version))
 	case errors.As(err, &unknown):
 		return bodyOf(result.New(result.CommitUnknown, "the outcome of patch %s is unknown", unknown.PatchID))
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		return bodyOf(result.New(result.PlatformUnavailable, "%s", result.PlatformUnavailable.Info().Meaning))
 	default:
 		return bodyOf(result.New(fallback, "%s", fallback.Info().Meaning))
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -14,9 +14,9 @@
 	"testing"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/config/store"
-	"github.com/walnutcove/walnutcove/platform"
+	configstore "github.com/walnutcove/walnutcove/config/store"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 const (
@@ -45,7 +45,7 @@
 	}
 	declarations, ok := b.versions[v]
 	if !ok {
-		return nil, &store.UnknownVersionError{Version: v}
+		return nil, &configstore.UnknownVersionError{Version: v}
 	}
 	return &config.Snapshot{Version: v, Declarations: declarations}, nil
 }
@@ -211,8 +211,8 @@
 		{"conflict", good, &config.VersionConflictError{Base: 3, Newest: 9}, 409, result.VersionConflict, 9},
 		{"invalid", good, &config.ValidationError{Problems: []config.Problem{{Object: "workspaces.a"}}}, 422, result.InvalidDeclaration, 0},
 		{"store down", good, result.New(result.PlatformUnavailable, "down"), 503, result.PlatformUnavailable, 0},
-		{"store refused", good, fmt.Errorf("read: %w", platform.ErrUnavailable), 503, result.PlatformUnavailable, 0},
-		{"store unknown", good, &store.CommitUnknownError{Cause: platform.ErrUnavailable}, 504, result.CommitUnknown, 0},
+		{"store refused", good, fmt.Errorf("read: %w", store.ErrUnavailable), 503, result.PlatformUnavailable, 0},
+		{"store unknown", good, &configstore.CommitUnknownError{Cause: store.ErrUnavailable}, 504, result.CommitUnknown, 0},
 		{"unnumbered", good, errors.New("socket"), 504, result.CommitUnknown, 0},
 		{"no id", `{"base":3,"changes":{}}`, nil, 400, result.InvalidPatch, 0},
 		{"no changes", `{"id":"` + testID + `","base":3}`, nil, 400, result.InvalidPatch, 0},
--- a/orders/fleet_test.go
+++ b/orders/fleet_test.go
@@ -13,12 +13,12 @@
 	"go.uber.org/goleak"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/config/store"
+	configstore "github.com/walnutcove/walnutcove/config/store"
 	"github.com/walnutcove/walnutcove/orders"
-	"github.com/walnutcove/walnutcove/platform"
-	"github.com/walnutcove/walnutcove/platform/memory"
 	"github.com/walnutcove/walnutcove/standin/engine"
 	"github.com/walnutcove/walnutcove/standin/journal"
+	"github.com/walnutcove/walnutcove/store"
+	"github.com/walnutcove/walnutcove/store/memory"
 	"github.com/walnutcove/walnutcove/target"
 )
 
@@ -37,7 +37,7 @@
 // fleet is a table of versions, a weight store and stand-in engines.
 type fleet struct {
 	t        *testing.T
-	versions *store.Store
+	versions *configstore.Store
 	weights  *memory.Weights
 	client   *target.HTTPClient
 	engines  []*engine.Engine
@@ -51,7 +51,7 @@
 	backing := memory.New(memory.Options{})
 	f := &fleet{
 		t:        t,
-		versions: store.New(backing, backing.Objects(), store.Options{}),
+		versions: configstore.New(backing, backing.Objects(), configstore.Options{}),
 		weights:  memory.NewWeights(memory.WeightsOptions{MaxFetches: 2}),
 		client:   target.NewHTTPClient(target.Options{}),
 		newest:   config.Empty(),
@@ -239,18 +239,18 @@
 	out := v.out
 	v.mu.Unlock()
 	if out {
-		return config.Entry{}, platform.ErrUnavailable
+		return config.Entry{}, store.ErrUnavailable
 	}
 	return v.Versions.Entry(ctx, version)
 }
 
 // hookedWeights runs a hook before a permit is asked for.
 type hookedWeights struct {
-	platform.Weights
+	store.Weights
 	hook *hook
 }
 
-func (w hookedWeights) RequestFetch(ctx context.Context, fetch platform.WeightFetch) (platform.WeightPermit, error) {
+func (w hookedWeights) RequestFetch(ctx context.Context, fetch store.WeightFetch) (store.WeightPermit, error) {
 	w.hook.run()
 	return w.Weights.RequestFetch(ctx, fetch)
 }
--- a/orders/options.go
+++ b/orders/options.go
@@ -7,7 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 	"github.com/walnutcove/walnutcove/target"
 )
 
@@ -40,7 +40,7 @@
 	// Versions reads the configuration's table. Required.
 	Versions Versions
 	// Weights gives permits to load. Required.
-	Weights platform.Weights
+	Weights store.Weights
 	// Every is the pause between two looks at a target in its declared state,
 	// or at one that loads. Default 2 s.
 	Every time.Duration
--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/orders"
-	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/standin/engine"
 	"github.com/walnutcove/walnutcove/standin/journal"
+	"github.com/walnutcove/walnutcove/store"
 	"github.com/walnutcove/walnutcove/target"
 )
 
@@ -190,9 +190,9 @@
 func quickPermits(o *orders.Options) { o.Weights = impatientWeights{o.Weights} }
 
 // impatientWeights names a short pause with each denial.
-type impatientWeights struct{ platform.Weights }
+type impatientWeights struct{ store.Weights }
 
-func (w impatientWeights) RequestFetch(ctx context.Context, fetch platform.WeightFetch) (platform.WeightPermit, error) {
+func (w impatientWeights) RequestFetch(ctx context.Context, fetch store.WeightFetch) (store.WeightPermit, error) {
 	permit, err := w.Weights.RequestFetch(ctx, fetch)
 	permit.RetryAfter /= 100
 	return permit, err
--- a/orders/permits.go
+++ b/orders/permits.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 const (
@@ -22,7 +22,7 @@
 // the whole router waits, longer with each, so that a change of the whole fleet
 // overruns neither the weight store nor its front.
 type permits struct {
-	weights platform.Weights
+	weights store.Weights
 	now     func() time.Time
 	random  func() float64
 	// asking is taken by the goroutine that asks for a new permit, so that one
@@ -35,7 +35,7 @@
 	closedUntil time.Time
 }
 
-func newPermits(weights platform.Weights, now func() time.Time) *permits {
+func newPermits(weights store.Weights, now func() time.Time) *permits {
 	return &permits{weights: weights, now: now, random: rand.Float64, asking: make(chan struct{}, 1)}
 }
 
@@ -89,8 +89,8 @@
 
 // renew asks for a permit whatever was denied before. For a model that the
 // target loads already, this keeps its permit or takes it over.
-func (p *permits) renew(ctx context.Context, targetName, model string) (platform.WeightPermit, error) {
-	return p.weights.RequestFetch(ctx, platform.WeightFetch{
+func (p *permits) renew(ctx context.Context, targetName, model string) (store.WeightPermit, error) {
+	return p.weights.RequestFetch(ctx, store.WeightFetch{
 		ID:       permitID(targetName, model),
 		Artifact: model,
 		Target:   targetName,
--- a/orders/permits_test.go
+++ b/orders/permits_test.go
@@ -7,21 +7,21 @@
 	"testing"
 	"time"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // denying is a weight store that counts what it is asked and denies it.
 type denying struct {
-	platform.Weights
+	store.Weights
 	mu    sync.Mutex
 	asked int
 }
 
-func (d *denying) RequestFetch(context.Context, platform.WeightFetch) (platform.WeightPermit, error) {
+func (d *denying) RequestFetch(context.Context, store.WeightFetch) (store.WeightPermit, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.asked++
-	return platform.WeightPermit{RetryAfter: time.Second}, nil
+	return store.WeightPermit{RetryAfter: time.Second}, nil
 }
 
 // However many targets wait, a router asks once for each pause, and the pauses
--- a/proctest/fleet_test.go
+++ b/proctest/fleet_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/operator"
-	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/processes"
 	"github.com/walnutcove/walnutcove/settings"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // What the fleet declares.
@@ -226,11 +226,11 @@
 	dir := f.t.TempDir()
 	listen, err := freeListens(f.routerIP)
 	f.must(err)
-	var vms []platform.VM
+	var vms []store.VM
 	for n := range routerCount {
-		vms = append(vms, platform.VM{Name: routerName(n), DataCentre: f.options.dataCentres[n], PeerAddress: listen[n].Peers, State: platform.VMLive})
+		vms = append(vms, store.VM{Name: routerName(n), DataCentre: f.options.dataCentres[n], PeerAddress: listen[n].Peers, State: store.VMLive})
 	}
-	f.post("http://"+f.platform.Address+"/_vms", platform.VMsReply{VMs: vms}, nil)
+	f.post("http://"+f.platform.Address+"/_vms", store.VMsReply{VMs: vms}, nil)
 	for a := range routerCount {
 		addresses := make(map[string]string)
 		for b := range routerCount {
--- a/proctest/once_test.go
+++ b/proctest/once_test.go
@@ -6,11 +6,11 @@
 	"testing"
 
 	"github.com/walnutcove/walnutcove/load"
-	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/runrecord"
 	"github.com/walnutcove/walnutcove/standin/engine"
 	standin "github.com/walnutcove/walnutcove/standin/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // TestOnceWhenRepliesAreLost loses the store's replies after its writes took
@@ -194,8 +194,8 @@
 		"key":   {runrecord.RowKey(r.Workspace, r.IdempotencyKey)},
 	}
 	f.eventually("the store has the run record of "+r.Mark, func() bool {
-		var row platform.Row
-		return get("http://"+f.platform.Address+platform.PathRow+"?"+query.Encode(), &row) == nil
+		var row store.Row
+		return get("http://"+f.platform.Address+store.PathRow+"?"+query.Encode(), &row) == nil
 	})
 	f.note("the store has the run record of %s", r.Mark)
 }
--- a/router/backend.go
+++ b/router/backend.go
@@ -7,11 +7,11 @@
 	"slices"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/config/store"
+	configstore "github.com/walnutcove/walnutcove/config/store"
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/operator"
-	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // backend answers operators. It implements operator.Backend.
@@ -59,7 +59,7 @@
 
 // accepted hands an accepted version to the follower, so that it spreads from
 // here at once.
-func (b backend) accepted(ctx context.Context, accepted store.Accepted, err error) (config.Version, error) {
+func (b backend) accepted(ctx context.Context, accepted configstore.Accepted, err error) (config.Version, error) {
 	if err != nil {
 		return 0, err
 	}
@@ -92,7 +92,7 @@
 func (b backend) Members(context.Context) ([]operator.Member, error) {
 	listed := b.router.vms.Load()
 	if listed == nil {
-		return nil, fmt.Errorf("the list of VMs was not read yet: %w", platform.ErrUnavailable)
+		return nil, fmt.Errorf("the list of VMs was not read yet: %w", store.ErrUnavailable)
 	}
 	self := operator.Member{Node: b.router.settings.Node.Name, DataCentre: b.router.settings.Node.DataCentre}
 	var members []operator.Member
@@ -102,7 +102,7 @@
 		members = append(members, operator.Member{
 			Node:       vm.Name,
 			DataCentre: vm.DataCentre,
-			Leaving:    vm.State == platform.VMLeaving,
+			Leaving:    vm.State == store.VMLeaving,
 		})
 	}
 	if !known {
@@ -138,7 +138,7 @@
 	if vms == nil {
 		return false
 	}
-	return slices.ContainsFunc(*vms, func(vm platform.VM) bool { return vm.Name == node })
+	return slices.ContainsFunc(*vms, func(vm store.VM) bool { return vm.Name == node })
 }
 
 // remoteStatus asks another router for its status.
--- a/router/commits.go
+++ b/router/commits.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/control"
-	"github.com/walnutcove/walnutcove/platform"
-	"github.com/walnutcove/walnutcove/platform/batch"
-	"github.com/walnutcove/walnutcove/platform/forward"
+	"github.com/walnutcove/walnutcove/store"
+	"github.com/walnutcove/walnutcove/store/batch"
+	"github.com/walnutcove/walnutcove/store/forward"
 )
 
 const (
@@ -58,7 +58,7 @@
 }
 
 // listedChanged takes in how many VMs the platform lists.
-func (r *Router) listedChanged(vms []platform.VM) {
+func (r *Router) listedChanged(vms []store.VM) {
 	r.sharing.Lock()
 	defer r.sharing.Unlock()
 	r.listed = len(vms)
--- a/router/router.go
+++ b/router/router.go
@@ -17,18 +17,18 @@
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/config/follower"
-	"github.com/walnutcove/walnutcove/config/store"
+	configstore "github.com/walnutcove/walnutcove/config/store"
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/filters/quarantine"
 	"github.com/walnutcove/walnutcove/front"
 	"github.com/walnutcove/walnutcove/operator"
 	"github.com/walnutcove/walnutcove/orders"
 	"github.com/walnutcove/walnutcove/peer"
-	"github.com/walnutcove/walnutcove/platform"
-	"github.com/walnutcove/walnutcove/platform/batch"
-	"github.com/walnutcove/walnutcove/platform/forward"
 	"github.com/walnutcove/walnutcove/runrecord"
 	"github.com/walnutcove/walnutcove/settings"
+	"github.com/walnutcove/walnutcove/store"
+	"github.com/walnutcove/walnutcove/store/batch"
+	"github.com/walnutcove/walnutcove/store/forward"
 	"github.com/walnutcove/walnutcove/target"
 	"github.com/walnutcove/walnutcove/target/loadpoll"
 )
@@ -39,10 +39,10 @@
 	incarnation control.Incarnation
 	log         *slog.Logger
 
-	platform *platform.Client
+	platform *store.Client
 	batched  *batch.Table // makes this router's commits of run records
 	commits  atomic.Pointer[forward.Table]
-	store    *store.Store
+	store    *configstore.Store
 	follower *follower.Follower
 	targets  *target.HTTPClient
 	poller   *loadpoll.Poller
@@ -58,7 +58,7 @@
 	inForce  atomic.Pointer[config.Snapshot]
 	draining atomic.Bool
 	watched  watched
-	vms      atomic.Pointer[[]platform.VM]
+	vms      atomic.Pointer[[]store.VM]
 
 	// sharing guards what this router's part of the write budget follows from.
 	sharing sync.Mutex
--- a/router/shell.go
+++ b/router/shell.go
@@ -10,7 +10,7 @@
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 	"github.com/walnutcove/walnutcove/target"
 )
 
@@ -127,7 +127,7 @@
 }
 
 // vmsListed spreads the list to the sessions and the control goroutine.
-func (r *Router) vmsListed(vms []platform.VM) {
+func (r *Router) vmsListed(vms []store.VM) {
 	r.vms.Store(&vms)
 	r.listedChanged(vms)
 	addresses := make(map[control.NodeID]string, len(vms))
@@ -140,7 +140,7 @@
 		members = append(members, control.Member{
 			Node:       node,
 			DataCentre: vm.DataCentre,
-			Leaving:    vm.State == platform.VMLeaving,
+			Leaving:    vm.State == store.VMLeaving,
 		})
 	}
 	r.mesh.SetPeers(addresses)
--- a/router/start.go
+++ b/router/start.go
@@ -11,16 +11,16 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/walnutcove/walnutcove/config/follower"
-	"github.com/walnutcove/walnutcove/config/store"
+	configstore "github.com/walnutcove/walnutcove/config/store"
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/filters/authenticate"
 	"github.com/walnutcove/walnutcove/front"
 	"github.com/walnutcove/walnutcove/operator"
 	"github.com/walnutcove/walnutcove/peer"
 	"github.com/walnutcove/walnutcove/peer/tlsfiles"
-	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/runrecord"
 	"github.com/walnutcove/walnutcove/settings"
+	"github.com/walnutcove/walnutcove/store"
 	"github.com/walnutcove/walnutcove/target"
 	"github.com/walnutcove/walnutcove/target/loadpoll"
 )
@@ -88,13 +88,13 @@
 // buildCore makes the parts that do nothing by themselves.
 func (r *Router) buildCore() {
 	s := r.settings
-	r.platform = platform.NewClient(platform.Options{
+	r.platform = store.NewClient(store.Options{
 		Address:         s.Platform.Address,
 		Timeout:         time.Duration(s.Platform.Timeout),
 		WritesPerSecond: firstWritesPerSecond + patchWritesPerSecond,
 		WriteBurst:      writeBurst,
 	})
-	r.store = store.New(r.platform, r.platform.Objects(), store.Options{Log: r.log})
+	r.store = configstore.New(r.platform, r.platform.Objects(), configstore.Options{Log: r.log})
 	r.follower = follower.New(follower.Options{
 		Source:    r.store,
 		Peers:     peerFetcher{r},
--- a/router/status.go
+++ b/router/status.go
@@ -9,8 +9,8 @@
 
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/operator"
-	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // Status implements operator.Backend.
@@ -48,7 +48,7 @@
 		for _, vm := range *vms {
 			if vm.Name == row.Node {
 				row.Listed = true
-				row.Leaving = vm.State == platform.VMLeaving
+				row.Leaving = vm.State == store.VMLeaving
 			}
 		}
 	}
--- a/runrecord/acquire.go
+++ b/runrecord/acquire.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 
-	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // maxClaimTries bounds the writes of one claim.
@@ -107,14 +107,14 @@
 
 // writeClaim writes the claim. It returns another's record if one stands.
 func (k *Keeper) writeClaim(ctx context.Context, e *entry) (*Record, error) {
-	var replaced platform.Row // the row that the claim replaces; zero: none
+	var replaced store.Row // the row that the claim replaces; zero: none
 	var err error
 	for range maxClaimTries {
 		err = k.commitClaim(ctx, e, replaced.Revision)
 		if err == nil {
 			return nil, nil
 		}
-		if noEffect(err) && !errors.Is(err, platform.ErrConflict) {
+		if noEffect(err) && !errors.Is(err, store.ErrConflict) {
 			return nil, err
 		}
 		row, record, readErr := k.readBack(ctx, e.key)
@@ -144,12 +144,12 @@
 		return err
 	}
 	k.setEpoch(e, epoch.number)
-	op := platform.Op{Kind: platform.OpInsert, Table: Table, Key: e.key, Value: e.record.encode()}
+	op := store.Op{Kind: store.OpInsert, Table: Table, Key: e.key, Value: e.record.encode()}
 	if replaces != 0 {
-		op.Kind = platform.OpUpdate
+		op.Kind = store.OpUpdate
 		op.Revision = replaces
 	}
-	revision, err := commit(ctx, k.options.Table, []platform.Op{op, epoch.check()})
+	revision, err := commit(ctx, k.options.Table, []store.Op{op, epoch.check()})
 	if err == nil {
 		e.won(revision)
 		return nil
@@ -157,7 +157,7 @@
 	if !noEffect(err) {
 		e.unresolved = true
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		k.epoch.forget()
 	}
 	return err
@@ -173,23 +173,23 @@
 // noEffect says whether a failed commit surely wrote nothing. Errors that the
 // platform does not define count as unknown.
 func noEffect(err error) bool {
-	return errors.Is(err, platform.ErrConflict) ||
-		errors.Is(err, platform.ErrUnavailable) ||
-		errors.Is(err, platform.ErrInvalid)
+	return errors.Is(err, store.ErrConflict) ||
+		errors.Is(err, store.ErrUnavailable) ||
+		errors.Is(err, store.ErrInvalid)
 }
 
 // readBack reads the row of the key. A nil record means that there is none.
-func (k *Keeper) readBack(ctx context.Context, key string) (platform.Row, *Record, error) {
+func (k *Keeper) readBack(ctx context.Context, key string) (store.Row, *Record, error) {
 	row, err := k.options.Table.Get(ctx, Table, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Row{}, nil, nil
+	if errors.Is(err, store.ErrNotFound) {
+		return store.Row{}, nil, nil
 	}
 	if err != nil {
-		return platform.Row{}, nil, err
+		return store.Row{}, nil, err
 	}
 	record, err := decode(row.Value)
 	if err != nil {
-		return platform.Row{}, nil, err
+		return store.Row{}, nil, err
 	}
 	return row, &record, nil
 }
@@ -245,8 +245,8 @@
 
 // commit commits ops and returns the revision of the written rows, or zero if
 // the table does not tell.
-func commit(ctx context.Context, table platform.Table, ops []platform.Op) (uint64, error) {
-	if revisions, ok := table.(platform.RevisionTable); ok {
+func commit(ctx context.Context, table store.Table, ops []store.Op) (uint64, error) {
+	if revisions, ok := table.(store.RevisionTable); ok {
 		return revisions.CommitRevision(ctx, ops)
 	}
 	return 0, table.Commit(ctx, ops)
--- a/runrecord/bench_test.go
+++ b/runrecord/bench_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/walnutcove/walnutcove/platform"
-	"github.com/walnutcove/walnutcove/platform/batch"
-	"github.com/walnutcove/walnutcove/platform/memory"
+	"github.com/walnutcove/walnutcove/store"
+	"github.com/walnutcove/walnutcove/store/batch"
+	"github.com/walnutcove/walnutcove/store/memory"
 )
 
 // slowTable is a table at a fixed distance that counts what it is asked.
@@ -24,20 +24,20 @@
 // tableLatency is the time of one call to the table in benchmarks.
 const tableLatency = 3 * time.Millisecond
 
-func (t *slowTable) Get(ctx context.Context, table, key string) (platform.Row, error) {
+func (t *slowTable) Get(ctx context.Context, table, key string) (store.Row, error) {
 	t.reads.Add(1)
 	time.Sleep(tableLatency)
 	return t.Store.Get(ctx, table, key)
 }
 
-func (t *slowTable) CommitRevision(ctx context.Context, ops []platform.Op) (uint64, error) {
+func (t *slowTable) CommitRevision(ctx context.Context, ops []store.Op) (uint64, error) {
 	t.commits.Add(1)
 	t.ops.Add(int64(len(ops)))
 	time.Sleep(tableLatency)
 	return t.Store.CommitRevision(ctx, ops)
 }
 
-func (t *slowTable) Commit(ctx context.Context, ops []platform.Op) error {
+func (t *slowTable) Commit(ctx context.Context, ops []store.Op) error {
 	_, err := t.CommitRevision(ctx, ops)
 	return err
 }
@@ -56,7 +56,7 @@
 
 func benchmarkRecords(b *testing.B, batched bool, callers int) {
 	slow := &slowTable{Store: memory.New(memory.Options{})}
-	var table platform.Table = slow
+	var table store.Table = slow
 	if batched {
 		joined := batch.New(slow, batch.Options{Metrics: metrics.NewSet()})
 		defer joined.Close()
--- a/runrecord/epoch.go
+++ b/runrecord/epoch.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"sync"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // epochTable and epochKey name the row that holds the retention epoch.
@@ -25,8 +25,8 @@
 }
 
 // check is the condition that the epoch has not advanced.
-func (e epoch) check() platform.Op {
-	return platform.Op{Kind: platform.OpCheck, Table: epochTable, Key: epochKey, Revision: e.revision}
+func (e epoch) check() store.Op {
+	return store.Op{Kind: store.OpCheck, Table: epochTable, Key: epochKey, Revision: e.revision}
 }
 
 // epochCache holds the epoch as last read. The zero value is empty.
@@ -36,7 +36,7 @@
 }
 
 // current returns the cached epoch, and reads it first if there is none.
-func (c *epochCache) current(ctx context.Context, table platform.Table) (epoch, error) {
+func (c *epochCache) current(ctx context.Context, table store.Table) (epoch, error) {
 	c.mu.Lock()
 	known := c.known
 	c.mu.Unlock()
@@ -56,11 +56,11 @@
 }
 
 // refresh reads the epoch, and creates its row in a new fleet.
-func (c *epochCache) refresh(ctx context.Context, table platform.Table) (epoch, error) {
+func (c *epochCache) refresh(ctx context.Context, table store.Table) (epoch, error) {
 	known, err := readEpoch(ctx, table)
-	if errors.Is(err, platform.ErrNotFound) {
-		op := platform.Op{Kind: platform.OpInsert, Table: epochTable, Key: epochKey, Value: []byte("1")}
-		if err := table.Commit(ctx, []platform.Op{op}); err != nil && !errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrNotFound) {
+		op := store.Op{Kind: store.OpInsert, Table: epochTable, Key: epochKey, Value: []byte("1")}
+		if err := table.Commit(ctx, []store.Op{op}); err != nil && !errors.Is(err, store.ErrConflict) {
 			return epoch{}, err
 		}
 		known, err = readEpoch(ctx, table)
@@ -72,7 +72,7 @@
 	return known, nil
 }
 
-func readEpoch(ctx context.Context, table platform.Table) (epoch, error) {
+func readEpoch(ctx context.Context, table store.Table) (epoch, error) {
 	row, err := table.Get(ctx, epochTable, epochKey)
 	if err != nil {
 		return epoch{}, err
--- a/runrecord/faulty_test.go
+++ b/runrecord/faulty_test.go
@@ -6,8 +6,8 @@
 	"sync"
 	"testing"
 
-	"github.com/walnutcove/walnutcove/platform"
-	"github.com/walnutcove/walnutcove/platform/memory"
+	"github.com/walnutcove/walnutcove/store"
+	"github.com/walnutcove/walnutcove/store/memory"
 )
 
 // fault is what happens to one commit that touches a run record.
@@ -26,7 +26,7 @@
 	mu        sync.Mutex
 	faults    []fault // of the next commits
 	readsDown bool
-	late      [][]platform.Op
+	late      [][]store.Op
 }
 
 func newTable() *faultyTable {
@@ -60,41 +60,41 @@
 	return landed
 }
 
-func (t *faultyTable) Get(ctx context.Context, table, key string) (platform.Row, error) {
+func (t *faultyTable) Get(ctx context.Context, table, key string) (store.Row, error) {
 	t.mu.Lock()
 	down := t.readsDown
 	t.mu.Unlock()
 	if down && table == Table {
-		return platform.Row{}, platform.ErrUnavailable
+		return store.Row{}, store.ErrUnavailable
 	}
 	return t.Store.Get(ctx, table, key)
 }
 
-func (t *faultyTable) Commit(ctx context.Context, ops []platform.Op) error {
+func (t *faultyTable) Commit(ctx context.Context, ops []store.Op) error {
 	_, err := t.CommitRevision(ctx, ops)
 	return err
 }
 
-func (t *faultyTable) CommitRevision(ctx context.Context, ops []platform.Op) (uint64, error) {
+func (t *faultyTable) CommitRevision(ctx context.Context, ops []store.Op) (uint64, error) {
 	switch t.next(ops) {
 	case faultDown:
-		return 0, platform.ErrUnavailable
+		return 0, store.ErrUnavailable
 	case faultReplyLost:
-		if _, err := t.Store.CommitRevision(ctx, ops); errors.Is(err, platform.ErrConflict) {
+		if _, err := t.Store.CommitRevision(ctx, ops); errors.Is(err, store.ErrConflict) {
 			return 0, err
 		}
-		return 0, platform.ErrUnknown
+		return 0, store.ErrUnknown
 	case faultLate:
 		t.mu.Lock()
 		t.late = append(t.late, ops)
 		t.mu.Unlock()
-		return 0, platform.ErrUnknown
+		return 0, store.ErrUnknown
 	default:
 		return t.Store.CommitRevision(ctx, ops)
 	}
 }
 
-func (t *faultyTable) next(ops []platform.Op) fault {
+func (t *faultyTable) next(ops []store.Op) fault {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if ops[0].Table != Table || len(t.faults) == 0 {
--- a/runrecord/fleet_bench_test.go
+++ b/runrecord/fleet_bench_test.go
@@ -14,9 +14,9 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/walnutcove/walnutcove/control"
-	"github.com/walnutcove/walnutcove/platform/batch"
-	"github.com/walnutcove/walnutcove/platform/forward"
-	"github.com/walnutcove/walnutcove/platform/memory"
+	"github.com/walnutcove/walnutcove/store/batch"
+	"github.com/walnutcove/walnutcove/store/forward"
+	"github.com/walnutcove/walnutcove/store/memory"
 )
 
 const (
--- a/runrecord/forward_test.go
+++ b/runrecord/forward_test.go
@@ -10,16 +10,16 @@
 
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/peer"
-	"github.com/walnutcove/walnutcove/platform"
-	"github.com/walnutcove/walnutcove/platform/forward"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/store"
+	"github.com/walnutcove/walnutcove/store/forward"
 )
 
 // modelMembers is enough for a few writers besides the model's three routers.
 const modelMembers = 90
 
 // tableOf returns the table that a new router commits to.
-func (m *model) tableOf(node control.NodeID) platform.Table {
+func (m *model) tableOf(node control.NodeID) store.Table {
 	if !m.writers {
 		return m
 	}
@@ -69,9 +69,9 @@
 // lateTable keeps commits until the model lets them land.
 type lateTable struct{ *model }
 
-func (t lateTable) CommitRevision(_ context.Context, ops []platform.Op) (uint64, error) {
+func (t lateTable) CommitRevision(_ context.Context, ops []store.Op) (uint64, error) {
 	t.late = append(t.late, ops)
-	return 0, platform.ErrUnknown
+	return 0, store.ErrUnknown
 }
 
 // brokenWriter is the Caller of a router whose first calls fail in one way.
--- a/runrecord/model_test.go
+++ b/runrecord/model_test.go
@@ -11,10 +11,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/walnutcove/walnutcove/control"
-	"github.com/walnutcove/walnutcove/platform"
-	"github.com/walnutcove/walnutcove/platform/forward"
-	"github.com/walnutcove/walnutcove/platform/memory"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/store"
+	"github.com/walnutcove/walnutcove/store/forward"
+	"github.com/walnutcove/walnutcove/store/memory"
 )
 
 // model is a fleet of three routers that get the same few requests again and
@@ -24,7 +24,7 @@
 type model struct {
 	draw     func(n int) int // a number in [0, n)
 	store    *memory.Store
-	late     [][]platform.Op
+	late     [][]store.Op
 	depth    int // of steps within table calls
 	keepers  []*Keeper
 	sweepers []*sweeper
@@ -201,10 +201,10 @@
 	}
 }
 
-func (m *model) Get(ctx context.Context, table, key string) (platform.Row, error) {
+func (m *model) Get(ctx context.Context, table, key string) (store.Row, error) {
 	m.between()
 	if m.draw(8) == 0 {
-		return platform.Row{}, platform.ErrUnavailable
+		return store.Row{}, store.ErrUnavailable
 	}
 	row, err := m.store.Get(ctx, table, key)
 	m.between()
@@ -219,27 +219,27 @@
 	return row, err
 }
 
-func (m *model) Scan(ctx context.Context, table, from string, limit int) ([]platform.Row, error) {
+func (m *model) Scan(ctx context.Context, table, from string, limit int) ([]store.Row, error) {
 	return m.store.Scan(ctx, table, from, limit)
 }
 
-func (m *model) Commit(ctx context.Context, ops []platform.Op) error {
+func (m *model) Commit(ctx context.Context, ops []store.Op) error {
 	_, err := m.CommitRevision(ctx, ops)
 	return err
 }
 
-func (m *model) CommitRevision(ctx context.Context, ops []platform.Op) (uint64, error) {
+func (m *model) CommitRevision(ctx context.Context, ops []store.Op) (uint64, error) {
 	m.between()
 	defer m.between()
 	switch m.draw(8) {
 	case 0:
-		return 0, platform.ErrUnavailable
+		return 0, store.ErrUnavailable
 	case 1:
 		m.late = append(m.late, ops)
-		return 0, platform.ErrUnknown
+		return 0, store.ErrUnknown
 	case 2:
 		_ = m.store.Commit(ctx, ops)
-		return 0, platform.ErrUnknown
+		return 0, store.ErrUnknown
 	}
 	revision, err := m.store.CommitRevision(ctx, ops)
 	if m.draw(2) == 0 {
--- a/runrecord/options.go
+++ b/runrecord/options.go
@@ -7,7 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/walnutcove/walnutcove/control"
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // Defaults of Options.
@@ -28,7 +28,7 @@
 // Options configure a Keeper. Zero values take the stated defaults.
 type Options struct {
 	// Table is the platform's table. Required.
-	Table platform.Table
+	Table store.Table
 	// Node and Incarnation identify this process. Required.
 	Node        control.NodeID
 	Incarnation control.Incarnation
--- a/runrecord/runrecord_test.go
+++ b/runrecord/runrecord_test.go
@@ -9,14 +9,14 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/walnutcove/walnutcove/control"
-	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 var deploy = Request{Workspace: "school", IdempotencyKey: "deploy-7", Fingerprint: 42}
 
 // startKeeper starts a keeper that is closed with the test.
-func startKeeper(t *testing.T, table platform.Table, node control.NodeID, change ...func(*Options)) *Keeper {
+func startKeeper(t *testing.T, table store.Table, node control.NodeID, change ...func(*Options)) *Keeper {
 	options := Options{
 		Table:       table,
 		Node:        node,
--- a/runrecord/sweep.go
+++ b/runrecord/sweep.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/control"
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 const (
@@ -87,16 +87,16 @@
 		return nil
 	}
 	next := strconv.FormatUint(known.number+1, 10)
-	op := platform.Op{
-		Kind:     platform.OpUpdate,
+	op := store.Op{
+		Kind:     store.OpUpdate,
 		Table:    epochTable,
 		Key:      epochKey,
 		Value:    []byte(next),
 		Revision: known.revision,
 	}
 	s.keeper.epoch.forget()
-	err = s.keeper.options.Table.Commit(ctx, []platform.Op{op})
-	if errors.Is(err, platform.ErrConflict) {
+	err = s.keeper.options.Table.Commit(ctx, []store.Op{op})
+	if errors.Is(err, store.ErrConflict) {
 		return nil // another router advanced it
 	}
 	return err
@@ -112,7 +112,7 @@
 	if len(rows) == sweepRows {
 		s.cursor = rows[len(rows)-1].Key + "\x00"
 	}
-	var deletes []platform.Op
+	var deletes []store.Op
 	for _, row := range rows {
 		if s.expired(row) {
 			deletes = append(deletes, deleteOp(row))
@@ -123,7 +123,7 @@
 
 // expired says whether a record has outlived its retention. A record that is
 // still claimed is kept longer: only its owner knows whether it was dispatched.
-func (s *sweeper) expired(row platform.Row) bool {
+func (s *sweeper) expired(row store.Row) bool {
 	record, err := decode(row.Value)
 	if err != nil {
 		s.keeper.options.Logger.Error("runrecord: Record cannot be read.", "key", row.Key, "error", err)
@@ -138,11 +138,11 @@
 
 // delete deletes rows in as few commits as allowed. Where a condition fails,
 // a row of the commit has changed; the next sweep meets it again.
-func (s *sweeper) delete(ctx context.Context, deletes []platform.Op) error {
+func (s *sweeper) delete(ctx context.Context, deletes []store.Op) error {
 	for len(deletes) > 0 {
 		n := min(len(deletes), maxBatch)
 		err := s.keeper.options.Table.Commit(ctx, deletes[:n])
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, store.ErrConflict) {
 			return fmt.Errorf("runrecord: expired records cannot be deleted: %w", err)
 		}
 		if err == nil {
@@ -153,6 +153,6 @@
 	return nil
 }
 
-func deleteOp(row platform.Row) platform.Op {
-	return platform.Op{Kind: platform.OpDelete, Table: Table, Key: row.Key, Revision: row.Revision}
+func deleteOp(row store.Row) store.Op {
+	return store.Op{Kind: store.OpDelete, Table: Table, Key: row.Key, Revision: row.Revision}
 }
--- a/runrecord/writer.go
+++ b/runrecord/writer.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // maxBatch and maxBatchBytes bound the ends that one commit writes.
@@ -81,19 +81,19 @@
 func (k *Keeper) writeBatch(ctx context.Context, batch []*entry) bool {
 	callCtx, cancel := context.WithTimeout(ctx, k.options.Timeout)
 	defer cancel()
-	var ops []platform.Op
+	var ops []store.Op
 	for _, e := range batch {
 		if e.revision == 0 {
 			return k.writeEach(ctx, batch)
 		}
-		ops = append(ops, endOp(e, platform.OpUpdate, e.revision))
+		ops = append(ops, endOp(e, store.OpUpdate, e.revision))
 	}
 	err := k.options.Table.Commit(callCtx, ops)
 	if err == nil {
 		k.written(batch...)
 		return true
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		return k.writeEach(ctx, batch)
 	}
 	return false
@@ -119,24 +119,24 @@
 	if err != nil {
 		return err
 	}
-	op := endOp(e, platform.OpUpdate, row.Revision)
+	op := endOp(e, store.OpUpdate, row.Revision)
 	switch {
 	case record == nil && !e.unresolved:
 		return nil // deleted after its retention
 	case record == nil:
 		// The insert may still be under way: the row that is written here
 		// makes it fail when it arrives.
-		op = endOp(e, platform.OpInsert, 0)
+		op = endOp(e, store.OpInsert, 0)
 	case record.Owner != e.record.Owner && record.State == StateNotRun && e.unresolved:
 		// The update may still be under way: rewriting the row makes it fail.
 	case record.Owner != e.record.Owner || record.State != StateClaimed:
 		return nil // another's, or written by a commit whose reply was lost
 	}
-	return k.options.Table.Commit(ctx, []platform.Op{op})
+	return k.options.Table.Commit(ctx, []store.Op{op})
 }
 
-func endOp(e *entry, kind platform.OpKind, revision uint64) platform.Op {
-	return platform.Op{Kind: kind, Table: Table, Key: e.key, Value: e.record.encode(), Revision: revision}
+func endOp(e *entry, kind store.OpKind, revision uint64) store.Op {
+	return store.Op{Kind: kind, Table: Table, Key: e.key, Value: e.record.encode(), Revision: revision}
 }
 
 // written removes entries whose ends are in the table.
--- a/standin/platform/calls.go
+++ b/standin/platform/calls.go
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // write is what a write did: the tables that it touched and, if it was applied,
@@ -35,10 +35,10 @@
 	args := ctx.QueryArgs()
 	limit, err := args.GetUint("limit")
 	if err != nil {
-		replyError(ctx, fmt.Errorf("%w: limit: %w", platform.ErrInvalid, err))
+		replyError(ctx, fmt.Errorf("%w: limit: %w", store.ErrInvalid, err))
 		return
 	}
-	page := min(limit, platform.MaxScanRows)
+	page := min(limit, store.MaxScanRows)
 	rows, err := s.store.Scan(context.Background(), string(args.Peek("table")), string(args.Peek("from")), page)
 	if err != nil {
 		replyError(ctx, err)
@@ -46,15 +46,15 @@
 	}
 	fit := rowsThatFit(rows)
 	cut := fit < len(rows) || (page < limit && len(rows) == page)
-	reply(ctx, platform.ScanReply{Rows: rows[:fit], More: cut})
+	reply(ctx, store.ScanReply{Rows: rows[:fit], More: cut})
 }
 
 // rowsThatFit counts the rows of one page; at least one if there is any.
-func rowsThatFit(rows []platform.Row) int {
+func rowsThatFit(rows []store.Row) int {
 	size := 0
 	for i, row := range rows {
 		size += len(row.Value)
-		if i > 0 && size > platform.MaxScanBytes {
+		if i > 0 && size > store.MaxScanBytes {
 			return i
 		}
 	}
@@ -77,12 +77,12 @@
 		replyError(ctx, err)
 		return
 	}
-	replyVMs(ctx, platform.VMsReply{VMs: vms})
+	replyVMs(ctx, store.VMsReply{VMs: vms})
 }
 
 // replyVMs answers with the list and its entity tag, or says that the caller
 // holds it already.
-func replyVMs(ctx *fasthttp.RequestCtx, list platform.VMsReply) {
+func replyVMs(ctx *fasthttp.RequestCtx, list store.VMsReply) {
 	reply(ctx, list)
 	tag := fmt.Sprintf(`"%016x"`, xxhash.Sum64(ctx.Response.Body()))
 	if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == tag {
@@ -100,19 +100,19 @@
 	reply(ctx, rate)
 }
 
-func (s *Server) commit(ctx *fasthttp.RequestCtx, ops []platform.Op) (write, error) {
+func (s *Server) commit(ctx *fasthttp.RequestCtx, ops []store.Op) (write, error) {
 	revision, err := s.store.CommitRevision(context.Background(), ops)
 	if err != nil {
 		return write{}, err
 	}
-	reply(ctx, platform.CommitReply{Revision: revision})
+	reply(ctx, store.CommitReply{Revision: revision})
 	return write{tables: tablesOf(ops), revision: revision}, nil
 }
 
-func tablesOf(ops []platform.Op) []string {
+func tablesOf(ops []store.Op) []string {
 	var tables []string
 	for _, op := range ops {
-		if op.Kind != platform.OpCheck {
+		if op.Kind != store.OpCheck {
 			tables = append(tables, op.Table)
 		}
 	}
@@ -125,12 +125,12 @@
 	if err != nil {
 		return write{}, err
 	}
-	reply(ctx, platform.CommitReply{Revision: revision})
+	reply(ctx, store.CommitReply{Revision: revision})
 	return write{tables: []string{ObjectsTable}, revision: revision}, nil
 }
 
 func (s *Server) requestFetch(ctx *fasthttp.RequestCtx) (write, error) {
-	var fetch platform.WeightFetch
+	var fetch store.WeightFetch
 	if err := decode(ctx.PostBody(), &fetch); err != nil {
 		return write{}, err
 	}
@@ -143,7 +143,7 @@
 }
 
 func (s *Server) finishFetch(ctx *fasthttp.RequestCtx) (write, error) {
-	var request platform.FinishFetchRequest
+	var request store.FinishFetchRequest
 	if err := decode(ctx.PostBody(), &request); err != nil {
 		return write{}, err
 	}
@@ -155,12 +155,12 @@
 }
 
 // decodeCommit reads and checks the body of a commit.
-func decodeCommit(body []byte) ([]platform.Op, error) {
-	var request platform.CommitRequest
+func decodeCommit(body []byte) ([]store.Op, error) {
+	var request store.CommitRequest
 	if err := decode(body, &request); err != nil {
 		return nil, err
 	}
-	return request.Ops, platform.CheckOps(request.Ops)
+	return request.Ops, store.CheckOps(request.Ops)
 }
 
 // decode reads a body of one JSON value without unknown fields.
@@ -168,10 +168,10 @@
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrInvalid, err)
+		return fmt.Errorf("%w: %w", store.ErrInvalid, err)
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return fmt.Errorf("%w: more than one JSON value", platform.ErrInvalid)
+		return fmt.Errorf("%w: more than one JSON value", store.ErrInvalid)
 	}
 	return nil
 }
@@ -182,20 +182,20 @@
 	replyCode(ctx, status, code, err.Error())
 }
 
-func replyCode(ctx *fasthttp.RequestCtx, status int, code platform.ErrorCode, detail string) {
-	reply(ctx, platform.ErrorReply{Code: code, Detail: detail})
+func replyCode(ctx *fasthttp.RequestCtx, status int, code store.ErrorCode, detail string) {
+	reply(ctx, store.ErrorReply{Code: code, Detail: detail})
 	ctx.SetStatusCode(status)
 }
 
-func errorStatus(err error) (int, platform.ErrorCode) {
+func errorStatus(err error) (int, store.ErrorCode) {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		return fasthttp.StatusNotFound, platform.CodeNotFound
-	case errors.Is(err, platform.ErrConflict):
-		return fasthttp.StatusConflict, platform.CodeConflict
-	case errors.Is(err, platform.ErrInvalid):
-		return fasthttp.StatusBadRequest, platform.CodeInvalid
+	case errors.Is(err, store.ErrNotFound):
+		return fasthttp.StatusNotFound, store.CodeNotFound
+	case errors.Is(err, store.ErrConflict):
+		return fasthttp.StatusConflict, store.CodeConflict
+	case errors.Is(err, store.ErrInvalid):
+		return fasthttp.StatusBadRequest, store.CodeInvalid
 	default:
-		return fasthttp.StatusServiceUnavailable, platform.CodeUnavailable
+		return fasthttp.StatusServiceUnavailable, store.CodeUnavailable
 	}
 }
--- a/standin/platform/control.go
+++ b/standin/platform/control.go
@@ -6,7 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // The control endpoints. No fault touches them.
@@ -82,7 +82,7 @@
 		s.listVMs(ctx)
 		return
 	}
-	var request platform.VMsReply
+	var request store.VMsReply
 	if err := decode(ctx.PostBody(), &request); err != nil {
 		replyError(ctx, err)
 		return
@@ -97,13 +97,13 @@
 	}
 	value, err := args.GetUint(name)
 	if err != nil {
-		return 0, fmt.Errorf("%w: %s: %w", platform.ErrInvalid, name, err)
+		return 0, fmt.Errorf("%w: %s: %w", store.ErrInvalid, name, err)
 	}
 	return value, nil
 }
 
 func errMethod(ctx *fasthttp.RequestCtx) error {
-	return fmt.Errorf("%w: the path does not take %s", platform.ErrInvalid, ctx.Method())
+	return fmt.Errorf("%w: the path does not take %s", store.ErrInvalid, ctx.Method())
 }
 
 // reply answers with a JSON body.
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // Outage says what the stand-in does with every call while it is out.
@@ -63,18 +63,18 @@
 	ReadsPerSecond  float64 `json:"reads_per_second"`
 }
 
-// check returns platform.ErrInvalid if a switch has a value without meaning.
+// check returns store.ErrInvalid if a switch has a value without meaning.
 func (f Faults) check() error {
 	switch f.Outage {
 	case OutageNone, OutageRefuse, OutageDrop, OutageHang, OutageFreeze:
 	default:
-		return fmt.Errorf("%w: unknown outage %q", platform.ErrInvalid, f.Outage)
+		return fmt.Errorf("%w: unknown outage %q", store.ErrInvalid, f.Outage)
 	}
 	if f.DelayMillis < 0 || f.ReplyDelayMillis < 0 || f.VMLagMillis < 0 || f.LoseReplies < LoseAll {
-		return fmt.Errorf("%w: negative fault", platform.ErrInvalid)
+		return fmt.Errorf("%w: negative fault", store.ErrInvalid)
 	}
 	if f.WritesPerSecond < 0 || f.RowsPerSecond < 0 || f.ReadsPerSecond < 0 {
-		return fmt.Errorf("%w: negative limit", platform.ErrInvalid)
+		return fmt.Errorf("%w: negative limit", store.ErrInvalid)
 	}
 	return nil
 }
@@ -112,7 +112,7 @@
 	}
 	s.faults = faults
 	s.writes.set(faults.WritesPerSecond, 1)
-	s.rows.set(faults.RowsPerSecond, platform.MaxCommitOps)
+	s.rows.set(faults.RowsPerSecond, store.MaxCommitOps)
 	s.reads.set(faults.ReadsPerSecond, 1)
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/standin/platform/fuzz_test.go
+++ b/standin/platform/fuzz_test.go
@@ -6,26 +6,26 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // FuzzHandle sends any request to the stand-in. Each must get a success, or an
 // error of the protocol that left the rows as they were.
 func FuzzHandle(f *testing.F) {
 	commit := `{"ops":[{"kind":"insert","table":"t","key":"k","value":"eA=="},{"kind":"check","table":"t","key":"j"}]}`
-	f.Add("POST", platform.PathCommit, []byte(commit))
-	f.Add("POST", platform.PathCommit, []byte(`{"ops":[{"kind":"update","table":"t","key":"seed","revision":1}]}`))
-	f.Add("POST", platform.PathCommit, []byte(`{"ops":[{"kind":"delete","table":"t","key":"seed","revision":1}]} {}`))
-	f.Add("GET", platform.PathRow+"?table=t&key=seed", []byte(nil))
-	f.Add("GET", platform.PathScan+"?table=t&from=%00&limit=18446744073709551616", []byte(nil))
-	f.Add("PUT", platform.PathObjects+"?name=o", []byte("whole"))
-	f.Add("POST", platform.PathWeightsFetch, []byte(`{"id":"1","artifact":"m","target":"t"}`))
-	f.Add("POST", platform.PathWeightsFinish, []byte(`{"id":"1"}`))
+	f.Add("POST", store.PathCommit, []byte(commit))
+	f.Add("POST", store.PathCommit, []byte(`{"ops":[{"kind":"update","table":"t","key":"seed","revision":1}]}`))
+	f.Add("POST", store.PathCommit, []byte(`{"ops":[{"kind":"delete","table":"t","key":"seed","revision":1}]} {}`))
+	f.Add("GET", store.PathRow+"?table=t&key=seed", []byte(nil))
+	f.Add("GET", store.PathScan+"?table=t&from=%00&limit=18446744073709551616", []byte(nil))
+	f.Add("PUT", store.PathObjects+"?name=o", []byte("whole"))
+	f.Add("POST", store.PathWeightsFetch, []byte(`{"id":"1","artifact":"m","target":"t"}`))
+	f.Add("POST", store.PathWeightsFinish, []byte(`{"id":"1"}`))
 	f.Add("POST", pathVMs, []byte(`{"vms":[{"name":"a","state":"live"}]}`))
 	f.Add("GET", pathJournal+"?after=-1&limit=99999999999", []byte(nil))
 	f.Fuzz(func(t *testing.T, method, uri string, body []byte) {
 		server := New(Options{})
-		seed := []platform.Op{{Kind: platform.OpInsert, Table: "t", Key: "seed"}}
+		seed := []store.Op{{Kind: store.OpInsert, Table: "t", Key: "seed"}}
 		if err := server.Store().Commit(t.Context(), seed); err != nil {
 			t.Fatal(err)
 		}
@@ -48,7 +48,7 @@
 	if ctx.Response.StatusCode() == fasthttp.StatusOK {
 		return
 	}
-	var reply platform.ErrorReply
+	var reply store.ErrorReply
 	if err := json.Unmarshal(ctx.Response.Body(), &reply); err != nil || reply.Code == "" {
 		t.Fatalf("status %d without a code: %s", ctx.Response.StatusCode(), ctx.Response.Body())
 	}
@@ -68,7 +68,7 @@
 		if err != nil {
 			return
 		}
-		encoded, err := json.Marshal(platform.CommitRequest{Ops: ops})
+		encoded, err := json.Marshal(store.CommitRequest{Ops: ops})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/standin/platform/handle.go
+++ b/standin/platform/handle.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // handle serves one call: first the faults that come before it is applied, then
@@ -46,7 +46,7 @@
 			return true
 		case OutageRefuse:
 			s.count("outage")
-			replyCode(ctx, fasthttp.StatusServiceUnavailable, platform.CodeUnavailable, "outage")
+			replyCode(ctx, fasthttp.StatusServiceUnavailable, store.CodeUnavailable, "outage")
 			return false
 		case OutageDrop:
 			s.count("outage")
@@ -86,7 +86,7 @@
 	s.countCall(ctx)
 	if !s.faults.allowRead() {
 		s.count("rate_limited")
-		replyCode(ctx, fasthttp.StatusTooManyRequests, platform.CodeRateLimited, "too many reads")
+		replyCode(ctx, fasthttp.StatusTooManyRequests, store.CodeRateLimited, "too many reads")
 		return true
 	}
 	serve(ctx)
@@ -98,15 +98,15 @@
 		return nil
 	}
 	switch string(ctx.Path()) {
-	case platform.PathRow:
+	case store.PathRow:
 		return s.getRow
-	case platform.PathScan:
+	case store.PathScan:
 		return s.scan
-	case platform.PathObjects:
+	case store.PathObjects:
 		return s.getObject
-	case platform.PathVMs:
+	case store.PathVMs:
 		return s.listVMs
-	case platform.PathWeightsRate:
+	case store.PathWeightsRate:
 		return s.weightsRate
 	default:
 		return nil
@@ -140,17 +140,17 @@
 // writer returns what applies the write, and how many rows it writes.
 func (s *Server) writer(ctx *fasthttp.RequestCtx) (apply func() (write, error), rows int, err error) {
 	switch method, path := string(ctx.Method()), string(ctx.Path()); {
-	case method == fasthttp.MethodPost && path == platform.PathCommit:
+	case method == fasthttp.MethodPost && path == store.PathCommit:
 		ops, err := decodeCommit(ctx.PostBody())
 		return func() (write, error) { return s.commit(ctx, ops) }, len(ops), err
-	case method == fasthttp.MethodPut && path == platform.PathObjects:
+	case method == fasthttp.MethodPut && path == store.PathObjects:
 		return func() (write, error) { return s.putObject(ctx) }, 1, nil
-	case method == fasthttp.MethodPost && path == platform.PathWeightsFetch:
+	case method == fasthttp.MethodPost && path == store.PathWeightsFetch:
 		return func() (write, error) { return s.requestFetch(ctx) }, 1, nil
-	case method == fasthttp.MethodPost && path == platform.PathWeightsFinish:
+	case method == fasthttp.MethodPost && path == store.PathWeightsFinish:
 		return func() (write, error) { return s.finishFetch(ctx) }, 1, nil
 	default:
-		return nil, 0, fmt.Errorf("%w: no call %s %s", platform.ErrInvalid, method, path)
+		return nil, 0, fmt.Errorf("%w: no call %s %s", store.ErrInvalid, method, path)
 	}
 }
 
@@ -158,12 +158,12 @@
 func (s *Server) refuseWrite(ctx *fasthttp.RequestCtx, rows int) bool {
 	if faults, _ := s.faults.get(); faults.ReadOnly {
 		s.count("read_only")
-		replyCode(ctx, fasthttp.StatusServiceUnavailable, platform.CodeReadOnly, "read only")
+		replyCode(ctx, fasthttp.StatusServiceUnavailable, store.CodeReadOnly, "read only")
 		return true
 	}
 	if !s.faults.allowWrite(rows) {
 		s.count("rate_limited")
-		replyCode(ctx, fasthttp.StatusTooManyRequests, platform.CodeRateLimited, "too many writes")
+		replyCode(ctx, fasthttp.StatusTooManyRequests, store.CodeRateLimited, "too many writes")
 		return true
 	}
 	return false
--- a/standin/platform/journal.go
+++ b/standin/platform/journal.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
-	"github.com/walnutcove/walnutcove/platform"
-	"github.com/walnutcove/walnutcove/platform/memory"
+	"github.com/walnutcove/walnutcove/store"
+	"github.com/walnutcove/walnutcove/store/memory"
 )
 
 const defaultMaxJournal = 1 << 20
@@ -20,10 +20,10 @@
 	Elapsed   time.Duration `json:"elapsed_ns"`
 	// Kind, Table, Key and Bytes say what was written. Objects stand under
 	// ObjectsTable.
-	Kind  platform.OpKind `json:"kind"`
-	Table string          `json:"table"`
-	Key   string          `json:"key"`
-	Bytes int             `json:"bytes"`
+	Kind  store.OpKind `json:"kind"`
+	Table string       `json:"table"`
+	Key   string       `json:"key"`
+	Bytes int          `json:"bytes"`
 	// Revision is the same for all entries of one commit.
 	Revision uint64 `json:"revision"`
 	// ReplyLost says that a fault lost the reply to this write.
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -14,17 +14,17 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
-	"github.com/walnutcove/walnutcove/platform"
-	"github.com/walnutcove/walnutcove/platform/memory"
+	"github.com/walnutcove/walnutcove/store"
+	"github.com/walnutcove/walnutcove/store/memory"
 )
 
 // maxRequestBytes bounds a request: one object, or a commit as JSON.
-const maxRequestBytes = platform.MaxObjectBytes + 1<<20
+const maxRequestBytes = store.MaxObjectBytes + 1<<20
 
 // Options configure a Server. The zero value is usable.
 type Options struct {
 	// VMs is the first list of VMs.
-	VMs []platform.VM
+	VMs []store.VM
 	// Weights configures the weight store.
 	Weights memory.WeightsOptions
 	// Faults are the first faults. Default: none.
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -14,19 +14,19 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/datadriven"
 
-	"github.com/walnutcove/walnutcove/platform"
-	"github.com/walnutcove/walnutcove/platform/memory"
+	"github.com/walnutcove/walnutcove/store"
+	"github.com/walnutcove/walnutcove/store/memory"
 )
 
 // startServer runs a stand-in and a client for the length of the test.
-func startServer(t *testing.T, options Options) (*Server, *platform.Client, string) {
+func startServer(t *testing.T, options Options) (*Server, *store.Client, string) {
 	t.Helper()
 	server := New(options)
 	addr, err := server.Start("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	client := platform.NewClient(platform.Options{Address: addr, Metrics: metrics.NewSet(), WritesPerSecond: 1e6})
+	client := store.NewClient(store.Options{Address: addr, Metrics: metrics.NewSet(), WritesPerSecond: 1e6})
 	t.Cleanup(func() {
 		if err := server.Close(); err != nil {
 			t.Error(err)
@@ -48,7 +48,7 @@
 	})
 }
 
-func runTableScript(t *testing.T, table platform.RevisionTable) {
+func runTableScript(t *testing.T, table store.RevisionTable) {
 	ctx := context.Background()
 	datadriven.RunTest(t, "testdata/table", func(t *testing.T, d *datadriven.TestData) string {
 		var name, key string
@@ -78,11 +78,11 @@
 }
 
 // parseOps reads one operation a line: kind table key revision value.
-func parseOps(t *testing.T, input string) []platform.Op {
+func parseOps(t *testing.T, input string) []store.Op {
 	t.Helper()
-	var ops []platform.Op
+	var ops []store.Op
 	for _, line := range strings.Split(strings.TrimSpace(input), "\n") {
-		var op platform.Op
+		var op store.Op
 		var value string
 		if _, err := fmt.Sscanf(line, "%s %s %s %d %s", &op.Kind, &op.Table, &op.Key, &op.Revision, &value); err != nil {
 			t.Fatalf("%q: %v", line, err)
@@ -93,12 +93,12 @@
 	return ops
 }
 
-func rowText(row platform.Row) string {
+func rowText(row store.Row) string {
 	return fmt.Sprintf("%s/%s=%s at %d", row.Table, row.Key, row.Value, row.Revision)
 }
 
 func outcome(text string, err error) string {
-	for _, kind := range []error{platform.ErrNotFound, platform.ErrConflict, platform.ErrInvalid} {
+	for _, kind := range []error{store.ErrNotFound, store.ErrConflict, store.ErrInvalid} {
 		if errors.Is(err, kind) {
 			return kind.Error()
 		}
@@ -118,11 +118,11 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			done := make(chan error, 1)
 			go func() {
-				done <- client.Commit(ctx, []platform.Op{{Kind: platform.OpInsert, Table: "t", Key: "k"}})
+				done <- client.Commit(ctx, []store.Op{{Kind: store.OpInsert, Table: "t", Key: "k"}})
 			}()
 			eventually(t, func() bool { return server.Held() == 1 })
 			cancel()
-			if err := <-done; !errors.Is(err, platform.ErrUnknown) {
+			if err := <-done; !errors.Is(err, store.ErrUnknown) {
 				t.Fatalf("got %v", err)
 			}
 			if err := server.SetFaults(Faults{}); err != nil {
@@ -178,16 +178,16 @@
 		t.Fatalf("got %+v, want %+v", got, want)
 	}
 	for _, bad := range []string{`{"outage":"often"}`, `{"delay_ms":-1}`, `{"no_such":1}`, `{} {}`, `[]`} {
-		var reply platform.ErrorReply
-		if status := request(t, "POST", url, bad, &reply); status != 400 || reply.Code != platform.CodeInvalid {
+		var reply store.ErrorReply
+		if status := request(t, "POST", url, bad, &reply); status != 400 || reply.Code != store.CodeInvalid {
 			t.Errorf("%s: status %d, %+v", bad, status, reply)
 		}
 	}
-	ops := []platform.Op{
-		{Kind: platform.OpInsert, Table: "other", Key: "a"},
-		{Kind: platform.OpInsert, Table: "runs", Key: "b", Value: []byte("12")},
+	ops := []store.Op{
+		{Kind: store.OpInsert, Table: "other", Key: "a"},
+		{Kind: store.OpInsert, Table: "runs", Key: "b", Value: []byte("12")},
 	}
-	if err := client.Commit(context.Background(), ops); !errors.Is(err, platform.ErrUnknown) {
+	if err := client.Commit(context.Background(), ops); !errors.Is(err, store.ErrUnknown) {
 		t.Fatalf("got %v", err)
 	}
 	var page JournalPage
@@ -203,7 +203,7 @@
 }
 
 func TestVMLag(t *testing.T) {
-	_, client, addr := startServer(t, Options{VMs: []platform.VM{{Name: "old"}}, Faults: Faults{VMLagMillis: 1}})
+	_, client, addr := startServer(t, Options{VMs: []store.VM{{Name: "old"}}, Faults: Faults{VMLagMillis: 1}})
 	names := func() string {
 		vms, err := client.ListVMs(context.Background())
 		if err != nil {
@@ -218,7 +218,7 @@
 	eventually(t, func() bool { return names() == "old" })
 	var faults Faults
 	request(t, "POST", "http://"+addr+pathFault, `{"vm_lag_ms":3600000}`, &faults)
-	var reply platform.VMsReply
+	var reply store.VMsReply
 	request(t, "POST", "http://"+addr+pathVMs, `{"vms":[{"name":"new","state":"leaving"}]}`, &reply)
 	if got := names(); got != "" {
 		t.Fatalf("list of an hour ago is %q", got)
@@ -232,7 +232,7 @@
 func TestJournalDrops(t *testing.T) {
 	server := New(Options{MaxJournal: 2})
 	for i := range 5 {
-		ops := []platform.Op{{Kind: platform.OpInsert, Table: "t", Key: fmt.Sprint(i)}}
+		ops := []store.Op{{Kind: store.OpInsert, Table: "t", Key: fmt.Sprint(i)}}
 		if err := server.Store().Commit(context.Background(), ops); err != nil {
 			t.Fatal(err)
 		}
--- a/standin/platform/views.go
+++ b/standin/platform/views.go
@@ -9,7 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // pathView shows (GET) or replaces (POST) the peer addresses of a view.
@@ -58,7 +58,7 @@
 		v.control(ctx)
 		return
 	}
-	if path != platform.PathVMs || !ctx.IsGet() {
+	if path != store.PathVMs || !ctx.IsGet() {
 		v.server.handle(ctx, closing)
 		return
 	}
@@ -88,7 +88,7 @@
 // rewrite puts the view's peer addresses into an answered list of VMs. A call
 // whose connection a fault has cut has no list to rewrite.
 func (v *View) rewrite(ctx *fasthttp.RequestCtx) {
-	var list platform.VMsReply
+	var list store.VMsReply
 	if err := json.Unmarshal(ctx.Response.Body(), &list); err != nil {
 		return
 	}
--- a/platform/batch/batch.go
+++ b/store/batch/batch.go
@@ -19,7 +19,7 @@
 	"github.com/alitto/pond/v2"
 	"golang.org/x/time/rate"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // Defaults of Options.
@@ -65,8 +65,8 @@
 	setDefault(&o.MaxInFlight, DefaultMaxInFlight)
 	setDefault(&o.MaxQueued, DefaultMaxQueued)
 	setDefault(&o.Timeout, DefaultTimeout)
-	o.MaxOps = min(o.MaxOps, platform.MaxCommitOps)
-	o.MaxBytes = min(o.MaxBytes, platform.MaxCommitBytes)
+	o.MaxOps = min(o.MaxOps, store.MaxCommitOps)
+	o.MaxBytes = min(o.MaxBytes, store.MaxCommitBytes)
 	if o.Metrics == nil {
 		o.Metrics = metrics.GetDefaultSet()
 	}
@@ -82,7 +82,7 @@
 // Table is a table whose commits are batched. Its reads pass through. All
 // methods are safe for concurrent use.
 type Table struct {
-	platform.RevisionTable // for reads
+	store.RevisionTable // for reads
 
 	options  Options
 	counters counters
@@ -104,7 +104,7 @@
 	wake     chan struct{} // tells the collector of a change; capacity 1
 }
 
-var _ platform.RevisionTable = (*Table)(nil)
+var _ store.RevisionTable = (*Table)(nil)
 
 // The states of a group.
 const (
@@ -115,7 +115,7 @@
 
 // group is the commit of one caller: its operations stay together.
 type group struct {
-	ops     []platform.Op
+	ops     []store.Op
 	bytes   int
 	arrived time.Time
 	state   atomic.Int32
@@ -128,7 +128,7 @@
 }
 
 // New returns a table that batches the commits to table.
-func New(table platform.RevisionTable, options Options) *Table {
+func New(table store.RevisionTable, options Options) *Table {
 	options = options.withDefaults()
 	closing, stop := context.WithCancel(context.Background())
 	t := &Table{
@@ -180,16 +180,16 @@
 	t.readers.StopAndWait()
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, ops []platform.Op) error {
+// Commit implements store.Table.
+func (t *Table) Commit(ctx context.Context, ops []store.Op) error {
 	_, err := t.CommitRevision(ctx, ops)
 	return err
 }
 
-// CommitRevision implements platform.RevisionTable. The operations of one call
+// CommitRevision implements store.RevisionTable. The operations of one call
 // are applied together or not at all, as ever.
-func (t *Table) CommitRevision(ctx context.Context, ops []platform.Op) (uint64, error) {
-	if err := platform.CheckOps(ops); err != nil {
+func (t *Table) CommitRevision(ctx context.Context, ops []store.Op) (uint64, error) {
+	if err := store.CheckOps(ops); err != nil {
 		return 0, err
 	}
 	g := newGroup(ops)
@@ -207,7 +207,7 @@
 	}
 }
 
-func newGroup(ops []platform.Op) *group {
+func newGroup(ops []store.Op) *group {
 	g := &group{ops: ops, arrived: time.Now(), done: make(chan outcome, 1)}
 	for _, op := range ops {
 		g.bytes += len(op.Value)
@@ -242,7 +242,7 @@
 		return 0, t.refuse("cancelled", ctx.Err())
 	}
 	t.counters.refusal("cancelled_sent").Inc()
-	return 0, fmt.Errorf("%w (batch: cancelled): %w", platform.ErrUnknown, ctx.Err())
+	return 0, fmt.Errorf("%w (batch: cancelled): %w", store.ErrUnknown, ctx.Err())
 }
 
 // remove frees the place of an abandoned group.
@@ -263,9 +263,9 @@
 func (t *Table) refuse(reason string, cause error) error {
 	t.counters.refusal(reason).Inc()
 	if cause != nil {
-		return fmt.Errorf("%w (batch: %s): %w", platform.ErrUnavailable, reason, cause)
+		return fmt.Errorf("%w (batch: %s): %w", store.ErrUnavailable, reason, cause)
 	}
-	return fmt.Errorf("%w (batch: %s)", platform.ErrUnavailable, reason)
+	return fmt.Errorf("%w (batch: %s)", store.ErrUnavailable, reason)
 }
 
 // signal tells the collector that something changed.
--- a/platform/batch/batch_test.go
+++ b/store/batch/batch_test.go
@@ -13,8 +13,8 @@
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
-	"github.com/walnutcove/walnutcove/platform"
-	"github.com/walnutcove/walnutcove/platform/memory"
+	"github.com/walnutcove/walnutcove/store"
+	"github.com/walnutcove/walnutcove/store/memory"
 )
 
 // TestMain fails if a goroutine outlives the tests, but for those of fasthttp
@@ -32,14 +32,14 @@
 // before it is applied. An error of the hook is returned in its place.
 type scriptedTable struct {
 	*memory.Store
-	hook  func(ops []platform.Op) error
+	hook  func(ops []store.Op) error
 	noGet bool
 
 	mu    sync.Mutex
 	sizes []int // operations of each transaction
 }
 
-func (s *scriptedTable) CommitRevision(ctx context.Context, ops []platform.Op) (uint64, error) {
+func (s *scriptedTable) CommitRevision(ctx context.Context, ops []store.Op) (uint64, error) {
 	s.mu.Lock()
 	s.sizes = append(s.sizes, len(ops))
 	s.mu.Unlock()
@@ -51,9 +51,9 @@
 	return s.Store.CommitRevision(ctx, ops)
 }
 
-func (s *scriptedTable) Get(ctx context.Context, table, key string) (platform.Row, error) {
+func (s *scriptedTable) Get(ctx context.Context, table, key string) (store.Row, error) {
 	if s.noGet {
-		return platform.Row{}, platform.ErrUnavailable
+		return store.Row{}, store.ErrUnavailable
 	}
 	return s.Store.Get(ctx, table, key)
 }
@@ -61,23 +61,23 @@
 func newScripted() *scriptedTable { return &scriptedTable{Store: memory.New(memory.Options{})} }
 
 // gather returns a table that sends its first transaction when n commits wait.
-func gather(t testing.TB, under platform.RevisionTable, n int) *Table {
+func gather(t testing.TB, under store.RevisionTable, n int) *Table {
 	table := New(under, Options{MaxWait: time.Hour, MaxOps: n, Metrics: metrics.NewSet()})
 	t.Cleanup(table.Close)
 	return table
 }
 
-func insert(keys ...string) []platform.Op {
-	var ops []platform.Op
+func insert(keys ...string) []store.Op {
+	var ops []store.Op
 	for _, key := range keys {
-		ops = append(ops, platform.Op{Kind: platform.OpInsert, Table: "runs", Key: key})
+		ops = append(ops, store.Op{Kind: store.OpInsert, Table: "runs", Key: key})
 	}
 	return ops
 }
 
 // commitAll commits each of the groups from a goroutine of its own and returns
 // their errors.
-func commitAll(table platform.Table, groups ...[]platform.Op) []error {
+func commitAll(table store.Table, groups ...[]store.Op) []error {
 	errs := make([]error, len(groups))
 	var wait sync.WaitGroup
 	for i, ops := range groups {
@@ -126,7 +126,7 @@
 			under.noGet = noGet
 			table := gather(t, under, 5)
 			errs := commitAll(table, insert("a"), insert("taken"), insert("b", "c"), insert("d"))
-			wantErrors(t, errs, nil, platform.ErrConflict, nil, nil)
+			wantErrors(t, errs, nil, store.ErrConflict, nil, nil)
 			if rows, _ := under.Scan(context.Background(), "runs", "", 10); len(rows) != 5 {
 				t.Errorf("rows %+v", rows)
 			}
@@ -146,12 +146,12 @@
 		t.Fatal(err)
 	}
 	table := gather(t, under, n)
-	var groups [][]platform.Op
+	var groups [][]store.Op
 	for i := range n {
 		groups = append(groups, insert(fmt.Sprint(i)))
 	}
 	errs := commitAll(table, groups...)
-	wantErrors(t, errs[:2], platform.ErrConflict, nil)
+	wantErrors(t, errs[:2], store.ErrConflict, nil)
 	if failed := slices.DeleteFunc(errs, func(err error) bool { return err == nil }); len(failed) != 1 {
 		t.Errorf("%d commits failed, want 1", len(failed))
 	}
@@ -166,20 +166,20 @@
 
 func TestInvalidFailsOnlyItsCaller(t *testing.T) {
 	under := newScripted()
-	under.hook = func(ops []platform.Op) error {
-		if slices.ContainsFunc(ops, func(op platform.Op) bool { return op.Key == "bad" }) {
-			return platform.ErrInvalid
+	under.hook = func(ops []store.Op) error {
+		if slices.ContainsFunc(ops, func(op store.Op) bool { return op.Key == "bad" }) {
+			return store.ErrInvalid
 		}
 		return nil
 	}
 	errs := commitAll(gather(t, under, 3), insert("a"), insert("bad"), insert("b"))
-	wantErrors(t, errs, nil, platform.ErrInvalid, nil)
+	wantErrors(t, errs, nil, store.ErrInvalid, nil)
 }
 
 func TestFailureReachesAll(t *testing.T) {
-	for _, kind := range []error{platform.ErrUnknown, platform.ErrUnavailable} {
+	for _, kind := range []error{store.ErrUnknown, store.ErrUnavailable} {
 		under := newScripted()
-		under.hook = func([]platform.Op) error { return kind }
+		under.hook = func([]store.Op) error { return kind }
 		wantErrors(t, commitAll(gather(t, under, 3), insert("a"), insert("b"), insert("c")), kind, kind, kind)
 		if len(under.sizes) != 1 {
 			t.Errorf("%v: sent %d times", kind, len(under.sizes))
@@ -193,7 +193,7 @@
 	under := newScripted()
 	table := New(under, Options{Metrics: metrics.NewSet()})
 	defer table.Close()
-	under.hook = func([]platform.Op) error {
+	under.hook = func([]store.Op) error {
 		waitBlocked(table, 2)
 		return nil
 	}
@@ -202,7 +202,7 @@
 	for _, err := range errs {
 		if err == nil {
 			succeeded++
-		} else if !errors.Is(err, platform.ErrConflict) {
+		} else if !errors.Is(err, store.ErrConflict) {
 			t.Error(err)
 		}
 	}
@@ -216,7 +216,7 @@
 func TestCancel(t *testing.T) {
 	under := newScripted()
 	sent, release := make(chan struct{}), make(chan struct{})
-	under.hook = func([]platform.Op) error {
+	under.hook = func([]store.Op) error {
 		close(sent)
 		<-release
 		return nil
@@ -224,7 +224,7 @@
 	table := New(under, Options{MaxWait: time.Hour, MaxOps: 2, Metrics: metrics.NewSet()})
 	cancelled, cancel := context.WithTimeout(context.Background(), time.Millisecond)
 	defer cancel()
-	if err := table.Commit(cancelled, insert("early")); !errors.Is(err, platform.ErrUnavailable) {
+	if err := table.Commit(cancelled, insert("early")); !errors.Is(err, store.ErrUnavailable) {
 		t.Errorf("before sending: got %v", err)
 	}
 	ctx, cancelSent := context.WithCancel(context.Background())
@@ -237,16 +237,16 @@
 		go func() { errs <- table.Commit(ctx, insert(key)) }()
 	}
 	for range 2 {
-		if err := <-errs; !errors.Is(err, platform.ErrUnknown) {
+		if err := <-errs; !errors.Is(err, store.ErrUnknown) {
 			t.Errorf("after sending: got %v", err)
 		}
 	}
 	close(release)
 	table.Close()
-	if _, err := under.Get(context.Background(), "runs", "early"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := under.Get(context.Background(), "runs", "early"); !errors.Is(err, store.ErrNotFound) {
 		t.Errorf("abandoned commit was sent: %v", err)
 	}
-	if err := table.Commit(context.Background(), insert("d")); !errors.Is(err, platform.ErrUnavailable) {
+	if err := table.Commit(context.Background(), insert("d")); !errors.Is(err, store.ErrUnavailable) {
 		t.Errorf("after Close: got %v", err)
 	}
 }
@@ -260,7 +260,7 @@
 		queued = len(table.queue)
 		table.mu.Unlock()
 	}
-	if err := table.Commit(context.Background(), insert("b")); !errors.Is(err, platform.ErrUnavailable) {
+	if err := table.Commit(context.Background(), insert("b")); !errors.Is(err, store.ErrUnavailable) {
 		t.Errorf("got %v, want ErrUnavailable", err)
 	}
 	table.Close() // sends what waits
@@ -277,7 +277,7 @@
 		maxOps := rapid.IntRange(1, 8).Draw(t, "maxOps")
 		under := newScripted()
 		table := New(under, Options{MaxWait: 100 * time.Microsecond, MaxOps: maxOps, Metrics: metrics.NewSet()})
-		var groups [][]platform.Op
+		var groups [][]store.Op
 		for i, key := range keys {
 			ops := insert(key)
 			ops[0].Value = []byte{byte(i)}
@@ -287,7 +287,7 @@
 		table.Close()
 		owners := make(map[string]int)
 		for i, err := range errs {
-			if err != nil && !errors.Is(err, platform.ErrConflict) {
+			if err != nil && !errors.Is(err, store.ErrConflict) {
 				t.Fatal(err)
 			}
 			if err != nil {
@@ -316,8 +316,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	check := func(key string, revision uint64) []platform.Op {
-		return append(insert(key), platform.Op{Kind: platform.OpCheck, Table: "runs", Key: "epoch", Revision: revision})
+	check := func(key string, revision uint64) []store.Op {
+		return append(insert(key), store.Op{Kind: store.OpCheck, Table: "runs", Key: "epoch", Revision: revision})
 	}
 	table := gather(t, under, 6)
 	errs := commitAll(table, check("a", revision), check("b", revision), check("c", revision))
@@ -328,7 +328,7 @@
 	table = New(under, Options{MaxWait: time.Millisecond, Metrics: metrics.NewSet()})
 	defer table.Close()
 	errs = commitAll(table, check("d", revision), check("e", revision+1), check("f", revision))
-	wantErrors(t, errs, nil, platform.ErrConflict, nil)
+	wantErrors(t, errs, nil, store.ErrConflict, nil)
 }
 
 // TestWriteIsNotPassed checks that a write of a row that waits for a check in
@@ -339,12 +339,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	claim := func(key string) []platform.Op {
-		return append(insert(key), platform.Op{Kind: platform.OpCheck, Table: "runs", Key: "epoch", Revision: epoch})
+	claim := func(key string) []store.Op {
+		return append(insert(key), store.Op{Kind: store.OpCheck, Table: "runs", Key: "epoch", Revision: epoch})
 	}
-	advance := []platform.Op{{Kind: platform.OpUpdate, Table: "runs", Key: "epoch", Revision: epoch}}
+	advance := []store.Op{{Kind: store.OpUpdate, Table: "runs", Key: "epoch", Revision: epoch}}
 	started, release := make(chan struct{}, 8), make(chan struct{})
-	under.hook = func([]platform.Op) error {
+	under.hook = func([]store.Op) error {
 		started <- struct{}{}
 		<-release
 		return nil
@@ -361,7 +361,7 @@
 	waitBlocked(table, 2)
 	close(release)
 	wait.Wait()
-	wantErrors(t, []error{firstErr, advanceErr, lastErr}, nil, nil, platform.ErrConflict)
+	wantErrors(t, []error{firstErr, advanceErr, lastErr}, nil, nil, store.ErrConflict)
 }
 
 func waitBlocked(table *Table, n int) {
--- a/platform/batch/bench_test.go
+++ b/store/batch/bench_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/walnutcove/walnutcove/platform"
 	standin "github.com/walnutcove/walnutcove/standin/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // benchCallers is the number of concurrent callers for each processor.
@@ -40,7 +40,7 @@
 func benchInsert(b *testing.B, budget float64, batched bool, conflicts float64) {
 	set := metrics.NewSet()
 	client := startClient(b, set)
-	var table platform.RevisionTable = client
+	var table store.RevisionTable = client
 	if batched {
 		batcher := New(client, Options{Metrics: set})
 		defer batcher.Close()
@@ -63,7 +63,7 @@
 			start := time.Now()
 			err := table.Commit(context.Background(), insert(key))
 			waited.Add(int64(time.Since(start)))
-			if err != nil && !errors.Is(err, platform.ErrConflict) {
+			if err != nil && !errors.Is(err, store.ErrConflict) {
 				refused.Add(1)
 			}
 		}
@@ -87,7 +87,7 @@
 
 func takenKey(i int) string { return fmt.Sprintf("taken%d", i) }
 
-func insertTaken(b *testing.B, table platform.Table) {
+func insertTaken(b *testing.B, table store.Table) {
 	b.Helper()
 	for first := 0; first < benchTaken; first += 100 {
 		var keys []string
@@ -100,16 +100,16 @@
 	}
 }
 
-func startClient(b *testing.B, set *metrics.Set) *platform.Client {
+func startClient(b *testing.B, set *metrics.Set) *store.Client {
 	b.Helper()
 	server := standin.New(standin.Options{})
 	address, err := server.Start("127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
-	options := platform.Options{Address: address, Metrics: set, Timeout: time.Minute, MaxWriteWait: time.Minute}
+	options := store.Options{Address: address, Metrics: set, Timeout: time.Minute, MaxWriteWait: time.Minute}
 	options.WritesPerSecond, options.WriteBurst = 1e9, 1
-	client := platform.NewClient(options)
+	client := store.NewClient(options)
 	b.Cleanup(func() {
 		client.Close()
 		if err := server.Close(); err != nil {
--- a/platform/batch/blocked.go
+++ b/store/batch/blocked.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // release frees the rows of a transaction that has ended. The groups that waited
@@ -81,15 +81,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), t.options.Timeout)
 	defer cancel()
 	row, err := t.Get(ctx, name.table, name.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return 0, nil
 	}
 	return row.Revision, err
 }
 
 // holds says whether the condition of op is met by a row of this revision.
-func holds(op platform.Op, revision uint64) bool {
-	if op.Kind == platform.OpInsert {
+func holds(op store.Op, revision uint64) bool {
+	if op.Kind == store.OpInsert {
 		return revision == 0
 	}
 	return revision == op.Revision
--- a/platform/batch/rows.go
+++ b/store/batch/rows.go
@@ -1,6 +1,6 @@
 package batch
 
-import "github.com/walnutcove/walnutcove/platform"
+import "github.com/walnutcove/walnutcove/store"
 
 type rowName struct{ table, key string }
 
@@ -26,8 +26,8 @@
 }
 
 // shared says whether op may use the row beside the present use.
-func (use rowUse) shared(op platform.Op) bool {
-	return op.Kind == platform.OpCheck && use.checks > 0 && use.revision == op.Revision
+func (use rowUse) shared(op store.Op) bool {
+	return op.Kind == store.OpCheck && use.checks > 0 && use.revision == op.Revision
 }
 
 // add adds the rows of g. Uses that exclude each other leave the row as if it
@@ -36,7 +36,7 @@
 	for _, op := range g.ops {
 		name := rowName{op.Table, op.Key}
 		use, ok := u[name]
-		if op.Kind == platform.OpCheck && (!ok || use.shared(op)) {
+		if op.Kind == store.OpCheck && (!ok || use.shared(op)) {
 			u[name] = rowUse{checks: use.checks + 1, revision: op.Revision}
 		} else {
 			u[name] = rowUse{}
--- a/platform/batch/send.go
+++ b/store/batch/send.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // maxReadBack bounds the groups whose rows are read back to find a conflict.
@@ -26,15 +26,15 @@
 		return
 	}
 	revision, err := t.commit(groups)
-	if len(groups) > 1 && errors.Is(err, platform.ErrConflict) {
+	if len(groups) > 1 && errors.Is(err, store.ErrConflict) {
 		t.isolate(groups)
 		return
 	}
-	if len(groups) > 1 && errors.Is(err, platform.ErrInvalid) {
+	if len(groups) > 1 && errors.Is(err, store.ErrInvalid) {
 		t.resolveHalves(groups)
 		return
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		t.counters.conflicts.Inc()
 	}
 	for _, g := range groups {
@@ -53,16 +53,16 @@
 
 // joinOps returns the operations of the groups. A check that several groups
 // share stands once, since a transaction may name a row only once.
-func joinOps(groups []*group) []platform.Op {
-	var ops []platform.Op
+func joinOps(groups []*group) []store.Op {
+	var ops []store.Op
 	checked := make(map[rowName]bool)
 	for _, g := range groups {
 		for _, op := range g.ops {
 			name := rowName{op.Table, op.Key}
-			if op.Kind == platform.OpCheck && checked[name] {
+			if op.Kind == store.OpCheck && checked[name] {
 				continue
 			}
-			checked[name] = op.Kind == platform.OpCheck
+			checked[name] = op.Kind == store.OpCheck
 			ops = append(ops, op)
 		}
 	}
@@ -91,7 +91,7 @@
 func (t *Table) failConflicting(groups []*group) {
 	for _, g := range groups {
 		t.counters.conflicts.Inc()
-		g.finish(0, platform.ErrConflict)
+		g.finish(0, store.ErrConflict)
 	}
 }
 
--- a/platform/classify_test.go
+++ b/store/classify_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -11,14 +11,14 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // answerWith runs a server with a fixed answer and returns a client of it.
-func answerWith(t *testing.T, handler http.HandlerFunc) *platform.Client {
+func answerWith(t *testing.T, handler http.HandlerFunc) *store.Client {
 	t.Helper()
 	server := httptest.NewServer(handler)
-	client := platform.NewClient(platform.Options{
+	client := store.NewClient(store.Options{
 		Address: server.Listener.Addr().String(),
 		Metrics: metrics.NewSet(),
 	})
@@ -39,15 +39,15 @@
 		kind   error
 		reason string
 	}{
-		{"bare 503", 503, "", platform.ErrUnknown, "bad_reply"},
-		{"balancer's 502", 502, "<html>bad gateway</html>", platform.ErrUnknown, "bad_reply"},
-		{"bare 409", 409, "{}", platform.ErrUnknown, "bad_reply"},
-		{"unknown code", 503, `{"code":"later"}`, platform.ErrUnknown, "bad_reply"},
-		{"not JSON", 200, "ok", platform.ErrUnknown, "bad_reply"},
-		{"no revision", 200, "{}", platform.ErrUnknown, "bad_reply"},
-		{"refused", 503, `{"code":"unavailable"}`, platform.ErrUnavailable, "refused"},
-		{"conflict", 409, `{"code":"condition_failed"}`, platform.ErrConflict, "conflict"},
-		{"invalid", 400, `{"code":"invalid"}`, platform.ErrInvalid, "invalid"},
+		{"bare 503", 503, "", store.ErrUnknown, "bad_reply"},
+		{"balancer's 502", 502, "<html>bad gateway</html>", store.ErrUnknown, "bad_reply"},
+		{"bare 409", 409, "{}", store.ErrUnknown, "bad_reply"},
+		{"unknown code", 503, `{"code":"later"}`, store.ErrUnknown, "bad_reply"},
+		{"not JSON", 200, "ok", store.ErrUnknown, "bad_reply"},
+		{"no revision", 200, "{}", store.ErrUnknown, "bad_reply"},
+		{"refused", 503, `{"code":"unavailable"}`, store.ErrUnavailable, "refused"},
+		{"conflict", 409, `{"code":"condition_failed"}`, store.ErrConflict, "conflict"},
+		{"invalid", 400, `{"code":"invalid"}`, store.ErrInvalid, "invalid"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -70,7 +70,7 @@
 		w.Header().Set("Content-Length", "100")
 		_, _ = io.WriteString(w, `{"revision":1}`)
 	})
-	wantError(t, client.Commit(background, insert("a")), platform.ErrUnknown, "reply_lost")
+	wantError(t, client.Commit(background, insert("a")), store.ErrUnknown, "reply_lost")
 }
 
 // TestClosedEarly checks that a write whose connection is closed unanswered is
@@ -94,9 +94,9 @@
 			_ = conn.Close()
 		}
 	}()
-	client := platform.NewClient(platform.Options{Address: listener.Addr().String(), Metrics: metrics.NewSet()})
-	wantError(t, client.Commit(background, insert("a")), platform.ErrUnknown, "reply_lost")
-	wantError(t, client.Objects().Put(background, "a", nil), platform.ErrUnknown, "reply_lost")
+	client := store.NewClient(store.Options{Address: listener.Addr().String(), Metrics: metrics.NewSet()})
+	wantError(t, client.Commit(background, insert("a")), store.ErrUnknown, "reply_lost")
+	wantError(t, client.Objects().Put(background, "a", nil), store.ErrUnknown, "reply_lost")
 	client.Close()
 	_ = listener.Close()
 	<-done
@@ -127,12 +127,12 @@
 		w.WriteHeader(http.StatusBadGateway)
 	})
 	_, err := client.Get(background, "t", "k")
-	wantError(t, err, platform.ErrUnavailable, "bad_reply")
-	if calls != platform.DefaultReadAttempts {
+	wantError(t, err, store.ErrUnavailable, "bad_reply")
+	if calls != store.DefaultReadAttempts {
 		t.Errorf("%d calls", calls)
 	}
 	cancelled, cancel := context.WithCancel(background)
 	cancel()
 	_, err = client.ListVMs(cancelled)
-	wantError(t, err, platform.ErrUnavailable, "cancelled")
+	wantError(t, err, store.ErrUnavailable, "cancelled")
 }
--- a/platform/client_test.go
+++ b/store/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"github.com/walnutcove/walnutcove/platform"
 	standin "github.com/walnutcove/walnutcove/standin/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // TestWriteOutcomes checks that a write is tried once, that its error says
@@ -23,18 +23,18 @@
 		reason  string
 		applied int
 	}{
-		{"refused", standin.Faults{Outage: standin.OutageRefuse}, platform.ErrUnavailable, "refused", 0},
-		{"read only", standin.Faults{ReadOnly: true}, platform.ErrUnavailable, "read_only", 0},
-		{"limited", standin.Faults{WritesPerSecond: 1e-9, RowsPerSecond: 1e-9}, platform.ErrUnavailable, "rate_limited", 1},
-		{"dropped", standin.Faults{Outage: standin.OutageDrop}, platform.ErrUnknown, "reply_lost", 0},
-		{"hung", standin.Faults{Outage: standin.OutageHang}, platform.ErrUnknown, "timeout", 0},
-		{"slow", standin.Faults{ReplyDelayMillis: 60_000}, platform.ErrUnknown, "timeout", 1},
-		{"reply lost", standin.Faults{LoseReplies: standin.LoseAll, LoseTablePrefix: "ru"}, platform.ErrUnknown, "reply_lost", 1},
+		{"refused", standin.Faults{Outage: standin.OutageRefuse}, store.ErrUnavailable, "refused", 0},
+		{"read only", standin.Faults{ReadOnly: true}, store.ErrUnavailable, "read_only", 0},
+		{"limited", standin.Faults{WritesPerSecond: 1e-9, RowsPerSecond: 1e-9}, store.ErrUnavailable, "rate_limited", 1},
+		{"dropped", standin.Faults{Outage: standin.OutageDrop}, store.ErrUnknown, "reply_lost", 0},
+		{"hung", standin.Faults{Outage: standin.OutageHang}, store.ErrUnknown, "timeout", 0},
+		{"slow", standin.Faults{ReplyDelayMillis: 60_000}, store.ErrUnknown, "timeout", 1},
+		{"reply lost", standin.Faults{LoseReplies: standin.LoseAll, LoseTablePrefix: "ru"}, store.ErrUnknown, "reply_lost", 1},
 		{"other reply lost", standin.Faults{LoseReplies: 1, LoseTablePrefix: "other"}, nil, "", 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			f := start(t, platform.Options{Timeout: 200 * time.Millisecond})
+			f := start(t, store.Options{Timeout: 200 * time.Millisecond})
 			f.setFaults(t, c.faults)
 			if c.faults.WritesPerSecond > 0 {
 				if err := f.Commit(background, insert("first")); err != nil {
@@ -60,13 +60,13 @@
 }
 
 func TestNothingListens(t *testing.T) {
-	f := start(t, platform.Options{})
+	f := start(t, store.Options{})
 	if err := f.server.Close(); err != nil {
 		t.Fatal(err)
 	}
-	wantError(t, f.Commit(background, insert("a")), platform.ErrUnavailable, "connect")
+	wantError(t, f.Commit(background, insert("a")), store.ErrUnavailable, "connect")
 	_, err := f.Get(background, "runs", "a")
-	wantError(t, err, platform.ErrUnavailable, "connect")
+	wantError(t, err, store.ErrUnavailable, "connect")
 	if got := f.counter(`walnut_platform_retries_total{op="get",reason="connect"}`); got != 2 {
 		t.Errorf("a read was retried %d times, want 2", got)
 	}
@@ -75,7 +75,7 @@
 // TestRestart checks that reads survive a restart of the platform, which
 // leaves the client with closed connections.
 func TestRestart(t *testing.T) {
-	f := start(t, platform.Options{})
+	f := start(t, store.Options{})
 	if err := f.Commit(background, insert("a")); err != nil {
 		t.Fatal(err)
 	}
@@ -91,14 +91,14 @@
 }
 
 func TestWriteBudget(t *testing.T) {
-	f := start(t, platform.Options{WritesPerSecond: 1e-6, WriteBurst: 2})
+	f := start(t, store.Options{WritesPerSecond: 1e-6, WriteBurst: 2})
 	for _, key := range []string{"a", "b"} {
 		if err := f.Commit(background, insert(key)); err != nil {
 			t.Fatal(err)
 		}
 	}
-	wantError(t, f.Commit(background, insert("c")), platform.ErrUnavailable, "budget")
-	wantError(t, f.Objects().Put(background, "c", nil), platform.ErrUnavailable, "budget")
+	wantError(t, f.Commit(background, insert("c")), store.ErrUnavailable, "budget")
+	wantError(t, f.Objects().Put(background, "c", nil), store.ErrUnavailable, "budget")
 	if got := f.applied(); !slices.Equal(got, []string{"a", "b"}) {
 		t.Fatalf("applied %v", got)
 	}
@@ -110,7 +110,7 @@
 // never applied, while one given up on after it was sent is reported as unknown
 // and may be applied late.
 func TestFrozenPlatform(t *testing.T) {
-	f := start(t, platform.Options{MaxConns: 1, Timeout: time.Minute})
+	f := start(t, store.Options{MaxConns: 1, Timeout: time.Minute})
 	f.setFaults(t, standin.Faults{Outage: standin.OutageFreeze})
 	sent, cancelSent := context.WithCancel(background)
 	sentDone := make(chan error, 1)
@@ -119,11 +119,11 @@
 
 	waiting, cancelWaiting := context.WithTimeout(background, 10*time.Millisecond)
 	defer cancelWaiting()
-	wantError(t, f.Commit(waiting, insert("waiting")), platform.ErrUnavailable, "busy")
+	wantError(t, f.Commit(waiting, insert("waiting")), store.ErrUnavailable, "busy")
 
 	cancelSent()
 	err := <-sentDone
-	wantError(t, err, platform.ErrUnknown, "cancelled")
+	wantError(t, err, store.ErrUnknown, "cancelled")
 	if !errors.Is(err, context.Canceled) {
 		t.Errorf("%v does not wrap the context's error", err)
 	}
@@ -141,27 +141,27 @@
 // TestScanPages checks that a scan is whole where a page is cut by its bytes
 // and where it is cut by its rows.
 func TestScanPages(t *testing.T) {
-	f := start(t, platform.Options{})
+	f := start(t, store.Options{})
 	var bigKeys, smallKeys []string
-	for i := range platform.MaxScanRows + 2 {
+	for i := range store.MaxScanRows + 2 {
 		smallKeys = append(smallKeys, fmt.Sprintf("%04d", i))
 		putRow(t, f, "small", smallKeys[i], 1)
 	}
-	for i := range platform.MaxScanBytes/platform.MaxValueBytes + 2 {
+	for i := range store.MaxScanBytes/store.MaxValueBytes + 2 {
 		bigKeys = append(bigKeys, strings.Repeat("a\x00", i+1))
-		putRow(t, f, "big", bigKeys[i], platform.MaxValueBytes)
+		putRow(t, f, "big", bigKeys[i], store.MaxValueBytes)
 	}
 	for _, limit := range []int{0, 1, len(bigKeys) - 1, len(bigKeys) + 1} {
 		wantScan(t, f, "big", limit, bigKeys)
 	}
-	for _, limit := range []int{platform.MaxScanRows, platform.MaxScanRows + 1, platform.MaxScanRows + 9} {
+	for _, limit := range []int{store.MaxScanRows, store.MaxScanRows + 1, store.MaxScanRows + 9} {
 		wantScan(t, f, "small", limit, smallKeys)
 	}
 }
 
 func putRow(t *testing.T, f *fixture, table, key string, size int) {
 	t.Helper()
-	ops := []platform.Op{{Kind: platform.OpInsert, Table: table, Key: key, Value: make([]byte, size)}}
+	ops := []store.Op{{Kind: store.OpInsert, Table: table, Key: key, Value: make([]byte, size)}}
 	if err := f.server.Store().Commit(background, ops); err != nil {
 		t.Fatal(err)
 	}
@@ -183,7 +183,7 @@
 }
 
 func TestObjectsAndWeights(t *testing.T) {
-	f := start(t, platform.Options{})
+	f := start(t, store.Options{})
 	if err := f.Objects().Put(background, "o", []byte("whole")); err != nil {
 		t.Fatal(err)
 	}
@@ -191,12 +191,12 @@
 		t.Fatalf("got %q, %v", value, err)
 	}
 	_, err := f.Objects().Get(background, "none")
-	wantError(t, err, platform.ErrNotFound, "not_found")
+	wantError(t, err, store.ErrNotFound, "not_found")
 
-	fetch := platform.WeightFetch{ID: "1", Artifact: "m", Target: "t"}
+	fetch := store.WeightFetch{ID: "1", Artifact: "m", Target: "t"}
 	f.setFaults(t, standin.Faults{LoseReplies: 1, LoseTablePrefix: standin.WeightsTable})
 	_, err = f.RequestFetch(background, fetch)
-	wantError(t, err, platform.ErrUnknown, "reply_lost")
+	wantError(t, err, store.ErrUnknown, "reply_lost")
 	permit, err := f.RequestFetch(background, fetch)
 	if err != nil || !permit.Granted || permit.BytesPerSecond <= 0 || permit.TimeLeft <= 0 {
 		t.Fatalf("got %+v, %v", permit, err)
@@ -217,11 +217,11 @@
 }
 
 func TestBytesCounted(t *testing.T) {
-	f := start(t, platform.Options{})
+	f := start(t, store.Options{})
 	if err := f.Commit(background, insert("a")); err != nil {
 		t.Fatal(err)
 	}
-	if got := f.counter(`walnut_platform_sent_bytes_total{op="commit"}`); got < uint64(len(platform.PathCommit)) {
+	if got := f.counter(`walnut_platform_sent_bytes_total{op="commit"}`); got < uint64(len(store.PathCommit)) {
 		t.Errorf("%d bytes sent", got)
 	}
 	if got := f.counter(`walnut_platform_received_bytes_total{op="commit"}`); got < uint64(len(`{"revision":1}`)) {
--- a/platform/forward/encode.go
+++ b/store/forward/encode.go
@@ -6,33 +6,33 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/walnutcove/walnutcove/platform"
-	"github.com/walnutcove/walnutcove/platform/forward/forwardpb"
+	"github.com/walnutcove/walnutcove/store"
+	"github.com/walnutcove/walnutcove/store/forward/forwardpb"
 )
 
-var kinds = map[platform.OpKind]forwardpb.Kind{
-	platform.OpInsert: forwardpb.Kind_KIND_INSERT,
-	platform.OpUpdate: forwardpb.Kind_KIND_UPDATE,
-	platform.OpDelete: forwardpb.Kind_KIND_DELETE,
-	platform.OpCheck:  forwardpb.Kind_KIND_CHECK,
+var kinds = map[store.OpKind]forwardpb.Kind{
+	store.OpInsert: forwardpb.Kind_KIND_INSERT,
+	store.OpUpdate: forwardpb.Kind_KIND_UPDATE,
+	store.OpDelete: forwardpb.Kind_KIND_DELETE,
+	store.OpCheck:  forwardpb.Kind_KIND_CHECK,
 }
 
-var kindNames = map[forwardpb.Kind]platform.OpKind{
-	forwardpb.Kind_KIND_INSERT: platform.OpInsert,
-	forwardpb.Kind_KIND_UPDATE: platform.OpUpdate,
-	forwardpb.Kind_KIND_DELETE: platform.OpDelete,
-	forwardpb.Kind_KIND_CHECK:  platform.OpCheck,
+var kindNames = map[forwardpb.Kind]store.OpKind{
+	forwardpb.Kind_KIND_INSERT: store.OpInsert,
+	forwardpb.Kind_KIND_UPDATE: store.OpUpdate,
+	forwardpb.Kind_KIND_DELETE: store.OpDelete,
+	forwardpb.Kind_KIND_CHECK:  store.OpCheck,
 }
 
 // results are the errors whose meaning crosses the wire. Any other error is
 // RESULT_UNKNOWN.
 var results = map[forwardpb.Result]error{
-	forwardpb.Result_RESULT_CONFLICT:    platform.ErrConflict,
-	forwardpb.Result_RESULT_UNAVAILABLE: platform.ErrUnavailable,
-	forwardpb.Result_RESULT_INVALID:     platform.ErrInvalid,
+	forwardpb.Result_RESULT_CONFLICT:    store.ErrConflict,
+	forwardpb.Result_RESULT_UNAVAILABLE: store.ErrUnavailable,
+	forwardpb.Result_RESULT_INVALID:     store.ErrInvalid,
 }
 
-func encodeCommit(ops []platform.Op) ([]byte, error) {
+func encodeCommit(ops []store.Op) ([]byte, error) {
 	request := &forwardpb.Commit{}
 	for _, op := range ops {
 		request.Ops = append(request.Ops, &forwardpb.Op{
@@ -46,14 +46,14 @@
 	return proto.Marshal(request)
 }
 
-func decodeCommit(payload []byte) ([]platform.Op, error) {
+func decodeCommit(payload []byte) ([]store.Op, error) {
 	var request forwardpb.Commit
 	if err := proto.Unmarshal(payload, &request); err != nil {
 		return nil, fmt.Errorf("forward: commit cannot be read: %w", err)
 	}
-	var ops []platform.Op
+	var ops []store.Op
 	for _, op := range request.GetOps() {
-		ops = append(ops, platform.Op{
+		ops = append(ops, store.Op{
 			Kind:     kindNames[op.GetKind()],
 			Table:    op.GetTable(),
 			Key:      op.GetKey(),
@@ -61,7 +61,7 @@
 			Revision: op.GetRevision(),
 		})
 	}
-	return ops, platform.CheckOps(ops)
+	return ops, store.CheckOps(ops)
 }
 
 // encodeOutcome encodes how a commit ended.
@@ -83,7 +83,7 @@
 	if err == nil {
 		return forwardpb.Result_RESULT_APPLIED
 	}
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, store.ErrUnknown) {
 		return forwardpb.Result_RESULT_UNKNOWN
 	}
 	for result, meaning := range results {
@@ -98,7 +98,7 @@
 func decodeOutcome(answer []byte) (uint64, error) {
 	var outcome forwardpb.Outcome
 	if err := proto.Unmarshal(answer, &outcome); err != nil {
-		return 0, fmt.Errorf("%w (forward: answer cannot be read): %w", platform.ErrUnknown, err)
+		return 0, fmt.Errorf("%w (forward: answer cannot be read): %w", store.ErrUnknown, err)
 	}
 	if outcome.GetResult() == forwardpb.Result_RESULT_APPLIED {
 		return outcome.GetRevision(), nil
@@ -106,5 +106,5 @@
 	if meaning, ok := results[outcome.GetResult()]; ok {
 		return 0, fmt.Errorf("%w (forward: at the writer): %s", meaning, outcome.GetDetail())
 	}
-	return 0, fmt.Errorf("%w (forward: at the writer): %s", platform.ErrUnknown, outcome.GetDetail())
+	return 0, fmt.Errorf("%w (forward: at the writer): %s", store.ErrUnknown, outcome.GetDetail())
 }
--- a/platform/forward/forward.go
+++ b/store/forward/forward.go
@@ -7,7 +7,7 @@
 // routers in view. Views may differ: a writer applies whatever it is asked for,
 // and the conditions of the operations alone decide. A commit that surely did
 // not reach a writer goes to the next one, and then is made here. One that may
-// have reached it fails with platform.ErrUnknown.
+// have reached it fails with store.ErrUnknown.
 package forward
 
 import (
@@ -22,7 +22,7 @@
 
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/peer"
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // Method is the method of the calls between routers, answered by Table.Serve.
@@ -50,7 +50,7 @@
 	Self control.NodeID
 	// Table makes the commits of this router, and those that others send it.
 	// Required.
-	Table platform.RevisionTable
+	Table store.RevisionTable
 	// Caller reaches the writers. Required.
 	Caller Caller
 	// Timeout bounds the wait for a writer. It should be well below the time
@@ -78,7 +78,7 @@
 // Table is a table whose commits are made by the fleet's writers. Its reads
 // pass through. All methods are safe for concurrent use.
 type Table struct {
-	platform.RevisionTable // for reads, and for commits made here
+	store.RevisionTable // for reads, and for commits made here
 
 	options  Options
 	counters counters
@@ -89,7 +89,7 @@
 	avoided map[control.NodeID]time.Time
 }
 
-var _ platform.RevisionTable = (*Table)(nil)
+var _ store.RevisionTable = (*Table)(nil)
 
 // New returns a table that makes every commit here, until SetMembers.
 func New(options Options) *Table {
@@ -115,16 +115,16 @@
 	return isWriter
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, ops []platform.Op) error {
+// Commit implements store.Table.
+func (t *Table) Commit(ctx context.Context, ops []store.Op) error {
 	_, err := t.CommitRevision(ctx, ops)
 	return err
 }
 
-// CommitRevision implements platform.RevisionTable. The operations of one call
+// CommitRevision implements store.RevisionTable. The operations of one call
 // are applied together or not at all; the first one's row picks the writer.
-func (t *Table) CommitRevision(ctx context.Context, ops []platform.Op) (uint64, error) {
-	if err := platform.CheckOps(ops); err != nil {
+func (t *Table) CommitRevision(ctx context.Context, ops []store.Op) (uint64, error) {
+	if err := store.CheckOps(ops); err != nil {
 		return 0, err
 	}
 	for _, to := range t.candidates(ops[0].Key) {
@@ -175,10 +175,10 @@
 var errNotApplied = errors.New("forward: not applied by the writer")
 
 // forward asks a writer to make a commit.
-func (t *Table) forward(ctx context.Context, to control.NodeID, ops []platform.Op) (uint64, error) {
+func (t *Table) forward(ctx context.Context, to control.NodeID, ops []store.Op) (uint64, error) {
 	payload, err := encodeCommit(ops)
 	if err != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrInvalid, err)
+		return 0, fmt.Errorf("%w: %w", store.ErrInvalid, err)
 	}
 	t.counters.forwarded.Inc()
 	callCtx, cancel := context.WithTimeout(ctx, t.options.Timeout)
@@ -188,7 +188,7 @@
 		return 0, t.callFailed(ctx, to, err)
 	}
 	revision, err := decodeOutcome(answer)
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, store.ErrUnavailable) {
 		t.counters.failure(reasonUnavailable)
 		t.avoid(to)
 		return 0, fmt.Errorf("%w: %w", errNotApplied, err)
@@ -212,7 +212,7 @@
 	if ctx.Err() == nil {
 		t.avoid(to)
 	}
-	return fmt.Errorf("%w (forward: call to %s): %w", platform.ErrUnknown, to, err)
+	return fmt.Errorf("%w (forward: call to %s): %w", store.ErrUnknown, to, err)
 }
 
 // Serve makes a commit that another router sent. An error means that it was not
--- a/platform/forward/forward_test.go
+++ b/store/forward/forward_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/peer"
-	"github.com/walnutcove/walnutcove/platform"
-	"github.com/walnutcove/walnutcove/platform/memory"
+	"github.com/walnutcove/walnutcove/store"
+	"github.com/walnutcove/walnutcove/store/memory"
 )
 
 // fleet is some routers over one store. It is the Caller between them.
@@ -64,8 +64,8 @@
 	return answer, err
 }
 
-func insert(key, value string) []platform.Op {
-	return []platform.Op{{Kind: platform.OpInsert, Table: "t", Key: key, Value: []byte(value)}}
+func insert(key, value string) []store.Op {
+	return []store.Op{{Kind: store.OpInsert, Table: "t", Key: key, Value: []byte(value)}}
 }
 
 // ordinary returns a router that is no writer, and the two writers that a key tries.
@@ -90,18 +90,18 @@
 	if err != nil || row.Revision != revision || string(row.Value) != "v" {
 		t.Fatalf("revision %d, row %+v, %v", revision, row, err)
 	}
-	if err := from.Commit(context.Background(), insert("k", "v")); !errors.Is(err, platform.ErrConflict) {
+	if err := from.Commit(context.Background(), insert("k", "v")); !errors.Is(err, store.ErrConflict) {
 		t.Fatalf("second insert: %v", err)
 	}
-	all := []platform.Op{
-		{Kind: platform.OpCheck, Table: "t", Key: "k", Revision: revision},
-		{Kind: platform.OpCheck, Table: "t", Key: "none"},
-		{Kind: platform.OpInsert, Table: "t", Key: "other"},
+	all := []store.Op{
+		{Kind: store.OpCheck, Table: "t", Key: "k", Revision: revision},
+		{Kind: store.OpCheck, Table: "t", Key: "none"},
+		{Kind: store.OpInsert, Table: "t", Key: "other"},
 	}
 	if err := from.Commit(context.Background(), all); err != nil {
 		t.Fatal(err)
 	}
-	deletion := []platform.Op{{Kind: platform.OpDelete, Table: "t", Key: "k", Revision: revision}}
+	deletion := []store.Op{{Kind: store.OpDelete, Table: "t", Key: "k", Revision: revision}}
 	if err := from.Commit(context.Background(), deletion); err != nil {
 		t.Fatal(err)
 	}
@@ -136,7 +136,7 @@
 			if c.elsewhere && (err != nil || len(f.called) != 2) {
 				t.Fatalf("called %v: %v", f.called, err)
 			}
-			if !c.elsewhere && (!errors.Is(err, platform.ErrUnknown) || len(f.called) != 1) {
+			if !c.elsewhere && (!errors.Is(err, store.ErrUnknown) || len(f.called) != 1) {
 				t.Fatalf("called %v: %v", f.called, err)
 			}
 			if _, err := f.store.Get(context.Background(), "t", "k"); (err == nil) != c.applied {
@@ -191,7 +191,7 @@
 		b.SetMembers(without)
 		f.called = nil
 		first, second := a.Commit(context.Background(), insert("k", "a")), b.Commit(context.Background(), insert("k", "b"))
-		if first != nil || !errors.Is(second, platform.ErrConflict) || len(f.called) != 2 || f.called[0] == f.called[1] {
+		if first != nil || !errors.Is(second, store.ErrConflict) || len(f.called) != 2 || f.called[0] == f.called[1] {
 			t.Fatalf("called %v: %v, %v", f.called, first, second)
 		}
 		return
@@ -200,7 +200,7 @@
 
 func TestServeRefusesWhatItCannotRead(t *testing.T) {
 	table := newFleet(1).tables["vm-0"]
-	bad, err := encodeCommit([]platform.Op{{Kind: platform.OpUpdate, Table: "t", Key: "k"}})
+	bad, err := encodeCommit([]store.Op{{Kind: store.OpUpdate, Table: "t", Key: "k"}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -209,7 +209,7 @@
 			t.Errorf("%q was answered with %q", payload, answer)
 		}
 	}
-	if _, err := decodeOutcome(nil); !errors.Is(err, platform.ErrUnknown) {
+	if _, err := decodeOutcome(nil); !errors.Is(err, store.ErrUnknown) {
 		t.Errorf("an empty answer means %v", err)
 	}
 }
--- a/platform/main_test.go
+++ b/store/main_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/goleak"
 
-	"github.com/walnutcove/walnutcove/platform"
 	standin "github.com/walnutcove/walnutcove/standin/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // TestMain fails if a goroutine outlives the tests, but for those of fasthttp
@@ -27,13 +27,13 @@
 
 // fixture is a stand-in and a client of it.
 type fixture struct {
-	*platform.Client
+	*store.Client
 	server  *standin.Server
 	address string
 	metrics *metrics.Set
 }
 
-func start(t *testing.T, options platform.Options) *fixture {
+func start(t *testing.T, options store.Options) *fixture {
 	t.Helper()
 	server := standin.New(standin.Options{})
 	address, err := server.Start("127.0.0.1:0")
@@ -43,7 +43,7 @@
 	f := &fixture{server: server, address: address, metrics: metrics.NewSet()}
 	options.Address = address
 	options.Metrics = f.metrics
-	f.Client = platform.NewClient(options)
+	f.Client = store.NewClient(options)
 	t.Cleanup(func() {
 		if err := server.Close(); err != nil {
 			t.Error(err)
@@ -73,13 +73,13 @@
 	return f.metrics.GetOrCreateCounter(fmt.Sprintf(format, args...)).Get()
 }
 
-func insert(key string) []platform.Op {
-	return []platform.Op{{Kind: platform.OpInsert, Table: "runs", Key: key, Value: []byte("v")}}
+func insert(key string) []store.Op {
+	return []store.Op{{Kind: store.OpInsert, Table: "runs", Key: key, Value: []byte("v")}}
 }
 
 func wantError(t *testing.T, err, kind error, reason string) {
 	t.Helper()
-	var failure *platform.Failure
+	var failure *store.Failure
 	if !errors.Is(err, kind) || !errors.As(err, &failure) || failure.Reason() != reason {
 		t.Fatalf("got %v, want %v for %s", err, kind, reason)
 	}
--- a/platform/memory/memory.go
+++ b/store/memory/memory.go
@@ -10,14 +10,14 @@
 	"sync"
 	"time"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // Change is one applied write of a row or object.
 type Change struct {
 	// Kind is insert, update or delete; writes of objects are OpUpdate with
 	// an empty Table.
-	Kind platform.OpKind
+	Kind store.OpKind
 	// Table and Key name the row; for an object, Key is its name.
 	Table string
 	Key   string
@@ -37,7 +37,7 @@
 }
 
 // Store holds tables, objects and the list of VMs. It implements
-// platform.RevisionTable and platform.VMList; Objects returns its object store.
+// store.RevisionTable and store.VMList; Objects returns its object store.
 type Store struct {
 	options Options
 
@@ -49,8 +49,8 @@
 }
 
 var (
-	_ platform.RevisionTable = (*Store)(nil)
-	_ platform.VMList        = (*Store)(nil)
+	_ store.RevisionTable = (*Store)(nil)
+	_ store.VMList        = (*Store)(nil)
 )
 
 // New returns an empty store.
@@ -65,23 +65,23 @@
 	}
 }
 
-// Get implements platform.Table.
-func (s *Store) Get(ctx context.Context, table, key string) (platform.Row, error) {
+// Get implements store.Table.
+func (s *Store) Get(ctx context.Context, table, key string) (store.Row, error) {
 	if err := checkRead(ctx, table, key); err != nil {
-		return platform.Row{}, err
+		return store.Row{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	row, ok := s.row(table, key)
 	if !ok {
-		return platform.Row{}, fmt.Errorf("%w: %s/%s", platform.ErrNotFound, table, key)
+		return store.Row{}, fmt.Errorf("%w: %s/%s", store.ErrNotFound, table, key)
 	}
 	row.Value = bytes.Clone(row.Value)
 	return row, nil
 }
 
-// Scan implements platform.Table.
-func (s *Store) Scan(ctx context.Context, table, from string, limit int) ([]platform.Row, error) {
+// Scan implements store.Table.
+func (s *Store) Scan(ctx context.Context, table, from string, limit int) ([]store.Row, error) {
 	if err := checkScan(ctx, table, from); err != nil {
 		return nil, err
 	}
@@ -94,25 +94,25 @@
 	return t.scan(from, limit), nil
 }
 
-// Commit implements platform.Table.
-func (s *Store) Commit(ctx context.Context, ops []platform.Op) error {
+// Commit implements store.Table.
+func (s *Store) Commit(ctx context.Context, ops []store.Op) error {
 	_, err := s.CommitRevision(ctx, ops)
 	return err
 }
 
-// CommitRevision implements platform.RevisionTable.
-func (s *Store) CommitRevision(ctx context.Context, ops []platform.Op) (uint64, error) {
+// CommitRevision implements store.RevisionTable.
+func (s *Store) CommitRevision(ctx context.Context, ops []store.Op) (uint64, error) {
 	if err := ctx.Err(); err != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return 0, fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
-	if err := platform.CheckOps(ops); err != nil {
+	if err := store.CheckOps(ops); err != nil {
 		return 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, op := range ops {
 		if !s.holds(op) {
-			return 0, platform.ErrConflict
+			return 0, store.ErrConflict
 		}
 	}
 	s.revision++
@@ -123,28 +123,28 @@
 }
 
 // holds says whether the condition of op is met.
-func (s *Store) holds(op platform.Op) bool {
+func (s *Store) holds(op store.Op) bool {
 	row, ok := s.row(op.Table, op.Key)
 	switch op.Kind {
-	case platform.OpInsert:
+	case store.OpInsert:
 		return !ok
-	case platform.OpCheck:
+	case store.OpCheck:
 		return row.Revision == op.Revision
 	default:
 		return ok && row.Revision == op.Revision
 	}
 }
 
-func (s *Store) apply(op platform.Op) {
+func (s *Store) apply(op store.Op) {
 	switch op.Kind {
-	case platform.OpInsert, platform.OpUpdate:
-		s.table(op.Table).put(platform.Row{
+	case store.OpInsert, store.OpUpdate:
+		s.table(op.Table).put(store.Row{
 			Table:    op.Table,
 			Key:      op.Key,
 			Value:    bytes.Clone(op.Value),
 			Revision: s.revision,
 		})
-	case platform.OpDelete:
+	case store.OpDelete:
 		s.table(op.Table).remove(op.Key)
 	default:
 		return
@@ -152,10 +152,10 @@
 	s.changed(Change{Kind: op.Kind, Table: op.Table, Key: op.Key, Revision: s.revision, Bytes: len(op.Value)})
 }
 
-func (s *Store) row(table, key string) (platform.Row, bool) {
+func (s *Store) row(table, key string) (store.Row, bool) {
 	t := s.tables[table]
 	if t == nil {
-		return platform.Row{}, false
+		return store.Row{}, false
 	}
 	row, ok := t.rows[key]
 	return row, ok
@@ -178,20 +178,20 @@
 
 func checkRead(ctx context.Context, table, key string) error {
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
-	if err := platform.CheckName("table", table); err != nil {
+	if err := store.CheckName("table", table); err != nil {
 		return err
 	}
-	return platform.CheckName("key", key)
+	return store.CheckName("key", key)
 }
 
 func checkScan(ctx context.Context, table, from string) error {
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
-	if err := platform.CheckName("table", table); err != nil {
+	if err := store.CheckName("table", table); err != nil {
 		return err
 	}
-	return platform.CheckFrom("from", from)
+	return store.CheckFrom("from", from)
 }
--- a/platform/memory/memory_test.go
+++ b/store/memory/memory_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 var background = context.Background()
@@ -17,14 +17,14 @@
 
 func TestVMListLags(t *testing.T) {
 	c := &clock{now: time.Unix(1000, 0)}
-	store := New(Options{Now: c.Now})
-	store.SetVMLag(2 * time.Second)
+	table := New(Options{Now: c.Now})
+	table.SetVMLag(2 * time.Second)
 	for _, name := range []string{"first", "second"} {
-		store.SetVMs([]platform.VM{{Name: name}})
+		table.SetVMs([]store.VM{{Name: name}})
 		c.now = c.now.Add(time.Second)
 	}
 	for _, want := range []string{"first", "second", "second"} {
-		vms, err := store.ListVMs(background)
+		vms, err := table.ListVMs(background)
 		if err != nil || len(vms) != 1 || vms[0].Name != want {
 			t.Fatalf("got %+v, %v; want %s", vms, err, want)
 		}
@@ -35,8 +35,8 @@
 func TestWeightPermits(t *testing.T) {
 	c := &clock{now: time.Unix(1000, 0)}
 	weights := NewWeights(WeightsOptions{BytesPerSecond: 100, MaxFetches: 2, PermitTime: time.Minute, Now: c.Now})
-	ask := func(id string) platform.WeightPermit {
-		permit, err := weights.RequestFetch(background, platform.WeightFetch{ID: id, Artifact: "m", Target: "t"})
+	ask := func(id string) store.WeightPermit {
+		permit, err := weights.RequestFetch(background, store.WeightFetch{ID: id, Artifact: "m", Target: "t"})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -62,10 +62,10 @@
 // TestScanSeesEveryWrite checks that the lazily ordered keys stay right over
 // deletes and inserts of the same key.
 func TestScanSeesEveryWrite(t *testing.T) {
-	store := New(Options{})
-	commit := func(kind platform.OpKind, key string, revision uint64) uint64 {
-		op := platform.Op{Kind: kind, Table: "t", Key: key, Revision: revision}
-		revision, err := store.CommitRevision(background, []platform.Op{op})
+	table := New(Options{})
+	commit := func(kind store.OpKind, key string, revision uint64) uint64 {
+		op := store.Op{Kind: kind, Table: "t", Key: key, Revision: revision}
+		revision, err := table.CommitRevision(background, []store.Op{op})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -73,7 +73,7 @@
 	}
 	want := func(keys string) {
 		t.Helper()
-		rows, err := store.Scan(background, "t", "", 10)
+		rows, err := table.Scan(background, "t", "", 10)
 		got := ""
 		for _, row := range rows {
 			got += row.Key
@@ -82,13 +82,13 @@
 			t.Fatalf("got %q, %v; want %q", got, err, keys)
 		}
 	}
-	b := commit(platform.OpInsert, "b", 0)
-	commit(platform.OpInsert, "a", 0)
+	b := commit(store.OpInsert, "b", 0)
+	commit(store.OpInsert, "a", 0)
 	want("ab")
-	commit(platform.OpDelete, "b", b)
-	b = commit(platform.OpInsert, "b", 0)
-	commit(platform.OpInsert, "c", 0)
+	commit(store.OpDelete, "b", b)
+	b = commit(store.OpInsert, "b", 0)
+	commit(store.OpInsert, "c", 0)
 	want("abc")
-	commit(platform.OpDelete, "b", b)
+	commit(store.OpDelete, "b", b)
 	want("ac")
 }
--- a/platform/memory/rows.go
+++ b/store/memory/rows.go
@@ -5,13 +5,13 @@
 	"slices"
 	"sort"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // tableRows is one table: rows by key, and the keys in order for scans. Writes
 // take constant time; the first scan after a write puts the keys in order.
 type tableRows struct {
-	rows map[string]platform.Row
+	rows map[string]store.Row
 	// keys is in order; it may hold keys that were deleted.
 	keys []string
 	// added are keys written since keys was put in order.
@@ -21,10 +21,10 @@
 }
 
 func newTableRows() *tableRows {
-	return &tableRows{rows: make(map[string]platform.Row)}
+	return &tableRows{rows: make(map[string]store.Row)}
 }
 
-func (t *tableRows) put(row platform.Row) {
+func (t *tableRows) put(row store.Row) {
 	if _, ok := t.rows[row.Key]; !ok {
 		t.added = append(t.added, row.Key)
 	}
@@ -37,9 +37,9 @@
 }
 
 // scan returns up to limit rows with key >= from. The values are copies.
-func (t *tableRows) scan(from string, limit int) []platform.Row {
+func (t *tableRows) scan(from string, limit int) []store.Row {
 	t.order()
-	var rows []platform.Row
+	var rows []store.Row
 	for i := sort.SearchStrings(t.keys, from); i < len(t.keys) && len(rows) < limit; i++ {
 		row := t.rows[t.keys[i]]
 		row.Value = bytes.Clone(row.Value)
--- a/platform/memory/vms.go
+++ b/store/memory/vms.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // vmHistory keeps the lists that a lagging reader may still see.
@@ -17,14 +17,14 @@
 
 type vmEntry struct {
 	since time.Time
-	vms   []platform.VM
+	vms   []store.VM
 }
 
 // maxVMEntries bounds the history; older lists are forgotten.
 const maxVMEntries = 1024
 
 // SetVMs replaces the list of VMs. Readers see it once the lag has passed.
-func (s *Store) SetVMs(vms []platform.VM) {
+func (s *Store) SetVMs(vms []store.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry := vmEntry{since: s.options.Now(), vms: slices.Clone(vms)}
@@ -41,10 +41,10 @@
 	s.vms.lag = lag
 }
 
-// ListVMs implements platform.VMList.
-func (s *Store) ListVMs(ctx context.Context) ([]platform.VM, error) {
+// ListVMs implements store.VMList.
+func (s *Store) ListVMs(ctx context.Context) ([]store.VM, error) {
 	if err := ctx.Err(); err != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/platform/memory/weights.go
+++ b/store/memory/weights.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // Defaults of WeightsOptions.
@@ -29,14 +29,14 @@
 	Now func() time.Time
 }
 
-// Weights is an in-memory implementation of platform.Weights.
+// Weights is an in-memory implementation of store.Weights.
 type Weights struct {
 	options WeightsOptions
 	mu      sync.Mutex
 	permits map[string]time.Time // end of each permit by its ID
 }
 
-var _ platform.Weights = (*Weights)(nil)
+var _ store.Weights = (*Weights)(nil)
 
 // NewWeights returns a weight store with no permit given.
 func NewWeights(options WeightsOptions) *Weights {
@@ -55,51 +55,51 @@
 	return &Weights{options: options, permits: make(map[string]time.Time)}
 }
 
-// WeightsRate implements platform.Weights.
-func (w *Weights) WeightsRate(ctx context.Context) (platform.WeightRate, error) {
+// WeightsRate implements store.Weights.
+func (w *Weights) WeightsRate(ctx context.Context) (store.WeightRate, error) {
 	if err := ctx.Err(); err != nil {
-		return platform.WeightRate{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return store.WeightRate{}, fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.expire()
-	return platform.WeightRate{
+	return store.WeightRate{
 		BytesPerSecond: w.options.BytesPerSecond,
 		Fetches:        len(w.permits),
 		MaxFetches:     w.options.MaxFetches,
 	}, nil
 }
 
-// RequestFetch implements platform.Weights.
-func (w *Weights) RequestFetch(ctx context.Context, fetch platform.WeightFetch) (platform.WeightPermit, error) {
+// RequestFetch implements store.Weights.
+func (w *Weights) RequestFetch(ctx context.Context, fetch store.WeightFetch) (store.WeightPermit, error) {
 	if err := ctx.Err(); err != nil {
-		return platform.WeightPermit{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return store.WeightPermit{}, fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
-	if err := platform.CheckFetch(fetch); err != nil {
-		return platform.WeightPermit{}, err
+	if err := store.CheckFetch(fetch); err != nil {
+		return store.WeightPermit{}, err
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.expire()
 	end, held := w.permits[fetch.ID]
 	if !held && len(w.permits) >= w.options.MaxFetches {
-		return platform.WeightPermit{RetryAfter: fetchRetryAfter}, nil
+		return store.WeightPermit{RetryAfter: fetchRetryAfter}, nil
 	}
 	if !held {
 		end = w.options.Now().Add(w.options.PermitTime)
 		w.permits[fetch.ID] = end
 	}
-	return platform.WeightPermit{
+	return store.WeightPermit{
 		Granted:        true,
 		BytesPerSecond: w.options.BytesPerSecond / int64(w.options.MaxFetches),
 		TimeLeft:       end.Sub(w.options.Now()),
 	}, nil
 }
 
-// FinishFetch implements platform.Weights.
+// FinishFetch implements store.Weights.
 func (w *Weights) FinishFetch(ctx context.Context, id string) error {
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/platform/platform.go
+++ b/store/platform.go
@@ -1,8 +1,8 @@
-// Package platform holds the interfaces to the platform's services: the
+// Package store holds the interfaces to the platform's services: the
 // transactional table, the object store, the lagging list of VMs, and the
 // rate-limited weight store. The HTTP clients live here too; the protocol is
 // described in docs/PLATFORM.md. Everything that must last goes through it.
-package platform
+package store
 
 import (
 	"context"
--- a/platform/vms_bench_test.go
+++ b/store/vms_bench_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"encoding/json"
@@ -10,7 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
 // listPeriod is the default of the setting platform.vm_list_every, in seconds.
@@ -55,7 +55,7 @@
 }
 
 func readList(b *testing.B, vms int, tags bool) {
-	list, err := json.Marshal(platform.VMsReply{VMs: fleetOf(vms)})
+	list, err := json.Marshal(store.VMsReply{VMs: fleetOf(vms)})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -67,7 +67,7 @@
 	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { serveList(ctx, list, tags) }}
 	go func() { _ = server.Serve(countingListener{listener, &bytes}) }()
 	defer func() { _ = server.Shutdown() }()
-	client := platform.NewClient(platform.Options{Address: listener.Addr().String(), Metrics: metrics.NewSet()})
+	client := store.NewClient(store.Options{Address: listener.Addr().String(), Metrics: metrics.NewSet()})
 	defer client.Close()
 	if _, err := client.ListVMs(background); err != nil {
 		b.Fatal(err)
--- a/platform/vms_test.go
+++ b/store/vms_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"bytes"
@@ -12,26 +12,26 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
-	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/store"
 )
 
-func fleetOf(n int) []platform.VM {
-	var vms []platform.VM
+func fleetOf(n int) []store.VM {
+	var vms []store.VM
 	for i := range n {
-		vms = append(vms, platform.VM{
+		vms = append(vms, store.VM{
 			Name:        fmt.Sprintf("ikeja-%03d", i),
 			DataCentre:  "ikeja",
 			PeerAddress: fmt.Sprintf("10.1.%d.%d:7000", i/200, i%200+1),
-			State:       platform.VMLive,
+			State:       store.VMLive,
 		})
 	}
 	return vms
 }
 
 // setVMs replaces the stand-in's list.
-func (f *fixture) setVMs(t *testing.T, vms []platform.VM) {
+func (f *fixture) setVMs(t *testing.T, vms []store.VM) {
 	t.Helper()
-	list, err := json.Marshal(platform.VMsReply{VMs: vms})
+	list, err := json.Marshal(store.VMsReply{VMs: vms})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -46,7 +46,7 @@
 	http.DefaultClient.CloseIdleConnections()
 }
 
-func wantVMs(t *testing.T, client *platform.Client, want []platform.VM) {
+func wantVMs(t *testing.T, client *store.Client, want []store.VM) {
 	t.Helper()
 	got, err := client.ListVMs(background)
 	if err != nil || !slices.Equal(got, want) {
@@ -55,7 +55,7 @@
 }
 
 func TestUnchangedListIsNotSentAgain(t *testing.T) {
-	f := start(t, platform.Options{})
+	f := start(t, store.Options{})
 	vms := fleetOf(3)
 	f.setVMs(t, vms)
 	wantVMs(t, f.Client, vms)
@@ -70,7 +70,7 @@
 	if got := received(); got != once {
 		t.Fatalf("an unchanged list took %d bytes more", got-once)
 	}
-	vms = append(vms[1:], platform.VM{Name: "new", State: platform.VMLeaving})
+	vms = append(vms[1:], store.VM{Name: "new", State: store.VMLeaving})
 	f.setVMs(t, vms)
 	wantVMs(t, f.Client, vms)
 	wantVMs(t, f.Client, vms)
@@ -78,7 +78,7 @@
 
 // The peer addresses of a view are part of what its tag stands for.
 func TestListOfAView(t *testing.T) {
-	f := start(t, platform.Options{})
+	f := start(t, store.Options{})
 	vms := fleetOf(2)
 	f.setVMs(t, vms)
 	view, err := f.server.StartView("127.0.0.1:0")
@@ -86,7 +86,7 @@
 		t.Fatal(err)
 	}
 	defer view.Close()
-	client := platform.NewClient(platform.Options{Address: view.Address(), Metrics: metrics.NewSet()})
+	client := store.NewClient(store.Options{Address: view.Address(), Metrics: metrics.NewSet()})
 	defer client.Close()
 	wantVMs(t, client, vms)
 	wantVMs(t, client, vms)
@@ -112,8 +112,8 @@
 	}}
 	go func() { _ = server.Serve(listener) }()
 	defer func() { _ = server.Shutdown() }()
-	client := platform.NewClient(platform.Options{Address: listener.Addr().String(), Metrics: metrics.NewSet()})
+	client := store.NewClient(store.Options{Address: listener.Addr().String(), Metrics: metrics.NewSet()})
 	defer client.Close()
-	wantVMs(t, client, []platform.VM{{Name: "vm-1"}})
-	wantVMs(t, client, []platform.VM{{Name: "vm-2"}})
+	wantVMs(t, client, []store.VM{{Name: "vm-1"}})
+	wantVMs(t, client, []store.VM{{Name: "vm-2"}})
 }
--- a/platform/wire.go
+++ b/store/wire.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"fmt"
