--- a/config/apply.go
+++ b/config/apply.go
@@ -15,6 +15,7 @@
 		Workspaces: map[string]Workspace{},
 		Pools:      map[string]Pool{},
 		Targets:    map[string]Target{},
+		Routes:     map[string]Route{},
 	}}
 }
 
@@ -54,6 +55,7 @@
 		Workspaces: mergeSection(workspaceSection, old.Workspaces, touched.Workspaces, problems),
 		Pools:      mergeSection(poolSection, old.Pools, touched.Pools, problems),
 		Targets:    mergeSection(targetSection, old.Targets, touched.Targets, problems),
+		Routes:     mergeSection(routeSection, old.Routes, touched.Routes, problems),
 	}
 	invalid := &problemList{}
 	validateTouched(merged, touched, s.Index(), invalid)
@@ -65,6 +67,7 @@
 	updateSum(&sum, workspaceSection, old.Workspaces, merged.Workspaces, touched.Workspaces)
 	updateSum(&sum, poolSection, old.Pools, merged.Pools, touched.Pools)
 	updateSum(&sum, targetSection, old.Targets, merged.Targets, touched.Targets)
+	updateSum(&sum, routeSection, old.Routes, merged.Routes, touched.Routes)
 	next := &Snapshot{Declarations: merged}
 	next.contentOnce.Do(func() { next.content = sum })
 	next.indexOnce.Do(func() { next.index = s.Index().derive(old, merged, touched) })
--- a/config/decode.go
+++ b/config/decode.go
@@ -16,6 +16,7 @@
 	sectionWorkspaces = "workspaces"
 	sectionPools      = "pools"
 	sectionTargets    = "targets"
+	sectionRoutes     = "routes"
 )
 
 // section describes one section of the document for the generic code.
@@ -31,6 +32,7 @@
 	workspaceSection = newSection(sectionWorkspaces, defaultWorkspace, normaliseWorkspace)
 	poolSection      = newSection(sectionPools, defaultPool, normalisePool)
 	targetSection    = newSection(sectionTargets, defaultTarget, normaliseTarget)
+	routeSection     = newSection(sectionRoutes, defaultRoute, normaliseRoute)
 )
 
 func newSection[T any](name string, defaults func() T, normalise func(T) T) section[T] {
@@ -133,6 +135,7 @@
 	Workspaces map[string]json.RawMessage `json:"workspaces"`
 	Pools      map[string]json.RawMessage `json:"pools"`
 	Targets    map[string]json.RawMessage `json:"targets"`
+	Routes     map[string]json.RawMessage `json:"routes"`
 }
 
 func (d rawDocument) decode(problems *problemList) Declarations {
@@ -140,6 +143,7 @@
 		Workspaces: workspaceSection.decodeAll(d.Workspaces, problems),
 		Pools:      poolSection.decodeAll(d.Pools, problems),
 		Targets:    targetSection.decodeAll(d.Targets, problems),
+		Routes:     routeSection.decodeAll(d.Routes, problems),
 	}
 }
 
@@ -192,6 +196,7 @@
 		sectionWorkspaces: &document.Workspaces,
 		sectionPools:      &document.Pools,
 		sectionTargets:    &document.Targets,
+		sectionRoutes:     &document.Routes,
 	}
 	for name, member := range members {
 		objects, known := into[name]
--- a/config/defaults.go
+++ b/config/defaults.go
@@ -62,6 +62,7 @@
 		Workspaces: mapValues(d.Workspaces, withWorkspaceDefaults),
 		Pools:      mapValues(d.Pools, withPoolDefaults),
 		Targets:    mapValues(d.Targets, withTargetDefaults),
+		Routes:     mapValues(d.Routes, withRouteDefaults),
 	}
 }
 
--- a/config/diff.go
+++ b/config/diff.go
@@ -56,6 +56,9 @@
 	if rows, err = diffSection(poolSection, from.Pools, to.Pools, changes, rows); err != nil {
 		return nil, nil, err
 	}
+	if rows, err = diffSection(routeSection, from.Routes, to.Routes, changes, rows); err != nil {
+		return nil, nil, err
+	}
 	if rows, err = diffSection(targetSection, from.Targets, to.Targets, changes, rows); err != nil {
 		return nil, nil, err
 	}
--- a/config/digest.go
+++ b/config/digest.go
@@ -109,6 +109,7 @@
 		sumSection(&s.content, workspaceSection, s.Declarations.Workspaces)
 		sumSection(&s.content, poolSection, s.Declarations.Pools)
 		sumSection(&s.content, targetSection, s.Declarations.Targets)
+		sumSection(&s.content, routeSection, s.Declarations.Routes)
 	})
 	return s.content
 }
--- a/config/docs_test.go
+++ b/config/docs_test.go
@@ -13,7 +13,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, fields := range []map[string]int{workspaceSection.fields, poolSection.fields, targetSection.fields} {
+	for _, fields := range []map[string]int{workspaceSection.fields, poolSection.fields, targetSection.fields, routeSection.fields} {
 		for _, field := range sortedNames(fields) {
 			if !strings.Contains(string(page), "\n| `"+field+"` |") {
 				t.Errorf("field %s has no row", field)
--- a/config/index.go
+++ b/config/index.go
@@ -23,6 +23,7 @@
 	models   map[string]string
 	prefixes []prefixPool // longest first
 	targets  map[string]map[string][]string
+	routes   routeTable
 }
 
 type keyOwner struct {
@@ -46,6 +47,7 @@
 		index.addKeys(s.Declarations.Workspaces)
 		index.setPools(s.Declarations.Pools)
 		index.setTargets(s.Declarations.Targets)
+		index.routes = newRouteTable(s.Declarations.Routes)
 		s.index = index
 	})
 	return s.index
@@ -53,7 +55,7 @@
 
 // derive returns the index of next. Parts that did not change are shared.
 func (x *Index) derive(old, next Declarations, touched rawDocument) *Index {
-	derived := &Index{keys: x.keys, models: x.models, prefixes: x.prefixes, targets: x.targets}
+	derived := &Index{keys: x.keys, models: x.models, prefixes: x.prefixes, targets: x.targets, routes: x.routes}
 	if changed := changedKeys(old, next, touched); len(changed) > 0 {
 		derived.keys = maps.Clone(x.keys)
 		for _, name := range changed {
@@ -69,6 +71,9 @@
 	if len(touched.Targets) > 0 {
 		derived.setTargets(next.Targets)
 	}
+	if len(touched.Routes) > 0 {
+		derived.routes = newRouteTable(next.Routes)
+	}
 	return derived
 }
 
--- a/config/load.go
+++ b/config/load.go
@@ -122,6 +122,8 @@
 		return &l.document.Pools
 	case sectionTargets:
 		return &l.document.Targets
+	case sectionRoutes:
+		return &l.document.Routes
 	default:
 		return nil
 	}
--- a/config/types.go
+++ b/config/types.go
@@ -33,6 +33,9 @@
 	Pools map[string]Pool `json:"pools" toml:"pools"`
 	// Targets by name.
 	Targets map[string]Target `json:"targets" toml:"targets"`
+	// Routes by name. A fleet without routes finds pools by model and path
+	// prefix; see Pool.
+	Routes map[string]Route `json:"routes,omitempty" toml:"routes,omitempty"`
 }
 
 // Workspace is one tenant.
@@ -65,6 +68,24 @@
 	// TypicalMillis is the slot time charged at grant when the caller gives no
 	// hint. Default 1000.
 	TypicalMillis int `json:"typical_millis,omitempty" toml:"typical_millis,omitempty"`
+	// OneQueue schedules all targets of the pool in one queue, whatever their
+	// data centre. It suits a pool whose data centres are near to each other: one
+	// scheduler then sees every placement.
+	OneQueue bool `json:"one_queue,omitempty" toml:"one_queue,omitempty"`
+	// Tokens says that the work of the pool's targets is counted in tokens; nil:
+	// in slot time.
+	Tokens *TokenWork `json:"tokens,omitempty" toml:"tokens,omitempty"`
+}
+
+// TokenWork describes targets that read prompts and generate tokens.
+type TokenWork struct {
+	// PerSecond is about what all targets of the pool do together: each token
+	// read counts once, each token generated twice. Zero: not known.
+	PerSecond float64 `json:"per_second,omitempty" toml:"per_second,omitempty"`
+	// MemoryTokens is how many tokens of prompts and answers one target holds.
+	MemoryTokens int64 `json:"memory_tokens,omitempty" toml:"memory_tokens,omitempty"`
+	// EventTokens is how many tokens one event of a stream holds. Default 1.
+	EventTokens int `json:"event_tokens,omitempty" toml:"event_tokens,omitempty"`
 }
 
 // Target is one model engine or plain service instance.
@@ -104,6 +125,9 @@
 	Declarations Declarations `json:"declarations"`
 	// Digest chains the version to every version before it; see Digest.
 	Digest Digest `json:"digest"`
+	// TargetsRevision is the revision of the listing that the targets were read
+	// from; zero if operators declare the targets as part of the version.
+	TargetsRevision uint64 `json:"targets_revision,omitempty"`
 
 	link link
 
--- a/config/validate.go
+++ b/config/validate.go
@@ -35,6 +35,7 @@
 		Workspaces: namesOf(d.Workspaces),
 		Pools:      namesOf(d.Pools),
 		Targets:    namesOf(d.Targets),
+		Routes:     namesOf(d.Routes),
 	}
 	problems := &problemList{}
 	validateTouched(d, everything, newIndex(), problems)
@@ -68,6 +69,14 @@
 			checkTarget(d, name, target, problems)
 		}
 	}
+	for name := range touched.Routes {
+		if route, ok := d.Routes[name]; ok {
+			checkRoute(d, name, route, problems)
+		}
+	}
+	if len(touched.Routes) > 0 {
+		checkRoutesUnique(d.Routes, problems)
+	}
 	checkKeyOwners(d, touched, before, problems)
 	checkOrdersOfPools(d, touched, problems)
 	if len(touched.Pools) > 0 {
@@ -337,6 +346,11 @@
 		}
 		addReferences(targetSection.path(name), "pool", "pool", []string{target.Pool}, pools, problems)
 	}
+	for name, route := range d.Routes {
+		if _, checked := touched.Routes[name]; !checked {
+			addReferences(routeSection.path(name), "split", "pool", route.pools(), pools, problems)
+		}
+	}
 }
 
 func removedNames[T any](objects map[string]T, touched map[string]json.RawMessage) []string {
--- a/control/commands.go
+++ b/control/commands.go
@@ -44,6 +44,8 @@
 type VersionSeen struct {
 	From    NodeID
 	Version uint64
+	// TargetsRevision is the revision of that member's listing of targets.
+	TargetsRevision uint64
 }
 
 // Drained says that, after DrainStarted, no shard and no request is left here.
--- a/control/events.go
+++ b/control/events.go
@@ -26,10 +26,32 @@
 	PrefixHash uint64
 	// Fingerprint is the hash that quarantine goes by.
 	Fingerprint uint64
+	// Work describes the tokens of the request, for pools that count in tokens.
+	Work Work
+	// Objective is the time by which the answer should begin; zero if none.
+	Objective Instant
 	// Excluded are targets that must not be granted.
 	Excluded []string
 }
 
+// Work describes the tokens of a request.
+type Work struct {
+	// Parts are the parts of the prompt in order.
+	Parts []PromptPart
+	// PromptTokens and OutputTokens are the length of the prompt and about that
+	// of the answer.
+	PromptTokens, OutputTokens int
+}
+
+// PromptPart is one part of a prompt. Requests whose first parts are the same
+// share what a target keeps of them.
+type PromptPart struct {
+	// ID names the part's content.
+	ID uint64
+	// Tokens is the part's length.
+	Tokens int
+}
+
 // RequestCancelled says that the caller went away or the request was settled
 // before dispatch. The slot or queue place is freed.
 type RequestCancelled struct{ Request RequestID }
@@ -55,6 +77,13 @@
 	OutcomeRefused
 )
 
+// RunBegan says that the target of a run has begun to answer.
+type RunBegan struct {
+	Grant GrantID
+	// After is the time from the grant's arrival at the entry.
+	After time.Duration
+}
+
 // RunEnded says that the run under a grant ended.
 type RunEnded struct {
 	Request RequestID
@@ -118,6 +147,7 @@
 func (ConfigChanged) isEvent()     {}
 func (RequestArrived) isEvent()    {}
 func (RequestCancelled) isEvent()  {}
+func (RunBegan) isEvent()          {}
 func (RunEnded) isEvent()          {}
 func (MessageReceived) isEvent()   {}
 func (PeerState) isEvent()         {}
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -52,7 +52,8 @@
 func (m *Machine) heartbeat() Heartbeat {
 	beat := Heartbeat{Incarnation: m.epoch, Leaving: m.draining}
 	if m.topo != nil {
-		beat.ConfigVersion = uint64(m.topo.version)
+		beat.ConfigVersion = uint64(m.topo.order.Version)
+		beat.TargetsRevision = m.topo.order.Targets
 	}
 	return beat
 }
@@ -63,11 +64,20 @@
 		m.resendTo(from)
 	}
 	m.fleet.epochs[from] = msg.Incarnation
-	if msg.ConfigVersion > 0 && (m.topo == nil || msg.ConfigVersion > uint64(m.topo.version)) {
-		m.emit(VersionSeen{From: from, Version: msg.ConfigVersion})
+	if msg.ConfigVersion > 0 && m.isNews(msg) {
+		m.emit(VersionSeen{From: from, Version: msg.ConfigVersion, TargetsRevision: msg.TargetsRevision})
 	}
 }
 
+// isNews says whether a node has a newer configuration, or a newer listing of
+// targets, than this one.
+func (m *Machine) isNews(beat Heartbeat) bool {
+	if m.topo == nil {
+		return true
+	}
+	return beat.ConfigVersion > uint64(m.topo.order.Version) || beat.TargetsRevision > m.topo.order.Targets
+}
+
 func (m *Machine) suspectReceived(from NodeID, msg SuspectNotice) {
 	if msg.Node == m.opts.Node {
 		m.view.Missed(m.now, string(from))
--- a/control/machine.go
+++ b/control/machine.go
@@ -122,6 +122,8 @@
 		m.requestArrived(ev)
 	case RequestCancelled:
 		m.requestCancelled(ev)
+	case RunBegan:
+		m.runBegan(ev)
 	case RunEnded:
 		m.runEnded(ev)
 	case MessageReceived:
--- a/control/messages.go
+++ b/control/messages.go
@@ -17,6 +17,11 @@
 	PrefixHash  uint64
 	Fingerprint uint64
 	Excluded    []string
+	// Work describes the tokens of the request, for pools that count in tokens.
+	Work Work
+	// Objective is the time from now within which the answer should begin; zero
+	// if there is none.
+	Objective time.Duration
 	// Quiet says that the entry knows of the shard's backlog: Waiting is only
 	// sent if the ticket waits long.
 	Quiet bool
@@ -109,7 +114,9 @@
 type Heartbeat struct {
 	Incarnation   Incarnation
 	ConfigVersion uint64
-	Leaving       bool
+	// TargetsRevision is the revision of the listing of targets; see config.Order.
+	TargetsRevision uint64
+	Leaving         bool
 }
 
 // Waiting tells the entry that its ticket has to wait, so that it may also ask
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -56,7 +56,7 @@
 }
 
 func (m *Machine) configChanged(ev ConfigChanged) {
-	if ev.Snapshot.Version == 0 || (m.topo != nil && ev.Snapshot.Version <= m.topo.version) {
+	if ev.Snapshot.Version == 0 || (m.topo != nil && !ev.Snapshot.Order().After(m.topo.order)) {
 		return
 	}
 	m.topo = newTopology(ev.Snapshot)
--- a/control/status.go
+++ b/control/status.go
@@ -109,7 +109,7 @@
 		ByWorkspace: make(map[string]EntryCount, len(m.entry.workspaces)),
 	}
 	if m.topo != nil {
-		st.ConfigVersion = uint64(m.topo.version)
+		st.ConfigVersion = uint64(m.topo.order.Version)
 	}
 	for _, n := range m.view.Nodes() {
 		st.Members = append(st.Members, MemberStatus{
--- a/control/tickets.go
+++ b/control/tickets.go
@@ -100,10 +100,21 @@
 		PrefixHash:  r.ev.PrefixHash,
 		Fingerprint: r.ev.Fingerprint,
 		Excluded:    r.ev.Excluded,
+		Work:        r.ev.Work,
+		Objective:   objectiveLeft(r.ev, m.now),
 		Quiet:       a.quiet,
 	})
 }
 
+// objectiveLeft is the time until the answer should begin, at least one unit
+// once it has passed; zero if there is no objective.
+func objectiveLeft(ev RequestArrived, now Instant) time.Duration {
+	if ev.Objective <= 0 {
+		return 0
+	}
+	return max(time.Microsecond, ev.Objective-now)
+}
+
 // repeat sends a ticket again. A scheduler that left several unanswered is
 // passed over for a while.
 func (m *Machine) repeat(r *request, a *ask) {
--- a/control/topology.go
+++ b/control/topology.go
@@ -10,8 +10,8 @@
 
 // topology is what the machine derives from a configuration version.
 type topology struct {
-	version config.Version
-	decl    *config.Declarations
+	order config.Order
+	decl  *config.Declarations
 	// pools maps a pool to its shards, in order of data centre.
 	pools  map[string][]ShardID
 	shards map[ShardID]*shardDecl
@@ -46,11 +46,11 @@
 
 func newTopology(s *config.Snapshot) *topology {
 	t := &topology{
-		version: s.Version,
-		decl:    &s.Declarations,
-		pools:   make(map[string][]ShardID),
-		shards:  make(map[ShardID]*shardDecl),
-		groups:  accountGroups(len(s.Declarations.Workspaces)),
+		order:  s.Order(),
+		decl:   &s.Declarations,
+		pools:  make(map[string][]ShardID),
+		shards: make(map[ShardID]*shardDecl),
+		groups: accountGroups(len(s.Declarations.Workspaces)),
 	}
 	for name, target := range s.Declarations.Targets {
 		t.add(name, target)
@@ -66,7 +66,7 @@
 }
 
 func (t *topology) add(name string, target config.Target) {
-	id := ShardID{Pool: target.Pool, DataCentre: target.DataCentre}
+	id := t.shardFor(target)
 	d := t.shards[id]
 	if d == nil {
 		d = &shardDecl{id: id, hash: shardHash(id)}
@@ -87,7 +87,16 @@
 // shardOf returns the shard of a target; false if the target is not declared.
 func (t *topology) shardOf(target string) (ShardID, bool) {
 	decl, ok := t.decl.Targets[target]
-	return ShardID{Pool: decl.Pool, DataCentre: decl.DataCentre}, ok
+	return t.shardFor(decl), ok
+}
+
+// shardFor returns the shard that schedules a target: that of its pool in its
+// data centre, or the only one of a pool with one queue.
+func (t *topology) shardFor(target config.Target) ShardID {
+	if t.decl.Pools[target.Pool].OneQueue {
+		return ShardID{Pool: target.Pool}
+	}
+	return ShardID{Pool: target.Pool, DataCentre: target.DataCentre}
 }
 
 // share returns the weight of a workspace; 1 if it is unknown.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -62,7 +63,7 @@
 	if parsed.Command() == "check" {
 		return check(line.Check.Config, out, errOut)
 	}
-	return run(line.Run.Config, errOut)
+	return run(line.Run.Config, out, errOut)
 }
 
 func check(path string, out, errOut io.Writer) int {
@@ -92,13 +93,16 @@
 	return err
 }
 
-func run(path string, errOut io.Writer) int {
+func run(path string, out, errOut io.Writer) int {
 	loaded, err := load(path)
 	if err != nil {
 		fmt.Fprintf(errOut, "%v\n", err)
 		return ExitUsage
 	}
-	log := NewLogger(loaded.Log, errOut)
+	lines := newLineWriter(out)
+	defer lines.Close()
+	log := NewLogger(loaded.Log, lines)
+	setMemoryLimit(loaded.Limits.MemoryMiB)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
@@ -117,6 +121,18 @@
 	}
 }
 
+// memoryPart is the part of the VM's memory that the garbage collector keeps the
+// heap below. The rest is for stacks, buffers of the system and what has arrived
+// and is not yet read, all of which count.
+const memoryPart = 0.7
+
+// setMemoryLimit bounds the heap; zero leaves it as it is.
+func setMemoryLimit(mebibytes int) {
+	if mebibytes > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(mebibytes) * (1 << 20)))
+	}
+}
+
 // shutdowner is the part of a router that drain needs.
 type shutdowner interface {
 	Shutdown(ctx context.Context) error
--- /dev/null
+++ b/directory/exchange.go
@@ -0,0 +1,57 @@
+package directory
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/walnutcove/walnutcove/config"
+)
+
+// exported is the directory as one router gives it to another.
+type exported struct {
+	Version      config.Version            `json:"version"`
+	Declarations config.Declarations       `json:"declarations"`
+	Targets      map[string]exportedTarget `json:"targets"`
+	Gone         map[string]uint64         `json:"gone"`
+	Revision     uint64                    `json:"revision"`
+}
+
+type exportedTarget struct {
+	Target   config.Target `json:"target"`
+	Revision uint64        `json:"revision"`
+}
+
+// Export encodes what is known here for another router.
+func (f *Follower) Export() ([]byte, error) {
+	f.mu.Lock()
+	content := f.state.export()
+	f.mu.Unlock()
+	encoded, err := json.Marshal(content)
+	if err != nil {
+		return nil, fmt.Errorf("directory: encode for a peer: %w", err)
+	}
+	return encoded, nil
+}
+
+// Import takes in what another router exported, as far as it is newer. from
+// names that router in logs.
+func (f *Follower) Import(from string, encoded []byte) error {
+	var content exported
+	if err := json.Unmarshal(encoded, &content); err != nil {
+		return fmt.Errorf("directory: decode from %s: %w", from, err)
+	}
+	entries := make([]Entry[config.Target], 0, len(content.Targets)+len(content.Gone))
+	for name, target := range content.Targets {
+		entries = append(entries, Entry[config.Target]{Key: name, Revision: target.Revision, Value: target.Target})
+	}
+	for name, revision := range content.Gone {
+		entries = append(entries, Entry[config.Target]{Key: name, Revision: revision, Gone: true})
+	}
+	f.change("peer "+from, func(s *state) bool {
+		configured := s.configure(Configuration{Version: content.Version, Declarations: content.Declarations})
+		s.listed = true
+		applied := s.apply(entries, f.believeAt())
+		return configured || applied
+	})
+	return nil
+}
--- /dev/null
+++ b/directory/feed.go
@@ -0,0 +1,52 @@
+// Package directory follows what a managed platform publishes: the newest
+// configuration, which its operators write, and the targets, which register
+// themselves. It composes both into the snapshots that the rest of the product
+// serves by, and passes them between routers, so that one that the platform
+// turns away keeps up by its peers. A snapshot is swapped whole and never
+// replaced by an older one.
+package directory
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+)
+
+// ErrHistoryLost says that the platform no longer keeps the changes after the
+// revision that was asked for: everything has to be loaded again.
+var ErrHistoryLost = errors.New("directory: the platform has dropped these changes")
+
+// Feed publishes entries of one type. Its methods are safe for concurrent use.
+type Feed[T any] interface {
+	// Load returns all entries as of one moment.
+	Load(ctx context.Context) (Listing[T], error)
+	// Follow returns the changes after a revision as soon as there is one, or an
+	// empty listing once patience has passed. Its errors may be ErrHistoryLost.
+	Follow(ctx context.Context, after uint64, patience time.Duration) (Listing[T], error)
+}
+
+// Listing is all entries, or the changed ones, as of a revision.
+type Listing[T any] struct {
+	Entries []Entry[T]
+	// Revision is where Follow goes on.
+	Revision uint64
+}
+
+// Entry is one published value. Revisions come from one counter that grows with
+// every change on the platform.
+type Entry[T any] struct {
+	Key      string
+	Revision uint64
+	// Gone says that the entry was removed at this revision; Value is empty then.
+	Gone  bool
+	Value T
+}
+
+// Configuration is a published configuration version without its targets.
+type Configuration struct {
+	Version config.Version
+	// Declarations holds everything but the targets.
+	Declarations config.Declarations
+}
--- /dev/null
+++ b/directory/follower.go
@@ -0,0 +1,243 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/config"
+)
+
+const (
+	// patience is how long one call for changes waits: the longest that the
+	// platform allows, as each call has its price.
+	patience = 30 * time.Second
+	// firstPause and longestPause bound the pause after a failed call. The pause
+	// doubles and is jittered by half, so that routers do not come back in step.
+	firstPause   = 50 * time.Millisecond
+	longestPause = time.Second
+	// awayMemory is how long after a failed call a removal is doubted: entries
+	// of targets lapse after three missed heartbeats of a second or so.
+	awayMemory = 5 * time.Second
+	// returnMargin is added to ReturnGrace for the platform's and our own delay.
+	returnMargin = 500 * time.Millisecond
+	// loadTimeout bounds a call that loads everything.
+	loadTimeout = 2 * time.Second
+	// followMargin is how much longer than patience a call for changes may take.
+	followMargin = time.Second
+)
+
+var (
+	feedFailures = metrics.GetOrCreateCounter(`walnut_directory_feed_failures_total`)
+	reloads      = metrics.GetOrCreateCounter(`walnut_directory_reloads_total`)
+	lapsedBack   = metrics.GetOrCreateCounter(`walnut_directory_removals_doubted_total`)
+)
+
+// Options configure a Follower.
+type Options struct {
+	// Configurations and Targets are the feeds. Required.
+	Configurations Feed[Configuration]
+	Targets        Feed[config.Target]
+	// OnChange gets each new snapshot, in order, on one goroutine at a time.
+	// Required.
+	OnChange func(*config.Snapshot)
+	// ReturnGrace is how long entries of targets that lapsed while the platform
+	// was away may take to return once it is back; see settings.Platform.
+	ReturnGrace time.Duration
+	// Log gets a line for each change, and one when a feed is lost or regained.
+	// Required.
+	Log *slog.Logger
+}
+
+// Follower keeps the newest snapshot. Create it with New.
+type Follower struct {
+	options Options
+
+	mu    sync.Mutex
+	state state
+	// failedAt is when a call to the platform last failed; zero: never.
+	failedAt time.Time
+	// wake ends the pause of expireLapsed.
+	wake chan struct{}
+	// ready is closed with the first snapshot.
+	ready     chan struct{}
+	readyOnce sync.Once
+}
+
+// New returns a follower that does nothing before Run.
+func New(options Options) *Follower {
+	return &Follower{
+		options: options,
+		state:   newState(),
+		wake:    make(chan struct{}, 1),
+		ready:   make(chan struct{}),
+	}
+}
+
+// Ready is closed once there is a snapshot.
+func (f *Follower) Ready() <-chan struct{} { return f.ready }
+
+// Run follows both feeds until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() {
+		follow(ctx, f, "configurations", f.options.Configurations, f.configured)
+	})
+	running.Go(func() {
+		follow(ctx, f, "targets", f.options.Targets, f.targetsChanged)
+	})
+	running.Go(func() { f.expireLapsed(ctx) })
+	running.Wait()
+}
+
+// follow loads one feed and follows it until ctx ends.
+func follow[T any](ctx context.Context, f *Follower, name string, feed Feed[T], take func(Listing[T], bool)) {
+	pause := firstPause
+	lost := false
+	loaded := false
+	var after uint64
+	for ctx.Err() == nil {
+		listing, err := next(ctx, feed, loaded, after)
+		switch {
+		case errors.Is(err, ErrHistoryLost):
+			f.options.Log.Warn("directory: History is gone, loading everything.", "feed", name, "revision", after)
+			reloads.Inc()
+			loaded = false
+			continue
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			if !lost {
+				f.options.Log.Warn("directory: Feed lost.", "feed", name, "revision", after, "error", err)
+			}
+			lost = true
+			f.failed()
+			sleep(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, longestPause)
+			continue
+		}
+		if lost {
+			f.options.Log.Info("directory: Feed regained.", "feed", name, "revision", listing.Revision)
+			f.failed() // what lapsed meanwhile has until now plus the grace
+		}
+		lost, pause = false, firstPause
+		take(listing, !loaded)
+		loaded, after = true, max(after, listing.Revision)
+	}
+}
+
+// next loads the feed, or waits for its next changes.
+func next[T any](ctx context.Context, feed Feed[T], loaded bool, after uint64) (Listing[T], error) {
+	if !loaded {
+		ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+		defer cancel()
+		return feed.Load(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience+followMargin)
+	defer cancel()
+	return feed.Follow(ctx, after, patience)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// failed notes a failed call.
+func (f *Follower) failed() {
+	feedFailures.Inc()
+	f.mu.Lock()
+	f.failedAt = time.Now()
+	f.mu.Unlock()
+}
+
+// believeAt returns when a removal that is seen now is believed: zero for at
+// once. f.mu must be held.
+func (f *Follower) believeAt() time.Time {
+	if f.failedAt.IsZero() || time.Since(f.failedAt) > awayMemory {
+		return time.Time{}
+	}
+	lapsedBack.Inc()
+	return time.Now().Add(f.options.ReturnGrace + returnMargin)
+}
+
+func (f *Follower) configured(listing Listing[Configuration], _ bool) {
+	f.change("platform", func(s *state) bool {
+		changed := false
+		for _, entry := range listing.Entries {
+			if !entry.Gone {
+				changed = s.configure(entry.Value) || changed
+			}
+		}
+		return changed
+	})
+}
+
+func (f *Follower) targetsChanged(listing Listing[config.Target], whole bool) {
+	f.change("platform", func(s *state) bool {
+		if whole {
+			return s.replace(listing, f.believeAt())
+		}
+		return s.apply(listing.Entries, f.believeAt())
+	})
+}
+
+// change applies news to the state and tells what came of it. Snapshots are told
+// in order, as the lock is held.
+func (f *Follower) change(source string, apply func(*state) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.state.configuration.Version
+	if !apply(&f.state) {
+		f.wakeLapsed()
+		return
+	}
+	f.wakeLapsed()
+	snapshot := f.state.snapshot()
+	if snapshot == nil {
+		return
+	}
+	f.options.Log.Info("directory: Changed.", "source", source, "version", uint64(snapshot.Version), "version_before", uint64(before),
+		"targets", len(snapshot.Declarations.Targets), "targets_revision", snapshot.TargetsRevision)
+	f.options.OnChange(snapshot)
+	f.readyOnce.Do(func() { close(f.ready) })
+}
+
+// wakeLapsed lets expireLapsed look again.
+func (f *Follower) wakeLapsed() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// expireLapsed believes removals once their time has come, until ctx ends.
+func (f *Follower) expireLapsed(ctx context.Context) {
+	for ctx.Err() == nil {
+		var due time.Time
+		f.mu.Lock()
+		_, due = f.state.expire(time.Time{})
+		f.mu.Unlock()
+		if due.IsZero() {
+			select {
+			case <-f.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		sleep(ctx, time.Until(due))
+		f.change("lapse", func(s *state) bool {
+			changed, _ := s.expire(time.Now())
+			return changed
+		})
+	}
+}
--- a/filters/classify/classify.go
+++ b/filters/classify/classify.go
@@ -5,14 +5,11 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
@@ -88,7 +85,7 @@
 	if refusal := f.readHeaders(ex); refusal != nil {
 		return refusal
 	}
-	ex.Fingerprint = fingerprint(ex)
+	ex.Fingerprint = ex.HashContent()
 	return nil
 }
 
@@ -154,17 +151,3 @@
 func idempotentByDefault(ex *pipeline.Exchange) bool {
 	return ex.Pool.Kind == config.KindEngine || slices.Contains(idempotentMethods, ex.Method)
 }
-
-// fingerprint hashes workspace, path and body. Lengths keep the parts apart.
-func fingerprint(ex *pipeline.Exchange) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	var length [8]byte
-	for _, part := range []string{ex.WorkspaceName, ex.Path} {
-		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
-		d.Write(length[:])
-		d.WriteString(part)
-	}
-	d.Write(ex.Body)
-	return d.Sum64()
-}
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -90,7 +90,7 @@
 // Request builds the call to the exchange's target. A resumed call starts at
 // offset.
 func Request(ex *pipeline.Exchange, offset int64) target.Request {
-	return target.Request{
+	request := target.Request{
 		ID:      ex.ID,
 		Address: ex.Address,
 		Method:  ex.Method,
@@ -99,6 +99,14 @@
 		Body:    ex.Body,
 		Offset:  offset,
 	}
+	if ex.Route != nil {
+		request.Host = ex.Host
+		request.Workspace = ex.WorkspaceName
+		request.Target = ex.Target
+		request.Deadline = ex.Deadline
+		request.AfterEvent = ex.AfterEvent
+	}
+	return request
 }
 
 // checkBeforeDispatch runs the last checks before any byte is written.
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -34,6 +34,9 @@
 // endedRun notes how a run was ended first.
 type endedRun struct{ outcomes []control.Outcome }
 
+// Begin implements pipeline.Run.
+func (e *endedRun) Begin() {}
+
 // End implements pipeline.Run.
 func (e *endedRun) End(outcome control.Outcome) { e.outcomes = append(e.outcomes, outcome) }
 
--- a/filters/relay/relay_test.go
+++ b/filters/relay/relay_test.go
@@ -61,6 +61,8 @@
 
 type countedRun struct{ outcomes []control.Outcome }
 
+func (c *countedRun) Begin() {}
+
 func (c *countedRun) End(outcome control.Outcome) { c.outcomes = append(c.outcomes, outcome) }
 
 // first returns the outcome that counts; see pipeline.Run.
--- a/filters/retry/retry.go
+++ b/filters/retry/retry.go
@@ -53,6 +53,7 @@
 func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
 	f.budget.earn(ex.WorkspaceName)
 	ran := result.RanNo
+	runs := 0 // attempts that may have run
 	for {
 		ex.Attempt++
 		err := next(ctx, ex)
@@ -68,7 +69,10 @@
 		if !retriable {
 			return err
 		}
-		if ex.Attempt >= maxAttempts || !time.Now().Before(ex.Deadline) {
+		if refusal.Ran != result.RanNo {
+			runs++
+		}
+		if ex.Attempt >= maxAttempts || runs >= maxRuns(ex) || !time.Now().Before(ex.Deadline) {
 			return err
 		}
 		if !f.budget.spend(ex.WorkspaceName) {
@@ -83,6 +87,24 @@
 	}
 }
 
+// maxRuns bounds the attempts of a request that may have run.
+func maxRuns(ex *pipeline.Exchange) int {
+	if ex.Route == nil {
+		return maxAttempts
+	}
+	return ex.Route.Attempts
+}
+
+// Spend takes a retry for a stream that is to go on at another target. It
+// reports false if there is none left.
+func (f *Filter) Spend(workspace string) bool {
+	if f.budget.spend(workspace) {
+		return true
+	}
+	refusals.Inc(result.RetryBudgetEmpty)
+	return false
+}
+
 // logRetry tells of a failed attempt that another one follows.
 func (f *Filter) logRetry(ctx context.Context, ex *pipeline.Exchange, failure *result.Error) {
 	pipeline.Log(ctx, f.log, slog.LevelWarn, ex, "retry: Attempt failed, another follows.",
--- a/front/answer.go
+++ b/front/answer.go
@@ -59,22 +59,58 @@
 	encoded, _ := json.Marshal(body) // strings and ints always encode
 	response := &ctx.Response
 	response.Reset()
-	response.SetStatusCode(info.Status)
+	response.SetStatusCode(s.statusOf(refusal))
 	header := &response.Header
 	header.SetContentType("application/json")
 	header.Set(headerRequestID, id)
+	if s.options.Dialect.CallerSetsID {
+		header.Set(s.options.Dialect.RequestID, id)
+	}
 	header.Set(headerCode, strconv.Itoa(int(refusal.Code)))
 	header.Set(headerRan, refusal.Ran.String())
-	setRetryAfter(header, refusal.RetryAfter)
+	s.setRetryAfter(header, refusal.RetryAfter)
 	response.SetBodyRaw(encoded)
 }
 
+// statusOf returns the HTTP status of a refusal. Where callers go by the status
+// alone, one that promises that nothing ran is given if and only if that is so.
+func (s *Server) statusOf(refusal *result.Error) int {
+	status := refusal.Code.Info().Status
+	if !s.options.Dialect.StatusPromises {
+		return status
+	}
+	promises := status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests ||
+		status == fasthttp.StatusRequestTimeout || status == fasthttp.StatusMisdirectedRequest
+	switch {
+	case refusal.Ran == result.RanNo && !promises && !isCallersFault(refusal.Code):
+		return fasthttp.StatusServiceUnavailable
+	case refusal.Ran != result.RanNo && promises:
+		return fasthttp.StatusBadGateway
+	}
+	return status
+}
+
+// isCallersFault says whether the same request would be refused again.
+func isCallersFault(code result.Code) bool {
+	switch code {
+	case result.BadRequest, result.BodyTooLarge, result.HeadersTooLarge, result.UnknownPath,
+		result.MethodNotAllowed, result.KeyMissing, result.KeyWrong, result.BadHeader:
+		return true
+	}
+	return false
+}
+
 // setRetryAfter sets the advice in whole seconds, rounded up as the standard
-// header has no fractions, and in milliseconds.
-func setRetryAfter(header *fasthttp.ResponseHeader, after time.Duration) {
+// header has no fractions, and in milliseconds; or in seconds with fractions
+// where callers read them.
+func (s *Server) setRetryAfter(header *fasthttp.ResponseHeader, after time.Duration) {
 	if after <= 0 {
 		return
 	}
+	if s.options.Dialect.RetryFractions {
+		header.Set(headerRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+		return
+	}
 	seconds := int(math.Ceil(after.Seconds()))
 	millis := (after + time.Millisecond - 1) / time.Millisecond
 	header.Set(headerRetryAfter, strconv.Itoa(seconds))
@@ -102,7 +138,9 @@
 			response.Header.Set(name, value)
 		}
 	}
-	response.Header.Set(headerRequestID, ex.ID)
+	if !s.options.Dialect.CallerSetsID {
+		response.Header.Set(headerRequestID, ex.ID)
+	}
 	if ex.AnswerStream == nil {
 		response.SetBodyRaw(ex.AnswerBody)
 		return nil
--- a/front/ids.go
+++ b/front/ids.go
@@ -5,6 +5,8 @@
 	"encoding/hex"
 	"strconv"
 	"sync/atomic"
+
+	"github.com/valyala/fasthttp"
 )
 
 // requestID identifies a request.
@@ -27,6 +29,23 @@
 	return &idSource{prefix: hex.EncodeToString(b[:]) + "-"}
 }
 
+// maxCallerID bounds a request id that a caller sets.
+const maxCallerID = 128
+
+// idOf returns the id of a request: the caller's, where callers set one, or a
+// new one.
+func (s *Server) idOf(header *fasthttp.RequestHeader) requestID {
+	id := s.ids.next()
+	if !s.options.Dialect.CallerSetsID {
+		return id
+	}
+	given := header.Peek(s.options.Dialect.RequestID)
+	if len(given) > 0 && len(given) <= maxCallerID {
+		id.text = string(given)
+	}
+	return id
+}
+
 func (s *idSource) next() requestID {
 	sequence := s.last.Add(1)
 	text := make([]byte, 0, len(s.prefix)+20)
--- a/front/request.go
+++ b/front/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/textproto"
 	"strings"
 	"time"
 
@@ -49,6 +50,7 @@
 		Arrived:     time.Now(),
 		Method:      string(header.Method()),
 		Path:        originForm(string(header.RequestURI())),
+		Host:        string(header.Host()),
 		ContentType: string(header.ContentType()),
 		Header:      copyHeader(header),
 		Body:        takeBody(&ctx.Request),
@@ -92,11 +94,12 @@
 // Repeated headers are joined with a comma.
 func copyHeader(header *fasthttp.RequestHeader) map[string]string {
 	copied := make(map[string]string, header.Len())
+	named := connectionNamed(header)
 	for key, value := range header.All() {
-		if hopByHop(string(key)) {
+		name := string(key)
+		if hopByHop(name) || named[name] {
 			continue
 		}
-		name := string(key)
 		if earlier, ok := copied[name]; ok {
 			copied[name] = earlier + ", " + string(value)
 			continue
@@ -106,6 +109,23 @@
 	return copied
 }
 
+// connectionNamed returns the headers that the Connection header names as being
+// about this connection only, by their canonical names. It is nil if there are none.
+func connectionNamed(header *fasthttp.RequestHeader) map[string]bool {
+	var named map[string]bool
+	for token := range strings.SplitSeq(string(header.Peek(fasthttp.HeaderConnection)), ",") {
+		token = strings.TrimSpace(token)
+		if token == "" || strings.EqualFold(token, "close") || strings.EqualFold(token, "keep-alive") {
+			continue
+		}
+		if named == nil {
+			named = make(map[string]bool)
+		}
+		named[textproto.CanonicalMIMEHeaderKey(token)] = true
+	}
+	return named
+}
+
 // hopByHop says whether a header is about one connection or one message, so
 // that it is not passed on.
 func hopByHop(name string) bool {
--- a/front/serve.go
+++ b/front/serve.go
@@ -54,7 +54,7 @@
 	gone := make(chan struct{})
 	r := &request{
 		arrival: s.takeArrival(&ctx.Request.Header),
-		ex:      newExchange(s.ids.next(), gone, ctx),
+		ex:      newExchange(s.idOf(&ctx.Request.Header), gone, ctx),
 		conn:    conn,
 		gone:    gone,
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/walnutcove/walnutcove/dialect"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/settings"
@@ -63,6 +64,8 @@
 	// ForceGrace is how long Close waits for its refusals to be written before
 	// it closes the connections. Default 1 s.
 	ForceGrace time.Duration
+	// Dialect is how the callers speak. Default dialect.Own.
+	Dialect *dialect.Dialect
 	// Log defaults to slog.Default().
 	Log *slog.Logger
 }
@@ -89,6 +92,9 @@
 	setDefault(&o.WatchEvery, DefaultWatchEvery)
 	setDefault(&o.IdleGrace, DefaultIdleGrace)
 	setDefault(&o.ForceGrace, DefaultForceGrace)
+	if o.Dialect == nil {
+		o.Dialect = dialect.Own
+	}
 	if o.Log == nil {
 		o.Log = slog.Default()
 	}
--- a/operator/auth.go
+++ b/operator/auth.go
@@ -15,8 +15,8 @@
 type keyring struct{ digests [][sha256.Size]byte }
 
 // newKeyring decodes hex SHA-256 digests. No digest at all is allowed only if
-// address is on loopback: then every request is let in.
-func newKeyring(keyHashes []string, address string) (keyring, error) {
+// address is on loopback, or open is set: then every request is let in.
+func newKeyring(keyHashes []string, address string, open bool) (keyring, error) {
 	var ring keyring
 	for i, text := range keyHashes {
 		raw, err := hex.DecodeString(text)
@@ -25,7 +25,7 @@
 		}
 		ring.digests = append(ring.digests, [sha256.Size]byte(raw))
 	}
-	if len(ring.digests) > 0 {
+	if len(ring.digests) > 0 || open {
 		return ring, nil
 	}
 	addrPort, err := netip.ParseAddrPort(address)
--- a/operator/server.go
+++ b/operator/server.go
@@ -45,6 +45,9 @@
 	Address string
 	// KeyHashes are hex SHA-256 digests of the operators' keys.
 	KeyHashes []string
+	// Open lets everyone in who reaches the address, without a key: for networks
+	// that only operators reach.
+	Open bool
 	// Log receives one line for each change. Default slog.Default().
 	Log *slog.Logger
 }
@@ -60,7 +63,7 @@
 // New returns a server. It refuses key hashes that cannot be read, and an
 // empty list of them when the address is not on loopback.
 func New(backend Backend, options Options) (*Server, error) {
-	keys, err := newKeyring(options.KeyHashes, options.Address)
+	keys, err := newKeyring(options.KeyHashes, options.Address, options.Open)
 	if err != nil {
 		return nil, err
 	}
--- a/peer/batch.go
+++ b/peer/batch.go
@@ -111,7 +111,7 @@
 		*buffer = bytes.Buffer{}
 	}
 	s.mesh.counters.flushes.Inc()
-	s.usedAt.Store(time.Now().UnixNano())
+	s.usedAt.Store(int64(s.mesh.age()))
 	if err == nil {
 		return true
 	}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -26,7 +26,10 @@
 // Mesh is the Transport over TCP. Sessions are opened by the first message or
 // call to a node and closed when idle.
 type Mesh struct {
-	options  Options
+	options Options
+	// started is the origin of the sessions' times, which count on the steady
+	// clock: a step of the time of day must not make every session look silent.
+	started  time.Time
 	self     wire.Origin
 	handler  Handler
 	log      *slog.Logger
@@ -61,6 +64,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Mesh{
 		options:    options,
+		started:    time.Now(),
 		self:       wire.Origin{Node: options.Node, Incarnation: options.Incarnation},
 		handler:    handler,
 		log:        options.Logger,
@@ -76,6 +80,9 @@
 	return m, nil
 }
 
+// age is the time since the mesh started, by the steady clock.
+func (m *Mesh) age() time.Duration { return time.Since(m.started) }
+
 // Address is the "ip:port" that the Mesh listens on.
 func (m *Mesh) Address() string { return m.listener.Addr().String() }
 
@@ -143,7 +150,7 @@
 	if address == "" {
 		return false
 	}
-	if m.options.TLS != nil || checkLoopback(address) == nil {
+	if m.options.TLS != nil || m.options.TrustNetwork || checkLoopback(address) == nil {
 		return true
 	}
 	m.counters.dialFailed(failPlain)
--- a/peer/options.go
+++ b/peer/options.go
@@ -25,6 +25,9 @@
 	// TLS is the configuration that tlsfiles loads. With nil, sessions are
 	// plain, and every address must be on loopback.
 	TLS *tls.Config
+	// TrustNetwork allows plain sessions on any address: whoever reaches the
+	// port is taken for a router.
+	TrustNetwork bool
 	// Logger defaults to slog.Default().
 	Logger *slog.Logger
 	// Metrics takes the counters. Default: the process's default set.
@@ -114,6 +117,9 @@
 // checkSecurity refuses plain sessions outside loopback, and a TLS
 // configuration that would let in a node without a certificate.
 func (o *Options) checkSecurity() error {
+	if o.TLS == nil && o.TrustNetwork {
+		return nil
+	}
 	if o.TLS == nil {
 		if err := checkLoopback(o.ListenAddress); err != nil {
 			return fmt.Errorf("listen address %q: %w", o.ListenAddress, err)
--- a/peer/session.go
+++ b/peer/session.go
@@ -39,8 +39,8 @@
 	// writing guards writes to stream.
 	writing sync.Mutex
 
-	heardAt   atomic.Int64 // unix nanoseconds of the last frame, call or ping answer
-	usedAt    atomic.Int64 // unix nanoseconds of the last frame or call
+	heardAt   atomic.Int64 // nanoseconds since Mesh.started of the last frame, call or ping answer
+	usedAt    atomic.Int64 // nanoseconds since Mesh.started of the last frame or call
 	openCalls atomic.Int64 // in both directions
 	probing   atomic.Bool
 }
@@ -153,18 +153,18 @@
 	s.link.removed(s, reason)
 }
 
-func (s *session) heard() { s.heardAt.Store(time.Now().UnixNano()) }
+func (s *session) heard() { s.heardAt.Store(int64(s.mesh.age())) }
 
 func (s *session) used() {
-	now := time.Now().UnixNano()
+	now := int64(s.mesh.age())
 	s.usedAt.Store(now)
 	s.heardAt.Store(now)
 }
 
 // check closes an idle session and pings a silent one.
 func (s *session) check(now time.Time) {
-	silent := now.Sub(time.Unix(0, s.heardAt.Load()))
-	idle := now.Sub(time.Unix(0, s.usedAt.Load()))
+	silent := now.Sub(s.mesh.started) - time.Duration(s.heardAt.Load())
+	idle := now.Sub(s.mesh.started) - time.Duration(s.usedAt.Load())
 	switch {
 	case idle >= s.mesh.options.IdleAfter && s.openCalls.Load() == 0:
 		s.mesh.spawn(func() { s.farewell(endIdle) })
--- a/peer/wire/codec_member.go
+++ b/peer/wire/codec_member.go
@@ -10,7 +10,7 @@
 )
 
 func (e *Encoder) heartbeat(m control.Heartbeat) (*peerpb.Entry, error) {
-	p := &peerpb.Heartbeat{ConfigVersion: m.ConfigVersion, Leaving: m.Leaving}
+	p := &peerpb.Heartbeat{ConfigVersion: m.ConfigVersion, TargetsRevision: m.TargetsRevision, Leaving: m.Leaving}
 	if m.Incarnation != e.sender.Incarnation {
 		p.Incarnation = proto.Uint64(uint64(m.Incarnation))
 	}
@@ -22,6 +22,8 @@
 		Incarnation:   d.sender.Incarnation,
 		ConfigVersion: p.GetConfigVersion(),
 		Leaving:       p.GetLeaving(),
+
+		TargetsRevision: p.GetTargetsRevision(),
 	}
 	if p != nil && p.Incarnation != nil {
 		m.Incarnation = control.Incarnation(p.GetIncarnation())
--- a/peer/wire/codec_queue.go
+++ b/peer/wire/codec_queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/peer/peerpb"
@@ -28,7 +29,9 @@
 		Fingerprint: m.Fingerprint,
 		Excluded:    excluded,
 		Quiet:       m.Quiet,
+		Objective:   micros(m.Objective),
 	}
+	encodeWork(p, m.Work)
 	return &peerpb.Entry{Kind: &peerpb.Entry_Ticket{Ticket: p}}, nil
 }
 
@@ -40,6 +43,10 @@
 	if err := errors.Join(errOrigin, errShard, errWorkspace, errExcluded); err != nil {
 		return nil, err
 	}
+	work, err := decodeWork(p)
+	if err != nil {
+		return nil, err
+	}
 	return control.Ticket{
 		ID: control.TicketID{
 			Node:        origin.Node,
@@ -55,9 +62,35 @@
 		Fingerprint: p.GetFingerprint(),
 		Excluded:    excluded,
 		Quiet:       p.GetQuiet(),
+		Work:        work,
+		Objective:   fromMicros(p.GetObjective()),
 	}, nil
 }
 
+func encodeWork(p *peerpb.Ticket, work control.Work) {
+	p.PromptTokens = uint32(work.PromptTokens)
+	p.OutputTokens = uint32(work.OutputTokens)
+	for _, part := range work.Parts {
+		p.PartId = append(p.PartId, part.ID)
+		p.PartTokens = append(p.PartTokens, uint32(part.Tokens))
+	}
+}
+
+func decodeWork(p *peerpb.Ticket) (control.Work, error) {
+	work := control.Work{PromptTokens: int(p.GetPromptTokens()), OutputTokens: int(p.GetOutputTokens())}
+	ids, tokens := p.GetPartId(), p.GetPartTokens()
+	if len(ids) != len(tokens) {
+		return work, fmt.Errorf("%w: parts of unequal length", ErrMalformed)
+	}
+	if err := checkList(len(ids)); err != nil {
+		return work, err
+	}
+	for i, id := range ids {
+		work.Parts = append(work.Parts, control.PromptPart{ID: id, Tokens: int(tokens[i])})
+	}
+	return work, nil
+}
+
 func (e *Encoder) grant(m control.Grant) (*peerpb.Entry, error) {
 	scheduler, errScheduler := e.origin(m.ID.Scheduler, m.ID.Incarnation)
 	origin, errOrigin := e.origin(m.Ticket.Node, m.Ticket.Incarnation)
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -2,16 +2,22 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"io"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
 )
 
 // Run is a granted slot of a target.
 type Run interface {
+	// Begin says that the target has begun to answer: what it had to read is
+	// read. Only the first call counts.
+	Begin()
 	// End frees the slot. Only the first call counts.
 	End(outcome control.Outcome)
 }
@@ -29,6 +35,7 @@
 	// Set by accept.
 	Method      string
 	Path        string // path with query, as sent
+	Host        string // as sent, with its port if it had one
 	ContentType string
 	Header      map[string]string // forwarded headers and Walnut-*; canonical names
 	Body        []byte
@@ -55,11 +62,20 @@
 	PrefixHash     uint64        // hash of the prompt's beginning; zero if none
 	Fingerprint    uint64        // hash of workspace, path and body
 
+	// Route is the route that serves the request; nil where pools are found by
+	// model and path.
+	Route *config.NamedRoute
+	// Work is what the caller says about the tokens of the request.
+	Work control.Work
+
 	// Set by grant for each attempt.
 	Attempt  int
 	Target   string
 	Address  string
 	Excluded []string // targets that failed this request
+	// AfterEvent is the id of the last event that the caller has; empty before
+	// the first one. A stream that goes on elsewhere begins behind it.
+	AfterEvent string
 	// Run is the granted slot. Set by grant; dispatch and relay end it.
 	Run Run
 
@@ -80,6 +96,21 @@
 	onEnd   []func(error)
 }
 
+// HashContent hashes what makes two requests the same: workspace, path and body.
+// Lengths keep the parts apart.
+func (ex *Exchange) HashContent() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var length [8]byte
+	for _, part := range []string{ex.WorkspaceName, ex.Path} {
+		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+		d.Write(length[:])
+		d.WriteString(part)
+	}
+	d.Write(ex.Body)
+	return d.Sum64()
+}
+
 // OnEnd adds a function that runs once, when the answer has been sent whole
 // (nil error), broken off, or refused. Functions run last added first.
 func (ex *Exchange) OnEnd(f func(error)) {
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -48,6 +49,9 @@
 		return countRefusal(result.New(result.CallerGone, "The caller went away."))
 	case <-ctx.Done():
 		g.withdraw(event.Request)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return countRefusal(result.New(result.DeadlineBeforeGrant, "The deadline passed before a target was free."))
+		}
 		return countRefusal(result.New(result.CallerGone, "The request was cancelled."))
 	case <-g.loop.done:
 		return countRefusal(result.New(result.Draining, "The router has stopped."))
@@ -70,11 +74,21 @@
 		Deadline:    g.loop.instant(ex.Deadline),
 		Bytes:       int64(len(ex.Body)),
 		PrefixHash:  ex.PrefixHash,
+		Work:        ex.Work,
+		Objective:   g.objective(ex),
 		Fingerprint: ex.Fingerprint,
 		Excluded:    ex.Excluded,
 	}
 }
 
+// objective is when the answer should have begun; zero if there is no objective.
+func (g *grants) objective(ex *pipeline.Exchange) control.Instant {
+	if ex.Route == nil || ex.Route.Objective() <= 0 {
+		return 0
+	}
+	return g.loop.instant(ex.Arrived.Add(ex.Route.Objective()))
+}
+
 // accept turns the machine's answer into the exchange's run or a refusal.
 func (g *grants) accept(ex *pipeline.Exchange, answer grantAnswer) error {
 	if answer.refuse != nil {
@@ -102,9 +116,17 @@
 	loop    *loop
 	granted control.Dispatch
 	started time.Time
+	begun   sync.Once
 	once    sync.Once
 }
 
+// Begin implements pipeline.Run.
+func (r *run) Begin() {
+	r.begun.Do(func() {
+		r.loop.post(control.RunBegan{Grant: r.granted.Grant, After: time.Since(r.started)})
+	})
+}
+
 // End implements pipeline.Run.
 func (r *run) End(outcome control.Outcome) {
 	r.once.Do(func() {
--- a/router/backend.go
+++ b/router/backend.go
@@ -20,7 +20,7 @@
 // Ready implements operator.Backend.
 func (b backend) Ready() operator.Readiness {
 	r := b.router
-	readiness := operator.Readiness{Version: r.follower.Version()}
+	readiness := operator.Readiness{Version: r.version()}
 	switch {
 	case !r.Ready():
 		readiness.Reason = "No configuration version yet: neither the table nor a peer answered."
@@ -35,6 +35,9 @@
 // Config implements operator.Backend.
 func (b backend) Config(ctx context.Context, version config.Version) (*config.Snapshot, error) {
 	known := b.router.InForce()
+	if b.router.patched == nil {
+		return b.managedConfig(known, version)
+	}
 	if version != 0 {
 		if known != nil && known.Version == version {
 			return known, nil
@@ -53,6 +56,9 @@
 
 // Apply implements operator.Backend.
 func (b backend) Apply(ctx context.Context, patch config.Patch) (config.Version, error) {
+	if b.router.patched == nil {
+		return 0, errNotPatched
+	}
 	accepted, err := b.router.store.Submit(ctx, b.router.InForce(), patch)
 	return b.accepted(ctx, accepted, err)
 }
@@ -69,6 +75,9 @@
 
 // History implements operator.Backend.
 func (b backend) History(ctx context.Context, before config.Version, limit int) ([]config.Entry, error) {
+	if b.router.patched == nil {
+		return nil, errNotPatched
+	}
 	if before == 0 {
 		newest, err := b.Config(ctx, 0)
 		if err != nil {
--- a/router/commits.go
+++ b/router/commits.go
@@ -51,6 +51,9 @@
 
 // membersChanged implements shell.
 func (r *Router) membersChanged(alive []control.NodeID) {
+	if r.patched == nil {
+		return
+	}
 	r.sharing.Lock()
 	defer r.sharing.Unlock()
 	r.alive = alive
--- /dev/null
+++ b/router/managed.go
@@ -0,0 +1,187 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/directory"
+	"github.com/walnutcove/walnutcove/platform"
+	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/store"
+)
+
+const (
+	// memberRetry is the mean pause between tries at announcing this router and
+	// reading the others; it doubles up to maxMemberRetry.
+	memberRetry    = 100 * time.Millisecond
+	maxMemberRetry = 2 * time.Second
+	// memberCallTimeout bounds one such call.
+	memberCallTimeout = time.Second
+	// strangerPause gathers routers that turn up together, so that the list is
+	// read once for all of them.
+	strangerPause = 200 * time.Millisecond
+	// withdrawTimeout bounds the removal of this router's row at its end.
+	withdrawTimeout = 300 * time.Millisecond
+)
+
+var (
+	memberFailures = metrics.GetOrCreateCounter(`walnut_router_member_call_failures_total`)
+	peerFetches    = metrics.GetOrCreateCounter(`walnut_router_directory_fetches_total{result="ok"}`)
+	peerFetchFails = metrics.GetOrCreateCounter(`walnut_router_directory_fetches_total{result="failed"}`)
+)
+
+// errNotPatched answers operators of a fleet whose configuration is written to
+// the platform.
+var errNotPatched = result.New(result.InvalidPatch, "This fleet's configuration is written to the platform, not patched through routers.")
+
+// managed holds what serves a fleet on a managed platform.
+type managed struct {
+	rows      *platform.Store
+	routers   *platform.Routers
+	directory *directory.Follower
+	// strangers gets a token when a router that is not listed turned up.
+	strangers chan struct{}
+	// fetching says that the directory is being fetched from a peer.
+	fetching atomic.Bool
+}
+
+func (r *Router) newManaged() *managed {
+	s := platform.NewStore(r.settings.Platform.Address)
+	return &managed{
+		rows:    s,
+		routers: platform.NewRouters(s, r.log),
+		directory: directory.New(directory.Options{
+			Configurations: platform.NewConfigurations(s, r.log),
+			Targets:        platform.NewReplicas(s, r.log),
+			OnChange:       r.configChanged,
+			ReturnGrace:    time.Duration(r.settings.Platform.ReturnGrace),
+			Log:            r.log,
+		}),
+		strangers: make(chan struct{}, 1),
+	}
+}
+
+// followMembers announces this router, reads the others, and reads them again
+// when one turns up that is not listed, until ctx ends.
+func (r *Router) followMembers(ctx context.Context) {
+	r.untilDone(ctx, "announce this router", r.announce)
+	for ctx.Err() == nil {
+		r.untilDone(ctx, "read the routers", r.readMembers)
+		select {
+		case <-r.strangers:
+		case <-ctx.Done():
+			return
+		}
+		pause(ctx, strangerPause)
+	}
+}
+
+// untilDone repeats a call until it succeeds or ctx ends.
+func (r *Router) untilDone(ctx context.Context, what string, call func(context.Context) error) {
+	wait := memberRetry
+	for try := 1; ctx.Err() == nil; try++ {
+		callCtx, cancel := context.WithTimeout(ctx, memberCallTimeout)
+		err := call(callCtx)
+		cancel()
+		if err == nil {
+			return
+		}
+		memberFailures.Inc()
+		if try == 1 {
+			r.log.Warn("member: Platform did not answer, trying on.", "call", what, "error", err)
+		}
+		pause(ctx, wait/2+rand.N(wait))
+		wait = min(2*wait, maxMemberRetry)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (r *Router) announce(ctx context.Context) error {
+	return r.routers.Announce(ctx, store.VM{
+		Name:        r.settings.Node.Name,
+		DataCentre:  r.settings.Node.DataCentre,
+		PeerAddress: r.mesh.Address(),
+	})
+}
+
+func (r *Router) readMembers(ctx context.Context) error {
+	vms, err := r.routers.List(ctx)
+	if err != nil {
+		return err
+	}
+	r.log.Info("member: Routers listed.", "count", len(vms))
+	r.vmsListed(vms)
+	return nil
+}
+
+// peerConnected reads the routers again if one turned up that is not listed.
+func (r *Router) peerConnected(node control.NodeID) {
+	if listed := r.vms.Load(); listed != nil {
+		for _, vm := range *listed {
+			if vm.Name == string(node) {
+				return
+			}
+		}
+	}
+	select {
+	case r.strangers <- struct{}{}:
+	default:
+	}
+}
+
+// withdraw takes this router off the list at its end.
+func (r *Router) withdraw() {
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+	defer cancel()
+	if err := r.routers.Withdraw(ctx, r.settings.Node.Name); err != nil {
+		memberFailures.Inc()
+		r.log.Warn("member: This router could not be taken off the list.", "error", err)
+	}
+}
+
+// fetchFrom gets the directory of a peer that has a newer one. It does not block.
+func (r *Router) fetchFrom(node control.NodeID) {
+	if !r.fetching.CompareAndSwap(false, true) {
+		return // the next heartbeat tells again
+	}
+	go func() {
+		defer r.fetching.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), memberCallTimeout)
+		defer cancel()
+		encoded, err := r.mesh.Call(ctx, node, methodConfig, nil)
+		if err == nil {
+			err = r.directory.Import(string(node), encoded)
+		}
+		if err != nil {
+			peerFetchFails.Inc()
+			r.log.Warn("directory: Peer's directory could not be had.", "node", node, "error", err)
+			return
+		}
+		peerFetches.Inc()
+	}()
+}
+
+// managedConfig is the configuration in force, for operators.
+func (b backend) managedConfig(known *config.Snapshot, version config.Version) (*config.Snapshot, error) {
+	if known == nil {
+		return nil, result.New(result.PlatformUnavailable, "No configuration version is in force yet.")
+	}
+	if version != 0 && version != known.Version {
+		return nil, result.New(result.UnknownVersion, "Only the version in force is known here.")
+	}
+	return known, nil
+}
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -18,7 +18,7 @@
 	node := fmt.Sprintf("{node=%q}", r.settings.Node.Name)
 	set.NewGauge("walnut_router_ready"+node, func() float64 { return oneIf(r.Ready() && !r.Draining()) })
 	set.NewGauge("walnut_router_draining"+node, func() float64 { return oneIf(r.Draining()) })
-	set.NewGauge("walnut_config_version"+node, func() float64 { return float64(r.follower.Version()) })
+	set.NewGauge("walnut_config_version"+node, func() float64 { return float64(r.version()) })
 	set.NewGauge("walnut_accept_active"+node, func() float64 { return float64(r.front.Active()) })
 	set.NewGauge("walnut_accept_held_bytes"+node, func() float64 { return float64(r.front.HeldBytes()) })
 	r.loop.publishCounters(set, node)
--- a/router/peers.go
+++ b/router/peers.go
@@ -31,7 +31,9 @@
 
 // Received implements peer.Handler.
 func (h peerHandler) Received(from control.NodeID, incarnation control.Incarnation, messages []control.Message) {
-	h.router.owners.heard(from, incarnation)
+	if h.router.patched != nil {
+		h.router.owners.heard(from, incarnation)
+	}
 	for _, message := range messages {
 		h.router.loop.post(control.MessageReceived{From: from, Incarnation: incarnation, Message: message})
 	}
@@ -39,7 +41,11 @@
 
 // StateChanged implements peer.Handler.
 func (h peerHandler) StateChanged(node control.NodeID, connected bool) {
-	h.router.owners.connected(node, connected)
+	if h.router.patched != nil {
+		h.router.owners.connected(node, connected)
+	} else if connected {
+		h.router.peerConnected(node)
+	}
 	h.router.loop.post(control.PeerState{Node: node, Connected: connected})
 }
 
@@ -47,12 +53,18 @@
 func (h peerHandler) Called(ctx context.Context, _ control.NodeID, method string, payload []byte) ([]byte, error) {
 	switch method {
 	case methodConfig:
+		if h.router.managed != nil {
+			return h.router.directory.Export()
+		}
 		return h.serveConfig(payload)
 	case methodStatus:
 		return h.serveStatus(ctx, payload)
 	case methodDrain:
 		return []byte("{}"), backend(h).Drain(ctx, "")
 	case methodCommit:
+		if h.router.patched == nil {
+			return nil, errNotPatched
+		}
 		return h.serveCommit(ctx, payload)
 	default:
 		return nil, fmt.Errorf("unknown method %q", method)
--- a/router/router.go
+++ b/router/router.go
@@ -14,6 +14,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/config/follower"
@@ -39,16 +40,12 @@
 	incarnation control.Incarnation
 	log         *slog.Logger
 
-	platform *store.Client
-	batched  *batch.Table // makes this router's commits of run records
-	commits  atomic.Pointer[forward.Table]
-	store    *configstore.Store
-	follower *follower.Follower
+	// One of the two is nil; see settings.Platform.Kind.
+	*patched
+	*managed
+
 	targets  *target.HTTPClient
 	poller   *loadpoll.Poller
-	orders   *orders.Reconciler
-	records  *runrecord.Keeper
-	owners   *owners
 	suspects quarantine.Set
 	loop     *loop
 	mesh     *peer.Mesh
@@ -60,13 +57,9 @@
 	watched  watched
 	vms      atomic.Pointer[[]store.VM]
 
-	// sharing guards what this router's part of the write budget follows from.
-	sharing sync.Mutex
-	alive   []control.NodeID
-	listed  int
-
 	callers     net.Listener
 	operators   net.Listener
+	health      net.Listener
 	cancel      context.CancelFunc
 	background  sync.WaitGroup
 	stopLoop    chan struct{}
@@ -78,6 +71,25 @@
 	unpublish   func()
 }
 
+// patched holds what serves a fleet on the product's own platform: operators
+// patch the configuration through the routers, run records make requests run at
+// most once, and targets are ordered into their declared state.
+type patched struct {
+	platform *store.Client
+	batched  *batch.Table // makes this router's commits of run records
+	commits  atomic.Pointer[forward.Table]
+	store    *configstore.Store
+	follower *follower.Follower
+	orders   *orders.Reconciler
+	records  *runrecord.Keeper
+	owners   *owners
+
+	// sharing guards what this router's part of the write budget follows from.
+	sharing sync.Mutex
+	alive   []control.NodeID
+	listed  int
+}
+
 // CallersAddress is the "ip:port" that callers reach.
 func (r *Router) CallersAddress() string { return r.callers.Addr().String() }
 
@@ -119,12 +131,19 @@
 // force and returns the context's error.
 func (r *Router) Shutdown(ctx context.Context) error {
 	r.startDrain()
+	if r.managed != nil {
+		r.withdraw()
+	}
+	r.giveNotice(ctx)
+	r.loop.post(control.DrainStarted{})
 	err := r.front.Shutdown(ctx)
 	if err == nil {
 		err = r.waitDrained(ctx)
 	}
-	if closeErr := r.records.Close(ctx); err == nil {
-		err = closeErr
+	if r.patched != nil {
+		if closeErr := r.records.Close(ctx); err == nil {
+			err = closeErr
+		}
 	}
 	r.Close()
 	return err
@@ -137,7 +156,17 @@
 		return
 	}
 	r.log.Info("router: Draining.")
-	r.loop.post(control.DrainStarted{})
+}
+
+// giveNotice goes on taking requests until the balancer had the time to see that
+// this router is not ready. Connections that arrive meanwhile are served.
+func (r *Router) giveNotice(ctx context.Context) {
+	notice := time.NewTimer(time.Duration(r.settings.Limits.DrainNotice))
+	defer notice.Stop()
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
+	}
 }
 
 func (r *Router) waitDrained(ctx context.Context) error {
@@ -158,11 +187,13 @@
 	_ = r.front.Close()
 	r.cancel()
 	r.poller.Close()
-	r.orders.Close()
 	expired, cancel := context.WithCancel(context.Background())
 	cancel()
-	_ = r.records.Close(expired)
-	r.batched.Close()
+	if r.patched != nil {
+		r.orders.Close()
+		_ = r.records.Close(expired)
+		r.batched.Close()
+	}
 	_ = r.operator.Shutdown(expired)
 	r.closeListeners()
 	_ = r.mesh.Close()
@@ -171,16 +202,41 @@
 	r.unpublish()
 	_ = r.targets.Close()
 	r.background.Wait()
-	r.platform.Close()
+	r.closePlatform()
 	r.log.Info("router: Stopped.")
 }
 
 // WaitReady returns once a configuration version is in force.
 func (r *Router) WaitReady(ctx context.Context) error {
+	ready := r.configured()
 	select {
-	case <-r.follower.Ready():
+	case <-ready:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
+
+// configured is closed once a configuration version is in force.
+func (r *Router) configured() <-chan struct{} {
+	if r.managed != nil {
+		return r.directory.Ready()
+	}
+	return r.follower.Ready()
+}
+
+// version is the configuration version in force; zero before there is one.
+func (r *Router) version() config.Version {
+	if snapshot := r.InForce(); snapshot != nil {
+		return snapshot.Version
+	}
+	return 0
+}
+
+func (r *Router) closePlatform() {
+	if r.managed != nil {
+		r.rows.Close()
+		return
+	}
+	r.platform.Close()
+}
--- a/router/shell.go
+++ b/router/shell.go
@@ -35,6 +35,9 @@
 	r.watched.mu.Lock()
 	r.watched.names = targets
 	r.watched.mu.Unlock()
+	if r.patched == nil {
+		return // answers tell the load, and polls have a price there
+	}
 	r.pollWatched()
 	r.orders.SetTargets(targets)
 }
@@ -64,6 +67,10 @@
 
 // versionSeen implements shell.
 func (r *Router) versionSeen(from control.NodeID, version uint64) {
+	if r.managed != nil {
+		r.fetchFrom(from)
+		return
+	}
 	r.follower.VersionSeen(string(from), config.Version(version))
 }
 
@@ -78,8 +85,10 @@
 	r.inForce.Store(snapshot)
 	configChanges.Inc()
 	r.loop.post(control.ConfigChanged{Snapshot: snapshot})
-	r.pollWatched()
-	r.orders.SetConfig(snapshot)
+	if r.patched != nil {
+		r.pollWatched()
+		r.orders.SetConfig(snapshot)
+	}
 	r.log.Info("config: Version in force.", "version", uint64(snapshot.Version))
 }
 
@@ -129,7 +138,9 @@
 // vmsListed spreads the list to the sessions and the control goroutine.
 func (r *Router) vmsListed(vms []store.VM) {
 	r.vms.Store(&vms)
-	r.listedChanged(vms)
+	if r.patched != nil {
+		r.listedChanged(vms)
+	}
 	addresses := make(map[control.NodeID]string, len(vms))
 	members := make([]control.Member, 0, len(vms))
 	for _, vm := range vms {
--- a/router/start.go
+++ b/router/start.go
@@ -13,11 +13,13 @@
 	"github.com/walnutcove/walnutcove/config/follower"
 	configstore "github.com/walnutcove/walnutcove/config/store"
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/dialect"
 	"github.com/walnutcove/walnutcove/filters/authenticate"
 	"github.com/walnutcove/walnutcove/front"
 	"github.com/walnutcove/walnutcove/operator"
 	"github.com/walnutcove/walnutcove/peer"
 	"github.com/walnutcove/walnutcove/peer/tlsfiles"
+	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/runrecord"
 	"github.com/walnutcove/walnutcove/settings"
 	"github.com/walnutcove/walnutcove/store"
@@ -30,6 +32,7 @@
 	keyCallers   = "listen.callers"
 	keyOperators = "listen.operators"
 	keyPeers     = "listen.peers"
+	keyHealth    = "listen.health"
 	keyPeerFiles = "peers"
 )
 
@@ -54,7 +57,7 @@
 	r.buildCore()
 	if err := r.open(); err != nil {
 		r.closeListeners()
-		r.platform.Close()
+		r.closePlatform()
 		return nil, err
 	}
 	r.buildWorkers()
@@ -88,6 +91,29 @@
 // buildCore makes the parts that do nothing by themselves.
 func (r *Router) buildCore() {
 	s := r.settings
+	if s.Platform.Kind == settings.KindManaged {
+		r.managed = r.newManaged()
+	} else {
+		r.buildPatched()
+	}
+	machine := control.New(control.Options{
+		Node:           control.NodeID(s.Node.Name),
+		Incarnation:    r.incarnation,
+		DataCentre:     s.Node.DataCentre,
+		Policy:         control.Policy(s.Scheduling.Policy),
+		Seed:           uint64(r.incarnation),
+		HeartbeatEvery: time.Duration(s.Scheduling.HeartbeatEvery),
+		MemberTimeout:  time.Duration(s.Scheduling.MemberTimeout),
+		ExchangeEvery:  time.Duration(s.Scheduling.ExchangeEvery),
+		IgnorePrefixes: !s.Scheduling.PrefixLocality,
+	})
+	r.loop = newLoop(machine, r, r.log)
+}
+
+// buildPatched makes the clients of the product's own platform.
+func (r *Router) buildPatched() {
+	s := r.settings
+	r.patched = &patched{}
 	r.platform = store.NewClient(store.Options{
 		Address:         s.Platform.Address,
 		Timeout:         time.Duration(s.Platform.Timeout),
@@ -104,18 +130,6 @@
 		Log:       r.log,
 	})
 	r.owners = newOwners(control.NodeID(s.Node.Name), r.incarnation, time.Now)
-	machine := control.New(control.Options{
-		Node:           control.NodeID(s.Node.Name),
-		Incarnation:    r.incarnation,
-		DataCentre:     s.Node.DataCentre,
-		Policy:         control.Policy(s.Scheduling.Policy),
-		Seed:           uint64(r.incarnation),
-		HeartbeatEvery: time.Duration(s.Scheduling.HeartbeatEvery),
-		MemberTimeout:  time.Duration(s.Scheduling.MemberTimeout),
-		ExchangeEvery:  time.Duration(s.Scheduling.ExchangeEvery),
-		IgnorePrefixes: !s.Scheduling.PrefixLocality,
-	})
-	r.loop = newLoop(machine, r, r.log)
 }
 
 // open opens the listeners and makes what answers peers and operators.
@@ -127,9 +141,15 @@
 	if r.operators, err = net.Listen("tcp", r.settings.Listen.Operators); err != nil {
 		return problem(keyOperators, err)
 	}
+	if r.settings.Listen.Health != "" {
+		if r.health, err = net.Listen("tcp", r.settings.Listen.Health); err != nil {
+			return problem(keyHealth, err)
+		}
+	}
 	r.operator, err = operator.New(backend{r}, operator.Options{
 		Address:   r.settings.Listen.Operators,
 		KeyHashes: r.settings.Operators.KeyHashes,
+		Open:      r.settings.Peers.TrustNetwork,
 		Log:       r.log,
 	})
 	if err != nil {
@@ -158,6 +178,7 @@
 		Incarnation:   incarnation,
 		ListenAddress: s.Listen.Peers,
 		TLS:           keys,
+		TrustNetwork:  s.Peers.TrustNetwork,
 	}
 	if err := options.Check(); err != nil {
 		return peer.Options{}, problem(keyPeerFiles, err)
@@ -166,7 +187,7 @@
 }
 
 func (r *Router) closeListeners() {
-	for _, listener := range []net.Listener{r.callers, r.operators} {
+	for _, listener := range []net.Listener{r.callers, r.operators, r.health} {
 		if listener != nil {
 			_ = listener.Close()
 		}
@@ -180,6 +201,7 @@
 	r.targets = target.NewHTTPClient(target.Options{
 		FirstByteTimeout: time.Duration(s.Limits.FirstByteTimeout),
 		StallTimeout:     time.Duration(s.Limits.StallTimeout),
+		Dialect:          r.dialect(),
 		Metrics:          metrics.GetDefaultSet(),
 	})
 	r.poller = loadpoll.New(loadpoll.Options{
@@ -188,6 +210,13 @@
 		Seed:     uint64(r.incarnation),
 		Metrics:  metrics.GetDefaultSet(),
 	})
+	options := front.FromLimits(s.Limits)
+	options.Log = r.log
+	options.Dialect = r.dialect()
+	if r.managed != nil {
+		r.front = front.New(options, r.routedPipeline())
+		return
+	}
 	r.orders = r.newOrders()
 	r.buildCommits()
 	r.records = runrecord.New(runrecord.Options{
@@ -197,21 +226,35 @@
 		OwnerAlive:  r.owners.alive,
 		Logger:      r.log,
 	})
-	options := front.FromLimits(s.Limits)
-	options.Log = r.log
 	keys := authenticate.New(r)
 	options.Authenticate = keys.Check
 	r.front = front.New(options, r.pipeline(keys))
 }
 
+// dialect is how the fleet's callers and targets speak.
+func (r *Router) dialect() *dialect.Dialect {
+	if r.managed != nil {
+		return platform.Dialect
+	}
+	return dialect.Own
+}
+
 // run starts the goroutines of a router whose parts are all made.
 func (r *Router) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	r.unpublish = r.publishMetrics()
 	go r.loop.run(r.stopLoop)
-	r.start(func() { r.follower.Run(ctx) })
-	r.start(func() { r.followVMs(ctx) })
+	if r.managed != nil {
+		r.start(func() { r.directory.Run(ctx) })
+		r.start(func() { r.followMembers(ctx) })
+	} else {
+		r.start(func() { r.follower.Run(ctx) })
+		r.start(func() { r.followVMs(ctx) })
+	}
+	if r.health != nil {
+		r.start(func() { r.serve("health", r.operator.Serve, r.health) })
+	}
 	r.start(func() { r.serve("callers", r.front.Serve, r.callers) })
 	r.start(func() { r.serve("operators", r.operator.Serve, r.operators) })
 }
--- a/router/status.go
+++ b/router/status.go
@@ -9,6 +9,7 @@
 
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/operator"
+	"github.com/walnutcove/walnutcove/orders"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/store"
 )
@@ -23,7 +24,7 @@
 		return operator.Status{}, result.New(result.RouterUnreachable, "The router has stopped.")
 	}
 	status := operator.Status{
-		Newest:  b.router.follower.Version(),
+		Newest:  b.router.version(),
 		Routers: []operator.RouterStatus{b.routerStatus(inside)},
 	}
 	if request.Detail {
@@ -40,7 +41,7 @@
 		Region:      r.settings.Node.Region,
 		Incarnation: fmt.Sprintf("%016x", uint64(r.incarnation)),
 		State:       b.state(),
-		Version:     r.follower.Version(),
+		Version:     r.version(),
 		Waiting:     inside.Waiting,
 		Running:     inside.Running,
 	}
@@ -97,7 +98,10 @@
 		Waiting:    shard.Queued,
 		Running:    shard.Granted,
 	}
-	states := b.router.orders.States()
+	var states map[string]orders.Reason
+	if b.router.patched != nil {
+		states = b.router.orders.States()
+	}
 	for _, target := range shard.Targets {
 		row.Slots += target.Slots
 		status.Targets = append(status.Targets, operator.TargetStatus{
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -6,6 +6,12 @@
 	"github.com/walnutcove/walnutcove/control"
 )
 
+// The kinds of platform.
+const (
+	KindOwn     = "own"
+	KindManaged = "managed"
+)
+
 // Defaults returns the settings of an empty file. Required keys are left empty.
 func Defaults() Settings {
 	return Settings{
@@ -15,6 +21,11 @@
 			VMListEvery: Duration(2 * time.Second),
 
 			FleetWritesPerSecond: 300,
+
+			Kind:            KindOwn,
+			ReadsPerSecond:  2000,
+			WritesPerSecond: 400,
+			ReturnGrace:     Duration(2 * time.Second),
 		},
 		Scheduling: Scheduling{
 			Policy:         string(control.PolicyShardQueue),
@@ -33,6 +44,7 @@
 			StallTimeout:     Duration(30 * time.Second),
 			DrainTimeout:     Duration(10 * time.Minute),
 		},
-		Log: Log{Level: "info", Format: "text"},
+		Retries: Retries{Ratio: 0.2, Slack: 50, Window: Duration(10 * time.Second)},
+		Log:     Log{Level: "info", Format: "text"},
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -13,6 +13,7 @@
 	Peers      Peers      `toml:"peers"`
 	Scheduling Scheduling `toml:"scheduling"`
 	Limits     Limits     `toml:"limits"`
+	Retries    Retries    `toml:"retries"`
 	Operators  Operators  `toml:"operators"`
 	Log        Log        `toml:"log"`
 }
@@ -31,12 +32,26 @@
 	Callers   string `toml:"callers"`
 	Operators string `toml:"operators"`
 	Peers     string `toml:"peers"`
+	// Health is where the platform's balancer asks GET /readyz. Empty: only the
+	// operators' listener answers it.
+	Health string `toml:"health"`
 }
 
 // Platform says where the platform's services are.
 type Platform struct {
 	// Address is the "ip:port" of the platform. Required.
 	Address string `toml:"address"`
+	// Kind is "own" (default), the protocol of docs/PLATFORM.md, or "managed": a
+	// platform that keeps configuration, targets and members in a row store; see
+	// package platform.
+	Kind string `toml:"kind"`
+	// ReadsPerSecond and WritesPerSecond are what the whole fleet may call a
+	// managed platform. Defaults 2000 and 400.
+	ReadsPerSecond  float64 `toml:"reads_per_second"`
+	WritesPerSecond float64 `toml:"writes_per_second"`
+	// ReturnGrace is how long entries of targets that lapsed while the platform
+	// was away may take to return once it is back. Default 2s.
+	ReturnGrace Duration `toml:"return_grace"`
 	// Timeout bounds each call. Default 2s.
 	Timeout Duration `toml:"timeout"`
 	// PollEvery is the period of reading the configuration's head. Default 1s.
@@ -55,6 +70,9 @@
 	CertFile string `toml:"cert_file"`
 	KeyFile  string `toml:"key_file"`
 	CAFile   string `toml:"ca_file"`
+	// TrustNetwork allows plain listeners off loopback: whoever reaches them is
+	// trusted. For networks that only routers reach.
+	TrustNetwork bool `toml:"trust_network"`
 }
 
 // Scheduling selects the policy.
@@ -92,6 +110,23 @@
 	StallTimeout Duration `toml:"stall_timeout"`
 	// DrainTimeout bounds a graceful shutdown. Default 10m.
 	DrainTimeout Duration `toml:"drain_timeout"`
+	// DrainNotice is how long a leaving router goes on taking requests while it
+	// says that it is not ready, so that the balancer turns away first. Default 0.
+	DrainNotice Duration `toml:"drain_notice"`
+	// MemoryMiB is the memory that the process may use; the garbage collector
+	// works harder near to it. Default 0: not bounded.
+	MemoryMiB int `toml:"memory_mib"`
+}
+
+// Retries bounds requests that are sent to a target again, for the whole fleet.
+type Retries struct {
+	// Ratio is how many retries each request of a pool earns. Default 0.2.
+	Ratio float64 `toml:"ratio"`
+	// Slack is how many retries a pool may have beyond that in a Window.
+	// Default 50.
+	Slack float64 `toml:"slack"`
+	// Window is the span over which the two hold. Default 10s.
+	Window Duration `toml:"window"`
 }
 
 // Operators configures the operator API.
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -48,6 +48,7 @@
 	}
 	s.checkListeners(&c)
 	s.checkDurations(&c)
+	s.checkManaged(&c)
 	c.within("limits.max_body_bytes", s.Limits.MaxBodyBytes, minBodyBytes, maxBodyBytes)
 	c.within("limits.max_held_bytes", s.Limits.MaxHeldBytes, s.Limits.MaxBodyBytes, maxHeldBytes)
 	c.within("limits.max_header_bytes", s.Limits.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
@@ -69,17 +70,53 @@
 	c.distinct("listen.operators", operators, "listen.callers", callers)
 	c.distinct("listen.peers", peers, "listen.callers", callers)
 	c.distinct("listen.peers", peers, "listen.operators", operators)
+	s.checkHealthListener(c, callers)
 	tls := c.allOrNone(s.Peers)
-	if !tls {
+	if !tls && !s.Peers.TrustNetwork {
 		c.loopback("listen.callers", callers, callersOK)
 		c.loopback("listen.operators", operators, operatorsOK)
 		c.loopback("listen.peers", peers, peersOK)
 	}
-	if operatorsOK && !operators.Addr().IsLoopback() && len(s.Operators.KeyHashes) == 0 {
+	if operatorsOK && !operators.Addr().IsLoopback() && len(s.Operators.KeyHashes) == 0 && !s.Peers.TrustNetwork {
 		c.add("operators.key_hashes", "is empty, which is allowed only while listen.operators is on loopback")
 	}
 }
 
+// checkHealthListener checks the address for the balancer, which may be left out.
+func (s Settings) checkHealthListener(c *checker, callers netip.AddrPort) {
+	if s.Listen.Health == "" {
+		return
+	}
+	health, ok := c.address("listen.health", s.Listen.Health)
+	if ok {
+		c.distinct("listen.health", health, "listen.callers", callers)
+	}
+}
+
+// checkManaged checks what holds for a managed platform.
+func (s Settings) checkManaged(c *checker) {
+	c.oneOf("platform.kind", s.Platform.Kind, KindOwn, KindManaged)
+	c.positive("platform.reads_per_second", s.Platform.ReadsPerSecond)
+	c.positive("platform.writes_per_second", s.Platform.WritesPerSecond)
+	c.positive("retries.ratio", s.Retries.Ratio)
+	if s.Retries.Slack < 0 {
+		c.add("retries.slack", "is %g; must not be below 0", s.Retries.Slack)
+	}
+	c.duration("retries.window", s.Retries.Window)
+	if s.Limits.DrainNotice < 0 || s.Limits.DrainNotice >= s.Limits.DrainTimeout {
+		c.add("limits.drain_notice", "must be from 0 to below limits.drain_timeout")
+	}
+	if s.Limits.MemoryMiB < 0 {
+		c.add("limits.memory_mib", "is %d; must not be below 0", s.Limits.MemoryMiB)
+	}
+}
+
+func (c *checker) positive(key string, value float64) {
+	if !(value > 0) {
+		c.add(key, "is %g; must be over 0", value)
+	}
+}
+
 func (s Settings) checkDurations(c *checker) {
 	c.duration("platform.timeout", s.Platform.Timeout)
 	c.duration("platform.poll_every", s.Platform.PollEvery)
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/walnutcove/walnutcove/dialect"
 	"github.com/walnutcove/walnutcove/standin/internal/host"
 	"github.com/walnutcove/walnutcove/standin/journal"
 	"github.com/walnutcove/walnutcove/target"
@@ -49,7 +50,7 @@
 	}
 	fence, _ := strconv.ParseUint(string(ctx.Request.Header.Peek(target.HeaderFencingNumber)), 10, 64)
 	entry := journal.Entry{Event: journal.Order, Path: PathOrder, Fence: fence, Model: order.LoadModel, Role: order.Role}
-	entry.RequestID = string(ctx.Request.Header.Peek(target.HeaderRequestID))
+	entry.RequestID = string(ctx.Request.Header.Peek(dialect.HeaderRequestID))
 	if highest := e.take(order, entry); highest > 0 {
 		ctx.Error("old fencing number", fasthttp.StatusConflict)
 		ctx.Response.Header.Set(target.HeaderFencingNumber, strconv.FormatUint(highest, 10))
--- a/standin/internal/host/host.go
+++ b/standin/internal/host/host.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/walnutcove/walnutcove/dialect"
 	"github.com/walnutcove/walnutcove/standin/journal"
 	"github.com/walnutcove/walnutcove/target"
 )
@@ -211,7 +212,7 @@
 	e := journal.Entry{
 		Event:          journal.Received,
 		Run:            h.runs.Add(1),
-		RequestID:      string(ctx.Request.Header.Peek(target.HeaderRequestID)),
+		RequestID:      string(ctx.Request.Header.Peek(dialect.HeaderRequestID)),
 		IdempotencyKey: string(ctx.Request.Header.Peek(target.HeaderIdempotencyKey)),
 		Path:           string(ctx.Path()),
 	}
@@ -224,7 +225,7 @@
 	e.Event = journal.Ended
 	e.Outcome = journal.NotRun
 	h.Journal.Add(e)
-	ctx.Response.Header.Set(target.HeaderNotRun, "true")
+	ctx.Response.Header.Set(dialect.HeaderNotRun, "true")
 	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
 	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	ctx.SetBodyString("refused before running\n")
--- a/target/body.go
+++ b/target/body.go
@@ -123,6 +123,10 @@
 	if err != io.EOF {
 		return n, b.broken(err)
 	}
+	if b.ex.client.options.Dialect.UnframedEnds {
+		b.end(io.EOF, false)
+		return n, io.EOF
+	}
 	e := b.ex.counters.fail(reasonUnframed, result.StreamBroken, result.RanUnknown, errUnframed)
 	b.end(e, false)
 	return n, e
--- a/target/conn.go
+++ b/target/conn.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -50,6 +52,9 @@
 	readTimeout time.Duration
 	// idleSince is when the connection became unused.
 	idleSince time.Time
+	// idleLimit is how long the target keeps it unused, as it said last; zero:
+	// it did not say.
+	idleLimit time.Duration
 }
 
 func newConn(c net.Conn, address string) *conn {
@@ -71,6 +76,27 @@
 	c.codec = nil
 }
 
+// keepMargin is how much sooner than the target a connection is given up: a
+// request that crosses the target's close may be lost, and then nobody knows
+// whether it ran. It is over the usual delay of a network and a timer.
+const keepMargin = 300 * time.Millisecond
+
+// keepFor notes how long the target says that it keeps the connection unused.
+func (c *conn) keepFor(header *fasthttp.ResponseHeader) {
+	for parameter := range strings.SplitSeq(string(header.Peek(fasthttp.HeaderKeepAlive)), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+		seconds, err := strconv.Atoi(value)
+		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
+			c.idleLimit = time.Duration(seconds) * time.Second
+		}
+	}
+}
+
+// isStale says whether the target may be about to close the unused connection.
+func (c *conn) isStale(now time.Time) bool {
+	return c.idleLimit > 0 && now.Sub(c.idleSince) > c.idleLimit-keepMargin
+}
+
 // noDeadline stands for "no fixed time".
 var noDeadline time.Time
 
--- a/target/counters.go
+++ b/target/counters.go
@@ -29,13 +29,17 @@
 	reasonUnframed         reason = "unframed"
 	reasonStalled          reason = "stalled"
 	reasonClosedUnread     reason = "closed_unread"
+	// reasonStray counts answers of other requests that were passed over.
+	reasonStray reason = "stray_answer"
+	// reasonUnsealed counts successes without the targets' seal.
+	reasonUnsealed reason = "unsealed"
 )
 
 var allReasons = []reason{
 	reasonBadRequest, reasonCancelledEarly, reasonConnect, reasonConnectTimeout,
 	reasonWriteNothing, reasonWritePartial, reasonNotRun, reasonFirstByteTimeout,
 	reasonClosedBeforeHead, reasonBadHead, reasonCancelled, reasonTruncated,
-	reasonUnframed, reasonStalled, reasonClosedUnread,
+	reasonUnframed, reasonStalled, reasonClosedUnread, reasonStray, reasonUnsealed,
 }
 
 // counters count calls and their failures: those of requests, of load polls and
--- a/target/exchange.go
+++ b/target/exchange.go
@@ -37,13 +37,13 @@
 	if err := ex.conn.SetWriteDeadline(deadline); err != nil {
 		return nil, ex.writeError(err)
 	}
-	if err := writeRequest(ex.conn, req); err != nil {
+	if err := ex.client.writeRequest(ex.conn, req); err != nil {
 		if !ex.answeredEarly() {
 			return nil, ex.writeError(err)
 		}
 		return ex.answer(req)
 	}
-	if err := readHead(ex.conn); err != nil {
+	if err := ex.readOwnHead(req); err != nil {
 		return nil, ex.headError(err)
 	}
 	return ex.answer(req)
@@ -72,21 +72,90 @@
 	}
 }
 
+// maxStrays bounds the answers to earlier requests that are passed over, and
+// maxStrayBytes the body of each.
+const (
+	maxStrays     = 3
+	maxStrayBytes = 1 << 20
+)
+
+// errStray says that the connection holds an answer that belongs to another
+// request and whose end is not known.
+var errStray = errors.New("target: answer of another request")
+
+// readOwnHead reads the head of the answer to this request. Where targets repeat
+// the id, late answers to earlier requests on the connection are passed over.
+func (ex *exchange) readOwnHead(req *Request) error {
+	for range maxStrays {
+		if err := readHead(ex.conn); err != nil {
+			return err
+		}
+		if ex.isOwn(req) {
+			return nil
+		}
+		ex.counters.failed(reasonStray)
+		if err := ex.skipStray(); err != nil {
+			return err
+		}
+	}
+	return errStray
+}
+
+// isOwn says whether the head that was read belongs to the request.
+func (ex *exchange) isOwn(req *Request) bool {
+	d := ex.client.options.Dialect
+	if !d.EchoesID || req.ID == "" {
+		return true
+	}
+	return string(ex.conn.answer.Peek(d.RequestID)) == req.ID
+}
+
+// skipStray reads past the body of an answer that belongs to another request.
+func (ex *exchange) skipStray() error {
+	header := &ex.conn.answer
+	length := header.ContentLength()
+	if hasNoBody(header.StatusCode()) {
+		length = 0
+	}
+	if length < 0 || length > maxStrayBytes || header.ConnectionClose() {
+		return errStray
+	}
+	_, err := ex.conn.reader.Discard(length)
+	return err
+}
+
 // answer turns the head into a Response, or into an error if the target
 // refused the request before running it.
 func (ex *exchange) answer(req *Request) (*Response, error) {
 	header := &ex.conn.answer
 	resp := &Response{Status: header.StatusCode(), Header: copyHeader(header)}
-	if resp.Status == fasthttp.StatusServiceUnavailable && resp.Header[HeaderNotRun] == "true" {
+	ex.conn.keepFor(header)
+	if ex.client.options.Dialect.RefusedNotRun(resp.Status, func(name string) string { return resp.Header[name] }) {
 		ex.counters.failed(reasonNotRun)
 		refused := result.New(result.TargetRefused, "%s", result.TargetRefused.Info().Meaning)
 		ex.drainRefusal(req, header)
 		return nil, refused.After(retryAfter(resp.Header))
 	}
+	if !ex.isSealed(resp) {
+		return nil, ex.counters.fail(reasonUnsealed, result.TargetLostRequest, result.RanUnknown, errUnsealed)
+	}
 	resp.Body = newBody(ex, req.Method, header)
 	return resp, nil
 }
 
+// errUnsealed says that a success lacks the mark of the targets' own answers.
+var errUnsealed = errors.New("target: success without a seal")
+
+// isSealed says whether the answer is the target's own: a success must bear the
+// seal, where targets set one, and a body without any encoding.
+func (ex *exchange) isSealed(resp *Response) bool {
+	seal := ex.client.options.Dialect.Seal
+	if seal == "" || resp.Status >= fasthttp.StatusMultipleChoices {
+		return true
+	}
+	return resp.Header[seal] != "" && resp.Header[fasthttp.HeaderContentEncoding] == ""
+}
+
 // drainRefusal reads the short body of a refusal, so that the connection can
 // be used again. It reads only what has arrived.
 func (ex *exchange) drainRefusal(req *Request, header *fasthttp.ResponseHeader) {
@@ -124,7 +193,7 @@
 		return ex.counters.fail(reasonCancelled, result.CallerGone, result.RanUnknown, ex.ctx.Err())
 	case ex.timedOut(err):
 		return ex.counters.fail(reasonFirstByteTimeout, result.FirstByteTimeout, result.RanUnknown, err)
-	case isClosed(err):
+	case isClosed(err) || errors.Is(err, errStray):
 		return ex.counters.fail(reasonClosedBeforeHead, result.TargetLostRequest, result.RanUnknown, err)
 	default:
 		return ex.counters.fail(reasonBadHead, result.TargetError, result.RanUnknown, err)
--- a/target/headers.go
+++ b/target/headers.go
@@ -2,11 +2,6 @@
 
 // Header names between routers and targets.
 const (
-	// HeaderRequestID carries the request id.
-	HeaderRequestID = "Walnut-Request-Id"
-	// HeaderNotRun with the value "true" on a 503 says that the target refused
-	// the request before running it.
-	HeaderNotRun = "Walnut-Not-Run"
 	// HeaderResumeOffset asks to resume a stream after so many body bytes.
 	HeaderResumeOffset = "Walnut-Resume-Offset"
 	// HeaderFencingNumber carries the fencing number of an order.
@@ -32,7 +27,7 @@
 	switch name {
 	case "Connection", "Content-Length", "Host", "Keep-Alive", "Proxy-Connection",
 		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-		HeaderRequestID, HeaderResumeOffset, HeaderFencingNumber:
+		HeaderResumeOffset, HeaderFencingNumber:
 		return true
 	}
 	return false
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -12,9 +13,13 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/walnutcove/walnutcove/dialect"
 	"github.com/walnutcove/walnutcove/result"
 )
 
+// maxRetryAfter is the longest advice of a target that is believed.
+const maxRetryAfter = time.Hour
+
 // maxLoadBytes bounds a load report.
 const maxLoadBytes = 1 << 20
 
@@ -140,8 +145,8 @@
 }
 
 // writeRequest writes the request through the connection's buffer.
-func writeRequest(cn *conn, req *Request) error {
-	fillHeader(&cn.request, req)
+func (c *HTTPClient) writeRequest(cn *conn, req *Request) error {
+	c.fillHeader(&cn.request, req)
 	if err := cn.request.Write(cn.writer); err != nil {
 		return err
 	}
@@ -151,22 +156,27 @@
 	return cn.writer.Flush()
 }
 
-func fillHeader(header *fasthttp.RequestHeader, req *Request) {
+func (c *HTTPClient) fillHeader(header *fasthttp.RequestHeader, req *Request) {
+	d := c.options.Dialect
 	header.Reset()
 	header.SetNoDefaultContentType(true)
 	header.SetMethod(req.Method)
 	header.SetRequestURI(req.Path)
-	header.SetHost(req.Address)
+	header.SetHost(cmp.Or(req.Host, req.Address))
 	for name, value := range req.Header {
-		if !isFramingHeader(name) {
+		if !isFramingHeader(name) && !d.Owns(name) {
 			header.Set(name, value)
 		}
 	}
 	if len(req.Body) > 0 || !header.IsGet() {
 		header.SetContentLength(len(req.Body))
 	}
-	if req.ID != "" {
-		header.Set(HeaderRequestID, req.ID)
+	setHeader(header, d.RequestID, req.ID)
+	setHeader(header, d.Workspace, req.Workspace)
+	setHeader(header, d.ExpectTarget, req.Target)
+	setHeader(header, d.ResumeAfter, req.AfterEvent)
+	if !req.Deadline.IsZero() {
+		setHeader(header, d.Deadline, strconv.FormatInt(dialect.TimeLeft(req.Deadline, time.Now()), 10))
 	}
 	if req.Offset > 0 {
 		header.Set(HeaderResumeOffset, strconv.FormatInt(req.Offset, 10))
@@ -176,6 +186,13 @@
 	}
 }
 
+// setHeader sets a header that the dialect has to a value that the request has.
+func setHeader(header *fasthttp.RequestHeader, name, value string) {
+	if name != "" && value != "" {
+		header.Set(name, value)
+	}
+}
+
 // copyHeader copies the answer's end-to-end headers out of the parser's buffers.
 func copyHeader(header *fasthttp.ResponseHeader) map[string]string {
 	copied := make(map[string]string, header.Len())
@@ -189,9 +206,9 @@
 }
 
 func retryAfter(header map[string]string) time.Duration {
-	seconds, err := strconv.Atoi(header[fasthttp.HeaderRetryAfter])
-	if err != nil || seconds < 0 {
+	seconds, err := strconv.ParseFloat(header[fasthttp.HeaderRetryAfter], 64)
+	if err != nil || !(seconds >= 0 && seconds <= maxRetryAfter.Seconds()) {
 		return 0
 	}
-	return time.Duration(seconds) * time.Second
+	return time.Duration(seconds * float64(time.Second))
 }
--- a/target/options.go
+++ b/target/options.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/dialect"
 )
 
 // Defaults of Options.
@@ -30,6 +32,8 @@
 	IdleTimeout time.Duration
 	// MaxIdle bounds the unused connections kept for one address. Default 64.
 	MaxIdle int
+	// Dialect is how the targets speak. Default dialect.Own.
+	Dialect *dialect.Dialect
 	// Metrics receives the counters. Default: a set of the client's own.
 	Metrics *metrics.Set
 	// Dial opens a connection. Default: TCP.
@@ -42,6 +46,9 @@
 	setDefault(&o.StallTimeout, DefaultStallTimeout)
 	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&o.MaxIdle, DefaultMaxIdle)
+	if o.Dialect == nil {
+		o.Dialect = dialect.Own
+	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
--- a/target/pool.go
+++ b/target/pool.go
@@ -41,7 +41,7 @@
 		if c == nil {
 			return p.dial(ctx, address)
 		}
-		if c.checker.Check() == nil {
+		if !c.isStale(time.Now()) && c.checker.Check() == nil {
 			c.attach()
 			return c, nil
 		}
--- a/target/target.go
+++ b/target/target.go
@@ -22,6 +22,19 @@
 	// Offset asks the target to resume a stream after this many body bytes;
 	// zero starts afresh. Only for targets that resume.
 	Offset int64
+	// Host is the host name that the caller sent; empty: Address.
+	Host string
+	// Workspace is the workspace's name, where the dialect tells targets.
+	Workspace string
+	// Target names the incarnation that is to run the request, where the
+	// dialect tells targets; empty: any.
+	Target string
+	// Deadline is when the caller gives up, where the dialect tells targets;
+	// zero: not known.
+	Deadline time.Time
+	// AfterEvent asks to go on with a stream behind this event; empty: from the
+	// beginning, or from where the caller's own header says.
+	AfterEvent string
 	// Fence is the fencing number sent with the order; zero sends none.
 	Fence uint64
 }
