Place requests on engines by predicted start and kept parts

Done: sched.Engine models a target's unread prompts, slots, memory and kept parts; tickets carry the parts, lengths and objective; the scheduler grants to the target of least predicted start, prefers one that keeps the shared parts, holds back what would make the tightest objective late, and refuses what can no longer begin in time. Service counts in tokens. The entry reports first events. Open: under overload most answers are late and parts are read again.

--- a/control/grants.go
+++ b/control/grants.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/walnutcove/walnutcove/control/sched"
 	"github.com/walnutcove/walnutcove/result"
 )
 
@@ -45,7 +46,9 @@
 	confirmed bool
 	// adopted says that another scheduler granted it.
 	adopted bool
-	timer   timer
+	// work is the run at a target that counts in tokens; nil at others.
+	work  *sched.EngineRun
+	timer timer
 }
 
 // grantAll grants until no waiting ticket finds room.
@@ -71,6 +74,14 @@
 			m.send(q.from, Refusal{Ticket: q.ticket.ID, Shard: s.id, Code: result.DeadlineBeforeGrant})
 			continue
 		}
+		if m.countsTokens(s) {
+			t := m.chooseEngine(c, q)
+			if t == nil {
+				break // what is owed the most goes first, when there is room for it
+			}
+			m.grantTicket(q, t)
+			continue
+		}
 		t := m.chooseTarget(c, q.ticket.PrefixHash)
 		if t == nil {
 			continue // the class was only rebuilt now and has no room
@@ -142,6 +153,10 @@
 	t.window.Granted(m.now)
 	t.prefixes.granted(q.ticket.PrefixHash)
 	estimate := g.workspace.estimate(q.shard.id.Pool).Charge(g.hint, m.typical(q.shard.id.Pool))
+	if t.engine != nil {
+		g.work = t.engine.Start(m.now, q.task)
+		estimate = nominal(q.task)
+	}
 	m.holdGrant(g, estimate)
 	m.sendGrant(g)
 }
@@ -185,7 +200,7 @@
 // armGrant sets the grant's timer to the next thing to do.
 func (m *Machine) armGrant(g *grant) {
 	at := g.seen + grantLease
-	if !g.behind {
+	if !g.behind && g.work == nil {
 		at = min(at, g.started+g.charged)
 	}
 	if !g.confirmed {
@@ -204,7 +219,7 @@
 		m.counters.GrantsResent++
 		m.sendGrant(g)
 	}
-	if used := m.now - g.started; !g.behind && used >= g.charged {
+	if used := m.now - g.started; !g.behind && g.work == nil && used >= g.charged {
 		step := max(minTopUp, used/topUpPart)
 		m.charge(g.workspace, g.shard, used+step-g.charged)
 		g.charged = used + step
--- a/control/messages.go
+++ b/control/messages.go
@@ -62,6 +62,9 @@
 	PhaseRunning RunPhase = iota
 	// PhaseEnded: the run ended and the slot is free.
 	PhaseEnded
+	// PhaseBegan: the target has begun to answer, so it has read the prompt. Sent
+	// once, for targets that count in tokens; a lost one is made up by the next run's.
+	PhaseBegan
 )
 
 // Report tells the scheduler of a shard about a run under a grant. PhaseEnded
--- a/control/release.go
+++ b/control/release.go
@@ -22,6 +22,9 @@
 	g.seen = m.now
 	g.confirmed = true
 	m.armGrant(g)
+	if r.Phase == PhaseBegan {
+		m.beganReported(g, r.Service)
+	}
 }
 
 // adopt counts a run that another scheduler granted, or that this one had
@@ -56,6 +59,9 @@
 		adopted:   true,
 	}
 	g.target.window.Adopted(m.now)
+	if g.target.engine != nil {
+		g.work = g.target.engine.Adopt(m.now)
+	}
 	m.holdGrant(g, 0)
 	m.sendGrant(g)
 }
@@ -89,11 +95,18 @@
 func (m *Machine) endGrant(g *grant, r Report, from NodeID) {
 	m.counters.GrantsEnded++
 	used := g.used(m.now, r.Service)
+	if g.work != nil {
+		used = g.charged
+	}
 	switch r.Outcome {
 	case OutcomeNotRun, OutcomeUnreachable, OutcomeRefused:
 		used = 0
 		g.target.window.Released(m.now)
 	case OutcomeAnswered:
+		if g.work != nil {
+			g.target.window.Released(m.now)
+			break
+		}
 		g.workspace.estimate(g.shard.id.Pool).Learn(g.hint, used)
 		m.measure(g, used, r.Service)
 	default:
@@ -124,6 +137,9 @@
 // settle forgets a grant and corrects the charge to what was used.
 func (m *Machine) settle(g *grant, used time.Duration) {
 	m.forgetGrant(g)
+	if g.work != nil {
+		g.target.engine.End(m.now, g.work)
+	}
 	if next := g.target.free(m.now, g, used); next != nil {
 		m.armGrant(next)
 	}
--- a/control/runs.go
+++ b/control/runs.go
@@ -146,9 +146,6 @@
 	m.ask(r, r.shards[0])
 }
 
-// runBegan is told to the scheduler later; see reports.
-func (m *Machine) runBegan(RunBegan) {}
-
 func (m *Machine) runEnded(ev RunEnded) {
 	if run := m.entry.runs[ev.Grant]; run != nil {
 		m.endRun(run, ev.Outcome, ev.Service)
--- /dev/null
+++ b/control/sched/engine.go
@@ -0,0 +1,266 @@
+package sched
+
+import (
+	"container/list"
+	"time"
+)
+
+const (
+	// firstReadRate is the tokens a second that a target is taken to read until
+	// it has shown its own rate. Too low a figure only keeps its queue shorter.
+	firstReadRate = 60_000.0
+	// minReadRate and maxReadRate bound what is learned: outside of them a sample
+	// shows something else, such as a target that stood still.
+	minReadRate = 2_000.0
+	maxReadRate = 5_000_000.0
+	// readOverhead is the time from a grant to the first event that is not spent
+	// reading: the way there and back, and the first step.
+	readOverhead = 12 * time.Millisecond
+	// leastSample is the least tokens whose reading says something of the rate:
+	// below it the overhead counts for more.
+	leastSample = 2_000
+	// memoryPart is the part of a target's memory that may be given to runs: the
+	// target preempts the newest run when it is full, and reads it all again.
+	memoryPart = 0.9
+)
+
+// EngineTask is a request as its targets have to work on it.
+type EngineTask struct {
+	// Parts name the beginnings of the prompt, shortest first, with the tokens
+	// that each adds to the one before.
+	Parts []EnginePart
+	// PromptTokens and OutputTokens are the lengths of the prompt and the answer.
+	PromptTokens, OutputTokens int
+}
+
+// EnginePart is one beginning of a prompt.
+type EnginePart struct {
+	// Beginning names the part together with all parts before it.
+	Beginning uint64
+	Tokens    int
+}
+
+// shared returns the tokens that other requests may have in common with this
+// one: all parts but the last, which is the request's own.
+func (t EngineTask) shared() int {
+	tokens := 0
+	for i := 0; i+1 < len(t.Parts); i++ {
+		tokens += t.Parts[i].Tokens
+	}
+	return tokens
+}
+
+// Engine models the work of one target that reads prompts and generates tokens
+// in batches. It predicts when a request would begin to be answered there.
+//
+// Prompts are read one after the other in order of arrival, so the wait is the
+// sum of what is granted and not yet read. The first event of a run shows that
+// it and all before it are read.
+type Engine struct {
+	slots  int
+	memory int64
+	rate   float64
+	// unread are the grants whose first event has not been seen, oldest first.
+	unread []*EngineRun
+	// reading is when the first of them began to be read.
+	reading time.Duration
+	running int
+	// held is the memory of the runs in progress.
+	held int64
+	kept keptParts
+}
+
+// EngineRun is one run on an engine.
+type EngineRun struct {
+	reads   int
+	holds   int64
+	granted time.Duration
+	// ahead is what was to be read before it, when it was granted.
+	ahead int
+	begun bool
+}
+
+// NewEngine returns the model of a target with so many slots and tokens of
+// memory; zero memory is not bounded.
+func NewEngine(slots int, memory int64) *Engine {
+	return &Engine{slots: max(1, slots), memory: memory, rate: firstReadRate, kept: newKeptParts(memory)}
+}
+
+// Declare changes what was declared of the target.
+func (e *Engine) Declare(slots int, memory int64) {
+	e.slots, e.memory, e.kept.capacity = max(1, slots), memory, memory
+}
+
+// Rate is the tokens a second that the target reads, as far as is known.
+func (e *Engine) Rate() float64 { return e.rate }
+
+// Reads returns how many tokens of a task the target would have to read, and how
+// many of these are in parts that requests share.
+func (e *Engine) Reads(task EngineTask) (all, shared int) {
+	saved := 0
+	for i, part := range task.Parts {
+		if !e.kept.has(part.Beginning) {
+			break
+		}
+		saved += part.Tokens
+		if i+1 < len(task.Parts) {
+			shared += part.Tokens
+		}
+	}
+	return max(1, task.PromptTokens-saved), task.shared() - shared
+}
+
+// Wait is the time until what is granted and not read would be read.
+func (e *Engine) Wait(now time.Duration) time.Duration {
+	tokens := 0
+	for _, run := range e.unread {
+		tokens += run.reads
+	}
+	if tokens == 0 {
+		return 0
+	}
+	// What was read of the first one since it began.
+	done := min(float64(e.unread[0].reads), max(0, (now-e.reading).Seconds()*e.rate))
+	return seconds((float64(tokens) - done) / e.rate)
+}
+
+// Predict returns the time until a task granted now would begin to be answered.
+func (e *Engine) Predict(now time.Duration, reads int) time.Duration {
+	return e.Wait(now) + seconds(float64(reads)/e.rate) + readOverhead
+}
+
+// HasRoom says whether the target has a slot and memory for a task.
+func (e *Engine) HasRoom(task EngineTask) bool {
+	if e.running >= e.slots {
+		return false
+	}
+	need := int64(task.PromptTokens + task.OutputTokens)
+	return e.memory <= 0 || e.running == 0 || float64(e.held+need) <= memoryPart*float64(e.memory)
+}
+
+// FreeSlots is the number of slots without a run.
+func (e *Engine) FreeSlots() int { return max(0, e.slots-e.running) }
+
+// Fill is the part of the slots in use.
+func (e *Engine) Fill() float64 { return float64(e.running) / float64(e.slots) }
+
+// Start counts a run that is granted now. Its prompt is kept from now on.
+func (e *Engine) Start(now time.Duration, task EngineTask) *EngineRun {
+	reads, _ := e.Reads(task)
+	run := &EngineRun{reads: reads, holds: int64(reads + task.OutputTokens), granted: now, ahead: e.backlog()}
+	if len(e.unread) == 0 {
+		e.reading = now
+	}
+	e.unread = append(e.unread, run)
+	e.running++
+	e.held += run.holds
+	e.kept.use(task.Parts)
+	return run
+}
+
+// Adopt counts a run that another scheduler granted: its prompt is not known.
+func (e *Engine) Adopt(now time.Duration) *EngineRun {
+	e.running++
+	return &EngineRun{granted: now, begun: true}
+}
+
+func (e *Engine) backlog() int {
+	tokens := 0
+	for _, run := range e.unread {
+		tokens += run.reads
+	}
+	return tokens
+}
+
+// Begun takes in that a run began to be answered, so many after its grant. It
+// and all runs before it are read.
+func (e *Engine) Begun(now time.Duration, run *EngineRun, after time.Duration) {
+	if run.begun {
+		return
+	}
+	e.learn(run, after)
+	for i, r := range e.unread {
+		if r != run {
+			continue
+		}
+		for _, earlier := range e.unread[:i+1] {
+			earlier.begun = true
+		}
+		e.unread = append(e.unread[:0], e.unread[i+1:]...)
+		e.reading = now
+		return
+	}
+}
+
+// learn takes a sample of the rate: what was to be read before and for the run.
+func (e *Engine) learn(run *EngineRun, after time.Duration) {
+	tokens := run.ahead + run.reads
+	took := (after - readOverhead).Seconds()
+	if tokens < leastSample || took <= 0 {
+		return
+	}
+	sample := float64(tokens) / took
+	if sample < minReadRate || sample > maxReadRate {
+		return
+	}
+	e.rate += averageWeight * (sample - e.rate)
+}
+
+// End counts a run that ended.
+func (e *Engine) End(now time.Duration, run *EngineRun) {
+	e.running = max(0, e.running-1)
+	e.held = max(0, e.held-run.holds)
+	for i, r := range e.unread {
+		if r == run {
+			e.unread = append(e.unread[:i], e.unread[i+1:]...)
+			if i == 0 {
+				e.reading = now
+			}
+			return
+		}
+	}
+}
+
+// keptParts guesses which beginnings of prompts a target keeps: the most
+// recently used ones, as far as its memory reaches.
+type keptParts struct {
+	capacity int64
+	tokens   int64
+	order    *list.List // of keptPart, most recently used first
+	byName   map[uint64]*list.Element
+}
+
+type keptPart struct {
+	beginning uint64
+	tokens    int
+}
+
+func newKeptParts(capacity int64) keptParts {
+	return keptParts{capacity: capacity, order: list.New(), byName: make(map[uint64]*list.Element)}
+}
+
+func (k *keptParts) has(beginning uint64) bool { return k.byName[beginning] != nil }
+
+// use notes that a prompt with these parts is read or was found kept. The last
+// parts yield first: nothing of a prompt is kept without what stands before it.
+func (k *keptParts) use(parts []EnginePart) {
+	for i := len(parts) - 1; i >= 0; i-- {
+		k.touch(parts[i])
+	}
+	for k.capacity > 0 && k.tokens > k.capacity {
+		oldest := k.order.Back()
+		part := oldest.Value.(keptPart)
+		k.order.Remove(oldest)
+		delete(k.byName, part.beginning)
+		k.tokens -= int64(part.tokens)
+	}
+}
+
+func (k *keptParts) touch(part EnginePart) {
+	if element := k.byName[part.Beginning]; element != nil {
+		k.order.MoveToFront(element)
+		return
+	}
+	k.byName[part.Beginning] = k.order.PushFront(keptPart{beginning: part.Beginning, tokens: part.Tokens})
+	k.tokens += int64(part.Tokens)
+}
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -193,7 +193,14 @@
 		m.settleShard(s)
 		return
 	}
-	q := &queuedTicket{shard: s, from: from, ticket: t, deadline: m.now + t.TimeLeft}
+	q := &queuedTicket{shard: s, from: from, ticket: t, deadline: m.now + t.TimeLeft, latest: never}
+	if m.countsTokens(s) {
+		q.task = taskOf(t.Work)
+		if t.Objective > 0 {
+			q.objective = m.now + t.Objective
+		}
+		q.latest = m.latestStart(q)
+	}
 	s.queued[t.ID] = q
 	w := m.workspaceHere(t.Workspace)
 	m.push(q, w, class)
--- a/control/shard.go
+++ b/control/shard.go
@@ -51,8 +51,14 @@
 	workspace *workspace
 	item      *sched.Item[*queuedTicket]
 	class     string
-	deadline  Instant
-	lease     Instant
+	// task and objective are set for targets that count in tokens: the work, and
+	// when the answer should have begun, zero for no such time.
+	task      sched.EngineTask
+	objective Instant
+	// latest is when waiting longer is in vain; see Machine.latestStart.
+	latest   Instant
+	deadline Instant
+	lease    Instant
 	// tellAt is when the entry is told that the ticket waits; zero if it was.
 	tellAt Instant
 	timer  timer
@@ -87,6 +93,9 @@
 			t = newTarget(m.now, s, name)
 		}
 		t.declare(m.topo.decl.Targets[name])
+		if tokens := m.topo.decl.Pools[s.id.Pool].Tokens; tokens != nil {
+			t.declareEngine(m.topo.decl.Targets[name].Slots, tokens.MemoryTokens)
+		}
 		kept[name] = t
 		s.targets = append(s.targets, t)
 	}
@@ -189,7 +198,7 @@
 
 // arm sets the ticket's timer to the next thing to do.
 func (q *queuedTicket) arm(m *Machine) {
-	at := min(q.deadline, q.lease)
+	at := min(q.deadline, q.lease, q.latest)
 	if q.tellAt > 0 {
 		at = min(at, q.tellAt)
 	}
@@ -199,6 +208,10 @@
 // fire implements timed: the entry of a quiet ticket is to be told, the
 // ticket's deadline has come, or its entry is gone.
 func (q *queuedTicket) fire(m *Machine) {
+	if m.now >= q.latest && m.now < q.deadline {
+		m.refuseOverloaded(q)
+		return
+	}
 	if m.now < min(q.deadline, q.lease) {
 		m.sendWaiting(q)
 		q.arm(m)
--- a/control/status.go
+++ b/control/status.go
@@ -13,6 +13,7 @@
 	TicketsQueued         uint64
 	TicketsLapsed         uint64
 	TicketsHopeless       uint64
+	TicketsOverloaded     uint64
 	Dispatches            uint64
 	GrantsMade            uint64
 	GrantsResent          uint64
--- a/control/target.go
+++ b/control/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/control/member"
 	"github.com/walnutcove/walnutcove/control/sched"
 )
 
@@ -24,9 +25,13 @@
 
 // target is one target at the scheduler of its shard.
 type target struct {
-	shard  *shard
-	name   string
+	shard *shard
+	name  string
+	// hash is the target's key for rendezvous hashing.
+	hash   uint64
 	window *sched.Window
+	// engine models a target that counts its work in tokens; nil for others.
+	engine *sched.Engine
 	// behind holds the grants made beyond the slots, oldest first: they wait in
 	// the target until a run there ends.
 	behind []*grant
@@ -50,7 +55,7 @@
 }
 
 func newTarget(now Instant, s *shard, name string) *target {
-	return &target{shard: s, name: name, window: sched.NewWindow(now, 1), loadAt: -1}
+	return &target{shard: s, name: name, hash: member.HashOf(name), window: sched.NewWindow(now, 1), loadAt: -1}
 }
 
 func (t *target) declare(decl config.Target) {
@@ -66,6 +71,9 @@
 	if t.failures > 0 {
 		return max(0, 1-t.window.Out()) // one run probes it
 	}
+	if t.engine != nil {
+		return t.engine.FreeSlots()
+	}
 	return t.window.Room(now)
 }
 
--- a/control/topology.go
+++ b/control/topology.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"time"
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control/member"
@@ -15,6 +16,8 @@
 	// pools maps a pool to its shards, in order of data centre.
 	pools  map[string][]ShardID
 	shards map[ShardID]*shardDecl
+	// objectives holds the tightest objective of the routes to each pool.
+	objectives map[string]time.Duration
 	// groups is how many groups the workspaces are accounted for in.
 	groups uint64
 }
@@ -46,15 +49,19 @@
 
 func newTopology(s *config.Snapshot) *topology {
 	t := &topology{
-		order:  s.Order(),
-		decl:   &s.Declarations,
-		pools:  make(map[string][]ShardID),
-		shards: make(map[ShardID]*shardDecl),
-		groups: accountGroups(len(s.Declarations.Workspaces)),
+		order:      s.Order(),
+		decl:       &s.Declarations,
+		pools:      make(map[string][]ShardID),
+		shards:     make(map[ShardID]*shardDecl),
+		objectives: make(map[string]time.Duration),
+		groups:     accountGroups(len(s.Declarations.Workspaces)),
 	}
 	for name, target := range s.Declarations.Targets {
 		t.add(name, target)
 	}
+	for _, route := range s.Declarations.Routes {
+		t.addObjective(route)
+	}
 	for _, shards := range t.pools {
 		sort.Slice(shards, func(i, j int) bool { return shards[i].DataCentre < shards[j].DataCentre })
 	}
@@ -80,6 +87,18 @@
 	}
 }
 
+func (t *topology) addObjective(route config.Route) {
+	objective := route.Objective()
+	if objective <= 0 {
+		return
+	}
+	for _, share := range route.Split {
+		if known := t.objectives[share.Pool]; known == 0 || objective < known {
+			t.objectives[share.Pool] = objective
+		}
+	}
+}
+
 func shardHash(id ShardID) uint64 {
 	return member.HashOf(id.Pool + "\x00" + id.DataCentre)
 }
--- a/result/codes.go
+++ b/result/codes.go
@@ -44,6 +44,7 @@
 	NoTarget             Code = 602
 	SchedulerUnreachable Code = 603
 	CallerGone           Code = 604
+	Overloaded           Code = 605
 
 	// dispatch: 700-799.
 	ConnectFailed     Code = 701
@@ -121,6 +122,7 @@
 	{NoTarget, "no_target", "grant", 503, RanNo, true, "No live target serves this request."},
 	{SchedulerUnreachable, "scheduler_unreachable", "grant", 503, RanNo, true, "No scheduler could be reached and none may run here."},
 	{CallerGone, "caller_gone", "grant", 499, RanNo, false, "The caller went away before the request was dispatched."},
+	{Overloaded, "overloaded", "grant", 503, RanNo, true, "What waits already is too much for an answer in time."},
 	{ConnectFailed, "connect_failed", "dispatch", 502, RanNo, true, "No target could be connected to."},
 	{TargetRefused, "target_refused", "dispatch", 503, RanNo, true, "The target refused the request before running it."},
 	{RetryBudgetEmpty, "retry_budget_empty", "dispatch", 503, RanUnknown, true, "The request failed and the retry budget is used up."},
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -22,7 +22,7 @@
 	admitRefusals = codecounter.New("walnut_admit_refusals_total",
 		result.QueueFull, result.QueueBytesFull, result.Draining, result.NotReady)
 	grantRefusals = codecounter.New("walnut_grant_refusals_total",
-		result.DeadlineBeforeGrant, result.NoTarget, result.CallerGone, result.Quarantined, result.ConnectFailed)
+		result.DeadlineBeforeGrant, result.NoTarget, result.CallerGone, result.Quarantined, result.ConnectFailed, result.Overloaded)
 )
 
 // grants gives slots to the grant filter. It implements grant.Source.
