Serve each workspace's share first, fetch kept parts, learn how long starts take

Done: sched.Shares works out the max-min level of a pool's declared capacity; requests beyond it use spare capacity only, and yield to workspaces served less; the model learns a stretch; parts kept elsewhere are fetched; a first event ends a target's probation. Lines for grants and ends of requests.

--- a/config/types.go
+++ b/config/types.go
@@ -84,6 +84,9 @@
 	PerSecond float64 `json:"per_second,omitempty" toml:"per_second,omitempty"`
 	// MemoryTokens is how many tokens of prompts and answers one target holds.
 	MemoryTokens int64 `json:"memory_tokens,omitempty" toml:"memory_tokens,omitempty"`
+	// FetchedPerSecond is how many tokens a second one target fetches from what
+	// another keeps; zero: targets cannot.
+	FetchedPerSecond float64 `json:"fetched_per_second,omitempty" toml:"fetched_per_second,omitempty"`
 	// EventTokens is how many tokens one event of a stream holds. Default 1.
 	EventTokens int `json:"event_tokens,omitempty" toml:"event_tokens,omitempty"`
 }
--- a/control/commands.go
+++ b/control/commands.go
@@ -19,6 +19,10 @@
 	Attempt uint32
 	Grant   GrantID
 	Target  string
+	// Start, Reads and FetchFrom are as in the Grant.
+	Start     time.Duration
+	Reads     int
+	FetchFrom string
 }
 
 // Refuse ends a waiting request with a numbered code.
--- a/control/grants.go
+++ b/control/grants.go
@@ -47,7 +47,9 @@
 	// adopted says that another scheduler granted it.
 	adopted bool
 	// work is the run at a target that counts in tokens; nil at others.
-	work  *sched.EngineRun
+	work *sched.EngineRun
+	// place is why the target was chosen, where it counts in tokens.
+	place placement
 	timer timer
 }
 
@@ -62,7 +64,7 @@
 	}
 	for item := s.queue.Next(usable); item != nil; item = s.queue.Next(usable) {
 		q := item.Value
-		c := m.classOf(s, q.ticket)
+		c := m.classOf(s, q.ticket, q.excess)
 		if c.name != q.class {
 			// The configuration changed while the ticket waited.
 			s.queue.Remove(m.now, item)
@@ -75,25 +77,25 @@
 			continue
 		}
 		if m.countsTokens(s) {
-			t := m.chooseEngine(c, q)
-			if t == nil {
+			p := m.chooseEngine(c, q)
+			if p.target == nil {
 				break // what is owed the most goes first, when there is room for it
 			}
-			m.grantTicket(q, t)
+			m.grantTicket(q, p)
 			continue
 		}
 		t := m.chooseTarget(c, q.ticket.PrefixHash)
 		if t == nil {
 			continue // the class was only rebuilt now and has no room
 		}
-		m.grantTicket(q, t)
+		m.grantTicket(q, placement{target: t})
 	}
 	m.armShard(s)
 }
 
 // roomFor says whether a target may be given a ticket of a class now.
 func (m *Machine) roomFor(c *class, t *target) bool {
-	if t.room(m.now) == 0 {
+	if t.room(m.now) == 0 || c.excess && !m.hasSpare(t) {
 		return false
 	}
 	return !c.suspect || !m.runsSuspect(t)
@@ -133,7 +135,8 @@
 	return best
 }
 
-func (m *Machine) grantTicket(q *queuedTicket, t *target) {
+func (m *Machine) grantTicket(q *queuedTicket, p placement) {
+	t := p.target
 	q.shard.queue.Serve(m.now, q.item)
 	m.forgetTicket(q)
 	m.sched.nextSeq++
@@ -148,14 +151,16 @@
 		finger:    q.ticket.Fingerprint,
 		granted:   m.now,
 		seen:      m.now,
+		place:     p,
 	}
 	m.counters.GrantsMade++
 	t.window.Granted(m.now)
 	t.prefixes.granted(q.ticket.PrefixHash)
 	estimate := g.workspace.estimate(q.shard.id.Pool).Charge(g.hint, m.typical(q.shard.id.Pool))
 	if t.engine != nil {
-		g.work = t.engine.Start(m.now, q.task)
+		g.work = t.engine.Start(m.now, q.task, p.reads)
 		estimate = nominal(q.task)
+		q.shard.shares.Served(m.now, q.ticket.Workspace, estimate.Seconds())
 	}
 	m.holdGrant(g, estimate)
 	m.sendGrant(g)
@@ -194,7 +199,15 @@
 			spare += t.room(m.now)
 		}
 	}
-	m.send(g.from, Grant{ID: g.id, Ticket: g.ticket, Target: g.target.name, Spare: spare})
+	m.send(g.from, Grant{
+		ID:        g.id,
+		Ticket:    g.ticket,
+		Target:    g.target.name,
+		Spare:     spare,
+		Start:     g.place.start,
+		Reads:     g.place.reads,
+		FetchFrom: g.place.fetchName(),
+	})
 }
 
 // armGrant sets the grant's timer to the next thing to do.
--- a/control/messages.go
+++ b/control/messages.go
@@ -36,6 +36,14 @@
 	// Spare counts the slots still free in the shard after this grant; if it
 	// is negative, that many tickets wait there.
 	Spare int
+	// Start is when the answer is predicted to begin, from now, and Reads how
+	// many tokens of the prompt the target has to read; for targets that count in
+	// tokens.
+	Start time.Duration
+	Reads int
+	// FetchFrom is the target that keeps the shared parts of the prompt, if they
+	// are to be fetched from it; empty otherwise.
+	FetchFrom string
 }
 
 // Refusal ends a ticket at the scheduler without a grant.
--- a/control/place.go
+++ b/control/place.go
@@ -17,7 +17,16 @@
 	// waitPart is the part of the pool's tightest objective that a target's unread
 	// prompts may take. The rest of the objective is for a request's own prompt,
 	// and for the pieces of others that targets read in between.
-	waitPart = 0.4
+	waitPart = 0.25
+	// spareFill is the part of a target's slots and memory, and sparePart the part
+	// of the wait, up to which requests beyond their workspace's share are served.
+	// The rest is kept for requests within the shares, which are the ones that
+	// callers are promised.
+	spareFill = 0.75
+	sparePart = 0.8
+	// excessPart is the part of its objective that a request beyond its
+	// workspace's share may wait for spare capacity.
+	excessPart = 0.4
 	// keeperPart is how much longer the wait may be at a target that keeps the
 	// shared parts, as a multiple.
 	keeperPart = 2.5
@@ -32,6 +41,12 @@
 	// rereadPenalty is added for each shared token that would be read again, on
 	// top of the time that it takes.
 	rereadPenalty = 40 * time.Microsecond
+	// fetchPenalty is added for each shared token that is fetched from the target
+	// that keeps it: the network between targets has its price too.
+	fetchPenalty = 3 * time.Microsecond
+	// leastFetch is the least tokens that are worth a fetch, which costs a request
+	// between targets.
+	leastFetch = 64
 	// homePenalty is added where nobody keeps the shared parts and the target is
 	// not the one that rendezvous hashing gives them to: it makes schedulers that
 	// know nothing of each other agree.
@@ -69,12 +84,15 @@
 	return task
 }
 
+// nominalToken is the service that one token counts for in fair shares.
+const nominalToken = time.Microsecond
+
 // nominal is what a task counts for in fair shares: each token read once, each
-// token generated twice, as a microsecond of service a token. What a target
+// token generated twice. What a target
 // keeps makes no difference, so that a workspace is not charged for where its
 // requests happen to be placed.
 func nominal(task sched.EngineTask) time.Duration {
-	return time.Duration(max(1, task.PromptTokens+2*task.OutputTokens)) * time.Microsecond
+	return time.Duration(max(1, task.PromptTokens+2*task.OutputTokens)) * nominalToken
 }
 
 // maxWait bounds the unread prompts of a target of the shard's pool.
@@ -85,14 +103,33 @@
 	return defaultWait
 }
 
+// placement is a target for a ticket and what speaks for it.
+type placement struct {
+	target *target
+	// start is when the answer is predicted to begin, from now.
+	start time.Duration
+	// reads is how many tokens of the prompt the target has to read.
+	reads int
+	// fetchFrom keeps the shared parts that the target lacks; nil if they are not
+	// to be fetched.
+	fetchFrom *target
+	cost      time.Duration
+}
+
+func (p placement) fetchName() string {
+	if p.fetchFrom == nil {
+		return ""
+	}
+	return p.fetchFrom.name
+}
+
 // chooseEngine returns the target of a class that costs a queued ticket least;
-// nil if none takes it now.
-func (m *Machine) chooseEngine(c *class, q *queuedTicket) *target {
+// without a target if none takes it now.
+func (m *Machine) chooseEngine(c *class, q *queuedTicket) placement {
 	limit := m.maxWait(q.shard)
-	left := q.objective - m.now
-	home := m.homeOf(c, q.task)
-	var best *target
-	var bestCost time.Duration
+	keeper := m.keeperOf(c, q.task)
+	home := m.homeOf(c, q.task, keeper)
+	var best placement
 	for _, t := range c.targets {
 		if !m.roomFor(c, t) || !t.engine.HasRoom(q.task) {
 			continue
@@ -103,34 +140,96 @@
 		if wait > limit && (!keeps || wait > time.Duration(keeperPart*float64(limit))) {
 			continue
 		}
-		cost := t.engine.Predict(m.now, reads)
-		if q.objective > 0 && float64(cost) > timelyPart*float64(left) {
-			cost += latePenalty
-		}
-		cost += time.Duration(again) * rereadPenalty
+		p := m.place(q, t, keeper, reads, again)
 		if home != nil && t != home {
-			cost += homePenalty
+			p.cost += homePenalty
 		}
-		if best == nil || cost < bestCost {
-			best, bestCost = t, cost
+		if best.target == nil || p.cost < best.cost {
+			best = p
 		}
 	}
 	return best
 }
 
-// homeOf returns the target that rendezvous hashing gives the shared parts of a
-// prompt to, if no target keeps any of them; nil otherwise.
-func (m *Machine) homeOf(c *class, task sched.EngineTask) *target {
+// hasSpare says whether a target has capacity beyond what is kept for requests
+// within their workspaces' shares.
+func (m *Machine) hasSpare(t *target) bool {
+	return t.engine.Fill() < spareFill &&
+		float64(t.engine.Wait(m.now)) <= sparePart*float64(m.maxWait(t.shard))
+}
+
+// describeWork sets what follows from a ticket's tokens: its work, its objective,
+// and whether it lies beyond its workspace's share.
+func (m *Machine) describeWork(q *queuedTicket) {
+	q.task = taskOf(q.ticket.Work)
+	if q.ticket.Objective > 0 {
+		q.objective = m.now + q.ticket.Objective
+	}
+	q.latest = m.latestStart(q)
+	if q.shard.shares.Ask(m.now, q.ticket.Workspace, nominal(q.task).Seconds()) {
+		return
+	}
+	q.excess = true
+	if q.shard.shares.Yields(m.now, q.ticket.Workspace) {
+		q.latest = m.now
+		return
+	}
+	if q.objective > 0 {
+		wait := time.Duration(excessPart * float64(q.objective-m.now))
+		q.latest = min(q.latest, m.now+wait)
+	}
+}
+
+// place predicts what a ticket would cost at a target that has to read so many
+// tokens, some of them shared parts that some target has read before.
+func (m *Machine) place(q *queuedTicket, t, keeper *target, reads, again int) placement {
+	p := placement{target: t, reads: reads}
+	penalty := time.Duration(again) * rereadPenalty
+	fetch := time.Duration(0)
+	perSecond := m.topo.decl.Pools[q.shard.id.Pool].Tokens.FetchedPerSecond
+	if keeper != nil && keeper != t && again >= leastFetch && perSecond > 0 {
+		p.fetchFrom = keeper
+		p.reads = max(1, reads-again)
+		fetch = time.Duration(float64(again) / perSecond * float64(time.Second))
+		penalty = time.Duration(again) * fetchPenalty
+	}
+	p.start = t.engine.Predict(m.now, p.reads) + fetch
+	p.cost = p.start + penalty
+	if q.objective > 0 && float64(p.start) > timelyPart*float64(q.objective-m.now) {
+		p.cost += latePenalty
+	}
+	return p
+}
+
+// keeperOf returns a target that keeps all shared parts of a prompt and has the
+// least to do; nil if there is none.
+func (m *Machine) keeperOf(c *class, task sched.EngineTask) *target {
 	if len(task.Parts) < 2 {
 		return nil
 	}
+	var keeper *target
+	var least time.Duration
+	for _, t := range c.targets {
+		if _, again := t.engine.Reads(task); again > 0 {
+			continue
+		}
+		if wait := t.engine.Wait(m.now); keeper == nil || wait < least {
+			keeper, least = t, wait
+		}
+	}
+	return keeper
+}
+
+// homeOf returns the target that rendezvous hashing gives the shared parts of a
+// prompt to, if no target keeps them all; nil otherwise.
+func (m *Machine) homeOf(c *class, task sched.EngineTask, keeper *target) *target {
+	if len(task.Parts) < 2 || keeper != nil {
+		return nil
+	}
 	last := task.Parts[len(task.Parts)-2].Beginning
 	var home *target
 	var highest uint64
 	for _, t := range c.targets {
-		if _, again := t.engine.Reads(task); again == 0 {
-			return nil
-		}
 		score := member.Score(t.hash, last)
 		if !t.leaving && (home == nil || score > highest) {
 			home, highest = t, score
@@ -161,6 +260,7 @@
 // refuseOverloaded refuses a ticket whose answer cannot begin in time.
 func (m *Machine) refuseOverloaded(q *queuedTicket) {
 	m.counters.TicketsOverloaded++
+	q.shard.shares.Refused(m.now, q.ticket.Workspace)
 	m.unqueue(q)
 	m.send(q.from, Refusal{
 		Ticket:     q.ticket.ID,
@@ -187,6 +287,7 @@
 	if g.work == nil {
 		return
 	}
+	g.target.recovered()
 	g.target.engine.Begun(m.now, g.work, after)
 	m.grantAll(g.shard)
 }
--- a/control/sched/engine.go
+++ b/control/sched/engine.go
@@ -19,6 +19,11 @@
 	// leastSample is the least tokens whose reading says something of the rate:
 	// below it the overhead counts for more.
 	leastSample = 2_000
+	// minStretch and maxStretch bound one sample of the stretch, and stretchWeight
+	// is its weight in the average.
+	minStretch    = 0.3
+	maxStretch    = 6.0
+	stretchWeight = 0.05
 	// memoryPart is the part of a target's memory that may be given to runs: the
 	// target preempts the newest run when it is full, and reads it all again.
 	memoryPart = 0.9
@@ -60,6 +65,9 @@
 	slots  int
 	memory int64
 	rate   float64
+	// stretch is how much longer starts take than the rate alone says: targets
+	// read in pieces between the tokens of what runs.
+	stretch float64
 	// unread are the grants whose first event has not been seen, oldest first.
 	unread []*EngineRun
 	// reading is when the first of them began to be read.
@@ -75,15 +83,17 @@
 	reads   int
 	holds   int64
 	granted time.Duration
-	// ahead is what was to be read before it, when it was granted.
+	// ahead is what was to be read before it, when it was granted, and bare the
+	// time to its start by the rate alone.
 	ahead int
+	bare  time.Duration
 	begun bool
 }
 
 // NewEngine returns the model of a target with so many slots and tokens of
 // memory; zero memory is not bounded.
 func NewEngine(slots int, memory int64) *Engine {
-	return &Engine{slots: max(1, slots), memory: memory, rate: firstReadRate, kept: newKeptParts(memory)}
+	return &Engine{slots: max(1, slots), memory: memory, rate: firstReadRate, stretch: 1, kept: newKeptParts(memory)}
 }
 
 // Declare changes what was declared of the target.
@@ -112,6 +122,11 @@
 
 // Wait is the time until what is granted and not read would be read.
 func (e *Engine) Wait(now time.Duration) time.Duration {
+	return time.Duration(e.stretch * float64(e.bareWait(now)))
+}
+
+// bareWait is Wait by the rate alone.
+func (e *Engine) bareWait(now time.Duration) time.Duration {
 	tokens := 0
 	for _, run := range e.unread {
 		tokens += run.reads
@@ -126,7 +141,11 @@
 
 // Predict returns the time until a task granted now would begin to be answered.
 func (e *Engine) Predict(now time.Duration, reads int) time.Duration {
-	return e.Wait(now) + seconds(float64(reads)/e.rate) + readOverhead
+	return time.Duration(e.stretch * float64(e.barePredict(now, reads)))
+}
+
+func (e *Engine) barePredict(now time.Duration, reads int) time.Duration {
+	return e.bareWait(now) + seconds(float64(reads)/e.rate) + readOverhead
 }
 
 // HasRoom says whether the target has a slot and memory for a task.
@@ -144,10 +163,10 @@
 // Fill is the part of the slots in use.
 func (e *Engine) Fill() float64 { return float64(e.running) / float64(e.slots) }
 
-// Start counts a run that is granted now. Its prompt is kept from now on.
-func (e *Engine) Start(now time.Duration, task EngineTask) *EngineRun {
-	reads, _ := e.Reads(task)
-	run := &EngineRun{reads: reads, holds: int64(reads + task.OutputTokens), granted: now, ahead: e.backlog()}
+// Start counts a run that is granted now and has to read so many tokens. Its
+// prompt is kept from now on.
+func (e *Engine) Start(now time.Duration, task EngineTask, reads int) *EngineRun {
+	run := &EngineRun{reads: reads, holds: int64(reads + task.OutputTokens), granted: now, ahead: e.backlog(), bare: e.barePredict(now, reads)}
 	if len(e.unread) == 0 {
 		e.reading = now
 	}
@@ -194,6 +213,8 @@
 
 // learn takes a sample of the rate: what was to be read before and for the run.
 func (e *Engine) learn(run *EngineRun, after time.Duration) {
+	ratio := min(max(after.Seconds()/run.bare.Seconds(), minStretch), maxStretch)
+	e.stretch += stretchWeight * (ratio - e.stretch)
 	tokens := run.ahead + run.reads
 	took := (after - readOverhead).Seconds()
 	if tokens < leastSample || took <= 0 {
--- /dev/null
+++ b/control/sched/shares.go
@@ -0,0 +1,164 @@
+package sched
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// demandTime is the time constant of the average of what a workspace asks for.
+	// Shorter follows a burst sooner, and takes chance for demand.
+	demandTime = 1500 * time.Millisecond
+	// shareBurst is how much of its share a workspace may use at once after it
+	// asked for less.
+	shareBurst = 1500 * time.Millisecond
+	// levelEvery is the period of working out the level anew.
+	levelEvery = 100 * time.Millisecond
+	// refusedTime is how long a refusal counts as a sign that a workspace could use
+	// more capacity.
+	refusedTime = time.Second
+	// yieldPart is how much less another workspace must have been served for one to
+	// yield to it. Below 1, so that chance does not make workspaces take turns.
+	yieldPart = 0.7
+	// forgetShare is how long a workspace that asks for nothing is remembered.
+	forgetShare = 30 * time.Second
+)
+
+// Shares says which requests lie within their workspace's max-min share of a
+// pool's capacity: each workspace gets what it asks for up to one level that is
+// the same for all, and the level is where the capacity is used up. What is
+// asked beyond may be served from spare capacity, but must not make others late.
+type Shares struct {
+	perSecond float64
+	flows     map[string]*shareFlow
+	level     float64
+	levelAt   time.Duration
+	known     bool
+}
+
+// shareFlow is what one workspace asks for and may use.
+type shareFlow struct {
+	// asked decays with demandTime; divided by it, it is the demand a second.
+	asked float64
+	// served decays like asked, and counts what was granted.
+	served float64
+	// credit is what the workspace may use at once.
+	credit float64
+	at     time.Duration
+	// refusedAt is when a request was last refused for want of capacity, with
+	// what the workspace had been served then; refused says that one was.
+	refusedAt time.Duration
+	refused   bool
+}
+
+// NewShares returns shares of a capacity per second; zero: there is no bound.
+func NewShares(perSecond float64) *Shares {
+	return &Shares{perSecond: perSecond, flows: make(map[string]*shareFlow), level: math.Inf(1)}
+}
+
+// Declare changes the capacity.
+func (s *Shares) Declare(perSecond float64) { s.perSecond = perSecond }
+
+// Level is the share per second of each workspace that asks for more.
+func (s *Shares) Level() float64 { return s.level }
+
+// Ask counts a request and says whether it lies within its workspace's share. The
+// share is used up by requests that do.
+func (s *Shares) Ask(now time.Duration, workspace string, amount float64) bool {
+	if s.perSecond <= 0 {
+		return true
+	}
+	f := s.flow(now, workspace)
+	f.asked += amount
+	s.findLevel(now)
+	if math.IsInf(s.level, 1) {
+		return true
+	}
+	if f.credit <= 0 {
+		return false
+	}
+	f.credit -= amount
+	return true
+}
+
+// Served counts a request that is granted.
+func (s *Shares) Served(now time.Duration, workspace string, amount float64) {
+	s.flow(now, workspace).served += amount
+}
+
+// Refused notes that a request was refused for want of capacity.
+func (s *Shares) Refused(now time.Duration, workspace string) {
+	f := s.flow(now, workspace)
+	f.refused, f.refusedAt = true, now
+}
+
+// Yields says whether a workspace is to leave spare capacity to another one that
+// was refused of late and has been served much less.
+func (s *Shares) Yields(now time.Duration, workspace string) bool {
+	mine := s.flow(now, workspace).served
+	for name, f := range s.flows {
+		if name == workspace || !f.refused || now-f.refusedAt > refusedTime {
+			continue
+		}
+		s.advance(now, f)
+		if f.served < yieldPart*mine {
+			return true
+		}
+	}
+	return false
+}
+
+// flow returns a workspace's state as of now.
+func (s *Shares) flow(now time.Duration, workspace string) *shareFlow {
+	f := s.flows[workspace]
+	if f == nil {
+		f = &shareFlow{at: now, credit: s.burst()}
+		s.flows[workspace] = f
+	}
+	s.advance(now, f)
+	return f
+}
+
+func (s *Shares) advance(now time.Duration, f *shareFlow) {
+	passed := (now - f.at).Seconds()
+	f.at = now
+	decay := math.Exp(-passed / demandTime.Seconds())
+	f.asked *= decay
+	f.served *= decay
+	f.credit = min(f.credit+passed*s.bounded(), s.burst())
+}
+
+// bounded is the level, or the whole capacity where there is no level.
+func (s *Shares) bounded() float64 { return min(s.level, s.perSecond) }
+
+func (s *Shares) burst() float64 { return s.bounded() * shareBurst.Seconds() }
+
+// findLevel works out the level by which what the workspaces get adds up to the
+// capacity.
+func (s *Shares) findLevel(now time.Duration) {
+	if s.known && now-s.levelAt < levelEvery {
+		return
+	}
+	s.known, s.levelAt = true, now
+	demands := make([]float64, 0, len(s.flows))
+	for name, f := range s.flows {
+		if now-f.at > forgetShare {
+			delete(s.flows, name)
+			continue
+		}
+		idle := (now - f.at).Seconds()
+		demands = append(demands, f.asked*math.Exp(-idle/demandTime.Seconds())/demandTime.Seconds())
+	}
+	slices.Sort(demands)
+	left := s.perSecond
+	for i, demand := range demands {
+		share := left / float64(len(demands)-i)
+		if demand > share {
+			s.level = share
+			return
+		}
+		left -= demand
+	}
+	s.level = math.Inf(1)
+}
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -187,7 +187,7 @@
 
 // enqueue puts a ticket in the queue and grants what can be granted.
 func (m *Machine) enqueue(s *shard, from NodeID, t Ticket) {
-	class := m.classOf(s, t)
+	class := m.classOf(s, t, false)
 	if refusal, refused := m.refusal(s, t, class); refused {
 		m.send(from, refusal)
 		m.settleShard(s)
@@ -195,17 +195,18 @@
 	}
 	q := &queuedTicket{shard: s, from: from, ticket: t, deadline: m.now + t.TimeLeft, latest: never}
 	if m.countsTokens(s) {
-		q.task = taskOf(t.Work)
-		if t.Objective > 0 {
-			q.objective = m.now + t.Objective
-		}
-		q.latest = m.latestStart(q)
+		m.describeWork(q)
+		class = m.classOf(s, t, q.excess)
 	}
 	s.queued[t.ID] = q
 	w := m.workspaceHere(t.Workspace)
 	m.push(q, w, class)
 	w.waiting++
 	q.refresh(m, from, t)
+	if m.now >= q.latest {
+		m.refuseOverloaded(q)
+		return
+	}
 	m.grantAll(s)
 	if s.queued[t.ID] != nil {
 		m.counters.TicketsQueued++
--- a/control/shard.go
+++ b/control/shard.go
@@ -28,7 +28,9 @@
 	targets []*target
 	byName  map[string]*target
 	classes map[string]*class
-	timer   timer
+	// shares are the workspaces' shares of a pool that counts in tokens.
+	shares *sched.Shares
+	timer  timer
 }
 
 // class is a set of targets that may run a ticket: what its workspace may
@@ -40,6 +42,8 @@
 	excluded  []string
 	// suspect says that a target that runs a suspect must not be used.
 	suspect bool
+	// excess says that only spare capacity may be used; see sched.Shares.
+	excess  bool
 	targets []*target
 }
 
@@ -55,6 +59,8 @@
 	// when the answer should have begun, zero for no such time.
 	task      sched.EngineTask
 	objective Instant
+	// excess says that it lies beyond its workspace's share.
+	excess bool
 	// latest is when waiting longer is in vain; see Machine.latestStart.
 	latest   Instant
 	deadline Instant
@@ -74,6 +80,7 @@
 		flows:   make(map[string]bool),
 		byName:  make(map[string]*target),
 		classes: make(map[string]*class),
+		shares:  sched.NewShares(0),
 	}
 }
 
@@ -81,6 +88,9 @@
 // learned of them.
 func (m *Machine) declareTargets(s *shard) {
 	clear(s.classes)
+	if tokens := m.topo.decl.Pools[s.id.Pool].Tokens; tokens != nil {
+		s.shares.Declare(tokens.PerSecond * nominalToken.Seconds())
+	}
 	var names []string
 	if decl := m.topo.shards[s.id]; decl != nil {
 		names = decl.targets
@@ -111,7 +121,7 @@
 }
 
 // classOf returns the class of a ticket.
-func (m *Machine) classOf(s *shard, t Ticket) *class {
+func (m *Machine) classOf(s *shard, t Ticket, excess bool) *class {
 	name, only := "", ""
 	ws, known := m.topo.decl.Workspaces[t.Workspace]
 	if known && (len(ws.Targets) > 0 || !slices.Contains(ws.Pools, s.id.Pool)) {
@@ -124,9 +134,12 @@
 	if suspect {
 		name += "\x00\x00suspect"
 	}
+	if excess {
+		name += "\x00\x00excess"
+	}
 	c := s.classes[name]
 	if c == nil {
-		c = &class{name: name, workspace: only, excluded: t.Excluded, suspect: suspect}
+		c = &class{name: name, workspace: only, excluded: t.Excluded, suspect: suspect, excess: excess}
 		s.classes[name] = c
 		m.fillClass(s, c)
 	}
@@ -164,7 +177,7 @@
 		return
 	}
 	for _, q := range s.sortedTickets() {
-		c := m.classOf(s, q.ticket)
+		c := m.classOf(s, q.ticket, q.excess)
 		if refusal, refused := m.refusal(s, q.ticket, c); refused {
 			m.unqueue(q)
 			m.counters.TicketsHopeless++
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -41,6 +41,9 @@
 	// ExpectTarget names the incarnation that is to run the request, so that a
 	// new owner of its address refuses it.
 	ExpectTarget string
+	// FetchFrom names the address of a target that keeps parts of the prompt,
+	// which the target is to fetch rather than read.
+	FetchFrom string
 	// ResumeAfter carries the id of the last event that a caller has.
 	ResumeAfter string
 	// Seal marks an answer as the target's own; a success without it is not one.
@@ -78,7 +81,7 @@
 // caller's value must not pass. The name is canonical.
 func (d *Dialect) Owns(name string) bool {
 	switch name {
-	case d.RequestID, d.Key, d.Deadline, d.Workspace, d.ExpectTarget:
+	case d.RequestID, d.Key, d.Deadline, d.Workspace, d.ExpectTarget, d.FetchFrom:
 		return name != ""
 	}
 	for _, reserved := range d.Reserved {
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -105,6 +105,7 @@
 		request.Target = ex.Target
 		request.Deadline = ex.Deadline
 		request.AfterEvent = ex.AfterEvent
+		request.FetchAddress = ex.FetchAddress
 	}
 	return request
 }
--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -60,6 +60,7 @@
 		return err
 	}
 	ex.Run.Begin()
+	ex.MarkBegan()
 	ex.Status = answer.Status
 	ex.AnswerHeader = answer.Header
 	ex.AnswerStream = s
@@ -205,7 +206,7 @@
 		case cause == io.EOF:
 			whole.Inc()
 			s.run.End(control.OutcomeAnswered)
-		case s.ex.IsAbandoned():
+		case s.ex.IsAbandoned() || s.ctx.Err() != nil:
 			gone.Inc()
 			s.run.End(control.OutcomeCancelled)
 		default:
--- a/filters/grant/grant.go
+++ b/filters/grant/grant.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/walnutcove/walnutcove/pipeline"
 )
@@ -24,14 +25,30 @@
 	Log *slog.Logger
 }
 
+// reasons says what the grant went by.
+func (f *Filter) reasons(ex *pipeline.Exchange, asked time.Time) []slog.Attr {
+	attrs := []slog.Attr{
+		slog.Duration("waited", time.Since(asked)),
+		slog.String("as_of", ex.Snapshot.Order().String()),
+	}
+	if ex.Placed.Reads > 0 {
+		attrs = append(attrs, slog.Duration("start_predicted", ex.Placed.Start), slog.Int("reads", ex.Placed.Reads), slog.Int("prompt", ex.Work.PromptTokens))
+	}
+	if ex.Placed.FetchFrom != "" {
+		attrs = append(attrs, slog.String("fetch_from", ex.Placed.FetchFrom))
+	}
+	return attrs
+}
+
 // Name implements pipeline.Filter.
 func (f *Filter) Name() string { return "grant" }
 
 // Serve implements pipeline.Filter.
 func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
+	asked := time.Now()
 	if err := f.Source.Acquire(ctx, ex); err != nil {
 		return err
 	}
-	pipeline.Log(ctx, f.Log, slog.LevelDebug, ex, "grant: Slot granted.")
+	pipeline.Log(ctx, f.Log, slog.LevelInfo, ex, "grant: Slot granted.", f.reasons(ex, asked)...)
 	return next(ctx, ex)
 }
--- a/filters/relay/relay.go
+++ b/filters/relay/relay.go
@@ -52,6 +52,7 @@
 // part of the answer has been shown to the caller, so that the request may be
 // retried if it is idempotent.
 func (r *Relay) Answer(ctx context.Context, ex *pipeline.Exchange, answer *target.Response) error {
+	ex.MarkBegan()
 	ex.Status = answer.Status
 	ex.AnswerHeader = answer.Header
 	start := time.Now()
--- a/peer/wire/codec_queue.go
+++ b/peer/wire/codec_queue.go
@@ -95,7 +95,8 @@
 	scheduler, errScheduler := e.origin(m.ID.Scheduler, m.ID.Incarnation)
 	origin, errOrigin := e.origin(m.Ticket.Node, m.Ticket.Incarnation)
 	target, errTarget := e.name(m.Target)
-	if err := errors.Join(errScheduler, errOrigin, errTarget); err != nil {
+	err := errors.Join(errScheduler, errOrigin, errTarget)
+	if err != nil {
 		return nil, err
 	}
 	p := &peerpb.Grant{
@@ -106,6 +107,13 @@
 		Attempt:      m.Ticket.Attempt,
 		Target:       target,
 		Spare:        int64(m.Spare),
+		Start:        micros(m.Start),
+		Reads:        uint32(m.Reads),
+	}
+	if m.FetchFrom != "" {
+		if p.FetchFrom, err = e.name(m.FetchFrom); err != nil {
+			return nil, err
+		}
 	}
 	return &peerpb.Entry{Kind: &peerpb.Entry_Grant{Grant: p}}, nil
 }
@@ -114,7 +122,12 @@
 	id, errID := d.grantID(p.GetScheduler(), p.GetSeq())
 	origin, errOrigin := d.origin(p.GetTicketOrigin())
 	target, errTarget := d.name(p.GetTarget())
-	if err := errors.Join(errID, errOrigin, errTarget); err != nil {
+	fetchFrom := ""
+	var errFetch error
+	if p.GetFetchFrom() != 0 {
+		fetchFrom, errFetch = d.name(p.GetFetchFrom())
+	}
+	if err := errors.Join(errID, errOrigin, errTarget, errFetch); err != nil {
 		return nil, err
 	}
 	return control.Grant{
@@ -127,6 +140,10 @@
 		},
 		Target: target,
 		Spare:  int(p.GetSpare()),
+		Start:  fromMicros(p.GetStart()),
+		Reads:  int(p.GetReads()),
+
+		FetchFrom: fetchFrom,
 	}, nil
 }
 
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,6 +74,11 @@
 	Target   string
 	Address  string
 	Excluded []string // targets that failed this request
+	// Placed is what the scheduler went by, for logs.
+	Placed Placement
+	// FetchAddress is the target that keeps shared parts of the prompt, if the
+	// target is to fetch them; empty otherwise.
+	FetchAddress string
 	// AfterEvent is the id of the last event that the caller has; empty before
 	// the first one. A stream that goes on elsewhere begins behind it.
 	AfterEvent string
@@ -91,11 +97,22 @@
 	// a target; an error refuses the request as not run.
 	BeforeDispatch []func() error
 
+	began   atomic.Int64 // nanoseconds from arrival to the answer's beginning
 	endOnce sync.Once
 	mu      sync.Mutex
 	onEnd   []func(error)
 }
 
+// Placement is what a scheduler went by when it chose the target of a request.
+type Placement struct {
+	// Start is when the answer was predicted to begin, from the grant.
+	Start time.Duration
+	// Reads is how many tokens of the prompt the target had to read.
+	Reads int
+	// FetchFrom names the target that shared parts were to be fetched from.
+	FetchFrom string
+}
+
 // HashContent hashes what makes two requests the same: workspace, path and body.
 // Lengths keep the parts apart.
 func (ex *Exchange) HashContent() uint64 {
@@ -111,6 +128,15 @@
 	return d.Sum64()
 }
 
+// MarkBegan notes that the answer has begun; only the first call counts.
+func (ex *Exchange) MarkBegan() {
+	ex.began.CompareAndSwap(0, int64(max(1, time.Since(ex.Arrived))))
+}
+
+// Began is the time from the request's arrival to the beginning of its answer;
+// zero if there was none.
+func (ex *Exchange) Began() time.Duration { return time.Duration(ex.began.Load()) }
+
 // OnEnd adds a function that runs once, when the answer has been sent whole
 // (nil error), broken off, or refused. Functions run last added first.
 func (ex *Exchange) OnEnd(f func(error)) {
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -108,6 +108,8 @@
 		return countRefusal(result.New(result.ConnectFailed, "The target is not declared any more."))
 	}
 	ex.Address = declared.Address
+	ex.FetchAddress = g.inForce().Declarations.Targets[answer.dispatch.FetchFrom].Address
+	ex.Placed = pipeline.Placement{Start: answer.dispatch.Start, Reads: answer.dispatch.Reads, FetchFrom: answer.dispatch.FetchFrom}
 	return nil
 }
 
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -174,6 +174,7 @@
 	setHeader(header, d.RequestID, req.ID)
 	setHeader(header, d.Workspace, req.Workspace)
 	setHeader(header, d.ExpectTarget, req.Target)
+	setHeader(header, d.FetchFrom, req.FetchAddress)
 	setHeader(header, d.ResumeAfter, req.AfterEvent)
 	if !req.Deadline.IsZero() {
 		setHeader(header, d.Deadline, strconv.FormatInt(dialect.TimeLeft(req.Deadline, time.Now()), 10))
--- a/target/target.go
+++ b/target/target.go
@@ -32,6 +32,9 @@
 	// Deadline is when the caller gives up, where the dialect tells targets;
 	// zero: not known.
 	Deadline time.Time
+	// FetchAddress is the "ip:port" of the target that keeps shared parts of the
+	// prompt, where the dialect tells targets; empty: nothing is to be fetched.
+	FetchAddress string
 	// AfterEvent asks to go on with a stream behind this event; empty: from the
 	// beginning, or from where the caller's own header says.
 	AfterEvent string
