--- a/devfleet/metrics_test.go
+++ b/devfleet/metrics_test.go
@@ -17,6 +17,7 @@
 	"strings"
 	"testing"
 
+	_ "github.com/walnutcove/walnutcove/daemon" // for the metrics of its package
 	"github.com/walnutcove/walnutcove/devfleet"
 	"github.com/walnutcove/walnutcove/load"
 )
@@ -32,6 +33,8 @@
 	"walnut_batch_refusals_total",
 	"walnut_platform_errors_total",
 	"walnut_platform_retries_total",
+	// Calls to a managed platform, which this fleet does not run on.
+	"walnut_platform_store_calls_total",
 }
 
 // TestMetricsPage holds docs/METRICS.md to what a fleet exports and to what
