Doubt a missing target only if it may have lapsed while the platform was away

Done: only removals shown within 1 s of the return are doubted; the return is noticed at once, by a call that does not wait; what a peer believes is believed; and a batch that takes most of a pool without notice is doubted, as a call that outlives an outage shows no failure.

--- a/directory/exchange.go
+++ b/directory/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/walnutcove/walnutcove/config"
 )
@@ -50,7 +51,8 @@
 	f.change("peer "+from, func(s *state) bool {
 		configured := s.configure(Configuration{Version: content.Version, Declarations: content.Declarations})
 		s.listed = true
-		applied := s.apply(entries, f.believeAt())
+		// The other router has judged for itself whether to believe a removal.
+		applied := s.apply(entries, time.Time{})
 		return configured || applied
 	})
 	return nil
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -21,9 +21,9 @@
 	// doubles and is jittered by half, so that routers do not come back in step.
 	firstPause   = 50 * time.Millisecond
 	longestPause = time.Second
-	// awayMemory is how long after a failed call a removal is doubted: entries
-	// of targets lapse after three missed heartbeats of a second or so.
-	awayMemory = 5 * time.Second
+	// lapseShown is how long after the platform's return removals that it shows
+	// may be lapses of while it was away. What is removed later is meant.
+	lapseShown = time.Second
 	// returnMargin is added to ReturnGrace for the platform's and our own delay.
 	returnMargin = 500 * time.Millisecond
 	// loadTimeout bounds a call that loads everything.
@@ -35,7 +35,7 @@
 var (
 	feedFailures = metrics.GetOrCreateCounter(`walnut_directory_feed_failures_total`)
 	reloads      = metrics.GetOrCreateCounter(`walnut_directory_reloads_total`)
-	lapsedBack   = metrics.GetOrCreateCounter(`walnut_directory_removals_doubted_total`)
+	doubted      = metrics.GetOrCreateCounter(`walnut_directory_removals_doubted_total`)
 )
 
 // Options configure a Follower.
@@ -60,8 +60,9 @@
 
 	mu    sync.Mutex
 	state state
-	// failedAt is when a call to the platform last failed; zero: never.
-	failedAt time.Time
+	// returnedAt is when the feed of targets last came back after it was lost;
+	// zero: it never did.
+	returnedAt time.Time
 	// wake ends the pause of expireLapsed.
 	wake chan struct{}
 	// ready is closed with the first snapshot.
@@ -95,14 +96,26 @@
 	running.Wait()
 }
 
+// arrival says how a listing came.
+type arrival struct {
+	// whole says that it holds all entries, not just changed ones.
+	whole bool
+	// afterLoss says that the call before it failed.
+	afterLoss bool
+}
+
 // follow loads one feed and follows it until ctx ends.
-func follow[T any](ctx context.Context, f *Follower, name string, feed Feed[T], take func(Listing[T], bool)) {
+func follow[T any](ctx context.Context, f *Follower, name string, feed Feed[T], take func(Listing[T], arrival)) {
 	pause := firstPause
 	lost := false
 	loaded := false
 	var after uint64
 	for ctx.Err() == nil {
-		listing, err := next(ctx, feed, loaded, after)
+		wait := patience
+		if lost {
+			wait = 0 // to learn at once that the platform is back
+		}
+		listing, err := next(ctx, feed, loaded, after, wait)
 		switch {
 		case errors.Is(err, ErrHistoryLost):
 			f.options.Log.Warn("directory: History is gone, loading everything.", "feed", name, "revision", after)
@@ -116,31 +129,30 @@
 				f.options.Log.Warn("directory: Feed lost.", "feed", name, "revision", after, "error", err)
 			}
 			lost = true
-			f.failed()
+			feedFailures.Inc()
 			sleep(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, longestPause)
 			continue
 		}
 		if lost {
 			f.options.Log.Info("directory: Feed regained.", "feed", name, "revision", listing.Revision)
-			f.failed() // what lapsed meanwhile has until now plus the grace
 		}
+		take(listing, arrival{whole: !loaded, afterLoss: lost})
 		lost, pause = false, firstPause
-		take(listing, !loaded)
 		loaded, after = true, max(after, listing.Revision)
 	}
 }
 
 // next loads the feed, or waits for its next changes.
-func next[T any](ctx context.Context, feed Feed[T], loaded bool, after uint64) (Listing[T], error) {
+func next[T any](ctx context.Context, feed Feed[T], loaded bool, after uint64, wait time.Duration) (Listing[T], error) {
 	if !loaded {
 		ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 		defer cancel()
 		return feed.Load(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, patience+followMargin)
+	ctx, cancel := context.WithTimeout(ctx, wait+followMargin)
 	defer cancel()
-	return feed.Follow(ctx, after, patience)
+	return feed.Follow(ctx, after, wait)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -152,25 +164,17 @@
 	}
 }
 
-// failed notes a failed call.
-func (f *Follower) failed() {
-	feedFailures.Inc()
-	f.mu.Lock()
-	f.failedAt = time.Now()
-	f.mu.Unlock()
-}
-
-// believeAt returns when a removal that is seen now is believed: zero for at
-// once. f.mu must be held.
+// believeAt returns when a removal that the platform shows now is believed: zero
+// for at once. f.mu must be held.
 func (f *Follower) believeAt() time.Time {
-	if f.failedAt.IsZero() || time.Since(f.failedAt) > awayMemory {
+	if f.returnedAt.IsZero() || time.Since(f.returnedAt) > lapseShown {
 		return time.Time{}
 	}
-	lapsedBack.Inc()
-	return time.Now().Add(f.options.ReturnGrace + returnMargin)
+	doubted.Inc()
+	return f.returnedAt.Add(f.options.ReturnGrace + returnMargin)
 }
 
-func (f *Follower) configured(listing Listing[Configuration], _ bool) {
+func (f *Follower) configured(listing Listing[Configuration], _ arrival) {
 	f.change("platform", func(s *state) bool {
 		changed := false
 		for _, entry := range listing.Entries {
@@ -182,12 +186,19 @@
 	})
 }
 
-func (f *Follower) targetsChanged(listing Listing[config.Target], whole bool) {
+func (f *Follower) targetsChanged(listing Listing[config.Target], how arrival) {
 	f.change("platform", func(s *state) bool {
-		if whole {
-			return s.replace(listing, f.believeAt())
+		if how.afterLoss {
+			f.returnedAt = time.Now()
+		}
+		believeAt := f.believeAt()
+		if believeAt.IsZero() && s.emptiesPool(listing.Entries) {
+			believeAt = time.Now().Add(f.options.ReturnGrace + returnMargin)
+		}
+		if how.whole {
+			return s.replace(listing, believeAt)
 		}
-		return s.apply(listing.Entries, f.believeAt())
+		return s.apply(listing.Entries, believeAt)
 	})
 }
 
--- /dev/null
+++ b/directory/follower_test.go
@@ -0,0 +1,296 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+)
+
+// fakeFeed gives what the test puts into it.
+type fakeFeed[T any] struct {
+	mu       sync.Mutex
+	entries  map[string]Entry[T]
+	revision uint64
+	down     bool
+	changed  chan struct{}
+}
+
+func newFeed[T any]() *fakeFeed[T] {
+	return &fakeFeed[T]{entries: make(map[string]Entry[T]), changed: make(chan struct{})}
+}
+
+var errDown = errors.New("down")
+
+// set changes entries together and returns their revision.
+func (f *fakeFeed[T]) set(entries ...Entry[T]) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	for _, entry := range entries {
+		entry.Revision = f.revision
+		f.entries[entry.Key] = entry
+	}
+	f.wake()
+	return f.revision
+}
+
+func (f *fakeFeed[T]) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+	f.wake()
+}
+
+func (f *fakeFeed[T]) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Load implements Feed.
+func (f *fakeFeed[T]) Load(context.Context) (Listing[T], error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return Listing[T]{}, errDown
+	}
+	listing := Listing[T]{Revision: f.revision}
+	for _, entry := range f.entries {
+		if !entry.Gone {
+			listing.Entries = append(listing.Entries, entry)
+		}
+	}
+	return listing, nil
+}
+
+// Follow implements Feed.
+func (f *fakeFeed[T]) Follow(ctx context.Context, after uint64, patience time.Duration) (Listing[T], error) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		listing := Listing[T]{Revision: f.revision}
+		for _, entry := range f.entries {
+			if entry.Revision > after {
+				listing.Entries = append(listing.Entries, entry)
+			}
+		}
+		down, changed := f.down, f.changed
+		f.mu.Unlock()
+		if down {
+			return Listing[T]{}, errDown
+		}
+		if len(listing.Entries) > 0 {
+			return listing, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return listing, nil
+		case <-ctx.Done():
+			return Listing[T]{}, ctx.Err()
+		}
+	}
+}
+
+// scene is a follower with feeds of its own.
+type scene struct {
+	configurations *fakeFeed[Configuration]
+	targets        *fakeFeed[config.Target]
+	follower       *Follower
+	mu             sync.Mutex
+	snapshots      []*config.Snapshot
+}
+
+func startScene(t *testing.T) *scene {
+	t.Helper()
+	s := &scene{configurations: newFeed[Configuration](), targets: newFeed[config.Target]()}
+	s.follower = New(Options{
+		Configurations: s.configurations,
+		Targets:        s.targets,
+		OnChange: func(snapshot *config.Snapshot) {
+			s.mu.Lock()
+			s.snapshots = append(s.snapshots, snapshot)
+			s.mu.Unlock()
+		},
+		ReturnGrace: 2 * time.Second,
+		Log:         slog.New(slog.DiscardHandler),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		s.follower.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return s
+}
+
+func version(number config.Version) Entry[Configuration] {
+	return Entry[Configuration]{Key: "config", Value: Configuration{
+		Version:      number,
+		Declarations: config.Declarations{Pools: map[string]config.Pool{"ops": {}}},
+	}}
+}
+
+func targetEntry(name string) Entry[config.Target] {
+	return Entry[config.Target]{Key: name, Value: config.Target{Pool: "ops", Address: "127.0.0.1:1"}}
+}
+
+func gone(name string) Entry[config.Target] { return Entry[config.Target]{Key: name, Gone: true} }
+
+// serves says whether the newest snapshot has a target.
+func (s *scene) serves(name string) bool {
+	synctest.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.snapshots) == 0 {
+		return false
+	}
+	_, ok := s.snapshots[len(s.snapshots)-1].Declarations.Targets[name]
+	return ok
+}
+
+func (s *scene) populate() {
+	s.configurations.set(version(4))
+	s.targets.set(targetEntry("a"), targetEntry("b"), targetEntry("c"), targetEntry("d"))
+}
+
+func TestRemovalIsBelievedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startScene(t)
+		s.populate()
+		if !s.serves("a") {
+			t.Fatal("the target is not served")
+		}
+		s.targets.set(gone("a"))
+		if s.serves("a") {
+			t.Error("a removed target is still served")
+		}
+	})
+}
+
+// TestLapsesHaveTimeToReturn: entries that are missing when the platform returns
+// are kept for the grace, and go then if they have not come back.
+func TestLapsesHaveTimeToReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startScene(t)
+		s.populate()
+		synctest.Wait()
+		s.targets.setDown(true)
+		time.Sleep(4 * time.Second)
+		s.targets.set(gone("a"))
+		s.targets.set(gone("b"))
+		s.targets.setDown(false)
+		time.Sleep(1500 * time.Millisecond)
+		if !s.serves("a") || !s.serves("b") {
+			t.Error("a lapsed target went before it had time to return")
+		}
+		s.targets.set(targetEntry("a"))
+		time.Sleep(3 * time.Second)
+		if !s.serves("a") {
+			t.Error("a target that returned is not served")
+		}
+		if s.serves("b") {
+			t.Error("a target that did not return is still served")
+		}
+	})
+}
+
+// TestRemovalSoonAfterReturnIsMeant: a target that leaves a while after the
+// platform's return is not doubted, as it did not lapse.
+func TestRemovalSoonAfterReturnIsMeant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startScene(t)
+		s.populate()
+		synctest.Wait()
+		s.targets.setDown(true)
+		time.Sleep(4 * time.Second)
+		s.targets.setDown(false)
+		time.Sleep(2400 * time.Millisecond)
+		s.targets.set(gone("a"))
+		if s.serves("a") {
+			t.Error("a target that left is still served")
+		}
+	})
+}
+
+// TestPeersRemovalIsBelieved: a router that the platform turns away believes a
+// removal that another one tells of.
+func TestPeersRemovalIsBelieved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, other := startScene(t), startScene(t)
+		s.populate()
+		other.populate()
+		synctest.Wait()
+		s.targets.setDown(true)
+		time.Sleep(time.Second)
+		other.targets.set(gone("a"))
+		synctest.Wait()
+		encoded, err := other.follower.Export()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.follower.Import("other", encoded); err != nil {
+			t.Fatal(err)
+		}
+		if s.serves("a") {
+			t.Error("a target that another router knows to be gone is served")
+		}
+	})
+}
+
+// TestWholePoolMissingIsDoubted: where most of a pool goes at once without
+// notice, the platform stood still.
+func TestWholePoolMissingIsDoubted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startScene(t)
+		s.populate()
+		synctest.Wait()
+		s.targets.set(gone("a"), gone("b"), gone("c"))
+		if !s.serves("a") {
+			t.Error("most of the pool was given up at once")
+		}
+		time.Sleep(3 * time.Second)
+		if s.serves("a") {
+			t.Error("a target that did not return is still served")
+		}
+	})
+}
+
+// TestVersionsOnlyRise: an older version, or an older listing, from a peer
+// changes nothing.
+func TestVersionsOnlyRise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, other := startScene(t), startScene(t)
+		s.populate()
+		other.populate()
+		synctest.Wait()
+		old, err := other.follower.Export()
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.configurations.set(version(9))
+		s.targets.set(gone("a"))
+		synctest.Wait()
+		if err := s.follower.Import("other", old); err != nil {
+			t.Fatal(err)
+		}
+		if s.serves("a") {
+			t.Error("an older listing brought a target back")
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if newest := s.snapshots[len(s.snapshots)-1]; newest.Version != 9 {
+			t.Errorf("version %d is in force", newest.Version)
+		}
+	})
+}
--- a/directory/state.go
+++ b/directory/state.go
@@ -99,6 +99,34 @@
 	return true
 }
 
+// emptiesPool says whether changed entries take away, without notice, most of the
+// targets that a pool has. Then it is likelier that the platform itself stood
+// still, and the entries lapsed meanwhile, than that so many targets left at once.
+func (s *state) emptiesPool(entries []Entry[config.Target]) bool {
+	removed := make(map[string]int)
+	for _, entry := range entries {
+		old, exists := s.targets[entry.Key]
+		if entry.Gone && exists && !old.target.Leaving {
+			removed[old.target.Pool]++
+		}
+	}
+	if len(removed) == 0 {
+		return false
+	}
+	serving := make(map[string]int)
+	for _, k := range s.targets {
+		if !k.target.Leaving {
+			serving[k.target.Pool]++
+		}
+	}
+	for pool, count := range removed {
+		if count > 1 && 2*count > serving[pool] {
+			return true
+		}
+	}
+	return false
+}
+
 // replace takes in a whole listing: what it lacks was removed by its revision.
 func (s *state) replace(listing Listing[config.Target], believeAt time.Time) bool {
 	first := !s.listed
