--- a/front/conn.go
+++ b/front/conn.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -20,13 +21,25 @@
 	server *Server
 }
 
-// Accept implements net.Listener.
+// acceptPause follows an accept that failed for want of descriptors: the next
+// one has a chance once some connection has ended.
+const acceptPause = 5 * time.Millisecond
+
+// Accept implements net.Listener. A want of descriptors passes: it must not end
+// the listener, and with it the service.
 func (l callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err == nil {
+			return newCallerConn(conn, l.server), nil
+		}
+		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) && !errors.Is(err, syscall.ECONNABORTED) {
+			return nil, err
+		}
+		acceptFailures.Inc()
+		l.server.log.Warn("front: Connection could not be accepted.", "connections", l.server.connCount(), "error", err)
+		time.Sleep(acceptPause)
 	}
-	return newCallerConn(conn, l.server), nil
 }
 
 // callerConn is a caller's connection. Only its serving goroutine reads and
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -11,9 +11,10 @@
 
 // Counters of this package.
 var (
-	requests      = metrics.NewCounter("walnut_accept_requests_total")
-	streamsBroken = metrics.NewCounter("walnut_accept_streams_broken_total")
-	callersGone   = metrics.NewCounter("walnut_accept_callers_gone_total")
+	requests       = metrics.NewCounter("walnut_accept_requests_total")
+	streamsBroken  = metrics.NewCounter("walnut_accept_streams_broken_total")
+	acceptFailures = metrics.NewCounter("walnut_accept_failures_total")
+	callersGone    = metrics.NewCounter("walnut_accept_callers_gone_total")
 
 	refusals = codecounter.New("walnut_accept_refusals_total",
 		result.BadRequest, result.BodyTooLarge, result.HeadersTooLarge, result.SlowSender,
--- a/front/serve.go
+++ b/front/serve.go
@@ -33,7 +33,7 @@
 		r.err = err
 		s.writeError(ctx, r.ex.ID, err)
 	}
-	if s.draining.Load() || conn.linger {
+	if s.draining.Load() || conn.linger || s.isCrowded() {
 		ctx.SetConnectionClose()
 	}
 }
--- a/front/server.go
+++ b/front/server.go
@@ -34,6 +34,11 @@
 	DefaultForceGrace     = time.Second
 )
 
+// keptPart is the part of the process's descriptors that connections of callers
+// may take before they are closed with their answers. As many again may be in use
+// for requests in progress and towards targets.
+const keptPart = 0.4
+
 // maxHeaders bounds the number of header lines of a request.
 const maxHeaders = 100
 
@@ -64,6 +69,10 @@
 	// ForceGrace is how long Close waits for its refusals to be written before
 	// it closes the connections. Default 1 s.
 	ForceGrace time.Duration
+	// KeptConns is how many connections may be open before each is closed with
+	// its answer, so that descriptors are left for new callers and for targets.
+	// Default 0: no bound.
+	KeptConns int
 	// Dialect is how the callers speak. Default dialect.Own.
 	Dialect *dialect.Dialect
 	// Log defaults to slog.Default().
@@ -79,6 +88,7 @@
 		ReadTimeout:    time.Duration(limits.ReadTimeout),
 		IdleTimeout:    time.Duration(limits.IdleTimeout),
 		WriteTimeout:   time.Duration(limits.StallTimeout),
+		KeptConns:      int(keptPart * float64(limits.MaxDescriptors)),
 	}
 }
 
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -109,6 +109,19 @@
 	return conns
 }
 
+// connCount returns the number of open connections.
+func (s *Server) connCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// isCrowded says whether so many connections are open that each is closed with
+// its answer rather than kept for another request.
+func (s *Server) isCrowded() bool {
+	return s.options.KeptConns > 0 && s.connCount() > s.options.KeptConns
+}
+
 func (s *Server) opened(conn *callerConn) {
 	s.mu.Lock()
 	s.conns[conn] = struct{}{}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -113,6 +113,9 @@
 	// DrainNotice is how long a leaving router goes on taking requests while it
 	// says that it is not ready, so that the balancer turns away first. Default 0.
 	DrainNotice Duration `toml:"drain_notice"`
+	// MaxDescriptors is how many descriptors the process may have open. Default
+	// 0: not bounded.
+	MaxDescriptors int `toml:"max_descriptors"`
 	// MemoryMiB is the memory that the process may use; the garbage collector
 	// works harder near to it. Default 0: not bounded.
 	MemoryMiB int `toml:"memory_mib"`
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -106,6 +106,9 @@
 	if s.Limits.DrainNotice < 0 || s.Limits.DrainNotice >= s.Limits.DrainTimeout {
 		c.add("limits.drain_notice", "must be from 0 to below limits.drain_timeout")
 	}
+	if s.Limits.MaxDescriptors < 0 {
+		c.add("limits.max_descriptors", "is %d; must not be below 0", s.Limits.MaxDescriptors)
+	}
 	if s.Limits.MemoryMiB < 0 {
 		c.add("limits.memory_mib", "is %d; must not be below 0", s.Limits.MemoryMiB)
 	}
