Grant locally when a scheduler leaves a ticket unanswered; convict by vanished targets

Cause: a dead or frozen scheduler stopped its shard until heartbeats told, over a second against objectives of 250 to 600 ms; a crash was confirmed by load polls alone, which are not made where answers tell the load. Done: a ticket unanswered for scheduling.local_after is granted by the entry's own queue of the shard, and the scheduler is avoided for 250 ms; a target that goes off the listing without notice soon after a run broke off there counts as crashed.

--- a/control/control.go
+++ b/control/control.go
@@ -122,6 +122,9 @@
 	// ExchangeEvery is the period of the exchange of service counts. Default
 	// 10 ms for each node in view, at least 60 ms and at most 1 s.
 	ExchangeEvery time.Duration
+	// LocalAfter is how long a ticket may go unanswered before this node grants it
+	// by itself, from what it knows alone. Zero: it waits for another scheduler.
+	LocalAfter time.Duration
 	// IgnorePrefixes chooses targets by load alone. Default: by load, then by
 	// where the prompt's beginning is likely cached.
 	IgnorePrefixes bool
--- a/control/entry.go
+++ b/control/entry.go
@@ -32,6 +32,8 @@
 	// pools holds the requests that wait here, oldest first.
 	pools map[string]*list.List
 	hints map[ShardID]*shardHint
+	// avoid holds until when a scheduler is not asked; see Machine.grantHere.
+	avoid map[NodeID]Instant
 	// nextAttempt numbers the tickets of this node.
 	nextAttempt uint32
 	nextProbe   Instant
@@ -66,6 +68,7 @@
 		workspaces: make(map[string]*entryWorkspace),
 		pools:      make(map[string]*list.List),
 		hints:      make(map[ShardID]*shardHint),
+		avoid:      make(map[NodeID]Instant),
 	}
 }
 
@@ -219,7 +222,7 @@
 		return
 	}
 	for _, a := range r.asks {
-		if m.now >= a.due() {
+		if m.now >= m.due(a) {
 			m.repeat(r, a)
 		}
 	}
@@ -242,7 +245,7 @@
 func (m *Machine) arm(r *request) {
 	at := r.ev.Deadline
 	for _, a := range r.asks {
-		at = min(at, a.due())
+		at = min(at, m.due(a))
 	}
 	m.timers.set(&r.timer, r, at)
 }
--- /dev/null
+++ b/control/place_test.go
@@ -0,0 +1,203 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// tokenFleet is one machine that schedules engines which count in tokens.
+type tokenFleet struct {
+	machine  *Machine
+	now      Instant
+	requests RequestID
+}
+
+func newTokenFleet(engines ...string) *tokenFleet {
+	declarations := config.Declarations{
+		Workspaces: map[string]config.Workspace{
+			"a": {Share: 1, Pools: []string{"gen"}},
+			"b": {Share: 1, Pools: []string{"gen"}},
+		},
+		Pools: map[string]config.Pool{"gen": {
+			Kind:     config.KindEngine,
+			OneQueue: true,
+			Tokens:   &config.TokenWork{PerSecond: 40_000, MemoryTokens: 400_000, FetchedPerSecond: 400_000},
+		}},
+		Routes: map[string]config.Route{"r": {
+			Host: "h", Prefix: "/", Kind: config.RouteStream, ObjectiveMillis: 400,
+			Split: []config.RouteShare{{Pool: "gen", Weight: 1}},
+		}},
+		Targets: make(map[string]config.Target),
+	}
+	for _, name := range engines {
+		declarations.Targets[name] = config.Target{Pool: "gen", DataCentre: "d", Slots: 8}
+	}
+	f := &tokenFleet{machine: New(Options{Node: "n", Incarnation: 1, DataCentre: "d", Seed: 1})}
+	f.step(ConfigChanged{Snapshot: &config.Snapshot{Version: 1, Declarations: declarations, TargetsRevision: 1}})
+	return f
+}
+
+func (f *tokenFleet) step(ev Event) []Command { return f.machine.Step(f.now, ev) }
+
+// arrive sends a request with the given parts and returns its grant, or its
+// refusal, or neither if it waits.
+func (f *tokenFleet) arrive(workspace string, parts ...PromptPart) (RequestID, *Dispatch, *Refuse) {
+	f.requests++
+	commands := f.step(RequestArrived{
+		Request: f.requests, Attempt: 1, Workspace: workspace, Pool: "gen",
+		Deadline: f.now + 12*time.Second, Objective: f.now + 400*time.Millisecond,
+		Work: Work{Parts: parts, OutputTokens: 50},
+	})
+	dispatch, refuse := outcomeOf(commands, f.requests)
+	return f.requests, dispatch, refuse
+}
+
+func outcomeOf(commands []Command, request RequestID) (*Dispatch, *Refuse) {
+	for _, command := range commands {
+		switch c := command.(type) {
+		case Dispatch:
+			if c.Request == request {
+				return &c, nil
+			}
+		case Refuse:
+			if c.Request == request {
+				return nil, &c
+			}
+		}
+	}
+	return nil, nil
+}
+
+// finish lets a run begin and end.
+func (f *tokenFleet) finish(d *Dispatch) {
+	f.now += 100 * time.Millisecond
+	f.step(RunBegan{Grant: d.Grant, After: 100 * time.Millisecond})
+	f.step(RunEnded{Request: d.Request, Grant: d.Grant, Outcome: OutcomeAnswered})
+}
+
+func thing(id uint64) PromptPart { return PromptPart{ID: id, Tokens: 4000} }
+func own(id uint64) PromptPart   { return PromptPart{ID: id, Tokens: 200} }
+
+// TestSharedPartsAreReadOnce: requests with the same beginning go where it is kept.
+func TestSharedPartsAreReadOnce(t *testing.T) {
+	f := newTokenFleet("e1", "e2", "e3")
+	_, first, _ := f.arrive("a", thing(7), own(1))
+	if first == nil {
+		t.Fatal("no grant")
+	}
+	f.finish(first)
+	for n := range uint64(5) {
+		_, next, _ := f.arrive("a", thing(7), own(10+n))
+		if next == nil || next.Target != first.Target || next.Reads != 200 {
+			t.Fatalf("request %d: %+v, the parts are kept at %s", n, next, first.Target)
+		}
+		f.finish(next)
+	}
+}
+
+// TestPartsAreFetchedFromABusyKeeper: where the keeper is full, another target
+// fetches what is kept there.
+func TestPartsAreFetchedFromABusyKeeper(t *testing.T) {
+	f := newTokenFleet("e1", "e2")
+	_, first, _ := f.arrive("a", thing(7), own(1))
+	f.finish(first)
+	spilled := 0
+	for n := range uint64(10) {
+		_, d, _ := f.arrive("a", thing(7), own(20+n))
+		if d == nil {
+			t.Fatal("no grant while slots are free")
+		}
+		if d.Reads != 200 {
+			t.Errorf("%s reads %d tokens and fetches from %q", d.Target, d.Reads, d.FetchFrom)
+		}
+		if d.FetchFrom == first.Target {
+			spilled++
+		}
+	}
+	if spilled == 0 {
+		t.Error("nothing was fetched from the keeper, which has 8 slots for 10 requests")
+	}
+}
+
+// TestSchedulersAgreeOnUnknownParts: two that know nothing place a beginning alike.
+func TestSchedulersAgreeOnUnknownParts(t *testing.T) {
+	for id := range uint64(20) {
+		_, one, _ := newTokenFleet("e1", "e2", "e3").arrive("a", thing(id), own(1))
+		_, two, _ := newTokenFleet("e1", "e2", "e3").arrive("b", thing(id), own(2))
+		if one.Target != two.Target {
+			t.Errorf("beginning %d: %s and %s", id, one.Target, two.Target)
+		}
+	}
+}
+
+// TestRefusedOnceInVain: a request that waits is refused when its answer can no
+// longer begin in time, not at its deadline, and says that it did not run.
+func TestRefusedOnceInVain(t *testing.T) {
+	f := newTokenFleet("e1")
+	for n := range uint64(8) {
+		f.arrive("a", PromptPart{ID: 100 + n, Tokens: 300})
+	}
+	id, dispatch, refuse := f.arrive("b", PromptPart{ID: 500, Tokens: 300})
+	if dispatch != nil || refuse != nil {
+		t.Fatalf("%+v %+v with all slots taken", dispatch, refuse)
+	}
+	start := f.now
+	for refuse == nil && f.now < start+time.Second {
+		f.now += 5 * time.Millisecond
+		_, refuse = outcomeOf(f.step(Tick{}), id)
+	}
+	if refuse == nil || refuse.Code != result.Overloaded || refuse.RetryAfter <= 0 {
+		t.Fatalf("got %+v", refuse)
+	}
+	if waited := f.now - start; waited > 400*time.Millisecond {
+		t.Errorf("refused after %s, the objective was 400 ms", waited)
+	}
+}
+
+// TestFirstEventEndsProbation: a target that failed takes runs again as soon as
+// one has begun there, not when its answer ends.
+func TestFirstEventEndsProbation(t *testing.T) {
+	f := newTokenFleet("e1")
+	_, failed, _ := f.arrive("a", own(1))
+	f.step(RunEnded{Request: failed.Request, Grant: failed.Grant, Outcome: OutcomeLost})
+	f.now += time.Second
+	f.step(Tick{})
+	_, probe, _ := f.arrive("a", own(2))
+	if probe == nil {
+		t.Fatal("no probe after the pause")
+	}
+	f.now += 50 * time.Millisecond
+	f.step(RunBegan{Grant: probe.Grant, After: 50 * time.Millisecond})
+	if _, next, _ := f.arrive("a", own(3)); next == nil {
+		t.Error("the target is held back though it answers")
+	}
+}
+
+// TestUnansweredTicketsAreGrantedHere: an entry whose scheduler does not answer
+// grants by itself within LocalAfter.
+func TestUnansweredTicketsAreGrantedHere(t *testing.T) {
+	f := newTokenFleet("e1", "e2")
+	f.machine.opts.LocalAfter = 60 * time.Millisecond
+	f.step(MembersListed{Members: []Member{{Node: "n", DataCentre: "d"}, {Node: "silent", DataCentre: "d"}}})
+	f.step(MessageReceived{From: "silent", Incarnation: 9, Message: Heartbeat{Incarnation: 9}})
+	f.machine.fleet.owners[ShardID{Pool: "gen"}] = "silent"
+	id, dispatch, _ := f.arrive("a", own(1))
+	if dispatch != nil {
+		t.Fatal("granted here although another node schedules the shard")
+	}
+	for range 10 {
+		f.now += 10 * time.Millisecond
+		if dispatch, _ = outcomeOf(f.step(Tick{}), id); dispatch != nil {
+			break
+		}
+	}
+	if dispatch == nil {
+		t.Fatal("not granted within 100 ms")
+	}
+	if _, next, _ := f.arrive("a", own(2)); next == nil {
+		t.Error("the next request waits for the silent scheduler again")
+	}
+}
--- /dev/null
+++ b/control/sched/shares_test.go
@@ -0,0 +1,92 @@
+package sched
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// play lets workspaces ask for so much a second each, in requests of 10, and
+// returns what each was told to be within its share, a second.
+func play(s *Shares, from, seconds int, demands []float64) []float64 {
+	within := make([]float64, len(demands))
+	asked := make([]float64, len(demands))
+	const step = 10 * time.Millisecond
+	start := time.Duration(from) * time.Second
+	for now := start; now < start+time.Duration(seconds)*time.Second; now += step {
+		for i, demand := range demands {
+			for asked[i] += demand * step.Seconds(); asked[i] >= 10; asked[i] -= 10 {
+				if s.Ask(now, fmt.Sprint(i), 10) {
+					within[i] += 10
+				}
+			}
+		}
+	}
+	for i := range within {
+		within[i] /= float64(seconds)
+	}
+	return within
+}
+
+// TestSharesAreMaxMin: small demands are within their shares whole, and large
+// ones up to one level at which the capacity is used up.
+func TestSharesAreMaxMin(t *testing.T) {
+	s := NewShares(1000)
+	demands := []float64{100, 200, 900, 5000}
+	play(s, 0, 10, demands) // the first burst, while nothing is known
+	got := play(s, 10, 60, demands)
+	for i, want := range []float64{100, 200, 350, 350} {
+		if math.Abs(got[i]-want) > 0.1*want {
+			t.Errorf("workspace %d has %.0f of %.0f a second", i, got[i], want)
+		}
+	}
+}
+
+// TestNoBoundBelowCapacity: while all ask for less than the capacity, everything
+// is within the shares.
+func TestNoBoundBelowCapacity(t *testing.T) {
+	got := play(NewShares(1000), 0, 20, []float64{100, 200, 600})
+	for i, want := range []float64{100, 200, 600} {
+		if got[i] < 0.98*want {
+			t.Errorf("workspace %d has %.0f of %.0f a second", i, got[i], want)
+		}
+	}
+}
+
+// TestIdlenessBanksLittle: a workspace that wakes up has at most a burst.
+func TestIdlenessBanksLittle(t *testing.T) {
+	s := NewShares(1000)
+	play(s, 0, 20, []float64{0, 5000})
+	burst := 0.0
+	at := 20*time.Second + time.Millisecond
+	for s.Ask(at, "late", 10) {
+		if burst += 10; burst > 2000 {
+			break
+		}
+	}
+	if burst > 1600 {
+		t.Errorf("%.0f at once after idling", burst)
+	}
+}
+
+// TestYieldsToTheLeastServed: spare capacity goes to a workspace that was refused
+// and has been served much less.
+func TestYieldsToTheLeastServed(t *testing.T) {
+	s := NewShares(1000)
+	s.Served(0, "large", 1000)
+	s.Served(0, "small", 100)
+	if s.Yields(0, "large") {
+		t.Error("yields though nobody was refused")
+	}
+	s.Refused(0, "small")
+	if !s.Yields(0, "large") {
+		t.Error("does not yield to one that was refused")
+	}
+	if s.Yields(0, "small") {
+		t.Error("the least served yields")
+	}
+	if s.Yields(2*time.Second, "large") {
+		t.Error("yields for an old refusal")
+	}
+}
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -59,7 +59,9 @@
 	if ev.Snapshot.Version == 0 || (m.topo != nil && !ev.Snapshot.Order().After(m.topo.order)) {
 		return
 	}
-	m.topo = newTopology(ev.Snapshot)
+	next := newTopology(ev.Snapshot)
+	m.noteVanished(next)
+	m.topo = next
 	for _, name := range sortedKeys(m.sched.workspaces) {
 		m.sched.workspaces[name].follow(m)
 	}
--- a/control/status.go
+++ b/control/status.go
@@ -14,6 +14,7 @@
 	TicketsLapsed         uint64
 	TicketsHopeless       uint64
 	TicketsOverloaded     uint64
+	TicketsLocal          uint64
 	Dispatches            uint64
 	GrantsMade            uint64
 	GrantsResent          uint64
--- a/control/suspicion.go
+++ b/control/suspicion.go
@@ -148,6 +148,30 @@
 	}
 }
 
+// vanishTime is how long a broken run may lie back when its target is taken off
+// the listing, for the two to be one crash: entries of crashed targets lapse after
+// three missed heartbeats of a second or so.
+const vanishTime = 6 * time.Second
+
+// noteVanished takes in which targets the next configuration lacks. One that went
+// without having been leaving, soon after a run broke off there, has crashed:
+// targets that register themselves come back under another name.
+func (m *Machine) noteVanished(next *topology) {
+	if m.topo == nil || next.order.Targets == 0 {
+		return // operators declare the targets, and may take any out
+	}
+	for _, name := range sortedKeys(m.topo.decl.Targets) {
+		if _, still := next.decl.Targets[name]; still || m.topo.decl.Targets[name].Leaving {
+			continue
+		}
+		st := m.suspicion.starts[name]
+		if st != nil && st.lost && m.now-st.lostAt <= vanishTime {
+			m.judged(m.suspicion.tracker.CrashConfirmed(m.now, name))
+		}
+		delete(m.suspicion.starts, name)
+	}
+}
+
 func (m *Machine) suspicionTick() {
 	if m.now < m.suspicion.expireAt {
 		return
--- a/control/tickets.go
+++ b/control/tickets.go
@@ -25,6 +25,10 @@
 	hintTime = 200 * time.Millisecond
 	// deepFactor is how many tickets for each slot make a backlog deep.
 	deepFactor = 2
+	// avoidFor is how long a scheduler that left a ticket unanswered is not asked.
+	// Each end of it costs the next request Options.LocalAfter if the scheduler is
+	// still away; longer would go on granting without the whole picture.
+	avoidFor = 250 * time.Millisecond
 	// never is later than any deadline.
 	never = Instant(1<<63 - 1)
 	// probeDepth bounds the waiting requests looked at for one probe.
@@ -48,12 +52,14 @@
 }
 
 // due returns when the ticket is sent again.
-func (a *ask) due() Instant {
+func (m *Machine) due(a *ask) Instant {
 	switch {
 	case a.refused:
 		return never
 	case a.waiting:
 		return a.sentAt + refreshEvery
+	case m.opts.LocalAfter > 0 && a.to != m.opts.Node:
+		return a.sentAt + m.opts.LocalAfter
 	default:
 		return a.sentAt + resendEvery
 	}
@@ -80,14 +86,37 @@
 
 // ask sends the request's ticket to one more shard.
 func (m *Machine) ask(r *request, id ShardID) {
-	a := &ask{shard: id, firstAt: m.now, quiet: m.deep(id)}
+	a := &ask{shard: id, firstAt: m.now, quiet: m.opts.LocalAfter == 0 && m.deep(id)}
 	r.asks = append(r.asks, a)
 	m.sendTicket(r, a)
 	m.arm(r)
 }
 
 func (m *Machine) sendTicket(r *request, a *ask) {
-	a.to = m.owner(a.shard)
+	m.sendTicketTo(r, a, m.schedulerFor(a.shard))
+}
+
+// schedulerFor returns the node to ask for grants of a shard: its owner, or this
+// node while the owner leaves tickets unanswered.
+func (m *Machine) schedulerFor(id ShardID) NodeID {
+	owner := m.owner(id)
+	if m.now < m.entry.avoid[owner] {
+		return m.opts.Node
+	}
+	return owner
+}
+
+// grantHere asks this node's own queue of the shard for a ticket that its
+// scheduler left unanswered. Both may grant: the second grant is returned.
+func (m *Machine) grantHere(r *request, a *ask) {
+	m.counters.TicketsLocal++
+	m.entry.avoid[a.to] = m.now + avoidFor
+	m.send(a.to, CancelTicket{Ticket: r.id, Shard: a.shard})
+	m.sendTicketTo(r, a, m.opts.Node)
+}
+
+func (m *Machine) sendTicketTo(r *request, a *ask, to NodeID) {
+	a.to = to
 	a.sentAt = m.now
 	a.tries++
 	m.counters.TicketsSent++
@@ -119,6 +148,10 @@
 // passed over for a while.
 func (m *Machine) repeat(r *request, a *ask) {
 	a.quiet = false
+	if m.opts.LocalAfter > 0 && !a.waiting && a.to != m.opts.Node {
+		m.grantHere(r, a)
+		return
+	}
 	if a.waiting {
 		a.waiting = false
 		a.tries = 0
--- a/router/start.go
+++ b/router/start.go
@@ -105,6 +105,7 @@
 		HeartbeatEvery: time.Duration(s.Scheduling.HeartbeatEvery),
 		MemberTimeout:  time.Duration(s.Scheduling.MemberTimeout),
 		ExchangeEvery:  time.Duration(s.Scheduling.ExchangeEvery),
+		LocalAfter:     time.Duration(s.Scheduling.LocalAfter),
 		IgnorePrefixes: !s.Scheduling.PrefixLocality,
 	})
 	r.loop = newLoop(machine, r, r.log)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -84,6 +84,8 @@
 	HeartbeatEvery Duration `toml:"heartbeat_every"`
 	MemberTimeout  Duration `toml:"member_timeout"`
 	ExchangeEvery  Duration `toml:"exchange_every"`
+	// LocalAfter is as in control.Options. Default 0.
+	LocalAfter Duration `toml:"local_after"`
 	// PrefixLocality prefers, among about equally loaded targets, one that
 	// likely holds the prompt's beginning in its cache. Default true.
 	PrefixLocality bool `toml:"prefix_locality"`
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -129,6 +129,9 @@
 	if s.Scheduling.ExchangeEvery != 0 {
 		c.duration("scheduling.exchange_every", s.Scheduling.ExchangeEvery)
 	}
+	if s.Scheduling.LocalAfter < 0 || s.Scheduling.LocalAfter > maxDuration {
+		c.add("scheduling.local_after", "must be from 0 to %s", time.Duration(maxDuration))
+	}
 	if s.Scheduling.MemberTimeout <= s.Scheduling.HeartbeatEvery {
 		c.add("scheduling.member_timeout", "must be longer than scheduling.heartbeat_every")
 	}
