Bound retries for the whole fleet by pool; retry failures of idempotent requests; reload on SIGHUP

Cause: each router had a budget of 50 retries of its own, so that six had more than the fleet is allowed; SIGHUP ended the process; a request that a silent target held was never taken elsewhere, though its route allowed it. Done: a pool's retries are bounded by what its requests earn here and this router's part of the fleet's slack; an idempotent request whose target answered with its own failure is tried again, and that answer is delivered if no retry is left; a target silent for over 1.2 s and three predicted starts loses a request that may run again; SIGHUP reloads what a running router can take over. Tests: filters/retry (every span of a run, delivered failures).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -111,14 +111,33 @@
 		fmt.Fprintf(errOut, "%v\n", inFile(path, err))
 		return ExitFailed
 	}
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
 	limit := time.Duration(loaded.Limits.DrainTimeout)
-	select {
-	case <-signals:
-		return drain(r, limit, signals, 1, log)
-	case <-r.DrainAsked():
-		// The platform may end the VM by a signal now; that is no second order.
-		return drain(r, limit, signals, 2, log)
+	for {
+		select {
+		case <-reloads:
+			reload(r, path, log)
+		case <-signals:
+			return drain(r, limit, signals, 1, log)
+		case <-r.DrainAsked():
+			// The platform may end the VM by a signal now; that is no second order.
+			return drain(r, limit, signals, 2, log)
+		}
+	}
+}
+
+// reload reads the settings file again and takes over what a running router can.
+// A file that cannot be read changes nothing.
+func reload(r *router.Router, path string, log *slog.Logger) {
+	loaded, err := load(path)
+	if err != nil {
+		log.Error("daemon: Settings cannot be read, going on with those before.", "file", path, "error", err)
+		return
 	}
+	taken, left := r.Reload(loaded)
+	log.Info("daemon: Settings reloaded.", "file", path, "taken", taken, "need_restart", left)
 }
 
 // memoryPart is the part of the VM's memory that the garbage collector keeps the
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -66,12 +66,13 @@
 		return nil, result.New(result.CallerGone, "The caller went away.")
 	}
 	callCtx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(f.FirstByteTimeout, cancel)
+	limit := f.firstByteTimeout(ex)
+	timer := time.AfterFunc(limit, cancel)
 	answer, err := f.Client.Do(callCtx, Request(ex, 0))
 	timedOut := !timer.Stop()
 	if err == nil && timedOut {
 		answer.Body.Close()
-		err = result.New(result.FirstByteTimeout, "The target did not answer within %s.", f.FirstByteTimeout)
+		err = result.New(result.FirstByteTimeout, "The target did not answer within %s.", limit)
 	}
 	if err == nil {
 		ex.OnEnd(func(error) { cancel() })
@@ -106,10 +107,41 @@
 		request.Deadline = ex.Deadline
 		request.AfterEvent = ex.AfterEvent
 		request.FetchAddress = ex.FetchAddress
+		if ex.Stream && ex.Idempotent {
+			request.Stall = patience(ex)
+		}
 	}
 	return request
 }
 
+const (
+	// leastPatience is the shortest silence of a target after which a request that
+	// may run again goes to another one. Targets under load pause for some hundred
+	// milliseconds; callers give a silent stream up after two seconds or more.
+	leastPatience = 1200 * time.Millisecond
+	// pausesPatience is that silence in pauses that are still on time.
+	pausesPatience = 4
+	// startPatience is that silence in times of the predicted start, behind
+	// leastPatience: predictions are rarely off by more.
+	startPatience = 3
+)
+
+// patience is how long a target may be silent before a request that may run again
+// is taken to another one.
+func patience(ex *pipeline.Exchange) time.Duration {
+	pauses := pausesPatience * time.Duration(ex.Route.PauseMillis) * time.Millisecond
+	return max(leastPatience+startPatience*ex.Placed.Start, pauses)
+}
+
+// firstByteTimeout bounds the wait for the answer's head: for a request that may
+// run again elsewhere, by what a target may be silent.
+func (f *Filter) firstByteTimeout(ex *pipeline.Exchange) time.Duration {
+	if ex.Route == nil || !ex.Idempotent || ex.Attempt >= ex.Route.Attempts {
+		return f.FirstByteTimeout
+	}
+	return min(f.FirstByteTimeout, patience(ex))
+}
+
 // checkBeforeDispatch runs the last checks before any byte is written.
 func checkBeforeDispatch(ex *pipeline.Exchange) error {
 	for _, check := range ex.BeforeDispatch {
--- a/filters/retry/budget.go
+++ b/filters/retry/budget.go
@@ -2,38 +2,54 @@
 
 import "sync"
 
+// Defaults of Limits.
 const (
 	// earnedPerRequest is the part of a retry that each request earns.
 	earnedPerRequest = 0.2
 	// maxBudget bounds the retries saved up at one router.
 	maxBudget = 50.0
+)
+
+// Limits bound the retries of one pool at this router. Over any span it makes at
+// most Saved retries, and Earned for each request in the span.
+type Limits struct {
+	// Earned is the part of a retry that each request earns.
+	Earned float64
+	// Saved bounds the retries saved up.
+	Saved float64
+}
+
+const (
 	// maxWorkspaceBudget bounds those that one workspace may save up, so that
 	// one whose requests all fail leaves retries to the others.
 	maxWorkspaceBudget = 10.0
 )
 
-// budget bounds the retries of a router, and of each workspace at it.
+// budget bounds the retries of each pool, and of each workspace.
 type budget struct {
-	mu   sync.Mutex
-	left float64
+	limits func() Limits
+	mu     sync.Mutex
+	// spent is what a pool has used of Limits.Saved.
+	spent map[string]float64
 	// short holds what is left to the workspaces that have not all of theirs.
 	short map[string]float64
 }
 
-func newBudget() *budget {
-	return &budget{left: maxBudget, short: make(map[string]float64)}
+func newBudget(limits func() Limits) *budget {
+	return &budget{limits: limits, spent: make(map[string]float64), short: make(map[string]float64)}
 }
 
 // earn counts a request.
-func (b *budget) earn(workspace string) {
+func (b *budget) earn(pool, workspace string) {
+	earned := b.limits().Earned
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.left = min(b.left+earnedPerRequest, maxBudget)
+	b.spent[pool] = max(0, b.spent[pool]-earned)
 	own, isShort := b.short[workspace]
 	if !isShort {
 		return
 	}
-	if own += earnedPerRequest; own >= maxWorkspaceBudget {
+	if own += earned; own >= maxWorkspaceBudget {
 		delete(b.short, workspace)
 		return
 	}
@@ -41,17 +57,18 @@
 }
 
 // spend takes one retry. It reports false if there is none.
-func (b *budget) spend(workspace string) bool {
+func (b *budget) spend(pool, workspace string) bool {
+	saved := b.limits().Saved
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	own, isShort := b.short[workspace]
 	if !isShort {
 		own = maxWorkspaceBudget
 	}
-	if b.left < 1 || own < 1 {
+	if saved-b.spent[pool] < 1 || own < 1 {
 		return false
 	}
-	b.left--
+	b.spent[pool]++
 	b.short[workspace] = own - 1
 	return true
 }
--- a/filters/retry/retry.go
+++ b/filters/retry/retry.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/result/codecounter"
@@ -33,7 +34,8 @@
 // the retries that were not made.
 var (
 	retries = codecounter.New("walnut_retry_retries_total",
-		result.ConnectFailed, result.TargetRefused, result.TargetLostRequest, result.StreamBroken)
+		result.ConnectFailed, result.TargetRefused, result.TargetLostRequest, result.StreamBroken, result.TargetError,
+		result.FirstByteTimeout, result.AnswerTooSlow)
 	refusals = codecounter.New("walnut_retry_refusals_total", result.RetryBudgetEmpty)
 )
 
@@ -44,14 +46,21 @@
 }
 
 // New returns a filter with a full budget. It logs each retry to log.
-func New(log *slog.Logger) *Filter { return &Filter{log: log, budget: newBudget()} }
+func New(log *slog.Logger) *Filter {
+	return NewLimited(log, func() Limits { return Limits{Earned: earnedPerRequest, Saved: maxBudget} })
+}
+
+// NewLimited is New with limits that are asked for at each use.
+func NewLimited(log *slog.Logger, limits func() Limits) *Filter {
+	return &Filter{log: log, budget: newBudget(limits)}
+}
 
 // Name implements pipeline.Filter.
 func (f *Filter) Name() string { return "retry" }
 
 // Serve implements pipeline.Filter.
 func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
-	f.budget.earn(ex.WorkspaceName)
+	f.budget.earn(ex.PoolName, ex.WorkspaceName)
 	ran := result.RanNo
 	runs := 0 // attempts that may have run
 	for {
@@ -64,7 +73,9 @@
 		if refusal != nil {
 			refusal = withRan(refusal, ran)
 			ran = refusal.Ran
-			err = refusal
+			if final(err) != nil {
+				err = refusal
+			}
 		}
 		if !retriable {
 			return err
@@ -73,10 +84,10 @@
 			runs++
 		}
 		if ex.Attempt >= maxAttempts || runs >= maxRuns(ex) || !time.Now().Before(ex.Deadline) {
-			return err
+			return final(err)
 		}
-		if !f.budget.spend(ex.WorkspaceName) {
-			return budgetEmpty(refusal)
+		if !f.budget.spend(ex.PoolName, ex.WorkspaceName) {
+			return budgetEmpty(err, refusal)
 		}
 		retries.Inc(refusal.Code)
 		f.logRetry(ctx, ex, refusal)
@@ -87,6 +98,39 @@
 	}
 }
 
+// failedAnswer is the error of a target's whole answer that says that it failed.
+// The answer stands in the exchange.
+type failedAnswer struct{ failure *result.Error }
+
+// Error implements error.
+func (f failedAnswer) Error() string { return f.failure.Error() }
+
+// Unwrap gives the numbered error.
+func (f failedAnswer) Unwrap() error { return f.failure }
+
+// FailedAnswer returns an error if the exchange holds a target's failure that
+// another target may do better: the request is idempotent on its route. The answer
+// is delivered after all if the request is not tried again.
+func FailedAnswer(ex *pipeline.Exchange) error {
+	if ex.Status < firstServerError || ex.Route == nil || ex.Route.Kind != config.RouteIdempotent || ex.AnswerStream != nil {
+		return nil
+	}
+	return failedAnswer{result.New(result.TargetError, "The target answered with status %d.", ex.Status)}
+}
+
+// firstServerError is the first HTTP status of a target's own failure.
+const firstServerError = 500
+
+// final is what a failure comes to that is not tried again: a target's own answer
+// is delivered as it is.
+func final(err error) error {
+	var answered failedAnswer
+	if errors.As(err, &answered) {
+		return nil
+	}
+	return err
+}
+
 // maxRuns bounds the attempts of a request that may have run.
 func maxRuns(ex *pipeline.Exchange) int {
 	if ex.Route == nil {
@@ -97,8 +141,8 @@
 
 // Spend takes a retry for a stream that is to go on at another target. It
 // reports false if there is none left.
-func (f *Filter) Spend(workspace string) bool {
-	if f.budget.spend(workspace) {
+func (f *Filter) Spend(ex *pipeline.Exchange) bool {
+	if f.budget.spend(ex.PoolName, ex.WorkspaceName) {
 		return true
 	}
 	refusals.Inc(result.RetryBudgetEmpty)
@@ -121,11 +165,17 @@
 	if !errors.As(err, &refusal) {
 		return nil, false
 	}
+	var answered failedAnswer
+	if errors.As(err, &answered) {
+		return refusal, true
+	}
 	switch refusal.Code {
 	case result.ConnectFailed, result.TargetRefused:
 		return refusal, true
 	case result.TargetLostRequest, result.StreamBroken:
 		return refusal, ex.Idempotent || refusal.Ran == result.RanNo
+	case result.FirstByteTimeout, result.AnswerTooSlow:
+		return refusal, ex.Route != nil && ex.Idempotent
 	default:
 		return refusal, false
 	}
@@ -156,8 +206,11 @@
 
 // budgetEmpty says that the request failed and was not retried. It keeps the
 // outcome of the failure.
-func budgetEmpty(failure *result.Error) error {
+func budgetEmpty(err error, failure *result.Error) error {
 	refusals.Inc(result.RetryBudgetEmpty)
+	if final(err) == nil {
+		return nil
+	}
 	refusal := result.Wrap(result.RetryBudgetEmpty, failure, "The request failed and too many others are being retried.")
 	refusal.Ran = failure.Ran
 	return refusal.After(minRetryAfter + rand.N(maxRetryAfter-minRetryAfter))
--- a/filters/retry/retry_test.go
+++ b/filters/retry/retry_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 )
@@ -160,11 +161,11 @@
 // TestBudgetIsSharedByWorkspaces: one workspace whose requests all fail does
 // not use the others' retries up, and all together are bounded.
 func TestBudgetIsSharedByWorkspaces(t *testing.T) {
-	b := newBudget()
+	b := newBudget(func() Limits { return Limits{Earned: earnedPerRequest, Saved: maxBudget} })
 	spend := func(workspace string, requests int) (spent int) {
 		for range requests {
-			b.earn(workspace)
-			if b.spend(workspace) {
+			b.earn("pool", workspace)
+			if b.spend("pool", workspace) {
 				spent++
 			}
 		}
@@ -184,7 +185,7 @@
 		t.Errorf("a hundred spent %d", total)
 	}
 	for range int(maxWorkspaceBudget / earnedPerRequest) {
-		b.earn("small")
+		b.earn("pool", "small")
 	}
 	if _, isShort := b.short["small"]; isShort {
 		t.Error("a full budget is kept")
@@ -201,3 +202,71 @@
 		t.Error("no pause counts as cancelled")
 	}
 }
+
+// TestBudgetBoundsEverySpan: in any span a pool's retries are at most what is
+// saved and what the requests of the span earn, whatever came before.
+func TestBudgetBoundsEverySpan(t *testing.T) {
+	limits := Limits{Earned: 0.2, Saved: 8}
+	b := newBudget(func() Limits { return limits })
+	const requests = 500
+	spent := make([]int, requests)
+	for n := range requests {
+		workspace := fmt.Sprint(n % 50)
+		b.earn("pool", workspace)
+		if n%100 < 60 && b.spend("pool", workspace) {
+			spent[n] = 1
+		}
+	}
+	for from := range requests {
+		total := 0
+		for to := from; to < requests; to++ {
+			total += spent[to]
+			if most := limits.Saved + limits.Earned*float64(to-from+1); float64(total) > most+1 {
+				t.Fatalf("%d retries from request %d to %d, at most %.1f", total, from, to, most)
+			}
+		}
+	}
+}
+
+// TestFailedAnswerIsDelivered: an idempotent request whose target answered with an
+// error is tried again, and gets that answer if no retry is left.
+func TestFailedAnswerIsDelivered(t *testing.T) {
+	for _, saved := range []float64{0, 5} {
+		f := NewLimited(slog.New(slog.DiscardHandler), func() Limits { return Limits{Saved: saved} })
+		ex := routed(config.RouteIdempotent, 2)
+		calls := 0
+		err := f.Serve(context.Background(), ex, func(_ context.Context, ex *pipeline.Exchange) error {
+			calls++
+			ex.Status, ex.AnswerBody = 500, []byte("failed")
+			if calls == 2 {
+				ex.Status, ex.AnswerBody = 200, []byte("fine")
+				return nil
+			}
+			return FailedAnswer(ex)
+		})
+		wantCalls, wantStatus := 1, 500
+		if saved > 0 {
+			wantCalls, wantStatus = 2, 200
+		}
+		if err != nil || calls != wantCalls || ex.Status != wantStatus || len(ex.AnswerBody) == 0 {
+			t.Errorf("%g saved: %d calls, status %d, %v", saved, calls, ex.Status, err)
+		}
+	}
+}
+
+// TestNonIdempotentErrorIsTheAnswer: it ran, and is not run again.
+func TestNonIdempotentErrorIsTheAnswer(t *testing.T) {
+	if err := FailedAnswer(routed(config.RouteNonIdempotent, 3)); err != nil {
+		t.Errorf("got %v", err)
+	}
+}
+
+func routed(kind config.RouteKind, attempts int) *pipeline.Exchange {
+	route := config.Route{Kind: kind, Attempts: attempts}
+	return &pipeline.Exchange{
+		Route:      &config.NamedRoute{Route: route},
+		Idempotent: route.IsIdempotent(),
+		Status:     500,
+		Deadline:   time.Now().Add(time.Minute),
+	}
+}
--- a/router/commits.go
+++ b/router/commits.go
@@ -51,6 +51,7 @@
 
 // membersChanged implements shell.
 func (r *Router) membersChanged(alive []control.NodeID) {
+	r.members.Store(int64(len(alive)))
 	if r.patched == nil {
 		return
 	}
--- a/router/routed.go
+++ b/router/routed.go
@@ -24,7 +24,7 @@
 // its own, and is sent again only if it surely did not run.
 func (r *Router) routedPipeline() pipeline.Handler {
 	limits := r.settings.Limits
-	retries := retry.New(r.log)
+	retries := retry.NewLimited(r.log, r.retryLimits)
 	slots := &grant.Filter{Source: &grants{loop: r.loop, inForce: r.InForce}, Log: r.log}
 	answers := &answers{
 		events: &events.Relay{Log: r.log},
@@ -46,6 +46,18 @@
 	)
 }
 
+// safePart is the part of the fleet's retry budget that routers use: members come
+// and go, and each counts the others with a delay.
+const safePart = 0.8
+
+// retryLimits is this router's part of the fleet's retry budget: what requests
+// earn counts where they entered, the slack is shared alike.
+func (r *Router) retryLimits() retry.Limits {
+	limits := r.retries.Load()
+	members := max(1, r.members.Load())
+	return retry.Limits{Earned: safePart * limits.Ratio, Saved: safePart * limits.Slack / float64(members)}
+}
+
 // serving is the state of a router that takes requests until it is closed: one
 // that leaves says so to the balancer, and serves what still arrives.
 type serving struct{ *Router }
@@ -75,7 +87,10 @@
 	if ex.Route.Kind == config.RouteStream && answer.Status < firstFailure {
 		return a.events.Answer(ctx, ex, answer)
 	}
-	return a.whole.Answer(ctx, ex, answer)
+	if err := a.whole.Answer(ctx, ex, answer); err != nil {
+		return err
+	}
+	return retry.FailedAnswer(ex)
 }
 
 // firstFailure is the first HTTP status of an answer that is no success.
@@ -88,7 +103,7 @@
 		if ex.Attempt >= ex.Route.Attempts {
 			return nil, result.New(result.StreamBroken, "The request has used up its attempts.")
 		}
-		if !retries.Spend(ex.WorkspaceName) {
+		if !retries.Spend(ex) {
 			return nil, result.New(result.RetryBudgetEmpty, "Too many other requests are being retried.")
 		}
 		ex.Attempt++
--- a/router/router.go
+++ b/router/router.go
@@ -12,6 +12,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,7 +53,10 @@
 	front    *front.Server
 	operator *operator.Server
 
-	inForce  atomic.Pointer[config.Snapshot]
+	inForce atomic.Pointer[config.Snapshot]
+	// retries is the fleet's retry budget, and members how many routers share it.
+	retries  atomic.Pointer[settings.Retries]
+	members  atomic.Int64
 	draining atomic.Bool
 	watched  watched
 	vms      atomic.Pointer[[]store.VM]
@@ -158,6 +162,32 @@
 	r.log.Info("router: Draining.")
 }
 
+// Reload takes over what a running router can of new settings, and names it. It
+// also names the sections that differ and need a restart.
+func (r *Router) Reload(s settings.Settings) (taken, needRestart []string) {
+	if old := r.retries.Swap(&s.Retries); *old != s.Retries {
+		taken = append(taken, "retries")
+	}
+	for _, section := range []struct {
+		name      string
+		unchanged bool
+	}{
+		{"node", s.Node == r.settings.Node},
+		{"listen", s.Listen == r.settings.Listen},
+		{"platform", s.Platform == r.settings.Platform},
+		{"peers", s.Peers == r.settings.Peers},
+		{"scheduling", s.Scheduling == r.settings.Scheduling},
+		{"limits", s.Limits == r.settings.Limits},
+		{"operators", slices.Equal(s.Operators.KeyHashes, r.settings.Operators.KeyHashes)},
+		{"log", s.Log == r.settings.Log},
+	} {
+		if !section.unchanged {
+			needRestart = append(needRestart, section.name)
+		}
+	}
+	return taken, needRestart
+}
+
 // giveNotice goes on taking requests until the balancer had the time to see that
 // this router is not ready. Connections that arrive meanwhile are served.
 func (r *Router) giveNotice(ctx context.Context) {
--- a/router/start.go
+++ b/router/start.go
@@ -54,6 +54,7 @@
 		drainedCh:   make(chan struct{}),
 		drainAsked:  make(chan struct{}),
 	}
+	r.retries.Store(&s.Retries)
 	r.buildCore()
 	if err := r.open(); err != nil {
 		r.closeListeners()
--- a/target/body.go
+++ b/target/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"io"
 	"net/http/httputil"
@@ -42,7 +43,7 @@
 
 func newBody(ex *exchange, method string, header *fasthttp.ResponseHeader) *body {
 	b := &body{ex: ex, reader: ex.conn.reader, keepAlive: !header.ConnectionClose()}
-	ex.conn.readTimeout = ex.client.options.StallTimeout
+	ex.conn.readTimeout = cmp.Or(ex.stall, ex.client.options.StallTimeout)
 	ex.conn.readDeadline = noDeadline
 	length := header.ContentLength()
 	switch {
--- a/target/exchange.go
+++ b/target/exchange.go
@@ -25,6 +25,8 @@
 	unwatch func() bool
 	// spoiled says that the request was not sent whole.
 	spoiled bool
+	// stall is the request's Stall.
+	stall time.Duration
 	// settle lets the connection be given back or closed only once.
 	settle sync.Once
 }
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, dialError(ctx, counters, err)
 	}
-	ex := &exchange{client: c, counters: counters, ctx: ctx, conn: cn}
+	ex := &exchange{client: c, counters: counters, ctx: ctx, conn: cn, stall: req.Stall}
 	if ctx.Done() != nil {
 		ex.unwatch = context.AfterFunc(ctx, func() { cn.Conn.Close() })
 	}
--- a/target/target.go
+++ b/target/target.go
@@ -32,6 +32,9 @@
 	// Deadline is when the caller gives up, where the dialect tells targets;
 	// zero: not known.
 	Deadline time.Time
+	// Stall bounds the gap between parts of the answer's body; zero:
+	// Options.StallTimeout.
+	Stall time.Duration
 	// FetchAddress is the "ip:port" of the target that keeps shared parts of the
 	// prompt, where the dialect tells targets; empty: nothing is to be fetched.
 	FetchAddress string
