--- a/filters/requestlog/requestlog.go
+++ b/filters/requestlog/requestlog.go
@@ -1,5 +1,5 @@
 // Package requestlog is the filter that logs how each request ended: answers
-// and refusals at debug, failures of the router, a target or the platform at
+// and refusals at info, failures of the router, a target or the platform at
 // warn. It is the first filter, so that it sees every other's outcome.
 package requestlog
 
@@ -59,7 +59,7 @@
 	}
 	var numbered *result.Error
 	if !errors.As(err, &numbered) {
-		pipeline.Log(ctx, f.log, slog.LevelDebug, ex, "request: Answer did not reach the caller.", took, slog.Any("error", err))
+		pipeline.Log(ctx, f.log, slog.LevelInfo, ex, "request: Answer did not reach the caller.", took, slog.Any("error", err))
 		return
 	}
 	level, message := judge(numbered.Code)
@@ -86,6 +86,6 @@
 		result.TargetLostRequest, result.StreamBroken, result.TargetError, result.AnswerTooSlow:
 		return slog.LevelWarn, "request: Failed."
 	default:
-		return slog.LevelDebug, "request: Refused."
+		return slog.LevelInfo, "request: Refused."
 	}
 }
--- a/filters/requestlog/requestlog_test.go
+++ b/filters/requestlog/requestlog_test.go
@@ -49,13 +49,13 @@
 		level, message string
 		code           any
 	}{
-		{nil, "DEBUG", "request: Answered.", nil},
-		{result.New(result.QueueFull, "Full."), "DEBUG", "request: Refused.", 501.0},
-		{result.New(result.CallerGone, "Gone."), "DEBUG", "request: Refused.", 604.0},
+		{nil, "INFO", "request: Answered.", nil},
+		{result.New(result.QueueFull, "Full."), "INFO", "request: Refused.", 501.0},
+		{result.New(result.CallerGone, "Gone."), "INFO", "request: Refused.", 604.0},
 		{result.New(result.TargetLostRequest, "Lost."), "WARN", "request: Failed.", 705.0},
 		{result.New(result.RecordUnavailable, "Down."), "WARN", "request: Failed.", 402.0},
 		{result.New(result.Internal, "Fault."), "ERROR", "request: Failed.", 901.0},
-		{errors.New("connection reset"), "DEBUG", "request: Answer did not reach the caller.", nil},
+		{errors.New("connection reset"), "INFO", "request: Answer did not reach the caller.", nil},
 	} {
 		all := lines(t, f, out, c.end)
 		if len(all) != 2 || all[0]["msg"] != "request: Arrived." || all[0]["request"] != "r-1" || all[0]["path"] != "/x" {
