--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -157,8 +157,14 @@
 
 // OutlivesCaller says whether a run of this request goes on when its caller
 // goes away: a non-idempotent one does, so that a resend gets its answer from
-// the run record.
-func (ex *Exchange) OutlivesCaller() bool { return !ex.Idempotent && ex.Serving != nil }
+// the run record, and so that what it does at the target is not left half done.
+// On routes a stream never does: nobody could have the rest of it.
+func (ex *Exchange) OutlivesCaller() bool {
+	if ex.Route != nil && ex.Route.Kind != config.RouteNonIdempotent {
+		return false
+	}
+	return !ex.Idempotent && ex.Serving != nil
+}
 
 // RunContext returns the context of a dispatched run, given that of a filter.
 func (ex *Exchange) RunContext(ctx context.Context) context.Context {
