Log changes of belief: targets, schedulers, live routers, and why a scheduler refused

Cause: a refusal's line did not say who refused and by what; a target that was passed over, a scheduler avoided or a router lost left no line. Done: the state machine tells them as commands; refusals carry whether the request lay beyond its share and how many waited.

--- a/control/commands.go
+++ b/control/commands.go
@@ -31,6 +31,31 @@
 	Attempt    uint32
 	Code       result.Code
 	RetryAfter time.Duration
+	// Scheduler is the node that refused; empty if this one did before asking.
+	// Excess and Ahead are as in its Refusal.
+	Scheduler NodeID
+	Excess    bool
+	Ahead     int
+}
+
+// TargetJudged tells that this node, as a scheduler, has changed its mind about
+// a target.
+type TargetJudged struct {
+	Target string
+	// Failing says that it is passed over for Pause, after so many Failures in a
+	// row; else it serves again. Cause is what spoke last.
+	Failing  bool
+	Failures int
+	Pause    time.Duration
+	Cause    string
+}
+
+// SchedulerAvoided tells that a scheduler left a ticket unanswered for Silent, and
+// that this node grants by itself for a while.
+type SchedulerAvoided struct {
+	Node   NodeID
+	Pool   string
+	Silent time.Duration
 }
 
 // WatchTargets replaces the set of targets whose load this node polls.
@@ -62,3 +87,5 @@
 func (QuarantineChanged) isCommand() {}
 func (VersionSeen) isCommand()       {}
 func (Drained) isCommand()           {}
+func (TargetJudged) isCommand()      {}
+func (SchedulerAvoided) isCommand()  {}
--- a/control/entry.go
+++ b/control/entry.go
@@ -145,8 +145,14 @@
 }
 
 func (m *Machine) refuseAfter(ev RequestArrived, code result.Code, after time.Duration) {
+	m.refuseWith(ev, Refuse{Code: code, RetryAfter: after})
+}
+
+// refuseWith ends an attempt for the given reason.
+func (m *Machine) refuseWith(ev RequestArrived, why Refuse) {
 	m.counters.RequestsRefused++
-	m.emit(Refuse{Request: ev.Request, Attempt: ev.Attempt, Code: code, RetryAfter: after})
+	why.Request, why.Attempt = ev.Request, ev.Attempt
+	m.emit(why)
 }
 
 // retryAfter estimates how long the workspace's queue here takes to drain and
--- a/control/events.go
+++ b/control/events.go
@@ -77,6 +77,15 @@
 	OutcomeRefused
 )
 
+// String returns the outcome as it stands in logs.
+func (o Outcome) String() string {
+	names := [...]string{"answered", "not run", "cancelled", "failed", "lost", "unreachable", "refused"}
+	if o < 0 || int(o) >= len(names) {
+		return "unknown"
+	}
+	return names[o]
+}
+
 // RunBegan says that the target of a run has begun to answer.
 type RunBegan struct {
 	Grant GrantID
--- a/control/messages.go
+++ b/control/messages.go
@@ -52,6 +52,10 @@
 	Shard      ShardID
 	Code       result.Code
 	RetryAfter time.Duration
+	// Excess says that the request lay beyond its workspace's share, and Ahead how
+	// many tickets waited at the shard.
+	Excess bool
+	Ahead  int
 }
 
 // CancelTicket withdraws a ticket: the caller is gone, or another shard granted first.
--- a/control/place.go
+++ b/control/place.go
@@ -267,6 +267,8 @@
 		Shard:      q.shard.id,
 		Code:       result.Overloaded,
 		RetryAfter: m.jitter(overloadPause),
+		Excess:     q.excess,
+		Ahead:      q.shard.queue.Len(),
 	})
 }
 
@@ -287,7 +289,7 @@
 	if g.work == nil {
 		return
 	}
-	g.target.recovered()
+	m.targetServes(g.target, "first event")
 	g.target.engine.Begun(m.now, g.work, after)
 	m.grantAll(g.shard)
 }
--- a/control/target.go
+++ b/control/target.go
@@ -107,7 +107,7 @@
 	t.prefixes.report(ev.CachedPrefixes)
 	m.pollAnswered(t.name, ev.StartID)
 	if t.pollFailed {
-		t.recovered()
+		m.targetServes(t, "load poll answered")
 	}
 	t.reportedLeaving = ev.Leaving
 	m.noteHopeless(t)
@@ -116,14 +116,14 @@
 
 func (m *Machine) targetUnreachable(ev TargetUnreachable) {
 	if t := m.targetHere(ev.Target); t != nil {
-		m.targetFailed(t, true)
+		m.targetFailed(t, true, "load poll failed")
 		m.pollFailed(t.name)
 	}
 }
 
 // targetFailed passes a target over for a while, longer each time. When that
 // time ends one run probes it.
-func (m *Machine) targetFailed(t *target, poll bool) {
+func (m *Machine) targetFailed(t *target, poll bool, cause string) {
 	if m.now < t.downUntil && !poll {
 		return // runs that failed together count once
 	}
@@ -139,6 +139,7 @@
 	}
 	backoff := min(firstBackoff<<(t.failures-1), longest)
 	t.downUntil = m.now + m.jitter(backoff)
+	m.emit(TargetJudged{Target: t.name, Failing: true, Failures: t.failures, Pause: t.downUntil - m.now, Cause: cause})
 	m.timers.set(&t.timer, t, t.downUntil)
 	m.noteHopeless(t)
 }
@@ -159,6 +160,14 @@
 	m.grantAll(t.shard)
 }
 
+// targetServes takes in that a target serves.
+func (m *Machine) targetServes(t *target, cause string) {
+	if t.failures > 0 {
+		m.emit(TargetJudged{Target: t.name, Failures: t.failures, Cause: cause})
+	}
+	t.recovered()
+}
+
 func (t *target) recovered() {
 	t.failures = 0
 	t.errors = 0
@@ -170,13 +179,13 @@
 func (m *Machine) runOutcome(t *target, outcome Outcome) {
 	switch outcome {
 	case OutcomeAnswered:
-		t.recovered()
+		m.targetServes(t, outcome.String())
 	case OutcomeUnreachable, OutcomeRefused, OutcomeLost:
-		m.targetFailed(t, false)
+		m.targetFailed(t, false, outcome.String())
 	case OutcomeFailed:
 		t.errors++
 		if t.errors >= errorsToBackoff {
-			m.targetFailed(t, false)
+			m.targetFailed(t, false, "errors in a row")
 		}
 	}
 }
--- a/control/tickets.go
+++ b/control/tickets.go
@@ -110,6 +110,9 @@
 // scheduler left unanswered. Both may grant: the second grant is returned.
 func (m *Machine) grantHere(r *request, a *ask) {
 	m.counters.TicketsLocal++
+	if m.entry.avoid[a.to] < m.now {
+		m.emit(SchedulerAvoided{Node: a.to, Pool: r.ev.Pool, Silent: m.now - a.sentAt})
+	}
 	m.entry.avoid[a.to] = m.now + avoidFor
 	m.send(a.to, CancelTicket{Ticket: r.id, Shard: a.shard})
 	m.sendTicketTo(r, a, m.opts.Node)
@@ -227,7 +230,7 @@
 		after = m.retryAfter(r.ev.Workspace)
 	}
 	m.withdraw(r)
-	m.refuseAfter(r.ev, f.Code, after)
+	m.refuseWith(r.ev, Refuse{Code: f.Code, RetryAfter: after, Scheduler: a.to, Excess: f.Excess, Ahead: f.Ahead})
 }
 
 // nextShard chooses one more shard to ask: one with free slots, else one whose
--- a/peer/wire/codec_queue.go
+++ b/peer/wire/codec_queue.go
@@ -158,6 +158,8 @@
 		Shard:      shard,
 		Code:       int64(m.Code),
 		RetryAfter: micros(m.RetryAfter),
+		Excess:     m.Excess,
+		Ahead:      uint32(m.Ahead),
 	}
 	return &peerpb.Entry{Kind: &peerpb.Entry_Refusal{Refusal: p}}, nil
 }
@@ -173,6 +175,8 @@
 		Shard:      shard,
 		Code:       result.Code(p.GetCode()),
 		RetryAfter: fromMicros(p.GetRetryAfter()),
+		Excess:     p.GetExcess(),
+		Ahead:      int(p.GetAhead()),
 	}, nil
 }
 
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -93,6 +94,9 @@
 func (g *grants) accept(ex *pipeline.Exchange, answer grantAnswer) error {
 	if answer.refuse != nil {
 		refusal := result.New(answer.refuse.Code, "%s", answer.refuse.Code.Info().Meaning)
+		if answer.refuse.Scheduler != "" {
+			refusal.Cause = &refusedBy{*answer.refuse}
+		}
 		return countRefusal(refusal.After(answer.refuse.RetryAfter))
 	}
 	run := &run{loop: g.loop, granted: *answer.dispatch, started: time.Now()}
@@ -113,6 +117,14 @@
 	return nil
 }
 
+// refusedBy says which scheduler refused a request and what it went by.
+type refusedBy struct{ refuse control.Refuse }
+
+// Error implements error.
+func (r *refusedBy) Error() string {
+	return fmt.Sprintf("scheduler %s: beyond the workspace's share %v, %d waiting", r.refuse.Scheduler, r.refuse.Excess, r.refuse.Ahead)
+}
+
 // run is one granted slot. It implements pipeline.Run.
 type run struct {
 	loop    *loop
--- a/router/commits.go
+++ b/router/commits.go
@@ -51,7 +51,9 @@
 
 // membersChanged implements shell.
 func (r *Router) membersChanged(alive []control.NodeID) {
-	r.members.Store(int64(len(alive)))
+	if before := r.members.Swap(int64(len(alive))); before != int64(len(alive)) {
+		r.log.Info("member: Live routers changed.", "count", len(alive), "before", before, "routers", alive)
+	}
 	if r.patched == nil {
 		return
 	}
--- a/router/loop.go
+++ b/router/loop.go
@@ -209,9 +209,22 @@
 		l.shell.versionSeen(c.From, c.Version)
 	case control.Drained:
 		l.shell.drained()
+	case control.TargetJudged:
+		l.logJudgement(c)
+	case control.SchedulerAvoided:
+		l.log.Warn("control: Scheduler does not answer, granting here.", "scheduler", c.Node, "pool", c.Pool, "silent", c.Silent)
 	}
 }
 
+// logJudgement tells what this router thinks of a target from now on.
+func (l *loop) logJudgement(c control.TargetJudged) {
+	if c.Failing {
+		l.log.Warn("control: Target is passed over.", "target", c.Target, "cause", c.Cause, "failures", c.Failures, "pause", c.Pause)
+		return
+	}
+	l.log.Info("control: Target serves again.", "target", c.Target, "cause", c.Cause, "failures", c.Failures)
+}
+
 // dispatch hands a grant to its waiter. A grant whose waiter has gone is
 // returned to the machine as not run.
 func (l *loop) dispatch(c control.Dispatch) {
