Schedule on routers with enough processor; look at each target once for a ticket

Cause: rendezvous hashing gave shards to any router, and some have a quarter of the largest one's processor; a placement walked over all targets three times and over their unread prompts each time. Done: routers tell their cores with their rows, and only those with at least half of the largest own shards (all, where none tells); the backlog of a target is kept as a sum, and one pass gathers what a ticket needs of each target.

--- a/control/control.go
+++ b/control/control.go
@@ -110,6 +110,9 @@
 	Node        NodeID
 	Incarnation Incarnation
 	DataCentre  string
+	// Cores is the processor that this node has; zero: not known. Nodes with less
+	// than half of the largest one's schedule no shards.
+	Cores float64
 	// Policy defaults to PolicyShardQueue.
 	Policy Policy
 	// Seed seeds the machine's own random source.
--- a/control/events.go
+++ b/control/events.go
@@ -123,6 +123,8 @@
 	Node       NodeID
 	DataCentre string
 	Leaving    bool
+	// Cores is the processor that it has; zero: not known.
+	Cores float64
 }
 
 // TargetLoad is a load report of a target, polled by this node. It lags.
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -101,7 +101,7 @@
 func (m *Machine) membersListed(ev MembersListed) {
 	listed := make([]member.Listed, 0, len(ev.Members))
 	for _, l := range ev.Members {
-		listed = append(listed, member.Listed{Name: string(l.Node), DataCentre: l.DataCentre, Leaving: l.Leaving})
+		listed = append(listed, member.Listed{Name: string(l.Node), DataCentre: l.DataCentre, Leaving: l.Leaving, Cores: l.Cores})
 	}
 	for _, name := range m.view.List(m.now, listed) {
 		m.send(NodeID(name), m.heartbeat())
--- a/control/machine.go
+++ b/control/machine.go
@@ -61,6 +61,7 @@
 		books:     newBooks(),
 		suspicion: newSuspicion(),
 	}
+	m.view.SetCores(0, opts.Cores)
 	return m
 }
 
--- a/control/member/evidence.go
+++ b/control/member/evidence.go
@@ -16,7 +16,8 @@
 		}
 		named[l.Name] = true
 		n := v.node(l.Name)
-		changed = changed || n.DataCentre != l.DataCentre
+		changed = changed || n.DataCentre != l.DataCentre || n.Cores != l.Cores
+		n.Cores = l.Cores
 		n.listed = true
 		n.listedLeaving = l.Leaving
 		n.DataCentre = l.DataCentre
--- a/control/member/view.go
+++ b/control/member/view.go
@@ -43,6 +43,8 @@
 	Incarnation uint64
 	// Leaving says that it hands its work over.
 	Leaving bool
+	// Cores is the processor that it has; zero: not known.
+	Cores float64
 
 	ended         []uint64
 	hash          uint64
@@ -68,6 +70,8 @@
 	Name       string
 	DataCentre string
 	Leaving    bool
+	// Cores is the processor that the node has; zero: not known.
+	Cores float64
 }
 
 // View is the view of the fleet. The node itself is always part of it.
@@ -82,7 +86,10 @@
 	// unless it is leaving.
 	alive    []*Node
 	byCentre map[string][]*Node
-	own      *Node
+	// able holds the alive nodes that may own keys: those with at least ablePart of
+	// the largest one's processor. byCentre holds only these.
+	able []*Node
+	own  *Node
 	// version counts changes of alive.
 	version  uint64
 	watchers []*Node
@@ -163,7 +170,7 @@
 func (v *View) Owner(keyHash uint64, dataCentre string) string {
 	candidates := v.byCentre[dataCentre]
 	if len(candidates) == 0 {
-		candidates = v.alive
+		candidates = v.able
 	}
 	best := v.own
 	var bestScore uint64
@@ -223,10 +230,38 @@
 		v.alive = append(v.alive, v.own)
 	}
 	slices.SortFunc(v.alive, byName)
-	for _, n := range v.alive {
+	v.able = v.ableOnes()
+	for _, n := range v.able {
 		if n.DataCentre != "" {
 			v.byCentre[n.DataCentre] = append(v.byCentre[n.DataCentre], n)
 		}
 	}
 	v.assignWatchers(now)
 }
+
+// ablePart is the part of the largest node's processor that a node needs to own
+// keys: scheduling a shard takes a good part of a small one, and what a small node
+// does late is late for all.
+const ablePart = 0.5
+
+// ableOnes returns the alive nodes that may own keys: all, if none tells its
+// processor.
+func (v *View) ableOnes() []*Node {
+	most := 0.0
+	for _, n := range v.alive {
+		most = max(most, n.Cores)
+	}
+	able := make([]*Node, 0, len(v.alive))
+	for _, n := range v.alive {
+		if n.Cores >= ablePart*most {
+			able = append(able, n)
+		}
+	}
+	return able
+}
+
+// SetCores says how much processor this node has.
+func (v *View) SetCores(now time.Duration, cores float64) {
+	v.own.Cores = cores
+	v.rebuild(now)
+}
--- a/control/place.go
+++ b/control/place.go
@@ -123,24 +123,45 @@
 	return p.fetchFrom.name
 }
 
+// candidate is a target as a ticket sees it.
+type candidate struct {
+	target *target
+	// reads is how many tokens of the prompt it would have to read, and again how
+	// many of these are shared parts.
+	reads, again int
+	wait         time.Duration
+}
+
+// candidates lists the targets of a class as a ticket sees them. The slice is
+// used again by the next call.
+func (m *Machine) candidates(targets []*target, task sched.EngineTask) []candidate {
+	m.sched.candidates = m.sched.candidates[:0]
+	for _, t := range targets {
+		c := candidate{target: t, wait: t.engine.Wait(m.now)}
+		c.reads, c.again = t.engine.Reads(task)
+		m.sched.candidates = append(m.sched.candidates, c)
+	}
+	return m.sched.candidates
+}
+
 // chooseEngine returns the target of a class that costs a queued ticket least;
 // without a target if none takes it now.
 func (m *Machine) chooseEngine(c *class, q *queuedTicket) placement {
 	limit := m.maxWait(q.shard)
-	keeper := m.keeperOf(c, q.task)
-	home := m.homeOf(c, q.task, keeper)
+	all := m.candidates(c.targets, q.task)
+	keeper := keeperOf(all, q.task)
+	home := homeOf(all, q.task, keeper)
 	var best placement
-	for _, t := range c.targets {
+	for _, seen := range all {
+		t := seen.target
 		if !m.roomFor(c, t) || !t.engine.HasRoom(q.task) {
 			continue
 		}
-		wait := t.engine.Wait(m.now)
-		reads, again := t.engine.Reads(q.task)
-		keeps := again == 0 && len(q.task.Parts) > 1
-		if wait > limit && (!keeps || wait > time.Duration(keeperPart*float64(limit))) {
+		keeps := seen.again == 0 && len(q.task.Parts) > 1
+		if seen.wait > limit && (!keeps || seen.wait > time.Duration(keeperPart*float64(limit))) {
 			continue
 		}
-		p := m.place(q, t, keeper, reads, again)
+		p := m.place(q, seen, keeper)
 		if home != nil && t != home {
 			p.cost += homePenalty
 		}
@@ -180,16 +201,17 @@
 	}
 }
 
-// place predicts what a ticket would cost at a target that has to read so many
-// tokens, some of them shared parts that some target has read before.
-func (m *Machine) place(q *queuedTicket, t, keeper *target, reads, again int) placement {
-	p := placement{target: t, reads: reads}
+// place predicts what a ticket would cost at a target. keeper keeps the shared
+// parts of its prompt; nil if none does.
+func (m *Machine) place(q *queuedTicket, seen candidate, keeper *target) placement {
+	t, again := seen.target, seen.again
+	p := placement{target: t, reads: seen.reads}
 	penalty := time.Duration(again) * rereadPenalty
 	fetch := time.Duration(0)
 	perSecond := m.topo.decl.Pools[q.shard.id.Pool].Tokens.FetchedPerSecond
 	if keeper != nil && keeper != t && again >= leastFetch && perSecond > 0 {
 		p.fetchFrom = keeper
-		p.reads = max(1, reads-again)
+		p.reads = max(1, seen.reads-again)
 		fetch = time.Duration(float64(again) / perSecond * float64(time.Second))
 		penalty = time.Duration(again) * fetchPenalty
 	}
@@ -203,18 +225,15 @@
 
 // keeperOf returns a target that keeps all shared parts of a prompt and has the
 // least to do; nil if there is none.
-func (m *Machine) keeperOf(c *class, task sched.EngineTask) *target {
+func keeperOf(all []candidate, task sched.EngineTask) *target {
 	if len(task.Parts) < 2 {
 		return nil
 	}
 	var keeper *target
 	var least time.Duration
-	for _, t := range c.targets {
-		if _, again := t.engine.Reads(task); again > 0 {
-			continue
-		}
-		if wait := t.engine.Wait(m.now); keeper == nil || wait < least {
-			keeper, least = t, wait
+	for _, c := range all {
+		if c.again == 0 && (keeper == nil || c.wait < least) {
+			keeper, least = c.target, c.wait
 		}
 	}
 	return keeper
@@ -222,17 +241,17 @@
 
 // homeOf returns the target that rendezvous hashing gives the shared parts of a
 // prompt to, if no target keeps them all; nil otherwise.
-func (m *Machine) homeOf(c *class, task sched.EngineTask, keeper *target) *target {
+func homeOf(all []candidate, task sched.EngineTask, keeper *target) *target {
 	if len(task.Parts) < 2 || keeper != nil {
 		return nil
 	}
 	last := task.Parts[len(task.Parts)-2].Beginning
 	var home *target
 	var highest uint64
-	for _, t := range c.targets {
-		score := member.Score(t.hash, last)
-		if !t.leaving && (home == nil || score > highest) {
-			home, highest = t, score
+	for _, c := range all {
+		score := member.Score(c.target.hash, last)
+		if !c.target.leaving && (home == nil || score > highest) {
+			home, highest = c.target, score
 		}
 	}
 	return home
@@ -246,9 +265,8 @@
 		return never
 	}
 	ideal := never
-	for _, t := range q.shard.targets {
-		reads, _ := t.engine.Reads(q.task)
-		ideal = min(ideal, t.engine.Predict(m.now, reads)-t.engine.Wait(m.now))
+	for _, c := range m.candidates(q.shard.targets, q.task) {
+		ideal = min(ideal, c.target.engine.Predict(m.now, c.reads)-c.wait)
 	}
 	left := q.objective - m.now
 	if float64(ideal) > timelyPart*float64(left) {
--- a/control/sched/engine.go
+++ b/control/sched/engine.go
@@ -70,6 +70,8 @@
 	stretch float64
 	// unread are the grants whose first event has not been seen, oldest first.
 	unread []*EngineRun
+	// backlog is the tokens of all of them.
+	backlog int
 	// reading is when the first of them began to be read.
 	reading time.Duration
 	running int
@@ -127,16 +129,12 @@
 
 // bareWait is Wait by the rate alone.
 func (e *Engine) bareWait(now time.Duration) time.Duration {
-	tokens := 0
-	for _, run := range e.unread {
-		tokens += run.reads
-	}
-	if tokens == 0 {
+	if e.backlog == 0 {
 		return 0
 	}
 	// What was read of the first one since it began.
 	done := min(float64(e.unread[0].reads), max(0, (now-e.reading).Seconds()*e.rate))
-	return seconds((float64(tokens) - done) / e.rate)
+	return seconds((float64(e.backlog) - done) / e.rate)
 }
 
 // Predict returns the time until a task granted now would begin to be answered.
@@ -166,11 +164,12 @@
 // Start counts a run that is granted now and has to read so many tokens. Its
 // prompt is kept from now on.
 func (e *Engine) Start(now time.Duration, task EngineTask, reads int) *EngineRun {
-	run := &EngineRun{reads: reads, holds: int64(reads + task.OutputTokens), granted: now, ahead: e.backlog(), bare: e.barePredict(now, reads)}
+	run := &EngineRun{reads: reads, holds: int64(reads + task.OutputTokens), granted: now, ahead: e.backlog, bare: e.barePredict(now, reads)}
 	if len(e.unread) == 0 {
 		e.reading = now
 	}
 	e.unread = append(e.unread, run)
+	e.backlog += reads
 	e.running++
 	e.held += run.holds
 	e.kept.use(task.Parts)
@@ -183,14 +182,6 @@
 	return &EngineRun{granted: now, begun: true}
 }
 
-func (e *Engine) backlog() int {
-	tokens := 0
-	for _, run := range e.unread {
-		tokens += run.reads
-	}
-	return tokens
-}
-
 // Begun takes in that a run began to be answered, so many after its grant. It
 // and all runs before it are read.
 func (e *Engine) Begun(now time.Duration, run *EngineRun, after time.Duration) {
@@ -204,6 +195,7 @@
 		}
 		for _, earlier := range e.unread[:i+1] {
 			earlier.begun = true
+			e.backlog -= earlier.reads
 		}
 		e.unread = append(e.unread[:0], e.unread[i+1:]...)
 		e.reading = now
@@ -234,6 +226,7 @@
 	for i, r := range e.unread {
 		if r == run {
 			e.unread = append(e.unread[:i], e.unread[i+1:]...)
+			e.backlog -= run.reads
 			if i == 0 {
 				e.reading = now
 			}
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -34,6 +34,8 @@
 	workspaces map[string]*workspace
 	finished   remembered
 	nextSeq    uint64
+	// candidates is used by each placement again; see Machine.candidates.
+	candidates []candidate
 	// watched is the last set given with WatchTargets.
 	watched    []string
 	watchStale bool
--- a/router/managed.go
+++ b/router/managed.go
@@ -115,6 +115,7 @@
 		Name:        r.settings.Node.Name,
 		DataCentre:  r.settings.Node.DataCentre,
 		PeerAddress: r.mesh.Address(),
+		Cores:       r.settings.Node.Cores,
 	})
 }
 
--- a/router/shell.go
+++ b/router/shell.go
@@ -152,6 +152,7 @@
 			Node:       node,
 			DataCentre: vm.DataCentre,
 			Leaving:    vm.State == store.VMLeaving,
+			Cores:      vm.Cores,
 		})
 	}
 	r.mesh.SetPeers(addresses)
--- a/router/start.go
+++ b/router/start.go
@@ -101,6 +101,7 @@
 		Node:           control.NodeID(s.Node.Name),
 		Incarnation:    r.incarnation,
 		DataCentre:     s.Node.DataCentre,
+		Cores:          s.Node.Cores,
 		Policy:         control.Policy(s.Scheduling.Policy),
 		Seed:           uint64(r.incarnation),
 		HeartbeatEvery: time.Duration(s.Scheduling.HeartbeatEvery),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,6 +25,9 @@
 	// DataCentre and Region say where the VM runs. DataCentre is required.
 	DataCentre string `toml:"data_centre"`
 	Region     string `toml:"region"`
+	// Cores is the processor that the router has, in cores. Those with less than
+	// half of the largest one's schedule nothing. Default 0: not known.
+	Cores float64 `toml:"cores"`
 }
 
 // Listen holds the "ip:port" of each listener. All are required.
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -42,6 +42,9 @@
 	var c checker
 	c.name("node.name", s.Node.Name)
 	c.name("node.data_centre", s.Node.DataCentre)
+	if s.Node.Cores < 0 {
+		c.add("node.cores", "is %g; must not be below 0", s.Node.Cores)
+	}
 	platform, ok := c.address("platform.address", s.Platform.Address)
 	if ok && platform.Port() == 0 {
 		c.add("platform.address", "has no port")
--- a/store/platform.go
+++ b/store/platform.go
@@ -107,6 +107,8 @@
 	PeerAddress string `json:"peer_address"`
 	// State is live or leaving.
 	State VMState `json:"state"`
+	// Cores is the processor that the VM has; zero: not known.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // VMList is the platform's list of VMs. It lags by seconds.
