Run what an engine lost in its crash side by side

An entry that had stood still took its scheduler for dead, and granted without its picture. Done: engines' suspects are not kept apart; verdicts are logged when they change something; what was granted before is not beyond its workspace's share, and has its objective anew; the entry's own stall is no silence of the scheduler. Tests: control/place_test.go, failing first.

--- a/control/machine.go
+++ b/control/machine.go
@@ -22,6 +22,8 @@
 type Machine struct {
 	opts Options
 	now  Instant
+	// gap is the time between the last two steps.
+	gap time.Duration
 	// stepped says that now holds the time of an earlier step.
 	stepped bool
 	rng     *rand.Rand
@@ -84,6 +86,7 @@
 func (m *Machine) Step(now Instant, ev Event) []Command {
 	m.out = nil
 	gap := now - m.now
+	m.gap = gap
 	m.now = max(m.now, now)
 	if m.stepped && gap > m.opts.MemberTimeout {
 		m.thaw()
--- a/control/member/view.go
+++ b/control/member/view.go
@@ -135,6 +135,14 @@
 	return n != nil && n.heardAt > 0 && !n.suspected && !n.disconnected
 }
 
+// HeardAt returns when a node was last heard; zero if it never was.
+func (v *View) HeardAt(name string) time.Duration {
+	if n := v.nodes[name]; n != nil {
+		return n.heardAt
+	}
+	return 0
+}
+
 // Nodes returns the other nodes in order of name.
 func (v *View) Nodes() []*Node {
 	nodes := make([]*Node, 0, len(v.nodes))
--- a/control/messages.go
+++ b/control/messages.go
@@ -22,6 +22,9 @@
 	// Objective is the time from now within which the answer should begin; zero
 	// if there is none.
 	Objective time.Duration
+	// Again says that the request was granted before and is to go on, or to be run
+	// again, elsewhere.
+	Again bool
 	// Quiet says that the entry knows of the shard's backlog: Waiting is only
 	// sent if the ticket waits long.
 	Quiet bool
--- a/control/place.go
+++ b/control/place.go
@@ -187,6 +187,9 @@
 		q.objective = m.now + q.ticket.Objective
 	}
 	q.latest = m.latestStart(q)
+	if q.ticket.Again {
+		return // its share was counted, and the part that was done is lost otherwise
+	}
 	if q.shard.shares.Ask(m.now, q.ticket.Workspace, nominal(q.task).Seconds()) {
 		return
 	}
--- a/control/place_test.go
+++ b/control/place_test.go
@@ -184,6 +184,8 @@
 	f.step(MembersListed{Members: []Member{{Node: "n", DataCentre: "d"}, {Node: "silent", DataCentre: "d"}}})
 	f.step(MessageReceived{From: "silent", Incarnation: 9, Message: Heartbeat{Incarnation: 9}})
 	f.machine.fleet.owners[ShardID{Pool: "gen"}] = "silent"
+	f.now += 100 * time.Millisecond
+	f.step(Tick{})
 	id, dispatch, _ := f.arrive("a", own(1))
 	if dispatch != nil {
 		t.Fatal("granted here although another node schedules the shard")
@@ -201,3 +203,100 @@
 		t.Error("the next request waits for the silent scheduler again")
 	}
 }
+
+// TestStallOfTheEntryIsNotTheSchedulers: an entry that stood still has not looked
+// at the answers that came meanwhile, and does not grant by itself for that.
+func TestStallOfTheEntryIsNotTheSchedulers(t *testing.T) {
+	f := newTokenFleet("e1", "e2")
+	f.machine.opts.LocalAfter = 60 * time.Millisecond
+	f.step(MembersListed{Members: []Member{{Node: "n", DataCentre: "d"}, {Node: "other", DataCentre: "d"}}})
+	f.step(MessageReceived{From: "other", Incarnation: 9, Message: Heartbeat{Incarnation: 9}})
+	f.machine.fleet.owners[ShardID{Pool: "gen"}] = "other"
+	id, _, _ := f.arrive("a", own(1))
+	f.now += 80 * time.Millisecond
+	dispatch, _ := outcomeOf(f.step(MessageReceived{From: "other", Incarnation: 9, Message: Heartbeat{Incarnation: 9}}), id)
+	if dispatch != nil {
+		t.Fatal("granted here for a stall of this node's own")
+	}
+	if f.machine.Counters().TicketsLocal != 0 {
+		t.Error("the ticket was taken from its scheduler")
+	}
+}
+
+// TestBegunRequestsGoFirst: what was granted before is not refused as beyond its
+// workspace's share.
+func TestBegunRequestsGoFirst(t *testing.T) {
+	f := newTokenFleet("e1")
+	var refused bool
+	for n := range uint64(40) {
+		_, dispatch, _ := f.arrive("a", PromptPart{ID: 100 + n, Tokens: 9000})
+		refused = refused || dispatch == nil
+		if dispatch != nil {
+			f.finish(dispatch)
+		}
+	}
+	s := f.machine.sched.shards[ShardID{Pool: "gen"}]
+	if s.shares.Ask(f.now, "a", nominal(taskOf(Work{PromptTokens: 9000})).Seconds()) {
+		t.Fatal("the workspace is not beyond its share")
+	}
+	q := &queuedTicket{shard: s, ticket: Ticket{Workspace: "a", Work: Work{PromptTokens: 9000}, Again: true}}
+	f.machine.describeWork(q)
+	if q.excess {
+		t.Error("a request that was begun counts as beyond the share")
+	}
+}
+
+// TestCrashLeavesEnginesInUse: what ran on an engine that crashed is run again
+// on the others side by side, not one at a time.
+func TestCrashLeavesEnginesInUse(t *testing.T) {
+	f := newTokenFleet("e1", "e2")
+	const running = 6
+	lost := make([]*Dispatch, 0, running)
+	for n := range uint64(running) {
+		f.requests++
+		commands := f.step(f.marked(f.requests, 1, n))
+		dispatch, _ := outcomeOf(commands, f.requests)
+		f.now += 60 * time.Millisecond
+		f.step(RunBegan{Grant: dispatch.Grant, After: 50 * time.Millisecond})
+		if dispatch.Target == "e1" {
+			lost = append(lost, dispatch)
+		}
+	}
+	if len(lost) < 2 {
+		t.Fatalf("%d of %d runs on the target that is to crash", len(lost), running)
+	}
+	for _, d := range lost {
+		f.step(RunEnded{Request: d.Request, Grant: d.Grant, Outcome: OutcomeLost})
+	}
+	f.drop("e1")
+	for n, d := range lost {
+		dispatch, _ := outcomeOf(f.step(f.marked(d.Request, 2, uint64(n))), d.Request)
+		if dispatch == nil {
+			t.Fatalf("run %d of %d waits while slots are free", n+1, len(lost))
+		}
+		f.now += 60 * time.Millisecond
+		f.step(RunBegan{Grant: dispatch.Grant, After: 50 * time.Millisecond})
+	}
+}
+
+// marked is an arrival with a fingerprint of its own.
+func (f *tokenFleet) marked(request RequestID, attempt uint32, mark uint64) RequestArrived {
+	return RequestArrived{
+		Request: request, Attempt: attempt, Workspace: "a", Pool: "gen", Fingerprint: 1000 + mark,
+		Deadline: f.now + 12*time.Second, Objective: f.now + 400*time.Millisecond,
+		Work: Work{Parts: []PromptPart{own(mark)}, OutputTokens: 50},
+	}
+}
+
+// drop takes a target off the listing.
+func (f *tokenFleet) drop(name string) {
+	declarations := *f.machine.topo.decl
+	declarations.Targets = make(map[string]config.Target)
+	for other, target := range f.machine.topo.decl.Targets {
+		if other != name {
+			declarations.Targets[other] = target
+		}
+	}
+	next := &config.Snapshot{Version: 1, Declarations: declarations, TargetsRevision: f.machine.topo.order.Targets + 1}
+	f.step(ConfigChanged{Snapshot: next})
+}
--- a/control/shard.go
+++ b/control/shard.go
@@ -127,7 +127,9 @@
 	if known && (len(ws.Targets) > 0 || !slices.Contains(ws.Pools, s.id.Pool)) {
 		only = t.Workspace
 	}
-	suspect := m.suspect(t.Fingerprint)
+	// A crashed engine ran some tens of requests. To keep all of them apart would
+	// leave the other engines idle; what crashes a second one is convicted anyway.
+	suspect := m.suspect(t.Fingerprint) && !m.countsTokens(s)
 	if only != "" || len(t.Excluded) > 0 || suspect {
 		name = only + "\x00" + strings.Join(t.Excluded, "\x00")
 	}
--- a/control/tickets.go
+++ b/control/tickets.go
@@ -29,6 +29,10 @@
 	// Each end of it costs the next request Options.LocalAfter if the scheduler is
 	// still away; longer would go on granting without the whole picture.
 	avoidFor = 250 * time.Millisecond
+	// stallGap is the time between two steps of this node beyond which answers may
+	// have arrived that it has not looked at yet. An idle node ticks each 100 ms, but
+	// one with a ticket out has a timer for it.
+	stallGap = 30 * time.Millisecond
 	// never is later than any deadline.
 	never = Instant(1<<63 - 1)
 	// probeDepth bounds the waiting requests looked at for one probe.
@@ -110,10 +114,10 @@
 // scheduler left unanswered. Both may grant: the second grant is returned.
 func (m *Machine) grantHere(r *request, a *ask) {
 	m.counters.TicketsLocal++
-	if m.entry.avoid[a.to] < m.now {
-		m.emit(SchedulerAvoided{Node: a.to, Pool: r.ev.Pool, Silent: m.now - a.sentAt})
+	if silent := m.now - m.view.HeardAt(string(a.to)); silent >= m.opts.LocalAfter && m.entry.avoid[a.to] < m.now {
+		m.emit(SchedulerAvoided{Node: a.to, Pool: r.ev.Pool, Silent: silent})
+		m.entry.avoid[a.to] = m.now + avoidFor
 	}
-	m.entry.avoid[a.to] = m.now + avoidFor
 	m.send(a.to, CancelTicket{Ticket: r.id, Shard: a.shard})
 	m.sendTicketTo(r, a, m.opts.Node)
 }
@@ -134,6 +138,7 @@
 		Excluded:    r.ev.Excluded,
 		Work:        r.ev.Work,
 		Objective:   objectiveLeft(r.ev, m.now),
+		Again:       r.ev.Attempt > 1,
 		Quiet:       a.quiet,
 	})
 }
@@ -152,6 +157,10 @@
 func (m *Machine) repeat(r *request, a *ask) {
 	a.quiet = false
 	if m.opts.LocalAfter > 0 && !a.waiting && a.to != m.opts.Node {
+		if m.gap >= stallGap {
+			a.sentAt = m.now - m.opts.LocalAfter/2 // this node stood still, not the scheduler
+			return
+		}
 		m.grantHere(r, a)
 		return
 	}
--- a/filters/quarantine/quarantine.go
+++ b/filters/quarantine/quarantine.go
@@ -20,18 +20,23 @@
 	fingerprints map[uint64]struct{}
 }
 
-// Change adds or removes a fingerprint; see control.QuarantineChanged.
-func (s *Set) Change(fingerprint uint64, quarantined bool) {
+// Change adds or removes a fingerprint and says whether that changed the set; see
+// control.QuarantineChanged.
+func (s *Set) Change(fingerprint uint64, quarantined bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if _, was := s.fingerprints[fingerprint]; was == quarantined {
+		return false
+	}
 	if !quarantined {
 		delete(s.fingerprints, fingerprint)
-		return
+		return true
 	}
 	if s.fingerprints == nil {
 		s.fingerprints = make(map[uint64]struct{})
 	}
 	s.fingerprints[fingerprint] = struct{}{}
+	return true
 }
 
 // Contains says whether a fingerprint is quarantined.
--- a/peer/wire/codec_queue.go
+++ b/peer/wire/codec_queue.go
@@ -30,6 +30,7 @@
 		Excluded:    excluded,
 		Quiet:       m.Quiet,
 		Objective:   micros(m.Objective),
+		Again:       m.Again,
 	}
 	encodeWork(p, m.Work)
 	return &peerpb.Entry{Kind: &peerpb.Entry_Ticket{Ticket: p}}, nil
@@ -64,6 +65,7 @@
 		Quiet:       p.GetQuiet(),
 		Work:        work,
 		Objective:   fromMicros(p.GetObjective()),
+		Again:       p.GetAgain(),
 	}, nil
 }
 
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -87,7 +87,11 @@
 	if ex.Route == nil || ex.Route.Objective() <= 0 {
 		return 0
 	}
-	return g.loop.instant(ex.Arrived.Add(ex.Route.Objective()))
+	begin := ex.Arrived
+	if ex.Attempt > 1 {
+		begin = time.Now() // late is better than not at all for what was begun
+	}
+	return g.loop.instant(begin.Add(ex.Route.Objective()))
 }
 
 // accept turns the machine's answer into the exchange's run or a refusal.
--- a/router/shell.go
+++ b/router/shell.go
@@ -61,7 +61,9 @@
 
 // quarantineChanged implements shell.
 func (r *Router) quarantineChanged(fingerprint uint64, quarantined bool) {
-	r.suspects.Change(fingerprint, quarantined)
+	if !r.suspects.Change(fingerprint, quarantined) {
+		return
+	}
 	r.log.Warn("quarantine: Verdict changed.", "fingerprint", fingerprint, "quarantined", quarantined)
 }
 
