Ask a silent store again soon at the start

Ruled out: the number of retries, peers (all had nothing), the dial. Done: the first load is given 300 ms and twice as long each time; announcing takes 500 ms a try.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -26,8 +26,12 @@
 	lapseShown = time.Second
 	// returnMargin is added to ReturnGrace for the platform's and our own delay.
 	returnMargin = 500 * time.Millisecond
-	// loadTimeout bounds a call that loads everything.
-	loadTimeout = 2 * time.Second
+	// firstLoadTimeout bounds the first call that loads everything; it doubles with
+	// each failure up to loadTimeout. The store answers in some milliseconds. A call
+	// that meets it silent may stay unanswered after its return, so the next one has
+	// to come soon; a slow store is given more time each try.
+	firstLoadTimeout = 300 * time.Millisecond
+	loadTimeout      = 2 * time.Second
 	// followMargin is how much longer than patience a call for changes may take.
 	followMargin = time.Second
 )
@@ -106,7 +110,7 @@
 
 // follow loads one feed and follows it until ctx ends.
 func follow[T any](ctx context.Context, f *Follower, name string, feed Feed[T], take func(Listing[T], arrival)) {
-	pause := firstPause
+	pause, limit := firstPause, firstLoadTimeout
 	lost := false
 	loaded := false
 	var after uint64
@@ -115,7 +119,7 @@
 		if lost {
 			wait = 0 // to learn at once that the platform is back
 		}
-		listing, err := next(ctx, feed, loaded, after, wait)
+		listing, err := next(ctx, feed, call{load: !loaded, after: after, wait: wait, limit: limit})
 		switch {
 		case errors.Is(err, ErrHistoryLost):
 			f.options.Log.Warn("directory: History is gone, loading everything.", "feed", name, "revision", after)
@@ -132,27 +136,38 @@
 			feedFailures.Inc()
 			sleep(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, longestPause)
+			limit = min(2*limit, loadTimeout)
 			continue
 		}
 		if lost {
 			f.options.Log.Info("directory: Feed regained.", "feed", name, "revision", listing.Revision)
 		}
 		take(listing, arrival{whole: !loaded, afterLoss: lost})
-		lost, pause = false, firstPause
+		lost, pause, limit = false, firstPause, firstLoadTimeout
 		loaded, after = true, max(after, listing.Revision)
 	}
 }
 
+// call is one call to a feed.
+type call struct {
+	// load says that everything is loaded, within limit.
+	load  bool
+	limit time.Duration
+	// after and wait are those of Feed.Follow.
+	after uint64
+	wait  time.Duration
+}
+
 // next loads the feed, or waits for its next changes.
-func next[T any](ctx context.Context, feed Feed[T], loaded bool, after uint64, wait time.Duration) (Listing[T], error) {
-	if !loaded {
-		ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+func next[T any](ctx context.Context, feed Feed[T], c call) (Listing[T], error) {
+	if c.load {
+		ctx, cancel := context.WithTimeout(ctx, c.limit)
 		defer cancel()
 		return feed.Load(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+followMargin)
+	ctx, cancel := context.WithTimeout(ctx, c.wait+followMargin)
 	defer cancel()
-	return feed.Follow(ctx, after, wait)
+	return feed.Follow(ctx, c.after, c.wait)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -18,7 +18,9 @@
 	entries  map[string]Entry[T]
 	revision uint64
 	down     bool
-	changed  chan struct{}
+	// silent makes calls to Load that come before it ends hang until they give up.
+	silent  time.Time
+	changed chan struct{}
 }
 
 func newFeed[T any]() *fakeFeed[T] {
@@ -53,7 +55,11 @@
 }
 
 // Load implements Feed.
-func (f *fakeFeed[T]) Load(context.Context) (Listing[T], error) {
+func (f *fakeFeed[T]) Load(ctx context.Context) (Listing[T], error) {
+	if time.Now().Before(f.silent) {
+		<-ctx.Done()
+		return Listing[T]{}, ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
@@ -110,6 +116,12 @@
 func startScene(t *testing.T) *scene {
 	t.Helper()
 	s := &scene{configurations: newFeed[Configuration](), targets: newFeed[config.Target]()}
+	s.run(t)
+	return s
+}
+
+// run starts the follower until the test ends.
+func (s *scene) run(t *testing.T) {
 	s.follower = New(Options{
 		Configurations: s.configurations,
 		Targets:        s.targets,
@@ -131,7 +143,6 @@
 		cancel()
 		<-done
 	})
-	return s
 }
 
 func version(number config.Version) Entry[Configuration] {
@@ -294,3 +305,24 @@
 		}
 	})
 }
+
+// TestStartSoonAfterSilence: a router that starts while the platform is silent has
+// its snapshot soon after the platform's return, though its first call stays
+// unanswered.
+func TestStartSoonAfterSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scene{configurations: newFeed[Configuration](), targets: newFeed[config.Target]()}
+		returns := time.Now().Add(200 * time.Millisecond)
+		s.configurations.silent, s.targets.silent = returns, returns
+		s.populate()
+		s.run(t)
+		select {
+		case <-s.follower.Ready():
+		case <-time.After(10 * time.Second):
+			t.Fatal("no snapshot")
+		}
+		if late := time.Since(returns); late > 300*time.Millisecond {
+			t.Errorf("ready %s after the platform's return", late)
+		}
+	})
+}
--- a/router/managed.go
+++ b/router/managed.go
@@ -21,8 +21,10 @@
 	// reading the others; it doubles up to maxMemberRetry.
 	memberRetry    = 100 * time.Millisecond
 	maxMemberRetry = 2 * time.Second
-	// memberCallTimeout bounds one such call.
-	memberCallTimeout = time.Second
+	// memberCallTimeout bounds one such call; the store answers in milliseconds.
+	memberCallTimeout = 500 * time.Millisecond
+	// peerFetchTimeout bounds the fetch of a peer's directory.
+	peerFetchTimeout = time.Second
 	// strangerPause gathers routers that turn up together, so that the list is
 	// read once for all of them.
 	strangerPause = 200 * time.Millisecond
@@ -161,7 +163,7 @@
 	}
 	go func() {
 		defer r.fetching.Store(false)
-		ctx, cancel := context.WithTimeout(context.Background(), memberCallTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), peerFetchTimeout)
 		defer cancel()
 		encoded, err := r.mesh.Call(ctx, node, methodConfig, nil)
 		if err == nil {
