--- a/directory/exchange.go
+++ b/directory/exchange.go
@@ -22,10 +22,23 @@
 	Revision uint64        `json:"revision"`
 }
 
-// Export encodes what is known here for another router.
-func (f *Follower) Export() ([]byte, error) {
+// Known is what a router has of the directory.
+type Known struct {
+	Version  config.Version `json:"version"`
+	Revision uint64         `json:"revision"`
+}
+
+// Known returns what this router has, for Export at another.
+func (f *Follower) Known() Known {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Known{Version: f.state.configuration.Version, Revision: f.state.revision}
+}
+
+// Export encodes what is known here and not to another router.
+func (f *Follower) Export(known Known) ([]byte, error) {
 	f.mu.Lock()
-	content := f.state.export()
+	content := f.state.export(known)
 	f.mu.Unlock()
 	encoded, err := json.Marshal(content)
 	if err != nil {
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -26,6 +26,12 @@
 	lapseShown = time.Second
 	// returnMargin is added to ReturnGrace for the platform's and our own delay.
 	returnMargin = 500 * time.Millisecond
+	// gatherEach is how long changes are gathered behind an answer that held some,
+	// for each router of the fleet, and mostGather the longest: where many targets
+	// start together, each change would cost a call of every router. A first change
+	// is told at once; peers tell of the others in between.
+	gatherEach = 10 * time.Millisecond
+	mostGather = 800 * time.Millisecond
 	// firstLoadTimeout bounds the first call that loads everything; it doubles with
 	// each failure up to loadTimeout. The store answers in some milliseconds. A call
 	// that meets it silent may stay unanswered after its return, so the next one has
@@ -53,6 +59,8 @@
 	// ReturnGrace is how long entries of targets that lapsed while the platform
 	// was away may take to return once it is back; see settings.Platform.
 	ReturnGrace time.Duration
+	// Routers returns how many routers the fleet has; nil: one.
+	Routers func() int
 	// Log gets a line for each change, and one when a feed is lost or regained.
 	// Required.
 	Log *slog.Logger
@@ -145,7 +153,18 @@
 		take(listing, arrival{whole: !loaded, afterLoss: lost})
 		lost, pause, limit = false, firstPause, firstLoadTimeout
 		loaded, after = true, max(after, listing.Revision)
+		if len(listing.Entries) > 0 {
+			sleep(ctx, f.gather())
+		}
+	}
+}
+
+// gather is how long to wait after a change before the next call.
+func (f *Follower) gather() time.Duration {
+	if f.options.Routers == nil {
+		return 0
 	}
+	return min(mostGather, time.Duration(f.options.Routers())*gatherEach)
 }
 
 // call is one call to a feed.
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -246,7 +247,7 @@
 		time.Sleep(time.Second)
 		other.targets.set(gone("a"))
 		synctest.Wait()
-		encoded, err := other.follower.Export()
+		encoded, err := other.follower.Export(Known{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -285,7 +286,7 @@
 		s.populate()
 		other.populate()
 		synctest.Wait()
-		old, err := other.follower.Export()
+		old, err := other.follower.Export(Known{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -326,3 +327,31 @@
 		}
 	})
 }
+
+// TestExportHoldsWhatIsNew: a router that knows most is told the rest alone, and
+// has the same snapshot afterwards.
+func TestExportHoldsWhatIsNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, other := startScene(t), startScene(t)
+		s.populate()
+		other.populate()
+		synctest.Wait()
+		known := s.follower.Known()
+		other.targets.set(targetEntry("e"))
+		other.targets.set(gone("a"))
+		synctest.Wait()
+		encoded, err := other.follower.Export(known)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(string(encoded), `"b"`) || strings.Contains(string(encoded), "ops\":{") {
+			t.Errorf("what is known is told again: %s", encoded)
+		}
+		if err := s.follower.Import("other", encoded); err != nil {
+			t.Fatal(err)
+		}
+		if !s.serves("e") || s.serves("a") || !s.serves("b") {
+			t.Error("the snapshots differ")
+		}
+	})
+}
--- a/directory/state.go
+++ b/directory/state.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"maps"
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
@@ -179,17 +178,27 @@
 	}
 }
 
-// clone copies what a snapshot for peers needs.
-func (s *state) export() exported {
-	targets := make(map[string]exportedTarget, len(s.targets))
+// export copies what another router does not know yet: all targets changed or
+// removed after its revision, and the configuration if its version is older.
+func (s *state) export(known Known) exported {
+	content := exported{
+		Targets:  make(map[string]exportedTarget),
+		Gone:     make(map[string]uint64),
+		Revision: s.revision,
+	}
+	if s.configuration.Version > known.Version {
+		content.Version = s.configuration.Version
+		content.Declarations = s.configuration.Declarations
+	}
 	for name, k := range s.targets {
-		targets[name] = exportedTarget{Target: k.target, Revision: k.revision}
+		if k.revision > known.Revision {
+			content.Targets[name] = exportedTarget{Target: k.target, Revision: k.revision}
+		}
 	}
-	return exported{
-		Version:      s.configuration.Version,
-		Declarations: s.configuration.Declarations,
-		Targets:      targets,
-		Gone:         maps.Clone(s.gone),
-		Revision:     s.revision,
+	for name, revision := range s.gone {
+		if revision > known.Revision {
+			content.Gone[name] = revision
+		}
 	}
+	return content
 }
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -62,7 +62,9 @@
 // ends or ctx does, as it does when the caller of an idempotent request goes
 // away.
 func (f *Filter) send(ctx context.Context, ex *pipeline.Exchange) (*target.Response, error) {
-	if ex.IsCallerGone() {
+	// On a busy router a request may have waited to be read for longer than its
+	// caller did; the look is cheap against a run for nobody.
+	if ex.HasCallerLeft() {
 		return nil, result.New(result.CallerGone, "The caller went away.")
 	}
 	callCtx, cancel := context.WithCancel(ctx)
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -214,3 +214,19 @@
 		t.Error("the call's context outlives the exchange")
 	}
 }
+
+// TestNothingIsSentForACallerThatLeft: a caller that is found to have left right
+// before the request is sent gets no run.
+func TestNothingIsSentForACallerThatLeft(t *testing.T) {
+	f := &fakeTarget{do: func(context.Context) (*target.Response, error) {
+		return nil, errors.New("called")
+	}}
+	ex := &pipeline.Exchange{CallerGone: make(chan struct{}), LookForCaller: func() bool { return true }}
+	refusal, run := serve(context.Background(), &Filter{Client: f}, ex)
+	if len(f.calls) != 0 || refusal == nil || refusal.Code != result.CallerGone || refusal.Ran != result.RanNo {
+		t.Errorf("%d calls, %v", len(f.calls), refusal)
+	}
+	if len(run.outcomes) == 0 || run.outcomes[0] != control.OutcomeCancelled {
+		t.Errorf("outcomes %v", run.outcomes)
+	}
+}
--- a/front/conn.go
+++ b/front/conn.go
@@ -93,6 +93,9 @@
 	}
 }
 
+// isClosedByCaller looks whether the caller has closed the connection.
+func (c *callerConn) isClosedByCaller() bool { return newProbe().peerClosed(c.raw) }
+
 func (c *callerConn) setBusy(busy bool) {
 	c.mu.Lock()
 	c.busy = busy
--- a/front/serve.go
+++ b/front/serve.go
@@ -33,7 +33,7 @@
 		r.err = err
 		s.writeError(ctx, r.ex.ID, err)
 	}
-	if s.draining.Load() || conn.linger || s.isCrowded() {
+	if s.draining.Load() || conn.linger || s.IsCrowded() || s.isBusy() {
 		ctx.SetConnectionClose()
 	}
 }
@@ -59,6 +59,7 @@
 		gone:    gone,
 	}
 	r.arrival.keep(int64(len(r.ex.Body)))
+	r.ex.LookForCaller = conn.isClosedByCaller
 	r.ex.Serving, r.endServing = context.WithCancel(s.ctx)
 	r.ctx, r.cancel = context.WithCancelCause(r.ex.Serving)
 	conn.request = r
--- a/front/server.go
+++ b/front/server.go
@@ -73,6 +73,9 @@
 	// its answer, so that descriptors are left for new callers and for targets.
 	// Default 0: no bound.
 	KeptConns int
+	// Busy, if set, says that callers had better go elsewhere: each connection is
+	// closed with its answer then.
+	Busy func() bool
 	// Dialect is how the callers speak. Default dialect.Own.
 	Dialect *dialect.Dialect
 	// Log defaults to slog.Default().
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -116,12 +116,14 @@
 	return len(s.conns)
 }
 
-// isCrowded says whether so many connections are open that each is closed with
+// IsCrowded says whether so many connections are open that each is closed with
 // its answer rather than kept for another request.
-func (s *Server) isCrowded() bool {
+func (s *Server) IsCrowded() bool {
 	return s.options.KeptConns > 0 && s.connCount() > s.options.KeptConns
 }
 
+func (s *Server) isBusy() bool { return s.options.Busy != nil && s.options.Busy() }
+
 func (s *Server) opened(conn *callerConn) {
 	s.mu.Lock()
 	s.conns[conn] = struct{}{}
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -42,6 +42,9 @@
 	Body        []byte
 	// CallerGone is closed when the caller's connection is found closed.
 	CallerGone <-chan struct{}
+	// LookForCaller, if set, looks at the caller's connection and says whether it is
+	// closed. CallerGone tells that later, at the next look at all connections.
+	LookForCaller func() bool
 	// Serving ends when the exchange has ended or the router is stopped by
 	// force, but not when the caller goes away. See RunContext.
 	Serving context.Context
@@ -145,6 +148,12 @@
 	ex.onEnd = append(ex.onEnd, f)
 }
 
+// HasCallerLeft is IsCallerGone with a look at the connection, which costs a
+// system call.
+func (ex *Exchange) HasCallerLeft() bool {
+	return ex.IsCallerGone() || ex.LookForCaller != nil && ex.LookForCaller()
+}
+
 // IsCallerGone says whether the caller's connection was found closed.
 func (ex *Exchange) IsCallerGone() bool {
 	select {
--- a/router/backend.go
+++ b/router/backend.go
@@ -26,6 +26,8 @@
 		readiness.Reason = "No configuration version yet: neither the table nor a peer answered."
 	case r.Draining():
 		readiness.Reason = "The router is draining."
+	case r.managed != nil && r.overload.on.Load():
+		readiness.Reason = "The router is too busy for new connections."
 	default:
 		readiness.Ready = true
 	}
--- a/router/managed.go
+++ b/router/managed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,8 @@
 	directory *directory.Follower
 	// strangers gets a token when a router that is not listed turned up.
 	strangers chan struct{}
+	// overload says when this router asks for no new connections.
+	overload *overload
 	// fetching says that the directory is being fetched from a peer.
 	fetching atomic.Bool
 }
@@ -63,9 +66,11 @@
 			Targets:        platform.NewReplicas(s, r.log),
 			OnChange:       r.configChanged,
 			ReturnGrace:    time.Duration(r.settings.Platform.ReturnGrace),
+			Routers:        func() int { return int(r.members.Load()) },
 			Log:            r.log,
 		}),
 		strangers: make(chan struct{}, 1),
+		overload:  &overload{log: r.log, crowded: func() bool { return r.front.IsCrowded() }},
 	}
 }
 
@@ -165,10 +170,7 @@
 		defer r.fetching.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), peerFetchTimeout)
 		defer cancel()
-		encoded, err := r.mesh.Call(ctx, node, methodConfig, nil)
-		if err == nil {
-			err = r.directory.Import(string(node), encoded)
-		}
+		err := r.fetch(ctx, node)
 		if err != nil {
 			peerFetchFails.Inc()
 			r.log.Warn("directory: Peer's directory could not be had.", "node", node, "error", err)
@@ -178,6 +180,18 @@
 	}()
 }
 
+func (r *Router) fetch(ctx context.Context, node control.NodeID) error {
+	known, err := json.Marshal(r.directory.Known())
+	if err != nil {
+		return err
+	}
+	encoded, err := r.mesh.Call(ctx, node, methodConfig, known)
+	if err != nil {
+		return err
+	}
+	return r.directory.Import(string(node), encoded)
+}
+
 // managedConfig is the configuration in force, for operators.
 func (b backend) managedConfig(known *config.Snapshot, version config.Version) (*config.Snapshot, error) {
 	if known == nil {
--- a/router/peers.go
+++ b/router/peers.go
@@ -8,6 +8,7 @@
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/config/follower"
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/directory"
 	"github.com/walnutcove/walnutcove/operator"
 )
 
@@ -54,7 +55,7 @@
 	switch method {
 	case methodConfig:
 		if h.router.managed != nil {
-			return h.router.directory.Export()
+			return h.serveDirectory(payload)
 		}
 		return h.serveConfig(payload)
 	case methodStatus:
@@ -83,6 +84,14 @@
 	return update.Encode()
 }
 
+func (h peerHandler) serveDirectory(payload []byte) ([]byte, error) {
+	var known directory.Known
+	if err := json.Unmarshal(payload, &known); err != nil {
+		return nil, fmt.Errorf("read the request for the directory: %w", err)
+	}
+	return h.router.directory.Export(known)
+}
+
 func (h peerHandler) serveStatus(ctx context.Context, payload []byte) ([]byte, error) {
 	var request operator.StatusRequest
 	if err := json.Unmarshal(payload, &request); err != nil {
--- a/router/start.go
+++ b/router/start.go
@@ -217,6 +217,7 @@
 	options.Log = r.log
 	options.Dialect = r.dialect()
 	if r.managed != nil {
+		options.Busy = r.overload.on.Load
 		r.front = front.New(options, r.routedPipeline())
 		return
 	}
@@ -251,6 +252,7 @@
 	if r.managed != nil {
 		r.start(func() { r.directory.Run(ctx) })
 		r.start(func() { r.followMembers(ctx) })
+		r.start(func() { r.overload.run(ctx) })
 	} else {
 		r.start(func() { r.follower.Run(ctx) })
 		r.start(func() { r.followVMs(ctx) })
--- a/target/options.go
+++ b/target/options.go
@@ -16,7 +16,7 @@
 	DefaultFirstByteTimeout = 60 * time.Second
 	DefaultStallTimeout     = 30 * time.Second
 	DefaultIdleTimeout      = 30 * time.Second
-	DefaultMaxIdle          = 64
+	DefaultMaxIdle          = 24
 )
 
 // Options configure an HTTPClient. Zero values take the stated defaults.
@@ -30,7 +30,7 @@
 	StallTimeout time.Duration
 	// IdleTimeout is how long an unused connection is kept. Default 30 s.
 	IdleTimeout time.Duration
-	// MaxIdle bounds the unused connections kept for one address. Default 64.
+	// MaxIdle bounds the unused connections kept for one address. Default 24.
 	MaxIdle int
 	// Dialect is how the targets speak. Default dialect.Own.
 	Dialect *dialect.Dialect
