--- /dev/null
+++ b/managedtest/fleet_test.go
@@ -0,0 +1,207 @@
+// Package managedtest runs routers against the stand-in of a managed platform and
+// checks what callers and replicas see. Everything speaks over real sockets.
+package managedtest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/platform/wire"
+	"github.com/walnutcove/walnutcove/router"
+	"github.com/walnutcove/walnutcove/settings"
+	"github.com/walnutcove/walnutcove/standin/managed"
+)
+
+// What the fleet serves.
+const (
+	host     = "hooks.example"
+	key      = "key-of-bakery"
+	pathOps  = "/ops/deploy"
+	pathSafe = "/safe/purge"
+	pathGen  = "/gen/page"
+	events   = 8
+
+	// patience bounds every wait for something that must come.
+	patience = 20 * time.Second
+)
+
+// fleet is some routers, the store and replicas.
+type fleet struct {
+	t        *testing.T
+	store    *managed.Store
+	journal  *managed.Journal
+	routers  []*router.Router
+	settings []settings.Settings
+	version  uint64
+	client   *http.Client
+	requests int
+	mu       sync.Mutex
+}
+
+// startFleet starts routers and the replicas that the options describe.
+func startFleet(t *testing.T, routers int, replicas ...managed.ReplicaOptions) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: managed.StartStore(), journal: &managed.Journal{}}
+	t.Cleanup(f.store.Close)
+	f.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+	t.Cleanup(f.client.CloseIdleConnections)
+	f.configure(nil)
+	for _, options := range replicas {
+		f.replica(options)
+	}
+	for range routers {
+		f.router()
+	}
+	for _, r := range f.routers {
+		f.waitReady(r)
+	}
+	return f
+}
+
+func (f *fleet) replica(options managed.ReplicaOptions) *managed.Replica {
+	f.t.Helper()
+	r, err := managed.StartReplica(f.store, f.journal, options)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(r.Close)
+	return r
+}
+
+// router starts one more router, with an address of the store of its own.
+func (f *fleet) router() *router.Router {
+	f.t.Helper()
+	address, err := f.store.Listen()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	s := settings.Defaults()
+	s.Node = settings.Node{Name: fmt.Sprintf("vm-%d", len(f.routers)+1), DataCentre: "dc"}
+	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0", Health: "127.0.0.1:0"}
+	s.Platform.Kind = settings.KindManaged
+	s.Platform.Address = address
+	s.Peers.TrustNetwork = true
+	s.Scheduling.HeartbeatEvery = settings.Duration(100 * time.Millisecond)
+	s.Scheduling.MemberTimeout = settings.Duration(time.Second)
+	s.Scheduling.LocalAfter = settings.Duration(100 * time.Millisecond)
+	r, err := router.Start(s, slog.New(slog.DiscardHandler))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(r.Close)
+	f.routers = append(f.routers, r)
+	f.settings = append(f.settings, s)
+	return r
+}
+
+func (f *fleet) waitReady(r *router.Router) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := r.WaitReady(ctx); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// configure publishes the next version, after edit has changed it.
+func (f *fleet) configure(edit func(*wire.Config)) {
+	f.version += 3 // versions rise in uneven steps
+	route := func(name, prefix, kind, service string) wire.Route {
+		return wire.Route{
+			Name: name, Host: host, Prefix: prefix, Kind: kind, Service: service,
+			Timeout: 10_000, Objective: 1000, EventPause: 1000, Attempts: 2,
+		}
+	}
+	gen := route("gen", "/gen/", wire.Stream, "gen")
+	gen.Resumable = true
+	c := wire.Config{
+		Version: f.version,
+		Routes: []wire.Route{
+			route("ops", "/ops/", wire.NonIdempotent, "ops"),
+			route("safe", "/safe/", wire.Idempotent, "ops"),
+			gen,
+		},
+		Services: []wire.Service{{Name: "ops"}, {Name: "gen", Engine: &wire.Engine{Slots: 8, MemoryTokens: 100_000, EventTokens: 1}}},
+		Limits:   wire.Limits{TokensPerSecond: 1_000_000},
+		Tenants:  []wire.Tenant{{Name: "bakery", Keys: []string{key}}},
+	}
+	if edit != nil {
+		edit(&c)
+	}
+	f.store.Put(wire.TableOperator, wire.KeyConfig, c)
+}
+
+// answer is what a caller got.
+type answer struct {
+	id     string
+	status int
+	body   string
+	// whole says that the answer ended as it was framed.
+	whole  bool
+	header http.Header
+}
+
+// newID returns an id for a request.
+func (f *fleet) newID() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.requests++
+	return fmt.Sprintf("request-%d", f.requests)
+}
+
+// send sends a request to a router and reads its answer.
+func (f *fleet) send(r *router.Router, path string) answer {
+	return f.sendWith(context.Background(), r, path, key)
+}
+
+func (f *fleet) sendWith(ctx context.Context, r *router.Router, path, withKey string) answer {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	got := answer{id: f.newID()}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.CallersAddress()+path, strings.NewReader("body"))
+	if err != nil {
+		f.t.Error(err)
+		return got
+	}
+	request.Host = host
+	request.Header.Set(wire.HeaderRequestID, got.id)
+	request.Header.Set(wire.HeaderKey, withKey)
+	request.Header.Set(wire.HeaderDeadline, "8000")
+	request.Header.Set(wire.HeaderTokens, "100,50")
+	request.Header.Set(wire.HeaderParts, "a1:80,"+fmt.Sprintf("%x", len(got.id))+":20")
+	response, err := f.client.Do(request)
+	if err != nil {
+		return got
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	got.status, got.body, got.whole, got.header = response.StatusCode, string(body), err == nil, response.Header
+	return got
+}
+
+// eventually waits until a condition holds.
+func (f *fleet) eventually(within time.Duration, what string, holds func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	f.t.Errorf("not within %s: %s", within, what)
+}
+
+// wholeStream is the body of a stream that lacks nothing and has nothing twice.
+func wholeStream(id string) string {
+	var b strings.Builder
+	for n := 1; n <= events; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s-%d\n\n", n, id, n)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/managedtest/managed_test.go
@@ -0,0 +1,224 @@
+package managedtest
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/platform/wire"
+	"github.com/walnutcove/walnutcove/standin/managed"
+)
+
+func ops(id string) managed.ReplicaOptions {
+	return managed.ReplicaOptions{ID: id, Service: "ops", Slots: 4, Pause: 5 * time.Millisecond}
+}
+
+func gen(id string) managed.ReplicaOptions {
+	return managed.ReplicaOptions{ID: id, Service: "gen", Slots: 8, Events: events, Pause: 5 * time.Millisecond}
+}
+
+// TestMixedRequests: every caller gets the whole answer to its own request, each
+// with its seal, and what may not be repeated runs once.
+func TestMixedRequests(t *testing.T) {
+	f := startFleet(t, 3, ops("o1"), ops("o2"), gen("g1"), gen("g2"))
+	paths := []string{pathOps, pathSafe, pathGen}
+	var callers sync.WaitGroup
+	for n := range 300 {
+		callers.Go(func() {
+			path := paths[n%len(paths)]
+			got := f.send(f.routers[n%len(f.routers)], path)
+			want := "done " + got.id
+			if path == pathGen {
+				want = wholeStream(got.id)
+			}
+			switch {
+			case got.status == http.StatusServiceUnavailable:
+				if runs := f.journal.Runs(got.id); len(runs) != 0 {
+					t.Errorf("%s was told that it did not run, and ran at %s", got.id, runs[0].Replica)
+				}
+				return
+			case got.status != http.StatusOK || !got.whole || got.body != want:
+				t.Errorf("%s: status %d, whole %v, %q", path, got.status, got.whole, got.body)
+			case got.header.Get(wire.HeaderSeal) == "":
+				t.Errorf("%s has no seal", got.id)
+			}
+			if runs := f.journal.Runs(got.id); len(runs) != 1 || runs[0].Workspace != "bakery" {
+				t.Errorf("%s ran %d times: %+v", got.id, len(runs), runs)
+			}
+		})
+	}
+	callers.Wait()
+}
+
+// TestBrokenStreamGoesOnElsewhere: a stream whose replica breaks off in the middle
+// of an event goes on at another one, without a gap, a repetition or a torn event.
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	breaking := gen("breaks")
+	breaking.BreakAfter = 3
+	f := startFleet(t, 2, breaking, gen("sound"))
+	resumed := 0
+	for range 20 {
+		got := f.send(f.routers[0], pathGen)
+		if got.status != http.StatusOK || !got.whole || got.body != wholeStream(got.id) {
+			t.Fatalf("status %d, whole %v:\n%s", got.status, got.whole, got.body)
+		}
+		if runs := f.journal.Runs(got.id); len(runs) == 2 && runs[1].AfterEvent == "3" {
+			resumed++
+		}
+	}
+	if resumed == 0 {
+		t.Error("no stream met the replica that breaks off")
+	}
+}
+
+// TestVersionsComeIntoForce: keys that are taken away are refused, and new routes
+// served, at every router soon after the version was written.
+func TestVersionsComeIntoForce(t *testing.T) {
+	f := startFleet(t, 3, ops("o1"), ops("o2"))
+	f.configure(func(c *wire.Config) {
+		c.Tenants[0].Keys = []string{"another"}
+		c.Routes = append(c.Routes, wire.Route{Name: "new", Host: host, Prefix: "/new/", Kind: wire.Idempotent, Service: "ops", Public: true})
+	})
+	for n, r := range f.routers {
+		f.eventually(2*time.Second, "the version is in force at router "+strconv.Itoa(n), func() bool {
+			return f.send(r, pathOps).status == http.StatusUnauthorized && f.send(r, "/new/x").status == http.StatusOK
+		})
+		if got := f.send(r, "/nowhere/x"); got.status != http.StatusNotFound {
+			t.Errorf("unknown path: status %d", got.status)
+		}
+	}
+}
+
+// TestTurnedAwayRouterKeepsUp: a router that the store turns away learns of keys
+// taken away and of replicas that leave by its peers.
+func TestTurnedAwayRouterKeepsUp(t *testing.T) {
+	f := startFleet(t, 3, ops("o1"), ops("o2"))
+	f.store.SetFaultAt(f.settings[0].Platform.Address, managed.Refusing)
+	f.configure(func(c *wire.Config) { c.Tenants[0].Keys = []string{"another"} })
+	cut := f.routers[0]
+	f.eventually(3*time.Second, "a router that is turned away refuses a key taken away", func() bool {
+		return f.send(cut, pathOps).status == http.StatusUnauthorized
+	})
+}
+
+// TestLeavingReplicaGetsNothing: soon after a replica told that it leaves, or was
+// taken off the list, no router sends it anything.
+func TestLeavingReplicaGetsNothing(t *testing.T) {
+	f := startFleet(t, 3, ops("o1"))
+	leaving := f.replica(ops("o2"))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var callers sync.WaitGroup
+	for _, r := range f.routers {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				f.sendWith(ctx, r, pathSafe, key)
+			}
+		})
+	}
+	f.eventually(patience, "the second replica is used", func() bool {
+		for _, run := range f.journal.Runs("") {
+			if run.Replica == "o2" {
+				return true
+			}
+		}
+		return false
+	})
+	leaving.Leave()
+	time.Sleep(1500 * time.Millisecond)
+	cancel()
+	callers.Wait()
+	for _, run := range f.journal.Runs("") {
+		if run.Left > time.Second {
+			t.Fatalf("%s reached the replica %s after it told that it leaves", run.ID, run.Left)
+		}
+	}
+}
+
+// TestOutageOfTheStore: requests are served while the store is silent, and a router
+// that starts meanwhile has its configuration soon after the store's return.
+func TestOutageOfTheStore(t *testing.T) {
+	f := startFleet(t, 2, ops("o1"))
+	f.store.SetFault(managed.Silent)
+	for _, r := range f.routers {
+		if got := f.send(r, pathSafe); got.status != http.StatusOK {
+			t.Errorf("status %d while the store is silent", got.status)
+		}
+	}
+	late := f.router()
+	if got := f.send(late, pathSafe); got.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d without a configuration", got.status)
+	}
+	f.store.SetFault(managed.Healthy)
+	f.eventually(3*time.Second, "the late router serves", func() bool { return f.send(late, pathSafe).status == http.StatusOK })
+}
+
+// TestForgottenHistory: a feed whose history is gone is loaded anew.
+func TestForgottenHistory(t *testing.T) {
+	f := startFleet(t, 2, ops("o1"))
+	f.store.SetFault(managed.Forgetful)
+	f.configure(func(c *wire.Config) { c.Tenants[0].Keys = []string{"another"} })
+	f.eventually(3*time.Second, "the version is in force", func() bool {
+		return f.send(f.routers[0], pathOps).status == http.StatusUnauthorized
+	})
+	f.store.SetFault(managed.Healthy)
+}
+
+// TestCallersThatLeaveEndTheirRuns: the run of a stream ends within half a second
+// of its caller's leaving.
+func TestCallersThatLeaveEndTheirRuns(t *testing.T) {
+	slow := gen("g1")
+	slow.Pause = 100 * time.Millisecond
+	f := startFleet(t, 2, slow)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(250*time.Millisecond, cancel)
+	got := f.sendWith(ctx, f.routers[0], pathGen, key)
+	if got.whole {
+		t.Fatal("the stream ended before its caller left")
+	}
+	f.eventually(500*time.Millisecond, "the run is cancelled", func() bool {
+		runs := f.journal.Runs(got.id)
+		return len(runs) == 1 && runs[0].Cancelled
+	})
+}
+
+// TestQuietRouterMakesFewCalls: with nothing changing, a router waits for changes
+// and makes no other calls.
+func TestQuietRouterMakesFewCalls(t *testing.T) {
+	f := startFleet(t, 3, ops("o1"))
+	time.Sleep(time.Second) // the routers find each other
+	calls := func() int {
+		return f.store.Calls(wire.PathRead) + f.store.Calls(wire.PathChanges) + f.store.Calls(wire.PathTransact)
+	}
+	before := calls()
+	time.Sleep(2 * time.Second)
+	if made := calls() - before; made > 0 {
+		t.Errorf("%d calls in 2 s of quiet", made)
+	}
+}
+
+// TestGracefulShutdownCutsNothing: streams in progress at a router that shuts down
+// end whole.
+func TestGracefulShutdownCutsNothing(t *testing.T) {
+	slow := gen("g1")
+	slow.Pause = 60 * time.Millisecond
+	f := startFleet(t, 2, slow)
+	var callers sync.WaitGroup
+	for range 6 {
+		callers.Go(func() {
+			if got := f.send(f.routers[0], pathGen); got.status != http.StatusOK || !got.whole || got.body != wholeStream(got.id) {
+				t.Errorf("status %d, whole %v: %q", got.status, got.whole, got.body)
+			}
+		})
+	}
+	f.eventually(patience, "the streams run", func() bool { return len(f.journal.Runs("")) == 6 })
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := f.routers[0].Shutdown(ctx); err != nil {
+		t.Error(err)
+	}
+	callers.Wait()
+}
--- /dev/null
+++ b/standin/managed/replica.go
@@ -0,0 +1,200 @@
+package managed
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/walnutcove/walnutcove/platform/wire"
+)
+
+// Run is one request that a replica began to work on.
+type Run struct {
+	// ID is the request's id, and Replica the incarnation that ran it.
+	ID, Replica string
+	// Workspace and AfterEvent are what the replica was told.
+	Workspace, AfterEvent string
+	// Leaving says that the replica had told that it leaves, Left ago.
+	Left time.Duration
+	// Cancelled is set if the connection closed before the answer was whole.
+	Cancelled bool
+}
+
+// Journal notes the runs of all replicas. It is safe for concurrent use.
+type Journal struct {
+	mu   sync.Mutex
+	runs []*Run
+}
+
+func (j *Journal) add(run *Run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.runs = append(j.runs, run)
+}
+
+// Runs returns the runs of a request; of all, if id is empty.
+func (j *Journal) Runs(id string) []Run {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var found []Run
+	for _, run := range j.runs {
+		if id == "" || run.ID == id {
+			found = append(found, *run)
+		}
+	}
+	return found
+}
+
+// ReplicaOptions configure a replica.
+type ReplicaOptions struct {
+	// ID and Service name it.
+	ID, Service string
+	// Slots is how many requests run at once; more are refused.
+	Slots int
+	// Events is how many events a stream has, and Pause the time between two. Zero
+	// events: answers are whole, after Pause.
+	Events int
+	Pause  time.Duration
+	// BreakAfter breaks each connection off after so many events of a stream that
+	// begins at its first event, in the middle of the next one; zero: never.
+	BreakAfter int
+}
+
+// Replica answers requests. Create it with StartReplica.
+type Replica struct {
+	options  ReplicaOptions
+	journal  *Journal
+	store    *Store
+	listener net.Listener
+	http     *fasthttp.Server
+
+	mu      sync.Mutex
+	running int
+	leftAt  time.Time
+}
+
+// StartReplica starts a replica on loopback and registers it in the store.
+func StartReplica(store *Store, journal *Journal, options ReplicaOptions) (*Replica, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Replica{options: options, journal: journal, store: store, listener: listener}
+	r.http = &fasthttp.Server{Handler: r.serve, NoDefaultServerHeader: true}
+	go func() { _ = r.http.Serve(listener) }() // ends with Close
+	r.register("ready")
+	return r, nil
+}
+
+func (r *Replica) register(state string) {
+	r.store.Put(wire.TableReplicas, r.options.ID, wire.Replica{
+		Service: r.options.Service,
+		Address: r.listener.Addr().String(),
+		Zone:    "dc",
+		Slots:   r.options.Slots,
+		State:   state,
+	})
+}
+
+// Leave tells that the replica leaves. It goes on serving.
+func (r *Replica) Leave() {
+	r.mu.Lock()
+	r.leftAt = time.Now()
+	r.mu.Unlock()
+	r.register(wire.StateDraining)
+}
+
+// Close ends the replica and takes it off the list.
+func (r *Replica) Close() {
+	r.store.Drop(wire.TableReplicas, r.options.ID)
+	_ = r.listener.Close()
+}
+
+func (r *Replica) serve(ctx *fasthttp.RequestCtx) {
+	header := &ctx.Request.Header
+	id := string(header.Peek(wire.HeaderRequestID))
+	ctx.Response.Header.Set(wire.HeaderRequestID, id)
+	if expected := string(header.Peek(wire.HeaderTarget)); expected != "" && expected != r.options.ID {
+		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
+		return
+	}
+	if !r.begin() {
+		ctx.Response.Header.Set(wire.HeaderNotRun, "1")
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	run := &Run{
+		ID:         id,
+		Replica:    r.options.ID,
+		Workspace:  string(header.Peek(wire.HeaderWorkspace)),
+		AfterEvent: string(header.Peek(wire.HeaderAfterEvent)),
+		Left:       r.left(),
+	}
+	r.journal.add(run)
+	ctx.Response.Header.Set(wire.HeaderSeal, "seal-"+r.options.ID)
+	if r.options.Events == 0 {
+		time.Sleep(r.options.Pause)
+		r.end()
+		ctx.SetBodyString("done " + id)
+		return
+	}
+	ctx.SetContentType("text/event-stream")
+	first, _ := strconv.Atoi(run.AfterEvent) // none: from the beginning
+	ctx.Response.ImmediateHeaderFlush = true
+	conn := ctx.Conn()
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer r.end()
+		r.stream(w, conn, run, first)
+	})
+}
+
+// stream writes the events behind the given one.
+func (r *Replica) stream(w *bufio.Writer, conn net.Conn, run *Run, after int) {
+	for n := after + 1; n <= r.options.Events; n++ {
+		time.Sleep(r.options.Pause)
+		if r.options.BreakAfter > 0 && after == 0 && n > r.options.BreakAfter {
+			fmt.Fprintf(w, "id: %d\nda", n)
+			_ = w.Flush()
+			_ = conn.Close()
+			return
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", n, run.ID, n)
+		if err := w.Flush(); err != nil {
+			r.journal.mu.Lock()
+			run.Cancelled = true
+			r.journal.mu.Unlock()
+			return
+		}
+	}
+}
+
+func (r *Replica) begin() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running >= r.options.Slots {
+		return false
+	}
+	r.running++
+	return true
+}
+
+func (r *Replica) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+}
+
+// left is how long ago the replica told that it leaves; zero if it did not.
+func (r *Replica) left() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leftAt.IsZero() {
+		return 0
+	}
+	return time.Since(r.leftAt)
+}
--- /dev/null
+++ b/standin/managed/store.go
@@ -0,0 +1,274 @@
+// Package managed stands in for a managed platform: its row store, which operators
+// write to and replicas register in, and its replicas. Tests switch faults on.
+package managed
+
+import (
+	"encoding/json"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/walnutcove/walnutcove/platform/wire"
+)
+
+// Fault is how the store treats a caller.
+type Fault int
+
+// The faults.
+const (
+	// Healthy: calls are answered.
+	Healthy Fault = iota
+	// Refusing: calls get 503 and do nothing.
+	Refusing
+	// Silent: calls get no answer.
+	Silent
+	// Forgetful: feeds get 410, as their history is gone.
+	Forgetful
+)
+
+// Store is the row store. Create it with StartStore.
+type Store struct {
+	listeners []net.Listener
+	http      *fasthttp.Server
+	ended    chan struct{}
+
+	mu       sync.Mutex
+	rows     map[rowKey]wire.Row
+	revision uint64
+	changed  chan struct{}
+	// faults holds what happens to callers by the address that they call; fault is
+	// for all others.
+	fault  Fault
+	faults map[string]Fault
+	calls  map[string]int
+}
+
+type rowKey struct{ table, key string }
+
+// StartStore starts a store. It listens where Listen is called.
+func StartStore() *Store {
+	s := &Store{
+		ended:   make(chan struct{}),
+		rows:    make(map[rowKey]wire.Row),
+		changed: make(chan struct{}),
+		faults:  make(map[string]Fault),
+		calls:   make(map[string]int),
+	}
+	s.http = &fasthttp.Server{Handler: s.serve, CloseOnShutdown: true}
+	return s
+}
+
+// Listen opens one more "ip:port" on loopback, so that callers may be given
+// addresses, and faults, of their own.
+func (s *Store) Listen() (string, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	s.listeners = append(s.listeners, listener)
+	s.mu.Unlock()
+	go func() { _ = s.http.Serve(listener) }() // ends with Close
+	return listener.Addr().String(), nil
+}
+
+// Close ends the store.
+func (s *Store) Close() {
+	close(s.ended)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, listener := range s.listeners {
+		_ = listener.Close()
+	}
+}
+
+// SetFault sets what happens to all callers without a fault of their own.
+func (s *Store) SetFault(fault Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+	s.wake()
+}
+
+// SetFaultAt sets what happens to those who call an address.
+func (s *Store) SetFaultAt(address string, fault Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults[address] = fault
+	s.wake()
+}
+
+// Calls returns how often a call was made.
+func (s *Store) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+// Put writes a row, as operators and replicas do.
+func (s *Store) Put(table, key string, content any) {
+	data, err := json.Marshal(content)
+	if err != nil {
+		panic(err) // the stand-in's own types always encode
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.put(wire.Row{Table: table, Key: key, Data: data})
+	s.wake()
+}
+
+// Drop removes a row.
+func (s *Store) Drop(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.put(wire.Row{Table: table, Key: key, Removed: true})
+	s.wake()
+}
+
+// put needs s.mu.
+func (s *Store) put(row wire.Row) {
+	row.Revision = s.revision
+	s.rows[rowKey{row.Table, row.Key}] = row
+}
+
+// wake needs s.mu.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) serve(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch s.faultFor(ctx, path) {
+	case Refusing:
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	case Silent:
+		<-s.ended
+		return
+	case Forgetful:
+		if path == wire.PathChanges {
+			ctx.SetStatusCode(fasthttp.StatusGone)
+			return
+		}
+	}
+	switch path {
+	case wire.PathRead:
+		s.answer(ctx, s.read(string(ctx.QueryArgs().Peek(wire.ParamTable)), 0))
+	case wire.PathChanges:
+		s.follow(ctx)
+	case wire.PathTransact:
+		s.transact(ctx)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+// faultFor counts a call and returns its caller's fault.
+func (s *Store) faultFor(ctx *fasthttp.RequestCtx, path string) Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[path]++
+	if fault, own := s.faults[ctx.LocalAddr().String()]; own {
+		return fault
+	}
+	return s.fault
+}
+
+func (s *Store) answer(ctx *fasthttp.RequestCtx, content any) {
+	encoded, err := json.Marshal(content)
+	if err != nil {
+		panic(err) // the stand-in's own types always encode
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(encoded)
+}
+
+// read returns the rows of a table changed after a revision; with revision zero
+// those that exist.
+func (s *Store) read(table string, after uint64) wire.RowsAnswer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer := wire.RowsAnswer{Revision: s.revision}
+	for key, row := range s.rows {
+		if key.table != table || row.Revision <= after || after == 0 && row.Removed {
+			continue
+		}
+		answer.Rows = append(answer.Rows, row)
+	}
+	slices.SortFunc(answer.Rows, func(a, b wire.Row) int { return strings.Compare(a.Key, b.Key) })
+	return answer
+}
+
+// follow answers as soon as there is a change, or when the wait is over.
+func (s *Store) follow(ctx *fasthttp.RequestCtx) {
+	query := ctx.QueryArgs()
+	table := string(query.Peek(wire.ParamTable))
+	after, err := strconv.ParseUint(string(query.Peek(wire.ParamAfter)), 10, 64)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	wait := time.NewTimer(time.Duration(query.GetUintOrZero(wire.ParamWait)) * time.Millisecond)
+	defer wait.Stop()
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		s.mu.Unlock()
+		// Revision zero would read what exists; nothing is older than revision 1.
+		answer := s.read(table, max(after, 1))
+		if len(answer.Rows) > 0 {
+			s.answer(ctx, answer)
+			return
+		}
+		select {
+		case <-changed:
+			if s.faultFor(ctx, "") != Healthy {
+				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+				return
+			}
+		case <-wait.C:
+			s.answer(ctx, answer)
+			return
+		case <-s.ended:
+			return
+		}
+	}
+}
+
+func (s *Store) transact(ctx *fasthttp.RequestCtx) {
+	var change wire.Transaction
+	if err := json.Unmarshal(ctx.PostBody(), &change); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, expected := range change.Conditions {
+		row := s.rows[rowKey{expected.Table, expected.Key}]
+		if row.Removed {
+			row.Revision = 0
+		}
+		if row.Revision != expected.Revision {
+			ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
+			return
+		}
+	}
+	s.revision++
+	for _, row := range change.Writes {
+		s.put(row)
+	}
+	for _, row := range change.Removals {
+		row.Removed = true
+		s.put(row)
+	}
+	s.wake()
+	s.answer(ctx, wire.RowsAnswer{Revision: s.revision})
+}
