Follow what engines keep of prompts

Done: target/cachewatch lists each engine scheduled here once and then asks each second for what changed, waiting for it; the model takes it in, but for what was granted in the last 2 s.

--- a/control/events.go
+++ b/control/events.go
@@ -148,6 +148,14 @@
 // TargetUnreachable says that a load poll or a connection to a target failed.
 type TargetUnreachable struct{ Target string }
 
+// TargetKept tells what a target keeps of prompts: the parts that changed, or all if
+// Whole, with the tokens that are kept now. It lags, and some news are lost.
+type TargetKept struct {
+	Target string
+	Whole  bool
+	Parts  []PromptPart
+}
+
 // DrainStarted says that this node is leaving: shards are handed over and no
 // new request is taken.
 type DrainStarted struct{}
@@ -165,5 +173,6 @@
 func (MembersListed) isEvent()     {}
 func (TargetLoad) isEvent()        {}
 func (TargetUnreachable) isEvent() {}
+func (TargetKept) isEvent()        {}
 func (DrainStarted) isEvent()      {}
 func (Tick) isEvent()              {}
--- a/control/machine.go
+++ b/control/machine.go
@@ -140,6 +140,8 @@
 		m.targetLoad(ev)
 	case TargetUnreachable:
 		m.targetUnreachable(ev)
+	case TargetKept:
+		m.targetKept(ev)
 	case DrainStarted:
 		m.drainStarted()
 	case Tick:
--- a/control/place.go
+++ b/control/place.go
@@ -73,11 +73,9 @@
 // taskOf is a ticket's work as engines see it.
 func taskOf(work Work) sched.EngineTask {
 	task := sched.EngineTask{PromptTokens: work.PromptTokens, OutputTokens: work.OutputTokens}
-	beginning := uint64(0)
 	total := 0
 	for _, part := range work.Parts {
-		beginning = member.Score(part.ID, beginning+1)
-		task.Parts = append(task.Parts, sched.EnginePart{Beginning: beginning, Tokens: part.Tokens})
+		task.Parts = append(task.Parts, sched.EnginePart{ID: part.ID, Tokens: part.Tokens})
 		total += part.Tokens
 	}
 	task.PromptTokens = max(task.PromptTokens, total)
@@ -248,11 +246,11 @@
 	if len(task.Parts) < 2 || keeper != nil {
 		return nil
 	}
-	last := task.Parts[len(task.Parts)-2].Beginning
+	last := task.Parts[len(task.Parts)-2].ID
 	var home *target
 	var highest uint64
 	for _, c := range all {
-		score := member.Score(c.target.hash, last)
+		score := member.Score(c.target.hash, mix(last))
 		if !c.target.leaving && (home == nil || score > highest) {
 			home, highest = c.target, score
 		}
@@ -260,6 +258,9 @@
 	return home
 }
 
+// mix spreads the ids of parts, which may be small numbers.
+func mix(id uint64) uint64 { return member.Score(id, id+1) }
+
 // latestStart is when a ticket's answer could no longer begin in time even at an
 // idle target: waiting longer is in vain. A request that no target can ever serve
 // in time may wait for as long as its objective.
@@ -314,3 +315,16 @@
 	g.target.engine.Begun(m.now, g.work, after)
 	m.grantAll(g.shard)
 }
+
+// targetKept takes in what a target says that it keeps.
+func (m *Machine) targetKept(ev TargetKept) {
+	t := m.targetHere(ev.Target)
+	if t == nil || t.engine == nil {
+		return
+	}
+	parts := make([]sched.EnginePart, 0, len(ev.Parts))
+	for _, part := range ev.Parts {
+		parts = append(parts, sched.EnginePart{ID: part.ID, Tokens: part.Tokens})
+	}
+	t.engine.Tell(m.now, ev.Whole, parts)
+}
--- a/control/sched/engine.go
+++ b/control/sched/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"math"
 	"time"
 )
 
@@ -31,18 +32,17 @@
 
 // EngineTask is a request as its targets have to work on it.
 type EngineTask struct {
-	// Parts name the beginnings of the prompt, shortest first, with the tokens
-	// that each adds to the one before.
+	// Parts are the parts of the prompt in order.
 	Parts []EnginePart
 	// PromptTokens and OutputTokens are the lengths of the prompt and the answer.
 	PromptTokens, OutputTokens int
 }
 
-// EnginePart is one beginning of a prompt.
+// EnginePart is one part of a prompt. A target needs not read it again if it keeps
+// it and all parts before it.
 type EnginePart struct {
-	// Beginning names the part together with all parts before it.
-	Beginning uint64
-	Tokens    int
+	ID     uint64
+	Tokens int
 }
 
 // shared returns the tokens that other requests may have in common with this
@@ -111,12 +111,13 @@
 func (e *Engine) Reads(task EngineTask) (all, shared int) {
 	saved := 0
 	for i, part := range task.Parts {
-		if !e.kept.has(part.Beginning) {
-			break
-		}
-		saved += part.Tokens
+		kept := min(part.Tokens, e.kept.tokensOf(part.ID))
+		saved += kept
 		if i+1 < len(task.Parts) {
-			shared += part.Tokens
+			shared += kept
+		}
+		if kept < part.Tokens {
+			break
 		}
 	}
 	return max(1, task.PromptTokens-saved), task.shared() - shared
@@ -172,7 +173,7 @@
 	e.backlog += reads
 	e.running++
 	e.held += run.holds
-	e.kept.use(task.Parts)
+	e.kept.use(now, task.Parts)
 	return run
 }
 
@@ -235,46 +236,97 @@
 	}
 }
 
-// keptParts guesses which beginnings of prompts a target keeps: the most
-// recently used ones, as far as its memory reaches.
+// Tell takes in what the target says that it keeps: the parts that changed, or all
+// if whole. What was granted of late may not be read yet, and is left as it is.
+func (e *Engine) Tell(now time.Duration, whole bool, parts []EnginePart) {
+	if whole {
+		e.kept.forgetBefore(now - freshGrant)
+	}
+	for _, part := range parts {
+		e.kept.set(now, part)
+	}
+}
+
+// freshGrant is how long after a grant its prompt may not be read, or not be told
+// of yet: targets tell some hundred milliseconds late.
+const freshGrant = 2 * time.Second
+
+// keptParts guesses which parts of prompts a target keeps: what was granted and
+// what it told, the most recently used ones, as far as its memory reaches.
 type keptParts struct {
 	capacity int64
 	tokens   int64
 	order    *list.List // of keptPart, most recently used first
-	byName   map[uint64]*list.Element
+	byID     map[uint64]*list.Element
 }
 
 type keptPart struct {
-	beginning uint64
-	tokens    int
+	EnginePart
+	// usedAt is when a prompt with it was last granted.
+	usedAt time.Duration
 }
 
+// neverUsed is when a part was granted that the target alone told of.
+const neverUsed = time.Duration(math.MinInt64)
+
 func newKeptParts(capacity int64) keptParts {
-	return keptParts{capacity: capacity, order: list.New(), byName: make(map[uint64]*list.Element)}
+	return keptParts{capacity: capacity, order: list.New(), byID: make(map[uint64]*list.Element)}
 }
 
-func (k *keptParts) has(beginning uint64) bool { return k.byName[beginning] != nil }
+func (k *keptParts) tokensOf(id uint64) int {
+	if element := k.byID[id]; element != nil {
+		return element.Value.(keptPart).Tokens
+	}
+	return 0
+}
 
 // use notes that a prompt with these parts is read or was found kept. The last
 // parts yield first: nothing of a prompt is kept without what stands before it.
-func (k *keptParts) use(parts []EnginePart) {
+func (k *keptParts) use(now time.Duration, parts []EnginePart) {
 	for i := len(parts) - 1; i >= 0; i-- {
-		k.touch(parts[i])
+		k.remove(parts[i].ID)
+		k.add(keptPart{EnginePart: parts[i], usedAt: now})
 	}
 	for k.capacity > 0 && k.tokens > k.capacity {
-		oldest := k.order.Back()
-		part := oldest.Value.(keptPart)
-		k.order.Remove(oldest)
-		delete(k.byName, part.beginning)
-		k.tokens -= int64(part.tokens)
+		k.remove(k.order.Back().Value.(keptPart).ID)
 	}
 }
 
-func (k *keptParts) touch(part EnginePart) {
-	if element := k.byName[part.Beginning]; element != nil {
-		k.order.MoveToFront(element)
-		return
+// set takes in how much of a part is kept, unless it was granted just now.
+func (k *keptParts) set(now time.Duration, part EnginePart) {
+	usedAt := neverUsed
+	if element := k.byID[part.ID]; element != nil {
+		usedAt = element.Value.(keptPart).usedAt
+		if usedAt > now-freshGrant {
+			return
+		}
 	}
-	k.byName[part.Beginning] = k.order.PushFront(keptPart{beginning: part.Beginning, tokens: part.Tokens})
+	k.remove(part.ID)
+	if part.Tokens > 0 {
+		k.add(keptPart{EnginePart: part, usedAt: usedAt})
+	}
+}
+
+func (k *keptParts) add(part keptPart) {
+	k.byID[part.ID] = k.order.PushFront(part)
 	k.tokens += int64(part.Tokens)
 }
+
+func (k *keptParts) remove(id uint64) {
+	element := k.byID[id]
+	if element == nil {
+		return
+	}
+	k.tokens -= int64(element.Value.(keptPart).Tokens)
+	k.order.Remove(element)
+	delete(k.byID, id)
+}
+
+// forgetBefore forgets all parts that were not granted since a time.
+func (k *keptParts) forgetBefore(since time.Duration) {
+	for id, element := range k.byID {
+		if element.Value.(keptPart).usedAt < since {
+			k.remove(id)
+		}
+	}
+}
--- a/router/managed.go
+++ b/router/managed.go
@@ -15,6 +15,7 @@
 	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/store"
+	"github.com/walnutcove/walnutcove/target/cachewatch"
 )
 
 const (
@@ -50,6 +51,8 @@
 	directory *directory.Follower
 	// strangers gets a token when a router that is not listed turned up.
 	strangers chan struct{}
+	// caches follows what the targets that are scheduled here keep of prompts.
+	caches *cachewatch.Watcher
 	// overload says when this router asks for no new connections.
 	overload *overload
 	// fetching says that the directory is being fetched from a peer.
@@ -192,6 +195,29 @@
 	return r.directory.Import(string(node), encoded)
 }
 
+// watchCaches follows the targets scheduled here that count in tokens.
+func (r *Router) watchCaches() {
+	r.watched.mu.Lock()
+	defer r.watched.mu.Unlock()
+	snapshot := r.inForce.Load()
+	if snapshot == nil {
+		return
+	}
+	addresses := make(map[string]string)
+	for _, name := range r.watched.names {
+		declared, known := snapshot.Declarations.Targets[name]
+		if known && !declared.Leaving && snapshot.Declarations.Pools[declared.Pool].Tokens != nil {
+			addresses[name] = declared.Address
+		}
+	}
+	r.caches.SetTargets(addresses)
+}
+
+// targetKept hands what a target keeps to the control goroutine.
+func (r *Router) targetKept(name string, whole bool, parts []control.PromptPart) {
+	r.loop.post(control.TargetKept{Target: name, Whole: whole, Parts: parts})
+}
+
 // managedConfig is the configuration in force, for operators.
 func (b backend) managedConfig(known *config.Snapshot, version config.Version) (*config.Snapshot, error) {
 	if known == nil {
--- a/router/router.go
+++ b/router/router.go
@@ -219,6 +219,9 @@
 	r.poller.Close()
 	expired, cancel := context.WithCancel(context.Background())
 	cancel()
+	if r.managed != nil {
+		r.caches.Close()
+	}
 	if r.patched != nil {
 		r.orders.Close()
 		_ = r.records.Close(expired)
--- a/router/shell.go
+++ b/router/shell.go
@@ -36,7 +36,8 @@
 	r.watched.names = targets
 	r.watched.mu.Unlock()
 	if r.patched == nil {
-		return // answers tell the load, and polls have a price there
+		r.watchCaches() // answers tell the load, and polls have a price there
+		return
 	}
 	r.pollWatched()
 	r.orders.SetTargets(targets)
@@ -90,6 +91,8 @@
 	if r.patched != nil {
 		r.pollWatched()
 		r.orders.SetConfig(snapshot)
+	} else {
+		r.watchCaches()
 	}
 	r.log.Info("config: Version in force.", "version", uint64(snapshot.Version))
 }
--- a/router/start.go
+++ b/router/start.go
@@ -24,6 +24,7 @@
 	"github.com/walnutcove/walnutcove/settings"
 	"github.com/walnutcove/walnutcove/store"
 	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/target/cachewatch"
 	"github.com/walnutcove/walnutcove/target/loadpoll"
 )
 
@@ -217,6 +218,7 @@
 	options.Log = r.log
 	options.Dialect = r.dialect()
 	if r.managed != nil {
+		r.caches = cachewatch.New(platform.NewCaches(r.targets), r.targetKept, r.log)
 		options.Busy = r.overload.on.Load
 		r.front = front.New(options, r.routedPipeline())
 		return
--- a/target/exchange.go
+++ b/target/exchange.go
@@ -138,7 +138,7 @@
 		ex.drainRefusal(req, header)
 		return nil, refused.After(retryAfter(resp.Header))
 	}
-	if !ex.isSealed(resp) {
+	if req.ID != "" && !ex.isSealed(resp) {
 		return nil, ex.counters.fail(reasonUnsealed, result.TargetLostRequest, result.RanUnknown, errUnsealed)
 	}
 	resp.Body = newBody(ex, req.Method, header)
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -85,6 +85,19 @@
 	return resp, nil
 }
 
+// Ask makes a GET of the fleet's own to a target and returns its answer.
+func (c *HTTPClient) Ask(ctx context.Context, address, path string, header map[string]string) ([]byte, error) {
+	req := Request{Address: address, Method: fasthttp.MethodGet, Path: path, Header: header}
+	resp, body, err := c.callWhole(ctx, req, c.polls, maxLoadBytes)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Status != fasthttp.StatusOK {
+		return nil, &StatusError{What: path, Status: resp.Status}
+	}
+	return body, nil
+}
+
 // loadFrom polls the load report at a path.
 func (c *HTTPClient) loadFrom(ctx context.Context, address, path string) (Load, error) {
 	req := Request{Address: address, Method: fasthttp.MethodGet, Path: path}
