Count retries in the window that the fleet's budget is given for

Done: requests and retries of each pool are counted in a sliding window; one workspace may use half. The product's own platform keeps its bucket.

--- a/filters/retry/retry.go
+++ b/filters/retry/retry.go
@@ -42,17 +42,22 @@
 // Filter retries.
 type Filter struct {
 	log    *slog.Logger
-	budget *budget
+	budget interface {
+		// earn counts a request.
+		earn(pool, workspace string)
+		// spend takes one retry. It reports false if there is none.
+		spend(pool, workspace string) bool
+	}
 }
 
-// New returns a filter with a full budget. It logs each retry to log.
-func New(log *slog.Logger) *Filter {
-	return NewLimited(log, func() Limits { return Limits{Earned: earnedPerRequest, Saved: maxBudget} })
-}
+// New returns a filter with a full budget of this router's own. It logs each retry
+// to log.
+func New(log *slog.Logger) *Filter { return &Filter{log: log, budget: newBudget()} }
 
-// NewLimited is New with limits that are asked for at each use.
-func NewLimited(log *slog.Logger, limits func() Limits) *Filter {
-	return &Filter{log: log, budget: newBudget(limits)}
+// NewWindowed returns a filter whose retries are bounded by rules, which are asked
+// for at each use.
+func NewWindowed(log *slog.Logger, rules func() Rules) *Filter {
+	return &Filter{log: log, budget: newWindowed(rules, time.Now)}
 }
 
 // Name implements pipeline.Filter.
--- a/router/routed.go
+++ b/router/routed.go
@@ -24,7 +24,7 @@
 // its own, and is sent again only if it surely did not run.
 func (r *Router) routedPipeline() pipeline.Handler {
 	limits := r.settings.Limits
-	retries := retry.NewLimited(r.log, r.retryLimits)
+	retries := retry.NewWindowed(r.log, r.retryRules)
 	slots := &grant.Filter{Source: &grants{loop: r.loop, inForce: r.InForce}, Log: r.log}
 	answers := &answers{
 		events: &events.Relay{Log: r.log},
@@ -50,12 +50,16 @@
 // and go, and each counts the others with a delay.
 const safePart = 0.8
 
-// retryLimits is this router's part of the fleet's retry budget: what requests
-// earn counts where they entered, the slack is shared alike.
-func (r *Router) retryLimits() retry.Limits {
+// retryRules is this router's part of the fleet's retry budget: what requests earn
+// counts where they entered, the slack is shared alike.
+func (r *Router) retryRules() retry.Rules {
 	limits := r.retries.Load()
 	members := max(1, r.members.Load())
-	return retry.Limits{Earned: safePart * limits.Ratio, Saved: safePart * limits.Slack / float64(members)}
+	return retry.Rules{
+		Ratio:  safePart * limits.Ratio,
+		Slack:  safePart * limits.Slack / float64(members),
+		Window: time.Duration(limits.Window),
+	}
 }
 
 // serving is the state of a router that takes requests until it is closed: one
