--- a/managedtest/managed_test.go
+++ b/managedtest/managed_test.go
@@ -225,3 +225,45 @@
 	}
 	callers.Wait()
 }
+
+// TestLostAnswers: a run whose answer is lost is repeated only if it may be, and is
+// never called "not run".
+func TestLostAnswers(t *testing.T) {
+	losing := ops("loses")
+	losing.LoseAnswers = true
+	f := startFleet(t, 2, losing, ops("sound"))
+	lost, repeated := 0, 0
+	// A replica that fails is passed over for a while, so it gets a few of them only.
+	for end := time.Now().Add(patience); (lost == 0 || repeated == 0) && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		got := f.send(f.routers[0], pathOps)
+		runs := f.journal.Runs(got.id)
+		switch {
+		case len(runs) > 1:
+			t.Errorf("%s ran %d times", got.id, len(runs))
+		case got.status == http.StatusServiceUnavailable && len(runs) != 0:
+			t.Errorf("%s was told that it did not run, and ran", got.id)
+		case got.status == http.StatusBadGateway:
+			lost++
+		}
+		safe := f.send(f.routers[0], pathSafe)
+		if safeRuns := f.journal.Runs(safe.id); len(safeRuns) == 2 && safe.status == http.StatusOK {
+			repeated++
+		}
+	}
+	if lost == 0 || repeated == 0 {
+		t.Errorf("%d answers lost, %d requests repeated", lost, repeated)
+	}
+}
+
+// TestUnsealedSuccessIsNotPassedOn: a success that is not marked as the replica's own
+// is not given to the caller as one.
+func TestUnsealedSuccessIsNotPassedOn(t *testing.T) {
+	forging := ops("forges")
+	forging.Unsealed = true
+	f := startFleet(t, 1, forging)
+	for _, path := range []string{pathOps, pathSafe} {
+		if got := f.send(f.routers[0], path); got.status < http.StatusInternalServerError {
+			t.Errorf("%s: status %d", path, got.status)
+		}
+	}
+}
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -63,6 +63,10 @@
 	// events: answers are whole, after Pause.
 	Events int
 	Pause  time.Duration
+	// LoseAnswers closes the connection in place of each whole answer, after the run.
+	LoseAnswers bool
+	// Unsealed sends answers without a seal.
+	Unsealed bool
 	// BreakAfter breaks each connection off after so many events of a stream that
 	// begins at its first event, in the middle of the next one; zero: never.
 	BreakAfter int
@@ -195,10 +199,16 @@
 	}
 	r.journal.add(run)
 	r.keep(string(header.Peek(wire.HeaderParts)))
-	ctx.Response.Header.Set(wire.HeaderSeal, "seal-"+r.options.ID)
+	if !r.options.Unsealed {
+		ctx.Response.Header.Set(wire.HeaderSeal, "seal-"+r.options.ID)
+	}
 	if r.options.Events == 0 {
 		time.Sleep(r.options.Pause)
 		r.end()
+		if r.options.LoseAnswers {
+			_ = ctx.Conn().Close()
+			return
+		}
 		ctx.SetBodyString("done " + id)
 		return
 	}
--- /dev/null
+++ b/target/stray_test.go
@@ -0,0 +1,132 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/walnutcove/walnutcove/dialect"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// echoing is a dialect whose targets repeat the id of each request.
+var echoing = &dialect.Dialect{
+	RequestID:     "X-Id",
+	EchoesID:      true,
+	UnframedEnds:  true,
+	RefusedNotRun: func(int, dialect.Getter) bool { return false },
+}
+
+// serveRaw answers each request on a connection by what answer returns for its id.
+func serveRaw(t *testing.T, answer func(id string) string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					text := answer(request.Header.Get("X-Id"))
+					if _, err := io.WriteString(conn, text); err != nil || text == "" {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func whole(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// TestAnswersOfOthersArePassedOver: a late second answer to an earlier request that
+// stands where the next answer is due reaches nobody.
+func TestAnswersOfOthersArePassedOver(t *testing.T) {
+	client := NewHTTPClient(Options{Dialect: echoing})
+	defer client.Close()
+	earlier := ""
+	address := serveRaw(t, func(id string) string {
+		text := whole(id, "for "+id)
+		if earlier != "" {
+			text = whole(earlier, "again for "+earlier) + text
+		}
+		earlier = id
+		return text
+	})
+	for n := range 5 {
+		id := fmt.Sprintf("r%d", n)
+		answer, err := client.Do(context.Background(), Request{ID: id, Address: address, Method: "GET", Path: "/"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(answer.Body)
+		answer.Body.Close()
+		if err != nil || string(body) != "for "+id {
+			t.Errorf("%s got %q, %v", id, body, err)
+		}
+	}
+}
+
+// TestAnswerOfAnotherIsNoAnswer: where only another request's answer comes, the
+// request may have run, and nothing of that answer is passed on.
+func TestAnswerOfAnotherIsNoAnswer(t *testing.T) {
+	client := NewHTTPClient(Options{Dialect: echoing})
+	defer client.Close()
+	address := serveRaw(t, func(string) string {
+		return "HTTP/1.1 200 OK\r\nX-Id: other\r\nConnection: close\r\nContent-Length: 2\r\n\r\nno"
+	})
+	_, err := client.Do(context.Background(), Request{ID: "mine", Address: address, Method: "GET", Path: "/"})
+	var numbered *result.Error
+	if !errors.As(err, &numbered) || numbered.Code != result.TargetLostRequest || numbered.Ran != result.RanUnknown {
+		t.Errorf("got %v", err)
+	}
+}
+
+// TestUnframedAnswerEndsWithItsConnection: without a length a clean end is the end.
+func TestUnframedAnswerEndsWithItsConnection(t *testing.T) {
+	client := NewHTTPClient(Options{Dialect: echoing})
+	defer client.Close()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nall of it")
+		}
+	}()
+	answer, err := client.Do(context.Background(), Request{ID: "mine", Address: listener.Addr().String(), Method: "GET", Path: "/"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	if body, err := io.ReadAll(answer.Body); err != nil || string(body) != "all of it" {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
