--- a/managedtest/managed_test.go
+++ b/managedtest/managed_test.go
@@ -173,16 +173,20 @@
 	slow := gen("g1")
 	slow.Pause = 100 * time.Millisecond
 	f := startFleet(t, 2, slow)
-	ctx, cancel := context.WithCancel(context.Background())
-	time.AfterFunc(250*time.Millisecond, cancel)
-	got := f.sendWith(ctx, f.routers[0], pathGen, key)
-	if got.whole {
-		t.Fatal("the stream ended before its caller left")
+	for _, resumes := range []bool{true, false} {
+		f.configure(func(c *wire.Config) { c.Routes[2].Resumable = resumes })
+		time.Sleep(500 * time.Millisecond) // until the version is in force
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(250*time.Millisecond, cancel)
+		got := f.sendWith(ctx, f.routers[0], pathGen, key)
+		if got.whole {
+			t.Fatal("the stream ended before its caller left")
+		}
+		f.eventually(500*time.Millisecond, "the run is cancelled", func() bool {
+			runs := f.journal.Runs(got.id)
+			return len(runs) == 1 && runs[0].Cancelled
+		})
 	}
-	f.eventually(500*time.Millisecond, "the run is cancelled", func() bool {
-		runs := f.journal.Runs(got.id)
-		return len(runs) == 1 && runs[0].Cancelled
-	})
 }
 
 // TestQuietRouterMakesFewCalls: with nothing changing, a router waits for changes
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -222,6 +222,9 @@
 	})
 }
 
+// breakPause lets what was written go out before the connection is closed.
+const breakPause = 20 * time.Millisecond
+
 // stream writes the events behind the given one.
 func (r *Replica) stream(w *bufio.Writer, conn net.Conn, run *Run, after int) {
 	for n := after + 1; n <= r.options.Events; n++ {
@@ -229,6 +232,7 @@
 		if r.options.BreakAfter > 0 && after == 0 && n > r.options.BreakAfter {
 			fmt.Fprintf(w, "id: %d\nda", n)
 			_ = w.Flush()
+			time.Sleep(breakPause)
 			_ = conn.Close()
 			return
 		}
