--- a/devfleet/cli/cli.go
+++ b/devfleet/cli/cli.go
@@ -28,6 +28,7 @@
 
 type commandLine struct {
 	Fleet    fleetCommand    `cmd:"" default:"withargs" help:"Run a small fleet with its stand-ins in this process."`
+	Managed  managedCommand  `cmd:"" help:"Run a small fleet on a managed platform's stand-in in this process."`
 	Platform platformCommand `cmd:"" help:"Run the platform's stand-in."`
 	Engine   engineCommand   `cmd:"" help:"Run a stand-in model engine."`
 	Service  serviceCommand  `cmd:"" help:"Run a stand-in plain service."`
@@ -55,6 +56,7 @@
 	}
 	chosen := map[string]command{
 		"fleet":    &line.Fleet,
+		"managed":  &line.Managed,
 		"platform": &line.Platform,
 		"engine":   &line.Engine,
 		"service":  &line.Service,
@@ -96,3 +98,22 @@
 	defer cancelDrain()
 	return fleet.Shutdown(drainCtx)
 }
+
+type managedCommand struct {
+	Routers int `default:"3" help:"Routers to run."`
+}
+
+func (c *managedCommand) run(ctx context.Context, out io.Writer, log *slog.Logger) error {
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	fleet, err := devfleet.StartManaged(startCtx, max(1, c.Routers), log)
+	if err != nil {
+		return err
+	}
+	fmt.Fprint(out, fleet.Welcome())
+	<-ctx.Done()
+	fmt.Fprintln(out, "Draining.")
+	drainCtx, cancelDrain := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancelDrain()
+	return fleet.Shutdown(drainCtx)
+}
--- a/managedtest/fleet_test.go
+++ b/managedtest/fleet_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/walnutcove/walnutcove/devfleet"
 	"github.com/walnutcove/walnutcove/platform/wire"
 	"github.com/walnutcove/walnutcove/router"
 	"github.com/walnutcove/walnutcove/settings"
@@ -21,11 +22,11 @@
 
 // What the fleet serves.
 const (
-	host     = "hooks.example"
-	key      = "key-of-bakery"
-	pathOps  = "/ops/deploy"
-	pathSafe = "/safe/purge"
-	pathGen  = "/gen/page"
+	host     = managed.DemoHost
+	key      = managed.DemoKey
+	pathOps  = managed.DemoOncePrefix + "deploy"
+	pathSafe = managed.DemoSafePrefix + "purge"
+	pathGen  = managed.DemoStreamPrefix + "page"
 	events   = 8
 
 	// patience bounds every wait for something that must come.
@@ -82,15 +83,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	s := settings.Defaults()
-	s.Node = settings.Node{Name: fmt.Sprintf("vm-%d", len(f.routers)+1), DataCentre: "dc"}
-	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0", Health: "127.0.0.1:0"}
-	s.Platform.Kind = settings.KindManaged
-	s.Platform.Address = address
-	s.Peers.TrustNetwork = true
-	s.Scheduling.HeartbeatEvery = settings.Duration(100 * time.Millisecond)
-	s.Scheduling.MemberTimeout = settings.Duration(time.Second)
-	s.Scheduling.LocalAfter = settings.Duration(100 * time.Millisecond)
+	s := devfleet.ManagedSettings(fmt.Sprintf("vm-%d", len(f.routers)+1), address)
 	r, err := router.Start(s, slog.New(slog.DiscardHandler))
 	if err != nil {
 		f.t.Fatal(err)
@@ -113,25 +106,7 @@
 // configure publishes the next version, after edit has changed it.
 func (f *fleet) configure(edit func(*wire.Config)) {
 	f.version += 3 // versions rise in uneven steps
-	route := func(name, prefix, kind, service string) wire.Route {
-		return wire.Route{
-			Name: name, Host: host, Prefix: prefix, Kind: kind, Service: service,
-			Timeout: 10_000, Objective: 1000, EventPause: 1000, Attempts: 2,
-		}
-	}
-	gen := route("gen", "/gen/", wire.Stream, "gen")
-	gen.Resumable = true
-	c := wire.Config{
-		Version: f.version,
-		Routes: []wire.Route{
-			route("ops", "/ops/", wire.NonIdempotent, "ops"),
-			route("safe", "/safe/", wire.Idempotent, "ops"),
-			gen,
-		},
-		Services: []wire.Service{{Name: "ops"}, {Name: "gen", Engine: &wire.Engine{Slots: 8, MemoryTokens: 100_000, EventTokens: 1}}},
-		Limits:   wire.Limits{TokensPerSecond: 1_000_000},
-		Tenants:  []wire.Tenant{{Name: "bakery", Keys: []string{key}}},
-	}
+	c := managed.Demo(f.version)
 	if edit != nil {
 		edit(&c)
 	}
--- /dev/null
+++ b/standin/managed/demo.go
@@ -0,0 +1,45 @@
+package managed
+
+import "github.com/walnutcove/walnutcove/platform/wire"
+
+// What Demo configures.
+const (
+	DemoHost      = "hooks.example"
+	DemoKey       = "key-of-bakery"
+	DemoWorkspace = "bakery"
+	// DemoService and DemoEngine are the services' names.
+	DemoService = "ops"
+	DemoEngine  = "gen"
+	// The prefixes of routes that are non-idempotent, idempotent and streams.
+	DemoOncePrefix   = "/ops/"
+	DemoSafePrefix   = "/safe/"
+	DemoStreamPrefix = "/gen/"
+)
+
+// Demo is a small configuration: a plain service behind a route that may be
+// repeated and one that may not, and an engine behind a route of streams that go on
+// elsewhere.
+func Demo(version uint64) wire.Config {
+	route := func(name, prefix, kind, service string) wire.Route {
+		return wire.Route{
+			Name: name, Host: DemoHost, Prefix: prefix, Kind: kind, Service: service,
+			Timeout: 10_000, Objective: 1000, EventPause: 1000, Attempts: 2,
+		}
+	}
+	stream := route("gen", DemoStreamPrefix, wire.Stream, DemoEngine)
+	stream.Resumable = true
+	return wire.Config{
+		Version: version,
+		Routes: []wire.Route{
+			route("ops", DemoOncePrefix, wire.NonIdempotent, DemoService),
+			route("safe", DemoSafePrefix, wire.Idempotent, DemoService),
+			stream,
+		},
+		Services: []wire.Service{
+			{Name: DemoService},
+			{Name: DemoEngine, Engine: &wire.Engine{Slots: 8, MemoryTokens: 100_000, EventTokens: 1}},
+		},
+		Limits:  wire.Limits{TokensPerSecond: 1_000_000},
+		Tenants: []wire.Tenant{{Name: DemoWorkspace, Keys: []string{DemoKey}}},
+	}
+}
