--- a/directory/follower.go
+++ b/directory/follower.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/wait"
 )
 
 const (
@@ -123,11 +124,11 @@
 	loaded := false
 	var after uint64
 	for ctx.Err() == nil {
-		wait := patience
+		hold := patience
 		if lost {
-			wait = 0 // to learn at once that the platform is back
+			hold = 0 // to learn at once that the platform is back
 		}
-		listing, err := next(ctx, feed, call{load: !loaded, after: after, wait: wait, limit: limit})
+		listing, err := next(ctx, feed, call{load: !loaded, after: after, hold: hold, limit: limit})
 		switch {
 		case errors.Is(err, ErrHistoryLost):
 			f.options.Log.Warn("directory: History is gone, loading everything.", "feed", name, "revision", after)
@@ -142,7 +143,7 @@
 			}
 			lost = true
 			feedFailures.Inc()
-			sleep(ctx, pause/2+rand.N(pause))
+			wait.For(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, longestPause)
 			limit = min(2*limit, loadTimeout)
 			continue
@@ -154,7 +155,7 @@
 		lost, pause, limit = false, firstPause, firstLoadTimeout
 		loaded, after = true, max(after, listing.Revision)
 		if len(listing.Entries) > 0 {
-			sleep(ctx, f.gather())
+			wait.For(ctx, f.gather())
 		}
 	}
 }
@@ -172,9 +173,9 @@
 	// load says that everything is loaded, within limit.
 	load  bool
 	limit time.Duration
-	// after and wait are those of Feed.Follow.
+	// after and hold are after and patience of Feed.Follow.
 	after uint64
-	wait  time.Duration
+	hold  time.Duration
 }
 
 // next loads the feed, or waits for its next changes.
@@ -184,18 +185,9 @@
 		defer cancel()
 		return feed.Load(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.wait+followMargin)
+	ctx, cancel := context.WithTimeout(ctx, c.hold+followMargin)
 	defer cancel()
-	return feed.Follow(ctx, c.after, c.wait)
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	return feed.Follow(ctx, c.after, c.hold)
 }
 
 // believeAt returns when a removal that the platform shows now is believed: zero
@@ -279,7 +271,7 @@
 			}
 			continue
 		}
-		sleep(ctx, time.Until(due))
+		wait.For(ctx, time.Until(due))
 		f.change("lapse", func(s *state) bool {
 			changed, _ := s.expire(time.Now())
 			return changed
--- a/filters/retry/retry.go
+++ b/filters/retry/retry.go
@@ -16,6 +16,7 @@
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/result/codecounter"
+	"github.com/walnutcove/walnutcove/wait"
 )
 
 const (
@@ -97,7 +98,7 @@
 		retries.Inc(refusal.Code)
 		f.logRetry(ctx, ex, refusal)
 		ex.Excluded = append(ex.Excluded, ex.Target)
-		if !pause(ctx, rand.N(maxPause*time.Duration(ex.Attempt))) {
+		if !wait.For(ctx, rand.N(maxPause*time.Duration(ex.Attempt))) {
 			return err
 		}
 	}
@@ -197,18 +198,6 @@
 	return &raised
 }
 
-// pause waits. It reports false if ctx ended.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // budgetEmpty says that the request failed and was not retried. It keeps the
 // outcome of the failure.
 func budgetEmpty(err error, failure *result.Error) error {
--- a/router/managed.go
+++ b/router/managed.go
@@ -16,6 +16,7 @@
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/store"
 	"github.com/walnutcove/walnutcove/target/cachewatch"
+	"github.com/walnutcove/walnutcove/wait"
 )
 
 const (
@@ -88,13 +89,13 @@
 		case <-ctx.Done():
 			return
 		}
-		pause(ctx, strangerPause)
+		wait.For(ctx, strangerPause)
 	}
 }
 
 // untilDone repeats a call until it succeeds or ctx ends.
 func (r *Router) untilDone(ctx context.Context, what string, call func(context.Context) error) {
-	wait := memberRetry
+	between := memberRetry
 	for try := 1; ctx.Err() == nil; try++ {
 		callCtx, cancel := context.WithTimeout(ctx, memberCallTimeout)
 		err := call(callCtx)
@@ -106,17 +107,8 @@
 		if try == 1 {
 			r.log.Warn("member: Platform did not answer, trying on.", "call", what, "error", err)
 		}
-		pause(ctx, wait/2+rand.N(wait))
-		wait = min(2*wait, maxMemberRetry)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		wait.For(ctx, between/2+rand.N(between))
+		between = min(2*between, maxMemberRetry)
 	}
 }
 
--- a/target/cachewatch/cachewatch.go
+++ b/target/cachewatch/cachewatch.go
@@ -13,15 +13,16 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/wait"
 )
 
 const (
 	// pace is the mean time between two calls to a target. A call that finds news
 	// at once counts as a probe there; more often is hardly better informed.
 	pace = time.Second
-	// wait is how long one call waits for news.
-	wait = time.Second
-	// callMargin is how much longer than wait a call may take.
+	// patience is how long one call waits for news.
+	patience = time.Second
+	// callMargin is how much longer than patience a call may take.
 	callMargin = time.Second
 	// firstSpread spreads the first calls of a new scheduler.
 	firstSpread = 150 * time.Millisecond
@@ -113,7 +114,7 @@
 
 // follow asks one target until ctx ends.
 func (w *Watcher) follow(ctx context.Context, name, address string) {
-	sleep(ctx, rand.N(firstSpread))
+	wait.For(ctx, rand.N(firstSpread))
 	var last News
 	listed := false
 	pause := pace
@@ -135,26 +136,17 @@
 			w.told(name, !listed, news.Parts)
 			last, listed, pause = news, true, pace
 		}
-		sleep(ctx, pause/2+rand.N(pause))
+		wait.For(ctx, pause/2+rand.N(pause))
 	}
 }
 
 func (w *Watcher) ask(ctx context.Context, address string, listed bool, after uint64) (News, error) {
 	calls.Inc()
-	ctx, cancel := context.WithTimeout(ctx, wait+callMargin)
+	ctx, cancel := context.WithTimeout(ctx, patience+callMargin)
 	defer cancel()
 	if !listed {
 		listings.Inc()
 		return w.source.Kept(ctx, address)
 	}
-	return w.source.Changes(ctx, address, after, wait)
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	return w.source.Changes(ctx, address, after, patience)
 }
