Serve requests that come back last

Done: a scheduler knows for 10 s whom it refused, by fingerprint; these use neither shares nor more than 0.6 of the slots and half of the wait.

--- a/control/grants.go
+++ b/control/grants.go
@@ -64,7 +64,7 @@
 	}
 	for item := s.queue.Next(usable); item != nil; item = s.queue.Next(usable) {
 		q := item.Value
-		c := m.classOf(s, q.ticket, q.excess)
+		c := m.classOf(s, q.ticket, q.rank)
 		if c.name != q.class {
 			// The configuration changed while the ticket waited.
 			s.queue.Remove(m.now, item)
@@ -95,7 +95,7 @@
 
 // roomFor says whether a target may be given a ticket of a class now.
 func (m *Machine) roomFor(c *class, t *target) bool {
-	if t.room(m.now) == 0 || c.excess && !m.hasSpare(t) {
+	if t.room(m.now) == 0 || !m.hasSpare(t, c.rank) {
 		return false
 	}
 	return !c.suspect || !m.runsSuspect(t)
--- a/control/place.go
+++ b/control/place.go
@@ -18,15 +18,15 @@
 	// prompts may take. The rest of the objective is for a request's own prompt,
 	// and for the pieces of others that targets read in between.
 	waitPart = 0.25
-	// spareFill is the part of a target's slots and memory, and sparePart the part
-	// of the wait, up to which requests beyond their workspace's share are served.
-	// The rest is kept for requests within the shares, which are the ones that
-	// callers are promised.
-	spareFill = 0.75
-	sparePart = 0.8
 	// excessPart is the part of its objective that a request beyond its
 	// workspace's share may wait for spare capacity.
 	excessPart = 0.4
+	// returnWait is how long a request that was refused and has come back may wait:
+	// its objective has passed, and the caller waits some seconds more.
+	returnWait = 100 * time.Millisecond
+	// turnedAwayKept is how long a refused request is known when it comes back.
+	// Callers come back within a third of the time that they have left.
+	turnedAwayKept = 10 * time.Second
 	// keeperPart is how much longer the wait may be at a target that keeps the
 	// shared parts, as a multiple.
 	keeperPart = 2.5
@@ -56,6 +56,32 @@
 	overloadPause = time.Second
 )
 
+// rank orders the requests of a pool that counts in tokens.
+type rank int
+
+const (
+	// rankShare: within the workspace's share, and in time if it is served soon.
+	// This is what callers are promised.
+	rankShare rank = iota
+	// rankReturning: refused before and come back. It is late whatever happens, and
+	// its share is better spent on one that can be in time; but to refuse it again is
+	// worse than to refuse another for the first time.
+	rankReturning
+	// rankExcess: beyond the workspace's share.
+	rankExcess
+)
+
+// String returns the rank as it stands in logs.
+func (r rank) String() string { return [...]string{"share", "returning", "excess"}[r] }
+
+// spare is how much of a target a rank may use: parts of its slots, and of the wait
+// that unread prompts may make. The rest is kept for ranks before it.
+var spare = [...]struct{ fill, wait float64 }{
+	rankShare:     {1, 1},
+	rankReturning: {0.6, 0.5},
+	rankExcess:    {0.75, 0.8},
+}
+
 // countsTokens says whether the shard's targets count their work in tokens.
 func (m *Machine) countsTokens(s *shard) bool {
 	return m.topo != nil && m.topo.decl.Pools[s.id.Pool].Tokens != nil
@@ -170,15 +196,18 @@
 	return best
 }
 
-// hasSpare says whether a target has capacity beyond what is kept for requests
-// within their workspaces' shares.
-func (m *Machine) hasSpare(t *target) bool {
-	return t.engine.Fill() < spareFill &&
-		float64(t.engine.Wait(m.now)) <= sparePart*float64(m.maxWait(t.shard))
+// hasSpare says whether a target has capacity beyond what is kept for ranks before
+// the given one.
+func (m *Machine) hasSpare(t *target, of rank) bool {
+	if of == rankShare {
+		return true
+	}
+	return t.engine.Fill() < spare[of].fill &&
+		float64(t.engine.Wait(m.now)) <= spare[of].wait*float64(m.maxWait(t.shard))
 }
 
 // describeWork sets what follows from a ticket's tokens: its work, its objective,
-// and whether it lies beyond its workspace's share.
+// its rank, and how long it may wait.
 func (m *Machine) describeWork(q *queuedTicket) {
 	q.task = taskOf(q.ticket.Work)
 	if q.ticket.Objective > 0 {
@@ -188,20 +217,30 @@
 	if q.ticket.Again {
 		return // its share was counted, and the part that was done is lost otherwise
 	}
-	if q.shard.shares.Ask(m.now, q.ticket.Workspace, nominal(q.task).Seconds()) {
-		return
-	}
-	q.excess = true
-	if q.shard.shares.Yields(m.now, q.ticket.Workspace) {
+	shares := q.shard.shares
+	switch {
+	case m.hasReturned(q.ticket.Fingerprint):
+		q.rank = rankReturning
+		q.objective = 0
+		q.latest = m.now + returnWait
+	case shares.Ask(m.now, q.ticket.Workspace, nominal(q.task).Seconds()):
+	case shares.Yields(m.now, q.ticket.Workspace):
+		q.rank = rankExcess
 		q.latest = m.now
-		return
-	}
-	if q.objective > 0 {
-		wait := time.Duration(excessPart * float64(q.objective-m.now))
-		q.latest = min(q.latest, m.now+wait)
+	default:
+		q.rank = rankExcess
+		if q.objective > 0 {
+			wait := time.Duration(excessPart * float64(q.objective-m.now))
+			q.latest = min(q.latest, m.now+wait)
+		}
 	}
 }
 
+// hasReturned says whether a request was refused of late for want of capacity.
+func (m *Machine) hasReturned(fingerprint uint64) bool {
+	return fingerprint != 0 && m.sched.turnedAway.has(m.now, fingerprint)
+}
+
 // place predicts what a ticket would cost at a target. keeper keeps the shared
 // parts of its prompt; nil if none does.
 func (m *Machine) place(q *queuedTicket, seen candidate, keeper *target) placement {
@@ -283,13 +322,16 @@
 func (m *Machine) refuseOverloaded(q *queuedTicket) {
 	m.counters.TicketsOverloaded++
 	q.shard.shares.Refused(m.now, q.ticket.Workspace)
+	if q.ticket.Fingerprint != 0 {
+		m.sched.turnedAway.add(m.now, q.ticket.Fingerprint, turnedAwayKept)
+	}
 	m.unqueue(q)
 	m.send(q.from, Refusal{
 		Ticket:     q.ticket.ID,
 		Shard:      q.shard.id,
 		Code:       result.Overloaded,
 		RetryAfter: m.jitter(overloadPause),
-		Excess:     q.excess,
+		Excess:     q.rank != rankShare,
 		Ahead:      q.shard.queue.Len(),
 	})
 }
--- a/control/place_test.go
+++ b/control/place_test.go
@@ -241,7 +241,7 @@
 	}
 	q := &queuedTicket{shard: s, ticket: Ticket{Workspace: "a", Work: Work{PromptTokens: 9000}, Again: true}}
 	f.machine.describeWork(q)
-	if q.excess {
+	if q.rank != rankShare {
 		t.Error("a request that was begun counts as beyond the share")
 	}
 }
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -34,6 +34,8 @@
 	workspaces map[string]*workspace
 	finished   remembered
 	nextSeq    uint64
+	// turnedAway holds the fingerprints of requests refused for want of capacity.
+	turnedAway remembered
 	// candidates is used by each placement again; see Machine.candidates.
 	candidates []candidate
 	// watched is the last set given with WatchTargets.
@@ -54,6 +56,7 @@
 		byNode:     make(map[NodeID]map[GrantID]*grant),
 		workspaces: make(map[string]*workspace),
 		finished:   newRemembered(),
+		turnedAway: newRemembered(),
 	}
 }
 
@@ -191,7 +194,7 @@
 
 // enqueue puts a ticket in the queue and grants what can be granted.
 func (m *Machine) enqueue(s *shard, from NodeID, t Ticket) {
-	class := m.classOf(s, t, false)
+	class := m.classOf(s, t, rankShare)
 	if refusal, refused := m.refusal(s, t, class); refused {
 		m.send(from, refusal)
 		m.settleShard(s)
@@ -200,7 +203,7 @@
 	q := &queuedTicket{shard: s, from: from, ticket: t, deadline: m.now + t.TimeLeft, latest: never}
 	if m.countsTokens(s) {
 		m.describeWork(q)
-		class = m.classOf(s, t, q.excess)
+		class = m.classOf(s, t, q.rank)
 	}
 	s.queued[t.ID] = q
 	w := m.workspaceHere(t.Workspace)
--- a/control/shard.go
+++ b/control/shard.go
@@ -42,8 +42,8 @@
 	excluded  []string
 	// suspect says that a target that runs a suspect must not be used.
 	suspect bool
-	// excess says that only spare capacity may be used; see sched.Shares.
-	excess  bool
+	// rank is that of its tickets: it says how much of the capacity they may use.
+	rank    rank
 	targets []*target
 }
 
@@ -59,8 +59,8 @@
 	// when the answer should have begun, zero for no such time.
 	task      sched.EngineTask
 	objective Instant
-	// excess says that it lies beyond its workspace's share.
-	excess bool
+	// rank says whom it goes before.
+	rank rank
 	// latest is when waiting longer is in vain; see Machine.latestStart.
 	latest   Instant
 	deadline Instant
@@ -121,7 +121,7 @@
 }
 
 // classOf returns the class of a ticket.
-func (m *Machine) classOf(s *shard, t Ticket, excess bool) *class {
+func (m *Machine) classOf(s *shard, t Ticket, of rank) *class {
 	name, only := "", ""
 	ws, known := m.topo.decl.Workspaces[t.Workspace]
 	if known && (len(ws.Targets) > 0 || !slices.Contains(ws.Pools, s.id.Pool)) {
@@ -136,12 +136,12 @@
 	if suspect {
 		name += "\x00\x00suspect"
 	}
-	if excess {
-		name += "\x00\x00excess"
+	if of != rankShare {
+		name += "\x00\x00" + of.String()
 	}
 	c := s.classes[name]
 	if c == nil {
-		c = &class{name: name, workspace: only, excluded: t.Excluded, suspect: suspect, excess: excess}
+		c = &class{name: name, workspace: only, excluded: t.Excluded, suspect: suspect, rank: of}
 		s.classes[name] = c
 		m.fillClass(s, c)
 	}
@@ -179,7 +179,7 @@
 		return
 	}
 	for _, q := range s.sortedTickets() {
-		c := m.classOf(s, q.ticket, q.excess)
+		c := m.classOf(s, q.ticket, q.rank)
 		if refusal, refused := m.refusal(s, q.ticket, c); refused {
 			m.unqueue(q)
 			m.counters.TicketsHopeless++
