--- a/control/place.go
+++ b/control/place.go
@@ -23,7 +23,7 @@
 	excessPart = 0.4
 	// returnWait is how long a request that was refused and has come back may wait:
 	// its objective has passed, and the caller waits some seconds more.
-	returnWait = 100 * time.Millisecond
+	returnWait = 50 * time.Millisecond
 	// turnedAwayKept is how long a refused request is known when it comes back.
 	// Callers come back within a third of the time that they have left.
 	turnedAwayKept = 10 * time.Second
@@ -78,7 +78,7 @@
 // that unread prompts may make. The rest is kept for ranks before it.
 var spare = [...]struct{ fill, wait float64 }{
 	rankShare:     {1, 1},
-	rankReturning: {0.6, 0.5},
+	rankReturning: {0.4, 0.3},
 	rankExcess:    {0.75, 0.8},
 }
 
