--- a/control/place.go
+++ b/control/place.go
@@ -63,23 +63,27 @@
 	// rankShare: within the workspace's share, and in time if it is served soon.
 	// This is what callers are promised.
 	rankShare rank = iota
-	// rankReturning: refused before and come back. It is late whatever happens, and
-	// its share is better spent on one that can be in time; but to refuse it again is
-	// worse than to refuse another for the first time.
-	rankReturning
 	// rankExcess: beyond the workspace's share.
 	rankExcess
+	// rankReturning: refused before and come back. It is late whatever happens, so
+	// what it would use is better spent on a request that can be in time. Served
+	// before the others, as it was at first, it made a fifth of all late on days of
+	// overload.
+	rankReturning
 )
 
 // String returns the rank as it stands in logs.
-func (r rank) String() string { return [...]string{"share", "returning", "excess"}[r] }
+func (r rank) String() string { return [...]string{"share", "excess", "returning"}[r] }
 
 // spare is how much of a target a rank may use: parts of its slots, and of the wait
-// that unread prompts may make. The rest is kept for ranks before it.
+// that unread prompts may make. The rest is kept for ranks before it. An engine whose
+// slots are filled by a third spends about half of its time reading already. Of 0.6,
+// 0.5, 0.4 and 0.25 of the slots for what returns, the less the better it was for all
+// on days of overload.
 var spare = [...]struct{ fill, wait float64 }{
 	rankShare:     {1, 1},
-	rankReturning: {0.4, 0.3},
 	rankExcess:    {0.75, 0.8},
+	rankReturning: {0.33, 0.15},
 }
 
 // countsTokens says whether the shard's targets count their work in tokens.
--- a/control/place_test.go
+++ b/control/place_test.go
@@ -300,3 +300,32 @@
 	next := &config.Snapshot{Version: 1, Declarations: declarations, TargetsRevision: f.machine.topo.order.Targets + 1}
 	f.step(ConfigChanged{Snapshot: next})
 }
+
+// TestWhatComesBackGoesLast: a request that was refused for want of capacity and
+// comes back uses no share, and only targets that are hardly in use.
+func TestWhatComesBackGoesLast(t *testing.T) {
+	f := newTokenFleet("e1")
+	s := f.machine.sched.shards[ShardID{Pool: "gen"}]
+	refused := &queuedTicket{shard: s, ticket: Ticket{Workspace: "a", Fingerprint: 7, Work: Work{PromptTokens: 100}}}
+	f.machine.sched.turnedAway.add(f.now, refused.ticket.Fingerprint, turnedAwayKept)
+	f.machine.describeWork(refused)
+	if refused.rank != rankReturning || refused.latest > f.now+returnWait {
+		t.Errorf("rank %s, waits until %s", refused.rank, refused.latest)
+	}
+	e1 := s.targets[0]
+	if !f.machine.hasSpare(e1, rankReturning) {
+		t.Error("an idle target has nothing to spare")
+	}
+	for n := range uint64(3) {
+		f.arrive("a", PromptPart{ID: 100 + n, Tokens: 10})
+	}
+	if f.machine.hasSpare(e1, rankReturning) || !f.machine.hasSpare(e1, rankExcess) {
+		t.Error("three of eight slots are taken: nothing for what comes back, something for the others")
+	}
+	f.now += turnedAwayKept
+	later := &queuedTicket{shard: s, ticket: refused.ticket}
+	f.machine.describeWork(later)
+	if later.rank != rankShare {
+		t.Errorf("rank %s long after the refusal", later.rank)
+	}
+}
