--- a/control/place_test.go
+++ b/control/place_test.go
@@ -323,6 +323,7 @@
 		t.Error("three of eight slots are taken: nothing for what comes back, something for the others")
 	}
 	f.now += turnedAwayKept
+	f.step(Tick{})
 	later := &queuedTicket{shard: s, ticket: refused.ticket}
 	f.machine.describeWork(later)
 	if later.rank != rankShare {
