--- a/control/place.go
+++ b/control/place.go
@@ -5,7 +5,6 @@
 
 	"github.com/walnutcove/walnutcove/control/member"
 	"github.com/walnutcove/walnutcove/control/sched"
-	"github.com/walnutcove/walnutcove/result"
 )
 
 // Placement on targets that count their work in tokens. A request goes where it
@@ -18,15 +17,6 @@
 	// prompts may take. The rest of the objective is for a request's own prompt,
 	// and for the pieces of others that targets read in between.
 	waitPart = 0.25
-	// excessPart is the part of its objective that a request beyond its
-	// workspace's share may wait for spare capacity.
-	excessPart = 0.4
-	// returnWait is how long a request that was refused and has come back may wait:
-	// its objective has passed, and the caller waits some seconds more.
-	returnWait = 50 * time.Millisecond
-	// turnedAwayKept is how long a refused request is known when it comes back.
-	// Callers come back within a third of the time that they have left.
-	turnedAwayKept = 10 * time.Second
 	// keeperPart is how much longer the wait may be at a target that keeps the
 	// shared parts, as a multiple.
 	keeperPart = 2.5
@@ -51,41 +41,8 @@
 	// not the one that rendezvous hashing gives them to: it makes schedulers that
 	// know nothing of each other agree.
 	homePenalty = 30 * time.Millisecond
-	// overloadPause is the mean advice to a request that is refused for its
-	// objective: about the time in which what waits is served.
-	overloadPause = time.Second
 )
 
-// rank orders the requests of a pool that counts in tokens.
-type rank int
-
-const (
-	// rankShare: within the workspace's share, and in time if it is served soon.
-	// This is what callers are promised.
-	rankShare rank = iota
-	// rankExcess: beyond the workspace's share.
-	rankExcess
-	// rankReturning: refused before and come back. It is late whatever happens, so
-	// what it would use is better spent on a request that can be in time. Served
-	// before the others, as it was at first, it made a fifth of all late on days of
-	// overload.
-	rankReturning
-)
-
-// String returns the rank as it stands in logs.
-func (r rank) String() string { return [...]string{"share", "excess", "returning"}[r] }
-
-// spare is how much of a target a rank may use: parts of its slots, and of the wait
-// that unread prompts may make. The rest is kept for ranks before it. An engine whose
-// slots are filled by a third spends about half of its time reading already. Of 0.6,
-// 0.5, 0.4 and 0.25 of the slots for what returns, the less the better it was for all
-// on days of overload.
-var spare = [...]struct{ fill, wait float64 }{
-	rankShare:     {1, 1},
-	rankExcess:    {0.75, 0.8},
-	rankReturning: {0.33, 0.15},
-}
-
 // countsTokens says whether the shard's targets count their work in tokens.
 func (m *Machine) countsTokens(s *shard) bool {
 	return m.topo != nil && m.topo.decl.Pools[s.id.Pool].Tokens != nil
@@ -116,9 +73,8 @@
 const nominalToken = time.Microsecond
 
 // nominal is what a task counts for in fair shares: each token read once, each
-// token generated twice. What a target
-// keeps makes no difference, so that a workspace is not charged for where its
-// requests happen to be placed.
+// token generated twice. What a target keeps makes no difference, so that a
+// workspace is not charged for where its requests happen to be placed.
 func nominal(task sched.EngineTask) time.Duration {
 	return time.Duration(max(1, task.PromptTokens+2*task.OutputTokens)) * nominalToken
 }
@@ -200,51 +156,6 @@
 	return best
 }
 
-// hasSpare says whether a target has capacity beyond what is kept for ranks before
-// the given one.
-func (m *Machine) hasSpare(t *target, of rank) bool {
-	if of == rankShare {
-		return true
-	}
-	return t.engine.Fill() < spare[of].fill &&
-		float64(t.engine.Wait(m.now)) <= spare[of].wait*float64(m.maxWait(t.shard))
-}
-
-// describeWork sets what follows from a ticket's tokens: its work, its objective,
-// its rank, and how long it may wait.
-func (m *Machine) describeWork(q *queuedTicket) {
-	q.task = taskOf(q.ticket.Work)
-	if q.ticket.Objective > 0 {
-		q.objective = m.now + q.ticket.Objective
-	}
-	q.latest = m.latestStart(q)
-	if q.ticket.Again {
-		return // its share was counted, and the part that was done is lost otherwise
-	}
-	shares := q.shard.shares
-	switch {
-	case m.hasReturned(q.ticket.Fingerprint):
-		q.rank = rankReturning
-		q.objective = 0
-		q.latest = m.now + returnWait
-	case shares.Ask(m.now, q.ticket.Workspace, nominal(q.task).Seconds()):
-	case shares.Yields(m.now, q.ticket.Workspace):
-		q.rank = rankExcess
-		q.latest = m.now
-	default:
-		q.rank = rankExcess
-		if q.objective > 0 {
-			wait := time.Duration(excessPart * float64(q.objective-m.now))
-			q.latest = min(q.latest, m.now+wait)
-		}
-	}
-}
-
-// hasReturned says whether a request was refused of late for want of capacity.
-func (m *Machine) hasReturned(fingerprint uint64) bool {
-	return fingerprint != 0 && m.sched.turnedAway.has(m.now, fingerprint)
-}
-
 // place predicts what a ticket would cost at a target. keeper keeps the shared
 // parts of its prompt; nil if none does.
 func (m *Machine) place(q *queuedTicket, seen candidate, keeper *target) placement {
@@ -304,42 +215,6 @@
 // mix spreads the ids of parts, which may be small numbers.
 func mix(id uint64) uint64 { return member.Score(id, id+1) }
 
-// latestStart is when a ticket's answer could no longer begin in time even at an
-// idle target: waiting longer is in vain. A request that no target can ever serve
-// in time may wait for as long as its objective.
-func (m *Machine) latestStart(q *queuedTicket) Instant {
-	if q.objective <= 0 {
-		return never
-	}
-	ideal := never
-	for _, c := range m.candidates(q.shard.targets, q.task) {
-		ideal = min(ideal, c.target.engine.Predict(m.now, c.reads)-c.wait)
-	}
-	left := q.objective - m.now
-	if float64(ideal) > timelyPart*float64(left) {
-		return q.objective
-	}
-	return q.objective - ideal
-}
-
-// refuseOverloaded refuses a ticket whose answer cannot begin in time.
-func (m *Machine) refuseOverloaded(q *queuedTicket) {
-	m.counters.TicketsOverloaded++
-	q.shard.shares.Refused(m.now, q.ticket.Workspace)
-	if q.ticket.Fingerprint != 0 {
-		m.sched.turnedAway.add(m.now, q.ticket.Fingerprint, turnedAwayKept)
-	}
-	m.unqueue(q)
-	m.send(q.from, Refusal{
-		Ticket:     q.ticket.ID,
-		Shard:      q.shard.id,
-		Code:       result.Overloaded,
-		RetryAfter: m.jitter(overloadPause),
-		Excess:     q.rank != rankShare,
-		Ahead:      q.shard.queue.Len(),
-	})
-}
-
 // runBegan tells the scheduler that a target has begun to answer, so that it
 // knows what is read.
 func (m *Machine) runBegan(ev RunBegan) {
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -134,6 +134,8 @@
 			f.options.Log.Warn("directory: History is gone, loading everything.", "feed", name, "revision", after)
 			reloads.Inc()
 			loaded = false
+			wait.For(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, longestPause)
 			continue
 		case ctx.Err() != nil:
 			return
@@ -152,7 +154,10 @@
 			f.options.Log.Info("directory: Feed regained.", "feed", name, "revision", listing.Revision)
 		}
 		take(listing, arrival{whole: !loaded, afterLoss: lost})
-		lost, pause, limit = false, firstPause, firstLoadTimeout
+		if loaded {
+			pause = firstPause // the feed works; a load alone may be followed by another
+		}
+		lost, limit = false, firstLoadTimeout
 		loaded, after = true, max(after, listing.Revision)
 		if len(listing.Entries) > 0 {
 			wait.For(ctx, f.gather())
@@ -214,17 +219,20 @@
 
 func (f *Follower) targetsChanged(listing Listing[config.Target], how arrival) {
 	f.change("platform", func(s *state) bool {
+		first := !s.listed
+		s.listed = true
+		entries := listing.Entries
+		if how.whole {
+			entries = s.withMissing(listing)
+		}
 		if how.afterLoss {
 			f.returnedAt = time.Now()
 		}
 		believeAt := f.believeAt()
-		if believeAt.IsZero() && s.emptiesPool(listing.Entries) {
+		if believeAt.IsZero() && s.emptiesPool(entries) {
 			believeAt = time.Now().Add(f.options.ReturnGrace + returnMargin)
 		}
-		if how.whole {
-			return s.replace(listing, believeAt)
-		}
-		return s.apply(listing.Entries, believeAt)
+		return s.apply(entries, believeAt) || first
 	})
 }
 
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -20,8 +20,11 @@
 	revision uint64
 	down     bool
 	// silent makes calls to Load that come before it ends hang until they give up.
-	silent  time.Time
-	changed chan struct{}
+	silent time.Time
+	// forgetful makes every call to Follow find its history gone; loads counts loads.
+	forgetful bool
+	loads     int
+	changed   chan struct{}
 }
 
 func newFeed[T any]() *fakeFeed[T] {
@@ -63,6 +66,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.loads++
 	if f.down {
 		return Listing[T]{}, errDown
 	}
@@ -87,8 +91,11 @@
 				listing.Entries = append(listing.Entries, entry)
 			}
 		}
-		down, changed := f.down, f.changed
+		down, forgetful, changed := f.down, f.forgetful, f.changed
 		f.mu.Unlock()
+		if forgetful {
+			return Listing[T]{}, ErrHistoryLost
+		}
 		if down {
 			return Listing[T]{}, errDown
 		}
@@ -355,3 +362,39 @@
 		}
 	})
 }
+
+// TestForgottenHistoryIsNoStorm: a platform that drops its history again and again is
+// not asked in a loop without a pause.
+func TestForgottenHistoryIsNoStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startScene(t)
+		s.populate()
+		synctest.Wait()
+		s.targets.mu.Lock()
+		s.targets.forgetful, s.targets.loads = true, 0
+		s.targets.wake()
+		s.targets.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		s.targets.mu.Lock()
+		loads := s.targets.loads
+		s.targets.mu.Unlock()
+		if loads < 5 || loads > 30 {
+			t.Errorf("%d loads in 10 s", loads)
+		}
+	})
+}
+
+// TestMissingFromAListingIsDoubtedToo: where a new listing lacks most of a pool, the
+// platform may have stood still.
+func TestMissingFromAListingIsDoubtedToo(t *testing.T) {
+	s := newState()
+	for _, name := range []string{"a", "b", "c"} {
+		entry := targetEntry(name)
+		entry.Revision = 1
+		s.apply([]Entry[config.Target]{entry}, time.Time{})
+	}
+	entries := s.withMissing(Listing[config.Target]{Revision: 9})
+	if len(entries) != 3 || !s.emptiesPool(entries) {
+		t.Errorf("%+v", entries)
+	}
+}
--- a/directory/state.go
+++ b/directory/state.go
@@ -126,21 +126,20 @@
 	return false
 }
 
-// replace takes in a whole listing: what it lacks was removed by its revision.
-func (s *state) replace(listing Listing[config.Target], believeAt time.Time) bool {
-	first := !s.listed
-	s.listed = true
-	listed := make(map[string]bool, len(listing.Entries))
-	for _, entry := range listing.Entries {
+// withMissing returns the entries of a whole listing, and a removal for each known
+// target that it lacks: that one was removed by the listing's revision.
+func (s *state) withMissing(listing Listing[config.Target]) []Entry[config.Target] {
+	entries := listing.Entries
+	listed := make(map[string]bool, len(entries))
+	for _, entry := range entries {
 		listed[entry.Key] = true
 	}
-	changed := s.apply(listing.Entries, believeAt)
 	for key, old := range s.targets {
 		if !listed[key] && old.revision <= listing.Revision {
-			changed = s.remove(key, listing.Revision, believeAt) || changed
+			entries = append(entries, Entry[config.Target]{Key: key, Revision: listing.Revision, Gone: true})
 		}
 	}
-	return changed || first
+	return entries
 }
 
 // expire believes the removals whose time has come and returns when the next one
