Keep a busy router from taking sound targets for silent; refuse unread what it cannot serve

Done: a read whose time is up looks once more; the wait for an answer's head is a read deadline of the target's client in place of a timer; its length grows with the router's own lateness; from 50 ms of mean lateness requests are refused unread, all at 150 ms; log lines are written in pieces that a pipe does not tear apart.

--- a/daemon/lines.go
+++ b/daemon/lines.go
@@ -60,8 +60,9 @@
 	}
 }
 
-// maxBatchBytes bounds one write of several lines.
-const maxBatchBytes = 32 << 10
+// maxBatchBytes bounds one write of several lines: the system does not tear apart
+// what one write puts into a pipe up to 4 KiB. A line is about 250 bytes.
+const maxBatchBytes = 3500
 
 // Close writes what waits. No Write may follow.
 func (w *lineWriter) Close() {
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -33,10 +33,16 @@
 	Relay func(ctx context.Context, ex *pipeline.Exchange, answer *target.Response) error
 	// FirstByteTimeout bounds the wait for the answer's head.
 	FirstByteTimeout time.Duration
+	// Lag returns how late this process runs; nil: never.
+	Lag func() time.Duration
 	// Log gets a line at debug for each answer that begins.
 	Log *slog.Logger
 }
 
+// lagPatience is how many times its own lateness a router adds to what it lets a
+// target be silent: on its way through a busy router an answer waits several times.
+const lagPatience = 10
+
 // Name implements pipeline.Filter.
 func (f *Filter) Name() string { return "dispatch" }
 
@@ -68,13 +74,14 @@
 		return nil, result.New(result.CallerGone, "The caller went away.")
 	}
 	callCtx, cancel := context.WithCancel(ctx)
-	limit := f.firstByteTimeout(ex)
-	timer := time.AfterFunc(limit, cancel)
-	answer, err := f.Client.Do(callCtx, Request(ex, 0))
+	timer := time.AfterFunc(f.FirstByteTimeout, cancel)
+	request := Request(ex, 0)
+	request.FirstByte = f.firstByteTimeout(ex)
+	answer, err := f.Client.Do(callCtx, request)
 	timedOut := !timer.Stop()
 	if err == nil && timedOut {
 		answer.Body.Close()
-		err = result.New(result.FirstByteTimeout, "The target did not answer within %s.", limit)
+		err = result.New(result.FirstByteTimeout, "The target did not answer within %s.", f.FirstByteTimeout)
 	}
 	if err == nil {
 		ex.OnEnd(func(error) { cancel() })
@@ -141,7 +148,11 @@
 	if ex.Route == nil || !ex.Idempotent || ex.Attempt >= ex.Route.Attempts {
 		return f.FirstByteTimeout
 	}
-	return min(f.FirstByteTimeout, patience(ex))
+	limit := patience(ex)
+	if f.Lag != nil {
+		limit += lagPatience * f.Lag()
+	}
+	return min(f.FirstByteTimeout, limit)
 }
 
 // checkBeforeDispatch runs the last checks before any byte is written.
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -19,7 +19,7 @@
 
 	refusals = codecounter.New("walnut_accept_refusals_total",
 		result.BadRequest, result.BodyTooLarge, result.HeadersTooLarge, result.SlowSender,
-		result.HeldBytesFull, result.Internal)
+		result.HeldBytesFull, result.Internal, result.Overloaded)
 )
 
 // results counts every numbered code that callers are given, by any filter.
--- a/front/serve.go
+++ b/front/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"runtime/debug"
 
@@ -46,6 +47,11 @@
 		return r.arrival.refusal
 	}
 	requests.Inc()
+	if shed := r.conn.server.options.Shed; shed != nil && shed() {
+		refusals.Inc(result.Overloaded)
+		after := minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
+		return result.New(result.Overloaded, "This router is too busy.").After(after)
+	}
 	return checkRequest(ctx, r.ex)
 }
 
--- a/front/server.go
+++ b/front/server.go
@@ -73,6 +73,9 @@
 	// its answer, so that descriptors are left for new callers and for targets.
 	// Default 0: no bound.
 	KeptConns int
+	// Shed, if set, says that the next request is refused before anything is done
+	// for it.
+	Shed func() bool
 	// Busy, if set, says that callers had better go elsewhere: each connection is
 	// closed with its answer then.
 	Busy func() bool
--- a/router/overload.go
+++ b/router/overload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,11 @@
 	// lagTooMuch is the average lateness at which the router asks for no new
 	// connections: requests wait for the processor then, several times each.
 	lagTooMuch = 25 * time.Millisecond
+	// shedFrom is the average lateness from which requests are refused unread, and
+	// shedSpan how much more it takes until all are. A request passes the processor
+	// some ten times, so half a second is lost at 50 ms: callers leave soon after.
+	shedFrom = 50 * time.Millisecond
+	shedSpan = 100 * time.Millisecond
 	// lagFine is the average at which it takes them again.
 	lagFine = 5 * time.Millisecond
 	// leastRest is the shortest time without new connections. The balancer looks
@@ -38,10 +44,22 @@
 	// crowded says that most descriptors for callers are in use.
 	crowded func() bool
 	on      atomic.Bool
+	// average is the lag as others may read it, in nanoseconds.
+	average atomic.Int64
 	lag     time.Duration
 	since   time.Time
 }
 
+// late is how late this process runs in the mean.
+func (o *overload) late() time.Duration { return time.Duration(o.average.Load()) }
+
+// sheds says whether the next request is refused unread: the more, the later this
+// process runs. What is taken is then served while its caller waits.
+func (o *overload) sheds() bool {
+	over := o.late() - shedFrom
+	return over > 0 && rand.N(shedSpan) < over
+}
+
 // run measures until ctx ends.
 func (o *overload) run(ctx context.Context) {
 	ticker := time.NewTicker(lagEvery)
@@ -63,6 +81,7 @@
 func (o *overload) measure(now time.Time, late time.Duration) {
 	lagSeconds.Update(late.Seconds())
 	o.lag += time.Duration(lagWeight * float64(late-o.lag))
+	o.average.Store(int64(o.lag))
 	crowded := o.crowded()
 	switch {
 	case !o.on.Load() && (o.lag > lagTooMuch || crowded):
--- a/router/overload_test.go
+++ b/router/overload_test.go
@@ -44,3 +44,33 @@
 		t.Error("a crowded router asks for more connections")
 	}
 }
+
+// TestShedsMoreTheLaterItRuns: nothing while it runs in time, all when it is far
+// behind.
+func TestShedsMoreTheLaterItRuns(t *testing.T) {
+	o := &overload{log: slog.New(slog.DiscardHandler), crowded: func() bool { return false }}
+	share := func(lag time.Duration) float64 {
+		o.average.Store(int64(lag))
+		shed := 0
+		for range 2000 {
+			if o.sheds() {
+				shed++
+			}
+		}
+		return float64(shed) / 2000
+	}
+	for _, c := range []struct {
+		lag         time.Duration
+		least, most float64
+	}{
+		{0, 0, 0},
+		{shedFrom, 0, 0},
+		{shedFrom + shedSpan/2, 0.4, 0.6},
+		{shedFrom + shedSpan, 1, 1},
+		{time.Second, 1, 1},
+	} {
+		if got := share(c.lag); got < c.least || got > c.most {
+			t.Errorf("%.2f shed at a lag of %s", got, c.lag)
+		}
+	}
+}
--- a/router/routed.go
+++ b/router/routed.go
@@ -77,6 +77,7 @@
 		Client:           r.targets,
 		Relay:            take,
 		FirstByteTimeout: time.Duration(r.settings.Limits.FirstByteTimeout),
+		Lag:              r.overload.late,
 		Log:              r.log,
 	}
 }
--- a/router/start.go
+++ b/router/start.go
@@ -220,6 +220,7 @@
 	if r.managed != nil {
 		r.caches = cachewatch.New(platform.NewCaches(r.targets), r.targetKept, r.log)
 		options.Busy = r.overload.on.Load
+		options.Shed = r.overload.sheds
 		r.front = front.New(options, r.routedPipeline())
 		return
 	}
--- a/target/conn.go
+++ b/target/conn.go
@@ -109,9 +109,21 @@
 	if err := c.Conn.SetReadDeadline(deadline); err != nil {
 		return 0, err
 	}
+	n, err := c.Conn.Read(p)
+	if n > 0 || !isTimeout(err) {
+		return n, err
+	}
+	// This process may have been late itself: what arrived in time is still there.
+	if err := c.Conn.SetReadDeadline(time.Now().Add(lateLook)); err != nil {
+		return 0, err
+	}
 	return c.Conn.Read(p)
 }
 
+// lateLook is how long a read whose time is up looks once more. On a busy router a
+// target was taken for silent whose answer lay unread for a second.
+const lateLook = 10 * time.Millisecond
+
 // Write writes to the network and counts.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- a/target/exchange.go
+++ b/target/exchange.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -33,7 +34,7 @@
 
 // run sends the request and reads the answer's head.
 func (ex *exchange) run(req *Request) (*Response, error) {
-	deadline := time.Now().Add(ex.client.options.FirstByteTimeout)
+	deadline := time.Now().Add(cmp.Or(req.FirstByte, ex.client.options.FirstByteTimeout))
 	ex.conn.written = 0
 	ex.conn.readDeadline = deadline
 	if err := ex.conn.SetWriteDeadline(deadline); err != nil {
--- a/target/target.go
+++ b/target/target.go
@@ -32,6 +32,9 @@
 	// Deadline is when the caller gives up, where the dialect tells targets;
 	// zero: not known.
 	Deadline time.Time
+	// FirstByte bounds the sending of the request and the wait for the answer's head;
+	// zero: Options.FirstByteTimeout.
+	FirstByte time.Duration
 	// Stall bounds the gap between parts of the answer's body; zero:
 	// Options.StallTimeout.
 	Stall time.Duration
