--- a/front/refuse.go
+++ b/front/refuse.go
@@ -20,7 +20,7 @@
 	refusal := unreadError(err)
 	refusals.Inc(refusal.Code)
 	id := s.ids.next().text
-	s.log.Debug("front: Request could not be read.", "request", id, "code", int(refusal.Code), "error", refusal)
+	s.log.Info("front: Request could not be read.", "request", id, "code", int(refusal.Code), "error", refusal)
 	s.writeError(ctx, id, refusal)
 }
 
--- a/front/serve.go
+++ b/front/serve.go
@@ -23,7 +23,7 @@
 	r := s.begin(ctx, conn)
 	err := accept(ctx, r)
 	if err != nil {
-		s.log.Debug("front: Request refused.", "request", r.ex.ID, "error", err)
+		s.log.Info("front: Request refused.", "request", r.ex.ID, "error", err)
 	} else {
 		err = s.run(r)
 	}
