--- a/filters/grant/grant.go
+++ b/filters/grant/grant.go
@@ -26,7 +26,7 @@
 }
 
 // reasons says what the grant went by.
-func (f *Filter) reasons(ex *pipeline.Exchange, asked time.Time) []slog.Attr {
+func reasons(ex *pipeline.Exchange, asked time.Time) []slog.Attr {
 	attrs := []slog.Attr{
 		slog.Duration("waited", time.Since(asked)),
 		slog.String("as_of", ex.Snapshot.Order().String()),
@@ -49,6 +49,6 @@
 	if err := f.Source.Acquire(ctx, ex); err != nil {
 		return err
 	}
-	pipeline.Log(ctx, f.Log, slog.LevelInfo, ex, "grant: Slot granted.", f.reasons(ex, asked)...)
+	pipeline.Log(ctx, f.Log, slog.LevelInfo, ex, "grant: Slot granted.", reasons(ex, asked)...)
 	return next(ctx, ex)
 }
--- a/front/serve.go
+++ b/front/serve.go
@@ -48,13 +48,18 @@
 	}
 	requests.Inc()
 	if shed := r.conn.server.options.Shed; shed != nil && shed() {
-		refusals.Inc(result.Overloaded)
-		after := minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
-		return result.New(result.Overloaded, "This router is too busy.").After(after)
+		return tooBusy()
 	}
 	return checkRequest(ctx, r.ex)
 }
 
+// tooBusy is the refusal of a router that runs late.
+func tooBusy() error {
+	refusals.Inc(result.Overloaded)
+	after := minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
+	return result.New(result.Overloaded, "This router is too busy.").After(after)
+}
+
 // begin counts a new exchange and ties it to its connection.
 func (s *Server) begin(ctx *fasthttp.RequestCtx, conn *callerConn) *request {
 	gone := make(chan struct{})
