--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -274,3 +275,41 @@
 		t.Errorf("got %q", &out)
 	}
 }
+
+// TestHangUpReloads changes the settings file under a running router: a change that
+// a running router can take over is taken, one that it cannot is named, and a file
+// that cannot be read changes nothing. Requests go on being taken.
+func TestHangUpReloads(t *testing.T) {
+	path := write(t, "")
+	var out output
+	exited := make(chan int, 1)
+	go func() { exited <- Main([]string{"-c", path}, &out, io.Discard) }()
+	out.waitFor(t, "router: Started.")
+	original, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, step := range []struct{ added, want string }{
+		{"\nretries = { ratio = 0.5 }\nlimits = { read_timeout = \"9s\" }\n", `taken=[retries] need_restart=[limits]`},
+		{"\nretries = { ratio = -1.0 }\n", "daemon: Settings cannot be read"},
+	} {
+		if err := os.WriteFile(path, append(slices.Clone(original), step.added...), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		out.waitFor(t, step.want)
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case code := <-exited:
+		if code != ExitOK {
+			t.Errorf("exit code %d:\n%s", code, &out)
+		}
+	case <-time.After(generous):
+		t.Fatalf("did not end:\n%s", &out)
+	}
+}
