--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -189,6 +190,13 @@
 	if _, err := io.WriteString(conn, "POST /x HTTP/1.1\r\n"); err != nil {
 		t.Fatal(err)
 	}
+	// Connections are accepted in order: once a later one is answered, the router
+	// has this one, and a drain waits for it.
+	later, err := http.Get("http://" + callers + "/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	later.Body.Close()
 	for range 2 {
 		if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
 			t.Fatal(err)
