--- a/managedtest/fleet_test.go
+++ b/managedtest/fleet_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -40,6 +41,7 @@
 	journal  *managed.Journal
 	routers  []*router.Router
 	settings []settings.Settings
+	logs     []*logged // of the routers, in their order
 	version  uint64
 	client   *http.Client
 	requests int
@@ -84,16 +86,46 @@
 		f.t.Fatal(err)
 	}
 	s := devfleet.ManagedSettings(fmt.Sprintf("vm-%d", len(f.routers)+1), address)
-	r, err := router.Start(s, slog.New(slog.DiscardHandler))
+	log := &logged{}
+	r, err := router.Start(s, slog.New(slog.NewTextHandler(log, nil)))
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(r.Close)
 	f.routers = append(f.routers, r)
 	f.settings = append(f.settings, s)
+	f.logs = append(f.logs, log)
 	return r
 }
 
+// logged keeps what a router logs.
+type logged struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *logged) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(line)
+}
+
+func (l *logged) has(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), text)
+}
+
+// waitJoined waits until each router hears of all others.
+func (f *fleet) waitJoined() {
+	f.t.Helper()
+	for n, log := range f.logs {
+		f.eventually(patience, "router "+strconv.Itoa(n)+" hears of all others", func() bool {
+			return log.has(fmt.Sprintf(`"member: Live routers changed." node=%s count=%d `, f.settings[n].Node.Name, len(f.routers)))
+		})
+	}
+}
+
 func (f *fleet) waitReady(r *router.Router) {
 	f.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
--- a/managedtest/managed_test.go
+++ b/managedtest/managed_test.go
@@ -104,6 +104,19 @@
 	})
 }
 
+// TestTurnedAwayMemberKeepsUp is the same for a router that had joined the others
+// before the store turned it away.
+func TestTurnedAwayMemberKeepsUp(t *testing.T) {
+	f := startFleet(t, 3, ops("o1"), ops("o2"))
+	f.waitJoined()
+	f.store.SetFaultAt(f.settings[0].Platform.Address, managed.Refusing)
+	f.configure(func(c *wire.Config) { c.Tenants[0].Keys = []string{"another"} })
+	cut := f.routers[0]
+	f.eventually(3*time.Second, "a member that is turned away refuses a key taken away", func() bool {
+		return f.send(cut, pathOps).status == http.StatusUnauthorized
+	})
+}
+
 // TestLeavingReplicaGetsNothing: soon after a replica told that it leaves, or was
 // taken off the list, no router sends it anything.
 func TestLeavingReplicaGetsNothing(t *testing.T) {
