Be ready only once the other routers are known

Cause: a router announced itself and then listed the others, but was ready as soon as it had a version. Turned away by the store between the two calls, it knew no peer and no peer knew it, so it missed keys taken away until the store answered again.

Ruled out: one call that announces and lists (the store has none); listing before announcing as well (narrows the window, does not close it).

Change: not ready before the first list, for 2 s at most, as a store that lists nobody that long may do so for minutes.

--- a/managedtest/managed_test.go
+++ b/managedtest/managed_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/platform/wire"
 	"github.com/walnutcove/walnutcove/standin/managed"
 )
@@ -104,6 +105,25 @@
 	})
 }
 
+// TestReadyOnceOthersAreKnown: a router that cannot list the others does not ask for
+// callers, as it could not follow changes by them; but not for long.
+func TestReadyOnceOthersAreKnown(t *testing.T) {
+	f := startFleet(t, 2, ops("o1"))
+	f.store.RefuseReads(platform.TableRouters)
+	late, lonely := f.router(), f.router()
+	f.eventually(patience, "the late router has a version", func() bool { return late.InForce() != nil })
+	if late.Ready() {
+		t.Error("ready without knowing the others")
+	}
+	f.eventually(4*time.Second, "a router that never learns of the others is ready", lonely.Ready)
+
+	f.store.RefuseReads(platform.TableRouters)
+	late = f.router()
+	f.eventually(patience, "the late router has a version", func() bool { return late.InForce() != nil })
+	f.store.RefuseReads("")
+	f.eventually(time.Second, "the late router is ready once it knows the others", late.Ready)
+}
+
 // TestTurnedAwayMemberKeepsUp is the same for a router that had joined the others
 // before the store turned it away.
 func TestTurnedAwayMemberKeepsUp(t *testing.T) {
--- a/router/backend.go
+++ b/router/backend.go
@@ -22,8 +22,10 @@
 	r := b.router
 	readiness := operator.Readiness{Version: r.version()}
 	switch {
-	case !r.Ready():
+	case r.InForce() == nil:
 		readiness.Reason = "No configuration version yet: neither the table nor a peer answered."
+	case !r.Ready():
+		readiness.Reason = "The other routers are not known yet."
 	case r.Draining():
 		readiness.Reason = "The router is draining."
 	case r.managed != nil && r.overload.on.Load():
--- a/router/managed.go
+++ b/router/managed.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,10 @@
 	memberCallTimeout = 500 * time.Millisecond
 	// peerFetchTimeout bounds the fetch of a peer's directory.
 	peerFetchTimeout = time.Second
+	// joinWait is how long a router that could serve waits for its first list of the
+	// others before it says that it is ready. The list takes one call of some
+	// milliseconds; a platform that lists nobody for this long may do so for minutes.
+	joinWait = 2 * time.Second
 	// strangerPause gathers routers that turn up together, so that the list is
 	// read once for all of them.
 	strangerPause = 200 * time.Millisecond
@@ -50,6 +55,11 @@
 	rows      *platform.Store
 	routers   *platform.Routers
 	directory *directory.Follower
+	// othersKnown is closed with the first list of the routers, and joined once this
+	// router may say that it is ready; see awaitJoined.
+	othersKnown chan struct{}
+	othersOnce  sync.Once
+	joined      chan struct{}
 	// strangers gets a token when a router that is not listed turned up.
 	strangers chan struct{}
 	// caches follows what the targets that are scheduled here keep of prompts.
@@ -73,8 +83,10 @@
 			Routers:        func() int { return int(r.members.Load()) },
 			Log:            r.log,
 		}),
-		strangers: make(chan struct{}, 1),
-		overload:  &overload{log: r.log, crowded: func() bool { return r.front.IsCrowded() }},
+		othersKnown: make(chan struct{}),
+		joined:      make(chan struct{}),
+		strangers:   make(chan struct{}, 1),
+		overload:    &overload{log: r.log, crowded: func() bool { return r.front.IsCrowded() }},
 	}
 }
 
@@ -128,9 +140,43 @@
 	}
 	r.log.Info("member: Routers listed.", "count", len(vms))
 	r.vmsListed(vms)
+	r.othersOnce.Do(func() { close(r.othersKnown) })
 	return nil
 }
 
+// awaitJoined lets this router say that it is ready, once it has a directory and
+// the list of the others. It announces itself before it reads the list, so of two
+// ready routers one at least knows the other, and both can have the directory from
+// their peers when the platform turns them away. Without the wait, a router turned
+// away between the two calls keeps the version that it has until the platform
+// answers again.
+func (r *Router) awaitJoined(ctx context.Context) {
+	defer close(r.joined)
+	select {
+	case <-r.directory.Ready():
+	case <-ctx.Done():
+		return
+	}
+	timeout := time.NewTimer(joinWait)
+	defer timeout.Stop()
+	select {
+	case <-r.othersKnown:
+	case <-timeout.C:
+		r.log.Warn("member: Ready without knowing the other routers.", "waited", joinWait)
+	case <-ctx.Done():
+	}
+}
+
+// isJoined says whether awaitJoined is over.
+func (m *managed) isJoined() bool {
+	select {
+	case <-m.joined:
+		return true
+	default:
+		return false
+	}
+}
+
 // peerConnected reads the routers again if one turned up that is not listed.
 func (r *Router) peerConnected(node control.NodeID) {
 	if listed := r.vms.Load(); listed != nil {
--- a/router/router.go
+++ b/router/router.go
@@ -106,8 +106,11 @@
 // DrainAsked is closed when an operator asked this router to drain.
 func (r *Router) DrainAsked() <-chan struct{} { return r.drainAsked }
 
-// Ready implements ready.State: a configuration version is in force.
-func (r *Router) Ready() bool { return r.inForce.Load() != nil }
+// Ready implements ready.State: a configuration version is in force, and on a
+// managed platform the other routers are known.
+func (r *Router) Ready() bool {
+	return r.inForce.Load() != nil && (r.managed == nil || r.isJoined())
+}
 
 // Draining implements ready.State.
 func (r *Router) Draining() bool { return r.draining.Load() }
@@ -239,9 +242,9 @@
 	r.log.Info("router: Stopped.")
 }
 
-// WaitReady returns once a configuration version is in force.
+// WaitReady returns once this router can serve; see Ready.
 func (r *Router) WaitReady(ctx context.Context) error {
-	ready := r.configured()
+	ready := r.canServe()
 	select {
 	case <-ready:
 		return nil
@@ -250,10 +253,10 @@
 	}
 }
 
-// configured is closed once a configuration version is in force.
-func (r *Router) configured() <-chan struct{} {
+// canServe is closed once this router can serve.
+func (r *Router) canServe() <-chan struct{} {
 	if r.managed != nil {
-		return r.directory.Ready()
+		return r.joined
 	}
 	return r.follower.Ready()
 }
--- a/router/start.go
+++ b/router/start.go
@@ -255,6 +255,7 @@
 	if r.managed != nil {
 		r.start(func() { r.directory.Run(ctx) })
 		r.start(func() { r.followMembers(ctx) })
+		r.start(func() { r.awaitJoined(ctx) })
 		r.start(func() { r.overload.run(ctx) })
 	} else {
 		r.start(func() { r.follower.Run(ctx) })
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -45,7 +45,9 @@
 	// for all others.
 	fault  Fault
 	faults map[string]Fault
-	calls  map[string]int
+	// refused is a table that nobody can read.
+	refused string
+	calls   map[string]int
 }
 
 type rowKey struct{ table, key string }
@@ -103,6 +105,13 @@
 	s.wake()
 }
 
+// RefuseReads refuses the reading of a table; "" ends that.
+func (s *Store) RefuseReads(table string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused = table
+}
+
 // Calls returns how often a call was made.
 func (s *Store) Calls(path string) int {
 	s.mu.Lock()
@@ -179,6 +188,9 @@
 	if fault, own := s.faults[ctx.LocalAddr().String()]; own {
 		return fault
 	}
+	if path == wire.PathRead && s.refused != "" && string(ctx.QueryArgs().Peek(wire.ParamTable)) == s.refused {
+		return Refusing
+	}
 	return s.fault
 }
 
