Share the proxied way and the caller between tests

The fault soak needs the loopback proxy of the process tests and the caller of the managed tests. Both move to packages of their own kind, processes and standin/managed; the tests' checks are as they were. The stand-in's replicas can change their faults while they run and register another address than their own, and its store can show rows otherwise at an address, so that each router gets a way of its own to each other.

--- a/managedtest/fleet_test.go
+++ b/managedtest/fleet_test.go
@@ -5,9 +5,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
-	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,13 +21,14 @@
 
 // What the fleet serves.
 const (
-	host     = managed.DemoHost
 	key      = managed.DemoKey
 	pathOps  = managed.DemoOncePrefix + "deploy"
 	pathSafe = managed.DemoSafePrefix + "purge"
 	pathGen  = managed.DemoStreamPrefix + "page"
 	events   = 8
 
+	// deadline is the requests' own.
+	deadline = 8 * time.Second
 	// patience bounds every wait for something that must come.
 	patience = 20 * time.Second
 )
@@ -43,9 +42,7 @@
 	settings []settings.Settings
 	logs     []*logged // of the routers, in their order
 	version  uint64
-	client   *http.Client
-	requests int
-	mu       sync.Mutex
+	caller   *managed.Caller
 }
 
 // startFleet starts routers and the replicas that the options describe.
@@ -53,8 +50,8 @@
 	t.Helper()
 	f := &fleet{t: t, store: managed.StartStore(), journal: &managed.Journal{}}
 	t.Cleanup(f.store.Close)
-	f.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
-	t.Cleanup(f.client.CloseIdleConnections)
+	f.caller = managed.NewCaller("request", deadline)
+	t.Cleanup(f.caller.Close)
 	f.configure(nil)
 	for _, options := range replicas {
 		f.replica(options)
@@ -145,53 +142,15 @@
 	f.store.Put(wire.TableOperator, wire.KeyConfig, c)
 }
 
-// answer is what a caller got.
-type answer struct {
-	id     string
-	status int
-	body   string
-	// whole says that the answer ended as it was framed.
-	whole  bool
-	header http.Header
-}
-
-// newID returns an id for a request.
-func (f *fleet) newID() string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.requests++
-	return fmt.Sprintf("request-%d", f.requests)
-}
-
 // send sends a request to a router and reads its answer.
-func (f *fleet) send(r *router.Router, path string) answer {
+func (f *fleet) send(r *router.Router, path string) managed.Answer {
 	return f.sendWith(context.Background(), r, path, key)
 }
 
-func (f *fleet) sendWith(ctx context.Context, r *router.Router, path, withKey string) answer {
+func (f *fleet) sendWith(ctx context.Context, r *router.Router, path, withKey string) managed.Answer {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	got := answer{id: f.newID()}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.CallersAddress()+path, strings.NewReader("body"))
-	if err != nil {
-		f.t.Error(err)
-		return got
-	}
-	request.Host = host
-	request.Header.Set(wire.HeaderRequestID, got.id)
-	request.Header.Set(wire.HeaderKey, withKey)
-	request.Header.Set(wire.HeaderDeadline, "8000")
-	request.Header.Set(wire.HeaderTokens, "100,50")
-	// Some requests share their first part, and with it the replica that keeps it.
-	request.Header.Set(wire.HeaderParts, fmt.Sprintf("%x:80,%s:20", len(got.id)*100+int(got.id[len(got.id)-1]), "ff"))
-	response, err := f.client.Do(request)
-	if err != nil {
-		return got
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	got.status, got.body, got.whole, got.header = response.StatusCode, string(body), err == nil, response.Header
-	return got
+	return f.caller.Send(ctx, r.CallersAddress(), path, withKey)
 }
 
 // eventually waits until a condition holds.
@@ -206,10 +165,4 @@
 }
 
 // wholeStream is the body of a stream that lacks nothing and has nothing twice.
-func wholeStream(id string) string {
-	var b strings.Builder
-	for n := 1; n <= events; n++ {
-		fmt.Fprintf(&b, "id: %d\ndata: %s-%d\n\n", n, id, n)
-	}
-	return b.String()
-}
+func wholeStream(id string) string { return managed.WholeStream(id, events) }
--- a/managedtest/managed_test.go
+++ b/managedtest/managed_test.go
@@ -31,23 +31,23 @@
 		callers.Go(func() {
 			path := paths[n%len(paths)]
 			got := f.send(f.routers[n%len(f.routers)], path)
-			want := "done " + got.id
+			want := managed.WholeAnswer(got.ID)
 			if path == pathGen {
-				want = wholeStream(got.id)
+				want = wholeStream(got.ID)
 			}
 			switch {
-			case got.status == http.StatusServiceUnavailable:
-				if runs := f.journal.Runs(got.id); len(runs) != 0 {
-					t.Errorf("%s was told that it did not run, and ran at %s", got.id, runs[0].Replica)
+			case got.Status == http.StatusServiceUnavailable:
+				if runs := f.journal.Runs(got.ID); len(runs) != 0 {
+					t.Errorf("%s was told that it did not run, and ran at %s", got.ID, runs[0].Replica)
 				}
 				return
-			case got.status != http.StatusOK || !got.whole || got.body != want:
-				t.Errorf("%s: status %d, whole %v, %q", path, got.status, got.whole, got.body)
-			case got.header.Get(wire.HeaderSeal) == "":
-				t.Errorf("%s has no seal", got.id)
+			case got.Status != http.StatusOK || !got.Whole || got.Body != want:
+				t.Errorf("%s: status %d, whole %v, %q", path, got.Status, got.Whole, got.Body)
+			case got.Header.Get(wire.HeaderSeal) == "":
+				t.Errorf("%s has no seal", got.ID)
 			}
-			if runs := f.journal.Runs(got.id); len(runs) != 1 || runs[0].Workspace != "bakery" {
-				t.Errorf("%s ran %d times: %+v", got.id, len(runs), runs)
+			if runs := f.journal.Runs(got.ID); len(runs) != 1 || runs[0].Workspace != "bakery" {
+				t.Errorf("%s ran %d times: %+v", got.ID, len(runs), runs)
 			}
 		})
 	}
@@ -63,10 +63,10 @@
 	resumed := 0
 	for range 20 {
 		got := f.send(f.routers[0], pathGen)
-		if got.status != http.StatusOK || !got.whole || got.body != wholeStream(got.id) {
-			t.Fatalf("status %d, whole %v:\n%s", got.status, got.whole, got.body)
+		if got.Status != http.StatusOK || !got.Whole || got.Body != wholeStream(got.ID) {
+			t.Fatalf("status %d, whole %v:\n%s", got.Status, got.Whole, got.Body)
 		}
-		if runs := f.journal.Runs(got.id); len(runs) == 2 && runs[1].AfterEvent == "3" {
+		if runs := f.journal.Runs(got.ID); len(runs) == 2 && runs[1].AfterEvent == "3" {
 			resumed++
 		}
 	}
@@ -81,14 +81,14 @@
 	f := startFleet(t, 3, ops("o1"), ops("o2"))
 	f.configure(func(c *wire.Config) {
 		c.Tenants[0].Keys = []string{"another"}
-		c.Routes = append(c.Routes, wire.Route{Name: "new", Host: host, Prefix: "/new/", Kind: wire.Idempotent, Service: "ops", Public: true})
+		c.Routes = append(c.Routes, wire.Route{Name: "new", Host: managed.DemoHost, Prefix: "/new/", Kind: wire.Idempotent, Service: "ops", Public: true})
 	})
 	for n, r := range f.routers {
 		f.eventually(2*time.Second, "the version is in force at router "+strconv.Itoa(n), func() bool {
-			return f.send(r, pathOps).status == http.StatusUnauthorized && f.send(r, "/new/x").status == http.StatusOK
+			return f.send(r, pathOps).Status == http.StatusUnauthorized && f.send(r, "/new/x").Status == http.StatusOK
 		})
-		if got := f.send(r, "/nowhere/x"); got.status != http.StatusNotFound {
-			t.Errorf("unknown path: status %d", got.status)
+		if got := f.send(r, "/nowhere/x"); got.Status != http.StatusNotFound {
+			t.Errorf("unknown path: status %d", got.Status)
 		}
 	}
 }
@@ -101,7 +101,7 @@
 	f.configure(func(c *wire.Config) { c.Tenants[0].Keys = []string{"another"} })
 	cut := f.routers[0]
 	f.eventually(3*time.Second, "a router that is turned away refuses a key taken away", func() bool {
-		return f.send(cut, pathOps).status == http.StatusUnauthorized
+		return f.send(cut, pathOps).Status == http.StatusUnauthorized
 	})
 }
 
@@ -133,7 +133,7 @@
 	f.configure(func(c *wire.Config) { c.Tenants[0].Keys = []string{"another"} })
 	cut := f.routers[0]
 	f.eventually(3*time.Second, "a member that is turned away refuses a key taken away", func() bool {
-		return f.send(cut, pathOps).status == http.StatusUnauthorized
+		return f.send(cut, pathOps).Status == http.StatusUnauthorized
 	})
 }
 
@@ -177,16 +177,16 @@
 	f := startFleet(t, 2, ops("o1"))
 	f.store.SetFault(managed.Silent)
 	for _, r := range f.routers {
-		if got := f.send(r, pathSafe); got.status != http.StatusOK {
-			t.Errorf("status %d while the store is silent", got.status)
+		if got := f.send(r, pathSafe); got.Status != http.StatusOK {
+			t.Errorf("status %d while the store is silent", got.Status)
 		}
 	}
 	late := f.router()
-	if got := f.send(late, pathSafe); got.status != http.StatusServiceUnavailable {
-		t.Errorf("status %d without a configuration", got.status)
+	if got := f.send(late, pathSafe); got.Status != http.StatusServiceUnavailable {
+		t.Errorf("status %d without a configuration", got.Status)
 	}
 	f.store.SetFault(managed.Healthy)
-	f.eventually(3*time.Second, "the late router serves", func() bool { return f.send(late, pathSafe).status == http.StatusOK })
+	f.eventually(3*time.Second, "the late router serves", func() bool { return f.send(late, pathSafe).Status == http.StatusOK })
 }
 
 // TestForgottenHistory: a feed whose history is gone is loaded anew.
@@ -195,7 +195,7 @@
 	f.store.SetFault(managed.Forgetful)
 	f.configure(func(c *wire.Config) { c.Tenants[0].Keys = []string{"another"} })
 	f.eventually(3*time.Second, "the version is in force", func() bool {
-		return f.send(f.routers[0], pathOps).status == http.StatusUnauthorized
+		return f.send(f.routers[0], pathOps).Status == http.StatusUnauthorized
 	})
 	f.store.SetFault(managed.Healthy)
 }
@@ -212,11 +212,11 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		time.AfterFunc(250*time.Millisecond, cancel)
 		got := f.sendWith(ctx, f.routers[0], pathGen, key)
-		if got.whole {
+		if got.Whole {
 			t.Fatal("the stream ended before its caller left")
 		}
 		f.eventually(500*time.Millisecond, "the run is cancelled", func() bool {
-			runs := f.journal.Runs(got.id)
+			runs := f.journal.Runs(got.ID)
 			return len(runs) == 1 && runs[0].Cancelled
 		})
 	}
@@ -246,8 +246,8 @@
 	var callers sync.WaitGroup
 	for range 6 {
 		callers.Go(func() {
-			if got := f.send(f.routers[0], pathGen); got.status != http.StatusOK || !got.whole || got.body != wholeStream(got.id) {
-				t.Errorf("status %d, whole %v: %q", got.status, got.whole, got.body)
+			if got := f.send(f.routers[0], pathGen); got.Status != http.StatusOK || !got.Whole || got.Body != wholeStream(got.ID) {
+				t.Errorf("status %d, whole %v: %q", got.Status, got.Whole, got.Body)
 			}
 		})
 	}
@@ -272,19 +272,19 @@
 	lost, repeated := 0, 0
 	sendOnce := func() {
 		got := f.send(f.routers[0], pathOps)
-		runs := f.journal.Runs(got.id)
+		runs := f.journal.Runs(got.ID)
 		switch {
 		case len(runs) > 1:
-			t.Errorf("%s ran %d times", got.id, len(runs))
-		case got.status == http.StatusServiceUnavailable && len(runs) != 0:
-			t.Errorf("%s was told that it did not run, and ran", got.id)
-		case got.status == http.StatusBadGateway:
+			t.Errorf("%s ran %d times", got.ID, len(runs))
+		case got.Status == http.StatusServiceUnavailable && len(runs) != 0:
+			t.Errorf("%s was told that it did not run, and ran", got.ID)
+		case got.Status == http.StatusBadGateway:
 			lost++
 		}
 	}
 	sendSafe := func() {
 		safe := f.send(f.routers[0], pathSafe)
-		if safeRuns := f.journal.Runs(safe.id); len(safeRuns) == 2 && safe.status == http.StatusOK {
+		if safeRuns := f.journal.Runs(safe.ID); len(safeRuns) == 2 && safe.Status == http.StatusOK {
 			repeated++
 		}
 	}
@@ -311,8 +311,8 @@
 	forging.Unsealed = true
 	f := startFleet(t, 1, forging)
 	for _, path := range []string{pathOps, pathSafe} {
-		if got := f.send(f.routers[0], path); got.status < http.StatusInternalServerError {
-			t.Errorf("%s: status %d", path, got.status)
+		if got := f.send(f.routers[0], path); got.Status < http.StatusInternalServerError {
+			t.Errorf("%s: status %d", path, got.Status)
 		}
 	}
 }
--- a/proctest/chaos_test.go
+++ b/proctest/chaos_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/load"
+	"github.com/walnutcove/walnutcove/processes"
 	"github.com/walnutcove/walnutcove/standin/engine"
 	standin "github.com/walnutcove/walnutcove/standin/platform"
 )
@@ -134,17 +135,17 @@
 	router := c.random.IntN(routerCount)
 	other := (router + 1 + c.random.IntN(routerCount-1)) % routerCount
 	target := c.anyTarget()
-	direction := []string{forth, back}[c.random.IntN(2)]
+	direction := []string{processes.Forth, processes.Back}[c.random.IntN(2)]
 	return []fault{
 		{"kill " + routerName(router), func() { c.kill(router) }},
 		{"freeze " + routerName(router), func() { c.must(c.routers[router].Freeze()) }},
 		{"isolate " + routerName(router), func() { c.isolate(router) }},
-		{"hold " + direction + " on " + c.peers[router][other].proxy.Name, func() { c.holdPeers(router, other, direction) }},
-		{"cut the platform from " + routerName(router), func() { c.platformWays[router].cut() }},
+		{"hold " + direction + " on " + c.peers[router][other].Name(), func() { c.holdPeers(router, other, direction) }},
+		{"cut the platform from " + routerName(router), func() { c.platformWays[router].Cut() }},
 		{"outage", func() { c.platformFaults(standin.Faults{Outage: c.anyOutage()}) }},
 		{"lost replies", func() { c.platformFaults(standin.Faults{LoseReplies: 10}) }},
 		{"late replies", func() { c.platformFaults(standin.Faults{ReplyDelayMillis: 1500}) }},
-		{"cut " + target, func() { c.targetWays[target].cut() }},
+		{"cut " + target, func() { c.targetWays[target].Cut() }},
 		{"hold " + direction + " to " + target, func() { c.holdWay(c.targetWays[target], direction) }},
 		{target + " refuses", func() { c.disturb(target, engine.Faults{Refuse: true}) }},
 		{target + " breaks answers", func() { c.disturb(target, engine.Faults{BreakAfterTokens: 3}) }},
@@ -178,14 +179,14 @@
 
 // holdPeers holds one direction between two routers, whoever opened the session.
 func (c *chaos) holdPeers(from, to int, direction string) {
-	opposite := map[string]string{forth: back, back: forth}
+	opposite := map[string]string{processes.Forth: processes.Back, processes.Back: processes.Forth}
 	c.holdWay(c.peers[from][to], direction)
 	c.holdWay(c.peers[to][from], opposite[direction])
 }
 
 // holdWay holds a direction of a way that is not held yet.
 func (c *chaos) holdWay(w *way, direction string) {
-	if len(w.proxy.Toxics.GetToxicArray()) == 0 {
+	if !w.IsDisturbed() {
 		w.hold(direction)
 	}
 }
--- a/proctest/faults_test.go
+++ b/proctest/faults_test.go
@@ -10,8 +10,8 @@
 	f.note("cut %s from the others", routerName(n))
 	for other := range routerCount {
 		if other != n {
-			f.peers[n][other].cut()
-			f.peers[other][n].cut()
+			f.peers[n][other].Cut()
+			f.peers[other][n].Cut()
 		}
 	}
 }
--- a/proctest/fleet_test.go
+++ b/proctest/fleet_test.go
@@ -213,7 +213,7 @@
 func (f *fleet) addTarget(name string, started *processes.StandIn, declared config.Target) {
 	f.targets[name] = started
 	f.targetWays[name] = newWay(f.t, name, f.ip, started.Address)
-	declared.Address = f.targetWays[name].address()
+	declared.Address = f.targetWays[name].Address()
 	f.declared[name] = declared
 }
 
@@ -236,7 +236,7 @@
 		for b := range routerCount {
 			if a != b {
 				f.peers[a][b] = newWay(f.t, routerName(a)+" to "+routerName(b), f.ip, listen[b].Peers)
-				addresses[routerName(b)] = f.peers[a][b].address()
+				addresses[routerName(b)] = f.peers[a][b].Address()
 			}
 		}
 		f.post("http://"+views[a]+"/_view", addresses, nil)
@@ -267,7 +267,7 @@
 	s.Node.Name = routerName(n)
 	s.Node.DataCentre = f.options.dataCentres[n]
 	s.Listen = listen
-	s.Platform.Address = f.platformWays[n].address()
+	s.Platform.Address = f.platformWays[n].Address()
 	s.Platform.Timeout = settings.Duration(time.Second)
 	s.Platform.PollEvery = settings.Duration(300 * time.Millisecond)
 	s.Platform.VMListEvery = settings.Duration(300 * time.Millisecond)
--- a/proctest/leaving_test.go
+++ b/proctest/leaving_test.go
@@ -86,7 +86,7 @@
 	f, tr := leavingFleet(t)
 	scheduler := max(f.scheduler(enginePool, 0, 1, 2), 0)
 	f.isolate(scheduler)
-	f.platformWays[scheduler].cut()
+	f.platformWays[scheduler].Cut()
 	tr.more(f, 50)
 	f.targetFaults("engine-1", engine.Faults{Leaving: true})
 	f.judgeLeft("engine-1", time.Now(), tr)
@@ -111,7 +111,7 @@
 	t.Parallel()
 	f, tr := leavingFleet(t)
 	for _, n := range others(0) {
-		f.platformWays[n].cut()
+		f.platformWays[n].Cut()
 	}
 	f.mustPatch(0, leave())
 	left := time.Now()
--- a/proctest/notrun_test.go
+++ b/proctest/notrun_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/load"
+	"github.com/walnutcove/walnutcove/processes"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/standin/engine"
 	standin "github.com/walnutcove/walnutcove/standin/platform"
@@ -33,7 +34,7 @@
 		f.healTargets()
 		tr.more(f, 50)
 	}
-	for _, direction := range []string{forth, back} {
+	for _, direction := range []string{processes.Forth, processes.Back} {
 		f.note("everything %s is held on its way, and the way is cut then", direction)
 		for range 2 {
 			f.everyTarget(func(name string) { f.targetWays[name].hold(direction) })
@@ -131,10 +132,10 @@
 			f.note("%s began to run on %s", mark, ran)
 			f.everyEngine(func(name string) {
 				if name != ran {
-					f.targetWays[name].cut()
+					f.targetWays[name].Cut()
 				}
 			})
-			f.targetWays[ran].cut()
+			f.targetWays[ran].Cut()
 			got := <-outcome
 			t.Logf("code %d, ran=%s: %s", got.Code, got.Ran, got.Detail)
 			if got.Verdict == load.Answered {
@@ -149,7 +150,7 @@
 	}
 }
 
-func (f *fleet) cutTargets() { f.everyTarget(func(name string) { f.targetWays[name].cut() }) }
+func (f *fleet) cutTargets() { f.everyTarget(func(name string) { f.targetWays[name].Cut() }) }
 
 func (f *fleet) healTargets() { f.everyTarget(func(name string) { f.targetWays[name].heal() }) }
 
--- a/proctest/once_test.go
+++ b/proctest/once_test.go
@@ -180,7 +180,7 @@
 	return func() {
 		f.t.Helper()
 		f.note("cut the blocking call")
-		f.targetWays["service-1"].cut()
+		f.targetWays["service-1"].Cut()
 		<-blocker
 		f.targetWays["service-1"].heal()
 	}
--- a/proctest/quarantine_test.go
+++ b/proctest/quarantine_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/load"
+	"github.com/walnutcove/walnutcove/processes"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/standin/engine"
 )
@@ -23,9 +24,9 @@
 	tr.more(f, 12)
 	for n := range 12 {
 		way := f.targetWays[[]string{"engine-1", "engine-2"}[n%2]]
-		way.hold(back)
+		way.hold(processes.Back)
 		f.holdShortly()
-		way.cut()
+		way.Cut()
 		way.heal()
 	}
 	tr.more(f, 12)
--- a/proctest/version_test.go
+++ b/proctest/version_test.go
@@ -84,8 +84,8 @@
 	t.Parallel()
 	f := startFleet(t, options{})
 	w := f.watchVersions()
-	f.platformWays[1].cut()
-	f.platformWays[2].cut()
+	f.platformWays[1].Cut()
+	f.platformWays[2].Cut()
 	_, err := f.patch(0, newPatch(f.newest(), 5))
 	f.must(err)
 	f.platformFaults(standin.Faults{Outage: standin.OutageDrop})
@@ -111,7 +111,7 @@
 	w := f.watchVersions()
 	before := f.newest()
 	f.isolate(2)
-	f.platformWays[2].cut()
+	f.platformWays[2].Cut()
 	for n := range 3 {
 		_, err := f.patch(n%2, newPatch(f.newest(), float64(20+n)))
 		f.must(err)
@@ -129,7 +129,7 @@
 	f.platformWays[2].heal()
 
 	f.isolate(2)
-	f.platformWays[2].cut()
+	f.platformWays[2].Cut()
 	f.routers[2].Kill()
 	w.judgeLog(2)
 	f.restart(2)
@@ -157,11 +157,11 @@
 		func() { f.platformFaults(standin.Faults{LoseReplies: 5, LoseTablePrefix: "config_"}) },
 		func() { f.isolate(0) },
 		func() { f.platformFaults(standin.Faults{Outage: standin.OutageFreeze}) },
-		func() { f.platformWays[1].cut() },
+		func() { f.platformWays[1].Cut() },
 		func() { f.routers[2].Kill(); w.judgeLog(2); f.restart(2) },
 		func() { f.platformFaults(standin.Faults{ReplyDelayMillis: 1200}) },
 		func() { f.must(f.routers[1].Freeze()) },
-		func() { f.isolate(2); f.platformWays[2].cut() },
+		func() { f.isolate(2); f.platformWays[2].Cut() },
 	}
 	for n, fault := range faults {
 		f.note("fault %d", n)
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -63,6 +63,14 @@
 	// events: answers are whole, after Pause.
 	Events int
 	Pause  time.Duration
+	// Advertise returns the address to register, given the one that the replica
+	// listens on; nil: that one.
+	Advertise func(listens string) (string, error)
+	ReplicaFaults
+}
+
+// ReplicaFaults are what a replica does wrong.
+type ReplicaFaults struct {
 	// LoseAnswers closes the connection in place of each whole answer, after the run.
 	LoseAnswers bool
 	// Unsealed sends answers without a seal.
@@ -70,6 +78,10 @@
 	// BreakAfter breaks each connection off after so many events of a stream that
 	// begins at its first event, in the middle of the next one; zero: never.
 	BreakAfter int
+	// Refuse refuses every request as not run.
+	Refuse bool
+	// Slower is added to each pause.
+	Slower time.Duration
 }
 
 // Replica answers requests. Create it with StartReplica.
@@ -78,9 +90,12 @@
 	journal  *Journal
 	store    *Store
 	listener net.Listener
-	http     *fasthttp.Server
+	// address is what it registers.
+	address string
+	http    *fasthttp.Server
 
 	mu      sync.Mutex
+	faults  ReplicaFaults
 	running int
 	leftAt  time.Time
 	// kept are the parts that it ran, as callers name them.
@@ -93,7 +108,20 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{options: options, journal: journal, store: store, listener: listener}
+	r := &Replica{
+		options:  options,
+		journal:  journal,
+		store:    store,
+		listener: listener,
+		address:  listener.Addr().String(),
+		faults:   options.ReplicaFaults,
+	}
+	if options.Advertise != nil {
+		if r.address, err = options.Advertise(r.address); err != nil {
+			_ = listener.Close()
+			return nil, err
+		}
+	}
 	r.http = &fasthttp.Server{Handler: r.serve, NoDefaultServerHeader: true}
 	go func() { _ = r.http.Serve(listener) }() // ends with Close
 	r.register("ready")
@@ -103,13 +131,27 @@
 func (r *Replica) register(state string) {
 	r.store.Put(wire.TableReplicas, r.options.ID, wire.Replica{
 		Service: r.options.Service,
-		Address: r.listener.Addr().String(),
+		Address: r.address,
 		Zone:    "dc",
 		Slots:   r.options.Slots,
 		State:   state,
 	})
 }
 
+// SetFaults replaces what the replica does wrong.
+func (r *Replica) SetFaults(faults ReplicaFaults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = faults
+}
+
+// doesWrong returns what the replica does wrong now.
+func (r *Replica) doesWrong() ReplicaFaults {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults
+}
+
 // Leave tells that the replica leaves. It goes on serving.
 func (r *Replica) Leave() {
 	r.mu.Lock()
@@ -199,17 +241,17 @@
 	}
 	r.journal.add(run)
 	r.keep(string(header.Peek(wire.HeaderParts)))
-	if !r.options.Unsealed {
+	if !r.doesWrong().Unsealed {
 		ctx.Response.Header.Set(wire.HeaderSeal, "seal-"+r.options.ID)
 	}
 	if r.options.Events == 0 {
-		time.Sleep(r.options.Pause)
+		time.Sleep(r.options.Pause + r.doesWrong().Slower)
 		r.end()
-		if r.options.LoseAnswers {
+		if r.doesWrong().LoseAnswers {
 			_ = ctx.Conn().Close()
 			return
 		}
-		ctx.SetBodyString("done " + id)
+		ctx.SetBodyString(WholeAnswer(id))
 		return
 	}
 	ctx.SetContentType("text/event-stream")
@@ -228,8 +270,9 @@
 // stream writes the events behind the given one.
 func (r *Replica) stream(w *bufio.Writer, conn net.Conn, run *Run, after int) {
 	for n := after + 1; n <= r.options.Events; n++ {
-		time.Sleep(r.options.Pause)
-		if r.options.BreakAfter > 0 && after == 0 && n > r.options.BreakAfter {
+		faults := r.doesWrong()
+		time.Sleep(r.options.Pause + faults.Slower)
+		if faults.BreakAfter > 0 && after == 0 && n > faults.BreakAfter {
 			fmt.Fprintf(w, "id: %d\nda", n)
 			_ = w.Flush()
 			time.Sleep(breakPause)
@@ -249,7 +292,7 @@
 func (r *Replica) begin() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.running >= r.options.Slots {
+	if r.faults.Refuse || r.running >= r.options.Slots {
 		return false
 	}
 	r.running++
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -48,8 +48,13 @@
 	// refused is a table that nobody can read.
 	refused string
 	calls   map[string]int
+	// views change the rows for those who call an address.
+	views map[string]View
 }
 
+// View returns a row as some callers see it.
+type View func(wire.Row) wire.Row
+
 type rowKey struct{ table, key string }
 
 // StartStore starts a store. It listens where Listen is called.
@@ -60,6 +65,7 @@
 		changed: make(chan struct{}),
 		faults:  make(map[string]Fault),
 		calls:   make(map[string]int),
+		views:   make(map[string]View),
 	}
 	s.http = &fasthttp.Server{Handler: s.serve, CloseOnShutdown: true}
 	return s
@@ -105,6 +111,27 @@
 	s.wake()
 }
 
+// SetView sets how those who call an address see the rows.
+func (s *Store) SetView(address string, view View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.views[address] = view
+}
+
+// seen returns the answer as the caller sees it.
+func (s *Store) seen(ctx *fasthttp.RequestCtx, answer wire.RowsAnswer) wire.RowsAnswer {
+	s.mu.Lock()
+	view := s.views[ctx.LocalAddr().String()]
+	s.mu.Unlock()
+	if view == nil {
+		return answer
+	}
+	for n, row := range answer.Rows {
+		answer.Rows[n] = view(row)
+	}
+	return answer
+}
+
 // RefuseReads refuses the reading of a table; "" ends that.
 func (s *Store) RefuseReads(table string) {
 	s.mu.Lock()
@@ -170,7 +197,7 @@
 	}
 	switch path {
 	case wire.PathRead:
-		s.answer(ctx, s.read(string(ctx.QueryArgs().Peek(wire.ParamTable)), 0))
+		s.answer(ctx, s.seen(ctx, s.read(string(ctx.QueryArgs().Peek(wire.ParamTable)), 0)))
 	case wire.PathChanges:
 		s.follow(ctx)
 	case wire.PathTransact:
@@ -237,7 +264,7 @@
 		// Revision zero would read what exists; nothing is older than revision 1.
 		answer := s.read(table, max(after, 1))
 		if len(answer.Rows) > 0 {
-			s.answer(ctx, answer)
+			s.answer(ctx, s.seen(ctx, answer))
 			return
 		}
 		select {
