--- a/devfleet/cli/cli.go
+++ b/devfleet/cli/cli.go
@@ -27,8 +27,8 @@
 )
 
 type commandLine struct {
-	Fleet    fleetCommand    `cmd:"" default:"withargs" help:"Run a small fleet with its stand-ins in this process."`
-	Managed  managedCommand  `cmd:"" help:"Run a small fleet on a managed platform's stand-in in this process."`
+	Managed  managedCommand  `cmd:"" default:"withargs" help:"Run a small fleet on a managed platform's stand-in in this process."`
+	Fleet    fleetCommand    `cmd:"" help:"Run a small fleet whose operators patch it, with its stand-ins, in this process."`
 	Platform platformCommand `cmd:"" help:"Run the platform's stand-in."`
 	Engine   engineCommand   `cmd:"" help:"Run a stand-in model engine."`
 	Service  serviceCommand  `cmd:"" help:"Run a stand-in plain service."`
--- a/peer/fault_test.go
+++ b/peer/fault_test.go
@@ -4,19 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/Shopify/toxiproxy"
-	"github.com/sirupsen/logrus"
-
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/processes"
 )
 
-func init() { logrus.SetOutput(io.Discard) }
-
 // quick shortens the times after which a cut is noticed.
 func quick(o *Options) {
 	o.KeepAliveAfter = 100 * time.Millisecond
@@ -25,38 +19,18 @@
 	o.RetryMax = 100 * time.Millisecond
 }
 
-// wireTo is a proxy before a node's address.
-type wireTo struct {
-	*toxiproxy.Proxy
-	t testing.TB
-}
-
-// proxyTo starts a proxy before an address. Its upstream direction leads to
-// the address.
-func proxyTo(t testing.TB, address string) wireTo {
+// proxyTo starts a proxy before an address. Its direction forth leads to the
+// address.
+func proxyTo(t testing.TB, address string) *processes.Way {
 	t.Helper()
-	proxy := toxiproxy.NewProxy()
-	proxy.Name = address
-	proxy.Listen = "127.0.0.1:0"
-	proxy.Upstream = address
-	if err := proxy.Start(); err != nil {
+	way, err := processes.NewWay("to "+address, "127.0.0.1", address)
+	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(proxy.Stop)
-	return wireTo{proxy, t}
-}
-
-// cut swallows what flows in a direction, "upstream" or "downstream".
-func (w wireTo) cut(direction string) {
-	w.t.Helper()
-	toxic := fmt.Sprintf(`{"name":%q,"type":"timeout","stream":%q,"attributes":{"timeout":0}}`, direction, direction)
-	if _, err := w.Toxics.AddToxicJson(strings.NewReader(toxic)); err != nil {
-		w.t.Fatal(err)
-	}
+	t.Cleanup(way.Close)
+	return way
 }
 
-func (w wireTo) heal() { w.Toxics.ResetToxics() }
-
 // sendUntil repeats a message until the condition holds: delivery is best effort.
 func sendUntil(t testing.TB, what string, from node, to control.NodeID, condition func() bool) {
 	t.Helper()
@@ -67,11 +41,11 @@
 }
 
 // pairThroughProxies connects a and b so that each dials through a proxy.
-func pairThroughProxies(t testing.TB) (a, b node, toB, toA wireTo) {
+func pairThroughProxies(t testing.TB) (a, b node, toB, toA *processes.Way) {
 	a, b = start(t, "a", 1, quick), start(t, "b", 2, quick)
 	toB, toA = proxyTo(t, b.Address()), proxyTo(t, a.Address())
-	a.SetPeers(map[control.NodeID]string{"b": toB.Listen})
-	b.SetPeers(map[control.NodeID]string{"a": toA.Listen})
+	a.SetPeers(map[control.NodeID]string{"b": toB.Address()})
+	b.SetPeers(map[control.NodeID]string{"a": toA.Address()})
 	sendUntil(t, "session", a, "b", func() bool { return len(b.received("a")) > 0 })
 	return a, b, toB, toA
 }
@@ -83,9 +57,9 @@
 
 func TestCutBothWays(t *testing.T) {
 	a, b, toB, toA := pairThroughProxies(t)
-	for _, proxy := range []wireTo{toB, toA} {
-		proxy.cut("upstream")
-		proxy.cut("downstream")
+	for _, proxy := range []*processes.Way{toB, toA} {
+		proxy.Hold(processes.Forth)
+		proxy.Hold(processes.Back)
 	}
 	eventually(t, "both to notice", func() bool { return !lastState(a) && !lastState(b) })
 	if a.count(`walnut_peer_sessions_ended_total{reason="no-answer"}`) == 0 &&
@@ -95,8 +69,11 @@
 	sendUntil(t, "a drop", a, "b", func() bool {
 		return a.count(`walnut_peer_dropped_total{reason="unreachable"}`) > 0
 	})
-	toA.heal()
-	toB.heal()
+	for _, proxy := range []*processes.Way{toB, toA} {
+		if err := proxy.Heal(); err != nil {
+			t.Fatal(err)
+		}
+	}
 	before := len(b.received("a"))
 	sendUntil(t, "messages after the cut", a, "b", func() bool { return len(b.received("a")) > before })
 	eventually(t, "both to be connected", func() bool { return lastState(a) && lastState(b) })
@@ -106,7 +83,7 @@
 // moves to a connection that b dialled.
 func TestCutOneWay(t *testing.T) {
 	a, b, toB, _ := pairThroughProxies(t)
-	toB.cut("upstream")
+	toB.Hold(processes.Forth)
 	before := len(a.received("b"))
 	sendUntil(t, "b's messages on a new session", b, "a", func() bool {
 		return b.count(`walnut_peer_sessions_opened_total{role="dialled"}`) > 0 && len(a.received("b")) > before
@@ -125,7 +102,7 @@
 		return nil, ctx.Err()
 	}
 	toB := proxyTo(t, b.Address())
-	a.SetPeers(map[control.NodeID]string{"b": toB.Listen})
+	a.SetPeers(map[control.NodeID]string{"b": toB.Address()})
 	failed := make(chan error)
 	go func() {
 		_, err := a.Call(context.Background(), "b", "wait", nil)
@@ -136,7 +113,7 @@
 	case err := <-failed:
 		t.Fatalf("call did not reach b: %v", err)
 	}
-	toB.cut("downstream")
+	toB.Hold(processes.Back)
 	if err := <-failed; !errors.Is(err, ErrSessionEnded) {
 		t.Errorf("call ended with %v", err)
 	}
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -15,12 +15,8 @@
 	"github.com/walnutcove/walnutcove/control"
 )
 
-// TestMain fails on goroutines that are left behind, but for one of the fault
-// proxy: it can stay blocked on a link that was cut in the middle of a chunk.
-func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m,
-		goleak.IgnoreTopFunction("github.com/Shopify/toxiproxy/toxics.(*NoopToxic).Pipe"))
-}
+// TestMain fails on goroutines that are left behind.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // patience bounds every wait for a condition.
 const patience = 20 * time.Second
--- a/proctest/chaos_test.go
+++ b/proctest/chaos_test.go
@@ -135,18 +135,18 @@
 	router := c.random.IntN(routerCount)
 	other := (router + 1 + c.random.IntN(routerCount-1)) % routerCount
 	target := c.anyTarget()
-	direction := []string{processes.Forth, processes.Back}[c.random.IntN(2)]
+	direction := []processes.Direction{processes.Forth, processes.Back}[c.random.IntN(2)]
 	return []fault{
 		{"kill " + routerName(router), func() { c.kill(router) }},
 		{"freeze " + routerName(router), func() { c.must(c.routers[router].Freeze()) }},
 		{"isolate " + routerName(router), func() { c.isolate(router) }},
-		{"hold " + direction + " on " + c.peers[router][other].Name(), func() { c.holdPeers(router, other, direction) }},
+		{"hold " + direction.String() + " on " + c.peers[router][other].Name(), func() { c.holdPeers(router, other, direction) }},
 		{"cut the platform from " + routerName(router), func() { c.platformWays[router].Cut() }},
 		{"outage", func() { c.platformFaults(standin.Faults{Outage: c.anyOutage()}) }},
 		{"lost replies", func() { c.platformFaults(standin.Faults{LoseReplies: 10}) }},
 		{"late replies", func() { c.platformFaults(standin.Faults{ReplyDelayMillis: 1500}) }},
 		{"cut " + target, func() { c.targetWays[target].Cut() }},
-		{"hold " + direction + " to " + target, func() { c.holdWay(c.targetWays[target], direction) }},
+		{"hold " + direction.String() + " to " + target, func() { c.holdWay(c.targetWays[target], direction) }},
 		{target + " refuses", func() { c.disturb(target, engine.Faults{Refuse: true}) }},
 		{target + " breaks answers", func() { c.disturb(target, engine.Faults{BreakAfterTokens: 3}) }},
 		{target + " is slow", func() { c.disturb(target, engine.Faults{SlowFactor: 10}) }},
@@ -178,14 +178,14 @@
 }
 
 // holdPeers holds one direction between two routers, whoever opened the session.
-func (c *chaos) holdPeers(from, to int, direction string) {
-	opposite := map[string]string{processes.Forth: processes.Back, processes.Back: processes.Forth}
+func (c *chaos) holdPeers(from, to int, direction processes.Direction) {
+	opposite := map[processes.Direction]processes.Direction{processes.Forth: processes.Back, processes.Back: processes.Forth}
 	c.holdWay(c.peers[from][to], direction)
 	c.holdWay(c.peers[to][from], opposite[direction])
 }
 
 // holdWay holds a direction of a way that is not held yet.
-func (c *chaos) holdWay(w *way, direction string) {
+func (c *chaos) holdWay(w *way, direction processes.Direction) {
 	if !w.IsDisturbed() {
 		w.hold(direction)
 	}
--- a/proctest/main_test.go
+++ b/proctest/main_test.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"os"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/walnutcove/walnutcove/processes"
 )
 
@@ -22,7 +19,6 @@
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
 func run(m *testing.M) int {
-	logrus.SetOutput(io.Discard) // the proxies' messages
 	dir, err := os.MkdirTemp("", "walnutcove-proctest-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/proctest/proxy_test.go
+++ b/proctest/proxy_test.go
@@ -32,9 +32,4 @@
 }
 
 // hold lets nothing through in one direction; connections stay open.
-func (w *way) hold(direction string) {
-	w.t.Helper()
-	if err := w.Hold(direction); err != nil {
-		w.t.Fatal(err)
-	}
-}
+func (w *way) hold(direction processes.Direction) { w.Hold(direction) }
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -122,12 +122,18 @@
 			return nil, err
 		}
 	}
-	r.http = &fasthttp.Server{Handler: r.serve, NoDefaultServerHeader: true}
+	r.http = &fasthttp.Server{Handler: r.serve, NoDefaultServerHeader: true, Logger: silent{}}
 	go func() { _ = r.http.Serve(listener) }() // ends with Close
 	r.register("ready")
 	return r, nil
 }
 
+// silent drops what the server says of broken connections: tests break them.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
 func (r *Replica) register(state string) {
 	r.store.Put(wire.TableReplicas, r.options.ID, wire.Replica{
 		Service: r.options.Service,
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -67,7 +67,7 @@
 		calls:   make(map[string]int),
 		views:   make(map[string]View),
 	}
-	s.http = &fasthttp.Server{Handler: s.serve, CloseOnShutdown: true}
+	s.http = &fasthttp.Server{Handler: s.serve, CloseOnShutdown: true, Logger: silent{}}
 	return s
 }
 
