Measure lag by what arrives, not by timers

Cause: on the grown co-op one small router gets a hot workspace's callers and its processor is full: granted requests left it 1.4 s later, callers gave up at their deadlines, and runs went on for callers that had left. Its lag, by a ticker, stood near 30 ms, as the runtime runs timers before the goroutines that wait; so it neither sent callers away nor refused unread.

Ruled out: the hop of runtime.Gosched (the global queue is looked at once in 61 turns, so it tells little of the local one); the wait of grants (only known where there are some).

Change: a byte through a pipe at each tick; its delay counts as lag.

--- a/router/overload.go
+++ b/router/overload.go
@@ -62,6 +62,8 @@
 
 // run measures until ctx ends.
 func (o *overload) run(ctx context.Context) {
+	probe := startLagProbe(o.log)
+	defer probe.close()
 	ticker := time.NewTicker(lagEvery)
 	defer ticker.Stop()
 	last := time.Now()
@@ -72,7 +74,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		o.measure(now, max(0, now.Sub(last)-lagEvery))
+		o.measure(now, max(0, now.Sub(last)-lagEvery, probe.late()))
 		last = now
 	}
 }
