Let callers of a busy router come back at once, elsewhere

Cause: a router that ran late refused unread and told its callers to come back after 0.5 to 1.5 s, by when an answer in time was out of reach, though the lateness is that router's own and others nearby were idle.

Change: back within 50 ms, spread; the connection is closed, as before.

TestBusyRouterSendsCallersElsewhere failed first with 1190 ms.

--- a/front/serve.go
+++ b/front/serve.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"runtime/debug"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -53,10 +54,15 @@
 	return checkRequest(ctx, r.ex)
 }
 
-// tooBusy is the refusal of a router that runs late.
+// elsewhereAfter is the longest pause that a caller is told to make who had better ask
+// another router. Its connection is closed, and the next one leads elsewhere; the pause
+// only spreads those who are refused together.
+const elsewhereAfter = 50 * time.Millisecond
+
+// tooBusy is the refusal of a router that runs late, which says nothing of others.
 func tooBusy() error {
 	refusals.Inc(result.Overloaded)
-	after := minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
+	after := time.Millisecond + rand.N(elsewhereAfter-time.Millisecond)
 	return result.New(result.Overloaded, "This router is too busy.").After(after)
 }
 
--- a/front/status_test.go
+++ b/front/status_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 
 	"github.com/walnutcove/walnutcove/dialect"
@@ -33,3 +34,18 @@
 		}
 	}
 }
+
+// TestBusyRouterSendsCallersElsewhere: the refusal of a router that runs late lets its
+// caller come back at once, on another connection, as another router may be idle.
+func TestBusyRouterSendsCallersElsewhere(t *testing.T) {
+	always := func() bool { return true }
+	f := start(t, Options{Shed: always, Busy: always}, answerEmpty)
+	for range 20 {
+		_, r := f.send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+		response := f.answer(r)
+		after, err := strconv.Atoi(response.Header.Get("Retry-After-Ms"))
+		if response.StatusCode != 503 || !response.Close || err != nil || after < 1 || after > 50 {
+			t.Fatalf("status %d, close %v, back after %q ms", response.StatusCode, response.Close, response.Header.Get("Retry-After-Ms"))
+		}
+	}
+}
