Let three routers of a data centre follow the store for all

Ruled out: broadcasting the news (one that is missed has to be noticed); followers for the whole fleet (a data centre that is cut off from the store silently would learn late, as its followers notice only after 2 s).

Change: heartbeats say who follows feeds that answer; a router follows while fewer than three that rank before it in its data centre do. It loads anew when its turn comes.

--- a/control/commands.go
+++ b/control/commands.go
@@ -77,6 +77,14 @@
 	TargetsRevision uint64
 }
 
+// FeedTurn says whether this node has to follow the platform's feeds itself. Others
+// of its data centre tell it what they learn otherwise.
+type FeedTurn struct {
+	Wanted bool
+	// Ahead counts the nodes that would follow before this one and do not yet.
+	Ahead int
+}
+
 // Drained says that, after DrainStarted, no shard and no request is left here.
 type Drained struct{}
 
@@ -86,6 +94,7 @@
 func (WatchTargets) isCommand()      {}
 func (QuarantineChanged) isCommand() {}
 func (VersionSeen) isCommand()       {}
+func (FeedTurn) isCommand()          {}
 func (Drained) isCommand()           {}
 func (TargetJudged) isCommand()      {}
 func (SchedulerAvoided) isCommand()  {}
--- a/control/events.go
+++ b/control/events.go
@@ -156,6 +156,9 @@
 	Parts  []PromptPart
 }
 
+// FeedsFollowed says whether this node follows the platform's feeds and they answer.
+type FeedsFollowed struct{ Live bool }
+
 // DrainStarted says that this node is leaving: shards are handed over and no
 // new request is taken.
 type DrainStarted struct{}
@@ -174,5 +177,6 @@
 func (TargetLoad) isEvent()        {}
 func (TargetUnreachable) isEvent() {}
 func (TargetKept) isEvent()        {}
+func (FeedsFollowed) isEvent()     {}
 func (DrainStarted) isEvent()      {}
 func (Tick) isEvent()              {}
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -24,10 +24,11 @@
 	version uint64
 	// owners caches the schedulers of shards for one version of the view.
 	owners map[ShardID]NodeID
+	feeds  feeds
 }
 
 func newFleet() fleet {
-	return fleet{epochs: make(map[NodeID]Incarnation), owners: make(map[ShardID]NodeID)}
+	return fleet{epochs: make(map[NodeID]Incarnation), owners: make(map[ShardID]NodeID), feeds: newFeeds()}
 }
 
 // heard takes in that a message came from a node. It returns false if the
@@ -50,7 +51,7 @@
 }
 
 func (m *Machine) heartbeat() Heartbeat {
-	beat := Heartbeat{Incarnation: m.epoch, Leaving: m.draining}
+	beat := Heartbeat{Incarnation: m.epoch, Leaving: m.draining, Follows: m.fleet.feeds.live}
 	if m.topo != nil {
 		beat.ConfigVersion = uint64(m.topo.order.Version)
 		beat.TargetsRevision = m.topo.order.Targets
@@ -64,6 +65,7 @@
 		m.resendTo(from)
 	}
 	m.fleet.epochs[from] = msg.Incarnation
+	m.followsSaid(from, msg.Follows)
 	if msg.ConfigVersion > 0 && m.isNews(msg) {
 		m.emit(VersionSeen{From: from, Version: msg.ConfigVersion, TargetsRevision: msg.TargetsRevision})
 	}
@@ -156,6 +158,7 @@
 	for m.fleet.version != m.view.Version() {
 		m.fleet.version = m.view.Version()
 		clear(m.fleet.owners)
+		m.fleet.feeds.stale = true
 		m.reassign()
 		m.dropLost()
 		m.resendMoved()
--- a/control/machine.go
+++ b/control/machine.go
@@ -96,6 +96,7 @@
 	m.apply(ev)
 	m.drainLoop()
 	m.followView()
+	m.checkFeedTurn()
 	m.flushWatch()
 	m.checkDrained()
 	return m.out
@@ -142,6 +143,8 @@
 		m.targetUnreachable(ev)
 	case TargetKept:
 		m.targetKept(ev)
+	case FeedsFollowed:
+		m.feedsFollowed(ev)
 	case DrainStarted:
 		m.drainStarted()
 	case Tick:
--- a/control/messages.go
+++ b/control/messages.go
@@ -135,6 +135,8 @@
 	// TargetsRevision is the revision of the listing of targets; see config.Order.
 	TargetsRevision uint64
 	Leaving         bool
+	// Follows says that the node follows the platform's feeds, and that they answer.
+	Follows bool
 }
 
 // Waiting tells the entry that its ticket has to wait, so that it may also ask
--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -61,7 +61,11 @@
 	watched    []string
 	drained    bool
 	held       []func()
-	offset     Instant // the node's own clock started at this time
+	// cut says that the platform does not answer this node; follows, that it follows
+	// the platform's feeds.
+	cut, follows bool
+	turn         FeedTurn
+	offset       Instant // the node's own clock started at this time
 }
 
 type simTarget struct {
@@ -226,6 +230,8 @@
 		s.send(n, c)
 	case Dispatch:
 		s.dispatch(n, c)
+	case FeedTurn:
+		s.takeTurn(n, c)
 	case Refuse:
 		if r := s.find(n, c.Request); r != nil {
 			s.finish(r, fmt.Sprintf("refused %d", c.Code))
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -60,6 +60,12 @@
 	// ReturnGrace is how long entries of targets that lapsed while the platform
 	// was away may take to return once it is back; see settings.Platform.
 	ReturnGrace time.Duration
+	// Shared says that routers take turns: this one follows the feeds while SetTurn
+	// says so, and learns from peers by Import otherwise.
+	Shared bool
+	// OnFollowing is told whether this router follows both feeds and they answer, at
+	// each change; nil: nobody is.
+	OnFollowing func(live bool)
 	// Routers returns how many routers the fleet has; nil: one.
 	Routers func() int
 	// Log gets a line for each change, and one when a feed is lost or regained.
@@ -76,6 +82,8 @@
 	// returnedAt is when the feed of targets last came back after it was lost;
 	// zero: it never did.
 	returnedAt time.Time
+	// turn is whether this router follows.
+	turn *turn
 	// wake ends the pause of expireLapsed.
 	wake chan struct{}
 	// ready is closed with the first snapshot.
@@ -88,6 +96,7 @@
 	return &Follower{
 		options: options,
 		state:   newState(),
+		turn:    newTurn(options),
 		wake:    make(chan struct{}, 1),
 		ready:   make(chan struct{}),
 	}
@@ -100,10 +109,10 @@
 func (f *Follower) Run(ctx context.Context) {
 	var running sync.WaitGroup
 	running.Go(func() {
-		follow(ctx, f, "configurations", f.options.Configurations, f.configured)
+		follow(ctx, f, feedConfigurations, f.options.Configurations, f.configured)
 	})
 	running.Go(func() {
-		follow(ctx, f, "targets", f.options.Targets, f.targetsChanged)
+		follow(ctx, f, feedTargets, f.options.Targets, f.targetsChanged)
 	})
 	running.Go(func() { f.expireLapsed(ctx) })
 	running.Wait()
@@ -123,7 +132,16 @@
 	lost := false
 	loaded := false
 	var after uint64
+	defer f.turn.setLive(name, false)
 	for ctx.Err() == nil {
+		if loaded && f.turn.standBy(ctx, name) {
+			// Peers told what changed meanwhile, as far as they knew.
+			loaded, lost = false, false
+			continue
+		}
+		if loaded && !lost {
+			f.turn.setLive(name, true)
+		}
 		hold := patience
 		if lost {
 			hold = 0 // to learn at once that the platform is back
@@ -144,6 +162,7 @@
 				f.options.Log.Warn("directory: Feed lost.", "feed", name, "revision", after, "error", err)
 			}
 			lost = true
+			f.turn.setLive(name, false)
 			feedFailures.Inc()
 			wait.For(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, longestPause)
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -117,8 +117,11 @@
 	configurations *fakeFeed[Configuration]
 	targets        *fakeFeed[config.Target]
 	follower       *Follower
-	mu             sync.Mutex
-	snapshots      []*config.Snapshot
+	// shared is Options.Shared, and live what OnFollowing was told last.
+	shared    bool
+	live      bool
+	mu        sync.Mutex
+	snapshots []*config.Snapshot
 }
 
 func startScene(t *testing.T) *scene {
@@ -138,6 +141,8 @@
 			s.snapshots = append(s.snapshots, snapshot)
 			s.mu.Unlock()
 		},
+		Shared:      s.shared,
+		OnFollowing: func(live bool) { s.live = live },
 		ReturnGrace: 2 * time.Second,
 		Log:         slog.New(slog.DiscardHandler),
 	})
--- a/peer/wire/codec_member.go
+++ b/peer/wire/codec_member.go
@@ -10,7 +10,7 @@
 )
 
 func (e *Encoder) heartbeat(m control.Heartbeat) (*peerpb.Entry, error) {
-	p := &peerpb.Heartbeat{ConfigVersion: m.ConfigVersion, TargetsRevision: m.TargetsRevision, Leaving: m.Leaving}
+	p := &peerpb.Heartbeat{ConfigVersion: m.ConfigVersion, TargetsRevision: m.TargetsRevision, Leaving: m.Leaving, Follows: m.Follows}
 	if m.Incarnation != e.sender.Incarnation {
 		p.Incarnation = proto.Uint64(uint64(m.Incarnation))
 	}
@@ -24,6 +24,7 @@
 		Leaving:       p.GetLeaving(),
 
 		TargetsRevision: p.GetTargetsRevision(),
+		Follows:         p.GetFollows(),
 	}
 	if p != nil && p.Incarnation != nil {
 		m.Incarnation = control.Incarnation(p.GetIncarnation())
--- a/router/loop.go
+++ b/router/loop.go
@@ -48,6 +48,7 @@
 	watchTargets(targets []string)
 	quarantineChanged(fingerprint uint64, quarantined bool)
 	versionSeen(from control.NodeID, version uint64)
+	feedTurn(turn control.FeedTurn)
 	membersChanged(alive []control.NodeID)
 	drained()
 }
@@ -207,6 +208,8 @@
 		l.shell.quarantineChanged(c.Fingerprint, c.Quarantined)
 	case control.VersionSeen:
 		l.shell.versionSeen(c.From, c.Version)
+	case control.FeedTurn:
+		l.shell.feedTurn(c)
 	case control.Drained:
 		l.shell.drained()
 	case control.TargetJudged:
--- a/router/managed.go
+++ b/router/managed.go
@@ -81,6 +81,8 @@
 			OnChange:       r.configChanged,
 			ReturnGrace:    time.Duration(r.settings.Platform.ReturnGrace),
 			Routers:        func() int { return int(r.members.Load()) },
+			Shared:         true,
+			OnFollowing:    func(live bool) { r.loop.post(control.FeedsFollowed{Live: live}) },
 			Log:            r.log,
 		}),
 		othersKnown: make(chan struct{}),
@@ -177,6 +179,15 @@
 	}
 }
 
+// feedTurn implements shell.
+func (r *Router) feedTurn(turn control.FeedTurn) {
+	if r.managed == nil {
+		return
+	}
+	r.log.Info("directory: Turn to follow the platform's feeds changed.", "wanted", turn.Wanted, "ahead", turn.Ahead)
+	r.directory.SetTurn(directory.Turn{Wanted: turn.Wanted, Ahead: turn.Ahead})
+}
+
 // peerConnected reads the routers again if one turned up that is not listed.
 func (r *Router) peerConnected(node control.NodeID) {
 	if listed := r.vms.Load(); listed != nil {
