Look for the caller once more after a long wait for a connection

Change: if a connection took 20 ms or more, the caller is looked for again right before the request is written; it is refused as not run if gone.

TestNothingIsSentForACallerThatLeftMeanwhile failed first (it was sent).

--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -116,6 +116,7 @@
 		request.Deadline = ex.Deadline
 		request.AfterEvent = ex.AfterEvent
 		request.FetchAddress = ex.FetchAddress
+		request.CallerLeft = ex.HasCallerLeft
 		if ex.Stream && ex.Idempotent {
 			request.Stall = patience(ex)
 		}
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -56,6 +56,14 @@
 	return nil
 }
 
+// longWait is the wait for a connection after which it is worth a system call to look
+// whether the caller is still there. Targets take a connection in a few milliseconds;
+// on a router without processor time left it was half a second and more, and callers
+// had left by then.
+const longWait = 20 * time.Millisecond
+
+var errCallerLeft = errors.New("target: the caller left before the connection was there")
+
 // Do implements Client.
 func (c *HTTPClient) Do(ctx context.Context, req Request) (*Response, error) {
 	return c.call(ctx, req, c.requests)
@@ -69,10 +77,15 @@
 	if ctx.Err() != nil {
 		return nil, dialError(ctx, counters, ctx.Err())
 	}
+	asked := time.Now()
 	cn, err := c.pool.get(ctx, req.Address)
 	if err != nil {
 		return nil, dialError(ctx, counters, err)
 	}
+	if req.CallerLeft != nil && time.Since(asked) >= longWait && req.CallerLeft() {
+		c.pool.put(cn)
+		return nil, counters.fail(reasonCancelledEarly, result.CallerGone, result.RanNo, errCallerLeft)
+	}
 	ex := &exchange{client: c, counters: counters, ctx: ctx, conn: cn, stall: req.Stall}
 	if ctx.Done() != nil {
 		ex.unwatch = context.AfterFunc(ctx, func() { cn.Conn.Close() })
--- a/target/target.go
+++ b/target/target.go
@@ -32,6 +32,9 @@
 	// Deadline is when the caller gives up, where the dialect tells targets;
 	// zero: not known.
 	Deadline time.Time
+	// CallerLeft looks whether the caller is still there; nil: it is. It is asked if a
+	// connection was long in coming, right before anything is written.
+	CallerLeft func() bool
 	// FirstByte bounds the sending of the request and the wait for the answer's head;
 	// zero: Options.FirstByteTimeout.
 	FirstByte time.Duration
