Share the build of the programs, the fleets' IPs and a test's set-up

The soak and the process tests built the programs and picked loopback IPs by the same lines; four directory tests began alike. No check changes.

--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -131,6 +131,15 @@
 	return s
 }
 
+// startPopulated starts a scene whose directory is known.
+func startPopulated(t *testing.T) *scene {
+	t.Helper()
+	s := startScene(t)
+	s.populate()
+	synctest.Wait()
+	return s
+}
+
 // run starts the follower until the test ends.
 func (s *scene) run(t *testing.T) {
 	s.follower = New(Options{
@@ -206,9 +215,7 @@
 // are kept for the grace, and go then if they have not come back.
 func TestLapsesHaveTimeToReturn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := startScene(t)
-		s.populate()
-		synctest.Wait()
+		s := startPopulated(t)
 		s.targets.setDown(true)
 		time.Sleep(4 * time.Second)
 		s.targets.set(gone("a"))
@@ -233,9 +240,7 @@
 // platform's return is not doubted, as it did not lapse.
 func TestRemovalSoonAfterReturnIsMeant(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := startScene(t)
-		s.populate()
-		synctest.Wait()
+		s := startPopulated(t)
 		s.targets.setDown(true)
 		time.Sleep(4 * time.Second)
 		s.targets.setDown(false)
@@ -276,9 +281,7 @@
 // notice, the platform stood still.
 func TestWholePoolMissingIsDoubted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := startScene(t)
-		s.populate()
-		synctest.Wait()
+		s := startPopulated(t)
 		s.targets.set(gone("a"), gone("b"), gone("c"))
 		if !s.serves("a") {
 			t.Error("most of the pool was given up at once")
@@ -372,9 +375,7 @@
 // not asked in a loop without a pause.
 func TestForgottenHistoryIsNoStorm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := startScene(t)
-		s.populate()
-		synctest.Wait()
+		s := startPopulated(t)
 		s.targets.mu.Lock()
 		s.targets.forgetful, s.targets.loads = true, 0
 		s.targets.wake()
--- a/processes/process.go
+++ b/processes/process.go
@@ -42,6 +42,28 @@
 	}, nil
 }
 
+// buildLimit bounds the build of the programs.
+const buildLimit = 5 * time.Minute
+
+// WithBuilt builds the programs of the module in moduleDir, calls run with them, and
+// removes them. It returns the exit code of run, or 1 if they cannot be built.
+func WithBuilt(moduleDir string, run func(Binaries) int) int {
+	dir, err := os.MkdirTemp("", "walnutcove-programs-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	ctx, cancel := context.WithTimeout(context.Background(), buildLimit)
+	defer cancel()
+	built, err := Build(ctx, moduleDir, dir)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return run(built)
+}
+
 // Process is one running process. Its output is kept for failure reports.
 type Process struct {
 	// Name is for reports.
--- a/processes/router.go
+++ b/processes/router.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -67,6 +68,22 @@
 	return err
 }
 
+// fleets numbers the pairs of IPs of this process.
+var fleets atomic.Uint32
+
+// mostFleets bounds the pairs that NewIPs tells apart in one process.
+const mostFleets = 120
+
+// NewIPs returns two loopback IPs for one fleet alone, so that nothing takes the
+// port of a process or proxy that is down for a while: one for its routers, and
+// one for its targets and proxies.
+func NewIPs() (routers, others string) {
+	pid := os.Getpid()
+	n := 1 + 2*(fleets.Add(1)%mostFleets)
+	prefix := fmt.Sprintf("127.%d.%d.", 16+pid/256%200, pid%256)
+	return fmt.Sprint(prefix, n), fmt.Sprint(prefix, n+1)
+}
+
 // FreeAddress picks a loopback address that nothing listens on now.
 func FreeAddress() (string, error) {
 	addresses, err := FreeAddresses("127.0.0.1", 1)
--- a/proctest/fleet_test.go
+++ b/proctest/fleet_test.go
@@ -4,9 +4,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"os"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,19 +59,6 @@
 
 var fleetSlots = make(chan struct{}, fleetsAtOnce)
 
-// fleetCount numbers the fleets of this test process.
-var fleetCount atomic.Uint32
-
-// newIPs returns two loopback IPs for one fleet alone, so that nothing takes the
-// port of a process or proxy that is down for a while: one for its routers, and
-// one for its targets and proxies.
-func newIPs() (routers, others string) {
-	pid := os.Getpid()
-	n := 1 + 2*(fleetCount.Add(1)%120)
-	prefix := fmt.Sprintf("127.%d.%d.", 16+pid/256%200, pid%256)
-	return fmt.Sprint(prefix, n), fmt.Sprint(prefix, n+1)
-}
-
 // fleet is three routers, the platform and targets, every one a process, with
 // a proxy on every way between two routers, from each router to the platform,
 // and to each target.
@@ -112,7 +97,7 @@
 		declared:   make(map[string]config.Target),
 		targetWays: make(map[string]*way),
 	}
-	f.routerIP, f.ip = newIPs()
+	f.routerIP, f.ip = processes.NewIPs()
 	t.Cleanup(f.close)
 	views := f.startPlatform()
 	f.startTargets()
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -6,7 +6,6 @@
 	"os"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,18 +34,6 @@
 	drainLimit = 8 * time.Second
 )
 
-// fleetCount numbers the fleets of this process.
-var fleetCount atomic.Uint32
-
-// newIPs returns two loopback IPs for one fleet alone, so that nothing takes the port
-// of a process or proxy that is down for a while.
-func newIPs() (routers, others string) {
-	pid := os.Getpid()
-	n := 1 + 2*(fleetCount.Add(1)%120)
-	prefix := fmt.Sprintf("127.%d.%d.", 16+pid/256%200, pid%256)
-	return fmt.Sprint(prefix, n), fmt.Sprint(prefix, n+1)
-}
-
 // router is one walnutd, with the ways by which it reaches others.
 type router struct {
 	*processes.Router
@@ -86,7 +73,7 @@
 	f := &fleet{t: t, store: managed.StartStore(), journal: &managed.Journal{}}
 	t.Cleanup(f.close)
 	var routerIP string
-	routerIP, f.ip = newIPs()
+	routerIP, f.ip = processes.NewIPs()
 	f.configure()
 	for range plainReplicas {
 		f.addReplica(managed.ReplicaOptions{Service: managed.DemoService, Slots: plainSlots, Pause: work})
--- a/soak/main_test.go
+++ b/soak/main_test.go
@@ -9,9 +9,7 @@
 package soak
 
 import (
-	"context"
 	"flag"
-	"fmt"
 	"os"
 	"strconv"
 	"strings"
@@ -28,29 +26,15 @@
 	parallelFlag = flag.Int("soak.parallel", 2, "runs side by side")
 )
 
-// buildLimit bounds the build of the programs.
-const buildLimit = 5 * time.Minute
-
 // binaries are the programs under test.
 var binaries processes.Binaries
 
-func TestMain(m *testing.M) { os.Exit(run(m)) }
-
-func run(m *testing.M) int {
+func TestMain(m *testing.M) {
 	flag.Parse()
-	dir, err := os.MkdirTemp("", "walnutcove-soak-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(dir)
-	ctx, cancel := context.WithTimeout(context.Background(), buildLimit)
-	defer cancel()
-	if binaries, err = processes.Build(ctx, "..", dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
+	os.Exit(processes.WithBuilt("..", func(built processes.Binaries) int {
+		binaries = built
+		return m.Run()
+	}))
 }
 
 // parseSeeds reads "3,10-19".
