Let what comes back yield to others, too

Change: second tries of a workspace that yields do not wait, and use only engines that are nearly idle.

TestWhatComesBackYieldsToo failed first (rank returning).

--- a/control/place_test.go
+++ b/control/place_test.go
@@ -358,3 +358,31 @@
 		t.Error("nothing went to the idle target of the other data centre")
 	}
 }
+
+// TestWhatComesBackYieldsToo: what comes back of a workspace that has been served more
+// than another that was refused waits for nothing and leaves what is spare.
+func TestWhatComesBackYieldsToo(t *testing.T) {
+	f := newTokenFleet("e1")
+	s := f.machine.sched.shards[ShardID{Pool: "gen"}]
+	s.shares.Served(f.now, "a", 1)
+	s.shares.Refused(f.now, "b")
+	f.arrive("b", PromptPart{ID: 100, Tokens: 10})
+	for n, want := range []struct {
+		workspace string
+		rank      rank
+		waits     time.Duration
+		spare     bool
+	}{
+		{"a", rankLast, 0, false},
+		{"b", rankReturning, returnWait, true},
+	} {
+		fingerprint := uint64(7 + n)
+		f.machine.sched.turnedAway.add(f.now, fingerprint, turnedAwayKept)
+		q := &queuedTicket{shard: s, ticket: Ticket{Workspace: want.workspace, Fingerprint: fingerprint, Work: Work{PromptTokens: 100}}}
+		f.machine.describeWork(q)
+		spare := f.machine.hasSpare(s.targets[0], q.rank)
+		if q.rank != want.rank || q.latest != f.now+want.waits || spare != want.spare {
+			t.Errorf("%s: rank %s, waits %s, something to spare: %v", want.workspace, q.rank, q.latest-f.now, spare)
+		}
+	}
+}
--- a/control/rank.go
+++ b/control/rank.go
@@ -36,10 +36,14 @@
 	// what it would use is better spent on a request that can be in time. Served
 	// like any other, half of all late answers of an overloaded day were such ones.
 	rankReturning
+	// rankLast: the same, of a workspace that yields to others. What callers ask for
+	// again must not get the capacity that was refused to those others: a workspace
+	// got four times what another one did so.
+	rankLast
 )
 
 // String returns the rank as it stands in logs.
-func (r rank) String() string { return [...]string{"share", "excess", "returning"}[r] }
+func (r rank) String() string { return [...]string{"share", "excess", "returning", "last"}[r] }
 
 // spare is how much of a target a rank may use: parts of its slots, and of the wait
 // that unread prompts may make. The rest is kept for ranks before it. For what
@@ -50,6 +54,7 @@
 	rankShare:     {1, 1},
 	rankExcess:    {0.75, 0.8},
 	rankReturning: {0.33, 0.15},
+	rankLast:      {0.1, 0.05},
 }
 
 // hasSpare says whether a target has capacity beyond what is kept for ranks before
@@ -79,6 +84,9 @@
 		q.rank = rankReturning
 		q.objective = 0
 		q.latest = m.now + returnWait
+		if shares.Yields(m.now, q.ticket.Workspace) {
+			q.rank, q.latest = rankLast, m.now
+		}
 	case shares.Ask(m.now, q.ticket.Workspace, nominal(q.task).Seconds()):
 	case shares.Yields(m.now, q.ticket.Workspace):
 		q.rank = rankExcess
