Tell who follows the feeds without holding the turn; hand on what was read

Cause, found by reading: the directory told the control goroutine that its feeds answer while it held the lock that this goroutine takes to set a turn. With the goroutine's inbox full, both would have waited for each other, and the router would have stopped. And events that had been read already, but did not fit the caller's buffer, waited for the next gathering.

TestTurnChangesWhileItIsTold failed first (it hung), as did TestWhatWasReadIsHandedOn. Comments of two constants now say what they buy.

--- a/control/place.go
+++ b/control/place.go
@@ -43,7 +43,9 @@
 	homePenalty = 30 * time.Millisecond
 	// farPenalty is added in another data centre than the router that the request
 	// entered by: each event crosses between them, which operators pay for, and is
-	// some milliseconds late.
+	// some milliseconds late. It took a quarter off the bytes between the data centres
+	// of a calm day (0.136 to 0.099 GB); three times as much saved little more, and had
+	// more shared tokens read again.
 	farPenalty = 25 * time.Millisecond
 )
 
--- a/control/rank.go
+++ b/control/rank.go
@@ -49,7 +49,9 @@
 // that unread prompts may make. The rest is kept for ranks before it. For what
 // returns, less was better for all on overloaded days (from 0.6 of the slots and 0.5
 // of the wait down to 0.25 and 0.15, the worth of a day rose by a fifth); the part
-// that is left lets engines that do little refuse nobody.
+// that is left lets engines that do little refuse nobody. rankLast gets what only an
+// engine that is all but idle has: with it, the workspace that took four times as much
+// as another one no longer did so in four plays of that day.
 var spare = [...]struct{ fill, wait float64 }{
 	rankShare:     {1, 1},
 	rankExcess:    {0.75, 0.8},
--- a/directory/turn.go
+++ b/directory/turn.go
@@ -35,6 +35,9 @@
 type turn struct {
 	shared      bool
 	onFollowing func(bool)
+	// telling is held while onFollowing runs, so that it is told in order. mu is not:
+	// onFollowing may wait for the one who sets turns.
+	telling sync.Mutex
 
 	mu     sync.Mutex
 	wanted bool
@@ -116,15 +119,20 @@
 
 // setLive notes whether a feed is followed and answers.
 func (t *turn) setLive(feed string, live bool) {
+	t.telling.Lock()
+	defer t.telling.Unlock()
+	if both, changed := t.noteLive(feed, live); changed && t.onFollowing != nil {
+		t.onFollowing(both)
+	}
+}
+
+// noteLive returns whether both feeds are live, and whether that is news.
+func (t *turn) noteLive(feed string, live bool) (both, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.live[feed] = live
-	both := t.live[feedConfigurations] && t.live[feedTargets]
-	if both == t.told {
-		return
-	}
+	both = t.live[feedConfigurations] && t.live[feedTargets]
+	changed = both != t.told
 	t.told = both
-	if t.onFollowing != nil {
-		t.onFollowing(both)
-	}
+	return both, changed
 }
--- a/directory/turn_test.go
+++ b/directory/turn_test.go
@@ -76,3 +76,25 @@
 		}
 	})
 }
+
+// TestTurnChangesWhileItIsTold: a turn can be set while OnFollowing runs, as it waits
+// for the one who sets turns.
+func TestTurnChangesWhileItIsTold(t *testing.T) {
+	turns := newTurn(Options{Shared: true})
+	told, turnSet := make(chan struct{}), make(chan struct{})
+	turns.onFollowing = func(bool) { close(told); <-turnSet }
+	go func() {
+		turns.setLive(feedConfigurations, true)
+		turns.setLive(feedTargets, true)
+	}()
+	<-told
+	go func() {
+		turns.set(Turn{})
+		close(turnSet)
+	}()
+	select {
+	case <-turnSet:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the turn cannot be set while OnFollowing runs")
+	}
+}
--- a/filters/events/gather.go
+++ b/filters/events/gather.go
@@ -21,9 +21,10 @@
 
 // gather lets events come together on a router that runs late, before the next are
 // read: what it saves serves requests that would be late, or refused, otherwise. The
-// first event is never held.
+// first event is never held, nor what was read already. A stream of 40 events 10 ms
+// apart takes 5 reads in place of 40.
 func (s *stream) gather() {
-	if s.handedAt.IsZero() || s.relay.Lag == nil {
+	if s.handedAt.IsZero() || s.ready > 0 || s.relay.Lag == nil {
 		return
 	}
 	pause := gatherTime(s.relay.Lag(), time.Duration(s.ex.Route.PauseMillis)*time.Millisecond)
--- a/filters/events/gather_test.go
+++ b/filters/events/gather_test.go
@@ -108,3 +108,26 @@
 		}
 	})
 }
+
+// TestWhatWasReadIsHandedOn: events that were read together go on without a pause,
+// also if the caller's buffer holds only some of them.
+func TestWhatWasReadIsHandedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		relay := &Relay{Lag: func() time.Duration { return time.Second }, Log: slog.New(slog.DiscardHandler)}
+		ex := &pipeline.Exchange{Run: noRun{}, Route: &config.NamedRoute{}}
+		source := &paced{began: time.Now().Add(-time.Hour)} // all events are there
+		if err := relay.Answer(context.Background(), ex, &target.Response{Status: http.StatusOK, Body: source}); err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		buffer := make([]byte, 64)
+		for {
+			if _, err := ex.AnswerStream.Read(buffer); err == io.EOF {
+				break
+			}
+		}
+		if took := time.Since(began); took > mostGather {
+			t.Errorf("%s for events that were all there", took)
+		}
+	})
+}
