--- a/config/types.go
+++ b/config/types.go
@@ -105,6 +105,9 @@
 	ChecksFencing bool `json:"checks_fencing,omitempty" toml:"checks_fencing,omitempty"`
 	// Resumes says that the target can resume a stream by offset.
 	Resumes bool `json:"resumes,omitempty" toml:"resumes,omitempty"`
+	// Start tells one start of the target from the next, where the platform lists
+	// targets: its time in milliseconds; zero: not known. Operators leave it out.
+	Start int64 `json:"start,omitempty" toml:"start,omitempty"`
 	// Leaving says that the target takes no new work.
 	Leaving bool `json:"leaving,omitempty" toml:"leaving,omitempty"`
 	// LoadModels are the models that the target shall have loaded, and no
--- a/control/events.go
+++ b/control/events.go
@@ -152,8 +152,10 @@
 // Whole, with the tokens that are kept now. It lags, and some news are lost.
 type TargetKept struct {
 	Target string
-	Whole  bool
-	Parts  []PromptPart
+	// Start tells one start of the target from the next; see config.Target.Start.
+	Start int64
+	Whole bool
+	Parts []PromptPart
 }
 
 // FeedsFollowed says whether this node follows the platform's feeds and they answer.
--- a/control/place.go
+++ b/control/place.go
@@ -261,9 +261,12 @@
 // targetKept takes in what a target says that it keeps.
 func (m *Machine) targetKept(ev TargetKept) {
 	t := m.targetHere(ev.Target)
-	if t == nil || t.engine == nil {
+	if t == nil || t.engine == nil || ev.Start != 0 && ev.Start < t.start {
 		return
 	}
+	if t.start != 0 && ev.Start > t.start {
+		t = m.renewTarget(t, ev.Start)
+	}
 	parts := make([]sched.EnginePart, 0, len(ev.Parts))
 	for _, part := range ev.Parts {
 		parts = append(parts, sched.EnginePart{ID: part.ID, Tokens: part.Tokens})
--- a/control/shard.go
+++ b/control/shard.go
@@ -99,18 +99,15 @@
 	s.targets = s.targets[:0]
 	for _, name := range names {
 		t := s.byName[name]
-		if t == nil {
+		if t == nil || t.startedAnew(m.topo.decl.Targets[name]) {
 			t = newTarget(m.now, s, name)
 		}
-		t.declare(m.topo.decl.Targets[name])
-		if tokens := m.topo.decl.Pools[s.id.Pool].Tokens; tokens != nil {
-			t.declareEngine(m.topo.decl.Targets[name].Slots, tokens.MemoryTokens)
-		}
+		m.declareTarget(t)
 		kept[name] = t
 		s.targets = append(s.targets, t)
 	}
 	for name, t := range s.byName {
-		if kept[name] == nil {
+		if kept[name] != t {
 			m.timers.stop(&t.timer)
 		}
 	}
@@ -120,6 +117,29 @@
 	m.grantAll(s)
 }
 
+// declareTarget sets what the configuration says of a target.
+func (m *Machine) declareTarget(t *target) {
+	decl := m.topo.decl.Targets[t.name]
+	t.declare(decl)
+	if tokens := m.topo.decl.Pools[t.shard.id.Pool].Tokens; tokens != nil {
+		t.declareEngine(decl.Slots, tokens.MemoryTokens)
+	}
+}
+
+// renewTarget forgets what was learned of a target, as it told by itself that it has
+// started anew: its declaration may say so only later.
+func (m *Machine) renewTarget(old *target, start int64) *target {
+	m.timers.stop(&old.timer)
+	t := newTarget(m.now, old.shard, old.name)
+	t.start = start
+	m.declareTarget(t)
+	s := old.shard
+	s.byName[t.name] = t
+	s.targets[slices.Index(s.targets, old)] = t
+	clear(s.classes)
+	return t
+}
+
 // classOf returns the class of a ticket.
 func (m *Machine) classOf(s *shard, t Ticket, of rank) *class {
 	name, only := "", ""
--- a/control/suspicion.go
+++ b/control/suspicion.go
@@ -153,15 +153,17 @@
 // three missed heartbeats of a second or so.
 const vanishTime = 6 * time.Second
 
-// noteVanished takes in which targets the next configuration lacks. One that went
-// without having been leaving, soon after a run broke off there, has crashed:
-// targets that register themselves come back under another name.
+// noteVanished takes in which targets the next configuration lacks, or has in
+// another start. One that went without having been leaving, soon after a run broke
+// off there, has crashed.
 func (m *Machine) noteVanished(next *topology) {
 	if m.topo == nil || next.order.Targets == 0 {
 		return // operators declare the targets, and may take any out
 	}
 	for _, name := range sortedKeys(m.topo.decl.Targets) {
-		if _, still := next.decl.Targets[name]; still || m.topo.decl.Targets[name].Leaving {
+		before := m.topo.decl.Targets[name]
+		after, still := next.decl.Targets[name]
+		if before.Leaving || still && after.Start == before.Start {
 			continue
 		}
 		st := m.suspicion.starts[name]
--- a/control/target.go
+++ b/control/target.go
@@ -29,6 +29,10 @@
 	name  string
 	// dataCentre is where it runs.
 	dataCentre string
+	// start tells the target's starts apart, as far as it is known, and listed is
+	// what its declaration said last; zero: not known. What is learned of a target
+	// belongs to one start: the next one keeps nothing and has failed nobody.
+	start, listed int64
 	// hash is the target's key for rendezvous hashing.
 	hash   uint64
 	window *sched.Window
@@ -60,7 +64,17 @@
 	return &target{shard: s, name: name, hash: member.HashOf(name), window: sched.NewWindow(now, 1), loadAt: -1}
 }
 
+// startedAnew says whether a declaration is of a later start of the target than the
+// one known here. A declaration that lags behind what the target told itself is not.
+func (t *target) startedAnew(decl config.Target) bool {
+	return t.start != 0 && decl.Start != 0 && decl.Start != t.start && decl.Start != t.listed
+}
+
 func (t *target) declare(decl config.Target) {
+	if t.start == 0 {
+		t.start = decl.Start
+	}
+	t.listed = decl.Start
 	t.leaving = decl.Leaving
 	t.dataCentre = decl.DataCentre
 	t.window.Declare(decl.Slots)
@@ -87,6 +101,10 @@
 	return t.leaving || t.reportedLeaving || failing
 }
 
+// isCurrent says whether the target is listed still, in this start. Runs on earlier
+// starts go on being counted on those, and say nothing of the present one.
+func (t *target) isCurrent() bool { return t.shard.byName[t.name] == t }
+
 // targetHere returns a target of the shards scheduled here, or nil.
 func (m *Machine) targetHere(name string) *target {
 	if m.topo == nil {
@@ -127,6 +145,9 @@
 // targetFailed passes a target over for a while, longer each time. When that
 // time ends one run probes it.
 func (m *Machine) targetFailed(t *target, poll bool, cause string) {
+	if !t.isCurrent() {
+		return
+	}
 	if m.now < t.downUntil && !poll {
 		return // runs that failed together count once
 	}
@@ -165,6 +186,9 @@
 
 // targetServes takes in that a target serves.
 func (m *Machine) targetServes(t *target, cause string) {
+	if !t.isCurrent() {
+		return
+	}
 	if t.failures > 0 {
 		m.emit(TargetJudged{Target: t.name, Failures: t.failures, Cause: cause})
 	}
@@ -180,6 +204,9 @@
 
 // runOutcome learns about a target's health from the end of a run.
 func (m *Machine) runOutcome(t *target, outcome Outcome) {
+	if !t.isCurrent() {
+		return
+	}
 	switch outcome {
 	case OutcomeAnswered:
 		m.targetServes(t, outcome.String())
--- a/router/managed.go
+++ b/router/managed.go
@@ -263,9 +263,7 @@
 }
 
 // targetKept hands what a target keeps to the control goroutine.
-func (r *Router) targetKept(name string, whole bool, parts []control.PromptPart) {
-	r.loop.post(control.TargetKept{Target: name, Whole: whole, Parts: parts})
-}
+func (r *Router) targetKept(kept control.TargetKept) { r.loop.post(kept) }
 
 // managedConfig is the configuration in force, for operators.
 func (b backend) managedConfig(known *config.Snapshot, version config.Version) (*config.Snapshot, error) {
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -92,7 +92,9 @@
 	listener net.Listener
 	// address is what it registers.
 	address string
-	http    *fasthttp.Server
+	// startedAt is told as what tells this start from others under the same id.
+	startedAt time.Time
+	http      *fasthttp.Server
 
 	mu      sync.Mutex
 	faults  ReplicaFaults
@@ -109,12 +111,13 @@
 		return nil, err
 	}
 	r := &Replica{
-		options:  options,
-		journal:  journal,
-		store:    store,
-		listener: listener,
-		address:  listener.Addr().String(),
-		faults:   options.ReplicaFaults,
+		options:   options,
+		journal:   journal,
+		store:     store,
+		listener:  listener,
+		address:   listener.Addr().String(),
+		startedAt: time.Now(),
+		faults:    options.ReplicaFaults,
 	}
 	if options.Advertise != nil {
 		if r.address, err = options.Advertise(r.address); err != nil {
@@ -124,7 +127,7 @@
 	}
 	r.http = &fasthttp.Server{Handler: r.serve, NoDefaultServerHeader: true, Logger: silent{}}
 	go func() { _ = r.http.Serve(listener) }() // ends with Close
-	r.register("ready")
+	r.register(wire.StateReady)
 	return r, nil
 }
 
@@ -136,11 +139,13 @@
 
 func (r *Replica) register(state string) {
 	r.store.Put(wire.TableReplicas, r.options.ID, wire.Replica{
-		Service: r.options.Service,
-		Address: r.address,
-		Zone:    "dc",
-		Slots:   r.options.Slots,
-		State:   state,
+		Service:   r.options.Service,
+		Address:   r.address,
+		Zone:      "dc",
+		Software:  "v1",
+		Slots:     r.options.Slots,
+		State:     state,
+		StartedAt: r.startedAt.UnixMilli(),
 	})
 }
 
--- a/target/cachewatch/cachewatch.go
+++ b/target/cachewatch/cachewatch.go
@@ -40,6 +40,8 @@
 type News struct {
 	// Epoch changes when the target starts anew, and with it its numbering.
 	Epoch string
+	// Start tells one start of the target from the next; zero: it does not tell.
+	Start int64
 	// Next is where the next call goes on.
 	Next uint64
 	// Lost says that news before these are missing.
@@ -59,8 +61,8 @@
 // Watcher follows a set of targets. Create it with New.
 type Watcher struct {
 	source Source
-	// told gets what a target keeps: everything if whole.
-	told func(target string, whole bool, parts []control.PromptPart)
+	// told gets what a target keeps.
+	told func(control.TargetKept)
 	log  *slog.Logger
 
 	mu      sync.Mutex
@@ -76,7 +78,7 @@
 }
 
 // New returns a watcher of no targets.
-func New(source Source, told func(target string, whole bool, parts []control.PromptPart), log *slog.Logger) *Watcher {
+func New(source Source, told func(control.TargetKept), log *slog.Logger) *Watcher {
 	return &Watcher{source: source, told: told, log: log, watched: make(map[string]*watch)}
 }
 
@@ -129,11 +131,11 @@
 				w.log.Warn("cachewatch: Target does not tell what it keeps.", "target", name, "error", err)
 			}
 			pause = min(2*pause, maxPause)
-		case listed && (news.Lost || news.Epoch != last.Epoch):
+		case listed && (news.Lost || news.Epoch != last.Epoch || news.Start != last.Start):
 			listed = false
 			continue
 		default:
-			w.told(name, !listed, news.Parts)
+			w.told(control.TargetKept{Target: name, Start: news.Start, Whole: !listed, Parts: news.Parts})
 			last, listed, pause = news, true, pace
 		}
 		wait.For(ctx, pause/2+rand.N(pause))
