--- a/control/place.go
+++ b/control/place.go
@@ -48,12 +48,17 @@
 	})
 }
 
-// declareReading makes the model of how the shard's targets read.
+// declareReading keeps the model of how the shard's targets read.
 func (m *Machine) declareReading(s *shard, perSecond float64) {
+	targets := 0
+	if decl := m.topo.shards[s.id]; decl != nil {
+		targets = len(decl.targets)
+	}
 	if s.reading != nil {
+		s.reading.Declare(perSecond, targets)
 		return
 	}
-	s.reading = sched.NewReading(perSecond, len(m.topo.shards[s.id].targets))
+	s.reading = sched.NewReading(perSecond, targets)
 	s.reading.Frozen = m.opts.Tokens.NoLearning
 }
 
--- a/control/sched/engine_test.go
+++ b/control/sched/engine_test.go
@@ -177,3 +177,17 @@
 		t.Error("a part that the target dropped is taken as kept")
 	}
 }
+
+// TestFirstFiguresFollowTheTargets: before any start is seen, a pool's declared work is
+// divided among the targets that are listed by then, not among those of the first
+// moment, when one of many has turned up: predictions of starts on a cold fleet were a
+// sixth of what came.
+func TestFirstFiguresFollowTheTargets(t *testing.T) {
+	reading := NewReading(190_000, 1)
+	for targets := 2; targets <= 9; targets++ {
+		reading.Declare(190_000, targets)
+	}
+	if rate := reading.Rate(); rate < 40_000 || rate > 45_000 {
+		t.Errorf("%.0f tokens a second for each of nine targets that do 190,000 together", rate)
+	}
+}
--- a/control/sched/reading.go
+++ b/control/sched/reading.go
@@ -79,17 +79,23 @@
 	Frozen bool
 }
 
-// NewReading returns what is known before any start was seen. perSecond is what the
-// pool's targets are declared to do together; zero: not declared.
+// NewReading returns what is known before any start was seen.
 func NewReading(perSecond float64, targets int) *Reading {
 	r := &Reading{fixed: firstFixed.Seconds()}
+	r.Declare(perSecond, targets)
+	return r
+}
+
+// Declare sets the first figures from what the pool's targets are declared to do
+// together, in tokens a second; zero: not declared. Targets turn up one after the
+// other, so the first figure that was worked out is that of a single one.
+func (r *Reading) Declare(perSecond float64, targets int) {
 	rate := defaultReadRate
 	if perSecond > 0 && targets > 0 {
 		rate = min(max(readPart*perSecond/float64(targets), leastRate), mostRate)
 	}
-	r.token = 1 / rate
-	r.firstToken = r.token
-	return r
+	r.firstToken = 1 / rate
+	r.fit()
 }
 
 // Rate is the tokens a second that a target of the pool reads, pairs aside.
