Tell a new scheduler what the runs are that others granted

Cause: a scheduler that took over counted the slots of runs in progress and nothing of their prompts, so that engines with half a second to read looked idle. After all routers had lost power, starts of the next second came 0.3 to 1.3 s after the grant, where 0.05 to 0.3 s were predicted.

Reports to a scheduler that may not know a run hold its work, the tokens read and whether it began; an adopted run takes its place among the unread ones by its age.

--- a/control/messages.go
+++ b/control/messages.go
@@ -95,6 +95,12 @@
 	// Service is the slot time used so far.
 	Service     time.Duration
 	Fingerprint uint64
+	// Work, Reads and Began describe a run to a scheduler that did not grant it: its
+	// request, how many tokens of the prompt its target reads, and whether it has
+	// begun to answer. Empty for others.
+	Work  Work
+	Reads int
+	Began bool
 }
 
 // ReportAck ends the resending of a PhaseEnded report.
--- a/control/place.go
+++ b/control/place.go
@@ -253,6 +253,7 @@
 	if run == nil || m.topo == nil || m.topo.decl.Pools[run.shard.Pool].Tokens == nil {
 		return
 	}
+	run.began = true
 	report := run.report(m.now, PhaseBegan)
 	report.Service = ev.After
 	m.send(run.reportedTo, report)
--- a/control/release.go
+++ b/control/release.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/walnutcove/walnutcove/control/sched"
 )
 
 func (m *Machine) reportReceived(from NodeID, r Report) {
@@ -60,7 +62,12 @@
 	}
 	g.target.window.Adopted(m.now)
 	if g.target.engine != nil {
-		g.work = g.target.engine.Adopt()
+		g.work = g.target.engine.Adopt(m.now, sched.AdoptedRun{
+			Task:  taskOf(r.Work),
+			Reads: r.Reads,
+			Age:   r.Service,
+			Began: r.Began || r.Reads == 0,
+		})
 	}
 	m.holdGrant(g, 0)
 	m.sendGrant(g)
--- a/control/resend.go
+++ b/control/resend.go
@@ -43,7 +43,7 @@
 func (m *Machine) reportRuns(which func(*run) bool) {
 	for _, r := range m.entry.sortedRuns() {
 		if which(r) {
-			m.reportRunning(r)
+			m.describeRun(r)
 		}
 	}
 }
--- a/control/runs.go
+++ b/control/runs.go
@@ -26,7 +26,10 @@
 	shard     ShardID
 	workspace string
 	finger    uint64
+	work      Work
 	started   Instant
+	// began says that its target has begun to answer.
+	began bool
 	// reportedTo is the scheduler that counts the run.
 	reportedTo NodeID
 	// told are the nodes that may count the run: its end goes to all of them.
@@ -91,6 +94,7 @@
 		shard:     shard,
 		workspace: r.ev.Workspace,
 		finger:    r.ev.Fingerprint,
+		work:      r.ev.Work,
 		started:   m.now,
 
 		reportedTo: from,
@@ -226,12 +230,25 @@
 
 // fire implements timed: the run is reported as going on.
 func (r *run) fire(m *Machine) {
-	m.reportRunning(r)
+	if m.owner(r.shard) != r.reportedTo {
+		m.describeRun(r)
+		return
+	}
+	m.reportRunning(r, r.report(m.now, PhaseRunning))
+}
+
+// describeRun reports a run to a scheduler that may not know it, with what the
+// scheduler needs to count it as if it had granted it. One that counted only the slot
+// took engines with half a second to read for idle, and filled them.
+func (m *Machine) describeRun(r *run) {
+	report := r.report(m.now, PhaseRunning)
+	report.Work, report.Reads, report.Began = r.work, r.grant.Reads, r.began
+	m.reportRunning(r, report)
 }
 
-func (m *Machine) reportRunning(r *run) {
+func (m *Machine) reportRunning(r *run, report Report) {
 	m.timers.set(&r.timer, r, m.now+reportEvery)
 	r.reportedTo = m.owner(r.shard)
 	r.tell(r.reportedTo)
-	m.send(r.reportedTo, r.report(m.now, PhaseRunning))
+	m.send(r.reportedTo, report)
 }
--- a/control/sched/engine.go
+++ b/control/sched/engine.go
@@ -1,6 +1,9 @@
 package sched
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // memoryPart is the part of a target's memory that may be given to runs: the target
 // preempts the newest run when it is full, and reads it all again.
@@ -62,11 +65,15 @@
 type EngineRun struct {
 	reads load
 	holds int64
+	// granted is when it was granted.
+	granted time.Duration
 	// ahead is what was to be read before it when it was granted, of which the target
 	// had been reading for so long already.
 	ahead   load
 	elapsed time.Duration
 	begun   bool
+	// adopted says that another scheduler granted it.
+	adopted bool
 }
 
 // EngineOptions describe a target.
@@ -168,25 +175,60 @@
 func (e *Engine) Start(now time.Duration, task EngineTask, reads int) *EngineRun {
 	run := &EngineRun{
 		reads:   loadOf(reads, task.PromptTokens),
-		holds:   int64(reads + task.OutputTokens),
+		granted: now,
 		ahead:   e.backlog,
 		elapsed: e.elapsed(now),
 	}
-	if len(e.unread) == 0 {
-		e.since = now
+	e.hold(now, run, task, reads)
+	e.queue(run)
+	return run
+}
+
+// AdoptedRun is a run that another scheduler granted.
+type AdoptedRun struct {
+	Task  EngineTask
+	Reads int
+	// Age is how long ago it was granted.
+	Age time.Duration
+	// Began says that its prompt is read.
+	Began bool
+}
+
+// Adopt counts a run that another scheduler granted. Its start teaches nothing, as
+// what was to be read before it is not known.
+func (e *Engine) Adopt(now time.Duration, a AdoptedRun) *EngineRun {
+	run := &EngineRun{
+		reads:   loadOf(a.Reads, a.Task.PromptTokens),
+		granted: now - a.Age,
+		adopted: true,
+		begun:   a.Began,
 	}
-	e.unread = append(e.unread, run)
-	e.backlog = e.backlog.plus(run.reads)
+	e.hold(now, run, a.Task, a.Reads)
+	if !a.Began {
+		e.queue(run)
+	}
+	return run
+}
+
+// hold counts the slot and the memory of a run, and what it reads as kept.
+func (e *Engine) hold(now time.Duration, run *EngineRun, task EngineTask, reads int) {
+	run.holds = int64(reads + task.OutputTokens)
 	e.running++
 	e.held += run.holds
 	e.kept.use(now, task.Parts)
-	return run
 }
 
-// Adopt counts a run that another scheduler granted: its prompt is not known.
-func (e *Engine) Adopt() *EngineRun {
-	e.running++
-	return &EngineRun{begun: true}
+// queue puts a run among the unread ones, in order of their grants.
+func (e *Engine) queue(run *EngineRun) {
+	at := len(e.unread)
+	for at > 0 && e.unread[at-1].granted > run.granted {
+		at--
+	}
+	e.unread = slices.Insert(e.unread, at, run)
+	if at == 0 {
+		e.since = run.granted
+	}
+	e.backlog = e.backlog.plus(run.reads)
 }
 
 // Begun takes in that a run began to be answered, so many after its grant. It
@@ -195,7 +237,15 @@
 	if run.begun {
 		return
 	}
-	e.learn(run, after)
+	if !run.adopted {
+		e.learn(run, after)
+	}
+	e.read(now, run)
+}
+
+// read takes in that the prompt of a run, and all that were granted before it, are
+// read.
+func (e *Engine) read(now time.Duration, run *EngineRun) {
 	for i, r := range e.unread {
 		if r != run {
 			continue
--- a/control/sched/engine_test.go
+++ b/control/sched/engine_test.go
@@ -191,3 +191,30 @@
 		t.Errorf("%.0f tokens a second for each of nine targets that do 190,000 together", rate)
 	}
 }
+
+// TestAdoptedRunsCount: a run that another scheduler granted takes its slot, its
+// memory and its time to read, keeps its prompt, and stands before later grants; one
+// that has begun to be answered leaves what is unread as it was.
+func TestAdoptedRunsCount(t *testing.T) {
+	e := engineOf(8, 100_000)
+	own := e.Start(time.Second, task(6000, 10), 6000)
+	shared := EnginePart{ID: 2, Tokens: 4000}
+	adopted := e.Adopt(time.Second, AdoptedRun{Task: task(6000, 10, shared, EnginePart{ID: 3, Tokens: 2000}), Reads: 6000, Age: 20 * time.Millisecond})
+	e.Adopt(time.Second, AdoptedRun{Task: task(3000, 10), Reads: 3000, Age: time.Second, Began: true})
+	if wait := e.Wait(time.Second); wait != 180*time.Millisecond {
+		t.Errorf("wait %s for 12000 tokens at 60 a ms, 20 ms after the first was granted", wait)
+	}
+	if free := e.FreeSlots(); free != 5 {
+		t.Errorf("%d of 8 slots free with three runs", free)
+	}
+	if reads, _ := e.Reads(task(4100, 10, shared, EnginePart{ID: 9, Tokens: 100})); reads != 100 {
+		t.Errorf("%d tokens read again of a prompt that an adopted run reads", reads)
+	}
+	e.Begun(time.Second+100*time.Millisecond, adopted, 120*time.Millisecond)
+	if own.begun || e.Wait(time.Second+100*time.Millisecond) == 0 {
+		t.Error("a later grant counts as read with the run before it")
+	}
+	if rate := e.reading.Rate(); rate != defaultReadRate {
+		t.Errorf("the start of an adopted run was learned from: %.0f tokens a second", rate)
+	}
+}
--- a/peer/wire/codec_queue.go
+++ b/peer/wire/codec_queue.go
@@ -32,7 +32,8 @@
 		Objective:   micros(m.Objective),
 		Again:       m.Again,
 	}
-	encodeWork(p, m.Work)
+	p.PromptTokens, p.OutputTokens = uint32(m.Work.PromptTokens), uint32(m.Work.OutputTokens)
+	p.PartId, p.PartTokens = encodeParts(m.Work.Parts)
 	return &peerpb.Entry{Kind: &peerpb.Entry_Ticket{Ticket: p}}, nil
 }
 
@@ -69,16 +70,23 @@
 	}, nil
 }
 
-func encodeWork(p *peerpb.Ticket, work control.Work) {
-	p.PromptTokens = uint32(work.PromptTokens)
-	p.OutputTokens = uint32(work.OutputTokens)
-	for _, part := range work.Parts {
-		p.PartId = append(p.PartId, part.ID)
-		p.PartTokens = append(p.PartTokens, uint32(part.Tokens))
+func encodeParts(parts []control.PromptPart) (ids []uint64, tokens []uint32) {
+	for _, part := range parts {
+		ids = append(ids, part.ID)
+		tokens = append(tokens, uint32(part.Tokens))
 	}
+	return ids, tokens
 }
 
-func decodeWork(p *peerpb.Ticket) (control.Work, error) {
+// withWork is a message that holds the work of a request.
+type withWork interface {
+	GetPartId() []uint64
+	GetPartTokens() []uint32
+	GetPromptTokens() uint32
+	GetOutputTokens() uint32
+}
+
+func decodeWork(p withWork) (control.Work, error) {
 	work := control.Work{PromptTokens: int(p.GetPromptTokens()), OutputTokens: int(p.GetOutputTokens())}
 	ids, tokens := p.GetPartId(), p.GetPartTokens()
 	if len(ids) != len(tokens) {
--- a/peer/wire/codec_run.go
+++ b/peer/wire/codec_run.go
@@ -29,7 +29,12 @@
 		Outcome:      int64(m.Outcome),
 		Service:      micros(m.Service),
 		Fingerprint:  m.Fingerprint,
+		PromptTokens: uint32(m.Work.PromptTokens),
+		OutputTokens: uint32(m.Work.OutputTokens),
+		Reads:        uint32(m.Reads),
+		Began:        m.Began,
 	}
+	p.PartId, p.PartTokens = encodeParts(m.Work.Parts)
 	return &peerpb.Entry{Kind: &peerpb.Entry_Report{Report: p}}, nil
 }
 
@@ -42,6 +47,10 @@
 	if err := errors.Join(errGrant, errOrigin, errShard, errWorkspace, errTarget); err != nil {
 		return nil, err
 	}
+	work, err := decodeWork(p)
+	if err != nil {
+		return nil, err
+	}
 	return control.Report{
 		Grant: grant,
 		Ticket: control.TicketID{
@@ -57,6 +66,9 @@
 		Outcome:     control.Outcome(p.GetOutcome()),
 		Service:     fromMicros(p.GetService()),
 		Fingerprint: p.GetFingerprint(),
+		Work:        work,
+		Reads:       int(p.GetReads()),
+		Began:       p.GetBegan(),
 	}, nil
 }
 
