Remove the rank of what yields: it never got a target

Cause: what comes back to a workspace that yields was refused before its rank's part of the targets was looked at, so that part had no effect. The test checks that it is refused at once.

--- a/control/place_test.go
+++ b/control/place_test.go
@@ -373,7 +373,7 @@
 		waits     time.Duration
 		spare     bool
 	}{
-		{"a", rankLast, 0, false},
+		{"a", rankReturning, 0, true},
 		{"b", rankReturning, millis(f.machine.opts.Tokens.ReturnWaitMillis), true},
 	} {
 		fingerprint := uint64(7 + n)
@@ -385,4 +385,10 @@
 			t.Errorf("%s: rank %s, waits %s, something to spare: %v", want.workspace, q.rank, q.latest-f.now, spare)
 		}
 	}
+	// What yields is refused at once, whatever there is to spare.
+	again := f.marked(900, 1, 7)
+	f.machine.sched.turnedAway.add(f.now, again.Fingerprint, turnedAwayKept)
+	if _, refuse := outcomeOf(f.step(again), again.Request); refuse == nil {
+		t.Error("what comes back to a workspace that yields is not refused at once")
+	}
 }
--- a/control/policy/tokens.go
+++ b/control/policy/tokens.go
@@ -35,11 +35,10 @@
 	// ExcessWaitPart is the part of its objective that a request beyond its
 	// workspace's share may wait for spare capacity.
 	ExcessWaitPart float64 `toml:"excess_wait_part"`
-	// Excess, Returning and Last bound what is left to requests beyond their share, to
-	// those that were refused and come back, and to those of them that yield.
+	// Excess and Returning bound what is left to requests beyond their share, and to
+	// those that were refused and come back.
 	Excess    Spare `toml:"excess"`
 	Returning Spare `toml:"returning"`
-	Last      Spare `toml:"last"`
 	// ReturnWaitMillis is how long one that came back may wait for it: its objective
 	// has passed, and its caller waits only some seconds more.
 	ReturnWaitMillis float64 `toml:"return_wait_millis"`
@@ -86,7 +85,6 @@
 		ExcessWaitPart:   0.4,
 		Excess:           Spare{Slots: 0.75, Wait: 0.8},
 		Returning:        Spare{Slots: 0.33, Wait: 0.15},
-		Last:             Spare{Slots: 0.1, Wait: 0.05},
 		ReturnWaitMillis: 50,
 		YieldPart:        0.7,
 	}
@@ -115,8 +113,6 @@
 		{"excess.wait", t.Excess.Wait, 0, 1},
 		{"returning.slots", t.Returning.Slots, 0, 1},
 		{"returning.wait", t.Returning.Wait, 0, 1},
-		{"last.slots", t.Last.Slots, 0, 1},
-		{"last.wait", t.Last.Wait, 0, 1},
 		{"return_wait_millis", t.ReturnWaitMillis, 0, largest},
 		{"yield_part", t.YieldPart, 0, 1},
 	}
--- a/control/rank.go
+++ b/control/rank.go
@@ -31,29 +31,21 @@
 	// what it would use is better spent on a request that can be in time. Served
 	// like any other, half of all late answers of an overloaded day were such ones.
 	rankReturning
-	// rankLast: the same, of a workspace that yields to others. What callers ask for
-	// again must not get the capacity that was refused to those others: a workspace
-	// got four times what another one did so.
-	rankLast
 )
 
 // String returns the rank as it stands in logs.
-func (r rank) String() string { return [...]string{"share", "excess", "returning", "last"}[r] }
+func (r rank) String() string { return [...]string{"share", "excess", "returning"}[r] }
 
 // spareOf is how much of a target a rank may use. For what returns, less was better
 // for all on overloaded days (from 0.6 of the slots and 0.5 of the wait down to 0.25
 // and 0.15, the worth of a day rose by a fifth); the part that is left lets engines
-// that do little refuse nobody. rankLast gets what only an engine that is all but idle
-// has: with it, the workspace that took four times as much as another one no longer
-// did so in four plays of that day.
+// that do little refuse nobody.
 func (m *Machine) spareOf(of rank) policy.Spare {
 	switch of {
 	case rankExcess:
 		return m.opts.Tokens.Excess
 	case rankReturning:
 		return m.opts.Tokens.Returning
-	case rankLast:
-		return m.opts.Tokens.Last
 	default:
 		return policy.Spare{Slots: 1, Wait: 1}
 	}
@@ -87,7 +79,9 @@
 		q.objective = 0
 		q.latest = m.now + millis(m.opts.Tokens.ReturnWaitMillis)
 		if m.yields(q) {
-			q.rank, q.latest = rankLast, m.now
+			// What callers ask for again must not get the capacity that was refused
+			// to others: a workspace got four times what another one did so.
+			q.latest = m.now
 		}
 	case shares.Ask(m.now, q.ticket.Workspace, nominal(q.task).Seconds()) || m.opts.Tokens.NoShares:
 	case m.yields(q):
