Bound the log lines about requests that are refused unread

Cause: a router of a fifth of a core that got 2,000 requests a second refused them with a line each. A hundred a second have their line; the others are counted, in a metric and in the next line.

--- a/front/serve.go
+++ b/front/serve.go
@@ -24,7 +24,7 @@
 	r := s.begin(ctx, conn)
 	err := accept(ctx, r)
 	if err != nil {
-		s.log.Info("front: Request refused.", "request", r.ex.ID, "error", err)
+		s.logRefused(r, err)
 	} else {
 		err = s.run(r)
 	}
@@ -40,6 +40,21 @@
 	}
 }
 
+// refusedLogged bounds the lines a second about requests that are refused unread. A
+// line costs about as much as the refusal, and they come in floods.
+const refusedLogged = 100
+
+// logRefused names a request that was refused unread in the log, or only counts it
+// where there are too many.
+func (s *Server) logRefused(r *request, err error) {
+	if !s.refusedLog.Allow() {
+		refusalsUnsaid.Inc()
+		s.unlogged.Add(1)
+		return
+	}
+	s.log.Info("front: Request refused.", "request", r.ex.ID, "error", err, "unlogged_before", s.unlogged.Swap(0))
+}
+
 // accept refuses what no filter should have to think about.
 func accept(ctx *fasthttp.RequestCtx, r *request) error {
 	if r.arrival != nil && r.arrival.refusal != nil {
--- a/front/server.go
+++ b/front/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 
 	"github.com/walnutcove/walnutcove/dialect"
 	"github.com/walnutcove/walnutcove/pipeline"
@@ -134,6 +135,11 @@
 
 	arrivals *arrivals
 
+	// refusedLog bounds the lines about refused requests, and unlogged counts those
+	// that were passed over since the last line.
+	refusedLog *rate.Limiter
+	unlogged   atomic.Int64
+
 	// ctx is the parent of every exchange's context; cancel ends them all.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -159,6 +165,8 @@
 		ids:     newIDSource(),
 		watch:   newWatcher(options.WatchEvery),
 
+		refusedLog: rate.NewLimiter(refusedLogged, refusedLogged),
+
 		arrivals: newArrivals(int64(options.MaxHeldBytes), options.ReadTimeout+arrivalMargin),
 
 		conns:   make(map[*callerConn]struct{}),
