Fetch shared parts from the target that keeps most of them

Cause: parts were fetched only from a target that keeps all that a prompt shares. A keeper that is passed over as failing was fetched from, too.

--- a/control/place.go
+++ b/control/place.go
@@ -148,7 +148,7 @@
 	policy := &m.opts.Tokens
 	limit := m.maxWait(q.shard)
 	all := m.candidates(c.targets, q.task)
-	keeper := keeperOf(all, q.task)
+	keeper := m.keeperOf(all, q.task)
 	home := homeOf(all, q.task, keeper)
 	near := m.dataCentreOf(q.from)
 	var best placement
@@ -186,20 +186,20 @@
 	return ""
 }
 
-// place predicts what a ticket would cost at a target. keeper keeps the shared
-// parts of its prompt; nil if none does.
-func (m *Machine) place(q *queuedTicket, seen candidate, keeper *target) placement {
+// place predicts what a ticket would cost at a target. keeper keeps most of the shared
+// parts of its prompt; see keeperOf.
+func (m *Machine) place(q *queuedTicket, seen, keeper candidate) placement {
 	t, again := seen.target, seen.again
 	policy := &m.opts.Tokens
 	p := placement{target: t, reads: seen.reads}
 	penalty := times(policy.RereadPart, t.engine.ReadTime(again))
 	fetch := time.Duration(0)
 	perSecond := m.topo.decl.Pools[q.shard.id.Pool].Tokens.FetchedPerSecond
-	if keeper != nil && keeper != t && again >= leastFetch && perSecond > 0 && !policy.NoFetch {
-		p.fetchFrom = keeper
-		p.reads = max(1, seen.reads-again)
-		fetch = time.Duration(float64(again) / perSecond * float64(time.Second))
-		penalty = times(policy.FetchPart, fetch)
+	if fetched := again - keeper.again; keeper.target != nil && fetched >= leastFetch && perSecond > 0 && !policy.NoFetch {
+		p.fetchFrom = keeper.target
+		p.reads = max(1, seen.reads-fetched)
+		fetch = time.Duration(float64(fetched) / perSecond * float64(time.Second))
+		penalty = times(policy.FetchPart, fetch) + times(policy.RereadPart, t.engine.ReadTime(keeper.again))
 	}
 	p.start = t.engine.Predict(m.now, q.task, p.reads) + fetch
 	p.cost = p.start + penalty
@@ -209,17 +209,20 @@
 	return p
 }
 
-// keeperOf returns a target that keeps all shared parts of a prompt and has the
-// least to do; nil if there is none.
-func keeperOf(all []candidate, task sched.EngineTask) *target {
+// keeperOf returns the target that keeps most of the shared parts of a prompt; of
+// several, the one with the least to do. Without a target, if none keeps any.
+func (m *Machine) keeperOf(all []candidate, task sched.EngineTask) candidate {
+	var keeper candidate
 	if len(task.Parts) < 2 {
-		return nil
+		return keeper
 	}
-	var keeper *target
-	var least time.Duration
+	shared := task.Shared()
 	for _, c := range all {
-		if c.again == 0 && (keeper == nil || c.wait < least) {
-			keeper, least = c.target, c.wait
+		if c.again >= shared || m.now < c.target.downUntil {
+			continue
+		}
+		if keeper.target == nil || c.again < keeper.again || c.again == keeper.again && c.wait < keeper.wait {
+			keeper = c
 		}
 	}
 	return keeper
@@ -227,8 +230,8 @@
 
 // homeOf returns the target that rendezvous hashing gives the shared parts of a
 // prompt to, if no target keeps them all; nil otherwise.
-func homeOf(all []candidate, task sched.EngineTask, keeper *target) *target {
-	if len(task.Parts) < 2 || keeper != nil {
+func homeOf(all []candidate, task sched.EngineTask, keeper candidate) *target {
+	if len(task.Parts) < 2 || keeper.target != nil && keeper.again == 0 {
 		return nil
 	}
 	last := task.Parts[len(task.Parts)-2].ID
--- a/control/place_test.go
+++ b/control/place_test.go
@@ -392,3 +392,33 @@
 		t.Error("what comes back to a workspace that yields is not refused at once")
 	}
 }
+
+// TestPartsAreFetchedFromWhoKeepsMost plays hot things under eviction: nobody keeps all
+// that prompts share, and what one target keeps is fetched from it rather than read
+// again; a target that fails is not fetched from.
+func TestPartsAreFetchedFromWhoKeepsMost(t *testing.T) {
+	f := newTokenFleet("e1", "e2", "e3")
+	group := PromptPart{ID: 1, Tokens: 2500}
+	f.kept("e1", 0, group)
+	f.kept("e2", 0, PromptPart{ID: 1, Tokens: 500})
+	ticket := &queuedTicket{
+		shard:  f.machine.sched.shards[ShardID{Pool: "gen"}],
+		ticket: Ticket{Workspace: "a", Work: Work{Parts: []PromptPart{group, thing(7), own(1)}, OutputTokens: 50}},
+	}
+	f.machine.describeWork(ticket)
+	all := f.machine.candidates(ticket.shard.targets, ticket.task)
+	keeper := f.machine.keeperOf(all, ticket.task)
+	if keeper.target == nil || keeper.target.name != "e1" || keeper.again != 4000 {
+		t.Fatalf("keeper %+v", keeper)
+	}
+	for _, c := range all {
+		p := f.machine.place(ticket, c, keeper)
+		if c.target.name == "e3" && (p.fetchName() != "e1" || p.reads != 4200) {
+			t.Errorf("e3 fetches from %q and reads %d; e1 keeps 2500 of 6700 tokens", p.fetchName(), p.reads)
+		}
+	}
+	f.machine.targetFailed(f.machine.targetHere("e1"), false, "test")
+	if keeper = f.machine.keeperOf(f.machine.candidates(ticket.shard.targets, ticket.task), ticket.task); keeper.target == nil || keeper.target.name != "e2" {
+		t.Errorf("with e1 failing: keeper %+v", keeper.target)
+	}
+}
--- a/control/sched/engine.go
+++ b/control/sched/engine.go
@@ -24,9 +24,9 @@
 	Tokens int
 }
 
-// shared returns the tokens that other requests may have in common with this
+// Shared returns the tokens that other requests may have in common with this
 // one: all parts but the last, which is the request's own.
-func (t EngineTask) shared() int {
+func (t EngineTask) Shared() int {
 	tokens := 0
 	for i := 0; i+1 < len(t.Parts); i++ {
 		tokens += t.Parts[i].Tokens
@@ -118,7 +118,7 @@
 			break
 		}
 	}
-	return max(1, task.PromptTokens-saved), task.shared() - shared
+	return max(1, task.PromptTokens-saved), task.Shared() - shared
 }
 
 // Wait is the time until what is granted and not read would be read.
