--- a/control/sched/shares.go
+++ b/control/sched/shares.go
@@ -98,8 +98,8 @@
 		if name == workspace || !f.refused || now-f.refusedAt > refusedTime {
 			continue
 		}
-		s.advance(now, f)
-		if f.served < part*mine {
+		// The flow is left as it is: the order of the map must not show in its figures.
+		if decayed(f.served, now-f.at) < part*mine {
 			return true
 		}
 	}
@@ -118,12 +118,16 @@
 }
 
 func (s *Shares) advance(now time.Duration, f *shareFlow) {
-	passed := (now - f.at).Seconds()
+	passed := now - f.at
 	f.at = now
-	decay := math.Exp(-passed / demandTime.Seconds())
-	f.asked *= decay
-	f.served *= decay
-	f.credit = min(f.credit+passed*s.bounded(), s.burst())
+	f.asked = decayed(f.asked, passed)
+	f.served = decayed(f.served, passed)
+	f.credit = min(f.credit+passed.Seconds()*s.bounded(), s.burst())
+}
+
+// decayed is what is left of an average some time later.
+func decayed(value float64, passed time.Duration) float64 {
+	return value * math.Exp(-passed.Seconds()/demandTime.Seconds())
 }
 
 // bounded is the level, or the whole capacity where there is no level.
@@ -144,8 +148,7 @@
 			delete(s.flows, name)
 			continue
 		}
-		idle := (now - f.at).Seconds()
-		demands = append(demands, f.asked*math.Exp(-idle/demandTime.Seconds())/demandTime.Seconds())
+		demands = append(demands, decayed(f.asked, now-f.at)/demandTime.Seconds())
 	}
 	slices.Sort(demands)
 	left := s.perSecond
