--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -236,6 +236,15 @@
 	})
 }
 
+// startPair returns two scenes that know the same.
+func startPair(t *testing.T) (one, other *scene) {
+	one, other = startScene(t), startScene(t)
+	one.populate()
+	other.populate()
+	synctest.Wait()
+	return one, other
+}
+
 // TestRemovalSoonAfterReturnIsMeant: a target that leaves a while after the
 // platform's return is not doubted, as it did not lapse.
 func TestRemovalSoonAfterReturnIsMeant(t *testing.T) {
@@ -256,10 +265,7 @@
 // removal that another one tells of.
 func TestPeersRemovalIsBelieved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, other := startScene(t), startScene(t)
-		s.populate()
-		other.populate()
-		synctest.Wait()
+		s, other := startPair(t)
 		s.targets.setDown(true)
 		time.Sleep(time.Second)
 		other.targets.set(gone("a"))
@@ -297,10 +303,7 @@
 // changes nothing.
 func TestVersionsOnlyRise(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, other := startScene(t), startScene(t)
-		s.populate()
-		other.populate()
-		synctest.Wait()
+		s, other := startPair(t)
 		old, err := other.follower.Export(Known{})
 		if err != nil {
 			t.Fatal(err)
@@ -347,10 +350,7 @@
 // has the same snapshot afterwards.
 func TestExportHoldsWhatIsNew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, other := startScene(t), startScene(t)
-		s.populate()
-		other.populate()
-		synctest.Wait()
+		s, other := startPair(t)
 		known := s.follower.Known()
 		other.targets.set(targetEntry("e"))
 		other.targets.set(gone("a"))
--- a/store/vms_bench_test.go
+++ b/store/vms_bench_test.go
@@ -10,40 +10,13 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
+	"github.com/walnutcove/walnutcove/standin/countconn"
 	"github.com/walnutcove/walnutcove/store"
 )
 
 // listPeriod is the default of the setting platform.vm_list_every, in seconds.
 const listPeriod = 2
 
-// countingListener counts the bytes of its connections, both ways.
-type countingListener struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-func (l countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	return countingConn{conn, l.bytes}, err
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // BenchmarkUnchangedList reads a list that does not change from a platform with
 // and without entity tags.
 func BenchmarkUnchangedList(b *testing.B) {
@@ -65,7 +38,7 @@
 	}
 	var bytes atomic.Int64
 	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { serveList(ctx, list, tags) }}
-	go func() { _ = server.Serve(countingListener{listener, &bytes}) }()
+	go func() { _ = server.Serve(countconn.Listener{Listener: listener, Bytes: &bytes}) }()
 	defer func() { _ = server.Shutdown() }()
 	client := store.NewClient(store.Options{Address: listener.Addr().String(), Metrics: metrics.NewSet()})
 	defer client.Close()
--- a/target/loadpoll/bench_test.go
+++ b/target/loadpoll/bench_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/walnutcove/walnutcove/standin/countconn"
 	"github.com/walnutcove/walnutcove/target"
 )
 
@@ -18,34 +19,6 @@
 	benchTime    = 20 * time.Second
 )
 
-// countingListener counts the bytes of its connections, both ways.
-type countingListener struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-func (l countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	return countingConn{conn, l.bytes}, err
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // BenchmarkTargets polls 11 steadily loaded targets for 20 s: as it was (each
 // 250 ms, always with the prefixes) and as it is. Run it with -benchtime=1x.
 func BenchmarkTargets(b *testing.B) {
@@ -70,7 +43,7 @@
 	}
 	var bytes, polls atomic.Int64
 	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { report(ctx, prefixes) }}
-	go func() { _ = server.Serve(countingListener{listener, &bytes}) }()
+	go func() { _ = server.Serve(countconn.Listener{Listener: listener, Bytes: &bytes}) }()
 	defer func() { _ = server.Shutdown() }()
 	client := target.NewHTTPClient(target.Options{})
 	defer client.Close()
