End a run from where its caller is found gone; notes on the model

Cause: between the watcher, which finds that a caller has gone, and the close of the connection to the target stood a goroutine of its own.

The watcher closes the connection itself.

--- a/control/sched/reading.go
+++ b/control/sched/reading.go
@@ -19,8 +19,8 @@
 	// forgetSample is the part of the evidence that is kept with each new sample: the
 	// last 200 starts of the pool count, which is a second or two of it under load.
 	forgetSample = 0.995
-	// priorSamples is what the first figures count for, in samples. They never go
-	// quite, so that coefficients that no sample speaks of keep them.
+	// priorSamples is what the first figures count for, in samples. They do not fade,
+	// so that a part that no sample tells of keeps its first figure.
 	priorSamples = 4.0
 	// leastSurprise bounds by how much one sample may differ from the prediction, and
 	// surprisePart the same as a part of the prediction. Starts at a target that broke
@@ -71,7 +71,8 @@
 type Reading struct {
 	// fixed, token and pair are in seconds.
 	fixed, token, pair float64
-	firstToken         float64
+	// firstToken is token before any start was seen.
+	firstToken float64
 	// gram and moment are the sums of the least squares.
 	gram   [3][3]float64
 	moment [3]float64
@@ -87,8 +88,8 @@
 }
 
 // Declare sets the first figures from what the pool's targets are declared to do
-// together, in tokens a second; zero: not declared. Targets turn up one after the
-// other, so the first figure that was worked out is that of a single one.
+// together, in tokens a second; zero: not declared. It is called again when the number
+// of targets changes, as they turn up one after the other.
 func (r *Reading) Declare(perSecond float64, targets int) {
 	rate := defaultReadRate
 	if perSecond > 0 && targets > 0 {
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -117,6 +117,9 @@
 		request.AfterEvent = ex.AfterEvent
 		request.FetchAddress = ex.FetchAddress
 		request.CallerLeft = ex.HasCallerLeft
+		if !ex.OutlivesCaller() {
+			request.OnCallerGone = ex.OnCallerGone
+		}
 		if ex.Stream && ex.Idempotent {
 			request.Stall = patience(ex)
 		}
--- a/front/request.go
+++ b/front/request.go
@@ -38,6 +38,7 @@
 	callersGone.Inc()
 	close(r.gone)
 	r.cancel(result.New(result.CallerGone, "The caller went away."))
+	r.ex.CallerWentAway()
 }
 
 // newExchange copies a request out of fasthttp's buffers, which are reused, and
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -104,8 +105,12 @@
 	endOnce sync.Once
 	mu      sync.Mutex
 	onEnd   []func(error)
+	onGone  []*goneFunc
 }
 
+// goneFunc is a function added with OnCallerGone.
+type goneFunc struct{ run func() }
+
 // Placement is what a scheduler went by when it chose the target of a request.
 type Placement struct {
 	// Start is when the answer was predicted to begin, from the grant.
@@ -148,6 +153,39 @@
 	ex.onEnd = append(ex.onEnd, f)
 }
 
+// OnCallerGone adds a function that is run once the caller is found to have gone away,
+// by whoever found it and before anything else is. It must not block. On a router that
+// runs late each goroutine in between waits for the processor in its turn: runs went on
+// for 0.6 s and more after their callers had left. stop takes the function out again,
+// and reports whether it has not run and will not.
+func (ex *Exchange) OnCallerGone(f func()) (stop func() bool) {
+	one := &goneFunc{run: f}
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	ex.onGone = append(ex.onGone, one)
+	return func() bool {
+		ex.mu.Lock()
+		defer ex.mu.Unlock()
+		at := slices.Index(ex.onGone, one)
+		if at < 0 {
+			return false
+		}
+		ex.onGone = slices.Delete(ex.onGone, at, at+1)
+		return true
+	}
+}
+
+// CallerWentAway runs the functions added with OnCallerGone. The mutex is held, so that
+// none runs once its stop has returned.
+func (ex *Exchange) CallerWentAway() {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	for _, one := range ex.onGone {
+		one.run()
+	}
+	ex.onGone = nil
+}
+
 // HasCallerLeft is IsCallerGone with a look at the connection, which costs a
 // system call.
 func (ex *Exchange) HasCallerLeft() bool {
--- a/target/exchange.go
+++ b/target/exchange.go
@@ -24,6 +24,9 @@
 	conn     *conn
 	// unwatch ends the closing of the connection by ctx; nil if ctx never ends.
 	unwatch func() bool
+	// unhook does the same for the closing by who found that the caller is gone; nil
+	// if nobody tells.
+	unhook func() bool
 	// spoiled says that the request was not sent whole.
 	spoiled bool
 	// stall is the request's Stall.
@@ -226,20 +229,29 @@
 }
 
 func (ex *exchange) giveBack(reusable bool) {
-	cancelled := ex.unwatch != nil && !ex.unwatch()
-	if cancelled || !reusable || ex.spoiled || ex.conn.reader.Buffered() > 0 {
+	if !ex.keepsOpen() || !reusable || ex.spoiled || ex.conn.reader.Buffered() > 0 {
 		ex.conn.Close()
 		return
 	}
 	ex.client.pool.put(ex.conn)
 }
 
+// keepsOpen ends the closing of the connection from elsewhere, and reports whether it
+// was not closed.
+func (ex *exchange) keepsOpen() bool {
+	open := true
+	for _, stop := range []func() bool{ex.unwatch, ex.unhook} {
+		if stop != nil {
+			open = stop() && open
+		}
+	}
+	return open
+}
+
 // discard closes the connection, which ends the run.
 func (ex *exchange) discard() {
 	ex.settle.Do(func() {
-		if ex.unwatch != nil {
-			ex.unwatch()
-		}
+		ex.keepsOpen()
 		ex.conn.Close()
 	})
 }
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -90,6 +90,9 @@
 	if ctx.Done() != nil {
 		ex.unwatch = context.AfterFunc(ctx, func() { cn.Conn.Close() })
 	}
+	if req.OnCallerGone != nil {
+		ex.unhook = req.OnCallerGone(func() { cn.Conn.Close() })
+	}
 	resp, err := ex.run(&req)
 	if err != nil {
 		ex.discard()
--- a/target/target.go
+++ b/target/target.go
@@ -35,6 +35,10 @@
 	// CallerLeft looks whether the caller is still there; nil: it is. It is asked if a
 	// connection was long in coming, right before anything is written.
 	CallerLeft func() bool
+	// OnCallerGone adds a function that is run by whoever finds that the caller has gone
+	// away, and must not block; see pipeline.Exchange. nil: nobody tells, and ctx alone
+	// ends the call.
+	OnCallerGone func(f func()) (stop func() bool)
 	// FirstByte bounds the sending of the request and the wait for the answer's head;
 	// zero: Options.FirstByteTimeout.
 	FirstByte time.Duration
