Revert the pauses between accepts of a late router

Now other workspaces than the hot one waited all through: they stand in the same queue of connections.

--- a/front/conn.go
+++ b/front/conn.go
@@ -29,7 +29,6 @@
 // the listener, and with it the service.
 func (l callerListener) Accept() (net.Conn, error) {
 	for {
-		l.pause()
 		conn, err := l.Listener.Accept()
 		if err == nil {
 			return newCallerConn(conn, l.server), nil
@@ -43,17 +42,6 @@
 	}
 }
 
-// pause keeps a router that runs late from spending all its processor on new callers:
-// those who wait to be accepted cost nothing, and the streams that are passed on go on.
-// A router of a fifth of a core that refused 2,000 requests a second passed no event on
-// for 2.8 s, and ended runs seconds after their callers had left: in two plays of four
-// of such a day more than a quarter of the runs, with pauses in none.
-func (l callerListener) pause() {
-	if ask := l.server.options.AcceptPause; ask != nil {
-		time.Sleep(ask())
-	}
-}
-
 // callerConn is a caller's connection. Only its serving goroutine reads and
 // writes; raw, endIdle and Conn.Close may be used by others too.
 type callerConn struct {
--- a/front/flood_test.go
+++ b/front/flood_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -37,30 +36,6 @@
 	return listener.Addr().String()
 }
 
-// TestAcceptPauses: callers are accepted no faster than the pauses let them, and each
-// is served.
-func TestAcceptPauses(t *testing.T) {
-	const pause, callers = 20 * time.Millisecond, 10
-	address := serveOn(t, Options{AcceptPause: func() time.Duration { return pause }}, answerEmpty)
-	began := time.Now()
-	var calling sync.WaitGroup
-	for range callers {
-		calling.Go(func() {
-			client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-			answer, err := client.Get("http://" + address + "/x")
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			answer.Body.Close()
-		})
-	}
-	calling.Wait()
-	if took := time.Since(began); took < (callers-1)*pause {
-		t.Errorf("%d callers were accepted in %s", callers, took)
-	}
-}
-
 // TestFloodOfRefusalsIsLoggedInBounds: of thousands of refused requests some have a
 // line each, and the number of the others is told.
 func TestFloodOfRefusalsIsLoggedInBounds(t *testing.T) {
--- a/front/server.go
+++ b/front/server.go
@@ -77,8 +77,6 @@
 	// Shed, if set, says that the next request is refused before anything is done
 	// for it.
 	Shed func() bool
-	// AcceptPause, if set, is how long to wait before the next connection is accepted.
-	AcceptPause func() time.Duration
 	// Busy, if set, says that callers had better go elsewhere: each connection is
 	// closed with its answer then.
 	Busy func() bool
--- a/router/overload.go
+++ b/router/overload.go
@@ -24,12 +24,6 @@
 	// some ten times, so half a second is lost at 50 ms: callers leave soon after.
 	shedFrom = 50 * time.Millisecond
 	shedSpan = 100 * time.Millisecond
-	// pauseFrom is the average lateness from which connections are accepted one by one,
-	// with a pause of a pausePart of it in between, at most longestPause: 500 a second
-	// at 50 ms, 125 a second from 200 ms on.
-	pauseFrom    = 50 * time.Millisecond
-	pausePart    = 25
-	longestPause = 8 * time.Millisecond
 	// lagFine is the average at which it takes them again.
 	lagFine = 5 * time.Millisecond
 	// leastRest is the shortest time without new connections. The balancer looks
@@ -66,15 +60,6 @@
 	return over > 0 && rand.N(shedSpan) < over
 }
 
-// acceptPause is how long to wait before the next connection is accepted.
-func (o *overload) acceptPause() time.Duration {
-	late := o.late()
-	if late < pauseFrom {
-		return 0
-	}
-	return min(late/pausePart, longestPause)
-}
-
 // run measures until ctx ends.
 func (o *overload) run(ctx context.Context) {
 	probe := startLagProbe(o.log)
--- a/router/overload_test.go
+++ b/router/overload_test.go
@@ -45,25 +45,6 @@
 	}
 }
 
-// TestAcceptsSlowlyWhileLate plays one small router that gets most callers of a data
-// centre: while it runs late it accepts some tens to hundreds a second, and as fast as
-// they come once it does not.
-func TestAcceptsSlowlyWhileLate(t *testing.T) {
-	o := &overload{log: slog.New(slog.DiscardHandler), crowded: func() bool { return false }}
-	for lag, want := range map[time.Duration]time.Duration{
-		0:                      0,
-		pauseFrom - 1:          0,
-		pauseFrom:              2 * time.Millisecond,
-		100 * time.Millisecond: 4 * time.Millisecond,
-		5 * time.Second:        longestPause,
-	} {
-		o.average.Store(int64(lag))
-		if got := o.acceptPause(); got != want {
-			t.Errorf("%s late: a pause of %s, want %s", lag, got, want)
-		}
-	}
-}
-
 // TestShedsMoreTheLaterItRuns: nothing while it runs in time, all when it is far
 // behind.
 func TestShedsMoreTheLaterItRuns(t *testing.T) {
--- a/router/start.go
+++ b/router/start.go
@@ -222,7 +222,6 @@
 		r.caches = cachewatch.New(platform.NewCaches(r.targets), r.targetKept, r.log)
 		options.Busy = r.overload.on.Load
 		options.Shed = r.overload.sheds
-		options.AcceptPause = r.overload.acceptPause
 		r.front = front.New(options, r.routedPipeline())
 		return
 	}
