--- a/control/loadtest/engine.go
+++ b/control/loadtest/engine.go
@@ -21,8 +21,6 @@
 	Chunk int
 	// First is the time from the end of reading to the first event.
 	First time.Duration
-	// Stride is how many tokens an event holds.
-	Stride int
 	// TellEvery is the period of telling what is kept, and TellLag how late that is.
 	TellEvery, TellLag time.Duration
 }
--- a/control/loadtest/loadtest_test.go
+++ b/control/loadtest/loadtest_test.go
@@ -17,7 +17,7 @@
 		Name: "small memory", Routers: 4, Engines: 9, Workspaces: 16,
 		Engine: EngineSpec{
 			Slots: 96, Memory: 183_000, Step: 4730 * time.Microsecond, StepEach: 14 * time.Microsecond,
-			Token: 26 * time.Microsecond, Pair: time.Nanosecond, Chunk: 1024, First: 40 * time.Millisecond, Stride: 4,
+			Token: 26 * time.Microsecond, Pair: time.Nanosecond, Chunk: 1024, First: 40 * time.Millisecond,
 			TellEvery: time.Second, TellLag: 200 * time.Millisecond,
 		},
 		SlowEvery: 3, SlowPace: 1.3, PerSecond: 190_000, FetchedPerSecond: 1_000_000,
