Show how old a router's word of the platform may be

Cause: a router said nothing of a call for changes that waits, so its logs and metrics could not tell a call that was never answered from a feed that has no news, nor from a version that was passed over. Now: two gauges a feed (age of the last answer, age of the call under way), the same ages in the lines of a lost and a regained feed, and a line for an older version that is passed over. No change of logic.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -84,6 +84,8 @@
 	returnedAt time.Time
 	// turn is whether this router follows.
 	turn *turn
+	// answers holds when each feed was asked for and answered. The map is not changed.
+	answers map[string]*answers
 	// wake ends the pause of expireLapsed.
 	wake chan struct{}
 	// ready is closed with the first snapshot.
@@ -97,6 +99,7 @@
 		options: options,
 		state:   newState(),
 		turn:    newTurn(options),
+		answers: map[string]*answers{feedConfigurations: {}, feedTargets: {}},
 		wake:    make(chan struct{}, 1),
 		ready:   make(chan struct{}),
 	}
@@ -132,6 +135,7 @@
 	lost := false
 	loaded := false
 	var after uint64
+	seen := f.answers[name]
 	defer f.turn.setLive(name, false)
 	for ctx.Err() == nil {
 		if loaded && f.turn.standBy(ctx, name) {
@@ -146,7 +150,11 @@
 		if lost {
 			hold = 0 // to learn at once that the platform is back
 		}
+		answerAge, _ := seen.age()
+		seen.noteCall()
 		listing, err := next(ctx, feed, call{load: !loaded, after: after, hold: hold, limit: limit})
+		_, waited := seen.age()
+		seen.noteEnd(err == nil)
 		switch {
 		case errors.Is(err, ErrHistoryLost):
 			f.options.Log.Warn("directory: History is gone, loading everything.", "feed", name, "revision", after)
@@ -159,7 +167,8 @@
 			return
 		case err != nil:
 			if !lost {
-				f.options.Log.Warn("directory: Feed lost.", "feed", name, "revision", after, "error", err)
+				f.options.Log.Warn("directory: Feed lost.", "feed", name, "revision", after, "waited", waited,
+					"answered_before", answerAge+waited, "error", err)
 			}
 			lost = true
 			f.turn.setLive(name, false)
@@ -170,7 +179,8 @@
 			continue
 		}
 		if lost {
-			f.options.Log.Info("directory: Feed regained.", "feed", name, "revision", listing.Revision)
+			f.options.Log.Info("directory: Feed regained.", "feed", name, "revision", listing.Revision,
+				"answered_before", answerAge+waited)
 		}
 		take(listing, arrival{whole: !loaded, afterLoss: lost})
 		if loaded {
@@ -228,9 +238,14 @@
 	f.change("platform", func(s *state) bool {
 		changed := false
 		for _, entry := range listing.Entries {
-			if !entry.Gone {
-				changed = s.configure(entry.Value) || changed
+			if entry.Gone {
+				continue
 			}
+			if entry.Value.Version < s.configuration.Version {
+				f.options.Log.Warn("directory: Older version passed over.", "version", uint64(entry.Value.Version),
+					"in_force", uint64(s.configuration.Version), "revision", entry.Revision)
+			}
+			changed = s.configure(entry.Value) || changed
 		}
 		return changed
 	})
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -404,3 +404,22 @@
 		t.Errorf("%+v", entries)
 	}
 }
+
+// TestAgesTellWhenTheFeedsAnswered: a call that waits for changes shows how long it
+// has waited, and when the answer before it came.
+func TestAgesTellWhenTheFeedsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startPopulated(t)
+		s.targets.set(targetEntry("e"))
+		time.Sleep(7 * time.Second)
+		s.configurations.set(version(5))
+		time.Sleep(2 * time.Second)
+		ages := s.follower.Ages()
+		if got := ages[feedConfigurations]; got.Answer != 2*time.Second || got.Call > 2*time.Second {
+			t.Errorf("configurations: %+v", got)
+		}
+		if got := ages[feedTargets]; got.Answer != 9*time.Second {
+			t.Errorf("targets: %+v", got)
+		}
+	})
+}
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/directory"
 )
 
 // publishMetrics exports the state of this router and the counters of its
@@ -21,11 +22,23 @@
 	set.NewGauge("walnut_config_version"+node, func() float64 { return float64(r.version()) })
 	set.NewGauge("walnut_accept_active"+node, func() float64 { return float64(r.front.Active()) })
 	set.NewGauge("walnut_accept_held_bytes"+node, func() float64 { return float64(r.front.HeldBytes()) })
+	if r.managed != nil {
+		publishAges(set, r.settings.Node.Name, r.directory)
+	}
 	r.loop.publishCounters(set, node)
 	metrics.RegisterSet(set)
 	return func() { metrics.UnregisterSet(set, true) }
 }
 
+// publishAges exports how old the word of the platform may be, feed by feed.
+func publishAges(set *metrics.Set, node string, source *directory.Follower) {
+	for feed := range source.Ages() {
+		labels := fmt.Sprintf("{node=%q,feed=%q}", node, feed)
+		set.NewGauge("walnut_directory_answer_age_seconds"+labels, func() float64 { return source.Ages()[feed].Answer.Seconds() })
+		set.NewGauge("walnut_directory_call_age_seconds"+labels, func() float64 { return source.Ages()[feed].Call.Seconds() })
+	}
+}
+
 func oneIf(condition bool) float64 {
 	if condition {
 		return 1
