Two tests of a silence of the store, which fail

A call for changes that meets the store's silence is never answered, and a router takes that for "no change" until the call's own bound of 31 s. The stand-in's store keeps feeds waiting that wait when it falls silent, as the users' platform does (their record: the feed of targets was answered at the next change, 5.4 s after the silence it had waited through); before, it answered them with 503, and so told every router of the silence. No check is eased by that: a 503 is still what the fault Refusing gives.

--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -142,19 +142,21 @@
 
 // run starts the follower until the test ends.
 func (s *scene) run(t *testing.T) {
-	s.follower = New(Options{
-		Configurations: s.configurations,
-		Targets:        s.targets,
-		OnChange: func(snapshot *config.Snapshot) {
-			s.mu.Lock()
-			s.snapshots = append(s.snapshots, snapshot)
-			s.mu.Unlock()
-		},
-		Shared:      s.shared,
-		OnFollowing: func(live bool) { s.live = live },
-		ReturnGrace: 2 * time.Second,
-		Log:         slog.New(slog.DiscardHandler),
-	})
+	s.runWith(t, Options{Configurations: s.configurations, Targets: s.targets})
+}
+
+// runWith does the same with options of the test's own; the scene's are added.
+func (s *scene) runWith(t *testing.T, options Options) {
+	options.OnChange = func(snapshot *config.Snapshot) {
+		s.mu.Lock()
+		s.snapshots = append(s.snapshots, snapshot)
+		s.mu.Unlock()
+	}
+	options.Shared = s.shared
+	options.OnFollowing = func(live bool) { s.live = live }
+	options.ReturnGrace = 2 * time.Second
+	options.Log = slog.New(slog.DiscardHandler)
+	s.follower = New(options)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- /dev/null
+++ b/directory/silence_test.go
@@ -0,0 +1,172 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+)
+
+// What was seen: versions that the platform had accepted were not in force at any
+// router for 24 s after its store had been silent for 5 s, and requests reached targets
+// that had left more than two seconds before. No router said that it had lost anything.
+//
+// How it came about: a router waits for changes by a call that the store answers at the
+// next change, or after 30 s. It makes the next such call some 90 ms after a change. When
+// changes come close behind one another and the store falls silent between two of them,
+// that call meets the silence. The store never answers it, also not after its return;
+// calls that waited since before the silence it does answer.
+//
+// What caused it: no answer meant "no change". Nothing showed whether the store had taken
+// the call, so the loss was noticed at the end of the 30 s only. The gauges of the calls'
+// age proved it: each router's call for versions had waited 31.0 s when it gave up, while
+// its call for targets, made before the silence, was answered in time.
+
+// soon is how long after the store's first answer its news may take to be in force.
+const soon = time.Second
+
+// silentStore is when a feed's store is silent, for all feeds on it.
+type silentStore struct {
+	mu    sync.Mutex
+	until time.Time
+}
+
+func (s *silentStore) begin(length time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.until = time.Now().Add(length)
+}
+
+// left is how long the store stays silent.
+func (s *silentStore) left() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Until(s.until)
+}
+
+// silencedFeed is a feed on a store that falls silent: calls that meet the silence are
+// never answered, calls that waited before it are answered at its end.
+type silencedFeed[T any] struct {
+	*fakeFeed[T]
+	store *silentStore
+}
+
+// Load implements Feed.
+func (f silencedFeed[T]) Load(ctx context.Context) (Listing[T], error) {
+	if f.store.left() > 0 {
+		<-ctx.Done()
+		return Listing[T]{}, ctx.Err()
+	}
+	return f.fakeFeed.Load(ctx)
+}
+
+// Follow implements Feed.
+func (f silencedFeed[T]) Follow(ctx context.Context, after uint64, patience time.Duration) (Listing[T], error) {
+	if f.store.left() > 0 {
+		<-ctx.Done()
+		return Listing[T]{}, ctx.Err()
+	}
+	for {
+		listing, err := f.fakeFeed.Follow(ctx, after, patience)
+		silent := f.store.left()
+		if err != nil || silent <= 0 {
+			return listing, err
+		}
+		select {
+		case <-time.After(silent):
+		case <-ctx.Done():
+			return Listing[T]{}, ctx.Err()
+		}
+	}
+}
+
+// startSilenced starts a populated scene on a store that can fall silent, as one of some
+// routers.
+func startSilenced(t *testing.T) (*scene, *silentStore) {
+	t.Helper()
+	s := &scene{configurations: newFeed[Configuration](), targets: newFeed[config.Target](), shared: true}
+	store := &silentStore{}
+	s.populate()
+	s.runWith(t, Options{
+		Configurations: silencedFeed[Configuration]{s.configurations, store},
+		Targets:        silencedFeed[config.Target]{s.targets, store},
+		Routers:        func() int { return 9 },
+	})
+	time.Sleep(3 * time.Second) // until it follows
+	return s, store
+}
+
+// version returns the newest version in force.
+func (s *scene) version() config.Version {
+	synctest.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.snapshots) == 0 {
+		return 0
+	}
+	return s.snapshots[len(s.snapshots)-1].Version
+}
+
+// TestNewsSoonAfterSilence: whatever was under way when the store fell silent, the
+// newest version and the targets that left meanwhile are known soon after its return.
+func TestNewsSoonAfterSilence(t *testing.T) {
+	const (
+		step    = 40 * time.Millisecond
+		longest = 1200 * time.Millisecond
+	)
+	for _, length := range []time.Duration{200 * time.Millisecond, time.Second, 5 * time.Second, 40 * time.Second} {
+		for begins := time.Duration(0); begins < longest; begins += step {
+			t.Run(fmt.Sprintf("%s/%s", length, begins), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { newsAfterSilence(t, begins, length) })
+			})
+		}
+	}
+}
+
+// newsAfterSilence makes the store silent some time after a change of each feed, changes
+// both during the silence and again after it, and looks whether that is known.
+func newsAfterSilence(t *testing.T, begins, length time.Duration) {
+	s, store := startSilenced(t)
+	s.configurations.set(version(5))
+	leaving := targetEntry("a")
+	leaving.Value.Leaving = true
+	s.targets.set(leaving)
+	time.Sleep(begins)
+	store.begin(length)
+	time.Sleep(length / 2)
+	s.configurations.set(version(6))
+	time.Sleep(length - length/2)
+
+	s.configurations.set(version(7))
+	leaving = targetEntry("b")
+	leaving.Value.Leaving = true
+	s.targets.set(leaving)
+	time.Sleep(soon)
+	if got := s.version(); got != 7 {
+		t.Errorf("%s after the return version %d is in force", soon, got)
+	}
+	if s.offers("b") {
+		t.Errorf("%s after the return a target that leaves is still offered", soon)
+	}
+	time.Sleep(4 * time.Second)
+	s.targets.set(gone("c"))
+	if s.serves("c") {
+		t.Error("a target that left long after the return is still served")
+	}
+}
+
+// offers says whether the newest snapshot has a target that does not leave.
+func (s *scene) offers(name string) bool {
+	synctest.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.snapshots) == 0 {
+		return false
+	}
+	found, ok := s.snapshots[len(s.snapshots)-1].Declarations.Targets[name]
+	return ok && !found.Leaving
+}
--- /dev/null
+++ b/managedtest/silence_test.go
@@ -0,0 +1,66 @@
+package managedtest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/router"
+	"github.com/walnutcove/walnutcove/standin/managed"
+)
+
+// soon is how long after the store's first answer its news may take to be in force at
+// every router.
+const soon = time.Second
+
+// silenceLength is how long the store is silent here; versions and targets change
+// meanwhile.
+const silenceLength = 1500 * time.Millisecond
+
+// TestFleetHasNewsSoonAfterSilence: what changed while the store was silent, and right
+// after it, is in force at every router soon after the store's return, although each
+// router's next call for changes met the silence. directory.TestNewsSoonAfterSilence
+// tells what was seen of this; here are real routers and calls.
+func TestFleetHasNewsSoonAfterSilence(t *testing.T) {
+	f := startFleet(t, 3, ops("o1"), ops("o2"))
+	leaving := f.replica(ops("o3"))
+	f.waitJoined()
+	time.Sleep(2 * time.Second) // until the routers follow the store
+	for range 3 {
+		f.configure(nil)
+		time.Sleep(80 * time.Millisecond)
+	}
+	f.configure(nil)
+	leaving.Leave()
+	// The routers have both changes, and gather more for 10 ms a router before they ask
+	// again.
+	time.Sleep(10 * time.Millisecond)
+	f.store.SetFault(managed.Silent)
+	time.Sleep(silenceLength / 2)
+	f.configure(nil)
+	time.Sleep(silenceLength / 2)
+	f.store.SetFault(managed.Healthy)
+	returned := time.Now()
+	f.configure(nil)
+	alsoLeaving := f.replica(ops("o4"))
+	alsoLeaving.Leave()
+	for n, r := range f.routers {
+		for !knowsNews(r, f.version, "o4") && time.Since(returned) < patience {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if took := time.Since(returned); took > soon {
+			t.Errorf("router %d has the news %s after the store's return", n, took)
+		}
+	}
+}
+
+// knowsNews says whether a version is in force at a router, and a target known as
+// leaving.
+func knowsNews(r *router.Router, version uint64, target string) bool {
+	snapshot := r.InForce()
+	if snapshot == nil || snapshot.Version != config.Version(version) {
+		return false
+	}
+	found, listed := snapshot.Declarations.Targets[target]
+	return listed && found.Leaving
+}
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -25,7 +25,8 @@
 	Healthy Fault = iota
 	// Refusing: calls get 503 and do nothing.
 	Refusing
-	// Silent: calls get no answer.
+	// Silent: calls get no answer, also not after the silence. Feeds that wait since
+	// before it go on waiting, and answer once it is over.
 	Silent
 	// Forgetful: feeds get 410, as their history is gone.
 	Forgetful
@@ -212,12 +213,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[path]++
+	_, own := s.faults[ctx.LocalAddr().String()]
+	if !own && path == wire.PathRead && s.refused != "" && string(ctx.QueryArgs().Peek(wire.ParamTable)) == s.refused {
+		return Refusing
+	}
+	return s.callerFault(ctx)
+}
+
+// faultNow returns the fault of a caller whose call waits.
+func (s *Store) faultNow(ctx *fasthttp.RequestCtx) Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.callerFault(ctx)
+}
+
+// callerFault needs s.mu.
+func (s *Store) callerFault(ctx *fasthttp.RequestCtx) Fault {
 	if fault, own := s.faults[ctx.LocalAddr().String()]; own {
 		return fault
 	}
-	if path == wire.PathRead && s.refused != "" && string(ctx.QueryArgs().Peek(wire.ParamTable)) == s.refused {
-		return Refusing
-	}
 	return s.fault
 }
 
@@ -257,25 +271,26 @@
 	}
 	wait := time.NewTimer(time.Duration(query.GetUintOrZero(wire.ParamWait)) * time.Millisecond)
 	defer wait.Stop()
+	over := false
 	for {
 		s.mu.Lock()
 		changed := s.changed
 		s.mu.Unlock()
 		// Revision zero would read what exists; nothing is older than revision 1.
 		answer := s.read(table, max(after, 1))
-		if len(answer.Rows) > 0 {
+		switch fault := s.faultNow(ctx); {
+		case fault == Silent:
+		case fault != Healthy:
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			return
+		case over || len(answer.Rows) > 0:
 			s.answer(ctx, s.seen(ctx, answer))
 			return
 		}
 		select {
 		case <-changed:
-			if s.faultFor(ctx, "") != Healthy {
-				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-				return
-			}
 		case <-wait.C:
-			s.answer(ctx, answer)
-			return
+			over = true
 		case <-s.ended:
 			return
 		}
