Ask another peer for its directory while one does not answer

Found by looking for the cause elsewhere, not by a failure; the test fails without it, as the second peer is not asked.

--- a/router/managed.go
+++ b/router/managed.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -72,8 +71,8 @@
 	caches *cachewatch.Watcher
 	// overload says when this router asks for no new connections.
 	overload *overload
-	// fetching says that the directory is being fetched from a peer.
-	fetching atomic.Bool
+	// fetches are the peers that are asked for their directory.
+	fetches fetches
 }
 
 func (r *Router) newManaged() *managed {
@@ -229,11 +228,11 @@
 
 // fetchFrom gets the directory of a peer that has a newer one. It does not block.
 func (r *Router) fetchFrom(node control.NodeID) {
-	if !r.fetching.CompareAndSwap(false, true) {
+	if !r.fetches.begin(node) {
 		return // the next heartbeat tells again
 	}
 	go func() {
-		defer r.fetching.Store(false)
+		defer r.fetches.end(node)
 		ctx, cancel := context.WithTimeout(context.Background(), peerFetchTimeout)
 		defer cancel()
 		err := r.fetch(ctx, node)
