Look at the listing again right before a request is written

Change: an exchange can tell until it is sent whether its target is listed, at the same address, and takes work. If not, the request has not run (new code 706, target_left) and is granted another target. Cost: a look into the listing in force for each request.

--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	result.TargetRefused,
 	result.FirstByteTimeout,
 	result.TargetLostRequest,
+	result.TargetLeft,
 	result.TargetError,
 	result.CallerGone,
 )
@@ -117,6 +118,7 @@
 		request.AfterEvent = ex.AfterEvent
 		request.FetchAddress = ex.FetchAddress
 		request.CallerLeft = ex.HasCallerLeft
+		request.TargetServes = ex.TargetServes
 		if !ex.OutlivesCaller() {
 			request.OnCallerGone = ex.OnCallerGone
 		}
--- a/filters/retry/retry.go
+++ b/filters/retry/retry.go
@@ -35,7 +35,7 @@
 // the retries that were not made.
 var (
 	retries = codecounter.New("walnut_retry_retries_total",
-		result.ConnectFailed, result.TargetRefused, result.TargetLostRequest, result.StreamBroken, result.TargetError,
+		result.ConnectFailed, result.TargetRefused, result.TargetLeft, result.TargetLostRequest, result.StreamBroken, result.TargetError,
 		result.FirstByteTimeout, result.AnswerTooSlow)
 	refusals = codecounter.New("walnut_retry_refusals_total", result.RetryBudgetEmpty)
 )
@@ -176,7 +176,7 @@
 		return refusal, true
 	}
 	switch refusal.Code {
-	case result.ConnectFailed, result.TargetRefused:
+	case result.ConnectFailed, result.TargetRefused, result.TargetLeft:
 		return refusal, true
 	case result.TargetLostRequest, result.StreamBroken:
 		return refusal, ex.Idempotent || refusal.Ran == result.RanNo
--- a/filters/retry/retry_test.go
+++ b/filters/retry/retry_test.go
@@ -64,7 +64,7 @@
 
 // TestWhatIsRetried goes through every code there is.
 func TestWhatIsRetried(t *testing.T) {
-	always := []result.Code{result.ConnectFailed, result.TargetRefused}
+	always := []result.Code{result.ConnectFailed, result.TargetRefused, result.TargetLeft}
 	ifIdempotent := []result.Code{result.TargetLostRequest, result.StreamBroken}
 	for _, row := range result.Table() {
 		for _, idempotent := range []bool{false, true} {
--- a/managedtest/silence_test.go
+++ b/managedtest/silence_test.go
@@ -49,7 +49,9 @@
 		for !knowsNews(r, f.version, "o4") && time.Since(returned) < patience {
 			time.Sleep(5 * time.Millisecond)
 		}
-		if took := time.Since(returned); took > soon {
+		took := time.Since(returned)
+		t.Logf("router %d has the news %s after the store's return", n, took)
+		if took > soon {
 			t.Errorf("router %d has the news %s after the store's return", n, took)
 		}
 	}
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -46,6 +46,10 @@
 	// LookForCaller, if set, looks at the caller's connection and says whether it is
 	// closed. CallerGone tells that later, at the next look at all connections.
 	LookForCaller func() bool
+	// TargetServes, set with a grant, says whether the target granted is still listed, as
+	// one that takes work.
+	TargetServes func() bool
+
 	// Serving ends when the exchange has ended or the router is stopped by
 	// force, but not when the caller goes away. See RunContext.
 	Serving context.Context
--- a/result/codes.go
+++ b/result/codes.go
@@ -52,6 +52,7 @@
 	RetryBudgetEmpty  Code = 703
 	FirstByteTimeout  Code = 704
 	TargetLostRequest Code = 705
+	TargetLeft        Code = 706
 
 	// relay: 800-899.
 	StreamBroken  Code = 801
@@ -128,6 +129,7 @@
 	{RetryBudgetEmpty, "retry_budget_empty", "dispatch", 503, RanUnknown, true, "The request failed and the retry budget is used up."},
 	{FirstByteTimeout, "first_byte_timeout", "dispatch", 504, RanUnknown, true, "The target did not begin to answer in time."},
 	{TargetLostRequest, "target_lost_request", "dispatch", 502, RanUnknown, true, "The target closed the connection before it answered."},
+	{TargetLeft, "target_left", "dispatch", 503, RanNo, true, "The target left before the request was sent to it."},
 	{StreamBroken, "stream_broken", "relay", 502, RanUnknown, true, "The answer broke off and could not be resumed."},
 	{TargetError, "target_error", "relay", 502, RanYes, true, "The target answered with an error."},
 	{AnswerTooSlow, "answer_too_slow", "relay", 504, RanUnknown, true, "The answer stopped making progress."},
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -116,11 +116,18 @@
 		return countRefusal(result.New(result.ConnectFailed, "The target is not declared any more."))
 	}
 	ex.Address = declared.Address
+	ex.TargetServes = func() bool { return g.serves(answer.dispatch.Target, declared.Address) }
 	ex.FetchAddress = g.inForce().Declarations.Targets[answer.dispatch.FetchFrom].Address
 	ex.Placed = pipeline.Placement{Start: answer.dispatch.Start, Reads: answer.dispatch.Reads, FetchFrom: answer.dispatch.FetchFrom}
 	return nil
 }
 
+// serves says whether a target is listed at an address now, and takes work.
+func (g *grants) serves(name, address string) bool {
+	declared, known := g.inForce().Declarations.Targets[name]
+	return known && !declared.Leaving && declared.Address == address
+}
+
 // refusedBy says which scheduler refused a request and what it went by.
 type refusedBy struct{ refuse control.Refuse }
 
--- a/target/counters.go
+++ b/target/counters.go
@@ -16,6 +16,7 @@
 const (
 	reasonBadRequest       reason = "bad_request"
 	reasonCancelledEarly   reason = "cancelled_before_write"
+	reasonTargetLeft       reason = "target_left"
 	reasonConnect          reason = "connect"
 	reasonConnectTimeout   reason = "connect_timeout"
 	reasonWriteNothing     reason = "write_nothing"
@@ -36,7 +37,7 @@
 )
 
 var allReasons = []reason{
-	reasonBadRequest, reasonCancelledEarly, reasonConnect, reasonConnectTimeout,
+	reasonBadRequest, reasonCancelledEarly, reasonTargetLeft, reasonConnect, reasonConnectTimeout,
 	reasonWriteNothing, reasonWritePartial, reasonNotRun, reasonFirstByteTimeout,
 	reasonClosedBeforeHead, reasonBadHead, reasonCancelled, reasonTruncated,
 	reasonUnframed, reasonStalled, reasonClosedUnread, reasonStray, reasonUnsealed,
--- a/target/httpclient.go
+++ b/target/httpclient.go
@@ -86,6 +86,12 @@
 		c.pool.put(cn)
 		return nil, counters.fail(reasonCancelledEarly, result.CallerGone, result.RanNo, errCallerLeft)
 	}
+	// Up to three seconds lay between grant and write on a busy router; a target may have
+	// told meanwhile that it leaves.
+	if req.TargetServes != nil && !req.TargetServes() {
+		c.pool.put(cn)
+		return nil, counters.fail(reasonTargetLeft, result.TargetLeft, result.RanNo, nil)
+	}
 	ex := &exchange{client: c, counters: counters, ctx: ctx, conn: cn, stall: req.Stall}
 	if ctx.Done() != nil {
 		ex.unwatch = context.AfterFunc(ctx, func() { cn.Conn.Close() })
--- a/target/target.go
+++ b/target/target.go
@@ -35,6 +35,9 @@
 	// CallerLeft looks whether the caller is still there; nil: it is. It is asked if a
 	// connection was long in coming, right before anything is written.
 	CallerLeft func() bool
+	// TargetServes looks whether the target still takes work; nil: it does. It is asked
+	// right before anything is written.
+	TargetServes func() bool
 	// OnCallerGone adds a function that is run by whoever finds that the caller has gone
 	// away, and must not block; see pipeline.Exchange. nil: nobody tells, and ctx alone
 	// ends the call.
