Split a managed platform's list of routers from its directory

router/managed.go did three jobs in 300 lines: the feeds, the list of routers, and what targets keep. The list has a file of its own now. No change of behaviour.

--- a/router/managed.go
+++ b/router/managed.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -14,39 +13,19 @@
 	"github.com/walnutcove/walnutcove/directory"
 	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/result"
-	"github.com/walnutcove/walnutcove/store"
 	"github.com/walnutcove/walnutcove/target/cachewatch"
-	"github.com/walnutcove/walnutcove/wait"
 )
 
 const (
-	// memberRetry is the mean pause between tries at announcing this router and
-	// reading the others; it doubles up to maxMemberRetry, so that it is done within 1.25 s
-	// of the platform's return. 340 routers that start meanwhile make 340 calls a second,
-	// of 2,000 that the platform allows.
-	memberRetry    = 100 * time.Millisecond
-	maxMemberRetry = 500 * time.Millisecond
-	// memberCallTimeout bounds one such call; the store answers in milliseconds.
-	memberCallTimeout = 500 * time.Millisecond
 	// heartbeatsToLapse is the least number of a target's heartbeats that the platform has
 	// to be away for before entries lapse. They do after three without one, and the last
 	// came up to one before.
 	heartbeatsToLapse = 2
 	// peerFetchTimeout bounds the fetch of a peer's directory.
 	peerFetchTimeout = time.Second
-	// joinWait is how long a router that could serve waits for its first list of the
-	// others before it says that it is ready. The list takes one call of some
-	// milliseconds; a platform that lists nobody for this long may do so for minutes.
-	joinWait = 2 * time.Second
-	// strangerPause gathers routers that turn up together, so that the list is
-	// read once for all of them.
-	strangerPause = 200 * time.Millisecond
-	// withdrawTimeout bounds the removal of this router's row at its end.
-	withdrawTimeout = 300 * time.Millisecond
 )
 
 var (
-	memberFailures = metrics.GetOrCreateCounter(`walnut_router_member_call_failures_total`)
 	peerFetches    = metrics.GetOrCreateCounter(`walnut_router_directory_fetches_total{result="ok"}`)
 	peerFetchFails = metrics.GetOrCreateCounter(`walnut_router_directory_fetches_total{result="failed"}`)
 )
@@ -98,93 +77,6 @@
 	}
 }
 
-// followMembers announces this router, reads the others, and reads them again
-// when one turns up that is not listed, until ctx ends.
-func (r *Router) followMembers(ctx context.Context) {
-	r.untilDone(ctx, "announce this router", r.announce)
-	for ctx.Err() == nil {
-		r.untilDone(ctx, "read the routers", r.readMembers)
-		select {
-		case <-r.strangers:
-		case <-ctx.Done():
-			return
-		}
-		wait.For(ctx, strangerPause)
-	}
-}
-
-// untilDone repeats a call until it succeeds or ctx ends.
-func (r *Router) untilDone(ctx context.Context, what string, call func(context.Context) error) {
-	between := memberRetry
-	for try := 1; ctx.Err() == nil; try++ {
-		callCtx, cancel := context.WithTimeout(ctx, memberCallTimeout)
-		err := call(callCtx)
-		cancel()
-		if err == nil {
-			return
-		}
-		memberFailures.Inc()
-		if try == 1 {
-			r.log.Warn("member: Platform did not answer, trying on.", "call", what, "error", err)
-		}
-		wait.For(ctx, between/2+rand.N(between))
-		between = min(2*between, maxMemberRetry)
-	}
-}
-
-func (r *Router) announce(ctx context.Context) error {
-	return r.routers.Announce(ctx, store.VM{
-		Name:        r.settings.Node.Name,
-		DataCentre:  r.settings.Node.DataCentre,
-		PeerAddress: r.mesh.Address(),
-		Cores:       r.settings.Node.Cores,
-	})
-}
-
-func (r *Router) readMembers(ctx context.Context) error {
-	vms, err := r.routers.List(ctx)
-	if err != nil {
-		return err
-	}
-	r.log.Info("member: Routers listed.", "count", len(vms))
-	r.vmsListed(vms)
-	r.othersOnce.Do(func() { close(r.othersKnown) })
-	return nil
-}
-
-// awaitJoined lets this router say that it is ready, once it has a directory and
-// the list of the others. It announces itself before it reads the list, so of two
-// ready routers one at least knows the other, and both can have the directory from
-// their peers when the platform turns them away. Without the wait, a router turned
-// away between the two calls keeps the version that it has until the platform
-// answers again.
-func (r *Router) awaitJoined(ctx context.Context) {
-	defer close(r.joined)
-	select {
-	case <-r.directory.Ready():
-	case <-ctx.Done():
-		return
-	}
-	timeout := time.NewTimer(joinWait)
-	defer timeout.Stop()
-	select {
-	case <-r.othersKnown:
-	case <-timeout.C:
-		r.log.Warn("member: Ready without knowing the other routers.", "waited", joinWait)
-	case <-ctx.Done():
-	}
-}
-
-// isJoined says whether awaitJoined is over.
-func (m *managed) isJoined() bool {
-	select {
-	case <-m.joined:
-		return true
-	default:
-		return false
-	}
-}
-
 // feedTurn implements shell.
 func (r *Router) feedTurn(turn control.FeedTurn) {
 	if r.managed == nil {
@@ -201,31 +93,6 @@
 	}
 }
 
-// peerConnected reads the routers again if one turned up that is not listed.
-func (r *Router) peerConnected(node control.NodeID) {
-	if listed := r.vms.Load(); listed != nil {
-		for _, vm := range *listed {
-			if vm.Name == string(node) {
-				return
-			}
-		}
-	}
-	select {
-	case r.strangers <- struct{}{}:
-	default:
-	}
-}
-
-// withdraw takes this router off the list at its end.
-func (r *Router) withdraw() {
-	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
-	defer cancel()
-	if err := r.routers.Withdraw(ctx, r.settings.Node.Name); err != nil {
-		memberFailures.Inc()
-		r.log.Warn("member: This router could not be taken off the list.", "error", err)
-	}
-}
-
 // fetchFrom gets the directory of a peer that has a newer one. It does not block.
 func (r *Router) fetchFrom(node control.NodeID) {
 	if !r.fetches.begin(node) {
