Close the listener of a router that leaves once nobody connects any more

What it buys: callers that the balancer still sends hear that the router leaves, in place of a reset or a refused connection.

--- a/devfleet/fleet_test.go
+++ b/devfleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,20 +87,34 @@
 	}
 }
 
-// TestShutdownCutsNothing drains one router while callers use it. A request
-// that was not answered must have been refused as not run.
+// TestShutdownCutsNothing drains one router while callers use it. A request that was not
+// answered must have been refused as not run. Once a caller was told that the router
+// leaves, none goes back to it; till then each finds it there. Callers that come back
+// whatever they were told, to the moment at which the listener closes, can be reset by the
+// kernel on connections that no router ever accepted.
 func TestShutdownCutsNothing(t *testing.T) {
 	fleet := startFleet(t, devfleet.Options{})
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	answeredSome := make(chan struct{}, 1)
+	addresses := callerAddresses(fleet)
+	var leaves atomic.Bool
 	run := load.Run{
-		Routers: callerAddresses(fleet),
+		Routers: addresses,
 		Callers: 20,
 		Seed:    2,
 		Next:    mixedRequest,
-		OnResult: func(load.Result) {
+		PickRouter: func(_ load.Request, random *rand.Rand) string {
+			if leaves.Load() {
+				return addresses[1+random.IntN(len(addresses)-1)]
+			}
+			return addresses[random.IntN(len(addresses))]
+		},
+		OnResult: func(r load.Result) {
+			if r.Verdict == load.Refused && r.Router == addresses[0] {
+				leaves.Store(true)
+			}
 			select {
 			case answeredSome <- struct{}{}:
 			default:
@@ -114,8 +129,8 @@
 	}
 	stopLoad()
 	got := <-summary
-	if got.Count(load.Broken)+got.Count(load.Wrong) > 0 {
-		t.Errorf("requests were cut: %v", got)
+	if got.Count(load.Broken)+got.Count(load.Wrong)+got.Count(load.Unreachable) > 0 {
+		t.Errorf("requests were cut, or met no router: %v", got)
 		for _, fault := range got.Faults() {
 			t.Logf("%s: %s %s", fault.Request.Mark, fault.Verdict, fault.Detail)
 		}
--- a/front/caller_test.go
+++ b/front/caller_test.go
@@ -192,3 +192,30 @@
 	}
 	writer.Close()
 }
+
+// TestLateCallersAreAnswered: callers that connect while the server leaves are answered as
+// long as they come, and the listener closes once none does.
+func TestLateCallersAreAnswered(t *testing.T) {
+	f := start(t, Options{}, func(_ context.Context, ex *pipeline.Exchange) error {
+		ex.Status = http.StatusOK
+		return nil
+	})
+	done := f.shutdown(context.Background())
+	for !f.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	for range 5 {
+		_, r := f.send(get)
+		if response := f.answer(r); !response.Close {
+			t.Errorf("a late caller got %v", response)
+		}
+		time.Sleep(acceptQuiet / 2)
+	}
+	if err := await(t, done); err != nil {
+		t.Error(err)
+	}
+	if conn, err := net.Dial("tcp4", f.address); err == nil {
+		conn.Close()
+		t.Error("still accepting")
+	}
+}
--- a/front/conn.go
+++ b/front/conn.go
@@ -31,6 +31,7 @@
 	for {
 		conn, err := l.Listener.Accept()
 		if err == nil {
+			l.server.acceptedAt.Store(l.server.sinceStart())
 			return newCallerConn(conn, l.server), nil
 		}
 		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) && !errors.Is(err, syscall.ECONNABORTED) {
--- a/front/server.go
+++ b/front/server.go
@@ -146,6 +146,10 @@
 
 	// draining is true from Shutdown or Close on.
 	draining atomic.Bool
+	// started is when the server was made, and acceptedAt the nanoseconds from then to the
+	// last connection that it accepted.
+	started    time.Time
+	acceptedAt atomic.Int64
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -167,6 +171,8 @@
 
 		refusedLog: rate.NewLimiter(refusedLogged, refusedLogged),
 
+		started: time.Now(),
+
 		arrivals: newArrivals(int64(options.MaxHeldBytes), options.ReadTimeout+arrivalMargin),
 
 		conns:   make(map[*callerConn]struct{}),
@@ -177,6 +183,9 @@
 	return s
 }
 
+// sinceStart is the nanoseconds since the server was made.
+func (s *Server) sinceStart() int64 { return int64(time.Since(s.started)) }
+
 func (s *Server) newHTTPServer() *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                      s.serve,
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -3,17 +3,28 @@
 import (
 	"context"
 	"errors"
+	"time"
+
+	"github.com/walnutcove/walnutcove/wait"
 )
 
 // errForced is the cause given to exchanges that a forced stop ends.
 var errForced = errors.New("front: stopped by force")
 
-// Shutdown stops accepting, answers what comes in on open connections with
-// "Connection: close", and waits until every exchange has ended and every
+// acceptQuiet is how long nobody may connect before a Shutdown closes the listener. The
+// kernel resets connections that it has taken and the server has not accepted by then,
+// with the request that may be on them already: 1 of 60 shutdowns under load did. Callers
+// that are sent here hear within some milliseconds that the server leaves.
+const acceptQuiet = 100 * time.Millisecond
+
+// Shutdown answers what comes in with "Connection: close", stops accepting once
+// nobody connects any more, and waits until every exchange has ended and every
 // connection is closed. It cuts no request: a connection is closed only after
 // it was idle for Options.IdleGrace. If ctx ends first, Shutdown returns the
 // context's error and the exchanges go on; Close then ends them.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.drain()
+	s.awaitQuiet(ctx)
 	if err := s.stopAccepting(); err != nil {
 		return err
 	}
@@ -24,6 +35,7 @@
 // Options.ForceGrace, closes the connections that are still open. Callers see
 // a numbered refusal or a broken answer, never a clean end of half an answer.
 func (s *Server) Close() error {
+	s.drain()
 	err := s.stopAccepting()
 	s.cancel(errForced)
 	ctx, cancel := context.WithTimeout(context.Background(), s.options.ForceGrace)
@@ -36,17 +48,38 @@
 	return err
 }
 
-// stopAccepting closes the listener and bounds the wait of idle connections.
-// Later calls do nothing.
-func (s *Server) stopAccepting() error {
+// drain refuses new requests and bounds the wait of idle connections. Later calls do
+// nothing.
+func (s *Server) drain() {
 	if s.draining.Swap(true) {
-		return nil
+		return
 	}
+	s.acceptedAt.Store(s.sinceStart())
 	for _, conn := range s.connections() {
 		conn.endIdle()
 	}
+}
+
+// awaitQuiet waits until nobody has connected for acceptQuiet, at most for IdleGrace.
+func (s *Server) awaitQuiet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.options.IdleGrace)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		serving := s.serving
+		s.mu.Unlock()
+		quiet := time.Duration(s.sinceStart() - s.acceptedAt.Load())
+		if !serving || quiet >= acceptQuiet || !wait.For(ctx, acceptQuiet-quiet) {
+			return
+		}
+	}
+}
+
+// stopAccepting closes the listener. Later calls do nothing.
+func (s *Server) stopAccepting() error {
 	s.mu.Lock()
 	listener := s.listener
+	s.listener = nil
 	s.mu.Unlock()
 	if listener == nil {
 		return nil
