--- a/front/caller_test.go
+++ b/front/caller_test.go
@@ -200,6 +200,9 @@
 		ex.Status = http.StatusOK
 		return nil
 	})
+	first, r := f.send(get) // It serves now.
+	f.answer(r)
+	first.Close()
 	done := f.shutdown(context.Background())
 	for !f.draining.Load() {
 		time.Sleep(time.Millisecond)
