Load seldom in a large fleet while the platform is silent

Found by working the mend out at 340 routers: all come to follow the feeds in the end, and would have made 1,360 loads a second, of eight calls each once the store is back. Loads now follow each other by at least 10 ms a router of the fleet, which changes nothing up to 50 routers.

--- a/directory/poller.go
+++ b/directory/poller.go
@@ -28,10 +28,15 @@
 	lostAfter = 300 * time.Millisecond
 	// firstPause and longestPause bound the mean pause between calls while none is
 	// answered. The pause doubles and is jittered by half, so that routers do not come back
-	// in step and the platform's return is known to each within 0.75 s. 340 routers make
-	// 1,360 calls a second for both feeds then, of 2,000 that the platform allows.
+	// in step and the platform's return is known to each within 0.75 s.
 	firstPause   = 50 * time.Millisecond
 	longestPause = 500 * time.Millisecond
+	// loadPauseEach is, for each router of the fleet, the least that longestPause is for
+	// calls that load everything. Where the platform falls silent, all routers come to
+	// follow its feeds in the end, and a load of 3,800 targets takes eight calls: 340
+	// routers then make some 100 loads a second of each feed, 900 calls of the 2,000 that
+	// the platform allows. Those that followed before do not load, and have its news soon.
+	loadPauseEach = 10 * time.Millisecond
 	// callLimit is how long a call that does not wait may take; longer calls are of no
 	// use, as others follow each other by longestPause.
 	callLimit = 2 * time.Second
@@ -160,7 +165,7 @@
 			}
 			p.call(ctx, 0, outcomes)
 			due.Reset(jittered(pause))
-			pause = min(2*pause, longestPause)
+			pause = min(2*pause, p.longestPause())
 		case <-doubted:
 			return Listing[T]{}, errDoubted
 		case <-turned:
@@ -170,6 +175,14 @@
 	}
 }
 
+// longestPause is the mean pause between calls in the long run.
+func (p *poller[T]) longestPause() time.Duration {
+	if p.loaded || p.follower.options.Routers == nil {
+		return longestPause
+	}
+	return max(longestPause, time.Duration(p.follower.options.Routers())*loadPauseEach)
+}
+
 // heedDoubt lets the next call prove itself if calls are in doubt since the last answer.
 func (p *poller[T]) heedDoubt() {
 	select {
--- a/directory/silence_test.go
+++ b/directory/silence_test.go
@@ -316,3 +316,26 @@
 		}
 	})
 }
+
+// TestLoadsOfALargeFleetAreSpread: a router that has to load everything from a silent
+// store tries seldom if there are many of them.
+func TestLoadsOfALargeFleetAreSpread(t *testing.T) {
+	const silence = time.Minute
+	for routers, most := range map[int]int{9: 300, 340: 60} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &scene{configurations: newFeed[Configuration](), targets: newFeed[config.Target](), shared: true}
+			store := newSilentStore()
+			store.begin(silence)
+			s.populate()
+			s.runWith(t, Options{
+				Configurations: silencedFeed[Configuration]{s.configurations, store},
+				Targets:        silencedFeed[config.Target]{s.targets, store},
+				Routers:        func() int { return routers },
+			})
+			time.Sleep(silence)
+			if calls := store.callCount(); calls > most {
+				t.Errorf("%d routers: %d calls of one in %s", routers, calls, silence)
+			}
+		})
+	}
+}
