--- a/devfleet/metrics_test.go
+++ b/devfleet/metrics_test.go
@@ -35,6 +35,10 @@
 	"walnut_platform_retries_total",
 	// Calls to a managed platform, which this fleet does not run on.
 	"walnut_platform_store_calls_total",
+	// Of a managed platform's feeds; managedtest looks for them.
+	"walnut_directory_answer_age_seconds",
+	"walnut_directory_call_age_seconds",
+	"walnut_directory_stale_seconds",
 	// Measured on a managed platform only; an empty histogram is not exported.
 	"walnut_router_lag_seconds",
 }
--- a/managedtest/silence_test.go
+++ b/managedtest/silence_test.go
@@ -1,10 +1,15 @@
 package managedtest
 
 import (
+	"bytes"
+	"fmt"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/router"
 	"github.com/walnutcove/walnutcove/standin/managed"
@@ -86,3 +91,50 @@
 	found, listed := snapshot.Declarations.Targets[target]
 	return listed && found.Leaving
 }
+
+// TestFeedAgesAreExported: how old a router's word of the platform is can be read from its
+// metrics, feed by feed, and tells a silence of the store.
+func TestFeedAgesAreExported(t *testing.T) {
+	f := startFleet(t, 1, ops("o1"))
+	time.Sleep(2 * time.Second) // until the router follows the store
+	stale := func(feed string) float64 {
+		t.Helper()
+		var page bytes.Buffer
+		metrics.WritePrometheus(&page, false)
+		for _, kind := range []string{"answer_age", "call_age", "stale"} {
+			row := fmt.Sprintf("walnut_directory_%s_seconds{node=%q,feed=%q} ", kind, f.settings[0].Node.Name, feed)
+			_, value, found := strings.Cut(page.String(), row)
+			if !found {
+				t.Fatalf("%s is not exported", row)
+			}
+			value, _, _ = strings.Cut(value, "\n")
+			if kind == "stale" {
+				seconds, err := strconv.ParseFloat(value, 64)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return seconds
+			}
+		}
+		return 0
+	}
+	feeds := []string{"configurations", "targets"}
+	for _, feed := range feeds {
+		if got := stale(feed); got != 0 {
+			t.Errorf("%s: %g s old on a calm day", feed, got)
+		}
+	}
+	f.configure(nil)
+	time.Sleep(5 * time.Millisecond)
+	f.store.SetFault(managed.Silent)
+	time.Sleep(2 * time.Second)
+	for _, feed := range feeds {
+		if got := stale(feed); got < 1.5 {
+			t.Errorf("%s: %g s old after two seconds of silence", feed, got)
+		}
+	}
+	f.store.SetFault(managed.Healthy)
+	f.eventually(soon, "nothing counts as old after the silence", func() bool {
+		return stale(feeds[0]) == 0 && stale(feeds[1]) == 0
+	})
+}
