--- a/directory/poller.go
+++ b/directory/poller.go
@@ -130,13 +130,11 @@
 	p.heedDoubt()
 	hold := p.hold()
 	p.call(ctx, hold, outcomes)
-	due := time.NewTimer(hold + answerMargin)
-	defer due.Stop()
-	var overdueSince time.Time
-	pause := firstPause
+	retry := newRetry(hold + answerMargin)
+	defer retry.timer.Stop()
 	for {
-		var doubted <-chan struct{} // never closed while the calls prove themselves
-		if hold > provingHold && overdueSince.IsZero() {
+		var doubted <-chan struct{} // Never closed while the calls prove themselves.
+		if hold > provingHold && !retry.begun() {
 			doubted = p.doubted
 		}
 		wanted, turned := p.follower.turn.isWanted()
@@ -148,24 +146,10 @@
 			if o.err == nil || errors.Is(o.err, ErrHistoryLost) {
 				return o.listing, o.err
 			}
-			feedFailures.Inc()
-			p.lose(o.err)
-			if overdueSince.IsZero() {
-				overdueSince = time.Now()
-				due.Reset(jittered(pause))
-			}
-		case <-due.C:
-			if overdueSince.IsZero() {
-				overdueSince = time.Now()
-				overdueCalls.Inc()
-				p.seen.noteOverdue()
-			}
-			if time.Since(overdueSince) >= lostAfter {
-				p.lose(errUnanswered)
-			}
+			p.failed(o.err, retry)
+		case <-retry.timer.C:
+			p.overdue(retry)
 			p.call(ctx, 0, outcomes)
-			due.Reset(jittered(pause))
-			pause = min(2*pause, p.longestPause())
 		case <-doubted:
 			return Listing[T]{}, errDoubted
 		case <-turned:
@@ -175,6 +159,53 @@
 	}
 }
 
+// failed takes in that a call failed. The next one follows after a pause.
+func (p *poller[T]) failed(err error, r *retry) {
+	feedFailures.Inc()
+	p.lose(err)
+	if !r.begun() {
+		r.begin()
+		r.schedule(p.longestPause())
+	}
+}
+
+// overdue takes in that the calls under way should have been answered.
+func (p *poller[T]) overdue(r *retry) {
+	if !r.begun() {
+		r.begin()
+		overdueCalls.Inc()
+		p.seen.noteOverdue()
+	}
+	if time.Since(r.since) >= lostAfter {
+		p.lose(errUnanswered)
+	}
+	r.schedule(p.longestPause())
+}
+
+// retry is when the next call is due, while none is answered.
+type retry struct {
+	timer *time.Timer
+	// since is when the first call failed or became overdue; zero: none did.
+	since time.Time
+	// pause is the mean pause before the call after the next.
+	pause time.Duration
+}
+
+// newRetry returns a retry that is due after a while, if nothing fails before.
+func newRetry(after time.Duration) *retry {
+	return &retry{timer: time.NewTimer(after), pause: firstPause}
+}
+
+func (r *retry) begun() bool { return !r.since.IsZero() }
+
+func (r *retry) begin() { r.since = time.Now() }
+
+// schedule sets when the next call is due. The pause doubles up to the longest.
+func (r *retry) schedule(longest time.Duration) {
+	r.timer.Reset(jittered(r.pause))
+	r.pause = min(2*r.pause, longest)
+}
+
 // longestPause is the mean pause between calls in the long run.
 func (p *poller[T]) longestPause() time.Duration {
 	if p.loaded || p.follower.options.Routers == nil {
