Tell peers of removals that are doubted, and take in those believed late

When the removals were believed they bore revisions older than that, so peers, who ask for what is newer than they have, never heard of them: 74 of 81 routers kept the targets. The routers that did believe them made a listing of the same revision, which their own control passed over as not newer. Found by the logs: 136 targets at revision 263 at seven routers, 147 at the same at 74, and grants by that revision to one of the eleven. Change: what a router tells a peer holds its doubts with the time that is left, and the order of listings counts removals that were believed.

--- a/config/route.go
+++ b/config/route.go
@@ -230,16 +230,20 @@
 	// Targets is the revision of the listing of targets; zero if the targets
 	// are part of the version.
 	Targets uint64
+	// Lapsed is Snapshot.TargetsLapsed. It counts at this router only.
+	Lapsed uint64
 }
 
 // After says that a snapshot of this order may replace one of the other:
-// neither part lies below the other's, and one lies above.
+// no part lies below the other's, and one lies above.
 func (o Order) After(other Order) bool {
-	if o.Version < other.Version || o.Targets < other.Targets {
+	if o.Version < other.Version || o.Targets < other.Targets || o.Lapsed < other.Lapsed {
 		return false
 	}
 	return o != other
 }
 
 // Order returns the snapshot's order.
-func (s *Snapshot) Order() Order { return Order{Version: s.Version, Targets: s.TargetsRevision} }
+func (s *Snapshot) Order() Order {
+	return Order{Version: s.Version, Targets: s.TargetsRevision, Lapsed: s.TargetsLapsed}
+}
--- a/config/types.go
+++ b/config/types.go
@@ -134,6 +134,9 @@
 	// TargetsRevision is the revision of the listing that the targets were read
 	// from; zero if operators declare the targets as part of the version.
 	TargetsRevision uint64 `json:"targets_revision,omitempty"`
+	// TargetsLapsed counts the targets that this router took off the listing after it had
+	// doubted their removal. The listing without them has no revision of its own.
+	TargetsLapsed uint64 `json:"-"`
 
 	link link
 
--- a/directory/exchange.go
+++ b/directory/exchange.go
@@ -14,7 +14,10 @@
 	Declarations config.Declarations       `json:"declarations"`
 	Targets      map[string]exportedTarget `json:"targets"`
 	Gone         map[string]uint64         `json:"gone"`
-	Revision     uint64                    `json:"revision"`
+	// Lapsed holds removals that are not believed yet. The other router has to have them
+	// with what came after them, as it will not ask for what is older again.
+	Lapsed   map[string]exportedLapse `json:"lapsed,omitempty"`
+	Revision uint64                   `json:"revision"`
 }
 
 type exportedTarget struct {
@@ -22,6 +25,12 @@
 	Revision uint64        `json:"revision"`
 }
 
+type exportedLapse struct {
+	Revision uint64 `json:"revision"`
+	// Left is the time, in nanoseconds, until the removal is believed.
+	Left time.Duration `json:"left"`
+}
+
 // Known is what a router has of the directory.
 type Known struct {
 	Version  config.Version `json:"version"`
@@ -38,7 +47,7 @@
 // Export encodes what is known here and not to another router.
 func (f *Follower) Export(known Known) ([]byte, error) {
 	f.mu.Lock()
-	content := f.state.export(known)
+	content := f.state.export(known, time.Now())
 	f.mu.Unlock()
 	encoded, err := json.Marshal(content)
 	if err != nil {
@@ -66,6 +75,9 @@
 		s.listed = true
 		// The other router has judged for itself whether to believe a removal.
 		applied := s.apply(entries, time.Time{})
+		for name, l := range content.Lapsed {
+			applied = s.remove(name, l.Revision, time.Now().Add(l.Left)) || applied
+		}
 		return configured || applied
 	})
 	return nil
--- a/directory/state.go
+++ b/directory/state.go
@@ -20,6 +20,9 @@
 	lapsed map[string]lapse
 	// revision is the highest revision applied.
 	revision uint64
+	// believed counts the lapses that were believed. Such a removal is older than what
+	// was applied since, so revision does not show it.
+	believed uint64
 }
 
 // known is a target as it was published.
@@ -147,7 +150,10 @@
 func (s *state) expire(now time.Time) (changed bool, next time.Time) {
 	for key, l := range s.lapsed {
 		if !now.Before(l.until) {
-			changed = s.remove(key, l.revision, time.Time{}) || changed
+			if s.remove(key, l.revision, time.Time{}) {
+				s.believed++
+				changed = true
+			}
 			continue
 		}
 		if next.IsZero() || l.until.Before(next) {
@@ -174,15 +180,17 @@
 		Version:         s.configuration.Version,
 		Declarations:    declarations,
 		TargetsRevision: s.revision,
+		TargetsLapsed:   s.believed,
 	}
 }
 
-// export copies what another router does not know yet: all targets changed or
-// removed after its revision, and the configuration if its version is older.
-func (s *state) export(known Known) exported {
+// export copies what another router does not know yet: all targets changed,
+// removed or doubted after its revision, and the configuration if its version is older.
+func (s *state) export(known Known, now time.Time) exported {
 	content := exported{
 		Targets:  make(map[string]exportedTarget),
 		Gone:     make(map[string]uint64),
+		Lapsed:   make(map[string]exportedLapse),
 		Revision: s.revision,
 	}
 	if s.configuration.Version > known.Version {
@@ -199,5 +207,10 @@
 			content.Gone[name] = revision
 		}
 	}
+	for name, l := range s.lapsed {
+		if l.revision > known.Revision {
+			content.Lapsed[name] = exportedLapse{Revision: l.revision, Left: l.until.Sub(now)}
+		}
+	}
 	return content
 }
