Wait for a way's port before it heals

Suspected, not shown: a process that another test is starting holds the closed listener until it runs its own program. No product code.

--- a/processes/way.go
+++ b/processes/way.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -73,6 +74,20 @@
 // Address is where the proxy listens.
 func (w *Way) Address() string { return w.address }
 
+// portFreed is how long a port may stay taken after its listener was closed. A process that
+// is being started by another test holds the listener until it runs its own program.
+const portFreed = 2 * time.Second
+
+// listenAgain listens at an address that may have been listened at until just now.
+func listenAgain(address string) (net.Listener, error) {
+	for end := time.Now().Add(portFreed); ; time.Sleep(10 * time.Millisecond) {
+		listener, err := net.Listen("tcp4", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return listener, err
+		}
+	}
+}
+
 // listen takes connections on the way's address.
 func (w *Way) listen() error {
 	w.mu.Lock()
@@ -80,7 +95,7 @@
 	if w.listener != nil || w.closed {
 		return nil
 	}
-	listener, err := net.Listen("tcp4", w.address)
+	listener, err := listenAgain(w.address)
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", w.name, err)
 	}
