Load the settings wherever a platform's numbers have fractions

Cause: the template appended ".0" to three fields, so that a platform's 630.5 became 630.5.0 and every process ended at its start. The whole class was looked at: a field may be whole or fractional, large, zero, missing, empty or new. Missing fields broke the file as well, a ratio of 0 was refused, a grace of 2 s was refused for the notice of 2.5 s, and memory or descriptors written with a fraction were refused.

The notice of a drain is now bounded by half of the drain's time where it is used, in place of a refusal of the settings: a platform that stops its VMs sooner still starts them.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -146,9 +146,9 @@
 const memoryPart = 0.7
 
 // setMemoryLimit bounds the heap; zero leaves it as it is.
-func setMemoryLimit(mebibytes int) {
+func setMemoryLimit(mebibytes float64) {
 	if mebibytes > 0 {
-		debug.SetMemoryLimit(int64(memoryPart * float64(mebibytes) * (1 << 20)))
+		debug.SetMemoryLimit(int64(memoryPart * mebibytes * (1 << 20)))
 	}
 }
 
--- /dev/null
+++ b/deploy/template_test.go
@@ -0,0 +1,179 @@
+// Package deploy tests the settings template of this folder.
+package deploy
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/settings"
+)
+
+// fields is what a platform fills in, by dotted name. Values stand as the platform
+// writes them.
+type fields map[string]string
+
+// complete holds every field that the template names.
+var complete = fields{
+	"node_name":                 "edge-1",
+	"zone":                      "ikeja",
+	"region":                    "lagos",
+	"ip":                        "10.1.0.33",
+	"internal_ports.0":          "7400",
+	"internal_ports.1":          "7415",
+	"listen.frontend":           "10.1.0.33:8783",
+	"listen.ready":              "10.1.0.33:8780",
+	"limits.cpu_share":          "0.4",
+	"limits.memory_mb":          "284",
+	"limits.max_fds":            "4100",
+	"platform.address":          "10.200.1.7:8781",
+	"platform.reads_per_s":      "2000",
+	"platform.writes_per_s":     "400",
+	"heartbeat_ms":              "1200",
+	"bounds.grace_s":            "8",
+	"bounds.retry_budget_ratio": "0.2",
+	"bounds.retry_slack":        "52",
+	"bounds.retry_window_s":     "10",
+}
+
+// numbers are the fields that are numbers, with the keys that they set. All but the keys
+// in whole may have a fraction.
+var (
+	numbers = map[string]string{
+		"limits.cpu_share":          "node.cores",
+		"limits.memory_mb":          "limits.memory_mib",
+		"limits.max_fds":            "limits.max_descriptors",
+		"platform.reads_per_s":      "platform.reads_per_second",
+		"platform.writes_per_s":     "platform.writes_per_second",
+		"heartbeat_ms":              "platform.target_heartbeat",
+		"bounds.grace_s":            "limits.drain_timeout",
+		"bounds.retry_budget_ratio": "retries.ratio",
+		"bounds.retry_slack":        "retries.slack",
+		"bounds.retry_window_s":     "retries.window",
+	}
+	whole = "limits.max_descriptors"
+)
+
+// with returns the fields with some replaced.
+func (f fields) with(name, value string) fields {
+	changed := maps.Clone(f)
+	changed[name] = value
+	return changed
+}
+
+// without returns the fields without one.
+func (f fields) without(name string) fields {
+	changed := maps.Clone(f)
+	delete(changed, name)
+	return changed
+}
+
+var (
+	section     = regexp.MustCompile(`(?s)\{\{#([a-z_.0-9]+)\}\}\n?(.*?)\{\{/([a-z_.0-9]+)\}\}\n?`)
+	placeholder = regexp.MustCompile(`\{\{([a-z_.0-9]+)(\|json)?\}\}`)
+)
+
+// render fills in the template as the platform does: a section stands if its field has
+// a value, and a field without a value leaves nothing.
+func render(t *testing.T, f fields) []byte {
+	t.Helper()
+	text, err := os.ReadFile("walnutd.toml.template")
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole := section.ReplaceAllStringFunc(string(text), func(match string) string {
+		parts := section.FindStringSubmatch(match)
+		if parts[1] != parts[3] {
+			t.Fatalf("section %s ends as %s", parts[1], parts[3])
+		}
+		if _, ok := f[parts[1]]; !ok {
+			return ""
+		}
+		return parts[2]
+	})
+	return []byte(placeholder.ReplaceAllStringFunc(whole, func(match string) string {
+		parts := placeholder.FindStringSubmatch(match)
+		value := f[parts[1]]
+		if parts[2] == "" {
+			return value
+		}
+		quoted, err := json.Marshal(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(quoted)
+	}))
+}
+
+// TestTemplateLoads renders the template for platforms that write their numbers in many
+// ways, and loads the result.
+func TestTemplateLoads(t *testing.T) {
+	for field, key := range numbers {
+		values := []string{"1", "1.0", "630.5", "86400", "86400.0"}
+		if key == whole {
+			values = []string{"1", "4100.0", "1000000", "1000000.0"}
+		}
+		for _, value := range values {
+			if _, err := settings.Parse(render(t, complete.with(field, value))); err != nil {
+				t.Errorf("%s = %s: %v", field, value, err)
+			}
+		}
+		if _, err := settings.Parse(render(t, complete.without(field))); err != nil {
+			t.Errorf("without %s: %v", field, err)
+		}
+	}
+	if _, err := settings.Parse(render(t, complete.with("a_new_field", "{}"))); err != nil {
+		t.Errorf("with a new field: %v", err)
+	}
+}
+
+// TestTemplateNamesWhatIsWrong: a value that cannot be used ends with one line that names
+// its key.
+func TestTemplateNamesWhatIsWrong(t *testing.T) {
+	for field, key := range numbers {
+		for _, value := range []string{"", "none", "-1", "1.5.0", "{}"} {
+			_, err := settings.Parse(render(t, complete.with(field, value)))
+			if err == nil && value == "" && strings.HasPrefix(key, "limits.") {
+				continue
+			}
+			if err == nil || !strings.Contains(err.Error(), key) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("%s = %q: error %v does not name %s in one line", field, value, err, key)
+			}
+		}
+	}
+	for field, key := range map[string]string{
+		"node_name":        "node.name",
+		"zone":             "node.data_centre",
+		"platform.address": "platform.address",
+		"listen.frontend":  "listen.callers",
+		"listen.ready":     "listen.health",
+		"internal_ports.0": "listen.peers",
+		"internal_ports.1": "listen.operators",
+	} {
+		_, err := settings.Parse(render(t, complete.with(field, "not so")))
+		if field == "node_name" || field == "zone" {
+			_, err = settings.Parse(render(t, complete.with(field, "")))
+		}
+		if err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: error %v does not name %s", field, err, key)
+		}
+	}
+}
+
+// TestTemplateValues: what a platform says arrives at the settings.
+func TestTemplateValues(t *testing.T) {
+	s, err := settings.Parse(render(t, complete.with("bounds.retry_slack", "630.5").with("bounds.grace_s", "2")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := fmt.Sprint(s.Node.Cores, s.Retries.Slack, s.Retries.Ratio, s.Limits.MemoryMiB, s.Limits.MaxDescriptors,
+		s.Platform.ReadsPerSecond, time.Duration(s.Limits.DrainTimeout), time.Duration(s.Platform.TargetHeartbeat))
+	if want := "0.4 630.5 0.2 284 4100 2000 2s 1.2s"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -194,7 +194,8 @@
 // giveNotice goes on taking requests until the balancer had the time to see that
 // this router is not ready. Connections that arrive meanwhile are served.
 func (r *Router) giveNotice(ctx context.Context) {
-	notice := time.NewTimer(time.Duration(r.settings.Limits.DrainNotice))
+	limits := r.settings.Limits
+	notice := time.NewTimer(time.Duration(min(limits.DrainNotice, limits.DrainTimeout/2)))
 	defer notice.Stop()
 	select {
 	case <-notice.C:
--- a/settings/load.go
+++ b/settings/load.go
@@ -33,7 +33,11 @@
 func Parse(text []byte) (Settings, error) {
 	var document map[string]any
 	if err := toml.Unmarshal(text, &document); err != nil {
-		return Settings{}, Problems{syntaxProblem(err)}
+		problem := syntaxProblem(err)
+		if problem.Key == "" {
+			problem.Key = keyAt(text, problem.Line)
+		}
+		return Settings{}, Problems{problem}
 	}
 	s, problems := decode(text, document)
 	for _, problem := range s.check() {
@@ -54,8 +58,9 @@
 // than the file, so its problems are told without them.
 func decode(text []byte, document map[string]any) (Settings, Problems) {
 	problems := removeIntegerDurations(document)
+	changed := wholeNumbers(document)
 	for {
-		rewritten := len(problems) > 0
+		rewritten := changed || len(problems) > 0
 		if rewritten {
 			text = encode(document)
 		}
@@ -154,6 +159,27 @@
 	}
 }
 
+// keyAt returns the dotted key that a line of TOML text sets; empty if it sets none. It
+// reads no more than section headers and bare keys, as the text may be broken.
+func keyAt(text []byte, line int) string {
+	section, number := "", 0
+	for content := range strings.Lines(string(text)) {
+		number++
+		content = strings.TrimSpace(content)
+		if header, ok := strings.CutPrefix(content, "["); ok {
+			section = strings.Trim(header, "[]") + "."
+		}
+		if number < line {
+			continue
+		}
+		if name, _, ok := strings.Cut(content, "="); ok {
+			return section + strings.TrimSpace(name)
+		}
+		return ""
+	}
+	return ""
+}
+
 // typeProblem tells which value has the wrong type.
 func typeProblem(err error) Problem {
 	problem := syntaxProblem(err)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -126,14 +126,15 @@
 	// DrainTimeout bounds a graceful shutdown. Default 10m.
 	DrainTimeout Duration `toml:"drain_timeout"`
 	// DrainNotice is how long a leaving router goes on taking requests while it
-	// says that it is not ready, so that the balancer turns away first. Default 0.
+	// says that it is not ready, so that the balancer turns away first; at most half of
+	// DrainTimeout. Default 0.
 	DrainNotice Duration `toml:"drain_notice"`
 	// MaxDescriptors is how many descriptors the process may have open. Default
 	// 0: not bounded.
 	MaxDescriptors int `toml:"max_descriptors"`
 	// MemoryMiB is the memory that the process may use; the garbage collector
 	// works harder near to it. Default 0: not bounded.
-	MemoryMiB int `toml:"memory_mib"`
+	MemoryMiB float64 `toml:"memory_mib"`
 }
 
 // Retries bounds requests that are sent to a target again, for the whole fleet.
--- a/settings/types.go
+++ b/settings/types.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"math"
 	"reflect"
 	"strings"
 )
@@ -58,6 +59,30 @@
 	}
 }
 
+// wholeNumbers turns numbers such as 4100.0 into integers where the key is a whole
+// number, and says whether it changed any. Whoever fills in a template may write all
+// numbers with a fraction.
+func wholeNumbers(document map[string]any) bool {
+	changed := false
+	for section, content := range document {
+		values, _ := content.(map[string]any)
+		for name, value := range values {
+			number, isFloat := value.(float64)
+			if !isFloat || number != math.Trunc(number) || math.Abs(number) > largestExact {
+				continue
+			}
+			if t := fieldType(section + "." + name); t != nil && t.Kind() == reflect.Int {
+				values[name] = int64(number)
+				changed = true
+			}
+		}
+	}
+	return changed
+}
+
+// largestExact is the largest whole number up to which a float64 holds each exactly.
+const largestExact = 1 << 53
+
 // removeIntegerDurations finds durations written as bare integers, which the
 // decoder would take for nanoseconds, and takes them out of the document.
 func removeIntegerDurations(document map[string]any) Problems {
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -103,20 +103,16 @@
 	c.positive("platform.writes_per_second", s.Platform.WritesPerSecond)
 	c.duration("platform.return_grace", s.Platform.ReturnGrace)
 	c.duration("platform.target_heartbeat", s.Platform.TargetHeartbeat)
-	c.positive("retries.ratio", s.Retries.Ratio)
-	if s.Retries.Slack < 0 {
-		c.add("retries.slack", "is %g; must not be below 0", s.Retries.Slack)
-	}
+	c.notNegative("retries.ratio", s.Retries.Ratio)
+	c.notNegative("retries.slack", s.Retries.Slack)
 	c.duration("retries.window", s.Retries.Window)
-	if s.Limits.DrainNotice < 0 || s.Limits.DrainNotice >= s.Limits.DrainTimeout {
-		c.add("limits.drain_notice", "must be from 0 to below limits.drain_timeout")
+	if s.Limits.DrainNotice < 0 {
+		c.add("limits.drain_notice", "is %s; must not be below 0", time.Duration(s.Limits.DrainNotice))
 	}
 	if s.Limits.MaxDescriptors < 0 {
 		c.add("limits.max_descriptors", "is %d; must not be below 0", s.Limits.MaxDescriptors)
 	}
-	if s.Limits.MemoryMiB < 0 {
-		c.add("limits.memory_mib", "is %d; must not be below 0", s.Limits.MemoryMiB)
-	}
+	c.notNegative("limits.memory_mib", s.Limits.MemoryMiB)
 }
 
 func (c *checker) positive(key string, value float64) {
@@ -125,6 +121,12 @@
 	}
 }
 
+func (c *checker) notNegative(key string, value float64) {
+	if !(value >= 0) {
+		c.add(key, "is %g; must not be below 0", value)
+	}
+}
+
 func (s Settings) checkDurations(c *checker) {
 	c.duration("platform.timeout", s.Platform.Timeout)
 	c.duration("platform.poll_every", s.Platform.PollEvery)
