--- a/router/commits.go
+++ b/router/commits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/walnutcove/walnutcove/control"
@@ -51,8 +52,12 @@
 
 // membersChanged implements shell.
 func (r *Router) membersChanged(alive []control.NodeID) {
-	if before := r.members.Swap(int64(len(alive))); before != int64(len(alive)) {
-		r.log.Info("member: Live routers changed.", "count", len(alive), "before", before, "routers", alive)
+	before := r.members.Swap(int64(len(alive)))
+	joined, gone := changes(r.aliveBefore, alive)
+	r.aliveBefore = slices.Clone(alive)
+	if len(joined)+len(gone) > 0 {
+		r.log.Info("member: Live routers changed.", "count", len(alive), "before", before,
+			"joined", len(joined), "gone", len(gone), "first_joined", first(joined), "first_gone", first(gone))
 	}
 	if r.patched == nil {
 		return
@@ -63,6 +68,29 @@
 	r.shareWrites()
 }
 
+// namesLogged bounds the routers that a log line names: in a large fleet hundreds join
+// together, and each of them writes the line.
+const namesLogged = 5
+
+// first returns the first few of a list for the log.
+func first(names []control.NodeID) []control.NodeID { return names[:min(len(names), namesLogged)] }
+
+// changes returns what is in one sorted list alone: in now what joined, in before what is
+// gone.
+func changes(before, now []control.NodeID) (joined, gone []control.NodeID) {
+	for len(before) > 0 || len(now) > 0 {
+		switch {
+		case len(before) == 0 || len(now) > 0 && now[0] < before[0]:
+			joined, now = append(joined, now[0]), now[1:]
+		case len(now) == 0 || before[0] < now[0]:
+			gone, before = append(gone, before[0]), before[1:]
+		default:
+			before, now = before[1:], now[1:]
+		}
+	}
+	return joined, gone
+}
+
 // listedChanged takes in how many VMs the platform lists.
 func (r *Router) listedChanged(vms []store.VM) {
 	r.sharing.Lock()
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 
 	"github.com/walnutcove/walnutcove/platform/wire"
 )
@@ -52,6 +53,9 @@
 	// refused is a table that nobody can read.
 	refused string
 	calls   map[string]int
+	// writes bounds the transactions of each part; see LimitWrites.
+	writes     map[string]*rate.Limiter
+	writeLimit int
 	// views change the rows for those who call an address.
 	views map[string]View
 }
@@ -59,7 +63,7 @@
 // View returns a row as some callers see it.
 type View func(wire.Row) wire.Row
 
-type rowKey struct{ table, key string }
+type rowKey struct{ table, part, key string }
 
 // StartStore starts a store. It listens where Listen is called.
 func StartStore() *Store {
@@ -70,6 +74,7 @@
 		losses:  make(map[string]int),
 		faults:  make(map[string]Fault),
 		calls:   make(map[string]int),
+		writes:  make(map[string]*rate.Limiter),
 		views:   make(map[string]View),
 	}
 	s.http = &fasthttp.Server{Handler: s.serve, CloseOnShutdown: true, Logger: silent{}}
@@ -116,6 +121,35 @@
 	s.wake()
 }
 
+// LimitWrites bounds the transactions a second of each part. Those beyond are refused once
+// a second's worth of them is waiting; zero: there is no bound.
+func (s *Store) LimitWrites(perSecond int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writeLimit = perSecond
+	clear(s.writes)
+}
+
+// mayWrite counts a transaction at the parts that it writes to. It needs s.mu.
+func (s *Store) mayWrite(change wire.Transaction) bool {
+	if s.writeLimit == 0 {
+		return true
+	}
+	parts := make(map[string]bool)
+	for _, row := range slices.Concat(change.Writes, change.Removals) {
+		parts[row.Part] = true
+	}
+	for part := range parts {
+		if s.writes[part] == nil {
+			s.writes[part] = rate.NewLimiter(rate.Limit(s.writeLimit), s.writeLimit)
+		}
+		if !s.writes[part].Allow() {
+			return false
+		}
+	}
+	return true
+}
+
 // LoseWaiting never answers the feeds that wait now for those who call an address,
 // whatever changes, as a store that starts anew behind connections that live on.
 func (s *Store) LoseWaiting(address string) {
@@ -191,7 +225,7 @@
 // put needs s.mu.
 func (s *Store) put(row wire.Row) {
 	row.Revision = s.revision
-	s.rows[rowKey{row.Table, row.Key}] = row
+	s.rows[rowKey{row.Table, row.Part, row.Key}] = row
 }
 
 // wake needs s.mu.
@@ -217,7 +251,7 @@
 	}
 	switch path {
 	case wire.PathRead:
-		s.answer(ctx, s.seen(ctx, s.read(string(ctx.QueryArgs().Peek(wire.ParamTable)), 0)))
+		s.answer(ctx, s.seen(ctx, s.page(ctx.QueryArgs())))
 	case wire.PathChanges:
 		s.follow(ctx)
 	case wire.PathTransact:
@@ -279,6 +313,24 @@
 	return answer
 }
 
+// standardPage is how many rows an answer has where the caller sets no limit.
+const standardPage = 50
+
+// page returns the rows of one part of a table from a key on, in order of key.
+func (s *Store) page(query *fasthttp.Args) wire.RowsAnswer {
+	answer := s.read(string(query.Peek(wire.ParamTable)), 0)
+	part, from := string(query.Peek(wire.ParamPart)), string(query.Peek(wire.ParamFrom))
+	answer.Rows = slices.DeleteFunc(answer.Rows, func(r wire.Row) bool { return r.Part != part || r.Key < from })
+	limit, err := query.GetUint(wire.ParamLimit)
+	if err != nil {
+		limit = standardPage
+	}
+	if limit = min(limit, wire.MaxRows); len(answer.Rows) > limit {
+		answer.Rows, answer.More = answer.Rows[:limit], true
+	}
+	return answer
+}
+
 // follow answers as soon as there is a change, or when the wait is over.
 func (s *Store) follow(ctx *fasthttp.RequestCtx) {
 	query := ctx.QueryArgs()
@@ -329,8 +381,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.mayWrite(change) {
+		ctx.SetStatusCode(fasthttp.StatusTooManyRequests)
+		return
+	}
 	for _, expected := range change.Conditions {
-		row := s.rows[rowKey{expected.Table, expected.Key}]
+		row := s.rows[rowKey{expected.Table, expected.Part, expected.Key}]
 		if row.Removed {
 			row.Revision = 0
 		}
