Let an announcement wait for its turn in the store's queue

Cause: announcing a router timed out after 0.5 s, while the store lets the transactions of a part wait for up to a second. Those that were given up were made all the same, and were sent again: 295 routers that started together kept the queue full for 14 s.

Now an announcement has 2 s. Routers that turn up are gathered for longer in a large fleet (3 ms each), so that a start reads the list a few times only.

--- a/router/members.go
+++ b/router/members.go
@@ -19,15 +19,23 @@
 	// of 2,000 that the platform allows.
 	memberRetry    = 100 * time.Millisecond
 	maxMemberRetry = 500 * time.Millisecond
-	// memberCallTimeout bounds one such call; the store answers in milliseconds.
-	memberCallTimeout = 500 * time.Millisecond
+	// listTimeout bounds a reading of the others; the store answers in milliseconds.
+	listTimeout = 500 * time.Millisecond
+	// announceTimeout bounds an announcement. The store makes the transactions of a part one
+	// after another, and lets them wait for a second before it refuses more. A shorter
+	// timeout gave up announcements that were made all the same, and sent them again:
+	// 295 routers that started together kept that queue full for 14 s so, and two in
+	// three of them knew a sixth of the others until then.
+	announceTimeout = 2 * time.Second
 	// joinWait is how long a router that could serve waits for its first list of the
 	// others before it says that it is ready. The list takes one call of some
 	// milliseconds; a platform that lists nobody for this long may do so for minutes.
 	joinWait = 2 * time.Second
 	// strangerPause gathers routers that turn up together, so that the list is
-	// read once for all of them.
-	strangerPause = 200 * time.Millisecond
+	// read once for all of them, and strangerPauseEach adds to it for each router that is
+	// known: a large fleet that starts together takes longer to be announced.
+	strangerPause     = 200 * time.Millisecond
+	strangerPauseEach = 3 * time.Millisecond
 	// withdrawTimeout bounds the removal of this router's row at its end.
 	withdrawTimeout = 300 * time.Millisecond
 )
@@ -37,23 +45,23 @@
 // followMembers announces this router, reads the others, and reads them again
 // when one turns up that is not listed, until ctx ends.
 func (r *Router) followMembers(ctx context.Context) {
-	r.untilDone(ctx, "announce this router", r.announce)
+	r.untilDone(ctx, "announce this router", announceTimeout, r.announce)
 	for ctx.Err() == nil {
-		r.untilDone(ctx, "read the routers", r.readMembers)
+		r.untilDone(ctx, "read the routers", listTimeout, r.readMembers)
 		select {
 		case <-r.strangers:
 		case <-ctx.Done():
 			return
 		}
-		wait.For(ctx, strangerPause)
+		wait.For(ctx, strangerPause+time.Duration(r.members.Load())*strangerPauseEach)
 	}
 }
 
 // untilDone repeats a call until it succeeds or ctx ends.
-func (r *Router) untilDone(ctx context.Context, what string, call func(context.Context) error) {
+func (r *Router) untilDone(ctx context.Context, what string, timeout time.Duration, call func(context.Context) error) {
 	between := memberRetry
 	for try := 1; ctx.Err() == nil; try++ {
-		callCtx, cancel := context.WithTimeout(ctx, memberCallTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		err := call(callCtx)
 		cancel()
 		if err == nil {
--- a/router/router.go
+++ b/router/router.go
@@ -55,13 +55,13 @@
 
 	inForce atomic.Pointer[config.Snapshot]
 	// retries is the fleet's retry budget, and members how many routers share it.
-	retries  atomic.Pointer[settings.Retries]
-	members  atomic.Int64
+	retries atomic.Pointer[settings.Retries]
+	members atomic.Int64
 	// aliveBefore is the list that membersChanged was given last.
 	aliveBefore []control.NodeID
-	draining atomic.Bool
-	watched  watched
-	vms      atomic.Pointer[[]store.VM]
+	draining    atomic.Bool
+	watched     watched
+	vms         atomic.Pointer[[]store.VM]
 
 	callers     net.Listener
 	operators   net.Listener
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -121,8 +121,8 @@
 	s.wake()
 }
 
-// LimitWrites bounds the transactions a second of each part. Those beyond are refused once
-// a second's worth of them is waiting; zero: there is no bound.
+// LimitWrites bounds the transactions a second of each part. Those beyond wait for their
+// turn, and are refused once a second's worth of them is waiting; zero: there is no bound.
 func (s *Store) LimitWrites(perSecond int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -130,24 +130,29 @@
 	clear(s.writes)
 }
 
-// mayWrite counts a transaction at the parts that it writes to. It needs s.mu.
-func (s *Store) mayWrite(change wire.Transaction) bool {
+// longestQueue is how long the transactions of a part may wait for their turn.
+const longestQueue = time.Second
+
+// turnOf says how long a transaction waits for the parts that it writes to; false if it is
+// refused.
+func (s *Store) turnOf(change wire.Transaction) (wait time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.writeLimit == 0 {
-		return true
+		return 0, true
 	}
-	parts := make(map[string]bool)
 	for _, row := range slices.Concat(change.Writes, change.Removals) {
-		parts[row.Part] = true
-	}
-	for part := range parts {
-		if s.writes[part] == nil {
-			s.writes[part] = rate.NewLimiter(rate.Limit(s.writeLimit), s.writeLimit)
+		if s.writes[row.Part] == nil {
+			s.writes[row.Part] = rate.NewLimiter(rate.Limit(s.writeLimit), 1)
 		}
-		if !s.writes[part].Allow() {
-			return false
+		turn := s.writes[row.Part].Reserve()
+		if turn.Delay() > longestQueue {
+			turn.Cancel()
+			return 0, false
 		}
+		wait = max(wait, turn.Delay())
 	}
-	return true
+	return wait, true
 }
 
 // LoseWaiting never answers the feeds that wait now for those who call an address,
@@ -379,12 +384,14 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.mayWrite(change) {
+	wait, ok := s.turnOf(change)
+	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusTooManyRequests)
 		return
 	}
+	time.Sleep(wait)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, expected := range change.Conditions {
 		row := s.rows[rowKey{expected.Table, expected.Part, expected.Key}]
 		if row.Removed {
