Watch targets only once a shard has been owned for half a second

Cause: a router that has just started knows no other, owns every shard, and asked each target what it keeps; a shard that it lost was watched for 5 s more. Ruled out: the scheduler's own calls, which wait for news and are no probes.

--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -21,6 +21,10 @@
 	// guestKept is how long a shard without work is kept that another node
 	// owns.
 	guestKept = 5 * time.Second
+	// watchAfter is how long a shard has to be owned before its targets' load is watched.
+	// A node that starts owns every shard until it has heard of the others, and each of
+	// 295 asked each of 209 targets then; a new owner knows what it grants meanwhile.
+	watchAfter = 500 * time.Millisecond
 )
 
 // scheduler holds the shards scheduled here. A node schedules the shards that
@@ -38,9 +42,11 @@
 	turnedAway remembered
 	// candidates is used by each placement again; see Machine.candidates.
 	candidates []candidate
-	// watched is the last set given with WatchTargets.
+	// watched is the last set given with WatchTargets; watchStale says that it may be
+	// wrong, and is looked at again from watchAt on.
 	watched    []string
 	watchStale bool
+	watchAt    Instant
 }
 
 // ticketKey finds a ticket at one shard.
@@ -88,15 +94,32 @@
 	for _, pool := range sortedKeys(m.topo.pools) {
 		for _, id := range m.topo.pools[pool] {
 			if m.owner(id) == m.opts.Node && m.mayScheduleHere() {
-				m.shardHere(id).owned = true
+				m.own(m.shardHere(id))
 			} else if s := m.sched.shards[id]; s != nil {
-				s.owned = false
-				m.settleShard(s)
+				m.disown(s)
 			}
 		}
 	}
 }
 
+// own notes that this node owns a shard.
+func (m *Machine) own(s *shard) {
+	if s.owned {
+		return
+	}
+	s.owned, s.ownedAt = true, m.now
+	m.sched.watchStale = true
+}
+
+// disown notes that another node owns a shard.
+func (m *Machine) disown(s *shard) {
+	if s.owned {
+		s.owned = false
+		m.sched.watchStale = true
+	}
+	m.settleShard(s)
+}
+
 // mayScheduleHere is false once this node drains and another can take over.
 func (m *Machine) mayScheduleHere() bool {
 	return !m.draining || m.opts.Policy == PolicyAlone || m.view.Others() == 0
@@ -148,12 +171,19 @@
 
 // flushWatch tells the shell which targets' load to poll.
 func (m *Machine) flushWatch() {
-	if !m.sched.watchStale {
+	if !m.sched.watchStale || m.now < m.sched.watchAt {
 		return
 	}
 	m.sched.watchStale = false
 	var names []string
 	for _, s := range m.sched.shards {
+		if !s.owned {
+			continue
+		}
+		if from := s.ownedAt + watchAfter; m.now < from {
+			m.sched.watchStale, m.sched.watchAt = true, from
+			continue
+		}
 		for _, t := range s.targets {
 			names = append(names, t.name)
 		}
--- a/control/shard.go
+++ b/control/shard.go
@@ -17,7 +17,9 @@
 type shard struct {
 	id ShardID
 	// owned says that this node owns the shard in its own view.
-	owned   bool
+	owned bool
+	// ownedAt is since when.
+	ownedAt Instant
 	idleAt  Instant
 	queue   *sched.Queue[*queuedTicket]
 	queued  map[TicketID]*queuedTicket
