Let a late router refuse sooner and with less work, and keep connections

A refusal by lateness now makes no exchange; connections are closed only with refusals, or once the balancer leads new ones elsewhere; keep-alive probes are off for callers' connections (four system calls each); and the rest from new connections doubles while each return overloads the router again, so that such a client reaches a larger router.

--- a/front/conn.go
+++ b/front/conn.go
@@ -55,6 +55,8 @@
 	request *request
 	// writeErr is the first failed write of the current answer.
 	writeErr error
+	// kept says that a request was answered on it.
+	kept bool
 	// linger is set when a request was refused before it was read whole.
 	linger bool
 
--- a/front/flood_test.go
+++ b/front/flood_test.go
@@ -41,7 +41,7 @@
 func TestFloodOfRefusalsIsLoggedInBounds(t *testing.T) {
 	var lines strings.Builder
 	address := serveOn(t, Options{
-		Shed: func() bool { return true },
+		Shed: func(bool) bool { return true },
 		Log:  slog.New(slog.NewTextHandler(&lines, nil)),
 	}, answerEmpty)
 	client := &http.Client{Timeout: 10 * time.Second}
--- a/front/serve.go
+++ b/front/serve.go
@@ -21,10 +21,14 @@
 // library writes the response; connState learns how that went.
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
 	conn := ctx.Conn().(*callerConn) // every connection comes from callerListener
+	if s.options.Shed != nil && s.options.Shed(conn.kept) {
+		s.turnAway(ctx, conn)
+		return
+	}
 	r := s.begin(ctx, conn)
 	err := accept(ctx, r)
 	if err != nil {
-		s.logRefused(r, err)
+		s.logRefused(r.ex.ID, err)
 	} else {
 		err = s.run(r)
 	}
@@ -35,24 +39,39 @@
 		r.err = err
 		s.writeError(ctx, r.ex.ID, err)
 	}
-	if s.draining.Load() || conn.linger || s.IsCrowded() || s.isBusy() {
+	if conn.linger || s.releases() {
 		ctx.SetConnectionClose()
 	}
 }
 
+// turnAway refuses a request whose headers have arrived, with as little work as can be: what
+// it takes is missing for those who are served.
+func (s *Server) turnAway(ctx *fasthttp.RequestCtx, conn *callerConn) {
+	requests.Inc()
+	header := &ctx.Request.Header
+	arrival := s.takeArrival(header)
+	arrival.keep(0)
+	conn.linger = arrival != nil && arrival.refusal != nil // its body was not read
+	id := s.idOf(header).text
+	err := tooBusy()
+	s.logRefused(id, err)
+	s.writeError(ctx, id, err)
+	ctx.SetConnectionClose()
+}
+
 // refusedLogged bounds the lines a second about requests that are refused unread. A
 // line costs about as much as the refusal, and they come in floods.
 const refusedLogged = 100
 
 // logRefused names a request that was refused unread in the log, or only counts it
 // where there are too many.
-func (s *Server) logRefused(r *request, err error) {
+func (s *Server) logRefused(id string, err error) {
 	if !s.refusedLog.Allow() {
 		refusalsUnsaid.Inc()
 		s.unlogged.Add(1)
 		return
 	}
-	s.log.Info("front: Request refused.", "request", r.ex.ID, "error", err, "unlogged_before", s.unlogged.Swap(0))
+	s.log.Info("front: Request refused.", "request", id, "error", err, "unlogged_before", s.unlogged.Swap(0))
 }
 
 // accept refuses what no filter should have to think about.
@@ -63,9 +82,6 @@
 		return r.arrival.refusal
 	}
 	requests.Inc()
-	if shed := r.conn.server.options.Shed; shed != nil && shed() {
-		return tooBusy()
-	}
 	return checkRequest(ctx, r.ex)
 }
 
@@ -139,6 +155,7 @@
 		return
 	}
 	conn.request = nil
+	conn.kept = true
 	s.watch.remove(r)
 	if r.err == nil {
 		r.err = conn.writeErr
--- a/front/server.go
+++ b/front/server.go
@@ -75,11 +75,11 @@
 	// Default 0: no bound.
 	KeptConns int
 	// Shed, if set, says that the next request is refused before anything is done
-	// for it.
-	Shed func() bool
-	// Busy, if set, says that callers had better go elsewhere: each connection is
-	// closed with its answer then.
-	Busy func() bool
+	// for it. Its connection is closed, so that its caller's next one may lead to
+	// another router. kept says that the connection had an answer before.
+	Shed func(kept bool) bool
+	// Release, if set, says that the connection of the next answer is closed with it.
+	Release func() bool
 	// Dialect is how the callers speak. Default dialect.Own.
 	Dialect *dialect.Dialect
 	// Log defaults to slog.Default().
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -155,7 +155,11 @@
 	return s.options.KeptConns > 0 && s.connCount() > s.options.KeptConns
 }
 
-func (s *Server) isBusy() bool { return s.options.Busy != nil && s.options.Busy() }
+// releases says whether a connection is closed with its answer, as this router has too
+// many or is to get less to do.
+func (s *Server) releases() bool {
+	return s.draining.Load() || s.IsCrowded() || s.options.Release != nil && s.options.Release()
+}
 
 func (s *Server) opened(conn *callerConn) {
 	s.mu.Lock()
--- a/front/status_test.go
+++ b/front/status_test.go
@@ -38,8 +38,8 @@
 // TestBusyRouterSendsCallersElsewhere: the refusal of a router that runs late lets its
 // caller come back at once, on another connection, as another router may be idle.
 func TestBusyRouterSendsCallersElsewhere(t *testing.T) {
-	always := func() bool { return true }
-	f := start(t, Options{Shed: always, Busy: always}, answerEmpty)
+	always := func(bool) bool { return true }
+	f := start(t, Options{Shed: always}, answerEmpty)
 	for range 20 {
 		_, r := f.send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
 		response := f.answer(r)
--- a/router/overload.go
+++ b/router/overload.go
@@ -19,16 +19,36 @@
 	// lagTooMuch is the average lateness at which the router asks for no new
 	// connections: requests wait for the processor then, several times each.
 	lagTooMuch = 25 * time.Millisecond
-	// shedFrom is the average lateness from which requests are refused unread, and
-	// shedSpan how much more it takes until all are. A request passes the processor
-	// some ten times, so half a second is lost at 50 ms: callers leave soon after.
-	shedFrom = 50 * time.Millisecond
-	shedSpan = 100 * time.Millisecond
+	// shedFrom is the average lateness from which requests on new connections are refused
+	// unread, and shedSpan how much more it takes until all are. A request passes the
+	// processor some ten times, so a quarter of a second is lost at 25 ms, about as much as
+	// the tightest objectives. Its caller is at another router a moment later.
+	shedFrom = 25 * time.Millisecond
+	shedSpan = 50 * time.Millisecond
+	// shedKeptFrom and shedKeptSpan are the same for connections that had an answer here:
+	// to take in a new one costs as much as a refusal.
+	shedKeptFrom = 50 * time.Millisecond
+	shedKeptSpan = 100 * time.Millisecond
 	// lagFine is the average at which it takes them again.
 	lagFine = 5 * time.Millisecond
 	// leastRest is the shortest time without new connections. The balancer looks
 	// once a second and turns away at the second miss.
 	leastRest = 2500 * time.Millisecond
+	// mostRest is the longest such time while the router runs in time. It doubles each
+	// time that the router is overloaded within restKept of its return: the balancer brings
+	// the same callers back each time, which a larger router may bear.
+	mostRest = 20 * time.Second
+	restKept = 10 * time.Second
+	// releaseFrom is the average lateness from which connections are closed with their
+	// answers, and releaseSpan how much more it takes until all are. The next connections
+	// of their callers lead to other routers, without a refusal. The others are kept, as
+	// each new connection costs its router as much as a refusal.
+	releaseFrom = 15 * time.Millisecond
+	releaseSpan = 50 * time.Millisecond
+	// turnedAwayAfter is when the balancer has seen that this router takes no new
+	// connections, and what had come before is served: new connections went on arriving
+	// for three seconds. Before, lateness says nothing of those that are kept.
+	turnedAwayAfter = 4 * time.Second
 )
 
 var (
@@ -47,7 +67,11 @@
 	// average is the lag as others may read it, in nanoseconds.
 	average atomic.Int64
 	lag     time.Duration
-	since   time.Time
+	// since is when it last began or ended, and rest how long it lasts at least.
+	since time.Time
+	rest  time.Duration
+	// turnedAway is set once the balancer brings no new connections.
+	turnedAway atomic.Bool
 }
 
 // late is how late this process runs in the mean.
@@ -55,9 +79,20 @@
 
 // sheds says whether the next request is refused unread: the more, the later this
 // process runs. What is taken is then served while its caller waits.
-func (o *overload) sheds() bool {
-	over := o.late() - shedFrom
-	return over > 0 && rand.N(shedSpan) < over
+func (o *overload) sheds(kept bool) bool {
+	from, span := shedFrom, shedSpan
+	if kept {
+		from, span = shedKeptFrom, shedKeptSpan
+	}
+	over := o.late() - from
+	return over > 0 && rand.N(span) < over
+}
+
+// releases says whether the connection of the next answer is closed with it: the more, the
+// later this process runs, once new connections lead to others.
+func (o *overload) releases() bool {
+	over := o.late() - releaseFrom
+	return over > 0 && o.turnedAway.Load() && rand.N(releaseSpan) < over
 }
 
 // run measures until ctx ends.
@@ -85,14 +120,29 @@
 	o.lag += time.Duration(lagWeight * float64(late-o.lag))
 	o.average.Store(int64(o.lag))
 	crowded := o.crowded()
+	lasted := now.Sub(o.since)
 	switch {
 	case !o.on.Load() && (o.lag > lagTooMuch || crowded):
-		o.on.Store(true)
-		o.since = now
-		overloads.Inc()
-		o.log.Warn("router: Too busy for new connections.", "lag", o.lag, "crowded", crowded)
-	case o.on.Load() && o.lag < lagFine && !crowded && now.Sub(o.since) >= leastRest:
+		o.begin(now)
+		o.log.Warn("router: Too busy for new connections.", "lag", o.lag, "crowded", crowded, "for_at_least", o.rest)
+	case o.on.Load() && o.lag < lagFine && !crowded && lasted >= o.rest:
 		o.on.Store(false)
-		o.log.Info("router: Takes new connections again.", "lag", o.lag, "after", now.Sub(o.since))
+		o.turnedAway.Store(false)
+		o.since = now
+		o.log.Info("router: Takes new connections again.", "lag", o.lag, "after", lasted)
+	case o.on.Load() && lasted >= turnedAwayAfter:
+		o.turnedAway.Store(true)
+	}
+}
+
+// begin asks for no new connections from now on.
+func (o *overload) begin(now time.Time) {
+	if o.rest == 0 || now.Sub(o.since) > restKept {
+		o.rest = leastRest
+	} else {
+		o.rest = min(2*o.rest, mostRest)
 	}
+	o.since = now
+	o.on.Store(true)
+	overloads.Inc()
 }
--- a/router/overload_test.go
+++ b/router/overload_test.go
@@ -49,11 +49,11 @@
 // behind.
 func TestShedsMoreTheLaterItRuns(t *testing.T) {
 	o := &overload{log: slog.New(slog.DiscardHandler), crowded: func() bool { return false }}
-	share := func(lag time.Duration) float64 {
+	share := func(lag time.Duration, kept bool) float64 {
 		o.average.Store(int64(lag))
 		shed := 0
 		for range 2000 {
-			if o.sheds() {
+			if o.sheds(kept) {
 				shed++
 			}
 		}
@@ -61,16 +61,78 @@
 	}
 	for _, c := range []struct {
 		lag         time.Duration
+		kept        bool
 		least, most float64
 	}{
-		{0, 0, 0},
-		{shedFrom, 0, 0},
-		{shedFrom + shedSpan/2, 0.4, 0.6},
-		{shedFrom + shedSpan, 1, 1},
-		{time.Second, 1, 1},
+		{0, false, 0, 0},
+		{shedFrom, false, 0, 0},
+		{shedFrom + shedSpan/2, false, 0.4, 0.6},
+		{shedFrom + shedSpan, false, 1, 1},
+		{shedKeptFrom, true, 0, 0},
+		{shedKeptFrom + shedKeptSpan/2, true, 0.4, 0.6},
+		{time.Second, false, 1, 1},
+		{time.Second, true, 1, 1},
 	} {
-		if got := share(c.lag); got < c.least || got > c.most {
+		if got := share(c.lag, c.kept); got < c.least || got > c.most {
 			t.Errorf("%.2f shed at a lag of %s", got, c.lag)
 		}
 	}
 }
+
+// drive measures a lateness for a while, every lagEvery.
+func drive(o *overload, now *time.Time, late, span time.Duration) {
+	for end := now.Add(span); now.Before(end); {
+		*now = now.Add(lagEvery)
+		o.measure(*now, late)
+	}
+}
+
+// TestReleasesOnlyWhatGoesElsewhere: a late router closes connections with their answers
+// once new ones lead to others, and keeps those that it serves in time.
+func TestReleasesOnlyWhatGoesElsewhere(t *testing.T) {
+	o := &overload{log: slog.New(slog.DiscardHandler), crowded: func() bool { return false }}
+	now := time.Now()
+	released := func() int {
+		count := 0
+		for range 1000 {
+			if o.releases() {
+				count++
+			}
+		}
+		return count
+	}
+	drive(o, &now, 100*time.Millisecond, time.Second)
+	if !o.on.Load() || released() > 0 {
+		t.Errorf("overloaded: %v; %d of 1000 released before the balancer turned away", o.on.Load(), released())
+	}
+	drive(o, &now, 100*time.Millisecond, turnedAwayAfter)
+	if got := released(); got < 900 {
+		t.Errorf("%d of 1000 released while far behind", got)
+	}
+	drive(o, &now, releaseFrom/2, time.Second)
+	if got := released(); !o.on.Load() || got > 0 {
+		t.Errorf("overloaded: %v; %d of 1000 released while in time", o.on.Load(), got)
+	}
+}
+
+// TestRestGrowsWhileReturnsOverload: a router whose kept callers fill it stays away for
+// longer each time that its return brought too many, and forgets that after calm.
+func TestRestGrowsWhileReturnsOverload(t *testing.T) {
+	o := &overload{log: slog.New(slog.DiscardHandler), crowded: func() bool { return false }}
+	now := time.Now()
+	for _, want := range []time.Duration{leastRest, 2 * leastRest, 4 * leastRest, mostRest, mostRest} {
+		drive(o, &now, 100*time.Millisecond, time.Second)
+		if !o.on.Load() || o.rest != want {
+			t.Errorf("overloaded: %v; rests for %s, want %s", o.on.Load(), o.rest, want)
+		}
+		drive(o, &now, 0, want+time.Second)
+		if o.on.Load() {
+			t.Errorf("still away after %s", want)
+		}
+	}
+	drive(o, &now, 0, 2*restKept)
+	drive(o, &now, 100*time.Millisecond, time.Second)
+	if o.rest != leastRest {
+		t.Errorf("rests for %s after calm, want %s", o.rest, leastRest)
+	}
+}
--- a/router/start.go
+++ b/router/start.go
@@ -137,10 +137,15 @@
 	r.owners = newOwners(control.NodeID(s.Node.Name), r.incarnation, time.Now)
 }
 
+// callerListener opens the listener for callers. Keep-alive probes are off: they take four
+// system calls for each connection, a third of what a refusal costs, and find nothing that
+// the deadlines of requests and the idle timeout do not.
+var callerListener = net.ListenConfig{KeepAlive: -1}
+
 // open opens the listeners and makes what answers peers and operators.
 func (r *Router) open() error {
 	var err error
-	if r.callers, err = net.Listen("tcp", r.settings.Listen.Callers); err != nil {
+	if r.callers, err = callerListener.Listen(context.Background(), "tcp", r.settings.Listen.Callers); err != nil {
 		return problem(keyCallers, err)
 	}
 	if r.operators, err = net.Listen("tcp", r.settings.Listen.Operators); err != nil {
@@ -220,7 +225,7 @@
 	options.Dialect = r.dialect()
 	if r.managed != nil {
 		r.caches = cachewatch.New(platform.NewCaches(r.targets), r.targetKept, r.log)
-		options.Busy = r.overload.on.Load
+		options.Release = r.overload.releases
 		options.Shed = r.overload.sheds
 		r.front = front.New(options, r.routedPipeline())
 		return
