Gather routers that turn up by how many are listed

A start read the list 2.8 times (166 times at 59 routers of a data centre), as the pause went by the routers heard so far, few in the first second.

--- a/router/members.go
+++ b/router/members.go
@@ -33,7 +33,7 @@
 	joinWait = 2 * time.Second
 	// strangerPause gathers routers that turn up together, so that the list is
 	// read once for all of them, and strangerPauseEach adds to it for each router that is
-	// known: a large fleet that starts together takes longer to be announced.
+	// known or listed: a large fleet that starts together takes longer to be announced.
 	strangerPause     = 200 * time.Millisecond
 	strangerPauseEach = 3 * time.Millisecond
 	// withdrawTimeout bounds the removal of this router's row at its end.
@@ -53,10 +53,19 @@
 		case <-ctx.Done():
 			return
 		}
-		wait.For(ctx, strangerPause+time.Duration(r.members.Load())*strangerPauseEach)
+		wait.For(ctx, r.strangersGather())
 	}
 }
 
+// strangersGather is how long routers that turn up are gathered before the list is read.
+func (r *Router) strangersGather() time.Duration {
+	known := int(r.members.Load())
+	if listed := r.vms.Load(); listed != nil {
+		known = max(known, len(*listed))
+	}
+	return strangerPause + time.Duration(known)*strangerPauseEach
+}
+
 // untilDone repeats a call until it succeeds or ctx ends.
 func (r *Router) untilDone(ctx context.Context, what string, timeout time.Duration, call func(context.Context) error) {
 	between := memberRetry
