Tell schedulers what entries refuse unread

No ticket tells of what its entries refuse unread, so that the schedulers took it for content, and others did not yield to it.

A workspace of which more is refused unread than served wants more, and others yield to it below 0.56 of what they have.

--- a/control/events.go
+++ b/control/events.go
@@ -161,6 +161,13 @@
 // FeedsFollowed says whether this node follows the platform's feeds and they answer.
 type FeedsFollowed struct{ Live bool }
 
+// RequestsUnread tells that this router refused requests before it read them. It is sent at
+// most some times a second for each pool and workspace.
+type RequestsUnread struct {
+	Pool, Workspace string
+	Count           int
+}
+
 // DrainStarted says that this node is leaving: shards are handed over and no
 // new request is taken.
 type DrainStarted struct{}
@@ -180,5 +187,6 @@
 func (TargetUnreachable) isEvent() {}
 func (TargetKept) isEvent()        {}
 func (FeedsFollowed) isEvent()     {}
+func (RequestsUnread) isEvent()    {}
 func (DrainStarted) isEvent()      {}
 func (Tick) isEvent()              {}
--- a/control/machine.go
+++ b/control/machine.go
@@ -149,6 +149,8 @@
 		m.targetKept(ev)
 	case FeedsFollowed:
 		m.feedsFollowed(ev)
+	case RequestsUnread:
+		m.requestsUnread(ev)
 	case DrainStarted:
 		m.drainStarted()
 	case Tick:
@@ -220,6 +222,8 @@
 		m.suspectReceived(from, msg)
 	case QuarantineNotice:
 		m.noticeReceived(msg)
+	case UnreadNotice:
+		m.unreadReceived(msg)
 	case ServiceReport:
 		m.serviceReported(from, inc, msg)
 	case ServiceTotals:
--- a/control/messages.go
+++ b/control/messages.go
@@ -177,6 +177,15 @@
 	Age time.Duration
 }
 
+// UnreadNotice tells a scheduler that its sender refused requests of a workspace before it
+// read them, as it had no processor time left. No ticket tells of those, and to the
+// scheduler the workspace would seem content with what it is granted.
+type UnreadNotice struct {
+	Shard     ShardID
+	Workspace string
+	Count     int
+}
+
 func (Ticket) isMessage()           {}
 func (Grant) isMessage()            {}
 func (Refusal) isMessage()          {}
@@ -187,5 +196,6 @@
 func (ServiceTotals) isMessage()    {}
 func (Heartbeat) isMessage()        {}
 func (QuarantineNotice) isMessage() {}
+func (UnreadNotice) isMessage()     {}
 func (Waiting) isMessage()          {}
 func (SuspectNotice) isMessage()    {}
--- a/control/rank.go
+++ b/control/rank.go
@@ -95,6 +95,23 @@
 	}
 }
 
+// requestsUnread tells the schedulers of a pool what this node had to refuse unread.
+func (m *Machine) requestsUnread(ev RequestsUnread) {
+	if m.topo == nil || m.topo.decl.Pools[ev.Pool].Tokens == nil {
+		return
+	}
+	for _, id := range m.topo.pools[ev.Pool] {
+		m.send(m.schedulerFor(id), UnreadNotice{Shard: id, Workspace: ev.Workspace, Count: ev.Count})
+	}
+}
+
+// unreadReceived takes in what an entry had to refuse unread.
+func (m *Machine) unreadReceived(msg UnreadNotice) {
+	if s := m.sched.shards[msg.Shard]; s != nil && m.countsTokens(s) {
+		s.shares.Unread(m.now, msg.Workspace, msg.Count)
+	}
+}
+
 // yields says whether a ticket's workspace is to leave spare capacity to another one.
 func (m *Machine) yields(q *queuedTicket) bool {
 	return !m.opts.Tokens.NoYield && q.shard.shares.Yields(m.now, q.ticket.Workspace, m.opts.Tokens.YieldPart)
--- a/control/sched/shares.go
+++ b/control/sched/shares.go
@@ -18,6 +18,13 @@
 	// refusedTime is how long a refusal counts as a sign that a workspace could use
 	// more capacity.
 	refusedTime = time.Second
+	// sizeWeight is the weight of a request in the average of what one asks for: some
+	// twenty of them count, as requests of a workspace differ by ten times.
+	sizeWeight = 0.05
+	// entryPart is the part of the usual bound by which others yield to a workspace that
+	// only its entries hold back. What they leave is not used by anybody then, so they
+	// leave no more than what keeps it above half of what they have.
+	entryPart = 0.8
 	// forgetShare is how long a workspace that asks for nothing is remembered.
 	forgetShare = 30 * time.Second
 )
@@ -40,6 +47,10 @@
 	asked float64
 	// served decays like asked, and counts what was granted.
 	served float64
+	// size is about how much one of its requests asks for, and unread, which decays like
+	// served, what those asked for that routers refused unread.
+	size   float64
+	unread float64
 	// credit is what the workspace may use at once.
 	credit float64
 	at     time.Duration
@@ -68,6 +79,7 @@
 	}
 	f := s.flow(now, workspace)
 	f.asked += amount
+	f.sized(amount)
 	s.findLevel(now)
 	if math.IsInf(s.level, 1) {
 		return true
@@ -97,11 +109,37 @@
 	f.refused, f.refusedAt = true, now
 }
 
+// Unread notes that routers refused requests of a workspace before they read them. Where
+// that is more than it was served, its entry binds it: others yield to it like to one that
+// is refused here. Callers who all come by one small router had a third of what those had
+// who come by all, in six seconds of a loaded day. A router that sheds a few in passing
+// changes nothing: their second tries are served elsewhere.
+func (s *Shares) Unread(now time.Duration, workspace string, count int) {
+	f := s.flow(now, workspace)
+	wanted := f.wants(now)
+	f.unread += float64(count) * f.size
+	if !wanted && f.wants(now) {
+		f.served = max(f.served, s.leastServed(now))
+	}
+}
+
 // wants says whether the workspace could use more capacity than it gets.
 func (f *shareFlow) wants(now time.Duration) bool {
+	return f.refusedOfLate(now) || f.unread > f.served
+}
+
+func (f *shareFlow) refusedOfLate(now time.Duration) bool {
 	return f.refused && now-f.refusedAt <= refusedTime
 }
 
+// sized takes in how much a request asks for.
+func (f *shareFlow) sized(amount float64) {
+	if f.size == 0 {
+		f.size = amount
+	}
+	f.size += sizeWeight * (amount - f.size)
+}
+
 // leastServed is the least that a workspace which could use more has been served; zero if
 // there is none.
 func (s *Shares) leastServed(now time.Duration) float64 {
@@ -125,8 +163,12 @@
 		if name == workspace || !f.wants(now) {
 			continue
 		}
+		bound := part * mine
+		if !f.refusedOfLate(now) {
+			bound *= entryPart
+		}
 		// The flow is left as it is: the order of the map must not show in its figures.
-		if decayed(f.served, now-f.at) < part*mine {
+		if decayed(f.served, now-f.at) < bound {
 			return true
 		}
 	}
@@ -149,6 +191,7 @@
 	f.at = now
 	f.asked = decayed(f.asked, passed)
 	f.served = decayed(f.served, passed)
+	f.unread = decayed(f.unread, passed)
 	f.credit = min(f.credit+passed.Seconds()*s.bounded(), s.burst())
 }
 
--- a/control/sched/shares_test.go
+++ b/control/sched/shares_test.go
@@ -142,3 +142,42 @@
 		t.Errorf("first %.0f, second %.0f", served["first"], served["second"])
 	}
 }
+
+// TestWhatEntriesRefuseIsWanted plays a workspace whose callers all come by one small router
+// that has to refuse most of them unread, beside one whose callers come by all. The second
+// leaves spare capacity to the first; to one of which a few are refused in passing it
+// leaves none.
+func TestWhatEntriesRefuseIsWanted(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// unread is how many requests are refused unread for each one that is served.
+		unread int
+		yields bool
+	}{
+		{"most are refused unread", 4, true},
+		{"few are refused unread", 0, false},
+	} {
+		s := NewShares(100)
+		now := time.Duration(0)
+		for range 200 {
+			now += 10 * time.Millisecond
+			for range 4 {
+				s.Ask(now, "by all", 10)
+				s.Served(now, "by all", 10)
+			}
+			s.Ask(now, "by one", 10)
+			s.Served(now, "by one", 10)
+			s.Unread(now, "by one", c.unread)
+		}
+		s.Unread(now, "by one", 1)
+		if got := s.Yields(now, "by all", 0.7); got != c.yields {
+			t.Errorf("%s: the other one yields: %v", c.name, got)
+		}
+		if s.Yields(now, "by one", 0.7) {
+			t.Errorf("%s: yields itself", c.name)
+		}
+		if s.Yields(now+10*time.Second, "by all", 0.7) && c.unread == 0 {
+			t.Errorf("%s: yields for what is long past", c.name)
+		}
+	}
+}
--- a/front/serve.go
+++ b/front/serve.go
@@ -55,6 +55,9 @@
 	id := s.idOf(header).text
 	err := tooBusy()
 	s.logRefused(id, err)
+	if s.options.OnShed != nil {
+		s.options.OnShed(header.Host(), ctx.Path(), header.Peek)
+	}
 	s.writeError(ctx, id, err)
 	ctx.SetConnectionClose()
 }
--- a/front/server.go
+++ b/front/server.go
@@ -78,6 +78,9 @@
 	// for it. Its connection is closed, so that its caller's next one may lead to
 	// another router. kept says that the connection had an answer before.
 	Shed func(kept bool) bool
+	// OnShed, if set, learns of each such refusal, by what the headers tell. The function
+	// gives headers by name; it and host and path are valid until OnShed returns.
+	OnShed func(host, path []byte, header func(name string) []byte)
 	// Release, if set, says that the connection of the next answer is closed with it.
 	Release func() bool
 	// Dialect is how the callers speak. Default dialect.Own.
--- a/front/status_test.go
+++ b/front/status_test.go
@@ -49,3 +49,21 @@
 		}
 	}
 }
+
+// TestShedRequestsAreTold: who counts what is refused unread learns host, path and headers.
+func TestShedRequestsAreTold(t *testing.T) {
+	told := make(chan string, 1)
+	f := start(t, Options{
+		Shed: func(bool) bool { return true },
+		OnShed: func(host, path []byte, header func(name string) []byte) {
+			told <- string(host) + " " + string(path) + " " + string(header("X-Key"))
+		},
+	}, answerEmpty)
+	_, r := f.send("POST /x/y?z HTTP/1.1\r\nHost: a\r\nX-Key: k\r\nContent-Length: 2\r\n\r\nhi")
+	if response := f.answer(r); response.StatusCode != 503 || !response.Close {
+		t.Errorf("status %d, close %v", response.StatusCode, response.Close)
+	}
+	if got := <-told; got != "a /x/y k" {
+		t.Errorf("told %q", got)
+	}
+}
--- a/peer/wire/codec.go
+++ b/peer/wire/codec.go
@@ -14,7 +14,7 @@
 // Kinds are the kinds of all entries.
 var Kinds = []Kind{
 	KindDefinition, "ticket", "grant", "report", "report-ack", "refusal", "cancel-ticket", "waiting",
-	"heartbeat", "service-report", "service-totals", "suspect-notice", "quarantine-notice",
+	"heartbeat", "service-report", "service-totals", "suspect-notice", "quarantine-notice", "unread-notice",
 }
 
 // KindOf names the kind of a message, for counters; "unknown" if it has no codec.
@@ -44,6 +44,8 @@
 		return "suspect-notice"
 	case control.QuarantineNotice:
 		return "quarantine-notice"
+	case control.UnreadNotice:
+		return "unread-notice"
 	default:
 		return "unknown"
 	}
@@ -77,6 +79,8 @@
 		return e.suspectNotice(m)
 	case control.QuarantineNotice:
 		return e.quarantineNotice(m)
+	case control.UnreadNotice:
+		return e.unreadNotice(m)
 	default:
 		return nil, fmt.Errorf("%w: %T", ErrUnknownKind, message)
 	}
@@ -109,6 +113,8 @@
 		return d.suspectNotice(kind.SuspectNotice)
 	case *peerpb.Entry_QuarantineNotice:
 		return d.quarantineNotice(kind.QuarantineNotice)
+	case *peerpb.Entry_UnreadNotice:
+		return d.unreadNotice(kind.UnreadNotice)
 	default:
 		return nil, fmt.Errorf("%w: entry %T", ErrUnknownKind, kind)
 	}
--- a/peer/wire/codec_queue.go
+++ b/peer/wire/codec_queue.go
@@ -209,6 +209,25 @@
 	return control.CancelTicket{Ticket: ticket, Shard: shard}, nil
 }
 
+func (e *Encoder) unreadNotice(m control.UnreadNotice) (*peerpb.Entry, error) {
+	shard, errShard := e.shard(m.Shard)
+	workspace, errWorkspace := e.name(m.Workspace)
+	if err := errors.Join(errShard, errWorkspace); err != nil {
+		return nil, err
+	}
+	p := &peerpb.UnreadNotice{Shard: shard, Workspace: workspace, Count: int64(m.Count)}
+	return &peerpb.Entry{Kind: &peerpb.Entry_UnreadNotice{UnreadNotice: p}}, nil
+}
+
+func (d *Decoder) unreadNotice(p *peerpb.UnreadNotice) (control.Message, error) {
+	shard, errShard := d.shard(p.GetShard())
+	workspace, errWorkspace := d.name(p.GetWorkspace())
+	if err := errors.Join(errShard, errWorkspace); err != nil {
+		return nil, err
+	}
+	return control.UnreadNotice{Shard: shard, Workspace: workspace, Count: int(p.GetCount())}, nil
+}
+
 func (e *Encoder) waiting(m control.Waiting) (*peerpb.Entry, error) {
 	ticket, errTicket := e.ticketID(m.Ticket)
 	shard, errShard := e.shard(m.Shard)
--- a/peer/wire/wire_test.go
+++ b/peer/wire/wire_test.go
@@ -40,6 +40,7 @@
 	control.ServiceTotals{},
 	control.SuspectNotice{},
 	control.QuarantineNotice{},
+	control.UnreadNotice{},
 }
 
 // pipe is an encoder and the decoder at the other end.
--- a/router/managed.go
+++ b/router/managed.go
@@ -50,6 +50,8 @@
 	caches *cachewatch.Watcher
 	// overload says when this router asks for no new connections.
 	overload *overload
+	// unread counts what is refused unread, for the schedulers.
+	unread unread
 	// fetches are the peers that are asked for their directory.
 	fetches fetches
 }
--- a/router/start.go
+++ b/router/start.go
@@ -227,6 +227,7 @@
 		r.caches = cachewatch.New(platform.NewCaches(r.targets), r.targetKept, r.log)
 		options.Release = r.overload.releases
 		options.Shed = r.overload.sheds
+		options.OnShed = r.noteUnread
 		r.front = front.New(options, r.routedPipeline())
 		return
 	}
@@ -263,6 +264,7 @@
 		r.start(func() { r.followMembers(ctx) })
 		r.start(func() { r.awaitJoined(ctx) })
 		r.start(func() { r.overload.run(ctx) })
+		r.start(func() { r.unread.run(ctx, r.loop) })
 	} else {
 		r.start(func() { r.follower.Run(ctx) })
 		r.start(func() { r.followVMs(ctx) })
