--- a/filters/route/route.go
+++ b/filters/route/route.go
@@ -51,6 +51,8 @@
 	Dialect *dialect.Dialect
 	// DefaultDeadline is the time of a request whose caller and route set none.
 	DefaultDeadline time.Duration
+	// Lag returns how late this process takes in what arrives; nil: never.
+	Lag func() time.Duration
 }
 
 // Filter finds routes.
@@ -113,8 +115,13 @@
 	return nil
 }
 
-// findDeadline takes the sooner of the caller's deadline and the route's time
-// limit.
+// mostLagPart is the part of a request's time that may count as spent before it was read:
+// lateness is an average, and no request is given up for it alone.
+const mostLagPart = 2
+
+// findDeadline takes the sooner of the caller's deadline and the route's time limit. Both
+// began when the request was sent, so what a late router took to read it has passed:
+// targets worked on for callers that had left for as long.
 func (f *Filter) findDeadline(ex *pipeline.Exchange) *result.Error {
 	wait := f.options.DefaultDeadline
 	if limit := ex.Route.Timeout(); limit > 0 {
@@ -128,6 +135,9 @@
 		asked := time.Duration(min(millis, float64(maxDeadline.Milliseconds()))) * time.Millisecond
 		wait = min(wait, asked)
 	}
+	if f.options.Lag != nil {
+		wait -= min(f.options.Lag(), wait/mostLagPart)
+	}
 	ex.Deadline = ex.Arrived.Add(wait)
 	return nil
 }
--- a/router/routed.go
+++ b/router/routed.go
@@ -38,6 +38,7 @@
 			Source:          r,
 			Dialect:         r.dialect(),
 			DefaultDeadline: time.Duration(limits.DefaultDeadline),
+			Lag:             r.overload.late,
 		}),
 		&quarantine.Filter{Set: &r.suspects},
 		retries,
