--- a/control/sched/shares.go
+++ b/control/sched/shares.go
@@ -21,10 +21,6 @@
 	// sizeWeight is the weight of a request in the average of what one asks for: some
 	// twenty of them count, as requests of a workspace differ by ten times.
 	sizeWeight = 0.05
-	// entryPart is the part of the usual bound by which others yield to a workspace that
-	// only its entries hold back. What they leave is not used by anybody then, so they
-	// leave no more than what keeps it above half of what they have.
-	entryPart = 0.8
 	// forgetShare is how long a workspace that asks for nothing is remembered.
 	forgetShare = 30 * time.Second
 )
@@ -125,11 +121,7 @@
 
 // wants says whether the workspace could use more capacity than it gets.
 func (f *shareFlow) wants(now time.Duration) bool {
-	return f.refusedOfLate(now) || f.unread > f.served
-}
-
-func (f *shareFlow) refusedOfLate(now time.Duration) bool {
-	return f.refused && now-f.refusedAt <= refusedTime
+	return f.refused && now-f.refusedAt <= refusedTime || f.unread > f.served
 }
 
 // sized takes in how much a request asks for.
@@ -163,12 +155,8 @@
 		if name == workspace || !f.wants(now) {
 			continue
 		}
-		bound := part * mine
-		if !f.refusedOfLate(now) {
-			bound *= entryPart
-		}
 		// The flow is left as it is: the order of the map must not show in its figures.
-		if decayed(f.served, now-f.at) < bound {
+		if decayed(f.served, now-f.at) < part*mine {
 			return true
 		}
 	}
