Forget what entries refused unread a second later

Found by reading: what was refused unread and what was served decay alike, so that a workspace of which most had been refused unread wanted more for the 30 s that it is remembered, also if it asked for nothing any more, and the others' spare capacity stayed idle for it. Now a refusal unread counts for a second, like one here. TestWhatEntriesRefuseIsWanted goes on with the other workspace alone; it fails without this.

--- a/control/sched/shares.go
+++ b/control/sched/shares.go
@@ -54,6 +54,8 @@
 	// that one was.
 	refusedAt time.Duration
 	refused   bool
+	// unreadAt is when routers last refused some unread.
+	unreadAt time.Duration
 }
 
 // NewShares returns shares of a capacity per second; zero: there is no bound.
@@ -114,6 +116,7 @@
 	f := s.flow(now, workspace)
 	wanted := f.wants(now)
 	f.unread += float64(count) * f.size
+	f.unreadAt = now
 	if !wanted && f.wants(now) {
 		f.served = max(f.served, s.leastServed(now))
 	}
@@ -121,7 +124,9 @@
 
 // wants says whether the workspace could use more capacity than it gets.
 func (f *shareFlow) wants(now time.Duration) bool {
-	return f.refused && now-f.refusedAt <= refusedTime || f.unread > f.served
+	refusedHere := f.refused && now-f.refusedAt <= refusedTime
+	refusedUnread := f.unread > f.served && now-f.unreadAt <= refusedTime
+	return refusedHere || refusedUnread
 }
 
 // sized takes in how much a request asks for.
--- a/control/sched/shares_test.go
+++ b/control/sched/shares_test.go
@@ -176,7 +176,12 @@
 		if s.Yields(now, "by one", 0.7) {
 			t.Errorf("%s: yields itself", c.name)
 		}
-		if s.Yields(now+10*time.Second, "by all", 0.7) && c.unread == 0 {
+		// The first one goes on alone.
+		for end := now + 5*time.Second; now < end; now += 10 * time.Millisecond {
+			s.Ask(now, "by all", 10)
+			s.Served(now, "by all", 10)
+		}
+		if s.Yields(now, "by all", 0.7) {
 			t.Errorf("%s: yields for what is long past", c.name)
 		}
 	}
