--- a/router/overload.go
+++ b/router/overload.go
@@ -77,8 +77,9 @@
 // late is how late this process runs in the mean.
 func (o *overload) late() time.Duration { return time.Duration(o.average.Load()) }
 
-// sheds says whether the next request is refused unread: the more, the later this
-// process runs. What is taken is then served while its caller waits.
+// sheds says whether the next request is refused unread, on a connection that had an answer
+// here or on a new one: the more, the later this process runs. What is taken is then served
+// while its caller waits.
 func (o *overload) sheds(kept bool) bool {
 	from, span := shedFrom, shedSpan
 	if kept {
