--- a/control/sched/shares_test.go
+++ b/control/sched/shares_test.go
@@ -186,3 +186,18 @@
 		}
 	}
 }
+
+// TestTurningHotUnreadIsNoCredit: a workspace that its entries begin to hold back counts as
+// served like the least served of the others that want more, as one does that is refused
+// here. What it had before is not owed to it.
+func TestTurningHotUnreadIsNoCredit(t *testing.T) {
+	s := NewShares(100)
+	s.Served(0, "first", 1000)
+	s.Refused(0, "first")
+	s.Ask(0, "second", 10)
+	s.Served(0, "second", 10)
+	s.Unread(0, "second", 4)
+	if s.Yields(0, "first", 0.7) {
+		t.Error("the first yields for what the second did not ask for before")
+	}
+}
--- a/control/unread_test.go
+++ b/control/unread_test.go
@@ -10,8 +10,7 @@
 	if f.machine.sched.shards[ShardID{Pool: "gen"}] == nil {
 		t.Fatal("this node does not schedule the pool")
 	}
-	f.step(MembersListed{Members: []Member{{Node: "n", DataCentre: "d", Cores: 0.2}, {Node: "other", DataCentre: "d", Cores: 0.8}}})
-	f.step(MessageReceived{From: "other", Incarnation: 5, Message: Heartbeat{Incarnation: 5}})
+	f.hearsLarger()
 	var sent []Send
 	for _, command := range f.step(RequestsUnread{Pool: "gen", Workspace: "a", Count: 3}) {
 		if send, ok := command.(Send); ok {
--- a/control/watch_test.go
+++ b/control/watch_test.go
@@ -28,6 +28,13 @@
 	return commands
 }
 
+// hearsLarger lets the machine hear of a node with more processor, which owns the shards from
+// then on, and returns the commands.
+func (f *tokenFleet) hearsLarger() []Command {
+	f.step(MembersListed{Members: []Member{{Node: "n", DataCentre: "d", Cores: 0.2}, {Node: "other", DataCentre: "d", Cores: 0.8}}})
+	return f.step(MessageReceived{From: "other", Incarnation: 5, Message: Heartbeat{Incarnation: 5}})
+}
+
 // TestStartWatchesNothingOfOthers plays the start of a router in a fleet: until it hears of
 // the others it owns every shard. It asks no target before that has lasted, grants all the
 // same, and stops asking as soon as another router is the owner.
@@ -36,14 +43,10 @@
 	if _, dispatch, _ := f.arrive("a", own(1)); dispatch == nil {
 		t.Error("no grant from a router that knows no other")
 	}
-	heard := func() []Command {
-		f.step(MembersListed{Members: []Member{{Node: "n", DataCentre: "d", Cores: 0.2}, {Node: "other", DataCentre: "d", Cores: 0.8}}})
-		return f.step(MessageReceived{From: "other", Incarnation: 5, Message: Heartbeat{Incarnation: 5}})
-	}
 	if targets, told := watchedTargets(f.pass(watchAfter - 100*time.Millisecond)); told {
 		t.Errorf("watches %v before it can have heard of others", targets)
 	}
-	heard()
+	f.hearsLarger()
 	if targets, told := watchedTargets(f.pass(time.Second)); told {
 		t.Errorf("watches %v, which another router owns", targets)
 	}
@@ -56,8 +59,7 @@
 	if targets, _ := watchedTargets(f.pass(watchAfter + 100*time.Millisecond)); len(targets) != 2 {
 		t.Errorf("watches %v", targets)
 	}
-	f.step(MembersListed{Members: []Member{{Node: "n", DataCentre: "d", Cores: 0.2}, {Node: "other", DataCentre: "d", Cores: 0.8}}})
-	commands := f.step(MessageReceived{From: "other", Incarnation: 5, Message: Heartbeat{Incarnation: 5}})
+	commands := f.hearsLarger()
 	if targets, told := watchedTargets(append(commands, f.pass(100*time.Millisecond)...)); !told || len(targets) > 0 {
 		t.Errorf("told %v: watches %v, which another router owns", told, targets)
 	}
