Catch the reload signal before the router starts

Cause: SIGHUP was caught after the router's start had returned, but "Started." is written, and requests are served, before that. A reload asked for in between ended the process ("signal: hangup").

Ruled out: the test's own order; it sends the signal only after the line.

All signals are caught first now.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -103,18 +103,25 @@
 	defer lines.Close()
 	log := NewLogger(loaded.Log, lines)
 	setMemoryLimit(loaded.Limits.MemoryMiB)
+	start := func() (*router.Router, error) { return router.Start(loaded, log) }
+	return serve(path, time.Duration(loaded.Limits.DrainTimeout), start, errOut, log)
+}
+
+// serve starts a router and obeys signals until it has ended. All signals are caught
+// before the router starts: one that is sent as soon as the router answers must not end
+// the process.
+func serve(path string, limit time.Duration, start func() (*router.Router, error), errOut io.Writer, log *slog.Logger) int {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	r, err := router.Start(loaded, log)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	r, err := start()
 	if err != nil {
 		fmt.Fprintf(errOut, "%v\n", inFile(path, err))
 		return ExitFailed
 	}
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
-	limit := time.Duration(loaded.Limits.DrainTimeout)
 	for {
 		select {
 		case <-reloads:
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -19,6 +20,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/peer/testkeys"
+	"github.com/walnutcove/walnutcove/router"
 	"github.com/walnutcove/walnutcove/settings"
 )
 
@@ -284,6 +286,39 @@
 	}
 }
 
+// TestHangUpDuringStart asks for a reload before the router's start has returned. The
+// signal must wait for the router; its default action would end the process.
+func TestHangUpDuringStart(t *testing.T) {
+	// Caught here too, so that a failure is this test's and not the process's end.
+	caught := make(chan os.Signal, 1)
+	signal.Notify(caught, syscall.SIGHUP)
+	defer signal.Stop(caught)
+	path := write(t, "")
+	loaded, err := load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out output
+	log := slog.New(slog.NewTextHandler(&out, nil))
+	start := func() (*router.Router, error) {
+		r, err := router.Start(loaded, log)
+		if killErr := syscall.Kill(os.Getpid(), syscall.SIGHUP); killErr != nil {
+			t.Error(killErr)
+		}
+		<-caught
+		return r, err
+	}
+	exited := make(chan int, 1)
+	go func() { exited <- serve(path, generous, start, io.Discard, log) }()
+	out.waitFor(t, "daemon: Settings reloaded.")
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if code := <-exited; code != ExitOK {
+		t.Errorf("exit code %d:\n%s", code, &out)
+	}
+}
+
 // TestHangUpReloads changes the settings file under a running router: a change that
 // a running router can take over is taken, one that it cannot is named, and a file
 // that cannot be read changes nothing. Requests go on being taken.
