Compare who turns hot at an entry with the others only

Cause: leastServed counted the workspace itself, as it wanted more by then; so a workspace that its entries began to refuse unread was owed what it had not asked for. TestTurningHotUnreadIsNoCredit failed always and passes now.

The lift stood twice and is one function. What a workspace was granted is kept beside what it counts as served: otherwise the lift itself would end the sign that an entry holds the workspace back (the test's second half, which failed with one figure for both).

--- a/control/sched/shares.go
+++ b/control/sched/shares.go
@@ -41,10 +41,13 @@
 type shareFlow struct {
 	// asked decays with demandTime; divided by it, it is the demand a second.
 	asked float64
-	// served decays like asked, and counts what was granted.
+	// granted decays like asked, and counts what the workspace was granted.
+	granted float64
+	// served is granted, and what the workspace counts as served beside that: it is what
+	// workspaces are compared by.
 	served float64
 	// size is about how much one of its requests asks for, and unread, which decays like
-	// served, what those asked for that routers refused unread.
+	// granted, what those asked for that routers refused unread.
 	size   float64
 	unread float64
 	// credit is what the workspace may use at once.
@@ -91,20 +94,17 @@
 
 // Served counts a request that is granted.
 func (s *Shares) Served(now time.Duration, workspace string, amount float64) {
-	s.flow(now, workspace).served += amount
+	f := s.flow(now, workspace)
+	f.granted += amount
+	f.served += amount
 }
 
-// Refused notes that a request was refused for want of capacity. A workspace that could
-// use more from now on counts as served like the least served of those that could before:
-// what it left to them while it asked for less is not owed to it. Without that, one that
-// turned hot had 1.3 million tokens in two seconds while another, refused all the time,
-// had 0.35, and half of what the other had in six.
+// Refused notes that a request was refused for want of capacity.
 func (s *Shares) Refused(now time.Duration, workspace string) {
 	f := s.flow(now, workspace)
-	if !f.wants(now) {
-		f.served = max(f.served, s.leastServed(now))
-	}
+	wanted := f.wants(now)
 	f.refused, f.refusedAt = true, now
+	s.turnedHot(now, f, wanted)
 }
 
 // Unread notes that routers refused requests of a workspace before they read them. Where
@@ -117,15 +117,24 @@
 	wanted := f.wants(now)
 	f.unread += float64(count) * f.size
 	f.unreadAt = now
-	if !wanted && f.wants(now) {
-		f.served = max(f.served, s.leastServed(now))
+	s.turnedHot(now, f, wanted)
+}
+
+// turnedHot has a workspace that could use more from now on count as served like the least
+// served of the others that could: what it left to them while it asked for less is not owed
+// to it. Without that, one that turned hot had 1.3 million tokens in two seconds while
+// another, refused all the time, had 0.35, and half of what the other had in six.
+func (s *Shares) turnedHot(now time.Duration, f *shareFlow, wanted bool) {
+	if wanted || !f.wants(now) {
+		return
 	}
+	f.served = max(f.served, s.leastServed(now, f))
 }
 
 // wants says whether the workspace could use more capacity than it gets.
 func (f *shareFlow) wants(now time.Duration) bool {
 	refusedHere := f.refused && now-f.refusedAt <= refusedTime
-	refusedUnread := f.unread > f.served && now-f.unreadAt <= refusedTime
+	refusedUnread := f.unread > f.granted && now-f.unreadAt <= refusedTime
 	return refusedHere || refusedUnread
 }
 
@@ -137,12 +146,12 @@
 	f.size += sizeWeight * (amount - f.size)
 }
 
-// leastServed is the least that a workspace which could use more has been served; zero if
-// there is none.
-func (s *Shares) leastServed(now time.Duration) float64 {
+// leastServed is the least that another workspace which could use more has been served;
+// zero if there is none.
+func (s *Shares) leastServed(now time.Duration, but *shareFlow) float64 {
 	least, found := 0.0, false
 	for _, f := range s.flows {
-		if !f.wants(now) {
+		if f == but || !f.wants(now) {
 			continue
 		}
 		if served := decayed(f.served, now-f.at); !found || served < least {
@@ -183,6 +192,7 @@
 	passed := now - f.at
 	f.at = now
 	f.asked = decayed(f.asked, passed)
+	f.granted = decayed(f.granted, passed)
 	f.served = decayed(f.served, passed)
 	f.unread = decayed(f.unread, passed)
 	f.credit = min(f.credit+passed.Seconds()*s.bounded(), s.burst())
--- a/control/sched/shares_test.go
+++ b/control/sched/shares_test.go
@@ -200,4 +200,8 @@
 	if s.Yields(0, "first", 0.7) {
 		t.Error("the first yields for what the second did not ask for before")
 	}
+	s.Served(0, "first", 1000)
+	if !s.Yields(0, "first", 0.7) {
+		t.Error("the first does not yield for what it has from now on")
+	}
 }
