Measure the processor time of a request at a small router, by stage

bench entry runs one walnutd on one processor before stand-ins of a managed platform, and tells by profile what each of its packages takes of a request, and what of that are system calls.

The reading of a process's processor time moves to bench/measure, as two use it now.

--- /dev/null
+++ b/bench/entry/entry.go
@@ -0,0 +1,208 @@
+// Package entry measures the processor time that one router of a managed platform spends
+// on a request, and at which stages: it says how many callers a small VM can serve.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/walnutcove/walnutcove/bench/measure"
+	"github.com/walnutcove/walnutcove/devfleet"
+	"github.com/walnutcove/walnutcove/platform/wire"
+	"github.com/walnutcove/walnutcove/processes"
+	"github.com/walnutcove/walnutcove/standin/managed"
+)
+
+// Options configure the experiment.
+type Options struct {
+	// Callers is how many requests are kept in flight.
+	Callers int
+	// Duration is how long each kind of request is measured.
+	Duration time.Duration
+	// Events is the length of a streamed answer, and Pause the time between two events.
+	Events int
+	Pause  time.Duration
+	// ProfileDir, if not empty, is where the profiles are written.
+	ProfileDir string
+}
+
+const (
+	// replicas and slots are so many that none is waited for.
+	replicas = 4
+	slots    = 512
+	// deadline is the requests' own.
+	deadline = 10 * time.Second
+	// warmUp precedes each measurement: connections are opened, and code is touched.
+	warmUp = time.Second
+)
+
+// load is one kind of request.
+type load struct {
+	name string
+	path string
+	// reconnects says that each request comes by a new connection.
+	reconnects bool
+	// key is the callers' key; a wrong one has each request refused.
+	key string
+}
+
+var loads = []load{
+	{name: "stream", path: managed.DemoStreamPrefix + "page", key: managed.DemoKey},
+	{name: "stream, new connection each", path: managed.DemoStreamPrefix + "page", key: managed.DemoKey, reconnects: true},
+	{name: "whole answer", path: managed.DemoOncePrefix + "deploy", key: managed.DemoKey},
+	{name: "refused", path: managed.DemoOncePrefix + "deploy", key: "no key", reconnects: true},
+}
+
+// Run makes the measurement and writes a table.
+func Run(ctx context.Context, out io.Writer, o Options) error {
+	dir, err := os.MkdirTemp("", "walnutcove-entry-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	store := managed.StartStore()
+	defer store.Close()
+	if err := startReplicas(store, o); err != nil {
+		return err
+	}
+	r, err := startRouter(ctx, store, dir)
+	if err != nil {
+		return err
+	}
+	defer r.Kill()
+	for _, l := range loads {
+		if err := measureLoad(ctx, out, r, l, o); err != nil {
+			return fmt.Errorf("%s: %w", l.name, err)
+		}
+	}
+	return nil
+}
+
+func startReplicas(store *managed.Store, o Options) error {
+	configured := managed.Demo(1)
+	for n := range configured.Services {
+		if engine := configured.Services[n].Engine; engine != nil {
+			engine.Slots = slots
+			engine.MemoryTokens *= slots
+		}
+	}
+	store.Put(wire.TableOperator, wire.KeyConfig, configured)
+	journal := &managed.Journal{}
+	for n := range replicas {
+		for _, options := range []managed.ReplicaOptions{
+			{ID: fmt.Sprintf("ops-%d", n), Service: managed.DemoService, Slots: slots, Pause: o.Pause},
+			{ID: fmt.Sprintf("gen-%d", n), Service: managed.DemoEngine, Slots: slots, Events: o.Events, Pause: o.Pause},
+		} {
+			if _, err := managed.StartReplica(store, journal, options); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// startRouter runs a walnutd on one processor, as on a small VM.
+func startRouter(ctx context.Context, store *managed.Store, dir string) (*processes.Router, error) {
+	binaries, err := processes.Build(ctx, ".", dir)
+	if err != nil {
+		return nil, err
+	}
+	address, err := store.Listen()
+	if err != nil {
+		return nil, err
+	}
+	if err := os.Setenv("GOMAXPROCS", "1"); err != nil {
+		return nil, err
+	}
+	s := devfleet.ManagedSettings("vm-1", address)
+	s.Listen.Callers, s.Listen.Operators, s.Listen.Peers, s.Listen.Health = "", "", "", ""
+	r, err := processes.StartRouter(binaries, dir, s)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.WaitReady(); err != nil {
+		r.Kill()
+		return nil, err
+	}
+	return r, nil
+}
+
+// measureLoad sends one kind of request and writes what each cost the router.
+func measureLoad(ctx context.Context, out io.Writer, r *processes.Router, l load, o Options) error {
+	callers := startCallers(ctx, r.Settings.Listen.Callers, l, o.Callers)
+	defer callers.stop()
+	time.Sleep(warmUp)
+	answered := callers.answered.Load()
+	before, err := measure.ProcessorTime(r.PID())
+	if err != nil {
+		return err
+	}
+	profile, err := profileFor(ctx, r.Settings.Listen.Operators, o.Duration)
+	if err != nil {
+		return err
+	}
+	after, err := measure.ProcessorTime(r.PID())
+	if err != nil {
+		return err
+	}
+	answered = callers.answered.Load() - answered
+	if answered == 0 {
+		return errors.New("no request was answered as it should be")
+	}
+	spent := after - before
+	fmt.Fprintf(out, "%s: %d requests, %d wrong, %.0f us of processor time each\n",
+		l.name, answered, callers.wrong.Load(), float64(spent.Microseconds())/float64(answered))
+	if o.ProfileDir != "" {
+		if err := profile.save(o.ProfileDir, l.name); err != nil {
+			return err
+		}
+	}
+	return profile.writeStages(out, spent, answered)
+}
+
+// callers keep requests in flight.
+type callers struct {
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+	answered atomic.Int64
+	wrong    atomic.Int64
+}
+
+func startCallers(ctx context.Context, router string, l load, count int) *callers {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &callers{cancel: cancel}
+	for n := range count {
+		c.done.Go(func() { c.send(ctx, router, l, n) })
+	}
+	return c
+}
+
+func (c *callers) send(ctx context.Context, router string, l load, n int) {
+	caller := managed.NewCaller(fmt.Sprintf("%x-%d", l.name, n), deadline)
+	defer caller.Close()
+	served := l.key == managed.DemoKey
+	for ctx.Err() == nil {
+		answer := caller.Send(ctx, router, l.path, l.key)
+		if l.reconnects {
+			caller.Close()
+		}
+		switch {
+		case ctx.Err() != nil:
+		case answer.Whole && (answer.Status == 200) == served:
+			c.answered.Add(1)
+		default:
+			c.wrong.Add(1)
+		}
+	}
+}
+
+func (c *callers) stop() {
+	c.cancel()
+	c.done.Wait()
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -14,6 +14,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/walnutcove/walnutcove/bench/capacity"
+	"github.com/walnutcove/walnutcove/bench/entry"
 	"github.com/walnutcove/walnutcove/bench/fair"
 	"github.com/walnutcove/walnutcove/bench/faults"
 	"github.com/walnutcove/walnutcove/bench/latency"
@@ -26,6 +27,7 @@
 	Latency    latencyCommand    `cmd:"" help:"Latency that a router adds to an uncontended request."`
 	Fair       fairCommand       `cmd:"" help:"Utilisation, fairness gap and control traffic of a policy."`
 	Throughput throughputCommand `cmd:"" help:"Requests a second that one router relays, and what each costs it."`
+	Entry      entryCommand      `cmd:"" help:"Processor time of a request at a small router, by stage."`
 	Faults     faultsCommand     `cmd:"" help:"What faults do to backlogged workspaces: standstill, idle slots, over-admission, gap."`
 	Refusals   refusalsCommand   `cmd:"" help:"Whether the refused come back together, and how far retries multiply load."`
 	Locality   localityCommand   `cmd:"" help:"Choice of target by load, then by cached prefix, against load alone."`
@@ -57,6 +59,21 @@
 	})
 }
 
+type entryCommand struct {
+	Callers    int           `default:"64" help:"Requests kept in flight."`
+	Duration   time.Duration `default:"5s" help:"How long each kind of request is measured; 15s at most."`
+	Events     int           `default:"8" help:"Events of a streamed answer."`
+	Pause      time.Duration `default:"20ms" help:"Time between two events."`
+	ProfileDir string        `help:"Directory for the profiles." placeholder:"DIR"`
+}
+
+// Run runs the experiment.
+func (c *entryCommand) Run(ctx context.Context, k *kong.Context) error {
+	return entry.Run(ctx, k.Stdout, entry.Options{
+		Callers: c.Callers, Duration: c.Duration, Events: c.Events, Pause: c.Pause, ProfileDir: c.ProfileDir,
+	})
+}
+
 type fairCommand struct {
 	Deployment string        `default:"ilesanmi" help:"Size: ilesanmi or agroservis."`
 	Shapes     []string      `default:"burst,one-router,flood,hints,subsets,shares,sizes,impatient" help:"Patterns of work."`
--- a/bench/throughput/throughput.go
+++ b/bench/throughput/throughput.go
@@ -8,12 +8,10 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"os"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/walnutcove/walnutcove/bench/fleet"
+	"github.com/walnutcove/walnutcove/bench/measure"
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/load"
 )
@@ -36,8 +34,6 @@
 	key       = "bakery-key"
 	targets   = 4
 	slots     = 512
-	// clockTicks is the unit of /proc/PID/stat, in ticks a second.
-	clockTicks = 100
 )
 
 // Run makes the measurement and writes a table.
@@ -70,14 +66,14 @@
 
 func runOnce(ctx context.Context, out io.Writer, f *fleet.Fleet, o Options, callers, repeat int) error {
 	pid := f.Routers[0].PID()
-	before, err := processorTime(pid)
+	before, err := measure.ProcessorTime(pid)
 	if err != nil {
 		return err
 	}
 	start := time.Now()
 	summary := send(ctx, f, o, callers)
 	elapsed := time.Since(start).Seconds()
-	after, err := processorTime(pid)
+	after, err := measure.ProcessorTime(pid)
 	if err != nil {
 		return err
 	}
@@ -114,27 +110,3 @@
 	}
 	return run.Do(sendCtx)
 }
-
-// processorTime returns the processor time that a process has used.
-func processorTime(pid int) (time.Duration, error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, err
-	}
-	// The command, in parentheses, may hold spaces: fields are counted after it.
-	_, rest, _ := strings.Cut(string(text), ") ")
-	fields := strings.Fields(rest)
-	const userTime, systemTime = 11, 12
-	if len(fields) <= systemTime {
-		return 0, fmt.Errorf("/proc/%d/stat has %d fields", pid, len(fields))
-	}
-	var ticks int64
-	for _, field := range []string{fields[userTime], fields[systemTime]} {
-		n, err := strconv.ParseInt(field, 10, 64)
-		if err != nil {
-			return 0, err
-		}
-		ticks += n
-	}
-	return time.Duration(ticks) * time.Second / clockTicks, nil
-}
