Count what entries refuse unread while its workspace is owed and targets have room

Operators could not tell a refusal at an entry that costs callers something from one that the pool would have refused as well. TestUnreadWhileOwedIsCounted has an idle target, a full one, and a workspace whose share is used up.

--- a/bench/entry/entry.go
+++ b/bench/entry/entry.go
@@ -16,11 +16,15 @@
 	"github.com/walnutcove/walnutcove/devfleet"
 	"github.com/walnutcove/walnutcove/platform/wire"
 	"github.com/walnutcove/walnutcove/processes"
+	"github.com/walnutcove/walnutcove/settings"
 	"github.com/walnutcove/walnutcove/standin/managed"
 )
 
 // Options configure the experiment.
 type Options struct {
+	// Routers is how many routers run. All callers come by one of them, and others may
+	// schedule for it.
+	Routers int
 	// Callers is how many requests are kept in flight.
 	Callers int
 	// Duration is how long each kind of request is measured.
@@ -33,9 +37,10 @@
 }
 
 const (
-	// replicas and slots are so many that none is waited for.
-	replicas = 4
-	slots    = 512
+	// replicas and slots are so many that none is waited for, and that a router need not
+	// keep more connections to one than it does elsewhere.
+	replicas = 48
+	slots    = 64
 	// deadline is the requests' own.
 	deadline = 10 * time.Second
 	// warmUp precedes each measurement: connections are opened, and code is touched.
@@ -71,13 +76,15 @@
 	if err := startReplicas(store, o); err != nil {
 		return err
 	}
-	r, err := startRouter(ctx, store, dir)
+	routers, err := startRouters(ctx, store, dir, o.Routers)
+	for _, r := range routers {
+		defer r.Kill()
+	}
 	if err != nil {
 		return err
 	}
-	defer r.Kill()
 	for _, l := range loads {
-		if err := measureLoad(ctx, out, r, l, o); err != nil {
+		if err := measureLoad(ctx, out, routers[0], l, o); err != nil {
 			return fmt.Errorf("%s: %w", l.name, err)
 		}
 	}
@@ -107,30 +114,35 @@
 	return nil
 }
 
-// startRouter runs a walnutd on one processor, as on a small VM.
-func startRouter(ctx context.Context, store *managed.Store, dir string) (*processes.Router, error) {
+// startRouters runs walnutd processes, each on one processor, as on small VMs.
+func startRouters(ctx context.Context, store *managed.Store, dir string, count int) ([]*processes.Router, error) {
 	binaries, err := processes.Build(ctx, ".", dir)
 	if err != nil {
 		return nil, err
 	}
-	address, err := store.Listen()
-	if err != nil {
-		return nil, err
-	}
 	if err := os.Setenv("GOMAXPROCS", "1"); err != nil {
 		return nil, err
 	}
-	s := devfleet.ManagedSettings("vm-1", address)
-	s.Listen.Callers, s.Listen.Operators, s.Listen.Peers, s.Listen.Health = "", "", "", ""
-	r, err := processes.StartRouter(binaries, dir, s)
-	if err != nil {
-		return nil, err
+	var routers []*processes.Router
+	for n := range count {
+		address, err := store.Listen()
+		if err != nil {
+			return routers, err
+		}
+		s := devfleet.ManagedSettings(fmt.Sprintf("vm-%d", n+1), address)
+		s.Listen = settings.Listen{}
+		r, err := processes.StartRouter(binaries, dir, s)
+		if err != nil {
+			return routers, err
+		}
+		routers = append(routers, r)
 	}
-	if err := r.WaitReady(); err != nil {
-		r.Kill()
-		return nil, err
+	for _, r := range routers {
+		if err := r.WaitReady(); err != nil {
+			return routers, err
+		}
 	}
-	return r, nil
+	return routers, nil
 }
 
 // measureLoad sends one kind of request and writes what each cost the router.
--- a/bench/main.go
+++ b/bench/main.go
@@ -60,6 +60,7 @@
 }
 
 type entryCommand struct {
+	Routers    int           `default:"3" help:"Routers to run; all callers come by one."`
 	Callers    int           `default:"64" help:"Requests kept in flight."`
 	Duration   time.Duration `default:"5s" help:"How long each kind of request is measured; 15s at most."`
 	Events     int           `default:"8" help:"Events of a streamed answer."`
@@ -70,7 +71,7 @@
 // Run runs the experiment.
 func (c *entryCommand) Run(ctx context.Context, k *kong.Context) error {
 	return entry.Run(ctx, k.Stdout, entry.Options{
-		Callers: c.Callers, Duration: c.Duration, Events: c.Events, Pause: c.Pause, ProfileDir: c.ProfileDir,
+		Routers: c.Routers, Callers: c.Callers, Duration: c.Duration, Events: c.Events, Pause: c.Pause, ProfileDir: c.ProfileDir,
 	})
 }
 
--- a/control/rank.go
+++ b/control/rank.go
@@ -107,9 +107,25 @@
 
 // unreadReceived takes in what an entry had to refuse unread.
 func (m *Machine) unreadReceived(msg UnreadNotice) {
-	if s := m.sched.shards[msg.Shard]; s != nil && m.countsTokens(s) {
-		s.shares.Unread(m.now, msg.Workspace, msg.Count)
+	s := m.sched.shards[msg.Shard]
+	if s == nil || !m.countsTokens(s) {
+		return
+	}
+	if s.shares.Owed(m.now, msg.Workspace) && m.hasRoom(s) {
+		m.counters.UnreadWhileOwed += uint64(msg.Count)
+	}
+	s.shares.Unread(m.now, msg.Workspace, msg.Count)
+}
+
+// hasRoom says whether a target of the shard could take one more request within its
+// workspace's share now.
+func (m *Machine) hasRoom(s *shard) bool {
+	for _, t := range s.targets {
+		if t.room(m.now) > 0 && t.engine.Wait(m.now) <= m.maxWait(s) {
+			return true
+		}
 	}
+	return false
 }
 
 // yields says whether a ticket's workspace is to leave spare capacity to another one.
--- a/control/sched/shares.go
+++ b/control/sched/shares.go
@@ -92,6 +92,14 @@
 	return true
 }
 
+// Owed says whether a workspace has not used up its share.
+func (s *Shares) Owed(now time.Duration, workspace string) bool {
+	if s.perSecond <= 0 || math.IsInf(s.level, 1) {
+		return true
+	}
+	return s.flow(now, workspace).credit > 0
+}
+
 // Served counts a request that is granted.
 func (s *Shares) Served(now time.Duration, workspace string, amount float64) {
 	f := s.flow(now, workspace)
--- a/control/status.go
+++ b/control/status.go
@@ -15,6 +15,7 @@
 	TicketsHopeless       uint64
 	TicketsOverloaded     uint64
 	TicketsLocal          uint64
+	UnreadWhileOwed       uint64
 	Dispatches            uint64
 	GrantsMade            uint64
 	GrantsResent          uint64
--- a/control/unread_test.go
+++ b/control/unread_test.go
@@ -1,6 +1,9 @@
 package control
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // TestSchedulerLearnsWhatEntriesRefuse: an entry tells the scheduler of the pool, which is
 // itself or another node, and nobody where the pool does not count in tokens.
@@ -27,3 +30,38 @@
 		}
 	}
 }
+
+// TestUnreadWhileOwedIsCounted: what entries refuse unread is counted as lost to them as long
+// as the workspace's share is not used up and a target has room.
+func TestUnreadWhileOwedIsCounted(t *testing.T) {
+	f := newTokenFleet("e1")
+	lost := func() uint64 {
+		f.step(RequestsUnread{Pool: "gen", Workspace: "a", Count: 3})
+		return f.machine.Counters().UnreadWhileOwed
+	}
+	if got := lost(); got != 3 {
+		t.Errorf("%d counted of an idle target", got)
+	}
+	for n := range uint64(50) {
+		f.arrive("a", own(n))
+	}
+	if got := lost(); got != 3 {
+		t.Errorf("%d counted while the target has no room", got)
+	}
+	shares := f.machine.sched.shards[ShardID{Pool: "gen"}].shares
+	for n := uint64(100); shares.Owed(f.now, "a"); n++ {
+		if n == 500 {
+			t.Fatal("the share is never used up")
+		}
+		f.now += time.Millisecond
+		f.arrive("a", thing(n))
+	}
+	f.addEngine("e2")
+	if got := lost(); got != 3 {
+		t.Errorf("%d counted of a workspace that is owed nothing", got)
+	}
+	f.step(RequestsUnread{Pool: "gen", Workspace: "b", Count: 1})
+	if got := f.machine.Counters().UnreadWhileOwed; got != 4 {
+		t.Errorf("%d counted, the other workspace included", got)
+	}
+}
