--- a/ctl/cli/read.go
+++ b/ctl/cli/read.go
@@ -98,6 +98,7 @@
 }
 
 type statusCommand struct {
+	All    bool   `help:"List every router, target and workspace, also of a large fleet."`
 	Output string `help:"Format: table or json." short:"o" enum:"table,json" default:"table"`
 }
 
@@ -111,7 +112,7 @@
 		if c.Output == formatJSON {
 			return a.printJSON(status)
 		}
-		return a.printStatus(status)
+		return a.printStatus(status, c.All)
 	})
 }
 
--- a/ctl/cli/table.go
+++ b/ctl/cli/table.go
@@ -39,9 +39,10 @@
 	return t.w.Flush()
 }
 
-func (a *app) printStatus(s operator.Status) error {
+// printStatus writes the state of the fleet; without all, large tables are summed up.
+func (a *app) printStatus(s operator.Status, all bool) error {
 	a.printf("newest version=%d\n\nROUTERS\n", s.Newest)
-	if err := printRouters(a.Out, s.Routers); err != nil {
+	if err := a.showRouters(s, all); err != nil {
 		return err
 	}
 	a.printf("\nSHARDS\n")
@@ -49,11 +50,32 @@
 		return err
 	}
 	a.printf("\nTARGETS\n")
-	if err := printTargets(a.Out, s.Targets); err != nil {
+	if err := a.showTargets(s.Targets, all); err != nil {
 		return err
 	}
 	a.printf("\nBACKLOG\n")
-	return printBacklog(a.Out, s.Backlog)
+	return a.showBacklog(s.Backlog, all)
+}
+
+func (a *app) showRouters(s operator.Status, all bool) error {
+	if all || len(s.Routers) <= mostRows {
+		return printRouters(a.Out, s.Routers)
+	}
+	return a.sumUpRouters(s)
+}
+
+func (a *app) showTargets(rows []operator.TargetStatus, all bool) error {
+	if all || len(rows) <= mostRows {
+		return printTargets(a.Out, rows)
+	}
+	return a.sumUpTargets(rows)
+}
+
+func (a *app) showBacklog(rows []operator.WorkspaceBacklog, all bool) error {
+	if all || len(rows) <= mostRows {
+		return printBacklog(a.Out, rows)
+	}
+	return a.sumUpBacklog(rows)
 }
 
 func printRouters(w io.Writer, rows []operator.RouterStatus) error {
