Shed as much as keeps a router in time, and no more

Cause: requests on new connections were refused from 25 ms of mean lateness on, all from 75 ms on, as a refusal cost a third of a request. Each request passes the processor some ten times, so what was taken began 250 ms late and more.

A test of the old rule is replaced by one for kept connections, whose rule stays, and one that asks for none shed in time, all within 250 ms far behind, the same part at the target, and none 500 ms after the flood.

--- a/router/overload.go
+++ b/router/overload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -19,16 +20,19 @@
 	// lagTooMuch is the average lateness at which the router asks for no new
 	// connections: requests wait for the processor then, several times each.
 	lagTooMuch = 25 * time.Millisecond
-	// shedFrom is the average lateness from which requests on new connections are refused
-	// unread, and shedSpan how much more it takes until all are. A request passes the
-	// processor some ten times, so a quarter of a second is lost at 25 ms, about as much as
-	// the tightest objectives. Its caller is at another router a moment later.
-	shedFrom = 25 * time.Millisecond
-	shedSpan = 50 * time.Millisecond
+	// shedTarget is the lateness at which the part of requests on new connections that is
+	// refused unread stays as it is. A request passes the processor some ten times, so 50 ms
+	// are lost at 5 ms, of objectives of some hundred milliseconds.
+	shedTarget = 5 * time.Millisecond
+	// shedGain is how much that part changes with each measure, for each shedTarget that
+	// the lateness is off, and mostShedGain the most: all are taken again half a second
+	// after a flood has ended.
+	shedGain     = 0.1
+	mostShedGain = 0.3
 	// shedKeptFrom and shedKeptSpan are the same for connections that had an answer here:
-	// to take in a new one costs as much as a refusal.
-	shedKeptFrom = 50 * time.Millisecond
-	shedKeptSpan = 100 * time.Millisecond
+	// the HTTP library refuses on these, at several times the cost.
+	shedKeptFrom = 15 * time.Millisecond
+	shedKeptSpan = 30 * time.Millisecond
 	// lagFine is the average at which it takes them again.
 	lagFine = 5 * time.Millisecond
 	// leastRest is the shortest time without new connections. The balancer looks
@@ -67,6 +71,9 @@
 	// average is the lag as others may read it, in nanoseconds.
 	average atomic.Int64
 	lag     time.Duration
+	// shedPart is the part of requests on new connections that is refused unread, as the
+	// bits of a float.
+	shedPart atomic.Uint64
 	// since is when it last began or ended, and rest how long it lasts at least.
 	since time.Time
 	rest  time.Duration
@@ -81,12 +88,11 @@
 // here or on a new one: the more, the later this process runs. What is taken is then served
 // while its caller waits.
 func (o *overload) sheds(kept bool) bool {
-	from, span := shedFrom, shedSpan
-	if kept {
-		from, span = shedKeptFrom, shedKeptSpan
+	if !kept {
+		return rand.Float64() < math.Float64frombits(o.shedPart.Load())
 	}
-	over := o.late() - from
-	return over > 0 && rand.N(span) < over
+	over := o.late() - shedKeptFrom
+	return over > 0 && rand.N(shedKeptSpan) < over
 }
 
 // releases says whether the connection of the next answer is closed with it: the more, the
@@ -120,6 +126,7 @@
 	lagSeconds.Update(late.Seconds())
 	o.lag += time.Duration(lagWeight * float64(late-o.lag))
 	o.average.Store(int64(o.lag))
+	o.adapt(late)
 	crowded := o.crowded()
 	lasted := now.Sub(o.since)
 	switch {
@@ -136,6 +143,14 @@
 	}
 }
 
+// adapt changes the part that is shed by how late the last measure was: by as much as keeps
+// the lateness at its target, whatever the flood.
+func (o *overload) adapt(late time.Duration) {
+	off := float64(late-shedTarget) / float64(shedTarget)
+	part := math.Float64frombits(o.shedPart.Load()) + min(shedGain*off, mostShedGain)
+	o.shedPart.Store(math.Float64bits(min(max(part, 0), 1)))
+}
+
 // begin asks for no new connections from now on.
 func (o *overload) begin(now time.Time) {
 	if o.rest == 0 || now.Sub(o.since) > restKept {
--- a/router/overload_test.go
+++ b/router/overload_test.go
@@ -45,40 +45,63 @@
 	}
 }
 
-// TestShedsMoreTheLaterItRuns: nothing while it runs in time, all when it is far
-// behind.
-func TestShedsMoreTheLaterItRuns(t *testing.T) {
-	o := &overload{log: slog.New(slog.DiscardHandler), crowded: func() bool { return false }}
-	share := func(lag time.Duration, kept bool) float64 {
-		o.average.Store(int64(lag))
-		shed := 0
-		for range 2000 {
-			if o.sheds(kept) {
-				shed++
-			}
+// shedShare is the part of 2000 requests that are shed.
+func shedShare(o *overload, kept bool) float64 {
+	shed := 0
+	for range 2000 {
+		if o.sheds(kept) {
+			shed++
 		}
-		return float64(shed) / 2000
 	}
+	return float64(shed) / 2000
+}
+
+// TestShedsMoreTheLaterItRuns: on connections that are kept, nothing while it runs in time,
+// all when it is far behind.
+func TestShedsMoreTheLaterItRuns(t *testing.T) {
+	o := &overload{log: slog.New(slog.DiscardHandler), crowded: func() bool { return false }}
 	for _, c := range []struct {
 		lag         time.Duration
-		kept        bool
 		least, most float64
 	}{
-		{0, false, 0, 0},
-		{shedFrom, false, 0, 0},
-		{shedFrom + shedSpan/2, false, 0.4, 0.6},
-		{shedFrom + shedSpan, false, 1, 1},
-		{shedKeptFrom, true, 0, 0},
-		{shedKeptFrom + shedKeptSpan/2, true, 0.4, 0.6},
-		{time.Second, false, 1, 1},
-		{time.Second, true, 1, 1},
+		{0, 0, 0},
+		{shedKeptFrom, 0, 0},
+		{shedKeptFrom + shedKeptSpan/2, 0.4, 0.6},
+		{shedKeptFrom + shedKeptSpan, 1, 1},
+		{time.Second, 1, 1},
 	} {
-		if got := share(c.lag, c.kept); got < c.least || got > c.most {
+		o.average.Store(int64(c.lag))
+		if got := shedShare(o, true); got < c.least || got > c.most {
 			t.Errorf("%.2f shed at a lag of %s", got, c.lag)
 		}
 	}
 }
 
+// TestShedsUntilItRunsInTime: on new connections, nothing while it runs in time, all soon
+// after it has fallen far behind, the same part for as long as it is as late as it should be,
+// and nothing soon after that.
+func TestShedsUntilItRunsInTime(t *testing.T) {
+	o := &overload{log: slog.New(slog.DiscardHandler), crowded: func() bool { return false }}
+	now := time.Now()
+	drive(o, &now, shedTarget, time.Second)
+	if got := shedShare(o, false); got > 0 {
+		t.Errorf("%.2f shed in time", got)
+	}
+	drive(o, &now, time.Second, 250*time.Millisecond)
+	if got := shedShare(o, false); got < 1 {
+		t.Errorf("%.2f shed far behind", got)
+	}
+	drive(o, &now, 0, 250*time.Millisecond)
+	drive(o, &now, shedTarget, time.Second)
+	if got := shedShare(o, false); got < 0.3 || got > 0.7 {
+		t.Errorf("%.2f shed halfway, as late as it should be", got)
+	}
+	drive(o, &now, 0, 500*time.Millisecond)
+	if got := shedShare(o, false); got > 0 {
+		t.Errorf("%.2f shed after the flood", got)
+	}
+}
+
 // drive measures a lateness for a while, every lagEvery.
 func drive(o *overload, now *time.Time, late, span time.Duration) {
 	for end := now.Add(span); now.Before(end); {
