--- a/router/overload.go
+++ b/router/overload.go
@@ -29,8 +29,9 @@
 	// after a flood has ended.
 	shedGain     = 0.1
 	mostShedGain = 0.3
-	// shedKeptFrom and shedKeptSpan are the same for connections that had an answer here:
-	// the HTTP library refuses on these, at several times the cost.
+	// shedKeptFrom is the average lateness from which requests on connections that had an
+	// answer here are refused unread, and shedKeptSpan how much more it takes until all are.
+	// The HTTP library refuses these, at several times the cost, so they are taken longer.
 	shedKeptFrom = 15 * time.Millisecond
 	shedKeptSpan = 30 * time.Millisecond
 	// lagFine is the average at which it takes them again.
@@ -85,8 +86,7 @@
 func (o *overload) late() time.Duration { return time.Duration(o.average.Load()) }
 
 // sheds says whether the next request is refused unread, on a connection that had an answer
-// here or on a new one: the more, the later this process runs. What is taken is then served
-// while its caller waits.
+// here or on a new one. What is taken is then served while its caller waits.
 func (o *overload) sheds(kept bool) bool {
 	if !kept {
 		return rand.Float64() < math.Float64frombits(o.shedPart.Load())
