Bound what routers grant alone while a full pool's scheduler does not answer

A router that grants alone keeps to its part of what the pool is declared to serve, if the pool's scheduler refused a request for want of capacity in the last second. Where the pool is not full nothing changes.

A part of the pool for those who do not own the shard, by the shares alone, changed nothing: their level is found only after 0.1 s.

--- a/control/entry.go
+++ b/control/entry.go
@@ -32,6 +32,8 @@
 	// pools holds the requests that wait here, oldest first.
 	pools map[string]*list.List
 	hints map[ShardID]*shardHint
+	// fullAt is when another node's scheduler last refused a request for want of capacity.
+	fullAt map[ShardID]Instant
 	// avoid holds until when a scheduler is not asked; see Machine.grantHere.
 	avoid map[NodeID]Instant
 	// nextAttempt numbers the tickets of this node.
@@ -68,6 +70,7 @@
 		workspaces: make(map[string]*entryWorkspace),
 		pools:      make(map[string]*list.List),
 		hints:      make(map[ShardID]*shardHint),
+		fullAt:     make(map[ShardID]Instant),
 		avoid:      make(map[NodeID]Instant),
 	}
 }
--- a/control/loadtest/loadtest_test.go
+++ b/control/loadtest/loadtest_test.go
@@ -190,3 +190,32 @@
 		t.Errorf("%d late of the second after the return, %.3f in time", played.ReturnLate, played.InTimePart())
 	}
 }
+
+// stall is the load of a pool whose scheduler's processor is taken for some tenths of a
+// second, as when many targets crash at once: two workspaces ask for more than there is, the
+// first by all routers and the second by one. Routers whose scheduler does not answer grant
+// from what they know alone.
+func stall(lasts time.Duration) Pattern {
+	p := smallMemory().times(15)
+	p.Name = "stall of the scheduler"
+	p.Routers, p.Workspaces, p.ByOne = 24, 2, true
+	p.StallAt, p.StallFor = 4*time.Second, lasts
+	p.Length = p.StallAt + stallWindow
+	return p
+}
+
+// TestStallIsFair: no workspace has less than half of what another has in the six seconds
+// from a stall of the scheduler on, whether its callers come by one router or by all.
+func TestStallIsFair(t *testing.T) {
+	const promised = 0.5
+	for _, lasts := range []time.Duration{0, 400 * time.Millisecond} {
+		for seed := range uint64(2) {
+			got := Play(stall(lasts), policy.Default(), seed+1).Workspaces
+			all, one := got[workspaceName(0)], got[workspaceName(1)]
+			t.Logf("stall of %s: %d tokens by all routers, %d by one; %d and %d requests in time", lasts, all.AfterStall, one.AfterStall, all.InTime, one.InTime)
+			if float64(min(all.AfterStall, one.AfterStall)) < promised*float64(max(all.AfterStall, one.AfterStall)) {
+				t.Errorf("stall of %s, seed %d: %d tokens by all routers, %d by one", lasts, seed+1, all.AfterStall, one.AfterStall)
+			}
+		}
+	}
+}
--- a/control/loadtest/pattern.go
+++ b/control/loadtest/pattern.go
@@ -23,6 +23,11 @@
 	HotFrom, HotTo time.Duration
 	// PowerLossAt ends all routers at once, for PowerLossFor; 0: never.
 	PowerLossAt, PowerLossFor time.Duration
+	// StallAt is when the router that schedules the pool takes nothing in for StallFor,
+	// as its processor is taken; 0: never.
+	StallAt, StallFor time.Duration
+	// ByOne has all callers of the second workspace come by one router.
+	ByOne bool
 	// Length is the time of arrivals.
 	Length time.Duration
 }
@@ -42,7 +47,15 @@
 }
 
 // Served is what came of the requests of one workspace.
-type Served struct{ Asked, InTime int }
+type Served struct {
+	Asked, InTime int
+	// AfterStall is how many tokens of prompts were sent to engines in the stallWindow
+	// that begins with the stall.
+	AfterStall int
+}
+
+// stallWindow is the time in which no workspace is to have less than half of another.
+const stallWindow = 6 * time.Second
 
 // Result is what came of a play.
 type Result struct {
@@ -166,9 +179,13 @@
 		return
 	}
 	one.tries++
+	by := up[w.ways.IntN(len(up))]
+	if w.pattern.ByOne && one.workspace == workspaceName(1) {
+		by = up[len(up)-1]
+	}
 	id := control.RequestID(len(w.calls) + 1)
 	w.calls[id] = one
-	w.step(up[w.ways.IntN(len(up))], control.RequestArrived{
+	w.step(by, control.RequestArrived{
 		Request: id, Attempt: 1, Workspace: one.workspace, Pool: pool,
 		Deadline: one.sentAt + one.kind.Patience, Objective: one.sentAt + one.kind.Objective,
 		Work: one.work, Fingerprint: one.fingerprint,
--- a/control/loadtest/world.go
+++ b/control/loadtest/world.go
@@ -53,6 +53,9 @@
 	up      bool
 	inc     control.Incarnation
 	runs    map[control.GrantID]*run
+	// stalled holds the events that it has not taken in; nil unless it stalls.
+	stalled []control.Event
+	stalls  bool
 }
 
 // call is a request with its tries.
@@ -159,6 +162,9 @@
 	for _, name := range sortedNames(declarations.Targets) {
 		w.after(time.Duration(w.rng.Int64N(int64(w.pattern.Engine.TellEvery))), w.engines[name].tell)
 	}
+	if w.pattern.StallAt > 0 {
+		w.after(w.pattern.StallAt, w.stall)
+	}
 	if w.pattern.PowerLossAt > 0 {
 		w.after(w.pattern.PowerLossAt, func() { w.losePower(weights, seed, declarations) })
 	}
@@ -256,8 +262,39 @@
 	}
 }
 
+// stall lets the router that schedules the pool take nothing in for a while.
+func (w *world) stall() {
+	for _, r := range w.routers {
+		if !schedules(r.machine) {
+			continue
+		}
+		r.stalls = true
+		w.after(w.pattern.StallFor, func() {
+			waiting := r.stalled
+			r.stalls, r.stalled = false, nil
+			for _, ev := range waiting {
+				w.step(r, ev)
+			}
+		})
+	}
+}
+
+// schedules says whether a machine schedules a shard that it owns.
+func schedules(m *control.Machine) bool {
+	for _, s := range m.Status().Shards {
+		if s.Owned {
+			return true
+		}
+	}
+	return false
+}
+
 // step gives a router an event and carries out its commands.
 func (w *world) step(r *router, ev control.Event) {
+	if r.stalls {
+		r.stalled = append(r.stalled, ev)
+		return
+	}
 	for _, command := range r.machine.Step(w.now, ev) {
 		switch c := command.(type) {
 		case control.Send:
@@ -286,6 +323,11 @@
 	e := w.engines[c.Target]
 	started := &run{request: c.Request, grant: c.Grant, at: r, inc: r.inc, engine: e, work: one.work, started: w.now, predicted: c.Start}
 	r.runs[c.Grant] = started
+	if since := w.now - w.pattern.StallAt; since >= 0 && since < stallWindow {
+		served := w.result.Workspaces[one.workspace]
+		served.AfterStall += one.work.PromptTokens
+		w.result.Workspaces[one.workspace] = served
+	}
 	delay := hop
 	if from := w.engines[c.FetchFrom]; from != nil {
 		started.fetched = max(0, from.keepsOf(one.work)-e.keepsOf(one.work))
--- a/control/rank.go
+++ b/control/rank.go
@@ -74,6 +74,9 @@
 	}
 	shares := q.shard.shares
 	switch {
+	case m.grantsTooMuch(q):
+		q.rank = rankExcess
+		q.latest = m.now
 	case m.hasReturned(q.ticket.Fingerprint):
 		q.rank = rankReturning
 		q.objective = 0
--- a/control/tickets.go
+++ b/control/tickets.go
@@ -224,6 +224,9 @@
 		return
 	}
 	a.refused = true
+	if f.Code == result.Overloaded && a.to != m.opts.Node {
+		m.entry.fullAt[f.Shard] = m.now
+	}
 	if f.Code == result.NoTarget {
 		if id, ok := m.nextShard(r); ok {
 			m.ask(r, id)
