--- /dev/null
+++ b/control/alone_test.go
@@ -0,0 +1,59 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// unansweredGrants sends requests whose scheduler, another node, does not answer, and returns
+// how many are granted here.
+func unansweredGrants(f *tokenFleet, requests uint64) int {
+	for n := range requests {
+		f.arrive("a", thing(100+n))
+	}
+	granted := 0
+	for range 20 {
+		f.now += 10 * time.Millisecond
+		for _, command := range f.step(Tick{}) {
+			if _, ok := command.(Dispatch); ok {
+				granted++
+			}
+		}
+	}
+	return granted
+}
+
+// TestGrantsItsPartAlone: a node whose scheduler does not answer grants as targets allow, and
+// no more than its part where the scheduler had nothing left a moment before.
+func TestGrantsItsPartAlone(t *testing.T) {
+	const requests = 6 // one for each engine
+	for _, c := range []struct {
+		name        string
+		full        bool
+		after       time.Duration
+		least, most int
+	}{
+		{"the pool was not full", false, 0, requests, requests},
+		{"the pool was full", true, 0, 1, 3},
+		{"the pool was full long ago", true, 2 * fullKept, requests, requests},
+	} {
+		f := newTokenFleet("e1", "e2", "e3", "e4", "e5", "e6")
+		f.machine.opts.LocalAfter = 100 * time.Millisecond
+		f.hearsLarger()
+		if c.full {
+			f.now += time.Millisecond
+			id, _, _ := f.arrive("a", own(1))
+			ticket := f.machine.entry.requests[id].id
+			f.step(MessageReceived{From: "other", Incarnation: 5, Message: Refusal{
+				Ticket: ticket, Shard: ShardID{Pool: "gen"}, Code: result.Overloaded, RetryAfter: time.Second,
+			}})
+		}
+		f.now += c.after
+		f.hearsLarger()
+		if got := unansweredGrants(f, requests); got < c.least || got > c.most {
+			t.Errorf("%s: %d of %d granted", c.name, got, requests)
+		}
+	}
+}
