--- a/control/loadtest/world.go
+++ b/control/loadtest/world.go
@@ -53,9 +53,9 @@
 	up      bool
 	inc     control.Incarnation
 	runs    map[control.GrantID]*run
-	// stalled holds the events that it has not taken in; nil unless it stalls.
-	stalled []control.Event
+	// stalls says that it takes nothing in, and stalled holds what waits for it meanwhile.
 	stalls  bool
+	stalled []control.Event
 }
 
 // call is a request with its tries.
