--- a/control/rank.go
+++ b/control/rank.go
@@ -74,7 +74,7 @@
 	}
 	shares := q.shard.shares
 	switch {
-	case m.grantsTooMuch(q): // others grant the rest; see alone
+	case m.exceedsLocalLimit(q): // other nodes grant the rest
 		q.rank = rankExcess
 		q.latest = m.now
 	case m.hasReturned(q.ticket.Fingerprint):
--- a/control/shard.go
+++ b/control/shard.go
@@ -20,8 +20,8 @@
 	owned bool
 	// ownedAt is since when.
 	ownedAt Instant
-	// alone bounds what is granted here while another node owns the shard.
-	alone   alone
+	// local bounds what is granted here while another node owns the shard.
+	local   localLimit
 	idleAt  Instant
 	queue   *sched.Queue[*queuedTicket]
 	queued  map[TicketID]*queuedTicket
