--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -95,6 +95,7 @@
 	done       bool
 	outcome    string
 	grantedAt  Instant
+	endedAt    Instant
 	served     time.Duration
 	cost       time.Duration
 }
