Order what the store publishes by its era, so that a return from an older copy is survived

A store that came back from a copy some seconds old gave its revisions out again: entries, removals and listings below the revision known before were dropped until the counter had overtaken it, peers handed the old order on, and routers' own rows were gone.

The era of each answer (Store-Era) is now the upper part of config.Revision, which orders everything that the store publishes, between peers too. An answer of a later era has both feeds loaded again by those that follow them; late answers of an earlier one are dropped. Routers write their rows again, and a list that lacks live routers ends no session.

TestStoreComesBackFromAnOlderCopy: 20 drills at three real routers.

--- a/config/route.go
+++ b/config/route.go
@@ -220,16 +220,18 @@
 }
 
 // String names the order of a snapshot for logs.
-func (o Order) String() string { return fmt.Sprintf("%d/%d", o.Version, o.Targets) }
+func (o Order) String() string { return fmt.Sprintf("%d at %s", o.Version, o.Targets) }
 
 // Order ranks snapshots: by version, and for one version by the revision of
 // the listing that the targets were read from. A node only moves upwards.
 type Order struct {
 	// Version is the configuration version.
 	Version Version
+	// Config is Snapshot.ConfigRevision. It tells writings of one version apart.
+	Config Revision
 	// Targets is the revision of the listing of targets; zero if the targets
 	// are part of the version.
-	Targets uint64
+	Targets Revision
 	// Lapsed is Snapshot.TargetsLapsed. It counts at this router only.
 	Lapsed uint64
 }
@@ -240,10 +242,13 @@
 	if o.Version < other.Version || o.Targets < other.Targets || o.Lapsed < other.Lapsed {
 		return false
 	}
+	if o.Version == other.Version && o.Config < other.Config {
+		return false
+	}
 	return o != other
 }
 
 // Order returns the snapshot's order.
 func (s *Snapshot) Order() Order {
-	return Order{Version: s.Version, Targets: s.TargetsRevision, Lapsed: s.TargetsLapsed}
+	return Order{Version: s.Version, Config: s.ConfigRevision, Targets: s.TargetsRevision, Lapsed: s.TargetsLapsed}
 }
--- a/config/types.go
+++ b/config/types.go
@@ -133,7 +133,10 @@
 	Digest Digest `json:"digest"`
 	// TargetsRevision is the revision of the listing that the targets were read
 	// from; zero if operators declare the targets as part of the version.
-	TargetsRevision uint64 `json:"targets_revision,omitempty"`
+	TargetsRevision Revision `json:"targets_revision,omitempty"`
+	// ConfigRevision is the revision at which this version was written, for versions that
+	// the platform publishes. One that it lost and that is written again may have changed.
+	ConfigRevision Revision `json:"-"`
 	// TargetsLapsed counts the targets that this router took off the listing after it had
 	// doubted their removal. The listing without them has no revision of its own.
 	TargetsLapsed uint64 `json:"-"`
--- a/control/commands.go
+++ b/control/commands.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/result"
 )
 
@@ -74,7 +75,7 @@
 	From    NodeID
 	Version uint64
 	// TargetsRevision is the revision of that member's listing of targets.
-	TargetsRevision uint64
+	TargetsRevision config.Revision
 }
 
 // FeedTurn says whether this node has to follow the platform's feeds itself. Others
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -54,6 +54,7 @@
 	beat := Heartbeat{Incarnation: m.epoch, Leaving: m.draining, Follows: m.fleet.feeds.live}
 	if m.topo != nil {
 		beat.ConfigVersion = uint64(m.topo.order.Version)
+		beat.ConfigRevision = m.topo.order.Config
 		beat.TargetsRevision = m.topo.order.Targets
 	}
 	return beat
@@ -77,7 +78,9 @@
 	if m.topo == nil {
 		return true
 	}
-	return beat.ConfigVersion > uint64(m.topo.order.Version) || beat.TargetsRevision > m.topo.order.Targets
+	own := m.topo.order
+	writtenAgain := beat.ConfigVersion == uint64(own.Version) && beat.ConfigRevision > own.Config
+	return beat.ConfigVersion > uint64(own.Version) || writtenAgain || beat.TargetsRevision > own.Targets
 }
 
 func (m *Machine) suspectReceived(from NodeID, msg SuspectNotice) {
--- a/control/loadtest/world.go
+++ b/control/loadtest/world.go
@@ -227,7 +227,7 @@
 		partial.Targets[name] = d.Targets[name]
 		next := partial
 		next.Targets = maps.Clone(partial.Targets)
-		w.step(r, control.ConfigChanged{Snapshot: &config.Snapshot{Version: 1, Declarations: next, TargetsRevision: uint64(i + 1)}})
+		w.step(r, control.ConfigChanged{Snapshot: &config.Snapshot{Version: 1, Declarations: next, TargetsRevision: config.Revision(i + 1)}})
 	}
 	var members []control.Member
 	for _, other := range w.routers {
--- a/control/messages.go
+++ b/control/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/result"
 )
 
@@ -138,9 +139,10 @@
 type Heartbeat struct {
 	Incarnation   Incarnation
 	ConfigVersion uint64
-	// TargetsRevision is the revision of the listing of targets; see config.Order.
-	TargetsRevision uint64
-	Leaving         bool
+	// ConfigRevision and TargetsRevision are the revisions of the version and of the listing
+	// of targets; see config.Order.
+	ConfigRevision, TargetsRevision config.Revision
+	Leaving                         bool
 	// Follows says that the node follows the platform's feeds, and that they answer.
 	Follows bool
 }
--- a/devfleet/metrics_test.go
+++ b/devfleet/metrics_test.go
@@ -39,6 +39,7 @@
 	"walnut_directory_answer_age_seconds",
 	"walnut_directory_call_age_seconds",
 	"walnut_directory_stale_seconds",
+	"walnut_directory_era",
 	// Measured on a managed platform only; an empty histogram is not exported.
 	"walnut_router_lag_seconds",
 }
--- a/directory/exchange.go
+++ b/directory/exchange.go
@@ -10,38 +10,68 @@
 
 // exported is the directory as one router gives it to another.
 type exported struct {
-	Version      config.Version            `json:"version"`
-	Declarations config.Declarations       `json:"declarations"`
-	Targets      map[string]exportedTarget `json:"targets"`
-	Gone         map[string]uint64         `json:"gone"`
+	Version        config.Version            `json:"version"`
+	ConfigRevision config.Revision           `json:"config_revision,omitempty"`
+	Declarations   config.Declarations       `json:"declarations"`
+	Targets        map[string]exportedTarget `json:"targets"`
+	Gone           map[string]exportedGone   `json:"gone"`
 	// Lapsed holds removals that are not believed yet. The other router has to have them
 	// with what came after them, as it will not ask for what is older again.
-	Lapsed   map[string]exportedLapse `json:"lapsed,omitempty"`
-	Revision uint64                   `json:"revision"`
+	Lapsed map[string]exportedLapse `json:"lapsed,omitempty"`
+	// Unconfirmed holds entries that are not used yet, for the same reason.
+	Unconfirmed map[string]exportedUnconfirmed `json:"unconfirmed,omitempty"`
+	Revision    config.Revision                `json:"revision"`
+	EraListed   config.Revision                `json:"era_listed,omitempty"`
 }
 
 type exportedTarget struct {
-	Target   config.Target `json:"target"`
-	Revision uint64        `json:"revision"`
+	Target   config.Target   `json:"target"`
+	Revision config.Revision `json:"revision"`
+	// Corrected says that the platform lists the target as staying still.
+	Corrected bool `json:"corrected,omitempty"`
+}
+
+type exportedGone struct {
+	Revision config.Revision `json:"revision"`
+	Start    int64           `json:"start,omitempty"`
 }
 
 type exportedLapse struct {
-	Revision uint64 `json:"revision"`
+	Revision config.Revision `json:"revision"`
 	// Left is the time, in nanoseconds, until the removal is believed.
 	Left time.Duration `json:"left"`
 }
 
+type exportedUnconfirmed struct {
+	exportedTarget
+	// Left is the time, in nanoseconds, until the entry is believed.
+	Left time.Duration `json:"left"`
+}
+
 // Known is what a router has of the directory.
 type Known struct {
-	Version  config.Version `json:"version"`
-	Revision uint64         `json:"revision"`
+	Version        config.Version  `json:"version"`
+	ConfigRevision config.Revision `json:"config_revision,omitempty"`
+	Revision       config.Revision `json:"revision"`
+	// Untold says that all of it comes from the platform itself, which may list as staying
+	// what other routers know to have left.
+	Untold bool `json:"untold,omitempty"`
 }
 
 // Known returns what this router has, for Export at another.
 func (f *Follower) Known() Known {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Known{Version: f.state.configuration.Version, Revision: f.state.revision}
+	own := f.state.configuration
+	return Known{Version: own.Version, ConfigRevision: own.Revision, Revision: f.state.revision, Untold: !f.state.told}
+}
+
+// IsUntold says that all that is known here comes from the platform itself, so that a peer has
+// to be asked once.
+func (f *Follower) IsUntold() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.listed && !f.state.told
 }
 
 // Export encodes what is known here and not to another router.
@@ -63,22 +93,86 @@
 	if err := json.Unmarshal(encoded, &content); err != nil {
 		return fmt.Errorf("directory: decode from %s: %w", from, err)
 	}
+	f.change("peer "+from, func(s *state) bool { return s.merge(content, time.Now(), f.grace()) })
+	return nil
+}
+
+// export copies what another router does not know yet: all targets changed, removed or
+// doubted after its revision, and the configuration if its own is older. To a router of an
+// era before, that is all there is.
+func (s *state) export(known Known, now time.Time) exported {
+	content := exported{
+		Targets:     make(map[string]exportedTarget),
+		Gone:        make(map[string]exportedGone),
+		Lapsed:      make(map[string]exportedLapse),
+		Unconfirmed: make(map[string]exportedUnconfirmed),
+		Revision:    s.revision,
+		EraListed:   s.eraListed,
+	}
+	own := s.configuration
+	if own.Version > known.Version || own.Version == known.Version && own.Revision > known.ConfigRevision {
+		content.Version, content.ConfigRevision = own.Version, own.Revision
+		content.Declarations = own.Declarations
+	}
+	for name, k := range s.targets {
+		if k.revision > known.Revision || k.corrected && known.Untold {
+			content.Targets[name] = exportedTarget{Target: k.target, Revision: k.revision, Corrected: k.corrected}
+		}
+	}
+	for name, r := range s.gone {
+		if r.revision > known.Revision {
+			content.Gone[name] = exportedGone{Revision: r.revision, Start: r.start}
+		}
+	}
+	for name, l := range s.lapsed {
+		if l.revision > known.Revision {
+			content.Lapsed[name] = exportedLapse{Revision: l.revision, Left: l.until.Sub(now)}
+		}
+	}
+	for name, u := range s.unconfirmed {
+		content.Unconfirmed[name] = exportedUnconfirmed{
+			exportedTarget: exportedTarget{Target: u.target, Revision: u.revision},
+			Left:           u.until.Sub(now),
+		}
+	}
+	return content
+}
+
+// merge takes in what another router exported. It has judged for itself whether to believe
+// a removal. grace is how long targets that it lacks may take to be listed again, if it is of
+// a later era.
+func (s *state) merge(content exported, now time.Time, grace time.Duration) bool {
+	configuration := Configuration{Version: content.Version, Revision: content.ConfigRevision, Declarations: content.Declarations}
+	changed := s.configure(configuration)
+	s.listed, s.told = true, true
+	restored := content.Revision.Era() > s.revision.Era() && s.revision > 0
+	if content.EraListed > 0 {
+		s.enter(content.EraListed)
+	}
 	entries := make([]Entry[config.Target], 0, len(content.Targets)+len(content.Gone))
 	for name, target := range content.Targets {
 		entries = append(entries, Entry[config.Target]{Key: name, Revision: target.Revision, Value: target.Target})
 	}
-	for name, revision := range content.Gone {
-		entries = append(entries, Entry[config.Target]{Key: name, Revision: revision, Gone: true})
+	for name, gone := range content.Gone {
+		entries = append(entries, Entry[config.Target]{Key: name, Revision: gone.Revision, Gone: true})
+	}
+	changed = s.apply(s.sift(entries, now.Add(grace)), time.Time{}) || changed
+	for name, target := range content.Targets {
+		changed = target.Corrected && s.correct(name, target.Revision) || changed
+	}
+	for name, u := range content.Unconfirmed {
+		changed = s.suspend(name, unconfirmed{target: u.Target, revision: u.Revision, until: now.Add(u.Left)}) || changed
 	}
-	f.change("peer "+from, func(s *state) bool {
-		configured := s.configure(Configuration{Version: content.Version, Declarations: content.Declarations})
-		s.listed = true
-		// The other router has judged for itself whether to believe a removal.
-		applied := s.apply(entries, time.Time{})
-		for name, l := range content.Lapsed {
-			applied = s.remove(name, l.Revision, time.Now().Add(l.Left)) || applied
+	for name, l := range content.Lapsed {
+		changed = s.remove(name, l.Revision, now.Add(l.Left)) || changed
+	}
+	if !restored {
+		return changed
+	}
+	for name := range s.targets {
+		if _, listed := content.Targets[name]; !listed {
+			s.remove(name, content.Revision, now.Add(grace))
 		}
-		return configured || applied
-	})
-	return nil
+	}
+	return true
 }
--- a/directory/feed.go
+++ b/directory/feed.go
@@ -18,27 +18,30 @@
 // revision that was asked for: everything has to be loaded again.
 var ErrHistoryLost = errors.New("directory: the platform has dropped these changes")
 
+// ErrRestored says that the platform came back from an older copy, in a new era: changes after
+// a revision of the era before cannot be told, and everything has to be loaded again.
+var ErrRestored = errors.New("directory: the platform came back from an older copy")
+
 // Feed publishes entries of one type. Its methods are safe for concurrent use.
 type Feed[T any] interface {
 	// Load returns all entries as of one moment.
 	Load(ctx context.Context) (Listing[T], error)
 	// Follow returns the changes after a revision as soon as there is one, or an
-	// empty listing once patience has passed. Its errors may be ErrHistoryLost.
-	Follow(ctx context.Context, after uint64, patience time.Duration) (Listing[T], error)
+	// empty listing once hold has passed. Its errors may be ErrHistoryLost and ErrRestored.
+	Follow(ctx context.Context, after config.Revision, hold time.Duration) (Listing[T], error)
 }
 
 // Listing is all entries, or the changed ones, as of a revision.
 type Listing[T any] struct {
 	Entries []Entry[T]
 	// Revision is where Follow goes on.
-	Revision uint64
+	Revision config.Revision
 }
 
-// Entry is one published value. Revisions come from one counter that grows with
-// every change on the platform.
+// Entry is one published value. Revisions grow with every change on the platform.
 type Entry[T any] struct {
 	Key      string
-	Revision uint64
+	Revision config.Revision
 	// Gone says that the entry was removed at this revision; Value is empty then.
 	Gone  bool
 	Value T
@@ -47,6 +50,8 @@
 // Configuration is a published configuration version without its targets.
 type Configuration struct {
 	Version config.Version
+	// Revision is that of the entry.
+	Revision config.Revision
 	// Declarations holds everything but the targets.
 	Declarations config.Declarations
 }
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -31,8 +31,12 @@
 	feedLosses   = metrics.GetOrCreateCounter(`walnut_directory_feed_losses_total`)
 	overdueCalls = metrics.GetOrCreateCounter(`walnut_directory_calls_overdue_total`)
 	doubtsRaised = metrics.GetOrCreateCounter(`walnut_directory_doubts_total`)
-	reloads      = metrics.GetOrCreateCounter(`walnut_directory_reloads_total`)
-	doubted      = metrics.GetOrCreateCounter(`walnut_directory_removals_doubted_total`)
+	restorations = metrics.GetOrCreateCounter(`walnut_directory_restorations_total`)
+	reloads      = map[error]*metrics.Counter{
+		ErrHistoryLost: metrics.GetOrCreateCounter(`walnut_directory_reloads_total{reason="history_lost"}`),
+		ErrRestored:    metrics.GetOrCreateCounter(`walnut_directory_reloads_total{reason="restored"}`),
+	}
+	doubted = metrics.GetOrCreateCounter(`walnut_directory_removals_doubted_total`)
 )
 
 // Options configure a Follower.
@@ -49,6 +53,12 @@
 	// ShortestLapse is how long the platform has to be away for entries to lapse; see
 	// settings.Platform.
 	ShortestLapse time.Duration
+	// LongestLapse is how long the platform may list a target that renews its entry no more;
+	// see settings.Platform.
+	LongestLapse time.Duration
+	// OnRestored is told when the platform came back from an older copy, which lacks what
+	// routers wrote there since; nil: nobody is. It must not block.
+	OnRestored func()
 	// Shared says that routers take turns: this one follows the feeds while SetTurn
 	// says so, and learns from peers by Import otherwise.
 	Shared bool
@@ -132,9 +142,12 @@
 		return time.Time{}
 	}
 	doubted.Inc()
-	return f.returnedAt.Add(f.options.ReturnGrace + returnMargin)
+	return f.returnedAt.Add(f.grace())
 }
 
+// grace is how long entries may take to return once the platform is back.
+func (f *Follower) grace() time.Duration { return f.options.ReturnGrace + returnMargin }
+
 func (f *Follower) configured(listing Listing[Configuration], _ arrival) {
 	f.change("platform", func(s *state) bool {
 		changed := false
@@ -146,6 +159,7 @@
 				f.options.Log.Info("directory: Older version passed over.", "version", uint64(entry.Value.Version),
 					"in_force", uint64(s.configuration.Version), "revision", entry.Revision)
 			}
+			entry.Value.Revision = entry.Revision
 			changed = s.configure(entry.Value) || changed
 		}
 		return changed
@@ -157,17 +171,20 @@
 		first := !s.listed
 		s.listed = true
 		entries := listing.Entries
+		restored := s.revision > 0 && s.revision.Era() < listing.Revision.Era()
 		if how.whole {
+			s.enter(listing.Revision)
+			listing.Entries = s.sift(entries, time.Now().Add(f.options.LongestLapse))
 			entries = s.withMissing(listing)
 		}
-		if how.afterLoss {
+		if how.afterLoss || restored {
 			f.returnedAt = time.Now()
 		}
 		believeAt := f.believeAt()
 		if believeAt.IsZero() && s.emptiesPool(entries) {
-			believeAt = time.Now().Add(f.options.ReturnGrace + returnMargin)
+			believeAt = time.Now().Add(f.grace())
 		}
-		return s.apply(entries, believeAt) || first
+		return s.apply(entries, believeAt) || first || restored
 	})
 }
 
@@ -176,8 +193,10 @@
 func (f *Follower) change(source string, apply func(*state) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := f.state.configuration.Version
-	if !apply(&f.state) {
+	before, revisionBefore := f.state.configuration.Version, f.state.revision
+	changed := apply(&f.state)
+	f.noteEra(source, revisionBefore)
+	if !changed {
 		f.wakeLapsed()
 		return
 	}
@@ -187,11 +206,32 @@
 		return
 	}
 	f.options.Log.Info("directory: Changed.", "source", source, "version", uint64(snapshot.Version), "version_before", uint64(before),
-		"targets", len(snapshot.Declarations.Targets), "targets_revision", snapshot.TargetsRevision)
+		"targets", len(snapshot.Declarations.Targets), "targets_revision", snapshot.TargetsRevision.String())
 	f.options.OnChange(snapshot)
 	f.readyOnce.Do(func() { close(f.ready) })
 }
 
+// noteEra tells that the platform came back from an older copy. f.mu must be held.
+func (f *Follower) noteEra(source string, before config.Revision) {
+	now := f.state.revision
+	if before == 0 || before.Era() == now.Era() {
+		return
+	}
+	f.options.Log.Warn("directory: Platform came back from an older copy.", "source", source, "era", now.Era(), "era_before", before.Era(),
+		"revision", f.state.eraListed.Counter(), "revision_before", before.Counter())
+	restorations.Inc()
+	if f.options.OnRestored != nil {
+		f.options.OnRestored()
+	}
+}
+
+// Era counts how often the platform came back from an older copy, as far as is known here.
+func (f *Follower) Era() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.revision.Era()
+}
+
 // wakeLapsed lets expireLapsed look again.
 func (f *Follower) wakeLapsed() {
 	select {
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -17,7 +17,7 @@
 type fakeFeed[T any] struct {
 	mu       sync.Mutex
 	entries  map[string]Entry[T]
-	revision uint64
+	revision config.Revision
 	down     bool
 	// silent makes calls to Load that come before it ends hang until they give up.
 	silent time.Time
@@ -34,7 +34,7 @@
 var errDown = errors.New("down")
 
 // set changes entries together and returns their revision.
-func (f *fakeFeed[T]) set(entries ...Entry[T]) uint64 {
+func (f *fakeFeed[T]) set(entries ...Entry[T]) config.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.revision++
@@ -80,8 +80,8 @@
 }
 
 // Follow implements Feed.
-func (f *fakeFeed[T]) Follow(ctx context.Context, after uint64, patience time.Duration) (Listing[T], error) {
-	timer := time.NewTimer(patience)
+func (f *fakeFeed[T]) Follow(ctx context.Context, after config.Revision, hold time.Duration) (Listing[T], error) {
+	timer := time.NewTimer(hold)
 	defer timer.Stop()
 	for {
 		f.mu.Lock()
@@ -93,6 +93,12 @@
 		}
 		down, forgetful, changed := f.down, f.forgetful, f.changed
 		f.mu.Unlock()
+		switch {
+		case !down && listing.Revision.Era() != after.Era():
+			return Listing[T]{}, ErrRestored
+		case !down && after > listing.Revision:
+			return Listing[T]{}, ErrHistoryLost
+		}
 		if forgetful {
 			return Listing[T]{}, ErrHistoryLost
 		}
@@ -156,6 +162,7 @@
 	options.OnFollowing = func(live bool) { s.live = live }
 	options.ReturnGrace = 2 * time.Second
 	options.ShortestLapse = 2 * time.Second
+	options.LongestLapse = longestLapse
 	options.Log = slog.New(slog.DiscardHandler)
 	s.follower = New(options)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -170,6 +177,9 @@
 	})
 }
 
+// longestLapse is how long the platform lists a target that is gone.
+const longestLapse = 4 * time.Second
+
 func version(number config.Version) Entry[Configuration] {
 	return Entry[Configuration]{Key: "config", Value: Configuration{
 		Version:      number,
--- a/directory/poller.go
+++ b/directory/poller.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/wait"
 )
 
@@ -67,7 +68,7 @@
 	seen     *answers
 
 	loaded bool
-	after  uint64
+	after  config.Revision
 	// proven says that the next call for changes may wait for long, unless doubted was
 	// closed since the answer before it.
 	proven  bool
@@ -111,11 +112,10 @@
 			turn.setLive(p.name, true)
 		}
 		listing, err := p.ask(ctx)
-		switch {
-		case err == nil:
+		if err == nil {
 			p.arrived(ctx, listing)
-		case errors.Is(err, ErrHistoryLost):
-			p.reload(ctx)
+		} else if reason := reloadReason(err); reason != nil {
+			p.reload(ctx, reason)
 		}
 	}
 }
@@ -143,7 +143,7 @@
 		}
 		select {
 		case o := <-outcomes:
-			if o.err == nil || errors.Is(o.err, ErrHistoryLost) {
+			if o.err == nil || reloadReason(o.err) != nil {
 				return o.listing, o.err
 			}
 			p.failed(o.err, retry)
@@ -268,7 +268,7 @@
 	p.lost = true
 	feedLosses.Inc()
 	answered, waited := p.seen.age()
-	p.follower.options.Log.Warn("directory: Feed lost.", "feed", p.name, "revision", p.after, "waited", waited,
+	p.follower.options.Log.Warn("directory: Feed lost.", "feed", p.name, "revision", p.after.String(), "waited", waited,
 		"answered_before", answered, "error", err)
 	p.seen.noteOverdue()
 	p.follower.turn.setLive(p.name, false)
@@ -281,7 +281,7 @@
 	p.seen.noteAnswer()
 	p.doubted = p.follower.doubts.next()
 	if p.lost {
-		p.follower.options.Log.Info("directory: Feed regained.", "feed", p.name, "revision", listing.Revision,
+		p.follower.options.Log.Info("directory: Feed regained.", "feed", p.name, "revision", listing.Revision.String(),
 			"answered_before", silence)
 	}
 	p.take(listing, arrival{whole: !p.loaded, afterLoss: p.lost && silence >= p.follower.options.ShortestLapse})
@@ -298,10 +298,23 @@
 	}
 }
 
+// reloadReason returns the reason in an error why everything has to be loaded again, or nil.
+func reloadReason(err error) error {
+	for reason := range reloads {
+		if errors.Is(err, reason) {
+			return reason
+		}
+	}
+	return nil
+}
+
 // reload lets everything be loaded again, after a pause.
-func (p *poller[T]) reload(ctx context.Context) {
-	p.follower.options.Log.Warn("directory: History is gone, loading everything.", "feed", p.name, "revision", p.after)
-	reloads.Inc()
+func (p *poller[T]) reload(ctx context.Context, reason error) {
+	p.follower.options.Log.Warn("directory: Loading everything.", "feed", p.name, "revision", p.after.String(), "reason", reason)
+	reloads[reason].Inc()
+	if reason == ErrRestored && p.loaded {
+		p.follower.Doubt() // The other feed's calls wait for changes of the era before.
+	}
 	p.loaded, p.proven = false, false
 	wait.For(ctx, jittered(p.reloadPause))
 	p.reloadPause = min(2*p.reloadPause, longestPause)
--- a/directory/silence_test.go
+++ b/directory/silence_test.go
@@ -94,14 +94,14 @@
 }
 
 // Follow implements Feed.
-func (f silencedFeed[T]) Follow(ctx context.Context, after uint64, patience time.Duration) (Listing[T], error) {
+func (f silencedFeed[T]) Follow(ctx context.Context, after config.Revision, hold time.Duration) (Listing[T], error) {
 	lost := f.store.count()
 	if f.store.left() > 0 {
 		<-ctx.Done()
 		return Listing[T]{}, ctx.Err()
 	}
 	for {
-		listing, err := f.fakeFeed.Follow(ctx, after, patience)
+		listing, err := f.fakeFeed.Follow(ctx, after, hold)
 		silent := f.store.left()
 		select {
 		case <-lost:
--- a/directory/state.go
+++ b/directory/state.go
@@ -12,42 +12,61 @@
 	// listed says that the targets were listed at least once.
 	listed  bool
 	targets map[string]known
-	// gone holds the revisions at which targets were removed, so that an older
-	// listing does not bring them back.
-	gone map[string]uint64
+	// gone holds the removals of targets, so that an older listing does not bring them
+	// back.
+	gone map[string]removal
 	// lapsed holds the targets whose entries are missing, with the time at which
 	// they are taken as gone: see Options.ReturnGrace.
 	lapsed map[string]lapse
+	// unconfirmed holds the entries that may stand in an older copy of the platform's
+	// store only; see state.isContradicted.
+	unconfirmed map[string]unconfirmed
+	// eraListed is the first listing of the present era. What is not above it may be older
+	// than the era.
+	eraListed config.Revision
 	// revision is the highest revision applied.
-	revision uint64
-	// believed counts the lapses that were believed. Such a removal is older than what
-	// was applied since, so revision does not show it.
+	revision config.Revision
+	// told says that a peer told what it knows.
+	told bool
+	// believed counts what came to be believed with time, or by a peer's word, alone. Such a
+	// change is older than what was applied since, so revision does not show it.
 	believed uint64
 }
 
 // known is a target as it was published.
 type known struct {
 	target   config.Target
-	revision uint64
+	revision config.Revision
+	// corrected says that the target leaves, as was known in the era before, though the
+	// platform does not list it so yet.
+	corrected bool
+}
+
+// removal is that of a target, by the start that it had.
+type removal struct {
+	revision config.Revision
+	start    int64
 }
 
 // lapse is a removal that is not yet believed.
 type lapse struct {
-	revision uint64
+	revision config.Revision
 	until    time.Time
 }
 
 func newState() state {
 	return state{
-		targets: make(map[string]known),
-		gone:    make(map[string]uint64),
-		lapsed:  make(map[string]lapse),
+		targets:     make(map[string]known),
+		gone:        make(map[string]removal),
+		lapsed:      make(map[string]lapse),
+		unconfirmed: make(map[string]unconfirmed),
 	}
 }
 
-// configure takes a version over if it is newer.
+// configure takes a version over if it is newer, or was written again later.
 func (s *state) configure(c Configuration) bool {
-	if c.Version <= s.configuration.Version {
+	own := s.configuration
+	if c.Version < own.Version || c.Version == own.Version && c.Revision <= own.Revision {
 		return false
 	}
 	s.configuration = c
@@ -70,20 +89,35 @@
 
 func (s *state) put(entry Entry[config.Target]) bool {
 	old, exists := s.targets[entry.Key]
-	if entry.Revision <= s.gone[entry.Key] || (exists && entry.Revision < old.revision) {
+	if entry.Revision <= s.gone[entry.Key].revision || (exists && entry.Revision < old.revision) {
 		return false
 	}
+	if !exists && entry.Revision.Era() < s.revision.Era() {
+		return false // Nothing would tell of its removal any more.
+	}
+	next := known{target: entry.Value, revision: entry.Revision}
+	if exists && s.mayBeCopied(entry.Revision, old.revision) && entry.Value.Start == old.target.Start && old.target.Leaving {
+		next.corrected = !next.target.Leaving
+		next.target.Leaving = true
+	}
 	delete(s.gone, entry.Key)
 	delete(s.lapsed, entry.Key)
+	delete(s.unconfirmed, entry.Key)
 	if exists && entry.Revision == old.revision {
 		return false
 	}
-	s.targets[entry.Key] = known{target: entry.Value, revision: entry.Revision}
+	s.targets[entry.Key] = next
 	s.revision = max(s.revision, entry.Revision)
 	return true
 }
 
-func (s *state) remove(key string, revision uint64, believeAt time.Time) bool {
+func (s *state) remove(key string, revision config.Revision, believeAt time.Time) bool {
+	if u, waits := s.unconfirmed[key]; waits && u.revision < revision {
+		delete(s.unconfirmed, key)
+		s.gone[key] = removal{revision: revision, start: u.target.Start}
+		s.revision = max(s.revision, revision)
+		return true
+	}
 	old, exists := s.targets[key]
 	if !exists || revision < old.revision {
 		return false
@@ -96,7 +130,7 @@
 	}
 	delete(s.targets, key)
 	delete(s.lapsed, key)
-	s.gone[key] = revision
+	s.gone[key] = removal{revision: revision, start: old.target.Start}
 	s.revision = max(s.revision, revision)
 	return true
 }
@@ -145,19 +179,28 @@
 	return entries
 }
 
-// expire believes the removals whose time has come and returns when the next one
-// is due; zero if none is.
+// expire believes the removals and entries whose time has come and returns when the next
+// one is due; zero if none is.
 func (s *state) expire(now time.Time) (changed bool, next time.Time) {
+	due := func(until time.Time) bool {
+		if !now.Before(until) {
+			return true
+		}
+		if next.IsZero() || until.Before(next) {
+			next = until
+		}
+		return false
+	}
 	for key, l := range s.lapsed {
-		if !now.Before(l.until) {
-			if s.remove(key, l.revision, time.Time{}) {
-				s.believed++
-				changed = true
-			}
-			continue
+		if due(l.until) && s.remove(key, l.revision, time.Time{}) {
+			s.believed++
+			changed = true
 		}
-		if next.IsZero() || l.until.Before(next) {
-			next = l.until
+	}
+	for key, u := range s.unconfirmed {
+		if due(u.until) && s.confirm(key, u) {
+			s.believed++
+			changed = true
 		}
 	}
 	return changed, next
@@ -179,38 +222,8 @@
 	return &config.Snapshot{
 		Version:         s.configuration.Version,
 		Declarations:    declarations,
+		ConfigRevision:  s.configuration.Revision,
 		TargetsRevision: s.revision,
 		TargetsLapsed:   s.believed,
 	}
 }
-
-// export copies what another router does not know yet: all targets changed,
-// removed or doubted after its revision, and the configuration if its version is older.
-func (s *state) export(known Known, now time.Time) exported {
-	content := exported{
-		Targets:  make(map[string]exportedTarget),
-		Gone:     make(map[string]uint64),
-		Lapsed:   make(map[string]exportedLapse),
-		Revision: s.revision,
-	}
-	if s.configuration.Version > known.Version {
-		content.Version = s.configuration.Version
-		content.Declarations = s.configuration.Declarations
-	}
-	for name, k := range s.targets {
-		if k.revision > known.Revision {
-			content.Targets[name] = exportedTarget{Target: k.target, Revision: k.revision}
-		}
-	}
-	for name, revision := range s.gone {
-		if revision > known.Revision {
-			content.Gone[name] = revision
-		}
-	}
-	for name, l := range s.lapsed {
-		if l.revision > known.Revision {
-			content.Lapsed[name] = exportedLapse{Revision: l.revision, Left: l.until.Sub(now)}
-		}
-	}
-	return content
-}
--- /dev/null
+++ b/managedtest/restore_test.go
@@ -0,0 +1,172 @@
+package managedtest
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/platform/wire"
+	"github.com/walnutcove/walnutcove/router"
+	"github.com/walnutcove/walnutcove/standin/managed"
+)
+
+// drills is how often the store comes back from an older copy in one test.
+const drills = 20
+
+// TestStoreComesBackFromAnOlderCopy guards against believing the store's revisions across its
+// return from an older copy, which gives them out again: versions, targets that start and
+// targets that leave are in force at every router soon after the return.
+func TestStoreComesBackFromAnOlderCopy(t *testing.T) {
+	f := startFleet(t, 3, ops("o1"), ops("o2"), gen("g1"))
+	f.waitJoined()
+	time.Sleep(2 * time.Second) // until the routers follow the store
+	for n := range drills {
+		t.Run("drill "+strconv.Itoa(n), func(t *testing.T) {
+			f.t = t
+			f.drill(n)
+		})
+	}
+}
+
+// drill loses what was written since a copy: two versions, a target that started and one
+// that left. The operator writes its newest again, and targets that live do.
+func (f *fleet) drill(n int) {
+	leaving := f.lasting(fmt.Sprintf("leaves-%d", n))
+	f.awaitTarget(leaving.ID(), false)
+	from := f.store.Copy()
+	f.configure(nil)
+	f.configure(nil)
+	lost := f.lasting(fmt.Sprintf("lost-%d", n))
+	f.awaitTarget(lost.ID(), false)
+	leaving.Leave()
+	f.awaitTarget(leaving.ID(), true)
+
+	f.store.SetFault(managed.Refusing)
+	time.Sleep(50 * time.Millisecond)
+	f.store.Restore(from)
+	f.store.SetFault(managed.Healthy)
+	returned := time.Now()
+	newest := f.version
+	f.configure(nil)
+	started := f.lasting(fmt.Sprintf("starts-%d", n))
+	leaving.Renew()
+	lost.Renew()
+	for i, r := range f.routers {
+		for !f.knowsAfterDrill(r, started.ID(), leaving.ID(), lost.ID()) && time.Since(returned) < patience {
+			if known := r.InForce().Version; known < config.Version(newest) {
+				f.t.Fatalf("router %d went back to version %d from %d", i, known, newest)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		if took := time.Since(returned); took > soon {
+			f.t.Errorf("router %d has the news %s after the store's return", i, took)
+		}
+		got := f.send(r, pathOps)
+		if runs := f.journal.Runs(got.ID); got.Status != http.StatusOK || len(runs) != 1 || runs[0].Left > 0 {
+			f.t.Errorf("router %d: status %d, %s, runs %+v", i, got.Status, got.Body, runs)
+		}
+	}
+	for _, r := range []*managed.Replica{leaving, lost, started} {
+		r.Leave()
+		f.awaitTarget(r.ID(), true)
+		r.Close()
+	}
+}
+
+func (f *fleet) knowsAfterDrill(r *router.Router, started, leaving, lost string) bool {
+	snapshot := r.InForce()
+	targets := snapshot.Declarations.Targets
+	_, lists := targets[started]
+	_, keeps := targets[lost]
+	return snapshot.Version == config.Version(f.version) && lists && keeps && targets[leaving].Leaving
+}
+
+// lasting starts a replica that the test closes itself.
+func (f *fleet) lasting(id string) *managed.Replica {
+	f.t.Helper()
+	r, err := managed.StartReplica(f.store, f.journal, ops(id))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return r
+}
+
+// awaitTarget waits until every router knows a target, as leaving or not.
+func (f *fleet) awaitTarget(id string, leaving bool) {
+	f.t.Helper()
+	for n, r := range f.routers {
+		f.eventually(2*soon, fmt.Sprintf("router %d knows %s", n, id), func() bool {
+			target, listed := r.InForce().Declarations.Targets[id]
+			return listed && target.Leaving == leaving
+		})
+	}
+}
+
+// TestOlderCopyUndoesNoRemoval guards against using a target whose removal was known, and
+// that an older copy of the store lists as if it were alive.
+func TestOlderCopyUndoesNoRemoval(t *testing.T) {
+	f := startFleet(t, 2, ops("o1"))
+	f.waitJoined()
+	removed := f.lasting("removed")
+	f.awaitTarget("removed", false)
+	time.Sleep(2 * time.Second)
+	from := f.store.Copy()
+	removed.Close()
+	for n, r := range f.routers {
+		f.eventually(2*soon, fmt.Sprintf("router %d knows the removal", n), func() bool {
+			_, listed := r.InForce().Declarations.Targets["removed"]
+			return !listed
+		})
+	}
+	f.store.Restore(from)
+	f.configure(nil) // wakes the feeds
+	for end := time.Now().Add(soon); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for n, r := range f.routers {
+			if _, listed := r.InForce().Declarations.Targets["removed"]; listed {
+				t.Fatalf("router %d uses a target again that is gone", n)
+			}
+		}
+	}
+	f.store.Drop(wire.TableReplicas, "removed") // it lapses, as nobody renews it
+}
+
+// TestStoreCallsAfterRestore guards against all routers of a fleet loading from the store when
+// it has come back from an older copy: a few load, each announces itself, and no more.
+func TestStoreCallsAfterRestore(t *testing.T) {
+	const (
+		routers = 24
+		// mostEach is how many calls of the store each router may make.
+		mostEach = 3
+		after    = 5 * time.Second
+	)
+	f := startFleet(t, routers, ops("o1"), gen("g1"))
+	f.waitJoined()
+	time.Sleep(2 * time.Second) // until the routers follow the store
+	from := f.store.Copy()
+	f.configure(nil)
+	time.Sleep(time.Second)
+	before := f.storeCalls()
+	f.store.Restore(from)
+	f.configure(nil)
+	time.Sleep(after)
+	calls := f.storeCalls() - before
+	t.Logf("%d calls of %d routers", calls, routers)
+	if calls > mostEach*routers {
+		t.Errorf("%d routers made %d calls", routers, calls)
+	}
+	for n, log := range f.logs {
+		if !log.has("directory: Platform came back from an older copy.") {
+			t.Errorf("router %d did not hear of the return", n)
+		}
+		if f.routers[n].InForce().Version != config.Version(f.version) {
+			t.Errorf("router %d has version %d", n, f.routers[n].InForce().Version)
+		}
+	}
+}
+
+func (f *fleet) storeCalls() int {
+	return f.store.Calls(wire.PathRead) + f.store.Calls(wire.PathChanges) + f.store.Calls(wire.PathTransact)
+}
--- a/peer/wire/codec_member.go
+++ b/peer/wire/codec_member.go
@@ -5,12 +5,19 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/peer/peerpb"
 )
 
 func (e *Encoder) heartbeat(m control.Heartbeat) (*peerpb.Entry, error) {
-	p := &peerpb.Heartbeat{ConfigVersion: m.ConfigVersion, TargetsRevision: m.TargetsRevision, Leaving: m.Leaving, Follows: m.Follows}
+	p := &peerpb.Heartbeat{
+		ConfigVersion:   m.ConfigVersion,
+		ConfigRevision:  uint64(m.ConfigRevision),
+		TargetsRevision: uint64(m.TargetsRevision),
+		Leaving:         m.Leaving,
+		Follows:         m.Follows,
+	}
 	if m.Incarnation != e.sender.Incarnation {
 		p.Incarnation = proto.Uint64(uint64(m.Incarnation))
 	}
@@ -23,7 +30,8 @@
 		ConfigVersion: p.GetConfigVersion(),
 		Leaving:       p.GetLeaving(),
 
-		TargetsRevision: p.GetTargetsRevision(),
+		ConfigRevision:  config.Revision(p.GetConfigRevision()),
+		TargetsRevision: config.Revision(p.GetTargetsRevision()),
 		Follows:         p.GetFollows(),
 	}
 	if p != nil && p.Incarnation != nil {
--- a/router/managed.go
+++ b/router/managed.go
@@ -21,6 +21,9 @@
 	// to be away for before entries lapse. They do after three without one, and the last
 	// came up to one before.
 	heartbeatsToLapse = 2
+	// heartbeatsToVanish is the number of a target's heartbeats after which an entry that is
+	// still listed was renewed: it is removed after three without one.
+	heartbeatsToVanish = 4
 	// peerFetchTimeout bounds the fetch of a peer's directory.
 	peerFetchTimeout = time.Second
 )
@@ -46,6 +49,9 @@
 	joined      chan struct{}
 	// strangers gets a token when a router that is not listed turned up.
 	strangers chan struct{}
+	// restored gets a token when the store came back from an older copy, which may lack this
+	// router's row.
+	restored chan struct{}
 	// caches follows what the targets that are scheduled here keep of prompts.
 	caches *cachewatch.Watcher
 	// overload says when this router asks for no new connections.
@@ -57,7 +63,7 @@
 }
 
 func (r *Router) newManaged() *managed {
-	s := platform.NewStore(r.settings.Platform.Address)
+	s := platform.NewStore(r.settings.Platform.Address, r.log)
 	return &managed{
 		rows:    s,
 		routers: platform.NewRouters(s, r.log),
@@ -67,6 +73,8 @@
 			OnChange:       r.configChanged,
 			ReturnGrace:    time.Duration(r.settings.Platform.ReturnGrace),
 			ShortestLapse:  heartbeatsToLapse * time.Duration(r.settings.Platform.TargetHeartbeat),
+			LongestLapse:   heartbeatsToVanish * time.Duration(r.settings.Platform.TargetHeartbeat),
+			OnRestored:     r.storeRestored,
 			Routers:        func() int { return int(r.members.Load()) },
 			Shared:         true,
 			OnFollowing:    func(live bool) { r.loop.post(control.FeedsFollowed{Live: live}) },
@@ -75,6 +83,7 @@
 		othersKnown: make(chan struct{}),
 		joined:      make(chan struct{}),
 		strangers:   make(chan struct{}, 1),
+		restored:    make(chan struct{}, 1),
 		overload:    &overload{log: r.log, crowded: func() bool { return r.front.IsCrowded() }},
 	}
 }
--- a/router/members.go
+++ b/router/members.go
@@ -37,6 +37,9 @@
 	// known or listed: a large fleet that starts together takes longer to be announced.
 	strangerPause     = 200 * time.Millisecond
 	strangerPauseEach = 3 * time.Millisecond
+	// announceEach is, for each router, the time over which routers announce themselves again:
+	// a part of the store takes 200 transactions a second.
+	announceEach = 10 * time.Millisecond
 	// withdrawTimeout bounds the removal of this router's row at its end.
 	withdrawTimeout = 300 * time.Millisecond
 )
@@ -49,15 +52,39 @@
 	r.untilDone(ctx, "announce this router", announceTimeout, r.announce)
 	for ctx.Err() == nil {
 		r.untilDone(ctx, "read the routers", listTimeout, r.readMembers)
+		r.awaitStrangers(ctx)
+	}
+}
+
+// awaitStrangers waits until the list has to be read again, and keeps this router on it.
+func (r *Router) awaitStrangers(ctx context.Context) {
+	for ctx.Err() == nil {
 		select {
 		case <-r.strangers:
-		case <-ctx.Done():
+			wait.For(ctx, r.strangersGather())
 			return
+		case <-r.restored:
+			r.announceAgain(ctx)
+		case <-ctx.Done():
 		}
-		wait.For(ctx, r.strangersGather())
 	}
 }
 
+// storeRestored takes in that the store came back from an older copy.
+func (r *Router) storeRestored() {
+	select {
+	case r.restored <- struct{}{}:
+	default:
+	}
+}
+
+// announceAgain writes this router's row again. Routers hear of the store's return within
+// milliseconds of each other, so each waits for a random part of the time that all need.
+func (r *Router) announceAgain(ctx context.Context) {
+	wait.For(ctx, rand.N(time.Duration(r.members.Load()+1)*announceEach))
+	r.untilDone(ctx, "announce this router", announceTimeout, r.announce)
+}
+
 // strangersGather is how long routers that turn up are gathered before the list is read.
 func (r *Router) strangersGather() time.Duration {
 	known := int(r.members.Load())
@@ -100,12 +127,34 @@
 	if err != nil {
 		return err
 	}
-	r.log.Info("member: Routers listed.", "count", len(vms))
+	listed := len(vms)
+	vms = r.withLive(vms)
+	r.log.Info("member: Routers listed.", "count", listed, "live_unlisted", len(vms)-listed)
 	r.vmsListed(vms)
 	r.othersOnce.Do(func() { close(r.othersKnown) })
 	return nil
 }
 
+// withLive adds the routers that were listed before and still live: a list that lacks them
+// comes from a copy of the store from before they announced themselves. Routers that leave
+// say so to the others.
+func (r *Router) withLive(vms []store.VM) []store.VM {
+	before, alive := r.vms.Load(), r.lastAlive.Load()
+	if before == nil || alive == nil {
+		return vms
+	}
+	listed := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		listed[vm.Name] = true
+	}
+	for _, vm := range *before {
+		if !listed[vm.Name] && slices.Contains(*alive, control.NodeID(vm.Name)) {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
 // awaitJoined lets this router say that it is ready, once it has a directory and
 // the list of the others. It announces itself before it reads the list, so of two
 // ready routers one at least knows the other, and both can have the directory from
@@ -139,8 +188,12 @@
 	}
 }
 
-// peerConnected reads the routers again if one turned up that is not listed.
+// peerConnected reads the routers again if one turned up that is not listed, and asks the
+// first one what the platform may not list.
 func (r *Router) peerConnected(node control.NodeID) {
+	if r.directory.IsUntold() {
+		r.fetchFrom(node)
+	}
 	if listed := r.vms.Load(); listed != nil {
 		for _, vm := range *listed {
 			if vm.Name == string(node) {
@@ -157,8 +210,12 @@
 // noteMembers takes in which routers live. Only the control goroutine calls it.
 func (r *Router) noteMembers(alive []control.NodeID) {
 	before := r.members.Swap(int64(len(alive)))
-	joined, gone := changes(r.aliveBefore, alive)
-	r.aliveBefore = slices.Clone(alive)
+	now := slices.Clone(alive)
+	var aliveBefore []control.NodeID
+	if previous := r.lastAlive.Swap(&now); previous != nil {
+		aliveBefore = *previous
+	}
+	joined, gone := changes(aliveBefore, now)
 	if len(joined)+len(gone) > 0 {
 		r.log.Info("member: Live routers changed.", "count", len(alive), "before", before,
 			"joined", len(joined), "gone", len(gone), "first_joined", first(joined), "first_gone", first(gone))
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -24,6 +24,7 @@
 	set.NewGauge("walnut_accept_held_bytes"+node, func() float64 { return float64(r.front.HeldBytes()) })
 	if r.managed != nil {
 		publishAges(set, r.settings.Node.Name, r.directory)
+		set.NewGauge("walnut_directory_era"+node, func() float64 { return float64(r.directory.Era()) })
 	}
 	r.loop.publishCounters(set, node)
 	metrics.RegisterSet(set)
--- a/router/router.go
+++ b/router/router.go
@@ -57,11 +57,11 @@
 	// retries is the fleet's retry budget, and members how many routers share it.
 	retries atomic.Pointer[settings.Retries]
 	members atomic.Int64
-	// aliveBefore is the list that noteMembers was given last.
-	aliveBefore []control.NodeID
-	draining    atomic.Bool
-	watched     watched
-	vms         atomic.Pointer[[]store.VM]
+	// lastAlive is the list that noteMembers was given last.
+	lastAlive atomic.Pointer[[]control.NodeID]
+	draining  atomic.Bool
+	watched   watched
+	vms       atomic.Pointer[[]store.VM]
 
 	callers     net.Listener
 	operators   net.Listener
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -171,6 +171,20 @@
 	r.register(wire.StateDraining)
 }
 
+// Renew writes the replica's entry again, as replicas do all the time.
+func (r *Replica) Renew() {
+	r.mu.Lock()
+	state := wire.StateReady
+	if !r.leftAt.IsZero() {
+		state = wire.StateDraining
+	}
+	r.mu.Unlock()
+	r.register(state)
+}
+
+// ID returns the id that the replica registers under.
+func (r *Replica) ID() string { return r.options.ID }
+
 // Close ends the replica and takes it off the list.
 func (r *Replica) Close() {
 	r.store.Drop(wire.TableReplicas, r.options.ID)
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -42,7 +42,9 @@
 	mu       sync.Mutex
 	rows     map[rowKey]wire.Row
 	revision uint64
-	changed  chan struct{}
+	// era rises by one each time that the store comes back from a copy; see Restore.
+	era     uint64
+	changed chan struct{}
 	// losses counts, by the address that callers call, how often their waiting feeds were
 	// lost.
 	losses map[string]int
@@ -70,6 +72,7 @@
 	s := &Store{
 		ended:   make(chan struct{}),
 		rows:    make(map[rowKey]wire.Row),
+		era:     1,
 		changed: make(chan struct{}),
 		losses:  make(map[string]int),
 		faults:  make(map[string]Fault),
@@ -241,6 +244,7 @@
 
 func (s *Store) serve(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
+	defer func() { ctx.Response.Header.Set(wire.HeaderEra, strconv.FormatUint(s.Era(), 10)) }()
 	switch s.faultFor(ctx, path) {
 	case Refusing:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -361,6 +365,9 @@
 		answer := s.read(table, max(after, 1))
 		switch fault := s.faultNow(ctx); {
 		case fault == Silent:
+		case after > answer.Revision && fault == Healthy:
+			ctx.SetStatusCode(fasthttp.StatusGone) // a revision that this copy does not have
+			return
 		case fault != Healthy:
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 			return
