Note the loss of a feed in time, whatever the pauses between calls

A loss was noted at the first call after lostAfter, and the doubled, jittered pauses put that 0.3 to 0.9 s after the first overdue call; the other feed is looked at only then.

Now the next call is due no later than that time.

--- a/directory/poller.go
+++ b/directory/poller.go
@@ -180,6 +180,9 @@
 		p.lose(errUnanswered)
 	}
 	r.schedule(p.longestPause())
+	if !p.lost {
+		r.notAfter(lostAfter)
+	}
 }
 
 // retry is when the next call is due, while none is answered.
@@ -187,8 +190,9 @@
 	timer *time.Timer
 	// since is when the first call failed or became overdue; zero: none did.
 	since time.Time
-	// pause is the mean pause before the call after the next.
+	// pause is the mean pause before the call after the next, and due when the next is due.
 	pause time.Duration
+	due   time.Time
 }
 
 // newRetry returns a retry that is due after a while, if nothing fails before.
@@ -202,10 +206,18 @@
 
 // schedule sets when the next call is due. The pause doubles up to the longest.
 func (r *retry) schedule(longest time.Duration) {
-	r.timer.Reset(jittered(r.pause))
+	r.due = time.Now().Add(jittered(r.pause))
+	r.timer.Reset(time.Until(r.due))
 	r.pause = min(2*r.pause, longest)
 }
 
+// notAfter brings the next call forward to so long after the first one failed.
+func (r *retry) notAfter(since time.Duration) {
+	if bound := r.since.Add(since); bound.Before(r.due) {
+		r.timer.Reset(time.Until(bound))
+	}
+}
+
 // longestPause is the mean pause between calls in the long run.
 func (p *poller[T]) longestPause() time.Duration {
 	if p.loaded || p.follower.options.Routers == nil {
--- a/directory/silence_test.go
+++ b/directory/silence_test.go
@@ -339,3 +339,24 @@
 		})
 	}
 }
+
+// TestLossIsNotedInTime guards against a pause between calls that outlasts lostAfter: the feed
+// whose call met a silence counts as lost in time, and the other one is found out by that.
+func TestLossIsNotedInTime(t *testing.T) {
+	const noted = 2*(provingHold+answerMargin) + lostAfter + 50*time.Millisecond
+	for range 50 {
+		synctest.Test(t, func(t *testing.T) {
+			s, store := startSilenced(t)
+			s.configurations.set(version(5))
+			time.Sleep(100 * time.Millisecond) // until the next call is made
+			store.begin(10 * time.Second)
+			time.Sleep(noted)
+			synctest.Wait()
+			for feed, age := range s.follower.Ages() {
+				if age.Stale == 0 {
+					t.Errorf("%s: not known to be old after %s of silence", feed, noted)
+				}
+			}
+		})
+	}
+}
