Name timeouts, pauses and credits by the terms of the field

patience, owed, mostRest, leastRest, lagFine and doubts are gone: hold, timeout, stall limit, credit, pause, lag recovered, reprobe. walnut_directory_doubts_total is walnut_directory_reprobes_total now. No change of behaviour; tests of the packages pass.

--- a/config/follower/fleet_test.go
+++ b/config/follower/fleet_test.go
@@ -249,7 +249,7 @@
 // await polls for a condition that no event tells of.
 func await(t *testing.T, what string, condition func() bool) {
 	t.Helper()
-	limit := time.Now().Add(patience)
+	limit := time.Now().Add(testTimeout)
 	for !condition() {
 		if time.Now().After(limit) {
 			t.Fatalf("%s did not happen", what)
@@ -287,7 +287,7 @@
 		<-ctx.Done()
 		return Update{}, ctx.Err()
 	})
-	f, seen := start(t, Options{Source: s, Peers: hanging, Timeout: patience})
+	f, seen := start(t, Options{Source: s, Peers: hanging, Timeout: testTimeout})
 	seen.waitFor(t, 0)
 	f.VersionSeen("peer", 9)
 	<-asked
--- a/config/follower/follower_test.go
+++ b/config/follower/follower_test.go
@@ -14,8 +14,8 @@
 	"go.uber.org/goleak"
 )
 
-// patience bounds every wait for an event; no verdict depends on it.
-const patience = 30 * time.Second
+// testTimeout bounds every wait for an event; no verdict depends on it.
+const testTimeout = 30 * time.Second
 
 func newStore(t *testing.T) *configstore.Store {
 	t.Helper()
@@ -67,7 +67,7 @@
 // waitFor waits until a version is in force.
 func (r *recorder) waitFor(t *testing.T, want config.Version) {
 	t.Helper()
-	limit := time.After(patience)
+	limit := time.After(testTimeout)
 	for {
 		seen := r.versions()
 		if len(seen) > 0 && seen[len(seen)-1] >= want {
@@ -113,7 +113,7 @@
 	t.Helper()
 	select {
 	case <-f.Ready():
-	case <-time.After(patience):
+	case <-time.After(testTimeout):
 		t.Fatal("not ready")
 	}
 }
--- a/control/accounting.go
+++ b/control/accounting.go
@@ -29,9 +29,9 @@
 	// betweenRequests is how long a workspace may have nothing waiting before
 	// it counts as idle: its next request is on the way while others run.
 	betweenRequests = 50 * time.Millisecond
-	// maxOwed bounds the slot time that a workspace may be owed when it begins
+	// maxCredit bounds the slot time that a workspace may be credited with when it begins
 	// to wait in one more shard.
-	maxOwed = 5 * time.Second
+	maxCredit = 5 * time.Second
 	// maxCounts bounds the counts in one message.
 	maxCounts = 100
 )
@@ -93,12 +93,12 @@
 	return w
 }
 
-// owed returns how far below the others a workspace may start to wait: it is
-// owed something only if it waits elsewhere too, or waited just now.
-func (m *Machine) owed(w *workspace) float64 {
+// creditOf returns how far below the others a workspace may start to wait: it is
+// credited only if it waits elsewhere too, or waited just now.
+func (m *Machine) creditOf(w *workspace) float64 {
 	justNow := w.waitedAt > 0 && m.now-w.waitedAt <= betweenRequests
 	if w.waiting > 0 || w.entry.WaitsElsewhere() || justNow {
-		return maxOwed.Seconds() * w.entry.Weight()
+		return maxCredit.Seconds() * w.entry.Weight()
 	}
 	return 0
 }
@@ -110,7 +110,7 @@
 
 // settleLift makes a flow's lift part of the workspace's level. While the
 // fleet's level is not known the lift stays with the flow: told to others, it
-// would erase what the workspace is owed.
+// would erase what the workspace has as credit.
 func (m *Machine) settleLift(w *workspace, flow *sched.Flow[*queuedTicket]) {
 	if !m.alone() && !w.entry.Known() {
 		return
@@ -325,7 +325,7 @@
 		flow.TakeLift()
 		return
 	}
-	flow.Relift(m.owed(w))
+	flow.Relift(m.creditOf(w))
 	m.settleLift(w, flow)
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -34,7 +34,7 @@
 // Service adds up to one level for each workspace in the whole fleet; see package
 // account. A workspace that had nothing waiting anywhere is lifted to the least
 // of those that wait where it comes to wait. One that waits elsewhere too, or did
-// up to 50 ms ago, is owed what it lies below them, but not over 5 slot seconds
+// up to 50 ms ago, is credited with what it lies below them, but not over 5 slot seconds
 // divided by its share. One that was served in another pool only waits in a shard
 // at most 3 s longer for that.
 //
--- a/control/grants.go
+++ b/control/grants.go
@@ -79,7 +79,7 @@
 		if m.countsTokens(s) {
 			p := m.chooseEngine(c, q)
 			if p.target == nil {
-				break // what is owed the most goes first, when there is room for it
+				break // the workspace that received least goes first, when there is room for it
 			}
 			m.grantTicket(q, p)
 			continue
--- a/control/loadtest/loadtest_test.go
+++ b/control/loadtest/loadtest_test.go
@@ -22,9 +22,9 @@
 		},
 		SlowEvery: 3, SlowPace: 1.3, PerSecond: 190_000, FetchedPerSecond: 1_000_000,
 		Kinds: []Kind{
-			{Name: "summary", PerSecond: 28, Groups: 4, Things: 52, GroupTokens: 2520, ThingTokens: 3780, OwnTokens: 2890, OutputTokens: 52, Objective: 800 * time.Millisecond, Patience: 6 * time.Second},
-			{Name: "letter", PerSecond: 38, Groups: 8, Things: 161, GroupTokens: 341, ThingTokens: 227, OwnTokens: 1800, OutputTokens: 24, Objective: 500 * time.Millisecond, Patience: 4 * time.Second},
-			{Name: "reply", PerSecond: 42, Groups: 40, Things: 79, GroupTokens: 103, ThingTokens: 69, OwnTokens: 543, OutputTokens: 280, Objective: 400 * time.Millisecond, Patience: 15 * time.Second},
+			{Name: "summary", PerSecond: 28, Groups: 4, Things: 52, GroupTokens: 2520, ThingTokens: 3780, OwnTokens: 2890, OutputTokens: 52, Objective: 800 * time.Millisecond, Timeout: 6 * time.Second},
+			{Name: "letter", PerSecond: 38, Groups: 8, Things: 161, GroupTokens: 341, ThingTokens: 227, OwnTokens: 1800, OutputTokens: 24, Objective: 500 * time.Millisecond, Timeout: 4 * time.Second},
+			{Name: "reply", PerSecond: 42, Groups: 40, Things: 79, GroupTokens: 103, ThingTokens: 69, OwnTokens: 543, OutputTokens: 280, Objective: 400 * time.Millisecond, Timeout: 15 * time.Second},
 		},
 		Length: 20 * time.Second,
 	}
--- a/control/loadtest/pattern.go
+++ b/control/loadtest/pattern.go
@@ -42,8 +42,8 @@
 	GroupTokens, ThingTokens int
 	// OwnTokens and OutputTokens are means.
 	OwnTokens, OutputTokens int
-	// Objective is the time to the first event, and Patience how long callers wait.
-	Objective, Patience time.Duration
+	// Objective is the time to the first event, and Timeout how long callers wait.
+	Objective, Timeout time.Duration
 }
 
 // Served is what came of the requests of one workspace.
@@ -175,7 +175,7 @@
 			up = append(up, r)
 		}
 	}
-	if len(up) == 0 || w.now-one.sentAt > one.kind.Patience {
+	if len(up) == 0 || w.now-one.sentAt > one.kind.Timeout {
 		return
 	}
 	one.tries++
@@ -187,7 +187,7 @@
 	w.calls[id] = one
 	w.step(by, control.RequestArrived{
 		Request: id, Attempt: 1, Workspace: one.workspace, Pool: pool,
-		Deadline: one.sentAt + one.kind.Patience, Objective: one.sentAt + one.kind.Objective,
+		Deadline: one.sentAt + one.kind.Timeout, Objective: one.sentAt + one.kind.Objective,
 		Work: one.work, Fingerprint: one.fingerprint,
 	})
 }
--- a/control/loadtest/world.go
+++ b/control/loadtest/world.go
@@ -372,7 +372,7 @@
 func (w *world) refused(c control.Refuse) {
 	one := w.calls[c.Request]
 	w.result.Refusals++
-	if c.Code != result.Overloaded || one.tries > 1 || c.RetryAfter > one.kind.Patience/3 {
+	if c.Code != result.Overloaded || one.tries > 1 || c.RetryAfter > one.kind.Timeout/3 {
 		return
 	}
 	w.after(c.RetryAfter, func() { w.try(one) })
--- a/control/rank.go
+++ b/control/rank.go
@@ -119,7 +119,7 @@
 	if s == nil || !m.countsTokens(s) {
 		return
 	}
-	if s.shares.Owed(m.now, msg.Workspace) && m.hasRoom(s) {
+	if s.shares.HasLeft(m.now, msg.Workspace) && m.hasRoom(s) {
 		m.counters.UnreadWhileOwed += uint64(msg.Count)
 	}
 	s.shares.Unread(m.now, msg.Workspace, msg.Count)
--- a/control/sched/queue.go
+++ b/control/sched/queue.go
@@ -119,12 +119,12 @@
 // Push adds an item for a workspace whose normalised service in the fleet is
 // total, and returns its flow and item.
 func (q *Queue[T]) Push(now time.Duration, workspace, className string, total float64, value T) (*Flow[T], *Item[T]) {
-	return q.PushOwed(now, workspace, className, total, 0, value)
+	return q.PushWithCredit(now, workspace, className, total, 0, value)
 }
 
-// PushOwed is Push for a workspace that may be owed something, since it waits
-// elsewhere: it is lifted only to what lies owed below the others.
-func (q *Queue[T]) PushOwed(now time.Duration, workspace, className string, total, owed float64, value T) (*Flow[T], *Item[T]) {
+// PushWithCredit is Push for a workspace that may have credit, since it waits
+// elsewhere: it is lifted only to what lies its credit below the others.
+func (q *Queue[T]) PushWithCredit(now time.Duration, workspace, className string, total, credit float64, value T) (*Flow[T], *Item[T]) {
 	f := q.flows[workspace]
 	if f == nil {
 		f = &Flow[T]{Workspace: workspace, queue: q, lanes: make(map[string]*lane[T]), total: total}
@@ -132,7 +132,7 @@
 	}
 	f.total = total
 	if f.waiting == 0 {
-		q.wake(now, f, className, owed)
+		q.wake(now, f, className, credit)
 	}
 	item := &Item[T]{Value: value, seq: q.nextSeq}
 	q.nextSeq++
@@ -143,11 +143,11 @@
 }
 
 // wake puts a flow among those that wait, without credit for its idleness.
-func (q *Queue[T]) wake(now time.Duration, f *Flow[T], className string, owed float64) {
+func (q *Queue[T]) wake(now time.Duration, f *Flow[T], className string, credit float64) {
 	if f.element != nil {
 		q.idle.Remove(f.element)
 	}
-	if short := q.start(className) - owed - f.received(); short > 0 {
+	if short := q.start(className) - credit - f.received(); short > 0 {
 		f.offset += short
 	}
 	f.markServed(now)
@@ -180,10 +180,10 @@
 }
 
 // Relift works a waiting flow's lift out anew: its total is known better now.
-func (f *Flow[T]) Relift(owed float64) {
+func (f *Flow[T]) Relift(credit float64) {
 	f.offset = 0
 	least := f.queue.leastBut(f)
-	if short := least - owed - f.received(); short > 0 && !math.IsInf(least, 1) {
+	if short := least - credit - f.received(); short > 0 && !math.IsInf(least, 1) {
 		f.offset = short
 	}
 	f.fix()
--- a/control/sched/shares.go
+++ b/control/sched/shares.go
@@ -92,8 +92,8 @@
 	return true
 }
 
-// Owed says whether a workspace has not used up its share.
-func (s *Shares) Owed(now time.Duration, workspace string) bool {
+// HasLeft says whether a workspace has not used up its share.
+func (s *Shares) HasLeft(now time.Duration, workspace string) bool {
 	if s.perSecond <= 0 || math.IsInf(s.level, 1) {
 		return true
 	}
@@ -129,7 +129,7 @@
 }
 
 // turnedHot has a workspace that could use more from now on count as served like the least
-// served of the others that could: what it left to them while it asked for less is not owed
+// served of the others that could: what it left to them while it asked for less is no credit
 // to it. Without that, one that turned hot had 1.3 million tokens in two seconds while
 // another, refused all the time, had 0.35, and half of what the other had in six.
 func (s *Shares) turnedHot(now time.Duration, f *shareFlow, wanted bool) {
--- a/control/shard.go
+++ b/control/shard.go
@@ -227,7 +227,7 @@
 	q.workspace = w
 	q.class = c.name
 	wakes := w.flows[q.shard.id] == nil || w.flows[q.shard.id].Waiting() == 0
-	flow, item := q.shard.queue.PushOwed(m.now, w.name, c.name, w.entry.Total(), m.owed(w), q)
+	flow, item := q.shard.queue.PushWithCredit(m.now, w.name, c.name, w.entry.Total(), m.creditOf(w), q)
 	q.item = item
 	q.shard.flows[w.name] = true
 	w.flows[q.shard.id] = flow
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -30,13 +30,13 @@
 	feedFailures = metrics.GetOrCreateCounter(`walnut_directory_feed_failures_total`)
 	feedLosses   = metrics.GetOrCreateCounter(`walnut_directory_feed_losses_total`)
 	overdueCalls = metrics.GetOrCreateCounter(`walnut_directory_calls_overdue_total`)
-	doubtsRaised = metrics.GetOrCreateCounter(`walnut_directory_doubts_total`)
+	reprobesMade = metrics.GetOrCreateCounter(`walnut_directory_reprobes_total`)
 	restorations = metrics.GetOrCreateCounter(`walnut_directory_restorations_total`)
 	reloads      = map[error]*metrics.Counter{
 		ErrHistoryLost: metrics.GetOrCreateCounter(`walnut_directory_reloads_total{reason="history_lost"}`),
 		ErrRestored:    metrics.GetOrCreateCounter(`walnut_directory_reloads_total{reason="restored"}`),
 	}
-	doubted = metrics.GetOrCreateCounter(`walnut_directory_removals_doubted_total`)
+	removalsHeld = metrics.GetOrCreateCounter(`walnut_directory_removals_doubted_total`)
 )
 
 // Options configure a Follower.
@@ -84,8 +84,8 @@
 	// turn is whether this router follows.
 	turn *turn
 	// answers holds when each feed was asked for and answered. The map is not changed.
-	answers map[string]*answers
-	doubts  *doubts
+	answers  map[string]*answers
+	reprobes *reprobes
 	// wake ends the pause of expireLapsed.
 	wake chan struct{}
 	// ready is closed with the first snapshot.
@@ -96,13 +96,13 @@
 // New returns a follower that does nothing before Run.
 func New(options Options) *Follower {
 	return &Follower{
-		options: options,
-		state:   newState(),
-		turn:    newTurn(options),
-		answers: map[string]*answers{feedConfigurations: {}, feedTargets: {}},
-		doubts:  newDoubts(),
-		wake:    make(chan struct{}, 1),
-		ready:   make(chan struct{}),
+		options:  options,
+		state:    newState(),
+		turn:     newTurn(options),
+		answers:  map[string]*answers{feedConfigurations: {}, feedTargets: {}},
+		reprobes: newReprobes(),
+		wake:     make(chan struct{}, 1),
+		ready:    make(chan struct{}),
 	}
 }
 
@@ -141,7 +141,7 @@
 	if f.returnedAt.IsZero() || time.Since(f.returnedAt) > lapseShown {
 		return time.Time{}
 	}
-	doubted.Inc()
+	removalsHeld.Inc()
 	return f.returnedAt.Add(f.grace())
 }
 
--- a/directory/poller.go
+++ b/directory/poller.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// patience is how long one call for changes waits: the longest that the
+	// longHold is how long one call for changes waits: the longest that the
 	// platform allows, as each call has its price.
-	patience = 30 * time.Second
-	// provingPatience is the same for the router that proves, so that calls which were
+	longHold = 30 * time.Second
+	// provingLongHold is the same for the router that proves, so that calls which were
 	// lost while they waited are found within it.
-	provingPatience = patience / 2
+	provingLongHold = longHold / 2
 	// provingHold is how long a call waits that has to show that the store answers. With
 	// answerMargin and the first pauses a call that met a silence of the store is found
 	// within a second, for one call more after each change.
@@ -41,15 +41,15 @@
 	// callLimit is how long a call that does not wait may take; longer calls are of no
 	// use, as others follow each other by longestPause.
 	callLimit = 2 * time.Second
-	// patienceSpread is the part of a wait that is jittered, so that the waits of routers
+	// holdSpread is the part of a wait that is jittered, so that the waits of routers
 	// that started together do not end in step, and one of them meets a silence early.
-	patienceSpread = 0.1
+	holdSpread = 0.1
 )
 
 // Reasons to give up the calls under way without an answer.
 var (
-	// errDoubted says that the calls may be lost, and have to be made anew.
-	errDoubted = errors.New("directory: the calls under way are in doubt")
+	// errReprobe says that the calls may be lost, and have to be made anew.
+	errReprobe = errors.New("directory: the calls under way may be lost")
 	// errNotWanted says that other routers follow the feed now.
 	errNotWanted = errors.New("directory: others follow")
 	// errUnanswered is the reason of a loss without an error.
@@ -69,10 +69,10 @@
 
 	loaded bool
 	after  config.Revision
-	// proven says that the next call for changes may wait for long, unless doubted was
+	// proven says that the next call for changes may wait for long, unless reprobe was
 	// closed since the answer before it.
 	proven  bool
-	doubted <-chan struct{}
+	reprobe <-chan struct{}
 	// lost says that the platform does not answer.
 	lost bool
 	// reloadPause is the mean pause before everything is loaded again.
@@ -86,7 +86,7 @@
 		feed:        feed,
 		take:        take,
 		seen:        f.answers[name],
-		doubted:     f.doubts.next(),
+		reprobe:     f.reprobes.next(),
 		reloadPause: firstPause,
 	}
 }
@@ -127,15 +127,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // Ends the calls that were overtaken.
 	outcomes := make(chan outcome[T])
-	p.heedDoubt()
+	p.heedReprobe()
 	hold := p.hold()
 	p.call(ctx, hold, outcomes)
 	retry := newRetry(hold + answerMargin)
 	defer retry.timer.Stop()
 	for {
-		var doubted <-chan struct{} // Never closed while the calls prove themselves.
+		var reprobe <-chan struct{} // Never closed while the calls prove themselves.
 		if hold > provingHold && !retry.begun() {
-			doubted = p.doubted
+			reprobe = p.reprobe
 		}
 		wanted, turned := p.follower.turn.isWanted()
 		if p.loaded && !wanted {
@@ -150,8 +150,8 @@
 		case <-retry.timer.C:
 			p.overdue(retry)
 			p.call(ctx, 0, outcomes)
-		case <-doubted:
-			return Listing[T]{}, errDoubted
+		case <-reprobe:
+			return Listing[T]{}, errReprobe
 		case <-turned:
 		case <-ctx.Done():
 			return Listing[T]{}, ctx.Err()
@@ -226,12 +226,12 @@
 	return max(longestPause, time.Duration(p.follower.options.Routers())*loadPauseEach)
 }
 
-// heedDoubt lets the next call prove itself if calls are in doubt since the last answer.
-func (p *poller[T]) heedDoubt() {
+// heedReprobe lets the next call prove itself if calls may be lost since the last answer.
+func (p *poller[T]) heedReprobe() {
 	select {
-	case <-p.doubted:
+	case <-p.reprobe:
 		p.proven = false
-		p.doubted = p.follower.doubts.next()
+		p.reprobe = p.follower.reprobes.next()
 	default:
 	}
 }
@@ -265,9 +265,9 @@
 	case !p.proven:
 		return provingHold
 	case p.follower.turn.isProver():
-		return spread(provingPatience)
+		return spread(provingLongHold)
 	default:
-		return spread(patience)
+		return spread(longHold)
 	}
 }
 
@@ -284,14 +284,14 @@
 		"answered_before", answered, "error", err)
 	p.seen.noteOverdue()
 	p.follower.turn.setLive(p.name, false)
-	p.follower.Doubt()
+	p.follower.Reprobe()
 }
 
 // arrived takes in an answer.
 func (p *poller[T]) arrived(ctx context.Context, listing Listing[T]) {
 	silence, _ := p.seen.age()
 	p.seen.noteAnswer()
-	p.doubted = p.follower.doubts.next()
+	p.reprobe = p.follower.reprobes.next()
 	if p.lost {
 		p.follower.options.Log.Info("directory: Feed regained.", "feed", p.name, "revision", listing.Revision.String(),
 			"answered_before", silence)
@@ -325,7 +325,7 @@
 	p.follower.options.Log.Warn("directory: Loading everything.", "feed", p.name, "revision", p.after.String(), "reason", reason)
 	reloads[reason].Inc()
 	if reason == ErrRestored && p.loaded {
-		p.follower.Doubt() // The other feed's calls wait for changes of the era before.
+		p.follower.Reprobe() // The other feed's calls wait for changes of the era before.
 	}
 	p.loaded, p.proven = false, false
 	wait.For(ctx, jittered(p.reloadPause))
@@ -335,7 +335,7 @@
 // jittered varies a pause by half.
 func jittered(pause time.Duration) time.Duration { return pause/2 + rand.N(pause) }
 
-// spread shortens a wait by up to patienceSpread of it.
+// spread shortens a wait by up to holdSpread of it.
 func spread(hold time.Duration) time.Duration {
-	return hold - rand.N(time.Duration(patienceSpread*float64(hold)))
+	return hold - rand.N(time.Duration(holdSpread*float64(hold)))
 }
--- a/directory/silence_test.go
+++ b/directory/silence_test.go
@@ -219,7 +219,7 @@
 		if got := s.version(); got != 4 {
 			t.Fatalf("version %d is in force, though the calls were lost", got)
 		}
-		s.follower.Doubt()
+		s.follower.Reprobe()
 		time.Sleep(soon)
 		if got := s.version(); got != 6 {
 			t.Errorf("version %d is in force %s after the doubt", got, soon)
@@ -235,7 +235,7 @@
 		time.Sleep(5 * time.Second)
 		store.loseWaiting()
 		s.configurations.set(version(6))
-		time.Sleep(provingPatience + soon)
+		time.Sleep(provingLongHold + soon)
 		if got := s.version(); got != 6 {
 			t.Errorf("version %d is in force", got)
 		}
--- a/directory/turn.go
+++ b/directory/turn.go
@@ -69,7 +69,7 @@
 // calls makes them anew: who did so before was lost, maybe with a silence of the platform.
 func (f *Follower) SetTurn(to Turn) {
 	if f.turn.set(to) {
-		f.Doubt()
+		f.Reprobe()
 	}
 }
 
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -123,7 +123,7 @@
 			request.OnCallerGone = ex.OnCallerGone
 		}
 		if ex.Stream && ex.Idempotent {
-			request.Stall = patience(ex)
+			request.Stall = stallLimit(ex)
 		}
 	}
 	return request
@@ -141,9 +141,9 @@
 	startPatience = 3
 )
 
-// patience is how long a target may be silent before a request that may run again
+// stallLimit is how long a target may be silent before a request that may run again
 // is taken to another one.
-func patience(ex *pipeline.Exchange) time.Duration {
+func stallLimit(ex *pipeline.Exchange) time.Duration {
 	pauses := pausesPatience * time.Duration(ex.Route.PauseMillis) * time.Millisecond
 	return max(leastPatience+startPatience*ex.Placed.Start, pauses)
 }
@@ -154,7 +154,7 @@
 	if ex.Route == nil || !ex.Idempotent || ex.Attempt >= ex.Route.Attempts {
 		return f.FirstByteTimeout
 	}
-	limit := patience(ex)
+	limit := stallLimit(ex)
 	if f.Lag != nil {
 		limit += lagPatience * f.Lag()
 	}
--- a/front/arrivals.go
+++ b/front/arrivals.go
@@ -27,8 +27,8 @@
 // arrivals bounds the bytes of bodies that this process holds, from their
 // announcement to the end of their exchanges. It is safe for concurrent use.
 type arrivals struct {
-	max      int64
-	patience time.Duration
+	max     int64
+	timeout time.Duration
 
 	mu          sync.Mutex
 	total       int64
@@ -39,10 +39,10 @@
 	order []*arrival
 }
 
-func newArrivals(max int64, patience time.Duration) *arrivals {
+func newArrivals(max int64, timeout time.Duration) *arrivals {
 	return &arrivals{
 		max:         max,
-		patience:    patience,
+		timeout:     timeout,
 		byWorkspace: make(map[string]int64),
 		expected:    make(map[uint64]*arrival),
 	}
@@ -77,7 +77,7 @@
 func (a *arrivals) expect(one *arrival, now time.Time) uint64 {
 	a.last++
 	one.number = a.last
-	one.until = now.Add(a.patience)
+	one.until = now.Add(a.timeout)
 	a.expected[one.number] = one
 	a.order = append(a.order, one)
 	return one.number
--- a/front/arrivals_test.go
+++ b/front/arrivals_test.go
@@ -144,7 +144,7 @@
 // TestUnfinishedBodyIsGivenUp closes the connection in the middle of a body.
 func TestUnfinishedBodyIsGivenUp(t *testing.T) {
 	f := start(t, Options{MaxBodyBytes: 1000, ReadTimeout: 20 * time.Millisecond}, nil)
-	f.arrivals.patience = 40 * time.Millisecond
+	f.arrivals.timeout = 40 * time.Millisecond
 	conn, _ := f.send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\nhalf")
 	for f.HeldBytes() == 0 {
 		time.Sleep(time.Millisecond)
--- a/managedtest/fleet_test.go
+++ b/managedtest/fleet_test.go
@@ -29,8 +29,8 @@
 
 	// deadline is the requests' own.
 	deadline = 8 * time.Second
-	// patience bounds every wait for something that must come.
-	patience = 20 * time.Second
+	// testTimeout bounds every wait for something that must come.
+	testTimeout = 20 * time.Second
 )
 
 // fleet is some routers, the store and replicas.
@@ -117,7 +117,7 @@
 func (f *fleet) waitJoined() {
 	f.t.Helper()
 	for n, log := range f.logs {
-		f.eventually(patience, "router "+strconv.Itoa(n)+" hears of all others", func() bool {
+		f.eventually(testTimeout, "router "+strconv.Itoa(n)+" hears of all others", func() bool {
 			return log.has(fmt.Sprintf(`"member: Live routers changed." node=%s count=%d `, f.settings[n].Node.Name, len(f.routers)))
 		})
 	}
@@ -125,7 +125,7 @@
 
 func (f *fleet) waitReady(r *router.Router) {
 	f.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	if err := r.WaitReady(ctx); err != nil {
 		f.t.Fatal(err)
@@ -148,7 +148,7 @@
 }
 
 func (f *fleet) sendWith(ctx context.Context, r *router.Router, path, withKey string) managed.Answer {
-	ctx, cancel := context.WithTimeout(ctx, patience)
+	ctx, cancel := context.WithTimeout(ctx, testTimeout)
 	defer cancel()
 	return f.caller.Send(ctx, r.CallersAddress(), path, withKey)
 }
--- a/managedtest/managed_test.go
+++ b/managedtest/managed_test.go
@@ -111,7 +111,7 @@
 	f := startFleet(t, 2, ops("o1"))
 	f.store.RefuseReads(platform.TableRouters)
 	late, lonely := f.router(), f.router()
-	f.eventually(patience, "the late router has a version", func() bool { return late.InForce() != nil })
+	f.eventually(testTimeout, "the late router has a version", func() bool { return late.InForce() != nil })
 	if late.Ready() {
 		t.Error("ready without knowing the others")
 	}
@@ -119,7 +119,7 @@
 
 	f.store.RefuseReads(platform.TableRouters)
 	late = f.router()
-	f.eventually(patience, "the late router has a version", func() bool { return late.InForce() != nil })
+	f.eventually(testTimeout, "the late router has a version", func() bool { return late.InForce() != nil })
 	f.store.RefuseReads("")
 	f.eventually(time.Second, "the late router is ready once it knows the others", late.Ready)
 }
@@ -152,7 +152,7 @@
 			}
 		})
 	}
-	f.eventually(patience, "the second replica is used", func() bool {
+	f.eventually(testTimeout, "the second replica is used", func() bool {
 		for _, run := range f.journal.Runs("") {
 			if run.Replica == "o2" {
 				return true
@@ -251,11 +251,11 @@
 			}
 		})
 	}
-	f.eventually(patience, "the streams run", func() bool { return len(f.journal.Runs("")) >= 6 })
+	f.eventually(testTimeout, "the streams run", func() bool { return len(f.journal.Runs("")) >= 6 })
 	if runs := f.journal.Runs(""); len(runs) != 6 {
 		t.Errorf("%d runs of 6 streams: %+v", len(runs), runs)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	if err := f.routers[0].Shutdown(ctx); err != nil {
 		t.Error(err)
@@ -290,7 +290,7 @@
 	}
 	// A replica that fails is passed over for a while, so it gets a few of them only:
 	// mostly the first after a pause. Once that was one kind, the other goes first.
-	for end := time.Now().Add(patience); (lost == 0 || repeated == 0) && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(testTimeout); (lost == 0 || repeated == 0) && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if lost == 0 {
 			sendOnce()
 			sendSafe()
--- a/managedtest/restore_test.go
+++ b/managedtest/restore_test.go
@@ -55,7 +55,7 @@
 	leaving.Renew()
 	lost.Renew()
 	for i, r := range f.routers {
-		for !f.knowsAfterDrill(r, started.ID(), leaving.ID(), lost.ID()) && time.Since(returned) < patience {
+		for !f.knowsAfterDrill(r, started.ID(), leaving.ID(), lost.ID()) && time.Since(returned) < testTimeout {
 			if known := r.InForce().Version; known < config.Version(newest) {
 				f.t.Fatalf("router %d went back to version %d from %d", i, known, newest)
 			}
--- a/managedtest/silence_test.go
+++ b/managedtest/silence_test.go
@@ -51,7 +51,7 @@
 	alsoLeaving := f.replica(ops("o4"))
 	alsoLeaving.Leave()
 	for n, r := range f.routers {
-		for !knowsNews(r, f.version, "o4") && time.Since(returned) < patience {
+		for !knowsNews(r, f.version, "o4") && time.Since(returned) < testTimeout {
 			time.Sleep(5 * time.Millisecond)
 		}
 		took := time.Since(returned)
--- a/orders/fleet_test.go
+++ b/orders/fleet_test.go
@@ -22,8 +22,8 @@
 	"github.com/walnutcove/walnutcove/target"
 )
 
-// patience bounds every wait for a condition; no verdict depends on it.
-const patience = 30 * time.Second
+// testTimeout bounds every wait for a condition; no verdict depends on it.
+const testTimeout = 30 * time.Second
 
 // TestMain fails if goroutines are left behind. The two passed over are
 // fasthttp's own: its clock never ends, its cleaner ends within 10 s.
@@ -130,8 +130,8 @@
 		Metrics:    set,
 	}
 	// Not the times under test: a busy machine must not let them pass.
-	options.ConfirmHolds = patience
-	options.Timeout = patience / 3
+	options.ConfirmHolds = testTimeout
+	options.Timeout = testTimeout / 3
 	if edit != nil {
 		edit(&options)
 	}
@@ -150,7 +150,7 @@
 // eventually waits for a condition.
 func eventually(t *testing.T, what string, condition func() bool) {
 	t.Helper()
-	for limit := time.Now().Add(patience); !condition(); time.Sleep(time.Millisecond) {
+	for limit := time.Now().Add(testTimeout); !condition(); time.Sleep(time.Millisecond) {
 		if time.Now().After(limit) {
 			t.Fatalf("not reached: %s", what)
 		}
--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -111,7 +111,7 @@
 			})
 			select {
 			case <-thawed:
-			case <-time.After(patience):
+			case <-time.After(testTimeout):
 				t.Fatal("the router did not come to the point where it freezes")
 			}
 			eventually(t, "refusals after the thaw", func() bool {
--- a/peer/fault_test.go
+++ b/peer/fault_test.go
@@ -124,7 +124,7 @@
 	const limit = 100
 	a := start(t, "a", 1, func(o *Options) {
 		o.QueueMessages = limit
-		o.DialTimeout = patience
+		o.DialTimeout = testTimeout
 	})
 	other := listenRaw(t)
 	a.SetPeers(map[control.NodeID]string{"b": other.Addr().String()})
@@ -141,7 +141,7 @@
 func TestHalfOpenSessionGivesWay(t *testing.T) {
 	a := start(t, "a", 1, func(o *Options) {
 		o.WriteTimeout = time.Second
-		o.KeepAliveAfter = 10 * patience // only the refusal may ping
+		o.KeepAliveAfter = 10 * testTimeout // only the refusal may ping
 	})
 	other := listenRaw(t)
 	a.SetPeers(map[control.NodeID]string{"b": other.Addr().String()})
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -18,8 +18,8 @@
 // TestMain fails on goroutines that are left behind.
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// patience bounds every wait for a condition.
-const patience = 20 * time.Second
+// testTimeout bounds every wait for a condition.
+const testTimeout = 20 * time.Second
 
 // recorder is a Handler that keeps what it was told.
 type recorder struct {
@@ -118,7 +118,7 @@
 // eventually waits for a condition.
 func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
-	deadline := time.Now().Add(patience)
+	deadline := time.Now().Add(testTimeout)
 	for !condition() {
 		if time.Now().After(deadline) {
 			t.Fatalf("waited in vain: %s", what)
--- a/peer/raw_test.go
+++ b/peer/raw_test.go
@@ -224,7 +224,7 @@
 func TestFrozenNode(t *testing.T) {
 	a := start(t, "a", 1, func(o *Options) {
 		o.WriteTimeout = 200 * time.Millisecond
-		o.KeepAliveAfter = patience
+		o.KeepAliveAfter = testTimeout
 	})
 	other := listenRaw(t)
 	a.SetPeers(map[control.NodeID]string{"b": other.Addr().String()})
--- a/proctest/fleet_test.go
+++ b/proctest/fleet_test.go
@@ -22,8 +22,8 @@
 	model       = "walnut-small"
 	servicePath = "/svc/deploy"
 
-	// patience bounds every wait for something that must come.
-	patience = 30 * time.Second
+	// testTimeout bounds every wait for something that must come.
+	testTimeout = 30 * time.Second
 	// pollPause is the pause between two looks at a condition.
 	pollPause = 10 * time.Millisecond
 )
@@ -327,7 +327,7 @@
 // eventually waits until a condition holds.
 func (f *fleet) eventually(what string, holds func() bool) {
 	f.t.Helper()
-	if !waitFor(patience, holds) {
+	if !waitFor(testTimeout, holds) {
 		f.t.Fatalf("it never came that %s", what)
 	}
 }
--- a/proctest/http_test.go
+++ b/proctest/http_test.go
@@ -8,7 +8,7 @@
 )
 
 // control is the client for everything but callers' requests.
-var control = &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+var control = &http.Client{Timeout: testTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // statusError is an answer that is not a success.
 type statusError struct {
--- a/proctest/judge_test.go
+++ b/proctest/judge_test.go
@@ -202,7 +202,7 @@
 		Callers: callers,
 		Seed:    1,
 		Next:    next,
-		Timeout: patience,
+		Timeout: testTimeout,
 		OnResult: func(r load.Result) {
 			tr.results.add(r)
 			if r.Verdict != load.Answered {
@@ -229,7 +229,7 @@
 	f.t.Helper()
 	want := tr.results.verdicts(load.Answered) + answers
 	answered := func() bool { return tr.results.verdicts(load.Answered) >= want }
-	if !waitFor(patience, answered) {
+	if !waitFor(testTimeout, answered) {
 		f.t.Fatalf("%d of %d requests were answered; all results: %v", tr.results.verdicts(load.Answered), want, tr.results)
 	}
 }
--- a/proctest/notrun_test.go
+++ b/proctest/notrun_test.go
@@ -91,7 +91,7 @@
 	for n, kind := range []load.Kind{load.Whole, load.Service, load.Stream} {
 		mark := "boom" + string(rune('a'+n))
 		f.everyTarget(func(name string) { f.targetFaults(name, engine.Faults{Poison: mark, DowntimeMillis: 300}) })
-		client := load.NewClient(patience)
+		client := load.NewClient(testTimeout)
 		tr.results.add(client.Send(f.callers()[n], request(kind, "school", mark, 5)))
 		client.Close()
 		tr.more(f, 50)
@@ -182,7 +182,7 @@
 	outcome := make(chan load.Result, 1)
 	address := f.callers(router)[0]
 	go func() {
-		client := load.NewClient(patience)
+		client := load.NewClient(testTimeout)
 		defer client.Close()
 		outcome <- client.Send(address, r)
 	}()
--- a/proctest/quarantine_test.go
+++ b/proctest/quarantine_test.go
@@ -51,7 +51,7 @@
 		return request(load.Whole, "bakery", fmt.Sprintf("beside-%d", n), 25)
 	})
 	tr.more(f, 12)
-	client := load.NewClient(patience)
+	client := load.NewClient(testTimeout)
 	defer client.Close()
 	quarantined := hasCode(result.Quarantined)
 	refusedAt := make(map[int]bool)
--- a/proctest/resend_test.go
+++ b/proctest/resend_test.go
@@ -96,7 +96,7 @@
 func (l *persistentLoad) more(answers int) {
 	l.f.t.Helper()
 	want := l.last.verdicts(load.Answered) + answers
-	if !waitFor(patience, func() bool { return l.last.verdicts(load.Answered) >= want }) {
+	if !waitFor(testTimeout, func() bool { return l.last.verdicts(load.Answered) >= want }) {
 		l.f.t.Fatalf("%d of %d requests were answered; all sendings: %v", l.last.verdicts(load.Answered), want, &l.sent)
 	}
 }
--- a/proctest/shutdown_test.go
+++ b/proctest/shutdown_test.go
@@ -89,7 +89,7 @@
 // exitsWith waits for a router's end and compares its exit code.
 func (f *fleet) exitsWith(n, code int) {
 	f.t.Helper()
-	got, err := f.routers[n].Wait(patience)
+	got, err := f.routers[n].Wait(testTimeout)
 	f.must(err)
 	if got != code {
 		f.t.Errorf("%s ended with exit code %d, want %d", routerName(n), got, code)
--- a/router/managed.go
+++ b/router/managed.go
@@ -100,7 +100,7 @@
 // feedsDoubted implements shell.
 func (r *Router) feedsDoubted() {
 	if r.managed != nil {
-		r.directory.Doubt()
+		r.directory.Reprobe()
 	}
 }
 
--- a/router/overload.go
+++ b/router/overload.go
@@ -34,16 +34,16 @@
 	// The HTTP library refuses these, at several times the cost, so they are taken longer.
 	shedKeptFrom = 15 * time.Millisecond
 	shedKeptSpan = 30 * time.Millisecond
-	// lagFine is the average at which it takes them again.
-	lagFine = 5 * time.Millisecond
-	// leastRest is the shortest time without new connections. The balancer looks
+	// lagRecovered is the average at which it takes them again.
+	lagRecovered = 5 * time.Millisecond
+	// minPause is the shortest time without new connections. The balancer looks
 	// once a second and turns away at the second miss.
-	leastRest = 2500 * time.Millisecond
-	// mostRest is the longest such time while the router runs in time. It doubles each
-	// time that the router is overloaded within restKept of its return: the balancer brings
+	minPause = 2500 * time.Millisecond
+	// maxPause is the longest such time while the router runs in time. It doubles each
+	// time that the router is overloaded within pauseKept of its return: the balancer brings
 	// the same callers back each time, which a larger router may bear.
-	mostRest = 20 * time.Second
-	restKept = 10 * time.Second
+	maxPause  = 20 * time.Second
+	pauseKept = 10 * time.Second
 	// releaseFrom is the average lateness from which connections are closed with their
 	// answers, and releaseSpan how much more it takes until all are. The next connections
 	// of their callers lead to other routers, without a refusal. The others are kept, as
@@ -75,9 +75,9 @@
 	// shedPart is the part of requests on new connections that is refused unread, as the
 	// bits of a float.
 	shedPart atomic.Uint64
-	// since is when it last began or ended, and rest how long it lasts at least.
+	// since is when it last began or ended, and pause how long it lasts at least.
 	since time.Time
-	rest  time.Duration
+	pause time.Duration
 	// turnedAway is set once the balancer brings no new connections.
 	turnedAway atomic.Bool
 }
@@ -132,8 +132,8 @@
 	switch {
 	case !o.on.Load() && (o.lag > lagTooMuch || crowded):
 		o.begin(now)
-		o.log.Warn("router: Too busy for new connections.", "lag", o.lag, "crowded", crowded, "for_at_least", o.rest)
-	case o.on.Load() && o.lag < lagFine && !crowded && lasted >= o.rest:
+		o.log.Warn("router: Too busy for new connections.", "lag", o.lag, "crowded", crowded, "for_at_least", o.pause)
+	case o.on.Load() && o.lag < lagRecovered && !crowded && lasted >= o.pause:
 		o.on.Store(false)
 		o.turnedAway.Store(false)
 		o.since = now
@@ -153,10 +153,10 @@
 
 // begin asks for no new connections from now on.
 func (o *overload) begin(now time.Time) {
-	if o.rest == 0 || now.Sub(o.since) > restKept {
-		o.rest = leastRest
+	if o.pause == 0 || now.Sub(o.since) > pauseKept {
+		o.pause = minPause
 	} else {
-		o.rest = min(2*o.rest, mostRest)
+		o.pause = min(2*o.pause, maxPause)
 	}
 	o.since = now
 	o.on.Store(true)
--- a/router/overload_test.go
+++ b/router/overload_test.go
@@ -7,7 +7,7 @@
 )
 
 // TestOverloadNeedsLastingLag: one late tick is no overload, lasting lateness is,
-// and it ends only after a rest.
+// and it ends only after a pause.
 func TestOverloadNeedsLastingLag(t *testing.T) {
 	o := &overload{log: slog.New(slog.DiscardHandler), crowded: func() bool { return false }}
 	now := time.Now()
@@ -138,24 +138,24 @@
 	}
 }
 
-// TestRestGrowsWhileReturnsOverload: a router whose kept callers fill it stays away for
+// TestPauseGrowsWhileReturnsOverload: a router whose kept callers fill it stays away for
 // longer each time that its return brought too many, and forgets that after calm.
-func TestRestGrowsWhileReturnsOverload(t *testing.T) {
+func TestPauseGrowsWhileReturnsOverload(t *testing.T) {
 	o := &overload{log: slog.New(slog.DiscardHandler), crowded: func() bool { return false }}
 	now := time.Now()
-	for _, want := range []time.Duration{leastRest, 2 * leastRest, 4 * leastRest, mostRest, mostRest} {
+	for _, want := range []time.Duration{minPause, 2 * minPause, 4 * minPause, maxPause, maxPause} {
 		drive(o, &now, 100*time.Millisecond, time.Second)
-		if !o.on.Load() || o.rest != want {
-			t.Errorf("overloaded: %v; rests for %s, want %s", o.on.Load(), o.rest, want)
+		if !o.on.Load() || o.pause != want {
+			t.Errorf("overloaded: %v; rests for %s, want %s", o.on.Load(), o.pause, want)
 		}
 		drive(o, &now, 0, want+time.Second)
 		if o.on.Load() {
 			t.Errorf("still away after %s", want)
 		}
 	}
-	drive(o, &now, 0, 2*restKept)
+	drive(o, &now, 0, 2*pauseKept)
 	drive(o, &now, 100*time.Millisecond, time.Second)
-	if o.rest != leastRest {
-		t.Errorf("rests for %s after calm, want %s", o.rest, leastRest)
+	if o.pause != minPause {
+		t.Errorf("rests for %s after calm, want %s", o.pause, minPause)
 	}
 }
--- a/target/cachewatch/cachewatch.go
+++ b/target/cachewatch/cachewatch.go
@@ -20,9 +20,9 @@
 	// pace is the mean time between two calls to a target. A call that finds news
 	// at once counts as a probe there; more often is hardly better informed.
 	pace = time.Second
-	// patience is how long one call waits for news.
-	patience = time.Second
-	// callMargin is how much longer than patience a call may take.
+	// longHold is how long one call waits for news.
+	longHold = time.Second
+	// callMargin is how much longer than longHold a call may take.
 	callMargin = time.Second
 	// firstSpread spreads the first calls of a new scheduler.
 	firstSpread = 150 * time.Millisecond
@@ -144,11 +144,11 @@
 
 func (w *Watcher) ask(ctx context.Context, address string, listed bool, after uint64) (News, error) {
 	calls.Inc()
-	ctx, cancel := context.WithTimeout(ctx, patience+callMargin)
+	ctx, cancel := context.WithTimeout(ctx, longHold+callMargin)
 	defer cancel()
 	if !listed {
 		listings.Inc()
 		return w.source.Kept(ctx, address)
 	}
-	return w.source.Changes(ctx, address, after, patience)
+	return w.source.Changes(ctx, address, after, longHold)
 }
