Let requests for long runs wait on, though they miss their objective

Found by reading: pools of streams have no service time to subtract from objectives, and deferral took it as unknown throughout, so a request for a run of seconds was refused 250 ms after it had missed its objective.

--- a/config/revision.go
+++ b/config/revision.go
@@ -9,7 +9,7 @@
 type Revision uint64
 
 const (
-	// counterBits is how many bits the store's counter has: 4 years at 100,000 changes a
+	// counterBits is how many bits the store's counter has: five years at 100,000 changes a
 	// second. The era has the other 20.
 	counterBits = 44
 	maxCounter  = 1<<counterBits - 1
--- a/control/deferred.go
+++ b/control/deferred.go
@@ -57,20 +57,20 @@
 
 // boundWait sets how long a ticket of a pool that counts in slots may wait.
 func (m *Machine) boundWait(q *queuedTicket) {
-	service := m.usualService(q.shard)
-	q.lastStart = max(m.now, q.deadline-service)
+	answer := time.Duration(0) // Objectives of streams are about the first event.
+	if m.topo.decl.Pools[q.shard.id.Pool].Kind == config.KindService {
+		answer = q.shard.usualService()
+	}
+	q.lastStart = max(m.now, q.deadline-answer)
 	q.latest = q.lastStart
-	if objective := q.ticket.Objective; objective > service {
-		q.latest = min(q.latest, m.now+times(timelyPart, objective-service))
+	if objective := q.ticket.Objective; objective > answer {
+		q.latest = min(q.latest, m.now+times(timelyPart, objective-answer))
 	}
 }
 
-// usualService is how long a run takes at the shard's targets, in the mean. It is zero for
-// pools whose answers are streams, as their objective is about the first event.
-func (m *Machine) usualService(s *shard) time.Duration {
-	if m.topo.decl.Pools[s.id.Pool].Kind != config.KindService {
-		return 0
-	}
+// usualService is how long a run takes at the shard's targets, in the mean; zero before one
+// has ended.
+func (s *shard) usualService() time.Duration {
 	var sum time.Duration
 	known := 0
 	for _, t := range s.targets {
@@ -102,7 +102,10 @@
 		s.deferral.waiting++
 	}
 	q.servedSeen = s.deferral.served
-	q.latest = min(q.lastStart, m.now+averagedOver(m.usualService(s)))
+	q.latest = q.lastStart
+	if service := s.usualService(); service > 0 {
+		q.latest = min(q.latest, m.now+averagedOver(service))
+	}
 	q.arm(m)
 }
 
@@ -114,7 +117,7 @@
 	if q.rank == rankDeferred {
 		return d.served > q.servedSeen
 	}
-	service := m.usualService(q.shard)
+	service := q.shard.usualService()
 	if service == 0 {
 		return true
 	}
--- a/control/grants.go
+++ b/control/grants.go
@@ -140,7 +140,7 @@
 	q.shard.queue.Serve(m.now, q.item)
 	m.forgetTicket(q)
 	if t.engine == nil {
-		q.shard.deferral.granted(m.now, q.rank, m.usualService(q.shard))
+		q.shard.deferral.granted(m.now, q.rank, q.shard.usualService())
 	}
 	m.sched.nextSeq++
 	g := &grant{
--- a/control/overload_test.go
+++ b/control/overload_test.go
@@ -18,6 +18,8 @@
 	burst     int
 	perSecond float64
 	length    time.Duration
+	// streams says that the objective is about the begin of a run, and not its end.
+	streams bool
 }
 
 // siteHooks asks a target of six slots for short calls, as build and cache hooks are.
@@ -62,8 +64,12 @@
 }
 
 func (p shortPool) snapshot() *config.Snapshot {
+	kind := config.KindService
+	if p.streams {
+		kind = config.KindEngine
+	}
 	return &config.Snapshot{Version: 1, Declarations: config.Declarations{
-		Pools:   map[string]config.Pool{"hooks": {Kind: config.KindService, OneQueue: true}},
+		Pools:   map[string]config.Pool{"hooks": {Kind: kind, OneQueue: true}},
 		Targets: map[string]config.Target{"only": {Pool: "hooks", DataCentre: "ikeja", Slots: p.slots}},
 	}}
 }
@@ -141,3 +147,17 @@
 		}
 	}
 }
+
+// TestLongRunsMayWait guards against refusing callers who have time: where runs take seconds,
+// a request that misses its objective waits on until one of them ends.
+func TestLongRunsMayWait(t *testing.T) {
+	p := shortPool{
+		slots: 2, service: 4 * time.Second, objective: 300 * time.Millisecond, deadline: 30 * time.Second,
+		burst: 6, length: time.Second, perSecond: 0.01, streams: true,
+	}
+	for seed := range uint64(5) {
+		if all := p.count(p.play(t, seed)[:p.burst]); all.refused > 0 {
+			t.Errorf("seed %d: %d of %d refused", seed, all.refused, all.asked)
+		}
+	}
+}
