--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -43,6 +43,8 @@
 	// busy holds what a standing fault is about, by name.
 	busy map[string]bool
 	next time.Time
+	// restores says that the store may come back from older copies.
+	restores bool
 	// begun counts them by kind.
 	begun map[string]int
 }
@@ -98,12 +100,15 @@
 	}
 }
 
+// faultKind is one kind of fault. What begin returns is nil if what it is about is not free.
+type faultKind struct {
+	name  string
+	begin func() (about string, end func() bool)
+}
+
 // begin brings one fault about, if what it is about is free.
 func (f *faults) begin() {
-	kinds := []struct {
-		name  string
-		begin func() (about string, end func() bool)
-	}{
+	kinds := []faultKind{
 		{"kill", f.kill},
 		{"terminate", f.terminate},
 		{"freeze", f.freeze},
@@ -117,6 +122,9 @@
 		{"replace a replica", f.replace},
 		{"version", f.newVersion},
 	}
+	if f.restores {
+		kinds = append(kinds, faultKind{"store comes back", f.restore})
+	}
 	kind := kinds[f.random.IntN(len(kinds))]
 	about, end := kind.begin()
 	if end == nil {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -148,8 +148,13 @@
 func (f *fleet) configure() {
 	f.mu.Lock()
 	f.version += 2 // versions rise in steps
-	version := f.version
 	f.mu.Unlock()
+	f.publish()
+}
+
+// publish writes the newest version, also again.
+func (f *fleet) publish() {
+	version := f.newest()
 	content := managed.Demo(version)
 	content.Tenants[0].Keys = append(content.Tenants[0].Keys, versionKey(version))
 	f.store.Put(wire.TableOperator, wire.KeyConfig, content)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,25 +25,15 @@
 
 // TestSoak is one run a seed.
 func TestSoak(t *testing.T) {
-	seeds, err := parseSeeds(*seedsFlag)
-	if err != nil {
-		t.Fatal(err)
-	}
-	slots := make(chan struct{}, *parallelFlag)
-	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			t.Parallel()
-			slots <- struct{}{}
-			defer func() { <-slots }()
-			soak(t, seed)
-		})
-	}
+	forSeeds(t, func(t *testing.T, seed uint64) { soak(t, seed, false) })
 }
 
-func soak(t *testing.T, seed uint64) {
+// soak runs one seed; restores says whether the store may come back from older copies.
+func soak(t *testing.T, seed uint64, restores bool) {
 	f := startFleet(t, *routersFlag)
 	j := startJudge(f, fmt.Sprintf("seed%d", seed))
 	series := newFaults(f, seed)
+	series.restores = restores
 	series.run(*lengthFlag)
 	if !t.Failed() {
 		j.awaitRecovery()
--- a/standin/managed/restore.go
+++ b/standin/managed/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/walnutcove/walnutcove/platform/wire"
 )
@@ -19,6 +20,18 @@
 	return Copy{rows: maps.Clone(s.rows), revision: s.revision}
 }
 
+// Keys returns the keys of a table's rows, in order.
+func (c Copy) Keys(table string) []string {
+	var keys []string
+	for key, row := range c.rows {
+		if key.table == table && !row.Removed {
+			keys = append(keys, key.key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // Restore makes the store come back from a copy, as after a disaster: what was written since
 // is gone, its revisions are given out again, and the era rises by one.
 func (s *Store) Restore(from Copy) {
