--- a/control/deferred.go
+++ b/control/deferred.go
@@ -85,10 +85,10 @@
 	return sum / time.Duration(known)
 }
 
-// waitedTooLong takes in that a ticket's wait has come to its bound. At pools that count in
+// waitExpired takes in that a ticket's wait has come to its bound. At pools that count in
 // slots it is deferred if it can be expected to be served before its deadline, and looked at
 // again while it waits; otherwise it is refused, while its caller has time to come back.
-func (m *Machine) waitedTooLong(q *queuedTicket) {
+func (m *Machine) waitExpired(q *queuedTicket) {
 	s := q.shard
 	if m.countsTokens(s) || m.now >= q.lastStart || !m.mayWaitOn(q) {
 		m.refuseOverloaded(q)
--- a/control/shard.go
+++ b/control/shard.go
@@ -258,7 +258,7 @@
 // ticket's deadline has come, or its entry is gone.
 func (q *queuedTicket) fire(m *Machine) {
 	if m.now >= q.latest && m.now < q.deadline {
-		m.waitedTooLong(q)
+		m.waitExpired(q)
 		return
 	}
 	if m.now < min(q.deadline, q.lease) {
--- a/directory/exchange.go
+++ b/directory/exchange.go
@@ -53,9 +53,9 @@
 	Version        config.Version  `json:"version"`
 	ConfigRevision config.Revision `json:"config_revision,omitempty"`
 	Revision       config.Revision `json:"revision"`
-	// Untold says that all of it comes from the platform itself, which may list as staying
-	// what other routers know to have left.
-	Untold bool `json:"untold,omitempty"`
+	// PlatformOnly says that all of it comes from the platform itself, which may list as
+	// staying what other routers know to have left.
+	PlatformOnly bool `json:"platform_only,omitempty"`
 }
 
 // Known returns what this router has, for Export at another.
@@ -63,15 +63,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	own := f.state.configuration
-	return Known{Version: own.Version, ConfigRevision: own.Revision, Revision: f.state.revision, Untold: !f.state.told}
+	return Known{Version: own.Version, ConfigRevision: own.Revision, Revision: f.state.revision, PlatformOnly: !f.state.peerSynced}
 }
 
-// IsUntold says that all that is known here comes from the platform itself, so that a peer has
-// to be asked once.
-func (f *Follower) IsUntold() bool {
+// NeedsPeer says that all that is known here comes from the platform itself, so that a peer
+// has to be asked once.
+func (f *Follower) NeedsPeer() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.listed && !f.state.told
+	return f.state.listed && !f.state.peerSynced
 }
 
 // Export encodes what is known here and not to another router.
@@ -115,7 +115,7 @@
 		content.Declarations = own.Declarations
 	}
 	for name, k := range s.targets {
-		if k.revision > known.Revision || k.corrected && known.Untold {
+		if k.revision > known.Revision || k.corrected && known.PlatformOnly {
 			content.Targets[name] = exportedTarget{Target: k.target, Revision: k.revision, Corrected: k.corrected}
 		}
 	}
@@ -144,11 +144,25 @@
 func (s *state) merge(content exported, now time.Time, grace time.Duration) bool {
 	configuration := Configuration{Version: content.Version, Revision: content.ConfigRevision, Declarations: content.Declarations}
 	changed := s.configure(configuration)
-	s.listed, s.told = true, true
+	s.listed, s.peerSynced = true, true
 	restored := content.Revision.Era() > s.revision.Era() && s.revision > 0
 	if content.EraListed > 0 {
 		s.enter(content.EraListed)
 	}
+	changed = s.mergeTargets(content, now, grace) || changed
+	if !restored {
+		return changed
+	}
+	for name := range s.targets {
+		if _, listed := content.Targets[name]; !listed {
+			s.remove(name, content.Revision, now.Add(grace))
+		}
+	}
+	return true
+}
+
+// mergeTargets takes in the targets that another router exported.
+func (s *state) mergeTargets(content exported, now time.Time, grace time.Duration) bool {
 	entries := make([]Entry[config.Target], 0, len(content.Targets)+len(content.Gone))
 	for name, target := range content.Targets {
 		entries = append(entries, Entry[config.Target]{Key: name, Revision: target.Revision, Value: target.Target})
@@ -156,7 +170,7 @@
 	for name, gone := range content.Gone {
 		entries = append(entries, Entry[config.Target]{Key: name, Revision: gone.Revision, Gone: true})
 	}
-	changed = s.apply(s.sift(entries, now.Add(grace)), time.Time{}) || changed
+	changed := s.apply(s.withoutContradicted(entries, now.Add(grace)), time.Time{})
 	for name, target := range content.Targets {
 		changed = target.Corrected && s.correct(name, target.Revision) || changed
 	}
@@ -166,13 +180,5 @@
 	for name, l := range content.Lapsed {
 		changed = s.remove(name, l.Revision, now.Add(l.Left)) || changed
 	}
-	if !restored {
-		return changed
-	}
-	for name := range s.targets {
-		if _, listed := content.Targets[name]; !listed {
-			s.remove(name, content.Revision, now.Add(grace))
-		}
-	}
-	return true
+	return changed
 }
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -174,7 +174,7 @@
 		restored := s.revision > 0 && s.revision.Era() < listing.Revision.Era()
 		if how.whole {
 			s.enter(listing.Revision)
-			listing.Entries = s.sift(entries, time.Now().Add(f.options.LongestLapse))
+			listing.Entries = s.withoutContradicted(entries, time.Now().Add(f.options.LongestLapse))
 			entries = s.withMissing(listing)
 		}
 		if how.afterLoss || restored {
--- a/directory/restore.go
+++ b/directory/restore.go
@@ -51,9 +51,9 @@
 	return removed, followed
 }
 
-// sift takes out the entries that contradict what is known. Those of removed targets are kept
-// until their time, as a target whose entry had lapsed may live.
-func (s *state) sift(entries []Entry[config.Target], until time.Time) []Entry[config.Target] {
+// withoutContradicted takes out the entries that contradict what is known. Those of removed
+// targets are kept until their time, as a target whose entry had lapsed may live.
+func (s *state) withoutContradicted(entries []Entry[config.Target], until time.Time) []Entry[config.Target] {
 	kept := make([]Entry[config.Target], 0, len(entries))
 	for _, entry := range entries {
 		removed, followed := s.isContradicted(entry)
--- a/directory/state.go
+++ b/directory/state.go
@@ -26,8 +26,8 @@
 	eraListed config.Revision
 	// revision is the highest revision applied.
 	revision config.Revision
-	// told says that a peer told what it knows.
-	told bool
+	// peerSynced says that a peer has given what it knows.
+	peerSynced bool
 	// believed counts what came to be believed with time, or by a peer's word, alone. Such a
 	// change is older than what was applied since, so revision does not show it.
 	believed uint64
