--- a/control/overload_test.go
+++ b/control/overload_test.go
@@ -18,6 +18,9 @@
 	burst     int
 	perSecond float64
 	length    time.Duration
+	// calmPart is the part of the requests that come from a workspace of its own; zero: all
+	// requests are of no workspace.
+	calmPart float64
 	// streams says that the objective is about the begin of a run, and not its end.
 	streams bool
 }
@@ -42,7 +45,14 @@
 	s.runUntil(time.Second)
 	arrive := func() {
 		node := s.names[s.rng.IntN(len(s.names))]
-		s.arrive(node, "", "hooks", p.deadline, func(ev *RequestArrived) {
+		workspace := ""
+		if p.calmPart > 0 {
+			workspace = "hot"
+			if s.rng.Float64() < p.calmPart {
+				workspace = "calm"
+			}
+		}
+		s.arrive(node, workspace, "hooks", p.deadline, func(ev *RequestArrived) {
 			ev.Objective = ev.Deadline - p.deadline + p.objective
 		})
 	}
@@ -69,6 +79,10 @@
 		kind = config.KindEngine
 	}
 	return &config.Snapshot{Version: 1, Declarations: config.Declarations{
+		Workspaces: map[string]config.Workspace{
+			"hot":  {Share: 1, Pools: []string{"hooks"}, MaxQueued: 1 << 20},
+			"calm": {Share: 1, Pools: []string{"hooks"}, MaxQueued: 1 << 20},
+		},
 		Pools:   map[string]config.Pool{"hooks": {Kind: kind, OneQueue: true}},
 		Targets: map[string]config.Target{"only": {Pool: "hooks", DataCentre: "ikeja", Slots: p.slots}},
 	}}
@@ -161,3 +175,23 @@
 		}
 	}
 }
+
+// TestDeferralKeepsShares guards against deferral that mixes workspaces up: one that asks for
+// less than its share is served in time beside one that asks for twice what the pool can serve.
+func TestDeferralKeepsShares(t *testing.T) {
+	p := siteHooks()
+	p.perSecond, p.calmPart = 900, 0.15
+	for seed := range uint64(5) {
+		var calm []*simRequest
+		for _, r := range p.play(t, seed)[p.burst:] {
+			if r.workspace == "calm" {
+				calm = append(calm, r)
+			}
+		}
+		got := p.count(calm)
+		t.Logf("seed %d: %+v", seed, got)
+		if got.inTime < got.asked*95/100 {
+			t.Errorf("seed %d: %d of %d in time, %d late, %d refused", seed, got.inTime, got.asked, got.late, got.refused)
+		}
+	}
+}
--- a/managedtest/restore_test.go
+++ b/managedtest/restore_test.go
@@ -1,6 +1,7 @@
 package managedtest
 
 import (
+	"flag"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -13,6 +14,9 @@
 	"github.com/walnutcove/walnutcove/standin/managed"
 )
 
+// restoreRouters is how many routers TestStoreCallsAfterRestore runs.
+var restoreRouters = flag.Int("restore.routers", 24, "routers of TestStoreCallsAfterRestore")
+
 // drills is how often the store comes back from an older copy in one test.
 const drills = 20
 
@@ -137,11 +141,11 @@
 // it has come back from an older copy: a few load, each announces itself, and no more.
 func TestStoreCallsAfterRestore(t *testing.T) {
 	const (
-		routers = 24
 		// mostEach is how many calls of the store each router may make.
 		mostEach = 3
 		after    = 5 * time.Second
 	)
+	routers := *restoreRouters
 	f := startFleet(t, routers, ops("o1"), gen("g1"))
 	f.waitJoined()
 	time.Sleep(2 * time.Second) // until the routers follow the store
