--- a/managedtest/restore_test.go
+++ b/managedtest/restore_test.go
@@ -35,6 +35,9 @@
 	}
 }
 
+// awayBeforeReturn is how long the store is away before it comes back.
+const awayBeforeReturn = 50 * time.Millisecond
+
 // drill loses what was written since a copy: two versions, a target that started and one
 // that left. The operator writes its newest again, and targets that live do.
 func (f *fleet) drill(n int) {
@@ -48,8 +51,8 @@
 	leaving.Leave()
 	f.awaitTarget(leaving.ID(), true)
 
-	f.store.SetFault(managed.Refusing)
-	time.Sleep(50 * time.Millisecond)
+	f.store.SetFault([]managed.Fault{managed.Refusing, managed.Silent}[n%2])
+	time.Sleep(awayBeforeReturn)
 	f.store.Restore(from)
 	f.store.SetFault(managed.Healthy)
 	returned := time.Now()
