--- a/directory/restore_test.go
+++ b/directory/restore_test.go
@@ -57,7 +57,7 @@
 	synctest.Wait()
 }
 
-// set writes entries of targets, and lets time for them to arrive.
+// write writes entries of targets, and lets them arrive.
 func (s *scene) write(entries ...Entry[config.Target]) {
 	s.targets.set(entries...)
 	synctest.Wait()
