Let routers of earlier builds read the removals that others tell

Found by reading the diff: removals were exported as objects, where earlier builds read numbers, and the whole directory of such a peer would be dropped while a fleet is updated router by router. The start that was added there was not used. TestExportIsReadByEarlierBuilds failed before.

--- a/directory/exchange.go
+++ b/directory/exchange.go
@@ -10,11 +10,11 @@
 
 // exported is the directory as one router gives it to another.
 type exported struct {
-	Version        config.Version            `json:"version"`
-	ConfigRevision config.Revision           `json:"config_revision,omitempty"`
-	Declarations   config.Declarations       `json:"declarations"`
-	Targets        map[string]exportedTarget `json:"targets"`
-	Gone           map[string]exportedGone   `json:"gone"`
+	Version        config.Version             `json:"version"`
+	ConfigRevision config.Revision            `json:"config_revision,omitempty"`
+	Declarations   config.Declarations        `json:"declarations"`
+	Targets        map[string]exportedTarget  `json:"targets"`
+	Gone           map[string]config.Revision `json:"gone"`
 	// Lapsed holds removals that are not believed yet. The other router has to have them
 	// with what came after them, as it will not ask for what is older again.
 	Lapsed map[string]exportedLapse `json:"lapsed,omitempty"`
@@ -31,11 +31,6 @@
 	Corrected bool `json:"corrected,omitempty"`
 }
 
-type exportedGone struct {
-	Revision config.Revision `json:"revision"`
-	Start    int64           `json:"start,omitempty"`
-}
-
 type exportedLapse struct {
 	Revision config.Revision `json:"revision"`
 	// Left is the time, in nanoseconds, until the removal is believed.
@@ -103,7 +98,7 @@
 func (s *state) export(known Known, now time.Time) exported {
 	content := exported{
 		Targets:     make(map[string]exportedTarget),
-		Gone:        make(map[string]exportedGone),
+		Gone:        make(map[string]config.Revision),
 		Lapsed:      make(map[string]exportedLapse),
 		Unconfirmed: make(map[string]exportedUnconfirmed),
 		Revision:    s.revision,
@@ -121,7 +116,7 @@
 	}
 	for name, r := range s.gone {
 		if r.revision > known.Revision {
-			content.Gone[name] = exportedGone{Revision: r.revision, Start: r.start}
+			content.Gone[name] = r.revision
 		}
 	}
 	for name, l := range s.lapsed {
@@ -167,8 +162,8 @@
 	for name, target := range content.Targets {
 		entries = append(entries, Entry[config.Target]{Key: name, Revision: target.Revision, Value: target.Target})
 	}
-	for name, gone := range content.Gone {
-		entries = append(entries, Entry[config.Target]{Key: name, Revision: gone.Revision, Gone: true})
+	for name, revision := range content.Gone {
+		entries = append(entries, Entry[config.Target]{Key: name, Revision: revision, Gone: true})
 	}
 	changed := s.apply(s.withoutContradicted(entries, now.Add(grace)), time.Time{})
 	for name, target := range content.Targets {
--- a/directory/restore_test.go
+++ b/directory/restore_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"encoding/json"
 	"maps"
 	"testing"
 	"testing/synctest"
@@ -327,3 +328,30 @@
 		}
 	})
 }
+
+// TestExportIsReadByEarlierBuilds guards against a fleet whose routers cannot tell each other
+// of removals while they are updated one by one: earlier builds read revisions as numbers.
+func TestExportIsReadByEarlierBuilds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startPopulated(t)
+		s.write(startedEntry("a", 7))
+		s.write(gone("a"))
+		encoded, err := s.follower.Export(Known{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var earlier struct {
+			Gone     map[string]uint64 `json:"gone"`
+			Revision uint64            `json:"revision"`
+			Targets  map[string]struct {
+				Revision uint64 `json:"revision"`
+			} `json:"targets"`
+		}
+		if err := json.Unmarshal(encoded, &earlier); err != nil {
+			t.Fatal(err)
+		}
+		if earlier.Gone["a"] != earlier.Revision || earlier.Targets["b"].Revision == 0 {
+			t.Errorf("an earlier build reads %+v", earlier)
+		}
+	})
+}
