Detect a store restore that interrupts no waiting call

Cause: a store restored from an older copy may reissue the revision that a waiting call follows before it checks the call. The call then stays blocked for 15 to 30 s, and no router learns of the restore.

Change: the one router in the fleet that proves its calls asks the store for its era once a second. If the era has advanced or the store does not answer, the waiting calls are reissued. A router that learns of a new era from a peer also reissues its own waiting calls.

TestQuietRouterMakesFewCalls and TestFewRoutersFollowTheStore allowed no calls while idle, which no detection of the restore can satisfy. They now count era probes separately: at most one per second across the fleet. The bounds on all other calls are unchanged.

Cost: one store read per second across the fleet.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -39,6 +39,9 @@
 	removalsHeld = metrics.GetOrCreateCounter(`walnut_directory_removals_doubted_total`)
 )
 
+// sourcePlatform is the log value of source for changes from the platform rather than a peer.
+const sourcePlatform = "platform"
+
 // Options configure a Follower.
 type Options struct {
 	// Configurations and Targets are the feeds. Required.
@@ -59,6 +62,8 @@
 	// OnRestored is told when the platform came back from an older copy, which lacks what
 	// routers wrote there since; nil: nobody is. It must not block.
 	OnRestored func()
+	// ProbeEra returns the platform's current era; nil disables era probes.
+	ProbeEra func(context.Context) (era uint64, err error)
 	// Shared says that routers take turns: this one follows the feeds while SetTurn
 	// says so, and learns from peers by Import otherwise.
 	Shared bool
@@ -115,6 +120,7 @@
 	running.Go(func() { newPoller(f, feedConfigurations, f.options.Configurations, f.configured).run(ctx) })
 	running.Go(func() { newPoller(f, feedTargets, f.options.Targets, f.targetsChanged).run(ctx) })
 	running.Go(func() { f.expireLapsed(ctx) })
+	running.Go(func() { f.runEraProbes(ctx) })
 	running.Wait()
 }
 
@@ -149,7 +155,7 @@
 func (f *Follower) grace() time.Duration { return f.options.ReturnGrace + returnMargin }
 
 func (f *Follower) configured(listing Listing[Configuration], _ arrival) {
-	f.change("platform", func(s *state) bool {
+	f.change(sourcePlatform, func(s *state) bool {
 		changed := false
 		for _, entry := range listing.Entries {
 			if entry.Gone {
@@ -167,7 +173,7 @@
 }
 
 func (f *Follower) targetsChanged(listing Listing[config.Target], how arrival) {
-	f.change("platform", func(s *state) bool {
+	f.change(sourcePlatform, func(s *state) bool {
 		first := !s.listed
 		s.listed = true
 		entries := listing.Entries
@@ -220,6 +226,9 @@
 	f.options.Log.Warn("directory: Platform came back from an older copy.", "source", source, "era", now.Era(), "era_before", before.Era(),
 		"revision", f.state.eraListed.Counter(), "revision_before", before.Counter())
 	restorations.Inc()
+	if source != sourcePlatform {
+		f.Reprobe() // This router's calls may still wait for changes in the previous era.
+	}
 	if f.options.OnRestored != nil {
 		f.options.OnRestored()
 	}
--- a/directory/turn.go
+++ b/directory/turn.go
@@ -126,6 +126,13 @@
 	return t.proves
 }
 
+// isLiveProver reports whether this router is the prover and both of its feeds are live.
+func (t *turn) isLiveProver() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.proves && t.told
+}
+
 // foreverPause is a pause that only a change ends.
 const foreverPause = time.Hour
 
--- a/router/managed.go
+++ b/router/managed.go
@@ -75,6 +75,7 @@
 			ShortestLapse:  heartbeatsToLapse * time.Duration(r.settings.Platform.TargetHeartbeat),
 			LongestLapse:   heartbeatsToVanish * time.Duration(r.settings.Platform.TargetHeartbeat),
 			OnRestored:     r.storeRestored,
+			ProbeEra:       s.Era,
 			Routers:        func() int { return int(r.members.Load()) },
 			Shared:         true,
 			OnFollowing:    func(live bool) { r.loop.post(control.FeedsFollowed{Live: live}) },
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -55,6 +55,8 @@
 	// refused is a table that nobody can read.
 	refused string
 	calls   map[string]int
+	// eraProbes counts reads limited to one row, which routers use to get the era.
+	eraProbes int
 	// writes bounds the transactions of each part; see LimitWrites.
 	writes     map[string]*rate.Limiter
 	writeLimit int
@@ -208,6 +210,24 @@
 	return s.calls[path]
 }
 
+// EraProbes returns the number of calls to wire.PathRead that were limited to one row.
+func (s *Store) EraProbes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.eraProbes
+}
+
+// CallsBesideProbes returns how many calls were made, other than era probes.
+func (s *Store) CallsBesideProbes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	for _, count := range s.calls {
+		total += count
+	}
+	return total - s.eraProbes
+}
+
 // Put writes a row, as operators and replicas do.
 func (s *Store) Put(table, key string, content any) {
 	data, err := json.Marshal(content)
@@ -275,6 +295,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[path]++
+	if path == wire.PathRead && string(ctx.QueryArgs().Peek(wire.ParamLimit)) == "1" {
+		s.eraProbes++
+	}
 	_, own := s.faults[ctx.LocalAddr().String()]
 	if !own && path == wire.PathRead && s.refused != "" && string(ctx.QueryArgs().Peek(wire.ParamTable)) == s.refused {
 		return Refusing
