Evacuate a data centre when operators ask for it

Cause: nothing read the rows by which operators evacuate a data centre.

Change: the feed of the operators' table also carries evacuations. Evacuations are ordered by revision and era together with the configuration versions, and exported to peers. They survive a restore of an older copy of the store for the grace of lapsed entries, and end when a whole listing lacks them. Waiting requests, second attempts and grants not yet sent go to other targets; runs in progress finish undisturbed. If all data centres are evacuated, requests are refused at once.

Alternatives considered: - Notification by peers at once, against a feed for each router: the followers of the feed (two per data centre) and heartbeats already carry evacuations; a feed for each router would cost one call per router and change. - Recomputing shares when the row arrives, against when grants fail: shares follow the declared targets, so the row itself recomputes them. Recomputing when grants fail was not built, as it sends requests to the evacuated targets.

TestStatusOfLargeFleet follows the new column of the status summary.

--- a/config/types.go
+++ b/config/types.go
@@ -110,6 +110,9 @@
 	Start int64 `json:"start,omitempty" toml:"start,omitempty"`
 	// Leaving says that the target takes no new work.
 	Leaving bool `json:"leaving,omitempty" toml:"leaving,omitempty"`
+	// Evacuated says that the target's data centre is being evacuated. The target takes no new
+	// work until the evacuation ends. Routers set it; operators leave it out.
+	Evacuated bool `json:"evacuated,omitempty" toml:"evacuated,omitempty"`
 	// LoadModels are the models that the target shall have loaded, and no
 	// others, each as "model", "model@version", "model/adapter" or
 	// "model@version/adapter". Empty: the target is not ordered to load or
@@ -120,6 +123,9 @@
 	Role string `json:"role,omitempty" toml:"role,omitempty"`
 }
 
+// TakesWork reports whether new requests may be sent to the target.
+func (t Target) TakesWork() bool { return !t.Leaving && !t.Evacuated }
+
 // Snapshot is one immutable version in force. It is shared by pointer and must
 // not be copied. Apply, Empty and DecodeSnapshot make snapshots.
 type Snapshot struct {
@@ -134,8 +140,9 @@
 	// TargetsRevision is the revision of the listing that the targets were read
 	// from; zero if operators declare the targets as part of the version.
 	TargetsRevision Revision `json:"targets_revision,omitempty"`
-	// ConfigRevision is the revision at which this version was written, for versions that
-	// the platform publishes. One that it lost and that is written again may have changed.
+	// ConfigRevision is the highest revision among this version and the evacuations, for
+	// versions that the platform publishes. It tells apart versions with the same number: one
+	// that the platform lost may be rewritten with other content.
 	ConfigRevision Revision `json:"-"`
 	// TargetsLapsed counts the targets that this router took off the listing after it had
 	// doubted their removal. The listing without them has no revision of its own.
--- a/control/entry.go
+++ b/control/entry.go
@@ -98,7 +98,7 @@
 	}
 	shards := m.topo.candidates(ev, m.opts.DataCentre)
 	if len(shards) == 0 {
-		m.refuse(ev, result.NoTarget)
+		m.refuse(ev, m.topo.noCandidateCode(ev))
 		return
 	}
 	r := &request{ev: ev, shards: shards}
@@ -245,7 +245,7 @@
 		r.shards = m.topo.candidates(r.ev, m.opts.DataCentre)
 		if len(r.shards) == 0 {
 			m.withdraw(r)
-			m.refuse(r.ev, result.NoTarget)
+			m.refuse(r.ev, m.topo.noCandidateCode(r.ev))
 		}
 	}
 }
--- a/control/place.go
+++ b/control/place.go
@@ -239,7 +239,7 @@
 	var highest uint64
 	for _, c := range all {
 		score := member.Score(c.target.hash, mix(last))
-		if !c.target.leaving && (home == nil || score > highest) {
+		if c.target.takesWork() && (home == nil || score > highest) {
 			home, highest = c.target, score
 		}
 	}
--- a/control/runs.go
+++ b/control/runs.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/walnutcove/walnutcove/result"
 )
 
 const (
@@ -143,7 +141,7 @@
 	r.shards = m.topo.candidates(r.ev, m.opts.DataCentre)
 	if len(r.shards) == 0 {
 		m.release(r)
-		m.refuse(r.ev, result.NoTarget)
+		m.refuse(r.ev, m.topo.noCandidateCode(r.ev))
 		return
 	}
 	m.newTicket(r)
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -267,7 +267,7 @@
 	case m.convicted(t.Fingerprint):
 		f.Code = result.Quarantined
 	case m.hopeless(s, c):
-		f.Code = result.NoTarget
+		f.Code = c.hopelessCode()
 		f.RetryAfter = m.jitter(2 * minRetryAfter)
 	default:
 		return f, false
--- a/control/shard.go
+++ b/control/shard.go
@@ -207,6 +207,14 @@
 	return true
 }
 
+// hopelessCode returns the result code for the tickets of a hopeless class.
+func (c *class) hopelessCode() result.Code {
+	if slices.ContainsFunc(c.targets, func(t *target) bool { return t.evacuated && !t.leaving }) {
+		return result.TargetsEvacuated
+	}
+	return result.NoTarget
+}
+
 // refuseHopeless refuses the tickets that no target can be expected to serve.
 func (m *Machine) refuseHopeless(s *shard) {
 	if s.queue.Len() == 0 {
--- a/control/status.go
+++ b/control/status.go
@@ -95,6 +95,8 @@
 	Granted int
 	Room    int
 	Leaving bool
+	// Evacuated says that the target's data centre is being evacuated.
+	Evacuated bool
 	// DownFor is how long the target is still passed over.
 	DownFor time.Duration
 	// LoadAge is the age of the last load report; negative if there is none.
@@ -150,13 +152,14 @@
 	}
 	for _, t := range s.targets {
 		st.Targets = append(st.Targets, TargetStatus{
-			Target:  t.name,
-			Slots:   t.window.Slots(),
-			Granted: t.window.Out(),
-			Room:    t.room(m.now),
-			Leaving: t.leaving || t.reportedLeaving,
-			DownFor: max(0, t.downUntil-m.now),
-			LoadAge: t.loadAge(m.now),
+			Target:    t.name,
+			Slots:     t.window.Slots(),
+			Granted:   t.window.Out(),
+			Room:      t.room(m.now),
+			Leaving:   t.leaving || t.reportedLeaving,
+			Evacuated: t.evacuated,
+			DownFor:   max(0, t.downUntil-m.now),
+			LoadAge:   t.loadAge(m.now),
 		})
 	}
 	return st
--- a/control/target.go
+++ b/control/target.go
@@ -43,9 +43,11 @@
 	behind []*grant
 	// leaving and reportedLeaving say that it takes nothing new.
 	leaving, reportedLeaving bool
-	failures                 int
-	failingSince             Instant
-	downUntil                Instant
+	// evacuated says that the target's data centre is being evacuated: it takes nothing new.
+	evacuated    bool
+	failures     int
+	failingSince Instant
+	downUntil    Instant
 	// loadAt is when the last load report came; negative if none did.
 	loadAt Instant
 	// polledAt is when a load poll was last answered.
@@ -76,13 +78,14 @@
 	}
 	t.listed = decl.Start
 	t.leaving = decl.Leaving
+	t.evacuated = decl.Evacuated
 	t.dataCentre = decl.DataCentre
 	t.window.Declare(decl.Slots)
 }
 
 // room returns how many grants the target may be given now.
 func (t *target) room(now Instant) int {
-	if t.leaving || t.reportedLeaving || now < t.downUntil {
+	if !t.takesWork() || now < t.downUntil {
 		return 0
 	}
 	if t.failures > 0 {
@@ -98,9 +101,13 @@
 // that may be probed is not hopeless: only a ticket can show that it serves.
 func (t *target) hopeless(now Instant) bool {
 	failing := t.failures > 1 && now-t.failingSince >= hopelessAfter && now < t.downUntil
-	return t.leaving || t.reportedLeaving || failing
+	return !t.takesWork() || failing
 }
 
+// takesWork reports whether both the declaration and the load reports of the target permit
+// new requests.
+func (t *target) takesWork() bool { return !t.leaving && !t.reportedLeaving && !t.evacuated }
+
 // isCurrent says whether the target is listed still, in this start. Runs on earlier
 // starts go on being counted on those, and say nothing of the present one.
 func (t *target) isCurrent() bool { return t.shard.byName[t.name] == t }
--- a/control/tickets.go
+++ b/control/tickets.go
@@ -227,7 +227,7 @@
 	if f.Code == result.Overloaded && a.to != m.opts.Node {
 		m.entry.fullAt[f.Shard] = m.now
 	}
-	if f.Code == result.NoTarget {
+	if f.Code == result.NoTarget || f.Code == result.TargetsEvacuated {
 		if id, ok := m.nextShard(r); ok {
 			m.ask(r, id)
 			return
--- a/control/topology.go
+++ b/control/topology.go
@@ -7,6 +7,7 @@
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control/member"
+	"github.com/walnutcove/walnutcove/result"
 )
 
 // topology is what the machine derives from a configuration version.
@@ -40,7 +41,7 @@
 	id ShardID
 	// hash is the shard's key for rendezvous hashing.
 	hash uint64
-	// targets and open hold the names of all and of the not leaving targets.
+	// targets and open hold the names of all targets and of those that take work.
 	targets []string
 	open    []string
 	// slots is how many runs the shard serves at once, as declared.
@@ -82,7 +83,7 @@
 	}
 	d.targets = append(d.targets, name)
 	d.slots += max(1, target.Slots)
-	if !target.Leaving {
+	if target.TakesWork() {
 		d.open = append(d.open, name)
 	}
 }
@@ -126,10 +127,16 @@
 	return 1
 }
 
-// mayRun says whether a declared, not leaving target may serve a workspace.
+// mayRun reports whether a target is declared, takes work and may serve a workspace.
 func (t *topology) mayRun(target, workspace string, excluded []string) bool {
+	return t.decl.Targets[target].TakesWork() && t.isAllowed(target, workspace, excluded)
+}
+
+// isAllowed reports whether a target is declared and may serve a workspace, regardless of
+// whether it takes work.
+func (t *topology) isAllowed(target, workspace string, excluded []string) bool {
 	decl, ok := t.decl.Targets[target]
-	if !ok || decl.Leaving || slices.Contains(excluded, target) {
+	if !ok || slices.Contains(excluded, target) {
 		return false
 	}
 	ws, known := t.decl.Workspaces[workspace]
@@ -156,6 +163,19 @@
 	return false
 }
 
+// noCandidateCode returns the result code for a request that no target may serve.
+func (t *topology) noCandidateCode(ev RequestArrived) result.Code {
+	for _, id := range t.pools[ev.Pool] {
+		for _, name := range t.shards[id].targets {
+			decl := t.decl.Targets[name]
+			if decl.Evacuated && !decl.Leaving && t.isAllowed(name, ev.Workspace, ev.Excluded) {
+				return result.TargetsEvacuated
+			}
+		}
+	}
+	return result.NoTarget
+}
+
 // candidates returns the shards of a pool that may serve a workspace: the near
 // one first, then the others in an order that differs between requests.
 func (t *topology) candidates(ev RequestArrived, near string) []ShardID {
--- a/ctl/cli/summary.go
+++ b/ctl/cli/summary.go
@@ -85,7 +85,7 @@
 // sumUpTargets writes a line for each pool and data centre, and lists the targets that need
 // a look.
 func (a *app) sumUpTargets(rows []operator.TargetStatus) error {
-	t := newTable(a.Out, "POOL", "DATA-CENTRE", "TARGETS", "LIVE", "SUSPECT", "LEAVING", "UNKNOWN", "RUNNING", "SLOTS")
+	t := newTable(a.Out, "POOL", "DATA-CENTRE", "TARGETS", "LIVE", "SUSPECT", "LEAVING", "EVACUATED", "UNKNOWN", "RUNNING", "SLOTS")
 	groups, byGroup := grouped(rows, func(r operator.TargetStatus) group { return group{r.Pool, r.DataCentre} })
 	for _, g := range groups {
 		of := byGroup[g]
@@ -93,7 +93,7 @@
 			return number(count(of, func(r operator.TargetStatus) bool { return r.Health == health }))
 		}
 		t.row(g.pool, g.dataCentre, number(len(of)), in(operator.TargetLive), in(operator.TargetSuspect),
-			in(operator.TargetLeaving), in(operator.TargetUnknown),
+			in(operator.TargetLeaving), in(operator.TargetEvacuated), in(operator.TargetUnknown),
 			number(sum(of, func(r operator.TargetStatus) int { return r.Running })),
 			number(sum(of, func(r operator.TargetStatus) int { return r.Slots })))
 	}
--- a/ctl/cli/summary_test.go
+++ b/ctl/cli/summary_test.go
@@ -50,7 +50,7 @@
 		"DATA-CENTRE ROUTERS READY UNREACHABLE BEHIND LEAVING WAITING RUNNING dc-0 150 149 1 0 1 150 300 dc-1 150 150 0 1 0 150 300",
 		"3 routers not ready, behind, leaving or with an error",
 		"vm-010 dc-0 unreachable - - - - timeout vm-011 dc-1 ready 6 1 2 - - vm-012 dc-0 ready 7 1 2 yes -",
-		"gen dc-0 200 170 30 0 0 200 800 30 targets not live",
+		"gen dc-0 200 170 30 0 0 0 200 800 30 targets not live",
 		"t-023 gen dc-0 suspect 1 4 0s - - 6 more; --all lists them",
 		"w-59 59 0 0 w-58 58 0 0",
 		"w-36 36 0 0 36 workspaces more, with 630 waiting; --all lists them",
--- a/directory/exchange.go
+++ b/directory/exchange.go
@@ -10,11 +10,15 @@
 
 // exported is the directory as one router gives it to another.
 type exported struct {
-	Version        config.Version             `json:"version"`
-	ConfigRevision config.Revision            `json:"config_revision,omitempty"`
-	Declarations   config.Declarations        `json:"declarations"`
-	Targets        map[string]exportedTarget  `json:"targets"`
-	Gone           map[string]config.Revision `json:"gone"`
+	Version        config.Version      `json:"version"`
+	ConfigRevision config.Revision     `json:"config_revision,omitempty"`
+	Declarations   config.Declarations `json:"declarations"`
+	// Evacuations holds the latest evacuation of each data centre, and OperatorRevision the
+	// highest revision of the entries that operators wrote.
+	Evacuations      map[string]exportedEvacuation `json:"evacuations,omitempty"`
+	OperatorRevision config.Revision               `json:"directed,omitempty"`
+	Targets          map[string]exportedTarget     `json:"targets"`
+	Gone             map[string]config.Revision    `json:"gone"`
 	// Lapsed holds removals that are not believed yet. The other router has to have them
 	// with what came after them, as it will not ask for what is older again.
 	Lapsed map[string]exportedLapse `json:"lapsed,omitempty"`
@@ -31,6 +35,13 @@
 	Corrected bool `json:"corrected,omitempty"`
 }
 
+type exportedEvacuation struct {
+	Revision config.Revision `json:"revision"`
+	Ended    bool            `json:"over,omitempty"`
+	// Left is the time, in nanoseconds, until the evacuation expires; zero: it does not.
+	Left time.Duration `json:"left,omitempty"`
+}
+
 type exportedLapse struct {
 	Revision config.Revision `json:"revision"`
 	// Left is the time, in nanoseconds, until the removal is believed.
@@ -45,7 +56,8 @@
 
 // Known is what a router has of the directory.
 type Known struct {
-	Version        config.Version  `json:"version"`
+	Version config.Version `json:"version"`
+	// ConfigRevision is the highest revision of the entries that operators wrote.
 	ConfigRevision config.Revision `json:"config_revision,omitempty"`
 	Revision       config.Revision `json:"revision"`
 	// PlatformOnly says that all of it comes from the platform itself, which may list as
@@ -58,7 +70,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	own := f.state.configuration
-	return Known{Version: own.Version, ConfigRevision: own.Revision, Revision: f.state.revision, PlatformOnly: !f.state.peerSynced}
+	return Known{Version: own.Version, ConfigRevision: f.state.operatorRevision, Revision: f.state.revision, PlatformOnly: !f.state.peerSynced}
 }
 
 // NeedsPeer says that all that is known here comes from the platform itself, so that a peer
@@ -105,6 +117,9 @@
 		EraListed:   s.eraListed,
 	}
 	own := s.configuration
+	if s.operatorRevision > known.ConfigRevision {
+		content.OperatorRevision, content.Evacuations = s.operatorRevision, s.exportEvacuations(now)
+	}
 	if own.Version > known.Version || own.Version == known.Version && own.Revision > known.ConfigRevision {
 		content.Version, content.ConfigRevision = own.Version, own.Revision
 		content.Declarations = own.Declarations
@@ -139,6 +154,8 @@
 func (s *state) merge(content exported, now time.Time, grace time.Duration) bool {
 	configuration := Configuration{Version: content.Version, Revision: content.ConfigRevision, Declarations: content.Declarations}
 	changed := s.configure(configuration)
+	changed = s.mergeEvacuations(content, now, grace) || changed
+	s.operatorRevision = max(s.operatorRevision, content.OperatorRevision)
 	s.listed, s.peerSynced = true, true
 	restored := content.Revision.Era() > s.revision.Era() && s.revision > 0
 	if content.EraListed > 0 {
@@ -156,6 +173,39 @@
 	return true
 }
 
+func (s *state) exportEvacuations(now time.Time) map[string]exportedEvacuation {
+	all := make(map[string]exportedEvacuation, len(s.evacuations))
+	for dataCentre, e := range s.evacuations {
+		out := exportedEvacuation{Revision: e.revision, Ended: e.ended}
+		if !e.until.IsZero() {
+			out.Left = max(e.until.Sub(now), 1)
+		}
+		all[dataCentre] = out
+	}
+	return all
+}
+
+// mergeEvacuations takes in the evacuations that another router exported. One that is missing
+// there expires after grace if the other router is in a later era.
+func (s *state) mergeEvacuations(content exported, now time.Time, grace time.Duration) bool {
+	changed := false
+	for dataCentre, own := range s.evacuations {
+		_, known := content.Evacuations[dataCentre]
+		if !known && !own.ended && own.until.IsZero() && own.revision.Era() < content.OperatorRevision.Era() {
+			own.until = now.Add(grace)
+			s.evacuations[dataCentre] = own
+		}
+	}
+	for dataCentre, e := range content.Evacuations {
+		next := evacuation{revision: e.Revision, ended: e.Ended}
+		if e.Left > 0 {
+			next.until = now.Add(e.Left)
+		}
+		changed = s.applyEvacuation(dataCentre, next) || changed
+	}
+	return changed
+}
+
 // mergeTargets takes in the targets that another router exported.
 func (s *state) mergeTargets(content exported, now time.Time, grace time.Duration) bool {
 	entries := make([]Entry[config.Target], 0, len(content.Targets)+len(content.Gone))
--- a/directory/feed.go
+++ b/directory/feed.go
@@ -42,11 +42,20 @@
 type Entry[T any] struct {
 	Key      string
 	Revision config.Revision
-	// Gone says that the entry was removed at this revision; Value is empty then.
+	// Gone says that the entry was removed at this revision; Value then holds only what is
+	// encoded in Key.
 	Gone  bool
 	Value T
 }
 
+// Directive is an entry that operators write: either a configuration version or the evacuation
+// of a data centre. An evacuation lasts until its entry is removed.
+type Directive struct {
+	Configuration
+	// Evacuates is the data centre to evacuate; empty for a configuration.
+	Evacuates string
+}
+
 // Configuration is a published configuration version without its targets.
 type Configuration struct {
 	Version config.Version
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -44,9 +44,9 @@
 
 // Options configure a Follower.
 type Options struct {
-	// Configurations and Targets are the feeds. Required.
-	Configurations Feed[Configuration]
-	Targets        Feed[config.Target]
+	// Directives and Targets are the feeds. Required.
+	Directives Feed[Directive]
+	Targets    Feed[config.Target]
 	// OnChange gets each new snapshot, in order, on one goroutine at a time.
 	// Required.
 	OnChange func(*config.Snapshot)
@@ -117,7 +117,7 @@
 // Run follows both feeds until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	running.Go(func() { newPoller(f, feedConfigurations, f.options.Configurations, f.configured).run(ctx) })
+	running.Go(func() { newPoller(f, feedConfigurations, f.options.Directives, f.directivesChanged).run(ctx) })
 	running.Go(func() { newPoller(f, feedTargets, f.options.Targets, f.targetsChanged).run(ctx) })
 	running.Go(func() { f.expireLapsed(ctx) })
 	running.Go(func() { f.runEraProbes(ctx) })
@@ -154,10 +154,14 @@
 // grace is how long entries may take to return once the platform is back.
 func (f *Follower) grace() time.Duration { return f.options.ReturnGrace + returnMargin }
 
-func (f *Follower) configured(listing Listing[Configuration], _ arrival) {
+func (f *Follower) directivesChanged(listing Listing[Directive], how arrival) {
 	f.change(sourcePlatform, func(s *state) bool {
-		changed := false
+		changed := how.whole && s.endMissingEvacuations(listing, time.Now().Add(f.grace()))
 		for _, entry := range listing.Entries {
+			if entry.Value.Evacuates != "" {
+				changed = s.applyEvacuation(entry.Value.Evacuates, evacuation{revision: entry.Revision, ended: entry.Gone}) || changed
+				continue
+			}
 			if entry.Gone {
 				continue
 			}
@@ -166,7 +170,7 @@
 					"in_force", uint64(s.configuration.Version), "revision", entry.Revision)
 			}
 			entry.Value.Revision = entry.Revision
-			changed = s.configure(entry.Value) || changed
+			changed = s.configure(entry.Value.Configuration) || changed
 		}
 		return changed
 	})
@@ -200,8 +204,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before, revisionBefore := f.state.configuration.Version, f.state.revision
+	evacuatedBefore := f.state.evacuatedDataCentres()
 	changed := apply(&f.state)
 	f.noteEra(source, revisionBefore)
+	f.noteEvacuations(source, evacuatedBefore)
 	if !changed {
 		f.wakeLapsed()
 		return
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -120,7 +120,7 @@
 
 // scene is a follower with feeds of its own.
 type scene struct {
-	configurations *fakeFeed[Configuration]
+	configurations *fakeFeed[Directive]
 	targets        *fakeFeed[config.Target]
 	follower       *Follower
 	// shared is Options.Shared, and live what OnFollowing was told last.
@@ -132,7 +132,7 @@
 
 func startScene(t *testing.T) *scene {
 	t.Helper()
-	s := &scene{configurations: newFeed[Configuration](), targets: newFeed[config.Target]()}
+	s := &scene{configurations: newFeed[Directive](), targets: newFeed[config.Target]()}
 	s.run(t)
 	return s
 }
@@ -148,7 +148,7 @@
 
 // run starts the follower until the test ends.
 func (s *scene) run(t *testing.T) {
-	s.runWith(t, Options{Configurations: s.configurations, Targets: s.targets})
+	s.runWith(t, Options{Directives: s.configurations, Targets: s.targets})
 }
 
 // runWith does the same with options of the test's own; the scene's are added.
@@ -180,11 +180,11 @@
 // longestLapse is how long the platform lists a target that is gone.
 const longestLapse = 4 * time.Second
 
-func version(number config.Version) Entry[Configuration] {
-	return Entry[Configuration]{Key: "config", Value: Configuration{
+func version(number config.Version) Entry[Directive] {
+	return Entry[Directive]{Key: "config", Value: Directive{Configuration: Configuration{
 		Version:      number,
 		Declarations: config.Declarations{Pools: map[string]config.Pool{"ops": {}}},
-	}}
+	}}}
 }
 
 func targetEntry(name string) Entry[config.Target] {
@@ -343,7 +343,7 @@
 // unanswered.
 func TestStartSoonAfterSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &scene{configurations: newFeed[Configuration](), targets: newFeed[config.Target]()}
+		s := &scene{configurations: newFeed[Directive](), targets: newFeed[config.Target]()}
 		returns := time.Now().Add(200 * time.Millisecond)
 		s.configurations.silent, s.targets.silent = returns, returns
 		s.populate()
--- a/directory/restore_test.go
+++ b/directory/restore_test.go
@@ -39,7 +39,7 @@
 // drill is a scene whose platform loses what was written since a copy.
 type drill struct {
 	*scene
-	configurations copied[Configuration]
+	configurations copied[Directive]
 	targets        copied[config.Target]
 }
 
@@ -220,7 +220,7 @@
 }
 
 // versionFor is version with content of its own.
-func versionFor(number config.Version, pool string) Entry[Configuration] {
+func versionFor(number config.Version, pool string) Entry[Directive] {
 	entry := version(number)
 	entry.Value.Declarations.Pools[pool] = config.Pool{}
 	return entry
@@ -264,7 +264,7 @@
 // startCutOff starts a scene whose platform does not answer.
 func startCutOff(t *testing.T) *scene {
 	t.Helper()
-	s := &scene{configurations: newFeed[Configuration](), targets: newFeed[config.Target]()}
+	s := &scene{configurations: newFeed[Directive](), targets: newFeed[config.Target]()}
 	s.configurations.setDown(true)
 	s.targets.setDown(true)
 	s.run(t)
--- a/directory/silence_test.go
+++ b/directory/silence_test.go
@@ -124,13 +124,13 @@
 // routers.
 func startSilenced(t *testing.T) (*scene, *silentStore) {
 	t.Helper()
-	s := &scene{configurations: newFeed[Configuration](), targets: newFeed[config.Target](), shared: true}
+	s := &scene{configurations: newFeed[Directive](), targets: newFeed[config.Target](), shared: true}
 	store := newSilentStore()
 	s.populate()
 	s.runWith(t, Options{
-		Configurations: silencedFeed[Configuration]{s.configurations, store},
-		Targets:        silencedFeed[config.Target]{s.targets, store},
-		Routers:        func() int { return 9 },
+		Directives: silencedFeed[Directive]{s.configurations, store},
+		Targets:    silencedFeed[config.Target]{s.targets, store},
+		Routers:    func() int { return 9 },
 	})
 	time.Sleep(3 * time.Second) // until it follows
 	return s, store
@@ -323,14 +323,14 @@
 	const silence = time.Minute
 	for routers, most := range map[int]int{9: 300, 340: 60} {
 		synctest.Test(t, func(t *testing.T) {
-			s := &scene{configurations: newFeed[Configuration](), targets: newFeed[config.Target](), shared: true}
+			s := &scene{configurations: newFeed[Directive](), targets: newFeed[config.Target](), shared: true}
 			store := newSilentStore()
 			store.begin(silence)
 			s.populate()
 			s.runWith(t, Options{
-				Configurations: silencedFeed[Configuration]{s.configurations, store},
-				Targets:        silencedFeed[config.Target]{s.targets, store},
-				Routers:        func() int { return routers },
+				Directives: silencedFeed[Directive]{s.configurations, store},
+				Targets:    silencedFeed[config.Target]{s.targets, store},
+				Routers:    func() int { return routers },
 			})
 			time.Sleep(silence)
 			if calls := store.callCount(); calls > most {
--- a/directory/state.go
+++ b/directory/state.go
@@ -21,6 +21,10 @@
 	// unconfirmed holds the entries that may stand in an older copy of the platform's
 	// store only; see state.isContradicted.
 	unconfirmed map[string]unconfirmed
+	// evacuations holds the latest evacuation of each data centre, active or ended.
+	evacuations map[string]evacuation
+	// operatorRevision is the highest revision of the entries that operators wrote.
+	operatorRevision config.Revision
 	// eraListed is the first listing of the present era. What is not above it may be older
 	// than the era.
 	eraListed config.Revision
@@ -60,6 +64,7 @@
 		gone:        make(map[string]removal),
 		lapsed:      make(map[string]lapse),
 		unconfirmed: make(map[string]unconfirmed),
+		evacuations: make(map[string]evacuation),
 	}
 }
 
@@ -70,6 +75,7 @@
 		return false
 	}
 	s.configuration = c
+	s.operatorRevision = max(s.operatorRevision, c.Revision)
 	return true
 }
 
@@ -197,6 +203,11 @@
 			changed = true
 		}
 	}
+	for dataCentre, e := range s.evacuations {
+		if !e.until.IsZero() && due(e.until) && s.expireEvacuation(dataCentre, e) {
+			changed = true
+		}
+	}
 	for key, u := range s.unconfirmed {
 		if due(u.until) && s.confirm(key, u) {
 			s.believed++
@@ -216,13 +227,15 @@
 	declarations.Targets = make(map[string]config.Target, len(s.targets))
 	for name, k := range s.targets {
 		if _, served := declarations.Pools[k.target.Pool]; served {
-			declarations.Targets[name] = k.target
+			target := k.target
+			target.Evacuated = s.isEvacuated(target.DataCentre)
+			declarations.Targets[name] = target
 		}
 	}
 	return &config.Snapshot{
 		Version:         s.configuration.Version,
 		Declarations:    declarations,
-		ConfigRevision:  s.configuration.Revision,
+		ConfigRevision:  s.operatorRevision,
 		TargetsRevision: s.revision,
 		TargetsLapsed:   s.believed,
 	}
--- a/directory/turn_test.go
+++ b/directory/turn_test.go
@@ -12,7 +12,7 @@
 // loaded.
 func startShared(t *testing.T) *scene {
 	t.Helper()
-	s := &scene{configurations: newFeed[Configuration](), targets: newFeed[config.Target](), shared: true}
+	s := &scene{configurations: newFeed[Directive](), targets: newFeed[config.Target](), shared: true}
 	s.populate()
 	s.run(t)
 	synctest.Wait()
--- a/operator/status.go
+++ b/operator/status.go
@@ -44,6 +44,8 @@
 	TargetLive TargetHealth = "live"
 	// TargetSuspect: load polls or connections fail; it gets no new work.
 	TargetSuspect TargetHealth = "suspect"
+	// TargetEvacuated: its data centre is being evacuated; it gets no new work until that ends.
+	TargetEvacuated TargetHealth = "evacuated"
 	// TargetLeaving: the target finishes its work and gets no more.
 	TargetLeaving TargetHealth = "leaving"
 	// TargetUnknown: no load report has arrived yet.
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -23,7 +23,8 @@
 	admitRefusals = codecounter.New("walnut_admit_refusals_total",
 		result.QueueFull, result.QueueBytesFull, result.Draining, result.NotReady)
 	grantRefusals = codecounter.New("walnut_grant_refusals_total",
-		result.DeadlineBeforeGrant, result.NoTarget, result.CallerGone, result.Quarantined, result.ConnectFailed, result.Overloaded)
+		result.DeadlineBeforeGrant, result.NoTarget, result.CallerGone, result.Quarantined, result.ConnectFailed, result.Overloaded,
+		result.TargetsEvacuated)
 )
 
 // grants gives slots to the grant filter. It implements grant.Source.
@@ -125,7 +126,7 @@
 // serves says whether a target is listed at an address now, and takes work.
 func (g *grants) serves(name, address string) bool {
 	declared, known := g.inForce().Declarations.Targets[name]
-	return known && !declared.Leaving && declared.Address == address
+	return known && declared.TakesWork() && declared.Address == address
 }
 
 // refusedBy says which scheduler refused a request and what it went by.
--- a/router/managed.go
+++ b/router/managed.go
@@ -68,18 +68,18 @@
 		rows:    s,
 		routers: platform.NewRouters(s, r.log),
 		directory: directory.New(directory.Options{
-			Configurations: platform.NewConfigurations(s, r.log),
-			Targets:        platform.NewReplicas(s, r.log),
-			OnChange:       r.configChanged,
-			ReturnGrace:    time.Duration(r.settings.Platform.ReturnGrace),
-			ShortestLapse:  heartbeatsToLapse * time.Duration(r.settings.Platform.TargetHeartbeat),
-			LongestLapse:   heartbeatsToVanish * time.Duration(r.settings.Platform.TargetHeartbeat),
-			OnRestored:     r.storeRestored,
-			ProbeEra:       s.Era,
-			Routers:        func() int { return int(r.members.Load()) },
-			Shared:         true,
-			OnFollowing:    func(live bool) { r.loop.post(control.FeedsFollowed{Live: live}) },
-			Log:            r.log,
+			Directives:    platform.NewDirectives(s, r.log),
+			Targets:       platform.NewReplicas(s, r.log),
+			OnChange:      r.configChanged,
+			ReturnGrace:   time.Duration(r.settings.Platform.ReturnGrace),
+			ShortestLapse: heartbeatsToLapse * time.Duration(r.settings.Platform.TargetHeartbeat),
+			LongestLapse:  heartbeatsToVanish * time.Duration(r.settings.Platform.TargetHeartbeat),
+			OnRestored:    r.storeRestored,
+			ProbeEra:      s.Era,
+			Routers:       func() int { return int(r.members.Load()) },
+			Shared:        true,
+			OnFollowing:   func(live bool) { r.loop.post(control.FeedsFollowed{Live: live}) },
+			Log:           r.log,
 		}),
 		othersKnown: make(chan struct{}),
 		joined:      make(chan struct{}),
@@ -147,7 +147,7 @@
 	addresses := make(map[string]string)
 	for _, name := range r.watched.names {
 		declared, known := snapshot.Declarations.Targets[name]
-		if known && !declared.Leaving && snapshot.Declarations.Pools[declared.Pool].Tokens != nil {
+		if known && declared.TakesWork() && snapshot.Declarations.Pools[declared.Pool].Tokens != nil {
 			addresses[name] = declared.Address
 		}
 	}
--- a/router/status.go
+++ b/router/status.go
@@ -123,6 +123,8 @@
 	switch {
 	case target.Leaving:
 		return operator.TargetLeaving
+	case target.Evacuated:
+		return operator.TargetEvacuated
 	case target.DownFor > 0:
 		return operator.TargetSuspect
 	default:
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -57,6 +58,8 @@
 type ReplicaOptions struct {
 	// ID and Service name it.
 	ID, Service string
+	// Zone is the zone that it registers; empty: DefaultZone.
+	Zone string
 	// Slots is how many requests run at once; more are refused.
 	Slots int
 	// Events is how many events a stream has, and Pause the time between two. Zero
@@ -84,6 +87,9 @@
 	Slower time.Duration
 }
 
+// DefaultZone is the zone of replicas whose options name none.
+const DefaultZone = "dc"
+
 // Replica answers requests. Create it with StartReplica.
 type Replica struct {
 	options  ReplicaOptions
@@ -141,7 +147,7 @@
 	r.store.Put(wire.TableReplicas, r.options.ID, wire.Replica{
 		Service:   r.options.Service,
 		Address:   r.address,
-		Zone:      "dc",
+		Zone:      cmp.Or(r.options.Zone, DefaultZone),
 		Software:  "v1",
 		Slots:     r.options.Slots,
 		State:     state,
