Limit the requests granted to cold targets

Returning targets received 27 or more requests in one second, where 26 are allowed.

Change: a target counts as cold for as long as its entry reports, and for its pool's cold start after its data centre's evacuation has ended, after it reports a new start, and after it could not be reached or lost three runs in a series of failures, as it may have restarted. While it is cold, the owner of its shard grants it at most three quarters of what the platform allows, within a sliding window of 1.25 s. Routers that do not own the shard, or have owned it for less than 1.25 s, grant it nothing. In a network partition, an owner grants its side's share of that limit. New settings: scheduling.cold_overshoot and cold_slack, from the platform's bounds. New declarations: cold_start_millis, cold_per_second, cold_millis.

Alternatives considered: - A share of the limit for each router. 26 requests per second among 78 routers is less than one each, so most requests of a router that grants by itself would wait for a share while others go unused. Implemented only between the sides of a network partition. - A ramp. It sends less than is allowed at first and has the same limit at its end. Not implemented.

--- a/config/types.go
+++ b/config/types.go
@@ -72,6 +72,10 @@
 	// data centre. It suits a pool whose data centres are near to each other: one
 	// scheduler then sees every placement.
 	OneQueue bool `json:"one_queue,omitempty" toml:"one_queue,omitempty"`
+	// ColdStartMillis is how long a target is cold after a start. A cold target is slow and
+	// tolerates about ColdPerSecond requests per second. If either is zero, targets start warm.
+	ColdStartMillis int     `json:"cold_start_millis,omitempty" toml:"cold_start_millis,omitempty"`
+	ColdPerSecond   float64 `json:"cold_per_second,omitempty" toml:"cold_per_second,omitempty"`
 	// Tokens says that the work of the pool's targets is counted in tokens; nil:
 	// in slot time.
 	Tokens *TokenWork `json:"tokens,omitempty" toml:"tokens,omitempty"`
@@ -108,6 +112,8 @@
 	// Start tells one start of the target from the next, where the platform lists
 	// targets: its time in milliseconds; zero: not known. Operators leave it out.
 	Start int64 `json:"start,omitempty" toml:"start,omitempty"`
+	// ColdMillis is the remaining cold time that the target last reported. Operators leave it out.
+	ColdMillis int `json:"cold_millis,omitempty" toml:"cold_millis,omitempty"`
 	// Leaving says that the target takes no new work.
 	Leaving bool `json:"leaving,omitempty" toml:"leaving,omitempty"`
 	// Evacuated says that the target's data centre is being evacuated. The target takes no new
--- a/config/validate.go
+++ b/config/validate.go
@@ -22,6 +22,8 @@
 	MaxSlots = 100_000
 	// MaxTypicalMillis bounds a pool's typical slot time: one day.
 	MaxTypicalMillis = 24 * 60 * 60 * 1000
+	// MaxColdPerSecond bounds the request rate that a pool declares for its cold targets.
+	MaxColdPerSecond = 100_000
 )
 
 // Validate checks a whole document. The error is a *ValidationError that lists
@@ -186,6 +188,12 @@
 	if p.TypicalMillis < 1 || p.TypicalMillis > MaxTypicalMillis {
 		problems.add(object, "typical_millis", "must be between 1 and %d", MaxTypicalMillis)
 	}
+	if p.ColdStartMillis < 0 || p.ColdStartMillis > MaxTypicalMillis {
+		problems.add(object, "cold_start_millis", "must be between 0 and %d", MaxTypicalMillis)
+	}
+	if !(p.ColdPerSecond >= 0 && p.ColdPerSecond <= MaxColdPerSecond) {
+		problems.add(object, "cold_per_second", "must be between 0 and %d", MaxColdPerSecond)
+	}
 }
 
 func checkEnginePool(object string, p Pool, problems *problemList) {
--- a/control/commands.go
+++ b/control/commands.go
@@ -51,6 +51,12 @@
 	Cause    string
 }
 
+// TargetCold reports that a target scheduled here is, or may be, cold for the given time.
+type TargetCold struct {
+	Target string
+	For    time.Duration
+}
+
 // SchedulerAvoided tells that a scheduler left a ticket unanswered for Silent, and
 // that this node grants by itself for a while.
 type SchedulerAvoided struct {
@@ -106,4 +112,5 @@
 func (FeedsDoubted) isCommand()      {}
 func (Drained) isCommand()           {}
 func (TargetJudged) isCommand()      {}
+func (TargetCold) isCommand()        {}
 func (SchedulerAvoided) isCommand()  {}
--- a/control/control.go
+++ b/control/control.go
@@ -135,6 +135,9 @@
 	// IgnorePrefixes chooses targets by load alone. Default: by load, then by
 	// where the prompt's beginning is likely cached.
 	IgnorePrefixes bool
+	// ColdOvershoot and ColdSlack set the limit on requests per second to a cold target:
+	// ColdOvershoot times its pool's ColdPerSecond, plus ColdSlack. Default 1 and 0.
+	ColdOvershoot, ColdSlack float64
 	// Tokens is the policy for pools that count in tokens. Default policy.Default.
 	Tokens policy.Tokens
 }
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -163,6 +163,7 @@
 		clear(m.fleet.owners)
 		m.fleet.feeds.stale = true
 		m.reassign()
+		m.updateColdLimits()
 		m.dropLost()
 		m.resendMoved()
 		m.drainLoop()
--- a/control/grants.go
+++ b/control/grants.go
@@ -158,6 +158,10 @@
 	}
 	m.counters.GrantsMade++
 	t.window.Granted(m.now)
+	if m.topo.decl.Pools[q.shard.id.Pool].ColdPerSecond > 0 {
+		t.cold.record(m.now)
+		m.armCold(t)
+	}
 	t.prefixes.granted(q.ticket.PrefixHash)
 	estimate := g.workspace.estimate(q.shard.id.Pool).Charge(g.hint, m.typical(q.shard.id.Pool))
 	if t.engine != nil {
--- a/control/machine.go
+++ b/control/machine.go
@@ -44,6 +44,8 @@
 	sched     scheduler
 	books     books
 	suspicion suspicion
+	// coldUntil maps a target's name to the end of the time for which it is, or may be, cold.
+	coldUntil map[string]Instant
 	draining  bool
 	drained   bool
 	counters  Counters
@@ -63,6 +65,7 @@
 		sched:     newScheduler(),
 		books:     newBooks(),
 		suspicion: newSuspicion(),
+		coldUntil: make(map[string]Instant),
 	}
 	m.view.SetCores(0, opts.Cores)
 	return m
@@ -78,6 +81,9 @@
 	if opts.MemberTimeout <= 0 {
 		opts.MemberTimeout = defaultMemberTimeout
 	}
+	if opts.ColdOvershoot <= 0 {
+		opts.ColdOvershoot = 1
+	}
 	if opts.Tokens == (policy.Tokens{}) {
 		opts.Tokens = policy.Default()
 	}
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -72,6 +72,7 @@
 	}
 	next := newTopology(ev.Snapshot)
 	m.noteVanished(next)
+	m.noteColdTargets(next)
 	m.topo = next
 	for _, name := range sortedKeys(m.sched.workspaces) {
 		m.sched.workspaces[name].follow(m)
@@ -109,6 +110,9 @@
 	}
 	s.owned, s.ownedAt = true, m.now
 	m.sched.watchStale = true
+	for _, t := range s.targets {
+		m.armCold(t)
+	}
 }
 
 // disown notes that another node owns a shard.
--- a/control/shard.go
+++ b/control/shard.go
@@ -138,6 +138,9 @@
 	if tokens := m.topo.decl.Pools[t.shard.id.Pool].Tokens; tokens != nil {
 		m.declareEngine(t, decl.Slots, tokens.MemoryTokens)
 	}
+	if m.topo.decl.Pools[t.shard.id.Pool].ColdPerSecond > 0 {
+		m.updateColdLimit(t)
+	}
 }
 
 // renewTarget forgets what was learned of a target, as it told by itself that it has
@@ -146,6 +149,7 @@
 	m.timers.stop(&old.timer)
 	t := newTarget(m.now, old.shard, old.name)
 	t.start = start
+	m.extendCold(t.name, coldStartDuration(m.topo.decl.Pools[t.shard.id.Pool]))
 	m.declareTarget(t)
 	s := old.shard
 	s.byName[t.name] = t
--- a/control/status.go
+++ b/control/status.go
@@ -29,6 +29,7 @@
 	SchedulersUnanswering uint64
 	NodesSuspected        uint64
 	TargetFailures        uint64
+	TargetsCold           uint64
 	Convictions           uint64
 	MessagesSent          uint64
 	StaleMessages         uint64
--- a/control/target.go
+++ b/control/target.go
@@ -44,7 +44,10 @@
 	// leaving and reportedLeaving say that it takes nothing new.
 	leaving, reportedLeaving bool
 	// evacuated says that the target's data centre is being evacuated: it takes nothing new.
-	evacuated    bool
+	evacuated bool
+	// coldUntil is when its cold time ends; see coldLimit.
+	coldUntil    Instant
+	cold         coldLimit
 	failures     int
 	failingSince Instant
 	downUntil    Instant
@@ -56,6 +59,10 @@
 	pollFailed bool
 	// wasHopeless is what hopeless said last.
 	wasHopeless bool
+	// unreachable says that a connection to it failed during the current series of failures,
+	// and lostRuns counts the runs lost in that series.
+	unreachable bool
+	lostRuns    int
 	// errors counts runs in a row that ended with the target's error.
 	errors   int
 	prefixes prefixSet
@@ -88,13 +95,19 @@
 	if !t.takesWork() || now < t.downUntil {
 		return 0
 	}
-	if t.failures > 0 {
-		return max(0, 1-t.window.Out()) // one run probes it
+	room := 0
+	switch {
+	case t.failures > 0:
+		room = max(0, 1-t.window.Out()) // one run probes it
+	case t.engine != nil:
+		room = t.engine.FreeSlots()
+	default:
+		room = t.window.Room(now)
 	}
-	if t.engine != nil {
-		return t.engine.FreeSlots()
+	if t.isCold(now) {
+		return min(room, t.coldRoom(now))
 	}
-	return t.window.Room(now)
+	return room
 }
 
 // hopeless says that the target cannot be expected to serve again soon. One
@@ -199,7 +212,11 @@
 	if t.failures > 0 {
 		m.emit(TargetJudged{Target: t.name, Failures: t.failures, Cause: cause})
 	}
+	likelyRestarted := t.unreachable || t.lostRuns >= restartLostRuns
 	t.recovered()
+	if likelyRestarted {
+		m.targetRestarted(t)
+	}
 }
 
 func (t *target) recovered() {
@@ -207,6 +224,7 @@
 	t.errors = 0
 	t.downUntil = 0
 	t.pollFailed = false
+	t.unreachable, t.lostRuns = false, 0
 }
 
 // runOutcome learns about a target's health from the end of a run.
@@ -218,6 +236,10 @@
 	case OutcomeAnswered:
 		m.targetServes(t, outcome.String())
 	case OutcomeUnreachable, OutcomeRefused, OutcomeLost:
+		t.unreachable = t.unreachable || outcome == OutcomeUnreachable
+		if outcome == OutcomeLost {
+			t.lostRuns++
+		}
 		m.targetFailed(t, false, outcome.String())
 	case OutcomeFailed:
 		t.errors++
--- a/deploy/template_test.go
+++ b/deploy/template_test.go
@@ -39,6 +39,8 @@
 	"bounds.retry_budget_ratio": "0.2",
 	"bounds.retry_slack":        "52",
 	"bounds.retry_window_s":     "10",
+	"bounds.cold_overshoot":     "1.5",
+	"bounds.cold_slack":         "5",
 }
 
 // numbers are the fields that are numbers, with the keys that they set. All but the keys
@@ -55,6 +57,8 @@
 		"bounds.retry_budget_ratio": "retries.ratio",
 		"bounds.retry_slack":        "retries.slack",
 		"bounds.retry_window_s":     "retries.window",
+		"bounds.cold_overshoot":     "scheduling.cold_overshoot",
+		"bounds.cold_slack":         "scheduling.cold_slack",
 	}
 	whole = "limits.max_descriptors"
 )
--- a/router/loop.go
+++ b/router/loop.go
@@ -217,6 +217,8 @@
 		l.shell.drained()
 	case control.TargetJudged:
 		l.logJudgement(c)
+	case control.TargetCold:
+		l.log.Info("control: Target is cold, few requests at a time.", "target", c.Target, "for", c.For)
 	case control.SchedulerAvoided:
 		l.log.Warn("control: Scheduler does not answer, granting here.", "scheduler", c.Node, "pool", c.Pool, "silent", c.Silent)
 	}
--- a/router/start.go
+++ b/router/start.go
@@ -110,6 +110,8 @@
 		ExchangeEvery:  time.Duration(s.Scheduling.ExchangeEvery),
 		LocalAfter:     time.Duration(s.Scheduling.LocalAfter),
 		IgnorePrefixes: !s.Scheduling.PrefixLocality,
+		ColdOvershoot:  s.Scheduling.ColdOvershoot,
+		ColdSlack:      s.Scheduling.ColdSlack,
 		Tokens:         s.Scheduling.Tokens,
 	})
 	r.loop = newLoop(machine, r, r.log)
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -34,6 +34,7 @@
 			HeartbeatEvery: Duration(500 * time.Millisecond),
 			MemberTimeout:  Duration(2 * time.Second),
 			PrefixLocality: true,
+			ColdOvershoot:  1,
 			Tokens:         policy.Default(),
 		},
 		Limits: Limits{
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -96,6 +96,9 @@
 	ExchangeEvery  Duration `toml:"exchange_every"`
 	// LocalAfter is as in control.Options. Default 0.
 	LocalAfter Duration `toml:"local_after"`
+	// ColdOvershoot and ColdSlack are as in control.Options. Default 1 and 0.
+	ColdOvershoot float64 `toml:"cold_overshoot"`
+	ColdSlack     float64 `toml:"cold_slack"`
 	// PrefixLocality prefers, among about equally loaded targets, one that
 	// likely holds the prompt's beginning in its cache. Default true.
 	PrefixLocality bool `toml:"prefix_locality"`
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -15,6 +15,9 @@
 const (
 	minDuration = Duration(time.Millisecond)
 	maxDuration = Duration(24 * time.Hour)
+	// maxColdOvershoot and maxColdSlack are the upper bounds of these settings.
+	maxColdOvershoot = 100_000
+	maxColdSlack     = 100_000
 
 	minBodyBytes   = 1 << 10
 	maxBodyBytes   = 1 << 30
@@ -139,6 +142,12 @@
 	if s.Scheduling.LocalAfter < 0 || s.Scheduling.LocalAfter > maxDuration {
 		c.add("scheduling.local_after", "must be from 0 to %s", time.Duration(maxDuration))
 	}
+	if !(s.Scheduling.ColdOvershoot >= 1 && s.Scheduling.ColdOvershoot <= maxColdOvershoot) {
+		c.add("scheduling.cold_overshoot", "is %g; must be from 1 to %d", s.Scheduling.ColdOvershoot, maxColdOvershoot)
+	}
+	if !(s.Scheduling.ColdSlack >= 0 && s.Scheduling.ColdSlack <= maxColdSlack) {
+		c.add("scheduling.cold_slack", "is %g; must be from 0 to %d", s.Scheduling.ColdSlack, maxColdSlack)
+	}
 	for _, bound := range s.Scheduling.Tokens.Bounds() {
 		if !(bound.Value >= bound.Least && bound.Value <= bound.Most) {
 			c.add("scheduling.tokens."+bound.Key, "is %g; must be from %g to %g", bound.Value, bound.Least, bound.Most)
