Keep requests in the regions that their route and workspace allow

Cause: the regions that a route or a workspace may declare were not read.

Change: config.AllowedRegions holds the regions whose targets may handle a request; if route and workspace both declare regions, only those of both are allowed. Tickets carry the allowed regions, and schedulers grant only targets in them. The entry router checks each grant against its own configuration version and asks again if a new version changes the allowed regions of a waiting request. The version in force is checked once more right before a request is written. If no target is left in the allowed regions, the request is refused at once with result code 607. The region of each data centre is a setting, node.regions, rendered from the platform's fields.

TestTemplateLoads also renders the table of regions.

--- a/config/route.go
+++ b/config/route.go
@@ -47,6 +47,8 @@
 	// PauseMillis is the longest pause between two events of a stream that is
 	// on time; zero: there is no bound.
 	PauseMillis int `json:"pause_millis,omitempty" toml:"pause_millis,omitempty"`
+	// Regions, if not empty, restricts its requests to targets in these regions.
+	Regions []string `json:"regions,omitempty" toml:"regions,omitempty"`
 	// Priority ranks requests; 0 is the highest.
 	Priority int `json:"priority,omitempty" toml:"priority,omitempty"`
 }
--- a/config/types.go
+++ b/config/types.go
@@ -48,6 +48,8 @@
 	Pools []string `json:"pools" toml:"pools"`
 	// Targets, if not empty, narrows the workspace to these targets.
 	Targets []string `json:"targets,omitempty" toml:"targets,omitempty"`
+	// Regions, if not empty, restricts its requests to targets in these regions.
+	Regions []string `json:"regions,omitempty" toml:"regions,omitempty"`
 	// MaxQueued bounds the requests waiting at one router. Default 256.
 	MaxQueued int `json:"max_queued,omitempty" toml:"max_queued,omitempty"`
 	// MaxQueuedBytes bounds the body bytes waiting at one router. Default 64 MiB.
@@ -101,6 +103,9 @@
 	Pool string `json:"pool" toml:"pool"`
 	// DataCentre is where the target runs.
 	DataCentre string `json:"data_centre" toml:"data_centre"`
+	// Region is the region of the data centre; empty: not known. Routes and workspaces that
+	// declare regions use only targets in these.
+	Region string `json:"region,omitempty" toml:"region,omitempty"`
 	// Address is "ip:port"; host names are refused.
 	Address string `json:"address" toml:"address"`
 	// Slots is how many requests the target runs well at once. Default 1.
--- a/control/entry.go
+++ b/control/entry.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"time"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/result"
 )
 
@@ -55,7 +56,9 @@
 	ev RequestArrived
 	id TicketID
 	// shards are those that may serve it, in the order to ask them.
-	shards  []ShardID
+	shards []ShardID
+	// regions are the allowed regions that its tickets carry.
+	regions config.AllowedRegions
 	asks    []*ask
 	element *list.Element
 	timer   timer
@@ -101,7 +104,7 @@
 		m.refuse(ev, m.topo.noCandidateCode(ev))
 		return
 	}
-	r := &request{ev: ev, shards: shards}
+	r := &request{ev: ev, shards: shards, regions: m.topo.allowedRegions(ev)}
 	m.hold(r)
 	m.newTicket(r)
 	m.askFirst(r)
@@ -246,6 +249,14 @@
 		if len(r.shards) == 0 {
 			m.withdraw(r)
 			m.refuse(r.ev, m.topo.noCandidateCode(r.ev))
+			continue
+		}
+		if regions := m.topo.allowedRegions(r.ev); !regions.Equal(r.regions) {
+			r.regions = regions
+			m.cancelAsks(r, ShardID{})
+			r.asks = nil
+			m.newTicket(r)
+			m.askFirst(r)
 		}
 	}
 }
--- a/control/events.go
+++ b/control/events.go
@@ -16,6 +16,8 @@
 	Attempt   uint32
 	Workspace string
 	Pool      string
+	// Route is the name of the route that the request matched; empty if there is none.
+	Route string
 	// CostHint is the caller's rough slot time; zero if none.
 	CostHint time.Duration
 	// Deadline is the latest time of dispatch.
--- a/control/messages.go
+++ b/control/messages.go
@@ -18,6 +18,8 @@
 	PrefixHash  uint64
 	Fingerprint uint64
 	Excluded    []string
+	// AllowedRegions are the regions whose targets may handle the request.
+	AllowedRegions config.AllowedRegions
 	// Work describes the tokens of the request, for pools that count in tokens.
 	Work Work
 	// Objective is the time from now within which the answer should begin; zero
--- a/control/runs.go
+++ b/control/runs.go
@@ -72,7 +72,7 @@
 		m.returnGrant(from, g, shard)
 		return
 	}
-	if !m.topo.mayRun(g.Target, r.ev.Workspace, r.ev.Excluded) {
+	if !m.topo.mayServe(g.Target, r.ev) {
 		m.returnGrant(from, g, shard)
 		m.askAgain(r, g.Target)
 		return
@@ -138,6 +138,7 @@
 	m.cancelAsks(r, ShardID{})
 	r.ev.Excluded = append(r.ev.Excluded[:len(r.ev.Excluded):len(r.ev.Excluded)], target)
 	r.asks = nil
+	r.regions = m.topo.allowedRegions(r.ev)
 	r.shards = m.topo.candidates(r.ev, m.opts.DataCentre)
 	if len(r.shards) == 0 {
 		m.release(r)
--- a/control/shard.go
+++ b/control/shard.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control/sched"
 	"github.com/walnutcove/walnutcove/result"
 )
@@ -48,6 +49,7 @@
 	// workspace is given if the class is narrowed for it.
 	workspace string
 	excluded  []string
+	regions   config.AllowedRegions
 	// suspect says that a target that runs a suspect must not be used.
 	suspect bool
 	// rank is that of its tickets: it says how much of the capacity they may use.
@@ -174,12 +176,15 @@
 	if suspect {
 		name += "\x00\x00suspect"
 	}
+	if t.AllowedRegions.Restricted {
+		name += "\x00\x00homes\x00" + strings.Join(t.AllowedRegions.Regions, "\x00")
+	}
 	if of != rankShare {
 		name += "\x00\x00" + of.String()
 	}
 	c := s.classes[name]
 	if c == nil {
-		c = &class{name: name, workspace: only, excluded: t.Excluded, suspect: suspect, rank: of}
+		c = &class{name: name, workspace: only, excluded: t.Excluded, regions: t.AllowedRegions, suspect: suspect, rank: of}
 		s.classes[name] = c
 		m.fillClass(s, c)
 	}
@@ -188,7 +193,7 @@
 
 func (m *Machine) fillClass(s *shard, c *class) {
 	for _, t := range s.targets {
-		if slices.Contains(c.excluded, t.name) {
+		if slices.Contains(c.excluded, t.name) || !c.regions.Allows(m.topo.decl.Targets[t.name].Region) {
 			continue
 		}
 		if c.workspace == "" || m.topo.mayRun(t.name, c.workspace, nil) {
--- a/control/tickets.go
+++ b/control/tickets.go
@@ -128,18 +128,19 @@
 	a.tries++
 	m.counters.TicketsSent++
 	m.send(a.to, Ticket{
-		ID:          r.id,
-		Shard:       a.shard,
-		Workspace:   r.ev.Workspace,
-		CostHint:    r.ev.CostHint,
-		TimeLeft:    r.ev.Deadline - m.now,
-		PrefixHash:  r.ev.PrefixHash,
-		Fingerprint: r.ev.Fingerprint,
-		Excluded:    r.ev.Excluded,
-		Work:        r.ev.Work,
-		Objective:   objectiveLeft(r.ev, m.now),
-		Again:       r.ev.Attempt > 1,
-		Quiet:       a.quiet,
+		ID:             r.id,
+		Shard:          a.shard,
+		Workspace:      r.ev.Workspace,
+		CostHint:       r.ev.CostHint,
+		TimeLeft:       r.ev.Deadline - m.now,
+		PrefixHash:     r.ev.PrefixHash,
+		Fingerprint:    r.ev.Fingerprint,
+		Excluded:       r.ev.Excluded,
+		AllowedRegions: r.regions,
+		Work:           r.ev.Work,
+		Objective:      objectiveLeft(r.ev, m.now),
+		Again:          r.ev.Attempt > 1,
+		Quiet:          a.quiet,
 	})
 }
 
@@ -227,7 +228,7 @@
 	if f.Code == result.Overloaded && a.to != m.opts.Node {
 		m.entry.fullAt[f.Shard] = m.now
 	}
-	if f.Code == result.NoTarget || f.Code == result.TargetsEvacuated {
+	if f.Code == result.NoTarget || f.Code == result.TargetsEvacuated || f.Code == result.NoHomeTarget {
 		if id, ok := m.nextShard(r); ok {
 			m.ask(r, id)
 			return
--- a/control/topology.go
+++ b/control/topology.go
@@ -149,14 +149,16 @@
 	return len(ws.Targets) == 0 || slices.Contains(ws.Targets, target)
 }
 
-// serves says whether a shard has a target that may serve a workspace.
-func (t *topology) serves(id ShardID, workspace string, excluded []string) bool {
+// serves reports whether a shard has a target that takes work, may serve a request and is in
+// one of the allowed regions.
+func (t *topology) serves(id ShardID, ev RequestArrived, regions config.AllowedRegions) bool {
 	names := t.shards[id].open
-	if only := t.decl.Workspaces[workspace].Targets; len(only) > 0 {
+	if only := t.decl.Workspaces[ev.Workspace].Targets; len(only) > 0 {
 		names = only
 	}
 	for _, name := range names {
-		if shard, ok := t.shardOf(name); ok && shard == id && t.mayRun(name, workspace, excluded) {
+		shard, ok := t.shardOf(name)
+		if ok && shard == id && t.mayRun(name, ev.Workspace, ev.Excluded) && regions.Allows(t.decl.Targets[name].Region) {
 			return true
 		}
 	}
@@ -165,23 +167,41 @@
 
 // noCandidateCode returns the result code for a request that no target may serve.
 func (t *topology) noCandidateCode(ev RequestArrived) result.Code {
+	regions := t.allowedRegions(ev)
+	code := result.NoTarget
 	for _, id := range t.pools[ev.Pool] {
 		for _, name := range t.shards[id].targets {
 			decl := t.decl.Targets[name]
-			if decl.Evacuated && !decl.Leaving && t.isAllowed(name, ev.Workspace, ev.Excluded) {
+			switch {
+			case decl.Leaving || !t.isAllowed(name, ev.Workspace, ev.Excluded):
+			case !regions.Allows(decl.Region):
+				code = result.NoHomeTarget
+			case decl.Evacuated:
 				return result.TargetsEvacuated
 			}
 		}
 	}
-	return result.NoTarget
+	return code
+}
+
+// allowedRegions returns the regions that the route and the workspace of a request allow.
+func (t *topology) allowedRegions(ev RequestArrived) config.AllowedRegions {
+	return t.decl.AllowedRegions(ev.Route, ev.Workspace)
+}
+
+// mayServe reports whether a target is declared, takes work, may serve the workspace of a
+// request and is in a region allowed for it.
+func (t *topology) mayServe(target string, ev RequestArrived) bool {
+	return t.mayRun(target, ev.Workspace, ev.Excluded) && t.allowedRegions(ev).Allows(t.decl.Targets[target].Region)
 }
 
 // candidates returns the shards of a pool that may serve a workspace: the near
 // one first, then the others in an order that differs between requests.
 func (t *topology) candidates(ev RequestArrived, near string) []ShardID {
 	var ids []ShardID
+	regions := t.allowedRegions(ev)
 	for _, id := range t.pools[ev.Pool] {
-		if t.serves(id, ev.Workspace, ev.Excluded) {
+		if t.serves(id, ev, regions) {
 			ids = append(ids, id)
 		}
 	}
--- a/deploy/template_test.go
+++ b/deploy/template_test.go
@@ -63,6 +63,23 @@
 	whole = "limits.max_descriptors"
 )
 
+// tables holds the fields that are tables with string values.
+var tables = map[string]map[string]string{"zones": {"ikeja": "lagos", "lekki": "lagos", "odd zone": "a \"region\""}}
+
+// renderEach renders a section once for each entry of a table.
+func renderEach(t *testing.T, text string, table map[string]string) string {
+	t.Helper()
+	var out strings.Builder
+	for key, value := range table {
+		quoted, err := json.Marshal(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out.WriteString(strings.NewReplacer("{{@}}", key, "{{.|json}}", string(quoted)).Replace(text))
+	}
+	return out.String()
+}
+
 // with returns the fields with some replaced.
 func (f fields) with(name, value string) fields {
 	changed := maps.Clone(f)
@@ -95,6 +112,9 @@
 		if parts[1] != parts[3] {
 			t.Fatalf("section %s ends as %s", parts[1], parts[3])
 		}
+		if table, isTable := tables[parts[1]]; isTable {
+			return renderEach(t, parts[2], table)
+		}
 		if _, ok := f[parts[1]]; !ok {
 			return ""
 		}
@@ -131,8 +151,12 @@
 			t.Errorf("without %s: %v", field, err)
 		}
 	}
-	if _, err := settings.Parse(render(t, complete.with("a_new_field", "{}"))); err != nil {
-		t.Errorf("with a new field: %v", err)
+	loaded, err := settings.Parse(render(t, complete.with("a_new_field", "{}")))
+	if err != nil {
+		t.Fatalf("with a new field: %v", err)
+	}
+	if !maps.Equal(loaded.Node.Regions, tables["zones"]) {
+		t.Errorf("regions %v", loaded.Node.Regions)
 	}
 }
 
--- a/managedtest/fleet_test.go
+++ b/managedtest/fleet_test.go
@@ -83,6 +83,7 @@
 		f.t.Fatal(err)
 	}
 	s := devfleet.ManagedSettings(fmt.Sprintf("vm-%d", len(f.routers)+1), address)
+	s.Node.Regions = zoneRegions
 	log := &logged{}
 	r, err := router.Start(s, slog.New(slog.NewTextHandler(log, nil)))
 	if err != nil {
--- a/peer/wire/codec_queue.go
+++ b/peer/wire/codec_queue.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/peer/peerpb"
 	"github.com/walnutcove/walnutcove/result"
@@ -14,7 +15,8 @@
 	shard, errShard := e.shard(m.Shard)
 	workspace, errWorkspace := e.name(m.Workspace)
 	excluded, errExcluded := e.nameList(m.Excluded)
-	if err := errors.Join(errOrigin, errShard, errWorkspace, errExcluded); err != nil {
+	regions, errRegions := e.nameList(m.AllowedRegions.Regions)
+	if err := errors.Join(errOrigin, errShard, errWorkspace, errExcluded, errRegions); err != nil {
 		return nil, err
 	}
 	p := &peerpb.Ticket{
@@ -31,6 +33,8 @@
 		Quiet:       m.Quiet,
 		Objective:   micros(m.Objective),
 		Again:       m.Again,
+		HomesBound:  m.AllowedRegions.Restricted,
+		Home:        regions,
 	}
 	p.PromptTokens, p.OutputTokens = uint32(m.Work.PromptTokens), uint32(m.Work.OutputTokens)
 	p.PartId, p.PartTokens = encodeParts(m.Work.Parts)
@@ -42,7 +46,8 @@
 	shard, errShard := d.shard(p.GetShard())
 	workspace, errWorkspace := d.name(p.GetWorkspace())
 	excluded, errExcluded := d.nameList(p.GetExcluded())
-	if err := errors.Join(errOrigin, errShard, errWorkspace, errExcluded); err != nil {
+	regions, errRegions := d.nameList(p.GetHome())
+	if err := errors.Join(errOrigin, errShard, errWorkspace, errExcluded, errRegions); err != nil {
 		return nil, err
 	}
 	work, err := decodeWork(p)
@@ -56,17 +61,18 @@
 			Request:     control.RequestID(p.GetRequest()),
 			Attempt:     p.GetAttempt(),
 		},
-		Shard:       shard,
-		Workspace:   workspace,
-		CostHint:    fromMicros(p.GetCostHint()),
-		TimeLeft:    fromMicros(p.GetTimeLeft()),
-		PrefixHash:  p.GetPrefixHash(),
-		Fingerprint: p.GetFingerprint(),
-		Excluded:    excluded,
-		Quiet:       p.GetQuiet(),
-		Work:        work,
-		Objective:   fromMicros(p.GetObjective()),
-		Again:       p.GetAgain(),
+		Shard:          shard,
+		Workspace:      workspace,
+		CostHint:       fromMicros(p.GetCostHint()),
+		TimeLeft:       fromMicros(p.GetTimeLeft()),
+		PrefixHash:     p.GetPrefixHash(),
+		Fingerprint:    p.GetFingerprint(),
+		Excluded:       excluded,
+		Quiet:          p.GetQuiet(),
+		Work:           work,
+		Objective:      fromMicros(p.GetObjective()),
+		Again:          p.GetAgain(),
+		AllowedRegions: config.AllowedRegions{Restricted: p.GetHomesBound(), Regions: regions},
 	}, nil
 }
 
--- a/result/codes.go
+++ b/result/codes.go
@@ -46,6 +46,7 @@
 	CallerGone           Code = 604
 	Overloaded           Code = 605
 	TargetsEvacuated     Code = 606
+	NoHomeTarget         Code = 607
 
 	// dispatch: 700-799.
 	ConnectFailed     Code = 701
@@ -126,6 +127,7 @@
 	{CallerGone, "caller_gone", "grant", 499, RanNo, false, "The caller went away before the request was dispatched."},
 	{Overloaded, "overloaded", "grant", 503, RanNo, true, "What waits already is too much for an answer in time."},
 	{TargetsEvacuated, "targets_evacuated", "grant", 503, RanNo, true, "All targets that could serve this request are in evacuated data centres."},
+	{NoHomeTarget, "no_home_target", "grant", 503, RanNo, true, "No live target is in the regions that the route and the workspace allow."},
 	{ConnectFailed, "connect_failed", "dispatch", 502, RanNo, true, "No target could be connected to."},
 	{TargetRefused, "target_refused", "dispatch", 503, RanNo, true, "The target refused the request before running it."},
 	{RetryBudgetEmpty, "retry_budget_empty", "dispatch", 503, RanUnknown, true, "The request failed and the retry budget is used up."},
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -24,7 +24,7 @@
 		result.QueueFull, result.QueueBytesFull, result.Draining, result.NotReady)
 	grantRefusals = codecounter.New("walnut_grant_refusals_total",
 		result.DeadlineBeforeGrant, result.NoTarget, result.CallerGone, result.Quarantined, result.ConnectFailed, result.Overloaded,
-		result.TargetsEvacuated)
+		result.TargetsEvacuated, result.NoHomeTarget)
 )
 
 // grants gives slots to the grant filter. It implements grant.Source.
@@ -72,6 +72,7 @@
 		Attempt:     uint32(ex.Attempt),
 		Workspace:   ex.WorkspaceName,
 		Pool:        ex.PoolName,
+		Route:       routeName(ex),
 		CostHint:    ex.CostHint,
 		Deadline:    g.loop.instant(ex.Deadline),
 		Bytes:       int64(len(ex.Body)),
@@ -117,16 +118,27 @@
 		return countRefusal(result.New(result.ConnectFailed, "The target is not declared any more."))
 	}
 	ex.Address = declared.Address
-	ex.TargetServes = func() bool { return g.serves(answer.dispatch.Target, declared.Address) }
+	ex.TargetServes = func() bool { return g.serves(ex, answer.dispatch.Target, declared.Address) }
 	ex.FetchAddress = g.inForce().Declarations.Targets[answer.dispatch.FetchFrom].Address
 	ex.Placed = pipeline.Placement{Start: answer.dispatch.Start, Reads: answer.dispatch.Reads, FetchFrom: answer.dispatch.FetchFrom}
 	return nil
 }
 
-// serves says whether a target is listed at an address now, and takes work.
-func (g *grants) serves(name, address string) bool {
-	declared, known := g.inForce().Declarations.Targets[name]
-	return known && declared.TakesWork() && declared.Address == address
+// serves reports whether a target is still declared at an address, takes work and is in a
+// region that the route and the workspace of the request allow.
+func (g *grants) serves(ex *pipeline.Exchange, name, address string) bool {
+	declarations := &g.inForce().Declarations
+	declared, known := declarations.Targets[name]
+	return known && declared.TakesWork() && declared.Address == address &&
+		declarations.AllowedRegions(routeName(ex), ex.WorkspaceName).Allows(declared.Region)
+}
+
+// routeName returns the name of the route of a request; empty if there is none.
+func routeName(ex *pipeline.Exchange) string {
+	if ex.Route == nil {
+		return ""
+	}
+	return ex.Route.Name
 }
 
 // refusedBy says which scheduler refused a request and what it went by.
--- a/router/managed.go
+++ b/router/managed.go
@@ -69,7 +69,7 @@
 		routers: platform.NewRouters(s, r.log),
 		directory: directory.New(directory.Options{
 			Directives:    platform.NewDirectives(s, r.log),
-			Targets:       platform.NewReplicas(s, r.log),
+			Targets:       platform.NewReplicas(s, r.settings.Node.Regions, r.log),
 			OnChange:      r.configChanged,
 			ReturnGrace:   time.Duration(r.settings.Platform.ReturnGrace),
 			ShortestLapse: heartbeatsToLapse * time.Duration(r.settings.Platform.TargetHeartbeat),
--- a/router/router.go
+++ b/router/router.go
@@ -177,7 +177,7 @@
 		name      string
 		unchanged bool
 	}{
-		{"node", s.Node == r.settings.Node},
+		{"node", s.Node.Equal(r.settings.Node)},
 		{"listen", s.Listen == r.settings.Listen},
 		{"platform", s.Platform == r.settings.Platform},
 		{"peers", s.Peers == r.settings.Peers},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,6 +4,7 @@
 package settings
 
 import (
+	"maps"
 	"time"
 
 	"github.com/walnutcove/walnutcove/control/policy"
@@ -29,11 +30,20 @@
 	// DataCentre and Region say where the VM runs. DataCentre is required.
 	DataCentre string `toml:"data_centre"`
 	Region     string `toml:"region"`
+	// Regions maps each data centre to its region, on a managed platform. Targets in other
+	// data centres get no requests whose route or workspace declares allowed regions.
+	Regions map[string]string `toml:"regions"`
 	// Cores is the processor that the router has, in cores. Those with less than
 	// half of the largest one's schedule nothing. Default 0: not known.
 	Cores float64 `toml:"cores"`
 }
 
+// Equal reports whether n and other hold the same settings.
+func (n Node) Equal(other Node) bool {
+	return n.Name == other.Name && n.DataCentre == other.DataCentre && n.Region == other.Region &&
+		n.Cores == other.Cores && maps.Equal(n.Regions, other.Regions)
+}
+
 // Listen holds the "ip:port" of each listener. All are required.
 type Listen struct {
 	Callers   string `toml:"callers"`
