--- a/control/feeds.go
+++ b/control/feeds.go
@@ -2,12 +2,11 @@
 
 import "github.com/walnutcove/walnutcove/control/member"
 
-// feedFollowers is how many nodes of a data centre follow the platform's feeds: each
-// change costs a call for each, so that 81 nodes made some 1,460 calls in a quiet
-// minute. The others have the news from heartbeats some milliseconds later. Two bear the
-// loss of one without a delay, and a third takes over within MemberTimeout where both are
-// lost at once; a third follower would cost what the prover's calls cost. Each data centre
-// has its own, so that one cut off from the platform is told by the others.
+// feedFollowers is the number of nodes per data centre that follow the platform's feeds. Each
+// change costs one call per follower; the other nodes learn of it from heartbeats. With two
+// followers, the loss of one causes no delay; if both are lost, a third node takes over within
+// MemberTimeout. Each data centre has its own followers, so that one that is cut off from the
+// platform receives changes from the others.
 const feedFollowers = 2
 
 // feedKey is the key by which the followers are ranked.
--- a/control/local.go
+++ b/control/local.go
@@ -12,10 +12,8 @@
 )
 
 // localLimit bounds what a node grants of a shard that it does not own, while the owner does
-// not answer and the pool is full. Each such node sees targets without the others' runs and
-// takes them for idle: in half a second in which 60 of 73 granted on their own, two workspaces
-// were granted 2,353 requests, 178 in the second before, and 278 in the four seconds after, as
-// targets were full. Most went to the workspace that came by most nodes.
+// not answer and the pool is full. Such a node does not see what other nodes granted, so full
+// targets look idle to it.
 type localLimit struct {
 	credit float64
 	at     Instant
--- a/control/rank.go
+++ b/control/rank.go
@@ -26,9 +26,8 @@
 	rankShare rank = iota
 	// rankExcess: beyond the workspace's share.
 	rankExcess
-	// rankReturning: refused before and come back. It is late whatever happens, so
-	// what it would use is better spent on a request that can be in time. Served
-	// like any other, half of all late answers of an overloaded day were such ones.
+	// rankReturning: refused before and retried. Its answer is late in any case, so
+	// requests that can still be in time take precedence.
 	rankReturning
 	// rankDeferred: waited for so long that the answer is late; of pools that count in
 	// slots.
@@ -41,10 +40,8 @@
 // isExcess says whether a request lies beyond its workspace's share.
 func (r rank) isExcess() bool { return r == rankExcess || r == rankReturning }
 
-// spareOf is how much of a target a rank may use. For what returns, less was better
-// for all on overloaded days (from 0.6 of the slots and 0.5 of the wait down to 0.25
-// and 0.15, the worth of a day rose by a fifth); the part that is left lets engines
-// that do little refuse nobody.
+// spareOf is how much of a target a rank may use. Returning requests keep a part, so that
+// lightly loaded engines do not refuse them.
 func (m *Machine) spareOf(of rank) policy.Spare {
 	switch of {
 	case rankExcess:
@@ -87,8 +84,7 @@
 		q.objective = 0
 		q.latest = m.now + millis(m.opts.Tokens.ReturnWaitMillis)
 		if m.yields(q) {
-			// What callers ask for again must not get the capacity that was refused
-			// to others: a workspace got four times what another one did so.
+			// Retries must not get capacity that was refused to other workspaces.
 			q.latest = m.now
 		}
 	case shares.Ask(m.now, q.ticket.Workspace, nominal(q.task).Seconds()) || m.opts.Tokens.NoShares:
--- a/control/sched/shares.go
+++ b/control/sched/shares.go
@@ -115,11 +115,10 @@
 	s.turnedHot(now, f, wanted)
 }
 
-// Unread notes that routers refused requests of a workspace before they read them. Where
-// that is more than it was served, its entry binds it: others yield to it like to one that
-// is refused here. Callers who all come by one small router had a third of what those had
-// who come by all, in six seconds of a loaded day. A router that sheds a few in passing
-// changes nothing: their second tries are served elsewhere.
+// Unread notes that routers refused requests of a workspace before they read them. If
+// that exceeds what it was granted, the routers are its bottleneck, and others yield to it as
+// to one that is refused here. A few refused requests have no effect, as their retries are
+// served through other routers.
 func (s *Shares) Unread(now time.Duration, workspace string, count int) {
 	f := s.flow(now, workspace)
 	wanted := f.wants(now)
@@ -128,10 +127,9 @@
 	s.turnedHot(now, f, wanted)
 }
 
-// turnedHot has a workspace that could use more from now on count as served like the least
-// served of the others that could: what it left to them while it asked for less is no credit
-// to it. Without that, one that turned hot had 1.3 million tokens in two seconds while
-// another, refused all the time, had 0.35, and half of what the other had in six.
+// turnedHot raises the served amount of a workspace that begins to want more capacity to that
+// of the least served of the others that do. Capacity that it did not use before must not give
+// it precedence over workspaces that were refused meanwhile.
 func (s *Shares) turnedHot(now time.Duration, f *shareFlow, wanted bool) {
 	if wanted || !f.wants(now) {
 		return
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -22,8 +22,8 @@
 	// owns.
 	guestKept = 5 * time.Second
 	// watchAfter is how long a shard has to be owned before its targets' load is watched.
-	// A node that starts owns every shard until it has heard of the others, and each of
-	// 295 asked each of 209 targets then; a new owner knows what it grants meanwhile.
+	// A node that starts owns every shard until it has heard of the others, and would
+	// otherwise poll every target of the fleet.
 	watchAfter = 500 * time.Millisecond
 )
 
--- a/router/members.go
+++ b/router/members.go
@@ -22,11 +22,10 @@
 	maxMemberRetry = 500 * time.Millisecond
 	// listTimeout bounds a reading of the others; the store answers in milliseconds.
 	listTimeout = 500 * time.Millisecond
-	// announceTimeout bounds an announcement. The store makes the transactions of a part one
-	// after another, and lets them wait for a second before it refuses more. A shorter
-	// timeout gave up announcements that were made all the same, and sent them again:
-	// 295 routers that started together kept that queue full for 14 s so, and two in
-	// three of them knew a sixth of the others until then.
+	// announceTimeout bounds an announcement. The store runs the transactions of a part one
+	// after another and queues them for up to a second. A shorter timeout would repeat
+	// announcements that are still queued, and so keep the queue full when many routers
+	// start together.
 	announceTimeout = 1500 * time.Millisecond
 	// joinWait is how long a router that could serve waits for its first list of the
 	// others before it says that it is ready. The list takes one call of some
--- a/router/overload.go
+++ b/router/overload.go
@@ -21,8 +21,8 @@
 	// connections: requests wait for the processor then, several times each.
 	lagTooMuch = 25 * time.Millisecond
 	// shedTarget is the lateness at which the part of requests on new connections that is
-	// refused unread stays as it is. A request passes the processor some ten times, so 50 ms
-	// are lost at 5 ms, of objectives of some hundred milliseconds.
+	// refused unread stays as it is. A request waits for the processor about ten times,
+	// each time for about as long as the lateness.
 	shedTarget = 5 * time.Millisecond
 	// shedGain is how much that part changes with each measure, for each shedTarget that
 	// the lateness is off, and mostShedGain the most: all are taken again half a second
@@ -31,7 +31,8 @@
 	mostShedGain = 0.3
 	// shedKeptFrom is the average lateness from which requests on connections that had an
 	// answer here are refused unread, and shedKeptSpan how much more it takes until all are.
-	// The HTTP library refuses these, at several times the cost, so they are taken longer.
+	// Refusing one of these costs several times as much as refusing one on a new connection,
+	// so it starts at a higher lateness.
 	shedKeptFrom = 15 * time.Millisecond
 	shedKeptSpan = 30 * time.Millisecond
 	// lagRecovered is the average at which it takes them again.
@@ -45,14 +46,13 @@
 	maxPause  = 20 * time.Second
 	pauseKept = 10 * time.Second
 	// releaseFrom is the average lateness from which connections are closed with their
-	// answers, and releaseSpan how much more it takes until all are. The next connections
-	// of their callers lead to other routers, without a refusal. The others are kept, as
-	// each new connection costs its router as much as a refusal.
+	// answers, and releaseSpan how much more it takes until all are. Callers then
+	// connect to other routers without having been refused.
 	releaseFrom = 15 * time.Millisecond
 	releaseSpan = 50 * time.Millisecond
-	// turnedAwayAfter is when the balancer has seen that this router takes no new
-	// connections, and what had come before is served: new connections went on arriving
-	// for three seconds. Before, lateness says nothing of those that are kept.
+	// turnedAwayAfter is how long new connections may still arrive after this router has
+	// asked for none. Until then, the lateness may be due to them, so no kept connection is
+	// closed.
 	turnedAwayAfter = 4 * time.Second
 )
 
