--- a/managedtest/fleet_test.go
+++ b/managedtest/fleet_test.go
@@ -84,6 +84,7 @@
 	}
 	s := devfleet.ManagedSettings(fmt.Sprintf("vm-%d", len(f.routers)+1), address)
 	s.Node.Regions = zoneRegions
+	s.Scheduling.ColdOvershoot, s.Scheduling.ColdSlack = coldOvershoot, coldSlack
 	log := &logged{}
 	r, err := router.Start(s, slog.New(slog.NewTextHandler(log, nil)))
 	if err != nil {
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -25,6 +25,8 @@
 	Workspace, AfterEvent string
 	// Leaving says that the replica had told that it leaves, Left ago.
 	Left time.Duration
+	// StartedAt is when the replica began the run.
+	StartedAt time.Time
 	// Cancelled is set if the connection closed before the answer was whole.
 	Cancelled bool
 }
@@ -60,6 +62,8 @@
 	ID, Service string
 	// Zone is the zone that it registers; empty: DefaultZone.
 	Zone string
+	// ColdTime is how long after its start the replica reports itself as cold.
+	ColdTime time.Duration
 	// Slots is how many requests run at once; more are refused.
 	Slots int
 	// Events is how many events a stream has, and Pause the time between two. Zero
@@ -145,13 +149,14 @@
 
 func (r *Replica) register(state string) {
 	r.store.Put(wire.TableReplicas, r.options.ID, wire.Replica{
-		Service:   r.options.Service,
-		Address:   r.address,
-		Zone:      cmp.Or(r.options.Zone, DefaultZone),
-		Software:  "v1",
-		Slots:     r.options.Slots,
-		State:     state,
-		StartedAt: r.startedAt.UnixMilli(),
+		Service:      r.options.Service,
+		Address:      r.address,
+		Zone:         cmp.Or(r.options.Zone, DefaultZone),
+		Software:     "v1",
+		Slots:        r.options.Slots,
+		State:        state,
+		WarmUpMillis: float64(max(0, time.Until(r.startedAt.Add(r.options.ColdTime))).Milliseconds()),
+		StartedAt:    r.startedAt.UnixMilli(),
 	})
 }
 
@@ -269,6 +274,7 @@
 		Workspace:  string(header.Peek(wire.HeaderWorkspace)),
 		AfterEvent: string(header.Peek(wire.HeaderAfterEvent)),
 		Left:       r.left(),
+		StartedAt:  time.Now(),
 	}
 	r.journal.add(run)
 	r.keep(string(header.Peek(wire.HeaderParts)))
