--- a/managedtest/cold_test.go
+++ b/managedtest/cold_test.go
@@ -74,7 +74,7 @@
 	return refused
 }
 
-// runStartTimes returns the start times of a replica's runs after the given time, in journal order.
+// runStartTimes returns the start times of a replica's runs after the given time, in ascending order.
 func (f *fleet) runStartTimes(replica string, after time.Time) []time.Time {
 	var times []time.Time
 	for _, run := range f.journal.Runs("") {
