Add zone evacuations to the soak test

TestSoakEvacuates runs the soak test with replicas in two zones and an operator that evacuates one of them among the other faults. At the end of the run, with no other faults active, a zone is evacuated: from 2 s after the start of the evacuation, no router may send requests to its replicas, and within 2 s of its end the zone must receive requests again.

It is a separate test so that the seeds of the other soak tests draw the same faults as before.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -43,8 +43,7 @@
 	// busy holds what a standing fault is about, by name.
 	busy map[string]bool
 	next time.Time
-	// restores says that the store may come back from older copies.
-	restores bool
+	soakOptions
 	// begun counts them by kind.
 	begun map[string]int
 }
@@ -125,6 +124,9 @@
 	if f.restores {
 		kinds = append(kinds, faultKind{"store comes back", f.restore})
 	}
+	if f.evacuates {
+		kinds = append(kinds, faultKind{"evacuate a zone", f.evacuateZone})
+	}
 	kind := kinds[f.random.IntN(len(kinds))]
 	about, end := kind.begin()
 	if end == nil {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -60,6 +60,8 @@
 	ip       string
 	routers  []*router
 	replicas []*replica
+	// zones are assigned to new replicas in rotation.
+	zones []string
 	// made counts replicas, for their names.
 	made int
 
@@ -69,8 +71,11 @@
 }
 
 // startFleet starts a fleet and waits until every router is ready.
-func startFleet(t *testing.T, routers int) *fleet {
-	f := &fleet{t: t, store: managed.StartStore(), journal: &managed.Journal{}}
+func startFleet(t *testing.T, routers int, options soakOptions) *fleet {
+	f := &fleet{t: t, store: managed.StartStore(), journal: &managed.Journal{}, zones: []string{managed.DefaultZone}}
+	if options.evacuates {
+		f.zones = append(f.zones, secondZone)
+	}
 	t.Cleanup(f.close)
 	var routerIP string
 	routerIP, f.ip = processes.NewIPs()
@@ -164,6 +169,7 @@
 func (f *fleet) addReplica(options managed.ReplicaOptions) {
 	f.made++
 	options.ID = fmt.Sprintf("%s-%d", options.Service, f.made)
+	options.Zone = f.zones[f.made%len(f.zones)]
 	added := &replica{options: options}
 	options.Advertise = func(listens string) (string, error) {
 		var err error
--- a/soak/restart_test.go
+++ b/soak/restart_test.go
@@ -30,7 +30,7 @@
 	// mostCalls bounds the calls of a router for its start: its row, two lists of the
 	// others, two feeds loaded and followed, and some for those that turn up late.
 	const mostCalls = 10
-	f := startFleet(t, *restartFlag)
+	f := startFleet(t, *restartFlag, soakOptions{})
 	j := startJudge(f, "restart")
 	time.Sleep(settleTime)
 	for _, r := range f.routers {
--- a/soak/restore_test.go
+++ b/soak/restore_test.go
@@ -15,7 +15,7 @@
 // TestSoakRestores is TestSoak with a store that comes back from older copies as well. Its
 // seeds are its own, as the further fault changes what a seed draws.
 func TestSoakRestores(t *testing.T) {
-	forSeeds(t, func(t *testing.T, seed uint64) { soak(t, seed, true) })
+	forSeeds(t, func(t *testing.T, seed uint64) { soak(t, seed, soakOptions{restores: true}) })
 }
 
 // restore copies the store, and has it come back from that copy when the fault ends: what was
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,18 +25,29 @@
 
 // TestSoak is one run a seed.
 func TestSoak(t *testing.T) {
-	forSeeds(t, func(t *testing.T, seed uint64) { soak(t, seed, false) })
+	forSeeds(t, func(t *testing.T, seed uint64) { soak(t, seed, soakOptions{}) })
 }
 
-// soak runs one seed; restores says whether the store may come back from older copies.
-func soak(t *testing.T, seed uint64, restores bool) {
-	f := startFleet(t, *routersFlag)
+// soakOptions enables additional fault kinds.
+type soakOptions struct {
+	// restores lets the store come back from older copies.
+	restores bool
+	// evacuates places replicas in two zones and lets the operator evacuate them.
+	evacuates bool
+}
+
+// soak runs the test for one seed with the given options.
+func soak(t *testing.T, seed uint64, options soakOptions) {
+	f := startFleet(t, *routersFlag, options)
 	j := startJudge(f, fmt.Sprintf("seed%d", seed))
 	series := newFaults(f, seed)
-	series.restores = restores
+	series.soakOptions = options
 	series.run(*lengthFlag)
 	if !t.Failed() {
 		j.awaitRecovery()
+		if options.evacuates {
+			j.judgeEvacuation()
+		}
 		j.judgeLeaving()
 	}
 	j.end()
