--- a/front/atonce.go
+++ b/front/atonce.go
@@ -100,12 +100,6 @@
 	case !a.parse(a.in[:n]):
 		return a.handOver(fd, bytes.Clone(a.in[:n]))
 	}
-	if a.server.shouldHandOff() {
-		if conn := a.connFromFD(fd); conn != nil {
-			go a.server.handOff(conn, bytes.Clone(a.in[:n]))
-		}
-		return nil
-	}
 	a.answer(fd)
 	closeDescriptor(fd)
 	return nil
@@ -144,31 +138,8 @@
 	_, _ = syscall.Write(fd, a.out.Bytes())
 }
 
-// tryHandOff hands off the first request of an accepted connection if it can be read completely
-// without blocking. Otherwise it keeps what was read in c.unread and returns false.
-func (a *atOnce) tryHandOff(c *callerConn) (handedOff bool) {
-	if c.raw == nil {
-		return false
-	}
-	n := 0
-	err := c.raw.Read(func(fd uintptr) bool {
-		n, _ = syscall.Read(int(fd), a.in[:]) // the HTTP library's read reports the error
-		return true
-	})
-	if err != nil || n <= 0 {
-		return false
-	}
-	request := bytes.Clone(a.in[:n])
-	if !a.parse(request) {
-		c.unread = request
-		return false
-	}
-	go a.server.handOff(c.Conn, request)
-	return true
-}
-
-// connFromFD returns a connection for a descriptor, or nil if that fails.
-func (a *atOnce) connFromFD(fd int) net.Conn {
+// handOver makes a connection of a descriptor. read is what was read of it.
+func (a *atOnce) handOver(fd int, read []byte) *callerConn {
 	file := os.NewFile(uintptr(fd), "")
 	defer file.Close() // the connection has a copy
 	conn, err := net.FileConn(file)
@@ -177,15 +148,6 @@
 		a.server.log.Warn("front: Connection could not be taken over.", "error", err)
 		return nil
 	}
-	return conn
-}
-
-// handOver returns a callerConn for a descriptor. read holds the bytes already read from it.
-func (a *atOnce) handOver(fd int, read []byte) *callerConn {
-	conn := a.connFromFD(fd)
-	if conn == nil {
-		return nil
-	}
 	c := newCallerConn(conn, a.server)
 	c.unread = read
 	c.admission = turnedAway
--- a/front/conn.go
+++ b/front/conn.go
@@ -40,9 +40,6 @@
 			l.server.acceptedAt.Store(l.server.sinceStart())
 			c := newCallerConn(conn, l.server)
 			c.admission = next
-			if l.tryHandOff(c) {
-				continue
-			}
 			return c, nil
 		}
 		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) && !errors.Is(err, syscall.ECONNABORTED) {
@@ -62,15 +59,6 @@
 	return l.atOnce.refuseWaiting()
 }
 
-// tryHandOff hands off the first request of a connection if it is to be shed and has already
-// arrived.
-func (l callerListener) tryHandOff(c *callerConn) bool {
-	if l.atOnce == nil || c.admission != undecided || !l.server.shouldHandOff() || !l.server.options.Shed(false) {
-		return false
-	}
-	return l.atOnce.tryHandOff(c)
-}
-
 // admission says whether the first request of a connection is served.
 type admission int
 
@@ -97,9 +85,6 @@
 	writeErr error
 	// kept says that a request was answered on it.
 	kept bool
-	// handoffSource is the address of the router that handed off the request; empty for direct
-	// connections.
-	handoffSource string
 	// admission holds until then.
 	admission admission
 	// unread is what was read of the connection and not yet given to the HTTP library.
--- a/front/serve.go
+++ b/front/serve.go
@@ -39,7 +39,7 @@
 		r.err = err
 		s.writeError(ctx, r.ex.ID, err)
 	}
-	if conn.linger || conn.handoffSource != "" || s.releases() {
+	if conn.linger || s.releases() {
 		ctx.SetConnectionClose()
 	}
 }
@@ -59,9 +59,6 @@
 // turnAway refuses a request whose headers have arrived, with as little work as can be: what
 // it takes is missing for those who are served.
 func (s *Server) turnAway(ctx *fasthttp.RequestCtx, conn *callerConn) {
-	if !conn.kept && s.shouldHandOff() && s.hijackForHandoff(ctx) {
-		return
-	}
 	arrival := s.takeArrival(&ctx.Request.Header)
 	arrival.keep(0)
 	conn.linger = arrival != nil && arrival.refusal != nil // its body was not read
@@ -130,7 +127,6 @@
 		gone:    gone,
 	}
 	r.arrival.keep(int64(len(r.ex.Body)))
-	r.ex.HandoffSource = conn.handoffSource
 	r.ex.LookForCaller = conn.isClosedByCaller
 	r.ex.Serving, r.endServing = context.WithCancel(s.ctx)
 	r.ctx, r.cancel = context.WithCancelCause(r.ex.Serving)
@@ -165,7 +161,7 @@
 	case fasthttp.StateIdle:
 		s.finish(conn)
 		conn.setBusy(false)
-	case fasthttp.StateClosed, fasthttp.StateHijacked:
+	case fasthttp.StateClosed:
 		s.finish(conn)
 		s.closed(conn)
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -17,7 +17,6 @@
 	"golang.org/x/time/rate"
 
 	"github.com/walnutcove/walnutcove/dialect"
-	"github.com/walnutcove/walnutcove/handoff"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/settings"
@@ -41,10 +40,6 @@
 // for requests in progress and towards targets.
 const keptPart = 0.4
 
-// handoffPart is the part of the process's descriptors that bounds concurrent outgoing handoffs.
-// Each handoff uses two descriptors.
-const handoffPart = 0.15
-
 // maxHeaders bounds the number of header lines of a request.
 const maxHeaders = 100
 
@@ -86,10 +81,6 @@
 	// OnShed, if set, learns of each such refusal, by what the headers tell. The function
 	// gives headers by name; it and host and path are valid until OnShed returns.
 	OnShed func(host, path []byte, header func(name string) []byte)
-	// Handoff, if set, forwards shed requests to other routers.
-	Handoff Handoff
-	// MaxHandoffs bounds the number of concurrent outgoing handoffs.
-	MaxHandoffs int
 	// Release, if set, says that the connection of the next answer is closed with it.
 	Release func() bool
 	// Dialect is how the callers speak. Default dialect.Own.
@@ -98,14 +89,6 @@
 	Log *slog.Logger
 }
 
-// Handoff forwards requests to other routers. Its methods are safe for concurrent use.
-type Handoff interface {
-	// Wanted reports whether the next shed request is handed off.
-	Wanted() bool
-	// Send forwards a request; see handoff.Sender.Send.
-	Send(request []byte, caller net.Conn) handoff.Outcome
-}
-
 // FromLimits returns the options that a settings file asks for.
 func FromLimits(limits settings.Limits) Options {
 	return Options{
@@ -116,7 +99,6 @@
 		IdleTimeout:    time.Duration(limits.IdleTimeout),
 		WriteTimeout:   time.Duration(limits.StallTimeout),
 		KeptConns:      int(keptPart * float64(limits.MaxDescriptors)),
-		MaxHandoffs:    int(handoffPart * float64(limits.MaxDescriptors)),
 	}
 }
 
@@ -174,10 +156,8 @@
 
 	mu       sync.Mutex
 	listener net.Listener
-	serving  bool // Serve has not returned
-	active   int  // exchanges that have not ended
-	// handoffs holds the caller connections of outgoing handoffs.
-	handoffs map[net.Conn]struct{}
+	serving  bool                     // Serve has not returned
+	active   int                      // exchanges that have not ended
 	conns    map[*callerConn]struct{} // open connections
 	changed  chan struct{}            // closed and replaced by signal
 }
@@ -198,9 +178,8 @@
 
 		arrivals: newArrivals(int64(options.MaxHeldBytes), options.ReadTimeout+arrivalMargin),
 
-		conns:    make(map[*callerConn]struct{}),
-		handoffs: make(map[net.Conn]struct{}),
-		changed:  make(chan struct{}),
+		conns:   make(map[*callerConn]struct{}),
+		changed: make(chan struct{}),
 	}
 	s.ctx, s.cancel = context.WithCancelCause(context.Background())
 	s.http = s.newHTTPServer()
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -45,19 +45,9 @@
 	for _, conn := range s.connections() {
 		conn.Conn.Close()
 	}
-	s.closeHandoffs()
 	return err
 }
 
-// closeHandoffs closes the caller connections of outgoing handoffs.
-func (s *Server) closeHandoffs() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for conn := range s.handoffs {
-		_ = conn.Close() // ends the handoff
-	}
-}
-
 // drain refuses new requests and bounds the wait of idle connections. Later calls do
 // nothing.
 func (s *Server) drain() {
@@ -117,7 +107,7 @@
 }
 
 // allClosed needs s.mu.
-func (s *Server) allClosed() bool { return !s.serving && len(s.conns)+len(s.handoffs) == 0 }
+func (s *Server) allClosed() bool { return !s.serving && len(s.conns) == 0 }
 
 // allEnded needs s.mu.
 func (s *Server) allEnded() bool { return s.active == 0 }
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -27,9 +27,6 @@
 // Exchange is one request and its answer on their way through the pipeline.
 // It owns copies of everything: nothing in it points into a fasthttp buffer.
 type Exchange struct {
-	// HandoffSource is the address of the router that handed off the request; empty if the caller
-	// connected to this router. Set by accept.
-	HandoffSource string
 	// Sequence numbers the request within this process. Set by accept.
 	Sequence uint64
 	// ID is the request id, unique across the fleet; it is in every log line.
--- a/pipeline/log.go
+++ b/pipeline/log.go
@@ -22,7 +22,6 @@
 		{"workspace", ex.WorkspaceName},
 		{"pool", ex.PoolName},
 		{"target", ex.Target},
-		{"handed_over_from", ex.HandoffSource},
 	} {
 		if known.value != "" {
 			attrs = append(attrs, slog.String(known.key, known.value))
--- a/router/managed.go
+++ b/router/managed.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"sync"
 	"time"
 
@@ -57,10 +56,6 @@
 	caches *cachewatch.Watcher
 	// overload says when this router asks for no new connections.
 	overload *overload
-	// handoffSender hands off requests while this router is overloaded.
-	handoffSender *handoffSender
-	// handoffListener accepts handoffs from other routers; nil if disabled.
-	handoffListener net.Listener
 	// unread counts what is refused unread, for the schedulers.
 	unread unread
 	// fetches are the peers that are asked for their directory.
--- a/router/members.go
+++ b/router/members.go
@@ -114,11 +114,10 @@
 
 func (r *Router) announce(ctx context.Context) error {
 	return r.routers.Announce(ctx, store.VM{
-		Name:           r.settings.Node.Name,
-		DataCentre:     r.settings.Node.DataCentre,
-		PeerAddress:    r.mesh.Address(),
-		HandoffAddress: r.handoffAddress(),
-		Cores:          r.settings.Node.Cores,
+		Name:        r.settings.Node.Name,
+		DataCentre:  r.settings.Node.DataCentre,
+		PeerAddress: r.mesh.Address(),
+		Cores:       r.settings.Node.Cores,
 	})
 }
 
@@ -215,7 +214,6 @@
 	if previous := r.lastAlive.Swap(&now); previous != nil {
 		aliveBefore = *previous
 	}
-	r.updateHandoffPeers()
 	joined, gone := changes(aliveBefore, now)
 	if len(joined)+len(gone) > 0 {
 		r.log.Info("member: Live routers changed.", "count", len(alive), "before", before,
--- a/router/overload.go
+++ b/router/overload.go
@@ -35,9 +35,6 @@
 	// so it starts at a higher lateness.
 	shedKeptFrom = 15 * time.Millisecond
 	shedKeptSpan = 30 * time.Millisecond
-	// shedTooMuch is the average shedPart above which the router asks for no new connections.
-	// Lateness alone does not show the overload, because shedding keeps it low.
-	shedTooMuch = 0.3
 	// lagRecovered is the average at which it takes them again.
 	lagRecovered = 5 * time.Millisecond
 	// minPause is the shortest time without new connections. The balancer looks
@@ -71,18 +68,12 @@
 	log *slog.Logger
 	// crowded says that most descriptors for callers are in use.
 	crowded func() bool
-	// canHandOff reports whether requests can be handed off now; nil if they never can.
-	canHandOff func() bool
-	on         atomic.Bool
+	on      atomic.Bool
 	// average is the lag as others may read it, in nanoseconds.
 	average atomic.Int64
 	lag     time.Duration
-	// averageShed is the moving average of shedPart.
-	averageShed float64
-	// shedPart is the part of requests on new connections that is shed, as the bits of a float.
-	// Shed requests are handed off if possible, and refused unread otherwise. Values above 1
-	// shed all of them, and the excess is the part that is refused without trying a handoff,
-	// because handoffs also cost processor time.
+	// shedPart is the part of requests on new connections that is refused unread, as the
+	// bits of a float.
 	shedPart atomic.Uint64
 	// since is when it last began or ended, and pause how long it lasts at least.
 	since time.Time
@@ -104,18 +95,6 @@
 	return over > 0 && rand.N(shedKeptSpan) < over
 }
 
-// prefersHandoff reports whether a shed request is handed off rather than refused.
-func (o *overload) prefersHandoff() bool {
-	refused := math.Float64frombits(o.shedPart.Load()) - 1
-	return refused <= 0 || rand.Float64() >= refused
-}
-
-// acceptsHandoff reports whether this router has capacity for requests handed off by others: it
-// sheds nothing itself, and its lateness is below half of shedTarget.
-func (o *overload) acceptsHandoff() bool {
-	return math.Float64frombits(o.shedPart.Load()) == 0 && o.late() < shedTarget/2
-}
-
 // releases says whether the connection of the next answer is closed with it: the more, the
 // later this process runs, once new connections lead to others.
 func (o *overload) releases() bool {
@@ -149,10 +128,9 @@
 	o.average.Store(int64(o.lag))
 	o.adapt(late)
 	crowded := o.crowded()
-	o.averageShed += lagWeight * (math.Float64frombits(o.shedPart.Load()) - o.averageShed)
 	lasted := now.Sub(o.since)
 	switch {
-	case !o.on.Load() && (o.lag > lagTooMuch || crowded || o.averageShed > shedTooMuch):
+	case !o.on.Load() && (o.lag > lagTooMuch || crowded):
 		o.begin(now)
 		o.log.Warn("router: Too busy for new connections.", "lag", o.lag, "crowded", crowded, "for_at_least", o.pause)
 	case o.on.Load() && o.lag < lagRecovered && !crowded && lasted >= o.pause:
@@ -170,15 +148,7 @@
 func (o *overload) adapt(late time.Duration) {
 	off := float64(late-shedTarget) / float64(shedTarget)
 	part := math.Float64frombits(o.shedPart.Load()) + min(shedGain*off, mostShedGain)
-	o.shedPart.Store(math.Float64bits(min(max(part, 0), o.maxShedPart())))
-}
-
-// maxShedPart returns the upper bound of shedPart.
-func (o *overload) maxShedPart() float64 {
-	if o.canHandOff != nil && o.canHandOff() {
-		return 2
-	}
-	return 1
+	o.shedPart.Store(math.Float64bits(min(max(part, 0), 1)))
 }
 
 // begin asks for no new connections from now on.
--- a/router/shell.go
+++ b/router/shell.go
@@ -143,7 +143,6 @@
 // vmsListed spreads the list to the sessions and the control goroutine.
 func (r *Router) vmsListed(vms []store.VM) {
 	r.vms.Store(&vms)
-	r.updateHandoffPeers()
 	if r.patched != nil {
 		r.listedChanged(vms)
 	}
--- a/router/start.go
+++ b/router/start.go
@@ -34,7 +34,6 @@
 	keyOperators = "listen.operators"
 	keyPeers     = "listen.peers"
 	keyHealth    = "listen.health"
-	keyHandoff   = "listen.handoff"
 	keyPeerFiles = "peers"
 )
 
@@ -159,9 +158,6 @@
 			return problem(keyHealth, err)
 		}
 	}
-	if err := r.openHandoff(); err != nil {
-		return err
-	}
 	r.operator, err = operator.New(backend{r}, operator.Options{
 		Address:   r.settings.Listen.Operators,
 		KeyHashes: r.settings.Operators.KeyHashes,
@@ -183,21 +179,6 @@
 	return nil
 }
 
-// openHandoff opens the handoff listener if one is configured.
-func (r *Router) openHandoff() error {
-	if r.managed == nil {
-		return nil
-	}
-	address, err := r.settings.Listen.HandoffAddress()
-	if err == nil && address != "" {
-		r.handoffListener, err = callerListener.Listen(context.Background(), "tcp", address)
-	}
-	if err != nil {
-		return problem(keyHandoff, err)
-	}
-	return nil
-}
-
 // peerOptions loads the keys for peers and checks them.
 func peerOptions(s settings.Settings, incarnation control.Incarnation) (peer.Options, error) {
 	keys, err := tlsfiles.Load(s.Peers.CertFile, s.Peers.KeyFile, s.Peers.CAFile)
@@ -223,9 +204,6 @@
 			_ = listener.Close()
 		}
 	}
-	if r.managed != nil && r.handoffListener != nil {
-		_ = r.handoffListener.Close()
-	}
 }
 
 // buildWorkers makes the parts that have goroutines of their own, and what
@@ -251,9 +229,6 @@
 		r.caches = cachewatch.New(platform.NewCaches(r.targets), r.targetKept, r.log)
 		options.Release = r.overload.releases
 		options.Shed = r.overload.sheds
-		r.handoffSender = r.newHandoffSender()
-		r.overload.canHandOff = r.handoffSender.HasPeers
-		options.Handoff = r.handoffSender
 		options.OnShed = r.noteUnread
 		r.front = front.New(options, r.routedPipeline())
 		return
@@ -292,9 +267,6 @@
 		r.start(func() { r.awaitJoined(ctx) })
 		r.start(func() { r.overload.run(ctx) })
 		r.start(func() { r.unread.run(ctx, r.loop) })
-		if r.handoffListener != nil {
-			r.start(func() { r.serve("handoffs", r.serveHandoffs, r.handoffListener) })
-		}
 	} else {
 		r.start(func() { r.follower.Run(ctx) })
 		r.start(func() { r.followVMs(ctx) })
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,12 +4,7 @@
 package settings
 
 import (
-	"fmt"
 	"maps"
-	"math"
-	"net/netip"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/walnutcove/walnutcove/control/policy"
@@ -54,36 +49,11 @@
 	Callers   string `toml:"callers"`
 	Operators string `toml:"operators"`
 	Peers     string `toml:"peers"`
-	// Handoff is the "ip:port" where the router accepts requests handed off by overloaded
-	// routers of the same data centre. The port may have an offset, such as
-	// "10.0.0.7:7400+1". Empty: no handoffs are accepted.
-	Handoff string `toml:"handoff"`
 	// Health is where the platform's balancer asks GET /readyz. Empty: only the
 	// operators' listener answers it.
 	Health string `toml:"health"`
 }
 
-// HandoffAddress returns Handoff with the offset added to its port, or "" if Handoff is empty.
-func (l Listen) HandoffAddress() (string, error) {
-	if l.Handoff == "" {
-		return "", nil
-	}
-	base, suffix, hasOffset := strings.Cut(l.Handoff, "+")
-	address, err := netip.ParseAddrPort(base)
-	if err != nil || !hasOffset {
-		return base, err
-	}
-	offset, err := strconv.ParseUint(suffix, 10, 16)
-	if err != nil {
-		return "", err
-	}
-	port := uint64(address.Port()) + offset
-	if port > math.MaxUint16 {
-		return "", fmt.Errorf("settings: port %d is out of range", port)
-	}
-	return netip.AddrPortFrom(address.Addr(), uint16(port)).String(), nil
-}
-
 // Platform says where the platform's services are.
 type Platform struct {
 	// Address is the "ip:port" of the platform. Required.
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -77,9 +77,6 @@
 	c.distinct("listen.peers", peers, "listen.callers", callers)
 	c.distinct("listen.peers", peers, "listen.operators", operators)
 	s.checkHealthListener(c, callers)
-	if _, err := s.Listen.HandoffAddress(); err != nil {
-		c.add("listen.handoff", "is %q; must be \"ip:port\" with an IP number, or \"ip:port+n\"", s.Listen.Handoff)
-	}
 	tls := c.allOrNone(s.Peers)
 	if !tls && !s.Peers.TrustNetwork {
 		c.loopback("listen.callers", callers, callersOK)
--- a/store/platform.go
+++ b/store/platform.go
@@ -105,9 +105,6 @@
 	DataCentre string `json:"data_centre"`
 	// PeerAddress is the "ip:port" where other routers reach it.
 	PeerAddress string `json:"peer_address"`
-	// HandoffAddress is the "ip:port" where it accepts handoffs from other routers; empty if it
-	// accepts none.
-	HandoffAddress string `json:"handoff_address,omitempty"`
 	// State is live or leaving.
 	State VMState `json:"state"`
 	// Cores is the processor that the VM has; zero: not known.
