Do not sort the fleet for each target when the cold limits are updated

Cause: the limit of each cold target counted the known nodes by a sorted copy of them.

The limit is the same number.

--- a/control/cold.go
+++ b/control/cold.go
@@ -130,7 +130,7 @@
 // other side grants as well.
 func (m *Machine) coldGrantLimit(pool config.Pool) int {
 	live := float64(m.view.Others() + 1)
-	known := max(live, float64(len(m.view.Nodes())+1))
+	known := max(live, float64(m.view.Known()+1))
 	perSecond := pool.ColdPerSecond*m.opts.ColdOvershoot + m.opts.ColdSlack
 	return int(coldGrantFraction * perSecond * live / known)
 }
--- a/control/cold_test.go
+++ b/control/cold_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -193,3 +194,21 @@
 		t.Errorf("one live router of three has a limit of %d, want at most a third of %d", part, whole)
 	}
 }
+
+// BenchmarkUpdateColdLimits measures what a membership change costs the owner of a large shard.
+func BenchmarkUpdateColdLimits(b *testing.B) {
+	const nodes, targets = 300, 3000
+	var names []string
+	for n := range targets {
+		names = append(names, fmt.Sprintf("e%d", n))
+	}
+	f := newColdStartFleet(names...)
+	var members []Member
+	for n := range nodes {
+		members = append(members, Member{Node: NodeID(fmt.Sprintf("n%d", n))})
+	}
+	f.step(MembersListed{Members: members})
+	for b.Loop() {
+		f.machine.updateColdLimits()
+	}
+}
--- a/control/member/view.go
+++ b/control/member/view.go
@@ -163,6 +163,9 @@
 	return 0
 }
 
+// Known returns the number of other nodes that are known, live or not.
+func (v *View) Known() int { return len(v.nodes) }
+
 // Others returns the number of other nodes that may be given work.
 func (v *View) Others() int {
 	n := len(v.alive)
