Name the setting for cold targets in the project's words: scheduling.cold_factor

It was cold_overshoot, which is the platform's name and stands in the template only. Tests of settings, deploy, config and daemon pass.

--- a/deploy/template_test.go
+++ b/deploy/template_test.go
@@ -57,7 +57,7 @@
 		"bounds.retry_budget_ratio": "retries.ratio",
 		"bounds.retry_slack":        "retries.slack",
 		"bounds.retry_window_s":     "retries.window",
-		"bounds.cold_overshoot":     "scheduling.cold_overshoot",
+		"bounds.cold_overshoot":     "scheduling.cold_factor",
 		"bounds.cold_slack":         "scheduling.cold_slack",
 	}
 	whole = "limits.max_descriptors"
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -107,7 +107,7 @@
 	// LocalAfter is as in control.Options. Default 0.
 	LocalAfter Duration `toml:"local_after"`
 	// ColdOvershoot and ColdSlack are as in control.Options. Default 1 and 0.
-	ColdOvershoot float64 `toml:"cold_overshoot"`
+	ColdOvershoot float64 `toml:"cold_factor"`
 	ColdSlack     float64 `toml:"cold_slack"`
 	// PrefixLocality prefers, among about equally loaded targets, one that
 	// likely holds the prompt's beginning in its cache. Default true.
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -143,7 +143,7 @@
 		c.add("scheduling.local_after", "must be from 0 to %s", time.Duration(maxDuration))
 	}
 	if !(s.Scheduling.ColdOvershoot >= 1 && s.Scheduling.ColdOvershoot <= maxColdOvershoot) {
-		c.add("scheduling.cold_overshoot", "is %g; must be from 1 to %d", s.Scheduling.ColdOvershoot, maxColdOvershoot)
+		c.add("scheduling.cold_factor", "is %g; must be from 1 to %d", s.Scheduling.ColdOvershoot, maxColdOvershoot)
 	}
 	if !(s.Scheduling.ColdSlack >= 0 && s.Scheduling.ColdSlack <= maxColdSlack) {
 		c.add("scheduling.cold_slack", "is %g; must be from 0 to %d", s.Scheduling.ColdSlack, maxColdSlack)
