--- a/bench/capacity/platformcost.go
+++ b/bench/capacity/platformcost.go
@@ -14,7 +14,7 @@
 	"github.com/walnutcove/walnutcove/standin/engine"
 	standin "github.com/walnutcove/walnutcove/standin/platform"
 	"github.com/walnutcove/walnutcove/store"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // callsCounted is how many calls each figure of this file is the mean of.
@@ -107,7 +107,7 @@
 		return nil, err
 	}
 	defer counter.close()
-	client := target.NewHTTPClient(target.Options{})
+	client := targets.NewHTTPClient(targets.Options{})
 	defer client.Close()
 	bytes, spent, err := polls(counter, client.Load)
 	if err != nil {
@@ -125,7 +125,7 @@
 }
 
 // polls returns the mean bytes and microseconds of a poll.
-func polls(counter *byteCounter, load func(context.Context, string) (target.Load, error)) (bytes, micros float64, err error) {
+func polls(counter *byteCounter, load func(context.Context, string) (targets.Load, error)) (bytes, micros float64, err error) {
 	before := counter.bytes.Load()
 	spent := processorTime()
 	for range callsCounted {
@@ -140,11 +140,11 @@
 
 // fillPrefixes lets an engine cache prompts with different beginnings.
 func fillPrefixes(address string, prefixes int) error {
-	client := target.NewHTTPClient(target.Options{})
+	client := targets.NewHTTPClient(targets.Options{})
 	defer client.Close()
 	for n := range prefixes {
 		body := fmt.Sprintf(`{"model":"m","max_tokens":1,"prompt":"%04d %0300d"}`, n, n)
-		answer, err := client.Do(context.Background(), target.Request{
+		answer, err := client.Do(context.Background(), targets.Request{
 			ID: fmt.Sprint(n), Address: address, Method: "POST", Path: "/v1/completions", Body: []byte(body),
 			Header: map[string]string{"Content-Type": "application/json"},
 		})
--- a/bench/faults/list.go
+++ b/bench/faults/list.go
@@ -8,7 +8,7 @@
 	"github.com/walnutcove/walnutcove/processes"
 	"github.com/walnutcove/walnutcove/standin/engine"
 	"github.com/walnutcove/walnutcove/standin/journal"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 const (
@@ -105,11 +105,11 @@
 func slowed(s *scene) error { return s.setFault(engine.Faults{SlowFactor: slowFactor}) }
 
 func saysIdle(s *scene) error {
-	return s.setFault(engine.Faults{LieLoad: &target.Load{Slots: s.deployment.Slots}})
+	return s.setFault(engine.Faults{LieLoad: &targets.Load{Slots: s.deployment.Slots}})
 }
 
 func saysFull(s *scene) error {
-	return s.setFault(engine.Faults{LieLoad: &target.Load{
+	return s.setFault(engine.Faults{LieLoad: &targets.Load{
 		Running: s.deployment.Slots, Queued: lieQueued, Slots: s.deployment.Slots,
 	}})
 }
--- a/filters/classify/classify.go
+++ b/filters/classify/classify.go
@@ -13,7 +13,7 @@
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // Paths of engine calls.
@@ -122,9 +122,9 @@
 	}
 	ex.Model = call.model
 	ex.Stream = call.stream
-	ex.PrefixHash = target.PrefixHash(call.messages)
+	ex.PrefixHash = targets.PrefixHash(call.messages)
 	if path == pathCompletions {
-		ex.PrefixHash = target.PrefixHash(call.prompt)
+		ex.PrefixHash = targets.PrefixHash(call.prompt)
 	}
 	name, ok := ex.Snapshot.Index().PoolByModel(call.model)
 	if !ok {
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -12,7 +12,7 @@
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/result/codecounter"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // refusals counts the calls to targets that gave no answer.
@@ -29,9 +29,9 @@
 // Filter sends the request to ex.Address and hands the answer to Relay.
 type Filter struct {
 	// Client calls targets.
-	Client target.Client
+	Client targets.Client
 	// Relay takes the answer's body over; see filters/relay.
-	Relay func(ctx context.Context, ex *pipeline.Exchange, answer *target.Response) error
+	Relay func(ctx context.Context, ex *pipeline.Exchange, answer *targets.Response) error
 	// FirstByteTimeout bounds the wait for the answer's head.
 	FirstByteTimeout time.Duration
 	// Lag returns how late this process runs; nil: never.
@@ -68,7 +68,7 @@
 // send calls the target. A head that has arrived stays open until the exchange
 // ends or ctx does, as it does when the caller of an idempotent request goes
 // away.
-func (f *Filter) send(ctx context.Context, ex *pipeline.Exchange) (*target.Response, error) {
+func (f *Filter) send(ctx context.Context, ex *pipeline.Exchange) (*targets.Response, error) {
 	// On a busy router a request may have waited to be read for longer than its
 	// caller did; the look is cheap against a run for nobody.
 	if ex.HasCallerLeft() {
@@ -100,8 +100,8 @@
 
 // Request builds the call to the exchange's target. A resumed call starts at
 // offset.
-func Request(ex *pipeline.Exchange, offset int64) target.Request {
-	request := target.Request{
+func Request(ex *pipeline.Exchange, offset int64) targets.Request {
+	request := targets.Request{
 		ID:      ex.ID,
 		Address: ex.Address,
 		Method:  ex.Method,
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -11,24 +11,24 @@
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // fakeTarget answers each call by a function.
 type fakeTarget struct {
-	do    func(ctx context.Context) (*target.Response, error)
-	calls []target.Request
+	do    func(ctx context.Context) (*targets.Response, error)
+	calls []targets.Request
 }
 
-// Do implements target.Client.
-func (f *fakeTarget) Do(ctx context.Context, r target.Request) (*target.Response, error) {
+// Do implements targets.Client.
+func (f *fakeTarget) Do(ctx context.Context, r targets.Request) (*targets.Response, error) {
 	f.calls = append(f.calls, r)
 	return f.do(ctx)
 }
 
-// Load implements target.Client.
-func (f *fakeTarget) Load(context.Context, string) (target.Load, error) {
-	return target.Load{}, errors.New("not asked for here")
+// Load implements targets.Client.
+func (f *fakeTarget) Load(context.Context, string) (targets.Load, error) {
+	return targets.Load{}, errors.New("not asked for here")
 }
 
 // endedRun notes how a run was ended first.
@@ -80,7 +80,7 @@
 		{notRun, result.TargetError, result.RanNo, control.OutcomeNotRun},
 		{errors.New("no code"), result.TargetLostRequest, result.RanUnknown, control.OutcomeLost},
 	} {
-		f := &Filter{Client: &fakeTarget{do: func(context.Context) (*target.Response, error) { return nil, c.err }}}
+		f := &Filter{Client: &fakeTarget{do: func(context.Context) (*targets.Response, error) { return nil, c.err }}}
 		before := refusals.Get(c.code)
 		refusal, run := serve(context.Background(), f, &pipeline.Exchange{})
 		if refusal == nil || refusal.Code != c.code || refusal.Ran != c.ran {
@@ -109,8 +109,8 @@
 }
 
 // waitForEnd is a target that does not answer: its call ends with ctx.
-func waitForEnd(started chan<- struct{}, ran result.Ran) func(context.Context) (*target.Response, error) {
-	return func(ctx context.Context) (*target.Response, error) {
+func waitForEnd(started chan<- struct{}, ran result.Ran) func(context.Context) (*targets.Response, error) {
+	return func(ctx context.Context) (*targets.Response, error) {
 		close(started)
 		<-ctx.Done()
 		err := result.New(result.CallerGone, "Cancelled.")
@@ -144,7 +144,7 @@
 		serving, stop := context.WithCancel(context.Background())
 		ctx, cancel := context.WithCancel(serving)
 		gone, lasted := make(chan struct{}), false
-		f := &Filter{Client: &fakeTarget{do: func(call context.Context) (*target.Response, error) {
+		f := &Filter{Client: &fakeTarget{do: func(call context.Context) (*targets.Response, error) {
 			close(gone)
 			cancel()
 			lasted = call.Err() == nil
@@ -185,9 +185,9 @@
 	}
 	// The head comes as the time runs out: the answer is not used.
 	body := &closedBody{}
-	f.Client = &fakeTarget{do: func(ctx context.Context) (*target.Response, error) {
+	f.Client = &fakeTarget{do: func(ctx context.Context) (*targets.Response, error) {
 		<-ctx.Done()
-		return &target.Response{Status: 200, Body: body}, nil
+		return &targets.Response{Status: 200, Body: body}, nil
 	}}
 	refusal, _ = serve(context.Background(), f, &pipeline.Exchange{})
 	if refusal == nil || refusal.Code != result.FirstByteTimeout || !body.closed {
@@ -199,11 +199,11 @@
 func TestCallLastsUntilTheExchangeEnds(t *testing.T) {
 	var call context.Context
 	f := &Filter{
-		Client: &fakeTarget{do: func(ctx context.Context) (*target.Response, error) {
+		Client: &fakeTarget{do: func(ctx context.Context) (*targets.Response, error) {
 			call = ctx
-			return &target.Response{Status: 200}, nil
+			return &targets.Response{Status: 200}, nil
 		}},
-		Relay: func(context.Context, *pipeline.Exchange, *target.Response) error { return nil },
+		Relay: func(context.Context, *pipeline.Exchange, *targets.Response) error { return nil },
 	}
 	ex := &pipeline.Exchange{}
 	if refusal, run := serve(context.Background(), f, ex); refusal != nil || len(run.outcomes) != 0 || call.Err() != nil {
@@ -218,7 +218,7 @@
 // TestNothingIsSentForACallerThatLeft: a caller that is found to have left right
 // before the request is sent gets no run.
 func TestNothingIsSentForACallerThatLeft(t *testing.T) {
-	f := &fakeTarget{do: func(context.Context) (*target.Response, error) {
+	f := &fakeTarget{do: func(context.Context) (*targets.Response, error) {
 		return nil, errors.New("called")
 	}}
 	ex := &pipeline.Exchange{CallerGone: make(chan struct{}), LookForCaller: func() bool { return true }}
--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -20,7 +20,7 @@
 
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/pipeline"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // bufferBytes is the first size of the buffer for events that have not arrived
@@ -40,7 +40,7 @@
 
 // Reopen runs the exchange again on another target, from behind ex.AfterEvent.
 // It sets ex.Run. An error says why it cannot.
-type Reopen func(ctx context.Context, ex *pipeline.Exchange) (*target.Response, error)
+type Reopen func(ctx context.Context, ex *pipeline.Exchange) (*targets.Response, error)
 
 // Relay takes event streams over.
 type Relay struct {
@@ -55,7 +55,7 @@
 // Answer waits for the first event and makes the stream the exchange's answer.
 // An error means that the caller has seen nothing, so that the request may be
 // run again if its route allows it.
-func (r *Relay) Answer(ctx context.Context, ex *pipeline.Exchange, answer *target.Response) error {
+func (r *Relay) Answer(ctx context.Context, ex *pipeline.Exchange, answer *targets.Response) error {
 	s := &stream{ctx: ctx, relay: r, ex: ex, run: ex.Run, source: answer.Body, buffer: make([]byte, 0, bufferBytes)}
 	if err := s.fill(); err != nil && err != io.EOF {
 		s.source.Close()
--- a/filters/events/gather_test.go
+++ b/filters/events/gather_test.go
@@ -13,7 +13,7 @@
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/pipeline"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 const (
@@ -59,7 +59,7 @@
 	ex := &pipeline.Exchange{Run: noRun{}, Route: &config.NamedRoute{Route: config.Route{PauseMillis: int(bears.Milliseconds())}}}
 	began := time.Now()
 	source := &paced{began: began}
-	if err := relay.Answer(context.Background(), ex, &target.Response{Status: http.StatusOK, Body: source}); err != nil {
+	if err := relay.Answer(context.Background(), ex, &targets.Response{Status: http.StatusOK, Body: source}); err != nil {
 		t.Fatal(err)
 	}
 	buffer := make([]byte, 4<<10)
@@ -116,7 +116,7 @@
 		relay := &Relay{Lag: func() time.Duration { return time.Second }, Log: slog.New(slog.DiscardHandler)}
 		ex := &pipeline.Exchange{Run: noRun{}, Route: &config.NamedRoute{}}
 		source := &paced{began: time.Now().Add(-time.Hour)} // all events are there
-		if err := relay.Answer(context.Background(), ex, &target.Response{Status: http.StatusOK, Body: source}); err != nil {
+		if err := relay.Answer(context.Background(), ex, &targets.Response{Status: http.StatusOK, Body: source}); err != nil {
 			t.Fatal(err)
 		}
 		began := time.Now()
--- a/filters/relay/relay.go
+++ b/filters/relay/relay.go
@@ -17,7 +17,7 @@
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 const (
@@ -41,9 +41,9 @@
 // Relay takes answers over.
 type Relay struct {
 	// Client resumes broken streams.
-	Client target.Client
+	Client targets.Client
 	// Request builds the call that resumes a stream at an offset.
-	Request func(ex *pipeline.Exchange, offset int64) target.Request
+	Request func(ex *pipeline.Exchange, offset int64) targets.Request
 	// Log gets a line at warn for each stream that is resumed.
 	Log *slog.Logger
 }
@@ -51,7 +51,7 @@
 // Answer sets the exchange's answer from the target's. An error means that no
 // part of the answer has been shown to the caller, so that the request may be
 // retried if it is idempotent.
-func (r *Relay) Answer(ctx context.Context, ex *pipeline.Exchange, answer *target.Response) error {
+func (r *Relay) Answer(ctx context.Context, ex *pipeline.Exchange, answer *targets.Response) error {
 	ex.MarkBegan()
 	ex.Status = answer.Status
 	ex.AnswerHeader = answer.Header
@@ -108,7 +108,7 @@
 	return result.Wrap(result.StreamBroken, cause, "The answer broke off.")
 }
 
-func isStream(ex *pipeline.Exchange, answer *target.Response) bool {
+func isStream(ex *pipeline.Exchange, answer *targets.Response) bool {
 	if ex.Stream {
 		return true
 	}
--- a/filters/relay/relay_test.go
+++ b/filters/relay/relay_test.go
@@ -11,7 +11,7 @@
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/pipeline"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 var errCut = errors.New("cut")
@@ -41,11 +41,11 @@
 
 // scripted answers each call with the next of its answers.
 type scripted struct {
-	answers []*target.Response
-	asked   []target.Request
+	answers []*targets.Response
+	asked   []targets.Request
 }
 
-func (s *scripted) Do(_ context.Context, r target.Request) (*target.Response, error) {
+func (s *scripted) Do(_ context.Context, r targets.Request) (*targets.Response, error) {
 	s.asked = append(s.asked, r)
 	if len(s.answers) == 0 {
 		return nil, errCut
@@ -55,8 +55,8 @@
 	return next, nil
 }
 
-func (s *scripted) Load(context.Context, string) (target.Load, error) {
-	return target.Load{}, errCut
+func (s *scripted) Load(context.Context, string) (targets.Load, error) {
+	return targets.Load{}, errCut
 }
 
 type countedRun struct{ outcomes []control.Outcome }
@@ -82,23 +82,23 @@
 	return ex, run
 }
 
-func relayOf(client target.Client) *Relay {
+func relayOf(client targets.Client) *Relay {
 	return &Relay{
 		Client: client,
 		Log:    slog.New(slog.DiscardHandler),
-		Request: func(_ *pipeline.Exchange, offset int64) target.Request {
-			return target.Request{Offset: offset}
+		Request: func(_ *pipeline.Exchange, offset int64) targets.Request {
+			return targets.Request{Offset: offset}
 		},
 	}
 }
 
-func answerOf(status int, body io.ReadCloser) *target.Response {
-	return &target.Response{Status: status, Body: body}
+func answerOf(status int, body io.ReadCloser) *targets.Response {
+	return &targets.Response{Status: status, Body: body}
 }
 
 func TestStreamResumesAtTheOffsetReached(t *testing.T) {
 	for _, together := range []bool{false, true} {
-		client := &scripted{answers: []*target.Response{answerOf(200, &parts{text: "world", end: io.EOF})}}
+		client := &scripted{answers: []*targets.Response{answerOf(200, &parts{text: "world", end: io.EOF})}}
 		ex, run := exchange(true)
 		err := relayOf(client).Answer(context.Background(), ex, answerOf(200, &parts{text: "hello ", end: errCut, together: together}))
 		if err != nil {
@@ -149,7 +149,7 @@
 
 func TestResumeThatIsRefusedIsClosed(t *testing.T) {
 	refused := &parts{text: "unknown run", end: io.EOF}
-	client := &scripted{answers: []*target.Response{answerOf(410, refused)}}
+	client := &scripted{answers: []*targets.Response{answerOf(410, refused)}}
 	ex, _ := exchange(true)
 	if err := relayOf(client).Answer(context.Background(), ex, answerOf(200, &parts{text: "half", end: errCut})); err != nil {
 		t.Fatal(err)
--- a/orders/fleet_test.go
+++ b/orders/fleet_test.go
@@ -19,7 +19,7 @@
 	"github.com/walnutcove/walnutcove/standin/journal"
 	"github.com/walnutcove/walnutcove/store"
 	"github.com/walnutcove/walnutcove/store/memory"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // testTimeout bounds every wait for a condition; no verdict depends on it.
@@ -39,7 +39,7 @@
 	t        *testing.T
 	versions *configstore.Store
 	weights  *memory.Weights
-	client   *target.HTTPClient
+	client   *targets.HTTPClient
 	engines  []*engine.Engine
 	names    []string
 	newest   *config.Snapshot
@@ -53,7 +53,7 @@
 		t:        t,
 		versions: configstore.New(backing, backing.Objects(), configstore.Options{}),
 		weights:  memory.NewWeights(memory.WeightsOptions{MaxFetches: 2}),
-		client:   target.NewHTTPClient(target.Options{}),
+		client:   targets.NewHTTPClient(targets.Options{}),
 		newest:   config.Empty(),
 	}
 	t.Cleanup(f.versions.Wait)
@@ -261,7 +261,7 @@
 	hook *hook
 }
 
-func (c hookedClient) GiveOrder(ctx context.Context, address string, order target.Order, fence uint64) error {
+func (c hookedClient) GiveOrder(ctx context.Context, address string, order targets.Order, fence uint64) error {
 	c.hook.run()
 	return c.Client.GiveOrder(ctx, address, order, fence)
 }
@@ -278,7 +278,7 @@
 }
 
 // orderByHand gives an order past every reconciler.
-func (f *fleet) orderByHand(n int, order target.Order, fence uint64) {
+func (f *fleet) orderByHand(n int, order targets.Order, fence uint64) {
 	f.t.Helper()
 	address := f.newest.Declarations.Targets[f.names[n]].Address
 	if err := f.client.GiveOrder(context.Background(), address, order, fence); err != nil {
--- a/orders/options.go
+++ b/orders/options.go
@@ -8,7 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/walnutcove/walnutcove/store"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // Defaults of Options.
@@ -24,13 +24,13 @@
 // everyJitter is the part of a pause by which it varies either way.
 const everyJitter = 0.25
 
-// Client gives orders to targets. *target.HTTPClient is one.
+// Client gives orders to targets. *targets.HTTPClient is one.
 type Client interface {
 	// OrderState asks the target at address ("ip:port") what its orders led to.
-	OrderState(ctx context.Context, address string) (target.OrderState, error)
+	OrderState(ctx context.Context, address string) (targets.OrderState, error)
 	// GiveOrder sends an order with a fencing number. The error is a
-	// *target.FencedError if the target refused the number.
-	GiveOrder(ctx context.Context, address string, order target.Order, fence uint64) error
+	// *targets.FencedError if the target refused the number.
+	GiveOrder(ctx context.Context, address string, order targets.Order, fence uint64) error
 }
 
 // Options configure a Reconciler. Zero values take the stated defaults.
--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -10,7 +10,7 @@
 	"github.com/walnutcove/walnutcove/standin/engine"
 	"github.com/walnutcove/walnutcove/standin/journal"
 	"github.com/walnutcove/walnutcove/store"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 func TestTargetIsBroughtIntoItsDeclaredState(t *testing.T) {
@@ -39,7 +39,7 @@
 func TestCheckingTargetRefusesARouterThatIsBehind(t *testing.T) {
 	f := newFleet(t, engine.Options{ChecksFencing: true})
 	e := f.engines[0]
-	f.orderByHand(0, target.Order{Role: "idle"}, 1) // so that it remembers a number
+	f.orderByHand(0, targets.Order{Role: "idle"}, 1) // so that it remembers a number
 	old := f.declare("prefill", "a")
 	newest := f.declare("decode", "b")
 	overtake := &hook{call: func() {
@@ -135,7 +135,7 @@
 	r := f.router(newest, nil)
 	eventually(t, "newest state", func() bool { return has(e, "decode", "b") })
 	eventually(t, "settled", func() bool { return r.States()[f.names[0]] == "" })
-	f.orderByHand(0, target.Order{LoadModel: "a", KeepModels: []string{"a"}, Role: "prefill"}, uint64(old.Version))
+	f.orderByHand(0, targets.Order{LoadModel: "a", KeepModels: []string{"a"}, Role: "prefill"}, uint64(old.Version))
 	eventually(t, "mended", func() bool { return has(e, "decode", "b") })
 	fences := taken(e)
 	if outOfOrder(fences) != uint64(old.Version) || fences[len(fences)-1] != uint64(newest.Version) {
@@ -148,7 +148,7 @@
 func TestTableOutage(t *testing.T) {
 	f := newFleet(t, engine.Options{}, engine.Options{ChecksFencing: true}, engine.Options{ChecksFencing: true})
 	ignoring, checking, fresh := f.engines[0], f.engines[1], f.engines[2]
-	f.orderByHand(1, target.Order{Role: "idle"}, 1)
+	f.orderByHand(1, targets.Order{Role: "idle"}, 1)
 	snapshot := f.declare("decode", "a")
 	table := &outVersions{Versions: f.versions, out: true}
 	r := f.router(snapshot, func(o *orders.Options) { o.Versions = table })
--- a/orders/pass.go
+++ b/orders/pass.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // pass is one look at one target, and one order at most. It works by one
@@ -53,12 +53,12 @@
 	case !plan.needed:
 		return verdict{reason: ReasonLoading, wait: p.r.options.Every}
 	case state.Fence > uint64(p.snapshot.Version):
-		return verdict{reason: ReasonBehind, err: &target.FencedError{Highest: state.Fence}}
+		return verdict{reason: ReasonBehind, err: &targets.FencedError{Highest: state.Fence}}
 	}
 	return p.give(plan.order, state)
 }
 
-func (p *pass) readState() (target.OrderState, error) {
+func (p *pass) readState() (targets.OrderState, error) {
 	ctx, cancel := context.WithTimeout(p.r.ctx, p.r.options.Timeout)
 	defer cancel()
 	return p.r.options.Client.OrderState(ctx, p.declared.Address)
@@ -66,7 +66,7 @@
 
 // settlePermit keeps the permit of a model that is being loaded, also if
 // another router asked for it, and gives back one that is no longer of use.
-func (p *pass) settlePermit(plan plan, state target.OrderState) {
+func (p *pass) settlePermit(plan plan, state targets.OrderState) {
 	ctx, cancel := context.WithTimeout(p.r.ctx, p.r.options.Timeout)
 	defer cancel()
 	if plan.loading != "" {
@@ -97,7 +97,7 @@
 // give gives an order. The permit comes after a first confirmation, so that
 // none is held while the table is out, and may outlast it; so the version is
 // confirmed again right before the order is sent.
-func (p *pass) give(order target.Order, state target.OrderState) verdict {
+func (p *pass) give(order targets.Order, state targets.OrderState) verdict {
 	if _, v, ok := p.allowedUntil(state); !ok {
 		return v
 	}
@@ -119,7 +119,7 @@
 // allowedUntil returns until when an order may be sent. A target that checks
 // fencing numbers, and remembers one, refuses an old order itself. For any
 // other the version must have been read as the newest a moment ago.
-func (p *pass) allowedUntil(state target.OrderState) (time.Time, verdict, bool) {
+func (p *pass) allowedUntil(state targets.OrderState) (time.Time, verdict, bool) {
 	if p.declared.ChecksFencing && state.Fence > 0 {
 		return p.r.options.Now().Add(p.r.options.Timeout), verdict{}, true
 	}
@@ -154,7 +154,7 @@
 
 // send sends the order unless the time for it has passed, as after a pause of
 // the whole process, or the version is no longer in force here.
-func (p *pass) send(order target.Order, until time.Time) verdict {
+func (p *pass) send(order targets.Order, until time.Time) verdict {
 	if !p.r.inForce(p) {
 		return verdict{reason: ReasonNewerVersion, wait: p.r.options.Soon}
 	}
@@ -166,7 +166,7 @@
 	defer cancel()
 	p.r.counters.sent.Inc()
 	err := p.r.options.Client.GiveOrder(ctx, p.declared.Address, order, uint64(p.snapshot.Version))
-	var fenced *target.FencedError
+	var fenced *targets.FencedError
 	switch {
 	case errors.As(err, &fenced):
 		return verdict{reason: ReasonFenced, err: err}
@@ -178,7 +178,7 @@
 
 // taken takes in that the target took the order. The same order twice is a
 // failure of the target, and the pauses grow.
-func (p *pass) taken(order target.Order) verdict {
+func (p *pass) taken(order targets.Order) verdict {
 	same := p.entry.givenAt == p.snapshot.Version && reflect.DeepEqual(p.entry.given, order)
 	p.entry.given = order
 	p.entry.givenAt = p.snapshot.Version
--- a/orders/plan.go
+++ b/orders/plan.go
@@ -4,13 +4,13 @@
 	"slices"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // plan is what has to be done to bring a target nearer to its declared state.
 type plan struct {
 	// order is to be given, unless it is empty.
-	order target.Order
+	order targets.Order
 	// needed says that order is not empty.
 	needed bool
 	// loading is a declared model that the target loads already; empty if none.
@@ -25,7 +25,7 @@
 // while it waits for another. Every order names the whole set of models that
 // may stay: orders planned from an old report then do no harm, since all orders
 // of one version keep the same models and role.
-func planFor(declared config.Target, state target.OrderState) plan {
+func planFor(declared config.Target, state targets.OrderState) plan {
 	var p plan
 	missing := ""
 	for _, model := range declared.LoadModels {
@@ -36,7 +36,7 @@
 			missing = model
 		}
 	}
-	p.order = target.Order{KeepModels: declared.LoadModels, Role: declared.Role}
+	p.order = targets.Order{KeepModels: declared.LoadModels, Role: declared.Role}
 	if p.loading == "" {
 		p.order.LoadModel = missing
 	}
@@ -46,7 +46,7 @@
 }
 
 // hasOthers says whether the target holds a model that it shall not have.
-func hasOthers(keep []string, state target.OrderState) bool {
+func hasOthers(keep []string, state targets.OrderState) bool {
 	if len(keep) == 0 {
 		return false
 	}
--- a/orders/plan_test.go
+++ b/orders/plan_test.go
@@ -7,13 +7,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // engine takes orders as docs/TARGETS.md says.
-type engine struct{ state target.OrderState }
+type engine struct{ state targets.OrderState }
 
-func (e *engine) take(o target.Order) {
+func (e *engine) take(o targets.Order) {
 	unwanted := func(model string) bool { return !slices.Contains(o.KeepModels, model) }
 	if len(o.KeepModels) > 0 {
 		e.state.Models = slices.DeleteFunc(slices.Clone(e.state.Models), unwanted)
@@ -41,8 +41,8 @@
 func TestOrdersOfOneVersionCommute(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		declared := config.Target{LoadModels: genModels.Draw(t, "declared"), Role: rapid.SampledFrom([]string{"", "x"}).Draw(t, "role")}
-		e := &engine{target.OrderState{Models: genModels.Draw(t, "at first"), Role: "y"}}
-		seen := []target.OrderState{e.state}
+		e := &engine{targets.OrderState{Models: genModels.Draw(t, "at first"), Role: "y"}}
+		seen := []targets.OrderState{e.state}
 		for range rapid.IntRange(0, 12).Draw(t, "steps") {
 			before := e.state
 			if rapid.Bool().Draw(t, "loading ends") {
--- a/orders/reconciler.go
+++ b/orders/reconciler.go
@@ -10,7 +10,7 @@
 	"github.com/alitto/pond/v2"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // Reconciler keeps the targets scheduled here in their declared state. It is
@@ -47,7 +47,7 @@
 	// permit is the model whose permit to load is held here; empty if none.
 	permit string
 	// given is the last order taken by the target, and its version.
-	given   target.Order
+	given   targets.Order
 	givenAt config.Version
 }
 
--- a/proctest/judge_test.go
+++ b/proctest/judge_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/walnutcove/walnutcove/load"
 	"github.com/walnutcove/walnutcove/standin/journal"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // entries returns the journals of all targets, each in its own order.
@@ -36,7 +36,7 @@
 	f.t.Helper()
 	for name, process := range f.targets {
 		f.eventually(name+" is idle", func() bool {
-			var now target.Load
+			var now targets.Load
 			err := get("http://"+process.Address+"/load", &now)
 			return err == nil && now.Running+now.Queued == 0
 		})
--- a/router/managed.go
+++ b/router/managed.go
@@ -13,7 +13,7 @@
 	"github.com/walnutcove/walnutcove/directory"
 	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/result"
-	"github.com/walnutcove/walnutcove/target/cachewatch"
+	"github.com/walnutcove/walnutcove/targets/cachewatch"
 )
 
 const (
--- a/router/routed.go
+++ b/router/routed.go
@@ -16,7 +16,7 @@
 	"github.com/walnutcove/walnutcove/filters/route"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // routedPipeline strings the filters together for a configuration with routes.
@@ -73,7 +73,7 @@
 // Ready implements ready.State. The route filter refuses what comes too early.
 func (serving) Ready() bool { return true }
 
-func (r *Router) dispatcher(take func(context.Context, *pipeline.Exchange, *target.Response) error) *dispatch.Filter {
+func (r *Router) dispatcher(take func(context.Context, *pipeline.Exchange, *targets.Response) error) *dispatch.Filter {
 	return &dispatch.Filter{
 		Client:           r.targets,
 		Relay:            take,
@@ -89,7 +89,7 @@
 	whole  *relay.Relay
 }
 
-func (a *answers) take(ctx context.Context, ex *pipeline.Exchange, answer *target.Response) error {
+func (a *answers) take(ctx context.Context, ex *pipeline.Exchange, answer *targets.Response) error {
 	if ex.Route.Kind == config.RouteStream && answer.Status < firstFailure {
 		return a.events.Answer(ctx, ex, answer)
 	}
@@ -105,7 +105,7 @@
 // reopener returns how broken streams go on: with a slot of another target and
 // out of the retry budget.
 func (r *Router) reopener(slots *grant.Filter, retries *retry.Filter) events.Reopen {
-	return func(ctx context.Context, ex *pipeline.Exchange) (*target.Response, error) {
+	return func(ctx context.Context, ex *pipeline.Exchange) (*targets.Response, error) {
 		if ex.Attempt >= ex.Route.Attempts {
 			return nil, result.New(result.StreamBroken, "The request has used up its attempts.")
 		}
@@ -114,8 +114,8 @@
 		}
 		ex.Attempt++
 		ex.Excluded = append(ex.Excluded, ex.Target)
-		var answer *target.Response
-		keep := func(_ context.Context, ex *pipeline.Exchange, got *target.Response) error {
+		var answer *targets.Response
+		keep := func(_ context.Context, ex *pipeline.Exchange, got *targets.Response) error {
 			if got.Status >= firstFailure {
 				got.Body.Close()
 				return result.New(result.StreamBroken, "The other target failed with status %d.", got.Status)
--- a/router/router.go
+++ b/router/router.go
@@ -31,8 +31,8 @@
 	"github.com/walnutcove/walnutcove/store"
 	"github.com/walnutcove/walnutcove/store/batch"
 	"github.com/walnutcove/walnutcove/store/forward"
-	"github.com/walnutcove/walnutcove/target"
-	"github.com/walnutcove/walnutcove/target/loadpoll"
+	"github.com/walnutcove/walnutcove/targets"
+	"github.com/walnutcove/walnutcove/targets/loadpoll"
 )
 
 // Router is one running router. Create it with Start.
@@ -45,7 +45,7 @@
 	*patched
 	*managed
 
-	targets  *target.HTTPClient
+	targets  *targets.HTTPClient
 	poller   *loadpoll.Poller
 	suspects quarantine.Set
 	loop     *loop
--- a/router/shell.go
+++ b/router/shell.go
@@ -11,7 +11,7 @@
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/store"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 var (
@@ -98,7 +98,7 @@
 }
 
 // loadPolled hands a load report to the control goroutine.
-func (r *Router) loadPolled(name string, load target.Load, err error) {
+func (r *Router) loadPolled(name string, load targets.Load, err error) {
 	if err != nil {
 		r.loop.post(control.TargetUnreachable{Target: name})
 		return
--- a/router/start.go
+++ b/router/start.go
@@ -23,9 +23,9 @@
 	"github.com/walnutcove/walnutcove/runrecord"
 	"github.com/walnutcove/walnutcove/settings"
 	"github.com/walnutcove/walnutcove/store"
-	"github.com/walnutcove/walnutcove/target"
-	"github.com/walnutcove/walnutcove/target/cachewatch"
-	"github.com/walnutcove/walnutcove/target/loadpoll"
+	"github.com/walnutcove/walnutcove/targets"
+	"github.com/walnutcove/walnutcove/targets/cachewatch"
+	"github.com/walnutcove/walnutcove/targets/loadpoll"
 )
 
 // Keys of the settings that errors of Start and Check name.
@@ -210,7 +210,7 @@
 // needs them.
 func (r *Router) buildWorkers() {
 	s := r.settings
-	r.targets = target.NewHTTPClient(target.Options{
+	r.targets = targets.NewHTTPClient(targets.Options{
 		FirstByteTimeout: time.Duration(s.Limits.FirstByteTimeout),
 		StallTimeout:     time.Duration(s.Limits.StallTimeout),
 		Dialect:          r.dialect(),
--- a/standin/engine/call.go
+++ b/standin/engine/call.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"github.com/walnutcove/walnutcove/standin/internal/host"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // Paths of the calls.
@@ -29,7 +29,7 @@
 	Model string
 	// Prompt is the prompt, or the contents of all messages, one a line.
 	Prompt string
-	// PrefixHash is the hash of the prompt's beginning; see target.PrefixHash.
+	// PrefixHash is the hash of the prompt's beginning; see targets.PrefixHash.
 	PrefixHash uint64
 	// MaxTokens is the number of tokens of the answer. Default 16.
 	MaxTokens int
@@ -72,14 +72,14 @@
 // setPrompt reads the prompt, or the messages of a chat.
 func (c *Call) setPrompt(parsed callBody) error {
 	if !c.Chat {
-		c.PrefixHash = target.PrefixHash(parsed.Prompt)
+		c.PrefixHash = targets.PrefixHash(parsed.Prompt)
 		return readPart(parsed.Prompt, &c.Prompt)
 	}
 	var messages []message
 	if err := readPart(parsed.Messages, &messages); err != nil {
 		return err
 	}
-	c.PrefixHash = target.PrefixHash(parsed.Messages)
+	c.PrefixHash = targets.PrefixHash(parsed.Messages)
 	c.Prompt = joinMessages(messages)
 	return nil
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -8,7 +8,7 @@
 
 	"github.com/walnutcove/walnutcove/standin/internal/host"
 	"github.com/walnutcove/walnutcove/standin/journal"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // Faults is the set of faults that can be put in force.
@@ -174,7 +174,7 @@
 }
 
 // Load implements host.Behaviour.
-func (e *Engine) Load() target.Load {
+func (e *Engine) Load() targets.Load {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.options.LoadLag <= 0 {
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/standin/journal"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 func startEngine(t *testing.T, options Options) (*Engine, string) {
@@ -28,17 +28,17 @@
 	return e, address
 }
 
-func newClient(t *testing.T) *target.HTTPClient {
+func newClient(t *testing.T) *targets.HTTPClient {
 	t.Helper()
-	c := target.NewHTTPClient(target.Options{})
+	c := targets.NewHTTPClient(targets.Options{})
 	t.Cleanup(func() { c.Close() })
 	return c
 }
 
-func call(id, address, prompt string, tokens int, stream bool) target.Request {
+func call(id, address, prompt string, tokens int, stream bool) targets.Request {
 	body := fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":%q}],"max_tokens":%d,"stream":%v}`,
 		prompt, tokens, stream)
-	return target.Request{
+	return targets.Request{
 		ID: id, Address: address, Method: "POST", Path: PathChat, Body: []byte(body),
 		Header: map[string]string{"Content-Type": "application/json"},
 	}
@@ -168,7 +168,7 @@
 func TestCachedPrefixShortensPrefillUntilItIsPushedOut(t *testing.T) {
 	e := New(Options{PrefixEntries: 2, PrefillTokensPerStep: 1})
 	prompt := func(first string) Call {
-		return Call{Prompt: strings.Repeat("x", 1600), PrefixHash: target.PrefixHash([]byte(first))}
+		return Call{Prompt: strings.Repeat("x", 1600), PrefixHash: targets.PrefixHash([]byte(first))}
 	}
 	steps := []int{}
 	for _, first := range []string{"a", "a", "b", "c", "a"} {
@@ -193,7 +193,7 @@
 func TestLoadReportLagsAndLies(t *testing.T) {
 	e, address := startEngine(t, Options{LoadLag: time.Hour})
 	client := newClient(t)
-	load := func() target.Load {
+	load := func() targets.Load {
 		t.Helper()
 		got, err := client.Load(context.Background(), address)
 		if err != nil {
@@ -214,7 +214,7 @@
 	if got := load(); got.Running != 0 || got.Age <= 0 {
 		t.Errorf("lagging load is %+v", got)
 	}
-	e.SetFaults(Faults{LieLoad: &target.Load{Running: 77}, Leaving: true})
+	e.SetFaults(Faults{LieLoad: &targets.Load{Running: 77}, Leaving: true})
 	if got := load(); got.Running != 77 || !got.Leaving {
 		t.Errorf("lying load is %+v", got)
 	}
@@ -226,7 +226,7 @@
 		client := newClient(t)
 		send := func(fence uint64, model string) int {
 			t.Helper()
-			resp, err := client.Do(context.Background(), target.Request{
+			resp, err := client.Do(context.Background(), targets.Request{
 				Address: address, Method: "POST", Path: PathOrder, Fence: fence,
 				Body: []byte(`{"load_model":"` + model + `","role":"decode"}`),
 			})
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -12,11 +12,11 @@
 	"github.com/walnutcove/walnutcove/dialect"
 	"github.com/walnutcove/walnutcove/standin/internal/host"
 	"github.com/walnutcove/walnutcove/standin/journal"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // PathOrder takes orders (POST) and shows what was ordered (GET).
-const PathOrder = target.PathOrder
+const PathOrder = targets.PathOrder
 
 // orderBook is the state behind the orders. The engine's lock guards it.
 type orderBook struct {
@@ -27,10 +27,10 @@
 }
 
 // Orders returns what the orders taken so far add up to.
-func (e *Engine) Orders() target.OrderState {
+func (e *Engine) Orders() targets.OrderState {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return target.OrderState{
+	return targets.OrderState{
 		Models:  append([]string{}, e.orders.models...),
 		Loading: slices.Sorted(maps.Keys(e.orders.loading)),
 		Role:    e.orders.role,
@@ -43,23 +43,23 @@
 		host.WriteJSON(ctx, e.Orders())
 		return
 	}
-	var order target.Order
+	var order targets.Order
 	if err := json.Unmarshal(ctx.PostBody(), &order); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	fence, _ := strconv.ParseUint(string(ctx.Request.Header.Peek(target.HeaderFencingNumber)), 10, 64)
+	fence, _ := strconv.ParseUint(string(ctx.Request.Header.Peek(targets.HeaderFencingNumber)), 10, 64)
 	entry := journal.Entry{Event: journal.Order, Path: PathOrder, Fence: fence, Model: order.LoadModel, Role: order.Role}
 	entry.RequestID = string(ctx.Request.Header.Peek(dialect.HeaderRequestID))
 	if highest := e.take(order, entry); highest > 0 {
 		ctx.Error("old fencing number", fasthttp.StatusConflict)
-		ctx.Response.Header.Set(target.HeaderFencingNumber, strconv.FormatUint(highest, 10))
+		ctx.Response.Header.Set(targets.HeaderFencingNumber, strconv.FormatUint(highest, 10))
 	}
 }
 
 // take takes an order and journals it. If its fencing number is old and the
 // engine checks, it refuses the order and returns the highest number seen.
-func (e *Engine) take(order target.Order, entry journal.Entry) (highest uint64) {
+func (e *Engine) take(order targets.Order, entry journal.Entry) (highest uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	entry.Outcome = journal.Accepted
--- a/standin/engine/report.go
+++ b/standin/engine/report.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // loadReport is the load as it stood a while ago.
 type loadReport struct {
-	load  target.Load
+	load  targets.Load
 	taken time.Time
 }
 
@@ -32,7 +32,7 @@
 // renewReport takes the load as it stands. e.mu is held.
 func (e *Engine) renewReport() {
 	e.report = loadReport{
-		load: target.Load{
+		load: targets.Load{
 			Running:        len(e.running),
 			Queued:         len(e.queue),
 			Slots:          e.options.Slots,
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -6,7 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/walnutcove/walnutcove/standin/internal/host"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // Serve implements host.Behaviour.
@@ -31,7 +31,7 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	if raw := ctx.Request.Header.Peek(target.HeaderResumeOffset); len(raw) > 0 {
+	if raw := ctx.Request.Header.Peek(targets.HeaderResumeOffset); len(raw) > 0 {
 		e.serveResume(ctx, call, string(raw))
 		return
 	}
@@ -49,7 +49,7 @@
 func (e *Engine) serveResume(ctx *fasthttp.RequestCtx, call Call, raw string) {
 	offset, err := strconv.ParseInt(raw, 10, 64)
 	if err != nil || offset < 0 {
-		ctx.Error("bad "+target.HeaderResumeOffset, fasthttp.StatusBadRequest)
+		ctx.Error("bad "+targets.HeaderResumeOffset, fasthttp.StatusBadRequest)
 		return
 	}
 	entry := e.host.Received(ctx)
--- a/standin/internal/host/faults.go
+++ b/standin/internal/host/faults.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // Faults is the full set of faults in force; the zero value means none.
@@ -18,7 +18,7 @@
 	// SlowFactor multiplies the time of every step or run. Zero means 1.
 	SlowFactor float64 `json:"slow_factor,omitempty"`
 	// LieLoad is reported in place of the true load.
-	LieLoad *target.Load `json:"lie_load,omitempty"`
+	LieLoad *targets.Load `json:"lie_load,omitempty"`
 	// Leaving is announced in the load report.
 	Leaving bool `json:"leaving,omitempty"`
 	// Refuse answers 503 with Walnut-Not-Run before running.
--- a/standin/internal/host/host.go
+++ b/standin/internal/host/host.go
@@ -14,7 +14,7 @@
 
 	"github.com/walnutcove/walnutcove/dialect"
 	"github.com/walnutcove/walnutcove/standin/journal"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // Paths that every stand-in serves beside its own.
@@ -40,7 +40,7 @@
 	// Serve answers a request that the host does not answer itself.
 	Serve(ctx *fasthttp.RequestCtx)
 	// Load returns the true load.
-	Load() target.Load
+	Load() targets.Load
 	// Crash drops every run, as a crash of the process would.
 	Crash()
 }
@@ -213,7 +213,7 @@
 		Event:          journal.Received,
 		Run:            h.runs.Add(1),
 		RequestID:      string(ctx.Request.Header.Peek(dialect.HeaderRequestID)),
-		IdempotencyKey: string(ctx.Request.Header.Peek(target.HeaderIdempotencyKey)),
+		IdempotencyKey: string(ctx.Request.Header.Peek(targets.HeaderIdempotencyKey)),
 		Path:           string(ctx.Path()),
 	}
 	h.Journal.Add(e)
--- a/standin/internal/host/watch.go
+++ b/standin/internal/host/watch.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/walnutcove/walnutcove/target/connstate"
+	"github.com/walnutcove/walnutcove/targets/connstate"
 )
 
 // Watch tells when a caller closes its connection while its request runs,
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -14,7 +14,7 @@
 
 	"github.com/walnutcove/walnutcove/standin/internal/host"
 	"github.com/walnutcove/walnutcove/standin/journal"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // PathCounts shows how often each Idempotency-Key has started.
@@ -126,10 +126,10 @@
 }
 
 // Load implements host.Behaviour.
-func (s *Service) Load() target.Load {
+func (s *Service) Load() targets.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return target.Load{Running: len(s.running), Queued: len(s.queue), Slots: s.options.Slots}
+	return targets.Load{Running: len(s.running), Queued: len(s.queue), Slots: s.options.Slots}
 }
 
 // Crash implements host.Behaviour: every call is dropped.
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/standin/journal"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 func TestAnswerCarriesMarkAndCount(t *testing.T) {
@@ -19,12 +19,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
-	client := target.NewHTTPClient(target.Options{})
+	client := targets.NewHTTPClient(targets.Options{})
 	defer client.Close()
 	for want := 1; want <= 2; want++ {
-		resp, err := client.Do(context.Background(), target.Request{
+		resp, err := client.Do(context.Background(), targets.Request{
 			ID: "r", Address: address, Method: "POST", Path: "/svc/deploy?millis=1",
-			Header: map[string]string{target.HeaderIdempotencyKey: "k1"},
+			Header: map[string]string{targets.HeaderIdempotencyKey: "k1"},
 			Body:   []byte("site mark:school-7"),
 		})
 		if err != nil {
@@ -45,10 +45,10 @@
 	}
 }
 
-func deploy(address, id, key, body string) target.Request {
-	return target.Request{
+func deploy(address, id, key, body string) targets.Request {
+	return targets.Request{
 		ID: id, Address: address, Method: "POST", Path: "/deploy", Body: []byte(body),
-		Header: map[string]string{target.HeaderIdempotencyKey: key},
+		Header: map[string]string{targets.HeaderIdempotencyKey: key},
 	}
 }
 
@@ -61,7 +61,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
-	client := target.NewHTTPClient(target.Options{})
+	client := targets.NewHTTPClient(targets.Options{})
 	defer client.Close()
 	s.SetFaults(Faults{Hang: true})
 	errs := make(chan error, 3)
@@ -109,11 +109,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
-	client := target.NewHTTPClient(target.Options{})
+	client := targets.NewHTTPClient(targets.Options{})
 	defer client.Close()
 	post := func(path, body string) {
 		t.Helper()
-		resp, err := client.Do(context.Background(), target.Request{Address: address, Method: "POST", Path: path, Body: []byte(body)})
+		resp, err := client.Do(context.Background(), targets.Request{Address: address, Method: "POST", Path: path, Body: []byte(body)})
 		if err != nil || resp.Status != 200 {
 			t.Fatalf("answer %+v, error %v", resp, err)
 		}
--- a/target/bench_test.go
+++ b/targets/bench_test.go
@@ -1,4 +1,4 @@
-package target_test
+package targets_test
 
 import (
 	"bytes"
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // benchTokens is the number of tokens of a streamed answer in the benchmarks.
@@ -62,11 +62,11 @@
 }
 
 func benchClient(b *testing.B, answer []byte, want int) {
-	client := newClient(b, target.Options{})
+	client := newClient(b, targets.Options{})
 	address := replayServer(b, answer)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	req := target.Request{
+	req := targets.Request{
 		ID: "0123456789abcdef", Address: address, Method: "POST", Path: "/v1/completions", Body: benchBody,
 		Header: map[string]string{"Content-Type": "application/json", "Accept": "*/*"},
 	}
@@ -155,8 +155,8 @@
 func BenchmarkToken(b *testing.B) {
 	b.Run("client", func(b *testing.B) {
 		address, next := tokenServer(b)
-		client := newClient(b, target.Options{})
-		resp, err := client.Do(context.Background(), target.Request{Address: address, Method: "GET", Path: "/"})
+		client := newClient(b, targets.Options{})
+		resp, err := client.Do(context.Background(), targets.Request{Address: address, Method: "GET", Path: "/"})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/target/conn.go
+++ b/targets/conn.go
@@ -1,4 +1,4 @@
-package target
+package targets
 
 import (
 	"bufio"
@@ -10,7 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/walnutcove/walnutcove/target/connstate"
+	"github.com/walnutcove/walnutcove/targets/connstate"
 )
 
 // Buffer sizes of one call, in bytes. An answer's head must fit into the read
--- a/target/counters.go
+++ b/targets/counters.go
@@ -1,4 +1,4 @@
-package target
+package targets
 
 import (
 	"fmt"
--- a/target/framing_test.go
+++ b/targets/framing_test.go
@@ -1,4 +1,4 @@
-package target_test
+package targets_test
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/walnutcove/walnutcove/result"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 const (
@@ -45,9 +45,9 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			set := metrics.NewSet()
-			client := newClient(t, target.Options{Metrics: set})
+			client := newClient(t, targets.Options{Metrics: set})
 			address := scriptServer(t, answerOnce(tc.raw))
-			resp, err := client.Do(context.Background(), target.Request{Address: address, Method: "GET", Path: "/"})
+			resp, err := client.Do(context.Background(), targets.Request{Address: address, Method: "GET", Path: "/"})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -108,8 +108,8 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			set := metrics.NewSet()
-			client := newClient(t, target.Options{Metrics: set, FirstByteTimeout: tc.limit})
-			_, err := client.Do(context.Background(), target.Request{
+			client := newClient(t, targets.Options{Metrics: set, FirstByteTimeout: tc.limit})
+			_, err := client.Do(context.Background(), targets.Request{
 				Address: scriptServer(t, tc.serve), Method: "POST", Path: "/", Body: tc.body,
 			})
 			wantError(t, err, tc.code, tc.ran)
@@ -119,8 +119,8 @@
 		})
 	}
 	t.Run("503 without the mark is an answer", func(t *testing.T) {
-		client := newClient(t, target.Options{})
-		resp, err := client.Do(context.Background(), target.Request{
+		client := newClient(t, targets.Options{})
+		resp, err := client.Do(context.Background(), targets.Request{
 			Address: scriptServer(t, answerOnce(plain503)), Method: "POST", Path: "/",
 		})
 		if err != nil || resp.Status != 503 {
@@ -146,9 +146,9 @@
 		c, err := net.Dial("tcp", address)
 		return deadConn{c}, err
 	}
-	client := newClient(t, target.Options{Dial: dial})
+	client := newClient(t, targets.Options{Dial: dial})
 	get := func(ctx context.Context, address, path string) error {
-		_, err := client.Do(ctx, target.Request{Address: address, Method: "GET", Path: path})
+		_, err := client.Do(ctx, targets.Request{Address: address, Method: "GET", Path: path})
 		return err
 	}
 	wantError(t, get(context.Background(), refused, "/"), result.ConnectFailed, result.RanNo)
@@ -166,8 +166,8 @@
 		seen <- string(buffer[:n])
 		_, _ = io.WriteString(c, countedHead+"hello")
 	})
-	client := newClient(t, target.Options{})
-	resp, err := client.Do(context.Background(), target.Request{
+	client := newClient(t, targets.Options{})
+	resp, err := client.Do(context.Background(), targets.Request{
 		ID: "id\r\nX-Bad: 1", Address: address, Method: "POST", Path: "/p", Body: []byte("abc"),
 		Header: map[string]string{"X-A": "1\r\nX-Bad: 2", "Content-Length": "99", "Transfer-Encoding": "chunked"},
 	})
@@ -199,11 +199,11 @@
 			_, _ = io.WriteString(c, countedHead+"hello")
 		}
 	})
-	client := newClient(t, target.Options{MaxIdle: 1, IdleTimeout: 200 * time.Millisecond})
+	client := newClient(t, targets.Options{MaxIdle: 1, IdleTimeout: 200 * time.Millisecond})
 	var group sync.WaitGroup
 	for range 2 {
 		group.Go(func() {
-			if _, err := doAndRead(client, target.Request{Address: address, Method: "GET", Path: "/"}); err != nil {
+			if _, err := doAndRead(client, targets.Request{Address: address, Method: "GET", Path: "/"}); err != nil {
 				t.Error(err)
 			}
 		})
--- a/target/headers.go
+++ b/targets/headers.go
@@ -1,4 +1,4 @@
-package target
+package targets
 
 // Header names between routers and targets.
 const (
--- a/target/judged_test.go
+++ b/targets/judged_test.go
@@ -1,4 +1,4 @@
-package target_test
+package targets_test
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/standin/engine"
 	"github.com/walnutcove/walnutcove/standin/journal"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 func startEngine(t testing.TB, options engine.Options) (*engine.Engine, string) {
@@ -31,13 +31,13 @@
 }
 
 // streamCall asks for a streamed answer to a prompt that carries the id as its mark.
-func streamCall(id, address string, tokens int) target.Request {
+func streamCall(id, address string, tokens int) targets.Request {
 	body := fmt.Sprintf(`{"model":"m","prompt":"mark:%s","max_tokens":%d,"stream":true}`, id, tokens)
-	return target.Request{ID: id, Address: address, Method: "POST", Path: engine.PathCompletions, Body: []byte(body)}
+	return targets.Request{ID: id, Address: address, Method: "POST", Path: engine.PathCompletions, Body: []byte(body)}
 }
 
 // wholeStream is the whole body of the answer to streamCall.
-func wholeStream(t testing.TB, req target.Request) string {
+func wholeStream(t testing.TB, req targets.Request) string {
 	t.Helper()
 	call, err := engine.ParseCall(req.Path, req.Body)
 	if err != nil {
@@ -64,7 +64,7 @@
 func TestConnectionIsReusedAndReplacedWhenStale(t *testing.T) {
 	set := metrics.NewSet()
 	e, address := startEngine(t, engine.Options{})
-	client := newClient(t, target.Options{Metrics: set})
+	client := newClient(t, targets.Options{Metrics: set})
 	dials := set.GetOrCreateCounter("walnut_target_dials_total")
 	read := func(id string) {
 		t.Helper()
@@ -96,7 +96,7 @@
 	e.SetFaults(engine.Faults{DowntimeMillis: 1})
 	e.CrashNow()
 	eventually(t, "the restart", func() bool {
-		probe := target.NewHTTPClient(target.Options{})
+		probe := targets.NewHTTPClient(targets.Options{})
 		defer probe.Close()
 		_, err := probe.Load(context.Background(), address)
 		return err == nil
@@ -117,13 +117,13 @@
 		code    result.Code
 		ran     result.Ran
 		outcome journal.Outcome
-		options target.Options
+		options targets.Options
 	}{
-		{"refuse", engine.Faults{Refuse: true}, result.TargetRefused, result.RanNo, journal.NotRun, target.Options{}},
-		{"crash", engine.Faults{Poison: "mark:r"}, result.TargetLostRequest, result.RanUnknown, journal.Crashed, target.Options{}},
-		{"hang", engine.Faults{Hang: true}, result.FirstByteTimeout, result.RanUnknown, journal.Cancelled, target.Options{FirstByteTimeout: time.Second}},
-		{"stall", engine.Faults{HangAfterTokens: 2}, result.AnswerTooSlow, result.RanUnknown, journal.Cancelled, target.Options{StallTimeout: 300 * time.Millisecond}},
-		{"break", engine.Faults{BreakAfterTokens: 2}, result.StreamBroken, result.RanUnknown, journal.Broken, target.Options{}},
+		{"refuse", engine.Faults{Refuse: true}, result.TargetRefused, result.RanNo, journal.NotRun, targets.Options{}},
+		{"crash", engine.Faults{Poison: "mark:r"}, result.TargetLostRequest, result.RanUnknown, journal.Crashed, targets.Options{}},
+		{"hang", engine.Faults{Hang: true}, result.FirstByteTimeout, result.RanUnknown, journal.Cancelled, targets.Options{FirstByteTimeout: time.Second}},
+		{"stall", engine.Faults{HangAfterTokens: 2}, result.AnswerTooSlow, result.RanUnknown, journal.Cancelled, targets.Options{StallTimeout: 300 * time.Millisecond}},
+		{"break", engine.Faults{BreakAfterTokens: 2}, result.StreamBroken, result.RanUnknown, journal.Broken, targets.Options{}},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -143,7 +143,7 @@
 	}
 }
 
-func doAndRead(client target.Client, req target.Request) (string, error) {
+func doAndRead(client targets.Client, req targets.Request) (string, error) {
 	resp, err := client.Do(context.Background(), req)
 	if err != nil {
 		return "", err
@@ -156,7 +156,7 @@
 // TestCancelAndCloseEndTheRun frees the slot of a run that would take an hour.
 func TestCancelAndCloseEndTheRun(t *testing.T) {
 	e, address := startEngine(t, engine.Options{Slots: 1})
-	client := newClient(t, target.Options{})
+	client := newClient(t, targets.Options{})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	resp, err := client.Do(ctx, streamCall("cancelled", address, 1<<20))
@@ -196,7 +196,7 @@
 	e, address := startEngine(t, engine.Options{})
 	e.SetFaults(engine.Faults{Hang: true})
 	set := metrics.NewSet()
-	client := newClient(t, target.Options{Metrics: set})
+	client := newClient(t, targets.Options{Metrics: set})
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
 	_, err := client.Do(ctx, streamCall("r", address, 1))
@@ -212,7 +212,7 @@
 func TestResumedStreamIsWholeAndRunsOnce(t *testing.T) {
 	e, address := startEngine(t, engine.Options{Resumes: true})
 	e.SetFaults(engine.Faults{BreakAfterTokens: 5, Times: 1})
-	client := newClient(t, target.Options{})
+	client := newClient(t, targets.Options{})
 	req := streamCall("r", address, 12)
 	first, err := doAndRead(client, req)
 	wantError(t, err, result.StreamBroken, result.RanUnknown)
@@ -231,7 +231,7 @@
 // hang, and judges every claim by the journals.
 func TestNotRunIsNeverFalse(t *testing.T) {
 	const engines, callers, calls = 3, 8, 60
-	client := newClient(t, target.Options{FirstByteTimeout: time.Second, StallTimeout: time.Second})
+	client := newClient(t, targets.Options{FirstByteTimeout: time.Second, StallTimeout: time.Second})
 	var all [engines]*engine.Engine
 	var addresses [engines]string
 	for i := range all {
--- a/target/loadpoll/bench_test.go
+++ b/targets/loadpoll/bench_test.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/walnutcove/walnutcove/standin/countconn"
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 const (
@@ -45,10 +45,10 @@
 	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { report(ctx, prefixes) }}
 	go func() { _ = server.Serve(countconn.Listener{Listener: listener, Bytes: &bytes}) }()
 	defer func() { _ = server.Shutdown() }()
-	client := target.NewHTTPClient(target.Options{})
+	client := targets.NewHTTPClient(targets.Options{})
 	defer client.Close()
 	options.Client = client
-	options.OnResult = func(string, target.Load, error) { polls.Add(1) }
+	options.OnResult = func(string, targets.Load, error) { polls.Add(1) }
 	addresses := make(map[string]string)
 	for n := range benchTargets {
 		addresses[fmt.Sprint(n)] = listener.Addr().String()
--- a/target/loadpoll/loadpoll.go
+++ b/targets/loadpoll/loadpoll.go
@@ -14,7 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/alitto/pond/v2"
 
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // Defaults of Options.
@@ -29,18 +29,18 @@
 	slowFactor = 4
 )
 
-// Loader polls one target's load; target.Client is one.
+// Loader polls one target's load; targets.Client is one.
 type Loader interface {
 	// Load polls the target at address ("ip:port").
-	Load(ctx context.Context, address string) (target.Load, error)
+	Load(ctx context.Context, address string) (targets.Load, error)
 	// LoadWithPrefixes does, and asks for the cached prefixes too.
-	LoadWithPrefixes(ctx context.Context, address string) (target.Load, error)
+	LoadWithPrefixes(ctx context.Context, address string) (targets.Load, error)
 }
 
 // Result receives what a poll gave: the load, or the error if it is not nil.
 // It is called from many goroutines, but for one name and address from one at
 // a time. It may call SetTargets; it must not call Close.
-type Result func(name string, load target.Load, err error)
+type Result func(name string, load targets.Load, err error)
 
 // Options configure a Poller. Zero values take the stated defaults.
 type Options struct {
@@ -237,7 +237,7 @@
 	p.wakeLoop()
 }
 
-func (p *Poller) load(ctx context.Context, address string, prefixes bool) (target.Load, error) {
+func (p *Poller) load(ctx context.Context, address string, prefixes bool) (targets.Load, error) {
 	if prefixes {
 		return p.options.Client.LoadWithPrefixes(ctx, address)
 	}
--- a/target/loadpoll/loadpoll_test.go
+++ b/targets/loadpoll/loadpoll_test.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/goleak"
 
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // fakeLoader counts polls by address and holds those of "hung".
@@ -24,7 +24,7 @@
 	return &fakeLoader{polls: map[string]int{}, now: map[string]int{}, most: map[string]int{}}
 }
 
-func (f *fakeLoader) Load(ctx context.Context, address string) (target.Load, error) {
+func (f *fakeLoader) Load(ctx context.Context, address string) (targets.Load, error) {
 	f.mu.Lock()
 	f.polls[address]++
 	f.now[address]++
@@ -38,14 +38,14 @@
 	switch address {
 	case "hung":
 		<-ctx.Done()
-		return target.Load{}, ctx.Err()
+		return targets.Load{}, ctx.Err()
 	case "failing":
-		return target.Load{}, errors.New("refused")
+		return targets.Load{}, errors.New("refused")
 	}
-	return target.Load{Slots: 3}, nil
+	return targets.Load{Slots: 3}, nil
 }
 
-func (f *fakeLoader) LoadWithPrefixes(ctx context.Context, address string) (target.Load, error) {
+func (f *fakeLoader) LoadWithPrefixes(ctx context.Context, address string) (targets.Load, error) {
 	return f.Load(ctx, address)
 }
 
@@ -62,7 +62,7 @@
 	errors map[string]int
 }
 
-func (r *results) add(name string, load target.Load, err error) {
+func (r *results) add(name string, load targets.Load, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
@@ -124,7 +124,7 @@
 	loader, got := newFakeLoader(), newResults()
 	var p *Poller
 	ready := make(chan struct{})
-	onResult := func(name string, load target.Load, err error) {
+	onResult := func(name string, load targets.Load, err error) {
 		<-ready
 		if name == "y" && loader.count("hung") == 1 {
 			p.SetTargets(map[string]string{"x": "a"})
--- a/target/loadpoll/pace.go
+++ b/targets/loadpoll/pace.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 const (
@@ -19,7 +19,7 @@
 // the cached prefixes. The zero value is that of a new target.
 type pace struct {
 	known bool
-	last  target.Load
+	last  targets.Load
 	// quick is how many of the next pauses are short.
 	quick int
 	// withoutPrefixes counts the polls since one asked for prefixes; prefixes
@@ -38,7 +38,7 @@
 
 // learn takes a report in. One that was not asked for prefixes gets those
 // reported last, unless the target sent some all the same.
-func (p *pace) learn(load target.Load, asked bool) target.Load {
+func (p *pace) learn(load targets.Load, asked bool) targets.Load {
 	switch {
 	case !p.known || isNews(p.last, load):
 		p.quick = quickPolls
@@ -67,7 +67,7 @@
 
 // isNews says whether a report differs from the one before in a way that the
 // target's own completions do not tell.
-func isNews(before, now target.Load) bool {
+func isNews(before, now targets.Load) bool {
 	if before.StartID != now.StartID || before.Slots != now.Slots || before.Leaving != now.Leaving {
 		return true
 	}
--- a/target/loadpoll/pace_test.go
+++ b/targets/loadpoll/pace_test.go
@@ -4,16 +4,16 @@
 	"testing"
 	"time"
 
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // step is one poll of a target; nil is one that failed.
 type step struct {
-	load  *target.Load
+	load  *targets.Load
 	quick bool // the next pause is short
 }
 
-func loaded(slots, running int) *target.Load { return &target.Load{Slots: slots, Running: running} }
+func loaded(slots, running int) *targets.Load { return &targets.Load{Slots: slots, Running: running} }
 
 func TestPollsAreQuickOnlyAfterNews(t *testing.T) {
 	leaving := loaded(16, 8)
@@ -68,7 +68,7 @@
 		if asks != want {
 			t.Fatalf("poll %d asks: %v", i+1, asks)
 		}
-		report := target.Load{Slots: 1}
+		report := targets.Load{Slots: 1}
 		if asks {
 			report.CachedPrefixes = held
 		}
@@ -76,10 +76,10 @@
 			t.Fatalf("poll %d gave %v", i+1, got.CachedPrefixes)
 		}
 	}
-	if got := p.learn(target.Load{CachedPrefixes: []uint64{9}}, false); len(got.CachedPrefixes) != 1 {
+	if got := p.learn(targets.Load{CachedPrefixes: []uint64{9}}, false); len(got.CachedPrefixes) != 1 {
 		t.Fatalf("prefixes that came unasked were dropped: %v", got)
 	}
-	if p.learn(target.Load{}, true); p.prefixes != nil {
+	if p.learn(targets.Load{}, true); p.prefixes != nil {
 		t.Fatal("prefixes of an emptied cache are kept")
 	}
 	p.failed()
--- a/target/main_test.go
+++ b/targets/main_test.go
@@ -1,4 +1,4 @@
-package target_test
+package targets_test
 
 import (
 	"testing"
--- a/target/script_test.go
+++ b/targets/script_test.go
@@ -1,4 +1,4 @@
-package target_test
+package targets_test
 
 import (
 	"bufio"
@@ -10,7 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/walnutcove/walnutcove/target"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // scriptServer accepts connections and lets serve handle each.
@@ -48,9 +48,9 @@
 	}
 }
 
-func newClient(t testing.TB, options target.Options) *target.HTTPClient {
+func newClient(t testing.TB, options targets.Options) *targets.HTTPClient {
 	t.Helper()
-	client := target.NewHTTPClient(options)
+	client := targets.NewHTTPClient(options)
 	t.Cleanup(func() { client.Close() })
 	return client
 }
--- a/target/target.go
+++ b/targets/target.go
@@ -1,7 +1,7 @@
-// Package target is the client towards model engines and plain services. It
+// Package targets is the client towards model engines and plain services. It
 // reuses connections, never retries by itself, and says of every failure
 // whether the request may have run.
-package target
+package targets
 
 import (
 	"context"
