--- a/control/rank.go
+++ b/control/rank.go
@@ -119,6 +119,7 @@
 		m.counters.UnreadWhileOwed += uint64(msg.Count)
 	}
 	s.shares.Unread(m.now, msg.Workspace, msg.Count)
+	m.noteGap(s)
 }
 
 // hasRoom says whether a target of the shard could take one more request within its
@@ -163,6 +164,7 @@
 // noteTurnedAway takes in that a ticket is refused as its answer cannot begin in time.
 func (m *Machine) noteTurnedAway(q *queuedTicket) {
 	q.shard.shares.Refused(m.now, q.ticket.Workspace)
+	m.noteGap(q.shard)
 	if q.ticket.Fingerprint != 0 {
 		m.sched.turnedAway.add(m.now, q.ticket.Fingerprint, turnedAwayKept)
 	}
--- /dev/null
+++ b/control/sched/gap_test.go
@@ -0,0 +1,39 @@
+package sched
+
+import (
+	"testing"
+	"time"
+)
+
+// TestGapIsFound: a workspace with refused requests that was granted less than half of
+// another one has a gap, wherever its requests were refused; one that got what it asked for,
+// or more than half, has none.
+func TestGapIsFound(t *testing.T) {
+	const now = time.Second
+	for _, c := range []struct {
+		name          string
+		asked, served float64
+		refused       func(s *Shares)
+		gap           bool
+	}{
+		{"refused here", 900, 100, func(s *Shares) { s.Refused(now, "small") }, true},
+		{"refused unread", 100, 100, func(s *Shares) { s.Unread(now, "small", 8) }, true},
+		{"not refused", 900, 100, func(*Shares) {}, false},
+		{"more than half", 900, 500, func(s *Shares) { s.Refused(now, "small") }, false},
+		{"asks for little", 100, 90, func(s *Shares) { s.Refused(now, "small") }, false},
+	} {
+		s := NewShares(10_000)
+		s.Ask(now, "large", 900)
+		s.Served(now, "large", 900)
+		s.Ask(now, "small", c.asked)
+		s.Served(now, "small", c.served)
+		c.refused(s)
+		gap, found := s.WidestGap(now)
+		if found != c.gap || found && (gap.Workspace != "small" || gap.Best != "large") {
+			t.Errorf("%s: %+v, %v", c.name, gap, found)
+		}
+		if _, found := s.WidestGap(now + 2*refusedTime); found {
+			t.Errorf("%s: still has a gap long after the refusal", c.name)
+		}
+	}
+}
--- a/control/shard.go
+++ b/control/shard.go
@@ -37,6 +37,8 @@
 	shares *sched.Shares
 	// reading is how its targets read prompts; nil for other pools.
 	reading *sched.Reading
+	// nextGap is when a gap between workspaces is next looked for.
+	nextGap Instant
 	// deferral follows the requests that waited for too long; of pools that count in slots.
 	deferral deferral
 	timer    timer
--- a/control/status.go
+++ b/control/status.go
@@ -17,6 +17,7 @@
 	TicketsDeferred       uint64
 	TicketsLocal          uint64
 	UnreadWhileOwed       uint64
+	ShareGaps             uint64
 	Dispatches            uint64
 	GrantsMade            uint64
 	GrantsResent          uint64
--- a/router/loop.go
+++ b/router/loop.go
@@ -219,11 +219,22 @@
 		l.logJudgement(c)
 	case control.TargetCold:
 		l.log.Info("control: Target is cold, few requests at a time.", "target", c.Target, "for", c.For)
+	case control.ShareGap:
+		l.logGap(c)
 	case control.SchedulerAvoided:
 		l.log.Warn("control: Scheduler does not answer, granting here.", "scheduler", c.Node, "pool", c.Pool, "silent", c.Silent)
 	}
 }
 
+// logGap tells that a workspace was granted much less than another one. Amounts are a second,
+// in seconds of service.
+func (l *loop) logGap(c control.ShareGap) {
+	l.log.Warn("control: Workspace was granted less than half of another.",
+		"pool", c.Shard.Pool, "workspace", c.Gap.Workspace,
+		"asked", c.Gap.Asked, "refused_unread", c.Gap.Unread, "granted", c.Gap.Granted, "refused_here", c.Gap.RefusedHere,
+		"best", c.Gap.Best, "best_granted", c.Gap.BestGranted)
+}
+
 // logJudgement tells what this router thinks of a target from now on.
 func (l *loop) logJudgement(c control.TargetJudged) {
 	if c.Failing {
