--- a/control/loadtest/loadtest_test.go
+++ b/control/loadtest/loadtest_test.go
@@ -219,3 +219,36 @@
 		}
 	}
 }
+
+// crowdedEntry is a load beyond the capacity of the pool, in which all callers of the second
+// workspace come by one router that refuses nine in ten of them before it reads them. They
+// come back once, by any router.
+func crowdedEntry(workspaces int) Pattern {
+	p := smallMemory().times(4)
+	p.Name = "crowded entry"
+	p.Routers, p.Workspaces = 24, workspaces
+	p.ByOne, p.Unread = true, 0.9
+	p.StallAt = 4 * time.Second
+	p.Length = p.StallAt + stallWindow
+	return p
+}
+
+// TestCrowdedEntryIsFair: a workspace whose callers meet a crowded router first has at least
+// half of what the best served workspace has.
+func TestCrowdedEntryIsFair(t *testing.T) {
+	const promised = 0.5
+	for _, workspaces := range []int{2, 8, 24} {
+		for seed := range uint64(3) {
+			got := Play(crowdedEntry(workspaces), policy.Default(), seed+1).Workspaces
+			best := 0
+			for _, served := range got {
+				best = max(best, served.AfterStall)
+			}
+			crowded := got[workspaceName(1)].AfterStall
+			t.Logf("%d workspaces: %d tokens by the crowded router, %d at most", workspaces, crowded, best)
+			if float64(crowded) < promised*float64(best) {
+				t.Errorf("%d workspaces, seed %d: %d tokens by the crowded router, %d at most", workspaces, seed+1, crowded, best)
+			}
+		}
+	}
+}
--- a/control/loadtest/pattern.go
+++ b/control/loadtest/pattern.go
@@ -1,6 +1,8 @@
 package loadtest
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/walnutcove/walnutcove/control"
@@ -28,6 +30,9 @@
 	StallAt, StallFor time.Duration
 	// ByOne has all callers of the second workspace come by one router.
 	ByOne bool
+	// Unread is the part of these callers' first tries that this one router refuses before it
+	// reads them, as its processor is taken. They come back by any router.
+	Unread float64
 	// Length is the time of arrivals.
 	Length time.Duration
 }
@@ -180,8 +185,12 @@
 	}
 	one.tries++
 	by := up[w.ways.IntN(len(up))]
-	if w.pattern.ByOne && one.workspace == workspaceName(1) {
+	if w.pattern.ByOne && one.workspace == workspaceName(1) && (one.tries == 1 || w.pattern.Unread == 0) {
 		by = up[len(up)-1]
+		if w.ways.Float64() < w.pattern.Unread {
+			w.refuseUnread(by, one)
+			return
+		}
 	}
 	id := control.RequestID(len(w.calls) + 1)
 	w.calls[id] = one
@@ -191,3 +200,30 @@
 		Work: one.work, Fingerprint: one.fingerprint,
 	})
 }
+
+const (
+	// unreadEvery is the period in which a router tells what it refused unread.
+	unreadEvery = 200 * time.Millisecond
+	// unreadPause is the mean advice to a request that is refused unread.
+	unreadPause = time.Second
+)
+
+// refuseUnread refuses a try before the router reads it. Its caller comes back once.
+func (w *world) refuseUnread(by *router, one *call) {
+	w.result.Refusals++
+	if by.unread == nil {
+		by.unread = make(map[string]int)
+		w.after(unreadEvery, func() { w.tellUnread(by) })
+	}
+	by.unread[one.workspace]++
+	w.after(unreadPause/2+time.Duration(w.ways.Int64N(int64(unreadPause))), func() { w.try(one) })
+}
+
+// tellUnread has a router count what it refused unread.
+func (w *world) tellUnread(by *router) {
+	counts := by.unread
+	by.unread = nil
+	for _, workspace := range slices.Sorted(maps.Keys(counts)) {
+		w.step(by, control.RequestsUnread{Pool: pool, Workspace: workspace, Count: counts[workspace]})
+	}
+}
--- a/control/loadtest/world.go
+++ b/control/loadtest/world.go
@@ -53,6 +53,8 @@
 	up      bool
 	inc     control.Incarnation
 	runs    map[control.GrantID]*run
+	// unread counts what it refused unread since it last told, by workspace.
+	unread map[string]int
 	// stalls says that it takes nothing in, and stalled holds what waits for it meanwhile.
 	stalls  bool
 	stalled []control.Event
