--- a/managedtest/fleet_test.go
+++ b/managedtest/fleet_test.go
@@ -38,6 +38,7 @@
 	t        *testing.T
 	store    *managed.Store
 	journal  *managed.Journal
+	replicas []*managed.Replica
 	routers  []*router.Router
 	settings []settings.Settings
 	logs     []*logged // of the routers, in their order
@@ -72,6 +73,7 @@
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(r.Close)
+	f.replicas = append(f.replicas, r)
 	return r
 }
 
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -31,10 +31,40 @@
 	Cancelled bool
 }
 
-// Journal notes the runs of all replicas. It is safe for concurrent use.
+// Arrival is one request that reached the replica that it named, whether it ran or not.
+type Arrival struct {
+	// ID is the request's id, and Replica the incarnation that it reached.
+	ID, Replica string
+	At          time.Time
+	// Refused says that the replica did not run it, and RetryAfter what it asked for then.
+	Refused    bool
+	RetryAfter time.Duration
+}
+
+// Journal notes the arrivals and runs of all replicas. It is safe for concurrent use.
 type Journal struct {
-	mu   sync.Mutex
-	runs []*Run
+	mu       sync.Mutex
+	runs     []*Run
+	arrivals []Arrival
+}
+
+func (j *Journal) arrived(arrival Arrival) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.arrivals = append(j.arrivals, arrival)
+}
+
+// Arrivals returns what reached a replica, in order.
+func (j *Journal) Arrivals(replica string) []Arrival {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var found []Arrival
+	for _, arrival := range j.arrivals {
+		if arrival.Replica == replica {
+			found = append(found, arrival)
+		}
+	}
+	return found
 }
 
 func (j *Journal) add(run *Run) {
@@ -85,8 +115,11 @@
 	// BreakAfter breaks each connection off after so many events of a stream that
 	// begins at its first event, in the middle of the next one; zero: never.
 	BreakAfter int
-	// Refuse refuses every request as not run.
-	Refuse bool
+	// Refuse refuses every request as not run, and RefuseEvery one in so many; zero: none.
+	Refuse      bool
+	RefuseEvery int
+	// RetryAfter is what refusals ask for; zero: nothing.
+	RetryAfter time.Duration
 	// Slower is added to each pause.
 	Slower time.Duration
 }
@@ -110,6 +143,10 @@
 	faults  ReplicaFaults
 	running int
 	leftAt  time.Time
+	// saysLeaving has its answers say that it leaves.
+	saysLeaving bool
+	// asked counts the requests, for RefuseEvery.
+	asked int
 	// kept are the parts that it ran, as callers name them.
 	kept []string
 }
@@ -174,14 +211,30 @@
 	return r.faults
 }
 
-// Leave tells that the replica leaves. It goes on serving.
+// Leave tells that the replica leaves, in its entry and in its answers. It goes on serving.
 func (r *Replica) Leave() {
 	r.mu.Lock()
 	r.leftAt = time.Now()
+	r.saysLeaving = true
 	r.mu.Unlock()
 	r.register(wire.StateDraining)
 }
 
+// SayLeaving has the replica's answers say that it leaves. Its entry stays as it is, as while
+// the store takes no writes.
+func (r *Replica) SayLeaving() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.saysLeaving = true
+}
+
+// isLeaving says whether its answers say that it leaves.
+func (r *Replica) isLeaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.saysLeaving
+}
+
 // Renew writes the replica's entry again, as replicas do all the time.
 func (r *Replica) Renew() {
 	r.mu.Lock()
@@ -252,6 +305,9 @@
 }
 
 func (r *Replica) serve(ctx *fasthttp.RequestCtx) {
+	if r.isLeaving() {
+		ctx.Response.Header.Set(wire.HeaderLeaving, wire.LeavingValue)
+	}
 	if path := string(ctx.Path()); path == wire.PathKeptList || path == wire.PathKeptChanges {
 		r.serveKept(ctx)
 		return
@@ -263,11 +319,14 @@
 		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
 		return
 	}
+	arrival := Arrival{ID: id, Replica: r.options.ID, At: time.Now()}
 	if !r.begin() {
-		ctx.Response.Header.Set(wire.HeaderNotRun, "1")
-		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		arrival.Refused = true
+		arrival.RetryAfter = r.refuse(ctx)
+		r.journal.arrived(arrival)
 		return
 	}
+	r.journal.arrived(arrival)
 	run := &Run{
 		ID:         id,
 		Replica:    r.options.ID,
@@ -301,6 +360,17 @@
 	})
 }
 
+// refuse answers that a request did not run, and returns what it asks for.
+func (r *Replica) refuse(ctx *fasthttp.RequestCtx) time.Duration {
+	ctx.Response.Header.Set(wire.HeaderNotRun, "1")
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	after := r.doesWrong().RetryAfter
+	if after > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
+	}
+	return after
+}
+
 // breakPause lets what was written go out before the connection is closed.
 const breakPause = 20 * time.Millisecond
 
@@ -329,7 +399,8 @@
 func (r *Replica) begin() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.faults.Refuse || r.running >= r.options.Slots {
+	r.asked++
+	if r.faults.Refuse || r.faults.RefuseEvery > 0 && r.asked%r.faults.RefuseEvery == 0 || r.running >= r.options.Slots {
 		return false
 	}
 	r.running++
