--- a/control/machine.go
+++ b/control/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/control/member"
+	"github.com/walnutcove/walnutcove/control/notice"
 	"github.com/walnutcove/walnutcove/control/policy"
 )
 
@@ -46,9 +47,11 @@
 	suspicion suspicion
 	// coldUntil maps a target's name to the end of the time for which it is, or may be, cold.
 	coldUntil map[string]Instant
-	draining  bool
-	drained   bool
-	counters  Counters
+	// notices hold what targets said of themselves to this node.
+	notices  notice.Set
+	draining bool
+	drained  bool
+	counters Counters
 }
 
 // New returns a machine that knows nothing yet: it refuses requests with
@@ -153,6 +156,8 @@
 		m.targetUnreachable(ev)
 	case TargetKept:
 		m.targetKept(ev)
+	case TargetNoticed:
+		m.targetNoticed(ev)
 	case FeedsFollowed:
 		m.feedsFollowed(ev)
 	case RequestsUnread:
@@ -230,6 +235,8 @@
 		m.noticeReceived(msg)
 	case UnreadNotice:
 		m.unreadReceived(msg)
+	case LeavingNotice:
+		m.leavingReceived(from, msg)
 	case ServiceReport:
 		m.serviceReported(from, inc, msg)
 	case ServiceTotals:
--- /dev/null
+++ b/control/notice/notice.go
@@ -0,0 +1,84 @@
+// Package notice keeps what targets say of themselves in their answers to one router: that
+// they leave. The listing of targets may say so later, or not at all while the platform takes
+// no writes.
+package notice
+
+import "time"
+
+// keptUndeclared is how long a notice is kept of a target that is not declared: its entry may
+// lapse while the platform is away, and come back.
+const keptUndeclared = time.Minute
+
+// Notice is what an answer of a target says of the target.
+type Notice struct {
+	// Leaving says that it takes no new requests.
+	Leaving bool
+}
+
+// IsZero says whether the answer said nothing of the target.
+func (n Notice) IsZero() bool { return n == Notice{} }
+
+// Set holds the notices of one router by target. The zero value is empty. It is not safe for
+// concurrent use. Times are of any one clock.
+type Set struct {
+	byTarget map[string]*entry
+}
+
+// entry is what one start of a target said.
+type entry struct {
+	start   int64
+	leaving bool
+	// declaredAt is when the target was last known to be declared.
+	declaredAt time.Duration
+}
+
+// Add takes in a notice of a start of a target, zero if the start is not known. It returns
+// whether the target was not known to leave and is now.
+func (s *Set) Add(now time.Duration, target string, start int64, n Notice) (leaves bool) {
+	if n.IsZero() {
+		return false
+	}
+	e := s.find(target, start)
+	if e == nil {
+		if s.byTarget == nil {
+			s.byTarget = make(map[string]*entry)
+		}
+		e = &entry{start: start, declaredAt: now}
+		s.byTarget[target] = e
+	}
+	leaves = n.Leaving && !e.leaving
+	e.leaving = e.leaving || n.Leaving
+	return leaves
+}
+
+// IsLeaving says whether a start of a target said that it leaves.
+func (s *Set) IsLeaving(target string, start int64) bool {
+	e := s.find(target, start)
+	return e != nil && e.leaving
+}
+
+// Prune forgets the notices of starts that have been replaced, and of targets that have not
+// been declared for long. startOf returns the declared start of a target.
+func (s *Set) Prune(now time.Duration, startOf func(target string) (start int64, declared bool)) {
+	for target, e := range s.byTarget {
+		start, declared := startOf(target)
+		switch {
+		case declared && SameStart(e.start, start):
+			e.declaredAt = now
+		case declared, now-e.declaredAt > keptUndeclared:
+			delete(s.byTarget, target)
+		}
+	}
+}
+
+// find returns the entry of a start of a target; nil if there is none.
+func (s *Set) find(target string, start int64) *entry {
+	e := s.byTarget[target]
+	if e == nil || !SameStart(e.start, start) {
+		return nil
+	}
+	return e
+}
+
+// SameStart says whether two starts of a target may be the same: zero is one that is not known.
+func SameStart(a, b int64) bool { return a == b || a == 0 || b == 0 }
--- /dev/null
+++ b/control/notice/notice_test.go
@@ -0,0 +1,50 @@
+package notice
+
+import (
+	"testing"
+	"time"
+)
+
+func declaredAs(start int64) func(string) (int64, bool) {
+	return func(string) (int64, bool) { return start, true }
+}
+
+func undeclared(string) (int64, bool) { return 0, false }
+
+// TestLeavingEndsWithTheStart: that a target leaves holds for the start that said so, also while
+// its entry is away for a moment, and not for the next one under its name.
+func TestLeavingEndsWithTheStart(t *testing.T) {
+	var s Set
+	if !s.Add(0, "a", 1, Notice{Leaving: true}) {
+		t.Error("the first notice is no news")
+	}
+	if s.Add(0, "a", 1, Notice{Leaving: true}) {
+		t.Error("the second notice is news")
+	}
+	s.Prune(time.Second, undeclared)
+	s.Prune(2*time.Second, declaredAs(1))
+	if !s.IsLeaving("a", 1) || !s.IsLeaving("a", 0) || s.IsLeaving("a", 2) || s.IsLeaving("b", 1) {
+		t.Error("leaving is not that of the start which said so")
+	}
+	s.Prune(3*time.Second, declaredAs(2))
+	if s.IsLeaving("a", 0) {
+		t.Error("leaving outlives the start")
+	}
+}
+
+// TestNoticesAreBounded: notices of targets that are gone are forgotten.
+func TestNoticesAreBounded(t *testing.T) {
+	var s Set
+	s.Add(0, "a", 1, Notice{Leaving: true})
+	s.Prune(keptUndeclared, undeclared)
+	if len(s.byTarget) != 1 {
+		t.Fatal("forgotten at once")
+	}
+	s.Prune(keptUndeclared+1, undeclared)
+	if len(s.byTarget) != 0 {
+		t.Error("kept for ever")
+	}
+	if s.Add(0, "a", 1, Notice{}) || len(s.byTarget) != 0 {
+		t.Error("an answer without a notice is kept")
+	}
+}
--- a/control/runs.go
+++ b/control/runs.go
@@ -77,6 +77,14 @@
 		m.askAgain(r, g.Target)
 		return
 	}
+	if m.isWithheld(g.Target) {
+		// The scheduler does not know yet, or is another one by now.
+		m.counters.GrantsWithheld++
+		m.tellLeaving(from, g.Target, m.topo.decl.Targets[g.Target].Start)
+		m.returnGrant(from, g, shard)
+		m.askAgain(r, g.Target)
+		return
+	}
 	m.dispatch(r, from, g, shard)
 }
 
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -73,6 +73,7 @@
 	next := newTopology(ev.Snapshot)
 	m.noteVanished(next)
 	m.noteColdTargets(next)
+	m.pruneNotices(next)
 	m.topo = next
 	for _, name := range sortedKeys(m.sched.workspaces) {
 		m.sched.workspaces[name].follow(m)
--- a/control/shard.go
+++ b/control/shard.go
@@ -139,6 +139,7 @@
 func (m *Machine) declareTarget(t *target) {
 	decl := m.topo.decl.Targets[t.name]
 	t.declare(decl)
+	t.saidLeaving = t.saidLeaving || m.notices.IsLeaving(t.name, t.start)
 	if tokens := m.topo.decl.Pools[t.shard.id.Pool].Tokens; tokens != nil {
 		m.declareEngine(t, decl.Slots, tokens.MemoryTokens)
 	}
--- a/control/status.go
+++ b/control/status.go
@@ -22,6 +22,7 @@
 	GrantsMade            uint64
 	GrantsResent          uint64
 	GrantsReturned        uint64
+	GrantsWithheld        uint64
 	GrantsAdopted         uint64
 	GrantsEnded           uint64
 	GrantsReclaimed       uint64
--- a/control/target.go
+++ b/control/target.go
@@ -41,8 +41,10 @@
 	// behind holds the grants made beyond the slots, oldest first: they wait in
 	// the target until a run there ends.
 	behind []*grant
-	// leaving and reportedLeaving say that it takes nothing new.
-	leaving, reportedLeaving bool
+	// leaving, reportedLeaving and saidLeaving say that it takes nothing new: by its
+	// declaration, by its last load report, and by an answer to some node, which holds until
+	// its next start.
+	leaving, reportedLeaving, saidLeaving bool
 	// evacuated says that the target's data centre is being evacuated: it takes nothing new.
 	evacuated bool
 	// coldUntil is when its cold time ends; see coldLimit.
@@ -117,9 +119,11 @@
 	return !t.takesWork() || failing
 }
 
-// takesWork reports whether both the declaration and the load reports of the target permit
-// new requests.
-func (t *target) takesWork() bool { return !t.leaving && !t.reportedLeaving && !t.evacuated }
+// takesWork reports whether the declaration, the load reports and the answers of the target
+// permit new requests.
+func (t *target) takesWork() bool {
+	return !t.leaving && !t.reportedLeaving && !t.saidLeaving && !t.evacuated
+}
 
 // isCurrent says whether the target is listed still, in this start. Runs on earlier
 // starts go on being counted on those, and say nothing of the present one.
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/control/notice"
 )
 
 // Getter returns a header's value by its canonical name; empty if it is absent.
@@ -56,6 +57,8 @@
 	// RefusedNotRun says by an answer's head that the target refused the request
 	// and did not run it.
 	RefusedNotRun func(status int, header Getter) bool
+	// Notice reads what an answer's head says of the target itself; nil: nothing.
+	Notice func(status int, header Getter) notice.Notice
 	// Work reads what the caller says about the tokens of the request; nil: nothing.
 	Work func(header Getter) control.Work
 }
--- a/filters/retry/retry.go
+++ b/filters/retry/retry.go
@@ -92,7 +92,8 @@
 		if ex.Attempt >= maxAttempts || runs >= maxRuns(ex) || !time.Now().Before(ex.Deadline) {
 			return final(err)
 		}
-		if !f.budget.spend(ex.PoolName, ex.WorkspaceName) {
+		// A request that was not sent is not sent again: its next attempt costs targets nothing.
+		if refusal.Code != result.TargetLeft && !f.budget.spend(ex.PoolName, ex.WorkspaceName) {
 			return budgetEmpty(err, refusal)
 		}
 		retries.Inc(refusal.Code)
--- a/filters/retry/retry_test.go
+++ b/filters/retry/retry_test.go
@@ -302,3 +302,18 @@
 		Deadline:   time.Now().Add(time.Minute),
 	}
 }
+
+// TestUnsentAttemptSpendsNoBudget: an attempt that was given up before it was sent, as its
+// target had said that it leaves, takes no retry from the budget.
+func TestUnsentAttemptSpendsNoBudget(t *testing.T) {
+	f := newFilter()
+	for range 10 * int(maxBudget) {
+		ex := exchange(false)
+		if refusal, count := attempts(context.Background(), f, ex, result.New(result.TargetLeft, "left")); refusal != nil || count != 2 {
+			t.Fatalf("%v after %d attempts", refusal, count)
+		}
+	}
+	if refusal, _ := attempts(context.Background(), f, exchange(true), result.New(result.ConnectFailed, "unreached")); refusal != nil {
+		t.Errorf("no retry is left: %v", refusal)
+	}
+}
--- a/peer/wire/codec.go
+++ b/peer/wire/codec.go
@@ -15,6 +15,7 @@
 var Kinds = []Kind{
 	KindDefinition, "ticket", "grant", "report", "report-ack", "refusal", "cancel-ticket", "waiting",
 	"heartbeat", "service-report", "service-totals", "suspect-notice", "quarantine-notice", "unread-notice",
+	"leaving-notice",
 }
 
 // KindOf names the kind of a message, for counters; "unknown" if it has no codec.
@@ -46,6 +47,8 @@
 		return "quarantine-notice"
 	case control.UnreadNotice:
 		return "unread-notice"
+	case control.LeavingNotice:
+		return "leaving-notice"
 	default:
 		return "unknown"
 	}
@@ -81,6 +84,8 @@
 		return e.quarantineNotice(m)
 	case control.UnreadNotice:
 		return e.unreadNotice(m)
+	case control.LeavingNotice:
+		return e.leavingNotice(m)
 	default:
 		return nil, fmt.Errorf("%w: %T", ErrUnknownKind, message)
 	}
@@ -115,6 +120,8 @@
 		return d.quarantineNotice(kind.QuarantineNotice)
 	case *peerpb.Entry_UnreadNotice:
 		return d.unreadNotice(kind.UnreadNotice)
+	case *peerpb.Entry_LeavingNotice:
+		return d.leavingNotice(kind.LeavingNotice)
 	default:
 		return nil, fmt.Errorf("%w: entry %T", ErrUnknownKind, kind)
 	}
--- a/peer/wire/codec_queue.go
+++ b/peer/wire/codec_queue.go
@@ -234,6 +234,23 @@
 	return control.UnreadNotice{Shard: shard, Workspace: workspace, Count: int(p.GetCount())}, nil
 }
 
+func (e *Encoder) leavingNotice(m control.LeavingNotice) (*peerpb.Entry, error) {
+	target, err := e.name(m.Target)
+	if err != nil {
+		return nil, err
+	}
+	p := &peerpb.LeavingNotice{Target: target, Start: m.Start}
+	return &peerpb.Entry{Kind: &peerpb.Entry_LeavingNotice{LeavingNotice: p}}, nil
+}
+
+func (d *Decoder) leavingNotice(p *peerpb.LeavingNotice) (control.Message, error) {
+	target, err := d.name(p.GetTarget())
+	if err != nil {
+		return nil, err
+	}
+	return control.LeavingNotice{Target: target, Start: p.GetStart()}, nil
+}
+
 func (e *Encoder) waiting(m control.Waiting) (*peerpb.Entry, error) {
 	ticket, errTicket := e.ticketID(m.Ticket)
 	shard, errShard := e.shard(m.Shard)
--- a/peer/wire/wire_test.go
+++ b/peer/wire/wire_test.go
@@ -41,6 +41,7 @@
 	control.SuspectNotice{},
 	control.QuarantineNotice{},
 	control.UnreadNotice{},
+	control.LeavingNotice{},
 }
 
 // pipe is an encoder and the decoder at the other end.
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -32,6 +32,8 @@
 	loop *loop
 	// inForce returns the configuration in force.
 	inForce func() *config.Snapshot
+	// notices are what targets said of themselves.
+	notices *notices
 }
 
 // Acquire waits for a slot. It implements grant.Source.
@@ -124,12 +126,14 @@
 	return nil
 }
 
-// serves reports whether a target is still declared at an address, takes work and is in a
-// region that the route and the workspace of the request allow.
+// serves reports whether a target is still declared at an address, takes work, by its
+// declaration and by its answers, and is in a region that the route and the workspace of the
+// request allow.
 func (g *grants) serves(ex *pipeline.Exchange, name, address string) bool {
 	declarations := &g.inForce().Declarations
 	declared, known := declarations.Targets[name]
 	return known && declared.TakesWork() && declared.Address == address &&
+		!g.notices.isLeaving(name, declared.Start) &&
 		declarations.AllowedRegions(routeName(ex), ex.WorkspaceName).Allows(declared.Region)
 }
 
--- a/router/loop.go
+++ b/router/loop.go
@@ -217,6 +217,8 @@
 		l.shell.drained()
 	case control.TargetJudged:
 		l.logJudgement(c)
+	case control.TargetLeaves:
+		l.log.Info("control: Target says that it leaves.", "target", c.Target, "told", c.From)
 	case control.TargetCold:
 		l.log.Info("control: Target is cold, few requests at a time.", "target", c.Target, "for", c.For)
 	case control.ShareGap:
--- a/router/pipeline.go
+++ b/router/pipeline.go
@@ -28,7 +28,7 @@
 		&quarantine.Filter{Set: &r.suspects},
 		&runrecord.Filter{Keeper: r.records},
 		retry.New(r.log),
-		&grant.Filter{Source: &grants{loop: r.loop, inForce: r.InForce}, Log: r.log},
+		&grant.Filter{Source: &grants{loop: r.loop, inForce: r.InForce, notices: &r.notices}, Log: r.log},
 		&dispatch.Filter{
 			Client:           r.targets,
 			Relay:            relaying.Answer,
--- a/router/routed.go
+++ b/router/routed.go
@@ -25,7 +25,7 @@
 func (r *Router) routedPipeline() pipeline.Handler {
 	limits := r.settings.Limits
 	retries := retry.NewWindowed(r.log, r.retryRules)
-	slots := &grant.Filter{Source: &grants{loop: r.loop, inForce: r.InForce}, Log: r.log}
+	slots := &grant.Filter{Source: &grants{loop: r.loop, inForce: r.InForce, notices: &r.notices}, Log: r.log}
 	answers := &answers{
 		events: &events.Relay{Lag: r.overload.late, Log: r.log},
 		whole:  &relay.Relay{Client: r.targets, Request: dispatch.Request, Log: r.log},
--- a/router/router.go
+++ b/router/router.go
@@ -46,6 +46,7 @@
 	*managed
 
 	targets  *targets.HTTPClient
+	notices  notices
 	poller   *loadpoll.Poller
 	suspects quarantine.Set
 	loop     *loop
--- a/router/shell.go
+++ b/router/shell.go
@@ -86,6 +86,7 @@
 // served by it, and the control goroutine follows.
 func (r *Router) configChanged(snapshot *config.Snapshot) {
 	r.inForce.Store(snapshot)
+	r.notices.prune(r.loop.instant(time.Now()), snapshot.Declarations.Targets)
 	configChanges.Inc()
 	r.loop.post(control.ConfigChanged{Snapshot: snapshot})
 	if r.patched != nil {
--- a/router/start.go
+++ b/router/start.go
@@ -214,6 +214,7 @@
 		FirstByteTimeout: time.Duration(s.Limits.FirstByteTimeout),
 		StallTimeout:     time.Duration(s.Limits.StallTimeout),
 		Dialect:          r.dialect(),
+		OnNotice:         r.targetNoticed,
 		Metrics:          metrics.GetDefaultSet(),
 	})
 	r.poller = loadpoll.New(loadpoll.Options{
--- a/targets/counters.go
+++ b/targets/counters.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/walnutcove/walnutcove/control/notice"
 	"github.com/walnutcove/walnutcove/result"
 )
 
@@ -72,3 +73,18 @@
 	e.Ran = ran
 	return e
 }
+
+// noticeCounters count the answers that say something of their target.
+type noticeCounters struct {
+	leaving *metrics.Counter
+}
+
+func newNoticeCounters(set *metrics.Set) *noticeCounters {
+	return &noticeCounters{leaving: set.GetOrCreateCounter(`walnut_target_notices_total{notice="leaving"}`)}
+}
+
+func (c *noticeCounters) count(said notice.Notice) {
+	if said.Leaving {
+		c.leaving.Inc()
+	}
+}
--- a/targets/exchange.go
+++ b/targets/exchange.go
@@ -136,6 +136,7 @@
 	header := &ex.conn.answer
 	resp := &Response{Status: header.StatusCode(), Header: copyHeader(header)}
 	ex.conn.keepFor(header)
+	ex.notice(req, resp)
 	if ex.client.options.Dialect.RefusedNotRun(resp.Status, func(name string) string { return resp.Header[name] }) {
 		ex.counters.failed(reasonNotRun)
 		refused := result.New(result.TargetRefused, "%s", result.TargetRefused.Info().Meaning)
@@ -149,6 +150,20 @@
 	return resp, nil
 }
 
+// notice hands on what the answer says of its target.
+func (ex *exchange) notice(req *Request, resp *Response) {
+	read := ex.client.options.Dialect.Notice
+	if read == nil {
+		return
+	}
+	said := read(resp.Status, func(name string) string { return resp.Header[name] })
+	if said.IsZero() {
+		return
+	}
+	ex.client.notices.count(said)
+	ex.client.options.OnNotice(req, said)
+}
+
 // errUnsealed says that a success lacks the mark of the targets' own answers.
 var errUnsealed = errors.New("target: success without a seal")
 
--- a/targets/httpclient.go
+++ b/targets/httpclient.go
@@ -32,6 +32,7 @@
 	requests *counters
 	polls    *counters
 	orders   *counters
+	notices  *noticeCounters
 	pool     *pool
 }
 
@@ -46,6 +47,7 @@
 		requests: newCounters(set, "walnut_target_requests_total", "walnut_target_failures_total"),
 		polls:    newCounters(set, "walnut_load_poll_requests_total", "walnut_load_poll_failures_total"),
 		orders:   newCounters(set, "walnut_order_calls_total", "walnut_order_call_failures_total"),
+		notices:  newNoticeCounters(set),
 		pool:     newPool(options),
 	}
 }
--- a/targets/options.go
+++ b/targets/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/walnutcove/walnutcove/control/notice"
 	"github.com/walnutcove/walnutcove/dialect"
 )
 
@@ -34,6 +35,9 @@
 	MaxIdle int
 	// Dialect is how the targets speak. Default dialect.Own.
 	Dialect *dialect.Dialect
+	// OnNotice receives what answers say of their targets, before they are returned. It must
+	// not block. Default: dropped.
+	OnNotice func(req *Request, said notice.Notice)
 	// Metrics receives the counters. Default: a set of the client's own.
 	Metrics *metrics.Set
 	// Dial opens a connection. Default: TCP.
@@ -49,6 +53,9 @@
 	if o.Dialect == nil {
 		o.Dialect = dialect.Own
 	}
+	if o.OnNotice == nil {
+		o.OnNotice = func(*Request, notice.Notice) {}
+	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
