--- a/bench/refusals/brownout.go
+++ b/bench/refusals/brownout.go
@@ -180,7 +180,7 @@
 		latencies = append(latencies, t.End.Sub(t.Start))
 	}
 	other := len(latencies)
-	for _, code := range []result.Code{result.RetryBudgetEmpty, result.NoTarget, result.Quarantined} {
+	for _, code := range []result.Code{result.RetryBudgetEmpty, result.NoTarget, result.TargetsUnavailable, result.Quarantined} {
 		other -= outcomes[int(code)]
 	}
 	return []table.Value{
@@ -190,6 +190,7 @@
 		{Name: "answered", Number: float64(answered)},
 		{Name: "703 budget empty", Number: float64(outcomes[int(result.RetryBudgetEmpty)])},
 		{Name: "602 no target", Number: float64(outcomes[int(result.NoTarget)])},
+		{Name: "608 targets unavailable", Number: float64(outcomes[int(result.TargetsUnavailable)])},
 		{Name: "401 quarantined", Number: float64(outcomes[int(result.Quarantined)])},
 		{Name: "other failures", Number: float64(other)},
 		{Name: "failures p50 ms", Number: quantile(latencies, 0.5)},
--- a/control/entry.go
+++ b/control/entry.go
@@ -99,9 +99,10 @@
 		m.refuse(ev, code)
 		return
 	}
+	ev.Excluded = m.withHeldOff(ev)
 	shards := m.topo.candidates(ev, m.opts.DataCentre)
 	if len(shards) == 0 {
-		m.refuse(ev, m.topo.noCandidateCode(ev))
+		m.refuseNoCandidate(ev)
 		return
 	}
 	r := &request{ev: ev, shards: shards, regions: m.topo.allowedRegions(ev)}
@@ -248,7 +249,7 @@
 		r.shards = m.topo.candidates(r.ev, m.opts.DataCentre)
 		if len(r.shards) == 0 {
 			m.withdraw(r)
-			m.refuse(r.ev, m.topo.noCandidateCode(r.ev))
+			m.refuseNoCandidate(r.ev)
 			continue
 		}
 		if regions := m.topo.allowedRegions(r.ev); !regions.Equal(r.regions) {
--- a/control/grants.go
+++ b/control/grants.go
@@ -58,9 +58,10 @@
 	if s.queue.Len() == 0 {
 		return
 	}
+	var full map[string]bool // classes with excluded targets that the rest had no room for
 	usable := func(name string) bool {
 		c := s.classes[name]
-		return c == nil || slices.ContainsFunc(c.targets, func(t *target) bool { return m.roomFor(c, t) })
+		return c == nil || !full[name] && slices.ContainsFunc(c.targets, func(t *target) bool { return m.roomFor(c, t) })
 	}
 	for item := s.queue.Next(usable); item != nil; item = s.queue.Next(usable) {
 		q := item.Value
@@ -78,6 +79,14 @@
 		}
 		if m.countsTokens(s) {
 			p := m.chooseEngine(c, q)
+			if p.target == nil && len(c.excluded) > 0 {
+				// What others exclude must not hold up those that may use all targets.
+				if full == nil {
+					full = make(map[string]bool)
+				}
+				full[c.name] = true
+				continue
+			}
 			if p.target == nil {
 				break // the workspace that received least goes first, when there is room for it
 			}
--- a/control/notice/notice.go
+++ b/control/notice/notice.go
@@ -1,6 +1,7 @@
 // Package notice keeps what targets say of themselves in their answers to one router: that
-// they leave. The listing of targets may say so later, or not at all while the platform takes
-// no writes.
+// they leave, or that they want nothing from this router for a while. Of leaving the listing
+// of targets may say later, or not at all while the platform takes no writes; a hold-off is
+// between a target and one router, and no listing says it.
 package notice
 
 import "time"
@@ -13,6 +14,8 @@
 type Notice struct {
 	// Leaving says that it takes no new requests.
 	Leaving bool
+	// HoldOff is how long it wants no request from this router; zero: it asks for nothing.
+	HoldOff time.Duration
 }
 
 // IsZero says whether the answer said nothing of the target.
@@ -28,6 +31,8 @@
 type entry struct {
 	start   int64
 	leaving bool
+	// holdOffUntil is when its hold-off ends.
+	holdOffUntil time.Duration
 	// declaredAt is when the target was last known to be declared.
 	declaredAt time.Duration
 }
@@ -48,9 +53,38 @@
 	}
 	leaves = n.Leaving && !e.leaving
 	e.leaving = e.leaving || n.Leaving
+	e.holdOffUntil = max(e.holdOffUntil, now+n.HoldOff)
 	return leaves
 }
 
+// IsWithheld says whether a start of a target wants no request from this router: it leaves, or
+// holds this router off.
+func (s *Set) IsWithheld(now time.Duration, target string, start int64) bool {
+	e := s.find(target, start)
+	return e != nil && (e.leaving || now < e.holdOffUntil)
+}
+
+// HoldsOff returns for how much longer a start of a target holds this router off; zero if it
+// does not.
+func (s *Set) HoldsOff(now time.Duration, target string, start int64) time.Duration {
+	e := s.find(target, start)
+	if e == nil {
+		return 0
+	}
+	return max(0, e.holdOffUntil-now)
+}
+
+// HoldingOff returns the targets that hold this router off, in no order.
+func (s *Set) HoldingOff(now time.Duration) []string {
+	var targets []string
+	for target, e := range s.byTarget {
+		if now < e.holdOffUntil {
+			targets = append(targets, target)
+		}
+	}
+	return targets
+}
+
 // IsLeaving says whether a start of a target said that it leaves.
 func (s *Set) IsLeaving(target string, start int64) bool {
 	e := s.find(target, start)
@@ -63,9 +97,11 @@
 	for target, e := range s.byTarget {
 		start, declared := startOf(target)
 		switch {
-		case declared && SameStart(e.start, start):
+		case declared && !SameStart(e.start, start), !e.leaving && e.holdOffUntil <= now:
+			delete(s.byTarget, target)
+		case declared:
 			e.declaredAt = now
-		case declared, now-e.declaredAt > keptUndeclared:
+		case now-e.declaredAt > keptUndeclared:
 			delete(s.byTarget, target)
 		}
 	}
--- a/control/notice/notice_test.go
+++ b/control/notice/notice_test.go
@@ -48,3 +48,27 @@
 		t.Error("an answer without a notice is kept")
 	}
 }
+
+// TestHoldOffEndsByItself: a hold-off lasts for the longest time that the target asked for, and
+// says nothing of the target's next start.
+func TestHoldOffEndsByItself(t *testing.T) {
+	var s Set
+	s.Add(0, "a", 1, Notice{HoldOff: 3 * time.Second})
+	s.Add(time.Second, "a", 1, Notice{HoldOff: time.Second})
+	if !s.IsWithheld(2*time.Second, "a", 1) || s.IsLeaving("a", 1) || s.IsWithheld(2*time.Second, "a", 2) {
+		t.Error("withheld is not the start that asked for it")
+	}
+	if left := s.HoldsOff(2*time.Second, "a", 1); left != time.Second {
+		t.Errorf("%s left", left)
+	}
+	if held := s.HoldingOff(2 * time.Second); len(held) != 1 || held[0] != "a" {
+		t.Errorf("holding off: %v", held)
+	}
+	if s.IsWithheld(3*time.Second, "a", 1) || s.HoldsOff(3*time.Second, "a", 1) != 0 || len(s.HoldingOff(3*time.Second)) != 0 {
+		t.Error("withheld after its end")
+	}
+	s.Prune(3*time.Second, declaredAs(1))
+	if len(s.byTarget) != 0 {
+		t.Error("kept after its end")
+	}
+}
--- a/control/notices_test.go
+++ b/control/notices_test.go
@@ -115,3 +115,88 @@
 		t.Errorf("granted %+v, refused %+v", dispatch, refuse)
 	}
 }
+
+// holdsOff gives the machine an answer of a target that asks this node to wait.
+func (f *tokenFleet) holdsOff(target string, d time.Duration) {
+	f.step(TargetNoticed{Target: target, Notice: notice.Notice{HoldOff: d}})
+}
+
+// TestHoldOffBindsOnlyThisNode: requests that entered here are not granted a target that asked
+// this node to wait, until the time that it asked for has passed; its scheduler is not told, and
+// grants it to others.
+func TestHoldOffBindsOnlyThisNode(t *testing.T) {
+	const wait = 2 * time.Second
+	f := newTokenFleet("e1", "e2")
+	f.hearsLarger()
+	waiting, _, _ := f.arrive("a", own(1))
+	f.holdsOff("e1", wait)
+	id, _, _ := f.arrive("a", own(2))
+	if asked := f.machine.entry.requests[id].ev.Excluded; len(asked) != 1 || asked[0] != "e1" {
+		t.Errorf("a new ticket excludes %v", asked)
+	}
+	commands := f.step(MessageReceived{From: "other", Incarnation: 5, Message: f.grantFor(waiting, 1, "e1")})
+	if dispatch, refuse := outcomeOf(commands, waiting); dispatch != nil || refuse != nil {
+		t.Errorf("dispatched %+v, refused %+v", dispatch, refuse)
+	}
+	if reports := sentTo[Report](commands, "other"); len(reports) != 1 || reports[0].Outcome != OutcomeNotRun {
+		t.Errorf("reported %+v", reports)
+	}
+	if told := sentTo[LeavingNotice](commands, "other"); len(told) != 0 {
+		t.Errorf("the scheduler is told %+v", told)
+	}
+	if !f.machine.shardHere(ShardID{Pool: "gen"}).byName["e1"].takesWork() {
+		t.Error("a scheduler takes the target to leave")
+	}
+	f.pass(wait)
+	late, _, _ := f.arrive("a", own(3))
+	commands = f.step(MessageReceived{From: "other", Incarnation: 5, Message: f.grantFor(late, 2, "e1")})
+	if dispatch, _ := outcomeOf(commands, late); dispatch == nil {
+		t.Error("the target is still held back after the time that it asked for")
+	}
+}
+
+// TestAllTargetsHoldOff: a request that every target asked this node not to send is refused at
+// once, and its caller told to come back no later than the first of them takes it.
+func TestAllTargetsHoldOff(t *testing.T) {
+	f := newTokenFleet("e1", "e2")
+	f.holdsOff("e1", 5*time.Second)
+	f.holdsOff("e2", 200*time.Millisecond)
+	_, dispatch, refuse := f.arrive("a", own(1))
+	if dispatch != nil || refuse == nil {
+		t.Fatalf("dispatched %+v, refused %+v", dispatch, refuse)
+	}
+	if refuse.Code != result.TargetsUnavailable || refuse.RetryAfter <= 0 || refuse.RetryAfter > 300*time.Millisecond {
+		t.Errorf("refused %+v", refuse)
+	}
+	f.pass(200 * time.Millisecond)
+	if !f.grants() {
+		t.Error("refused after the first of them takes requests")
+	}
+}
+
+// TestExclusionsHoldUpNoOthers: a request that may use only targets with much to read does not
+// keep one behind it from a target that has nothing to do.
+func TestExclusionsHoldUpNoOthers(t *testing.T) {
+	f := newTokenFleet("e1", "e2")
+	f.holdsOff("e2", time.Second)
+	shard := ShardID{Pool: "gen"}
+	for n := uint64(0); f.machine.sched.shards[shard] == nil || f.machine.sched.shards[shard].queue.Len() == 0; n++ {
+		if _, dispatch, refuse := f.arrive("a", thing(10+n)); refuse != nil || dispatch != nil && dispatch.Target != "e1" {
+			t.Fatalf("request %d: %+v, refused %+v", n, dispatch, refuse)
+		}
+	}
+	if _, dispatch, refuse := f.arrive("b", thing(50)); dispatch != nil || refuse != nil {
+		t.Fatalf("dispatched %+v, refused %+v", dispatch, refuse)
+	}
+	commands := f.step(MessageReceived{From: "other", Incarnation: 5, Message: Ticket{
+		ID:        TicketID{Node: "other", Incarnation: 5, Request: 1, Attempt: 1},
+		Shard:     shard,
+		Workspace: "a",
+		TimeLeft:  time.Second,
+		Work:      Work{Parts: []PromptPart{own(30)}, OutputTokens: 50},
+		Objective: 400 * time.Millisecond,
+	}})
+	if grants := sentTo[Grant](commands, "other"); len(grants) != 1 || grants[0].Target != "e2" {
+		t.Errorf("granted %+v", grants)
+	}
+}
--- a/control/runs.go
+++ b/control/runs.go
@@ -80,7 +80,9 @@
 	if m.isWithheld(g.Target) {
 		// The scheduler does not know yet, or is another one by now.
 		m.counters.GrantsWithheld++
-		m.tellLeaving(from, g.Target, m.topo.decl.Targets[g.Target].Start)
+		if start := m.topo.decl.Targets[g.Target].Start; m.notices.IsLeaving(g.Target, start) {
+			m.tellLeaving(from, g.Target, start)
+		}
 		m.returnGrant(from, g, shard)
 		m.askAgain(r, g.Target)
 		return
@@ -145,12 +147,13 @@
 func (m *Machine) askAgain(r *request, target string) {
 	m.cancelAsks(r, ShardID{})
 	r.ev.Excluded = append(r.ev.Excluded[:len(r.ev.Excluded):len(r.ev.Excluded)], target)
+	r.ev.Excluded = m.withHeldOff(r.ev)
 	r.asks = nil
 	r.regions = m.topo.allowedRegions(r.ev)
 	r.shards = m.topo.candidates(r.ev, m.opts.DataCentre)
 	if len(r.shards) == 0 {
 		m.release(r)
-		m.refuse(r.ev, m.topo.noCandidateCode(r.ev))
+		m.refuseNoCandidate(r.ev)
 		return
 	}
 	m.newTicket(r)
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -272,7 +272,7 @@
 	case m.convicted(t.Fingerprint):
 		f.Code = result.Quarantined
 	case m.hopeless(s, c):
-		f.Code = c.hopelessCode()
+		f.Code = m.hopelessCode(s, c)
 		f.RetryAfter = m.jitter(2 * minRetryAfter)
 	default:
 		return f, false
--- a/control/shard.go
+++ b/control/shard.go
@@ -220,10 +220,15 @@
 }
 
 // hopelessCode returns the result code for the tickets of a hopeless class.
-func (c *class) hopelessCode() result.Code {
+func (m *Machine) hopelessCode(s *shard, c *class) result.Code {
 	if slices.ContainsFunc(c.targets, func(t *target) bool { return t.evacuated && !t.leaving }) {
 		return result.TargetsEvacuated
 	}
+	for _, name := range c.excluded {
+		if t := s.byName[name]; t != nil && !t.hopeless(m.now) {
+			return result.TargetsUnavailable
+		}
+	}
 	return result.NoTarget
 }
 
--- a/control/tickets.go
+++ b/control/tickets.go
@@ -228,7 +228,7 @@
 	if f.Code == result.Overloaded && a.to != m.opts.Node {
 		m.entry.fullAt[f.Shard] = m.now
 	}
-	if f.Code == result.NoTarget || f.Code == result.TargetsEvacuated || f.Code == result.NoHomeTarget {
+	if isOfTargets(f.Code) {
 		if id, ok := m.nextShard(r); ok {
 			m.ask(r, id)
 			return
@@ -242,10 +242,21 @@
 	if after <= 0 {
 		after = m.retryAfter(r.ev.Workspace)
 	}
+	after = m.afterHoldOff(r.ev, f.Code, after)
 	m.withdraw(r)
 	m.refuseWith(r.ev, Refuse{Code: f.Code, RetryAfter: after, Scheduler: a.to, Excess: f.Excess, Ahead: f.Ahead})
 }
 
+// isOfTargets says whether a shard refused for want of a target that may serve: another shard
+// may have one.
+func isOfTargets(code result.Code) bool {
+	switch code {
+	case result.NoTarget, result.TargetsEvacuated, result.NoHomeTarget, result.TargetsUnavailable:
+		return true
+	}
+	return false
+}
+
 // nextShard chooses one more shard to ask: one with free slots, else one whose
 // state is not known, else any while few were asked.
 func (m *Machine) nextShard(r *request) (ShardID, bool) {
--- a/control/topology.go
+++ b/control/topology.go
@@ -173,11 +173,13 @@
 		for _, name := range t.shards[id].targets {
 			decl := t.decl.Targets[name]
 			switch {
-			case decl.Leaving || !t.isAllowed(name, ev.Workspace, ev.Excluded):
+			case decl.Leaving || !t.isAllowed(name, ev.Workspace, nil):
 			case !regions.Allows(decl.Region):
 				code = result.NoHomeTarget
 			case decl.Evacuated:
 				return result.TargetsEvacuated
+			default:
+				code = result.TargetsUnavailable // only the request excludes it
 			}
 		}
 	}
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -6,6 +6,7 @@
 package dialect
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -99,3 +100,16 @@
 func TimeLeft(deadline, now time.Time) int64 {
 	return max(1, deadline.Sub(now).Milliseconds())
 }
+
+// maxRetryAfter is the longest advice of a target that is believed.
+const maxRetryAfter = time.Hour
+
+// RetryAfter reads the seconds of a Retry-After header; zero if there are none or they cannot
+// be read.
+func RetryAfter(header Getter) time.Duration {
+	seconds, err := strconv.ParseFloat(header(fasthttp.HeaderRetryAfter), 64)
+	if err != nil || !(seconds >= 0 && seconds <= maxRetryAfter.Seconds()) {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -24,7 +24,7 @@
 		result.QueueFull, result.QueueBytesFull, result.Draining, result.NotReady)
 	grantRefusals = codecounter.New("walnut_grant_refusals_total",
 		result.DeadlineBeforeGrant, result.NoTarget, result.CallerGone, result.Quarantined, result.ConnectFailed, result.Overloaded,
-		result.TargetsEvacuated, result.NoHomeTarget)
+		result.TargetsEvacuated, result.NoHomeTarget, result.TargetsUnavailable)
 )
 
 // grants gives slots to the grant filter. It implements grant.Source.
@@ -133,7 +133,7 @@
 	declarations := &g.inForce().Declarations
 	declared, known := declarations.Targets[name]
 	return known && declared.TakesWork() && declared.Address == address &&
-		!g.notices.isLeaving(name, declared.Start) &&
+		!g.notices.isWithheld(g.loop.instant(time.Now()), name, declared.Start) &&
 		declarations.AllowedRegions(routeName(ex), ex.WorkspaceName).Allows(declared.Region)
 }
 
--- a/router/notices.go
+++ b/router/notices.go
@@ -25,11 +25,11 @@
 	return n.set.Add(now, target, start, said)
 }
 
-// isLeaving says whether a start of a target said that it leaves.
-func (n *notices) isLeaving(target string, start int64) bool {
+// isWithheld says whether a start of a target wants no request from this router.
+func (n *notices) isWithheld(now time.Duration, target string, start int64) bool {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	return n.set.IsLeaving(target, start)
+	return n.set.IsWithheld(now, target, start)
 }
 
 // prune forgets the notices of starts that have ended.
@@ -57,7 +57,7 @@
 	if !known {
 		return
 	}
-	if r.notices.add(r.loop.instant(time.Now()), name, listed.Start, said) {
+	if r.notices.add(r.loop.instant(time.Now()), name, listed.Start, said) || said.HoldOff > 0 {
 		r.loop.post(control.TargetNoticed{Target: name, Start: listed.Start, Notice: said})
 	}
 }
--- a/targets/counters.go
+++ b/targets/counters.go
@@ -76,15 +76,21 @@
 
 // noticeCounters count the answers that say something of their target.
 type noticeCounters struct {
-	leaving *metrics.Counter
+	leaving, holdOff *metrics.Counter
 }
 
 func newNoticeCounters(set *metrics.Set) *noticeCounters {
-	return &noticeCounters{leaving: set.GetOrCreateCounter(`walnut_target_notices_total{notice="leaving"}`)}
+	return &noticeCounters{
+		leaving: set.GetOrCreateCounter(`walnut_target_notices_total{notice="leaving"}`),
+		holdOff: set.GetOrCreateCounter(`walnut_target_notices_total{notice="hold_off"}`),
+	}
 }
 
 func (c *noticeCounters) count(said notice.Notice) {
 	if said.Leaving {
 		c.leaving.Inc()
 	}
+	if said.HoldOff > 0 {
+		c.holdOff.Inc()
+	}
 }
--- a/targets/exchange.go
+++ b/targets/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/walnutcove/walnutcove/dialect"
 	"github.com/walnutcove/walnutcove/result"
 )
 
@@ -137,11 +138,11 @@
 	resp := &Response{Status: header.StatusCode(), Header: copyHeader(header)}
 	ex.conn.keepFor(header)
 	ex.notice(req, resp)
-	if ex.client.options.Dialect.RefusedNotRun(resp.Status, func(name string) string { return resp.Header[name] }) {
+	if ex.client.options.Dialect.RefusedNotRun(resp.Status, resp.header) {
 		ex.counters.failed(reasonNotRun)
 		refused := result.New(result.TargetRefused, "%s", result.TargetRefused.Info().Meaning)
 		ex.drainRefusal(req, header)
-		return nil, refused.After(retryAfter(resp.Header))
+		return nil, refused.After(dialect.RetryAfter(resp.header))
 	}
 	if req.ID != "" && !ex.isSealed(resp) {
 		return nil, ex.counters.fail(reasonUnsealed, result.TargetLostRequest, result.RanUnknown, errUnsealed)
@@ -156,7 +157,7 @@
 	if read == nil {
 		return
 	}
-	said := read(resp.Status, func(name string) string { return resp.Header[name] })
+	said := read(resp.Status, resp.header)
 	if said.IsZero() {
 		return
 	}
--- a/targets/httpclient.go
+++ b/targets/httpclient.go
@@ -17,9 +17,6 @@
 	"github.com/walnutcove/walnutcove/result"
 )
 
-// maxRetryAfter is the longest advice of a target that is believed.
-const maxRetryAfter = time.Hour
-
 // maxLoadBytes bounds a load report.
 const maxLoadBytes = 1 << 20
 
@@ -242,11 +239,3 @@
 	}
 	return copied
 }
-
-func retryAfter(header map[string]string) time.Duration {
-	seconds, err := strconv.ParseFloat(header[fasthttp.HeaderRetryAfter], 64)
-	if err != nil || !(seconds >= 0 && seconds <= maxRetryAfter.Seconds()) {
-		return 0
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
--- a/targets/target.go
+++ b/targets/target.go
@@ -67,6 +67,9 @@
 	Body   io.ReadCloser
 }
 
+// header returns a header by its canonical name; empty if it is absent.
+func (r *Response) header(name string) string { return r.Header[name] }
+
 // Client calls targets.
 type Client interface {
 	// Do sends the request and returns when the answer's head has arrived.
