--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -127,6 +127,9 @@
 	if f.evacuates {
 		kinds = append(kinds, faultKind{"evacuate a zone", f.evacuateZone})
 	}
+	if f.notices {
+		kinds = append(kinds, faultKind{"replica says that it leaves", f.sayLeaving}, faultKind{"replica turns away", f.turnAway})
+	}
 	kind := kinds[f.random.IntN(len(kinds))]
 	about, end := kind.begin()
 	if end == nil {
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -41,6 +41,9 @@
 type sent struct {
 	path   string
 	answer managed.Answer
+	// router is the name of the router that it was sent to.
+	router          string
+	sentAt, endedAt time.Time
 }
 
 // judge sends requests and checks what comes of them.
@@ -78,7 +81,7 @@
 	paths := []string{pathOnce, pathSafe, pathStream}
 	for ctx.Err() == nil {
 		r := j.routers[random.IntN(len(j.routers))]
-		one := sent{path: paths[random.IntN(len(paths))]}
+		one := sent{path: paths[random.IntN(len(paths))], router: r.Name, sentAt: time.Now()}
 		limit := deadline + answerMargin
 		leaves := random.IntN(leavesOneIn) == 0
 		if leaves {
@@ -89,6 +92,7 @@
 		if own.Err() != nil && !leaves {
 			j.t.Errorf("%s had no end within %s at %s: status %d, %q", one.answer.ID, limit, r.Name, one.answer.Status, one.answer.Body)
 		}
+		one.endedAt = time.Now()
 		cancel()
 		j.judgeAnswer(r.Name, one)
 		j.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,6 +34,8 @@
 	restores bool
 	// evacuates places replicas in two zones and lets the operator evacuate them.
 	evacuates bool
+	// notices has replicas say in their answers that they leave or want no requests.
+	notices bool
 }
 
 // soak runs the test for one seed with the given options.
@@ -48,6 +50,9 @@
 		if options.evacuates {
 			j.judgeEvacuation()
 		}
+		if options.notices {
+			j.judgeNotices()
+		}
 		j.judgeLeaving()
 	}
 	j.end()
