--- a/control/loadtest/engine.go
+++ b/control/loadtest/engine.go
@@ -37,8 +37,10 @@
 	waiting []*run
 	running []*run
 	busy    bool
-	held    int
-	kept    keptLRU
+	// down says that it has crashed.
+	down bool
+	held int
+	kept keptLRU
 	// reads are the tokens read, and readsAgain those of them in shared parts that some
 	// engine had read before.
 	reads, readsAgain int
--- a/control/loadtest/pattern.go
+++ b/control/loadtest/pattern.go
@@ -28,6 +28,10 @@
 	// StallAt is when the router that schedules the pool takes nothing in for StallFor,
 	// as its processor is taken; 0: never.
 	StallAt, StallFor time.Duration
+	// CrashEvery ends one engine in so many as the stall begins, for CrashFor; 0: none. Their runs
+	// are sent again, to other engines.
+	CrashEvery int
+	CrashFor   time.Duration
 	// ByOne has all callers of the second workspace come by one router.
 	ByOne bool
 	// Unread is the part of these callers' first tries that this one router refuses before it
@@ -57,6 +61,8 @@
 	// AfterStall is how many tokens of prompts were sent to engines in the stallWindow
 	// that begins with the stall.
 	AfterStall int
+	// Again is how many of these are of requests that were sent again after a crash.
+	Again int
 }
 
 // stallWindow is the time in which no workspace is to have less than half of another.
@@ -194,10 +200,16 @@
 	}
 	id := control.RequestID(len(w.calls) + 1)
 	w.calls[id] = one
+	w.request(by, id, 1, one.sentAt+one.kind.Objective, nil)
+}
+
+// request asks a router for a grant.
+func (w *world) request(by *router, id control.RequestID, attempt uint32, objective control.Instant, excluded []string) {
+	one := w.calls[id]
 	w.step(by, control.RequestArrived{
-		Request: id, Attempt: 1, Workspace: one.workspace, Pool: pool,
-		Deadline: one.sentAt + one.kind.Timeout, Objective: one.sentAt + one.kind.Objective,
-		Work: one.work, Fingerprint: one.fingerprint,
+		Request: id, Attempt: attempt, Workspace: one.workspace, Pool: pool,
+		Deadline: one.sentAt + one.kind.Timeout, Objective: objective,
+		Work: one.work, Fingerprint: one.fingerprint, Excluded: excluded,
 	})
 }
 
--- a/control/loadtest/world.go
+++ b/control/loadtest/world.go
@@ -83,6 +83,8 @@
 	started time.Duration
 	// predicted is the start that the grant told.
 	predicted time.Duration
+	// attempt is the request's attempt that it is of.
+	attempt uint32
 	// fetched is how many tokens came from another engine.
 	fetched int
 	// left is what is to be read, position where in the prompt, and made the tokens
@@ -167,6 +169,9 @@
 	if w.pattern.StallAt > 0 {
 		w.after(w.pattern.StallAt, w.stall)
 	}
+	if w.pattern.CrashEvery > 0 {
+		w.after(w.pattern.StallAt, w.crash)
+	}
 	if w.pattern.PowerLossAt > 0 {
 		w.after(w.pattern.PowerLossAt, func() { w.losePower(weights, seed, declarations) })
 	}
@@ -281,6 +286,34 @@
 	}
 }
 
+// crash ends some engines for a while.
+func (w *world) crash() {
+	for i, name := range slices.Sorted(maps.Keys(w.engines)) {
+		if i%w.pattern.CrashEvery != 0 {
+			continue
+		}
+		e := w.engines[name]
+		lost := slices.Concat(e.waiting, e.running)
+		e.drop()
+		e.down = true
+		w.after(w.pattern.CrashFor, func() { e.down = false })
+		for _, r := range lost {
+			w.lost(r, control.OutcomeLost)
+		}
+	}
+}
+
+// lost ends a run whose engine is gone. Its request is sent again, to another one.
+func (w *world) lost(r *run, outcome control.Outcome) {
+	if !r.at.up || r.at.inc != r.inc || r.at.runs[r.grant] == nil {
+		return
+	}
+	delete(r.at.runs, r.grant)
+	w.step(r.at, control.RunEnded{Request: r.request, Grant: r.grant, Outcome: outcome, Service: w.now - r.started})
+	one := w.calls[r.request]
+	w.request(r.at, r.request, r.attempt+1, w.now+one.kind.Objective, []string{r.engine.name})
+}
+
 // schedules says whether a machine schedules a shard that it owns.
 func schedules(m *control.Machine) bool {
 	for _, s := range m.Status().Shards {
@@ -323,11 +356,14 @@
 func (w *world) dispatch(r *router, c control.Dispatch) {
 	one := w.calls[c.Request]
 	e := w.engines[c.Target]
-	started := &run{request: c.Request, grant: c.Grant, at: r, inc: r.inc, engine: e, work: one.work, started: w.now, predicted: c.Start}
+	started := &run{request: c.Request, grant: c.Grant, at: r, inc: r.inc, engine: e, work: one.work, started: w.now, predicted: c.Start, attempt: c.Attempt}
 	r.runs[c.Grant] = started
 	if since := w.now - w.pattern.StallAt; since >= 0 && since < stallWindow {
 		served := w.result.Workspaces[one.workspace]
 		served.AfterStall += one.work.PromptTokens
+		if c.Attempt > 1 {
+			served.Again += one.work.PromptTokens
+		}
 		w.result.Workspaces[one.workspace] = served
 	}
 	delay := hop
@@ -336,7 +372,13 @@
 		delay += time.Duration(float64(started.fetched) / w.pattern.FetchedPerSecond * float64(time.Second))
 	}
 	w.result.Fetched += started.fetched
-	w.after(delay, func() { e.arrive(started) })
+	w.after(delay, func() {
+		if e.down {
+			w.lost(started, control.OutcomeUnreachable)
+			return
+		}
+		e.arrive(started)
+	})
 }
 
 func (w *world) began(r *run) {
--- a/control/local_test.go
+++ b/control/local_test.go
@@ -57,3 +57,46 @@
 		}
 	}
 }
+
+// TestSecondTriesAloneAreBounded: when targets crash, the requests that ran there are sent again
+// by all entries at once, and the scheduler answers late. Nodes that grant alone then grant
+// second tries within their part, as they do first ones, where the pool was full a moment before;
+// the rest wait for the scheduler.
+func TestSecondTriesAloneAreBounded(t *testing.T) {
+	const requests = 6 // one for each engine
+	f := newTokenFleet("e1", "e2", "e3", "e4", "e5", "e6")
+	f.machine.opts.LocalAfter = 100 * time.Millisecond
+	f.hearsLarger()
+	f.now += time.Millisecond
+	id, _, _ := f.arrive("a", own(1))
+	f.step(MessageReceived{From: "other", Incarnation: 5, Message: Refusal{
+		Ticket: f.machine.entry.requests[id].id, Shard: ShardID{Pool: "gen"}, Code: result.Overloaded, RetryAfter: time.Second,
+	}})
+	f.hearsLarger()
+	for n := range uint64(requests) {
+		f.requests++
+		f.step(RequestArrived{
+			Request: f.requests, Attempt: 2, Workspace: "a", Pool: "gen",
+			Deadline: f.now + 12*time.Second, Objective: f.now + 400*time.Millisecond,
+			Work: Work{Parts: []PromptPart{thing(100 + n)}, OutputTokens: 50},
+		})
+	}
+	granted, refused := 0, 0
+	for range 20 {
+		f.now += 10 * time.Millisecond
+		for _, command := range f.step(Tick{}) {
+			switch command.(type) {
+			case Dispatch:
+				granted++
+			case Refuse:
+				refused++
+			}
+		}
+	}
+	if granted < 1 || granted > 3 {
+		t.Errorf("%d of %d second tries granted alone", granted, requests)
+	}
+	if refused > 0 {
+		t.Errorf("%d of %d second tries refused while the scheduler may answer", refused, requests)
+	}
+}
