--- a/control/sched/shares.go
+++ b/control/sched/shares.go
@@ -21,6 +21,9 @@
 	// sizeWeight is the weight of a request in the average of what one asks for: some
 	// twenty of them count, as requests of a workspace differ by ten times.
 	sizeWeight = 0.05
+	// behindPart is the part of its share below which a workspace is behind it. Chance alone
+	// keeps some below their share for a while.
+	behindPart = 0.7
 	// forgetShare is how long a workspace that asks for nothing is remembered.
 	forgetShare = 30 * time.Second
 )
@@ -92,11 +95,15 @@
 	return true
 }
 
-// Return gives back what a request within its workspace's share took of it, as it is not served:
-// what cannot be placed must not cost the workspace what it is owed.
+// Return gives back what a request within its workspace's share took of it, as it is not served,
+// if the workspace is behind its share: what cannot be placed must not cost it what it is owed.
+// Others have their share with what else they are granted, and more requests within it would only
+// wait for one another until they are late.
 func (s *Shares) Return(now time.Duration, workspace string, amount float64) {
 	f := s.flow(now, workspace)
-	f.credit = min(f.credit+amount, s.burst())
+	if f.granted < behindPart*s.bounded()*demandTime.Seconds() {
+		f.credit = min(f.credit+amount, s.burst())
+	}
 }
 
 // HasLeft says whether a workspace has not used up its share.
