--- a/control/loadtest/loadtest_test.go
+++ b/control/loadtest/loadtest_test.go
@@ -1,6 +1,7 @@
 package loadtest
 
 import (
+	"math"
 	"reflect"
 	"sync"
 	"testing"
@@ -252,3 +253,37 @@
 		}
 	}
 }
+
+// crash is a load beyond the capacity of the pool in which a quarter of the engines crash for two
+// seconds, and the router that schedules the pool takes nothing in for a while from then on. The
+// callers of the second workspace come by one router.
+func crash(stalls time.Duration) Pattern {
+	p := smallMemory().times(12)
+	p.Name = "crash"
+	p.Engines, p.PerSecond = 4*p.Engines, 4*p.PerSecond
+	p.Routers, p.Workspaces, p.ByOne = 24, 8, true
+	p.StallAt, p.StallFor = 4*time.Second, stalls
+	p.CrashEvery, p.CrashFor = 4, 2*time.Second
+	p.Length = p.StallAt + stallWindow
+	return p
+}
+
+// TestCrashIsFair: no workspace has less than half of what another has in the six seconds from a
+// crash of engines on, whose requests are all sent again at once.
+func TestCrashIsFair(t *testing.T) {
+	const promised = 0.5
+	for _, stalls := range []time.Duration{0, 400 * time.Millisecond} {
+		for seed := range uint64(2) {
+			played := Play(crash(stalls), policy.Default(), seed+1)
+			least, most, again := math.MaxInt, 0, 0
+			for _, served := range played.Workspaces {
+				least, most = min(least, served.AfterStall), max(most, served.AfterStall)
+				again += served.Again
+			}
+			t.Logf("stall of %s: %d to %d tokens, %d in all sent again; %d of %d in time", stalls, least, most, again, played.InTime, played.Asked)
+			if float64(least) < promised*float64(most) {
+				t.Errorf("stall of %s, seed %d: %d to %d tokens", stalls, seed+1, least, most)
+			}
+		}
+	}
+}
--- a/control/local.go
+++ b/control/local.go
@@ -1,6 +1,10 @@
 package control
 
-import "time"
+import (
+	"time"
+
+	"github.com/walnutcove/walnutcove/control/sched"
+)
 
 const (
 	// fullKept is how long a pool counts as full after its scheduler refused a request for
@@ -30,15 +34,25 @@
 	return true
 }
 
-// exceedsLocalLimit says whether a ticket goes beyond what this node may grant on its own:
+// mayGrantAlone says whether a request may go to this node's own queue of a shard that it does
+// not own. First tries may: beyond this node's part that queue refuses them, and their callers
+// come back. Second tries stay with the scheduler then, as what was begun is lost if they are
+// refused. After a crash all entries have many of them at once.
+func (m *Machine) mayGrantAlone(r *request, id ShardID) bool {
+	if r.ev.Attempt <= 1 || m.topo.decl.Pools[id.Pool].Tokens == nil {
+		return true
+	}
+	return !m.exceedsLocalLimit(m.shardHere(id), taskOf(r.ev.Work))
+}
+
+// exceedsLocalLimit says whether a task goes beyond what this node may grant on its own:
 // its part, among the nodes that live, of what the pool is declared to serve.
-func (m *Machine) exceedsLocalLimit(q *queuedTicket) bool {
-	s := q.shard
+func (m *Machine) exceedsLocalLimit(s *shard, task sched.EngineTask) bool {
 	fullAt, wasFull := m.entry.fullAt[s.id]
 	if s.owned || !wasFull || m.now-fullAt > fullKept {
 		return false
 	}
 	capacity := m.topo.decl.Pools[s.id.Pool].Tokens.PerSecond * nominalToken.Seconds()
 	part := capacity / float64(m.view.Others()+1)
-	return !s.local.take(m.now, part, nominal(q.task).Seconds())
+	return !s.local.take(m.now, part, nominal(task).Seconds())
 }
--- a/control/tickets.go
+++ b/control/tickets.go
@@ -97,7 +97,11 @@
 }
 
 func (m *Machine) sendTicket(r *request, a *ask) {
-	m.sendTicketTo(r, a, m.schedulerFor(a.shard))
+	to := m.schedulerFor(a.shard)
+	if owner := m.owner(a.shard); to != owner && !m.mayGrantAlone(r, a.shard) {
+		to = owner
+	}
+	m.sendTicketTo(r, a, to)
 }
 
 // schedulerFor returns the node to ask for grants of a shard: its owner, or this
@@ -162,6 +166,10 @@
 			a.sentAt = m.now - m.opts.LocalAfter/2 // this node stood still, not the scheduler
 			return
 		}
+		if !m.mayGrantAlone(r, a.shard) {
+			m.waitOn(r, a)
+			return
+		}
 		m.grantHere(r, a)
 		return
 	}
@@ -178,6 +186,18 @@
 	m.sendTicket(r, a)
 }
 
+// waitOn goes on waiting for a scheduler that has not answered. The ticket is sent again only
+// now and then: it most likely waits there unread.
+func (m *Machine) waitOn(r *request, a *ask) {
+	if m.now-a.firstAt < resendEvery {
+		a.sentAt = m.now
+		return
+	}
+	a.firstAt = m.now
+	m.counters.TicketsResent++
+	m.sendTicketTo(r, a, m.owner(a.shard))
+}
+
 // restart sends a ticket again at once, as to a scheduler that never saw it.
 func (m *Machine) restart(r *request, a *ask) {
 	a.quiet = false
