--- a/control/notice/notice.go
+++ b/control/notice/notice.go
@@ -43,6 +43,9 @@
 	if n.IsZero() {
 		return false
 	}
+	if known := s.byTarget[target]; known != nil && start != 0 && start < known.start {
+		return false // an answer that was read late
+	}
 	e := s.find(target, start)
 	if e == nil {
 		if s.byTarget == nil {
--- a/control/notice/notice_test.go
+++ b/control/notice/notice_test.go
@@ -26,7 +26,11 @@
 	if !s.IsLeaving("a", 1) || !s.IsLeaving("a", 0) || s.IsLeaving("a", 2) || s.IsLeaving("b", 1) {
 		t.Error("leaving is not that of the start which said so")
 	}
-	s.Prune(3*time.Second, declaredAs(2))
+	s.Add(3*time.Second, "a", 2, Notice{Leaving: true})
+	if s.Add(3*time.Second, "a", 1, Notice{Leaving: true}) || !s.IsLeaving("a", 2) {
+		t.Error("a late word of the start before replaces that of the next")
+	}
+	s.Prune(3*time.Second, declaredAs(3))
 	if s.IsLeaving("a", 0) {
 		t.Error("leaving outlives the start")
 	}
--- a/router/notices.go
+++ b/router/notices.go
@@ -44,31 +44,33 @@
 
 // targetNoticed takes in what an answer said of its target. It is called before the answer is
 // passed on.
-func (r *Router) targetNoticed(req *targets.Request, said notice.Notice) {
-	snapshot := r.InForce()
-	if snapshot == nil {
-		return
-	}
-	name := req.Target
-	if name == "" {
-		name = targetAt(snapshot, req.Address)
-	}
-	listed, known := snapshot.Declarations.Targets[name]
-	if !known {
-		return
-	}
-	if r.notices.add(r.loop.instant(time.Now()), name, listed.Start, said) || said.HoldOff > 0 {
-		r.loop.post(control.TargetNoticed{Target: name, Start: listed.Start, Notice: said})
+func (r *Router) targetNoticed(target string, start int64, said notice.Notice) {
+	if r.notices.add(r.loop.instant(time.Now()), target, start, said) || said.HoldOff > 0 {
+		r.loop.post(control.TargetNoticed{Target: target, Start: start, Notice: said})
 	}
 }
 
-// targetAt returns the name of the target at an address; empty if there is none. Few answers
-// say anything of their targets, so there is no index.
-func targetAt(snapshot *config.Snapshot, address string) string {
-	for name, target := range snapshot.Declarations.Targets {
-		if target.Address == address {
-			return name
+// listing is the targets of a configuration, nil if there is none, as the client of targets
+// knows them.
+type listing struct{ *config.Snapshot }
+
+// targetListing returns the targets in force.
+func (r *Router) targetListing() targets.Listing { return listing{r.InForce()} }
+
+// TargetOf implements targets.Listing. A request that names no target, as polls do, goes to the
+// one at its address. Few answers say anything of their targets, so there is no index.
+func (l listing) TargetOf(req *targets.Request) (name string, start int64, listed bool) {
+	if l.Snapshot == nil {
+		return "", 0, false
+	}
+	if req.Target != "" {
+		found, listed := l.Declarations.Targets[req.Target]
+		return req.Target, found.Start, listed
+	}
+	for name, found := range l.Declarations.Targets {
+		if found.Address == req.Address {
+			return name, found.Start, true
 		}
 	}
-	return ""
+	return "", 0, false
 }
--- a/router/start.go
+++ b/router/start.go
@@ -214,6 +214,7 @@
 		FirstByteTimeout: time.Duration(s.Limits.FirstByteTimeout),
 		StallTimeout:     time.Duration(s.Limits.StallTimeout),
 		Dialect:          r.dialect(),
+		Listing:          r.targetListing,
 		OnNotice:         r.targetNoticed,
 		Metrics:          metrics.GetDefaultSet(),
 	})
--- a/targets/exchange.go
+++ b/targets/exchange.go
@@ -28,6 +28,8 @@
 	// unhook does the same for the closing by who found that the caller is gone; nil
 	// if nobody tells.
 	unhook func() bool
+	// listing is that of when the request was sent.
+	listing Listing
 	// spoiled says that the request was not sent whole.
 	spoiled bool
 	// stall is the request's Stall.
@@ -162,7 +164,9 @@
 		return
 	}
 	ex.client.notices.count(said)
-	ex.client.options.OnNotice(req, said)
+	if name, start, listed := ex.listing.TargetOf(req); listed {
+		ex.client.options.OnNotice(name, start, said)
+	}
 }
 
 // errUnsealed says that a success lacks the mark of the targets' own answers.
--- a/targets/httpclient.go
+++ b/targets/httpclient.go
@@ -91,7 +91,7 @@
 		c.pool.put(cn)
 		return nil, counters.fail(reasonTargetLeft, result.TargetLeft, result.RanNo, nil)
 	}
-	ex := &exchange{client: c, counters: counters, ctx: ctx, conn: cn, stall: req.Stall}
+	ex := &exchange{client: c, counters: counters, ctx: ctx, conn: cn, stall: req.Stall, listing: c.options.Listing()}
 	if ctx.Done() != nil {
 		ex.unwatch = context.AfterFunc(ctx, func() { cn.Conn.Close() })
 	}
--- a/targets/options.go
+++ b/targets/options.go
@@ -35,15 +35,32 @@
 	MaxIdle int
 	// Dialect is how the targets speak. Default dialect.Own.
 	Dialect *dialect.Dialect
-	// OnNotice receives what answers say of their targets, before they are returned. It must
-	// not block. Default: dropped.
-	OnNotice func(req *Request, said notice.Notice)
+	// Listing returns the targets as they are listed now. It is asked before each request is
+	// sent: when the answer is read, another start may have taken the target's place. Default:
+	// no target is listed.
+	Listing func() Listing
+	// OnNotice receives what answers say of the targets that they came from, before they are
+	// returned. It must not block. Default: dropped.
+	OnNotice func(target string, start int64, said notice.Notice)
 	// Metrics receives the counters. Default: a set of the client's own.
 	Metrics *metrics.Set
 	// Dial opens a connection. Default: TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
+// Listing knows targets.
+type Listing interface {
+	// TargetOf returns the name and the start of the target that a request goes to; false if it
+	// is not listed.
+	TargetOf(req *Request) (name string, start int64, listed bool)
+}
+
+// unlisted is a listing without targets.
+type unlisted struct{}
+
+// TargetOf implements Listing.
+func (unlisted) TargetOf(*Request) (name string, start int64, listed bool) { return "", 0, false }
+
 func (o Options) withDefaults() Options {
 	setDefault(&o.ConnectTimeout, DefaultConnectTimeout)
 	setDefault(&o.FirstByteTimeout, DefaultFirstByteTimeout)
@@ -53,8 +70,11 @@
 	if o.Dialect == nil {
 		o.Dialect = dialect.Own
 	}
+	if o.Listing == nil {
+		o.Listing = func() Listing { return unlisted{} }
+	}
 	if o.OnNotice == nil {
-		o.OnNotice = func(*Request, notice.Notice) {}
+		o.OnNotice = func(string, int64, notice.Notice) {}
 	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
