--- a/control/entry.go
+++ b/control/entry.go
@@ -35,6 +35,9 @@
 	hints map[ShardID]*shardHint
 	// fullAt is when another node's scheduler last refused a request for want of capacity.
 	fullAt map[ShardID]Instant
+	// beyondShare is when another node's scheduler last refused a request of a workspace as beyond
+	// its share.
+	beyondShare map[workspaceAt]Instant
 	// avoid holds until when a scheduler is not asked; see Machine.grantHere.
 	avoid map[NodeID]Instant
 	// nextAttempt numbers the tickets of this node.
@@ -42,6 +45,12 @@
 	nextProbe   Instant
 }
 
+// workspaceAt is a workspace at a shard.
+type workspaceAt struct {
+	shard     ShardID
+	workspace string
+}
+
 // entryWorkspace counts what waits here for a workspace.
 type entryWorkspace struct {
 	count int
@@ -66,15 +75,16 @@
 
 func newEntry() entry {
 	return entry{
-		requests:   make(map[RequestID]*request),
-		runs:       make(map[GrantID]*run),
-		granted:    make(map[RequestID]*run),
-		ended:      make(map[endedKey]*endedRun),
-		workspaces: make(map[string]*entryWorkspace),
-		pools:      make(map[string]*list.List),
-		hints:      make(map[ShardID]*shardHint),
-		fullAt:     make(map[ShardID]Instant),
-		avoid:      make(map[NodeID]Instant),
+		requests:    make(map[RequestID]*request),
+		runs:        make(map[GrantID]*run),
+		granted:     make(map[RequestID]*run),
+		ended:       make(map[endedKey]*endedRun),
+		workspaces:  make(map[string]*entryWorkspace),
+		pools:       make(map[string]*list.List),
+		hints:       make(map[ShardID]*shardHint),
+		fullAt:      make(map[ShardID]Instant),
+		beyondShare: make(map[workspaceAt]Instant),
+		avoid:       make(map[NodeID]Instant),
 	}
 }
 
--- a/control/local_test.go
+++ b/control/local_test.go
@@ -100,3 +100,42 @@
 		t.Errorf("%d of %d second tries refused while the scheduler may answer", refused, requests)
 	}
 }
+
+// TestNobodyBeyondTheShareIsGrantedAlone: while the scheduler does not answer, a node grants
+// nothing alone to a workspace that was refused as beyond its share a moment before, and goes on
+// granting others. Callers that come by all nodes would otherwise get a part of each.
+func TestNobodyBeyondTheShareIsGrantedAlone(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		excess bool
+		after  time.Duration
+		want   bool
+	}{
+		{"beyond its share", true, 0, false},
+		{"refused within its share", false, 0, true},
+		{"beyond its share long ago", true, 2 * fullKept, true},
+	} {
+		f := newTokenFleet("e1", "e2", "e3", "e4", "e5", "e6")
+		f.machine.opts.LocalAfter = 100 * time.Millisecond
+		f.hearsLarger()
+		f.now += time.Millisecond
+		id, _, _ := f.arrive("a", own(1))
+		f.step(MessageReceived{From: "other", Incarnation: 5, Message: Refusal{
+			Ticket: f.machine.entry.requests[id].id, Shard: ShardID{Pool: "gen"},
+			Code: result.Overloaded, RetryAfter: time.Second, Excess: c.excess,
+		}})
+		f.now += c.after
+		f.hearsLarger()
+		hot, _, _ := f.arrive("a", own(2))
+		other, _, _ := f.arrive("b", own(3))
+		granted := make(map[RequestID]bool)
+		for _, command := range f.pass(200 * time.Millisecond) {
+			if dispatch, ok := command.(Dispatch); ok {
+				granted[dispatch.Request] = true
+			}
+		}
+		if granted[hot] != c.want || !granted[other] {
+			t.Errorf("%s: granted %v, another workspace %v", c.name, granted[hot], granted[other])
+		}
+	}
+}
--- a/control/rank.go
+++ b/control/rank.go
@@ -76,7 +76,7 @@
 	}
 	shares := q.shard.shares
 	switch {
-	case m.exceedsLocalLimit(q.shard, q.task): // other nodes grant the rest
+	case m.exceedsLocalLimit(q.shard, q.ticket.Workspace, q.task): // other nodes grant the rest
 		q.rank = rankExcess
 		q.latest = m.now
 	case m.hasReturned(q.ticket.Fingerprint):
--- a/control/tickets.go
+++ b/control/tickets.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -247,6 +248,9 @@
 	a.refused = true
 	if f.Code == result.Overloaded && a.to != m.opts.Node {
 		m.entry.fullAt[f.Shard] = m.now
+		if f.Excess {
+			m.entry.beyondShare[workspaceAt{f.Shard, r.ev.Workspace}] = m.now
+		}
 	}
 	if isOfTargets(f.Code) {
 		if id, ok := m.nextShard(r); ok {
@@ -369,6 +373,7 @@
 		return
 	}
 	m.entry.nextProbe = m.now + hintTime
+	maps.DeleteFunc(m.entry.beyondShare, func(_ workspaceAt, at Instant) bool { return m.now-at > fullKept })
 	for _, pool := range sortedKeys(m.entry.pools) {
 		for _, id := range m.topo.pools[pool] {
 			if m.freshHint(id) == nil {
