--- a/router/grantedtarget_test.go
+++ b/router/grantedtarget_test.go
@@ -41,12 +41,12 @@
 			t.Errorf("%s: serves %v", c.name, got)
 		}
 	}
-	list(map[string]config.Target{"a": {Address: address, Start: 1}})
-	g.notices.add(0, "a", 2, notice.Notice{Leaving: true})
+	list(map[string]config.Target{"a": {Address: address, Start: 2}})
+	g.notices.add(0, "a", 1, notice.Notice{Leaving: true})
 	if !ex.TargetServes() {
-		t.Error("does not serve, as another start said that it leaves")
+		t.Error("does not serve, as the start before said that it leaves")
 	}
-	g.notices.add(0, "a", 1, notice.Notice{Leaving: true})
+	g.notices.add(0, "a", 2, notice.Notice{Leaving: true})
 	if ex.TargetServes() {
 		t.Error("serves, though its answer said that it leaves")
 	}
