Test: result codes and log lines of refused requests

It now prints how many requests each code refused, and each router's lines about the first of them. No check changes.

--- a/managedtest/answernotice_test.go
+++ b/managedtest/answernotice_test.go
@@ -33,6 +33,9 @@
 	// byStatus counts the answers, and notWhole those that ended early.
 	byStatus map[int]int
 	notWhole int
+	// byCode counts the refusals by result code, and firstOf holds the first request of each.
+	byCode  map[string]int
+	firstOf map[string]string
 }
 
 func (l *sendLog) add(router int, got managed.Answer) {
@@ -43,15 +46,45 @@
 	if !got.Whole {
 		l.notWhole++
 	}
+	if got.Status != http.StatusOK {
+		code := got.Header.Get(headerCode)
+		if l.byCode[code] == 0 {
+			l.firstOf[code] = got.ID
+		}
+		l.byCode[code]++
+	}
 	if _, known := l.leaving[router]; !known && got.Header.Get(wire.HeaderLeaving) != "" {
 		l.leaving[router] = time.Now()
 	}
 }
 
+// headerCode names the result code of a refusal.
+const headerCode = "Walnut-Code"
+
+// explain logs the refusals by result code, and what the routers logged of the first of each.
+func (f *fleet) explain(log *sendLog) {
+	f.t.Helper()
+	for code, count := range log.byCode {
+		id := log.firstOf[code]
+		f.t.Logf("code %q: %d requests, the first of them %s at router %d", code, count, id, log.router[id])
+		for n, routerLog := range f.logs {
+			for _, line := range routerLog.linesWith("request=" + id + " ") {
+				f.t.Logf("router %d: %s", n, line)
+			}
+		}
+	}
+}
+
 // load sends requests through all routers, changes the targets a little later, and returns what
 // came of the requests.
 func (f *fleet) load(change func()) *sendLog {
-	log := &sendLog{router: make(map[string]int), leaving: make(map[int]time.Time), byStatus: make(map[int]int)}
+	log := &sendLog{
+		router:   make(map[string]int),
+		leaving:  make(map[int]time.Time),
+		byStatus: make(map[int]int),
+		byCode:   make(map[string]int),
+		firstOf:  make(map[string]string),
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var senders sync.WaitGroup
@@ -105,6 +138,7 @@
 			}
 			if others := len(log.router) - log.byStatus[http.StatusOK]; others > 0 || log.notWhole > 0 {
 				t.Errorf("%d of %d requests were not answered while a target with room stayed: %v", others, len(log.router), log.byStatus)
+				f.explain(log)
 			}
 		})
 	}
@@ -140,6 +174,7 @@
 			}
 			if others := len(log.router) - log.byStatus[http.StatusOK]; others > 0 {
 				t.Errorf("%d of %d requests were not answered while another target had room: %v", others, len(log.router), log.byStatus)
+				f.explain(log)
 			}
 		})
 	}
--- a/managedtest/fleet_test.go
+++ b/managedtest/fleet_test.go
@@ -117,6 +117,19 @@
 	return strings.Contains(l.text.String(), text)
 }
 
+// linesWith returns the lines that contain a text.
+func (l *logged) linesWith(text string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var lines []string
+	for line := range strings.Lines(l.text.String()) {
+		if strings.Contains(line, text) {
+			lines = append(lines, strings.TrimSpace(line))
+		}
+	}
+	return lines
+}
+
 // waitJoined waits until each router hears of all others.
 func (f *fleet) waitJoined() {
 	f.t.Helper()
