Log when a router begins and ends to refuse requests unread

The lines of refused requests say that the router was too busy, not how late it ran, nor for how many of its measures. Two lines a period: the mean and the latest lateness at its begin, and how long it took, how many measures were late and the worst at its end. They are bounded by the measures, 20 a second, and in practice by the periods.

--- a/managedtest/answernotice_test.go
+++ b/managedtest/answernotice_test.go
@@ -73,6 +73,11 @@
 			}
 		}
 	}
+	for n, routerLog := range f.logs {
+		for _, line := range routerLog.linesWith("unread") {
+			f.t.Logf("router %d: %s", n, line)
+		}
+	}
 }
 
 // load sends requests through all routers, changes the targets a little later, and returns what
--- a/router/overload.go
+++ b/router/overload.go
@@ -80,6 +80,17 @@
 	pause time.Duration
 	// turnedAway is set once the balancer brings no new connections.
 	turnedAway atomic.Bool
+	// shed is the present period in which requests are refused unread.
+	shed shedPeriod
+}
+
+// shedPeriod is a period in which some requests are refused unread, for the log.
+type shedPeriod struct {
+	on    bool
+	since time.Time
+	// measures counts the measures of the period over shedTarget, and worst is the largest.
+	measures int
+	worst    time.Duration
 }
 
 // late is how late this process runs in the mean.
@@ -127,6 +138,7 @@
 	o.lag += time.Duration(lagWeight * float64(late-o.lag))
 	o.average.Store(int64(o.lag))
 	o.adapt(late)
+	o.noteShedding(now, late)
 	crowded := o.crowded()
 	lasted := now.Sub(o.since)
 	switch {
@@ -151,6 +163,25 @@
 	o.shedPart.Store(math.Float64bits(min(max(part, 0), 1)))
 }
 
+// noteShedding logs when requests begin to be refused unread, and when all are taken again.
+func (o *overload) noteShedding(now time.Time, late time.Duration) {
+	shed := &o.shed
+	part := math.Float64frombits(o.shedPart.Load())
+	sheds := o.lag > shedKeptFrom || part > 0
+	if sheds && !shed.on {
+		*shed = shedPeriod{on: true, since: now}
+		o.log.Warn("router: Refuses requests unread.", "lag", o.lag, "late", late, "part_of_new", part)
+	}
+	if shed.on && late > shedTarget {
+		shed.measures++
+		shed.worst = max(shed.worst, late)
+	}
+	if !sheds && shed.on {
+		shed.on = false
+		o.log.Info("router: Refuses no request unread any more.", "after", now.Sub(shed.since), "late_measures", shed.measures, "worst", shed.worst)
+	}
+}
+
 // begin asks for no new connections from now on.
 func (o *overload) begin(now time.Time) {
 	if o.pause == 0 || now.Sub(o.since) > pauseKept {
