Refuse kept connections only while lateness lasts

Callers saw: 503 (605, "This router is too busy.") for up to a second from routers that had stood still once, or had no processor for 0.1 to 0.3 s, and ran in time again.

Cause: requests on kept connections are refused unread by the mean of lateness, in which a measure weighs a fifth. One of 0.4 s makes it 80 ms, which is over the bound of 15 ms for eight measures more. The test for it (one late tick is no overload) held a tick of 100 ms against the rotation alone.

Change: at least five of the last ten measures must be late, and one of the last two, for requests on kept connections to be refused and for the router to ask for no new connections.

--- a/router/overload.go
+++ b/router/overload.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"math/bits"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,13 @@
 	// so it starts at a higher lateness.
 	shedKeptFrom = 15 * time.Millisecond
 	shedKeptSpan = 30 * time.Millisecond
+	// lastingOf is how many measures tell whether lateness lasts, and lastingLate how many of
+	// them must be late: a process that was stopped, or had no processor for a moment, is not
+	// crowded by its requests.
+	lastingOf   = 10
+	lastingLate = 5
+	// caughtUpAfter is after how many measures in time the lateness is over, whatever its mean.
+	caughtUpAfter = 2
 	// lagRecovered is the average at which it takes them again.
 	lagRecovered = 5 * time.Millisecond
 	// minPause is the shortest time without new connections. The balancer looks
@@ -80,6 +88,12 @@
 	pause time.Duration
 	// turnedAway is set once the balancer brings no new connections.
 	turnedAway atomic.Bool
+	// recent holds the last measures, a bit each, the latest lowest: set if it was over
+	// shedKeptFrom.
+	recent uint32
+	// takesKept is set while lateness does not last, or is over: nothing is refused unread on
+	// connections that are kept.
+	takesKept atomic.Bool
 	// shed is the present period in which requests are refused unread.
 	shed shedPeriod
 }
@@ -103,7 +117,7 @@
 		return rand.Float64() < math.Float64frombits(o.shedPart.Load())
 	}
 	over := o.late() - shedKeptFrom
-	return over > 0 && rand.N(shedKeptSpan) < over
+	return over > 0 && !o.takesKept.Load() && rand.N(shedKeptSpan) < over
 }
 
 // releases says whether the connection of the next answer is closed with it: the more, the
@@ -138,11 +152,13 @@
 	o.lag += time.Duration(lagWeight * float64(late-o.lag))
 	o.average.Store(int64(o.lag))
 	o.adapt(late)
+	lasts := o.lasts(late)
+	o.takesKept.Store(!lasts)
 	o.noteShedding(now, late)
 	crowded := o.crowded()
 	lasted := now.Sub(o.since)
 	switch {
-	case !o.on.Load() && (o.lag > lagTooMuch || crowded):
+	case !o.on.Load() && (o.lag > lagTooMuch && lasts || crowded):
 		o.begin(now)
 		o.log.Warn("router: Too busy for new connections.", "lag", o.lag, "crowded", crowded, "for_at_least", o.pause)
 	case o.on.Load() && o.lag < lagRecovered && !crowded && lasted >= o.pause:
@@ -155,6 +171,17 @@
 	}
 }
 
+// lasts takes in how late the last measure was and says whether lateness lasts: many of the
+// last measures were late, and one of the latest was.
+func (o *overload) lasts(late time.Duration) bool {
+	o.recent = o.recent << 1 & (1<<lastingOf - 1)
+	if late > shedKeptFrom {
+		o.recent |= 1
+	}
+	caughtUp := o.recent&(1<<caughtUpAfter-1) == 0
+	return bits.OnesCount32(o.recent) >= lastingLate && !caughtUp
+}
+
 // adapt changes the part that is shed by how late the last measure was: by as much as keeps
 // the lateness at its target, whatever the flood.
 func (o *overload) adapt(late time.Duration) {
@@ -167,7 +194,7 @@
 func (o *overload) noteShedding(now time.Time, late time.Duration) {
 	shed := &o.shed
 	part := math.Float64frombits(o.shedPart.Load())
-	sheds := o.lag > shedKeptFrom || part > 0
+	sheds := o.lag > shedKeptFrom && !o.takesKept.Load() || part > 0
 	if sheds && !shed.on {
 		*shed = shedPeriod{on: true, since: now}
 		o.log.Warn("router: Refuses requests unread.", "lag", o.lag, "late", late, "part_of_new", part)
--- a/router/overload_test.go
+++ b/router/overload_test.go
@@ -159,3 +159,45 @@
 		t.Errorf("rests for %s after calm, want %s", o.pause, minPause)
 	}
 }
+
+// TestPauseOfTheProcessRefusesNothing guards against refusing requests after the process stood
+// still, or had no processor for a moment, though it runs in time again.
+func TestPauseOfTheProcessRefusesNothing(t *testing.T) {
+	for _, pause := range []time.Duration{100 * time.Millisecond, 400 * time.Millisecond, 6 * time.Second} {
+		for late := 1; late <= 3; late++ {
+			o := &overload{log: slog.New(slog.DiscardHandler), crowded: func() bool { return false }}
+			now := time.Now()
+			drive(o, &now, 0, time.Second)
+			for range late {
+				drive(o, &now, pause, lagEvery)
+				refusesNothingKept(t, o, pause, late)
+			}
+			for range 20 {
+				drive(o, &now, 0, lagEvery)
+				refusesNothingKept(t, o, pause, late)
+			}
+		}
+	}
+}
+
+func refusesNothingKept(t *testing.T, o *overload, pause time.Duration, late int) {
+	t.Helper()
+	if got := shedShare(o, true); got > 0 || o.on.Load() {
+		t.Fatalf("%d measures of %s: %.2f shed, no new connections: %v", late, pause, got, o.on.Load())
+	}
+}
+
+// TestTakesAllOnceInTime guards against refusing requests on kept connections when the router
+// runs in time again after it was late for long.
+func TestTakesAllOnceInTime(t *testing.T) {
+	o := &overload{log: slog.New(slog.DiscardHandler), crowded: func() bool { return false }}
+	now := time.Now()
+	drive(o, &now, time.Second, 2*time.Second)
+	if got := shedShare(o, true); got < 1 {
+		t.Errorf("%.2f shed far behind", got)
+	}
+	drive(o, &now, 0, 2*lagEvery)
+	if got := shedShare(o, true); got > 0 {
+		t.Errorf("%.2f shed when it runs in time again", got)
+	}
+}
