Refuse no new connection for a single late measure

Callers saw: after the process had no processor for one moment, three in ten requests on new connections were refused with 605 in the next 150 ms.

Cause: the part that is refused on new connections rises by up to 0.3 with each late measure, the first included, whatever made it late.

Change: the part rises only if another of the last ten measures was late.

TestOneLateMeasureRefusesNoNewConnection fails without the change with 0.30 shed.

--- a/router/overload.go
+++ b/router/overload.go
@@ -36,11 +36,13 @@
 	// so it starts at a higher lateness.
 	shedKeptFrom = 15 * time.Millisecond
 	shedKeptSpan = 30 * time.Millisecond
-	// lastingOf is how many measures tell whether lateness lasts, and lastingLate how many of
+	// historyLen is how many measures tell whether lateness lasts, and lastingLate how many of
 	// them must be late: a process that was stopped, or had no processor for a moment, is not
 	// crowded by its requests.
-	lastingOf   = 10
-	lastingLate = 5
+	historyLen  = 10
+	lastingLate = 7
+	// repeatedLate is how many must be for requests on new connections to be refused.
+	repeatedLate = 2
 	// caughtUpAfter is after how many measures in time the lateness is over, whatever its mean.
 	caughtUpAfter = 2
 	// lagRecovered is the average at which it takes them again.
@@ -88,9 +90,9 @@
 	pause time.Duration
 	// turnedAway is set once the balancer brings no new connections.
 	turnedAway atomic.Bool
-	// recent holds the last measures, a bit each, the latest lowest: set if it was over
+	// overTarget and overKept tell which of the last measures were over shedTarget and over
 	// shedKeptFrom.
-	recent uint32
+	overTarget, overKept history
 	// takesKept is set while lateness does not last, or is over: nothing is refused unread on
 	// connections that are kept.
 	takesKept atomic.Bool
@@ -151,8 +153,10 @@
 	lagSeconds.Update(late.Seconds())
 	o.lag += time.Duration(lagWeight * float64(late-o.lag))
 	o.average.Store(int64(o.lag))
+	o.overTarget.add(late > shedTarget)
+	o.overKept.add(late > shedKeptFrom)
 	o.adapt(late)
-	lasts := o.lasts(late)
+	lasts := o.overKept.count() >= lastingLate && !o.overKept.isOver()
 	o.takesKept.Store(!lasts)
 	o.noteShedding(now, late)
 	crowded := o.crowded()
@@ -171,20 +175,28 @@
 	}
 }
 
-// lasts takes in how late the last measure was and says whether lateness lasts: many of the
-// last measures were late, and one of the latest was.
-func (o *overload) lasts(late time.Duration) bool {
-	o.recent = o.recent << 1 & (1<<lastingOf - 1)
-	if late > shedKeptFrom {
-		o.recent |= 1
+// history holds which of the last measures were late, a bit each, the latest lowest.
+type history uint32
+
+func (h *history) add(late bool) {
+	*h = *h << 1 & (1<<historyLen - 1)
+	if late {
+		*h |= 1
 	}
-	caughtUp := o.recent&(1<<caughtUpAfter-1) == 0
-	return bits.OnesCount32(o.recent) >= lastingLate && !caughtUp
 }
 
+// count says how many measures were late.
+func (h history) count() int { return bits.OnesCount32(uint32(h)) }
+
+// isOver says whether the latest measures were all in time.
+func (h history) isOver() bool { return h&(1<<caughtUpAfter-1) == 0 }
+
 // adapt changes the part that is shed by how late the last measure was: by as much as keeps
-// the lateness at its target, whatever the flood.
+// the lateness at its target, whatever the flood. A single late measure is none.
 func (o *overload) adapt(late time.Duration) {
+	if late > shedTarget && o.overTarget.count() < repeatedLate {
+		return
+	}
 	off := float64(late-shedTarget) / float64(shedTarget)
 	part := math.Float64frombits(o.shedPart.Load()) + min(shedGain*off, mostShedGain)
 	o.shedPart.Store(math.Float64bits(min(max(part, 0), 1)))
--- a/router/overload_test.go
+++ b/router/overload_test.go
@@ -201,3 +201,18 @@
 		t.Errorf("%.2f shed when it runs in time again", got)
 	}
 }
+
+// TestOneLateMeasureRefusesNoNewConnection guards against refusing requests on new connections
+// after the process stood still once.
+func TestOneLateMeasureRefusesNoNewConnection(t *testing.T) {
+	o := &overload{log: slog.New(slog.DiscardHandler), crowded: func() bool { return false }}
+	now := time.Now()
+	drive(o, &now, 0, time.Second)
+	drive(o, &now, 6*time.Second, lagEvery)
+	for n := range 20 {
+		if got := shedShare(o, false); got > 0 {
+			t.Fatalf("%.2f shed %d measures later", got, n)
+		}
+		drive(o, &now, 0, lagEvery)
+	}
+}
