Test: tell requests without an end from callers that did not run

Two listed failures of the soak say only that requests had no end within 4.5 s. Each such line is now followed by the request's path, when it was sent, how long it took, for how long of that the test's process did not run, and on which replicas it ran from when. No check changes.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -132,11 +132,14 @@
 	f.t.Logf("output of the routers' last processes: %s", dir)
 }
 
+// noteTime is the format of times in notes and logs.
+const noteTime = "15:04:05.000"
+
 // note adds a line to what was done.
 func (f *fleet) note(format string, args ...any) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.notes = append(f.notes, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+	f.notes = append(f.notes, time.Now().Format(noteTime)+" "+fmt.Sprintf(format, args...))
 }
 
 // versionKey is the key that a version alone accepts.
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -50,6 +50,7 @@
 type judge struct {
 	*fleet
 	caller *managed.Caller
+	clock  pauseClock
 	stop   context.CancelFunc
 	active sync.WaitGroup
 	served atomic.Int64
@@ -66,6 +67,7 @@
 		j.active.Go(func() { j.call(ctx, rand.New(rand.NewPCG(uint64(n), 1))) })
 	}
 	j.active.Go(func() { j.watchVersions(ctx) })
+	j.active.Go(func() { j.clock.run(ctx) })
 	f.t.Cleanup(func() { stop(); j.active.Wait(); j.caller.Close() })
 	return j
 }
@@ -89,10 +91,11 @@
 		}
 		own, cancel := context.WithTimeout(context.Background(), limit)
 		one.answer = j.caller.Send(own, r.Settings.Listen.Callers, one.path, managed.DemoKey)
+		one.endedAt = time.Now()
 		if own.Err() != nil && !leaves {
 			j.t.Errorf("%s had no end within %s at %s: status %d, %q", one.answer.ID, limit, r.Name, one.answer.Status, one.answer.Body)
+			j.explainNoEnd(one)
 		}
-		one.endedAt = time.Now()
 		cancel()
 		j.judgeAnswer(r.Name, one)
 		j.mu.Lock()
@@ -104,6 +107,18 @@
 	}
 }
 
+// explainNoEnd logs what tells a request without an end from callers that did not run.
+func (j *judge) explainNoEnd(one sent) {
+	time.Sleep(2 * clockStep) // until the clock has noted a pause that has just ended
+	targets := []string{}
+	for _, run := range j.journal.Runs(one.answer.ID) {
+		targets = append(targets, run.Replica+" from "+run.StartedAt.Format(noteTime))
+	}
+	j.t.Logf("%s: %s, sent at %s, took %s, of which this process did not run for %s; runs %q",
+		one.answer.ID, one.path, one.sentAt.Format(noteTime), one.endedAt.Sub(one.sentAt),
+		j.clock.within(one.sentAt, one.endedAt), targets)
+}
+
 // judgeAnswer checks one answer by itself.
 func (j *judge) judgeAnswer(router string, one sent) {
 	got := one.answer
