Wait for a connection no longer than the request has time

Callers saw: a non-idempotent request could be sent to its target after its caller's time was up.

Cause: the run of such a request has no deadline of its own, as it is not cut off with its caller. That context also bounded the wait for the connection, so only the time limit for connecting, 2 s, did.

--- a/targets/httpclient.go
+++ b/targets/httpclient.go
@@ -77,7 +77,7 @@
 		return nil, dialError(ctx, counters, ctx.Err())
 	}
 	asked := time.Now()
-	cn, err := c.pool.get(ctx, req.Address)
+	cn, err := c.connect(ctx, &req)
 	if err != nil {
 		return nil, dialError(ctx, counters, err)
 	}
@@ -106,6 +106,16 @@
 	return resp, nil
 }
 
+// connect gets a connection, by the request's deadline also where ctx goes on behind it.
+func (c *HTTPClient) connect(ctx context.Context, req *Request) (*conn, error) {
+	if _, bounded := ctx.Deadline(); !bounded && !req.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
+		defer cancel()
+	}
+	return c.pool.get(ctx, req.Address)
+}
+
 // Ask makes a GET of the fleet's own to a target and returns its answer.
 func (c *HTTPClient) Ask(ctx context.Context, address, path string, header map[string]string) ([]byte, error) {
 	req := Request{Address: address, Method: fasthttp.MethodGet, Path: path, Header: header}
