End non-idempotent requests at their deadline

Callers saw: a non-idempotent request whose target kept its answer back got no end at its deadline, nor at its route's limit, but when the target answered, at most after 60 s. Idempotent requests and streams ended in time.

Cause: the run goes on when its caller's time is up, rightly, and the answer to the caller hung on the run.

Change: the filter detach lets the run go on with an exchange of its own, and ends its caller's request 150 ms after the deadline. The slot stays taken while the target works, and a graceful end of the router waits for the run. A request is either sent, and its caller told 704 or 803 with ran unknown, or its caller is told 601, not run, and it is never sent.

--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -24,6 +24,7 @@
 	result.TargetLeft,
 	result.TargetError,
 	result.CallerGone,
+	result.DeadlineBeforeGrant,
 )
 
 // Filter sends the request to ex.Address and hands the answer to Relay.
@@ -53,6 +54,11 @@
 		ex.Run.End(control.OutcomeNotRun)
 		return err
 	}
+	if !ex.BeginSend() {
+		refusals.Inc(result.DeadlineBeforeGrant)
+		ex.Run.End(control.OutcomeNotRun)
+		return result.New(result.DeadlineBeforeGrant, "The deadline passed before the request was sent.")
+	}
 	ctx = ex.RunContext(ctx)
 	answer, err := f.send(ctx, ex)
 	if err != nil {
--- a/front/request.go
+++ b/front/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/textproto"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -25,6 +26,9 @@
 	cancel context.CancelCauseFunc
 	// endServing ends the exchange's Serving, and with it ctx.
 	endServing context.CancelFunc
+	// holds counts who needs the request: the answer to its caller, and a run that goes on
+	// behind that.
+	holds atomic.Int32
 	// err is why the answer is not whole; nil if nothing is known against it.
 	err error
 }
--- a/front/serve.go
+++ b/front/serve.go
@@ -130,6 +130,11 @@
 	r.ex.LookForCaller = conn.isClosedByCaller
 	r.ex.Serving, r.endServing = context.WithCancel(s.ctx)
 	r.ctx, r.cancel = context.WithCancelCause(r.ex.Serving)
+	r.holds.Store(1)
+	r.ex.Hold = func() func() {
+		r.holds.Add(1)
+		return func() { s.release(r) }
+	}
 	conn.request = r
 	conn.writeErr = nil
 	s.began()
@@ -182,6 +187,14 @@
 	}
 	r.ex.End(r.err)
 	r.cancel(context.Canceled)
+	s.release(r)
+}
+
+// release gives one hold of a request up. With the last one the request is over.
+func (s *Server) release(r *request) {
+	if r.holds.Add(-1) > 0 {
+		return
+	}
 	r.endServing()
 	r.arrival.keep(0)
 	s.ended()
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -50,9 +50,12 @@
 	// one that takes work.
 	TargetServes func() bool
 
-	// Serving ends when the exchange has ended or the router is stopped by
-	// force, but not when the caller goes away. See RunContext.
+	// Serving ends when the exchange has ended and nobody holds it, or the router
+	// is stopped by force, but not when the caller goes away. See RunContext.
 	Serving context.Context
+	// Hold, if set, keeps Serving and the request's memory until the returned function is
+	// called, once, also when the exchange has ended. A graceful end of the process waits.
+	Hold func() (release func())
 
 	// Set by authenticate.
 	Snapshot      *config.Snapshot
@@ -106,6 +109,7 @@
 	BeforeDispatch []func() error
 
 	began   atomic.Int64 // nanoseconds from arrival to the answer's beginning
+	sent    atomic.Int32 // see BeginSend
 	endOnce sync.Once
 	mu      sync.Mutex
 	onEnd   []func(error)
--- a/router/routed.go
+++ b/router/routed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/filters/detach"
 	"github.com/walnutcove/walnutcove/filters/dispatch"
 	"github.com/walnutcove/walnutcove/filters/events"
 	"github.com/walnutcove/walnutcove/filters/grant"
@@ -40,6 +41,7 @@
 			DefaultDeadline: time.Duration(limits.DefaultDeadline),
 			Lag:             r.overload.late,
 		}),
+		detach.New(r.log),
 		&quarantine.Filter{Set: &r.suspects},
 		retries,
 		slots,
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"strconv"
@@ -15,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/walnutcove/walnutcove/platform/wire"
+	"github.com/walnutcove/walnutcove/targets/connstate"
 )
 
 // Run is one request that a replica began to work on.
@@ -73,6 +76,14 @@
 	j.runs = append(j.runs, run)
 }
 
+// noteEnd notes whether the connection of a run that ends was closed meanwhile.
+func (j *Journal) noteEnd(run *Run, conn net.Conn) {
+	closed := errors.Is(connstate.NewChecker(conn).Check(), connstate.ErrClosed)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	run.Cancelled = closed
+}
+
 // Runs returns the runs of a request; of all, if id is empty.
 func (j *Journal) Runs(id string) []Run {
 	j.mu.Lock()
@@ -122,6 +133,8 @@
 	RetryAfter time.Duration
 	// Slower is added to each pause.
 	Slower time.Duration
+	// HangsMidway is how long a whole answer stops after its head and half of its body.
+	HangsMidway time.Duration
 }
 
 // DefaultZone is the zone of replicas whose options name none.
@@ -342,12 +355,13 @@
 	}
 	if r.options.Events == 0 {
 		time.Sleep(r.options.Pause + r.doesWrong().Slower)
+		r.journal.noteEnd(run, ctx.Conn())
 		r.end()
 		if r.doesWrong().LoseAnswers {
 			_ = ctx.Conn().Close()
 			return
 		}
-		ctx.SetBodyString(WholeAnswer(id))
+		r.answerWhole(ctx, WholeAnswer(id))
 		return
 	}
 	ctx.SetContentType("text/event-stream")
@@ -360,6 +374,31 @@
 	})
 }
 
+// answerWhole sends a body of known length, with the pause that the replica's faults ask for.
+func (r *Replica) answerWhole(ctx *fasthttp.RequestCtx, body string) {
+	hangs := r.doesWrong().HangsMidway
+	if hangs == 0 {
+		ctx.SetBodyString(body)
+		return
+	}
+	half := len(body) / 2
+	ctx.Response.ImmediateHeaderFlush = true
+	ctx.SetBodyStream(io.MultiReader(strings.NewReader(body[:half]), &lateReader{wait: hangs, Reader: strings.NewReader(body[half:])}), len(body))
+}
+
+// lateReader waits before its first read.
+type lateReader struct {
+	wait time.Duration
+	io.Reader
+}
+
+// Read implements io.Reader.
+func (l *lateReader) Read(p []byte) (int, error) {
+	time.Sleep(l.wait)
+	l.wait = 0
+	return l.Reader.Read(p)
+}
+
 // refuse answers that a request did not run, and returns what it asks for.
 func (r *Replica) refuse(ctx *fasthttp.RequestCtx) time.Duration {
 	ctx.Response.Header.Set(wire.HeaderNotRun, "1")
