Test: each change of the version in force in the drills of the store

A version that came into force and went back between two looks was not seen. Each drill now takes every change that the routers log from their starts on, besides the looks, which stay as they are, and tells which version a router had, and for how long the newest had been written, if it did not have it as the store went away.

--- a/managedtest/restore_test.go
+++ b/managedtest/restore_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,6 +47,7 @@
 	from := f.store.Copy()
 	f.configure(nil)
 	f.configure(nil)
+	written := time.Now()
 	lost := f.lasting(fmt.Sprintf("lost-%d", n))
 	f.awaitTarget(lost.ID(), false)
 	leaving.Leave()
@@ -57,6 +59,11 @@
 		highest[i] = r.InForce().Version
 	}
 	f.store.SetFault([]managed.Fault{managed.Refusing, managed.Silent}[n%2])
+	for i, version := range highest {
+		if version < config.Version(f.version) {
+			f.t.Logf("router %d had version %d in force as the store went away, %s after %d was written", i, version, time.Since(written), f.version)
+		}
+	}
 	time.Sleep(awayBeforeReturn)
 	f.store.Restore(from)
 	f.store.SetFault(managed.Healthy)
@@ -87,6 +94,59 @@
 		f.awaitTarget(r.ID(), true)
 		r.Close()
 	}
+	f.judgeVersions()
+}
+
+// judgeVersions checks each change of the version in force, from the routers' starts on: a
+// version that came into force and went back between two looks counts too.
+func (f *fleet) judgeVersions() {
+	f.t.Helper()
+	for i, log := range f.logs {
+		versions := versionsInForce(f.t, log)
+		if len(versions) == 0 {
+			f.t.Errorf("router %d has put no version in force", i)
+		}
+		if from, to, fell := firstFall(versions); fell {
+			f.t.Fatalf("router %d went back to version %d from %d", i, to, from)
+		}
+	}
+}
+
+// versionsInForce returns the versions that a router has put in force, in order.
+func versionsInForce(t *testing.T, log *logged) []uint64 {
+	t.Helper()
+	var versions []uint64
+	for _, line := range log.linesWith("config: Version in force.") {
+		_, text, _ := strings.Cut(line, " version=")
+		version, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			t.Fatalf("%q: %v", line, err)
+		}
+		versions = append(versions, version)
+	}
+	return versions
+}
+
+// firstFall returns the first version that is lower than the one before it.
+func firstFall(versions []uint64) (from, to uint64, fell bool) {
+	for n := 1; n < len(versions); n++ {
+		if versions[n] < versions[n-1] {
+			return versions[n-1], versions[n], true
+		}
+	}
+	return 0, 0, false
+}
+
+// TestAVersionThatWentBackIsFound guards the check of the drills against missing a version that
+// came into force and went back between two looks.
+func TestAVersionThatWentBackIsFound(t *testing.T) {
+	log := &logged{}
+	for _, version := range []uint64{96, 99, 99, 96, 102} {
+		fmt.Fprintf(log, "level=INFO msg=\"config: Version in force.\" node=vm-1 version=%d\n", version)
+	}
+	if from, to, fell := firstFall(versionsInForce(t, log)); !fell || from != 99 || to != 96 {
+		t.Errorf("fell %v, from %d to %d", fell, from, to)
+	}
 }
 
 func (f *fleet) knowsAfterDrill(r *router.Router, started, leaving, lost string) bool {
