--- a/filters/detach/detach.go
+++ b/filters/detach/detach.go
@@ -1,6 +1,6 @@
-// Package detach is the filter that tells the life of an answer from the life of a run. The
-// run of a non-idempotent request is not cut off when its caller's time is up, as it must not
-// be left half done; its caller gets an end then all the same.
+// Package detach is the filter that separates the end of an answer from the end of a run. The
+// run of a non-idempotent request is not cut off at its caller's deadline, as it must not be
+// left half done; its caller gets an end by then all the same.
 package detach
 
 import (
--- a/router/overload.go
+++ b/router/overload.go
@@ -41,13 +41,13 @@
 	// crowded by its requests.
 	historyLen  = 10
 	lastingLate = 7
-	// fewCallers is how many open connections are too few to make a router late: the smallest
-	// VM, a fifth of a core, serves that many requests at once within shedKeptFrom.
-	fewCallers = 8
 	// repeatedLate is how many must be for requests on new connections to be refused.
 	repeatedLate = 2
 	// caughtUpAfter is after how many measures in time the lateness is over, whatever its mean.
 	caughtUpAfter = 2
+	// fewCallers is how many open connections are too few to make a router late: the smallest
+	// VM, a fifth of a core, serves that many requests at once within shedKeptFrom.
+	fewCallers = 8
 	// lagRecovered is the average at which it takes them again.
 	lagRecovered = 5 * time.Millisecond
 	// minPause is the shortest time without new connections. The balancer looks
@@ -121,7 +121,7 @@
 // here or on a new one. What is taken is then served while its caller waits. Nothing is refused
 // while there are few callers: the processor is then taken by others, and refusals free none.
 func (o *overload) sheds(kept bool) bool {
-	if o.callers != nil && o.callers() <= fewCallers {
+	if o.hasFewCallers() {
 		return false
 	}
 	if !kept {
@@ -131,6 +131,8 @@
 	return over > 0 && !o.takesKept.Load() && rand.N(shedKeptSpan) < over
 }
 
+func (o *overload) hasFewCallers() bool { return o.callers != nil && o.callers() <= fewCallers }
+
 // releases says whether the connection of the next answer is closed with it: the more, the
 // later this process runs, once new connections lead to others.
 func (o *overload) releases() bool {
@@ -215,7 +217,7 @@
 func (o *overload) noteShedding(now time.Time, late time.Duration) {
 	shed := &o.shed
 	part := math.Float64frombits(o.shedPart.Load())
-	sheds := o.lag > shedKeptFrom && !o.takesKept.Load() || part > 0
+	sheds := (o.lag > shedKeptFrom && !o.takesKept.Load() || part > 0) && !o.hasFewCallers()
 	if sheds && !shed.on {
 		*shed = shedPeriod{on: true, since: now}
 		o.log.Warn("router: Refuses requests unread.", "lag", o.lag, "late", late, "part_of_new", part)
