End non-idempotent requests by a timer, not by a second exchange

The run of a non-idempotent request had a goroutine and an exchange of its own, so that its caller could get an end before it.

Now the exchange goes on as it did before, and the server's timer writes the refusal on the connection if the deadline passes first. Whoever takes the request first, the timer or the answer, gives the caller its only response.

--- a/front/bench_test.go
+++ b/front/bench_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/filters/authenticate"
@@ -128,3 +129,14 @@
 	_, err := io.CopyN(io.Discard, r, int64(len(`{"ok":true}`)))
 	return err
 }
+
+// BenchmarkEndBy is what the end by a deadline adds to a request that is answered in time.
+func BenchmarkEndBy(b *testing.B) {
+	r := &request{server: &Server{}}
+	for b.Loop() {
+		r.answer.Store(nobody)
+		if !r.endBy(time.Now().Add(time.Minute), func() error { return nil })() {
+			b.Fatal("refused")
+		}
+	}
+}
--- a/front/conn.go
+++ b/front/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -83,6 +84,8 @@
 	request *request
 	// writeErr is the first failed write of the current answer.
 	writeErr error
+	// ended is set once the caller has its last answer: nothing more is written.
+	ended atomic.Bool
 	// kept says that a request was answered on it.
 	kept bool
 	// admission holds until then.
@@ -149,6 +152,9 @@
 // Write implements net.Conn. Each write has its own deadline, so that a long
 // stream is bounded by its pauses and not by its length.
 func (c *callerConn) Write(b []byte) (int, error) {
+	if c.ended.Load() {
+		return 0, errEnded
+	}
 	err := c.Conn.SetWriteDeadline(time.Now().Add(c.server.options.WriteTimeout))
 	n := 0
 	if err == nil {
--- /dev/null
+++ b/front/endby_test.go
@@ -0,0 +1,96 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// endsBy returns a handler that answers after a while, and whose callers are refused at a time.
+func endsBy(at, answer time.Duration, dropped chan<- bool) pipeline.Handler {
+	return func(_ context.Context, ex *pipeline.Exchange) error {
+		stop := ex.EndBy(ex.Arrived.Add(at), func() error { return result.New(result.FirstByteTimeout, "Too late.") })
+		time.Sleep(answer)
+		dropped <- !stop()
+		ex.Status = http.StatusOK
+		ex.AnswerBody = []byte("answer")
+		return nil
+	}
+}
+
+// TestCallerIsRefusedWhileTheExchangeGoesOn guards against a refusal that waits for the exchange,
+// and against one that is not whole, or is followed by an answer.
+func TestCallerIsRefusedWhileTheExchangeGoesOn(t *testing.T) {
+	const at, answer = 50 * time.Millisecond, 600 * time.Millisecond
+	dropped := make(chan bool, 1)
+	f := start(t, Options{}, endsBy(at, answer, dropped))
+	sent := time.Now()
+	conn, r := f.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+	response := f.answer(r)
+	if took := time.Since(sent); response.StatusCode != http.StatusGatewayTimeout || !response.Close || took > answer/2 {
+		t.Errorf("status %d after %s, connection closes: %v", response.StatusCode, took, response.Close)
+	}
+	if rest, err := io.ReadAll(conn); err != nil || len(rest) > 0 {
+		t.Errorf("%q follows the refusal, %v", rest, err)
+	}
+	if f.Active() != 1 {
+		t.Errorf("%d exchanges go on", f.Active())
+	}
+	if !<-dropped {
+		t.Error("the exchange was not told that its caller has been refused")
+	}
+	if err := <-f.ends; !errors.Is(err, errEnded) {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+// TestRefusalAndAnswerDoNotMix guards against two answers to one request, or none, where both
+// come at the same time.
+func TestRefusalAndAnswerDoNotMix(t *testing.T) {
+	const callers, each, at = 16, 20, 10 * time.Millisecond
+	dropped := make(chan bool, callers*each)
+	f := start(t, Options{}, endsBy(at, at, dropped))
+	var refused, answered sync.Map
+	var all sync.WaitGroup
+	for range callers {
+		all.Go(func() {
+			for range each {
+				conn, r := f.send("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+				response, err := http.ReadResponse(r, nil)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				body, err := io.ReadAll(response.Body)
+				rest, restErr := io.ReadAll(r)
+				whole := response.StatusCode == http.StatusOK && string(body) == "answer" ||
+					response.StatusCode == http.StatusGatewayTimeout && strings.Contains(string(body), "first_byte_timeout")
+				if err != nil || restErr != nil || !whole || len(rest) > 0 {
+					t.Errorf("status %d, %q, then %q; %v, %v", response.StatusCode, body, rest, err, restErr)
+				}
+				if response.StatusCode == http.StatusOK {
+					answered.Store(conn, true)
+				} else {
+					refused.Store(conn, true)
+				}
+			}
+		})
+	}
+	all.Wait()
+	count := func(m *sync.Map) (n int) {
+		m.Range(func(any, any) bool { n++; return true })
+		return n
+	}
+	t.Logf("%d refused, %d answered", count(&refused), count(&answered))
+	if count(&refused)+count(&answered) != callers*each {
+		t.Errorf("%d refused and %d answered of %d", count(&refused), count(&answered), callers*each)
+	}
+}
--- a/front/request.go
+++ b/front/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/textproto"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,9 +27,10 @@
 	cancel context.CancelCauseFunc
 	// endServing ends the exchange's Serving, and with it ctx.
 	endServing context.CancelFunc
-	// holds counts who needs the request: the answer to its caller, and a run that goes on
-	// behind that.
-	holds atomic.Int32
+	server     *Server
+	// answer says who gives the caller its answer. refusing is held while the timer does.
+	answer   atomic.Int32
+	refusing sync.Mutex
 	// err is why the answer is not whole; nil if nothing is known against it.
 	err error
 }
--- a/front/serve.go
+++ b/front/serve.go
@@ -32,6 +32,10 @@
 	} else {
 		err = s.run(r)
 	}
+	if !r.takeAnswer() {
+		r.dropAnswer()
+		return // nothing can be written any more
+	}
 	if err == nil {
 		err = s.writeAnswer(ctx, r)
 	}
@@ -125,16 +129,13 @@
 		ex:      newExchange(s.idOf(&ctx.Request.Header), gone, ctx),
 		conn:    conn,
 		gone:    gone,
+		server:  s,
 	}
 	r.arrival.keep(int64(len(r.ex.Body)))
 	r.ex.LookForCaller = conn.isClosedByCaller
 	r.ex.Serving, r.endServing = context.WithCancel(s.ctx)
 	r.ctx, r.cancel = context.WithCancelCause(r.ex.Serving)
-	r.holds.Store(1)
-	r.ex.Hold = func() func() {
-		r.holds.Add(1)
-		return func() { s.release(r) }
-	}
+	r.ex.EndBy = r.endBy
 	conn.request = r
 	conn.writeErr = nil
 	s.began()
@@ -187,14 +188,6 @@
 	}
 	r.ex.End(r.err)
 	r.cancel(context.Canceled)
-	s.release(r)
-}
-
-// release gives one hold of a request up. With the last one the request is over.
-func (s *Server) release(r *request) {
-	if r.holds.Add(-1) > 0 {
-		return
-	}
 	r.endServing()
 	r.arrival.keep(0)
 	s.ended()
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -107,7 +107,7 @@
 }
 
 // allClosed needs s.mu.
-func (s *Server) allClosed() bool { return !s.serving && len(s.conns) == 0 && s.active == 0 }
+func (s *Server) allClosed() bool { return !s.serving && len(s.conns) == 0 }
 
 // allEnded needs s.mu.
 func (s *Server) allEnded() bool { return s.active == 0 }
@@ -121,7 +121,7 @@
 	}
 }
 
-// Active returns the number of exchanges that have not ended, or are held.
+// Active returns the number of exchanges that have not ended.
 func (s *Server) Active() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -50,12 +50,14 @@
 	// one that takes work.
 	TargetServes func() bool
 
-	// Serving ends when the exchange has ended and nobody holds it, or the router
-	// is stopped by force, but not when the caller goes away. See RunContext.
+	// Serving ends when the exchange has ended or the router is stopped by
+	// force, but not when the caller goes away. See RunContext.
 	Serving context.Context
-	// Hold, if set, keeps Serving and the request's memory until the returned function is
-	// called, once, also when the exchange has ended. A graceful end of the process waits.
-	Hold func() (release func())
+	// EndBy, if set, has the caller get the refusal that refuse returns at a time, if the
+	// exchange has no answer by then; the exchange goes on, and its answer is dropped. stop
+	// gives that up; it reports false if the caller has been refused. refuse is called from
+	// another goroutine than the exchange's.
+	EndBy func(at time.Time, refuse func() error) (stop func() bool)
 
 	// Set by authenticate.
 	Snapshot      *config.Snapshot
