Log whom a crowded router refuses unread, and the level of the shares

Callers saw one workspace get less than half of another. Two things could not be told from the logs: which workspaces a router refuses before it reads their requests (only the first 100 refusals a second have a line, without the workspace), and whether the others' requests counted as within their shares, in which case nothing yields. Added: one line a second at a router that refuses unread, with the three workspaces most refused; and the level in the scheduler's report of a gap.

--- a/control/sched/gap.go
+++ b/control/sched/gap.go
@@ -19,6 +19,9 @@
 	// Best is the workspace that was granted most.
 	Best        string
 	BestGranted float64
+	// Level is the share per second of each workspace whose demand exceeds it, +Inf if the
+	// demand was below the capacity. Only what a workspace asks for beyond it yields.
+	Level float64
 }
 
 // WidestGap returns the gap of the workspace that was granted least; false if no
@@ -44,6 +47,7 @@
 			RefusedHere: f.refused && now-f.refusedAt <= refusalWindow,
 			Best:        best,
 			BestGranted: bestGranted,
+			Level:       s.level,
 		}
 		if gap.Granted >= maxGapRatio*min(gap.Demand+gap.Unread, bestGranted) {
 			continue
--- a/control/sched/gap_test.go
+++ b/control/sched/gap_test.go
@@ -1,10 +1,29 @@
 package sched
 
 import (
+	"math"
 	"testing"
 	"time"
 )
 
+// TestGapTellsLevel checks that a gap tells whether the others' requests were within their
+// shares: the level is infinite as long as the demand is below the capacity.
+func TestGapTellsLevel(t *testing.T) {
+	for _, c := range []struct{ capacity, level float64 }{{10_000, math.Inf(1)}, {500, 250}} {
+		s := NewShares(c.capacity)
+		for now := time.Duration(0); now <= 2*levelInterval; now += levelInterval {
+			s.Take(now, "large", 900)
+			s.Served(now, "large", 900)
+			s.Take(now, "small", 700)
+			s.Served(now, "small", 100)
+			s.Refused(now, "small")
+		}
+		if gap, found := s.WidestGap(2 * levelInterval); !found || gap.Level != c.level {
+			t.Errorf("capacity of %.0f: %+v, %v; want level %.0f", c.capacity, gap, found, c.level)
+		}
+	}
+}
+
 // TestGapIsFound checks that a workspace with refused requests that was granted less
 // than half of another one has a gap, whether its requests were refused here or unread
 // by routers, and that one which got its demand, or more than half, has none.
--- a/router/loop.go
+++ b/router/loop.go
@@ -237,7 +237,7 @@
 	l.log.Warn("control: Workspace was granted less than half of another.",
 		"pool", c.Shard.Pool, "workspace", c.Gap.Workspace,
 		"asked", c.Gap.Demand, "refused_unread", c.Gap.Unread, "granted", c.Gap.Granted, "refused_here", c.Gap.RefusedHere,
-		"best", c.Gap.Best, "best_granted", c.Gap.BestGranted)
+		"best", c.Gap.Best, "best_granted", c.Gap.BestGranted, "level", c.Gap.Level)
 }
 
 // logTargetHealth logs whether this router, as a scheduler, considers a target failing from
--- a/router/start.go
+++ b/router/start.go
@@ -269,7 +269,7 @@
 		r.startWorker(func() { r.followMembers(ctx) })
 		r.startWorker(func() { r.awaitJoined(ctx) })
 		r.startWorker(func() { r.overload.run(ctx) })
-		r.startWorker(func() { r.unread.run(ctx, r.loop) })
+		r.startWorker(func() { r.unread.run(ctx, r.loop, r.log) })
 	} else {
 		r.startWorker(func() { r.follower.Run(ctx) })
 		r.startWorker(func() { r.followVMs(ctx) })
--- a/router/unread.go
+++ b/router/unread.go
@@ -1,7 +1,12 @@
 package router
 
 import (
+	"cmp"
 	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -12,22 +17,38 @@
 // reported to the schedulers: several times within the second for which a refusal counts there.
 const unreadReportInterval = 200 * time.Millisecond
 
-// unreadCounts counts the requests that this router refused before reading them, by pool and
-// workspace. It is safe for concurrent use.
+// unreadLogInterval is the interval at which the workspaces are logged whose requests were
+// refused unread, and maxUnreadLogged how many of them are.
+const (
+	unreadLogInterval = time.Second
+	maxUnreadLogged   = 3
+)
+
+// unreadCounts counts the requests that this router refused before reading them. It is safe for
+// concurrent use.
 type unreadCounts struct {
 	mu     sync.Mutex
 	counts map[unreadKey]int
+	// byWorkspace counts each request once, whatever the number of pools of its route.
+	byWorkspace map[string]int
 }
 
 type unreadKey struct{ pool, workspace string }
 
-func (u *unreadCounts) add(key unreadKey) {
+// add counts a request of a workspace on a route to the given pools.
+func (u *unreadCounts) add(workspace string, pools ...string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.counts == nil {
 		u.counts = make(map[unreadKey]int)
 	}
-	u.counts[key]++
+	for _, pool := range pools {
+		u.counts[unreadKey{pool, workspace}]++
+	}
+	if u.byWorkspace == nil {
+		u.byWorkspace = make(map[string]int)
+	}
+	u.byWorkspace[workspace]++
 }
 
 // take returns the counts since the last call and resets them.
@@ -39,10 +60,20 @@
 	return counts
 }
 
-// run reports the counts to the control goroutine until ctx ends.
-func (u *unreadCounts) run(ctx context.Context, to *loop) {
+// takeByWorkspace returns the counts by workspace since the last call and resets them.
+func (u *unreadCounts) takeByWorkspace() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	counts := u.byWorkspace
+	u.byWorkspace = nil
+	return counts
+}
+
+// run reports the counts to the control goroutine, and logs them, until ctx ends.
+func (u *unreadCounts) run(ctx context.Context, to *loop, log *slog.Logger) {
 	ticker := time.NewTicker(unreadReportInterval)
 	defer ticker.Stop()
+	loggedAt := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -52,7 +83,30 @@
 		for key, count := range u.take() {
 			to.post(control.RequestsRefusedUnread{Pool: key.pool, Workspace: key.workspace, Count: count})
 		}
+		if now := time.Now(); now.Sub(loggedAt) >= unreadLogInterval {
+			loggedAt = now
+			logUnread(log, u.takeByWorkspace())
+		}
+	}
+}
+
+// logUnread logs the workspaces with the most requests refused unread.
+func logUnread(log *slog.Logger, counts map[string]int) {
+	if len(counts) == 0 {
+		return
+	}
+	total := 0
+	for _, count := range counts {
+		total += count
+	}
+	workspaces := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+	var most []string
+	for _, workspace := range workspaces[:min(len(workspaces), maxUnreadLogged)] {
+		most = append(most, workspace+":"+strconv.Itoa(counts[workspace]))
 	}
+	log.Info("router: Requests were refused before reading them.", "requests", total, "workspaces", len(workspaces), "most", most)
 }
 
 // countUnread counts a request that is refused unread, once for each pool of its route, if
@@ -70,7 +124,9 @@
 	if !known {
 		return
 	}
+	pools := make([]string, 0, len(route.Split))
 	for _, share := range route.Split {
-		r.unread.add(unreadKey{share.Pool, workspace})
+		pools = append(pools, share.Pool)
 	}
+	r.unread.add(workspace, pools...)
 }
