Divide what a busy router serves between workspaces

Cause: a router that is late refuses requests before it reads them, each with the same probability, so it serves each workspace in proportion to what that one sends. The fair queue of the scheduler comes after this bottleneck and sees only what is left: it granted sese22 all it asked for there.

Ruled out: the scheduler passes it over (13 refusals there, 10,671 unread); its share is used up (asked and granted are equal in each report of a gap).

Change: a request that was selected for refusal is served all the same if its workspace sends less than the router serves of the one that sends most; what lies above that is refused in proportion (core-stateless fair queueing, by arrivals in units of share). With one workspace nothing changes.

--- a/control/accounting.go
+++ b/control/accounting.go
@@ -80,7 +80,7 @@
 func (m *Machine) activeWorkspace(name string) *workspace {
 	w := m.sched.workspaces[name]
 	if w == nil {
-		share := m.topo.shareOf(name)
+		share := m.topo.decl.ShareOf(name)
 		w = &workspace{
 			name:      name,
 			share:     share,
@@ -134,7 +134,7 @@
 		return
 	}
 	w.accountingNode, w.accountingVersion = "", 0 // the account groups may have changed
-	if share := m.topo.shareOf(w.name); share != w.share {
+	if share := m.topo.decl.ShareOf(w.name); share != w.share {
 		w.share = share
 		w.account.SetShare(share)
 	}
--- a/control/topology.go
+++ b/control/topology.go
@@ -121,14 +121,6 @@
 	return ShardID{Pool: target.Pool, DataCentre: target.DataCentre}
 }
 
-// shareOf returns the share of a workspace; 1 if it is unknown or none is declared.
-func (t *topology) shareOf(workspace string) float64 {
-	if ws, ok := t.decl.Workspaces[workspace]; ok && ws.Share > 0 {
-		return ws.Share
-	}
-	return 1
-}
-
 // mayRun reports whether a target is declared, accepts new requests and may serve a
 // workspace.
 func (t *topology) mayRun(target, workspace string, excluded []string) bool {
--- a/front/fastrefusal.go
+++ b/front/fastrefusal.go
@@ -56,7 +56,7 @@
 }
 
 // refuseWaiting accepts pending connections and refuses their requests for as long as the
-// server sheds load. It returns a connection whose request the fast path cannot refuse; or
+// server sheds load. It returns a connection whose request the fast path does not refuse; or
 // nil, and the admission of the connection that is accepted next.
 func (f *fastRefuser) refuseWaiting() (*callerConn, admission) {
 	for f.server.options.Shed(false) {
@@ -88,18 +88,23 @@
 	return fd, true
 }
 
-// refuse reads and refuses the request of a connection. If the request has not arrived whole
-// or is not a simple one, refuse returns the connection for the HTTP library to read.
+// refuse reads and refuses the request of a connection. It returns the connection for the HTTP
+// library to read if the request is to be served all the same, has not arrived whole or is not
+// a simple one.
 func (f *fastRefuser) refuse(fd int) *callerConn {
 	n, err := syscall.Read(fd, f.readBuffer[:])
 	switch {
 	case err == syscall.EAGAIN || err == syscall.EINTR:
-		return f.handOver(fd, nil)
+		return f.handOver(fd, nil, rejected)
 	case err != nil || n == 0:
 		closeDescriptor(fd) // the caller has closed the connection
 		return nil
 	case !f.parseSimple(f.readBuffer[:n]):
-		return f.handOver(fd, bytes.Clone(f.readBuffer[:n]))
+		return f.handOver(fd, bytes.Clone(f.readBuffer[:n]), rejected)
+	}
+	f.ctx.Request.SetRequestURIBytes(f.ctx.Request.Header.RequestURI())
+	if !f.server.confirmShed(&f.ctx, false) {
+		return f.handOver(fd, bytes.Clone(f.readBuffer[:n]), admitted)
 	}
 	f.writeRefusal(fd)
 	closeDescriptor(fd)
@@ -125,7 +130,6 @@
 
 // writeRefusal writes the refusal of the request whose headers were parsed.
 func (f *fastRefuser) writeRefusal(fd int) {
-	f.ctx.Request.SetRequestURIBytes(f.ctx.Request.Header.RequestURI())
 	f.server.writeOverloaded(&f.ctx)
 	fastRefusals.Inc()
 	f.output.Reset()
@@ -141,7 +145,7 @@
 }
 
 // handOver makes a connection from a descriptor. read holds the bytes already read from it.
-func (f *fastRefuser) handOver(fd int, read []byte) *callerConn {
+func (f *fastRefuser) handOver(fd int, read []byte, decision admission) *callerConn {
 	file := os.NewFile(uintptr(fd), "")
 	defer file.Close() // the connection has a duplicate of the descriptor
 	conn, err := net.FileConn(file)
@@ -152,7 +156,7 @@
 	}
 	c := newCallerConn(conn, f.server)
 	c.unread = read
-	c.admission = rejected
+	c.admission = decision
 	return c
 }
 
--- a/front/fastrefusal_test.go
+++ b/front/fastrefusal_test.go
@@ -76,7 +76,7 @@
 const shortCall = "POST /a HTTP/1.1\r\nHost: a\r\nWalnut-Request-Id: r-1\r\nContent-Length: 4\r\n\r\nbody"
 
 // TestFastRefusal checks that a request that has arrived whole with its connection is refused
-// with its id, result code and retry delay, and that OnShed is called for it.
+// with its id, result code and retry delay, and that ConfirmShed is called for it.
 func TestFastRefusal(t *testing.T) {
 	callerSetsID := *dialect.Own
 	callerSetsID.CallerSetsID = true
@@ -84,8 +84,9 @@
 	var shedRequests []string
 	r := newRefuser(t, Options{
 		Dialect: &callerSetsID,
-		OnShed: func(host, path []byte, header func(string) []byte) {
+		ConfirmShed: func(_ bool, host, path []byte, header func(string) []byte) bool {
 			shedRequests = append(shedRequests, fmt.Sprintf("%s%s %s", host, path, header("Walnut-Request-Id")))
+			return true
 		},
 	})
 	first := r.call(t, shortCall)
@@ -105,7 +106,7 @@
 	}
 	answerOn(t, second)
 	if want := []string{"a/a r-1", "a/b "}; strings.Join(shedRequests, ",") != strings.Join(want, ",") {
-		t.Errorf("OnShed got %q", shedRequests)
+		t.Errorf("ConfirmShed got %q", shedRequests)
 	}
 }
 
@@ -145,6 +146,25 @@
 	}
 }
 
+// TestFastRefusalHandsOverExemptRequests checks that a request which ConfirmShed exempts goes to
+// the HTTP library with all its bytes, and is served there without asking Shed again.
+func TestFastRefusalHandsOverExemptRequests(t *testing.T) {
+	r := newRefuser(t, Options{ConfirmShed: func(bool, []byte, []byte, func(string) []byte) bool { return false }})
+	caller := r.call(t, strings.Replace(shortCall, "Host: a", "Host: a\r\nConnection: close", 1))
+	r.shedsLeft = 2
+	conn, admission := r.refuseWaiting()
+	if conn == nil || admission != admitted {
+		t.Fatalf("%v, admission %v", conn, admission)
+	}
+	served := make(chan error, 1)
+	go func() { served <- r.server.http.ServeConn(conn) }()
+	if answer := answerOn(t, caller); answer.StatusCode != http.StatusOK {
+		t.Errorf("status %d", answer.StatusCode)
+	}
+	caller.Close()
+	<-served // its error reports that the caller is gone
+}
+
 // TestAdmissionAfterFastRefusals checks that a connection accepted after the server has stopped
 // shedding is served without asking Shed again, and that if none was pending, the decision is
 // made when the request has been read.
--- a/front/serve.go
+++ b/front/serve.go
@@ -21,7 +21,7 @@
 // library writes the response and calls connState with the outcome.
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
 	conn := ctx.Conn().(*callerConn) // every connection comes from callerListener
-	if s.shouldShed(conn) {
+	if s.shouldShed(conn) && s.confirmShed(ctx, conn.reused) {
 		s.rejectOverloaded(ctx, conn)
 		return
 	}
@@ -48,7 +48,7 @@
 	}
 }
 
-// shouldShed reports whether the next request of a connection is refused unread.
+// shouldShed reports whether the next request of a connection is selected for refusal.
 func (s *Server) shouldShed(conn *callerConn) bool {
 	switch {
 	case s.options.Shed == nil:
@@ -60,6 +60,15 @@
 	}
 }
 
+// confirmShed reports whether a request that was selected for refusal is refused.
+func (s *Server) confirmShed(ctx *fasthttp.RequestCtx, kept bool) bool {
+	if s.options.ConfirmShed == nil {
+		return true
+	}
+	header := &ctx.Request.Header
+	return s.options.ConfirmShed(kept, header.Host(), ctx.Path(), header.Peek)
+}
+
 // rejectOverloaded refuses a request whose headers have arrived, with as little work as
 // possible, to leave the processor time to the requests that are served.
 func (s *Server) rejectOverloaded(ctx *fasthttp.RequestCtx, conn *callerConn) {
@@ -77,9 +86,6 @@
 	id := s.requestIDOf(header).text
 	err := overloadedError()
 	s.logRefusal(id, err)
-	if s.options.OnShed != nil {
-		s.options.OnShed(header.Host(), ctx.Path(), header.Peek)
-	}
 	s.writeError(ctx, id, err)
 	ctx.SetConnectionClose()
 }
--- a/front/server.go
+++ b/front/server.go
@@ -78,9 +78,10 @@
 	// for it. Its connection is closed, so that the caller's next connection may reach
 	// another router. kept is set if a request has been answered on the connection before.
 	Shed func(kept bool) bool
-	// OnShed, if set, is called for each such refusal with the host, the path and a
-	// function that returns headers by name. They are valid until OnShed returns.
-	OnShed func(host, path []byte, header func(name string) []byte)
+	// ConfirmShed, if set, is called for each request that Shed selected, with the host, the
+	// path and a function that returns headers by name, which are valid until it returns. It
+	// reports whether the request is refused; if not, the request is served.
+	ConfirmShed func(kept bool, host, path []byte, header func(name string) []byte) bool
 	// CloseAfterAnswer, if set, reports whether the connection of the next answer is
 	// closed after it.
 	CloseAfterAnswer func() bool
--- a/front/status_test.go
+++ b/front/status_test.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -50,14 +52,15 @@
 	}
 }
 
-// TestOnShedGetsHostPathAndHeaders checks that OnShed gets the host, path and headers of a
-// request that is refused unread.
-func TestOnShedGetsHostPathAndHeaders(t *testing.T) {
+// TestConfirmShedGetsHostPathAndHeaders checks that ConfirmShed gets the host, path and headers
+// of a request that is refused unread.
+func TestConfirmShedGetsHostPathAndHeaders(t *testing.T) {
 	shedRequests := make(chan string, 1)
 	f := start(t, Options{
 		Shed: func(bool) bool { return true },
-		OnShed: func(host, path []byte, header func(name string) []byte) {
+		ConfirmShed: func(_ bool, host, path []byte, header func(name string) []byte) bool {
 			shedRequests <- string(host) + " " + string(path) + " " + string(header("X-Key"))
+			return true
 		},
 	}, answerEmpty)
 	_, r := f.send("POST /x/y?z HTTP/1.1\r\nHost: a\r\nX-Key: k\r\nContent-Length: 2\r\n\r\nhi")
@@ -65,6 +68,34 @@
 		t.Errorf("status %d, close %v", response.StatusCode, response.Close)
 	}
 	if got := <-shedRequests; got != "a /x/y k" {
-		t.Errorf("OnShed got %q", got)
+		t.Errorf("ConfirmShed got %q", got)
+	}
+}
+
+// TestExemptRequestsAreServed checks that requests which ConfirmShed exempts are served, on new
+// and on kept connections, and that the others are refused.
+func TestExemptRequestsAreServed(t *testing.T) {
+	var kept []bool
+	f := start(t, Options{
+		Shed: func(bool) bool { return true },
+		ConfirmShed: func(isKept bool, _, path []byte, _ func(string) []byte) bool {
+			kept = append(kept, isKept)
+			return string(path) == "/refused"
+		},
+	}, answerEmpty)
+	conn, r := f.send("GET /served HTTP/1.1\r\nHost: a\r\n\r\n")
+	for _, c := range []struct {
+		next   string
+		status int
+	}{{"GET /served HTTP/1.1\r\nHost: a\r\n\r\n", 200}, {"GET /refused HTTP/1.1\r\nHost: a\r\n\r\n", 200}, {"", 503}} {
+		if response := f.answer(r); response.StatusCode != c.status {
+			t.Fatalf("status %d, want %d", response.StatusCode, c.status)
+		}
+		if _, err := io.WriteString(conn, c.next); err != nil && c.next != "" {
+			t.Fatal(err)
+		}
+	}
+	if want := []bool{false, true, true}; !slices.Equal(kept, want) {
+		t.Errorf("kept: %v, want %v", kept, want)
 	}
 }
--- a/router/flood_test.go
+++ b/router/flood_test.go
@@ -11,6 +11,8 @@
 // requests in between. The figures were measured with a stream of eight events.
 type floodLoad struct {
 	perSecond int
+	// besidePerSecond is the load of another workspace whose callers use the same router.
+	besidePerSecond int
 	// cores is the router's share of a processor core.
 	cores float64
 	// servedCPUTime and refusedCPUTime are the processor time of a served and of a refused request,
@@ -23,25 +25,39 @@
 
 // cpuTurn is one turn of a request on the processor.
 type cpuTurn struct {
+	beside    bool
 	arrivedAt time.Duration
 	turnsLeft int
 	cost      time.Duration
 }
 
-// simulate runs the load through the shedding of an overload in virtual time, and counts the
-// requests whose answers began in time and late.
-func (f floodLoad) simulate(o *overload, duration time.Duration) (inTime, late int) {
+// floodResult counts the requests whose answers began in time and late, and those in time of the
+// workspace beside the flood.
+type floodResult struct{ inTime, late, besideInTime int }
+
+// simulate runs the load through the shedding of an overload in virtual time.
+func (f floodLoad) simulate(o *overload, duration time.Duration) floodResult {
 	const step = time.Millisecond
 	var queue []cpuTurn
-	cpuBudget, dueArrivals := time.Duration(0), 0.0
+	var fair fairShed
+	var result floodResult
+	cpuBudget, dueArrivals, dueBeside := time.Duration(0), 0.0, 0.0
 	start := time.Now()
+	arrive := func(now time.Duration, workspace string) {
+		next := cpuTurn{beside: workspace == "beside", arrivedAt: now}
+		if o.shouldShed(false) && !fair.exempts(start.Add(now), workspace, 1, o.shedProbability(false)) {
+			next.cost = f.refusedCPUTime
+		} else {
+			next.turnsLeft, next.cost = f.turns, f.servedCPUTime/time.Duration(f.turns)
+		}
+		queue = append(queue, next)
+	}
 	for now := time.Duration(0); now < duration; now += step {
 		for dueArrivals += float64(f.perSecond) * step.Seconds(); dueArrivals >= 1; dueArrivals-- {
-			if o.shouldShed(false) {
-				queue = append(queue, cpuTurn{arrivedAt: now, turnsLeft: 0, cost: f.refusedCPUTime})
-				continue
-			}
-			queue = append(queue, cpuTurn{arrivedAt: now, turnsLeft: f.turns, cost: f.servedCPUTime / time.Duration(f.turns)})
+			arrive(now, "flood")
+		}
+		for dueBeside += float64(f.besidePerSecond) * step.Seconds(); dueBeside >= 1; dueBeside-- {
+			arrive(now, "beside")
 		}
 		cpuBudget = min(cpuBudget+time.Duration(f.cores*float64(step)), step)
 		for len(queue) > 0 && cpuBudget >= queue[0].cost {
@@ -55,17 +71,20 @@
 			}
 			switch {
 			case next.turnsLeft == 0: // a refusal
-			case now-next.arrivedAt <= f.maxWait:
-				inTime++
+			case now-next.arrivedAt > f.maxWait:
+				result.late++
 			default:
-				late++
+				result.inTime++
+				if next.beside {
+					result.besideInTime++
+				}
 			}
 		}
 		if now%lagInterval == 0 {
 			o.measure(start.Add(now), f.queueDelay(queue))
 		}
 	}
-	return inTime, late
+	return result
 }
 
 // queueDelay returns how long a new turn waits for the processor.
@@ -93,7 +112,8 @@
 			maxWait: 150 * time.Millisecond,
 		}
 		o := &overload{log: slog.New(slog.DiscardHandler), hasTooManyConns: func() bool { return false }}
-		inTime, late := f.simulate(o, duration)
+		got := f.simulate(o, duration)
+		inTime, late := got.inTime, got.late
 		refusalLoad := f.refusedCPUTime.Seconds() * float64(perSecond)
 		capacity := (f.cores - refusalLoad) / f.servedCPUTime.Seconds() * duration.Seconds()
 		t.Logf("%d per second: %d in time, %d late, the processor could serve %.0f", perSecond, inTime, late, capacity)
@@ -105,3 +125,27 @@
 		}
 	}
 }
+
+// TestFloodLeavesOthersTheirShare guards against a busy router that refuses the same fraction of
+// each workspace's requests: one that sends little beside a flood must get at least half of what
+// it asks for.
+func TestFloodLeavesOthersTheirShare(t *testing.T) {
+	const (
+		duration = 6 * time.Second
+		promised = 0.5
+	)
+	for _, perSecond := range []int{800, 1500, 2500} {
+		f := floodLoad{
+			perSecond: perSecond, besidePerSecond: 50, cores: 0.19,
+			servedCPUTime: 300 * time.Microsecond, refusedCPUTime: 30 * time.Microsecond, turns: 10,
+			maxWait: 150 * time.Millisecond,
+		}
+		o := &overload{log: slog.New(slog.DiscardHandler), hasTooManyConns: func() bool { return false }}
+		got := f.simulate(o, duration)
+		asked := float64(f.besidePerSecond) * duration.Seconds()
+		t.Logf("%d per second: %d in time and %d late, %d in time of %.0f of the other workspace", perSecond, got.inTime, got.late, got.besideInTime, asked)
+		if float64(got.besideInTime) < promised*asked {
+			t.Errorf("%d per second: %d in time of %.0f that the other workspace asked for", perSecond, got.besideInTime, asked)
+		}
+	}
+}
--- a/router/managed.go
+++ b/router/managed.go
@@ -58,6 +58,8 @@
 	overload *overload
 	// unread counts the requests refused unread, for the schedulers.
 	unread unreadCounts
+	// fairShed divides what this router can serve between workspaces while it sheds load.
+	fairShed fairShed
 	// fetches tracks which peers are being asked for their directory.
 	fetches directoryFetches
 }
--- a/router/overload.go
+++ b/router/overload.go
@@ -135,11 +135,20 @@
 	if o.hasFewCallers() {
 		return false
 	}
+	return rand.Float64() < o.shedProbability(kept)
+}
+
+// shedProbability returns the fraction of requests that is refused unread while there are more
+// than a few callers.
+func (o *overload) shedProbability(kept bool) float64 {
 	if !kept {
-		return rand.Float64() < math.Float64frombits(o.shedFraction.Load())
+		return math.Float64frombits(o.shedFraction.Load())
+	}
+	if o.acceptsKept.Load() {
+		return 0
 	}
 	excessLag := o.currentLag() - shedKeptMinLag
-	return excessLag > 0 && !o.acceptsKept.Load() && rand.N(shedKeptLagRange) < excessLag
+	return min(max(float64(excessLag)/float64(shedKeptLagRange), 0), 1)
 }
 
 // hasFewCallers reports whether there are too few callers for shedding to help.
--- a/router/start.go
+++ b/router/start.go
@@ -232,7 +232,7 @@
 		r.cacheWatcher = cachewatch.New(platform.NewCacheSource(r.targets), r.targetCacheReported, r.log)
 		options.CloseAfterAnswer = r.overload.shouldCloseConn
 		options.Shed = r.overload.shouldShed
-		options.OnShed = r.countUnread
+		options.ConfirmShed = r.confirmShed
 		r.front = front.New(options, r.routedPipeline())
 		return
 	}
--- a/router/unread.go
+++ b/router/unread.go
@@ -109,24 +109,28 @@
 	log.Info("router: Requests were refused before reading them.", "requests", total, "workspaces", len(workspaces), "most", most)
 }
 
-// countUnread counts a request that is refused unread, once for each pool of its route, if
-// its route and key are known.
-func (r *Router) countUnread(host, path []byte, header func(name string) []byte) {
+// confirmShed decides whether a request that was selected for shedding is refused, and counts
+// it if so, once for each pool of its route, if its route and key are known.
+func (r *Router) confirmShed(kept bool, host, path []byte, header func(name string) []byte) bool {
 	snapshot := r.InForce()
 	if snapshot == nil {
-		return
+		return true
 	}
 	route := snapshot.Index().RouteOf(string(host), string(path))
 	if route == nil {
-		return
+		return true
 	}
 	workspace, known := snapshot.Index().WorkspaceByKey(header(r.dialect().Key))
 	if !known {
-		return
+		return true
+	}
+	if r.fairShed.exempts(time.Now(), workspace, snapshot.Declarations.ShareOf(workspace), r.overload.shedProbability(kept)) {
+		return false
 	}
 	pools := make([]string, 0, len(route.Split))
 	for _, share := range route.Split {
 		pools = append(pools, share.Pool)
 	}
 	r.unread.add(workspace, pools...)
+	return true
 }
