Measure lag five times as often while requests are shed

Cause: the fraction refused followed a measurement every 50 ms, the second late one at the earliest, in steps of 0.3. What was accepted until then is served from the processor time that refusals leave (30 us each, 0.15 of 0.19 cores at 5,000 a second), so it takes seconds and is late.

Change: while requests are shed, or after a late measurement, lag is measured every 10 ms, and the fraction follows each measurement. Averages, pauses and kept connections go by the measurement every 50 ms as before.

--- a/router/flood_test.go
+++ b/router/flood_test.go
@@ -42,6 +42,7 @@
 	var fair fairShed
 	var result floodResult
 	cpuBudget, dueArrivals, dueBeside := time.Duration(0), 0.0, 0.0
+	nextMeasurement := time.Duration(0)
 	start := time.Now()
 	arrive := func(now time.Duration, workspace string) {
 		next := cpuTurn{beside: workspace == "beside", arrivedAt: now}
@@ -80,8 +81,9 @@
 				}
 			}
 		}
-		if now%lagInterval == 0 {
+		if now >= nextMeasurement {
 			o.measure(start.Add(now), f.queueDelay(queue))
+			nextMeasurement = now + o.nextInterval()
 		}
 	}
 	return result
@@ -149,3 +151,27 @@
 		}
 	}
 }
+
+// TestFloodOfRefusalsLeavesRoom guards against a router that accepts more in the first moments of
+// a flood than it can serve within seconds, as refusals take most of its processor time: of what
+// the refusals leave, at least half must be served in time.
+func TestFloodOfRefusalsLeavesRoom(t *testing.T) {
+	const (
+		duration = 6 * time.Second
+		minShare = 0.5
+	)
+	for _, perSecond := range []int{3500, 4500} {
+		f := floodLoad{
+			perSecond: perSecond, cores: 0.19,
+			servedCPUTime: 300 * time.Microsecond, refusedCPUTime: 30 * time.Microsecond, turns: 10,
+			maxWait: 150 * time.Millisecond,
+		}
+		o := &overload{log: slog.New(slog.DiscardHandler), hasTooManyConns: func() bool { return false }}
+		got := f.simulate(o, duration)
+		left := (f.cores - f.refusedCPUTime.Seconds()*float64(perSecond)) / f.servedCPUTime.Seconds() * duration.Seconds()
+		t.Logf("%d per second: %d in time, %d late of %.0f that the processor could serve", perSecond, got.inTime, got.late, left)
+		if float64(got.inTime) < minShare*left {
+			t.Errorf("%d per second: %d in time of %.0f that the processor could serve", perSecond, got.inTime, left)
+		}
+	}
+}
--- a/router/overload.go
+++ b/router/overload.go
@@ -15,6 +15,10 @@
 const (
 	// lagInterval is the interval at which the lag of this process is measured.
 	lagInterval = 50 * time.Millisecond
+	// shedInterval is the interval at which the lag is measured while requests are shed or the
+	// last measurement was late. What a router accepts within one lagInterval of a flood, whose
+	// refusals take most of its processor time, can take it seconds to serve.
+	shedInterval = 10 * time.Millisecond
 	// lagWeight is the weight of a new measurement in the moving average, which thus
 	// covers about the last half second.
 	lagWeight = 0.2
@@ -91,8 +95,12 @@
 	paused atomic.Bool
 	// publishedLag is a copy of lag for other goroutines, in nanoseconds.
 	publishedLag atomic.Int64
-	// lag is the moving average of the measured lateness.
-	lag time.Duration
+	// lag is the moving average of the measured lateness, and averagedAt when it was last
+	// updated.
+	lag        time.Duration
+	averagedAt time.Time
+	// lastLateness is the last measurement.
+	lastLateness time.Duration
 	// shedFraction is the fraction of requests on new connections that is refused unread, as
 	// the bits of a float64.
 	shedFraction atomic.Uint64
@@ -167,7 +175,8 @@
 func (o *overload) run(ctx context.Context) {
 	probe := startLagProbe(o.log)
 	defer probe.close()
-	ticker := time.NewTicker(lagInterval)
+	interval := lagInterval
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	lastTick := time.Now()
 	for {
@@ -177,19 +186,37 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		o.measure(now, max(0, now.Sub(lastTick)-lagInterval, probe.currentDelay()))
+		o.measure(now, max(0, now.Sub(lastTick)-interval, probe.currentDelay()))
 		lastTick = now
+		if next := o.nextInterval(); next != interval {
+			interval = next
+			ticker.Reset(interval)
+		}
 	}
 }
 
-// measure updates the state with the lateness of a tick or of the probe.
+// nextInterval returns the time until the next measurement.
+func (o *overload) nextInterval() time.Duration {
+	if o.lastLateness > shedTargetLag || o.shedProbability(false) > 0 {
+		return shedInterval
+	}
+	return lagInterval
+}
+
+// measure updates the state with the lateness of a tick or of the probe: the fraction to shed
+// with each measurement, everything else once per lagInterval.
 func (o *overload) measure(now time.Time, lateness time.Duration) {
+	o.lastLateness = lateness
+	o.aboveTargetLag.add(lateness > shedTargetLag)
+	o.adjustShedFraction(lateness)
+	if now.Sub(o.averagedAt) < lagInterval {
+		return
+	}
+	o.averagedAt = now
 	lagSeconds.Update(lateness.Seconds())
 	o.lag += time.Duration(lagWeight * float64(lateness-o.lag))
 	o.publishedLag.Store(int64(o.lag))
-	o.aboveTargetLag.add(lateness > shedTargetLag)
 	o.aboveKeptLag.add(lateness > shedKeptMinLag)
-	o.adjustShedFraction(lateness)
 	isLasting := o.aboveKeptLag.count() >= lastingLateCount && !o.aboveKeptLag.hasCaughtUp()
 	o.acceptsKept.Store(!isLasting)
 	o.logShedding(now, lateness)
