--- a/control/loadtest/loadtest_test.go
+++ b/control/loadtest/loadtest_test.go
@@ -1,6 +1,7 @@
 package loadtest
 
 import (
+	"fmt"
 	"math"
 	"reflect"
 	"sync"
@@ -260,6 +261,31 @@
 	}
 }
 
+// TestStuckCallersGetTheirShare guards against a workspace that gets less than half of the best
+// served one because its callers reach only one crowded router, also with their retries.
+func TestStuckCallersGetTheirShare(t *testing.T) {
+	const promised = 0.5
+	for _, workspaces := range []int{2, 8, 24} {
+		t.Run(fmt.Sprintf("%d workspaces", workspaces), func(t *testing.T) {
+			for seed := uint64(1); seed <= 3; seed++ {
+				t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+					p := crowdedEntryPattern(workspaces)
+					p.RetryAtSameRouter = true
+					got := Simulate(p, policy.Default(), seed).Workspaces
+					best := 0
+					for _, served := range got {
+						best = max(best, served.TokensAfterStall)
+					}
+					stuck := got[workspaceName(1)].TokensAfterStall
+					if float64(stuck) < promised*float64(best) {
+						t.Errorf("%d tokens through the crowded router, %d at most", stuck, best)
+					}
+				})
+			}
+		})
+	}
+}
+
 // crashPattern is a load beyond the capacity of the pool in which a quarter of the
 // engines crash for two seconds, and the router that schedules the pool processes no
 // events for some time from then on. The callers of the second workspace use one router.
--- a/control/loadtest/pattern.go
+++ b/control/loadtest/pattern.go
@@ -36,8 +36,9 @@
 	SingleRouter bool
 	// UnreadRatio is the fraction of these callers' first tries that this router refuses
 	// before reading them, as if it had no processor time. They are sent again through
-	// any router.
-	UnreadRatio float64
+	// any router, or through the same one if RetryAtSameRouter is set.
+	UnreadRatio       float64
+	RetryAtSameRouter bool
 	// Length is the duration of arrivals.
 	Length time.Duration
 }
@@ -196,7 +197,7 @@
 	}
 	req.tries++
 	via := up[s.routingRNG.IntN(len(up))]
-	if s.pattern.SingleRouter && req.workspace == workspaceName(1) && (req.tries == 1 || s.pattern.UnreadRatio == 0) {
+	if s.pattern.SingleRouter && req.workspace == workspaceName(1) && (req.tries == 1 || s.pattern.UnreadRatio == 0 || s.pattern.RetryAtSameRouter) {
 		via = up[len(up)-1]
 		if s.routingRNG.Float64() < s.pattern.UnreadRatio {
 			s.refuseUnread(via, req)
