Divide by the fraction that is shed, not by the largest workspace

A router whose load comes from many small workspaces could not shed: what each sent was below the rate served of the largest one, or below a twentieth of its arrivals, so that all of it was exempted, whatever the lag.

Change: the fair rate follows from the fraction that is to be shed of all arrivals (the least of each workspace's rate and the fair rate adds up to the rest). It goes to zero as everything is shed, so nothing is exempted for good. Workspaces that are served whole by the mean fraction of the last half second are served also while everything is selected for a moment.

--- a/router/flood_test.go
+++ b/router/flood_test.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -11,8 +13,9 @@
 // requests in between. The figures were measured with a stream of eight events.
 type floodLoad struct {
 	perSecond int
-	// besidePerSecond is the load of another workspace whose callers use the same router.
-	besidePerSecond int
+	// besidePerSecond is the load of each of the besideCount other workspaces (one if zero)
+	// whose callers use the same router.
+	besidePerSecond, besideCount int
 	// cores is the router's share of a processor core.
 	cores float64
 	// servedCPUTime and refusedCPUTime are the processor time of a served and of a refused request,
@@ -45,8 +48,8 @@
 	nextMeasurement := time.Duration(0)
 	start := time.Now()
 	arrive := func(now time.Duration, workspace string) {
-		next := cpuTurn{beside: workspace == "beside", arrivedAt: now}
-		if o.shouldShed(false) && !fair.exempts(start.Add(now), workspace, 1, o.shedProbability(false)) {
+		next := cpuTurn{beside: workspace != "flood", arrivedAt: now}
+		if o.shouldShed(false) && !fair.exempts(start.Add(now), workspace, 1, o.shedProbability(false), o.meanShedProbability(false)) {
 			next.cost = f.refusedCPUTime
 		} else {
 			next.turnsLeft, next.cost = f.turns, f.servedCPUTime/time.Duration(f.turns)
@@ -57,8 +60,9 @@
 		for dueArrivals += float64(f.perSecond) * step.Seconds(); dueArrivals >= 1; dueArrivals-- {
 			arrive(now, "flood")
 		}
-		for dueBeside += float64(f.besidePerSecond) * step.Seconds(); dueBeside >= 1; dueBeside-- {
-			arrive(now, "beside")
+		others := max(1, f.besideCount)
+		for dueBeside += float64(others*f.besidePerSecond) * step.Seconds(); dueBeside >= 1; dueBeside-- {
+			arrive(now, fmt.Sprint("beside ", rand.IntN(others)))
 		}
 		cpuBudget = min(cpuBudget+time.Duration(f.cores*float64(step)), step)
 		for len(queue) > 0 && cpuBudget >= queue[0].cost {
@@ -175,3 +179,26 @@
 		}
 	}
 }
+
+// TestManySmallWorkspacesAreShed guards against a router that cannot shed because each of its
+// many workspaces sends little: most of what it accepts must still be in time.
+func TestManySmallWorkspacesAreShed(t *testing.T) {
+	const (
+		duration     = 6 * time.Second
+		minShare     = 0.5
+		maxLateShare = 0.25
+	)
+	f := floodLoad{
+		perSecond: 100, besidePerSecond: 5, besideCount: 400, cores: 0.19,
+		servedCPUTime: 300 * time.Microsecond, refusedCPUTime: 30 * time.Microsecond, turns: 10,
+		maxWait: 150 * time.Millisecond,
+	}
+	o := &overload{log: slog.New(slog.DiscardHandler), hasTooManyConns: func() bool { return false }}
+	got := f.simulate(o, duration)
+	arrivals := float64(f.perSecond + f.besideCount*f.besidePerSecond)
+	left := (f.cores - f.refusedCPUTime.Seconds()*arrivals) / f.servedCPUTime.Seconds() * duration.Seconds()
+	t.Logf("%d in time, %d late of %.0f that the processor could serve", got.inTime, got.late, left)
+	if float64(got.inTime) < minShare*left || float64(got.late) > maxLateShare*float64(got.inTime+got.late) {
+		t.Errorf("%d in time, %d late of %.0f that the processor could serve", got.inTime, got.late, left)
+	}
+}
--- a/router/overload.go
+++ b/router/overload.go
@@ -19,6 +19,8 @@
 	// last measurement was late. What a router accepts within one lagInterval of a flood, whose
 	// refusals take most of its processor time, can take it seconds to serve.
 	shedInterval = 10 * time.Millisecond
+	// meanShedTimeConstant is the time constant of the mean fraction that is shed.
+	meanShedTimeConstant = 500 * time.Millisecond
 	// lagWeight is the weight of a new measurement in the moving average, which thus
 	// covers about the last half second.
 	lagWeight = 0.2
@@ -99,8 +101,12 @@
 	// updated.
 	lag        time.Duration
 	averagedAt time.Time
-	// lastLateness is the last measurement.
+	// lastLateness is the last measurement, and measuredAt when it was made.
 	lastLateness time.Duration
+	measuredAt   time.Time
+	// meanShedFraction is the mean of shedFraction over meanShedTimeConstant, as the bits of a
+	// float64.
+	meanShedFraction atomic.Uint64
 	// shedFraction is the fraction of requests on new connections that is refused unread, as
 	// the bits of a float64.
 	shedFraction atomic.Uint64
@@ -159,6 +165,15 @@
 	return min(max(float64(excessLag)/float64(shedKeptLagRange), 0), 1)
 }
 
+// meanShedProbability returns the mean of shedProbability over the last moments. For kept
+// connections it follows the lag, which is an average already.
+func (o *overload) meanShedProbability(kept bool) float64 {
+	if !kept {
+		return math.Float64frombits(o.meanShedFraction.Load())
+	}
+	return o.shedProbability(kept)
+}
+
 // hasFewCallers reports whether there are too few callers for shedding to help.
 func (o *overload) hasFewCallers() bool {
 	return o.callerCount != nil && o.callerCount() <= maxUnshedCallers
@@ -208,6 +223,8 @@
 func (o *overload) measure(now time.Time, lateness time.Duration) {
 	o.lastLateness = lateness
 	o.aboveTargetLag.add(lateness > shedTargetLag)
+	o.updateMeanShed(now.Sub(o.measuredAt))
+	o.measuredAt = now
 	o.adjustShedFraction(lateness)
 	if now.Sub(o.averagedAt) < lagInterval {
 		return
@@ -264,6 +281,13 @@
 	o.shedFraction.Store(math.Float64bits(min(max(fraction, 0), 1)))
 }
 
+// updateMeanShed adds the fraction that was shed since the last measurement to its mean.
+func (o *overload) updateMeanShed(elapsed time.Duration) {
+	weight := 1 - math.Exp(-elapsed.Seconds()/meanShedTimeConstant.Seconds())
+	mean := o.meanShedProbability(false)
+	o.meanShedFraction.Store(math.Float64bits(mean + weight*(o.shedProbability(false)-mean)))
+}
+
 // logShedding logs when the router begins to refuse requests unread, and when it accepts all
 // of them again.
 func (o *overload) logShedding(now time.Time, lateness time.Duration) {
--- a/router/unread.go
+++ b/router/unread.go
@@ -124,7 +124,8 @@
 	if !known {
 		return true
 	}
-	if r.fairShed.exempts(time.Now(), workspace, snapshot.Declarations.ShareOf(workspace), r.overload.shedProbability(kept)) {
+	share := snapshot.Declarations.ShareOf(workspace)
+	if r.fairShed.exempts(time.Now(), workspace, share, r.overload.shedProbability(kept), r.overload.meanShedProbability(kept)) {
 		return false
 	}
 	pools := make([]string, 0, len(route.Split))
