--- a/control/sched/shares_test.go
+++ b/control/sched/shares_test.go
@@ -189,6 +189,40 @@
 	}
 }
 
+// TestUnreadRefusalsLowerTheLevel guards against shares that are worked out from what routers
+// let through: a workspace that they refuse unread raises the shares of the others by what it
+// cannot use, up to no limit, and requests within a share never yield.
+func TestUnreadRefusalsLowerTheLevel(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// unread is the number of requests refused unread for each one that is served.
+		unread int
+		// want is what the other workspace has within its share, per second.
+		want float64
+	}{
+		{"most are refused unread", 9, 500},
+		{"none is refused unread", 0, 800},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := NewShares(1000)
+			const step, seconds = 10 * time.Millisecond, 20
+			within := 0.0
+			for now := time.Duration(0); now < seconds*time.Second; now += step {
+				if s.Take(now, "by all", 8) && now >= seconds/2*time.Second {
+					within += 8
+				}
+				s.Served(now, "by all", 8)
+				s.Take(now, "by one", 1)
+				s.Served(now, "by one", 1)
+				s.RefusedUnread(now, "by one", c.unread)
+			}
+			if got := within / (seconds / 2); math.Abs(got-c.want) > 0.1*c.want {
+				t.Errorf("the other workspace has %.0f a second within its share, want %.0f", got, c.want)
+			}
+		})
+	}
+}
+
 // TestUnreadRefusalsGainNoCredit checks that a workspace whose requests routers begin to
 // refuse unread counts as served like the least served of the others that want more, as
 // does one that is refused here. It has no claim for the time before.
