--- a/router/flood_test.go
+++ b/router/flood_test.go
@@ -140,19 +140,21 @@
 		duration = 6 * time.Second
 		promised = 0.5
 	)
-	for _, perSecond := range []int{800, 1500, 2500} {
-		f := floodLoad{
-			perSecond: perSecond, besidePerSecond: 50, cores: 0.19,
-			servedCPUTime: 300 * time.Microsecond, refusedCPUTime: 30 * time.Microsecond, turns: 10,
-			maxWait: 150 * time.Millisecond,
-		}
-		o := &overload{log: slog.New(slog.DiscardHandler), hasTooManyConns: func() bool { return false }}
-		got := f.simulate(o, duration)
-		asked := float64(f.besidePerSecond) * duration.Seconds()
-		t.Logf("%d per second: %d in time and %d late, %d in time of %.0f of the other workspace", perSecond, got.inTime, got.late, got.besideInTime, asked)
-		if float64(got.besideInTime) < promised*asked {
-			t.Errorf("%d per second: %d in time of %.0f that the other workspace asked for", perSecond, got.besideInTime, asked)
-		}
+	for _, perSecond := range []int{800, 1500, 2500, 5000} {
+		t.Run(fmt.Sprintf("%d per second", perSecond), func(t *testing.T) {
+			f := floodLoad{
+				perSecond: perSecond, besidePerSecond: 50, cores: 0.19,
+				servedCPUTime: 300 * time.Microsecond, refusedCPUTime: 30 * time.Microsecond, turns: 10,
+				maxWait: 150 * time.Millisecond,
+			}
+			o := &overload{log: slog.New(slog.DiscardHandler), hasTooManyConns: func() bool { return false }}
+			got := f.simulate(o, duration)
+			asked := float64(f.besidePerSecond) * duration.Seconds()
+			t.Logf("%d per second: %d in time and %d late, %d in time of %.0f of the other workspace", perSecond, got.inTime, got.late, got.besideInTime, asked)
+			if float64(got.besideInTime) < promised*asked {
+				t.Errorf("%d per second: %d in time of %.0f that the other workspace asked for", perSecond, got.besideInTime, asked)
+			}
+		})
 	}
 }
 
@@ -164,19 +166,21 @@
 		duration = 6 * time.Second
 		minShare = 0.5
 	)
-	for _, perSecond := range []int{3500, 4500} {
-		f := floodLoad{
-			perSecond: perSecond, cores: 0.19,
-			servedCPUTime: 300 * time.Microsecond, refusedCPUTime: 30 * time.Microsecond, turns: 10,
-			maxWait: 150 * time.Millisecond,
-		}
-		o := &overload{log: slog.New(slog.DiscardHandler), hasTooManyConns: func() bool { return false }}
-		got := f.simulate(o, duration)
-		left := (f.cores - f.refusedCPUTime.Seconds()*float64(perSecond)) / f.servedCPUTime.Seconds() * duration.Seconds()
-		t.Logf("%d per second: %d in time, %d late of %.0f that the processor could serve", perSecond, got.inTime, got.late, left)
-		if float64(got.inTime) < minShare*left {
-			t.Errorf("%d per second: %d in time of %.0f that the processor could serve", perSecond, got.inTime, left)
-		}
+	for _, perSecond := range []int{3500, 4500, 5000} {
+		t.Run(fmt.Sprintf("%d per second", perSecond), func(t *testing.T) {
+			f := floodLoad{
+				perSecond: perSecond, cores: 0.19,
+				servedCPUTime: 300 * time.Microsecond, refusedCPUTime: 30 * time.Microsecond, turns: 10,
+				maxWait: 150 * time.Millisecond,
+			}
+			o := &overload{log: slog.New(slog.DiscardHandler), hasTooManyConns: func() bool { return false }}
+			got := f.simulate(o, duration)
+			left := (f.cores - f.refusedCPUTime.Seconds()*float64(perSecond)) / f.servedCPUTime.Seconds() * duration.Seconds()
+			t.Logf("%d per second: %d in time, %d late of %.0f that the processor could serve", perSecond, got.inTime, got.late, left)
+			if float64(got.inTime) < minShare*left {
+				t.Errorf("%d per second: %d in time of %.0f that the processor could serve", perSecond, got.inTime, left)
+			}
+		})
 	}
 }
 
