Probe a failing target also while a run from before its failure hangs

What callers saw: a service with two sound targets of three was refused (605) for five seconds, as the third one left; requests on a route that had just been added to it were not served.

Cause: a failing target gets a single run as a probe, and the room for it was one less than the runs held. Class: a run without an end counts as one that makes progress.

Change: the probe is the latest run granted since the failure; the next one follows when it has ended, or after 2 s. A declared slot must be free for it. walnut_control_target_probes_total counts them.

Tests, which failed before: TestHungRunDoesNotBlockProbe ("0 runs within 8s of the failure, want one probe"), TestHungProbeDoesNotBlockNextProbe ("no probe within 8s"). TestFailingTargetGetsOneProbeAtATime passed before and after.

--- a/control/grants.go
+++ b/control/grants.go
@@ -174,6 +174,9 @@
 	}
 	m.counters.GrantsMade++
 	t.window.Granted(m.now)
+	if t.failures > 0 {
+		m.recordProbe(t, g)
+	}
 	if m.topo.decl.Pools[q.shard.id.Pool].ColdPerSecond > 0 {
 		t.cold.record(m.now)
 		m.armCold(t)
--- a/control/release.go
+++ b/control/release.go
@@ -155,6 +155,9 @@
 
 func (m *Machine) removeGrant(g *grant) {
 	m.timers.stop(&g.timer)
+	if g.target.probe == g {
+		g.target.probe = nil
+	}
 	delete(m.sched.grants, g.id)
 	delete(g.shard.granted, g.ticket)
 	byNode := m.sched.byNode[g.ticket.Node]
--- a/control/status.go
+++ b/control/status.go
@@ -31,6 +31,7 @@
 	SchedulersUnanswering uint64
 	NodesSuspected        uint64
 	TargetFailures        uint64
+	TargetProbes          uint64 // runs granted to failing targets
 	TargetsCold           uint64
 	Convictions           uint64
 	MessagesSent          uint64
--- a/control/target.go
+++ b/control/target.go
@@ -17,6 +17,9 @@
 	// maxConsecutiveErrors is how many consecutive runs have to end with a target's error
 	// for it to count as failing.
 	maxConsecutiveErrors = 5
+	// probeTimeout is how long a probe of a failing target may run before the next one is
+	// made: it may hang, as the target failed.
+	probeTimeout = 2 * time.Second
 	// unservableAfter is how long a target must fail before tickets that only it could
 	// serve are refused.
 	unservableAfter = 5 * time.Second
@@ -58,6 +61,9 @@
 	failures     int
 	failingSince Instant
 	backoffUntil Instant
+	// probe is the latest run granted during the current series of failures; nil if it has
+	// ended.
+	probe *grant
 	// loadReportedAt is when the last load report arrived; negative if none did.
 	loadReportedAt Instant
 	// polledAt is when a load poll was last answered.
@@ -106,7 +112,10 @@
 	room := 0
 	switch {
 	case t.failures > 0:
-		room = max(0, 1-t.window.Held()) // a single run as a probe
+		// Runs from before the failure may hang: they take slots, but do not count as the probe.
+		if now >= t.nextProbeAt() && t.window.Held() < t.window.Slots() {
+			room = 1
+		}
 	case t.engine != nil:
 		room = t.engine.FreeSlots()
 	default:
@@ -118,6 +127,14 @@
 	return room
 }
 
+// nextProbeAt returns the earliest time at which a failing target may be probed.
+func (t *target) nextProbeAt() Instant {
+	if t.probe == nil {
+		return t.backoffUntil
+	}
+	return max(t.backoffUntil, t.probe.grantedAt+probeTimeout)
+}
+
 // isUnservable reports whether the target cannot be expected to serve again soon. A target
 // that may be probed is servable: only a ticket can show whether it works again.
 func (t *target) isUnservable(now Instant) bool {
@@ -194,10 +211,17 @@
 	backoff := min(minBackoff<<(t.failures-1), longest)
 	t.backoffUntil = m.now + m.jitter(backoff)
 	m.emit(TargetHealthChanged{Target: t.name, Failing: true, Failures: t.failures, Backoff: t.backoffUntil - m.now, Cause: cause})
-	m.timers.set(&t.timer, t, t.backoffUntil)
+	m.timers.set(&t.timer, t, t.nextProbeAt())
 	m.updateUnservable(t)
 }
 
+// recordProbe records a run granted to a failing target.
+func (m *Machine) recordProbe(t *target, g *grant) {
+	t.probe = g
+	m.counters.TargetProbes++
+	m.timers.set(&t.timer, t, t.nextProbeAt())
+}
+
 // updateUnservable refuses what only this target could serve, once it cannot be expected to
 // serve again soon.
 func (m *Machine) updateUnservable(t *target) {
@@ -233,6 +257,7 @@
 	t.failures = 0
 	t.consecutiveErrors = 0
 	t.backoffUntil = 0
+	t.probe = nil
 	t.pollFailed = false
 	t.unreachable, t.lostRuns = false, 0
 }
--- /dev/null
+++ b/control/target_test.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"testing"
+	"time"
+)
+
+// hungRunFleet is one machine that schedules a target with several slots, some of whose runs
+// never end.
+type hungRunFleet struct {
+	machine  *Machine
+	now      Instant
+	requests RequestID
+}
+
+func newHungRunFleet() *hungRunFleet {
+	f := &hungRunFleet{machine: New(Options{Node: "n1", Incarnation: 1, DataCentre: "ikeja"})}
+	snapshot := oneSlotSnapshot()
+	target := snapshot.Declarations.Targets["t1"]
+	target.Slots = 6
+	snapshot.Declarations.Targets["t1"] = target
+	f.machine.Step(0, ConfigChanged{Snapshot: snapshot})
+	f.wait(time.Second)
+	return f
+}
+
+// wait passes time, with ticks.
+func (f *hungRunFleet) wait(d time.Duration) (dispatches []Dispatch) {
+	for end := f.now + d; f.now < end; {
+		f.now += 20 * time.Millisecond
+		dispatches = append(dispatches, dispatchesIn(f.machine.Step(f.now, Tick{}))...)
+	}
+	return dispatches
+}
+
+// arrive passes a request that waits for up to a minute.
+func (f *hungRunFleet) arrive() []Dispatch {
+	f.requests++
+	return dispatchesIn(f.machine.Step(f.now, RequestArrived{
+		Request: f.requests, Attempt: 1, Workspace: "bakery", Pool: "draft", Deadline: f.now + time.Minute,
+	}))
+}
+
+func (f *hungRunFleet) end(d Dispatch, outcome Outcome) []Dispatch {
+	return dispatchesIn(f.machine.Step(f.now, RunEnded{Request: d.Request, Grant: d.Grant, Outcome: outcome, Service: 20 * time.Millisecond}))
+}
+
+// TestHungRunDoesNotBlockProbe guards against a failing target that gets no probe for as long
+// as a run from before its failure hangs.
+func TestHungRunDoesNotBlockProbe(t *testing.T) {
+	f := newHungRunFleet()
+	hung, lost := f.arrive(), f.arrive()
+	if len(hung) != 1 || len(lost) != 1 {
+		t.Fatalf("dispatched %v and %v, want one each", hung, lost)
+	}
+	f.end(lost[0], OutcomeLost)
+	probe := append(f.arrive(), f.wait(maxBackoff)...)
+	if len(probe) != 1 {
+		t.Fatalf("%d runs within %v of the failure, want one probe", len(probe), maxBackoff)
+	}
+	f.end(probe[0], OutcomeAnswered)
+	if len(f.arrive()) != 1 || len(f.arrive()) != 1 {
+		t.Error("the target gets no further requests although its probe was answered")
+	}
+}
+
+// TestHungProbeDoesNotBlockNextProbe guards against a failing target that gets no probe for as
+// long as its last probe hangs.
+func TestHungProbeDoesNotBlockNextProbe(t *testing.T) {
+	f := newHungRunFleet()
+	f.end(f.arrive()[0], OutcomeLost)
+	if hung := append(f.arrive(), f.wait(maxBackoff)...); len(hung) != 1 {
+		t.Fatalf("%d runs within %v of the failure, want one probe", len(hung), maxBackoff)
+	}
+	next := append(f.arrive(), f.arrive()...)
+	if next = append(next, f.wait(maxBackoff)...); len(next) == 0 {
+		t.Fatalf("no probe within %v", maxBackoff)
+	}
+	f.end(next[0], OutcomeAnswered)
+	if len(f.arrive()) != 1 {
+		t.Error("the target gets no further requests although a probe was answered")
+	}
+}
+
+// TestFailingTargetGetsOneProbeAtATime guards against several requests lost at once in a target
+// that still fails.
+func TestFailingTargetGetsOneProbeAtATime(t *testing.T) {
+	f := newHungRunFleet()
+	f.end(f.arrive()[0], OutcomeLost)
+	probes := 0
+	for range 6 {
+		probes += len(f.arrive())
+	}
+	probes += len(f.wait(minBackoff + time.Second))
+	if probes != 1 {
+		t.Errorf("%d probes at once, want one", probes)
+	}
+}
