--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
@@ -165,6 +166,39 @@
 	}
 }
 
+// TestOverdueRunFreesItsSlot guards against a slot that stays taken until the limit of the run
+// when a target does not answer a non-idempotent request, whose run outlives its deadline.
+func TestOverdueRunFreesItsSlot(t *testing.T) {
+	ended := make(chan control.Outcome, 2)
+	f := &Filter{Client: &fakeTarget{do: func(context.Context) (*targets.Response, error) {
+		select {
+		case outcome := <-ended:
+			if outcome != control.OutcomeFailed {
+				t.Errorf("the run ended with outcome %v", outcome)
+			}
+		case <-time.After(10 * time.Second):
+			t.Error("the slot is still taken 10 s after the deadline")
+		}
+		return nil, result.New(result.FirstByteTimeout, "Slow.")
+	}}, Log: slog.New(slog.DiscardHandler), FirstByteTimeout: time.Hour}
+	ex := &pipeline.Exchange{
+		ID: "r-1", Route: &config.NamedRoute{Route: config.Route{Kind: config.RouteNonIdempotent}}, Deadline: time.Now().Add(10 * time.Millisecond),
+		ServingContext: context.Background(), Run: signallingRun(ended),
+	}
+	if err := f.Serve(context.Background(), ex, nil); err == nil {
+		t.Error("the call did not fail")
+	}
+}
+
+// signallingRun passes on the outcomes that a run was ended with.
+type signallingRun chan control.Outcome
+
+// Begin implements pipeline.Run.
+func (signallingRun) Begin() {}
+
+// End implements pipeline.Run.
+func (r signallingRun) End(outcome control.Outcome) { r <- outcome }
+
 // TestNoCallForKnownGoneCaller checks that a request whose caller is known to have
 // disconnected is refused as not run.
 func TestNoCallForKnownGoneCaller(t *testing.T) {
