Free an overdue run's slot only when its target answers another run

Now the entry reports such a run as overdue (RunOverdue, PhaseOverdue), and the scheduler frees its slot when the target answers a run that it was given later: only then does it serve, and the answer was lost.

--- a/control/events.go
+++ b/control/events.go
@@ -95,6 +95,10 @@
 	After time.Duration
 }
 
+// RunOverdue reports that the target of a run has not begun to answer although the request's
+// deadline, which it was told, has passed.
+type RunOverdue struct{ Grant GrantID }
+
 // RunEnded reports that the run under a grant ended.
 type RunEnded struct {
 	Request RequestID
@@ -182,6 +186,7 @@
 func (RequestArrived) isEvent()        {}
 func (RequestCancelled) isEvent()      {}
 func (RunBegan) isEvent()              {}
+func (RunOverdue) isEvent()            {}
 func (RunEnded) isEvent()              {}
 func (MessageReceived) isEvent()       {}
 func (PeerState) isEvent()             {}
--- a/control/machine.go
+++ b/control/machine.go
@@ -144,6 +144,8 @@
 		m.requestCancelled(ev)
 	case RunBegan:
 		m.runBegan(ev)
+	case RunOverdue:
+		m.runOverdue(ev)
 	case RunEnded:
 		m.runEnded(ev)
 	case MessageReceived:
--- a/control/messages.go
+++ b/control/messages.go
@@ -87,6 +87,9 @@
 	// PhaseBegan: the target has begun to answer, so it has read the prompt. Sent once, for
 	// targets that count in tokens; if lost, the report of the next run compensates for it.
 	PhaseBegan
+	// PhaseOverdue: like PhaseRunning, for a run whose target has not begun to answer although
+	// the request's deadline has passed. The answer may have been lost.
+	PhaseOverdue
 )
 
 // Report informs the scheduler of a shard about a run under a grant. PhaseEnded is sent
--- a/control/release.go
+++ b/control/release.go
@@ -12,7 +12,13 @@
 		m.runEndedReported(from, r)
 		return
 	}
-	if m.topo == nil || m.sched.finished.has(m.now, r.Grant) {
+	if m.topo == nil {
+		return
+	}
+	if m.sched.finished.has(m.now, r.Grant) {
+		if r.Phase == PhaseOverdue {
+			m.sched.finished.add(m.now, r.Grant, finishedRetention) // its slot stays free
+		}
 		return
 	}
 	g := m.sched.grants[r.Grant]
@@ -24,8 +30,11 @@
 	g.reportedAt = m.now
 	g.confirmed = true
 	m.armGrant(g)
-	if r.Phase == PhaseBegan {
+	switch r.Phase {
+	case PhaseBegan:
 		m.runBeganReported(g, r.Service)
+	case PhaseOverdue:
+		g.target.addOverdue(g)
 	}
 }
 
@@ -70,6 +79,9 @@
 		})
 	}
 	m.registerGrant(g, 0)
+	if r.Phase == PhaseOverdue {
+		g.target.addOverdue(g)
+	}
 	m.sendGrant(g)
 }
 
@@ -123,6 +135,7 @@
 	switch r.Outcome {
 	case OutcomeAnswered:
 		m.runAnswered(g.fingerprint)
+		m.freeOverdue(g.target, g.grantedAt)
 	case OutcomeLost:
 		m.runLost(g)
 	}
@@ -155,9 +168,7 @@
 
 func (m *Machine) removeGrant(g *grant) {
 	m.timers.stop(&g.timer)
-	if g.target.probe == g {
-		g.target.probe = nil
-	}
+	g.target.removeGrant(g)
 	delete(m.sched.grants, g.id)
 	delete(g.shard.granted, g.ticket)
 	byNode := m.sched.byNode[g.ticket.Node]
@@ -167,6 +178,21 @@
 	}
 }
 
+// freeOverdue frees the slots of the overdue runs at a target that answered a run granted later:
+// it serves, so their answers were lost.
+func (m *Machine) freeOverdue(t *target, answeredGrantedAt Instant) {
+	for _, g := range slices.Clone(t.overdue) {
+		if g.grantedAt >= answeredGrantedAt {
+			continue
+		}
+		m.counters.GrantsOverdue++
+		m.sched.finished.add(m.now, g.id, finishedRetention)
+		m.sched.finished.add(m.now, ticketKey{g.ticket, g.shard.id}, finishedRetention)
+		t.window.Released(m.now)
+		m.settleGrant(g, g.usedTime(m.now, g.reportedAt-g.grantedAt))
+	}
+}
+
 // reclaimGrant frees the slot of a grant on which no reports arrive.
 func (m *Machine) reclaimGrant(g *grant) {
 	m.counters.GrantsReclaimed++
--- a/control/runs.go
+++ b/control/runs.go
@@ -28,6 +28,8 @@
 	startedAt   Instant
 	// began reports that its target has begun to answer.
 	began bool
+	// overdue reports that it has not, although the request's deadline has passed.
+	overdue bool
 	// reportedTo is the scheduler that counts the run.
 	reportedTo NodeID
 	// informedNodes are the nodes that may count the run: its end is reported to all of them.
@@ -53,7 +55,7 @@
 	if run := m.entry.runs[g.ID]; run != nil {
 		// The scheduler does not know of the run yet.
 		run.markInformed(from)
-		m.send(from, run.report(m.now, PhaseRunning))
+		m.send(from, run.report(m.now, run.phase()))
 		return
 	}
 	if e := m.entry.ended[endedKey{g.ID, from}]; e != nil {
@@ -167,6 +169,13 @@
 	}
 }
 
+func (m *Machine) runOverdue(ev RunOverdue) {
+	if run := m.entry.runs[ev.Grant]; run != nil {
+		run.overdue = true
+		run.fire(m)
+	}
+}
+
 // endRun reports the end of a run to the shard's scheduler, and to the others that may
 // count it: one that is not informed keeps the slot occupied and continues to charge for
 // it.
@@ -195,6 +204,14 @@
 	}
 }
 
+// phase returns the phase of a run in progress.
+func (r *run) phase() RunPhase {
+	if r.overdue {
+		return PhaseOverdue
+	}
+	return PhaseRunning
+}
+
 func (r *run) report(now Instant, phase RunPhase) Report {
 	return Report{
 		Grant:       r.grant.ID,
@@ -246,14 +263,14 @@
 		m.reportRunInFull(r)
 		return
 	}
-	m.reportRunning(r, r.report(m.now, PhaseRunning))
+	m.reportRunning(r, r.report(m.now, r.phase()))
 }
 
 // reportRunInFull reports a run to a scheduler that may not know it, with all that the
 // scheduler needs to count it as if it had granted it. When only the slot was counted,
 // targets with half a second of prompts to read appeared idle and were overfilled.
 func (m *Machine) reportRunInFull(r *run) {
-	report := r.report(m.now, PhaseRunning)
+	report := r.report(m.now, r.phase())
 	report.Work, report.Reads, report.Began = r.work, r.grant.Reads, r.began
 	m.reportRunning(r, report)
 }
--- a/control/status.go
+++ b/control/status.go
@@ -26,6 +26,7 @@
 	GrantsAdopted         uint64
 	GrantsEnded           uint64
 	GrantsReclaimed       uint64
+	GrantsOverdue         uint64 // whose slots were freed as their answers were lost
 	GrantsDisowned        uint64 // no longer tracked as their entry node was unreachable
 	ReportsResent         uint64
 	SchedulersUnanswering uint64
--- a/control/target.go
+++ b/control/target.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
@@ -64,6 +65,8 @@
 	// probe is the latest run granted during the current series of failures; nil if it has
 	// ended.
 	probe *grant
+	// overdue holds the grants whose runs are overdue, oldest report first.
+	overdue []*grant
 	// loadReportedAt is when the last load report arrived; negative if none did.
 	loadReportedAt Instant
 	// polledAt is when a load poll was last answered.
@@ -135,6 +138,23 @@
 	return max(t.backoffUntil, t.probe.grantedAt+probeTimeout)
 }
 
+// addOverdue records that a run is overdue.
+func (t *target) addOverdue(g *grant) {
+	if !slices.Contains(t.overdue, g) {
+		t.overdue = append(t.overdue, g)
+	}
+}
+
+// removeGrant removes a grant that has ended from the probe and the overdue runs.
+func (t *target) removeGrant(g *grant) {
+	if t.probe == g {
+		t.probe = nil
+	}
+	if i := slices.Index(t.overdue, g); i >= 0 {
+		t.overdue = slices.Delete(t.overdue, i, i+1)
+	}
+}
+
 // isUnservable reports whether the target cannot be expected to serve again soon. A target
 // that may be probed is servable: only a ticket can show whether it works again.
 func (t *target) isUnservable(now Instant) bool {
--- a/control/target_test.go
+++ b/control/target_test.go
@@ -96,3 +96,39 @@
 		t.Errorf("%d probes at once, want one", probes)
 	}
 }
+
+// TestOverdueRunFreesItsSlot guards against a slot that stays taken until the limit of a run whose
+// answer was lost, although its target answers others, and against one that is freed while the
+// target may still be at work.
+func TestOverdueRunFreesItsSlot(t *testing.T) {
+	f := newHungRunFleet()
+	var runs []Dispatch
+	for range 6 {
+		runs = append(runs, f.arrive()...)
+	}
+	if len(runs) != 6 || len(f.arrive()) != 0 {
+		t.Fatalf("%d runs in 6 slots", len(runs))
+	}
+	for _, hung := range runs[1:] {
+		f.machine.Step(f.now, RunOverdue{Grant: hung.Grant})
+	}
+	if early := f.wait(10 * time.Second); len(early) != 0 {
+		t.Fatalf("%d slots were freed although the target has answered nothing", len(early))
+	}
+	waited := f.end(runs[0], OutcomeAnswered)
+	if len(waited) != 1 {
+		t.Fatalf("%d runs in the slot of an answered run, want one", len(waited))
+	}
+	f.end(waited[0], OutcomeAnswered)
+	again := 0
+	for range 6 {
+		again += len(f.arrive())
+	}
+	f.wait(time.Minute) // further reports of the overdue runs take no slots
+	if again != 6 || f.machine.Counters().GrantsAdopted != 0 {
+		t.Errorf("%d of 6 slots are free, %d overdue runs were counted again", again, f.machine.Counters().GrantsAdopted)
+	}
+	if freed := f.machine.Counters().GrantsOverdue; freed != 5 {
+		t.Errorf("%d slots of overdue runs were freed, want 5", freed)
+	}
+}
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -29,12 +29,11 @@
 	result.DeadlineBeforeGrant,
 )
 
-// overdueRuns counts the runs whose slots were freed because their targets did not answer by
-// the deadline.
+// overdueRuns counts the runs whose targets did not begin to answer by the deadline.
 var overdueRuns = metrics.GetOrCreateCounter(`walnut_dispatch_overdue_runs_total`)
 
-// overdueGrace is how long after its deadline a run keeps its slot. Targets are told the
-// deadline and stop working then; the rest is for their answers to arrive.
+// overdueGrace is how long after its deadline a run without an answer is overdue. Targets are
+// told the deadline and stop working then; the rest is for their answers to arrive.
 const overdueGrace = time.Second
 
 // Filter sends the request to ex.Address and hands the answer to Relay.
@@ -70,7 +69,7 @@
 		return result.New(result.DeadlineBeforeGrant, "The deadline passed before the request was sent.")
 	}
 	ctx = ex.RunContext(ctx)
-	stop := f.freeSlotWhenOverdue(ctx, ex)
+	stop := f.watchDeadline(ctx, ex)
 	answer, err := f.send(ctx, ex)
 	stop()
 	if err != nil {
@@ -83,18 +82,17 @@
 	return f.Relay(ctx, ex, answer)
 }
 
-// freeSlotWhenOverdue ends the run as failed, which frees its slot, when its deadline has passed
-// by overdueGrace, until stop is called. Only a run that outlives its caller can last so long. The
-// call to the target continues.
-func (f *Filter) freeSlotWhenOverdue(ctx context.Context, ex *pipeline.Exchange) (stop func() bool) {
+// watchDeadline reports the run as overdue when its deadline has passed by overdueGrace, until
+// stop is called. Only a run that outlives its caller can last so long.
+func (f *Filter) watchDeadline(ctx context.Context, ex *pipeline.Exchange) (stop func() bool) {
 	if ex.Route == nil || !ex.OutlivesCaller() {
 		return func() bool { return true }
 	}
 	run, id, target := ex.Run, ex.ID, ex.Target
 	return time.AfterFunc(time.Until(ex.Deadline)+overdueGrace, func() {
 		overdueRuns.Inc()
-		f.Log.WarnContext(ctx, "dispatch: Target did not answer by the deadline, slot freed.", "request", id, "target", target)
-		run.End(control.OutcomeFailed)
+		f.Log.WarnContext(ctx, "dispatch: Target has not answered by the deadline.", "request", id, "target", target)
+		run.Overdue()
 	}).Stop
 }
 
--- a/filters/events/gather_test.go
+++ b/filters/events/gather_test.go
@@ -49,7 +49,9 @@
 // noopRun is a run that ignores all calls.
 type noopRun struct{}
 
-func (noopRun) Begin()              {}
+func (noopRun) Begin()   {}
+func (noopRun) Overdue() {}
+
 func (noopRun) End(control.Outcome) {}
 
 // relayAll relays a stream at the given lag. It returns the number of reads, the time
--- a/filters/relay/relay_test.go
+++ b/filters/relay/relay_test.go
@@ -63,6 +63,8 @@
 
 func (c *recordedRun) Begin() {}
 
+func (c *recordedRun) Overdue() {}
+
 func (c *recordedRun) End(outcome control.Outcome) { c.outcomes = append(c.outcomes, outcome) }
 
 // firstOutcome returns the outcome that counts, which is the first; see pipeline.Run.
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -20,6 +20,9 @@
 	// Begin reports that the target has begun to answer, so that it has finished
 	// reading its input. Only the first call has an effect.
 	Begin()
+	// Overdue reports that the target has not begun to answer although the request's deadline,
+	// which it was told, has passed.
+	Overdue()
 	// End frees the slot. Only the first call has an effect.
 	End(outcome control.Outcome)
 }
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -171,6 +171,9 @@
 	})
 }
 
+// Overdue implements pipeline.Run.
+func (r *grantedRun) Overdue() { r.loop.post(control.RunOverdue{Grant: r.dispatch.Grant}) }
+
 // End implements pipeline.Run.
 func (r *grantedRun) End(outcome control.Outcome) {
 	r.endOnce.Do(func() {
