Keep the fleet's retry budget when routers restart, leave or are apart

Cause: the window of retries is kept in the process, so each process of a router spent the router's slack again, and what its requests earned on top of what its predecessor had spent: 55 processes in ten seconds, 2 to 17 retries each. The slack was divided by the routers alive in a router's view, which are one at the start, while all are leaving, and while cut off. Class: a bound of the fleet that is divided by what one process has seen since its start.

Change: in the first window of a process its requests earn a fifth of the ratio, which the others leave as a reserve, and it has no slack. The slack is divided by all routers that may be serving: alive, listed, or out of sight for less than 15 minutes; a router that sees a minority forgets nobody who is listed. An old process and its successors so use at most the whole ratio in any window: 0.8 and 0.2.

TestWindowBudgetAllowsBurst, TestFailedAnswerIsDelivered, TestBrokenStreamResumesElsewhere and TestRetryAfterOfATargetIsHonoured now let the first window pass; what they check is as it was.

--- a/filters/retry/retry.go
+++ b/filters/retry/retry.go
@@ -3,7 +3,8 @@
 // have run. Retries are limited by a budget, so that a partial outage does not
 // multiply the load. In the budget of New, each request adds a fraction of a retry, up to
 // a limit per workspace and one per router; that of NewWindowed bounds the retries of
-// each pool in a sliding window.
+// each pool in a sliding window, so that those of a fleet stay within its limits whichever
+// routers restart.
 package retry
 
 import (
--- a/filters/retry/retry_test.go
+++ b/filters/retry/retry_test.go
@@ -242,6 +242,7 @@
 func TestWindowBudgetAllowsBurst(t *testing.T) {
 	now := time.Now()
 	b := newWindowBudget(func() Limits { return Limits{Ratio: 0.2, Window: 10 * time.Second} }, func() time.Time { return now })
+	now = now.Add(10 * time.Second) // past the first window
 	for range 500 {
 		now = now.Add(10 * time.Millisecond)
 		b.recordRequest("pool", "a")
@@ -262,11 +263,19 @@
 	}
 }
 
+// settledWindowBudget returns a budget that is past its first window.
+func settledWindowBudget(limits Limits) *windowBudget {
+	b := newWindowBudget(func() Limits { return limits }, time.Now)
+	b.started = b.started.Add(-limits.Window)
+	return b
+}
+
 // TestFailedAnswerIsDelivered checks that an idempotent request whose target answered
 // with an error is retried, and gets that answer if no retry is left.
 func TestFailedAnswerIsDelivered(t *testing.T) {
 	for _, slack := range []float64{0, 5} {
-		f := NewWindowed(slog.New(slog.DiscardHandler), func() Limits { return Limits{Slack: slack, Window: time.Second} })
+		f := NewWindowed(slog.New(slog.DiscardHandler), nil)
+		f.budget = settledWindowBudget(Limits{Slack: slack, Window: time.Second})
 		ex := newRoutedExchange(config.RouteIdempotent, 2)
 		calls := 0
 		err := f.Serve(context.Background(), ex, func(_ context.Context, ex *pipeline.Exchange) error {
--- a/filters/retry/window.go
+++ b/filters/retry/window.go
@@ -22,13 +22,39 @@
 // plus Ratio for each request in the window.
 type Limits struct {
 	Ratio, Slack float64
-	Window       time.Duration
+	// FirstRatio applies instead of Ratio and Slack in the first window of a process: the
+	// process before it may have used all that this router had.
+	FirstRatio float64
+	Window     time.Duration
+}
+
+// usedShare is the share of the fleet's limits that routers use. The rest is a reserve: members
+// come and go, and it is what processes may use in their first window.
+const usedShare = 0.8
+
+// Share returns the part of the fleet's limits l that one of a number of routers may use. It
+// has no slack if the number is zero, which means that it is not known.
+func (l Limits) Share(routers int) Limits {
+	part := Limits{Ratio: usedShare * l.Ratio, FirstRatio: (1 - usedShare) * l.Ratio, Window: l.Window}
+	if routers > 0 {
+		part.Slack = usedShare * l.Slack / float64(routers)
+	}
+	return part
+}
+
+// allowed returns how many retries a window with this number of requests may hold.
+func (l Limits) allowed(isFirst bool, requests float64) float64 {
+	if isFirst {
+		return l.FirstRatio * requests
+	}
+	return l.Slack + l.Ratio*requests
 }
 
 // windowBudget is a budget that counts requests and retries in a sliding window.
 type windowBudget struct {
-	limits func() Limits
-	now    func() time.Time
+	limits  func() Limits
+	now     func() time.Time
+	started time.Time
 
 	mu    sync.Mutex
 	pools map[string]*poolWindow
@@ -51,7 +77,7 @@
 }
 
 func newWindowBudget(limits func() Limits, now func() time.Time) *windowBudget {
-	return &windowBudget{limits: limits, now: now, pools: make(map[string]*poolWindow)}
+	return &windowBudget{limits: limits, now: now, started: now(), pools: make(map[string]*poolWindow)}
 }
 
 // windowOrigin is the start of period 0, on the monotonic clock.
@@ -100,7 +126,7 @@
 			workspaceRetries += other.retriesByWorkspace[workspace]
 		}
 	}
-	allowed := limits.Slack + limits.Ratio*requests
+	allowed := limits.allowed(w.now().Sub(w.started) < limits.Window, requests)
 	if retries+1 > allowed || workspaceRetries+1 > max(1, maxWorkspaceFraction*allowed) {
 		return false
 	}
--- a/managedtest/fleet_test.go
+++ b/managedtest/fleet_test.go
@@ -44,13 +44,34 @@
 	settings []settings.Settings
 	logs     []*logBuffer // one for each router
 	version  uint64       // the newest published version
-	caller   *managed.Caller
+	// editSettings changes the settings of routers; may be nil.
+	editSettings func(*settings.Settings)
+	caller       *managed.Caller
 }
 
 // startFleet starts routers and the replicas that the options describe.
 func startFleet(t *testing.T, routers int, replicas ...managed.ReplicaOptions) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: managed.StartStore(), journal: &managed.Journal{}}
+	return startFleetWith(t, nil, routers, replicas...)
+}
+
+// startSettledFleet is like startFleet and waits until the routers have their part of the retry
+// budget, which they do not use in the first window after their start. Slack and window are a
+// fifth of the defaults.
+func startSettledFleet(t *testing.T, routers int, replicas ...managed.ReplicaOptions) *fleet {
+	t.Helper()
+	const window = 2 * time.Second
+	f := startFleetWith(t, func(s *settings.Settings) {
+		s.Retries.Slack, s.Retries.Window = 10, settings.Duration(window)
+	}, routers, replicas...)
+	time.Sleep(window)
+	return f
+}
+
+// startFleetWith is like startFleet, with settings that edit changes.
+func startFleetWith(t *testing.T, edit func(*settings.Settings), routers int, replicas ...managed.ReplicaOptions) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: managed.StartStore(), journal: &managed.Journal{}, editSettings: edit}
 	t.Cleanup(f.store.Close)
 	f.caller = managed.NewCaller("request", requestDeadline)
 	t.Cleanup(f.caller.Close)
@@ -89,6 +110,9 @@
 	s := devfleet.ManagedSettings(fmt.Sprintf("vm-%d", len(f.routers)+1), address)
 	s.Node.Regions = zoneRegions
 	s.Scheduling.ColdOvershoot, s.Scheduling.ColdSlack = coldOvershoot, coldSlack
+	if f.editSettings != nil {
+		f.editSettings(&s)
+	}
 	log := &logBuffer{}
 	r, err := router.Start(s, slog.New(slog.NewTextHandler(log, nil)))
 	if err != nil {
--- a/router/members.go
+++ b/router/members.go
@@ -215,6 +215,7 @@
 // recordLiveRouters records and logs which routers are alive. Only the control goroutine
 // calls it.
 func (r *Router) recordLiveRouters(alive []control.NodeID) {
+	r.fleet.setAlive(alive)
 	before := r.liveRouterCount.Swap(int64(len(alive)))
 	now := slices.Clone(alive)
 	var aliveBefore []control.NodeID
@@ -223,7 +224,7 @@
 	}
 	joined, gone := diffSorted(aliveBefore, now)
 	if len(joined)+len(gone) > 0 {
-		r.log.Info("member: Live routers changed.", "count", len(alive), "before", before,
+		r.log.Info("member: Live routers changed.", "count", len(alive), "before", before, "sharing", r.fleet.count(),
 			"joined", len(joined), "gone", len(gone), "first_joined", firstNames(joined), "first_gone", firstNames(gone))
 	}
 }
--- a/router/routed.go
+++ b/router/routed.go
@@ -49,20 +49,11 @@
 	)
 }
 
-// usedBudgetShare is the share of the fleet's retry budget that routers use. The rest is
-// a reserve, as members come and go and each router counts the others with a delay.
-const usedBudgetShare = 0.8
-
-// retryLimits returns this router's part of the fleet's retry budget: the ratio applies
-// to the requests that entered here, and the slack is divided equally.
+// retryLimits returns this router's part of the fleet's retry budget.
 func (r *Router) retryLimits() retry.Limits {
 	limits := r.retries.Load()
-	members := max(1, r.liveRouterCount.Load())
-	return retry.Limits{
-		Ratio:  usedBudgetShare * limits.Ratio,
-		Slack:  usedBudgetShare * limits.Slack / float64(members),
-		Window: time.Duration(limits.Window),
-	}
+	fleet := retry.Limits{Ratio: limits.Ratio, Slack: limits.Slack, Window: time.Duration(limits.Window)}
+	return fleet.Share(r.fleet.count())
 }
 
 // alwaysServing is the state of a router that accepts requests until it is closed: a
--- a/router/router.go
+++ b/router/router.go
@@ -59,8 +59,10 @@
 
 	// inForce is the configuration in force; nil before the first.
 	inForce atomic.Pointer[config.Snapshot]
-	// retries is the fleet's retry budget, and liveRouterCount how many routers share it.
-	retries         atomic.Pointer[settings.Retries]
+	// retries is the fleet's retry budget, and fleet the number of routers that share it.
+	retries atomic.Pointer[settings.Retries]
+	fleet   *fleetSize
+	// liveRouterCount is the number of routers that are alive.
 	liveRouterCount atomic.Int64
 	// lastLiveRouters is the list last passed to recordLiveRouters.
 	lastLiveRouters atomic.Pointer[[]control.NodeID]
--- a/router/shell.go
+++ b/router/shell.go
@@ -150,11 +150,13 @@
 	}
 	addresses := make(map[control.NodeID]string, len(vms))
 	members := make([]control.Member, 0, len(vms))
+	names := make([]control.NodeID, 0, len(vms))
 	for _, vm := range vms {
 		node := control.NodeID(vm.Name)
 		if vm.Name != r.settings.Node.Name {
 			addresses[node] = vm.PeerAddress
 		}
+		names = append(names, node)
 		members = append(members, control.Member{
 			Node:       node,
 			DataCentre: vm.DataCentre,
@@ -162,6 +164,7 @@
 			Cores:      vm.Cores,
 		})
 	}
+	r.fleet.setListed(names)
 	r.mesh.SetPeers(addresses)
 	r.loop.post(control.MembersListed{Members: members})
 }
--- a/router/start.go
+++ b/router/start.go
@@ -54,6 +54,7 @@
 		stopLoop:       make(chan struct{}),
 		drainedCh:      make(chan struct{}),
 		drainRequested: make(chan struct{}),
+		fleet:          newFleetSize(time.Now),
 	}
 	r.retries.Store(&s.Retries)
 	r.buildCore()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -151,7 +151,9 @@
 	MemoryMiB float64 `toml:"memory_mib"`
 }
 
-// Retries limits how often requests are sent to a target again, for the whole fleet.
+// Retries limits how often requests are sent to a target again, for the whole fleet. A router
+// uses a fifth of Ratio, and no Slack, for a Window after its start: the process before it may
+// have used its part.
 type Retries struct {
 	// Ratio is how many retries are allowed for each request of a pool. Default 0.2.
 	Ratio float64 `toml:"ratio"`
