Pace calls to the store by all routers that may be serving

Cause: repeated announcements, and the batching of calls for changes, were spread by the routers that are alive in a router's view. Routers that are cut off from one another each see one, and share the store's rates all the same.

Change: both use the size of the fleet.

Test, which failed before: TestAnnouncementsAreSpreadWhileCutOff ("spread over 20ms, want at least 3.4s").

--- a/router/managed.go
+++ b/router/managed.go
@@ -78,7 +78,7 @@
 			MaxLapseTime: maxLapseHeartbeats * time.Duration(r.settings.Platform.TargetHeartbeat),
 			OnRestored:   r.onStoreRestored,
 			ProbeEra:     s.Era,
-			Routers:      func() int { return int(r.liveRouterCount.Load()) },
+			Routers:      r.fleet.count,
 			Shared:       true,
 			OnLiveChange: func(live bool) { r.loop.post(control.FeedState{Live: live}) },
 			Log:          r.log,
--- a/router/members.go
+++ b/router/members.go
@@ -83,10 +83,16 @@
 // reannounce writes this router's row again. All routers learn of a restored store within
 // milliseconds of each other, so each waits for a random part of the time that all need.
 func (r *Router) reannounce(ctx context.Context) {
-	wait.For(ctx, rand.N(time.Duration(r.liveRouterCount.Load()+1)*reannounceSpreadPerRouter))
+	wait.For(ctx, rand.N(r.reannounceSpread()))
 	r.retryUntilDone(ctx, "announce this router", announceTimeout, r.announce)
 }
 
+// reannounceSpread returns the period over which the routers spread their repeated
+// announcements. It includes those that are cut off from this one: they reach the same store.
+func (r *Router) reannounceSpread() time.Duration {
+	return time.Duration(r.fleet.count()+1) * reannounceSpreadPerRouter
+}
+
 // relistDelay returns how long to wait for further unlisted routers before reading the list.
 func (r *Router) relistDelay() time.Duration {
 	routers := int(r.liveRouterCount.Load())
--- a/router/members_test.go
+++ b/router/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/walnutcove/walnutcove/control"
 )
@@ -17,3 +18,15 @@
 		t.Errorf("joined %v, gone %v although nothing changed", joined, gone)
 	}
 }
+
+// TestAnnouncementsAreSpreadWhileCutOff guards against routers that are cut off from one another,
+// and so each see themselves alone, announcing themselves to the store at the same time.
+func TestAnnouncementsAreSpreadWhileCutOff(t *testing.T) {
+	r := &Router{fleet: newFleetSize(time.Now)}
+	r.fleet.setListed(fleetNames(0, 340))
+	r.fleet.setAlive(fleetNames(0, 1))
+	r.liveRouterCount.Store(1)
+	if got, want := r.reannounceSpread(), 340*reannounceSpreadPerRouter; got < want {
+		t.Errorf("announcements are spread over %v, want at least %v", got, want)
+	}
+}
