Do not count a lost router again each time the list is read

The row of a router that was lost stays in the platform's list.

TestFleetSizeCountsRoutersOutOfSight, "one lost for good, and listed again": "8 routers, want 7" before.

--- a/control/release.go
+++ b/control/release.go
@@ -168,7 +168,7 @@
 
 func (m *Machine) removeGrant(g *grant) {
 	m.timers.stop(&g.timer)
-	g.target.removeGrant(g)
+	g.target.grantEnded(g)
 	delete(m.sched.grants, g.id)
 	delete(g.shard.granted, g.ticket)
 	byNode := m.sched.byNode[g.ticket.Node]
--- a/control/target.go
+++ b/control/target.go
@@ -145,8 +145,8 @@
 	}
 }
 
-// removeGrant removes a grant that has ended from the probe and the overdue runs.
-func (t *target) removeGrant(g *grant) {
+// grantEnded removes a grant that has ended from the probe and the overdue runs.
+func (t *target) grantEnded(g *grant) {
 	if t.probe == g {
 		t.probe = nil
 	}
--- a/router/fleetsize.go
+++ b/router/fleetsize.go
@@ -38,10 +38,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hasList = true
+	before := f.listed
 	f.listed = make(map[control.NodeID]bool, len(names))
 	for _, name := range names {
 		f.listed[name] = true
-		if _, known := f.lastSeen[name]; !known {
+		// The rows of routers that were lost stay in the list.
+		if _, known := f.lastSeen[name]; !known && !before[name] {
 			f.lastSeen[name] = f.now()
 		}
 	}
--- a/router/fleetsize_test.go
+++ b/router/fleetsize_test.go
@@ -48,6 +48,14 @@
 			f.setAlive(fleetNames(0, 7))
 			now = now.Add(2 * routerRetention)
 		}, 7},
+		{"one lost for good, and listed again", func(f *fleetSize) {
+			f.setListed(fleetNames(0, 8))
+			f.setAlive(fleetNames(0, 8))
+			f.setAlive(fleetNames(0, 7))
+			now = now.Add(2 * routerRetention)
+			f.count()
+			f.setListed(fleetNames(0, 8))
+		}, 7},
 		{"all but one left", func(f *fleetSize) {
 			f.setListed(fleetNames(0, 8))
 			f.setAlive(fleetNames(0, 8))
