Log and count how the answers of targets are framed

No log line or counter told an answer with a length or chunks from one that ends with its connection, so that the hypotheses about streams that were cut off and passed on as complete could not be told apart.

Each log line of a request now has the framing of the target's answer, and walnut_target_answers_total counts answers by framing. No decision changes.

--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -69,6 +69,7 @@
 		return result.New(result.DeadlineBeforeGrant, "The deadline passed before the request was sent.")
 	}
 	ctx = ex.RunContext(ctx)
+	ex.AnswerFraming = ""
 	stop := f.watchDeadline(ctx, ex)
 	answer, err := f.send(ctx, ex)
 	stop()
@@ -78,6 +79,7 @@
 		ex.Run.End(OutcomeOf(refusal))
 		return refusal
 	}
+	ex.AnswerFraming = answer.Framing
 	pipeline.Log(ctx, f.Log, slog.LevelDebug, ex, "dispatch: Answer began.", slog.Int("status", answer.Status))
 	return f.Relay(ctx, ex, answer)
 }
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/targets"
 )
 
 // Run is a granted slot of a target.
@@ -109,6 +110,9 @@
 	AnswerHeader map[string]string
 	AnswerBody   []byte
 	AnswerStream io.ReadCloser
+	// AnswerFraming is how the target framed the answer, for logs; empty if no target
+	// has answered.
+	AnswerFraming targets.Framing
 
 	// BeforeDispatch functions run right before the first byte is written to
 	// a target; an error refuses the request as not run.
--- a/pipeline/log.go
+++ b/pipeline/log.go
@@ -31,5 +31,8 @@
 	if ex.Attempt > 0 {
 		attrs = append(attrs, slog.Int("attempt", ex.Attempt))
 	}
+	if ex.AnswerFraming != "" {
+		attrs = append(attrs, slog.String("framing", string(ex.AnswerFraming)))
+	}
 	return attrs
 }
--- a/targets/body.go
+++ b/targets/body.go
@@ -29,10 +29,9 @@
 type body struct {
 	ex        *exchange
 	reader    io.Reader
-	chunked   bool
-	unframed  bool
+	framing   Framing
 	keepAlive bool
-	// remaining is the number of bytes still to come, if not chunked.
+	// remaining is the number of bytes still to come, with FramingLength.
 	remaining int64
 	// err is the sticky error: io.EOF after a complete answer.
 	err error
@@ -42,7 +41,7 @@
 }
 
 func newBody(ex *exchange, method string, header *fasthttp.ResponseHeader) *body {
-	b := &body{ex: ex, reader: ex.conn.reader, keepAlive: !header.ConnectionClose()}
+	b := &body{ex: ex, reader: ex.conn.reader, framing: FramingLength, keepAlive: !header.ConnectionClose()}
 	ex.conn.readTimeout = cmp.Or(ex.stallTimeout, ex.client.options.StallTimeout)
 	ex.conn.readDeadline = noDeadline
 	length := header.ContentLength()
@@ -50,14 +49,14 @@
 	case method == fasthttp.MethodHead || hasNoBody(header.StatusCode()):
 		b.remaining = 0
 	case length == lengthChunked:
-		b.chunked = true
+		b.framing = FramingChunked
 		b.reader = httputil.NewChunkedReader(ex.conn.reader)
 	case length == lengthUntilEOF:
-		b.unframed = true
+		b.framing = FramingClose
 	default:
 		b.remaining = int64(length)
 	}
-	if !b.chunked && !b.unframed && b.remaining == 0 {
+	if b.framing == FramingLength && b.remaining == 0 {
 		b.finish(io.EOF, b.keepAlive)
 	}
 	return b
@@ -75,10 +74,10 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
-	switch {
-	case b.chunked:
+	switch b.framing {
+	case FramingChunked:
 		return b.readChunked(p)
-	case b.unframed:
+	case FramingClose:
 		return b.readUnframed(p)
 	default:
 		return b.readCounted(p)
--- a/targets/counters.go
+++ b/targets/counters.go
@@ -49,6 +49,18 @@
 type counters struct {
 	calls    *metrics.Counter
 	failures map[reason]*metrics.Counter
+	// answers counts the answers by their framing; nil if they are not counted.
+	answers map[Framing]*metrics.Counter
+}
+
+// newRequestCounters returns the counters of callers' requests.
+func newRequestCounters(set *metrics.Set) *counters {
+	c := newCounters(set, "walnut_target_requests_total", "walnut_target_failures_total")
+	c.answers = make(map[Framing]*metrics.Counter)
+	for _, framing := range []Framing{FramingLength, FramingChunked, FramingClose} {
+		c.answers[framing] = set.GetOrCreateCounter(fmt.Sprintf("walnut_target_answers_total{framing=%q}", string(framing)))
+	}
+	return c
 }
 
 func newCounters(set *metrics.Set, calls, failures string) *counters {
@@ -66,6 +78,13 @@
 // countFailure counts a failure.
 func (c *counters) countFailure(r reason) { c.failures[r].Inc() }
 
+// countAnswer counts an answer whose head has been read.
+func (c *counters) countAnswer(framing Framing) {
+	if c.answers != nil {
+		c.answers[framing].Inc()
+	}
+}
+
 // newError counts a failure and returns its typed error.
 func (c *counters) newError(r reason, code result.Code, ran result.Ran, cause error) *result.Error {
 	c.countFailure(r)
--- a/targets/exchange.go
+++ b/targets/exchange.go
@@ -149,7 +149,9 @@
 	if req.ID != "" && !ex.isSealed(resp) {
 		return nil, ex.counters.newError(reasonUnsealed, result.TargetLostRequest, result.RanUnknown, errUnsealed)
 	}
-	resp.Body = newBody(ex, req.Method, header)
+	body := newBody(ex, req.Method, header)
+	resp.Body, resp.Framing = body, body.framing
+	ex.counters.countAnswer(body.framing)
 	return resp, nil
 }
 
--- a/targets/framing_test.go
+++ b/targets/framing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -69,6 +70,31 @@
 	}
 }
 
+// TestAnswersAreCountedByFraming checks the framing that an answer states and the counter for it.
+func TestAnswersAreCountedByFraming(t *testing.T) {
+	for _, tc := range []struct {
+		raw  string
+		want targets.Framing
+	}{
+		{countedHead + "hello", targets.FramingLength},
+		{"HTTP/1.1 204 No Content\r\n\r\n", targets.FramingLength},
+		{chunkedHead + "0\r\n\r\n", targets.FramingChunked},
+		{"HTTP/1.1 200 OK\r\n\r\nhello", targets.FramingClose},
+	} {
+		set := metrics.NewSet()
+		client := newClient(t, targets.Options{Metrics: set})
+		resp, err := client.Do(context.Background(), targets.Request{Address: scriptServer(t, replyOnce(tc.raw)), Method: "GET", Path: "/"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		counter := set.GetOrCreateCounter(fmt.Sprintf("walnut_target_answers_total{framing=%q}", string(tc.want)))
+		if resp.Framing != tc.want || counter.Get() != 1 {
+			t.Errorf("%q: framing %q, counter %d", tc.raw, resp.Framing, counter.Get())
+		}
+	}
+}
+
 func wantError(t *testing.T, err error, code result.Code, ran result.Ran) {
 	t.Helper()
 	var typed *result.Error
--- a/targets/httpclient.go
+++ b/targets/httpclient.go
@@ -40,7 +40,7 @@
 	set := options.Metrics
 	return &HTTPClient{
 		options:  options,
-		requests: newCounters(set, "walnut_target_requests_total", "walnut_target_failures_total"),
+		requests: newRequestCounters(set),
 		polls:    newCounters(set, "walnut_load_poll_requests_total", "walnut_load_poll_failures_total"),
 		orders:   newCounters(set, "walnut_order_calls_total", "walnut_order_call_failures_total"),
 		notices:  newNoticeCounters(set),
--- a/targets/target.go
+++ b/targets/target.go
@@ -57,12 +57,28 @@
 	Fence uint64
 }
 
+// Framing is how the end of an answer's body is determined. A Framing is also written to logs
+// and to the label of a counter.
+type Framing string
+
+// The framings of answers.
+const (
+	// FramingLength means that the head states the length of the body, which may be zero.
+	FramingLength Framing = "length"
+	// FramingChunked means that the body is sent in chunks and ends with an empty one.
+	FramingChunked Framing = "chunked"
+	// FramingClose means that the body ends with its connection. Nothing in HTTP distinguishes
+	// a whole body from one that was cut off.
+	FramingClose Framing = "close"
+)
+
 // Response is a target's answer. Body must be closed; closing it before its end cancels the
 // run. A Body that does not end as the target framed it returns an error other than io.EOF.
 type Response struct {
-	Status int
-	Header map[string]string
-	Body   io.ReadCloser
+	Status  int
+	Header  map[string]string
+	Body    io.ReadCloser
+	Framing Framing
 }
 
 // header returns a header by its canonical name; empty if it is absent.
