--- /dev/null
+++ b/managedtest/unframed_test.go
@@ -0,0 +1,80 @@
+package managedtest
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/walnutcove/walnutcove/platform/wire"
+	"github.com/walnutcove/walnutcove/standin/managed"
+)
+
+// unframedReplica describes a replica of the engine whose answers have neither a length nor
+// chunked encoding.
+func unframedReplica(id string) managed.ReplicaOptions {
+	options := genReplica(id)
+	options.Unframed = true
+	return options
+}
+
+// TestUnframedAnswersAreWhole guards against taking whole answers that end with their
+// connection for broken ones.
+func TestUnframedAnswersAreWhole(t *testing.T) {
+	plain := opsReplica("o1")
+	plain.Unframed = true
+	f := startFleet(t, 1, plain, unframedReplica("g1"))
+	for range 5 {
+		for _, path := range []string{pathNonIdempotent, pathIdempotent, pathStream} {
+			got := f.send(f.routers[0], path)
+			want := managed.ExpectedAnswer(got.ID)
+			if path == pathStream {
+				want = expectedStream(got.ID)
+			}
+			if got.Status != http.StatusOK || !got.Complete || got.Body != want || len(f.journal.Runs(got.ID)) != 1 {
+				t.Errorf("%s: status %d, complete %v, %d runs:\n%s", path, got.Status, got.Complete, len(f.journal.Runs(got.ID)), got.Body)
+			}
+		}
+	}
+}
+
+// TestStreamCutAtConnectionCloseIsNotComplete guards against passing on as complete a stream
+// whose target closed the connection in the middle of an event, where only the close marks the
+// end of the answer.
+func TestStreamCutAtConnectionCloseIsNotComplete(t *testing.T) {
+	for name, byReset := range map[string]bool{"closed": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			breaking := unframedReplica("breaks")
+			breaking.BreakAfterEvents, breaking.BreakByReset = 3, byReset
+			f := startFleet(t, 1, breaking)
+			f.publishConfig(func(c *wire.Config) { c.Routes[len(c.Routes)-1].Resumable = false })
+			f.awaitVersion()
+			for range 3 {
+				got := f.send(f.routers[0], pathStream)
+				if got.Status != http.StatusOK || got.Complete || !strings.HasPrefix(expectedStream(got.ID), got.Body) {
+					t.Errorf("status %d, complete %v:\n%s", got.Status, got.Complete, got.Body)
+				}
+			}
+		})
+	}
+}
+
+// TestStreamCutAtConnectionCloseResumesElsewhere guards against gaps and truncated events when
+// such a stream may be resumed.
+func TestStreamCutAtConnectionCloseResumesElsewhere(t *testing.T) {
+	breaking := unframedReplica("breaks")
+	breaking.BreakAfterEvents = 3
+	f := startSettledFleet(t, 2, breaking, unframedReplica("sound"))
+	resumed := 0
+	for range 20 {
+		got := f.send(f.routers[0], pathStream)
+		if got.Status != http.StatusOK || !got.Complete || got.Body != expectedStream(got.ID) {
+			t.Fatalf("status %d, complete %v:\n%s", got.Status, got.Complete, got.Body)
+		}
+		if runs := f.journal.Runs(got.ID); len(runs) == 2 && runs[1].AfterEvent == "3" {
+			resumed++
+		}
+	}
+	if resumed == 0 {
+		t.Error("no stream was resumed after the replica broke it off")
+	}
+}
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -49,6 +49,11 @@
 	// the middle of the next one. It affects streams from their first event on, not
 	// resumed ones. Zero means never.
 	BreakAfterEvents int
+	// BreakByReset resets the connection where BreakAfterEvents closes it.
+	BreakByReset bool
+	// Unframed sends answers with neither a length nor chunked encoding. They end with
+	// their connection.
+	Unframed bool
 	// Refuse refuses every request without running it. RefuseEvery refuses one in
 	// this many requests; zero means none.
 	Refuse      bool
@@ -296,8 +301,15 @@
 	}
 	ctx.SetContentType("text/event-stream")
 	afterEvent, _ := strconv.Atoi(run.AfterEvent) // zero if the header is absent: from the first event
-	ctx.Response.ImmediateHeaderFlush = true
 	conn := ctx.Conn()
+	if r.currentFaults().Unframed {
+		r.sendUnframed(ctx, func(w *bufio.Writer) {
+			defer r.releaseSlot()
+			r.writeEvents(w, conn, run, afterEvent)
+		})
+		return
+	}
+	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer r.releaseSlot()
 		r.writeEvents(w, conn, run, afterEvent)
@@ -306,6 +318,10 @@
 
 // sendAnswer sends a body of known length, with MidAnswerPause if that fault is set.
 func (r *Replica) sendAnswer(ctx *fasthttp.RequestCtx, body string) {
+	if r.currentFaults().Unframed {
+		r.sendUnframed(ctx, func(w *bufio.Writer) { _, _ = w.WriteString(body) })
+		return
+	}
 	pause := r.currentFaults().MidAnswerPause
 	if pause == 0 {
 		ctx.SetBodyString(body)
@@ -353,7 +369,7 @@
 			fmt.Fprintf(w, "id: %d\nda", event)
 			_ = w.Flush()
 			time.Sleep(flushPause)
-			_ = conn.Close()
+			breakConn(conn, faults.BreakByReset)
 			return
 		}
 		fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", event, run.ID, event)
@@ -366,6 +382,14 @@
 	}
 }
 
+// breakConn closes a connection, or resets it.
+func breakConn(conn net.Conn, byReset bool) {
+	if tcp, ok := conn.(*net.TCPConn); ok && byReset {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	_ = conn.Close()
+}
+
 // acquireSlot takes a slot for a request. It reports false if the request is to be
 // refused, by a fault or because all slots are in use.
 func (r *Replica) acquireSlot() bool {
