Do not take the close of a connection for the end of an event stream

Callers got streams that their target had broken off as 200 with the last chunk. The target had sent neither a length nor chunks and closed the connection inside an event. The close was taken for proof that the answer was whole, as for any answer of that framing, and nothing behind it looked at the events: the run counted as answered, the stream was not resumed, and the target stayed in use.

An event stream states its own ends: an empty line ends each event. Where only the close of the connection ends the answer, a stream is now whole only if it also ends between two events. The check is where the answer is read, so that it holds for streams that are resumed, relayed on other routes, kept in run records or sent to HTTP/1.0 callers. A length or chunks still decide alone.

New: walnut_target_failures_total{reason="cut_event"}.

--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -54,7 +54,7 @@
 	// Reserved are headers that only this fleet sets: those of callers are dropped.
 	Reserved []string
 	// CloseDelimited means that an answer without a length is complete when its
-	// connection is closed.
+	// connection is closed. An event stream must also end between two events.
 	CloseDelimited bool
 	// RefusedNotRun reports by an answer's head whether the target refused the request
 	// and did not run it.
--- a/targets/body.go
+++ b/targets/body.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/walnutcove/walnutcove/eventstream"
 	"github.com/walnutcove/walnutcove/result"
 )
 
@@ -20,6 +21,10 @@
 	lengthUntilEOF = -2
 )
 
+// errCutEvent reports that the connection, whose close ends the answer, was closed inside an
+// event of an event stream.
+var errCutEvent = errors.New("target: connection closed inside an event")
+
 // errUnframed reports that the answer has neither a length nor chunks: its end cannot be told
 // from a broken connection.
 var errUnframed = errors.New("target: answer without framing")
@@ -31,6 +36,8 @@
 	reader    io.Reader
 	framing   Framing
 	keepAlive bool
+	// events finds where an event stream with FramingClose may end; nil for other answers.
+	events *eventstream.Scanner
 	// remaining is the number of bytes still to come, with FramingLength.
 	remaining int64
 	// err is the sticky error: io.EOF after a complete answer.
@@ -53,6 +60,9 @@
 		b.reader = httputil.NewChunkedReader(ex.conn.reader)
 	case length == lengthUntilEOF:
 		b.framing = FramingClose
+		if eventstream.IsMediaType(string(header.ContentType())) {
+			b.events = &eventstream.Scanner{}
+		}
 	default:
 		b.remaining = int64(length)
 	}
@@ -115,21 +125,33 @@
 	return n, io.EOF
 }
 
+// readUnframed reads a body that ends with its connection. The close alone does not prove that
+// an event stream is whole: it must also end between two events.
 func (b *body) readUnframed(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
-	if err == nil {
-		return n, nil
+	if b.events != nil {
+		b.events.Scan(p[:n])
 	}
-	if err != io.EOF {
+	switch {
+	case err == nil:
+		return n, nil
+	case err != io.EOF:
 		return n, b.fail(err)
+	case !b.ex.client.options.Dialect.CloseDelimited:
+		return n, b.failAtEOF(reasonUnframed, errUnframed)
+	case b.events != nil && !b.events.IsBetweenEvents():
+		return n, b.failAtEOF(reasonCutEvent, errCutEvent)
 	}
-	if b.ex.client.options.Dialect.CloseDelimited {
-		b.finish(io.EOF, false)
-		return n, io.EOF
-	}
-	e := b.ex.counters.newError(reasonUnframed, result.StreamBroken, result.RanUnknown, errUnframed)
-	b.finish(e, false)
-	return n, e
+	b.finish(io.EOF, false)
+	return n, io.EOF
+}
+
+// failAtEOF ends the body of an answer that is not known to be whole although its connection
+// was closed properly.
+func (b *body) failAtEOF(why reason, cause error) error {
+	err := b.ex.counters.newError(why, result.StreamBroken, result.RanUnknown, cause)
+	b.finish(err, false)
+	return err
 }
 
 // skipTrailer reads to the empty line that ends a chunked body.
--- a/targets/counters.go
+++ b/targets/counters.go
@@ -29,8 +29,10 @@
 	reasonCancelled        reason = "cancelled"
 	reasonTruncated        reason = "truncated"
 	reasonUnframed         reason = "unframed"
-	reasonStalled          reason = "stalled"
-	reasonClosedUnread     reason = "closed_unread"
+	// reasonCutEvent counts event streams whose connection was closed inside an event.
+	reasonCutEvent     reason = "cut_event"
+	reasonStalled      reason = "stalled"
+	reasonClosedUnread reason = "closed_unread"
 	// reasonStray counts answers to other requests that were skipped.
 	reasonStray reason = "stray_answer"
 	// reasonUnsealed counts successes without the targets' seal header.
@@ -41,7 +43,7 @@
 	reasonBadRequest, reasonCancelledEarly, reasonTargetLeft, reasonConnect, reasonConnectTimeout,
 	reasonWriteNothing, reasonWritePartial, reasonNotRun, reasonFirstByteTimeout,
 	reasonClosedBeforeHead, reasonBadHead, reasonCancelled, reasonTruncated,
-	reasonUnframed, reasonStalled, reasonClosedUnread, reasonStray, reasonUnsealed,
+	reasonUnframed, reasonCutEvent, reasonStalled, reasonClosedUnread, reasonStray, reasonUnsealed,
 }
 
 // counters count calls and their failures. Requests, load polls and orders have separate
--- a/targets/target.go
+++ b/targets/target.go
@@ -67,8 +67,8 @@
 	FramingLength Framing = "length"
 	// FramingChunked means that the body is sent in chunks and ends with an empty one.
 	FramingChunked Framing = "chunked"
-	// FramingClose means that the body ends with its connection. Nothing in HTTP distinguishes
-	// a whole body from one that was cut off.
+	// FramingClose means that the body ends with its connection. HTTP does not distinguish a
+	// whole body from one that was cut off.
 	FramingClose Framing = "close"
 )
 
