events: Find the ends of events whichever line ends a stream has

Streams that may be resumed are relayed event by event. An event was taken to end with two LFs or two CRLFs; the HTML standard allows a CR alone as well. A stream with such lines was held back up to a megabyte or its end, and could not be resumed as no id was found in it.

The relay now uses the scanner that decides whether a stream was cut off. It reads each byte once, where the whole buffer was searched after each read.

--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -20,6 +20,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/eventstream"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/targets"
 )
@@ -85,6 +86,10 @@
 	// first readyBytes bytes may be returned: they are complete events.
 	buffer     []byte
 	readyBytes int
+	// scanner follows the source, and passedBytes is how many of the source's bytes were
+	// returned by Read.
+	scanner     eventstream.Scanner
+	passedBytes int64
 	// deliveredAt is when Read last returned events; zero before the first.
 	deliveredAt time.Time
 	// sourceErr is why the source ended; nil while it is open.
@@ -109,6 +114,7 @@
 	s.recordLastID(s.buffer[:n])
 	s.deliveredAt = time.Now()
 	s.readyBytes -= n
+	s.passedBytes += int64(n)
 	s.buffer = s.buffer[:copy(s.buffer, s.buffer[n:])]
 	return n, nil
 }
@@ -125,6 +131,7 @@
 		length := len(s.buffer)
 		n, err := s.source.Read(s.buffer[length:cap(s.buffer)])
 		s.buffer = s.buffer[:length+n]
+		s.scanner.Scan(s.buffer[length:])
 		s.sourceErr = err
 		s.markReady(err == io.EOF)
 	}
@@ -138,28 +145,12 @@
 		s.readyBytes = len(s.buffer)
 		return
 	}
-	s.readyBytes = completeEventsLength(s.buffer)
+	s.readyBytes = int(max(0, s.scanner.CompleteBytes()-s.passedBytes))
 }
 
 // canResume reports whether a broken stream may be resumed on another target.
 func (s *stream) canResume() bool { return s.ex.Route.Resumes && s.relay.Reopen != nil }
 
-// completeEventsLength returns the length of the complete events at the beginning of text.
-func completeEventsLength(text []byte) int {
-	lf := bytes.LastIndex(text, []byte("\n\n")) + len("\n\n")
-	crlf := bytes.LastIndex(text, []byte("\r\n\r\n")) + len("\r\n\r\n")
-	return max(0, max(zeroIfAbsent(lf, len("\n\n")), zeroIfAbsent(crlf, len("\r\n\r\n"))))
-}
-
-// zeroIfAbsent returns end, or zero if it lies within the first length bytes, which
-// means that the separator of that length was not found.
-func zeroIfAbsent(end, length int) int {
-	if end < length {
-		return 0
-	}
-	return end
-}
-
 // recordLastID records the id of the last event in delivered.
 func (s *stream) recordLastID(delivered []byte) {
 	if id := lastID(delivered); id != "" {
@@ -167,19 +158,23 @@
 	}
 }
 
-// lastID returns the value of the last "id" line.
+// lastID returns the value of the last "id" line that is not empty; empty if there is none.
 func lastID(text []byte) string {
-	start := bytes.LastIndex(text, []byte("\nid:"))
-	switch {
-	case start >= 0:
-		start++
-	case bytes.HasPrefix(text, []byte("id:")):
-		start = 0
-	default:
-		return ""
+	id := ""
+	for len(text) > 0 {
+		line := text
+		if end := bytes.IndexAny(text, "\r\n"); end >= 0 {
+			line, text = text[:end], text[end+1:]
+		} else {
+			text = nil
+		}
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			if value = bytes.TrimSpace(value); len(value) > 0 {
+				id = string(value)
+			}
+		}
 	}
-	line, _, _ := bytes.Cut(text[start+len("id:"):], []byte("\n"))
-	return string(bytes.TrimSpace(line))
+	return id
 }
 
 // resume continues the stream on another target after the last complete event, and
@@ -201,6 +196,8 @@
 	s.run.Begin()
 	s.source = answer.Body
 	s.sourceErr = nil
+	s.scanner = eventstream.Scanner{}
+	s.passedBytes = 0
 	s.buffer = s.buffer[:0]
 	resumedCount.Inc()
 	s.log("events: Stream broke and was resumed on another target.", slog.Any("cause", cause))
--- /dev/null
+++ b/filters/events/events_test.go
@@ -0,0 +1,120 @@
+package events
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/targets"
+)
+
+// testTimeout limits every wait for an event that must come.
+const testTimeout = 5 * time.Second
+
+var errBroken = errors.New("connection reset")
+
+// brokenSource returns its parts, one in each read, and then an error.
+type brokenSource struct {
+	parts []string
+	err   error
+}
+
+// Read implements io.Reader.
+func (b *brokenSource) Read(into []byte) (int, error) {
+	if len(b.parts) == 0 {
+		return 0, b.err
+	}
+	n := copy(into, b.parts[0])
+	if b.parts[0] = b.parts[0][n:]; b.parts[0] == "" {
+		b.parts = b.parts[1:]
+	}
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (b *brokenSource) Close() error { return nil }
+
+// outcome is what a caller got of a stream, how the stream ended, and the ids after which it was
+// resumed.
+type outcome struct {
+	body         string
+	err          error
+	resumedAfter []string
+}
+
+// relayBroken relays the parts of a stream that may be resumed and then breaks; read returns the
+// reader of the caller. The resumed stream is rest.
+func relayBroken(read func(io.Reader) io.Reader, rest string, parts ...string) (o outcome) {
+	relay := &Relay{Log: slog.New(slog.DiscardHandler)}
+	relay.Reopen = func(_ context.Context, ex *pipeline.Exchange) (*targets.Response, error) {
+		o.resumedAfter = append(o.resumedAfter, ex.LastEventID)
+		return &targets.Response{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader(rest))}, nil
+	}
+	ex := &pipeline.Exchange{Run: noopRun{}, Route: &config.NamedRoute{Route: config.Route{Resumes: true}}}
+	source := &brokenSource{parts: parts, err: errBroken}
+	if o.err = relay.Answer(context.Background(), ex, &targets.Response{Status: http.StatusOK, Body: source}); o.err != nil {
+		return o
+	}
+	body, err := io.ReadAll(read(ex.AnswerStream))
+	o.body, o.err = string(body), err
+	return o
+}
+
+// wholeReads is the reader of a caller that reads all that is there.
+func wholeReads(r io.Reader) io.Reader { return r }
+
+// TestStreamResumesAfterLastWholeEvent guards against gaps, and against events that are repeated
+// or joined, whichever line ends the stream has and however it arrives.
+func TestStreamResumesAfterLastWholeEvent(t *testing.T) {
+	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		lines := func(text string) string { return strings.ReplaceAll(text, "|", lineEnd) }
+		first, rest := lines("id: 1|data: a||id: 2|data: b||"), lines("id: 3|data: c||")
+		cut := lines("id: 3|data")
+		for split := range len(first) {
+			o := relayBroken(wholeReads, rest, first[:split], first[split:]+cut)
+			if o.body != first+rest || o.err != nil || !slices.Equal(o.resumedAfter, []string{"2"}) {
+				t.Errorf("line end %q, split at %d: %+v", lineEnd, split, o)
+			}
+		}
+	}
+}
+
+// TestEventsAreRelayedAsTheyArrive guards against holding a whole event back until more of the
+// stream arrives.
+func TestEventsAreRelayedAsTheyArrive(t *testing.T) {
+	for _, event := range []string{"id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n", "id: 1\rdata: a\r\r"} {
+		source, target := io.Pipe()
+		relay := &Relay{Log: slog.New(slog.DiscardHandler), Reopen: func(context.Context, *pipeline.Exchange) (*targets.Response, error) {
+			return nil, errBroken
+		}}
+		ex := &pipeline.Exchange{Run: noopRun{}, Route: &config.NamedRoute{Route: config.Route{Resumes: true}}}
+		answered := make(chan error, 1)
+		go func() {
+			answered <- relay.Answer(context.Background(), ex, &targets.Response{Status: http.StatusOK, Body: source})
+		}()
+		if _, err := io.WriteString(target, event); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case err := <-answered:
+			if err != nil {
+				t.Fatal(err)
+			}
+		case <-time.After(testTimeout):
+			t.Fatalf("%q was not relayed", event)
+		}
+		buffer := make([]byte, 100)
+		if n, err := ex.AnswerStream.Read(buffer); err != nil || string(buffer[:n]) != event {
+			t.Errorf("got %q, %v", buffer[:n], err)
+		}
+		_ = target.Close()
+	}
+}
