events: Take the id of the last event from whole events

The id after which a broken stream is resumed was searched in what one read of the caller's side returned. Where a read divides an event, its id was missed or cut short, so that the stream was resumed too early, with events that the caller had already, or not at all.

The id is now taken when events become ready, before they are divided. The stream is resumed only once all of them have been read.

--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -111,7 +111,6 @@
 		}
 	}
 	n := copy(p, s.buffer[:s.readyBytes])
-	s.recordLastID(s.buffer[:n])
 	s.deliveredAt = time.Now()
 	s.readyBytes -= n
 	s.passedBytes += int64(n)
@@ -134,6 +133,7 @@
 		s.scanner.Scan(s.buffer[length:])
 		s.sourceErr = err
 		s.markReady(err == io.EOF)
+		s.recordLastID()
 	}
 	return nil
 }
@@ -151,9 +151,10 @@
 // canResume reports whether a broken stream may be resumed on another target.
 func (s *stream) canResume() bool { return s.ex.Route.Resumes && s.relay.Reopen != nil }
 
-// recordLastID records the id of the last event in delivered.
-func (s *stream) recordLastID(delivered []byte) {
-	if id := lastID(delivered); id != "" {
+// recordLastID records the id of the last event that is ready. The stream is resumed only once
+// all of them have been returned by Read.
+func (s *stream) recordLastID() {
+	if id := lastID(s.buffer[:s.readyBytes]); id != "" {
 		s.ex.LastEventID = id
 	}
 }
--- a/filters/events/events_test.go
+++ b/filters/events/events_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
@@ -87,6 +88,16 @@
 	}
 }
 
+// TestLastEventIsKnownHoweverItIsRead guards against events that are repeated: a caller's reads
+// may divide an event anywhere, its id too.
+func TestLastEventIsKnownHoweverItIsRead(t *testing.T) {
+	first, rest := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"
+	o := relayBroken(iotest.OneByteReader, rest, first)
+	if o.body != first+rest || o.err != nil || !slices.Equal(o.resumedAfter, []string{"2"}) {
+		t.Errorf("%+v", o)
+	}
+}
+
 // TestEventsAreRelayedAsTheyArrive guards against holding a whole event back until more of the
 // stream arrives.
 func TestEventsAreRelayedAsTheyArrive(t *testing.T) {
