events: Do not resume a stream inside an event that was passed on in parts

An event of over a megabyte does not fit in the relay's buffer and is passed on in parts. If its target broke off then, the stream was resumed after the last id, and the caller got the rest of one event joined to another.

Such a stream now ends as broken. TestStreamIsNotResumedInsideAnEvent failed before: the caller got 1,048,618 bytes and a clean end.

--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -182,7 +182,7 @@
 // reports whether that succeeded. A partly received event is discarded, because the
 // other target sends it completely.
 func (s *stream) resume(cause error) bool {
-	if !s.canResume() || s.ex.LastEventID == "" || s.ctx.Err() != nil {
+	if !s.canResume() || s.ex.LastEventID == "" || s.ctx.Err() != nil || s.isInsideEvent() {
 		return false
 	}
 	s.source.Close()
@@ -205,6 +205,10 @@
 	return true
 }
 
+// isInsideEvent reports whether the caller has a part of an event that did not fit in the
+// buffer, so that no other stream can follow.
+func (s *stream) isInsideEvent() bool { return s.passedBytes > s.scanner.CompleteBytes() }
+
 func (s *stream) log(message string, attrs ...slog.Attr) {
 	attrs = append(attrs, slog.String("after_event", s.ex.LastEventID))
 	pipeline.Log(s.ctx, s.relay.Log, slog.LevelWarn, s.ex, message, attrs...)
--- a/filters/events/events_test.go
+++ b/filters/events/events_test.go
@@ -129,3 +129,14 @@
 		_ = target.Close()
 	}
 }
+
+// TestStreamIsNotResumedInsideAnEvent guards against joining pieces of two events: an event that
+// does not fit in the buffer is passed on in parts, and a break inside it cannot be mended.
+func TestStreamIsNotResumedInsideAnEvent(t *testing.T) {
+	first := "id: 1\ndata: a\n\n"
+	large := "id: 2\ndata: " + strings.Repeat("x", maxEventBytes)
+	o := relayBroken(wholeReads, "id: 2\ndata: b\n\n", first, large)
+	if !errors.Is(o.err, errBroken) || len(o.resumedAfter) != 0 || !strings.HasPrefix(first+large, o.body) {
+		t.Errorf("%d bytes, %v, resumed after %q", len(o.body), o.err, o.resumedAfter)
+	}
+}
