--- a/filters/relay/relay.go
+++ b/filters/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/eventstream"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/targets"
@@ -114,7 +115,7 @@
 	if ex.Stream {
 		return true
 	}
-	return strings.HasPrefix(answer.Header["Content-Type"], "text/event-stream")
+	return eventstream.IsMediaType(answer.Header["Content-Type"])
 }
 
 func toResultError(err error) error {
