soak: Answers that end with their connections

The stand-in replica never sent an answer without a length or chunks, so no soak had one. TestSoakUnframed plays the faults of TestSoak with such answers; the proxies before replicas reset connections where they closed them, as a close has a meaning then.

--- a/processes/proxy.go
+++ b/processes/proxy.go
@@ -50,6 +50,8 @@
 	// changed is closed and replaced when impairments change or the proxy is closed.
 	changed chan struct{}
 	closed  bool
+	// resets makes Cut reset connections instead of closing them.
+	resets bool
 }
 
 // impairment is the fault injected into one direction. The zero value is no fault.
@@ -252,6 +254,14 @@
 	}
 }
 
+// SetResets makes Cut and Close reset connections instead of closing them. It is for
+// connections on which a close has a meaning, such as the end of an answer.
+func (p *Proxy) SetResets(resets bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resets = resets
+}
+
 // Cut closes all connections and refuses new ones until Heal.
 func (p *Proxy) Cut() {
 	p.mu.Lock()
@@ -261,6 +271,9 @@
 		p.listener = nil
 	}
 	for end := range p.conns {
+		if p.resets {
+			_ = end.SetLinger(0)
+		}
 		_ = end.Close()
 	}
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -355,8 +355,9 @@
 		{ExtraPause: f.randomUpTo(maxReplicaSlowdown)},
 		{Unsealed: true},
 	}[f.random.IntN(5)]
+	chosen.Unframed = f.answersUnframed
 	r.SetFaults(chosen)
-	return r.options.ID, func() bool { r.SetFaults(managed.ReplicaFaults{}); return true }
+	return r.options.ID, func() bool { r.SetFaults(managed.ReplicaFaults{Unframed: f.answersUnframed}); return true }
 }
 
 // replaceReplica has a replica leave, or end without announcing it, and starts another one.
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -61,6 +61,8 @@
 	proxyIP  string
 	routers  []*router
 	replicas []*replica
+	// answersUnframed is soakOptions.unframed.
+	answersUnframed bool
 	// zones are assigned to new replicas in rotation.
 	zones []string
 	// replicasMade counts all replicas ever started, for their names.
@@ -76,6 +78,7 @@
 // startFleet starts a fleet and waits until every router is ready.
 func startFleet(t *testing.T, routers int, options soakOptions) *fleet {
 	f := &fleet{t: t, store: managed.StartStore(), journal: &managed.Journal{}, zones: []string{managed.DefaultZone}}
+	f.answersUnframed = options.unframed
 	if options.evacuates {
 		f.zones = append(f.zones, secondZone)
 	}
@@ -177,6 +180,7 @@
 	f.replicasMade++
 	options.ID = fmt.Sprintf("%s-%d", options.Service, f.replicasMade)
 	options.Zone = f.zones[f.replicasMade%len(f.zones)]
+	options.Unframed = f.answersUnframed
 	added := &replica{options: options}
 	options.Advertise = func(listens string) (string, error) {
 		var err error
@@ -184,6 +188,7 @@
 		if err != nil {
 			return "", err
 		}
+		added.proxy.SetResets(f.answersUnframed)
 		return added.proxy.Address(), nil
 	}
 	var err error
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,6 +29,12 @@
 	forSeeds(t, func(t *testing.T, seed uint64) { soak(t, seed, soakOptions{}) })
 }
 
+// TestSoakUnframed is TestSoak with answers that end with their connections. It guards against
+// taking answers that break off for whole ones.
+func TestSoakUnframed(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) { soak(t, seed, soakOptions{unframed: true}) })
+}
+
 // soakOptions enables additional fault kinds.
 type soakOptions struct {
 	// restores lets the store be restored from older backups.
@@ -38,6 +44,9 @@
 	// notices has replicas announce in their answers that they leave or want no
 	// requests for a while.
 	notices bool
+	// unframed has replicas answer without a length or chunks, so that only the close of
+	// the connection ends an answer.
+	unframed bool
 }
 
 // soak makes the run of one seed with the given options.
