--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -22,8 +22,8 @@
 	inEvent bool
 	// afterCR is set if the last byte is a CR, whose LF may follow.
 	afterCR bool
-	// endsCRLF is set if the last line end whose kind is known was a CRLF.
-	endsCRLF bool
+	// usesCRLF is set if the last line end was a CRLF, apart from a CR whose LF may follow.
+	usesCRLF bool
 	// awaitsLF is set if the last event ends with the LF that is expected next.
 	awaitsLF bool
 	// scanned is the number of bytes read, complete that up to the end of the last event.
@@ -35,15 +35,15 @@
 	for i, c := range p {
 		offset := s.scanned + int64(i)
 		if s.afterCR && c == '\n' {
-			s.endLineEnd(true, offset+1)
+			s.resolveCR(true, offset+1)
 			continue
 		}
 		if s.afterCR {
-			s.endLineEnd(false, offset)
+			s.resolveCR(false, offset)
 		}
 		switch c {
 		case '\n':
-			s.endsCRLF = false
+			s.usesCRLF = false
 			if s.endLine() {
 				s.complete = offset + 1
 			}
@@ -61,23 +61,23 @@
 	s.scanned += int64(len(p))
 }
 
-// endLineEnd ends a line end that began with a CR, at the given offset: it is known now whether
-// an LF follows.
-func (s *Scanner) endLineEnd(isCRLF bool, offset int64) {
+// resolveCR is called at the byte after a CR. It ends the line end, and the event that waits for
+// its LF, at the given offset.
+func (s *Scanner) resolveCR(isCRLF bool, end int64) {
 	if s.awaitsLF {
-		s.complete = offset
+		s.complete = end
 	}
-	s.afterCR, s.endsCRLF, s.awaitsLF = false, isCRLF, false
+	s.afterCR, s.usesCRLF, s.awaitsLF = false, isCRLF, false
 }
 
-// endEventAtCR ends an event whose empty line ends with the CR before the offset. In a stream
-// whose lines end with CRLF, the event ends with the LF that follows.
-func (s *Scanner) endEventAtCR(offset int64) {
-	if s.endsCRLF {
+// endEventAtCR ends an event whose empty line ends with a CR, at the offset after it. In a
+// stream whose lines end with CRLF, the event ends with the LF that follows.
+func (s *Scanner) endEventAtCR(end int64) {
+	if s.usesCRLF {
 		s.awaitsLF = true
 		return
 	}
-	s.complete = offset
+	s.complete = end
 }
 
 // CompleteBytes returns the length of the stream up to the end of its last complete event; zero
@@ -100,5 +100,5 @@
 // event or a comment, rather than inside one or in the middle of a line end. A stream that is
 // cut off between two events cannot be distinguished from a whole one.
 func (s *Scanner) IsBetweenEvents() bool {
-	return s.complete > 0 && !s.inEvent && !s.inLine && !(s.afterCR && s.endsCRLF)
+	return s.complete > 0 && !s.inEvent && !s.inLine && !(s.afterCR && s.usesCRLF)
 }
--- a/targets/target.go
+++ b/targets/target.go
@@ -75,9 +75,10 @@
 // Response is a target's answer. Body must be closed; closing it before its end cancels the
 // run. A Body that does not end as the target framed it returns an error other than io.EOF.
 type Response struct {
-	Status  int
-	Header  map[string]string
-	Body    io.ReadCloser
+	Status int
+	Header map[string]string
+	Body   io.ReadCloser
+	// Framing is how the end of Body is determined.
 	Framing Framing
 }
 
