--- a/managedtest/managed_test.go
+++ b/managedtest/managed_test.go
@@ -63,18 +63,25 @@
 	breaking := genReplica("breaks")
 	breaking.BreakAfterEvents = 3
 	f := startSettledFleet(t, unlimitedSlack, 2, breaking, genReplica("sound"))
+	f.checkStreamsResume(breaking.BreakAfterEvents)
+}
+
+// checkStreamsResume sends requests for streams and checks that all are whole, and that one at
+// least was resumed after the given event.
+func (f *fleet) checkStreamsResume(afterEvent int) {
+	f.t.Helper()
 	resumed := 0
 	for range 20 {
 		got := f.send(f.routers[0], pathStream)
 		if got.Status != http.StatusOK || !got.Complete || got.Body != expectedStream(got.ID) {
-			t.Fatalf("status %d, complete %v:\n%s", got.Status, got.Complete, got.Body)
+			f.t.Fatalf("status %d, complete %v:\n%s\n%v", got.Status, got.Complete, got.Body, f.logs[0].linesWith("request="+got.ID+" "))
 		}
-		if runs := f.journal.Runs(got.ID); len(runs) == 2 && runs[1].AfterEvent == "3" {
+		if runs := f.journal.Runs(got.ID); len(runs) == 2 && runs[1].AfterEvent == strconv.Itoa(afterEvent) {
 			resumed++
 		}
 	}
 	if resumed == 0 {
-		t.Error("no stream was resumed after the replica broke it off")
+		f.t.Error("no stream was resumed after the replica broke it off")
 	}
 }
 
--- a/managedtest/unframed_test.go
+++ b/managedtest/unframed_test.go
@@ -68,19 +68,7 @@
 	breaking := unframedReplica("breaks")
 	breaking.BreakAfterEvents = 3
 	f := startSettledFleet(t, unlimitedSlack, 2, breaking, unframedReplica("sound"))
-	resumed := 0
-	for range 20 {
-		got := f.send(f.routers[0], pathStream)
-		if got.Status != http.StatusOK || !got.Complete || got.Body != expectedStream(got.ID) {
-			t.Fatalf("status %d, complete %v:\n%s\n%v", got.Status, got.Complete, got.Body, f.logs[0].linesWith("request="+got.ID+" "))
-		}
-		if runs := f.journal.Runs(got.ID); len(runs) == 2 && runs[1].AfterEvent == "3" {
-			resumed++
-		}
-	}
-	if resumed == 0 {
-		t.Error("no stream was resumed after the replica broke it off")
-	}
+	f.checkStreamsResume(breaking.BreakAfterEvents)
 }
 
 // TestCutStreamIsNotCompleteOnAnyRoute guards against the same on routes that are not declared
--- a/targets/stray_test.go
+++ b/targets/stray_test.go
@@ -107,22 +107,8 @@
 func TestUnframedAnswerEndsWithConnection(t *testing.T) {
 	client := NewHTTPClient(Options{Dialect: echoDialect})
 	defer client.Close()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-			io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nall of it")
-		}
-	}()
-	answer, err := client.Do(context.Background(), Request{ID: "mine", Address: listener.Addr().String(), Method: "GET", Path: "/"})
+	address := serveOnce(t, "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nall of it")
+	answer, err := client.Do(context.Background(), Request{ID: "mine", Address: address, Method: "GET", Path: "/"})
 	if err != nil {
 		t.Fatal(err)
 	}
