--- a/config/types.go
+++ b/config/types.go
@@ -115,6 +115,9 @@
 	ChecksFencing bool `json:"checks_fencing,omitempty" toml:"checks_fencing,omitempty"`
 	// Resumes declares that the target can resume a stream by offset.
 	Resumes bool `json:"resumes,omitempty" toml:"resumes,omitempty"`
+	// Software is the version of the software that the target runs, as opposed to that of its
+	// models; empty: not known. Targets of several versions may serve side by side.
+	Software string `json:"software,omitempty" toml:"software,omitempty"`
 	// Start is the target's start time in milliseconds, which distinguishes its starts if the
 	// platform lists the targets; zero: not known. Operators omit it.
 	Start int64 `json:"start,omitempty" toml:"start,omitempty"`
--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -187,10 +187,11 @@
 	}
 	s.source.Close()
 	s.run.End(control.OutcomeLost)
+	broken := []slog.Attr{slog.Any("cause", cause), slog.String("broke_at", s.ex.Target), slog.String("broke_software", s.ex.TargetSoftware)}
 	answer, err := s.relay.Reopen(s.ctx, s.ex)
 	if err != nil {
 		resumeFailedCount.Inc()
-		s.log("events: Stream broke and could not be resumed on another target.", slog.Any("cause", cause), slog.Any("error", err))
+		s.log("events: Stream broke and could not be resumed on another target.", append(broken, slog.Any("error", err))...)
 		return false
 	}
 	s.run = s.ex.Run
@@ -201,7 +202,7 @@
 	s.passedBytes = 0
 	s.buffer = s.buffer[:0]
 	resumedCount.Inc()
-	s.log("events: Stream broke and was resumed on another target.", slog.Any("cause", cause))
+	s.log("events: Stream broke and was resumed on another target.", broken...)
 	return true
 }
 
--- a/filters/route/route.go
+++ b/filters/route/route.go
@@ -94,6 +94,24 @@
 		return refusal
 	}
 	f.setRouteFields(ex)
+	return f.setResumedStream(ex)
+}
+
+// maxRequestIDLength bounds the id of a request that a caller names, in bytes. Longer ids
+// are not accepted as ids either; see package front.
+const maxRequestIDLength = 128
+
+// setResumedStream sets the fields of a request that takes a stream up again.
+func (f *Filter) setResumedStream(ex *pipeline.Exchange) *result.Error {
+	if !ex.Route.Resumes {
+		return nil
+	}
+	ex.ResumedRequest = ex.Header[f.options.Dialect.ResumedRequest]
+	ex.CallerEventID = ex.Header[f.options.Dialect.ResumeAfter]
+	if len(ex.ResumedRequest) > maxRequestIDLength {
+		ex.ResumedRequest = ""
+		return result.New(result.BadHeader, "The id of the resumed request is longer than %d bytes.", maxRequestIDLength)
+	}
 	return nil
 }
 
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -80,17 +80,26 @@
 	PrefixHash     uint64        // hash of the beginning of the prompt; zero if none
 	Fingerprint    uint64        // hash of workspace, path and body
 
+	// ResumedRequest is the id of the request that brought the first event of the stream
+	// that the caller takes up again, and CallerEventID that of the last event that it has;
+	// empty if the caller sent none, or if the route's streams cannot be resumed.
+	ResumedRequest string
+	CallerEventID  string
+
 	// Route is the route that serves the request; nil if the pool is selected by
 	// model and path instead.
 	Route *config.NamedRoute
 	// Work holds what the caller states about the tokens of the request.
 	Work control.Work
 
-	// Set for each attempt: Attempt and Excluded by retry, Target and Address by grant.
+	// Set for each attempt: Attempt and Excluded by retry, Target, Address and
+	// TargetSoftware by grant.
 	Attempt  int
 	Target   string
 	Address  string
 	Excluded []string // targets that failed this request
+	// TargetSoftware is the version of the software that Target runs; empty if unknown.
+	TargetSoftware string
 	// Placement holds what the scheduler predicted for the target, for logs and for
 	// the limit of a target's silence.
 	Placement Placement
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -112,6 +112,7 @@
 	// Whatever happens to the exchange, its slot is freed when it ends.
 	ex.OnEnd(func(error) { run.End(control.OutcomeCancelled) })
 	ex.Target = answer.dispatch.Target
+	ex.TargetSoftware = ""
 	ex.Run = run
 	// The target may have moved since the request arrived, and another target may
 	// now use its old address.
@@ -121,6 +122,7 @@
 		return countRefusal(result.New(result.ConnectFailed, "The target is not declared any more."))
 	}
 	ex.Address = target.Address
+	ex.TargetSoftware = target.Software
 	ex.TargetServes = func() bool { return g.isTargetServing(ex, answer.dispatch.Target, target.Address) }
 	ex.FetchAddress = g.inForce().Declarations.Targets[answer.dispatch.FetchFrom].Address
 	ex.Placement = pipeline.Placement{PredictedStart: answer.dispatch.PredictedStart, UncachedTokens: answer.dispatch.Reads, FetchFrom: answer.dispatch.FetchFrom}
