--- a/standin/managed/caller.go
+++ b/standin/managed/caller.go
@@ -1,7 +1,9 @@
 package managed
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -51,33 +53,99 @@
 // Close closes the idle connections.
 func (c *Caller) Close() { c.client.CloseIdleConnections() }
 
+// Request is a request that a Caller sends.
+type Request struct {
+	// Path is the path with the query, and Key the key of the workspace.
+	Path, Key string
+	// Resumes and AfterEvent, in a request that takes a stream up again, are the id of the
+	// request that brought its first event, and that of the last event that arrived. Empty
+	// values are not sent.
+	Resumes, AfterEvent string
+	// StopAfter makes the caller close its connection once it has this many whole events
+	// of a stream; zero: it reads the answer to its end.
+	StopAfter int
+}
+
 // Send sends a request to a router's "ip:port" and reads the answer until it ends or
 // ctx does.
 func (c *Caller) Send(ctx context.Context, router, path, apiKey string) Answer {
+	return c.SendRequest(ctx, router, Request{Path: path, Key: apiKey})
+}
+
+// SendRequest is like Send.
+func (c *Caller) SendRequest(ctx context.Context, router string, r Request) Answer {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	number := c.lastNumber.Add(1)
 	answer := Answer{ID: fmt.Sprintf("%s-%d", c.name, number)}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router+path, strings.NewReader("body"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router+r.Path, strings.NewReader("body"))
 	if err != nil {
 		panic(err) // the method is valid, and tests pass valid addresses and paths
 	}
 	request.Host = DemoHost
-	request.Header.Set(wire.HeaderRequestID, answer.ID)
-	request.Header.Set(wire.HeaderKey, apiKey)
-	request.Header.Set(wire.HeaderDeadline, strconv.FormatInt(c.Deadline.Milliseconds(), 10))
-	request.Header.Set(wire.HeaderTokens, "100,50") // prompt tokens, maximum of the answer
-	// Some requests have the same first part of their prompt, which makes routers
-	// prefer the replica that has it cached.
-	request.Header.Set(wire.HeaderParts, fmt.Sprintf("%x:80,%s:20", len(answer.ID)*100+int(answer.ID[len(answer.ID)-1]), "ff"))
+	c.setHeaders(request.Header, answer.ID, r)
 	response, err := c.client.Do(request)
 	if err != nil {
 		return answer
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	answer.Status, answer.Body, answer.Complete, answer.Header = response.StatusCode, string(body), err == nil, response.Header
+	body, err := readEvents(response.Body, r.StopAfter)
+	answer.Status, answer.Body, answer.Complete, answer.Header = response.StatusCode, body, err == nil, response.Header
 	return answer
 }
 
+// setHeaders sets the headers of a request. Some requests have the same first part of their
+// prompt, which makes routers prefer the replica that has it cached.
+func (c *Caller) setHeaders(header http.Header, id string, r Request) {
+	header.Set(wire.HeaderRequestID, id)
+	header.Set(wire.HeaderKey, r.Key)
+	header.Set(wire.HeaderDeadline, strconv.FormatInt(c.Deadline.Milliseconds(), 10))
+	header.Set(wire.HeaderTokens, "100,50") // prompt tokens, maximum of the answer
+	header.Set(wire.HeaderParts, fmt.Sprintf("%x:80,%s:20", len(id)*100+int(id[len(id)-1]), "ff"))
+	if r.Resumes != "" {
+		header.Set(wire.HeaderResumes, r.Resumes)
+	}
+	if r.AfterEvent != "" {
+		header.Set(wire.HeaderAfterEvent, r.AfterEvent)
+	}
+}
+
+// errStopped reports that the caller stopped reading on purpose.
+var errStopped = errors.New("the caller stopped reading")
+
+// readEvents reads a body to its end, or until it holds the given number of whole events if
+// that is not zero.
+func readEvents(body io.Reader, stopAfter int) (string, error) {
+	if stopAfter == 0 {
+		text, err := io.ReadAll(body)
+		return string(text), err
+	}
+	var text strings.Builder
+	reader := bufio.NewReader(body)
+	for strings.Count(text.String(), eventEnd) < stopAfter {
+		line, err := reader.ReadString('\n')
+		text.WriteString(line)
+		if err != nil {
+			return text.String(), err
+		}
+	}
+	return text.String(), errStopped
+}
+
+// eventEnd ends each event of a replica's stream.
+const eventEnd = "\n\n"
+
+// LastEvent returns the id of the last whole event of the answer; empty if there is none.
+func (a Answer) LastEvent() string {
+	whole := a.Body[:strings.LastIndex(a.Body, eventEnd)+1]
+	at := strings.LastIndex(whole, "id: ")
+	if at < 0 {
+		return ""
+	}
+	id, _, _ := strings.Cut(whole[at+len("id: "):], "\n")
+	return id
+}
+
 // ExpectedStream returns the body of a complete stream: each of its events once, in
 // order.
 func ExpectedStream(id string, events int) string {
--- a/standin/managed/journal.go
+++ b/standin/managed/journal.go
@@ -13,9 +13,11 @@
 type Run struct {
 	// ID is the request's id, Replica the id of the replica that ran it.
 	ID, Replica string
-	// Workspace and AfterEvent are the values of the headers wire.HeaderWorkspace and
-	// wire.HeaderAfterEvent.
-	Workspace, AfterEvent string
+	// Software is the version of the replica's software.
+	Software string
+	// Workspace, AfterEvent and Resumes are the values of the headers wire.HeaderWorkspace,
+	// wire.HeaderAfterEvent and wire.HeaderResumes.
+	Workspace, AfterEvent, Resumes string
 	// LeavingFor is how long before the run the replica announced that it is
 	// leaving; zero if it did not.
 	LeavingFor time.Duration
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -24,6 +24,9 @@
 	ID, Service string
 	// Zone is the zone that the replica registers. Default: DefaultZone.
 	Zone string
+	// Software is the version of its software that the replica registers. Default:
+	// DefaultSoftware.
+	Software string
 	// ColdTime is how long after its start the replica reports itself as cold.
 	ColdTime time.Duration
 	// Slots is how many requests run at once; further ones are refused.
@@ -71,6 +74,9 @@
 // DefaultZone is the zone of replicas whose options do not set one.
 const DefaultZone = "dc"
 
+// DefaultSoftware is the software version of replicas whose options do not set one.
+const DefaultSoftware = "v1"
+
 // Replica is a stand-in for a replica of a service. Create it with StartReplica.
 type Replica struct {
 	options  ReplicaOptions
@@ -136,7 +142,7 @@
 		Service:      r.options.Service,
 		Address:      r.address,
 		Zone:         cmp.Or(r.options.Zone, DefaultZone),
-		Software:     "v1",
+		Software:     cmp.Or(r.options.Software, DefaultSoftware),
 		Slots:        r.options.Slots,
 		State:        state,
 		WarmUpMillis: float64(max(0, time.Until(r.startedAt.Add(r.options.ColdTime))).Milliseconds()),
@@ -280,6 +286,8 @@
 		Replica:    r.options.ID,
 		Workspace:  string(header.Peek(wire.HeaderWorkspace)),
 		AfterEvent: string(header.Peek(wire.HeaderAfterEvent)),
+		Resumes:    string(header.Peek(wire.HeaderResumes)),
+		Software:   cmp.Or(r.options.Software, DefaultSoftware),
 		LeavingFor: r.leavingFor(),
 		StartedAt:  time.Now(),
 	}
