Resume broken streams only on targets of the software version that began them

Cause: streamReopener excludes the target that broke off and takes any other of the pool. Now the first event binds the exchange to the version of the target that sent it; the bound goes with the request and its ticket, a scheduler grants only targets of that version, and the entry checks the grant by its own listing, at the grant and again before it writes. Where no target of the version is left the caller is refused at once (609), or its stream breaks. A version without room holds up no request that may use another one.

TestBusySoftwareVersionHoldsUpNoOthers fails without isNarrow in grantWaiting.

--- a/control/events.go
+++ b/control/events.go
@@ -34,6 +34,9 @@
 	Objective Instant
 	// Excluded lists targets that must not be granted.
 	Excluded []string
+	// Software limits the targets to those of the version that began the stream, if the
+	// request continues one.
+	Software config.SoftwareLimit
 }
 
 // Work describes the tokens of a request.
--- a/control/grants.go
+++ b/control/grants.go
@@ -62,7 +62,7 @@
 	if s.queue.Len() == 0 {
 		return
 	}
-	var full map[string]bool // classes with excluded targets whose other targets had no room
+	var full map[string]bool // narrow classes whose targets had no room
 	usable := func(name string) bool {
 		c := s.classes[name]
 		return c == nil || !full[name] && slices.ContainsFunc(c.targets, func(t *target) bool { return m.hasRoomFor(c, t) })
@@ -83,9 +83,9 @@
 		}
 		if m.countsTokens(s) {
 			p := m.chooseTokenTarget(c, q)
-			if p.target == nil && len(c.excluded) > 0 {
-				// Tickets with excluded targets must not hold up those that may use all
-				// targets.
+			if p.target == nil && c.isNarrow() {
+				// Tickets that may use some targets must not hold up those that may use
+				// all of them.
 				if full == nil {
 					full = make(map[string]bool)
 				}
--- a/control/messages.go
+++ b/control/messages.go
@@ -21,6 +21,8 @@
 	Excluded    []string
 	// AllowedRegions are the regions whose targets may handle the request.
 	AllowedRegions config.AllowedRegions
+	// Software limits the software version of the targets that may handle the request.
+	Software config.SoftwareLimit
 	// Work describes the tokens of the request, for pools that count in tokens.
 	Work Work
 	// Objective is the time from now within which the answer should begin; zero if there is
--- a/control/shard.go
+++ b/control/shard.go
@@ -45,14 +45,15 @@
 	timer    timer
 }
 
-// class is a set of targets that may run a ticket: those that its workspace may use,
-// without those that it excludes.
+// class is a set of targets that may run a ticket: those that its workspace may use, of the
+// software version that it is limited to, without those that it excludes.
 type class struct {
 	name string
 	// workspace is set if the class is restricted to the targets of one workspace.
 	workspace string
 	excluded  []string
 	regions   config.AllowedRegions
+	software  config.SoftwareLimit
 	// suspect reports that targets that run a suspect request must not be used.
 	suspect bool
 	// rank is the rank of its tickets, which sets how much of the capacity they may use.
@@ -188,12 +189,15 @@
 	if t.AllowedRegions.Restricted {
 		name += "\x00\x00homes\x00" + strings.Join(t.AllowedRegions.Regions, "\x00")
 	}
+	if t.Software.Limited {
+		name += "\x00\x00software\x00" + t.Software.Version
+	}
 	if r != rankShare {
 		name += "\x00\x00" + r.String()
 	}
 	c := s.classes[name]
 	if c == nil {
-		c = &class{name: name, workspace: onlyWorkspace, excluded: t.Excluded, regions: t.AllowedRegions, suspect: suspect, rank: r}
+		c = &class{name: name, workspace: onlyWorkspace, excluded: t.Excluded, regions: t.AllowedRegions, software: t.Software, suspect: suspect, rank: r}
 		s.classes[name] = c
 		m.fillClass(s, c)
 	}
@@ -202,7 +206,8 @@
 
 func (m *Machine) fillClass(s *shard, c *class) {
 	for _, t := range s.targets {
-		if slices.Contains(c.excluded, t.name) || !c.regions.Allows(m.topo.decl.Targets[t.name].Region) {
+		decl := m.topo.decl.Targets[t.name]
+		if slices.Contains(c.excluded, t.name) || !c.regions.Allows(decl.Region) || !c.software.Allows(decl.Software) {
 			continue
 		}
 		if c.workspace == "" || m.topo.mayRun(t.name, c.workspace, nil) {
@@ -225,6 +230,10 @@
 	return true
 }
 
+// isNarrow reports whether the tickets of the class may use only some of the targets that
+// others of their workspace may use.
+func (c *class) isNarrow() bool { return len(c.excluded) > 0 || c.software.Limited }
+
 // unservableCode returns the result code for the tickets of an unservable class.
 func (m *Machine) unservableCode(s *shard, c *class) result.Code {
 	if slices.ContainsFunc(c.targets, func(t *target) bool { return t.evacuated && !t.leaving }) {
@@ -235,6 +244,9 @@
 			return result.TargetsUnavailable
 		}
 	}
+	if c.software.Limited {
+		return result.SoftwareUnavailable
+	}
 	return result.NoTarget
 }
 
--- /dev/null
+++ b/control/software_test.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/result"
+)
+
+// newSoftwareFleet returns a tokenFleet with engines that are named by their software version,
+// and by a number: "v1-1".
+func newSoftwareFleet(engines ...string) *tokenFleet {
+	f := newTokenFleet(engines...)
+	declarations := *f.machine.topo.decl
+	declarations.Targets = make(map[string]config.Target)
+	for name, target := range f.machine.topo.decl.Targets {
+		target.Software = softwareOf(name)
+		declarations.Targets[name] = target
+	}
+	f.step(ConfigChanged{Snapshot: &config.Snapshot{Version: 2, Declarations: declarations, TargetsRevision: 2}})
+	return f
+}
+
+func softwareOf(engine string) string { return engine[:len("v1")] }
+
+// arriveLimited delivers a request that is limited to a software version.
+func (f *tokenFleet) arriveLimited(limit config.SoftwareLimit) (RequestID, []Command) {
+	return f.arriveLimitedWith(limit, sharedPart(1), ownPart(uint64(f.requests)))
+}
+
+// arriveLimitedWith is like arriveLimited for a request with the given prompt parts.
+func (f *tokenFleet) arriveLimitedWith(limit config.SoftwareLimit, parts ...PromptPart) (RequestID, []Command) {
+	f.requests++
+	return f.requests, f.step(RequestArrived{
+		Request: f.requests, Attempt: 1, Workspace: "a", Pool: "gen", Route: "r", Software: limit,
+		Deadline: f.now + 12*time.Second, Objective: f.now + 400*time.Millisecond,
+		Work: Work{Parts: parts, OutputTokens: 50},
+	})
+}
+
+// TestLimitedRequestStaysAtItsSoftwareVersion guards against granting a target of another
+// software version, or fetching from one, for a request that continues a stream.
+func TestLimitedRequestStaysAtItsSoftwareVersion(t *testing.T) {
+	f := newSoftwareFleet("v1-1", "v1-2", "v2-1", "v2-2")
+	for range 16 {
+		f.arriveLimited(config.SoftwareLimit{}) // so that engines of both versions have parts cached
+	}
+	f.now += time.Second
+	for range 8 {
+		request, commands := f.arriveLimited(config.OnlySoftware("v1"))
+		d, refused := outcomeOf(commands, request)
+		switch {
+		case refused != nil:
+			t.Errorf("refused with %d", refused.Code)
+		case d != nil && softwareOf(d.Target) != "v1":
+			t.Errorf("granted %s", d.Target)
+		case d != nil && d.FetchFrom != "" && softwareOf(d.FetchFrom) != "v1":
+			t.Errorf("fetches from %s", d.FetchFrom)
+		}
+	}
+}
+
+// TestRequestOfVanishedSoftwareVersionIsRefusedAtOnce guards against holding a request that no
+// target can serve, as none runs the version that began its stream.
+func TestRequestOfVanishedSoftwareVersionIsRefusedAtOnce(t *testing.T) {
+	f := newSoftwareFleet("v2-1", "v2-2")
+	request, commands := f.arriveLimited(config.OnlySoftware("v1"))
+	_, refused := outcomeOf(commands, request)
+	if refused == nil || refused.Code != result.SoftwareUnavailable || refused.RetryAfter <= 0 {
+		t.Errorf("got %+v, want refusal %d with a time to retry", refused, result.SoftwareUnavailable)
+	}
+}
+
+// TestBusySoftwareVersionHoldsUpNoOthers guards against requests that wait for a software
+// version with free slots but much to read, and keep those behind them from idle targets of
+// another.
+func TestBusySoftwareVersionHoldsUpNoOthers(t *testing.T) {
+	f := newSoftwareFleet("v1-1", "v2-1")
+	waiting := 0
+	for range 6 {
+		request, commands := f.arriveLimitedWith(config.OnlySoftware("v1"), PromptPart{ID: uint64(f.requests) + 100, Tokens: 3000})
+		if d, refused := outcomeOf(commands, request); d == nil && refused == nil {
+			waiting++
+		}
+	}
+	if waiting == 0 {
+		t.Fatal("no request waits at the busy version")
+	}
+	request, commands := f.arriveLimited(config.SoftwareLimit{})
+	if d, _ := outcomeOf(commands, request); d == nil || d.Target != "v2-1" {
+		t.Errorf("got %+v, want a grant at the idle target", d)
+	}
+}
--- a/control/tickets.go
+++ b/control/tickets.go
@@ -144,6 +144,7 @@
 		Fingerprint:    r.ev.Fingerprint,
 		Excluded:       r.ev.Excluded,
 		AllowedRegions: r.regions,
+		Software:       r.ev.Software,
 		Work:           r.ev.Work,
 		Objective:      objectiveLeft(r.ev, m.now),
 		Again:          r.ev.Attempt > 1,
@@ -277,7 +278,7 @@
 // another shard may have one.
 func isTargetShortage(code result.Code) bool {
 	switch code {
-	case result.NoTarget, result.TargetsEvacuated, result.NoHomeTarget, result.TargetsUnavailable:
+	case result.NoTarget, result.TargetsEvacuated, result.NoHomeTarget, result.TargetsUnavailable, result.SoftwareUnavailable:
 		return true
 	}
 	return false
--- a/control/topology.go
+++ b/control/topology.go
@@ -145,7 +145,7 @@
 }
 
 // serves reports whether a shard has a target that accepts new requests, may serve a
-// request and is in one of the allowed regions.
+// request, is in one of the allowed regions and runs an allowed software version.
 func (t *topology) serves(id ShardID, ev RequestArrived, regions config.AllowedRegions) bool {
 	names := t.shards[id].accepting
 	if only := t.decl.Workspaces[ev.Workspace].Targets; len(only) > 0 {
@@ -153,7 +153,7 @@
 	}
 	for _, name := range names {
 		shard, ok := t.shardOf(name)
-		if ok && shard == id && t.mayRun(name, ev.Workspace, ev.Excluded) && regions.Allows(t.decl.Targets[name].Region) {
+		if ok && shard == id && t.mayRun(name, ev.Workspace, ev.Excluded) && regions.Allows(t.decl.Targets[name].Region) && ev.Software.Allows(t.decl.Targets[name].Software) {
 			return true
 		}
 	}
@@ -171,6 +171,10 @@
 			case decl.Leaving || !t.isAllowed(name, ev.Workspace, nil):
 			case !regions.Allows(decl.Region):
 				code = result.NoHomeTarget
+			case !ev.Software.Allows(decl.Software):
+				if code == result.NoTarget {
+					code = result.SoftwareUnavailable
+				}
 			case decl.Evacuated:
 				return result.TargetsEvacuated
 			default:
@@ -187,9 +191,11 @@
 }
 
 // mayServe reports whether a target is declared, accepts new requests, may serve the
-// workspace of a request and is in a region allowed for it.
+// workspace of a request, is in a region allowed for it and runs a software version allowed
+// for it.
 func (t *topology) mayServe(target string, ev RequestArrived) bool {
-	return t.mayRun(target, ev.Workspace, ev.Excluded) && t.allowedRegions(ev).Allows(t.decl.Targets[target].Region)
+	decl := t.decl.Targets[target]
+	return t.mayRun(target, ev.Workspace, ev.Excluded) && t.allowedRegions(ev).Allows(decl.Region) && ev.Software.Allows(decl.Software)
 }
 
 // candidateShards returns the shards that may serve a request: the one in the near data
--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -1,7 +1,7 @@
 // Package events relays event streams, in place of package relay, on routes of kind
 // stream. It passes complete events to the caller as they arrive. If a target breaks off
-// and the route allows it, the stream resumes on another target after the last complete
-// event:
+// and the route allows it, the stream resumes after the last complete event on another
+// target of the same software version:
 //
 //	[routes.rewrite]
 //	kind = "stream"
@@ -19,6 +19,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/eventstream"
 	"github.com/walnutcove/walnutcove/pipeline"
@@ -68,6 +69,7 @@
 	}
 	ex.Run.Begin()
 	ex.MarkAnswerBegan()
+	ex.Software = config.OnlySoftware(ex.TargetSoftware)
 	ex.Status = answer.Status
 	ex.AnswerHeader = answer.Header
 	ex.AnswerStream = s
--- a/peer/wire/codec_queue.go
+++ b/peer/wire/codec_queue.go
@@ -16,7 +16,8 @@
 	workspace, errWorkspace := e.nameRef(m.Workspace)
 	excluded, errExcluded := e.nameRefs(m.Excluded)
 	regions, errRegions := e.nameRefs(m.AllowedRegions.Regions)
-	if err := errors.Join(errOrigin, errShard, errWorkspace, errExcluded, errRegions); err != nil {
+	software, errSoftware := e.nameRef(m.Software.Version)
+	if err := errors.Join(errOrigin, errShard, errWorkspace, errExcluded, errRegions, errSoftware); err != nil {
 		return nil, err
 	}
 	p := &peerpb.Ticket{
@@ -35,6 +36,9 @@
 		Again:       m.Again,
 		HomesBound:  m.AllowedRegions.Restricted,
 		Home:        regions,
+
+		SoftwareLimited: m.Software.Limited,
+		Software:        software,
 	}
 	p.PromptTokens, p.OutputTokens = uint32(m.Work.PromptTokens), uint32(m.Work.OutputTokens)
 	p.PartId, p.PartTokens = encodeParts(m.Work.Parts)
@@ -47,7 +51,8 @@
 	workspace, errWorkspace := d.name(p.GetWorkspace())
 	excluded, errExcluded := d.nameList(p.GetExcluded())
 	regions, errRegions := d.nameList(p.GetHome())
-	if err := errors.Join(errOrigin, errShard, errWorkspace, errExcluded, errRegions); err != nil {
+	software, errSoftware := d.name(p.GetSoftware())
+	if err := errors.Join(errOrigin, errShard, errWorkspace, errExcluded, errRegions, errSoftware); err != nil {
 		return nil, err
 	}
 	work, err := decodeWork(p)
@@ -73,6 +78,7 @@
 		Objective:      fromMicros(p.GetObjective()),
 		Again:          p.GetAgain(),
 		AllowedRegions: config.AllowedRegions{Restricted: p.GetHomesBound(), Regions: regions},
+		Software:       config.SoftwareLimit{Limited: p.GetSoftwareLimited(), Version: software},
 	}, nil
 }
 
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -86,6 +86,10 @@
 	ResumedRequest string
 	CallerEventID  string
 
+	// Software limits the targets to those of the version that began the stream, once the
+	// caller has an event of it.
+	Software config.SoftwareLimit
+
 	// Route is the route that serves the request; nil if the pool is selected by
 	// model and path instead.
 	Route *config.NamedRoute
--- a/result/codes.go
+++ b/result/codes.go
@@ -48,6 +48,7 @@
 	TargetsEvacuated     Code = 606
 	NoHomeTarget         Code = 607
 	TargetsUnavailable   Code = 608
+	SoftwareUnavailable  Code = 609
 
 	// dispatch: 700-799.
 	ConnectFailed     Code = 701
@@ -130,6 +131,7 @@
 	{TargetsEvacuated, "targets_evacuated", "grant", 503, RanNo, true, "All targets that could serve this request are in evacuated data centres."},
 	{NoHomeTarget, "no_home_target", "grant", 503, RanNo, true, "No live target is in the regions that the route and the workspace allow."},
 	{TargetsUnavailable, "targets_unavailable", "grant", 503, RanNo, true, "Each live target that could serve this request has failed it, turned it away or asked this router to wait."},
+	{SoftwareUnavailable, "software_unavailable", "grant", 503, RanNo, true, "No live target runs the software version that began the stream."},
 	{ConnectFailed, "connect_failed", "dispatch", 502, RanNo, true, "No target could be connected to."},
 	{TargetRefused, "target_refused", "dispatch", 503, RanNo, true, "The target refused the request before running it."},
 	{RetryBudgetEmpty, "retry_budget_empty", "dispatch", 503, RanUnknown, true, "The request failed and the retry budget is used up."},
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -24,7 +24,7 @@
 		result.QueueFull, result.QueueBytesFull, result.Draining, result.NotReady)
 	grantRefusals = codecounter.New("walnut_grant_refusals_total",
 		result.DeadlineBeforeGrant, result.NoTarget, result.CallerGone, result.Quarantined, result.ConnectFailed, result.Overloaded,
-		result.TargetsEvacuated, result.NoHomeTarget, result.TargetsUnavailable)
+		result.TargetsEvacuated, result.NoHomeTarget, result.TargetsUnavailable, result.SoftwareUnavailable)
 )
 
 // grantSource obtains slots for the grant filter. It implements grant.Source.
@@ -84,6 +84,7 @@
 		Objective:   g.objective(ex),
 		Fingerprint: ex.Fingerprint,
 		Excluded:    ex.Excluded,
+		Software:    ex.Software,
 	}
 }
 
@@ -121,6 +122,10 @@
 		run.End(control.OutcomeNotRun)
 		return countRefusal(result.New(result.ConnectFailed, "The target is not declared any more."))
 	}
+	if !ex.Software.Allows(target.Software) {
+		run.End(control.OutcomeNotRun)
+		return countRefusal(result.New(result.TargetLeft, "The target runs another software version than the one that began the stream."))
+	}
 	ex.Address = target.Address
 	ex.TargetSoftware = target.Software
 	ex.TargetServes = func() bool { return g.isTargetServing(ex, answer.dispatch.Target, target.Address) }
@@ -130,14 +135,15 @@
 }
 
 // isTargetServing reports whether a target is still declared at an address, takes work
-// according to its declaration and its answers, and is in a region that the request's route and
-// workspace allow.
+// according to its declaration and its answers, is in a region that the request's route and
+// workspace allow, and runs an allowed software version.
 func (g *grantSource) isTargetServing(ex *pipeline.Exchange, name, address string) bool {
 	declarations := &g.inForce().Declarations
 	declared, known := declarations.Targets[name]
 	return known && declared.TakesWork() && declared.Address == address &&
 		!g.notices.isWithheld(g.loop.instant(time.Now()), name, declared.Start) &&
-		declarations.AllowedRegions(routeName(ex), ex.WorkspaceName).Allows(declared.Region)
+		declarations.AllowedRegions(routeName(ex), ex.WorkspaceName).Allows(declared.Region) &&
+		ex.Software.Allows(declared.Software)
 }
 
 // routeName returns the name of the route of a request; empty if there is none.
