Continue streams that callers take up only at the software version that began them

Cause: no code read the name of the stream in the request, and nothing outlived the router that began it, so such a request was placed as a new one. Now the router that passes on a first event records pool and version by a hash of workspace and request id, and copies the record to two routers by rendezvous hashing; a router that has no record asks eight. The new filter limits the request to that version, and refuses it as not run (610) where no router in reach knows: a lost copy costs a refusal, never a mix. Records are copied again as routers come and go, bounded and forgotten; the store is not used. A stream that its caller does not name goes on only while this router and all that answer it have seen one version.

The protocol between routers is 2: older ones end a session at a message kind that they do not know.

--- a/config/route.go
+++ b/config/route.go
@@ -160,6 +160,11 @@
 	}
 }
 
+// Uses reports whether the route leads to a pool.
+func (r Route) Uses(pool string) bool {
+	return slices.ContainsFunc(r.Split, func(share RouteShare) bool { return share.Pool == pool && share.Weight > 0 })
+}
+
 // pools returns the names of the pools in the split.
 func (r Route) pools() []string {
 	names := make([]string, 0, len(r.Split))
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -41,6 +41,7 @@
 		m.reclaimNode(node, inc)
 		m.exchange.totals.Forget(string(node), uint64(inc))
 		m.resendTo(node)
+		m.affinityHolderRestarted(node)
 	}
 	if change == member.SenderRestarted || change == member.SenderBack {
 		m.send(node, m.heartbeat())
@@ -163,6 +164,7 @@
 		m.fleet.assignedVersion = m.view.Version()
 		clear(m.fleet.owners)
 		m.fleet.feeds.roleStale = true
+		m.rankAffinityHolders()
 		m.reassignShards()
 		m.updateColdLimits()
 		m.dropUnreachable()
@@ -179,6 +181,8 @@
 	m.draining = true
 	m.view.SetLeaving(m.now)
 	m.broadcast(m.heartbeat())
+	m.rankAffinityHolders()
+	m.copyAffinities()
 	if !m.mayScheduleHere() {
 		m.dropShards()
 	}
--- a/control/machine.go
+++ b/control/machine.go
@@ -46,6 +46,7 @@
 	sched         scheduler
 	exchange      serviceExchange
 	crashEvidence crashEvidence
+	affinities    affinities
 	// coldUntil maps a target's name to the end of the time during which it is, or may be,
 	// cold.
 	coldUntil map[string]Instant
@@ -70,9 +71,12 @@
 		sched:         newScheduler(),
 		exchange:      newServiceExchange(),
 		crashEvidence: newCrashEvidence(),
+		affinities:    newAffinities(),
 		coldUntil:     make(map[string]Instant),
 	}
 	m.view.SetCores(0, opts.Cores)
+	m.affinities.ranking = m.view.Ranking()
+	m.affinities.copiedBy = m.affinities.ranking
 	return m
 }
 
@@ -162,6 +166,10 @@
 		m.targetCacheReported(ev)
 	case TargetNoticeReceived:
 		m.targetNoticeReceived(ev)
+	case StreamBegan:
+		m.streamBegan(ev)
+	case AffinityWanted:
+		m.affinityWanted(ev)
 	case FeedState:
 		m.feedStateChanged(ev)
 	case RequestsRefusedUnread:
@@ -179,6 +187,7 @@
 	m.entryTick()
 	m.exchangeTick()
 	m.crashEvidenceTick()
+	m.affinityTick()
 }
 
 // handleLoopback handles the messages that this node sent to itself.
@@ -241,6 +250,12 @@
 		m.unreadNoticeReceived(msg)
 	case LeavingNotice:
 		m.leavingNoticeReceived(from, msg)
+	case AffinityNotice:
+		m.affinityNoticeReceived(msg)
+	case AffinityQuery:
+		m.affinityQueryReceived(from, msg)
+	case AffinityAnswer:
+		m.affinityAnswerReceived(from, msg)
 	case ServiceReport:
 		m.serviceReportReceived(from, inc, msg)
 	case ServiceTotals:
--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -33,6 +33,8 @@
 	requests  []*simRequest
 	// onEnd is called when a request has ended.
 	onEnd func(*simRequest)
+	// onFound is called with each AffinityFound command.
+	onFound func(AffinityFound)
 	// violations lists the violated invariants.
 	violations []string
 }
@@ -134,6 +136,7 @@
 		linkDown:  func(NodeID, NodeID) bool { return false },
 		service:   func(*simRequest) time.Duration { return time.Second },
 		onEnd:     func(*simRequest) {},
+		onFound:   func(AffinityFound) {},
 		loadEvery: 200 * time.Millisecond,
 	}
 }
@@ -254,6 +257,8 @@
 		s.dispatch(n, c)
 	case FeedRole:
 		s.applyFeedRole(n, c)
+	case AffinityFound:
+		s.onFound(c)
 	case RecheckFeeds:
 		n.feedRechecks++
 	case Refuse:
--- a/control/status.go
+++ b/control/status.go
@@ -35,6 +35,11 @@
 	TargetProbes          uint64 // runs granted to failing targets
 	TargetsCold           uint64
 	Convictions           uint64
+	AffinitiesRecorded    uint64 // streams that began here
+	AffinitiesCopied      uint64 // records sent after a change of members
+	AffinitiesHere        uint64 // found at this node
+	AffinitiesElsewhere   uint64 // found at another node
+	AffinitiesUnknown     uint64
 	MessagesSent          uint64
 	StaleMessages         uint64
 	Thaws                 uint64 // long pauses of the process
--- a/control/topology.go
+++ b/control/topology.go
@@ -19,6 +19,10 @@
 	shards map[ShardID]*shardDecl
 	// objectives holds the tightest objective of the routes to each pool.
 	objectives map[string]time.Duration
+	// software holds the software versions of each pool's targets.
+	software map[string]map[string]bool
+	// streamLife is how long after its first event a stream may be taken up again.
+	streamLife time.Duration
 	// groups is the number of groups into which workspaces are divided for accounting.
 	groups uint64
 }
@@ -57,6 +61,8 @@
 		pools:      make(map[string][]ShardID),
 		shards:     make(map[ShardID]*shardDecl),
 		objectives: make(map[string]time.Duration),
+		software:   make(map[string]map[string]bool),
+		streamLife: minStreamLife,
 		groups:     accountGroups(len(s.Declarations.Workspaces)),
 	}
 	for name, target := range s.Declarations.Targets {
@@ -64,6 +70,7 @@
 	}
 	for _, route := range s.Declarations.Routes {
 		t.addObjective(route)
+		t.addStreamLife(route)
 	}
 	for _, shards := range t.pools {
 		sort.Slice(shards, func(i, j int) bool { return shards[i].DataCentre < shards[j].DataCentre })
@@ -76,6 +83,10 @@
 }
 
 func (t *topology) addTarget(name string, target config.Target) {
+	if t.software[target.Pool] == nil {
+		t.software[target.Pool] = make(map[string]bool)
+	}
+	t.software[target.Pool][target.Software] = true
 	id := t.shardFor(target)
 	d := t.shards[id]
 	if d == nil {
@@ -102,6 +113,26 @@
 	}
 }
 
+const (
+	// A caller may take a stream up again until its deadline, which the limit of the route
+	// bounds for each request. streamLifeFactor allows for the request that began the stream
+	// and one that waits; each request that continues it starts the time anew.
+	streamLifeFactor = 2
+	minStreamLife    = 30 * time.Second
+	maxStreamLife    = 10 * time.Minute
+)
+
+func (t *topology) addStreamLife(route config.Route) {
+	if !route.Resumes {
+		return
+	}
+	life := maxStreamLife
+	if limit := route.Timeout(); limit > 0 {
+		life = min(maxStreamLife, streamLifeFactor*limit)
+	}
+	t.streamLife = max(t.streamLife, life)
+}
+
 func shardHash(id ShardID) uint64 {
 	return member.HashOf(id.Pool + "\x00" + id.DataCentre)
 }
--- /dev/null
+++ b/filters/affinity/affinity.go
@@ -0,0 +1,78 @@
+// Package affinity is the filter for streams that their callers take up again. It finds out
+// which pool and software version began the stream, and limits the request to targets of
+// that version. Where that cannot be known the request is refused as not run.
+package affinity
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/control/affinity"
+	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/result/codecounter"
+)
+
+// A caller whose stream is unknown is told to retry after a random time between these: a
+// router that has the record may be unreachable for a moment.
+const (
+	minRetryAfter = 500 * time.Millisecond
+	maxRetryAfter = 1500 * time.Millisecond
+)
+
+var refusals = codecounter.New("walnut_affinity_refusals_total",
+	result.StreamUnknown, result.SoftwareUnavailable, result.CallerGone, result.DeadlineBeforeGrant, result.Draining)
+
+// Source knows where streams began. The router implements it with its control loop.
+type Source interface {
+	// Find returns where the stream began that the exchange takes up, and whether that is
+	// known. It returns a refusal if the caller left or the time ran out meanwhile.
+	Find(ctx context.Context, ex *pipeline.Exchange) (found affinity.Affinity, known bool, refusal *result.Error)
+}
+
+// Filter limits requests that take a stream up to the version that began it.
+type Filter struct {
+	// Source knows where streams began.
+	Source Source
+	// Log gets a debug line for each stream that is found.
+	Log *slog.Logger
+}
+
+// Name implements pipeline.Filter.
+func (f *Filter) Name() string { return "affinity" }
+
+// Serve implements pipeline.Filter.
+func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
+	if ex.ResumedRequest == "" && ex.CallerEventID == "" {
+		return next(ctx, ex)
+	}
+	if refusal := f.limit(ctx, ex); refusal != nil {
+		refusals.Inc(refusal.Code)
+		return refusal
+	}
+	return next(ctx, ex)
+}
+
+// limit limits the exchange to the pool and the version that began its stream.
+func (f *Filter) limit(ctx context.Context, ex *pipeline.Exchange) *result.Error {
+	found, known, refusal := f.Source.Find(ctx, ex)
+	if refusal != nil {
+		return refusal
+	}
+	if !known {
+		return result.New(result.StreamUnknown, "No router in reach knows which software version began the stream.").WithRetryAfter(retryAfter())
+	}
+	if !ex.Route.Uses(found.Pool) {
+		return result.New(result.SoftwareUnavailable, "The route does not lead to the pool that began the stream any more.").WithRetryAfter(retryAfter())
+	}
+	ex.PoolName = found.Pool
+	ex.Pool = ex.Snapshot.Declarations.Pools[found.Pool]
+	ex.Software = config.OnlySoftware(found.Software)
+	pipeline.Log(ctx, f.Log, slog.LevelDebug, ex, "affinity: Stream is taken up.", slog.String("version", found.Software))
+	return nil
+}
+
+func retryAfter() time.Duration { return minRetryAfter + rand.N(maxRetryAfter-minRetryAfter) }
--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -50,6 +50,9 @@
 type Relay struct {
 	// Reopen resumes broken streams; nil means that they are not resumed.
 	Reopen Reopen
+	// Began is called when the first event of a stream that may be resumed has arrived,
+	// before the caller gets it; may be nil.
+	Began func(ex *pipeline.Exchange)
 	// Lag returns by how much this process lags behind; nil means that it never lags.
 	// See gather.
 	Lag func() time.Duration
@@ -70,6 +73,9 @@
 	ex.Run.Begin()
 	ex.MarkAnswerBegan()
 	ex.Software = config.OnlySoftware(ex.TargetSoftware)
+	if r.Began != nil && ex.Route.Resumes {
+		r.Began(ex)
+	}
 	ex.Status = answer.Status
 	ex.AnswerHeader = answer.Header
 	ex.AnswerStream = s
--- a/filters/requestlog/requestlog.go
+++ b/filters/requestlog/requestlog.go
@@ -83,7 +83,7 @@
 	switch code {
 	case result.Internal:
 		return slog.LevelError, "request: Failed."
-	case result.RecordUnavailable, result.RecordLapsed, result.NoTarget, result.TargetsEvacuated, result.NoHomeTarget, result.TargetsUnavailable, result.SoftwareUnavailable, result.SchedulerUnreachable,
+	case result.RecordUnavailable, result.RecordLapsed, result.NoTarget, result.TargetsEvacuated, result.NoHomeTarget, result.TargetsUnavailable, result.SoftwareUnavailable, result.StreamUnknown, result.SchedulerUnreachable,
 		result.ConnectFailed, result.TargetRefused, result.RetryBudgetEmpty, result.FirstByteTimeout,
 		result.TargetLostRequest, result.StreamBroken, result.TargetError, result.AnswerTooSlow:
 		return slog.LevelWarn, "request: Failed."
--- a/peer/hello.go
+++ b/peer/hello.go
@@ -19,7 +19,7 @@
 
 const (
 	// protocolVersion is raised by changes that are incompatible with older nodes.
-	protocolVersion = 1
+	protocolVersion = 2
 	maxHelloBytes   = 1 << 10
 )
 
--- a/peer/wire/codec.go
+++ b/peer/wire/codec.go
@@ -15,7 +15,7 @@
 var Kinds = []Kind{
 	KindDefinition, "ticket", "grant", "report", "report-ack", "refusal", "cancel-ticket", "waiting",
 	"heartbeat", "service-report", "service-totals", "suspect-notice", "quarantine-notice", "unread-notice",
-	"leaving-notice",
+	"leaving-notice", "affinity-notice", "affinity-query", "affinity-answer",
 }
 
 // KindOf returns the kind of a message, or "unknown" if it has no codec.
@@ -49,6 +49,12 @@
 		return "unread-notice"
 	case control.LeavingNotice:
 		return "leaving-notice"
+	case control.AffinityNotice:
+		return "affinity-notice"
+	case control.AffinityQuery:
+		return "affinity-query"
+	case control.AffinityAnswer:
+		return "affinity-answer"
 	default:
 		return "unknown"
 	}
@@ -86,6 +92,12 @@
 		return e.encodeUnreadNotice(m)
 	case control.LeavingNotice:
 		return e.encodeLeavingNotice(m)
+	case control.AffinityNotice:
+		return e.encodeAffinityNotice(m)
+	case control.AffinityQuery:
+		return e.encodeAffinityQuery(m)
+	case control.AffinityAnswer:
+		return e.encodeAffinityAnswer(m)
 	default:
 		return nil, fmt.Errorf("%w: %T", ErrUnknownKind, message)
 	}
@@ -122,6 +134,12 @@
 		return d.decodeUnreadNotice(kind.UnreadNotice)
 	case *peerpb.Entry_LeavingNotice:
 		return d.decodeLeavingNotice(kind.LeavingNotice)
+	case *peerpb.Entry_AffinityNotice:
+		return d.decodeAffinityNotice(kind.AffinityNotice)
+	case *peerpb.Entry_AffinityQuery:
+		return d.decodeAffinityQuery(kind.AffinityQuery)
+	case *peerpb.Entry_AffinityAnswer:
+		return d.decodeAffinityAnswer(kind.AffinityAnswer)
 	default:
 		return nil, fmt.Errorf("%w: entry %T", ErrUnknownKind, kind)
 	}
--- a/result/codes.go
+++ b/result/codes.go
@@ -49,6 +49,7 @@
 	NoHomeTarget         Code = 607
 	TargetsUnavailable   Code = 608
 	SoftwareUnavailable  Code = 609
+	StreamUnknown        Code = 610
 
 	// dispatch: 700-799.
 	ConnectFailed     Code = 701
@@ -132,6 +133,7 @@
 	{NoHomeTarget, "no_home_target", "grant", 503, RanNo, true, "No live target is in the regions that the route and the workspace allow."},
 	{TargetsUnavailable, "targets_unavailable", "grant", 503, RanNo, true, "Each live target that could serve this request has failed it, turned it away or asked this router to wait."},
 	{SoftwareUnavailable, "software_unavailable", "grant", 503, RanNo, true, "No live target runs the software version that began the stream."},
+	{StreamUnknown, "stream_unknown", "grant", 503, RanNo, true, "It is not known which software version began the stream that the request continues."},
 	{ConnectFailed, "connect_failed", "dispatch", 502, RanNo, true, "No target could be connected to."},
 	{TargetRefused, "target_refused", "dispatch", 503, RanNo, true, "The target refused the request before running it."},
 	{RetryBudgetEmpty, "retry_budget_empty", "dispatch", 503, RanUnknown, true, "The request failed and the retry budget is used up."},
--- a/router/loop.go
+++ b/router/loop.go
@@ -33,6 +33,8 @@
 	shell   shell
 	log     *slog.Logger
 	waiters map[control.RequestID]*waiter
+	// lookups holds the channels of the requests that wait for control.AffinityFound.
+	lookups map[control.RequestID]chan<- control.AffinityFound
 	// wake fires at wakeAt for the next tick; the last tick was at tickedAt.
 	wake             *time.Timer
 	wakeAt, tickedAt control.Instant
@@ -67,11 +69,13 @@
 }
 
 // postedEvent is an event sent to the control goroutine. An arrival carries its
-// waiter, so that the answer cannot come before the waiter is known. All events
-// share one channel, as a cancellation must not overtake its arrival.
+// waiter and a lookup its channel, which has room for the answer, so that the answer
+// cannot come before they are known. All events share one channel, as a cancellation
+// must not overtake its arrival.
 type postedEvent struct {
 	event  control.Event
 	waiter *waiter
+	lookup chan<- control.AffinityFound
 }
 
 func newLoop(machine *control.Machine, shell shell, log *slog.Logger) *loop {
@@ -84,6 +88,7 @@
 		shell:   shell,
 		log:     log,
 		waiters: make(map[control.RequestID]*waiter),
+		lookups: make(map[control.RequestID]chan<- control.AffinityFound),
 	}
 }
 
@@ -152,18 +157,25 @@
 
 // postWith is like post, and also passes a waiter, which every arrival has.
 func (l *loop) postWith(event control.Event, w *waiter) bool {
+	return l.postEvent(postedEvent{event: event, waiter: w})
+}
+
+func (l *loop) postEvent(p postedEvent) bool {
 	select {
-	case l.inbox <- postedEvent{event: event, waiter: w}:
+	case l.inbox <- p:
 		return true
 	case <-l.done:
 		return false
 	}
 }
 
-// handle registers the waiter of an arrival and feeds a posted event to the machine.
+// handle registers who waits for the answer and feeds a posted event to the machine.
 func (l *loop) handle(p postedEvent) {
-	if arrival, ok := p.event.(control.RequestArrived); ok {
-		l.waiters[arrival.Request] = p.waiter
+	switch event := p.event.(type) {
+	case control.RequestArrived:
+		l.waiters[event.Request] = p.waiter
+	case control.AffinityWanted:
+		l.lookups[event.Request] = p.lookup
 	}
 	l.step(p.event)
 }
@@ -206,6 +218,9 @@
 		l.deliverGrant(c)
 	case control.Refuse:
 		l.deliverRefusal(c)
+	case control.AffinityFound:
+		l.lookups[c.Request] <- c
+		delete(l.lookups, c.Request)
 	case control.WatchTargets:
 		l.shell.watchTargets(c.Targets)
 	case control.QuarantineChanged:
--- a/router/routed.go
+++ b/router/routed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/filters/affinity"
 	"github.com/walnutcove/walnutcove/filters/detach"
 	"github.com/walnutcove/walnutcove/filters/dispatch"
 	"github.com/walnutcove/walnutcove/filters/events"
@@ -28,7 +29,7 @@
 	retries := retry.NewWindowed(r.log, r.retryLimits)
 	grantFilter := &grant.Filter{Source: &grantSource{loop: r.loop, inForce: r.InForce, notices: &r.notices}, Log: r.log}
 	answers := &answerRelays{
-		events: &events.Relay{Lag: r.overload.currentLag, Log: r.log},
+		events: &events.Relay{Began: affinitySource{r.loop}.record, Lag: r.overload.currentLag, Log: r.log},
 		whole:  &relay.Relay{Client: r.targets, Request: dispatch.Request, Log: r.log},
 	}
 	answers.events.Reopen = r.streamReopener(grantFilter, retries)
@@ -43,6 +44,7 @@
 		}),
 		detach.New(r.log),
 		&quarantine.Filter{Set: &r.quarantineSet},
+		&affinity.Filter{Source: affinitySource{r.loop}, Log: r.log},
 		retries,
 		grantFilter,
 		r.dispatcher(answers.relay),
