Do not charge a workspace twice for a stream that its caller takes up

Now a stream that is known to have begun is served within the share, up to half of what the workspace began in about the length of a stream, so that breaking streams off on purpose gains at most that much.

--- a/control/grants.go
+++ b/control/grants.go
@@ -186,7 +186,11 @@
 	if t.engine != nil {
 		g.engineRun = t.engine.Start(m.now, q.task, p.reads)
 		estimate = nominalService(q.task)
-		q.shard.shares.Served(m.now, q.ticket.Workspace, estimate.Seconds())
+		if q.ticket.Again || q.ticket.Continues {
+			q.shard.shares.ServedAgain(m.now, q.ticket.Workspace, estimate.Seconds())
+		} else {
+			q.shard.shares.Served(m.now, q.ticket.Workspace, estimate.Seconds())
+		}
 	}
 	m.registerGrant(g, estimate)
 	m.sendGrant(g)
--- a/control/messages.go
+++ b/control/messages.go
@@ -31,6 +31,8 @@
 	// Again reports that the request was granted before and is to be continued, or run
 	// again, on another target.
 	Again bool
+	// Continues has the same meaning as in RequestArrived.
+	Continues bool
 	// Quiet reports that the entry knows the shard's backlog: Waiting is sent only if the
 	// ticket waits for long.
 	Quiet bool
--- a/control/rank.go
+++ b/control/rank.go
@@ -76,7 +76,10 @@
 		return // its share was counted already, and a refusal would waste the work done
 	}
 	shares := q.shard.shares
+	amount := nominalService(q.task).Seconds()
 	switch {
+	case q.ticket.Continues && shares.TakeContinued(m.now, q.ticket.Workspace, amount):
+		q.rank = rankShare
 	case m.exceedsLocalLimit(q.shard, q.ticket.Workspace, q.task): // other nodes grant the rest
 		q.rank = rankExcess
 		q.waitUntil = m.now
@@ -88,8 +91,8 @@
 			// Retries must not get capacity that was refused to other workspaces.
 			q.waitUntil = m.now
 		}
-	case shares.Take(m.now, q.ticket.Workspace, nominalService(q.task).Seconds()) || m.opts.Tokens.NoShares:
-		q.shareTaken = nominalService(q.task).Seconds()
+	case shares.Take(m.now, q.ticket.Workspace, amount) || m.opts.Tokens.NoShares:
+		q.shareTaken = amount
 	case m.mustYield(q):
 		q.rank = rankExcess
 		q.waitUntil = m.now
--- a/control/sched/shares.go
+++ b/control/sched/shares.go
@@ -25,6 +25,13 @@
 	// behind it. By chance alone, some workspaces are a little below their share for a
 	// while.
 	behindShareRatio = 0.7
+	// continuedTimeConstant is the time constant of what a workspace began and continued:
+	// about the length of a stream.
+	continuedTimeConstant = 5 * time.Second
+	// maxContinuedRatio bounds what a workspace may continue outside its share, as a fraction
+	// of what it began. Callers that break their streams off and take them up all the time
+	// exceed their share by this much.
+	maxContinuedRatio = 0.5
 	// shareIdleTimeout is how long a workspace without requests is remembered.
 	shareIdleTimeout = 30 * time.Second
 )
@@ -54,6 +61,9 @@
 	// estimates the amount of the requests that routers refused unread.
 	size   float64
 	unread float64
+	// begun and continued decay with continuedTimeConstant. They sum what was granted to new
+	// requests, and what was continued outside the share.
+	begun, continued float64
 	// credit is the unused part of the share, which the workspace may use at once.
 	credit    float64
 	updatedAt time.Duration
@@ -96,6 +106,17 @@
 	return true
 }
 
+// TakeContinued records the continuation of a stream, for which its workspace was charged when
+// it began, and reports whether it may be served outside the share.
+func (s *Shares) TakeContinued(now time.Duration, workspace string, amount float64) bool {
+	f := s.flow(now, workspace)
+	if f.continued+amount > maxContinuedRatio*f.begun {
+		return false
+	}
+	f.continued += amount
+	return true
+}
+
 // Refund gives back the part of the share that a request used which is not served after
 // all, if the workspace is behind its share: a request that cannot be placed must not
 // reduce the share. A workspace that is not behind already gets its share through its
@@ -116,8 +137,15 @@
 	return s.flow(now, workspace).credit > 0
 }
 
-// Served records a request that is granted.
+// Served records a new request that is granted.
 func (s *Shares) Served(now time.Duration, workspace string, amount float64) {
+	s.ServedAgain(now, workspace, amount)
+	s.flow(now, workspace).begun += amount
+}
+
+// ServedAgain records the grant of a request that was granted before, and is continued or run
+// again.
+func (s *Shares) ServedAgain(now time.Duration, workspace string, amount float64) {
 	f := s.flow(now, workspace)
 	f.granted += amount
 	f.served += amount
@@ -218,6 +246,9 @@
 	f.granted = decayed(f.granted, passed)
 	f.served = decayed(f.served, passed)
 	f.unread = decayed(f.unread, passed)
+	remaining := math.Exp(-passed.Seconds() / continuedTimeConstant.Seconds())
+	f.begun *= remaining
+	f.continued *= remaining
 	f.credit = min(f.credit+passed.Seconds()*s.shareRate(), s.maxCredit())
 }
 
--- a/control/software_test.go
+++ b/control/software_test.go
@@ -92,3 +92,35 @@
 		t.Errorf("got %+v, want a grant at the idle target", d)
 	}
 }
+
+// TestTakenUpStreamsAreNotChargedTwice guards against refusing streams that were broken off
+// together as beyond the share of a workspace, which was charged for them when they began, and
+// against a workspace that exceeds its share by taking streams up all the time.
+func TestTakenUpStreamsAreNotChargedTwice(t *testing.T) {
+	f := newTokenFleet("e1")
+	work := Work{PromptTokens: 900, OutputTokens: 50}
+	begun := 0
+	for n := range uint64(400) {
+		if _, d, _ := f.arrive("a", PromptPart{ID: 100 + n, Tokens: 900}); d != nil {
+			begun++
+			f.finish(d)
+			f.now -= 90 * time.Millisecond
+		}
+	}
+	s := f.machine.sched.shards[ShardID{Pool: "gen"}]
+	if s.shares.Take(f.now, "a", nominalService(engineTaskOf(work)).Seconds()) {
+		t.Fatal("the workspace is not beyond its share")
+	}
+	within := 0
+	for range begun {
+		q := &queuedTicket{shard: s, ticket: Ticket{Workspace: "a", Work: work, Continues: true}}
+		f.machine.classifyTicket(q)
+		if q.rank == rankShare && q.shareTaken == 0 {
+			within++
+		}
+	}
+	t.Logf("%d streams began, %d were taken up within the share", begun, within)
+	if within < begun/4 || within > begun/2 {
+		t.Errorf("%d of %d streams were taken up within the share, want a quarter to a half", within, begun)
+	}
+}
--- a/control/tickets.go
+++ b/control/tickets.go
@@ -148,6 +148,7 @@
 		Work:           r.ev.Work,
 		Objective:      objectiveLeft(r.ev, m.now),
 		Again:          r.ev.Attempt > 1,
+		Continues:      r.ev.Continues,
 		Quiet:          sent.quiet,
 	})
 }
--- a/filters/affinity/affinity.go
+++ b/filters/affinity/affinity.go
@@ -71,6 +71,7 @@
 	ex.PoolName = found.Pool
 	ex.Pool = ex.Snapshot.Declarations.Pools[found.Pool]
 	ex.Software = config.OnlySoftware(found.Software)
+	ex.Continues = ex.ResumedRequest != ""
 	pipeline.Log(ctx, f.Log, slog.LevelDebug, ex, "affinity: Stream is taken up.", slog.String("version", found.Software))
 	return nil
 }
--- a/peer/wire/codec_queue.go
+++ b/peer/wire/codec_queue.go
@@ -34,6 +34,7 @@
 		Quiet:       m.Quiet,
 		Objective:   toMicros(m.Objective),
 		Again:       m.Again,
+		Continues:   m.Continues,
 		HomesBound:  m.AllowedRegions.Restricted,
 		Home:        regions,
 
@@ -77,6 +78,7 @@
 		Work:           work,
 		Objective:      fromMicros(p.GetObjective()),
 		Again:          p.GetAgain(),
+		Continues:      p.GetContinues(),
 		AllowedRegions: config.AllowedRegions{Restricted: p.GetHomesBound(), Regions: regions},
 		Software:       config.SoftwareLimit{Limited: p.GetSoftwareLimited(), Version: software},
 	}, nil
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -86,6 +86,8 @@
 	ResumedRequest string
 	CallerEventID  string
 
+	// Continues reports that the caller takes up a stream that is known to have begun.
+	Continues bool
 	// Software limits the targets to those of the version that began the stream, once the
 	// caller has an event of it.
 	Software config.SoftwareLimit
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -85,6 +85,7 @@
 		Fingerprint: ex.Fingerprint,
 		Excluded:    ex.Excluded,
 		Software:    ex.Software,
+		Continues:   ex.Continues,
 	}
 }
 
