soak: Engines of two software versions, and callers that take up their streams

TestSoakSoftware checks each stream over all requests of its caller against the version that began it, and kills a router at the end of each run.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -47,6 +47,9 @@
 	// router is the name of the router that it was sent to.
 	router          string
 	sentAt, endedAt time.Time
+	// first is the id of the request that brought the first event of the stream that this
+	// one takes up, and after the last event that the caller has; empty if it takes up none.
+	first, after string
 }
 
 // checker sends requests and checks their answers and runs.
@@ -87,33 +90,43 @@
 func (c *checker) call(ctx context.Context, random *rand.Rand) {
 	paths := []string{pathNonIdempotent, pathIdempotent, pathStream}
 	for ctx.Err() == nil {
-		r := c.routers[random.IntN(len(c.routers))]
-		request := sentRequest{path: paths[random.IntN(len(paths))], router: r.Name, sentAt: time.Now()}
-		limit := requestDeadline + answerMargin
-		disconnects := random.IntN(requestsPerDisconnect) == 0
-		if disconnects {
-			limit = time.Duration(random.Int64N(int64(maxTimeToDisconnect)))
-		}
-		requestCtx, cancel := context.WithCancel(context.Background())
-		stopLimit := c.clock.afterRunTime(limit, cancel)
-		request.answer = c.caller.Send(requestCtx, r.Settings.Listen.Callers, request.path, managed.DemoKey)
-		request.endedAt = time.Now()
-		stopLimit()
-		if requestCtx.Err() != nil && !disconnects {
-			c.t.Errorf("%s did not end within %s at %s: status %d, %q", request.answer.ID, limit, r.Name, request.answer.Status, request.answer.Body)
-			c.logNoEnd(request)
-		}
-		cancel()
-		c.checkAnswer(r.Name, request)
-		c.mu.Lock()
-		c.requests = append(c.requests, request)
-		c.mu.Unlock()
-		if request.answer.Status != http.StatusOK {
-			time.Sleep(failurePause)
+		request := c.send(random, sentRequest{path: paths[random.IntN(len(paths))]})
+		if c.takesUpStreams && request.path == pathStream {
+			c.takeUp(random, request)
 		}
 	}
 }
 
+// send sends a request to a random router and checks its answer. Some callers disconnect early.
+func (c *checker) send(random *rand.Rand, request sentRequest) sentRequest {
+	r := c.routers[random.IntN(len(c.routers))]
+	request.router, request.sentAt = r.Name, time.Now()
+	limit := requestDeadline + answerMargin
+	disconnects := random.IntN(requestsPerDisconnect) == 0
+	if disconnects {
+		limit = time.Duration(random.Int64N(int64(maxTimeToDisconnect)))
+	}
+	requestCtx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stopLimit := c.clock.afterRunTime(limit, cancel)
+	content := managed.Request{Path: request.path, Key: managed.DemoKey, Resumes: request.first, AfterEvent: request.after}
+	request.answer = c.caller.SendRequest(requestCtx, r.Settings.Listen.Callers, content)
+	request.endedAt = time.Now()
+	stopLimit()
+	if requestCtx.Err() != nil && !disconnects {
+		c.t.Errorf("%s did not end within %s at %s: status %d, %q", request.answer.ID, limit, r.Name, request.answer.Status, request.answer.Body)
+		c.logNoEnd(request)
+	}
+	c.checkAnswer(r.Name, request)
+	c.mu.Lock()
+	c.requests = append(c.requests, request)
+	c.mu.Unlock()
+	if request.answer.Status != http.StatusOK {
+		time.Sleep(failurePause)
+	}
+	return request
+}
+
 // logNoEnd logs the details of a request that did not end in time, to show whether the request
 // hung or this process did not run.
 func (c *checker) logNoEnd(request sentRequest) {
@@ -139,7 +152,7 @@
 	}
 	want := managed.ExpectedAnswer(got.ID)
 	if request.path == pathStream {
-		want = managed.ExpectedStream(got.ID, events)
+		want = managed.ExpectedStreamAfter(got.ID, request.after, events)
 	}
 	switch {
 	case got.Complete && got.Body != want:
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -63,6 +63,8 @@
 	replicas []*replica
 	// answersUnframed is soakOptions.unframed.
 	answersUnframed bool
+	// takesUpStreams is soakOptions.software.
+	takesUpStreams bool
 	// zones are assigned to new replicas in rotation.
 	zones []string
 	// replicasMade counts all replicas ever started, for their names.
@@ -78,7 +80,7 @@
 // startFleet starts a fleet and waits until every router is ready.
 func startFleet(t *testing.T, routers int, options soakOptions) *fleet {
 	f := &fleet{t: t, store: managed.StartStore(), journal: &managed.Journal{}, zones: []string{managed.DefaultZone}}
-	f.answersUnframed = options.unframed
+	f.answersUnframed, f.takesUpStreams = options.unframed, options.software
 	if options.evacuates {
 		f.zones = append(f.zones, secondZone)
 	}
@@ -89,7 +91,11 @@
 	for range plainReplicas {
 		f.addReplica(managed.ReplicaOptions{Service: managed.DemoService, Slots: plainSlots, Pause: plainRunTime})
 	}
-	for range engineReplicas {
+	engines := engineReplicas
+	if options.software {
+		engines = enginesOfTwoVersions
+	}
+	for range engines {
 		f.addReplica(managed.ReplicaOptions{Service: managed.DemoEngine, Slots: engineSlots, Pause: eventPause, Events: events})
 	}
 	f.startRouters(routers, routerIP)
@@ -181,6 +187,9 @@
 	options.ID = fmt.Sprintf("%s-%d", options.Service, f.replicasMade)
 	options.Zone = f.zones[f.replicasMade%len(f.zones)]
 	options.Unframed = f.answersUnframed
+	if f.takesUpStreams {
+		options.Software = softwareVersions[f.replicasMade%len(softwareVersions)]
+	}
 	added := &replica{options: options}
 	options.Advertise = func(listens string) (string, error) {
 		var err error
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,6 +47,9 @@
 	// unframed has replicas answer without a length or chunks, so that only the close of
 	// the connection ends an answer.
 	unframed bool
+	// software gives the engines one of two software versions in turn, and has callers take
+	// up their streams.
+	software bool
 }
 
 // soak makes the run of one seed with the given options.
@@ -64,11 +67,17 @@
 		if options.notices {
 			c.checkNotices()
 		}
+		if options.software {
+			c.checkTakeUpAfterKill()
+		}
 		c.checkLeaving()
 	}
 	c.finish()
 	time.Sleep(inFlightTime)
 	c.checkRuns()
+	if options.software {
+		c.checkSoftware()
+	}
 	counts := c.counts()
 	total := 0
 	for _, n := range counts {
--- a/standin/managed/caller.go
+++ b/standin/managed/caller.go
@@ -148,9 +148,14 @@
 
 // ExpectedStream returns the body of a complete stream: each of its events once, in
 // order.
-func ExpectedStream(id string, events int) string {
+func ExpectedStream(id string, events int) string { return ExpectedStreamAfter(id, "", events) }
+
+// ExpectedStreamAfter is like ExpectedStream for a stream that is taken up after an event;
+// empty: from the first.
+func ExpectedStreamAfter(id, afterEvent string, events int) string {
 	var b strings.Builder
-	for n := 1; n <= events; n++ {
+	after, _ := strconv.Atoi(afterEvent) // zero if it is empty
+	for n := after + 1; n <= events; n++ {
 		fmt.Fprintf(&b, "id: %d\ndata: %s-%d\n\n", n, id, n)
 	}
 	return b.String()
