--- a/bench/capacity/machine.go
+++ b/bench/capacity/machine.go
@@ -112,6 +112,18 @@
 	), nil
 }
 
+// measureAffinities measures what it costs to keep which software version began each stream,
+// with the planned load of streams at each node.
+func measureAffinities(nodes int, seed uint64) ([]Value, error) {
+	size := scaledSize(nodes)
+	load := nodeLoad{requestsPerSecond: requestsPerSecondPerNode, meanRunTime: plannedRunTime, workspaces: size.workspaces, streams: true}
+	with := measureNode(newNode(size.assign(), load, seed))
+	load.streams = false
+	without := measureNode(newNode(size.assign(), load, seed))
+	perSecond := float64(with.stepTime.Microseconds()-without.stepTime.Microseconds()) / measuredTime.Seconds()
+	return append(with.rates("affinity-notice"), Value{"machine us/s more", perSecond}), nil
+}
+
 // measureRunning varies the number of runs in progress through their length, at a
 // constant rate of requests.
 func measureRunning(runs int, seed uint64) ([]Value, error) {
--- a/bench/capacity/mirror.go
+++ b/bench/capacity/mirror.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/control/affinity"
 )
 
 // mirror turns each message that the node sends to another node into the message
@@ -88,6 +89,8 @@
 		m.serviceReport(to, msg)
 	case control.ServiceTotals:
 		m.serviceTotals(to, msg)
+	case control.AffinityNotice:
+		m.affinityNotice(to, msg)
 	case control.Refusal:
 		panic(fmt.Sprintf("a ticket was refused: %+v", msg))
 	}
@@ -201,6 +204,15 @@
 	})
 }
 
+// affinityNotice delivers the records of as many streams that began at another node.
+func (m *mirror) affinityNotice(to control.NodeID, notice control.AffinityNotice) {
+	records := slices.Clone(notice.Records)
+	for i := range records {
+		records[i].Key = affinity.KeyOf(string(to), fmt.Sprint(records[i].Key))
+	}
+	m.node.receiveLater(to, control.AffinityNotice{Records: records})
+}
+
 // serviceReport delivers another node's report on workspaces whose totals this node
 // keeps.
 func (m *mirror) serviceReport(to control.NodeID, r control.ServiceReport) {
--- a/bench/capacity/node.go
+++ b/bench/capacity/node.go
@@ -9,6 +9,7 @@
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/control/affinity"
 	"github.com/walnutcove/walnutcove/peer"
 )
 
@@ -70,6 +71,8 @@
 	workspaces int
 	// keptWaiting is how many requests are kept waiting, whatever the rate.
 	keptWaiting int
+	// streams makes each run a stream that its caller may take up again.
+	streams bool
 	// exchangePeriod is the period of the exchange of service counts; zero for
 	// the default.
 	exchangePeriod time.Duration
@@ -243,11 +246,23 @@
 func (n *node) run(c control.Dispatch) {
 	n.dispatched++
 	service := n.load.meanRunTime/2 + time.Duration(n.random.Int64N(int64(n.load.meanRunTime)+1))
+	if n.load.streams {
+		n.after(service/firstEventDivisor, func() { n.beginStream(c) })
+	}
 	n.after(service, func() {
 		n.step(control.RunEnded{Request: c.Request, Grant: c.Grant, Outcome: control.OutcomeAnswered, Service: service})
 	})
 }
 
+// firstEventDivisor sets when the first event of a stream arrives, as a fraction of its run.
+const firstEventDivisor = 4
+
+// beginStream reports the first event of a stream.
+func (n *node) beginStream(c control.Dispatch) {
+	key := affinity.KeyOf("", fmt.Sprint(c.Request))
+	n.step(control.StreamBegan{Keys: []affinity.Key{key}, Affinity: affinity.Affinity{Pool: n.snapshot.Declarations.Targets[c.Target].Pool, Software: "v1"}})
+}
+
 func (n *node) receive(from control.NodeID, message control.Message) {
 	n.receiveAs(from, max(1, n.incarnations[from]), message)
 }
--- a/bench/capacity/slopes.go
+++ b/bench/capacity/slopes.go
@@ -34,6 +34,7 @@
 var mechanisms = []mechanism{
 	{"heartbeats", "nodes", []int{9, 30, 100, 340}, measureHeartbeats},
 	{"request", "requests/s at a node", []int{8, 30, 100}, measureRequests},
+	{"affinity", "nodes", []int{9, 30, 100, 340}, measureAffinities},
 	{"running", "runs of a node", []int{30, 120, 480}, measureRunning},
 	{"accounting", "nodes", []int{9, 30, 100, 340}, measureAccountingByNodes},
 	{"accounting-load", "workspaces with runs at a node", []int{30, 100, 350}, measureAccountingByLoad},
--- a/control/affinities.go
+++ b/control/affinities.go
@@ -140,7 +140,7 @@
 		record := affinity.Record{Key: key, Affinity: ev.Affinity}
 		m.affinities.table.Add(m.now, m.affinityRetention(), record)
 		m.counters.AffinitiesRecorded++
-		for _, node := range m.affinities.ranking.Highest(key.Hash(), affinityCopies, string(m.opts.Node)) {
+		for _, node := range m.affinities.ranking.Highest(uint64(key), affinityCopies, string(m.opts.Node)) {
 			m.send(NodeID(node), AffinityNotice{Records: []affinity.Record{record}})
 		}
 	}
@@ -188,7 +188,7 @@
 // only waits.
 func (m *Machine) askForAffinity(l *affinityLookup) {
 	l.outstanding = make(map[NodeID]bool)
-	for _, node := range m.affinities.ranking.Highest(l.ev.Key.Hash(), affinityAsked, string(m.opts.Node)) {
+	for _, node := range m.affinities.ranking.Highest(uint64(l.ev.Key), affinityAsked, string(m.opts.Node)) {
 		l.outstanding[NodeID(node)] = true
 		m.send(NodeID(node), AffinityQuery{Lookup: l.id, Named: l.ev.Named, Key: l.ev.Key, Pool: l.ev.Pool})
 	}
@@ -348,8 +348,8 @@
 	a := &m.affinities
 	batches := make(map[NodeID][]affinity.Record)
 	for record := range a.table.All {
-		before := a.copiedBy.Highest(record.Key.Hash(), affinityCopies, "")
-		for _, name := range a.ranking.Highest(record.Key.Hash(), affinityCopies, "") {
+		before := a.copiedBy.Highest(uint64(record.Key), affinityCopies, "")
+		for _, name := range a.ranking.Highest(uint64(record.Key), affinityCopies, "") {
 			node := NodeID(name)
 			if node != m.opts.Node && (a.restarted[node] || !slices.Contains(before, name)) {
 				batches[node] = append(batches[node], record)
--- a/control/affinity/affinity.go
+++ b/control/affinity/affinity.go
@@ -12,9 +12,10 @@
 	"time"
 )
 
-// Key identifies a stream: a hash of its workspace and of the id of the request that brought
-// its first event. Callers choose the ids, so the hash has to be collision-resistant.
-type Key [16]byte
+// Key identifies a stream: a part of a cryptographic hash of its workspace and of the id of the
+// request that brought its first event. Callers choose the ids; with a weaker hash they could
+// choose some that collide with each other.
+type Key uint64
 
 // KeyOf returns the key of a stream. Workspaces cannot name each other's streams.
 func KeyOf(workspace, request string) Key {
@@ -22,12 +23,9 @@
 	content = append(content, workspace...)
 	content = append(content, request...)
 	sum := sha256.Sum256(content)
-	return Key(sum[:len(Key{})])
+	return Key(binary.LittleEndian.Uint64(sum[:]))
 }
 
-// Hash returns a hash of the key for rendezvous hashing.
-func (k Key) Hash() uint64 { return binary.LittleEndian.Uint64(k[:]) }
-
 // Affinity is where a stream began.
 type Affinity struct {
 	Pool, Software string
--- a/peer/defer.go
+++ b/peer/defer.go
@@ -11,10 +11,11 @@
 const MaxDeferTime = 10 * time.Millisecond
 
 // CanDefer reports whether sending a message may be deferred because nothing waits
-// for it: acknowledgements, service counts and reports that a run is in progress.
+// for it: acknowledgements, service counts, copies of affinities and reports that a run is
+// in progress.
 func CanDefer(message control.Message) bool {
 	switch m := message.(type) {
-	case control.ReportAck, control.ServiceReport, control.ServiceTotals:
+	case control.ReportAck, control.ServiceReport, control.ServiceTotals, control.AffinityNotice:
 		return true
 	case control.Report:
 		return m.Phase == control.PhaseRunning
