--- a/control/affinities.go
+++ b/control/affinities.go
@@ -61,6 +61,10 @@
 	Request  RequestID
 	Known    bool
 	Affinity affinity.Affinity
+	// Asked is the number of routers that were asked last, and Silent how many of them did
+	// not answer. Software lists the versions that the pool of an unnamed stream has had.
+	Asked, Silent int
+	Software      []string
 }
 
 // AffinityNotice copies records to a router.
@@ -125,6 +129,8 @@
 	// counts the rounds that all asked routers answered.
 	outstanding map[NodeID]bool
 	rounds      int
+	// asked is the number of routers asked in the current round.
+	asked int
 	// software holds the versions that routers named, and answered reports whether any did.
 	software map[string]bool
 	answered bool
@@ -192,6 +198,7 @@
 		l.outstanding[NodeID(node)] = true
 		m.send(NodeID(node), AffinityQuery{Lookup: l.id, Named: l.ev.Named, Key: l.ev.Key, Pool: l.ev.Pool})
 	}
+	l.asked = len(l.outstanding)
 	m.timers.set(&l.timer, l, min(l.deadline, m.now+affinityAskEvery))
 }
 
@@ -253,7 +260,14 @@
 func (m *Machine) finishLookup(l *affinityLookup, found affinity.Affinity, known bool) {
 	m.timers.stop(&l.timer)
 	delete(m.affinities.lookups, l.id)
-	m.emit(AffinityFound{Request: l.ev.Request, Known: known, Affinity: found})
+	m.emit(AffinityFound{
+		Request:  l.ev.Request,
+		Known:    known,
+		Affinity: found,
+		Asked:    l.asked,
+		Silent:   len(l.outstanding),
+		Software: sortedKeys(l.software),
+	})
 }
 
 // onlySoftware returns the version of all targets that the pool of a lookup has had, by this
--- a/filters/affinity/affinity.go
+++ b/filters/affinity/affinity.go
@@ -5,12 +5,13 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
-	"github.com/walnutcove/walnutcove/control/affinity"
+	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/result/codecounter"
@@ -28,16 +29,16 @@
 
 // Source knows where streams began. The router implements it with its control loop.
 type Source interface {
-	// Find returns where the stream began that the exchange takes up, and whether that is
-	// known. It returns a refusal if the caller left or the time ran out meanwhile.
-	Find(ctx context.Context, ex *pipeline.Exchange) (found affinity.Affinity, known bool, refusal *result.Error)
+	// Find looks up where the stream began that the exchange takes up. It returns a refusal
+	// if the caller left or the time ran out meanwhile.
+	Find(ctx context.Context, ex *pipeline.Exchange) (control.AffinityFound, *result.Error)
 }
 
 // Filter limits requests that take a stream up to the version that began it.
 type Filter struct {
 	// Source knows where streams began.
 	Source Source
-	// Log gets a debug line for each stream that is found.
+	// Log gets an info line for each stream that is found.
 	Log *slog.Logger
 }
 
@@ -58,21 +59,24 @@
 
 // limit limits the exchange to the pool and the version that began its stream.
 func (f *Filter) limit(ctx context.Context, ex *pipeline.Exchange) *result.Error {
-	found, known, refusal := f.Source.Find(ctx, ex)
+	found, refusal := f.Source.Find(ctx, ex)
 	if refusal != nil {
 		return refusal
 	}
-	if !known {
-		return result.New(result.StreamUnknown, "No router in reach knows which software version began the stream.").WithRetryAfter(retryAfter())
+	if !found.Known {
+		cause := fmt.Errorf("%d routers asked, %d did not answer, versions %q", found.Asked, found.Silent, found.Software)
+		return result.Wrap(result.StreamUnknown, cause, "No router in reach knows which software version began the stream.").WithRetryAfter(retryAfter())
 	}
-	if !ex.Route.Uses(found.Pool) {
+	pool := found.Affinity.Pool
+	if !ex.Route.Uses(pool) {
 		return result.New(result.SoftwareUnavailable, "The route does not lead to the pool that began the stream any more.").WithRetryAfter(retryAfter())
 	}
-	ex.PoolName = found.Pool
-	ex.Pool = ex.Snapshot.Declarations.Pools[found.Pool]
-	ex.Software = config.OnlySoftware(found.Software)
+	ex.PoolName = pool
+	ex.Pool = ex.Snapshot.Declarations.Pools[pool]
+	ex.Software = config.OnlySoftware(found.Affinity.Software)
 	ex.Continues = ex.ResumedRequest != ""
-	pipeline.Log(ctx, f.Log, slog.LevelDebug, ex, "affinity: Stream is taken up.", slog.String("version", found.Software))
+	pipeline.Log(ctx, f.Log, slog.LevelInfo, ex, "affinity: Stream is taken up.",
+		slog.String("began_at", found.Affinity.Software), slog.Int("asked", found.Asked))
 	return nil
 }
 
--- a/router/affinity.go
+++ b/router/affinity.go
@@ -14,7 +14,7 @@
 type affinitySource struct{ loop *loop }
 
 // Find implements the Source of the filter affinity.
-func (s affinitySource) Find(ctx context.Context, ex *pipeline.Exchange) (affinity.Affinity, bool, *result.Error) {
+func (s affinitySource) Find(ctx context.Context, ex *pipeline.Exchange) (control.AffinityFound, *result.Error) {
 	wanted := control.AffinityWanted{Request: control.RequestID(ex.Sequence), Named: ex.ResumedRequest != "", Pool: ex.PoolName}
 	if wanted.Named {
 		wanted.Key = affinity.KeyOf(ex.WorkspaceName, ex.ResumedRequest)
@@ -23,17 +23,17 @@
 	}
 	answer := make(chan control.AffinityFound, 1)
 	if !s.loop.postEvent(postedEvent{event: wanted, lookup: answer}) {
-		return affinity.Affinity{}, false, result.New(result.Draining, "The router has stopped.")
+		return control.AffinityFound{}, result.New(result.Draining, "The router has stopped.")
 	}
 	select {
 	case found := <-answer:
-		return found.Affinity, found.Known, nil
+		return found, nil
 	case <-ex.CallerGone:
-		return affinity.Affinity{}, false, result.New(result.CallerGone, "The caller went away.")
+		return control.AffinityFound{}, result.New(result.CallerGone, "The caller went away.")
 	case <-ctx.Done():
-		return affinity.Affinity{}, false, result.New(result.DeadlineBeforeGrant, "The deadline passed before it was known which software version began the stream.")
+		return control.AffinityFound{}, result.New(result.DeadlineBeforeGrant, "The deadline passed before it was known which software version began the stream.")
 	case <-s.loop.done:
-		return affinity.Affinity{}, false, result.New(result.Draining, "The router has stopped.")
+		return control.AffinityFound{}, result.New(result.Draining, "The router has stopped.")
 	}
 }
 
