Look up streams by their name on routes that do not resume any more

A router that has just started and knows no other one waits for their list in a lookup, 250 ms at most, in place of refusing at once.

--- a/control/affinities.go
+++ b/control/affinities.go
@@ -27,6 +27,9 @@
 	affinityAskEvery = 50 * time.Millisecond
 	// affinityTimeout bounds a lookup. Answers take a round trip between routers.
 	affinityTimeout = 250 * time.Millisecond
+	// affinityJoinTime is how long after its start a router that knows no other one waits in
+	// each lookup for the list of routers.
+	affinityJoinTime = 2 * time.Second
 	// maxAffinityLookups bounds the lookups in progress; further ones find nothing.
 	maxAffinityLookups = 1024
 	// affinityCopyDelay is the time after a change of members after which records are copied
@@ -183,7 +186,7 @@
 	m.affinities.lastLookup++
 	l := &affinityLookup{id: m.affinities.lastLookup, ev: ev, deadline: m.now + affinityTimeout, software: make(map[string]bool)}
 	m.affinities.lookups[l.id] = l
-	if m.view.Known() == 0 {
+	if m.view.Known() == 0 && m.now >= affinityJoinTime {
 		m.endLookup(l)
 		return
 	}
--- a/filters/route/route.go
+++ b/filters/route/route.go
@@ -101,13 +101,16 @@
 // are not accepted as ids either; see package front.
 const maxRequestIDLength = 128
 
-// setResumedStream sets the fields of a request that takes a stream up again.
+// setResumedStream sets the fields of a request that takes a stream up again. It may name a
+// stream that began when the route still allowed that.
 func (f *Filter) setResumedStream(ex *pipeline.Exchange) *result.Error {
-	if !ex.Route.Resumes {
+	if ex.Route.Kind != config.RouteStream {
 		return nil
 	}
 	ex.ResumedRequest = ex.Header[f.options.Dialect.ResumedRequest]
-	ex.CallerEventID = ex.Header[f.options.Dialect.ResumeAfter]
+	if ex.Route.Resumes {
+		ex.CallerEventID = ex.Header[f.options.Dialect.ResumeAfter]
+	}
 	if len(ex.ResumedRequest) > maxRequestIDLength {
 		ex.ResumedRequest = ""
 		return result.New(result.BadHeader, "The id of the resumed request is longer than %d bytes.", maxRequestIDLength)
--- a/managedtest/software_test.go
+++ b/managedtest/software_test.go
@@ -322,3 +322,14 @@
 		}
 	}
 }
+
+// TestStreamTakenUpAfterRouteStoppedResumingIsNotMixed guards against continuing a stream at any
+// version once its route does not allow streams to be resumed any more.
+func TestStreamTakenUpAfterRouteStoppedResumingIsNotMixed(t *testing.T) {
+	f := startSoftwareFleet(t, 2)
+	streams := f.beginStreams(f.routers[0])
+	f.publishConfig(func(c *wire.Config) { c.Routes[len(c.Routes)-1].Resumable = false })
+	f.awaitVersion()
+	f.takeUpStreams(f.routers[1], streams, 0)
+	f.checkUnmixed(streams)
+}
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -81,8 +81,8 @@
 	Fingerprint    uint64        // hash of workspace, path and body
 
 	// ResumedRequest is the id of the request that brought the first event of the stream
-	// that the caller takes up again, and CallerEventID that of the last event that it has;
-	// empty if the caller sent none, or if the route's streams cannot be resumed.
+	// that the caller takes up again; empty if it names none. CallerEventID is the id of the
+	// last event that it has; empty if it has none or the route's streams cannot be resumed.
 	ResumedRequest string
 	CallerEventID  string
 
