--- a/bench/capacity/node.go
+++ b/bench/capacity/node.go
@@ -71,7 +71,7 @@
 	workspaces int
 	// keptWaiting is how many requests are kept waiting, whatever the rate.
 	keptWaiting int
-	// streams makes each run a stream that its caller may take up again.
+	// streams makes each run a stream to which its caller may reconnect.
 	streams bool
 	// exchangePeriod is the period of the exchange of service counts; zero for
 	// the default.
--- a/control/affinities.go
+++ b/control/affinities.go
@@ -9,7 +9,7 @@
 	"github.com/walnutcove/walnutcove/control/member"
 )
 
-// Stream affinities: a stream that its caller takes up again may continue only on targets of
+// Stream affinities: a stream to which its caller reconnects may continue only on targets of
 // the software version that began it. The router that relays the first event records the
 // version and copies the record to a few other routers, chosen by rendezvous hashing of the
 // stream's key, so that it survives the router. A router that does not have a record asks
@@ -39,15 +39,15 @@
 	maxRecordsPerNotice = 100
 )
 
-// StreamBegan reports that a target sent the first event of a stream that may be taken up
-// again.
+// StreamBegan reports that a target sent the first event of a stream to which its caller may
+// reconnect.
 type StreamBegan struct {
 	// Keys are those of the requests by which the stream may be named.
 	Keys     []affinity.Key
 	Affinity affinity.Affinity
 }
 
-// AffinityWanted asks where a stream began that its caller takes up again. It is answered by
+// AffinityWanted asks where a stream began to which its caller reconnects. It is answered by
 // AffinityFound.
 type AffinityWanted struct {
 	Request RequestID
@@ -292,8 +292,8 @@
 	return "", false
 }
 
-// softwareOf returns the versions of the targets that a pool has had while a stream that is
-// taken up now may have begun, sorted.
+// softwareOf returns the versions of the targets that a pool has had while a stream to which
+// a caller reconnects now may have begun, sorted.
 func (m *Machine) softwareOf(pool string) []string {
 	if m.topo == nil {
 		return nil
--- a/control/affinities_test.go
+++ b/control/affinities_test.go
@@ -11,7 +11,7 @@
 	"github.com/walnutcove/walnutcove/control/affinity"
 )
 
-// affinityFleet is a simulated fleet whose callers begin streams and take them up again.
+// affinityFleet is a simulated fleet whose callers begin streams and reconnect to them.
 type affinityFleet struct {
 	*sim
 	members  []Member
@@ -64,14 +64,14 @@
 	return n
 }
 
-// ask takes a stream up at a node and returns the lookup.
+// ask looks a stream up at a node and returns the lookup.
 func (f *affinityFleet) ask(node NodeID, stream int) RequestID {
 	f.asked++
 	f.step(f.nodes[node], AffinityWanted{Request: f.asked, Named: true, Key: streamKey(stream), Pool: "draft"})
 	return f.asked
 }
 
-// countKnown takes streams up at a node, and returns for how many their version is found. It
+// countKnown looks streams up at a node, and returns for how many their version is found. It
 // fails the test if a wrong one is, or if one is not answered in time.
 func (f *affinityFleet) countKnown(t *testing.T, node NodeID, streams []int) int {
 	t.Helper()
@@ -124,7 +124,7 @@
 }
 
 // TestAffinitiesSurviveRestartsInSeries guards against records that are lost as one router
-// after another is restarted, killed or drained while the streams may be taken up.
+// after another is restarted, killed or drained while callers may reconnect.
 func TestAffinitiesSurviveRestartsInSeries(t *testing.T) {
 	for _, drains := range []bool{false, true} {
 		f := newAffinityFleet(6, "v1", "v2")
--- a/control/affinity/affinity.go
+++ b/control/affinity/affinity.go
@@ -1,6 +1,6 @@
-// Package affinity keeps which pool and software version began each stream. A stream that its
-// caller takes up again may continue only there: what two versions write does not fit
-// together.
+// Package affinity keeps which pool and software version began each stream. A stream to which
+// its caller reconnects may continue only there, as another version may generate different
+// events.
 //
 // A record never changes. A key that was recorded with two different affinities, because a
 // caller used a request id twice, has none any more.
--- a/control/affinity/affinity_test.go
+++ b/control/affinity/affinity_test.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// TestRecordsExpireAfterLastUse guards against records that expire while their stream is still
-// taken up again, and against ones that never do.
+// TestRecordsExpireAfterLastUse guards against records that expire while callers still
+// reconnect to their stream, and against ones that never do.
 func TestRecordsExpireAfterLastUse(t *testing.T) {
 	table := NewTable()
 	for n := range 10 {
--- a/control/events.go
+++ b/control/events.go
@@ -34,7 +34,7 @@
 	Objective Instant
 	// Excluded lists targets that must not be granted.
 	Excluded []string
-	// Continues reports that the caller takes up a stream that is known to have begun.
+	// Continues reports that the caller reconnects to a stream that is known to have begun.
 	Continues bool
 	// Software limits the targets to those of the version that began the stream, if the
 	// request continues one.
--- a/control/software_test.go
+++ b/control/software_test.go
@@ -93,10 +93,10 @@
 	}
 }
 
-// TestTakenUpStreamsAreNotChargedTwice guards against refusing streams that were broken off
+// TestReconnectedStreamsAreNotChargedTwice guards against refusing streams that were broken off
 // together as beyond the share of a workspace, which was charged for them when they began, and
-// against a workspace that exceeds its share by taking streams up all the time.
-func TestTakenUpStreamsAreNotChargedTwice(t *testing.T) {
+// against a workspace that exceeds its share by reconnecting all the time.
+func TestReconnectedStreamsAreNotChargedTwice(t *testing.T) {
 	f := newTokenFleet("e1")
 	work := Work{PromptTokens: 900, OutputTokens: 50}
 	begun := 0
@@ -119,8 +119,8 @@
 			within++
 		}
 	}
-	t.Logf("%d streams began, %d were taken up within the share", begun, within)
+	t.Logf("%d streams began, %d continued within the share", begun, within)
 	if within < begun/4 || within > begun/2 {
-		t.Errorf("%d of %d streams were taken up within the share, want a quarter to a half", within, begun)
+		t.Errorf("%d of %d streams continued within the share, want a quarter to a half", within, begun)
 	}
 }
--- a/control/topology.go
+++ b/control/topology.go
@@ -21,7 +21,7 @@
 	objectives map[string]time.Duration
 	// software holds the software versions of each pool's targets.
 	software map[string]map[string]bool
-	// streamLife is how long after its first event a stream may be taken up again.
+	// streamLife is how long after its first event a caller may reconnect to a stream.
 	streamLife time.Duration
 	// groups is the number of groups into which workspaces are divided for accounting.
 	groups uint64
@@ -114,7 +114,7 @@
 }
 
 const (
-	// A caller may take a stream up again until its deadline, which the limit of the route
+	// A caller may reconnect to a stream until its deadline, which the limit of the route
 	// bounds for each request. streamLifeFactor allows for the request that began the stream
 	// and one that waits; each request that continues it starts the time anew.
 	streamLifeFactor = 2
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -49,8 +49,8 @@
 	FetchFrom string
 	// ResumeAfter carries the id of the last event that a caller has received.
 	ResumeAfter string
-	// ResumedRequest carries, in a request that takes a stream up again, the id of the request
-	// that brought the stream's first event.
+	// ResumedRequest carries, when a caller reconnects to a stream, the id of the request that
+	// brought the stream's first event.
 	ResumedRequest string
 	// Seal marks an answer as written by the target; a success without it does not count as one.
 	Seal string
--- a/filters/affinity/affinity.go
+++ b/filters/affinity/affinity.go
@@ -1,6 +1,6 @@
-// Package affinity is the filter for streams that their callers take up again. It finds out
-// which pool and software version began the stream, and limits the request to targets of
-// that version. Where that cannot be known the request is refused as not run.
+// Package affinity is the filter for callers that reconnect to a stream. It finds out which
+// pool and software version began the stream, and limits the request to targets of that
+// version. Where that cannot be known the request is refused as not run.
 package affinity
 
 import (
@@ -29,12 +29,12 @@
 
 // Source knows where streams began. The router implements it with its control loop.
 type Source interface {
-	// Find looks up where the stream began that the exchange takes up. It returns a refusal
-	// if the caller left or the time ran out meanwhile.
+	// Find looks up where the stream began to which the caller reconnects. It returns a
+	// refusal if the caller left or the time ran out meanwhile.
 	Find(ctx context.Context, ex *pipeline.Exchange) (control.AffinityFound, *result.Error)
 }
 
-// Filter limits requests that take a stream up to the version that began it.
+// Filter limits requests that continue a stream to the version that began it.
 type Filter struct {
 	// Source knows where streams began.
 	Source Source
@@ -75,7 +75,7 @@
 	ex.Pool = ex.Snapshot.Declarations.Pools[pool]
 	ex.Software = config.OnlySoftware(found.Affinity.Software)
 	ex.Continues = ex.ResumedRequest != ""
-	pipeline.Log(ctx, f.Log, slog.LevelInfo, ex, "affinity: Stream is taken up.",
+	pipeline.Log(ctx, f.Log, slog.LevelInfo, ex, "affinity: Caller reconnects to a stream.",
 		slog.String("began_at", found.Affinity.Software), slog.Int("asked", found.Asked))
 	return nil
 }
--- a/filters/affinity/affinity_test.go
+++ b/filters/affinity/affinity_test.go
@@ -29,8 +29,8 @@
 	return control.AffinityFound{Known: true, Affinity: affinity.Affinity{Pool: pool, Software: "v1"}}
 }
 
-// TestRequestsAreLimitedToWhereTheirStreamBegan guards against taking a stream up at another
-// version or pool than the one that began it, and against looking up requests that take none up.
+// TestRequestsAreLimitedToWhereTheirStreamBegan guards against continuing a stream at another
+// version or pool than the one that began it, and against lookups for new requests.
 func TestRequestsAreLimitedToWhereTheirStreamBegan(t *testing.T) {
 	named := func(ex *pipeline.Exchange) { ex.ResumedRequest, ex.CallerEventID = "first", "3" }
 	unnamed := func(ex *pipeline.Exchange) { ex.CallerEventID = "3" }
@@ -72,7 +72,7 @@
 			if err != nil || !passed || ex.PoolName != c.pool || ex.Software != c.limit || ex.Continues != c.again {
 				t.Errorf("error %v, passed on %v, pool %s, limit %+v, continues %v", err, passed, ex.PoolName, ex.Software, ex.Continues)
 			}
-			if takesUp := ex.CallerEventID != ""; takesUp != (source.asked > 0) {
+			if reconnects := ex.CallerEventID != ""; reconnects != (source.asked > 0) {
 				t.Errorf("%d lookups", source.asked)
 			}
 		})
--- a/filters/route/route.go
+++ b/filters/route/route.go
@@ -101,8 +101,8 @@
 // are not accepted as ids either; see package front.
 const maxRequestIDLength = 128
 
-// setResumedStream sets the fields of a request that takes a stream up again. It may name a
-// stream that began when the route still allowed that.
+// setResumedStream sets the fields of a request that reconnects to a stream. It may name one
+// that began when the route still allowed that.
 func (f *Filter) setResumedStream(ex *pipeline.Exchange) *result.Error {
 	if ex.Route.Kind != config.RouteStream {
 		return nil
--- a/managedtest/software_test.go
+++ b/managedtest/software_test.go
@@ -32,11 +32,11 @@
 	return options
 }
 
-// takenUp is a stream in the order of its caller's requests.
-type takenUp []managed.Answer
+// attempts are the answers to the requests of one stream, in order.
+type attempts []managed.Answer
 
 // isMixed reports whether runs of two software versions answered the stream's requests.
-func (f *fleet) isMixed(stream takenUp) bool {
+func (f *fleet) isMixed(stream attempts) bool {
 	software := ""
 	for _, answer := range stream {
 		for _, run := range f.journal.Runs(answer.ID) {
@@ -50,7 +50,7 @@
 }
 
 // eachStream calls f for each stream, at the same time.
-func eachStream(streams []takenUp, f func(n int, stream *takenUp)) {
+func eachStream(streams []attempts, f func(n int, stream *attempts)) {
 	var callers sync.WaitGroup
 	for n := range streams {
 		callers.Go(func() { f(n, &streams[n]) })
@@ -60,14 +60,14 @@
 
 // beginStreams begins streams at a router. Their callers close their connections after three
 // events.
-func (f *fleet) beginStreams(r *router.Router) []takenUp {
+func (f *fleet) beginStreams(r *router.Router) []attempts {
 	f.t.Helper()
-	streams := make([]takenUp, streamsAtOnce)
-	eachStream(streams, func(_ int, stream *takenUp) {
+	streams := make([]attempts, streamsAtOnce)
+	eachStream(streams, func(_ int, stream *attempts) {
 		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 		defer cancel()
 		request := managed.Request{Path: pathStream, Key: key, StopAfter: 3}
-		*stream = takenUp{f.caller.SendRequest(ctx, r.CallersAddress(), request)}
+		*stream = attempts{f.caller.SendRequest(ctx, r.CallersAddress(), request)}
 	})
 	for _, stream := range streams {
 		if stream[0].LastEvent() == "" {
@@ -77,14 +77,15 @@
 	return streams
 }
 
-// takeUpStreams takes all streams up again at a router, and returns how many continued.
+// reconnectStreams has the callers of all streams reconnect at a router, and returns how many
+// streams continued.
 // Their callers close their connections after the given number of events; zero: at the end.
-func (f *fleet) takeUpStreams(r *router.Router, streams []takenUp, stopAfter int) int {
+func (f *fleet) reconnectStreams(r *router.Router, streams []attempts, stopAfter int) int {
 	f.t.Helper()
-	eachStream(streams, func(_ int, stream *takenUp) {
+	eachStream(streams, func(_ int, stream *attempts) {
 		first, last := (*stream)[0], (*stream)[len(*stream)-1]
 		request := managed.Request{Path: pathStream, Key: key, Resumes: first.ID, AfterEvent: last.LastEvent(), StopAfter: stopAfter}
-		*stream = append(*stream, f.takeUp(r, request))
+		*stream = append(*stream, f.reconnect(r, request))
 	})
 	continued := 0
 	for _, stream := range streams {
@@ -100,14 +101,14 @@
 	return continued
 }
 
-func (f *fleet) takeUp(r *router.Router, request managed.Request) managed.Answer {
+func (f *fleet) reconnect(r *router.Router, request managed.Request) managed.Answer {
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	return f.caller.SendRequest(ctx, r.CallersAddress(), request)
 }
 
 // checkUnmixed checks that no stream has events of two software versions.
-func (f *fleet) checkUnmixed(streams []takenUp) {
+func (f *fleet) checkUnmixed(streams []attempts) {
 	f.t.Helper()
 	mixed := 0
 	for _, stream := range streams {
@@ -141,8 +142,8 @@
 				replicas = append(replicas, softwareReplica("old", "v1"))
 			}
 			f := startSettledFleet(t, unlimitedSlack, 1, replicas...)
-			streams := make([]takenUp, streamsAtOnce)
-			eachStream(streams, func(_ int, stream *takenUp) { *stream = takenUp{f.send(f.routers[0], pathStream)} })
+			streams := make([]attempts, streamsAtOnce)
+			eachStream(streams, func(_ int, stream *attempts) { *stream = attempts{f.send(f.routers[0], pathStream)} })
 			f.checkUnmixed(streams)
 			complete := 0
 			for _, stream := range streams {
@@ -165,13 +166,13 @@
 	return f
 }
 
-// TestTakenUpStreamContinuesAtItsSoftwareVersion guards against streams that a caller takes up
-// again and that continue at another software version, and against refusals of most of them.
-func TestTakenUpStreamContinuesAtItsSoftwareVersion(t *testing.T) {
+// TestReconnectedStreamContinuesAtItsSoftwareVersion guards against streams that continue at
+// another software version when their callers reconnect, and against refusals of most of them.
+func TestReconnectedStreamContinuesAtItsSoftwareVersion(t *testing.T) {
 	t.Run("same router", func(t *testing.T) {
 		f := startSoftwareFleet(t, 1)
 		streams := f.beginStreams(f.routers[0])
-		f.checkContinued(f.takeUpStreams(f.routers[0], streams, 0), streamsAtOnce)
+		f.checkContinued(f.reconnectStreams(f.routers[0], streams, 0), streamsAtOnce)
 		f.checkUnmixed(streams)
 	})
 	for name, pause := range map[string]time.Duration{"another router, at once": 0, "another router, later": 300 * time.Millisecond} {
@@ -179,7 +180,7 @@
 			f := startSoftwareFleet(t, 3)
 			streams := f.beginStreams(f.routers[0])
 			time.Sleep(pause)
-			f.checkContinued(f.takeUpStreams(f.routers[1], streams, 0), streamsAtOnce)
+			f.checkContinued(f.reconnectStreams(f.routers[1], streams, 0), streamsAtOnce)
 			f.checkUnmixed(streams)
 		})
 	}
@@ -187,7 +188,7 @@
 		f := startSoftwareFleet(t, 3)
 		streams := f.beginStreams(f.routers[0])
 		f.routers[0].Close()
-		f.checkContinued(f.takeUpStreams(f.routers[1], streams, 0), minContinued)
+		f.checkContinued(f.reconnectStreams(f.routers[1], streams, 0), minContinued)
 		f.checkUnmixed(streams)
 	})
 	t.Run("at a router that has started since", func(t *testing.T) {
@@ -196,22 +197,22 @@
 		f.routers[0].Close()
 		late := f.addRouter()
 		f.waitReady(late)
-		f.checkContinued(f.takeUpStreams(late, streams, 0), minContinued)
+		f.checkContinued(f.reconnectStreams(late, streams, 0), minContinued)
 		f.checkUnmixed(streams)
 	})
 	t.Run("twice, at a third router", func(t *testing.T) {
 		f := startSoftwareFleet(t, 3)
 		streams := f.beginStreams(f.routers[0])
-		f.checkContinued(f.takeUpStreams(f.routers[1], streams, 2), streamsAtOnce)
-		f.checkContinued(f.takeUpStreams(f.routers[2], streams, 0), streamsAtOnce)
+		f.checkContinued(f.reconnectStreams(f.routers[1], streams, 2), streamsAtOnce)
+		f.checkContinued(f.reconnectStreams(f.routers[2], streams, 0), streamsAtOnce)
 		f.checkUnmixed(streams)
 	})
 }
 
-// TestTakenUpStreamAcrossRelease guards against the same for streams that began before
+// TestReconnectedStreamAcrossRelease guards against the same for streams that began before
 // replicas of a second version came, and when those of the first have left.
-func TestTakenUpStreamAcrossRelease(t *testing.T) {
-	start := func(t *testing.T) (*fleet, []takenUp) {
+func TestReconnectedStreamAcrossRelease(t *testing.T) {
+	start := func(t *testing.T) (*fleet, []attempts) {
 		f := startFleet(t, 2, softwareReplica("old-1", "v1"), softwareReplica("old-2", "v1"))
 		f.waitJoined()
 		streams := f.beginStreams(f.routers[0])
@@ -222,7 +223,7 @@
 	}
 	t.Run("both serve", func(t *testing.T) {
 		f, streams := start(t)
-		f.checkContinued(f.takeUpStreams(f.routers[1], streams, 0), minContinued)
+		f.checkContinued(f.reconnectStreams(f.routers[1], streams, 0), minContinued)
 		f.checkUnmixed(streams)
 	})
 	t.Run("the first has left", func(t *testing.T) {
@@ -232,7 +233,7 @@
 		f.awaitNoSoftware("v1")
 		for n := range f.routers {
 			begun := time.Now()
-			if continued := f.takeUpStreams(f.routers[n], streams, 0); continued > 0 {
+			if continued := f.reconnectStreams(f.routers[n], streams, 0); continued > 0 {
 				t.Errorf("%d streams continued", continued)
 			}
 			if took := time.Since(begun); took > time.Second {
@@ -274,7 +275,7 @@
 		"id of odd characters":  {Path: pathStream, Key: key, Resumes: "\"%s\" \\x00; a=b", AfterEvent: "3"},
 		"event of many letters": {Path: pathStream, Key: key, Resumes: "0123456789abcdef", AfterEvent: longText},
 	} {
-		answer := f.takeUp(f.routers[0], request)
+		answer := f.reconnect(f.routers[0], request)
 		if runs := f.journal.Runs(answer.ID); answer.Status != http.StatusServiceUnavailable || len(runs) > 0 {
 			t.Errorf("%s: status %d, %d runs", name, answer.Status, len(runs))
 		}
@@ -282,7 +283,7 @@
 			t.Errorf("%s: the caller is not told when to retry", name)
 		}
 	}
-	tooLong := f.takeUp(f.routers[0], managed.Request{Path: pathStream, Key: key, Resumes: longText, AfterEvent: "3"})
+	tooLong := f.reconnect(f.routers[0], managed.Request{Path: pathStream, Key: key, Resumes: longText, AfterEvent: "3"})
 	if tooLong.Status != http.StatusBadRequest {
 		t.Errorf("an id of %d bytes: status %d", len(longText), tooLong.Status)
 	}
@@ -292,12 +293,12 @@
 var longText = strings.Repeat("f", 1000)
 
 // TestStreamWithoutItsIDContinuesAtOnlyVersion guards against refusing callers that do not name
-// the stream that they take up, while only one software version serves.
+// the stream that they reconnect to, while only one software version serves.
 func TestStreamWithoutItsIDContinuesAtOnlyVersion(t *testing.T) {
 	f := startFleet(t, 2, softwareReplica("old-1", "v1"), softwareReplica("old-2", "v1"))
 	f.waitJoined()
 	for range 5 {
-		answer := f.takeUp(f.routers[0], managed.Request{Path: pathStream, Key: key, AfterEvent: "3"})
+		answer := f.reconnect(f.routers[0], managed.Request{Path: pathStream, Key: key, AfterEvent: "3"})
 		if answer.Status != http.StatusOK || !answer.Complete {
 			t.Errorf("status %d, complete %v", answer.Status, answer.Complete)
 		}
@@ -317,19 +318,19 @@
 	f.waitJoined()
 	for _, stream := range f.beginStreams(f.routers[0]) {
 		request := managed.Request{Path: pathStream, Key: "other-key", Resumes: stream[0].ID, AfterEvent: stream[0].LastEvent()}
-		if answer := f.takeUp(f.routers[0], request); answer.Status != http.StatusServiceUnavailable {
+		if answer := f.reconnect(f.routers[0], request); answer.Status != http.StatusServiceUnavailable {
 			t.Fatalf("another workspace's stream was continued: status %d", answer.Status)
 		}
 	}
 }
 
-// TestStreamTakenUpAfterRouteStoppedResumingIsNotMixed guards against continuing a stream at any
+// TestReconnectAfterRouteStoppedResumingIsNotMixed guards against continuing a stream at any
 // version once its route does not allow streams to be resumed any more.
-func TestStreamTakenUpAfterRouteStoppedResumingIsNotMixed(t *testing.T) {
+func TestReconnectAfterRouteStoppedResumingIsNotMixed(t *testing.T) {
 	f := startSoftwareFleet(t, 2)
 	streams := f.beginStreams(f.routers[0])
 	f.publishConfig(func(c *wire.Config) { c.Routes[len(c.Routes)-1].Resumable = false })
 	f.awaitVersion()
-	f.takeUpStreams(f.routers[1], streams, 0)
+	f.reconnectStreams(f.routers[1], streams, 0)
 	f.checkUnmixed(streams)
 }
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -81,12 +81,12 @@
 	Fingerprint    uint64        // hash of workspace, path and body
 
 	// ResumedRequest is the id of the request that brought the first event of the stream
-	// that the caller takes up again; empty if it names none. CallerEventID is the id of the
+	// to which the caller reconnects; empty if it names none. CallerEventID is the id of the
 	// last event that it has; empty if it has none or the route's streams cannot be resumed.
 	ResumedRequest string
 	CallerEventID  string
 
-	// Continues reports that the caller takes up a stream that is known to have begun.
+	// Continues reports that the caller reconnects to a stream that is known to have begun.
 	Continues bool
 	// Software limits the targets to those of the version that began the stream, once the
 	// caller has an event of it.
--- a/router/affinity.go
+++ b/router/affinity.go
@@ -37,8 +37,8 @@
 	}
 }
 
-// record records where the stream of an exchange began. A request that takes up a stream
-// refreshes its record, and may be named in place of the first one.
+// record records where the stream of an exchange began. A request that
+// reconnects to a stream refreshes its record, and may be named in place of the first one.
 func (s affinitySource) record(ex *pipeline.Exchange) {
 	keys := []affinity.Key{affinity.KeyOf(ex.WorkspaceName, ex.ID)}
 	if ex.ResumedRequest != "" {
--- a/router/loop.go
+++ b/router/loop.go
@@ -219,8 +219,7 @@
 	case control.Refuse:
 		l.deliverRefusal(c)
 	case control.AffinityFound:
-		l.lookups[c.Request] <- c
-		delete(l.lookups, c.Request)
+		l.deliverAffinity(c)
 	case control.WatchTargets:
 		l.shell.watchTargets(c.Targets)
 	case control.QuarantineChanged:
@@ -288,6 +287,14 @@
 	w.answer <- grantAnswer{refuse: &c}
 }
 
+// deliverAffinity passes the result of a lookup to the request that waits for it.
+func (l *loop) deliverAffinity(c control.AffinityFound) {
+	if answer, waits := l.lookups[c.Request]; waits {
+		delete(l.lookups, c.Request)
+		answer <- c
+	}
+}
+
 // takeWaiter removes and returns the waiter of one attempt, or nil if there is none.
 // Its answer channel has room for one answer, so sending to it never blocks.
 func (l *loop) takeWaiter(request control.RequestID, attempt uint32) *waiter {
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -47,8 +47,8 @@
 	// router is the name of the router that it was sent to.
 	router          string
 	sentAt, endedAt time.Time
-	// first is the id of the request that brought the first event of the stream that this
-	// one takes up, and after the last event that the caller has; empty if it takes up none.
+	// first is the id of the request that brought the first event of the stream to which
+	// this one reconnects, and after the last event that the caller has; empty if it does not.
 	first, after string
 }
 
@@ -91,8 +91,8 @@
 	paths := []string{pathNonIdempotent, pathIdempotent, pathStream}
 	for ctx.Err() == nil {
 		request := c.send(random, sentRequest{path: paths[random.IntN(len(paths))]})
-		if c.takesUpStreams && request.path == pathStream {
-			c.takeUp(random, request)
+		if c.callersReconnect && request.path == pathStream {
+			c.reconnect(random, request)
 		}
 	}
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -63,8 +63,8 @@
 	replicas []*replica
 	// answersUnframed is soakOptions.unframed.
 	answersUnframed bool
-	// takesUpStreams is soakOptions.software.
-	takesUpStreams bool
+	// callersReconnect is soakOptions.software.
+	callersReconnect bool
 	// zones are assigned to new replicas in rotation.
 	zones []string
 	// replicasMade counts all replicas ever started, for their names.
@@ -80,7 +80,7 @@
 // startFleet starts a fleet and waits until every router is ready.
 func startFleet(t *testing.T, routers int, options soakOptions) *fleet {
 	f := &fleet{t: t, store: managed.StartStore(), journal: &managed.Journal{}, zones: []string{managed.DefaultZone}}
-	f.answersUnframed, f.takesUpStreams = options.unframed, options.software
+	f.answersUnframed, f.callersReconnect = options.unframed, options.software
 	if options.evacuates {
 		f.zones = append(f.zones, secondZone)
 	}
@@ -187,7 +187,7 @@
 	options.ID = fmt.Sprintf("%s-%d", options.Service, f.replicasMade)
 	options.Zone = f.zones[f.replicasMade%len(f.zones)]
 	options.Unframed = f.answersUnframed
-	if f.takesUpStreams {
+	if f.callersReconnect {
 		options.Software = softwareVersions[f.replicasMade%len(softwareVersions)]
 	}
 	added := &replica{options: options}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,8 +47,8 @@
 	// unframed has replicas answer without a length or chunks, so that only the close of
 	// the connection ends an answer.
 	unframed bool
-	// software gives the engines one of two software versions in turn, and has callers take
-	// up their streams.
+	// software gives the engines one of two software versions in turn, and has callers
+	// reconnect to their streams.
 	software bool
 }
 
@@ -68,7 +68,7 @@
 			c.checkNotices()
 		}
 		if options.software {
-			c.checkTakeUpAfterKill()
+			c.checkReconnectAfterKill()
 		}
 		c.checkLeaving()
 	}
--- a/soak/software_test.go
+++ b/soak/software_test.go
@@ -14,28 +14,28 @@
 const (
 	// enginesOfTwoVersions is the number of engines in a run with two software versions.
 	enginesOfTwoVersions = 4
-	// maxTakeUps is how often a caller takes a stream up again.
-	maxTakeUps = 2
-	// takenUpAfterKill is the number of streams that are taken up after their router was
-	// killed, and minContinuedRatio the least part of them that must continue.
-	takenUpAfterKill  = 40
+	// maxReconnects is how often a caller reconnects to a stream.
+	maxReconnects = 2
+	// streamsAtKill is the number of streams at a router that is killed, and
+	// minContinuedRatio the least part of them that must continue at others.
+	streamsAtKill     = 40
 	minContinuedRatio = 0.5
 )
 
 // softwareVersions are the versions of the engines.
 var softwareVersions = []string{"v1", "v2"}
 
-// TestSoakSoftware is TestSoak with engines of two software versions, and callers that take
-// up their streams again. It guards against streams that continue at another version than the
+// TestSoakSoftware is TestSoak with engines of two software versions, and callers that
+// reconnect to their streams. It guards against streams that continue at another version than the
 // one that began them.
 func TestSoakSoftware(t *testing.T) {
 	forSeeds(t, func(t *testing.T, seed uint64) { soak(t, seed, soakOptions{software: true}) })
 }
 
-// takeUp takes a stream up again until it has ended or maxTakeUps is reached.
-func (c *checker) takeUp(random *rand.Rand, first sentRequest) {
+// reconnect reconnects to a stream until it has ended or maxReconnects is reached.
+func (c *checker) reconnect(random *rand.Rand, first sentRequest) {
 	last := first.answer.LastEvent()
-	for range maxTakeUps {
+	for range maxReconnects {
 		if last == "" || last == lastEventID {
 			return
 		}
@@ -61,7 +61,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	began := make(map[string]string) // by the id of the first request
-	takenUp, continued := 0, 0
+	reconnected, continued := 0, 0
 	for _, request := range c.requests {
 		if request.path != pathStream || request.answer.LastEvent() == "" && request.first == "" {
 			continue
@@ -70,7 +70,7 @@
 		if first == "" {
 			first = request.answer.ID
 			began[first] = software[strings.TrimPrefix(request.answer.Header.Get(wire.HeaderSeal), "seal-")]
-		} else if takenUp++; request.answer.LastEvent() != "" {
+		} else if reconnected++; request.answer.LastEvent() != "" {
 			continued++
 		}
 		for _, run := range runs[request.answer.ID] {
@@ -79,21 +79,21 @@
 			}
 		}
 	}
-	c.t.Logf("%d streams began, %d requests took one up, %d of them continued", len(began), takenUp, continued)
+	c.t.Logf("%d streams began, %d requests reconnected to one, %d of them continued", len(began), reconnected, continued)
 }
 
-// checkTakeUpAfterKill kills a router in the middle of its streams while no faults are active,
-// and takes them up at the others. It guards against a fleet that forgets with a router which
+// checkReconnectAfterKill kills a router in the middle of its streams while no faults are active,
+// and reconnects to them at the others. It guards against a fleet that forgets with a router which
 // version began a stream.
-func (c *checker) checkTakeUpAfterKill() {
+func (c *checker) checkReconnectAfterKill() {
 	killed := c.routers[0]
-	answers := make(chan managed.Answer, takenUpAfterKill)
+	answers := make(chan managed.Answer, streamsAtKill)
 	request := managed.Request{Path: pathStream, Key: managed.DemoKey, StopAfter: 3}
-	for range takenUpAfterKill {
+	for range streamsAtKill {
 		go func() { answers <- c.caller.SendRequest(c.t.Context(), killed.Settings.Listen.Callers, request) }()
 	}
 	var begun []managed.Answer
-	for range takenUpAfterKill {
+	for range streamsAtKill {
 		if answer := <-answers; answer.LastEvent() != "" {
 			begun = append(begun, answer)
 		}
--- a/standin/managed/caller.go
+++ b/standin/managed/caller.go
@@ -57,7 +57,7 @@
 type Request struct {
 	// Path is the path with the query, and Key the key of the workspace.
 	Path, Key string
-	// Resumes and AfterEvent, in a request that takes a stream up again, are the id of the
+	// Resumes and AfterEvent, when the caller reconnects to a stream, are the id of the
 	// request that brought its first event, and that of the last event that arrived. Empty
 	// values are not sent.
 	Resumes, AfterEvent string
@@ -150,7 +150,7 @@
 // order.
 func ExpectedStream(id string, events int) string { return ExpectedStreamAfter(id, "", events) }
 
-// ExpectedStreamAfter is like ExpectedStream for a stream that is taken up after an event;
+// ExpectedStreamAfter is like ExpectedStream for a stream that continues after an event;
 // empty: from the first.
 func ExpectedStreamAfter(id, afterEvent string, events int) string {
 	var b strings.Builder
