Let streams that callers reconnect to wait as long as callers do

24 streams of one version that break off together, reconnect at once while two of their targets serve, at four fifths of the pool's load: 11 continued (0.46), while all new streams began, which is under the half that is promised. They were refused once they could not begin within their route's objective; but the first event had been in time, and callers wait two seconds and more for the next. Now they may take 1.2 s, or the objective if it is longer: 24 of 24. TestReconnectsAfterLossContinue failed before with 0.46 of 0.50.

--- a/control/rank.go
+++ b/control/rank.go
@@ -16,6 +16,10 @@
 	// it cannot be answered in time: about the time in which the waiting requests are
 	// served.
 	overloadRetryAfter = time.Second
+	// continuedObjective is the least time within which a stream may continue after its
+	// caller has reconnected. Callers give up on a stream after two seconds of silence or
+	// more, of which a part has passed by then; its first event was what had to be in time.
+	continuedObjective = 1200 * time.Millisecond
 )
 
 // rank is the precedence of a request within a pool.
@@ -71,6 +75,9 @@
 	if q.ticket.Objective > 0 {
 		q.objective = m.now + q.ticket.Objective
 	}
+	if q.ticket.Objective > 0 && q.ticket.Continues {
+		q.objective = m.now + max(q.ticket.Objective, continuedObjective)
+	}
 	q.waitUntil = m.latestUsefulStart(q)
 	if q.ticket.Again {
 		return // its share was counted already, and a refusal would waste the work done
--- a/control/software_test.go
+++ b/control/software_test.go
@@ -124,3 +124,97 @@
 		t.Errorf("%d of %d streams continued within the share, want a quarter to a half", within, begun)
 	}
 }
+
+// TestReconnectsAfterLossContinue guards against refusing most streams that were broken off
+// together when their callers reconnect at once, while new streams begin at idle targets of
+// another software version: two targets of theirs are left.
+func TestReconnectsAfterLossContinue(t *testing.T) {
+	const broken, steps, newUntil, lossAt, arrivalEvery = 24, 1000, 800, 600, 3
+	f := &steadyFleet{tokenFleet: newSoftwareFleet("v1-1", "v1-2", "v2-1", "v2-2", "v2-3", "v2-4"), granted: make(map[RequestID]bool)}
+	var begun, continued []RequestID
+	for step := range steps {
+		f.pass()
+		if step%arrivalEvery == 0 && step < newUntil { // 33,000 of 40,000 tokens a second
+			begun = append(begun, f.send(config.SoftwareLimit{}))
+		}
+		if step == lossAt {
+			for range broken {
+				continued = append(continued, f.send(config.OnlySoftware("v1")))
+			}
+		}
+	}
+	newPart, oldPart := f.grantedPart(begun), f.grantedPart(continued)
+	t.Logf("%.2f of the new streams began, %.2f of those broken off continued", newPart, oldPart)
+	if oldPart < newPart/2 {
+		t.Errorf("%.2f of the streams continued, and %.2f of the new ones began", oldPart, newPart)
+	}
+}
+
+// steadyFleet is a tokenFleet whose targets begin to answer after beginTime and end after
+// runTime.
+type steadyFleet struct {
+	*tokenFleet
+	runs    []steadyRun
+	granted map[RequestID]bool
+}
+
+type steadyRun struct {
+	dispatch *Dispatch
+	at       Instant
+}
+
+const (
+	steadyStep = 10 * time.Millisecond
+	beginTime  = 150 * time.Millisecond
+	runTime    = 700 * time.Millisecond
+)
+
+// carryOut records the grants among commands.
+func (f *steadyFleet) carryOut(commands []Command) {
+	for _, command := range commands {
+		if d, isDispatch := command.(Dispatch); isDispatch {
+			f.granted[d.Request] = true
+			f.runs = append(f.runs, steadyRun{&d, f.now})
+		}
+	}
+}
+
+// send sends a request of 1,000 tokens; one that is limited to a version continues a stream.
+func (f *steadyFleet) send(limit config.SoftwareLimit) RequestID {
+	f.requests++
+	f.carryOut(f.step(RequestArrived{
+		Request: f.requests, Attempt: 1, Workspace: "a", Pool: "gen", Route: "r", Software: limit, Continues: limit.Limited,
+		Deadline: f.now + 12*time.Second, Objective: f.now + 400*time.Millisecond,
+		Work: Work{Parts: []PromptPart{{ID: uint64(f.requests) + 1000, Tokens: 900}}, OutputTokens: 50},
+	}))
+	return f.requests
+}
+
+// pass lets steadyStep pass.
+func (f *steadyFleet) pass() {
+	f.now += steadyStep
+	f.carryOut(f.step(Tick{}))
+	current := f.runs
+	f.runs = nil
+	for _, r := range current {
+		switch age := f.now - r.at; {
+		case age >= runTime:
+			f.carryOut(f.step(RunEnded{Request: r.dispatch.Request, Grant: r.dispatch.Grant, Outcome: OutcomeAnswered}))
+			continue
+		case age == beginTime:
+			f.carryOut(f.step(RunBegan{Grant: r.dispatch.Grant, After: beginTime}))
+		}
+		f.runs = append(f.runs, r)
+	}
+}
+
+// grantedPart returns the part of requests that were granted.
+func (f *steadyFleet) grantedPart(requests []RequestID) float64 {
+	granted := 0
+	for _, request := range requests {
+		if f.granted[request] {
+			granted++
+		}
+	}
+	return float64(granted) / float64(len(requests))
+}
