--- a/control/affinities.go
+++ b/control/affinities.go
@@ -13,8 +13,8 @@
 // the software version that began it. The router that relays the first event records the
 // version and copies the record to a few other routers, chosen by rendezvous hashing of the
 // stream's key, so that it survives the router. A router that does not have a record asks
-// those that should. What stays unknown is refused: a lost copy costs a refusal, and never
-// mixes versions, whether this router reaches the others or not.
+// those that should. If no router has one the request is refused, so that a lost record never
+// leads to another version, also while this router cannot reach the others.
 
 const (
 	// affinityCopies is the number of other routers that get a copy of a record.
@@ -275,7 +275,7 @@
 
 // onlySoftware returns the version of all targets that the pool of a lookup has had, by this
 // router and by those that answered. It returns false if there were several, or if other
-// routers are known and none has answered: this one may then be cut off from news of others.
+// routers are known and none has answered: this one may be disconnected from them.
 func (m *Machine) onlySoftware(l *affinityLookup) (string, bool) {
 	if !l.answered && m.view.Known() > 0 {
 		return "", false
--- a/control/affinity/affinity.go
+++ b/control/affinity/affinity.go
@@ -3,7 +3,7 @@
 // events.
 //
 // A record never changes. A key that was recorded with two different affinities, because a
-// caller used a request id twice, has none any more.
+// caller used a request id twice, counts as unknown.
 package affinity
 
 import (
--- a/control/sched/shares.go
+++ b/control/sched/shares.go
@@ -29,8 +29,8 @@
 	// about the length of a stream.
 	continuedTimeConstant = 5 * time.Second
 	// maxContinuedRatio bounds what a workspace may continue outside its share, as a fraction
-	// of what it began. Callers that break their streams off and take them up all the time
-	// exceed their share by this much.
+	// of what it began. Callers that disconnect and reconnect all the time exceed their
+	// share by this much.
 	maxContinuedRatio = 0.5
 	// shareIdleTimeout is how long a workspace without requests is remembered.
 	shareIdleTimeout = 30 * time.Second
--- a/filters/affinity/affinity.go
+++ b/filters/affinity/affinity.go
@@ -1,6 +1,6 @@
 // Package affinity is the filter for callers that reconnect to a stream. It finds out which
 // pool and software version began the stream, and limits the request to targets of that
-// version. Where that cannot be known the request is refused as not run.
+// version. If no router knows the version, the request is refused as not run.
 package affinity
 
 import (
@@ -17,8 +17,8 @@
 	"github.com/walnutcove/walnutcove/result/codecounter"
 )
 
-// A caller whose stream is unknown is told to retry after a random time between these: a
-// router that has the record may be unreachable for a moment.
+// A caller whose stream is unknown is asked to retry after a random time between these, in
+// case a router that has the record is temporarily unreachable.
 const (
 	minRetryAfter = 500 * time.Millisecond
 	maxRetryAfter = 1500 * time.Millisecond
