Name the configuration version in refusals that a newer one may turn into an answer

Refusals of a missing route or key told neither the version nor its age nor from whom this router had it, so that a router with an old version could not be told from a caller's error. The lines of codes 104 and 202 now name all three. walnut_control_heartbeats_received_total tells whether any other router still announces versions to this one.

--- a/config/types.go
+++ b/config/types.go
@@ -9,7 +9,10 @@
 //	{"workspaces": {"bakery": {"share": 2}}, "targets": {"old-1": null}}
 package config
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Version is the number of an accepted configuration. The first accepted
 // version is 1; zero means "none yet".
@@ -141,6 +144,13 @@
 // TakesWork reports whether new requests may be sent to the target.
 func (t Target) TakesWork() bool { return !t.Leaving && !t.Evacuated }
 
+// Origin tells from whom and when a router learned of a version.
+type Origin struct {
+	// Source is "platform" or "peer" and the name of a router.
+	Source string
+	At     time.Time
+}
+
 // Snapshot is one immutable configuration version. It is shared by pointer and
 // must not be copied. Apply, Empty and DecodeSnapshot create snapshots.
 type Snapshot struct {
@@ -163,6 +173,8 @@
 	// revision: for example, it removed targets that it had kept for a while although they were
 	// missing from a listing.
 	UnversionedChanges uint64 `json:"-"`
+	// Origin tells how this router learned of the version, for logs; zero if not recorded.
+	Origin Origin `json:"-"`
 
 	digestInputs digestInputs
 
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -63,6 +63,7 @@
 }
 
 func (m *Machine) heartbeatReceived(from NodeID, msg Heartbeat) {
+	m.counters.HeartbeatsReceived++
 	m.view.HeartbeatReceived(m.now, string(from), msg.Leaving)
 	if old, known := m.fleet.epochs[from]; known && old != msg.Incarnation {
 		m.resendTo(from)
--- a/control/status.go
+++ b/control/status.go
@@ -31,6 +31,7 @@
 	ReportsResent         uint64
 	SchedulersUnanswering uint64
 	NodesSuspected        uint64
+	HeartbeatsReceived    uint64
 	TargetFailures        uint64
 	TargetProbes          uint64 // runs granted to failing targets
 	TargetsCold           uint64
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -206,6 +206,9 @@
 	before, revisionBefore := f.state.configuration.Version, f.state.revision
 	evacuatedBefore := f.state.evacuatedDataCentres()
 	changed := apply(&f.state)
+	if f.state.configuration.Version != before {
+		f.state.origin = config.Origin{Source: source, At: time.Now()}
+	}
 	f.noteEra(source, revisionBefore)
 	f.noteEvacuations(source, evacuatedBefore)
 	if !changed {
--- a/directory/state.go
+++ b/directory/state.go
@@ -9,6 +9,8 @@
 // state holds what this router knows of the directory. It is not safe for concurrent use.
 type state struct {
 	configuration Configuration
+	// origin tells how configuration was learned.
+	origin config.Origin
 	// listed reports that the targets were listed at least once.
 	listed  bool
 	targets map[string]knownTarget
@@ -243,5 +245,6 @@
 		ConfigRevision:     s.operatorRevision,
 		TargetsRevision:    s.revision,
 		UnversionedChanges: s.unversionedChanges,
+		Origin:             s.origin,
 	}
 }
--- a/filters/requestlog/requestlog.go
+++ b/filters/requestlog/requestlog.go
@@ -69,12 +69,27 @@
 		demotedCount.Inc()
 		level = slog.LevelDebug
 	}
-	pipeline.Log(ctx, f.log, level, ex, message,
+	attrs := []slog.Attr{
 		slog.Int("code", int(refusal.Code)),
 		slog.String("reason", refusal.Code.Info().Name),
 		slog.String("ran", refusal.Ran.String()),
 		took,
-		slog.Any("error", err))
+	}
+	attrs = append(attrs, versionAttrs(ex, refusal.Code)...)
+	pipeline.Log(ctx, f.log, level, ex, message, append(attrs, slog.Any("error", err))...)
+}
+
+// versionAttrs describes the configuration version by which a request was refused, for the
+// codes that a newer version may turn into an answer.
+func versionAttrs(ex *pipeline.Exchange, code result.Code) []slog.Attr {
+	if code != result.UnknownPath && code != result.KeyWrong || ex.Snapshot == nil {
+		return nil
+	}
+	attrs := []slog.Attr{slog.Uint64("version", uint64(ex.Snapshot.Version))}
+	if origin := ex.Snapshot.Origin; !origin.At.IsZero() {
+		attrs = append(attrs, slog.Duration("version_age", time.Since(origin.At)), slog.String("version_from", origin.Source))
+	}
+	return attrs
 }
 
 // levelAndMessage returns the log level and message for a result code: failures of the
--- a/filters/requestlog/requestlog_test.go
+++ b/filters/requestlog/requestlog_test.go
@@ -8,7 +8,9 @@
 	"log/slog"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 )
@@ -84,3 +86,22 @@
 		t.Errorf("%d warnings, %d demoted", warned, demotedCount.Get()-before)
 	}
 }
+
+// TestRefusalByConfigurationNamesItsVersion guards against refusals of a router with an old
+// configuration that cannot be told from those that callers deserve.
+func TestRefusalByConfigurationNamesItsVersion(t *testing.T) {
+	f, out := newFilter(slog.LevelInfo)
+	f.Serve(t.Context(), &pipeline.Exchange{ID: "r-1"}, func(_ context.Context, ex *pipeline.Exchange) error {
+		ex.Snapshot = &config.Snapshot{Version: 7, Origin: config.Origin{Source: "peer vm-2", At: time.Now().Add(-time.Minute)}}
+		err := result.New(result.UnknownPath, "No route.")
+		ex.End(err)
+		return err
+	})
+	var line map[string]any
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+		t.Fatal(err)
+	}
+	if line["version"] != 7.0 || line["version_from"] != "peer vm-2" || line["version_age"].(float64) < float64(time.Minute) {
+		t.Errorf("got %v", line)
+	}
+}
