Answer heartbeats of routers that are behind, so that no router is left out of new versions

What callers saw: a router handles requests by a configuration that was replaced seconds ago (404 for a route that is there), until something else makes a peer send it a heartbeat.

Cause: versions are announced by heartbeats, and each router chooses by hashing to which eight others it sends them. Nothing makes a router be chosen: the number of routers that send to a given one varies like Poisson(8). If its senders end, nobody announces versions to that router. Its own heartbeats told eight others every 250 ms that it is behind, and they ignored it.

Change: a router that receives a heartbeat with an older state answers with its own heartbeat, once per heartbeat period for each node, so that two routers that both lack something don't answer each other without end.

TestVersionReachesNodeWithoutHeartbeatSenders failed before with 40, 75 and 150 routers (one router without the version 2 s later) and passes.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -26,10 +26,13 @@
 	// owners caches the schedulers of shards for one version of the view.
 	owners map[ShardID]NodeID
 	feeds  feeds
+	// answered holds the nodes that were sent a heartbeat as they were behind, for one
+	// heartbeat period.
+	answered expiringSet
 }
 
 func newFleet() fleet {
-	return fleet{epochs: make(map[NodeID]Incarnation), owners: make(map[ShardID]NodeID), feeds: newFeeds()}
+	return fleet{epochs: make(map[NodeID]Incarnation), owners: make(map[ShardID]NodeID), feeds: newFeeds(), answered: newExpiringSet()}
 }
 
 // acceptSender records that a message was received from a node. It returns false if the
@@ -73,6 +76,28 @@
 	if msg.ConfigVersion > 0 && m.hasNewerState(msg) {
 		m.emit(VersionSeen{From: from, Version: msg.ConfigVersion, TargetsRevision: msg.TargetsRevision})
 	}
+	m.answerIfBehind(from, msg)
+}
+
+// answerIfBehind sends a heartbeat to a node that announces an older state than this node
+// has. The node may be no other node's watcher, in which case nobody announces a newer state
+// to it. At most one answer per heartbeat period bounds the exchange between two nodes that
+// each have something newer.
+func (m *Machine) answerIfBehind(node NodeID, msg Heartbeat) {
+	if m.topo == nil || !m.topo.hasNewerState(msg) || m.fleet.answered.has(m.now, node) {
+		return
+	}
+	m.fleet.answered.add(m.now, node, m.opts.HeartbeatEvery)
+	m.counters.HeartbeatsAnswered++
+	m.send(node, m.heartbeat())
+}
+
+// hasNewerState reports whether this configuration, or its listing of targets, is newer than
+// the one that a heartbeat announces.
+func (t *topology) hasNewerState(msg Heartbeat) bool {
+	version := uint64(t.order.Version)
+	rewritten := version == msg.ConfigVersion && t.order.Config > msg.ConfigRevision
+	return version > msg.ConfigVersion || rewritten || t.order.Targets > msg.TargetsRevision
 }
 
 // hasNewerState reports whether a heartbeat announces a newer configuration, or a newer
--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -38,6 +38,8 @@
 	onEnd func(*simRequest)
 	// onFound is called with each AffinityFound command.
 	onFound func(AffinityFound)
+	// onVersionSeen is called when a node learns that another one has a newer version.
+	onVersionSeen func(n *simNode, from NodeID)
 	// violations lists the violated invariants.
 	violations []string
 }
@@ -132,16 +134,17 @@
 
 func newSim(seed uint64) *sim {
 	return &sim{
-		rng:        rand.New(rand.NewPCG(seed, 1)),
-		networkRNG: rand.New(rand.NewPCG(seed, 2)),
-		nodes:      make(map[NodeID]*simNode),
-		targets:    make(map[string]*simTarget),
-		delay:      time.Millisecond,
-		linkDown:   func(NodeID, NodeID) bool { return false },
-		service:    func(*simRequest) time.Duration { return time.Second },
-		onEnd:      func(*simRequest) {},
-		onFound:    func(AffinityFound) {},
-		loadEvery:  200 * time.Millisecond,
+		rng:           rand.New(rand.NewPCG(seed, 1)),
+		networkRNG:    rand.New(rand.NewPCG(seed, 2)),
+		nodes:         make(map[NodeID]*simNode),
+		targets:       make(map[string]*simTarget),
+		delay:         time.Millisecond,
+		linkDown:      func(NodeID, NodeID) bool { return false },
+		service:       func(*simRequest) time.Duration { return time.Second },
+		onEnd:         func(*simRequest) {},
+		onFound:       func(AffinityFound) {},
+		onVersionSeen: func(*simNode, NodeID) {},
+		loadEvery:     200 * time.Millisecond,
 	}
 }
 
@@ -261,6 +264,8 @@
 		s.dispatch(n, c)
 	case FeedRole:
 		s.applyFeedRole(n, c)
+	case VersionSeen:
+		s.onVersionSeen(n, c.From)
 	case AffinityFound:
 		s.onFound(c)
 	case RecheckFeeds:
--- a/control/status.go
+++ b/control/status.go
@@ -32,6 +32,7 @@
 	SchedulersUnanswering uint64
 	NodesSuspected        uint64
 	HeartbeatsReceived    uint64
+	HeartbeatsAnswered    uint64 // of nodes that were behind
 	TargetFailures        uint64
 	TargetProbes          uint64 // runs granted to failing targets
 	TargetsCold           uint64
--- /dev/null
+++ b/control/versions_test.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+)
+
+// versionFetchDelay is the time that a simulated node takes to fetch a version from another.
+const versionFetchDelay = 50 * time.Millisecond
+
+// fetchVersion has a node fetch the version of another one that announced a newer one.
+func (s *sim) fetchVersion(n *simNode, from NodeID) {
+	s.after(versionFetchDelay, func() {
+		if peer := s.nodes[from]; peer.up && !s.linkDown(n.id, from) {
+			s.setVersion(n, uint64(peer.machine.topo.order.Version))
+		}
+	})
+}
+
+// setVersion puts a version in force at a node.
+func (s *sim) setVersion(n *simNode, version uint64) {
+	snapshot := draftFleet.snapshot()
+	snapshot.Version = config.Version(version)
+	s.step(n, ConfigChanged{Snapshot: snapshot})
+}
+
+var draftFleet = fleetSpec{workspaces: map[string]float64{"a": 1}, targetsPerDataCentre: 1, slots: 4, dataCentres: testDataCentres[:1]}
+
+// heartbeatSenders returns the live nodes that send periodic heartbeats to a node.
+func (s *sim) heartbeatSenders(to NodeID) []NodeID {
+	var senders []NodeID
+	for _, id := range s.names {
+		if n := s.nodes[id]; n.up && id != to && slices.Contains(n.machine.view.Watchers(n.machine.now, 0), string(to)) {
+			senders = append(senders, id)
+		}
+	}
+	return senders
+}
+
+// leastHeard returns the node to which the fewest others send heartbeats.
+func (s *sim) leastHeard() NodeID {
+	least, fewest := NodeID(""), len(s.names)
+	for _, id := range s.names {
+		if count := len(s.heartbeatSenders(id)); count < fewest {
+			least, fewest = id, count
+		}
+	}
+	return least
+}
+
+// TestVersionReachesNodeWithoutHeartbeatSenders guards against a node that keeps an old
+// configuration version because the ends of other nodes left nobody that sends it heartbeats.
+func TestVersionReachesNodeWithoutHeartbeatSenders(t *testing.T) {
+	const bound = 2 * time.Second
+	for _, nodes := range []int{40, 75, 150} {
+		s := newSim(uint64(nodes))
+		s.onVersionSeen = s.fetchVersion
+		s.startFleet(nodes, draftFleet.snapshot(), Options{HeartbeatEvery: 250 * time.Millisecond, MemberTimeout: time.Second}, testDataCentres...)
+		s.runUntil(s.now + 5*time.Second)
+		left := s.leastHeard()
+		for senders := s.heartbeatSenders(left); len(senders) > 0; senders = s.heartbeatSenders(left) {
+			for _, id := range senders {
+				s.stopNode(id)
+			}
+			s.runUntil(s.now + 15*time.Second)
+		}
+		var first *simNode
+		for _, id := range s.names {
+			if n := s.nodes[id]; n.up && id != left {
+				first = n
+			}
+		}
+		s.setVersion(first, 2)
+		s.runUntil(s.now + bound)
+		for _, id := range s.names {
+			if n := s.nodes[id]; n.up && n.machine.topo.order.Version != 2 {
+				t.Errorf("%d nodes: %s has version %d %s after another node has 2", nodes, id, n.machine.topo.order.Version, bound)
+			}
+		}
+	}
+}
+
+// TestAnswersToNodesBehindAreBounded guards against two nodes that answer each other's
+// heartbeats without end while each lacks something that the other has.
+func TestAnswersToNodesBehindAreBounded(t *testing.T) {
+	s := newSim(1)
+	s.startFleet(2, draftFleet.snapshot(), Options{HeartbeatEvery: 250 * time.Millisecond, MemberTimeout: time.Second}, testDataCentres[0])
+	a, b := s.nodes["n0"], s.nodes["n1"]
+	s.linkDown = func(NodeID, NodeID) bool { return true } // versions can't be fetched
+	s.setVersion(a, 2)
+	behind := Heartbeat{Incarnation: b.inc, ConfigVersion: 1, TargetsRevision: 9}
+	answers := 0
+	for range 100 {
+		for _, cmd := range a.machine.Step(s.now, MessageReceived{From: "n1", Incarnation: b.inc, Message: behind}) {
+			if send, ok := cmd.(Send); ok && send.To == "n1" {
+				answers++
+			}
+		}
+	}
+	if answers < 1 || answers > 3 { // one answer, and what the first message of a node leads to
+		t.Errorf("%d messages in answer to 100 heartbeats of a node that is behind", answers)
+	}
+}
