Refuse requests by the parts of their prompts that crash targets

What callers saw: requests that share one part of their prompts, no two alike, crash one target after the other; within half a minute 25 targets ended, and a third to a half of the pool's other requests failed with them.

Cause: quarantine identifies a request by workspace, path and body, so that requests of which no two are alike are never convicted. Besides, a crash counted only once the target's entry had lapsed, 3.3 s after its end.

Change: a scheduler takes a target for crashed if nearly all runs there break at the same moment and it answers nothing for 300 ms. The evidence is, for each run that had not begun its answer or only just, the parts of its prompt but the last one. A part is cleared by any target that began an answer on it and ran on for 500 ms. Requests are refused (code 408) if three crashes, or more where targets crash for other reasons too, leave no other explanation than one of their parts. A request that tells suspects apart is tried, one a second; refused ones are tried again after two minutes. Evidence is sent to all routers, along watchers and those that are watched, as a router may have no watcher's side at all.

--- a/control/entry.go
+++ b/control/entry.go
@@ -109,7 +109,12 @@
 		m.withdrawRequest(old)
 	}
 	code := m.admissionCode(ev)
-	if code != result.OK {
+	switch code {
+	case result.OK:
+	case result.PartQuarantined:
+		m.refuseAfter(ev, code, m.jitter(partRetryAfter))
+		return
+	default:
 		m.refuse(ev, code)
 		return
 	}
@@ -139,6 +144,9 @@
 	if m.isConvicted(ev.Fingerprint) {
 		return result.Quarantined
 	}
+	if m.refusesParts(ev.Pool, ev.Work) {
+		return result.PartQuarantined
+	}
 	w := m.entry.workspaces[ev.Workspace]
 	if w == nil {
 		return result.OK
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -50,6 +50,7 @@
 		m.send(node, m.heartbeat())
 		if m.view.Watches(string(node)) {
 			m.sendEvidence(node)
+			m.sendPartEvidence(node)
 		}
 	}
 	return change != member.SenderStale
--- a/control/grants.go
+++ b/control/grants.go
@@ -34,6 +34,12 @@
 	workspace   *workspace
 	costHint    time.Duration
 	fingerprint uint64
+	// parts are the parts of the prompt that other requests may share, for targets that
+	// count in tokens. continues reports that the request was granted before, and beganAt
+	// is when the target began to answer; zero if it has not.
+	parts     []uint64
+	continues bool
+	beganAt   Instant
 	// grantedAt is when the grant was made or adopted, and startedAt when it is assumed to
 	// occupy its slot: later if it waited behind others in the target.
 	grantedAt, startedAt Instant
@@ -168,6 +174,8 @@
 		workspace:   q.workspace,
 		costHint:    q.ticket.CostHint,
 		fingerprint: q.ticket.Fingerprint,
+		parts:       partsOf(q.ticket.Work),
+		continues:   q.ticket.Again || q.ticket.Continues,
 		grantedAt:   m.now,
 		reportedAt:  m.now,
 		placement:   p,
--- a/control/machine.go
+++ b/control/machine.go
@@ -46,6 +46,7 @@
 	sched         scheduler
 	exchange      serviceExchange
 	crashEvidence crashEvidence
+	partEvidence  partEvidence
 	affinities    affinities
 	// coldUntil maps a target's name to the end of the time during which it is, or may be,
 	// cold.
@@ -71,6 +72,7 @@
 		sched:         newScheduler(),
 		exchange:      newServiceExchange(),
 		crashEvidence: newCrashEvidence(),
+		partEvidence:  newPartEvidence(),
 		affinities:    newAffinities(),
 		coldUntil:     make(map[string]Instant),
 	}
@@ -187,6 +189,7 @@
 	m.entryTick()
 	m.exchangeTick()
 	m.crashEvidenceTick()
+	m.partEvidenceTick()
 	m.affinityTick()
 }
 
@@ -246,6 +249,8 @@
 		m.suspectNoticeReceived(from, msg)
 	case QuarantineNotice:
 		m.quarantineNoticeReceived(msg)
+	case PartEvidence:
+		m.partEvidenceReceived(from, msg)
 	case UnreadNotice:
 		m.unreadNoticeReceived(msg)
 	case LeavingNotice:
--- a/control/member/watch.go
+++ b/control/member/watch.go
@@ -110,6 +110,18 @@
 	return slices.Compact(names)
 }
 
+// Neighbours returns the nodes that watch this one and those that it watches, in order of
+// name. The number of nodes that a node watches varies and may be zero, so flooding along
+// one direction may leave nodes out.
+func (v *View) Neighbours() []string {
+	var names []string
+	for _, n := range slices.Concat(v.watchers, v.watching) {
+		names = append(names, n.Name)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // Tick updates the states that depend on time. It returns the watched nodes whose
 // heartbeats this node has missed since the last call; the caller notifies the other
 // nodes.
--- a/control/place.go
+++ b/control/place.go
@@ -273,6 +273,7 @@
 	if g.engineRun == nil {
 		return
 	}
+	m.partsBegan(g)
 	m.targetSucceeded(g.target, "first event")
 	g.target.engine.FirstEvent(m.now, g.engineRun, sinceGrant)
 	m.grantWaiting(g.shard)
--- a/control/place_test.go
+++ b/control/place_test.go
@@ -16,7 +16,18 @@
 }
 
 func newTokenFleet(engines ...string) *tokenFleet {
-	declarations := config.Declarations{
+	declarations := tokenDeclarations()
+	for _, name := range engines {
+		declarations.Targets[name] = config.Target{Pool: "gen", DataCentre: "d", Slots: 8}
+	}
+	f := &tokenFleet{machine: New(Options{Node: "n", Incarnation: 1, DataCentre: "d", Seed: 1})}
+	f.step(ConfigChanged{Snapshot: &config.Snapshot{Version: 1, Declarations: declarations, TargetsRevision: 1}})
+	return f
+}
+
+// tokenDeclarations declares a pool that counts in tokens, without targets.
+func tokenDeclarations() config.Declarations {
+	return config.Declarations{
 		Workspaces: map[string]config.Workspace{
 			"a": {Share: 1, Pools: []string{"gen"}},
 			"b": {Share: 1, Pools: []string{"gen"}},
@@ -32,12 +43,6 @@
 		}},
 		Targets: make(map[string]config.Target),
 	}
-	for _, name := range engines {
-		declarations.Targets[name] = config.Target{Pool: "gen", DataCentre: "d", Slots: 8}
-	}
-	f := &tokenFleet{machine: New(Options{Node: "n", Incarnation: 1, DataCentre: "d", Seed: 1})}
-	f.step(ConfigChanged{Snapshot: &config.Snapshot{Version: 1, Declarations: declarations, TargetsRevision: 1}})
-	return f
 }
 
 func (f *tokenFleet) step(ev Event) []Command { return f.machine.Step(f.now, ev) }
--- /dev/null
+++ b/control/quarantine/parts.go
@@ -0,0 +1,548 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Parts finds the parts of prompts that crash every target that begins to answer them,
+// whatever else the request contains. It does no I/O and reads no clock.
+//
+// The evidence of a crash is, for each run that may have caused it, the set of its suspects:
+// the parts of its prompt that have not lived since. A part lives if a target began an
+// answer on it and still ran some time later; that removes it from all evidence, as a part
+// that crashes targets crashes each of them.
+//
+// A request is refused if MinCrashes crashes support that one of its parts is a cause. A
+// crash supports it if some run there had no suspects besides those of the request: then the
+// request contains whatever crashed that target. Runs that also had other suspects support
+// it only as far as these differ from crash to crash, because one cause is then more likely
+// than several. Where targets crash for other reasons at the same time, more crashes are needed.
+//
+// Such a request is tried nevertheless if it tells suspects apart, as a part that it lacks
+// was at each of these crashes too, and when it has not been tried for long: the part may
+// have been mended, or convicted by coincidence. Trials have to be made one at a time.
+//
+// Crashes at almost the same time count once: they may have one cause outside the requests,
+// such as a loss of power. Routers exchange evidence, never verdicts.
+//
+// Parts is not safe for concurrent use.
+type Parts struct {
+	options PartOptions
+	// crashes holds the known crashes, oldest first.
+	crashes []*partCrash
+	// suspects counts the runs in crashes that contain each part.
+	suspects map[uint64]int
+	// lived and livedBefore hold when parts last lived. The older map is dropped when the
+	// newer one is full or has been used for partMemory.
+	lived, livedBefore map[uint64]Instant
+	livedSince         Instant
+	// refused holds the sets of parts that were last reported as refused, by key.
+	refused map[string][]uint64
+}
+
+// PartOptions configure Parts. Fields that are zero have the stated defaults.
+type PartOptions struct {
+	// MinCrashes is the number of crashes after which requests are refused. Default 3.
+	MinCrashes int
+	// TTL is how long a crash counts. Default 1h.
+	TTL time.Duration
+	// MaxCrashes bounds the number of crashes held. Default 64.
+	MaxCrashes int
+}
+
+const (
+	// MaxCrashParts bounds the parts in the evidence of one crash, over all of its runs.
+	MaxCrashParts = 100
+	// MaxPartsPerRun bounds the parts of one run.
+	MaxPartsPerRun = 16
+	// othersPerCrash is the number of other crashes for which one more has to support a
+	// refusal.
+	othersPerCrash = 2
+	// simultaneous is the time within which crashes count as one.
+	simultaneous = 100 * time.Millisecond
+	// livedBeforeCrash is how long before a crash a part may have lived to be none of its
+	// suspects. A part that begins to crash targets, for example with new software there,
+	// is a suspect after this time.
+	livedBeforeCrash = time.Second
+	// partMemory is how long it is remembered at least that a part lived, unless more than
+	// maxLived parts did: notices of crashes arrive within seconds.
+	partMemory = 10 * time.Second
+	maxLived   = 4096
+	// firstTrialAfter is the time after the last crash after which a request that is refused
+	// may be tried. It doubles up to maxTrialDoublings times.
+	firstTrialAfter   = 2 * time.Minute
+	maxTrialDoublings = 4
+	// maxReportedRuns bounds the runs of a crash for which it is reported that they are
+	// refused from then on.
+	maxReportedRuns = 8
+)
+
+// partCrash is one crash of a target.
+type partCrash struct {
+	id uint64
+	at Instant
+	// runs holds the suspects of each run that may have caused it, each sorted. No two are
+	// equal.
+	runs [][]uint64
+}
+
+// PartNotice carries evidence to other routers. Notices may be lost, duplicated or
+// reordered.
+type PartNotice struct {
+	// Crash identifies the crash of which Runs holds the suspects; zero if the notice
+	// reports that parts lived.
+	Crash uint64
+	Runs  [][]uint64
+	// Lived holds the parts that lived.
+	Lived []uint64
+	// Age is the time since the event.
+	Age time.Duration
+}
+
+// PartsChange reports that requests with all of the given parts are refused from now on, but
+// for trials, or no longer.
+type PartsChange struct {
+	Parts   []uint64
+	Refused bool
+	// Crashes is the number of crashes that support the refusal.
+	Crashes int
+}
+
+// PartOutput is the result of a call to Parts.
+type PartOutput struct {
+	// Notices have to be sent to other routers.
+	Notices []PartNotice
+	Changes []PartsChange
+}
+
+// NewParts returns an empty Parts.
+func NewParts(options PartOptions) *Parts {
+	setDefault(&options.MinCrashes, 3)
+	setDefault(&options.TTL, time.Hour)
+	setDefault(&options.MaxCrashes, 64)
+	return &Parts{
+		options:  options,
+		suspects: make(map[uint64]int),
+		lived:    make(map[uint64]Instant),
+		refused:  make(map[string][]uint64),
+	}
+}
+
+// Crashed records a crash of a target at a time in the past. id identifies it at all
+// routers. runs holds the parts of each run that may have caused it.
+func (p *Parts) Crashed(now, at Instant, id uint64, runs [][]uint64) PartOutput {
+	var out PartOutput
+	p.addCrash(now, &partCrash{id: id, at: at, runs: runs}, &out)
+	return out
+}
+
+// Lived records that a target which began an answer on the parts still runs.
+func (p *Parts) Lived(now Instant, parts []uint64) PartOutput {
+	var out PartOutput
+	p.clear(now, now, parts, &out)
+	return out
+}
+
+// Merge adds a notice from another router. The notices of the output have to be sent on.
+// There are none if the notice contained nothing new, so that forwarding ends.
+func (p *Parts) Merge(now Instant, notice PartNotice) PartOutput {
+	var out PartOutput
+	at := now - max(notice.Age, 0)
+	if notice.Crash != 0 {
+		p.announceLived(now, at, notice.Runs, &out)
+		p.addCrash(now, &partCrash{id: notice.Crash, at: at, runs: notice.Runs}, &out)
+	} else {
+		p.clear(now, at, notice.Lived, &out)
+	}
+	return out
+}
+
+// Evidence returns the evidence known here, for a router that has just connected.
+func (p *Parts) Evidence(now Instant) []PartNotice {
+	notices := make([]PartNotice, 0, len(p.crashes))
+	for _, c := range p.crashes {
+		notices = append(notices, c.notice(now))
+	}
+	return notices
+}
+
+// Expire removes crashes that are too old. It should be called about once per second.
+func (p *Parts) Expire(now Instant) PartOutput {
+	var out PartOutput
+	expired := slices.IndexFunc(p.crashes, func(c *partCrash) bool { return now-c.at < p.options.TTL })
+	if expired < 0 {
+		expired = len(p.crashes)
+	}
+	if expired > 0 {
+		p.drop(expired)
+		p.updateRefused(nil, &out)
+	}
+	if now-p.livedSince >= partMemory {
+		p.renewLived(now)
+	}
+	return out
+}
+
+// PartVerdict is the assessment of a request by the parts of its prompt.
+type PartVerdict int
+
+// The verdicts on a request.
+const (
+	// PartsRun: the request may run.
+	PartsRun PartVerdict = iota
+	// PartsTry: the request may run if no other one is being tried.
+	PartsTry
+	// PartsRefused: the request must not run.
+	PartsRefused
+)
+
+// Verdict returns the verdict on a request with the given parts.
+func (p *Parts) Verdict(now Instant, parts []uint64) PartVerdict {
+	suspects := p.suspectsOf(parts)
+	verdict := PartsRun
+	for _, part := range suspects {
+		evidence := p.supportFor(part, suspects)
+		if !evidence.suffices(p.options.MinCrashes) {
+			continue
+		}
+		if !p.isTrialDue(now, evidence.crashes) && !hasAlternative(evidence.crashes, suspects) {
+			return PartsRefused
+		}
+		verdict = PartsTry
+	}
+	return verdict
+}
+
+// isTrialDue reports whether a request that is refused may be tried again, given the crashes
+// that support its refusal. The time until then doubles with each further crash.
+func (p *Parts) isTrialDue(now Instant, support []*partCrash) bool {
+	after := firstTrialAfter << min(len(support)-p.options.MinCrashes, maxTrialDoublings)
+	return now-support[len(support)-1].at >= after
+}
+
+// hasAlternative reports whether a part that is not among the suspects of a request was at
+// all crashes that support its refusal.
+func hasAlternative(support []*partCrash, suspects []uint64) bool {
+	for _, run := range support[0].runs {
+		for _, part := range without(run, suspects) {
+			missing := slices.ContainsFunc(support[1:], func(c *partCrash) bool { return !c.contains(part) })
+			if !missing {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// suspectsOf returns the parts that are suspects of some crash, sorted.
+func (p *Parts) suspectsOf(parts []uint64) []uint64 {
+	if len(p.suspects) == 0 {
+		return nil
+	}
+	var suspects []uint64
+	for _, part := range parts {
+		if p.suspects[part] > 0 {
+			suspects = append(suspects, part)
+		}
+	}
+	slices.Sort(suspects)
+	return slices.Compact(suspects)
+}
+
+// support is the evidence that a part is a cause.
+type support struct {
+	// crashes are those that support it, oldest first.
+	crashes []*partCrash
+	// others counts the crashes since the first of these, up to the last one, that do not and
+	// that no other part may explain.
+	others int
+}
+
+// suffices reports whether requests are refused on this evidence. Where targets crash for
+// other reasons as well, parts are at some of these crashes by coincidence.
+func (s support) suffices(minCrashes int) bool {
+	return len(s.crashes) >= minCrashes+s.others/othersPerCrash
+}
+
+// supportFor returns the evidence that a part is a cause, given all suspects of the request.
+func (p *Parts) supportFor(part uint64, suspects []uint64) support {
+	var found support
+	if p.suspects[part] < p.options.MinCrashes {
+		return found // each crash that supports it has a run with it
+	}
+	var last, lastOther Instant
+	others := 0
+	companions := make(map[string]bool)
+	for _, c := range p.crashes {
+		if len(found.crashes) > 0 && c.at-last < simultaneous {
+			continue
+		}
+		if c.supports(part, suspects, companions) {
+			found.crashes = append(found.crashes, c)
+			found.others, last = others, c.at
+			continue
+		}
+		if len(found.crashes) > 0 && !p.mayBeExplained(c) && (others == 0 || c.at-lastOther >= simultaneous) {
+			others, lastOther = others+1, c.at
+		}
+	}
+	return found
+}
+
+// mayBeExplained reports whether a suspect of a crash is one of several others too.
+func (p *Parts) mayBeExplained(c *partCrash) bool {
+	return slices.ContainsFunc(c.runs, func(run []uint64) bool {
+		return slices.ContainsFunc(run, func(part uint64) bool { return p.suspects[part] >= p.options.MinCrashes })
+	})
+}
+
+// supports reports whether the crash supports that a part is a cause. companions holds the
+// further suspects of runs by which earlier crashes did.
+func (c *partCrash) supports(part uint64, suspects []uint64, companions map[string]bool) bool {
+	var others string
+	for _, run := range c.runs {
+		if _, contained := slices.BinarySearch(run, part); !contained {
+			continue
+		}
+		further := setKey(without(run, suspects))
+		if further == "" {
+			return true
+		}
+		if !companions[further] {
+			others = further
+		}
+	}
+	if others == "" {
+		return false
+	}
+	companions[others] = true
+	return true
+}
+
+// without returns the members of a set that are not in another one; both are sorted.
+func without(set, other []uint64) []uint64 {
+	var rest []uint64
+	for _, part := range set {
+		if _, found := slices.BinarySearch(other, part); !found {
+			rest = append(rest, part)
+		}
+	}
+	return rest
+}
+
+// setKey returns a sorted set as a map key; empty for the empty set.
+func setKey(set []uint64) string {
+	key := make([]byte, 0, 8*len(set))
+	for _, part := range set {
+		for shift := 0; shift < 64; shift += 8 {
+			key = append(key, byte(part>>shift))
+		}
+	}
+	return string(key)
+}
+
+// addCrash adds a crash, and a notice to out, unless it is known already or too old. A crash
+// without suspects shows that targets crash for other reasons too.
+func (p *Parts) addCrash(now Instant, c *partCrash, out *PartOutput) {
+	known := slices.ContainsFunc(p.crashes, func(other *partCrash) bool { return other.id == c.id })
+	if known || now-c.at >= p.options.TTL {
+		return
+	}
+	c.runs = p.suspectRuns(c.at, c.runs)
+	if len(p.crashes) >= p.options.MaxCrashes {
+		p.drop(len(p.crashes) - p.options.MaxCrashes + 1)
+	}
+	place, _ := slices.BinarySearchFunc(p.crashes, c, func(a, b *partCrash) int { return cmp.Compare(a.at, b.at) })
+	p.crashes = slices.Insert(p.crashes, place, c)
+	p.count(c, 1)
+	out.Notices = append(out.Notices, c.notice(now))
+	p.updateRefused(c, out)
+}
+
+// suspectRuns returns the suspects of each run that may have caused a crash, those that are
+// suspects of earlier crashes first, up to MaxCrashParts.
+func (p *Parts) suspectRuns(at Instant, runs [][]uint64) [][]uint64 {
+	seen := make(map[string]bool)
+	var suspects [][]uint64
+	for _, run := range runs {
+		set := slices.Clone(run[:min(len(run), MaxPartsPerRun)])
+		set = slices.DeleteFunc(set, func(part uint64) bool { return p.livedShortlyBefore(part, at) })
+		slices.Sort(set)
+		set = slices.Compact(set)
+		if key := setKey(set); key != "" && !seen[key] {
+			seen[key] = true
+			suspects = append(suspects, set)
+		}
+	}
+	slices.SortStableFunc(suspects, func(a, b []uint64) int {
+		return cmp.Compare(len(p.suspectsOf(b)), len(p.suspectsOf(a)))
+	})
+	return limitParts(suspects)
+}
+
+// livedShortlyBefore reports whether a part lived so late that it is no suspect of a crash.
+func (p *Parts) livedShortlyBefore(part uint64, crashAt Instant) bool {
+	last, ok := p.livedAt(part)
+	return ok && last >= crashAt-livedBeforeCrash
+}
+
+// limitParts returns the first runs that have MaxCrashParts parts together.
+func limitParts(runs [][]uint64) [][]uint64 {
+	total := 0
+	for i, run := range runs {
+		total += len(run)
+		if total > MaxCrashParts {
+			return runs[:i]
+		}
+	}
+	return runs
+}
+
+// announceLived adds a notice of the parts that lived here though another router suspects
+// them of a crash.
+func (p *Parts) announceLived(now, crashAt Instant, runs [][]uint64, out *PartOutput) {
+	var lived []uint64
+	for _, run := range runs {
+		for _, part := range run {
+			if p.livedShortlyBefore(part, crashAt) && !slices.Contains(lived, part) {
+				lived = append(lived, part)
+			}
+		}
+	}
+	if len(lived) > 0 {
+		out.Notices = append(out.Notices, PartNotice{Lived: lived[:min(len(lived), MaxCrashParts)], Age: now - crashAt})
+	}
+}
+
+// clear records that parts lived at a time.
+func (p *Parts) clear(now, at Instant, parts []uint64, out *PartOutput) {
+	var cleared []uint64
+	for _, part := range parts {
+		if last, ok := p.livedAt(part); !ok || last < at {
+			p.lived[part] = at
+		}
+		if p.suspects[part] > 0 && p.removeSuspect(part, at) {
+			cleared = append(cleared, part)
+		}
+	}
+	if len(p.lived) >= maxLived {
+		p.renewLived(now)
+	}
+	if len(cleared) == 0 {
+		return
+	}
+	out.Notices = append(out.Notices, PartNotice{Lived: cleared, Age: now - at})
+	p.updateRefused(nil, out)
+}
+
+// removeSuspect removes a part from the crashes up to livedBeforeCrash after it lived, and
+// reports whether it was in any.
+func (p *Parts) removeSuspect(part uint64, livedAt Instant) bool {
+	removed := false
+	for _, c := range p.crashes {
+		if c.at-livedBeforeCrash > livedAt || !c.contains(part) {
+			continue
+		}
+		p.count(c, -1)
+		c.remove(part)
+		p.count(c, 1)
+		removed = true
+	}
+	return removed
+}
+
+func (c *partCrash) contains(part uint64) bool {
+	return slices.ContainsFunc(c.runs, func(run []uint64) bool {
+		_, found := slices.BinarySearch(run, part)
+		return found
+	})
+}
+
+// remove removes a part from the suspects of all runs.
+func (c *partCrash) remove(part uint64) {
+	seen := make(map[string]bool)
+	var runs [][]uint64
+	for _, run := range c.runs {
+		run = without(run, []uint64{part})
+		if key := setKey(run); key != "" && !seen[key] {
+			seen[key] = true
+			runs = append(runs, run)
+		}
+	}
+	c.runs = runs
+}
+
+// count adds the parts of a crash to suspects, or removes them if by is negative.
+func (p *Parts) count(c *partCrash, by int) {
+	for _, run := range c.runs {
+		for _, part := range run {
+			if p.suspects[part] += by; p.suspects[part] == 0 {
+				delete(p.suspects, part)
+			}
+		}
+	}
+}
+
+// drop removes the oldest crashes.
+func (p *Parts) drop(n int) {
+	for _, c := range p.crashes[:n] {
+		p.count(c, -1)
+	}
+	p.crashes = slices.Delete(p.crashes, 0, n)
+}
+
+func (p *Parts) livedAt(part uint64) (Instant, bool) {
+	if at, ok := p.lived[part]; ok {
+		return at, true
+	}
+	at, ok := p.livedBefore[part]
+	return at, ok
+}
+
+// renewLived begins a new map of the parts that lived and drops the older one.
+func (p *Parts) renewLived(now Instant) {
+	p.livedBefore, p.lived, p.livedSince = p.lived, make(map[uint64]Instant), now
+}
+
+// updateRefused adds to out which sets of parts are refused from now on, or no longer. latest
+// is a crash that was added; nil if none was.
+func (p *Parts) updateRefused(latest *partCrash, out *PartOutput) {
+	for _, key := range slices.Sorted(maps.Keys(p.refused)) {
+		set := p.refused[key]
+		if _, convicted := p.convicts(set); !convicted {
+			delete(p.refused, key)
+			out.Changes = append(out.Changes, PartsChange{Parts: set})
+		}
+	}
+	if latest == nil {
+		return
+	}
+	for _, run := range latest.runs[:min(len(latest.runs), maxReportedRuns)] {
+		key := setKey(run)
+		if p.refused[key] != nil || len(p.refused) >= p.options.MaxCrashes {
+			continue
+		}
+		if crashes, convicted := p.convicts(run); convicted {
+			p.refused[key] = run
+			out.Changes = append(out.Changes, PartsChange{Parts: run, Refused: true, Crashes: crashes})
+		}
+	}
+}
+
+// convicts reports whether the evidence suffices that one of a set of suspects is a cause,
+// and the number of crashes that support it.
+func (p *Parts) convicts(suspects []uint64) (crashes int, convicted bool) {
+	for _, part := range suspects {
+		if evidence := p.supportFor(part, suspects); evidence.suffices(p.options.MinCrashes) {
+			return len(evidence.crashes), true
+		}
+	}
+	return 0, false
+}
+
+func (c *partCrash) notice(now Instant) PartNotice {
+	return PartNotice{Crash: c.id, Runs: slices.Clone(c.runs), Age: now - c.at}
+}
--- a/control/release.go
+++ b/control/release.go
@@ -65,6 +65,8 @@
 		target:      s.targetsByName[r.Target],
 		workspace:   m.activeWorkspace(r.Workspace),
 		fingerprint: r.Fingerprint,
+		parts:       partsOf(r.Work),
+		continues:   true,
 		grantedAt:   m.now,
 		reportedAt:  m.now,
 		adopted:     true,
@@ -78,6 +80,9 @@
 			Began: r.Began || r.Reads == 0,
 		})
 	}
+	if r.Began {
+		g.beganAt = m.now
+	}
 	m.registerGrant(g, 0)
 	if r.Phase == PhaseOverdue {
 		g.target.addOverdue(g)
@@ -87,11 +92,15 @@
 
 func (m *Machine) runEndedReported(from NodeID, r Report) {
 	m.send(from, ReportAck{Grant: r.Grant})
+	isNew := !m.sched.finished.has(m.now, r.Grant)
 	m.sched.finished.add(m.now, r.Grant, finishedRetention)
 	m.sched.finished.add(m.now, ticketKey{r.Ticket, r.Shard}, finishedRetention)
 	g := m.sched.grants[r.Grant]
 	if g == nil {
 		m.dropEndedTicket(r)
+		if isNew && r.Outcome == OutcomeLost {
+			m.partsLostElsewhere(r)
+		}
 		return
 	}
 	m.endGrant(g, r, from)
@@ -134,9 +143,11 @@
 	m.recordOutcome(g.target, r.Outcome)
 	switch r.Outcome {
 	case OutcomeAnswered:
+		m.partsBegan(g)
 		m.runAnswered(g.fingerprint)
 		m.freeOverdue(g.target, g.grantedAt)
 	case OutcomeLost:
+		m.partsLost(g)
 		m.runLost(g)
 	}
 	m.grantWaiting(g.shard)
--- a/control/runs.go
+++ b/control/runs.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/walnutcove/walnutcove/result"
 )
 
 const (
@@ -74,6 +76,13 @@
 		m.returnGrant(from, g, shard)
 		return
 	}
+	if m.refusesParts(r.ev.Pool, r.ev.Work) {
+		// The scheduler does not know the evidence yet.
+		m.returnGrant(from, g, shard)
+		m.withdrawRequest(r)
+		m.refuseAfter(r.ev, result.PartQuarantined, m.jitter(partRetryAfter))
+		return
+	}
 	if !m.topo.mayServe(g.Target, r.ev) {
 		m.returnGrant(from, g, shard)
 		m.replaceTickets(r, g.Target)
@@ -188,6 +197,10 @@
 	report := run.report(m.now, PhaseEnded)
 	report.Outcome = outcome
 	report.Service = service
+	if outcome == OutcomeLost {
+		// For a scheduler that does not know the run; see partsLostElsewhere.
+		report.Work, report.Began = run.work, run.began
+	}
 	owner := m.owner(run.shard)
 	m.sendEnded(owner, report)
 	for _, node := range run.informedNodes {
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -239,6 +239,11 @@
 		m.noteIfIdle(s)
 		return
 	}
+	if !m.beginTrial(t) {
+		m.send(from, Refusal{Ticket: t.ID, Shard: t.Shard, Code: result.PartQuarantined, RetryAfter: m.jitter(trialInterval)})
+		m.noteIfIdle(s)
+		return
+	}
 	q := &queuedTicket{shard: s, from: from, ticket: t, deadline: m.now + t.TimeLeft, waitUntil: maxInstant}
 	if m.countsTokens(s) {
 		m.classifyTicket(q)
@@ -275,6 +280,9 @@
 		f.Code = result.DeadlineBeforeGrant
 	case m.isConvicted(t.Fingerprint):
 		f.Code = result.Quarantined
+	case m.refusesParts(s.id.Pool, t.Work):
+		f.Code = result.PartQuarantined
+		f.RetryAfter = m.jitter(partRetryAfter)
 	case m.isClassUnservable(s, c):
 		f.Code = m.unservableCode(s, c)
 		f.RetryAfter = m.jitter(2 * minRetryAfter)
--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -34,6 +34,8 @@
 	// loadEvery is the period of load polls.
 	loadEvery time.Duration
 	requests  []*simRequest
+	// onStart is called when a run starts at its target.
+	onStart func(*simRun)
 	// onEnd is called when a request has ended.
 	onEnd func(*simRequest)
 	// onFound is called with each AffinityFound command.
@@ -142,6 +144,7 @@
 		linkDown:      func(NodeID, NodeID) bool { return false },
 		service:       func(*simRequest) time.Duration { return time.Second },
 		onEnd:         func(*simRequest) {},
+		onStart:       func(*simRun) {},
 		onFound:       func(AffinityFound) {},
 		onVersionSeen: func(*simNode, NodeID) {},
 		loadEvery:     200 * time.Millisecond,
--- a/control/simtarget_test.go
+++ b/control/simtarget_test.go
@@ -48,6 +48,7 @@
 		t.queue = t.queue[1:]
 		t.running = append(t.running, run)
 		run.started = s.now
+		s.onStart(run)
 		run.req.cost = s.service(run.req)
 		s.after(run.req.cost, func() {
 			if !run.removed {
--- a/control/status.go
+++ b/control/status.go
@@ -37,6 +37,10 @@
 	TargetProbes          uint64 // runs granted to failing targets
 	TargetsCold           uint64
 	Convictions           uint64
+	TargetCrashes         uint64 // targets that lost all their runs at once
+	PartConvictions       uint64 // sets of prompt parts that are refused from then on
+	PartTrials            uint64 // requests queued to find out whether their parts crash targets
+	PartClearances        uint64 // notices that suspected parts lived
 	AffinitiesRecorded    uint64 // streams that began here
 	AffinitiesCopied      uint64 // records sent after a change of members
 	AffinitiesHere        uint64 // found at this node
--- a/control/target.go
+++ b/control/target.go
@@ -67,6 +67,10 @@
 	probe *grant
 	// overdue holds the grants whose runs are overdue, oldest report first.
 	overdue []*grant
+	// begun holds the runs on which it began an answer lately, oldest first, and loss the
+	// series of lost runs that is not decided on yet; nil if there is none.
+	begun []begunRun
+	loss  *targetLoss
 	// loadReportedAt is when the last load report arrived; negative if none did.
 	loadReportedAt Instant
 	// polledAt is when a load poll was last answered.
--- a/peer/wire/codec.go
+++ b/peer/wire/codec.go
@@ -15,7 +15,7 @@
 var Kinds = []Kind{
 	KindDefinition, "ticket", "grant", "report", "report-ack", "refusal", "cancel-ticket", "waiting",
 	"heartbeat", "service-report", "service-totals", "suspect-notice", "quarantine-notice", "unread-notice",
-	"leaving-notice", "affinity-notice", "affinity-query", "affinity-answer",
+	"leaving-notice", "affinity-notice", "affinity-query", "affinity-answer", "part-evidence",
 }
 
 // KindOf returns the kind of a message, or "unknown" if it has no codec.
@@ -45,6 +45,8 @@
 		return "suspect-notice"
 	case control.QuarantineNotice:
 		return "quarantine-notice"
+	case control.PartEvidence:
+		return "part-evidence"
 	case control.UnreadNotice:
 		return "unread-notice"
 	case control.LeavingNotice:
@@ -88,6 +90,8 @@
 		return e.encodeSuspectNotice(m)
 	case control.QuarantineNotice:
 		return e.encodeQuarantineNotice(m)
+	case control.PartEvidence:
+		return e.encodePartEvidence(m)
 	case control.UnreadNotice:
 		return e.encodeUnreadNotice(m)
 	case control.LeavingNotice:
@@ -130,6 +134,8 @@
 		return d.decodeSuspectNotice(kind.SuspectNotice)
 	case *peerpb.Entry_QuarantineNotice:
 		return d.decodeQuarantineNotice(kind.QuarantineNotice)
+	case *peerpb.Entry_PartEvidence:
+		return d.decodePartEvidence(kind.PartEvidence)
 	case *peerpb.Entry_UnreadNotice:
 		return d.decodeUnreadNotice(kind.UnreadNotice)
 	case *peerpb.Entry_LeavingNotice:
--- a/peer/wire/codec_run.go
+++ b/peer/wire/codec_run.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"slices"
 
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/peer/peerpb"
@@ -106,6 +108,43 @@
 	return &peerpb.Entry{Kind: &peerpb.Entry_QuarantineNotice{QuarantineNotice: p}}, nil
 }
 
+func (e *Encoder) encodePartEvidence(m control.PartEvidence) (*peerpb.Entry, error) {
+	pool, err := e.nameRef(m.Pool)
+	if err != nil {
+		return nil, err
+	}
+	parts := slices.Concat(m.Runs...)
+	lengths := make([]uint32, 0, len(m.Runs))
+	for _, run := range m.Runs {
+		lengths = append(lengths, uint32(len(run)))
+	}
+	if err := checkListLength(max(len(parts), len(lengths), len(m.Lived))); err != nil {
+		return nil, err
+	}
+	p := &peerpb.PartEvidence{Pool: pool, Crash: m.Crash, Parts: parts, RunLengths: lengths, Lived: m.Lived, Age: toMicros(m.Age)}
+	return &peerpb.Entry{Kind: &peerpb.Entry_PartEvidence{PartEvidence: p}}, nil
+}
+
+func (d *Decoder) decodePartEvidence(p *peerpb.PartEvidence) (control.Message, error) {
+	pool, err := d.name(p.GetPool())
+	if err != nil {
+		return nil, err
+	}
+	parts := p.GetParts()
+	if err := checkListLength(max(len(parts), len(p.GetRunLengths()), len(p.GetLived()))); err != nil {
+		return nil, err
+	}
+	m := control.PartEvidence{Pool: pool, Crash: p.GetCrash(), Lived: p.GetLived(), Age: fromMicros(p.GetAge())}
+	for _, length := range p.GetRunLengths() {
+		if int64(length) > int64(len(parts)) {
+			return nil, fmt.Errorf("%w: run of %d parts, %d left", ErrMalformed, length, len(parts))
+		}
+		m.Runs = append(m.Runs, parts[:length:length])
+		parts = parts[length:]
+	}
+	return m, nil
+}
+
 func (d *Decoder) decodeQuarantineNotice(p *peerpb.QuarantineNotice) (control.Message, error) {
 	crashes, err := d.nameList(p.GetCrashes())
 	if err != nil {
--- a/peer/wire/wire_test.go
+++ b/peer/wire/wire_test.go
@@ -40,6 +40,7 @@
 	control.ServiceTotals{},
 	control.SuspectNotice{},
 	control.QuarantineNotice{},
+	control.PartEvidence{},
 	control.UnreadNotice{},
 	control.LeavingNotice{},
 	control.AffinityNotice{},
--- a/result/codes.go
+++ b/result/codes.go
@@ -32,6 +32,7 @@
 	RecordMismatch    Code = 405
 	RecordLapsed      Code = 406
 	RecordNotKept     Code = 407
+	PartQuarantined   Code = 408
 
 	// admit: 500-599.
 	QueueFull      Code = 501
@@ -120,6 +121,7 @@
 	{RecordMismatch, "record_mismatch", "guard", 422, RanNo, false, "This Idempotency-Key was used with a different request."},
 	{RecordLapsed, "record_lapsed", "guard", 503, RanNo, true, "The run record lapsed before dispatch, so the request was not run."},
 	{RecordNotKept, "record_not_kept", "guard", 409, RanYes, false, "A request with this Idempotency-Key ran and was answered; the answer was not kept."},
+	{PartQuarantined, "part_quarantined", "guard", 503, RanNo, true, "Targets crashed while they ran prompts with the same parts."},
 	{QueueFull, "queue_full", "admit", 429, RanNo, true, "The workspace has too many requests waiting."},
 	{QueueBytesFull, "queue_bytes_full", "admit", 429, RanNo, true, "The workspace has too many bytes waiting."},
 	{Draining, "draining", "admit", 503, RanNo, true, "This router is leaving and takes no new work."},
--- a/router/loop.go
+++ b/router/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -224,6 +225,10 @@
 		l.shell.watchTargets(c.Targets)
 	case control.QuarantineChanged:
 		l.shell.quarantineChanged(c.Fingerprint, c.Quarantined)
+	case control.PartsQuarantineChanged:
+		l.logPartsQuarantine(c)
+	case control.TargetCrashed:
+		l.log.Warn("control: Target lost its runs and is taken to have crashed.", "target", c.Target, "lost", c.Lost, "after", c.After, "suspect_sets", c.Suspects)
 	case control.VersionSeen:
 		l.shell.versionSeen(c.From, c.Version)
 	case control.FeedRole:
@@ -254,6 +259,15 @@
 		"best", c.Gap.Best, "best_granted", c.Gap.BestGranted, "level", c.Gap.Level)
 }
 
+// logPartsQuarantine logs which prompt parts are refused from now on, or no longer.
+func (l *loop) logPartsQuarantine(c control.PartsQuarantineChanged) {
+	parts := make([]string, len(c.Change.Parts))
+	for i, part := range c.Change.Parts {
+		parts[i] = strconv.FormatUint(part, 16)
+	}
+	l.log.Warn("quarantine: Quarantine of prompt parts changed.", "pool", c.Pool, "parts", parts, "quarantined", c.Change.Refused, "crashes", c.Change.Crashes)
+}
+
 // logTargetHealth logs whether this router, as a scheduler, considers a target failing from
 // now on.
 func (l *loop) logTargetHealth(c control.TargetHealthChanged) {
