Send quarantine notices to watched routers too

Notices of crashes and completions went to the routers that get this one's heartbeats. A router that gets nobody's heartbeats never heard of them and ran requests that all others refused. They now go along both directions. TestQuarantineReachesNodeWithoutHeartbeatSenders failed before (one of 75 routers) and passes.

--- a/control/crashevidence.go
+++ b/control/crashevidence.go
@@ -195,7 +195,7 @@
 		m.emit(QuarantineChanged{Fingerprint: c.Fingerprint, Quarantined: convicted})
 	}
 	if len(out.Notices) > 0 {
-		for _, name := range m.view.Watchers(m.now, 0) {
+		for _, name := range m.view.Neighbours() {
 			m.sendNotices(NodeID(name), out.Notices)
 		}
 	}
--- a/control/versions_test.go
+++ b/control/versions_test.go
@@ -1,11 +1,13 @@
 package control
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/control/quarantine"
 )
 
 // versionFetchDelay is the time that a simulated node takes to fetch a version from another.
@@ -61,19 +63,8 @@
 		s.startFleet(nodes, draftFleet.snapshot(), Options{HeartbeatEvery: 250 * time.Millisecond, MemberTimeout: time.Second}, testDataCentres...)
 		s.runUntil(s.now + 5*time.Second)
 		left := s.leastHeard()
-		for senders := s.heartbeatSenders(left); len(senders) > 0; senders = s.heartbeatSenders(left) {
-			for _, id := range senders {
-				s.stopNode(id)
-			}
-			s.runUntil(s.now + 15*time.Second)
-		}
-		var first *simNode
-		for _, id := range s.names {
-			if n := s.nodes[id]; n.up && id != left {
-				first = n
-			}
-		}
-		s.setVersion(first, 2)
+		s.stopHeartbeatSenders(left)
+		s.setVersion(s.otherLiveNode(left), 2)
 		s.runUntil(s.now + bound)
 		for _, id := range s.names {
 			if n := s.nodes[id]; n.up && n.machine.topo.order.Version != 2 {
@@ -83,6 +74,62 @@
 	}
 }
 
+// TestQuarantineReachesNodeWithoutHeartbeatSenders guards against a node that runs a request
+// which all others refuse, because notices went only to the nodes that get heartbeats.
+func TestQuarantineReachesNodeWithoutHeartbeatSenders(t *testing.T) {
+	const nodes, fingerprint = 75, 7
+	s := newSim(nodes)
+	s.startFleet(nodes, draftFleet.snapshot(), Options{HeartbeatEvery: 250 * time.Millisecond, MemberTimeout: time.Second}, testDataCentres...)
+	s.runUntil(s.now + 5*time.Second)
+	left := s.leastHeard()
+	s.stopHeartbeatSenders(left)
+	first := s.otherLiveNode(left)
+	for i := range 3 {
+		out := first.machine.crashEvidence.tracker.Crashed(first.machine.now, fmt.Sprintf("target-%d", i), []uint64{fingerprint})
+		s.carryOutAll(first, first.machine.quarantineCommands(out))
+	}
+	s.runUntil(s.now + time.Second)
+	for _, id := range s.names {
+		if n := s.nodes[id]; n.up && !n.machine.isConvicted(fingerprint) {
+			t.Errorf("%s does not refuse the request", id)
+		}
+	}
+}
+
+// quarantineCommands returns the commands that follow from new evidence.
+func (m *Machine) quarantineCommands(out quarantine.Output) []Command {
+	m.out = nil
+	m.applyQuarantine(out)
+	return m.out
+}
+
+func (s *sim) carryOutAll(n *simNode, commands []Command) {
+	for _, cmd := range commands {
+		s.carryOut(n, cmd)
+	}
+}
+
+// stopHeartbeatSenders ends nodes until none sends heartbeats to the given one.
+func (s *sim) stopHeartbeatSenders(to NodeID) {
+	for senders := s.heartbeatSenders(to); len(senders) > 0; senders = s.heartbeatSenders(to) {
+		for _, id := range senders {
+			s.stopNode(id)
+		}
+		s.runUntil(s.now + 15*time.Second)
+	}
+}
+
+// otherLiveNode returns the last live node that is not the given one.
+func (s *sim) otherLiveNode(id NodeID) *simNode {
+	var found *simNode
+	for _, name := range s.names {
+		if n := s.nodes[name]; n.up && name != id {
+			found = n
+		}
+	}
+	return found
+}
+
 // TestAnswersToNodesBehindAreBounded guards against two nodes that answer each other's
 // heartbeats without end while each lacks something that the other has.
 func TestAnswersToNodesBehindAreBounded(t *testing.T) {
