--- a/standin/managed/caller.go
+++ b/standin/managed/caller.go
@@ -61,6 +61,9 @@
 	// request that brought its first event, and that of the last event that arrived. Empty
 	// values are not sent.
 	Resumes, AfterEvent string
+	// Parts are the parts of the prompt, as ID:TOKENS separated by commas. Empty: two parts, of
+	// which some requests have the first one in common.
+	Parts string
 	// StopAfter makes the caller close its connection once it has this many whole events
 	// of a stream; zero: it reads the answer to its end.
 	StopAfter int
@@ -101,7 +104,11 @@
 	header.Set(wire.HeaderKey, r.Key)
 	header.Set(wire.HeaderDeadline, strconv.FormatInt(c.Deadline.Milliseconds(), 10))
 	header.Set(wire.HeaderTokens, "100,50") // prompt tokens, maximum of the answer
-	header.Set(wire.HeaderParts, fmt.Sprintf("%x:80,%s:20", len(id)*100+int(id[len(id)-1]), "ff"))
+	parts := r.Parts
+	if parts == "" {
+		parts = fmt.Sprintf("%x:80,%s:20", len(id)*100+int(id[len(id)-1]), "ff")
+	}
+	header.Set(wire.HeaderParts, parts)
 	if r.Resumes != "" {
 		header.Set(wire.HeaderResumes, r.Resumes)
 	}
--- a/standin/managed/journal.go
+++ b/standin/managed/journal.go
@@ -15,9 +15,9 @@
 	ID, Replica string
 	// Software is the version of the replica's software.
 	Software string
-	// Workspace, AfterEvent and Resumes are the values of the headers wire.HeaderWorkspace,
-	// wire.HeaderAfterEvent and wire.HeaderResumes.
-	Workspace, AfterEvent, Resumes string
+	// Workspace, AfterEvent, Resumes and Parts are the values of the headers
+	// wire.HeaderWorkspace, wire.HeaderAfterEvent, wire.HeaderResumes and wire.HeaderParts.
+	Workspace, AfterEvent, Resumes, Parts string
 	// LeavingFor is how long before the run the replica announced that it is
 	// leaving; zero if it did not.
 	LeavingFor time.Duration
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -38,6 +38,8 @@
 	// Advertise, if set, returns the address to register, given the one that the
 	// replica listens on. Default: the replica registers the latter.
 	Advertise func(listenAddress string) (string, error)
+	// OnCrash is called when the replica has crashed; may be nil. Its entry stays.
+	OnCrash func(*Replica)
 	ReplicaFaults
 }
 
@@ -66,6 +68,10 @@
 	RetryAfter time.Duration
 	// ExtraPause is added to each ReplicaOptions.Pause.
 	ExtraPause time.Duration
+	// CrashOnPart is the id of a prompt part, as callers send it, that crashes the replica
+	// shortly after it begins a stream on it, unless it is the last part of the prompt.
+	// Empty: none.
+	CrashOnPart string
 	// MidAnswerPause is how long an answer that is not a stream pauses after its
 	// header and half of its body.
 	MidAnswerPause time.Duration
@@ -98,6 +104,9 @@
 	announcesLeaving bool
 	// requests counts the requests received, for RefuseEvery.
 	requests int
+	// conns holds the open connections, and crashed reports that new ones are reset.
+	conns   map[net.Conn]bool
+	crashed bool
 	// cachedParts are the prompt parts of the requests that it ran, in the form
 	// "id:tokens" that callers send.
 	cachedParts []string
@@ -117,6 +126,7 @@
 		address:   listener.Addr().String(),
 		startedAt: time.Now(),
 		faults:    options.ReplicaFaults,
+		conns:     make(map[net.Conn]bool),
 	}
 	if options.Advertise != nil {
 		if r.address, err = options.Advertise(r.address); err != nil {
@@ -124,7 +134,7 @@
 			return nil, err
 		}
 	}
-	r.http = &fasthttp.Server{Handler: r.serve, NoDefaultServerHeader: true, Logger: discardLogger{}}
+	r.http = &fasthttp.Server{Handler: r.serve, NoDefaultServerHeader: true, Logger: discardLogger{}, ConnState: r.trackConn}
 	go func() { _ = r.http.Serve(listener) }() // ends with Close
 	r.register(wire.StateReady)
 	return r, nil
@@ -138,6 +148,9 @@
 func (discardLogger) Printf(string, ...any) {}
 
 func (r *Replica) register(state string) {
+	r.mu.Lock()
+	startedAt := r.startedAt
+	r.mu.Unlock()
 	r.store.Put(wire.TableReplicas, r.options.ID, wire.Replica{
 		Service:      r.options.Service,
 		Address:      r.address,
@@ -145,8 +158,8 @@
 		Software:     cmp.Or(r.options.Software, DefaultSoftware),
 		Slots:        r.options.Slots,
 		State:        state,
-		WarmUpMillis: float64(max(0, time.Until(r.startedAt.Add(r.options.ColdTime))).Milliseconds()),
-		StartedAt:    r.startedAt.UnixMilli(),
+		WarmUpMillis: float64(max(0, time.Until(startedAt.Add(r.options.ColdTime))).Milliseconds()),
+		StartedAt:    startedAt.UnixMilli(),
 	})
 }
 
@@ -287,6 +300,7 @@
 		Workspace:  string(header.Peek(wire.HeaderWorkspace)),
 		AfterEvent: string(header.Peek(wire.HeaderAfterEvent)),
 		Resumes:    string(header.Peek(wire.HeaderResumes)),
+		Parts:      string(header.Peek(wire.HeaderParts)),
 		Software:   cmp.Or(r.options.Software, DefaultSoftware),
 		LeavingFor: r.leavingFor(),
 		StartedAt:  time.Now(),
@@ -307,6 +321,7 @@
 		r.sendAnswer(ctx, ExpectedAnswer(id))
 		return
 	}
+	r.crashIfCaused(string(header.Peek(wire.HeaderParts)))
 	ctx.SetContentType("text/event-stream")
 	afterEvent, _ := strconv.Atoi(run.AfterEvent) // zero if the header is absent: from the first event
 	conn := ctx.Conn()
@@ -398,6 +413,62 @@
 	_ = conn.Close()
 }
 
+// crashDelay is the time from the beginning of a stream to the crash that a part causes.
+const crashDelay = 50 * time.Millisecond
+
+// crashIfCaused crashes the replica soon if the prompt has the part of CrashOnPart.
+func (r *Replica) crashIfCaused(parts string) {
+	cause := r.currentFaults().CrashOnPart
+	shared := strings.Split(parts, ",")
+	for _, part := range shared[:len(shared)-1] {
+		if id, _, _ := strings.Cut(part, ":"); cause != "" && id == cause {
+			time.AfterFunc(crashDelay, r.Crash)
+		}
+	}
+}
+
+// Crash resets all connections, and new ones from then on.
+func (r *Replica) Crash() {
+	r.mu.Lock()
+	if r.crashed {
+		r.mu.Unlock()
+		return
+	}
+	r.crashed = true
+	for conn := range r.conns {
+		breakConn(conn, true)
+	}
+	r.mu.Unlock()
+	if r.options.OnCrash != nil {
+		r.options.OnCrash(r)
+	}
+}
+
+// Restart lets a crashed replica serve again, as a new start under the same id.
+func (r *Replica) Restart() {
+	r.mu.Lock()
+	r.crashed = false
+	r.startedAt = time.Now()
+	r.cachedParts = nil
+	r.mu.Unlock()
+	r.Renew()
+}
+
+// trackConn keeps conns up to date, and resets new connections after a crash.
+func (r *Replica) trackConn(conn net.Conn, state fasthttp.ConnState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch state {
+	case fasthttp.StateNew:
+		r.conns[conn] = true
+		if r.crashed {
+			breakConn(conn, true)
+		}
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		delete(r.conns, conn)
+	}
+}
+
 // acquireSlot takes a slot for a request. It reports false if the request is to be
 // refused, by a fault or because all slots are in use.
 func (r *Replica) acquireSlot() bool {
