Count a target that answers nothing after its crash as crashed once

A target that is down is listed for some seconds more. Each probe that it lost counted as another crash, so that a part could be convicted by the probes of one target, and other parts needed more crashes. TestLostProbesOfOneTargetAreOneCrash failed before (3 crashes) and passes (1).

--- a/control/partevidence.go
+++ b/control/partevidence.go
@@ -160,6 +160,7 @@
 		return
 	}
 	g.beganAt = m.now
+	t.crashed = false
 	if t.loss != nil && (g.grantedAt > t.loss.at || m.now-t.loss.at > lossReportDelay) {
 		t.loss.alive = true
 	}
@@ -172,7 +173,7 @@
 // partsLost records that a run broke off.
 func (m *Machine) partsLost(g *grant) {
 	t := g.target
-	if t.engine == nil {
+	if t.engine == nil || t.crashed {
 		return
 	}
 	if t.loss == nil {
@@ -287,7 +288,7 @@
 	if loss.alive || left > loss.lost {
 		return
 	}
-	t.begun = nil
+	t.begun, t.crashed = nil, true
 	m.counters.TargetCrashes++
 	pool := t.shard.id.Pool
 	out := m.partEvidence.of(pool).Crashed(m.now, loss.at, m.rng.Uint64()|1, loss.runs)
--- a/control/partevidence_test.go
+++ b/control/partevidence_test.go
@@ -410,3 +410,23 @@
 		})
 	}
 }
+
+// TestLostProbesOfOneTargetAreOneCrash guards against convicting a part because a target that is
+// down, and still listed, lost one probe with it after the other.
+func TestLostProbesOfOneTargetAreOneCrash(t *testing.T) {
+	f := newTokenFleet("t1")
+	const part = 1
+	for n := range 20 {
+		_, dispatch, _ := f.arrive("a", PromptPart{ID: part, Tokens: 100}, PromptPart{ID: firstRequestPart + uint64(n), Tokens: 10})
+		if dispatch != nil {
+			f.step(RunEnded{Request: f.requests, Grant: dispatch.Grant, Outcome: OutcomeLost})
+		}
+		for range 30 {
+			f.now += 100 * time.Millisecond
+			f.step(Tick{})
+		}
+	}
+	if crashes := f.machine.Counters().TargetCrashes; crashes != 1 {
+		t.Errorf("%d crashes of a target that answered nothing in between", crashes)
+	}
+}
--- a/control/target.go
+++ b/control/target.go
@@ -71,6 +71,8 @@
 	// series of lost runs that is not decided on yet; nil if there is none.
 	begun []begunRun
 	loss  *targetLoss
+	// crashed reports that it has answered nothing since it was taken to have crashed.
+	crashed bool
 	// loadReportedAt is when the last load report arrived; negative if none did.
 	loadReportedAt Instant
 	// polledAt is when a load poll was last answered.
