--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -55,8 +55,10 @@
 // checker sends requests and checks their answers and runs.
 type checker struct {
 	*fleet
-	caller  *managed.Caller
-	clock   pauseClock
+	caller *managed.Caller
+	clock  pauseClock
+	// ctx ends when the callers are to stop.
+	ctx     context.Context
 	stop    context.CancelFunc
 	workers sync.WaitGroup
 	// served counts the requests that were answered completely.
@@ -69,7 +71,7 @@
 // startChecker starts the callers and the watch of versions.
 func startChecker(f *fleet, name string) *checker {
 	ctx, stop := context.WithCancel(context.Background())
-	c := &checker{fleet: f, caller: managed.NewCaller(name, requestDeadline), stop: stop}
+	c := &checker{fleet: f, caller: managed.NewCaller(name, requestDeadline), ctx: ctx, stop: stop}
 	for n := range callerCount {
 		c.workers.Go(func() { c.call(ctx, rand.New(rand.NewPCG(uint64(n), 1))) })
 	}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -95,8 +95,12 @@
 	if options.software {
 		engines = enginesOfTwoVersions
 	}
+	engine := managed.ReplicaOptions{Service: managed.DemoEngine, Slots: engineSlots, Pause: eventPause, Events: events}
+	if options.crashingParts {
+		engines, engine = enginesThatCrash, f.crashEngineOptions(engine)
+	}
 	for range engines {
-		f.addReplica(managed.ReplicaOptions{Service: managed.DemoEngine, Slots: engineSlots, Pause: eventPause, Events: events})
+		f.addReplica(engine)
 	}
 	f.startRouters(routers, routerIP)
 	return f
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -50,12 +50,17 @@
 	// software gives the engines one of two software versions in turn, and has callers
 	// reconnect to their streams.
 	software bool
+	// crashingParts has callers send requests with a prompt part that crashes engines.
+	crashingParts bool
 }
 
 // soak makes the run of one seed with the given options.
 func soak(t *testing.T, seed uint64, options soakOptions) {
 	f := startFleet(t, *routersFlag, options)
 	c := startChecker(f, fmt.Sprintf("seed%d", seed))
+	if options.crashingParts {
+		c.workers.Go(c.sendCrashing)
+	}
 	injector := newFaultInjector(f, seed)
 	injector.soakOptions = options
 	injector.run(*lengthFlag)
@@ -70,6 +75,9 @@
 		if options.software {
 			c.checkReconnectAfterKill()
 		}
+		if options.crashingParts {
+			c.checkCrashingParts()
+		}
 		c.checkLeaving()
 	}
 	c.finish()
