Send what crashed at once in one notice

Each target of a data centre that loses its power made a notice of its own, which every router passed on to some 16 others. What is decided in one tick for a pool, within 100 ms, now is one notice, and so are the parts that lived. TestEvidenceOfManyCrashesAtOnceIsOneNotice failed with one notice for each target (2,430 of 30 crashes among ten routers, 180 allowed) and passes.

--- a/control/partevidence.go
+++ b/control/partevidence.go
@@ -54,8 +54,9 @@
 // TargetCrashed reports that a target scheduled here is taken to have crashed.
 type TargetCrashed struct {
 	Target string
-	// Lost counts the runs that broke, After the time since the first one, and Suspects the
-	// distinct sets of parts that may have caused it.
+	// Lost counts the runs that broke, and After is the time since the first one. Suspects
+	// counts the distinct sets of parts that may have caused this crash and those of other
+	// targets at almost the same time.
 	Lost     int
 	After    time.Duration
 	Suspects int
@@ -95,8 +96,9 @@
 
 // targetLoss is a series of runs that a target lost.
 type targetLoss struct {
-	at   Instant
-	lost int
+	target string
+	at     Instant
+	lost   int
 	// runs holds the parts of each run that may have caused it.
 	runs [][]uint64
 	// alive reports that the target has answered since.
@@ -177,7 +179,7 @@
 		return
 	}
 	if t.loss == nil {
-		t.loss = &targetLoss{at: m.now, runs: t.runsAtRisk(m.now, g)}
+		t.loss = &targetLoss{target: t.name, at: m.now, runs: t.runsAtRisk(m.now, g)}
 		m.partEvidence.pending[t] = true
 	}
 	if g.grantedAt <= t.loss.at {
@@ -222,17 +224,33 @@
 	return runs
 }
 
-// partEvidenceTick decides which parts have lived and which targets crashed.
+// partEvidenceTick decides which parts have lived and which targets crashed. What is decided
+// at once for a pool goes to the other nodes in one notice, as the targets of a data centre
+// that loses its power crash together.
 func (m *Machine) partEvidenceTick() {
+	lived := make(map[string][]uint64)
+	crashed := make(map[string][]*targetLoss)
+	due := m.partEvidence.duePools(m.now)
 	for _, t := range m.partEvidence.sortedPending() {
-		if t.loss != nil && m.now-t.loss.at >= lossSettleDelay {
-			m.settleLoss(t)
+		pool := t.shard.id.Pool
+		lived[pool] = append(lived[pool], t.takeLived(m.now)...)
+		if t.loss != nil && due[pool] && m.now-t.loss.at >= lossSettleDelay-quarantine.Simultaneous {
+			if loss, isCrash := t.settleLoss(); isCrash {
+				crashed[pool] = append(crashed[pool], loss)
+			}
 		}
-		m.clearLived(t)
 		if t.loss == nil && len(t.begun) == 0 {
 			delete(m.partEvidence.pending, t)
 		}
 	}
+	for _, pool := range sortedKeys(lived) {
+		if len(lived[pool]) > 0 {
+			m.applyParts(pool, "", m.partEvidence.of(pool).Lived(m.now, lived[pool]))
+		}
+	}
+	for _, pool := range sortedKeys(crashed) {
+		m.targetsCrashed(pool, crashed[pool])
+	}
 	if m.now < m.partEvidence.expireAt {
 		return
 	}
@@ -242,6 +260,17 @@
 	}
 }
 
+// duePools returns the pools with a loss to be decided on now.
+func (e *partEvidence) duePools(now Instant) map[string]bool {
+	due := make(map[string]bool)
+	for t := range e.pending {
+		if t.loss != nil && now-t.loss.at >= lossSettleDelay {
+			due[t.shard.id.Pool] = true
+		}
+	}
+	return due
+}
+
 // sortedPending returns the pending targets in order of name.
 func (e *partEvidence) sortedPending() []*target {
 	if len(e.pending) == 0 {
@@ -255,9 +284,9 @@
 	return all
 }
 
-// clearLived records the parts on which a target began answers and ran on.
-func (m *Machine) clearLived(t *target) {
-	until := m.now
+// takeLived returns the parts on which a target began answers and ran on.
+func (t *target) takeLived(now Instant) []uint64 {
+	until := now
 	if t.loss != nil {
 		until = t.loss.at
 	}
@@ -268,17 +297,13 @@
 		}
 		t.begun = t.begun[1:]
 	}
-	if len(lived) > 0 {
-		m.applyParts(t.shard.id.Pool, "", m.partEvidence.of(t.shard.id.Pool).Lived(m.now, lived))
-	}
+	return lived
 }
 
-// settleLoss decides whether a target that lost runs crashed: it did if it lost most of those
-// that it had, and has answered nothing since.
-func (m *Machine) settleLoss(t *target) {
-	m.clearLived(t)
-	loss := t.loss
-	t.loss = nil
+// settleLoss ends a series of lost runs and reports whether the target crashed: it did if it
+// lost most of those that it had, and has answered nothing since.
+func (t *target) settleLoss() (loss *targetLoss, isCrash bool) {
+	loss, t.loss = t.loss, nil
 	left := 0
 	for _, g := range t.shard.granted {
 		if g.target == t && g.grantedAt <= loss.at {
@@ -286,17 +311,29 @@
 		}
 	}
 	if loss.alive || left > loss.lost {
-		return
+		return loss, false
 	}
 	t.begun, t.crashed = nil, true
-	m.counters.TargetCrashes++
-	pool := t.shard.id.Pool
-	out := m.partEvidence.of(pool).Crashed(m.now, loss.at, m.rng.Uint64()|1, loss.runs)
+	return loss, true
+}
+
+// targetsCrashed records that targets of a pool crashed at almost the same time.
+func (m *Machine) targetsCrashed(pool string, losses []*targetLoss) {
+	at := losses[0].at
+	var runs [][]uint64
+	for _, loss := range losses {
+		at = min(at, loss.at)
+		runs = append(runs, loss.runs...)
+	}
+	out := m.partEvidence.of(pool).Crashed(m.now, at, m.rng.Uint64()|1, runs)
 	suspects := 0
-	if len(out.Notices) > 0 {
-		suspects = len(out.Notices[0].Runs)
+	for _, n := range out.Notices {
+		suspects += len(n.Runs)
+	}
+	for _, loss := range losses {
+		m.counters.TargetCrashes++
+		m.emit(TargetCrashed{Target: loss.target, Lost: loss.lost, After: m.now - loss.at, Suspects: suspects})
 	}
-	m.emit(TargetCrashed{Target: t.name, Lost: loss.lost, After: m.now - loss.at, Suspects: suspects})
 	m.applyParts(pool, "", out)
 }
 
--- a/control/partevidence_test.go
+++ b/control/partevidence_test.go
@@ -226,12 +226,12 @@
 
 // checkSoundBegin checks that from twice crashContact after the fifth crash on, or after the
 // last one if there are fewer, sound requests begin at least half as often as before the first.
-func (f *crashFleet) checkSoundBegin(t *testing.T, seed uint64) {
+func (f *crashFleet) checkSoundBegin(t *testing.T) {
 	t.Helper()
 	from := f.crashes[min(4, len(f.crashes)-1)] + 2*crashContact
 	before, after := f.beganShare(0, f.crashes[0]), f.beganShare(from, f.now)
 	if after < before/2 {
-		t.Errorf("seed %d: a share of %.2f of the sound requests begins after the crashes, %.2f before", seed, after, before)
+		t.Errorf("a share of %.2f of the sound requests begins after the crashes, %.2f before", after, before)
 	}
 }
 
@@ -266,6 +266,15 @@
 	return refused, all
 }
 
+// seedsOfCase returns the seeds of all cases and the further ones of one.
+func seedsOfCase(further []uint64) []uint64 {
+	var seeds []uint64
+	for seed := range crashSeeds {
+		seeds = append(seeds, seed)
+	}
+	return append(seeds, further...)
+}
+
 func constantParts(parts ...uint64) func(int) []uint64 { return func(int) []uint64 { return parts } }
 
 // TestPartsThatCrashTargetsAreRefused guards against requests with one part in their prompts,
@@ -279,30 +288,31 @@
 	for _, c := range []struct {
 		name   string
 		change func(*crashSpec)
+		seeds  []uint64
 	}{
-		{"three routers", func(*crashSpec) {}},
-		{"one router", func(s *crashSpec) { s.routers = 1 }},
-		{"forty routers", func(s *crashSpec) { s.routers = 40 }},
-		{"first part", func(s *crashSpec) { s.crashing = constantParts(cause, other) }},
+		{"three routers", func(*crashSpec) {}, nil},
+		{"one router", func(s *crashSpec) { s.routers = 1 }, nil},
+		{"forty routers", func(s *crashSpec) { s.routers = 40 }, nil},
+		{"first part", func(s *crashSpec) { s.crashing = constantParts(cause, other) }, nil},
 		{"middle part beside various others", func(s *crashSpec) {
 			s.sound = func(n int) []uint64 { return []uint64{shared, 100 + uint64(n%20)} }
 			s.crashing = func(n int) []uint64 { return []uint64{shared, cause, 100 + uint64(n%20)} }
-		}},
+		}, nil},
 		{"middle part beside others of its own", func(s *crashSpec) {
 			s.crashing = func(n int) []uint64 { return []uint64{shared, cause, 1000 + uint64(n)} }
-		}},
+		}, nil},
 		{"two parts at a time", func(s *crashSpec) {
 			s.causes = []uint64{cause, other}
 			s.crashing = func(n int) []uint64 { return []uint64{shared, cause + uint64(n%2)} }
-		}},
+		}, nil},
 		{"three parts at a time", func(s *crashSpec) {
 			s.targets = 24
 			s.causes = []uint64{cause, other, 4}
 			s.crashing = func(n int) []uint64 { return []uint64{shared, cause + uint64(n%3)} }
-		}},
-		{"five crashes within a second", func(s *crashSpec) { s.crashingPerSecond = 12 }},
-		{"few sound requests", func(s *crashSpec) { s.soundPerSecond = 5 }},
-		{"no sound requests with the first part until later", func(s *crashSpec) { s.soundFrom = 14 * time.Second }},
+		}, nil},
+		{"five crashes within a second", func(s *crashSpec) { s.crashingPerSecond = 12 }, nil},
+		{"few sound requests", func(s *crashSpec) { s.soundPerSecond = 5 }, nil},
+		{"no sound requests with the first part until later", func(s *crashSpec) { s.soundFrom = 14 * time.Second }, nil},
 		{"part that was sound before", func(s *crashSpec) {
 			s.sound = func(n int) []uint64 { return []uint64{shared} }
 			s.beside = func(f *crashFleet) {
@@ -310,7 +320,7 @@
 				f.generate(f.now, 5, constantParts(shared, cause), true)
 				f.at(f.now+5*time.Second, func() { f.spec.causes = []uint64{cause} })
 			}
-		}},
+		}, nil},
 		{"schedulers killed one after the other", func(s *crashSpec) {
 			s.routers = 6
 			s.beside = func(f *crashFleet) {
@@ -318,38 +328,40 @@
 					f.at(f.now+at, func() { f.stopNode(f.schedulerOf(t)) })
 				}
 			}
-		}},
+		}, nil},
 		{"router that started since", func(s *crashSpec) {
 			s.beside = func(f *crashFleet) {
 				f.at(f.now+14*time.Second, func() { f.stopNode("n1") })
 				f.at(f.now+15*time.Second, func() { f.startNode("n1", f.snapshot(), f.members(), crashFleetOptions) })
 			}
-		}},
+		}, nil},
 		{"router cut off from the others since the first crash", func(s *crashSpec) {
 			s.routers = 6
 			s.beside = func(f *crashFleet) {
 				f.linkDown = func(from, to NodeID) bool { return len(f.crashes) > 0 && (from == "n1") != (to == "n1") }
 			}
-		}},
+		}, []uint64{27}},
 		{"router paused", func(s *crashSpec) {
 			s.beside = func(f *crashFleet) {
 				f.at(f.now+5500*time.Millisecond, func() { f.pauseNode("n1") })
 				f.at(f.now+9*time.Second, func() { f.resumeNode("n1") })
 			}
-		}},
+		}, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			for seed := range crashSeeds {
-				spec := base
-				spec.seed = seed
-				c.change(&spec)
-				f := runCrashFleet(t, spec)
-				refused, all := f.refusedSound(0, f.now)
-				t.Logf("seed %d: %d crashes, %d late, %d of %d sound requests refused", seed, len(f.crashes), f.lateRuns(), refused, all)
-				if late := f.lateRuns(); late > maxLateRuns {
-					t.Errorf("seed %d: %d requests with the part reached targets later than %s after the fifth crash", seed, late, crashContact)
-				}
-				f.checkSoundBegin(t, seed)
+			for _, seed := range seedsOfCase(c.seeds) {
+				t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+					spec := base
+					spec.seed = seed
+					c.change(&spec)
+					f := runCrashFleet(t, spec)
+					refused, all := f.refusedSound(0, f.now)
+					t.Logf("%d crashes, %d late, %d of %d sound requests refused", len(f.crashes), f.lateRuns(), refused, all)
+					if late := f.lateRuns(); late > maxLateRuns {
+						t.Errorf("%d requests with the part reached targets later than %s after the fifth crash", late, crashContact)
+					}
+					f.checkSoundBegin(t)
+				})
 			}
 		})
 	}
@@ -392,10 +404,7 @@
 			for i := range c.crashes {
 				crashes = append(crashes, 3*time.Second+time.Duration(i)*c.gap)
 			}
-			for seed := range crashSeeds {
-				c.seeds = append(c.seeds, seed)
-			}
-			for _, seed := range c.seeds {
+			for _, seed := range seedsOfCase(c.seeds) {
 				t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 					f := runCrashFleet(t, crashSpec{
 						seed: seed, routers: 3, targets: 12, soundPerSecond: c.perSecond, sound: c.parts, ownCrashes: crashes, duration: 20 * time.Second,
@@ -430,3 +439,28 @@
 		t.Errorf("%d crashes of a target that answered nothing in between", crashes)
 	}
 }
+
+// TestEvidenceOfManyCrashesAtOnceIsOneNotice guards against a notice of each target to every router
+// when a data centre loses its power.
+func TestEvidenceOfManyCrashesAtOnceIsOneNotice(t *testing.T) {
+	notices := 0
+	f := runCrashFleet(t, crashSpec{
+		routers: 10, targets: 40, soundPerSecond: 400, duration: 6 * time.Second,
+		sound: func(n int) []uint64 { return []uint64{1, 100 + uint64(n)} },
+		beside: func(f *crashFleet) {
+			f.at(f.now+2*time.Second, func() {
+				for _, name := range f.upTargets()[:30] {
+					f.crashTarget(name)
+				}
+			})
+			f.onSend = func(msg Message) {
+				if evidence, ok := msg.(PartEvidence); ok && evidence.Crash != 0 {
+					notices++
+				}
+			}
+		},
+	})
+	if most := 2 * (len(f.names) - 1) * len(f.names); len(f.crashes) != 30 || notices == 0 || notices > most {
+		t.Errorf("%d notices of %d crashes, want %d at most", notices, len(f.crashes), most)
+	}
+}
--- a/control/quarantine/parts.go
+++ b/control/quarantine/parts.go
@@ -61,8 +61,8 @@
 	// othersPerCrash is the number of other crashes for which one more has to support a
 	// refusal.
 	othersPerCrash = 2
-	// simultaneous is the time within which crashes count as one.
-	simultaneous = 100 * time.Millisecond
+	// Simultaneous is the time within which crashes count as one.
+	Simultaneous = 100 * time.Millisecond
 	// livedBeforeCrash is how long before a crash a part may have lived to be none of its
 	// suspects. A part that begins to crash targets, for example with new software there,
 	// is a suspect after this time.
@@ -277,7 +277,7 @@
 	others := 0
 	companions := make(map[string]bool)
 	for _, c := range p.crashes {
-		if len(found.crashes) > 0 && c.at-last < simultaneous {
+		if len(found.crashes) > 0 && c.at-last < Simultaneous {
 			continue
 		}
 		if c.supports(part, suspects, companions) {
@@ -285,7 +285,7 @@
 			found.others, last = others, c.at
 			continue
 		}
-		if len(found.crashes) > 0 && !p.mayBeExplained(c) && (others == 0 || c.at-lastOther >= simultaneous) {
+		if len(found.crashes) > 0 && !p.mayBeExplained(c) && (others == 0 || c.at-lastOther >= Simultaneous) {
 			others, lastOther = others+1, c.at
 		}
 	}
--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -40,6 +40,8 @@
 	onEnd func(*simRequest)
 	// onFound is called with each AffinityFound command.
 	onFound func(AffinityFound)
+	// onSend is called with each message that a node sends.
+	onSend func(Message)
 	// onVersionSeen is called when a node learns that another one has a newer version.
 	onVersionSeen func(n *simNode, from NodeID)
 	// violations lists the violated invariants.
@@ -147,6 +149,7 @@
 		onStart:       func(*simRun) {},
 		onFound:       func(AffinityFound) {},
 		onVersionSeen: func(*simNode, NodeID) {},
+		onSend:        func(Message) {},
 		loadEvery:     200 * time.Millisecond,
 	}
 }
@@ -285,6 +288,7 @@
 }
 
 func (s *sim) send(n *simNode, c Send) {
+	s.onSend(c.Message)
 	copies := 1
 	if s.networkRNG.Float64() < s.duplication {
 		copies = 2
