Sort the grants of the target that lost a run, not those of its shard

Each lost run sorted all grants of the shard, so that the crash of many targets cost the scheduler lost runs times grants. The order within a target stays.

--- a/control/crashevidence.go
+++ b/control/crashevidence.go
@@ -86,8 +86,8 @@
 // was.
 func (m *Machine) runLost(g *grant) {
 	running := []uint64{g.fingerprint}
-	for _, other := range g.shard.sortedGrants() {
-		if other.target == g.target && other != g {
+	for _, other := range g.target.sortedGrants() {
+		if other != g {
 			running = append(running, other.fingerprint)
 		}
 	}
--- a/control/partevidence.go
+++ b/control/partevidence.go
@@ -211,8 +211,8 @@
 		}
 	}
 	add(lost)
-	for _, g := range t.shard.sortedGrants() {
-		if g.target == t && g != lost {
+	for _, g := range t.sortedGrants() {
+		if g != lost {
 			add(g)
 		}
 	}
--- a/control/release.go
+++ b/control/release.go
@@ -239,7 +239,17 @@
 
 func (s *scheduler) sortedGrants() []*grant { return sortedByID(s.grants) }
 
-func (s *shard) sortedGrants() []*grant { return sortedByID(s.granted) }
+// sortedGrants returns the grants of a target.
+func (t *target) sortedGrants() []*grant {
+	var own []*grant
+	for _, g := range t.shard.granted {
+		if g.target == t {
+			own = append(own, g)
+		}
+	}
+	slices.SortFunc(own, func(a, b *grant) int { return compareGrants(a.id, b.id) })
+	return own
+}
 
 func sortedByID[K comparable](grants map[K]*grant) []*grant {
 	all := make([]*grant, 0, len(grants))
