--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -38,6 +38,10 @@
 	// Advertise, if set, returns the address to register, given the one that the
 	// replica listens on. Default: the replica registers the latter.
 	Advertise func(listenAddress string) (string, error)
+	// CrashOnPart is the id of a prompt part, as callers send it, that crashes the replica
+	// shortly after it begins a stream on it, unless it is the last part of the prompt.
+	// Empty: none.
+	CrashOnPart string
 	// OnCrash is called when the replica has crashed; may be nil. Its entry stays.
 	OnCrash func(*Replica)
 	ReplicaFaults
@@ -68,10 +72,6 @@
 	RetryAfter time.Duration
 	// ExtraPause is added to each ReplicaOptions.Pause.
 	ExtraPause time.Duration
-	// CrashOnPart is the id of a prompt part, as callers send it, that crashes the replica
-	// shortly after it begins a stream on it, unless it is the last part of the prompt.
-	// Empty: none.
-	CrashOnPart string
 	// MidAnswerPause is how long an answer that is not a stream pauses after its
 	// header and half of its body.
 	MidAnswerPause time.Duration
@@ -418,7 +418,7 @@
 
 // crashIfCaused crashes the replica soon if the prompt has the part of CrashOnPart.
 func (r *Replica) crashIfCaused(parts string) {
-	cause := r.currentFaults().CrashOnPart
+	cause := r.options.CrashOnPart
 	shared := strings.Split(parts, ",")
 	for _, part := range shared[:len(shared)-1] {
 		if id, _, _ := strings.Cut(part, ":"); cause != "" && id == cause {
