--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -65,6 +65,8 @@
 	answersUnframed bool
 	// callersReconnect is soakOptions.software.
 	callersReconnect bool
+	// enginesCrash is soakOptions.crashingParts.
+	enginesCrash bool
 	// zones are assigned to new replicas in rotation.
 	zones []string
 	// replicasMade counts all replicas ever started, for their names.
@@ -80,7 +82,7 @@
 // startFleet starts a fleet and waits until every router is ready.
 func startFleet(t *testing.T, routers int, options soakOptions) *fleet {
 	f := &fleet{t: t, store: managed.StartStore(), journal: &managed.Journal{}, zones: []string{managed.DefaultZone}}
-	f.answersUnframed, f.callersReconnect = options.unframed, options.software
+	f.answersUnframed, f.callersReconnect, f.enginesCrash = options.unframed, options.software, options.crashingParts
 	if options.evacuates {
 		f.zones = append(f.zones, secondZone)
 	}
@@ -95,12 +97,11 @@
 	if options.software {
 		engines = enginesOfTwoVersions
 	}
-	engine := managed.ReplicaOptions{Service: managed.DemoEngine, Slots: engineSlots, Pause: eventPause, Events: events}
 	if options.crashingParts {
-		engines, engine = enginesThatCrash, f.crashEngineOptions(engine)
+		engines = enginesThatCrash
 	}
 	for range engines {
-		f.addReplica(engine)
+		f.addReplica(managed.ReplicaOptions{Service: managed.DemoEngine, Slots: engineSlots, Pause: eventPause, Events: events})
 	}
 	f.startRouters(routers, routerIP)
 	return f
@@ -194,6 +195,9 @@
 	if f.callersReconnect {
 		options.Software = softwareVersions[f.replicasMade%len(softwareVersions)]
 	}
+	if f.enginesCrash && options.Service == managed.DemoEngine {
+		options = f.crashEngineOptions(options)
+	}
 	added := &replica{options: options}
 	options.Advertise = func(listens string) (string, error) {
 		var err error
