--- a/router/acquire.go
+++ b/router/acquire.go
@@ -23,7 +23,7 @@
 	admitRefusals = codecounter.New("walnut_admit_refusals_total",
 		result.QueueFull, result.QueueBytesFull, result.Draining, result.NotReady)
 	grantRefusals = codecounter.New("walnut_grant_refusals_total",
-		result.DeadlineBeforeGrant, result.NoTarget, result.CallerGone, result.Quarantined, result.ConnectFailed, result.Overloaded,
+		result.DeadlineBeforeGrant, result.NoTarget, result.CallerGone, result.Quarantined, result.PartQuarantined, result.ConnectFailed, result.Overloaded,
 		result.TargetsEvacuated, result.NoHomeTarget, result.TargetsUnavailable, result.SoftwareUnavailable)
 )
 
