--- a/config/types.go
+++ b/config/types.go
@@ -144,7 +144,7 @@
 // TakesWork reports whether new requests may be sent to the target.
 func (t Target) TakesWork() bool { return !t.Leaving && !t.Evacuated }
 
-// Origin tells from whom and when a router learned of a version.
+// Origin is the source from which a router learned of a version, and the time.
 type Origin struct {
 	// Source is "platform" or "peer" and the name of a router.
 	Source string
@@ -173,7 +173,7 @@
 	// revision: for example, it removed targets that it had kept for a while although they were
 	// missing from a listing.
 	UnversionedChanges uint64 `json:"-"`
-	// Origin tells how this router learned of the version, for logs; zero if not recorded.
+	// Origin is the source of the version at this router, for logs; zero if not recorded.
 	Origin Origin `json:"-"`
 
 	digestInputs digestInputs
--- a/control/partevidence.go
+++ b/control/partevidence.go
@@ -13,9 +13,9 @@
 // tokens report their crashes late, but all runs there break at the same moment.
 
 const (
-	// livedAfter is how long a target has to run after it began an answer for the parts of
-	// its prompt to have lived.
-	livedAfter = 500 * time.Millisecond
+	// survivalTime is how long a target has to run after it began an answer for the parts of
+	// its prompt to have survived.
+	survivalTime = 500 * time.Millisecond
 	// lossSettleDelay is how long after the first run that a target lost it is decided
 	// whether it crashed: the reports of its other runs come from other routers.
 	lossSettleDelay = 300 * time.Millisecond
@@ -23,7 +23,7 @@
 	// what the target sent before.
 	lossReportDelay = 150 * time.Millisecond
 	// trialInterval is the time between two trials of a scheduler. It allows for the wait, for
-	// the reading of the prompt, and for livedAfter or lossSettleDelay.
+	// the reading of the prompt, and for survivalTime or lossSettleDelay.
 	trialInterval = time.Second
 	// partRetryAfter is the time after which callers are asked to retry a request that is
 	// refused for parts of its prompt: the evidence is kept for minutes.
@@ -38,8 +38,8 @@
 	// it: at most 100 parts together.
 	Crash uint64
 	Runs  [][]uint64
-	// Lived holds parts that lived, at most 100. Crash is zero then.
-	Lived []uint64
+	// Survived holds parts that survived, at most 100. Crash is zero then.
+	Survived []uint64
 	// Age is the time since the event.
 	Age time.Duration
 }
@@ -84,12 +84,12 @@
 	}
 }
 
-// begunRun is a run on which a target began an answer less than livedAfter ago. It may have
+// begunRun is a run on which a target began an answer less than survivalTime ago. It may have
 // ended since.
 type begunRun struct {
 	at    Instant
 	parts []uint64
-	// clears reports that its parts have lived if the target runs on. Streams that continue
+	// clears reports that its parts have survived if the target runs on. Streams that continue
 	// on another target may begin without what crashes targets.
 	clears bool
 }
@@ -217,23 +217,23 @@
 		}
 	}
 	for _, b := range t.begun {
-		if now-b.at < livedAfter {
+		if now-b.at < survivalTime {
 			runs = append(runs, b.parts)
 		}
 	}
 	return runs
 }
 
-// partEvidenceTick decides which parts have lived and which targets crashed. What is decided
+// partEvidenceTick decides which parts have survived and which targets crashed. What is decided
 // at once for a pool goes to the other nodes in one notice, as the targets of a data centre
 // that loses its power crash together.
 func (m *Machine) partEvidenceTick() {
-	lived := make(map[string][]uint64)
+	survived := make(map[string][]uint64)
 	crashed := make(map[string][]*targetLoss)
 	due := m.partEvidence.duePools(m.now)
 	for _, t := range m.partEvidence.sortedPending() {
 		pool := t.shard.id.Pool
-		lived[pool] = append(lived[pool], t.takeLived(m.now)...)
+		survived[pool] = append(survived[pool], t.takeSurvived(m.now)...)
 		if t.loss != nil && due[pool] && m.now-t.loss.at >= lossSettleDelay-quarantine.Simultaneous {
 			if loss, isCrash := t.settleLoss(); isCrash {
 				crashed[pool] = append(crashed[pool], loss)
@@ -243,9 +243,9 @@
 			delete(m.partEvidence.pending, t)
 		}
 	}
-	for _, pool := range sortedKeys(lived) {
-		if len(lived[pool]) > 0 {
-			m.applyParts(pool, "", m.partEvidence.of(pool).Lived(m.now, lived[pool]))
+	for _, pool := range sortedKeys(survived) {
+		if len(survived[pool]) > 0 {
+			m.applyParts(pool, "", m.partEvidence.of(pool).Survived(m.now, survived[pool]))
 		}
 	}
 	for _, pool := range sortedKeys(crashed) {
@@ -284,20 +284,20 @@
 	return all
 }
 
-// takeLived returns the parts on which a target began answers and ran on.
-func (t *target) takeLived(now Instant) []uint64 {
+// takeSurvived returns the parts on which a target began answers and ran on.
+func (t *target) takeSurvived(now Instant) []uint64 {
 	until := now
 	if t.loss != nil {
 		until = t.loss.at
 	}
-	var lived []uint64
-	for len(t.begun) > 0 && until-t.begun[0].at >= livedAfter {
+	var survived []uint64
+	for len(t.begun) > 0 && until-t.begun[0].at >= survivalTime {
 		if t.begun[0].clears {
-			lived = append(lived, t.begun[0].parts...)
+			survived = append(survived, t.begun[0].parts...)
 		}
 		t.begun = t.begun[1:]
 	}
-	return lived
+	return survived
 }
 
 // settleLoss ends a series of lost runs and reports whether the target crashed: it did if it
@@ -364,7 +364,7 @@
 }
 
 func (m *Machine) sendPartNotice(to NodeID, pool string, n quarantine.PartNotice) {
-	m.send(to, PartEvidence{Pool: pool, Crash: n.Crash, Runs: n.Runs, Lived: n.Lived, Age: n.Age})
+	m.send(to, PartEvidence{Pool: pool, Crash: n.Crash, Runs: n.Runs, Survived: n.Survived, Age: n.Age})
 }
 
 // sendPartEvidence sends the evidence known here to a node that has returned.
@@ -383,6 +383,6 @@
 	if _, declared := m.topo.decl.Pools[msg.Pool]; !declared {
 		return
 	}
-	notice := quarantine.PartNotice{Crash: msg.Crash, Runs: msg.Runs, Lived: msg.Lived, Age: msg.Age}
+	notice := quarantine.PartNotice{Crash: msg.Crash, Runs: msg.Runs, Survived: msg.Survived, Age: msg.Age}
 	m.applyParts(msg.Pool, from, m.partEvidence.of(msg.Pool).Merge(m.now, notice))
 }
--- a/control/quarantine/parts.go
+++ b/control/quarantine/parts.go
@@ -10,7 +10,7 @@
 // whatever else the request contains. It does no I/O and reads no clock.
 //
 // The evidence of a crash is, for each run that may have caused it, the set of its suspects:
-// the parts of its prompt that have not lived since. A part lives if a target began an
+// the parts of its prompt that have not survived since. A part survives if a target began an
 // answer on it and still ran some time later; that removes it from all evidence, as a part
 // that crashes targets crashes each of them.
 //
@@ -34,10 +34,10 @@
 	crashes []*partCrash
 	// suspects counts the runs in crashes that contain each part.
 	suspects map[uint64]int
-	// lived and livedBefore hold when parts last lived. The older map is dropped when the
+	// survived and survivedBefore hold when parts last survived. The older map is dropped when the
 	// newer one is full or has been used for partMemory.
-	lived, livedBefore map[uint64]Instant
-	livedSince         Instant
+	survived, survivedBefore map[uint64]Instant
+	survivedSince            Instant
 	// refused holds the sets of parts that were last reported as refused, by key.
 	refused map[string][]uint64
 }
@@ -62,14 +62,14 @@
 	othersPerCrash = 2
 	// Simultaneous is the time within which crashes count as one.
 	Simultaneous = 100 * time.Millisecond
-	// livedBeforeCrash is how long before a crash a part may have lived to be none of its
+	// survivalValidFor is how long before a crash a part may have survived to be none of its
 	// suspects. A part that begins to crash targets, for example with new software there,
 	// is a suspect after this time.
-	livedBeforeCrash = time.Second
-	// partMemory is how long it is remembered at least that a part lived, unless more than
-	// maxLived parts did: notices of crashes arrive within seconds.
-	partMemory = 10 * time.Second
-	maxLived   = 4096
+	survivalValidFor = time.Second
+	// partMemory is how long it is remembered at least that a part survived, unless more than
+	// maxSurvived parts did: notices of crashes arrive within seconds.
+	partMemory  = 10 * time.Second
+	maxSurvived = 4096
 	// firstTrialAfter is the time after the last crash after which a request that is refused
 	// may be tried. It doubles up to maxTrialDoublings times.
 	firstTrialAfter   = 2 * time.Minute
@@ -83,11 +83,11 @@
 // reordered.
 type PartNotice struct {
 	// Crash identifies the crash of which Runs holds the suspects; zero if the notice
-	// reports that parts lived.
+	// reports that parts survived.
 	Crash uint64
 	Runs  [][]uint64
-	// Lived holds the parts that lived.
-	Lived []uint64
+	// Survived holds the parts that survived.
+	Survived []uint64
 	// Age is the time since the event.
 	Age time.Duration
 }
@@ -116,7 +116,7 @@
 	return &Parts{
 		options:  options,
 		suspects: make(map[uint64]int),
-		lived:    make(map[uint64]Instant),
+		survived: make(map[uint64]Instant),
 		refused:  make(map[string][]uint64),
 	}
 }
@@ -129,8 +129,8 @@
 	return out
 }
 
-// Lived records that a target which began an answer on the parts still runs.
-func (p *Parts) Lived(now Instant, parts []uint64) PartOutput {
+// Survived records that a target which began an answer on the parts still runs.
+func (p *Parts) Survived(now Instant, parts []uint64) PartOutput {
 	var out PartOutput
 	p.clear(now, now, parts, &out)
 	return out
@@ -142,10 +142,10 @@
 	var out PartOutput
 	at := now - max(notice.Age, 0)
 	if notice.Crash != 0 {
-		p.announceLived(now, at, notice.Runs, &out)
+		p.announceSurvived(now, at, notice.Runs, &out)
 		p.addCrash(now, &partCrash{id: notice.Crash, at: at, runs: notice.Runs}, &out)
 	} else {
-		p.clear(now, at, notice.Lived, &out)
+		p.clear(now, at, notice.Survived, &out)
 	}
 	return out
 }
@@ -170,8 +170,8 @@
 		p.drop(expired)
 		p.updateRefused(nil, &out)
 	}
-	if now-p.livedSince >= partMemory {
-		p.renewLived(now)
+	if now-p.survivedSince >= partMemory {
+		p.renewSurvived(now)
 	}
 	return out
 }
@@ -201,7 +201,7 @@
 	var suspects [][]uint64
 	for _, run := range runs {
 		set := slices.Clone(run[:min(len(run), MaxPartsPerRun)])
-		set = slices.DeleteFunc(set, func(part uint64) bool { return p.livedShortlyBefore(part, at) })
+		set = slices.DeleteFunc(set, func(part uint64) bool { return p.survivedShortlyBefore(part, at) })
 		slices.Sort(set)
 		set = slices.Compact(set)
 		if key := setKey(set); key != "" && !seen[key] {
@@ -215,55 +215,55 @@
 	return limitParts(suspects)
 }
 
-// livedShortlyBefore reports whether a part lived so late that it is no suspect of a crash.
-func (p *Parts) livedShortlyBefore(part uint64, crashAt Instant) bool {
-	last, ok := p.livedAt(part)
-	return ok && last >= crashAt-livedBeforeCrash
+// survivedShortlyBefore reports whether a part survived so late that it is no suspect of a crash.
+func (p *Parts) survivedShortlyBefore(part uint64, crashAt Instant) bool {
+	last, ok := p.survivedAt(part)
+	return ok && last >= crashAt-survivalValidFor
 }
 
-// announceLived adds a notice of the parts that lived here though another router suspects
+// announceSurvived adds a notice of the parts that survived here though another router suspects
 // them of a crash.
-func (p *Parts) announceLived(now, crashAt Instant, runs [][]uint64, out *PartOutput) {
-	var lived []uint64
+func (p *Parts) announceSurvived(now, crashAt Instant, runs [][]uint64, out *PartOutput) {
+	var survived []uint64
 	for _, run := range runs {
 		for _, part := range run {
-			if p.livedShortlyBefore(part, crashAt) && !slices.Contains(lived, part) {
-				lived = append(lived, part)
+			if p.survivedShortlyBefore(part, crashAt) && !slices.Contains(survived, part) {
+				survived = append(survived, part)
 			}
 		}
 	}
-	if len(lived) > 0 {
-		out.Notices = append(out.Notices, PartNotice{Lived: lived[:min(len(lived), MaxCrashParts)], Age: now - crashAt})
+	if len(survived) > 0 {
+		out.Notices = append(out.Notices, PartNotice{Survived: survived[:min(len(survived), MaxCrashParts)], Age: now - crashAt})
 	}
 }
 
-// clear records that parts lived at a time.
+// clear records that parts survived at a time.
 func (p *Parts) clear(now, at Instant, parts []uint64, out *PartOutput) {
 	var cleared []uint64
 	for _, part := range parts {
-		if last, ok := p.livedAt(part); !ok || last < at {
-			p.lived[part] = at
+		if last, ok := p.survivedAt(part); !ok || last < at {
+			p.survived[part] = at
 		}
 		if p.suspects[part] > 0 && p.removeSuspect(part, at) {
 			cleared = append(cleared, part)
 		}
 	}
-	if len(p.lived) >= maxLived {
-		p.renewLived(now)
+	if len(p.survived) >= maxSurvived {
+		p.renewSurvived(now)
 	}
 	if len(cleared) == 0 {
 		return
 	}
-	out.Notices = append(out.Notices, PartNotice{Lived: cleared, Age: now - at})
+	out.Notices = append(out.Notices, PartNotice{Survived: cleared, Age: now - at})
 	p.updateRefused(nil, out)
 }
 
-// removeSuspect removes a part from the crashes up to livedBeforeCrash after it lived, and
+// removeSuspect removes a part from the crashes up to survivalValidFor after it survived, and
 // reports whether it was in any.
-func (p *Parts) removeSuspect(part uint64, livedAt Instant) bool {
+func (p *Parts) removeSuspect(part uint64, survivedAt Instant) bool {
 	removed := false
 	for _, c := range p.crashes {
-		if c.at-livedBeforeCrash > livedAt || !c.contains(part) {
+		if c.at-survivalValidFor > survivedAt || !c.contains(part) {
 			continue
 		}
 		p.count(c, -1)
@@ -293,15 +293,15 @@
 	p.crashes = slices.Delete(p.crashes, 0, n)
 }
 
-func (p *Parts) livedAt(part uint64) (Instant, bool) {
-	if at, ok := p.lived[part]; ok {
+func (p *Parts) survivedAt(part uint64) (Instant, bool) {
+	if at, ok := p.survived[part]; ok {
 		return at, true
 	}
-	at, ok := p.livedBefore[part]
+	at, ok := p.survivedBefore[part]
 	return at, ok
 }
 
-// renewLived begins a new map of the parts that lived and drops the older one.
-func (p *Parts) renewLived(now Instant) {
-	p.livedBefore, p.lived, p.livedSince = p.lived, make(map[uint64]Instant), now
+// renewSurvived begins a new map of the parts that survived and drops the older one.
+func (p *Parts) renewSurvived(now Instant) {
+	p.survivedBefore, p.survived, p.survivedSince = p.survived, make(map[uint64]Instant), now
 }
--- a/control/quarantine/parts_test.go
+++ b/control/quarantine/parts_test.go
@@ -44,10 +44,10 @@
 	check("seen together", false, first)
 	check("seen together", false, cause)
 	check("seen together", false, first, 7)
-	p.Lived(now, []uint64{first})
-	check("first part lived", true, cause)
-	check("first part lived", true, 9, cause)
-	check("first part lived", false, first)
+	p.Survived(now, []uint64{first})
+	check("first part survived", true, cause)
+	check("first part survived", true, 9, cause)
+	check("first part survived", false, first)
 }
 
 // TestTwoCausesBehindOneFirstPart guards against taking a part that two causes have in common
@@ -80,20 +80,20 @@
 	}
 }
 
-// TestLivedPartIsNoSuspect guards against evidence that arrives after a part lived, or from
+// TestPartThatSurvivedIsNoSuspect guards against evidence that arrives after a part survived, or from
 // a router that does not know it.
-func TestLivedPartIsNoSuspect(t *testing.T) {
+func TestPartThatSurvivedIsNoSuspect(t *testing.T) {
 	p, now := NewParts(PartOptions{}), time.Minute
 	for i := range 10 {
-		p.Lived(now, []uint64{1})
+		p.Survived(now, []uint64{1})
 		out := p.Merge(now, PartNotice{Crash: uint64(i + 1), Runs: [][]uint64{{1}, {1, 2}}, Age: 500 * time.Millisecond})
-		if len(out.Notices) == 0 || !slices.Equal(out.Notices[0].Lived, []uint64{1}) {
-			t.Fatalf("the other routers are not told that the part lived: %+v", out.Notices)
+		if len(out.Notices) == 0 || !slices.Equal(out.Notices[0].Survived, []uint64{1}) {
+			t.Fatalf("the other routers are not told that the part survived: %+v", out.Notices)
 		}
 		now += time.Second
 	}
 	if p.refuses(1) {
-		t.Error("a part that lived is refused")
+		t.Error("a part that survived is refused")
 	}
 	if !p.refuses(1, 2) {
 		t.Error("a part that did not live is not refused")
@@ -114,15 +114,15 @@
 			runs = append(runs, run, []uint64{i % 7, j})
 		}
 		p.Crashed(now, now, i+1, runs)
-		p.Lived(now, livingParts(i))
+		p.Survived(now, survivingParts(i))
 		parts := 0
 		for _, c := range p.crashes {
 			for _, run := range c.runs {
 				parts += len(run)
 			}
 		}
-		if len(p.crashes) > 64 || parts > 64*MaxCrashParts || len(p.suspects) > parts || len(p.refused) > 64 || len(p.lived)+len(p.livedBefore) > 2*maxLived+20 {
-			t.Fatalf("step %d: %d crashes, %d parts, %d suspects, %d refused, %d lived", i, len(p.crashes), parts, len(p.suspects), len(p.refused), len(p.lived)+len(p.livedBefore))
+		if len(p.crashes) > 64 || parts > 64*MaxCrashParts || len(p.suspects) > parts || len(p.refused) > 64 || len(p.survived)+len(p.survivedBefore) > 2*maxSurvived+20 {
+			t.Fatalf("step %d: %d crashes, %d parts, %d suspects, %d refused, %d survived", i, len(p.crashes), parts, len(p.suspects), len(p.refused), len(p.survived)+len(p.survivedBefore))
 		}
 	}
 	p.Expire(now + time.Hour)
@@ -131,7 +131,7 @@
 	}
 }
 
-func livingParts(step uint64) []uint64 {
+func survivingParts(step uint64) []uint64 {
 	var parts []uint64
 	for i := range uint64(20) {
 		parts = append(parts, 1<<40+20*step+i)
@@ -152,7 +152,7 @@
 			var out PartOutput
 			set := rapid.SliceOfNDistinct(rapid.Uint64Range(1, 6), 1, 3, rapid.ID).Draw(t, "parts")
 			if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
-				out = source.Lived(now, set)
+				out = source.Survived(now, set)
 			} else {
 				out = source.Crashed(now, now, uint64(i+1), [][]uint64{set, {7, set[0]}})
 			}
@@ -197,12 +197,12 @@
 	if got := p.Verdict(now, []uint64{sound, cause}); got != PartsRefused {
 		t.Errorf("verdict on both: %d", got)
 	}
-	p.Lived(now, []uint64{sound})
+	p.Survived(now, []uint64{sound})
 	if got := p.Verdict(now, []uint64{sound}); got != PartsRun {
-		t.Errorf("verdict on the sound part once it lived: %d", got)
+		t.Errorf("verdict on the sound part once it survived: %d", got)
 	}
 	if got := p.Verdict(now, []uint64{sound, cause}); got != PartsRefused {
-		t.Errorf("verdict on both once the sound part lived: %d", got)
+		t.Errorf("verdict on both once the sound part survived: %d", got)
 	}
 }
 
--- a/directory/state.go
+++ b/directory/state.go
@@ -9,7 +9,7 @@
 // state holds what this router knows of the directory. It is not safe for concurrent use.
 type state struct {
 	configuration Configuration
-	// origin tells how configuration was learned.
+	// origin is the source of configuration.
 	origin config.Origin
 	// listed reports that the targets were listed at least once.
 	listed  bool
--- a/peer/wire/codec_run.go
+++ b/peer/wire/codec_run.go
@@ -118,10 +118,10 @@
 	for _, run := range m.Runs {
 		lengths = append(lengths, uint32(len(run)))
 	}
-	if err := checkListLength(max(len(parts), len(lengths), len(m.Lived))); err != nil {
+	if err := checkListLength(max(len(parts), len(lengths), len(m.Survived))); err != nil {
 		return nil, err
 	}
-	p := &peerpb.PartEvidence{Pool: pool, Crash: m.Crash, Parts: parts, RunLengths: lengths, Lived: m.Lived, Age: toMicros(m.Age)}
+	p := &peerpb.PartEvidence{Pool: pool, Crash: m.Crash, Parts: parts, RunLengths: lengths, Survived: m.Survived, Age: toMicros(m.Age)}
 	return &peerpb.Entry{Kind: &peerpb.Entry_PartEvidence{PartEvidence: p}}, nil
 }
 
@@ -131,10 +131,10 @@
 		return nil, err
 	}
 	parts := p.GetParts()
-	if err := checkListLength(max(len(parts), len(p.GetRunLengths()), len(p.GetLived()))); err != nil {
+	if err := checkListLength(max(len(parts), len(p.GetRunLengths()), len(p.GetSurvived()))); err != nil {
 		return nil, err
 	}
-	m := control.PartEvidence{Pool: pool, Crash: p.GetCrash(), Lived: p.GetLived(), Age: fromMicros(p.GetAge())}
+	m := control.PartEvidence{Pool: pool, Crash: p.GetCrash(), Survived: p.GetSurvived(), Age: fromMicros(p.GetAge())}
 	for _, length := range p.GetRunLengths() {
 		if int64(length) > int64(len(parts)) {
 			return nil, fmt.Errorf("%w: run of %d parts, %d left", ErrMalformed, length, len(parts))
