--- a/control/events.go
+++ b/control/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/control/speed"
 )
 
 // ConfigChanged reports that a newer configuration version is in force here.
@@ -98,6 +99,9 @@
 	Grant GrantID
 	// After is the time from the grant's arrival at the entry.
 	After time.Duration
+	// Load is what the target reported with its response; the zero value if it reported
+	// nothing.
+	Load speed.Reading
 }
 
 // RunOverdue reports that the target of a run has not begun to answer although the request's
@@ -111,6 +115,10 @@
 	Outcome Outcome
 	// Service is the slot time used.
 	Service time.Duration
+	// Load is what the target reported with its response, LoadAge ago; the zero value if it
+	// reported nothing.
+	Load    speed.Reading
+	LoadAge time.Duration
 }
 
 // MessageReceived delivers a message from another node.
--- a/control/messages.go
+++ b/control/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/result"
 )
 
@@ -116,6 +117,10 @@
 	Work  Work
 	Reads int
 	Began bool
+	// Load is what the target reported with its response, LoadAge before the report was sent;
+	// the zero value if it reported nothing.
+	Load    speed.Reading
+	LoadAge time.Duration
 }
 
 // ReportAck confirms a PhaseEnded report, which is then no longer sent again.
