Report the targets' load from their responses to the schedulers

Cause: schedulers do not know how long work takes at a target at this moment, which targets report in the header X-Replica-Load. Change: platform parses the header, targets returns it with responses and refusals, and the run passes it to the control state. The stand-in of a replica sends the header if an option says so.

--- a/control/entry.go
+++ b/control/entry.go
@@ -33,6 +33,8 @@
 	// waitingByPool holds the requests that wait here by pool, oldest first.
 	waitingByPool map[string]*list.List
 	hints         map[ShardID]*shardHint
+	// loadReports holds what was last reported of the targets' load.
+	loadReports loadReports
 	// overloadedAt is when another node's scheduler last refused a request for lack of
 	// capacity.
 	overloadedAt map[ShardID]Instant
@@ -86,6 +88,7 @@
 		workspaces:    make(map[string]*workspaceBacklog),
 		waitingByPool: make(map[string]*list.List),
 		hints:         make(map[ShardID]*shardHint),
+		loadReports:   make(loadReports),
 		overloadedAt:  make(map[ShardID]Instant),
 		beyondShareAt: make(map[shardWorkspace]Instant),
 		avoidUntil:    make(map[NodeID]Instant),
--- a/control/events.go
+++ b/control/events.go
@@ -99,9 +99,10 @@
 	Grant GrantID
 	// After is the time from the grant's arrival at the entry.
 	After time.Duration
-	// Load is what the target reported with its response; the zero value if it reported
-	// nothing.
-	Load speed.Reading
+	// Load is what the target reported with its response, LoadAge ago; the zero value if it
+	// reported nothing.
+	Load    speed.Reading
+	LoadAge time.Duration
 }
 
 // RunOverdue reports that the target of a run has not begun to answer although the request's
--- a/control/machine.go
+++ b/control/machine.go
@@ -149,6 +149,7 @@
 	case RequestCancelled:
 		m.requestCancelled(ev)
 	case RunBegan:
+		m.setRunLoad(ev.Grant, ev.Load, ev.LoadAge)
 		m.runBegan(ev)
 	case RunOverdue:
 		m.runOverdue(ev)
--- a/control/release.go
+++ b/control/release.go
@@ -8,6 +8,7 @@
 )
 
 func (m *Machine) reportReceived(from NodeID, r Report) {
+	m.loadReported(r)
 	if r.Phase == PhaseEnded {
 		m.runEndedReported(from, r)
 		return
--- a/control/runs.go
+++ b/control/runs.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/result"
 )
 
@@ -36,6 +37,7 @@
 	reportedTo NodeID
 	// informedNodes are the nodes that may count the run: its end is reported to all of them.
 	informedNodes []NodeID
+	load          runLoad
 	timer         timer
 }
 
@@ -119,6 +121,7 @@
 
 		reportedTo:    from,
 		informedNodes: []NodeID{from},
+		load:          runLoad{start: m.topo.decl.Targets[g.Target].Start, reports: m.entry.loadReports},
 	}
 	m.entry.runs[g.ID] = run
 	m.entry.latestRun[run.request] = run
@@ -173,6 +176,7 @@
 }
 
 func (m *Machine) runEnded(ev RunEnded) {
+	m.setRunLoad(ev.Grant, ev.Load, ev.LoadAge)
 	if run := m.entry.runs[ev.Grant]; run != nil {
 		m.endRun(run, ev.Outcome, ev.Service)
 	}
@@ -226,7 +230,7 @@
 }
 
 func (r *run) report(now Instant, phase RunPhase) Report {
-	return Report{
+	report := Report{
 		Grant:       r.grant.ID,
 		Ticket:      r.grant.Ticket,
 		Shard:       r.shard,
@@ -236,15 +240,22 @@
 		Service:     now - r.startedAt,
 		Fingerprint: r.fingerprint,
 	}
+	if phase == PhaseBegan || phase == PhaseEnded {
+		report.Load, report.LoadAge = r.load.take(now, r.grant.Target)
+	}
+	return report
 }
 
-// sendEnded sends the end of a run repeatedly until it is acknowledged.
+// sendEnded sends the end of a run repeatedly until it is acknowledged. Only the first report
+// has the target's load, which would be out of date in the others.
 func (m *Machine) sendEnded(to NodeID, report Report) {
 	key := endedKey{report.Grant, to}
 	if m.entry.ended[key] != nil {
 		return
 	}
-	e := &endedRun{report: report, to: to, until: m.now + endedRetention}
+	repeated := report
+	repeated.Load, repeated.LoadAge = speed.Reading{}, 0
+	e := &endedRun{report: repeated, to: to, until: m.now + endedRetention}
 	m.entry.ended[key] = e
 	m.timers.set(&e.timer, e, m.now+resendEvery)
 	m.send(to, report)
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -75,6 +75,7 @@
 	m.detectVanishedTargets(next)
 	m.updateColdTargets(next)
 	m.pruneNotices(next)
+	m.entry.loadReports.prune(next)
 	m.updateSoftware(next)
 	m.topo = next
 	for _, name := range sortedKeys(m.sched.workspaces) {
--- a/control/status.go
+++ b/control/status.go
@@ -36,6 +36,7 @@
 	TargetFailures        uint64
 	TargetProbes          uint64 // runs granted to failing targets
 	TargetsCold           uint64
+	LoadReadings          uint64 // of targets scheduled here, by reports of runs
 	Convictions           uint64
 	TargetCrashes         uint64 // targets that lost all their runs at once
 	PartConvictions       uint64 // sets of prompt parts that are refused from then on
--- a/control/target.go
+++ b/control/target.go
@@ -39,6 +39,8 @@
 	// applies to one start only: the next one begins with an empty cache and without
 	// failures.
 	start, declaredStart int64
+	// knownSince is when this node learned of that start.
+	knownSince Instant
 	// hash is the target's key for rendezvous hashing.
 	hash   uint64
 	window *sched.Window
@@ -93,7 +95,7 @@
 }
 
 func newTarget(now Instant, s *shard, name string) *target {
-	return &target{shard: s, name: name, hash: member.HashOf(name), window: sched.NewWindow(now, 1), loadReportedAt: -1}
+	return &target{shard: s, name: name, knownSince: now, hash: member.HashOf(name), window: sched.NewWindow(now, 1), loadReportedAt: -1}
 }
 
 // isNewStart reports whether a declaration is of a later start of the target than the one
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -14,6 +14,7 @@
 
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/control/notice"
+	"github.com/walnutcove/walnutcove/control/speed"
 )
 
 // Getter returns a header's value by its canonical name; empty if it is absent.
@@ -64,6 +65,9 @@
 	RefusedNotRun func(status int, header Getter) bool
 	// Notice reads what an answer's head reports about the target itself; nil: nothing.
 	Notice func(status int, header Getter) notice.Notice
+	// Load reads what an answer's head reports about the target's load: the zero value if it
+	// reports nothing, and an error if it is invalid; nil: nothing.
+	Load func(header Getter) (speed.Reading, error)
 	// Work reads what the caller declares about the tokens of the request; nil: nothing.
 	Work func(header Getter) control.Work
 }
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/result/codecounter"
@@ -112,6 +113,9 @@
 	request := Request(ex, 0)
 	request.FirstByteTimeout = f.firstByteTimeout(ex)
 	answer, err := f.Client.Do(callCtx, request)
+	if reading := targets.LoadOf(answer, err); reading != (speed.Reading{}) {
+		ex.Run.SetLoad(reading)
+	}
 	timedOut := !timer.Stop()
 	if err == nil && timedOut {
 		answer.Body.Close()
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/targets"
@@ -33,7 +34,10 @@
 }
 
 // recordedRun records the outcomes that a run was ended with; only the first counts.
-type recordedRun struct{ outcomes []control.Outcome }
+type recordedRun struct {
+	outcomes []control.Outcome
+	loads    []speed.Reading
+}
 
 // Begin implements pipeline.Run.
 func (e *recordedRun) Begin() {}
@@ -41,6 +45,9 @@
 // Overdue implements pipeline.Run.
 func (e *recordedRun) Overdue() {}
 
+// SetLoad implements pipeline.Run.
+func (e *recordedRun) SetLoad(reading speed.Reading) { e.loads = append(e.loads, reading) }
+
 // End implements pipeline.Run.
 func (e *recordedRun) End(outcome control.Outcome) { e.outcomes = append(e.outcomes, outcome) }
 
@@ -199,6 +206,9 @@
 // Overdue implements pipeline.Run.
 func (r signallingRun) Overdue() { close(r) }
 
+// SetLoad implements pipeline.Run.
+func (signallingRun) SetLoad(speed.Reading) {}
+
 // End implements pipeline.Run.
 func (signallingRun) End(control.Outcome) {}
 
@@ -270,3 +280,28 @@
 		t.Errorf("outcomes %v", run.outcomes)
 	}
 }
+
+// TestLoadIsSetAsTheHeadArrives guards against a target's load that is lost with a refusal or
+// recorded too late: it must be known before the answer is relayed or the run ends.
+func TestLoadIsSetAsTheHeadArrives(t *testing.T) {
+	want := speed.Reading{Running: 3, Slots: 8, Percent: 250}
+	loadsAtRelay := -1
+	f := &Filter{
+		Client: &fakeTarget{do: func(context.Context) (*targets.Response, error) {
+			return &targets.Response{Load: want, Body: io.NopCloser(nil)}, nil
+		}},
+		Relay: func(_ context.Context, ex *pipeline.Exchange, _ *targets.Response) error {
+			loadsAtRelay = len(ex.Run.(*recordedRun).loads)
+			return nil
+		},
+	}
+	if _, run := serve(context.Background(), f, &pipeline.Exchange{}); loadsAtRelay != 1 || run.loads[0] != want {
+		t.Errorf("%d loads when the answer was relayed; loads %+v", loadsAtRelay, run.loads)
+	}
+	f.Client = &fakeTarget{do: func(context.Context) (*targets.Response, error) {
+		return nil, result.New(result.ConnectFailed, "No.")
+	}}
+	if _, run := serve(context.Background(), f, &pipeline.Exchange{}); len(run.loads) != 0 {
+		t.Errorf("loads %+v of a target that did not answer", run.loads)
+	}
+}
--- a/filters/events/gather_test.go
+++ b/filters/events/gather_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/targets"
 )
@@ -52,6 +53,8 @@
 func (noopRun) Begin()   {}
 func (noopRun) Overdue() {}
 
+func (noopRun) SetLoad(speed.Reading) {}
+
 func (noopRun) End(control.Outcome) {}
 
 // relayAll relays a stream at the given lag. It returns the number of reads, the time
--- a/filters/relay/relay_test.go
+++ b/filters/relay/relay_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/targets"
 )
@@ -65,6 +66,8 @@
 
 func (c *recordedRun) Overdue() {}
 
+func (c *recordedRun) SetLoad(speed.Reading) {}
+
 func (c *recordedRun) End(outcome control.Outcome) { c.outcomes = append(c.outcomes, outcome) }
 
 // firstOutcome returns the outcome that counts, which is the first; see pipeline.Run.
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/control/speed"
 )
 
 // simulatedNode is a Handler that simulates both sides of a run: the scheduler, which
@@ -20,6 +21,8 @@
 	node
 	messages atomic.Int64
 	runEnded chan struct{}
+	// reportsLoad adds the load of the target to reports.
+	reportsLoad bool
 }
 
 func (p *simulatedNode) Received(from control.NodeID, _ control.Incarnation, messages []control.Message) {
@@ -45,7 +48,7 @@
 			Spare:  3,
 		}
 	case control.Grant:
-		return control.Report{
+		report := control.Report{
 			Grant:       m.ID,
 			Ticket:      m.Ticket,
 			Shard:       benchShard,
@@ -55,6 +58,10 @@
 			Service:     1234567 * time.Microsecond,
 			Fingerprint: 0x0123456789abcdef,
 		}
+		if p.reportsLoad {
+			report.Load, report.LoadAge = speed.Reading{Running: 8, Waiting: 3, Slots: 12, Percent: 250}, 30*time.Millisecond
+		}
+		return report
 	case control.Report:
 		return control.ReportAck{Grant: m.Grant}
 	case control.ReportAck:
@@ -94,20 +101,24 @@
 
 // BenchmarkRunMessages sends the four messages of a run between an entry and a
 // scheduler and reports, for both nodes together, bytes and processor time.
-// Either a run starts every few milliseconds, or 64 are in progress.
+// Either a run starts every few milliseconds, or 64 are in progress. With load, each report
+// has the load of the target.
 func BenchmarkRunMessages(b *testing.B) {
 	for _, secure := range []bool{false, true} {
-		b.Run(fmt.Sprintf("tls=%v/sparse", secure), func(b *testing.B) {
-			benchmarkRun(b, secure, 1, 5*time.Millisecond)
-		})
-		b.Run(fmt.Sprintf("tls=%v/dense", secure), func(b *testing.B) {
-			benchmarkRun(b, secure, 64, 0)
-		})
+		for _, load := range []bool{false, true} {
+			b.Run(fmt.Sprintf("tls=%v/load=%v/sparse", secure, load), func(b *testing.B) {
+				benchmarkRun(b, secure, load, 1, 5*time.Millisecond)
+			})
+			b.Run(fmt.Sprintf("tls=%v/load=%v/dense", secure, load), func(b *testing.B) {
+				benchmarkRun(b, secure, load, 64, 0)
+			})
+		}
 	}
 }
 
-func benchmarkRun(b *testing.B, secure bool, maxInFlight int, pause time.Duration) {
+func benchmarkRun(b *testing.B, secure, load bool, maxInFlight int, pause time.Duration) {
 	entry, scheduler := benchPair(b, secure)
+	entry.reportsLoad = load
 	before := benchBytes(entry)
 	cpuBefore := cpuTime()
 	b.ResetTimer()
--- a/peer/wire/bench_test.go
+++ b/peer/wire/bench_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/peer/peerpb"
 )
 
@@ -24,9 +25,14 @@
 			TimeLeft:  30 * time.Second,
 		})
 	}
+	benchmarkCodec(b, tickets)
+}
+
+// benchmarkCodec encodes and decodes a batch of messages.
+func benchmarkCodec(b *testing.B, messages []control.Message) {
 	p := newCodecPair()
 	for b.Loop() {
-		frame, _, err := p.EncodeFrame(tickets)
+		frame, _, err := p.EncodeFrame(messages)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -42,7 +48,26 @@
 			b.Fatal(err)
 		}
 	}
-	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/batch, "ns/message")
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(len(messages)), "ns/message")
+}
+
+// BenchmarkReport encodes and decodes batches of reports with and without the target's load.
+func BenchmarkReport(b *testing.B) {
+	for _, load := range []speed.Reading{{}, {Running: 8, Waiting: 3, Slots: 12, Percent: 250}} {
+		b.Run(fmt.Sprintf("load=%v", load.HasSpeed()), func(b *testing.B) {
+			const batch = 32
+			var reports []control.Message
+			for range batch {
+				report := reportBefore
+				report.Load = load
+				if load.HasSpeed() {
+					report.LoadAge = 30 * time.Millisecond
+				}
+				reports = append(reports, report)
+			}
+			benchmarkCodec(b, reports)
+		})
+	}
 }
 
 // BenchmarkFullTables reports the memory of one encoder and one decoder whose
--- a/peer/wire/codec_run.go
+++ b/peer/wire/codec_run.go
@@ -3,9 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"slices"
+	"time"
 
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/peer/peerpb"
 )
 
@@ -37,9 +40,34 @@
 		Began:        m.Began,
 	}
 	p.PartId, p.PartTokens = encodeParts(m.Work.Parts)
+	p.Load = encodeLoad(m.Load, m.LoadAge)
 	return &peerpb.Entry{Kind: &peerpb.Entry_Report{Report: p}}, nil
 }
 
+// loadFigures is the number of figures of a load in a report.
+const loadFigures = 5
+
+// encodeLoad returns the figures of a load and its age; nil if there is none.
+func encodeLoad(load speed.Reading, age time.Duration) []uint32 {
+	if load == (speed.Reading{}) && age == 0 {
+		return nil
+	}
+	ageMicros := min(max(toMicros(age), 0), math.MaxUint32)
+	return []uint32{uint32(load.Running), uint32(load.Waiting), uint32(load.Slots), uint32(load.Percent), uint32(ageMicros)}
+}
+
+// decodeLoad returns a load and its age. Figures that a later version adds are ignored.
+func decodeLoad(figures []uint32) (load speed.Reading, age time.Duration, err error) {
+	switch {
+	case len(figures) == 0:
+		return speed.Reading{}, 0, nil
+	case len(figures) < loadFigures:
+		return speed.Reading{}, 0, fmt.Errorf("%w: load of %d figures", ErrMalformed, len(figures))
+	}
+	load = speed.Reading{Running: int(figures[0]), Waiting: int(figures[1]), Slots: int(figures[2]), Percent: int(figures[3])}
+	return load, fromMicros(int64(figures[4])), nil
+}
+
 func (d *Decoder) decodeReport(p *peerpb.Report) (control.Message, error) {
 	grant, errGrant := d.decodeGrantID(p.GetScheduler(), p.GetSeq())
 	origin, errOrigin := d.origin(p.GetTicketOrigin())
@@ -49,8 +77,9 @@
 	if err := errors.Join(errGrant, errOrigin, errShard, errWorkspace, errTarget); err != nil {
 		return nil, err
 	}
-	work, err := decodeWork(p)
-	if err != nil {
+	work, errWork := decodeWork(p)
+	load, loadAge, errLoad := decodeLoad(p.GetLoad())
+	if err := errors.Join(errWork, errLoad); err != nil {
 		return nil, err
 	}
 	return control.Report{
@@ -71,6 +100,8 @@
 		Work:        work,
 		Reads:       int(p.GetReads()),
 		Began:       p.GetBegan(),
+		Load:        load,
+		LoadAge:     loadAge,
 	}, nil
 }
 
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/targets"
 )
 
@@ -21,6 +22,9 @@
 	// Begin reports that the target has begun to answer, so that it has finished
 	// reading its input. Only the first call has an effect.
 	Begin()
+	// SetLoad records what the target reports about its load at this moment. It is called before
+	// Begin and End, if at all.
+	SetLoad(reading speed.Reading)
 	// Overdue reports that the target has not begun to answer although the request's deadline,
 	// which it was told, has passed.
 	Overdue()
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/result/codecounter"
@@ -171,12 +173,35 @@
 	started   time.Time
 	beginOnce sync.Once
 	endOnce   sync.Once
+	load      atomic.Pointer[targetLoad]
+}
+
+// targetLoad is what a target reported about its load, and when.
+type targetLoad struct {
+	reading speed.Reading
+	at      time.Time
+}
+
+// SetLoad implements pipeline.Run.
+func (r *grantedRun) SetLoad(reading speed.Reading) {
+	r.load.Store(&targetLoad{reading: reading, at: time.Now()})
+}
+
+// currentLoad returns what the target reported and how long ago; zero values if it reported
+// nothing.
+func (r *grantedRun) currentLoad() (reading speed.Reading, age time.Duration) {
+	load := r.load.Load()
+	if load == nil {
+		return speed.Reading{}, 0
+	}
+	return load.reading, time.Since(load.at)
 }
 
 // Begin implements pipeline.Run.
 func (r *grantedRun) Begin() {
 	r.beginOnce.Do(func() {
-		r.loop.post(control.RunBegan{Grant: r.dispatch.Grant, After: time.Since(r.started)})
+		reading, age := r.currentLoad()
+		r.loop.post(control.RunBegan{Grant: r.dispatch.Grant, After: time.Since(r.started), Load: reading, LoadAge: age})
 	})
 }
 
@@ -188,11 +213,14 @@
 	r.endOnce.Do(func() {
 		service := time.Since(r.started)
 		serviceTime.Update(service.Seconds())
+		reading, age := r.currentLoad()
 		r.loop.post(control.RunEnded{
 			Request: r.dispatch.Request,
 			Grant:   r.dispatch.Grant,
 			Outcome: outcome,
 			Service: service,
+			Load:    reading,
+			LoadAge: age,
 		})
 	})
 }
--- a/router/acquire_test.go
+++ b/router/acquire_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 )
@@ -155,3 +156,28 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// TestRunPassesLoadToControl guards against the load of a target, or its age, that does not
+// arrive at the control goroutine with the beginning and the end of a run.
+func TestRunPassesLoadToControl(t *testing.T) {
+	const age = 10 * time.Millisecond
+	want := speed.Reading{Running: 3, Slots: 8, Percent: 250}
+	l := newLoop(nil, nil, slog.New(slog.DiscardHandler))
+	run := &grantedRun{loop: l, started: time.Now()}
+	run.SetLoad(want)
+	time.Sleep(age)
+	run.Begin()
+	time.Sleep(age)
+	run.End(control.OutcomeAnswered)
+	if began := (<-l.inbox).event.(control.RunBegan); began.Load != want || began.LoadAge < age {
+		t.Errorf("%+v", began)
+	}
+	if ended := (<-l.inbox).event.(control.RunEnded); ended.Load != want || ended.LoadAge < 2*age {
+		t.Errorf("%+v", ended)
+	}
+	without := &grantedRun{loop: l, started: time.Now()}
+	without.End(control.OutcomeLost)
+	if ended := (<-l.inbox).event.(control.RunEnded); ended.Load != (speed.Reading{}) || ended.LoadAge != 0 {
+		t.Errorf("%+v of a target that reported no load", ended)
+	}
+}
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -42,6 +42,9 @@
 	// shortly after it begins a stream on it, unless it is the last part of the prompt.
 	// Empty: none.
 	CrashOnPart string
+	// Slowness, if set, returns how long work takes at a time since the start, in percent of
+	// Pause. The replica then reports its load with each answer; see wire.HeaderLoad.
+	Slowness func(sinceStart time.Duration) int
 	// OnCrash is called when the replica has crashed; may be nil. Its entry stays.
 	OnCrash func(*Replica)
 	ReplicaFaults
@@ -275,6 +278,7 @@
 	if r.isLeaving() {
 		ctx.Response.Header.Set(wire.HeaderLeaving, wire.LeavingValue)
 	}
+	r.reportLoad(ctx)
 	if path := string(ctx.Path()); path == wire.PathCacheList || path == wire.PathCacheChanges {
 		r.serveCache(ctx)
 		return
@@ -311,7 +315,8 @@
 		ctx.Response.Header.Set(wire.HeaderSeal, "seal-"+r.options.ID)
 	}
 	if r.options.Events == 0 {
-		time.Sleep(r.options.Pause + r.currentFaults().ExtraPause)
+		time.Sleep(r.pause())
+		r.reportLoad(ctx)
 		r.journal.recordEnd(run, ctx.Conn())
 		r.releaseSlot()
 		if r.currentFaults().LoseAnswers {
@@ -322,6 +327,7 @@
 		return
 	}
 	r.crashIfCaused(string(header.Peek(wire.HeaderParts)))
+	r.reportLoad(ctx)
 	ctx.SetContentType("text/event-stream")
 	afterEvent, _ := strconv.Atoi(run.AfterEvent) // zero if the header is absent: from the first event
 	conn := ctx.Conn()
@@ -387,7 +393,7 @@
 func (r *Replica) writeEvents(w *bufio.Writer, conn net.Conn, run *Run, afterEvent int) {
 	for event := afterEvent + 1; event <= r.options.Events; event++ {
 		faults := r.currentFaults()
-		time.Sleep(r.options.Pause + faults.ExtraPause)
+		time.Sleep(r.pause())
 		if faults.BreakAfterEvents > 0 && afterEvent == 0 && event > faults.BreakAfterEvents {
 			fmt.Fprintf(w, "id: %d\nda", event)
 			_ = w.Flush()
--- a/targets/counters.go
+++ b/targets/counters.go
@@ -53,11 +53,14 @@
 	failures map[reason]*metrics.Counter
 	// answers counts the answers by their framing; nil if they are not counted.
 	answers map[Framing]*metrics.Counter
+	// readings counts the readings of the targets' load; nil if the load is not read.
+	readings *readingCounters
 }
 
 // newRequestCounters returns the counters of callers' requests.
 func newRequestCounters(set *metrics.Set) *counters {
 	c := newCounters(set, "walnut_target_requests_total", "walnut_target_failures_total")
+	c.readings = newReadingCounters(set)
 	c.answers = make(map[Framing]*metrics.Counter)
 	for _, framing := range []Framing{FramingLength, FramingChunked, FramingClose} {
 		c.answers[framing] = set.GetOrCreateCounter(fmt.Sprintf("walnut_target_answers_total{framing=%q}", string(framing)))
--- a/targets/exchange.go
+++ b/targets/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/dialect"
 	"github.com/walnutcove/walnutcove/result"
 )
@@ -143,12 +144,16 @@
 	if ex.client.options.Dialect.RefusedNotRun(resp.Status, resp.header) {
 		ex.counters.countFailure(reasonNotRun)
 		refused := result.New(result.TargetRefused, "%s", result.TargetRefused.Info().Meaning)
+		if reading := ex.readLoad(resp); reading != (speed.Reading{}) {
+			refused.Cause = &refusalLoad{reading}
+		}
 		ex.skipRefusalBody(req, header)
 		return nil, refused.WithRetryAfter(dialect.RetryAfter(resp.header))
 	}
 	if req.ID != "" && !ex.isSealed(resp) {
 		return nil, ex.counters.newError(reasonUnsealed, result.TargetLostRequest, result.RanUnknown, errUnsealed)
 	}
+	resp.Load = ex.readLoad(resp)
 	body := newBody(ex, req.Method, header)
 	resp.Body, resp.Framing = body, body.framing
 	ex.counters.countAnswer(body.framing)
--- a/targets/target.go
+++ b/targets/target.go
@@ -6,6 +6,8 @@
 	"context"
 	"io"
 	"time"
+
+	"github.com/walnutcove/walnutcove/control/speed"
 )
 
 // Request is one call to a target.
@@ -80,6 +82,9 @@
 	Body   io.ReadCloser
 	// Framing is how the end of Body is determined.
 	Framing Framing
+	// Load is what the target reported about its load with the head, which was read right before
+	// the Response was returned; the zero value if it reported nothing valid.
+	Load speed.Reading
 }
 
 // header returns a header by its canonical name; empty if it is absent.
@@ -89,7 +94,8 @@
 type Client interface {
 	// Do sends the request and returns when the head of the answer has arrived. Errors are
 	// *result.Error with an accurate Ran: RanNo only if no byte was written or the target
-	// refused before running. Cancelling ctx ends the run.
+	// refused before running. Cancelling ctx ends the run. LoadOf returns what a target reported
+	// about its load, also with a refusal.
 	Do(ctx context.Context, req Request) (*Response, error)
 	// Load requests a target's load report, which may lack CachedPrefixes.
 	Load(ctx context.Context, address string) (Load, error)
