--- a/control/loadreports.go
+++ b/control/loadreports.go
@@ -87,18 +87,17 @@
 	if !r.Load.HasSpeed() {
 		return
 	}
-	age := max(0, r.LoadAge)
-	if t := m.reportedTarget(r, age); t != nil {
+	if t := m.reportedTarget(r); t != nil {
 		m.counters.LoadReadings++
-		m.targetReading(t, r.Load, age)
+		m.targetReading(t, r.Load, r.LoadAge)
 	}
 }
 
-// reportedTarget returns the target whose load was read age ago with the answer to a run; nil if
-// it is not scheduled here or the load may be that of an earlier start. A grant that is known
+// reportedTarget returns the target whose load a report holds; nil if it is not scheduled here or
+// the load may be that of an earlier start. A grant that is known
 // here names the start. For others, such as those of the previous scheduler, the load must have
 // been read since the start is known here.
-func (m *Machine) reportedTarget(r Report, age time.Duration) *target {
+func (m *Machine) reportedTarget(r Report) *target {
 	if g := m.sched.grants[r.Grant]; g != nil {
 		if !g.target.isCurrent() {
 			return nil
@@ -106,7 +105,7 @@
 		return g.target
 	}
 	t := m.localTarget(r.Target)
-	if t == nil || t.shard.id != r.Shard || m.now-age < t.knownSince {
+	if t == nil || t.shard.id != r.Shard || m.now-r.LoadAge < t.knownSince {
 		return nil
 	}
 	return t
