--- a/router/router.go
+++ b/router/router.go
@@ -195,6 +195,7 @@
 		{"platform", s.Platform == r.settings.Platform},
 		{"peers", s.Peers == r.settings.Peers},
 		{"scheduling", s.Scheduling == r.settings.Scheduling},
+		{"offload", s.Offload == r.settings.Offload},
 		{"limits", s.Limits == r.settings.Limits},
 		{"operators", slices.Equal(s.Operators.KeyHashes, r.settings.Operators.KeyHashes)},
 		{"log", s.Log == r.settings.Log},
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -13,6 +13,16 @@
 	KindManaged = "managed"
 )
 
+// The routers that may serve requests for an overloaded one.
+const (
+	// ExecutorsNone: no routers; offloading is disabled.
+	ExecutorsNone = "none"
+	// ExecutorsLarger: those of the same data centre with several times its cores.
+	ExecutorsLarger = "larger"
+	// ExecutorsAny: all of the same data centre whose cores are known.
+	ExecutorsAny = "any"
+)
+
 // Defaults returns the settings of an empty file. Required keys are left empty.
 func Defaults() Settings {
 	return Settings{
@@ -49,6 +59,7 @@
 			DrainTimeout:     Duration(10 * time.Minute),
 		},
 		Retries: Retries{Ratio: 0.2, Slack: 50, Window: Duration(10 * time.Second)},
+		Offload: Offload{Executors: ExecutorsNone},
 		Log:     Log{Level: "info", Format: "text"},
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,6 +19,7 @@
 	Scheduling Scheduling `toml:"scheduling"`
 	Limits     Limits     `toml:"limits"`
 	Retries    Retries    `toml:"retries"`
+	Offload    Offload    `toml:"offload"`
 	Operators  Operators  `toml:"operators"`
 	Log        Log        `toml:"log"`
 }
@@ -164,6 +165,12 @@
 	Window Duration `toml:"window"`
 }
 
+// Offload selects which routers serve requests for this one while it is overloaded.
+type Offload struct {
+	// Executors is ExecutorsNone (default), ExecutorsLarger or ExecutorsAny.
+	Executors string `toml:"executors"`
+}
+
 // Operators configures the operator API.
 type Operators struct {
 	// KeyHashes are hex SHA-256 digests of the operators' keys. Empty is
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -61,6 +61,7 @@
 	c.within("platform.fleet_writes_per_second", s.Platform.FleetWritesPerSecond, minFleetWritesPerSecond, maxFleetWritesPerSecond)
 	policies := []string{string(control.PolicyShardQueue), string(control.PolicyAlone)}
 	c.oneOf("scheduling.policy", s.Scheduling.Policy, policies...)
+	s.checkOffload(&c)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "text", "json")
 	for i, hash := range s.Operators.KeyHashes {
@@ -119,6 +120,16 @@
 	c.notNegative("limits.memory_mib", s.Limits.MemoryMiB)
 }
 
+// checkOffload checks which routers may serve requests for an overloaded one. Only routers on a
+// managed platform shed load.
+func (s Settings) checkOffload(c *checker) {
+	c.oneOf("offload.executors", s.Offload.Executors, ExecutorsNone, ExecutorsLarger, ExecutorsAny)
+	isOn := s.Offload.Executors == ExecutorsLarger || s.Offload.Executors == ExecutorsAny
+	if isOn && s.Platform.Kind == KindOwn {
+		c.add("offload.executors", "is %q; must be %q unless platform.kind is %q", s.Offload.Executors, ExecutorsNone, KindManaged)
+	}
+}
+
 func (c *checker) positive(key string, value float64) {
 	if !(value > 0) {
 		c.add(key, "is %g; must be over 0", value)
