--- a/offload/balance/pacer.go
+++ b/offload/balance/pacer.go
@@ -41,7 +41,8 @@
 	// idleAllowance is what an idle source holds, so that its first request needs no round trip.
 	// It is one request, as many idle sources may become overloaded at the same time.
 	idleAllowance = 1
-	// maxOpenUnbounded bounds the open requests of a source if descriptors are not limited.
+	// maxOpenUnbounded bounds the open requests of all sources, and of each, if descriptors are not
+	// limited.
 	maxOpenUnbounded = 1024
 	// sourceOpenDivisor and totalOpenDivisor are the divisors of the descriptors that bound the
 	// open requests of one source and of all of them.
@@ -79,6 +80,15 @@
 	MaxOpen int
 }
 
+// MaxOpen returns how many requests of all sources together an executor with the given number of
+// descriptors accepts; no descriptors means no limit.
+func MaxOpen(descriptors int) int {
+	if descriptors == 0 {
+		return maxOpenUnbounded
+	}
+	return descriptors / totalOpenDivisor
+}
+
 // Pacer determines how many requests an executor accepts from other routers. Create it with
 // NewPacer.
 type Pacer struct {
@@ -193,19 +203,25 @@
 	p.isClosed = load.Closed || load.BytesUsed > maxUsed || load.DescriptorsUsed > maxUsed
 	initial := initialRatePerCore * p.cores
 	switch {
+	case p.isClosed && p.rate > initial:
+		p.reduce(now, initial)
 	case p.isClosed:
-		p.rate = min(p.rate, initial)
 	case load.Lag > reductionLag:
-		if p.hasReduced && now-p.reducedAt < reductionInterval {
-			return
-		}
-		p.hasReduced, p.reducedAt = true, now
-		p.rate = max(p.rate*rateReduction, minRatePerCore*p.cores)
+		p.reduce(now, minRatePerCore*p.cores)
 	case load.Lag < growthLag && (p.rate < initial || p.isUsed()):
 		p.rate = min(p.rate*rateGrowth, maxRatePerCore*p.cores)
 	}
 }
 
+// reduce reduces the rate, but not below least.
+func (p *Pacer) reduce(now time.Duration, least float64) {
+	if p.hasReduced && now-p.reducedAt < reductionInterval {
+		return
+	}
+	p.hasReduced, p.reducedAt = true, now
+	p.rate = max(p.rate*rateReduction, least)
+}
+
 // isUsed reports whether most of the rate was used in the last steps.
 func (p *Pacer) isUsed() bool {
 	used, possible := 0.0, 0.0
@@ -246,10 +262,7 @@
 // freeOpen returns how many more requests each source may open so that all of them stay within
 // the bound.
 func (p *Pacer) freeOpen(demands []Demand) int {
-	if p.descriptors == 0 {
-		return maxOpenUnbounded
-	}
-	free, asking := p.descriptors/totalOpenDivisor, 0
+	free, asking := MaxOpen(p.descriptors), 0
 	for _, demand := range demands {
 		free -= demand.Open
 		if p.links[demand.Link].demand > 0 {
--- /dev/null
+++ b/router/offloadmetrics.go
@@ -0,0 +1,74 @@
+package router
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/offload"
+)
+
+// Requests that this router, as the source, offered to executors. Of those sent, each is also
+// counted by how it ended.
+var (
+	offloadSent        = offloadRequests("sent")
+	offloadNoAllowance = offloadRequests("no_allowance")
+	offloadLimited     = offloadRequests("limited")
+	offloadTooLarge    = offloadRequests("too_large")
+	offloadCallerGone  = offloadRequests("caller_gone")
+
+	offloadOutcomes = map[offload.Outcome]*metrics.Counter{
+		offload.Complete: offloadRequests(offload.Complete.String()),
+		offload.Declined: offloadRequests(offload.Declined.String()),
+		offload.Broken:   offloadRequests(offload.Broken.String()),
+	}
+)
+
+// Requests that this router, as the executor, received from sources.
+var (
+	offloadServed           = offloadServedCounter("served")
+	offloadServedCallerGone = offloadServedCounter("caller_gone")
+	offloadDeclinedDraining = offloadServedCounter("declined_draining")
+	offloadDeclinedConfig   = offloadServedCounter("declined_config")
+	offloadDeclinedFull     = offloadServedCounter("declined_full")
+)
+
+// Executors that this router, as the source, stopped using for a while.
+var (
+	exclusionsDeclined = offloadExclusions("declined")
+	exclusionsBroken   = offloadExclusions("broken")
+	exclusionsEnded    = offloadExclusions("link_ended")
+	exclusionsDial     = offloadExclusions("dial_failed")
+	exclusionsStarved  = offloadExclusions("no_allowance")
+)
+
+func offloadRequests(result string) *metrics.Counter {
+	return metrics.NewCounter(fmt.Sprintf("walnut_offload_requests_total{result=%q}", result))
+}
+
+func offloadServedCounter(result string) *metrics.Counter {
+	return metrics.NewCounter(fmt.Sprintf("walnut_offload_served_total{result=%q}", result))
+}
+
+func offloadExclusions(reason string) *metrics.Counter {
+	return metrics.NewCounter(fmt.Sprintf("walnut_offload_exclusions_total{reason=%q}", reason))
+}
+
+// The sides of a link.
+const (
+	sideSource   = "source"
+	sideExecutor = "executor"
+)
+
+// publishOffload exports the state of the links of a router. Both sides may be nil.
+func publishOffload(set *metrics.Set, node string, source *offloadSource, executor *offloadExecutor) {
+	labels := func(side string) string { return fmt.Sprintf("{node=%q,side=%q}", node, side) }
+	set.NewGauge("walnut_offload_links"+labels(sideSource), func() float64 { return float64(source.linkCount()) })
+	set.NewGauge("walnut_offload_links"+labels(sideExecutor), func() float64 { return float64(executor.linkCount()) })
+	set.NewGauge("walnut_offload_open"+labels(sideSource), func() float64 { return float64(source.openRequests()) })
+	set.NewGauge("walnut_offload_open"+labels(sideExecutor), func() float64 { return float64(executor.openRequests()) })
+	nodeLabel := fmt.Sprintf("{node=%q}", node)
+	set.NewGauge("walnut_offload_held_bytes"+nodeLabel, func() float64 { return float64(source.heldBytes()) })
+	set.NewGauge("walnut_offload_offered_ratio"+nodeLabel, func() float64 { return source.offeredFraction() })
+	set.NewGauge("walnut_offload_accepted_per_second"+nodeLabel, func() float64 { return executor.acceptedRate() })
+}
--- a/router/overload.go
+++ b/router/overload.go
@@ -21,6 +21,8 @@
 	shedInterval = 10 * time.Millisecond
 	// meanShedTimeConstant is the time constant of the mean fraction that is shed.
 	meanShedTimeConstant = 500 * time.Millisecond
+	// shedsAllMean is the mean fraction from which on everything counts as shed.
+	shedsAllMean = 0.75
 	// lagWeight is the weight of a new measurement in the moving average, which thus
 	// covers about the last half second.
 	lagWeight = 0.2
@@ -93,6 +95,9 @@
 	hasTooManyConns func() bool
 	// callerCount returns the number of open caller connections; nil means many.
 	callerCount func() int
+	// onMeasured, if set, is called once per lagInterval with the average lag, and with whether
+	// requests on new connections have all been refused unread for some time.
+	onMeasured func(lag time.Duration, shedsAll bool)
 	// paused is true while the router asks for no new connections.
 	paused atomic.Bool
 	// publishedLag is a copy of lag for other goroutines, in nanoseconds.
@@ -174,6 +179,18 @@
 	return o.shedProbability(kept)
 }
 
+// shedsAll reports whether requests on new connections are all refused unread, and most of them
+// have been for some time: the fraction that is shed swings up to 1 for moments while the lag is
+// at its target.
+func (o *overload) shedsAll() bool {
+	return o.shedProbability(false) == 1 && o.meanShedProbability(false) >= shedsAllMean
+}
+
+// isShedding reports whether some requests are refused unread.
+func (o *overload) isShedding() bool {
+	return !o.hasFewCallers() && (o.shedProbability(false) > 0 || o.shedProbability(true) > 0)
+}
+
 // hasFewCallers reports whether there are too few callers for shedding to help.
 func (o *overload) hasFewCallers() bool {
 	return o.callerCount != nil && o.callerCount() <= maxUnshedCallers
@@ -236,6 +253,9 @@
 	o.aboveKeptLag.add(lateness > shedKeptMinLag)
 	isLasting := o.aboveKeptLag.count() >= lastingLateCount && !o.aboveKeptLag.hasCaughtUp()
 	o.acceptsKept.Store(!isLasting)
+	if o.onMeasured != nil {
+		o.onMeasured(o.lag, o.shedsAll())
+	}
 	o.logShedding(now, lateness)
 	tooManyConns := o.hasTooManyConns()
 	elapsed := now.Sub(o.changedAt)
