front: offer requests that are to be refused to executors, and serve those of other routers

Cause: an overloaded router refuses requests unread while larger ones have processor time left. Change: Options.Offload gets them first; the caller's descriptor is kept without a goroutine. ConfirmShed returns how the refusal is counted, so that a request taken by an executor does not count. Result code 711.

--- a/filters/events/gather.go
+++ b/filters/events/gather.go
@@ -18,18 +18,27 @@
 	// gatherPauseDivisor limits gathering to this fraction (1/gatherPauseDivisor) of the
 	// longest pause between events that still counts as on time for callers.
 	gatherPauseDivisor = 4
+	// offloadedPauseDivisor is that fraction for offloaded requests.
+	offloadedPauseDivisor = 3
 )
 
-// gather waits before the next read on a router that lags behind, so that several
-// events arrive and are relayed together. The processor time that this saves serves
-// requests that would otherwise be late or refused. Neither the first event nor events
+// gather waits before the next read on a router that lags behind, or if the exchange
+// asks for it, so that several events arrive and are relayed together. The processor time
+// that this saves serves requests that would otherwise be late or refused. Neither the first event nor events
 // that have already been read are delayed. A stream of 40 events 10 ms apart takes 5
 // reads instead of 40.
 func (s *stream) gather() {
-	if s.deliveredAt.IsZero() || s.readyBytes > 0 || s.relay.Lag == nil {
+	if s.deliveredAt.IsZero() || s.readyBytes > 0 {
 		return
 	}
-	pause := gatherTime(s.relay.Lag(), time.Duration(s.ex.Route.PauseMillis)*time.Millisecond)
+	maxPause := time.Duration(s.ex.Route.PauseMillis) * time.Millisecond
+	pause := time.Duration(0)
+	if s.relay.Lag != nil {
+		pause = gatherTime(s.relay.Lag(), maxPause)
+	}
+	if s.ex.GatherEvents {
+		pause = max(pause, gatherLimit(maxPause, offloadedPauseDivisor))
+	}
 	if left := pause - time.Since(s.deliveredAt); left > 0 {
 		wait.For(s.ctx, left)
 	}
@@ -41,9 +50,14 @@
 	if lag < minGatherLag {
 		return 0
 	}
-	limit := maxGatherTime
-	if maxPause > 0 {
-		limit = min(limit, maxPause/gatherPauseDivisor)
+	return min(gatherLimit(maxPause, gatherPauseDivisor), gatherLagFactor*lag)
+}
+
+// gatherLimit returns the longest time for which events are gathered: a fraction (1/divisor) of
+// the longest pause that the caller accepts, zero if unknown.
+func gatherLimit(maxPause, divisor time.Duration) time.Duration {
+	if maxPause <= 0 {
+		return maxGatherTime
 	}
-	return min(limit, gatherLagFactor*lag)
+	return min(maxGatherTime, maxPause/divisor)
 }
--- a/front/conn.go
+++ b/front/conn.go
@@ -95,6 +95,8 @@
 	unread []byte
 	// linger is set when a request was refused before it was read whole.
 	linger bool
+	// executed is set if the connection carries a request of another router; else nil.
+	executed *executed
 
 	mu sync.Mutex
 	// busy is true from the first byte of a request to the last byte of its
@@ -142,7 +144,12 @@
 }
 
 // isClosedByCaller reports whether the caller has closed the connection.
-func (c *callerConn) isClosedByCaller() bool { return newCloseProbe().peerClosed(c.raw) }
+func (c *callerConn) isClosedByCaller() bool {
+	if c.executed != nil && c.executed.gone != nil {
+		return c.executed.isGone()
+	}
+	return newCloseProbe().peerClosed(c.raw)
+}
 
 func (c *callerConn) setBusy(busy bool) {
 	c.mu.Lock()
@@ -164,15 +171,35 @@
 	if err != nil && c.writeErr == nil {
 		c.writeErr = err
 	}
+	c.markWritten(n, err)
 	return n, err
 }
 
+// markWritten records the result of a write for a request of another router.
+func (c *callerConn) markWritten(n int, err error) {
+	if c.executed == nil {
+		return
+	}
+	c.executed.wrote = c.executed.wrote || n > 0
+	if err != nil {
+		c.markTruncated()
+	}
+}
+
+// markTruncated records that the rest of the response will not be written.
+func (c *callerConn) markTruncated() {
+	if c.executed != nil && !c.writeEnded.Load() {
+		c.executed.truncated = true
+	}
+}
+
 // Close implements net.Conn. It ends the exchange first, so that the watcher
 // does not mistake the connection for one that the caller closed. Closing a
 // connection with unread bytes resets it, and the reset can overtake the answer.
 // So after a refusal the rest of the request is read and discarded, within limits.
 func (c *callerConn) Close() error {
 	c.server.endExchange(c)
+	c.endExecuted()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.linger {
 		_ = half.CloseWrite()
 		_ = c.Conn.SetReadDeadline(time.Now().Add(maxLingerTime))
--- a/front/endby.go
+++ b/front/endby.go
@@ -53,23 +53,30 @@
 // connection for writing. The goroutine that serves the connection closes it when the exchange
 // ends.
 func (s *Server) writeEarlyRefusal(r *request, err error) {
-	s.watch.remove(r) // the caller may disconnect from now on
+	s.unwatchCaller(r) // the caller may disconnect from now on
+	response := s.encodeError(r.ex.ID, err, r.ex.Method == fasthttp.MethodHead)
+	// A failed write means that the caller is gone.
+	_ = r.conn.Conn.SetWriteDeadline(time.Now().Add(s.options.WriteTimeout))
+	n, writeErr := r.conn.Conn.Write(response)
+	r.conn.markWritten(n, writeErr)
+	r.conn.writeEnded.Store(true)
+	if half, ok := r.conn.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+}
+
+// encodeError returns an error response that closes the connection.
+func (s *Server) encodeError(id string, err error, isHead bool) []byte {
 	var ctx fasthttp.RequestCtx
-	s.writeError(&ctx, r.ex.ID, err)
+	s.writeError(&ctx, id, err)
 	ctx.SetConnectionClose()
-	ctx.Response.SkipBody = r.ex.Method == fasthttp.MethodHead
+	ctx.Response.SkipBody = isHead
 	var out bytes.Buffer
 	writer := bufio.NewWriter(&out)
-	// Writes to a buffer do not fail, and a failed write to the connection means that the
-	// caller is gone.
+	// Writes to a buffer do not fail.
 	_ = ctx.Response.Write(writer)
 	_ = writer.Flush()
-	_ = r.conn.Conn.SetWriteDeadline(time.Now().Add(s.options.WriteTimeout))
-	_, _ = r.conn.Conn.Write(out.Bytes())
-	r.conn.writeEnded.Store(true)
-	if half, ok := r.conn.Conn.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite()
-	}
+	return out.Bytes()
 }
 
 // discardAnswer ends an exchange whose caller has been refused. An answer that is still being
--- a/front/fastrefusal.go
+++ b/front/fastrefusal.go
@@ -20,7 +20,8 @@
 	refusalsPerYield = 16
 )
 
-// fastRefuser refuses requests on new connections while the server sheds load. By the time a
+// fastRefuser refuses requests on new connections while the server sheds load, or passes them to
+// executors. By the time a
 // connection is accepted its request has usually arrived too, so four system calls refuse it:
 // accept, read, write and close. It needs no goroutine, poller entry or deadline: a router that
 // refuses thousands of requests a second would otherwise have little processor time left for
@@ -49,12 +50,24 @@
 	if err != nil {
 		return nil // the listener is closed: the next accept reports it
 	}
+	if server.offloads != nil {
+		setListenerNoDelay(raw)
+	}
 	f := &fastRefuser{server: server, rawListener: raw}
 	f.reader = bufio.NewReaderSize(&f.source, server.options.MaxHeaderBytes)
 	f.writer = bufio.NewWriter(&f.output)
 	return f
 }
 
+// setListenerNoDelay disables Nagle's algorithm for the connections that a listener accepts: they
+// inherit the option. Without it, an event would wait until the caller has acknowledged the last.
+func setListenerNoDelay(raw syscall.RawConn) {
+	// If this fails, events are late, but still correct.
+	_ = raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1)
+	})
+}
+
 // refuseWaiting accepts pending connections and refuses their requests for as long as the
 // server sheds load. It returns a connection whose request the fast path does not refuse; or
 // nil, and the admission of the connection that is accepted next.
@@ -103,10 +116,23 @@
 		return f.handOver(fd, bytes.Clone(f.readBuffer[:n]), rejected)
 	}
 	f.ctx.Request.SetRequestURIBytes(f.ctx.Request.Header.RequestURI())
-	if !f.server.confirmShed(&f.ctx, false) {
+	shed, countRefused := f.server.confirmShed(&f.ctx, false)
+	if !shed {
 		return f.handOver(fd, bytes.Clone(f.readBuffer[:n]), admitted)
 	}
-	f.writeRefusal(fd)
+	header := &f.ctx.Request.Header
+	id := f.server.requestIDOf(header).text
+	if offloads := f.server.offloads; offloads != nil {
+		headBytes := n - f.reader.Buffered() - f.source.Len()
+		raw := cloneRequest(f.readBuffer[:n], headBytes, header)
+		if offloads.offer(fd, header, id, raw, countRefused) {
+			return nil
+		}
+	}
+	if countRefused != nil {
+		countRefused()
+	}
+	f.writeRefusal(fd, id)
 	closeDescriptor(fd)
 	return nil
 }
@@ -129,8 +155,8 @@
 }
 
 // writeRefusal writes the refusal of the request whose headers were parsed.
-func (f *fastRefuser) writeRefusal(fd int) {
-	f.server.writeOverloaded(&f.ctx)
+func (f *fastRefuser) writeRefusal(fd int, id string) {
+	f.server.writeOverloaded(&f.ctx, id)
 	fastRefusals.Inc()
 	f.output.Reset()
 	f.writer.Reset(&f.output)
--- a/front/fastrefusal_test.go
+++ b/front/fastrefusal_test.go
@@ -76,7 +76,7 @@
 const shortCall = "POST /a HTTP/1.1\r\nHost: a\r\nWalnut-Request-Id: r-1\r\nContent-Length: 4\r\n\r\nbody"
 
 // TestFastRefusal checks that a request that has arrived whole with its connection is refused
-// with its id, result code and retry delay, and that ConfirmShed is called for it.
+// with its id, result code and retry delay, and that ConfirmShed is called for it, and its countRefused.
 func TestFastRefusal(t *testing.T) {
 	callerSetsID := *dialect.Own
 	callerSetsID.CallerSetsID = true
@@ -84,9 +84,9 @@
 	var shedRequests []string
 	r := newRefuser(t, Options{
 		Dialect: &callerSetsID,
-		ConfirmShed: func(_ bool, host, path []byte, header func(string) []byte) bool {
-			shedRequests = append(shedRequests, fmt.Sprintf("%s%s %s", host, path, header("Walnut-Request-Id")))
-			return true
+		ConfirmShed: func(_ bool, host, path []byte, header func(string) []byte) (bool, func()) {
+			request := fmt.Sprintf("%s%s %s", host, path, header("Walnut-Request-Id"))
+			return true, func() { shedRequests = append(shedRequests, request) }
 		},
 	})
 	first := r.call(t, shortCall)
@@ -149,7 +149,7 @@
 // TestFastRefusalHandsOverExemptRequests checks that a request which ConfirmShed exempts goes to
 // the HTTP library with all its bytes, and is served there without asking Shed again.
 func TestFastRefusalHandsOverExemptRequests(t *testing.T) {
-	r := newRefuser(t, Options{ConfirmShed: func(bool, []byte, []byte, func(string) []byte) bool { return false }})
+	r := newRefuser(t, Options{ConfirmShed: func(bool, []byte, []byte, func(string) []byte) (bool, func()) { return false, nil }})
 	caller := r.call(t, strings.Replace(shortCall, "Host: a", "Host: a\r\nConnection: close", 1))
 	r.shedsLeft = 2
 	conn, admission := r.refuseWaiting()
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -18,11 +18,39 @@
 	watchFailures    = metrics.NewCounter("walnut_accept_watch_failures_total")
 	callersGone      = metrics.NewCounter("walnut_accept_callers_gone_total")
 
+	// Requests that this router offered to executors. The reasons why a Sender takes none are
+	// counted there.
+	offloadSent       = offloadCounter("sent")
+	offloadComplete   = offloadCounter("complete")
+	offloadDeclined   = offloadCounter("declined")
+	offloadBroken     = offloadCounter("broken")
+	offloadCallerGone = offloadCounter("caller_gone")
+	offloadDeadline   = offloadCounter("deadline")
+	// offloadTooLarge and offloadCrowded count requests that were not offered.
+	offloadTooLarge = offloadCounter("too_large")
+	offloadCrowded  = offloadCounter("crowded")
+
+	// answersStalled and answersOverLimit count the callers who were cut off because they did
+	// not read their responses from executors.
+	answersStalled   = metrics.NewCounter(`walnut_offload_slow_callers_total{reason="stalled"}`)
+	answersOverLimit = metrics.NewCounter(`walnut_offload_slow_callers_total{reason="held_bytes_full"}`)
+
+	// Requests that this router served for others.
+	servedComplete   = metrics.GetOrCreateCounter(`walnut_offload_served_total{result="complete"}`)
+	servedBroken     = metrics.GetOrCreateCounter(`walnut_offload_served_total{result="broken"}`)
+	servedCallerGone = metrics.GetOrCreateCounter(`walnut_offload_served_total{result="caller_gone"}`)
+
 	refusals = codecounter.New("walnut_accept_refusals_total",
 		result.BadRequest, result.BodyTooLarge, result.HeadersTooLarge, result.SlowSender,
-		result.HeldBytesFull, result.Internal, result.Overloaded)
+		result.HeldBytesFull, result.Internal, result.Overloaded, result.FirstByteTimeout, result.ExecutorLost)
 )
 
+// offloadCounter returns the counter of offloaded requests with the given result. Other packages
+// count further results under the same name.
+func offloadCounter(result string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("walnut_offload_requests_total{result=%q}", result))
+}
+
 // results counts the error responses by result code, whichever filter refused the request.
 var results = func() map[result.Code]*metrics.Counter {
 	counters := make(map[result.Code]*metrics.Counter)
--- a/front/request.go
+++ b/front/request.go
@@ -29,6 +29,10 @@
 	// endServing cancels the exchange's ServingContext, and with it ctx.
 	endServing context.CancelFunc
 	server     *Server
+	// unwatched is closed when it no longer matters whether the caller has gone; nil unless
+	// the request comes from another router that tells.
+	unwatched   chan struct{}
+	unwatchOnce sync.Once
 	// answerOwner holds whether the exchange or its refusal timer answers the caller.
 	// refusalMu is held while the timer does.
 	answerOwner atomic.Int32
--- a/front/serve.go
+++ b/front/serve.go
@@ -21,9 +21,11 @@
 // library writes the response and calls connState with the outcome.
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
 	conn := ctx.Conn().(*callerConn) // every connection comes from callerListener
-	if s.shouldShed(conn) && s.confirmShed(ctx, conn.reused) {
-		s.rejectOverloaded(ctx, conn)
-		return
+	if s.shouldShed(conn) {
+		if shed, countRefused := s.confirmShed(ctx, conn.reused); shed {
+			s.offerOrReject(ctx, conn, countRefused)
+			return
+		}
 	}
 	r := s.beginExchange(ctx, conn)
 	err := checkBeforeFilters(ctx, r)
@@ -43,7 +45,7 @@
 		r.err = err
 		s.writeError(ctx, r.ex.ID, err)
 	}
-	if conn.linger || s.shouldCloseConn() {
+	if conn.linger || conn.executed != nil || s.shouldCloseConn() {
 		ctx.SetConnectionClose()
 	}
 }
@@ -51,7 +53,7 @@
 // shouldShed reports whether the next request of a connection is selected for refusal.
 func (s *Server) shouldShed(conn *callerConn) bool {
 	switch {
-	case s.options.Shed == nil:
+	case s.options.Shed == nil || conn.executed != nil:
 		return false
 	case conn.reused || conn.admission == undecided:
 		return s.options.Shed(conn.reused)
@@ -60,30 +62,37 @@
 	}
 }
 
-// confirmShed reports whether a request that was selected for refusal is refused.
-func (s *Server) confirmShed(ctx *fasthttp.RequestCtx, kept bool) bool {
+// confirmShed reports whether a request that was selected for refusal is not served here. If it
+// is refused, countRefused is called unless it is nil.
+func (s *Server) confirmShed(ctx *fasthttp.RequestCtx, kept bool) (shed bool, countRefused func()) {
 	if s.options.ConfirmShed == nil {
-		return true
+		return true, nil
 	}
 	header := &ctx.Request.Header
 	return s.options.ConfirmShed(kept, header.Host(), ctx.Path(), header.Peek)
 }
 
-// rejectOverloaded refuses a request whose headers have arrived, with as little work as
-// possible, to leave the processor time to the requests that are served.
-func (s *Server) rejectOverloaded(ctx *fasthttp.RequestCtx, conn *callerConn) {
+// offerOrReject handles a request that is not served here and whose headers have arrived, with
+// as little work as possible, to leave the processor time to the requests that are served. It
+// refuses the request unless an executor takes it.
+func (s *Server) offerOrReject(ctx *fasthttp.RequestCtx, conn *callerConn, countRefused func()) {
 	reservation := s.claimReservation(&ctx.Request.Header)
 	reservation.shrinkTo(0)
 	conn.linger = reservation != nil && reservation.refusal != nil // the body was not read
-	s.writeOverloaded(ctx)
+	id := s.requestIDOf(&ctx.Request.Header).text
+	if s.offloads != nil && !conn.linger && s.offloads.offerRead(ctx, conn, id, countRefused) {
+		return
+	}
+	if countRefused != nil {
+		countRefused()
+	}
+	s.writeOverloaded(ctx, id)
 }
 
 // writeOverloaded sets the response of an overloaded router: a refusal that closes the
 // connection.
-func (s *Server) writeOverloaded(ctx *fasthttp.RequestCtx) {
+func (s *Server) writeOverloaded(ctx *fasthttp.RequestCtx, id string) {
 	requests.Inc()
-	header := &ctx.Request.Header
-	id := s.requestIDOf(header).text
 	err := overloadedError()
 	s.logRefusal(id, err)
 	s.writeError(ctx, id, err)
@@ -97,14 +106,23 @@
 // logRefusal logs a request that was refused before the pipeline, or only counts it
 // once the rate limit for these lines is reached.
 func (s *Server) logRefusal(id string, err error) {
-	if !s.refusalLogLimiter.Allow() {
-		refusalsUnlogged.Inc()
-		s.unlogged.Add(1)
+	if !s.allowRefusalLog() {
 		return
 	}
 	s.log.Info("front: Request refused.", "request", id, "error", err, "unlogged_before", s.unlogged.Swap(0))
 }
 
+// allowRefusalLog reports whether another line about a refused request may be logged, and counts
+// the line if not.
+func (s *Server) allowRefusalLog() bool {
+	if s.refusalLogLimiter.Allow() {
+		return true
+	}
+	refusalsUnlogged.Inc()
+	s.unlogged.Add(1)
+	return false
+}
+
 // checkBeforeFilters refuses requests whose bodies were not read and requests that fail
 // checkRequest.
 func checkBeforeFilters(ctx *fasthttp.RequestCtx, r *request) error {
@@ -145,13 +163,37 @@
 	r.ex.ServingContext, r.endServing = context.WithCancel(s.ctx)
 	r.ctx, r.cancel = context.WithCancelCause(r.ex.ServingContext)
 	r.ex.EndBy = r.refuseAt
+	if e := conn.executed; e != nil {
+		r.ex.Arrived = e.arrived
+		r.ex.OffloadedFrom = e.source
+		r.ex.GatherEvents = true
+	}
 	conn.request = r
 	conn.writeErr = nil
 	s.exchangeBegan()
-	s.watch.add(r)
+	s.watchCaller(r)
 	return r
 }
 
+// watchCaller begins to watch whether the caller of a request disconnects.
+func (s *Server) watchCaller(r *request) {
+	if e := r.conn.executed; e == nil || e.gone == nil {
+		s.watch.add(r)
+		return
+	}
+	r.unwatched = make(chan struct{})
+	go r.watchExecuted()
+}
+
+// unwatchCaller ends watchCaller. Later calls do nothing.
+func (s *Server) unwatchCaller(r *request) {
+	if r.unwatched == nil {
+		s.watch.remove(r)
+		return
+	}
+	r.unwatchOnce.Do(func() { close(r.unwatched) })
+}
+
 // run calls the pipeline and turns a panic into an error.
 func (s *Server) run(r *request) (err error) {
 	defer func() {
@@ -176,7 +218,8 @@
 	case fasthttp.StateIdle:
 		s.endExchange(conn)
 		conn.setBusy(false)
-	case fasthttp.StateClosed:
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		// A connection is hijacked only to close it without a response; see offerRead.
 		s.endExchange(conn)
 		s.connClosed(conn)
 	}
@@ -191,7 +234,7 @@
 	}
 	conn.request = nil
 	conn.reused = true
-	s.watch.remove(r)
+	s.unwatchCaller(r)
 	if r.err == nil {
 		r.err = conn.writeErr
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/walnutcove/walnutcove/dialect"
+	"github.com/walnutcove/walnutcove/offload"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/settings"
@@ -80,8 +81,19 @@
 	Shed func(kept bool) bool
 	// ConfirmShed, if set, is called for each request that Shed selected, with the host, the
 	// path and a function that returns headers by name, which are valid until it returns. It
-	// reports whether the request is refused; if not, the request is served.
-	ConfirmShed func(kept bool, host, path []byte, header func(name string) []byte) bool
+	// reports whether the request is not served here; if so, and if no executor takes it, it is
+	// refused. countRefused, if not nil, is called if the request is refused, maybe later and
+	// from another goroutine.
+	ConfirmShed func(kept bool, host, path []byte, header func(name string) []byte) (shed bool, countRefused func())
+	// Offload, if set, passes requests that are to be refused to executors. Only those that it
+	// does not take are refused.
+	Offload offload.Sender
+	// ConfigNumber, if set, returns the number of the configuration version in force, which
+	// executors must have as well.
+	ConfigNumber func() uint64
+	// Lag, if set, returns by how much this process lags behind. Offloaded requests count as
+	// having waited for that time before they were read.
+	Lag func() time.Duration
 	// CloseAfterAnswer, if set, reports whether the connection of the next answer is
 	// closed after it.
 	CloseAfterAnswer func() bool
@@ -140,6 +152,9 @@
 
 	reservations *bodyReservations
 
+	// offloads is nil if offloading is off.
+	offloads *offloads
+
 	// refusalLogLimiter limits the log lines about refused requests, and unlogged counts
 	// the refusals that were not logged since the last line.
 	refusalLogLimiter *rate.Limiter
@@ -161,6 +176,7 @@
 	serving  bool                     // Serve has not returned
 	active   int                      // exchanges that have not ended
 	conns    map[*callerConn]struct{} // open connections
+	executed int                      // connections of conns that carry requests of other routers
 	changed  chan struct{}            // closed and replaced by signal
 }
 
@@ -183,6 +199,7 @@
 		conns:   make(map[*callerConn]struct{}),
 		changed: make(chan struct{}),
 	}
+	s.offloads = newOffloads(s, options.Offload)
 	s.ctx, s.cancel = context.WithCancelCause(context.Background())
 	s.http = s.newHTTPServer()
 	return s
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -39,6 +39,7 @@
 	s.drain()
 	err := s.stopAccepting()
 	s.cancel(errForced)
+	s.offloads.abortAll()
 	ctx, cancel := context.WithTimeout(context.Background(), s.options.ForceGrace)
 	defer cancel()
 	// On a timeout the remaining exchanges are interrupted, as Close promises.
@@ -108,9 +109,11 @@
 	}
 }
 
-// allClosed reports whether Serve has returned and all connections are closed. The caller
-// holds s.mu.
-func (s *Server) allClosed() bool { return !s.serving && len(s.conns) == 0 }
+// allClosed reports whether Serve has returned and all connections are closed, those of
+// offloaded requests too. The caller holds s.mu.
+func (s *Server) allClosed() bool {
+	return !s.serving && len(s.conns) == 0 && s.offloads.count() == 0
+}
 
 // allEnded reports whether all exchanges have ended. The caller holds s.mu.
 func (s *Server) allEnded() bool { return s.active == 0 }
@@ -145,11 +148,12 @@
 	return conns
 }
 
-// ConnCount returns the number of open connections.
+// ConnCount returns the number of open connections to callers. Those that carry requests of
+// other routers are not counted: they have no descriptors.
 func (s *Server) ConnCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns)
+	return len(s.conns) - s.executed + s.offloads.count()
 }
 
 // HasTooManyConns reports whether so many connections are open that each is closed
@@ -167,11 +171,17 @@
 func (s *Server) connOpened(conn *callerConn) {
 	s.mu.Lock()
 	s.conns[conn] = struct{}{}
+	if conn.executed != nil {
+		s.executed++
+	}
 	s.mu.Unlock()
 }
 
 func (s *Server) connClosed(conn *callerConn) {
 	s.mu.Lock()
+	if _, open := s.conns[conn]; open && conn.executed != nil {
+		s.executed--
+	}
 	delete(s.conns, conn)
 	s.signal()
 	s.mu.Unlock()
--- a/front/status_test.go
+++ b/front/status_test.go
@@ -58,9 +58,9 @@
 	shedRequests := make(chan string, 1)
 	f := start(t, Options{
 		Shed: func(bool) bool { return true },
-		ConfirmShed: func(_ bool, host, path []byte, header func(name string) []byte) bool {
-			shedRequests <- string(host) + " " + string(path) + " " + string(header("X-Key"))
-			return true
+		ConfirmShed: func(_ bool, host, path []byte, header func(name string) []byte) (bool, func()) {
+			request := string(host) + " " + string(path) + " " + string(header("X-Key"))
+			return true, func() { shedRequests <- request }
 		},
 	}, answerEmpty)
 	_, r := f.send("POST /x/y?z HTTP/1.1\r\nHost: a\r\nX-Key: k\r\nContent-Length: 2\r\n\r\nhi")
@@ -78,9 +78,9 @@
 	var kept []bool
 	f := start(t, Options{
 		Shed: func(bool) bool { return true },
-		ConfirmShed: func(isKept bool, _, path []byte, _ func(string) []byte) bool {
+		ConfirmShed: func(isKept bool, _, path []byte, _ func(string) []byte) (bool, func()) {
 			kept = append(kept, isKept)
-			return string(path) == "/refused"
+			return string(path) == "/refused", nil
 		},
 	}, answerEmpty)
 	conn, r := f.send("GET /served HTTP/1.1\r\nHost: a\r\n\r\n")
--- a/front/stream.go
+++ b/front/stream.go
@@ -34,6 +34,7 @@
 	if err != io.EOF {
 		streamsBroken.Inc()
 		a.request.err = err
+		a.request.conn.markTruncated()
 	}
 }
 
@@ -43,6 +44,7 @@
 	if !a.ended {
 		a.ended = true
 		a.request.err = errConnectionClosed
+		a.request.conn.markTruncated()
 		if writeErr := a.request.conn.writeErr; writeErr != nil {
 			a.request.err = writeErr
 		}
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -35,7 +35,8 @@
 	Sequence uint64
 	// ID is the request id, unique across the fleet; it is in every log line.
 	ID string
-	// Arrived is when the request had been received completely.
+	// Arrived is when the request had been received completely, by the router that the caller is
+	// connected to.
 	Arrived time.Time
 
 	// Set by accept.
@@ -50,6 +51,12 @@
 	// ProbeCallerGone, if set, checks the caller's connection and reports whether it is
 	// closed. CallerGone is closed later, at the next check of all connections.
 	ProbeCallerGone func() bool
+	// OffloadedFrom is the router that holds the caller's connection and forwarded the request;
+	// empty if the caller is connected to this router.
+	OffloadedFrom string
+	// GatherEvents makes the filter events pass on several events together. Each piece of a
+	// response costs processor time at the router that forwarded the request.
+	GatherEvents bool
 	// TargetServes, set with a grant, reports whether the granted target is still listed
 	// as one that accepts work.
 	TargetServes func() bool
--- a/pipeline/log.go
+++ b/pipeline/log.go
@@ -20,9 +20,10 @@
 // logAttrs returns the attributes that identify the exchange, leaving out those that
 // are not known yet.
 func (ex *Exchange) logAttrs() []slog.Attr {
-	attrs := make([]slog.Attr, 0, 15)
+	attrs := make([]slog.Attr, 0, 16)
 	attrs = append(attrs, slog.String("request", ex.ID))
 	for _, known := range []struct{ key, value string }{
+		{"offloaded_from", ex.OffloadedFrom},
 		{"workspace", ex.WorkspaceName},
 		{"pool", ex.PoolName},
 		{"target", ex.Target},
--- a/result/codes.go
+++ b/result/codes.go
@@ -59,6 +59,7 @@
 	FirstByteTimeout  Code = 704
 	TargetLostRequest Code = 705
 	TargetLeft        Code = 706
+	ExecutorLost      Code = 711
 
 	// relay: 800-899.
 	StreamBroken  Code = 801
@@ -142,6 +143,7 @@
 	{FirstByteTimeout, "first_byte_timeout", "dispatch", 504, RanUnknown, true, "The target did not begin to answer in time."},
 	{TargetLostRequest, "target_lost_request", "dispatch", 502, RanUnknown, true, "The target closed the connection before it answered."},
 	{TargetLeft, "target_left", "dispatch", 503, RanNo, true, "The target left before the request was sent to it."},
+	{ExecutorLost, "executor_lost", "dispatch", 502, RanUnknown, true, "The router that served the request on behalf of this one was lost before it answered."},
 	{StreamBroken, "stream_broken", "relay", 502, RanUnknown, true, "The answer broke off and could not be resumed."},
 	{TargetError, "target_error", "relay", 502, RanYes, true, "The target answered with an error."},
 	{AnswerTooSlow, "answer_too_slow", "relay", 504, RanUnknown, true, "The answer stopped making progress."},
--- a/router/unread.go
+++ b/router/unread.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
 )
 
@@ -109,29 +110,33 @@
 	log.Info("router: Requests were refused before reading them.", "requests", total, "workspaces", len(workspaces), "most", most)
 }
 
-// confirmShed decides whether a request that was selected for shedding is refused, and counts
-// it if so, once for each pool of its route, if its route and key are known.
-func (r *Router) confirmShed(kept bool, host, path []byte, header func(name string) []byte) bool {
+// confirmShed decides whether a request that was selected for shedding is served here. If it is
+// refused, countRefused counts it, once for each pool of its route, if its route and key are known.
+func (r *Router) confirmShed(kept bool, host, path []byte, header func(name string) []byte) (shed bool, countRefused func()) {
 	snapshot := r.InForce()
 	if snapshot == nil {
-		return true
+		return true, nil
 	}
 	route := snapshot.Index().RouteOf(string(host), string(path))
 	if route == nil {
-		return true
+		return true, nil
 	}
 	workspace, known := snapshot.Index().WorkspaceByKey(header(r.dialect().Key))
 	if !known {
-		return true
+		return true, nil
 	}
 	share := snapshot.Declarations.ShareOf(workspace)
 	if r.fairShed.exempts(time.Now(), workspace, share, r.overload.shedProbability(kept), r.overload.meanShedProbability(kept)) {
-		return false
+		return false, nil
 	}
+	return true, func() { r.countUnread(workspace, route) }
+}
+
+// countUnread counts a request of a workspace that was refused before it was read.
+func (r *Router) countUnread(workspace string, route *config.NamedRoute) {
 	pools := make([]string, 0, len(route.Split))
 	for _, share := range route.Split {
 		pools = append(pools, share.Pool)
 	}
 	r.unread.add(workspace, pools...)
-	return true
 }
