--- a/offload/balance/selector.go
+++ b/offload/balance/selector.go
@@ -25,6 +25,8 @@
 	// maxStarvation is how long an executor may grant nothing to a source that asks before it
 	// counts as failed: others may have room.
 	maxStarvation = time.Second
+	// lackGap is the time without a lack of allowance after which that time starts again.
+	lackGap = maxStarvation / 2
 )
 
 // Candidate is a router that may be an executor.
@@ -39,8 +41,8 @@
 	// candidates are in the order of preference.
 	candidates []rankedCandidate
 	exclusions map[string]exclusion
-	// starvedSince is when an executor began to grant nothing although requests lack allowance.
-	starvedSince map[string]time.Duration
+	// starvations holds the executors that grant nothing although requests lack allowance.
+	starvations map[string]starvation
 	// count is how many executors are kept, addedAt when it last grew, and lackedAt when a request
 	// last found no allowance.
 	count             int
@@ -58,13 +60,18 @@
 	length time.Duration
 }
 
+// starvation is a time in which an executor grants nothing, and requests lacked allowance last at
+// lackedAt.
+type starvation struct{ since, lackedAt time.Duration }
+
 // NewSelector returns the selector of a source.
 func NewSelector(source string) *Selector {
 	return &Selector{
-		source:       member.HashOf(source),
-		exclusions:   make(map[string]exclusion),
-		starvedSince: make(map[string]time.Duration),
-		count:        minExecutors,
+		source:      member.HashOf(source),
+		exclusions:  make(map[string]exclusion),
+		starvations: make(map[string]starvation),
+		count:       minExecutors,
+		lackedAt:    -retention,
 	}
 }
 
@@ -85,9 +92,9 @@
 			delete(s.exclusions, node)
 		}
 	}
-	for node := range s.starvedSince {
+	for node := range s.starvations {
 		if !known[node] {
-			delete(s.starvedSince, node)
+			delete(s.starvations, node)
 		}
 	}
 }
@@ -124,6 +131,9 @@
 
 // Lacked records that a request found no allowance at any executor.
 func (s *Selector) Lacked(now time.Duration) {
+	if now-s.lackedAt >= addInterval {
+		s.addedAt = now // those that there are have not been asked yet
+	}
 	s.lackedAt = now
 	if s.count < maxExecutors && now-s.addedAt >= addInterval {
 		s.count++
@@ -143,23 +153,26 @@
 		length = min(2*last.length, maxExclusion)
 	}
 	s.exclusions[node] = exclusion{until: now + length, length: length}
-	delete(s.starvedSince, node)
+	delete(s.starvations, node)
 }
 
 // Observe records whether an executor grants allowance, and whether requests lacked some since the
 // last call. It excludes an executor that grants nothing for maxStarvation although requests lack
 // allowance, and reports whether it did.
 func (s *Selector) Observe(now time.Duration, node string, grants, lacked bool) (excluded bool) {
+	if grants {
+		delete(s.starvations, node)
+	}
 	if grants || !lacked {
-		delete(s.starvedSince, node)
 		return false
 	}
-	since, starved := s.starvedSince[node]
-	if !starved {
-		s.starvedSince[node] = now
-		return false
+	last, known := s.starvations[node]
+	if !known || now-last.lackedAt > lackGap {
+		last.since = now
 	}
-	if now-since < maxStarvation {
+	last.lackedAt = now
+	s.starvations[node] = last
+	if now-last.since < maxStarvation {
 		return false
 	}
 	s.Failed(now, node)
--- a/router/managed.go
+++ b/router/managed.go
@@ -60,6 +60,8 @@
 	unread unreadCounts
 	// fairShed divides what this router can serve between workspaces while it sheds load.
 	fairShed fairShed
+	// offloading sends requests that this router would refuse to other routers.
+	offloading offloading
 	// fetches tracks which peers are being asked for their directory.
 	fetches directoryFetches
 }
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -28,6 +28,11 @@
 		publishFeedAges(set, r.settings.Node.Name, r.directory)
 		set.NewGauge("walnut_directory_era"+node, func() float64 { return float64(r.directory.Era()) })
 	}
+	var links offloading
+	if r.managed != nil {
+		links = r.offloading
+	}
+	publishOffload(set, r.settings.Node.Name, links)
 	r.loop.publishCounters(set, node)
 	metrics.RegisterSet(set)
 	return func() { metrics.UnregisterSet(set, true) }
--- a/router/offload.go
+++ b/router/offload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -42,6 +43,21 @@
 	return offloading{source: source, executor: executor}
 }
 
+// waitServed waits until the responses to all requests of other routers are written, or ctx ends.
+func (o offloading) waitServed(ctx context.Context) error {
+	if o.executor == nil {
+		return nil
+	}
+	return o.executor.waitServed(ctx)
+}
+
+// closeExecutor ends the links of other routers. The source closes its links when it ends.
+func (o offloading) closeExecutor() {
+	if o.executor != nil {
+		o.executor.close()
+	}
+}
+
 // configNumber returns the number of the configuration version in force.
 func (r *Router) configNumber() uint64 { return uint64(r.version()) }
 
@@ -64,3 +80,8 @@
 func (r *Router) usedDescriptors() int {
 	return r.front.ConnCount() + r.front.Active() + int(r.liveRouterCount.Load())
 }
+
+// dialExecutor opens a link to a router.
+func (r *Router) dialExecutor(ctx context.Context, node string) (sendingLink, error) {
+	return nil, errors.New("links are not built yet")
+}
--- /dev/null
+++ b/router/offload_test.go
@@ -0,0 +1,314 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/offload"
+	"github.com/walnutcove/walnutcove/offload/balance"
+	"github.com/walnutcove/walnutcove/settings"
+	"github.com/walnutcove/walnutcove/store"
+)
+
+// fakeLink is both ends of a link. It takes requests while it has allowance.
+type fakeLink struct {
+	allowance, maxOpen, open int
+	sent, wanted             uint64
+	answers                  []offload.Answer
+	done                     chan struct{}
+}
+
+func newFakeLink(allowance int) *fakeLink {
+	return &fakeLink{allowance: allowance, done: make(chan struct{})}
+}
+
+func (l *fakeLink) Send(_ offload.Request, answer offload.Answer) offload.Sent {
+	if l.allowance == 0 {
+		return nil
+	}
+	l.allowance--
+	l.open++
+	l.answers = append(l.answers, answer)
+	return fakeSent{}
+}
+
+// end ends the oldest open request.
+func (l *fakeLink) end(outcome offload.Outcome) {
+	l.open--
+	l.answers[0].End(outcome)
+	l.answers = l.answers[1:]
+}
+
+func (l *fakeLink) Allowance() int                { return l.allowance }
+func (l *fakeLink) NoteWanted(n int)              { l.wanted += uint64(n) }
+func (l *fakeLink) OpenRequests() int             { return l.open }
+func (l *fakeLink) HeldBytes() int64              { return 0 }
+func (l *fakeLink) Done() <-chan struct{}         { return l.done }
+func (l *fakeLink) Err() error                    { return errors.New("lost") }
+func (l *fakeLink) Demand() (sent, wanted uint64) { return l.sent, l.wanted }
+
+func (l *fakeLink) SetAllowance(more, maxOpen int) {
+	l.allowance += more
+	l.maxOpen = maxOpen
+}
+
+func (l *fakeLink) Close() error {
+	close(l.done)
+	return nil
+}
+
+type fakeSent struct{}
+
+func (fakeSent) Taken(int) {}
+func (fakeSent) Cancel()   {}
+
+// fakeAnswer keeps how a request ended.
+type fakeAnswer struct{ outcome *offload.Outcome }
+
+func (fakeAnswer) Write([]byte)                  {}
+func (a fakeAnswer) End(outcome offload.Outcome) { *a.outcome = outcome }
+
+// testSource is a source whose steps the test makes, with executors a, b and c.
+type testSource struct {
+	*offloadSource
+	t     *testing.T
+	now   time.Duration
+	links map[string]*fakeLink
+}
+
+func newTestSource(t *testing.T) *testSource {
+	s := &testSource{t: t, links: make(map[string]*fakeLink)}
+	candidates := func() []balance.Candidate {
+		return []balance.Candidate{{Node: "a", Cores: 1}, {Node: "b", Cores: 1}, {Node: "c", Cores: 1}}
+	}
+	dial := func(_ context.Context, node string) (sendingLink, error) { return s.links[node], nil }
+	for _, node := range []string{"a", "b", "c"} {
+		s.links[node] = newFakeLink(100)
+	}
+	s.offloadSource = newOffloadSource("self", slog.New(slog.DiscardHandler), candidates, dial)
+	return s
+}
+
+func (s *testSource) send() offload.Sent {
+	return s.Send(offload.Request{Raw: []byte("GET / HTTP/1.1\r\n\r\n")}, fakeAnswer{new(offload.Outcome)})
+}
+
+// advance makes the steps of a time.
+func (s *testSource) advance(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.now += offloadInterval
+		s.step(s.t.Context(), s.now)
+		for len(s.dialing) > 0 {
+			s.addDialed(<-s.dialed, s.now)
+		}
+		s.step(s.t.Context(), s.now)
+	}
+}
+
+// used returns the executors for new requests.
+func (s *testSource) used() []string {
+	var nodes []string
+	for _, l := range *s.usable.Load() {
+		nodes = append(nodes, l.node)
+	}
+	return nodes
+}
+
+// begin makes the source dial its executors, and returns one of them.
+func (s *testSource) begin() (node string, l *fakeLink) {
+	s.t.Helper()
+	if s.send() != nil {
+		s.t.Fatal("a request was sent without a link")
+	}
+	s.advance(offloadInterval)
+	if used := s.used(); len(used) != 2 {
+		s.t.Fatalf("executors %v after the first refusal", used)
+	}
+	node = s.used()[0]
+	return node, s.links[node]
+}
+
+// TestNothingIsDialledWithoutShedding guards against links, and traffic, of routers that do not
+// shed, and against requests that wait for a dial.
+func TestNothingIsDialledWithoutShedding(t *testing.T) {
+	s := newTestSource(t)
+	if s.advance(time.Second); len(s.used()) > 0 {
+		t.Errorf("executors %v before a request was offered", s.used())
+	}
+	s.begin()
+	if s.send() == nil {
+		t.Error("a request was refused although there is allowance")
+	}
+}
+
+// TestFailedExecutorIsNotUsed guards against requests for an executor that declines them, breaks
+// responses off, has ended the link or grants nothing.
+func TestFailedExecutorIsNotUsed(t *testing.T) {
+	failures := map[string]func(*fakeLink, *testSource){
+		"declined":   func(l *fakeLink, _ *testSource) { l.end(offload.Declined) },
+		"broken":     func(l *fakeLink, _ *testSource) { l.end(offload.Broken) },
+		"link ended": func(l *fakeLink, _ *testSource) { close(l.done) },
+		"no allowance": func(_ *fakeLink, s *testSource) {
+			for _, l := range s.links {
+				l.allowance = 0
+			}
+			for range 30 {
+				s.send()
+				s.advance(offloadInterval)
+			}
+		},
+	}
+	for name, fail := range failures {
+		t.Run(name, func(t *testing.T) {
+			s := newTestSource(t)
+			_, l := s.begin()
+			for len(l.answers) == 0 {
+				s.send()
+			}
+			node := s.used()[slices.IndexFunc(s.used(), func(node string) bool { return s.links[node] == l })]
+			fail(l, s)
+			if s.advance(offloadInterval); slices.Contains(s.used(), node) {
+				t.Errorf("executor %s is still used", node)
+			}
+		})
+	}
+}
+
+// TestCancelledRequestExcludesNoExecutor guards against executors that are not used because
+// callers went away.
+func TestCancelledRequestExcludesNoExecutor(t *testing.T) {
+	s := newTestSource(t)
+	s.begin()
+	s.send().Cancel()
+	for _, l := range s.links {
+		if len(l.answers) > 0 {
+			l.end(offload.Broken)
+		}
+	}
+	if s.advance(offloadInterval); len(s.used()) != 2 {
+		t.Errorf("executors %v", s.used())
+	}
+}
+
+// TestIdleLinksAreClosed guards against links that stay open for ever, and against closing those
+// that carry requests.
+func TestIdleLinksAreClosed(t *testing.T) {
+	s := newTestSource(t)
+	_, l := s.begin()
+	l.open = 1
+	if s.advance(linkIdleTimeout + offloadInterval); len(s.used()) != 1 {
+		t.Errorf("executors %v where one has an open request", s.used())
+	}
+	l.open = 0
+	if s.advance(linkIdleTimeout + offloadInterval); len(s.used()) != 0 {
+		t.Errorf("executors %v after %s without requests", s.used(), linkIdleTimeout)
+	}
+}
+
+// TestLateSourceOffersLess guards against copying that keeps a router late although it sheds all.
+func TestLateSourceOffersLess(t *testing.T) {
+	s := newTestSource(t)
+	s.begin()
+	for range 20 {
+		s.measured(2*shedTargetLag, true)
+	}
+	if s.send() != nil {
+		t.Error("a request was offered")
+	}
+}
+
+// newTestExecutor returns an executor of one core with version 5 of the configuration.
+func newTestExecutor(load *balance.Load, draining *bool) *offloadExecutor {
+	return &offloadExecutor{
+		log:          slog.New(slog.DiscardHandler),
+		pacer:        balance.NewPacer(1, 0),
+		maxServed:    1,
+		load:         func() balance.Load { return *load },
+		isDraining:   func() bool { return *draining },
+		configNumber: func() uint64 { return 5 },
+		serve:        func(net.Conn, time.Duration, string) {},
+		links:        make(map[uint64]*acceptedLink),
+		added:        make(chan struct{}, 1),
+	}
+}
+
+// TestExecutorDeclines guards against requests that run where they must not: by an older
+// configuration than that of the source, or at a router that drains or has no room.
+func TestExecutorDeclines(t *testing.T) {
+	for name, test := range map[string]struct {
+		config   uint64
+		draining bool
+		served   int64
+		want     bool
+	}{
+		"same configuration":  {config: 5, want: true},
+		"newer configuration": {config: 4, want: true},
+		"older configuration": {config: 6},
+		"draining":            {config: 5, draining: true},
+		"no room":             {config: 5, served: 1},
+	} {
+		e := newTestExecutor(&balance.Load{}, &test.draining)
+		e.served.Store(test.served)
+		if got := e.handle("source", offload.Request{Config: test.config}, nil); got != test.want || e.served.Load() != test.served {
+			t.Errorf("%s: served %v, %d in progress", name, got, e.served.Load())
+		}
+	}
+}
+
+// TestExecutorWithoutRoomGrantsNothing guards against a source that may go on sending to a router
+// that sheds or drains.
+func TestExecutorWithoutRoomGrantsNothing(t *testing.T) {
+	load, draining := balance.Load{}, false
+	e := newTestExecutor(&load, &draining)
+	l := newFakeLink(0)
+	l.wanted = 10
+	e.links[1] = &acceptedLink{servedLink: l}
+	if e.step(offloadInterval); l.allowance == 0 || l.maxOpen == 0 {
+		t.Errorf("allowance %d, up to %d open", l.allowance, l.maxOpen)
+	}
+	load.Closed = true
+	if e.step(2 * offloadInterval); l.maxOpen != 0 {
+		t.Errorf("up to %d open at a router that sheds", l.maxOpen)
+	}
+	close(l.done)
+	if e.step(3*offloadInterval) || e.linkCount() != 0 {
+		t.Error("the executor goes on without links")
+	}
+}
+
+// TestExecutorsOfASource guards against executors that are smaller than allowed, of other data
+// centres, leaving, not alive, or of unknown size.
+func TestExecutorsOfASource(t *testing.T) {
+	listed := []store.VM{
+		{Name: "self", DataCentre: "x", Cores: 0.4}, {Name: "large", DataCentre: "x", Cores: 0.6},
+		{Name: "small", DataCentre: "x", Cores: 0.59}, {Name: "unknown", DataCentre: "x"},
+		{Name: "far", DataCentre: "y", Cores: 0.8}, {Name: "dead", DataCentre: "x", Cores: 0.8},
+		{Name: "leaving", DataCentre: "x", Cores: 0.8, State: store.VMLeaving},
+	}
+	alive := []control.NodeID{"far", "large", "leaving", "self", "small", "unknown"}
+	for _, test := range []struct {
+		executors string
+		cores     float64
+		want      []string
+	}{
+		{settings.ExecutorsLarger, 0.4, []string{"large"}},
+		{settings.ExecutorsLarger, 0, nil},
+		{settings.ExecutorsAny, 0, []string{"large", "small"}},
+		{settings.ExecutorsNone, 0.4, nil},
+	} {
+		rule := executorRule{executors: test.executors, self: "self", dataCentre: "x", cores: test.cores}
+		var got []string
+		for _, candidate := range rule.candidates(listed, alive) {
+			got = append(got, candidate.Node)
+		}
+		if !slices.Equal(got, test.want) {
+			t.Errorf("%q with %v cores: %v, want %v", test.executors, test.cores, got, test.want)
+		}
+	}
+}
--- a/router/offloadcandidates.go
+++ b/router/offloadcandidates.go
@@ -11,7 +11,11 @@
 
 // minSizeRatio is how many times the cores of the source an executor must have with
 // settings.ExecutorsLarger.
-const minSizeRatio = 1.5
+const (
+	minSizeRatio = 1.5
+	// sizeTolerance allows for the rounding of the product: 1.5 times 0.4 is more than 0.6.
+	sizeTolerance = 1e-6
+)
 
 // executorRule selects the routers that may serve requests for this one.
 type executorRule struct {
@@ -41,7 +45,7 @@
 	}
 	switch r.executors {
 	case settings.ExecutorsLarger:
-		return r.cores > 0 && vm.Cores >= minSizeRatio*r.cores
+		return r.cores > 0 && vm.Cores >= minSizeRatio*r.cores-sizeTolerance
 	case settings.ExecutorsAny:
 		return true
 	default:
--- a/router/offloadexecutor.go
+++ b/router/offloadexecutor.go
@@ -69,26 +69,21 @@
 }
 
 // handle serves one request of a router, and returns false if it declines the request.
-func (e *offloadExecutor) handle(ctx context.Context, from control.NodeID, request offload.Request, conn net.Conn) bool {
+func (e *offloadExecutor) handle(from control.NodeID, request offload.Request, conn net.Conn) bool {
 	switch {
 	case e.isDraining():
-		offloadDeclinedDraining.Inc()
+		declinedDraining.Inc()
 		return false
 	case e.configNumber() < request.Config:
-		offloadDeclinedConfig.Inc()
+		declinedConfig.Inc()
 		return false
 	}
 	defer e.served.Add(-1)
 	if e.served.Add(1) > e.maxServed {
-		offloadDeclinedFull.Inc()
+		declinedFull.Inc()
 		return false
 	}
 	e.serve(conn, request.Waited, string(from))
-	if ctx.Err() != nil {
-		offloadServedCallerGone.Inc()
-		return true
-	}
-	offloadServed.Inc()
 	return true
 }
 
--- a/router/offloadmetrics.go
+++ b/router/offloadmetrics.go
@@ -4,33 +4,22 @@
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
-
-	"github.com/walnutcove/walnutcove/offload"
 )
 
-// Requests that this router, as the source, offered to executors. Of those sent, each is also
-// counted by how it ended.
+// Requests that this router, as the source, did not send. Package front counts the others by how
+// they ended.
 var (
-	offloadSent        = offloadRequests("sent")
 	offloadNoAllowance = offloadRequests("no_allowance")
 	offloadLimited     = offloadRequests("limited")
 	offloadTooLarge    = offloadRequests("too_large")
-	offloadCallerGone  = offloadRequests("caller_gone")
-
-	offloadOutcomes = map[offload.Outcome]*metrics.Counter{
-		offload.Complete: offloadRequests(offload.Complete.String()),
-		offload.Declined: offloadRequests(offload.Declined.String()),
-		offload.Broken:   offloadRequests(offload.Broken.String()),
-	}
 )
 
-// Requests that this router, as the executor, received from sources.
+// Requests of other routers that this router, as the executor, declined. Package front counts
+// those that it serves.
 var (
-	offloadServed           = offloadServedCounter("served")
-	offloadServedCallerGone = offloadServedCounter("caller_gone")
-	offloadDeclinedDraining = offloadServedCounter("declined_draining")
-	offloadDeclinedConfig   = offloadServedCounter("declined_config")
-	offloadDeclinedFull     = offloadServedCounter("declined_full")
+	declinedDraining = offloadServed("declined_draining")
+	declinedConfig   = offloadServed("declined_config")
+	declinedFull     = offloadServed("declined_full")
 )
 
 // Executors that this router, as the source, stopped using for a while.
@@ -43,11 +32,11 @@
 )
 
 func offloadRequests(result string) *metrics.Counter {
-	return metrics.NewCounter(fmt.Sprintf("walnut_offload_requests_total{result=%q}", result))
+	return metrics.GetOrCreateCounter(fmt.Sprintf("walnut_offload_requests_total{result=%q}", result))
 }
 
-func offloadServedCounter(result string) *metrics.Counter {
-	return metrics.NewCounter(fmt.Sprintf("walnut_offload_served_total{result=%q}", result))
+func offloadServed(result string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("walnut_offload_served_total{result=%q}", result))
 }
 
 func offloadExclusions(reason string) *metrics.Counter {
@@ -60,8 +49,9 @@
 	sideExecutor = "executor"
 )
 
-// publishOffload exports the state of the links of a router. Both sides may be nil.
-func publishOffload(set *metrics.Set, node string, source *offloadSource, executor *offloadExecutor) {
+// publishOffload exports the state of the links of a router.
+func publishOffload(set *metrics.Set, node string, links offloading) {
+	source, executor := links.source, links.executor
 	labels := func(side string) string { return fmt.Sprintf("{node=%q,side=%q}", node, side) }
 	set.NewGauge("walnut_offload_links"+labels(sideSource), func() float64 { return float64(source.linkCount()) })
 	set.NewGauge("walnut_offload_links"+labels(sideExecutor), func() float64 { return float64(executor.linkCount()) })
--- a/router/offloadsource.go
+++ b/router/offloadsource.go
@@ -73,6 +73,7 @@
 	dialing      map[string]bool
 	candidatesAt time.Duration
 	loggedAt     time.Duration
+	loggedNone   bool
 }
 
 // executorLink is the link to one executor.
@@ -160,12 +161,11 @@
 
 // sendOver sends a request over a link. It returns nil if the link does not take it.
 func (s *offloadSource) sendOver(l *executorLink, request offload.Request, answer offload.Answer) offload.Sent {
-	r := &offloadedRequest{source: s, link: l, id: request.ID, answer: answer, sentAt: time.Now()}
+	r := &offloadedRequest{source: s, link: l, Answer: answer}
 	r.sent = l.Send(request, r)
 	if r.sent == nil {
 		return nil
 	}
-	offloadSent.Inc()
 	l.sent.Add(1)
 	return r
 }
@@ -220,7 +220,7 @@
 	}
 	if now-s.candidatesAt >= candidatesInterval {
 		s.candidatesAt = now
-		s.selector.SetCandidates(s.candidates())
+		s.updateCandidates(lacked)
 	}
 	for _, l := range s.links {
 		s.check(l, now, lacked)
@@ -235,6 +235,17 @@
 	return lacked || len(s.links)+len(s.dialing) > 0
 }
 
+// updateCandidates determines the candidates anew. It logs if there are none although requests lack
+// allowance, once until there are some again.
+func (s *offloadSource) updateCandidates(lacked bool) {
+	candidates := s.candidates()
+	s.selector.SetCandidates(candidates)
+	if len(candidates) == 0 && lacked && !s.loggedNone {
+		s.log.Warn("offload: There is no router to which requests can be forwarded.")
+	}
+	s.loggedNone = len(candidates) == 0 && (lacked || s.loggedNone)
+}
+
 // check excludes the executor of a link if it failed.
 func (s *offloadSource) check(l *executorLink, now time.Duration, lacked bool) {
 	sent := l.sent.Swap(0)
--- a/router/router.go
+++ b/router/router.go
@@ -158,6 +158,9 @@
 	r.awaitDrainNotice(ctx)
 	r.loop.post(control.DrainStarted{})
 	err := r.front.Shutdown(ctx)
+	if err == nil && r.managed != nil {
+		err = r.offloading.waitServed(ctx)
+	}
 	if err == nil {
 		err = r.waitDrained(ctx)
 	}
@@ -235,6 +238,9 @@
 
 func (r *Router) close() {
 	_ = r.front.Close()
+	if r.managed != nil {
+		r.offloading.closeExecutor()
+	}
 	r.cancel()
 	r.poller.Close()
 	expired, cancel := context.WithCancel(context.Background())
--- a/router/start.go
+++ b/router/start.go
@@ -234,6 +234,12 @@
 		options.CloseAfterAnswer = r.overload.shouldCloseConn
 		options.Shed = r.overload.shouldShed
 		options.ConfirmShed = r.confirmShed
+		r.offloading = r.newOffloading()
+		if r.offloading.source != nil {
+			options.Offload = r.offloading.source
+			options.ConfigNumber = r.configNumber
+			options.Lag = r.overload.currentLag
+		}
 		r.front = front.New(options, r.routedPipeline())
 		return
 	}
@@ -271,6 +277,9 @@
 		r.startWorker(func() { r.awaitJoined(ctx) })
 		r.startWorker(func() { r.overload.run(ctx) })
 		r.startWorker(func() { r.unread.run(ctx, r.loop, r.log) })
+		if r.offloading.source != nil {
+			r.startWorker(func() { r.offloading.source.run(ctx) })
+		}
 	} else {
 		r.startWorker(func() { r.follower.Run(ctx) })
 		r.startWorker(func() { r.followVMs(ctx) })
