--- a/peer/accept.go
+++ b/peer/accept.go
@@ -54,12 +54,16 @@
 }
 
 // handshake reads the hello of an accepted connection and makes the connection a
-// session, or refuses it.
+// session or a channel, or refuses it.
 func (m *Mesh) handshake(raw net.Conn) {
 	deadline := time.AfterFunc(m.options.DialTimeout, func() { raw.Close() })
 	defer deadline.Stop()
 	conn, hello, remote, reason := m.receiveHello(raw)
-	if reason == "" {
+	switch {
+	case reason != "":
+	case hello.GetChannel() != "":
+		reason = m.acceptChannel(conn, raw, hello, remote)
+	default:
 		reason = m.installSession(conn, raw, hello, remote)
 	}
 	if reason == "" {
@@ -97,7 +101,9 @@
 	case reason != "":
 	case hello.GetExpected() != string(m.self.Node) || remote.Node == m.self.Node:
 		reason = failWrongNode
-	case m.sessionCount() >= m.options.MaxSessions:
+	case hello.GetChannel() != "" && m.channelCount() >= maxChannels:
+		reason = failLimit
+	case hello.GetChannel() == "" && m.sessionCount() >= m.options.MaxSessions:
 		reason = failLimit
 	}
 	return conn, hello, remote, reason
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -56,6 +56,13 @@
 	failLimit     failReason = "limit"              // Options.MaxSessions or maxHandshakes was reached
 	failPlain     failReason = "plain-not-loopback" // an address outside loopback needs TLS
 	failClosed    failReason = "closed"             // the mesh or the link was closed
+	failChannel   failReason = "channel"            // the channel is not offered
+)
+
+// Values of the "role" label of the channel counter.
+const (
+	roleDialled  = "dialled"
+	roleAccepted = "accepted"
 )
 
 // All label values, so that each counter is exported from the start.
@@ -70,7 +77,7 @@
 	}
 	failReasons = []failReason{
 		failConnect, failTLS, failHello, failProtocol, failIdentity, failWrongNode, failStale,
-		failDuplicate, failLimit, failPlain, failClosed,
+		failDuplicate, failLimit, failPlain, failClosed, failChannel,
 	}
 	callResults = []string{
 		resultAnswered, resultUnreachable, resultTooLarge, resultSessionEnded, resultCancelled,
@@ -90,6 +97,7 @@
 type counters struct {
 	messages     map[direction]map[wire.Kind]kindCounters
 	bytes        map[direction]*metrics.Counter
+	channelBytes map[direction]*metrics.Counter
 	calls        map[direction]map[string]*metrics.Counter
 	drops        map[dropReason]*metrics.Counter
 	ends         map[endReason]*metrics.Counter
@@ -98,6 +106,8 @@
 	dialled      *metrics.Counter
 	accepted     *metrics.Counter
 	sessions     *metrics.Gauge
+	channels     map[string]*metrics.Counter // by role
+	openChannels *metrics.Gauge
 	pings        *metrics.Counter
 	flushes      *metrics.Counter
 }
@@ -112,6 +122,7 @@
 	c := counters{
 		messages:     make(map[direction]map[wire.Kind]kindCounters),
 		bytes:        make(map[direction]*metrics.Counter),
+		channelBytes: make(map[direction]*metrics.Counter),
 		calls:        make(map[direction]map[string]*metrics.Counter),
 		drops:        byReason(set, "walnut_peer_dropped_total", dropReasons),
 		ends:         byReason(set, "walnut_peer_sessions_ended_total", endReasons),
@@ -120,12 +131,18 @@
 		dialled:      set.GetOrCreateCounter(`walnut_peer_sessions_opened_total{role="dialled"}`),
 		accepted:     set.GetOrCreateCounter(`walnut_peer_sessions_opened_total{role="accepted"}`),
 		sessions:     set.GetOrCreateGauge(`walnut_peer_sessions`, nil),
+		channels: map[string]*metrics.Counter{
+			roleDialled:  set.GetOrCreateCounter(`walnut_peer_channels_opened_total{role="dialled"}`),
+			roleAccepted: set.GetOrCreateCounter(`walnut_peer_channels_opened_total{role="accepted"}`),
+		},
+		openChannels: set.GetOrCreateGauge(`walnut_peer_channels`, nil),
 		pings:        set.GetOrCreateCounter(`walnut_peer_pings_total`),
 		flushes:      set.GetOrCreateCounter(`walnut_peer_flushes_total`),
 	}
 	for _, d := range []direction{directionIn, directionOut} {
 		c.messages[d] = byKind(set, d)
 		c.bytes[d] = set.GetOrCreateCounter(fmt.Sprintf(`walnut_peer_wire_bytes_total{direction=%q}`, d))
+		c.channelBytes[d] = set.GetOrCreateCounter(fmt.Sprintf(`walnut_peer_channel_bytes_total{direction=%q}`, d))
 		c.calls[d] = make(map[string]*metrics.Counter)
 		for _, result := range callResults {
 			name := fmt.Sprintf(`walnut_peer_calls_total{direction=%q,result=%q}`, d, result)
@@ -203,6 +220,20 @@
 	}
 }
 
+// countChannelBytes is countBytes for a channel.
+func (c counters) countChannelBytes(conn net.Conn) net.Conn {
+	counted := &countedConn{Conn: conn}
+	c.moveToChannels(counted)
+	return counted
+}
+
+// moveToChannels counts further bytes of a connection as those of a channel. The caller makes sure
+// that the connection is not read or written meanwhile.
+func (c counters) moveToChannels(conn *countedConn) {
+	conn.in = c.channelBytes[directionIn]
+	conn.out = c.channelBytes[directionOut]
+}
+
 func (c *countedConn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
 	c.in.Add(n)
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -92,7 +92,10 @@
 	}
 	raw = l.mesh.counters.countBytes(raw)
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
-	conn, remote, reason := l.exchangeHellos(raw, seq)
+	hello := l.mesh.hello()
+	hello.Dial = seq
+	hello.Expected = string(l.node)
+	conn, remote, reason := l.exchangeHellos(raw, hello)
 	if !stop() && reason == "" {
 		reason = failHello
 	}
@@ -112,7 +115,7 @@
 
 // exchangeHellos runs the TLS handshake if TLS is on, sends this side's hello and
 // checks the answer.
-func (l *link) exchangeHellos(raw net.Conn, seq uint64) (net.Conn, wire.Origin, failReason) {
+func (l *link) exchangeHellos(raw net.Conn, hello *peerpb.Hello) (net.Conn, wire.Origin, failReason) {
 	conn := raw
 	if l.mesh.options.TLS != nil {
 		secure := tls.Client(raw, l.mesh.options.TLS)
@@ -122,9 +125,6 @@
 		}
 		conn = secure
 	}
-	hello := l.mesh.hello()
-	hello.Dial = seq
-	hello.Expected = string(l.node)
 	if err := writeHello(conn, hello); err != nil {
 		return nil, wire.Origin{}, failHello
 	}
@@ -141,6 +141,8 @@
 		return nil, remote, failWrongNode
 	case answer.GetRefused() != peerpb.Refused_REFUSED_NONE:
 		return nil, remote, failReasonFor(answer.GetRefused())
+	case answer.GetChannel() != hello.GetChannel():
+		return nil, remote, failHello
 	}
 	return conn, remote, ""
 }
--- a/peer/hello.go
+++ b/peer/hello.go
@@ -60,7 +60,11 @@
 		Node:        control.NodeID(hello.GetNode()),
 		Incarnation: control.Incarnation(hello.GetIncarnation()),
 	}
-	if hello.GetProtocol() != protocolVersion {
+	protocol := uint32(protocolVersion)
+	if hello.GetChannel() != "" {
+		protocol = channelProtocol
+	}
+	if hello.GetProtocol() != protocol {
 		return origin, failProtocol
 	}
 	if origin.Node == "" || len(origin.Node) > wire.MaxNameBytes || origin.Incarnation == 0 {
@@ -109,6 +113,7 @@
 	failWrongNode: peerpb.Refused_REFUSED_WRONG_NODE,
 	failLimit:     peerpb.Refused_REFUSED_LIMIT,
 	failClosed:    peerpb.Refused_REFUSED_LIMIT,
+	failChannel:   peerpb.Refused_REFUSED_NO_CHANNEL,
 }
 
 // failReasonFor translates the reason that the other side sent.
--- a/peer/link.go
+++ b/peer/link.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/peer/wire"
 )
 
 // ErrUnreachable reports that a node has no known address or could not be dialled.
@@ -194,13 +195,14 @@
 	return endDuplicate
 }
 
-// retire makes connections of an incarnation refused for retiredTTL. The caller
-// holds mu.
+// retire makes connections of an incarnation refused for retiredTTL and closes its channels. The
+// caller holds mu.
 func (l *link) retire(incarnation control.Incarnation) {
 	if len(l.retired) >= maxRetiredIncarnations {
 		clear(l.retired)
 	}
 	l.retired[incarnation] = time.Now().Add(retiredTTL)
+	l.mesh.spawn(func() { l.mesh.closeChannelsOf(wire.Origin{Node: l.node, Incarnation: incarnation}) })
 }
 
 // isRetired reports whether an incarnation was replaced by another within
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -48,6 +48,11 @@
 	mu    sync.Mutex
 	links map[control.NodeID]*link
 
+	// channelMu guards channels, the open ones, which is nil after Close. It is after any link's
+	// mu in the lock order.
+	channelMu sync.Mutex
+	channels  map[*channel]struct{}
+
 	// spawnMu guards closed and the start of goroutines. It is the last in the
 	// lock order.
 	spawnMu sync.Mutex
@@ -79,6 +84,7 @@
 		cancel:         cancel,
 		handshakeSlots: make(chan struct{}, maxHandshakes),
 		links:          make(map[control.NodeID]*link),
+		channels:       make(map[*channel]struct{}),
 	}
 	m.goroutines.Go(m.acceptLoop)
 	m.goroutines.Go(m.checkLoop)
@@ -177,6 +183,7 @@
 		closing.Go(l.close)
 	}
 	closing.Wait()
+	m.closeChannels()
 	m.cancel()
 	m.goroutines.Wait()
 	return err
--- a/peer/muxconn.go
+++ b/peer/muxconn.go
@@ -6,7 +6,7 @@
 )
 
 // Layout of the yamux header, as far as muxConn reads it; see the yamux
-// specification. maxKeptFrameBytes bounds the buffer kept between frames.
+// specification. maxKeptFrameBytes is the least bound of the buffer kept between frames.
 const (
 	muxHeaderBytes    = 12
 	muxTypeOffset     = 1
@@ -24,6 +24,8 @@
 	raw net.Conn // the TCP connection, below TLS
 	// pendingHeader is a header that is held back until its body is written.
 	pendingHeader []byte
+	// keepBytes bounds the buffer kept between frames. Default maxKeptFrameBytes.
+	keepBytes int
 }
 
 // Write implements io.Writer.
@@ -37,7 +39,7 @@
 	}
 	joined := append(c.pendingHeader, data...)
 	c.pendingHeader = joined[:0]
-	if cap(joined) > maxKeptFrameBytes {
+	if cap(joined) > max(c.keepBytes, maxKeptFrameBytes) {
 		c.pendingHeader = nil
 	}
 	if _, err := c.Conn.Write(joined); err != nil {
--- a/peer/options.go
+++ b/peer/options.go
@@ -33,6 +33,9 @@
 	// Metrics receives the counters. Default: the process's default set.
 	Metrics *metrics.Set
 
+	// Channels serve the named channels of Mesh.OpenChannel. Others are refused.
+	Channels map[string]ServeChannel
+
 	// MaxQueuedMessages bounds the messages queued for one node. Default 4096.
 	MaxQueuedMessages int
 	// FlushInterval is the mean time between two writes to one node under load,
