--- a/offload/balance/load_test.go
+++ b/offload/balance/load_test.go
@@ -184,6 +184,7 @@
 				}
 				sent := max(0, min(grant.More, grant.MaxOpen-demands[i].Open))
 				demands[i].Sent += uint64(sent)
+				demands[i].Wanted += uint64(sent)
 				demands[i].Open += sent
 				total += demands[i].Open
 			}
--- a/offload/balance/model_test.go
+++ b/offload/balance/model_test.go
@@ -165,6 +165,7 @@
 			continue
 		}
 		links[i].Sent++
+		links[i].Wanted++
 		links[i].Open++
 		links[i].sentLast = true
 		links[i].ends = append(links[i].ends, m.now+heldTime)
--- a/offload/balance/pacer.go
+++ b/offload/balance/pacer.go
@@ -65,8 +65,8 @@
 type Demand struct {
 	// Link identifies the link of the source.
 	Link uint64
-	// Sent counts the requests that it sent since the link opened, and Wanted those that it did
-	// not send for lack of allowance.
+	// Sent counts the requests that it sent since the link opened, and Wanted those that it sent
+	// or did not send for lack of allowance.
 	Sent, Wanted uint64
 	// Open is the number of its requests that have not ended.
 	Open int
@@ -180,10 +180,9 @@
 // note adds what a source asked for since the last step, and returns what it asks for now in
 // requests per second.
 func (l *pacedLink) note(demand Demand, elapsed float64) float64 {
-	sent := float64(demand.Sent - l.sent)
-	latest := (sent + float64(demand.Wanted-l.wanted)) / elapsed
+	latest := float64(demand.Wanted-l.wanted) / elapsed
+	l.budget -= float64(demand.Sent - l.sent)
 	l.sent, l.wanted = demand.Sent, demand.Wanted
-	l.budget -= sent
 	l.demand = max(latest, l.demand+demandWeight*(latest-l.demand))
 	if l.demand < idleDemand {
 		l.demand = 0
--- a/router/managed.go
+++ b/router/managed.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -61,7 +62,9 @@
 	// fairShed divides what this router can serve between workspaces while it sheds load.
 	fairShed fairShed
 	// offloading sends requests that this router would refuse to other routers.
-	offloading offloading
+	// startedExecutor is its executor once the router serves requests.
+	offloading      offloading
+	startedExecutor atomic.Pointer[offloadExecutor]
 	// fetches tracks which peers are being asked for their directory.
 	fetches directoryFetches
 }
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -32,7 +32,7 @@
 	if r.managed != nil {
 		links = r.offloading
 	}
-	publishOffload(set, r.settings.Node.Name, links)
+	publishOffload(set, r.settings.Node.Name, links, r.front.HeldAnswerBytes)
 	r.loop.publishCounters(set, node)
 	metrics.RegisterSet(set)
 	return func() { metrics.UnregisterSet(set, true) }
--- a/router/offload.go
+++ b/router/offload.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"time"
 
+	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/offload/balance"
+	"github.com/walnutcove/walnutcove/offload/link"
+	"github.com/walnutcove/walnutcove/peer"
 	"github.com/walnutcove/walnutcove/settings"
 )
 
@@ -51,6 +53,13 @@
 	return o.executor.waitServed(ctx)
 }
 
+// drain makes the executor decline further requests.
+func (o offloading) drain() {
+	if o.executor != nil {
+		o.executor.drain()
+	}
+}
+
 // closeExecutor ends the links of other routers. The source closes its links when it ends.
 func (o offloading) closeExecutor() {
 	if o.executor != nil {
@@ -81,7 +90,41 @@
 	return r.front.ConnCount() + r.front.Active() + int(r.liveRouterCount.Load())
 }
 
+// offloadChannel is the name of the channels between routers that carry links.
+const offloadChannel = "offload"
+
+const (
+	// maxUnsentBytes bounds the response bytes that an executor holds for each link. 70 sources
+	// may have links to a router of 284 MB.
+	maxUnsentBytes = 256 << 10
+	// requestBudgetBytes bounds the request bytes that an executor holds for all sources, besides
+	// those of its own callers.
+	requestBudgetBytes = 8 << 20
+)
+
 // dialExecutor opens a link to a router.
 func (r *Router) dialExecutor(ctx context.Context, node string) (sendingLink, error) {
-	return nil, errors.New("links are not built yet")
+	conn, err := r.mesh.OpenChannel(ctx, control.NodeID(node), offloadChannel)
+	if err != nil {
+		return nil, err
+	}
+	return link.NewSource(conn, link.Options{Log: r.log}), nil
+}
+
+// offloadChannels returns the channels that this router serves. Other routers may connect before
+// it serves requests; they are told to come back by the end of the connection.
+func (r *Router) offloadChannels() map[string]peer.ServeChannel {
+	if r.settings.Offload.Executors == settings.ExecutorsNone {
+		return nil
+	}
+	options := link.Options{Log: r.log, MaxUnsentBytes: maxUnsentBytes, Budget: link.NewBudget(requestBudgetBytes)}
+	serve := func(from control.NodeID, _ control.Incarnation, _ string, conn net.Conn) {
+		executor := r.startedExecutor.Load()
+		if executor == nil {
+			_ = conn.Close() // nothing was sent
+			return
+		}
+		executor.add(from, link.NewExecutor(from, conn, executor.handle, options))
+	}
+	return map[string]peer.ServeChannel{offloadChannel: serve}
 }
--- a/router/offloadexecutor.go
+++ b/router/offloadexecutor.go
@@ -11,6 +11,7 @@
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/offload"
 	"github.com/walnutcove/walnutcove/offload/balance"
+	"github.com/walnutcove/walnutcove/offload/link"
 	"github.com/walnutcove/walnutcove/wait"
 )
 
@@ -30,6 +31,8 @@
 	SetAllowance(more, maxOpen int)
 	Demand() (sent, wanted uint64)
 	OpenRequests() int
+	HeldBytes() int64
+	Drain()
 	Done() <-chan struct{}
 	Close() error
 }
@@ -68,23 +71,32 @@
 	maxOpen int
 }
 
-// handle serves one request of a router, and returns false if it declines the request.
-func (e *offloadExecutor) handle(from control.NodeID, request offload.Request, conn net.Conn) bool {
+// handle serves one request of a router. It implements link.Handler. It may return while the
+// exchange continues without the caller; the request is then still served.
+func (e *offloadExecutor) handle(ctx context.Context, from control.NodeID, request offload.Request, conn net.Conn) error {
 	switch {
 	case e.isDraining():
 		declinedDraining.Inc()
-		return false
+		return link.ErrDeclined
 	case e.configNumber() < request.Config:
 		declinedConfig.Inc()
-		return false
-	}
-	defer e.served.Add(-1)
-	if e.served.Add(1) > e.maxServed {
+		return link.ErrDeclined
+	case e.served.Add(1) > e.maxServed:
+		e.served.Add(-1)
 		declinedFull.Inc()
-		return false
+		return link.ErrDeclined
 	}
-	e.serve(conn, request.Waited, string(from))
-	return true
+	caller := newOffloadedConn(conn, ctx.Done())
+	go func() {
+		defer e.served.Add(-1)
+		defer caller.end()
+		e.serve(caller, request.Waited, string(from))
+	}()
+	<-caller.responded
+	if caller.isAborted.Load() {
+		return errOffloadAborted
+	}
+	return nil
 }
 
 // add grants allowance to a link until it ends.
@@ -95,6 +107,9 @@
 		_ = l.Close() // the router has stopped
 		return
 	}
+	if e.isDraining() {
+		l.Drain()
+	}
 	e.log.Info("offload: Router sends requests that it would refuse.", "from", from)
 	e.lastLink++
 	e.links[e.lastLink] = &acceptedLink{servedLink: l}
@@ -178,6 +193,15 @@
 	return nil
 }
 
+// drain asks the sources to end their links once no request is open.
+func (e *offloadExecutor) drain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, l := range e.links {
+		l.Drain()
+	}
+}
+
 // close ends all links.
 func (e *offloadExecutor) close() {
 	e.mu.Lock()
@@ -206,6 +230,20 @@
 	return open
 }
 
+// heldBytes returns the bytes of responses that are not written to a link.
+func (e *offloadExecutor) heldBytes() int64 {
+	if e == nil {
+		return 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	held := int64(0)
+	for _, l := range e.links {
+		held += l.HeldBytes()
+	}
+	return held
+}
+
 func (e *offloadExecutor) linkCount() int {
 	if e == nil {
 		return 0
--- a/router/offloadmetrics.go
+++ b/router/offloadmetrics.go
@@ -4,16 +4,32 @@
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/walnutcove/walnutcove/offload/link"
 )
 
 // Requests that this router, as the source, did not send. Package front counts the others by how
 // they ended.
 var (
-	offloadNoAllowance = offloadRequests("no_allowance")
-	offloadLimited     = offloadRequests("limited")
-	offloadTooLarge    = offloadRequests("too_large")
+	offloadLimited  = offloadRequests("limited")
+	offloadTooLarge = offloadRequests(string(link.RefusedTooLarge))
+
+	offloadRefusals = map[link.Refusal]*metrics.Counter{
+		link.RefusedNoAllowance: offloadRequests(string(link.RefusedNoAllowance)),
+		link.RefusedTooLarge:    offloadTooLarge,
+		link.RefusedFull:        offloadRequests(string(link.RefusedFull)),
+		link.RefusedStalled:     offloadRequests(string(link.RefusedStalled)),
+		link.RefusedEnded:       offloadRequests(string(link.RefusedEnded)),
+	}
 )
 
+// countUnsent counts a request that no link took.
+func countUnsent(refusal link.Refusal) {
+	if counter, ok := offloadRefusals[refusal]; ok {
+		counter.Inc()
+	}
+}
+
 // Requests of other routers that this router, as the executor, declined. Package front counts
 // those that it serves.
 var (
@@ -27,6 +43,7 @@
 	exclusionsDeclined = offloadExclusions("declined")
 	exclusionsBroken   = offloadExclusions("broken")
 	exclusionsEnded    = offloadExclusions("link_ended")
+	exclusionsDrained  = offloadExclusions("drained")
 	exclusionsDial     = offloadExclusions("dial_failed")
 	exclusionsStarved  = offloadExclusions("no_allowance")
 )
@@ -49,8 +66,9 @@
 	sideExecutor = "executor"
 )
 
-// publishOffload exports the state of the links of a router.
-func publishOffload(set *metrics.Set, node string, links offloading) {
+// publishOffload exports the state of the links of a router. heldAnswers returns the bytes of
+// responses that wait for callers.
+func publishOffload(set *metrics.Set, node string, links offloading, heldAnswers func() int64) {
 	source, executor := links.source, links.executor
 	labels := func(side string) string { return fmt.Sprintf("{node=%q,side=%q}", node, side) }
 	set.NewGauge("walnut_offload_links"+labels(sideSource), func() float64 { return float64(source.linkCount()) })
@@ -58,7 +76,9 @@
 	set.NewGauge("walnut_offload_open"+labels(sideSource), func() float64 { return float64(source.openRequests()) })
 	set.NewGauge("walnut_offload_open"+labels(sideExecutor), func() float64 { return float64(executor.openRequests()) })
 	nodeLabel := fmt.Sprintf("{node=%q}", node)
-	set.NewGauge("walnut_offload_held_bytes"+nodeLabel, func() float64 { return float64(source.heldBytes()) })
+	set.NewGauge("walnut_offload_held_bytes"+nodeLabel, func() float64 {
+		return float64(source.heldBytes() + executor.heldBytes() + heldAnswers())
+	})
 	set.NewGauge("walnut_offload_offered_ratio"+nodeLabel, func() float64 { return source.offeredFraction() })
 	set.NewGauge("walnut_offload_accepted_per_second"+nodeLabel, func() float64 { return executor.acceptedRate() })
 }
--- a/router/offloadsource.go
+++ b/router/offloadsource.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math"
 	"math/rand/v2"
@@ -12,6 +13,7 @@
 
 	"github.com/walnutcove/walnutcove/offload"
 	"github.com/walnutcove/walnutcove/offload/balance"
+	"github.com/walnutcove/walnutcove/offload/link"
 )
 
 const (
@@ -20,8 +22,6 @@
 	// candidatesInterval is the interval at which the candidates are determined while there are
 	// links or requests lack allowance.
 	candidatesInterval = 500 * time.Millisecond
-	// linkIdleTimeout is the time without open requests after which a link is closed.
-	linkIdleTimeout = 30 * time.Second
 	// offloadDialTimeout bounds the opening of a link. Executors are in the same data centre.
 	offloadDialTimeout = time.Second
 	// offloadLogInterval is the interval of the log line about requests that were offloaded.
@@ -30,7 +30,7 @@
 
 // sendingLink is the source's end of a link.
 type sendingLink interface {
-	offload.Sender
+	Offer(request offload.Request, answer offload.Answer) (offload.Sent, link.Refusal)
 	Allowance() int
 	NoteWanted(n int)
 	OpenRequests() int
@@ -84,8 +84,6 @@
 	failure atomic.Pointer[offload.Outcome]
 	// sent counts the requests sent since the last step.
 	sent atomic.Int64
-	// busyAt is when the link last had open requests.
-	busyAt time.Duration
 }
 
 // allowance returns how many requests may be sent.
@@ -150,30 +148,35 @@
 	}
 	links := *s.usable.Load()
 	i := balance.Choose(len(links), func(i int) int { return links[i].allowance() }, rand.IntN)
-	if i >= 0 {
-		if sent := s.sendOver(links[i], request, answer); sent != nil {
-			return sent
-		}
+	if i < 0 {
+		countUnsent(link.RefusedNoAllowance)
+		s.noteLack(links)
+		return nil
+	}
+	sent, refusal := s.sendOver(links[i], request, answer)
+	if sent == nil {
+		countUnsent(refusal)
+		s.noteLack(links)
+		return nil
 	}
-	s.noteLack(links)
-	return nil
+	return sent
 }
 
-// sendOver sends a request over a link. It returns nil if the link does not take it.
-func (s *offloadSource) sendOver(l *executorLink, request offload.Request, answer offload.Answer) offload.Sent {
+// sendOver sends a request over a link. It returns the reason if the link does not take it.
+func (s *offloadSource) sendOver(l *executorLink, request offload.Request, answer offload.Answer) (offload.Sent, link.Refusal) {
 	r := &offloadedRequest{source: s, link: l, Answer: answer}
-	r.sent = l.Send(request, r)
-	if r.sent == nil {
-		return nil
+	sent, refusal := l.Offer(request, r)
+	if sent == nil {
+		return nil, refusal
 	}
+	r.sent = sent
 	l.sent.Add(1)
-	return r
+	return r, ""
 }
 
 // noteLack records that a request found no allowance. One executor is told, so that all of them
 // together are asked for what is missing.
 func (s *offloadSource) noteLack(links []*executorLink) {
-	offloadNoAllowance.Inc()
 	s.lacked.Add(1)
 	if len(links) > 0 {
 		links[rand.IntN(len(links))].NoteWanted(1)
@@ -226,7 +229,7 @@
 		s.check(l, now, lacked)
 	}
 	wanted := s.selector.Executors(now)
-	s.closeUnneeded(now, wanted)
+	s.closeUnwanted(wanted)
 	if lacked {
 		s.dialMissing(ctx, wanted)
 	}
@@ -248,15 +251,12 @@
 
 // check excludes the executor of a link if it failed.
 func (s *offloadSource) check(l *executorLink, now time.Duration, lacked bool) {
-	sent := l.sent.Swap(0)
-	if sent > 0 || l.OpenRequests() > 0 {
-		l.busyAt = now
-	}
+	sent := int(l.sent.Swap(0))
+	l.NoteWanted(sent)
 	select {
 	case <-l.Done():
 		s.remove(l)
-		exclusionsEnded.Inc()
-		s.exclude(now, l.node, "link_ended", l.Err())
+		s.linkEnded(l, now)
 		return
 	default:
 	}
@@ -276,17 +276,31 @@
 	}
 }
 
+// linkEnded excludes the executor of a link that has ended, unless the link was idle.
+func (s *offloadSource) linkEnded(l *executorLink, now time.Duration) {
+	err := l.Err()
+	switch {
+	case errors.Is(err, link.ErrIdle):
+	case errors.Is(err, link.ErrDrained):
+		exclusionsDrained.Inc()
+		s.exclude(now, l.node, "drained", nil)
+	default:
+		exclusionsEnded.Inc()
+		s.exclude(now, l.node, "link_ended", err)
+	}
+}
+
 // exclude stops using an executor for a while.
 func (s *offloadSource) exclude(now time.Duration, node, reason string, err error) {
 	s.selector.Failed(now, node)
 	s.log.Info("offload: Executor is not used for a while.", "executor", node, "reason", reason, "error", err)
 }
 
-// closeUnneeded closes the links without open requests that have been idle, or whose executors
-// are not wanted.
-func (s *offloadSource) closeUnneeded(now time.Duration, wanted []string) {
+// closeUnwanted closes the links to executors that are not wanted, once no requests are open on
+// them. The others end by themselves when they have been idle.
+func (s *offloadSource) closeUnwanted(wanted []string) {
 	for _, l := range s.links {
-		if l.OpenRequests() > 0 || slices.Contains(wanted, l.node) && now-l.busyAt < linkIdleTimeout {
+		if slices.Contains(wanted, l.node) || l.OpenRequests() > 0 {
 			continue
 		}
 		s.remove(l)
@@ -326,7 +340,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.links[result.node] = &executorLink{sendingLink: result.link, node: result.node, busyAt: now}
+	s.links[result.node] = &executorLink{sendingLink: result.link, node: result.node}
 	s.log.Info("offload: Executor serves requests that this router would refuse.", "executor", result.node)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -181,6 +181,9 @@
 		return
 	}
 	r.log.Info("router: Draining.")
+	if r.managed != nil {
+		r.offloading.drain()
+	}
 }
 
 // Reload applies the sections of new settings that can change in a running router and
--- a/router/start.go
+++ b/router/start.go
@@ -174,6 +174,7 @@
 		return err
 	}
 	options.Logger = r.log
+	options.Channels = r.offloadChannels()
 	r.mesh, err = peer.New(options, peerHandler{r})
 	if err != nil {
 		return settingsProblem(keyPeers, err)
@@ -279,6 +280,7 @@
 		r.startWorker(func() { r.unread.run(ctx, r.loop, r.log) })
 		if r.offloading.source != nil {
 			r.startWorker(func() { r.offloading.source.run(ctx) })
+			r.startedExecutor.Store(r.offloading.executor)
 		}
 	} else {
 		r.startWorker(func() { r.follower.Run(ctx) })
