--- a/router/offloadsource.go
+++ b/router/offloadsource.go
@@ -252,7 +252,9 @@
 // check excludes the executor of a link if it failed.
 func (s *offloadSource) check(l *executorLink, now time.Duration, lacked bool) {
 	sent := int(l.sent.Swap(0))
-	l.NoteWanted(sent)
+	if sent > 0 {
+		l.NoteWanted(sent)
+	}
 	select {
 	case <-l.Done():
 		s.remove(l)
