--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -64,7 +64,8 @@
 // If it returns an error, the caller has received nothing, so the request may be
 // run again if its route allows that.
 func (r *Relay) Answer(ctx context.Context, ex *pipeline.Exchange, answer *targets.Response) error {
-	s := &stream{ctx: ctx, relay: r, ex: ex, run: ex.Run, source: answer.Body, buffer: make([]byte, 0, minBufferBytes)}
+	s := &stream{ctx: ctx, relay: r, ex: ex, run: ex.Run, buffer: make([]byte, 0, minBufferBytes)}
+	s.setSource(answer.Body)
 	if err := s.fill(); err != nil && err != io.EOF {
 		s.source.Close()
 		s.end(err)
@@ -90,6 +91,8 @@
 	ex     *pipeline.Exchange
 	run    pipeline.Run
 	source io.ReadCloser
+	// prefetcher is the source if events are gathered for GatherEvents; else nil.
+	prefetcher *prefetcher
 	// buffer holds the bytes that have arrived and were not returned by Read yet. Its
 	// first readyBytes bytes may be returned: they are complete events.
 	buffer     []byte
@@ -105,6 +108,18 @@
 	endOnce   sync.Once
 }
 
+// setSource sets the response of a target as the source.
+func (s *stream) setSource(body io.ReadCloser) {
+	s.source = body
+	if s.ex.GatherEvents {
+		s.prefetcher = newPrefetcher(body)
+		s.source = s.prefetcher
+	}
+}
+
+// HasEvents reports whether Read returns events at once.
+func (s *stream) HasEvents() bool { return s.readyBytes > 0 }
+
 // Read returns complete events. It returns io.EOF only after the last event of a
 // stream that its target ended properly, by the HTTP framing.
 func (s *stream) Read(p []byte) (int, error) {
@@ -204,7 +219,7 @@
 	}
 	s.run = s.ex.Run
 	s.run.Begin()
-	s.source = answer.Body
+	s.setSource(answer.Body)
 	s.sourceErr = nil
 	s.scanner = eventstream.Scanner{}
 	s.passedBytes = 0
--- a/filters/events/events_test.go
+++ b/filters/events/events_test.go
@@ -54,12 +54,17 @@
 // relayBroken relays the parts of a stream that may be resumed and then breaks; read returns the
 // reader of the caller. The resumed stream is rest.
 func relayBroken(read func(io.Reader) io.Reader, rest string, parts ...string) (o outcome) {
+	return relayBrokenFor(&pipeline.Exchange{}, read, rest, parts...)
+}
+
+// relayBrokenFor is relayBroken for an exchange.
+func relayBrokenFor(ex *pipeline.Exchange, read func(io.Reader) io.Reader, rest string, parts ...string) (o outcome) {
 	relay := &Relay{Log: slog.New(slog.DiscardHandler)}
 	relay.Reopen = func(_ context.Context, ex *pipeline.Exchange) (*targets.Response, error) {
 		o.resumedAfter = append(o.resumedAfter, ex.LastEventID)
 		return &targets.Response{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader(rest))}, nil
 	}
-	ex := &pipeline.Exchange{Run: noopRun{}, Route: &config.NamedRoute{Route: config.Route{Resumes: true}}}
+	ex.Run, ex.Route = noopRun{}, &config.NamedRoute{Route: config.Route{Resumes: true}}
 	source := &brokenSource{parts: parts, err: errBroken}
 	if o.err = relay.Answer(context.Background(), ex, &targets.Response{Status: http.StatusOK, Body: source}); o.err != nil {
 		return o
@@ -80,9 +85,11 @@
 		first, rest := lines("id: 1|data: a||id: 2|data: b||"), lines("id: 3|data: c||")
 		cut := lines("id: 3|data")
 		for split := range len(first) {
-			o := relayBroken(wholeReads, rest, first[:split], first[split:]+cut)
-			if o.body != first+rest || o.err != nil || !slices.Equal(o.resumedAfter, []string{"2"}) {
-				t.Errorf("line end %q, split at %d: %+v", lineEnd, split, o)
+			for _, gather := range []bool{false, true} {
+				o := relayBrokenFor(&pipeline.Exchange{GatherEvents: gather}, wholeReads, rest, first[:split], first[split:]+cut)
+				if o.body != first+rest || o.err != nil || !slices.Equal(o.resumedAfter, []string{"2"}) {
+					t.Errorf("line end %q, split at %d, gathered %v: %+v", lineEnd, split, gather, o)
+				}
 			}
 		}
 	}
--- a/filters/events/gather.go
+++ b/filters/events/gather.go
@@ -24,13 +24,20 @@
 
 // gather waits before the next read on a router that lags behind, or if the exchange
 // asks for it, so that several events arrive and are relayed together. The processor time
-// that this saves serves requests that would otherwise be late or refused. Neither the first event nor events
-// that have already been read are delayed. A stream of 40 events 10 ms apart takes 5
-// reads instead of 40.
+// that this saves serves requests that would otherwise be late or refused. Neither the
+// first event nor events that have already been read are delayed. A stream of 40 events
+// 10 ms apart takes 5 reads instead of 40.
 func (s *stream) gather() {
 	if s.deliveredAt.IsZero() || s.readyBytes > 0 {
 		return
 	}
+	if left := s.gatherPause() - time.Since(s.deliveredAt); left > 0 {
+		s.waitForEvents(left)
+	}
+}
+
+// gatherPause returns for how long after the last events further ones are gathered.
+func (s *stream) gatherPause() time.Duration {
 	maxPause := time.Duration(s.ex.Route.PauseMillis) * time.Millisecond
 	pause := time.Duration(0)
 	if s.relay.Lag != nil {
@@ -39,8 +46,23 @@
 	if s.ex.GatherEvents {
 		pause = max(pause, gatherLimit(maxPause, offloadedPauseDivisor))
 	}
-	if left := pause - time.Since(s.deliveredAt); left > 0 {
-		wait.For(s.ctx, left)
+	return pause
+}
+
+// waitForEvents waits for the given time, or until it is known that no more events can be
+// gathered.
+func (s *stream) waitForEvents(limit time.Duration) {
+	if s.prefetcher == nil {
+		wait.For(s.ctx, limit)
+		return
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.prefetcher.ended:
+	case <-s.prefetcher.full:
+	case <-s.ctx.Done():
 	}
 }
 
--- a/filters/events/gather_test.go
+++ b/filters/events/gather_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,10 +60,17 @@
 // to the first event, the longest pause between reads, and the text relayed.
 func relayAll(t *testing.T, lag, maxPause time.Duration) (reads int, timeToFirst, longestPause time.Duration, body string) {
 	t.Helper()
-	relay := &Relay{Lag: func() time.Duration { return lag }, Log: slog.New(slog.DiscardHandler)}
 	ex := &pipeline.Exchange{Run: noopRun{}, Route: &config.NamedRoute{Route: config.Route{PauseMillis: int(maxPause.Milliseconds())}}}
+	return relayExchange(t, ex, lag, eventCount)
+}
+
+// relayExchange is relayAll for an exchange and a stream of the given number of events.
+func relayExchange(t *testing.T, ex *pipeline.Exchange, lag time.Duration, events int) (reads int, timeToFirst, longestPause time.Duration, body string) {
+	t.Helper()
+	relay := &Relay{Lag: func() time.Duration { return lag }, Log: slog.New(slog.DiscardHandler)}
 	began := time.Now()
-	source := &pacedSource{began: began}
+	source := &pacedSource{began: began, sent: eventCount - events}
+	source.began = began.Add(-time.Duration(source.sent) * eventInterval)
 	if err := relay.Answer(context.Background(), ex, &targets.Response{Status: http.StatusOK, Body: source}); err != nil {
 		t.Fatal(err)
 	}
@@ -113,6 +122,82 @@
 	})
 }
 
+// TestOffloadedEventsAreGathered guards against many small pieces of a response, each of which
+// costs processor time at the router that forwarded the request, and against a first event, an end
+// or any event that is late because of that: a stream ends when its target has ended it.
+func TestOffloadedEventsAreGathered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			events, maxReads int
+			maxPause         time.Duration
+			longestPause     time.Duration
+		}{
+			{30, 4, 300 * time.Millisecond, 100 * time.Millisecond},
+			{30, 4, 0, 100 * time.Millisecond},
+			{30, 4, time.Second, 100 * time.Millisecond},
+			{30, 11, 90 * time.Millisecond, 30 * time.Millisecond},
+			{2, 2, 300 * time.Millisecond, eventInterval},
+			{1, 1, 300 * time.Millisecond, eventInterval},
+		} {
+			ex := &pipeline.Exchange{Run: noopRun{}, GatherEvents: true, Route: &config.NamedRoute{Route: config.Route{PauseMillis: int(c.maxPause.Milliseconds())}}}
+			began := time.Now()
+			reads, first, longestPause, body := relayExchange(t, ex, 0, c.events)
+			if reads > c.maxReads || longestPause > c.longestPause+eventInterval || first != eventInterval {
+				t.Errorf("%d events: %d reads, the first after %s, a pause of %s", c.events, reads, first, longestPause)
+			}
+			if took, want := time.Since(began), time.Duration(c.events)*eventInterval; took > want || strings.Count(body, "data: x\n\n") != c.events {
+				t.Errorf("%d events: ended after %s, want %s: %q", c.events, took, want, body)
+			}
+		}
+	})
+}
+
+// endlessSource is a source that always has more bytes. It counts them.
+type endlessSource struct {
+	read   atomic.Int64
+	closed chan struct{}
+}
+
+// Read implements io.Reader.
+func (e *endlessSource) Read(p []byte) (int, error) {
+	select {
+	case <-e.closed:
+		return 0, io.ErrClosedPipe
+	default:
+	}
+	n := copy(p, "data: x\n\n")
+	e.read.Add(int64(n))
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (e *endlessSource) Close() error {
+	close(e.closed)
+	return nil
+}
+
+// TestPrefetchIsBounded guards against a stream that fills the memory when its caller does not
+// read, and against a goroutine that is left when the caller goes away.
+func TestPrefetchIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { // fails if a goroutine is left
+		source := &endlessSource{closed: make(chan struct{})}
+		p := newPrefetcher(source)
+		synctest.Wait()
+		if read := source.read.Load(); read < maxPrefetchBytes || read > maxPrefetchBytes+minBufferBytes {
+			t.Errorf("%d bytes were read ahead", read)
+		}
+		<-p.full
+		buffer := make([]byte, 100)
+		if n, err := p.Read(buffer); n != len(buffer) || err != nil {
+			t.Errorf("read %d bytes, %v", n, err)
+		}
+		if err := p.Close(); err != nil {
+			t.Error(err)
+		}
+		<-p.ended
+	})
+}
+
 // TestReadEventsAreDeliveredAtOnce checks that events that were read together are relayed
 // without a pause, even if the caller's buffer holds only some of them.
 func TestReadEventsAreDeliveredAtOnce(t *testing.T) {
--- a/front/answer.go
+++ b/front/answer.go
@@ -148,12 +148,19 @@
 		response.SetBodyRaw(ex.AnswerBody)
 		return nil
 	}
-	// Send the headers as soon as the target has sent them.
-	response.ImmediateHeaderFlush = true
+	// Send the headers as soon as the target has sent them; for another router, together with the
+	// first event, because each piece of a response costs processor time there.
+	response.ImmediateHeaderFlush = r.conn.executed == nil || !hasEvents(ex.AnswerStream)
 	response.SetBodyStream(&answerStream{request: r, source: ex.AnswerStream}, -1)
 	return nil
 }
 
+// hasEvents reports whether the beginning of a stream is at hand.
+func hasEvents(stream io.Reader) bool {
+	withEvents, ok := stream.(interface{ HasEvents() bool })
+	return ok && withEvents.HasEvents()
+}
+
 // isRouterHeader reports whether only the router itself may set a response header.
 func isRouterHeader(name string) bool { return name == headerCode || name == headerRan }
 
--- a/front/offload.go
+++ b/front/offload.go
@@ -356,7 +356,7 @@
 			r.finish(offloadComplete, false)
 		}
 	default:
-		r.breakOff(offloadBroken)
+		r.breakOff("The router that served the request was lost.")
 	}
 }
 
@@ -376,16 +376,16 @@
 // breakOff ends a request that may have run: with an error if the caller has no byte of the
 // response, otherwise by resetting the connection, because a response that is delimited by the
 // end of the connection would look complete after an orderly close. The caller holds r.mu.
-func (r *offloaded) breakOff(outcome *metrics.Counter) {
+func (r *offloaded) breakOff(detail string) {
 	s := r.owner.server
 	if s.allowRefusalLog() {
-		s.log.Warn("front: Offloaded request was cut off.", "request", r.id, "response_begun", r.begun, "unlogged_before", s.unlogged.Swap(0))
+		s.log.Warn("front: Offloaded request broke off.", "request", r.id, "cause", detail, "response_begun", r.begun, "unlogged_before", s.unlogged.Swap(0))
 	}
 	if !r.begun {
 		refusals.Inc(result.ExecutorLost)
-		r.respond(result.New(result.ExecutorLost, "The router that served the request was lost."))
+		r.respond(result.New(result.ExecutorLost, "%s", detail))
 	}
-	r.finish(outcome, r.begun)
+	r.finish(offloadBroken, r.begun)
 }
 
 // callerGone ends a request whose caller has closed the connection.
@@ -424,7 +424,7 @@
 		r.unlock(0, false)
 		return
 	}
-	r.breakOff(offloadBroken)
+	r.breakOff("This router was stopped.")
 	r.unlock(0, true)
 }
 
