--- a/offload/link/connection.go
+++ b/offload/link/connection.go
@@ -134,6 +134,7 @@
 	c.timer.Stop()
 	close(c.ended)
 	c.mu.Unlock()
+	c.options.Log.Info("link: Link ended.", "remote", c.conn.RemoteAddr(), "reason", err)
 	if closeErr := c.conn.Close(); closeErr != nil {
 		c.options.Log.Debug("link: Closing the connection failed.", "error", closeErr)
 	}
@@ -171,7 +172,7 @@
 // check runs when the timer fires.
 func (c *connection) check() {
 	c.mu.Lock()
-	write, err := c.checkLocked(c.now())
+	write, err := c.runCheckLocked(c.now())
 	c.mu.Unlock()
 	if err != nil {
 		c.end(err)
@@ -181,9 +182,9 @@
 	}
 }
 
-// checkLocked returns whether frames are to be written, and the error with which the link is to
+// runCheckLocked returns whether frames are to be written, and the error with which the link is to
 // end.
-func (c *connection) checkLocked(now time.Duration) (write bool, err error) {
+func (c *connection) runCheckLocked(now time.Duration) (write bool, err error) {
 	if c.err != nil {
 		return false, nil
 	}
--- a/offload/link/executor.go
+++ b/offload/link/executor.go
@@ -39,7 +39,8 @@
 	blocked []*response
 	// unsent is the number of response bytes in ready responses and in the batch being written.
 	unsent int
-	// running is the number of Handlers, unsentEnds that of requests whose end is not written.
+	// running is the number of Handlers, unsentEnds that of requests whose Handler returned and
+	// whose end is not written.
 	running    int
 	unsentEnds int
 	received   uint64 // number of the last request
@@ -158,7 +159,9 @@
 	end := linkpb.End_END_NONE
 	if r.finished && r.unsent.Len() == 0 {
 		end = ends[r.outcome]
-		e.writtenEnds++
+		if !r.gone {
+			e.writtenEnds++
+		}
 	}
 	b = appendAnswer(b, r.number, part, end)
 	e.writtenBytes += len(part)
@@ -216,6 +219,7 @@
 		if r, err = e.begin(f); err != nil {
 			return err
 		}
+		e.partial = r
 	}
 	r.missing -= len(f.bytes)
 	if f.number != r.number || r.missing < 0 || len(f.bytes) == 0 {
@@ -224,7 +228,6 @@
 	if r.reserved {
 		r.request.Raw = append(r.request.Raw, f.bytes...)
 	}
-	e.partial = r
 	if r.missing == 0 {
 		e.partial = nil
 		e.serve(r)
@@ -296,7 +299,9 @@
 	r.finished = true
 	r.outcome = outcome
 	r.cancel()
-	e.unsentEnds++
+	if !r.gone {
+		e.unsentEnds++
+	}
 	e.queueLocked(r)
 }
 
--- /dev/null
+++ b/offload/link/failure_test.go
@@ -0,0 +1,362 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/offload"
+	"github.com/walnutcove/walnutcove/offload/link/linkpb"
+)
+
+const time500 = 500 * time.Millisecond
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func merge(a, b map[string][]byte) map[string][]byte {
+	merged := maps.Clone(a)
+	maps.Copy(merged, b)
+	return merged
+}
+
+// untilGone serves until the caller has gone.
+func untilGone(ctx context.Context, _ control.NodeID, _ offload.Request, _ net.Conn) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestOneDirectionCut guards against a half-open link: each direction is cut in turn while a
+// response is under way, and both sides must notice.
+func TestOneDirectionCut(t *testing.T) {
+	for name, cut := range map[string]direction{"to executor": toExecutor, "to source": toSource} {
+		t.Run(name, func(t *testing.T) {
+			began := make(chan struct{})
+			p := connect(t, func(ctx context.Context, from control.NodeID, request offload.Request, conn net.Conn) error {
+				_, err := conn.Write([]byte("head"))
+				close(began)
+				return errors.Join(err, untilGone(ctx, from, request, conn))
+			})
+			p.allow(t, 1, 1)
+			_, answer := p.send(t, "request")
+			await(t, "the request", began)
+			eventually(t, "the first bytes", func() bool { return answer.received() == "head" })
+			p.proxy.hold(cut)
+			if cut == toExecutor {
+				await(t, "the executor to notice", p.executor.Done())
+			}
+			answer.expect(t, offload.Broken, "head")
+			await(t, "the source to notice", p.source.Done())
+			p.proxy.release()
+			eventually(t, "the end of the run", func() bool { return p.executor.OpenRequests() == 0 })
+		})
+	}
+}
+
+// TestOpenLinkIsKeptAlive guards against a link that ends although both sides are alive and only
+// wait for a slow response.
+func TestOpenLinkIsKeptAlive(t *testing.T) {
+	p := connect(t, func(_ context.Context, _ control.NodeID, _ offload.Request, conn net.Conn) error {
+		time.Sleep(3 * quickOptions().SilenceTimeout)
+		_, err := conn.Write([]byte("late"))
+		return err
+	})
+	p.allow(t, 1, 1)
+	_, answer := p.send(t, "request")
+	answer.expect(t, offload.Complete, "late")
+}
+
+// TestOutcomes guards against a wrong outcome of each way in which a Handler returns.
+func TestOutcomes(t *testing.T) {
+	failed := errors.New("failed")
+	for _, test := range []struct {
+		name  string
+		write string
+		err   error
+		want  offload.Outcome
+	}{
+		{"response", "response", nil, offload.Complete},
+		{"declined", "", fmt.Errorf("draining: %w", ErrDeclined), offload.Declined},
+		{"declined too late", "re", ErrDeclined, offload.Broken},
+		{"failed", "", failed, offload.Broken},
+		{"failed within the response", "re", failed, offload.Broken},
+		{"no response", "", nil, offload.Broken},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := connect(t, func(_ context.Context, _ control.NodeID, _ offload.Request, conn net.Conn) error {
+				if _, err := conn.Write([]byte(test.write)); err != nil {
+					return err
+				}
+				return test.err
+			})
+			p.allow(t, 1, 1)
+			_, answer := p.send(t, "request")
+			answer.expect(t, test.want, test.write)
+		})
+	}
+}
+
+// TestFailedWriteIsNotComplete guards against a Handler that ignores that its Write timed out: the
+// response lacks bytes and must not end as Complete.
+func TestFailedWriteIsNotComplete(t *testing.T) {
+	p := connect(t, func(_ context.Context, _ control.NodeID, _ offload.Request, conn net.Conn) error {
+		if err := conn.SetWriteDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
+			return err
+		}
+		if _, err := conn.Write(make([]byte, DefaultMaxUntakenBytes+1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return fmt.Errorf("write: %w", err)
+		}
+		return nil
+	})
+	p.allow(t, 1, 1)
+	_, answer := p.send(t, "request")
+	answer.expect(t, offload.Broken, string(make([]byte, DefaultMaxUntakenBytes)))
+}
+
+// TestBackPressure guards against a slow caller that delays other responses of its link, or whose
+// response grows without bound.
+func TestBackPressure(t *testing.T) {
+	long := strings.Repeat("long response ", 20000)
+	p := connect(t, func(_ context.Context, _ control.NodeID, request offload.Request, conn net.Conn) error {
+		if string(request.Raw) != "slow" {
+			return echo(nil, "", request, conn)
+		}
+		_, err := io.WriteString(conn, long)
+		return err
+	}, func(o *Options) { *o = Options{Log: o.Log} })
+	p.allow(t, 3, 3)
+	sent, slow := p.send(t, "slow")
+	eventually(t, "what may be untaken", func() bool { return len(slow.received()) == DefaultMaxUntakenBytes })
+	_, other := p.send(t, "other")
+	other.expect(t, offload.Complete, "other")
+	for taken := 0; taken < len(long); {
+		received := len(slow.received())
+		if received-taken > DefaultMaxUntakenBytes {
+			t.Fatalf("%d bytes untaken", received-taken)
+		}
+		sent.Taken(received - taken)
+		taken = received
+		time.Sleep(time.Millisecond)
+	}
+	slow.expect(t, offload.Complete, long)
+}
+
+// TestCancel guards against runs and requests that are left over when the caller has gone, in each
+// state of a request.
+func TestCancel(t *testing.T) {
+	release := make(chan struct{})
+	p := connect(t, func(ctx context.Context, _ control.NodeID, request offload.Request, conn net.Conn) error {
+		switch string(request.Raw) {
+		case "waiting":
+			<-ctx.Done()
+		case "reading":
+			_, _ = io.ReadAll(conn) // returns when the caller has gone
+		case "writing":
+			for {
+				if _, err := conn.Write(make([]byte, 1000)); err != nil {
+					return err
+				}
+			}
+		case "completed in any case":
+			<-release
+		}
+		return nil
+	})
+	p.allow(t, 5, 5)
+	for _, state := range []string{"waiting", "reading", "writing", "completed in any case"} {
+		sent, answer := p.send(t, state)
+		eventually(t, "the run", func() bool { return p.executor.OpenRequests() > 0 })
+		if state == "writing" {
+			eventually(t, "a blocked write", func() bool { return len(answer.received()) == DefaultMaxUntakenBytes })
+		}
+		sent.Cancel()
+		sent.Cancel()
+		sent.Taken(100)
+		answer.expect(t, offload.Broken, answer.received())
+		if state == "completed in any case" {
+			if p.executor.OpenRequests() != 1 {
+				t.Error("the run does not count")
+			}
+			close(release)
+		}
+		eventually(t, "the end of the run", func() bool { return p.executor.OpenRequests() == 0 })
+	}
+	sent, answer := p.send(t, "ended")
+	answer.expect(t, offload.Broken, "")
+	sent.Cancel() // has no effect
+	if p.source.Err() != nil || p.source.OpenRequests() != 0 {
+		t.Errorf("%d open, link %v", p.source.OpenRequests(), p.source.Err())
+	}
+}
+
+// TestCancelBeforeWritten guards against a request that is cancelled before it was written and
+// then ends twice or not at all.
+func TestCancelBeforeWritten(t *testing.T) {
+	source, raw := rawExecutor(t)
+	raw.allow(t, source, 2, 2)
+	offer(t, source, "blocks the writer")
+	eventually(t, "write of the first request", func() bool {
+		source.mu.Lock()
+		defer source.mu.Unlock()
+		return source.written == 1
+	})
+	sent, answer := offer(t, source, "cancelled")
+	sent.Cancel()
+	raw.Close()
+	answer.expect(t, offload.Declined, "")
+}
+
+// TestAllowanceUnderContention guards against wake-ups that are lost or doubled when allowance and
+// requests meet: each allowed request is sent, and no other.
+func TestAllowanceUnderContention(t *testing.T) {
+	const rounds, each, senders = 50, 4, 4
+	p := connect(t, echo)
+	var sent atomic.Int64
+	var group sync.WaitGroup
+	stop := make(chan struct{})
+	for range senders {
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				p.source.NoteWanted(1)
+				r := newRecorder()
+				if p.source.Send(offload.Request{Raw: []byte("x")}, r) != nil {
+					sent.Add(1)
+				}
+				time.Sleep(100 * time.Microsecond)
+			}
+		})
+	}
+	for range rounds {
+		group.Go(func() { p.executor.SetAllowance(each, 10) })
+	}
+	eventually(t, "all that is allowed", func() bool { return sent.Load() == rounds*each })
+	eventually(t, "the ends", func() bool { return p.source.OpenRequests() == 0 })
+	close(stop)
+	group.Wait()
+	eventually(t, "the demand", func() bool {
+		received, wanted := p.executor.Demand()
+		return received == rounds*each && wanted > received
+	})
+	if p.source.Err() != nil || sent.Load() != rounds*each {
+		t.Errorf("%d sent, link %v", sent.Load(), p.source.Err())
+	}
+}
+
+// TestDrain guards against a draining executor that breaks open requests or gets new ones.
+func TestDrain(t *testing.T) {
+	release := make(chan struct{})
+	p := connect(t, func(_ context.Context, _ control.NodeID, _ offload.Request, conn net.Conn) error {
+		<-release
+		_, err := conn.Write([]byte("response"))
+		return err
+	})
+	p.allow(t, 2, 2)
+	_, answer := p.send(t, "request")
+	p.executor.Drain()
+	p.executor.SetAllowance(10, 10)
+	eventually(t, "no allowance", func() bool { return p.source.Allowance() == 0 })
+	if _, refusal := p.source.Offer(offload.Request{Raw: []byte("x")}, newRecorder()); refusal != RefusedNoAllowance {
+		t.Errorf("sent to a draining executor: %q", refusal)
+	}
+	close(release)
+	answer.expect(t, offload.Complete, "response")
+	await(t, "the end of the link", p.executor.Done())
+	if err := p.source.Err(); err != ErrDrained {
+		t.Errorf("the link ended with %v", err)
+	}
+}
+
+// TestIdleLinkIsClosed guards against links that are kept for good.
+func TestIdleLinkIsClosed(t *testing.T) {
+	p := connect(t, echo, func(o *Options) { o.IdleTimeout = 100 * time.Millisecond })
+	p.allow(t, 1, 1)
+	_, answer := p.send(t, "request")
+	answer.expect(t, offload.Complete, "request")
+	await(t, "the end of the link", p.executor.Done())
+	if err := p.source.Err(); err != ErrIdle {
+		t.Errorf("the link ended with %v", err)
+	}
+}
+
+// TestRequestLimits guards against requests that exceed a limit and are cut, or that exceed the
+// memory of the executor.
+func TestRequestLimits(t *testing.T) {
+	budget := NewBudget(150 << 10)
+	p := connect(t, echo, func(o *Options) {
+		*o = Options{Log: o.Log, Budget: budget}
+	})
+	p.allow(t, 10, 10)
+	tooLarge := offload.Request{Raw: make([]byte, DefaultMaxRequestBytes+1)}
+	if _, refusal := p.source.Offer(tooLarge, newRecorder()); refusal != RefusedTooLarge {
+		t.Errorf("too large: %q", refusal)
+	}
+	_, beyond := p.send(t, strings.Repeat("beyond", 40000))
+	beyond.expect(t, offload.Declined, "")
+	_, within := p.send(t, strings.Repeat("w", 50000))
+	within.expect(t, offload.Complete, strings.Repeat("w", 50000))
+	if budget.Used() != 0 {
+		t.Errorf("%d bytes in use", budget.Used())
+	}
+}
+
+// TestFramesMatchGeneratedCode guards against an encoding by hand that is not that of link.proto.
+func TestFramesMatchGeneratedCode(t *testing.T) {
+	for _, test := range []struct {
+		encoded []byte
+		want    *linkpb.Frame
+	}{
+		{
+			appendRequest(nil, frame{number: 300, id: "id", config: 1 << 40, waited: 5, size: 3, bytes: []byte("raw")}),
+			&linkpb.Frame{Kind: &linkpb.Frame_Request{Request: &linkpb.Request{
+				Number: 300, Id: "id", Config: 1 << 40, Waited: 5, Size: 3, Bytes: []byte("raw"),
+			}}},
+		},
+		{
+			appendAnswer(nil, 7, make([]byte, maxPartBytes), linkpb.End_END_BROKEN),
+			&linkpb.Frame{Kind: &linkpb.Frame_Answer{Answer: &linkpb.Answer{
+				Number: 7, Bytes: make([]byte, maxPartBytes), End: linkpb.End_END_BROKEN,
+			}}},
+		},
+		{appendCancel(nil, 8), &linkpb.Frame{Kind: &linkpb.Frame_Cancel{Cancel: &linkpb.Cancel{Number: 8}}}},
+		{
+			appendTaken(nil, 9, 1<<15),
+			&linkpb.Frame{Kind: &linkpb.Frame_Taken{Taken: &linkpb.Taken{Number: 9, Bytes: 1 << 15}}},
+		},
+		{appendPing(nil, 0), &linkpb.Frame{Kind: &linkpb.Frame_Ping{Ping: &linkpb.Ping{}}}},
+		{
+			appendAllowance(nil, 500, 20, true),
+			&linkpb.Frame{Kind: &linkpb.Frame_Allowance{Allowance: &linkpb.Allowance{Total: 500, MaxOpen: 20, Closing: true}}},
+		},
+	} {
+		message, rest, _, err := nextFrame(test.encoded)
+		decoded := &linkpb.Frame{}
+		if err != nil || len(rest) > 0 || proto.Unmarshal(message, decoded) != nil || !proto.Equal(decoded, test.want) {
+			t.Errorf("%v decoded as %v, error %v", test.want, decoded, err)
+		}
+		generated, err := proto.Marshal(test.want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		byHand, err := decodeFrame(message)
+		again, errAgain := decodeFrame(generated)
+		if err != nil || errAgain != nil || fmt.Sprint(byHand) != fmt.Sprint(again) {
+			t.Errorf("%+v, error %v; %+v, error %v", byHand, err, again, errAgain)
+		}
+	}
+}
--- a/offload/link/options.go
+++ b/offload/link/options.go
@@ -16,7 +16,9 @@
 	// DefaultBudgetBytes bounds the requests that an executor without Options.Budget holds.
 	DefaultBudgetBytes = 8 << 20
 
-	DefaultGatherTime     = time.Millisecond
+	// DefaultGatherTime bounds the wake-ups of both sides, which are most of the cost of a link;
+	// see docs/design/0026-offloading.md.
+	DefaultGatherTime     = 5 * time.Millisecond
 	DefaultSilenceTimeout = time.Second
 	DefaultPingInterval   = 250 * time.Millisecond
 	DefaultPauseThreshold = 500 * time.Millisecond
--- a/offload/link/source.go
+++ b/offload/link/source.go
@@ -93,10 +93,11 @@
 	return ""
 }
 
-// isStalledLocked reports whether a write takes longer than a check interval, or the executor
-// missed the time of its next frame: a request sent now would probably end as Broken.
+// isStalledLocked reports whether a write takes too long or the executor missed the time of its
+// next frame: a request sent now would probably end with the link. The writer of an overloaded
+// process may wait 100 ms for the processor, which is no stall.
 func (s *Source) isStalledLocked(now time.Duration) bool {
-	return s.writing && now-s.wroteAt > s.options.CheckInterval ||
+	return s.writing && now-s.wroteAt > s.options.SilenceTimeout/4 ||
 		len(s.open) > 0 && s.silenceLocked(now) > s.options.SilenceTimeout/2
 }
 
