--- a/offload/link/connection.go
+++ b/offload/link/connection.go
@@ -24,7 +24,7 @@
 	// readBufferBytes is the initial size of the read buffer, which grows to the longest frame.
 	readBufferBytes = 32 << 10
 	// maxBatchBytes bounds the bytes of one write, apart from the last frame in it.
-	maxBatchBytes = 64 << 10
+	maxBatchBytes = 32 << 10
 	// pauseGrace is the part of Options.SilenceTimeout that a process which was paused still
 	// waits for frames: those that arrived in the meantime have to be read first.
 	pauseGrace = 4
--- a/offload/link/executor.go
+++ b/offload/link/executor.go
@@ -30,6 +30,8 @@
 
 	// partial is the request of which parts are missing; used by the goroutine that reads.
 	partial *response
+	// transit is used by the goroutine that reads.
+	transit transit
 
 	// The following is guarded by connection.mu.
 	open map[uint64]*response
@@ -241,6 +243,7 @@
 		return nil, fmt.Errorf("%w: size of request %d", errFrame, f.number)
 	}
 	r := newResponse(e, f)
+	r.request.Waited += e.transit.delay(time.Duration(e.heard.Load()), micros(f.queued))
 	if err := e.admit(r); err != nil {
 		r.release()
 		return nil, err
--- a/offload/link/failure_test.go
+++ b/offload/link/failure_test.go
@@ -130,7 +130,7 @@
 	long := strings.Repeat("long response ", 20000)
 	p := connect(t, func(_ context.Context, _ control.NodeID, request offload.Request, conn net.Conn) error {
 		if string(request.Raw) != "slow" {
-			return echo(nil, "", request, conn)
+			return echo(context.Background(), "", request, conn)
 		}
 		_, err := io.WriteString(conn, long)
 		return err
@@ -322,9 +322,9 @@
 		want    *linkpb.Frame
 	}{
 		{
-			appendRequest(nil, frame{number: 300, id: "id", config: 1 << 40, waited: 5, size: 3, bytes: []byte("raw")}),
+			appendRequest(nil, frame{number: 300, id: "id", config: 1 << 40, waited: 5, size: 3, bytes: []byte("raw"), queued: 6}),
 			&linkpb.Frame{Kind: &linkpb.Frame_Request{Request: &linkpb.Request{
-				Number: 300, Id: "id", Config: 1 << 40, Waited: 5, Size: 3, Bytes: []byte("raw"),
+				Number: 300, Id: "id", Config: 1 << 40, Waited: 5, Size: 3, Bytes: []byte("raw"), Queued: 6,
 			}}},
 		},
 		{
@@ -360,3 +360,21 @@
 		}
 	}
 }
+
+// TestTransitDelay guards against a deadline that ignores the time for which a request was held up
+// between the two sides, and against clocks that differ or drift and are taken for delay.
+func TestTransitDelay(t *testing.T) {
+	const offset = 7 * time.Hour // between the clocks
+	var tr transit
+	for _, step := range []struct{ sent, took, want time.Duration }{
+		{sent: 0, took: 3 * time.Millisecond, want: 0},
+		{sent: time.Second, took: time.Millisecond, want: 0},
+		{sent: 2 * time.Second, took: 301 * time.Millisecond, want: 300 * time.Millisecond},
+		{sent: time.Hour, took: 200 * time.Millisecond, want: 0}, // as much as clocks may have drifted
+	} {
+		got := tr.delay(step.sent+step.took-offset, step.sent)
+		if got < step.want-time.Millisecond || got > step.want {
+			t.Errorf("%+v: %s", step, got)
+		}
+	}
+}
--- a/offload/link/frames.go
+++ b/offload/link/frames.go
@@ -49,6 +49,7 @@
 	config  uint64
 	waited  uint64
 	size    uint64
+	queued  uint64
 	bytes   []byte
 	end     linkpb.End
 	taken   uint64
@@ -119,14 +120,15 @@
 // appendRequest appends a part of a request.
 func appendRequest(b []byte, f frame) []byte {
 	size := sizeUint(f.number) + sizeBytes(len(f.id)) + sizeUint(f.config) + sizeUint(f.waited) +
-		sizeUint(f.size) + sizeBytes(len(f.bytes))
+		sizeUint(f.size) + sizeBytes(len(f.bytes)) + sizeUint(f.queued)
 	b = appendHead(b, kindRequest, size)
 	b = appendUint(b, 1, f.number)
 	b = appendBytes(b, 2, f.id)
 	b = appendUint(b, 3, f.config)
 	b = appendUint(b, 4, f.waited)
 	b = appendUint(b, 5, f.size)
-	return appendBytes(b, 6, f.bytes)
+	b = appendBytes(b, 6, f.bytes)
+	return appendUint(b, 7, f.queued)
 }
 
 func appendAnswer(b []byte, number uint64, bytes []byte, end linkpb.End) []byte {
@@ -232,6 +234,8 @@
 		f.size = field.value
 	case 6:
 		f.bytes = field.bytes
+	case 7:
+		f.queued = field.value
 	}
 }
 
--- a/offload/link/response.go
+++ b/offload/link/response.go
@@ -57,7 +57,7 @@
 		request: offload.Request{
 			ID:     f.id,
 			Config: f.config,
-			Waited: time.Duration(min(f.waited, uint64(maxWaited.Microseconds()))) * time.Microsecond,
+			Waited: micros(f.waited),
 		},
 	}
 	if r.reserved {
@@ -67,9 +67,6 @@
 	return r
 }
 
-// maxWaited bounds Request.Waited against overflows.
-const maxWaited = time.Hour
-
 // release returns the request's bytes to the budget.
 func (r *response) release() {
 	if r.reserved {
--- a/offload/link/source.go
+++ b/offload/link/source.go
@@ -109,6 +109,7 @@
 		config: request.Config,
 		waited: uint64(max(0, request.Waited.Microseconds())),
 		size:   uint64(len(request.Raw)),
+		queued: uint64(s.now().Microseconds()),
 	}
 	for raw := request.Raw; len(raw) > 0; {
 		part := min(len(raw), maxPartBytes)
--- a/peer/channel.go
+++ b/peer/channel.go
@@ -25,7 +25,7 @@
 	// channelReadBytes is the size of the read buffer below yamux, whose own holds 4 KiB.
 	channelReadBytes = 32 << 10
 	// maxKeptChannelBytes bounds the write buffer that is kept between the batches of a channel.
-	maxKeptChannelBytes = 128 << 10
+	maxKeptChannelBytes = 64 << 10
 )
 
 // ErrNoChannel reports that a node does not offer a channel, or runs a build without channels.
