--- a/offload/link/bench_test.go
+++ b/offload/link/bench_test.go
@@ -24,6 +24,8 @@
 	"github.com/walnutcove/walnutcove/offload"
 	"github.com/walnutcove/walnutcove/offload/link/linkpb"
 	"github.com/walnutcove/walnutcove/peer"
+	"github.com/walnutcove/walnutcove/peer/testkeys"
+	"github.com/walnutcove/walnutcove/peer/tlsfiles"
 )
 
 // The benchmarks of the source run the executor in a process of its own, so that getrusage and
@@ -32,6 +34,7 @@
 //	go test -run xx -bench Source -benchtime 2000x -cpu 1 ./offload/link
 const (
 	executorEnv    = "LINK_BENCH_EXECUTOR" // the executor's gather time
+	keysEnv        = "LINK_BENCH_KEYS"     // directory of the keys for TLS; empty: no TLS
 	benchRequest   = 1500                  // bytes
 	benchEvent     = 120                   // bytes
 	benchEvents    = 30
@@ -76,7 +79,10 @@
 			serve(conn)
 		}
 	}()
-	options := meshOptions("executor")
+	options, err := meshOptions("executor", os.Getenv(keysEnv))
+	if err != nil {
+		return err
+	}
 	options.Channels = map[string]peer.ServeChannel{
 		"link": func(_ control.NodeID, _ control.Incarnation, _ string, conn net.Conn) { serve(conn) },
 	}
@@ -128,10 +134,15 @@
 	return nil, errors.New("no calls")
 }
 
-func meshOptions(name control.NodeID) peer.Options {
-	return peer.Options{
+func meshOptions(name control.NodeID, keys string) (options peer.Options, err error) {
+	options = peer.Options{
 		Node: name, Incarnation: 1, ListenAddress: "127.0.0.1:0", Logger: discardLog(), Metrics: metrics.NewSet(),
 	}
+	if keys != "" {
+		files := testkeys.FilesOf(keys, string(name))
+		options.TLS, err = tlsfiles.Load(files.CertFile, files.KeyFile, files.CAFile)
+	}
+	return options, err
 }
 
 func discardLog() *slog.Logger { return slog.New(slog.DiscardHandler) }
@@ -139,8 +150,15 @@
 // startExecutor starts the executor's process and returns a connection to it.
 func startExecutor(b *testing.B, transport string, gather time.Duration) net.Conn {
 	b.Helper()
+	keys := ""
+	if transport == "tls" {
+		keys = b.TempDir()
+		if err := testkeys.Make(keys, 0, "source", "executor"); err != nil {
+			b.Fatal(err)
+		}
+	}
 	command := exec.Command(os.Args[0])
-	command.Env = append(os.Environ(), executorEnv+"="+gather.String())
+	command.Env = append(os.Environ(), executorEnv+"="+gather.String(), keysEnv+"="+keys)
 	command.Stderr = os.Stderr
 	input, err := command.StdinPipe()
 	if err != nil {
@@ -168,7 +186,11 @@
 		}
 		return conn
 	}
-	mesh, err := peer.New(meshOptions("source"), noMessages{})
+	options, err := meshOptions("source", keys)
+	if err != nil {
+		b.Fatal(err)
+	}
+	mesh, err := peer.New(options, noMessages{})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -240,7 +262,7 @@
 }
 
 // BenchmarkSource measures the source's part of requests at a steady rate. "none" is the pacing of
-// the benchmark alone, which is in the other figures too.
+// the benchmark alone, which is in the other figures too; "tls" is yamux over TLS.
 func BenchmarkSource(b *testing.B) {
 	for _, perSecond := range []int{500, 1500} {
 		b.Run(fmt.Sprintf("%d-none", perSecond), func(b *testing.B) {
@@ -248,7 +270,7 @@
 			pace(b.N, perSecond, func() {})
 			report(b, before)
 		})
-		for _, transport := range []string{"yamux", "tcp"} {
+		for _, transport := range []string{"yamux", "tls", "tcp"} {
 			for _, gather := range []time.Duration{1, time.Millisecond, 5 * time.Millisecond} {
 				for _, shape := range []string{"batched", "apart", "short"} {
 					b.Run(fmt.Sprintf("%d-%s-%s-%s", perSecond, transport, gather, shape), func(b *testing.B) {
--- a/offload/link/connection.go
+++ b/offload/link/connection.go
@@ -42,6 +42,8 @@
 	// checkLocked is called every Options.CheckInterval while requests are open. It returns
 	// whether frames are to be written, and whether checks must go on without open requests.
 	checkLocked(now time.Duration) (write, again bool)
+	// releaseBuffersLocked is called when no request is open any more.
+	releaseBuffersLocked()
 	// handle handles a frame. Only the goroutine that reads calls it.
 	handle(f frame) error
 	// finish ends all requests. It is called once, by the goroutine that reads, after the end of
@@ -207,10 +209,19 @@
 		c.resetTimerLocked(now, c.options.CheckInterval)
 	} else {
 		c.resetTimerLocked(now, c.idle)
+		c.releaseBuffersLocked()
 	}
 	return write, nil
 }
 
+// releaseBuffersLocked releases buffers that a link without open requests does not need.
+func (c *connection) releaseBuffersLocked() {
+	c.side.releaseBuffersLocked()
+	if stream, ok := c.conn.(interface{ Shrink() }); ok {
+		stream.Shrink()
+	}
+}
+
 // isDeadLocked reports whether the other side is considered dead: it was silent in two checks in a
 // row. Between them the goroutine that reads has time for what arrived while a process with little
 // processor time did not run.
--- a/offload/link/executor.go
+++ b/offload/link/executor.go
@@ -194,6 +194,9 @@
 	e.blocked = e.blocked[:0]
 }
 
+// releaseBuffersLocked implements endpoint.
+func (e *Executor) releaseBuffersLocked() { e.writtenBuffer = nil }
+
 // handle implements endpoint.
 func (e *Executor) handle(f frame) error {
 	switch f.kind {
--- a/offload/link/source.go
+++ b/offload/link/source.go
@@ -192,6 +192,9 @@
 	return true, changed
 }
 
+// releaseBuffersLocked implements endpoint.
+func (s *Source) releaseBuffersLocked() { s.out.free = nil }
+
 // handle implements endpoint.
 func (s *Source) handle(f frame) error {
 	switch f.kind {
