--- a/offload/link/connection.go
+++ b/offload/link/connection.go
@@ -24,7 +24,7 @@
 	// readBufferBytes is the initial size of the read buffer, which grows to the longest frame.
 	readBufferBytes = 32 << 10
 	// maxBatchBytes bounds the bytes of one write, apart from the last frame in it.
-	maxBatchBytes = 64 << 10
+	maxBatchBytes = 32 << 10
 	// pauseGrace is the part of Options.SilenceTimeout that a process which was paused still
 	// waits for frames: those that arrived in the meantime have to be read first.
 	pauseGrace = 4
@@ -42,6 +42,8 @@
 	// checkLocked is called every Options.CheckInterval while requests are open. It returns
 	// whether frames are to be written, and whether checks must go on without open requests.
 	checkLocked(now time.Duration) (write, again bool)
+	// releaseBuffersLocked is called when no request is open any more.
+	releaseBuffersLocked()
 	// handle handles a frame. Only the goroutine that reads calls it.
 	handle(f frame) error
 	// finish ends all requests. It is called once, by the goroutine that reads, after the end of
@@ -134,6 +136,7 @@
 	c.timer.Stop()
 	close(c.ended)
 	c.mu.Unlock()
+	c.options.Log.Info("link: Link ended.", "remote", c.conn.RemoteAddr(), "reason", err)
 	if closeErr := c.conn.Close(); closeErr != nil {
 		c.options.Log.Debug("link: Closing the connection failed.", "error", closeErr)
 	}
@@ -171,7 +174,7 @@
 // check runs when the timer fires.
 func (c *connection) check() {
 	c.mu.Lock()
-	write, err := c.checkLocked(c.now())
+	write, err := c.runCheckLocked(c.now())
 	c.mu.Unlock()
 	if err != nil {
 		c.end(err)
@@ -181,9 +184,9 @@
 	}
 }
 
-// checkLocked returns whether frames are to be written, and the error with which the link is to
+// runCheckLocked returns whether frames are to be written, and the error with which the link is to
 // end.
-func (c *connection) checkLocked(now time.Duration) (write bool, err error) {
+func (c *connection) runCheckLocked(now time.Duration) (write bool, err error) {
 	if c.err != nil {
 		return false, nil
 	}
@@ -206,10 +209,19 @@
 		c.resetTimerLocked(now, c.options.CheckInterval)
 	} else {
 		c.resetTimerLocked(now, c.idle)
+		c.releaseBuffersLocked()
 	}
 	return write, nil
 }
 
+// releaseBuffersLocked releases buffers that a link without open requests does not need.
+func (c *connection) releaseBuffersLocked() {
+	c.side.releaseBuffersLocked()
+	if stream, ok := c.conn.(interface{ Shrink() }); ok {
+		stream.Shrink()
+	}
+}
+
 // isDeadLocked reports whether the other side is considered dead: it was silent in two checks in a
 // row. Between them the goroutine that reads has time for what arrived while a process with little
 // processor time did not run.
--- a/offload/link/executor.go
+++ b/offload/link/executor.go
@@ -30,6 +30,8 @@
 
 	// partial is the request of which parts are missing; used by the goroutine that reads.
 	partial *response
+	// transit is used by the goroutine that reads.
+	transit transit
 
 	// The following is guarded by connection.mu.
 	open map[uint64]*response
@@ -39,7 +41,8 @@
 	blocked []*response
 	// unsent is the number of response bytes in ready responses and in the batch being written.
 	unsent int
-	// running is the number of Handlers, unsentEnds that of requests whose end is not written.
+	// running is the number of Handlers, unsentEnds that of requests whose Handler returned and
+	// whose end is not written.
 	running    int
 	unsentEnds int
 	received   uint64 // number of the last request
@@ -158,7 +161,9 @@
 	end := linkpb.End_END_NONE
 	if r.finished && r.unsent.Len() == 0 {
 		end = ends[r.outcome]
-		e.writtenEnds++
+		if !r.gone {
+			e.writtenEnds++
+		}
 	}
 	b = appendAnswer(b, r.number, part, end)
 	e.writtenBytes += len(part)
@@ -189,6 +194,9 @@
 	e.blocked = e.blocked[:0]
 }
 
+// releaseBuffersLocked implements endpoint.
+func (e *Executor) releaseBuffersLocked() { e.writtenBuffer = nil }
+
 // handle implements endpoint.
 func (e *Executor) handle(f frame) error {
 	switch f.kind {
@@ -216,6 +224,7 @@
 		if r, err = e.begin(f); err != nil {
 			return err
 		}
+		e.partial = r
 	}
 	r.missing -= len(f.bytes)
 	if f.number != r.number || r.missing < 0 || len(f.bytes) == 0 {
@@ -224,7 +233,6 @@
 	if r.reserved {
 		r.request.Raw = append(r.request.Raw, f.bytes...)
 	}
-	e.partial = r
 	if r.missing == 0 {
 		e.partial = nil
 		e.serve(r)
@@ -238,6 +246,7 @@
 		return nil, fmt.Errorf("%w: size of request %d", errFrame, f.number)
 	}
 	r := newResponse(e, f)
+	r.request.Waited += e.transit.delay(time.Duration(e.heard.Load()), micros(f.queued))
 	if err := e.admit(r); err != nil {
 		r.release()
 		return nil, err
@@ -296,7 +305,9 @@
 	r.finished = true
 	r.outcome = outcome
 	r.cancel()
-	e.unsentEnds++
+	if !r.gone {
+		e.unsentEnds++
+	}
 	e.queueLocked(r)
 }
 
--- a/offload/link/source.go
+++ b/offload/link/source.go
@@ -93,10 +93,11 @@
 	return ""
 }
 
-// isStalledLocked reports whether a write takes longer than a check interval, or the executor
-// missed the time of its next frame: a request sent now would probably end as Broken.
+// isStalledLocked reports whether a write takes too long or the executor missed the time of its
+// next frame: a request sent now would probably end with the link. The writer of an overloaded
+// process may wait 100 ms for the processor, which is no stall.
 func (s *Source) isStalledLocked(now time.Duration) bool {
-	return s.writing && now-s.wroteAt > s.options.CheckInterval ||
+	return s.writing && now-s.wroteAt > s.options.SilenceTimeout/4 ||
 		len(s.open) > 0 && s.silenceLocked(now) > s.options.SilenceTimeout/2
 }
 
@@ -108,6 +109,7 @@
 		config: request.Config,
 		waited: uint64(max(0, request.Waited.Microseconds())),
 		size:   uint64(len(request.Raw)),
+		queued: uint64(s.now().Microseconds()),
 	}
 	for raw := request.Raw; len(raw) > 0; {
 		part := min(len(raw), maxPartBytes)
@@ -190,6 +192,9 @@
 	return true, changed
 }
 
+// releaseBuffersLocked implements endpoint.
+func (s *Source) releaseBuffersLocked() { s.out.free = nil }
+
 // handle implements endpoint.
 func (s *Source) handle(f frame) error {
 	switch f.kind {
