Offloading: a response that breaks off excludes no executor whose link goes on

Cause: a target that breaks off one stream in a thousand would keep executors excluded at 1,000 requests a second. Change: only declined requests, ended links, failed dials and a second without allowance exclude.

--- a/router/offloadmetrics.go
+++ b/router/offloadmetrics.go
@@ -41,7 +41,6 @@
 // Executors that this router, as the source, stopped using for a while.
 var (
 	exclusionsDeclined = offloadExclusions("declined")
-	exclusionsBroken   = offloadExclusions("broken")
 	exclusionsEnded    = offloadExclusions("link_ended")
 	exclusionsDrained  = offloadExclusions("drained")
 	exclusionsDial     = offloadExclusions("dial_failed")
--- a/router/offloadrequest.go
+++ b/router/offloadrequest.go
@@ -33,23 +33,21 @@
 	r.sent.Cancel()
 }
 
-// ended counts how a request ended, and excludes its executor if it failed. How a cancelled request
-// ends says nothing about the executor. Package front counts and logs the request itself.
+// ended counts how a request ended, and excludes its executor if it declined the request. A response
+// that broke off says nothing about an executor whose link goes on: its target may have failed. Nor
+// does the end of a cancelled request. Package front counts and logs the request itself.
 func (s *offloadSource) ended(r *offloadedRequest, outcome offload.Outcome) {
 	switch {
 	case r.cancelled.Load():
 		s.counts.cancelled.Add(1)
-		return
 	case outcome == offload.Complete:
 		s.counts.complete.Add(1)
-		return
 	case outcome == offload.Declined:
 		s.counts.declined.Add(1)
+		r.link.declined.Store(true)
 	default:
 		s.counts.broken.Add(1)
 	}
-	failure := outcome
-	r.link.failure.CompareAndSwap(nil, &failure)
 }
 
 // offloadCounts counts how requests ended since the last log line.
--- a/router/offloadsource.go
+++ b/router/offloadsource.go
@@ -80,15 +80,15 @@
 type executorLink struct {
 	sendingLink
 	node string
-	// failure is the outcome of the first request that failed, if there is one.
-	failure atomic.Pointer[offload.Outcome]
+	// declined is set once the executor has declined a request.
+	declined atomic.Bool
 	// sent counts the requests sent since the last step.
 	sent atomic.Int64
 }
 
 // allowance returns how many requests may be sent.
 func (l *executorLink) allowance() int {
-	if l.failure.Load() != nil {
+	if l.declined.Load() {
 		return 0
 	}
 	return l.Allowance()
@@ -262,14 +262,9 @@
 		return
 	default:
 	}
-	if failure := l.failure.Swap(nil); failure != nil {
-		switch *failure {
-		case offload.Declined:
-			exclusionsDeclined.Inc()
-		default:
-			exclusionsBroken.Inc()
-		}
-		s.exclude(now, l.node, failure.String(), nil)
+	if l.declined.Swap(false) {
+		exclusionsDeclined.Inc()
+		s.exclude(now, l.node, offload.Declined.String(), nil)
 		return
 	}
 	if s.selector.Observe(now, l.node, sent > 0 || l.Allowance() > 0, lacked) {
--- a/router/overload_test.go
+++ b/router/overload_test.go
@@ -240,3 +240,31 @@
 		t.Errorf("%.2f shed on kept connections and %.2f on new ones, of %d callers", got, onNew, callers)
 	}
 }
+
+// TestShedsAllIsLasting guards against a router that offloads less whenever the fraction that is
+// shed swings up to 1 for a moment, and against one that stays late by copying.
+func TestShedsAllIsLasting(t *testing.T) {
+	shedsAll := false
+	o := &overload{
+		log:             slog.New(slog.DiscardHandler),
+		hasTooManyConns: func() bool { return false },
+		onMeasured:      func(_ time.Duration, all bool) { shedsAll = all },
+	}
+	now := time.Now()
+	measure := func(lateness, duration time.Duration) {
+		for end := now.Add(duration); now.Before(end); {
+			now = now.Add(shedInterval)
+			o.measure(now, lateness)
+		}
+	}
+	measure(0, time.Second)
+	if measure(4*shedTargetLag, 300*time.Millisecond); shedsAll || o.shedProbability(false) < 1 {
+		t.Errorf("after 0.3 s: fraction %v, all %v", o.shedProbability(false), shedsAll)
+	}
+	if measure(4*shedTargetLag, 700*time.Millisecond); !shedsAll {
+		t.Error("after a second of lag not all counts as shed")
+	}
+	if measure(0, lagInterval); shedsAll {
+		t.Error("all counts as shed while the router is in time")
+	}
+}
