--- a/offload/link/bench_test.go
+++ b/offload/link/bench_test.go
@@ -84,7 +84,7 @@
 		return err
 	}
 	options.Channels = map[string]peer.ServeChannel{
-		"link": func(_ control.NodeID, _ control.Incarnation, _ string, conn net.Conn) { serve(conn) },
+		ChannelName: func(_ control.NodeID, _ control.Incarnation, _ string, conn net.Conn) { serve(conn) },
 	}
 	mesh, err := peer.New(options, noMessages{})
 	if err != nil {
@@ -196,7 +196,7 @@
 	}
 	b.Cleanup(func() { mesh.Close() })
 	mesh.SetPeers(map[control.NodeID]string{"executor": channel})
-	conn, err := mesh.OpenChannel(context.Background(), "executor", "link")
+	conn, err := mesh.OpenChannel(context.Background(), "executor", ChannelName)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/offload/link/connection.go
+++ b/offload/link/connection.go
@@ -8,6 +8,10 @@
 	"time"
 )
 
+// ChannelName is the name of the channel of package peer that carries links. It changes with
+// versions of the frames that do not understand each other.
+const ChannelName = "offload-1"
+
 // Errors with which a link ends, returned by Err. Errors of the connection are returned as they are.
 var (
 	// ErrClosed reports that Close was called.
--- a/offload/link/failure_test.go
+++ b/offload/link/failure_test.go
@@ -19,6 +19,7 @@
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/offload"
 	"github.com/walnutcove/walnutcove/offload/link/linkpb"
+	"github.com/walnutcove/walnutcove/peer"
 )
 
 const time500 = 500 * time.Millisecond
@@ -315,6 +316,75 @@
 	}
 }
 
+// TestCloseUnblocksRead guards against a Handler that waits for a Read of a connection that it has
+// closed itself.
+func TestCloseUnblocksRead(t *testing.T) {
+	p := connect(t, func(_ context.Context, _ control.NodeID, request offload.Request, conn net.Conn) error {
+		read := make(chan error)
+		go func() {
+			_, err := io.ReadAll(conn)
+			read <- err
+		}()
+		_, writeErr := conn.Write(request.Raw)
+		closeErr := conn.Close()
+		if readErr := <-read; !errors.Is(readErr, net.ErrClosed) {
+			return fmt.Errorf("read: %w", readErr)
+		}
+		return errors.Join(writeErr, closeErr)
+	})
+	p.allow(t, 1, 1)
+	_, answer := p.send(t, "request")
+	answer.expect(t, offload.Complete, "request")
+}
+
+// TestOverChannel guards against a link that does not work over a channel of package peer, or does
+// not notice its end.
+func TestOverChannel(t *testing.T) {
+	executors := make(chan *Executor, 1)
+	options, err := meshOptions("executor", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	options.Channels = map[string]peer.ServeChannel{
+		ChannelName: func(from control.NodeID, _ control.Incarnation, _ string, conn net.Conn) {
+			executors <- NewExecutor(from, conn, echo, Options{Log: discardLog()})
+		},
+	}
+	accepting, err := peer.New(options, noMessages{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepting.Close()
+	options, err = meshOptions("source", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dialling, err := peer.New(options, noMessages{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dialling.Close()
+	dialling.SetPeers(map[control.NodeID]string{"executor": accepting.Address()})
+	conn, err := dialling.OpenChannel(context.Background(), "executor", ChannelName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := pair{source: NewSource(conn, Options{Log: discardLog()}), executor: <-executors}
+	p.allow(t, 100, 100)
+	raw := strings.Repeat("request", DefaultMaxUntakenBytes/8)
+	var answers []*recorder
+	for range 50 {
+		_, answer := p.send(t, raw)
+		answers = append(answers, answer)
+	}
+	for _, answer := range answers {
+		answer.expect(t, offload.Complete, raw)
+	}
+	accepting.Close()
+	await(t, "the source to end", p.source.Done())
+	await(t, "the executor to end", p.executor.Done())
+}
+
 // TestFramesMatchGeneratedCode guards against an encoding by hand that is not that of link.proto.
 func TestFramesMatchGeneratedCode(t *testing.T) {
 	for _, test := range []struct {
--- a/offload/link/response.go
+++ b/offload/link/response.go
@@ -101,6 +101,9 @@
 		r.input = bytes.NewReader(r.request.Raw)
 	}
 	for r.input.Len() == 0 {
+		if r.isClosed() {
+			return 0, net.ErrClosed
+		}
 		if err := r.wait(r.readWake, &r.readDeadline); err != nil {
 			if errors.Is(err, errCallerGone) {
 				err = io.EOF
@@ -111,6 +114,12 @@
 	return r.input.Read(p)
 }
 
+func (r *response) isClosed() bool {
+	r.executor.mu.Lock()
+	defer r.executor.mu.Unlock()
+	return r.closed
+}
+
 // Write implements net.Conn. It blocks while Options.MaxUntakenBytes are not taken.
 func (r *response) Write(p []byte) (int, error) {
 	written := 0
@@ -186,6 +195,7 @@
 	r.executor.mu.Lock()
 	defer r.executor.mu.Unlock()
 	r.closed = true
+	signal(r.readWake)
 	signal(r.writeWake)
 	return nil
 }
--- a/peer/channel.go
+++ b/peer/channel.go
@@ -81,9 +81,6 @@
 	hello := m.channelHello(name)
 	hello.Expected = string(node)
 	conn, remote, reason := l.exchangeHellos(raw, hello)
-	if reason == "" && l.refusesIncarnation(remote.Incarnation) {
-		reason = failStale
-	}
 	var c *channel
 	if reason == "" {
 		c, reason = m.startChannel(conn, raw, remote, yamux.Client, (*yamux.Session).OpenStream)
@@ -114,7 +111,7 @@
 	if serve == nil {
 		return failChannel
 	}
-	if l := m.findLink(remote.Node); l != nil && l.refusesIncarnation(remote.Incarnation) {
+	if m.isReplaced(remote) {
 		return failStale
 	}
 	if counted, ok := raw.(*countedConn); ok {
@@ -164,6 +161,11 @@
 		mux.Close()
 		return nil, failClosed
 	}
+	// A channel that closeChannelsOf did not see yet is found here.
+	if m.isReplaced(remote) {
+		c.Close()
+		return nil, failStale
+	}
 	return c, ""
 }
 
@@ -241,11 +243,15 @@
 	return l.address
 }
 
-// refusesIncarnation reports whether an incarnation was replaced by another.
-func (l *link) refusesIncarnation(incarnation control.Incarnation) bool {
+// isReplaced reports whether an incarnation of a node was replaced by another.
+func (m *Mesh) isReplaced(origin wire.Origin) bool {
+	l := m.findLink(origin.Node)
+	if l == nil {
+		return false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.isRetired(incarnation)
+	return l.isRetired(origin.Incarnation)
 }
 
 // bufferedConn is a connection with a read buffer.
