--- a/front/offload.go
+++ b/front/offload.go
@@ -22,8 +22,10 @@
 	// maxTotalHeldAnswerBytes limits those bytes for all callers together, to a ninth of the
 	// memory of the smallest router.
 	maxTotalHeldAnswerBytes = 16 << 20
-	// defaultCallerDeadline is the deadline of callers that state none.
+	// defaultCallerDeadline is the deadline of callers that state none, and maxCallerDeadline
+	// limits those that are stated, as in filters/route.
 	defaultCallerDeadline = 60 * time.Second
+	maxCallerDeadline     = 24 * time.Hour
 	// deadlineGrace is how long after a caller's deadline the executor may still respond. The
 	// executor refuses the caller itself, 150 ms after the deadline; see filters/detach.
 	deadlineGrace = 250 * time.Millisecond
@@ -101,10 +103,10 @@
 		return defaultCallerDeadline
 	}
 	millis, err := strconv.ParseFloat(string(header.Peek(name)), 64)
-	if err != nil || !(millis >= 0 && millis < float64(defaultCallerDeadline.Milliseconds())) {
+	if err != nil || !(millis >= 0) {
 		return defaultCallerDeadline
 	}
-	return time.Duration(millis * float64(time.Millisecond))
+	return time.Duration(min(millis, float64(maxCallerDeadline.Milliseconds())) * float64(time.Millisecond))
 }
 
 // add adds a request that was sent, unless it has already ended.
--- a/front/offloadbench_test.go
+++ b/front/offloadbench_test.go
@@ -60,11 +60,35 @@
 	return fds
 }
 
+// bareSystemCalls accepts pending connections and makes the system calls of an offloaded request
+// on each up to the response. It returns the descriptors of the connections.
+func bareSystemCalls(b *testing.B, listener syscall.RawConn, count int) []int {
+	fds := make([]int, 0, count)
+	var buffer [maxFastRefusalBytes]byte
+	err := listener.Control(func(fd uintptr) {
+		for range count {
+			conn, _, err := syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			if err == nil {
+				_, err = syscall.Read(conn, buffer[:])
+			}
+			if err != nil {
+				b.Fatal(err)
+			}
+			fds = append(fds, conn)
+		}
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return fds
+}
+
 // BenchmarkOffload measures the processor time of this process, without the callers' work, for a
-// request on the fast path of a source that passes on a response of 12 pieces, in comparison with
-// a refusal. With offloading on, requests that no executor takes cost a little more to refuse.
+// request on the fast path of a source that passes on a response in pieces, in comparison with a
+// refusal, and with the system calls alone. With offloading on, requests that no executor takes
+// cost a little more to refuse.
 func BenchmarkOffload(b *testing.B) {
-	const batch, pieces = 200, 12
+	const batch = 200
 	request := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Key: secret\r\nX-Deadline-Ms: 8000\r\nContent-Length: 1000\r\n\r\n%s", strings.Repeat("x", 1000))
 	piece := []byte(strings.Repeat("id: 1\ndata: 0123456789\n\n", 3))
 	full := newFakeSender()
@@ -73,7 +97,16 @@
 	for _, c := range []struct {
 		name   string
 		sender offload.Sender
-	}{{"refused, offloading is off", nil}, {"refused, no executor", full}, {"offloaded", taking}} {
+		pieces int
+		bare   bool
+	}{
+		{"refused, offloading is off", nil, 0, false},
+		{"refused, no executor", full, 0, false},
+		{"offloaded, 1 piece", taking, 1, false},
+		{"offloaded, 5 pieces", taking, 5, false},
+		{"offloaded, 12 pieces", taking, 12, false},
+		{"system calls alone, 12 pieces", taking, 12, true},
+	} {
 		b.Run(c.name, func(b *testing.B) {
 			runtime.LockOSThread()
 			defer runtime.UnlockOSThread()
@@ -86,8 +119,16 @@
 				r.shedsLeft = batch
 				taking.answers = taking.answers[:0]
 				began := processTime(b)
-				r.refuseWaiting()
-				for range pieces {
+				var bare []int
+				if c.bare {
+					bare = bareSystemCalls(b, r.rawListener, batch)
+				} else {
+					r.refuseWaiting()
+				}
+				for range c.pieces {
+					for _, fd := range bare {
+						_, _ = syscall.Write(fd, piece)
+					}
 					for _, answer := range taking.answers {
 						answer.Write(piece)
 					}
@@ -95,6 +136,9 @@
 				for _, answer := range taking.answers {
 					answer.End(offload.Complete)
 				}
+				for _, fd := range bare {
+					_ = syscall.Close(fd)
+				}
 				used += processTime(b) - began
 				for _, fd := range fds {
 					syscall.Close(fd)
