--- a/front/executor_test.go
+++ b/front/executor_test.go
@@ -124,7 +124,7 @@
 	if response.StatusCode != http.StatusOK || !response.Close || body != "answer" || outcome != offload.Complete || len(sender.sent) > 0 {
 		t.Errorf("%s %q, %s", response.Status, body, outcome)
 	}
-	ex := <-exchanges
+	ex := await(t, exchanges)
 	if waited := began.Sub(ex.Arrived); waited > 70*time.Millisecond || waited < 40*time.Millisecond {
 		t.Errorf("arrived %s before", waited)
 	}
@@ -230,7 +230,8 @@
 // TestExecutedFailuresAreAnswered guards against a panic or a request that cannot be read which
 // leaves the caller without an answer.
 func TestExecutedFailuresAreAnswered(t *testing.T) {
-	f := start(t, Options{}, func(context.Context, *pipeline.Exchange) error { panic("fault") })
+	options := Options{Log: slog.New(slog.DiscardHandler)}
+	f := start(t, options, func(context.Context, *pipeline.Exchange) error { panic("fault") })
 	for raw, code := range map[string]string{shortCall: "901", shortCall[:len(shortCall)-1]: "101", "no HTTP\r\n\r\n": "101"} {
 		_, answer := execute(f, raw, 0)
 		if response, _, outcome := answer.read(t); response.Header.Get(headerCode) != code || !response.Close || outcome != offload.Complete {
@@ -412,8 +413,8 @@
 	return p
 }
 
-// serve sends a request to one of the routers. It returns the exchange, empty if there was none,
-// and the status.
+// serve sends a request to one of the routers. It returns the exchange and the number of interim
+// responses, empty if there was no exchange, and the status.
 func (p *servedPair) serve(t *testing.T, to *fixture, raw string) (exchange string, status int) {
 	t.Helper()
 	conn, r := to.send(raw)
@@ -421,7 +422,8 @@
 	if err != nil {
 		t.Fatalf("%q: %v", raw, err)
 	}
-	for response.StatusCode == http.StatusContinue {
+	interim := 0
+	for ; response.StatusCode == http.StatusContinue; interim++ {
 		if response, err = http.ReadResponse(r, nil); err != nil {
 			t.Fatalf("%q: %v", raw, err)
 		}
@@ -429,6 +431,7 @@
 	conn.Close()
 	select {
 	case exchange = <-p.served:
+		exchange += fmt.Sprintf("\n%d interim responses", interim)
 	default:
 	}
 	return exchange, response.StatusCode
--- a/front/offload_test.go
+++ b/front/offload_test.go
@@ -565,6 +565,10 @@
 	if answer := answerOn(t, conn); answer.StatusCode != http.StatusOK || f.OffloadedRequests() != 0 {
 		t.Errorf("status %d, %d requests open", answer.StatusCode, f.OffloadedRequests())
 	}
+	conn.Close()
+	if err := f.Shutdown(context.Background()); err != nil { // waits until Send has returned
+		t.Error(err)
+	}
 	if sender.taken.Load() != int64(len(contentLength("answer"))) {
 		t.Errorf("%d bytes taken", sender.taken.Load())
 	}
