--- a/router/router.go
+++ b/router/router.go
@@ -158,6 +158,9 @@
 	r.awaitDrainNotice(ctx)
 	r.loop.post(control.DrainStarted{})
 	err := r.front.Shutdown(ctx)
+	if err == nil && r.managed != nil {
+		err = r.offloading.waitServed(ctx)
+	}
 	if err == nil {
 		err = r.waitDrained(ctx)
 	}
@@ -178,6 +181,9 @@
 		return
 	}
 	r.log.Info("router: Draining.")
+	if r.managed != nil {
+		r.offloading.drain()
+	}
 }
 
 // Reload applies the sections of new settings that can change in a running router and
@@ -195,6 +201,7 @@
 		{"platform", s.Platform == r.settings.Platform},
 		{"peers", s.Peers == r.settings.Peers},
 		{"scheduling", s.Scheduling == r.settings.Scheduling},
+		{"offload", s.Offload == r.settings.Offload},
 		{"limits", s.Limits == r.settings.Limits},
 		{"operators", slices.Equal(s.Operators.KeyHashes, r.settings.Operators.KeyHashes)},
 		{"log", s.Log == r.settings.Log},
@@ -234,6 +241,9 @@
 
 func (r *Router) close() {
 	_ = r.front.Close()
+	if r.managed != nil {
+		r.offloading.closeExecutor()
+	}
 	r.cancel()
 	r.poller.Close()
 	expired, cancel := context.WithCancel(context.Background())
