--- a/router/unread_test.go
+++ b/router/unread_test.go
@@ -1,9 +1,13 @@
 package router
 
 import (
+	"encoding/hex"
 	"log/slog"
+	"math"
 	"strings"
 	"testing"
+
+	"github.com/walnutcove/walnutcove/config"
 )
 
 func TestUnreadCountsAreTakenOnce(t *testing.T) {
@@ -40,3 +44,27 @@
 		t.Errorf("logged %q without refusals", output.String())
 	}
 }
+
+// TestShedRequestsCountOnceRefused guards against requests that an executor serves and that count
+// as refused all the same: the schedulers would hold back other workspaces for them.
+func TestShedRequestsCountOnceRefused(t *testing.T) {
+	hash := config.HashKey([]byte("secret"))
+	r := &Router{managed: &managed{overload: &overload{callerCount: func() int { return 1000 }}}}
+	r.inForce.Store(&config.Snapshot{Version: 1, Declarations: config.Declarations{
+		Workspaces: map[string]config.Workspace{"bakery": {Share: 1, KeyHashes: []string{hex.EncodeToString(hash[:])}}},
+		Routes:     map[string]config.Route{"r": {Host: "h", Prefix: "/", Split: []config.RouteShare{{Pool: "gen", Weight: 1}}}},
+	}})
+	r.overload.shedFraction.Store(math.Float64bits(1))
+	r.overload.meanShedFraction.Store(math.Float64bits(1))
+	shed, countRefused := r.confirmShed(false, []byte("h"), []byte("/x"), func(string) []byte { return []byte("secret") })
+	if !shed || countRefused == nil {
+		t.Fatalf("shed: %v", shed)
+	}
+	if counts := r.unread.take(); len(counts) > 0 {
+		t.Errorf("counted before it was refused: %v", counts)
+	}
+	countRefused()
+	if counts := r.unread.take(); counts[unreadKey{pool: "gen", workspace: "bakery"}] != 1 {
+		t.Errorf("counted %v", counts)
+	}
+}
