--- a/offload/link/executor.go
+++ b/offload/link/executor.go
@@ -304,7 +304,6 @@
 	delete(e.open, r.number)
 	r.finished = true
 	r.outcome = outcome
-	r.cancel()
 	if !r.gone {
 		e.unsentEnds++
 	}
--- a/offload/link/raw_test.go
+++ b/offload/link/raw_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/walnutcove/walnutcove/offload"
@@ -33,8 +34,8 @@
 	return source, &rawSide{Conn: theirs}
 }
 
-// rawSource returns an executor with an allowance of one request, and the other side of its link.
-func rawSource(t testing.TB, handler Handler) (*Executor, *rawSide) {
+// rawSource returns an executor that granted an allowance, and the other side of its link.
+func rawSource(t testing.TB, handler Handler, total, maxOpen int) (*Executor, *rawSide) {
 	t.Helper()
 	ours, theirs := net.Pipe()
 	executor := NewExecutor("source", ours, handler, quickOptions())
@@ -45,8 +46,8 @@
 		eventually(t, "handlers to return", func() bool { return executor.OpenRequests() == 0 })
 	})
 	raw := &rawSide{Conn: theirs}
-	executor.SetAllowance(1, 1)
-	if f := raw.read(t); f.kind != kindAllowance || f.total != 1 || f.maxOpen != 1 {
+	executor.SetAllowance(total, maxOpen)
+	if f := raw.read(t); f.kind != kindAllowance || f.total != uint64(total) || f.maxOpen != uint64(maxOpen) {
 		t.Fatalf("first frame: %+v", f)
 	}
 	return executor, raw
@@ -123,17 +124,26 @@
 // have read something, and against "may have run" for one that never left.
 func TestEndBeforeAndAfterFirstByte(t *testing.T) {
 	source, raw := rawExecutor(t)
-	raw.allow(t, source, 2, 2)
+	raw.allow(t, source, 3, 3)
 	_, first := offer(t, source, "first")
 	eventually(t, "write of the first request", func() bool {
 		source.mu.Lock()
 		defer source.mu.Unlock()
 		return source.written == 1
 	})
-	_, second := offer(t, source, "second")
+	long := strings.Repeat("x", maxBatchBytes*2/3) // so that the two are in different batches
+	_, second := offer(t, source, long)
+	_, third := offer(t, source, long)
+	raw.readKind(t, kindRequest)
+	eventually(t, "write of the second request", func() bool {
+		source.mu.Lock()
+		defer source.mu.Unlock()
+		return source.written == 2
+	})
 	raw.Close()
 	first.expect(t, offload.Broken, "")
-	second.expect(t, offload.Declined, "")
+	second.expect(t, offload.Broken, "")
+	third.expect(t, offload.Declined, "")
 	if sent, refusal := source.Offer(offload.Request{Raw: []byte("x")}, newRecorder()); sent != nil || refusal != RefusedEnded {
 		t.Errorf("request on an ended link: %v %q", sent, refusal)
 	}
@@ -292,6 +302,7 @@
 	toExecutor := map[string][]byte{
 		"own kind":           answer(1, "x", linkpb.End_END_NONE),
 		"beyond allowance":   append(request(1, 1, "x"), request(2, 1, "x")...),
+		"too many open":      append(request(1, 1, "x"), request(2, 1, "x")...),
 		"wrong number":       request(2, 1, "x"),
 		"no size":            request(1, 0, "x"),
 		"too large":          request(1, DefaultMaxRequestBytes+1, "x"),
@@ -315,7 +326,11 @@
 	}
 	for name, bytes := range merge(common, toExecutor) {
 		t.Run("executor/"+name, func(t *testing.T) {
-			executor, raw := rawSource(t, untilGone)
+			total, maxOpen := 1, 2
+			if name == "too many open" {
+				total, maxOpen = 2, 1
+			}
+			executor, raw := rawSource(t, untilGone, total, maxOpen)
 			raw.discard()
 			raw.write(t, bytes)
 			await(t, "the end of the link", executor.Done())
@@ -328,7 +343,7 @@
 
 // TestSilentSource guards against runs for callers of a source that is dead.
 func TestSilentSource(t *testing.T) {
-	executor, raw := rawSource(t, untilGone)
+	executor, raw := rawSource(t, untilGone, 1, 1)
 	raw.write(t, appendRequest(nil, frame{number: 1, size: 1, bytes: []byte("x")}))
 	raw.discard()
 	await(t, "the end of the link", executor.Done())
--- a/offload/link/source.go
+++ b/offload/link/source.go
@@ -54,7 +54,8 @@
 }
 
 // Send implements offload.Sender. request.Raw is not retained. The methods of answer may be called
-// before Send returns, from another goroutine; they are called without locks of the link.
+// before Send returns, from another goroutine, and Write once more after Sent.Cancel. They are called
+// without locks of the link, so that they may call the methods of Sent.
 func (s *Source) Send(request offload.Request, answer offload.Answer) offload.Sent {
 	sent, _ := s.Offer(request, answer)
 	return sent
