Offloading: callers that left while they waited to be accepted are not offered

It polls now. The accept delay is measured, 50 ms apart, counts as time waited, and above 250 ms requests are refused, which empties the queue sooner.

--- /dev/null
+++ b/front/backlog.go
@@ -0,0 +1,75 @@
+package front
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/walnutcove/walnutcove/wait"
+)
+
+// backlogInterval is the interval of the measurements of the accept delay.
+const backlogInterval = 50 * time.Millisecond
+
+// acceptBacklog measures for how long connections have been waiting to be accepted. A router that
+// refuses requests as fast as it can may run in time and yet accept them seconds late.
+type acceptBacklog struct {
+	// raw is the listener; nil if it has no descriptor.
+	raw syscall.RawConn
+	// emptyAt is when the queue of connections was last seen empty. Only measure uses it.
+	emptyAt time.Time
+	// delay is the result of the last measurement, in nanoseconds.
+	delay atomic.Int64
+}
+
+func (b *acceptBacklog) setListener(listener net.Listener) {
+	withRaw, ok := listener.(syscall.Conn)
+	if !ok {
+		return
+	}
+	// An error means that the listener is closed: there is nothing to measure.
+	b.raw, _ = withRaw.SyscallConn()
+}
+
+// hasWaiting reports whether connections wait to be accepted.
+func (b *acceptBacklog) hasWaiting() bool {
+	if b.raw == nil {
+		return false
+	}
+	waiting := false
+	// An error means that the listener is closed.
+	_ = b.raw.Control(func(fd uintptr) {
+		fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(fds[:], 0)
+		waiting = err == nil && n > 0
+	})
+	return waiting
+}
+
+// measure updates the delay.
+func (b *acceptBacklog) measure(now time.Time, hasWaiting bool) time.Duration {
+	if !hasWaiting || b.emptyAt.IsZero() {
+		b.emptyAt = now
+	}
+	delay := now.Sub(b.emptyAt)
+	b.delay.Store(int64(delay))
+	return delay
+}
+
+// MeasureAcceptDelay measures, until ctx ends, how long the queue of connections that are not
+// accepted yet has not been empty, and so how long a request may have waited unnoticed.
+func (s *Server) MeasureAcceptDelay(ctx context.Context) {
+	for wait.For(ctx, backlogInterval) {
+		s.mu.Lock()
+		accepting := s.listener != nil
+		s.mu.Unlock()
+		s.backlog.measure(time.Now(), accepting && s.backlog.hasWaiting())
+	}
+}
+
+// acceptDelay returns the last measured accept delay.
+func (s *Server) acceptDelay() time.Duration { return time.Duration(s.backlog.delay.Load()) }
--- /dev/null
+++ b/front/backlog_test.go
@@ -0,0 +1,53 @@
+package front
+
+import (
+	"testing"
+	"time"
+)
+
+// TestAcceptDelayGrowsWhileConnectionsWait guards against a router that accepts seconds late but
+// takes itself to run in time, and against a delay that outlasts the queue.
+func TestAcceptDelayGrowsWhileConnectionsWait(t *testing.T) {
+	var b acceptBacklog
+	start := time.Now()
+	if delay := b.measure(start, true); delay != 0 {
+		t.Errorf("the first measurement is a delay of %v", delay)
+	}
+	if delay := b.measure(start.Add(80*time.Millisecond), true); delay != 80*time.Millisecond {
+		t.Errorf("a queue that is not empty for 80 ms is a delay of %v", delay)
+	}
+	if delay := b.measure(start.Add(90*time.Millisecond), false); delay != 0 {
+		t.Errorf("an empty queue is a delay of %v", delay)
+	}
+}
+
+// TestAcceptedLateIsRefusedNotOffered guards against copying responses while refusals, which are
+// cheaper, are needed to empty the queue of connections.
+func TestAcceptedLateIsRefusedNotOffered(t *testing.T) {
+	onBothPaths(t, func(t *testing.T, fast bool) {
+		s := startSource(t, Options{})
+		s.backlog.delay.Store(int64(2 * maxOfferDelay))
+		s.call(fast, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+		s.awaitIdle()
+		if sent := len(s.sender.sent); sent != 0 {
+			t.Errorf("%d requests were offered", sent)
+		}
+	})
+}
+
+// TestCallerThatLeftIsNotOffered guards against sending requests to executors whose callers gave
+// up while the requests waited to be accepted.
+func TestCallerThatLeftIsNotOffered(t *testing.T) {
+	s := startSource(t, Options{})
+	address := s.refuserAddress()
+	conn, _ := s.sendTo(address, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+	conn.Close()
+	time.Sleep(20 * time.Millisecond) // the close arrives
+	s.refuser.refuseWaiting()
+	if sent := len(s.sender.sent); sent != 0 {
+		t.Errorf("%d requests were offered", sent)
+	}
+	if refused := s.refused.Load(); refused != 0 {
+		t.Errorf("%d callers that left were counted as refused", refused)
+	}
+}
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -29,6 +29,9 @@
 	// offloadTooLarge and offloadCrowded count requests that were not offered.
 	offloadTooLarge = offloadCounter("too_large")
 	offloadCrowded  = offloadCounter("crowded")
+	// offloadAcceptedLate counts requests that were refused in place of being offered because
+	// connections wait too long to be accepted.
+	offloadAcceptedLate = offloadCounter("accepted_late")
 
 	// answersStalled and answersOverLimit count the callers who were cut off because they did
 	// not read their responses from executors.
--- a/front/offload.go
+++ b/front/offload.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"github.com/walnutcove/walnutcove/offload"
 	"github.com/walnutcove/walnutcove/result"
@@ -26,6 +27,11 @@
 	// limits those that are stated, as in filters/route.
 	defaultCallerDeadline = 60 * time.Second
 	maxCallerDeadline     = 24 * time.Hour
+	// maxOfferDelay is the accept delay above which requests are refused in place of being
+	// offered: refusals are cheaper than copied responses, so the queue is emptied first. Callers
+	// expect the first event within 250 to 600 ms, and give up on a request that was not read for
+	// a second.
+	maxOfferDelay = 250 * time.Millisecond
 	// deadlineGrace is how long after a caller's deadline the executor may still respond. The
 	// executor refuses the caller itself, 150 ms after the deadline; see filters/detach.
 	deadlineGrace = 250 * time.Millisecond
@@ -70,6 +76,17 @@
 		offloadCrowded.Inc()
 		return false
 	}
+	delay := s.acceptDelay()
+	if delay > maxOfferDelay {
+		offloadAcceptedLate.Inc()
+		return false
+	}
+	if isCallerGone(fd) {
+		callersGone.Inc()
+		offloadCallerGone.Inc()
+		closeDescriptor(fd)
+		return true
+	}
 	r := &offloaded{
 		owner:        o,
 		id:           id,
@@ -83,8 +100,9 @@
 	if s.options.ConfigNumber != nil {
 		request.Config = s.options.ConfigNumber()
 	}
+	request.Waited = delay
 	if s.options.Lag != nil {
-		request.Waited = s.options.Lag()
+		request.Waited = max(delay, s.options.Lag())
 	}
 	sent := o.sender.Send(request, r)
 	if sent == nil {
@@ -96,6 +114,13 @@
 	return true
 }
 
+// isCallerGone reports whether the caller has closed or reset a connection.
+func isCallerGone(fd int) bool {
+	fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(fds[:], 0)
+	return err == nil && n > 0 && fds[0].Revents != 0
+}
+
 // callerDeadline returns the time that a caller allows for its request.
 func (s *Server) callerDeadline(header *fasthttp.RequestHeader) time.Duration {
 	name := s.options.Dialect.Deadline
--- a/front/offload_test.go
+++ b/front/offload_test.go
@@ -97,16 +97,26 @@
 		conn, _ := s.send(request)
 		return conn
 	}
-	address := s.address
-	s.address = fmt.Sprintf("127.0.0.1:%d", sockaddrOf(s.t, s.refuser.rawListener).Port)
-	conn, _ := s.send(request)
-	s.address = address
+	conn, _ := s.sendTo(s.refuserAddress(), request)
 	if handedOver, _ := s.refuser.refuseWaiting(); handedOver != nil {
 		s.t.Fatal("the request does not take the fast path")
 	}
 	return conn
 }
 
+// refuserAddress returns the address of the fast path's listener.
+func (s *source) refuserAddress() string {
+	return fmt.Sprintf("127.0.0.1:%d", sockaddrOf(s.t, s.refuser.rawListener).Port)
+}
+
+// sendTo sends a request to another listener of the server.
+func (s *source) sendTo(address, request string) (net.Conn, *bufio.Reader) {
+	own := s.address
+	defer func() { s.address = own }()
+	s.address = address
+	return s.send(request)
+}
+
 // sockaddrOf returns the address of a listener.
 func sockaddrOf(t testing.TB, listener syscall.RawConn) (address *syscall.SockaddrInet4) {
 	t.Helper()
--- a/front/server.go
+++ b/front/server.go
@@ -170,6 +170,7 @@
 	// connection, in nanoseconds since started.
 	started    time.Time
 	acceptedAt atomic.Int64
+	backlog    acceptBacklog
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -239,6 +240,7 @@
 // Serve accepts callers from listener until Shutdown or Close, and then
 // returns nil. It may be called once.
 func (s *Server) Serve(listener net.Listener) error {
+	s.backlog.setListener(listener)
 	s.setServing(true, listener)
 	defer s.setServing(false, nil)
 	if s.draining.Load() {
--- a/router/start.go
+++ b/router/start.go
@@ -279,6 +279,7 @@
 		r.startWorker(func() { r.overload.run(ctx) })
 		r.startWorker(func() { r.unread.run(ctx, r.loop, r.log) })
 		if r.offloading.source != nil {
+			r.startWorker(func() { r.front.MeasureAcceptDelay(ctx) })
 			r.startWorker(func() { r.offloading.source.run(ctx) })
 			r.startedExecutor.Store(r.offloading.executor)
 		}
