front: tests of offloading wait until Send has returned

A response written before is reported as taken later, so TestSlowReaderGetsWholeResponse failed in one of three runs with -race ("0 bytes are held, 0 of 4096 taken").

--- a/front/offload_test.go
+++ b/front/offload_test.go
@@ -123,11 +123,24 @@
 	return address
 }
 
-// offer sends a request and returns it as it was offered.
+// offer sends a request and returns it as it was offered, once Send has returned: what a caller takes
+// before is reported later.
 func (s *source) offer(fast bool, request string) (net.Conn, *fakeSent) {
 	s.t.Helper()
 	conn := s.call(fast, request)
-	return conn, await(s.t, s.sender.sent)
+	sent := await(s.t, s.sender.sent)
+	r := sent.Answer.(*offloaded)
+	for deadline := time.Now().Add(eventTimeout); ; time.Sleep(time.Millisecond) {
+		r.mu.Lock()
+		hasReturned := r.sent != nil
+		r.mu.Unlock()
+		if hasReturned {
+			return conn, sent
+		}
+		if time.Now().After(deadline) {
+			s.t.Fatal("Send does not return")
+		}
+	}
 }
 
 // awaitIdle waits until no request is open.
