front: bytes after an offloaded request do not reset its connection

The router never read what a caller sent after its request, such as a pipelined request, and closing a connection with unread bytes resets it: the end of the response could be lost. They are read and discarded, up to 256 KiB, before the connection is closed.

--- a/front/offload.go
+++ b/front/offload.go
@@ -22,6 +22,8 @@
 	// maxTotalHeldAnswerBytes limits those bytes for all callers together, to a ninth of the
 	// memory of the smallest router.
 	maxTotalHeldAnswerBytes = 16 << 20
+	// maxDiscardedBytes limits what is read from a caller after its request.
+	maxDiscardedBytes = 256 << 10
 	// defaultCallerDeadline is the deadline of callers that state none.
 	defaultCallerDeadline = 60 * time.Second
 	// deadlineGrace is how long after a caller's deadline the executor may still respond. The
@@ -440,6 +442,8 @@
 	if reset {
 		// If this fails, the connection is already broken.
 		_ = syscall.SetsockoptLinger(r.fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+	} else {
+		discardReceived(r.fd)
 	}
 	closeDescriptor(r.fd)
 	r.fd = closedDescriptor
@@ -473,6 +477,22 @@
 	return written, nil
 }
 
+// discardReceived discards what a caller has sent after its request: closing a connection with unread
+// bytes resets it, and the reset can overtake the end of the response.
+func discardReceived(fd int) {
+	var buffer [4 << 10]byte
+	for discarded := 0; discarded < maxDiscardedBytes; {
+		n, err := syscall.Read(fd, buffer[:])
+		if err == syscall.EINTR {
+			continue
+		}
+		if err != nil || n == 0 {
+			return // nothing is left, or the caller has gone
+		}
+		discarded += n
+	}
+}
+
 // duplicateDescriptor returns another descriptor of a connection, which remains open when the
 // connection is closed.
 func duplicateDescriptor(raw syscall.RawConn) (fd int, ok bool) {
--- a/front/offload_test.go
+++ b/front/offload_test.go
@@ -430,6 +430,24 @@
 	s.awaitIdle()
 }
 
+// TestBytesAfterRequestCutNoResponse guards against a connection that is reset, with the part of the
+// response that the caller has not received yet, because the caller sent bytes after its request.
+func TestBytesAfterRequestCutNoResponse(t *testing.T) {
+	onBothPaths(t, func(t *testing.T, fast bool) {
+		s := startSource(t, Options{})
+		conn, sent := s.offer(fast, shortCall)
+		if _, err := io.WriteString(conn, "\r\n"+get); err != nil {
+			t.Fatal(err)
+		}
+		want := fill(t, sent)
+		sent.End(offload.Complete)
+		if got, err := io.ReadAll(conn); string(got) != want || err != nil {
+			t.Errorf("got %d bytes of %d, %v", len(got), len(want), err)
+		}
+		s.awaitIdle()
+	})
+}
+
 // TestStalledReaderIsCutOff guards against a caller who never reads keeping a request open.
 func TestStalledReaderIsCutOff(t *testing.T) {
 	s := startSource(t, Options{WriteTimeout: 50 * time.Millisecond})
