front: held bytes are written every 10 ms however many callers become blocked

Each connection that became blocked put off the next poll by 10 ms, so callers that became blocked more often than that kept the held bytes of all until the check for callers that have gone (150 ms): an event could be late by more than 200 ms.

--- a/front/offload_test.go
+++ b/front/offload_test.go
@@ -448,6 +448,32 @@
 	})
 }
 
+// TestNewBlockedCallersDelayNoOthers guards against held bytes that are written late because the
+// connections of other callers keep becoming blocked.
+func TestNewBlockedCallersDelayNoOthers(t *testing.T) {
+	s := startSource(t, Options{WatchEvery: 10 * time.Second})
+	conn, sent := s.offer(true, shortCall)
+	want := fill(t, sent)
+	stop := make(chan struct{})
+	var others sync.WaitGroup
+	others.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case s.offloads.wake <- struct{}{}: // as addBlocked does
+			}
+		}
+	})
+	sent.End(offload.Complete)
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	if got, err := io.ReadAll(conn); string(got) != want || err != nil {
+		t.Errorf("got %d bytes of %d, %v", len(got), len(want), err)
+	}
+	close(stop)
+	others.Wait()
+}
+
 // TestStalledReaderIsCutOff guards against a caller who never reads keeping a request open.
 func TestStalledReaderIsCutOff(t *testing.T) {
 	s := startSource(t, Options{WriteTimeout: 50 * time.Millisecond})
--- a/front/offloadpoll.go
+++ b/front/offloadpoll.go
@@ -22,10 +22,14 @@
 	timer := time.NewTimer(watchEvery)
 	defer timer.Stop()
 	nextWatch := time.Now().Add(watchEvery)
+	due := nextWatch
 	for {
 		select {
 		case <-o.wake:
-			timer.Reset(min(flushInterval, time.Until(nextWatch)))
+			if soon := time.Now().Add(flushInterval); soon.Before(due) {
+				due = soon
+				timer.Reset(flushInterval)
+			}
 			continue
 		case <-timer.C:
 		}
@@ -40,7 +44,10 @@
 			}
 			nextWatch = now.Add(watchEvery)
 		}
-		timer.Reset(min(delay, time.Until(nextWatch)))
+		if due = now.Add(delay); nextWatch.Before(due) {
+			due = nextWatch
+		}
+		timer.Reset(time.Until(due))
 	}
 }
 
