front: offloaded requests keep deadlines beyond 60 s

A caller that stated a longer deadline was refused with 704 after 60.25 s although its executor was still within the deadline. 60 s now apply only to callers that state none, or no valid one.

--- a/front/offload.go
+++ b/front/offload.go
@@ -26,6 +26,8 @@
 	maxDiscardedBytes = 256 << 10
 	// defaultCallerDeadline is the deadline of callers that state none.
 	defaultCallerDeadline = 60 * time.Second
+	// maxCallerDeadline bounds the deadline that a caller may state, as filters/route does.
+	maxCallerDeadline = 24 * time.Hour
 	// deadlineGrace is how long after a caller's deadline the executor may still respond. The
 	// executor refuses the caller itself, 150 ms after the deadline; see filters/detach.
 	deadlineGrace = 250 * time.Millisecond
@@ -103,10 +105,10 @@
 		return defaultCallerDeadline
 	}
 	millis, err := strconv.ParseFloat(string(header.Peek(name)), 64)
-	if err != nil || !(millis >= 0 && millis < float64(defaultCallerDeadline.Milliseconds())) {
-		return defaultCallerDeadline
+	if err != nil || !(millis >= 0) {
+		return defaultCallerDeadline // the executor refuses the request
 	}
-	return time.Duration(millis * float64(time.Millisecond))
+	return time.Duration(min(millis, float64(maxCallerDeadline.Milliseconds())) * float64(time.Millisecond))
 }
 
 // add adds a request that was sent, unless it has already ended.
--- a/front/offload_test.go
+++ b/front/offload_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/walnutcove/walnutcove/dialect"
 	"github.com/walnutcove/walnutcove/offload"
 	"github.com/walnutcove/walnutcove/pipeline"
@@ -367,6 +369,32 @@
 	})
 }
 
+// TestLongDeadlineIsKept guards against a caller who states a deadline beyond the one of callers that
+// state none, and is refused at that one.
+func TestLongDeadlineIsKept(t *testing.T) {
+	withDeadline := *dialect.Own
+	withDeadline.Deadline = "X-Deadline-Ms"
+	s := startSource(t, Options{Dialect: &withDeadline})
+	for value, want := range map[string]time.Duration{
+		"":       defaultCallerDeadline,
+		"1500":   1500 * time.Millisecond,
+		"60000":  time.Minute,
+		"120000": 2 * time.Minute,
+		"1e300":  24 * time.Hour,
+		"-1":     defaultCallerDeadline,
+		"NaN":    defaultCallerDeadline,
+		"soon":   defaultCallerDeadline,
+	} {
+		var header fasthttp.RequestHeader
+		if value != "" {
+			header.Set("X-Deadline-Ms", value)
+		}
+		if got := s.callerDeadline(&header); got != want {
+			t.Errorf("%q: %s, want %s", value, got, want)
+		}
+	}
+}
+
 // fill writes to a request until its caller's connection takes no more, and returns what was
 // written.
 func fill(t *testing.T, sent *fakeSent) string {
