front: a request of another router that has ended does not count as its caller gone

The end of a request closes both channels of its watcher; a watcher that had not run yet took either one, so short requests were counted in walnut_accept_callers_gone_total and their exchanges notified.

--- a/front/executor.go
+++ b/front/executor.go
@@ -61,8 +61,13 @@
 func (r *request) watchExecuted() {
 	select {
 	case <-r.conn.executed.gone:
-		r.callerWentAway()
 	case <-r.unwatched:
+		return
+	}
+	select {
+	case <-r.unwatched: // closed before: the connection counts as gone once the request has ended
+	default:
+		r.callerWentAway()
 	}
 }
 
--- a/front/executor_test.go
+++ b/front/executor_test.go
@@ -181,6 +181,29 @@
 	}
 }
 
+// TestEndedExecutedRequestIsNotGone guards against a request that has ended and is counted as one
+// whose caller has gone: the link reports every caller as gone after the response.
+func TestEndedExecutedRequestIsNotGone(t *testing.T) {
+	f := start(t, Options{}, answerEmpty)
+	before := callersGone.Get()
+	for range 200 {
+		conn := newMemoryConn([]byte(get), newRecorder())
+		r := &request{
+			conn:      &callerConn{Conn: conn, server: f.Server, executed: &executed{gone: conn.gone}},
+			unwatched: make(chan struct{}),
+			gone:      make(chan struct{}),
+			ex:        &pipeline.Exchange{},
+			cancel:    func(error) {},
+		}
+		f.unwatchCaller(r)
+		conn.Cancel()
+		r.watchExecuted()
+	}
+	if gone := callersGone.Get() - before; gone != 0 {
+		t.Errorf("%d callers have gone", gone)
+	}
+}
+
 // eventsAtHand is a response whose beginning is at hand.
 type eventsAtHand struct{ io.Reader }
 
