link: no request is taken between the check that finds a link idle and its end

The check released the lock before the link counted as ended, so a request that was sent in between broke (711) although nothing had failed. CloseIdle ends a link in the same way if no request is open.

--- a/offload/link/connection.go
+++ b/offload/link/connection.go
@@ -128,14 +128,27 @@
 // end ends the link. Only the first call has an effect.
 func (c *connection) end(err error) {
 	c.mu.Lock()
-	if c.err != nil {
-		c.mu.Unlock()
-		return
+	err = c.endLocked(err)
+	c.mu.Unlock()
+	if err != nil {
+		c.closeConn(err)
+	}
+}
+
+// endLocked ends the link without closing its connection: no request is taken from then on. It
+// returns nil if the link has already ended, and err if the caller is to call closeConn.
+func (c *connection) endLocked(err error) error {
+	if c.err != nil || err == nil {
+		return nil
 	}
 	c.err = err
 	c.timer.Stop()
 	close(c.ended)
-	c.mu.Unlock()
+	return err
+}
+
+// closeConn closes the connection of a link that has ended.
+func (c *connection) closeConn(err error) {
 	c.options.Log.Info("link: Link ended.", "remote", c.conn.RemoteAddr(), "reason", err)
 	if closeErr := c.conn.Close(); closeErr != nil {
 		c.options.Log.Debug("link: Closing the connection failed.", "error", closeErr)
@@ -177,22 +190,22 @@
 	write, err := c.runCheckLocked(c.now())
 	c.mu.Unlock()
 	if err != nil {
-		c.end(err)
+		c.closeConn(err)
 	}
 	if write {
 		c.wakeWriter()
 	}
 }
 
-// runCheckLocked returns whether frames are to be written, and the error with which the link is to
-// end.
+// runCheckLocked returns whether frames are to be written. If the link ends, it returns why, and
+// closeConn is to be called.
 func (c *connection) runCheckLocked(now time.Duration) (write bool, err error) {
 	if c.err != nil {
 		return false, nil
 	}
 	open := c.side.openLocked()
 	if !c.checking && open == 0 {
-		return false, c.checkIdleLocked(now)
+		return false, c.endLocked(c.checkIdleLocked(now))
 	}
 	if open == 0 {
 		c.quietSince = now
@@ -201,7 +214,7 @@
 		c.quietSince = now - c.options.SilenceTimeout + c.options.SilenceTimeout/pauseGrace
 	}
 	if c.isDeadLocked(now, open) {
-		return false, ErrSilent
+		return false, c.endLocked(ErrSilent)
 	}
 	write, again := c.side.checkLocked(now)
 	c.checking = again || open > 0
--- a/offload/link/failure_test.go
+++ b/offload/link/failure_test.go
@@ -294,6 +294,40 @@
 	}
 }
 
+// TestNoRequestAfterIdleCheck guards against a request that is taken between the check that finds a
+// link idle and its end, and breaks although nothing has failed.
+func TestNoRequestAfterIdleCheck(t *testing.T) {
+	p := connect(t, echo)
+	p.allow(t, 1, 1)
+	p.source.mu.Lock()
+	_, err := p.source.runCheckLocked(p.source.now())
+	refusal := p.source.refusalLocked(1)
+	p.source.mu.Unlock()
+	if err != ErrIdle || refusal != RefusedEnded {
+		t.Errorf("the check ended with %v, and a request is refused as %q", err, refusal)
+	}
+	p.source.conn.Close()
+}
+
+// TestUnwantedLinkServesItsRequests guards against a link that is closed while a request is open.
+func TestUnwantedLinkServesItsRequests(t *testing.T) {
+	release := make(chan struct{})
+	p := connect(t, func(ctx context.Context, from control.NodeID, request offload.Request, conn net.Conn) error {
+		<-release
+		return echo(ctx, from, request, conn)
+	})
+	p.allow(t, 1, 1)
+	_, answer := p.send(t, "request")
+	if p.source.CloseIdle() {
+		t.Error("the link was closed")
+	}
+	close(release)
+	answer.expect(t, offload.Complete, "request")
+	if !p.source.CloseIdle() {
+		t.Error("the link was not closed")
+	}
+}
+
 // TestRequestLimits guards against requests that exceed a limit and are cut, or that exceed the
 // memory of the executor.
 func TestRequestLimits(t *testing.T) {
--- a/offload/link/source.go
+++ b/offload/link/source.go
@@ -163,6 +163,22 @@
 	return int64(s.out.bytes)
 }
 
+// CloseIdle ends the link unless requests are open, and reports whether none were. It does not wait
+// for Done.
+func (s *Source) CloseIdle() bool {
+	s.mu.Lock()
+	isIdle := len(s.open) == 0
+	var err error
+	if isIdle {
+		err = s.endLocked(ErrClosed)
+	}
+	s.mu.Unlock()
+	if err != nil {
+		s.closeConn(err)
+	}
+	return isIdle
+}
+
 // openLocked implements endpoint.
 func (s *Source) openLocked() int { return len(s.open) }
 
