--- a/router/offload_test.go
+++ b/router/offload_test.go
@@ -24,6 +24,8 @@
 	answers                  []offload.Answer
 	done                     chan struct{}
 	err                      error // why the link ended
+	// counted is called after the open requests were counted.
+	counted func()
 }
 
 func newFakeLink(allowance int) *fakeLink {
@@ -49,13 +51,28 @@
 
 func (l *fakeLink) Allowance() int                { return l.allowance }
 func (l *fakeLink) NoteWanted(n int)              { l.wanted += uint64(n) }
-func (l *fakeLink) OpenRequests() int             { return l.open }
 func (l *fakeLink) HeldBytes() int64              { return 0 }
 func (l *fakeLink) Done() <-chan struct{}         { return l.done }
 func (l *fakeLink) Drain()                        {}
 func (l *fakeLink) Err() error                    { return l.err }
 func (l *fakeLink) Demand() (sent, wanted uint64) { return l.sent, l.wanted }
 
+func (l *fakeLink) OpenRequests() int {
+	open := l.open
+	if l.counted != nil {
+		l.counted()
+	}
+	return open
+}
+
+func (l *fakeLink) CloseIdle() bool {
+	if l.open > 0 {
+		return false
+	}
+	close(l.done)
+	return true
+}
+
 func (l *fakeLink) SetAllowance(more, maxOpen int) {
 	l.allowance += more
 	l.maxOpen = maxOpen
@@ -211,6 +228,30 @@
 	}
 }
 
+// TestUnwantedLinkIsClosedWithoutRequests guards against a request that is sent while the link to an
+// excluded executor is about to be closed, and breaks.
+func TestUnwantedLinkIsClosedWithoutRequests(t *testing.T) {
+	s := newTestSource(t)
+	_, l := s.begin()
+	for len(l.answers) == 0 {
+		s.send()
+	}
+	l.end(offload.Declined)
+	l.counted = func() {
+		l.counted = nil
+		l.Offer(offload.Request{}, fakeAnswer{new(offload.Outcome)})
+	}
+	s.advance(offloadInterval)
+	select {
+	case <-l.done:
+		if l.open > 0 {
+			t.Error("the link was closed while a request was open")
+		}
+	default:
+		t.Error("the link was not closed")
+	}
+}
+
 // TestLateSourceOffersLess guards against copying that keeps a router late although it sheds all.
 func TestLateSourceOffersLess(t *testing.T) {
 	s := newTestSource(t)
--- a/router/offloadsource.go
+++ b/router/offloadsource.go
@@ -37,6 +37,8 @@
 	HeldBytes() int64
 	Done() <-chan struct{}
 	Err() error
+	// CloseIdle ends the link unless requests are open, and reports whether none were.
+	CloseIdle() bool
 	Close() error
 }
 
@@ -302,11 +304,9 @@
 // them. The others end by themselves when they have been idle.
 func (s *offloadSource) closeUnwanted(wanted []string) {
 	for _, l := range s.links {
-		if slices.Contains(wanted, l.node) || l.OpenRequests() > 0 {
-			continue
+		if !slices.Contains(wanted, l.node) && l.CloseIdle() {
+			s.remove(l)
 		}
-		s.remove(l)
-		_ = l.Close() // nothing is open on it
 	}
 }
 
