offload: executors use the request's ID of the source

An ID that the source had generated was only in its own log lines: the executor generated another one, so the lines of both could not be matched.

--- a/front/executor.go
+++ b/front/executor.go
@@ -9,9 +9,10 @@
 
 // executed is what a connection that carries a request of another router needs in addition.
 type executed struct {
-	// source is the router that holds the caller's connection, and arrived when the request
-	// arrived there.
+	// source is the router that holds the caller's connection, id the request's ID there, empty
+	// if unknown, and arrived when the request arrived there.
 	source  string
+	id      string
 	arrived time.Time
 	// gone is closed when the caller has gone; nil if the connection does not tell.
 	gone <-chan struct{}
@@ -32,6 +33,7 @@
 //
 //   - Gone() <-chan struct{} returns a channel that is closed when the caller has gone. Its
 //     exchange then ends like that of a caller who closed the connection.
+//   - RequestID() string returns the request's ID at the source, or "".
 //   - Abort() is called before Close if the response is not complete.
 //   - CloseWrite() error is called after a complete response whose exchange continues, as the run
 //     of a non-idempotent request does after its caller's deadline.
@@ -41,6 +43,9 @@
 	if withGone, ok := conn.(interface{ Gone() <-chan struct{} }); ok {
 		c.executed.gone = withGone.Gone()
 	}
+	if withID, ok := conn.(interface{ RequestID() string }); ok {
+		c.executed.id = withID.RequestID()
+	}
 	s.connOpened(c)
 	if err := s.http.ServeConn(c); err != nil {
 		s.log.Debug("front: Offloaded request ended with an error.", "source", source, "error", err)
--- a/front/executor_test.go
+++ b/front/executor_test.go
@@ -153,6 +153,27 @@
 	}
 }
 
+// namedConn is a connection whose source has given the request an ID.
+type namedConn struct{ *memoryConn }
+
+func (namedConn) RequestID() string { return "small-router-7" }
+
+// TestExecutedRequestKeepsID guards against log lines of both routers that cannot be matched, and a
+// caller who is told an ID that its router does not know.
+func TestExecutedRequestKeepsID(t *testing.T) {
+	ids := make(chan string, 1)
+	f := start(t, Options{}, func(ctx context.Context, ex *pipeline.Exchange) error {
+		ids <- ex.ID
+		return answerEmpty(ctx, ex)
+	})
+	answer := newRecorder()
+	f.ServeOffloaded(namedConn{newMemoryConn([]byte(get), answer)}, 0, "small-router")
+	response, _, _ := answer.read(t)
+	if id := <-ids; id != "small-router-7" || response.Header.Get(headerRequestID) != id {
+		t.Errorf("ID %q, %v", id, response.Header)
+	}
+}
+
 // TestExecutedCallerGoesAway guards against a run that continues when the source reports that the
 // caller has gone, and a last look before dispatch that does not see it.
 func TestExecutedCallerGoesAway(t *testing.T) {
--- a/front/serve.go
+++ b/front/serve.go
@@ -165,6 +165,9 @@
 	r.ex.EndBy = r.refuseAt
 	if e := conn.executed; e != nil {
 		r.ex.Arrived = e.arrived
+		if e.id != "" {
+			r.ex.ID = e.id
+		}
 		r.ex.OffloadedFrom = e.source
 		r.ex.GatherEvents = true
 	}
--- a/router/offloadconn.go
+++ b/router/offloadconn.go
@@ -14,7 +14,8 @@
 // has the additional methods that front.Server.ServeOffloaded describes.
 type offloadedConn struct {
 	net.Conn
-	gone <-chan struct{}
+	requestID string
+	gone      <-chan struct{}
 	// responded is closed when no more bytes of the response follow. isAborted is set before if it
 	// is not complete.
 	responded chan struct{}
@@ -22,14 +23,18 @@
 	once      sync.Once
 }
 
-// newOffloadedConn returns a connection whose caller has gone when gone is closed.
-func newOffloadedConn(conn net.Conn, gone <-chan struct{}) *offloadedConn {
-	return &offloadedConn{Conn: conn, gone: gone, responded: make(chan struct{})}
+// newOffloadedConn returns the connection of a request with an ID, whose caller has gone when gone is
+// closed.
+func newOffloadedConn(conn net.Conn, requestID string, gone <-chan struct{}) *offloadedConn {
+	return &offloadedConn{Conn: conn, requestID: requestID, gone: gone, responded: make(chan struct{})}
 }
 
 // Gone returns a channel that is closed when the caller has gone.
 func (c *offloadedConn) Gone() <-chan struct{} { return c.gone }
 
+// RequestID returns the request's ID at the source.
+func (c *offloadedConn) RequestID() string { return c.requestID }
+
 // Abort records that the response is not complete.
 func (c *offloadedConn) Abort() { c.isAborted.Store(true) }
 
--- a/router/offloadexecutor.go
+++ b/router/offloadexecutor.go
@@ -86,7 +86,7 @@
 		declinedFull.Inc()
 		return link.ErrDeclined
 	}
-	caller := newOffloadedConn(conn, ctx.Done())
+	caller := newOffloadedConn(conn, request.ID, ctx.Done())
 	go func() {
 		defer e.served.Add(-1)
 		defer caller.end()
