link: the clock of a frozen source does not make later requests count as late

The clock of a VM that is frozen for less than a second may stand still. All later requests on its link then counted as having waited for that time, which is most of the deadline of a plain call.

--- a/offload/link/failure_test.go
+++ b/offload/link/failure_test.go
@@ -412,3 +412,21 @@
 		}
 	}
 }
+
+// TestTransitAfterPausedClock guards against requests that count as late for as long as a link lasts
+// because the clock of a frozen source stood still.
+func TestTransitAfterPausedClock(t *testing.T) {
+	const stood = 900 * time.Millisecond
+	var tr transit
+	tr.delay(time.Millisecond, 0)
+	delay := time.Duration(0)
+	for sent := time.Second; sent < 3*transitWindow; sent += 50 * time.Millisecond {
+		delay = tr.delay(sent+time.Millisecond, sent-stood)
+		if sent < transitWindow/2 && delay < stood-time.Millisecond {
+			t.Fatalf("delay of %s after %s", delay, sent)
+		}
+	}
+	if delay > time.Millisecond {
+		t.Errorf("delay of %s", delay)
+	}
+}
