offload: a router that drains waits for the end of its links

It stopped as soon as the ends of all responses were written. Closing a connection with unread frames resets it, so an end that the source had not received could be lost. The wait is at most 500 ms.

--- a/router/offload_test.go
+++ b/router/offload_test.go
@@ -324,6 +324,29 @@
 	}
 }
 
+// TestDrainWaitsForEndOfLinks guards against a router that stops before the sources have read the ends
+// of their responses, and against one that waits for a source that is frozen.
+func TestDrainWaitsForEndOfLinks(t *testing.T) {
+	for name, ends := range map[string]bool{"link ends": true, "frozen source": false} {
+		t.Run(name, func(t *testing.T) {
+			load, draining := balance.Load{}, true
+			e := newTestExecutor(&load, &draining)
+			l := newFakeLink(0)
+			e.links[1] = &acceptedLink{servedLink: l}
+			if ends {
+				time.AfterFunc(100*time.Millisecond, func() { close(l.done) })
+			}
+			began := time.Now()
+			if err := e.waitServed(t.Context()); err != nil {
+				t.Error(err)
+			}
+			if took := time.Since(began); took < 100*time.Millisecond || took > time.Second {
+				t.Errorf("waited for %s", took)
+			}
+		})
+	}
+}
+
 // TestExecutorsOfASource guards against executors that are smaller than allowed, of other data
 // centres, leaving, not alive, or of unknown size.
 func TestExecutorsOfASource(t *testing.T) {
--- a/router/offloadexecutor.go
+++ b/router/offloadexecutor.go
@@ -24,6 +24,9 @@
 	minStepInterval = 10 * time.Millisecond
 	// drainPollInterval is the interval at which a drain checks for open requests.
 	drainPollInterval = 10 * time.Millisecond
+	// maxLinkEndTime is how long a drain waits for sources to end their links. They are in the same
+	// data centre; one that takes longer is frozen.
+	maxLinkEndTime = 500 * time.Millisecond
 )
 
 // servedLink is the executor's end of a link.
@@ -183,16 +186,36 @@
 	return ids, links
 }
 
-// waitServed waits until no request of other routers is open, or ctx ends.
+// waitServed waits until no request of other routers is open, or ctx ends. Then it waits until the
+// sources have ended the links: an end of a response that they have not read could be lost.
 func (e *offloadExecutor) waitServed(ctx context.Context) error {
 	for e.openRequests() > 0 {
 		if !wait.For(ctx, drainPollInterval) {
 			return ctx.Err()
 		}
 	}
+	for began := time.Now(); e.hasOpenLinks() && time.Since(began) < maxLinkEndTime; {
+		if !wait.For(ctx, drainPollInterval) {
+			return ctx.Err()
+		}
+	}
 	return nil
 }
 
+// hasOpenLinks reports whether a link has not ended.
+func (e *offloadExecutor) hasOpenLinks() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, l := range e.links {
+		select {
+		case <-l.Done():
+		default:
+			return true
+		}
+	}
+	return false
+}
+
 // drain asks the sources to end their links once no request is open.
 func (e *offloadExecutor) drain() {
 	e.mu.Lock()
