--- a/router/offload.go
+++ b/router/offload.go
@@ -37,6 +37,7 @@
 		configNumber: r.configNumber,
 		serve:        func(conn net.Conn, waited time.Duration, from string) { r.front.ServeOffloaded(conn, waited, from) },
 		startedAt:    time.Now(),
+		requests:     link.NewBudget(requestBudgetBytes),
 		links:        make(map[uint64]*acceptedLink),
 		added:        make(chan struct{}, 1),
 	}
@@ -117,13 +118,13 @@
 	if r.settings.Offload.Executors == settings.ExecutorsNone {
 		return nil
 	}
-	options := link.Options{Log: r.log, MaxUnsentBytes: maxUnsentBytes, Budget: link.NewBudget(requestBudgetBytes)}
 	serve := func(from control.NodeID, _ control.Incarnation, _ string, conn net.Conn) {
 		executor := r.startedExecutor.Load()
 		if executor == nil {
 			_ = conn.Close() // nothing was sent
 			return
 		}
+		options := link.Options{Log: r.log, MaxUnsentBytes: maxUnsentBytes, Budget: executor.requests}
 		executor.add(from, link.NewExecutor(from, conn, executor.handle, options))
 	}
 	return map[string]peer.ServeChannel{offloadChannel: serve}
--- a/router/offload_test.go
+++ b/router/offload_test.go
@@ -276,6 +276,7 @@
 		serve:        func(net.Conn, time.Duration, string) {},
 		links:        make(map[uint64]*acceptedLink),
 		added:        make(chan struct{}, 1),
+		requests:     link.NewBudget(requestBudgetBytes),
 	}
 }
 
@@ -347,6 +348,35 @@
 	}
 }
 
+// TestHeldRequestsAreCounted guards against request bytes of other routers that no metric shows.
+func TestHeldRequestsAreCounted(t *testing.T) {
+	load, draining := balance.Load{}, false
+	e := newTestExecutor(&load, &draining)
+	near, far := net.Pipe()
+	release := make(chan struct{})
+	serve := func(context.Context, control.NodeID, offload.Request, net.Conn) error {
+		<-release
+		return link.ErrDeclined
+	}
+	options := link.Options{Log: e.log, Budget: e.requests}
+	executor := link.NewExecutor("source", far, serve, options)
+	defer executor.Close()
+	source := link.NewSource(near, options)
+	defer source.Close()
+	executor.SetAllowance(1, 1)
+	request := offload.Request{Raw: []byte("GET / HTTP/1.1\r\n\r\n")}
+	for deadline := time.Now().Add(testDeadline); executor.OpenRequests() == 0; time.Sleep(time.Millisecond) {
+		source.Send(request, fakeAnswer{new(offload.Outcome)})
+		if time.Now().After(deadline) {
+			t.Fatal("no request is open")
+		}
+	}
+	if held := e.heldBytes(); held != int64(len(request.Raw)) {
+		t.Errorf("%d bytes are held", held)
+	}
+	close(release)
+}
+
 // TestExecutorsOfASource guards against executors that are smaller than allowed, of other data
 // centres, leaving, not alive, or of unknown size.
 func TestExecutorsOfASource(t *testing.T) {
--- a/router/offloadexecutor.go
+++ b/router/offloadexecutor.go
@@ -54,6 +54,8 @@
 	// serve serves one request of a router.
 	serve     func(conn net.Conn, waited time.Duration, from string)
 	startedAt time.Time
+	// requests bounds the bytes of the requests of all links.
+	requests *link.Budget
 
 	served atomic.Int64
 	// rate is what the pacer accepts per second, rounded.
@@ -253,14 +255,15 @@
 	return open
 }
 
-// heldBytes returns the bytes of responses that are not written to a link.
+// heldBytes returns the bytes of requests that are open and of responses that are not written to a
+// link.
 func (e *offloadExecutor) heldBytes() int64 {
 	if e == nil {
 		return 0
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	held := int64(0)
+	held := e.requests.Used()
 	for _, l := range e.links {
 		held += l.HeldBytes()
 	}
