--- a/front/offload.go
+++ b/front/offload.go
@@ -22,12 +22,10 @@
 	// maxTotalHeldAnswerBytes limits those bytes for all callers together, to a ninth of the
 	// memory of the smallest router.
 	maxTotalHeldAnswerBytes = 16 << 20
-	// maxDiscardedBytes limits what is read from a caller after its request.
-	maxDiscardedBytes = 256 << 10
-	// defaultCallerDeadline is the deadline of callers that state none.
+	// defaultCallerDeadline is the deadline of callers that state none, and maxCallerDeadline
+	// limits those that are stated, as in filters/route.
 	defaultCallerDeadline = 60 * time.Second
-	// maxCallerDeadline bounds the deadline that a caller may state, as filters/route does.
-	maxCallerDeadline = 24 * time.Hour
+	maxCallerDeadline     = 24 * time.Hour
 	// deadlineGrace is how long after a caller's deadline the executor may still respond. The
 	// executor refuses the caller itself, 150 ms after the deadline; see filters/detach.
 	deadlineGrace = 250 * time.Millisecond
@@ -106,7 +104,7 @@
 	}
 	millis, err := strconv.ParseFloat(string(header.Peek(name)), 64)
 	if err != nil || !(millis >= 0) {
-		return defaultCallerDeadline // the executor refuses the request
+		return defaultCallerDeadline
 	}
 	return time.Duration(min(millis, float64(maxCallerDeadline.Milliseconds())) * float64(time.Millisecond))
 }
@@ -479,6 +477,9 @@
 	return written, nil
 }
 
+// maxDiscardedBytes limits what is read from a caller after its request.
+const maxDiscardedBytes = 256 << 10
+
 // discardReceived discards what a caller has sent after its request: closing a connection with unread
 // bytes resets it, and the reset can overtake the end of the response.
 func discardReceived(fd int) {
