front: requests with bare line ends are forwarded readably

The HTTP library accepts bare line ends in a head if an empty line in CRLFs ends it, which may be that of the bytes after the request. Without those the executor did not find the end of the head: the caller waited until the read timeout. The fast path does not offer such a request, and a rebuilt one gets CRLFs.

--- a/front/executor_test.go
+++ b/front/executor_test.go
@@ -365,6 +365,8 @@
 	{"header of ours", "POST /x HTTP/1.1\r\nHost: a\r\nWalnut-Arrival: 1\r\nContent-Length: 2\r\n\r\nab"},
 	{"form", "POST /x HTTP/1.1\r\nHost: a\r\nContent-Type: multipart/form-data; boundary=b\r\nContent-Length: 55\r\n\r\n--b\r\nContent-Disposition: form-data; name=a\r\n\r\n1\r\n--b--"},
 	{"large body", "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 300000\r\n\r\n" + strings.Repeat("0123456789", 30_000)},
+	{"bare line ends", "GET /x HTTP/1.1\nHost: a\nX-A: 1\n\r\n\r\n"},
+	{"bare line ends, with a body", "POST /x HTTP/1.1\nHost: a\nContent-Length: 2\nX-A: 1\n\r\n\r\nab"},
 	{"path that is refused", "GET /a/../b HTTP/1.1\r\nHost: a\r\n\r\n"},
 }
 
@@ -417,6 +419,37 @@
 	})
 }
 
+// FuzzForwardedRequest guards against a request of the fast path that another router reads differently:
+// another body, another head, or bytes that it takes for a further request.
+func FuzzForwardedRequest(f *testing.F) {
+	for _, c := range rebuiltRequests {
+		f.Add([]byte(c.raw))
+		f.Add([]byte("\r\n" + c.raw + get))
+	}
+	f.Fuzz(func(t *testing.T, read []byte) {
+		refuser := fastRefuser{}
+		refuser.reader = bufio.NewReaderSize(&refuser.source, DefaultMaxHeaderBytes)
+		if len(read) > maxFastRefusalBytes || !refuser.parseSimple(read) {
+			return
+		}
+		raw := refuser.clone(read)
+		if raw == nil {
+			return // it is not offered
+		}
+		var original, forwarded fasthttp.Request
+		if !readLikeServer(&original, read) {
+			return
+		}
+		r := bufio.NewReaderSize(bytes.NewReader(raw), DefaultMaxHeaderBytes)
+		if forwarded.Header.Read(r) != nil || forwarded.ContinueReadBody(r, DefaultMaxBodyBytes, false) != nil || r.Buffered() > 0 {
+			t.Fatalf("%q is forwarded as %q, %d bytes are left", read, raw, r.Buffered())
+		}
+		if !bytes.Equal(forwarded.Body(), original.Body()) || !bytes.Equal(forwarded.Header.RawHeaders(), original.Header.RawHeaders()) {
+			t.Errorf("%q is forwarded as %q", read, raw)
+		}
+	})
+}
+
 // readLikeServer reads a request as the HTTP library does, and reports whether it is valid.
 func readLikeServer(request *fasthttp.Request, raw []byte) bool {
 	r := bufio.NewReaderSize(bytes.NewReader(raw), DefaultMaxHeaderBytes)
--- a/front/fastrefusal.go
+++ b/front/fastrefusal.go
@@ -123,9 +123,8 @@
 	header := &f.ctx.Request.Header
 	id := f.server.requestIDOf(header).text
 	if offloads := f.server.offloads; offloads != nil {
-		headBytes := n - f.reader.Buffered() - f.source.Len()
-		raw := cloneRequest(f.readBuffer[:n], headBytes, header)
-		if offloads.offer(fd, header, id, raw, countRefused) {
+		raw := f.clone(f.readBuffer[:n])
+		if raw != nil && offloads.offer(fd, header, id, raw, countRefused) {
 			return nil
 		}
 	}
@@ -154,6 +153,17 @@
 	return f.reader.Buffered()+f.source.Len() >= header.ContentLength()
 }
 
+// clone returns a copy of the request in read, whose headers were parsed, or nil if the copy would not
+// be readable: the HTTP library accepts bare line ends only before an empty line in CRLFs, which may
+// follow the request.
+func (f *fastRefuser) clone(read []byte) []byte {
+	headBytes := len(read) - f.reader.Buffered() - f.source.Len()
+	if !bytes.HasSuffix(read[:headBytes], []byte("\r\n\r\n")) {
+		return nil
+	}
+	return cloneRequest(read, headBytes, &f.ctx.Request.Header)
+}
+
 // writeRefusal writes the refusal of the request whose headers were parsed.
 func (f *fastRefuser) writeRefusal(fd int, id string) {
 	f.server.writeOverloaded(&f.ctx, id)
--- a/front/rebuild.go
+++ b/front/rebuild.go
@@ -43,8 +43,8 @@
 }
 
 // rebuildRequest returns the bytes of a request that the HTTP library has read: as the caller sent
-// them, but for the headers that delimit the body, which always gets a length, and for Expect,
-// which this router has met already.
+// them, but for the headers that delimit the body, which always gets a length, for Expect, which this
+// router has met already, and for bare line ends.
 func rebuildRequest(request *fasthttp.Request) []byte {
 	header := &request.Header
 	body := request.Body()
@@ -79,7 +79,8 @@
 			replaced = isReplacedHeader(string(name))
 		}
 		if !replaced {
-			raw = append(raw, line...)
+			raw = append(raw, content...)
+			raw = append(raw, "\r\n"...)
 		}
 	}
 	return raw
