--- a/front/executor_test.go
+++ b/front/executor_test.go
@@ -153,6 +153,27 @@
 	}
 }
 
+// namedConn is a connection whose source has given the request an ID.
+type namedConn struct{ *memoryConn }
+
+func (namedConn) RequestID() string { return "small-router-7" }
+
+// TestExecutedRequestKeepsID guards against log lines of both routers that cannot be matched, and a
+// caller who is told an ID that its router does not know.
+func TestExecutedRequestKeepsID(t *testing.T) {
+	ids := make(chan string, 1)
+	f := start(t, Options{}, func(ctx context.Context, ex *pipeline.Exchange) error {
+		ids <- ex.ID
+		return answerEmpty(ctx, ex)
+	})
+	answer := newRecorder()
+	f.ServeOffloaded(namedConn{newMemoryConn([]byte(get), answer)}, 0, "small-router")
+	response, _, _ := answer.read(t)
+	if id := <-ids; id != "small-router-7" || response.Header.Get(headerRequestID) != id {
+		t.Errorf("ID %q, %v", id, response.Header)
+	}
+}
+
 // TestExecutedCallerGoesAway guards against a run that continues when the source reports that the
 // caller has gone, and a last look before dispatch that does not see it.
 func TestExecutedCallerGoesAway(t *testing.T) {
@@ -181,6 +202,29 @@
 	}
 }
 
+// TestEndedExecutedRequestIsNotGone guards against a request that has ended and is counted as one
+// whose caller has gone: the link reports every caller as gone after the response.
+func TestEndedExecutedRequestIsNotGone(t *testing.T) {
+	f := start(t, Options{}, answerEmpty)
+	before := callersGone.Get()
+	for range 200 {
+		conn := newMemoryConn([]byte(get), newRecorder())
+		r := &request{
+			conn:      &callerConn{Conn: conn, server: f.Server, executed: &executed{gone: conn.gone}},
+			unwatched: make(chan struct{}),
+			gone:      make(chan struct{}),
+			ex:        &pipeline.Exchange{},
+			cancel:    func(error) {},
+		}
+		f.unwatchCaller(r)
+		conn.Cancel()
+		r.watchExecuted()
+	}
+	if gone := callersGone.Get() - before; gone != 0 {
+		t.Errorf("%d callers have gone", gone)
+	}
+}
+
 // eventsAtHand is a response whose beginning is at hand.
 type eventsAtHand struct{ io.Reader }
 
@@ -322,6 +366,8 @@
 	{"header of ours", "POST /x HTTP/1.1\r\nHost: a\r\nWalnut-Arrival: 1\r\nContent-Length: 2\r\n\r\nab"},
 	{"form", "POST /x HTTP/1.1\r\nHost: a\r\nContent-Type: multipart/form-data; boundary=b\r\nContent-Length: 55\r\n\r\n--b\r\nContent-Disposition: form-data; name=a\r\n\r\n1\r\n--b--"},
 	{"large body", "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 300000\r\n\r\n" + strings.Repeat("0123456789", 30_000)},
+	{"bare line ends", "GET /x HTTP/1.1\nHost: a\nX-A: 1\n\r\n\r\n"},
+	{"bare line ends, with a body", "POST /x HTTP/1.1\nHost: a\nContent-Length: 2\nX-A: 1\n\r\n\r\nab"},
 	{"path that is refused", "GET /a/../b HTTP/1.1\r\nHost: a\r\n\r\n"},
 }
 
@@ -374,6 +420,37 @@
 	})
 }
 
+// FuzzForwardedRequest guards against a request of the fast path that another router reads differently:
+// another body, another head, or bytes that it takes for a further request.
+func FuzzForwardedRequest(f *testing.F) {
+	for _, c := range rebuiltRequests {
+		f.Add([]byte(c.raw))
+		f.Add([]byte("\r\n" + c.raw + get))
+	}
+	f.Fuzz(func(t *testing.T, read []byte) {
+		refuser := fastRefuser{}
+		refuser.reader = bufio.NewReaderSize(&refuser.source, DefaultMaxHeaderBytes)
+		if len(read) > maxFastRefusalBytes || !refuser.parseSimple(read) {
+			return
+		}
+		raw := refuser.clone(read)
+		if raw == nil {
+			return // it is not offered
+		}
+		var original, forwarded fasthttp.Request
+		if !readLikeServer(&original, read) {
+			return
+		}
+		r := bufio.NewReaderSize(bytes.NewReader(raw), DefaultMaxHeaderBytes)
+		if forwarded.Header.Read(r) != nil || forwarded.ContinueReadBody(r, DefaultMaxBodyBytes, false) != nil || r.Buffered() > 0 {
+			t.Fatalf("%q is forwarded as %q, %d bytes are left", read, raw, r.Buffered())
+		}
+		if !bytes.Equal(forwarded.Body(), original.Body()) || !bytes.Equal(forwarded.Header.RawHeaders(), original.Header.RawHeaders()) {
+			t.Errorf("%q is forwarded as %q", read, raw)
+		}
+	})
+}
+
 // readLikeServer reads a request as the HTTP library does, and reports whether it is valid.
 func readLikeServer(request *fasthttp.Request, raw []byte) bool {
 	r := bufio.NewReaderSize(bytes.NewReader(raw), DefaultMaxHeaderBytes)
--- a/front/offload_test.go
+++ b/front/offload_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/walnutcove/walnutcove/dialect"
 	"github.com/walnutcove/walnutcove/offload"
 	"github.com/walnutcove/walnutcove/pipeline"
@@ -133,11 +135,24 @@
 	return address
 }
 
-// offer sends a request and returns it as it was offered.
+// offer sends a request and returns it as it was offered, once Send has returned: what a caller takes
+// before is reported later.
 func (s *source) offer(fast bool, request string) (net.Conn, *fakeSent) {
 	s.t.Helper()
 	conn := s.call(fast, request)
-	return conn, await(s.t, s.sender.sent)
+	sent := await(s.t, s.sender.sent)
+	r := sent.Answer.(*offloaded)
+	for deadline := time.Now().Add(eventTimeout); ; time.Sleep(time.Millisecond) {
+		r.mu.Lock()
+		hasReturned := r.sent != nil
+		r.mu.Unlock()
+		if hasReturned {
+			return conn, sent
+		}
+		if time.Now().After(deadline) {
+			s.t.Fatal("Send does not return")
+		}
+	}
 }
 
 // awaitIdle waits until no request is open.
@@ -364,6 +379,32 @@
 	})
 }
 
+// TestLongDeadlineIsKept guards against a caller who states a deadline beyond the one of callers that
+// state none, and is refused at that one.
+func TestLongDeadlineIsKept(t *testing.T) {
+	withDeadline := *dialect.Own
+	withDeadline.Deadline = "X-Deadline-Ms"
+	s := startSource(t, Options{Dialect: &withDeadline})
+	for value, want := range map[string]time.Duration{
+		"":       defaultCallerDeadline,
+		"1500":   1500 * time.Millisecond,
+		"60000":  time.Minute,
+		"120000": 2 * time.Minute,
+		"1e300":  24 * time.Hour,
+		"-1":     defaultCallerDeadline,
+		"NaN":    defaultCallerDeadline,
+		"soon":   defaultCallerDeadline,
+	} {
+		var header fasthttp.RequestHeader
+		if value != "" {
+			header.Set("X-Deadline-Ms", value)
+		}
+		if got := s.callerDeadline(&header); got != want {
+			t.Errorf("%q: %s, want %s", value, got, want)
+		}
+	}
+}
+
 // fill writes to a request until its caller's connection takes no more, and returns what was
 // written.
 func fill(t *testing.T, sent *fakeSent) string {
@@ -427,6 +468,50 @@
 	s.awaitIdle()
 }
 
+// TestBytesAfterRequestCutNoResponse guards against a connection that is reset, with the part of the
+// response that the caller has not received yet, because the caller sent bytes after its request.
+func TestBytesAfterRequestCutNoResponse(t *testing.T) {
+	onBothPaths(t, func(t *testing.T, fast bool) {
+		s := startSource(t, Options{})
+		conn, sent := s.offer(fast, shortCall)
+		if _, err := io.WriteString(conn, "\r\n"+get); err != nil {
+			t.Fatal(err)
+		}
+		want := fill(t, sent)
+		sent.End(offload.Complete)
+		if got, err := io.ReadAll(conn); string(got) != want || err != nil {
+			t.Errorf("got %d bytes of %d, %v", len(got), len(want), err)
+		}
+		s.awaitIdle()
+	})
+}
+
+// TestNewBlockedCallersDelayNoOthers guards against held bytes that are written late because the
+// connections of other callers keep becoming blocked.
+func TestNewBlockedCallersDelayNoOthers(t *testing.T) {
+	s := startSource(t, Options{WatchEvery: 10 * time.Second})
+	conn, sent := s.offer(true, shortCall)
+	want := fill(t, sent)
+	stop := make(chan struct{})
+	var others sync.WaitGroup
+	others.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case s.offloads.wake <- struct{}{}: // as addBlocked does
+			}
+		}
+	})
+	sent.End(offload.Complete)
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	if got, err := io.ReadAll(conn); string(got) != want || err != nil {
+		t.Errorf("got %d bytes of %d, %v", len(got), len(want), err)
+	}
+	close(stop)
+	others.Wait()
+}
+
 // TestStalledReaderIsCutOff guards against a caller who never reads keeping a request open.
 func TestStalledReaderIsCutOff(t *testing.T) {
 	s := startSource(t, Options{WriteTimeout: 50 * time.Millisecond})
--- a/offload/link/failure_test.go
+++ b/offload/link/failure_test.go
@@ -295,6 +295,40 @@
 	}
 }
 
+// TestNoRequestAfterIdleCheck guards against a request that is taken between the check that finds a
+// link idle and its end, and breaks although nothing has failed.
+func TestNoRequestAfterIdleCheck(t *testing.T) {
+	p := connect(t, echo)
+	p.allow(t, 1, 1)
+	p.source.mu.Lock()
+	_, err := p.source.runCheckLocked(p.source.now())
+	refusal := p.source.refusalLocked(1)
+	p.source.mu.Unlock()
+	if err != ErrIdle || refusal != RefusedEnded {
+		t.Errorf("the check ended with %v, and a request is refused as %q", err, refusal)
+	}
+	p.source.conn.Close()
+}
+
+// TestUnwantedLinkServesItsRequests guards against a link that is closed while a request is open.
+func TestUnwantedLinkServesItsRequests(t *testing.T) {
+	release := make(chan struct{})
+	p := connect(t, func(ctx context.Context, from control.NodeID, request offload.Request, conn net.Conn) error {
+		<-release
+		return echo(ctx, from, request, conn)
+	})
+	p.allow(t, 1, 1)
+	_, answer := p.send(t, "request")
+	if p.source.CloseIdle() {
+		t.Error("the link was closed")
+	}
+	close(release)
+	answer.expect(t, offload.Complete, "request")
+	if !p.source.CloseIdle() {
+		t.Error("the link was not closed")
+	}
+}
+
 // TestRequestLimits guards against requests that exceed a limit and are cut, or that exceed the
 // memory of the executor.
 func TestRequestLimits(t *testing.T) {
@@ -448,3 +482,21 @@
 		}
 	}
 }
+
+// TestTransitAfterPausedClock guards against requests that count as late for as long as a link lasts
+// because the clock of a frozen source stood still.
+func TestTransitAfterPausedClock(t *testing.T) {
+	const stood = 900 * time.Millisecond
+	var tr transit
+	tr.delay(time.Millisecond, 0)
+	delay := time.Duration(0)
+	for sent := time.Second; sent < 3*transitWindow; sent += 50 * time.Millisecond {
+		delay = tr.delay(sent+time.Millisecond, sent-stood)
+		if sent < transitWindow/2 && delay < stood-time.Millisecond {
+			t.Fatalf("delay of %s after %s", delay, sent)
+		}
+	}
+	if delay > time.Millisecond {
+		t.Errorf("delay of %s", delay)
+	}
+}
--- a/router/offload_test.go
+++ b/router/offload_test.go
@@ -24,6 +24,8 @@
 	answers                  []offload.Answer
 	done                     chan struct{}
 	err                      error // why the link ended
+	// counted is called after the open requests were counted.
+	counted func()
 }
 
 func newFakeLink(allowance int) *fakeLink {
@@ -49,13 +51,28 @@
 
 func (l *fakeLink) Allowance() int                { return l.allowance }
 func (l *fakeLink) NoteWanted(n int)              { l.wanted += uint64(n) }
-func (l *fakeLink) OpenRequests() int             { return l.open }
 func (l *fakeLink) HeldBytes() int64              { return 0 }
 func (l *fakeLink) Done() <-chan struct{}         { return l.done }
 func (l *fakeLink) Drain()                        {}
 func (l *fakeLink) Err() error                    { return l.err }
 func (l *fakeLink) Demand() (sent, wanted uint64) { return l.sent, l.wanted }
 
+func (l *fakeLink) OpenRequests() int {
+	open := l.open
+	if l.counted != nil {
+		l.counted()
+	}
+	return open
+}
+
+func (l *fakeLink) CloseIdle() bool {
+	if l.open > 0 {
+		return false
+	}
+	close(l.done)
+	return true
+}
+
 func (l *fakeLink) SetAllowance(more, maxOpen int) {
 	l.allowance += more
 	l.maxOpen = maxOpen
@@ -215,6 +232,30 @@
 	}
 }
 
+// TestUnwantedLinkIsClosedWithoutRequests guards against a request that is sent while the link to an
+// excluded executor is about to be closed, and breaks.
+func TestUnwantedLinkIsClosedWithoutRequests(t *testing.T) {
+	s := newTestSource(t)
+	_, l := s.begin()
+	for len(l.answers) == 0 {
+		s.send()
+	}
+	l.end(offload.Declined)
+	l.counted = func() {
+		l.counted = nil
+		l.Offer(offload.Request{}, fakeAnswer{new(offload.Outcome)})
+	}
+	s.advance(offloadInterval)
+	select {
+	case <-l.done:
+		if l.open > 0 {
+			t.Error("the link was closed while a request was open")
+		}
+	default:
+		t.Error("the link was not closed")
+	}
+}
+
 // TestLateSourceOffersLess guards against copying that keeps a router late although it sheds all.
 func TestLateSourceOffersLess(t *testing.T) {
 	s := newTestSource(t)
@@ -239,6 +280,7 @@
 		serve:        func(net.Conn, time.Duration, string) {},
 		links:        make(map[uint64]*acceptedLink),
 		added:        make(chan struct{}, 1),
+		requests:     link.NewBudget(requestBudgetBytes),
 	}
 }
 
@@ -287,6 +329,58 @@
 	}
 }
 
+// TestDrainWaitsForEndOfLinks guards against a router that stops before the sources have read the ends
+// of their responses, and against one that waits for a source that is frozen.
+func TestDrainWaitsForEndOfLinks(t *testing.T) {
+	for name, ends := range map[string]bool{"link ends": true, "frozen source": false} {
+		t.Run(name, func(t *testing.T) {
+			load, draining := balance.Load{}, true
+			e := newTestExecutor(&load, &draining)
+			l := newFakeLink(0)
+			e.links[1] = &acceptedLink{servedLink: l}
+			if ends {
+				time.AfterFunc(100*time.Millisecond, func() { close(l.done) })
+			}
+			began := time.Now()
+			if err := e.waitServed(t.Context()); err != nil {
+				t.Error(err)
+			}
+			if took := time.Since(began); took < 100*time.Millisecond || took > time.Second {
+				t.Errorf("waited for %s", took)
+			}
+		})
+	}
+}
+
+// TestHeldRequestsAreCounted guards against request bytes of other routers that no metric shows.
+func TestHeldRequestsAreCounted(t *testing.T) {
+	load, draining := balance.Load{}, false
+	e := newTestExecutor(&load, &draining)
+	near, far := net.Pipe()
+	release := make(chan struct{})
+	serve := func(context.Context, control.NodeID, offload.Request, net.Conn) error {
+		<-release
+		return link.ErrDeclined
+	}
+	options := link.Options{Log: e.log, Budget: e.requests}
+	executor := link.NewExecutor("source", far, serve, options)
+	defer executor.Close()
+	source := link.NewSource(near, options)
+	defer source.Close()
+	executor.SetAllowance(1, 1)
+	request := offload.Request{Raw: []byte("GET / HTTP/1.1\r\n\r\n")}
+	for deadline := time.Now().Add(testDeadline); executor.OpenRequests() == 0; time.Sleep(time.Millisecond) {
+		source.Send(request, fakeAnswer{new(offload.Outcome)})
+		if time.Now().After(deadline) {
+			t.Fatal("no request is open")
+		}
+	}
+	if held := e.heldBytes(); held != int64(len(request.Raw)) {
+		t.Errorf("%d bytes are held", held)
+	}
+	close(release)
+}
+
 // TestExecutorsOfASource guards against executors that are smaller than allowed, of other data
 // centres, leaving, not alive, or of unknown size.
 func TestExecutorsOfASource(t *testing.T) {
--- a/router/offloadexecutor.go
+++ b/router/offloadexecutor.go
@@ -24,6 +24,9 @@
 	minStepInterval = 10 * time.Millisecond
 	// drainPollInterval is the interval at which a drain checks for open requests.
 	drainPollInterval = 10 * time.Millisecond
+	// maxLinkEndTime is how long a drain waits for sources to end their links. They are in the same
+	// data centre; one that takes longer is frozen.
+	maxLinkEndTime = 500 * time.Millisecond
 )
 
 // servedLink is the executor's end of a link.
@@ -51,6 +54,8 @@
 	// serve serves one request of a router.
 	serve     func(conn net.Conn, waited time.Duration, from string)
 	startedAt time.Time
+	// requests bounds the bytes of the requests of all links.
+	requests *link.Budget
 
 	served atomic.Int64
 	// rate is what the pacer accepts per second, rounded.
@@ -86,7 +91,7 @@
 		declinedFull.Inc()
 		return link.ErrDeclined
 	}
-	caller := newOffloadedConn(conn, ctx.Done())
+	caller := newOffloadedConn(conn, request.ID, ctx.Done())
 	go func() {
 		defer e.served.Add(-1)
 		defer caller.end()
@@ -183,16 +188,36 @@
 	return ids, links
 }
 
-// waitServed waits until no request of other routers is open, or ctx ends.
+// waitServed waits until no request of other routers is open, or ctx ends. Then it waits until the
+// sources have ended the links: an end of a response that they have not read could be lost.
 func (e *offloadExecutor) waitServed(ctx context.Context) error {
 	for e.openRequests() > 0 {
 		if !wait.For(ctx, drainPollInterval) {
 			return ctx.Err()
 		}
 	}
+	for began := time.Now(); e.hasOpenLinks() && time.Since(began) < maxLinkEndTime; {
+		if !wait.For(ctx, drainPollInterval) {
+			return ctx.Err()
+		}
+	}
 	return nil
 }
 
+// hasOpenLinks reports whether a link has not ended.
+func (e *offloadExecutor) hasOpenLinks() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, l := range e.links {
+		select {
+		case <-l.Done():
+		default:
+			return true
+		}
+	}
+	return false
+}
+
 // drain asks the sources to end their links once no request is open.
 func (e *offloadExecutor) drain() {
 	e.mu.Lock()
@@ -230,14 +255,15 @@
 	return open
 }
 
-// heldBytes returns the bytes of responses that are not written to a link.
+// heldBytes returns the bytes of requests that are open and of responses that are not written to a
+// link.
 func (e *offloadExecutor) heldBytes() int64 {
 	if e == nil {
 		return 0
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	held := int64(0)
+	held := e.requests.Used()
 	for _, l := range e.links {
 		held += l.HeldBytes()
 	}
