Estimate of target speeds, and its use in placement

Targets that report how long work takes are given requests by their predicted times: a lasting factor learned from runs, and a passing one from the latest reading that ends with the length that deviations were observed to have.

--- a/control/cold.go
+++ b/control/cold.go
@@ -107,8 +107,11 @@
 	}
 }
 
-// targetRestarted marks a target that has probably restarted as cold.
+// targetRestarted marks a target that has probably restarted as cold, and discards its speed.
 func (m *Machine) targetRestarted(t *target) {
+	if t.speed != nil {
+		m.setSpeed(t, nil)
+	}
 	m.extendCold(t.name, coldStartDuration(m.topo.decl.Pools[t.shard.id.Pool]))
 	m.updateColdLimit(t)
 }
--- a/control/control.go
+++ b/control/control.go
@@ -133,6 +133,8 @@
 	// from its own knowledge alone. Zero: the ticket waits until its scheduler answers or
 	// another node takes over the shard.
 	LocalAfter time.Duration
+	// IgnoreReadings ignores the speeds that targets report.
+	IgnoreReadings bool
 	// IgnorePrefixes selects targets by load alone. By default a target that probably has
 	// the start of the prompt in its cache is preferred among equally loaded ones.
 	IgnorePrefixes bool
--- a/control/deferred.go
+++ b/control/deferred.go
@@ -67,7 +67,12 @@
 	}
 	q.latestStart = max(m.now, q.deadline-answerTime)
 	q.waitUntil = q.latestStart
-	if objective := q.ticket.Objective; objective > answerTime {
+	objective := q.ticket.Objective
+	if objective > 0 && m.isTooSlow(q.shard, objective) {
+		q.waitUntil = m.now
+		return
+	}
+	if objective > answerTime {
 		q.waitUntil = min(q.waitUntil, m.now+scale(timelyWaitFraction, objective-answerTime))
 	}
 }
--- a/control/grants.go
+++ b/control/grants.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/control/sched"
+	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/result"
 )
 
@@ -57,6 +58,10 @@
 	adopted bool
 	// engineRun is the modelled run at a target that counts in tokens; nil at others.
 	engineRun *sched.EngineRun
+	// speedMark marks startedAt for the target's speed estimate, and heldBefore counts the other
+	// grants there at that time; for targets that count in slots and report their speed.
+	speedMark  *speed.Mark
+	heldBefore int
 	// placement holds the predictions for which the target was chosen, if it counts in
 	// tokens.
 	placement placement
@@ -104,7 +109,7 @@
 			m.grantTicket(q, p)
 			continue
 		}
-		t := m.chooseSlotTarget(c, q.ticket.PrefixHash)
+		t := m.chooseSlotTarget(s, c, q.ticket.PrefixHash)
 		if t == nil {
 			continue // the class was just rebuilt and has no room
 		}
@@ -133,8 +138,12 @@
 }
 
 // chooseSlotTarget returns the least loaded target of a class with room. Among equally
-// loaded ones it prefers one that probably has the prefix in its cache.
-func (m *Machine) chooseSlotTarget(c *class, prefix uint64) *target {
+// loaded ones it prefers one that probably has the prefix in its cache. If targets of the shard
+// report their speed, the predicted end of the run decides instead.
+func (m *Machine) chooseSlotTarget(s *shard, c *class, prefix uint64) *target {
+	if s.speed != nil {
+		return m.chooseBySpeed(s, c, prefix)
+	}
 	var best *target
 	bestUtilisation := 0.0
 	for _, t := range c.targets {
@@ -181,7 +190,13 @@
 		placement:   p,
 	}
 	m.counters.GrantsMade++
+	if p.movedBySpeed {
+		m.counters.GrantsMovedBySpeed++
+	}
 	t.window.Granted(m.now)
+	if t.speed != nil && t.engine == nil {
+		t.speed.Granted()
+	}
 	if t.failures > 0 {
 		m.recordProbe(t, g)
 	}
--- a/control/place.go
+++ b/control/place.go
@@ -108,6 +108,12 @@
 	fetchFrom *target
 	// cost is the start plus penalties; the placement with the lowest cost is chosen.
 	cost time.Duration
+	// slower is how much later the start is than if the target were as fast as usual in the
+	// pool; zero if it does not report its speed.
+	slower time.Duration
+	// movedBySpeed reports that another target would have been chosen if all were as fast as
+	// usual in the pool.
+	movedBySpeed bool
 }
 
 func (p placement) fetchName() string {
@@ -156,7 +162,7 @@
 	holder := m.bestCacheHolder(all, q.task)
 	home := homeTarget(all, q.task, holder)
 	near := m.dataCentreOf(q.from)
-	var best placement
+	var best, bestUsual placement
 	for _, cand := range all {
 		t := cand.target
 		if !m.hasRoomFor(c, t) || !t.engine.HasRoom(q.task) {
@@ -176,7 +182,11 @@
 		if best.target == nil || p.cost < best.cost {
 			best = p
 		}
+		if p.cost -= p.slower; bestUsual.target == nil || p.cost < bestUsual.cost {
+			bestUsual = p
+		}
 	}
+	best.movedBySpeed = best.target != bestUsual.target
 	return best
 }
 
@@ -207,6 +217,9 @@
 		penalty = scale(policy.FetchPart, fetch) + scale(policy.RereadPart, t.engine.ReadTime(holder.sharedReads))
 	}
 	p.start = t.engine.Predict(m.now, q.task, p.reads) + fetch
+	if t.speed != nil {
+		p.slower = p.start - fetch - t.engine.PredictUsual(m.now, q.task, p.reads)
+	}
 	p.cost = p.start + penalty
 	if q.objective > 0 && p.start > scale(policy.TimelyPart, q.objective-m.now) {
 		p.cost += latePenalty
--- a/control/rank.go
+++ b/control/rank.go
@@ -165,7 +165,7 @@
 	}
 	ideal := maxInstant
 	for _, c := range m.listCandidates(q.shard.targets, q.task) {
-		ideal = min(ideal, c.target.engine.PredictIdle(q.task, c.reads))
+		ideal = min(ideal, c.target.engine.PredictIdle(m.now, q.task, c.reads))
 	}
 	left := q.objective - m.now
 	if ideal > scale(m.opts.Tokens.TimelyPart, left) {
--- a/control/release.go
+++ b/control/release.go
@@ -161,6 +161,7 @@
 		g.target.window.Released(m.now)
 		return
 	}
+	m.learnRun(g, used)
 	g.target.window.Ended(m.now, used, m.now-g.grantedAt-service)
 }
 
--- a/control/sched/engine.go
+++ b/control/sched/engine.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/walnutcove/walnutcove/control/speed"
 )
 
 // maxMemoryRatio is the fraction of a target's memory that runs may occupy. A target
@@ -51,12 +53,16 @@
 	slowdown float64
 	// ignoreSlowdown keeps slowdown at 1.
 	ignoreSlowdown bool
+	// speed replaces slowdown at targets that report their speed; nil at others.
+	speed *speed.Estimate
 	// unread holds the runs whose first event has not been seen, oldest grant first.
 	unread []*EngineRun
 	// backlog is the total reading load of unread.
 	backlog load
-	// readingSince is when the target began to read the prompt of unread[0].
+	// readingSince is when the target began to read the prompt of unread[0], and readingMark
+	// the mark of that time if the target reports its speed.
 	readingSince time.Duration
+	readingMark  speed.Mark
 	running      int
 	// memoryHeld is the memory of the runs in progress, in tokens.
 	memoryHeld int64
@@ -77,6 +83,9 @@
 	promptRead bool
 	// adopted is set if another scheduler granted the run.
 	adopted bool
+	// timed describes the run to the speed estimate; nil if the target did not report its speed
+	// when the run was granted.
+	timed *timedRun
 }
 
 // EngineOptions configure an Engine.
@@ -129,6 +138,9 @@
 	if len(e.unread) == 0 {
 		return 0
 	}
+	if e.speed != nil {
+		return toDuration(e.stretched(now, e.unreadWork(now)))
+	}
 	return toDuration(e.slowdown*e.model.seconds(e.backlog)) - e.elapsed(now)
 }
 
@@ -146,18 +158,30 @@
 // Predict returns how long after now the first event of a task granted now would come if
 // the given number of its prompt tokens have to be read.
 func (e *Engine) Predict(now time.Duration, task EngineTask, reads int) time.Duration {
-	return e.Wait(now) + e.PredictIdle(task, reads)
+	if e.speed != nil {
+		work := e.unreadWork(now) + e.model.seconds(promptLoad(reads, task.PromptTokens))
+		return toDuration(e.model.fixed + e.stretched(now, work))
+	}
+	return e.Wait(now) + e.PredictIdle(now, task, reads)
 }
 
 // PredictIdle is Predict for a target that has no unread prompts.
-func (e *Engine) PredictIdle(task EngineTask, reads int) time.Duration {
+func (e *Engine) PredictIdle(now time.Duration, task EngineTask, reads int) time.Duration {
+	if e.speed != nil {
+		work := e.model.seconds(promptLoad(reads, task.PromptTokens))
+		return toDuration(e.model.fixed + e.stretched(now, work))
+	}
 	return toDuration(e.model.fixed + e.slowdown*e.model.seconds(promptLoad(reads, task.PromptTokens)))
 }
 
 // ReadTime returns how long the target reads the given number of tokens, without the
-// cost of comparing pairs of tokens.
+// cost of comparing pairs of tokens and without passing deviations of its speed.
 func (e *Engine) ReadTime(tokens int) time.Duration {
-	return toDuration(e.slowdown * e.model.token * float64(tokens))
+	slowdown := e.slowdown
+	if e.speed != nil {
+		slowdown = e.speed.Lasting()
+	}
+	return toDuration(slowdown * e.model.token * float64(tokens))
 }
 
 // HasRoom reports whether the target has a free slot and enough memory for a task.
@@ -184,6 +208,10 @@
 		ahead:     e.backlog,
 		elapsed:   e.elapsed(now),
 	}
+	if e.speed != nil {
+		run.timed = e.timeRun(now, run)
+		e.speed.Granted()
+	}
 	e.occupy(now, run, task, reads)
 	e.enqueue(run)
 	return run
@@ -232,7 +260,7 @@
 	}
 	e.unread = slices.Insert(e.unread, at, run)
 	if at == 0 {
-		e.readingSince = run.grantedAt
+		e.startReading(run.grantedAt)
 	}
 	e.backlog = e.backlog.plus(run.reads)
 }
@@ -243,7 +271,11 @@
 	if run.promptRead {
 		return
 	}
-	if !run.adopted {
+	switch {
+	case run.adopted || e.speed != nil && run.timed == nil:
+	case e.speed != nil:
+		e.learnSpeed(now, run, sinceGrant)
+	default:
 		e.learn(run, sinceGrant)
 	}
 	e.markRead(now, run)
@@ -260,7 +292,7 @@
 			e.backlog = e.backlog.minus(earlier.reads)
 		}
 		e.unread = append(e.unread[:0], e.unread[i+1:]...)
-		e.readingSince = now
+		e.startReading(now)
 		return
 	}
 }
@@ -284,7 +316,7 @@
 			e.unread = append(e.unread[:i], e.unread[i+1:]...)
 			e.backlog = e.backlog.minus(run.reads)
 			if i == 0 {
-				e.readingSince = now
+				e.startReading(now)
 			}
 			return
 		}
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -43,6 +43,8 @@
 	refusedFingerprints expiringSet
 	// candidateBuffer is reused by each placement; see Machine.listCandidates.
 	candidateBuffer []candidate
+	// slotChoices is reused by Machine.chooseBySpeed.
+	slotChoices []slotChoice
 	// watchedTargets is the last set emitted with WatchTargets; watchStale reports that it
 	// may be outdated, to be checked from watchCheckAt on.
 	watchedTargets []string
--- a/control/shard.go
+++ b/control/shard.go
@@ -38,6 +38,9 @@
 	shares *sched.Shares
 	// reading models how fast its targets read prompts; nil for other pools.
 	reading *sched.ReadModel
+	// speed is shared by the speed estimates of its targets; nil until one of them reports its
+	// speed.
+	speed *poolSpeed
 	// nextGapAt is when the shard is next checked for a gap between workspaces.
 	nextGapAt Instant
 	// deferral tracks the requests that waited for too long; for pools that count in slots.
--- a/control/slots.go
+++ b/control/slots.go
@@ -24,6 +24,7 @@
 func (g *grant) startSlotTime(now Instant) {
 	g.waitsInTarget = false
 	g.startedAt = now
+	g.markSpeed(now)
 	g.workspace.account.Start()
 }
 
--- a/control/status.go
+++ b/control/status.go
@@ -28,6 +28,8 @@
 	GrantsReclaimed       uint64
 	GrantsOverdue         uint64 // whose slots were freed as their answers were lost
 	GrantsDisowned        uint64 // no longer tracked as their entry node was unreachable
+	GrantsMovedBySpeed    uint64 // that went to another target than without the speeds that targets report
+	ReadingsUsed          uint64 // speeds that targets reported and that were used
 	ReportsResent         uint64
 	SchedulersUnanswering uint64
 	NodesSuspected        uint64
--- a/control/target.go
+++ b/control/target.go
@@ -7,6 +7,7 @@
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control/member"
 	"github.com/walnutcove/walnutcove/control/sched"
+	"github.com/walnutcove/walnutcove/control/speed"
 )
 
 const (
@@ -44,6 +45,8 @@
 	window *sched.Window
 	// engine models a target that counts its work in tokens; nil for others.
 	engine *sched.Engine
+	// speed estimates how fast it is; nil until it reports its speed.
+	speed *speed.Estimate
 	// waitingGrants holds the grants made beyond the slots, oldest first: they wait in the
 	// target until a run there ends.
 	waitingGrants []*grant
@@ -128,7 +131,7 @@
 	case t.engine != nil:
 		room = t.engine.FreeSlots()
 	default:
-		room = t.window.Free(now)
+		room = t.limitWaiting(now, t.window.Free(now))
 	}
 	if t.isCold(now) {
 		return min(room, t.coldRoom(now))
