--- a/control/entry.go
+++ b/control/entry.go
@@ -244,7 +244,7 @@
 	}
 	if run := m.entry.latestRun[ev.Request]; run != nil {
 		// The grant and the cancellation crossed: no one has used the grant.
-		m.endRun(run, OutcomeNotRun, 0)
+		m.endRun(run, RunEnded{Outcome: OutcomeNotRun})
 	}
 }
 
--- a/control/place.go
+++ b/control/place.go
@@ -278,6 +278,7 @@
 	run.began = true
 	report := run.report(m.now, PhaseBegan)
 	report.Service = ev.After
+	report.Load = ev.Load
 	m.send(run.reportedTo, report)
 }
 
--- a/control/release.go
+++ b/control/release.go
@@ -30,6 +30,7 @@
 	g.reportedAt = m.now
 	g.confirmed = true
 	m.armGrant(g)
+	m.targetReading(g.target, r.Load, r.LoadAge)
 	switch r.Phase {
 	case PhaseBegan:
 		m.runBeganReported(g, r.Service)
@@ -103,6 +104,7 @@
 		}
 		return
 	}
+	m.targetReading(g.target, r.Load, r.LoadAge)
 	m.endGrant(g, r, from)
 }
 
--- a/control/runs.go
+++ b/control/runs.go
@@ -174,7 +174,7 @@
 
 func (m *Machine) runEnded(ev RunEnded) {
 	if run := m.entry.runs[ev.Grant]; run != nil {
-		m.endRun(run, ev.Outcome, ev.Service)
+		m.endRun(run, ev)
 	}
 }
 
@@ -188,16 +188,17 @@
 // endRun reports the end of a run to the shard's scheduler, and to the others that may
 // count it: one that is not informed keeps the slot occupied and continues to charge for
 // it.
-func (m *Machine) endRun(run *run, outcome Outcome, service time.Duration) {
+func (m *Machine) endRun(run *run, ev RunEnded) {
 	m.timers.stop(&run.timer)
 	delete(m.entry.runs, run.grant.ID)
 	if m.entry.latestRun[run.request] == run {
 		delete(m.entry.latestRun, run.request)
 	}
 	report := run.report(m.now, PhaseEnded)
-	report.Outcome = outcome
-	report.Service = service
-	if outcome == OutcomeLost {
+	report.Outcome = ev.Outcome
+	report.Service = ev.Service
+	report.Load, report.LoadAge = ev.Load, ev.LoadAge
+	if ev.Outcome == OutcomeLost {
 		// For a scheduler that does not know the run; see partsLostElsewhere.
 		report.Work, report.Began = run.work, run.began
 	}
