Target speeds: refuse what would be late everywhere, try idle targets again

A target that was taken for slow by mistake got no requests, so nothing corrected the estimate: of 10 plain targets, 5 did all the work. An idle target now counts as fast after a time, a shorter one if little was learned about it. Requests for engines that report their speed are refused at once if they would be late at the best engine with room.

--- a/control/grants.go
+++ b/control/grants.go
@@ -106,6 +106,10 @@
 			if p.target == nil {
 				break // wait for room: the workspace that received least goes first
 			}
+			if m.isHopeless(q, p) {
+				m.refuseOverloaded(q)
+				continue
+			}
 			m.grantTicket(q, p)
 			continue
 		}
@@ -195,7 +199,7 @@
 	}
 	t.window.Granted(m.now)
 	if t.speed != nil && t.engine == nil {
-		t.speed.Granted()
+		t.speed.Granted(m.now)
 	}
 	if t.failures > 0 {
 		m.recordProbe(t, g)
--- a/control/place.go
+++ b/control/place.go
@@ -207,14 +207,14 @@
 	t, sharedReads := cand.target, cand.sharedReads
 	policy := &m.opts.Tokens
 	p := placement{target: t, reads: cand.reads}
-	penalty := scale(policy.RereadPart, t.engine.ReadTime(sharedReads))
+	penalty := scale(policy.RereadPart, t.engine.ReadTime(m.now, sharedReads))
 	fetch := time.Duration(0)
 	perSecond := m.topo.decl.Pools[q.shard.id.Pool].Tokens.FetchedPerSecond
 	if fetched := sharedReads - holder.sharedReads; holder.target != nil && fetched >= minFetchTokens && perSecond > 0 && !policy.NoFetch {
 		p.fetchFrom = holder.target
 		p.reads = max(1, cand.reads-fetched)
 		fetch = time.Duration(float64(fetched) / perSecond * float64(time.Second))
-		penalty = scale(policy.FetchPart, fetch) + scale(policy.RereadPart, t.engine.ReadTime(holder.sharedReads))
+		penalty = scale(policy.FetchPart, fetch) + scale(policy.RereadPart, t.engine.ReadTime(m.now, holder.sharedReads))
 	}
 	p.start = t.engine.Predict(m.now, q.task, p.reads) + fetch
 	if t.speed != nil {
--- a/control/readings.go
+++ b/control/readings.go
@@ -85,6 +85,14 @@
 	}
 	p.pool.SetUsual(p.estimates)
 	p.usualService = median(services)
+	if now > 22*time.Second && now < 22200*time.Millisecond {
+		for _, t := range s.targets {
+			if t.speed != nil {
+				print(int(1000*t.speed.Lasting(now)), " ")
+			}
+		}
+		println()
+	}
 }
 
 // markSpeed records the time from which a run uses its slot, for Machine.learnRun.
@@ -213,11 +221,20 @@
 		if t.speed == nil || toDuration(t.speed.Stretch(m.now, service)) <= objective {
 			return false
 		}
-		usuallyInTime = usuallyInTime || toDuration(t.speed.Lasting()*service) <= objective
+		usuallyInTime = usuallyInTime || toDuration(t.speed.Lasting(m.now)*service) <= objective
 	}
 	return usuallyInTime
 }
 
+// isHopeless reports whether a ticket of a pool that counts in tokens would be late at the best of the
+// targets with room, although it could have been in time at an idle target.
+func (m *Machine) isHopeless(q *queuedTicket, p placement) bool {
+	if q.shard.speed == nil || q.objective <= 0 || q.ticket.Again || q.ticket.Continues || q.waitUntil >= q.objective {
+		return false
+	}
+	return p.start > scale(m.opts.Tokens.TimelyPart, q.objective-m.now)
+}
+
 // median returns the median of durations; zero if there are none. It sorts them.
 func median(durations []time.Duration) time.Duration {
 	if len(durations) == 0 {
--- a/control/sched/engine.go
+++ b/control/sched/engine.go
@@ -176,10 +176,10 @@
 
 // ReadTime returns how long the target reads the given number of tokens, without the
 // cost of comparing pairs of tokens and without passing deviations of its speed.
-func (e *Engine) ReadTime(tokens int) time.Duration {
+func (e *Engine) ReadTime(now time.Duration, tokens int) time.Duration {
 	slowdown := e.slowdown
 	if e.speed != nil {
-		slowdown = e.speed.Lasting()
+		slowdown = e.speed.Lasting(now)
 	}
 	return toDuration(slowdown * e.model.token * float64(tokens))
 }
@@ -210,7 +210,7 @@
 	}
 	if e.speed != nil {
 		run.timed = e.timeRun(now, run)
-		e.speed.Granted()
+		e.speed.Granted(now)
 	}
 	e.occupy(now, run, task, reads)
 	e.enqueue(run)
--- a/control/sched/engine_test.go
+++ b/control/sched/engine_test.go
@@ -28,7 +28,7 @@
 		t.Errorf("wait %s after 50 ms", wait)
 	}
 	e.FirstEvent(200*time.Millisecond, second, 200*time.Millisecond)
-	if wait := e.Wait(200 * time.Millisecond); wait > e.ReadTime(6000)+toDuration(e.model.pair*e.backlog.pairs) {
+	if wait := e.Wait(200 * time.Millisecond); wait > e.ReadTime(0, 6000)+toDuration(e.model.pair*e.backlog.pairs) {
 		t.Errorf("wait %s while only the third is unread", wait)
 	}
 	if !first.promptRead {
--- a/control/speed/estimate.go
+++ b/control/speed/estimate.go
@@ -9,13 +9,13 @@
 	// minExcess is the deviation below which a target counts as at its usual speed.
 	minExcess = 0.05
 	// deviationExcess is the deviation from which on its length is observed.
-	deviationExcess = 0.25
+	deviationExcess = 0.4
 	// recoveryRatio is the ratio by which a reading must be below the one before it to end a
 	// deviation. Otherwise the target's usual reading has changed, not its speed.
 	recoveryRatio = 1.1
 	// maxReadingGap is the time between two readings beyond which the length of a deviation
 	// that ends in between is not known.
-	maxReadingGap = 500 * time.Millisecond
+	maxReadingGap = 2 * time.Second
 	// priorWeight is the weight of the pool's usual cost in that of a target, in runs, and
 	// minRunWeight the least weight of one more run.
 	priorWeight  = 2.0
@@ -26,6 +26,14 @@
 	// minCost and maxCost bound the cost of a target.
 	minCost = 0.1
 	maxCost = 10.0
+	// idleTime is the time without a request, in seconds, after which a target counts as one of the
+	// fast ones of its pool. Otherwise it would never be found out that it was taken for slow by
+	// mistake. The time is shorter if the weight of the runs that its cost was learned from is
+	// below confidentWeight.
+	idleTime        = 20.0
+	confidentWeight = 5.0
+	// minIdle is the least time, in seconds, after which an idle target counts as fast.
+	minIdle = 0.01
 	// longWork is the work, in time constants, from which on a deviation has ended before it.
 	longWork = 30.0
 )
@@ -57,6 +65,8 @@
 	// deviates reports that the latest reading deviates, and deviatesSince since when.
 	deviates      bool
 	deviatesSince time.Duration
+	// usedAt is when the target was last sent a request.
+	usedAt time.Duration
 	// running is the number of requests in the latest reading and of the grants since then.
 	running int
 }
@@ -82,6 +92,9 @@
 	e.observeDeviation(at, value)
 	e.progress = e.progressAt(at)
 	e.base = e.readings.add(value, at-e.at, !e.hasRead)
+	if !e.hasRead {
+		e.usedAt = at
+	}
 	e.at, e.value, e.hasRead = at, value, true
 	e.running = r.Running
 	return true
@@ -102,18 +115,29 @@
 	e.deviates = deviates
 }
 
-// Granted records a request that was sent to the target after its latest reading.
-func (e *Estimate) Granted() { e.running++ }
+// Granted records a request that is sent to the target.
+func (e *Estimate) Granted(now time.Duration) {
+	e.running++
+	e.usedAt = now
+}
 
 // Lasting returns the lasting factor.
-func (e *Estimate) Lasting() float64 { return e.cost * e.base / e.pool.usual }
+func (e *Estimate) Lasting(now time.Duration) float64 {
+	lasting := e.cost * e.base
+	if slower := lasting - e.pool.fast; slower > 0 {
+		idle := (now - e.usedAt).Seconds()
+		known := idleTime * min(1, e.costWeight/confidentWeight)
+		lasting -= slower * min(1, idle/max(known, minIdle))
+	}
+	return lasting / e.pool.usual
+}
 
 // Passing returns the passing factor. It is never below 1: a target that has just become fast
 // does not count as faster than its lasting speed, or all schedulers would choose it at once.
 func (e *Estimate) Passing(now time.Duration) float64 { return 1 + e.excess(now) }
 
 // Factor returns the time that work takes at the target, where 1 is usual in the pool.
-func (e *Estimate) Factor(now time.Duration) float64 { return e.Lasting() * e.Passing(now) }
+func (e *Estimate) Factor(now time.Duration) float64 { return e.Lasting(now) * e.Passing(now) }
 
 // Fill returns the factor by which work takes longer, or less long, as the target is fuller, or
 // less full, than usual. running is the number of requests that the caller knows there.
@@ -130,7 +154,7 @@
 // at the pool's usual target. The passing factor applies only for as long as the deviation is
 // expected to last, so it hardly changes the time of long work.
 func (e *Estimate) Stretch(now time.Duration, work float64) float64 {
-	return stretch(e.Lasting()*work, e.excess(now), e.pool.decay)
+	return stretch(e.Lasting(now)*work, e.excess(now), e.pool.decay)
 }
 
 // Mark returns the mark of the present.
--- a/control/speed/estimate_test.go
+++ b/control/speed/estimate_test.go
@@ -46,6 +46,7 @@
 		if (now-from)%(100*time.Millisecond) != 0 {
 			continue
 		}
+		t.estimate.Granted(now)
 		began := t.estimate.Mark(now - 40*time.Millisecond)
 		noise := 0.8 + 0.4*rng.Float64()
 		t.estimate.Learn(now, Run{Since: began, Took: 0.04 * noise * t.lasting * t.passing(now), Expected: 0.04, Running: 3, Slots: 12, Weight: 1})
@@ -181,7 +182,7 @@
 	}
 	before := e.Fill(0, 12)
 	for range 6 {
-		e.Granted()
+		e.Granted(20 * time.Second)
 	}
 	if e.Fill(0, 12) <= before {
 		t.Error("grants since the reading do not count")
@@ -210,7 +211,7 @@
 		e.Learn(now, Run{Since: e.Mark(now - 10*time.Millisecond), Took: 0.05, Expected: 0.05, Slots: 8, Weight: 1})
 	}
 	e.Learn(time.Second, Run{Since: e.Mark(time.Second - time.Millisecond), Took: 60, Expected: 0.05, Slots: 8, Weight: 1})
-	if got := e.Lasting(); got > 1.15 {
+	if got := e.Lasting(time.Second); got > 1.15 {
 		t.Errorf("lasting factor %.2f after one stalled run", got)
 	}
 }
--- a/control/speed/pool.go
+++ b/control/speed/pool.go
@@ -31,9 +31,9 @@
 // Pool holds what the estimates of the targets of one pool share. It is not safe for
 // concurrent use.
 type Pool struct {
-	// usual is the median lasting factor and usualCost the median cost of the targets with
-	// readings; see Estimate.
-	usual, usualCost float64
+	// usual is the median lasting factor of the targets with readings, and fast the one that a
+	// quarter of them is below; usualCost is their median cost. See Estimate.
+	usual, fast, usualCost float64
 	// decay is the time constant of deviations, in seconds.
 	decay float64
 	// meanDeviation is the mean length of the deviations, in seconds, and deviations counts them.
@@ -46,26 +46,29 @@
 
 // NewPool returns the state of a pool in which no target has reported.
 func NewPool() *Pool {
-	return &Pool{usual: 1, usualCost: 1, decay: initialDecay.Seconds()}
+	return &Pool{usual: 1, fast: 1, usualCost: 1, decay: initialDecay.Seconds()}
 }
 
 // SetUsual sets the usual time of the pool from its targets with readings.
 func (p *Pool) SetUsual(estimates []*Estimate) {
 	if len(estimates) == 0 {
-		p.usual, p.usualCost = 1, 1
+		p.usual, p.fast, p.usualCost = 1, 1, 1
 		return
 	}
-	p.usual = p.median(estimates, func(e *Estimate) float64 { return e.cost * e.base })
-	p.usualCost = p.median(estimates, func(e *Estimate) float64 { return e.cost })
+	sorted := p.sort(estimates, func(e *Estimate) float64 { return e.cost * e.base })
+	p.usual, p.fast = sorted[len(sorted)/2], sorted[len(sorted)/4]
+	sorted = p.sort(estimates, func(e *Estimate) float64 { return e.cost })
+	p.usualCost = sorted[len(sorted)/2]
 }
 
-func (p *Pool) median(estimates []*Estimate, value func(*Estimate) float64) float64 {
+// sort returns the sorted values of estimates. The next call reuses the slice.
+func (p *Pool) sort(estimates []*Estimate, value func(*Estimate) float64) []float64 {
 	p.scratch = p.scratch[:0]
 	for _, e := range estimates {
 		p.scratch = append(p.scratch, value(e))
 	}
 	slices.Sort(p.scratch)
-	return p.scratch[len(p.scratch)/2]
+	return p.scratch
 }
 
 // deviationEnded records how long a deviation lasted. On average half of that was left while
