--- a/control/rank.go
+++ b/control/rank.go
@@ -169,6 +169,7 @@
 	}
 	left := q.objective - m.now
 	if ideal > scale(m.opts.Tokens.TimelyPart, left) {
+		q.neverInTime = !m.isUsuallyInTime(q)
 		return q.objective
 	}
 	return q.objective - ideal
--- a/control/readings.go
+++ b/control/readings.go
@@ -85,14 +85,6 @@
 	}
 	p.pool.SetUsual(p.estimates)
 	p.usualService = median(services)
-	if now > 22*time.Second && now < 22200*time.Millisecond {
-		for _, t := range s.targets {
-			if t.speed != nil {
-				print(int(1000*t.speed.Lasting(now)), " ")
-			}
-		}
-		println()
-	}
 }
 
 // markSpeed records the time from which a run uses its slot, for Machine.learnRun.
@@ -227,14 +219,25 @@
 }
 
 // isHopeless reports whether a ticket of a pool that counts in tokens would be late at the best of the
-// targets with room, although it could have been in time at an idle target.
+// targets with room, although it could have been in time at an idle target of the usual speed.
 func (m *Machine) isHopeless(q *queuedTicket, p placement) bool {
-	if q.shard.speed == nil || q.objective <= 0 || q.ticket.Again || q.ticket.Continues || q.waitUntil >= q.objective {
+	if q.shard.speed == nil || q.objective <= 0 || q.ticket.Again || q.ticket.Continues || q.neverInTime {
 		return false
 	}
 	return p.start > scale(m.opts.Tokens.TimelyPart, q.objective-m.now)
 }
 
+// isUsuallyInTime reports whether an idle target could serve a ticket of a pool that counts in tokens
+// in time, without the passing slowness of the targets.
+func (m *Machine) isUsuallyInTime(q *queuedTicket) bool {
+	for _, c := range m.listCandidates(q.shard.targets, q.task) {
+		if c.target.engine.PredictIdleLasting(m.now, q.task, c.reads) <= scale(m.opts.Tokens.TimelyPart, q.objective-m.now) {
+			return true
+		}
+	}
+	return false
+}
+
 // median returns the median of durations; zero if there are none. It sorts them.
 func median(durations []time.Duration) time.Duration {
 	if len(durations) == 0 {
--- a/control/readings_test.go
+++ b/control/readings_test.go
@@ -189,6 +189,7 @@
 		f.now += 10 * time.Millisecond
 		f.read(target, percent)
 		t.window.Granted(f.now)
+		t.speed.Granted(f.now)
 		g := &grant{target: t, startedAt: f.now}
 		g.markSpeed(f.now)
 		f.now += service
@@ -257,6 +258,34 @@
 	}
 }
 
+// TestLateAtEveryEngineIsRefusedAtOnce guards against a prompt that waits, or is read, although every
+// engine with room is so slow at the moment that its answer would be late, and against refusals of
+// prompts that no engine can ever read in time.
+func TestLateAtEveryEngineIsRefusedAtOnce(t *testing.T) {
+	f := newSpeedFleet(Options{}, 2)
+	for _, name := range []string{"gen-a", "gen-b"} {
+		f.read(name, 100)
+	}
+	f.now += 10 * time.Millisecond
+	d := dispatchesIn(f.generate(PromptPart{ID: 1, Tokens: 5000}))
+	if len(d) != 1 {
+		t.Fatalf("at the usual speed: %v, want a dispatch", d)
+	}
+	f.now += 150 * time.Millisecond
+	f.step(RunBegan{Grant: d[0].Grant, After: 150 * time.Millisecond})
+	f.end(200*time.Millisecond, speed.Reading{})
+	for _, name := range []string{"gen-a", "gen-b"} {
+		f.read(name, 400)
+	}
+	commands := f.generate(PromptPart{ID: 10, Tokens: 5000})
+	if _, refuse := outcomeOf(commands, f.requests); refuse == nil || refuse.Code != result.Overloaded {
+		t.Errorf("at slow engines: %v, want a refusal", commands)
+	}
+	if d := dispatchesIn(newSpeedFleet(Options{}, 2).generate(PromptPart{ID: 11, Tokens: 60_000})); len(d) != 1 {
+		t.Errorf("a prompt that is never read in time: %v, want a dispatch", d)
+	}
+}
+
 // TestRestartResetsSpeed guards against the speed of a target's earlier start.
 func TestRestartResetsSpeed(t *testing.T) {
 	f := newSpeedFleet(Options{}, 2)
--- a/control/sched/enginespeed.go
+++ b/control/sched/enginespeed.go
@@ -66,6 +66,15 @@
 	return toDuration(e.model.fixed + e.unreadWork(now) + e.model.seconds(promptLoad(reads, task.PromptTokens)))
 }
 
+// PredictIdleLasting is PredictIdle without passing deviations of the speed.
+func (e *Engine) PredictIdleLasting(now time.Duration, task EngineTask, reads int) time.Duration {
+	if e.speed == nil {
+		return e.PredictIdle(now, task, reads)
+	}
+	work := e.fillFactor() * e.model.seconds(promptLoad(reads, task.PromptTokens))
+	return toDuration(e.model.fixed + e.speed.Lasting(now)*work)
+}
+
 // timeRun returns what the speed is learned from once a run that is granted now has begun.
 func (e *Engine) timeRun(now time.Duration, run *EngineRun) *timedRun {
 	return &timedRun{
--- a/control/shard.go
+++ b/control/shard.go
@@ -80,6 +80,9 @@
 	// of its workspace's share; zero once it is granted.
 	rank       rank
 	shareTaken float64
+	// neverInTime reports that no target can ever serve it in time; for pools whose targets report
+	// their speed.
+	neverInTime bool
 	// waitUntil is when waiting longer becomes useless; see Machine.latestUsefulStart and
 	// setWaitLimits.
 	waitUntil Instant
--- a/control/speed/estimate_test.go
+++ b/control/speed/estimate_test.go
@@ -216,6 +216,24 @@
 	}
 }
 
+// TestIdleTargetIsTriedAgain guards against a target that was taken for slow by mistake and then gets
+// no requests, so that nothing corrects it. One request is enough to know that it is slow.
+func TestIdleTargetIsTriedAgain(t *testing.T) {
+	fleet, pool := testFleet(false)
+	runFleet(fleet, pool, 5*time.Second)
+	slow := fleet[0].estimate
+	if got := slow.Lasting(5*time.Second + 2*time.Second); got < 1.5 {
+		t.Errorf("lasting factor %.2f of a slow target after 2 s without requests", got)
+	}
+	if got := slow.Lasting(30 * time.Second); got > 1.05 {
+		t.Errorf("lasting factor %.2f of a slow target after 25 s without requests, want that of a fast one", got)
+	}
+	slow.Granted(30 * time.Second)
+	if got := slow.Lasting(30 * time.Second); got < 2 {
+		t.Errorf("lasting factor %.2f of a slow target that was just sent a request", got)
+	}
+}
+
 // BenchmarkRead measures what one response costs its scheduler: a reading, as it changes.
 func BenchmarkRead(b *testing.B) {
 	e := NewEstimate(NewPool())
