--- a/control/loadtest/engine.go
+++ b/control/loadtest/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/control/speed"
 )
 
 // EngineSpec describes a modelled engine.
@@ -23,6 +24,9 @@
 	ChunkTokens int
 	// FirstEventDelay is the time from the end of reading to the first event.
 	FirstEventDelay time.Duration
+	// WorkTime is the time of a run at a target that neither reads prompts nor generates tokens;
+	// zero for engines.
+	WorkTime time.Duration
 	// ReportInterval is the period of the reports of cached parts, and ReportLag their
 	// delay.
 	ReportInterval, ReportLag time.Duration
@@ -35,7 +39,15 @@
 	spec     EngineSpec
 	name     string
 	slowdown float64
-	sim      *simulation
+	// isSlow is set for those that SlowEvery makes slow.
+	isSlow bool
+	sim    *simulation
+	// passing is its passing slowness.
+	passing passingSlowness
+	// outstanding counts the runs that a baseline has sent here, and estimate is the one of a
+	// baseline that predicts times; see baseline.
+	outstanding int
+	estimate    *speed.Estimate
 	// waiting holds the runs whose prompts are not read yet, in order of arrival.
 	waiting []*run
 	running []*run
@@ -50,6 +62,10 @@
 }
 
 func (e *engine) arrive(r *run) {
+	if e.spec.WorkTime > 0 {
+		e.arrivePlain(r)
+		return
+	}
 	r.unreadTokens = max(1, r.work.PromptTokens-e.cachedTokens(r.work))
 	if r.fetched > 0 {
 		r.unreadTokens = max(1, r.unreadTokens-r.fetched)
@@ -120,8 +136,7 @@
 			read = append(read, r)
 		}
 	}
-	took = time.Duration(e.slowdown * float64(took))
-	e.sim.after(took, func() { e.finishStep(read) })
+	e.sim.after(e.timeOf(took), func() { e.finishStep(read) })
 }
 
 // finishStep updates the runs at the end of a step.
--- a/control/loadtest/pattern.go
+++ b/control/loadtest/pattern.go
@@ -41,6 +41,12 @@
 	RetryAtSameRouter bool
 	// Length is the duration of arrivals.
 	Length time.Duration
+	// WarmUp is the time from the start whose requests are not counted.
+	WarmUp time.Duration
+	// Uneven makes the speeds of the targets differ, and the load change.
+	Uneven Unevenness
+	// Placement is who chooses the targets; empty: the routers.
+	Placement Placement
 }
 
 // Kind is one kind of request.
@@ -87,6 +93,9 @@
 	// EarlyLate counts the late starts of the first second, and ReturnLate those of the
 	// second after a power loss.
 	EarlyLate, ReturnLate int
+	// Waits are the times from the arrival of each request to its first event, in order of the
+	// events.
+	Waits []time.Duration
 }
 
 // A prediction may be off by 1/maxErrorDivisor of the real time or by maxErrorTime.
@@ -103,6 +112,10 @@
 }
 
 func (r *Result) recordFirstEvent(s *simulation, req *clientRequest) {
+	if req.sentAt < s.pattern.WarmUp {
+		return
+	}
+	r.Waits = append(r.Waits, s.now-req.sentAt)
 	if s.now-req.sentAt <= req.kind.Objective {
 		r.InTime++
 		served := r.Workspaces[req.workspace]
@@ -128,11 +141,15 @@
 
 // scheduleArrival schedules the next request of a kind.
 func (s *simulation) scheduleArrival(kind *Kind) {
-	pause := time.Duration(s.arrivalRNG.ExpFloat64() / kind.PerSecond * float64(time.Second))
+	pause := time.Duration(s.arrivalRNG.ExpFloat64() / (kind.PerSecond * s.pattern.Uneven.peak()) * float64(time.Second))
 	s.after(pause, func() {
 		if s.now > s.pattern.Length {
 			return
 		}
+		if s.skipsArrival(kind) {
+			s.scheduleArrival(kind)
+			return
+		}
 		count := 1
 		workspace := s.arrivalRNG.IntN(s.pattern.Workspaces)
 		if workspace == 0 && s.now >= s.pattern.HotFrom && s.now < s.pattern.HotTo {
@@ -154,20 +171,18 @@
 )
 
 func (s *simulation) arrive(kind *Kind, workspace string) {
-	index := uint64(0)
-	for i := range s.pattern.Kinds {
-		if &s.pattern.Kinds[i] == kind {
-			index = uint64(i)
-		}
-	}
+	index := uint64(s.kindIndex(kind))
 	item := s.arrivalRNG.IntN(kind.Items)
-	s.result.Requests++
+	s.arrivals++
+	if s.now >= s.pattern.WarmUp {
+		s.result.Requests++
+	}
 	parts := []control.PromptPart{
 		{ID: kindBase*index + groupBase + uint64(item%kind.Groups), Tokens: kind.GroupTokens},
 		{ID: kindBase*index + itemBase + uint64(item), Tokens: kind.ItemTokens},
-		{ID: ownBase + uint64(s.result.Requests), Tokens: s.randomLength(kind.OwnTokens)},
+		{ID: ownBase + uint64(s.arrivals), Tokens: s.randomLength(kind.OwnTokens)},
 	}
-	req := &clientRequest{kind: kind, workspace: workspace, sentAt: s.now, fingerprint: uint64(s.result.Requests)}
+	req := &clientRequest{kind: kind, workspace: workspace, sentAt: s.now, fingerprint: uint64(s.arrivals)}
 	req.work = control.Work{Parts: parts, OutputTokens: s.randomLength(kind.OutputTokens)}
 	for _, part := range parts {
 		req.work.PromptTokens += part.Tokens
@@ -178,6 +193,16 @@
 	s.send(req)
 }
 
+// kindIndex returns the position of a kind in the pattern.
+func (s *simulation) kindIndex(kind *Kind) int {
+	for i := range s.pattern.Kinds {
+		if &s.pattern.Kinds[i] == kind {
+			return i
+		}
+	}
+	return 0
+}
+
 // randomLength draws a length with the given mean from a distribution as skewed as that
 // of real prompts.
 func (s *simulation) randomLength(mean int) int {
@@ -196,6 +221,10 @@
 		return
 	}
 	req.tries++
+	if s.baseline != nil {
+		s.after(messageDelay, func() { s.baseline.enqueue(req) })
+		return
+	}
 	via := up[s.routingRNG.IntN(len(up))]
 	if s.pattern.SingleRouter && req.workspace == workspaceName(1) && (req.tries == 1 || s.pattern.UnreadRatio == 0 || s.pattern.RetryAtSameRouter) {
 		via = up[len(up)-1]
--- a/control/loadtest/simulation.go
+++ b/control/loadtest/simulation.go
@@ -16,6 +16,7 @@
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/control/policy"
+	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/result"
 )
 
@@ -44,6 +45,9 @@
 	// requests holds all requests, by the id of each try.
 	requests map[control.RequestID]*clientRequest
 	result   Result
+	arrivals int
+	// baseline places the requests in place of the routers; nil: the routers do.
+	baseline *baseline
 }
 
 // router is a machine and its runs.
@@ -82,7 +86,9 @@
 	incarnation control.Incarnation
 	engine      *engine
 	work        control.Work
-	started     time.Duration
+	// workTime is the work of a run at a plain target.
+	workTime time.Duration
+	started  time.Duration
 	// predicted is the time to the first event that the grant predicted.
 	predicted time.Duration
 	// attempt is the attempt of the request that the run belongs to.
@@ -92,6 +98,13 @@
 	// unreadTokens is how much of the prompt has still to be read, position where in the
 	// prompt reading is, and generated the length of the answer so far.
 	unreadTokens, position, generated int
+	// lost is set for runs of a baseline whose target crashed.
+	lost bool
+	// client, usualTime and mark are set for runs of a baseline: the request, the time until its
+	// first event at a target of usual speed, and when it was sent.
+	client    *clientRequest
+	usualTime time.Duration
+	mark      speed.Mark
 }
 
 type event struct {
@@ -142,6 +155,7 @@
 	}
 	s.result.Workspaces = make(map[string]WorkspaceResult)
 	s.start(weights, seed)
+	s.baseline = newBaseline(s, seed)
 	for s.events.Len() > 0 && s.now < pattern.Length+drainTime {
 		next := heap.Pop(&s.events).(event)
 		s.now = max(s.now, next.at)
@@ -158,7 +172,7 @@
 const drainTime = 15 * time.Second
 
 func (s *simulation) start(weights policy.Tokens, seed uint64) {
-	declarations := s.declarations()
+	declarations := s.declarations(seed)
 	for i := range s.pattern.Routers {
 		s.routers = append(s.routers, &router{node: control.NodeID("r" + strconv.Itoa(i)), incarnation: 1})
 	}
@@ -171,7 +185,7 @@
 	if s.pattern.StallAt > 0 {
 		s.after(s.pattern.StallAt, s.stall)
 	}
-	if s.pattern.CrashEvery > 0 {
+	if s.pattern.CrashEvery > 0 || s.pattern.Uneven.CrashSlow {
 		s.after(s.pattern.StallAt, s.crash)
 	}
 	if s.pattern.PowerLossAt > 0 {
@@ -182,7 +196,7 @@
 	}
 }
 
-func (s *simulation) declarations() *config.Declarations {
+func (s *simulation) declarations(seed uint64) *config.Declarations {
 	d := &config.Declarations{
 		Workspaces: make(map[string]config.Workspace),
 		Pools: map[string]config.Pool{pool: {
@@ -194,6 +208,9 @@
 		Routes:  make(map[string]config.Route),
 		Targets: make(map[string]config.Target),
 	}
+	if s.pattern.Engine.WorkTime > 0 {
+		d.Pools[pool] = config.Pool{Kind: config.KindService, OneQueue: true, TypicalMillis: int(s.pattern.Engine.WorkTime / time.Millisecond)}
+	}
 	for i := range s.pattern.Workspaces {
 		d.Workspaces[workspaceName(i)] = config.Workspace{Share: 1, Pools: []string{pool}}
 	}
@@ -206,11 +223,11 @@
 	for i := range s.pattern.Engines {
 		name := "e" + strconv.Itoa(i)
 		d.Targets[name] = config.Target{Pool: pool, DataCentre: "d", Slots: s.pattern.Engine.Slots}
-		slowdown := 1.0
+		slowdown, isSlow := s.pattern.Uneven.usual(), false
 		if s.pattern.SlowEvery > 0 && i%s.pattern.SlowEvery == s.pattern.SlowEvery-1 {
-			slowdown = s.pattern.SlowFactor
+			slowdown, isSlow = s.pattern.SlowFactor, true
 		}
-		s.engines[name] = &engine{spec: s.pattern.Engine, name: name, slowdown: slowdown, sim: s, cache: newLRUCache()}
+		s.engines[name] = &engine{spec: s.pattern.Engine, name: name, slowdown: slowdown, isSlow: isSlow, sim: s, cache: newLRUCache(), passing: newPassingSlowness(s.pattern, seed, i)}
 	}
 	return d
 }
@@ -229,6 +246,7 @@
 	r.machine = control.New(control.Options{
 		Node: r.node, Incarnation: r.incarnation, DataCentre: "d", Seed: seed, Tokens: weights,
 		HeartbeatEvery: 250 * time.Millisecond, MemberTimeout: time.Second, LocalAfter: 100 * time.Millisecond,
+		IgnoreReadings: s.pattern.Placement == PlacementToday,
 	})
 	partial := *d
 	partial.Targets = make(map[string]config.Target)
@@ -291,10 +309,10 @@
 // crash takes some engines down for CrashFor.
 func (s *simulation) crash() {
 	for i, name := range slices.Sorted(maps.Keys(s.engines)) {
-		if i%s.pattern.CrashEvery != 0 {
+		e := s.engines[name]
+		if s.pattern.CrashEvery > 0 && i%s.pattern.CrashEvery != 0 || s.pattern.Uneven.CrashSlow && !e.isSlow {
 			continue
 		}
-		e := s.engines[name]
 		lost := slices.Concat(e.waiting, e.running)
 		e.dropRuns()
 		e.crashed = true
@@ -307,6 +325,10 @@
 
 // runLost ends a run whose engine is gone. Its request is sent again, to another engine.
 func (s *simulation) runLost(r *run, outcome control.Outcome) {
+	if s.baseline != nil {
+		s.baseline.lost(r)
+		return
+	}
 	if !r.router.up || r.router.incarnation != r.incarnation || r.router.runs[r.grant] == nil {
 		return
 	}
@@ -358,7 +380,7 @@
 func (s *simulation) dispatch(r *router, c control.Dispatch) {
 	req := s.requests[c.Request]
 	e := s.engines[c.Target]
-	started := &run{request: c.Request, grant: c.Grant, router: r, incarnation: r.incarnation, engine: e, work: req.work, started: s.now, predicted: c.PredictedStart, attempt: c.Attempt}
+	started := &run{request: c.Request, grant: c.Grant, router: r, incarnation: r.incarnation, engine: e, work: req.work, workTime: workTimeOf(e.spec, req.work), started: s.now, predicted: c.PredictedStart, attempt: c.Attempt}
 	r.runs[c.Grant] = started
 	if since := s.now - s.pattern.StallAt; since >= 0 && since < stallWindow {
 		served := s.result.Workspaces[req.workspace]
@@ -385,11 +407,15 @@
 
 func (s *simulation) firstEvent(r *run) {
 	took := s.now - r.started
+	if s.baseline != nil {
+		s.baseline.began(r)
+		return
+	}
 	if !r.router.up || r.router.incarnation != r.incarnation {
 		return
 	}
 	s.result.recordStart(r.predicted, took)
-	s.step(r.router, control.RunBegan{Grant: r.grant, After: took})
+	s.step(r.router, control.RunBegan{Grant: r.grant, After: took, Load: r.engine.reading()})
 	req := s.requests[r.request]
 	if req.done {
 		return
@@ -399,11 +425,15 @@
 }
 
 func (s *simulation) runEnded(r *run) {
+	if s.baseline != nil {
+		s.baseline.ended(r)
+		return
+	}
 	if !r.router.up || r.router.incarnation != r.incarnation || r.router.runs[r.grant] == nil {
 		return
 	}
 	delete(r.router.runs, r.grant)
-	s.step(r.router, control.RunEnded{Request: r.request, Grant: r.grant, Outcome: control.OutcomeAnswered, Service: s.now - r.started})
+	s.step(r.router, control.RunEnded{Request: r.request, Grant: r.grant, Outcome: control.OutcomeAnswered, Service: s.now - r.started, Load: r.engine.reading()})
 }
 
 func (s *simulation) cacheReported(target string, parts []control.PromptPart) {
