--- a/control/deferred.go
+++ b/control/deferred.go
@@ -68,6 +68,7 @@
 	q.latestStart = max(m.now, q.deadline-answerTime)
 	q.waitUntil = q.latestStart
 	objective := q.ticket.Objective
+	q.objective = m.now + objective
 	if objective > 0 && m.isTooSlow(q.shard, objective) {
 		q.waitUntil = m.now
 		return
--- a/control/grants.go
+++ b/control/grants.go
@@ -117,6 +117,10 @@
 		if t == nil {
 			continue // the class was just rebuilt and has no room
 		}
+		if m.mustDefer(q, t) {
+			m.waitExpired(q)
+			continue
+		}
 		m.grantTicket(q, placement{target: t})
 	}
 	m.armShard(s)
--- a/control/readings.go
+++ b/control/readings.go
@@ -20,6 +20,9 @@
 	equalEndMargin = 1.15
 	// slowPassing is the passing factor from which on no request waits inside a target.
 	slowPassing = 1.25
+	// hopelessPart is the fraction of the time left to the objective beyond which a predicted start
+	// counts as late.
+	hopelessPart = 0.9
 	// slotRunWeight is the weight of a run at a target that counts in slots for its speed. It is
 	// low because requests differ in size.
 	slotRunWeight = 0.5
@@ -224,7 +227,20 @@
 	if q.shard.speed == nil || q.objective <= 0 || q.ticket.Again || q.ticket.Continues || q.neverInTime {
 		return false
 	}
-	return p.start > scale(m.opts.Tokens.TimelyPart, q.objective-m.now)
+	return p.start > scale(hopelessPart, q.objective-m.now)
+}
+
+// mustDefer reports whether a ticket of a pool of services would be late at a target, the best one
+// with room, so that tickets which can be in time go first.
+func (m *Machine) mustDefer(q *queuedTicket, t *target) bool {
+	s := q.shard
+	if s.speed == nil || s.speed.usualService <= 0 || q.ticket.Objective <= 0 || q.rank == rankDeferred {
+		return false
+	}
+	if m.topo.decl.Pools[s.id.Pool].Kind != config.KindService {
+		return false
+	}
+	return t.predictEnd(m.now, s.speed.usualService) > scale(hopelessPart, q.objective-m.now)
 }
 
 // isUsuallyInTime reports whether an idle target could serve a ticket of a pool that counts in tokens
