--- a/control/place.go
+++ b/control/place.go
@@ -216,10 +216,9 @@
 		fetch = time.Duration(float64(fetched) / perSecond * float64(time.Second))
 		penalty = scale(policy.FetchPart, fetch) + scale(policy.RereadPart, t.engine.ReadTime(m.now, holder.sharedReads))
 	}
-	p.start = t.engine.Predict(m.now, q.task, p.reads) + fetch
-	if t.speed != nil {
-		p.slower = p.start - fetch - t.engine.PredictUsual(m.now, q.task, p.reads)
-	}
+	predicted, usual := t.engine.PredictBoth(m.now, q.task, p.reads)
+	p.start = predicted + fetch
+	p.slower = predicted - usual
 	p.cost = p.start + penalty
 	if q.objective > 0 && p.start > scale(policy.TimelyPart, q.objective-m.now) {
 		p.cost += latePenalty
--- a/control/readings.go
+++ b/control/readings.go
@@ -126,10 +126,10 @@
 }
 
 // predictEnd returns how long after now a run of the given service time would end that is granted
-// to a target that counts in slots. A target without readings counts as usual.
-func (t *target) predictEnd(now Instant, service time.Duration) time.Duration {
+// to a target that counts in slots and is used as given. A target without readings counts as usual.
+func (t *target) predictEnd(now Instant, service time.Duration, utilisation float64) time.Duration {
 	slots := t.window.Slots()
-	used := t.window.Utilisation(now) * float64(slots)
+	used := utilisation * float64(slots)
 	work := service.Seconds() * (1 + max(0, used+1-float64(slots))/float64(slots))
 	if t.speed == nil {
 		return toDuration(work)
@@ -185,7 +185,8 @@
 	choices := m.sched.slotChoices[:0]
 	for _, t := range c.targets {
 		if m.hasRoomFor(c, t) {
-			choices = append(choices, slotChoice{target: t, end: t.predictEnd(m.now, service), utilisation: t.window.Utilisation(m.now)})
+			utilisation := t.window.Utilisation(m.now)
+			choices = append(choices, slotChoice{target: t, end: t.predictEnd(m.now, service, utilisation), utilisation: utilisation})
 		}
 	}
 	m.sched.slotChoices = choices
@@ -240,7 +241,7 @@
 	if m.topo.decl.Pools[s.id.Pool].Kind != config.KindService {
 		return false
 	}
-	return t.predictEnd(m.now, s.speed.usualService) > scale(hopelessPart, q.objective-m.now)
+	return t.predictEnd(m.now, s.speed.usualService, t.window.Utilisation(m.now)) > scale(hopelessPart, q.objective-m.now)
 }
 
 // isUsuallyInTime reports whether an idle target could serve a ticket of a pool that counts in tokens
--- a/control/sched/engine.go
+++ b/control/sched/engine.go
@@ -158,11 +158,8 @@
 // Predict returns how long after now the first event of a task granted now would come if
 // the given number of its prompt tokens have to be read.
 func (e *Engine) Predict(now time.Duration, task EngineTask, reads int) time.Duration {
-	if e.speed != nil {
-		work := e.unreadWork(now) + e.model.seconds(promptLoad(reads, task.PromptTokens))
-		return toDuration(e.model.fixed + e.stretched(now, work))
-	}
-	return e.Wait(now) + e.PredictIdle(now, task, reads)
+	predicted, _ := e.PredictBoth(now, task, reads)
+	return predicted
 }
 
 // PredictIdle is Predict for a target that has no unread prompts.
--- a/control/sched/enginespeed.go
+++ b/control/sched/enginespeed.go
@@ -61,9 +61,15 @@
 	return e.speed.Stretch(now, e.fillFactor()*work)
 }
 
-// PredictUsual is Predict for a target that is as fast as usual in its pool.
-func (e *Engine) PredictUsual(now time.Duration, task EngineTask, reads int) time.Duration {
-	return toDuration(e.model.fixed + e.unreadWork(now) + e.model.seconds(promptLoad(reads, task.PromptTokens)))
+// PredictBoth returns Predict, and what it would be if the target were as fast as usual in its pool.
+// Both are the same for targets that do not report their speed.
+func (e *Engine) PredictBoth(now time.Duration, task EngineTask, reads int) (predicted, usual time.Duration) {
+	if e.speed == nil {
+		predicted = e.Wait(now) + e.PredictIdle(now, task, reads)
+		return predicted, predicted
+	}
+	work := e.unreadWork(now) + e.model.seconds(promptLoad(reads, task.PromptTokens))
+	return toDuration(e.model.fixed + e.stretched(now, work)), toDuration(e.model.fixed + work)
 }
 
 // PredictIdleLasting is PredictIdle without passing deviations of the speed.
