--- a/control/readings.go
+++ b/control/readings.go
@@ -119,10 +119,11 @@
 // limitWaiting returns how many more grants a target that counts in slots may hold. While it is
 // slower than usual, none waits there for a slot: another target may end it sooner.
 func (t *target) limitWaiting(now Instant, free int) int {
-	if t.speed == nil || t.speed.Passing(now) < slowPassing {
+	inSlots := max(0, t.window.Slots()-t.window.Held())
+	if t.speed == nil || free <= inSlots || t.speed.Passing(now) < slowPassing {
 		return free
 	}
-	return min(free, max(0, t.window.Slots()-t.window.Held()))
+	return inSlots
 }
 
 // predictEnd returns how long after now a run of the given service time would end that is granted
