--- a/control/speed/estimate.go
+++ b/control/speed/estimate.go
@@ -55,9 +55,8 @@
 	at    time.Duration
 	value float64
 	// base is the median of the readings.
-	base     float64
-	readings histogram
-	hasRead  bool
+	base    float64
+	hasRead bool
 	// progress is the integral of 1/reading until at, in seconds.
 	progress float64
 	// cost is learned from runs with the sum of weights costWeight.
@@ -69,6 +68,8 @@
 	usedAt time.Duration
 	// running is the number of requests in the latest reading and of the grants since then.
 	running int
+	// readings is last, as predictions do not need it: the fields before it fit two cache lines.
+	readings histogram
 }
 
 // NewEstimate returns the estimate for a target of a pool without readings.
