--- a/control/place.go
+++ b/control/place.go
@@ -108,6 +108,12 @@
 	fetchFrom *target
 	// cost is the start plus penalties; the placement with the lowest cost is chosen.
 	cost time.Duration
+	// slower is how much later the start is than if the target were as fast as usual in the
+	// pool; zero if it does not report its speed.
+	slower time.Duration
+	// movedBySpeed reports that another target would have been chosen if all were as fast as
+	// usual in the pool.
+	movedBySpeed bool
 }
 
 func (p placement) fetchName() string {
@@ -156,7 +162,7 @@
 	holder := m.bestCacheHolder(all, q.task)
 	home := homeTarget(all, q.task, holder)
 	near := m.dataCentreOf(q.from)
-	var best placement
+	var best, bestUsual placement
 	for _, cand := range all {
 		t := cand.target
 		if !m.hasRoomFor(c, t) || !t.engine.HasRoom(q.task) {
@@ -176,7 +182,11 @@
 		if best.target == nil || p.cost < best.cost {
 			best = p
 		}
+		if p.cost -= p.slower; bestUsual.target == nil || p.cost < bestUsual.cost {
+			bestUsual = p
+		}
 	}
+	best.movedBySpeed = best.target != bestUsual.target
 	return best
 }
 
@@ -197,16 +207,18 @@
 	t, sharedReads := cand.target, cand.sharedReads
 	policy := &m.opts.Tokens
 	p := placement{target: t, reads: cand.reads}
-	penalty := scale(policy.RereadPart, t.engine.ReadTime(sharedReads))
+	penalty := scale(policy.RereadPart, t.engine.ReadTime(m.now, sharedReads))
 	fetch := time.Duration(0)
 	perSecond := m.topo.decl.Pools[q.shard.id.Pool].Tokens.FetchedPerSecond
 	if fetched := sharedReads - holder.sharedReads; holder.target != nil && fetched >= minFetchTokens && perSecond > 0 && !policy.NoFetch {
 		p.fetchFrom = holder.target
 		p.reads = max(1, cand.reads-fetched)
 		fetch = time.Duration(float64(fetched) / perSecond * float64(time.Second))
-		penalty = scale(policy.FetchPart, fetch) + scale(policy.RereadPart, t.engine.ReadTime(holder.sharedReads))
+		penalty = scale(policy.FetchPart, fetch) + scale(policy.RereadPart, t.engine.ReadTime(m.now, holder.sharedReads))
 	}
-	p.start = t.engine.Predict(m.now, q.task, p.reads) + fetch
+	predicted, usual := t.engine.PredictBoth(m.now, q.task, p.reads)
+	p.start = predicted + fetch
+	p.slower = predicted - usual
 	p.cost = p.start + penalty
 	if q.objective > 0 && p.start > scale(policy.TimelyPart, q.objective-m.now) {
 		p.cost += latePenalty
--- a/control/shard.go
+++ b/control/shard.go
@@ -38,6 +38,9 @@
 	shares *sched.Shares
 	// reading models how fast its targets read prompts; nil for other pools.
 	reading *sched.ReadModel
+	// speed is shared by the speed estimates of its targets; nil until one of them reports its
+	// speed.
+	speed *poolSpeed
 	// nextGapAt is when the shard is next checked for a gap between workspaces.
 	nextGapAt Instant
 	// deferral tracks the requests that waited for too long; for pools that count in slots.
@@ -77,6 +80,9 @@
 	// of its workspace's share; zero once it is granted.
 	rank       rank
 	shareTaken float64
+	// neverInTime reports that no target can ever serve it in time; for pools whose targets report
+	// their speed.
+	neverInTime bool
 	// waitUntil is when waiting longer becomes useless; see Machine.latestUsefulStart and
 	// setWaitLimits.
 	waitUntil Instant
