front, relay, events: bytes held for slow readers are bounded and counted

Whole answers, events that are incomplete and bytes read ahead were bounded for each answer only. 500 callers that stop reading could hold 2 GB. They now share a budget, per workspace as bodies do; without room, answers are streamed as their callers read.

--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -27,8 +27,8 @@
 )
 
 // The buffer for events that have not arrived completely has minBufferBytes at first
-// and grows; from maxEventBytes on, its content is relayed even if it is not a
-// complete event.
+// and grows; from maxEventBytes on, or if the router holds too many bytes of answers, its
+// content is relayed even if it is not a complete event.
 const (
 	minBufferBytes = 4 << 10
 	maxEventBytes  = 1 << 20
@@ -39,6 +39,10 @@
 	resumeFailedCount = metrics.GetOrCreateCounter(`walnut_events_resumes_total{result="failed"}`)
 	wholeCount        = metrics.GetOrCreateCounter(`walnut_events_streams_total{result="whole"}`)
 	brokenCount       = metrics.GetOrCreateCounter(`walnut_events_streams_total{result="broken"}`)
+	// splitCount counts parts of events that were relayed as there was no room to hold more.
+	splitCount = metrics.GetOrCreateCounter(`walnut_events_split_total`)
+	// prefetchFullCount counts the times at which there was no room to read further ahead.
+	prefetchFullCount = metrics.GetOrCreateCounter(`walnut_events_prefetch_full_total`)
 	callerGoneCount   = metrics.GetOrCreateCounter(`walnut_events_streams_total{result="caller_gone"}`)
 )
 
@@ -112,7 +116,7 @@
 func (s *stream) setSource(body io.ReadCloser) {
 	s.source = body
 	if s.ex.GatherEvents {
-		s.prefetcher = newPrefetcher(body)
+		s.prefetcher = newPrefetcher(body, s.ex.HoldBytes)
 		s.source = s.prefetcher
 	}
 }
@@ -147,8 +151,11 @@
 		if s.sourceErr != nil {
 			return s.sourceErr
 		}
-		if len(s.buffer) == cap(s.buffer) {
-			s.buffer = append(s.buffer, 0)[:len(s.buffer)]
+		if len(s.buffer) == cap(s.buffer) && !s.grow() {
+			splitCount.Inc()
+			s.readyBytes = len(s.buffer)
+			s.recordLastID()
+			return nil
 		}
 		length := len(s.buffer)
 		n, err := s.source.Read(s.buffer[length:cap(s.buffer)])
@@ -161,6 +168,16 @@
 	return nil
 }
 
+// grow doubles the buffer, and reports whether there was room.
+func (s *stream) grow() bool {
+	size := cap(s.buffer)
+	if !s.ex.HoldBytes(size) {
+		return false
+	}
+	s.buffer = append(make([]byte, 0, 2*size), s.buffer...)
+	return true
+}
+
 // markReady sets readyBytes: up to the end of the last complete event, or all bytes if
 // the stream has ended, cannot be resumed anyway or has filled the buffer.
 func (s *stream) markReady(atEOF bool) {
--- a/filters/events/events_test.go
+++ b/filters/events/events_test.go
@@ -147,3 +147,54 @@
 		t.Errorf("%d bytes, %v, resumed after %q", len(o.body), o.err, o.resumedAfter)
 	}
 }
+
+// TestLargeEventWithoutRoom guards against an event that is held beyond the bytes that a router may
+// hold, that is changed because of them, or whose stream is resumed inside the event.
+func TestLargeEventWithoutRoom(t *testing.T) {
+	first := "id: 1\ndata: a\n\n"
+	large := "id: 2\ndata: " + strings.Repeat("x", 10*minBufferBytes) + "\n\n"
+	held, room := int64(0), int64(2*minBufferBytes)
+	noRoom := func() *pipeline.Exchange {
+		held = 0
+		return &pipeline.Exchange{HoldAnswer: func(bytes int64) bool {
+			if held+bytes > room {
+				return false
+			}
+			held += bytes
+			return true
+		}}
+	}
+	rest := "id: 3\ndata: b\n\n"
+	o := relayBrokenFor(noRoom(), wholeReads, rest, first, large)
+	if o.body != first+large+rest || o.err != nil || !slices.Equal(o.resumedAfter, []string{"2"}) {
+		t.Errorf("whole event: %d bytes, %v, resumed after %q", len(o.body), o.err, o.resumedAfter)
+	}
+	o = relayBrokenFor(noRoom(), wholeReads, rest, first, large[:len(large)/2])
+	if !errors.Is(o.err, errBroken) || len(o.resumedAfter) != 0 || !strings.HasPrefix(first+large, o.body) {
+		t.Errorf("broken event: %d bytes, %v, resumed after %q", len(o.body), o.err, o.resumedAfter)
+	}
+}
+
+// TestPrefetchWithoutRoom guards against reading ahead without room, and against a stream that stops
+// or changes for want of it.
+func TestPrefetchWithoutRoom(t *testing.T) {
+	text := strings.Repeat("data: 0123456789\n\n", 1000)
+	held := 0
+	p := newPrefetcher(io.NopCloser(strings.NewReader(text)), func(bytes int) bool {
+		if held+bytes > minBufferBytes {
+			return false
+		}
+		held += bytes
+		return true
+	})
+	<-p.full
+	p.mu.Lock()
+	ahead := len(p.unread)
+	p.mu.Unlock()
+	if ahead > 2*minBufferBytes {
+		t.Errorf("%d bytes read ahead", ahead)
+	}
+	if got, err := io.ReadAll(p); string(got) != text || err != nil {
+		t.Errorf("%d bytes, %v", len(got), err)
+	}
+}
--- a/filters/events/gather_test.go
+++ b/filters/events/gather_test.go
@@ -181,7 +181,7 @@
 func TestPrefetchIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) { // fails if a goroutine is left
 		source := &endlessSource{closed: make(chan struct{})}
-		p := newPrefetcher(source)
+		p := newPrefetcher(source, func(int) bool { return true })
 		synctest.Wait()
 		if read := source.read.Load(); read < maxPrefetchBytes || read > maxPrefetchBytes+minBufferBytes {
 			t.Errorf("%d bytes were read ahead", read)
--- a/filters/events/prefetch.go
+++ b/filters/events/prefetch.go
@@ -25,10 +25,14 @@
 	unread []byte
 	err    error
 	closed bool
+	// hold accounts for the memory of unread, and limit is how many bytes are read ahead: fewer
+	// once there was no room for more.
+	hold  func(bytes int) bool
+	limit int
 }
 
-func newPrefetcher(source io.ReadCloser) *prefetcher {
-	p := &prefetcher{source: source, ended: make(chan struct{}), full: make(chan struct{}, 1)}
+func newPrefetcher(source io.ReadCloser, hold func(bytes int) bool) *prefetcher {
+	p := &prefetcher{source: source, hold: hold, limit: maxPrefetchBytes, ended: make(chan struct{}), full: make(chan struct{}, 1)}
 	p.changed.L = &p.mu
 	go p.run()
 	return p
@@ -61,10 +65,15 @@
 func (p *prefetcher) add(read []byte, err error) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	size := cap(p.unread)
 	p.unread = append(p.unread, read...)
+	if grown := cap(p.unread) - size; grown > 0 && !p.hold(grown) {
+		prefetchFullCount.Inc()
+		p.limit = max(1, size)
+	}
 	p.err = err
 	p.changed.Broadcast()
-	for len(p.unread) >= maxPrefetchBytes && !p.closed && err == nil {
+	for len(p.unread) >= p.limit && !p.closed && err == nil {
 		select {
 		case p.full <- struct{}{}:
 		default: // not taken yet
--- a/filters/relay/relay.go
+++ b/filters/relay/relay.go
@@ -6,11 +6,11 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"log/slog"
-	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -28,6 +28,8 @@
 	maxWholeBytes = 4 << 20
 	// firstReadBytes is the size of the buffer for the first read of an answer.
 	firstReadBytes = 16 << 10
+	// minSpareBytes is the least free space in the first buffer of a whole answer.
+	minSpareBytes = 512
 	// maxResumes bounds the resumes of one stream.
 	maxResumes = 3
 )
@@ -37,6 +39,8 @@
 	targetErrorCount = metrics.GetOrCreateCounter(`walnut_relay_answers_total{result="target_error"}`)
 	brokenCount      = metrics.GetOrCreateCounter(`walnut_relay_answers_total{result="broken"}`)
 	callerGoneCount  = metrics.GetOrCreateCounter(`walnut_relay_answers_total{result="caller_gone"}`)
+	streamedLarge    = metrics.GetOrCreateCounter(`walnut_relay_streamed_total{reason="large"}`)
+	streamedFull     = metrics.GetOrCreateCounter(`walnut_relay_streamed_total{reason="answer_bytes_full"}`)
 	resumedCount     = metrics.GetOrCreateCounter(`walnut_relay_resumes_total`)
 	firstPartSeconds = metrics.GetOrCreateHistogram(`walnut_relay_first_part_seconds`)
 )
@@ -73,27 +77,69 @@
 	return r.readWhole(ex, body)
 }
 
-// readWhole reads the answer into memory. An answer over maxWholeBytes becomes a
-// stream that begins with the part already read.
+// readWhole reads the answer into memory. An answer over maxWholeBytes, or for which there is no
+// room, becomes a stream that begins with the part already read: its target waits for the caller.
 func (r *Relay) readWhole(ex *pipeline.Exchange, body *body) error {
-	read, err := io.ReadAll(io.LimitReader(body, maxWholeBytes))
-	if err != nil {
+	// The first buffer is not accounted for: about as much is in body already.
+	read := make([]byte, 0, len(body.buffered)+minSpareBytes)
+	held := 0
+	for {
+		if len(read) == cap(read) {
+			grown := min(2*cap(read), maxWholeBytes)
+			switch {
+			case len(read) >= maxWholeBytes:
+				streamedLarge.Inc()
+				ex.AnswerStream = newPrefixedStream(ex, read, body)
+				return nil
+			case !ex.HoldBytes(grown - held):
+				streamedFull.Inc()
+				ex.AnswerStream = newPrefixedStream(ex, read, body)
+				return nil
+			}
+			held = grown
+			read = append(make([]byte, 0, grown), read...)
+		}
+		n, err := body.Read(read[len(read):cap(read)])
+		read = read[:len(read)+n]
+		if err == nil {
+			continue
+		}
 		body.Close()
-		return toResultError(err)
-	}
-	if len(read) == maxWholeBytes {
-		ex.AnswerStream = &prefixedStream{Reader: io.MultiReader(strings.NewReader(string(read)), body), Closer: body}
+		if err != io.EOF {
+			ex.HoldBytes(-held)
+			return toResultError(err)
+		}
+		ex.AnswerBody = read
 		return nil
 	}
-	body.Close()
-	ex.AnswerBody = read
-	return nil
 }
 
 // prefixedStream is a stream whose beginning has already been read.
 type prefixedStream struct {
 	io.Reader
-	io.Closer
+	ex    *pipeline.Exchange
+	body  *body
+	ended bool
+}
+
+func newPrefixedStream(ex *pipeline.Exchange, prefix []byte, body *body) *prefixedStream {
+	return &prefixedStream{Reader: io.MultiReader(bytes.NewReader(prefix), body), ex: ex, body: body}
+}
+
+// Read implements io.Reader.
+func (p *prefixedStream) Read(into []byte) (int, error) {
+	n, err := p.Reader.Read(into)
+	p.ended = p.ended || err != nil
+	return n, err
+}
+
+// Close implements io.Closer. It first reads the rest of the answer if the run outlives its
+// caller, which closing the connection to the target would cut off.
+func (p *prefixedStream) Close() error {
+	if !p.ended && p.ex.OutlivesCaller() {
+		_, _ = io.Copy(io.Discard, p) // the body reports how the run ended
+	}
+	return p.body.Close()
 }
 
 // endBroken ends the run of an answer that broke off before its first part, and
--- a/filters/relay/relay_test.go
+++ b/filters/relay/relay_test.go
@@ -184,3 +184,63 @@
 		t.Errorf("read %d bytes, %v", len(got), err)
 	}
 }
+
+// TestAnswerWithoutRoomIsStreamed guards against an answer that is cut, or whose run is cut off when
+// the caller goes away, because there is no room to hold the answer whole; and against bytes that
+// stay reserved for an answer that broke.
+func TestAnswerWithoutRoomIsStreamed(t *testing.T) {
+	text := strings.Repeat("0123456789", 20<<10)
+	for _, room := range []int64{0, 64 << 10, 1 << 20} {
+		for _, bodyErr := range []error{io.EOF, errBroken} {
+			held := int64(0)
+			ex, run := newExchange(false)
+			ex.Stream = false
+			ex.HoldAnswer = func(bytes int64) bool {
+				if held+bytes > room {
+					return false
+				}
+				held += bytes
+				return true
+			}
+			err := newRelay(&scriptedClient{}).Answer(context.Background(), ex, newAnswer(200, &fakeBody{text: text, err: bodyErr}))
+			got := string(ex.AnswerBody)
+			if ex.AnswerStream != nil {
+				var read []byte
+				read, err = io.ReadAll(ex.AnswerStream)
+				got = string(read)
+			}
+			whole := room >= int64(len(text))
+			if (ex.AnswerStream == nil) != whole || (err == nil) != (bodyErr == io.EOF) || err == nil && got != text {
+				t.Errorf("room %d, %v: %d bytes, %v", room, bodyErr, len(got), err)
+			}
+			if whole && err != nil && held != 0 {
+				t.Errorf("%d bytes reserved for an answer that broke", held)
+			}
+			_ = run.firstOutcome(t)
+		}
+	}
+}
+
+// TestStreamedAnswerOutlivesCaller guards against a non-idempotent run that is cut off with its
+// caller because its answer was streamed for want of room.
+func TestStreamedAnswerOutlivesCaller(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		ex, run := newExchange(false)
+		ex.Stream, ex.Idempotent, ex.ServingContext = false, idempotent, context.Background()
+		ex.HoldAnswer = func(int64) bool { return false }
+		body := &fakeBody{text: strings.Repeat("x", 1<<20), err: io.EOF}
+		if err := newRelay(&scriptedClient{}).Answer(context.Background(), ex, newAnswer(200, body)); err != nil {
+			t.Fatal(err)
+		}
+		if err := ex.AnswerStream.Close(); err != nil {
+			t.Fatal(err)
+		}
+		want := control.OutcomeAnswered
+		if idempotent {
+			want = control.OutcomeCancelled
+		}
+		if outcome := run.firstOutcome(t); outcome != want || (body.text == "") == idempotent {
+			t.Errorf("idempotent %t: outcome %v, %d bytes unread", idempotent, outcome, len(body.text))
+		}
+	}
+}
--- a/filters/requestlog/requestlog.go
+++ b/filters/requestlog/requestlog.go
@@ -100,7 +100,8 @@
 		return slog.LevelError, "request: Failed."
 	case result.RecordUnavailable, result.RecordLapsed, result.NoTarget, result.TargetsEvacuated, result.NoHomeTarget, result.TargetsUnavailable, result.SoftwareUnavailable, result.StreamUnknown, result.SchedulerUnreachable,
 		result.ConnectFailed, result.TargetRefused, result.RetryBudgetEmpty, result.FirstByteTimeout,
-		result.TargetLostRequest, result.ExecutorLost, result.StreamBroken, result.TargetError, result.AnswerTooSlow:
+		result.TargetLostRequest, result.ExecutorLost, result.StreamBroken, result.TargetError, result.AnswerTooSlow,
+		result.AnswerBytesFull:
 		return slog.LevelWarn, "request: Failed."
 	default:
 		return slog.LevelInfo, "request: Refused."
--- a/front/answer.go
+++ b/front/answer.go
@@ -176,18 +176,44 @@
 func bufferStream(ex *pipeline.Exchange) error {
 	stream := ex.AnswerStream
 	defer stream.Close()
-	body, err := io.ReadAll(io.LimitReader(stream, maxBufferedAnswerBytes+1))
+	body, err := readHeld(ex, stream)
 	if err != nil {
 		return withResultCode(err)
 	}
-	if len(body) > maxBufferedAnswerBytes {
-		return result.New(result.StreamBroken, "The answer is too long for an HTTP/1.0 caller.")
-	}
 	ex.AnswerStream = nil
 	ex.AnswerBody = body
 	return nil
 }
 
+// minBufferedAnswerBytes is the size of the first buffer of readHeld.
+const minBufferedAnswerBytes = 4 << 10
+
+// readHeld reads a stream into memory that is accounted for.
+func readHeld(ex *pipeline.Exchange, stream io.Reader) ([]byte, error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			if len(body) >= maxBufferedAnswerBytes {
+				return nil, result.New(result.StreamBroken, "The answer is too long for an HTTP/1.0 caller.")
+			}
+			grown := min(max(minBufferedAnswerBytes, 2*cap(body)), maxBufferedAnswerBytes)
+			if !ex.HoldBytes(grown - cap(body)) {
+				refusals.Inc(result.AnswerBytesFull)
+				return nil, result.New(result.AnswerBytesFull, "%s", result.AnswerBytesFull.Info().Meaning)
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		n, err := stream.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // withResultCode returns err with a result code: its own, or result.StreamBroken.
 func withResultCode(err error) error {
 	var coded *result.Error
--- a/front/conn.go
+++ b/front/conn.go
@@ -4,10 +4,13 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Limits for discarding the rest of a refused request; see callerConn.Close.
@@ -106,6 +109,10 @@
 
 func newCallerConn(conn net.Conn, server *Server) *callerConn {
 	c := &callerConn{Conn: conn, server: server, fd: -1}
+	if sized, ok := conn.(interface{ SetWriteBuffer(bytes int) error }); ok && server.options.SendBufferBytes > 0 {
+		// An error means that the connection is closed already.
+		_ = sized.SetWriteBuffer(server.options.SendBufferBytes)
+	}
 	if withRaw, ok := conn.(syscall.Conn); ok {
 		raw, err := withRaw.SyscallConn()
 		if err == nil {
@@ -157,17 +164,13 @@
 	c.mu.Unlock()
 }
 
-// Write implements net.Conn. Each write has its own deadline, so that a stream is
-// limited by how long one write blocks and not by its total length.
+// Write implements net.Conn. It fails if the caller reads nothing for Options.WriteTimeout; an
+// answer as a whole may take any time.
 func (c *callerConn) Write(b []byte) (int, error) {
 	if c.writeEnded.Load() {
 		return 0, errRefusedAtDeadline
 	}
-	err := c.Conn.SetWriteDeadline(time.Now().Add(c.server.options.WriteTimeout))
-	n := 0
-	if err == nil {
-		n, err = c.Conn.Write(b)
-	}
+	n, err := c.writeWhileRead(b)
 	if err != nil && c.writeErr == nil {
 		c.writeErr = err
 	}
@@ -175,6 +178,49 @@
 	return n, err
 }
 
+// stallChecks is how often a blocked write is checked for progress within the write timeout.
+const stallChecks = 4
+
+// writeWhileRead writes b as long as the caller reads.
+func (c *callerConn) writeWhileRead(b []byte) (written int, err error) {
+	timeout := c.server.options.WriteTimeout
+	progressAt := time.Now()
+	unread := -1
+	for {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(timeout / stallChecks)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(b[written:])
+		written += n
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+		before := unread
+		unread = c.unreadByCaller()
+		if n > 0 || unread < before {
+			progressAt = time.Now()
+		} else if time.Since(progressAt) >= timeout {
+			callersStalled.Inc()
+			return written, err
+		}
+	}
+}
+
+// unreadByCaller returns the bytes in the send buffer that the caller's system has not taken;
+// 0 if unknown. A write makes progress only once a third of that buffer is free, which for a
+// slow caller can take longer than the write timeout.
+func (c *callerConn) unreadByCaller() int {
+	if c.raw == nil {
+		return 0
+	}
+	unread := 0
+	_ = c.raw.Control(func(fd uintptr) {
+		// An error means that the connection is closed: the next write fails.
+		unread, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	})
+	return unread
+}
+
 // markWritten records the result of a write for a request of another router.
 func (c *callerConn) markWritten(n int, err error) {
 	if c.executed == nil {
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -16,7 +16,9 @@
 	fastRefusals     = metrics.NewCounter("walnut_accept_refused_at_once_total")
 	refusalsUnlogged = metrics.NewCounter("walnut_accept_refusals_unlogged_total")
 	watchFailures    = metrics.NewCounter("walnut_accept_watch_failures_total")
-	callersGone      = metrics.NewCounter("walnut_accept_callers_gone_total")
+	// callersStalled counts callers who were cut off because they read nothing.
+	callersStalled = metrics.NewCounter("walnut_accept_callers_stalled_total")
+	callersGone    = metrics.NewCounter("walnut_accept_callers_gone_total")
 
 	// Requests that this router offered to executors. The reasons why a Sender takes none are
 	// counted there.
@@ -42,7 +44,8 @@
 
 	refusals = codecounter.New("walnut_accept_refusals_total",
 		result.BadRequest, result.BodyTooLarge, result.HeadersTooLarge, result.SlowSender,
-		result.HeldBytesFull, result.Internal, result.Overloaded, result.FirstByteTimeout, result.ExecutorLost)
+		result.HeldBytesFull, result.Internal, result.Overloaded, result.FirstByteTimeout, result.ExecutorLost,
+		result.AnswerBytesFull)
 )
 
 // offloadCounter returns the counter of offloaded requests with the given result. Other packages
--- a/front/request.go
+++ b/front/request.go
@@ -18,8 +18,10 @@
 type request struct {
 	// reservation accounts for the bytes of the body; nil if there is no body.
 	reservation *bodyReservation
-	ex          *pipeline.Exchange
-	conn        *callerConn
+	// answer accounts for the bytes of the answer that are held.
+	answer *answerShare
+	ex     *pipeline.Exchange
+	conn   *callerConn
 	// gone is closed when the caller has disconnected.
 	gone   chan struct{}
 	isGone bool // used by the watcher's goroutine only
--- a/front/reservations.go
+++ b/front/reservations.go
@@ -28,14 +28,12 @@
 // the time their headers are read to the end of their exchanges. It is safe for
 // concurrent use.
 type bodyReservations struct {
-	max     int64
+	*byteBudget
 	timeout time.Duration
 
-	mu               sync.Mutex
-	totalBytes       int64
-	bytesByWorkspace map[string]int64
-	lastNumber       uint64
-	pending          map[uint64]*bodyReservation
+	mu         sync.Mutex
+	lastNumber uint64
+	pending    map[uint64]*bodyReservation
 	// byExpiry holds the reservations in the order in which they were made, which is
 	// the order in which they expire.
 	byExpiry []*bodyReservation
@@ -43,27 +41,21 @@
 
 func newBodyReservations(max int64, timeout time.Duration) *bodyReservations {
 	return &bodyReservations{
-		max:              max,
-		timeout:          timeout,
-		bytesByWorkspace: make(map[string]int64),
-		pending:          make(map[uint64]*bodyReservation),
+		byteBudget: newByteBudget(max),
+		timeout:    timeout,
+		pending:    make(map[uint64]*bodyReservation),
 	}
 }
 
 // reserve reserves bytes for a body and returns the reservation's number. It
-// reports false if there is no room: a workspace may hold at most as much as is
-// left free, so a single workspace gets at most half and there is always room for
-// another one.
+// reports false if there is no room; see byteBudget.
 func (b *bodyReservations) reserve(workspace string, bytes int64, now time.Time) (uint64, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
-	workspaceBytes := b.bytesByWorkspace[workspace]
-	if workspaceBytes+bytes > b.max-b.totalBytes {
+	if !b.byteBudget.reserve(workspace, bytes) {
 		return 0, false
 	}
-	b.totalBytes += bytes
-	b.bytesByWorkspace[workspace] = workspaceBytes + bytes
 	return b.register(&bodyReservation{owner: b, workspace: workspace, bytes: bytes}, now), true
 }
 
@@ -129,16 +121,5 @@
 		return
 	}
 	reservation.bytes = size
-	b.totalBytes -= excess
-	b.bytesByWorkspace[reservation.workspace] -= excess
-	if b.bytesByWorkspace[reservation.workspace] == 0 {
-		delete(b.bytesByWorkspace, reservation.workspace)
-	}
-}
-
-// heldBytes returns the number of reserved bytes.
-func (b *bodyReservations) heldBytes() int64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.totalBytes
+	b.release(reservation.workspace, excess)
 }
--- a/front/serve.go
+++ b/front/serve.go
@@ -154,12 +154,14 @@
 	r := &request{
 		reservation: s.claimReservation(&ctx.Request.Header),
 		ex:          newExchange(s.requestIDOf(&ctx.Request.Header), gone, ctx),
+		answer:      &answerShare{budget: s.answerBudget},
 		conn:        conn,
 		gone:        gone,
 		server:      s,
 	}
 	r.reservation.shrinkTo(int64(len(r.ex.Body)))
 	r.ex.ProbeCallerGone = conn.isClosedByCaller
+	r.ex.HoldAnswer = func(bytes int64) bool { return r.answer.hold(r.ex.WorkspaceName, bytes) }
 	r.ex.ServingContext, r.endServing = context.WithCancel(s.ctx)
 	r.ctx, r.cancel = context.WithCancelCause(r.ex.ServingContext)
 	r.ex.EndBy = r.refuseAt
@@ -242,5 +244,6 @@
 	r.cancel(context.Canceled)
 	r.endServing()
 	r.reservation.shrinkTo(0)
+	r.answer.end()
 	s.exchangeEnded()
 }
--- a/front/server.go
+++ b/front/server.go
@@ -28,6 +28,7 @@
 	DefaultMaxBodyBytes   = 8 << 20
 	DefaultMaxHeaderBytes = 16 << 10
 	DefaultMaxHeldBytes   = 256 << 20
+	DefaultMaxAnswerBytes = 256 << 20
 	DefaultReadTimeout    = 10 * time.Second
 	DefaultIdleTimeout    = 60 * time.Second
 	DefaultWriteTimeout   = 30 * time.Second
@@ -41,6 +42,12 @@
 // for requests in progress and for connections to targets.
 const callerConnRatio = 0.4
 
+// boundedSendBuffer is the size of the send buffer of a caller's connection, in bytes, where memory
+// is limited. Without it the system holds up to 4 MiB for each caller that has stopped reading. It
+// uses up to twice this size, so 500 such callers take 64 MiB. With half of it, an answer of 3 MiB
+// took 1.3 s on loopback instead of 20 ms.
+const boundedSendBuffer = 64 << 10
+
 // maxHeaderCount limits the number of header lines of a request.
 const maxHeaderCount = 100
 
@@ -53,6 +60,13 @@
 	// MaxHeldBytes limits the total size of the bodies held at the same time. A body
 	// counts from the time its headers are read until its exchange ends. Default 256 MiB.
 	MaxHeldBytes int
+	// MaxAnswerBytes limits the total size of the answers held at the same time for callers
+	// who have not read them yet. Past it, answers are passed on as their callers read them.
+	// Default 256 MiB.
+	MaxAnswerBytes int
+	// SendBufferBytes is the size of the system's send buffer of each caller's connection.
+	// Default 0: the system decides.
+	SendBufferBytes int
 	// Authenticate finds the workspace from the headers, before a body is read.
 	// If it returns a refusal, that is the answer. Default: every body is read.
 	Authenticate func(header func(name string) string) (workspace string, refusal *result.Error)
@@ -60,7 +74,7 @@
 	ReadTimeout time.Duration
 	// IdleTimeout is how long a connection may be idle before it is closed. Default 60 s.
 	IdleTimeout time.Duration
-	// WriteTimeout limits each write to a caller that does not read. Default 30 s.
+	// WriteTimeout limits how long a caller may read nothing of its answer. Default 30 s.
 	WriteTimeout time.Duration
 	// WatchEvery is the interval between checks for callers that have disconnected.
 	// Default 150 ms.
@@ -105,21 +119,27 @@
 
 // FromLimits returns the options for the limits of a settings file.
 func FromLimits(limits settings.Limits) Options {
-	return Options{
+	options := Options{
 		MaxBodyBytes:   limits.MaxBodyBytes,
 		MaxHeaderBytes: limits.MaxHeaderBytes,
 		MaxHeldBytes:   limits.MaxHeldBytes,
+		MaxAnswerBytes: limits.AnswerBytes(),
 		ReadTimeout:    time.Duration(limits.ReadTimeout),
 		IdleTimeout:    time.Duration(limits.IdleTimeout),
 		WriteTimeout:   time.Duration(limits.StallTimeout),
 		MaxKeptConns:   int(callerConnRatio * float64(limits.MaxDescriptors)),
 	}
+	if limits.MemoryMiB > 0 {
+		options.SendBufferBytes = boundedSendBuffer
+	}
+	return options
 }
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&o.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefault(&o.MaxHeldBytes, DefaultMaxHeldBytes)
+	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	setDefault(&o.ReadTimeout, DefaultReadTimeout)
 	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
@@ -151,6 +171,7 @@
 	watch   *watcher
 
 	reservations *bodyReservations
+	answerBudget *byteBudget
 
 	// offloads is nil if offloading is off.
 	offloads *offloads
@@ -195,6 +216,7 @@
 		started: time.Now(),
 
 		reservations: newBodyReservations(int64(options.MaxHeldBytes), options.ReadTimeout+reservationMargin),
+		answerBudget: newByteBudget(int64(options.MaxAnswerBytes)),
 
 		conns:   make(map[*callerConn]struct{}),
 		changed: make(chan struct{}),
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -138,6 +138,10 @@
 // arriving.
 func (s *Server) HeldBytes() int64 { return s.reservations.heldBytes() }
 
+// BufferedAnswerBytes returns the total size of the answers that are buffered for callers,
+// without those of executors.
+func (s *Server) BufferedAnswerBytes() int64 { return s.answerBudget.heldBytes() }
+
 func (s *Server) connections() []*callerConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -57,6 +57,10 @@
 	// GatherEvents makes the filter events pass on several events together. Each piece of a
 	// response costs processor time at the router that forwarded the request.
 	GatherEvents bool
+	// HoldAnswer, if set, accounts for memory that holds parts of the answer until the caller has
+	// read them: bytes more, or fewer if negative. It reports false if there is no room. All is
+	// returned at the end of the exchange. It may be called from any goroutine. See HoldBytes.
+	HoldAnswer func(bytes int64) bool
 	// TargetServes, set with a grant, reports whether the granted target is still listed
 	// as one that accepts work.
 	TargetServes func() bool
@@ -161,6 +165,11 @@
 	FetchFrom string
 }
 
+// HoldBytes calls HoldAnswer. Without it there is always room.
+func (ex *Exchange) HoldBytes(bytes int) bool {
+	return ex.HoldAnswer == nil || ex.HoldAnswer(int64(bytes))
+}
+
 // HashContent hashes the fields that make two requests equal: workspace, path and body.
 // The workspace and the path are preceded by their lengths, so that different splits of
 // the same bytes hash differently.
--- a/result/codes.go
+++ b/result/codes.go
@@ -62,9 +62,10 @@
 	ExecutorLost      Code = 711
 
 	// relay: 800-899.
-	StreamBroken  Code = 801
-	TargetError   Code = 802
-	AnswerTooSlow Code = 803
+	StreamBroken    Code = 801
+	TargetError     Code = 802
+	AnswerTooSlow   Code = 803
+	AnswerBytesFull Code = 804
 
 	// any filter: 900-999.
 	Internal Code = 901
@@ -147,6 +148,7 @@
 	{StreamBroken, "stream_broken", "relay", 502, RanUnknown, true, "The answer broke off and could not be resumed."},
 	{TargetError, "target_error", "relay", 502, RanYes, true, "The target answered with an error."},
 	{AnswerTooSlow, "answer_too_slow", "relay", 504, RanUnknown, true, "The answer stopped making progress."},
+	{AnswerBytesFull, "answer_bytes_full", "relay", 502, RanUnknown, true, "The answer cannot be held whole for an HTTP/1.0 caller: the router holds too many bytes of answers, or too many of this workspace."},
 	{Internal, "internal", "any", 500, RanUnknown, false, "The router failed; the request may have run."},
 	{VersionConflict, "version_conflict", "operators", 409, RanNo, true, "Another patch took this version; read the newest and patch again."},
 	{InvalidPatch, "invalid_patch", "operators", 400, RanNo, false, "The patch cannot be read."},
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -22,6 +22,7 @@
 	set.NewGauge("walnut_config_version"+node, func() float64 { return float64(r.version()) })
 	set.NewGauge("walnut_accept_active"+node, func() float64 { return float64(r.front.Active()) })
 	set.NewGauge("walnut_accept_held_bytes"+node, func() float64 { return float64(r.front.HeldBytes()) })
+	set.NewGauge("walnut_accept_answer_bytes"+node, func() float64 { return float64(r.front.BufferedAnswerBytes()) })
 	set.NewGauge("walnut_router_fleet_size"+node, func() float64 { return float64(r.fleet.count()) })
 	set.NewGauge("walnut_retry_slack"+node, func() float64 { return r.retryLimits().Slack })
 	if r.managed != nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -124,6 +124,9 @@
 	// MaxHeldBytes bounds the total size of the bodies that the router holds at
 	// once. Default 256 MiB.
 	MaxHeldBytes int `toml:"max_held_bytes"`
+	// MaxAnswerBytes bounds the total size of the answers that the router holds at once for
+	// callers who have not read them. Default 0: see AnswerBytes.
+	MaxAnswerBytes int `toml:"max_answer_bytes"`
 	// MaxHeaderBytes bounds a request's headers. Default 16 KiB.
 	MaxHeaderBytes int `toml:"max_header_bytes"`
 	// ReadTimeout bounds the time that a request takes to arrive. Default 10s.
@@ -151,6 +154,16 @@
 	MemoryMiB float64 `toml:"memory_mib"`
 }
 
+// AnswerBytes returns MaxAnswerBytes or, if that is 0, an eighth of the memory. 0 means that
+// neither is set. At an eighth, a router of 144 MiB has room for 32 MiB of bodies, the system's
+// buffers and the fixed memory of each open answer.
+func (l Limits) AnswerBytes() int {
+	if l.MaxAnswerBytes > 0 {
+		return l.MaxAnswerBytes
+	}
+	return int(l.MemoryMiB * (1 << 20) / 8)
+}
+
 // Retries limits how often requests are sent to a target again, for the whole fleet. A router
 // uses a fifth of Ratio, and no Slack, for a Window after its start: the process before it may
 // have used its part.
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -57,6 +57,7 @@
 	s.checkPlatformAndLimits(&c)
 	c.within("limits.max_body_bytes", s.Limits.MaxBodyBytes, minBodyBytes, maxBodyBytes)
 	c.within("limits.max_held_bytes", s.Limits.MaxHeldBytes, s.Limits.MaxBodyBytes, maxHeldBytes)
+	c.within("limits.max_answer_bytes", s.Limits.MaxAnswerBytes, 0, maxHeldBytes)
 	c.within("limits.max_header_bytes", s.Limits.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
 	c.within("platform.fleet_writes_per_second", s.Platform.FleetWritesPerSecond, minFleetWritesPerSecond, maxFleetWritesPerSecond)
 	policies := []string{string(control.PolicyShardQueue), string(control.PolicyAlone)}
