--- a/front/conn.go
+++ b/front/conn.go
@@ -184,6 +184,13 @@
 // writeWhileRead writes b as long as the caller reads.
 func (c *callerConn) writeWhileRead(b []byte) (written int, err error) {
 	timeout := c.server.options.WriteTimeout
+	if c.executed != nil {
+		// A link ends a response whose write passed its deadline, so there is no second try.
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+			return 0, err
+		}
+		return c.Conn.Write(b)
+	}
 	progressAt := time.Now()
 	unread := -1
 	for {
--- a/front/slowreader_test.go
+++ b/front/slowreader_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
+	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/filters/events"
 	"github.com/walnutcove/walnutcove/filters/relay"
 	"github.com/walnutcove/walnutcove/pipeline"
@@ -28,9 +29,10 @@
 // noRun is a run of which nothing is recorded.
 type noRun struct{}
 
-func (noRun) Begin()              {}
-func (noRun) Overdue()            {}
-func (noRun) End(control.Outcome) {}
+func (noRun) Begin()                {}
+func (noRun) SetLoad(speed.Reading) {}
+func (noRun) Overdue()              {}
+func (noRun) End(control.Outcome)   {}
 
 // relayed returns a pipeline that relays answers of the given size: one with a length, or a
 // stream of events of eventBytes each. served counts those that have begun.
