Offloading: the accept delay counts as lateness

Callers of a flooded router waited up to a second before they were refused, as the router itself ran in time: it neither shed more nor left the balancer's rotation.

--- a/front/backlog.go
+++ b/front/backlog.go
@@ -1,20 +1,14 @@
 package front
 
 import (
-	"context"
 	"net"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"github.com/walnutcove/walnutcove/wait"
 )
 
-// backlogInterval is the interval of the measurements of the accept delay.
-const backlogInterval = 50 * time.Millisecond
-
 // acceptBacklog measures for how long connections have been waiting to be accepted. A router that
 // refuses requests as fast as it can may run in time and yet accept them seconds late.
 type acceptBacklog struct {
@@ -60,15 +54,14 @@
 	return delay
 }
 
-// MeasureAcceptDelay measures, until ctx ends, how long the queue of connections that are not
-// accepted yet has not been empty, and so how long a request may have waited unnoticed.
-func (s *Server) MeasureAcceptDelay(ctx context.Context) {
-	for wait.For(ctx, backlogInterval) {
-		s.mu.Lock()
-		accepting := s.listener != nil
-		s.mu.Unlock()
-		s.backlog.measure(time.Now(), accepting && s.backlog.hasWaiting())
-	}
+// MeasureAcceptDelay returns how long the queue of connections that are not accepted yet has not
+// been empty, and so how long a request may have waited unnoticed. It is called at short intervals
+// by one goroutine.
+func (s *Server) MeasureAcceptDelay(now time.Time) time.Duration {
+	s.mu.Lock()
+	accepting := s.listener != nil
+	s.mu.Unlock()
+	return s.backlog.measure(now, accepting && s.backlog.hasWaiting())
 }
 
 // acceptDelay returns the last measured accept delay.
--- a/router/overload.go
+++ b/router/overload.go
@@ -98,6 +98,9 @@
 	// onMeasured, if set, is called once per lagInterval with the average lag, and with whether
 	// requests on new connections have all been refused unread for some time.
 	onMeasured func(lag time.Duration, shedsAll bool)
+	// acceptDelay, if set, returns how long requests may have waited to be accepted at the given
+	// time. It counts as lateness: the router may run in time only because it refuses others.
+	acceptDelay func(now time.Time) time.Duration
 	// paused is true while the router asks for no new connections.
 	paused atomic.Bool
 	// publishedLag is a copy of lag for other goroutines, in nanoseconds.
@@ -218,7 +221,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		o.measure(now, max(0, now.Sub(lastTick)-interval, probe.currentDelay()))
+		o.measure(now, max(0, now.Sub(lastTick)-interval, probe.currentDelay(), o.currentAcceptDelay(now)))
 		lastTick = now
 		if next := o.nextInterval(); next != interval {
 			interval = next
@@ -227,6 +230,15 @@
 	}
 }
 
+// currentAcceptDelay returns how long requests may have waited to be accepted; zero if that is not
+// measured.
+func (o *overload) currentAcceptDelay(now time.Time) time.Duration {
+	if o.acceptDelay == nil {
+		return 0
+	}
+	return o.acceptDelay(now)
+}
+
 // nextInterval returns the time until the next measurement.
 func (o *overload) nextInterval() time.Duration {
 	if o.lastLateness > shedTargetLag || o.shedProbability(false) > 0 {
--- a/router/overload_test.go
+++ b/router/overload_test.go
@@ -268,3 +268,16 @@
 		t.Error("all counts as shed while the router is in time")
 	}
 }
+
+// TestAcceptDelayIsLateness guards against a router that stays in the balancer's rotation while
+// requests wait to be accepted, because it only refuses and so runs in time.
+func TestAcceptDelayIsLateness(t *testing.T) {
+	o := &overload{log: slog.New(slog.DiscardHandler)}
+	if delay := o.currentAcceptDelay(time.Now()); delay != 0 {
+		t.Errorf("the delay is %v where it is not measured", delay)
+	}
+	o.acceptDelay = func(time.Time) time.Duration { return time.Second }
+	if delay := o.currentAcceptDelay(time.Now()); delay != time.Second {
+		t.Errorf("the delay is %v, want 1 s", delay)
+	}
+}
--- a/router/start.go
+++ b/router/start.go
@@ -242,6 +242,9 @@
 			options.Lag = r.overload.currentLag
 		}
 		r.front = front.New(options, r.routedPipeline())
+		if r.offloading.source != nil {
+			r.overload.acceptDelay = r.front.MeasureAcceptDelay
+		}
 		return
 	}
 	r.orders = r.newOrders()
@@ -279,7 +282,6 @@
 		r.startWorker(func() { r.overload.run(ctx) })
 		r.startWorker(func() { r.unread.run(ctx, r.loop, r.log) })
 		if r.offloading.source != nil {
-			r.startWorker(func() { r.front.MeasureAcceptDelay(ctx) })
 			r.startWorker(func() { r.offloading.source.run(ctx) })
 			r.startedExecutor.Store(r.offloading.executor)
 		}
