Offloading: nothing is prepared or counted as late without executors

A router that no other one may help copied each request that it refused, looked at its connection, and counted its queue of connections as lateness. Senders say now whether they are available; there are links or not. So a fleet of routers of one size behaves as before.

--- a/front/executor_test.go
+++ b/front/executor_test.go
@@ -338,6 +338,9 @@
 // executorSender sends requests to a server in the same process.
 type executorSender struct{ executor *Server }
 
+// Available implements offload.Sender.
+func (s executorSender) Available() bool { return true }
+
 // Send implements offload.Sender.
 func (s executorSender) Send(request offload.Request, answer offload.Answer) offload.Sent {
 	conn := newMemoryConn(request.Raw, answer)
--- a/front/fastrefusal.go
+++ b/front/fastrefusal.go
@@ -122,7 +122,7 @@
 	}
 	header := &f.ctx.Request.Header
 	id := f.server.requestIDOf(header).text
-	if offloads := f.server.offloads; offloads != nil {
+	if offloads := f.server.offloads; offloads != nil && offloads.sender.Available() {
 		raw := f.clone(f.readBuffer[:n])
 		if raw != nil && offloads.offer(fd, header, id, raw, countRefused) {
 			return nil
--- a/front/offloadbench_test.go
+++ b/front/offloadbench_test.go
@@ -19,6 +19,9 @@
 	answers []offload.Answer
 }
 
+// Available implements offload.Sender.
+func (s *batchSender) Available() bool { return true }
+
 // Send implements offload.Sender.
 func (s *batchSender) Send(_ offload.Request, answer offload.Answer) offload.Sent {
 	s.answers = append(s.answers, answer)
--- a/front/rebuild.go
+++ b/front/rebuild.go
@@ -16,7 +16,7 @@
 // the response is written to a duplicate of the connection's descriptor, and the library closes
 // the connection itself without a response.
 func (o *offloads) offerRead(ctx *fasthttp.RequestCtx, conn *callerConn, id string, countRefused func()) bool {
-	if conn.raw == nil || !canRebuild(&ctx.Request) {
+	if conn.raw == nil || !canRebuild(&ctx.Request) || !o.sender.Available() {
 		return false
 	}
 	if len(ctx.Request.Body())+len(ctx.Request.Header.RawHeaders()) > maxOffloadedRequestBytes {
--- a/offload/link/source.go
+++ b/offload/link/source.go
@@ -53,6 +53,9 @@
 	return s
 }
 
+// Available implements offload.Sender.
+func (s *Source) Available() bool { return s.Allowance() > 0 }
+
 // Send implements offload.Sender. request.Raw is not retained. The methods of answer may be called
 // before Send returns, from another goroutine, and Write once more after Sent.Cancel. They are called
 // without locks of the link, so that they may call the methods of Sent.
--- a/offload/offload.go
+++ b/offload/offload.go
@@ -43,6 +43,9 @@
 
 // Sender sends requests to executors.
 type Sender interface {
+	// Available reports whether Send may take a request now. A caller that got false asks again
+	// with the next request. It is cheap, so that nothing is prepared for Send in vain.
+	Available() bool
 	// Send sends a request if an executor has granted allowance for one, and returns nil
 	// otherwise. It never blocks.
 	Send(request Request, answer Answer) Sent
--- a/router/offload_test.go
+++ b/router/offload_test.go
@@ -411,3 +411,23 @@
 		}
 	}
 }
+
+// TestNoExecutorChangesNothing guards against a router that no other one may help being treated as
+// late because of its queue of connections, or preparing requests for executors in vain.
+func TestNoExecutorChangesNothing(t *testing.T) {
+	s := newOffloadSource("a", slog.New(slog.DiscardHandler), nil, nil)
+	if s.Available() {
+		t.Error("requests are prepared for executors although there are none")
+	}
+	if s.lacked.Load() != 1 {
+		t.Error("no executor is looked for")
+	}
+	delay := s.acceptDelay(func(time.Time) time.Duration { return time.Second })
+	if got := delay(time.Now()); got != 0 {
+		t.Errorf("the accept delay counts as %v of lateness", got)
+	}
+	s.usable.Store(&[]*executorLink{{}})
+	if got := delay(time.Now()); got != time.Second || !s.Available() {
+		t.Errorf("with an executor, the accept delay counts as %v, want 1 s", got)
+	}
+}
--- a/router/offloadsource.go
+++ b/router/offloadsource.go
@@ -138,6 +138,29 @@
 	return math.Float64frombits(s.offered.Load())
 }
 
+// Available implements offload.Sender: there are links to executors. If there are none, some are
+// opened, provided that there are routers that may be executors.
+func (s *offloadSource) Available() bool {
+	if len(*s.usable.Load()) > 0 {
+		return true
+	}
+	countUnsent(link.RefusedNoAllowance)
+	s.noteLack(nil)
+	return false
+}
+
+// acceptDelay returns what measure does while there are links to executors, and zero otherwise: a
+// router that no other one helps is as late as its lag says.
+func (s *offloadSource) acceptDelay(measure func(time.Time) time.Duration) func(time.Time) time.Duration {
+	return func(now time.Time) time.Duration {
+		delay := measure(now)
+		if len(*s.usable.Load()) == 0 {
+			return 0
+		}
+		return delay
+	}
+}
+
 // Send implements offload.Sender.
 func (s *offloadSource) Send(request offload.Request, answer offload.Answer) offload.Sent {
 	switch fraction := s.offeredFraction(); {
--- a/router/start.go
+++ b/router/start.go
@@ -243,7 +243,7 @@
 		}
 		r.front = front.New(options, r.routedPipeline())
 		if r.offloading.source != nil {
-			r.overload.acceptDelay = r.front.MeasureAcceptDelay
+			r.overload.acceptDelay = r.offloading.source.acceptDelay(r.front.MeasureAcceptDelay)
 		}
 		return
 	}
