--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -103,6 +103,8 @@
 	faults       ReplicaFaults
 	running      int
 	leavingSince time.Time
+	// silentUntil is the time until which the replica sends nothing.
+	silentUntil time.Time
 	// announcesLeaving adds the header wire.HeaderLeaving to its answers.
 	announcesLeaving bool
 	// requests counts the requests received, for RefuseEvery.
@@ -275,6 +277,7 @@
 }
 
 func (r *Replica) serve(ctx *fasthttp.RequestCtx) {
+	r.waitWhileSilent()
 	if r.isLeaving() {
 		ctx.Response.Header.Set(wire.HeaderLeaving, wire.LeavingValue)
 	}
@@ -316,6 +319,7 @@
 	}
 	if r.options.Events == 0 {
 		time.Sleep(r.pause())
+		r.waitWhileSilent()
 		r.reportLoad(ctx)
 		r.journal.recordEnd(run, ctx.Conn())
 		r.releaseSlot()
@@ -394,6 +398,7 @@
 	for event := afterEvent + 1; event <= r.options.Events; event++ {
 		faults := r.currentFaults()
 		time.Sleep(r.pause())
+		r.waitWhileSilent()
 		if faults.BreakAfterEvents > 0 && afterEvent == 0 && event > faults.BreakAfterEvents {
 			fmt.Fprintf(w, "id: %d\nda", event)
 			_ = w.Flush()
