--- a/processes/router.go
+++ b/processes/router.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -43,13 +44,28 @@
 // Restart starts a new process with the same settings. The previous one must have ended.
 func (r *Router) Restart() error { return r.start() }
 
-func (r *Router) start() error {
+// Reload writes the settings, which may have changed, and sends SIGHUP to make the process read
+// them.
+func (r *Router) Reload() error {
+	if _, err := r.writeSettings(); err != nil {
+		return err
+	}
+	return r.Signal(syscall.SIGHUP)
+}
+
+// writeSettings writes the settings to a file and returns its path.
+func (r *Router) writeSettings() (string, error) {
 	text, err := toml.Marshal(r.Settings)
 	if err != nil {
-		return fmt.Errorf("write the settings of %s: %w", r.Settings.Node.Name, err)
+		return "", fmt.Errorf("write the settings of %s: %w", r.Settings.Node.Name, err)
 	}
 	path := filepath.Join(r.dir, r.Settings.Node.Name+".toml")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
+	return path, os.WriteFile(path, text, 0o600)
+}
+
+func (r *Router) start() error {
+	path, err := r.writeSettings()
+	if err != nil {
 		return err
 	}
 	r.Process, err = Start(r.Settings.Node.Name, r.binaries.Walnutd, "run", "-c", path)
--- a/standin/managed/caller.go
+++ b/standin/managed/caller.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -28,6 +29,8 @@
 	// Complete is set if the body was read to its end without an error.
 	Complete bool
 	Header   http.Header
+	// NotConnected is set if no connection to the router could be opened.
+	NotConnected bool
 }
 
 // Caller sends requests to routers as the platform's callers do: it sends each
@@ -50,6 +53,12 @@
 	}
 }
 
+// NewKeepingCaller is like NewCaller, but the caller uses each connection until the router
+// closes it, even after an answer with "Connection: close".
+func NewKeepingCaller(name string, deadline time.Duration) *Caller {
+	return &Caller{Deadline: deadline, name: name, client: &http.Client{Transport: &keepingTransport{idle: make(map[string][]*keptConn)}}}
+}
+
 // Close closes the idle connections.
 func (c *Caller) Close() { c.client.CloseIdleConnections() }
 
@@ -89,6 +98,8 @@
 	c.setHeaders(request.Header, answer.ID, r)
 	response, err := c.client.Do(request)
 	if err != nil {
+		var failed *net.OpError
+		answer.NotConnected = errors.As(err, &failed) && failed.Op == "dial"
 		return answer
 	}
 	defer response.Body.Close()
--- a/standin/managed/demo.go
+++ b/standin/managed/demo.go
@@ -24,7 +24,7 @@
 	route := func(name, prefix, kind, service string) wire.Route {
 		return wire.Route{
 			Name: name, Host: DemoHost, Prefix: prefix, Kind: kind, Service: service,
-			Timeout: 10_000, Objective: 1000, EventPause: 1000, Attempts: 2,
+			Timeout: 10_000, Objective: 1000, EventPause: 250, Attempts: 2,
 		}
 	}
 	stream := route("gen", DemoStreamPrefix, wire.Stream, DemoEngine)
--- a/standin/managed/journal.go
+++ b/standin/managed/journal.go
@@ -1,12 +1,14 @@
 package managed
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/walnutcove/walnutcove/targets/connstate"
+	"github.com/walnutcove/walnutcove/wait"
 )
 
 // Run is one request that a replica ran.
@@ -23,6 +25,11 @@
 	LeavingFor time.Duration
 	// StartedAt is when the replica began the run.
 	StartedAt time.Time
+	// FirstEventAt is when the replica sent the first event of a stream; zero if it did not.
+	FirstEventAt time.Time
+	// EndedAt is when the run ended or its connection was closed, whichever came first; zero
+	// while it goes on.
+	EndedAt time.Time
 	// Cancelled is set if the connection closed before the answer was complete.
 	Cancelled bool
 }
@@ -72,6 +79,45 @@
 	j.runs = append(j.runs, run)
 }
 
+// closePollPause is the pause between two checks whether the connection of a run was closed.
+const closePollPause = 10 * time.Millisecond
+
+// watch records in EndedAt that the connection of a run was closed, until end is called, which
+// records the end of the run.
+func (j *Journal) watch(run *Run, conn net.Conn) (end func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for checker := connstate.NewChecker(conn); wait.For(ctx, closePollPause); {
+			if err := checker.Check(); err != nil && !errors.Is(err, connstate.ErrData) {
+				j.recordEndedAt(run)
+				return
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		j.recordEndedAt(run)
+	}
+}
+
+// recordEndedAt sets EndedAt, unless it is set.
+func (j *Journal) recordEndedAt(run *Run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if run.EndedAt.IsZero() {
+		run.EndedAt = time.Now()
+	}
+}
+
+// recordEvent records that an event was sent.
+func (j *Journal) recordEvent(run *Run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if run.FirstEventAt.IsZero() {
+		run.FirstEventAt = time.Now()
+	}
+}
+
 // recordEnd records, at the end of a run, whether the caller has closed the
 // connection.
 func (j *Journal) recordEnd(run *Run, conn net.Conn) {
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -313,6 +313,7 @@
 		StartedAt:  time.Now(),
 	}
 	r.journal.addRun(run)
+	end := r.journal.watch(run, ctx.Conn())
 	r.cacheParts(string(header.Peek(wire.HeaderParts)))
 	if !r.currentFaults().Unsealed {
 		ctx.Response.Header.Set(wire.HeaderSeal, "seal-"+r.options.ID)
@@ -321,6 +322,7 @@
 		time.Sleep(r.pause())
 		r.waitWhileSilent()
 		r.reportLoad(ctx)
+		end()
 		r.journal.recordEnd(run, ctx.Conn())
 		r.releaseSlot()
 		if r.currentFaults().LoseAnswers {
@@ -338,6 +340,7 @@
 	if r.currentFaults().Unframed {
 		r.sendUnframed(ctx, func(w *bufio.Writer) {
 			defer r.releaseSlot()
+			defer end()
 			r.writeEvents(w, conn, run, afterEvent)
 		})
 		return
@@ -345,6 +348,7 @@
 	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer r.releaseSlot()
+		defer end()
 		r.writeEvents(w, conn, run, afterEvent)
 	})
 }
@@ -413,6 +417,7 @@
 			r.journal.mu.Unlock()
 			return
 		}
+		r.journal.recordEvent(run)
 	}
 }
 
