Soak: replicas fall silent and go on, and a variant with planned work alone (known red)

Streams of a sound target that was silent for over 1.2 s were cut, beside planned work too, and no soak had such targets. Silences of 0.5 to 2.5 s of one replica, several or all of them now overlap with the faults of TestSoak. They have random choices of their own: the faults that a seed draws stay the same.

TestSoakSilence has planned work alone beside the silences: versions that change limits, attempts, routes, weights, quotas or idle times, reloads that allow retries or none, and shutdowns of up to half of the routers, with callers that use their connections until these are closed. No answer may end before its last byte, and no request that was read may remain without one, unless its time was used up; two replicas may work on a stream for 400 ms at most; a request runs on no more replicas than a version that may be in force allows.

On this code it fails.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -29,9 +29,6 @@
 	failurePause = 5 * time.Millisecond
 	// versionProbePause is the pause between two probes of the versions in force.
 	versionProbePause = 15 * time.Millisecond
-	// maxRunsIfRepeatable is how often a repeatable request may run: the attempts of its
-	// route.
-	maxRunsIfRepeatable = 2
 )
 
 const (
@@ -47,6 +44,8 @@
 	// router is the name of the router that it was sent to.
 	router          string
 	sentAt, endedAt time.Time
+	// disconnects is set if its caller was to disconnect early.
+	disconnects bool
 	// first is the id of the request that brought the first event of the stream to which
 	// this one reconnects, and after the last event that the caller has; empty if it does not.
 	first, after string
@@ -72,6 +71,9 @@
 func startChecker(f *fleet, name string) *checker {
 	ctx, stop := context.WithCancel(context.Background())
 	c := &checker{fleet: f, caller: managed.NewCaller(name, requestDeadline), ctx: ctx, stop: stop}
+	if f.plan != nil {
+		c.caller = managed.NewKeepingCaller(name, plannedDeadline)
+	}
 	for n := range callerCount {
 		c.workers.Go(func() { c.call(ctx, rand.New(rand.NewPCG(uint64(n), 1))) })
 	}
@@ -91,6 +93,9 @@
 // call sends one request after the other until ctx ends.
 func (c *checker) call(ctx context.Context, random *rand.Rand) {
 	paths := []string{pathNonIdempotent, pathIdempotent, pathStream}
+	if c.plan != nil {
+		paths = append(paths, pathMore)
+	}
 	for ctx.Err() == nil {
 		request := c.send(random, sentRequest{path: paths[random.IntN(len(paths))]})
 		if c.callersReconnect && request.path == pathStream {
@@ -103,9 +108,9 @@
 func (c *checker) send(random *rand.Rand, request sentRequest) sentRequest {
 	r := c.routers[random.IntN(len(c.routers))]
 	request.router, request.sentAt = r.Name, time.Now()
-	limit := requestDeadline + answerMargin
-	disconnects := random.IntN(requestsPerDisconnect) == 0
-	if disconnects {
+	limit := c.caller.Deadline + answerMargin
+	request.disconnects = random.IntN(requestsPerDisconnect) == 0
+	if request.disconnects {
 		limit = time.Duration(random.Int64N(int64(maxTimeToDisconnect)))
 	}
 	requestCtx, cancel := context.WithCancel(context.Background())
@@ -115,7 +120,7 @@
 	request.answer = c.caller.SendRequest(requestCtx, r.Settings.Listen.Callers, content)
 	request.endedAt = time.Now()
 	stopLimit()
-	if requestCtx.Err() != nil && !disconnects {
+	if requestCtx.Err() != nil && !request.disconnects {
 		c.t.Errorf("%s did not end within %s at %s: status %d, %q", request.answer.ID, limit, r.Name, request.answer.Status, request.answer.Body)
 		c.logNoEnd(request)
 	}
@@ -146,14 +151,19 @@
 	got := request.answer
 	switch got.Status {
 	case http.StatusOK:
-	case http.StatusUnauthorized, http.StatusNotFound, http.StatusBadRequest:
+	case http.StatusNotFound:
+		if request.path != pathMore {
+			c.t.Errorf("%s was refused with status %d at %s", got.ID, got.Status, router)
+		}
+		return
+	case http.StatusUnauthorized, http.StatusBadRequest:
 		c.t.Errorf("%s was refused with status %d at %s", got.ID, got.Status, router)
 		return
 	default:
 		return
 	}
 	want := managed.ExpectedAnswer(got.ID)
-	if request.path == pathStream {
+	if isStream(request.path) {
 		want = managed.ExpectedStreamAfter(got.ID, request.after, events)
 	}
 	switch {
@@ -201,7 +211,7 @@
 
 // acceptsVersion reports whether a router accepts the key of a version.
 func (c *checker) acceptsVersion(r *router, version uint64) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), requestDeadline+answerMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), c.caller.Deadline+answerMargin)
 	defer cancel()
 	return c.caller.Send(ctx, r.Settings.Listen.Callers, pathIdempotent, versionKey(version)).Status == http.StatusOK
 }
@@ -225,12 +235,13 @@
 	defer c.mu.Unlock()
 	for _, request := range c.requests {
 		ran := runs[request.answer.ID]
+		_, attempts := c.limitsBetween(request.sentAt, request.endedAt)
 		switch {
 		case notRun(request.answer.Status) && ran > 0:
 			c.t.Errorf("%s (%s) was refused as not run with status %d, but ran %d times", request.answer.ID, request.path, request.answer.Status, ran)
 		case request.path == pathNonIdempotent && ran > 1:
 			c.t.Errorf("%s may run once, but ran %d times", request.answer.ID, ran)
-		case ran > maxRunsIfRepeatable:
+		case ran > attempts:
 			c.t.Errorf("%s ran %d times", request.answer.ID, ran)
 		case request.answer.Status == http.StatusOK && ran == 0:
 			c.t.Errorf("%s was answered, but never ran", request.answer.ID)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -47,12 +47,16 @@
 	// nextAt is when the next fault may begin.
 	nextAt time.Time
 	soakOptions
+	silencer silencer
 	// begunByKind counts the faults that were begun by kind.
 	begunByKind map[string]int
 }
 
 func newFaultInjector(f *fleet, seed uint64) *faultInjector {
-	return &faultInjector{fleet: f, random: rand.New(rand.NewPCG(seed, 0)), busy: make(map[string]bool), begunByKind: make(map[string]int)}
+	return &faultInjector{
+		fleet: f, random: rand.New(rand.NewPCG(seed, 0)), busy: make(map[string]bool), begunByKind: make(map[string]int),
+		silencer: silencer{random: rand.New(rand.NewPCG(seed, 1)), soundFrom: make(map[*replica]time.Time)},
+	}
 }
 
 // run begins and ends faults for a while, and ends all of them.
@@ -60,6 +64,9 @@
 	for end := time.Now().Add(length); time.Now().Before(end) && !f.t.Failed(); time.Sleep(pollPause) {
 		f.endDue(time.Now())
 		f.checkProcesses()
+		if f.silences {
+			f.beginSilences(time.Now())
+		}
 		if len(f.active) < maxActiveFaults && time.Now().After(f.nextAt) {
 			f.begin()
 			f.nextAt = time.Now().Add(f.randomUpTo(maxFaultGap))
@@ -70,6 +77,7 @@
 		f.endDue(time.Now().Add(maxFaultTime))
 		time.Sleep(pollPause)
 	}
+	f.silencer.awaitSpeech()
 }
 
 func (f *faultInjector) randomUpTo(limit time.Duration) time.Duration {
@@ -125,6 +133,9 @@
 		{"replace a replica", f.replaceReplica},
 		{"version", f.publishVersions},
 	}
+	if f.planned {
+		kinds = []faultKind{{"terminate", f.terminateInPlan}, {"series of reloads", f.reloadSeries}, {"versions", f.changePlan}}
+	}
 	if f.restores {
 		kinds = append(kinds, faultKind{"restore the store", f.restore})
 	}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -67,6 +67,8 @@
 	callersReconnect bool
 	// enginesCrash is soakOptions.crashingParts.
 	enginesCrash bool
+	// plan is set if soakOptions.planned is.
+	plan *plan
 	// zones are assigned to new replicas in rotation.
 	zones []string
 	// replicasMade counts all replicas ever started, for their names.
@@ -75,6 +77,8 @@
 	mu sync.Mutex
 	// version is the newest published version.
 	version uint64
+	// published holds what each version that was written says.
+	published []published
 	// notes is the log of the test's actions.
 	notes []string
 }
@@ -89,6 +93,10 @@
 	t.Cleanup(f.close)
 	var routerIP string
 	routerIP, f.proxyIP = processes.NewLoopbackIPs()
+	pause := eventPause
+	if options.planned {
+		f.plan, pause = newPlan(), plannedEventPause
+	}
 	f.publishNextVersion()
 	for range plainReplicas {
 		f.addReplica(managed.ReplicaOptions{Service: managed.DemoService, Slots: plainSlots, Pause: plainRunTime})
@@ -101,7 +109,13 @@
 		engines = enginesThatCrash
 	}
 	for range engines {
-		f.addReplica(managed.ReplicaOptions{Service: managed.DemoEngine, Slots: engineSlots, Pause: eventPause, Events: events})
+		f.addReplica(managed.ReplicaOptions{Service: managed.DemoEngine, Slots: engineSlots, Pause: pause, Events: events})
+	}
+	if options.planned {
+		for range secondReplicas {
+			f.addReplica(managed.ReplicaOptions{Service: secondPlain, Slots: plainSlots, Pause: plainRunTime})
+			f.addReplica(managed.ReplicaOptions{Service: secondEngine, Slots: engineSlots, Pause: pause, Events: events})
+		}
 	}
 	f.startRouters(routers, routerIP)
 	return f
@@ -182,7 +196,14 @@
 	version := f.newestVersion()
 	content := managed.DemoConfig(version)
 	content.Tenants[0].Keys = append(content.Tenants[0].Keys, versionKey(version))
-	f.store.Put(wire.TableOperator, wire.KeyConfig, content)
+	if f.plan == nil {
+		f.recordPublished(content)
+		f.store.Put(wire.TableOperator, wire.KeyConfig, content)
+	} else {
+		planned := f.plan.apply(content)
+		f.recordPublished(planned.Config)
+		f.store.Put(wire.TableOperator, wire.KeyConfig, planned)
+	}
 	f.note("version %d", version)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,9 +24,10 @@
 	minServedPart = 0.2
 )
 
-// TestSoak makes one run for each seed, with the faults that all runs share.
+// TestSoak makes one run for each seed, with the faults that all runs share, while replicas fall
+// silent and go on.
 func TestSoak(t *testing.T) {
-	forSeeds(t, func(t *testing.T, seed uint64) { soak(t, seed, soakOptions{}) })
+	forSeeds(t, func(t *testing.T, seed uint64) { soak(t, seed, soakOptions{silences: true}) })
 }
 
 // TestSoakUnframed is TestSoak with answers that end with their connections. It guards against
@@ -52,6 +53,10 @@
 	software bool
 	// crashingParts has callers send requests with a prompt part that crashes engines.
 	crashingParts bool
+	// silences has replicas fall silent and go on, beside the other faults.
+	silences bool
+	// planned has planned work alone take place: versions, reloads and shutdowns.
+	planned bool
 }
 
 // soak makes the run of one seed with the given options.
@@ -86,6 +91,9 @@
 	if options.software {
 		c.checkSoftware()
 	}
+	if options.planned {
+		c.checkSilence()
+	}
 	counts := c.counts()
 	total := 0
 	for _, n := range counts {
