Request log: cause, limit and versions of an answer that is cut off

A cut answer had the line of a refusal and named neither the limit that ended it, nor whose limit it was, nor how long the target had been silent, nor the configuration versions at the beginning and the end of the request, so the hypotheses of the incident could not be told apart.

Added: `request: Answer was cut off.` with these fields, and walnut_requestlog_cut_answers_total by cause. No logic is changed.

--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -159,6 +159,9 @@
 		}
 		length := len(s.buffer)
 		n, err := s.source.Read(s.buffer[length:cap(s.buffer)])
+		if n > 0 {
+			s.ex.MarkTargetHeard()
+		}
 		s.buffer = s.buffer[:length+n]
 		s.scanner.Scan(s.buffer[length:])
 		s.sourceErr = err
--- a/filters/relay/body.go
+++ b/filters/relay/body.go
@@ -46,6 +46,9 @@
 	}
 	if b.sourceErr == nil {
 		n, err := b.source.Read(p)
+		if n > 0 {
+			b.ex.MarkTargetHeard()
+		}
 		b.offset += int64(n)
 		b.sourceErr = err
 		if n > 0 || err == nil {
--- a/filters/requestlog/requestlog.go
+++ b/filters/requestlog/requestlog.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/time/rate"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 )
@@ -31,11 +32,14 @@
 type Filter struct {
 	log      *slog.Logger
 	warnings *rate.Limiter
+	// inForce returns the configuration in force.
+	inForce func() *config.Snapshot
 }
 
-// New returns a filter that writes to log.
-func New(log *slog.Logger) *Filter {
-	return &Filter{log: log, warnings: rate.NewLimiter(warningsPerSecond, warningsBurst)}
+// New returns a filter that writes to log. inForce returns the configuration in force, nil if there
+// is none.
+func New(log *slog.Logger, inForce func() *config.Snapshot) *Filter {
+	return &Filter{log: log, warnings: rate.NewLimiter(warningsPerSecond, warningsBurst), inForce: inForce}
 }
 
 // Name implements pipeline.Filter.
@@ -54,27 +58,37 @@
 // request's context may have ended.
 func (f *Filter) logEnd(ex *pipeline.Exchange, err error) {
 	ctx := context.Background()
-	took := slog.Duration("took", time.Since(ex.Arrived))
+	now := time.Now()
+	took := slog.Duration("took", now.Sub(ex.Arrived))
 	if err == nil {
 		pipeline.Log(ctx, f.log, slog.LevelInfo, ex, "request: Answered.", slog.Int("status", ex.Status), slog.Duration("began", ex.TimeToAnswer()), took)
 		return
 	}
+	var cut []slog.Attr
+	if isCut(ex, err) {
+		cause := cutCauseOf(ex, err, now)
+		cutCounters[cause].Inc()
+		cut = f.cutAttrs(ex, cause, now)
+	}
 	var refusal *result.Error
 	if !errors.As(err, &refusal) {
-		pipeline.Log(ctx, f.log, slog.LevelInfo, ex, "request: Answer did not reach the caller.", took, slog.Any("error", err))
+		pipeline.Log(ctx, f.log, slog.LevelInfo, ex, "request: Answer did not reach the caller.", append(cut, took, slog.Any("error", err))...)
 		return
 	}
 	level, message := levelAndMessage(refusal.Code)
+	if cut != nil {
+		message = "request: Answer was cut off."
+	}
 	if level >= slog.LevelWarn && !f.warnings.Allow() {
 		demotedCount.Inc()
 		level = slog.LevelDebug
 	}
-	attrs := []slog.Attr{
+	attrs := append(cut,
 		slog.Int("code", int(refusal.Code)),
 		slog.String("reason", refusal.Code.Info().Name),
 		slog.String("ran", refusal.Ran.String()),
 		took,
-	}
+	)
 	attrs = append(attrs, versionAttrs(ex, refusal.Code)...)
 	pipeline.Log(ctx, f.log, level, ex, message, append(attrs, slog.Any("error", err))...)
 }
--- a/filters/requestlog/requestlog_test.go
+++ b/filters/requestlog/requestlog_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"log/slog"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -41,7 +44,7 @@
 
 func newFilter(level slog.Level) (*Filter, *bytes.Buffer) {
 	var out bytes.Buffer
-	return New(slog.New(slog.NewJSONHandler(&out, &slog.HandlerOptions{Level: level}))), &out
+	return New(slog.New(slog.NewJSONHandler(&out, &slog.HandlerOptions{Level: level})), nil), &out
 }
 
 func TestEachOutcomeIsLogged(t *testing.T) {
@@ -105,3 +108,59 @@
 		t.Errorf("got %v", line)
 	}
 }
+
+// TestCutAnswerIsLoggedWithItsCause guards against an answer that ends early without a trace of why:
+// by which limit, of which configuration version, or how long after the target was last heard.
+func TestCutAnswerIsLoggedWithItsCause(t *testing.T) {
+	ended, end := context.WithCancel(context.Background())
+	end()
+	gone := make(chan struct{})
+	close(gone)
+	slow := result.New(result.AnswerTooSlow, "Slow.")
+	for _, c := range []struct {
+		cause cutCause
+		err   error
+		ex    *pipeline.Exchange
+		left  time.Duration
+	}{
+		{cause: cutTargetSilent, err: slow, left: time.Hour},
+		{cause: cutCallerDeadline, err: slow, left: -time.Millisecond},
+		{cause: cutRouteLimit, err: slow, left: -time.Millisecond, ex: &pipeline.Exchange{LimitedByRoute: true}},
+		{cause: cutTargetBroke, err: result.New(result.StreamBroken, "Reset."), left: time.Hour},
+		{cause: cutMemory, err: result.New(result.AnswerBytesFull, "Full."), left: time.Hour},
+		{cause: cutExecutorLost, err: result.New(result.ExecutorLost, "Lost."), left: time.Hour},
+		{cause: cutCallerGone, err: slow, left: time.Hour, ex: &pipeline.Exchange{CallerGone: gone}},
+		{cause: cutCallerGone, err: errors.New("connection reset"), left: time.Hour},
+		{cause: cutCallerStalled, err: os.ErrDeadlineExceeded, left: time.Hour},
+		{cause: cutShutdown, err: slow, left: time.Hour, ex: &pipeline.Exchange{ServingContext: ended}},
+		{cause: cutOther, err: result.New(result.Internal, "Fault."), left: time.Hour},
+	} {
+		var out bytes.Buffer
+		f := New(slog.New(slog.NewJSONHandler(&out, nil)), func() *config.Snapshot { return &config.Snapshot{Version: 8} })
+		ex := cmp.Or(c.ex, &pipeline.Exchange{})
+		ex.Arrived, ex.Deadline = time.Now().Add(-time.Second), time.Now().Add(c.left)
+		ex.Snapshot, ex.AnswerStream = &config.Snapshot{Version: 5}, io.NopCloser(strings.NewReader(""))
+		ex.MarkTargetHeard()
+		before := cutCounters[c.cause].Get()
+		f.logEnd(ex, c.err)
+		var line map[string]any
+		if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+			t.Fatal(err)
+		}
+		if line["cause"] != string(c.cause) || line["version"] != 5.0 || line["version_now"] != 8.0 || line["silent"] == nil || line["left"] == nil {
+			t.Errorf("%s: logged %v", c.cause, line)
+		}
+		if cutCounters[c.cause].Get() != before+1 {
+			t.Errorf("%s: not counted", c.cause)
+		}
+	}
+}
+
+// TestRefusalIsNoCutAnswer guards against counting refusals, which callers get whole, as cut answers.
+func TestRefusalIsNoCutAnswer(t *testing.T) {
+	for _, err := range []error{result.New(result.Overloaded, "Busy."), pipeline.ErrRefusedAtDeadline} {
+		if isCut(&pipeline.Exchange{}, err) {
+			t.Errorf("%v counts as a cut answer", err)
+		}
+	}
+}
--- a/filters/route/route.go
+++ b/filters/route/route.go
@@ -149,6 +149,7 @@
 	allowed := f.options.DefaultDeadline
 	if limit := ex.Route.Timeout(); limit > 0 {
 		allowed = limit
+		ex.LimitedByRoute = true
 	}
 	if text := ex.Header[f.options.Dialect.Deadline]; text != "" {
 		millis, err := strconv.ParseFloat(text, 64)
@@ -156,7 +157,10 @@
 			return result.New(result.BadHeader, "The deadline is not a number of milliseconds.")
 		}
 		requested := time.Duration(min(millis, float64(maxDeadline.Milliseconds()))) * time.Millisecond
-		allowed = min(allowed, requested)
+		if requested < allowed {
+			allowed = requested
+			ex.LimitedByRoute = false
+		}
 	}
 	if f.options.Lag != nil {
 		allowed -= min(f.options.Lag(), allowed/lagShareDivisor)
--- a/front/conn.go
+++ b/front/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/walnutcove/walnutcove/pipeline"
 )
 
 // Limits for discarding the rest of a refused request; see callerConn.Close.
@@ -168,7 +170,7 @@
 // answer as a whole may take any time.
 func (c *callerConn) Write(b []byte) (int, error) {
 	if c.writeEnded.Load() {
-		return 0, errRefusedAtDeadline
+		return 0, pipeline.ErrRefusedAtDeadline
 	}
 	n, err := c.writeWhileRead(b)
 	if err != nil && c.writeErr == nil {
--- a/front/endby.go
+++ b/front/endby.go
@@ -3,16 +3,13 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
 	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
-)
 
-// errRefusedAtDeadline ends an exchange whose caller was refused at its deadline
-// while the exchange was still running.
-var errRefusedAtDeadline = errors.New("front: the caller was already refused at its deadline")
+	"github.com/walnutcove/walnutcove/pipeline"
+)
 
 // Values of request.answerOwner.
 const (
@@ -82,7 +79,7 @@
 // discardAnswer ends an exchange whose caller has been refused. An answer that is still being
 // streamed is read to its end, so that the target's run is not cut off.
 func (r *request) discardAnswer() {
-	r.err = errRefusedAtDeadline
+	r.err = pipeline.ErrRefusedAtDeadline
 	if stream := r.ex.AnswerStream; stream != nil {
 		_, _ = io.Copy(io.Discard, stream) // the relay reports how the run ended
 		_ = stream.Close()
--- a/front/endby_test.go
+++ b/front/endby_test.go
@@ -48,7 +48,7 @@
 	if !<-refusedFirst {
 		t.Error("the exchange was not told that its caller had been refused")
 	}
-	if err := <-f.ends; !errors.Is(err, errRefusedAtDeadline) {
+	if err := <-f.ends; !errors.Is(err, pipeline.ErrRefusedAtDeadline) {
 		t.Errorf("ended with %v", err)
 	}
 }
--- a/front/executor_test.go
+++ b/front/executor_test.go
@@ -299,7 +299,7 @@
 	if !<-refusedFirst {
 		t.Error("the exchange was not told that its caller had been refused")
 	}
-	if err := f.end(); !errors.Is(err, errRefusedAtDeadline) {
+	if err := f.end(); !errors.Is(err, pipeline.ErrRefusedAtDeadline) {
 		t.Errorf("ended with %v", err)
 	}
 }
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"slices"
 	"sync"
@@ -17,6 +18,10 @@
 	"github.com/walnutcove/walnutcove/targets"
 )
 
+// ErrRefusedAtDeadline ends an exchange whose caller got a refusal at its deadline while the exchange
+// was still running; see Exchange.EndBy.
+var ErrRefusedAtDeadline = errors.New("pipeline: the caller was already refused at its deadline")
+
 // Run is a granted slot of a target.
 type Run interface {
 	// Begin reports that the target has begun to answer, so that it has finished
@@ -92,6 +97,7 @@
 	IdempotencyKey string
 	CostHint       time.Duration // expected slot time; zero if the caller gave none
 	Deadline       time.Time     // never zero
+	LimitedByRoute bool          // Deadline is the route's time limit, not the caller's
 	PrefixHash     uint64        // hash of the beginning of the prompt; zero if none
 	Fingerprint    uint64        // hash of workspace, path and body
 
@@ -149,6 +155,7 @@
 	BeforeDispatch []func() error
 
 	timeToAnswer atomic.Int64 // nanoseconds from arrival to the beginning of the answer
+	targetHeard  atomic.Int64 // nanoseconds from arrival to the latest bytes of the target
 	sendState    atomic.Int32 // see BeginSend
 	endOnce      sync.Once
 	mu           sync.Mutex
@@ -199,6 +206,19 @@
 // answer; zero if no answer has begun.
 func (ex *Exchange) TimeToAnswer() time.Duration { return time.Duration(ex.timeToAnswer.Load()) }
 
+// MarkTargetHeard records that bytes of the target's answer have arrived.
+func (ex *Exchange) MarkTargetHeard() { ex.targetHeard.Store(int64(max(1, time.Since(ex.Arrived)))) }
+
+// TargetSilence returns how long before a time the latest bytes of the target's answer arrived; zero
+// if none have.
+func (ex *Exchange) TargetSilence(at time.Time) time.Duration {
+	heard := time.Duration(ex.targetHeard.Load())
+	if heard == 0 {
+		return 0
+	}
+	return at.Sub(ex.Arrived) - heard
+}
+
 // OnEnd adds a function that runs once, when the answer has been sent completely
 // (nil error), has broken off, or the request was refused. Functions run in reverse
 // order of their addition.
--- a/router/pipeline.go
+++ b/router/pipeline.go
@@ -21,7 +21,7 @@
 	limits := r.settings.Limits
 	answerRelay := &relay.Relay{Client: r.targets, Request: dispatch.Request, Log: r.log}
 	return pipeline.Chain(
-		requestlog.New(r.log),
+		requestlog.New(r.log, r.InForce),
 		ready.New(r),
 		keys,
 		classify.New(classify.Options{DefaultDeadline: time.Duration(limits.DefaultDeadline)}),
--- a/router/routed.go
+++ b/router/routed.go
@@ -34,7 +34,7 @@
 	}
 	answers.events.Reopen = r.streamReopener(grantFilter, retries)
 	return pipeline.Chain(
-		requestlog.New(r.log),
+		requestlog.New(r.log, r.InForce),
 		ready.New(alwaysServing{r}),
 		route.New(route.Options{
 			Source:          r,
