Managed test: streams of a silent target are cut (known red)

Callers lose the rest of a stream whose target is silent for 1.8 s and goes on: with one engine 6 of 6 are cut, with two engines and an empty retry budget 3 of 6 (one silent) and 6 of 6 (both silent); with two silent engines and a full budget none.

--- /dev/null
+++ b/managedtest/silence_test.go
@@ -0,0 +1,98 @@
+package managedtest
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/platform/wire"
+	"github.com/walnutcove/walnutcove/standin/managed"
+)
+
+const (
+	// silentAfter is how long after the first request the targets fall silent. Streams last longer.
+	silentAfter = 400 * time.Millisecond
+	// silence is for how long they do: longer than the router waits before it asks for another
+	// target, and shorter than callers wait.
+	silence = 1800 * time.Millisecond
+	// noSlack leaves the retry budget nothing but its part of the few requests sent.
+	noSlack = 0.001
+)
+
+// slowStreams returns a replica whose streams last for about a second.
+func slowStreams(id string) managed.ReplicaOptions {
+	options := genReplica(id)
+	options.Pause = 120 * time.Millisecond
+	return options
+}
+
+// withShortPauses declares a short pause between events as on time: a router waits for a multiple of
+// it before it asks for another target.
+func withShortPauses(c *wire.Config) {
+	for n := range c.Routes {
+		c.Routes[n].EventPause = 250
+	}
+}
+
+// sendWhileSilent sends requests on a path, has some replicas fall silent meanwhile and publishes
+// a version of the configuration then. It returns the answers.
+func (f *fleet) sendWhileSilent(path string, requests int, silent []*managed.Replica, edit func(*wire.Config)) []managed.Answer {
+	f.t.Helper()
+	answers := make([]managed.Answer, requests)
+	var callers sync.WaitGroup
+	for n := range answers {
+		callers.Go(func() { answers[n] = f.send(f.routers[n%len(f.routers)], path) })
+	}
+	time.Sleep(silentAfter)
+	for _, r := range silent {
+		r.FallSilent(silence)
+	}
+	f.publishConfig(edit)
+	callers.Wait()
+	return answers
+}
+
+// checkAllWhole checks that each answer is the whole one of its own request.
+func (f *fleet) checkAllWhole(answers []managed.Answer, want func(id string) string) {
+	f.t.Helper()
+	bad := 0
+	for n, got := range answers {
+		if got.Status == http.StatusOK && got.Complete && got.Body == want(got.ID) {
+			continue
+		}
+		bad++
+		f.t.Logf("%s: status %d, complete %v, %d of %d bytes: %v", got.ID, got.Status, got.Complete, len(got.Body), len(want(got.ID)),
+			f.logs[n%len(f.routers)].linesWith("request="+got.ID+" "))
+	}
+	if bad > 0 {
+		f.t.Errorf("%d of %d answers were cut or refused", bad, len(answers))
+	}
+}
+
+// TestStreamOfASilentTargetIsNotCut guards against a stream that is cut because its target was
+// silent for a time, where no other target could take it over.
+func TestStreamOfASilentTargetIsNotCut(t *testing.T) {
+	for _, c := range []struct {
+		engines, silent int
+		slack           float64
+	}{
+		{engines: 1, silent: 1, slack: unlimitedSlack},
+		{engines: 2, silent: 1, slack: noSlack},
+		{engines: 2, silent: 2, slack: noSlack},
+		{engines: 2, silent: 2, slack: unlimitedSlack},
+	} {
+		t.Run(fmt.Sprintf("%d of %d, slack %v", c.silent, c.engines, c.slack), func(t *testing.T) {
+			t.Parallel()
+			var engines []managed.ReplicaOptions
+			for n := range c.engines {
+				engines = append(engines, slowStreams(fmt.Sprintf("g%d", n+1)))
+			}
+			f := startSettledFleet(t, c.slack, 2, engines...)
+			f.publishConfig(withShortPauses)
+			f.awaitVersion()
+			f.checkAllWhole(f.sendWhileSilent(pathStream, 6, f.replicas[:c.silent], withShortPauses), expectedStream)
+		})
+	}
+}
