A silent target is kept until another one has begun to answer

Callers saw streams end in the middle, and idempotent requests refused with 502, because a sound target had been silent for 1.2 s or more.

Cause: what may run again had a limit on its target's silence. At the limit the call was closed first, and only then another target was asked for. Where none could be had (attempts, retry budget, capacity, a refused grant), the answer was cut although the first target would have gone on.

Change: at the limit another target is asked for beside the first (package filters/hedge). Whoever sends something first continues the answer, and the other call is cancelled; without another target the request waits to its own deadline. The retry is charged right before the second request is sent. Only attempts that may have run count towards the route's attempts. A cancellation names its attempt, so that withdrawing the second does not free the slot of the first. The scheduler hears of the silence (PhaseSilent) and lets the target rest as before, but no longer takes its runs as lost: silence is no evidence of a crash, for the target's cache or for prompt parts.

--- a/control/entry.go
+++ b/control/entry.go
@@ -242,10 +242,10 @@
 }
 
 func (m *Machine) requestCancelled(ev RequestCancelled) {
-	if r := m.entry.requests[ev.Request]; r != nil {
+	if r := m.entry.requests[ev.Request]; r != nil && r.ev.Attempt == ev.Attempt {
 		m.withdrawRequest(r)
 	}
-	if run := m.entry.latestRun[ev.Request]; run != nil {
+	if run := m.entry.latestRun[ev.Request]; run != nil && run.attempt == ev.Attempt {
 		// The grant and the cancellation crossed: no one has used the grant.
 		m.endRun(run, OutcomeNotRun, 0)
 	}
--- a/control/events.go
+++ b/control/events.go
@@ -60,9 +60,12 @@
 	Tokens int
 }
 
-// RequestCancelled reports that the caller disconnected or that the request was settled
-// before dispatch. Its slot or queue position is released.
-type RequestCancelled struct{ Request RequestID }
+// RequestCancelled reports that the caller disconnected, or that the attempt was settled or is not
+// needed any more, before dispatch. The attempt's slot or queue position is released.
+type RequestCancelled struct {
+	Request RequestID
+	Attempt uint32
+}
 
 // Outcome is the way in which a run ended.
 type Outcome int
@@ -105,6 +108,10 @@
 	LoadAge time.Duration
 }
 
+// RunSilent reports that the target of a run has sent nothing for so long that another one is asked
+// for. The run continues.
+type RunSilent struct{ Grant GrantID }
+
 // RunOverdue reports that the target of a run has not begun to answer although the request's
 // deadline, which it was told, has passed.
 type RunOverdue struct{ Grant GrantID }
@@ -199,6 +206,7 @@
 func (ConfigChanged) isEvent()         {}
 func (RequestArrived) isEvent()        {}
 func (RequestCancelled) isEvent()      {}
+func (RunSilent) isEvent()             {}
 func (RunBegan) isEvent()              {}
 func (RunOverdue) isEvent()            {}
 func (RunEnded) isEvent()              {}
--- a/control/machine.go
+++ b/control/machine.go
@@ -151,6 +151,8 @@
 	case RunBegan:
 		m.setRunLoad(ev.Grant, ev.Load, ev.LoadAge)
 		m.runBegan(ev)
+	case RunSilent:
+		m.runSilent(ev)
 	case RunOverdue:
 		m.runOverdue(ev)
 	case RunEnded:
--- a/control/messages.go
+++ b/control/messages.go
@@ -95,6 +95,9 @@
 	// PhaseOverdue: like PhaseRunning, for a run whose target has not begun to answer although
 	// the request's deadline has passed. The answer may have been lost.
 	PhaseOverdue
+	// PhaseSilent: like PhaseRunning, for a run whose target has sent nothing for so long that
+	// another one is asked for. Sent once for each such silence.
+	PhaseSilent
 )
 
 // Report informs the scheduler of a shard about a run under a grant. PhaseEnded is sent
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -72,7 +72,7 @@
 	if r.done || r.dispatches > 0 || n.inc != r.inc || !n.up || n.paused {
 		return
 	}
-	c.step(n, RequestCancelled{Request: r.id})
+	c.step(n, RequestCancelled{Request: r.id, Attempt: 1})
 	if !r.done { // the step may have ended it at its deadline
 		c.finishRequest(r, "cancelled")
 	}
--- a/control/release.go
+++ b/control/release.go
@@ -36,6 +36,8 @@
 		m.runBeganReported(g, r.Service)
 	case PhaseOverdue:
 		g.target.addOverdue(g)
+	case PhaseSilent:
+		m.targetFailed(g.target, false, "silent")
 	}
 }
 
--- a/control/runs.go
+++ b/control/runs.go
@@ -182,6 +182,12 @@
 	}
 }
 
+func (m *Machine) runSilent(ev RunSilent) {
+	if run := m.entry.runs[ev.Grant]; run != nil {
+		m.reportRunning(run, run.report(m.now, PhaseSilent))
+	}
+}
+
 func (m *Machine) runOverdue(ev RunOverdue) {
 	if run := m.entry.runs[ev.Grant]; run != nil {
 		run.overdue = true
--- a/control/script_test.go
+++ b/control/script_test.go
@@ -98,7 +98,9 @@
 		}
 		s.step(operand, ev)
 	case "cancel":
-		s.step(operand, RequestCancelled{Request: request})
+		s.step(operand, RequestCancelled{Request: request, Attempt: attempt})
+	case "silent":
+		s.step(operand, RunSilent{Grant: s.grants[fmt.Sprintf("%s/%d", operand, request)]})
 	case "end":
 		outcome := map[string]Outcome{"answered": OutcomeAnswered, "lost": OutcomeLost, "not-run": OutcomeNotRun, "unreachable": OutcomeUnreachable, "refused": OutcomeRefused}[arg("outcome", "answered")]
 		s.step(operand, RunEnded{Request: request, Grant: s.grants[fmt.Sprintf("%s/%d", operand, request)], Outcome: outcome, Service: duration("service", "1s")})
@@ -292,6 +294,9 @@
 		if msg.Phase == PhaseRunning {
 			return "running " + grantName(msg.Grant)
 		}
+		if msg.Phase == PhaseSilent {
+			return fmt.Sprintf("silent %s", grantName(msg.Grant))
+		}
 		return fmt.Sprintf("ended %s, outcome %d", grantName(msg.Grant), msg.Outcome)
 	case ReportAck:
 		return "ack " + grantName(msg.Grant)
--- a/control/target_test.go
+++ b/control/target_test.go
@@ -132,3 +132,24 @@
 		t.Errorf("%d slots of overdue runs were freed, want 5", freed)
 	}
 }
+
+// TestSilentTargetRestsAndIsNotLost guards against a silent target that still gets requests, and against
+// one that is taken for crashed although it continues.
+func TestSilentTargetRestsAndIsNotLost(t *testing.T) {
+	f := newHungRunFleet()
+	runs := append(f.arrive(), f.arrive()...)
+	for _, silent := range runs {
+		f.machine.Step(f.now, RunSilent{Grant: silent.Grant})
+	}
+	probes := append(f.arrive(), f.arrive()...)
+	if probes = append(probes, f.wait(minBackoff+time.Second)...); len(probes) != 1 {
+		t.Fatalf("%d runs right after the silence, want one probe", len(probes))
+	}
+	f.end(runs[0], OutcomeAnswered)
+	if first := f.arrive(); len(first) != 1 {
+		t.Error("the target gets no further requests although it continued")
+	}
+	if status := f.machine.Status(); status.Running < 2 {
+		t.Errorf("%d runs are left, the silent one is not among them", status.Running)
+	}
+}
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/control/speed"
+	"github.com/walnutcove/walnutcove/filters/hedge"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/result/codecounter"
@@ -45,16 +46,15 @@
 	Relay func(ctx context.Context, ex *pipeline.Exchange, answer *targets.Response) error
 	// FirstByteTimeout bounds the wait for the answer's header.
 	FirstByteTimeout time.Duration
+	// Hedge sends an idempotent request to another target while the first one is silent; nil
+	// means that it waits for the first one.
+	Hedge hedge.Opener
 	// Lag returns by how much this process lags behind; nil means that it never lags.
 	Lag func() time.Duration
 	// Log gets a debug line for each answer that begins.
 	Log *slog.Logger
 }
 
-// lagTimeoutFactor is how many times the router's own lag is added to the time that a
-// target may be silent: an answer waits several times on its way through a busy router.
-const lagTimeoutFactor = 10
-
 // Name implements pipeline.Filter.
 func (f *Filter) Name() string { return "dispatch" }
 
@@ -111,12 +111,22 @@
 	callCtx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(f.FirstByteTimeout, cancel)
 	request := Request(ex, 0)
-	request.FirstByteTimeout = f.firstByteTimeout(ex)
+	request.FirstByteTimeout = f.FirstByteTimeout
+	watch := f.watchSilence(ctx, ex)
+	watch.Begin(cancel)
 	answer, err := f.Client.Do(callCtx, request)
+	other := watch.End(err != nil)
+	watch.Stop()
 	if reading := targets.LoadOf(answer, err); reading != (speed.Reading{}) {
 		ex.Run.SetLoad(reading)
 	}
 	timedOut := !timer.Stop()
+	if other != nil {
+		f.replace(ex, other, answer, err)
+		cancel()
+		return other.Response, nil
+	}
+	watch.Account()
 	if err == nil && timedOut {
 		answer.Body.Close()
 		err = result.New(result.FirstByteTimeout, "The target did not answer within %s.", f.FirstByteTimeout)
@@ -159,44 +169,40 @@
 		if !ex.OutlivesCaller() {
 			request.OnCallerGone = ex.OnCallerGone
 		}
-		if ex.Stream && ex.Idempotent {
-			request.StallTimeout = stallLimit(ex)
-		}
+		// Silence alone ends no answer: the deadline does.
+		request.StallTimeout = max(time.Until(ex.Deadline), time.Millisecond)
 	}
 	return request
 }
 
-const (
-	// minStallLimit is the shortest silence of a target after which an idempotent
-	// request moves to another one. Targets under load pause for a few hundred
-	// milliseconds; callers give up on a silent stream after two seconds or more.
-	minStallLimit = 1200 * time.Millisecond
-	// stallPauseFactor allows a silence of at least this many times the longest pause
-	// that the route still counts as on time.
-	stallPauseFactor = 4
-	// stallStartFactor adds this many predicted start times to minStallLimit:
-	// predictions are rarely wrong by a larger factor.
-	stallStartFactor = 3
-)
-
-// stallLimit returns how long a target may be silent before an idempotent request is
-// moved to another one.
-func stallLimit(ex *pipeline.Exchange) time.Duration {
-	pauses := stallPauseFactor * time.Duration(ex.Route.PauseMillis) * time.Millisecond
-	return max(minStallLimit+stallStartFactor*ex.Placement.PredictedStart, pauses)
+// watchSilence begins to watch how long the target is silent, if the request may run on another one.
+func (f *Filter) watchSilence(ctx context.Context, ex *pipeline.Exchange) *hedge.Watch {
+	if f.Hedge == nil || ex.Route == nil || !ex.Idempotent {
+		return nil
+	}
+	return hedge.New(ctx, ex, hedge.Options{
+		Open:  f.Hedge,
+		Limit: func() time.Duration { return hedge.SilenceLimit(ex, f.Lag) },
+		Log:   f.Log,
+	})
 }
 
-// firstByteTimeout returns the limit of the wait for the answer's header. A request
-// that may still be retried on another target waits no longer than a target may be silent.
-func (f *Filter) firstByteTimeout(ex *pipeline.Exchange) time.Duration {
-	if ex.Route == nil || !ex.Idempotent || ex.Attempt >= ex.Route.Attempts {
-		return f.FirstByteTimeout
+// replace makes another target that of the exchange, in place of the one that answered with answer or
+// failed with err.
+func (f *Filter) replace(ex *pipeline.Exchange, other *hedge.Answer, answer *targets.Response, err error) {
+	outcome := control.OutcomeCancelled
+	if !other.Interrupted {
+		refusal := toResultError(err)
+		refusals.Inc(refusal.Code)
+		outcome = OutcomeOf(refusal)
 	}
-	limit := stallLimit(ex)
-	if f.Lag != nil {
-		limit += lagTimeoutFactor * f.Lag()
+	if answer != nil {
+		_ = answer.Body.Close()
 	}
-	return min(f.FirstByteTimeout, limit)
+	ex.Run.End(outcome)
+	former := ex.Target
+	ex.Adopt(other.Attempt)
+	pipeline.Log(context.Background(), f.Log, slog.LevelWarn, ex, "dispatch: Another target answered first.", slog.String("silent_target", former), slog.Any("error", err))
 }
 
 // checkBeforeDispatch runs the last checks before any byte is written to the target.
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -45,6 +45,9 @@
 // Overdue implements pipeline.Run.
 func (e *recordedRun) Overdue() {}
 
+// Silent implements pipeline.Run.
+func (e *recordedRun) Silent() {}
+
 // SetLoad implements pipeline.Run.
 func (e *recordedRun) SetLoad(reading speed.Reading) { e.loads = append(e.loads, reading) }
 
@@ -206,6 +209,9 @@
 // Overdue implements pipeline.Run.
 func (r signallingRun) Overdue() { close(r) }
 
+// Silent implements pipeline.Run.
+func (signallingRun) Silent() {}
+
 // SetLoad implements pipeline.Run.
 func (signallingRun) SetLoad(speed.Reading) {}
 
--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -1,7 +1,7 @@
 // Package events relays event streams, in place of package relay, on routes of kind
-// stream. It passes complete events to the caller as they arrive. If a target breaks off
-// and the route allows it, the stream resumes after the last complete event on another
-// target of the same software version:
+// stream. It passes complete events to the caller as they arrive. If a target breaks off,
+// or is silent until another one has begun to answer, and the route allows it, the stream
+// resumes after the last complete event on the other target, of the same software version:
 //
 //	[routes.rewrite]
 //	kind = "stream"
@@ -22,6 +22,7 @@
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/eventstream"
+	"github.com/walnutcove/walnutcove/filters/hedge"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/targets"
 )
@@ -46,14 +47,11 @@
 	callerGoneCount   = metrics.GetOrCreateCounter(`walnut_events_streams_total{result="caller_gone"}`)
 )
 
-// Reopen runs the exchange again on another target, starting after ex.LastEventID.
-// It sets ex.Run.
-type Reopen func(ctx context.Context, ex *pipeline.Exchange) (*targets.Response, error)
-
 // Relay relays the event streams of targets to callers.
 type Relay struct {
-	// Reopen resumes broken streams; nil means that they are not resumed.
-	Reopen Reopen
+	// Reopen resumes streams on another target, starting after the attempt's LastEventID; nil
+	// means that they are not resumed.
+	Reopen hedge.Opener
 	// Began is called when the first event of a stream that may be resumed has arrived,
 	// before the caller gets it; may be nil.
 	Began func(ex *pipeline.Exchange)
@@ -68,9 +66,12 @@
 // If it returns an error, the caller has received nothing, so the request may be
 // run again if its route allows that.
 func (r *Relay) Answer(ctx context.Context, ex *pipeline.Exchange, answer *targets.Response) error {
-	s := &stream{ctx: ctx, relay: r, ex: ex, run: ex.Run, buffer: make([]byte, 0, minBufferBytes)}
+	s := &stream{ctx: ctx, relay: r, ex: ex, run: ex.Run, response: answer, buffer: make([]byte, 0, minBufferBytes)}
 	s.setSource(answer.Body)
+	s.watchSilence()
 	if err := s.fill(); err != nil && err != io.EOF {
+		s.watch.Stop()
+		s.watch.Account()
 		s.source.Close()
 		s.end(err)
 		return err
@@ -81,26 +82,45 @@
 	if r.Began != nil && ex.Route.Resumes {
 		r.Began(ex)
 	}
-	ex.Status = answer.Status
-	ex.AnswerHeader = answer.Header
+	ex.Status = s.response.Status
+	ex.AnswerHeader = s.response.Header
 	ex.AnswerStream = s
 	return nil
 }
 
+// watchSilence begins to watch how long the target is silent, if the stream may be resumed.
+func (s *stream) watchSilence() {
+	if !s.canResume() {
+		return
+	}
+	s.watch = hedge.New(s.ctx, s.ex, hedge.Options{
+		Open:    s.relay.Reopen,
+		Limit:   func() time.Duration { return hedge.SilenceLimit(s.ex, s.relay.Lag) },
+		Allowed: s.mayResume,
+		Log:     s.relay.Log,
+	})
+}
+
 // stream is an event stream that is being relayed to the caller. Read and Close may
 // be called from different goroutines; Read from one at a time.
 type stream struct {
-	ctx    context.Context
-	relay  *Relay
-	ex     *pipeline.Exchange
-	run    pipeline.Run
-	source io.ReadCloser
+	ctx   context.Context
+	relay *Relay
+	ex    *pipeline.Exchange
+	run   pipeline.Run
+	// response is the target's answer, and source its body.
+	response *targets.Response
+	source   io.ReadCloser
+	// watch asks for another target while this one is silent; nil if the stream cannot be resumed.
+	watch *hedge.Watch
 	// prefetcher is the source if events are gathered for GatherEvents; else nil.
 	prefetcher *prefetcher
 	// buffer holds the bytes that have arrived and were not returned by Read yet. Its
 	// first readyBytes bytes may be returned: they are complete events.
 	buffer     []byte
 	readyBytes int
+	// anyReady reports whether any bytes were ready yet.
+	anyReady bool
 	// scanner follows the source, and passedBytes is how many of the source's bytes were
 	// returned by Read.
 	scanner     eventstream.Scanner
@@ -134,6 +154,7 @@
 			continue
 		}
 		if err == io.EOF || !s.resume(err) {
+			s.watch.Stop()
 			return 0, s.end(err)
 		}
 	}
@@ -153,12 +174,17 @@
 		}
 		if len(s.buffer) == cap(s.buffer) && !s.grow() {
 			splitCount.Inc()
-			s.readyBytes = len(s.buffer)
+			s.readyBytes, s.anyReady = len(s.buffer), true
 			s.recordLastID()
 			return nil
 		}
 		length := len(s.buffer)
+		s.watch.Begin(s.closeSource)
 		n, err := s.source.Read(s.buffer[length:cap(s.buffer)])
+		if other := s.watch.End(err != nil && err != io.EOF); other != nil {
+			s.continueOn(other, err)
+			continue
+		}
 		if n > 0 {
 			s.ex.MarkTargetHeard()
 		}
@@ -166,6 +192,7 @@
 		s.scanner.Scan(s.buffer[length:])
 		s.sourceErr = err
 		s.markReady(err == io.EOF)
+		s.anyReady = s.anyReady || s.readyBytes > 0
 		s.recordLastID()
 	}
 	return nil
@@ -221,34 +248,66 @@
 	return id
 }
 
-// resume continues the stream on another target after the last complete event, and
-// reports whether that succeeded. A partly received event is discarded, because the
-// other target sends it completely.
+// mayResume reports whether another target may continue the stream now. A stream of which nothing
+// was relayed yet is begun again there.
+func (s *stream) mayResume() bool {
+	return s.canResume() && s.ctx.Err() == nil && !s.isInsideEvent() && (s.ex.LastEventID != "" || !s.anyReady)
+}
+
+// resume continues a stream that broke on another target after the last complete event, and reports
+// whether that succeeded.
 func (s *stream) resume(cause error) bool {
-	if !s.canResume() || s.ex.LastEventID == "" || s.ctx.Err() != nil || s.isInsideEvent() {
+	if !s.mayResume() || !s.anyReady {
 		return false
 	}
 	s.source.Close()
 	s.run.End(control.OutcomeLost)
-	broken := []slog.Attr{slog.Any("cause", cause), slog.String("broke_at", s.ex.Target), slog.String("broke_software", s.ex.TargetSoftware)}
-	answer, err := s.relay.Reopen(s.ctx, s.ex)
+	other, err := s.watch.Open()
 	if err != nil {
 		resumeFailedCount.Inc()
-		s.log("events: Stream broke and could not be resumed on another target.", append(broken, slog.Any("error", err))...)
+		s.log("events: Stream broke and could not be resumed on another target.", append(s.brokenAttrs(cause), slog.Any("error", err))...)
 		return false
 	}
+	s.continueOn(other, cause)
+	return true
+}
+
+// continueOn takes the answer of another target as the source; cause is why the former one ended. A
+// partly received event is discarded, because the other target sends it completely.
+func (s *stream) continueOn(other *hedge.Answer, cause error) {
+	broken := s.brokenAttrs(cause)
+	message := "events: Stream broke and was resumed on another target."
+	outcome := control.OutcomeLost
+	if other.Interrupted {
+		message = "events: Target was silent and the stream was resumed on another one."
+		outcome = control.OutcomeCancelled
+	}
+	s.source.Close()
+	s.run.End(outcome)
+	s.ex.Adopt(other.Attempt)
 	s.run = s.ex.Run
 	s.run.Begin()
-	s.setSource(answer.Body)
+	s.response = other.Response
+	s.setSource(other.Response.Body)
 	s.sourceErr = nil
 	s.scanner = eventstream.Scanner{}
 	s.passedBytes = 0
 	s.buffer = s.buffer[:0]
 	resumedCount.Inc()
-	s.log("events: Stream broke and was resumed on another target.", broken...)
-	return true
+	s.log(message, broken...)
 }
 
+// brokenAttrs describes the target that a stream leaves.
+func (s *stream) brokenAttrs(cause error) []slog.Attr {
+	return []slog.Attr{
+		slog.Any("cause", cause), slog.String("broke_at", s.ex.Target), slog.String("broke_software", s.ex.TargetSoftware),
+		slog.Duration("silent", s.ex.TargetSilence(time.Now())),
+	}
+}
+
+// closeSource ends a wait for the source.
+func (s *stream) closeSource() { _ = s.source.Close() }
+
 // isInsideEvent reports whether the caller has a part of an event that did not fit in the
 // buffer, so that no other stream can follow.
 func (s *stream) isInsideEvent() bool { return s.passedBytes > s.scanner.CompleteBytes() }
@@ -278,6 +337,7 @@
 
 // Close ends the run. If the stream has not ended, the run is cancelled.
 func (s *stream) Close() error {
+	s.watch.Stop()
 	err := s.source.Close()
 	s.endOnce.Do(func() {
 		callerGoneCount.Inc()
--- a/filters/events/events_test.go
+++ b/filters/events/events_test.go
@@ -61,6 +61,7 @@
 func relayBrokenFor(ex *pipeline.Exchange, read func(io.Reader) io.Reader, rest string, parts ...string) (o outcome) {
 	relay := &Relay{Log: slog.New(slog.DiscardHandler)}
 	relay.Reopen = func(_ context.Context, ex *pipeline.Exchange) (*targets.Response, error) {
+		ex.Run = noopRun{}
 		o.resumedAfter = append(o.resumedAfter, ex.LastEventID)
 		return &targets.Response{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader(rest))}, nil
 	}
--- a/filters/events/gather_test.go
+++ b/filters/events/gather_test.go
@@ -54,6 +54,7 @@
 
 func (noopRun) Begin()   {}
 func (noopRun) Overdue() {}
+func (noopRun) Silent()  {}
 
 func (noopRun) SetLoad(speed.Reading) {}
 
--- a/filters/relay/relay_test.go
+++ b/filters/relay/relay_test.go
@@ -66,6 +66,9 @@
 
 func (c *recordedRun) Overdue() {}
 
+// Silent implements pipeline.Run.
+func (c *recordedRun) Silent() {}
+
 func (c *recordedRun) SetLoad(speed.Reading) {}
 
 func (c *recordedRun) End(outcome control.Outcome) { c.outcomes = append(c.outcomes, outcome) }
--- a/filters/retry/budget.go
+++ b/filters/retry/budget.go
@@ -57,3 +57,11 @@
 	b.savedByWorkspace[workspace] = workspaceSaved - 1
 	return true
 }
+
+// hasRetry reports whether takeRetry would return true.
+func (b *savedBudget) hasRetry(_, workspace string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	workspaceSaved, isTracked := b.savedByWorkspace[workspace]
+	return b.saved >= 1 && (!isTracked || workspaceSaved >= 1)
+}
--- a/filters/retry/retry.go
+++ b/filters/retry/retry.go
@@ -51,6 +51,8 @@
 		recordRequest(pool, workspace string)
 		// takeRetry takes one retry. It returns false if none is left.
 		takeRetry(pool, workspace string) bool
+		// hasRetry reports whether takeRetry would return true.
+		hasRetry(pool, workspace string) bool
 	}
 }
 
@@ -71,7 +73,6 @@
 func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
 	f.budget.recordRequest(ex.PoolName, ex.WorkspaceName)
 	ran := result.RanNo
-	possibleRuns := 0 // attempts that may have run
 	for {
 		ex.Attempt++
 		err := next(ctx, ex)
@@ -90,9 +91,9 @@
 			return err
 		}
 		if refusal.Ran != result.RanNo {
-			possibleRuns++
+			ex.EarlierRuns++
 		}
-		if ex.Attempt >= maxAttempts || possibleRuns >= maxRuns(ex) || !time.Now().Before(ex.Deadline) {
+		if ex.Attempt >= maxAttempts || ex.EarlierRuns >= maxRuns(ex) || !time.Now().Before(ex.Deadline) {
 			return finalError(err)
 		}
 		// An attempt that was never sent put no load on any target, so its retry is free.
@@ -149,14 +150,25 @@
 	return ex.Route.Attempts
 }
 
-// TakeRetry takes a retry for a stream that is to resume on another target. It
-// returns false if none is left.
-func (f *Filter) TakeRetry(ex *pipeline.Exchange) bool {
-	if f.budget.takeRetry(ex.PoolName, ex.WorkspaceName) {
-		return true
+// CheckRetry returns an error if no retry is left for a request that is to be sent to another
+// target.
+func (f *Filter) CheckRetry(ex *pipeline.Exchange) error {
+	return f.errorUnless(f.budget.hasRetry(ex.PoolName, ex.WorkspaceName))
+}
+
+// TakeRetry takes a retry for such a request, right before it is sent. It returns an error if none
+// is left.
+func (f *Filter) TakeRetry(ex *pipeline.Exchange) error {
+	return f.errorUnless(f.budget.takeRetry(ex.PoolName, ex.WorkspaceName))
+}
+
+// errorUnless returns the error for a request without a retry, unless it has one.
+func (f *Filter) errorUnless(hasRetry bool) error {
+	if hasRetry {
+		return nil
 	}
 	refusals.Inc(result.RetryBudgetEmpty)
-	return false
+	return result.New(result.RetryBudgetEmpty, "Too many other requests are being retried.")
 }
 
 // logRetry logs a failed attempt that is followed by a retry.
--- a/filters/retry/window.go
+++ b/filters/retry/window.go
@@ -116,6 +116,26 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	p, b, period := w.currentBucket(pool, limits.Window)
+	if !w.allows(limits, p, period, workspace) {
+		return false
+	}
+	b.retries++
+	b.retriesByWorkspace[workspace]++
+	return true
+}
+
+// hasRetry reports whether takeRetry would return true.
+func (w *windowBudget) hasRetry(pool, workspace string) bool {
+	limits := w.limits()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p, _, period := w.currentBucket(pool, limits.Window)
+	return w.allows(limits, p, period, workspace)
+}
+
+// allows reports whether a pool's window that ends with a period may hold one more retry of a
+// workspace.
+func (w *windowBudget) allows(limits Limits, p *poolWindow, period int64, workspace string) bool {
 	var requests, retries, workspaceRetries float64
 	for _, other := range p.buckets {
 		if period-other.period < bucketsPerWindow {
@@ -127,10 +147,5 @@
 		}
 	}
 	allowed := limits.allowed(w.now().Sub(w.started) < limits.Window, requests)
-	if retries+1 > allowed || workspaceRetries+1 > max(1, maxWorkspaceFraction*allowed) {
-		return false
-	}
-	b.retries++
-	b.retriesByWorkspace[workspace]++
-	return true
+	return retries+1 <= allowed && workspaceRetries+1 <= max(1, maxWorkspaceFraction*allowed)
 }
--- a/front/slowreader_test.go
+++ b/front/slowreader_test.go
@@ -32,6 +32,7 @@
 func (noRun) Begin()                {}
 func (noRun) SetLoad(speed.Reading) {}
 func (noRun) Overdue()              {}
+func (noRun) Silent()               {}
 func (noRun) End(control.Outcome)   {}
 
 // relayed returns a pipeline that relays answers of the given size: one with a length, or a
--- a/managedtest/silence_test.go
+++ b/managedtest/silence_test.go
@@ -96,3 +96,28 @@
 		})
 	}
 }
+
+// TestAnswerOfASilentTargetIsNotRefused guards against a request that is refused because its target was
+// silent for a time before its answer, and against one that may run once and ran twice.
+func TestAnswerOfASilentTargetIsNotRefused(t *testing.T) {
+	for _, path := range []string{pathIdempotent, pathNonIdempotent} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			slow := func(id string) managed.ReplicaOptions {
+				options := opsReplicaForAllSenders(id)
+				options.Pause = 2 * silentAfter
+				return options
+			}
+			f := startSettledFleet(t, noSlack, 2, slow("o1"), slow("o2"))
+			f.publishConfig(withShortPauses)
+			f.awaitVersion()
+			answers := f.sendWhileSilent(path, 6, f.replicas, withShortPauses)
+			f.checkAllWhole(answers, managed.ExpectedAnswer)
+			for _, got := range answers {
+				if runs := f.journal.Runs(got.ID); path == pathNonIdempotent && len(runs) != 1 {
+					t.Errorf("%s ran %d times", got.ID, len(runs))
+				}
+			}
+		})
+	}
+}
--- a/peer/wire/load_test.go
+++ b/peer/wire/load_test.go
@@ -57,7 +57,7 @@
 
 func drawReport(t *rapid.T) control.Report {
 	report := filledMessage(control.Report{}, rapid.Int64Range(1, 20000).Draw(t, "seed")).(control.Report)
-	report.Phase = control.RunPhase(rapid.IntRange(0, 3).Draw(t, "phase"))
+	report.Phase = control.RunPhase(rapid.IntRange(0, 4).Draw(t, "phase"))
 	report.Outcome = control.Outcome(rapid.IntRange(0, 6).Draw(t, "outcome"))
 	report.Load, report.LoadAge = speed.Reading{}, 0
 	return report
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -30,6 +30,8 @@
 	// SetLoad records what the target reports about its load at this moment. It is called before
 	// Begin and End, if at all.
 	SetLoad(reading speed.Reading)
+	// Silent reports that the target has sent nothing for so long that another one is asked for.
+	Silent()
 	// Overdue reports that the target has not begun to answer although the request's deadline,
 	// which it was told, has passed.
 	Overdue()
@@ -125,6 +127,8 @@
 	Target   string
 	Address  string
 	Excluded []string // targets that failed this request
+	// EarlierRuns is how many attempts before this one may have run.
+	EarlierRuns int
 	// TargetSoftware is the version of the software that Target runs; empty if unknown.
 	TargetSoftware string
 	// Placement holds what the scheduler predicted for the target, for logs and for
@@ -154,6 +158,9 @@
 	// a target; an error refuses the request as not run.
 	BeforeDispatch []func() error
 
+	// parent is the exchange that this one is another attempt of; nil if it is none.
+	parent *Exchange
+
 	timeToAnswer atomic.Int64 // nanoseconds from arrival to the beginning of the answer
 	targetHeard  atomic.Int64 // nanoseconds from arrival to the latest bytes of the target
 	sendState    atomic.Int32 // see BeginSend
@@ -235,6 +242,9 @@
 // had disconnected. stop removes the function and reports whether it has not run and
 // never will.
 func (ex *Exchange) OnCallerGone(f func()) (stop func() bool) {
+	if ex.parent != nil {
+		return ex.parent.OnCallerGone(f)
+	}
 	entry := &callerGoneFunc{call: f}
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
--- a/pipeline/send.go
+++ b/pipeline/send.go
@@ -14,6 +14,9 @@
 	return ex.sendState.CompareAndSwap(sendUndecided, sendBegun) || ex.sendState.Load() == sendBegun
 }
 
+// WasSent reports whether the request may have been sent to a target.
+func (ex *Exchange) WasSent() bool { return ex.sendState.Load() == sendBegun }
+
 // CancelSend prevents the request from being sent. It returns false if it may already
 // have been sent.
 func (ex *Exchange) CancelSend() bool {
--- a/router/acquire.go
+++ b/router/acquire.go
@@ -51,10 +51,10 @@
 		grantWait.UpdateDuration(start)
 		return g.applyAnswer(ex, answer)
 	case <-ex.CallerGone:
-		g.cancelWait(event.Request)
+		g.cancelWait(event)
 		return countRefusal(result.New(result.CallerGone, "The caller went away."))
 	case <-ctx.Done():
-		g.cancelWait(event.Request)
+		g.cancelWait(event)
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return countRefusal(result.New(result.DeadlineBeforeGrant, "The deadline passed before a target was free."))
 		}
@@ -64,10 +64,10 @@
 	}
 }
 
-// cancelWait cancels the wait for a grant. If a grant was made at the same time, the
+// cancelWait cancels the wait of an attempt for a grant. If a grant was made at the same time, the
 // machine ends it and frees the slot on RequestCancelled.
-func (g *grantSource) cancelWait(request control.RequestID) {
-	g.loop.post(control.RequestCancelled{Request: request})
+func (g *grantSource) cancelWait(event control.RequestArrived) {
+	g.loop.post(control.RequestCancelled{Request: event.Request, Attempt: event.Attempt})
 }
 
 // arrivalEvent returns the event that asks the control goroutine for a slot.
@@ -205,6 +205,9 @@
 	})
 }
 
+// Silent implements pipeline.Run.
+func (r *grantedRun) Silent() { r.loop.post(control.RunSilent{Grant: r.dispatch.Grant}) }
+
 // Overdue implements pipeline.Run.
 func (r *grantedRun) Overdue() { r.loop.post(control.RunOverdue{Grant: r.dispatch.Grant}) }
 
--- a/router/loop.go
+++ b/router/loop.go
@@ -204,7 +204,7 @@
 	start := time.Now()
 	defer func() { controlBusy.Add(time.Since(start).Seconds()) }()
 	if cancelled, ok := event.(control.RequestCancelled); ok {
-		delete(l.waiters, cancelled.Request)
+		l.takeWaiter(cancelled.Request, cancelled.Attempt)
 	}
 	for _, command := range l.machine.Step(l.now(), event) {
 		l.execute(command)
--- a/router/loop_test.go
+++ b/router/loop_test.go
@@ -30,7 +30,7 @@
 		request := control.RequestID(n + 1)
 		arrival := control.RequestArrived{Request: request, Attempt: 1, Workspace: "bakery", Pool: "drafting", Deadline: time.Hour}
 		l.postWith(arrival, &waiter{attempt: 1, answer: make(chan grantAnswer, 1)})
-		l.post(control.RequestCancelled{Request: request})
+		l.post(control.RequestCancelled{Request: request, Attempt: 1})
 	}
 	stop := make(chan struct{})
 	go l.run(stop)
--- a/router/routed.go
+++ b/router/routed.go
@@ -10,6 +10,7 @@
 	"github.com/walnutcove/walnutcove/filters/dispatch"
 	"github.com/walnutcove/walnutcove/filters/events"
 	"github.com/walnutcove/walnutcove/filters/grant"
+	"github.com/walnutcove/walnutcove/filters/hedge"
 	"github.com/walnutcove/walnutcove/filters/quarantine"
 	"github.com/walnutcove/walnutcove/filters/ready"
 	"github.com/walnutcove/walnutcove/filters/relay"
@@ -32,7 +33,10 @@
 		events: &events.Relay{Began: affinitySource{r.loop}.record, Lag: r.overload.currentLag, Log: r.log},
 		whole:  &relay.Relay{Client: r.targets, Request: dispatch.Request, Log: r.log},
 	}
-	answers.events.Reopen = r.streamReopener(grantFilter, retries)
+	openOther := r.otherTargetOpener(grantFilter, retries)
+	answers.events.Reopen = openOther
+	dispatcher := r.dispatcher(answers.relay)
+	dispatcher.Hedge = openOther
 	return pipeline.Chain(
 		requestlog.New(r.log, r.InForce),
 		ready.New(alwaysServing{r}),
@@ -47,7 +51,7 @@
 		&affinity.Filter{Source: affinitySource{r.loop}, Log: r.log},
 		retries,
 		grantFilter,
-		r.dispatcher(answers.relay),
+		dispatcher,
 	)
 }
 
@@ -98,31 +102,44 @@
 	return retry.CheckAnswer(ex)
 }
 
-// minFailureStatus is the lowest HTTP status that is not a success.
-const minFailureStatus = 300
+const (
+	// minFailureStatus is the lowest HTTP status that is not a success.
+	minFailureStatus = 300
+	// minServerErrorStatus is the lowest HTTP status that means that the target failed.
+	minServerErrorStatus = 500
+)
 
-// streamReopener returns the function that continues broken streams: on a slot of another
-// target, charged to the retry budget.
-func (r *Router) streamReopener(grantFilter *grant.Filter, retries *retry.Filter) events.Reopen {
-	return func(ctx context.Context, ex *pipeline.Exchange) (*targets.Response, error) {
-		if ex.Attempt >= ex.Route.Attempts {
+// otherTargetOpener returns the function that sends a request to another target while the first one is
+// silent, or after it broke off: on a slot of its own, charged to the retry budget.
+func (r *Router) otherTargetOpener(grantFilter *grant.Filter, retries *retry.Filter) hedge.Opener {
+	return func(ctx context.Context, attempt *pipeline.Exchange) (*targets.Response, error) {
+		if attempt.EarlierRuns >= attempt.Route.Attempts {
 			return nil, result.New(result.StreamBroken, "The request has used up its attempts.")
 		}
-		if !retries.TakeRetry(ex) {
-			return nil, result.New(result.RetryBudgetEmpty, "Too many other requests are being retried.")
+		if err := retries.CheckRetry(attempt); err != nil {
+			return nil, err
 		}
-		ex.Attempt++
-		ex.Excluded = append(ex.Excluded, ex.Target)
+		attempt.BeforeDispatch = append(attempt.BeforeDispatch[:len(attempt.BeforeDispatch):len(attempt.BeforeDispatch)],
+			func() error { return retries.TakeRetry(attempt) })
 		var answer *targets.Response
-		captureAnswer := func(_ context.Context, ex *pipeline.Exchange, received *targets.Response) error {
-			if received.Status >= minFailureStatus {
+		captureAnswer := func(_ context.Context, _ *pipeline.Exchange, received *targets.Response) error {
+			if isFailure(attempt.Route, received.Status) {
 				received.Body.Close()
 				return result.New(result.StreamBroken, "The other target failed with status %d.", received.Status)
 			}
 			answer = received
 			return nil
 		}
-		err := pipeline.Chain(grantFilter, r.dispatcher(captureAnswer))(ctx, ex)
+		err := pipeline.Chain(grantFilter, r.dispatcher(captureAnswer))(ctx, attempt)
 		return answer, err
 	}
 }
+
+// isFailure reports whether a target's answer with a status is of no use to a request that has another
+// target.
+func isFailure(route *config.NamedRoute, status int) bool {
+	if route.Kind == config.RouteStream {
+		return status >= minFailureStatus
+	}
+	return status >= minServerErrorStatus
+}
