--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"slices"
 	"sync"
@@ -17,6 +18,10 @@
 	"github.com/walnutcove/walnutcove/targets"
 )
 
+// ErrRefusedAtDeadline ends an exchange whose caller got a refusal at its deadline while the exchange
+// was still running; see Exchange.EndBy.
+var ErrRefusedAtDeadline = errors.New("pipeline: the caller was already refused at its deadline")
+
 // Run is a granted slot of a target.
 type Run interface {
 	// Begin reports that the target has begun to answer, so that it has finished
@@ -25,6 +30,8 @@
 	// SetLoad records what the target reports about its load at this moment. It is called before
 	// Begin and End, if at all.
 	SetLoad(reading speed.Reading)
+	// Silent reports that the target has sent nothing for so long that another one is asked for.
+	Silent()
 	// Overdue reports that the target has not begun to answer although the request's deadline,
 	// which it was told, has passed.
 	Overdue()
@@ -92,6 +99,7 @@
 	IdempotencyKey string
 	CostHint       time.Duration // expected slot time; zero if the caller gave none
 	Deadline       time.Time     // never zero
+	LimitedByRoute bool          // Deadline is the route's time limit, not the caller's
 	PrefixHash     uint64        // hash of the beginning of the prompt; zero if none
 	Fingerprint    uint64        // hash of workspace, path and body
 
@@ -119,6 +127,8 @@
 	Target   string
 	Address  string
 	Excluded []string // targets that failed this request
+	// EarlierRuns is how many attempts before this one may have run.
+	EarlierRuns int
 	// TargetSoftware is the version of the software that Target runs; empty if unknown.
 	TargetSoftware string
 	// Placement holds what the scheduler predicted for the target, for logs and for
@@ -148,7 +158,11 @@
 	// a target; an error refuses the request as not run.
 	BeforeDispatch []func() error
 
+	// parent is the exchange that this one is another attempt of; nil if it is none.
+	parent *Exchange
+
 	timeToAnswer atomic.Int64 // nanoseconds from arrival to the beginning of the answer
+	targetHeard  atomic.Int64 // nanoseconds from arrival to the latest bytes of the target
 	sendState    atomic.Int32 // see BeginSend
 	endOnce      sync.Once
 	mu           sync.Mutex
@@ -199,6 +213,19 @@
 // answer; zero if no answer has begun.
 func (ex *Exchange) TimeToAnswer() time.Duration { return time.Duration(ex.timeToAnswer.Load()) }
 
+// MarkTargetHeard records that bytes of the target's answer have arrived.
+func (ex *Exchange) MarkTargetHeard() { ex.targetHeard.Store(int64(max(1, time.Since(ex.Arrived)))) }
+
+// TargetSilence returns how long before a time the latest bytes of the target's answer arrived; zero
+// if none have.
+func (ex *Exchange) TargetSilence(at time.Time) time.Duration {
+	heard := time.Duration(ex.targetHeard.Load())
+	if heard == 0 {
+		return 0
+	}
+	return at.Sub(ex.Arrived) - heard
+}
+
 // OnEnd adds a function that runs once, when the answer has been sent completely
 // (nil error), has broken off, or the request was refused. Functions run in reverse
 // order of their addition.
@@ -215,6 +242,9 @@
 // had disconnected. stop removes the function and reports whether it has not run and
 // never will.
 func (ex *Exchange) OnCallerGone(f func()) (stop func() bool) {
+	if ex.parent != nil {
+		return ex.parent.OnCallerGone(f)
+	}
 	entry := &callerGoneFunc{call: f}
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
