--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -155,7 +155,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	streams, late := 0, 0
+	streams, late, several, longest := 0, 0, 0, time.Duration(0)
 	cut, lost, twice := failures{checker: c, kind: "cut"}, failures{checker: c, kind: "lost"}, failures{checker: c, kind: "two at work"}
 	for _, request := range c.requests {
 		answer, took, ran := request.answer, request.endedAt.Sub(request.sentAt), runs[request.answer.ID]
@@ -172,12 +172,18 @@
 		case len(ran) > 0 || took > lossSlack:
 			lost.add(request, ran)
 		}
-		if isStream(request.path) && c.workAtOnce(ran) > maxWorkAtOnce {
+		if !isStream(request.path) || len(ran) < 2 {
+			continue
+		}
+		several++
+		atOnce := c.workAtOnce(ran)
+		longest = max(longest, atOnce)
+		if atOnce > maxWorkAtOnce {
 			twice.add(request, ran)
 		}
 	}
-	c.t.Logf("%d requests, %d streams begun: %d answers cut, %d requests lost, %d ended as their time was used up, %d streams at two replicas for over %s",
-		len(c.requests), streams, cut.count, lost.count, late, twice.count, maxWorkAtOnce)
+	c.t.Logf("%d requests, %d streams begun: %d answers cut, %d requests lost, %d ended as their time was used up, %d streams at several replicas, at once for %s at most",
+		len(c.requests), streams, cut.count, lost.count, late, several, longest)
 }
 
 // workAtOnce returns the longest time for which two runs of a stream both went on after the
