Soak: TestSoakSilence has retries to spend, streams that run once, and silences in the middle of an answer

A series of reloads restores the usual retries before it ends with a shutdown of that router. A route for streams that may run once only is new, and plain answers pause between head and body, where a silence now holds them.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -94,7 +94,7 @@
 func (c *checker) call(ctx context.Context, random *rand.Rand) {
 	paths := []string{pathNonIdempotent, pathIdempotent, pathStream}
 	if c.plan != nil {
-		paths = append(paths, pathMore)
+		paths = append(paths, pathMore, pathOnce)
 	}
 	for ctx.Err() == nil {
 		request := c.send(random, sentRequest{path: paths[random.IntN(len(paths))]})
@@ -239,7 +239,7 @@
 		switch {
 		case notRun(request.answer.Status) && ran > 0:
 			c.t.Errorf("%s (%s) was refused as not run with status %d, but ran %d times", request.answer.ID, request.path, request.answer.Status, ran)
-		case request.path == pathNonIdempotent && ran > 1:
+		case (request.path == pathNonIdempotent || request.path == pathOnce) && ran > 1:
 			c.t.Errorf("%s may run once, but ran %d times", request.answer.ID, ran)
 		case ran > attempts:
 			c.t.Errorf("%s ran %d times", request.answer.ID, ran)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -93,13 +93,14 @@
 	t.Cleanup(f.close)
 	var routerIP string
 	routerIP, f.proxyIP = processes.NewLoopbackIPs()
-	pause := eventPause
+	pause, plainFaults := eventPause, managed.ReplicaFaults{}
 	if options.planned {
 		f.plan, pause = newPlan(), plannedEventPause
+		plainFaults.MidAnswerPause = plainRunTime
 	}
 	f.publishNextVersion()
 	for range plainReplicas {
-		f.addReplica(managed.ReplicaOptions{Service: managed.DemoService, Slots: plainSlots, Pause: plainRunTime})
+		f.addReplica(managed.ReplicaOptions{Service: managed.DemoService, Slots: plainSlots, Pause: plainRunTime, ReplicaFaults: plainFaults})
 	}
 	engines := engineReplicas
 	if options.software {
@@ -113,7 +114,7 @@
 	}
 	if options.planned {
 		for range secondReplicas {
-			f.addReplica(managed.ReplicaOptions{Service: secondPlain, Slots: plainSlots, Pause: plainRunTime})
+			f.addReplica(managed.ReplicaOptions{Service: secondPlain, Slots: plainSlots, Pause: plainRunTime, ReplicaFaults: plainFaults})
 			f.addReplica(managed.ReplicaOptions{Service: secondEngine, Slots: engineSlots, Pause: pause, Events: events})
 		}
 	}
@@ -264,6 +265,9 @@
 		s := devfleet.ManagedSettings(name(n), r.storeProxy.Address())
 		s.Listen = settings.Listen{Callers: addresses[portsPerRouter*n], Operators: addresses[portsPerRouter*n+1], Peers: peerAddress(n), Health: addresses[portsPerRouter*n+3]}
 		s.Limits.DrainTimeout = settings.Duration(drainLimit)
+		if f.plan != nil {
+			s.Retries.Window, s.Retries.Ratio = settings.Duration(plannedRetryWindow), plannedRetryRatio
+		}
 		r.Router, err = processes.StartRouter(binaries, dir, s)
 		f.must(err)
 		r.startCount++
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -18,6 +18,10 @@
 	// prefixMore is the prefix, and pathMore a path, of a route that versions add and remove.
 	prefixMore = "/more/"
 	pathMore   = prefixMore + "page"
+	// prefixOnce is the prefix, and pathOnce a path, of a route for streams that may not be
+	// resumed.
+	prefixOnce = "/once/"
+	pathOnce   = prefixOnce + "page"
 	// applyTime is how long after it was written a version may not yet be in force.
 	applyTime = 2 * time.Second
 )
@@ -76,8 +80,11 @@
 		service.Name = second[service.Name]
 		c.Services = append(c.Services, service)
 	}
+	more := c.Routes[slices.IndexFunc(c.Routes, func(r wire.Route) bool { return r.Prefix == managed.DemoStreamPrefix })]
+	once := more
+	once.Name, once.Prefix, once.Resumable = "once", prefixOnce, false
+	c.Routes = append(c.Routes, once)
 	if p.hasMore {
-		more := c.Routes[slices.IndexFunc(c.Routes, func(r wire.Route) bool { return r.Prefix == managed.DemoStreamPrefix })]
 		more.Name, more.Prefix = "more", prefixMore
 		c.Routes = append(c.Routes, more)
 	}
@@ -124,5 +131,5 @@
 
 // isStream reports whether answers on a path are streams.
 func isStream(path string) bool {
-	return strings.HasPrefix(path, managed.DemoStreamPrefix) || strings.HasPrefix(path, prefixMore)
+	return slices.ContainsFunc([]string{managed.DemoStreamPrefix, prefixMore, prefixOnce}, func(prefix string) bool { return strings.HasPrefix(path, prefix) })
 }
--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -23,6 +23,10 @@
 	// time to outlast two.
 	plannedDeadline   = 6 * time.Second
 	plannedEventPause = 50 * time.Millisecond
+	// plannedRetryWindow is the window of the retry budget in such a run, and plannedRetryRatio
+	// its ratio: a process has hardly any retries in its first window.
+	plannedRetryWindow = time.Second
+	plannedRetryRatio  = 1
 	// lossSlack is how long after it was sent a request that reached no replica may be dropped:
 	// it may cross the close of its connection.
 	lossSlack = 200 * time.Millisecond
@@ -79,15 +83,20 @@
 	}
 }
 
-// terminateInPlan is like terminate, while at least half of the routers run.
-func (f *faultInjector) terminateInPlan() (string, func() bool) {
+// mayTerminate reports whether at least half of the routers run without one more.
+func (f *faultInjector) mayTerminate() bool {
 	down := 0
 	for _, r := range f.routers {
 		if r.isDown {
 			down++
 		}
 	}
-	if 2*(down+1) > len(f.routers) {
+	return 2*(down+1) <= len(f.routers)
+}
+
+// terminateInPlan is like terminate, while at least half of the routers run.
+func (f *faultInjector) terminateInPlan() (string, func() bool) {
+	if !f.mayTerminate() {
 		return "", nil
 	}
 	return f.terminate()
@@ -109,8 +118,10 @@
 		time.Sleep(f.randomUpTo(maxSignalGap))
 		r.Settings.Retries = usual
 	}
-	if f.random.IntN(3) == 0 {
-		return f.terminateInPlan()
+	if f.random.IntN(3) == 0 && f.mayTerminate() {
+		r.isDown = true
+		f.must(r.Terminate())
+		return r.Name, f.startAfterEnd(r)
 	}
 	return r.Name, func() bool { f.must(r.Reload()); return true }
 }
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -366,12 +366,13 @@
 	}
 	half := len(body) / 2
 	ctx.Response.ImmediateHeaderFlush = true
-	ctx.SetBodyStream(io.MultiReader(strings.NewReader(body[:half]), &delayedReader{delay: pause, Reader: strings.NewReader(body[half:])}), len(body))
+	ctx.SetBodyStream(io.MultiReader(strings.NewReader(body[:half]), &delayedReader{replica: r, delay: pause, Reader: strings.NewReader(body[half:])}), len(body))
 }
 
-// delayedReader delays its first read.
+// delayedReader delays its first read, and while the replica is silent.
 type delayedReader struct {
-	delay time.Duration
+	replica *Replica
+	delay   time.Duration
 	io.Reader
 }
 
@@ -379,6 +380,7 @@
 func (d *delayedReader) Read(p []byte) (int, error) {
 	time.Sleep(d.delay)
 	d.delay = 0
+	d.replica.waitWhileSilent()
 	return d.Reader.Read(p)
 }
 
