Hedging: the next target is asked where one fails the attempt

Callers saw a stream cut after its target had broken off, though a sound target with room existed: the first other target that was asked refused the request, could not be reached, or broke off as well. Only one was asked.

Up to three targets are now asked one after the other, within the route's attempts and the retry budget; refusals that say "not run" use up no attempt. What no target has failed, such as a refusal by the scheduler, is final as before.

--- a/filters/hedge/hedge.go
+++ b/filters/hedge/hedge.go
@@ -30,6 +30,9 @@
 // errSuperseded ends an attempt that is no longer needed.
 var errSuperseded = errors.New("hedge: the first target continued")
 
+// maxTries bounds the targets that are asked one after the other.
+const maxTries = 3
+
 // firstReadBytes is the size of the buffer for the first read of another target's answer.
 const firstReadBytes = 4 << 10
 
@@ -229,27 +232,47 @@
 
 // startOpening begins an attempt at another target. The caller holds w.mu.
 func (w *Watch) startOpening() *opening {
+	ctx, cancel := context.WithCancel(w.ctx)
+	o := &opening{attempt: w.newAttempt(), cancel: cancel, done: make(chan struct{})}
+	w.opening = o
+	go w.open(ctx, o)
+	return o
+}
+
+// newAttempt returns a numbered attempt that excludes the targets that failed the request. The caller
+// holds w.mu.
+func (w *Watch) newAttempt() *pipeline.Exchange {
 	attempt := w.ex.NewAttempt()
 	w.lastAttempt = max(w.lastAttempt, w.ex.Attempt) + 1
 	attempt.Attempt = w.lastAttempt
 	attempt.EarlierRuns += w.runs
 	attempt.Excluded = append(attempt.Excluded, w.excluded...)
-	ctx, cancel := context.WithCancel(w.ctx)
-	attempt.OnEnd(func(error) { cancel() })
-	o := &opening{attempt: attempt, cancel: cancel, done: make(chan struct{})}
-	w.opening = o
-	go w.open(ctx, o)
-	return o
+	return attempt
 }
 
-// open performs an attempt at another target.
+// open performs attempts at other targets, until one has begun to answer.
 func (w *Watch) open(ctx context.Context, o *opening) {
-	response, err := w.options.Open(ctx, o.attempt)
-	if err == nil {
-		err = awaitBody(response)
+	for tries := 1; ; tries++ {
+		response, err := w.options.Open(ctx, o.attempt)
+		if err == nil {
+			err = awaitBody(response)
+		}
+		if !w.opened(o, response, err, tries < maxTries) {
+			return
+		}
 	}
+}
+
+// opened records the result of an attempt. If it failed and another one may follow, it replaces the
+// attempt by that one and returns true.
+func (w *Watch) opened(o *opening, response *targets.Response, err error, mayRepeat bool) (again bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if err != nil && mayRepeat && !o.cancelled && isTargetsFailure(o.attempt, err) {
+		w.recordFailure(o.attempt, err)
+		o.attempt = w.newAttempt()
+		return true
+	}
 	defer close(o.done)
 	switch {
 	case err != nil:
@@ -257,25 +280,47 @@
 	case o.cancelled:
 		w.discard(o, response)
 	default:
+		o.attempt.OnEnd(func(error) { o.cancel() })
 		o.answer = &Answer{Attempt: o.attempt, Response: response, Interrupted: w.waiting}
 		if w.waiting {
 			w.interrupt()
 		}
 	}
+	return false
+}
+
+// isTargetsFailure reports whether an attempt failed at its target, so that another target may serve
+// it.
+func isTargetsFailure(attempt *pipeline.Exchange, err error) bool {
+	var refusal *result.Error
+	if !errors.As(err, &refusal) || attempt.Target == "" {
+		return false
+	}
+	switch refusal.Code {
+	case result.ConnectFailed, result.TargetRefused, result.TargetLeft, result.TargetLostRequest, result.StreamBroken, result.TargetError:
+		return true
+	}
+	return false
+}
+
+// recordFailure ends a failed attempt and counts it, if it may have run. The caller holds w.mu.
+func (w *Watch) recordFailure(attempt *pipeline.Exchange, err error) {
+	if mayHaveRun(attempt, err) {
+		w.runs++
+	}
+	if isTargetsFailure(attempt, err) {
+		w.excluded = append(w.excluded, attempt.Target)
+	}
+	attempt.End(err)
 }
 
 // openingFailed records a failed attempt. The caller holds w.mu.
 func (w *Watch) openingFailed(o *opening, err error) {
 	o.err = err
+	o.cancel()
 	w.opening = nil
-	if mayHaveRun(o.attempt, err) {
-		w.runs++
-	}
-	o.attempt.End(err)
+	w.recordFailure(o.attempt, err)
 	if !o.cancelled {
-		if o.attempt.Target != "" {
-			w.excluded = append(w.excluded, o.attempt.Target)
-		}
 		noTargetCount.Inc()
 		pipeline.Log(w.ctx, w.options.Log, slog.LevelWarn, w.ex, "hedge: No other target for the request.", slog.Any("error", err))
 	}
@@ -287,6 +332,7 @@
 		w.opening = nil
 	}
 	w.runs++
+	o.cancel()
 	o.answer, o.err = nil, errSuperseded
 	_ = response.Body.Close()
 	o.attempt.End(errSuperseded)
