--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -74,7 +74,11 @@
 	if f.plan != nil {
 		c.caller = managed.NewKeepingCaller(name, plannedDeadline)
 	}
-	for n := range callerCount {
+	callers := callerCount
+	if f.plan != nil {
+		callers = plannedCallers
+	}
+	for n := range callers {
 		c.workers.Go(func() { c.call(ctx, rand.New(rand.NewPCG(uint64(n), 1))) })
 	}
 	c.workers.Go(func() { c.watchVersions(ctx) })
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -265,7 +265,7 @@
 		s := devfleet.ManagedSettings(name(n), r.storeProxy.Address())
 		s.Listen = settings.Listen{Callers: addresses[portsPerRouter*n], Operators: addresses[portsPerRouter*n+1], Peers: peerAddress(n), Health: addresses[portsPerRouter*n+3]}
 		s.Limits.DrainTimeout = settings.Duration(drainLimit)
-		if f.plan != nil {
+		if f.plan != nil && n%2 == 0 {
 			s.Retries.Window, s.Retries.Ratio = settings.Duration(plannedRetryWindow), plannedRetryRatio
 		}
 		r.Router, err = processes.StartRouter(binaries, dir, s)
--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -18,13 +18,15 @@
 	minSpeech  = 500 * time.Millisecond
 	// maxSilenceGap limits the pause between the beginnings of silences.
 	maxSilenceGap = 2 * time.Second
-	// plannedDeadline is the deadline of callers and plannedEventPause the time between events
-	// in a run with planned work alone: each stream meets a silence now and then, and has the
-	// time to outlast two.
+	// plannedCallers is the number of callers, plannedDeadline their deadline and
+	// plannedEventPause the time between events in a run with planned work alone: each stream
+	// meets a silence now and then, and has the time to outlast two.
+	plannedCallers    = 32
 	plannedDeadline   = 6 * time.Second
 	plannedEventPause = 50 * time.Millisecond
-	// plannedRetryWindow is the window of the retry budget in such a run, and plannedRetryRatio
-	// its ratio: a process has hardly any retries in its first window.
+	// plannedRetryWindow is the window of the retry budget at every other router in such a run,
+	// and plannedRetryRatio its ratio. Without them a process has hardly any retries, as it is
+	// in its first window.
 	plannedRetryWindow = time.Second
 	plannedRetryRatio  = 1
 	// lossSlack is how long after it was sent a request that reached no replica may be dropped:
