Stand-in: a caller that keeps connections does not use one for two requests at once

The caller read the idle connection that it takes from the list after it had released the lock: one that was kept just then took its place and was used twice.

--- a/standin/managed/keeping.go
+++ b/standin/managed/keeping.go
@@ -51,9 +51,10 @@
 func (t *keepingTransport) take(ctx context.Context, router string) (*keptConn, error) {
 	t.mu.Lock()
 	if idle := t.idle[router]; len(idle) > 0 {
+		conn := idle[len(idle)-1]
 		t.idle[router] = idle[:len(idle)-1]
 		t.mu.Unlock()
-		return idle[len(idle)-1], nil
+		return conn, nil
 	}
 	t.mu.Unlock()
 	conn, err := new(net.Dialer).DialContext(ctx, "tcp4", router)
