Offloading: silence of a router ends no request

Callers whose requests another router served lost them when that router, or the way to it, was silent for over a second and then went on: a stream was reset in the middle, a request without a response got 502 (711), while its run went on or was cancelled. The same happened when the router that holds the caller's connection was the silent one.

Cause: both ends of a link ended it after a second without a frame while requests were open. The end of a link breaks all that was sent over it, and at the executor cancels the runs. So what callers had was given up because of silence, which a paused process breaks by itself. A process that is gone ends the connection; that is found at once, as before.

Now a link that is silent carries no new requests, and its open ones stay until they are completed, the connection ends, or their own deadlines pass: the earlier one of the caller's and the route's, which the source enforces itself then, as the executor cannot. The source asks other executors (exclusion "silent") and ends the link once no caller waits for anything on it. An executor that does not hear its source says that no requests may be opened, as the source may still hear it.

--- a/front/executor_test.go
+++ b/front/executor_test.go
@@ -60,6 +60,7 @@
 
 func (c *memoryConn) Gone() <-chan struct{} { return c.gone }
 func (c *memoryConn) Cancel()               { c.cancel.Do(func() { close(c.gone) }) }
+func (c *memoryConn) Silent() bool          { return false }
 func (c *memoryConn) Taken(n int)           { c.taken.Add(int64(n)) }
 
 func (c *memoryConn) SetReadDeadline(time.Time) error  { return nil }
--- a/front/fastrefusal.go
+++ b/front/fastrefusal.go
@@ -124,7 +124,7 @@
 	id := f.server.requestIDOf(header).text
 	if offloads := f.server.offloads; offloads != nil && offloads.sender.Available() {
 		raw := f.clone(f.readBuffer[:n])
-		if raw != nil && offloads.offer(fd, header, id, raw, countRefused) {
+		if raw != nil && offloads.offer(fd, &f.ctx, id, raw, countRefused) {
 			return nil
 		}
 	}
--- a/front/offload.go
+++ b/front/offload.go
@@ -70,7 +70,7 @@
 // offer offers a request that is to be refused to the executors. If it reports true, the
 // descriptor of the caller's connection belongs to o. raw must not be changed afterwards.
 // countRefused is called if the request is refused later; may be nil.
-func (o *offloads) offer(fd int, header *fasthttp.RequestHeader, id string, raw []byte, countRefused func()) bool {
+func (o *offloads) offer(fd int, ctx *fasthttp.RequestCtx, id string, raw []byte, countRefused func()) bool {
 	s := o.server
 	if s.HasTooManyConns() {
 		offloadCrowded.Inc()
@@ -87,11 +87,14 @@
 		closeDescriptor(fd)
 		return true
 	}
+	header := &ctx.Request.Header
+	now, deadline := time.Now(), s.callerDeadline(header)
 	r := &offloaded{
 		owner:        o,
 		id:           id,
 		isHead:       header.IsHead(),
-		expiresAt:    time.Now().Add(s.callerDeadline(header) + deadlineGrace),
+		expiresAt:    now.Add(deadline + deadlineGrace),
+		limitAt:      now.Add(min(deadline, s.routeLimit(ctx)) + deadlineGrace),
 		countRefused: countRefused,
 		index:        notListed,
 		fd:           fd,
@@ -134,6 +137,16 @@
 	return time.Duration(min(millis, float64(maxCallerDeadline.Milliseconds())) * float64(time.Millisecond))
 }
 
+// routeLimit returns the time that the route of a request allows.
+func (s *Server) routeLimit(ctx *fasthttp.RequestCtx) time.Duration {
+	if s.options.RouteLimit != nil {
+		if limit := s.options.RouteLimit(ctx.Request.Header.Host(), ctx.Path()); limit > 0 {
+			return limit
+		}
+	}
+	return maxCallerDeadline
+}
+
 // add adds a request that was sent, unless it has already ended.
 func (o *offloads) add(r *offloaded) {
 	s := o.server
@@ -232,10 +245,13 @@
 // offloaded is a request that an executor serves, and the connection of its caller. It
 // implements offload.Answer.
 type offloaded struct {
-	owner        *offloads
-	id           string
-	isHead       bool
+	owner  *offloads
+	id     string
+	isHead bool
+	// expiresAt is the caller's deadline, and limitAt the earlier one of it and of the route's, which
+	// binds a request whose executor is silent.
 	expiresAt    time.Time
+	limitAt      time.Time
 	countRefused func()
 
 	// Guarded by Server.mu.
@@ -428,13 +444,19 @@
 	r.unlock(0, true)
 }
 
-// expire refuses a caller whose deadline has passed without a byte of a response.
-func (r *offloaded) expire() {
+// expire ends a request that is overdue: it refuses a caller without a byte of a response, and breaks
+// off a response that has begun.
+func (r *offloaded) expire(now time.Time) {
 	r.mu.Lock()
-	if r.fd == closedDescriptor || r.begun {
+	if r.fd == closedDescriptor || !r.isOverdue(now) {
 		r.unlock(0, false)
 		return
 	}
+	if r.begun {
+		r.breakOff("The router that serves the request was silent until the deadline.")
+		r.unlock(0, true)
+		return
+	}
 	s := r.owner.server
 	err := result.New(result.FirstByteTimeout, "The request was not answered by the deadline.")
 	refusals.Inc(err.Code)
@@ -444,6 +466,19 @@
 	r.unlock(0, true)
 }
 
+// isOverdue reports whether the deadline of a request has passed that no executor enforces: that of a
+// response that has not begun, or of one whose executor is silent. The caller holds r.mu.
+func (r *offloaded) isOverdue(now time.Time) bool {
+	switch {
+	case r.complete:
+		return false
+	case !r.begun && now.After(r.expiresAt):
+		return true
+	default:
+		return now.After(r.limitAt) && r.sent != nil && r.sent.Silent()
+	}
+}
+
 // abort ends a request because the server is stopped by force.
 func (r *offloaded) abort() {
 	r.mu.Lock()
--- a/front/offload_test.go
+++ b/front/offload_test.go
@@ -50,6 +50,7 @@
 	offload.Answer
 	taken     atomic.Int64
 	cancelled chan struct{}
+	silent    atomic.Bool
 }
 
 // Taken implements offload.Sent.
@@ -58,6 +59,9 @@
 // Cancel implements offload.Sent.
 func (s *fakeSent) Cancel() { s.cancelled <- struct{}{} }
 
+// Silent implements offload.Sent.
+func (s *fakeSent) Silent() bool { return s.silent.Load() }
+
 // pass writes a part of the response.
 func (s *fakeSent) pass(text string) { s.Answer.Write([]byte(text)) }
 
@@ -382,6 +386,54 @@
 	})
 }
 
+// TestSilentExecutorCutsNothingBeforeTheDeadline guards against responses that are cut by the silence of
+// an executor before their own deadline, or never, and against callers held beyond the limit of their
+// route while nothing enforces it.
+func TestSilentExecutorCutsNothingBeforeTheDeadline(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	onBothPaths(t, func(t *testing.T, fast bool) {
+		s := startSource(t, Options{
+			WatchEvery: 5 * time.Millisecond,
+			RouteLimit: func(host, path []byte) time.Duration {
+				if string(host) != "a" || string(path) != "/a" {
+					t.Errorf("route of %s %s", host, path)
+				}
+				return limit
+			},
+		})
+		began := time.Now()
+		begun, begunSent := s.offer(fast, shortCall)
+		waiting, waitingSent := s.offer(fast, shortCall)
+		resumed, resumedSent := s.offer(fast, shortCall)
+		begunSent.pass("HTTP/1.1 200 OK\r\n\r\nhalf")
+		for _, sent := range []*fakeSent{begunSent, waitingSent, resumedSent} {
+			sent.silent.Store(true)
+		}
+		time.Sleep(time.Until(began.Add(limit + deadlineGrace/2)))
+		if open := s.OffloadedRequests(); open != 3 {
+			t.Errorf("%d of 3 requests are open before the limit", open)
+		}
+		resumedSent.silent.Store(false)
+		if answer := answerOn(t, waiting); answer.StatusCode != http.StatusGatewayTimeout || answer.Header.Get(headerRan) != "unknown" {
+			t.Errorf("%s %v", answer.Status, answer.Header)
+		}
+		if got, err := io.ReadAll(begun); err == nil {
+			t.Errorf("%q ends without an error", got)
+		}
+		if took := time.Since(began); took > limit+deadlineGrace+250*time.Millisecond {
+			t.Errorf("callers of a silent executor waited for %s", took)
+		}
+		await(t, waitingSent.cancelled)
+		await(t, begunSent.cancelled)
+		resumedSent.pass(contentLength("late"))
+		resumedSent.End(offload.Complete)
+		if answer := answerOn(t, resumed); answer.StatusCode != http.StatusOK || len(resumedSent.cancelled) > 0 {
+			t.Errorf("%s, cancelled: %v", answer.Status, len(resumedSent.cancelled) > 0)
+		}
+		s.awaitIdle()
+	})
+}
+
 // TestLongDeadlineIsKept guards against a caller who states a deadline beyond the one of callers that
 // state none, and is refused at that one.
 func TestLongDeadlineIsKept(t *testing.T) {
--- a/front/offloadbench_test.go
+++ b/front/offloadbench_test.go
@@ -34,6 +34,9 @@
 // Cancel implements offload.Sent.
 func (s *batchSender) Cancel() {}
 
+// Silent implements offload.Sent.
+func (s *batchSender) Silent() bool { return false }
+
 // processTime returns the processor time that this process has used.
 func processTime(b *testing.B) time.Duration {
 	var now unix.Timespec
--- a/front/offloadpoll.go
+++ b/front/offloadpoll.go
@@ -75,7 +75,7 @@
 	return len(stillBlocked) > 0
 }
 
-// watch ends the requests whose callers have gone or are past their deadlines. It reports false
+// watch ends the requests whose callers have gone or are overdue. It reports false
 // if there are no requests: the poller then ends.
 func (o *offloads) watch(now time.Time) bool {
 	s := o.server
@@ -91,8 +91,8 @@
 		switch {
 		case fds[i].Revents != 0:
 			r.callerGone()
-		case now.After(r.expiresAt):
-			r.expire()
+		case now.After(r.limitAt):
+			r.expire(now)
 		}
 	}
 	clear(batch)
--- a/front/rebuild.go
+++ b/front/rebuild.go
@@ -27,7 +27,7 @@
 	if !ok {
 		return false
 	}
-	if !o.offer(fd, &ctx.Request.Header, id, rebuildRequest(&ctx.Request), countRefused) {
+	if !o.offer(fd, ctx, id, rebuildRequest(&ctx.Request), countRefused) {
 		closeDescriptor(fd)
 		return false
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -105,6 +105,10 @@
 	// ConfigNumber, if set, returns the number of the configuration version in force, which
 	// executors must have as well.
 	ConfigNumber func() uint64
+	// RouteLimit, if set, returns the time limit of the route of a request, or zero. The arguments
+	// are valid until it returns. It bounds how long an offloaded request waits for an executor
+	// that is silent; others enforce the limit themselves.
+	RouteLimit func(host, path []byte) time.Duration
 	// Lag, if set, returns by how much this process lags behind. Offloaded requests count as
 	// having waited for that time before they were read.
 	Lag func() time.Duration
--- a/offload/link/connection.go
+++ b/offload/link/connection.go
@@ -16,7 +16,8 @@
 var (
 	// ErrClosed reports that Close was called.
 	ErrClosed = errors.New("link: closed")
-	// ErrSilent reports that the other side sent nothing for Options.SilenceTimeout.
+	// ErrSilent reports that the other side sent nothing for Options.SilenceTimeout, and that nobody
+	// waits for the requests that are open.
 	ErrSilent = errors.New("link: no frame was received in time")
 	// ErrIdle reports that the link was not used for Options.IdleTimeout.
 	ErrIdle = errors.New("link: idle")
@@ -37,8 +38,10 @@
 // endpoint is what differs between the two sides of a link. The methods with the suffix Locked
 // are called with connection.mu held.
 type endpoint interface {
-	// openLocked returns the number of requests that the other side has to be alive for.
+	// openLocked returns the number of requests for which the other side has to send frames.
 	openLocked() int
+	// isAwaitedLocked reports whether somebody waits for a request that is open.
+	isAwaitedLocked() bool
 	// takeLocked returns the next bytes to be written, or nil.
 	takeLocked() []byte
 	// wroteLocked is called after the bytes were written.
@@ -217,7 +220,8 @@
 	if now-c.timerDue > c.options.PauseThreshold {
 		c.quietSince = now - c.options.SilenceTimeout + c.options.SilenceTimeout/pauseGrace
 	}
-	if c.isDeadLocked(now, open) {
+	c.checkSilenceLocked(now, open)
+	if c.isSilentLocked(now) && !c.side.isAwaitedLocked() {
 		return false, c.endLocked(ErrSilent)
 	}
 	write, again := c.side.checkLocked(now)
@@ -239,16 +243,21 @@
 	}
 }
 
-// isDeadLocked reports whether the other side is considered dead: it was silent in two checks in a
-// row. Between them the goroutine that reads has time for what arrived while a process with little
-// processor time did not run.
-func (c *connection) isDeadLocked(now time.Duration, open int) bool {
+// checkSilenceLocked counts the checks in a row that found the other side silent.
+func (c *connection) checkSilenceLocked(now time.Duration, open int) {
 	if open == 0 || c.silenceLocked(now) <= c.options.SilenceTimeout {
 		c.silentChecks = 0
-		return false
+		return
 	}
 	c.silentChecks++
-	return c.silentChecks > 1
+}
+
+// isSilentLocked reports whether the other side is silent, and was in two checks in a row. Between
+// them the goroutine that reads has time for what arrived while a process with little processor time
+// did not run. A side that is silent may be paused and go on, so its requests stay open while somebody
+// waits for them; one that is gone ends the connection.
+func (c *connection) isSilentLocked(now time.Duration) bool {
+	return c.silentChecks > 1 && c.silenceLocked(now) > c.options.SilenceTimeout
 }
 
 // checkIdleLocked returns ErrIdle if the link was not used for long enough.
--- a/offload/link/executor.go
+++ b/offload/link/executor.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/walnutcove/walnutcove/control"
@@ -32,6 +33,9 @@
 	partial *response
 	// transit is used by the goroutine that reads.
 	transit transit
+	// muted is set while the source is silent: it may hear the executor although the executor does
+	// not hear it, and is then allowed no new requests.
+	muted atomic.Bool
 
 	// The following is guarded by connection.mu.
 	open map[uint64]*response
@@ -123,8 +127,15 @@
 // openLocked implements endpoint.
 func (e *Executor) openLocked() int { return len(e.open) }
 
+// isAwaitedLocked implements endpoint. Requests of callers that have gone are not open. The others
+// have deadlines, which their Handlers enforce.
+func (e *Executor) isAwaitedLocked() bool { return len(e.open) > 0 }
+
 // checkLocked implements endpoint.
 func (e *Executor) checkLocked(now time.Duration) (write, again bool) {
+	if e.isSilentLocked(now) && !e.muted.Swap(true) {
+		e.allowanceDue = true
+	}
 	if len(e.open) > 0 && !e.writing && now-e.wroteAt >= e.options.PingInterval-e.options.CheckInterval {
 		e.allowanceDue = true
 	}
@@ -137,7 +148,7 @@
 	e.writtenBytes, e.writtenEnds = 0, 0
 	if e.allowanceDue {
 		e.allowanceDue = false
-		b = appendAllowance(b, e.total, e.maxOpen, e.closing)
+		b = appendAllowance(b, e.total, e.allowedOpenLocked(), e.closing)
 	}
 	for len(e.ready) > 0 && len(b) < maxBatchBytes {
 		r := e.ready[0]
@@ -154,6 +165,14 @@
 	return b
 }
 
+// allowedOpenLocked returns how many requests the source may have open.
+func (e *Executor) allowedOpenLocked() uint64 {
+	if e.muted.Load() {
+		return 0
+	}
+	return e.maxOpen
+}
+
 // appendAnswerLocked appends the next part of a response, and queues the response again if that
 // was not the last.
 func (e *Executor) appendAnswerLocked(b []byte, r *response) []byte {
@@ -199,6 +218,7 @@
 
 // handle implements endpoint.
 func (e *Executor) handle(f frame) error {
+	e.unmute()
 	switch f.kind {
 	case kindRequest:
 		return e.receive(f)
@@ -216,6 +236,18 @@
 	return nil
 }
 
+// unmute ends the silence of the source.
+func (e *Executor) unmute() {
+	if !e.muted.Load() {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.muted.Store(false)
+	e.allowanceDue = true
+	e.wakeWriter()
+}
+
 // receive handles a Request frame.
 func (e *Executor) receive(f frame) error {
 	r := e.partial
--- a/offload/link/options.go
+++ b/offload/link/options.go
@@ -49,7 +49,8 @@
 	// GatherTime is the least time between two writes under load.
 	GatherTime time.Duration
 	// SilenceTimeout is the time without a frame after which the other side of a link with open
-	// requests is considered dead.
+	// requests counts as silent. The link then carries no new requests, and ends once nobody waits
+	// for the open ones.
 	SilenceTimeout time.Duration
 	// PingInterval is the longest time without a frame to the other side while requests are open.
 	PingInterval time.Duration
--- a/offload/link/source.go
+++ b/offload/link/source.go
@@ -183,9 +183,27 @@
 	return isIdle
 }
 
+// Silent reports whether requests are open and the executor has sent nothing for
+// Options.SilenceTimeout.
+func (s *Source) Silent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err == nil && s.isSilentLocked(s.now())
+}
+
 // openLocked implements endpoint.
 func (s *Source) openLocked() int { return len(s.open) }
 
+// isAwaitedLocked implements endpoint.
+func (s *Source) isAwaitedLocked() bool {
+	for _, sent := range s.open {
+		if !sent.cancelled {
+			return true
+		}
+	}
+	return false
+}
+
 // takeLocked implements endpoint.
 func (s *Source) takeLocked() []byte {
 	b, ok := s.out.take()
@@ -340,6 +358,9 @@
 	s.wakeWriter()
 }
 
+// Silent implements offload.Sent.
+func (r *sentRequest) Silent() bool { return r.source.Silent() }
+
 // Cancel implements offload.Sent.
 func (r *sentRequest) Cancel() {
 	s := r.source
--- a/offload/offload.go
+++ b/offload/offload.go
@@ -58,4 +58,8 @@
 	Taken(n int)
 	// Cancel records that the caller has gone. Answer.End is still called.
 	Cancel()
+	// Silent reports whether the executor, or the way to it, has been silent for longer than a sound
+	// one is: it may go on, or be gone. The request stays open until Cancel is called. Silent calls no
+	// method of Answer.
+	Silent() bool
 }
--- a/router/offload.go
+++ b/router/offload.go
@@ -71,6 +71,19 @@
 // configNumber returns the number of the configuration version in force.
 func (r *Router) configNumber() uint64 { return uint64(r.version()) }
 
+// routeLimit returns the time limit of the route of a request, or zero if there is none.
+func (r *Router) routeLimit(host, path []byte) time.Duration {
+	snapshot := r.InForce()
+	if snapshot == nil {
+		return 0
+	}
+	route := snapshot.Index().RouteOf(string(host), string(path))
+	if route == nil {
+		return 0
+	}
+	return route.Timeout()
+}
+
 // executorLoad returns the state of this router as an executor.
 func (r *Router) executorLoad() balance.Load {
 	limits := r.settings.Limits
--- a/router/offload_test.go
+++ b/router/offload_test.go
@@ -22,6 +22,7 @@
 	allowance, maxOpen, open int
 	sent, wanted             uint64
 	answers                  []offload.Answer
+	silent                   bool
 	done                     chan struct{}
 	err                      error // why the link ended
 	// counted is called after the open requests were counted.
@@ -53,6 +54,7 @@
 func (l *fakeLink) NoteWanted(n int)              { l.wanted += uint64(n) }
 func (l *fakeLink) HeldBytes() int64              { return 0 }
 func (l *fakeLink) Done() <-chan struct{}         { return l.done }
+func (l *fakeLink) Silent() bool                  { return l.silent }
 func (l *fakeLink) Drain()                        {}
 func (l *fakeLink) Err() error                    { return l.err }
 func (l *fakeLink) Demand() (sent, wanted uint64) { return l.sent, l.wanted }
@@ -85,8 +87,9 @@
 
 type fakeSent struct{}
 
-func (fakeSent) Taken(int) {}
-func (fakeSent) Cancel()   {}
+func (fakeSent) Taken(int)    {}
+func (fakeSent) Cancel()      {}
+func (fakeSent) Silent() bool { return false }
 
 // fakeAnswer keeps how a request ended.
 type fakeAnswer struct{ outcome *offload.Outcome }
@@ -199,6 +202,38 @@
 	}
 }
 
+// TestSilentExecutorIsNotUsed guards against new requests for an executor that is silent, against open
+// ones that end with its link, and against an executor that goes on and is not used again.
+func TestSilentExecutorIsNotUsed(t *testing.T) {
+	s := newTestSource(t)
+	node, silent := s.begin()
+	silent.allowance, silent.open, silent.silent = 0, 1, true
+	s.advance(offloadInterval)
+	if used := s.used(); slices.Contains(used, node) || len(used) != 1 {
+		t.Errorf("executors %v while %s is silent", used, node)
+	}
+	s.links[s.used()[0]].allowance = 0
+	s.send()
+	s.advance(offloadInterval)
+	if used := s.used(); slices.Contains(used, node) || len(used) != 2 {
+		t.Errorf("executors %v while %s is silent", used, node)
+	}
+	s.advance(20 * time.Second)
+	select {
+	case <-silent.done:
+		t.Error("the link was closed while a request was open")
+	default:
+	}
+	if slices.Contains(s.used(), node) {
+		t.Errorf("executors %v while %s is still silent", s.used(), node)
+	}
+	silent.silent = false
+	s.advance(8 * time.Second)
+	if !slices.Contains(s.used(), node) {
+		t.Errorf("executors %v after %s went on", s.used(), node)
+	}
+}
+
 // TestFailedRequestExcludesNoExecutor guards against executors that are not used because callers
 // went away or targets failed.
 func TestFailedRequestExcludesNoExecutor(t *testing.T) {
--- a/router/offloadmetrics.go
+++ b/router/offloadmetrics.go
@@ -42,6 +42,7 @@
 var (
 	exclusionsDeclined = offloadExclusions("declined")
 	exclusionsEnded    = offloadExclusions("link_ended")
+	exclusionsSilent   = offloadExclusions("silent")
 	exclusionsDrained  = offloadExclusions("drained")
 	exclusionsDial     = offloadExclusions("dial_failed")
 	exclusionsStarved  = offloadExclusions("no_allowance")
--- a/router/offloadrequest.go
+++ b/router/offloadrequest.go
@@ -27,6 +27,9 @@
 // Taken implements offload.Sent.
 func (r *offloadedRequest) Taken(n int) { r.sent.Taken(n) }
 
+// Silent implements offload.Sent.
+func (r *offloadedRequest) Silent() bool { return r.sent.Silent() }
+
 // Cancel implements offload.Sent.
 func (r *offloadedRequest) Cancel() {
 	r.cancelled.Store(true)
--- a/router/offloadsource.go
+++ b/router/offloadsource.go
@@ -35,6 +35,8 @@
 	NoteWanted(n int)
 	OpenRequests() int
 	HeldBytes() int64
+	// Silent reports whether requests are open and nothing is heard of the executor.
+	Silent() bool
 	Done() <-chan struct{}
 	Err() error
 	// CloseIdle ends the link unless requests are open, and reports whether none were.
@@ -287,6 +289,11 @@
 		return
 	default:
 	}
+	if l.Silent() && s.selector.Usable(now, l.node) {
+		exclusionsSilent.Inc()
+		s.exclude(now, l.node, "silent", nil)
+		return
+	}
 	if l.declined.Swap(false) {
 		exclusionsDeclined.Inc()
 		s.exclude(now, l.node, offload.Declined.String(), nil)
--- a/router/start.go
+++ b/router/start.go
@@ -239,6 +239,7 @@
 		if r.offloading.source != nil {
 			options.Offload = r.offloading.source
 			options.ConfigNumber = r.configNumber
+			options.RouteLimit = r.routeLimit
 			options.Lag = r.overload.currentLag
 		}
 		r.front = front.New(options, r.routedPipeline())
