Offloading: a draining router waits for a request on its way

A request that was on its way to a router that drains, while the link was silent for 1.5 s, got 502 (711, "may have run") though it had not run and never would: the router closed its links half a second after its last open request had ended, and the request was lost with the link.

A drain now waits up to two seconds for its sources to end their links, as long as a sound side may be silent. A source that is heard ends its link at once, as before, so that only drains with a silent source last longer. The request is then declined (503, not run).

--- a/router/offloadexecutor.go
+++ b/router/offloadexecutor.go
@@ -25,8 +25,9 @@
 	// drainPollInterval is the interval at which a drain checks for open requests.
 	drainPollInterval = 10 * time.Millisecond
 	// maxLinkEndTime is how long a drain waits for sources to end their links. They are in the same
-	// data centre; one that takes longer is frozen.
-	maxLinkEndTime = 500 * time.Millisecond
+	// data centre and end them at once, unless they are paused or cut off for a moment: requests of
+	// theirs may then be on their way, and are lost with the link.
+	maxLinkEndTime = 2 * time.Second
 )
 
 // servedLink is the executor's end of a link.
--- a/router/offloadfleet_test.go
+++ b/router/offloadfleet_test.go
@@ -199,6 +199,11 @@
 	c.held.Store(&held)
 }
 
+// allowance returns how many requests the small router may send.
+func (f *offloadFleet) allowance() int64 {
+	return f.small.offloading.source.sum(func(l sendingLink) int64 { return int64(l.Allowance()) })
+}
+
 // flood makes the small router refuse all requests on new connections, whatever its lag.
 func (f *offloadFleet) flood() {
 	for range maxUnshedCallers + 1 {
@@ -413,6 +418,32 @@
 	}
 }
 
+// TestExecutorDrainsDuringSilence guards against responses that are cut off, and a request on its way
+// that is lost, because nothing is heard of the source for a while as the executor drains.
+func TestExecutorDrainsDuringSilence(t *testing.T) {
+	f := startOffloadFleet(t)
+	run, stream := f.begin(pathRun), f.begin(pathStream)
+	time.Sleep(testRunTime / 2)
+	f.eventually("another request is allowed", func() bool { return f.allowance() > 0 })
+	f.cut(hold)
+	before := len(f.journal.Runs(""))
+	onItsWay := make(chan standin.Answer, 1)
+	go func() { onItsWay <- f.send(pathRun, 0) }()
+	f.eventually("the request is sent", func() bool { return f.small.offloading.source.openRequests() == 3 })
+	drained := make(chan error, 1)
+	go func() { drained <- f.large.Shutdown(t.Context()) }()
+	time.Sleep(1500 * time.Millisecond)
+	f.cut(resume)
+	f.checkWhole(pathRun, <-run)
+	f.checkWhole(pathStream, <-stream)
+	if got := <-onItsWay; got.Status != http.StatusServiceUnavailable || len(f.journal.Runs("")) != before {
+		t.Errorf("on its way: status %d, %q, %d runs", got.Status, got.Body, len(f.journal.Runs(""))-before)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestExecutorIsBehindInItsConfiguration guards against requests that are served by an older
 // version than the source has.
 func TestExecutorIsBehindInItsConfiguration(t *testing.T) {
