Offloading: name the cause of each response that breaks off

Of callers that got no complete response of another router, a line said "The router that served the request was lost." by their request's ID, whatever the cause was, and one counter counted them all: a target that failed, a connection that was reset, a router that broke the protocol, silence and a stop of this router looked alike. Of callers that were cut off because they read too slowly, no line said so.

offload.Answer.End gets the reason now, from where it is known: the link says how it ended, package router adds the executor, and package front logs both and counts by cause (walnut_offload_broken_total). Requests without a response whose executor is silent at the deadline have a result of their own ("silent"), and slow callers a line.

TestBrokenRequestNamesItsCause (link), TestBrokenRequestIsLoggedWithItsCause and TestStalledReaderIsCutOff (front) check the causes, lines and counters. The other changes of tests give End its second argument.

--- a/front/executor_test.go
+++ b/front/executor_test.go
@@ -51,12 +51,14 @@
 }
 
 func (c *memoryConn) Close() error {
-	c.end.Do(func() { c.answer.End(offload.Complete) })
+	c.end.Do(func() { c.answer.End(offload.Complete, offload.Loss{}) })
 	return nil
 }
 
 func (c *memoryConn) CloseWrite() error { return c.Close() }
-func (c *memoryConn) Abort()            { c.end.Do(func() { c.answer.End(offload.Broken) }) }
+func (c *memoryConn) Abort() {
+	c.end.Do(func() { c.answer.End(offload.Broken, offload.Loss{Cause: offload.CauseResponse}) })
+}
 
 func (c *memoryConn) Gone() <-chan struct{} { return c.gone }
 func (c *memoryConn) Cancel()               { c.cancel.Do(func() { close(c.gone) }) }
@@ -84,7 +86,7 @@
 	r.mu.Unlock()
 }
 
-func (r *recorder) End(outcome offload.Outcome) { r.ended <- outcome }
+func (r *recorder) End(outcome offload.Outcome, _ offload.Loss) { r.ended <- outcome }
 
 // execute serves a request that has waited at a source, and returns its connection and answer.
 func execute(f *fixture, raw string, waited time.Duration) (*memoryConn, *recorder) {
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/walnutcove/walnutcove/offload"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/result/codecounter"
 )
@@ -28,6 +29,7 @@
 	offloadBroken     = offloadCounter("broken")
 	offloadCallerGone = offloadCounter("caller_gone")
 	offloadDeadline   = offloadCounter("deadline")
+	offloadSilent     = offloadCounter("silent")
 	// offloadTooLarge and offloadCrowded count requests that were not offered.
 	offloadTooLarge = offloadCounter("too_large")
 	offloadCrowded  = offloadCounter("crowded")
@@ -51,6 +53,18 @@
 		result.AnswerBytesFull)
 )
 
+// offloadBrokenBy counts the offloaded requests with the result "broken" by cause.
+var offloadBrokenBy = countersByCause(offload.CauseResponse, offload.CauseConnection, offload.CauseProtocol,
+	offload.CauseSilent, offload.CauseStopped)
+
+func countersByCause(causes ...offload.Cause) map[offload.Cause]*metrics.Counter {
+	counters := make(map[offload.Cause]*metrics.Counter, len(causes))
+	for _, cause := range causes {
+		counters[cause] = metrics.NewCounter(fmt.Sprintf("walnut_offload_broken_total{cause=%q}", cause))
+	}
+	return counters
+}
+
 // offloadCounter returns the counter of offloaded requests with the given result. Other packages
 // count further results under the same name.
 func offloadCounter(result string) *metrics.Counter {
--- a/front/offload.go
+++ b/front/offload.go
@@ -331,8 +331,7 @@
 	total := r.owner.heldBytes.Add(int64(len(p)))
 	if len(r.held)+len(p) > maxHeldAnswerBytes || total > maxTotalHeldAnswerBytes {
 		r.owner.heldBytes.Add(-int64(len(p)))
-		answersOverLimit.Inc()
-		r.finish(offloadCallerGone, true)
+		r.cutOff(answersOverLimit, "held_bytes_full")
 		return false
 	}
 	r.held = append(r.held, p...)
@@ -363,8 +362,7 @@
 	case len(r.held) == 0 && r.complete:
 		r.finish(offloadComplete, false)
 	case stalled && len(r.held) > 0:
-		answersStalled.Inc()
-		r.finish(offloadCallerGone, true)
+		r.cutOff(answersStalled, "stalled")
 		cancel = true
 	}
 	r.blocked = len(r.held) > 0
@@ -373,6 +371,17 @@
 	return isBlocked
 }
 
+// cutOff ends a request whose caller does not read the response. The caller holds r.mu.
+func (r *offloaded) cutOff(counter *metrics.Counter, reason string) {
+	s := r.owner.server
+	counter.Inc()
+	if s.allowRefusalLog() {
+		s.log.Warn("front: Caller of an offloaded request reads too slowly.", "request", r.id, "reason", reason,
+			"held_bytes", len(r.held), "unlogged_before", s.unlogged.Swap(0))
+	}
+	r.finish(offloadCallerGone, true)
+}
+
 // dropHeld removes held bytes that the connection has taken. The caller holds r.mu.
 func (r *offloaded) dropHeld(taken int, now time.Time) {
 	if taken == 0 {
@@ -386,7 +395,7 @@
 }
 
 // End implements offload.Answer.
-func (r *offloaded) End(outcome offload.Outcome) {
+func (r *offloaded) End(outcome offload.Outcome, loss offload.Loss) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -399,7 +408,10 @@
 			r.finish(offloadComplete, false)
 		}
 	default:
-		r.breakOff("The router that served the request was lost.")
+		if loss.Cause == "" { // what the executor reported contradicts what it sent
+			loss.Cause = offload.CauseProtocol
+		}
+		r.breakOff(loss)
 	}
 }
 
@@ -419,12 +431,18 @@
 // breakOff ends a request that may have run: with an error if the caller has no byte of the
 // response, otherwise by resetting the connection, because a response that is delimited by the
 // end of the connection would look complete after an orderly close. The caller holds r.mu.
-func (r *offloaded) breakOff(detail string) {
+func (r *offloaded) breakOff(loss offload.Loss) {
 	s := r.owner.server
+	offloadBrokenBy[loss.Cause].Inc()
 	if s.allowRefusalLog() {
-		s.log.Warn("front: Offloaded request broke off.", "request", r.id, "cause", detail, "response_begun", r.begun, "unlogged_before", s.unlogged.Swap(0))
+		s.log.Warn("front: Offloaded request broke off.", "request", r.id, "cause", loss.Cause, "executor", loss.Executor,
+			"error", loss.Err, "response_begun", r.begun, "unlogged_before", s.unlogged.Swap(0))
 	}
 	if !r.begun {
+		detail := "The router that served the request was lost."
+		if loss.Cause == offload.CauseStopped {
+			detail = "This router was stopped."
+		}
 		refusals.Inc(result.ExecutorLost)
 		r.respond(result.New(result.ExecutorLost, "%s", detail))
 	}
@@ -453,16 +471,20 @@
 		return
 	}
 	if r.begun {
-		r.breakOff("The router that serves the request was silent until the deadline.")
+		r.breakOff(offload.Loss{Cause: offload.CauseSilent})
 		r.unlock(0, true)
 		return
 	}
 	s := r.owner.server
-	err := result.New(result.FirstByteTimeout, "The request was not answered by the deadline.")
+	detail, outcome := "The request was not answered by the deadline.", offloadDeadline
+	if r.sent != nil && r.sent.Silent() {
+		detail, outcome = "The router that serves the request was silent until the deadline.", offloadSilent
+	}
+	err := result.New(result.FirstByteTimeout, "%s", detail)
 	refusals.Inc(err.Code)
 	s.logRefusal(r.id, err)
 	r.respond(err)
-	r.finish(offloadDeadline, false)
+	r.finish(outcome, false)
 	r.unlock(0, true)
 }
 
@@ -486,7 +508,7 @@
 		r.unlock(0, false)
 		return
 	}
-	r.breakOff("This router was stopped.")
+	r.breakOff(offload.Loss{Cause: offload.CauseStopped})
 	r.unlock(0, true)
 }
 
--- a/front/offload_test.go
+++ b/front/offload_test.go
@@ -65,6 +65,14 @@
 // pass writes a part of the response.
 func (s *fakeSent) pass(text string) { s.Answer.Write([]byte(text)) }
 
+// lossOf returns the reason that goes with an outcome.
+func lossOf(outcome offload.Outcome) offload.Loss {
+	if outcome == offload.Broken {
+		return offload.Loss{Cause: offload.CauseConnection}
+	}
+	return offload.Loss{}
+}
+
 // source is a server that offers all requests to a fakeSender.
 type source struct {
 	*fixture
@@ -80,7 +88,9 @@
 	t.Helper()
 	s := &source{sender: newFakeSender()}
 	options.Offload = s.sender
-	options.Log = slog.New(slog.DiscardHandler)
+	if options.Log == nil {
+		options.Log = slog.New(slog.DiscardHandler)
+	}
 	options.Shed = func(bool) bool { return true }
 	options.ConfirmShed = func(bool, []byte, []byte, func(string) []byte) (bool, func()) {
 		return true, func() { s.refused.Add(1) }
@@ -209,7 +219,7 @@
 		for i := range len(response) {
 			sent.pass(response[i : i+1])
 		}
-		sent.End(offload.Complete)
+		sent.End(offload.Complete, offload.Loss{})
 		if got, err := io.ReadAll(conn); string(got) != response || err != nil {
 			t.Errorf("got %q, %v", got, err)
 		}
@@ -229,7 +239,7 @@
 		if string(sent.Raw) != shortCall {
 			t.Errorf("offered %q", sent.Raw)
 		}
-		sent.End(offload.Declined)
+		sent.End(offload.Declined, offload.Loss{})
 	})
 }
 
@@ -243,7 +253,7 @@
 				s.sender.full.Store(!decline)
 				conn := s.call(fast, shortCall)
 				if decline {
-					await(t, s.sender.sent).End(offload.Declined)
+					await(t, s.sender.sent).End(offload.Declined, offload.Loss{})
 				}
 				answer := answerOn(t, conn)
 				if answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get(headerCode) != "605" ||
@@ -287,7 +297,7 @@
 				}
 				conn, sent := s.offer(fast, shortCall)
 				sent.pass(begin)
-				sent.End(outcome)
+				sent.End(outcome, lossOf(outcome))
 				answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
 				if begin == "" {
 					if err != nil || answer.StatusCode != http.StatusBadGateway || answer.Header.Get(headerCode) != "711" || answer.Header.Get(headerRan) != "unknown" {
@@ -310,11 +320,31 @@
 	})
 }
 
+// TestBrokenRequestIsLoggedWithItsCause guards against callers without a complete answer of whom no
+// line by their request's ID, and no counter, says why.
+func TestBrokenRequestIsLoggedWithItsCause(t *testing.T) {
+	for _, cause := range []offload.Cause{offload.CauseResponse, offload.CauseConnection, offload.CauseProtocol} {
+		var log bytes.Buffer
+		s := startSource(t, Options{Log: slog.New(slog.NewTextHandler(&log, nil))})
+		before := offloadBrokenBy[cause].Get()
+		_, sent := s.offer(true, shortCall)
+		sent.End(offload.Broken, offload.Loss{Cause: cause, Executor: "large-1", Err: io.ErrUnexpectedEOF})
+		s.awaitIdle()
+		want := fmt.Sprintf("request=%s cause=%s executor=large-1 error=%q response_begun=false", sent.Request.ID, cause, io.ErrUnexpectedEOF)
+		if !strings.Contains(log.String(), want) {
+			t.Errorf("no %s in %s", want, log.String())
+		}
+		if count := offloadBrokenBy[cause].Get() - before; count != 1 {
+			t.Errorf("%s: counted %d times", cause, count)
+		}
+	}
+}
+
 // TestCompleteWithoutResponse guards against a caller who gets no answer at all.
 func TestCompleteWithoutResponse(t *testing.T) {
 	s := startSource(t, Options{})
 	conn, sent := s.offer(true, shortCall)
-	sent.End(offload.Complete)
+	sent.End(offload.Complete, offload.Loss{})
 	if answer := answerOn(t, conn); answer.Header.Get(headerCode) != "711" {
 		t.Errorf("%v", answer)
 	}
@@ -332,7 +362,7 @@
 			await(t, sent.cancelled)
 			s.awaitIdle()
 			sent.pass("late")
-			sent.End(offload.Complete)
+			sent.End(offload.Complete, offload.Loss{})
 			if sent.taken.Load() != int64(len(begin)) || len(sent.cancelled) > 0 {
 				t.Errorf("%d bytes taken, cancelled again: %v", sent.taken.Load(), len(sent.cancelled) > 0)
 			}
@@ -376,9 +406,9 @@
 		}
 		await(t, silentSent.cancelled)
 		silentSent.pass("late")
-		silentSent.End(offload.Complete)
+		silentSent.End(offload.Complete, offload.Loss{})
 		begunSent.pass("Content-Length: 0\r\n\r\n")
-		begunSent.End(offload.Complete)
+		begunSent.End(offload.Complete, offload.Loss{})
 		if answer := answerOn(t, begun); answer.StatusCode != http.StatusOK || len(begunSent.cancelled) > 0 {
 			t.Errorf("%s, cancelled: %v", answer.Status, len(begunSent.cancelled) > 0)
 		}
@@ -401,6 +431,7 @@
 				return limit
 			},
 		})
+		countsBefore := offloadSilent.Get() + offloadBrokenBy[offload.CauseSilent].Get()
 		began := time.Now()
 		begun, begunSent := s.offer(fast, shortCall)
 		waiting, waitingSent := s.offer(fast, shortCall)
@@ -425,8 +456,11 @@
 		}
 		await(t, waitingSent.cancelled)
 		await(t, begunSent.cancelled)
+		if count := offloadSilent.Get() + offloadBrokenBy[offload.CauseSilent].Get() - countsBefore; count != 2 {
+			t.Errorf("%d of 2 ends are counted as silent", count)
+		}
 		resumedSent.pass(contentLength("late"))
-		resumedSent.End(offload.Complete)
+		resumedSent.End(offload.Complete, offload.Loss{})
 		if answer := answerOn(t, resumed); answer.StatusCode != http.StatusOK || len(resumedSent.cancelled) > 0 {
 			t.Errorf("%s, cancelled: %v", answer.Status, len(resumedSent.cancelled) > 0)
 		}
@@ -487,7 +521,7 @@
 			t.Errorf("%d bytes are held, %d of %d taken", held, sent.taken.Load(), len(want))
 		}
 		sent.pass("end")
-		sent.End(offload.Complete)
+		sent.End(offload.Complete, offload.Loss{})
 		if got, err := io.ReadAll(conn); string(got) != want+"end" || err != nil {
 			t.Errorf("got %d bytes of %d, %v", len(got), len(want)+len("end"), err)
 		}
@@ -533,7 +567,7 @@
 			t.Fatal(err)
 		}
 		want := fill(t, sent)
-		sent.End(offload.Complete)
+		sent.End(offload.Complete, offload.Loss{})
 		if got, err := io.ReadAll(conn); string(got) != want || err != nil {
 			t.Errorf("got %d bytes of %d, %v", len(got), len(want), err)
 		}
@@ -558,7 +592,7 @@
 			}
 		}
 	})
-	sent.End(offload.Complete)
+	sent.End(offload.Complete, offload.Loss{})
 	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
 	if got, err := io.ReadAll(conn); string(got) != want || err != nil {
 		t.Errorf("got %d bytes of %d, %v", len(got), len(want), err)
@@ -567,14 +601,19 @@
 	others.Wait()
 }
 
-// TestStalledReaderIsCutOff guards against a caller who never reads keeping a request open.
+// TestStalledReaderIsCutOff guards against a caller who never reads keeping a request open, and against
+// one that is cut off of whom no line tells.
 func TestStalledReaderIsCutOff(t *testing.T) {
-	s := startSource(t, Options{WriteTimeout: 50 * time.Millisecond})
+	var log bytes.Buffer
+	s := startSource(t, Options{WriteTimeout: 50 * time.Millisecond, Log: slog.New(slog.NewTextHandler(&log, nil))})
 	conn, sent := s.offer(true, shortCall)
 	fill(t, sent)
-	sent.End(offload.Complete)
+	sent.End(offload.Complete, offload.Loss{})
 	await(t, sent.cancelled)
 	s.awaitIdle()
+	if want := "request=" + sent.Request.ID + " reason=stalled"; !strings.Contains(log.String(), want) {
+		t.Errorf("no %s in %s", want, log.String())
+	}
 	if _, err := io.ReadAll(conn); err == nil {
 		t.Error("the response looks complete")
 	}
@@ -595,9 +634,9 @@
 			continue // another test's connection has the descriptor
 		}
 		firstSent.pass("foreign")
-		firstSent.End(offload.Broken)
+		firstSent.End(offload.Broken, offload.Loss{Cause: offload.CauseResponse})
 		sent.pass(contentLength("own"))
-		sent.End(offload.Complete)
+		sent.End(offload.Complete, offload.Loss{})
 		if got, err := io.ReadAll(conn); string(got) != contentLength("own") || err != nil {
 			t.Errorf("got %q, %v", got, err)
 		}
@@ -619,7 +658,8 @@
 			sent.pass(name + ",")
 			time.Sleep(100 * time.Microsecond)
 		}
-		sent.End(offload.Outcome(len(name) % 3))
+		outcome := offload.Outcome(len(name) % 3)
+		sent.End(outcome, lossOf(outcome))
 	}
 	// Requests whose callers left before are not offered, so their number varies.
 	responding.Go(func() {
@@ -664,7 +704,7 @@
 		case <-time.After(acceptQuietPeriod + 50*time.Millisecond):
 		}
 		sent.pass(contentLength("answer"))
-		sent.End(offload.Complete)
+		sent.End(offload.Complete, offload.Loss{})
 		if answer := answerOn(t, conn); answer.StatusCode != http.StatusOK {
 			t.Errorf("status %d", answer.StatusCode)
 		}
@@ -708,7 +748,7 @@
 // Send implements offload.Sender.
 func (s *endingSender) Send(_ offload.Request, answer offload.Answer) offload.Sent {
 	answer.Write([]byte(contentLength("answer")))
-	answer.End(offload.Complete)
+	answer.End(offload.Complete, offload.Loss{})
 	return &s.fakeSent
 }
 
--- a/front/offloadbench_test.go
+++ b/front/offloadbench_test.go
@@ -140,7 +140,7 @@
 					}
 				}
 				for _, answer := range taking.answers {
-					answer.End(offload.Complete)
+					answer.End(offload.Complete, offload.Loss{})
 				}
 				for _, fd := range bare {
 					_ = syscall.Close(fd)
--- a/offload/link/bench_test.go
+++ b/offload/link/bench_test.go
@@ -216,7 +216,7 @@
 	}
 }
 
-func (c *counter) End(outcome offload.Outcome) {
+func (c *counter) End(outcome offload.Outcome, _ offload.Loss) {
 	if outcome != offload.Complete {
 		c.lost.Add(1)
 	}
@@ -297,7 +297,7 @@
 		answer := &counter{left: &left, lost: &lost}
 		sent := source.Send(offload.Request{ID: "request", Raw: raw}, answer)
 		if sent == nil {
-			answer.End(offload.Declined)
+			answer.End(offload.Declined, offload.Loss{})
 			return
 		}
 		answer.sent.Store(&sent)
--- a/offload/link/link_test.go
+++ b/offload/link/link_test.go
@@ -83,6 +83,7 @@
 	mu    sync.Mutex
 	bytes []byte
 	ends  []offload.Outcome
+	loss  offload.Loss
 	ended chan struct{}
 	sent  chan offload.Sent
 	// takes makes Write report the bytes as taken.
@@ -107,10 +108,11 @@
 	}
 }
 
-func (r *recorder) End(outcome offload.Outcome) {
+func (r *recorder) End(outcome offload.Outcome, loss offload.Loss) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ends = append(r.ends, outcome)
+	r.loss = loss
 	if len(r.ends) > 1 {
 		panic("two Ends")
 	}
--- a/offload/link/raw_test.go
+++ b/offload/link/raw_test.go
@@ -161,6 +161,29 @@
 	answer.expect(t, offload.Broken, "HTTP/1.1 200")
 }
 
+// TestBrokenRequestNamesItsCause guards against requests that break off without a reason in the logs
+// and counters, or with a wrong one.
+func TestBrokenRequestNamesItsCause(t *testing.T) {
+	for want, end := range map[offload.Cause]func(*Source, *rawSide){
+		offload.CauseResponse: func(_ *Source, raw *rawSide) {
+			raw.write(t, appendAnswer(nil, 1, nil, linkpb.End_END_BROKEN))
+		},
+		offload.CauseConnection: func(_ *Source, raw *rawSide) { raw.Close() },
+		offload.CauseProtocol:   func(_ *Source, raw *rawSide) { raw.write(t, []byte("\x00")) },
+		offload.CauseStopped:    func(source *Source, _ *rawSide) { source.Close() },
+	} {
+		source, raw := rawExecutor(t)
+		raw.allow(t, source, 1, 1)
+		_, answer := offer(t, source, "request")
+		raw.readKind(t, kindRequest)
+		end(source, raw)
+		answer.expect(t, offload.Broken, "")
+		if answer.loss.Cause != want || (answer.loss.Err == nil) != (want == offload.CauseResponse) {
+			t.Errorf("%+v, want %s", answer.loss, want)
+		}
+	}
+}
+
 // TestSilentExecutor guards against new requests for an executor that is frozen or cut off, against
 // open ones that do not end when their callers leave at their deadlines, and against a link to it that
 // is then kept.
--- a/offload/link/source.go
+++ b/offload/link/source.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync/atomic"
@@ -298,6 +299,20 @@
 	return s.endRequest(sent, outcome)
 }
 
+// lossOf returns why requests broke that were open when a link ended with an error.
+func lossOf(err error) offload.Loss {
+	cause := offload.CauseConnection
+	switch {
+	case errors.Is(err, errFrame):
+		cause = offload.CauseProtocol
+	case errors.Is(err, ErrSilent):
+		cause = offload.CauseSilent
+	case errors.Is(err, ErrClosed):
+		cause = offload.CauseStopped
+	}
+	return offload.Loss{Cause: cause, Err: err}
+}
+
 // endRequest ends a request.
 func (s *Source) endRequest(sent *sentRequest, outcome offload.Outcome) error {
 	s.mu.Lock()
@@ -305,7 +320,11 @@
 	sent.ended = true
 	err := s.drainedLocked()
 	s.mu.Unlock()
-	sent.answer.End(outcome)
+	loss := offload.Loss{}
+	if outcome == offload.Broken {
+		loss.Cause = offload.CauseResponse
+	}
+	sent.answer.End(outcome, loss)
 	return err
 }
 
@@ -313,7 +332,7 @@
 func (s *Source) finish() {
 	s.mu.Lock()
 	open := s.open
-	written := s.written
+	written, loss := s.written, lossOf(s.err)
 	s.open = make(map[uint64]*sentRequest)
 	s.out = outbox{}
 	for _, sent := range open {
@@ -321,11 +340,11 @@
 	}
 	s.mu.Unlock()
 	for number, sent := range open {
-		outcome := offload.Declined
 		if number <= written {
-			outcome = offload.Broken
+			sent.answer.End(offload.Broken, loss)
+		} else {
+			sent.answer.End(offload.Declined, offload.Loss{})
 		}
-		sent.answer.End(outcome)
 	}
 }
 
--- a/offload/offload.go
+++ b/offload/offload.go
@@ -37,8 +37,9 @@
 type Answer interface {
 	// Write takes the next bytes of the HTTP response. p is valid until Write returns.
 	Write(p []byte)
-	// End is called exactly once, as the last call.
-	End(outcome Outcome)
+	// End is called exactly once, as the last call. loss is the reason if the outcome is Broken, and
+	// empty otherwise.
+	End(outcome Outcome, loss Loss)
 }
 
 // Sender sends requests to executors.
--- a/router/offload_test.go
+++ b/router/offload_test.go
@@ -46,7 +46,7 @@
 // end ends the oldest open request.
 func (l *fakeLink) end(outcome offload.Outcome) {
 	l.open--
-	l.answers[0].End(outcome)
+	l.answers[0].End(outcome, offload.Loss{})
 	l.answers = l.answers[1:]
 }
 
@@ -94,8 +94,8 @@
 // fakeAnswer keeps how a request ended.
 type fakeAnswer struct{ outcome *offload.Outcome }
 
-func (fakeAnswer) Write([]byte)                  {}
-func (a fakeAnswer) End(outcome offload.Outcome) { *a.outcome = outcome }
+func (fakeAnswer) Write([]byte)                                  {}
+func (a fakeAnswer) End(outcome offload.Outcome, _ offload.Loss) { *a.outcome = outcome }
 
 // testSource is a source whose steps the test makes, with executors a, b and c.
 type testSource struct {
--- a/router/offloadrequest.go
+++ b/router/offloadrequest.go
@@ -19,9 +19,12 @@
 }
 
 // End implements offload.Answer.
-func (r *offloadedRequest) End(outcome offload.Outcome) {
+func (r *offloadedRequest) End(outcome offload.Outcome, loss offload.Loss) {
 	r.source.ended(r, outcome)
-	r.Answer.End(outcome)
+	if outcome == offload.Broken {
+		loss.Executor = r.link.node
+	}
+	r.Answer.End(outcome, loss)
 }
 
 // Taken implements offload.Sent.
