Offloading: test restarts and new versions with requests open

TestExecutorRestarts keeps six callers calling while an executor drains, ends and comes back at its address: each call is answered whole or refused as not run. TestExecutorIsBehindInItsConfiguration now has requests open as the newer version comes into force. Both pass without a change of the code; nothing covered these cases.

--- a/router/offloadfleet_test.go
+++ b/router/offloadfleet_test.go
@@ -134,8 +134,8 @@
 		}
 		t.Cleanup(replica.Close)
 	}
-	f.large = f.start("large", 0.8, &f.largeLog)
-	f.small = f.start("small", 0.2, &f.smallLog)
+	f.large = f.start("large", 0.8, &f.largeLog, "")
+	f.small = f.start("small", 0.2, &f.smallLog, "")
 	f.small.offloading.source.dial = f.dial
 	f.eventually("the larger router is a candidate", func() bool { return len(f.small.offloadCandidates()) == 1 })
 	f.flood()
@@ -143,7 +143,8 @@
 	return f
 }
 
-func (f *offloadFleet) start(name string, cores float64, log *syncBuffer) *Router {
+// start starts a router. peers is its address for other routers, or "" for any.
+func (f *offloadFleet) start(name string, cores float64, log *syncBuffer, peers string) *Router {
 	f.t.Helper()
 	s := testSettings()
 	s.Node = settings.Node{Name: name, DataCentre: "dc", Cores: cores}
@@ -153,6 +154,9 @@
 	}
 	s.Platform.Kind, s.Platform.Address = settings.KindManaged, address
 	s.Peers.TrustNetwork = true
+	if peers != "" {
+		s.Listen.Peers = peers
+	}
 	s.Scheduling.HeartbeatEvery, s.Scheduling.MemberTimeout = settings.Duration(250*time.Millisecond), settings.Duration(time.Second)
 	s.Offload.Executors = settings.ExecutorsLarger
 	r, err := Start(s, slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})))
@@ -445,12 +449,50 @@
 }
 
 // TestExecutorIsBehindInItsConfiguration guards against requests that are served by an older
-// version than the source has.
+// version than the source has, and against responses that are cut as a version comes into force.
 func TestExecutorIsBehindInItsConfiguration(t *testing.T) {
 	f := startOffloadFleet(t)
+	run, stream := f.begin(pathRun), f.begin(pathStream)
 	inForce := f.small.InForce()
 	f.small.inForce.Store(&config.Snapshot{Version: inForce.Version + 1, Declarations: inForce.Declarations})
 	f.checkNotRun()
+	f.checkWhole(pathRun, <-run)
+	f.checkWhole(pathStream, <-stream)
+}
+
+// TestExecutorRestarts guards against requests that are lost, or end without an honest refusal, because
+// an executor leaves and comes back while callers of the source keep calling.
+func TestExecutorRestarts(t *testing.T) {
+	f := startOffloadFleet(t)
+	ctx, stop := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	var whole atomic.Int64
+	for n := range 6 {
+		callers.Go(func() {
+			path := []string{pathRun, pathStream}[n%2]
+			for ctx.Err() == nil {
+				got := f.send(path, 0)
+				if got.Status == http.StatusServiceUnavailable {
+					if runs := f.journal.Runs(got.ID); len(runs) > 0 {
+						t.Errorf("%s: refused and ran %d times", path, len(runs))
+					}
+					time.Sleep(offloadInterval / 10)
+					continue
+				}
+				f.checkWhole(path, got)
+				whole.Add(1)
+			}
+		})
+	}
+	f.eventually("requests are served", func() bool { return whole.Load() >= 6 })
+	if err := f.large.Shutdown(t.Context()); err != nil {
+		t.Error(err)
+	}
+	before := whole.Load()
+	f.large = f.start("large", 0.8, &f.largeLog, f.large.PeersAddress())
+	f.eventually("the new process serves requests", func() bool { return whole.Load() >= before+6 })
+	stop()
+	callers.Wait()
 }
 
 // TestSourceIsKilled guards against runs that go on for callers who cannot get the responses, and
