Offloading: a paused source sends nothing before it has read

A source that was itself paused could send a request over a link in the moments between the end of the pause and its next check, up to 50 ms later, before it had read what arrived meanwhile. If the link had ended by then, that request got 502 (711, "may have run") though no other router had seen it.

Before the change: TestNothingIsSentBeforeReading: allowance of 1; a request after the pause: "" (it was sent)

The link looks at the time since the last frame with every request in place of the state that the last check found. That is two more readings of the clock for a request.

--- a/offload/link/raw_test.go
+++ b/offload/link/raw_test.go
@@ -207,6 +207,22 @@
 	}
 }
 
+// TestNothingIsSentBeforeReading guards against a request that a source which was itself paused sends
+// over a link of which it has not read that it ended meanwhile: no check has run yet.
+func TestNothingIsSentBeforeReading(t *testing.T) {
+	source, raw := rawExecutor(t, func(o *Options) { o.CheckInterval = testTimeout })
+	raw.allow(t, source, 2, 2)
+	offer(t, source, "request")
+	raw.readKind(t, kindRequest)
+	time.Sleep(quickOptions().SilenceTimeout)
+	if source.Allowance() != 0 {
+		t.Errorf("allowance of %d", source.Allowance())
+	}
+	if _, refusal := source.Offer(offload.Request{Raw: []byte("x")}, newRecorder()); refusal != RefusedStalled {
+		t.Errorf("a request after the pause: %q", refusal)
+	}
+}
+
 // TestStalledWriter guards against requests that are taken while the executor reads nothing, and
 // against memory without bound.
 func TestStalledWriter(t *testing.T) {
--- a/offload/link/source.go
+++ b/offload/link/source.go
@@ -39,8 +39,6 @@
 	// wanted is the demand, and pinged the one that the executor was told last.
 	wanted uint64
 	pinged uint64
-	// stalled is set by checks and makes Send look again.
-	stalled bool
 }
 
 var _ offload.Sender = (*Source)(nil)
@@ -92,15 +90,16 @@
 		return RefusedNoAllowance
 	case s.out.bytes+size > s.options.MaxUnwrittenBytes:
 		return RefusedFull
-	case s.stalled && s.isStalledLocked(s.now()):
+	case s.isStalledLocked(s.now()):
 		return RefusedStalled
 	}
 	return ""
 }
 
 // isStalledLocked reports whether a write takes too long or the executor missed the time of its
-// next frame: a request sent now would probably end with the link. The writer of an overloaded
-// process may wait 100 ms for the processor, which is no stall.
+// next frame: a request sent now would wait for an executor that may be gone. So it would if this
+// process was paused and has not read yet that the link ended. The writer of an overloaded process may
+// wait 100 ms for the processor, which is no stall.
 func (s *Source) isStalledLocked(now time.Duration) bool {
 	return s.writing && now-s.wroteAt > s.options.SilenceTimeout/4 ||
 		len(s.open) > 0 && s.silenceLocked(now) > s.options.SilenceTimeout/2
@@ -139,7 +138,7 @@
 func (s *Source) Allowance() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.err != nil || s.stalled && s.isStalledLocked(s.now()) {
+	if s.err != nil || s.isStalledLocked(s.now()) {
 		return 0
 	}
 	return s.allowanceLocked()
@@ -220,7 +219,6 @@
 
 // checkLocked implements endpoint.
 func (s *Source) checkLocked(now time.Duration) (write, again bool) {
-	s.stalled = s.isStalledLocked(now)
 	changed := s.wanted != s.pinged
 	due := len(s.open) > 0 && now-s.wroteAt >= s.options.PingInterval-s.options.CheckInterval
 	if s.writing || !changed && !due {
