Offloading: test paused processes and idle links

TestPausedProcess stops an executor's process for 1.2 and 2 s within a response, over TCP, yamux and TLS: the response is completed.

TestRequestAsLinkBecomesIdle sends requests around the moment at which their link is closed as idle: each is refused or served.

--- a/offload/link/bench_test.go
+++ b/offload/link/bench_test.go
@@ -148,7 +148,7 @@
 func discardLog() *slog.Logger { return slog.New(slog.DiscardHandler) }
 
 // startExecutor starts the executor's process and returns a connection to it.
-func startExecutor(b *testing.B, transport string, gather time.Duration) net.Conn {
+func startExecutor(b testing.TB, transport string, gather time.Duration) (net.Conn, *os.Process) {
 	b.Helper()
 	keys := ""
 	if transport == "tls" {
@@ -184,7 +184,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		return conn
+		return conn, command.Process
 	}
 	options, err := meshOptions("source", keys)
 	if err != nil {
@@ -200,7 +200,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	return conn
+	return conn, command.Process
 }
 
 // counter is an Answer that reports bytes as taken at once.
@@ -274,7 +274,8 @@
 			for _, gather := range []time.Duration{1, time.Millisecond, 5 * time.Millisecond} {
 				for _, shape := range []string{"batched", "apart", "short"} {
 					b.Run(fmt.Sprintf("%d-%s-%s-%s", perSecond, transport, gather, shape), func(b *testing.B) {
-						benchSource(b, startExecutor(b, transport, gather), gather, shape, perSecond)
+						conn, _ := startExecutor(b, transport, gather)
+						benchSource(b, conn, gather, shape, perSecond)
 					})
 				}
 			}
--- a/offload/link/silence_test.go
+++ b/offload/link/silence_test.go
@@ -3,6 +3,11 @@
 import (
 	"context"
 	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -60,3 +65,95 @@
 		})
 	}
 }
+
+// TestPausedProcess guards against responses that are cut because the executor's process was paused for
+// a while, and against callers who wait for one that was killed: at once, or while it was paused.
+func TestPausedProcess(t *testing.T) {
+	const length = benchEvents * benchEvent
+	for _, transport := range []string{"tcp", "yamux", "tls"} {
+		for _, test := range []struct {
+			name  string
+			pause time.Duration
+			kill  bool
+		}{
+			{name: "paused for 1.2 s", pause: 1200 * time.Millisecond},
+			{name: "paused for 2 s", pause: 2 * time.Second},
+			{name: "killed", kill: true},
+			{name: "killed while paused", pause: 1500 * time.Millisecond, kill: true},
+		} {
+			t.Run(transport+"/"+test.name, func(t *testing.T) {
+				t.Parallel()
+				conn, process := startExecutor(t, transport, DefaultGatherTime)
+				t.Cleanup(func() { _ = process.Signal(syscall.SIGCONT) }) // it may have ended
+				source := NewSource(conn, Options{Log: discardLog()})
+				defer source.Close()
+				p := pair{source: source}
+				eventually(t, "allowance", func() bool { return source.Allowance() > 0 })
+				_, answer := p.send(t, "apart"+strings.Repeat(" ", benchRequest))
+				eventually(t, "the first bytes", func() bool { return answer.received() != "" })
+				if test.pause > 0 {
+					signalProcess(t, process, syscall.SIGSTOP)
+					time.Sleep(test.pause)
+				}
+				if !test.kill {
+					signalProcess(t, process, syscall.SIGCONT)
+					answer.expect(t, offload.Complete, strings.Repeat("e", length))
+					return
+				}
+				select {
+				case <-answer.ended:
+					t.Fatalf("ended before the process: %+v", answer.loss)
+				default:
+				}
+				killed := time.Now()
+				signalProcess(t, process, syscall.SIGKILL)
+				await(t, "the end of the response", answer.ended)
+				if took := time.Since(killed); took > DefaultSilenceTimeout || answer.loss.Cause != offload.CauseConnection {
+					t.Errorf("%+v after %s", answer.loss, took)
+				}
+			})
+		}
+	}
+}
+
+func signalProcess(t *testing.T, process *os.Process, s os.Signal) {
+	t.Helper()
+	if err := process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestRequestAsLinkBecomesIdle guards against a request that is taken as the source closes its idle link,
+// and lost: it must be refused or served.
+func TestRequestAsLinkBecomesIdle(t *testing.T) {
+	const idle = 50 * time.Millisecond
+	var refused, served atomic.Int64
+	var links sync.WaitGroup
+	for n := range 60 {
+		// Only the source closes the link in time; an executor does so much later.
+		ours, theirs := tcpPair(t)
+		executor := NewExecutor("source", theirs, echo, Options{Log: discardLog()})
+		source := NewSource(ours, Options{Log: discardLog(), IdleTimeout: idle, CheckInterval: 10 * time.Millisecond})
+		executor.SetAllowance(2, 2)
+		links.Go(func() {
+			defer await(t, "executor to end", executor.Done())
+			defer source.Close()
+			eventually(t, "allowance", func() bool { return source.Allowance() > 0 })
+			first, last := newRecorder(), newRecorder()
+			if source.Send(offload.Request{Raw: []byte("first")}, first) == nil {
+				refused.Add(1)
+				return
+			}
+			first.expect(t, offload.Complete, "first")
+			time.Sleep(idle + time.Duration(n)*250*time.Microsecond) // the link ends after one or two checks more
+			if source.Send(offload.Request{Raw: []byte("last")}, last) == nil {
+				refused.Add(1)
+				return
+			}
+			last.expect(t, offload.Complete, "last")
+			served.Add(1)
+		})
+	}
+	links.Wait()
+	t.Logf("%d refused, %d served", refused.Load(), served.Load())
+}
