Offloading: run the test of a silent executor beside the others

TestExecutorIsSilentForAWhile ran before the tests that look for goroutines that are left, which found those of its replicas: TestFailedStartLeavesNothingRunning, TestCloseLeavesNothingRunning: found unexpected goroutines, standin/managed.(*Replica).serveCache

--- a/router/offloadfleet_test.go
+++ b/router/offloadfleet_test.go
@@ -390,6 +390,7 @@
 // TestExecutorIsSilentForAWhile guards against responses that are cut, and requests that fail, because
 // nothing is heard of a sound executor for up to two seconds.
 func TestExecutorIsSilentForAWhile(t *testing.T) {
+	t.Parallel() // other tests look for goroutines that are left, as those of the replicas are for a while
 	for _, silence := range []time.Duration{1200 * time.Millisecond, 2 * time.Second} {
 		t.Run(silence.String(), func(t *testing.T) {
 			f := startOffloadFleet(t)
