Offloading: tell callers that left from links that ended

At a router that serves requests of another one, the line of a request whose response could not be passed on said "link: the caller has gone" both when the caller had left and when the link to the other router had ended, whose reason was in no line of the request.

Before the change: TestFailedWriteNamesItsCause: link: the caller has gone, want link: the link to the source has ended: EOF

Writes fail with the reason now, which the line of the request shows as its error.

--- a/offload/link/executor.go
+++ b/offload/link/executor.go
@@ -351,16 +351,16 @@
 	if r == nil {
 		return
 	}
-	e.abandonLocked(r)
+	e.abandonLocked(r, errCallerGone)
 	e.endLocked(r, offload.Broken)
 }
 
-// abandonLocked makes the caller of a request count as gone.
-func (e *Executor) abandonLocked(r *response) {
+// abandonLocked makes the caller of a request count as gone, for a reason.
+func (e *Executor) abandonLocked(r *response, reason error) {
 	r.gone = true
 	e.unsent -= r.unsent.Len()
 	r.unsent.Reset()
-	r.cancel()
+	r.cancel(reason)
 }
 
 // take handles a Taken frame.
@@ -387,8 +387,9 @@
 		e.running--
 		e.partial.release()
 	}
+	reason := fmt.Errorf("%w: %w", errSourceGone, e.err)
 	for _, r := range e.open {
-		e.abandonLocked(r)
+		e.abandonLocked(r, reason)
 	}
 	clear(e.open)
 	e.ready = nil
--- a/offload/link/raw_test.go
+++ b/offload/link/raw_test.go
@@ -1,12 +1,14 @@
 package link
 
 import (
+	"context"
 	"errors"
 	"net"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/offload"
 	"github.com/walnutcove/walnutcove/offload/link/linkpb"
 )
@@ -400,6 +402,30 @@
 	}
 }
 
+// TestFailedWriteNamesItsCause guards against runs that end with their link and are logged as if their
+// callers had left.
+func TestFailedWriteNamesItsCause(t *testing.T) {
+	for want, end := range map[string]func(*rawSide){
+		"link: the caller has gone":                     func(raw *rawSide) { raw.write(t, appendCancel(nil, 1)) },
+		"link: the link to the source has ended: EOF":   func(raw *rawSide) { raw.Close() },
+		"link: the link to the source has ended: inval": func(raw *rawSide) { raw.write(t, []byte("\x00")) },
+	} {
+		failed := make(chan error, 1)
+		_, raw := rawSource(t, func(ctx context.Context, _ control.NodeID, _ offload.Request, conn net.Conn) error {
+			<-ctx.Done()
+			_, err := conn.Write([]byte("x"))
+			failed <- err
+			return err
+		}, 1, 1)
+		raw.discard()
+		raw.write(t, appendRequest(nil, frame{number: 1, size: 1, bytes: []byte("x")}))
+		end(raw)
+		if err := <-failed; err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%v, want %s", err, want)
+		}
+	}
+}
+
 // TestSilentSource guards against a source that is not heard and may send further requests, against
 // runs that end because of its silence alone, and against runs for callers of one that is dead.
 func TestSilentSource(t *testing.T) {
--- a/offload/link/response.go
+++ b/offload/link/response.go
@@ -13,8 +13,12 @@
 	"github.com/walnutcove/walnutcove/offload"
 )
 
-// errCallerGone is returned by writes of a response whose caller has gone.
-var errCallerGone = errors.New("link: the caller has gone")
+// errCallerGone is returned by writes of a response whose caller has gone, and errSourceGone, with why
+// the link ended, by those of a response that cannot reach its caller any more.
+var (
+	errCallerGone = errors.New("link: the caller has gone")
+	errSourceGone = errors.New("link: the link to the source has ended")
+)
 
 // response is a request at the executor and the connection that its Handler uses.
 type response struct {
@@ -25,7 +29,7 @@
 	reserved bool          // whether the budget holds the request
 	input    *bytes.Reader // used by Read
 	ctx      context.Context
-	cancel   context.CancelFunc
+	cancel   context.CancelCauseFunc
 	// readWake and writeWake make a blocked Read and a blocked Write look again.
 	readWake      chan struct{}
 	writeWake     chan struct{}
@@ -63,7 +67,7 @@
 	if r.reserved {
 		r.request.Raw = make([]byte, 0, f.size)
 	}
-	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.ctx, r.cancel = context.WithCancelCause(context.Background())
 	return r
 }
 
@@ -72,7 +76,7 @@
 	if r.reserved {
 		r.executor.options.Budget.release(cap(r.request.Raw))
 	}
-	r.cancel()
+	r.cancel(errCallerGone)
 }
 
 // outcomeOf returns how a request ends whose Handler returned an error.
@@ -105,7 +109,7 @@
 			return 0, net.ErrClosed
 		}
 		if err := r.wait(r.readWake, &r.readDeadline); err != nil {
-			if errors.Is(err, errCallerGone) {
+			if r.ctx.Err() != nil {
 				err = io.EOF
 			}
 			return 0, err
@@ -150,7 +154,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if r.gone {
-		return 0, errCallerGone
+		return 0, context.Cause(r.ctx)
 	}
 	if r.closed {
 		return 0, net.ErrClosed
@@ -182,7 +186,7 @@
 	}
 	select {
 	case <-r.ctx.Done():
-		return errCallerGone
+		return context.Cause(r.ctx)
 	case <-expired:
 		return os.ErrDeadlineExceeded
 	case <-wake:
