--- a/front/offload.go
+++ b/front/offload.go
@@ -70,7 +70,7 @@
 // offer offers a request that is to be refused to the executors. If it reports true, the
 // descriptor of the caller's connection belongs to o. raw must not be changed afterwards.
 // countRefused is called if the request is refused later; may be nil.
-func (o *offloads) offer(fd int, header *fasthttp.RequestHeader, id string, raw []byte, countRefused func()) bool {
+func (o *offloads) offer(fd int, ctx *fasthttp.RequestCtx, id string, raw []byte, countRefused func()) bool {
 	s := o.server
 	if s.HasTooManyConns() {
 		offloadCrowded.Inc()
@@ -87,11 +87,14 @@
 		closeDescriptor(fd)
 		return true
 	}
+	header := &ctx.Request.Header
+	now, deadline := time.Now(), s.callerDeadline(header)
 	r := &offloaded{
 		owner:        o,
 		id:           id,
 		isHead:       header.IsHead(),
-		expiresAt:    time.Now().Add(s.callerDeadline(header) + deadlineGrace),
+		expiresAt:    now.Add(deadline + deadlineGrace),
+		limitAt:      now.Add(min(deadline, s.routeLimit(ctx)) + deadlineGrace),
 		countRefused: countRefused,
 		index:        notListed,
 		fd:           fd,
@@ -134,6 +137,16 @@
 	return time.Duration(min(millis, float64(maxCallerDeadline.Milliseconds())) * float64(time.Millisecond))
 }
 
+// routeLimit returns the time that the route of a request allows.
+func (s *Server) routeLimit(ctx *fasthttp.RequestCtx) time.Duration {
+	if s.options.RouteLimit != nil {
+		if limit := s.options.RouteLimit(ctx.Request.Header.Host(), ctx.Path()); limit > 0 {
+			return limit
+		}
+	}
+	return maxCallerDeadline
+}
+
 // add adds a request that was sent, unless it has already ended.
 func (o *offloads) add(r *offloaded) {
 	s := o.server
@@ -232,10 +245,13 @@
 // offloaded is a request that an executor serves, and the connection of its caller. It
 // implements offload.Answer.
 type offloaded struct {
-	owner        *offloads
-	id           string
-	isHead       bool
+	owner  *offloads
+	id     string
+	isHead bool
+	// expiresAt is the caller's deadline, and limitAt the earlier one of it and of the route's, which
+	// binds a request whose executor is silent.
 	expiresAt    time.Time
+	limitAt      time.Time
 	countRefused func()
 
 	// Guarded by Server.mu.
@@ -315,8 +331,7 @@
 	total := r.owner.heldBytes.Add(int64(len(p)))
 	if len(r.held)+len(p) > maxHeldAnswerBytes || total > maxTotalHeldAnswerBytes {
 		r.owner.heldBytes.Add(-int64(len(p)))
-		answersOverLimit.Inc()
-		r.finish(offloadCallerGone, true)
+		r.cutOff(answersOverLimit, "held_bytes_full")
 		return false
 	}
 	r.held = append(r.held, p...)
@@ -347,8 +362,7 @@
 	case len(r.held) == 0 && r.complete:
 		r.finish(offloadComplete, false)
 	case stalled && len(r.held) > 0:
-		answersStalled.Inc()
-		r.finish(offloadCallerGone, true)
+		r.cutOff(answersStalled, "stalled")
 		cancel = true
 	}
 	r.blocked = len(r.held) > 0
@@ -357,6 +371,17 @@
 	return isBlocked
 }
 
+// cutOff ends a request whose caller does not read the response. The caller holds r.mu.
+func (r *offloaded) cutOff(counter *metrics.Counter, reason string) {
+	s := r.owner.server
+	counter.Inc()
+	if s.allowRefusalLog() {
+		s.log.Warn("front: Caller of an offloaded request reads too slowly.", "request", r.id, "reason", reason,
+			"held_bytes", len(r.held), "unlogged_before", s.unlogged.Swap(0))
+	}
+	r.finish(offloadCallerGone, true)
+}
+
 // dropHeld removes held bytes that the connection has taken. The caller holds r.mu.
 func (r *offloaded) dropHeld(taken int, now time.Time) {
 	if taken == 0 {
@@ -370,7 +395,7 @@
 }
 
 // End implements offload.Answer.
-func (r *offloaded) End(outcome offload.Outcome) {
+func (r *offloaded) End(outcome offload.Outcome, loss offload.Loss) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -383,7 +408,10 @@
 			r.finish(offloadComplete, false)
 		}
 	default:
-		r.breakOff("The router that served the request was lost.")
+		if loss.Cause == "" { // what the executor reported contradicts what it sent
+			loss.Cause = offload.CauseProtocol
+		}
+		r.breakOff(loss)
 	}
 }
 
@@ -403,12 +431,18 @@
 // breakOff ends a request that may have run: with an error if the caller has no byte of the
 // response, otherwise by resetting the connection, because a response that is delimited by the
 // end of the connection would look complete after an orderly close. The caller holds r.mu.
-func (r *offloaded) breakOff(detail string) {
+func (r *offloaded) breakOff(loss offload.Loss) {
 	s := r.owner.server
+	offloadBrokenBy[loss.Cause].Inc()
 	if s.allowRefusalLog() {
-		s.log.Warn("front: Offloaded request broke off.", "request", r.id, "cause", detail, "response_begun", r.begun, "unlogged_before", s.unlogged.Swap(0))
+		s.log.Warn("front: Offloaded request broke off.", "request", r.id, "cause", loss.Cause, "executor", loss.Executor,
+			"error", loss.Err, "response_begun", r.begun, "unlogged_before", s.unlogged.Swap(0))
 	}
 	if !r.begun {
+		detail := "The router that served the request was lost."
+		if loss.Cause == offload.CauseStopped {
+			detail = "This router was stopped."
+		}
 		refusals.Inc(result.ExecutorLost)
 		r.respond(result.New(result.ExecutorLost, "%s", detail))
 	}
@@ -428,22 +462,45 @@
 	r.unlock(0, true)
 }
 
-// expire refuses a caller whose deadline has passed without a byte of a response.
-func (r *offloaded) expire() {
+// expire ends a request that is overdue: it refuses a caller without a byte of a response, and breaks
+// off a response that has begun.
+func (r *offloaded) expire(now time.Time) {
 	r.mu.Lock()
-	if r.fd == closedDescriptor || r.begun {
+	if r.fd == closedDescriptor || !r.isOverdue(now) {
 		r.unlock(0, false)
 		return
 	}
+	if r.begun {
+		r.breakOff(offload.Loss{Cause: offload.CauseSilent})
+		r.unlock(0, true)
+		return
+	}
 	s := r.owner.server
-	err := result.New(result.FirstByteTimeout, "The request was not answered by the deadline.")
+	detail, outcome := "The request was not answered by the deadline.", offloadDeadline
+	if r.sent != nil && r.sent.Silent() {
+		detail, outcome = "The router that serves the request was silent until the deadline.", offloadSilent
+	}
+	err := result.New(result.FirstByteTimeout, "%s", detail)
 	refusals.Inc(err.Code)
 	s.logRefusal(r.id, err)
 	r.respond(err)
-	r.finish(offloadDeadline, false)
+	r.finish(outcome, false)
 	r.unlock(0, true)
 }
 
+// isOverdue reports whether the deadline of a request has passed that no executor enforces: that of a
+// response that has not begun, or of one whose executor is silent. The caller holds r.mu.
+func (r *offloaded) isOverdue(now time.Time) bool {
+	switch {
+	case r.complete:
+		return false
+	case !r.begun && now.After(r.expiresAt):
+		return true
+	default:
+		return now.After(r.limitAt) && r.sent != nil && r.sent.Silent()
+	}
+}
+
 // abort ends a request because the server is stopped by force.
 func (r *offloaded) abort() {
 	r.mu.Lock()
@@ -451,7 +508,7 @@
 		r.unlock(0, false)
 		return
 	}
-	r.breakOff("This router was stopped.")
+	r.breakOff(offload.Loss{Cause: offload.CauseStopped})
 	r.unlock(0, true)
 }
 
--- a/offload/offload.go
+++ b/offload/offload.go
@@ -37,8 +37,9 @@
 type Answer interface {
 	// Write takes the next bytes of the HTTP response. p is valid until Write returns.
 	Write(p []byte)
-	// End is called exactly once, as the last call.
-	End(outcome Outcome)
+	// End is called exactly once, as the last call. loss is the reason if the outcome is Broken, and
+	// empty otherwise.
+	End(outcome Outcome, loss Loss)
 }
 
 // Sender sends requests to executors.
@@ -58,4 +59,8 @@
 	Taken(n int)
 	// Cancel records that the caller has gone. Answer.End is still called.
 	Cancel()
+	// Silent reports whether the executor, or the way to it, has been silent for longer than a sound
+	// one is: it may go on, or be gone. The request stays open until Cancel is called. Silent calls no
+	// method of Answer.
+	Silent() bool
 }
--- a/router/offloadrequest.go
+++ b/router/offloadrequest.go
@@ -19,14 +19,20 @@
 }
 
 // End implements offload.Answer.
-func (r *offloadedRequest) End(outcome offload.Outcome) {
+func (r *offloadedRequest) End(outcome offload.Outcome, loss offload.Loss) {
 	r.source.ended(r, outcome)
-	r.Answer.End(outcome)
+	if outcome == offload.Broken {
+		loss.Executor = r.link.node
+	}
+	r.Answer.End(outcome, loss)
 }
 
 // Taken implements offload.Sent.
 func (r *offloadedRequest) Taken(n int) { r.sent.Taken(n) }
 
+// Silent implements offload.Sent.
+func (r *offloadedRequest) Silent() bool { return r.sent.Silent() }
+
 // Cancel implements offload.Sent.
 func (r *offloadedRequest) Cancel() {
 	r.cancelled.Store(true)
