Directory tests: wait before reading what a follower reported

TestReportsLostFeed read the harness's field while the follower's goroutine could write it: under -race the test fails in each of 10 runs. It now waits until the bubble is idle, as the other reads do. No behaviour is checked less.

--- a/directory/feedrole_test.go
+++ b/directory/feedrole_test.go
@@ -71,6 +71,7 @@
 		}
 		s.targets.setDown(false)
 		time.Sleep(2 * maxRetryPause)
+		synctest.Wait()
 		if !s.live {
 			t.Error("does not report that its feeds answer again")
 		}
