Directory: Deliver what is known, not what the last call changed

Fleets of three routers that started together while no target was registered had, about once in a hundred fleets, a router that never got a configuration and never became ready for as long as it ran.

A router that had loaded the configuration, but not its own listing, imported a peer's directory without targets. The import changed neither the version nor a target, so it was not delivered, but it marked the targets as listed, so the router's own first listing was not delivered either.

The follower now compares the order of what is known with the order that it delivered last. Each change of content advances that order; one that no revision reflects counts as unversioned, in one place instead of at four of the places that make one.

A router that is not ready now fails its test with its log.

--- /dev/null
+++ b/directory/delivery_test.go
@@ -0,0 +1,86 @@
+package directory
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/walnutcove/walnutcove/config"
+)
+
+// startWithoutTargets starts a harness that knows the configuration and that no target is listed.
+func startWithoutTargets(t *testing.T) *harness {
+	t.Helper()
+	s := startHarness(t)
+	s.configurations.set(version(4))
+	synctest.Wait()
+	return s
+}
+
+// TestEmptyListingFromPeerIsDelivered guards against a router that never gets a snapshot: it learns
+// from a peer, after it has loaded the configuration, that no target is registered.
+func TestEmptyListingFromPeerIsDelivered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &harness{configurations: newFeed[Directive](), targets: newFeed[config.Target]()}
+		s.targets.silentUntil = time.Now().Add(time.Second)
+		s.configurations.set(version(4))
+		s.run(t)
+		other := startWithoutTargets(t)
+		sendUpdates(t, other, s)
+		select {
+		case <-s.follower.Ready():
+		default:
+			t.Error("not ready although a peer reported the listing")
+		}
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if len(s.snapshots) == 0 {
+			t.Error("no snapshot although the platform answered")
+		}
+	})
+}
+
+// TestPastEvacuationIsDelivered guards against fetching a peer's directory at each of its heartbeats
+// because of an evacuation that ended before this router knew of it.
+func TestPastEvacuationIsDelivered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, other := startPair(t)
+		other.configurations.set(evacuationEntry("north"))
+		synctest.Wait()
+		other.configurations.set(evacuationRemoval("north"))
+		synctest.Wait()
+		sendUpdates(t, other, s)
+	})
+}
+
+// TestSuspendedTargetIsDelivered guards against using a target that left after the copy was made
+// from which the platform's store was restored, and that a peer reports as unconfirmed.
+func TestSuspendedTargetIsDelivered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := startRestoreHarness(t)
+		d.write(removalOf("a"))
+		d.restoreStore()
+		late := &harness{configurations: d.harness.configurations, targets: d.harness.targets}
+		late.run(t)
+		time.Sleep(100 * time.Millisecond)
+		sendUpdates(t, d.harness, late)
+		if late.serves("a") {
+			t.Error("a target that was removed is used")
+		}
+	})
+}
+
+// TestChangeDuringListingIsDelivered guards against ignoring a change that was made while a listing
+// was read, and is older than an entry on a later page of it.
+func TestChangeDuringListingIsDelivered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startWithoutTargets(t)
+		first, later, changed := targetEntry("a"), targetEntry("b"), leavingEntry("a")
+		first.Revision, later.Revision, changed.Revision = 5, 20, 15
+		s.follower.applyTargets(Listing[config.Target]{Entries: []Entry[config.Target]{first, later}, Revision: 10}, listingInfo{complete: true})
+		s.follower.applyTargets(Listing[config.Target]{Entries: []Entry[config.Target]{changed}, Revision: 20}, listingInfo{})
+		if !s.last().Declarations.Targets["a"].Leaving {
+			t.Error("the change is not delivered")
+		}
+	})
+}
--- a/directory/evacuation.go
+++ b/directory/evacuation.go
@@ -61,10 +61,8 @@
 }
 
 // expireEvacuation ends an evacuation that operators did not write again within the grace.
-func (s *state) expireEvacuation(dataCentre string, e evacuation) bool {
+func (s *state) expireEvacuation(dataCentre string, e evacuation) {
 	s.evacuations[dataCentre] = evacuation{revision: e.revision, ended: true}
-	s.unversionedChanges++
-	return true
 }
 
 func (s *state) isEvacuated(dataCentre string) bool {
--- a/directory/exchange.go
+++ b/directory/exchange.go
@@ -172,7 +172,7 @@
 			s.remove(name, content.Revision, now.Add(grace))
 		}
 	}
-	return true
+	return changed
 }
 
 func (s *state) exportEvacuations(now time.Time) map[string]exportedEvacuation {
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -83,6 +83,8 @@
 
 	mu    sync.Mutex
 	state state
+	// delivered is the order of the last snapshot passed to OnChange; zero before the first.
+	delivered config.SnapshotOrder
 	// recoveredAt is when the targets feed last recovered from an outage in which entries may
 	// have lapsed, or was restored from an older copy; zero if it never did.
 	recoveredAt time.Time
@@ -178,7 +180,6 @@
 
 func (f *Follower) applyTargets(listing Listing[config.Target], info listingInfo) {
 	f.update(sourcePlatform, func(s *state) bool {
-		first := !s.listed
 		s.listed = true
 		entries := listing.Entries
 		restored := s.revision > 0 && s.revision.Era() < listing.Revision.Era()
@@ -194,32 +195,38 @@
 		if acceptAt.IsZero() && s.emptiesPool(entries) {
 			acceptAt = time.Now().Add(f.grace())
 		}
-		return s.apply(entries, acceptAt) || first || restored
+		return s.apply(entries, acceptAt)
 	})
 }
 
-// update applies changes to the state, then logs and delivers the result. Snapshots are
-// delivered in order because the lock is held.
+// update applies changes to the state, then logs and delivers the result. apply reports whether
+// the content changed. Snapshots are delivered in order because the lock is held.
 func (f *Follower) update(source string, apply func(*state) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before, revisionBefore := f.state.configuration.Version, f.state.revision
 	evacuatedBefore := f.state.evacuatedDataCentres()
-	changed := apply(&f.state)
+	f.state.change(apply)
 	if f.state.configuration.Version != before {
 		f.state.origin = config.Origin{Source: source, At: time.Now()}
 	}
 	f.noteEra(source, revisionBefore)
 	f.noteEvacuations(source, evacuatedBefore)
-	if !changed {
-		f.wakeExpiry()
+	f.wakeExpiry()
+	f.deliver(source, before)
+}
+
+// deliver delivers a snapshot if more is known than was delivered, by whichever update it became
+// known. f.mu must be held.
+func (f *Follower) deliver(source string, before config.Version) {
+	if f.state.order() == f.delivered {
 		return
 	}
-	f.wakeExpiry()
 	snapshot := f.state.snapshot()
 	if snapshot == nil {
 		return
 	}
+	f.delivered = snapshot.Order()
 	f.options.Log.Info("directory: Snapshot updated.", "source", source, "version", uint64(snapshot.Version), "version_before", uint64(before),
 		"targets", len(snapshot.Declarations.Targets), "targets_revision", snapshot.TargetsRevision.String())
 	f.options.OnChange(snapshot)
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -156,8 +156,11 @@
 func (s *harness) runWith(t *testing.T, options Options) {
 	options.OnChange = func(snapshot *config.Snapshot) {
 		s.mu.Lock()
+		defer s.mu.Unlock()
+		if n := len(s.snapshots); n > 0 && !snapshot.Order().After(s.snapshots[n-1].Order()) {
+			t.Errorf("a snapshot at %+v after one at %+v is ignored", snapshot.Order(), s.snapshots[n-1].Order())
+		}
 		s.snapshots = append(s.snapshots, snapshot)
-		s.mu.Unlock()
 	}
 	options.Shared = s.shared
 	options.OnLiveChange = func(live bool) { s.live = live }
@@ -175,9 +178,23 @@
 	t.Cleanup(func() {
 		cancel()
 		<-done
+		s.checkDelivered(t)
 	})
 }
 
+// checkDelivered checks that a peer sees in the newest snapshot's order all that is known here:
+// otherwise each of its heartbeats causes another fetch.
+func (s *harness) checkDelivered(t *testing.T) {
+	t.Helper()
+	if len(s.snapshots) == 0 {
+		return
+	}
+	known, delivered := s.follower.Cursor(), s.snapshots[len(s.snapshots)-1].Order()
+	if known.Version != delivered.Version || known.ConfigRevision != delivered.Config || known.Revision != delivered.Targets {
+		t.Errorf("known is %+v, delivered %+v", known, delivered)
+	}
+}
+
 // maxLapse is how long the platform lists a target that no longer renews its entry.
 const maxLapse = 4 * time.Second
 
--- a/directory/restore.go
+++ b/directory/restore.go
@@ -104,8 +104,5 @@
 	changed := !k.target.Leaving
 	k.target.Leaving, k.corrected = true, true
 	s.targets[key] = k
-	if changed {
-		s.unversionedChanges++
-	}
 	return changed
 }
--- a/directory/state.go
+++ b/directory/state.go
@@ -33,9 +33,9 @@
 	revision config.Revision
 	// peerSynced reports that a peer's export was merged.
 	peerSynced bool
-	// unversionedChanges counts the changes that took effect only through the passage of time
-	// or a peer's report. Such a change has an older revision than changes applied before it,
-	// so revision does not reflect it.
+	// unversionedChanges counts the changes that neither the version nor a revision reflects:
+	// those that took effect through the passage of time, or that have an older revision than
+	// changes applied before them.
 	unversionedChanges uint64
 }
 
@@ -205,25 +205,39 @@
 		return false
 	}
 	for key, d := range s.deferredRemovals {
-		if due(d.until) && s.remove(key, d.revision, time.Time{}) {
-			s.unversionedChanges++
-			changed = true
-		}
+		changed = due(d.until) && s.remove(key, d.revision, time.Time{}) || changed
 	}
 	for dataCentre, e := range s.evacuations {
-		if !e.until.IsZero() && due(e.until) && s.expireEvacuation(dataCentre, e) {
+		if !e.until.IsZero() && due(e.until) {
+			s.expireEvacuation(dataCentre, e)
 			changed = true
 		}
 	}
 	for key, u := range s.unconfirmed {
-		if due(u.until) && s.confirm(key, u) {
-			s.unversionedChanges++
-			changed = true
-		}
+		changed = due(u.until) && s.confirm(key, u) || changed
 	}
 	return changed, next
 }
 
+// change applies changes to the state. Those that no revision reflects count as unversioned, so
+// that the order of what is known advances with each change.
+func (s *state) change(apply func(*state) bool) {
+	before := s.order()
+	if apply(s) && s.order() == before {
+		s.unversionedChanges++
+	}
+}
+
+// order returns the order of the snapshot of what is known.
+func (s *state) order() config.SnapshotOrder {
+	return config.SnapshotOrder{
+		Version:     s.configuration.Version,
+		Config:      s.operatorRevision,
+		Targets:     s.revision,
+		Unversioned: s.unversionedChanges,
+	}
+}
+
 // snapshot combines the known configuration and targets; nil before there are a configuration
 // and a listing of the targets.
 func (s *state) snapshot() *config.Snapshot {
--- a/managedtest/fleet_test.go
+++ b/managedtest/fleet_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -177,7 +178,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	if err := r.WaitReady(ctx); err != nil {
-		f.t.Fatal(err)
+		n := slices.Index(f.routers, r)
+		f.t.Fatalf("router %d is not ready: %v, its log:\n%s", n, err, strings.Join(f.logs[n].linesWith(""), "\n"))
 	}
 }
 
--- a/managedtest/together_test.go
+++ b/managedtest/together_test.go
@@ -1,6 +1,8 @@
 package managedtest
 
 import (
+	"flag"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -27,3 +29,16 @@
 		t.Errorf("the routers knew each other after %s", took)
 	}
 }
+
+var emptyFleets = flag.Int("together.fleets", 4, "number of fleets in TestRoutersWithoutTargetsAreReady")
+
+// TestRoutersWithoutTargetsAreReady guards against a router that never gets a configuration because
+// it learned from a peer, before its own listing, that no target is registered.
+func TestRoutersWithoutTargetsAreReady(t *testing.T) {
+	for n := range *emptyFleets {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
+			t.Parallel()
+			startFleet(t, 3)
+		})
+	}
+}
