Directory: Notice a restored store where no target was ever listed

A store that was restored from an older copy in its first era, era 0, before any target had registered, was not reported as restored: the routers did not write their rows again, so routers that start later may not find them.

Revision zero stood for "nothing is known yet", but it is also the revision of a listing without targets in era 0. Whether the targets were listed is now asked directly.

The store's stand-in begins in era 1, where the fault does not occur; no run over sockets showed it.

--- a/directory/delivery_test.go
+++ b/directory/delivery_test.go
@@ -53,6 +53,23 @@
 	})
 }
 
+// TestEraWithoutTargets guards against missing the first restore of the platform's store
+// while no target is registered.
+func TestEraWithoutTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, other := startWithoutTargets(t), startWithoutTargets(t)
+		other.targets.restore(other.targets.copy())
+		other.configurations.restore(other.configurations.copy())
+		time.Sleep(time.Second)
+		sendUpdates(t, other, s)
+		for name, router := range map[string]*harness{"platform": other, "peer": s} {
+			if router.restorations != 1 {
+				t.Errorf("the %s's new era was reported %d times", name, router.restorations)
+			}
+		}
+	})
+}
+
 // TestSuspendedTargetIsDelivered guards against using a target that left after the copy was made
 // from which the platform's store was restored, and that a peer reports as unconfirmed.
 func TestSuspendedTargetIsDelivered(t *testing.T) {
--- a/directory/exchange.go
+++ b/directory/exchange.go
@@ -158,8 +158,8 @@
 	changed := s.applyConfiguration(configuration)
 	changed = s.mergeEvacuations(content, now, grace) || changed
 	s.operatorRevision = max(s.operatorRevision, content.OperatorRevision)
+	restored := s.listed && content.Revision.Era() > s.revision.Era()
 	s.listed, s.peerSynced = true, true
-	restored := content.Revision.Era() > s.revision.Era() && s.revision > 0
 	if content.EraListed > 0 {
 		s.enterEra(content.EraListed)
 	}
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -180,9 +180,9 @@
 
 func (f *Follower) applyTargets(listing Listing[config.Target], info listingInfo) {
 	f.update(sourcePlatform, func(s *state) bool {
-		s.listed = true
 		entries := listing.Entries
-		restored := s.revision > 0 && s.revision.Era() < listing.Revision.Era()
+		restored := s.listed && s.revision.Era() < listing.Revision.Era()
+		s.listed = true
 		if info.complete {
 			s.enterEra(listing.Revision)
 			listing.Entries = s.withoutSuperseded(entries, time.Now().Add(f.options.MaxLapseTime))
@@ -204,13 +204,15 @@
 func (f *Follower) update(source string, apply func(*state) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before, revisionBefore := f.state.configuration.Version, f.state.revision
+	before, listedBefore, revisionBefore := f.state.configuration.Version, f.state.listed, f.state.revision
 	evacuatedBefore := f.state.evacuatedDataCentres()
 	f.state.change(apply)
 	if f.state.configuration.Version != before {
 		f.state.origin = config.Origin{Source: source, At: time.Now()}
 	}
-	f.noteEra(source, revisionBefore)
+	if listedBefore {
+		f.noteEra(source, revisionBefore)
+	}
 	f.noteEvacuations(source, evacuatedBefore)
 	f.wakeExpiry()
 	f.deliver(source, before)
@@ -234,10 +236,10 @@
 }
 
 // noteEra logs, counts and reports a new era, which shows that the platform's store was restored
-// from an older copy. f.mu must be held.
+// from an older copy. before is the revision of an earlier listing. f.mu must be held.
 func (f *Follower) noteEra(source string, before config.Revision) {
 	now := f.state.revision
-	if before == 0 || before.Era() == now.Era() {
+	if before.Era() == now.Era() {
 		return
 	}
 	f.options.Log.Warn("directory: Platform store was restored from an older copy.", "source", source, "era", now.Era(), "era_before", before.Era(),
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -125,10 +125,12 @@
 	targets        *fakeFeed[config.Target]
 	follower       *Follower
 	// shared is Options.Shared, and live the last value passed to OnLiveChange.
-	shared    bool
-	live      bool
-	mu        sync.Mutex
-	snapshots []*config.Snapshot
+	shared bool
+	live   bool
+	// restorations counts the calls of OnRestored.
+	restorations int
+	mu           sync.Mutex
+	snapshots    []*config.Snapshot
 }
 
 func startHarness(t *testing.T) *harness {
@@ -164,6 +166,7 @@
 	}
 	options.Shared = s.shared
 	options.OnLiveChange = func(live bool) { s.live = live }
+	options.OnRestored = func() { s.restorations++ }
 	options.ReturnGrace = 2 * time.Second
 	options.MinLapseTime = 2 * time.Second
 	options.MaxLapseTime = maxLapse
