Directory: A router that has not listed the targets says so to its peers

A router that imported the directory of a peer without a listing, such as one that has just restarted, took the empty listing for a known one: it could become ready without targets while the platform was silent, and it never asked the other peers for what the platform does not list, such as targets known to leave.

Exports now tell whether the targets are known. The field is absent when they are, so exports of earlier builds are read as before.

Found by reading; no run over sockets showed it.

--- a/directory/delivery_test.go
+++ b/directory/delivery_test.go
@@ -17,6 +17,17 @@
 	return s
 }
 
+// isReady reports whether there is a snapshot.
+func (s *harness) isReady() bool {
+	synctest.Wait()
+	select {
+	case <-s.follower.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
 // TestEmptyListingFromPeerIsDelivered guards against a router that never gets a snapshot: it learns
 // from a peer, after it has loaded the configuration, that no target is registered.
 func TestEmptyListingFromPeerIsDelivered(t *testing.T) {
@@ -27,15 +38,12 @@
 		s.run(t)
 		other := startWithoutTargets(t)
 		sendUpdates(t, other, s)
-		select {
-		case <-s.follower.Ready():
-		default:
+		if !s.isReady() {
 			t.Error("not ready although a peer reported the listing")
 		}
 		time.Sleep(time.Minute)
-		synctest.Wait()
-		if len(s.snapshots) == 0 {
-			t.Error("no snapshot although the platform answered")
+		if !s.isReady() {
+			t.Error("not ready although the platform answered")
 		}
 	})
 }
@@ -101,3 +109,25 @@
 		}
 	})
 }
+
+// TestExportBeforeListing guards against serving without targets, and against never asking the peers
+// for what the platform does not list, because of the export of a router that has not listed them.
+func TestExportBeforeListing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &harness{configurations: newFeed[Directive](), targets: newFeed[config.Target]()}
+		s.targets.silentUntil = time.Now().Add(time.Second)
+		s.populate()
+		s.run(t)
+		restarted := &harness{configurations: s.configurations, targets: s.targets}
+		restarted.run(t)
+		synctest.Wait()
+		sendUpdates(t, restarted, s)
+		if s.isReady() {
+			t.Errorf("in force are the targets %v", s.last().Declarations.Targets)
+		}
+		time.Sleep(time.Minute)
+		if !s.serves("a") || !s.follower.NeedsPeerSync() {
+			t.Error("targets listed by the platform alone count as those that a peer knows")
+		}
+	})
+}
--- a/directory/exchange.go
+++ b/directory/exchange.go
@@ -27,6 +27,8 @@
 	Unconfirmed map[string]exportedUnconfirmed `json:"unconfirmed,omitempty"`
 	Revision    config.Revision                `json:"revision"`
 	EraListed   config.Revision                `json:"era_listed,omitempty"`
+	// Unlisted reports that the router does not know the targets yet.
+	Unlisted bool `json:"unlisted,omitempty"`
 }
 
 type exportedTarget struct {
@@ -117,6 +119,7 @@
 		Unconfirmed:      make(map[string]exportedUnconfirmed),
 		Revision:         s.revision,
 		EraListed:        s.eraListed,
+		Unlisted:         !s.listed,
 	}
 	own := s.configuration
 	if s.operatorRevision > cursor.ConfigRevision {
@@ -158,6 +161,9 @@
 	changed := s.applyConfiguration(configuration)
 	changed = s.mergeEvacuations(content, now, grace) || changed
 	s.operatorRevision = max(s.operatorRevision, content.OperatorRevision)
+	if content.Unlisted {
+		return changed
+	}
 	restored := s.listed && content.Revision.Era() > s.revision.Era()
 	s.listed, s.peerSynced = true, true
 	if content.EraListed > 0 {
--- a/directory/state.go
+++ b/directory/state.go
@@ -31,7 +31,7 @@
 	eraListed config.Revision
 	// revision is the highest revision applied.
 	revision config.Revision
-	// peerSynced reports that a peer's export was merged.
+	// peerSynced reports that the export of a peer that knows the targets was merged.
 	peerSynced bool
 	// unversionedChanges counts the changes that neither the version nor a revision reflects:
 	// those that took effect through the passage of time, or that have an older revision than
