--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -125,10 +125,12 @@
 	targets        *fakeFeed[config.Target]
 	follower       *Follower
 	// shared is Options.Shared, and live the last value passed to OnLiveChange.
-	shared    bool
-	live      bool
-	mu        sync.Mutex
-	snapshots []*config.Snapshot
+	shared bool
+	live   bool
+	// restorations counts the calls of OnRestored.
+	restorations int
+	mu           sync.Mutex
+	snapshots    []*config.Snapshot
 }
 
 func startHarness(t *testing.T) *harness {
@@ -156,11 +158,15 @@
 func (s *harness) runWith(t *testing.T, options Options) {
 	options.OnChange = func(snapshot *config.Snapshot) {
 		s.mu.Lock()
+		defer s.mu.Unlock()
+		if n := len(s.snapshots); n > 0 && !snapshot.Order().After(s.snapshots[n-1].Order()) {
+			t.Errorf("a snapshot at %+v after one at %+v is ignored", snapshot.Order(), s.snapshots[n-1].Order())
+		}
 		s.snapshots = append(s.snapshots, snapshot)
-		s.mu.Unlock()
 	}
 	options.Shared = s.shared
 	options.OnLiveChange = func(live bool) { s.live = live }
+	options.OnRestored = func() { s.restorations++ }
 	options.ReturnGrace = 2 * time.Second
 	options.MinLapseTime = 2 * time.Second
 	options.MaxLapseTime = maxLapse
@@ -175,9 +181,23 @@
 	t.Cleanup(func() {
 		cancel()
 		<-done
+		s.checkDelivered(t)
 	})
 }
 
+// checkDelivered checks that a peer sees in the newest snapshot's order all that is known here:
+// otherwise each of its heartbeats causes another fetch.
+func (s *harness) checkDelivered(t *testing.T) {
+	t.Helper()
+	if len(s.snapshots) == 0 {
+		return
+	}
+	known, delivered := s.follower.Cursor(), s.snapshots[len(s.snapshots)-1].Order()
+	if known.Version != delivered.Version || known.ConfigRevision != delivered.Config || known.Revision != delivered.Targets {
+		t.Errorf("known is %+v, delivered %+v", known, delivered)
+	}
+}
+
 // maxLapse is how long the platform lists a target that no longer renews its entry.
 const maxLapse = 4 * time.Second
 
