--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -61,7 +61,9 @@
 	// the middle of the next one. It affects streams from their first event on, not
 	// resumed ones. Zero means never.
 	BreakAfterEvents int
-	// BreakByReset resets the connection where BreakAfterEvents closes it.
+	// BreakResumed closes the connection of a resumed stream before its first event.
+	BreakResumed bool
+	// BreakByReset resets the connection where BreakAfterEvents and BreakResumed close it.
 	BreakByReset bool
 	// Unframed sends answers with neither a length nor chunked encoding. They end with
 	// their connection.
@@ -399,6 +401,10 @@
 		faults := r.currentFaults()
 		time.Sleep(r.pause())
 		r.waitWhileSilent()
+		if faults.BreakResumed && afterEvent > 0 {
+			breakConn(conn, faults.BreakByReset)
+			return
+		}
 		if faults.BreakAfterEvents > 0 && afterEvent == 0 && event > faults.BreakAfterEvents {
 			fmt.Fprintf(w, "id: %d\nda", event)
 			_ = w.Flush()
