Known red: a broken stream is cut at the first refusal of a next target

- A stream that its target broke off is cut where the next target refuses it as not run (702; also 421 at an address that is another replica's by now), cannot be connected to (701), loses it while an attempt is left (705), where the scheduler refuses it for the moment (605, as it cannot start within the objective of a first event, with 6 s left), or where the retry budget is empty for the moment (703).
In each, a sound target has room, at once or 0.3 to 2 s later.

Trace, of the first, from the log of one stream: "Slot granted" target=breaks attempt=1; the same target=refuses attempt=2; in the same millisecond "Stream broke and could not be resumed on another target" broke_at=breaks error=702. router/routed.go asks once for each break and returns any error; filters/events cuts the answer at it. If the target closes in its first byte it is the same (705), but one that breaks right after its header is left for a third, since that is a new break.

--- a/managedtest/resumption_test.go
+++ b/managedtest/resumption_test.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -21,6 +23,8 @@
 	// breakEvents is how many events of a stream arrive before it breaks, one each breakPause.
 	breakEvents = 4
 	breakPause  = 150 * time.Millisecond
+	// shortFault is how long a passing fault lasts.
+	shortFault = 300 * time.Millisecond
 	// beforeBreak is the time from the beginning of the first stream until shortly before it breaks,
 	// and amidBreaks until about half of the streams have broken.
 	beforeBreak = breakEvents*breakPause + breakPause/2
@@ -37,6 +41,8 @@
 	next []managed.ReplicaOptions
 	// attempts is the route's number of attempts; zero: 2.
 	attempts int
+	// retrySlack is the slack of the retry budget; zero: unlimitedSlack.
+	retrySlack float64
 	// during is called once the streams run and all targets are known; may be nil.
 	during func(f *fleet, begun time.Time)
 	// occurred reports whether the situation that the name states occurred; nil: it always does.
@@ -54,6 +60,45 @@
 // soundReplica describes one without faults.
 func soundReplica() managed.ReplicaOptions { return nextReplica("sound", managed.ReplicaFaults{}) }
 
+// withAddress changes the address that a replica registers.
+func withAddress(options managed.ReplicaOptions, address func() (string, error)) managed.ReplicaOptions {
+	options.Advertise = func(string) (string, error) { return address() }
+	return options
+}
+
+// closedAddress returns an address where nothing listens.
+func closedAddress() (string, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return listener.Addr().String(), listener.Close()
+}
+
+// losingAddress returns an address where connections are closed once a request has begun to arrive.
+func losingAddress(t *testing.T) func() (string, error) {
+	return func() (string, error) {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					_, _ = io.ReadFull(conn, make([]byte, 1))
+					_ = conn.Close()
+				}()
+			}
+		}()
+		return listener.Addr().String(), nil
+	}
+}
+
 // anyRefused reports whether the replica refused a request.
 func anyRefused(replica string) func(*fleet) bool {
 	return func(f *fleet) bool {
@@ -68,18 +113,87 @@
 	}
 }
 
+// anyLogged reports whether a router logged a text.
+func anyLogged(text string) func(*fleet) bool {
+	return func(f *fleet) bool {
+		return slices.ContainsFunc(f.logs, func(l *logBuffer) bool { return l.contains(text) })
+	}
+}
+
+// anyResumedLate reports whether a stream was resumed long after others, or never.
+func anyResumedLate(f *fleet) bool {
+	runs := f.journal.Runs("")
+	if len(runs) < 2*resumedStreams {
+		return true
+	}
+	return runs[len(runs)-1].StartedAt.Sub(runs[resumedStreams].StartedAt) > resumedStreams*breakInterval+shortFault
+}
+
 // sleepUntil waits until a time has passed since begun.
 func sleepUntil(begun time.Time, d time.Duration) { time.Sleep(time.Until(begun.Add(d))) }
 
 // resumptions returns all situations.
-func resumptions() []resumption {
+func resumptions(t *testing.T) []resumption {
 	sound := soundReplica()
+	refusing := managed.ReplicaFaults{Refuse: true}
 	busy := soundReplica()
 	busy.Slots, busy.Pause = 1, 15*time.Millisecond
+	queued := busy
+	queued.Pause = 100 * time.Millisecond
 	return []resumption{
 		{name: "next is sound", next: []managed.ReplicaOptions{sound}},
 		{name: "broken by reset", breaks: managed.ReplicaFaults{BreakByReset: true}, next: []managed.ReplicaOptions{sound}},
+		{
+			name:     "next refuses",
+			next:     []managed.ReplicaOptions{nextReplica("refuses", refusing), sound},
+			occurred: anyRefused("refuses"),
+		},
+		{
+			name:     "two refuse",
+			next:     []managed.ReplicaOptions{nextReplica("refuses", refusing), nextReplica("refuses too", refusing), sound},
+			occurred: anyRefused("refuses"),
+		},
+		{
+			name:     "next refuses and asks for a delay",
+			next:     []managed.ReplicaOptions{nextReplica("refuses", managed.ReplicaFaults{Refuse: true, RetryAfter: shortFault}), sound},
+			occurred: anyRefused("refuses"),
+		},
+		{
+			name:     "next refuses every other request",
+			next:     []managed.ReplicaOptions{nextReplica("refuses", managed.ReplicaFaults{RefuseEvery: 2}), sound},
+			occurred: anyRefused("refuses"),
+		},
+		{
+			name: "only other target refuses for a moment",
+			next: []managed.ReplicaOptions{nextReplica("refuses", refusing)},
+			during: func(f *fleet, begun time.Time) {
+				f.eventually(testTimeout, "a request is refused", func() bool { return anyRefused("refuses")(f) })
+				time.Sleep(shortFault)
+				f.replicas[1].SetFaults(managed.ReplicaFaults{})
+			},
+			occurred: anyRefused("refuses"),
+		},
+		{
+			name:     "next is another replica",
+			next:     []managed.ReplicaOptions{withAddress(nextReplica("misdirected", managed.ReplicaFaults{}), otherReplica(t)), sound},
+			occurred: anyLogged("target=misdirected"),
+		},
+		{
+			name:     "next is unreachable",
+			next:     []managed.ReplicaOptions{withAddress(nextReplica("unreachable", managed.ReplicaFaults{}), closedAddress), sound},
+			occurred: anyLogged("target=unreachable"),
+		},
+		{
+			name: "two are unreachable",
+			next: []managed.ReplicaOptions{
+				withAddress(nextReplica("unreachable", managed.ReplicaFaults{}), closedAddress),
+				withAddress(nextReplica("unreachable too", managed.ReplicaFaults{}), closedAddress),
+				sound,
+			},
+			occurred: anyLogged("target=unreachable"),
+		},
 		{name: "next has one slot", next: []managed.ReplicaOptions{busy}},
+		{name: "next has one slot, for a time beyond the objective", next: []managed.ReplicaOptions{queued}},
 		{
 			name: "router shuts down",
 			next: []managed.ReplicaOptions{sound},
@@ -101,6 +215,12 @@
 			next:     []managed.ReplicaOptions{nextReplica("breaks too", managed.ReplicaFaults{BreakResumed: true, BreakByReset: true}), sound},
 			occurred: anyRun("breaks too"),
 		},
+		{
+			name:     "next closes the connection without an answer",
+			attempts: 3,
+			next:     []managed.ReplicaOptions{withAddress(nextReplica("loses", managed.ReplicaFaults{}), losingAddress(t)), sound},
+			occurred: anyLogged("target=loses"),
+		},
 		{
 			name: "entry of the broken target removed",
 			next: []managed.ReplicaOptions{sound},
@@ -138,13 +258,47 @@
 			next:   []managed.ReplicaOptions{sound},
 			during: func(f *fleet, _ time.Time) { f.store.SetFault(managed.Unresponsive) },
 		},
+		{
+			name: "unreachable while the store is away",
+			next: []managed.ReplicaOptions{withAddress(nextReplica("unreachable", managed.ReplicaFaults{}), closedAddress), sound},
+			during: func(f *fleet, _ time.Time) {
+				f.store.SetFault(managed.Unresponsive)
+			},
+			occurred: anyLogged("target=unreachable"),
+		},
+		{
+			name:       "retry budget empty for a moment",
+			retrySlack: defaultSlack,
+			next:       []managed.ReplicaOptions{sound},
+			occurred:   anyResumedLate,
+		},
+	}
+}
+
+// otherReplica returns the address of a replica with another ID, which is not registered.
+func otherReplica(t *testing.T) func() (string, error) {
+	return func() (string, error) {
+		address := ""
+		options := genReplica("other")
+		options.Advertise = func(listens string) (string, error) {
+			address = listens
+			return listens, nil
+		}
+		store := managed.StartStore()
+		t.Cleanup(store.Close)
+		r, err := managed.StartReplica(store, &managed.Journal{}, options)
+		if err != nil {
+			return "", err
+		}
+		t.Cleanup(r.Close)
+		return address, nil
 	}
 }
 
 // TestBrokenStreamReachesSoundTarget guards against cutting streams that a target broke off while
 // another one is sound and has room for them in time.
 func TestBrokenStreamReachesSoundTarget(t *testing.T) {
-	for _, situation := range resumptions() {
+	for _, situation := range resumptions(t) {
 		t.Run(situation.name, func(t *testing.T) {
 			t.Parallel()
 			f := situation.start(t)
@@ -162,7 +316,7 @@
 	t.Helper()
 	breaking := nextReplica("breaks", s.breaks)
 	breaking.BreakAfterEvents, breaking.Pause = breakEvents, breakPause
-	f := startSettledFleet(t, unlimitedSlack, 1, breaking)
+	f := startSettledFleet(t, cmp.Or(s.retrySlack, unlimitedSlack), 1, breaking)
 	f.publishConfig(func(c *wire.Config) { c.Routes[2].Attempts = s.maxRuns() })
 	f.awaitVersion()
 	return f
