Control: a target that is new gets more than one run also without a load report

A scheduler gives a new target one run until a load report comes, or 500 ms have passed. Nothing looked at the waiting requests when these had passed: only the next arrival, end of a run or report did. Services that report no load and have few requests at a time waited longest. The shard's timer now fires when the next window of its targets settles, if requests wait.

--- a/control/sched/window.go
+++ b/control/sched/window.go
@@ -65,6 +65,10 @@
 // SetSlots changes the declared slots.
 func (w *Window) SetSlots(slots int) { w.declaredSlots = max(1, slots) }
 
+// SettlesAt returns when the window relies on its own count alone; earlier, it allows one grant
+// unless a load report has come.
+func (w *Window) SettlesAt() time.Duration { return w.settleUntil }
+
 // Slots returns how many runs the target serves at once.
 func (w *Window) Slots() int {
 	if w.reportedSlots > 0 {
--- a/control/shard.go
+++ b/control/shard.go
@@ -41,6 +41,9 @@
 	// speed is shared by the speed estimates of its targets; nil until one of them reports its
 	// speed.
 	speed *poolSpeed
+	// settlesAt is when the window of a target settles next, so that the target may have room for
+	// waiting tickets; zero if none does. See sched.Window.SettlesAt.
+	settlesAt Instant
 	// nextGapAt is when the shard is next checked for a gap between workspaces.
 	nextGapAt Instant
 	// deferral tracks the requests that waited for too long; for pools that count in slots.
@@ -329,6 +332,9 @@
 	if !s.owned && s.isEmpty() && (!ok || at > s.idleSince+unownedRetention) {
 		at, ok = s.idleSince+unownedRetention, true
 	}
+	if s.settlesAt > 0 && s.queue.Len() > 0 && (!ok || s.settlesAt < at) {
+		at, ok = s.settlesAt, true
+	}
 	if !ok {
 		m.timers.stop(&s.timer)
 		return
@@ -343,6 +349,7 @@
 		delete(m.sched.workspaces[name].flows, s.id)
 	}
 	s.pruneClasses()
+	s.updateSettlesAt(m.now)
 	if !s.owned && s.isEmpty() && m.now >= s.idleSince+unownedRetention {
 		m.dropShard(s)
 		return
@@ -351,6 +358,19 @@
 	m.armShard(s)
 }
 
+// updateSettlesAt updates settlesAt once it has passed.
+func (s *shard) updateSettlesAt(now Instant) {
+	if s.settlesAt == 0 || now < s.settlesAt {
+		return
+	}
+	s.settlesAt = 0
+	for _, t := range s.targets {
+		if at := t.window.SettlesAt(); at > now && (s.settlesAt == 0 || at < s.settlesAt) {
+			s.settlesAt = at
+		}
+	}
+}
+
 // pruneClasses removes the classes without waiting tickets once there are many.
 func (s *shard) pruneClasses() {
 	if len(s.classes) <= classPruneThreshold {
--- a/control/slots_test.go
+++ b/control/slots_test.go
@@ -46,3 +46,30 @@
 		t.Errorf("a run that has used 700 ms so far is charged with %v s", total-0.62)
 	}
 }
+
+// TestNewTargetOpensWithoutLoadReport guards against requests that wait for the end of another
+// run although their target has free slots: nothing granted the slots of a new target that sent
+// no load report, once it was given more than one run at a time.
+func TestNewTargetOpensWithoutLoadReport(t *testing.T) {
+	snapshot := oneSlotSnapshot()
+	for name, target := range snapshot.Declarations.Targets {
+		target.Slots = 4
+		snapshot.Declarations.Targets[name] = target
+	}
+	m := New(Options{Node: "n1", Incarnation: 1, DataCentre: "ikeja"})
+	m.Step(0, ConfigChanged{Snapshot: snapshot})
+	granted := 0
+	for id := range 4 {
+		commands := m.Step(0, RequestArrived{Request: RequestID(id + 1), Attempt: 1, Workspace: "bakery", Pool: "draft", Deadline: time.Hour})
+		granted += len(dispatchesIn(commands))
+	}
+	if granted != 1 {
+		t.Errorf("%d runs at a target that is new, want 1", granted)
+	}
+	for now := m.NextWake(); now < time.Second; now = max(now+time.Millisecond, m.NextWake()) {
+		granted += len(dispatchesIn(m.Step(now, Tick{})))
+	}
+	if granted != 4 {
+		t.Errorf("%d of 4 slots granted after a second", granted)
+	}
+}
--- a/control/target.go
+++ b/control/target.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -98,7 +99,9 @@
 }
 
 func newTarget(now Instant, s *shard, name string) *target {
-	return &target{shard: s, name: name, knownSince: now, hash: member.HashOf(name), window: sched.NewWindow(now, 1), loadReportedAt: -1}
+	window := sched.NewWindow(now, 1)
+	s.settlesAt = cmp.Or(s.settlesAt, window.SettlesAt())
+	return &target{shard: s, name: name, knownSince: now, hash: member.HashOf(name), window: window, loadReportedAt: -1}
 }
 
 // isNewStart reports whether a declaration is of a later start of the target than the one
