Front: read on after the last answer, so that no reset cuts it

A caller that sends its next request before it has read an answer may get only the beginning of that answer. Where this side closes the connection after it (a shutdown, too many connections, less load wanted, a refusal of an overloaded router, a refusal at the deadline), the unread bytes of the next request make the system reset the connection, and what the caller has not taken of the answer is dropped. The same happens if the next request arrives after the close.

Such a connection now ends as one with a refused body did: the sending half is closed, and what the caller still sends is discarded until it closes, for a second at most, or for as long as it goes on reading its answer. Callers that ask for the close themselves send nothing more, and are not waited for.

--- a/front/conn.go
+++ b/front/conn.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Limits for discarding the rest of a refused request; see callerConn.Close.
+// Limits for discarding what a caller sends after its last answer; see callerConn.Close.
 const (
 	maxLingerTime  = time.Second
 	maxLingerBytes = 16 << 20
@@ -96,7 +96,8 @@
 	admission admission
 	// unread holds bytes read from the connection but not yet passed to the HTTP library.
 	unread []byte
-	// linger is set when a request was refused before it was read whole.
+	// linger is set if the caller may still send when this side closes the connection: the rest
+	// of a request that was refused before it was read whole, or its next request.
 	linger bool
 	// executed is set if the connection carries a request of another router; else nil.
 	executed *executed
@@ -248,16 +249,38 @@
 
 // Close implements net.Conn. It ends the exchange first, so that the watcher
 // does not mistake the connection for one that the caller closed. Closing a
-// connection with unread bytes resets it, and the reset can overtake the answer.
-// So after a refusal the rest of the request is read and discarded, within limits.
+// connection with unread bytes resets it, and so do bytes that arrive after the close;
+// the reset can overtake the answer. So what a caller may still send is read and
+// discarded, within limits.
 func (c *callerConn) Close() error {
 	c.server.endExchange(c)
 	c.endExecuted()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.linger {
 		_ = half.CloseWrite()
-		_ = c.Conn.SetReadDeadline(time.Now().Add(maxLingerTime))
-		// An error means that the caller is gone or too slow.
-		_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+		c.discardUntilRead()
 	}
 	return c.Conn.Close()
 }
+
+// discardUntilRead discards what the caller sends until it closes the connection, at most for
+// maxLingerTime; or for as long as it goes on reading its answer, but no longer than
+// Options.WriteTimeout without progress.
+func (c *callerConn) discardUntilRead() {
+	rest := io.LimitReader(c.Conn, maxLingerBytes)
+	progressAt := time.Now()
+	for unread := c.unreadByCaller(); ; {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(maxLingerTime))
+		_, err := io.Copy(io.Discard, rest)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return // the caller is gone, or sends too much
+		}
+		before := unread
+		unread = c.unreadByCaller()
+		if unread < before {
+			progressAt = time.Now()
+		}
+		if unread == 0 || time.Since(progressAt) >= c.server.options.WriteTimeout {
+			return
+		}
+	}
+}
--- a/front/serve.go
+++ b/front/serve.go
@@ -36,6 +36,7 @@
 	}
 	if !r.claimAnswer() {
 		r.discardAnswer()
+		conn.linger = conn.executed == nil
 		return // the connection is closed for writing
 	}
 	if err == nil {
@@ -46,6 +47,7 @@
 		s.writeError(ctx, r.ex.ID, err)
 	}
 	if conn.linger || conn.executed != nil || s.shouldCloseConn() {
+		conn.linger = conn.linger || conn.executed == nil
 		ctx.SetConnectionClose()
 	}
 }
@@ -86,6 +88,7 @@
 	if countRefused != nil {
 		countRefused()
 	}
+	conn.linger = true
 	s.writeOverloaded(ctx, id)
 }
 
