Front: read a request that has arrived before closing its connection as idle

A wait for the next request that begins or wakes up after its deadline fails even if the request is in the socket: the runtime looks at the deadline first. The connection was closed with the request unread, and its caller saw a reset, though it had sent well within the idle limit. A router that gets no processor time for a moment does this to connections near their limit, and during a shutdown to those near the end of the grace for idle ones.

The new test, with reads that begin late, before:

read: connection reset by peer

At the deadline the connection is now read once more without waiting.

--- a/front/conn.go
+++ b/front/conn.go
@@ -104,7 +104,7 @@
 
 	mu sync.Mutex
 	// busy is true from the first byte of a request to the last byte of its
-	// answer.
+	// answer. Only the serving goroutine changes it, and reads it without mu.
 	busy bool
 }
 
@@ -136,7 +136,31 @@
 		c.unread = c.unread[n:]
 		return n, nil
 	}
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	if !c.busy && errors.Is(err, os.ErrDeadlineExceeded) {
+		return c.readArrived(b, err)
+	}
+	return n, err
+}
+
+// readArrived reads what has arrived from the caller without waiting, or returns errNone if nothing
+// has. A read that begins or wakes up after its deadline fails even if bytes are there.
+func (c *callerConn) readArrived(b []byte, errNone error) (int, error) {
+	if c.raw == nil {
+		return 0, errNone
+	}
+	var n int
+	var err error
+	if controlErr := c.raw.Control(func(fd uintptr) { n, err = unix.Read(int(fd), b) }); controlErr != nil {
+		return 0, controlErr
+	}
+	switch {
+	case err != nil: // usually EAGAIN
+		return 0, errNone
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
 }
 
 // limitIdleWait limits the wait for the next request to Options.IdleGrace. It does not
--- a/front/connend_test.go
+++ b/front/connend_test.go
@@ -47,3 +47,58 @@
 		}
 	}
 }
+
+// lateListener accepts connections whose reads begin after the given time, as those of a process
+// that gets no processor time do.
+type lateListener struct {
+	net.Listener
+	late time.Duration
+}
+
+type lateConn struct {
+	*net.TCPConn
+	late time.Duration
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return lateConn{conn.(*net.TCPConn), l.late}, nil
+}
+
+func (c lateConn) Read(b []byte) (int, error) {
+	time.Sleep(c.late)
+	return c.TCPConn.Read(b)
+}
+
+// TestRequestThatArrivedBeforeTheIdleTimeoutIsAnswered guards against connections that are closed as
+// idle though their next request has arrived in time: the wait ends at the timeout whether or not bytes
+// are there.
+func TestRequestThatArrivedBeforeTheIdleTimeoutIsAnswered(t *testing.T) {
+	const idleTimeout = 100 * time.Millisecond
+	f := startOn(t, func(l net.Listener) net.Listener { return lateListener{l, 2 * idleTimeout} },
+		Options{IdleTimeout: idleTimeout, IdleGrace: idleTimeout}, func(_ context.Context, ex *pipeline.Exchange) error {
+			ex.Status = http.StatusOK
+			return nil
+		})
+	conn, r := f.send(get)
+	f.answer(r)
+	fmt.Fprint(conn, get)
+	if response := f.answer(r); response.Close {
+		t.Errorf("got %v", response)
+	}
+	done := f.shutdown(context.Background())
+	for !f.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	fmt.Fprint(conn, get)
+	if response := f.answer(r); !response.Close {
+		t.Errorf("got %v", response)
+	}
+	conn.Close()
+	if err := await(t, done); err != nil {
+		t.Error(err)
+	}
+}
--- a/front/serve_test.go
+++ b/front/serve_test.go
@@ -33,6 +33,12 @@
 // start serves handler. When the test ends, it checks that each exchange has ended
 // exactly once.
 func start(t *testing.T, options Options, handler pipeline.Handler) *fixture {
+	t.Helper()
+	return startOn(t, func(l net.Listener) net.Listener { return l }, options, handler)
+}
+
+// startOn is start on a listener that wrap changes.
+func startOn(t *testing.T, wrap func(net.Listener) net.Listener, options Options, handler pipeline.Handler) *fixture {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -46,7 +52,7 @@
 		return handler(ctx, ex)
 	})
 	served := make(chan error, 1)
-	go func() { served <- f.Serve(listener) }()
+	go func() { served <- f.Serve(wrap(listener)) }()
 	t.Cleanup(func() {
 		f.Close()
 		if err := <-served; err != nil {
