Front: answer a request that has arrived before closing its connection

Where a connection was to end after an answer (a shutdown, too many connections, less load wanted, an overloaded router), a further request that had been received behind the answered one was dropped, even if it had been read whole into the server's buffer. Its caller saw the connection end.

What the library has buffered is the bytes read less the length of the requests taken; where a chunked body ends is not known, so that a request that was read together with one is still dropped. Its caller can know: the answer says that the connection closes, and the connection ends cleanly.

--- a/front/conn.go
+++ b/front/conn.go
@@ -96,6 +96,12 @@
 	admission admission
 	// unread holds bytes read from the connection but not yet passed to the HTTP library.
 	unread []byte
+	// buffered is about how many bytes the HTTP library has read beyond the requests that it has
+	// passed to Server.serve; see countRequest. Only the serving goroutine uses it.
+	buffered int
+	// servedPastClose is how many requests were answered since the connection was first to be
+	// closed after an answer.
+	servedPastClose int
 	// linger is set if the caller may still send when this side closes the connection: the rest
 	// of a request that was refused before it was read whole, or its next request.
 	linger bool
@@ -131,6 +137,15 @@
 	if c.server.draining.Load() {
 		c.limitIdleWait()
 	}
+	if !c.busy {
+		c.buffered = 0 // the library waits only if it has used up what it has read
+	}
+	n, err := c.read(b)
+	c.buffered += n
+	return n, err
+}
+
+func (c *callerConn) read(b []byte) (int, error) {
 	if len(c.unread) > 0 {
 		n := copy(b, c.unread)
 		c.unread = c.unread[n:]
--- a/front/fastrefusal.go
+++ b/front/fastrefusal.go
@@ -167,6 +167,7 @@
 // writeRefusal writes the refusal of the request whose headers were parsed.
 func (f *fastRefuser) writeRefusal(fd int, id string) {
 	f.server.writeOverloaded(&f.ctx, id)
+	f.ctx.SetConnectionClose()
 	fastRefusals.Inc()
 	f.output.Reset()
 	f.writer.Reset(&f.output)
