Keep callers' idle connections for as long as the version in force allows

A managed platform's configuration says for how long callers may keep a connection idle, and callers use one again up to four fifths of it. Routers did not read the limit: they closed idle connections after limits.idle_timeout of their settings, so a version that allowed more had callers send requests on connections that were being closed.

A wait for the next request that reaches its deadline is now extended if the limit of the version in force is longer, so that a longer limit holds for connections that are idle already. A shorter one does not end waits that have begun, as their callers may rely on the earlier one, and never goes below the settings' timeout.

--- a/config/defaults.go
+++ b/config/defaults.go
@@ -63,6 +63,7 @@
 		Pools:      mapValues(d.Pools, withPoolDefaults),
 		Targets:    mapValues(d.Targets, withTargetDefaults),
 		Routes:     mapValues(d.Routes, withRouteDefaults),
+		Callers:    d.Callers,
 	}
 }
 
--- a/config/types.go
+++ b/config/types.go
@@ -38,6 +38,15 @@
 	// Routes may be empty: requests then select pools by model and path prefix;
 	// see Pool.
 	Routes map[string]Route `json:"routes,omitempty" toml:"routes,omitempty"`
+	// Callers is only set in versions that a managed platform publishes.
+	Callers CallerLimits `json:"callers,omitzero" toml:"-"`
+}
+
+// CallerLimits holds what callers may rely on with their connections.
+type CallerLimits struct {
+	// IdleMillis is how long, in milliseconds, a caller may keep a connection idle before it uses it
+	// again; zero if not stated.
+	IdleMillis int `json:"idle_millis,omitempty" toml:"-"`
 }
 
 // Workspace is one tenant.
--- a/front/conn.go
+++ b/front/conn.go
@@ -108,6 +108,11 @@
 	// executed is set if the connection carries a request of another router; else nil.
 	executed *executed
 
+	// idleSince is when the last answer was written, zero before the first one, and idleLimit the idle
+	// limit at that time.
+	idleSince time.Time
+	idleLimit time.Duration
+
 	mu sync.Mutex
 	// busy is true from the first byte of a request to the last byte of its
 	// answer. Only the serving goroutine changes it, and reads it without mu.
@@ -151,11 +156,31 @@
 		c.unread = c.unread[n:]
 		return n, nil
 	}
-	n, err := c.Conn.Read(b)
-	if !c.busy && errors.Is(err, os.ErrDeadlineExceeded) {
-		return c.readArrived(b, err)
+	for {
+		n, err := c.Conn.Read(b)
+		if c.busy || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		n, err = c.readArrived(b, err)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.extendIdleWait() {
+			return n, err
+		}
 	}
-	return n, err
+}
+
+// extendIdleWait extends a wait for the next request that has reached its deadline, if the idle limit
+// of the configuration in force is longer.
+func (c *callerConn) extendIdleWait() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince.IsZero() || c.server.draining.Load() {
+		return false
+	}
+	until := c.idleSince.Add(max(c.idleLimit, c.server.idleLimit()))
+	if !time.Now().Before(until) {
+		return false
+	}
+	return c.Conn.SetReadDeadline(until) == nil
 }
 
 // readArrived reads what has arrived from the caller without waiting, or returns errNone if nothing
@@ -202,6 +227,9 @@
 	c.mu.Lock()
 	c.busy = busy
 	c.mu.Unlock()
+	if !busy {
+		c.idleSince, c.idleLimit = time.Now(), c.server.idleLimit()
+	}
 }
 
 // Write implements net.Conn. It fails if the caller reads nothing for Options.WriteTimeout; an
--- a/front/connend_test.go
+++ b/front/connend_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -159,3 +160,38 @@
 		})
 	}
 }
+
+// TestIdleLimitOfTheConfiguration guards against connections that are closed as idle while their callers
+// may still use them by the configuration in force.
+func TestIdleLimitOfTheConfiguration(t *testing.T) {
+	const idleTimeout, longer = 100 * time.Millisecond, time.Second
+	for _, c := range []struct {
+		name          string
+		before, after time.Duration // the limit, before and after the connection became idle
+		idle          time.Duration
+		closed        bool
+	}{
+		{"not stated", 0, 0, longer / 2, true},
+		{"long", longer, longer, longer * 4 / 5, false},
+		{"over", longer, longer, longer * 3 / 2, true},
+		{"made longer", idleTimeout, longer, longer * 4 / 5, false},
+		{"made shorter", longer, idleTimeout / 2, longer * 4 / 5, false},
+		{"shorter than the timeout", idleTimeout / 2, idleTimeout / 2, idleTimeout * 4 / 5, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var limit atomic.Int64
+			limit.Store(int64(c.before))
+			f := start(t, Options{IdleTimeout: idleTimeout, IdleLimit: func() time.Duration { return time.Duration(limit.Load()) }}, answerEmpty)
+			conn, r := f.send(get)
+			f.answer(r)
+			time.Sleep(idleTimeout / 2) // the wait has begun
+			limit.Store(int64(c.after))
+			time.Sleep(c.idle - idleTimeout/2)
+			fmt.Fprint(conn, get)
+			if _, err := http.ReadResponse(r, nil); (err != nil) != c.closed {
+				t.Errorf("the request got %v", err)
+			}
+		})
+	}
+}
--- a/front/server.go
+++ b/front/server.go
@@ -74,6 +74,11 @@
 	ReadTimeout time.Duration
 	// IdleTimeout is how long a connection may be idle before it is closed. Default 60 s.
 	IdleTimeout time.Duration
+	// IdleLimit, if set, returns for how long callers may keep connections idle by the configuration in
+	// force; zero if it does not state it. An idle connection is closed after the longer of it and
+	// IdleTimeout. A limit that becomes longer applies to connections that are idle already, one that
+	// becomes shorter does not.
+	IdleLimit func() time.Duration
 	// WriteTimeout limits how long a caller may read nothing of its answer. Default 30 s.
 	WriteTimeout time.Duration
 	// WatchEvery is the interval between checks for callers that have disconnected.
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -172,6 +172,14 @@
 	return s.draining.Load() || s.HasTooManyConns() || s.options.CloseAfterAnswer != nil && s.options.CloseAfterAnswer()
 }
 
+// idleLimit returns for how long callers may keep connections idle.
+func (s *Server) idleLimit() time.Duration {
+	if s.options.IdleLimit == nil {
+		return s.options.IdleTimeout
+	}
+	return max(s.options.IdleTimeout, s.options.IdleLimit())
+}
+
 func (s *Server) connOpened(conn *callerConn) {
 	s.mu.Lock()
 	s.conns[conn] = struct{}{}
--- a/router/router.go
+++ b/router/router.go
@@ -295,6 +295,16 @@
 	return 0
 }
 
+// callerIdleLimit returns for how long callers may keep connections idle by the version in force;
+// zero if it does not say.
+func (r *Router) callerIdleLimit() time.Duration {
+	snapshot := r.InForce()
+	if snapshot == nil {
+		return 0
+	}
+	return time.Duration(snapshot.Declarations.Callers.IdleMillis) * time.Millisecond
+}
+
 func (r *Router) closePlatform() {
 	if r.managed != nil {
 		r.platformStore.Close()
--- a/router/start.go
+++ b/router/start.go
@@ -231,6 +231,7 @@
 	options.Log = r.log
 	options.Dialect = r.dialect()
 	if r.managed != nil {
+		options.IdleLimit = r.callerIdleLimit
 		r.cacheWatcher = cachewatch.New(platform.NewCacheSource(r.targets), r.targetCacheReported, r.log)
 		options.CloseAfterAnswer = r.overload.shouldCloseConn
 		options.Shed = r.overload.shouldShed
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -132,7 +132,8 @@
 	MaxHeaderBytes int `toml:"max_header_bytes"`
 	// ReadTimeout bounds the time that a request takes to arrive. Default 10s.
 	ReadTimeout Duration `toml:"read_timeout"`
-	// IdleTimeout is after how long an idle caller connection is closed. Default 60s.
+	// IdleTimeout is after how long an idle caller connection is closed, unless the configuration of
+	// a managed platform lets callers keep it idle for longer. Default 60s.
 	IdleTimeout Duration `toml:"idle_timeout"`
 	// DefaultDeadline is the time allowed until dispatch if the caller sets no deadline.
 	// Default 30s.
