Front: do not blame callers for requests that a stopping router breaks off

When a drain reaches its limit or a second signal ends it, the contexts of the requests that are left are cancelled. Filters take that for a caller that has gone, so the callers, who were still there, got code 604 "caller_gone"; where the request may have run, that is status 499, a fault of the caller's own, although the request was proper.

TestCloseDoesNotBlameTheCaller, before:

got 503 Service Unavailable, Walnut-Code:[604] Walnut-Ran:[no] got 499 Unknown Status Code, Walnut-Code:[604] Walnut-Ran:[unknown]

The front knows that it was stopped, and answers 503 "draining" with what is known about the run: status 503 if it did not run, else 502 where statuses are all that callers look at. Each such request has a line and is counted.

--- a/front/connend_test.go
+++ b/front/connend_test.go
@@ -14,7 +14,9 @@
 	"testing"
 	"time"
 
+	"github.com/walnutcove/walnutcove/dialect"
 	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/result"
 )
 
 // TestAnswerIsNotOvertakenByResetForNextRequest guards against a reset that cuts the last answer
@@ -195,3 +197,35 @@
 		})
 	}
 }
+
+// TestCloseDoesNotBlameTheCaller guards against requests that a stopping router breaks off with a result
+// that says that their callers had gone, which a caller may take for its own fault.
+func TestCloseDoesNotBlameTheCaller(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	f := start(t, Options{Dialect: &dialect.Dialect{StatusTellsNotRun: true}}, func(ctx context.Context, ex *pipeline.Exchange) error {
+		arrived <- struct{}{}
+		<-ctx.Done()
+		refusal := result.New(result.CallerGone, "The request was cancelled.")
+		if ex.Path == "/sent" {
+			refusal.Ran = result.RanUnknown
+		}
+		return refusal
+	})
+	_, waiting := f.send("GET /waiting HTTP/1.1\r\nHost: a\r\n\r\n")
+	_, sent := f.send("GET /sent HTTP/1.1\r\nHost: a\r\n\r\n")
+	await(t, arrived)
+	await(t, arrived)
+	if err := f.Close(); err != nil {
+		t.Error(err)
+	}
+	for _, c := range []struct {
+		r      *bufio.Reader
+		status int
+		ran    string
+	}{{waiting, http.StatusServiceUnavailable, "no"}, {sent, http.StatusBadGateway, "unknown"}} {
+		response := f.answer(c.r)
+		if response.StatusCode != c.status || response.Header.Get("Walnut-Code") != "503" || response.Header.Get("Walnut-Ran") != c.ran || !response.Close {
+			t.Errorf("got %v", response)
+		}
+	}
+}
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -48,7 +48,7 @@
 	refusals = codecounter.New("walnut_accept_refusals_total",
 		result.BadRequest, result.BodyTooLarge, result.HeadersTooLarge, result.SlowSender,
 		result.HeldBytesFull, result.Internal, result.Overloaded, result.FirstByteTimeout, result.ExecutorLost,
-		result.AnswerBytesFull)
+		result.AnswerBytesFull, result.Draining)
 )
 
 // offloadCounter returns the counter of offloaded requests with the given result. Other packages
--- a/front/serve.go
+++ b/front/serve.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		s.logRefusal(r.ex.ID, err)
 	} else {
-		err = s.run(r)
+		err = s.refusalAtStop(r.ex.ID, s.run(r))
 	}
 	if !r.claimAnswer() {
 		r.discardAnswer()
@@ -219,6 +219,20 @@
 	return s.handler(r.ctx, r.ex)
 }
 
+// refusalAtStop returns the error of a request, with result.Draining if Close has broken the request
+// off: filters cannot tell that from a caller that has gone.
+func (s *Server) refusalAtStop(id string, err error) error {
+	var refusal *result.Error
+	if s.ctx.Err() == nil || !errors.As(err, &refusal) || refusal.Code != result.CallerGone {
+		return err
+	}
+	refusals.Inc(result.Draining)
+	s.log.Info("front: Request broken off as the router stops.", "request", id, "ran", refusal.Ran.String())
+	stopped := result.Wrap(result.Draining, err, "The router has stopped.")
+	stopped.Ran = refusal.Ran
+	return stopped
+}
+
 // connState is called by the HTTP library when a connection changes state. It becomes
 // idle after the last byte of an answer was written, or it closes.
 func (s *Server) connState(c net.Conn, state fasthttp.ConnState) {
