Daemon: end a drain in time to refuse what is left

A drain went on until limits.drain_timeout, which deployments set to the time after which the platform kills the process. The requests that were left then, such as those that still waited for a target, ended with the process: their callers got neither an answer nor a refusal, although a router that is stopped refuses what it has not answered.

TestDrainLeavesTimeForRefusals, before:

exit code 1 after 2.000186811s

with a limit of 2 s. A drain is now aborted an eighth of the limit, at most half a second, before it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -165,9 +165,19 @@
 	Shutdown(ctx context.Context) error
 }
 
-// drain shuts the router down. It is aborted at the limit or after abortAfter more signals.
+// maxCloseTime is the time left at the end of a drain, and closeShare its largest share of the limit.
+const (
+	maxCloseTime = 500 * time.Millisecond
+	closeShare   = 8
+)
+
+// closeTime returns how long before the limit a drain is aborted: a platform that kills the process at
+// the limit must not do so before the requests that are left have been refused.
+func closeTime(limit time.Duration) time.Duration { return min(maxCloseTime, limit/closeShare) }
+
+// drain shuts the router down. It is aborted shortly before the limit or after abortAfter more signals.
 func drain(r shutdowner, limit time.Duration, signals <-chan os.Signal, abortAfter int, log *slog.Logger) int {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	ctx, cancel := context.WithTimeout(context.Background(), limit-closeTime(limit))
 	defer cancel()
 	go func() {
 		for range abortAfter {
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -272,6 +272,20 @@
 	}
 }
 
+// TestDrainLeavesTimeForRefusals guards against a drain that goes on until the platform kills the process:
+// the requests that are left then end without a refusal.
+func TestDrainLeavesTimeForRefusals(t *testing.T) {
+	const limit = 2 * time.Second
+	start := time.Now()
+	code := drain(blockedRouter{make(chan struct{})}, limit, nil, 1, slog.New(slog.DiscardHandler))
+	if took := time.Since(start); code != ExitFailed || took > limit-closeTime(limit)/2 {
+		t.Errorf("exit code %d after %s", code, took)
+	}
+	if closeTime(limit) <= 0 || closeTime(8*time.Second) != maxCloseTime {
+		t.Errorf("%s for %s", closeTime(limit), limit)
+	}
+}
+
 func TestLogSettings(t *testing.T) {
 	var out bytes.Buffer
 	log := NewLogger(settings.Log{Level: "warn", Format: "json"}, &out)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -142,7 +142,8 @@
 	FirstByteTimeout Duration `toml:"first_byte_timeout"`
 	// StallTimeout bounds the gap between parts of an answer. Default 30s.
 	StallTimeout Duration `toml:"stall_timeout"`
-	// DrainTimeout bounds a graceful shutdown. Default 10m.
+	// DrainTimeout bounds a graceful shutdown, with the refusals to the requests that are left at its
+	// end. Default 10m.
 	DrainTimeout Duration `toml:"drain_timeout"`
 	// DrainNotice is how long a draining router still takes requests while it reports
 	// that it is not ready, so that the load balancer stops sending first; at most half
