Front: leave pipelined requests on new connections to the HTTP library

The fast path of an overloaded router reads what has arrived on a new connection and refuses or forwards the request in it. If a second one had been read with it, that one was dropped with the connection.

TestFastRefusalHandsOverPipelinedRequests, before:

refused by the fast path

Such a connection is now handed over, and each request on it is refused or served. The path through the HTTP library is checked with two requests as before.

--- a/front/connend_test.go
+++ b/front/connend_test.go
@@ -129,6 +129,7 @@
 		{"less load", lessLoad, get + get, "", []int{200, 200}},
 		{"too many connections", Options{MaxKeptConns: 1}, get + get, "", []int{200, 200}},
 		{"overloaded", Options{Shed: func(kept bool) bool { return kept }}, get + get + get, "", []int{200, 503, 503}},
+		{"overloaded, new connection", Options{Shed: func(bool) bool { return true }}, get + post + get, "", []int{503, 503, 503}},
 		{"bodies", lessLoad, post + post, "", []int{200, 200}},
 		{"chunks", lessLoad, post + chunked, "", []int{200, 200}},
 		{"behind chunks", lessLoad, chunked + get, "", []int{200}}, // the close is clean, and announced
--- a/front/fastrefusal.go
+++ b/front/fastrefusal.go
@@ -137,8 +137,8 @@
 }
 
 // parseSimple reads the headers and reports whether the request is a simple one (no Expect
-// header, no chunks) that has arrived whole: closing with unread bytes would reset the
-// connection and lose the answer.
+// header, no chunks) that has arrived whole, and no other one behind it: closing with unread
+// bytes would reset the connection and lose the answer, and a second request would be dropped.
 func (f *fastRefuser) parseSimple(request []byte) bool {
 	f.source.Reset(request)
 	f.reader.Reset(&f.source)
@@ -150,7 +150,8 @@
 	if len(header.Peek(fasthttp.HeaderExpect)) > 0 || header.ContentLength() == lengthChunked {
 		return false
 	}
-	return f.reader.Buffered()+f.source.Len() >= header.ContentLength()
+	behind := f.reader.Buffered() + f.source.Len() - max(0, header.ContentLength())
+	return behind >= 0 && behind <= maxStrayBytes
 }
 
 // clone returns a copy of the request in read, whose headers were parsed, or nil if the copy would not
--- a/front/fastrefusal_test.go
+++ b/front/fastrefusal_test.go
@@ -146,6 +146,33 @@
 	}
 }
 
+// TestFastRefusalHandsOverPipelinedRequests guards against a request that is dropped since the fast path has
+// read it behind the one that it refuses.
+func TestFastRefusalHandsOverPipelinedRequests(t *testing.T) {
+	r := newRefuser(t, Options{})
+	caller := r.call(t, shortCall+shortCall)
+	r.shedsLeft = 2
+	conn, _ := r.refuseWaiting()
+	if conn == nil {
+		t.Fatal("refused by the fast path")
+	}
+	served := make(chan error, 1)
+	go func() { served <- r.server.http.ServeConn(conn) }()
+	_ = caller.SetReadDeadline(time.Now().Add(eventTimeout))
+	reader := bufio.NewReader(caller)
+	for i := range 2 {
+		answer, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		if _, err := io.Copy(io.Discard, answer.Body); err != nil || answer.StatusCode != http.StatusServiceUnavailable || answer.Close != (i == 1) {
+			t.Errorf("answer %d: %v, %v", i, answer, err)
+		}
+	}
+	caller.Close()
+	<-served // its error reports that the caller is gone
+}
+
 // TestFastRefusalHandsOverExemptRequests checks that a request which ConfirmShed exempts goes to
 // the HTTP library with all its bytes, and is served there without asking Shed again.
 func TestFastRefusalHandsOverExemptRequests(t *testing.T) {
--- a/front/pipelined.go
+++ b/front/pipelined.go
@@ -9,6 +9,10 @@
 // answer was to close it, because the next one had always arrived already.
 const maxServedPastClose = 16
 
+// maxStrayBytes is how many bytes behind a request are no further request: some callers send a line end
+// after a body.
+const maxStrayBytes = len("\r\n")
+
 // countRequest is called when the HTTP library has read a request, before its reservation is claimed
 // and its body taken. The framing of a chunked body is not known here: what has been read beyond it is
 // not counted.
@@ -26,8 +30,7 @@
 	c.buffered = max(0, c.buffered-head-len(request.Body()))
 }
 
-// hasNextRequest reports whether a further request has arrived, at least its first bytes. Some callers
-// send a line end after a body: that is no request.
+// hasNextRequest reports whether a further request has arrived, at least its first bytes.
 func (c *callerConn) hasNextRequest() bool {
 	arrived := 0
 	if c.raw != nil {
@@ -36,7 +39,7 @@
 			arrived, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ)
 		})
 	}
-	return c.buffered+len(c.unread)+arrived > len("\r\n")
+	return c.buffered+len(c.unread)+arrived > maxStrayBytes
 }
 
 // mayClose is called if a connection is to be closed after the next answer. It reports whether the
