Front: test shutdowns in the middle of requests

Heads, bodies and chunks that are half there, requests behind a running one, and requests on idle and new connections during the grace for idle ones: each is answered, or refused if it does not arrive in time, and the connection ends cleanly.

--- a/front/connend_test.go
+++ b/front/connend_test.go
@@ -230,3 +230,62 @@
 		}
 	}
 }
+
+// TestShutdownInTheMiddleOfRequests guards against requests that a shutdown drops while they arrive or wait
+// behind another one.
+func TestShutdownInTheMiddleOfRequests(t *testing.T) {
+	const head = "POST /x HTTP/1.1\r\nHost: a\r\n"
+	const chunked = head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+	const expect = head + "Expect: 100-continue\r\nContent-Length: 5\r\n\r\n"
+	const wait = "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n"
+	const idleGrace = 400 * time.Millisecond
+	for _, c := range []struct {
+		name         string
+		before, late string // what is sent before the shutdown, and half of IdleGrace after its beginning
+		statuses     []int
+	}{
+		{"two requests", wait + get, "", []int{200, 200}},
+		{"second comes", wait, get, []int{200, 200}},
+		{"half a body", get + head + "Content-Length: 5\r\n\r\nhe", "llo", []int{200, 200}},
+		{"half a head", get + head, "Content-Length: 0\r\n\r\n", []int{200, 200}},
+		{"half of the chunks", chunked[:len(chunked)-7], chunked[len(chunked)-7:], []int{200}},
+		{"body to come", expect, "hello", []int{100, 200}},
+		{"idle", get, get, []int{200, 200}},
+		{"idle, two requests", get, get + get, []int{200, 200, 200}},
+		{"new", "", get, []int{200}},
+		{"body never comes", head + "Content-Length: 5\r\n\r\nhe", "", []int{408}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			release := make(chan struct{})
+			f := start(t, Options{IdleGrace: idleGrace, ReadTimeout: 3 * idleGrace}, func(ctx context.Context, ex *pipeline.Exchange) error {
+				if ex.Path == "/wait" {
+					<-release
+				}
+				return answerEmpty(ctx, ex)
+			})
+			conn, r := f.send(c.before)
+			time.Sleep(idleGrace / 4)
+			done := f.shutdown(context.Background())
+			time.Sleep(idleGrace / 2)
+			fmt.Fprint(conn, c.late)
+			time.Sleep(idleGrace / 4)
+			close(release)
+			for i, status := range c.statuses {
+				response := f.answer(r)
+				_, err := io.Copy(io.Discard, response.Body)
+				isLast := i == len(c.statuses)-1
+				if response.StatusCode != status || isLast && !response.Close || err != nil {
+					t.Errorf("answer %d: %v, %v", i, response, err)
+				}
+			}
+			if _, err := r.ReadByte(); err != io.EOF {
+				t.Errorf("the connection ends with %v", err)
+			}
+			conn.Close()
+			if err := await(t, done); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
