Front: let callers finish sending a body that was refused

After a refusal with the body still on its way, the connection was read for one second and then closed. A caller that takes longer to send its body and reads the answer only after that was cut off in the middle: its write failed, and the reset could take the refusal with it.

TestRefusalReachesSlowSender, a body in pieces over three seconds, before:

length: piece 4: write: broken pipe chunks: piece 5: write: broken pipe

What a caller goes on sending is now discarded for limits.read_timeout, the time that it would have had if the body had been read. Callers that send nothing are still waited for no longer than a second.

--- a/front/conn.go
+++ b/front/conn.go
@@ -330,14 +330,15 @@
 }
 
 // discardUntilRead discards what the caller sends until it closes the connection, at most for
-// maxLingerTime; or for as long as it goes on reading its answer, but no longer than
-// Options.WriteTimeout without progress.
+// maxLingerTime; or for as long as it goes on sending, up to Options.ReadTimeout, or reading its
+// answer, with Options.WriteTimeout without progress.
 func (c *callerConn) discardUntilRead() {
 	rest := io.LimitReader(c.Conn, maxLingerBytes)
-	progressAt := time.Now()
+	start := time.Now()
+	progressAt := start
 	for unread := c.unreadByCaller(); ; {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(maxLingerTime))
-		_, err := io.Copy(io.Discard, rest)
+		received, err := io.Copy(io.Discard, rest)
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return // the caller is gone, or sends too much
 		}
@@ -346,7 +347,9 @@
 		if unread < before {
 			progressAt = time.Now()
 		}
-		if unread == 0 || time.Since(progressAt) >= c.server.options.WriteTimeout {
+		sends := received > 0 && time.Since(start) < c.server.options.ReadTimeout
+		reads := unread > 0 && time.Since(progressAt) < c.server.options.WriteTimeout
+		if !sends && !reads {
 			return
 		}
 	}
--- a/front/connend_test.go
+++ b/front/connend_test.go
@@ -289,3 +289,39 @@
 		})
 	}
 }
+
+// TestRefusalReachesSlowSender guards against a reset that cuts off a caller who is still sending a body that
+// was refused, and has not yet read the refusal.
+func TestRefusalReachesSlowSender(t *testing.T) {
+	const head = "POST /x HTTP/1.1\r\nHost: a\r\n"
+	const pieces, every = 9, maxLingerTime / 3
+	for name, framing := range map[string]string{
+		"length": "Content-Length: 90000\r\n\r\n",
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, Options{MaxBodyBytes: 10000, MaxHeldBytes: 10000}, answerEmpty)
+			conn := f.dial()
+			piece := strings.Repeat("x", 10000)
+			if name == "chunks" {
+				piece = "2710\r\n" + piece + "\r\n"
+			}
+			fmt.Fprint(conn, head+framing)
+			for i := range pieces {
+				if _, err := fmt.Fprint(conn, piece); err != nil {
+					t.Fatalf("piece %d: %v", i, err)
+				}
+				time.Sleep(every)
+			}
+			r := bufio.NewReader(conn)
+			response := f.answer(r)
+			if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode < 400 || !response.Close {
+				t.Errorf("got %v, %v", response, err)
+			}
+			if _, err := r.ReadByte(); err != io.EOF {
+				t.Errorf("the connection ends with %v", err)
+			}
+		})
+	}
+}
