Front: test refusals at the deadline before a further request

The next request behind one that is refused at its deadline, read, in part or still in the socket: the refusal is whole, the connection ends cleanly, and the next one is not served.

--- a/front/endby_test.go
+++ b/front/endby_test.go
@@ -95,3 +95,32 @@
 		t.Errorf("%d refused and %d answered of %d", count(&refused), count(&answered), callers*requestsEach)
 	}
 }
+
+// TestRefusalAtDeadlineBeforeNextRequest guards against a refusal at the deadline that is cut by a reset, or
+// followed by an answer, because the next request has arrived behind the refused one.
+func TestRefusalAtDeadlineBeforeNextRequest(t *testing.T) {
+	const refuseAfter, answerAfter = 50 * time.Millisecond, 200 * time.Millisecond
+	const post = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+	for name, next := range map[string]string{
+		"read":      get,
+		"in part":   get[:10],
+		"in socket": "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 100_000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			refusedFirst := make(chan bool, 2)
+			f := start(t, Options{}, refusedAtHandler(refuseAfter, answerAfter, refusedFirst))
+			_, r := f.send(post + next)
+			time.Sleep(2 * answerAfter) // the caller reads once the exchange has ended
+			response := f.answer(r)
+			if _, err := io.Copy(io.Discard, response.Body); response.StatusCode != http.StatusGatewayTimeout || !response.Close || err != nil {
+				t.Errorf("%v, %v", response, err)
+			}
+			if _, err := r.ReadByte(); err != io.EOF {
+				t.Errorf("the connection ends with %v", err)
+			}
+			if !<-refusedFirst || len(refusedFirst) > 0 {
+				t.Error("the next request was served")
+			}
+		})
+	}
+}
