Front: count closed connections by cause, and name dropped requests

Nothing told why this side had closed a caller's connection, nor whether the caller had begun to send a further request by then. Closes are now counted by cause, those with a further request besides, and the latter have a line with the id of the request after whose answer the connection ended.

--- a/front/conn.go
+++ b/front/conn.go
@@ -105,6 +105,9 @@
 	// linger is set if the caller may still send when this side closes the connection: the rest
 	// of a request that was refused before it was read whole, or its next request.
 	linger bool
+	// closedAfter is the ID of the request with whose answer the connection ends, if that is this
+	// side's decision and the request was read whole.
+	closedAfter string
 	// executed is set if the connection carries a request of another router; else nil.
 	executed *executed
 
@@ -162,7 +165,11 @@
 			return n, err
 		}
 		n, err = c.readArrived(b, err)
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.extendIdleWait() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if !c.extendIdleWait() {
+			c.server.idleCloseReason().Inc()
 			return n, err
 		}
 	}
@@ -322,6 +329,7 @@
 func (c *callerConn) Close() error {
 	c.server.endExchange(c)
 	c.endExecuted()
+	c.reportNextRequest()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.linger {
 		_ = half.CloseWrite()
 		c.discardUntilRead()
--- a/front/connend_test.go
+++ b/front/connend_test.go
@@ -120,6 +120,12 @@
 	const expect = head + "Expect: 100-continue\r\nContent-Length: 5\r\n\r\n"
 	long := head + "Content-Length: 50000\r\n\r\n" + strings.Repeat("x", 50000)
 	lessLoad := Options{CloseAfterAnswer: func() bool { return true }}
+	droppedBefore := nextDropped.Get()
+	defer func() {
+		if dropped := nextDropped.Get() - droppedBefore; dropped != 1 {
+			t.Errorf("%d requests were counted as dropped, want that of the last case", dropped)
+		}
+	}()
 	for _, c := range []struct {
 		name         string
 		options      Options
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -20,6 +20,17 @@
 	callersStalled = metrics.NewCounter("walnut_accept_callers_stalled_total")
 	callersGone    = metrics.NewCounter("walnut_accept_callers_gone_total")
 
+	// Callers' connections that this side closed.
+	closedIdle       = closeCounter("idle")
+	closedDraining   = closeCounter("draining")
+	closedTooMany    = closeCounter("too_many")
+	closedLessLoad   = closeCounter("less_load")
+	closedOverloaded = closeCounter("overloaded")
+	closedDeadline   = closeCounter("deadline")
+	closedRefused    = closeCounter("refused")
+	// nextDropped counts those on which a further request, or the beginning of one, had arrived.
+	nextDropped = metrics.NewCounter("walnut_accept_next_requests_dropped_total")
+
 	// Requests that this router offered to executors. The reasons why a Sender takes none are
 	// counted there.
 	offloadSent       = offloadCounter("sent")
@@ -51,6 +62,10 @@
 		result.AnswerBytesFull, result.Draining)
 )
 
+func closeCounter(reason string) *metrics.Counter {
+	return metrics.NewCounter(fmt.Sprintf("walnut_accept_connections_closed_total{reason=%q}", reason))
+}
+
 // offloadCounter returns the counter of offloaded requests with the given result. Other packages
 // count further results under the same name.
 func offloadCounter(result string) *metrics.Counter {
--- a/front/pipelined.go
+++ b/front/pipelined.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 )
@@ -42,11 +43,34 @@
 	return c.buffered+len(c.unread)+arrived > maxStrayBytes
 }
 
+// closeAfter ends the connection with the answer to a request that was read whole. For an executed
+// request, which has its connection alone, it does nothing.
+func (c *callerConn) closeAfter(id string, reason *metrics.Counter) {
+	if c.executed != nil {
+		return
+	}
+	reason.Inc()
+	c.linger = true
+	c.closedAfter = id
+}
+
+// reportNextRequest reports, when the connection is closed, that a further request has arrived on it and
+// is dropped. Its caller can know from the last answer, which says that the connection closes.
+func (c *callerConn) reportNextRequest() {
+	if c.closedAfter == "" || !c.hasNextRequest() {
+		return
+	}
+	nextDropped.Inc()
+	if s := c.server; s.allowRefusalLog() {
+		s.log.Info("front: Connection closed before its next request.", "after_request", c.closedAfter, "unlogged_before", s.unlogged.Swap(0))
+	}
+}
+
 // mayClose is called if a connection is to be closed after the next answer. It reports whether the
 // caller has sent no further request. One that has arrived is answered first: a caller whose request
 // was read cannot know that it was dropped.
 func (c *callerConn) mayClose() bool {
-	if c.executed != nil || c.servedPastClose >= maxServedPastClose || !c.hasNextRequest() {
+	if c.servedPastClose >= maxServedPastClose || !c.hasNextRequest() {
 		return true
 	}
 	c.servedPastClose++
--- a/front/refuse.go
+++ b/front/refuse.go
@@ -16,6 +16,7 @@
 // library closes the connection afterwards.
 func (s *Server) writeReadRefusal(ctx *fasthttp.RequestCtx, err error) {
 	ctx.Conn().(*callerConn).linger = true
+	closedRefused.Inc()
 	s.claimReservation(&ctx.Request.Header).shrinkTo(0)
 	refusal := readRefusal(err)
 	refusals.Inc(refusal.Code)
--- a/front/serve.go
+++ b/front/serve.go
@@ -37,7 +37,7 @@
 	}
 	if !r.claimAnswer() {
 		r.discardAnswer()
-		conn.linger = conn.executed == nil
+		conn.closeAfter(r.ex.ID, closedDeadline)
 		return // the connection is closed for writing
 	}
 	if err == nil {
@@ -47,9 +47,11 @@
 		r.err = err
 		s.writeError(ctx, r.ex.ID, err)
 	}
-	if conn.linger || conn.executed != nil || s.shouldCloseConn() && conn.mayClose() {
-		conn.linger = conn.linger || conn.executed == nil
+	if conn.linger || conn.executed != nil {
 		ctx.SetConnectionClose()
+	} else if reason := s.closeReason(); reason != nil && conn.mayClose() {
+		ctx.SetConnectionClose()
+		conn.closeAfter(r.ex.ID, reason)
 	}
 }
 
@@ -93,9 +95,11 @@
 	}
 	s.writeOverloaded(ctx, id)
 	if closes {
-		conn.linger = true
 		ctx.SetConnectionClose()
 	}
+	if closes && !conn.linger {
+		conn.closeAfter(id, closedOverloaded)
+	}
 }
 
 // writeOverloaded sets the response of an overloaded router. Its connection is closed unless the
@@ -137,6 +141,7 @@
 	if r.reservation != nil && r.reservation.refusal != nil {
 		// The body was not read, so no other request can follow on this connection.
 		r.conn.linger = true
+		closedRefused.Inc()
 		return r.reservation.refusal
 	}
 	requests.Inc()
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/walnutcove/walnutcove/wait"
 )
 
@@ -166,10 +168,26 @@
 	return s.options.MaxKeptConns > 0 && s.ConnCount() > s.options.MaxKeptConns
 }
 
-// shouldCloseConn reports whether a connection is closed after its answer, because the
-// server drains, has too many connections, or is to get less load.
-func (s *Server) shouldCloseConn() bool {
-	return s.draining.Load() || s.HasTooManyConns() || s.options.CloseAfterAnswer != nil && s.options.CloseAfterAnswer()
+// closeReason returns the counter of the reason why a connection is closed after its answer: the server
+// drains, has too many connections, or is to get less load. It returns nil if the connection is kept.
+func (s *Server) closeReason() *metrics.Counter {
+	switch {
+	case s.draining.Load():
+		return closedDraining
+	case s.HasTooManyConns():
+		return closedTooMany
+	case s.options.CloseAfterAnswer != nil && s.options.CloseAfterAnswer():
+		return closedLessLoad
+	}
+	return nil
+}
+
+// idleCloseReason returns the counter of the reason why an idle connection is closed.
+func (s *Server) idleCloseReason() *metrics.Counter {
+	if s.draining.Load() {
+		return closedDraining
+	}
+	return closedIdle
 }
 
 // idleLimit returns for how long callers may keep connections idle.
