Front: let new connections be idle as long as kept ones

A new connection was closed if its first request did not begin to arrive within limits.read_timeout, a few seconds, although callers may keep a connection idle for several times as long. A caller that opened connections ahead of their use had requests sent into the close.

TestNewConnectionMayBeIdle, before:

in_time: the request got unexpected EOF

The wait for the first request is now bounded like the wait for any other; read_timeout bounds a request from its first byte on.

--- a/front/conn.go
+++ b/front/conn.go
@@ -111,8 +111,8 @@
 	// executed is set if the connection carries a request of another router; else nil.
 	executed *executed
 
-	// idleSince is when the last answer was written, zero before the first one, and idleLimit the idle
-	// limit at that time.
+	// idleSince is when the connection was opened or the last answer was written, and idleLimit the
+	// idle limit at that time.
 	idleSince time.Time
 	idleLimit time.Duration
 
@@ -123,7 +123,7 @@
 }
 
 func newCallerConn(conn net.Conn, server *Server) *callerConn {
-	c := &callerConn{Conn: conn, server: server, fd: -1}
+	c := &callerConn{Conn: conn, server: server, fd: -1, idleSince: time.Now(), idleLimit: server.idleLimit()}
 	if sized, ok := conn.(interface{ SetWriteBuffer(bytes int) error }); ok && server.options.SendBufferBytes > 0 {
 		// An error means that the connection is closed already.
 		_ = sized.SetWriteBuffer(server.options.SendBufferBytes)
@@ -180,7 +180,7 @@
 func (c *callerConn) extendIdleWait() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idleSince.IsZero() || c.server.draining.Load() {
+	if c.executed != nil || c.server.draining.Load() {
 		return false
 	}
 	until := c.idleSince.Add(max(c.idleLimit, c.server.idleLimit()))
--- a/front/connend_test.go
+++ b/front/connend_test.go
@@ -331,3 +331,24 @@
 		})
 	}
 }
+
+// TestNewConnectionMayBeIdle guards against a new connection that is closed before its first request, in
+// less time than a caller may stay idle.
+func TestNewConnectionMayBeIdle(t *testing.T) {
+	const readTimeout, idleTimeout = 50 * time.Millisecond, 500 * time.Millisecond
+	for name, c := range map[string]struct {
+		idle   time.Duration
+		closed bool
+	}{"in time": {idleTimeout * 4 / 5, false}, "late": {idleTimeout * 3 / 2, true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, Options{ReadTimeout: readTimeout, IdleTimeout: idleTimeout}, answerEmpty)
+			conn, r := f.send("")
+			time.Sleep(c.idle)
+			fmt.Fprint(conn, get)
+			if _, err := http.ReadResponse(r, nil); (err != nil) != c.closed {
+				t.Errorf("the request got %v", err)
+			}
+		})
+	}
+}
