Managed test: a shutdown in the middle of a pipeline

Two requests in one piece, with the router told to shut down while the first runs: the first is answered, the second answered or refused.

--- a/managedtest/connections_test.go
+++ b/managedtest/connections_test.go
@@ -78,3 +78,29 @@
 		t.Errorf("after the shorter limit: %v", err)
 	}
 }
+
+// TestShutdownAnswersPipelinedRequests guards against requests that a router has read behind a running one
+// and drops when it shuts down.
+func TestShutdownAnswersPipelinedRequests(t *testing.T) {
+	const pause = 600 * time.Millisecond
+	f := startFleet(t, 1, managed.ReplicaOptions{ID: "ops-1", Service: managed.DemoService, Slots: 4, Pause: pause})
+	conn := f.keepConn(f.routers[0])
+	fmt.Fprint(conn, conn.request(pathNonIdempotent)+conn.request(pathNonIdempotent))
+	time.Sleep(pause / 3)
+	done := make(chan error, 1)
+	go func() { done <- f.routers[0].Shutdown(t.Context()) }()
+	if status, closes, err := conn.answer(); status != http.StatusOK || closes || err != nil {
+		t.Errorf("first: status %d, closes %v, %v", status, closes, err)
+	}
+	// A router that is leaving may refuse the second: it has not run.
+	if status, closes, err := conn.answer(); status != http.StatusOK && status != http.StatusServiceUnavailable || !closes || err != nil {
+		t.Errorf("second: status %d, closes %v, %v", status, closes, err)
+	}
+	if _, err := conn.r.ReadByte(); err != io.EOF {
+		t.Errorf("the connection ends with %v", err)
+	}
+	conn.Close()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
