--- a/front/conn.go
+++ b/front/conn.go
@@ -15,7 +15,7 @@
 	"github.com/walnutcove/walnutcove/pipeline"
 )
 
-// Limits for discarding the rest of a refused request; see callerConn.Close.
+// Limits for discarding what a caller sends after its last answer; see callerConn.Close.
 const (
 	maxLingerTime  = time.Second
 	maxLingerBytes = 16 << 20
@@ -98,19 +98,34 @@
 	admission admission
 	// unread holds bytes read from the connection but not yet passed to the HTTP library.
 	unread []byte
-	// linger is set when a request was refused before it was read whole.
+	// buffered is about how many bytes the HTTP library has read beyond the requests that it has
+	// passed to Server.serve; see countRequest. Only the serving goroutine uses it.
+	buffered int
+	// servedPastClose is how many requests were answered since the connection was first to be
+	// closed after an answer.
+	servedPastClose int
+	// linger is set if the caller may still send when this side closes the connection: the rest
+	// of a request that was refused before it was read whole, or its next request.
 	linger bool
+	// closedAfter is the ID of the request with whose answer the connection ends, if that is this
+	// side's decision and the request was read whole.
+	closedAfter string
 	// executed is set if the connection carries a request of another router; else nil.
 	executed *executed
 
+	// idleSince is when the connection was opened or the last answer was written, and idleLimit the
+	// idle limit at that time.
+	idleSince time.Time
+	idleLimit time.Duration
+
 	mu sync.Mutex
 	// busy is true from the first byte of a request to the last byte of its
-	// answer.
+	// answer. Only the serving goroutine changes it, and reads it without mu.
 	busy bool
 }
 
 func newCallerConn(conn net.Conn, server *Server) *callerConn {
-	c := &callerConn{Conn: conn, server: server, fd: -1}
+	c := &callerConn{Conn: conn, server: server, fd: -1, idleSince: time.Now(), idleLimit: server.idleLimit()}
 	if sized, ok := conn.(interface{ SetWriteBuffer(bytes int) error }); ok && server.options.SendBufferBytes > 0 {
 		// An error means that the connection is closed already.
 		_ = sized.SetWriteBuffer(server.options.SendBufferBytes)
@@ -132,12 +147,69 @@
 	if c.server.draining.Load() {
 		c.limitIdleWait()
 	}
+	if !c.busy {
+		c.buffered = 0 // the library waits only if it has used up what it has read
+	}
+	n, err := c.read(b)
+	c.buffered += n
+	return n, err
+}
+
+func (c *callerConn) read(b []byte) (int, error) {
 	if len(c.unread) > 0 {
 		n := copy(b, c.unread)
 		c.unread = c.unread[n:]
 		return n, nil
 	}
-	return c.Conn.Read(b)
+	for {
+		n, err := c.Conn.Read(b)
+		if c.busy || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		n, err = c.readArrived(b, err)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if !c.extendIdleWait() {
+			c.server.idleCloseReason().Inc()
+			return n, err
+		}
+	}
+}
+
+// extendIdleWait extends a wait for the next request that has reached its deadline, if the idle limit
+// of the configuration in force is longer.
+func (c *callerConn) extendIdleWait() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.executed != nil || c.server.draining.Load() {
+		return false
+	}
+	until := c.idleSince.Add(max(c.idleLimit, c.server.idleLimit()))
+	if !time.Now().Before(until) {
+		return false
+	}
+	return c.Conn.SetReadDeadline(until) == nil
+}
+
+// readArrived reads what has arrived from the caller without waiting, or returns errNone if nothing
+// has. A read that begins or wakes up after its deadline fails even if bytes are there.
+func (c *callerConn) readArrived(b []byte, errNone error) (int, error) {
+	if c.raw == nil {
+		return 0, errNone
+	}
+	var n int
+	var err error
+	if controlErr := c.raw.Control(func(fd uintptr) { n, err = unix.Read(int(fd), b) }); controlErr != nil {
+		return 0, controlErr
+	}
+	switch {
+	case err != nil: // usually EAGAIN
+		return 0, errNone
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
 }
 
 // limitIdleWait limits the wait for the next request to Options.IdleGrace. It does not
@@ -164,6 +236,9 @@
 	c.mu.Lock()
 	c.busy = busy
 	c.mu.Unlock()
+	if !busy {
+		c.idleSince, c.idleLimit = time.Now(), c.server.idleLimit()
+	}
 }
 
 // Write implements net.Conn. It fails if the caller reads nothing for Options.WriteTimeout; an
@@ -250,16 +325,42 @@
 
 // Close implements net.Conn. It ends the exchange first, so that the watcher
 // does not mistake the connection for one that the caller closed. Closing a
-// connection with unread bytes resets it, and the reset can overtake the answer.
-// So after a refusal the rest of the request is read and discarded, within limits.
+// connection with unread bytes resets it, and so do bytes that arrive after the close;
+// the reset can overtake the answer. So what a caller may still send is read and
+// discarded, within limits.
 func (c *callerConn) Close() error {
 	c.server.endExchange(c)
 	c.endExecuted()
+	c.reportNextRequest()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.linger {
 		_ = half.CloseWrite()
-		_ = c.Conn.SetReadDeadline(time.Now().Add(maxLingerTime))
-		// An error means that the caller is gone or too slow.
-		_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+		c.discardUntilRead()
 	}
 	return c.Conn.Close()
 }
+
+// discardUntilRead discards what the caller sends until it closes the connection, at most for
+// maxLingerTime; or for as long as it goes on sending, up to Options.ReadTimeout, or reading its
+// answer, with Options.WriteTimeout without progress.
+func (c *callerConn) discardUntilRead() {
+	rest := io.LimitReader(c.Conn, maxLingerBytes)
+	start := time.Now()
+	progressAt := start
+	for unread := c.unreadByCaller(); ; {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(maxLingerTime))
+		received, err := io.Copy(io.Discard, rest)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return // the caller is gone, or sends too much
+		}
+		before := unread
+		unread = c.unreadByCaller()
+		if unread < before {
+			progressAt = time.Now()
+		}
+		sends := received > 0 && time.Since(start) < c.server.options.ReadTimeout
+		reads := unread > 0 && time.Since(progressAt) < c.server.options.WriteTimeout
+		if !sends && !reads {
+			return
+		}
+	}
+}
--- a/front/serve.go
+++ b/front/serve.go
@@ -21,6 +21,7 @@
 // library writes the response and calls connState with the outcome.
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
 	conn := ctx.Conn().(*callerConn) // every connection comes from callerListener
+	conn.countRequest(&ctx.Request)
 	if s.shouldShed(conn) {
 		if shed, countRefused := s.confirmShed(ctx, conn.reused); shed {
 			s.offerOrReject(ctx, conn, countRefused)
@@ -32,10 +33,11 @@
 	if err != nil {
 		s.logRefusal(r.ex.ID, err)
 	} else {
-		err = s.run(r)
+		err = s.refusalAtStop(r.ex.ID, s.run(r))
 	}
 	if !r.claimAnswer() {
 		r.discardAnswer()
+		conn.closeAfter(r.ex.ID, closedDeadline)
 		return // the connection is closed for writing
 	}
 	if err == nil {
@@ -45,8 +47,11 @@
 		r.err = err
 		s.writeError(ctx, r.ex.ID, err)
 	}
-	if conn.linger || conn.executed != nil || s.shouldCloseConn() {
+	if conn.linger || conn.executed != nil {
 		ctx.SetConnectionClose()
+	} else if reason := s.closeReason(); reason != nil && conn.mayClose() {
+		ctx.SetConnectionClose()
+		conn.closeAfter(r.ex.ID, reason)
 	}
 }
 
@@ -80,23 +85,30 @@
 	reservation.shrinkTo(0)
 	conn.linger = reservation != nil && reservation.refusal != nil // the body was not read
 	id := s.requestIDOf(&ctx.Request.Header).text
-	if s.offloads != nil && !conn.linger && s.offloads.offerRead(ctx, conn, id, countRefused) {
+	closes := conn.linger || conn.mayClose()
+	// What was read beyond an offered request is lost, as its response closes the connection.
+	if s.offloads != nil && closes && !conn.linger && s.offloads.offerRead(ctx, conn, id, countRefused) {
 		return
 	}
 	if countRefused != nil {
 		countRefused()
 	}
 	s.writeOverloaded(ctx, id)
+	if closes {
+		ctx.SetConnectionClose()
+	}
+	if closes && !conn.linger {
+		conn.closeAfter(id, closedOverloaded)
+	}
 }
 
-// writeOverloaded sets the response of an overloaded router: a refusal that closes the
-// connection.
+// writeOverloaded sets the response of an overloaded router. Its connection is closed unless the
+// next request has arrived.
 func (s *Server) writeOverloaded(ctx *fasthttp.RequestCtx, id string) {
 	requests.Inc()
 	err := overloadedError()
 	s.logRefusal(id, err)
 	s.writeError(ctx, id, err)
-	ctx.SetConnectionClose()
 }
 
 // maxRefusalLogsPerSecond limits the log lines about requests that are refused unread.
@@ -129,6 +141,7 @@
 	if r.reservation != nil && r.reservation.refusal != nil {
 		// The body was not read, so no other request can follow on this connection.
 		r.conn.linger = true
+		closedRefused.Inc()
 		return r.reservation.refusal
 	}
 	requests.Inc()
@@ -211,6 +224,20 @@
 	return s.handler(r.ctx, r.ex)
 }
 
+// refusalAtStop returns the error of a request, with result.Draining if Close has broken the request
+// off: filters cannot tell that from a caller that has gone.
+func (s *Server) refusalAtStop(id string, err error) error {
+	var refusal *result.Error
+	if s.ctx.Err() == nil || !errors.As(err, &refusal) || refusal.Code != result.CallerGone {
+		return err
+	}
+	refusals.Inc(result.Draining)
+	s.log.Info("front: Request broken off as the router stops.", "request", id, "ran", refusal.Ran.String())
+	stopped := result.Wrap(result.Draining, err, "The router has stopped.")
+	stopped.Ran = refusal.Ran
+	return stopped
+}
+
 // connState is called by the HTTP library when a connection changes state. It becomes
 // idle after the last byte of an answer was written, or it closes.
 func (s *Server) connState(c net.Conn, state fasthttp.ConnState) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -132,7 +132,8 @@
 	MaxHeaderBytes int `toml:"max_header_bytes"`
 	// ReadTimeout bounds the time that a request takes to arrive. Default 10s.
 	ReadTimeout Duration `toml:"read_timeout"`
-	// IdleTimeout is after how long an idle caller connection is closed. Default 60s.
+	// IdleTimeout is after how long an idle caller connection is closed, unless the configuration of
+	// a managed platform lets callers keep it idle for longer. Default 60s.
 	IdleTimeout Duration `toml:"idle_timeout"`
 	// DefaultDeadline is the time allowed until dispatch if the caller sets no deadline.
 	// Default 30s.
@@ -141,7 +142,8 @@
 	FirstByteTimeout Duration `toml:"first_byte_timeout"`
 	// StallTimeout bounds the gap between parts of an answer. Default 30s.
 	StallTimeout Duration `toml:"stall_timeout"`
-	// DrainTimeout bounds a graceful shutdown. Default 10m.
+	// DrainTimeout bounds a graceful shutdown, with the refusals to the requests that are left at its
+	// end. Default 10m.
 	DrainTimeout Duration `toml:"drain_timeout"`
 	// DrainNotice is how long a draining router still takes requests while it reports
 	// that it is not ready, so that the load balancer stops sending first; at most half
