--- a/front/metrics.go
+++ b/front/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/walnutcove/walnutcove/offload"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/result/codecounter"
 )
@@ -20,6 +21,17 @@
 	callersStalled = metrics.NewCounter("walnut_accept_callers_stalled_total")
 	callersGone    = metrics.NewCounter("walnut_accept_callers_gone_total")
 
+	// Callers' connections that this side closed.
+	closedIdle       = closeCounter("idle")
+	closedDraining   = closeCounter("draining")
+	closedTooMany    = closeCounter("too_many")
+	closedLessLoad   = closeCounter("less_load")
+	closedOverloaded = closeCounter("overloaded")
+	closedDeadline   = closeCounter("deadline")
+	closedRefused    = closeCounter("refused")
+	// nextDropped counts those on which a further request, or the beginning of one, had arrived.
+	nextDropped = metrics.NewCounter("walnut_accept_next_requests_dropped_total")
+
 	// Requests that this router offered to executors. The reasons why a Sender takes none are
 	// counted there.
 	offloadSent       = offloadCounter("sent")
@@ -28,6 +40,7 @@
 	offloadBroken     = offloadCounter("broken")
 	offloadCallerGone = offloadCounter("caller_gone")
 	offloadDeadline   = offloadCounter("deadline")
+	offloadSilent     = offloadCounter("silent")
 	// offloadTooLarge and offloadCrowded count requests that were not offered.
 	offloadTooLarge = offloadCounter("too_large")
 	offloadCrowded  = offloadCounter("crowded")
@@ -48,9 +61,25 @@
 	refusals = codecounter.New("walnut_accept_refusals_total",
 		result.BadRequest, result.BodyTooLarge, result.HeadersTooLarge, result.SlowSender,
 		result.HeldBytesFull, result.Internal, result.Overloaded, result.FirstByteTimeout, result.ExecutorLost,
-		result.AnswerBytesFull)
+		result.AnswerBytesFull, result.Draining)
 )
 
+// offloadBrokenBy counts the offloaded requests with the result "broken" by cause.
+var offloadBrokenBy = countersByCause(offload.CauseResponse, offload.CauseConnection, offload.CauseProtocol,
+	offload.CauseSilent, offload.CauseStopped)
+
+func countersByCause(causes ...offload.Cause) map[offload.Cause]*metrics.Counter {
+	counters := make(map[offload.Cause]*metrics.Counter, len(causes))
+	for _, cause := range causes {
+		counters[cause] = metrics.NewCounter(fmt.Sprintf("walnut_offload_broken_total{cause=%q}", cause))
+	}
+	return counters
+}
+
+func closeCounter(reason string) *metrics.Counter {
+	return metrics.NewCounter(fmt.Sprintf("walnut_accept_connections_closed_total{reason=%q}", reason))
+}
+
 // offloadCounter returns the counter of offloaded requests with the given result. Other packages
 // count further results under the same name.
 func offloadCounter(result string) *metrics.Counter {
--- a/front/server.go
+++ b/front/server.go
@@ -74,6 +74,11 @@
 	ReadTimeout time.Duration
 	// IdleTimeout is how long a connection may be idle before it is closed. Default 60 s.
 	IdleTimeout time.Duration
+	// IdleLimit, if set, returns for how long callers may keep connections idle by the configuration in
+	// force; zero if it does not state it. An idle connection is closed after the longer of it and
+	// IdleTimeout. A limit that becomes longer applies to connections that are idle already, one that
+	// becomes shorter does not.
+	IdleLimit func() time.Duration
 	// WriteTimeout limits how long a caller may read nothing of its answer. Default 30 s.
 	WriteTimeout time.Duration
 	// WatchEvery is the interval between checks for callers that have disconnected.
@@ -105,6 +110,10 @@
 	// ConfigNumber, if set, returns the number of the configuration version in force, which
 	// executors must have as well.
 	ConfigNumber func() uint64
+	// RouteLimit, if set, returns the time limit of the route of a request, or zero. The arguments
+	// are valid until it returns. It bounds how long an offloaded request waits for an executor
+	// that is silent; others enforce the limit themselves.
+	RouteLimit func(host, path []byte) time.Duration
 	// Lag, if set, returns by how much this process lags behind. Offloaded requests count as
 	// having waited for that time before they were read.
 	Lag func() time.Duration
--- a/offload/link/source.go
+++ b/offload/link/source.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync/atomic"
@@ -38,8 +39,6 @@
 	// wanted is the demand, and pinged the one that the executor was told last.
 	wanted uint64
 	pinged uint64
-	// stalled is set by checks and makes Send look again.
-	stalled bool
 }
 
 var _ offload.Sender = (*Source)(nil)
@@ -91,15 +90,16 @@
 		return RefusedNoAllowance
 	case s.out.bytes+size > s.options.MaxUnwrittenBytes:
 		return RefusedFull
-	case s.stalled && s.isStalledLocked(s.now()):
+	case s.isStalledLocked(s.now()):
 		return RefusedStalled
 	}
 	return ""
 }
 
 // isStalledLocked reports whether a write takes too long or the executor missed the time of its
-// next frame: a request sent now would probably end with the link. The writer of an overloaded
-// process may wait 100 ms for the processor, which is no stall.
+// next frame: a request sent now would wait for an executor that may be gone. So it would if this
+// process was paused and has not read yet that the link ended. The writer of an overloaded process may
+// wait 100 ms for the processor, which is no stall.
 func (s *Source) isStalledLocked(now time.Duration) bool {
 	return s.writing && now-s.wroteAt > s.options.SilenceTimeout/4 ||
 		len(s.open) > 0 && s.silenceLocked(now) > s.options.SilenceTimeout/2
@@ -138,7 +138,7 @@
 func (s *Source) Allowance() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.err != nil || s.stalled && s.isStalledLocked(s.now()) {
+	if s.err != nil || s.isStalledLocked(s.now()) {
 		return 0
 	}
 	return s.allowanceLocked()
@@ -183,9 +183,27 @@
 	return isIdle
 }
 
+// Silent reports whether requests are open and the executor has sent nothing for
+// Options.SilenceTimeout.
+func (s *Source) Silent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err == nil && s.isSilentLocked(s.now())
+}
+
 // openLocked implements endpoint.
 func (s *Source) openLocked() int { return len(s.open) }
 
+// isAwaitedLocked implements endpoint.
+func (s *Source) isAwaitedLocked() bool {
+	for _, sent := range s.open {
+		if !sent.cancelled {
+			return true
+		}
+	}
+	return false
+}
+
 // takeLocked implements endpoint.
 func (s *Source) takeLocked() []byte {
 	b, ok := s.out.take()
@@ -201,7 +219,6 @@
 
 // checkLocked implements endpoint.
 func (s *Source) checkLocked(now time.Duration) (write, again bool) {
-	s.stalled = s.isStalledLocked(now)
 	changed := s.wanted != s.pinged
 	due := len(s.open) > 0 && now-s.wroteAt >= s.options.PingInterval-s.options.CheckInterval
 	if s.writing || !changed && !due {
@@ -280,6 +297,20 @@
 	return s.endRequest(sent, outcome)
 }
 
+// lossOf returns why requests broke that were open when a link ended with an error.
+func lossOf(err error) offload.Loss {
+	cause := offload.CauseConnection
+	switch {
+	case errors.Is(err, errFrame):
+		cause = offload.CauseProtocol
+	case errors.Is(err, ErrSilent):
+		cause = offload.CauseSilent
+	case errors.Is(err, ErrClosed):
+		cause = offload.CauseStopped
+	}
+	return offload.Loss{Cause: cause, Err: err}
+}
+
 // endRequest ends a request.
 func (s *Source) endRequest(sent *sentRequest, outcome offload.Outcome) error {
 	s.mu.Lock()
@@ -287,7 +318,11 @@
 	sent.ended = true
 	err := s.drainedLocked()
 	s.mu.Unlock()
-	sent.answer.End(outcome)
+	loss := offload.Loss{}
+	if outcome == offload.Broken {
+		loss.Cause = offload.CauseResponse
+	}
+	sent.answer.End(outcome, loss)
 	return err
 }
 
@@ -295,7 +330,7 @@
 func (s *Source) finish() {
 	s.mu.Lock()
 	open := s.open
-	written := s.written
+	written, loss := s.written, lossOf(s.err)
 	s.open = make(map[uint64]*sentRequest)
 	s.out = outbox{}
 	for _, sent := range open {
@@ -303,11 +338,11 @@
 	}
 	s.mu.Unlock()
 	for number, sent := range open {
-		outcome := offload.Declined
 		if number <= written {
-			outcome = offload.Broken
+			sent.answer.End(offload.Broken, loss)
+		} else {
+			sent.answer.End(offload.Declined, offload.Loss{})
 		}
-		sent.answer.End(outcome)
 	}
 }
 
@@ -340,6 +375,9 @@
 	s.wakeWriter()
 }
 
+// Silent implements offload.Sent.
+func (r *sentRequest) Silent() bool { return r.source.Silent() }
+
 // Cancel implements offload.Sent.
 func (r *sentRequest) Cancel() {
 	s := r.source
