Soak: the second services of TestSoakSilence have slots for all callers

The last weights gave all requests to the two replicas of the second services, with 32 slots for 32 callers and the probes beside them; the router's log has refusals 702, 703 and 608 of these two targets for the whole time, and answers between them. Each of these replicas now has 32 slots, as the first services have for all callers.

--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -12,9 +12,11 @@
 
 const (
 	// secondPlain and secondEngine are services that routes share with the first ones in a run
-	// with planned work alone, with secondReplicas replicas each.
+	// with planned work alone, with secondReplicas replicas each. Each of these has slots for
+	// all callers, as some versions give them all requests.
 	secondPlain, secondEngine = "ops-b", "gen-b"
 	secondReplicas            = 2
+	secondSlots               = plannedCallers
 	// prefixMore is the prefix, and pathMore a path, of a route that versions add and remove.
 	prefixMore = "/more/"
 	pathMore   = prefixMore + "page"
