Hedge tests: two silent targets hold a request to its deadline (known red)

Callers wait to their deadlines, and get 504 or a cut stream, although the route allows a third target, which is sound: only one other target is ever asked, and the wait for it has no limit. A broken stream waits for a silent target the same way.

$ go test -run "TestOpenDoesNot|TestThirdTarget" ./filters/hedge --- FAIL: TestOpenDoesNotWaitForASilentTarget (1.00s) asked_test.go:38: still waits for a silent target after 50 limits, 1 targets asked --- FAIL: TestThirdTargetIsAskedWhileTwoAreSilent (1.00s) asked_test.go:50: two silent targets after 50 limits, 1 other targets asked FAIL FAIL github.com/walnutcove/walnutcove/filters/hedge 2.008s FAIL

$ go test -run "TestAnswerPassesTwo|TestBrokenStreamPasses" ./managedtest --- FAIL: TestBrokenStreamPassesASilentTarget (10.03s) silence_test.go:144: request-7: status 200, complete false, 75 of 200 bytes silence_test.go:144: 1 of 12 answers were cut or refused --- FAIL: TestAnswerPassesTwoSilentTargets (10.03s) silence_test.go:163: request-11: status 504, complete true, 148 of 15 bytes silence_test.go:163: request-12: status 504, complete true, 148 of 15 bytes silence_test.go:163: 2 of 12 answers were cut or refused FAIL FAIL github.com/walnutcove/walnutcove/managedtest 20.071s FAIL

--- /dev/null
+++ b/filters/hedge/asked_test.go
@@ -0,0 +1,52 @@
+package hedge
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/targets"
+)
+
+// firstSilent is an opener whose first target is silent; all others answer.
+func firstSilent() Opener {
+	var calls atomic.Int32
+	return func(ctx context.Context, attempt *pipeline.Exchange) (*targets.Response, error) {
+		if calls.Add(1) == 1 {
+			return silentTarget(ctx, attempt)
+		}
+		return answerOf("x")(ctx, attempt)
+	}
+}
+
+// one target that was asked, while others would answer.
+func TestOpenDoesNotWaitForASilentTarget(t *testing.T) {
+	f := newFixture(t, firstSilent())
+	opened := make(chan *Answer, 1)
+	go func() {
+		other, _ := f.watch.Open()
+		opened <- other
+	}()
+	select {
+	case other := <-opened:
+		if other == nil {
+			t.Error("no other target answered")
+		}
+	case <-time.After(50 * testLimit):
+		t.Errorf("still waits for a silent target after 50 limits, %d targets asked", len(f.attempts))
+	}
+}
+
+// silent targets, while others would answer.
+func TestThirdTargetIsAskedWhileTwoAreSilent(t *testing.T) {
+	f := newFixture(t, firstSilent())
+	interrupted := make(chan struct{}, 1)
+	f.watch.Begin(func() { interrupted <- struct{}{} })
+	select {
+	case <-interrupted:
+	case <-time.After(50 * testLimit):
+		t.Errorf("two silent targets after 50 limits, %d other targets asked", len(f.attempts))
+	}
+}
--- a/managedtest/silence_test.go
+++ b/managedtest/silence_test.go
@@ -121,3 +121,44 @@
 		})
 	}
 }
+
+// TestBrokenStreamPassesASilentTarget guards against a broken stream that waits to its deadline for the
+// one target that was asked to go on, which is silent, while another one would.
+func TestBrokenStreamPassesASilentTarget(t *testing.T) {
+	const streams = 12
+	f := startSettledFleet(t, unlimitedSlack, 2, slowStreams("g1"), slowStreams("g2"), slowStreams("g3"))
+	edit := func(c *wire.Config) {
+		withShortPauses(c)
+		for n := range c.Routes {
+			c.Routes[n].Attempts = 3
+		}
+	}
+	f.publishConfig(edit)
+	f.awaitVersion()
+	var crash sync.WaitGroup
+	crash.Go(func() {
+		time.Sleep(silentAfter)
+		f.replicas[1].FallSilent(2 * requestDeadline)
+		f.replicas[0].Crash()
+	})
+	f.checkAllWhole(f.sendWhileSilent(pathStream, streams, nil, edit), expectedStream)
+	crash.Wait()
+}
+
+// TestAnswerPassesTwoSilentTargets guards against a request that waits to its deadline for two silent
+// targets, while its route allows a third one, which would answer.
+func TestAnswerPassesTwoSilentTargets(t *testing.T) {
+	f := startSettledFleet(t, unlimitedSlack, 2, opsReplica("o1"), opsReplica("o2"), opsReplica("o3"))
+	edit := func(c *wire.Config) {
+		withShortPauses(c)
+		for n := range c.Routes {
+			c.Routes[n].Attempts = 3
+		}
+	}
+	f.publishConfig(edit)
+	f.awaitVersion()
+	for _, r := range f.replicas[:2] {
+		r.FallSilent(2 * requestDeadline)
+	}
+	f.checkAllWhole(f.sendWhileSilent(pathIdempotent, 12, nil, edit), managed.ExpectedAnswer)
+}
