Events test: a stream that is closed asks for another target (known red)

Close ends the wait of Read as a break of the target would. Read then reports the run as lost and sends the request to another target for a caller that has left: Watch.Open takes no notice of Stop. The front reads and closes in one goroutine; the type allows two.

$ go test -run "TestStoppedWatch" ./filters/hedge --- FAIL: TestStoppedWatchAsksNoTarget (0.00s) asked_test.go:59: 1 targets asked after Stop, error <nil> FAIL FAIL github.com/walnutcove/walnutcove/filters/hedge 0.005s FAIL

$ go test -run "TestClosedStreamAsks" ./filters/events --- FAIL: TestClosedStreamAsksNoTarget (0.05s) takeover_test.go:66: 1 targets were asked after the stream was closed FAIL FAIL github.com/walnutcove/walnutcove/filters/events 0.057s FAIL

--- a/filters/events/takeover_test.go
+++ b/filters/events/takeover_test.go
@@ -47,6 +47,26 @@
 	return ex, target
 }
 
+// it waits for its target.
+func TestClosedStreamAsksNoTarget(t *testing.T) {
+	var asked atomic.Int32
+	ex, _ := startStream(t, noopRun{}, func(*pipeline.Exchange) (*targets.Response, error) {
+		asked.Add(1)
+		return nil, errBroken
+	})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = ex.AnswerStream.Read(make([]byte, 100))
+	}()
+	time.Sleep(50 * time.Millisecond)
+	_ = ex.AnswerStream.Close()
+	<-ended
+	if n := asked.Load(); n > 0 {
+		t.Errorf("%d targets were asked after the stream was closed", n)
+	}
+}
+
 // left for another one, which broke off inside its first event.
 func TestFirstTargetIsKeptForAWholeEvent(t *testing.T) {
 	asked := make(chan struct{})
--- a/filters/hedge/asked_test.go
+++ b/filters/hedge/asked_test.go
@@ -50,3 +50,12 @@
 		t.Errorf("two silent targets after 50 limits, %d other targets asked", len(f.attempts))
 	}
 }
+
+// its stream is closed, which looks like a target that broke off.
+func TestStoppedWatchAsksNoTarget(t *testing.T) {
+	f := newFixture(t, answerOf("x"))
+	f.watch.Stop()
+	if _, err := f.watch.Open(); err == nil || len(f.attempts) > 0 {
+		t.Errorf("%d targets asked after Stop, error %v", len(f.attempts), err)
+	}
+}
