Events test: a run taken over by a closed stream is never ended (known red)

If the stream is closed and its exchange ends between the other target's answer and Adopt, nothing ends the adopted run, as OnEnd after End has no effect: its slot is reported as taken for as long as the router runs.

$ go test -run "TestRunTakenOver" ./filters/events --- FAIL: TestRunTakenOverByAClosedStreamIsEnded (0.00s) takeover_test.go:87: the other target's run was not ended; the first one 3 times FAIL FAIL github.com/walnutcove/walnutcove/filters/events 0.006s FAIL

--- a/filters/events/takeover_test.go
+++ b/filters/events/takeover_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -67,6 +68,26 @@
 	}
 }
 
+// and its exchange ends, while it moves to another target.
+func TestRunTakenOverByAClosedStreamIsEnded(t *testing.T) {
+	first, second := &countedRun{}, &countedRun{}
+	ex, target := startStream(t, first, func(attempt *pipeline.Exchange) (*targets.Response, error) {
+		attempt.Run = second
+		attempt.OnEnd(func(error) { second.End(control.OutcomeCancelled) })
+		return &targets.Response{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("id: 2\ndata: b\n\n"))}, nil
+	})
+	// The stream ends the former run once before it asks for the other target, and once after that.
+	first.atSecondEnd = func() {
+		_ = ex.AnswerStream.Close()
+		ex.End(io.ErrClosedPipe)
+	}
+	_ = target.CloseWithError(errBroken)
+	_, _ = ex.AnswerStream.Read(make([]byte, 100))
+	if first.ends.Load() < 2 || second.ends.Load() == 0 {
+		t.Errorf("the other target's run was not ended; the first one %d times", first.ends.Load())
+	}
+}
+
 // left for another one, which broke off inside its first event.
 func TestFirstTargetIsKeptForAWholeEvent(t *testing.T) {
 	asked := make(chan struct{})
