Hedge test: the limit is read while the exchange changes (known red)

The timer asks for the limit also between waits, when the owner of the watch may be changing the exchange (Adopt writes Placement): a data race.

$ go test -run "TestLimitIsNotCalled" ./filters/hedge --- FAIL: TestLimitIsNotCalledBetweenWaits (0.10s) asked_test.go:72: the limit was asked for 4 times while the owner had the exchange FAIL FAIL github.com/walnutcove/walnutcove/filters/hedge 0.113s FAIL

$ go test -race -run "TestLimitIsNotCalled" ./filters/hedge WARNING: DATA RACE --- FAIL: TestLimitIsNotCalledBetweenWaits (0.10s) asked_test.go:72: the limit was asked for 4 times while the owner had the exchange FAIL FAIL github.com/walnutcove/walnutcove/filters/hedge 0.127s FAIL

--- a/filters/hedge/asked_test.go
+++ b/filters/hedge/asked_test.go
@@ -51,6 +51,28 @@
 	}
 }
 
+// the owner of the watch changes between its waits.
+func TestLimitIsNotCalledBetweenWaits(t *testing.T) {
+	var owned atomic.Bool
+	var calls atomic.Int32
+	ex := newFixture(t, refusing).ex
+	watch := New(context.Background(), ex, Options{Open: refusing, Limit: func() time.Duration {
+		if owned.Load() {
+			calls.Add(1)
+		}
+		return testLimit + ex.Placement.PredictedStart
+	}})
+	defer watch.Stop()
+	watch.Begin(func() {})
+	watch.End(false)
+	owned.Store(true)
+	ex.Adopt(&pipeline.Exchange{})
+	time.Sleep(5 * testLimit)
+	if n := calls.Load(); n > 0 {
+		t.Errorf("the limit was asked for %d times while the owner had the exchange", n)
+	}
+}
+
 // its stream is closed, which looks like a target that broke off.
 func TestStoppedWatchAsksNoTarget(t *testing.T) {
 	f := newFixture(t, answerOf("x"))
