Hedge test: one silence is reported many times (known red)

PhaseSilent is meant to be sent once for each silence. It is sent at each limit, and each one after a target's rest counts as another failure, which doubles the next rest.

$ go test -run "TestSilenceIsReported" ./filters/hedge --- FAIL: TestSilenceIsReportedOnce (0.20s) asked_test.go:92: one silence was reported 9 times FAIL FAIL github.com/walnutcove/walnutcove/filters/hedge 0.209s FAIL

--- a/filters/hedge/asked_test.go
+++ b/filters/hedge/asked_test.go
@@ -81,3 +81,14 @@
 		t.Errorf("%d targets asked after Stop, error %v", len(f.attempts), err)
 	}
 }
+
+// TestSilenceIsReportedOnce guards against a target that rests ever longer for one silence.
+func TestSilenceIsReportedOnce(t *testing.T) {
+	f := newFixture(t, refusing)
+	f.watch.Begin(func() {})
+	time.Sleep(10 * testLimit)
+	f.watch.End(false)
+	if n := f.run.silences.Load(); n != 1 {
+		t.Errorf("one silence was reported %d times", n)
+	}
+}
