Dispatch test: a refusal hides a run on another target (known red)

A request is reported as not run by its first target's refusal although another one, asked while the first was silent, may have run it.

$ go test -run "TestRefusalTells" ./filters/dispatch --- FAIL: TestRefusalTellsOfARunOnAnotherTarget (1.20s) hedged_test.go:71: got result 702 (target_refused): Full., ran no FAIL FAIL github.com/walnutcove/walnutcove/filters/dispatch 1.208s FAIL

--- a/filters/dispatch/hedged_test.go
+++ b/filters/dispatch/hedged_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"testing"
 	"time"
@@ -51,3 +52,22 @@
 		t.Errorf("%d targets ran the request, of 3 that may; %v", calls, err)
 	}
 }
+
+// another target, which was asked while the first one was silent, may have run it.
+func TestRefusalTellsOfARunOnAnotherTarget(t *testing.T) {
+	failed := make(chan struct{})
+	client := &fakeTarget{do: func(context.Context) (*targets.Response, error) {
+		<-failed
+		return nil, result.New(result.TargetRefused, "Full.")
+	}}
+	open := func(_ context.Context, attempt *pipeline.Exchange) (*targets.Response, error) {
+		attempt.BeginSend()
+		defer close(failed)
+		return nil, result.New(result.TargetLostRequest, "Reset.")
+	}
+	err := newHedgedFilter(client, open).Serve(context.Background(), newHedgedExchange(), nil)
+	var refusal *result.Error
+	if !errors.As(err, &refusal) || refusal.Ran == result.RanNo {
+		t.Errorf("got %v, ran %v", err, refusal.Ran)
+	}
+}
