Control: a withdrawn attempt returns its grant also after a later one was granted

A cancellation found the run of its attempt only if that was the latest of the request. The grant of a slower attempt stayed in use for as long as the router ran. The run is now found by request and attempt.

TestScripts/crossed-attempts failed before (no end was reported for the grant) and leaves the known failures.

--- a/control/entry.go
+++ b/control/entry.go
@@ -245,12 +245,26 @@
 	if r := m.entry.requests[ev.Request]; r != nil && r.ev.Attempt == ev.Attempt {
 		m.withdrawRequest(r)
 	}
-	if run := m.entry.latestRun[ev.Request]; run != nil && run.attempt == ev.Attempt {
+	if run := m.entry.runOf(ev.Request, ev.Attempt); run != nil {
 		// The grant and the cancellation crossed: no one has used the grant.
 		m.endRun(run, OutcomeNotRun, 0)
 	}
 }
 
+// runOf returns the run of an attempt; nil if there is none.
+func (e *entry) runOf(request RequestID, attempt uint32) *run {
+	latest := e.latestRun[request]
+	if latest == nil || latest.attempt == attempt {
+		return latest
+	}
+	for _, run := range e.runs {
+		if run.request == request && run.attempt == attempt {
+			return run
+		}
+	}
+	return nil
+}
+
 // fire implements timerOwner: the deadline has passed or a ticket is due again.
 func (r *request) fire(m *Machine) {
 	if m.now >= r.ev.Deadline {
