Exchange: a function added after the end runs at once

A stream that was closed while it moved to another target adopted a run that nothing ended: its slot counted as taken for as long as the router ran.

--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -167,6 +167,8 @@
 	endOnce      sync.Once
 	mu           sync.Mutex
 	onEnd        []func(error)
+	ended        bool // End was called, with endErr
+	endErr       error
 	onCallerGone []*callerGoneFunc
 }
 
@@ -228,11 +230,17 @@
 
 // OnEnd adds a function that runs once, when the answer has been sent completely
 // (nil error), has broken off, or the request was refused. Functions run in reverse
-// order of their addition.
+// order of their addition; one that is added after the end runs at once.
 func (ex *Exchange) OnEnd(f func(error)) {
 	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	ex.onEnd = append(ex.onEnd, f)
+	ended, err := ex.ended, ex.endErr
+	if !ended {
+		ex.onEnd = append(ex.onEnd, f)
+	}
+	ex.mu.Unlock()
+	if ended {
+		f(err)
+	}
 }
 
 // OnCallerGone adds a function that runs as soon as the caller's connection is found
@@ -315,7 +323,7 @@
 	ex.endOnce.Do(func() {
 		ex.mu.Lock()
 		onEnd := ex.onEnd
-		ex.onEnd = nil
+		ex.onEnd, ex.ended, ex.endErr = nil, true, err
 		ex.mu.Unlock()
 		for i := len(onEnd) - 1; i >= 0; i-- {
 			onEnd[i](err)
