Retry: count tries apart from the numbers of attempts

Attempts that found no other target while the first was silent used up the three tries of a request, which was then refused after one run of three allowed. TestAttemptsWithoutATargetLeaveRetries failed before and leaves the known failures.

--- a/filters/retry/retry.go
+++ b/filters/retry/retry.go
@@ -73,7 +73,7 @@
 func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
 	f.budget.recordRequest(ex.PoolName, ex.WorkspaceName)
 	ran := result.RanNo
-	for {
+	for tries := 1; ; tries++ {
 		ex.Attempt++
 		err := next(ctx, ex)
 		if err == nil {
@@ -93,7 +93,7 @@
 		if refusal.Ran != result.RanNo {
 			ex.EarlierRuns++
 		}
-		if ex.Attempt >= maxAttempts || ex.EarlierRuns >= maxRuns(ex) || !time.Now().Before(ex.Deadline) {
+		if tries >= maxAttempts || ex.EarlierRuns >= maxRuns(ex) || !time.Now().Before(ex.Deadline) {
 			return finalError(err)
 		}
 		// An attempt that was never sent put no load on any target, so its retry is free.
