Hedging: several silent targets, confirmed silence, whole first events

A watch now has any number of attempts, one more for each limit of silence, within the route's attempts (pending ones count). - A router that had been paused took all of its targets for silent, as its timers fired before it read. A silence must now last 20 ms more when it is found. - The first target was left for a piece of an event. Another target's stream now begins with its first whole event. - A stream that was closed asked for another target; a stopped watch asks none. - The limit was read while the owner changed the exchange (a data race). - One silence was reported to the scheduler at each limit, and made the target rest ever longer.

--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/filters/hedge"
@@ -123,6 +124,7 @@
 	timedOut := !timer.Stop()
 	if other != nil {
 		f.replace(ex, other, answer, err)
+		watch.Account()
 		cancel()
 		return other.Response, nil
 	}
@@ -181,9 +183,11 @@
 		return nil
 	}
 	return hedge.New(ctx, ex, hedge.Options{
-		Open:  f.Hedge,
-		Limit: func() time.Duration { return hedge.SilenceLimit(ex, f.Lag) },
-		Log:   f.Log,
+		Open:    f.Hedge,
+		Limit:   func() time.Duration { return hedge.SilenceLimit(ex, f.Lag) },
+		MaxRuns: ex.Route.Attempts,
+		Events:  ex.Route.Kind == config.RouteStream,
+		Log:     f.Log,
 	})
 }
 
--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -15,6 +15,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -97,6 +98,8 @@
 		Open:    s.relay.Reopen,
 		Limit:   func() time.Duration { return hedge.SilenceLimit(s.ex, s.relay.Lag) },
 		Allowed: s.mayResume,
+		MaxRuns: s.ex.Route.Attempts,
+		Events:  true,
 		Log:     s.relay.Log,
 	})
 }
@@ -130,6 +133,8 @@
 	// sourceErr is why the source ended; nil while it is open.
 	sourceErr error
 	endOnce   sync.Once
+	// closed is set by Close.
+	closed atomic.Bool
 }
 
 // setSource sets the response of a target as the source.
@@ -251,7 +256,7 @@
 // mayResume reports whether another target may continue the stream now. A stream of which nothing
 // was relayed yet is begun again there.
 func (s *stream) mayResume() bool {
-	return s.canResume() && s.ctx.Err() == nil && !s.isInsideEvent() && (s.ex.LastEventID != "" || !s.anyReady)
+	return s.canResume() && s.ctx.Err() == nil && !s.closed.Load() && !s.isInsideEvent() && (s.ex.LastEventID != "" || !s.anyReady)
 }
 
 // resume continues a stream that broke on another target after the last complete event, and reports
@@ -324,7 +329,7 @@
 		case cause == io.EOF:
 			wholeCount.Inc()
 			s.run.End(control.OutcomeAnswered)
-		case s.ex.IsAbandoned() || s.ctx.Err() != nil:
+		case s.ex.IsAbandoned() || s.ctx.Err() != nil || s.closed.Load():
 			callerGoneCount.Inc()
 			s.run.End(control.OutcomeCancelled)
 		default:
@@ -337,6 +342,7 @@
 
 // Close ends the run. If the stream has not ended, the run is cancelled.
 func (s *stream) Close() error {
+	s.closed.Store(true)
 	s.watch.Stop()
 	err := s.source.Close()
 	s.endOnce.Do(func() {
--- a/filters/hedge/hedge.go
+++ b/filters/hedge/hedge.go
@@ -1,13 +1,14 @@
-// Package hedge asks for another target while the target of a request is silent. Both are kept
-// until one of them sends something: that one continues, and the other is cancelled. If no other
-// target can be had, the request waits for the one that it has.
+// Package hedge asks for another target while the target of a request is silent. All that were
+// asked are kept until one of them sends something: that one continues, and the others are
+// cancelled. If no other target can be had, the request waits for those that it has.
 package hedge
 
 import (
 	"context"
 	"errors"
-	"io"
+	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,14 +28,20 @@
 	notAllowedCount = metrics.GetOrCreateCounter(`walnut_hedge_silent_targets_total{result="not_allowed"}`)
 )
 
-// errSuperseded ends an attempt that is no longer needed.
-var errSuperseded = errors.New("hedge: the first target continued")
-
-// maxTries bounds the targets that are asked one after the other.
-const maxTries = 3
+var (
+	// errSuperseded ends an attempt that is no longer needed.
+	errSuperseded = errors.New("hedge: another target continued")
+	// errStopped reports that the watch was stopped.
+	errStopped = errors.New("hedge: the request has ended")
+)
 
-// firstReadBytes is the size of the buffer for the first read of another target's answer.
-const firstReadBytes = 4 << 10
+const (
+	// maxTries bounds the targets that one opening asks one after the other.
+	maxTries = 3
+	// confirmDelay is for how long a target must still be silent after the limit. In a process that
+	// was paused, the timer fires before what has arrived meanwhile is read.
+	confirmDelay = 20 * time.Millisecond
+)
 
 // Opener sends an attempt to another target and returns the answer once its header has arrived. It
 // sets the attempt's target and run, and ends when ctx does. Its errors are *result.Error.
@@ -44,11 +51,16 @@
 type Options struct {
 	// Open asks for another target. Required.
 	Open Opener
-	// Limit returns for how long the target may be silent before another one is asked for. Required.
+	// Limit returns for how long a target may be silent before another one is asked for. Required.
+	// The owner of the Watch calls it by Begin and Open.
 	Limit func() time.Duration
 	// Allowed reports whether another target could continue now; nil means that it always could.
 	// It is called while the owner of the Watch waits.
 	Allowed func() bool
+	// MaxRuns is how many attempts may run; zero means that only Open limits them.
+	MaxRuns int
+	// Events reports that answers are event streams, which have begun with their first event.
+	Events bool
 	// Log gets a line for each silent target.
 	Log *slog.Logger
 }
@@ -70,41 +82,66 @@
 	options Options
 
 	mu sync.Mutex
-	// timer fires when the target may have been silent for the limit.
+	// changed is signalled when an opening has succeeded or failed.
+	changed sync.Cond
+	// timer fires when a target may have been silent for the limit.
 	timer *time.Timer
-	// waiting reports that the owner waits since waitingSince; interrupt ends its wait.
-	waiting      bool
+	// wait is what the owner waits for, since waitingSince, and interrupt ends that.
+	wait         waitKind
 	waitingSince time.Time
+	limit        time.Duration
 	interrupt    func()
-	// opening is the attempt that is being opened or was not taken yet; nil if there is none.
-	opening *opening
+	// suspected is since when a target has been silent that was found so once.
+	suspected time.Time
+	// reported is set once the silence of the current wait was reported.
+	reported bool
+	// logged is set once a failure to find another target was logged in the current wait.
+	logged bool
+	// openings are the attempts in progress, oldest first; answered is the one that has succeeded.
+	openings []*opening
+	answered *opening
+	// lastErr is why the latest opening failed.
+	lastErr error
 	// lastAttempt is the number of the latest attempt, runs is how many attempts beside the
-	// exchange's own may have run, and excluded holds their targets.
+	// exchange's own may have run, and ranOn holds their targets.
 	lastAttempt int
 	runs        int
-	excluded    []string
+	ranOn       []string
 	stopped     bool
 }
 
-// opening is an attempt at another target.
+// waitKind is what the owner of a Watch waits for.
+type waitKind int
+
+const (
+	// notWaiting: the owner uses the exchange.
+	notWaiting waitKind = iota
+	// waitingForTarget: it waits for its target, or for another one that is faster.
+	waitingForTarget
+	// waitingForOther: its target has broken off.
+	waitingForOther
+)
+
+// opening is an attempt at another target, and the further ones that take its place if it fails.
 type opening struct {
-	attempt *pipeline.Exchange
-	cancel  context.CancelFunc
-	// done is closed once the attempt has succeeded or failed.
-	done chan struct{}
+	attempt   *pipeline.Exchange
+	startedAt time.Time
+	cancel    context.CancelFunc
+	// failedOn are the targets that failed it, and notRun reports that one of them refused it.
+	failedOn []string
+	notRun   bool
 	// cancelled reports that the attempt is no longer needed.
 	cancelled bool
-	// answer is the target's answer; nil until it has begun.
-	answer *Answer
-	err    error
+	answer    *Answer
 }
 
 // New returns a watch of the target of ex. ctx bounds the attempts at other targets.
 func New(ctx context.Context, ex *pipeline.Exchange, options Options) *Watch {
-	w := &Watch{ctx: ctx, ex: ex, options: options, lastAttempt: ex.Attempt}
+	w := &Watch{ctx: ctx, ex: ex, options: options, limit: options.Limit(), lastAttempt: ex.Attempt}
+	w.changed.L = &w.mu
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(options.Limit(), w.fire)
+	w.timer = time.AfterFunc(w.limit, w.fire)
 	return w
 }
 
@@ -116,7 +153,8 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.waiting, w.waitingSince, w.interrupt = true, time.Now(), interrupt
+	w.wait, w.waitingSince, w.limit, w.interrupt = waitingForTarget, time.Now(), w.options.Limit(), interrupt
+	w.reported, w.logged = false, false
 }
 
 // End is called after the wait. broke reports that the target will send nothing more although its
@@ -129,24 +167,16 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.waiting = false
-	o := w.opening
-	if o == nil {
-		return nil
-	}
-	if broke && !o.cancelled {
-		w.mu.Unlock()
-		<-o.done
-		w.mu.Lock()
+	if broke {
+		w.awaitOpenings()
 	}
-	if o.answer != nil {
-		return w.takeAnswer(o)
+	w.wait = notWaiting
+	if w.answered != nil {
+		return w.takeAnswer()
 	}
-	if !broke && !o.cancelled {
+	if !broke && len(w.openings) > 0 {
 		firstCount.Inc()
-	}
-	if w.opening == o {
-		w.cancelOpening()
+		w.cancelOpenings()
 	}
 	return nil
 }
@@ -156,20 +186,17 @@
 func (w *Watch) Open() (*Answer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if earlier := w.opening; earlier != nil {
-		w.cancelOpening()
-		w.mu.Unlock()
-		<-earlier.done
-		w.mu.Lock()
+	w.limit, w.lastErr, w.reported = w.options.Limit(), nil, true
+	if w.stopped {
+		return nil, errStopped
 	}
-	o := w.startOpening()
-	w.mu.Unlock()
-	<-o.done
-	w.mu.Lock()
-	if o.answer == nil {
-		return nil, o.err
+	w.startOpening()
+	w.awaitOpenings()
+	w.wait = notWaiting
+	if w.answered == nil {
+		return nil, w.lastErr
 	}
-	return w.takeAnswer(o), nil
+	return w.takeAnswer(), nil
 }
 
 // Stop ends the watch and cancels the attempts at other targets. It may be called more than once
@@ -180,11 +207,10 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.stopped, w.waiting = true, false
+	w.stopped, w.lastErr = true, errStopped
 	w.timer.Stop()
-	if w.opening != nil {
-		w.cancelOpening()
-	}
+	w.cancelOpenings()
+	w.changed.Broadcast()
 }
 
 // Account counts the attempts at other targets among those of the exchange. The owner calls it
@@ -197,32 +223,56 @@
 	defer w.mu.Unlock()
 	w.ex.Attempt = max(w.ex.Attempt, w.lastAttempt)
 	w.ex.EarlierRuns += w.runs
-	w.ex.Excluded = append(w.ex.Excluded, w.excluded...)
-	if w.opening != nil && w.opening.attempt.WasSent() {
-		w.ex.EarlierRuns++ // its outcome is not known yet
+	w.ex.Excluded = append(w.ex.Excluded, w.ranOn...)
+	for _, o := range w.openings { // whose outcomes are not known yet
+		if o.attempt.WasSent() {
+			w.ex.EarlierRuns++
+		}
+	}
+	w.runs, w.ranOn = 0, nil
+}
+
+// awaitOpenings waits until an attempt has succeeded or all have failed. The caller holds w.mu.
+func (w *Watch) awaitOpenings() {
+	w.wait = waitingForOther
+	for w.answered == nil && !w.stopped && w.hasOpening() {
+		w.changed.Wait()
 	}
-	w.runs, w.excluded = 0, nil
 }
 
-// fire asks for another target if the owner has waited for the limit.
+// hasOpening reports whether an attempt in progress is needed.
+func (w *Watch) hasOpening() bool {
+	return slices.ContainsFunc(w.openings, func(o *opening) bool { return !o.cancelled })
+}
+
+// fire asks for another target if the owner has waited for the limit, also since it last did.
 func (w *Watch) fire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped {
 		return
 	}
-	limit := w.options.Limit()
-	left := limit
-	if w.waiting && w.opening == nil {
-		left = limit - time.Since(w.waitingSince)
+	if w.wait == notWaiting || w.answered != nil {
+		w.timer.Reset(w.limit)
+		return
 	}
-	if left > 0 {
+	since := w.silentSince()
+	if left := w.limit - time.Since(since); left > 0 {
 		w.timer.Reset(left)
 		return
 	}
-	w.timer.Reset(limit)
-	w.ex.Run.Silent()
-	if w.options.Allowed != nil && !w.options.Allowed() {
+	if !w.suspected.Equal(since) {
+		w.suspected = since
+		w.timer.Reset(confirmDelay)
+		return
+	}
+	w.suspected = time.Time{}
+	w.timer.Reset(w.limit)
+	if !w.reported {
+		w.reported = true
+		w.ex.Run.Silent()
+	}
+	if !w.mayAsk() {
 		notAllowedCount.Inc()
 		return
 	}
@@ -230,32 +280,58 @@
 	w.startOpening()
 }
 
+// mayAsk reports whether another target may be asked for now. The caller holds w.mu.
+func (w *Watch) mayAsk() bool {
+	if possibleRuns := w.ex.EarlierRuns + 1 + w.runs + len(w.openings); w.options.MaxRuns > 0 && possibleRuns >= w.options.MaxRuns {
+		return false
+	}
+	return w.options.Allowed == nil || w.options.Allowed()
+}
+
+// silentSince returns since when all targets that were asked have been silent.
+func (w *Watch) silentSince() time.Time {
+	since := w.waitingSince
+	if n := len(w.openings); n > 0 && w.openings[n-1].startedAt.After(since) {
+		since = w.openings[n-1].startedAt
+	}
+	return since
+}
+
 // startOpening begins an attempt at another target. The caller holds w.mu.
-func (w *Watch) startOpening() *opening {
+func (w *Watch) startOpening() {
 	ctx, cancel := context.WithCancel(w.ctx)
-	o := &opening{attempt: w.newAttempt(), cancel: cancel, done: make(chan struct{})}
-	w.opening = o
+	o := &opening{startedAt: time.Now(), cancel: cancel}
+	o.attempt = w.newAttempt(o)
+	w.openings = append(w.openings, o)
 	go w.open(ctx, o)
-	return o
 }
 
-// newAttempt returns a numbered attempt that excludes the targets that failed the request. The caller
-// holds w.mu.
-func (w *Watch) newAttempt() *pipeline.Exchange {
+// newAttempt returns a numbered attempt that excludes the targets that were asked. The caller holds
+// w.mu.
+func (w *Watch) newAttempt(o *opening) *pipeline.Exchange {
 	attempt := w.ex.NewAttempt()
 	w.lastAttempt = max(w.lastAttempt, w.ex.Attempt) + 1
 	attempt.Attempt = w.lastAttempt
 	attempt.EarlierRuns += w.runs
-	attempt.Excluded = append(attempt.Excluded, w.excluded...)
+	attempt.Excluded = append(append(attempt.Excluded, w.ranOn...), o.failedOn...)
+	for _, other := range w.openings {
+		if other == o {
+			continue
+		}
+		attempt.EarlierRuns++ // it may still be sent
+		if other.attempt.WasSent() {
+			attempt.Excluded = append(attempt.Excluded, other.attempt.Target)
+		}
+	}
 	return attempt
 }
 
 // open performs attempts at other targets, until one has begun to answer.
 func (w *Watch) open(ctx context.Context, o *opening) {
 	for tries := 1; ; tries++ {
-		response, err := w.options.Open(ctx, o.attempt)
+		response, err := w.openSafely(ctx, o.attempt)
 		if err == nil {
-			err = awaitBody(response)
+			err = awaitBody(response, w.options.Events)
 		}
 		if !w.opened(o, response, err, tries < maxTries) {
 			return
@@ -263,140 +339,112 @@
 	}
 }
 
+// openSafely turns a panic of the opener into an error.
+func (w *Watch) openSafely(ctx context.Context, attempt *pipeline.Exchange) (response *targets.Response, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = result.Wrap(result.Internal, fmt.Errorf("hedge: panic: %v", cause), "The router failed.")
+		}
+	}()
+	return w.options.Open(ctx, attempt)
+}
+
 // opened records the result of an attempt. If it failed and another one may follow, it replaces the
 // attempt by that one and returns true.
 func (w *Watch) opened(o *opening, response *targets.Response, err error, mayRepeat bool) (again bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err != nil && mayRepeat && !o.cancelled && isTargetsFailure(o.attempt, err) {
-		w.recordFailure(o.attempt, err)
-		o.attempt = w.newAttempt()
-		return true
+	if err != nil {
+		w.recordFailure(o, err)
+		if mayRepeat && !o.cancelled && !w.stopped && isTargetsFailure(o.attempt, err) {
+			o.attempt = w.newAttempt(o)
+			return true
+		}
 	}
-	defer close(o.done)
+	if i := slices.Index(w.openings, o); i >= 0 {
+		w.openings = slices.Delete(w.openings, i, i+1)
+	}
+	defer w.changed.Broadcast()
 	switch {
 	case err != nil:
+		o.cancel()
 		w.openingFailed(o, err)
-	case o.cancelled:
+	case o.cancelled || w.answered != nil:
 		w.discard(o, response)
 	default:
-		o.attempt.OnEnd(func(error) { o.cancel() })
-		o.answer = &Answer{Attempt: o.attempt, Response: response, Interrupted: w.waiting}
-		if w.waiting {
-			w.interrupt()
-		}
+		w.answer(o, response)
 	}
 	return false
 }
 
-// isTargetsFailure reports whether an attempt failed at its target, so that another target may serve
-// it.
-func isTargetsFailure(attempt *pipeline.Exchange, err error) bool {
-	var refusal *result.Error
-	if !errors.As(err, &refusal) || attempt.Target == "" {
-		return false
-	}
-	switch refusal.Code {
-	case result.ConnectFailed, result.TargetRefused, result.TargetLeft, result.TargetLostRequest, result.StreamBroken, result.TargetError:
-		return true
+// answer makes an attempt the one that continues. The caller holds w.mu.
+func (w *Watch) answer(o *opening, response *targets.Response) {
+	o.attempt.OnEnd(func(error) { o.cancel() })
+	o.answer = &Answer{Attempt: o.attempt, Response: response, Interrupted: w.wait == waitingForTarget}
+	w.answered = o
+	if w.wait == waitingForTarget {
+		w.interrupt()
 	}
-	return false
 }
 
 // recordFailure ends a failed attempt and counts it, if it may have run. The caller holds w.mu.
-func (w *Watch) recordFailure(attempt *pipeline.Exchange, err error) {
-	if mayHaveRun(attempt, err) {
+func (w *Watch) recordFailure(o *opening, err error) {
+	switch {
+	case mayHaveRun(o.attempt, err):
 		w.runs++
+		w.ranOn = append(w.ranOn, o.attempt.Target)
+	case isTargetsFailure(o.attempt, err):
+		o.notRun = true
+		o.failedOn = append(o.failedOn, o.attempt.Target)
 	}
-	if isTargetsFailure(attempt, err) {
-		w.excluded = append(w.excluded, attempt.Target)
-	}
-	attempt.End(err)
+	o.attempt.End(err)
 }
 
-// openingFailed records a failed attempt. The caller holds w.mu.
+// openingFailed logs and records that no other target could be had. The caller holds w.mu.
 func (w *Watch) openingFailed(o *opening, err error) {
-	o.err = err
-	o.cancel()
-	w.opening = nil
-	w.recordFailure(o.attempt, err)
-	if !o.cancelled {
-		noTargetCount.Inc()
-		pipeline.Log(w.ctx, w.options.Log, slog.LevelWarn, w.ex, "hedge: No other target for the request.", slog.Any("error", err))
+	if o.cancelled {
+		return
+	}
+	w.lastErr = err
+	if o.notRun {
+		w.lastErr = &transientError{err}
 	}
+	noTargetCount.Inc()
+	if w.logged {
+		return
+	}
+	w.logged = true
+	pipeline.Log(w.ctx, w.options.Log, slog.LevelWarn, w.ex, "hedge: No other target for the request.", slog.Any("error", err))
 }
 
 // discard ends an attempt that succeeded too late. The caller holds w.mu.
 func (w *Watch) discard(o *opening, response *targets.Response) {
-	if w.opening == o {
-		w.opening = nil
-	}
 	w.runs++
+	w.ranOn = append(w.ranOn, o.attempt.Target)
 	o.cancel()
-	o.answer, o.err = nil, errSuperseded
 	_ = response.Body.Close()
 	o.attempt.End(errSuperseded)
 }
 
-// cancelOpening ends the attempt that is being opened: the first target continues. The caller holds
-// w.mu.
-func (w *Watch) cancelOpening() {
-	o := w.opening
-	if o.cancelled {
-		return
+// cancelOpenings ends all attempts at other targets. The caller holds w.mu.
+func (w *Watch) cancelOpenings() {
+	for _, o := range w.openings {
+		o.cancelled = true
+		o.cancel()
 	}
-	o.cancelled = true
-	o.cancel()
-	if o.answer != nil {
+	if o := w.answered; o != nil {
+		w.answered = nil
 		w.discard(o, o.answer.Response)
 	}
 }
 
-// takeAnswer hands an answer to the owner. The caller holds w.mu.
-func (w *Watch) takeAnswer(o *opening) *Answer {
-	w.opening = nil
-	w.runs, w.excluded = 0, nil // the attempt has them
+// takeAnswer hands the answer to the owner and cancels all other attempts. The caller holds w.mu.
+func (w *Watch) takeAnswer() *Answer {
+	o := w.answered
+	w.answered = nil
+	w.cancelOpenings()
+	o.answer.Attempt.EarlierRuns = w.ex.EarlierRuns + 1 + w.runs
+	w.runs, w.ranOn = 0, nil
 	otherCount.Inc()
 	return o.answer
 }
-
-// mayHaveRun reports whether a failed attempt may have run.
-func mayHaveRun(attempt *pipeline.Exchange, err error) bool {
-	var refusal *result.Error
-	if errors.As(err, &refusal) && refusal.Ran == result.RanNo {
-		return false
-	}
-	return attempt.WasSent()
-}
-
-// awaitBody waits for the first bytes of an answer's body, or for its end.
-func awaitBody(response *targets.Response) error {
-	buffer := make([]byte, firstReadBytes)
-	n, err := response.Body.Read(buffer)
-	if n == 0 && err != nil && err != io.EOF {
-		_ = response.Body.Close()
-		return err
-	}
-	response.Body = &begunBody{ReadCloser: response.Body, unread: buffer[:n], err: err}
-	return nil
-}
-
-// begunBody is a body of which the first bytes have been read, with the error of that read.
-type begunBody struct {
-	io.ReadCloser
-	unread []byte
-	err    error
-}
-
-// Read implements io.Reader.
-func (b *begunBody) Read(p []byte) (int, error) {
-	if len(b.unread) > 0 {
-		n := copy(p, b.unread)
-		b.unread = b.unread[n:]
-		return n, nil
-	}
-	if b.err != nil {
-		return 0, b.err
-	}
-	return b.ReadCloser.Read(p)
-}
--- a/filters/hedge/hedge_test.go
+++ b/filters/hedge/hedge_test.go
@@ -266,9 +266,9 @@
 	deadline := time.Now().Add(testTimeout)
 	for attempt.Run.(*countedRun).ends.Load() == 0 && time.Now().Before(deadline) {
 		f.watch.mu.Lock()
-		left := f.watch.opening
+		left := len(f.watch.openings)
 		f.watch.mu.Unlock()
-		if left == nil {
+		if left == 0 {
 			return
 		}
 		time.Sleep(time.Millisecond)
--- a/router/routed.go
+++ b/router/routed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/filters/affinity"
 	"github.com/walnutcove/walnutcove/filters/detach"
 	"github.com/walnutcove/walnutcove/filters/dispatch"
@@ -125,6 +126,7 @@
 		captureAnswer := func(_ context.Context, _ *pipeline.Exchange, received *targets.Response) error {
 			if isFailure(attempt.Route, received.Status) {
 				received.Body.Close()
+				attempt.Run.End(control.OutcomeFailed)
 				return result.New(result.StreamBroken, "The other target failed with status %d.", received.Status)
 			}
 			answer = received
