Dispatch: a refusal does not hide a run on another target

A request whose first target refused it was reported as not run although another target, asked while the first was silent, may have run it. TestRefusalTellsOfARunOnAnotherTarget failed before and leaves the known failures.

--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -79,6 +79,9 @@
 		refusal := toResultError(err)
 		refusals.Inc(refusal.Code)
 		ex.Run.End(OutcomeOf(refusal))
+		if f.Hedge != nil {
+			refusal = raiseRan(ex, refusal)
+		}
 		return refusal
 	}
 	ex.AnswerFraming = answer.Framing
@@ -237,6 +240,17 @@
 	}
 }
 
+// raiseRan returns the refusal of a request with what is known of its other attempts: a request that
+// may have run on a target that was asked beside this one is not reported as not run.
+func raiseRan(ex *pipeline.Exchange, refusal *result.Error) *result.Error {
+	if ex.EarlierRuns == 0 || refusal.Ran != result.RanNo {
+		return refusal
+	}
+	raised := *refusal
+	raised.Ran = result.RanUnknown
+	return &raised
+}
+
 // withCode returns the error of a cancelled call with the result code of what cancelled
 // it. It keeps the call's Ran value.
 func withCode(err error, code result.Code, detail string) error {
