Events: a broken stream asks again while no target can be had for the moment

Callers saw a stream cut after its target had broken off, where the scheduler refused the request for the moment, the only other target refused it, or the retry budget was empty, with seconds left and a target that would have had room 0.3 to 2 s later. It is now asked for again, with growing pauses of up to 0.4 s, until the deadline or until the caller leaves; each attempt that is sent takes a retry as before.

TestBrokenStreamReachesSoundTarget: 2 of 6, 3 of 6 and 2 of 6 streams cut before in these three cases; none after.

--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -14,6 +14,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,7 @@
 	"github.com/walnutcove/walnutcove/filters/hedge"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/targets"
+	"github.com/walnutcove/walnutcove/wait"
 )
 
 // The buffer for events that have not arrived completely has minBufferBytes at first
@@ -267,7 +269,7 @@
 	}
 	s.source.Close()
 	s.run.End(control.OutcomeLost)
-	other, err := s.watch.Open()
+	other, err := s.openOther()
 	if err != nil {
 		resumeFailedCount.Inc()
 		s.log("events: Stream broke and could not be resumed on another target.", append(s.brokenAttrs(cause), slog.Any("error", err))...)
@@ -277,6 +279,23 @@
 	return true
 }
 
+// maxResumePause is the longest pause before another target is asked for again.
+const maxResumePause = 400 * time.Millisecond
+
+// openOther asks for another target for a stream that broke, again while what stands in the way may
+// pass: the caller waits for the rest in any case.
+func (s *stream) openOther() (*hedge.Answer, error) {
+	for pause := maxResumePause / 8; ; pause = min(2*pause, maxResumePause) {
+		other, err := s.watch.Open()
+		if err == nil || !hedge.IsTransient(err) || !s.mayResume() {
+			return other, err
+		}
+		if !wait.For(s.ctx, pause/2+rand.N(pause/2)) {
+			return nil, err
+		}
+	}
+}
+
 // continueOn takes the answer of another target as the source; cause is why the former one ended. A
 // partly received event is discarded, because the other target sends it completely.
 func (s *stream) continueOn(other *hedge.Answer, cause error) {
