Front: do not cut executors' responses for a further request

A response that an executor has given is written to the caller's bare descriptor, which is then closed. Bytes of it that the system still holds, as the caller has had no room for them, are lost if the caller sends a further request: it meets a closed socket, which is reset.

TestOffloadedResponseIsNotOvertakenByReset, before, on both paths:

got 32768 bytes of 500062, read: connection reset by peer

Where bytes are not sent yet when the response is complete, the connection is now read on like any other that this side closes. Other responses cost one more system call.

--- a/front/fastrefusal.go
+++ b/front/fastrefusal.go
@@ -184,9 +184,7 @@
 
 // handOver makes a connection from a descriptor. read holds the bytes already read from it.
 func (f *fastRefuser) handOver(fd int, read []byte, decision admission) *callerConn {
-	file := os.NewFile(uintptr(fd), "")
-	defer file.Close() // the connection has a duplicate of the descriptor
-	conn, err := net.FileConn(file)
+	conn, err := connOf(fd)
 	if err != nil {
 		acceptFailures.Inc()
 		f.server.log.Warn("front: Could not make a connection from an accepted descriptor.", "error", err)
@@ -198,6 +196,13 @@
 	return c
 }
 
+// connOf makes a connection from a descriptor, which it takes over.
+func connOf(fd int) (net.Conn, error) {
+	file := os.NewFile(uintptr(fd), "")
+	defer file.Close() // the connection has a duplicate of the descriptor
+	return net.FileConn(file)
+}
+
 // closeDescriptor closes the descriptor of a connection that nothing else refers to.
 func closeDescriptor(fd int) {
 	_ = syscall.Close(fd) // a failure cannot be handled
--- a/front/offload.go
+++ b/front/offload.go
@@ -470,7 +470,11 @@
 	} else {
 		discardReceived(r.fd)
 	}
-	closeDescriptor(r.fd)
+	if !reset && hasUnsent(r.fd) {
+		r.owner.server.closeWhenRead(r.fd)
+	} else {
+		closeDescriptor(r.fd)
+	}
 	r.fd = closedDescriptor
 	r.owner.heldBytes.Add(-int64(len(r.held)))
 	r.held = nil
@@ -521,6 +525,31 @@
 	}
 }
 
+// hasUnsent reports whether the system has bytes to send on a connection for which the caller has had no
+// room yet. If the caller sends further bytes after the close, they are lost.
+func hasUnsent(fd int) bool {
+	unsent, err := unix.IoctlGetInt(fd, unix.SIOCOUTQNSD)
+	return err == nil && unsent > 0
+}
+
+// closeWhenRead closes a connection on which nothing more is written, once its caller has read what was
+// written or has gone; see callerConn.Close. Shutdown waits for it.
+func (s *Server) closeWhenRead(fd int) {
+	conn, err := connOf(fd)
+	if err != nil {
+		acceptFailures.Inc()
+		s.log.Warn("front: Could not wait for a caller to read its response.", "error", err)
+		return
+	}
+	c := newCallerConn(conn, s)
+	c.linger = true
+	s.connOpened(c)
+	go func() {
+		_ = c.Close() // the caller may have gone
+		s.connClosed(c)
+	}()
+}
+
 // duplicateDescriptor returns another descriptor of a connection, which remains open when the
 // connection is closed.
 func duplicateDescriptor(raw syscall.RawConn) (fd int, ok bool) {
--- a/front/offload_test.go
+++ b/front/offload_test.go
@@ -692,3 +692,26 @@
 		t.Errorf("TCP_NODELAY is %d, %v", value, err)
 	}
 }
+
+// TestOffloadedResponseIsNotOvertakenByReset guards against a response of an executor that is cut since its caller
+// sends a further request before it has read the response.
+func TestOffloadedResponseIsNotOvertakenByReset(t *testing.T) {
+	onBothPaths(t, func(t *testing.T, fast bool) {
+		s := startSource(t, Options{SendBufferBytes: 1 << 20})
+		conn, sent := s.offer(fast, shortCall)
+		if err := conn.(*net.TCPConn).SetReadBuffer(16 << 10); err != nil {
+			t.Fatal(err)
+		}
+		response := contentLength(strings.Repeat("x", 500_000))
+		sent.pass(response)
+		sent.End(offload.Complete)
+		s.awaitIdle()
+		if _, err := io.WriteString(conn, get); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+		if got, err := io.ReadAll(conn); string(got) != response || err != nil {
+			t.Errorf("got %d bytes of %d, %v", len(got), len(response), err)
+		}
+	})
+}
