--- a/front/offload_test.go
+++ b/front/offload_test.go
@@ -796,7 +796,7 @@
 		}
 		response := contentLength(strings.Repeat("x", 500_000))
 		sent.pass(response)
-		sent.End(offload.Complete)
+		sent.End(offload.Complete, offload.Loss{})
 		s.awaitIdle()
 		if _, err := io.WriteString(conn, get); err != nil {
 			t.Error(err)
--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -315,6 +315,7 @@
 		StartedAt:  time.Now(),
 	}
 	r.journal.addRun(run)
+	end := r.journal.watch(run, ctx.Conn())
 	r.cacheParts(string(header.Peek(wire.HeaderParts)))
 	if !r.currentFaults().Unsealed {
 		ctx.Response.Header.Set(wire.HeaderSeal, "seal-"+r.options.ID)
@@ -323,6 +324,7 @@
 		time.Sleep(r.pause())
 		r.waitWhileSilent()
 		r.reportLoad(ctx)
+		end()
 		r.journal.recordEnd(run, ctx.Conn())
 		r.releaseSlot()
 		if r.currentFaults().LoseAnswers {
@@ -340,6 +342,7 @@
 	if r.currentFaults().Unframed {
 		r.sendUnframed(ctx, func(w *bufio.Writer) {
 			defer r.releaseSlot()
+			defer end()
 			r.writeEvents(w, conn, run, afterEvent)
 		})
 		return
@@ -347,6 +350,7 @@
 	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer r.releaseSlot()
+		defer end()
 		r.writeEvents(w, conn, run, afterEvent)
 	})
 }
@@ -364,12 +368,13 @@
 	}
 	half := len(body) / 2
 	ctx.Response.ImmediateHeaderFlush = true
-	ctx.SetBodyStream(io.MultiReader(strings.NewReader(body[:half]), &delayedReader{delay: pause, Reader: strings.NewReader(body[half:])}), len(body))
+	ctx.SetBodyStream(io.MultiReader(strings.NewReader(body[:half]), &delayedReader{replica: r, delay: pause, Reader: strings.NewReader(body[half:])}), len(body))
 }
 
-// delayedReader delays its first read.
+// delayedReader delays its first read, and while the replica is silent.
 type delayedReader struct {
-	delay time.Duration
+	replica *Replica
+	delay   time.Duration
 	io.Reader
 }
 
@@ -377,6 +382,7 @@
 func (d *delayedReader) Read(p []byte) (int, error) {
 	time.Sleep(d.delay)
 	d.delay = 0
+	d.replica.waitWhileSilent()
 	return d.Reader.Read(p)
 }
 
@@ -419,6 +425,7 @@
 			r.journal.mu.Unlock()
 			return
 		}
+		r.journal.recordEvent(run)
 	}
 }
 
