Dispatch: on a route only the deadline ends the wait for an answer

A request whose target is silent for limits.first_byte_timeout (60 s) was given up with 704 although its route and its caller allowed more time. TestSilentTargetIsAwaitedToTheDeadline, with a limit of 1 ms and an hour left, before: idempotent and non_idempotent: result 704 (first_byte_timeout).

--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -45,7 +45,8 @@
 	Client targets.Client
 	// Relay takes over the answer's body; see filters/relay.
 	Relay func(ctx context.Context, ex *pipeline.Exchange, answer *targets.Response) error
-	// FirstByteTimeout bounds the wait for the answer's header.
+	// FirstByteTimeout bounds the wait for the answer's header. On a route, the deadline does if it
+	// is later.
 	FirstByteTimeout time.Duration
 	// Hedge sends an idempotent request to another target while the first one is silent; nil
 	// means that it waits for the first one.
@@ -113,9 +114,10 @@
 		return nil, result.New(result.CallerGone, "The caller went away.")
 	}
 	callCtx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(f.FirstByteTimeout, cancel)
+	limit := f.firstByteTimeout(ex)
+	timer := time.AfterFunc(limit, cancel)
 	request := Request(ex, 0)
-	request.FirstByteTimeout = f.FirstByteTimeout
+	request.FirstByteTimeout = limit
 	watch := f.watchSilence(ctx, ex)
 	watch.Begin(cancel)
 	answer, err := f.Client.Do(callCtx, request)
@@ -134,7 +136,7 @@
 	watch.Account()
 	if err == nil && timedOut {
 		answer.Body.Close()
-		err = result.New(result.FirstByteTimeout, "The target did not answer within %s.", f.FirstByteTimeout)
+		err = result.New(result.FirstByteTimeout, "The target did not answer within %s.", limit)
 	}
 	if err == nil {
 		ex.OnEnd(func(error) { cancel() })
@@ -180,6 +182,14 @@
 	return request
 }
 
+// firstByteTimeout returns the limit of the wait for the answer's header.
+func (f *Filter) firstByteTimeout(ex *pipeline.Exchange) time.Duration {
+	if ex.Route == nil {
+		return f.FirstByteTimeout
+	}
+	return max(f.FirstByteTimeout, time.Until(ex.Deadline))
+}
+
 // watchSilence begins to watch how long the target is silent, if the request may run on another one.
 func (f *Filter) watchSilence(ctx context.Context, ex *pipeline.Exchange) *hedge.Watch {
 	if f.Hedge == nil || ex.Route == nil || !ex.Idempotent {
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -311,3 +311,23 @@
 		t.Errorf("loads %+v of a target that did not answer", run.loads)
 	}
 }
+
+// TestSilentTargetIsAwaitedToTheDeadline guards against a request on a route that is given up before its
+// deadline because its target has not answered yet.
+func TestSilentTargetIsAwaitedToTheDeadline(t *testing.T) {
+	f := &Filter{FirstByteTimeout: time.Millisecond, Relay: func(context.Context, *pipeline.Exchange, *targets.Response) error { return nil }}
+	f.Client = &fakeTarget{do: func(ctx context.Context) (*targets.Response, error) {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(50 * time.Millisecond):
+			return &targets.Response{Status: 200, Body: &closedBody{}}, nil
+		}
+	}}
+	for _, kind := range []config.RouteKind{config.RouteIdempotent, config.RouteNonIdempotent} {
+		ex := &pipeline.Exchange{Route: &config.NamedRoute{Route: config.Route{Kind: kind}}, Deadline: time.Now().Add(time.Hour), ServingContext: context.Background()}
+		if refusal, _ := serve(context.Background(), f, ex); refusal != nil {
+			t.Errorf("%v: %v", kind, refusal)
+		}
+	}
+}
