--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/control/speed"
 	"github.com/walnutcove/walnutcove/filters/hedge"
@@ -44,7 +45,8 @@
 	Client targets.Client
 	// Relay takes over the answer's body; see filters/relay.
 	Relay func(ctx context.Context, ex *pipeline.Exchange, answer *targets.Response) error
-	// FirstByteTimeout bounds the wait for the answer's header.
+	// FirstByteTimeout bounds the wait for the answer's header. On a route, the deadline does if it
+	// is later.
 	FirstByteTimeout time.Duration
 	// Hedge sends an idempotent request to another target while the first one is silent; nil
 	// means that it waits for the first one.
@@ -78,6 +80,9 @@
 		refusal := toResultError(err)
 		refusals.Inc(refusal.Code)
 		ex.Run.End(OutcomeOf(refusal))
+		if f.Hedge != nil {
+			refusal = raiseRan(ex, refusal)
+		}
 		return refusal
 	}
 	ex.AnswerFraming = answer.Framing
@@ -109,9 +114,10 @@
 		return nil, result.New(result.CallerGone, "The caller went away.")
 	}
 	callCtx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(f.FirstByteTimeout, cancel)
+	limit := f.firstByteTimeout(ex)
+	timer := time.AfterFunc(limit, cancel)
 	request := Request(ex, 0)
-	request.FirstByteTimeout = f.FirstByteTimeout
+	request.FirstByteTimeout = limit
 	watch := f.watchSilence(ctx, ex)
 	watch.Begin(cancel)
 	answer, err := f.Client.Do(callCtx, request)
@@ -123,13 +129,14 @@
 	timedOut := !timer.Stop()
 	if other != nil {
 		f.replace(ex, other, answer, err)
+		watch.Account()
 		cancel()
 		return other.Response, nil
 	}
 	watch.Account()
 	if err == nil && timedOut {
 		answer.Body.Close()
-		err = result.New(result.FirstByteTimeout, "The target did not answer within %s.", f.FirstByteTimeout)
+		err = result.New(result.FirstByteTimeout, "The target did not answer within %s.", limit)
 	}
 	if err == nil {
 		ex.OnEnd(func(error) { cancel() })
@@ -175,15 +182,25 @@
 	return request
 }
 
+// firstByteTimeout returns the limit of the wait for the answer's header.
+func (f *Filter) firstByteTimeout(ex *pipeline.Exchange) time.Duration {
+	if ex.Route == nil {
+		return f.FirstByteTimeout
+	}
+	return max(f.FirstByteTimeout, time.Until(ex.Deadline))
+}
+
 // watchSilence begins to watch how long the target is silent, if the request may run on another one.
 func (f *Filter) watchSilence(ctx context.Context, ex *pipeline.Exchange) *hedge.Watch {
 	if f.Hedge == nil || ex.Route == nil || !ex.Idempotent {
 		return nil
 	}
 	return hedge.New(ctx, ex, hedge.Options{
-		Open:  f.Hedge,
-		Limit: func() time.Duration { return hedge.SilenceLimit(ex, f.Lag) },
-		Log:   f.Log,
+		Open:    f.Hedge,
+		Limit:   func() time.Duration { return hedge.SilenceLimit(ex, f.Lag) },
+		MaxRuns: ex.Route.Attempts,
+		Events:  ex.Route.Kind == config.RouteStream,
+		Log:     f.Log,
 	})
 }
 
@@ -233,6 +250,17 @@
 	}
 }
 
+// raiseRan returns the refusal of a request with what is known of its other attempts: a request that
+// may have run on a target that was asked beside this one is not reported as not run.
+func raiseRan(ex *pipeline.Exchange, refusal *result.Error) *result.Error {
+	if ex.EarlierRuns == 0 || refusal.Ran != result.RanNo {
+		return refusal
+	}
+	raised := *refusal
+	raised.Ran = result.RanUnknown
+	return &raised
+}
+
 // withCode returns the error of a cancelled call with the result code of what cancelled
 // it. It keeps the call's Ran value.
 func withCode(err error, code result.Code, detail string) error {
--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -14,7 +14,9 @@
 	"context"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -25,6 +27,7 @@
 	"github.com/walnutcove/walnutcove/filters/hedge"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/targets"
+	"github.com/walnutcove/walnutcove/wait"
 )
 
 // The buffer for events that have not arrived completely has minBufferBytes at first
@@ -97,6 +100,8 @@
 		Open:    s.relay.Reopen,
 		Limit:   func() time.Duration { return hedge.SilenceLimit(s.ex, s.relay.Lag) },
 		Allowed: s.mayResume,
+		MaxRuns: s.ex.Route.Attempts,
+		Events:  true,
 		Log:     s.relay.Log,
 	})
 }
@@ -130,6 +135,8 @@
 	// sourceErr is why the source ended; nil while it is open.
 	sourceErr error
 	endOnce   sync.Once
+	// closed is set by Close.
+	closed atomic.Bool
 }
 
 // setSource sets the response of a target as the source.
@@ -251,7 +258,7 @@
 // mayResume reports whether another target may continue the stream now. A stream of which nothing
 // was relayed yet is begun again there.
 func (s *stream) mayResume() bool {
-	return s.canResume() && s.ctx.Err() == nil && !s.isInsideEvent() && (s.ex.LastEventID != "" || !s.anyReady)
+	return s.canResume() && s.ctx.Err() == nil && !s.closed.Load() && !s.isInsideEvent() && (s.ex.LastEventID != "" || !s.anyReady)
 }
 
 // resume continues a stream that broke on another target after the last complete event, and reports
@@ -262,7 +269,7 @@
 	}
 	s.source.Close()
 	s.run.End(control.OutcomeLost)
-	other, err := s.watch.Open()
+	other, err := s.openOther()
 	if err != nil {
 		resumeFailedCount.Inc()
 		s.log("events: Stream broke and could not be resumed on another target.", append(s.brokenAttrs(cause), slog.Any("error", err))...)
@@ -272,6 +279,23 @@
 	return true
 }
 
+// maxResumePause is the longest pause before another target is asked for again.
+const maxResumePause = 400 * time.Millisecond
+
+// openOther asks for another target for a stream that broke, again while what stands in the way may
+// pass: the caller waits for the rest in any case.
+func (s *stream) openOther() (*hedge.Answer, error) {
+	for pause := maxResumePause / 8; ; pause = min(2*pause, maxResumePause) {
+		other, err := s.watch.Open()
+		if err == nil || !hedge.IsTransient(err) || !s.mayResume() {
+			return other, err
+		}
+		if !wait.For(s.ctx, pause/2+rand.N(pause/2)) {
+			return nil, err
+		}
+	}
+}
+
 // continueOn takes the answer of another target as the source; cause is why the former one ended. A
 // partly received event is discarded, because the other target sends it completely.
 func (s *stream) continueOn(other *hedge.Answer, cause error) {
@@ -324,7 +348,7 @@
 		case cause == io.EOF:
 			wholeCount.Inc()
 			s.run.End(control.OutcomeAnswered)
-		case s.ex.IsAbandoned() || s.ctx.Err() != nil:
+		case s.ex.IsAbandoned() || s.ctx.Err() != nil || s.closed.Load():
 			callerGoneCount.Inc()
 			s.run.End(control.OutcomeCancelled)
 		default:
@@ -337,6 +361,7 @@
 
 // Close ends the run. If the stream has not ended, the run is cancelled.
 func (s *stream) Close() error {
+	s.closed.Store(true)
 	s.watch.Stop()
 	err := s.source.Close()
 	s.endOnce.Do(func() {
