--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -1,5 +1,6 @@
 // Package dispatch is the filter that sends a granted request to its target
-// and waits for the answer's header. It never retries: see filters/retry.
+// and waits for the answer's header, beside another target if the first one is silent:
+// see filters/hedge. It never retries: see filters/retry.
 package dispatch
 
 import (
--- a/filters/hedge/failure.go
+++ b/filters/hedge/failure.go
@@ -24,6 +24,15 @@
 	return errors.As(err, &refusal) && (refusal.Code == result.Overloaded || refusal.Code == result.RetryBudgetEmpty)
 }
 
+// codeOf returns the result code of an error of an Opener.
+func codeOf(err error) result.Code {
+	var refusal *result.Error
+	if errors.As(err, &refusal) {
+		return refusal.Code
+	}
+	return result.Internal
+}
+
 // mayHaveRun reports whether a failed attempt may have run.
 func mayHaveRun(attempt *pipeline.Exchange, err error) bool {
 	var refusal *result.Error
--- a/filters/hedge/hedge.go
+++ b/filters/hedge/hedge.go
@@ -16,6 +16,7 @@
 
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/result/codecounter"
 	"github.com/walnutcove/walnutcove/targets"
 )
 
@@ -28,6 +29,11 @@
 	notAllowedCount = metrics.GetOrCreateCounter(`walnut_hedge_silent_targets_total{result="not_allowed"}`)
 )
 
+// refusals counts why no other target could be had.
+var refusals = codecounter.New("walnut_hedge_refusals_total",
+	result.StreamBroken, result.RetryBudgetEmpty, result.Overloaded, result.NoTarget, result.TargetsUnavailable,
+	result.ConnectFailed, result.TargetRefused, result.TargetLeft, result.TargetLostRequest)
+
 var (
 	// errSuperseded ends an attempt that is no longer needed.
 	errSuperseded = errors.New("hedge: another target continued")
@@ -410,6 +416,7 @@
 		w.lastErr = &transientError{err}
 	}
 	noTargetCount.Inc()
+	refusals.Inc(codeOf(err))
 	if w.logged {
 		return
 	}
--- a/filters/retry/retry.go
+++ b/filters/retry/retry.go
@@ -153,21 +153,23 @@
 // CheckRetry returns an error if no retry is left for a request that is to be sent to another
 // target.
 func (f *Filter) CheckRetry(ex *pipeline.Exchange) error {
-	return f.errorUnless(f.budget.hasRetry(ex.PoolName, ex.WorkspaceName))
+	if f.budget.hasRetry(ex.PoolName, ex.WorkspaceName) {
+		return nil
+	}
+	return errNoRetry()
 }
 
 // TakeRetry takes a retry for such a request, right before it is sent. It returns an error if none
 // is left.
 func (f *Filter) TakeRetry(ex *pipeline.Exchange) error {
-	return f.errorUnless(f.budget.takeRetry(ex.PoolName, ex.WorkspaceName))
-}
-
-// errorUnless returns the error for a request without a retry, unless it has one.
-func (f *Filter) errorUnless(hasRetry bool) error {
-	if hasRetry {
+	if f.budget.takeRetry(ex.PoolName, ex.WorkspaceName) {
 		return nil
 	}
 	refusals.Inc(result.RetryBudgetEmpty)
+	return errNoRetry()
+}
+
+func errNoRetry() error {
 	return result.New(result.RetryBudgetEmpty, "Too many other requests are being retried.")
 }
 
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -121,7 +121,7 @@
 	// Work holds what the caller states about the tokens of the request.
 	Work control.Work
 
-	// Set for each attempt: Attempt and Excluded by retry, Target, Address and
+	// Set for each attempt: Attempt and Excluded by retry and hedge, Target, Address and
 	// TargetSoftware by grant.
 	Attempt  int
 	Target   string
