--- a/control/versions_test.go
+++ b/control/versions_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/control/member"
 	"github.com/walnutcove/walnutcove/control/quarantine"
 )
 
@@ -151,3 +152,38 @@
 		t.Errorf("%d messages in answer to 100 heartbeats of a node that is behind", answers)
 	}
 }
+
+// TestVersionIsAskedOfFewAtOnce guards against a node that all others ask for its version at the
+// same moment, because it told all of them something else beside it.
+func TestVersionIsAskedOfFewAtOnce(t *testing.T) {
+	const nodes = 75
+	for name, event := range map[string]Event{
+		"feeds lost":   FeedState{Live: false},
+		"suspected":    MessageReceived{From: "n1", Message: SuspectNotice{Node: "n0"}},
+		"drain begins": DrainStarted{},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSim(nodes)
+			asked := 0
+			s.onVersionSeen = func(n *simNode, from NodeID) {
+				if from == "n0" {
+					asked++
+				}
+			}
+			s.startFleet(nodes, draftFleet.snapshot(), Options{HeartbeatEvery: 250 * time.Millisecond, MemberTimeout: time.Second}, testDataCentres...)
+			s.step(s.nodes["n0"], FeedState{Live: true})
+			s.runUntil(s.now + 5*time.Second)
+			s.setVersion(s.nodes["n0"], 2)
+			if notice, ok := event.(MessageReceived); ok {
+				notice.Incarnation = s.nodes["n1"].inc
+				event = notice
+			}
+			s.step(s.nodes["n0"], event)
+			s.runUntil(s.now + 100*time.Millisecond)
+			// The watchers of a node, and those whose heartbeats it answers.
+			if limit := 3 * member.MaxWatchers; asked > limit {
+				t.Errorf("%d of %d nodes ask one node at once, %d at most expected", asked, nodes, limit)
+			}
+		})
+	}
+}
