Directory: log and measure the phases of fetches from peers

The logs could not tell a peer that does not answer from one whose answer is on its way, nor the time of the fetch from the time to merge it. Failed fetches name the time, the bytes received and the fetches in progress; completed ones the time to fetch and to merge.

--- a/peer/call.go
+++ b/peer/call.go
@@ -135,7 +135,7 @@
 		return nil, wrapCallError(ctx, err)
 	}
 	answer := &peerpb.CallAnswer{}
-	if err := readMessage(stream, s.mesh.options.MaxCallBytes, answer); err != nil {
+	if err := readMessage(withProgress(ctx, stream), s.mesh.options.MaxCallBytes, answer); err != nil {
 		return nil, wrapCallError(ctx, err)
 	}
 	s.markUsed()
--- a/router/fetches.go
+++ b/router/fetches.go
@@ -45,3 +45,10 @@
 	defer f.mu.Unlock()
 	delete(f.startedAt, node)
 }
+
+// count returns the number of fetches in progress.
+func (f *directoryFetches) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.startedAt)
+}
--- a/router/managed.go
+++ b/router/managed.go
@@ -12,6 +12,7 @@
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/directory"
+	"github.com/walnutcove/walnutcove/peer"
 	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/targets/cachewatch"
@@ -32,6 +33,7 @@
 var (
 	peerFetches       = metrics.GetOrCreateCounter(`walnut_router_directory_fetches_total{result="ok"}`)
 	peerFetchFailures = metrics.GetOrCreateCounter(`walnut_router_directory_fetches_total{result="failed"}`)
+	peerFetchTime     = metrics.GetOrCreateHistogram(`walnut_router_directory_fetch_seconds`)
 )
 
 // errConfigNotPatchable answers requests that concern patches or commits in a fleet
@@ -125,10 +127,15 @@
 		defer r.fetches.end(node)
 		ctx, cancel := context.WithTimeout(context.Background(), peerFetchTimeout)
 		defer cancel()
+		started := time.Now()
+		var received atomic.Int64
+		ctx = peer.WithProgress(ctx, func(count int) { received.Add(int64(count)) })
 		err := r.fetchDirectory(ctx, node)
+		peerFetchTime.UpdateDuration(started)
 		if err != nil {
 			peerFetchFailures.Inc()
-			r.log.Warn("directory: Could not fetch a peer's directory.", "node", node, "error", err)
+			r.log.Warn("directory: Could not fetch a peer's directory.", "node", node, "after", time.Since(started), "bytes", received.Load(),
+				"in_progress", r.fetches.count(), "error", err)
 			return
 		}
 		peerFetches.Inc()
@@ -141,11 +148,16 @@
 	if err != nil {
 		return err
 	}
+	started := time.Now()
 	encoded, err := r.mesh.Call(ctx, node, methodConfig, cursor)
 	if err != nil {
 		return err
 	}
-	return r.directory.Import(string(node), encoded)
+	fetched := time.Now()
+	err = r.directory.Import(string(node), encoded)
+	r.log.Info("directory: Fetched a peer's directory.", "node", node, "bytes", len(encoded), "fetch", fetched.Sub(started),
+		"merge", time.Since(fetched), "in_progress", r.fetches.count())
+	return err
 }
 
 // watchCaches makes the cache watcher follow the targets scheduled here whose pools
