Directory: fetches from peers are bounded by progress, not by duration

Callers got 404 for a route that the fleet had had for four seconds. A router that learned from peers gave up each fetch after 1 s, lost what was done, and began anew at the next peer, up to five at once; where all peers, or the router itself, needed more than a second, no version ever arrived, and each attempt added load.

A fetch now ends only when it fails, when another one has answered, or, at three in progress, when nothing of it has arrived for a time that doubles. One of the three is replaced sooner by peers not asked yet, so that stopped peers don't hold it up. Announcements that come meanwhile are remembered, and the next peer is asked at once.

--- a/control/commands.go
+++ b/control/commands.go
@@ -81,8 +81,8 @@
 type VersionSeen struct {
 	From    NodeID
 	Version uint64
-	// TargetsRevision is the revision of that member's listing of targets.
-	TargetsRevision config.Revision
+	// ConfigRevision and TargetsRevision have the same meaning as in Heartbeat.
+	ConfigRevision, TargetsRevision config.Revision
 }
 
 // FeedRole sets whether this node has to follow the platform's feeds itself. Otherwise
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -75,7 +75,7 @@
 	m.fleet.epochs[from] = msg.Incarnation
 	m.followerReported(from, msg.Follows, msg.Leaving)
 	if msg.ConfigVersion > 0 && m.hasNewerState(msg) {
-		m.emit(VersionSeen{From: from, Version: msg.ConfigVersion, TargetsRevision: msg.TargetsRevision})
+		m.emit(VersionSeen{From: from, Version: msg.ConfigVersion, ConfigRevision: msg.ConfigRevision, TargetsRevision: msg.TargetsRevision})
 	}
 	m.answerIfBehind(from, msg)
 }
--- a/directory/exchange.go
+++ b/directory/exchange.go
@@ -78,12 +78,22 @@
 	return Cursor{Version: own.Version, ConfigRevision: f.state.operatorRevision, Revision: f.state.revision, PlatformOnly: !f.state.peerSynced}
 }
 
+// Lacks reports whether this router lacks some of a directory of the given order. It does not
+// block.
+func (f *Follower) Lacks(announced config.SnapshotOrder) bool {
+	own := f.known.Load()
+	if own == nil || !own.listed {
+		return true
+	}
+	rewritten := announced.Version == own.order.Version && announced.Config > own.order.Config
+	return announced.Version > own.order.Version || rewritten || announced.Targets > own.order.Targets
+}
+
 // NeedsPeerSync reports whether everything known here comes from the platform itself, so that a
-// peer has to be asked once.
+// peer has to be asked once. It does not block.
 func (f *Follower) NeedsPeerSync() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.state.listed && !f.state.peerSynced
+	own := f.known.Load()
+	return own != nil && own.listed && !own.peerSynced
 }
 
 // Export encodes what this router knows and the router with the given cursor does not.
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -83,6 +84,9 @@
 
 	mu    sync.Mutex
 	state state
+	// known summarizes state for readers that must not wait for an update: mu is held while a
+	// snapshot is delivered.
+	known atomic.Pointer[summary]
 	// delivered is the order of the last snapshot passed to OnChange; zero before the first.
 	delivered config.SnapshotOrder
 	// recoveredAt is when the targets feed last recovered from an outage in which entries may
@@ -100,6 +104,12 @@
 	readyOnce sync.Once
 }
 
+// summary describes how much of the directory is known.
+type summary struct {
+	order              config.SnapshotOrder
+	listed, peerSynced bool
+}
+
 // New returns a follower that does nothing before Run.
 func New(options Options) *Follower {
 	return &Follower{
@@ -207,6 +217,7 @@
 	before, listedBefore, revisionBefore := f.state.configuration.Version, f.state.listed, f.state.revision
 	evacuatedBefore := f.state.evacuatedDataCentres()
 	f.state.change(apply)
+	f.known.Store(&summary{order: f.state.order(), listed: f.state.listed, peerSynced: f.state.peerSynced})
 	if f.state.configuration.Version != before {
 		f.state.origin = config.Origin{Source: source, At: time.Now()}
 	}
--- a/router/loop.go
+++ b/router/loop.go
@@ -50,7 +50,7 @@
 	send(to control.NodeID, message control.Message)
 	watchTargets(targets []string)
 	quarantineChanged(fingerprint uint64, quarantined bool)
-	versionSeen(from control.NodeID, version uint64)
+	versionSeen(control.VersionSeen)
 	setFeedRole(role control.FeedRole)
 	recheckFeeds()
 	membersChanged(alive []control.NodeID)
@@ -230,7 +230,7 @@
 	case control.TargetCrashed:
 		l.log.Warn("control: Target lost its runs and is taken to have crashed.", "target", c.Target, "lost", c.Lost, "after", c.After, "suspect_sets", c.Suspects)
 	case control.VersionSeen:
-		l.shell.versionSeen(c.From, c.Version)
+		l.shell.versionSeen(c)
 	case control.FeedRole:
 		l.shell.setFeedRole(c)
 	case control.RecheckFeeds:
--- a/router/managed.go
+++ b/router/managed.go
@@ -7,11 +7,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/walnutcove/walnutcove/config"
 	"github.com/walnutcove/walnutcove/control"
 	"github.com/walnutcove/walnutcove/directory"
+	"github.com/walnutcove/walnutcove/directory/fetch"
 	"github.com/walnutcove/walnutcove/peer"
 	"github.com/walnutcove/walnutcove/platform"
 	"github.com/walnutcove/walnutcove/result"
@@ -26,14 +25,6 @@
 	// maxLapseHeartbeats is the time, in target heartbeats, after which an entry that is
 	// still listed must have been renewed: entries are removed after three missed ones.
 	maxLapseHeartbeats = 4
-	// peerFetchTimeout limits the fetch of a peer's directory.
-	peerFetchTimeout = time.Second
-)
-
-var (
-	peerFetches       = metrics.GetOrCreateCounter(`walnut_router_directory_fetches_total{result="ok"}`)
-	peerFetchFailures = metrics.GetOrCreateCounter(`walnut_router_directory_fetches_total{result="failed"}`)
-	peerFetchTime     = metrics.GetOrCreateHistogram(`walnut_router_directory_fetch_seconds`)
 )
 
 // errConfigNotPatchable answers requests that concern patches or commits in a fleet
@@ -67,8 +58,8 @@
 	// startedExecutor is its executor once the router serves requests.
 	offloading      offloading
 	startedExecutor atomic.Pointer[offloadExecutor]
-	// fetches tracks which peers are being asked for their directory.
-	fetches directoryFetches
+	// fetcher fetches the directories of peers.
+	fetcher *fetch.Fetcher
 }
 
 func (r *Router) newManaged() *managed {
@@ -90,6 +81,7 @@
 			OnLiveChange: func(live bool) { r.loop.post(control.FeedState{Live: live}) },
 			Log:          r.log,
 		}),
+		fetcher:        r.newFetcher(),
 		routersKnown:   make(chan struct{}),
 		joined:         make(chan struct{}),
 		unlistedRouter: make(chan struct{}, 1),
@@ -118,46 +110,22 @@
 	}
 }
 
-// fetchDirectoryFrom fetches the directory of a peer that has a newer one. It does not block.
-func (r *Router) fetchDirectoryFrom(node control.NodeID) {
-	if !r.fetches.tryBegin(node) {
-		return // the next heartbeat triggers it again
-	}
-	go func() {
-		defer r.fetches.end(node)
-		ctx, cancel := context.WithTimeout(context.Background(), peerFetchTimeout)
-		defer cancel()
-		started := time.Now()
-		var received atomic.Int64
-		ctx = peer.WithProgress(ctx, func(count int) { received.Add(int64(count)) })
-		err := r.fetchDirectory(ctx, node)
-		peerFetchTime.UpdateDuration(started)
-		if err != nil {
-			peerFetchFailures.Inc()
-			r.log.Warn("directory: Could not fetch a peer's directory.", "node", node, "after", time.Since(started), "bytes", received.Load(),
-				"in_progress", r.fetches.count(), "error", err)
-			return
-		}
-		peerFetches.Inc()
-	}()
+// newFetcher returns the fetcher of directories from peers.
+func (r *Router) newFetcher() *fetch.Fetcher {
+	return fetch.New(fetch.Options{
+		Call:  r.callForDirectory,
+		Merge: func(node control.NodeID, encoded []byte) error { return r.directory.Import(string(node), encoded) },
+		Log:   r.log,
+	})
 }
 
-// fetchDirectory fetches and imports the directory of a peer.
-func (r *Router) fetchDirectory(ctx context.Context, node control.NodeID) error {
+// callForDirectory asks a peer for what its directory has and this router's has not.
+func (r *Router) callForDirectory(ctx context.Context, node control.NodeID, onBytes func(count int)) ([]byte, error) {
 	cursor, err := json.Marshal(r.directory.Cursor())
 	if err != nil {
-		return err
-	}
-	started := time.Now()
-	encoded, err := r.mesh.Call(ctx, node, methodConfig, cursor)
-	if err != nil {
-		return err
+		return nil, err
 	}
-	fetched := time.Now()
-	err = r.directory.Import(string(node), encoded)
-	r.log.Info("directory: Fetched a peer's directory.", "node", node, "bytes", len(encoded), "fetch", fetched.Sub(started),
-		"merge", time.Since(fetched), "in_progress", r.fetches.count())
-	return err
+	return r.mesh.Call(peer.WithProgress(ctx, onBytes), node, methodConfig, cursor)
 }
 
 // watchCaches makes the cache watcher follow the targets scheduled here whose pools
--- a/router/members.go
+++ b/router/members.go
@@ -203,7 +203,7 @@
 // contain entries that the platform does not list.
 func (r *Router) peerConnected(node control.NodeID) {
 	if r.directory.NeedsPeerSync() {
-		r.fetchDirectoryFrom(node)
+		r.fetcher.Announced(node, r.directory.NeedsPeerSync)
 	}
 	if listed := r.vms.Load(); listed != nil {
 		for _, vm := range *listed {
--- a/router/shell.go
+++ b/router/shell.go
@@ -70,12 +70,13 @@
 }
 
 // versionSeen implements shell.
-func (r *Router) versionSeen(from control.NodeID, version uint64) {
+func (r *Router) versionSeen(seen control.VersionSeen) {
 	if r.managed != nil {
-		r.fetchDirectoryFrom(from)
+		announced := config.SnapshotOrder{Version: config.Version(seen.Version), Config: seen.ConfigRevision, Targets: seen.TargetsRevision}
+		r.fetcher.Announced(seen.From, func() bool { return r.directory.Lacks(announced) })
 		return
 	}
-	r.follower.VersionSeen(string(from), config.Version(version))
+	r.follower.VersionSeen(string(seen.From), config.Version(seen.Version))
 }
 
 // drained implements shell.
