Control: heartbeats that go to all nodes name no version

A router that lost its feeds, drained, refuted a suspicion, came back from a pause or opened sessions told all others, and with the same heartbeat its version: each of those that were behind asked it at once.

Such heartbeats now omit the version. Versions spread as before by the periodic heartbeats, to eight watchers each, and by the answers to those that are behind.

--- a/control/feeds.go
+++ b/control/feeds.go
@@ -36,7 +36,7 @@
 		return
 	}
 	m.fleet.feeds.following = ev.Live
-	m.broadcast(m.heartbeat())
+	m.broadcast(m.status())
 }
 
 // followerReported records whether another node's feeds answer. A node that leaves stops
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -57,7 +57,8 @@
 }
 
 func (m *Machine) heartbeat() Heartbeat {
-	msg := Heartbeat{Incarnation: m.epoch, Leaving: m.draining, Follows: m.fleet.feeds.following}
+	msg := m.status()
+	msg.WithoutState = false
 	if m.topo != nil {
 		msg.ConfigVersion = uint64(m.topo.order.Version)
 		msg.ConfigRevision = m.topo.order.Config
@@ -66,6 +67,12 @@
 	return msg
 }
 
+// status returns a heartbeat without state. It is for messages that may go to all nodes at
+// once: a version that all of them learned of from one node would be fetched from it by all.
+func (m *Machine) status() Heartbeat {
+	return Heartbeat{Incarnation: m.epoch, Leaving: m.draining, Follows: m.fleet.feeds.following, WithoutState: true}
+}
+
 func (m *Machine) heartbeatReceived(from NodeID, msg Heartbeat) {
 	m.counters.HeartbeatsReceived++
 	m.view.HeartbeatReceived(m.now, string(from), msg.Leaving)
@@ -74,6 +81,9 @@
 	}
 	m.fleet.epochs[from] = msg.Incarnation
 	m.followerReported(from, msg.Follows, msg.Leaving)
+	if msg.WithoutState {
+		return
+	}
 	if msg.ConfigVersion > 0 && m.hasNewerState(msg) {
 		m.emit(VersionSeen{From: from, Version: msg.ConfigVersion, ConfigRevision: msg.ConfigRevision, TargetsRevision: msg.TargetsRevision})
 	}
@@ -115,7 +125,7 @@
 func (m *Machine) suspectNoticeReceived(from NodeID, msg SuspectNotice) {
 	if msg.Node == m.opts.Node {
 		m.view.MissedBy(m.now, string(from))
-		m.broadcast(m.heartbeat())
+		m.broadcast(m.status())
 		return
 	}
 	m.view.Suspected(m.now, string(msg.Node), string(from), uint64(msg.Incarnation))
@@ -127,7 +137,7 @@
 	}
 	m.view.Connected(m.now, string(ev.Node), ev.Connected)
 	if ev.Connected {
-		m.send(ev.Node, m.heartbeat())
+		m.send(ev.Node, m.status())
 		m.resendTo(ev.Node)
 	}
 }
@@ -207,7 +217,7 @@
 	}
 	m.draining = true
 	m.view.SetLeaving(m.now)
-	m.broadcast(m.heartbeat())
+	m.broadcast(m.status())
 	m.rankAffinityHolders()
 	m.copyAffinities()
 	if !m.mayScheduleHere() {
@@ -234,7 +244,7 @@
 	m.view.Resumed(m.now)
 	m.fleet.assignedVersion = 0
 	m.fleet.nextHeartbeatAt = 0
-	m.broadcast(m.heartbeat())
+	m.broadcast(m.status())
 	m.resendAll()
 }
 
--- a/control/messages.go
+++ b/control/messages.go
@@ -167,6 +167,8 @@
 	Leaving                         bool
 	// Follows reports that the node follows the platform's feeds and that they answer.
 	Follows bool
+	// WithoutState reports that version and revisions are omitted.
+	WithoutState bool
 }
 
 // Waiting notifies the entry that its ticket has to wait, so that it may ask another shard as
--- a/control/versions_test.go
+++ b/control/versions_test.go
@@ -157,11 +157,21 @@
 // same moment, because it told all of them something else beside it.
 func TestVersionIsAskedOfFewAtOnce(t *testing.T) {
 	const nodes = 75
-	for name, event := range map[string]Event{
-		"feeds lost":   FeedState{Live: false},
-		"suspected":    MessageReceived{From: "n1", Message: SuspectNotice{Node: "n0"}},
-		"drain begins": DrainStarted{},
-	} {
+	events := map[string]func(s *sim, n *simNode){
+		"feeds lost":   func(s *sim, n *simNode) { s.step(n, FeedState{Live: false}) },
+		"drain begins": func(s *sim, n *simNode) { s.step(n, DrainStarted{}) },
+		"suspected": func(s *sim, n *simNode) {
+			s.step(n, MessageReceived{From: "n1", Incarnation: s.nodes["n1"].inc, Message: SuspectNotice{Node: n.id}})
+		},
+		"sessions opened": func(s *sim, n *simNode) {
+			for _, id := range s.names {
+				if id != n.id {
+					s.step(n, PeerState{Node: id, Connected: true})
+				}
+			}
+		},
+	}
+	for name, event := range events {
 		t.Run(name, func(t *testing.T) {
 			s := newSim(nodes)
 			asked := 0
@@ -174,11 +184,7 @@
 			s.step(s.nodes["n0"], FeedState{Live: true})
 			s.runUntil(s.now + 5*time.Second)
 			s.setVersion(s.nodes["n0"], 2)
-			if notice, ok := event.(MessageReceived); ok {
-				notice.Incarnation = s.nodes["n1"].inc
-				event = notice
-			}
-			s.step(s.nodes["n0"], event)
+			event(s, s.nodes["n0"])
 			s.runUntil(s.now + 100*time.Millisecond)
 			// The watchers of a node, and those whose heartbeats it answers.
 			if limit := 3 * member.MaxWatchers; asked > limit {
--- a/peer/wire/codec_member.go
+++ b/peer/wire/codec_member.go
@@ -17,6 +17,7 @@
 		TargetsRevision: uint64(m.TargetsRevision),
 		Leaving:         m.Leaving,
 		Follows:         m.Follows,
+		WithoutState:    m.WithoutState,
 	}
 	if m.Incarnation != e.sender.Incarnation {
 		p.Incarnation = proto.Uint64(uint64(m.Incarnation))
@@ -33,6 +34,7 @@
 		ConfigRevision:  config.Revision(p.GetConfigRevision()),
 		TargetsRevision: config.Revision(p.GetTargetsRevision()),
 		Follows:         p.GetFollows(),
+		WithoutState:    p.GetWithoutState(),
 	}
 	if p != nil && p.Incarnation != nil {
 		m.Incarnation = control.Incarnation(p.GetIncarnation())
