Directory: peers that ask together share one encoding

A router encoded its directory anew for each peer that asked, 2 ms of a whole core and 12 ms of a small router's at 1,700 routes, also for peers that had given up.

Exports are encoded one after another and kept for two seconds, by what the asking peer knows, until the directory changes; a peer that has gone is not answered.

--- a/directory/evacuation_test.go
+++ b/directory/evacuation_test.go
@@ -98,7 +98,7 @@
 // importFrom imports what the follower of another harness exports.
 func (s *harness) importFrom(t *testing.T, from *harness) {
 	t.Helper()
-	encoded, err := from.follower.Export(s.follower.Cursor())
+	encoded, err := from.follower.Export(t.Context(), s.follower.Cursor())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/directory/exchange.go
+++ b/directory/exchange.go
@@ -96,18 +96,6 @@
 	return own != nil && own.listed && !own.peerSynced
 }
 
-// Export encodes what this router knows and the router with the given cursor does not.
-func (f *Follower) Export(cursor Cursor) ([]byte, error) {
-	f.mu.Lock()
-	content := f.state.export(cursor, time.Now())
-	f.mu.Unlock()
-	encoded, err := json.Marshal(content)
-	if err != nil {
-		return nil, fmt.Errorf("directory: encode for a peer: %w", err)
-	}
-	return encoded, nil
-}
-
 // Import merges the newer parts of another router's export. from names that router in logs.
 func (f *Follower) Import(from string, encoded []byte) error {
 	var content peerExport
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -87,6 +87,9 @@
 	// known summarizes state for readers that must not wait for an update: mu is held while a
 	// snapshot is delivered.
 	known atomic.Pointer[summary]
+	// generation counts the updates of state.
+	generation uint64
+	exports    *exports
 	// delivered is the order of the last snapshot passed to OnChange; zero before the first.
 	delivered config.SnapshotOrder
 	// recoveredAt is when the targets feed last recovered from an outage in which entries may
@@ -118,6 +121,7 @@
 		role:      newRoleTracker(options),
 		callTimes: map[string]*callTimes{feedConfigurations: {}, feedTargets: {}},
 		reprobes:  newReprobes(),
+		exports:   newExports(),
 		wake:      make(chan struct{}, 1),
 		ready:     make(chan struct{}),
 	}
@@ -216,6 +220,7 @@
 	defer f.mu.Unlock()
 	before, listedBefore, revisionBefore := f.state.configuration.Version, f.state.listed, f.state.revision
 	evacuatedBefore := f.state.evacuatedDataCentres()
+	f.generation++
 	f.state.change(apply)
 	f.known.Store(&summary{order: f.state.order(), listed: f.state.listed, peerSynced: f.state.peerSynced})
 	if f.state.configuration.Version != before {
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -304,7 +304,7 @@
 		time.Sleep(time.Second)
 		other.targets.set(removalOf("a"))
 		synctest.Wait()
-		encoded, err := other.follower.Export(Cursor{})
+		encoded, err := other.follower.Export(t.Context(), Cursor{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -338,7 +338,7 @@
 func TestOlderPeerExportIsIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, other := startPair(t)
-		old, err := other.follower.Export(Cursor{})
+		old, err := other.follower.Export(t.Context(), Cursor{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -389,7 +389,7 @@
 		other.targets.set(targetEntry("e"))
 		other.targets.set(removalOf("a"))
 		synctest.Wait()
-		encoded, err := other.follower.Export(cursor)
+		encoded, err := other.follower.Export(t.Context(), cursor)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/directory/lapse_test.go
+++ b/directory/lapse_test.go
@@ -32,7 +32,7 @@
 		one.targets.set(targetEntry("e"))
 		one.targets.setDown(false)
 		time.Sleep(time.Second)
-		encoded, err := one.follower.Export(other.follower.Cursor())
+		encoded, err := one.follower.Export(t.Context(), other.follower.Cursor())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/directory/restore_test.go
+++ b/directory/restore_test.go
@@ -255,7 +255,7 @@
 // sendUpdates passes on what one router knows and another does not.
 func sendUpdates(t *testing.T, from, to *harness) {
 	t.Helper()
-	encoded, err := from.follower.Export(to.follower.Cursor())
+	encoded, err := from.follower.Export(t.Context(), to.follower.Cursor())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -340,7 +340,7 @@
 		s := startPopulated(t)
 		s.write(startedEntry("a", 7))
 		s.write(removalOf("a"))
-		encoded, err := s.follower.Export(Cursor{})
+		encoded, err := s.follower.Export(t.Context(), Cursor{})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/router/peers.go
+++ b/router/peers.go
@@ -56,7 +56,7 @@
 	switch method {
 	case methodConfig:
 		if h.router.managed != nil {
-			return h.serveDirectory(payload)
+			return h.serveDirectory(ctx, payload)
 		}
 		return h.serveConfig(payload)
 	case methodStatus:
@@ -85,12 +85,12 @@
 	return update.Encode()
 }
 
-func (h peerHandler) serveDirectory(payload []byte) ([]byte, error) {
+func (h peerHandler) serveDirectory(ctx context.Context, payload []byte) ([]byte, error) {
 	var cursor directory.Cursor
 	if err := json.Unmarshal(payload, &cursor); err != nil {
 		return nil, fmt.Errorf("read the request for the directory: %w", err)
 	}
-	return h.router.directory.Export(cursor)
+	return h.router.directory.Export(ctx, cursor)
 }
 
 func (h peerHandler) serveStatus(ctx context.Context, payload []byte) ([]byte, error) {
