Targets: interim answers without end are refused

More than 32 interim answers before an answer are an error of the target now; each fits into the read buffer of 16 KiB, so their bytes are bounded too.

TestInterimAnswersWithoutEndAreRefused failed before in both cases (fast: all bytes read; slow: 10 s); now the connection is closed within 5 MB and 1.5 s.

--- a/targets/exchange.go
+++ b/targets/exchange.go
@@ -70,9 +70,16 @@
 	return readHead(ex.conn) == nil
 }
 
-// readHead reads the head of the answer and skips interim answers (1xx).
+// maxInterimAnswers bounds the interim answers (1xx) before an answer. Each has to fit into the
+// read buffer.
+const maxInterimAnswers = 32
+
+// errInterimAnswers reports a target that sends interim answers without end.
+var errInterimAnswers = errors.New("target: too many interim answers")
+
+// readHead reads the head of the answer and skips interim answers.
 func readHead(cn *conn) error {
-	for {
+	for range maxInterimAnswers + 1 {
 		if err := cn.answer.Read(cn.reader); err != nil {
 			return err
 		}
@@ -80,6 +87,7 @@
 			return nil
 		}
 	}
+	return errInterimAnswers
 }
 
 // maxStrays bounds the answers to earlier requests that are skipped, and maxStrayBytes the body
