Targets: a trailer without end does not hold up a complete answer

The last chunk ends the content. A trailer beyond 16 KiB or half a second is not read to its end any more: the answer is complete, the connection is closed, walnut_target_failures_total{reason="trailer_too_long"} counts it. A connection that is closed inside the trailer breaks the answer, as before.

--- a/targets/body.go
+++ b/targets/body.go
@@ -8,6 +8,7 @@
 	"net/http/httputil"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -118,10 +119,16 @@
 	if err != io.EOF {
 		return n, b.fail(err)
 	}
-	if err := skipTrailer(b.ex.conn.reader); err != nil {
+	switch err := b.skipTrailer(); {
+	case err == nil:
+		b.finish(io.EOF, b.keepAlive)
+	case errors.Is(err, errTrailer):
+		// The last chunk has arrived, so the content is complete.
+		b.ex.counters.countFailure(reasonTrailer)
+		b.finish(io.EOF, false)
+	default:
 		return n, b.fail(err)
 	}
-	b.finish(io.EOF, b.keepAlive)
 	return n, io.EOF
 }
 
@@ -154,17 +161,33 @@
 	return err
 }
 
+const (
+	// maxTrailerBytes bounds the trailer of a chunked body.
+	maxTrailerBytes = 16 << 10
+	// trailerTimeout bounds the wait for its end, which arrives with the last chunk as a rule.
+	trailerTimeout = 500 * time.Millisecond
+)
+
+// errTrailer reports that the trailer of a chunked body is too long or does not end in time.
+var errTrailer = errors.New("target: trailer without an end")
+
 // skipTrailer reads to the empty line that ends a chunked body.
-func skipTrailer(r *bufio.Reader) error {
-	for {
-		line, err := r.ReadSlice('\n')
-		if err != nil {
+func (b *body) skipTrailer() error {
+	b.ex.conn.readDeadline = time.Now().Add(trailerTimeout)
+	defer func() { b.ex.conn.readDeadline = noDeadline }()
+	for read := 0; read <= maxTrailerBytes; {
+		line, err := b.ex.conn.reader.ReadSlice('\n')
+		read += len(line)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull) || isTimeout(err):
+			return errTrailer
+		case err != nil:
 			return err
-		}
-		if len(line) == 1 || (len(line) == 2 && line[0] == '\r') {
+		case len(line) == 1 || len(line) == 2 && line[0] == '\r':
 			return nil
 		}
 	}
+	return errTrailer
 }
 
 // fail ends the body with a typed error that is not io.EOF.
--- a/targets/counters.go
+++ b/targets/counters.go
@@ -37,13 +37,15 @@
 	reasonStray reason = "stray_answer"
 	// reasonUnsealed counts successes without the targets' seal header.
 	reasonUnsealed reason = "unsealed"
+	// reasonTrailer counts chunked answers that were complete but for the end of their trailer.
+	reasonTrailer reason = "trailer_too_long"
 )
 
 var allReasons = []reason{
 	reasonBadRequest, reasonCancelledEarly, reasonTargetLeft, reasonConnect, reasonConnectTimeout,
 	reasonWriteNothing, reasonWritePartial, reasonNotRun, reasonFirstByteTimeout,
 	reasonClosedBeforeHead, reasonBadHead, reasonCancelled, reasonTruncated,
-	reasonUnframed, reasonCutEvent, reasonStalled, reasonClosedUnread, reasonStray, reasonUnsealed,
+	reasonUnframed, reasonCutEvent, reasonStalled, reasonClosedUnread, reasonStray, reasonUnsealed, reasonTrailer,
 }
 
 // counters count calls and their failures. Requests, load polls and orders have separate
