Events: a stream that goes on without an event is given up

Nothing is passed on before the first event is complete. A stream without a first event within 1 MiB, or without a further one within 4 MiB, has broken: it is run again or resumed on another target where the route allows that, and the run counts as lost for the target. Parts of an event only count as silence, so another target is asked beside one that sends them slowly; comments do not, as targets may send them to keep a stream open.

TestStreamWithoutAnEventIsGivenUp (8 cases) and TestStreamThatStopsSendingEventsIsCut (8) failed before, all bytes read; TestPartsOfAnEventCountAsSilence guards slow parts.

--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -12,6 +12,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -26,6 +27,7 @@
 	"github.com/walnutcove/walnutcove/eventstream"
 	"github.com/walnutcove/walnutcove/filters/hedge"
 	"github.com/walnutcove/walnutcove/pipeline"
+	"github.com/walnutcove/walnutcove/result"
 	"github.com/walnutcove/walnutcove/targets"
 	"github.com/walnutcove/walnutcove/wait"
 )
@@ -38,6 +40,13 @@
 	maxEventBytes  = 1 << 20
 )
 
+// maxPendingBytes is how many bytes may arrive after an event without completing another one.
+// Before the first event, the limit is maxEventBytes.
+const maxPendingBytes = 4 << 20
+
+// errNoEvent reports a target whose stream goes on without an event.
+var errNoEvent = errors.New("events: the stream goes on without an event")
+
 var (
 	resumedCount      = metrics.GetOrCreateCounter(`walnut_events_resumes_total{result="resumed"}`)
 	resumeFailedCount = metrics.GetOrCreateCounter(`walnut_events_resumes_total{result="failed"}`)
@@ -45,6 +54,8 @@
 	brokenCount       = metrics.GetOrCreateCounter(`walnut_events_streams_total{result="broken"}`)
 	// splitCount counts parts of events that were relayed as there was no room to hold more.
 	splitCount = metrics.GetOrCreateCounter(`walnut_events_split_total`)
+	// noEventCount counts streams that were given up as they went on without an event.
+	noEventCount = metrics.GetOrCreateCounter(`walnut_events_without_event_total`)
 	// prefetchFullCount counts the times at which there was no room to read further ahead.
 	prefetchFullCount = metrics.GetOrCreateCounter(`walnut_events_prefetch_full_total`)
 	callerGoneCount   = metrics.GetOrCreateCounter(`walnut_events_streams_total{result="caller_gone"}`)
@@ -99,7 +110,7 @@
 	s.watch = hedge.New(s.ctx, s.ex, hedge.Options{
 		Open:    s.relay.Reopen,
 		Limit:   func() time.Duration { return hedge.SilenceLimit(s.ex, s.relay.Lag) },
-		Allowed: s.mayResume,
+		Allowed: func() bool { return s.mayHedge.Load() && !s.closed.Load() },
 		MaxRuns: s.ex.Route.Attempts,
 		Events:  true,
 		Log:     s.relay.Log,
@@ -135,6 +146,8 @@
 	// sourceErr is why the source ended; nil while it is open.
 	sourceErr error
 	endOnce   sync.Once
+	// mayHedge is the result of mayResume at the beginning of a wait for the source.
+	mayHedge atomic.Bool
 	// closed is set by Close.
 	closed atomic.Bool
 }
@@ -185,19 +198,17 @@
 			s.recordLastID()
 			return nil
 		}
-		length := len(s.buffer)
+		s.mayHedge.Store(s.mayResume())
 		s.watch.Begin(s.closeSource)
-		n, err := s.source.Read(s.buffer[length:cap(s.buffer)])
+		err := s.readEvent()
 		if other := s.watch.End(err != nil && err != io.EOF); other != nil {
 			s.continueOn(other, err)
 			continue
 		}
-		if n > 0 {
-			s.ex.MarkTargetHeard()
-		}
-		s.buffer = s.buffer[:length+n]
-		s.scanner.Scan(s.buffer[length:])
 		s.sourceErr = err
+		if errors.Is(err, errNoEvent) {
+			continue
+		}
 		s.markReady(err == io.EOF)
 		s.anyReady = s.anyReady || s.readyBytes > 0
 		s.recordLastID()
@@ -205,6 +216,42 @@
 	return nil
 }
 
+// readEvent reads from the source once, and again while a part of an event is all that has
+// arrived and the buffer has room: a target that sends parts only counts as silent.
+func (s *stream) readEvent() error {
+	for {
+		length := len(s.buffer)
+		n, err := s.source.Read(s.buffer[length:cap(s.buffer)])
+		if n > 0 {
+			s.ex.MarkTargetHeard()
+		}
+		s.buffer = s.buffer[:length+n]
+		s.scanner.Scan(s.buffer[length:])
+		err = s.checkPending(err)
+		isPart := s.scanner.IsInsideEvent() && s.scanner.CompleteBytes() <= s.passedBytes
+		if err != nil || !isPart || !s.canResume() || len(s.buffer) >= maxEventBytes {
+			return err
+		}
+		if len(s.buffer) == cap(s.buffer) && !s.grow() {
+			return nil
+		}
+	}
+}
+
+// checkPending returns the error of a read, or the reason why the stream is not read any further.
+func (s *stream) checkPending(err error) error {
+	limit := int64(maxPendingBytes)
+	if s.scanner.CompleteBytes() == 0 {
+		limit = maxEventBytes
+	}
+	if err != nil || s.scanner.PendingBytes() < limit {
+		return err
+	}
+	noEventCount.Inc()
+	_ = s.source.Close()
+	return result.Wrap(result.StreamBroken, errNoEvent, "The target's stream goes on without an event.")
+}
+
 // grow doubles the buffer, and reports whether there was room.
 func (s *stream) grow() bool {
 	size := cap(s.buffer)
@@ -216,9 +263,10 @@
 }
 
 // markReady sets readyBytes: up to the end of the last complete event, or all bytes if
-// the stream has ended, cannot be resumed anyway or has filled the buffer.
+// the stream has ended, has begun and cannot be resumed anyway, or has filled the buffer.
 func (s *stream) markReady(atEOF bool) {
-	if atEOF || !s.canResume() || len(s.buffer) >= maxEventBytes {
+	hasBegun := s.scanner.CompleteBytes() > 0
+	if atEOF || hasBegun && !s.canResume() || len(s.buffer) >= maxEventBytes {
 		s.readyBytes = len(s.buffer)
 		return
 	}
