Events: comments count as silence too; a target that only sends them is hedged

The limit on silence follows from the predicted start, so a sound target that keeps a connection open by comments is asked beside, not left.

--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -87,9 +87,6 @@
 // PendingBytes returns the length of the stream since the end of its last complete event.
 func (s *Scanner) PendingBytes() int64 { return s.scanned - s.complete }
 
-// IsInsideEvent reports whether a part of an event has arrived, comments and empty lines apart.
-func (s *Scanner) IsInsideEvent() bool { return s.inEvent || s.inLine && !s.isComment }
-
 // endLine ends the current line and reports whether it ends an event.
 func (s *Scanner) endLine() bool {
 	if s.inLine {
--- a/filters/events/endless_test.go
+++ b/filters/events/endless_test.go
@@ -106,10 +106,10 @@
 	}
 }
 
-// TestPartsOfAnEventCountAsSilence guards against a stream that waits until its deadline for a
-// target that sends a few bytes of an event at a time and never completes it.
-func TestPartsOfAnEventCountAsSilence(t *testing.T) {
-	for _, name := range []string{"one line", "one event", "no lines"} {
+// TestBytesWithoutAnEventCountAsSilence guards against a stream that waits until its deadline for a
+// target that sends a few bytes at a time and never completes an event.
+func TestBytesWithoutAnEventCountAsSilence(t *testing.T) {
+	for name, part := range uselessParts {
 		t.Run(name, func(t *testing.T) {
 			ex, target := startStream(t, noopRun{}, func(attempt *pipeline.Exchange) (*targets.Response, error) {
 				attempt.Run = noopRun{}
@@ -117,7 +117,7 @@
 			})
 			go func() {
 				for {
-					if _, err := io.WriteString(target, uselessParts[name]); err != nil {
+					if _, err := io.WriteString(target, part); err != nil {
 						return
 					}
 					time.Sleep(10 * time.Millisecond)
--- a/filters/events/events.go
+++ b/filters/events/events.go
@@ -216,8 +216,8 @@
 	return nil
 }
 
-// readEvent reads from the source once, and again while a part of an event is all that has
-// arrived and the buffer has room: a target that sends parts only counts as silent.
+// readEvent reads from the source until an event is complete or the buffer has no room: a target
+// that sends only parts of an event, or comments, counts as silent.
 func (s *stream) readEvent() error {
 	for {
 		length := len(s.buffer)
@@ -228,8 +228,8 @@
 		s.buffer = s.buffer[:length+n]
 		s.scanner.Scan(s.buffer[length:])
 		err = s.checkPending(err)
-		isPart := s.scanner.IsInsideEvent() && s.scanner.CompleteBytes() <= s.passedBytes
-		if err != nil || !isPart || !s.canResume() || len(s.buffer) >= maxEventBytes {
+		hasEvent := s.scanner.CompleteBytes() > s.passedBytes
+		if err != nil || hasEvent || !s.canResume() || len(s.buffer) >= maxEventBytes {
 			return err
 		}
 		if len(s.buffer) == cap(s.buffer) && !s.grow() {
