Retry: an answer that is no HTTP is retried where the route allows it

Idempotent requests and streams that may be resumed ended with 502 when a target answered with bytes that are no head, though another target was free; a target that closed without an answer led to a retry. Both say the same: the request may have run, and the target sent no answer.

--- a/filters/retry/retry.go
+++ b/filters/retry/retry.go
@@ -197,7 +197,7 @@
 	switch refusal.Code {
 	case result.ConnectFailed, result.TargetRefused, result.TargetLeft:
 		return refusal, true
-	case result.TargetLostRequest, result.StreamBroken:
+	case result.TargetLostRequest, result.StreamBroken, result.TargetError:
 		return refusal, ex.Idempotent || refusal.Ran == result.RanNo
 	case result.FirstByteTimeout, result.AnswerTooSlow:
 		return refusal, ex.Route != nil && ex.Idempotent
