Route: a router that knows that it is behind does not answer 404 or 401

Callers give up at a 404 or 401, and come back at a 503. A router that had heard of a newer version, and was fetching it, refused requests for routes and keys of that version as unknown.

While peers announce a newer version, an unknown path or key is refused with 503, code 108 version_behind, and a Retry-After of some hundred milliseconds.

This is no cure for being late: a router that has heard of nothing newer refuses as before.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -87,6 +87,8 @@
 	// known summarizes state for readers that must not wait for an update: mu is held while a
 	// snapshot is delivered.
 	known atomic.Pointer[summary]
+	// announced is the newest version that peers announced; nil if there is none.
+	announced atomic.Pointer[announcement]
 	// generation counts the updates of state.
 	generation uint64
 	exports    *exports
--- a/filters/requestlog/requestlog.go
+++ b/filters/requestlog/requestlog.go
@@ -96,7 +96,8 @@
 // versionAttrs describes the configuration version by which a request was refused, for the
 // codes that a newer version may turn into an answer.
 func versionAttrs(ex *pipeline.Exchange, code result.Code) []slog.Attr {
-	if code != result.UnknownPath && code != result.KeyWrong || ex.Snapshot == nil {
+	isByVersion := code == result.UnknownPath || code == result.KeyWrong || code == result.VersionBehind
+	if !isByVersion || ex.Snapshot == nil {
 		return nil
 	}
 	attrs := []slog.Attr{slog.Uint64("version", uint64(ex.Snapshot.Version))}
--- a/filters/route/route.go
+++ b/filters/route/route.go
@@ -34,7 +34,7 @@
 )
 
 var refusals = codecounter.New("walnut_route_refusals_total",
-	result.NotReady, result.UnknownPath, result.KeyMissing, result.KeyWrong, result.BadHeader)
+	result.NotReady, result.VersionBehind, result.UnknownPath, result.KeyMissing, result.KeyWrong, result.BadHeader)
 
 // Source provides the configuration in force.
 type Source interface {
@@ -53,6 +53,9 @@
 	// Lag returns by how much this process lags behind in reading arriving requests;
 	// nil means that it never lags.
 	Lag func() time.Duration
+	// IsBehind reports whether a newer configuration version is known of and not in force here
+	// yet; nil means that there is none.
+	IsBehind func() bool
 }
 
 // Filter determines the route of each request, and what follows from it.
@@ -68,6 +71,7 @@
 // deadline.
 func (f *Filter) Serve(ctx context.Context, ex *pipeline.Exchange, next pipeline.Handler) error {
 	if refusal := f.resolve(ex); refusal != nil {
+		refusal = f.orBehind(refusal)
 		refusals.Inc(refusal.Code)
 		return refusal
 	}
@@ -76,12 +80,24 @@
 	return next(ctx, ex)
 }
 
+// orBehind replaces the refusal of an unknown path or key while a newer version is being
+// fetched, which may have it: the caller is told to come back instead of giving up.
+func (f *Filter) orBehind(refusal *result.Error) *result.Error {
+	isUnknown := refusal.Code == result.UnknownPath || refusal.Code == result.KeyWrong
+	if !isUnknown || f.options.IsBehind == nil || !f.options.IsBehind() {
+		return refusal
+	}
+	return result.Wrap(result.VersionBehind, refusal, "%s", result.VersionBehind.Info().Meaning).WithRetryAfter(retryAfter())
+}
+
+// retryAfter returns when a caller may come back to a router that lacks a version.
+func retryAfter() time.Duration { return minRetryAfter + rand.N(maxRetryAfter-minRetryAfter) }
+
 // resolve sets the snapshot, the route and all fields that follow from them.
 func (f *Filter) resolve(ex *pipeline.Exchange) *result.Error {
 	ex.Snapshot = f.options.Source.InForce()
 	if ex.Snapshot == nil {
-		retryAfter := minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
-		return result.New(result.NotReady, "No configuration version is in force yet.").WithRetryAfter(retryAfter)
+		return result.New(result.NotReady, "No configuration version is in force yet.").WithRetryAfter(retryAfter())
 	}
 	ex.Route = ex.Snapshot.Index().RouteOf(ex.Host, ex.Path)
 	if ex.Route == nil {
--- a/result/codes.go
+++ b/result/codes.go
@@ -13,6 +13,7 @@
 	SlowSender       Code = 105
 	MethodNotAllowed Code = 106
 	HeldBytesFull    Code = 107
+	VersionBehind    Code = 108
 
 	// authenticate: 200-299.
 	KeyMissing Code = 201
@@ -110,6 +111,7 @@
 	{SlowSender, "slow_sender", "accept", 408, RanNo, true, "The request did not arrive within the read time limit."},
 	{MethodNotAllowed, "method_not_allowed", "accept", 405, RanNo, false, "The path does not take this method."},
 	{HeldBytesFull, "held_bytes_full", "accept", 503, RanNo, true, "The router holds too many bytes of requests, or too many of this workspace."},
+	{VersionBehind, "version_behind", "accept", 503, RanNo, true, "The router is fetching a newer configuration version, which may have the path or key that it does not know."},
 	{KeyMissing, "key_missing", "authenticate", 401, RanNo, false, "No workspace key was sent."},
 	{KeyWrong, "key_wrong", "authenticate", 401, RanNo, false, "The workspace key is not known."},
 	{UnknownModel, "unknown_model", "classify", 404, RanNo, false, "No pool serves this model."},
--- a/router/routed.go
+++ b/router/routed.go
@@ -46,6 +46,7 @@
 			Dialect:         r.dialect(),
 			DefaultDeadline: time.Duration(limits.DefaultDeadline),
 			Lag:             r.overload.currentLag,
+			IsBehind:        r.directory.IsBehind,
 		}),
 		detach.New(r.log),
 		&quarantine.Filter{Set: &r.quarantineSet},
--- a/router/shell.go
+++ b/router/shell.go
@@ -73,6 +73,7 @@
 func (r *Router) versionSeen(seen control.VersionSeen) {
 	if r.managed != nil {
 		announced := config.SnapshotOrder{Version: config.Version(seen.Version), Config: seen.ConfigRevision, Targets: seen.TargetsRevision}
+		r.directory.Announced(announced)
 		r.fetcher.Announced(seen.From, func() bool { return r.directory.Lacks(announced) })
 		return
 	}
