Directory: a pause of this process is not taken for a peer's silence

The time by which a check of the fetches is overdue does not count as silence. One timer checks them all.

TestPauseOfThisProcessIsNotSilence fails without the correction (a second peer is asked).

--- a/directory/fetch/fetch.go
+++ b/directory/fetch/fetch.go
@@ -21,6 +21,8 @@
 	// stalledAfter is the time without a byte of the answer after which another peer is asked
 	// as well. Peers answer within some milliseconds.
 	stalledAfter = 200 * time.Millisecond
+	// checkInterval is the interval at which fetches are checked for that.
+	checkInterval = stalledAfter / 4
 	// maxFetches is the largest number of fetches in progress.
 	maxFetches = 3
 	// searchTime is the time without a byte of the answer after which, of maxFetches in progress,
@@ -71,6 +73,9 @@
 	// asked holds the peers that were asked since a fetch last succeeded.
 	asked    map[control.NodeID]bool
 	patience time.Duration
+	// check fires at checkAt, as long as fetches are in progress.
+	check   *time.Timer
+	checkAt time.Time
 }
 
 // candidate is a peer that announced a newer directory.
@@ -90,8 +95,6 @@
 	bytes      int
 	// merging reports that the answer is complete and being merged.
 	merging bool
-	// check fires when the fetch may have stalled.
-	check *time.Timer
 }
 
 // New returns a Fetcher.
@@ -116,6 +119,7 @@
 // schedule begins the next fetch if there is a reason to. f.mu must be held.
 func (f *Fetcher) schedule() {
 	now := time.Now()
+	f.discountLag(now)
 	for _, in := range f.inProgress {
 		if !in.isStalled(now, stalledAfter) {
 			return
@@ -186,20 +190,43 @@
 	in := &fetch{node: node, cancel: cancel, startedAt: now, progressAt: now}
 	f.inProgress = append(f.inProgress, in)
 	f.asked[node] = true
-	in.check = time.AfterFunc(stalledAfter, func() { f.checkStalled(in) })
+	if len(f.inProgress) == 1 {
+		f.armCheck()
+	}
 	go f.run(ctx, in)
 }
 
-// checkStalled begins another fetch once one has stalled. It is repeated until the fetch ends,
-// as the fetch may be replaced later.
-func (f *Fetcher) checkStalled(in *fetch) {
+// armCheck sets when the fetches are checked next. f.mu must be held.
+func (f *Fetcher) armCheck() {
+	f.checkAt = time.Now().Add(checkInterval)
+	if f.check == nil {
+		f.check = time.AfterFunc(checkInterval, f.checkStalled)
+		return
+	}
+	f.check.Reset(checkInterval)
+}
+
+// checkStalled begins another fetch if those in progress have stalled.
+func (f *Fetcher) checkStalled() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !slices.Contains(f.inProgress, in) {
+	if len(f.inProgress) > 0 {
+		f.schedule()
+		f.armCheck()
+	}
+}
+
+// discountLag extends the fetches in progress by the time for which a check is overdue: this process
+// did not run, and answers may wait to be read. f.mu must be held.
+func (f *Fetcher) discountLag(now time.Time) {
+	lag := now.Sub(f.checkAt)
+	if lag <= 0 {
 		return
 	}
-	f.schedule()
-	in.check.Reset(stalledAfter)
+	for _, in := range f.inProgress {
+		in.progressAt = in.progressAt.Add(lag)
+	}
+	f.checkAt = now
 }
 
 // run carries out a fetch and begins the next one.
@@ -276,6 +303,5 @@
 
 // remove removes a fetch from those in progress. f.mu must be held.
 func (f *Fetcher) remove(in *fetch) {
-	in.check.Stop()
 	f.inProgress = slices.DeleteFunc(f.inProgress, func(other *fetch) bool { return other == in })
 }
--- a/directory/fetch/fetch_test.go
+++ b/directory/fetch/fetch_test.go
@@ -164,3 +164,27 @@
 		}
 	})
 }
+
+// TestPauseOfThisProcessIsNotSilence guards against giving up, after a pause of this process, fetches
+// whose answers have arrived meanwhile and wait to be read.
+func TestPauseOfThisProcessIsNotSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePeers{delay: map[control.NodeID]time.Duration{"n0": 20 * time.Millisecond, "n1": 20 * time.Millisecond}}
+		f := New(Options{Call: p.call, Merge: func(control.NodeID, []byte) error { return nil }, Log: slog.New(slog.DiscardHandler)})
+		f.Announced("n0", func() bool { return true })
+		synctest.Wait()
+		f.mu.Lock()
+		f.checkAt = f.checkAt.Add(-10 * time.Second) // as if time had passed without a check
+		f.inProgress[0].progressAt = f.inProgress[0].progressAt.Add(-10 * time.Second)
+		f.mu.Unlock()
+		f.Announced("n1", func() bool { return true })
+		synctest.Wait()
+		p.mu.Lock()
+		asked := slices.Clone(p.asked)
+		p.mu.Unlock()
+		if len(asked) != 1 {
+			t.Errorf("asked %v while an answer may wait to be read", asked)
+		}
+		time.Sleep(time.Minute)
+	})
+}
