--- a/managedtest/endless_test.go
+++ b/managedtest/endless_test.go
@@ -65,6 +65,7 @@
 	if err != nil {
 		return
 	}
+	_ = conn.(*net.TCPConn).SetWriteBuffer(64 << 10) // or megabytes that nobody reads would count
 	r.requests.Add(1)
 	r.open.Add(1)
 	defer r.open.Add(-1)
--- a/targets/endless_test.go
+++ b/targets/endless_test.go
@@ -18,18 +18,39 @@
 )
 
 const (
-	// maxUselessBytes is how many bytes that are no part of an answer a target may get rid of
-	// before its connection is closed, those in the buffers of the sockets included.
-	maxUselessBytes = 5 << 20
+	// maxUselessBytes is how many bytes that are no part of an answer may be read.
+	maxUselessBytes = 1 << 20
 	// maxWaste is how long bytes that are no part of an answer may hold up a request.
 	maxWaste = 1500 * time.Millisecond
 )
 
+// countedConn counts the bytes that are read from it.
+type countedConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// countReads returns an option that counts the bytes read from all connections.
+func countReads() (dial func(ctx context.Context, address string) (net.Conn, error), read *atomic.Int64) {
+	read = &atomic.Int64{}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		return countedConn{conn, read}, err
+	}, read
+}
+
 // endlessServer answers each request with begin and then writes part again and again, every pause
-// if there is one, until the connection is closed. sent counts the bytes that it got rid of.
-func endlessServer(t *testing.T, begin, part string, pause time.Duration) (address string, sent *atomic.Int64, open *atomic.Int32) {
+// if there is one, until the connection is closed. open counts the connections on which it writes.
+func endlessServer(t *testing.T, begin, part string, pause time.Duration) (address string, open *atomic.Int32) {
 	t.Helper()
-	sent, open = &atomic.Int64{}, &atomic.Int32{}
+	open = &atomic.Int32{}
 	if pause == 0 {
 		part = strings.Repeat(part, 1+(64<<10)/len(part))
 	}
@@ -39,16 +60,16 @@
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 			return
 		}
-		for text := begin; sent.Load() < 20*maxUselessBytes; text = part {
+		for text, sent := begin, 0; sent < 100*maxUselessBytes; text = part {
 			n, err := io.WriteString(c, text)
-			sent.Add(int64(n))
+			sent += n
 			if err != nil {
 				return
 			}
 			time.Sleep(pause)
 		}
 	})
-	return address, sent, open
+	return address, open
 }
 
 // TestInterimAnswersWithoutEndAreRefused guards against reading interim answers from a target
@@ -57,8 +78,9 @@
 	for name, pause := range map[string]time.Duration{"fast": 0, "slow": 10 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
 			set := metrics.NewSet()
-			client := newClient(t, targets.Options{Metrics: set, FirstByteTimeout: 10 * time.Second})
-			address, sent, open := endlessServer(t, "", "HTTP/1.1 103 Early Hints\r\nLink: </a.css>; rel=preload\r\n\r\n", pause)
+			dial, read := countReads()
+			client := newClient(t, targets.Options{Metrics: set, FirstByteTimeout: 10 * time.Second, Dial: dial})
+			address, open := endlessServer(t, "", "HTTP/1.1 103 Early Hints\r\nLink: </a.css>; rel=preload\r\n\r\n", pause)
 			start := time.Now()
 			_, err := client.Do(context.Background(), targets.Request{Address: address, Method: "GET", Path: "/"})
 			wantError(t, err, result.TargetError, result.RanUnknown)
@@ -66,7 +88,7 @@
 				t.Errorf("the request ended after %s", took)
 			}
 			eventually(t, "the end of the connection", func() bool { return open.Load() == 0 })
-			if got := sent.Load(); got > maxUselessBytes {
+			if got := read.Load(); got > maxUselessBytes {
 				t.Errorf("%d bytes were read", got)
 			}
 			if count(set, "bad_head") != 1 {
@@ -89,3 +111,28 @@
 		t.Errorf("body %q, error %v", body, err)
 	}
 }
+
+// TestPollsAreBounded guards against reading a target's report of itself without end.
+func TestPollsAreBounded(t *testing.T) {
+	const (
+		maxReportBytes = 4 << 20 // a report of 1 MiB in chunks of eight bytes, and what is read ahead
+		head           = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	)
+	for name, begin := range map[string]string{
+		"chunks":   head + "Transfer-Encoding: chunked\r\n\r\n",
+		"unframed": head + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, open := endlessServer(t, begin, "8\r\nxxxxxxxx\r\n", 0)
+			dial, read := countReads()
+			client := newClient(t, targets.Options{Dial: dial})
+			if _, err := client.Get(context.Background(), address, "/load", nil); err == nil {
+				t.Error("a report without an end was read")
+			}
+			eventually(t, "the end of the connection", func() bool { return open.Load() == 0 })
+			if got := read.Load(); got > maxReportBytes {
+				t.Errorf("%d bytes were read", got)
+			}
+		})
+	}
+}
--- a/targets/trailer_test.go
+++ b/targets/trailer_test.go
@@ -25,8 +25,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			set := metrics.NewSet()
-			client := newClient(t, targets.Options{Metrics: set})
-			address, sent, open := endlessServer(t, chunkedHead+"5\r\nhello\r\n0\r\n", tc.trailer, tc.pause)
+			dial, read := countReads()
+			client := newClient(t, targets.Options{Metrics: set, Dial: dial})
+			address, open := endlessServer(t, chunkedHead+"5\r\nhello\r\n0\r\n", tc.trailer, tc.pause)
 			start := time.Now()
 			resp, err := client.Do(context.Background(), targets.Request{Address: address, Method: "GET", Path: "/"})
 			if err != nil {
@@ -40,7 +41,7 @@
 				t.Errorf("the answer ended after %s", took)
 			}
 			eventually(t, "the end of the connection", func() bool { return open.Load() == 0 })
-			if got := sent.Load(); got > maxUselessBytes {
+			if got := read.Load(); got > maxUselessBytes {
 				t.Errorf("%d bytes were read", got)
 			}
 			if count(set, "trailer_too_long") != 1 {
