--- a/directory/fetch/fetch.go
+++ b/directory/fetch/fetch.go
@@ -234,7 +234,7 @@
 	defer in.cancel(nil)
 	encoded, err := f.options.Call(ctx, in.node, func(count int) { f.noteProgress(in, count) })
 	fetchTime.UpdateDuration(in.startedAt)
-	if cause := context.Cause(ctx); cause != nil {
+	if cause := context.Cause(ctx); err != nil && cause != nil {
 		err = cause
 	}
 	if err == nil {
