Directory: one call to the store at a time may take long

A router gave up each call to the store after two seconds and made another one: from a store that needs longer for each answer, or at a router that does, nothing was ever learned.

One call at a time may take ten seconds; the others, which find out soon that the store is back, are as before. No calls are added.

--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -26,6 +26,24 @@
 	historyLost bool
 	loads       int
 	changed     chan struct{}
+	// delay is how long after it is due each answer arrives.
+	delay time.Duration
+}
+
+// late waits for the delay of an answer; the error is that of ctx.
+func (f *fakeFeed[T]) late(ctx context.Context) error {
+	f.mu.Lock()
+	delay := f.delay
+	f.mu.Unlock()
+	if delay == 0 {
+		return nil
+	}
+	select {
+	case <-time.After(delay):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 func newFeed[T any]() *fakeFeed[T] {
@@ -65,6 +83,9 @@
 		<-ctx.Done()
 		return Listing[T]{}, ctx.Err()
 	}
+	if err := f.late(ctx); err != nil {
+		return Listing[T]{}, err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.loads++
@@ -107,12 +128,12 @@
 			return Listing[T]{}, errDown
 		}
 		if len(listing.Entries) > 0 {
-			return listing, nil
+			return listing, f.late(ctx)
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return listing, nil
+			return listing, f.late(ctx)
 		case <-ctx.Done():
 			return Listing[T]{}, ctx.Err()
 		}
--- a/directory/poller.go
+++ b/directory/poller.go
@@ -40,9 +40,11 @@
 	// platform allows. Routers that followed the feeds before do not have to load everything and
 	// learn of the platform's changes soon after its recovery.
 	loadPausePerRouter = 10 * time.Millisecond
-	// callTimeout is how long a call may take in addition to its hold. Longer calls are of no
-	// use, because the next one follows within maxRetryPause.
+	// callTimeout is how long a call may take in addition to its hold.
 	callTimeout = 2 * time.Second
+	// patientCallTimeout is the same for one call at a time: if the store, or this router, needs
+	// longer than callTimeout for each answer, some call must be given that time.
+	patientCallTimeout = 10 * time.Second
 	// holdJitter is the jittered part of a hold. It keeps the calls of routers that started
 	// together from ending in step, so that one of them detects a silent platform early.
 	holdJitter = 0.1
@@ -99,6 +101,8 @@
 type callResult[T any] struct {
 	listing Listing[T]
 	err     error
+	// patient reports that the call was bounded by patientCallTimeout.
+	patient bool
 }
 
 // run follows the feed until ctx ends.
@@ -134,7 +138,9 @@
 	results := make(chan callResult[T])
 	p.checkReprobe()
 	hold := p.hold()
-	p.call(ctx, hold, results)
+	// A call that waits for changes may have been lost, so it is not the patient one.
+	patientPending := hold == 0
+	p.call(ctx, hold, patientPending, results)
 	retry := newRetry(hold + answerMargin)
 	defer retry.timer.Stop()
 	for {
@@ -151,10 +157,12 @@
 			if r.err == nil || reloadReason(r.err) != nil {
 				return r.listing, r.err
 			}
+			patientPending = patientPending && !r.patient
 			p.handleFailure(r.err, retry)
 		case <-retry.timer.C:
 			p.handleOverdue(retry)
-			p.call(ctx, 0, results)
+			p.call(ctx, 0, !patientPending, results)
+			patientPending = true
 		case <-reprobe:
 			return Listing[T]{}, errReprobe
 		case <-roleChanged:
@@ -244,13 +252,17 @@
 
 // call loads the feed, or asks for its changes and waits up to hold for them. It does not
 // block; the result is sent unless ctx ends first.
-func (p *poller[T]) call(ctx context.Context, hold time.Duration, results chan<- callResult[T]) {
+func (p *poller[T]) call(ctx context.Context, hold time.Duration, patient bool, results chan<- callResult[T]) {
 	loaded, after := p.loaded, p.after
+	timeout := callTimeout
+	if patient {
+		timeout = patientCallTimeout
+	}
 	p.times.noteCall()
 	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, hold+callTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, hold+timeout)
 		defer cancel()
-		var r callResult[T]
+		r := callResult[T]{patient: patient}
 		if loaded {
 			r.listing, r.err = p.feed.Follow(callCtx, after, hold)
 		} else {
