Metrics: the time of directory fetches is exported on a managed platform only

TestMetricsPage failed since the histogram was added: its fleet does not run on a managed platform, and an empty histogram is not exported. It joins the other one of that kind; TestVersionArrivesFromSlowPeers checks that it is exported where fetches take place.

--- a/devfleet/metrics_test.go
+++ b/devfleet/metrics_test.go
@@ -42,6 +42,7 @@
 	"walnut_directory_era",
 	// Measured on a managed platform only, and an empty histogram is not exported.
 	"walnut_router_lag_seconds",
+	"walnut_router_directory_fetch_seconds",
 }
 
 // TestMetricsPage checks that docs/METRICS.md lists exactly the metrics that a fleet
--- a/managedtest/slowpeers_test.go
+++ b/managedtest/slowpeers_test.go
@@ -1,10 +1,12 @@
 package managedtest
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,6 +37,11 @@
 	if took := time.Since(announced); took > maxVersionDelay {
 		t.Errorf("version %d in force %s after peers announced version %d", f.routers[0].InForce().Version, took, before+1)
 	}
+	var page bytes.Buffer
+	metrics.WritePrometheus(&page, false)
+	if name := "walnut_router_directory_fetch_seconds"; !strings.Contains(page.String(), name) {
+		t.Errorf("%s is not exported", name)
+	}
 }
 
 // slowPeer is a peer that has a newer version than the first router of a fleet and takes some
