--- a/directory/fetch/fetch_test.go
+++ b/directory/fetch/fetch_test.go
@@ -26,11 +26,21 @@
 	merged    []control.NodeID
 	calls     []context.Context
 	maxAsked  int // the largest number of calls at once that were not cancelled
+	// busy holds the peers with a call in progress, and askedTwice those asked during one.
+	busy       map[control.NodeID]context.Context
+	askedTwice []control.NodeID
 }
 
 func (p *fakePeers) call(ctx context.Context, node control.NodeID, onBytes func(int)) ([]byte, error) {
 	p.mu.Lock()
 	p.asked = append(p.asked, node)
+	if earlier, isBusy := p.busy[node]; isBusy && earlier.Err() == nil {
+		p.askedTwice = append(p.askedTwice, node)
+	}
+	if p.busy == nil {
+		p.busy = make(map[control.NodeID]context.Context)
+	}
+	p.busy[node] = ctx
 	p.calls = slices.DeleteFunc(append(p.calls, ctx), func(call context.Context) bool { return call.Err() != nil })
 	p.maxAsked = max(p.maxAsked, len(p.calls))
 	delay := p.delay[node]
@@ -83,6 +93,9 @@
 	}
 	took := time.Since(start)
 	time.Sleep(time.Minute)
+	if len(p.askedTwice) > 0 {
+		t.Errorf("peers %v are asked again before they have answered", p.askedTwice)
+	}
 	return took
 }
 
