--- a/managedtest/endless_test.go
+++ b/managedtest/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -30,6 +31,8 @@
 type endlessReplica struct {
 	head, part string
 	pause      time.Duration
+	// slowBytes is the least number of bytes that it sends at a time if it pauses; zero: 64.
+	slowBytes int
 	// maxSent is the largest number of bytes that a connection took, and open the number of
 	// connections on which it writes.
 	maxSent, requests atomic.Int64
@@ -71,9 +74,9 @@
 	defer r.open.Add(-1)
 	size := 64 << 10
 	if r.pause > 0 {
-		size = 64
+		size = cmp.Or(r.slowBytes, 64)
 	}
-	part := strings.Repeat(r.part, 1+size/len(r.part))
+	part := strings.Repeat(r.part, (size+len(r.part)-1)/len(r.part))
 	id := request.Header.Get(wire.HeaderRequestID)
 	stream := expectedStream(id)
 	head := strings.NewReplacer("ID", id, "CHUNK", fmt.Sprintf("%x\r\n%s\r\n", len(stream), stream)).Replace(r.head)
@@ -134,6 +137,21 @@
 	}
 }
 
+// TestVerySlowHeadDoesNotHoldUpCallers guards against requests that last until their callers'
+// deadlines because a target sends a few bytes of a head at a time, without end.
+func TestVerySlowHeadDoesNotHoldUpCallers(t *testing.T) {
+	const success = "HTTP/1.1 200 OK\r\n" + wire.HeaderSeal + ": endless\r\n" + wire.HeaderRequestID + ": ID\r\n"
+	f := startSettledFleet(t, unlimitedSlack, 1, opsReplica("sound-ops"), genReplica("sound-gen"))
+	r := &endlessReplica{head: success, part: "X-More: of it\r\n", pause: 10 * time.Millisecond, slowBytes: 1}
+	f.startEndlessReplica("gen", r)
+	f.startEndlessReplica("ops", r)
+	f.eventually(testTimeout, "the replica is known", func() bool {
+		_, known := f.routers[0].InForce().Declarations.Targets["endless-gen"]
+		return known
+	})
+	f.sendBesideEndless([]string{pathStream, pathIdempotent, pathNonIdempotent}, r)
+}
+
 // sendBesideEndless sends requests and checks how they end.
 func (f *fleet) sendBesideEndless(paths []string, r *endlessReplica) {
 	t := f.t
