cachewatch: Close no longer waits for targets that are added meanwhile

What was seen: one of some 1,300 runs of the tests of reconnecting streams, ten at a time, hung after the subtest "both serve" of TestReconnectedStreamAcrossRelease, where routers are closed, until it was ended after 120 s. A router in which this happens does not end by itself.

Cause: Close removed all targets and set closed in two critical sections. The control loop still runs then; a SetTargets between the two begins to follow targets whose contexts nobody cancels, and Close waits for them forever.

Evidence: no stack of the hang was kept. With 100 ms between the two sections (a trial) that subtest hangs in 5 of 6 runs, each with Watcher.Close on the stack; with the change and the same pause in 0 of 6. TestCloseEndsBesideSetTargets failed before in 3 of 3 runs ("Close does not return"), passes after.

Change: closed is set and the targets are removed in one critical section.

--- a/targets/cachewatch/cachewatch.go
+++ b/targets/cachewatch/cachewatch.go
@@ -84,13 +84,18 @@
 	return &Watcher{source: source, onUpdate: onUpdate, log: log, watched: make(map[string]*watch)}
 }
 
-// SetTargets replaces the set of followed targets, given by name and address.
+// SetTargets replaces the set of followed targets, given by name and address. It does nothing
+// after Close.
 func (w *Watcher) SetTargets(addresses map[string]string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.closed {
-		return
+	if !w.closed {
+		w.setTargets(addresses)
 	}
+}
+
+// setTargets implements SetTargets. w.mu must be held.
+func (w *Watcher) setTargets(addresses map[string]string) {
 	for name, current := range w.watched {
 		if addresses[name] != current.address {
 			current.cancel()
@@ -109,9 +114,9 @@
 
 // Close cancels all calls and waits for them to end.
 func (w *Watcher) Close() {
-	w.SetTargets(nil)
 	w.mu.Lock()
 	w.closed = true
+	w.setTargets(nil)
 	w.mu.Unlock()
 	w.running.Wait()
 }
--- a/targets/cachewatch/cachewatch_test.go
+++ b/targets/cachewatch/cachewatch_test.go
@@ -119,3 +119,35 @@
 		}
 	})
 }
+
+// TestCloseEndsBesideSetTargets guards against a Close that waits forever for targets that
+// SetTargets adds at the same time.
+func TestCloseEndsBesideSetTargets(t *testing.T) {
+	for range 200 {
+		w := New(&fakeTarget{cached: map[uint64]int{}}, func(control.TargetCacheReported) {}, slog.New(slog.DiscardHandler))
+		var setters, started sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		for range 4 {
+			started.Add(1)
+			setters.Go(func() {
+				started.Done()
+				for ctx.Err() == nil {
+					w.SetTargets(map[string]string{"e": "127.0.0.1:1"})
+				}
+			})
+		}
+		started.Wait()
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			w.Close()
+		}()
+		select {
+		case <-closed:
+		case <-time.After(10 * time.Second):
+			t.Fatal("Close does not return")
+		}
+		cancel()
+		setters.Wait()
+	}
+}
