targets: a head that arrives slowly and never ends is given up after 2 s

Callers of non-idempotent requests got 504 at their deadlines (8.15 s) where a target sent 15 bytes of headers each 10 ms without end.

Cause: between the request and the end of the head, reads were bounded by the limit for the first byte and by the read buffer of 16 KiB only. Bytes that arrive in time but never complete a head fill that buffer in 11 s.

Change: from its first byte on, a head has 2 s to end; interim answers before it share that time, without the waits between them.

Why it works: the limit is on what was measured, the time that an incomplete head takes, and starts with its first byte, so a target that needs long before it answers keeps its time (TestHeadAfterLongWaitIsRead, passed before too).

Before: TestSlowHeadsAreEnded fails in all three cases (8.47, 8.47 and 10.02 s, 5 s allowed). After: 2.03 to 2.06 s.

--- a/targets/counters.go
+++ b/targets/counters.go
@@ -26,9 +26,11 @@
 	reasonFirstByteTimeout reason = "first_byte_timeout"
 	reasonClosedBeforeHead reason = "closed_before_head"
 	reasonBadHead          reason = "bad_head"
-	reasonCancelled        reason = "cancelled"
-	reasonTruncated        reason = "truncated"
-	reasonUnframed         reason = "unframed"
+	// reasonSlowHead counts answers whose head began and did not end in time.
+	reasonSlowHead  reason = "slow_head"
+	reasonCancelled reason = "cancelled"
+	reasonTruncated reason = "truncated"
+	reasonUnframed  reason = "unframed"
 	// reasonCutEvent counts event streams whose connection was closed inside an event.
 	reasonCutEvent     reason = "cut_event"
 	reasonStalled      reason = "stalled"
@@ -44,7 +46,7 @@
 var allReasons = []reason{
 	reasonBadRequest, reasonCancelledEarly, reasonTargetLeft, reasonConnect, reasonConnectTimeout,
 	reasonWriteNothing, reasonWritePartial, reasonNotRun, reasonFirstByteTimeout,
-	reasonClosedBeforeHead, reasonBadHead, reasonCancelled, reasonTruncated,
+	reasonClosedBeforeHead, reasonBadHead, reasonSlowHead, reasonCancelled, reasonTruncated,
 	reasonUnframed, reasonCutEvent, reasonStalled, reasonClosedUnread, reasonStray, reasonUnsealed, reasonTrailer,
 }
 
--- a/targets/endless_test.go
+++ b/targets/endless_test.go
@@ -22,6 +22,8 @@
 	maxUselessBytes = 1 << 20
 	// maxWaste is how long bytes that are no part of an answer may hold up a request.
 	maxWaste = 1500 * time.Millisecond
+	// maxSlowHead is how long a head that arrives slowly may do so.
+	maxSlowHead = 5 * time.Second
 )
 
 // countedConn counts the bytes that are read from it.
@@ -72,6 +74,30 @@
 	return address, open
 }
 
+// piecewiseServer is like endlessServer, and writes pieces of 20 bytes with pauses of 10 ms.
+func piecewiseServer(t *testing.T, begin, part string) (address string, open *atomic.Int32) {
+	t.Helper()
+	open = &atomic.Int32{}
+	address = scriptServer(t, func(c net.Conn) {
+		open.Add(1)
+		defer open.Add(-1)
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		const piece = 20
+		for text := begin; ; time.Sleep(10 * time.Millisecond) {
+			for len(text) < piece {
+				text += part
+			}
+			if _, err := io.WriteString(c, text[:piece]); err != nil {
+				return
+			}
+			text = text[piece:]
+		}
+	})
+	return address, open
+}
+
 // TestInterimAnswersWithoutEndAreRefused guards against reading interim answers from a target
 // until the caller's deadline.
 func TestInterimAnswersWithoutEndAreRefused(t *testing.T) {
@@ -98,6 +124,56 @@
 	}
 }
 
+// TestSlowHeadsAreEnded guards against reading the head of an answer, or of interim answers, until
+// the caller's deadline while a target sends a few bytes of it at a time.
+func TestSlowHeadsAreEnded(t *testing.T) {
+	for name, c := range map[string]struct{ begin, part string }{
+		"status line":     {"", "H"},
+		"headers":         {"HTTP/1.1 200 OK\r\n", "X"},
+		"interim answers": {"", "HTTP/1.1 103 Early Hints\r\nX: " + strings.Repeat("x", 4000) + "\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			set := metrics.NewSet()
+			client := newClient(t, targets.Options{Metrics: set, FirstByteTimeout: 2 * maxSlowHead})
+			address, open := piecewiseServer(t, c.begin, c.part)
+			start := time.Now()
+			_, err := client.Do(context.Background(), targets.Request{Address: address, Method: "GET", Path: "/"})
+			wantError(t, err, result.TargetError, result.RanUnknown)
+			if took := time.Since(start); took > maxSlowHead {
+				t.Errorf("the request ended after %s", took)
+			}
+			eventually(t, "the end of the connection", func() bool { return open.Load() == 0 })
+			if count(set, "slow_head")+count(set, "bad_head") != 1 {
+				t.Error("the failure is not counted")
+			}
+		})
+	}
+}
+
+// TestHeadAfterLongWaitIsRead guards against counting the wait for a head, or between an interim
+// answer and the next head, as time that the head took.
+func TestHeadAfterLongWaitIsRead(t *testing.T) {
+	t.Parallel()
+	client := newClient(t, targets.Options{FirstByteTimeout: 2 * maxSlowHead})
+	address := scriptServer(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		for _, part := range []string{"HTTP/1.1 103 Early Hints\r\n\r\n", countedHead, "hello"} {
+			time.Sleep(2500 * time.Millisecond)
+			_, _ = io.WriteString(c, part)
+		}
+	})
+	resp, err := client.Do(context.Background(), targets.Request{Address: address, Method: "GET", Path: "/"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); string(body) != "hello" || err != nil {
+		t.Errorf("body %q, error %v", body, err)
+	}
+}
+
 // TestFewInterimAnswersAreSkipped guards against refusing what sound targets send.
 func TestFewInterimAnswersAreSkipped(t *testing.T) {
 	const interim = "HTTP/1.1 103 Early Hints\r\nLink: </a.css>; rel=preload\r\n\r\n"
--- a/targets/exchange.go
+++ b/targets/exchange.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"time"
 
@@ -70,26 +71,59 @@
 	return readHead(ex.conn) == nil
 }
 
-// maxInterimAnswers bounds the interim answers (1xx) before an answer. Each has to fit into the
-// read buffer.
-const maxInterimAnswers = 32
+const (
+	// maxInterimAnswers bounds the interim answers (1xx) before an answer. Each has to fit into
+	// the read buffer.
+	maxInterimAnswers = 32
+	// headTimeout bounds the time in which the heads of an answer and its interim answers arrive,
+	// each from its first byte to its end. Targets send a head at once; a lost packet is sent
+	// again within a second.
+	headTimeout = 2 * time.Second
+)
 
-// errInterimAnswers reports a target that sends interim answers without end.
-var errInterimAnswers = errors.New("target: too many interim answers")
+var (
+	// errInterimAnswers reports a target that sends interim answers without end.
+	errInterimAnswers = errors.New("target: too many interim answers")
+	// errSlowHead reports a target that sends the head of its answer too slowly.
+	errSlowHead = errors.New("target: head without an end")
+)
 
 // readHead reads the head of the answer and skips interim answers.
 func readHead(cn *conn) error {
+	remaining := headTimeout
 	for range maxInterimAnswers + 1 {
-		if err := cn.answer.Read(cn.reader); err != nil {
+		took, err := readHeadWithin(cn, remaining)
+		if err != nil {
 			return err
 		}
 		if cn.answer.StatusCode() >= fasthttp.StatusOK {
 			return nil
 		}
+		remaining -= took
 	}
 	return errInterimAnswers
 }
 
+// readHeadWithin waits for a head and reads it. From its first byte on, it may take the given
+// time. It returns how long that took.
+func readHeadWithin(cn *conn, timeout time.Duration) (took time.Duration, err error) {
+	if _, err := cn.reader.Peek(1); isTimeout(err) {
+		return 0, err
+	} else if err != nil {
+		return 0, io.EOF
+	}
+	firstByteAt, deadline := time.Now(), cn.readDeadline
+	if headDeadline := firstByteAt.Add(timeout); headDeadline.Before(deadline) {
+		cn.readDeadline = headDeadline
+	}
+	err = cn.answer.Read(cn.reader)
+	if isTimeout(err) && cn.readDeadline != deadline {
+		err = errSlowHead
+	}
+	cn.readDeadline = deadline
+	return time.Since(firstByteAt), err
+}
+
 // maxStrays bounds the answers to earlier requests that are skipped, and maxStrayBytes the body
 // of each.
 const (
@@ -235,6 +269,8 @@
 		return ex.counters.newError(reasonCancelled, result.CallerGone, result.RanUnknown, ex.ctx.Err())
 	case ex.timedOut(err):
 		return ex.counters.newError(reasonFirstByteTimeout, result.FirstByteTimeout, result.RanUnknown, err)
+	case errors.Is(err, errSlowHead):
+		return ex.counters.newError(reasonSlowHead, result.TargetError, result.RanUnknown, err)
 	case isClosedByPeer(err) || errors.Is(err, errStray):
 		return ex.counters.newError(reasonClosedBeforeHead, result.TargetLostRequest, result.RanUnknown, err)
 	default:
