directory: metrics tell how late versions arrive

Whether a router is behind could be read only by comparing the log times of all routers, and not at all how many fetches it has under way.

walnut_directory_version_behind_seconds (gauge) is the time for which peers have announced versions that this router does not have, walnut_directory_version_delay_seconds (histogram) that time at the arrival of the newest announced, and walnut_router_directory_fetches_in_progress (gauge) the number of fetches. No change of logic.

TestDelayOfVersionsIsMeasured checks the times; TestVersionArrivesFromSlowPeers checks that a router on a managed platform exports all of them, as TestMetricsPage, whose fleet is on the own platform, lists them as not exported.

--- a/devfleet/metrics_test.go
+++ b/devfleet/metrics_test.go
@@ -40,9 +40,12 @@
 	"walnut_directory_call_age_seconds",
 	"walnut_directory_stale_seconds",
 	"walnut_directory_era",
+	"walnut_directory_version_behind_seconds",
+	"walnut_router_directory_fetches_in_progress",
 	// Measured on a managed platform only, and an empty histogram is not exported.
 	"walnut_router_lag_seconds",
 	"walnut_router_directory_fetch_seconds",
+	"walnut_directory_version_delay_seconds",
 }
 
 // TestMetricsPage checks that docs/METRICS.md lists exactly the metrics that a fleet
--- a/directory/fetch/fetch.go
+++ b/directory/fetch/fetch.go
@@ -116,6 +116,13 @@
 	f.schedule()
 }
 
+// InProgress returns the number of fetches in progress.
+func (f *Fetcher) InProgress() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.inProgress)
+}
+
 // schedule begins the next fetch if there is a reason to. f.mu must be held.
 func (f *Fetcher) schedule() {
 	now := time.Now()
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -222,9 +222,11 @@
 	defer f.mu.Unlock()
 	before, listedBefore, revisionBefore := f.state.configuration.Version, f.state.listed, f.state.revision
 	evacuatedBefore := f.state.evacuatedDataCentres()
+	missing := f.missing()
 	f.generation++
 	f.state.change(apply)
 	f.known.Store(&summary{order: f.state.order(), listed: f.state.listed, peerSynced: f.state.peerSynced})
+	f.noteArrival(missing)
 	if f.state.configuration.Version != before {
 		f.state.origin = config.Origin{Source: source, At: time.Now()}
 	}
--- a/managedtest/slowpeers_test.go
+++ b/managedtest/slowpeers_test.go
@@ -39,8 +39,13 @@
 	}
 	var page bytes.Buffer
 	metrics.WritePrometheus(&page, false)
-	if name := "walnut_router_directory_fetch_seconds"; !strings.Contains(page.String(), name) {
-		t.Errorf("%s is not exported", name)
+	for _, name := range []string{
+		"walnut_router_directory_fetch_seconds", "walnut_router_directory_fetches_in_progress",
+		"walnut_directory_version_behind_seconds", "walnut_directory_version_delay_seconds",
+	} {
+		if !strings.Contains(page.String(), name) {
+			t.Errorf("%s is not exported", name)
+		}
 	}
 }
 
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -28,6 +28,8 @@
 	if r.managed != nil {
 		publishFeedAges(set, r.settings.Node.Name, r.directory)
 		set.NewGauge("walnut_directory_era"+node, func() float64 { return float64(r.directory.Era()) })
+		set.NewGauge("walnut_directory_version_behind_seconds"+node, func() float64 { return r.directory.BehindFor().Seconds() })
+		set.NewGauge("walnut_router_directory_fetches_in_progress"+node, func() float64 { return float64(r.fetcher.InProgress()) })
 	}
 	var links offloading
 	if r.managed != nil {
