directory/fetch: test that a peer that was asked before is asked again

No fault was found. With peers that were asked before passed over (a trial) the test fails: "asked 1 times after one refusal and two answers, want 3".

--- a/directory/fetch/fetch_test.go
+++ b/directory/fetch/fetch_test.go
@@ -201,3 +201,22 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestPeerThatAnsweredIsAskedAgain guards against a router that never learns the next version from
+// its only peer, because that peer was asked before.
+func TestPeerThatAnsweredIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePeers{delay: map[control.NodeID]time.Duration{"n0": -1}}
+		f := New(Options{Call: p.call, Merge: func(control.NodeID, []byte) error { return nil }, Log: slog.New(slog.DiscardHandler)})
+		for _, delay := range []time.Duration{-1, 5 * time.Millisecond, 5 * time.Millisecond} {
+			p.mu.Lock()
+			p.delay["n0"] = delay
+			p.mu.Unlock()
+			f.Announced("n0", func() bool { return true })
+			time.Sleep(time.Second)
+		}
+		if len(p.asked) != 3 {
+			t.Errorf("asked %d times after one refusal and two answers, want 3", len(p.asked))
+		}
+	})
+}
