--- a/review/world/client.go
+++ b/review/world/client.go
@@ -61,6 +61,11 @@
 	request.GetBody = nil // each attempt is sent once
 	request.Header.Set("X-Attempt-Id", answer.ID)
 	request.Header.Set("X-Api-Key", Key)
+	if path == StreamPath {
+		request.Header.Set("X-Model", "m")
+		request.Header.Set("X-Token-Usage", "1460,240")
+		request.Header.Set("X-Prompt-Prefix", fmt.Sprintf("5c1e07a2:800,91bd3f06:410,%x:250", time.Now().UnixNano()))
+	}
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	response, err := c.http.Do(request)
 	if err != nil {
