--- a/review/world/client.go
+++ b/review/world/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -17,8 +18,12 @@
 	http *http.Client
 	name string
 	last atomic.Uint64
+	// Parts are the parts of the prompts, but for the last one. Default: two sound ones.
+	Parts string
 }
 
+func (c *Client) parts() string { return cmp.Or(c.Parts, "5c1e07a2:800,91bd3f06:410") }
+
 // NewClient returns a client whose attempt ids begin with name.
 func NewClient(name string) *Client {
 	return &Client{name: name, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}}
@@ -64,7 +69,7 @@
 	if path == StreamPath {
 		request.Header.Set("X-Model", "m")
 		request.Header.Set("X-Token-Usage", "1460,240")
-		request.Header.Set("X-Prompt-Prefix", fmt.Sprintf("5c1e07a2:800,91bd3f06:410,%x:250", time.Now().UnixNano()))
+		request.Header.Set("X-Prompt-Prefix", fmt.Sprintf("%s,%x:250", c.parts(), time.Now().UnixNano()))
 	}
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	response, err := c.http.Do(request)
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -54,6 +54,8 @@
 
 	dir     string
 	started time.Time
+	// onStore, if set, is called with the address at which a router reaches the store.
+	onStore func(router, storeAddress string)
 
 	mu     sync.Mutex
 	record *os.File
@@ -205,6 +207,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if w.onStore != nil {
+		w.onStore(name, store)
+	}
 	var addresses [4]string
 	for n := range addresses {
 		if addresses[n], err = freeAddress(); err != nil {
