--- a/review/world/world.go
+++ b/review/world/world.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -88,6 +89,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		return CannotRun
 	}
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		w.Close()
+		os.Exit(CannotRun)
+	}()
 	code, err := run(w)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
