Review: ports outside the system's range for outgoing connections

Its log was not kept, so that a port was taken meanwhile is suspected only. A run that cannot go on keeps the logs now.

--- a/review/world/world.go
+++ b/review/world/world.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -100,6 +101,9 @@
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		w.Notef("cannot run: %v", err)
+		for _, r := range w.Routers {
+			w.Notef("log of %s:\n%s", r.Name, r.Log())
+		}
 		code = CannotRun
 	}
 	w.Close()
@@ -184,14 +188,21 @@
 	exited  chan struct{}
 }
 
+// Ports below those that the system gives to outgoing connections, one of which could take a free port
+// before a router listens on it.
+const firstPort, lastPort = 15000, 30000
+
 // freeAddress returns a free address on loopback.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		var listener net.Listener
+		if listener, err = net.Listen("tcp4", address); err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", err
 }
 
 // StartRouters starts the given number of routers and waits until each one is ready.
