targets: strays before an early answer are skipped

Cause: a target may answer before it has read a long body, and the write then fails. answeredEarly took the next head on the connection for that answer, by its place, while readOwnHead, which compares the id, was used only after complete writes. A late second answer to the request before, on the kept connection, came first.

The head is now read by readOwnHead on both paths, so that a late answer is skipped and counted (stray_answer). Without an answer of its own the request counts as lost, and may have run. A late refusal no longer tells of another request that it did not run either.

Test on the code before: "stray, refusal", "two strays, refusal" and "stray alone" got status 200 with id "earlier", "refusal of another one" got 702 for 705, in 3 of 3 runs.

--- a/targets/exchange.go
+++ b/targets/exchange.go
@@ -49,7 +49,7 @@
 		return nil, ex.writeError(err)
 	}
 	if err := ex.client.writeRequest(ex.conn, req); err != nil {
-		if !ex.answeredEarly() {
+		if !ex.answeredEarly(req) {
 			return nil, ex.writeError(err)
 		}
 		return ex.answer(req)
@@ -62,13 +62,13 @@
 
 // answeredEarly reports whether the target answered before it accepted the whole request, as it
 // may do to refuse it. The connection is not reused.
-func (ex *exchange) answeredEarly() bool {
+func (ex *exchange) answeredEarly(req *Request) bool {
 	ex.partlySent = true
 	if ex.conn.written == 0 || ex.ctx.Err() != nil {
 		return false
 	}
 	ex.conn.readDeadline = time.Now().Add(earlyAnswerTimeout)
-	return readHead(ex.conn) == nil
+	return ex.readOwnHead(req) == nil
 }
 
 const (
