Answers of non-idempotent runs end at a limit of their own

After the callers had gone the routers read on for ever, 247 MB a second, and with all slots taken nothing of the service was served (0 of 378).

Cause: such runs outlive their callers, so neither the caller's leaving nor the request's context ends them. The refusal at the deadline did not apply once the answer had become a stream (over 4 MiB, or an event stream). What reads on for nobody (discardAnswer, prefixedStream.Close, the run record's drain) waits for the end of the answer, and only gaps between its parts were limited. The slot was freed with that end.

Change: - front: the timer at the deadline cuts off a stream that is being written, also behind a blocked write, on HTTP/1.0 and for offloaded requests.

--- a/filters/relay/body.go
+++ b/filters/relay/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"sync"
@@ -23,7 +24,10 @@
 	// exchange.
 	run pipeline.Run
 
+	// sourceMu guards changes of source: the deadline closes it from another goroutine.
+	sourceMu    sync.Mutex
 	source      io.ReadCloser
+	limits      limits
 	buffered    []byte // read from source, not yet returned by Read
 	sourceErr   error  // returned once buffered is empty
 	offset      int64  // bytes returned by Read
@@ -32,8 +36,50 @@
 	closeOnce sync.Once
 }
 
-func newBody(ctx context.Context, r *Relay, ex *pipeline.Exchange, source io.ReadCloser, buffered []byte, err error) *body {
-	return &body{ctx: ctx, relay: r, ex: ex, run: ex.Run, source: source, buffered: buffered, sourceErr: err}
+func newBody(ctx context.Context, r *Relay, ex *pipeline.Exchange, source io.ReadCloser) *body {
+	b := &body{ctx: ctx, relay: r, ex: ex, run: ex.Run, source: source}
+	b.limits.begin(ex, b.closeSource)
+	return b
+}
+
+// readFirst reads the first part of the answer, which Read returns again. It returns an error if the
+// answer broke off before that.
+func (b *body) readFirst() error {
+	buffer := make([]byte, firstReadBytes)
+	n, err := b.readSource(buffer)
+	b.buffered, b.sourceErr = buffer[:n], err
+	if n == 0 && err != io.EOF {
+		return err
+	}
+	return nil
+}
+
+// readSource reads from the target, within the limits of the answer.
+func (b *body) readSource(p []byte) (int, error) {
+	n, err := b.source.Read(p)
+	b.limits.add(n)
+	if limitErr := b.limits.err(); limitErr != nil && err != io.EOF {
+		err = limitErr
+	}
+	return n, err
+}
+
+// closeSource ends a wait for the target, and its run.
+func (b *body) closeSource() {
+	b.sourceMu.Lock()
+	defer b.sourceMu.Unlock()
+	_ = b.source.Close()
+}
+
+// replaceSource makes another call's body the source.
+func (b *body) replaceSource(source io.ReadCloser) {
+	b.sourceMu.Lock()
+	_ = b.source.Close()
+	b.source = source
+	b.sourceMu.Unlock()
+	if b.limits.err() != nil {
+		b.closeSource()
+	}
 }
 
 // Read implements io.Reader. It returns io.EOF only at the end of a complete answer.
@@ -45,7 +91,7 @@
 		return n, nil
 	}
 	if b.sourceErr == nil {
-		n, err := b.source.Read(p)
+		n, err := b.readSource(p)
 		if n > 0 {
 			b.ex.MarkTargetHeard()
 		}
@@ -76,8 +122,7 @@
 		_ = answer.Body.Close()
 		return false
 	}
-	_ = b.source.Close()
-	b.source = answer.Body
+	b.replaceSource(answer.Body)
 	resumedCount.Inc()
 	pipeline.Log(b.ctx, b.relay.Log, slog.LevelWarn, b.ex, "relay: Stream broke and was resumed.", slog.Int64("offset", b.offset))
 	return true
@@ -86,7 +131,7 @@
 // canResume reports whether the target may be asked to continue the answer. At offset
 // zero nothing has been relayed, and the call would start a new run.
 func (b *body) canResume() bool {
-	if b.offset == 0 || b.resumeCount >= maxResumes || b.ctx.Err() != nil {
+	if b.offset == 0 || b.resumeCount >= maxResumes || b.ctx.Err() != nil || b.limits.err() != nil {
 		return false
 	}
 	declared := b.ex.Snapshot.Declarations.Targets[b.ex.Target]
@@ -97,6 +142,10 @@
 // answer, any other error after a break. It returns err.
 func (b *body) endRun(err error) error {
 	b.sourceErr = err
+	b.limits.stop()
+	if errors.Is(err, errLimit) {
+		pipeline.Log(b.ctx, b.relay.Log, slog.LevelWarn, b.ex, "relay: Answer did not end and the run was ended.", slog.Int64("bytes", b.offset), slog.Any("error", err))
+	}
 	switch {
 	case err != io.EOF && b.ex.IsAbandoned():
 		callerGoneCount.Inc()
@@ -118,6 +167,7 @@
 func (b *body) Close() error {
 	var err error
 	b.closeOnce.Do(func() {
+		b.limits.stop()
 		err = b.source.Close()
 		if b.sourceErr == nil || len(b.buffered) > 0 {
 			callerGoneCount.Inc()
--- a/filters/relay/relay.go
+++ b/filters/relay/relay.go
@@ -61,15 +61,15 @@
 	ex.MarkAnswerBegan()
 	ex.Status = answer.Status
 	ex.AnswerHeader = answer.Header
+	body := newBody(ctx, r, ex, answer.Body)
 	start := time.Now()
-	buffer := make([]byte, firstReadBytes)
-	n, err := answer.Body.Read(buffer)
+	err := body.readFirst()
 	firstPartSeconds.UpdateDuration(start)
-	if n == 0 && err != nil && err != io.EOF {
+	if err != nil {
+		body.limits.stop()
 		answer.Body.Close()
 		return r.endBroken(ex, err)
 	}
-	body := newBody(ctx, r, ex, answer.Body, buffer[:n], err)
 	if isStream(ex, answer) {
 		ex.AnswerStream = body
 		return nil
@@ -154,6 +154,9 @@
 	}
 	brokenCount.Inc()
 	ex.Run.End(control.OutcomeLost)
+	if errors.Is(cause, errLimit) {
+		return cause
+	}
 	return result.Wrap(result.StreamBroken, cause, "The answer broke off.")
 }
 
--- a/filters/runrecord/capture.go
+++ b/filters/runrecord/capture.go
@@ -52,7 +52,7 @@
 }
 
 // Close implements io.Closer. It first reads the rest of the answer if the run
-// outlives its caller; the time limits of the call to the target bound that wait.
+// outlives its caller; the limits of the relay bound that wait.
 func (c *capturedStream) Close() error {
 	if c.ex.OutlivesCaller() {
 		c.drain()
--- a/front/answer.go
+++ b/front/answer.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"io"
@@ -130,9 +131,13 @@
 		ex.AnswerStream.Close()
 		ex.AnswerStream = nil
 	case !ctx.Request.Header.IsHTTP11():
-		if err := bufferStream(ex); err != nil {
+		r.beginStream()
+		err := bufferStream(ex)
+		if err = cmp.Or(r.endStream(), err); err != nil {
 			return err
 		}
+	default:
+		r.beginStream()
 	}
 	response := &ctx.Response
 	response.SetStatusCode(ex.Status)
--- a/front/conn.go
+++ b/front/conn.go
@@ -90,8 +90,10 @@
 	request *request
 	// writeErr is the first failed write of the current answer.
 	writeErr error
-	// writeEnded is set once the caller has its last answer: nothing more is written.
+	// writeEnded is set once the caller has its last answer: nothing more is written. isCut is set
+	// before if that answer is not complete.
 	writeEnded atomic.Bool
+	isCut      atomic.Bool
 	// reused is true once a request has been answered on the connection.
 	reused bool
 	// admission applies to the first request only, until reused is set.
@@ -323,6 +325,23 @@
 	}
 }
 
+// cut ends the answer that is being written before it is complete. It may be called while a write
+// is blocked.
+func (c *callerConn) cut() {
+	c.isCut.Store(true)
+	c.writeEnded.Store(true)
+	if withAbort, ok := c.Conn.(interface{ Abort() }); ok {
+		withAbort.Abort()
+	}
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if ok {
+		_ = half.CloseWrite() // An error means that the connection is closed already.
+	}
+	if !ok || c.executed != nil {
+		_ = c.Conn.Close() // ends a blocked write
+	}
+}
+
 // Close implements net.Conn. It ends the exchange first, so that the watcher
 // does not mistake the connection for one that the caller closed. Closing a
 // connection with unread bytes resets it, and so do bytes that arrive after the close;
--- a/front/endby.go
+++ b/front/endby.go
@@ -22,16 +22,57 @@
 // deadline, the caller gets the error that newRefusal returns. stop returns false if the
 // caller has been refused.
 func (r *request) refuseAt(deadline time.Time, newRefusal func() error) (stop func() bool) {
-	timer := time.AfterFunc(time.Until(deadline), func() {
-		r.refusalMu.Lock()
-		defer r.refusalMu.Unlock()
-		if r.answerOwner.CompareAndSwap(answerUnclaimed, answeredByTimer) {
-			r.server.writeEarlyRefusal(r, newRefusal())
-		}
-	})
-	return func() bool {
-		timer.Stop()
-		return r.claimAnswer()
+	r.deadlineTimer = time.AfterFunc(time.Until(deadline), func() { r.deadlinePassed(newRefusal) })
+	return r.claimAnswer
+}
+
+// deadlinePassed refuses the caller, or cuts off the answer stream that is being written.
+func (r *request) deadlinePassed(newRefusal func() error) {
+	r.refusalMu.Lock()
+	defer r.refusalMu.Unlock()
+	if r.answerOwner.CompareAndSwap(answerUnclaimed, answeredByTimer) {
+		r.ex.MarkUnattended()
+		r.server.writeEarlyRefusal(r, newRefusal())
+		return
+	}
+	r.lateRefusal = newRefusal
+	if r.streams {
+		r.cutStream()
+	}
+}
+
+// beginStream is called before an answer stream is written.
+func (r *request) beginStream() {
+	r.refusalMu.Lock()
+	defer r.refusalMu.Unlock()
+	r.streams = true
+	if r.lateRefusal != nil {
+		r.cutStream()
+	}
+}
+
+// endStream is called once the answer stream has ended or was closed. It returns why the stream was
+// cut off at the deadline; nil if it was not.
+func (r *request) endStream() error {
+	r.refusalMu.Lock()
+	defer r.refusalMu.Unlock()
+	r.streams = false
+	return r.cutErr
+}
+
+// cutStream ends the answer for the caller. The exchange continues: the goroutine that serves the
+// connection fails to write, and closes the stream. refusalMu must be held.
+func (r *request) cutStream() {
+	r.cutErr = r.lateRefusal()
+	r.ex.MarkUnattended()
+	r.server.unwatchCaller(r) // the caller may disconnect from now on
+	r.conn.cut()
+}
+
+// stopDeadline stops the refusal timer.
+func (r *request) stopDeadline() {
+	if r.deadlineTimer != nil {
+		r.deadlineTimer.Stop()
 	}
 }
 
@@ -77,7 +118,8 @@
 }
 
 // discardAnswer ends an exchange whose caller has been refused. An answer that is still being
-// streamed is read to its end, so that the target's run is not cut off.
+// streamed is read to its end, within the limits of the relay, so that the target's run is not
+// cut off.
 func (r *request) discardAnswer() {
 	r.err = pipeline.ErrRefusedAtDeadline
 	if stream := r.ex.AnswerStream; stream != nil {
--- a/front/executor.go
+++ b/front/executor.go
@@ -84,7 +84,7 @@
 		return
 	}
 	e.ended = true
-	isComplete := e.wrote && !e.truncated
+	isComplete := e.wrote && !e.truncated && !c.isCut.Load()
 	e.outcome(isComplete).Inc()
 	if withAbort, ok := c.Conn.(interface{ Abort() }); ok && !isComplete {
 		withAbort.Abort()
--- a/front/request.go
+++ b/front/request.go
@@ -39,6 +39,14 @@
 	// refusalMu is held while the timer does.
 	answerOwner atomic.Int32
 	refusalMu   sync.Mutex
+	// deadlineTimer is the refusal timer; nil if there is none. Only the serving goroutine uses it.
+	deadlineTimer *time.Timer
+	// Guarded by refusalMu: streams reports that an answer stream is being written, lateRefusal is
+	// set once the timer has fired after the exchange claimed the answer, and cutErr is why the
+	// stream was cut off at the deadline.
+	streams     bool
+	lateRefusal func() error
+	cutErr      error
 	// err is why the answer is incomplete; nil if no failure is known.
 	err error
 }
--- a/front/serve.go
+++ b/front/serve.go
@@ -266,6 +266,7 @@
 	}
 	conn.request = nil
 	conn.reused = true
+	r.stopDeadline()
 	s.unwatchCaller(r)
 	if r.err == nil {
 		r.err = conn.writeErr
--- a/front/stream.go
+++ b/front/stream.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 )
@@ -31,11 +32,13 @@
 		return
 	}
 	a.ended = true
-	if err != io.EOF {
-		streamsBroken.Inc()
-		a.request.err = err
-		a.request.conn.markTruncated()
+	cutErr := a.request.endStream()
+	if cutErr == nil && err == io.EOF {
+		return
 	}
+	streamsBroken.Inc()
+	a.request.err = cmp.Or(cutErr, err)
+	a.request.conn.markTruncated()
 }
 
 // Close implements io.Closer. fasthttp calls it before the end of the stream if it
@@ -43,11 +46,10 @@
 func (a *answerStream) Close() error {
 	if !a.ended {
 		a.ended = true
-		a.request.err = errConnectionClosed
+		cutErr := a.request.endStream()
+		a.request.ex.MarkUnattended()
+		a.request.err = cmp.Or(cutErr, a.request.conn.writeErr, errConnectionClosed)
 		a.request.conn.markTruncated()
-		if writeErr := a.request.conn.writeErr; writeErr != nil {
-			a.request.err = writeErr
-		}
 	}
 	return a.source.Close()
 }
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -81,8 +81,10 @@
 	ServingContext context.Context
 	// EndBy, if set, answers the caller with the refusal that refuse returns if the
 	// exchange has no answer at the given time. The exchange continues and its answer is
-	// discarded. stop cancels the timer; it returns false if the caller has already been
-	// refused. refuse is called from a different goroutine than the exchange's.
+	// discarded. stop is called once there is an answer; it returns false if the caller has
+	// already been refused. An answer that is still being streamed at the given time is cut off
+	// there, and refuse returns why. refuse is called from a different goroutine than the
+	// exchange's.
 	EndBy func(at time.Time, refuse func() error) (stop func() bool)
 
 	// Set by authenticate or route.
@@ -164,6 +166,7 @@
 	timeToAnswer atomic.Int64 // nanoseconds from arrival to the beginning of the answer
 	targetHeard  atomic.Int64 // nanoseconds from arrival to the latest bytes of the target
 	sendState    atomic.Int32 // see BeginSend
+	unattended   atomic.Bool  // see MarkUnattended
 	endOnce      sync.Once
 	mu           sync.Mutex
 	onEnd        []func(error)
@@ -307,6 +310,13 @@
 	return !ex.Idempotent && ex.ServingContext != nil
 }
 
+// MarkUnattended records that the caller receives no more of the answer. What is read of it from
+// then on only keeps the run from being cut off.
+func (ex *Exchange) MarkUnattended() { ex.unattended.Store(true) }
+
+// IsUnattended reports whether MarkUnattended was called or the caller has disconnected.
+func (ex *Exchange) IsUnattended() bool { return ex.unattended.Load() || ex.IsCallerGone() }
+
 // RunContext returns the context for a dispatched run; ctx is the calling filter's.
 func (ex *Exchange) RunContext(ctx context.Context) context.Context {
 	if ex.OutlivesCaller() {
