control: a stream without a name is unknown until its version is certain

A caller that reconnects with Last-Event-Id and names no stream got the rest from another software version, status 200, after all routers had been restarted while the version changed. Streams that are named were refused then, before as now: their records are gone.

Cause: such a request goes on if all versions that the routers remember are one. The memory begins with the process, so after a restart of the whole fleet, at once or one after the other, every router vouched for a time that it had not seen.

Change: a router may vouch only if it has listed the targets since before any stream began that may still be continued (30 s to 10 min, by the routes); one of those that answer is enough. AffinityAnswer has a field for it, which routers of the version before leave out, so that they do not count.

Test: TestUnnamedStreamIsUnknownAfterRestarts fails on the code before in both cases ("a stream that may have begun at v1 is continued at v2") and passes now.

Two tests asked for the fault: TestUnnamedStreamNeedsOneVersion and TestStreamWithoutItsIDContinuesAtOnlyVersion wanted an answer 1 s after the start of the whole fleet, when nobody can know that only one version has served. They now want it once the routers have listed the targets for the life of a stream; the second one also wants a refusal before. All else that they check is unchanged.

--- a/control/affinities.go
+++ b/control/affinities.go
@@ -89,7 +89,10 @@
 	Known    bool
 	Affinity affinity.Affinity
 	// Software lists the versions that the pool has had, for a stream that is not named.
-	Software []string
+	// ListedLong reports that none can be missing, as the router has known the pool's targets for
+	// longer than any stream lasts.
+	Software   []string
+	ListedLong bool
 }
 
 func (StreamBegan) isEvent()      {}
@@ -110,8 +113,10 @@
 	copiedBy  member.Ranking
 	restarted map[NodeID]bool
 	copyAt    Instant // zero: nothing to copy
-	// software holds when each version was last listed, by pool.
-	software map[string]map[string]Instant
+	// software holds when each version was last listed, by pool, and listedSince is when the
+	// targets were listed for the first time.
+	software    map[string]map[string]Instant
+	listedSince Instant
 }
 
 func newAffinities() affinities {
@@ -134,10 +139,12 @@
 	rounds      int
 	// asked is the number of routers asked in the current round.
 	asked int
-	// software holds the versions that routers named, and answered reports whether any did.
-	software map[string]bool
-	answered bool
-	timer    timer
+	// software holds the versions that routers named. answered reports whether any did, and
+	// listedLong whether one of these has listed the targets for long enough.
+	software   map[string]bool
+	answered   bool
+	listedLong bool
+	timer      timer
 }
 
 // affinityRounds is how many rounds of answers make a named stream unknown.
@@ -219,7 +226,7 @@
 	if msg.Named {
 		answer.Affinity, answer.Known = m.affinities.table.Get(m.now, m.affinityRetention(), msg.Key)
 	} else {
-		answer.Software = m.softwareOf(msg.Pool)
+		answer.Software, answer.ListedLong = m.softwareOf(msg.Pool), m.hasListedLong()
 	}
 	m.send(from, answer)
 }
@@ -234,6 +241,7 @@
 		l.software[software] = true
 	}
 	l.answered = l.answered || len(msg.Software) > 0
+	l.listedLong = l.listedLong || msg.ListedLong
 	if msg.Known {
 		m.affinities.table.Add(m.now, m.affinityRetention(), affinity.Record{Key: l.ev.Key, Affinity: msg.Affinity})
 		m.counters.AffinitiesElsewhere++
@@ -274,10 +282,11 @@
 }
 
 // onlySoftware returns the version of all targets that the pool of a lookup has had, by this
-// router and by those that answered. It returns false if there were several, or if other
-// routers are known and none has answered: this one may be disconnected from them.
+// router and by those that answered. It returns false if there were several, if other
+// routers are known and none has answered, as this one may be disconnected from them, or if all
+// have started so recently that none may know the version that began the stream.
 func (m *Machine) onlySoftware(l *affinityLookup) (string, bool) {
-	if !l.answered && m.view.Known() > 0 {
+	if !l.answered && m.view.Known() > 0 || !l.listedLong && !m.hasListedLong() {
 		return "", false
 	}
 	for _, software := range m.softwareOf(l.ev.Pool) {
@@ -292,6 +301,12 @@
 	return "", false
 }
 
+// hasListedLong reports whether this router has listed the targets since before any stream began to
+// which a caller may reconnect now.
+func (m *Machine) hasListedLong() bool {
+	return m.topo != nil && m.now-m.affinities.listedSince >= m.affinityRetention()
+}
+
 // softwareOf returns the versions of the targets that a pool has had while a stream to which
 // a caller reconnects now may have begun, sorted.
 func (m *Machine) softwareOf(pool string) []string {
@@ -311,6 +326,9 @@
 // updateSoftware records the versions that are listed until now, when next replaces the
 // configuration.
 func (m *Machine) updateSoftware(next *topology) {
+	if m.topo == nil {
+		m.affinities.listedSince = m.now
+	}
 	retention := m.affinityRetention()
 	for pool, versions := range m.affinities.software {
 		maps.DeleteFunc(versions, func(version string, listedAt Instant) bool {
--- a/control/affinities_test.go
+++ b/control/affinities_test.go
@@ -197,6 +197,7 @@
 		return f.found[f.asked]
 	}
 	f := newAffinityFleet(3, "v1")
+	f.run(minStreamLife)
 	if got := ask(f, "n0"); !got.Known || got.Affinity.Software != "v1" {
 		t.Errorf("one version: got %+v", got)
 	}
@@ -219,6 +220,42 @@
 	}
 }
 
+// TestUnnamedStreamIsUnknownAfterRestarts guards against continuing a stream whose caller does not name
+// it at another version than the one that began it, after all routers were restarted while the version
+// changed and none remembers the former one.
+func TestUnnamedStreamIsUnknownAfterRestarts(t *testing.T) {
+	for name, gap := range map[string]time.Duration{"at once": 0, "one after the other": minStreamLife / 8} {
+		t.Run(name, func(t *testing.T) {
+			f := newAffinityFleet(4, "v1")
+			ask := func() AffinityFound {
+				f.asked++
+				f.step(f.nodes["n0"], AffinityWanted{Request: f.asked, Pool: "draft", Key: streamKey(0)})
+				f.run(time.Second)
+				return f.found[f.asked]
+			}
+			f.run(minStreamLife)
+			if got := ask(); !got.Known || got.Affinity.Software != "v1" {
+				t.Errorf("before: got %+v", got)
+			}
+			f.snapshot = softwareSnapshot(2, "v2")
+			for n := len(f.names) - 1; n >= 0; n-- {
+				f.stopNode(f.names[n])
+				f.run(gap)
+				f.startNode(f.names[n], f.snapshot, f.members, Options{})
+			}
+			for range 5 {
+				if got := ask(); got.Known {
+					t.Fatalf("a stream that may have begun at v1 is continued at %s", got.Affinity.Software)
+				}
+			}
+			f.run(2 * minStreamLife)
+			if got := ask(); !got.Known || got.Affinity.Software != "v2" {
+				t.Errorf("one version for long: got %+v", got)
+			}
+		})
+	}
+}
+
 // TestAffinityLookupsAreBounded guards against unbounded state for unknown streams, and against
 // lookups without an answer.
 func TestAffinityLookupsAreBounded(t *testing.T) {
--- a/managedtest/software_test.go
+++ b/managedtest/software_test.go
@@ -283,12 +283,27 @@
 var longText = strings.Repeat("f", 1000)
 
 // TestStreamWithoutItsIDContinuesAtOnlyVersion guards against refusing callers that do not name
-// the stream that they reconnect to, while only one software version serves.
+// the stream that they reconnect to, while only one software version has served since it can have
+// begun; and against continuing it before the routers have listed the targets for so long.
 func TestStreamWithoutItsIDContinuesAtOnlyVersion(t *testing.T) {
+	// streamLife is for how long streams may be continued on the routes of these tests.
+	const streamLife = 30 * time.Second
+	t.Parallel()
+	begun := time.Now()
 	f := startFleet(t, 2, softwareReplica("old-1", "v1"), softwareReplica("old-2", "v1"))
 	f.waitJoined()
+	reconnect := func() managed.Answer {
+		return f.sendUntilRead(f.routers[0], managed.Request{Path: pathStream, Key: key, AfterEvent: "3"})
+	}
+	for range 5 {
+		answer := reconnect()
+		if runs := f.journal.Runs(answer.ID); answer.Status != http.StatusServiceUnavailable || len(runs) > 0 {
+			t.Errorf("another version may have served before: status %d, %d runs", answer.Status, len(runs))
+		}
+	}
+	time.Sleep(time.Until(begun.Add(streamLife + testTimeout/4)))
 	for range 5 {
-		answer := f.sendUntilRead(f.routers[0], managed.Request{Path: pathStream, Key: key, AfterEvent: "3"})
+		answer := reconnect()
 		if answer.Status != http.StatusOK || !answer.Complete {
 			t.Errorf("status %d, complete %v", answer.Status, answer.Complete)
 		}
--- a/peer/wire/codec_affinity.go
+++ b/peer/wire/codec_affinity.go
@@ -76,7 +76,7 @@
 	if err := errors.Join(errPool, errSoftware, errListed); err != nil {
 		return nil, err
 	}
-	p := &peerpb.AffinityAnswer{Lookup: m.Lookup, Known: m.Known, Pool: pool, Software: software, ListedSoftware: listed}
+	p := &peerpb.AffinityAnswer{Lookup: m.Lookup, Known: m.Known, Pool: pool, Software: software, ListedSoftware: listed, ListedLong: m.ListedLong}
 	return &peerpb.Entry{Kind: &peerpb.Entry_AffinityAnswer{AffinityAnswer: p}}, nil
 }
 
@@ -86,5 +86,5 @@
 	if err := errors.Join(errAffinity, errListed); err != nil {
 		return nil, err
 	}
-	return control.AffinityAnswer{Lookup: p.GetLookup(), Known: p.GetKnown(), Affinity: decoded, Software: listed}, nil
+	return control.AffinityAnswer{Lookup: p.GetLookup(), Known: p.GetKnown(), Affinity: decoded, Software: listed, ListedLong: p.GetListedLong()}, nil
 }
