targets: answers with another request's id are strays wherever they come

The fleet's own calls (reports, lists of caches, orders) use the connections of callers' requests, have no id, and took whatever answer came next. A late second answer to a caller's request was read as a report: zero running, zero waiting.

An answer with an id now belongs only to the request with that id, in every dialect: not to a call of the fleet, and in the product's own dialect, whose targets need not repeat ids, not to another request where they do.

Tests on the code before: TestStrayBeforeReportIsSkipped reads 0 queued of 3, TestStrayWithAnIDIsSkipped gets "for other". Both pass now.

Still told apart by their place alone: two answers without ids, so a late second answer to one call of the fleet at the place of the next.

--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -29,7 +29,8 @@
 	RequestID    string
 	CallerSetsID bool
 	// EchoesID means that targets repeat the request's id in each answer, so that an
-	// answer with another id belongs to another request.
+	// answer without it belongs to another request. An answer with another id does in any
+	// dialect.
 	EchoesID bool
 	// StatusTellsNotRun means that callers look at the HTTP status alone: 408, 421, 429
 	// and 503 promise that the request did not run.
--- a/targets/exchange.go
+++ b/targets/exchange.go
@@ -135,8 +135,8 @@
 // requests precede it, or one of them cannot be skipped.
 var errStray = errors.New("target: answer of another request")
 
-// readOwnHead reads the head of the answer to this request. If targets echo the request id,
-// late answers to earlier requests on the connection are skipped.
+// readOwnHead reads the head of the answer to this request. Late answers to earlier requests on the
+// connection, as far as their ids tell, are skipped.
 func (ex *exchange) readOwnHead(req *Request) error {
 	for range maxStrays {
 		if err := readHead(ex.conn); err != nil {
@@ -153,13 +153,18 @@
 	return errStray
 }
 
-// isOwnAnswer reports whether the head that was read belongs to the request.
+// isOwnAnswer reports whether the head that was read belongs to the request. An answer with an id
+// belongs to the request with that id, so not to a call of the fleet itself, which has none.
 func (ex *exchange) isOwnAnswer(req *Request) bool {
 	d := ex.client.options.Dialect
-	if !d.EchoesID || req.ID == "" {
+	if d.RequestID == "" {
 		return true
 	}
-	return string(ex.conn.answer.Peek(d.RequestID)) == req.ID
+	id := ex.conn.answer.Peek(d.RequestID)
+	if len(id) == 0 {
+		return !d.EchoesID || req.ID == ""
+	}
+	return string(id) == req.ID
 }
 
 // skipStray reads past the body of an answer that belongs to another request.
--- a/targets/stray_test.go
+++ b/targets/stray_test.go
@@ -117,3 +117,44 @@
 		t.Errorf("got %q, %v", body, err)
 	}
 }
+
+// TestStrayBeforeReportIsSkipped guards against a late second answer to a caller's request that is
+// taken for the answer to a call of the fleet itself, on the connection that both used.
+func TestStrayBeforeReportIsSkipped(t *testing.T) {
+	const report = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"queued\":3}"
+	client := NewHTTPClient(Options{Dialect: echoDialect})
+	defer client.Close()
+	address := serveRaw(t, func(id string) string {
+		if id != "" {
+			return fullResponse(id, "{}")
+		}
+		return fullResponse("earlier", "{}") + report
+	})
+	answer, err := client.Do(t.Context(), Request{ID: "earlier", Address: address, Method: "GET", Path: "/"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(answer.Body); err != nil {
+		t.Fatal(err)
+	}
+	if load, err := client.Load(t.Context(), address); err != nil || load.Queued != 3 {
+		t.Errorf("got %+v, %v", load, err)
+	}
+}
+
+// TestStrayWithAnIDIsSkipped guards against the answer to another request in a dialect whose targets
+// need not repeat ids, where they do.
+func TestStrayWithAnIDIsSkipped(t *testing.T) {
+	d := *echoDialect
+	d.EchoesID = false
+	client := NewHTTPClient(Options{Dialect: &d})
+	defer client.Close()
+	address := serveRaw(t, func(id string) string { return fullResponse("other", "for other") + fullResponse(id, "for "+id) })
+	answer, err := client.Do(t.Context(), Request{ID: "mine", Address: address, Method: "GET", Path: "/"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(answer.Body); err != nil || string(body) != "for mine" {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
