--- a/front/cutstream_test.go
+++ b/front/cutstream_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/walnutcove/walnutcove/offload"
 	"github.com/walnutcove/walnutcove/pipeline"
 	"github.com/walnutcove/walnutcove/result"
 )
@@ -43,6 +44,25 @@
 	return nil
 }
 
+// newEndlessStream returns a stream whose parts have a pause between them, and that ends after all
+// when a test has failed.
+func newEndlessStream(part int, pause time.Duration) *endlessStream {
+	return &endlessStream{part: part, pause: pause, limit: time.Now().Add(3 * time.Second), closed: make(chan struct{})}
+}
+
+// answerUntil returns a handler whose answer is a stream that is cut off after a time.
+func answerUntil(t *testing.T, cutAfter time.Duration, stream io.ReadCloser) pipeline.Handler {
+	return func(_ context.Context, ex *pipeline.Exchange) error {
+		stop := ex.EndBy(ex.Arrived.Add(cutAfter), func() error { return result.New(result.AnswerTooSlow, "Too late.") })
+		if !stop() {
+			t.Error("refused before the answer")
+		}
+		ex.Status = http.StatusOK
+		ex.AnswerStream = stream
+		return nil
+	}
+}
+
 // postOf returns a request without a body in a version of HTTP.
 func postOf(path, version string) string {
 	return "POST " + path + " HTTP/" + version + "\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
@@ -67,16 +87,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			stream := &endlessStream{part: c.part, pause: c.pause, limit: time.Now().Add(3 * longest), closed: make(chan struct{})}
-			f := start(t, Options{}, func(_ context.Context, ex *pipeline.Exchange) error {
-				stop := ex.EndBy(ex.Arrived.Add(cutAfter), func() error { return result.New(result.AnswerTooSlow, "Too late.") })
-				if !stop() {
-					t.Error("refused before the answer")
-				}
-				ex.Status = http.StatusOK
-				ex.AnswerStream = stream
-				return nil
-			})
+			f := start(t, Options{}, answerUntil(t, cutAfter, newEndlessStream(c.part, c.pause)))
 			sent := time.Now()
 			conn, r := f.send(postOf("/", c.version))
 			if !c.reads {
@@ -101,6 +112,23 @@
 	}
 }
 
+// TestStreamOfExecutedRequestIsCutAtDeadline guards against the same for a request of another router,
+// which has to learn that the response is not complete.
+func TestStreamOfExecutedRequestIsCutAtDeadline(t *testing.T) {
+	const cutAfter, longest = 100 * time.Millisecond, time.Second
+	for name, pause := range map[string]time.Duration{"slow": 10 * time.Millisecond, "silent": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, Options{}, answerUntil(t, cutAfter, newEndlessStream(1, pause)))
+			sent := time.Now()
+			_, answer := execute(f, shortCall, 0)
+			outcome := await(t, answer.ended)
+			if took := time.Since(sent); outcome != offload.Broken || took < cutAfter || took > longest {
+				t.Errorf("the response ended after %s, %s", took, outcome)
+			}
+		})
+	}
+}
+
 // TestStreamThatEndedIsNotCut guards against the deadline of an answered request cutting off the next
 // answer on its connection.
 func TestStreamThatEndedIsNotCut(t *testing.T) {
--- a/targets/earlystray_test.go
+++ b/targets/earlystray_test.go
@@ -29,19 +29,9 @@
 
 // serveEarly answers short requests, and long ones with a text before it has read them, and then closes
 // the connection.
-func serveEarly(t *testing.T, early string) (address string) {
+func serveEarly(t *testing.T, early string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
+	return serveConns(t, func(conn net.Conn) {
 		_ = conn.(*net.TCPConn).SetReadBuffer(smallWindow)
 		reader := bufio.NewReader(conn)
 		for {
@@ -57,8 +47,7 @@
 			_, _ = io.Copy(io.Discard, request.Body)
 			_, _ = io.WriteString(conn, fullResponse(id, "for "+id))
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 // TestStrayBeforeEarlyAnswerIsSkipped guards against a late second answer to an earlier request that
--- a/targets/stray_test.go
+++ b/targets/stray_test.go
@@ -22,8 +22,8 @@
 	RefusedNotRun:  func(int, dialect.Getter) bool { return false },
 }
 
-// serveRaw answers each request on a connection with what answer returns for its id.
-func serveRaw(t *testing.T, answer func(id string) string) string {
+// serveConns accepts connections and passes each to serve.
+func serveConns(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -38,23 +38,31 @@
 			}
 			go func() {
 				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					text := answer(request.Header.Get("X-Id"))
-					if _, err := io.WriteString(conn, text); err != nil || text == "" {
-						return
-					}
-				}
+				serve(conn)
 			}()
 		}
 	}()
 	return listener.Addr().String()
 }
 
+// serveRaw answers each request on a connection with what answer returns for its id.
+func serveRaw(t *testing.T, answer func(id string) string) string {
+	t.Helper()
+	return serveConns(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			text := answer(request.Header.Get("X-Id"))
+			if _, err := io.WriteString(conn, text); err != nil || text == "" {
+				return
+			}
+		}
+	})
+}
+
 func fullResponse(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
