Tests: streams after all routers were replaced are not mixed

Real routers and replicas, streams taken up again named and unnamed, with both versions serving and with the first one gone. The callers of these tests now keep their last event when an attempt is refused.

--- a/managedtest/software_test.go
+++ b/managedtest/software_test.go
@@ -1,6 +1,7 @@
 package managedtest
 
 import (
+	"cmp"
 	"net/http"
 	"strings"
 	"sync"
@@ -34,6 +35,15 @@
 // attempts are the answers to the requests of one stream, in order.
 type attempts []managed.Answer
 
+// lastEvent returns the last event that the caller has.
+func (a attempts) lastEvent() string {
+	last := ""
+	for _, answer := range a {
+		last = cmp.Or(answer.LastEvent(), last)
+	}
+	return last
+}
+
 // isMixed reports whether runs of two software versions answered the stream's requests.
 func (f *fleet) isMixed(stream attempts) bool {
 	software := ""
@@ -77,10 +87,19 @@
 // streams continued.
 // Their callers close their connections after the given number of events; zero: at the end.
 func (f *fleet) reconnectStreams(r *router.Router, streams []attempts, stopAfter int) int {
+	f.t.Helper()
+	return f.reconnectWith(r, streams, func(stream attempts) managed.Request {
+		return managed.Request{Resumes: stream[0].ID, StopAfter: stopAfter}
+	})
+}
+
+// reconnectWith is like reconnectStreams. newRequest returns what the request of a stream has besides
+// its path, its key and the event after which it continues.
+func (f *fleet) reconnectWith(r *router.Router, streams []attempts, newRequest func(attempts) managed.Request) int {
 	f.t.Helper()
 	eachStream(streams, func(_ int, stream *attempts) {
-		first, last := (*stream)[0], (*stream)[len(*stream)-1]
-		request := managed.Request{Path: pathStream, Key: key, Resumes: first.ID, AfterEvent: last.LastEvent(), StopAfter: stopAfter}
+		request := newRequest(*stream)
+		request.Path, request.Key, request.AfterEvent = pathStream, key, stream.lastEvent()
 		*stream = append(*stream, f.sendUntilRead(r, request))
 	})
 	continued := 0
@@ -234,6 +253,43 @@
 	})
 }
 
+// TestStreamsAreNotMixedAfterAllRoutersWereReplaced guards against streams that continue at another
+// software version when no router is left that knows where they began.
+func TestStreamsAreNotMixedAfterAllRoutersWereReplaced(t *testing.T) {
+	for name, oldLeaves := range map[string]bool{"both versions serve": false, "the first has left": true} {
+		for kind, newRequest := range map[string]func(attempts) managed.Request{
+			"named":   func(stream attempts) managed.Request { return managed.Request{Resumes: stream[0].ID} },
+			"unnamed": func(attempts) managed.Request { return managed.Request{} },
+		} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				t.Parallel()
+				f := startFleet(t, 2, softwareReplica("old-1", "v1"), softwareReplica("old-2", "v1"))
+				f.waitJoined()
+				streams := f.beginStreams(f.routers[0])
+				f.addReplica(softwareReplica("new-1", "v2"))
+				f.addReplica(softwareReplica("new-2", "v2"))
+				f.awaitSoftware("v2")
+				if oldLeaves {
+					f.replicas[0].Close()
+					f.replicas[1].Close()
+					f.awaitNoSoftware("v1")
+				}
+				for _, r := range f.routers {
+					r.Close()
+				}
+				late := []*router.Router{f.addRouter(), f.addRouter()}
+				for _, r := range late {
+					f.waitReady(r)
+				}
+				for n := range 3 * len(late) {
+					f.reconnectWith(late[n%len(late)], streams, newRequest)
+				}
+				f.checkUnmixed(streams)
+			})
+		}
+	}
+}
+
 // awaitSoftware waits until all routers list a target of a software version.
 func (f *fleet) awaitSoftware(software string) { f.awaitListing(software, true) }
 
