router: log why a router that refuses requests does not pass them on

Cause: hypotheses of the incident cannot be told apart: the reasons for which requests are not offloaded, the part that is shed and the processor time are metrics only, and a control event that holds up everything else leaves no line.

Change: the line on requests refused unread, once a second, carries them; an event of the control goroutine that takes over 50 ms is logged, once a second.

--- a/router/loop.go
+++ b/router/loop.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"log/slog"
 	"strconv"
 	"sync/atomic"
@@ -18,6 +19,10 @@
 	// inboxSize limits the events waiting for the control goroutine. Senders
 	// block when it is full, which slows traffic rather than losing an event.
 	inboxSize = 4096
+	// slowStepTime is the time from which on an event counts as slow, and is logged at most once per
+	// slowStepLogInterval.
+	slowStepTime        = 50 * time.Millisecond
+	slowStepLogInterval = time.Second
 )
 
 // controlBusy is the time that the control goroutine spent on events.
@@ -41,6 +46,8 @@
 	wakeAt, tickedAt control.Instant
 	// counters is a copy of the machine's counters, updated at each tick.
 	counters atomic.Pointer[control.Counters]
+	// slowLoggedAt is when a slow event was last logged.
+	slowLoggedAt time.Time
 	// membersVersion is the version of the live members last passed to the shell.
 	membersVersion uint64
 }
@@ -202,7 +209,7 @@
 // removes the waiter of a cancelled request, which no longer waits for an answer.
 func (l *loop) step(event control.Event) {
 	start := time.Now()
-	defer func() { controlBusy.Add(time.Since(start).Seconds()) }()
+	defer func() { l.noteBusy(event, start, time.Since(start)) }()
 	if cancelled, ok := event.(control.RequestCancelled); ok {
 		l.takeWaiter(cancelled.Request, cancelled.Attempt)
 	}
@@ -211,6 +218,17 @@
 	}
 }
 
+// noteBusy counts the time that an event took, and logs it if the event was slow: all that waits for the
+// control goroutine waited as long.
+func (l *loop) noteBusy(event control.Event, start time.Time, elapsed time.Duration) {
+	controlBusy.Add(elapsed.Seconds())
+	if elapsed < slowStepTime || start.Sub(l.slowLoggedAt) < slowStepLogInterval {
+		return
+	}
+	l.slowLoggedAt = start
+	l.log.Warn("control: Event took long.", "event", fmt.Sprintf("%T", event), "took", elapsed, "waiting", len(l.inbox))
+}
+
 func (l *loop) execute(command control.Command) {
 	switch c := command.(type) {
 	case control.Send:
--- a/router/start.go
+++ b/router/start.go
@@ -282,7 +282,8 @@
 		r.startWorker(func() { r.followMembers(ctx) })
 		r.startWorker(func() { r.awaitJoined(ctx) })
 		r.startWorker(func() { r.overload.run(ctx) })
-		r.startWorker(func() { r.unread.run(ctx, r.loop, r.log) })
+		state := newShedState(r.overload, r.offloading.source)
+		r.startWorker(func() { r.unread.run(ctx, r.loop, r.log, state.attributes) })
 		if r.offloading.source != nil {
 			r.startWorker(func() { r.offloading.source.run(ctx) })
 			r.startedExecutor.Store(r.offloading.executor)
--- a/router/unread.go
+++ b/router/unread.go
@@ -70,8 +70,9 @@
 	return counts
 }
 
-// run reports the counts to the control goroutine, and logs them, until ctx ends.
-func (u *unreadCounts) run(ctx context.Context, to *loop, log *slog.Logger) {
+// run reports the counts to the control goroutine, and logs them with the attributes that state
+// returns, until ctx ends.
+func (u *unreadCounts) run(ctx context.Context, to *loop, log *slog.Logger, state func() []any) {
 	ticker := time.NewTicker(unreadReportInterval)
 	defer ticker.Stop()
 	loggedAt := time.Now()
@@ -86,7 +87,7 @@
 		}
 		if now := time.Now(); now.Sub(loggedAt) >= unreadLogInterval {
 			loggedAt = now
-			logUnread(log, u.takeByWorkspace())
+			logUnread(log.With(state()...), u.takeByWorkspace())
 		}
 	}
 }
--- a/router/unread_test.go
+++ b/router/unread_test.go
@@ -68,3 +68,25 @@
 		t.Errorf("counted %v", counts)
 	}
 }
+
+// TestUnreadLogTellsWhyNotOffloaded guards against operators who cannot tell why a router refuses
+// requests that others could serve: the line gives the reasons since the last one.
+func TestUnreadLogTellsWhyNotOffloaded(t *testing.T) {
+	o := &overload{}
+	source := newOffloadSource("a", slog.New(slog.DiscardHandler), nil, nil)
+	state := newShedState(o, source)
+	offloadLimited.Add(3)
+	log := func() string {
+		var u unreadCounts
+		u.add("a", "gen")
+		var output strings.Builder
+		logUnread(slog.New(slog.NewTextHandler(&output, nil)).With(state.attributes()...), u.takeByWorkspace())
+		return output.String()
+	}
+	if line := log(); !strings.Contains(line, "not_offloaded=[limited:3]") || !strings.Contains(line, "cores_used=") {
+		t.Errorf("logged %q", line)
+	}
+	if line := log(); !strings.Contains(line, "not_offloaded=[]") {
+		t.Errorf("logged %q again", line)
+	}
+}
