router: bound what is accepted before the lag shows

Callers: at a router of 0.192 cores that gets 2,500 requests a second, what was accepted in the first tenth of a second took most of a second to serve. Others waited meanwhile to be accepted, were refused seconds late, and small workspaces beside the flood got nothing in time.

Cause: shedding follows the measured lag, which shows only after the router has accepted many times what it can serve.

Change: a router accepts at most 3,300 new requests a second and core, saved up for one interval of the measurement; the rest is selected for shedding as if everything were shed, so workspaces within their share stay exempt.

--- a/router/flood_test.go
+++ b/router/flood_test.go
@@ -49,7 +49,7 @@
 	start := time.Now()
 	arrive := func(now time.Duration, workspace string) {
 		next := cpuTurn{beside: workspace != "flood", arrivedAt: now}
-		if o.shouldShed(false) && !fair.exempts(start.Add(now), workspace, 1, o.shedProbability(false), o.meanShedProbability(false)) {
+		if f.sheds(o, &fair, start.Add(now), workspace) {
 			next.cost = f.refusedCPUTime
 		} else {
 			next.turnsLeft, next.cost = f.turns, f.servedCPUTime/time.Duration(f.turns)
@@ -93,6 +93,27 @@
 	return result
 }
 
+// overload returns the overload of a router of this size.
+func (f floodLoad) overload() *overload {
+	return &overload{
+		log:             slog.New(slog.DiscardHandler),
+		admissions:      newAdmissionBound(f.cores),
+		hasTooManyConns: func() bool { return false },
+	}
+}
+
+// sheds decides on a request as Router.confirmShed does.
+func (f floodLoad) sheds(o *overload, fair *fairShed, now time.Time, workspace string) bool {
+	if !o.shouldShed(false) {
+		return false
+	}
+	if fair.exempts(now, workspace, 1, o.shedProbability(false), o.meanShedProbability(false)) {
+		o.admissions.note()
+		return false
+	}
+	return true
+}
+
 // queueDelay returns how long a new turn waits for the processor.
 func (f floodLoad) queueDelay(queue []cpuTurn) time.Duration {
 	work := time.Duration(0)
@@ -117,7 +138,7 @@
 			servedCPUTime: 300 * time.Microsecond, refusedCPUTime: 11 * time.Microsecond, turns: 10,
 			maxWait: 150 * time.Millisecond,
 		}
-		o := &overload{log: slog.New(slog.DiscardHandler), hasTooManyConns: func() bool { return false }}
+		o := f.overload()
 		got := f.simulate(o, duration)
 		inTime, late := got.inTime, got.late
 		refusalLoad := f.refusedCPUTime.Seconds() * float64(perSecond)
@@ -147,7 +168,7 @@
 				servedCPUTime: 300 * time.Microsecond, refusedCPUTime: 30 * time.Microsecond, turns: 10,
 				maxWait: 150 * time.Millisecond,
 			}
-			o := &overload{log: slog.New(slog.DiscardHandler), hasTooManyConns: func() bool { return false }}
+			o := f.overload()
 			got := f.simulate(o, duration)
 			asked := float64(f.besidePerSecond) * duration.Seconds()
 			t.Logf("%d per second: %d in time and %d late, %d in time of %.0f of the other workspace", perSecond, got.inTime, got.late, got.besideInTime, asked)
@@ -173,7 +194,7 @@
 				servedCPUTime: 300 * time.Microsecond, refusedCPUTime: 30 * time.Microsecond, turns: 10,
 				maxWait: 150 * time.Millisecond,
 			}
-			o := &overload{log: slog.New(slog.DiscardHandler), hasTooManyConns: func() bool { return false }}
+			o := f.overload()
 			got := f.simulate(o, duration)
 			left := (f.cores - f.refusedCPUTime.Seconds()*float64(perSecond)) / f.servedCPUTime.Seconds() * duration.Seconds()
 			t.Logf("%d per second: %d in time, %d late of %.0f that the processor could serve", perSecond, got.inTime, got.late, left)
@@ -197,7 +218,7 @@
 		servedCPUTime: 300 * time.Microsecond, refusedCPUTime: 30 * time.Microsecond, turns: 10,
 		maxWait: 150 * time.Millisecond,
 	}
-	o := &overload{log: slog.New(slog.DiscardHandler), hasTooManyConns: func() bool { return false }}
+	o := f.overload()
 	got := f.simulate(o, duration)
 	arrivals := float64(f.perSecond + f.besideCount*f.besidePerSecond)
 	left := (f.cores - f.refusedCPUTime.Seconds()*arrivals) / f.servedCPUTime.Seconds() * duration.Seconds()
--- a/router/managed.go
+++ b/router/managed.go
@@ -88,6 +88,7 @@
 		restored:       make(chan struct{}, 1),
 		overload: &overload{
 			log:             r.log,
+			admissions:      newAdmissionBound(r.settings.Node.Cores),
 			hasTooManyConns: func() bool { return r.front.HasTooManyConns() },
 			callerCount:     func() int { return r.front.ConnCount() },
 		},
--- a/router/overload.go
+++ b/router/overload.go
@@ -84,6 +84,8 @@
 var (
 	lagSeconds = metrics.GetOrCreateHistogram(`walnut_router_lag_seconds`)
 	overloads  = metrics.GetOrCreateCounter(`walnut_router_overloads_total`)
+	// admissionsExhausted counts the measurements at which the admission bound was used up.
+	admissionsExhausted = metrics.GetOrCreateCounter(`walnut_router_admissions_exhausted_total`)
 )
 
 // overload detects when this router is too busy for new connections and decides which
@@ -131,6 +133,10 @@
 	// acceptsKept is set while no lasting lag is measured; while it is set, no request on a
 	// kept connection is refused unread.
 	acceptsKept atomic.Bool
+	// admissions bounds what is accepted before the lag shows, and wasExhausted tells whether it was used up
+	// at the last measurement.
+	admissions   *admissionBound
+	wasExhausted bool
 	// shed is the current period in which requests are refused unread.
 	shed shedPeriod
 }
@@ -157,13 +163,22 @@
 	if o.hasFewCallers() {
 		return false
 	}
-	return rand.Float64() < o.shedProbability(kept)
+	if rand.Float64() < o.shedProbability(kept) {
+		return true
+	}
+	if !kept {
+		o.admissions.note()
+	}
+	return false
 }
 
 // shedProbability returns the fraction of requests that is refused unread while there are more
 // than a few callers.
 func (o *overload) shedProbability(kept bool) float64 {
 	if !kept {
+		if o.admissions.exhausted() {
+			return 1
+		}
 		return math.Float64frombits(o.shedFraction.Load())
 	}
 	if o.acceptsKept.Load() {
@@ -241,7 +256,7 @@
 
 // nextInterval returns the time until the next measurement.
 func (o *overload) nextInterval() time.Duration {
-	if o.lastLateness > shedTargetLag || o.shedProbability(false) > 0 {
+	if o.lastLateness > shedTargetLag || o.wasExhausted || o.shedProbability(false) > 0 {
 		return shedInterval
 	}
 	return lagInterval
@@ -251,6 +266,10 @@
 // with each measurement, everything else once per lagInterval.
 func (o *overload) measure(now time.Time, lateness time.Duration) {
 	o.lastLateness = lateness
+	if o.wasExhausted = o.admissions.exhausted(); o.wasExhausted {
+		admissionsExhausted.Inc()
+	}
+	o.admissions.refill(now.Sub(o.measuredAt))
 	o.aboveTargetLag.add(lateness > shedTargetLag)
 	o.updateMeanShed(now.Sub(o.measuredAt))
 	o.measuredAt = now
--- a/router/unread.go
+++ b/router/unread.go
@@ -128,6 +128,9 @@
 	}
 	share := snapshot.Declarations.ShareOf(workspace)
 	if r.fairShed.exempts(time.Now(), workspace, share, r.overload.shedProbability(kept), r.overload.meanShedProbability(kept)) {
+		if !kept {
+			r.overload.admissions.note()
+		}
 		return false, nil
 	}
 	return true, func() { r.countUnread(workspace, route) }
