--- a/offload/balance/load_test.go
+++ b/offload/balance/load_test.go
@@ -24,6 +24,16 @@
 	m.checkLag(t, reductionLag)
 }
 
+// TestOneFloodedSourceAndManySmallExecutors guards against a source that keeps too few links for what it
+// refuses: none of the routers that have time to spare is larger than it.
+func TestOneFloodedSourceAndManySmallExecutors(t *testing.T) {
+	m := newModel(1, idle(22, 0.192)...)
+	m.sources[0].perSecond = floodPerSecond
+	m.run(rampTime)
+	m.checkPart(t, "after a second", mostOfThem, 5*time.Second, m.sources[0])
+	m.checkLag(t, reductionLag)
+}
+
 // TestSourcesFloodedOneAfterTheOther guards against executors that stay reserved for a source whose
 // flood is over.
 func TestSourcesFloodedOneAfterTheOther(t *testing.T) {
--- a/offload/balance/selector.go
+++ b/offload/balance/selector.go
@@ -12,7 +12,7 @@
 const (
 	// minExecutors and maxExecutors are how many executors a source keeps links to.
 	minExecutors = 2
-	maxExecutors = 4
+	maxExecutors = 8
 	// addInterval is the interval at which another executor is added while requests find no
 	// allowance: two steps of the pacers of those that there are.
 	addInterval = 100 * time.Millisecond
