front: the accept delay ends when an accept finds no connection

Callers: a busy router left the balancer's rotation, shed everything and passed on nothing, for connections that it accepted within milliseconds.

Cause: the accept queue was looked at with each measurement only, every 10 to 50 ms. At thousands of connections a second some wait at nearly each of these moments, so the time since it was last seen empty grows without end.

Change: an accept that finds no connection counts as seen empty.

TestAcceptDelayEndsWhenTheQueueIsDrained failed before (delay over 10 ms).

--- a/front/backlog.go
+++ b/front/backlog.go
@@ -16,6 +16,9 @@
 	raw syscall.RawConn
 	// emptyAt is when the queue of connections was last seen empty. Only measure uses it.
 	emptyAt time.Time
+	// drainedAt is when an accept last found no connection; nil if none has. Under load the queue is
+	// empty for moments between the measurements.
+	drainedAt atomic.Pointer[time.Time]
 	// delay is the result of the last measurement, in nanoseconds.
 	delay atomic.Int64
 }
@@ -44,11 +47,17 @@
 	return waiting
 }
 
+// noteDrained records that an accept found no connection.
+func (b *acceptBacklog) noteDrained(now time.Time) { b.drainedAt.Store(&now) }
+
 // measure updates the delay.
 func (b *acceptBacklog) measure(now time.Time, hasWaiting bool) time.Duration {
 	if !hasWaiting || b.emptyAt.IsZero() {
 		b.emptyAt = now
 	}
+	if drainedAt := b.drainedAt.Load(); drainedAt != nil && drainedAt.After(b.emptyAt) {
+		b.emptyAt = *drainedAt
+	}
 	delay := now.Sub(b.emptyAt)
 	b.delay.Store(int64(delay))
 	return delay
--- a/front/backlog_test.go
+++ b/front/backlog_test.go
@@ -51,3 +51,19 @@
 		t.Errorf("%d callers that left were counted as refused", refused)
 	}
 }
+// TestAcceptDelayEndsWhenTheQueueIsDrained guards against a router that takes itself for seconds late because
+// connections happen to wait at each measurement, although it accepts all of them in between.
+func TestAcceptDelayEndsWhenTheQueueIsDrained(t *testing.T) {
+	var b acceptBacklog
+	start := time.Now()
+	for elapsed := time.Duration(0); elapsed < time.Second; elapsed += 10 * time.Millisecond {
+		now := start.Add(elapsed)
+		if delay := b.measure(now, true); delay > 10*time.Millisecond {
+			t.Fatalf("after %s: delay %s", elapsed, delay)
+		}
+		b.noteDrained(now.Add(9 * time.Millisecond))
+	}
+	if delay := b.measure(start.Add(2*time.Second), true); delay < time.Second {
+		t.Errorf("delay %s of connections that wait on", delay)
+	}
+}
--- a/front/fastrefusal.go
+++ b/front/fastrefusal.go
@@ -96,6 +96,9 @@
 	controlErr := f.rawListener.Control(func(listener uintptr) {
 		fd, _, err = syscall.Accept4(int(listener), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 	})
+	if err == syscall.EAGAIN {
+		f.server.backlog.noteDrained(time.Now())
+	}
 	if controlErr != nil || err != nil {
 		return 0, false
 	}
