front: requests that waited are offered to other routers while their callers wait

Cause: nothing was offered once connections had waited for 250 ms, as refusals are cheaper and empty the queue sooner. Under a flood the queue does not become empty, so nothing was offered for its whole length.

Change: requests are offered for as long as their callers wait for a request that is not read: a second, or a third of their time. Callers that have left are found out before as they were.

TestRequestThatWaitedIsOffered failed before (0 of 1 offered after 600 ms).

--- a/front/backlog_test.go
+++ b/front/backlog_test.go
@@ -1,8 +1,11 @@
 package front
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"github.com/walnutcove/walnutcove/dialect"
 )
 
 // TestAcceptDelayGrowsWhileConnectionsWait guards against a router that accepts seconds late but
@@ -35,6 +38,36 @@
 	})
 }
 
+// TestRequestThatWaitedIsOffered guards against a busy router that passes nothing to routers with time to
+// spare while connections wait to be accepted, although their callers still wait too.
+func TestRequestThatWaitedIsOffered(t *testing.T) {
+	withDeadline := *dialect.Own
+	withDeadline.Deadline = "X-Deadline-Ms"
+	for _, c := range []struct {
+		delay, deadline time.Duration
+		offered         int
+	}{
+		{600 * time.Millisecond, 8 * time.Second, 1},
+		{600 * time.Millisecond, 2500 * time.Millisecond, 1},
+		{600 * time.Millisecond, time.Second, 0},
+	} {
+		onBothPaths(t, func(t *testing.T, fast bool) {
+			s := startSource(t, Options{Dialect: &withDeadline})
+			s.backlog.delay.Store(int64(c.delay))
+			s.call(fast, fmt.Sprintf("GET /a HTTP/1.1\r\nHost: x\r\nX-Deadline-Ms: %d\r\n\r\n", c.deadline.Milliseconds()))
+			for deadline := time.Now().Add(time.Second); len(s.sender.sent) < c.offered && time.Now().Before(deadline); {
+				time.Sleep(time.Millisecond)
+			}
+			if c.offered == 0 {
+				s.awaitIdle()
+			}
+			if sent := len(s.sender.sent); sent != c.offered {
+				t.Errorf("waited %s of %s: offered %d times, want %d", c.delay, c.deadline, sent, c.offered)
+			}
+		})
+	}
+}
+
 // TestCallerThatLeftIsNotOffered guards against sending requests to executors whose callers gave
 // up while the requests waited to be accepted.
 func TestCallerThatLeftIsNotOffered(t *testing.T) {
@@ -51,6 +84,7 @@
 		t.Errorf("%d callers that left were counted as refused", refused)
 	}
 }
+
 // TestAcceptDelayEndsWhenTheQueueIsDrained guards against a router that takes itself for seconds late because
 // connections happen to wait at each measurement, although it accepts all of them in between.
 func TestAcceptDelayEndsWhenTheQueueIsDrained(t *testing.T) {
--- a/front/offload.go
+++ b/front/offload.go
@@ -28,10 +28,11 @@
 	defaultCallerDeadline = 60 * time.Second
 	maxCallerDeadline     = 24 * time.Hour
 	// maxOfferDelay is the accept delay above which requests are refused in place of being
-	// offered: refusals are cheaper than copied responses, so the queue is emptied first. Callers
-	// expect the first event within 250 to 600 ms, and give up on a request that was not read for
-	// a second.
-	maxOfferDelay = 250 * time.Millisecond
+	// offered. Callers give up on a request that was not read for a second, or for a third of
+	// the time that they had.
+	maxOfferDelay = time.Second
+	// maxOfferDeadlineShare is the part of the caller's time above which requests are not offered.
+	maxOfferDeadlineShare = 1.0 / 3
 	// deadlineGrace is how long after a caller's deadline the executor may still respond. The
 	// executor refuses the caller itself, 150 ms after the deadline; see filters/detach.
 	deadlineGrace = 250 * time.Millisecond
@@ -76,8 +77,9 @@
 		offloadCrowded.Inc()
 		return false
 	}
-	delay := s.acceptDelay()
-	if delay > maxOfferDelay {
+	header := &ctx.Request.Header
+	delay, deadline := s.acceptDelay(), s.callerDeadline(header)
+	if delay > maxOfferDelay || delay.Seconds() > maxOfferDeadlineShare*deadline.Seconds() {
 		offloadAcceptedLate.Inc()
 		return false
 	}
@@ -87,8 +89,7 @@
 		closeDescriptor(fd)
 		return true
 	}
-	header := &ctx.Request.Header
-	now, deadline := time.Now(), s.callerDeadline(header)
+	now := time.Now()
 	r := &offloaded{
 		owner:        o,
 		id:           id,
