--- a/offload/balance/load_test.go
+++ b/offload/balance/load_test.go
@@ -34,6 +34,28 @@
 	m.checkLag(t, reductionLag)
 }
 
+// TestSourceThatRefusalsKeepLateStillOffers guards against a source whose callers get nothing, as refusing
+// them alone keeps it late.
+func TestSourceThatRefusalsKeepLateStillOffers(t *testing.T) {
+	limiter := NewLimiter()
+	without := 0
+	for range 100 {
+		limiter.Measure(time.Second, true)
+		if limiter.Fraction() < 0.01 {
+			without++
+		}
+	}
+	if without > 10 {
+		t.Errorf("nothing was offered for %d of 100 measurements", without)
+	}
+	if offered := limiter.Fraction() * floodPerSecond; offered < 100 {
+		t.Errorf("%.0f of %d requests a second are offered", offered, floodPerSecond)
+	}
+	if limiter.Fraction() > 0.5 {
+		t.Errorf("%.2f of the requests are offered by a source that is late", limiter.Fraction())
+	}
+}
+
 // TestSourcesFloodedOneAfterTheOther guards against executors that stay reserved for a source whose
 // flood is over.
 func TestSourcesFloodedOneAfterTheOther(t *testing.T) {
