--- a/config/validate.go
+++ b/config/validate.go
@@ -261,7 +261,7 @@
 	if reason := invalidNameReason(t.DataCentre); reason != "" {
 		problems.add(object, "data_centre", "%s", reason)
 	}
-	if !validAddress(t.Address) {
+	if !ValidAddress(t.Address) {
 		problems.add(object, "address", "must be an IP number and port such as \"10.0.0.7:8000\", not a host name")
 	}
 	if t.Slots < 1 || t.Slots > MaxSlots {
@@ -270,7 +270,8 @@
 	checkOrders(d, object, t, problems)
 }
 
-func validAddress(address string) bool {
+// ValidAddress reports whether an address is an IP number and port that a router can connect to.
+func ValidAddress(address string) bool {
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil || parsed.Port() == 0 {
 		return false
