targets: a stream that ends inside an event is broken however it is framed

Cause: only streams that end with their connection were checked for ending between two events; chunks or a length counted as proof of a whole stream.

--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -61,6 +61,9 @@
 	// CloseDelimited means that an answer without a length is complete when its
 	// connection is closed. An event stream must also end between two events.
 	CloseDelimited bool
+	// WholeEvents means that targets end event streams between two events: one that ends inside
+	// an event has been broken off, however it is framed.
+	WholeEvents bool
 	// RefusedNotRun reports by an answer's head whether the target refused the request
 	// and did not run it.
 	RefusedNotRun func(status int, header Getter) bool
--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -103,5 +103,11 @@
 // event or a comment, rather than inside one or in the middle of a line end. A stream that is
 // cut off between two events cannot be distinguished from a whole one.
 func (s *Scanner) IsBetweenEvents() bool {
-	return s.complete > 0 && !s.inEvent && !s.inLine && !(s.afterCR && s.usesCRLF)
+	return s.complete > 0 && !s.IsInsideEvent()
+}
+
+// IsInsideEvent reports whether the stream so far ends inside an event or a comment, or in the middle of
+// a line end.
+func (s *Scanner) IsInsideEvent() bool {
+	return s.inEvent || s.inLine || s.afterCR && s.usesCRLF
 }
--- a/targets/body.go
+++ b/targets/body.go
@@ -22,9 +22,8 @@
 	lengthUntilEOF = -2
 )
 
-// errCutEvent reports that the connection, whose close ends the answer, was closed inside an
-// event of an event stream.
-var errCutEvent = errors.New("target: connection closed inside an event")
+// errCutEvent reports that an event stream ended inside an event.
+var errCutEvent = errors.New("target: stream ended inside an event")
 
 // errUnframed reports that the answer has neither a length nor chunks: its end cannot be told
 // from a broken connection.
@@ -37,7 +36,7 @@
 	reader    io.Reader
 	framing   Framing
 	keepAlive bool
-	// events finds where an event stream with FramingClose may end; nil for other answers.
+	// events finds where an event stream may end; nil for answers that may end anywhere.
 	events *eventstream.Scanner
 	// remaining is the number of bytes still to come, with FramingLength.
 	remaining int64
@@ -61,12 +60,13 @@
 		b.reader = httputil.NewChunkedReader(ex.conn.reader)
 	case length == lengthUntilEOF:
 		b.framing = FramingClose
-		if eventstream.IsMediaType(string(header.ContentType())) {
-			b.events = &eventstream.Scanner{}
-		}
 	default:
 		b.remaining = int64(length)
 	}
+	endsBetweenEvents := b.framing == FramingClose || ex.client.options.Dialect.WholeEvents
+	if endsBetweenEvents && eventstream.IsMediaType(string(header.ContentType())) {
+		b.events = &eventstream.Scanner{}
+	}
 	if b.framing == FramingLength && b.remaining == 0 {
 		b.finish(io.EOF, b.keepAlive)
 	}
@@ -100,10 +100,10 @@
 		p = p[:b.remaining]
 	}
 	n, err := b.reader.Read(p)
+	b.scan(p[:n])
 	b.remaining -= int64(n)
 	if b.remaining == 0 {
-		b.finish(io.EOF, b.keepAlive)
-		return n, io.EOF
+		return n, b.finishFramed(b.keepAlive)
 	}
 	if err != nil {
 		return n, b.fail(err)
@@ -113,6 +113,7 @@
 
 func (b *body) readChunked(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
+	b.scan(p[:n])
 	if err == nil {
 		return n, nil
 	}
@@ -121,24 +122,37 @@
 	}
 	switch err := b.skipTrailer(); {
 	case err == nil:
-		b.finish(io.EOF, b.keepAlive)
+		return n, b.finishFramed(b.keepAlive)
 	case errors.Is(err, errTrailer):
 		// The last chunk has arrived, so the content is complete.
 		b.ex.counters.countFailure(reasonTrailer)
-		b.finish(io.EOF, false)
+		return n, b.finishFramed(false)
 	default:
 		return n, b.fail(err)
 	}
-	return n, io.EOF
+}
+
+// scan follows the events of the bytes that were read.
+func (b *body) scan(read []byte) {
+	if b.events != nil {
+		b.events.Scan(read)
+	}
+}
+
+// finishFramed ends a body whose length or last chunk has been reached, and returns the error of the read.
+func (b *body) finishFramed(keepAlive bool) error {
+	if b.events != nil && b.events.IsInsideEvent() {
+		return b.failAtEOF(reasonCutEvent, errCutEvent)
+	}
+	b.finish(io.EOF, keepAlive)
+	return io.EOF
 }
 
 // readUnframed reads a body that ends with its connection. The close alone does not prove that
 // an event stream is whole: it must also end between two events.
 func (b *body) readUnframed(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
-	if b.events != nil {
-		b.events.Scan(p[:n])
-	}
+	b.scan(p[:n])
 	switch {
 	case err == nil:
 		return n, nil
--- a/targets/unframed_test.go
+++ b/targets/unframed_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -116,3 +119,51 @@
 		client.Close()
 	}
 }
+
+// TestStreamThatEndsInsideAnEventIsBroken guards against a stream that stops inside an event and reaches its caller as
+// complete, as its chunks or its length end there too, where targets end streams between events.
+func TestStreamThatEndsInsideAnEventIsBroken(t *testing.T) {
+	wholeEvents := *echoDialect
+	wholeEvents.WholeEvents = true
+	framings := map[string]func(body string) string{
+		"length":  func(body string) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body) },
+		"chunked": func(body string) string { return "Transfer-Encoding: chunked\r\n\r\n" + chunks(body) + "0\r\n\r\n" },
+	}
+	for name, frame := range framings {
+		for _, contentType := range []string{"text/event-stream", "text/plain"} {
+			for body, cut := range map[string]bool{
+				"id: 1\ndata: a\n\n":                 false,
+				"id: 1\r\ndata: a\r\n\r\n: ping\r\n": false,
+				"":                                   false,
+				": ping\n\n":                         false,
+				"id: 1\ndata: a\n\nid: 2\nda":        true,
+				"data: a\n\ndata: b\n":               true,
+				"id: 1\nda":                          true,
+			} {
+				client := NewHTTPClient(Options{Dialect: &wholeEvents})
+				head := "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Type: " + contentType + "\r\n"
+				answer, err := client.Do(context.Background(), Request{ID: "mine", Address: serveOnce(t, head+frame(body)), Method: "GET", Path: "/"})
+				if err != nil {
+					t.Fatal(err)
+				}
+				got, err := io.ReadAll(answer.Body)
+				var broken *result.Error
+				isBroken := errors.As(err, &broken) && broken.Code == result.StreamBroken
+				if want := cut && contentType == "text/event-stream"; string(got) != body || isBroken != want || err != nil && !isBroken {
+					t.Errorf("%s, %s, %q: got %q, %v", name, contentType, body, got, err)
+				}
+				answer.Body.Close()
+				client.Close()
+			}
+		}
+	}
+}
+
+// chunks returns a body in chunks of at most three bytes, without the last one.
+func chunks(body string) string {
+	var text strings.Builder
+	for part := range slices.Chunk([]byte(body), 3) {
+		fmt.Fprintf(&text, "%x\r\n%s\r\n", len(part), part)
+	}
+	return text.String()
+}
