front: polls without waiting keep the processor

Cause: before a request is offered, its caller's connection is polled with no waiting time. The runtime takes each poll for a call that may block and hands the processor to other goroutines if it lasts; the accepting goroutine then waited behind all of them.

Change: the system call is made without telling the runtime, as it never blocks. Behaviour is as before, so the tests of callers that left and of the accept delay stand for it.

--- a/front/backlog.go
+++ b/front/backlog.go
@@ -40,9 +40,7 @@
 	waiting := false
 	// An error means that the listener is closed.
 	_ = b.raw.Control(func(fd uintptr) {
-		fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(fds[:], 0)
-		waiting = err == nil && n > 0
+		waiting = pollNow(int(fd), unix.POLLIN) != 0
 	})
 	return waiting
 }
--- a/front/offload.go
+++ b/front/offload.go
@@ -120,9 +120,7 @@
 
 // isCallerGone reports whether the caller has closed or reset a connection.
 func isCallerGone(fd int) bool {
-	fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(fds[:], 0)
-	return err == nil && n > 0 && fds[0].Revents != 0
+	return pollNow(fd, unix.POLLRDHUP) != 0
 }
 
 // callerDeadline returns the time that a caller allows for its request.
