router: exempt requests owe one interval of admissions at most

Callers: after many small workspaces were exempt from shedding, a router would have shed the others for as long as these requests would have filled the bound: ten thousand of them for 15 s at 0.2 cores.

Cause: what is exempt counts against the admission bound without a limit.

Change: at most one interval is owed.

--- a/front/turn.go
+++ b/front/acceptturn.go
@@ -16,7 +16,8 @@
 
 // acceptTurn divides the processor between the goroutine that refuses connections and all others. With turns of
 // a fixed length, the more goroutines are ready to run the fewer connections it refuses, and callers wait
-// seconds to be refused. So a turn lasts for as long as the others had before, up to maxAcceptShare in all.
+// seconds to be refused. So the length of a turn follows the time that the others had before it, such that
+// refusals get maxAcceptShare of the processor if they need that much.
 type acceptTurn struct {
 	endsAt time.Time
 }
--- a/router/admissions.go
+++ b/router/admissions.go
@@ -46,13 +46,14 @@
 	}
 }
 
-// refill adds the admissions of the time since the last call.
+// refill adds the admissions of the time since the last call. Requests that are exempt from shedding may use
+// more than there are; at most one capacity is owed.
 func (b *admissionBound) refill(elapsed time.Duration) {
 	if b == nil {
 		return
 	}
 	added := b.rest + min(b.perSecond*elapsed.Seconds(), b.capacity)
 	b.rest = added - float64(int64(added))
-	excess := b.left.Add(int64(added)) - int64(b.capacity)
-	b.left.Add(-max(0, excess))
+	left, most := b.left.Add(int64(added)), int64(b.capacity)
+	b.left.Add(min(max(left, -most), most) - left)
 }
