headcheck: answers with status 000, and other status lines that are not HTTP/1, are no answers

What callers saw: a target's answer with status 000 arrived as a whole 200 with the target's id and seal, on all three kinds of route. 600 was passed on as 600, HTTP/2.0 and HTTP/0.9 in the status line as 200.

Cause: fasthttp stores "not set" as status 0, so ResponseHeader.StatusCode() returns 200 for an answer that says 000. It checks that a status has three digits and that a version has the form of one, not their values. Each reader of answers relied on it.

Also found there: 101 was skipped like an interim answer, and control characters in a reason phrase were accepted.

Change: package headcheck checks the lines of a head while their bytes arrive, and hides the end of a refused line from the parser, so that no head can be completed. It is used at one place of each connection: by the targets' client around its reads, by the clients of the store, the platform, walnutctl and the load tool through headcheck.Conn.

Why this works: the status that arrived is no longer known after fasthttp has parsed it, so it is checked before.

--- a/ctl/client.go
+++ b/ctl/client.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/walnutcove/walnutcove/config"
+	"github.com/walnutcove/walnutcove/headcheck"
 	"github.com/walnutcove/walnutcove/operator"
 	"github.com/walnutcove/walnutcove/result"
 )
@@ -105,12 +106,13 @@
 func (e *dialError) Error() string { return e.cause.Error() }
 func (e *dialError) Unwrap() error { return e.cause }
 
+// dial opens a connection that refuses heads that are no answer.
 func (c *Client) dial(address string) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", address, c.options.DialTimeout)
 	if err != nil {
 		return nil, &dialError{cause: err}
 	}
-	return conn, nil
+	return headcheck.NewConn(conn), nil
 }
 
 // Close closes the idle connections.
--- a/load/send.go
+++ b/load/send.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/walnutcove/walnutcove/headcheck"
 )
 
 // Verdict classifies the outcome of a request as its caller sees it.
@@ -68,6 +70,7 @@
 // each further part of it.
 func NewClient(timeout time.Duration) *Client {
 	return &Client{http: fasthttp.Client{
+		Dial:                          dial,
 		ReadTimeout:                   timeout,
 		WriteTimeout:                  timeout,
 		MaxConnsPerHost:               1 << 14,
@@ -79,6 +82,15 @@
 	}}
 }
 
+// dial opens a connection that refuses heads that are no answer.
+func dial(address string) (net.Conn, error) {
+	conn, err := fasthttp.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	return headcheck.NewConn(conn), nil
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- /dev/null
+++ b/managedtest/brokenanswers_test.go
@@ -0,0 +1,114 @@
+package managedtest
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/walnutcove/walnutcove/platform/wire"
+	"github.com/walnutcove/walnutcove/standin/managed"
+	"github.com/walnutcove/walnutcove/standin/rawhttp"
+)
+
+// fromReplica begins the fields of a replica's own answer. "ID" stands for the request's id.
+const fromReplica = "\r\n" + wire.HeaderSeal + ": raw\r\n" + wire.HeaderRequestID + ": ID\r\n"
+
+// brokenReplica answers each request, and the routers' own calls, with the same text.
+type brokenReplica struct {
+	text string
+
+	mu sync.Mutex
+	// asked holds the ids of the requests that arrived.
+	asked map[string]bool
+}
+
+// startBrokenReplicas registers a replica of each service that answers with a text, and waits until the routers know them.
+func (f *fleet) startBrokenReplicas(text string, serve func(text func(*http.Request) string) func(net.Conn)) *brokenReplica {
+	f.t.Helper()
+	r := &brokenReplica{text: text, asked: make(map[string]bool)}
+	address := rawhttp.Start(f.t, serve(r.answer))
+	f.register("broken-ops", "ops", address)
+	f.register("broken-gen", "gen", address)
+	for n, router := range f.routers {
+		f.eventually(testTimeout, fmt.Sprint("the replicas are known at router ", n), func() bool {
+			targets := router.InForce().Declarations.Targets
+			_, ops := targets["broken-ops"]
+			_, gen := targets["broken-gen"]
+			return ops && gen
+		})
+	}
+	return r
+}
+
+func (r *brokenReplica) answer(request *http.Request) string {
+	id := request.Header.Get(wire.HeaderRequestID)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asked[id] = id != ""
+	return strings.ReplaceAll(r.text, "ID", id)
+}
+
+// wasAsked reports whether a request has arrived.
+func (r *brokenReplica) wasAsked(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asked[id]
+}
+
+// checkCallers sends requests on each kind of route and checks that no caller gets a broken answer, or the statement that
+// a request did not run that reached the replica. Where sound replicas serve too, requests that may be repeated must be
+// answered.
+func (r *brokenReplica) checkCallers(f *fleet, body string, sound bool) {
+	f.t.Helper()
+	reached := 0
+	for n := range 12 {
+		path := []string{pathStream, pathIdempotent, pathNonIdempotent}[n%3]
+		got := f.sendUntilRead(f.routers[n%len(f.routers)], managed.Request{Path: path, Key: key, Body: body})
+		want := managed.ExpectedAnswer(got.ID)
+		if path == pathStream {
+			want = expectedStream(got.ID)
+		}
+		if r.wasAsked(got.ID) {
+			reached++
+		}
+		isServed := got.Status == http.StatusOK && got.Complete && got.Body == want && sound
+		isFailed := got.Status == http.StatusBadGateway && (!sound || path == pathNonIdempotent)
+		isNotRun := got.Status == http.StatusServiceUnavailable && !r.wasAsked(got.ID) && len(f.journal.Runs(got.ID)) == 0
+		if !isServed && !isFailed && !isNotRun {
+			f.t.Errorf("%s: status %d, complete %v, headers %v, body %q", path, got.Status, got.Complete, got.Header, got.Body)
+		}
+		if runs := len(f.journal.Runs(got.ID)); path == pathNonIdempotent && r.wasAsked(got.ID) && runs > 0 {
+			f.t.Errorf("%s ran %d times although its outcome was not known", path, runs)
+		}
+	}
+	if reached == 0 {
+		f.t.Error("no request reached the replicas")
+	}
+}
+
+// TestBadHeadsDoNotReachCallers guards against heads that HTTP does not allow and that reach callers as answers: on any kind
+// of route, alone in a service and beside sound replicas.
+func TestBadHeadsDoNotReachCallers(t *testing.T) {
+	for name, text := range map[string]string{
+		"status 000":        "HTTP/1.1 000 OK" + fromReplica + "Content-Length: 2\r\n\r\nno",
+		"status 000, event": "HTTP/1.1 000 OK" + fromReplica + "Content-Type: text/event-stream\r\nContent-Length: 10\r\n\r\ndata: no\n\n",
+		"status 600":        "HTTP/1.1 600 OK" + fromReplica + "Content-Length: 2\r\n\r\nno",
+		"HTTP/2.0":          "HTTP/2.0 200 OK" + fromReplica + "Content-Length: 2\r\n\r\nno",
+	} {
+		for _, sound := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, beside sound replicas %v", name, sound), func(t *testing.T) {
+				t.Parallel()
+				var replicas []managed.ReplicaOptions
+				if sound {
+					replicas = []managed.ReplicaOptions{opsReplica("sound-ops"), genReplica("sound-gen")}
+				}
+				f := startSettledFleet(t, unlimitedSlack, 2, replicas...)
+				r := f.startBrokenReplicas(text, rawhttp.Answer)
+				r.checkCallers(f, "", sound)
+			})
+		}
+	}
+}
--- a/managedtest/endless_test.go
+++ b/managedtest/endless_test.go
@@ -62,8 +62,13 @@
 			go r.serve(conn)
 		}
 	}()
+	f.register(replica, service, listener.Addr().String())
+}
+
+// register enters a replica in the store that is not one of the stand-in's.
+func (f *fleet) register(replica, service, address string) {
 	f.store.Put(wire.TableReplicas, replica, wire.Replica{
-		Service: service, Address: listener.Addr().String(), Zone: managed.DefaultZone, Software: managed.DefaultSoftware,
+		Service: service, Address: address, Zone: managed.DefaultZone, Software: managed.DefaultSoftware,
 		Slots: 8, State: wire.StateReady, StartedAt: time.Now().UnixMilli(),
 	})
 }
--- a/standin/managed/caller.go
+++ b/standin/managed/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -73,6 +74,8 @@
 	// Parts are the parts of the prompt, as ID:TOKENS separated by commas. Empty: two parts, of
 	// which some requests have the first one in common.
 	Parts string
+	// Body is the body of the request; empty: a short one.
+	Body string
 	// StopAfter makes the caller close its connection once it has this many whole events
 	// of a stream; zero: it reads the answer to its end.
 	StopAfter int
@@ -90,7 +93,7 @@
 	defer cancel()
 	number := c.lastNumber.Add(1)
 	answer := Answer{ID: fmt.Sprintf("%s-%d", c.name, number)}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router+r.Path, strings.NewReader("body"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router+r.Path, strings.NewReader(cmp.Or(r.Body, "body")))
 	if err != nil {
 		panic(err) // the method is valid, and tests pass valid addresses and paths
 	}
--- a/store/transport.go
+++ b/store/transport.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/walnutcove/walnutcove/headcheck"
 )
 
 // call describes one call of the protocol.
@@ -57,7 +59,7 @@
 }
 
 // dial opens a connection within limit, or within the time left for the call if
-// that is shorter.
+// that is shorter. The connection refuses heads that are no answer.
 func dial(address string, limit, left time.Duration) (net.Conn, error) {
 	if left > 0 {
 		limit = min(limit, left)
@@ -66,7 +68,7 @@
 	if err != nil {
 		return nil, &dialError{cause: err}
 	}
-	return conn, nil
+	return headcheck.NewConn(conn), nil
 }
 
 // readJSON makes a read, with retries, and decodes the response into reply.
--- a/targets/conn.go
+++ b/targets/conn.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/walnutcove/walnutcove/headcheck"
 	"github.com/walnutcove/walnutcove/targets/connstate"
 )
 
@@ -26,6 +27,8 @@
 	writer  *bufio.Writer
 	request fasthttp.RequestHeader
 	answer  fasthttp.ResponseHeader
+	// headChecker checks the bytes of answers before the parser sees them.
+	headChecker headcheck.Checker
 }
 
 var callBufferPool = sync.Pool{New: func() any {
@@ -65,7 +68,7 @@
 // attach gives the connection the buffers for a call.
 func (c *conn) attach() {
 	c.callBuffers = callBufferPool.Get().(*callBuffers)
-	c.reader.Reset(c)
+	c.reader.Reset(checkedReader{c})
 	c.writer.Reset(c)
 }
 
@@ -102,6 +105,29 @@
 // noDeadline is the readDeadline that makes readTimeout apply to each read instead.
 var noDeadline time.Time
 
+// beginHead makes the next byte the first of a head. It checks the bytes that have been read ahead.
+func (c *conn) beginHead() error {
+	c.headChecker.Reset()
+	ahead, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	_, err = c.headChecker.Check(ahead)
+	return err
+}
+
+// checkedReader reads from a connection and fails where the head of an answer is not allowed.
+type checkedReader struct{ *conn }
+
+// Read implements io.Reader.
+func (r checkedReader) Read(p []byte) (int, error) {
+	n, err := r.conn.Read(p)
+	if allowed, checkErr := r.headChecker.Check(p[:n]); checkErr != nil {
+		return allowed, checkErr
+	}
+	return n, err
+}
+
 // Read reads from the network until readDeadline or within readTimeout.
 func (c *conn) Read(p []byte) (int, error) {
 	deadline := c.readDeadline
--- a/targets/exchange.go
+++ b/targets/exchange.go
@@ -107,6 +107,9 @@
 // readHeadWithin waits for a head and reads it. From its first byte on, it may take the given
 // time. It returns how long that took.
 func readHeadWithin(cn *conn, timeout time.Duration) (took time.Duration, err error) {
+	if err := cn.beginHead(); err != nil {
+		return 0, err
+	}
 	if _, err := cn.reader.Peek(1); isTimeout(err) {
 		return 0, err
 	} else if err != nil {
