headcheck: answers with a blank in the name of a field are no answers

What callers saw: an answer with "X Odd: v" in its head arrived as a whole 200 with that line passed on; one with "Transfer Encoding: chunked" with the sizes of its chunks as a part of the body, and one with "Content Length: 2" with a body whose end nothing proves.

Cause: fasthttp accepts blanks inside the name of a field, keeps the name as it is and closes the connection afterwards. "Transfer Encoding" is then any field, and the body lasts until the connection ends. All other names that HTTP does not allow (control bytes, tab, NUL, DEL, CR, bytes above 0x7f, delimiters, none) it refuses; the tests of those are kept.

Evidence: 6 of the 27 cases of TestFieldThatHTTPDoesNotAllowIsNoAnswer failed before, all with a blank; so did the three kinds with a blank in TestBadHeadsDoNotReachCallers (two with a control byte and a tab passed), and the same head in the tests of the store, the platform, walnutctl and the load tool.

Change: package headcheck checks the name of each field. A blank before the colon and the continuation of a value on the next line are accepted as before: RFC 9112 asks clients to.

Why this works: a name is refused before its line ends for the parser, on every connection on which heads are checked.

--- a/ctl/badanswer_test.go
+++ b/ctl/badanswer_test.go
@@ -14,8 +14,9 @@
 func TestBadHeadOfARouterIsNoAnswer(t *testing.T) {
 	const body = `{"id":"p","version":8}`
 	for name, head := range map[string]string{
-		"status 000": "HTTP/1.1 000 OK\r\nConnection: close\r\nContent-Length: 22\r\n\r\n" + body,
-		"HTTP/2.0":   "HTTP/2.0 200 OK\r\nConnection: close\r\nContent-Length: 22\r\n\r\n" + body,
+		"status 000":      "HTTP/1.1 000 OK\r\nConnection: close\r\nContent-Length: 22\r\n\r\n" + body,
+		"blank in a name": "HTTP/1.1 200 OK\r\nX Odd: v\r\nConnection: close\r\nContent-Length: 22\r\n\r\n" + body,
+		"HTTP/2.0":        "HTTP/2.0 200 OK\r\nConnection: close\r\nContent-Length: 22\r\n\r\n" + body,
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := rawhttp.Start(t, rawhttp.Answer(func(*http.Request) string { return head }))
--- a/headcheck/headcheck.go
+++ b/headcheck/headcheck.go
@@ -16,6 +16,8 @@
 	ErrStatus = errors.New("headcheck: invalid status")
 	// ErrReason reports a control character in the reason phrase.
 	ErrReason = errors.New("headcheck: invalid reason phrase")
+	// ErrFieldName reports a field whose name contains a blank.
+	ErrFieldName = errors.New("headcheck: blank in the name of a field")
 )
 
 // Checker checks the head of an answer, and the heads of interim answers before it, while their bytes arrive. It ignores
@@ -61,7 +63,7 @@
 		c.inFields = false
 		return nil
 	case c.inFields:
-		return nil
+		return checkField(line)
 	default:
 		c.inFields = true
 		return c.checkStatusLine(line)
@@ -92,5 +94,18 @@
 	return nil
 }
 
+// checkField checks a line after the status line. RFC 9112 has clients accept blanks between a name and its colon (section
+// 5.1) and the continuation of a value on a line that begins with a blank (section 5.2).
+func checkField(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		return nil
+	}
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	if bytes.IndexByte(bytes.TrimRight(name, " "), ' ') >= 0 {
+		return ErrFieldName
+	}
+	return nil
+}
+
 // isControl reports whether a character may not stand in a line of a head.
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
--- a/headcheck/headcheck_test.go
+++ b/headcheck/headcheck_test.go
@@ -49,6 +49,11 @@
 			if status := header.StatusCode(); status < 100 || status > 599 || status == fasthttp.StatusSwitchingProtocols {
 				t.Fatalf("accepted status %d", status)
 			}
+			for name := range header.All() {
+				if strings.Contains(string(name), " ") {
+					t.Fatalf("accepted the name %q", name)
+				}
+			}
 			if header.StatusCode() >= fasthttp.StatusOK {
 				break
 			}
--- a/load/badanswer_test.go
+++ b/load/badanswer_test.go
@@ -12,6 +12,7 @@
 func TestBadHeadIsBroken(t *testing.T) {
 	for _, head := range []string{
 		"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nno",
+		"HTTP/1.1 200 OK\r\nX Odd: v\r\nContent-Length: 2\r\n\r\nno",
 		"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nno",
 	} {
 		client := NewClient(time.Second)
--- a/managedtest/brokenanswers_test.go
+++ b/managedtest/brokenanswers_test.go
@@ -93,10 +93,15 @@
 // of route, alone in a service and beside sound replicas.
 func TestBadHeadsDoNotReachCallers(t *testing.T) {
 	for name, text := range map[string]string{
-		"status 000":        "HTTP/1.1 000 OK" + fromReplica + "Content-Length: 2\r\n\r\nno",
-		"status 000, event": "HTTP/1.1 000 OK" + fromReplica + "Content-Type: text/event-stream\r\nContent-Length: 10\r\n\r\ndata: no\n\n",
-		"status 600":        "HTTP/1.1 600 OK" + fromReplica + "Content-Length: 2\r\n\r\nno",
-		"HTTP/2.0":          "HTTP/2.0 200 OK" + fromReplica + "Content-Length: 2\r\n\r\nno",
+		"status 000":                  "HTTP/1.1 000 OK" + fromReplica + "Content-Length: 2\r\n\r\nno",
+		"status 000, event":           "HTTP/1.1 000 OK" + fromReplica + "Content-Type: text/event-stream\r\nContent-Length: 10\r\n\r\ndata: no\n\n",
+		"status 600":                  "HTTP/1.1 600 OK" + fromReplica + "Content-Length: 2\r\n\r\nno",
+		"HTTP/2.0":                    "HTTP/2.0 200 OK" + fromReplica + "Content-Length: 2\r\n\r\nno",
+		"blank in a name":             "HTTP/1.1 200 OK" + fromReplica + "X Odd: v\r\nContent-Length: 2\r\n\r\nno",
+		"blank in a name of a coding": "HTTP/1.1 200 OK" + fromReplica + "Transfer Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+		"blank in a name, event":      "HTTP/1.1 200 OK" + fromReplica + "X Odd: v\r\nContent-Type: text/event-stream\r\nContent-Length: 10\r\n\r\ndata: no\n\n",
+		"control byte in a name":      "HTTP/1.1 200 OK" + fromReplica + "X\x01Odd: v\r\nContent-Length: 2\r\n\r\nno",
+		"tab in a name":               "HTTP/1.1 200 OK" + fromReplica + "X\tOdd: v\r\nContent-Length: 2\r\n\r\nno",
 	} {
 		for _, sound := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, beside sound replicas %v", name, sound), func(t *testing.T) {
--- a/store/badanswer_test.go
+++ b/store/badanswer_test.go
@@ -18,8 +18,9 @@
 func TestBadHeadOfThePlatformIsNoAnswer(t *testing.T) {
 	const body = "Connection: close\r\nContent-Length: 2\r\n\r\n{}"
 	for name, head := range map[string]string{
-		"status 000": "HTTP/1.1 000 OK\r\n" + body,
-		"HTTP/2.0":   "HTTP/2.0 200 OK\r\n" + body,
+		"status 000":      "HTTP/1.1 000 OK\r\n" + body,
+		"blank in a name": "HTTP/1.1 200 OK\r\nX Odd: v\r\n" + body,
+		"HTTP/2.0":        "HTTP/2.0 200 OK\r\n" + body,
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := rawhttp.Start(t, rawhttp.Answer(func(*http.Request) string { return head }))
