headcheck: HTTP/1.0 answers with a transfer coding are no answers

What callers saw: an HTTP/1.0 answer with "Transfer-Encoding: chunked" arrived as a whole 200 whose body had the sizes of the chunks in it.

Cause: fasthttp ignores the transfer coding of any version but HTTP/1.1, so that the body lasts until the connection ends.

Evidence: TestChunkedHTTP10IsNoAnswer (4 cases, HTTP/1.2 among them) and the two cases of TestBadHeadsDoNotReachCallers with such a head failed before.

Change: package headcheck refuses a transfer coding in an answer that is not HTTP/1.1, as RFC 9112, 6.1 has clients do.

--- a/headcheck/headcheck.go
+++ b/headcheck/headcheck.go
@@ -6,6 +6,8 @@
 import (
 	"bytes"
 	"errors"
+
+	"github.com/valyala/fasthttp"
 )
 
 // Errors of heads that are no answer.
@@ -16,6 +18,9 @@
 	ErrStatus = errors.New("headcheck: invalid status")
 	// ErrReason reports a control character in the reason phrase.
 	ErrReason = errors.New("headcheck: invalid reason phrase")
+	// ErrCoding reports a transfer coding in an answer that is not HTTP/1.1, which the parser would take for a part of the
+	// body. RFC 9112 (section 6.1) has clients treat such an HTTP/1.0 answer as faulty.
+	ErrCoding = errors.New("headcheck: transfer coding in an answer that is not HTTP/1.1")
 	// ErrFieldName reports a field whose name contains a blank.
 	ErrFieldName = errors.New("headcheck: blank in the name of a field")
 )
@@ -27,7 +32,8 @@
 	line []byte
 	// inFields is set after the status line of a head, and done after the head of the final answer.
 	inFields, done bool
-	interim        bool
+	// interim and http11 are what the status line says.
+	interim, http11 bool
 }
 
 // Reset makes the checker expect a head.
@@ -63,7 +69,7 @@
 		c.inFields = false
 		return nil
 	case c.inFields:
-		return checkField(line)
+		return c.checkField(line)
 	default:
 		c.inFields = true
 		return c.checkStatusLine(line)
@@ -73,6 +79,7 @@
 // The parts of a status line. The parser checks the minor version and that a status has three digits.
 const (
 	versionPrefix     = "HTTP/1."
+	version11         = "HTTP/1.1"
 	maxStatusDigit    = '5'
 	interimDigit      = '1'
 	switchedProtocols = "101"
@@ -90,19 +97,23 @@
 	if bytes.ContainsFunc(reason, isControl) {
 		return ErrReason
 	}
-	c.interim = status[0] == interimDigit
+	c.interim, c.http11 = status[0] == interimDigit, string(version) == version11
 	return nil
 }
 
 // checkField checks a line after the status line. RFC 9112 has clients accept blanks between a name and its colon (section
 // 5.1) and the continuation of a value on a line that begins with a blank (section 5.2).
-func checkField(line []byte) error {
+func (c *Checker) checkField(line []byte) error {
 	if line[0] == ' ' || line[0] == '\t' {
 		return nil
 	}
 	name, _, _ := bytes.Cut(line, []byte(":"))
-	if bytes.IndexByte(bytes.TrimRight(name, " "), ' ') >= 0 {
+	name = bytes.TrimRight(name, " ")
+	switch {
+	case bytes.IndexByte(name, ' ') >= 0:
 		return ErrFieldName
+	case !c.http11 && bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
+		return ErrCoding
 	}
 	return nil
 }
--- a/headcheck/headcheck_test.go
+++ b/headcheck/headcheck_test.go
@@ -33,6 +33,7 @@
 	} {
 		f.Add(text, 5)
 	}
+	f.Add("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 20)
 	f.Fuzz(func(t *testing.T, text string, split int) {
 		split = min(max(split, 0), len(text))
 		allowed, err := check(text, 0)
@@ -91,3 +92,16 @@
 		}
 	}
 }
+
+// BenchmarkChecker measures what the check adds to a request.
+func BenchmarkChecker(b *testing.B) {
+	head := []byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt: 9c41d07be2a35f68\r\nX-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n" +
+		"X-Load: 3/64\r\nKeep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n\r\n")
+	var c Checker
+	for b.Loop() {
+		c.Reset()
+		if _, err := c.Check(head); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/managedtest/brokenanswers_test.go
+++ b/managedtest/brokenanswers_test.go
@@ -102,6 +102,7 @@
 		"blank in a name, event":      "HTTP/1.1 200 OK" + fromReplica + "X Odd: v\r\nContent-Type: text/event-stream\r\nContent-Length: 10\r\n\r\ndata: no\n\n",
 		"control byte in a name":      "HTTP/1.1 200 OK" + fromReplica + "X\x01Odd: v\r\nContent-Length: 2\r\n\r\nno",
 		"tab in a name":               "HTTP/1.1 200 OK" + fromReplica + "X\tOdd: v\r\nContent-Length: 2\r\n\r\nno",
+		"chunked, HTTP/1.0":           "HTTP/1.0 200 OK" + fromReplica + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
 	} {
 		for _, sound := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, beside sound replicas %v", name, sound), func(t *testing.T) {
--- a/targets/badfield_test.go
+++ b/targets/badfield_test.go
@@ -38,3 +38,17 @@
 func TestFieldThatHTTPDoesNotAllowIsNoAnswer(t *testing.T) {
 	checkBadHeads(t, badFieldHeads)
 }
+
+// badCodingHeads have a transfer coding in a version of HTTP for which the parser ignores it.
+var badCodingHeads = map[string]string{
+	"chunked, HTTP/1.0":             "HTTP/1.0 200 OK\r\nX-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+	"chunked and length, HTTP/1.0":  "HTTP/1.0 200 OK\r\nX-Id: ID\r\nContent-Length: 12\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+	"chunked, HTTP/1.2":             "HTTP/1.2 200 OK\r\nX-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+	"chunked in capitals, HTTP/1.0": "HTTP/1.0 200 OK\r\nX-Id: ID\r\nTRANSFER-ENCODING: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+}
+
+// TestChunkedHTTP10IsNoAnswer guards against an HTTP/1.0 answer in chunks that reaches the caller with the sizes of
+// its chunks as a part of the body.
+func TestChunkedHTTP10IsNoAnswer(t *testing.T) {
+	checkBadHeads(t, badCodingHeads)
+}
