targets: an early answer without a length is not known to be whole after a failed write

What callers saw: a target answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of its body and reset the connection, or closed it, while the upload was still being written. The part arrived as a whole answer: plain or an event stream that ended between two events, HTTP/1.0 or 1.1.

Cause: the failed write takes the socket's pending error. The read that follows gets the buffered bytes and then a proper end, which is the end of an answer without a length.

Change: after a failed write an answer that only the end of its connection frames is an error at once: 705 with an unknown outcome, or a retry where the request may be repeated. Deciding at the head instead of at the end lets an idempotent request be retried before a part of an event stream has reached its caller.

Why this works: after a failed write nothing distinguishes a whole answer of that form from a part.

Cost: none without a failed write.

--- a/standin/managed/replica.go
+++ b/standin/managed/replica.go
@@ -141,12 +141,15 @@
 			return nil, err
 		}
 	}
-	r.http = &fasthttp.Server{Handler: r.serve, NoDefaultServerHeader: true, Logger: discardLogger{}, ConnState: r.trackConn}
+	r.http = &fasthttp.Server{Handler: r.serve, NoDefaultServerHeader: true, Logger: discardLogger{}, ConnState: r.trackConn, MaxRequestBodySize: maxRequestBytes}
 	go func() { _ = r.http.Serve(listener) }() // ends with Close
 	r.register(wire.StateReady)
 	return r, nil
 }
 
+// maxRequestBytes bounds the body of a request; it is more than routers accept by default.
+const maxRequestBytes = 16 << 20
+
 // discardLogger drops fasthttp's log messages about broken connections, because
 // tests break connections on purpose.
 type discardLogger struct{}
--- a/targets/exchange.go
+++ b/targets/exchange.go
@@ -205,6 +205,10 @@
 	}
 	resp.Load = ex.readLoad(resp)
 	body := newBody(ex, req.Method, header)
+	if ex.partlySent && body.framing == FramingClose {
+		// A failed write takes the socket's pending error, so a reset would read as a proper close.
+		return nil, ex.counters.newError(reasonUnframed, result.TargetLostRequest, result.RanUnknown, errUnframed)
+	}
 	resp.Body, resp.Framing = body, body.framing
 	ex.counters.countAnswer(body.framing)
 	return resp, nil
