--- a/router/offloadbroken_test.go
+++ b/router/offloadbroken_test.go
@@ -15,6 +15,7 @@
 // TestBadHeadsAreNotOffloadedAnswers guards against heads that HTTP does not allow and that reach callers as answers when
 // another router serves their requests.
 func TestBadHeadsAreNotOffloadedAnswers(t *testing.T) {
+	t.Parallel()
 	const fields = "\r\n" + wire.HeaderSeal + ": raw\r\n" + wire.HeaderRequestID + ": ID\r\n"
 	for name, text := range map[string]string{
 		"status 000":      "HTTP/1.1 000 OK" + fields + "Content-Length: 2\r\n\r\nno",
