--- a/targets/script_test.go
+++ b/targets/script_test.go
@@ -10,30 +10,14 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/walnutcove/walnutcove/standin/rawhttp"
 	"github.com/walnutcove/walnutcove/targets"
 )
 
 // scriptServer accepts connections and passes each to serve.
 func scriptServer(t testing.TB, serve func(net.Conn)) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c)
-			}()
-		}
-	}()
-	return ln.Addr().String()
+	return rawhttp.Start(t, serve)
 }
 
 // replyOnce reads one complete request, writes raw and closes the connection.
--- a/targets/stray_test.go
+++ b/targets/stray_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/walnutcove/walnutcove/dialect"
 	"github.com/walnutcove/walnutcove/result"
+	"github.com/walnutcove/walnutcove/standin/rawhttp"
 )
 
 // echoDialect is a dialect whose targets echo the id of each request.
@@ -25,24 +26,7 @@
 // serveConns accepts connections and passes each to serve.
 func serveConns(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				serve(conn)
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return rawhttp.Start(t, serve)
 }
 
 // serveRaw answers each request on a connection with what answer returns for its id.
