targets: a reset after a proper close breaks an answer without a length

What callers saw: a part of an early answer without a length as a whole one, also where the request had been written completely: the target closes before the rest of the request has arrived, which then resets the connection.

Cause: the close arrives before the reset, and a read reports the end of the stream first. The reset remains as the socket's pending error, which nothing asked for.

Change: at the end of an unframed answer the socket's pending error is asked for.

Why this works: the kernel keeps the reset as the pending error until it is asked for, whatever reads reported.

Cost: one system call for an answer without a length or chunks.

--- a/targets/body.go
+++ b/targets/body.go
@@ -29,6 +29,10 @@
 // from a broken connection.
 var errUnframed = errors.New("target: answer without framing")
 
+// errResetAfterClose reports that the target reset the connection after it had closed its side, as it does if it closes
+// without having read the request.
+var errResetAfterClose = errors.New("target: connection reset at the end of an answer without framing")
+
 // body streams an answer. Read and Close may be called from different goroutines; Read itself
 // from one at a time.
 type body struct {
@@ -158,6 +162,8 @@
 		return n, nil
 	case err != io.EOF:
 		return n, b.fail(err)
+	case b.ex.conn.checker.PendingError() != nil:
+		return n, b.failAtEOF(reasonUnframed, errResetAfterClose)
 	case !b.ex.client.options.Dialect.CloseDelimited:
 		return n, b.failAtEOF(reasonUnframed, errUnframed)
 	case b.events != nil && !b.events.IsBetweenEvents():
--- a/targets/connstate/connstate.go
+++ b/targets/connstate/connstate.go
@@ -41,6 +41,28 @@
 	return c.state
 }
 
+// PendingError returns and clears the socket's error. A reset that arrives after the remote end has closed its side is found
+// here only: reads end properly.
+func (c *Checker) PendingError() error {
+	if c.raw == nil {
+		return nil
+	}
+	var pending error
+	err := c.raw.Control(func(fd uintptr) {
+		number, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+		switch {
+		case err != nil:
+			pending = err
+		case number != 0:
+			pending = syscall.Errno(number)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return pending
+}
+
 // Wait blocks until the remote end closes the connection (ErrClosed) or sends bytes (ErrData),
 // or the read deadline passes (any other error). Nothing else may read from the connection
 // meanwhile. For a connection that is not a socket of the operating system it returns nil at
--- a/targets/earlycut_test.go
+++ b/targets/earlycut_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -167,3 +168,38 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// pausingConn is a connection whose first write is followed by a pause.
+type pausingConn struct {
+	*net.TCPConn
+	paused bool
+}
+
+// Write implements net.Conn.
+func (c *pausingConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	if !c.paused {
+		c.paused = true
+		time.Sleep(20 * time.Millisecond)
+	}
+	return n, err
+}
+
+// TestUnframedAnswerResetAfterCloseIsBroken guards against a part of an answer that reaches the caller as a whole one when the
+// target closes properly what it has read of a request, and resets the connection as the rest arrives.
+func TestUnframedAnswerResetAfterCloseIsBroken(t *testing.T) {
+	for name, text := range partialAnswers {
+		t.Run(name, func(t *testing.T) {
+			client := NewHTTPClient(Options{Dialect: echoDialect, Dial: func(_ context.Context, address string) (net.Conn, error) {
+				conn, err := net.Dial("tcp4", address)
+				if err != nil {
+					return nil, err
+				}
+				return &pausingConn{TCPConn: conn.(*net.TCPConn)}, nil
+			}})
+			defer client.Close()
+			address := rawhttp.Start(t, rawhttp.AnswerEarly(func(*http.Request) string { return text }, rawhttp.Cut{}))
+			checkBroken(t, client, address, shortBodyBytes)
+		})
+	}
+}
